--- /dev/null
+++ b/Makefile
@@ -0,0 +1,31 @@
+# The commands of this project. "make test" is what CI runs.
+GO      ?= go
+BIN     := bin
+LINT    := $(BIN)/golangci-lint
+LINTVER := $(shell cat tools/golangci-lint.version)
+
+.PHONY: build test check unit demo clean
+
+build:
+	$(GO) build -o $(BIN)/ ./cmd/...
+
+$(LINT): tools/golangci-lint.version
+	GOBIN=$(CURDIR)/$(BIN) $(GO) install github.com/golangci/golangci-lint/v2/cmd/golangci-lint@$(LINTVER)
+	touch $(LINT)
+
+check: $(LINT)
+	@out=$$(gofmt -l $$(git ls-files '*.go')); test -z "$$out" || { echo "gofmt: $$out"; exit 1; }
+	$(GO) vet ./...
+	$(LINT) run ./...
+	$(GO) tool -modfile=tools/go.mod staticcheck ./...
+
+unit: build
+	$(GO) test -race -count=1 -timeout 20m ./...
+
+test: check unit
+
+demo: build
+	./examples/demo.sh
+
+clean:
+	rm -rf $(BIN) run
--- /dev/null
+++ b/cmd/weldstreamd/main.go
@@ -0,0 +1,81 @@
+// Command weldstreamd is the daemon, one an entry instance.
+//
+//	weldstreamd -settings FILE.yaml
+//
+// It exits with 2 when the settings are faulty, one line a fault with file,
+// line and field; with 1 when it cannot go on; with 0 after a planned stop.
+//
+// SIGTERM begins a planned stop: the instance reports unready, finishes what
+// runs and ends. SIGQUIT writes the process's state to standard error as JSON.
+package main
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/rs/zerolog"
+
+	"github.com/weldstream/weldstream/settings"
+)
+
+const (
+	exitFailed   = 1
+	exitSettings = 2
+)
+
+func main() {
+	os.Exit(run())
+}
+
+func run() int {
+	file := flag.String("settings", "", "settings `file` in YAML (required)")
+	flag.Parse()
+	if *file == "" || flag.NArg() > 0 {
+		flag.Usage()
+		return exitSettings
+	}
+	s, faults, err := settings.Load(*file)
+	if err != nil {
+		fmt.Fprintf(os.Stderr, "weldstreamd: %s:0: %v\n", *file, err)
+		return exitSettings
+	}
+	if len(faults) > 0 {
+		for _, f := range faults {
+			fmt.Fprintln(os.Stderr, "weldstreamd:", f)
+		}
+		return exitSettings
+	}
+	return serve(s)
+}
+
+func serve(s *settings.Settings) int {
+	log := newLogger(s)
+	d, err := newDaemon(s, log)
+	if err != nil {
+		log.Error().Err(err).Msg("start failed")
+		return exitFailed
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	dumps := make(chan os.Signal, 1)
+	signal.Notify(dumps, syscall.SIGQUIT)
+	if err := d.run(ctx, dumps); err != nil {
+		log.Error().Err(err).Msg("stopped by an error")
+		return exitFailed
+	}
+	log.Info().Msg("stopped")
+	return 0
+}
+
+func newLogger(s *settings.Settings) zerolog.Logger {
+	level, err := zerolog.ParseLevel(s.LogLevel)
+	if err != nil {
+		level = zerolog.InfoLevel
+	}
+	zerolog.TimeFieldFormat = zerolog.TimeFormatUnixMs
+	return zerolog.New(os.Stderr).Level(level).With().Timestamp().Str("instance", s.Name).Logger()
+}
--- /dev/null
+++ b/coordination/member/message.go
@@ -0,0 +1,94 @@
+package member
+
+import (
+	"time"
+
+	"github.com/weldstream/weldstream/protocol"
+)
+
+// Msg is a message to [State.Update].
+type Msg interface{ msg() }
+
+// TickMsg is the passing of time.
+type TickMsg struct {
+	Now  time.Time
+	Rand uint64 // Rand is fresh randomness.
+}
+
+// NewsMsg is what another instance sent.
+type NewsMsg struct {
+	News protocol.News
+	Now  time.Time
+	Rand uint64
+}
+
+// ProbedMsg is the outcome of a [ProbeCmd].
+type ProbedMsg struct {
+	Name  string
+	Alive bool
+	Now   time.Time
+	Rand  uint64
+}
+
+// SelfMsg sets what this instance says of itself.
+type SelfMsg struct {
+	Ready    bool
+	Leaving  bool
+	Left     bool
+	Revision uint64
+	Digest   protocol.Digest
+	Now      time.Time
+	Rand     uint64
+}
+
+// ServerLeavingMsg tells that this instance learned of a leaving backend server.
+type ServerLeavingMsg struct {
+	Leaving protocol.Leaving
+	Rand    uint64
+}
+
+func (TickMsg) msg()          {}
+func (NewsMsg) msg()          {}
+func (ProbedMsg) msg()        {}
+func (SelfMsg) msg()          {}
+func (ServerLeavingMsg) msg() {}
+
+// Cmd is a command from [State.Update].
+type Cmd interface{ cmd() }
+
+// ProbeCmd probes a member, with news; if it is silent, by way of others. The
+// outcome comes back as a [ProbedMsg].
+type ProbeCmd struct {
+	Name    string
+	Address string
+	News    protocol.News
+	Via     []string
+}
+
+// PushCmd sends news and awaits nothing.
+type PushCmd struct {
+	Address string
+	News    protocol.News
+}
+
+// SyncCmd sends all records; the answer, all of the other's, comes back as a
+// [NewsMsg].
+type SyncCmd struct {
+	Address string
+	News    protocol.News
+}
+
+// LeavingCmd tells the tables of a leaving backend server.
+type LeavingCmd struct{ Leaving protocol.Leaving }
+
+// FetchCmd fetches a configuration that another instance has in force.
+type FetchCmd struct {
+	Address string
+	Number  uint64
+}
+
+func (ProbeCmd) cmd()   {}
+func (PushCmd) cmd()    {}
+func (SyncCmd) cmd()    {}
+func (LeavingCmd) cmd() {}
+func (FetchCmd) cmd()   {}
--- /dev/null
+++ b/coordination/route/route.go
@@ -0,0 +1,112 @@
+// Package route chooses the backend server for an attempt.
+//
+// A [Chooser] is a function of a snapshot and a message. It holds no clock and
+// sends nothing: the caller copies the counts of requests in progress out of
+// the tables first, so that the numbers stand still while it looks at them.
+//
+//	counts = view.Outstanding(counts)
+//	i, err := route.LeastOutstanding{}.Choose(view, counts, route.ChooseMsg{Model: "docket-8b"})
+package route
+
+import (
+	"slices"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/weldstream/weldstream/protocol"
+	"github.com/weldstream/weldstream/state"
+)
+
+// ErrNoServer is returned when no backend server may take the request.
+var ErrNoServer = eris.New("no backend server can take the request")
+
+// maxMissed is how many load reports in a row a server may miss and still get
+// work while others answer.
+const maxMissed = 2
+
+// ChooseMsg asks for a backend server.
+type ChooseMsg struct {
+	Model        string   // Model must be loaded; empty for a plain service.
+	Adapter      string   // Adapter is preferred to be loaded.
+	Service      string   // Service is the plain service; empty for a model.
+	AvoidServers []string // AvoidServers are never chosen: they failed this request.
+	AvoidDomains []string // AvoidDomains are chosen only when nothing else is left.
+}
+
+// Chooser chooses one server of the view.
+type Chooser interface {
+	// Choose returns an index into v.Servers, or ErrNoServer. The counts are
+	// the requests in progress per server, in the same order.
+	Choose(v *state.View, counts []int32, m ChooseMsg) (int, error)
+}
+
+// LeastOutstanding prefers, in this order: a failure domain that did not fail
+// the request, an adapter that is loaded, the fewest requests in progress. It
+// is the baseline against which other choosers are measured.
+type LeastOutstanding struct{}
+
+// rank orders candidates; less is better, field by field.
+type rank struct {
+	domain   int
+	silent   int
+	adapter  int
+	inFlight int32
+}
+
+func (r rank) less(o rank) bool {
+	if r.domain != o.domain {
+		return r.domain < o.domain
+	}
+	if r.silent != o.silent {
+		return r.silent < o.silent
+	}
+	if r.adapter != o.adapter {
+		return r.adapter < o.adapter
+	}
+	return r.inFlight < o.inFlight
+}
+
+// Choose implements [Chooser].
+func (LeastOutstanding) Choose(v *state.View, counts []int32, m ChooseMsg) (int, error) {
+	best, found := -1, rank{}
+	for i := range v.Servers {
+		s := &v.Servers[i]
+		if !Eligible(s, m) {
+			continue
+		}
+		r := rankOf(s, counts[i], m)
+		if best < 0 || r.less(found) {
+			best, found = i, r
+		}
+	}
+	if best < 0 {
+		return -1, ErrNoServer
+	}
+	return best, nil
+}
+
+func rankOf(s *state.Server, inFlight int32, m ChooseMsg) rank {
+	r := rank{inFlight: inFlight}
+	if slices.Contains(m.AvoidDomains, s.Domain) {
+		r.domain = 1
+	}
+	if s.Missed > maxMissed {
+		r.silent = 1
+	}
+	if m.Adapter != "" && !slices.Contains(s.Report.Adapters, m.Adapter) {
+		r.adapter = 1
+	}
+	return r
+}
+
+// Eligible reports whether a server may take the request at all: it is not
+// leaving, has not failed this request, and serves what is asked for.
+func Eligible(s *state.Server, m ChooseMsg) bool {
+	if s.Leaving || slices.Contains(m.AvoidServers, s.ID) {
+		return false
+	}
+	if m.Service != "" {
+		return s.Kind == protocol.InstanceService && s.Service == m.Service
+	}
+	return s.Kind == protocol.InstanceEngine && slices.Contains(s.Report.Models, m.Model)
+}
--- /dev/null
+++ b/e2e/caller_test.go
@@ -0,0 +1,193 @@
+package e2e
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+
+	"github.com/weldstream/weldstream/protocol"
+)
+
+// ask is a caller's request.
+type ask struct {
+	path    string
+	body    any
+	headers map[string]string
+	key     string // key is the workspace's; empty uses the tests' own.
+}
+
+// completion asks for tokens after a prompt.
+func completion(model, prompt string, tokens int, stream bool) ask {
+	return ask{path: "/v1/completions", body: map[string]any{"model": model, "prompt": prompt, "max_tokens": tokens, "stream": stream}}
+}
+
+func (a ask) with(name, value string) ask {
+	headers := map[string]string{name: value}
+	for k, v := range a.headers {
+		headers[k] = v
+	}
+	a.headers = headers
+	return a
+}
+
+// stream is an answer that is being read.
+type stream struct {
+	t      *testing.T
+	resp   *http.Response
+	lines  *bufio.Reader
+	cancel context.CancelFunc
+	text   strings.Builder
+	lastID string
+	err    *protocol.ErrorDetail
+	done   bool
+}
+
+func (d *daemon) open(a ask) *stream {
+	d.c.t.Helper()
+	s, err := d.tryOpen(a)
+	if err != nil {
+		d.c.t.Fatal(err)
+	}
+	return s
+}
+
+func (d *daemon) tryOpen(a ask) (*stream, error) {
+	data, ok := a.body.(string)
+	if !ok {
+		raw, err := json.Marshal(a.body)
+		if err != nil {
+			return nil, err
+		}
+		data = string(raw)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+d.caller+a.path, bytes.NewReader([]byte(data)))
+	if err != nil {
+		cancel()
+		return nil, err
+	}
+	key := workspaceKey
+	if a.key != "" {
+		key = a.key
+	}
+	req.Header.Set("Authorization", "Bearer "+key)
+	for k, v := range a.headers {
+		req.Header.Set(k, v)
+	}
+	resp, err := http.DefaultTransport.RoundTrip(req)
+	if err != nil {
+		cancel()
+		return nil, err
+	}
+	return &stream{t: d.c.t, resp: resp, lines: bufio.NewReader(resp.Body), cancel: cancel}, nil
+}
+
+// next reads one event with text; it reports false at the end.
+func (s *stream) next() bool {
+	for {
+		line, err := s.lines.ReadString('\n')
+		if err != nil {
+			return false
+		}
+		line = strings.TrimSpace(line)
+		if id, ok := strings.CutPrefix(line, "id: "); ok {
+			s.lastID = id
+		}
+		data, ok := strings.CutPrefix(line, "data: ")
+		if !ok {
+			continue
+		}
+		if data == "[DONE]" {
+			s.done = true
+			return false
+		}
+		return s.event(data)
+	}
+}
+
+func (s *stream) event(data string) bool {
+	var e protocol.ErrorBody
+	if json.Unmarshal([]byte(data), &e) == nil && e.Error.Code != "" {
+		s.err = &e.Error
+		return false
+	}
+	var c protocol.Chunk
+	if err := json.Unmarshal([]byte(data), &c); err != nil {
+		s.t.Fatalf("event %q: %v", data, err)
+	}
+	if c.Choices[0].Text != nil {
+		s.text.WriteString(*c.Choices[0].Text)
+	}
+	if c.Choices[0].Delta != nil {
+		s.text.WriteString(c.Choices[0].Delta.Content)
+	}
+	return true
+}
+
+// rest reads to the end and returns all of the text.
+func (s *stream) rest() string {
+	for s.next() {
+	}
+	s.close()
+	return s.text.String()
+}
+
+func (s *stream) close() {
+	s.cancel()
+	s.resp.Body.Close()
+}
+
+// answer is a whole answer.
+type answer struct {
+	status  int
+	verdict string
+	header  http.Header
+	body    []byte
+}
+
+func (d *daemon) send(a ask) answer {
+	d.c.t.Helper()
+	ans, err := d.trySend(a)
+	if err != nil {
+		d.c.t.Fatal(err)
+	}
+	return ans
+}
+
+func (d *daemon) trySend(a ask) (answer, error) {
+	s, err := d.tryOpen(a)
+	if err != nil {
+		return answer{}, err
+	}
+	defer s.close()
+	body, err := io.ReadAll(s.resp.Body)
+	return answer{status: s.resp.StatusCode, verdict: s.resp.Header.Get(protocol.HeaderVerdict), header: s.resp.Header, body: body}, err
+}
+
+func (a answer) text(t *testing.T) string {
+	t.Helper()
+	var whole struct {
+		Choices []struct {
+			Text    string
+			Message struct{ Content string }
+		}
+	}
+	if err := json.Unmarshal(a.body, &whole); err != nil || len(whole.Choices) != 1 {
+		t.Fatalf("answer %d %q: %v", a.status, a.body, err)
+	}
+	return whole.Choices[0].Text + whole.Choices[0].Message.Content
+}
+
+func (a answer) code(t *testing.T) protocol.Code {
+	t.Helper()
+	var e protocol.ErrorBody
+	if err := json.Unmarshal(a.body, &e); err != nil {
+		t.Fatalf("answer %d %q: %v", a.status, a.body, err)
+	}
+	return e.Error.Code
+}
--- /dev/null
+++ b/e2e/process_test.go
@@ -0,0 +1,163 @@
+// Package e2e drives the real processes: daemons, stand-ins and the command
+// line. Ports are chosen by the kernel; every wait is for a condition.
+package e2e
+
+import (
+	"bufio"
+	"bytes"
+	"fmt"
+	"io"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+)
+
+// patience bounds every wait for a condition. It is no assertion on time: a
+// condition that holds ends the wait at once.
+const patience = 60 * time.Second
+
+var binDir string
+
+func TestMain(m *testing.M) {
+	os.Exit(runTests(m))
+}
+
+func runTests(m *testing.M) int {
+	dir, err := os.MkdirTemp("", "weldstream-e2e")
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return 1
+	}
+	defer os.RemoveAll(dir)
+	build := exec.Command("go", "build", "-o", dir, "../cmd/...")
+	build.Stderr = os.Stderr
+	if err := build.Run(); err != nil {
+		fmt.Fprintln(os.Stderr, "build:", err)
+		return 1
+	}
+	binDir = dir
+	return m.Run()
+}
+
+// logBuffer keeps what a process wrote and tells waiters of new lines.
+type logBuffer struct {
+	mu  sync.Mutex
+	buf bytes.Buffer
+}
+
+func (b *logBuffer) copyFrom(r io.Reader) {
+	scan := bufio.NewScanner(r)
+	scan.Buffer(make([]byte, 1<<16), 1<<22)
+	for scan.Scan() {
+		b.mu.Lock()
+		b.buf.WriteString(scan.Text() + "\n")
+		b.mu.Unlock()
+	}
+}
+
+func (b *logBuffer) String() string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.buf.String()
+}
+
+// process is one program that a test started.
+type process struct {
+	t      *testing.T
+	name   string
+	cmd    *exec.Cmd
+	out    logBuffer
+	err    logBuffer
+	exited chan struct{}
+	code   int
+}
+
+func start(t *testing.T, name, program string, args ...string) *process {
+	t.Helper()
+	p := &process{t: t, name: name, cmd: exec.Command(filepath.Join(binDir, program), args...), exited: make(chan struct{})}
+	stdout, err := p.cmd.StdoutPipe()
+	if err != nil {
+		t.Fatal(err)
+	}
+	stderr, err := p.cmd.StderrPipe()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := p.cmd.Start(); err != nil {
+		t.Fatal(err)
+	}
+	var pipes sync.WaitGroup
+	pipes.Go(func() { p.out.copyFrom(stdout) })
+	pipes.Go(func() { p.err.copyFrom(stderr) })
+	go func() {
+		pipes.Wait()
+		_ = p.cmd.Wait()
+		p.code = p.cmd.ProcessState.ExitCode()
+		close(p.exited)
+	}()
+	t.Cleanup(func() {
+		p.signal(syscall.SIGCONT)
+		p.kill()
+		if t.Failed() && os.Getenv("E2E_LOGS") != "" {
+			t.Logf("%s wrote:\n%s%s", name, p.out.String(), p.err.String())
+		}
+	})
+	return p
+}
+
+func (p *process) signal(sig syscall.Signal) { _ = p.cmd.Process.Signal(sig) }
+
+// kill ends the process at once and waits for its end.
+func (p *process) kill() {
+	p.signal(syscall.SIGKILL)
+	<-p.exited
+}
+
+// wait waits for the process to end by itself and returns its exit code.
+func (p *process) wait() int {
+	p.t.Helper()
+	select {
+	case <-p.exited:
+	case <-time.After(patience):
+		p.t.Fatalf("%s did not end; it wrote:\n%s", p.name, p.err.String())
+	}
+	return p.code
+}
+
+func (p *process) alive() bool {
+	select {
+	case <-p.exited:
+		return false
+	default:
+		return true
+	}
+}
+
+// eventually waits until cond holds.
+func eventually(t *testing.T, what string, cond func() bool) {
+	t.Helper()
+	end := time.Now().Add(patience)
+	tick := time.NewTicker(5 * time.Millisecond)
+	defer tick.Stop()
+	for !cond() {
+		if time.Now().After(end) {
+			t.Fatalf("still not so: %s", what)
+		}
+		<-tick.C
+	}
+}
+
+// field returns the value of name=value in a line, up to a space.
+func field(line, name string) string {
+	_, rest, ok := strings.Cut(line, name+"=")
+	if !ok {
+		return ""
+	}
+	value, _, _ := strings.Cut(rest, " ")
+	return strings.TrimSpace(value)
+}
--- /dev/null
+++ b/internal/standin/platform.go
@@ -0,0 +1,206 @@
+package standin
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"slices"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/weldstream/weldstream/protocol"
+)
+
+// Platform is a stand-in of the cloud platform: a lagging list of instances,
+// reclaim notices, prices, and starts that are often refused. It starts no
+// process: a started instance is one of the spares that it was given.
+type Platform struct {
+	faults *faultBox
+
+	mu      sync.Mutex
+	now     []protocol.Instance
+	history []listVersion
+	spares  []protocol.Instance
+	notices []protocol.Notice
+	prices  []Price
+	refuse  map[string]bool // refuse holds domain/class pairs whose starts are refused.
+}
+
+// listVersion is the list as it was from a time on.
+type listVersion struct {
+	at   time.Time
+	list []protocol.Instance
+}
+
+// Price is the price of one class in one failure domain, per hour.
+type Price struct {
+	Domain string  `json:"domain"`
+	Class  string  `json:"class"`
+	Hourly float64 `json:"hourly"`
+}
+
+// PlatformSetup sets what the platform knows, over its control address.
+type PlatformSetup struct {
+	Instances []protocol.Instance `json:"instances"`
+	Spares    []protocol.Instance `json:"spares"`
+	Prices    []Price             `json:"prices"`
+	Refuse    []string            `json:"refuse"` // Refuse holds "domain/class".
+}
+
+// ReclaimOrder makes the platform give notice of one instance or of a whole
+// failure domain.
+type ReclaimOrder struct {
+	Instance string `json:"instance"`
+	Domain   string `json:"domain"`
+	InMS     int    `json:"in_ms"` // InMS is the time from notice to reclaim.
+}
+
+// StartOrder asks for an instance of a class in a failure domain.
+type StartOrder struct {
+	Domain string `json:"domain"`
+	Class  string `json:"class"`
+}
+
+// NewPlatform returns a platform stand-in that is not serving yet.
+func NewPlatform() *Platform {
+	return &Platform{faults: newFaultBox(), refuse: map[string]bool{}}
+}
+
+// Serve runs the platform until ctx ends.
+func (p *Platform) Serve(ctx context.Context, l Listeners) error {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /v1/instances", p.handleList)
+	mux.HandleFunc("POST /v1/instances", p.handleStart)
+	mux.HandleFunc("DELETE /v1/instances/{id}", p.handleGiveBack)
+	mux.HandleFunc("GET /v1/notices", p.handleNotices)
+	mux.HandleFunc("GET /v1/prices", p.handlePrices)
+	control := http.NewServeMux()
+	control.HandleFunc("POST /faults", p.faults.handleFaults)
+	control.HandleFunc("POST /setup", p.handleSetup)
+	control.HandleFunc("POST /reclaim", p.handleReclaim)
+	return l.serve(ctx, mux, control)
+}
+
+// change replaces the true list. It needs p.mu.
+func (p *Platform) change(list []protocol.Instance) {
+	p.now = list
+	p.history = append(p.history, listVersion{at: time.Now(), list: slices.Clone(list)})
+}
+
+// seen returns the list as old as the lag says.
+func (p *Platform) seen() []protocol.Instance {
+	lag := time.Duration(p.faults.get().ListLagMS) * time.Millisecond
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	at := time.Now().Add(-lag)
+	for i := len(p.history) - 1; i >= 0; i-- {
+		if !p.history[i].at.After(at) {
+			return p.history[i].list
+		}
+	}
+	if len(p.history) > 0 {
+		return p.history[0].list
+	}
+	return nil
+}
+
+func (p *Platform) handleList(w http.ResponseWriter, r *http.Request) {
+	if p.faults.thaw(r.Context()) {
+		writeJSON(w, http.StatusOK, protocol.InstanceList{Instances: p.seen()})
+	}
+}
+
+func (p *Platform) handleStart(w http.ResponseWriter, r *http.Request) {
+	var o StartOrder
+	if !readJSON(w, r, &o) {
+		return
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	i := slices.IndexFunc(p.spares, func(in protocol.Instance) bool { return in.Domain == o.Domain && in.Class == o.Class })
+	if i < 0 || p.refuse[o.Domain+"/"+o.Class] {
+		writeJSON(w, http.StatusTooManyRequests, map[string]string{"error": "no capacity"})
+		return
+	}
+	in := p.spares[i]
+	p.spares = slices.Delete(p.spares, i, i+1)
+	p.change(append(slices.Clone(p.now), in))
+	writeJSON(w, http.StatusCreated, in)
+}
+
+func (p *Platform) handleGiveBack(w http.ResponseWriter, r *http.Request) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	id := r.PathValue("id")
+	list := slices.DeleteFunc(slices.Clone(p.now), func(in protocol.Instance) bool { return in.ID == id })
+	if len(list) == len(p.now) {
+		writeJSON(w, http.StatusNotFound, map[string]string{"error": "no such instance"})
+		return
+	}
+	p.change(list)
+	w.WriteHeader(http.StatusNoContent)
+}
+
+func (p *Platform) handleNotices(w http.ResponseWriter, r *http.Request) {
+	after, _ := strconv.ParseUint(r.URL.Query().Get("after"), 10, 64)
+	reply := protocol.NoticeList{Notices: []protocol.Notice{}}
+	if p.faults.get().HoldNotices {
+		writeJSON(w, http.StatusOK, reply)
+		return
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, n := range p.notices {
+		if n.Sequence > after {
+			reply.Notices = append(reply.Notices, n)
+		}
+	}
+	writeJSON(w, http.StatusOK, reply)
+}
+
+func (p *Platform) handlePrices(w http.ResponseWriter, _ *http.Request) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	writeJSON(w, http.StatusOK, p.prices)
+}
+
+func (p *Platform) handleSetup(w http.ResponseWriter, r *http.Request) {
+	var s PlatformSetup
+	if !readJSON(w, r, &s) {
+		return
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.change(s.Instances)
+	p.spares, p.prices = s.Spares, s.Prices
+	p.refuse = map[string]bool{}
+	for _, pair := range s.Refuse {
+		p.refuse[pair] = true
+	}
+	w.WriteHeader(http.StatusNoContent)
+}
+
+func (p *Platform) handleReclaim(w http.ResponseWriter, r *http.Request) {
+	var o ReclaimOrder
+	if !readJSON(w, r, &o) {
+		return
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	list, count := slices.Clone(p.now), 0
+	for i := range list {
+		if list[i].ID != o.Instance && (o.Domain == "" || list[i].Domain != o.Domain) {
+			continue
+		}
+		list[i].Leaving = true
+		count++
+		p.notices = append(p.notices, protocol.Notice{
+			Sequence: uint64(len(p.notices) + 1),
+			Instance: list[i].ID,
+			At:       time.Now().Add(time.Duration(o.InMS) * time.Millisecond),
+		})
+	}
+	p.change(list)
+	writeJSON(w, http.StatusOK, map[string]string{"noticed": fmt.Sprint(count)})
+}
--- /dev/null
+++ b/protocol/peer.go
@@ -0,0 +1,98 @@
+package protocol
+
+import "time"
+
+// MemberState is what the cluster holds of an instance. At the same version a
+// later state overrides an earlier one; only the instance itself can raise its
+// version and so refute it.
+type MemberState uint8
+
+// The states of a member.
+const (
+	MemberAlive MemberState = iota
+	MemberSuspect
+	MemberDead
+	MemberLeft
+)
+
+var memberStateNames = [...]string{"alive", "suspect", "dead", "left"}
+
+// String returns the state's name.
+func (s MemberState) String() string {
+	if int(s) < len(memberStateNames) {
+		return memberStateNames[s]
+	}
+	return "unknown"
+}
+
+// MarshalText renders the state by its name.
+func (s MemberState) MarshalText() ([]byte, error) { return []byte(s.String()), nil }
+
+// UnmarshalText reads a state by its name.
+func (s *MemberState) UnmarshalText(text []byte) error {
+	for i, name := range memberStateNames {
+		if name == string(text) {
+			*s = MemberState(i)
+		}
+	}
+	return nil
+}
+
+// Member is the record of one instance.
+type Member struct {
+	Name        string      `json:"name"`
+	Address     string      `json:"address"` // Address is the peer address, IP:port.
+	Domain      string      `json:"domain"`
+	Incarnation uint64      `json:"incarnation"` // Incarnation rises with each start.
+	Version     uint64      `json:"version"`     // Version rises with each change by the instance itself.
+	State       MemberState `json:"state"`
+	Leaving     bool        `json:"leaving"`
+	Ready       bool        `json:"ready"`
+	Revision    uint64      `json:"revision"` // Revision is the configuration in force there.
+	Digest      Digest      `json:"digest"`   // Digest is that configuration's digest.
+}
+
+// Newer reports whether m overrides o, a record of the same instance.
+func (m Member) Newer(o Member) bool {
+	if m.Incarnation != o.Incarnation {
+		return m.Incarnation > o.Incarnation
+	}
+	if m.Version != o.Version {
+		return m.Version > o.Version
+	}
+	return m.State > o.State
+}
+
+// Leaving is the record that a backend server takes no new work. It is never
+// taken back: identities of servers are not reused.
+type Leaving struct {
+	Server string    `json:"server"`
+	At     time.Time `json:"at"`     // At is when the server goes; zero when unknown.
+	Origin string    `json:"origin"` // Origin is how it was learned: notice, list, report or refusal.
+}
+
+// News is what instances tell each other: records that changed, or on a
+// synchronization all of them.
+type News struct {
+	From    string
+	Members []Member
+	Leaving []Leaving
+	Full    bool // Full says that these are all records that the sender has.
+}
+
+// ProbeMsg asks an instance to probe another one on behalf of a third.
+type ProbeMsg struct{ Address string }
+
+// ProbeReplyMsg tells whether the probed instance answered.
+type ProbeReplyMsg struct{ Alive bool }
+
+// FetchMsg asks a peer for the configuration in force there.
+type FetchMsg struct{ Above uint64 }
+
+// FetchReplyMsg carries the configuration in its canonical form, or none when
+// the peer holds nothing above the asked number.
+type FetchReplyMsg struct {
+	Found  bool
+	Number uint64
+	Config []byte
+}
--- /dev/null
+++ b/protocol/platform.go
@@ -0,0 +1,41 @@
+package protocol
+
+import "time"
+
+// InstanceKind tells what runs on an instance of the platform.
+type InstanceKind string
+
+// The kinds of instances that the platform lists.
+const (
+	InstanceEngine  InstanceKind = "engine"
+	InstanceService InstanceKind = "service"
+	InstanceEntry   InstanceKind = "entry"
+)
+
+// Instance is one row of the platform's list. The list lags.
+type Instance struct {
+	ID      string       `json:"id"`
+	Kind    InstanceKind `json:"kind"`
+	Address string       `json:"address"` // Address is IP:port.
+	Service string       `json:"service,omitempty"`
+	Domain  string       `json:"domain"` // Domain is the failure domain.
+	Class   string       `json:"class,omitempty"`
+	Leaving bool         `json:"leaving"`
+}
+
+// InstanceList is the platform's answer to GET /v1/instances.
+type InstanceList struct {
+	Instances []Instance `json:"instances"`
+}
+
+// Notice announces that an instance will be reclaimed.
+type Notice struct {
+	Sequence uint64    `json:"sequence"`
+	Instance string    `json:"instance"`
+	At       time.Time `json:"at"` // At is when the platform takes the instance.
+}
+
+// NoticeList is the platform's answer to GET /v1/notices?after=N.
+type NoticeList struct {
+	Notices []Notice `json:"notices"`
+}
--- /dev/null
+++ b/protocol/refusal.go
@@ -0,0 +1,99 @@
+package protocol
+
+import (
+	"fmt"
+	"time"
+)
+
+// Code names the reason of a refusal. Scripts branch on it, so a code is never
+// renamed.
+type Code string
+
+// The codes of refusals that a caller can receive.
+const (
+	CodeBadRequest     Code = "bad_request"
+	CodeUnauthorized   Code = "unauthorized"
+	CodeForbidden      Code = "forbidden"
+	CodeUnknownModel   Code = "unknown_model"
+	CodeUnknownService Code = "unknown_service"
+	CodeNotFound       Code = "not_found"
+	CodeMethod         Code = "method_not_allowed"
+	CodeTooLarge       Code = "too_large"
+	CodeOverloaded     Code = "overloaded"
+	CodeNoBackend      Code = "no_backend"
+	CodeBackendFailed  Code = "backend_failed"
+	CodeDeadline       Code = "deadline"
+	CodeLeaving        Code = "instance_leaving"
+	CodeNotReady       Code = "not_ready"
+	CodeNoQuorum       Code = "no_quorum"
+	CodeKeyReused      Code = "key_reused"
+	CodeKeyExpired     Code = "key_expired"
+	CodeKeyUndated     Code = "key_undated"
+	CodeClaimLost      Code = "claim_lost"
+	CodeAnswerDropped  Code = "answer_not_kept"
+	CodeConflict       Code = "config_conflict"
+	CodeStale          Code = "config_stale"
+	CodeInvalidConfig  Code = "config_invalid"
+	CodeCallerGone     Code = "caller_gone"
+)
+
+// Refusal is the typed error of every request that does not get its whole
+// answer. It is sent as soon as it is known.
+type Refusal struct {
+	Verdict    Verdict       // Verdict says whether the request may have run.
+	Code       Code          // Code names the reason.
+	Status     int           // Status is the HTTP status, 4xx or 5xx.
+	Message    string        // Message is for a person.
+	RetryAfter time.Duration // RetryAfter is when to come back; 0 says nothing.
+}
+
+// NewRefusal returns a refusal with the verdict not-run, which is right for
+// everything found out before the first byte goes to a backend server.
+func NewRefusal(status int, code Code, format string, args ...any) *Refusal {
+	return &Refusal{Verdict: NotRun, Code: code, Status: status, Message: fmt.Sprintf(format, args...)}
+}
+
+// Error implements error.
+func (r *Refusal) Error() string {
+	return fmt.Sprintf("%s (%s): %s", r.Code, r.Verdict, r.Message)
+}
+
+// WithVerdict returns a copy of r with the verdict v.
+func (r *Refusal) WithVerdict(v Verdict) *Refusal {
+	c := *r
+	c.Verdict = v
+	return &c
+}
+
+// WithRetryAfter returns a copy of r that tells the caller when to come back.
+func (r *Refusal) WithRetryAfter(d time.Duration) *Refusal {
+	c := *r
+	c.RetryAfter = d
+	return &c
+}
+
+// ErrorBody is the JSON body of a refusal, in the shape that clients of the
+// OpenAI API already parse, with the verdict added.
+type ErrorBody struct {
+	Error ErrorDetail `json:"error"`
+}
+
+// ErrorDetail is the inner part of an [ErrorBody].
+type ErrorDetail struct {
+	Message      string  `json:"message"`
+	Type         string  `json:"type"`
+	Code         Code    `json:"code"`
+	Verdict      Verdict `json:"verdict"`
+	RetryAfterMS int64   `json:"retry_after_ms,omitempty"`
+}
+
+// Body returns the JSON body of r.
+func (r *Refusal) Body() ErrorBody {
+	return ErrorBody{Error: ErrorDetail{
+		Message:      r.Message,
+		Type:         "weldstream_error",
+		Code:         r.Code,
+		Verdict:      r.Verdict,
+		RetryAfterMS: r.RetryAfter.Milliseconds(),
+	}}
+}
--- /dev/null
+++ b/settings/defaults.go
@@ -0,0 +1,32 @@
+package settings
+
+import "time"
+
+// The defaults of every setting that may be left out. This is the one place
+// that names them.
+const (
+	DefaultBodyBytes       = 4 << 20                // bytes of a caller's body
+	DefaultStreams         = 512                    // requests in progress on one instance
+	DefaultRequestDeadline = 120 * time.Second      // when the caller names none
+	DefaultMaxDeadline     = 30 * time.Minute       // the longest that a caller may name
+	DefaultFirstByte       = 20 * time.Second       // from dispatch to a backend server's first byte
+	DefaultChunkGap        = 10 * time.Second       // between two events of an engine's stream
+	DefaultWriteStall      = 15 * time.Second       // a caller that takes no byte for so long is cut off
+	DefaultDial            = 500 * time.Millisecond // to connect to a backend server or a peer
+	DefaultAttempts        = 4                      // attempts of one request, the first included
+	DefaultLoadPoll        = 250 * time.Millisecond // between two load reports asked of a server
+	DefaultPlatformPoll    = 500 * time.Millisecond // between two reads of the platform's list
+	DefaultNoticePoll      = 200 * time.Millisecond // between two reads of the platform's notices
+	DefaultGossip          = 200 * time.Millisecond // between two gossip rounds
+	DefaultGossipFanout    = 3                      // peers addressed in a gossip round
+	DefaultSuspect         = 3 * time.Second        // without a beat, a member counts as lost
+	DefaultDrain           = 25 * time.Second       // a planned stop waits so long for requests
+	DefaultElection        = 300 * time.Millisecond // least election timeout; the most is twice that
+	DefaultReplicaBeat     = 60 * time.Millisecond  // between two heartbeats of a leader
+	DefaultSnapshotEntries = 4096                   // log entries between two snapshots
+	DefaultClaimWindow     = 24 * time.Hour         // how old a claimed request may be
+	DefaultClaimSkew       = 2 * time.Minute        // how far a caller's clock may run ahead
+	DefaultClaims          = 200_000                // claims kept at once
+	DefaultAnswerBytes     = 64 << 20               // bytes of stored answers, all claims together
+	DefaultLogLevel        = "info"
+)
--- /dev/null
+++ b/settings/settings.go
@@ -0,0 +1,162 @@
+// Package settings reads the daemon's settings file.
+//
+// Settings belong to one instance: its name, addresses, failure domain, disk
+// and limits. What the operators declare for the whole system (models, routes,
+// workspaces) is the configuration, which is replicated and lives elsewhere.
+//
+// The file is read strictly. An unknown or missing field, an address that is
+// not an IP number with a port, or a duration out of range is reported with
+// file, line and field; nothing starts from a half understood file.
+package settings
+
+import (
+	"os"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/weldstream/weldstream/internal/yamlfile"
+)
+
+// Settings are the settings of one daemon.
+type Settings struct {
+	Name     string   `yaml:"name" validate:"required,name"`     // Name is unique in the cluster.
+	Domain   string   `yaml:"domain" validate:"required,name"`   // Domain is the failure domain.
+	Caller   string   `yaml:"caller" validate:"required,ipport"` // Caller is where callers connect.
+	Peer     string   `yaml:"peer" validate:"required,ipport"`   // Peer is where other instances connect.
+	Admin    string   `yaml:"admin" validate:"required,ipport"`  // Admin serves operators, dump and metrics.
+	DataDir  string   `yaml:"data_dir"`                          // DataDir is the disk's folder; empty without a disk.
+	Cluster  Cluster  `yaml:"cluster" validate:"required"`       // Cluster is what all instances share.
+	Platform Platform `yaml:"platform" validate:"required"`      // Platform is the source of the servers' list.
+	Limits   Limits   `yaml:"limits"`                            // Limits bound what one instance takes on.
+	Timeouts Timeouts `yaml:"timeouts"`                          // Timeouts bound every wait.
+	Replica  Replica  `yaml:"replica"`                           // Replica tunes the replication group.
+	Claims   Claims   `yaml:"claims"`                            // Claims bound the claims kept.
+	LogLevel string   `yaml:"log_level" validate:"oneof=debug info warn error"`
+}
+
+// Cluster is what all instances of one cluster share.
+type Cluster struct {
+	KeyFile        string   `yaml:"key_file" validate:"required"` // KeyFile holds the cluster's key.
+	OperatorDigest []string `yaml:"operator_sha256" validate:"required,min=1,dive,len=64,hexadecimal,lowercase"`
+	Peers          []Peer   `yaml:"peers" validate:"dive"`         // Peers are instances to meet first.
+	Replicas       []string `yaml:"replicas" validate:"dive,name"` // Replicas are the founding members of the group.
+}
+
+// Peer is an instance that is known from the start.
+type Peer struct {
+	Name    string `yaml:"name" validate:"required,name"`
+	Address string `yaml:"address" validate:"required,ipport"`
+}
+
+// Platform is where the list of instances and the notices come from.
+type Platform struct {
+	Address    string        `yaml:"address" validate:"required,ipport"`
+	Poll       time.Duration `yaml:"poll" validate:"dmin=20ms,dmax=1m"`
+	NoticePoll time.Duration `yaml:"notice_poll" validate:"dmin=20ms,dmax=5s"`
+}
+
+// Limits bound what one instance takes on at once.
+type Limits struct {
+	BodyBytes int `yaml:"body_bytes" validate:"min=1024,max=268435456"`
+	Streams   int `yaml:"streams" validate:"min=1,max=100000"`
+	Attempts  int `yaml:"attempts" validate:"min=1,max=20"`
+}
+
+// Timeouts bound every wait of one instance.
+type Timeouts struct {
+	Request     time.Duration `yaml:"request" validate:"dmin=100ms,dmax=24h"`
+	MaxDeadline time.Duration `yaml:"max_deadline" validate:"dmin=100ms,dmax=24h"`
+	FirstByte   time.Duration `yaml:"first_byte" validate:"dmin=10ms,dmax=10m"`
+	ChunkGap    time.Duration `yaml:"chunk_gap" validate:"dmin=10ms,dmax=10m"`
+	WriteStall  time.Duration `yaml:"write_stall" validate:"dmin=50ms,dmax=10m"`
+	Dial        time.Duration `yaml:"dial" validate:"dmin=10ms,dmax=30s"`
+	LoadPoll    time.Duration `yaml:"load_poll" validate:"dmin=10ms,dmax=1m"`
+	Gossip      time.Duration `yaml:"gossip" validate:"dmin=10ms,dmax=10s"`
+	Suspect     time.Duration `yaml:"suspect" validate:"dmin=100ms,dmax=10m"`
+	Drain       time.Duration `yaml:"drain" validate:"dmin=0s,dmax=1h"`
+}
+
+// Replica tunes the replication group on an instance with a disk.
+type Replica struct {
+	Election        time.Duration `yaml:"election" validate:"dmin=50ms,dmax=1m"`
+	Heartbeat       time.Duration `yaml:"heartbeat" validate:"dmin=5ms,dmax=10s"`
+	SnapshotEntries int           `yaml:"snapshot_entries" validate:"min=16,max=10000000"`
+}
+
+// Claims bound the claims of requests that are not repeatable.
+type Claims struct {
+	Window      time.Duration `yaml:"window" validate:"dmin=1s,dmax=720h"`
+	Skew        time.Duration `yaml:"skew" validate:"dmin=0s,dmax=1h"`
+	Count       int           `yaml:"count" validate:"min=100,max=10000000"`
+	AnswerBytes int           `yaml:"answer_bytes" validate:"min=0,max=1073741824"`
+}
+
+// New returns settings with every default filled in.
+func New() *Settings {
+	return &Settings{
+		LogLevel: DefaultLogLevel,
+		Platform: Platform{Poll: DefaultPlatformPoll, NoticePoll: DefaultNoticePoll},
+		Limits:   Limits{BodyBytes: DefaultBodyBytes, Streams: DefaultStreams, Attempts: DefaultAttempts},
+		Timeouts: Timeouts{
+			Request:     DefaultRequestDeadline,
+			MaxDeadline: DefaultMaxDeadline,
+			FirstByte:   DefaultFirstByte,
+			ChunkGap:    DefaultChunkGap,
+			WriteStall:  DefaultWriteStall,
+			Dial:        DefaultDial,
+			LoadPoll:    DefaultLoadPoll,
+			Gossip:      DefaultGossip,
+			Suspect:     DefaultSuspect,
+			Drain:       DefaultDrain,
+		},
+		Replica: Replica{Election: DefaultElection, Heartbeat: DefaultReplicaBeat, SnapshotEntries: DefaultSnapshotEntries},
+		Claims:  Claims{Window: DefaultClaimWindow, Skew: DefaultClaimSkew, Count: DefaultClaims, AnswerBytes: DefaultAnswerBytes},
+	}
+}
+
+// Load reads the settings file. Every fault is returned, each with file, line
+// and field; the error is for a file that could not be read at all.
+func Load(file string) (*Settings, []yamlfile.Fault, error) {
+	data, err := os.ReadFile(file)
+	if err != nil {
+		return nil, nil, eris.Wrap(err, "read settings")
+	}
+	s, faults := Parse(file, data)
+	return s, faults, nil
+}
+
+// Parse reads settings from data; file is only the name used in faults.
+func Parse(file string, data []byte) (*Settings, []yamlfile.Fault) {
+	s := New()
+	doc, faults := yamlfile.Decode(file, data, s)
+	if len(faults) > 0 {
+		return nil, faults
+	}
+	return s, s.crossCheck(doc)
+}
+
+// crossCheck finds faults that no single field shows.
+func (s *Settings) crossCheck(doc *yamlfile.Document) []yamlfile.Fault {
+	var faults []yamlfile.Fault
+	if s.Timeouts.Request > s.Timeouts.MaxDeadline {
+		faults = append(faults, doc.Fault("timeouts.request", "is longer than timeouts.max_deadline"))
+	}
+	if s.Replica.Heartbeat*2 > s.Replica.Election {
+		faults = append(faults, doc.Fault("replica.heartbeat", "is more than half of replica.election"))
+	}
+	if s.IsReplica() && s.DataDir == "" {
+		faults = append(faults, doc.Fault("cluster.replicas", "names this instance, which has no data_dir"))
+	}
+	return faults
+}
+
+// IsReplica reports whether this instance is a founding member of the group.
+func (s *Settings) IsReplica() bool {
+	for _, name := range s.Cluster.Replicas {
+		if name == s.Name {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/state/backends.go
@@ -0,0 +1,185 @@
+package state
+
+import (
+	"slices"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/weldstream/weldstream/protocol"
+)
+
+// Server is one backend server as a snapshot shows it: an engine or a replica
+// of a plain service. It is immutable but for its counters.
+type Server struct {
+	protocol.Instance
+	Report   protocol.LoadReport // Report is the last that was read.
+	ReportAt time.Time           // ReportAt is when it was read; zero before the first.
+	Missed   int                 // Missed counts reports that failed since ReportAt.
+	Counters *Counters           // Counters are shared by all snapshots.
+}
+
+// Counters are this process's own view of one backend server.
+type Counters struct {
+	Outstanding atomic.Int32 // Outstanding counts requests sent and not ended.
+	Sent        atomic.Int64 // Sent counts requests since the start.
+	Failed      atomic.Int64 // Failed counts attempts that failed.
+}
+
+// View is an immutable snapshot of all backend servers, by identity.
+type View struct {
+	Servers []Server
+}
+
+// Outstanding copies the counts of requests in progress into dst, which is
+// grown as needed, so that a decision works on numbers that stand still.
+func (v *View) Outstanding(dst []int32) []int32 {
+	dst = dst[:0]
+	for i := range v.Servers {
+		dst = append(dst, v.Servers[i].Counters.Outstanding.Load())
+	}
+	return dst
+}
+
+// Find returns the server with an identity, or nil.
+func (v *View) Find(id string) *Server {
+	i, ok := slices.BinarySearchFunc(v.Servers, id, func(s Server, id string) int {
+		return strings.Compare(s.ID, id)
+	})
+	if !ok {
+		return nil
+	}
+	return &v.Servers[i]
+}
+
+// Backends is the table of backend servers. The platform's list, the load
+// reports and the leaving marks each change their own part of a row, so that a
+// lagging list cannot undo a leaving mark.
+type Backends struct {
+	mu      sync.Mutex
+	rows    map[string]*Server
+	leaving map[string]protocol.Leaving
+	view    atomic.Pointer[View]
+	changed chan string // changed receives the identity of a server that began to leave.
+}
+
+// leavingQueue bounds the identities that wait for the reader of Changed.
+const leavingQueue = 1024
+
+// NewBackends returns an empty table.
+func NewBackends() *Backends {
+	b := &Backends{
+		rows:    map[string]*Server{},
+		leaving: map[string]protocol.Leaving{},
+		changed: make(chan string, leavingQueue),
+	}
+	b.view.Store(&View{})
+	return b
+}
+
+// View returns the current snapshot.
+func (b *Backends) View() *View { return b.view.Load() }
+
+// SetList replaces the servers by those of the platform's list. A row that is
+// listed again keeps its report and counters.
+func (b *Backends) SetList(list []protocol.Instance) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	rows := make(map[string]*Server, len(list))
+	for _, in := range list {
+		if in.Kind == protocol.InstanceEntry {
+			continue
+		}
+		row := b.rows[in.ID]
+		if row == nil || row.Address != in.Address {
+			row = &Server{Counters: &Counters{}}
+		}
+		row.Instance = in
+		rows[in.ID] = row
+		if in.Leaving {
+			b.mark(protocol.Leaving{Server: in.ID, Origin: "list"})
+		}
+	}
+	b.rows = rows
+	b.publish()
+}
+
+// SetReport stores a server's load report.
+func (b *Backends) SetReport(id string, r protocol.LoadReport, at time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	row := b.rows[id]
+	if row == nil {
+		return
+	}
+	row.Report, row.ReportAt, row.Missed = r, at, 0
+	if r.Leaving {
+		b.mark(protocol.Leaving{Server: id, Origin: "report"})
+	}
+	b.publish()
+}
+
+// MissReport counts a load report that could not be read.
+func (b *Backends) MissReport(id string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if row := b.rows[id]; row != nil {
+		row.Missed++
+		b.publish()
+	}
+}
+
+// MarkLeaving records that a server takes no new work and reports whether that
+// was news. The mark lasts as long as the process: identities are not reused.
+func (b *Backends) MarkLeaving(l protocol.Leaving) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if !b.mark(l) {
+		return false
+	}
+	b.publish()
+	return true
+}
+
+// mark needs b.mu.
+func (b *Backends) mark(l protocol.Leaving) bool {
+	if _, ok := b.leaving[l.Server]; ok {
+		return false
+	}
+	b.leaving[l.Server] = l
+	select {
+	case b.changed <- l.Server:
+	default:
+	}
+	return true
+}
+
+// Changed delivers the identity of each server that begins to leave.
+func (b *Backends) Changed() <-chan string { return b.changed }
+
+// Leaving returns all leaving marks, by identity.
+func (b *Backends) Leaving() []protocol.Leaving {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	marks := make([]protocol.Leaving, 0, len(b.leaving))
+	for _, l := range b.leaving {
+		marks = append(marks, l)
+	}
+	slices.SortFunc(marks, func(x, y protocol.Leaving) int { return strings.Compare(x.Server, y.Server) })
+	return marks
+}
+
+// publish needs b.mu.
+func (b *Backends) publish() {
+	v := &View{Servers: make([]Server, 0, len(b.rows))}
+	for id, row := range b.rows {
+		s := *row
+		if _, ok := b.leaving[id]; ok {
+			s.Leaving = true
+		}
+		v.Servers = append(v.Servers, s)
+	}
+	slices.SortFunc(v.Servers, func(x, y Server) int { return strings.Compare(x.ID, y.ID) })
+	b.view.Store(v)
+}
--- /dev/null
+++ b/transport/admin.go
@@ -0,0 +1,217 @@
+package transport
+
+import (
+	"context"
+	"crypto/sha256"
+	"crypto/subtle"
+	"encoding/hex"
+	"encoding/json"
+	"errors"
+	"net"
+	"net/http"
+	"strings"
+	"time"
+
+	metrics "github.com/rcrowley/go-metrics"
+	"github.com/rs/zerolog"
+	"github.com/valyala/fasthttp"
+
+	"github.com/weldstream/weldstream/internal/yamlfile"
+	"github.com/weldstream/weldstream/protocol"
+	"github.com/weldstream/weldstream/settings"
+	"github.com/weldstream/weldstream/state"
+)
+
+// ConfigStore accepts configurations for the whole cluster.
+type ConfigStore interface {
+	// Apply has a canonical configuration accepted under a number. A resend of
+	// the accepted one succeeds.
+	Apply(ctx context.Context, number uint64, canonical []byte) (protocol.Revision, *protocol.Refusal)
+}
+
+// ApplyRequest is the body of POST /v1/config.
+type ApplyRequest struct {
+	Number uint64             `json:"number"`
+	Files  []state.ConfigFile `json:"files"`
+}
+
+// ApplyReply answers an apply, or tells every fault of its files.
+type ApplyReply struct {
+	Number uint64   `json:"number"`
+	Digest string   `json:"digest,omitempty"`
+	Faults []string `json:"faults,omitempty"`
+}
+
+// ConfigView is the answer to GET /v1/config.
+type ConfigView struct {
+	Revision protocol.Revision `json:"revision"`
+	Places   []ConfigPlace     `json:"places"`
+}
+
+// ConfigPlace tells what one instance has in force.
+type ConfigPlace struct {
+	Name    string               `json:"name"`
+	Domain  string               `json:"domain"`
+	State   protocol.MemberState `json:"state"`
+	Ready   bool                 `json:"ready"`
+	Number  uint64               `json:"number"`
+	Digest  string               `json:"digest"`
+	InForce bool                 `json:"in_force"` // InForce says that this is the newest.
+}
+
+const (
+	// adminBody bounds an operator's request: the files, in JSON.
+	adminBody = state.MaxConfigBytes*2 + 1<<20
+	// applyTimeout bounds the wait for a quorum.
+	applyTimeout = 10 * time.Second
+)
+
+// Admin is the edge towards operators of one instance.
+type Admin struct {
+	tables    *state.Tables
+	store     ConfigStore
+	operators [][]byte
+	registry  metrics.Registry
+	log       zerolog.Logger
+	dump      func() any
+	server    *fasthttp.Server
+}
+
+// NewAdmin returns an admin edge that is not serving yet. The func dump
+// returns the process's state.
+func NewAdmin(s *settings.Settings, t *state.Tables, store ConfigStore, r metrics.Registry, log zerolog.Logger, dump func() any) *Admin {
+	a := &Admin{tables: t, store: store, registry: r, log: log, dump: dump}
+	for _, text := range s.Cluster.OperatorDigest {
+		if digest, err := hex.DecodeString(text); err == nil {
+			a.operators = append(a.operators, digest)
+		}
+	}
+	a.server = &fasthttp.Server{
+		Handler:               a.handle,
+		Name:                  "weldstream",
+		MaxRequestBodySize:    adminBody,
+		ReadTimeout:           readTimeout,
+		IdleTimeout:           idleTimeout,
+		NoDefaultServerHeader: true,
+		Logger:                quietLogger{},
+	}
+	return a
+}
+
+// Serve accepts operators until Shutdown.
+func (a *Admin) Serve(ln net.Listener) error { return a.server.Serve(ln) }
+
+// Shutdown closes the listener and the connections.
+func (a *Admin) Shutdown(ctx context.Context) error { return a.server.ShutdownWithContext(ctx) }
+
+func (a *Admin) handle(ctx *fasthttp.RequestCtx) {
+	if !a.allowed(ctx) {
+		writeRefusal(ctx, "", protocol.NewRefusal(http.StatusUnauthorized, protocol.CodeUnauthorized, "an operator's token is needed"))
+		return
+	}
+	switch string(ctx.Method()) + " " + string(ctx.Path()) {
+	case "GET /dump":
+		writeJSON(ctx, http.StatusOK, a.dump())
+	case "GET /metrics":
+		ctx.SetContentType("application/json")
+		metrics.WriteJSONOnce(a.registry, ctx)
+	case "GET /v1/config":
+		a.get(ctx)
+	case "POST /v1/config":
+		a.apply(ctx)
+	default:
+		writeRefusal(ctx, "", protocol.NewRefusal(http.StatusNotFound, protocol.CodeNotFound, "no such path: %s %s", ctx.Method(), ctx.Path()))
+	}
+}
+
+// allowed compares the token's digest with those of the operators, in a time
+// that does not depend on which one matches.
+func (a *Admin) allowed(ctx *fasthttp.RequestCtx) bool {
+	token, ok := strings.CutPrefix(string(ctx.Request.Header.Peek("Authorization")), "Bearer ")
+	if !ok {
+		return false
+	}
+	digest := sha256.Sum256([]byte(token))
+	match := 0
+	for _, operator := range a.operators {
+		match |= subtle.ConstantTimeCompare(digest[:], operator)
+	}
+	return match == 1
+}
+
+func (a *Admin) get(ctx *fasthttp.RequestCtx) {
+	view := ConfigView{Places: a.places()}
+	if ix := a.tables.Index(); ix != nil {
+		view.Revision = ix.Revision
+	}
+	writeJSON(ctx, http.StatusOK, view)
+}
+
+// places lists what each instance has in force, as far as its record came here.
+func (a *Admin) places() []ConfigPlace {
+	newest, _ := a.tables.Revision()
+	places := []ConfigPlace{}
+	for _, m := range a.tables.Members.Rows() {
+		if m.State == protocol.MemberLeft {
+			continue
+		}
+		places = append(places, ConfigPlace{
+			Name:    m.Name,
+			Domain:  m.Domain,
+			State:   m.State,
+			Ready:   m.Ready,
+			Number:  m.Revision,
+			Digest:  m.Digest.Short(),
+			InForce: m.Revision == newest && newest > 0,
+		})
+	}
+	return places
+}
+
+func (a *Admin) apply(ctx *fasthttp.RequestCtx) {
+	var req ApplyRequest
+	if err := json.Unmarshal(ctx.PostBody(), &req); err != nil {
+		writeRefusal(ctx, "", badRequest("the body is not an apply: %v", err))
+		return
+	}
+	if req.Number == 0 || len(req.Files) == 0 {
+		writeRefusal(ctx, "", badRequest("an apply needs a number above 0 and at least one file"))
+		return
+	}
+	config, faults := state.ParseConfig(req.Files)
+	if len(faults) > 0 {
+		writeJSON(ctx, http.StatusUnprocessableEntity, ApplyReply{Number: req.Number, Faults: faultTexts(faults)})
+		return
+	}
+	wait, cancel := context.WithTimeout(context.Background(), applyTimeout)
+	defer cancel()
+	rev, refusal := a.store.Apply(wait, req.Number, state.Canonical(config))
+	if refusal != nil {
+		a.log.Warn().Uint64("number", req.Number).Str("code", string(refusal.Code)).Str("cause", refusal.Message).Msg("apply refused")
+		writeRefusal(ctx, "", refusal)
+		return
+	}
+	a.log.Info().Uint64("number", rev.Number).Str("digest", rev.Digest.Short()).Msg("apply accepted")
+	writeJSON(ctx, http.StatusOK, ApplyReply{Number: rev.Number, Digest: rev.Digest.String()})
+}
+
+func faultTexts(faults []yamlfile.Fault) []string {
+	texts := make([]string, len(faults))
+	for i, f := range faults {
+		texts[i] = f.Error()
+	}
+	return texts
+}
+
+// errNotRead is returned by stores that have no revision yet.
+var errNotRead = errors.New("no configuration is in force yet")
+
+// ConfigReady returns a check that a configuration is in force.
+func ConfigReady(t *state.Tables) func() error {
+	return func() error {
+		if t.Index() == nil {
+			return errNotRead
+		}
+		return nil
+	}
+}
--- /dev/null
+++ b/transport/answer.go
@@ -0,0 +1,271 @@
+package transport
+
+import (
+	"bufio"
+	"encoding/json"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"github.com/weldstream/weldstream/coordination/attempt"
+	"github.com/weldstream/weldstream/protocol"
+)
+
+// serve runs the request until its answer begins, so that a refusal still has
+// a status of its own, and then hands the rest to the stream writer.
+func (g *Gateway) serve(ctx *fasthttp.RequestCtx, x *exchange) {
+	stop := watchHangUp(ctx.Conn(), func() { x.post(attempt.CallerGoneMsg{}) })
+	end := x.begin()
+	done := func() {
+		stop()
+		end()
+		g.removeExchange(x)
+		x.report()
+	}
+	for !x.over && (!x.request.Stream || !x.emitted) {
+		x.step()
+	}
+	if x.refusal != nil && (!x.request.Stream || !x.emitted) {
+		done()
+		g.refuse(ctx, x.row.Request, x.refusal)
+		return
+	}
+	g.metrics.first.UpdateSince(x.started)
+	ctx.Response.Header.Set(protocol.HeaderRequest, x.row.Request)
+	if x.request.Stream {
+		x.serveStream(ctx, done)
+		return
+	}
+	defer done()
+	ctx.Response.Header.Set(protocol.HeaderVerdict, protocol.Ran.String())
+	x.writeWhole(ctx)
+}
+
+// serveStream writes the answer as events. The verdict header says that the
+// request may have run, which is the truth while it does.
+func (x *exchange) serveStream(ctx *fasthttp.RequestCtx, done func()) {
+	ctx.SetContentType("text/event-stream")
+	ctx.Response.Header.Set("Cache-Control", "no-store")
+	ctx.Response.Header.Set(protocol.HeaderVerdict, protocol.MayHaveRun.String())
+	ctx.SetBodyStreamWriter(func(w *bufio.Writer) {
+		defer done()
+		for {
+			if !x.flushReady(w) {
+				x.apply(attempt.CallerGoneMsg{})
+				return
+			}
+			if x.over {
+				break
+			}
+			x.step()
+		}
+		x.writeEnd(w)
+	})
+}
+
+// flushReady writes the chunks that are due and flushes unless more messages
+// wait already. It reports false when the caller is gone.
+func (x *exchange) flushReady(w *bufio.Writer) bool {
+	for _, cmd := range x.ready {
+		if x.writeEvent(w, cmd) != nil {
+			return false
+		}
+	}
+	if len(x.ready) > 0 {
+		x.g.metrics.tokens.Inc(int64(len(x.ready)))
+	}
+	x.ready = x.ready[:0]
+	return !x.idle() || w.Flush() == nil
+}
+
+// streamChunk is one event to the caller, in the OpenAI format.
+type streamChunk struct {
+	ID      string                 `json:"id"`
+	Object  string                 `json:"object"`
+	Created int64                  `json:"created"`
+	Model   string                 `json:"model"`
+	Choices []protocol.ChunkChoice `json:"choices"`
+	Usage   *protocol.Usage        `json:"usage,omitempty"`
+}
+
+func (x *exchange) newChunk(object string) streamChunk {
+	return streamChunk{ID: x.row.Request, Object: object, Created: x.started.Unix(), Model: x.request.Route}
+}
+
+func (x *exchange) choice(text, finish string) protocol.ChunkChoice {
+	c := protocol.ChunkChoice{}
+	if x.request.Kind == protocol.KindChat {
+		c.Delta = &protocol.Delta{Content: text}
+	} else {
+		c.Text = &text
+	}
+	if finish != "" {
+		c.FinishReason = &finish
+	}
+	return c
+}
+
+// writeEvent writes one chunk. Its id is the token offset after it, which a
+// caller sends back as Last-Event-ID to resume.
+func (x *exchange) writeEvent(w *bufio.Writer, cmd attempt.EmitCmd) error {
+	object := "chat.completion.chunk"
+	if x.request.Kind == protocol.KindCompletion {
+		object = "text_completion"
+	}
+	c := x.newChunk(object)
+	c.Choices = []protocol.ChunkChoice{x.choice(cmd.Chunk.Text, cmd.Chunk.Finish)}
+	if c.Choices[0].Delta != nil && cmd.Chunk.Offset == 0 {
+		c.Choices[0].Delta.Role = "assistant"
+	}
+	if x.request.WantUsage && cmd.Chunk.Finish != "" {
+		c.Usage = x.usage()
+	}
+	data, err := json.Marshal(c)
+	if err != nil {
+		return err
+	}
+	return writeData(w, strconv.Itoa(cmd.Offset), data)
+}
+
+func (x *exchange) usage() *protocol.Usage {
+	return &protocol.Usage{
+		PromptTokens:     x.request.PromptLen,
+		CompletionTokens: x.state.Held,
+		TotalTokens:      x.request.PromptLen + x.state.Held,
+	}
+}
+
+func writeData(w *bufio.Writer, id string, data []byte) error {
+	if id != "" {
+		_, _ = w.WriteString("id: " + id + "\n") // A bufio.Writer keeps its error for the next call.
+	}
+	_, _ = w.WriteString("data: ")
+	_, _ = w.Write(data)
+	_, err := w.WriteString("\n\n")
+	return err
+}
+
+// writeEnd ends the stream: whole with [DONE], else with the refusal.
+func (x *exchange) writeEnd(w *bufio.Writer) {
+	if x.refusal == nil {
+		_ = writeData(w, "", []byte("[DONE]"))
+		return
+	}
+	data, err := json.Marshal(x.refusal.Body())
+	if err == nil {
+		_ = writeData(w, "", data)
+	}
+}
+
+// wholeChoice is the choice of an answer that is not streamed.
+type wholeChoice struct {
+	Index        int             `json:"index"`
+	Text         *string         `json:"text,omitempty"`
+	Message      *protocol.Delta `json:"message,omitempty"`
+	FinishReason string          `json:"finish_reason"`
+}
+
+type wholeAnswer struct {
+	ID      string          `json:"id"`
+	Object  string          `json:"object"`
+	Created int64           `json:"created"`
+	Model   string          `json:"model"`
+	Choices []wholeChoice   `json:"choices"`
+	Usage   *protocol.Usage `json:"usage"`
+}
+
+func (x *exchange) writeWhole(ctx *fasthttp.RequestCtx) {
+	if x.request.Kind == protocol.KindService {
+		x.mu.Lock()
+		defer x.mu.Unlock()
+		ctx.SetStatusCode(x.answer.status)
+		ctx.SetContentType(x.answer.contentType)
+		ctx.SetBody(x.answer.body)
+		return
+	}
+	text := x.text.String()
+	choice := wholeChoice{FinishReason: x.finish}
+	a := wholeAnswer{ID: x.row.Request, Created: x.started.Unix(), Model: x.request.Route, Usage: x.usage()}
+	if x.request.Kind == protocol.KindChat {
+		a.Object = "chat.completion"
+		choice.Message = &protocol.Delta{Role: "assistant", Content: text}
+	} else {
+		a.Object = "text_completion"
+		choice.Text = &text
+	}
+	a.Choices = []wholeChoice{choice}
+	x.g.metrics.tokens.Inc(int64(x.state.Held))
+	writeJSON(ctx, http.StatusOK, a)
+}
+
+// report logs how the request ended.
+func (x *exchange) report() {
+	x.g.metrics.total.UpdateSince(x.started)
+	e := x.log.Info().Int("attempts", x.state.Attempt).Int("tokens", x.state.Held).Str("server", x.row.Server).Dur("took", time.Since(x.started))
+	if x.refusal == nil {
+		e.Stringer("verdict", protocol.Ran).Msg("request answered")
+		return
+	}
+	if x.refusal.Code == protocol.CodeCallerGone {
+		x.g.metrics.gone.Inc(1)
+	}
+	e.Stringer("verdict", x.refusal.Verdict).Str("code", string(x.refusal.Code)).Str("cause", x.refusal.Message).Msg("request refused")
+}
+
+// refuse answers with a refusal at once.
+func (g *Gateway) refuse(ctx *fasthttp.RequestCtx, id string, r *protocol.Refusal) {
+	g.metrics.refused(r.Code)
+	if id == "" {
+		g.log.Info().Str("code", string(r.Code)).Stringer("verdict", r.Verdict).Str("cause", r.Message).Msg("request refused")
+	}
+	ctx.Response.Reset()
+	writeRefusal(ctx, id, r)
+}
+
+func writeRefusal(ctx *fasthttp.RequestCtx, id string, r *protocol.Refusal) {
+	if id != "" {
+		ctx.Response.Header.Set(protocol.HeaderRequest, id)
+	}
+	ctx.Response.Header.Set(protocol.HeaderVerdict, r.Verdict.String())
+	if r.RetryAfter > 0 {
+		seconds := int64((r.RetryAfter + time.Second - 1) / time.Second)
+		ctx.Response.Header.Set("Retry-After", strconv.FormatInt(seconds, 10))
+	}
+	if r.Status == http.StatusUnauthorized {
+		ctx.Response.Header.Set("WWW-Authenticate", "Bearer")
+	}
+	writeJSON(ctx, r.Status, r.Body())
+}
+
+func writeJSON(ctx *fasthttp.RequestCtx, status int, v any) {
+	data, err := json.Marshal(v)
+	if err != nil {
+		ctx.Error(err.Error(), http.StatusInternalServerError)
+		return
+	}
+	ctx.SetStatusCode(status)
+	ctx.SetContentType("application/json")
+	ctx.SetBody(append(data, '\n'))
+}
+
+// modelRow is one row of GET /v1/models.
+type modelRow struct {
+	ID      string `json:"id"`
+	Object  string `json:"object"`
+	OwnedBy string `json:"owned_by"`
+}
+
+type modelList struct {
+	Object string     `json:"object"`
+	Data   []modelRow `json:"data"`
+}
+
+func writeModels(ctx *fasthttp.RequestCtx, routes []*protocol.Route) {
+	list := modelList{Object: "list", Data: []modelRow{}}
+	for _, r := range routes {
+		list.Data = append(list.Data, modelRow{ID: r.Name, Object: "model", OwnedBy: "weldstream"})
+	}
+	writeJSON(ctx, http.StatusOK, list)
+}
--- /dev/null
+++ b/transport/exchange.go
@@ -0,0 +1,341 @@
+package transport
+
+import (
+	"math/rand/v2"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/weldstream/weldstream/coordination/attempt"
+	"github.com/weldstream/weldstream/coordination/route"
+	"github.com/weldstream/weldstream/protocol"
+	"github.com/weldstream/weldstream/state"
+)
+
+const (
+	// messageQueue bounds the chunks that wait for a slow caller; beyond it the
+	// backend server's connection is not read.
+	messageQueue = 32
+	// exportTimeout bounds the question whether a server ended a request.
+	exportTimeout = 2 * time.Second
+	// moveRetry is between two looks for a server to move a request to.
+	moveRetry = 250 * time.Millisecond
+)
+
+// exchange carries one request: it feeds messages to attempt.Update and
+// carries out its commands. One goroutine at a time runs it.
+type exchange struct {
+	g       *Gateway
+	request *protocol.Request
+	row     state.Stream
+	log     zerolog.Logger
+	started time.Time
+
+	state    attempt.State
+	msgs     chan attempt.Msg
+	urgent   chan attempt.Msg // urgent overtakes the chunks: hang-up, leaving, deadline.
+	done     chan struct{}
+	finished sync.Once
+	server   atomic.Pointer[state.Server]
+
+	mu    sync.Mutex // mu guards wires.
+	wires map[int]*wire
+
+	text    strings.Builder   // text is the answer so far.
+	ready   []attempt.EmitCmd // ready are chunks not yet written to the caller.
+	answer  serviceAnswer
+	finish  string
+	refusal *protocol.Refusal
+	over    bool
+	emitted bool
+}
+
+func (g *Gateway) newExchange(r *protocol.Request, id string) *exchange {
+	now := time.Now()
+	return &exchange{
+		g:       g,
+		request: r,
+		row:     state.Stream{Request: id, Key: r.Key, Route: r.Route, Started: now},
+		log:     g.log.With().Str("request", id).Str("key", r.Key.String()).Logger(),
+		started: now,
+		state:   attempt.New(r.Repeatable, g.settings.Limits.Attempts, r.Resume, 0),
+		msgs:    make(chan attempt.Msg, messageQueue),
+		urgent:  make(chan attempt.Msg, 16),
+		done:    make(chan struct{}),
+		wires:   map[int]*wire{},
+	}
+}
+
+// post sends an urgent message without waiting. The queue is longer than the
+// urgent messages that one request can get before they are read.
+func (x *exchange) post(m attempt.Msg) {
+	select {
+	case x.urgent <- m:
+	default:
+		x.log.Error().Msg("urgent message dropped")
+	}
+}
+
+// deliver sends a message in its order, or gives up when the request is over.
+func (x *exchange) deliver(m attempt.Msg) bool {
+	select {
+	case x.msgs <- m:
+		return true
+	case <-x.done:
+		return false
+	}
+}
+
+// begin starts the first attempt and the deadline. The returned func releases
+// what the exchange holds.
+func (x *exchange) begin() (end func()) {
+	timer := time.AfterFunc(time.Until(x.request.Deadline), func() { x.post(attempt.DeadlineMsg{}) })
+	x.apply(attempt.StartMsg{})
+	return func() {
+		timer.Stop()
+		x.finished.Do(func() { close(x.done) })
+		x.cancelAll()
+	}
+}
+
+// step waits for one message and applies it.
+func (x *exchange) step() {
+	select {
+	case m := <-x.urgent:
+		x.apply(m)
+		return
+	default:
+	}
+	select {
+	case m := <-x.urgent:
+		x.apply(m)
+	case m := <-x.msgs:
+		x.apply(m)
+	}
+}
+
+// idle reports whether no message waits, so that a flush is due.
+func (x *exchange) idle() bool { return len(x.msgs) == 0 && len(x.urgent) == 0 }
+
+func (x *exchange) apply(m attempt.Msg) {
+	next, cmds := attempt.Update(x.state, m)
+	x.state = next
+	for _, cmd := range cmds {
+		x.execute(cmd)
+	}
+}
+
+func (x *exchange) execute(cmd attempt.Cmd) {
+	switch cmd := cmd.(type) {
+	case attempt.DispatchCmd:
+		x.dispatch(cmd)
+	case attempt.EmitCmd:
+		x.text.WriteString(cmd.Chunk.Text)
+		x.ready = append(x.ready, cmd)
+		x.emitted = true
+	case attempt.KeepCmd:
+		x.text.WriteString(cmd.Chunk.Text)
+	case attempt.CancelCmd:
+		x.cancel(cmd.Attempt)
+	case attempt.ExportCmd:
+		x.export(cmd)
+	case attempt.RetryCmd:
+		x.retry(cmd)
+	case attempt.FinishCmd:
+		x.finish, x.over = cmd.Finish, true
+		x.g.budget.success(time.Now())
+	case attempt.RefuseCmd:
+		x.refusal, x.over = cmd.Refusal, true
+	}
+}
+
+// dispatch chooses a server and starts the attempt's goroutine.
+func (x *exchange) dispatch(cmd attempt.DispatchCmd) {
+	server, err := x.g.choose(x.request, cmd)
+	if err != nil {
+		r := protocol.NewRefusal(503, protocol.CodeNoBackend, "%v", err).WithRetryAfter(retryNoBackend)
+		x.apply(attempt.FailedMsg{Attempt: cmd.Attempt, Verdict: protocol.NotRun, Status: r.Status, Code: r.Code, Reason: r.Message, RetryAfter: r.RetryAfter, Final: true})
+		return
+	}
+	x.apply(attempt.SentMsg{Attempt: cmd.Attempt, Server: server.ID, Domain: server.Domain})
+	x.server.Store(server)
+	x.row.Server, x.row.Attempt, x.row.Tokens = server.ID, cmd.Attempt, x.state.Held
+	x.g.tables.Streams.Update(x.row)
+	x.log.Debug().Int("attempt", cmd.Attempt).Str("server", server.ID).Int("resume", cmd.Resume).Str("move_from", cmd.MoveFrom).Msg("attempt sent")
+	c := &call{
+		request: x.request,
+		id:      x.row.Request,
+		cmd:     cmd,
+		server:  server,
+		moveAt:  x.addressOf(cmd.MoveFrom),
+		text:    x.text.String(),
+		send:    x.deliver,
+		opened:  func(w *wire) bool { return x.hold(cmd.Attempt, w) },
+		release: func() bool { return x.release(cmd.Attempt) },
+	}
+	server.Counters.Outstanding.Add(1)
+	server.Counters.Sent.Add(1)
+	x.g.metrics.attempts.Inc(1)
+	go func() {
+		defer server.Counters.Outstanding.Add(-1)
+		x.run(c)
+	}()
+	if x.g.isLeaving(server.ID) {
+		x.post(attempt.LeavingMsg{Server: server.ID})
+	}
+}
+
+func (x *exchange) run(c *call) {
+	if x.request.Kind == protocol.KindService {
+		x.g.runService(c, func(a serviceAnswer) {
+			x.mu.Lock()
+			defer x.mu.Unlock()
+			x.answer = a
+		})
+		return
+	}
+	x.g.runEngine(c)
+}
+
+func (x *exchange) addressOf(server string) string {
+	if server == "" {
+		return ""
+	}
+	if s := x.g.tables.Backends.View().Find(server); s != nil {
+		return s.Address
+	}
+	return ""
+}
+
+// hold remembers an attempt's connection, so that it can be dropped. It
+// reports false when the request is over already.
+func (x *exchange) hold(attempt int, w *wire) bool {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	select {
+	case <-x.done:
+		_ = w.conn.Close()
+		return false
+	default:
+	}
+	x.wires[attempt] = w
+	return true
+}
+
+// release gives up an attempt's connection that was read to its end. It
+// reports false when the connection was dropped in the meantime.
+func (x *exchange) release(attempt int) bool {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	if x.wires[attempt] == nil {
+		return false
+	}
+	delete(x.wires, attempt)
+	return true
+}
+
+// cancel drops an attempt's connection, by which the server learns of it.
+func (x *exchange) cancel(attempt int) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	if w := x.wires[attempt]; w != nil {
+		_ = w.conn.Close()
+		delete(x.wires, attempt)
+	}
+}
+
+func (x *exchange) cancelAll() {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	for _, w := range x.wires {
+		_ = w.conn.Close()
+	}
+}
+
+// export asks the server to end the request and keep its KV cache.
+func (x *exchange) export(cmd attempt.ExportCmd) {
+	address := x.addressOf(cmd.Server)
+	if x.request.Kind == protocol.KindService || address == "" {
+		x.post(attempt.ExportedMsg{Attempt: cmd.Attempt})
+		return
+	}
+	elsewhere := attempt.DispatchCmd{AvoidServers: append([]string{cmd.Server}, x.state.Failed...)}
+	if _, err := x.g.choose(x.request, elsewhere); err != nil {
+		// Nowhere to go yet: the old server goes on, and is asked again later.
+		x.post(attempt.ExportedMsg{Attempt: cmd.Attempt})
+		time.AfterFunc(moveRetry, func() { x.post(attempt.LeavingMsg{Server: cmd.Server}) })
+		return
+	}
+	path := "/v1/requests/" + engineRequestID(x.row.Request, cmd.Attempt) + "/export"
+	go func() {
+		status, _, err := x.g.wires.call(address, "POST", path, nil, exportTimeout)
+		ended := err == nil && status == 200
+		if ended {
+			x.g.metrics.moves.Inc(1)
+		}
+		x.deliver(attempt.ExportedMsg{Attempt: cmd.Attempt, Ended: ended})
+	}()
+}
+
+// retry asks the budget. An answer that has begun goes on without asking: it
+// adds no request that the system had not taken on.
+func (x *exchange) retry(cmd attempt.RetryCmd) {
+	x.g.metrics.failures.Inc(1)
+	if s := x.server.Load(); s != nil {
+		s.Counters.Failed.Add(1)
+	}
+	x.log.Info().Int("attempt", cmd.Attempt).Stringer("verdict", cmd.Cause.Verdict).Str("cause", cmd.Cause.Reason).Int("held", x.state.Held).Msg("attempt failed")
+	if x.state.Held == 0 && !x.g.budget.spend(time.Now()) {
+		r := protocol.NewRefusal(503, protocol.CodeOverloaded, "too many retries: %s", cmd.Cause.Reason)
+		x.apply(attempt.RetryMsg{Refused: r.WithVerdict(cmd.Cause.Verdict).WithRetryAfter(retryOverload)})
+		return
+	}
+	x.g.metrics.retries.Inc(1)
+	delay := backoff(cmd.Attempt)
+	time.AfterFunc(delay, func() { x.deliver(attempt.RetryMsg{}) })
+}
+
+const (
+	backoffBase    = 10 * time.Millisecond
+	backoffMost    = time.Second
+	retryNoBackend = 2 * time.Second
+	retryOverload  = time.Second
+)
+
+// backoff returns a delay with full jitter before the attempt after n.
+func backoff(n int) time.Duration {
+	most := min(backoffBase<<min(n, 10), backoffMost)
+	return rand.N(most)
+}
+
+// choose copies the counts and asks the chooser.
+func (g *Gateway) choose(r *protocol.Request, cmd attempt.DispatchCmd) (*state.Server, error) {
+	began := time.Now()
+	defer func() { g.metrics.decision.UpdateSince(began) }()
+	view := g.tables.Backends.View()
+	m := route.ChooseMsg{
+		Model:        r.Model,
+		Adapter:      r.Adapter,
+		AvoidServers: cmd.AvoidServers,
+		AvoidDomains: cmd.AvoidDomains,
+	}
+	if r.Kind == protocol.KindService {
+		m.Service = r.Route
+	}
+	counts := g.counts.Get().(*[]int32)
+	defer g.counts.Put(counts)
+	*counts = view.Outstanding(*counts)
+	i, err := g.chooser.Choose(view, *counts, m)
+	if err != nil {
+		return nil, err
+	}
+	return &view.Servers[i], nil
+}
+
+func (g *Gateway) isLeaving(server string) bool {
+	s := g.tables.Backends.View().Find(server)
+	return s == nil || s.Leaving
+}
--- /dev/null
+++ b/transport/links.go
@@ -0,0 +1,300 @@
+package transport
+
+import (
+	"bufio"
+	"context"
+	"crypto/hmac"
+	"crypto/rand"
+	"crypto/sha256"
+	"encoding/gob"
+	"errors"
+	"io"
+	"net"
+	"net/rpc"
+	"sync"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"github.com/rs/zerolog"
+
+	"github.com/weldstream/weldstream/protocol"
+)
+
+// Errors of the links between instances.
+var (
+	// ErrPeerVersion is returned when the other side speaks another version.
+	ErrPeerVersion = eris.New("the peer speaks another version of the protocol")
+	// ErrPeerKey is returned when the other side does not hold the cluster's key.
+	ErrPeerKey = eris.New("the peer does not hold the cluster's key")
+	// ErrPeerTimeout is returned when the other side did not answer in time.
+	ErrPeerTimeout = eris.New("the peer did not answer in time")
+)
+
+const (
+	handshakeTimeout = 2 * time.Second
+	nonceBytes       = 16
+)
+
+// hello opens the handshake. Each side proves that it holds the cluster's key
+// without showing it, over fresh nonces of both.
+type hello struct {
+	Version int
+	Name    string
+	Nonce   []byte
+	Proof   []byte
+}
+
+// Links are the connections to and from the other instances. Calls are
+// net/rpc; a connection is opened at its first use and kept.
+type Links struct {
+	name   string
+	key    []byte
+	dial   time.Duration
+	log    zerolog.Logger
+	server *rpc.Server
+
+	mu      sync.Mutex
+	clients map[string]*rpc.Client
+	conns   map[net.Conn]struct{}
+}
+
+// NewLinks returns links that prove themselves by the cluster's key.
+func NewLinks(name string, key []byte, dial time.Duration, log zerolog.Logger) *Links {
+	return &Links{
+		name:    name,
+		key:     key,
+		dial:    dial,
+		log:     log,
+		server:  rpc.NewServer(),
+		clients: map[string]*rpc.Client{},
+		conns:   map[net.Conn]struct{}{},
+	}
+}
+
+// Register makes the methods of a receiver callable by other instances.
+func (l *Links) Register(name string, receiver any) error {
+	return eris.Wrap(l.server.RegisterName(name, receiver), "register")
+}
+
+// Serve accepts other instances until ctx ends.
+func (l *Links) Serve(ctx context.Context, ln net.Listener) error {
+	stop := context.AfterFunc(ctx, func() {
+		_ = ln.Close()
+		l.closeAll()
+	})
+	defer stop()
+	for {
+		conn, err := ln.Accept()
+		if ctx.Err() != nil {
+			return nil
+		}
+		if err != nil {
+			return eris.Wrap(err, "accept peer")
+		}
+		go l.serveConn(conn)
+	}
+}
+
+func (l *Links) serveConn(conn net.Conn) {
+	defer func() { _ = conn.Close() }()
+	peer, buffered, err := l.accept(conn)
+	if err != nil {
+		l.log.Warn().Str("peer", peer).Str("from", conn.RemoteAddr().String()).Err(err).Msg("peer refused")
+		return
+	}
+	l.track(conn, true)
+	defer l.track(conn, false)
+	l.server.ServeConn(buffered)
+}
+
+func (l *Links) track(conn net.Conn, add bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if add {
+		l.conns[conn] = struct{}{}
+		return
+	}
+	delete(l.conns, conn)
+}
+
+func (l *Links) closeAll() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for conn := range l.conns {
+		_ = conn.Close()
+	}
+	for _, c := range l.clients {
+		_ = c.Close()
+	}
+}
+
+// bufferedConn reads through the buffer that the handshake read from, so that
+// no byte behind it is lost.
+type bufferedConn struct {
+	net.Conn
+	r *bufio.Reader
+}
+
+// Read implements net.Conn.
+func (c *bufferedConn) Read(p []byte) (int, error) { return c.r.Read(p) }
+
+// accept is the handshake on the side that was connected to.
+func (l *Links) accept(conn net.Conn) (string, net.Conn, error) {
+	s, err := newHandshake(conn)
+	if err != nil {
+		return "", nil, err
+	}
+	var theirs hello
+	if err := s.dec.Decode(&theirs); err != nil {
+		return "", nil, eris.Wrap(err, "read greeting")
+	}
+	ours := hello{Version: protocol.PeerVersion, Name: l.name, Nonce: s.nonce}
+	ours.Proof = l.proof("accept", theirs.Nonce, s.nonce)
+	if err := s.enc.Encode(ours); err != nil {
+		return theirs.Name, nil, eris.Wrap(err, "send greeting")
+	}
+	if theirs.Version != protocol.PeerVersion {
+		return theirs.Name, nil, ErrPeerVersion
+	}
+	var last hello
+	if err := s.dec.Decode(&last); err != nil {
+		return theirs.Name, nil, eris.Wrap(err, "read proof")
+	}
+	if !hmac.Equal(last.Proof, l.proof("connect", theirs.Nonce, s.nonce)) {
+		return theirs.Name, nil, ErrPeerKey
+	}
+	return theirs.Name, s.conn, conn.SetDeadline(time.Time{})
+}
+
+// connect is the handshake on the side that opened the connection.
+func (l *Links) connect(conn net.Conn) (net.Conn, error) {
+	s, err := newHandshake(conn)
+	if err != nil {
+		return nil, err
+	}
+	if err := s.enc.Encode(hello{Version: protocol.PeerVersion, Name: l.name, Nonce: s.nonce}); err != nil {
+		return nil, eris.Wrap(err, "send greeting")
+	}
+	var theirs hello
+	if err := s.dec.Decode(&theirs); err != nil {
+		return nil, eris.Wrap(err, "read greeting")
+	}
+	if theirs.Version != protocol.PeerVersion {
+		return nil, ErrPeerVersion
+	}
+	if !hmac.Equal(theirs.Proof, l.proof("accept", s.nonce, theirs.Nonce)) {
+		return nil, ErrPeerKey
+	}
+	if err := s.enc.Encode(hello{Proof: l.proof("connect", s.nonce, theirs.Nonce)}); err != nil {
+		return nil, eris.Wrap(err, "send proof")
+	}
+	return s.conn, conn.SetDeadline(time.Time{})
+}
+
+// handshake is one side's codec and nonce.
+type handshake struct {
+	conn  *bufferedConn
+	enc   *gob.Encoder
+	dec   *gob.Decoder
+	nonce []byte
+}
+
+func newHandshake(conn net.Conn) (*handshake, error) {
+	if err := conn.SetDeadline(time.Now().Add(handshakeTimeout)); err != nil {
+		return nil, err
+	}
+	nonce := make([]byte, nonceBytes)
+	if _, err := rand.Read(nonce); err != nil {
+		return nil, err
+	}
+	br := bufio.NewReader(conn)
+	return &handshake{
+		conn:  &bufferedConn{Conn: conn, r: br},
+		enc:   gob.NewEncoder(conn),
+		dec:   gob.NewDecoder(br),
+		nonce: nonce,
+	}, nil
+}
+
+// proof binds the side's role and both nonces to the cluster's key.
+func (l *Links) proof(role string, connecting, accepting []byte) []byte {
+	mac := hmac.New(sha256.New, l.key)
+	for _, part := range [][]byte{[]byte(role), {0}, connecting, {0}, accepting} {
+		_, _ = mac.Write(part) // A hash does not fail.
+	}
+	return mac.Sum(nil)
+}
+
+// client returns the connection to an address, opening it at first use.
+func (l *Links) client(address string) (*rpc.Client, error) {
+	l.mu.Lock()
+	c := l.clients[address]
+	l.mu.Unlock()
+	if c != nil {
+		return c, nil
+	}
+	conn, err := net.DialTimeout("tcp", address, l.dial)
+	if err != nil {
+		return nil, eris.Wrap(err, "connect to peer")
+	}
+	buffered, err := l.connect(conn)
+	if err != nil {
+		_ = conn.Close()
+		return nil, err
+	}
+	return l.keep(address, rpc.NewClient(buffered)), nil
+}
+
+// keep stores a new connection unless another call was faster.
+func (l *Links) keep(address string, c *rpc.Client) *rpc.Client {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if first := l.clients[address]; first != nil {
+		_ = c.Close()
+		return first
+	}
+	l.clients[address] = c
+	return c
+}
+
+// drop closes a connection that failed, so that the next call opens another.
+func (l *Links) drop(address string, c *rpc.Client) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.clients[address] == c {
+		delete(l.clients, address)
+	}
+	_ = c.Close()
+}
+
+// Call calls a method at an address. A call that gets no answer in time drops
+// the connection: a silent one may be cut.
+func (l *Links) Call(address, method string, args, reply any, timeout time.Duration) error {
+	c, err := l.client(address)
+	if err != nil {
+		return err
+	}
+	timer := time.NewTimer(timeout)
+	defer timer.Stop()
+	call := c.Go(method, args, reply, make(chan *rpc.Call, 1))
+	select {
+	case done := <-call.Done:
+		return l.outcome(address, c, done.Error)
+	case <-timer.C:
+		l.drop(address, c)
+		return ErrPeerTimeout
+	}
+}
+
+// outcome drops the connection on errors that are not the method's own.
+func (l *Links) outcome(address string, c *rpc.Client, err error) error {
+	var own rpc.ServerError
+	if err == nil || errors.As(err, &own) {
+		return err
+	}
+	l.drop(address, c)
+	if errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, rpc.ErrShutdown) {
+		return eris.Wrap(err, "connection to peer lost")
+	}
+	return err
+}
--- /dev/null
+++ b/transport/localconfig.go
@@ -0,0 +1,32 @@
+package transport
+
+import (
+	"context"
+	"net/http"
+
+	"github.com/weldstream/weldstream/protocol"
+	"github.com/weldstream/weldstream/state"
+)
+
+// LocalConfig is the [ConfigStore] of a lone instance: it accepts without
+// asking anybody.
+type LocalConfig struct{ tables *state.Tables }
+
+// NewLocalConfig returns a store over the tables.
+func NewLocalConfig(t *state.Tables) *LocalConfig { return &LocalConfig{tables: t} }
+
+// Apply implements [ConfigStore].
+func (c *LocalConfig) Apply(_ context.Context, number uint64, canonical []byte) (protocol.Revision, *protocol.Refusal) {
+	rev, err := state.ParseCanonical(number, canonical)
+	if err != nil {
+		return protocol.Revision{}, badRequest("%v", err)
+	}
+	if c.tables.Install(rev) {
+		return rev, nil
+	}
+	held, digest := c.tables.Revision()
+	if held == number && digest == rev.Digest {
+		return rev, nil
+	}
+	return protocol.Revision{}, protocol.NewRefusal(http.StatusConflict, protocol.CodeConflict, "number %d with digest %s is in force", held, digest.Short())
+}
--- /dev/null
+++ b/transport/membership.go
@@ -0,0 +1,215 @@
+package transport
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/weldstream/weldstream/coordination/member"
+	"github.com/weldstream/weldstream/protocol"
+	"github.com/weldstream/weldstream/state"
+)
+
+const (
+	probeTimeout = 400 * time.Millisecond
+	syncTimeout  = 2 * time.Second
+	memberQueue  = 256
+)
+
+// Membership drives [member.State]: one goroutine owns the state, others do
+// the calls and post the outcomes.
+type Membership struct {
+	tables *state.Tables
+	links  *Links
+	log    zerolog.Logger
+	every  time.Duration
+	view   *member.State
+	msgs   chan member.Msg
+	syncs  chan chan protocol.News
+	self   func() member.SelfMsg
+}
+
+// NewMembership returns a membership that is not running. The func self tells
+// what the instance says of itself.
+func NewMembership(t *state.Tables, l *Links, log zerolog.Logger, every time.Duration, view *member.State, self func() member.SelfMsg) *Membership {
+	return &Membership{
+		tables: t,
+		links:  l,
+		log:    log,
+		every:  every,
+		view:   view,
+		msgs:   make(chan member.Msg, memberQueue),
+		syncs:  make(chan chan protocol.News),
+		self:   self,
+	}
+}
+
+// Run drives the membership until ctx ends.
+func (m *Membership) Run(ctx context.Context) error {
+	tick := time.NewTicker(m.every)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case msg := <-m.msgs:
+			m.apply(ctx, msg)
+		case reply := <-m.syncs:
+			reply <- m.view.Full()
+		case now := <-tick.C:
+			m.apply(ctx, m.describe())
+			m.apply(ctx, member.TickMsg{Now: now, Rand: rand.Uint64()})
+		case <-m.tables.Changed():
+			m.apply(ctx, m.describe())
+		}
+	}
+}
+
+func (m *Membership) describe() member.SelfMsg {
+	msg := m.self()
+	msg.Now, msg.Rand = time.Now(), rand.Uint64()
+	msg.Revision, msg.Digest = m.tables.Revision()
+	return msg
+}
+
+func (m *Membership) apply(ctx context.Context, msg member.Msg) {
+	for _, cmd := range m.view.Update(msg) {
+		m.execute(ctx, cmd)
+	}
+	m.tables.Members.Set(m.view.Rows())
+}
+
+// post hands a message to the loop, or gives up when it has ended.
+func (m *Membership) post(ctx context.Context, msg member.Msg) {
+	select {
+	case m.msgs <- msg:
+	case <-ctx.Done():
+	}
+}
+
+// ServerLeaving spreads that a backend server takes no new work.
+func (m *Membership) ServerLeaving(ctx context.Context, l protocol.Leaving) {
+	m.tables.Backends.MarkLeaving(l)
+	m.post(ctx, member.ServerLeavingMsg{Leaving: l, Rand: rand.Uint64()})
+}
+
+func (m *Membership) execute(ctx context.Context, cmd member.Cmd) {
+	switch cmd := cmd.(type) {
+	case member.ProbeCmd:
+		go m.probe(ctx, cmd)
+	case member.PushCmd:
+		go m.push(cmd)
+	case member.SyncCmd:
+		go m.sync(ctx, cmd)
+	case member.LeavingCmd:
+		m.tables.Backends.MarkLeaving(cmd.Leaving)
+	case member.FetchCmd:
+		go m.fetch(cmd)
+	}
+}
+
+func (m *Membership) probe(ctx context.Context, cmd member.ProbeCmd) {
+	var ok bool
+	alive := m.links.Call(cmd.Address, "Member.Ping", cmd.News, &ok, probeTimeout) == nil
+	for _, via := range cmd.Via {
+		if alive {
+			break
+		}
+		var reply protocol.ProbeReplyMsg
+		err := m.links.Call(via, "Member.Probe", protocol.ProbeMsg{Address: cmd.Address}, &reply, 2*probeTimeout)
+		alive = err == nil && reply.Alive
+	}
+	m.post(ctx, member.ProbedMsg{Name: cmd.Name, Alive: alive, Now: time.Now(), Rand: rand.Uint64()})
+}
+
+func (m *Membership) push(cmd member.PushCmd) {
+	var ok bool
+	if err := m.links.Call(cmd.Address, "Member.Ping", cmd.News, &ok, probeTimeout); err != nil {
+		m.log.Debug().Str("address", cmd.Address).Err(err).Msg("push failed")
+	}
+}
+
+func (m *Membership) sync(ctx context.Context, cmd member.SyncCmd) {
+	var reply protocol.News
+	if err := m.links.Call(cmd.Address, "Member.Sync", cmd.News, &reply, syncTimeout); err != nil {
+		m.log.Debug().Str("address", cmd.Address).Err(err).Msg("synchronization failed")
+		return
+	}
+	m.post(ctx, member.NewsMsg{News: reply, Now: time.Now(), Rand: rand.Uint64()})
+}
+
+func (m *Membership) fetch(cmd member.FetchCmd) {
+	above, _ := m.tables.Revision()
+	var reply protocol.FetchReplyMsg
+	if err := m.links.Call(cmd.Address, "Config.Fetch", protocol.FetchMsg{Above: above}, &reply, syncTimeout); err != nil {
+		m.log.Warn().Str("address", cmd.Address).Err(err).Msg("configuration could not be fetched")
+		return
+	}
+	if !reply.Found {
+		return
+	}
+	rev, err := state.ParseCanonical(reply.Number, reply.Config)
+	if err != nil {
+		m.log.Error().Str("address", cmd.Address).Err(err).Msg("configuration could not be read")
+		return
+	}
+	if m.tables.Install(rev) {
+		m.log.Info().Uint64("number", rev.Number).Str("digest", rev.Digest.Short()).Msg("configuration in force")
+	}
+}
+
+// MemberService answers the other instances' membership calls.
+type MemberService struct {
+	ctx context.Context
+	m   *Membership
+}
+
+// NewMemberService returns the receiver to register under "Member".
+func NewMemberService(ctx context.Context, m *Membership) *MemberService {
+	return &MemberService{ctx: ctx, m: m}
+}
+
+// Ping takes in news; that it answers is the sign of life.
+func (s *MemberService) Ping(news protocol.News, ok *bool) error {
+	*ok = true
+	s.m.post(s.ctx, member.NewsMsg{News: news, Now: time.Now(), Rand: rand.Uint64()})
+	return nil
+}
+
+// Sync takes in all of another instance's records and returns all of this one's.
+func (s *MemberService) Sync(news protocol.News, reply *protocol.News) error {
+	s.m.post(s.ctx, member.NewsMsg{News: news, Now: time.Now(), Rand: rand.Uint64()})
+	full := make(chan protocol.News, 1)
+	select {
+	case s.m.syncs <- full:
+		*reply = <-full
+		return nil
+	case <-s.ctx.Done():
+		return s.ctx.Err()
+	}
+}
+
+// Probe pings a third instance for another one.
+func (s *MemberService) Probe(msg protocol.ProbeMsg, reply *protocol.ProbeReplyMsg) error {
+	var ok bool
+	reply.Alive = s.m.links.Call(msg.Address, "Member.Ping", protocol.News{}, &ok, probeTimeout) == nil
+	return nil
+}
+
+// ConfigService answers the other instances' calls for the configuration.
+type ConfigService struct{ tables *state.Tables }
+
+// NewConfigService returns the receiver to register under "Config".
+func NewConfigService(t *state.Tables) *ConfigService { return &ConfigService{tables: t} }
+
+// Fetch returns the configuration in force if it is above the asked number.
+func (s *ConfigService) Fetch(msg protocol.FetchMsg, reply *protocol.FetchReplyMsg) error {
+	ix := s.tables.Index()
+	if ix == nil || ix.Number <= msg.Above {
+		return nil
+	}
+	reply.Found, reply.Number, reply.Config = true, ix.Number, state.Canonical(ix.Config)
+	return nil
+}
--- /dev/null
+++ b/transport/metrics.go
@@ -0,0 +1,77 @@
+package transport
+
+import (
+	"sync"
+	"time"
+
+	metrics "github.com/rcrowley/go-metrics"
+
+	"github.com/weldstream/weldstream/coordination/retry"
+	"github.com/weldstream/weldstream/protocol"
+)
+
+// sampleSize is how many values a timer keeps to tell its percentiles from.
+const sampleSize = 1028
+
+// gatewayMetrics are the meters of one gateway. Times are in nanoseconds.
+type gatewayMetrics struct {
+	registry metrics.Registry
+	requests metrics.Counter
+	attempts metrics.Counter
+	failures metrics.Counter
+	retries  metrics.Counter
+	moves    metrics.Counter
+	tokens   metrics.Counter
+	gone     metrics.Counter
+	decision metrics.Timer
+	first    metrics.Timer
+	total    metrics.Timer
+}
+
+func newGatewayMetrics(r metrics.Registry) *gatewayMetrics {
+	return &gatewayMetrics{
+		registry: r,
+		requests: metrics.GetOrRegisterCounter("requests", r),
+		attempts: metrics.GetOrRegisterCounter("attempts", r),
+		failures: metrics.GetOrRegisterCounter("attempts.failed", r),
+		retries:  metrics.GetOrRegisterCounter("retries", r),
+		moves:    metrics.GetOrRegisterCounter("moves", r),
+		tokens:   metrics.GetOrRegisterCounter("tokens.relayed", r),
+		gone:     metrics.GetOrRegisterCounter("callers.gone", r),
+		decision: newTimer("route.decision", r),
+		first:    newTimer("first.token", r),
+		total:    newTimer("request.total", r),
+	}
+}
+
+func newTimer(name string, r metrics.Registry) metrics.Timer {
+	t := metrics.NewCustomTimer(metrics.NewHistogram(metrics.NewUniformSample(sampleSize)), metrics.NewMeter())
+	if err := r.Register(name, t); err != nil {
+		return metrics.GetOrRegisterTimer(name, r)
+	}
+	return t
+}
+
+func (m *gatewayMetrics) refused(code protocol.Code) {
+	metrics.GetOrRegisterCounter("refused."+string(code), m.registry).Inc(1)
+}
+
+// budgetBox shares the retry budget between exchanges.
+type budgetBox struct {
+	mu     sync.Mutex
+	budget retry.Budget
+}
+
+func (b *budgetBox) success(now time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.budget = b.budget.Success(now)
+}
+
+func (b *budgetBox) spend(now time.Time) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	var ok bool
+	b.budget, ok = b.budget.Spend(now)
+	return ok
+}
