The replicated log's pure step

Cause: a configuration was accepted by one instance alone and nothing lasted. This is the decision part of our own replicated log: election with pre-vote, quorum check and lease, quorum-confirmed reads, learners and changes of members one at a time, and identities that are a name with the incarnation of the data folder, so that a lost disk cannot vote for what it forgot.

Ruled out: replacing a lost replica in one change (two quorums without a replica in common); adding before removing (a quorum of four with one gone needs all three others); a log identity without incarnations.

--- /dev/null
+++ b/coordination/replicate/message.go
@@ -0,0 +1,191 @@
+package replicate
+
+import "time"
+
+// EntryKind tells entries apart.
+type EntryKind uint8
+
+// The kinds of entries.
+const (
+	EntryNoop    EntryKind = iota // EntryNoop begins a leader's term.
+	EntryCommand                  // EntryCommand is for the state machine.
+	EntryMembers                  // EntryMembers changes the members; Data is their JSON.
+)
+
+// Entry is one position of the log.
+type Entry struct {
+	Index uint64
+	Term  uint64
+	Kind  EntryKind
+	Data  []byte
+}
+
+// SnapshotMeta describes a snapshot of the state machine.
+type SnapshotMeta struct {
+	Index   uint64 // Index is the last entry that the snapshot covers.
+	Term    uint64
+	Members Members
+}
+
+// MessageKind tells messages between replicas apart.
+type MessageKind uint8
+
+// The kinds of messages between replicas.
+const (
+	PreVote MessageKind = iota
+	PreVoteReply
+	Vote
+	VoteReply
+	Append
+	AppendReply
+	Snapshot
+)
+
+// Message is what replicas send each other. It is for exactly one incarnation.
+type Message struct {
+	Kind     MessageKind
+	From     ID
+	To       ID
+	Term     uint64
+	Index    uint64 // Index is of the entry before Entries; in a reply, the last that matches.
+	LogTerm  uint64 // LogTerm is the term of the entry at Index.
+	Entries  []Entry
+	Commit   uint64
+	Reject   bool
+	Rejected uint64 // Rejected is the Index of the message that is refused.
+	Round    uint64 // Round pairs a leader's message with its answer.
+	Snapshot SnapshotMeta
+	Data     []byte // Data is the state machine's snapshot.
+}
+
+// Msg is a message to [Replica.Update].
+type Msg interface{ msg() }
+
+// TickMsg is the passing of time, on a monotonic clock.
+type TickMsg struct {
+	Now  time.Duration
+	Rand uint64
+}
+
+// StepMsg is a message from another replica.
+type StepMsg struct {
+	Message Message
+	Now     time.Duration
+}
+
+// ProposeMsg asks for a command to be committed. The answer is a [ProposedCmd].
+type ProposeMsg struct {
+	Token uint64
+	Data  []byte
+}
+
+// ReadMsg asks for an index at which a read sees everything committed before
+// it was asked. The answer is a [ReadCmd].
+type ReadMsg struct{ Token uint64 }
+
+// JoinMsg asks for a replica to be taken in, as a learner first. A former
+// incarnation of the same name is replaced.
+type JoinMsg struct{ ID ID }
+
+// RemoveMsg asks for all incarnations of a name to be taken out. The answer is
+// a [RemoveCmd].
+type RemoveMsg struct {
+	Token uint64
+	Name  string
+}
+
+// SyncedMsg tells that every PersistCmd so far is on this replica's disk. Index
+// and Term are of the last entry there.
+type SyncedMsg struct {
+	Index uint64
+	Term  uint64 // Term is the entry's term: a later leader may have replaced it.
+}
+
+// CompactedMsg tells that a snapshot is on disk and the log before it is not
+// needed any more.
+type CompactedMsg struct{ Snapshot SnapshotMeta }
+
+// DiskFailedMsg tells that a write or a sync failed.
+type DiskFailedMsg struct{}
+
+func (TickMsg) msg()       {}
+func (StepMsg) msg()       {}
+func (ProposeMsg) msg()    {}
+func (ReadMsg) msg()       {}
+func (JoinMsg) msg()       {}
+func (RemoveMsg) msg()     {}
+func (SyncedMsg) msg()     {}
+func (CompactedMsg) msg()  {}
+func (DiskFailedMsg) msg() {}
+
+// Cmd is a command from [Replica.Update].
+type Cmd interface{ cmd() }
+
+// PersistCmd writes the hard state and entries. An entry at an index that is
+// already there replaces it and everything behind it.
+type PersistCmd struct {
+	Hard    HardState
+	Entries []Entry
+}
+
+// SendCmd sends a message. A durable one must wait for the sync of all
+// PersistCmds before it.
+type SendCmd struct {
+	Message Message
+	Durable bool
+}
+
+// SendSnapshotCmd sends the latest snapshot on disk to a replica.
+type SendSnapshotCmd struct {
+	To    ID
+	Term  uint64
+	Round uint64
+}
+
+// RestoreCmd replaces the state machine, and the log on disk, by a snapshot.
+type RestoreCmd struct {
+	Snapshot SnapshotMeta
+	Data     []byte
+}
+
+// ApplyCmd applies committed entries to the state machine.
+type ApplyCmd struct{ Entries []Entry }
+
+// ProposedCmd answers a [ProposeMsg]: the command is at Index if the entry that
+// is applied there has this term; else it was not committed.
+type ProposedCmd struct {
+	Token uint64
+	Index uint64
+	Term  uint64
+	Err   error
+}
+
+// ReadCmd answers a [ReadMsg]: the read may be made once Index is applied.
+type ReadCmd struct {
+	Token uint64
+	Index uint64
+	Err   error
+}
+
+// RemoveCmd answers a [RemoveMsg]; the change itself is committed later.
+type RemoveCmd struct {
+	Token uint64
+	Err   error
+}
+
+// SteppedDownCmd tells that the replica leads no more.
+type SteppedDownCmd struct{ Term uint64 }
+
+// ElectedCmd tells that the replica leads.
+type ElectedCmd struct{ Term uint64 }
+
+func (PersistCmd) cmd()      {}
+func (SendCmd) cmd()         {}
+func (SendSnapshotCmd) cmd() {}
+func (RestoreCmd) cmd()      {}
+func (ApplyCmd) cmd()        {}
+func (ProposedCmd) cmd()     {}
+func (ReadCmd) cmd()         {}
+func (RemoveCmd) cmd()       {}
+func (SteppedDownCmd) cmd()  {}
+func (ElectedCmd) cmd()      {}
--- /dev/null
+++ b/coordination/replicate/replicate.go
@@ -0,0 +1,298 @@
+// Package replicate is the pure step of the replicated log.
+//
+// A [Replica] follows Raft: a leader per term, elected by a quorum of voters,
+// appends entries; an entry is committed once a quorum has it on disk. Beyond
+// the basic protocol it has
+//
+//   - a pre-vote, so that a replica that was cut off does not raise the term
+//     when it comes back;
+//   - a quorum check, so that a leader that was cut off steps down;
+//   - a lease: a voter grants no vote within the election timeout of hearing
+//     from a leader, so a leader that heard from a quorum knows for how long no
+//     other can have been elected;
+//   - reads confirmed by a quorum;
+//   - members changed one at a time, through learners;
+//   - identities that do not outlive a disk. An [ID] is a name with the
+//     incarnation of its data folder. A message is for one incarnation, so a
+//     replica that lost its disk cannot vote, or count, for what it forgot. It
+//     joins as a learner, catches up, replaces its former self in two changes.
+//
+// [Replica.Update] does no I/O and reads no clock. It mutates the replica and
+// returns commands. The driver must carry out the commands of a batch in this
+// order: write the [PersistCmd]s and sync; only then send what is marked as
+// Durable, and tell the replica by [SyncedMsg].
+package replicate
+
+import (
+	"slices"
+	"time"
+
+	"github.com/rotisserie/eris"
+)
+
+// Errors of proposals and reads.
+var (
+	// ErrNotLeader is returned when another replica leads, or none.
+	ErrNotLeader = eris.New("this replica does not lead")
+	// ErrBusy is returned when a change of members is still under way.
+	ErrBusy = eris.New("a change of members is under way")
+)
+
+// ID is the identity of a replica: a name and the incarnation of its data.
+type ID struct {
+	Name        string `json:"name"`
+	Incarnation uint64 `json:"incarnation"`
+}
+
+// IsZero reports whether the identity is unset.
+func (id ID) IsZero() bool { return id.Name == "" }
+
+// Members are the replicas of a group.
+type Members struct {
+	Voters   []ID `json:"voters"`
+	Learners []ID `json:"learners,omitempty"`
+}
+
+// IsVoter reports whether exactly this incarnation votes.
+func (m Members) IsVoter(id ID) bool { return slices.Contains(m.Voters, id) }
+
+// IsLearner reports whether exactly this incarnation learns.
+func (m Members) IsLearner(id ID) bool { return slices.Contains(m.Learners, id) }
+
+// Quorum is the number of voters that make a majority.
+func (m Members) Quorum() int { return len(m.Voters)/2 + 1 }
+
+func (m Members) clone() Members {
+	return Members{Voters: slices.Clone(m.Voters), Learners: slices.Clone(m.Learners)}
+}
+
+// Role is what a replica does at the moment.
+type Role uint8
+
+// The roles of a replica.
+const (
+	Follower Role = iota
+	PreCandidate
+	Candidate
+	Leader
+)
+
+var roleNames = [...]string{"follower", "pre-candidate", "candidate", "leader"}
+
+// String returns the role's name.
+func (r Role) String() string { return roleNames[r] }
+
+// HardState is what must be on disk before a vote or a term is made known.
+type HardState struct {
+	Term uint64
+	Vote ID
+}
+
+// Config tunes a replica.
+type Config struct {
+	Election  time.Duration // Election is the least election timeout; the most is twice that.
+	Heartbeat time.Duration // Heartbeat is between two messages of a leader to a replica.
+	Batch     int           // Batch is the most bytes of entries in one message.
+	Window    int           // Window is how many messages with entries may be on the way.
+}
+
+// Defaults of a Config.
+const (
+	DefaultBatch  = 256 << 10
+	DefaultWindow = 16
+)
+
+// progress is what a leader knows of another replica.
+type progress struct {
+	match    uint64        // match is the last index known to be on its disk.
+	next     uint64        // next is the index to send next.
+	probing  bool          // probing says that next is a guess after a refusal.
+	inflight int           // inflight counts messages with entries on the way.
+	heard    time.Duration // heard is when it last answered.
+	round    uint64        // round is the last round that it answered.
+	snapshot time.Duration // snapshot is when a snapshot was sent; 0 if none is on the way.
+}
+
+// pendingRead waits for a quorum to confirm that this replica still leads.
+type pendingRead struct {
+	token uint64
+	index uint64
+	round uint64
+}
+
+// Replica is one member of a replication group.
+type Replica struct {
+	cfg    Config
+	id     ID
+	hard   HardState
+	log    Log
+	role   Role
+	leader ID
+
+	commit uint64
+	stable uint64 // stable is the last index on this replica's disk.
+
+	now        time.Duration
+	heardAt    time.Duration // heardAt is when a leader was last heard from.
+	electionAt time.Duration
+	beatAt     time.Duration
+	spread     time.Duration // spread is the random part of the election timeout.
+
+	votes  map[ID]bool
+	peers  map[ID]*progress
+	round  uint64
+	sentAt map[uint64]time.Duration // sentAt is when each open round was sent.
+	reads  []pendingRead
+	lease  time.Duration // lease is until when no other leader can have been elected.
+	broken bool          // broken says that the disk failed; nothing is promised any more.
+
+	cmds []Cmd
+}
+
+// Start is what a replica starts from.
+type Start struct {
+	ID       ID
+	Hard     HardState
+	Snapshot SnapshotMeta
+	Entries  []Entry // Entries follow the snapshot.
+	Now      time.Duration
+	Rand     uint64
+}
+
+// New returns a replica that continues from what is on its disk. Until it has
+// heard from a leader it waits out an election timeout before it votes, since
+// its former self may have promised that.
+func New(cfg Config, s Start) *Replica {
+	r := &Replica{cfg: cfg, id: s.ID, hard: s.Hard, log: NewLog(s.Snapshot, s.Entries)}
+	r.commit = s.Snapshot.Index
+	r.stable = r.log.Last()
+	r.now, r.heardAt = s.Now, s.Now
+	r.resetElection(s.Rand)
+	return r
+}
+
+// Update applies a message and returns what to do.
+func (r *Replica) Update(m Msg) []Cmd {
+	r.cmds = nil
+	switch m := m.(type) {
+	case TickMsg:
+		r.tick(m)
+	case StepMsg:
+		r.now = max(r.now, m.Now)
+		r.step(m.Message)
+	case ProposeMsg:
+		r.propose(m)
+	case ReadMsg:
+		r.read(m)
+	case JoinMsg:
+		r.join(m)
+	case RemoveMsg:
+		r.remove(m)
+	case SyncedMsg:
+		r.synced(m)
+	case CompactedMsg:
+		r.log.Compact(m.Snapshot)
+	case DiskFailedMsg:
+		r.diskFailed()
+	}
+	return r.cmds
+}
+
+func (r *Replica) do(c Cmd) { r.cmds = append(r.cmds, c) }
+
+func (r *Replica) persist(entries []Entry) {
+	r.do(PersistCmd{Hard: r.hard, Entries: entries})
+}
+
+// tick lets time pass.
+func (r *Replica) tick(m TickMsg) {
+	r.now = max(r.now, m.Now)
+	r.spread = time.Duration(m.Rand % uint64(r.cfg.Election))
+	if r.broken {
+		return
+	}
+	if r.role == Leader {
+		r.leaderTick()
+		return
+	}
+	if r.now >= r.electionAt && r.log.Members().IsVoter(r.id) {
+		r.campaign(PreCandidate)
+	}
+}
+
+func (r *Replica) resetElection(rnd uint64) {
+	r.spread = time.Duration(rnd % uint64(r.cfg.Election))
+	r.electionAt = r.now + r.cfg.Election + r.spread
+}
+
+// becomeFollower takes on a term. A new term has no vote yet.
+func (r *Replica) becomeFollower(term uint64, leader ID) {
+	if term > r.hard.Term {
+		r.hard = HardState{Term: term}
+		r.persist(nil)
+	}
+	if r.role == Leader {
+		r.stepDown()
+	}
+	r.role, r.leader = Follower, leader
+	r.votes = nil
+	r.electionAt = r.now + r.cfg.Election + r.spread
+}
+
+// stepDown gives up what only a leader holds. Proposals that are not committed
+// have an unknown outcome.
+func (r *Replica) stepDown() {
+	r.peers, r.sentAt = nil, nil
+	r.lease = 0
+	for _, rd := range r.reads {
+		r.do(ReadCmd{Token: rd.token, Err: ErrNotLeader})
+	}
+	r.reads = nil
+	r.do(SteppedDownCmd{Term: r.hard.Term})
+}
+
+// diskFailed stops everything that would need the disk. The replica still
+// learns who leads, but neither votes nor counts.
+func (r *Replica) diskFailed() {
+	r.broken = true
+	if r.role == Leader {
+		r.stepDown()
+	}
+	r.role, r.leader = Follower, ID{}
+}
+
+// Status is a replica's state for the dump.
+type Status struct {
+	ID       ID            `json:"id"`
+	Role     string        `json:"role"`
+	Term     uint64        `json:"term"`
+	Leader   ID            `json:"leader"`
+	Commit   uint64        `json:"commit"`
+	Last     uint64        `json:"last"`
+	Stable   uint64        `json:"stable"`
+	Snapshot uint64        `json:"snapshot"`
+	Members  Members       `json:"members"`
+	Broken   bool          `json:"broken"` // Broken says that the disk failed.
+	Lease    time.Duration `json:"lease"`  // Lease is on the clock of TickMsg.Now.
+}
+
+// Status returns the replica's state.
+func (r *Replica) Status() Status {
+	return Status{
+		ID:       r.id,
+		Role:     r.role.String(),
+		Term:     r.hard.Term,
+		Leader:   r.leader,
+		Commit:   r.commit,
+		Last:     r.log.Last(),
+		Stable:   r.stable,
+		Snapshot: r.log.Snapshot().Index,
+		Members:  r.log.Members(),
+		Broken:   r.broken,
+		Lease:    r.lease,
+	}
+}
+
+// Leads reports whether the replica leads, and its term, the fence of its
+// orders.
+func (r *Replica) Leads() (term uint64, ok bool) { return r.hard.Term, r.role == Leader }
