--- a/cmd/weldstreamd/daemon.go
+++ b/cmd/weldstreamd/daemon.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"net"
 	"os"
+	"sync/atomic"
 	"time"
 
 	metrics "github.com/rcrowley/go-metrics"
@@ -13,6 +14,7 @@
 	"github.com/rs/zerolog"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/weldstream/weldstream/coordination/group"
 	"github.com/weldstream/weldstream/coordination/member"
 	"github.com/weldstream/weldstream/protocol"
 	"github.com/weldstream/weldstream/settings"
@@ -36,6 +38,9 @@
 	links      *transport.Links
 	membership *transport.Membership
 	poller     *transport.Poller
+	client     *transport.GroupClient // client is nil without a replication group.
+	group      *group.Group           // group is nil on an instance that keeps no replica.
+	confirmed  atomic.Bool            // confirmed says that a quorum confirmed the configuration once.
 	gateway    *transport.Gateway
 	admin      *transport.Admin
 	listeners  listeners
@@ -109,19 +114,26 @@
 	view := member.New(member.DefaultConfig(s.Timeouts.Suspect), self, seeds)
 	d.membership = transport.NewMembership(d.tables, d.links, d.log, s.Timeouts.Gossip, view, d.describe)
 	d.poller = transport.NewPoller(s, d.tables, d.log, d.serverLeaving, d.noticed)
+	if len(s.Cluster.Replicas) > 0 {
+		d.client = transport.NewGroupClient(d.tables, d.links, s.Cluster.Replicas)
+	}
 	d.gateway = transport.NewGateway(s, d.tables,
+		transport.WithSelf(self),
+		transport.WithClaims(d.claimer()),
 		transport.WithLogger(d.log),
 		transport.WithRegistry(d.registry),
 		transport.WithReady(d.ready),
 	)
-	store := transport.NewLocalConfig(d.tables)
-	d.admin = transport.NewAdmin(s, d.tables, store, d.registry, d.log, d.dump)
+	d.admin = transport.NewAdmin(s, d.tables, d.configStore(), d.registry, d.log, d.dump)
 }
 
 func (d *daemon) ready() error {
 	if err := d.poller.Ready(); err != nil {
 		return err
 	}
+	if d.client != nil && !d.confirmed.Load() {
+		return errUnconfirmed
+	}
 	return transport.ConfigReady(d.tables)()
 }
 
@@ -147,6 +159,9 @@
 	work, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	g, work := errgroup.WithContext(work)
+	if err := d.startGroup(work, g); err != nil {
+		return err
+	}
 	if err := d.links.Register("Member", transport.NewMemberService(work, d.membership)); err != nil {
 		return err
 	}
--- a/cmd/weldstreamd/dump.go
+++ b/cmd/weldstreamd/dump.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/weldstream/weldstream/coordination/group"
 	"github.com/weldstream/weldstream/protocol"
 	"github.com/weldstream/weldstream/settings"
 	"github.com/weldstream/weldstream/state"
@@ -21,6 +22,7 @@
 	Servers  []serverDump       `json:"servers"`
 	Leaving  []protocol.Leaving `json:"leaving"`
 	Streams  []state.Stream     `json:"streams"`
+	Group    *group.Status      `json:"group,omitempty"` // Group is set on an instance that keeps a replica.
 	Settings *settings.Settings `json:"settings"`
 }
 
@@ -52,6 +54,10 @@
 	} else {
 		out.Ready = true
 	}
+	if d.group != nil {
+		status := d.group.Status()
+		out.Group = &status
+	}
 	view := d.tables.Backends.View()
 	for i := range view.Servers {
 		out.Servers = append(out.Servers, newServerDump(&view.Servers[i], now))
--- a/coordination/attempt/attempt.go
+++ b/coordination/attempt/attempt.go
@@ -84,9 +84,9 @@
 	case RetryMsg:
 		return s.retry(m)
 	case CallerGoneMsg:
-		return s.stop(protocol.NewRefusal(statusClientClosed, protocol.CodeCallerGone, "the caller hung up"))
+		return s.stop(protocol.NewRefusal(protocol.StatusClientClosed, protocol.CodeCallerGone, "the caller hung up"))
 	case DeadlineMsg:
-		return s.stop(protocol.NewRefusal(statusGatewayTimeout, protocol.CodeDeadline, "the deadline passed"))
+		return s.stop(protocol.NewRefusal(protocol.StatusGatewayTimeout, protocol.CodeDeadline, "the deadline passed"))
 	case StopMsg:
 		return s.stop(m.Refusal)
 	}
--- a/coordination/attempt/message.go
+++ b/coordination/attempt/message.go
@@ -6,13 +6,6 @@
 	"github.com/weldstream/weldstream/protocol"
 )
 
-// HTTP statuses of refusals; the decision names them, the transport sends them.
-const (
-	statusClientClosed   = 499
-	statusGatewayTimeout = 504
-	statusBadGateway     = 502
-)
-
 // Msg is a message to [Update].
 type Msg interface{ msg() }
 
@@ -58,7 +51,7 @@
 		r.Code = protocol.CodeBackendFailed
 	}
 	if r.Status == 0 {
-		r.Status = statusBadGateway
+		r.Status = protocol.StatusBadGateway
 	}
 	return r
 }
--- /dev/null
+++ b/coordination/group/group.go
@@ -0,0 +1,499 @@
+// Package group drives one replica of a replication group: it gives the pure
+// step of package replicate its clock, its disk and its peers, and applies
+// what is committed to the state machine.
+//
+// One goroutine owns the replica and the folder. It takes what waits in its
+// inbox as one batch, runs the step over it, writes all that the batch has to
+// persist as one frame with one sync (group commit), and only then sends the
+// messages that depend on it. While it syncs, the next batch gathers.
+//
+// A group is founded once, when all founders are up and none of them belongs
+// to a group yet. A replica whose folder is new while the others' are not is
+// one whose disk was lost, or a new one: it joins as a learner.
+package group
+
+import (
+	"context"
+	"encoding/json"
+	"math/rand/v2"
+	"sync/atomic"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"github.com/rs/zerolog"
+
+	"github.com/weldstream/weldstream/coordination/replicate"
+	"github.com/weldstream/weldstream/protocol"
+	"github.com/weldstream/weldstream/state"
+	"github.com/weldstream/weldstream/state/wal"
+)
+
+// Errors of proposals and reads.
+var (
+	// ErrUnknown is returned when a proposal may or may not be committed.
+	ErrUnknown = eris.New("the outcome of the proposal is not known")
+	// ErrDisk is returned when this replica's disk failed.
+	ErrDisk = eris.New("this replica's disk failed")
+	// ErrFull is returned when the disk has no room for more.
+	ErrFull = eris.New("this replica's disk is full")
+	// ErrNoGroup is returned before the group is founded or joined.
+	ErrNoGroup = eris.New("this replica belongs to no group yet")
+)
+
+const (
+	inboxSize = 4096
+	batchSize = 512
+	ticks     = 4 // ticks are so many in a heartbeat interval.
+)
+
+// Sender sends messages to other replicas, without waiting, and may lose them.
+type Sender interface {
+	Send(group uint64, m replicate.Message)
+}
+
+// Config tunes a group.
+type Config struct {
+	Replica         replicate.Config
+	SnapshotEntries int    // SnapshotEntries is how many entries are applied between two snapshots.
+	Reserve         uint64 // Reserve is how many bytes of the disk are kept free for what must be finished.
+}
+
+// Option changes a new group.
+type Option func(*Group)
+
+// WithLogger sets the logger; without it nothing is logged.
+func WithLogger(l zerolog.Logger) Option { return func(g *Group) { g.log = l } }
+
+// WithRevision sets what is told of each accepted configuration.
+func WithRevision(f func(number uint64, config []byte)) Option {
+	return func(g *Group) { g.revision = f }
+}
+
+// WithLeadership sets what is told when this replica begins or ceases to lead.
+func WithLeadership(f func(term uint64, leads bool)) Option {
+	return func(g *Group) { g.leadership = f }
+}
+
+// Group is one replica of a replication group.
+type Group struct {
+	cfg        Config
+	folder     *wal.Folder
+	loaded     *wal.Loaded
+	sender     Sender
+	log        zerolog.Logger
+	revision   func(number uint64, config []byte)
+	leadership func(term uint64, leads bool)
+	inbox      chan input
+	done       chan struct{}
+	status     atomic.Pointer[Status]
+	began      time.Time
+
+	// The loop's own.
+	replica   *replicate.Replica
+	machine   *state.Machine
+	applied   uint64
+	waiting   map[uint64]*waiter // waiting are proposals and reads, by token.
+	atIndex   map[uint64]*waiter // atIndex are proposals, by index.
+	reads     []*waiter          // reads wait for an index to be applied.
+	token     uint64
+	hard      replicate.HardState
+	pending   []replicate.PersistCmd
+	held      []replicate.Message
+	told      uint64 // told is the configuration number last told.
+	snapshots chan savedSnapshot
+	saving    bool
+	failed    bool
+	full      bool
+	spaceAt   time.Duration // spaceAt is when the free space is asked for next.
+}
+
+// Status is a group's state for the dump.
+type Status struct {
+	replicate.Status
+	Group    uint64 `json:"group"`
+	Applied  uint64 `json:"applied"`
+	Claims   int    `json:"claims"`
+	Full     bool   `json:"full"` // Full says that the disk has only its reserve left.
+	Number   uint64 `json:"number"`
+	LeaseEnd int64  `json:"lease_left_ms"` // LeaseEnd is how long the lease still runs.
+}
+
+// input is what the inbox takes: a message for the replica, or a request that
+// somebody waits for.
+type input struct {
+	msg  replicate.Msg
+	wait *waiter
+	do   func() // do runs in the loop.
+}
+
+// waiter is somebody who waits for a proposal or a read.
+type waiter struct {
+	command *protocol.Command // command is set for a proposal.
+	name    string            // name is set for a removal.
+	index   uint64
+	term    uint64
+	done    chan outcome
+}
+
+type outcome struct {
+	result protocol.Result
+	err    error
+}
+
+type savedSnapshot struct {
+	meta replicate.SnapshotMeta
+	err  error
+}
+
+// Open opens the data folder of a replica. The group does nothing before Run.
+func Open(cfg Config, dir, name string, sender Sender, opts ...Option) (*Group, error) {
+	folder, loaded, err := wal.Open(dir, name)
+	if err != nil {
+		return nil, err
+	}
+	g := &Group{
+		cfg:        cfg,
+		folder:     folder,
+		loaded:     loaded,
+		sender:     sender,
+		log:        zerolog.Nop(),
+		revision:   func(uint64, []byte) {},
+		leadership: func(uint64, bool) {},
+		inbox:      make(chan input, inboxSize),
+		done:       make(chan struct{}),
+		began:      time.Now(),
+		machine:    state.NewMachine(),
+		waiting:    map[uint64]*waiter{},
+		atIndex:    map[uint64]*waiter{},
+		snapshots:  make(chan savedSnapshot, 1),
+	}
+	for _, opt := range opts {
+		opt(g)
+	}
+	if err := g.restoreLoaded(); err != nil {
+		return nil, err
+	}
+	g.start()
+	return g, nil
+}
+
+func (g *Group) restoreLoaded() error {
+	if g.loaded.Torn > 0 {
+		g.log.Warn().Int64("bytes", g.loaded.Torn).Msg("a torn write was cut off the log")
+	}
+	g.applied = g.loaded.Snapshot.Index
+	if g.loaded.Data == nil {
+		return nil
+	}
+	return g.machine.Restore(g.loaded.Data)
+}
+
+// start makes the replica from what the folder holds.
+func (g *Group) start() {
+	snap := g.loaded.Snapshot
+	if snap.Index == 0 {
+		snap.Members = g.folder.Founders()
+	}
+	g.hard = g.loaded.Hard
+	g.replica = replicate.New(g.cfg.Replica, replicate.Start{
+		ID:       g.folder.ID(),
+		Hard:     g.hard,
+		Snapshot: snap,
+		Entries:  g.loaded.Entries,
+		Now:      g.now(),
+		Rand:     rand.Uint64(),
+	})
+	g.publish()
+}
+
+// now is on a monotonic clock.
+func (g *Group) now() time.Duration { return time.Since(g.began) }
+
+// ID returns the replica's identity.
+func (g *Group) ID() protocol.ReplicaID { return g.folder.ID() }
+
+// Status returns the group's state at the end of the last batch.
+func (g *Group) Status() Status { return *g.status.Load() }
+
+func (g *Group) publish() {
+	s := Status{Status: g.replica.Status(), Group: g.folder.Group(), Applied: g.applied, Claims: g.machine.Claims(), Full: g.full}
+	s.Number, _ = g.machine.Revision()
+	s.LeaseEnd = max(0, (s.Lease - g.now()).Milliseconds())
+	g.status.Store(&s)
+}
+
+// Leads returns the term in which this replica leads, if it does, and if its
+// lease still runs right now: no other replica can have been elected. It is
+// asked right before an order is sent, on a monotonic clock that goes on while
+// the process is frozen.
+func (g *Group) Leads() (term uint64, ok bool) {
+	s := g.status.Load()
+	return s.Term, s.Role == replicate.Leader.String() && g.now() < s.Lease
+}
+
+// Run drives the replica until ctx ends.
+func (g *Group) Run(ctx context.Context) error {
+	defer close(g.done)
+	tick := time.NewTicker(max(g.cfg.Replica.Heartbeat/ticks, time.Millisecond))
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			g.failAll(ErrUnknown)
+			return g.folder.Close()
+		case <-tick.C:
+			g.update(replicate.TickMsg{Now: g.now(), Rand: rand.Uint64()})
+		case in := <-g.inbox:
+			g.take(in)
+			g.drain()
+		case s := <-g.snapshots:
+			g.rotate(s)
+		}
+		g.flush()
+		g.snapshotIfDue()
+		g.checkSpace()
+		g.publish()
+	}
+}
+
+// drain takes what else waits, up to a batch.
+func (g *Group) drain() {
+	for range batchSize {
+		select {
+		case in := <-g.inbox:
+			g.take(in)
+		default:
+			return
+		}
+	}
+}
+
+func (g *Group) take(in input) {
+	switch {
+	case in.do != nil:
+		in.do()
+	case in.wait == nil:
+		if step, ok := in.msg.(replicate.StepMsg); ok {
+			step.Now = g.now()
+			in.msg = step
+		}
+		g.update(in.msg)
+	case g.failed:
+		in.wait.done <- outcome{err: ErrDisk}
+	case g.folder.Group() == 0:
+		in.wait.done <- outcome{err: ErrNoGroup}
+	default:
+		g.ask(in.wait)
+	}
+}
+
+// ask hands a proposal, a read or a removal to the replica.
+func (g *Group) ask(w *waiter) {
+	g.token++
+	g.waiting[g.token] = w
+	switch {
+	case g.full && w.command != nil && w.command.Finish == nil:
+		g.askFull(w)
+	case w.command != nil:
+		w.command.At = time.Now().UnixMilli()
+		data, err := json.Marshal(w.command)
+		if err != nil {
+			g.answer(g.token, outcome{err: eris.Wrap(err, "encode command")})
+			return
+		}
+		g.update(replicate.ProposeMsg{Token: g.token, Data: data})
+	case w.name != "":
+		g.update(replicate.RemoveMsg{Token: g.token, Name: w.name})
+	default:
+		g.update(replicate.ReadMsg{Token: g.token})
+	}
+}
+
+func (g *Group) answer(token uint64, o outcome) {
+	if w := g.waiting[token]; w != nil {
+		delete(g.waiting, token)
+		w.done <- o
+	}
+}
+
+func (g *Group) update(m replicate.Msg) {
+	for _, cmd := range g.replica.Update(m) {
+		g.execute(cmd)
+	}
+}
+
+func (g *Group) execute(cmd replicate.Cmd) {
+	switch cmd := cmd.(type) {
+	case replicate.PersistCmd:
+		g.pending = append(g.pending, cmd)
+	case replicate.SendCmd:
+		g.send(cmd)
+	case replicate.SendSnapshotCmd:
+		g.sendSnapshot(cmd)
+	case replicate.RestoreCmd:
+		g.restore(cmd)
+	case replicate.ApplyCmd:
+		g.apply(cmd.Entries)
+	case replicate.ProposedCmd:
+		g.proposed(cmd)
+	case replicate.ReadCmd:
+		g.readable(cmd)
+	case replicate.RemoveCmd:
+		g.answer(cmd.Token, outcome{err: cmd.Err})
+	case replicate.ElectedCmd:
+		g.log.Info().Uint64("term", cmd.Term).Msg("elected leader")
+		g.leadership(cmd.Term, true)
+	case replicate.SteppedDownCmd:
+		g.log.Info().Uint64("term", cmd.Term).Msg("no longer leader")
+		g.leadership(cmd.Term, false)
+		g.failProposals()
+	}
+}
+
+func (g *Group) send(cmd replicate.SendCmd) {
+	if cmd.Durable {
+		g.held = append(g.held, cmd.Message)
+		return
+	}
+	g.sender.Send(g.folder.Group(), cmd.Message)
+}
+
+// flush writes what the batch has to persist, with one sync, and then sends
+// what depended on it. The sync can bring up more of both.
+func (g *Group) flush() {
+	for len(g.pending) > 0 && !g.failed {
+		if err := g.write(); err != nil {
+			g.fail(err)
+			return
+		}
+	}
+	for _, m := range g.held {
+		g.sender.Send(g.folder.Group(), m)
+	}
+	g.held = g.held[:0]
+}
+
+func (g *Group) write() error {
+	var entries []replicate.Entry
+	for _, p := range g.pending {
+		g.hard = p.Hard
+		entries = append(entries, p.Entries...)
+	}
+	g.pending = g.pending[:0]
+	if err := g.folder.Write(g.hard, entries); err != nil {
+		return err
+	}
+	synced := replicate.SyncedMsg{}
+	if n := len(entries); n > 0 {
+		synced.Index, synced.Term = entries[n-1].Index, entries[n-1].Term
+	}
+	g.update(synced)
+	return nil
+}
+
+// fail takes this replica out: it does not go on from memory.
+func (g *Group) fail(err error) {
+	g.failed = true
+	g.pending, g.held = nil, nil
+	g.log.Error().Err(err).Msg("the disk failed: this replica votes no more until it is restarted")
+	g.update(replicate.DiskFailedMsg{})
+	g.pending, g.held = nil, nil
+	g.failAll(ErrDisk)
+}
+
+func (g *Group) failAll(err error) {
+	g.failProposals()
+	for token := range g.waiting {
+		g.answer(token, outcome{err: err})
+	}
+}
+
+// failProposals answers proposals that are in the log but not committed.
+func (g *Group) failProposals() {
+	for index, w := range g.atIndex {
+		delete(g.atIndex, index)
+		w.done <- outcome{err: ErrUnknown}
+	}
+	for _, w := range g.reads {
+		w.done <- outcome{err: replicate.ErrNotLeader}
+	}
+	g.reads = nil
+}
+
+func (g *Group) proposed(cmd replicate.ProposedCmd) {
+	if cmd.Err != nil {
+		g.answer(cmd.Token, outcome{err: cmd.Err})
+		return
+	}
+	w := g.waiting[cmd.Token]
+	delete(g.waiting, cmd.Token)
+	w.index, w.term = cmd.Index, cmd.Term
+	g.atIndex[cmd.Index] = w
+}
+
+func (g *Group) readable(cmd replicate.ReadCmd) {
+	if cmd.Err != nil {
+		g.answer(cmd.Token, outcome{err: cmd.Err})
+		return
+	}
+	w := g.waiting[cmd.Token]
+	if w == nil {
+		return
+	}
+	delete(g.waiting, cmd.Token)
+	w.index = cmd.Index
+	g.reads = append(g.reads, w)
+	g.answerReads()
+}
+
+func (g *Group) answerReads() {
+	rest := g.reads[:0]
+	for _, w := range g.reads {
+		if w.index > g.applied {
+			rest = append(rest, w)
+			continue
+		}
+		w.done <- outcome{result: g.peek(w)}
+	}
+	g.reads = rest
+}
+
+// apply applies committed entries and answers those who wait for them.
+func (g *Group) apply(entries []replicate.Entry) {
+	for i := range entries {
+		e := &entries[i]
+		var result protocol.Result
+		if e.Kind == replicate.EntryCommand {
+			result = g.applyCommand(e)
+		}
+		g.applied = e.Index
+		if w := g.atIndex[e.Index]; w != nil {
+			delete(g.atIndex, e.Index)
+			if w.term == e.Term {
+				w.done <- outcome{result: result}
+			} else {
+				w.done <- outcome{err: ErrUnknown}
+			}
+		}
+	}
+	g.answerReads()
+	g.tellRevision()
+}
+
+func (g *Group) applyCommand(e *replicate.Entry) protocol.Result {
+	var c protocol.Command
+	if err := json.Unmarshal(e.Data, &c); err != nil {
+		// Every replica finds the same: the entry changes nothing.
+		g.log.Error().Err(err).Uint64("index", e.Index).Msg("an entry cannot be read")
+		return protocol.Result{}
+	}
+	return g.machine.Apply(&c)
+}
+
+func (g *Group) tellRevision() {
+	number, config := g.machine.Revision()
+	if number > g.told {
+		g.told = number
+		g.revision(number, config)
+	}
+}
--- a/coordination/replicate/leader.go
+++ b/coordination/replicate/leader.go
@@ -18,7 +18,9 @@
 	r.peers = map[ID]*progress{}
 	r.sentAt = map[uint64]time.Duration{}
 	r.do(ElectedCmd{Term: r.hard.Term})
-	r.appendEntries(Entry{Kind: EntryNoop})
+	// The term begins with an entry of its own. It restates the members, so that
+	// a replica that was told of no founders learns them from the log.
+	r.appendEntries(Entry{Kind: EntryMembers, Data: encodeMembers(r.log.Members())})
 	r.syncPeers()
 	r.broadcast()
 }
--- a/coordination/replicate/members.go
+++ b/coordination/replicate/members.go
@@ -15,7 +15,7 @@
 	if !r.mayChange() {
 		return // The replica asks again.
 	}
-	next := members.clone()
+	next := members.Clone()
 	next.Learners = slices.DeleteFunc(next.Learners, func(id ID) bool { return id.Name == m.ID.Name })
 	next.Learners = append(next.Learners, m.ID)
 	r.change(next)
@@ -31,7 +31,7 @@
 		r.do(RemoveCmd{Token: m.Token, Err: ErrBusy})
 		return
 	}
-	next := r.log.Members().clone()
+	next := r.log.Members().Clone()
 	gone := func(id ID) bool { return id.Name == m.Name }
 	next.Learners = slices.DeleteFunc(next.Learners, gone)
 	if i := slices.IndexFunc(next.Voters, gone); i >= 0 && len(next.Voters) > 1 {
@@ -71,7 +71,7 @@
 		if r.now-p.heard >= r.cfg.Election {
 			continue // It has caught up and gone again.
 		}
-		next := members.clone()
+		next := members.Clone()
 		former := slices.IndexFunc(next.Voters, func(v ID) bool { return v.Name == id.Name })
 		if former >= 0 {
 			next.Voters = slices.Delete(next.Voters, former, former+1)
--- a/coordination/replicate/message.go
+++ b/coordination/replicate/message.go
@@ -2,31 +2,6 @@
 
 import "time"
 
-// EntryKind tells entries apart.
-type EntryKind uint8
-
-// The kinds of entries.
-const (
-	EntryNoop    EntryKind = iota // EntryNoop begins a leader's term.
-	EntryCommand                  // EntryCommand is for the state machine.
-	EntryMembers                  // EntryMembers changes the members; Data is their JSON.
-)
-
-// Entry is one position of the log.
-type Entry struct {
-	Index uint64
-	Term  uint64
-	Kind  EntryKind
-	Data  []byte
-}
-
-// SnapshotMeta describes a snapshot of the state machine.
-type SnapshotMeta struct {
-	Index   uint64 // Index is the last entry that the snapshot covers.
-	Term    uint64
-	Members Members
-}
-
 // MessageKind tells messages between replicas apart.
 type MessageKind uint8
 
--- a/coordination/replicate/replicate.go
+++ b/coordination/replicate/replicate.go
@@ -24,10 +24,11 @@
 package replicate
 
 import (
-	"slices"
 	"time"
 
 	"github.com/rotisserie/eris"
+
+	"github.com/weldstream/weldstream/protocol"
 )
 
 // Errors of proposals and reads.
@@ -38,33 +39,25 @@
 	ErrBusy = eris.New("a change of members is under way")
 )
 
-// ID is the identity of a replica: a name and the incarnation of its data.
-type ID struct {
-	Name        string `json:"name"`
-	Incarnation uint64 `json:"incarnation"`
-}
-
-// IsZero reports whether the identity is unset.
-func (id ID) IsZero() bool { return id.Name == "" }
-
-// Members are the replicas of a group.
-type Members struct {
-	Voters   []ID `json:"voters"`
-	Learners []ID `json:"learners,omitempty"`
-}
-
-// IsVoter reports whether exactly this incarnation votes.
-func (m Members) IsVoter(id ID) bool { return slices.Contains(m.Voters, id) }
-
-// IsLearner reports whether exactly this incarnation learns.
-func (m Members) IsLearner(id ID) bool { return slices.Contains(m.Learners, id) }
-
-// Quorum is the number of voters that make a majority.
-func (m Members) Quorum() int { return len(m.Voters)/2 + 1 }
+// The types that are also on disk and on the wire.
+type (
+	// ID is the identity of a replica.
+	ID = protocol.ReplicaID
+	// Members are the replicas of a group.
+	Members = protocol.ReplicaMembers
+	// HardState is what must be on disk before a vote or a term is made known.
+	HardState = protocol.HardState
+	// Entry is one position of the log.
+	Entry = protocol.LogEntry
+	// SnapshotMeta describes a snapshot of the state machine.
+	SnapshotMeta = protocol.SnapshotMeta
+)
 
-func (m Members) clone() Members {
-	return Members{Voters: slices.Clone(m.Voters), Learners: slices.Clone(m.Learners)}
-}
+// The kinds of entries.
+const (
+	EntryCommand = protocol.EntryCommand
+	EntryMembers = protocol.EntryMembers
+)
 
 // Role is what a replica does at the moment.
 type Role uint8
@@ -82,12 +75,6 @@
 // String returns the role's name.
 func (r Role) String() string { return roleNames[r] }
 
-// HardState is what must be on disk before a vote or a term is made known.
-type HardState struct {
-	Term uint64
-	Vote ID
-}
-
 // Config tunes a replica.
 type Config struct {
 	Election  time.Duration // Election is the least election timeout; the most is twice that.
@@ -296,3 +283,19 @@
 // Leads reports whether the replica leads, and its term, the fence of its
 // orders.
 func (r *Replica) Leads() (term uint64, ok bool) { return r.hard.Term, r.role == Leader }
+
+// SnapshotMetaAt describes a snapshot of the state machine at an applied index;
+// ok is false when the log does not reach there.
+func (r *Replica) SnapshotMetaAt(index uint64) (meta SnapshotMeta, ok bool) {
+	term, ok := r.log.Term(index)
+	if !ok || index > r.commit {
+		return SnapshotMeta{}, false
+	}
+	return SnapshotMeta{Index: index, Term: term, Members: r.log.MembersAt(index)}, true
+}
+
+// Tail returns the entries behind the snapshot.
+func (r *Replica) Tail() []Entry {
+	const all = 1 << 62
+	return r.log.Slice(r.log.Snapshot().Index+1, r.log.Last(), all)
+}
--- a/coordination/replicate/replicate_test.go
+++ b/coordination/replicate/replicate_test.go
@@ -414,7 +414,7 @@
 
 // Fatalf implements testing.TB.
 func (t seedTB) Fatalf(format string, args ...any) {
-	t.TB.Helper()
+	t.Helper()
 	t.TB.Fatalf("seed %d: "+format, append([]any{t.seed}, args...)...)
 }
 
--- a/e2e/caller_test.go
+++ b/e2e/caller_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/weldstream/weldstream/protocol"
 )
@@ -35,6 +36,11 @@
 	return a
 }
 
+// once marks the ask as not repeatable, under a key that was first issued now.
+func (a ask) once(key string) ask {
+	return a.with(protocol.HeaderKey, key).with(protocol.HeaderRepeatable, "false").with(protocol.HeaderIssuedAt, time.Now().Format(time.RFC3339Nano))
+}
+
 // stream is an answer that is being read.
 type stream struct {
 	t      *testing.T
--- a/e2e/cluster_test.go
+++ b/e2e/cluster_test.go
@@ -117,7 +117,7 @@
 // clusterSpec says what to start.
 type clusterSpec struct {
 	daemons  int
-	replicas int // replicas is how many daemons have a disk.
+	replicas int // replicas is how many daemons have a disk; 0 means 1, or 3 of 3 and more.
 	engines  int
 	services int
 	engine   []string // engine are further flags of the engines.
@@ -137,6 +137,9 @@
 		c.listed = append(c.listed, protocol.Instance{ID: s.id, Kind: protocol.InstanceService, Service: "gantry", Address: s.address, Domain: domain(i)})
 	}
 	c.list()
+	if spec.replicas == 0 {
+		spec.replicas = 1 + 2*min(1, spec.daemons/3)
+	}
 	c.write("cluster.key", clusterKey)
 	for i := range spec.replicas {
 		c.replicas = append(c.replicas, fmt.Sprintf("entry-%d", i+1))
--- a/e2e/leaving_test.go
+++ b/e2e/leaving_test.go
@@ -58,7 +58,7 @@
 	c.apply(1, configText())
 	call := func(key string) answer {
 		a := ask{path: "/services/gantry/charge", body: "ABCD-12"}
-		return c.daemons[0].send(a.with("Idempotency-Key", key))
+		return c.daemons[0].send(a.once(key))
 	}
 	for _, s := range c.services {
 		s.faults(standin.Faults{DropAnswer: true})
--- a/e2e/process_test.go
+++ b/e2e/process_test.go
@@ -34,7 +34,7 @@
 		return 1
 	}
 	defer os.RemoveAll(dir)
-	build := exec.Command("go", "build", "-o", dir, "../cmd/...")
+	build := exec.Command("go", "build", "-race", "-o", dir, "../cmd/...")
 	build.Stderr = os.Stderr
 	if err := build.Run(); err != nil {
 		fmt.Fprintln(os.Stderr, "build:", err)
--- a/protocol/refusal.go
+++ b/protocol/refusal.go
@@ -5,6 +5,17 @@
 	"time"
 )
 
+// The HTTP statuses of refusals. Decisions name them; the transport sends them.
+const (
+	StatusBadRequest         = 400
+	StatusConflict           = 409
+	StatusGone               = 410
+	StatusClientClosed       = 499
+	StatusBadGateway         = 502
+	StatusServiceUnavailable = 503
+	StatusGatewayTimeout     = 504
+)
+
 // Code names the reason of a refusal. Scripts branch on it, so a code is never
 // renamed.
 type Code string
@@ -31,6 +42,7 @@
 	CodeKeyUndated     Code = "key_undated"
 	CodeClaimLost      Code = "claim_lost"
 	CodeAnswerDropped  Code = "answer_not_kept"
+	CodeDiskFull       Code = "disk_full"
 	CodeConflict       Code = "config_conflict"
 	CodeStale          Code = "config_stale"
 	CodeInvalidConfig  Code = "config_invalid"
@@ -45,6 +57,9 @@
 	Status     int           // Status is the HTTP status, 4xx or 5xx.
 	Message    string        // Message is for a person.
 	RetryAfter time.Duration // RetryAfter is when to come back; 0 says nothing.
+	// SendNotRun says that this send did nothing, whatever became of an earlier
+	// one with the same key, which Verdict takes into account.
+	SendNotRun bool
 }
 
 // NewRefusal returns a refusal with the verdict not-run, which is right for
@@ -85,11 +100,17 @@
 	Code         Code    `json:"code"`
 	Verdict      Verdict `json:"verdict"`
 	RetryAfterMS int64   `json:"retry_after_ms,omitempty"`
+	ThisSend     string  `json:"this_send,omitempty"` // ThisSend is "not-run" when this send did nothing.
 }
 
 // Body returns the JSON body of r.
 func (r *Refusal) Body() ErrorBody {
+	send := ""
+	if r.SendNotRun || r.Verdict == NotRun {
+		send = NotRun.String()
+	}
 	return ErrorBody{Error: ErrorDetail{
+		ThisSend:     send,
 		Message:      r.Message,
 		Type:         "weldstream_error",
 		Code:         r.Code,
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -82,6 +82,7 @@
 	Election        time.Duration `yaml:"election" validate:"dmin=50ms,dmax=1m"`
 	Heartbeat       time.Duration `yaml:"heartbeat" validate:"dmin=5ms,dmax=10s"`
 	SnapshotEntries int           `yaml:"snapshot_entries" validate:"min=16,max=10000000"`
+	ReserveBytes    uint64        `yaml:"reserve_bytes"` // ReserveBytes of the disk are kept free.
 }
 
 // Claims bound the claims of requests that are not repeatable.
@@ -110,7 +111,7 @@
 			Suspect:     DefaultSuspect,
 			Drain:       DefaultDrain,
 		},
-		Replica: Replica{Election: DefaultElection, Heartbeat: DefaultReplicaBeat, SnapshotEntries: DefaultSnapshotEntries},
+		Replica: Replica{Election: DefaultElection, Heartbeat: DefaultReplicaBeat, SnapshotEntries: DefaultSnapshotEntries, ReserveBytes: DefaultReserveBytes},
 		Claims:  Claims{Window: DefaultClaimWindow, Skew: DefaultClaimSkew, Count: DefaultClaims, AnswerBytes: DefaultAnswerBytes},
 	}
 }
--- /dev/null
+++ b/state/machine.go
@@ -0,0 +1,98 @@
+package state
+
+import (
+	"encoding/json"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/weldstream/weldstream/protocol"
+)
+
+// Machine is the replicated state: the configuration and the claims. It is a
+// function of the log alone: the same commands in the same order give the same
+// state on every replica.
+type Machine struct {
+	now    int64 // now is the latest time of any command, in ms; it never goes back.
+	number uint64
+	digest protocol.Digest
+	config []byte // config is the canonical form.
+	claims *Claims
+}
+
+// NewMachine returns the state before the first command.
+func NewMachine() *Machine { return &Machine{claims: NewClaims()} }
+
+// Apply carries out one command.
+func (m *Machine) Apply(c *protocol.Command) protocol.Result {
+	m.now = max(m.now, c.At)
+	switch {
+	case c.Apply != nil:
+		return protocol.Result{Apply: m.apply(c.Apply)}
+	case c.Claim != nil:
+		return protocol.Result{Claim: m.claims.Claim(c.Claim, m.now)}
+	case c.Finish != nil:
+		return protocol.Result{Claim: m.claims.Finish(c.Finish, m.now)}
+	}
+	return protocol.Result{}
+}
+
+// apply accepts number n+1 on top of n, and n again with the same digest: that
+// is a resend.
+func (m *Machine) apply(a *protocol.ApplyMsg) *protocol.ApplyReplyMsg {
+	digest := protocol.DigestOf(a.Config)
+	if a.Number == m.number+1 {
+		m.number, m.digest, m.config = a.Number, digest, a.Config
+	}
+	accepted := a.Number == m.number && digest == m.digest
+	return &protocol.ApplyReplyMsg{Accepted: accepted, Number: m.number, Digest: m.digest}
+}
+
+// Revision returns the configuration that is accepted; number 0 means none.
+func (m *Machine) Revision() (number uint64, config []byte) { return m.number, m.config }
+
+// PeekClaim answers a claim as far as that changes nothing: one that would be
+// granted is refused for want of room.
+func (m *Machine) PeekClaim(c *protocol.ClaimMsg) *protocol.ClaimReply {
+	return m.claims.Peek(c, m.now)
+}
+
+// Claims returns the number of claims kept.
+func (m *Machine) Claims() int { return m.claims.Len() }
+
+// Image is a copy of the state at one moment, to be encoded elsewhere.
+type Image struct {
+	Now    int64           `json:"now"`
+	Number uint64          `json:"number"`
+	Config json.RawMessage `json:"config,omitempty"`
+	Claims []*claim        `json:"claims"`
+}
+
+// Image returns a copy of the state. Claims are never changed in place, so the
+// copy is one of pointers.
+func (m *Machine) Image() *Image {
+	return &Image{Now: m.now, Number: m.number, Config: m.config, Claims: m.claims.list()}
+}
+
+// Encode renders the image as a snapshot.
+func (i *Image) Encode() ([]byte, error) {
+	data, err := json.Marshal(i)
+	return data, eris.Wrap(err, "encode snapshot")
+}
+
+// Restore replaces the state by a snapshot.
+func (m *Machine) Restore(data []byte) error {
+	var i Image
+	if err := json.Unmarshal(data, &i); err != nil {
+		return eris.Wrap(err, "decode snapshot")
+	}
+	m.now, m.number, m.config = i.Now, i.Number, i.Config
+	m.digest = protocol.Digest{}
+	if i.Number > 0 {
+		m.digest = protocol.DigestOf(i.Config)
+	}
+	m.claims = NewClaims()
+	for _, c := range i.Claims {
+		m.claims.put(c)
+	}
+	return nil
+}
--- /dev/null
+++ b/state/wal/segment.go
@@ -0,0 +1,261 @@
+package wal
+
+import (
+	"encoding/binary"
+	"hash/crc32"
+	"os"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/weldstream/weldstream/protocol"
+)
+
+const (
+	segmentMagic = "weldlog1"
+	frameHeader  = 8       // bytes: length, checksum
+	maxFrame     = 1 << 30 // bytes of a frame's payload
+)
+
+var castagnoli = crc32.MakeTable(crc32.Castagnoli)
+
+// Write appends one frame and syncs it. After an error the folder takes no
+// further write: what is on disk is not known any more.
+func (f *Folder) Write(hard protocol.HardState, entries []protocol.LogEntry) error {
+	if f.failed {
+		return ErrFailed
+	}
+	if err := f.writeFrame(encodeFrame(hard, entries)); err != nil {
+		f.failed = true
+		return err
+	}
+	return nil
+}
+
+func (f *Folder) writeFrame(frame []byte) error {
+	if _, err := f.log.Write(frame); err != nil {
+		return eris.Wrap(err, "write log")
+	}
+	return eris.Wrap(f.log.Sync(), "sync log")
+}
+
+// encodeFrame renders a frame: header, hard state, entries.
+func encodeFrame(hard protocol.HardState, entries []protocol.LogEntry) []byte {
+	frame := make([]byte, frameHeader, frameHeader+64)
+	frame = binary.AppendUvarint(frame, hard.Term)
+	frame = appendBytes(frame, []byte(hard.Vote.Name))
+	frame = binary.AppendUvarint(frame, hard.Vote.Incarnation)
+	frame = binary.AppendUvarint(frame, uint64(len(entries)))
+	for i := range entries {
+		e := &entries[i]
+		frame = binary.AppendUvarint(frame, e.Index)
+		frame = binary.AppendUvarint(frame, e.Term)
+		frame = append(frame, byte(e.Kind))
+		frame = appendBytes(frame, e.Data)
+	}
+	payload := frame[frameHeader:]
+	binary.LittleEndian.PutUint32(frame, uint32(len(payload)))
+	binary.LittleEndian.PutUint32(frame[4:], crc32.Checksum(payload, castagnoli))
+	return frame
+}
+
+func appendBytes(dst, b []byte) []byte {
+	dst = binary.AppendUvarint(dst, uint64(len(b)))
+	return append(dst, b...)
+}
+
+// payloadReader reads what encodeFrame wrote. After a fault, ok stays false.
+type payloadReader struct {
+	rest []byte
+	bad  bool
+}
+
+func (r *payloadReader) uvarint() uint64 {
+	v, n := binary.Uvarint(r.rest)
+	if n <= 0 {
+		r.bad = true
+		return 0
+	}
+	r.rest = r.rest[n:]
+	return v
+}
+
+func (r *payloadReader) bytes() []byte {
+	n := r.uvarint()
+	if r.bad || n > uint64(len(r.rest)) {
+		r.bad = true
+		return nil
+	}
+	b := r.rest[:n:n]
+	r.rest = r.rest[n:]
+	return b
+}
+
+func (r *payloadReader) byte() byte {
+	if len(r.rest) == 0 {
+		r.bad = true
+		return 0
+	}
+	b := r.rest[0]
+	r.rest = r.rest[1:]
+	return b
+}
+
+func decodePayload(payload []byte) (hard protocol.HardState, entries []protocol.LogEntry, ok bool) {
+	r := payloadReader{rest: payload}
+	hard.Term = r.uvarint()
+	hard.Vote.Name = string(r.bytes())
+	hard.Vote.Incarnation = r.uvarint()
+	count := r.uvarint()
+	for i := uint64(0); i < count && !r.bad; i++ {
+		e := protocol.LogEntry{Index: r.uvarint(), Term: r.uvarint()}
+		e.Kind = protocol.EntryKind(r.byte())
+		e.Data = r.bytes()
+		entries = append(entries, e)
+	}
+	return hard, entries, !r.bad && len(r.rest) == 0
+}
+
+// frameAt returns the payload of the frame at an offset, if a whole good one
+// is there.
+func frameAt(data []byte, offset int) ([]byte, bool) {
+	if len(data)-offset < frameHeader {
+		return nil, false
+	}
+	size := int(binary.LittleEndian.Uint32(data[offset:]))
+	if size == 0 || size > maxFrame || size > len(data)-offset-frameHeader {
+		return nil, false
+	}
+	payload := data[offset+frameHeader : offset+frameHeader+size]
+	if crc32.Checksum(payload, castagnoli) != binary.LittleEndian.Uint32(data[offset+4:]) {
+		return nil, false
+	}
+	return payload, true
+}
+
+// frameBehind reports whether a good frame begins anywhere behind an offset.
+func frameBehind(data []byte, offset int) bool {
+	for i := offset + 1; i+frameHeader < len(data); i++ {
+		if payload, ok := frameAt(data, i); ok {
+			if _, _, ok := decodePayload(payload); ok {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// replay reads all segments, in order, into loaded.
+func (f *Folder) replay(segments []uint64, loaded *Loaded) error {
+	var log []protocol.LogEntry
+	for i, seq := range segments {
+		var err error
+		if log, err = f.replaySegment(seq, i == len(segments)-1, log, loaded); err != nil {
+			return err
+		}
+	}
+	loaded.Entries = behind(log, loaded.Snapshot)
+	return nil
+}
+
+func (f *Folder) replaySegment(seq uint64, last bool, log []protocol.LogEntry, loaded *Loaded) ([]protocol.LogEntry, error) {
+	file := f.path(segmentPrefix, seq)
+	data, err := os.ReadFile(file)
+	if err != nil {
+		return nil, eris.Wrap(err, "read log")
+	}
+	if len(data) < len(segmentMagic) || string(data[:len(segmentMagic)]) != segmentMagic {
+		return nil, &Damage{File: file, What: "is not a segment of a log"}
+	}
+	offset := len(segmentMagic)
+	for offset < len(data) {
+		payload, ok := frameAt(data, offset)
+		if !ok {
+			return log, f.cutTorn(file, data, offset, last, loaded)
+		}
+		hard, entries, ok := decodePayload(payload)
+		if !ok {
+			return nil, &Damage{File: file, Offset: int64(offset), What: "the frame cannot be decoded"}
+		}
+		loaded.Hard = hard
+		if log, ok = extend(log, entries, loaded.Snapshot); !ok {
+			return nil, &Damage{File: file, Offset: int64(offset), What: "an entry is missing before this frame"}
+		}
+		offset += frameHeader + len(payload)
+	}
+	return log, nil
+}
+
+// cutTorn cuts off a torn write at the end of the last segment. Anything else
+// that is bad is damage.
+func (f *Folder) cutTorn(file string, data []byte, offset int, last bool, loaded *Loaded) error {
+	if !last || frameBehind(data, offset) {
+		return &Damage{File: file, Offset: int64(offset), What: "the checksum does not match, and more was written behind it"}
+	}
+	loaded.Torn = int64(len(data) - offset)
+	if err := os.Truncate(file, int64(offset)); err != nil {
+		return eris.Wrap(err, "cut off torn write")
+	}
+	return nil
+}
+
+// extend puts entries behind the log. An entry at an index that is there
+// already replaces it and what is behind it.
+func extend(log, entries []protocol.LogEntry, snap protocol.SnapshotMeta) ([]protocol.LogEntry, bool) {
+	for _, e := range entries {
+		switch {
+		case len(log) == 0:
+			if e.Index > snap.Index+1 {
+				return nil, false
+			}
+			log = append(log, e)
+		case e.Index < log[0].Index:
+			log = append(log[:0:0], e)
+		case e.Index > log[len(log)-1].Index+1:
+			if e.Index != snap.Index+1 {
+				return nil, false
+			}
+			log = append(log[:0:0], e) // A snapshot from the leader replaced the log before.
+		default:
+			log = append(log[:e.Index-log[0].Index], e)
+		}
+	}
+	return log, true
+}
+
+// behind returns the entries that follow a snapshot. If the log's own entry at
+// the snapshot's index is another one, the snapshot replaced the whole log.
+func behind(log []protocol.LogEntry, snap protocol.SnapshotMeta) []protocol.LogEntry {
+	if len(log) == 0 || log[len(log)-1].Index <= snap.Index {
+		return nil
+	}
+	if log[0].Index > snap.Index {
+		return log
+	}
+	at := snap.Index - log[0].Index
+	if log[at].Term != snap.Term {
+		return nil
+	}
+	return log[at+1:]
+}
+
+// newSegment begins the next segment with the hard state and the entries that
+// are still needed.
+func (f *Folder) newSegment(hard protocol.HardState, entries []protocol.LogEntry) error {
+	f.seq++
+	if err := f.replace(f.path(segmentPrefix, f.seq), []byte(segmentMagic), encodeFrame(hard, entries)); err != nil {
+		return err
+	}
+	return f.openSegment()
+}
+
+func (f *Folder) openSegment() error {
+	log, err := os.OpenFile(f.path(segmentPrefix, f.seq), os.O_WRONLY|os.O_APPEND, fileMode)
+	if err != nil {
+		return eris.Wrap(err, "open log")
+	}
+	if f.log != nil {
+		_ = f.log.Close() // The old segment is synced.
+	}
+	f.log = log
+	return eris.Wrap(log.Sync(), "sync log")
+}
--- /dev/null
+++ b/state/wal/snapshot.go
@@ -0,0 +1,114 @@
+package wal
+
+import (
+	"encoding/binary"
+	"encoding/json"
+	"hash/crc32"
+	"os"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/weldstream/weldstream/protocol"
+)
+
+const snapshotMagic = "weldsnp1"
+
+// snapshotHeader is magic, checksum of the rest, length of the meta data.
+const snapshotHeader = len(snapshotMagic) + 4 + 4
+
+// SaveSnapshot writes a snapshot and begins a new segment with what follows
+// it. Older segments and snapshots go once both are on disk.
+func (f *Folder) SaveSnapshot(meta protocol.SnapshotMeta, data []byte, hard protocol.HardState, rest []protocol.LogEntry) error {
+	if err := f.WriteSnapshot(meta, data); err != nil {
+		f.failed = true
+		return err
+	}
+	return f.Rotate(meta.Index, hard, rest)
+}
+
+// WriteSnapshot writes a snapshot beside the log. Unlike the folder's other
+// methods it may run beside them: it touches only its own file.
+func (f *Folder) WriteSnapshot(meta protocol.SnapshotMeta, data []byte) error {
+	head, err := json.Marshal(meta)
+	if err != nil {
+		return eris.Wrap(err, "encode snapshot")
+	}
+	sum := crc32.Update(crc32.Checksum(head, castagnoli), castagnoli, data)
+	prefix := []byte(snapshotMagic)
+	prefix = binary.LittleEndian.AppendUint32(prefix, sum)
+	prefix = binary.LittleEndian.AppendUint32(prefix, uint32(len(head)))
+	return f.replace(f.path(snapshotPrefix, meta.Index), prefix, head, data)
+}
+
+// Rotate begins a new segment with what follows the snapshot at an index, which
+// is on disk, and removes what both replace.
+func (f *Folder) Rotate(index uint64, hard protocol.HardState, rest []protocol.LogEntry) error {
+	if f.failed {
+		return ErrFailed
+	}
+	err := f.newSegment(hard, rest)
+	if err == nil {
+		err = f.removeOld(index)
+	}
+	f.failed = err != nil
+	return err
+}
+
+// removeOld removes what the latest snapshot and segment replace.
+func (f *Folder) removeOld(index uint64) error {
+	segments, snapshots, err := f.scan()
+	if err != nil {
+		return err
+	}
+	for _, seq := range segments {
+		if seq < f.seq {
+			if err := os.Remove(f.path(segmentPrefix, seq)); err != nil {
+				return eris.Wrap(err, "remove segment")
+			}
+		}
+	}
+	for _, n := range snapshots {
+		if n < index {
+			if err := os.Remove(f.path(snapshotPrefix, n)); err != nil {
+				return eris.Wrap(err, "remove snapshot")
+			}
+		}
+	}
+	return nil
+}
+
+// ReadSnapshot reads the latest snapshot from disk, for a replica that is too
+// far behind; ok is false when there is none.
+func (f *Folder) ReadSnapshot() (meta protocol.SnapshotMeta, data []byte, ok bool, err error) {
+	_, snapshots, err := f.scan()
+	if err != nil || len(snapshots) == 0 {
+		return protocol.SnapshotMeta{}, nil, false, err
+	}
+	var loaded Loaded
+	if err := f.loadSnapshot(snapshots[len(snapshots)-1], &loaded); err != nil {
+		return protocol.SnapshotMeta{}, nil, false, err
+	}
+	return loaded.Snapshot, loaded.Data, true, nil
+}
+
+func (f *Folder) loadSnapshot(index uint64, loaded *Loaded) error {
+	file := f.path(snapshotPrefix, index)
+	data, err := os.ReadFile(file)
+	if err != nil {
+		return eris.Wrap(err, "read snapshot")
+	}
+	if len(data) < snapshotHeader || string(data[:len(snapshotMagic)]) != snapshotMagic {
+		return &Damage{File: file, What: "is not a snapshot"}
+	}
+	sum := binary.LittleEndian.Uint32(data[len(snapshotMagic):])
+	size := int(binary.LittleEndian.Uint32(data[len(snapshotMagic)+4:]))
+	rest := data[snapshotHeader:]
+	if crc32.Checksum(rest, castagnoli) != sum || size > len(rest) {
+		return &Damage{File: file, Offset: int64(snapshotHeader), What: "the checksum does not match"}
+	}
+	if err := json.Unmarshal(rest[:size], &loaded.Snapshot); err != nil {
+		return &Damage{File: file, Offset: int64(snapshotHeader), What: err.Error()}
+	}
+	loaded.Data = rest[size:]
+	return nil
+}
--- /dev/null
+++ b/state/wal/wal.go
@@ -0,0 +1,302 @@
+// Package wal keeps a replica's log and snapshots in one data folder.
+//
+// The folder holds
+//
+//	identity     the replica's name and the incarnation of this folder
+//	log-N        segments of the log, in the order of N
+//	snapshot-N   the state machine at index N
+//	lock         held by the process that uses the folder
+//
+// A segment is a row of frames. A frame is one group commit: length, checksum,
+// then the hard state and the entries that were written together. The next
+// frame is written only after the sync of the one before. So a bad frame with
+// a good one behind it is damage, which stops the start and touches nothing; a
+// bad frame at the very end is a torn write that nobody was promised, and is
+// cut off.
+package wal
+
+import (
+	"crypto/rand"
+	"encoding/binary"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"os"
+	"path/filepath"
+	"slices"
+	"strconv"
+	"strings"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/weldstream/weldstream/protocol"
+)
+
+// Errors of a data folder.
+var (
+	// ErrDamaged is returned when a file of the folder is not what was written.
+	ErrDamaged = eris.New("data folder is damaged")
+	// ErrFailed is returned for every write after one that failed.
+	ErrFailed = eris.New("an earlier write to the data folder failed")
+	// ErrForeign is returned when the folder belongs to another instance.
+	ErrForeign = eris.New("data folder belongs to another instance")
+	// ErrLocked is returned when another process uses the folder.
+	ErrLocked = eris.New("data folder is in use by another process")
+)
+
+// Damage tells where a file is not what was written.
+type Damage struct {
+	File   string
+	Offset int64 // Offset is in bytes from the start of the file.
+	What   string
+}
+
+// Error implements error.
+func (d *Damage) Error() string {
+	return fmt.Sprintf("%s: offset %d: %s", d.File, d.Offset, d.What)
+}
+
+// Unwrap makes errors.Is find [ErrDamaged].
+func (d *Damage) Unwrap() error { return ErrDamaged }
+
+const (
+	identityFile   = "identity"
+	lockFile       = "lock"
+	segmentPrefix  = "log-"
+	snapshotPrefix = "snapshot-"
+	tempSuffix     = ".tmp"
+	folderMode     = 0o700
+	fileMode       = 0o600
+)
+
+// identity is the content of the identity file.
+type identity struct {
+	Name        string                   `json:"name"`
+	Incarnation uint64                   `json:"incarnation"`
+	Group       uint64                   `json:"group,omitempty"`    // Group is drawn when the group is founded; 0 before.
+	Founders    *protocol.ReplicaMembers `json:"founders,omitempty"` // Founders are the first members.
+}
+
+// Loaded is what a folder holds at the start.
+type Loaded struct {
+	Hard     protocol.HardState
+	Snapshot protocol.SnapshotMeta
+	Data     []byte              // Data is the state machine at the snapshot; nil without one.
+	Entries  []protocol.LogEntry // Entries follow the snapshot.
+	Torn     int64               // Torn counts the bytes of a torn write that were cut off.
+}
+
+// Folder is an open data folder. It is for one goroutine.
+type Folder struct {
+	dir    string
+	id     identity
+	lock   *os.File
+	log    *os.File
+	seq    uint64 // seq is the number of the segment that is written.
+	failed bool
+}
+
+// Open opens a folder for the replica with a name, and makes it if it is not
+// there: then it is a new incarnation.
+func Open(dir, name string) (*Folder, *Loaded, error) {
+	if err := os.MkdirAll(dir, folderMode); err != nil {
+		return nil, nil, eris.Wrap(err, "make data folder")
+	}
+	lock, err := lockFolder(filepath.Join(dir, lockFile))
+	if err != nil {
+		return nil, nil, err
+	}
+	f := &Folder{dir: dir, lock: lock}
+	loaded, err := f.load(name)
+	if err == nil {
+		err = f.removeTemporary()
+	}
+	if err != nil {
+		return nil, nil, errors.Join(err, f.Close())
+	}
+	return f, loaded, nil
+}
+
+// Close gives the folder back. It does not sync: every write did.
+func (f *Folder) Close() error {
+	var errs []error
+	for _, file := range []*os.File{f.log, f.lock} {
+		if file != nil {
+			errs = append(errs, file.Close())
+		}
+	}
+	return errors.Join(errs...)
+}
+
+// ID returns the replica's identity.
+func (f *Folder) ID() protocol.ReplicaID {
+	return protocol.ReplicaID{Name: f.id.Name, Incarnation: f.id.Incarnation}
+}
+
+// Group returns the group that this folder belongs to, or 0 before it was
+// founded or joined.
+func (f *Folder) Group() uint64 { return f.id.Group }
+
+// Found makes the folder part of a group. The founders are its first members;
+// a replica that joins later passes none and learns them from the log.
+func (f *Folder) Found(group uint64, founders *protocol.ReplicaMembers) error {
+	if f.id.Group != 0 {
+		return eris.Errorf("the folder belongs to group %x already", f.id.Group)
+	}
+	next := f.id
+	next.Group, next.Founders = group, founders
+	if err := f.writeIdentity(next); err != nil {
+		return err
+	}
+	f.id = next
+	return nil
+}
+
+// Founders returns the first members of the group, if this folder knows them.
+func (f *Folder) Founders() protocol.ReplicaMembers {
+	if f.id.Founders == nil {
+		return protocol.ReplicaMembers{}
+	}
+	return *f.id.Founders
+}
+
+func (f *Folder) load(name string) (*Loaded, error) {
+	segments, snapshots, err := f.scan()
+	if err != nil {
+		return nil, err
+	}
+	if err := f.loadIdentity(name, len(segments)+len(snapshots) > 0); err != nil {
+		return nil, err
+	}
+	loaded := &Loaded{Snapshot: protocol.SnapshotMeta{Members: f.Founders()}}
+	if len(snapshots) > 0 {
+		if err := f.loadSnapshot(snapshots[len(snapshots)-1], loaded); err != nil {
+			return nil, err
+		}
+	}
+	if err := f.replay(segments, loaded); err != nil {
+		return nil, err
+	}
+	if len(segments) > 0 {
+		f.seq = segments[len(segments)-1]
+		return loaded, f.openSegment()
+	}
+	return loaded, f.newSegment(loaded.Hard, loaded.Entries)
+}
+
+// scan lists the numbers of segments and snapshots.
+func (f *Folder) scan() (segments, snapshots []uint64, err error) {
+	names, err := os.ReadDir(f.dir)
+	if err != nil {
+		return nil, nil, eris.Wrap(err, "list data folder")
+	}
+	for _, n := range names {
+		if seq, ok := number(n.Name(), segmentPrefix); ok {
+			segments = append(segments, seq)
+		}
+		if index, ok := number(n.Name(), snapshotPrefix); ok {
+			snapshots = append(snapshots, index)
+		}
+	}
+	slices.Sort(segments)
+	slices.Sort(snapshots)
+	return segments, snapshots, nil
+}
+
+// removeTemporary removes what an interrupted write left behind.
+func (f *Folder) removeTemporary() error {
+	names, err := filepath.Glob(filepath.Join(f.dir, "*"+tempSuffix))
+	if err != nil {
+		return eris.Wrap(err, "list data folder")
+	}
+	for _, name := range names {
+		if err := os.Remove(name); err != nil {
+			return eris.Wrap(err, "remove temporary file")
+		}
+	}
+	return nil
+}
+
+func number(name, prefix string) (uint64, bool) {
+	text, ok := strings.CutPrefix(name, prefix)
+	if !ok {
+		return 0, false
+	}
+	n, err := strconv.ParseUint(text, 16, 64)
+	return n, err == nil
+}
+
+func (f *Folder) path(prefix string, n uint64) string {
+	return filepath.Join(f.dir, fmt.Sprintf("%s%016x", prefix, n))
+}
+
+func (f *Folder) loadIdentity(name string, used bool) error {
+	file := filepath.Join(f.dir, identityFile)
+	data, err := os.ReadFile(file)
+	if errors.Is(err, os.ErrNotExist) {
+		if used {
+			return &Damage{File: file, What: "is missing, though the folder holds a log"}
+		}
+		return f.newIdentity(name)
+	}
+	if err != nil {
+		return eris.Wrap(err, "read identity")
+	}
+	if err := json.Unmarshal(data, &f.id); err != nil {
+		return &Damage{File: file, What: err.Error()}
+	}
+	if f.id.Name != name {
+		return eris.Wrapf(ErrForeign, "%s names %q, the settings %q", file, f.id.Name, name)
+	}
+	return nil
+}
+
+func (f *Folder) newIdentity(name string) error {
+	var b [8]byte
+	if _, err := rand.Read(b[:]); err != nil {
+		return eris.Wrap(err, "draw incarnation")
+	}
+	id := identity{Name: name, Incarnation: binary.BigEndian.Uint64(b[:])}
+	if err := f.writeIdentity(id); err != nil {
+		return err
+	}
+	f.id = id
+	return nil
+}
+
+func (f *Folder) writeIdentity(id identity) error {
+	data, err := json.Marshal(id)
+	if err != nil {
+		return eris.Wrap(err, "encode identity")
+	}
+	return f.replace(filepath.Join(f.dir, identityFile), data)
+}
+
+// replace writes a file whole: under a temporary name, synced, renamed, and the
+// folder synced, so that a crash leaves the old or the new one.
+func (f *Folder) replace(file string, parts ...[]byte) error {
+	out, err := os.OpenFile(file+tempSuffix, os.O_CREATE|os.O_TRUNC|os.O_WRONLY, fileMode)
+	if err != nil {
+		return eris.Wrap(err, "create file")
+	}
+	for _, part := range parts {
+		if _, err := out.Write(part); err != nil {
+			return errors.Join(eris.Wrap(err, "write file"), out.Close())
+		}
+	}
+	if err := errors.Join(out.Sync(), out.Close()); err != nil {
+		return eris.Wrap(err, "sync file")
+	}
+	if err := os.Rename(file+tempSuffix, file); err != nil {
+		return eris.Wrap(err, "rename file")
+	}
+	return f.syncDir()
+}
+
+func (f *Folder) syncDir() error {
+	dir, err := os.Open(f.dir)
+	if err != nil {
+		return eris.Wrap(err, "open data folder")
+	}
+	return eris.Wrap(errors.Join(dir.Sync(), dir.Close()), "sync data folder")
+}
--- /dev/null
+++ b/state/wal/wal_test.go
@@ -0,0 +1,261 @@
+package wal
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+	"pgregory.net/rapid"
+
+	"github.com/weldstream/weldstream/protocol"
+)
+
+func open(t testing.TB, dir string) (*Folder, *Loaded) {
+	t.Helper()
+	f, loaded, err := Open(dir, "entry-1")
+	if err != nil {
+		t.Fatal(err)
+	}
+	return f, loaded
+}
+
+func entry(index, term uint64, text string) protocol.LogEntry {
+	return protocol.LogEntry{Index: index, Term: term, Kind: protocol.EntryCommand, Data: []byte(text)}
+}
+
+// written returns a folder with three frames, and the path of its segment.
+func written(t testing.TB) (dir, segment string) {
+	t.Helper()
+	dir = t.TempDir()
+	f, _ := open(t, dir)
+	for i := range uint64(3) {
+		hard := protocol.HardState{Term: i + 1, Vote: protocol.ReplicaID{Name: "b", Incarnation: 7}}
+		if err := f.Write(hard, []protocol.LogEntry{entry(i+1, i+1, fmt.Sprint("command ", i))}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if err := f.Close(); err != nil {
+		t.Fatal(err)
+	}
+	return dir, f.path(segmentPrefix, f.seq)
+}
+
+func TestReopen(t *testing.T) {
+	dir, _ := written(t)
+	f, loaded := open(t, dir)
+	defer f.Close()
+	want := []protocol.LogEntry{entry(1, 1, "command 0"), entry(2, 2, "command 1"), entry(3, 3, "command 2")}
+	if diff := cmp.Diff(want, loaded.Entries); diff != "" {
+		t.Error(diff)
+	}
+	if loaded.Hard.Term != 3 || loaded.Hard.Vote.Name != "b" || loaded.Torn != 0 {
+		t.Errorf("loaded %+v", loaded)
+	}
+}
+
+// lastFrame returns where the last frame of a segment begins.
+func lastFrame(data []byte) int {
+	offset, last := len(segmentMagic), 0
+	for offset < len(data) {
+		payload, _ := frameAt(data, offset)
+		last = offset
+		offset += frameHeader + len(payload)
+	}
+	return last
+}
+
+// TestTornAtEveryByte cuts the last frame off at each of its bytes, and in a
+// second pass leaves zeros in place of what was not written.
+func TestTornAtEveryByte(t *testing.T) {
+	dir, segment := written(t)
+	whole, err := os.ReadFile(segment)
+	if err != nil {
+		t.Fatal(err)
+	}
+	begin := lastFrame(whole)
+	for cut := begin; cut < len(whole); cut++ {
+		for _, zeros := range []bool{false, true} {
+			torn := bytes.Clone(whole[:cut])
+			if zeros {
+				torn = append(torn, make([]byte, len(whole)-cut)...)
+			}
+			if bytes.Equal(torn, whole) {
+				continue
+			}
+			if err := os.WriteFile(segment, torn, fileMode); err != nil {
+				t.Fatal(err)
+			}
+			f, loaded := open(t, dir)
+			if len(loaded.Entries) != 2 || loaded.Hard.Term != 2 {
+				t.Fatalf("cut at %d, zeros %v: loaded %+v", cut, zeros, loaded)
+			}
+			if err := f.Write(protocol.HardState{Term: 9}, []protocol.LogEntry{entry(3, 9, "new")}); err != nil {
+				t.Fatal(err)
+			}
+			f.Close()
+			f, loaded = open(t, dir)
+			if len(loaded.Entries) != 3 || loaded.Torn != 0 || string(loaded.Entries[2].Data) != "new" {
+				t.Fatalf("cut at %d, zeros %v: after a write loaded %+v", cut, zeros, loaded)
+			}
+			f.Close()
+		}
+	}
+}
+
+// TestFlippedBit flips each bit before the last frame. The start must stop with
+// the file and an offset, and touch nothing.
+func TestFlippedBit(t *testing.T) {
+	dir, segment := written(t)
+	whole, err := os.ReadFile(segment)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for bit := range 8 * lastFrame(whole) {
+		bad := bytes.Clone(whole)
+		bad[bit/8] ^= 1 << (bit % 8)
+		if err := os.WriteFile(segment, bad, fileMode); err != nil {
+			t.Fatal(err)
+		}
+		f, _, err := Open(dir, "entry-1")
+		if !errors.Is(err, ErrDamaged) || !strings.Contains(err.Error(), segment) || !strings.Contains(err.Error(), "offset ") {
+			if f != nil {
+				f.Close()
+			}
+			t.Fatalf("bit %d: got %v", bit, err)
+		}
+		if after, _ := os.ReadFile(segment); !bytes.Equal(after, bad) {
+			t.Fatalf("bit %d: the segment was touched", bit)
+		}
+	}
+}
+
+func TestDamagedSnapshot(t *testing.T) {
+	dir := t.TempDir()
+	f, _ := open(t, dir)
+	if err := f.SaveSnapshot(protocol.SnapshotMeta{Index: 4, Term: 2}, []byte("machine"), protocol.HardState{Term: 2}, nil); err != nil {
+		t.Fatal(err)
+	}
+	f.Close()
+	file := f.path(snapshotPrefix, 4)
+	data, _ := os.ReadFile(file)
+	data[len(data)-1] ^= 1
+	if err := os.WriteFile(file, data, fileMode); err != nil {
+		t.Fatal(err)
+	}
+	if _, _, err := Open(dir, "entry-1"); !errors.Is(err, ErrDamaged) || !strings.Contains(err.Error(), file) {
+		t.Errorf("got %v", err)
+	}
+}
+
+func TestIdentity(t *testing.T) {
+	dir, _ := written(t)
+	f, _ := open(t, dir)
+	first := f.ID()
+	if _, _, err := Open(dir, "entry-1"); !errors.Is(err, ErrLocked) {
+		t.Errorf("a second process got %v", err)
+	}
+	f.Close()
+	if _, _, err := Open(dir, "entry-2"); !errors.Is(err, ErrForeign) {
+		t.Errorf("another name got %v", err)
+	}
+	if err := os.Remove(filepath.Join(dir, identityFile)); err != nil {
+		t.Fatal(err)
+	}
+	if _, _, err := Open(dir, "entry-1"); !errors.Is(err, ErrDamaged) {
+		t.Errorf("a log without identity got %v", err)
+	}
+	if err := os.RemoveAll(dir); err != nil {
+		t.Fatal(err)
+	}
+	f, _ = open(t, dir)
+	defer f.Close()
+	if f.ID().Incarnation == first.Incarnation {
+		t.Error("an emptied folder kept its incarnation")
+	}
+}
+
+// model is the naive version: the log as a plain list.
+type model struct {
+	hard    protocol.HardState
+	snap    protocol.SnapshotMeta
+	data    string
+	entries []protocol.LogEntry
+}
+
+func (m *model) write(entries []protocol.LogEntry) {
+	if len(entries) > 0 {
+		m.entries = append(m.entries[:entries[0].Index-m.snap.Index-1:entries[0].Index-m.snap.Index-1], entries...)
+	}
+}
+
+// TestAgainstModel writes, replaces, takes snapshots and reopens at random and
+// compares with the naive version.
+func TestAgainstModel(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		dir, err := os.MkdirTemp("", "wal")
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer os.RemoveAll(dir)
+		f, _, err := Open(dir, "entry-1")
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer func() { f.Close() }()
+		m := &model{}
+		t.Repeat(map[string]func(*rapid.T){
+			"write": func(t *rapid.T) {
+				m.hard.Term++
+				first := m.snap.Index + 1 + uint64(rapid.IntRange(0, len(m.entries)).Draw(t, "from"))
+				var entries []protocol.LogEntry
+				for i := range rapid.IntRange(0, 4).Draw(t, "count") {
+					entries = append(entries, entry(first+uint64(i), m.hard.Term, "x"))
+				}
+				m.write(entries)
+				if err := f.Write(m.hard, entries); err != nil {
+					t.Fatal(err)
+				}
+			},
+			"snapshot": func(t *rapid.T) {
+				if len(m.entries) == 0 {
+					t.Skip("nothing to cover")
+				}
+				n := rapid.IntRange(1, len(m.entries)).Draw(t, "covered")
+				at := m.entries[n-1]
+				m.snap = protocol.SnapshotMeta{Index: at.Index, Term: at.Term}
+				m.data = fmt.Sprint("machine ", at.Index)
+				m.entries = m.entries[n:]
+				if err := f.SaveSnapshot(m.snap, []byte(m.data), m.hard, m.entries); err != nil {
+					t.Fatal(err)
+				}
+			},
+			"restore": func(t *rapid.T) {
+				m.hard.Term++
+				m.snap = protocol.SnapshotMeta{Index: m.snap.Index + uint64(len(m.entries)) + 5, Term: m.hard.Term}
+				m.data, m.entries = "restored", nil
+				if err := f.SaveSnapshot(m.snap, []byte(m.data), m.hard, nil); err != nil {
+					t.Fatal(err)
+				}
+			},
+			"reopen": func(t *rapid.T) {
+				f.Close()
+				var loaded *Loaded
+				if f, loaded, err = Open(dir, "entry-1"); err != nil {
+					t.Fatal(err)
+				}
+				want := &Loaded{Hard: m.hard, Snapshot: m.snap, Entries: m.entries}
+				if m.data != "" {
+					want.Data = []byte(m.data)
+				}
+				if diff := cmp.Diff(fmt.Sprintf("%+v", want), fmt.Sprintf("%+v", loaded)); diff != "" {
+					t.Fatal(diff)
+				}
+			},
+		})
+	})
+}
--- a/transport/answer.go
+++ b/transport/answer.go
@@ -16,14 +16,23 @@
 // serve runs the request until its answer begins, so that a refusal still has
 // a status of its own, and then hands the rest to the stream writer.
 func (g *Gateway) serve(ctx *fasthttp.RequestCtx, x *exchange) {
-	stop := watchHangUp(ctx.Conn(), func() { x.post(attempt.CallerGoneMsg{}) })
-	end := x.begin()
-	done := func() {
+	stop := watchHangUp(ctx.Conn(), x.callerGone)
+	end := x.watch()
+	release := func() {
 		stop()
 		end()
 		g.removeExchange(x)
+	}
+	if !x.request.Repeatable && !x.claim(ctx) {
+		release()
+		return
+	}
+	done := func() {
+		x.settle()
+		release()
 		x.report()
 	}
+	x.apply(attempt.StartMsg{})
 	for !x.over && (!x.request.Stream || !x.emitted) {
 		x.step()
 	}
@@ -38,7 +47,7 @@
 		x.serveStream(ctx, done)
 		return
 	}
-	defer done()
+	done()
 	ctx.Response.Header.Set(protocol.HeaderVerdict, protocol.Ran.String())
 	x.writeWhole(ctx)
 }
@@ -53,7 +62,7 @@
 		defer done()
 		for {
 			if !x.flushReady(w) {
-				x.apply(attempt.CallerGoneMsg{})
+				x.finishAlone()
 				return
 			}
 			if x.over {
@@ -61,10 +70,42 @@
 			}
 			x.step()
 		}
+		x.settle()
 		x.writeEnd(w)
 	})
 }
 
+// replayStream writes a kept answer as one event.
+func (x *exchange) replayStream(ctx *fasthttp.RequestCtx, a *protocol.Answer) {
+	ctx.SetContentType("text/event-stream")
+	ctx.SetBodyStreamWriter(func(w *bufio.Writer) {
+		chunk := attempt.ChunkMsg{Tokens: a.Tokens, Text: a.Text, Finish: a.Finish}
+		if x.writeEvent(w, attempt.EmitCmd{Chunk: chunk, Offset: a.Tokens}) == nil {
+			x.writeEnd(w)
+		}
+	})
+}
+
+// callerGone ends a request whose caller hung up. One that must run at most
+// once runs on: its answer is kept, and the caller's resend finds it.
+func (x *exchange) callerGone() {
+	if x.request.Repeatable {
+		x.post(attempt.CallerGoneMsg{})
+	}
+}
+
+// finishAlone carries a request on after its caller could not be written to.
+func (x *exchange) finishAlone() {
+	if !x.claimed {
+		x.apply(attempt.CallerGoneMsg{})
+		return
+	}
+	for !x.over {
+		x.step()
+		x.ready = x.ready[:0]
+	}
+}
+
 // flushReady writes the chunks that are due and flushes unless more messages
 // wait already. It reports false when the caller is gone.
 func (x *exchange) flushReady(w *bufio.Writer) bool {
--- a/transport/exchange.go
+++ b/transport/exchange.go
@@ -39,6 +39,8 @@
 	urgent   chan attempt.Msg // urgent overtakes the chunks: hang-up, leaving, deadline.
 	done     chan struct{}
 	finished sync.Once
+	owner    protocol.Owner // owner is this run's name in its claim.
+	claimed  bool           // claimed says that an outcome is owed to the claim.
 	server   atomic.Pointer[state.Server]
 
 	mu    sync.Mutex // mu guards wires.
@@ -89,11 +91,10 @@
 	}
 }
 
-// begin starts the first attempt and the deadline. The returned func releases
-// what the exchange holds.
-func (x *exchange) begin() (end func()) {
+// watch starts the deadline. The returned func releases what the exchange
+// holds.
+func (x *exchange) watch() (end func()) {
 	timer := time.AfterFunc(time.Until(x.request.Deadline), func() { x.post(attempt.DeadlineMsg{}) })
-	x.apply(attempt.StartMsg{})
 	return func() {
 		timer.Stop()
 		x.finished.Do(func() { close(x.done) })
--- a/transport/gateway.go
+++ b/transport/gateway.go
@@ -15,6 +15,7 @@
 	"github.com/rs/zerolog"
 	"github.com/valyala/fasthttp"
 
+	"github.com/weldstream/weldstream/coordination/admit"
 	"github.com/weldstream/weldstream/coordination/attempt"
 	"github.com/weldstream/weldstream/coordination/retry"
 	"github.com/weldstream/weldstream/coordination/route"
@@ -35,6 +36,10 @@
 	budget   *budgetBox
 	ready    func() error
 	server   *fasthttp.Server
+	claims   Claimer
+	self     protocol.Member
+
+	recording sync.WaitGroup // recording counts outcomes that are being recorded.
 
 	stopping  atomic.Bool // stopping is set by a planned stop: unready, still serving.
 	closed    atomic.Bool // closed refuses new requests.
@@ -59,6 +64,13 @@
 // WithReady sets what must hold before the instance reports ready.
 func WithReady(ready func() error) GatewayOption { return func(g *Gateway) { g.ready = ready } }
 
+// WithClaims sets the claims group; without it no request that must run at
+// most once is let in.
+func WithClaims(c Claimer) GatewayOption { return func(g *Gateway) { g.claims = c } }
+
+// WithSelf sets the instance's own member record, the name in its claims.
+func WithSelf(m protocol.Member) GatewayOption { return func(g *Gateway) { g.self = m } }
+
 // NewGateway returns a gateway that is not serving yet.
 func NewGateway(s *settings.Settings, t *state.Tables, opts ...GatewayOption) *Gateway {
 	g := &Gateway{
@@ -71,6 +83,8 @@
 		budget:    &budgetBox{budget: retry.New(time.Now())},
 		ready:     func() error { return nil },
 		exchanges: map[string]*exchange{},
+		claims:    NoClaims{},
+		self:      protocol.Member{Name: s.Name},
 	}
 	for _, opt := range opts {
 		opt(g)
@@ -122,9 +136,23 @@
 // Shutdown closes the listener and waits for the connections in use.
 func (g *Gateway) Shutdown(ctx context.Context) error {
 	g.Close()
+	g.awaitRecords(ctx)
 	return g.server.ShutdownWithContext(ctx)
 }
 
+// awaitRecords waits until the outcomes of claimed requests are recorded.
+func (g *Gateway) awaitRecords(ctx context.Context) {
+	done := make(chan struct{})
+	go func() {
+		g.recording.Wait()
+		close(done)
+	}()
+	select {
+	case <-done:
+	case <-ctx.Done():
+	}
+}
+
 // Unready makes the instance report that the balancer should send nothing
 // more. Requests that come all the same are still served.
 func (g *Gateway) Unready() { g.stopping.Store(true) }
@@ -285,6 +313,9 @@
 func (g *Gateway) enter(ctx *fasthttp.RequestCtx, r *protocol.Request, refusal *protocol.Refusal) {
 	g.metrics.requests.Inc(1)
 	id := strings.ToLower(rand.Text()[:16])
+	if refusal == nil && !r.Repeatable {
+		refusal = admit.Check(r, r.Key.ID != "")
+	}
 	if refusal == nil && r.Key.ID == "" {
 		r.Key.ID = id
 	}
--- /dev/null
+++ b/transport/groupclient.go
@@ -0,0 +1,176 @@
+package transport
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/binary"
+	"net/http"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/weldstream/weldstream/protocol"
+	"github.com/weldstream/weldstream/state"
+)
+
+// ErrNoQuorum is returned when no leader could be reached in time. A command
+// may be committed all the same; every command can be sent again.
+var ErrNoQuorum = eris.New("no quorum of replicas can be reached")
+
+const (
+	proposeTimeout = 2 * time.Second       // for one call to one replica
+	leaderRetry    = 20 * time.Millisecond // between two rounds of the replicas
+)
+
+// GroupClient calls the leader of a replication group from any instance.
+type GroupClient struct {
+	tables   *state.Tables
+	links    *Links
+	replicas []string
+	mu       sync.Mutex
+	leader   string // leader is who led last.
+}
+
+// NewGroupClient returns a client that first knows the replicas by name.
+func NewGroupClient(t *state.Tables, l *Links, replicas []string) *GroupClient {
+	return &GroupClient{tables: t, links: l, replicas: replicas}
+}
+
+// call tries the replicas until one carries the call out. All calls are such
+// that a second one after an unknown outcome does no harm.
+func (c *GroupClient) call(ctx context.Context, method string, args any) (GroupReply, error) {
+	for {
+		for _, name := range c.order() {
+			if ctx.Err() != nil {
+				return GroupReply{}, ErrNoQuorum
+			}
+			if reply, ok := c.try(ctx, name, method, args); ok {
+				return reply, nil
+			}
+		}
+		timer := time.NewTimer(leaderRetry)
+		select {
+		case <-timer.C:
+		case <-ctx.Done():
+			timer.Stop()
+			return GroupReply{}, ErrNoQuorum
+		}
+	}
+}
+
+// order has the last known leader in front.
+func (c *GroupClient) order() []string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.leader == "" {
+		return c.replicas
+	}
+	rest := slices.DeleteFunc(slices.Clone(c.replicas), func(n string) bool { return n == c.leader })
+	return append([]string{c.leader}, rest...)
+}
+
+func (c *GroupClient) try(ctx context.Context, name, method string, args any) (GroupReply, bool) {
+	row, ok := c.tables.Members.Get(name)
+	if !ok {
+		return GroupReply{}, false
+	}
+	timeout := proposeTimeout
+	if end, ok := ctx.Deadline(); ok {
+		timeout = min(timeout, time.Until(end))
+	}
+	var reply GroupReply
+	if err := c.links.Call(row.Address, method, args, &reply, timeout); err != nil {
+		c.led("", name)
+		return GroupReply{}, false
+	}
+	if reply.Failed == GroupFull {
+		return reply, true
+	}
+	if reply.Failed != GroupOK {
+		c.led(reply.Leader, name)
+		return GroupReply{}, false
+	}
+	c.led(name, "")
+	return reply, true
+}
+
+// led notes who leads, or that a replica does not.
+func (c *GroupClient) led(name, not string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	switch {
+	case name != "" && name != not:
+		c.leader = name
+	case c.leader == not:
+		c.leader = ""
+	}
+}
+
+// Apply implements [ConfigStore].
+func (c *GroupClient) Apply(ctx context.Context, number uint64, canonical []byte) (protocol.Revision, *protocol.Refusal) {
+	reply, err := c.call(ctx, "Group.Propose", protocol.Command{Apply: &protocol.ApplyMsg{Number: number, Config: canonical}})
+	if err != nil {
+		r := protocol.NewRefusal(http.StatusServiceUnavailable, protocol.CodeNoQuorum, "%v: the configuration may be accepted or not; send the same again", err)
+		return protocol.Revision{}, r.WithVerdict(protocol.MayHaveRun).WithRetryAfter(time.Second)
+	}
+	if reply.Failed == GroupFull {
+		return protocol.Revision{}, protocol.NewRefusal(http.StatusInsufficientStorage, protocol.CodeDiskFull, "the leader's disk is full")
+	}
+	got := reply.Result.Apply
+	if got == nil {
+		return protocol.Revision{}, protocol.NewRefusal(http.StatusInternalServerError, protocol.CodeConflict, "the group gave no answer")
+	}
+	if got.Accepted {
+		return protocol.Revision{Number: number, Digest: got.Digest}, nil
+	}
+	if number > got.Number+1 {
+		return protocol.Revision{}, protocol.NewRefusal(http.StatusConflict, protocol.CodeStale, "number %d does not follow %d, which is in force; the next is %d", number, got.Number, got.Number+1)
+	}
+	return protocol.Revision{}, protocol.NewRefusal(http.StatusConflict, protocol.CodeConflict, "number %d is taken: %d with digest %s is in force", number, got.Number, got.Digest.Short())
+}
+
+// Claim asks to run a request that must run at most once.
+func (c *GroupClient) Claim(ctx context.Context, m protocol.ClaimMsg) (protocol.ClaimReply, error) {
+	return c.claim(ctx, protocol.Command{Claim: &m})
+}
+
+// Finish records what became of a claimed request.
+func (c *GroupClient) Finish(ctx context.Context, m protocol.FinishMsg) error {
+	_, err := c.claim(ctx, protocol.Command{Finish: &m})
+	return err
+}
+
+func (c *GroupClient) claim(ctx context.Context, cmd protocol.Command) (protocol.ClaimReply, error) {
+	reply, err := c.call(ctx, "Group.Propose", cmd)
+	if err != nil {
+		return protocol.ClaimReply{}, err
+	}
+	if reply.Result.Claim == nil {
+		return protocol.ClaimReply{}, eris.New("the group gave no answer")
+	}
+	return *reply.Result.Claim, nil
+}
+
+// Confirm returns the accepted configuration, confirmed by a quorum; number 0
+// means that there is none.
+func (c *GroupClient) Confirm(ctx context.Context) (number uint64, config []byte, err error) {
+	reply, err := c.call(ctx, "Group.Confirm", true)
+	return reply.Number, reply.Config, err
+}
+
+// Remove takes a replica out of the group.
+func (c *GroupClient) Remove(ctx context.Context, name string) error {
+	_, err := c.call(ctx, "Group.Remove", name)
+	return err
+}
+
+// randomGroup draws the identity of a new group.
+func randomGroup() uint64 {
+	var b [8]byte
+	if _, err := rand.Read(b[:]); err != nil {
+		panic(err) // crypto/rand does not fail on the systems that we run on.
+	}
+	return max(1, binary.BigEndian.Uint64(b[:]))
+}
--- a/transport/metrics.go
+++ b/transport/metrics.go
@@ -26,6 +26,7 @@
 	decision metrics.Timer
 	first    metrics.Timer
 	total    metrics.Timer
+	claims   metrics.Timer
 }
 
 func newGatewayMetrics(r metrics.Registry) *gatewayMetrics {
@@ -41,6 +42,7 @@
 		decision: newTimer("route.decision", r),
 		first:    newTimer("first.token", r),
 		total:    newTimer("request.total", r),
+		claims:   newTimer("claim", r),
 	}
 }
 
--- /dev/null
+++ b/transport/replica.go
@@ -0,0 +1,349 @@
+package transport
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"github.com/rs/zerolog"
+
+	"github.com/weldstream/weldstream/coordination/group"
+	"github.com/weldstream/weldstream/coordination/replicate"
+	"github.com/weldstream/weldstream/protocol"
+	"github.com/weldstream/weldstream/state"
+)
+
+const (
+	sendQueue       = 1024             // messages that wait for one replica
+	sendBatch       = 64               // messages in one call
+	stepTimeout     = time.Second      // for a call without a snapshot
+	snapshotTimeout = 30 * time.Second // for a call with a snapshot
+	serveTimeout    = 5 * time.Second  // for a call that another instance waits for
+)
+
+// StepArgs carries messages between replicas of one group.
+type StepArgs struct {
+	Group    uint64
+	Messages []replicate.Message
+}
+
+// ReplicaSender sends messages to other replicas: a queue and a goroutine for
+// each, so that one that does not answer holds up nobody else.
+type ReplicaSender struct {
+	ctx    context.Context
+	tables *state.Tables
+	links  *Links
+	mu     sync.Mutex
+	queues map[string]chan StepArgs
+}
+
+// NewReplicaSender returns a sender that works until ctx ends.
+func NewReplicaSender(ctx context.Context, t *state.Tables, l *Links) *ReplicaSender {
+	return &ReplicaSender{ctx: ctx, tables: t, links: l, queues: map[string]chan StepArgs{}}
+}
+
+// Send implements group.Sender. A full queue loses the message; the protocol
+// sends again.
+func (s *ReplicaSender) Send(group uint64, m replicate.Message) {
+	select {
+	case s.queue(m.To.Name) <- StepArgs{Group: group, Messages: []replicate.Message{m}}:
+	default:
+	}
+}
+
+func (s *ReplicaSender) queue(name string) chan StepArgs {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	q := s.queues[name]
+	if q == nil {
+		q = make(chan StepArgs, sendQueue)
+		s.queues[name] = q
+		go s.run(name, q)
+	}
+	return q
+}
+
+func (s *ReplicaSender) run(name string, q chan StepArgs) {
+	for {
+		select {
+		case first := <-q:
+			s.call(name, gather(first, q))
+		case <-s.ctx.Done():
+			return
+		}
+	}
+}
+
+// gather joins what else waits for the same replica.
+func gather(args StepArgs, q chan StepArgs) StepArgs {
+	for len(args.Messages) < sendBatch {
+		select {
+		case more := <-q:
+			args.Messages = append(args.Messages, more.Messages...)
+		default:
+			return args
+		}
+	}
+	return args
+}
+
+func (s *ReplicaSender) call(name string, args StepArgs) {
+	row, ok := s.tables.Members.Get(name)
+	if !ok {
+		return
+	}
+	timeout := stepTimeout
+	for _, m := range args.Messages {
+		if m.Kind == replicate.Snapshot {
+			timeout = snapshotTimeout
+		}
+	}
+	var done bool
+	_ = s.links.Call(row.Address, "Group.Step", args, &done, timeout) // Lost messages are sent again.
+}
+
+// GroupService answers the other instances' calls to this replica.
+type GroupService struct {
+	ctx   context.Context
+	group *group.Group
+}
+
+// NewGroupService returns the receiver to register under "Group".
+func NewGroupService(ctx context.Context, g *group.Group) *GroupService {
+	return &GroupService{ctx: ctx, group: g}
+}
+
+// Step takes messages of another replica.
+func (s *GroupService) Step(args StepArgs, done *bool) error {
+	*done = true
+	for _, m := range args.Messages {
+		if err := s.group.Step(s.ctx, args.Group, m); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// GroupReply is the outcome of a call that only the leader can carry out.
+type GroupReply struct {
+	Result protocol.Result
+	Failed GroupFailure
+	Leader string // Leader is who leads, as far as this replica knows.
+	Number uint64
+	Config []byte
+}
+
+// GroupFailure tells why a call was not carried out.
+type GroupFailure uint8
+
+// The failures of calls to a group.
+const (
+	GroupOK        GroupFailure = iota
+	GroupElsewhere              // GroupElsewhere means that nothing was done here.
+	GroupUnknown                // GroupUnknown means that it may be done or not.
+	GroupFull                   // GroupFull means that the leader's disk has no room.
+)
+
+func failureOf(err error) GroupFailure {
+	switch {
+	case err == nil:
+		return GroupOK
+	case eris.Is(err, group.ErrFull):
+		return GroupFull
+	case eris.Is(err, replicate.ErrNotLeader), eris.Is(err, group.ErrNoGroup), eris.Is(err, group.ErrDisk), eris.Is(err, replicate.ErrBusy):
+		return GroupElsewhere
+	}
+	return GroupUnknown
+}
+
+// Propose has a command committed.
+func (s *GroupService) Propose(c protocol.Command, reply *GroupReply) error {
+	ctx, cancel := context.WithTimeout(s.ctx, serveTimeout)
+	defer cancel()
+	result, err := s.group.Propose(ctx, c)
+	reply.Result, reply.Failed, reply.Leader = result, failureOf(err), s.group.Status().Leader.Name
+	return nil
+}
+
+// Confirm returns the accepted configuration, confirmed by a quorum.
+func (s *GroupService) Confirm(_ bool, reply *GroupReply) error {
+	ctx, cancel := context.WithTimeout(s.ctx, serveTimeout)
+	defer cancel()
+	err := s.group.Confirm(ctx)
+	if err == nil {
+		reply.Number, reply.Config, err = s.group.Revision(ctx)
+	}
+	reply.Failed, reply.Leader = failureOf(err), s.group.Status().Leader.Name
+	return nil
+}
+
+// Remove takes a name out of the group.
+func (s *GroupService) Remove(name string, reply *GroupReply) error {
+	ctx, cancel := context.WithTimeout(s.ctx, serveTimeout)
+	defer cancel()
+	err := s.group.Remove(ctx, name)
+	reply.Failed, reply.Leader = failureOf(err), s.group.Status().Leader.Name
+	return nil
+}
+
+// ReplicaInfo tells who a replica is.
+type ReplicaInfo struct {
+	ID    protocol.ReplicaID
+	Group uint64
+}
+
+// Info tells who this replica is.
+func (s *GroupService) Info(_ bool, reply *ReplicaInfo) error {
+	reply.ID, reply.Group = s.group.ID(), s.group.Status().Group
+	return nil
+}
+
+// FoundArgs names a new group and its founders.
+type FoundArgs struct {
+	Group    uint64
+	Founders protocol.ReplicaMembers
+}
+
+// Found makes this replica a founder.
+func (s *GroupService) Found(args FoundArgs, done *bool) error {
+	ctx, cancel := context.WithTimeout(s.ctx, serveTimeout)
+	defer cancel()
+	err := s.group.Found(ctx, args.Group, args.Founders)
+	*done = err == nil
+	return err
+}
+
+// Join asks this replica, if it leads, to take another one in.
+func (s *GroupService) Join(info ReplicaInfo, done *bool) error {
+	ctx, cancel := context.WithTimeout(s.ctx, serveTimeout)
+	defer cancel()
+	*done = true
+	return s.group.Join(ctx, info.Group, info.ID)
+}
+
+// Bootstrap brings a replica into its group: it founds one with the other
+// founders, if all are there and none has one, or joins the one that there is.
+type Bootstrap struct {
+	group    *group.Group
+	tables   *state.Tables
+	links    *Links
+	log      zerolog.Logger
+	self     string
+	founders []string
+}
+
+const bootstrapEvery = 200 * time.Millisecond
+
+// NewBootstrap returns a bootstrap among the founders, by name.
+func NewBootstrap(g *group.Group, t *state.Tables, l *Links, log zerolog.Logger, self string, founders []string) *Bootstrap {
+	return &Bootstrap{group: g, tables: t, links: l, log: log, self: self, founders: founders}
+}
+
+// Run works until ctx ends.
+func (b *Bootstrap) Run(ctx context.Context) error {
+	return every(ctx, bootstrapEvery, func() { b.step(ctx) })
+}
+
+func (b *Bootstrap) step(ctx context.Context) {
+	s := b.group.Status()
+	switch {
+	case s.Group == 0:
+		b.enter(ctx)
+	case !s.Members.IsVoter(b.group.ID()):
+		b.join()
+	}
+}
+
+// enter founds a group or finds one. The founder with the least name founds,
+// so that two do not.
+func (b *Bootstrap) enter(ctx context.Context) {
+	members := protocol.ReplicaMembers{}
+	least := true
+	for _, name := range b.founders {
+		info := ReplicaInfo{ID: b.group.ID()}
+		if name != b.self {
+			if !b.call(name, "Group.Info", true, &info) {
+				return // All founders must be there.
+			}
+			least = least && b.self < name
+		}
+		if info.Group != 0 {
+			b.note(b.group.Enter(ctx, info.Group))
+			return
+		}
+		members.Voters = append(members.Voters, info.ID)
+	}
+	if least {
+		b.found(ctx, members)
+	}
+}
+
+func (b *Bootstrap) found(ctx context.Context, members protocol.ReplicaMembers) {
+	args := FoundArgs{Group: randomGroup(), Founders: members}
+	if err := b.group.Found(ctx, args.Group, members); err != nil {
+		b.note(err)
+		return
+	}
+	b.spread(args)
+}
+
+// spread tells the other founders. One that is not reached now is told when it
+// asks: see Found of its own step.
+func (b *Bootstrap) spread(args FoundArgs) {
+	for _, name := range b.founders {
+		var done bool
+		if name != b.self && !b.call(name, "Group.Found", args, &done) {
+			b.log.Warn().Str("replica", name).Msg("a founder was not told; it will join")
+		}
+	}
+}
+
+// join asks all known replicas, one of which leads.
+func (b *Bootstrap) join() {
+	s := b.group.Status()
+	info := ReplicaInfo{ID: b.group.ID(), Group: s.Group}
+	for _, name := range b.names(s.Members) {
+		var done bool
+		if name != b.self {
+			b.call(name, "Group.Join", info, &done)
+		}
+	}
+}
+
+// names are the founders and the members known by now.
+func (b *Bootstrap) names(m protocol.ReplicaMembers) []string {
+	seen := map[string]bool{}
+	var names []string
+	for _, name := range b.founders {
+		if !seen[name] {
+			seen[name] = true
+			names = append(names, name)
+		}
+	}
+	for _, id := range m.Voters {
+		if !seen[id.Name] {
+			seen[id.Name] = true
+			names = append(names, id.Name)
+		}
+	}
+	return names
+}
+
+func (b *Bootstrap) call(name, method string, args, reply any) bool {
+	row, ok := b.tables.Members.Get(name)
+	if !ok || row.State >= protocol.MemberDead {
+		return false
+	}
+	err := b.links.Call(row.Address, method, args, reply, stepTimeout)
+	if err != nil {
+		b.log.Debug().Str("replica", name).Str("method", method).Err(err).Msg("call failed")
+	}
+	return err == nil
+}
+
+func (b *Bootstrap) note(err error) {
+	if err != nil {
+		b.log.Warn().Err(err).Msg("group not entered")
+	}
+}
