Hand-over of requests, fenced orders, leaving by a server's own refusal

Cause: a planned stop cut what outlived the drain time, an announced reclaim of an entry instance lost its streams, nobody gave orders to engines, and a server's own word that it leaves stayed with the instance that heard it.

Change: a leaving instance has each server end its request (export) and gives the request to instances chosen by rendezvous hashing; a caller resumes with its key and last event; a request that must run at most once goes to one instance, which takes over its claim and runs it on. The leader orders declared adapters onto engines, each order under its term and after a look at the lease. A refusal that says "leaving" is spread as a notice is.

Weighed for the hand-over: sending the record to all instances (360 copies of each), or to one only (lost with it). Two by rendezvous hashing, found again without asking around.

--- a/cmd/weldstreamd/daemon.go
+++ b/cmd/weldstreamd/daemon.go
@@ -22,10 +22,6 @@
 	"github.com/weldstream/weldstream/transport"
 )
 
-// unreadyGrace is how long a stopping instance goes on taking requests after it
-// reported unready, so that the balancer can notice.
-const unreadyGrace = time.Second
-
 // minKeyBytes is the least length of the cluster's key.
 const minKeyBytes = 16
 
@@ -44,6 +40,7 @@
 	gateway    *transport.Gateway
 	admin      *transport.Admin
 	listeners  listeners
+	work       context.Context // work ends when the daemon does.
 	notice     chan protocol.Notice
 }
 
@@ -101,9 +98,13 @@
 
 func (d *daemon) wire() {
 	s := d.settings
+	address := s.Advertise
+	if address == "" {
+		address = d.listeners.peer.Addr().String()
+	}
 	self := protocol.Member{
 		Name:        s.Name,
-		Address:     d.listeners.peer.Addr().String(),
+		Address:     address,
 		Domain:      s.Domain,
 		Incarnation: uint64(time.Now().UnixNano()),
 	}
@@ -120,9 +121,11 @@
 	d.gateway = transport.NewGateway(s, d.tables,
 		transport.WithSelf(self),
 		transport.WithClaims(d.claimer()),
+		transport.WithLinks(d.links, d.transferrer()),
 		transport.WithLogger(d.log),
 		transport.WithRegistry(d.registry),
 		transport.WithReady(d.ready),
+		transport.WithLeaving(d.serverLeaving),
 	)
 	d.admin = transport.NewAdmin(s, d.tables, d.configStore(), d.registry, d.log, d.dump)
 }
@@ -142,7 +145,7 @@
 }
 
 func (d *daemon) serverLeaving(l protocol.Leaving) {
-	d.membership.ServerLeaving(context.Background(), l)
+	d.membership.ServerLeaving(d.work, l)
 }
 
 // noticed begins a planned stop when the platform will reclaim this instance.
@@ -153,18 +156,22 @@
 	}
 }
 
-// run serves until ctx ends, or until the platform's notice, and then stops as
+// run serves until a signal to stop, or until the platform's notice, and then stops as
 // planned.
-func (d *daemon) run(ctx context.Context, dumps <-chan os.Signal) error {
+func (d *daemon) run(stops, dumps <-chan os.Signal) error {
 	work, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	g, work := errgroup.WithContext(work)
+	d.work = work
 	if err := d.startGroup(work, g); err != nil {
 		return err
 	}
 	if err := d.links.Register("Member", transport.NewMemberService(work, d.membership)); err != nil {
 		return err
 	}
+	if err := d.links.Register("HandOver", transport.NewHandOverService(d.gateway)); err != nil {
+		return err
+	}
 	if err := d.links.Register("Config", transport.NewConfigService(d.tables)); err != nil {
 		return err
 	}
@@ -183,52 +190,12 @@
 	g.Go(func() error { return d.admin.Serve(d.listeners.admin) })
 	g.Go(func() error {
 		defer cancel()
-		return d.stopAfter(ctx, work)
+		return d.stopAfter(stops, work)
 	})
 	d.log.Info().Str("caller", d.listeners.caller.Addr().String()).Str("peer", d.listeners.peer.Addr().String()).Str("admin", d.listeners.admin.Addr().String()).Msg("serving")
 	return g.Wait()
 }
 
-// stopAfter waits for the order to stop and carries it out.
-func (d *daemon) stopAfter(ctx, work context.Context) error {
-	limit := d.settings.Timeouts.Drain
-	select {
-	case <-ctx.Done():
-	case n := <-d.notice:
-		limit = min(limit, time.Until(n.At))
-		d.log.Warn().Time("at", n.At).Msg("this instance will be reclaimed")
-	case <-work.Done():
-		return nil
-	}
-	d.gateway.Unready()
-	d.log.Info().Dur("limit", limit).Msg("stopping: unready")
-	end, cancel := context.WithTimeout(context.Background(), limit)
-	defer cancel()
-	grace := time.NewTimer(min(unreadyGrace, limit/4))
-	defer grace.Stop()
-	<-grace.C
-	return d.drain(end)
-}
-
-// drain finishes what runs, as far as the time allows.
-func (d *daemon) drain(end context.Context) error {
-	d.gateway.Close()
-	select {
-	case <-d.tables.Streams.Idle():
-	case <-end.Done():
-		d.log.Warn().Int("streams", len(d.tables.Streams.Rows())).Msg("stopping: requests are left")
-	}
-	if err := d.gateway.Shutdown(end); err != nil {
-		d.log.Warn().Err(err).Msg("stopping: connections are left")
-	}
-	quick, cancel := context.WithTimeout(context.Background(), time.Second)
-	defer cancel()
-	if err := d.admin.Shutdown(quick); err != nil {
-		d.log.Debug().Err(err).Msg("operators' connections are left")
-	}
-	return nil
-}
-
 func (d *daemon) dumpOn(ctx context.Context, dumps <-chan os.Signal) error {
 	for {
 		select {
--- a/cmd/weldstreamd/group.go
+++ b/cmd/weldstreamd/group.go
@@ -37,6 +37,13 @@
 	return d.client
 }
 
+func (d *daemon) transferrer() transport.Transferrer {
+	if d.client == nil {
+		return transport.NoClaims{}
+	}
+	return d.client
+}
+
 // startGroup opens this instance's replica, if it keeps one, and starts what
 // needs the group.
 func (d *daemon) startGroup(work context.Context, g *errgroup.Group) error {
@@ -71,6 +78,8 @@
 		return err
 	}
 	boot := transport.NewBootstrap(replica, d.tables, d.links, d.log, d.settings.Name, d.settings.Cluster.Replicas)
+	commander := transport.NewCommander(replica, s.Election, d.settings.Timeouts.Dial, d.tables, d.log)
+	g.Go(func() error { return commander.Run(work) })
 	g.Go(func() error { return replica.Run(work) })
 	g.Go(func() error { return boot.Run(work) })
 	return nil
--- a/cmd/weldstreamd/main.go
+++ b/cmd/weldstreamd/main.go
@@ -6,11 +6,11 @@
 // line and field; with 1 when it cannot go on; with 0 after a planned stop.
 //
 // SIGTERM begins a planned stop: the instance reports unready, finishes what
-// runs and ends. SIGQUIT writes the process's state to standard error as JSON.
+// runs and ends. A second one, or the end of the drain time, has what still
+// runs handed over to other instances. SIGQUIT writes the process's state to standard error as JSON.
 package main
 
 import (
-	"context"
 	"flag"
 	"fmt"
 	"os"
@@ -59,11 +59,11 @@
 		log.Error().Err(err).Msg("start failed")
 		return exitFailed
 	}
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
-	defer stop()
+	stops := make(chan os.Signal, 2)
+	signal.Notify(stops, syscall.SIGTERM, syscall.SIGINT)
 	dumps := make(chan os.Signal, 1)
 	signal.Notify(dumps, syscall.SIGQUIT)
-	if err := d.run(ctx, dumps); err != nil {
+	if err := d.run(stops, dumps); err != nil {
 		log.Error().Err(err).Msg("stopped by an error")
 		return exitFailed
 	}
--- a/coordination/attempt/attempt.go
+++ b/coordination/attempt/attempt.go
@@ -35,6 +35,7 @@
 	PhaseRunning
 	PhaseExporting
 	PhaseWaiting // PhaseWaiting is between a failed attempt and the next.
+	PhaseGiven   // PhaseGiven is after a hand-over; only the refusal is left.
 	PhaseEnded
 )
 
@@ -52,6 +53,7 @@
 	FailedIn    []string         // FailedIn are their failure domains.
 	MoveFrom    string           // MoveFrom is the server that exported the request last.
 	MoveAttempt int              // MoveAttempt is the attempt that ran there.
+	GivingUp    bool             // GivingUp says that the request is to be handed over.
 	Exported    bool             // Exported says that the request ran in part and was moved.
 	waiting     map[int]ChunkMsg // waiting are chunks beyond the next offset.
 }
@@ -83,6 +85,8 @@
 		return s.exported(m)
 	case RetryMsg:
 		return s.retry(m)
+	case HandOverMsg:
+		return s.handOver()
 	case CallerGoneMsg:
 		return s.stop(protocol.NewRefusal(protocol.StatusClientClosed, protocol.CodeCallerGone, "the caller hung up"))
 	case DeadlineMsg:
@@ -241,6 +245,9 @@
 	if m.Attempt != s.Attempt || !s.live() {
 		return s, nil
 	}
+	if s.GivingUp {
+		return s.give(m.Ended)
+	}
 	if !m.Ended {
 		s.Phase = PhaseRunning
 		return s, nil
@@ -255,6 +262,32 @@
 	return next, append([]Cmd{cancel}, cmds...)
 }
 
+// handOver has the server end the request before another instance goes on. One
+// that runs nowhere at the moment can be given at once.
+func (s State) handOver() (State, []Cmd) {
+	s.GivingUp = true
+	switch {
+	case s.Phase == PhaseRunning && s.Server != "":
+		s.Phase = PhaseExporting
+		return s, []Cmd{ExportCmd{Attempt: s.Attempt, Server: s.Server}}
+	case s.Phase == PhaseExporting:
+		return s, nil
+	}
+	return s.give(true)
+}
+
+// give hands the request over. A repeatable one goes even if the server did
+// not confirm its end; any other then stays, and runs here to its end.
+func (s State) give(ended bool) (State, []Cmd) {
+	if !ended && !s.Repeatable {
+		s.GivingUp, s.Phase = false, PhaseRunning
+		return s, nil
+	}
+	s.Phase = PhaseGiven
+	cmd := HandOverCmd{Attempt: s.Attempt, Server: s.Server, Ended: ended && s.Server != ""}
+	return s, []Cmd{CancelCmd{Attempt: s.Attempt}, cmd}
+}
+
 // stop ends the request for a reason outside the attempt.
 func (s State) stop(r *protocol.Refusal) (State, []Cmd) {
 	verdict := protocol.MayHaveRun
--- a/coordination/attempt/message.go
+++ b/coordination/attempt/message.go
@@ -76,6 +76,9 @@
 // DeadlineMsg tells that the caller's deadline passed.
 type DeadlineMsg struct{}
 
+// HandOverMsg asks for the request to be given to another instance.
+type HandOverMsg struct{}
+
 // StopMsg ends the request with a refusal, such as on a hand-over.
 type StopMsg struct{ Refusal *protocol.Refusal }
 
@@ -88,6 +91,7 @@
 func (RetryMsg) msg()      {}
 func (CallerGoneMsg) msg() {}
 func (DeadlineMsg) msg()   {}
+func (HandOverMsg) msg()   {}
 func (StopMsg) msg()       {}
 
 // Cmd is a command from [Update] to the layer that does I/O.
@@ -121,6 +125,14 @@
 	Server  string
 }
 
+// HandOverCmd gives the request to another instance. Ended says that the server
+// confirmed the end of the request there, so that it can go on elsewhere.
+type HandOverCmd struct {
+	Attempt int
+	Server  string
+	Ended   bool
+}
+
 // RetryCmd asks the retry budget for another attempt.
 type RetryCmd struct {
 	Attempt int
@@ -141,6 +153,7 @@
 func (KeepCmd) cmd()     {}
 func (CancelCmd) cmd()   {}
 func (ExportCmd) cmd()   {}
+func (HandOverCmd) cmd() {}
 func (RetryCmd) cmd()    {}
 func (FinishCmd) cmd()   {}
 func (RefuseCmd) cmd()   {}
--- a/internal/standin/completions.go
+++ b/internal/standin/completions.go
@@ -104,6 +104,7 @@
 	j := e.newJob(r, &body)
 	if !e.submit(j) {
 		w.Header().Set(protocol.HeaderVerdict, protocol.NotRun.String())
+		w.Header().Set(protocol.HeaderLeaving, strconv.FormatBool(e.faults.get().Leaving))
 		writeJSON(w, http.StatusServiceUnavailable, map[string]string{"error": "the engine takes no new work"})
 		return
 	}
--- a/internal/standin/service.go
+++ b/internal/standin/service.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net/http"
+	"strconv"
 	"sync"
 	"time"
 
@@ -78,6 +79,7 @@
 	f := s.faults.get()
 	if f.Refuse || f.Leaving {
 		w.Header().Set(protocol.HeaderVerdict, protocol.NotRun.String())
+		w.Header().Set(protocol.HeaderLeaving, strconv.FormatBool(f.Leaving))
 		writeJSON(w, http.StatusServiceUnavailable, map[string]string{"error": "the service takes no new work"})
 		return
 	}
--- a/protocol/claim.go
+++ b/protocol/claim.go
@@ -62,16 +62,19 @@
 
 // Answer is an answer that is kept for resends.
 type Answer struct {
-	Status      int    `json:"status,omitempty"`       // Status is a plain service's.
-	ContentType string `json:"content_type,omitempty"` // ContentType is a plain service's.
-	Body        []byte `json:"body,omitempty"`         // Body is a plain service's.
-	Text        string `json:"text,omitempty"`         // Text is a model's.
-	Tokens      int    `json:"tokens,omitempty"`
-	Finish      string `json:"finish,omitempty"`
+	Status      int      `json:"status,omitempty"`       // Status is a plain service's.
+	ContentType string   `json:"content_type,omitempty"` // ContentType is a plain service's.
+	Body        []byte   `json:"body,omitempty"`         // Body is a plain service's.
+	Text        string   `json:"text,omitempty"`         // Text is a model's.
+	Tokens      int      `json:"tokens,omitempty"`
+	Finish      string   `json:"finish,omitempty"`
+	Ends        []uint32 `json:"ends,omitempty"` // Ends are the lengths of Text after each token.
 }
 
 // Size returns about how many bytes the answer takes.
-func (a *Answer) Size() int { return len(a.Body) + len(a.Text) + len(a.ContentType) + 64 }
+func (a *Answer) Size() int {
+	return len(a.Body) + len(a.Text) + len(a.ContentType) + 4*len(a.Ends) + 64
+}
 
 // FinishMsg records what became of a claimed request. Not-run releases it.
 type FinishMsg struct {
@@ -98,10 +101,11 @@
 
 // Command is what the replicated log carries: one of its parts is set.
 type Command struct {
-	At     int64      `json:"at"` // At is the leader's time, in ms.
-	Apply  *ApplyMsg  `json:"apply,omitempty"`
-	Claim  *ClaimMsg  `json:"claim,omitempty"`
-	Finish *FinishMsg `json:"finish,omitempty"`
+	At       int64        `json:"at"` // At is the leader's time, in ms.
+	Apply    *ApplyMsg    `json:"apply,omitempty"`
+	Claim    *ClaimMsg    `json:"claim,omitempty"`
+	Finish   *FinishMsg   `json:"finish,omitempty"`
+	Transfer *TransferMsg `json:"transfer,omitempty"`
 }
 
 // Result is what a command came to.
--- a/protocol/protocol.go
+++ b/protocol/protocol.go
@@ -35,6 +35,9 @@
 	HeaderDeadline = "Weldstream-Deadline"
 	// HeaderVerdict is set on every answer: not-run, may-have-run or ran.
 	HeaderVerdict = "Weldstream-Verdict"
+	// HeaderLeaving is "true" on a backend server's refusal when the server takes
+	// no new work any more.
+	HeaderLeaving = "Weldstream-Leaving"
 	// HeaderRequest is the request identity that logs and dumps use.
 	HeaderRequest = "Weldstream-Request"
 	// HeaderLastEvent carries the last event that a resuming caller holds.
--- a/protocol/request.go
+++ b/protocol/request.go
@@ -96,4 +96,5 @@
 	PromptLen  int       // PromptLen estimates the prompt's length in tokens.
 	MaxTokens  int       // MaxTokens bounds the answer; 0 leaves it to the engine.
 	Resume     int       // Resume is the token offset the caller already holds.
+	Resuming   bool      // Resuming says that the caller named its last event.
 }
--- a/settings/defaults.go
+++ b/settings/defaults.go
@@ -20,7 +20,7 @@
 	DefaultGossip          = 200 * time.Millisecond // between two gossip rounds
 	DefaultGossipFanout    = 3                      // peers addressed in a gossip round
 	DefaultSuspect         = 3 * time.Second        // without a beat, a member counts as lost
-	DefaultDrain           = 25 * time.Second       // a planned stop waits so long for requests
+	DefaultDrain           = 10 * time.Minute       // a planned stop waits so long before it hands over
 	DefaultElection        = 300 * time.Millisecond // least election timeout; the most is twice that
 	DefaultReplicaBeat     = 60 * time.Millisecond  // between two heartbeats of a leader
 	DefaultSnapshotEntries = 4096                   // log entries between two snapshots
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -20,19 +20,20 @@
 
 // Settings are the settings of one daemon.
 type Settings struct {
-	Name     string   `yaml:"name" validate:"required,name"`     // Name is unique in the cluster.
-	Domain   string   `yaml:"domain" validate:"required,name"`   // Domain is the failure domain.
-	Caller   string   `yaml:"caller" validate:"required,ipport"` // Caller is where callers connect.
-	Peer     string   `yaml:"peer" validate:"required,ipport"`   // Peer is where other instances connect.
-	Admin    string   `yaml:"admin" validate:"required,ipport"`  // Admin serves operators, dump and metrics.
-	DataDir  string   `yaml:"data_dir"`                          // DataDir is the disk's folder; empty without a disk.
-	Cluster  Cluster  `yaml:"cluster" validate:"required"`       // Cluster is what all instances share.
-	Platform Platform `yaml:"platform" validate:"required"`      // Platform is the source of the servers' list.
-	Limits   Limits   `yaml:"limits"`                            // Limits bound what one instance takes on.
-	Timeouts Timeouts `yaml:"timeouts"`                          // Timeouts bound every wait.
-	Replica  Replica  `yaml:"replica"`                           // Replica tunes the replication group.
-	Claims   Claims   `yaml:"claims"`                            // Claims bound the claims kept.
-	LogLevel string   `yaml:"log_level" validate:"oneof=debug info warn error"`
+	Name      string   `yaml:"name" validate:"required,name"`              // Name is unique in the cluster.
+	Domain    string   `yaml:"domain" validate:"required,name"`            // Domain is the failure domain.
+	Caller    string   `yaml:"caller" validate:"required,ipport"`          // Caller is where callers connect.
+	Peer      string   `yaml:"peer" validate:"required,ipport"`            // Peer is where other instances connect.
+	Advertise string   `yaml:"peer_advertise" validate:"omitempty,ipport"` // Advertise is what others connect to, if not Peer.
+	Admin     string   `yaml:"admin" validate:"required,ipport"`           // Admin serves operators, dump and metrics.
+	DataDir   string   `yaml:"data_dir"`                                   // DataDir is the disk's folder; empty without a disk.
+	Cluster   Cluster  `yaml:"cluster" validate:"required"`                // Cluster is what all instances share.
+	Platform  Platform `yaml:"platform" validate:"required"`               // Platform is the source of the servers' list.
+	Limits    Limits   `yaml:"limits"`                                     // Limits bound what one instance takes on.
+	Timeouts  Timeouts `yaml:"timeouts"`                                   // Timeouts bound every wait.
+	Replica   Replica  `yaml:"replica"`                                    // Replica tunes the replication group.
+	Claims    Claims   `yaml:"claims"`                                     // Claims bound the claims kept.
+	LogLevel  string   `yaml:"log_level" validate:"oneof=debug info warn error"`
 }
 
 // Cluster is what all instances of one cluster share.
--- a/state/claims.go
+++ b/state/claims.go
@@ -125,6 +125,19 @@
 	return &protocol.ClaimReply{State: next.State, Owner: next.Owner}
 }
 
+// Transfer gives a running claim to another owner. The reply is granted if the
+// new owner holds it.
+func (c *Claims) Transfer(m *protocol.TransferMsg) *protocol.ClaimReply {
+	row := c.rows[m.Key]
+	if row == nil || row.State != protocol.ClaimRunning || (row.Owner != m.From && row.Owner != m.To) {
+		return &protocol.ClaimReply{State: protocol.ClaimMayHaveRun}
+	}
+	next := *row
+	next.Owner = m.To
+	c.put(&next)
+	return &protocol.ClaimReply{State: protocol.ClaimGranted, Owner: m.To}
+}
+
 func outcome(v protocol.Verdict) protocol.ClaimState {
 	switch v {
 	case protocol.NotRun:
--- a/state/machine.go
+++ b/state/machine.go
@@ -30,6 +30,8 @@
 		return protocol.Result{Apply: m.apply(c.Apply)}
 	case c.Claim != nil:
 		return protocol.Result{Claim: m.claims.Claim(c.Claim, m.now)}
+	case c.Transfer != nil:
+		return protocol.Result{Claim: m.claims.Transfer(c.Transfer)}
 	case c.Finish != nil:
 		return protocol.Result{Claim: m.claims.Finish(c.Finish, m.now)}
 	}
--- a/transport/answer.go
+++ b/transport/answer.go
@@ -32,6 +32,7 @@
 		release()
 		x.report()
 	}
+	x.resumeIfAsked()
 	x.apply(attempt.StartMsg{})
 	for !x.over && (!x.request.Stream || !x.emitted) {
 		x.step()
@@ -79,13 +80,25 @@
 func (x *exchange) replayStream(ctx *fasthttp.RequestCtx, a *protocol.Answer) {
 	ctx.SetContentType("text/event-stream")
 	ctx.SetBodyStreamWriter(func(w *bufio.Writer) {
-		chunk := attempt.ChunkMsg{Tokens: a.Tokens, Text: a.Text, Finish: a.Finish}
+		from := min(x.request.Resume, a.Tokens)
+		chunk := attempt.ChunkMsg{Offset: from, Tokens: a.Tokens - from, Text: cutText(a.Text, a.Ends, from), Finish: a.Finish}
 		if x.writeEvent(w, attempt.EmitCmd{Chunk: chunk, Offset: a.Tokens}) == nil {
 			x.writeEnd(w)
 		}
 	})
 }
 
+// resumeIfAsked continues a handed-over request whose caller names its last
+// event. Without a record the answer is generated again up to that event.
+func (x *exchange) resumeIfAsked() {
+	if !x.request.Repeatable || !x.request.Resuming {
+		return
+	}
+	if r, ok := x.g.findHandOver(x.request); ok {
+		x.resume(r)
+	}
+}
+
 // callerGone ends a request whose caller hung up. One that must run at most
 // once runs on: its answer is kept, and the caller's resend finds it.
 func (x *exchange) callerGone() {
--- a/transport/claim.go
+++ b/transport/claim.go
@@ -35,6 +35,11 @@
 // Finish implements [Claimer].
 func (NoClaims) Finish(context.Context, protocol.FinishMsg) error { return ErrNoQuorum }
 
+// Transfer implements [Transferrer].
+func (NoClaims) Transfer(context.Context, protocol.TransferMsg) (bool, error) {
+	return false, ErrNoQuorum
+}
+
 const (
 	claimWait    = 2 * time.Second        // for the group's answer to a claim
 	joinPoll     = 25 * time.Millisecond  // between two looks at a claim that runs
@@ -129,14 +134,21 @@
 		case m := <-x.urgent:
 			switch m.(type) {
 			case attempt.CallerGoneMsg, attempt.DeadlineMsg:
-				r := protocol.NewRefusal(504, protocol.CodeDeadline, "the request still runs elsewhere")
-				r.SendNotRun = true
-				return r.WithVerdict(protocol.MayHaveRun)
+				return joinRefusal(protocol.StatusGatewayTimeout, protocol.CodeDeadline)
+			case attempt.HandOverMsg:
+				return joinRefusal(protocol.StatusServiceUnavailable, protocol.CodeLeaving).WithRetryAfter(time.Second)
 			}
 		}
 	}
 }
 
+// joinRefusal ends the wait for a run elsewhere.
+func joinRefusal(status int, code protocol.Code) *protocol.Refusal {
+	r := protocol.NewRefusal(status, code, "the request still runs elsewhere")
+	r.SendNotRun = true
+	return r.WithVerdict(protocol.MayHaveRun)
+}
+
 // ownerAlive reports whether an owner may still be at work: this process knows
 // its own requests, and of others whether they are still the same process.
 func (g *Gateway) ownerAlive(o protocol.Owner) bool {
@@ -176,6 +188,7 @@
 		Text:        x.text.String(),
 		Tokens:      x.state.Held,
 		Finish:      x.finish,
+		Ends:        x.ends,
 	}
 }
 
--- a/transport/engine.go
+++ b/transport/engine.go
@@ -37,10 +37,12 @@
 	cmd     attempt.DispatchCmd
 	server  *state.Server
 	moveAt  string // moveAt is the address to import the KV cache from.
+	moveID  string // moveID is the request's name there, if not its own.
 	text    string // text is the answer up to cmd.Resume.
 	send    func(attempt.Msg) bool
-	opened  func(*wire) bool // opened hands over the connection for cancellation.
-	release func() bool      // release takes it back when it was read to its end.
+	opened  func(*wire) bool       // opened hands over the connection for cancellation.
+	release func() bool            // release takes it back when it was read to its end.
+	leaving func(protocol.Leaving) // leaving is told when the server says that it leaves.
 }
 
 // engineRequestID names an attempt to an engine.
@@ -74,7 +76,11 @@
 		set("resume", protocol.Resume{Offset: c.cmd.Resume, Text: c.text})
 	}
 	if c.moveAt != "" {
-		set("kv_move", protocol.KVMove{From: c.moveAt, Request: engineRequestID(c.id, c.cmd.MoveAttempt)})
+		id := c.id
+		if c.moveID != "" {
+			id = c.moveID
+		}
+		set("kv_move", protocol.KVMove{From: c.moveAt, Request: engineRequestID(id, c.cmd.MoveAttempt)})
 	}
 	return json.Marshal(fields)
 }
@@ -168,6 +174,9 @@
 	if string(resp.Header.Peek(protocol.HeaderVerdict)) == protocol.NotRun.String() {
 		m.Verdict = protocol.NotRun
 	}
+	if string(resp.Header.Peek(protocol.HeaderLeaving)) == "true" {
+		c.leaving(protocol.Leaving{Server: c.server.ID, Origin: "refusal"})
+	}
 	body, _ := readBody(resp) // A body that cannot be read leaves only the status.
 	m.Reason = "the backend server answered " + strconv.Itoa(status) + ": " + string(bytes.TrimSpace(body))
 	if status >= 400 && status < 500 && status != http.StatusTooManyRequests && status != http.StatusNotFound {
--- a/transport/exchange.go
+++ b/transport/exchange.go
@@ -46,6 +46,8 @@
 	mu    sync.Mutex // mu guards wires.
 	wires map[int]*wire
 
+	moveID  string            // moveID is the request's name at the server to import from; empty means its own.
+	ends    []uint32          // ends are the lengths of text after each token.
 	text    strings.Builder   // text is the answer so far.
 	ready   []attempt.EmitCmd // ready are chunks not yet written to the caller.
 	answer  serviceAnswer
@@ -134,17 +136,19 @@
 	case attempt.DispatchCmd:
 		x.dispatch(cmd)
 	case attempt.EmitCmd:
-		x.text.WriteString(cmd.Chunk.Text)
+		x.keep(cmd.Chunk)
 		x.ready = append(x.ready, cmd)
 		x.emitted = true
 	case attempt.KeepCmd:
-		x.text.WriteString(cmd.Chunk.Text)
+		x.keep(cmd.Chunk)
 	case attempt.CancelCmd:
 		x.cancel(cmd.Attempt)
 	case attempt.ExportCmd:
 		x.export(cmd)
 	case attempt.RetryCmd:
 		x.retry(cmd)
+	case attempt.HandOverCmd:
+		x.handOver(cmd)
 	case attempt.FinishCmd:
 		x.finish, x.over = cmd.Finish, true
 		x.g.budget.success(time.Now())
@@ -153,6 +157,15 @@
 	}
 }
 
+// keep adds a chunk to the answer so far. The end of each token is kept too; a
+// chunk of several tokens can only be cut at its end.
+func (x *exchange) keep(c attempt.ChunkMsg) {
+	x.text.WriteString(c.Text)
+	for range c.Tokens {
+		x.ends = append(x.ends, uint32(x.text.Len()))
+	}
+}
+
 // dispatch chooses a server and starts the attempt's goroutine.
 func (x *exchange) dispatch(cmd attempt.DispatchCmd) {
 	server, err := x.g.choose(x.request, cmd)
@@ -161,6 +174,7 @@
 		x.apply(attempt.FailedMsg{Attempt: cmd.Attempt, Verdict: protocol.NotRun, Status: r.Status, Code: r.Code, Reason: r.Message, RetryAfter: r.RetryAfter, Final: true})
 		return
 	}
+	defer func() { x.moveID = "" }()
 	x.apply(attempt.SentMsg{Attempt: cmd.Attempt, Server: server.ID, Domain: server.Domain})
 	x.server.Store(server)
 	x.row.Server, x.row.Attempt, x.row.Tokens = server.ID, cmd.Attempt, x.state.Held
@@ -172,9 +186,11 @@
 		cmd:     cmd,
 		server:  server,
 		moveAt:  x.addressOf(cmd.MoveFrom),
+		moveID:  x.moveID,
 		text:    x.text.String(),
 		send:    x.deliver,
 		opened:  func(w *wire) bool { return x.hold(cmd.Attempt, w) },
+		leaving: x.g.leaving,
 		release: func() bool { return x.release(cmd.Attempt) },
 	}
 	server.Counters.Outstanding.Add(1)
@@ -263,6 +279,10 @@
 		x.post(attempt.ExportedMsg{Attempt: cmd.Attempt})
 		return
 	}
+	if x.state.GivingUp {
+		x.askExport(address, cmd)
+		return
+	}
 	elsewhere := attempt.DispatchCmd{AvoidServers: append([]string{cmd.Server}, x.state.Failed...)}
 	if _, err := x.g.choose(x.request, elsewhere); err != nil {
 		// Nowhere to go yet: the old server goes on, and is asked again later.
@@ -270,6 +290,10 @@
 		time.AfterFunc(moveRetry, func() { x.post(attempt.LeavingMsg{Server: cmd.Server}) })
 		return
 	}
+	x.askExport(address, cmd)
+}
+
+func (x *exchange) askExport(address string, cmd attempt.ExportCmd) {
 	path := "/v1/requests/" + engineRequestID(x.row.Request, cmd.Attempt) + "/export"
 	go func() {
 		status, _, err := x.g.wires.call(address, "POST", path, nil, exportTimeout)
--- a/transport/gateway.go
+++ b/transport/gateway.go
@@ -35,8 +35,11 @@
 	counts   sync.Pool
 	budget   *budgetBox
 	ready    func() error
+	leaving  func(protocol.Leaving) // leaving is told of servers that refuse since they leave.
 	server   *fasthttp.Server
 	claims   Claimer
+	transfer Transferrer
+	links    *Links // links is nil when there are no other instances.
 	self     protocol.Member
 
 	recording sync.WaitGroup // recording counts outcomes that are being recorded.
@@ -45,6 +48,7 @@
 	closed    atomic.Bool // closed refuses new requests.
 	mu        sync.Mutex  // mu guards exchanges; it is taken after all table locks.
 	exchanges map[string]*exchange
+	handOvers *handOvers
 }
 
 // GatewayOption changes a new gateway.
@@ -64,10 +68,20 @@
 // WithReady sets what must hold before the instance reports ready.
 func WithReady(ready func() error) GatewayOption { return func(g *Gateway) { g.ready = ready } }
 
+// WithLeaving sets what is told of a backend server that refuses work since it
+// leaves.
+func WithLeaving(f func(protocol.Leaving)) GatewayOption { return func(g *Gateway) { g.leaving = f } }
+
 // WithClaims sets the claims group; without it no request that must run at
 // most once is let in.
 func WithClaims(c Claimer) GatewayOption { return func(g *Gateway) { g.claims = c } }
 
+// WithLinks sets the links to other instances, for hand-overs, and what gives
+// claims to another owner.
+func WithLinks(l *Links, t Transferrer) GatewayOption {
+	return func(g *Gateway) { g.links, g.transfer = l, t }
+}
+
 // WithSelf sets the instance's own member record, the name in its claims.
 func WithSelf(m protocol.Member) GatewayOption { return func(g *Gateway) { g.self = m } }
 
@@ -82,8 +96,11 @@
 		counts:    sync.Pool{New: func() any { return new([]int32) }},
 		budget:    &budgetBox{budget: retry.New(time.Now())},
 		ready:     func() error { return nil },
+		leaving:   func(l protocol.Leaving) { t.Backends.MarkLeaving(l) },
 		exchanges: map[string]*exchange{},
 		claims:    NoClaims{},
+		transfer:  NoClaims{},
+		handOvers: newHandOvers(),
 		self:      protocol.Member{Name: s.Name},
 	}
 	for _, opt := range opts {
--- a/transport/groupclient.go
+++ b/transport/groupclient.go
@@ -142,6 +142,12 @@
 	return err
 }
 
+// Transfer implements [Transferrer].
+func (c *GroupClient) Transfer(ctx context.Context, m protocol.TransferMsg) (bool, error) {
+	reply, err := c.claim(ctx, protocol.Command{Transfer: &m})
+	return err == nil && reply.State == protocol.ClaimGranted, err
+}
+
 func (c *GroupClient) claim(ctx context.Context, cmd protocol.Command) (protocol.ClaimReply, error) {
 	reply, err := c.call(ctx, "Group.Propose", cmd)
 	if err != nil {
--- a/transport/membership.go
+++ b/transport/membership.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"sync"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -28,6 +29,8 @@
 	view   *member.State
 	msgs   chan member.Msg
 	syncs  chan chan protocol.News
+	leave  chan leaveOrder
+	left   bool // left says that this instance takes no part any more.
 	self   func() member.SelfMsg
 }
 
@@ -42,6 +45,7 @@
 		view:   view,
 		msgs:   make(chan member.Msg, memberQueue),
 		syncs:  make(chan chan protocol.News),
+		leave:  make(chan leaveOrder),
 		self:   self,
 	}
 }
@@ -56,6 +60,8 @@
 			return nil
 		case msg := <-m.msgs:
 			m.apply(ctx, msg)
+		case order := <-m.leave:
+			m.spreadLeft(order)
 		case reply := <-m.syncs:
 			reply <- m.view.Full()
 		case now := <-tick.C:
@@ -75,6 +81,9 @@
 }
 
 func (m *Membership) apply(ctx context.Context, msg member.Msg) {
+	if m.left {
+		return
+	}
 	for _, cmd := range m.view.Update(msg) {
 		m.execute(ctx, cmd)
 	}
@@ -95,6 +104,42 @@
 	m.post(ctx, member.ServerLeavingMsg{Leaving: l, Rand: rand.Uint64()})
 }
 
+// Leave tells a few members that this instance is gone for good, so that nobody
+// has to find out, and returns when they were told or ctx ends.
+func (m *Membership) Leave(ctx context.Context) {
+	done := make(chan struct{})
+	msg := m.describe()
+	msg.Left = true
+	select {
+	case m.leave <- leaveOrder{msg: msg, done: done}:
+	case <-ctx.Done():
+		return
+	}
+	select {
+	case <-done:
+	case <-ctx.Done():
+	}
+}
+
+// leaveOrder asks the loop to spread that this instance has left.
+type leaveOrder struct {
+	msg  member.SelfMsg
+	done chan struct{}
+}
+
+// spreadLeft pushes the record and waits for the calls.
+func (m *Membership) spreadLeft(o leaveOrder) {
+	defer close(o.done)
+	var wg sync.WaitGroup
+	for _, cmd := range m.view.Update(o.msg) {
+		if push, ok := cmd.(member.PushCmd); ok {
+			wg.Go(func() { m.push(push) })
+		}
+	}
+	wg.Wait()
+	m.left = true
+}
+
 func (m *Membership) execute(ctx context.Context, cmd member.Cmd) {
 	switch cmd := cmd.(type) {
 	case member.ProbeCmd:
--- a/transport/metrics.go
+++ b/transport/metrics.go
@@ -21,6 +21,7 @@
 	failures metrics.Counter
 	retries  metrics.Counter
 	moves    metrics.Counter
+	resumed  metrics.Counter
 	tokens   metrics.Counter
 	gone     metrics.Counter
 	decision metrics.Timer
@@ -37,6 +38,7 @@
 		failures: metrics.GetOrRegisterCounter("attempts.failed", r),
 		retries:  metrics.GetOrRegisterCounter("retries", r),
 		moves:    metrics.GetOrRegisterCounter("moves", r),
+		resumed:  metrics.GetOrRegisterCounter("resumed", r),
 		tokens:   metrics.GetOrRegisterCounter("tokens.relayed", r),
 		gone:     metrics.GetOrRegisterCounter("callers.gone", r),
 		decision: newTimer("route.decision", r),
--- a/transport/parse.go
+++ b/transport/parse.go
@@ -190,7 +190,7 @@
 	if err != nil || offset < 0 {
 		return badRequest("%s is %q: want the number of the last event", protocol.HeaderLastEvent, text)
 	}
-	r.Resume = offset
+	r.Resume, r.Resuming = offset, true
 	return nil
 }
 
