--- a/state/wal/segment.go
+++ b/state/wal/segment.go
@@ -1,6 +1,7 @@
 package wal
 
 import (
+	"bytes"
 	"encoding/binary"
 	"hash/crc32"
 	"os"
@@ -12,7 +13,8 @@
 
 const (
 	segmentMagic = "weldlog1"
-	frameHeader  = 8       // bytes: length, checksum
+	frameHeader  = 12      // bytes: length, checksum of the payload, checksum of both
+	frameEnd     = 0xa5    // frameEnd is a payload's last byte; zero there means that it was not written
 	maxFrame     = 1 << 30 // bytes of a frame's payload
 )
 
@@ -52,9 +54,11 @@
 		frame = append(frame, byte(e.Kind))
 		frame = appendBytes(frame, e.Data)
 	}
+	frame = append(frame, frameEnd)
 	payload := frame[frameHeader:]
 	binary.LittleEndian.PutUint32(frame, uint32(len(payload)))
 	binary.LittleEndian.PutUint32(frame[4:], crc32.Checksum(payload, castagnoli))
+	binary.LittleEndian.PutUint32(frame[8:], crc32.Checksum(frame[:8], castagnoli))
 	return frame
 }
 
@@ -112,13 +116,14 @@
 		e.Data = r.bytes()
 		entries = append(entries, e)
 	}
-	return hard, entries, !r.bad && len(r.rest) == 0
+	end := r.byte()
+	return hard, entries, !r.bad && end == frameEnd && len(r.rest) == 0
 }
 
 // frameAt returns the payload of the frame at an offset, if a whole good one
 // is there.
 func frameAt(data []byte, offset int) ([]byte, bool) {
-	if len(data)-offset < frameHeader {
+	if len(data)-offset < frameHeader || !goodHeader(data[offset:]) {
 		return nil, false
 	}
 	size := int(binary.LittleEndian.Uint32(data[offset:]))
@@ -132,16 +137,22 @@
 	return payload, true
 }
 
-// frameBehind reports whether a good frame begins anywhere behind an offset.
-func frameBehind(data []byte, offset int) bool {
-	for i := offset + 1; i+frameHeader < len(data); i++ {
-		if payload, ok := frameAt(data, i); ok {
-			if _, _, ok := decodePayload(payload); ok {
-				return true
-			}
-		}
+// torn reports whether what is at an offset can be a write that was cut off: the
+// file ends too early, or nothing but zeros is where the write did not get to.
+// Anything else was written whole and changed later.
+func torn(rest []byte) bool {
+	if len(rest) < frameHeader {
+		return true
+	}
+	if !goodHeader(rest) {
+		return rest[frameHeader-1] == 0 && len(bytes.Trim(rest[frameHeader:], "\x00")) == 0
 	}
-	return false
+	size := int(binary.LittleEndian.Uint32(rest))
+	return len(rest) < frameHeader+size || rest[len(rest)-1] == 0
+}
+
+func goodHeader(frame []byte) bool {
+	return crc32.Checksum(frame[:8], castagnoli) == binary.LittleEndian.Uint32(frame[8:])
 }
 
 // replay reads all segments, in order, into loaded.
@@ -188,8 +199,8 @@
 // cutTorn cuts off a torn write at the end of the last segment. Anything else
 // that is bad is damage.
 func (f *Folder) cutTorn(file string, data []byte, offset int, last bool, loaded *Loaded) error {
-	if !last || frameBehind(data, offset) {
-		return &Damage{File: file, Offset: int64(offset), What: "the checksum does not match, and more was written behind it"}
+	if !last || !torn(data[offset:]) {
+		return &Damage{File: file, Offset: int64(offset), What: "the checksum does not match what was written"}
 	}
 	loaded.Torn = int64(len(data) - offset)
 	if err := os.Truncate(file, int64(offset)); err != nil {
--- a/state/wal/wal.go
+++ b/state/wal/wal.go
@@ -7,12 +7,12 @@
 //	snapshot-N   the state machine at index N
 //	lock         held by the process that uses the folder
 //
-// A segment is a row of frames. A frame is one group commit: length, checksum,
+// A segment is a row of frames. A frame is one group commit: length, checksums,
 // then the hard state and the entries that were written together. The next
-// frame is written only after the sync of the one before. So a bad frame with
-// a good one behind it is damage, which stops the start and touches nothing; a
-// bad frame at the very end is a torn write that nobody was promised, and is
-// cut off.
+// frame is written only after the sync of the one before. So only the last
+// frame can be a torn write, which nobody was promised, and which is cut off: it
+// ends too early, or in zeros. Anything else that does not match its checksum is
+// damage, which stops the start and touches nothing.
 package wal
 
 import (
--- a/state/wal/wal_test.go
+++ b/state/wal/wal_test.go
@@ -107,15 +107,15 @@
 	}
 }
 
-// TestFlippedBit flips each bit before the last frame. The start must stop with
-// the file and an offset, and touch nothing.
+// TestFlippedBit flips each bit of a segment. The start must stop with the file
+// and an offset, and touch nothing.
 func TestFlippedBit(t *testing.T) {
 	dir, segment := written(t)
 	whole, err := os.ReadFile(segment)
 	if err != nil {
 		t.Fatal(err)
 	}
-	for bit := range 8 * lastFrame(whole) {
+	for bit := range 8 * len(whole) {
 		bad := bytes.Clone(whole)
 		bad[bit/8] ^= 1 << (bit % 8)
 		if err := os.WriteFile(segment, bad, fileMode); err != nil {
