--- a/e2e/cluster_test.go
+++ b/e2e/cluster_test.go
@@ -92,14 +92,16 @@
 // daemon is a weldstreamd process with its addresses.
 type daemon struct {
 	*process
-	c      *cluster
-	name   string
-	domain string
-	caller string
-	peer   string
-	admin  string
-	data   string
-	extra  string
+	c         *cluster
+	name      string
+	domain    string
+	caller    string
+	peer      string
+	admin     string
+	data      string
+	extra     string
+	direct    string // direct is the peer address itself.
+	advertise string // advertise is what stands before it, if anything does.
 }
 
 // cluster is everything that a test runs.
@@ -200,7 +202,10 @@
 	for line := range strings.Lines(d.err.String()) {
 		var row struct{ Message, Caller, Peer, Admin string }
 		if json.Unmarshal([]byte(line), &row) == nil && row.Message == "serving" {
-			d.caller, d.peer, d.admin = row.Caller, row.Peer, row.Admin
+			d.caller, d.peer, d.admin, d.direct = row.Caller, row.Peer, row.Admin, row.Peer
+			if d.advertise != "" {
+				d.peer = d.advertise
+			}
 			return true
 		}
 	}
@@ -223,6 +228,9 @@
 			text += "data_dir: " + d.data + "\n"
 		}
 	}
+	if d.advertise != "" {
+		text += "peer_advertise: " + d.advertise + "\n"
+	}
 	text += fmt.Sprintf("platform:\n  address: %s\n  poll: 100ms\n", d.c.platform.address)
 	return text + d.extra
 }
--- /dev/null
+++ b/e2e/once_test.go
@@ -0,0 +1,126 @@
+package e2e
+
+import (
+	"fmt"
+	"net"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/weldstream/weldstream/internal/standin"
+	"github.com/weldstream/weldstream/protocol"
+)
+
+// deafAddress returns an address where a connection is neither taken nor
+// refused: its queue is full.
+func deafAddress(t *testing.T) string {
+	t.Helper()
+	fd, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { syscall.Close(fd) })
+	if err := syscall.Bind(fd, &syscall.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}}); err != nil {
+		t.Fatal(err)
+	}
+	if err := syscall.Listen(fd, 0); err != nil {
+		t.Fatal(err)
+	}
+	name, err := syscall.Getsockname(fd)
+	if err != nil {
+		t.Fatal(err)
+	}
+	address := fmt.Sprintf("127.0.0.1:%d", name.(*syscall.SockaddrInet4).Port)
+	for {
+		conn, err := net.DialTimeout("tcp", address, 300*time.Millisecond)
+		if err != nil {
+			return address // The queue is full: this one hung.
+		}
+		t.Cleanup(func() { conn.Close() })
+	}
+}
+
+// TestKilledBetweenClaimAndDispatch kills an instance that has a claim and has
+// not sent the request yet. Nobody can know that, so a resend is told that it
+// may have run, and it does not run.
+func TestKilledBetweenClaimAndDispatch(t *testing.T) {
+	c := newCluster(t, clusterSpec{daemons: 4, replicas: 3, services: 1, settings: "timeouts: {dial: 20s, suspect: 500ms}\n"})
+	good := c.listed
+	c.listed = []protocol.Instance{{ID: "deaf", Kind: protocol.InstanceService, Service: "gantry", Address: deafAddress(t), Domain: "zone-a"}}
+	c.list()
+	c.apply(1, configText())
+	d := c.daemons[3]
+	charge := ask{path: "/services/gantry/charge", body: "x"}.once("between")
+	go func() { _, _ = d.trySend(charge) }()
+	eventually(t, "the claim is taken", func() bool { return c.leader().groupOf().Claims == 1 })
+	d.kill()
+	c.listed = good
+	c.list()
+	other := c.daemons[0]
+	eventually(t, "the good replica is known", func() bool {
+		return other.send(ask{path: "/services/gantry/plate", body: ""}).status == 200
+	})
+	a := other.send(charge)
+	if a.code(t) != protocol.CodeClaimLost || a.verdict != "may-have-run" {
+		t.Errorf("the resend got %d %s %s", a.status, a.verdict, a.body)
+	}
+	if runs := c.services[0].serviceStats().Runs["between"]; runs != 0 {
+		t.Errorf("the call ran %d times", runs)
+	}
+}
+
+// TestNotRepeatableStreamRunsOnce kills the engine in the middle of an answer
+// that must run at most once. It is not begun again; and a caller that hangs
+// up finds its answer by its key.
+func TestNotRepeatableStreamRunsOnce(t *testing.T) {
+	c := newCluster(t, clusterSpec{daemons: 3, engines: 2, engine: []string{"-token-time", "20ms"}})
+	c.apply(1, configText())
+	left := completion("notice", "left", 30, true).once("left")
+	s := c.daemons[0].open(left)
+	s.next()
+	s.close()
+	again := c.daemons[1].open(left)
+	if got, want := again.rest(), standin.AnswerText("left", 30); got != want || !again.done {
+		t.Errorf("the resend got %q (%+v), want %q", got, again.err, want)
+	}
+	killed := c.daemons[0].open(completion("notice", "killed", 100, true).once("killed"))
+	killed.next()
+	c.engineOf("killed").kill()
+	killed.rest()
+	if killed.done || killed.err == nil || killed.err.Verdict != protocol.MayHaveRun {
+		t.Errorf("the killed answer ended with %+v", killed.err)
+	}
+	resend := c.daemons[2].send(completion("notice", "killed", 100, true).once("killed"))
+	if resend.verdict == "ran" || resend.verdict == "not-run" && resend.code(t) != protocol.CodeKeyReused {
+		t.Errorf("a resend of the killed request got %d %s %s", resend.status, resend.verdict, resend.body)
+	}
+	runs := map[string]int{}
+	for _, e := range c.engines {
+		if !e.alive() {
+			continue
+		}
+		for key, n := range e.engineStats().Runs {
+			runs[key] += n
+		}
+	}
+	if runs["left"] > 1 || runs["killed"] > 0 {
+		t.Errorf("runs at the engines that are left: %v", runs)
+	}
+}
+
+// TestLateAnswer freezes an engine until its attempt is given up, and wakes it
+// again. What it still sends reaches nobody.
+func TestLateAnswer(t *testing.T) {
+	c := newCluster(t, clusterSpec{daemons: 1, engines: 2, engine: []string{"-token-time", "20ms"}, settings: "timeouts: {chunk_gap: 400ms}\n"})
+	c.apply(1, configText())
+	s := c.daemons[0].open(completion("docket-summary", "late", 60, true))
+	s.next()
+	frozen := c.engineOf("late")
+	frozen.signal(syscall.SIGSTOP)
+	for s.text.Len() < len(standin.AnswerText("late", 30)) && s.next() {
+	}
+	frozen.signal(syscall.SIGCONT)
+	if got, want := s.rest(), standin.AnswerText("late", 60); got != want || !s.done {
+		t.Errorf("got %q (%+v), want %q", got, s.err, want)
+	}
+}
--- a/e2e/process_test.go
+++ b/e2e/process_test.go
@@ -19,7 +19,7 @@
 
 // patience bounds every wait for a condition. It is no assertion on time: a
 // condition that holds ends the wait at once.
-const patience = 60 * time.Second
+const patience = 40 * time.Second
 
 var binDir string
 
