--- a/transport/poller.go
+++ b/transport/poller.go
@@ -24,6 +24,9 @@
 	errNoLoad = errors.New("the backend servers have not been asked for their load yet")
 )
 
+// firstLoad is between two looks for the first list of servers to ask.
+const firstLoad = 20 * time.Millisecond
+
 // pollWorkers bounds the load reports that are asked for at once.
 const pollWorkers = 16
 
@@ -71,6 +74,14 @@
 
 // RunLoad reads the load reports until ctx ends.
 func (p *Poller) RunLoad(ctx context.Context) error {
+	for !p.loaded.Load() { // At the start, as soon as there is a list.
+		p.readLoads()
+		select {
+		case <-time.After(firstLoad):
+		case <-ctx.Done():
+			return nil
+		}
+	}
 	return every(ctx, p.settings.Timeouts.LoadPoll, p.readLoads)
 }
 
