--- a/e2e/cluster_test.go
+++ b/e2e/cluster_test.go
@@ -10,6 +10,7 @@
 	"os"
 	"path/filepath"
 	"strings"
+	"sync/atomic"
 	"testing"
 
 	"github.com/weldstream/weldstream/internal/standin"
@@ -100,8 +101,8 @@
 	admin     string
 	data      string
 	extra     string
-	direct    string // direct is the peer address itself.
-	advertise string // advertise is what stands before it, if anything does.
+	direct    atomic.Value // direct is the peer address itself, a string.
+	advertise string       // advertise is what stands before it, if anything does.
 }
 
 // cluster is everything that a test runs.
@@ -205,7 +206,8 @@
 	for line := range strings.Lines(d.err.String()) {
 		var row struct{ Message, Caller, Peer, Admin string }
 		if json.Unmarshal([]byte(line), &row) == nil && row.Message == "serving" {
-			d.caller, d.peer, d.admin, d.direct = row.Caller, row.Peer, row.Admin, row.Peer
+			d.caller, d.peer, d.admin = row.Caller, row.Peer, row.Admin
+			d.direct.Store(row.Peer)
 			if d.advertise != "" {
 				d.peer = d.advertise
 			}
--- a/e2e/cut_test.go
+++ b/e2e/cut_test.go
@@ -10,11 +10,11 @@
 // newCutCluster starts three daemons whose links run through relays.
 func newCutCluster(t *testing.T) (*cluster, *network) {
 	t.Helper()
-	n := &network{names: []string{"entry-1", "entry-2", "entry-3"}, cuts: map[string]bool{}}
+	n := &network{names: []string{"entry-1", "entry-2", "entry-3", "entry-4"}, cuts: map[string]bool{}}
 	c := newCluster(t, clusterSpec{engines: 1, services: 1, replicas: 3})
-	for i, name := range n.names {
+	for i, name := range n.names[:3] {
 		d := &daemon{c: c, name: name, domain: domain(i)}
-		r := n.relay(t, name, func() string { return d.direct })
+		r := n.relay(t, name, func() string { return d.direct.Load().(string) })
 		d.data = c.dir + "/" + name
 		d.advertise = r.ln.Addr().String()
 		d.launch()
--- a/e2e/measure_test.go
+++ b/e2e/measure_test.go
@@ -62,7 +62,7 @@
 					Owner:    protocol.Owner{Instance: "measure", Request: fmt.Sprint(i)},
 					Limits:   protocol.ClaimLimits{WindowMS: 3600000, SkewMS: 60000, Count: 1 << 20},
 				}}
-				err := links.Call(leader.direct, "Group.Propose", cmd, &reply, 10*time.Second)
+				err := links.Call(leader.direct.Load().(string), "Group.Propose", cmd, &reply, 10*time.Second)
 				if err != nil || reply.Result.Claim == nil || reply.Result.Claim.State != protocol.ClaimGranted {
 					b.Errorf("claim: %v %+v", err, reply)
 				}
--- a/e2e/process_test.go
+++ b/e2e/process_test.go
@@ -103,6 +103,9 @@
 	t.Cleanup(func() {
 		p.signal(syscall.SIGCONT)
 		p.kill()
+		if strings.Contains(p.err.String(), "DATA RACE") {
+			t.Errorf("%s raced:\n%s", name, p.err.String())
+		}
 		if t.Failed() && os.Getenv("E2E_LOGS") != "" {
 			t.Logf("%s wrote:\n%s%s", name, p.out.String(), p.err.String())
 		}
--- a/internal/yamlfile/yamlfile.go
+++ b/internal/yamlfile/yamlfile.go
@@ -111,9 +111,12 @@
 	if len(parsed.Docs) == 1 {
 		doc.root = parsed.Docs[0].Body
 	}
+	if doc.empty() { // Decoding nothing would set every default to zero.
+		return doc, sorted(doc.validate(dst))
+	}
 	faults := doc.unknown(doc.root, reflect.TypeOf(dst).Elem(), "")
 	if err := yaml.Unmarshal(data, dst); err != nil {
-		return doc, sorted(append(faults, syntaxFault(file, err)))
+		return doc, sorted(append(faults, doc.typeFault(err)))
 	}
 	return doc, sorted(append(faults, doc.validate(dst)...))
 }
@@ -130,6 +133,49 @@
 	return Fault{File: file, Line: 1, What: strings.SplitN(err.Error(), "\n", 2)[0]}
 }
 
+func (d *Document) empty() bool {
+	if d.root == nil {
+		return true
+	}
+	_, null := d.root.(*ast.NullNode)
+	return null
+}
+
+// typeFault names the field whose value could not be decoded.
+func (d *Document) typeFault(err error) Fault {
+	f := syntaxFault(d.file, err)
+	var located yaml.Error
+	if errors.As(err, &located) && located.GetToken() != nil {
+		at := located.GetToken().Position
+		f.Field = d.pathAt(d.root, at.Line, at.Column, "")
+	}
+	return f
+}
+
+// pathAt returns the path of the value at a place in the file, or "".
+func (d *Document) pathAt(node ast.Node, line, column int, path string) string {
+	switch n := node.(type) {
+	case *ast.MappingNode:
+		for _, v := range n.Values {
+			if found := d.pathAt(v, line, column, path); found != "" {
+				return found
+			}
+		}
+	case *ast.MappingValueNode:
+		return d.pathAt(n.Value, line, column, join(path, n.Key.GetToken().Value))
+	case *ast.SequenceNode:
+		for i, v := range n.Values {
+			if found := d.pathAt(v, line, column, fmt.Sprintf("%s[%d]", path, i)); found != "" {
+				return found
+			}
+		}
+	}
+	if at := node.GetToken().Position; at.Line == line && at.Column == column {
+		return path
+	}
+	return ""
+}
+
 // unknown walks node beside the type that it is decoded into.
 func (d *Document) unknown(node ast.Node, t reflect.Type, path string) []Fault {
 	for t.Kind() == reflect.Pointer {
--- /dev/null
+++ b/state/state_test.go
@@ -0,0 +1,67 @@
+package state
+
+import (
+	"fmt"
+	"sync"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"github.com/weldstream/weldstream/protocol"
+)
+
+func revision(n uint64) protocol.Revision {
+	return protocol.Revision{Number: n, Digest: protocol.DigestOf(fmt.Append(nil, n)), Config: &protocol.Config{}}
+}
+
+// TestInstallNeverGoesBack installs revisions in any order, from several
+// workers at once: what is in force only rises.
+func TestInstallNeverGoesBack(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		tables := NewTables()
+		lists := rapid.SliceOfN(rapid.SliceOf(rapid.Uint64Range(1, 30)), 1, 4).Draw(t, "numbers")
+		var wg sync.WaitGroup
+		var highest uint64
+		for _, list := range lists {
+			for _, n := range list {
+				highest = max(highest, n)
+			}
+			wg.Go(func() {
+				last := uint64(0)
+				for _, n := range list {
+					tables.Install(revision(n))
+					got, _ := tables.Revision()
+					if got < last || got < n {
+						panic(fmt.Sprintf("in force: %d after %d, installed %d", got, last, n))
+					}
+					last = got
+				}
+			})
+		}
+		wg.Wait()
+		if got, _ := tables.Revision(); got != highest {
+			t.Fatalf("in force: %d, want %d", got, highest)
+		}
+	})
+}
+
+// TestLeavingMarkStays lets the platform's lagging list show a server as live
+// again after a notice.
+func TestLeavingMarkStays(t *testing.T) {
+	b := NewBackends()
+	list := []protocol.Instance{{ID: "e1", Kind: protocol.InstanceEngine}, {ID: "e2", Kind: protocol.InstanceEngine}}
+	b.SetList(list)
+	if !b.MarkLeaving(protocol.Leaving{Server: "e1"}) || b.MarkLeaving(protocol.Leaving{Server: "e1"}) {
+		t.Error("a mark is news exactly once")
+	}
+	b.SetList(list)
+	if s := b.View().Find("e1"); !s.Leaving {
+		t.Error("the list took the mark away")
+	}
+	if s := b.View().Find("e2"); s.Leaving {
+		t.Error("the other server is marked too")
+	}
+	if got := <-b.Changed(); got != "e1" {
+		t.Errorf("told of %s", got)
+	}
+}
