--- a/Makefile
+++ b/Makefile
@@ -36,3 +36,9 @@
 	$(GO) test ./e2e -run '^$$' -bench 'Claims' -benchtime 4000x -timeout 20m
 	$(GO) test ./e2e -run '^$$' -bench 'InForce|Leaderless' -benchtime 12x -timeout 20m
 	$(GO) test ./e2e -run '^$$' -bench 'Restart|Reclaim' -benchtime 3x -timeout 20m
+
+# capacity prints what an instance costs at several sizes; see docs/CAPACITY.md.
+.PHONY: capacity
+capacity: build
+	$(GO) test ./e2e -run '^$$' -bench 'Idle|Streams' -benchtime 1x -count 3 -timeout 30m
+	$(GO) test ./coordination/route -run '^$$' -bench Choose -count 3
--- a/cmd/weldctl/admin.go
+++ b/cmd/weldctl/admin.go
@@ -178,6 +178,27 @@
 	return view, eris.Wrap(json.Unmarshal(body, view), "parse answer")
 }
 
+func runDrop(e env, fs *flag.FlagSet, args []string) int {
+	var a adminFlags
+	a.register(fs)
+	if code, ok := parse(fs, args); !ok {
+		return code
+	}
+	if fs.NArg() != 1 {
+		fmt.Fprintln(e.err, "weldctl: drop needs the name of one replica")
+		return exitUsage
+	}
+	status, body, err := a.call(e, http.MethodDelete, "/v1/replicas/"+fs.Arg(0), nil)
+	if err != nil {
+		return failf(e, "%v", err)
+	}
+	if status != http.StatusOK {
+		return failf(e, "%s", refusalText(status, body))
+	}
+	fmt.Fprintf(e.out, "%s is being taken out; see weldctl dump\n", fs.Arg(0))
+	return exitOK
+}
+
 func runGet(e env, fs *flag.FlagSet, args []string) int {
 	var a adminFlags
 	a.register(fs)
--- a/cmd/weldctl/dump.go
+++ b/cmd/weldctl/dump.go
@@ -9,6 +9,7 @@
 	"text/tabwriter"
 	"time"
 
+	"github.com/weldstream/weldstream/coordination/group"
 	"github.com/weldstream/weldstream/protocol"
 	"github.com/weldstream/weldstream/state"
 )
@@ -25,6 +26,7 @@
 	Servers []dumpServer       `json:"servers"`
 	Leaving []protocol.Leaving `json:"leaving"`
 	Streams []state.Stream     `json:"streams"`
+	Group   *group.Status      `json:"group"`
 }
 
 type dumpServer struct {
@@ -89,8 +91,25 @@
 		fmt.Fprintf(w, "%s\t%s\t%s\t%v\t%d\t%s\n", m.Name, m.Domain, m.State, m.Ready, m.Revision, v.At.Sub(m.Since).Round(time.Millisecond))
 	}
 	_ = w.Flush() // Writes to the terminal.
+	printGroup(e, v.Group)
 	fmt.Fprintf(e.out, "%d requests in progress, %d servers marked as leaving\n", len(v.Streams), len(v.Leaving))
 	for _, s := range v.Streams {
 		fmt.Fprintf(e.out, "  %s %s on %s, attempt %d, %d tokens, for %s\n", s.Request, s.Key, s.Server, s.Attempt, s.Tokens, v.At.Sub(s.Started).Round(time.Millisecond))
 	}
 }
+
+// printGroup shows the replica that the instance keeps, if it keeps one.
+func printGroup(e env, g *group.Status) {
+	if g == nil {
+		return
+	}
+	var voters, learners []string
+	for _, id := range g.Members.Voters {
+		voters = append(voters, id.Name)
+	}
+	for _, id := range g.Members.Learners {
+		learners = append(learners, id.Name)
+	}
+	fmt.Fprintf(e.out, "replica: %s in term %d, leader %q, applied %d of %d, %d claims\n", g.Role, g.Term, g.Leader.Name, g.Applied, g.Last, g.Claims)
+	fmt.Fprintf(e.out, "  voters %v, learners %v, disk broken %v, disk full %v\n", voters, learners, g.Broken, g.Full)
+}
--- a/cmd/weldctl/main.go
+++ b/cmd/weldctl/main.go
@@ -4,6 +4,7 @@
 //	weldctl apply -number N PATH...   have them accepted as a whole
 //	weldctl get                       what is in force, and where
 //	weldctl dump                      the state of one process
+//	weldctl drop NAME                 take a replica that is gone for good out of the group
 //	weldctl send                      a caller's request, streamed to the terminal
 //
 // Exit codes: 0 done; 1 refused, faulty or failed; 2 wrong use.
@@ -44,6 +45,7 @@
 		"apply": {"have configuration files accepted as a whole", runApply},
 		"get":   {"show what is in force, and where", runGet},
 		"dump":  {"show the state of one process", runDump},
+		"drop":  {"take a replica that is gone for good out of the group", runDrop},
 		"send":  {"send a request as a caller and stream the answer", runSend},
 	}
 }
--- a/cmd/weldctl/send.go
+++ b/cmd/weldctl/send.go
@@ -28,6 +28,7 @@
 	maxTokens int
 	key       string
 	once      bool
+	issuedAt  string
 	priority  string
 	deadline  time.Duration
 }
@@ -40,6 +41,7 @@
 	fs.IntVar(&s.maxTokens, "max-tokens", 64, "tokens of the answer")
 	fs.StringVar(&s.key, "idempotency-key", "", "identity of the request across resends")
 	fs.BoolVar(&s.once, "once", false, "mark the request as not repeatable")
+	fs.StringVar(&s.issuedAt, "issued-at", "", "with -once, the `time` of the first send, RFC 3339, for a resend; now if empty")
 	fs.StringVar(&s.priority, "priority", "", "low, normal or high")
 	fs.DurationVar(&s.deadline, "deadline", 0, "time to wait for the whole answer")
 }
@@ -60,6 +62,9 @@
 	if err := s.fill(e, req, strings.Join(fs.Args(), " ")); err != nil {
 		return failf(e, "%v", err)
 	}
+	if s.once {
+		fmt.Fprintf(e.err, "issued at %s: a resend needs -issued-at with this time\n", s.issuedAt)
+	}
 	client := &fasthttp.Client{StreamResponseBody: true}
 	if err := client.Do(req, resp); err != nil {
 		return failf(e, "%v", err)
@@ -97,7 +102,7 @@
 	}
 	if s.once {
 		req.Header.Set(protocol.HeaderRepeatable, "false")
-		req.Header.Set(protocol.HeaderIssuedAt, time.Now().UTC().Format(time.RFC3339Nano))
+		req.Header.Set(protocol.HeaderIssuedAt, s.issued())
 	}
 	if s.priority != "" {
 		req.Header.Set(protocol.HeaderPriority, s.priority)
@@ -107,6 +112,14 @@
 	}
 }
 
+// issued is the time of the first send.
+func (s *sendFlags) issued() string {
+	if s.issuedAt == "" {
+		s.issuedAt = time.Now().UTC().Format(time.RFC3339Nano)
+	}
+	return s.issuedAt
+}
+
 func printAnswer(e env, resp *fasthttp.Response) int {
 	body := resp.BodyStream()
 	if body == nil {
--- a/cmd/weldstreamd/daemon.go
+++ b/cmd/weldstreamd/daemon.go
@@ -115,6 +115,8 @@
 	view := member.New(member.DefaultConfig(s.Timeouts.Suspect), self, seeds)
 	d.membership = transport.NewMembership(d.tables, d.links, d.log, s.Timeouts.Gossip, view, d.describe)
 	d.poller = transport.NewPoller(s, d.tables, d.log, d.serverLeaving, d.noticed)
+	d.links.Meter(d.registry)
+	d.poller.Meter(d.registry)
 	if len(s.Cluster.Replicas) > 0 {
 		d.client = transport.NewGroupClient(d.tables, d.links, s.Cluster.Replicas)
 	}
--- /dev/null
+++ b/e2e/capacity_test.go
@@ -0,0 +1,158 @@
+package e2e
+
+import (
+	"encoding/json"
+	"fmt"
+	"os"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/weldstream/weldstream/protocol"
+)
+
+// The benchmarks here measure what an idle cluster costs each instance, at
+// several sizes; docs/CAPACITY.md works with their slopes. "make capacity" runs
+// them.
+
+const (
+	clockTicks = 100 // of /proc, a second
+	watchFor   = 10 * time.Second
+)
+
+// usage is what an instance has used since its start.
+type usage struct {
+	cpu   time.Duration
+	rss   int64 // bytes
+	peers int64 // bytes to and from other instances
+	polls int64 // bytes to and from platform and servers, for control
+}
+
+func (d *daemon) usage() usage {
+	var u usage
+	stat, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", d.cmd.Process.Pid))
+	if err != nil {
+		d.c.t.Fatal(err)
+	}
+	fields := strings.Fields(string(stat[strings.LastIndexByte(string(stat), ')')+2:]))
+	user, _ := strconv.ParseInt(fields[11], 10, 64)
+	system, _ := strconv.ParseInt(fields[12], 10, 64)
+	u.cpu = time.Duration(user+system) * time.Second / clockTicks
+	pages, _ := strconv.ParseInt(fields[21], 10, 64)
+	u.rss = pages * int64(os.Getpagesize())
+	var m map[string]struct{ Value int64 }
+	d.adminGet("/metrics", &m)
+	u.peers = m["peers.bytes.sent"].Value + m["peers.bytes.received"].Value
+	u.polls = m["polls.bytes.sent"].Value + m["polls.bytes.received"].Value
+	return u
+}
+
+// watch reports the mean over all instances of what each uses, idle.
+func (c *cluster) watch(b *testing.B) {
+	var before []usage
+	for _, d := range c.daemons {
+		before = append(before, d.usage())
+	}
+	began := time.Now()
+	time.Sleep(watchFor) // The span that is measured.
+	took := time.Since(began).Seconds()
+	var cpu, peers, polls, rss float64
+	for i, d := range c.daemons {
+		u := d.usage()
+		cpu += (u.cpu - before[i].cpu).Seconds()
+		peers += float64(u.peers - before[i].peers)
+		polls += float64(u.polls - before[i].polls)
+		rss += float64(u.rss)
+	}
+	n := float64(len(c.daemons))
+	b.ReportMetric(100*cpu/n/took, "cpu-%")
+	b.ReportMetric(rss/n/(1<<20), "MB")
+	b.ReportMetric(peers/n/took/1000, "peers-kB/s")
+	b.ReportMetric(polls/n/took/1000, "polls-kB/s")
+	b.ReportMetric(0, "ns/op")
+}
+
+// BenchmarkIdleByInstances varies the instances, with four servers.
+func BenchmarkIdleByInstances(b *testing.B) {
+	for _, n := range []int{3, 9, 18, 32} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			c := newCluster(b, clusterSpec{daemons: n, replicas: 3, engines: 4})
+			c.apply(1, configText())
+			for b.Loop() {
+				c.watch(b)
+			}
+		})
+	}
+}
+
+// BenchmarkIdleByServers varies the servers, with three instances. One stand-in
+// answers under many identities.
+func BenchmarkIdleByServers(b *testing.B) {
+	for _, n := range []int{8, 64, 200, 600} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			c := newCluster(b, clusterSpec{daemons: 3, engines: 8})
+			for i := len(c.listed); i < n; i++ {
+				row := c.listed[i%8]
+				row.ID = fmt.Sprintf("more-%d", i)
+				c.listed = append(c.listed, row)
+			}
+			c.list()
+			c.apply(1, configText())
+			eventually(b, "all servers have reported", func() bool { return c.reported() == n })
+			for b.Loop() {
+				c.watch(b)
+			}
+		})
+	}
+}
+
+// reported counts the servers whose load the first instance has read.
+func (c *cluster) reported() int {
+	var v struct {
+		Servers []struct {
+			Report protocol.LoadReport
+		}
+	}
+	c.daemons[0].adminGet("/dump", &v)
+	n := 0
+	for _, s := range v.Servers {
+		if len(s.Report.Models) > 0 {
+			n++
+		}
+	}
+	return n
+}
+
+// BenchmarkStreams holds many streams open through one instance and reports
+// what each adds.
+func BenchmarkStreams(b *testing.B) {
+	for _, n := range []int{0, 50, 116, 232} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			c := newCluster(b, clusterSpec{daemons: 1, engines: 4, engine: []string{"-token-time", "57ms", "-batch-time", "0s", "-max-batch", "100"}})
+			c.apply(1, configText())
+			for i := range n {
+				s := c.daemons[0].open(completion("docket-summary", fmt.Sprint("held ", i), 20000, true))
+				go func() {
+					for s.next() {
+					}
+				}()
+				b.Cleanup(s.close)
+			}
+			before := c.tokens()
+			began := time.Now()
+			for b.Loop() {
+				c.watch(b)
+			}
+			b.ReportMetric(float64(c.tokens()-before)/time.Since(began).Seconds(), "tokens/s")
+		})
+	}
+}
+
+func (c *cluster) tokens() int64 {
+	var m map[string]json.RawMessage
+	c.daemons[0].adminGet("/metrics", &m)
+	var row struct{ Count int64 }
+	_ = json.Unmarshal(m["tokens.relayed"], &row)
+	return row.Count
+}
--- a/transport/admin.go
+++ b/transport/admin.go
@@ -27,6 +27,8 @@
 	// Apply has a canonical configuration accepted under a number. A resend of
 	// the accepted one succeeds.
 	Apply(ctx context.Context, number uint64, canonical []byte) (protocol.Revision, *protocol.Refusal)
+	// Remove takes a replica that is gone for good out of the group.
+	Remove(ctx context.Context, name string) error
 }
 
 // ApplyRequest is the body of POST /v1/config.
@@ -109,6 +111,10 @@
 		writeRefusal(ctx, "", protocol.NewRefusal(http.StatusUnauthorized, protocol.CodeUnauthorized, "an operator's token is needed"))
 		return
 	}
+	if name, ok := strings.CutPrefix(string(ctx.Path()), "/v1/replicas/"); ok && ctx.IsDelete() {
+		a.remove(ctx, name)
+		return
+	}
 	switch string(ctx.Method()) + " " + string(ctx.Path()) {
 	case "GET /dump":
 		writeJSON(ctx, http.StatusOK, a.dump())
@@ -139,6 +145,17 @@
 	return match == 1
 }
 
+func (a *Admin) remove(ctx *fasthttp.RequestCtx, name string) {
+	wait, cancel := context.WithTimeout(context.Background(), applyTimeout)
+	defer cancel()
+	if err := a.store.Remove(wait, name); err != nil {
+		writeRefusal(ctx, "", protocol.NewRefusal(http.StatusServiceUnavailable, protocol.CodeNoQuorum, "%v", err))
+		return
+	}
+	a.log.Warn().Str("replica", name).Msg("replica is taken out")
+	writeJSON(ctx, http.StatusOK, map[string]string{"removed": name})
+}
+
 func (a *Admin) get(ctx *fasthttp.RequestCtx) {
 	view := ConfigView{Places: a.places()}
 	if ix := a.tables.Index(); ix != nil {
--- a/transport/links.go
+++ b/transport/links.go
@@ -14,6 +14,7 @@
 	"sync"
 	"time"
 
+	metrics "github.com/rcrowley/go-metrics"
 	"github.com/rotisserie/eris"
 	"github.com/rs/zerolog"
 
@@ -52,6 +53,7 @@
 	dial   time.Duration
 	log    zerolog.Logger
 	server *rpc.Server
+	meter  byteMeter
 
 	mu      sync.Mutex
 	clients map[string]*rpc.Client
@@ -71,6 +73,9 @@
 	}
 }
 
+// Meter shows the bytes to and from other instances among the meters.
+func (l *Links) Meter(r metrics.Registry) { l.meter.register("peers", r) }
+
 // Register makes the methods of a receiver callable by other instances.
 func (l *Links) Register(name string, receiver any) error {
 	return eris.Wrap(l.server.RegisterName(name, receiver), "register")
@@ -96,6 +101,7 @@
 }
 
 func (l *Links) serveConn(conn net.Conn) {
+	conn = &meteredConn{Conn: conn, meter: &l.meter}
 	defer func() { _ = conn.Close() }()
 	peer, buffered, err := l.accept(conn)
 	if err != nil {
@@ -237,6 +243,7 @@
 	if err != nil {
 		return nil, eris.Wrap(err, "connect to peer")
 	}
+	conn = &meteredConn{Conn: conn, meter: &l.meter}
 	buffered, err := l.connect(conn)
 	if err != nil {
 		_ = conn.Close()
--- a/transport/localconfig.go
+++ b/transport/localconfig.go
@@ -15,6 +15,9 @@
 // NewLocalConfig returns a store over the tables.
 func NewLocalConfig(t *state.Tables) *LocalConfig { return &LocalConfig{tables: t} }
 
+// Remove implements [ConfigStore]. There are no replicas.
+func (c *LocalConfig) Remove(context.Context, string) error { return ErrNoQuorum }
+
 // Apply implements [ConfigStore].
 func (c *LocalConfig) Apply(_ context.Context, number uint64, canonical []byte) (protocol.Revision, *protocol.Refusal) {
 	rev, err := state.ParseCanonical(number, canonical)
--- /dev/null
+++ b/transport/meter.go
@@ -0,0 +1,40 @@
+package transport
+
+import (
+	"net"
+	"sync/atomic"
+
+	metrics "github.com/rcrowley/go-metrics"
+)
+
+// byteMeter counts what goes over a kind of connections, both ways.
+type byteMeter struct {
+	sent     atomic.Int64
+	received atomic.Int64
+}
+
+// register shows the counts among the meters, in bytes since the start.
+func (m *byteMeter) register(name string, r metrics.Registry) {
+	metrics.NewRegisteredFunctionalGauge(name+".bytes.sent", r, m.sent.Load)
+	metrics.NewRegisteredFunctionalGauge(name+".bytes.received", r, m.received.Load)
+}
+
+// meteredConn counts the bytes of one connection.
+type meteredConn struct {
+	net.Conn
+	meter *byteMeter
+}
+
+// Read implements net.Conn.
+func (c *meteredConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.meter.received.Add(int64(n))
+	return n, err
+}
+
+// Write implements net.Conn.
+func (c *meteredConn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	c.meter.sent.Add(int64(n))
+	return n, err
+}
--- a/transport/poller.go
+++ b/transport/poller.go
@@ -10,6 +10,7 @@
 	"sync/atomic"
 	"time"
 
+	metrics "github.com/rcrowley/go-metrics"
 	"github.com/rotisserie/eris"
 	"github.com/rs/zerolog"
 
@@ -50,6 +51,9 @@
 	return &Poller{settings: s, tables: t, log: log, wires: newWires(s.Timeouts.Dial), leaving: leaving, entry: entry}
 }
 
+// Meter shows the bytes of polling among the meters.
+func (p *Poller) Meter(r metrics.Registry) { p.wires.meter.register("polls", r) }
+
 // Ready returns nil once the platform's list was read and the servers on it
 // were asked for their load. Before that nothing is known to route to.
 func (p *Poller) Ready() error {
--- a/transport/wire.go
+++ b/transport/wire.go
@@ -39,9 +39,10 @@
 
 // wires keeps idle connections per address.
 type wires struct {
-	dial time.Duration
-	mu   sync.Mutex
-	idle map[string][]*wire
+	dial  time.Duration
+	meter byteMeter
+	mu    sync.Mutex
+	idle  map[string][]*wire
 }
 
 func newWires(dial time.Duration) *wires {
@@ -59,7 +60,7 @@
 	if err != nil {
 		return nil, eris.Wrap(err, "connect")
 	}
-	w := &wire{conn: conn, fresh: true}
+	w := &wire{conn: &meteredConn{Conn: conn, meter: &p.meter}, fresh: true}
 	w.br, w.bw = bufio.NewReader(conn), bufio.NewWriter(w)
 	return w, nil
 }
