Routing by prefix affinity with bounded load

Ruled out: two random choices (no cache either), the related paper's filter chain (herds onto the server that an old report shows as empty), affinity without a bound (misses the target more often), a table of cache events (too much for the control budget).

Not won: the tokens computed again for a domain lost without notice.

Conclusion: the default. The old way stays as the baseline.

--- a/coordination/route/route.go
+++ b/coordination/route/route.go
@@ -20,15 +20,14 @@
 // ErrNoServer is returned when no backend server may take the request.
 var ErrNoServer = eris.New("no backend server can take the request")
 
-// maxMissed is how many load reports in a row a server may miss and still get
-// work while others answer.
-const maxMissed = 2
-
 // ChooseMsg asks for a backend server.
 type ChooseMsg struct {
 	Model        string   // Model must be loaded; empty for a plain service.
 	Adapter      string   // Adapter is preferred to be loaded.
 	Service      string   // Service is the plain service; empty for a model.
+	Prefix       uint64   // Prefix is the hash of the prompt's first part.
+	Rand         uint64   // Rand is fresh randomness.
+	Sheddable    bool     // Sheddable says that the request has a low priority.
 	AvoidServers []string // AvoidServers are never chosen: they failed this request.
 	AvoidDomains []string // AvoidDomains are chosen only when nothing else is left.
 }
@@ -90,7 +89,7 @@
 	if slices.Contains(m.AvoidDomains, s.Domain) {
 		r.domain = 1
 	}
-	if s.Missed > maxMissed {
+	if s.Silent() {
 		r.silent = 1
 	}
 	if m.Adapter != "" && !slices.Contains(s.Report.Adapters, m.Adapter) {
--- a/coordination/route/route_test.go
+++ b/coordination/route/route_test.go
@@ -1,6 +1,7 @@
 package route
 
 import (
+	"cmp"
 	"fmt"
 	"slices"
 	"testing"
@@ -24,7 +25,7 @@
 		if m.Adapter != "" && !slices.Contains(s.Report.Adapters, m.Adapter) {
 			key += 1_000
 		}
-		if s.Missed > maxMissed {
+		if s.Silent() {
 			key += 1_000_000
 		}
 		if slices.Contains(m.AvoidDomains, s.Domain) {
@@ -40,7 +41,7 @@
 }
 
 func drawView(t *rapid.T) (*state.View, []int32) {
-	v := &state.View{}
+	var servers []state.Server
 	var counts []int32
 	for i := range rapid.IntRange(0, 12).Draw(t, "servers") {
 		s := state.Server{Instance: protocol.Instance{
@@ -53,10 +54,13 @@
 		s.Report.Models = rapid.SampledFrom([][]string{nil, {"m"}, {"m", "n"}}).Draw(t, "models")
 		s.Report.Adapters = rapid.SampledFrom([][]string{nil, {"x"}}).Draw(t, "adapters")
 		s.Missed = rapid.IntRange(0, 4).Draw(t, "missed")
-		v.Servers = append(v.Servers, s)
+		s.Hash = mix(uint64(i))
+		s.Report.Running = rapid.IntRange(0, 9).Draw(t, "running")
+		s.OwnAt = int32(rapid.IntRange(0, 3).Draw(t, "own"))
+		servers = append(servers, s)
 		counts = append(counts, int32(rapid.IntRange(0, 5).Draw(t, "count")))
 	}
-	return v, counts
+	return state.NewView(servers), counts
 }
 
 // TestLeastOutstanding compares the choice with the naive full scan.
@@ -80,24 +84,85 @@
 	})
 }
 
+// naiveClass is the class of a server by its row.
+func naiveClass(s *state.Server, m ChooseMsg) int {
+	r := rankOf(s, 0, m)
+	return classAvoided*r.domain + classSilent*r.silent + classNoAdapter*r.adapter
+}
+
+// naiveAffinity lists, sorts and picks without any shortcut.
+func naiveAffinity(a Affinity, v *state.View, counts []int32, m ChooseMsg) int {
+	var best []int
+	for i := range v.Servers {
+		if !Eligible(&v.Servers[i], m) {
+			continue
+		}
+		if len(best) > 0 && naiveClass(&v.Servers[i], m) < naiveClass(&v.Servers[best[0]], m) {
+			best = nil
+		}
+		if len(best) == 0 || naiveClass(&v.Servers[i], m) == naiveClass(&v.Servers[best[0]], m) {
+			best = append(best, i)
+		}
+	}
+	if len(best) == 0 {
+		return -1
+	}
+	total := 0.0
+	for _, i := range best {
+		total += v.Servers[i].Load(counts[i])
+	}
+	limit := a.Bound*total/float64(len(best)) + a.Slack
+	best = slices.DeleteFunc(best, func(i int) bool { return v.Servers[i].Load(counts[i]) > limit })
+	slices.SortStableFunc(best, func(x, y int) int {
+		return cmp.Compare(mix(m.Prefix^v.Servers[y].Hash), mix(m.Prefix^v.Servers[x].Hash))
+	})
+	return best[0]
+}
+
+// TestAffinity compares the choice with the naive one, and checks what it is
+// for: two gateways with the same reports agree, and no server above the bound
+// is chosen while another is below.
+func TestAffinity(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		v, counts := drawView(t)
+		a := Affinity{Bound: rapid.Float64Range(1, 2).Draw(t, "bound"), Slack: rapid.Float64Range(0, 3).Draw(t, "slack")}
+		m := ChooseMsg{
+			Model:        "m",
+			Prefix:       rapid.Uint64Min(1).Draw(t, "prefix"),
+			Adapter:      rapid.SampledFrom([]string{"", "x"}).Draw(t, "adapter"),
+			AvoidDomains: rapid.SliceOfN(rapid.SampledFrom([]string{"a", "b"}), 0, 2).Draw(t, "domains"),
+		}
+		got, err := a.Choose(v, counts, m)
+		if want := naiveAffinity(a, v, counts, m); got != want || (err == nil) != (want >= 0) {
+			t.Fatalf("chose %d (%v), the naive way %d", got, err, want)
+		}
+	})
+}
+
 // BenchmarkChoose measures a decision among as many servers as are planned for.
 func BenchmarkChoose(b *testing.B) {
 	for _, n := range []int{64, 240, 600} {
-		b.Run(fmt.Sprint(n), func(b *testing.B) {
-			v := &state.View{}
-			for i := range n {
-				s := state.Server{Instance: protocol.Instance{ID: fmt.Sprintf("s%04d", i), Kind: protocol.InstanceEngine, Domain: fmt.Sprint("d", i%9)}, Counters: &state.Counters{}}
-				s.Report.Models, s.Report.Adapters = []string{"m"}, []string{"x"}
-				v.Servers = append(v.Servers, s)
-			}
-			var counts []int32
-			b.ReportAllocs()
-			for b.Loop() {
-				counts = v.Outstanding(counts)
-				if _, err := (LeastOutstanding{}).Choose(v, counts, ChooseMsg{Model: "m", Adapter: "x"}); err != nil {
-					b.Fatal(err)
-				}
-			}
-		})
+		for name, chooser := range map[string]Chooser{"least-outstanding": LeastOutstanding{}, "affinity": NewAffinity()} {
+			b.Run(fmt.Sprintf("%s/%d", name, n), func(b *testing.B) { benchChooser(b, chooser, n) })
+		}
+	}
+}
+
+func benchChooser(b *testing.B, chooser Chooser, n int) {
+	var servers []state.Server
+	for i := range n {
+		s := state.Server{Instance: protocol.Instance{ID: fmt.Sprintf("s%04d", i), Kind: protocol.InstanceEngine, Domain: fmt.Sprint("d", i%9)}, Counters: &state.Counters{}}
+		s.Report.Models, s.Report.Adapters = []string{"m"}, []string{"x"}
+		s.Hash = mix(uint64(i))
+		servers = append(servers, s)
+	}
+	v := state.NewView(servers)
+	var counts []int32
+	b.ReportAllocs()
+	for b.Loop() {
+		counts = v.Outstanding(counts)
+		if _, err := chooser.Choose(v, counts, ChooseMsg{Model: "m", Adapter: "x", Prefix: 7}); err != nil {
+			b.Fatal(err)
+		}
 	}
 }
--- a/state/backends.go
+++ b/state/backends.go
@@ -7,6 +7,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/weldstream/weldstream/protocol"
 )
 
@@ -16,6 +18,8 @@
 	protocol.Instance
 	Report   protocol.LoadReport // Report is the last that was read.
 	ReportAt time.Time           // ReportAt is when it was read; zero before the first.
+	OwnAt    int32               // OwnAt is Outstanding when Report was read.
+	Hash     uint64              // Hash is of the identity, for rendezvous ranks.
 	Missed   int                 // Missed counts reports that failed since ReportAt.
 	Counters *Counters           // Counters are shared by all snapshots.
 }
@@ -27,9 +31,20 @@
 	Failed      atomic.Int64 // Failed counts attempts that failed.
 }
 
+// Load estimates how many requests the server has: what it reported, corrected
+// by what this process sent, or saw ended, since then.
+func (s *Server) Load(own int32) float64 {
+	return max(float64(own), float64(s.Report.Running+s.Report.Waiting)+float64(own-s.OwnAt))
+}
+
+// Silent reports whether the server missed its last load reports.
+func (s *Server) Silent() bool { return s.Missed > maxMissed }
+
 // View is an immutable snapshot of all backend servers, by identity.
 type View struct {
-	Servers []Server
+	Servers  []Server
+	models   map[string]*Pool
+	services map[string]*Pool
 }
 
 // Outstanding copies the counts of requests in progress into dst, which is
@@ -74,7 +89,7 @@
 		leaving: map[string]protocol.Leaving{},
 		changed: make(chan string, leavingQueue),
 	}
-	b.view.Store(&View{})
+	b.view.Store(NewView(nil))
 	return b
 }
 
@@ -93,7 +108,7 @@
 		}
 		row := b.rows[in.ID]
 		if row == nil || row.Address != in.Address {
-			row = &Server{Counters: &Counters{}}
+			row = &Server{Counters: &Counters{}, Hash: xxhash.Sum64String(in.ID)}
 		}
 		row.Instance = in
 		rows[in.ID] = row
@@ -105,28 +120,39 @@
 	b.publish()
 }
 
-// SetReport stores a server's load report.
-func (b *Backends) SetReport(id string, r protocol.LoadReport, at time.Time) {
+// ReportRow is the outcome of asking one server for its load.
+type ReportRow struct {
+	Server string
+	Report protocol.LoadReport
+	Failed bool // Failed says that the report could not be read.
+	At     time.Time
+}
+
+// SetReports stores the outcomes of one round of asking. The snapshot is built
+// once a round: it is as large as there are servers.
+func (b *Backends) SetReports(rows []ReportRow) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	row := b.rows[id]
-	if row == nil {
-		return
-	}
-	row.Report, row.ReportAt, row.Missed = r, at, 0
-	if r.Leaving {
-		b.mark(protocol.Leaving{Server: id, Origin: "report"})
+	for _, r := range rows {
+		b.setReport(r)
 	}
 	b.publish()
 }
 
-// MissReport counts a load report that could not be read.
-func (b *Backends) MissReport(id string) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	if row := b.rows[id]; row != nil {
+// setReport needs b.mu.
+func (b *Backends) setReport(r ReportRow) {
+	row := b.rows[r.Server]
+	if row == nil {
+		return
+	}
+	if r.Failed {
 		row.Missed++
-		b.publish()
+		return
+	}
+	row.Report, row.ReportAt, row.Missed = r.Report, r.At, 0
+	row.OwnAt = row.Counters.Outstanding.Load()
+	if r.Report.Leaving {
+		b.mark(protocol.Leaving{Server: r.Server, Origin: "report"})
 	}
 }
 
@@ -172,14 +198,13 @@
 
 // publish needs b.mu.
 func (b *Backends) publish() {
-	v := &View{Servers: make([]Server, 0, len(b.rows))}
+	servers := make([]Server, 0, len(b.rows))
 	for id, row := range b.rows {
 		s := *row
 		if _, ok := b.leaving[id]; ok {
 			s.Leaving = true
 		}
-		v.Servers = append(v.Servers, s)
+		servers = append(servers, s)
 	}
-	slices.SortFunc(v.Servers, func(x, y Server) int { return strings.Compare(x.ID, y.ID) })
-	b.view.Store(v)
+	b.view.Store(NewView(servers))
 }
--- a/transport/exchange.go
+++ b/transport/exchange.go
@@ -353,6 +353,9 @@
 	m := route.ChooseMsg{
 		Model:        r.Model,
 		Adapter:      r.Adapter,
+		Prefix:       r.PrefixHash,
+		Rand:         rand.Uint64(),
+		Sheddable:    r.Priority < protocol.PriorityNormal,
 		AvoidServers: cmd.AvoidServers,
 		AvoidDomains: cmd.AvoidDomains,
 	}
--- a/transport/gateway.go
+++ b/transport/gateway.go
@@ -90,7 +90,7 @@
 	g := &Gateway{
 		settings:  s,
 		tables:    t,
-		chooser:   route.LeastOutstanding{},
+		chooser:   route.NewAffinity(),
 		log:       zerolog.Nop(),
 		wires:     newWires(s.Timeouts.Dial),
 		counts:    sync.Pool{New: func() any { return new([]int32) }},
--- a/transport/orders_test.go
+++ b/transport/orders_test.go
@@ -59,7 +59,7 @@
 				Adapters: []protocol.Adapter{{Name: "a", Model: "m"}},
 			}})
 			tables.Backends.SetList([]protocol.Instance{{ID: "e", Kind: protocol.InstanceEngine, Address: strings.TrimPrefix(srv.URL, "http://")}})
-			tables.Backends.SetReport("e", protocol.LoadReport{Models: []string{"m"}}, time.Now())
+			tables.Backends.SetReports([]state.ReportRow{{Server: "e", Report: protocol.LoadReport{Models: []string{"m"}}, At: time.Now()}})
 			c := NewCommander(&fakeLease{answers: tt.leads}, tt.settle, time.Second, tables, zerolog.Nop())
 			c.round()
 			if orders != tt.want {
--- a/transport/parse.go
+++ b/transport/parse.go
@@ -70,12 +70,36 @@
 	r.Route, r.Model, r.Adapter = rt.Name, rt.Model, rt.Adapter
 	r.Stream, r.MaxTokens = body.Stream, body.MaxTokens
 	r.WantUsage = body.Options.IncludeUsage
-	r.PrefixHash = xxhash.Sum64(prompt[:min(len(prompt), prefixBytes)])
+	r.PrefixHash = prefixHash(kind, prompt)
 	r.PromptLen = len(prompt) / bytesPerToken
 	r.Repeatable = r.Repeatable && !rt.NotRepeatable
 	return r, p.priority(r, rt.Priority)
 }
 
+// prefixHash identifies what later requests will share: of a chat, the messages
+// up to the caller's first, since what stands before that is the same for many
+// conversations; of a prompt, its first bytes.
+func prefixHash(kind protocol.Kind, prompt json.RawMessage) uint64 {
+	if kind != protocol.KindChat {
+		return xxhash.Sum64(prompt[:min(len(prompt), prefixBytes)])
+	}
+	var messages []struct {
+		Role    string          `json:"role"`
+		Content json.RawMessage `json:"content"`
+	}
+	if json.Unmarshal(prompt, &messages) != nil {
+		return xxhash.Sum64(prompt[:min(len(prompt), prefixBytes)])
+	}
+	h := xxhash.New()
+	for _, m := range messages {
+		_, _ = h.Write(m.Content) // A hash does not fail.
+		if m.Role == "user" {
+			break
+		}
+	}
+	return h.Sum64()
+}
+
 func checkModelBody(kind protocol.Kind, body *modelBody) *protocol.Refusal {
 	switch {
 	case body.Model == "":
--- a/transport/poller.go
+++ b/transport/poller.go
@@ -153,28 +153,30 @@
 	slots := make(chan struct{}, pollWorkers)
 	listed := p.listed.Load()
 	view := p.tables.Backends.View()
+	rows := make([]state.ReportRow, len(view.Servers))
 	for i := range view.Servers {
-		s := &view.Servers[i]
 		slots <- struct{}{}
 		wg.Go(func() {
 			defer func() { <-slots }()
-			p.readLoad(s)
+			rows[i] = p.readLoad(&view.Servers[i])
 		})
 	}
 	wg.Wait()
+	p.tables.Backends.SetReports(rows)
 	if listed {
 		p.loaded.Store(true)
 	}
 }
 
-func (p *Poller) readLoad(s *state.Server) {
-	var r protocol.LoadReport
-	if err := p.get(s.Address, "/load", p.settings.Timeouts.Dial, &r); err != nil {
-		p.tables.Backends.MissReport(s.ID)
-		return
+func (p *Poller) readLoad(s *state.Server) state.ReportRow {
+	row := state.ReportRow{Server: s.ID}
+	if err := p.get(s.Address, "/load", p.settings.Timeouts.Dial, &row.Report); err != nil {
+		row.Failed = true
+		return row
 	}
-	p.tables.Backends.SetReport(s.ID, r, time.Now())
-	if r.Leaving && !s.Leaving {
+	row.At = time.Now()
+	if row.Report.Leaving && !s.Leaving {
 		p.leaving(protocol.Leaving{Server: s.ID, Origin: "report"})
 	}
+	return row
 }
