Histories judged by porcupine; a race, a short wait and two blind tests mended

Cause: a linearizability test over the real processes was missing. Taking mechanisms out showed two tests that passed without them: - TestHangUp passed with the watch taken out, since the wait for an engine's next event (10 s) also covered the time in its queue and gave the request up. That was a fault of its own: up to the first event the longer first-byte wait holds now. The test sets both to five minutes. - TestSlowReader passed without the stall time, since the answer fitted into the sockets' buffers. It asks for 100,000 tokens now.

--- a/coordination/group/group.go
+++ b/coordination/group/group.go
@@ -79,6 +79,7 @@
 // Group is one replica of a replication group.
 type Group struct {
 	cfg        Config
+	id         protocol.ReplicaID
 	folder     *wal.Folder
 	loaded     *wal.Loaded
 	sender     Sender
@@ -158,6 +159,7 @@
 	}
 	g := &Group{
 		cfg:        cfg,
+		id:         folder.ID(),
 		folder:     folder,
 		loaded:     loaded,
 		sender:     sender,
@@ -215,7 +217,7 @@
 func (g *Group) now() time.Duration { return time.Since(g.began) }
 
 // ID returns the replica's identity.
-func (g *Group) ID() protocol.ReplicaID { return g.folder.ID() }
+func (g *Group) ID() protocol.ReplicaID { return g.id }
 
 // Status returns the group's state at the end of the last batch.
 func (g *Group) Status() Status { return *g.status.Load() }
--- /dev/null
+++ b/e2e/history_test.go
@@ -0,0 +1,211 @@
+package e2e
+
+import (
+	"cmp"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/anishathalye/porcupine"
+	"github.com/rs/zerolog"
+
+	"github.com/weldstream/weldstream/protocol"
+	"github.com/weldstream/weldstream/transport"
+)
+
+// An operation on the accepted configuration: an apply of a number with one of
+// several contents, or a read that a quorum confirms.
+type configInput struct {
+	read    bool
+	number  uint64
+	content string
+}
+
+type configOutput struct {
+	accepted bool
+	number   uint64
+	digest   protocol.Digest
+	unknown  bool // unknown says that no answer came: it may have happened, now or later.
+}
+
+type configState struct {
+	number uint64
+	digest protocol.Digest
+}
+
+// configModel is what the brief promises, in one thread: number n+1 on top of
+// n, a resend succeeds, reads see the latest.
+var configModel = porcupine.Model{
+	Init: func() any { return configState{} },
+	Step: func(st, in, out any) (bool, any) {
+		s, i, o := st.(configState), in.(configInput), out.(configOutput)
+		if i.read {
+			return o.unknown || (o.number == s.number && o.digest == s.digest), s
+		}
+		digest := protocol.DigestOf([]byte(i.content))
+		if i.number == s.number+1 {
+			s = configState{number: i.number, digest: digest}
+		}
+		accepted := i.number == s.number && digest == s.digest
+		return o.unknown || o.accepted == accepted, s
+	},
+}
+
+// historian records what clients did and saw.
+type historian struct {
+	mu    sync.Mutex
+	began time.Time
+	ops   []porcupine.Operation
+}
+
+// record runs an operation and keeps it, unless it turns out to be none: do
+// reports false then.
+func (h *historian) record(client int, in configInput, do func() (configOutput, bool)) (configOutput, bool) {
+	call := time.Since(h.began).Nanoseconds()
+	out, made := do()
+	back := time.Since(h.began).Nanoseconds()
+	if out.unknown {
+		back = math.MaxInt64 // It may take effect at any later time.
+	}
+	if made {
+		h.mu.Lock()
+		defer h.mu.Unlock()
+		h.ops = append(h.ops, porcupine.Operation{ClientId: client, Input: in, Call: call, Output: out, Return: back})
+	}
+	return out, made
+}
+
+// TestHistoryIsLinearizable lets clients race applies and confirmed reads
+// through all replicas while the leader is killed, frozen and started again,
+// and has porcupine judge the history.
+func TestHistoryIsLinearizable(t *testing.T) {
+	c := newCluster(t, clusterSpec{daemons: 3, engines: 1})
+	c.awaitMembers()
+	c.leader()
+	h := &historian{began: time.Now()}
+	stop := make(chan struct{})
+	var wg sync.WaitGroup
+	for client := range 5 {
+		wg.Go(func() { c.clientLoop(h, client, stop) })
+	}
+	for round := range 4 {
+		victim := c.leader()
+		mark := h.len()
+		if round%2 == 0 {
+			victim.kill()
+		} else {
+			victim.signal(syscall.SIGSTOP)
+		}
+		c.leader(victim)
+		eventually(t, "clients got on", func() bool { return h.len() > mark+20 })
+		if round%2 == 0 {
+			victim.launch()
+		} else {
+			victim.signal(syscall.SIGCONT)
+		}
+		mark = h.len()
+		eventually(t, "clients got on", func() bool { return h.len() > mark+20 })
+	}
+	close(stop)
+	wg.Wait()
+	h.dropWithoutEffect()
+	result := porcupine.CheckOperationsTimeout(configModel, h.ops, time.Minute)
+	t.Logf("%d operations: %v", len(h.ops), result)
+	if result != porcupine.Ok {
+		t.Errorf("the history of %d operations is %v", len(h.ops), result)
+	}
+}
+
+// dropWithoutEffect drops the applies without an answer that, by what others
+// saw, came to nothing: such an operation may as well not have been made, and
+// each would double the work of the check.
+func (h *historian) dropWithoutEffect() {
+	winners := map[uint64]protocol.Digest{}
+	for _, op := range h.ops {
+		in, out := op.Input.(configInput), op.Output.(configOutput)
+		switch {
+		case out.unknown:
+		case in.read:
+			winners[out.number] = out.digest
+		case out.accepted:
+			winners[in.number] = protocol.DigestOf([]byte(in.content))
+		}
+	}
+	kept := map[uint64]bool{}
+	slices.SortFunc(h.ops, func(a, b porcupine.Operation) int { return cmp.Compare(a.Call, b.Call) })
+	h.ops = slices.DeleteFunc(h.ops, func(op porcupine.Operation) bool {
+		in, out := op.Input.(configInput), op.Output.(configOutput)
+		winner, known := winners[in.number]
+		if !out.unknown || !known {
+			return false
+		}
+		// Of several that may be the winner, the first to be called can have
+		// taken effect whenever another could.
+		if winner != protocol.DigestOf([]byte(in.content)) || kept[in.number] {
+			return true
+		}
+		kept[in.number] = true
+		return false
+	})
+}
+
+func (h *historian) len() int {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return len(h.ops)
+}
+
+// clientLoop applies the next number, or one that is taken, or reads.
+func (c *cluster) clientLoop(h *historian, client int, stop chan struct{}) {
+	rnd := rand.New(rand.NewPCG(uint64(client), 3))
+	links := transport.NewLinks(fmt.Sprint("client-", client), []byte(clusterKey), time.Second, zerolog.Nop())
+	known := uint64(0)
+	for {
+		select {
+		case <-stop:
+			return
+		default:
+		}
+		address := c.daemons[rnd.IntN(len(c.daemons))].direct.Load().(string)
+		in := configInput{read: rnd.IntN(3) == 0}
+		if !in.read {
+			in.number = max(1, known+uint64(rnd.IntN(3)))
+			in.content = fmt.Sprintf(`{"models":[{"name":"m","version":"%d"}]}`, rnd.IntN(3))
+		}
+		if out, asked := c.try(links, address, h, client, in); asked {
+			known = max(known, out.number)
+		}
+	}
+}
+
+// try makes one call. A replica that does not lead says so, and that is no
+// operation; nor is a read without an answer.
+func (c *cluster) try(links *transport.Links, address string, h *historian, client int, in configInput) (configOutput, bool) {
+	return h.record(client, in, func() (configOutput, bool) {
+		var reply transport.GroupReply
+		var err error
+		if in.read {
+			err = links.Call(address, "Group.Confirm", true, &reply, time.Second)
+		} else {
+			err = links.Call(address, "Group.Propose", protocol.Command{Apply: &protocol.ApplyMsg{Number: in.number, Config: []byte(in.content)}}, &reply, time.Second)
+		}
+		switch {
+		case err == nil && reply.Failed == transport.GroupElsewhere:
+			return configOutput{}, false
+		case err != nil || reply.Failed != transport.GroupOK:
+			return configOutput{unknown: true}, !in.read
+		case !in.read:
+			return configOutput{accepted: reply.Result.Apply.Accepted, number: reply.Result.Apply.Number}, true
+		}
+		out := configOutput{number: reply.Number}
+		if reply.Number > 0 {
+			out.digest = protocol.DigestOf(reply.Config)
+		}
+		return out, true
+	})
+}
--- a/e2e/path_test.go
+++ b/e2e/path_test.go
@@ -105,7 +105,7 @@
 // TestHangUp shows that a caller that leaves ends its request at the engine:
 // in mid-stream, and while it waits for its first token.
 func TestHangUp(t *testing.T) {
-	c := newCluster(t, clusterSpec{daemons: 1, engines: 1, engine: []string{"-max-batch", "1", "-token-time", "20ms"}})
+	c := newCluster(t, clusterSpec{daemons: 1, engines: 1, engine: []string{"-max-batch", "1", "-token-time", "20ms"}, settings: "timeouts: {first_byte: 5m, chunk_gap: 5m}\n"})
 	c.apply(1, configText())
 	d, e := c.daemons[0], c.engines[0]
 	streaming := d.open(completion("docket-summary", "long", 5000, true))
@@ -122,12 +122,17 @@
 // rawAsk sends a streamed request over a bare connection, which the test can
 // close while nothing was answered.
 func rawAsk(t *testing.T, d *daemon, prompt string) net.Conn {
+	t.Helper()
+	return rawAskFor(t, d, prompt, 5000)
+}
+
+func rawAskFor(t *testing.T, d *daemon, prompt string, tokens int) net.Conn {
 	t.Helper()
 	conn, err := net.Dial("tcp", d.caller)
 	if err != nil {
 		t.Fatal(err)
 	}
-	body := fmt.Sprintf(`{"model":"docket-summary","prompt":%q,"max_tokens":5000,"stream":true}`, prompt)
+	body := fmt.Sprintf(`{"model":"docket-summary","prompt":%q,"max_tokens":%d,"stream":true}`, prompt, tokens)
 	_, err = fmt.Fprintf(conn, "POST /v1/completions HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer %s\r\nContent-Length: %d\r\n\r\n%s", workspaceKey, len(body), body)
 	if err != nil {
 		t.Fatal(err)
@@ -138,10 +143,10 @@
 // TestSlowReader lets a caller stop reading. It is cut off after the stall
 // time, and others are served meanwhile.
 func TestSlowReader(t *testing.T) {
-	c := newCluster(t, clusterSpec{daemons: 1, engines: 1, engine: []string{"-token-time", "100us", "-batch-time", "1us"}, settings: "timeouts: {write_stall: 500ms}\n"})
+	c := newCluster(t, clusterSpec{daemons: 1, engines: 1, engine: []string{"-token-time", "20us", "-batch-time", "1us"}, settings: "timeouts: {write_stall: 500ms}\n"})
 	c.apply(1, configText())
 	d := c.daemons[0]
-	conn := rawAsk(t, d, "slow")
+	conn := rawAskFor(t, d, "slow", 100000) // More than the sockets' buffers hold.
 	defer conn.Close()
 	if err := conn.(*net.TCPConn).SetReadBuffer(4096); err != nil {
 		t.Fatal(err)
--- a/settings/defaults.go
+++ b/settings/defaults.go
@@ -9,7 +9,7 @@
 	DefaultStreams         = 512                    // requests in progress on one instance
 	DefaultRequestDeadline = 120 * time.Second      // when the caller names none
 	DefaultMaxDeadline     = 30 * time.Minute       // the longest that a caller may name
-	DefaultFirstByte       = 20 * time.Second       // from dispatch to a backend server's first byte
+	DefaultFirstByte       = 20 * time.Second       // from dispatch to the answer, and to its first event
 	DefaultChunkGap        = 10 * time.Second       // between two events of an engine's stream
 	DefaultWriteStall      = 15 * time.Second       // a caller that takes no byte for so long is cut off
 	DefaultDial            = 500 * time.Millisecond // to connect to a backend server or a peer
--- a/transport/engine.go
+++ b/transport/engine.go
@@ -190,9 +190,11 @@
 		return false
 	}
 	events := bufio.NewReaderSize(body, 4<<10)
-	gap := g.settings.Timeouts.ChunkGap
+	// The engine answers before it begins; until the first event the request may
+	// wait in its queue.
+	wait := g.settings.Timeouts.FirstByte
 	for {
-		_ = w.conn.SetDeadline(time.Now().Add(gap)) // A closed connection shows at the read.
+		_ = w.conn.SetDeadline(time.Now().Add(wait)) // A closed connection shows at the read.
 		line, err := events.ReadSlice('\n')
 		if err != nil {
 			c.fail(protocol.MayHaveRun, eris.Wrap(err, "read stream"), false)
@@ -210,6 +212,7 @@
 		if !c.event(data) {
 			return false
 		}
+		wait = g.settings.Timeouts.ChunkGap
 	}
 }
 
