--- a/coordination/member/member.go
+++ b/coordination/member/member.go
@@ -31,7 +31,7 @@
 	Fanout    int           // Fanout is how many members get news at once.
 	Indirect  int           // Indirect is how many members probe a silent one.
 	Suspect   time.Duration // Suspect is how long a suspicion stands before death.
-	SyncEvery int           // SyncEvery is the number of ticks between synchronizations.
+	SyncEvery int           // SyncEvery is the least number of ticks between synchronizations.
 	Forget    time.Duration // Forget is when the record of a dead member is dropped.
 }
 
@@ -99,12 +99,16 @@
 	s.expire(m.Now)
 	rnd := rand.New(rand.NewPCG(m.Rand, 0))
 	cmds := s.probe(rnd)
-	if s.ticks%s.cfg.SyncEvery == 1 {
+	if s.ticks%s.syncEvery() == 1 {
 		cmds = append(cmds, s.sync(rnd)...)
 	}
 	return cmds
 }
 
+// syncEvery is the number of ticks between synchronizations. Their size grows
+// with the members, so they come the more seldom the more there are.
+func (s *State) syncEvery() int { return max(s.cfg.SyncEvery, len(s.rows)) }
+
 // expire holds suspects dead, and forgets the dead, in their time.
 func (s *State) expire(now time.Time) {
 	for name, r := range s.rows {
--- a/coordination/replicate/leader.go
+++ b/coordination/replicate/leader.go
@@ -195,26 +195,33 @@
 // advance commits what a quorum of voters has on disk. Only an entry of this
 // term commits those before it.
 func (r *Replica) advance() {
+	index := r.quorumValue(r.stable, func(p *progress) uint64 { return p.match })
+	if term, ok := r.log.Term(index); ok && term == r.hard.Term {
+		r.commitTo(index)
+	}
+}
+
+// quorumValue returns the highest value that a quorum of voters has reached:
+// own is this replica's, of the others what of tells. A voter without progress
+// has reached nothing.
+func (r *Replica) quorumValue(own uint64, of func(*progress) uint64) uint64 {
 	members := r.log.Members()
-	var matches []uint64
+	values := make([]uint64, 0, len(members.Voters))
 	for _, id := range members.Voters {
 		switch {
 		case id == r.id:
-			matches = append(matches, r.stable)
+			values = append(values, own)
 		case r.peers[id] != nil:
-			matches = append(matches, r.peers[id].match)
+			values = append(values, of(r.peers[id]))
 		default:
-			matches = append(matches, 0)
+			values = append(values, 0)
 		}
 	}
-	if len(matches) == 0 {
-		return
-	}
-	slices.Sort(matches)
-	index := matches[len(matches)-members.Quorum()]
-	if term, ok := r.log.Term(index); ok && term == r.hard.Term {
-		r.commitTo(index)
+	if len(values) == 0 {
+		return 0
 	}
+	slices.Sort(values)
+	return values[len(values)-members.Quorum()]
 }
 
 // commitTo applies what is newly committed.
@@ -276,21 +283,7 @@
 	if r.role != Leader {
 		return
 	}
-	members := r.log.Members()
-	var rounds []uint64
-	for _, id := range members.Voters {
-		switch {
-		case id == r.id:
-			rounds = append(rounds, r.round)
-		case r.peers[id] != nil:
-			rounds = append(rounds, r.peers[id].round)
-		}
-	}
-	if len(rounds) < members.Quorum() {
-		return
-	}
-	slices.Sort(rounds)
-	confirmed := rounds[len(rounds)-members.Quorum()]
+	confirmed := r.quorumValue(r.round, func(p *progress) uint64 { return p.round })
 	if sent, ok := r.sentAt[confirmed]; ok {
 		r.lease = max(r.lease, sent+r.cfg.Election-r.cfg.Election/leaseMargin)
 	}
--- a/settings/defaults.go
+++ b/settings/defaults.go
@@ -21,14 +21,14 @@
 	DefaultGossipFanout    = 3                      // peers addressed in a gossip round
 	DefaultSuspect         = 3 * time.Second        // without a beat, a member counts as lost
 	DefaultDrain           = 10 * time.Minute       // a planned stop waits so long before it hands over
-	DefaultElection        = 300 * time.Millisecond // least election timeout; the most is twice that
-	DefaultReplicaBeat     = 60 * time.Millisecond  // between two heartbeats of a leader
+	DefaultElection        = 450 * time.Millisecond // least election timeout; the most is twice that
+	DefaultReplicaBeat     = 120 * time.Millisecond // between two heartbeats of a leader
 	DefaultSnapshotEntries = 4096                   // log entries between two snapshots
 	DefaultCommitBatch     = 512                    // inputs that one sync commits at most
 	DefaultReserveBytes    = 64 << 20               // bytes of the disk kept free
 	DefaultClaimWindow     = time.Hour              // how old a claimed request may be
 	DefaultClaimSkew       = 2 * time.Minute        // how far a caller's clock may run ahead
-	DefaultClaims          = 200_000                // claims kept at once
+	DefaultClaims          = 100_000                // claims kept at once
 	DefaultAnswerBytes     = 64 << 20               // bytes of stored answers, all claims together
 	DefaultLogLevel        = "info"
 )
--- a/state/claims_test.go
+++ b/state/claims_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"runtime"
 	"testing"
 
 	"github.com/google/go-cmp/cmp"
@@ -146,3 +147,30 @@
 		}
 	}
 }
+
+// BenchmarkClaimMemory reports what a kept claim takes, without an answer.
+func BenchmarkClaimMemory(b *testing.B) {
+	for _, n := range []int{10_000, 50_000, 200_000} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			limits := protocol.ClaimLimits{WindowMS: 3600_000, Count: n}
+			var before, after runtime.MemStats
+			for b.Loop() {
+				runtime.GC()
+				runtime.ReadMemStats(&before)
+				m := NewMachine()
+				for i := range n {
+					key := protocol.Key{Workspace: "east-baton-rouge", ID: fmt.Sprintf("%036d", i)}
+					owner := protocol.Owner{Instance: "entry-1", Request: fmt.Sprintf("%023d", i)}
+					m.Apply(&protocol.Command{At: 1, Claim: &protocol.ClaimMsg{Key: key, Owner: owner, IssuedAt: 1, Limits: limits}})
+				}
+				runtime.GC()
+				runtime.ReadMemStats(&after)
+				if m.Claims() != n {
+					b.Fatal(m.Claims())
+				}
+			}
+			b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/float64(n), "bytes/claim")
+			b.ReportMetric(0, "ns/op")
+		})
+	}
+}
