--- /dev/null
+++ b/coordination/admit/admit_test.go
@@ -0,0 +1,57 @@
+package admit
+
+import (
+	"testing"
+	"time"
+
+	"github.com/weldstream/weldstream/protocol"
+)
+
+// TestNext walks through every answer that the claims group can give.
+func TestNext(t *testing.T) {
+	answer := &protocol.Answer{Text: "kept"}
+	for _, tt := range []struct {
+		name    string
+		reply   protocol.ClaimReply
+		alive   bool
+		action  Action
+		verdict protocol.Verdict
+		code    protocol.Code
+	}{
+		{"granted", protocol.ClaimReply{State: protocol.ClaimGranted}, false, Run, 0, ""},
+		{"released", protocol.ClaimReply{State: protocol.ClaimReleased}, false, Again, 0, ""},
+		{"runs elsewhere", protocol.ClaimReply{State: protocol.ClaimRunning}, true, Wait, 0, ""},
+		{"its owner is gone", protocol.ClaimReply{State: protocol.ClaimRunning}, false, Refuse, protocol.MayHaveRun, protocol.CodeClaimLost},
+		{"ran, kept", protocol.ClaimReply{State: protocol.ClaimRan, Answer: answer}, false, Replay, 0, ""},
+		{"ran, dropped", protocol.ClaimReply{State: protocol.ClaimRan}, false, Refuse, protocol.Ran, protocol.CodeAnswerDropped},
+		{"may have run", protocol.ClaimReply{State: protocol.ClaimMayHaveRun}, true, Refuse, protocol.MayHaveRun, protocol.CodeClaimLost},
+		{"another request", protocol.ClaimReply{State: protocol.ClaimConflict}, true, Refuse, protocol.NotRun, protocol.CodeKeyReused},
+		{"too old", protocol.ClaimReply{State: protocol.ClaimExpired}, true, Refuse, protocol.MayHaveRun, protocol.CodeKeyExpired},
+		{"from the future", protocol.ClaimReply{State: protocol.ClaimFuture}, true, Refuse, protocol.NotRun, protocol.CodeBadRequest},
+		{"full", protocol.ClaimReply{State: protocol.ClaimFull}, true, Refuse, protocol.NotRun, protocol.CodeOverloaded},
+		{"not understood", protocol.ClaimReply{State: 99}, true, Refuse, protocol.MayHaveRun, protocol.CodeClaimLost},
+	} {
+		step := Next(tt.reply, func(protocol.Owner) bool { return tt.alive })
+		if step.Action != tt.action {
+			t.Errorf("%s: action %d, want %d", tt.name, step.Action, tt.action)
+			continue
+		}
+		if r := step.Refusal; r != nil && (r.Verdict != tt.verdict || r.Code != tt.code) {
+			t.Errorf("%s: refused with %v", tt.name, r)
+		}
+	}
+}
+
+// TestCheck asks for a key and its date.
+func TestCheck(t *testing.T) {
+	dated := &protocol.Request{IssuedAt: time.Unix(1, 0)}
+	if r := Check(dated, true); r != nil {
+		t.Errorf("a dated key is refused: %v", r)
+	}
+	if r := Check(dated, false); r == nil || r.Code != protocol.CodeBadRequest {
+		t.Errorf("no key: %v", r)
+	}
+	if r := Check(&protocol.Request{}, true); r == nil || r.Code != protocol.CodeKeyUndated {
+		t.Errorf("no date: %v", r)
+	}
+}
--- a/e2e/group_test.go
+++ b/e2e/group_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"os"
+	"slices"
 	"strings"
 	"sync"
 	"syscall"
@@ -25,7 +26,7 @@
 	var found *daemon
 	eventually(c.t, "a replica leads", func() bool {
 		for _, d := range c.daemons {
-			if !d.alive() || contains(not, d) || !contains2(c.replicas, d.name) {
+			if !d.alive() || slices.Contains(not, d) || !slices.Contains(c.replicas, d.name) {
 				continue
 			}
 			if s := d.groupOf(); s != nil && s.Role == "leader" {
@@ -38,24 +39,6 @@
 	return found
 }
 
-func contains(list []*daemon, d *daemon) bool {
-	for _, o := range list {
-		if o == d {
-			return true
-		}
-	}
-	return false
-}
-
-func contains2(list []string, name string) bool {
-	for _, o := range list {
-		if o == name {
-			return true
-		}
-	}
-	return false
-}
-
 // numbered returns a configuration that differs by its number.
 func numbered(n int) string {
 	return strings.Replace(configText(), `version: "1"`, fmt.Sprintf(`version: "%d"`, n), 1)
--- a/transport/exchange.go
+++ b/transport/exchange.go
@@ -19,6 +19,9 @@
 	// messageQueue bounds the chunks that wait for a slow caller; beyond it the
 	// backend server's connection is not read.
 	messageQueue = 32
+	// urgentQueue is longer than the urgent messages that a request can get before
+	// they are read.
+	urgentQueue = 16
 	// exportTimeout bounds the question whether a server ended a request.
 	exportTimeout = 2 * time.Second
 	// moveRetry is between two looks for a server to move a request to.
@@ -68,14 +71,13 @@
 		started: now,
 		state:   attempt.New(r.Repeatable, g.settings.Limits.Attempts, r.Resume, 0),
 		msgs:    make(chan attempt.Msg, messageQueue),
-		urgent:  make(chan attempt.Msg, 16),
+		urgent:  make(chan attempt.Msg, urgentQueue),
 		done:    make(chan struct{}),
 		wires:   map[int]*wire{},
 	}
 }
 
-// post sends an urgent message without waiting. The queue is longer than the
-// urgent messages that one request can get before they are read.
+// post sends an urgent message without waiting; see urgentQueue.
 func (x *exchange) post(m attempt.Msg) {
 	select {
 	case x.urgent <- m:
