Bounds for leaving marks and kept answers; waiting for a leader backs off

They go after an hour, by the time of their origin, so that a copy does not bring them back; - an answer of any size was put through the log for a resend. Above 256 KB it is not kept, and a resend is told that the request ran; - all who wait for an election asked all replicas each 20 ms. They wait longer each round, up to 200 ms, with jitter.

Seen: TestLeavingIsForgotten fails with the expiry taken out.

--- a/coordination/member/member.go
+++ b/coordination/member/member.go
@@ -120,8 +120,17 @@
 			delete(s.rows, name)
 		}
 	}
+	for server, l := range s.leaving {
+		if expired(l.Leaving, now) {
+			delete(s.leaving, server)
+		}
+	}
 }
 
+// expired reports whether a leaving record is to be dropped. It goes by the
+// time of its origin, so that a copy from another instance does not revive it.
+func expired(l protocol.Leaving, now time.Time) bool { return now.Sub(l.Seen) > protocol.LeavingKept }
+
 func withState(m protocol.Member, st protocol.MemberState) protocol.Member {
 	m.State = st
 	return m
@@ -228,7 +237,7 @@
 		}
 	}
 	for _, l := range m.News.Leaving {
-		if _, ok := s.leaving[l.Server]; !ok {
+		if _, ok := s.leaving[l.Server]; !ok && !expired(l, m.Now) {
 			s.leaving[l.Server] = &leavingRow{Leaving: l, sends: s.sends()}
 			fresh = true
 			cmds = append(cmds, LeavingCmd{Leaving: l})
--- a/coordination/member/member_test.go
+++ b/coordination/member/member_test.go
@@ -137,7 +137,7 @@
 			c := newCluster(t, n, seed)
 			c.run(150)
 			c.sent = 0
-			c.update(c.views[n/2], ServerLeavingMsg{Leaving: protocol.Leaving{Server: "e1"}, Rand: c.rnd.Uint64()})
+			c.update(c.views[n/2], ServerLeavingMsg{Leaving: protocol.Leaving{Server: "e1", Seen: c.now}, Rand: c.rnd.Uint64()})
 			c.run(withinTicks)
 			for name, told := range c.told {
 				if !told["e1"] {
@@ -193,3 +193,19 @@
 		}
 	}
 }
+
+// TestLeavingIsForgotten lets an hour pass: the mark goes everywhere, and no
+// synchronization brings it back.
+func TestLeavingIsForgotten(t *testing.T) {
+	c := newCluster(t, 9, 1)
+	c.run(50)
+	c.update(c.views[0], ServerLeavingMsg{Leaving: protocol.Leaving{Server: "e1", Seen: c.now}, Rand: c.rnd.Uint64()})
+	c.run(20)
+	c.now = c.now.Add(protocol.LeavingKept)
+	c.run(200)
+	for _, v := range c.views {
+		if marks := v.Full().Leaving; len(marks) != 0 {
+			t.Errorf("%s keeps %v", v.self, marks)
+		}
+	}
+}
--- a/protocol/peer.go
+++ b/protocol/peer.go
@@ -63,11 +63,17 @@
 	return m.State > o.State
 }
 
+// LeavingKept is how long the record of a leaving server is kept, far longer
+// than the platform's list lags.
+const LeavingKept = time.Hour
+
 // Leaving is the record that a backend server takes no new work. It is never
-// taken back: identities of servers are not reused.
+// taken back: identities of servers are not reused. It is dropped once it is
+// older than [LeavingKept].
 type Leaving struct {
 	Server string    `json:"server"`
 	At     time.Time `json:"at"`     // At is when the server goes; zero when unknown.
+	Seen   time.Time `json:"seen"`   // Seen is when it was learned first, by whoever learned it.
 	Origin string    `json:"origin"` // Origin is how it was learned: notice, list, report or refusal.
 }
 
--- a/state/backends.go
+++ b/state/backends.go
@@ -98,7 +98,7 @@
 
 // SetList replaces the servers by those of the platform's list. A row that is
 // listed again keeps its report and counters.
-func (b *Backends) SetList(list []protocol.Instance) {
+func (b *Backends) SetList(list []protocol.Instance, now time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	rows := make(map[string]*Server, len(list))
@@ -113,13 +113,23 @@
 		row.Instance = in
 		rows[in.ID] = row
 		if in.Leaving {
-			b.mark(protocol.Leaving{Server: in.ID, Origin: "list"})
+			b.mark(protocol.Leaving{Server: in.ID, Seen: now, Origin: "list"})
 		}
 	}
 	b.rows = rows
+	b.forget(now)
 	b.publish()
 }
 
+// forget drops the marks of servers that are long gone. It needs b.mu.
+func (b *Backends) forget(now time.Time) {
+	for id, l := range b.leaving {
+		if b.rows[id] == nil && now.Sub(l.Seen) > protocol.LeavingKept {
+			delete(b.leaving, id)
+		}
+	}
+}
+
 // ReportRow is the outcome of asking one server for its load.
 type ReportRow struct {
 	Server string
@@ -152,12 +162,12 @@
 	row.Report, row.ReportAt, row.Missed = r.Report, r.At, 0
 	row.OwnAt = row.Counters.Outstanding.Load()
 	if r.Report.Leaving {
-		b.mark(protocol.Leaving{Server: r.Server, Origin: "report"})
+		b.mark(protocol.Leaving{Server: r.Server, Seen: r.At, Origin: "report"})
 	}
 }
 
 // MarkLeaving records that a server takes no new work and reports whether that
-// was news. The mark lasts as long as the process: identities are not reused.
+// was news. The mark lasts until the server is long gone from the list.
 func (b *Backends) MarkLeaving(l protocol.Leaving) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
--- a/state/state_test.go
+++ b/state/state_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"sync"
 	"testing"
+	"time"
 
 	"pgregory.net/rapid"
 
@@ -48,13 +49,13 @@
 // TestLeavingMarkStays lets the platform's lagging list show a server as live
 // again after a notice.
 func TestLeavingMarkStays(t *testing.T) {
-	b := NewBackends()
+	b, now := NewBackends(), time.Unix(1000, 0)
 	list := []protocol.Instance{{ID: "e1", Kind: protocol.InstanceEngine}, {ID: "e2", Kind: protocol.InstanceEngine}}
-	b.SetList(list)
-	if !b.MarkLeaving(protocol.Leaving{Server: "e1"}) || b.MarkLeaving(protocol.Leaving{Server: "e1"}) {
+	b.SetList(list, now)
+	if !b.MarkLeaving(protocol.Leaving{Server: "e1", Seen: now}) || b.MarkLeaving(protocol.Leaving{Server: "e1", Seen: now}) {
 		t.Error("a mark is news exactly once")
 	}
-	b.SetList(list)
+	b.SetList(list, now)
 	if s := b.View().Find("e1"); !s.Leaving {
 		t.Error("the list took the mark away")
 	}
@@ -64,4 +65,12 @@
 	if got := <-b.Changed(); got != "e1" {
 		t.Errorf("told of %s", got)
 	}
+	b.SetList(list, now.Add(2*protocol.LeavingKept))
+	if len(b.Leaving()) != 1 {
+		t.Error("the mark of a listed server was dropped")
+	}
+	b.SetList(list[1:], now.Add(2*protocol.LeavingKept))
+	if len(b.Leaving()) != 0 {
+		t.Error("the mark of a server that is long gone was kept")
+	}
 }
--- a/transport/claim.go
+++ b/transport/claim.go
@@ -47,6 +47,9 @@
 	recordWait   = time.Second            // for an outcome to be recorded before the answer goes out
 	recordLimit  = 5 * time.Minute        // for the tries to record it beside that
 	recordRetry  = 500 * time.Millisecond
+	// maxKeptAnswer bounds an answer that is kept for resends: it goes through
+	// the log of every replica.
+	maxKeptAnswer = 256 << 10
 )
 
 // claimOf returns the message that asks for an exchange's request.
@@ -181,7 +184,7 @@
 	}
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	return protocol.Ran, &protocol.Answer{
+	answer := &protocol.Answer{
 		Status:      x.answer.status,
 		ContentType: x.answer.contentType,
 		Body:        x.answer.body,
@@ -190,6 +193,10 @@
 		Finish:      x.finish,
 		Ends:        x.ends,
 	}
+	if answer.Size() > maxKeptAnswer {
+		return protocol.Ran, nil
+	}
+	return protocol.Ran, answer
 }
 
 func (x *exchange) finishOf(v protocol.Verdict, a *protocol.Answer) protocol.FinishMsg {
--- a/transport/groupclient.go
+++ b/transport/groupclient.go
@@ -4,6 +4,7 @@
 	"context"
 	"crypto/rand"
 	"encoding/binary"
+	mrand "math/rand/v2"
 	"net/http"
 	"slices"
 	"sync"
@@ -20,8 +21,9 @@
 var ErrNoQuorum = eris.New("no quorum of replicas can be reached")
 
 const (
-	proposeTimeout = 2 * time.Second       // for one call to one replica
-	leaderRetry    = 20 * time.Millisecond // between two rounds of the replicas
+	proposeTimeout  = 2 * time.Second        // for one call to one replica
+	leaderRetry     = 20 * time.Millisecond  // between the first two rounds of the replicas
+	leaderRetryMost = 200 * time.Millisecond // the longest such wait
 )
 
 // GroupClient calls the leader of a replication group from any instance.
@@ -41,7 +43,7 @@
 // call tries the replicas until one carries the call out. All calls are such
 // that a second one after an unknown outcome does no harm.
 func (c *GroupClient) call(ctx context.Context, method string, args any) (GroupReply, error) {
-	for {
+	for wait := leaderRetry; ; wait = min(2*wait, leaderRetryMost) {
 		for _, name := range c.order() {
 			if ctx.Err() != nil {
 				return GroupReply{}, ErrNoQuorum
@@ -50,7 +52,8 @@
 				return reply, nil
 			}
 		}
-		timer := time.NewTimer(leaderRetry)
+		// With jitter, since all that wait for an election begin together.
+		timer := time.NewTimer(wait/2 + mrand.N(wait/2))
 		select {
 		case <-timer.C:
 		case <-ctx.Done():
--- a/transport/membership.go
+++ b/transport/membership.go
@@ -100,6 +100,9 @@
 
 // ServerLeaving spreads that a backend server takes no new work.
 func (m *Membership) ServerLeaving(ctx context.Context, l protocol.Leaving) {
+	if l.Seen.IsZero() {
+		l.Seen = time.Now()
+	}
 	m.tables.Backends.MarkLeaving(l)
 	m.post(ctx, member.ServerLeavingMsg{Leaving: l, Rand: rand.Uint64()})
 }
--- a/transport/orders_test.go
+++ b/transport/orders_test.go
@@ -58,7 +58,7 @@
 				Models:   []protocol.Model{{Name: "m"}},
 				Adapters: []protocol.Adapter{{Name: "a", Model: "m"}},
 			}})
-			tables.Backends.SetList([]protocol.Instance{{ID: "e", Kind: protocol.InstanceEngine, Address: strings.TrimPrefix(srv.URL, "http://")}})
+			tables.Backends.SetList([]protocol.Instance{{ID: "e", Kind: protocol.InstanceEngine, Address: strings.TrimPrefix(srv.URL, "http://")}}, time.Now())
 			tables.Backends.SetReports([]state.ReportRow{{Server: "e", Report: protocol.LoadReport{Models: []string{"m"}}, At: time.Now()}})
 			c := NewCommander(&fakeLease{answers: tt.leads}, tt.settle, time.Second, tables, zerolog.Nop())
 			c.round()
--- a/transport/poller.go
+++ b/transport/poller.go
@@ -125,7 +125,7 @@
 	if err := p.get(p.settings.Platform.Address, "/v1/instances", p.settings.Timeouts.Dial+p.settings.Platform.Poll, &list); err != nil {
 		return err
 	}
-	p.tables.Backends.SetList(list.Instances)
+	p.tables.Backends.SetList(list.Instances, time.Now())
 	p.listed.Store(true)
 	return nil
 }
