A late copy of a forgotten leaving mark, tested

Cause: TestLeavingIsForgotten passed with the check on incoming copies taken out: in the simulation all copies expire at once. It now hands a late copy over as well, and fails without the check (seen).

--- a/coordination/member/member_test.go
+++ b/coordination/member/member_test.go
@@ -208,4 +208,8 @@
 			t.Errorf("%s keeps %v", v.self, marks)
 		}
 	}
+	old := protocol.News{From: "late", Leaving: []protocol.Leaving{{Server: "e1", Seen: c.now.Add(-2 * protocol.LeavingKept)}}}
+	if cmds := c.views[0].Update(NewsMsg{News: old, Now: c.now}); len(cmds) > 0 || len(c.views[0].Full().Leaving) > 0 {
+		t.Errorf("a late copy was taken in: %v", cmds)
+	}
 }
