Dead parts taken out

Cause: a reading of the change as a newcomer: two refusal codes and a hook for leadership that nothing used.

Seen: the checks, the packages' tests and four end-to-end tests pass.

--- a/coordination/group/group.go
+++ b/coordination/group/group.go
@@ -71,25 +71,19 @@
 	return func(g *Group) { g.revision = f }
 }
 
-// WithLeadership sets what is told when this replica begins or ceases to lead.
-func WithLeadership(f func(term uint64, leads bool)) Option {
-	return func(g *Group) { g.leadership = f }
-}
-
 // Group is one replica of a replication group.
 type Group struct {
-	cfg        Config
-	id         protocol.ReplicaID
-	folder     *wal.Folder
-	loaded     *wal.Loaded
-	sender     Sender
-	log        zerolog.Logger
-	revision   func(number uint64, config []byte)
-	leadership func(term uint64, leads bool)
-	inbox      chan input
-	done       chan struct{}
-	status     atomic.Pointer[Status]
-	began      time.Time
+	cfg      Config
+	id       protocol.ReplicaID
+	folder   *wal.Folder
+	loaded   *wal.Loaded
+	sender   Sender
+	log      zerolog.Logger
+	revision func(number uint64, config []byte)
+	inbox    chan input
+	done     chan struct{}
+	status   atomic.Pointer[Status]
+	began    time.Time
 
 	// The loop's own.
 	replica   *replicate.Replica
@@ -144,21 +138,20 @@
 		cfg.Batch = DefaultBatch
 	}
 	g := &Group{
-		cfg:        cfg,
-		id:         folder.ID(),
-		folder:     folder,
-		loaded:     loaded,
-		sender:     sender,
-		log:        zerolog.Nop(),
-		revision:   func(uint64, []byte) {},
-		leadership: func(uint64, bool) {},
-		inbox:      make(chan input, inboxSize),
-		done:       make(chan struct{}),
-		began:      time.Now(),
-		machine:    state.NewMachine(),
-		waiting:    map[uint64]*waiter{},
-		atIndex:    map[uint64]*waiter{},
-		snapshots:  make(chan savedSnapshot, 1),
+		cfg:       cfg,
+		id:        folder.ID(),
+		folder:    folder,
+		loaded:    loaded,
+		sender:    sender,
+		log:       zerolog.Nop(),
+		revision:  func(uint64, []byte) {},
+		inbox:     make(chan input, inboxSize),
+		done:      make(chan struct{}),
+		began:     time.Now(),
+		machine:   state.NewMachine(),
+		waiting:   map[uint64]*waiter{},
+		atIndex:   map[uint64]*waiter{},
+		snapshots: make(chan savedSnapshot, 1),
 	}
 	for _, opt := range opts {
 		opt(g)
@@ -306,10 +299,8 @@
 		g.answer(cmd.Token, outcome{err: cmd.Err})
 	case replicate.ElectedCmd:
 		g.log.Info().Uint64("term", cmd.Term).Msg("elected leader")
-		g.leadership(cmd.Term, true)
 	case replicate.SteppedDownCmd:
 		g.log.Info().Uint64("term", cmd.Term).Msg("no longer leader")
-		g.leadership(cmd.Term, false)
 		g.failProposals()
 	}
 }
--- a/protocol/refusal.go
+++ b/protocol/refusal.go
@@ -24,7 +24,6 @@
 const (
 	CodeBadRequest     Code = "bad_request"
 	CodeUnauthorized   Code = "unauthorized"
-	CodeForbidden      Code = "forbidden"
 	CodeUnknownModel   Code = "unknown_model"
 	CodeUnknownService Code = "unknown_service"
 	CodeNotFound       Code = "not_found"
@@ -45,7 +44,6 @@
 	CodeDiskFull       Code = "disk_full"
 	CodeConflict       Code = "config_conflict"
 	CodeStale          Code = "config_stale"
-	CodeInvalidConfig  Code = "config_invalid"
 	CodeCallerGone     Code = "caller_gone"
 )
 
