A read that was given up no longer races with the replica's loop

Cause: the landing run failed with a race report of entry-2 in TestHistoryIsLinearizable. Group.Revision had the loop write into the caller's named results. On an instance that was frozen for longer than the caller's five seconds, both go on at the same moment: the caller returns with its context's end, the loop still runs the func that it was handed.

The func now hands its outcome over by its result, through a channel of its own. A daemon's race report is printed by itself in a failed end-to-end test: in the landing's output it was cut off behind the daemon's other lines.

--- a/coordination/group/api.go
+++ b/coordination/group/api.go
@@ -52,11 +52,17 @@
 
 // Revision returns the accepted configuration as of the last batch.
 func (g *Group) Revision(ctx context.Context) (number uint64, config []byte, err error) {
-	err = g.run(ctx, func() error {
-		number, config = g.machine.Revision()
-		return nil
+	got, err := inLoop(ctx, g, func() (accepted, error) {
+		number, config := g.machine.Revision()
+		return accepted{number: number, config: config}, nil
 	})
-	return number, config, err
+	return got.number, got.config, err
+}
+
+// accepted is a configuration with its number.
+type accepted struct {
+	number uint64
+	config []byte
 }
 
 // Remove takes a name out of the group.
@@ -85,17 +91,34 @@
 
 // run runs a func in the loop and waits for it.
 func (g *Group) run(ctx context.Context, f func() error) error {
-	done := make(chan error, 1)
-	if err := g.submit(ctx, input{do: func() { done <- f() }}); err != nil {
-		return err
+	_, err := inLoop(ctx, g, func() (struct{}, error) { return struct{}{}, f() })
+	return err
+}
+
+// inLoop runs a func in the loop and returns what it returned. A caller that
+// gives up leaves the func to run later, so the func must hand its outcome
+// over by its result and not write it into what the caller reads.
+func inLoop[T any](ctx context.Context, g *Group, f func() (T, error)) (T, error) {
+	type result struct {
+		value T
+		err   error
+	}
+	var none T
+	done := make(chan result, 1)
+	do := func() {
+		value, err := f()
+		done <- result{value: value, err: err}
+	}
+	if err := g.submit(ctx, input{do: do}); err != nil {
+		return none, err
 	}
 	select {
-	case err := <-done:
-		return err
+	case r := <-done:
+		return r.value, r.err
 	case <-g.done:
-		return ErrUnknown
+		return none, ErrUnknown
 	case <-ctx.Done():
-		return eris.Wrap(ctx.Err(), "replica is busy")
+		return none, eris.Wrap(ctx.Err(), "replica is busy")
 	}
 }
 
--- /dev/null
+++ b/coordination/group/group_test.go
@@ -0,0 +1,61 @@
+package group
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/weldstream/weldstream/coordination/replicate"
+)
+
+// noSender loses every message: the group of these tests is alone.
+type noSender struct{}
+
+// Send implements Sender.
+func (noSender) Send(uint64, replicate.Message) {}
+
+func openAlone(t *testing.T) *Group {
+	t.Helper()
+	cfg := Config{
+		Replica:         replicate.Config{Election: 50 * time.Millisecond, Heartbeat: 10 * time.Millisecond, Batch: 1 << 20, Window: 8},
+		SnapshotEntries: 1 << 20,
+	}
+	g, err := Open(cfg, t.TempDir(), "entry-1", noSender{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return g
+}
+
+// TestRevisionGivenUp gives up questions while the loop is held up, as it is on
+// an instance that was frozen, and lets the loop go on at the same moment. The
+// race detector tells whether the loop still writes into what the caller reads.
+func TestRevisionGivenUp(t *testing.T) {
+	g := openAlone(t)
+	ctx, stop := context.WithCancel(context.Background())
+	var loop sync.WaitGroup
+	loop.Go(func() {
+		if err := g.Run(ctx); err != nil {
+			t.Error(err)
+		}
+	})
+	for range 500 {
+		gate := make(chan struct{})
+		if err := g.submit(ctx, input{do: func() { <-gate }}); err != nil {
+			t.Fatal(err)
+		}
+		ask, giveUp := context.WithCancel(ctx)
+		var asker sync.WaitGroup
+		asker.Go(func() {
+			if number, config, err := g.Revision(ask); err == nil && (number != 0 || config != nil) {
+				t.Errorf("number %d, configuration %q before there is any", number, config)
+			}
+		})
+		giveUp()
+		close(gate)
+		asker.Wait()
+	}
+	stop()
+	loop.Wait()
+}
--- a/e2e/process_test.go
+++ b/e2e/process_test.go
@@ -110,7 +110,7 @@
 		p.signal(syscall.SIGCONT)
 		p.kill()
 		if strings.Contains(p.err.String(), "DATA RACE") {
-			t.Errorf("%s raced:\n%s", name, p.err.String())
+			t.Errorf("%s raced:\n%s", name, raceReports(p.err.String()))
 		}
 		if t.Failed() && os.Getenv("E2E_LOGS") != "" {
 			t.Logf("%s wrote:\n%s%s", name, p.out.String(), p.err.String())
@@ -119,6 +119,19 @@
 	return p
 }
 
+// raceReports cuts the race detector's reports out of what a process wrote:
+// among its other lines they would be lost in a shortened output.
+func raceReports(text string) string {
+	const bar = "==================\n"
+	var reports strings.Builder
+	for _, part := range strings.Split(text, bar) {
+		if strings.Contains(part, "DATA RACE") {
+			reports.WriteString(part)
+		}
+	}
+	return reports.String()
+}
+
 func (p *process) signal(sig syscall.Signal) { _ = p.cmd.Process.Signal(sig) }
 
 // kill ends the process at once and waits for its end.
