A write to an instance that reads no more ends after two seconds

Cause: net/rpc writes a call before its timeout can be looked at, and while it writes it holds the connection for every other call.

--- a/transport/links.go
+++ b/transport/links.go
@@ -81,6 +81,11 @@
 	return eris.Wrap(l.server.RegisterName(name, receiver), "register")
 }
 
+// wrap counts a connection's bytes and bounds its writes.
+func (l *Links) wrap(conn net.Conn) net.Conn {
+	return &peerConn{Conn: &meteredConn{Conn: conn, meter: &l.meter}, stall: peerStall}
+}
+
 // Serve accepts other instances until ctx ends.
 func (l *Links) Serve(ctx context.Context, ln net.Listener) error {
 	stop := context.AfterFunc(ctx, func() {
@@ -101,7 +106,7 @@
 }
 
 func (l *Links) serveConn(conn net.Conn) {
-	conn = &meteredConn{Conn: conn, meter: &l.meter}
+	conn = l.wrap(conn)
 	defer func() { _ = conn.Close() }()
 	peer, buffered, err := l.accept(conn)
 	if err != nil {
@@ -243,7 +248,7 @@
 	if err != nil {
 		return nil, eris.Wrap(err, "connect to peer")
 	}
-	conn = &meteredConn{Conn: conn, meter: &l.meter}
+	conn = l.wrap(conn)
 	buffered, err := l.connect(conn)
 	if err != nil {
 		_ = conn.Close()
--- /dev/null
+++ b/transport/links_test.go
@@ -0,0 +1,64 @@
+package transport
+
+import (
+	"net"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+)
+
+// stoppedReader accepts one instance, proves itself and then reads no more, as
+// an instance does that was frozen.
+func stoppedReader(t *testing.T, key string) string {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = ln.Close() })
+	frozen := NewLinks("entry-2", []byte(key), time.Second, zerolog.Nop())
+	go func() {
+		conn, err := ln.Accept()
+		if err != nil {
+			return
+		}
+		t.Cleanup(func() { _ = conn.Close() })
+		if _, _, err := frozen.accept(conn); err != nil {
+			t.Errorf("handshake: %v", err)
+		}
+	}()
+	return ln.Addr().String()
+}
+
+// TestCallToStoppedReader sends more than the sockets' buffers hold to an
+// instance that reads no more. The call must end, and so must one that waits
+// for the same connection: the membership's probe, for one.
+func TestCallToStoppedReader(t *testing.T) {
+	const key = "a key of the cluster"
+	const patience = 20 * time.Second // It only ends a test that would hang.
+	address := stoppedReader(t, key)
+	l := NewLinks("entry-1", []byte(key), time.Second, zerolog.Nop())
+	if _, err := l.client(address); err != nil {
+		t.Fatal(err)
+	}
+	results := make(chan error, 2)
+	for range 2 {
+		go func() {
+			var ok bool
+			results <- l.Call(address, "Sink.Take", make([]byte, 32<<20), &ok, 100*time.Millisecond)
+		}()
+	}
+	limit := time.NewTimer(patience)
+	defer limit.Stop()
+	for range 2 {
+		select {
+		case err := <-results:
+			if err == nil {
+				t.Error("a call that nobody read succeeded")
+			}
+		case <-limit.C:
+			t.Fatal("a call is still held up by a reader that stopped")
+		}
+	}
+}
