Shares over all instances, refusal by deadline, hedged calls

Cause: a workspace's share was declared and read back, and nothing held it. Any load above the capacity went to the engines, which then worked on what callers had given up.

Limits: each pool's slots are divided by weighted max-min fairness by the member that ranks first for it, without an election; gates hold grants as leases and go on with their even part when they run out. A request that cannot end by its deadline is refused at once, with a time to come back that is spread.

Now the latest of the workspace with the longest queue for its share gives way.

Hedging: a second attempt beside a late first one, for calls of plain services that may be repeated.

A request with a key that is turned away before the claims were asked was called "not run", though an earlier send may have run (e2e:TestRefusedResend, red before: 429 and 503 with the verdict not-run). Now the verdict is may-have-run, with "this_send": "not-run".

A 404 of an engine is "not run": it does not have the model.

--- a/cmd/weldctl/dump.go
+++ b/cmd/weldctl/dump.go
@@ -12,21 +12,23 @@
 	"github.com/weldstream/weldstream/coordination/group"
 	"github.com/weldstream/weldstream/protocol"
 	"github.com/weldstream/weldstream/state"
+	"github.com/weldstream/weldstream/transport"
 )
 
 // dumpView is the part of a dump that the tables show; -json prints all of it.
 type dumpView struct {
-	At      time.Time          `json:"at"`
-	Name    string             `json:"name"`
-	Domain  string             `json:"domain"`
-	Ready   bool               `json:"ready"`
-	Unready string             `json:"unready"`
-	Number  uint64             `json:"number"`
-	Members []state.MemberRow  `json:"members"`
-	Servers []dumpServer       `json:"servers"`
-	Leaving []protocol.Leaving `json:"leaving"`
-	Streams []state.Stream     `json:"streams"`
-	Group   *group.Status      `json:"group"`
+	At      time.Time           `json:"at"`
+	Name    string              `json:"name"`
+	Domain  string              `json:"domain"`
+	Ready   bool                `json:"ready"`
+	Unready string              `json:"unready"`
+	Number  uint64              `json:"number"`
+	Members []state.MemberRow   `json:"members"`
+	Servers []dumpServer        `json:"servers"`
+	Leaving []protocol.Leaving  `json:"leaving"`
+	Streams []state.Stream      `json:"streams"`
+	Pools   []transport.PoolRow `json:"pools"`
+	Group   *group.Status       `json:"group"`
 }
 
 type dumpServer struct {
@@ -91,6 +93,7 @@
 		fmt.Fprintf(w, "%s\t%s\t%s\t%v\t%d\t%s\n", m.Name, m.Domain, m.State, m.Ready, m.Revision, v.At.Sub(m.Since).Round(time.Millisecond))
 	}
 	_ = w.Flush() // Writes to the terminal.
+	printPools(e, v.Pools)
 	printGroup(e, v.Group)
 	fmt.Fprintf(e.out, "%d requests in progress, %d servers marked as leaving\n", len(v.Streams), len(v.Leaving))
 	for _, s := range v.Streams {
@@ -98,6 +101,22 @@
 	}
 }
 
+// printPools shows who uses the models' slots through the instance.
+func printPools(e env, pools []transport.PoolRow) {
+	if len(pools) == 0 {
+		return
+	}
+	w := tabwriter.NewWriter(e.out, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(w, "MODEL\tSLOTS\tDIVIDED HERE\tWORKSPACE\tSHARE\tRUNNING\tQUEUED\tLOW RUNNING\tLOW QUEUED")
+	for _, p := range pools {
+		for _, d := range p.Demand {
+			fmt.Fprintf(w, "%s\t%d\t%v\t%s\t%d\t%d\t%d\t%d\t%d\n", p.Pool, p.Slots, p.Leads, d.Workspace, d.Share,
+				d.Running[protocol.ClassRegular], d.Queued[protocol.ClassRegular], d.Running[protocol.ClassLow], d.Queued[protocol.ClassLow])
+		}
+	}
+	_ = w.Flush() // Writes to the terminal.
+}
+
 // printGroup shows the replica that the instance keeps, if it keeps one.
 func printGroup(e env, g *group.Status) {
 	if g == nil {
--- a/cmd/weldstreamd/daemon.go
+++ b/cmd/weldstreamd/daemon.go
@@ -38,6 +38,7 @@
 	group      *group.Group           // group is nil on an instance that keeps no replica.
 	confirmed  atomic.Bool            // confirmed says that a quorum confirmed the configuration once.
 	gateway    *transport.Gateway
+	limits     *transport.Limits
 	admin      *transport.Admin
 	listeners  listeners
 	work       context.Context // work ends when the daemon does.
@@ -120,10 +121,12 @@
 	if len(s.Cluster.Replicas) > 0 {
 		d.client = transport.NewGroupClient(d.tables, d.links, s.Cluster.Replicas)
 	}
+	d.limits = transport.NewLimits(d.tables, d.links, d.log, s.Name, transport.LimitConfig(s))
 	d.gateway = transport.NewGateway(s, d.tables,
 		transport.WithSelf(self),
 		transport.WithClaims(d.claimer()),
 		transport.WithLinks(d.links, d.transferrer()),
+		transport.WithLimits(d.limits),
 		transport.WithLogger(d.log),
 		transport.WithRegistry(d.registry),
 		transport.WithReady(d.ready),
@@ -174,6 +177,9 @@
 	if err := d.links.Register("HandOver", transport.NewHandOverService(d.gateway)); err != nil {
 		return err
 	}
+	if err := d.links.Register("Limit", transport.NewLimitService(d.limits)); err != nil {
+		return err
+	}
 	if err := d.links.Register("Config", transport.NewConfigService(d.tables)); err != nil {
 		return err
 	}
@@ -184,6 +190,7 @@
 		d.poller.RunNotices,
 		d.poller.RunLoad,
 		d.gateway.FollowLeaving,
+		d.limits.Run,
 		func(ctx context.Context) error { return d.dumpOn(ctx, dumps) },
 	} {
 		g.Go(func() error { return part(work) })
--- a/cmd/weldstreamd/dump.go
+++ b/cmd/weldstreamd/dump.go
@@ -7,23 +7,25 @@
 	"github.com/weldstream/weldstream/protocol"
 	"github.com/weldstream/weldstream/settings"
 	"github.com/weldstream/weldstream/state"
+	"github.com/weldstream/weldstream/transport"
 )
 
 // dump is the state of one process, as SIGQUIT and the admin address show it.
 type dump struct {
-	At       time.Time          `json:"at"`
-	Name     string             `json:"name"`
-	Domain   string             `json:"domain"`
-	Ready    bool               `json:"ready"`
-	Unready  string             `json:"unready,omitempty"` // Unready is the reason when not ready.
-	Number   uint64             `json:"number"`
-	Digest   protocol.Digest    `json:"digest"`
-	Members  []state.MemberRow  `json:"members"`
-	Servers  []serverDump       `json:"servers"`
-	Leaving  []protocol.Leaving `json:"leaving"`
-	Streams  []state.Stream     `json:"streams"`
-	Group    *group.Status      `json:"group,omitempty"` // Group is set on an instance that keeps a replica.
-	Settings *settings.Settings `json:"settings"`
+	At       time.Time           `json:"at"`
+	Name     string              `json:"name"`
+	Domain   string              `json:"domain"`
+	Ready    bool                `json:"ready"`
+	Unready  string              `json:"unready,omitempty"` // Unready is the reason when not ready.
+	Number   uint64              `json:"number"`
+	Digest   protocol.Digest     `json:"digest"`
+	Members  []state.MemberRow   `json:"members"`
+	Servers  []serverDump        `json:"servers"`
+	Leaving  []protocol.Leaving  `json:"leaving"`
+	Streams  []state.Stream      `json:"streams"`
+	Pools    []transport.PoolRow `json:"pools"`
+	Group    *group.Status       `json:"group,omitempty"` // Group is set on an instance that keeps a replica.
+	Settings *settings.Settings  `json:"settings"`
 }
 
 // serverDump is one backend server.
@@ -46,6 +48,7 @@
 		Members:  d.tables.Members.Rows(),
 		Leaving:  d.tables.Backends.Leaving(),
 		Streams:  d.tables.Streams.Rows(),
+		Pools:    d.limits.Rows(),
 		Settings: d.settings,
 	}
 	out.Number, out.Digest = d.tables.Revision()
--- a/coordination/admit/admit.go
+++ b/coordination/admit/admit.go
@@ -101,3 +101,21 @@
 	r := protocol.NewRefusal(protocol.StatusServiceUnavailable, protocol.CodeNoQuorum, "%v: this send was not run", err)
 	return earlier(r, protocol.MayHaveRun).WithRetryAfter(time.Second)
 }
+
+// Unclaimed is the refusal of a request that is turned away before the claims
+// were asked. If it has a key, an earlier send may have run, whatever became of
+// this one; only a request that is malformed cannot have been let in before.
+func Unclaimed(r *protocol.Refusal, keyGiven bool) *protocol.Refusal {
+	if !keyGiven || r.Verdict != protocol.NotRun || malformed(r.Code) {
+		return r
+	}
+	return earlier(r, protocol.MayHaveRun)
+}
+
+func malformed(c protocol.Code) bool {
+	switch c {
+	case protocol.CodeBadRequest, protocol.CodeMethod, protocol.CodeTooLarge, protocol.CodeNotFound, protocol.CodeKeyUndated:
+		return true
+	}
+	return false
+}
--- a/coordination/admit/admit_test.go
+++ b/coordination/admit/admit_test.go
@@ -55,3 +55,27 @@
 		t.Errorf("no date: %v", r)
 	}
 }
+
+// TestUnclaimed says "not run" before the claims were asked only of a request
+// that no earlier send can have been.
+func TestUnclaimed(t *testing.T) {
+	for _, tt := range []struct {
+		code  protocol.Code
+		keyed bool
+		want  protocol.Verdict
+	}{
+		{protocol.CodeOverloaded, false, protocol.NotRun},
+		{protocol.CodeOverloaded, true, protocol.MayHaveRun},
+		{protocol.CodeLeaving, true, protocol.MayHaveRun},
+		{protocol.CodeNotReady, true, protocol.MayHaveRun},
+		{protocol.CodeUnknownModel, true, protocol.MayHaveRun},
+		{protocol.CodeUnauthorized, true, protocol.MayHaveRun},
+		{protocol.CodeBadRequest, true, protocol.NotRun},
+		{protocol.CodeTooLarge, true, protocol.NotRun},
+	} {
+		r := Unclaimed(protocol.NewRefusal(protocol.StatusServiceUnavailable, tt.code, "no"), tt.keyed)
+		if r.Verdict != tt.want || r.Body().Error.ThisSend != protocol.NotRun.String() {
+			t.Errorf("%s, with a key %v: %v, this send %q", tt.code, tt.keyed, r, r.Body().Error.ThisSend)
+		}
+	}
+}
--- a/coordination/attempt/attempt.go
+++ b/coordination/attempt/attempt.go
@@ -45,6 +45,10 @@
 	MaxAttempts int
 	Phase       Phase
 	Attempt     int // Attempt is the number of the current attempt, from 1.
+	Count       int // Count is how many attempts were sent.
+	Rival       int // Rival is the hedge's number while one runs beside the current attempt; else 0.
+	RivalServer string
+	RivalDomain string
 	Held        int // Held counts the tokens of the answer that this process has.
 	Floor       int // Floor is the token offset up to which the caller has the answer.
 	Server      string
@@ -80,6 +84,8 @@
 		return s.chunk(m)
 	case FailedMsg:
 		return s.failed(m)
+	case HedgeMsg:
+		return s.hedge()
 	case LeavingMsg:
 		return s.leaving(m)
 	case ExportedMsg:
@@ -103,7 +109,8 @@
 func (s State) live() bool { return s.Phase == PhaseRunning || s.Phase == PhaseExporting }
 
 func (s State) dispatch() (State, []Cmd) {
-	s.Attempt++
+	s.Count++
+	s.Attempt = s.Count
 	s.Phase = PhaseRunning
 	s.waiting = nil
 	cmd := DispatchCmd{
@@ -119,14 +126,23 @@
 }
 
 func (s State) sent(m SentMsg) (State, []Cmd) {
-	if m.Attempt == s.Attempt {
+	switch m.Attempt {
+	case s.Attempt:
 		s.Server, s.Domain = m.Server, m.Domain
+	case s.Rival:
+		s.RivalServer, s.RivalDomain = m.Server, m.Domain
 	}
 	return s, nil
 }
 
 func (s State) chunk(m ChunkMsg) (State, []Cmd) {
-	if m.Attempt != s.Attempt || !s.live() {
+	if !s.live() {
+		return s, nil
+	}
+	if m.Attempt == s.Rival && s.Rival != 0 && s.Held == 0 && m.Offset == 0 && m.Finish != "" {
+		s = s.promote()
+	}
+	if m.Attempt != s.Attempt {
 		return s, nil
 	}
 	if m.Offset > s.Held {
@@ -187,26 +203,24 @@
 		return s, cmds, false
 	}
 	s.Phase = PhaseEnded
+	if s.Rival != 0 {
+		cmds = append(cmds, CancelCmd{Attempt: s.Rival})
+	}
 	return s, append(cmds, FinishCmd{Attempt: s.Attempt, Finish: m.Finish}), true
 }
 
 func (s State) failed(m FailedMsg) (State, []Cmd) {
-	if m.Attempt != s.Attempt {
+	if m.Attempt == 0 || (m.Attempt != s.Attempt && m.Attempt != s.Rival) || !s.live() {
 		return s, nil
 	}
-	if !s.live() {
-		return s, nil
+	if s.Rival != 0 {
+		return s.rivalFailed(m)
 	}
 	s.MayHaveRun = s.MayHaveRun || m.Verdict != protocol.NotRun
 	verdict := s.verdict(m.Verdict)
-	if s.Server != "" && !slices.Contains(s.Failed, s.Server) {
-		s.Failed = append(slices.Clip(s.Failed), s.Server)
-	}
-	if s.Domain != "" && !slices.Contains(s.FailedIn, s.Domain) {
-		s.FailedIn = append(slices.Clip(s.FailedIn), s.Domain)
-	}
+	s = s.blame(s.Server, s.Domain)
 	s.Server, s.Domain = "", ""
-	if m.Final || !m.Verdict.AllowsRetry(s.Repeatable) || s.Attempt >= s.MaxAttempts {
+	if m.Final || !m.Verdict.AllowsRetry(s.Repeatable) || s.Count >= s.MaxAttempts {
 		return s.refuse(m.refusal().WithVerdict(verdict))
 	}
 	s.Phase = PhaseWaiting
@@ -288,7 +302,7 @@
 	}
 	s.Phase = PhaseGiven
 	cmd := HandOverCmd{Attempt: s.Attempt, Server: s.Server, Ended: ended && s.Server != ""}
-	return s, []Cmd{CancelCmd{Attempt: s.Attempt}, cmd}
+	return s, append(s.cancels(), cmd)
 }
 
 // stop ends the request for a reason outside the attempt.
@@ -302,5 +316,5 @@
 
 func (s State) refuse(r *protocol.Refusal) (State, []Cmd) {
 	s.Phase = PhaseEnded
-	return s, []Cmd{CancelCmd{Attempt: s.Attempt}, RefuseCmd{Refusal: r}}
+	return s, append(s.cancels(), RefuseCmd{Refusal: r})
 }
--- /dev/null
+++ b/coordination/attempt/hedge.go
@@ -0,0 +1,66 @@
+package attempt
+
+import (
+	"slices"
+
+	"github.com/weldstream/weldstream/protocol"
+)
+
+// A hedge is a second attempt beside the first, for a call that may be
+// repeated and whose answer is short and whole: the first answer counts, and
+// the other attempt is dropped. A stream is never hedged.
+
+// hedge sends the second attempt, to another server and, where there is one,
+// in another failure domain.
+func (s State) hedge() (State, []Cmd) {
+	if s.Phase != PhaseRunning || !s.Repeatable || s.Rival != 0 || s.Held > 0 || s.GivingUp || s.Count >= s.MaxAttempts {
+		return s, nil
+	}
+	s.Count++
+	s.Rival = s.Count
+	return s, []Cmd{DispatchCmd{
+		Attempt:      s.Rival,
+		Hedge:        true,
+		AvoidServers: append(slices.Clip(s.Failed), s.Server),
+		AvoidDomains: append(slices.Clip(s.FailedIn), s.Domain),
+	}}
+}
+
+// promote makes the hedge the current attempt, and the current one its rival.
+func (s State) promote() State {
+	s.Attempt, s.Rival = s.Rival, s.Attempt
+	s.Server, s.RivalServer = s.RivalServer, s.Server
+	s.Domain, s.RivalDomain = s.RivalDomain, s.Domain
+	return s
+}
+
+// rivalFailed drops one of two attempts; the other goes on.
+func (s State) rivalFailed(m FailedMsg) (State, []Cmd) {
+	if m.Attempt == s.Attempt {
+		s = s.promote()
+	}
+	s.MayHaveRun = s.MayHaveRun || m.Verdict != protocol.NotRun
+	s = s.blame(s.RivalServer, s.RivalDomain)
+	s.Rival, s.RivalServer, s.RivalDomain = 0, "", ""
+	return s, []Cmd{CancelCmd{Attempt: m.Attempt}}
+}
+
+// blame notes a server that failed the request.
+func (s State) blame(server, domain string) State {
+	if server != "" && !slices.Contains(s.Failed, server) {
+		s.Failed = append(slices.Clip(s.Failed), server)
+	}
+	if domain != "" && !slices.Contains(s.FailedIn, domain) {
+		s.FailedIn = append(slices.Clip(s.FailedIn), domain)
+	}
+	return s
+}
+
+// cancels drops all attempts that may run.
+func (s State) cancels() []Cmd {
+	cmds := []Cmd{CancelCmd{Attempt: s.Attempt}}
+	if s.Rival != 0 {
+		cmds = append(cmds, CancelCmd{Attempt: s.Rival})
+	}
+	return cmds
+}
--- a/coordination/attempt/message.go
+++ b/coordination/attempt/message.go
@@ -56,6 +56,10 @@
 	return r
 }
 
+// HedgeMsg says that the answer to a short call is late enough for a second
+// attempt beside the first.
+type HedgeMsg struct{}
+
 // LeavingMsg tells that a server takes no new work and will go.
 type LeavingMsg struct{ Server string }
 
@@ -86,6 +90,7 @@
 func (SentMsg) msg()       {}
 func (ChunkMsg) msg()      {}
 func (FailedMsg) msg()     {}
+func (HedgeMsg) msg()      {}
 func (LeavingMsg) msg()    {}
 func (ExportedMsg) msg()   {}
 func (RetryMsg) msg()      {}
@@ -105,6 +110,7 @@
 	AvoidDomains []string
 	MoveFrom     string // MoveFrom is a server to import the KV cache from.
 	MoveAttempt  int    // MoveAttempt is the attempt that ran there.
+	Hedge        bool   // Hedge says that another attempt runs beside it.
 }
 
 // EmitCmd delivers a chunk to the caller, whose offset is then Offset.
--- a/e2e/once_test.go
+++ b/e2e/once_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net"
+	"strings"
 	"syscall"
 	"testing"
 	"time"
@@ -124,3 +125,36 @@
 		t.Errorf("got %q (%+v), want %q", got, s.err, want)
 	}
 }
+
+// TestRefusedResend resends a call that ran, and must run at most once, to an
+// instance that has no room and to one that is stopping. Neither asked the
+// claims, so neither may say that the request was not run.
+func TestRefusedResend(t *testing.T) {
+	c := newCluster(t, clusterSpec{daemons: 1, engines: 1, services: 1, settings: "limits: {streams: 1}\n"})
+	c.apply(1, configText())
+	d := c.daemons[0]
+	charge := ask{path: "/services/gantry/charge", body: "{}"}.once("charge-1")
+	if got := d.send(charge); got.status != 200 {
+		t.Fatalf("the first send got %d: %s", got.status, got.body)
+	}
+	s := d.open(completion("docket-summary", "long", 4000, true))
+	defer s.close()
+	s.next()
+	check := func(what string, got answer) {
+		t.Helper()
+		if got.status < 429 || got.verdict != protocol.MayHaveRun.String() || !strings.Contains(string(got.body), `"this_send":"not-run"`) {
+			t.Errorf("%s: the resend got %d, verdict %s: %s", what, got.status, got.verdict, got.body)
+		}
+	}
+	check("no room", d.send(charge))
+	fresh := completion("docket-summary", "fresh", 4, false)
+	if got := d.send(fresh); got.verdict != protocol.NotRun.String() {
+		t.Errorf("a request without a key that was refused has the verdict %s", got.verdict)
+	}
+	d.signal(syscall.SIGTERM)
+	eventually(t, "new requests are refused as leaving", func() bool {
+		got, err := d.trySend(fresh)
+		return err == nil && got.status == 503 && got.code(t) == protocol.CodeLeaving
+	})
+	check("stopping", d.send(charge))
+}
--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -234,6 +234,7 @@
 		Sequence: e.sequence,
 		Models:   slices.Clone(e.models),
 		Adapters: slices.Clone(e.adapters),
+		Slots:    e.cfg.MaxBatch,
 		Running:  len(e.running),
 		Waiting:  len(e.waiting),
 		KVUsed:   used,
@@ -272,6 +273,7 @@
 	case protocol.OrderUnloadAdapter:
 		e.adapters = slices.DeleteFunc(e.adapters, func(a string) bool { return a == o.Name })
 	case protocol.OrderRole:
+		e.models = []string{o.Name}
 	}
 	return true
 }
--- a/internal/standin/platform.go
+++ b/internal/standin/platform.go
@@ -23,8 +23,9 @@
 	history []listVersion
 	spares  []protocol.Instance
 	notices []protocol.Notice
-	prices  []Price
-	refuse  map[string]bool // refuse holds domain/class pairs whose starts are refused.
+	prices  []protocol.Price
+	started map[string]protocol.Instance // started are the instances by the order that bought them.
+	refuse  map[string]bool              // refuse holds what is refused, as "domain/class/market".
 }
 
 // listVersion is the list as it was from a time on.
@@ -33,19 +34,12 @@
 	list []protocol.Instance
 }
 
-// Price is the price of one class in one failure domain, per hour.
-type Price struct {
-	Domain string  `json:"domain"`
-	Class  string  `json:"class"`
-	Hourly float64 `json:"hourly"`
-}
-
 // PlatformSetup sets what the platform knows, over its control address.
 type PlatformSetup struct {
 	Instances []protocol.Instance `json:"instances"`
 	Spares    []protocol.Instance `json:"spares"`
-	Prices    []Price             `json:"prices"`
-	Refuse    []string            `json:"refuse"` // Refuse holds "domain/class".
+	Prices    []protocol.Price    `json:"prices"`
+	Refuse    []string            `json:"refuse"` // Refuse holds "domain/class/market".
 }
 
 // ReclaimOrder makes the platform give notice of one instance or of a whole
@@ -56,15 +50,9 @@
 	InMS     int    `json:"in_ms"` // InMS is the time from notice to reclaim.
 }
 
-// StartOrder asks for an instance of a class in a failure domain.
-type StartOrder struct {
-	Domain string `json:"domain"`
-	Class  string `json:"class"`
-}
-
 // NewPlatform returns a platform stand-in that is not serving yet.
 func NewPlatform() *Platform {
-	return &Platform{faults: newFaultBox(), refuse: map[string]bool{}}
+	return &Platform{faults: newFaultBox(), refuse: map[string]bool{}, started: map[string]protocol.Instance{}}
 }
 
 // Serve runs the platform until ctx ends.
@@ -112,19 +100,26 @@
 }
 
 func (p *Platform) handleStart(w http.ResponseWriter, r *http.Request) {
-	var o StartOrder
+	var o protocol.StartOrder
 	if !readJSON(w, r, &o) {
 		return
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	i := slices.IndexFunc(p.spares, func(in protocol.Instance) bool { return in.Domain == o.Domain && in.Class == o.Class })
-	if i < 0 || p.refuse[o.Domain+"/"+o.Class] {
+	if in, ok := p.started[o.Order]; ok {
+		writeJSON(w, http.StatusCreated, in)
+		return
+	}
+	i := slices.IndexFunc(p.spares, func(in protocol.Instance) bool {
+		return in.Domain == o.Domain && in.Class == o.Class && in.Market == o.Market
+	})
+	if i < 0 || p.refuse[o.Domain+"/"+o.Class+"/"+o.Market] {
 		writeJSON(w, http.StatusTooManyRequests, map[string]string{"error": "no capacity"})
 		return
 	}
 	in := p.spares[i]
 	p.spares = slices.Delete(p.spares, i, i+1)
+	p.started[o.Order] = in
 	p.change(append(slices.Clone(p.now), in))
 	writeJSON(w, http.StatusCreated, in)
 }
--- a/protocol/config.go
+++ b/protocol/config.go
@@ -8,6 +8,9 @@
 	Routes     []Route     `yaml:"routes" json:"routes" validate:"dive"`
 	Services   []Service   `yaml:"services" json:"services" validate:"dive"`
 	Workspaces []Workspace `yaml:"workspaces" json:"workspaces" validate:"dive"`
+	// Fleet says what may be bought; without it the system buys nothing and
+	// gives nothing back.
+	Fleet *Fleet `yaml:"fleet" json:"fleet,omitempty"`
 }
 
 // Model is a base model at a version, as the engines load it.
@@ -15,6 +18,31 @@
 	Name          string `yaml:"name" json:"name" validate:"required,name"`
 	Version       string `yaml:"version" json:"version" validate:"required"`
 	ContextTokens int    `yaml:"context_tokens" json:"context_tokens" validate:"min=0"`
+	// Slots are the requests that one server runs at once within the latency
+	// target; 0 takes what the servers report.
+	Slots int `yaml:"slots" json:"slots,omitempty" validate:"min=0,max=100000"`
+	// MinSlots are kept at the least, so that the first request of the day finds
+	// a server.
+	MinSlots int `yaml:"min_slots" json:"min_slots,omitempty" validate:"min=0,max=1000000"`
+}
+
+// Fleet says which instances the system may buy for the declared models.
+type Fleet struct {
+	// HeadroomPercent is held above the need.
+	HeadroomPercent int `yaml:"headroom_percent" json:"headroom_percent" validate:"min=0,max=500"`
+	// OnDemand allows on-demand instances while reclaimable ones are refused.
+	OnDemand bool `yaml:"on_demand" json:"on_demand"`
+	// MaxInstances bounds the engines, those on their way with them.
+	MaxInstances int          `yaml:"max_instances" json:"max_instances" validate:"required,min=1,max=100000"`
+	Classes      []FleetClass `yaml:"classes" json:"classes" validate:"required,min=1,dive"`
+}
+
+// FleetClass is a class of instances that may be bought.
+type FleetClass struct {
+	Name string `yaml:"name" json:"name" validate:"required,name"`
+	// Slots are the requests that one runs within the latency target.
+	Slots  int      `yaml:"slots" json:"slots" validate:"required,min=1,max=100000"`
+	Models []string `yaml:"models" json:"models" validate:"required,min=1"`
 }
 
 // Adapter is a set of weights on top of a model.
@@ -41,6 +69,9 @@
 	// NotRepeatable lists path prefixes whose calls must run at most once.
 	NotRepeatable []string `yaml:"not_repeatable" json:"not_repeatable,omitempty" validate:"dive,startswith=/"`
 	Workspaces    []string `yaml:"workspaces" json:"workspaces,omitempty"`
+	// Hedge sends a call that may be repeated to a second replica when the
+	// answer is late. It is for short calls that a person waits for.
+	Hedge bool `yaml:"hedge" json:"hedge,omitempty"`
 }
 
 // Workspace is one customer of the operators: its keys and its share.
--- a/protocol/engine.go
+++ b/protocol/engine.go
@@ -7,6 +7,7 @@
 	Sequence uint64   `json:"sequence"`
 	Models   []string `json:"models,omitempty"`
 	Adapters []string `json:"adapters,omitempty"`
+	Slots    int      `json:"slots,omitempty"` // Slots are the requests that it runs at once; 0 tells nothing.
 	Running  int      `json:"running"`
 	Waiting  int      `json:"waiting"`
 	KVUsed   float64  `json:"kv_used"` // KVUsed is a share from 0 to 1.
@@ -35,7 +36,7 @@
 	OrderLoadAdapter   OrderKind = "load_adapter"
 	OrderUnloadAdapter OrderKind = "unload_adapter"
 	OrderLoadModel     OrderKind = "load_model"
-	OrderRole          OrderKind = "role"
+	OrderRole          OrderKind = "role" // OrderRole has an engine serve the named model and no other.
 )
 
 // Order is a fenced order to a backend server. A server that checks fences
--- a/protocol/platform.go
+++ b/protocol/platform.go
@@ -20,6 +20,7 @@
 	Service string       `json:"service,omitempty"`
 	Domain  string       `json:"domain"` // Domain is the failure domain.
 	Class   string       `json:"class,omitempty"`
+	Market  string       `json:"market,omitempty"` // Market is "reclaimable" or "on_demand".
 	Leaving bool         `json:"leaving"`
 }
 
@@ -39,3 +40,21 @@
 type NoticeList struct {
 	Notices []Notice `json:"notices"`
 }
+
+// Price is what the platform asks for an instance, an hour.
+type Price struct {
+	Domain string  `json:"domain"`
+	Class  string  `json:"class"`
+	Market string  `json:"market"`
+	Hourly float64 `json:"hourly"`
+}
+
+// StartOrder asks the platform for an instance, by POST /v1/instances. The
+// answer is 201 with the instance, or 429 when there is none to be had. The
+// same order again returns the same instance.
+type StartOrder struct {
+	Order  string `json:"order"` // Order names the purchase.
+	Domain string `json:"domain"`
+	Class  string `json:"class"`
+	Market string `json:"market"`
+}
--- a/protocol/refusal.go
+++ b/protocol/refusal.go
@@ -10,6 +10,7 @@
 	StatusBadRequest         = 400
 	StatusConflict           = 409
 	StatusGone               = 410
+	StatusTooManyRequests    = 429
 	StatusClientClosed       = 499
 	StatusBadGateway         = 502
 	StatusServiceUnavailable = 503
--- a/protocol/request.go
+++ b/protocol/request.go
@@ -88,6 +88,7 @@
 	Method     string    // Method is the HTTP method at a plain service.
 	Stream     bool      // Stream says that the caller wants events.
 	WantUsage  bool      // WantUsage says that the caller asked for a usage event.
+	Hedge      bool      // Hedge says that a late answer is asked for a second time.
 	Repeatable bool      // Repeatable is false when the request must run at most once.
 	Priority   Priority  // Priority orders requests under load.
 	IssuedAt   time.Time // IssuedAt is the caller's own time of first issue.
--- a/settings/defaults.go
+++ b/settings/defaults.go
@@ -7,6 +7,8 @@
 const (
 	DefaultBodyBytes       = 4 << 20                // bytes of a caller's body
 	DefaultStreams         = 512                    // requests in progress on one instance
+	DefaultQueue           = 256                    // requests that wait for a slot of one model, on one instance
+	DefaultQueueWait       = 10 * time.Second       // the longest such wait
 	DefaultRequestDeadline = 120 * time.Second      // when the caller names none
 	DefaultMaxDeadline     = 30 * time.Minute       // the longest that a caller may name
 	DefaultFirstByte       = 20 * time.Second       // from dispatch to the answer, and to its first event
@@ -30,5 +32,7 @@
 	DefaultClaimSkew       = 2 * time.Minute        // how far a caller's clock may run ahead
 	DefaultClaims          = 100_000                // claims kept at once
 	DefaultAnswerBytes     = 64 << 20               // bytes of stored answers, all claims together
+	DefaultFleetSettle     = 30 * time.Second       // a new leader looks on before it buys: the lag of the platform's list
+	DefaultFleetSurplus    = 5 * time.Minute        // an instance is one too many so long before it is given back
 	DefaultLogLevel        = "info"
 )
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -33,6 +33,7 @@
 	Timeouts  Timeouts `yaml:"timeouts"`                                   // Timeouts bound every wait.
 	Replica   Replica  `yaml:"replica"`                                    // Replica tunes the replication group.
 	Claims    Claims   `yaml:"claims"`                                     // Claims bound the claims kept.
+	Fleet     Fleet    `yaml:"fleet"`                                      // Fleet tunes the leader's purchases.
 	LogLevel  string   `yaml:"log_level" validate:"oneof=debug info warn error"`
 }
 
@@ -62,6 +63,10 @@
 	BodyBytes int `yaml:"body_bytes" validate:"min=1024,max=268435456"`
 	Streams   int `yaml:"streams" validate:"min=1,max=100000"`
 	Attempts  int `yaml:"attempts" validate:"min=1,max=20"`
+	Queue     int `yaml:"queue" validate:"min=0,max=100000"` // Queue is how many requests wait for a slot of one model.
+	// QueueWait is the longest such wait; a request that would wait longer is
+	// refused at once.
+	QueueWait time.Duration `yaml:"queue_wait" validate:"dmin=0s,dmax=1h"`
 }
 
 // Timeouts bound every wait of one instance.
@@ -95,12 +100,19 @@
 	AnswerBytes int           `yaml:"answer_bytes" validate:"min=0,max=1073741824"`
 }
 
+// Fleet tunes the leader's purchases; what may be bought at all is part of the
+// configuration.
+type Fleet struct {
+	Settle  time.Duration `yaml:"settle" validate:"dmin=0s,dmax=1h"`
+	Surplus time.Duration `yaml:"surplus" validate:"dmin=1s,dmax=24h"`
+}
+
 // New returns settings with every default filled in.
 func New() *Settings {
 	return &Settings{
 		LogLevel: DefaultLogLevel,
 		Platform: Platform{Poll: DefaultPlatformPoll, NoticePoll: DefaultNoticePoll},
-		Limits:   Limits{BodyBytes: DefaultBodyBytes, Streams: DefaultStreams, Attempts: DefaultAttempts},
+		Limits:   Limits{BodyBytes: DefaultBodyBytes, Streams: DefaultStreams, Attempts: DefaultAttempts, Queue: DefaultQueue, QueueWait: DefaultQueueWait},
 		Timeouts: Timeouts{
 			Request:     DefaultRequestDeadline,
 			MaxDeadline: DefaultMaxDeadline,
@@ -114,6 +126,7 @@
 			Drain:       DefaultDrain,
 		},
 		Replica: Replica{Election: DefaultElection, Heartbeat: DefaultReplicaBeat, SnapshotEntries: DefaultSnapshotEntries, ReserveBytes: DefaultReserveBytes, Batch: DefaultCommitBatch},
+		Fleet:   Fleet{Settle: DefaultFleetSettle, Surplus: DefaultFleetSurplus},
 		Claims:  Claims{Window: DefaultClaimWindow, Skew: DefaultClaimSkew, Count: DefaultClaims, AnswerBytes: DefaultAnswerBytes},
 	}
 }
--- a/state/config.go
+++ b/state/config.go
@@ -105,9 +105,26 @@
 			p.declare(doc, fmt.Sprintf("%s.key_sha256[%d]", at, j), "key digest", digest, f.Path)
 		}
 	}
+	p.addFleet(doc, part.Fleet, f.Path)
 	p.merge(part)
 }
 
+// addFleet takes the one fleet of all files.
+func (p *configParser) addFleet(doc *yamlfile.Document, fleet *protocol.Fleet, file string) {
+	if fleet == nil {
+		return
+	}
+	p.declare(doc, "fleet", "fleet", "fleet", file)
+	p.config.Fleet = fleet
+	for i, c := range fleet.Classes {
+		at := fmt.Sprintf("fleet.classes[%d]", i)
+		p.declare(doc, at+".name", "class", c.Name, file)
+		for j, model := range c.Models {
+			p.refer(doc, fmt.Sprintf("%s.models[%d]", at, j), "model", model)
+		}
+	}
+}
+
 func (p *configParser) merge(part *protocol.Config) {
 	p.config.Models = append(p.config.Models, part.Models...)
 	p.config.Adapters = append(p.config.Adapters, part.Adapters...)
--- a/state/index.go
+++ b/state/index.go
@@ -107,3 +107,21 @@
 func allowed(workspaces []string, name string) bool {
 	return len(workspaces) == 0 || slices.Contains(workspaces, name)
 }
+
+// Model returns a declared model by its name, or nil.
+func (ix *Index) Model(name string) *protocol.Model {
+	for i := range ix.Config.Models {
+		if ix.Config.Models[i].Name == name {
+			return &ix.Config.Models[i]
+		}
+	}
+	return nil
+}
+
+// Share returns a workspace's weight against the others, at least 1.
+func (ix *Index) Share(workspace string) int {
+	if w := ix.workspaces[workspace]; w != nil {
+		return max(1, w.Share)
+	}
+	return 1
+}
--- a/state/pool.go
+++ b/state/pool.go
@@ -16,6 +16,8 @@
 	Hash   []uint64  // Hash are the servers' hashes.
 	Base   []float64 // Base are the reported loads less this process's own part.
 	Silent []bool    // Silent tells which servers missed their last reports.
+	slots  int       // slots are those of the servers that report any.
+	known  int       // known counts these servers.
 	with   map[string][]bool
 }
 
@@ -31,7 +33,20 @@
 	return max(float64(own), p.Base[k]+float64(own))
 }
 
+// Slots returns how many requests the pool's servers run at once. Servers that
+// do not say are taken to be like the others; 0 means that none says.
+func (p *Pool) Slots() int {
+	if p.known == 0 {
+		return 0
+	}
+	return p.slots * len(p.Index) / p.known
+}
+
 func (p *Pool) add(i int, s *Server) {
+	if s.Report.Slots > 0 {
+		p.slots += s.Report.Slots
+		p.known++
+	}
 	p.Index = append(p.Index, int32(i))
 	p.Hash = append(p.Hash, s.Hash)
 	p.Base = append(p.Base, float64(s.Report.Running+s.Report.Waiting)-float64(s.OwnAt))
--- a/transport/answer.go
+++ b/transport/answer.go
@@ -21,6 +21,7 @@
 	release := func() {
 		stop()
 		end()
+		x.leavePool()
 		g.removeExchange(x)
 	}
 	if !x.request.Repeatable && !x.claim(ctx) {
@@ -32,8 +33,10 @@
 		release()
 		x.report()
 	}
-	x.resumeIfAsked()
-	x.apply(attempt.StartMsg{})
+	if x.awaitSlot() {
+		x.resumeIfAsked()
+		x.apply(attempt.StartMsg{})
+	}
 	for !x.over && (!x.request.Stream || !x.emitted) {
 		x.step()
 	}
@@ -257,7 +260,7 @@
 // report logs how the request ended.
 func (x *exchange) report() {
 	x.g.metrics.total.UpdateSince(x.started)
-	e := x.log.Info().Int("attempts", x.state.Attempt).Int("tokens", x.state.Held).Str("server", x.row.Server).Dur("took", time.Since(x.started))
+	e := x.log.Info().Int("attempts", x.state.Count).Int("tokens", x.state.Held).Str("server", x.row.Server).Dur("took", time.Since(x.started))
 	if x.refusal == nil {
 		e.Stringer("verdict", protocol.Ran).Msg("request answered")
 		return
--- a/transport/engine.go
+++ b/transport/engine.go
@@ -173,6 +173,9 @@
 	if string(resp.Header.Peek(protocol.HeaderLeaving)) == "true" {
 		c.leaving(protocol.Leaving{Server: c.server.ID, Origin: "refusal"})
 	}
+	if status == http.StatusNotFound {
+		m.Verdict = protocol.NotRun // It does not have the model, perhaps since a moment ago.
+	}
 	body, _ := readBody(resp) // A body that cannot be read leaves only the status.
 	m.Reason = "the backend server answered " + strconv.Itoa(status) + ": " + string(bytes.TrimSpace(body))
 	if status >= 400 && status < 500 && status != http.StatusTooManyRequests && status != http.StatusNotFound {
--- a/transport/exchange.go
+++ b/transport/exchange.go
@@ -37,23 +37,27 @@
 	log     zerolog.Logger
 	started time.Time
 
-	state    attempt.State
-	msgs     chan attempt.Msg
-	urgent   chan attempt.Msg // urgent overtakes the chunks: hang-up, leaving, deadline.
-	done     chan struct{}
-	finished sync.Once
-	owner    protocol.Owner // owner is this run's name in its claim.
-	claimed  bool           // claimed says that an outcome is owed to the claim.
-	server   atomic.Pointer[state.Server]
-
-	mu    sync.Mutex // mu guards wires.
+	state     attempt.State
+	msgs      chan attempt.Msg
+	urgent    chan attempt.Msg // urgent overtakes the chunks: hang-up, leaving, deadline.
+	done      chan struct{}
+	finished  sync.Once
+	owner     protocol.Owner // owner is this run's name in its claim.
+	leavePool func()         // leavePool gives the slot of the pool back.
+	claimed   bool           // claimed says that an outcome is owed to the claim.
+	server    atomic.Pointer[state.Server]
+
+	sentAt time.Time // sentAt is when the current attempt was sent.
+
+	mu    sync.Mutex // mu guards wires and answers.
 	wires map[int]*wire
 
-	movedAt int               // movedAt is the attempt that moveID belongs to.
-	moveID  string            // moveID is the request's name at the server to import from; empty means its own.
-	ends    []uint32          // ends are the lengths of text after each token.
-	text    strings.Builder   // text is the answer so far.
-	ready   []attempt.EmitCmd // ready are chunks not yet written to the caller.
+	movedAt int                   // movedAt is the attempt that moveID belongs to.
+	moveID  string                // moveID is the request's name at the server to import from; empty means its own.
+	ends    []uint32              // ends are the lengths of text after each token.
+	text    strings.Builder       // text is the answer so far.
+	ready   []attempt.EmitCmd     // ready are chunks not yet written to the caller.
+	answers map[int]serviceAnswer // answers are a plain service's, by attempt.
 	answer  serviceAnswer
 	finish  string
 	refusal *protocol.Refusal
@@ -74,6 +78,9 @@
 		urgent:  make(chan attempt.Msg, urgentQueue),
 		done:    make(chan struct{}),
 		wires:   map[int]*wire{},
+		answers: map[int]serviceAnswer{},
+
+		leavePool: func() {},
 	}
 }
 
@@ -153,8 +160,7 @@
 	case attempt.HandOverCmd:
 		x.handOver(cmd)
 	case attempt.FinishCmd:
-		x.finish, x.over = cmd.Finish, true
-		x.g.budget.success(time.Now())
+		x.end(cmd)
 	case attempt.RefuseCmd:
 		x.refusal, x.over = cmd.Refusal, true
 	}
@@ -171,6 +177,10 @@
 
 // dispatch chooses a server and starts the attempt's goroutine.
 func (x *exchange) dispatch(cmd attempt.DispatchCmd) {
+	if cmd.Hedge && !x.g.hedges.spend(time.Now()) {
+		x.apply(attempt.FailedMsg{Attempt: cmd.Attempt, Verdict: protocol.NotRun, Reason: "too many hedges"})
+		return
+	}
 	server, err := x.g.choose(x.request, cmd)
 	if err != nil {
 		r := protocol.NewRefusal(503, protocol.CodeNoBackend, "%v", err).WithRetryAfter(retryNoBackend)
@@ -178,9 +188,7 @@
 		return
 	}
 	x.apply(attempt.SentMsg{Attempt: cmd.Attempt, Server: server.ID, Domain: server.Domain})
-	x.server.Store(server)
-	x.row.Server, x.row.Attempt, x.row.Tokens = server.ID, cmd.Attempt, x.state.Held
-	x.g.tables.Streams.Update(x.row)
+	x.follow(server, cmd)
 	x.log.Debug().Int("attempt", cmd.Attempt).Str("server", server.ID).Int("resume", cmd.Resume).Str("move_from", cmd.MoveFrom).Msg("attempt sent")
 	c := &call{
 		request: x.request,
@@ -207,6 +215,34 @@
 	}
 }
 
+// follow notes where the request runs, and has a late answer asked for a
+// second time.
+func (x *exchange) follow(server *state.Server, cmd attempt.DispatchCmd) {
+	if cmd.Hedge {
+		x.g.metrics.hedges.Inc(1)
+		return
+	}
+	x.server.Store(server)
+	x.row.Server, x.row.Attempt, x.row.Tokens = server.ID, cmd.Attempt, x.state.Held
+	x.g.tables.Streams.Update(x.row)
+	x.sentAt = time.Now()
+	if x.request.Hedge {
+		time.AfterFunc(x.g.hedges.wait(x.request.Route), func() { x.deliver(attempt.HedgeMsg{}) })
+	}
+}
+
+// end notes the whole answer.
+func (x *exchange) end(cmd attempt.FinishCmd) {
+	x.finish, x.over = cmd.Finish, true
+	x.g.budget.success(time.Now())
+	if x.request.Hedge {
+		x.g.hedges.observe(x.request.Route, time.Since(x.sentAt), time.Now())
+	}
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.answer = x.answers[cmd.Attempt]
+}
+
 // moveIDOf returns the name under which the server to import from knows the
 // request: another one only if it was handed over.
 func (x *exchange) moveIDOf(cmd attempt.DispatchCmd) string {
@@ -221,7 +257,7 @@
 		x.g.runService(c, func(a serviceAnswer) {
 			x.mu.Lock()
 			defer x.mu.Unlock()
-			x.answer = a
+			x.answers[c.cmd.Attempt] = a
 		})
 		return
 	}
--- a/transport/gateway.go
+++ b/transport/gateway.go
@@ -34,10 +34,12 @@
 	wires    *wires
 	counts   sync.Pool
 	budget   *budgetBox
+	hedges   *hedgeBox
 	ready    func() error
 	leaving  func(protocol.Leaving) // leaving is told of servers that refuse since they leave.
 	server   *fasthttp.Server
 	claims   Claimer
+	limits   *Limits
 	transfer Transferrer
 	links    *Links // links is nil when there are no other instances.
 	self     protocol.Member
@@ -82,6 +84,10 @@
 	return func(g *Gateway) { g.links, g.transfer = l, t }
 }
 
+// WithLimits sets the limits over all instances; without them an instance
+// limits as if it were alone.
+func WithLimits(l *Limits) GatewayOption { return func(g *Gateway) { g.limits = l } }
+
 // WithSelf sets the instance's own member record, the name in its claims.
 func WithSelf(m protocol.Member) GatewayOption { return func(g *Gateway) { g.self = m } }
 
@@ -95,6 +101,7 @@
 		wires:     newWires(s.Timeouts.Dial),
 		counts:    sync.Pool{New: func() any { return new([]int32) }},
 		budget:    &budgetBox{budget: retry.New(time.Now())},
+		hedges:    &hedgeBox{budget: retry.NewHedges(time.Now()), delays: map[string]retry.HedgeDelay{}},
 		ready:     func() error { return nil },
 		leaving:   func(l protocol.Leaving) { t.Backends.MarkLeaving(l) },
 		exchanges: map[string]*exchange{},
@@ -106,6 +113,9 @@
 	for _, opt := range opts {
 		opt(g)
 	}
+	if g.limits == nil {
+		g.limits = NewLimits(t, nil, g.log, s.Name, LimitConfig(s))
+	}
 	if g.metrics == nil {
 		g.metrics = newGatewayMetrics(metrics.NewRegistry())
 	}
@@ -308,7 +318,7 @@
 		refusal = methodRefusal("POST")
 	}
 	if refusal != nil {
-		g.refuse(ctx, "", refusal)
+		g.turnAway(ctx, "", refusal)
 		return
 	}
 	r, refusal := p.parseModel(kind)
@@ -318,7 +328,7 @@
 func (g *Gateway) handleService(ctx *fasthttp.RequestCtx, path string) {
 	p, refusal := g.admitCaller(ctx)
 	if refusal != nil {
-		g.refuse(ctx, "", refusal)
+		g.turnAway(ctx, "", refusal)
 		return
 	}
 	name, rest, _ := strings.Cut(strings.TrimPrefix(path, "/services/"), "/")
@@ -337,19 +347,25 @@
 		r.Key.ID = id
 	}
 	if refusal != nil {
-		g.refuse(ctx, id, refusal)
+		g.turnAway(ctx, id, refusal)
 		return
 	}
 	x := g.newExchange(r, id)
 	if !g.tables.Streams.Begin(x.row, g.settings.Limits.Streams) {
 		full := protocol.NewRefusal(http.StatusTooManyRequests, protocol.CodeOverloaded, "this instance has %d requests in progress", g.settings.Limits.Streams)
-		g.refuse(ctx, id, full.WithRetryAfter(retryOverload))
+		g.turnAway(ctx, id, full.WithRetryAfter(retryOverload))
 		return
 	}
 	g.addExchange(x)
 	g.serve(ctx, x)
 }
 
+// turnAway refuses a request before the claims were asked.
+func (g *Gateway) turnAway(ctx *fasthttp.RequestCtx, id string, r *protocol.Refusal) {
+	keyGiven := len(ctx.Request.Header.Peek(protocol.HeaderKey)) > 0
+	g.refuse(ctx, id, admit.Unclaimed(r, keyGiven))
+}
+
 func (g *Gateway) addExchange(x *exchange) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- a/transport/handover.go
+++ b/transport/handover.go
@@ -144,7 +144,7 @@
 	x.moveID, x.movedAt = r.ID, r.Attempt
 	x.state = attempt.New(x.request.Repeatable, x.g.settings.Limits.Attempts, max(x.request.Resume, held), held)
 	x.state.MoveFrom, x.state.MoveAttempt = r.Server, r.Attempt
-	x.state.Attempt = r.Attempt
+	x.state.Attempt, x.state.Count = r.Attempt, r.Attempt
 	x.state.MaxAttempts += r.Attempt
 	if from := x.request.Resume; from < held {
 		x.ready = append(x.ready, attempt.EmitCmd{
@@ -185,10 +185,12 @@
 	g.addExchange(x)
 	x.resume(r)
 	end := x.watch()
+	x.enterPool(true)
 	x.apply(attempt.StartMsg{})
 	x.finishAlone()
 	x.settle()
 	end()
+	x.leavePool()
 	g.removeExchange(x)
 	x.report()
 }
--- a/transport/metrics.go
+++ b/transport/metrics.go
@@ -1,12 +1,8 @@
 package transport
 
 import (
-	"sync"
-	"time"
-
 	metrics "github.com/rcrowley/go-metrics"
 
-	"github.com/weldstream/weldstream/coordination/retry"
 	"github.com/weldstream/weldstream/protocol"
 )
 
@@ -20,6 +16,7 @@
 	attempts metrics.Counter
 	failures metrics.Counter
 	retries  metrics.Counter
+	hedges   metrics.Counter
 	moves    metrics.Counter
 	resumed  metrics.Counter
 	tokens   metrics.Counter
@@ -28,6 +25,7 @@
 	first    metrics.Timer
 	total    metrics.Timer
 	claims   metrics.Timer
+	queued   metrics.Timer
 }
 
 func newGatewayMetrics(r metrics.Registry) *gatewayMetrics {
@@ -37,6 +35,7 @@
 		attempts: metrics.GetOrRegisterCounter("attempts", r),
 		failures: metrics.GetOrRegisterCounter("attempts.failed", r),
 		retries:  metrics.GetOrRegisterCounter("retries", r),
+		hedges:   metrics.GetOrRegisterCounter("hedges", r),
 		moves:    metrics.GetOrRegisterCounter("moves", r),
 		resumed:  metrics.GetOrRegisterCounter("resumed", r),
 		tokens:   metrics.GetOrRegisterCounter("tokens.relayed", r),
@@ -45,6 +44,7 @@
 		first:    newTimer("first.token", r),
 		total:    newTimer("request.total", r),
 		claims:   newTimer("claim", r),
+		queued:   newTimer("queue.wait", r),
 	}
 }
 
@@ -59,23 +59,3 @@
 func (m *gatewayMetrics) refused(code protocol.Code) {
 	metrics.GetOrRegisterCounter("refused."+string(code), m.registry).Inc(1)
 }
-
-// budgetBox shares the retry budget between exchanges.
-type budgetBox struct {
-	mu     sync.Mutex
-	budget retry.Budget
-}
-
-func (b *budgetBox) success(now time.Time) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.budget = b.budget.Success(now)
-}
-
-func (b *budgetBox) spend(now time.Time) bool {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	var ok bool
-	b.budget, ok = b.budget.Spend(now)
-	return ok
-}
--- a/transport/parse.go
+++ b/transport/parse.go
@@ -136,6 +136,7 @@
 	}
 	r.BodyDigest = protocol.DigestOf([]byte(r.Method + " " + r.Path + "\n" + string(r.Body)))
 	r.Repeatable = r.Repeatable && state.RepeatableCall(svc, path)
+	r.Hedge = svc.Hedge && r.Repeatable
 	return r, p.priority(r, "")
 }
 
