The fleet: what to buy and what to give back; settings reference

Cause: the system routed to whatever the platform listed and neither bought nor gave back, so a reclaimed failure domain stayed lost.

coordination/fleet plans, for each model, the cheapest spread of reclaimable instances that bears the loss of any one domain, falls back to on-demand ones for the need alone, turns idle instances to another model, and gives back what has been too many for a while. The leader carries it out under its lease; an order has a name, so that a resend buys nothing.

A default that nothing read is gone.

--- a/cmd/weldctl/check.go
+++ b/cmd/weldctl/check.go
@@ -10,6 +10,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/weldstream/weldstream/protocol"
+	"github.com/weldstream/weldstream/settings"
 	"github.com/weldstream/weldstream/state"
 )
 
@@ -79,3 +80,15 @@
 		len(config.Models), len(config.Adapters), len(config.Routes), len(config.Services), len(config.Workspaces), digest.Short())
 	return exitOK
 }
+
+func runSettings(e env, fs *flag.FlagSet, args []string) int {
+	if code, ok := parse(fs, args); !ok {
+		return code
+	}
+	text, err := settings.Reference()
+	if err != nil {
+		return failf(e, "%v", err)
+	}
+	fmt.Fprint(e.out, text)
+	return exitOK
+}
--- a/cmd/weldctl/main.go
+++ b/cmd/weldctl/main.go
@@ -6,6 +6,7 @@
 //	weldctl dump                      the state of one process
 //	weldctl drop NAME                 take a replica that is gone for good out of the group
 //	weldctl send                      a caller's request, streamed to the terminal
+//	weldctl settings                  every setting of the daemon with its default and bounds
 //
 // Exit codes: 0 done; 1 refused, faulty or failed; 2 wrong use.
 package main
@@ -41,12 +42,13 @@
 
 func commands() map[string]command {
 	return map[string]command{
-		"check": {"read configuration files and list every fault", runCheck},
-		"apply": {"have configuration files accepted as a whole", runApply},
-		"get":   {"show what is in force, and where", runGet},
-		"dump":  {"show the state of one process", runDump},
-		"drop":  {"take a replica that is gone for good out of the group", runDrop},
-		"send":  {"send a request as a caller and stream the answer", runSend},
+		"check":    {"read configuration files and list every fault", runCheck},
+		"apply":    {"have configuration files accepted as a whole", runApply},
+		"get":      {"show what is in force, and where", runGet},
+		"dump":     {"show the state of one process", runDump},
+		"drop":     {"take a replica that is gone for good out of the group", runDrop},
+		"settings": {"list every setting of the daemon with its default and bounds", runSettings},
+		"send":     {"send a request as a caller and stream the answer", runSend},
 	}
 }
 
@@ -75,7 +77,7 @@
 	}
 	sort.Strings(names)
 	for _, name := range names {
-		fmt.Fprintf(e.err, "  %-6s %s\n", name, commands()[name].help)
+		fmt.Fprintf(e.err, "  %-8s %s\n", name, commands()[name].help)
 	}
 	fmt.Fprintln(e.err, "exit codes: 0 done; 1 refused, faulty or failed; 2 wrong use")
 	return exitUsage
--- a/cmd/weldstreamd/group.go
+++ b/cmd/weldstreamd/group.go
@@ -80,7 +80,9 @@
 	}
 	boot := transport.NewBootstrap(replica, d.tables, d.links, d.log, d.settings.Name, d.settings.Cluster.Replicas)
 	commander := transport.NewCommander(replica, s.Election, d.settings.Timeouts.Dial, d.tables, d.log)
+	fleet := transport.NewFleet(d.settings, commander, d.tables, d.limits, d.serverLeaving, d.log)
 	g.Go(func() error { return commander.Run(work) })
+	g.Go(func() error { return fleet.Run(work) })
 	g.Go(func() error { return replica.Run(work) })
 	g.Go(func() error { return boot.Run(work) })
 	return nil
--- /dev/null
+++ b/coordination/fleet/fleet_test.go
@@ -0,0 +1,268 @@
+package fleet
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+var began = time.Unix(1_000_000, 0)
+
+var gpu = []Class{{Name: "gpu", Slots: 8, Models: []string{"m", "n"}}, {Name: "small", Slots: 2, Models: []string{"m"}}}
+
+func readyConfig() Config {
+	cfg := DefaultConfig()
+	cfg.Settle, cfg.OnDemand = 0, true
+	return cfg
+}
+
+// fakeFleet carries a planner's orders out and checks each of them.
+type fakeFleet struct {
+	t      *rapid.T
+	p      *Planner
+	now    time.Time
+	list   []Instance
+	closed map[offerKey]time.Time
+	shut   map[offerKey]time.Time // shut is until when offers were closed before the round.
+	needs  []Need
+	offers []Offer
+	next   int
+}
+
+func (f *fakeFleet) view() ViewMsg {
+	return ViewMsg{Now: f.now, Instances: append([]Instance(nil), f.list...), Offers: f.offers, Needs: f.needs, Classes: gpu}
+}
+
+// slots adds up a model's instances that do not leave, by domain.
+func (f *fakeFleet) slots(model string) map[string]int {
+	slots := map[string]int{}
+	for _, in := range f.list {
+		if !in.Leaving && len(in.Models) > 0 && in.Models[0] == model {
+			slots[in.Domain] += map[string]int{"gpu": 8, "small": 2}[in.Class]
+		}
+	}
+	return slots
+}
+
+func (f *fakeFleet) carryOut(cmds []Cmd) {
+	for _, cmd := range cmds {
+		switch cmd := cmd.(type) {
+		case StartCmd:
+			f.start(cmd)
+		case LoadCmd:
+			f.each(cmd.ID, func(in *Instance) { in.Models = []string{cmd.Model} })
+		case DrainCmd:
+			f.each(cmd.ID, func(in *Instance) { in.Leaving, in.Running = true, 0 })
+			for _, n := range f.needs {
+				if got := f.slots(n.Model); n.Slots > 0 && !survives(got, n.Slots) && survives(withBack(got, f.list, cmd.ID), n.Slots) {
+					f.t.Fatalf("%s was given up, and %v does not bear a loss at a need of %d", cmd.ID, got, n.Slots)
+				}
+			}
+		case GiveBackCmd:
+			f.each(cmd.ID, func(in *Instance) {
+				if !in.Leaving || in.Running > 0 {
+					f.t.Fatalf("%+v was given back at work", *in)
+				}
+			})
+			f.remove(cmd.ID)
+		}
+	}
+}
+
+// withBack is what there was before an instance was given up.
+func withBack(slots map[string]int, list []Instance, id string) map[string]int {
+	back := map[string]int{}
+	for d, n := range slots {
+		back[d] = n
+	}
+	for _, in := range list {
+		if in.ID == id {
+			back[in.Domain] += map[string]int{"gpu": 8, "small": 2}[in.Class]
+		}
+	}
+	return back
+}
+
+func (f *fakeFleet) start(cmd StartCmd) {
+	key := offerKey{cmd.Domain, cmd.Class, cmd.Market}
+	if f.now.Before(f.shut[key]) {
+		f.t.Fatalf("%v is asked for though it refused just now", key)
+	}
+	if f.now.Before(f.closed[key]) {
+		f.carryOut(f.p.Update(RefusedMsg{Order: cmd.Order, Now: f.now}))
+		return
+	}
+	f.next++
+	in := Instance{ID: fmt.Sprint("i", f.next), Domain: cmd.Domain, Class: cmd.Class, Market: cmd.Market, Hourly: 1}
+	f.list = append(f.list, in)
+	f.p.Update(StartedMsg{Order: cmd.Order, ID: in.ID, Now: f.now})
+}
+
+func (f *fakeFleet) each(id string, do func(*Instance)) {
+	for i := range f.list {
+		if f.list[i].ID == id {
+			do(&f.list[i])
+		}
+	}
+}
+
+func (f *fakeFleet) remove(id string) {
+	var rest []Instance
+	for _, in := range f.list {
+		if in.ID != id {
+			rest = append(rest, in)
+		}
+	}
+	f.list = rest
+}
+
+func newFakeFleet(t *rapid.T) *fakeFleet {
+	f := &fakeFleet{t: t, p: New(readyConfig()), now: began, closed: map[offerKey]time.Time{}}
+	for d := range 4 {
+		for _, class := range gpu {
+			price := float64(rapid.IntRange(1, 9).Draw(t, "price"))
+			f.offers = append(f.offers,
+				Offer{Domain: fmt.Sprint("zone-", d), Class: class.Name, Market: Reclaimable, Hourly: price},
+				Offer{Domain: fmt.Sprint("zone-", d), Class: class.Name, Market: OnDemand, Hourly: 20})
+		}
+	}
+	f.needs = []Need{{Model: "m", Floor: 4}, {Model: "n"}}
+	return f
+}
+
+// TestPlanner plays needs, refusals, reclaims and time at random. Whenever
+// nothing is refused for a while, the fleet comes to bear the loss of any
+// domain, without an on-demand instance, and once the need has fallen it is
+// not much larger than that takes.
+func TestPlanner(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		f := newFakeFleet(t)
+		for range 40 {
+			f.now = f.now.Add(time.Duration(rapid.IntRange(1, 120).Draw(t, "seconds")) * time.Second)
+			switch rapid.IntRange(0, 3).Draw(t, "step") {
+			case 0:
+				f.needs[rapid.IntRange(0, 1).Draw(t, "model")].Slots = rapid.IntRange(0, 60).Draw(t, "need")
+			case 1:
+				o := f.offers[rapid.IntRange(0, len(f.offers)-1).Draw(t, "offer")]
+				f.closed[offerKey{o.Domain, o.Class, o.Market}] = f.now.Add(time.Duration(rapid.IntRange(0, 20).Draw(t, "minutes")) * time.Minute)
+			case 2:
+				f.reclaim(fmt.Sprint("zone-", rapid.IntRange(0, 3).Draw(t, "domain")))
+			}
+			f.round()
+		}
+		f.closed = nil
+		f.settle(t)
+	})
+}
+
+func (f *fakeFleet) reclaim(domain string) {
+	var rest []Instance
+	for _, in := range f.list {
+		if in.Domain != domain || in.Market == OnDemand {
+			rest = append(rest, in)
+		}
+	}
+	f.list = rest
+}
+
+func (f *fakeFleet) round() {
+	for i := range f.list {
+		f.list[i].Ready = true
+	}
+	f.shut = map[offerKey]time.Time{}
+	for key, c := range f.p.shut {
+		f.shut[key] = c.until
+	}
+	f.carryOut(f.p.Update(f.view()))
+}
+
+func (f *fakeFleet) settle(t *rapid.T) {
+	for range 400 {
+		f.now = f.now.Add(time.Minute)
+		f.round()
+	}
+	for _, n := range f.needs {
+		got := f.slots(n.Model)
+		need := max(n.Floor, n.Slots)
+		if need > 0 && !survives(got, need) {
+			t.Fatalf("%s needs %d and has %v", n.Model, need, got)
+		}
+		total := 0
+		for _, k := range got {
+			total += k
+		}
+		if most := 3*need + 32; total > most {
+			t.Fatalf("%s needs %d and still has %v", n.Model, need, got)
+		}
+	}
+	for _, in := range f.list {
+		if in.Market == OnDemand && !in.Leaving {
+			t.Fatalf("%s is still on demand, though nothing is refused", in.ID)
+		}
+	}
+}
+
+// TestOnDemandCoversTheNeedOnly refuses every reclaimable start.
+func TestOnDemandCoversTheNeedOnly(t *testing.T) {
+	p := New(readyConfig())
+	v := ViewMsg{Now: began, Classes: gpu[:1], Needs: []Need{{Model: "m", Slots: 20}}}
+	for d := range 3 {
+		v.Offers = append(v.Offers, Offer{Domain: fmt.Sprint("zone-", d), Class: "gpu", Market: Reclaimable, Hourly: 1}, Offer{Domain: fmt.Sprint("zone-", d), Class: "gpu", Market: OnDemand, Hourly: 3})
+	}
+	bought := 0
+	for round := range 4 {
+		v.Now = began.Add(time.Duration(round) * time.Second)
+		for _, cmd := range p.Update(v) {
+			start := cmd.(StartCmd)
+			if start.Market == Reclaimable {
+				p.Update(RefusedMsg{Order: start.Order, Now: v.Now})
+				continue
+			}
+			bought++
+		}
+	}
+	if bought != 3 { // 20 slots and 15 % of headroom are 23: three instances of eight.
+		t.Errorf("%d on-demand instances bought for a need of 23 slots, want 3", bought)
+	}
+}
+
+// TestNewLeaderLooksOn gives a planner a fleet that lacks everything: it buys
+// nothing until the list can show what its predecessor bought.
+func TestNewLeaderLooksOn(t *testing.T) {
+	p := New(DefaultConfig())
+	v := ViewMsg{Now: began, Classes: gpu[:1], Needs: []Need{{Model: "m", Slots: 20}}, Offers: []Offer{{Domain: "a", Class: "gpu", Market: Reclaimable}, {Domain: "b", Class: "gpu", Market: Reclaimable}}}
+	if cmds := p.Update(v); len(cmds) > 0 {
+		t.Errorf("ordered %v at first sight", cmds)
+	}
+	v.Now = began.Add(DefaultConfig().Settle)
+	if cmds := p.Update(v); len(cmds) == 0 {
+		t.Error("ordered nothing after looking on")
+	}
+}
+
+// TestTurn has one model with too many idle instances and another that lacks
+// some: they are turned instead of bought.
+func TestTurn(t *testing.T) {
+	p := New(readyConfig())
+	v := ViewMsg{Now: began, Classes: gpu[:1], Needs: []Need{{Model: "m", Slots: 6}, {Model: "n", Slots: 6}}}
+	for i := range 8 {
+		v.Instances = append(v.Instances, Instance{ID: fmt.Sprint("i", i), Domain: fmt.Sprint("zone-", i%4), Class: "gpu", Market: Reclaimable, Models: []string{"m"}, Ready: true})
+	}
+	loads := 0
+	for _, cmd := range p.Update(v) {
+		switch cmd := cmd.(type) {
+		case LoadCmd:
+			loads++
+			if cmd.Model != "n" {
+				t.Errorf("%+v", cmd)
+			}
+		case StartCmd:
+			t.Errorf("bought %+v", cmd)
+		}
+	}
+	if loads < 2 {
+		t.Errorf("%d instances were turned, want 2 at the least", loads)
+	}
+}
--- a/settings/defaults.go
+++ b/settings/defaults.go
@@ -8,8 +8,9 @@
 	DefaultBodyBytes       = 4 << 20                // bytes of a caller's body
 	DefaultStreams         = 512                    // requests in progress on one instance
 	DefaultQueue           = 256                    // requests that wait for a slot of one model, on one instance
+	DefaultLoadReads       = 20                     // load reports that one instance asks for in a second
 	DefaultQueueWait       = 10 * time.Second       // the longest such wait
-	DefaultRequestDeadline = 120 * time.Second      // when the caller names none
+	DefaultRequestDeadline = 120 * time.Second      // deadline of a request whose caller names none
 	DefaultMaxDeadline     = 30 * time.Minute       // the longest that a caller may name
 	DefaultFirstByte       = 20 * time.Second       // from dispatch to the answer, and to its first event
 	DefaultChunkGap        = 10 * time.Second       // between two events of an engine's stream
@@ -20,7 +21,6 @@
 	DefaultPlatformPoll    = 500 * time.Millisecond // between two reads of the platform's list
 	DefaultNoticePoll      = 200 * time.Millisecond // between two reads of the platform's notices
 	DefaultGossip          = 200 * time.Millisecond // between two gossip rounds
-	DefaultGossipFanout    = 3                      // peers addressed in a gossip round
 	DefaultSuspect         = 3 * time.Second        // without a beat, a member counts as lost
 	DefaultDrain           = 10 * time.Minute       // a planned stop waits so long before it hands over
 	DefaultElection        = 450 * time.Millisecond // least election timeout; the most is twice that
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -20,26 +20,27 @@
 
 // Settings are the settings of one daemon.
 type Settings struct {
-	Name      string   `yaml:"name" validate:"required,name"`              // Name is unique in the cluster.
-	Domain    string   `yaml:"domain" validate:"required,name"`            // Domain is the failure domain.
-	Caller    string   `yaml:"caller" validate:"required,ipport"`          // Caller is where callers connect.
-	Peer      string   `yaml:"peer" validate:"required,ipport"`            // Peer is where other instances connect.
-	Advertise string   `yaml:"peer_advertise" validate:"omitempty,ipport"` // Advertise is what others connect to, if not Peer.
-	Admin     string   `yaml:"admin" validate:"required,ipport"`           // Admin serves operators, dump and metrics.
-	DataDir   string   `yaml:"data_dir"`                                   // DataDir is the disk's folder; empty without a disk.
-	Cluster   Cluster  `yaml:"cluster" validate:"required"`                // Cluster is what all instances share.
-	Platform  Platform `yaml:"platform" validate:"required"`               // Platform is the source of the servers' list.
-	Limits    Limits   `yaml:"limits"`                                     // Limits bound what one instance takes on.
-	Timeouts  Timeouts `yaml:"timeouts"`                                   // Timeouts bound every wait.
-	Replica   Replica  `yaml:"replica"`                                    // Replica tunes the replication group.
-	Claims    Claims   `yaml:"claims"`                                     // Claims bound the claims kept.
-	Fleet     Fleet    `yaml:"fleet"`                                      // Fleet tunes the leader's purchases.
-	LogLevel  string   `yaml:"log_level" validate:"oneof=debug info warn error"`
+	Name      string   `yaml:"name" validate:"required,name"`                    // Name is unique in the cluster.
+	Domain    string   `yaml:"domain" validate:"required,name"`                  // Domain is the failure domain.
+	Caller    string   `yaml:"caller" validate:"required,ipport"`                // Caller is where callers connect.
+	Peer      string   `yaml:"peer" validate:"required,ipport"`                  // Peer is where other instances connect.
+	Advertise string   `yaml:"peer_advertise" validate:"omitempty,ipport"`       // Advertise is what others connect to, if not Peer.
+	Admin     string   `yaml:"admin" validate:"required,ipport"`                 // Admin serves operators, dump and metrics.
+	DataDir   string   `yaml:"data_dir"`                                         // DataDir is the disk's folder; empty without a disk.
+	Cluster   Cluster  `yaml:"cluster" validate:"required"`                      // Cluster is what all instances share.
+	Platform  Platform `yaml:"platform" validate:"required"`                     // Platform is the source of the servers' list.
+	Limits    Limits   `yaml:"limits"`                                           // Limits bound what one instance takes on.
+	Timeouts  Timeouts `yaml:"timeouts"`                                         // Timeouts bound every wait.
+	Replica   Replica  `yaml:"replica"`                                          // Replica tunes the replication group.
+	Claims    Claims   `yaml:"claims"`                                           // Claims bound the claims kept.
+	Fleet     Fleet    `yaml:"fleet"`                                            // Fleet tunes the leader's purchases.
+	LogLevel  string   `yaml:"log_level" validate:"oneof=debug info warn error"` // LogLevel is the least level that is logged.
 }
 
 // Cluster is what all instances of one cluster share.
 type Cluster struct {
-	KeyFile        string   `yaml:"key_file" validate:"required"` // KeyFile holds the cluster's key.
+	KeyFile string `yaml:"key_file" validate:"required"` // KeyFile holds the cluster's key.
+	// OperatorDigest are the SHA-256 digests, in hexadecimal, of the operators' tokens.
 	OperatorDigest []string `yaml:"operator_sha256" validate:"required,min=1,dive,len=64,hexadecimal,lowercase"`
 	Peers          []Peer   `yaml:"peers" validate:"dive"`         // Peers are instances to meet first.
 	Replicas       []string `yaml:"replicas" validate:"dive,name"` // Replicas are the founding members of the group.
@@ -47,13 +48,13 @@
 
 // Peer is an instance that is known from the start.
 type Peer struct {
-	Name    string `yaml:"name" validate:"required,name"`
-	Address string `yaml:"address" validate:"required,ipport"`
+	Name    string `yaml:"name" validate:"required,name"`      // Name is the instance's name.
+	Address string `yaml:"address" validate:"required,ipport"` // Address is its peer address.
 }
 
 // Platform is where the list of instances and the notices come from.
 type Platform struct {
-	Address    string        `yaml:"address" validate:"required,ipport"`
+	Address    string        `yaml:"address" validate:"required,ipport"` // Address is the platform's.
 	Poll       time.Duration `yaml:"poll" validate:"dmin=20ms,dmax=1m"`
 	NoticePoll time.Duration `yaml:"notice_poll" validate:"dmin=20ms,dmax=10m"`
 }
@@ -63,6 +64,7 @@
 	BodyBytes int `yaml:"body_bytes" validate:"min=1024,max=268435456"`
 	Streams   int `yaml:"streams" validate:"min=1,max=100000"`
 	Attempts  int `yaml:"attempts" validate:"min=1,max=20"`
+	LoadReads int `yaml:"load_reads" validate:"min=1,max=100000"`
 	Queue     int `yaml:"queue" validate:"min=0,max=100000"` // Queue is how many requests wait for a slot of one model.
 	// QueueWait is the longest such wait; a request that would wait longer is
 	// refused at once.
@@ -112,7 +114,7 @@
 	return &Settings{
 		LogLevel: DefaultLogLevel,
 		Platform: Platform{Poll: DefaultPlatformPoll, NoticePoll: DefaultNoticePoll},
-		Limits:   Limits{BodyBytes: DefaultBodyBytes, Streams: DefaultStreams, Attempts: DefaultAttempts, Queue: DefaultQueue, QueueWait: DefaultQueueWait},
+		Limits:   Limits{BodyBytes: DefaultBodyBytes, Streams: DefaultStreams, Attempts: DefaultAttempts, LoadReads: DefaultLoadReads, Queue: DefaultQueue, QueueWait: DefaultQueueWait},
 		Timeouts: Timeouts{
 			Request:     DefaultRequestDeadline,
 			MaxDeadline: DefaultMaxDeadline,
--- a/state/backends.go
+++ b/state/backends.go
@@ -19,6 +19,9 @@
 	Report   protocol.LoadReport // Report is the last that was read.
 	ReportAt time.Time           // ReportAt is when it was read; zero before the first.
 	OwnAt    int32               // OwnAt is Outstanding when Report was read.
+	AskedAt  time.Time           // AskedAt is when a report was asked for last, in vain or not.
+	SentAt   int64               // SentAt is Sent when it was.
+	Old      bool                // Old says that Report tells nothing of the load any more.
 	Hash     uint64              // Hash is of the identity, for rendezvous ranks.
 	Missed   int                 // Missed counts reports that failed since ReportAt.
 	Counters *Counters           // Counters are shared by all snapshots.
@@ -37,6 +40,10 @@
 	return max(float64(own), float64(s.Report.Running+s.Report.Waiting)+float64(own-s.OwnAt))
 }
 
+// Used reports whether this process sent to the server since it last asked for
+// its load, or never asked.
+func (s *Server) Used() bool { return s.AskedAt.IsZero() || s.Counters.Sent.Load() != s.SentAt }
+
 // Silent reports whether the server missed its last load reports.
 func (s *Server) Silent() bool { return s.Missed > maxMissed }
 
@@ -130,6 +137,10 @@
 	}
 }
 
+// reportFresh is how long a report tells something of the load: a few requests'
+// time.
+const reportFresh = 2 * time.Second
+
 // ReportRow is the outcome of asking one server for its load.
 type ReportRow struct {
 	Server string
@@ -143,18 +154,41 @@
 func (b *Backends) SetReports(rows []ReportRow) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	var now time.Time
 	for _, r := range rows {
 		b.setReport(r)
+		now = later(now, r.At)
+	}
+	for _, row := range b.rows {
+		row.Old = now.Sub(row.ReportAt) > reportFresh
 	}
 	b.publish()
 }
 
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
+// WantReport has a server's load asked for in the next round.
+func (b *Backends) WantReport(id string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if row := b.rows[id]; row != nil {
+		row.SentAt = -1
+		b.publish()
+	}
+}
+
 // setReport needs b.mu.
 func (b *Backends) setReport(r ReportRow) {
 	row := b.rows[r.Server]
 	if row == nil {
 		return
 	}
+	row.AskedAt, row.SentAt = r.At, row.Counters.Sent.Load()
 	if r.Failed {
 		row.Missed++
 		return
--- a/state/config_test.go
+++ b/state/config_test.go
@@ -21,6 +21,11 @@
   - {name: w, share: 1, key_sha256: [9f86d081884c7d659a2feaa0c55ad015a3bf4f1b2b0b822cd15d6c15b0f00a08]}
 `
 
+const fleetConfig = `fleet:
+  max_instances: 9
+  classes: [{name: gpu, slots: 8, models: [m]}]
+`
+
 // TestConfigFaults shows every fault of an apply at once, each in its file.
 func TestConfigFaults(t *testing.T) {
 	replace := func(old, with string) string { return strings.Replace(goodConfig, old, with, 1) }
@@ -37,6 +42,11 @@
 		{"adapter of another model", []string{goodConfig, "models:\n  - {name: n, version: \"1\"}\nroutes:\n  - {name: q, model: n, adapter: a}\n"}},
 		{"key used twice", []string{goodConfig, strings.Replace(goodConfig[strings.Index(goodConfig, "workspaces:\n"):], "name: w", "name: x", 1)}},
 		{"share of nothing", []string{replace("share: 1", "share: 0")}},
+		{"fleet", []string{goodConfig, fleetConfig}},
+		{"two fleets", []string{goodConfig + fleetConfig, fleetConfig}},
+		{"class of no model", []string{goodConfig, strings.Replace(fleetConfig, "[m]", "[none]", 1)}},
+		{"class without slots", []string{goodConfig, strings.Replace(fleetConfig, "slots: 8", "slots: 0", 1)}},
+		{"fleet without a bound", []string{goodConfig, strings.Replace(fleetConfig, "max_instances", "max", 1)}},
 		{"not YAML, and an unknown field", []string{"models: [", "modles: []\n"}},
 		{"too large", []string{"# " + strings.Repeat("x", MaxConfigBytes)}},
 	}
--- a/state/pool.go
+++ b/state/pool.go
@@ -16,6 +16,7 @@
 	Hash   []uint64  // Hash are the servers' hashes.
 	Base   []float64 // Base are the reported loads less this process's own part.
 	Silent []bool    // Silent tells which servers missed their last reports.
+	old    []int32   // old are the positions in the columns of servers whose report is old.
 	slots  int       // slots are those of the servers that report any.
 	known  int       // known counts these servers.
 	with   map[string][]bool
@@ -51,6 +52,32 @@
 	p.Hash = append(p.Hash, s.Hash)
 	p.Base = append(p.Base, float64(s.Report.Running+s.Report.Waiting)-float64(s.OwnAt))
 	p.Silent = append(p.Silent, s.Silent())
+	if s.Old {
+		p.old = append(p.old, int32(len(p.Base)-1))
+	}
+}
+
+// guessOld takes servers whose report is old for like the mean of the others:
+// an old report would keep a server out, or let all in, for as long as nobody
+// asks it.
+func (p *Pool) guessOld() {
+	fresh := len(p.Base) - len(p.old)
+	if len(p.old) == 0 || fresh == 0 {
+		return
+	}
+	isOld := make([]bool, len(p.Base))
+	for _, k := range p.old {
+		isOld[k] = true
+	}
+	sum := 0.0
+	for k, base := range p.Base {
+		if !isOld[k] {
+			sum += base
+		}
+	}
+	for _, k := range p.old {
+		p.Base[k] = sum / float64(fresh)
+	}
 }
 
 // markAdapters fills the adapters' columns once the pool is complete.
@@ -84,6 +111,7 @@
 	}
 	for _, p := range v.models {
 		p.markAdapters(servers)
+		p.guessOld()
 	}
 	return v
 }
--- /dev/null
+++ b/transport/fleet.go
@@ -0,0 +1,237 @@
+package transport
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"slices"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"github.com/rs/zerolog"
+
+	"github.com/weldstream/weldstream/coordination/fleet"
+	"github.com/weldstream/weldstream/coordination/order"
+	"github.com/weldstream/weldstream/protocol"
+	"github.com/weldstream/weldstream/settings"
+	"github.com/weldstream/weldstream/state"
+)
+
+const (
+	fleetEvery   = time.Second
+	pricesEvery  = 10 * time.Second
+	fleetTimeout = 5 * time.Second
+)
+
+// Fleet carries out the leader's purchases. It works only while this instance
+// leads; a planner lives as long as one leadership, since what it knows of its
+// orders is worth nothing after another leader gave some.
+type Fleet struct {
+	settings  *settings.Settings
+	commander *Commander
+	tables    *state.Tables
+	limits    *Limits
+	leaving   func(protocol.Leaving)
+	wires     *wires
+	log       zerolog.Logger
+
+	planner *fleet.Planner
+	term    uint64
+	policy  protocol.Fleet // policy is what the planner was made with.
+	prices  []protocol.Price
+	priced  time.Time
+	shut    map[protocol.Price]bool // shut are offers that refused in this round.
+}
+
+// NewFleet returns a fleet that is not running. It asks the commander whether
+// this instance leads, and gives its orders through it; the func leaving
+// spreads that a server gets no new work.
+func NewFleet(s *settings.Settings, c *Commander, t *state.Tables, l *Limits, leaving func(protocol.Leaving), log zerolog.Logger) *Fleet {
+	return &Fleet{settings: s, commander: c, tables: t, limits: l, leaving: leaving, wires: newWires(s.Timeouts.Dial), log: log}
+}
+
+// Run plans and buys until ctx ends.
+func (f *Fleet) Run(ctx context.Context) error { return every(ctx, fleetEvery, f.round) }
+
+func (f *Fleet) round() {
+	term, ok := f.commander.leads.Leads()
+	ix := f.tables.Index()
+	if !ok || ix == nil || ix.Config.Fleet == nil {
+		f.planner = nil
+		return
+	}
+	f.renew(term, *ix.Config.Fleet)
+	if err := f.readPrices(); err != nil {
+		f.log.Warn().Err(err).Msg("prices could not be read")
+		return
+	}
+	v, err := f.view(ix)
+	if err != nil {
+		f.log.Warn().Err(err).Msg("the need could not be learned")
+		return
+	}
+	f.shut = map[protocol.Price]bool{}
+	for _, cmd := range f.planner.Update(v) {
+		f.carryOut(cmd)
+	}
+}
+
+// renew makes a planner for a new leadership or a new policy.
+func (f *Fleet) renew(term uint64, policy protocol.Fleet) {
+	same := policy.OnDemand == f.policy.OnDemand && policy.HeadroomPercent == f.policy.HeadroomPercent && policy.MaxInstances == f.policy.MaxInstances
+	if f.planner != nil && f.term == term && same {
+		return
+	}
+	cfg := fleet.DefaultConfig()
+	cfg.Headroom = float64(policy.HeadroomPercent) / 100
+	cfg.OnDemand, cfg.Most = policy.OnDemand, policy.MaxInstances
+	cfg.Settle, cfg.Surplus = f.settings.Fleet.Settle, f.settings.Fleet.Surplus
+	f.planner, f.term, f.policy = fleet.New(cfg), term, policy
+}
+
+func (f *Fleet) readPrices() error {
+	if time.Since(f.priced) < pricesEvery {
+		return nil
+	}
+	status, body, err := f.wires.call(f.settings.Platform.Address, http.MethodGet, "/v1/prices", nil, fleetTimeout)
+	if err != nil {
+		return err
+	}
+	if status != http.StatusOK {
+		return eris.Errorf("the platform answered %d", status)
+	}
+	var prices []protocol.Price
+	if err := json.Unmarshal(body, &prices); err != nil {
+		return eris.Wrap(err, "parse prices")
+	}
+	f.prices, f.priced = prices, time.Now()
+	return nil
+}
+
+// view is what the leader sees now.
+func (f *Fleet) view(ix *state.Index) (fleet.ViewMsg, error) {
+	v := fleet.ViewMsg{Now: time.Now()}
+	for _, p := range f.prices {
+		v.Offers = append(v.Offers, fleet.Offer{Domain: p.Domain, Class: p.Class, Market: fleet.Market(p.Market), Hourly: p.Hourly})
+	}
+	for _, c := range ix.Config.Fleet.Classes {
+		v.Classes = append(v.Classes, fleet.Class{Name: c.Name, Slots: c.Slots, Models: c.Models})
+	}
+	for _, m := range ix.Config.Models {
+		wanted, err := f.limits.Wanted(m.Name)
+		if err != nil {
+			return v, err
+		}
+		// A declared model is kept somewhere: what nobody can serve nobody asks for.
+		v.Needs = append(v.Needs, fleet.Need{Model: m.Name, Slots: wanted, Floor: max(1, m.MinSlots)})
+	}
+	servers := f.tables.Backends.View().Servers
+	for i := range servers {
+		if servers[i].Kind == protocol.InstanceEngine {
+			v.Instances = append(v.Instances, f.instance(&servers[i]))
+		}
+	}
+	return v, nil
+}
+
+func (f *Fleet) instance(s *state.Server) fleet.Instance {
+	in := fleet.Instance{
+		ID:      s.ID,
+		Domain:  s.Domain,
+		Class:   s.Class,
+		Market:  fleet.Market(s.Market),
+		Models:  s.Report.Models,
+		Ready:   !s.ReportAt.IsZero() && !s.Silent(),
+		Leaving: s.Leaving,
+		Running: s.Report.Running + s.Report.Waiting + int(s.Counters.Outstanding.Load()),
+	}
+	for _, p := range f.prices {
+		if p.Domain == s.Domain && p.Class == s.Class && p.Market == s.Market {
+			in.Hourly = p.Hourly
+		}
+	}
+	return in
+}
+
+func (f *Fleet) carryOut(cmd fleet.Cmd) {
+	if term, ok := f.commander.leads.Leads(); !ok || term != f.term {
+		return
+	}
+	var err error
+	switch cmd := cmd.(type) {
+	case fleet.StartCmd:
+		f.start(cmd)
+	case fleet.LoadCmd:
+		err = f.load(cmd)
+	case fleet.DrainCmd:
+		f.log.Info().Str("server", cmd.ID).Msg("giving up an instance")
+		f.leaving(protocol.Leaving{Server: cmd.ID, Origin: "given up"})
+	case fleet.GiveBackCmd:
+		err = f.giveBack(cmd.ID)
+	}
+	if err != nil {
+		f.log.Warn().Err(err).Type("order", cmd).Msg("the fleet's order failed")
+	}
+}
+
+// start buys an instance. An offer that refused in this round is not asked for
+// again: the orders were planned together.
+func (f *Fleet) start(cmd fleet.StartCmd) {
+	offer := protocol.Price{Domain: cmd.Domain, Class: cmd.Class, Market: string(cmd.Market)}
+	refused := fleet.RefusedMsg{Order: cmd.Order, Now: time.Now()}
+	if f.shut[offer] {
+		f.planner.Update(refused)
+		return
+	}
+	body, err := json.Marshal(protocol.StartOrder{
+		Order:  fmt.Sprintf("%s-%d-%d", f.settings.Name, f.term, cmd.Order),
+		Domain: cmd.Domain,
+		Class:  cmd.Class,
+		Market: string(cmd.Market),
+	})
+	if err != nil {
+		return // A StartOrder holds only strings.
+	}
+	status, answer, err := f.wires.call(f.settings.Platform.Address, http.MethodPost, "/v1/instances", body, fleetTimeout)
+	var in protocol.Instance
+	log := f.log.Info().Str("domain", cmd.Domain).Str("class", cmd.Class).Str("market", string(cmd.Market)).Str("model", cmd.Model)
+	switch {
+	case err == nil && status == http.StatusCreated && json.Unmarshal(answer, &in) == nil:
+		f.planner.Update(fleet.StartedMsg{Order: cmd.Order, ID: in.ID, Now: time.Now()})
+		log.Str("server", in.ID).Msg("instance bought")
+	case err == nil && status >= 400 && status < 500:
+		f.shut[offer] = true
+		f.planner.Update(refused)
+		log.Int("status", status).Msg("start refused")
+	default:
+		refused.Lost = true
+		f.planner.Update(refused)
+		log.Int("status", status).Err(err).Msg("the answer to a start was lost")
+	}
+}
+
+// load has an engine load a model, as a fenced order.
+func (f *Fleet) load(cmd fleet.LoadCmd) error {
+	s := f.tables.Backends.View().Find(cmd.ID)
+	if s == nil || slices.Contains(s.Report.Models, cmd.Model) {
+		return nil
+	}
+	kind := protocol.OrderLoadModel
+	if cmd.Turn {
+		kind = protocol.OrderRole
+	}
+	return f.commander.command(f.term, order.Order{Server: s.ID, Address: s.Address, Kind: kind, Name: cmd.Model})
+}
+
+func (f *Fleet) giveBack(id string) error {
+	status, _, err := f.wires.call(f.settings.Platform.Address, http.MethodDelete, "/v1/instances/"+id, nil, fleetTimeout)
+	if err != nil {
+		return err
+	}
+	if status >= 300 && status != http.StatusNotFound {
+		return eris.Errorf("the platform answered %d", status)
+	}
+	f.log.Info().Str("server", id).Msg("instance given back")
+	return nil
+}
--- a/transport/orders.go
+++ b/transport/orders.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -42,6 +43,8 @@
 	log    zerolog.Logger
 	term   uint64
 	since  time.Time
+	// settledIn is the term in which orders may be given now; 0 for none.
+	settledIn atomic.Uint64
 }
 
 // NewCommander returns a commander; settle is how long a new leader waits.
@@ -56,10 +59,12 @@
 
 func (c *Commander) round() {
 	if !c.settled(time.Now()) {
+		c.settledIn.Store(0)
 		return
 	}
+	c.settledIn.Store(c.term)
 	for _, o := range order.Plan(c.tables.Index(), c.tables.Backends.View(), orderMost) {
-		if err := c.give(o); err != nil {
+		if err := c.give(c.term, o); err != nil {
 			c.log.Warn().Err(err).Str("server", o.Server).Str("order", string(o.Kind)).Str("name", o.Name).Msg("order failed")
 		}
 	}
@@ -78,13 +83,22 @@
 	return now.Sub(c.since) >= c.settle
 }
 
-// give sends one order, if this instance still leads.
-func (c *Commander) give(o order.Order) error {
-	body, err := json.Marshal(protocol.Order{Fence: c.term, Kind: o.Kind, Name: o.Name})
+// command sends an order of a term, if this instance leads in it and has done
+// so for long enough.
+func (c *Commander) command(term uint64, o order.Order) error {
+	if c.settledIn.Load() != term {
+		return errNotLeading
+	}
+	return c.give(term, o)
+}
+
+// give sends one order, if this instance still leads in the term.
+func (c *Commander) give(term uint64, o order.Order) error {
+	body, err := json.Marshal(protocol.Order{Fence: term, Kind: o.Kind, Name: o.Name})
 	if err != nil {
 		return eris.Wrap(err, "encode order")
 	}
-	if term, ok := c.leads.Leads(); !ok || term != c.term {
+	if now, ok := c.leads.Leads(); !ok || now != term {
 		return errNotLeading
 	}
 	status, answer, err := c.wires.call(o.Address, http.MethodPost, "/orders", body, orderTimeout)
@@ -94,7 +108,8 @@
 	if status != http.StatusOK {
 		return eris.Errorf("the server answered %d: %.100s", status, answer)
 	}
-	c.log.Info().Str("server", o.Server).Str("order", string(o.Kind)).Str("name", o.Name).Uint64("fence", c.term).Msg("order given")
+	c.tables.Backends.WantReport(o.Server) // It shows what came of the order.
+	c.log.Info().Str("server", o.Server).Str("order", string(o.Kind)).Str("name", o.Name).Uint64("fence", term).Msg("order given")
 	return nil
 }
 
