Events are read by a parser that is used again

Cause: a profile of the relay showed encoding/json's decoding of each engine event at 45 % of the time, with 24 allocations a token. Ruled out: the encoding of the caller's event (7 %) and system calls (10 %) as the first to change.

--- a/Makefile
+++ b/Makefile
@@ -37,6 +37,20 @@
 	$(GO) test ./e2e -run '^$$' -bench 'InForce|Leaderless' -benchtime 12x -timeout 20m
 	$(GO) test ./e2e -run '^$$' -bench 'Restart|Reclaim' -benchtime 3x -timeout 20m
 
+# speed prints what an instance adds to a token, and the tokens relayed a second;
+# see docs/design/0010-relay.md.
+.PHONY: speed
+speed: build
+	$(GO) test ./transport -run '^$$' -bench Relay -benchtime 300x -count 3
+	$(GO) test ./e2e -run '^$$' -bench 'Relay|Added' -benchtime 1x -count 3 -timeout 20m
+	$(GO) test ./coordination/route -run '^$$' -bench Choose -count 3
+
+# experiments compares the tables of the design notes with those that the
+# seeded fakes give; with UPDATE=-update it writes them anew.
+.PHONY: experiments
+experiments:
+	$(GO) test ./coordination/route ./coordination/limit ./coordination/retry ./coordination/fleet -run Experiment -count 1 -v $(UPDATE)
+
 # capacity prints what an instance costs at several sizes; see docs/CAPACITY.md.
 .PHONY: capacity
 capacity: build
--- a/transport/engine.go
+++ b/transport/engine.go
@@ -11,6 +11,7 @@
 
 	"github.com/rotisserie/eris"
 	"github.com/valyala/fasthttp"
+	"github.com/valyala/fastjson"
 
 	"github.com/weldstream/weldstream/coordination/attempt"
 	"github.com/weldstream/weldstream/protocol"
@@ -196,6 +197,7 @@
 	// The engine answers before it begins; until the first event the request may
 	// wait in its queue.
 	wait := g.settings.Timeouts.FirstByte
+	var p fastjson.Parser
 	for {
 		_ = w.conn.SetDeadline(time.Now().Add(wait)) // A closed connection shows at the read.
 		line, err := events.ReadSlice('\n')
@@ -212,7 +214,7 @@
 			c.fail(protocol.MayHaveRun, errEndedEarly, false)
 			return err == nil
 		}
-		if !c.event(data) {
+		if !c.event(&p, data) {
 			return false
 		}
 		wait = g.settings.Timeouts.ChunkGap
@@ -225,45 +227,3 @@
 		g.wires.finish(c.server.Address, w, resp)
 	}
 }
-
-// event sends one event on and reports whether to read more.
-func (c *call) event(data []byte) bool {
-	var chunk protocol.Chunk
-	if err := json.Unmarshal(data, &chunk); err != nil {
-		c.fail(protocol.MayHaveRun, eris.Wrap(err, "parse event"), false)
-		return false
-	}
-	if chunk.Usage == nil {
-		c.fail(protocol.MayHaveRun, eris.New("an event lacks its usage"), true)
-		return false
-	}
-	m := attempt.ChunkMsg{Attempt: c.cmd.Attempt, Offset: chunk.Usage.CompletionTokens}
-	if len(chunk.Choices) > 0 {
-		choice := chunk.Choices[0]
-		m.Text = choiceText(choice)
-		if choice.FinishReason != nil {
-			m.Finish = *choice.FinishReason
-		}
-	}
-	if m.Finish == finishExported {
-		return c.send(attempt.ExportedMsg{Attempt: c.cmd.Attempt, Ended: true})
-	}
-	if m.Text == "" && m.Finish == "" {
-		return true
-	}
-	if m.Text != "" {
-		m.Tokens = max(1, chunk.Tokens)
-		m.Offset -= m.Tokens
-	}
-	return c.send(m)
-}
-
-func choiceText(choice protocol.ChunkChoice) string {
-	switch {
-	case choice.Text != nil:
-		return *choice.Text
-	case choice.Delta != nil:
-		return choice.Delta.Content
-	}
-	return ""
-}
