--- a/e2e/capacity_test.go
+++ b/e2e/capacity_test.go
@@ -91,13 +91,7 @@
 func BenchmarkIdleByServers(b *testing.B) {
 	for _, n := range []int{8, 64, 200, 600} {
 		b.Run(fmt.Sprint(n), func(b *testing.B) {
-			c := newCluster(b, clusterSpec{daemons: 3, engines: 8})
-			for i := len(c.listed); i < n; i++ {
-				row := c.listed[i%8]
-				row.ID = fmt.Sprintf("more-%d", i)
-				c.listed = append(c.listed, row)
-			}
-			c.list()
+			c := newCluster(b, clusterSpec{daemons: 3, engines: 8, more: n - 8})
 			c.apply(1, configText())
 			eventually(b, "all servers have reported", func() bool { return c.reported() == n })
 			for b.Loop() {
--- a/e2e/cluster_test.go
+++ b/e2e/cluster_test.go
@@ -126,6 +126,7 @@
 	engines  int
 	services int
 	engine   []string // engine are further flags of the engines.
+	more     int      // more are further identities of the engines, listed from the start.
 	blind    bool     // blind lets only the first daemon read the platform's list again after its start.
 	deaf     bool     // deaf lets only the first daemon read the platform's notices.
 	settings string   // settings are further lines of every daemon's settings.
@@ -138,6 +139,11 @@
 	for i := range spec.engines {
 		c.addEngine(i, spec.engine)
 	}
+	for i := range spec.more {
+		row := c.listed[i%spec.engines]
+		row.ID = fmt.Sprintf("more-%d", i)
+		c.listed = append(c.listed, row)
+	}
 	for i := range spec.services {
 		s := startStandin(t, "service", fmt.Sprintf("gantry-%d", i+1))
 		c.services = append(c.services, s)
--- a/settings/defaults.go
+++ b/settings/defaults.go
@@ -8,7 +8,7 @@
 	DefaultBodyBytes       = 4 << 20                // bytes of a caller's body
 	DefaultStreams         = 512                    // requests in progress on one instance
 	DefaultQueue           = 256                    // requests that wait for a slot of one model, on one instance
-	DefaultLoadReads       = 20                     // load reports that one instance asks for in a second
+	DefaultLoadReads       = 10                     // load reports that one instance asks for in a second
 	DefaultQueueWait       = 10 * time.Second       // the longest such wait
 	DefaultRequestDeadline = 120 * time.Second      // deadline of a request whose caller names none
 	DefaultMaxDeadline     = 30 * time.Minute       // the longest that a caller may name
--- a/transport/links.go
+++ b/transport/links.go
@@ -149,6 +149,9 @@
 // Read implements net.Conn.
 func (c *bufferedConn) Read(p []byte) (int, error) { return c.r.Read(p) }
 
+// ReadByte implements io.ByteReader, by which the codec needs no second buffer.
+func (c *bufferedConn) ReadByte() (byte, error) { return c.r.ReadByte() }
+
 // accept is the handshake on the side that was connected to.
 func (l *Links) accept(conn net.Conn) (string, net.Conn, error) {
 	s, err := newHandshake(conn)
--- a/transport/poller.go
+++ b/transport/poller.go
@@ -33,7 +33,7 @@
 const (
 	// listRate is how many bytes a second the reads of the platform's list may
 	// take up.
-	listRate = 4000.0
+	listRate = 2000.0
 	// listTimeout bounds one read.
 	listTimeout = 5 * time.Second
 )
