The coordinator's leases follow the cluster's size; hurried questions pause

The time for which a demand counts was taken when a coordinator was made. One made while few instances were known forgot each limiter between two of its questions once there were hundreds, since those come the more seldom: each was then granted the whole pool (TestCoordinatorGrows: 10 of 10 slots to the second of two, now 5). The interval and the lease are now functions of the number of instances.

A request that has to wait asked for a round at once, and so did the next one: under load the questions came as fast as the answers (TestHurriedLimitsPause: 8 in a time for 1). Now a quarter of the interval passes between two.

--- a/cmd/weldstreamd/daemon.go
+++ b/cmd/weldstreamd/daemon.go
@@ -116,12 +116,13 @@
 	view := member.New(member.DefaultConfig(s.Timeouts.Suspect), self, seeds)
 	d.membership = transport.NewMembership(d.tables, d.links, d.log, s.Timeouts.Gossip, view, d.describe)
 	d.poller = transport.NewPoller(s, d.tables, d.log, transport.PollerEvents{Leaving: d.serverLeaving, Joined: d.serverJoined, Entry: d.noticed})
+	d.limits = transport.NewLimits(d.tables, d.links, d.log, s.Name, transport.LimitConfig(s))
 	d.links.Meter(d.registry)
 	d.poller.Meter(d.registry)
+	d.limits.Meter(d.registry)
 	if len(s.Cluster.Replicas) > 0 {
 		d.client = transport.NewGroupClient(d.tables, d.links, s.Cluster.Replicas)
 	}
-	d.limits = transport.NewLimits(d.tables, d.links, d.log, s.Name, transport.LimitConfig(s))
 	d.gateway = transport.NewGateway(s, d.tables,
 		transport.WithSelf(self),
 		transport.WithClaims(d.claimer()),
--- a/coordination/limit/coordinator.go
+++ b/coordination/limit/coordinator.go
@@ -8,11 +8,27 @@
 	"github.com/weldstream/weldstream/protocol"
 )
 
+const (
+	// askEvery is the least time between two questions of a limiter. It grows with
+	// the instances, so that the coordinator's load does not.
+	askEvery       = 100 * time.Millisecond
+	askEveryMember = 5 * time.Millisecond
+	// lasts is how many such times a grant lasts, and a demand counts.
+	lasts = 4
+)
+
+// Interval is the time between two questions of a limiter, by the number of
+// instances.
+func Interval(instances int) time.Duration {
+	return max(askEvery, time.Duration(instances)*askEveryMember)
+}
+
+// Lease is how long a grant lasts.
+func Lease(instances int) time.Duration { return lasts * Interval(instances) }
+
 // Coordinator divides a pool's slots between the limiters of all instances. It
-// remembers what each limiter last asked for until that is too old.
+// remembers what each one last asked for until that is too old.
 type Coordinator struct {
-	keep    time.Duration // keep is how long a limiter's demand counts.
-	refresh time.Duration // refresh is how old a division may be.
 	asked   map[string]asked
 	divided time.Time
 	grants  map[string]protocol.GrantMsg
@@ -24,18 +40,15 @@
 	at   time.Time
 }
 
-// NewCoordinator returns a coordinator to which limiters speak at least once in
-// keep, and which divides anew at most once in refresh.
-func NewCoordinator(keep, refresh time.Duration) *Coordinator {
-	return &Coordinator{keep: keep, refresh: refresh, asked: map[string]asked{}}
-}
+// NewCoordinator returns a coordinator that nobody has asked yet.
+func NewCoordinator() *Coordinator { return &Coordinator{asked: map[string]asked{}} }
 
 // Ask takes a limiter's demand and returns its grant. The slots are those of the
 // whole pool, the instances those that may send to it.
 func (c *Coordinator) Ask(m protocol.DemandMsg, slots, instances int, now time.Time) protocol.GrantMsg {
 	_, known := c.asked[m.From]
 	c.asked[m.From] = asked{rows: m.Rows, at: now}
-	if !known || now.Sub(c.divided) >= c.refresh {
+	if !known || now.Sub(c.divided) >= Interval(instances)/4 {
 		c.divide(slots, instances, now)
 	}
 	return c.grants[m.From]
@@ -45,7 +58,7 @@
 // between the limiters that ask for it.
 func (c *Coordinator) divide(slots, instances int, now time.Time) {
 	for from, a := range c.asked {
-		if now.Sub(a.at) > c.keep {
+		if now.Sub(a.at) > Lease(instances) {
 			delete(c.asked, from)
 		}
 	}
@@ -71,10 +84,10 @@
 }
 
 // Total returns how many slots all limiters together could use now.
-func (c *Coordinator) Total(now time.Time) int {
+func (c *Coordinator) Total(instances int, now time.Time) int {
 	total := 0
 	for _, a := range c.asked {
-		if now.Sub(a.at) > c.keep {
+		if now.Sub(a.at) > Lease(instances) {
 			continue
 		}
 		for i := range a.rows {
--- a/coordination/limit/experiment_test.go
+++ b/coordination/limit/experiment_test.go
@@ -118,7 +118,7 @@
 
 func newFakeWorld(w way, seed uint64, rate func(int) float64) *fakeWorld {
 	f := &fakeWorld{way: w, chance: rand.New(rand.NewPCG(seed, 11)), rate: rate, span: spanSteps, down: -1, later: map[int][]func(){}}
-	f.pool = NewCoordinator(time.Second, 25*time.Millisecond)
+	f.pool = NewCoordinator()
 	for g := range fakeLimiters {
 		f.limiters[g] = NewLimiter(Config{Queue: 256})
 		f.waiting[g] = map[uint64]*fakeTask{}
--- a/coordination/limit/limit_test.go
+++ b/coordination/limit/limit_test.go
@@ -177,7 +177,7 @@
 // TestCoordinatorKeepsShares lets a large workspace come through all limiters and
 // a small one through a single limiter: each gets its share of the whole pool.
 func TestCoordinatorKeepsShares(t *testing.T) {
-	c := NewCoordinator(time.Second, 0)
+	c := NewCoordinator()
 	ask := func(round int) (large, small int) {
 		for limiter := range 9 {
 			rows := []protocol.Demand{{Workspace: "large", Share: 1, Queued: [2]int{40, 40}}}
@@ -205,7 +205,7 @@
 
 // TestCoordinatorForgets lets a limiter that holds half of the slots fall silent.
 func TestCoordinatorForgets(t *testing.T) {
-	c := NewCoordinator(time.Second, 0)
+	c := NewCoordinator()
 	rows := []protocol.Demand{{Workspace: "w", Share: 1, Queued: [2]int{10}}}
 	c.Ask(protocol.DemandMsg{From: "gone", Rows: rows}, 10, 2, began)
 	both := c.Ask(protocol.DemandMsg{From: "stays", Rows: rows}, 10, 2, began)
@@ -254,3 +254,16 @@
 		t.Errorf("gave way: %s, want the latest of the first workspace until both have three, then the newcomer's own", got)
 	}
 }
+
+// TestCoordinatorGrows starts with one instance and ends with 360, which ask
+// the more seldom: what one asked for still counts when the next one asks.
+func TestCoordinatorGrows(t *testing.T) {
+	c := NewCoordinator()
+	rows := []protocol.Demand{{Workspace: "w", Share: 1, Queued: [2]int{10}}}
+	c.Ask(protocol.DemandMsg{From: "first", Rows: rows}, 10, 1, began)
+	c.Ask(protocol.DemandMsg{From: "first", Rows: rows}, 10, 360, began.Add(time.Second))
+	grant := c.Ask(protocol.DemandMsg{From: "second", Rows: rows}, 10, 360, began.Add(time.Second+Interval(360)))
+	if grant.Rows[0].Slots[0] != 5 {
+		t.Errorf("the second of two limiters was granted %v of 10 slots", grant.Rows)
+	}
+}
--- a/transport/limits.go
+++ b/transport/limits.go
@@ -5,8 +5,10 @@
 	"context"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
+	metrics "github.com/rcrowley/go-metrics"
 	"github.com/rs/zerolog"
 
 	"github.com/weldstream/weldstream/coordination/limit"
@@ -17,13 +19,11 @@
 )
 
 const (
-	// askEvery is between two questions of a limiter to its coordinator. It grows
-	// with the instances, so that the coordinator's load does not.
-	askEvery       = 100 * time.Millisecond
-	askEveryMember = 5 * time.Millisecond
-	// grantLasts is how many such times a grant lasts, and a demand counts.
-	grantLasts = 4
+	// askTimeout bounds one question to a coordinator.
 	askTimeout = time.Second
+	// hurryPart is the part of the interval that passes between two questions
+	// even while requests wait: else a crowd of them would ask without a pause.
+	hurryPart = 4
 )
 
 // Limits drives a [limit.Limiter] for each pool that this instance's callers use,
@@ -36,6 +36,8 @@
 	cfg    limit.Config
 	kick   chan struct{} // kick asks for a round at once.
 
+	asks atomic.Int64 // asks counts the questions to coordinators.
+
 	mu       sync.Mutex // mu is taken after all table locks.
 	nextID   uint64
 	limiters map[string]*poolLimiter
@@ -67,25 +69,35 @@
 // LimitConfig returns the bounds of an instance's limiters.
 func LimitConfig(s *settings.Settings) limit.Config { return limit.Config{Queue: s.Limits.Queue} }
 
+// Meter shows the number of questions to coordinators among the meters.
+func (l *Limits) Meter(r metrics.Registry) {
+	metrics.NewRegisteredFunctionalGauge("limit.asks", r, l.asks.Load)
+}
+
 // Run asks the coordinators until ctx ends.
 func (l *Limits) Run(ctx context.Context) error {
 	for {
 		l.round(ctx)
-		timer := time.NewTimer(l.interval())
-		select {
-		case <-timer.C:
-		case <-l.kick:
-			timer.Stop()
-		case <-ctx.Done():
-			timer.Stop()
+		whole := limit.Interval(l.instances())
+		least := whole / hurryPart
+		if !pause(ctx, least, nil) || !pause(ctx, whole-least, l.kick) {
 			return nil
 		}
 	}
 }
 
-// interval is the time between two rounds.
-func (l *Limits) interval() time.Duration {
-	return max(askEvery, time.Duration(len(l.tables.Members.Rows()))*askEveryMember)
+// pause waits for a while or until it is cut short, and reports false when ctx
+// has ended.
+func pause(ctx context.Context, d time.Duration, short <-chan struct{}) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-short:
+	case <-ctx.Done():
+		return false
+	}
+	return true
 }
 
 // round brings each limiter up to date and asks for its next grant.
@@ -141,6 +153,7 @@
 // ask brings a limiter its next grant. Without an answer the limiter's lease runs
 // out, and it goes on alone.
 func (l *Limits) ask(ctx context.Context, g *poolLimiter, m protocol.DemandMsg) {
+	l.asks.Add(1)
 	grant, err := l.coordinator(m)
 	now := time.Now()
 	l.mu.Lock()
@@ -152,7 +165,7 @@
 		}
 		return
 	}
-	g.carryOut(g.Update(limit.GrantMsg{GrantMsg: grant, Until: now.Add(grantLasts * l.interval()), Now: now}))
+	g.carryOut(g.Update(limit.GrantMsg{GrantMsg: grant, Until: now.Add(limit.Lease(l.instances())), Now: now}))
 }
 
 // coordinator asks the member that ranks first for the pool.
@@ -183,7 +196,7 @@
 	defer l.mu.Unlock()
 	c := l.pools[m.Pool]
 	if c == nil {
-		c = limit.NewCoordinator(grantLasts*l.interval(), l.interval()/4)
+		c = limit.NewCoordinator()
 		l.pools[m.Pool] = c
 	}
 	return c.Ask(m, slots, instances, now)
@@ -259,7 +272,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if c := l.pools[pool]; c != nil {
-		return c.Total(time.Now())
+		return c.Total(l.instances(), time.Now())
 	}
 	return 0
 }
--- /dev/null
+++ b/transport/limits_test.go
@@ -0,0 +1,47 @@
+package transport
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/weldstream/weldstream/coordination/limit"
+	"github.com/weldstream/weldstream/protocol"
+	"github.com/weldstream/weldstream/state"
+)
+
+// TestHurriedLimitsPause has requests wait all the time, each of which asks for
+// a round at once. The coordinator is still not asked more often than a quarter
+// of the interval allows, however fast or slow the machine is.
+func TestHurriedLimitsPause(t *testing.T) {
+	tables := state.NewTables()
+	tables.Backends.SetList([]protocol.Instance{{ID: "e", Kind: protocol.InstanceEngine}}, time.Now())
+	tables.Backends.SetReports([]state.ReportRow{{Server: "e", Report: protocol.LoadReport{Models: []string{"m"}, Slots: 1}, At: time.Now()}})
+	l := NewLimits(tables, nil, zerolog.Nop(), "entry-1", limit.Config{Queue: 10})
+	for range 3 {
+		l.Enter("m", limit.ArriveMsg{Workspace: "w", Share: 1, Latest: time.Now().Add(time.Hour)})
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	began := time.Now()
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		_ = l.Run(ctx)
+	}()
+	const enough = 8
+	arrivals := time.NewTicker(time.Millisecond)
+	defer arrivals.Stop()
+	for l.asks.Load() < enough {
+		<-arrivals.C
+		l.hurry()
+	}
+	asks := l.asks.Load()
+	most := int64(time.Since(began)/(limit.Interval(1)/hurryPart)) + 1
+	stop()
+	<-done
+	if asks > most {
+		t.Errorf("%d questions in a time for %d", asks, most)
+	}
+}
