A request refused for want of a slot runs under its key later: proved

Cause: reading the change once more, the claim that is given back when a request that must run once finds no slot had no test of its own. No fault was found. Ruled out on the way: a first form of the test let the third request be the one that waits in the engine, which is the slot that a limiter may always lend; the test now says so.

--- a/e2e/limit_test.go
+++ b/e2e/limit_test.go
@@ -98,3 +98,44 @@
 		t.Errorf("the refusal does not say when to come back: %s", got.body)
 	}
 }
+
+// TestRefusedForRoomRunsLater has a request that must run at most once find no
+// slot in time. It was claimed before it waited; the refusal says that it was not
+// run and gives the claim back, so the same key runs once there is room.
+func TestRefusedForRoomRunsLater(t *testing.T) {
+	c := newCluster(t, clusterSpec{daemons: 1, engines: 1, engine: []string{"-max-batch", "2", "-token-time", "20ms"}})
+	c.apply(1, configText())
+	d := c.daemons[0]
+	var held []*stream
+	for i := range 2 {
+		held = append(held, d.open(completion("docket-summary", fmt.Sprint("held ", i), 20000, true)))
+	}
+	// A limiter may always lend one slot more; this one waits in the engine.
+	lent := make(chan struct{})
+	go func() {
+		defer close(lent)
+		if s, err := d.tryOpen(completion("docket-summary", "lent", 5, true)); err == nil {
+			s.close()
+		}
+	}()
+	eventually(t, "the pool is full", func() bool {
+		running, _ := c.used("eastbr")
+		return running == 3
+	})
+	notice := completion("notice", "once", 5, false).once("notice-1")
+	got := d.send(notice.with(protocol.HeaderDeadline, "1500ms"))
+	if got.status != 429 || got.verdict != protocol.NotRun.String() {
+		t.Fatalf("without room it got %d, verdict %s: %s", got.status, got.verdict, got.body)
+	}
+	for _, s := range held {
+		s.close()
+	}
+	eventually(t, "the same key runs once there is room", func() bool {
+		got = d.send(notice.with(protocol.HeaderDeadline, "5s"))
+		return got.status == 200
+	})
+	if runs := c.engines[0].engineStats().Runs["notice-1"]; runs != 1 {
+		t.Errorf("the notice ran %d times", runs)
+	}
+	<-lent
+}
