Replicas keep as many copies as may be lost, replace the gone, and reopen their disk

Cause: a group of three commits on two disks though two may be lost; a replica that is gone for good stayed a voter for ever, so each replacement made the quorum larger; and a disk that was full for a moment cost the replica until its process was restarted. A frame whose blocks reached the disk in any order was taken for damage, though it was never synced.

The log also carries opaque documents, of which the highest number holds, and settled usage counts.

--- a/coordination/group/group.go
+++ b/coordination/group/group.go
@@ -71,8 +71,15 @@
 	return func(g *Group) { g.revision = f }
 }
 
+// WithDocument sets what is told of each opaque document that is accepted.
+func WithDocument(f func(number uint64, data []byte)) Option {
+	return func(g *Group) { g.document = f }
+}
+
 // Group is one replica of a replication group.
 type Group struct {
+	document func(number uint64, data []byte)
+	dir      string
 	cfg      Config
 	id       protocol.ReplicaID
 	folder   *wal.Folder
@@ -97,9 +104,11 @@
 	pending   []replicate.PersistCmd
 	held      []replicate.Message
 	told      uint64 // told is the configuration number last told.
+	toldDoc   uint64 // toldDoc is the document's number last told.
 	snapshots chan savedSnapshot
 	saving    bool
 	failed    bool
+	failedAt  time.Duration // failedAt is when the disk failed last, or was tried again.
 	full      bool
 	spaceAt   time.Duration // spaceAt is when the free space is asked for next.
 }
@@ -113,6 +122,8 @@
 	Full     bool   `json:"full"` // Full says that the disk has only its reserve left.
 	Number   uint64 `json:"number"`
 	LeaseEnd int64  `json:"lease_left_ms"` // LeaseEnd is how long the lease still runs.
+	Document uint64 `json:"document"`      // Document is the number of the opaque document that holds.
+	Settled  bool   `json:"settled"`       // Settled says that a leader has applied all that earlier ones committed.
 }
 
 // input is what the inbox takes: a message for the replica, or a request that
@@ -145,6 +156,8 @@
 		sender:    sender,
 		log:       zerolog.Nop(),
 		revision:  func(uint64, []byte) {},
+		document:  func(uint64, []byte) {},
+		dir:       dir,
 		inbox:     make(chan input, inboxSize),
 		done:      make(chan struct{}),
 		began:     time.Now(),
@@ -204,6 +217,8 @@
 func (g *Group) publish() {
 	s := Status{Status: g.replica.Status(), Group: g.folder.Group(), Applied: g.applied, Claims: g.machine.Claims(), Full: g.full}
 	s.Number, _ = g.machine.Revision()
+	s.Document, _ = g.machine.Document()
+	s.Settled = g.replica.Settled(g.applied)
 	s.LeaseEnd = max(0, (s.Lease - g.now()).Milliseconds())
 	g.status.Store(&s)
 }
@@ -217,6 +232,15 @@
 	return s.Term, s.Role == replicate.Leader.String() && g.now() < s.Lease
 }
 
+// Vouches returns the term in which this replica leads, if what it has applied
+// is all that was acknowledged up to now: it leads, its lease runs, and it has
+// applied what earlier leaders committed. The document it told last is then the
+// newest.
+func (g *Group) Vouches() (term uint64, ok bool) {
+	s := g.status.Load()
+	return s.Term, s.Settled && s.Role == replicate.Leader.String() && g.now() < s.Lease
+}
+
 // Run drives the replica until ctx ends.
 func (g *Group) Run(ctx context.Context) error {
 	defer close(g.done)
@@ -236,6 +260,7 @@
 			g.rotate(s)
 		}
 		g.flush()
+		g.reopenIfDue()
 		g.snapshotIfDue()
 		g.checkSpace()
 		g.publish()
@@ -348,9 +373,9 @@
 
 // fail takes this replica out: it does not go on from memory.
 func (g *Group) fail(err error) {
-	g.failed = true
+	g.failed, g.failedAt = true, g.now()
 	g.pending, g.held = nil, nil
-	g.log.Error().Err(err).Msg("the disk failed: this replica votes no more until it is restarted")
+	g.log.Error().Err(err).Msg("the disk failed: this replica votes no more until its folder could be opened anew")
 	g.update(replicate.DiskFailedMsg{})
 	g.pending, g.held = nil, nil
 	g.failAll(ErrDisk)
@@ -394,4 +419,8 @@
 		g.told = number
 		g.revision(number, config)
 	}
+	if number, data := g.machine.Document(); number > g.toldDoc {
+		g.toldDoc = number
+		g.document(number, data)
+	}
 }
--- a/coordination/group/snapshot.go
+++ b/coordination/group/snapshot.go
@@ -67,9 +67,9 @@
 // sendSnapshot reads the latest snapshot from disk and sends it, beside the
 // loop.
 func (g *Group) sendSnapshot(cmd replicate.SendSnapshotCmd) {
-	group, from := g.folder.Group(), g.folder.ID()
+	folder, group, from := g.folder, g.folder.Group(), g.folder.ID()
 	go func() {
-		meta, data, ok, err := g.folder.ReadSnapshot()
+		meta, data, ok, err := folder.ReadSnapshot()
 		if err != nil || !ok {
 			g.log.Warn().Err(err).Msg("no snapshot to send")
 			return
--- a/coordination/replicate/leader.go
+++ b/coordination/replicate/leader.go
@@ -195,16 +195,23 @@
 // advance commits what a quorum of voters has on disk. Only an entry of this
 // term commits those before it.
 func (r *Replica) advance() {
-	index := r.quorumValue(r.stable, func(p *progress) uint64 { return p.match })
+	index := r.reached(r.copies(), r.stable, func(p *progress) uint64 { return p.match })
 	if term, ok := r.log.Term(index); ok && term == r.hard.Term {
 		r.commitTo(index)
 	}
 }
 
-// quorumValue returns the highest value that a quorum of voters has reached:
-// own is this replica's, of the others what of tells. A voter without progress
-// has reached nothing.
-func (r *Replica) quorumValue(own uint64, of func(*progress) uint64) uint64 {
+// copies is how many voters must have an entry on disk: a quorum, and as many
+// as were asked for. A group with fewer voters than that asks all of them.
+func (r *Replica) copies() int {
+	members := r.log.Members()
+	return max(members.Quorum(), min(r.cfg.Copies, len(members.Voters)))
+}
+
+// reached returns the highest value that so many voters have reached: own is
+// this replica's, of the others what of tells. A voter without progress has
+// reached nothing.
+func (r *Replica) reached(voters int, own uint64, of func(*progress) uint64) uint64 {
 	members := r.log.Members()
 	values := make([]uint64, 0, len(members.Voters))
 	for _, id := range members.Voters {
@@ -221,7 +228,7 @@
 		return 0
 	}
 	slices.Sort(values)
-	return values[len(values)-members.Quorum()]
+	return values[len(values)-voters]
 }
 
 // commitTo applies what is newly committed.
@@ -283,7 +290,7 @@
 	if r.role != Leader {
 		return
 	}
-	confirmed := r.quorumValue(r.round, func(p *progress) uint64 { return p.round })
+	confirmed := r.reached(r.log.Members().Quorum(), r.round, func(p *progress) uint64 { return p.round })
 	if sent, ok := r.sentAt[confirmed]; ok {
 		r.lease = max(r.lease, sent+r.cfg.Election-r.cfg.Election/leaseMargin)
 	}
--- a/coordination/replicate/members.go
+++ b/coordination/replicate/members.go
@@ -55,31 +55,73 @@
 	r.advance()
 }
 
-// reconcile promotes learners that have caught up. One that replaces a former
+// reconcile promotes learners that have caught up, and takes out a voter that
+// is gone once there is one to take its place. One that replaces a former
 // incarnation first has that one taken out: exchanging them at once would
 // allow two quorums without a replica in common.
 func (r *Replica) reconcile() {
-	members := r.log.Members()
-	if len(members.Learners) == 0 || !r.mayChange() {
+	if !r.mayChange() {
 		return
 	}
+	members := r.log.Members()
+	if r.cfg.Voters > 0 && len(members.Voters) > r.cfg.Voters {
+		if id, ok := r.longestGone(members); ok {
+			r.change(without(members, id))
+			return
+		}
+	}
 	for _, id := range members.Learners {
-		p := r.peers[id]
-		if p == nil || p.match+catchUpSlack < r.log.Last() || p.match < r.log.Changed() {
-			continue
+		if r.caughtUp(id) && r.promote(members, id) {
+			return
 		}
-		if r.now-p.heard >= r.cfg.Election {
-			continue // It has caught up and gone again.
+	}
+}
+
+// caughtUp reports whether a learner has nearly the whole log and still answers.
+func (r *Replica) caughtUp(id ID) bool {
+	p := r.peers[id]
+	if p == nil || p.match+catchUpSlack < r.log.Last() || p.match < r.log.Changed() {
+		return false
+	}
+	return r.now-p.heard < r.cfg.Election
+}
+
+// promote makes a learner a voter, or makes room for it, if there is a place.
+func (r *Replica) promote(members Members, id ID) bool {
+	next := members.Clone()
+	former := slices.IndexFunc(next.Voters, func(v ID) bool { return v.Name == id.Name })
+	if former >= 0 {
+		next.Voters = slices.Delete(next.Voters, former, former+1)
+		r.change(next)
+		return true
+	}
+	if r.cfg.Voters > 0 && len(members.Voters) >= r.cfg.Voters {
+		if _, gone := r.longestGone(members); !gone {
+			return false
 		}
-		next := members.Clone()
-		former := slices.IndexFunc(next.Voters, func(v ID) bool { return v.Name == id.Name })
-		if former >= 0 {
-			next.Voters = slices.Delete(next.Voters, former, former+1)
-		} else {
-			next.Learners = slices.DeleteFunc(next.Learners, func(l ID) bool { return l == id })
-			next.Voters = append(next.Voters, id)
+	}
+	next.Learners = slices.DeleteFunc(next.Learners, func(l ID) bool { return l == id })
+	next.Voters = append(next.Voters, id)
+	r.change(next)
+	return true
+}
+
+// longestGone returns the voter that has been silent for longest, if that is
+// long enough.
+func (r *Replica) longestGone(members Members) (ID, bool) {
+	var gone ID
+	since := r.now - r.cfg.Gone
+	for _, id := range members.Voters {
+		if p := r.peers[id]; r.cfg.Gone > 0 && id != r.id && p != nil && p.heard <= since {
+			gone, since = id, p.heard
 		}
-		r.change(next)
-		return
 	}
+	return gone, !gone.IsZero()
+}
+
+// without returns the members less one voter.
+func without(members Members, id ID) Members {
+	next := members.Clone()
+	next.Voters = slices.DeleteFunc(next.Voters, func(v ID) bool { return v == id })
+	return next
 }
--- a/coordination/replicate/replicate.go
+++ b/coordination/replicate/replicate.go
@@ -81,6 +81,16 @@
 	Heartbeat time.Duration // Heartbeat is between two messages of a leader to a replica.
 	Batch     int           // Batch is the most bytes of entries in one message.
 	Window    int           // Window is how many messages with entries may be on the way.
+
+	// Copies is on how many disks an entry must be before it is committed, also
+	// while the group is smaller than it should be; 0 asks for a quorum only.
+	Copies int
+	// Voters is how many replicas vote at the most; further ones stay learners and
+	// take the place of a voter that is gone. 0 means no such bound.
+	Voters int
+	// Gone is how long a voter may be silent before a learner that has caught up
+	// takes its place; 0 means never.
+	Gone time.Duration
 }
 
 // Defaults of a Config.
@@ -284,6 +294,13 @@
 // orders.
 func (r *Replica) Leads() (term uint64, ok bool) { return r.hard.Term, r.role == Leader }
 
+// Settled reports whether this replica leads and a state machine that has
+// applied up to an index has all that earlier leaders committed.
+func (r *Replica) Settled(applied uint64) bool {
+	term, ok := r.log.Term(applied)
+	return r.role == Leader && ok && term == r.hard.Term
+}
+
 // SnapshotMetaAt describes a snapshot of the state machine at an applied index;
 // ok is false when the log does not reach there.
 func (r *Replica) SnapshotMetaAt(index uint64) (meta SnapshotMeta, ok bool) {
--- a/protocol/claim.go
+++ b/protocol/claim.go
@@ -106,12 +106,17 @@
 	Claim    *ClaimMsg    `json:"claim,omitempty"`
 	Finish   *FinishMsg   `json:"finish,omitempty"`
 	Transfer *TransferMsg `json:"transfer,omitempty"`
+	Put      *PutMsg      `json:"put,omitempty"`
+	Settle   *SettleMsg   `json:"settle,omitempty"`
 }
 
 // Result is what a command came to.
 type Result struct {
 	Apply *ApplyReplyMsg `json:"apply,omitempty"`
 	Claim *ClaimReply    `json:"claim,omitempty"`
+	Put   *PutReply      `json:"put,omitempty"`
+
+	Settle *SettleReply `json:"settle,omitempty"`
 }
 
 // Millis returns a time as the log carries it.
--- a/protocol/platform.go
+++ b/protocol/platform.go
@@ -22,6 +22,8 @@
 	Class   string       `json:"class,omitempty"`
 	Market  string       `json:"market,omitempty"` // Market is "reclaimable" or "on_demand".
 	Leaving bool         `json:"leaving"`
+	Slots   int          `json:"slots,omitempty"`   // Slots are the requests that it runs at once, where the platform tells.
+	ColdMS  int64        `json:"cold_ms,omitempty"` // ColdMS is how much longer it is slow from its start, in ms.
 }
 
 // InstanceList is the platform's answer to GET /v1/instances.
--- /dev/null
+++ b/protocol/uplink.go
@@ -0,0 +1,90 @@
+package protocol
+
+import "time"
+
+// SyncMsg is what a gateway tells the control role a few times a second. All
+// of it is repeated until it is too old, so that a lost or doubled one does no
+// harm.
+type SyncMsg struct {
+	Gateway  string
+	Life     uint64 // Life differs with each start of the gateway.
+	Number   uint64 // Number is the document that the gateway holds.
+	Servers  uint64 // Servers is the version of the list that it holds.
+	Lister   uint64 // Lister tells versions of different list readers apart.
+	Usage    []UsageRow
+	Wants    []QuotaWant
+	Pressure []Pressure
+}
+
+// UsageRow counts requests that began to run, since the gateway's start.
+type UsageRow struct {
+	Window    int64 // Window is the number of the window of wall-clock time.
+	Workspace string
+	Count     int64
+}
+
+// QuotaWant asks for a part of a workspace's quota.
+type QuotaWant struct {
+	Workspace string
+	Units     float64
+}
+
+// Pressure is what a service's requests ask of its servers through one gateway.
+type Pressure struct {
+	Service string
+	Running int     // Running are requests at a server now.
+	Waiting int     // Waiting are those held for a place.
+	Refused int64   // Refused counts those turned away for want of a place, since the gateway's start.
+	Arrived int64   // Arrived counts all, since the gateway's start.
+	Work    float64 // Work is the mean number running over the last second.
+}
+
+// SyncReply is the control role's answer. Leads is false from one that cannot
+// vouch for the newest document; then only Leader and Controls are set.
+type SyncReply struct {
+	Leads    bool
+	Leader   string   // Leader is the peer address of who leads, as far as known.
+	Controls []string // Controls are the peer addresses of the control instances.
+	Term     uint64
+	Number   uint64
+	Document []byte // Document is set when the gateway's is older.
+	Lister   uint64
+	Version  uint64
+	Servers  []Instance // Servers is set when the gateway's list is older.
+	Listed   bool       // Listed says that Servers is set; the list may be empty.
+	Gateways int        // Gateways are how many synchronized lately.
+	Grants   []QuotaGrant
+}
+
+// QuotaGrant is a part of a workspace's quota, for one gateway.
+type QuotaGrant struct {
+	Workspace string
+	Units     float64
+	Lasts     time.Duration // Lasts is how long the part may be used.
+	Wait      time.Duration // Wait is when more is to be had, where Units falls short.
+}
+
+// PutMsg asks for an opaque document to be accepted; the highest number holds.
+type PutMsg struct {
+	Number uint64 `json:"number"`
+	Data   []byte `json:"data"`
+}
+
+// PutReply tells which document holds.
+type PutReply struct {
+	Number uint64 `json:"number"`
+}
+
+// SettleMsg fixes the counts of a window before they are first reported, so
+// that every repeat is the same.
+type SettleMsg struct {
+	Window int64            `json:"window"`
+	Counts map[string]int64 `json:"counts"`
+	Sent   bool             `json:"sent,omitempty"` // Sent says that the platform has taken the report.
+}
+
+// SettleReply returns what is settled for the window.
+type SettleReply struct {
+	Counts map[string]int64 `json:"counts"`
+	Sent   bool             `json:"sent,omitempty"`
+}
--- a/state/machine.go
+++ b/state/machine.go
@@ -17,10 +17,13 @@
 	digest protocol.Digest
 	config []byte // config is the canonical form.
 	claims *Claims
+
+	document protocol.PutMsg // document is the opaque one that holds.
+	windows  windows
 }
 
 // NewMachine returns the state before the first command.
-func NewMachine() *Machine { return &Machine{claims: NewClaims()} }
+func NewMachine() *Machine { return &Machine{claims: NewClaims(), windows: windows{}} }
 
 // Apply carries out one command.
 func (m *Machine) Apply(c *protocol.Command) protocol.Result {
@@ -34,6 +37,10 @@
 		return protocol.Result{Claim: m.claims.Transfer(c.Transfer)}
 	case c.Finish != nil:
 		return protocol.Result{Claim: m.claims.Finish(c.Finish, m.now)}
+	case c.Put != nil:
+		return protocol.Result{Put: m.put(c.Put)}
+	case c.Settle != nil:
+		return protocol.Result{Settle: m.windows.settle(c.Settle)}
 	}
 	return protocol.Result{}
 }
@@ -52,6 +59,23 @@
 // Revision returns the configuration that is accepted; number 0 means none.
 func (m *Machine) Revision() (number uint64, config []byte) { return m.number, m.config }
 
+// put takes a document with a higher number in place of the one that holds. A
+// resend, or an older one, changes nothing and learns what holds.
+func (m *Machine) put(p *protocol.PutMsg) *protocol.PutReply {
+	if p.Number > m.document.Number {
+		m.document = *p
+	}
+	return &protocol.PutReply{Number: m.document.Number}
+}
+
+// Document returns the opaque document that holds; number 0 means none.
+func (m *Machine) Document() (number uint64, data []byte) {
+	return m.document.Number, m.document.Data
+}
+
+// Settled returns what is settled for a window, or nil.
+func (m *Machine) Settled(window int64) *protocol.SettleReply { return m.windows.get(window) }
+
 // PeekClaim answers a claim as far as that changes nothing: one that would be
 // granted is refused for want of room.
 func (m *Machine) PeekClaim(c *protocol.ClaimMsg) *protocol.ClaimReply {
@@ -67,12 +91,15 @@
 	Number uint64          `json:"number"`
 	Config json.RawMessage `json:"config,omitempty"`
 	Claims []*claim        `json:"claims"`
+
+	Document protocol.PutMsg      `json:"document"`
+	Windows  []protocol.SettleMsg `json:"windows,omitempty"`
 }
 
 // Image returns a copy of the state. Claims are never changed in place, so the
 // copy is one of pointers.
 func (m *Machine) Image() *Image {
-	return &Image{Now: m.now, Number: m.number, Config: m.config, Claims: m.claims.list()}
+	return &Image{Now: m.now, Number: m.number, Config: m.config, Claims: m.claims.list(), Document: m.document, Windows: m.windows.list()}
 }
 
 // Encode renders the image as a snapshot.
@@ -92,6 +119,10 @@
 	if i.Number > 0 {
 		m.digest = protocol.DigestOf(i.Config)
 	}
+	m.document, m.windows = i.Document, windows{}
+	for k := range i.Windows {
+		m.windows.settle(&i.Windows[k])
+	}
 	m.claims = NewClaims()
 	for _, c := range i.Claims {
 		m.claims.put(c)
--- a/state/wal/segment.go
+++ b/state/wal/segment.go
@@ -137,11 +137,12 @@
 	return payload, true
 }
 
-// torn reports whether what is at an offset can be a write that was cut off: the
-// file ends too early, or nothing but zeros is where the write did not get to.
-// Anything else was written whole and changed later.
+// torn reports whether what is at an offset can be a write that was cut off:
+// the file ends too early, or a part of what was written is still zeros, as the
+// disk may write the blocks of a frame in any order. Anything else was written
+// whole and changed later.
 func torn(rest []byte) bool {
-	if len(rest) < frameHeader {
+	if len(rest) < frameHeader || bytes.Contains(rest, unwritten[:]) {
 		return true
 	}
 	if !goodHeader(rest) {
@@ -151,6 +152,9 @@
 	return len(rest) < frameHeader+size || rest[len(rest)-1] == 0
 }
 
+// unwritten is a run of zeros that no frame holds.
+var unwritten [48]byte
+
 func goodHeader(frame []byte) bool {
 	return crc32.Checksum(frame[:8], castagnoli) == binary.LittleEndian.Uint32(frame[8:])
 }
--- a/state/wal/wal_test.go
+++ b/state/wal/wal_test.go
@@ -260,3 +260,41 @@
 		})
 	})
 }
+
+// TestTornInAnyOrder checks that a last frame of which the disk wrote any blocks
+// but not others is cut off, since it was never synced.
+func TestTornInAnyOrder(t *testing.T) {
+	for _, hole := range [][2]int{{0, 512}, {512, 1024}, {0, 1024}} {
+		dir := t.TempDir()
+		f, _, err := Open(dir, "a")
+		if err != nil {
+			t.Fatal(err)
+		}
+		good := protocol.LogEntry{Index: 1, Term: 1, Data: []byte("kept")}
+		if err := f.Write(protocol.HardState{Term: 1}, []protocol.LogEntry{good}); err != nil {
+			t.Fatal(err)
+		}
+		file := f.path(segmentPrefix, f.seq)
+		before, _ := os.ReadFile(file)
+		big := protocol.LogEntry{Index: 2, Term: 1, Data: bytes.Repeat([]byte("lost"), 600)}
+		if err := f.Write(protocol.HardState{Term: 1}, []protocol.LogEntry{big}); err != nil {
+			t.Fatal(err)
+		}
+		_ = f.Close()
+		data, _ := os.ReadFile(file)
+		for i := hole[0]; i < hole[1]; i++ {
+			data[len(before)+i] = 0
+		}
+		if err := os.WriteFile(file, data, fileMode); err != nil {
+			t.Fatal(err)
+		}
+		g, loaded, err := Open(dir, "a")
+		if err != nil {
+			t.Fatalf("hole %v: %v", hole, err)
+		}
+		if len(loaded.Entries) != 1 || loaded.Torn == 0 {
+			t.Errorf("hole %v: %d entries, %d bytes torn", hole, len(loaded.Entries), loaded.Torn)
+		}
+		_ = g.Close()
+	}
+}
