--- /dev/null
+++ b/cmd/weldstreamd/control.go
@@ -0,0 +1,198 @@
+package main
+
+import (
+	"context"
+	"net"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/weldstream/weldstream/coordination/group"
+	"github.com/weldstream/weldstream/coordination/member"
+	"github.com/weldstream/weldstream/coordination/replicate"
+	"github.com/weldstream/weldstream/platform"
+	"github.com/weldstream/weldstream/protocol"
+	"github.com/weldstream/weldstream/settings"
+	"github.com/weldstream/weldstream/state"
+	"github.com/weldstream/weldstream/transport"
+	"github.com/weldstream/weldstream/transport/control"
+)
+
+const (
+	controlGossip  = 200 * time.Millisecond
+	controlSuspect = 2 * time.Second
+	// goneAfter a silent replica gives its place to one that waits for it.
+	goneAfter = 3 * time.Second
+	// documentBytes bounds an operator's body.
+	documentBytes = 64 << 20
+)
+
+// controlInstance wires the layers of a control instance. Its name among the
+// others is its operator address, as the seeds tell nothing else.
+type controlInstance struct {
+	*roleRun
+	tables     *state.Tables
+	links      *transport.Links
+	membership *transport.Membership
+	group      *group.Group
+	uplink     *control.Uplink
+	peer       net.Listener
+}
+
+func runControl(r *roleRun) error {
+	c := &controlInstance{roleRun: r, tables: state.NewTables()}
+	work, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	eg, work := errgroup.WithContext(work)
+	if err := c.wire(work); err != nil {
+		return err
+	}
+	client := transport.NewMembersClient(c.tables, c.links)
+	source := platform.NewSource(r.settings.Source.Address)
+	duties := control.NewDuties(c.limits(), r.settings.Name, c.group, source, c.uplink, r.log)
+	boot := transport.NewBootstrap(c.group, c.tables, c.links, r.log, c.name(), r.settings.Seeds,
+		transport.WithFound(r.settings.Found), transport.WithOthers())
+	for _, part := range []func(context.Context) error{
+		func(ctx context.Context) error { return c.links.Serve(ctx, c.peer) },
+		c.membership.Run,
+		c.group.Run,
+		boot.Run,
+		duties.RunList,
+		duties.RunDuties,
+		func(ctx context.Context) error {
+			return serveHTTP(ctx, r.settings.Operator, documentBytes, platform.NewOperator(client, r.log).Handle)
+		},
+		func(ctx context.Context) error { return c.serveMetrics(ctx, func() any { return c.group.Status() }) },
+	} {
+		eg.Go(func() error { return part(work) })
+	}
+	eg.Go(func() error {
+		defer cancel()
+		c.await(work)
+		return nil
+	})
+	return eg.Wait()
+}
+
+// name is what the others know the instance by.
+func (c *controlInstance) name() string { return c.settings.Operator }
+
+func (c *controlInstance) limits() control.Limits {
+	n := c.settings
+	return control.Limits{
+		ListRate:    n.Source.ListRate,
+		Lag:         n.Source.Lag,
+		Lease:       n.Bounds.Lease,
+		UsageWindow: n.Bounds.UsageWindow,
+		UsageDue:    n.Bounds.UsageDue,
+		Usage:       n.Source.Owes(settings.DutyUsage),
+		Fleet:       n.Source.Owes(settings.DutyFleet),
+	}
+}
+
+func (c *controlInstance) wire(work context.Context) error {
+	n := c.settings
+	ln, err := net.Listen("tcp", n.Peer)
+	if err != nil {
+		return eris.Wrap(err, "listen")
+	}
+	c.peer = ln
+	c.links = transport.NewLinks(c.name(), []byte(n.ClusterKey), linkDial, c.log)
+	c.links.Meter(c.registry)
+	if err := c.wireMembership(); err != nil {
+		return err
+	}
+	sender := transport.NewReplicaSender(work, c.tables, c.links)
+	c.group, err = group.Open(c.groupConfig(), n.DataDir, c.name(), sender, group.WithLogger(c.log), group.WithDocument(c.install))
+	if err != nil {
+		return err
+	}
+	c.uplink = control.NewUplink(c.group, c.peers, platform.ParseNumbered)
+	for name, receiver := range map[string]any{
+		"Member": transport.NewMemberService(work, c.membership),
+		"Group":  transport.NewGroupService(work, c.group),
+		"Uplink": c.uplink,
+		"Config": transport.NewConfigService(c.tables),
+	} {
+		if err := c.links.Register(name, receiver); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (c *controlInstance) groupConfig() group.Config {
+	n := c.settings
+	return group.Config{
+		Replica: replicate.Config{
+			Election:  n.Replication.Election,
+			Heartbeat: n.Replication.Heartbeat,
+			Batch:     replicate.DefaultBatch,
+			Window:    replicate.DefaultWindow,
+			Copies:    n.Tolerate + 1,
+			Voters:    2*n.Tolerate + 1,
+			Gone:      goneAfter,
+		},
+		SnapshotEntries: n.Replication.SnapshotEntries,
+		Batch:           n.Replication.Batch,
+		Reserve:         n.Replication.ReserveBytes,
+	}
+}
+
+func (c *controlInstance) wireMembership() error {
+	n := c.settings
+	self := protocol.Member{Name: c.name(), Address: n.Peer, Domain: n.Domain, Incarnation: uint64(time.Now().UnixNano())}
+	var seeds []protocol.Member
+	for _, seed := range n.Seeds {
+		peer, err := peerOf(seed, n.Peer)
+		if err != nil {
+			return err
+		}
+		if seed != c.name() {
+			seeds = append(seeds, protocol.Member{Name: seed, Address: peer})
+		}
+	}
+	view := member.New(member.DefaultConfig(controlSuspect), self, seeds)
+	c.membership = transport.NewMembership(c.tables, c.links, c.log, controlGossip, view, func() member.SelfMsg { return member.SelfMsg{Ready: true} })
+	return nil
+}
+
+// install takes a document that the group accepted.
+func (c *controlInstance) install(number uint64, data []byte) {
+	if err := c.uplink.Install(number, data); err != nil {
+		c.log.Error().Err(err).Uint64("number", number).Msg("an accepted document cannot be read")
+		return
+	}
+	c.log.Info().Uint64("number", number).Int("bytes", len(data)).Msg("document accepted")
+}
+
+// peers returns the peer addresses of the leader, as far as it is known, and of
+// all control instances that are.
+func (c *controlInstance) peers() (leader string, all []string) {
+	name := c.group.Status().Leader.Name
+	for _, row := range c.tables.Members.Rows() {
+		if row.State >= protocol.MemberDead {
+			continue
+		}
+		all = append(all, row.Address)
+		if row.Name == name {
+			leader = row.Address
+		}
+	}
+	return leader, all
+}
+
+func (c *controlInstance) await(work context.Context) {
+	for {
+		select {
+		case <-c.reloads:
+			c.log.Info().Msg("settings are read at the next start")
+			continue
+		case s := <-c.stops:
+			c.log.Info().Stringer("signal", s).Msg("stopping")
+		case <-work.Done():
+		}
+		return
+	}
+}
--- a/cmd/weldstreamd/main.go
+++ b/cmd/weldstreamd/main.go
@@ -1,6 +1,9 @@
-// Command weldstreamd is the daemon, one an entry instance.
+// Command weldstreamd is the daemon.
 //
-//	weldstreamd -settings FILE.yaml
+//	weldstreamd -settings FILE.yaml                  an entry instance that is gateway and control in one
+//	weldstreamd gateway -settings FILE.yaml          a gateway without a disk, for callers
+//	weldstreamd control -settings FILE.yaml          a control instance with a disk
+//	weldstreamd ROLE -settings-from VARIABLE         the file that an environment variable names
 //
 // It exits with 2 when the settings are faulty, one line a fault with file,
 // line and field; with 1 when it cannot go on; with 0 after a planned stop.
@@ -32,6 +35,11 @@
 }
 
 func run() int {
+	if len(os.Args) > 1 {
+		if _, ok := roles[os.Args[1]]; ok {
+			return runRole(os.Args[1], os.Args[2:])
+		}
+	}
 	file := flag.String("settings", "", "settings `file` in YAML (required)")
 	flag.Parse()
 	if *file == "" || flag.NArg() > 0 {
--- /dev/null
+++ b/cmd/weldstreamd/metrics.go
@@ -0,0 +1,57 @@
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"slices"
+	"strings"
+
+	metrics "github.com/rcrowley/go-metrics"
+	"github.com/valyala/fasthttp"
+)
+
+// quantiles are told of each timer.
+var quantiles = []float64{0.5, 0.9, 0.99}
+
+// writeMetrics writes all meters as text, one a line: a name, labels, a value.
+func writeMetrics(c *fasthttp.RequestCtx, r metrics.Registry) {
+	c.SetContentType("text/plain; version=0.0.4")
+	var lines []string
+	r.Each(func(name string, m any) { lines = append(lines, metricLines(metricName(name), m)...) })
+	slices.Sort(lines)
+	for _, line := range lines {
+		_, _ = io.WriteString(c, line)
+	}
+}
+
+func metricName(name string) string {
+	return "weldstream_" + strings.NewReplacer(".", "_", "-", "_").Replace(name)
+}
+
+func metricLines(name string, m any) []string {
+	switch m := m.(type) {
+	case metrics.Counter:
+		return []string{fmt.Sprintf("%s_total %d\n", name, m.Count())}
+	case metrics.Gauge:
+		return []string{fmt.Sprintf("%s %d\n", name, m.Value())}
+	case metrics.Timer:
+		t := m.Snapshot()
+		lines := []string{fmt.Sprintf("%s_seconds_count %d\n", name, t.Count())}
+		for i, v := range t.Percentiles(quantiles) {
+			lines = append(lines, fmt.Sprintf("%s_seconds{quantile=\"%g\"} %g\n", name, quantiles[i], v/1e9))
+		}
+		return lines
+	}
+	return nil
+}
+
+func writeDump(c *fasthttp.RequestCtx, dump any) {
+	data, err := json.MarshalIndent(dump, "", "  ")
+	if err != nil {
+		c.SetStatusCode(fasthttp.StatusInternalServerError)
+		return
+	}
+	c.SetContentType("application/json")
+	c.SetBody(data)
+}
--- /dev/null
+++ b/cmd/weldstreamd/role.go
@@ -0,0 +1,208 @@
+package main
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"net"
+	"net/netip"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"syscall"
+	"time"
+
+	metrics "github.com/rcrowley/go-metrics"
+	"github.com/rotisserie/eris"
+	"github.com/rs/zerolog"
+	"github.com/rs/zerolog/diode"
+	"github.com/valyala/fasthttp"
+
+	"github.com/weldstream/weldstream/internal/yamlfile"
+	"github.com/weldstream/weldstream/settings"
+)
+
+// role is one of the daemon's roles on a platform with several classes of
+// machines.
+type role struct {
+	check func(n *settings.Node, file string) []yamlfile.Fault
+	run   func(r *roleRun) error
+}
+
+var roles = map[string]role{
+	"gateway": {check: (*settings.Node).CheckGateway, run: runGateway},
+	"control": {check: (*settings.Node).CheckControl, run: runControl},
+}
+
+// roleRun is what every role works with.
+type roleRun struct {
+	file     string
+	check    func(n *settings.Node, file string) []yamlfile.Fault
+	settings *settings.Node
+	log      zerolog.Logger
+	registry metrics.Registry
+	stops    chan os.Signal // stops receives the orders to stop.
+	reloads  chan os.Signal // reloads receives the orders to read the settings anew.
+}
+
+// logLines bounds the log lines that wait to be written. Further ones are
+// dropped and counted, so that a reader that stalls holds up no request.
+const logLines = 2000
+
+// runRole runs a role until it is told to stop, and returns the exit status.
+func runRole(name string, args []string) int {
+	flags := flag.NewFlagSet("weldstreamd "+name, flag.ContinueOnError)
+	file := flags.String("settings", "", "settings `file` in YAML")
+	variable := flags.String("settings-from", "", "environment `variable` that names the settings file")
+	if err := flags.Parse(args); err != nil {
+		return exitSettings
+	}
+	if *file == "" && *variable != "" {
+		*file = os.Getenv(*variable)
+	}
+	if *file == "" || flags.NArg() > 0 {
+		fmt.Fprintf(os.Stderr, "weldstreamd %s: exactly one settings file is needed\n", name)
+		flags.Usage()
+		return exitSettings
+	}
+	n, ok := loadNode(roles[name].check, *file)
+	if !ok {
+		return exitSettings
+	}
+	return startRole(name, *file, n)
+}
+
+// loadNode reads a role's settings and prints every fault.
+func loadNode(check func(*settings.Node, string) []yamlfile.Fault, file string) (*settings.Node, bool) {
+	n, faults, err := settings.LoadNode(file)
+	if err != nil {
+		fmt.Fprintf(os.Stderr, "weldstreamd: %s:0: %v\n", file, err)
+		return nil, false
+	}
+	if len(faults) == 0 {
+		faults = check(n, file)
+	}
+	for _, f := range faults {
+		fmt.Fprintln(os.Stderr, "weldstreamd:", f)
+	}
+	return n, len(faults) == 0
+}
+
+// gcPercent keeps the heap small: memory is dearer than the time to collect it.
+const gcPercent = 60
+
+// memoryPart of what the process may take is what the heap may grow to.
+const memoryPart = 0.7
+
+func startRole(name, file string, n *settings.Node) int {
+	debug.SetGCPercent(gcPercent)
+	if n.MemoryMB > 0 {
+		debug.SetMemoryLimit(int64(memoryPart * float64(n.MemoryMB) * (1 << 20)))
+	}
+	out := diode.NewWriter(os.Stdout, logLines, 0, func(missed int) {
+		fmt.Fprintf(os.Stderr, "weldstreamd: %d log lines dropped\n", missed)
+	})
+	r := &roleRun{
+		file:     file,
+		check:    roles[name].check,
+		settings: n,
+		log:      newRoleLogger(out, name, n),
+		registry: metrics.NewRegistry(),
+		stops:    make(chan os.Signal, 2),
+		reloads:  make(chan os.Signal, 1),
+	}
+	signal.Notify(r.stops, syscall.SIGTERM, syscall.SIGINT)
+	signal.Notify(r.reloads, syscall.SIGHUP)
+	r.log.Info().Str("file", file).Bool("found", n.Found).Strs("seeds", n.Seeds).Msg("started")
+	err := roles[name].run(r)
+	r.log.Info().Err(err).Msg("stopped")
+	_ = out.Close() // Writes what waits.
+	if err != nil {
+		return exitFailed
+	}
+	return 0
+}
+
+func newRoleLogger(out diode.Writer, name string, n *settings.Node) zerolog.Logger {
+	level, err := zerolog.ParseLevel(n.LogLevel)
+	if err != nil {
+		level = zerolog.InfoLevel
+	}
+	zerolog.TimeFieldFormat = zerolog.TimeFormatUnixMs
+	return zerolog.New(out).Level(level).With().Timestamp().Str("instance", n.Name).Str("role", name).Logger()
+}
+
+// peerOf returns the peer address of a control instance whose operator address
+// is a seed: peer ports are alike on all instances.
+func peerOf(seed, ownPeer string) (string, error) {
+	at, err := netip.ParseAddrPort(seed)
+	if err != nil {
+		return "", eris.Wrap(err, "seed")
+	}
+	own, err := netip.ParseAddrPort(ownPeer)
+	if err != nil {
+		return "", eris.Wrap(err, "peer")
+	}
+	return netip.AddrPortFrom(at.Addr(), own.Port()).String(), nil
+}
+
+func (r *roleRun) peersOfSeeds(n *settings.Node) ([]string, error) {
+	var peers []string
+	for _, seed := range n.Seeds {
+		peer, err := peerOf(seed, n.Peer)
+		if err != nil {
+			return nil, err
+		}
+		peers = append(peers, peer)
+	}
+	return peers, nil
+}
+
+// reload reads the settings anew and hands them on if they are sound.
+func (r *roleRun) reload(take func(*settings.Node)) {
+	n, ok := loadNode(r.check, r.file)
+	r.log.Info().Bool("sound", ok).Msg("settings read anew")
+	if ok {
+		take(n)
+	}
+}
+
+// serveHTTP serves a small handler until ctx ends.
+func serveHTTP(ctx context.Context, address string, body int, h fasthttp.RequestHandler) error {
+	ln, err := net.Listen("tcp", address)
+	if err != nil {
+		return eris.Wrap(err, "listen")
+	}
+	const idle, read = time.Minute, 20 * time.Second
+	server := &fasthttp.Server{Handler: h, MaxRequestBodySize: body, NoDefaultServerHeader: true, IdleTimeout: idle, ReadTimeout: read, Logger: quiet{}}
+	stop := context.AfterFunc(ctx, func() { _ = ln.Close() })
+	defer stop()
+	err = server.Serve(ln)
+	if ctx.Err() != nil {
+		return nil
+	}
+	return err
+}
+
+// quiet drops the HTTP library's own lines.
+type quiet struct{}
+
+// Printf implements fasthttp.Logger.
+func (quiet) Printf(string, ...any) {}
+
+// serveMetrics serves the counters as text and the dump as JSON.
+func (r *roleRun) serveMetrics(ctx context.Context, dump func() any) error {
+	if r.settings.Metrics == "" {
+		return nil
+	}
+	return serveHTTP(ctx, r.settings.Metrics, 1<<10, func(c *fasthttp.RequestCtx) {
+		switch string(c.Path()) {
+		case "/metrics":
+			writeMetrics(c, r.registry)
+		case "/dump":
+			writeDump(c, dump())
+		default:
+			c.SetStatusCode(fasthttp.StatusNotFound)
+		}
+	})
+}
--- a/coordination/group/api.go
+++ b/coordination/group/api.go
@@ -59,6 +59,15 @@
 	return got.number, got.config, err
 }
 
+// Document returns the opaque document that holds, as of the last batch.
+func (g *Group) Document(ctx context.Context) (number uint64, data []byte, err error) {
+	got, err := inLoop(ctx, g, func() (accepted, error) {
+		number, data := g.machine.Document()
+		return accepted{number: number, config: data}, nil
+	})
+	return got.number, got.config, err
+}
+
 // accepted is a configuration with its number.
 type accepted struct {
 	number uint64
--- /dev/null
+++ b/coordination/place/cell.go
@@ -0,0 +1,100 @@
+package place
+
+import (
+	"sync"
+	"time"
+)
+
+const (
+	// reportHalf is how long it takes for a told load to count half.
+	reportHalf = 2 * time.Second
+	// distrustFirst and distrustMost bound how long a server that failed is
+	// passed over.
+	distrustFirst = 400 * time.Millisecond
+	distrustMost  = 6 * time.Second
+	// distrustAfter failures in a row a server is passed over.
+	distrustAfter = 2
+	// rateWeight is the weight of the latest request in the rate of failures.
+	rateWeight = 0.15
+)
+
+// Cell is one gateway's own knowledge of one server.
+type Cell struct {
+	mu       sync.Mutex // mu guards all below.
+	own      int        // own counts requests sent and not ended.
+	told     int        // told is the load that the server told last.
+	ownThen  int        // ownThen is own when it did.
+	toldAt   time.Time
+	failures int       // failures are in a row.
+	until    time.Time // until is how long the server is passed over.
+	rate     float64   // rate is the part of the latest requests that failed.
+}
+
+// Began notes a request that is sent.
+func (c *Cell) Began() {
+	c.mu.Lock()
+	c.own++
+	c.mu.Unlock()
+}
+
+// Ended notes that one ended.
+func (c *Cell) Ended() {
+	c.mu.Lock()
+	c.own--
+	c.mu.Unlock()
+}
+
+// Told notes what the server said of its load: the requests that run there and
+// wait there, of all gateways.
+func (c *Cell) Told(load int, now time.Time) {
+	c.mu.Lock()
+	c.told, c.ownThen, c.toldAt = load, c.own, now
+	c.mu.Unlock()
+}
+
+// Failed notes a failure that speaks against the server. A hard one, such as a
+// connection that cannot be opened, counts at once.
+func (c *Cell) Failed(hard bool, now time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.failures++
+	c.rate += rateWeight * (1 - c.rate)
+	if hard {
+		c.failures = max(c.failures, distrustAfter)
+	}
+	if c.failures < distrustAfter {
+		return
+	}
+	wait := min(distrustFirst<<min(c.failures-distrustAfter, 5), distrustMost)
+	c.until = now.Add(wait)
+}
+
+// Worked notes an answer that speaks for the server.
+func (c *Cell) Worked() {
+	c.mu.Lock()
+	c.failures, c.until = 0, time.Time{}
+	c.rate -= rateWeight * c.rate
+	c.mu.Unlock()
+}
+
+// Outstanding returns how many requests of this gateway the server has.
+func (c *Cell) Outstanding() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.own
+}
+
+// load estimates how many requests the server has, tells the part of its latest
+// requests that failed, and reports whether it is to be passed over. What it told
+// of its load fades as it grows old.
+func (c *Cell) load(now time.Time) (load, failing float64, suspect bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	load = float64(c.own)
+	if !c.toldAt.IsZero() {
+		age := float64(now.Sub(c.toldAt)) / float64(reportHalf)
+		others := float64(max(0, c.told-c.ownThen)) / (1 + age)
+		load += others
+	}
+	return load, c.rate, now.Before(c.until)
+}
--- /dev/null
+++ b/coordination/place/place.go
@@ -0,0 +1,220 @@
+// Package place chooses the backend server for one attempt of a request that
+// came by host and path.
+//
+// A [View] is an immutable snapshot of the servers; each has a [Cell] with this
+// gateway's own counts and the load that the server told last. [Choose] is a
+// function of both and of a message: it holds no clock and sends nothing.
+//
+// Two aims pull apart. Requests that share the first parts of a prompt should
+// meet at the server that has read them, and no server should have more to do
+// than the others. Servers are ranked by rendezvous hashing of the shared parts,
+// so that gateways agree without talking, and one above the bound is passed
+// over for the next in rank.
+package place
+
+import (
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/weldstream/weldstream/protocol"
+)
+
+// Server is one backend server in a view.
+type Server struct {
+	protocol.Instance
+	Hash uint64 // Hash is of the identity, for rendezvous ranks.
+	Cell *Cell  // Cell is shared by all views that hold the server.
+}
+
+// View is an immutable snapshot of the servers, by service.
+type View struct {
+	Servers  []Server
+	services map[string][]int
+	byID     map[string]int
+}
+
+// NewView returns a view of the listed servers. Those that the view before held
+// keep their cells.
+func NewView(list []protocol.Instance, before *View) *View {
+	v := &View{services: map[string][]int{}, byID: map[string]int{}}
+	for _, in := range list {
+		s := Server{Instance: in, Hash: xxhash.Sum64String(in.ID)}
+		if old := before.Find(in.ID); old != nil && old.Address == in.Address {
+			s.Cell = old.Cell
+		} else {
+			s.Cell = &Cell{}
+		}
+		v.byID[in.ID] = len(v.Servers)
+		v.services[in.Service] = append(v.services[in.Service], len(v.Servers))
+		v.Servers = append(v.Servers, s)
+	}
+	return v
+}
+
+// Find returns the server with an identity, or nil.
+func (v *View) Find(id string) *Server {
+	if v == nil {
+		return nil
+	}
+	i, ok := v.byID[id]
+	if !ok {
+		return nil
+	}
+	return &v.Servers[i]
+}
+
+// Service returns the indices of a service's servers.
+func (v *View) Service(name string) []int {
+	if v == nil {
+		return nil
+	}
+	return v.services[name]
+}
+
+// ChooseMsg asks for a server.
+type ChooseMsg struct {
+	Service string
+	Prefix  uint64 // Prefix is the hash of the prompt's shared parts; 0 without any.
+	Domain  string // Domain is the gateway's own.
+	Rand    uint64 // Rand is fresh randomness.
+	Avoid   []string
+	Most    int // Most is how many requests of this gateway a server may have; 0 means no bound.
+	Now     time.Time
+}
+
+const (
+	// bound and slack limit a server's load, as a part of its slots, above the
+	// mean of all, before a prefix is sent elsewhere.
+	bound = 1.25
+	slack = 0.1
+	// nearLoad is how much fuller a server of the own domain may be and still be
+	// taken before one of another.
+	nearLoad = 0.12
+	// suspectLoad is added to the load of a server that failed lately.
+	suspectLoad = 4
+	// failingLoad is added in the measure in which a server fails requests.
+	failingLoad = 3
+	// coldLoad is added to that of one that has just started.
+	coldLoad = 0.3
+	// usualSlots are taken where the list tells none.
+	usualSlots = 8
+)
+
+// row is one candidate as a decision sees it.
+type row struct {
+	index int
+	fill  float64 // fill is the load as a part of the slots, with what counts against the server.
+	rank  uint64
+}
+
+// Choose returns the index of a server, or false where none may be sent to.
+func Choose(v *View, m ChooseMsg) (int, bool) {
+	rows := candidates(v, m)
+	if len(rows) == 0 {
+		return 0, false
+	}
+	if m.Prefix != 0 {
+		return ranked(rows), true
+	}
+	return lightest(v, rows, m), true
+}
+
+func candidates(v *View, m ChooseMsg) []row {
+	list := v.Service(m.Service)
+	rows := make([]row, 0, len(list))
+	for _, i := range list {
+		s := &v.Servers[i]
+		if s.Leaving || slices.Contains(m.Avoid, s.ID) {
+			continue
+		}
+		load, failing, suspect := s.Cell.load(m.Now)
+		if m.Most > 0 && s.Cell.Outstanding() >= m.Most {
+			continue
+		}
+		r := row{index: i, fill: load/float64(s.Width()) + failingLoad*failing}
+		if suspect {
+			r.fill += suspectLoad
+		}
+		if s.ColdMS > 0 {
+			r.fill += coldLoad
+		}
+		key := m.Prefix
+		if key == 0 {
+			key = m.Rand
+		}
+		r.rank = mix(key ^ s.Hash)
+		rows = append(rows, r)
+	}
+	return rows
+}
+
+// Width returns the requests that the server runs at once.
+func (s *Server) Width() int {
+	if s.Slots > 0 {
+		return s.Slots
+	}
+	return usualSlots
+}
+
+// ranked returns the highest in rank among those that are not much fuller than
+// the rest. The lightest is always one of them.
+func ranked(rows []row) int {
+	sum, n := 0.0, 0
+	for _, r := range rows {
+		if r.fill < suspectLoad {
+			sum += r.fill
+			n++
+		}
+	}
+	limit := bound*sum/float64(max(1, n)) + slack
+	best := slices.MinFunc(rows, byFill)
+	for _, r := range rows {
+		if r.fill <= limit && (best.fill > limit || r.rank > best.rank) {
+			best = r
+		}
+	}
+	return best.index
+}
+
+func byFill(a, b row) int {
+	switch {
+	case a.fill < b.fill:
+		return -1
+	case a.fill > b.fill:
+		return 1
+	case a.rank > b.rank:
+		return -1
+	}
+	return 1
+}
+
+// lightest returns the one with the least to do, one of the own domain first.
+func lightest(v *View, rows []row, m ChooseMsg) int {
+	for i := range rows {
+		if v.Servers[rows[i].index].Domain != m.Domain {
+			rows[i].fill += nearLoad
+		}
+	}
+	return slices.MinFunc(rows, byFill).index
+}
+
+// mix is the finalizer of SplitMix64: each bit of the input reaches all of the
+// output.
+func mix(x uint64) uint64 {
+	x += 0x9e3779b97f4a7c15
+	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
+	x = (x ^ x>>27) * 0x94d049bb133111eb
+	return x ^ x>>31
+}
+
+// Prefix returns the hash of the parts of a prompt that other requests may
+// share: all but the last, which is the request's own. It is 0 without any.
+func Prefix(parts []protocol.PromptPart) uint64 {
+	var h uint64
+	for i := 0; i+1 < len(parts); i++ {
+		h = mix(h ^ parts[i].ID)
+	}
+	return h
+}
--- /dev/null
+++ b/coordination/quota/purse.go
@@ -0,0 +1,202 @@
+package quota
+
+import (
+	"time"
+
+	"github.com/weldstream/weldstream/protocol"
+)
+
+const (
+	// ahead is for how much of its recent use a gateway asks in advance.
+	ahead = 400 * time.Millisecond
+	// useMemory is the time over which the recent use is averaged.
+	useMemory = 2 * time.Second
+	// aloneAfter without an answer a gateway goes on alone.
+	aloneAfter = time.Second
+	// aloneShare is the part of its even share that it then takes.
+	aloneShare = 0.5
+)
+
+// Verdict is the outcome of taking units.
+type Verdict uint8
+
+// The outcomes of taking units.
+const (
+	Taken  Verdict = iota // Taken means that the units were there.
+	Ask                   // Ask means that the coordinator must be asked first.
+	Denied                // Denied means that the quota is used up for now.
+)
+
+// Purse is a gateway's part of the quotas.
+type Purse struct {
+	spaces   map[string]*space
+	gateways int
+	heard    time.Time // heard is when the coordinator answered last.
+}
+
+// space is one workspace in a purse.
+type space struct {
+	rate    float64
+	burst   float64
+	parts   []part
+	use     float64 // use is in units a second, averaged.
+	usedAt  time.Time
+	lacking float64   // lacking is what waiting requests need.
+	until   time.Time // until is how long the coordinator has no more.
+	alone   float64
+	aloneAt time.Time
+}
+
+type part struct {
+	units float64
+	until time.Time
+}
+
+// NewPurse returns an empty purse.
+func NewPurse() *Purse { return &Purse{spaces: map[string]*space{}, gateways: 1} }
+
+// Configure puts the quotas of a configuration in force.
+func (p *Purse) Configure(workspaces []protocol.Tenancy) {
+	kept := map[string]*space{}
+	for i := range workspaces {
+		w := &workspaces[i]
+		if w.Rate <= 0 {
+			continue
+		}
+		s := p.spaces[w.Name]
+		if s == nil {
+			s = &space{}
+		}
+		if s.rate > w.Rate {
+			s.parts = nil // What was granted under a higher quota is given up.
+		}
+		s.rate, s.burst = w.Rate, max(w.Burst, w.Rate/10)
+		kept[w.Name] = s
+	}
+	p.spaces = kept
+}
+
+// Heard notes an answer of the coordinator, and how many gateways there are.
+func (p *Purse) Heard(gateways int, now time.Time) {
+	p.heard, p.gateways = now, max(1, gateways)
+}
+
+// Take takes the units of one request. With Denied, wait is when to come back.
+func (p *Purse) Take(workspace string, units float64, now time.Time) (v Verdict, wait time.Duration) {
+	s := p.spaces[workspace]
+	if s == nil {
+		return Taken, 0 // Without a quota there is no limit.
+	}
+	if s.spend(units, now) {
+		s.used(units, now)
+		return Taken, 0
+	}
+	if now.Sub(p.heard) > aloneAfter {
+		if s.spendAlone(units, p.gateways, now) {
+			return Taken, 0
+		}
+		return Denied, s.refill(units)
+	}
+	s.lacking += units
+	if now.Before(s.until) {
+		return Denied, s.until.Sub(now)
+	}
+	return Ask, 0
+}
+
+// GiveUp takes back what a request that no longer waits was lacking.
+func (p *Purse) GiveUp(workspace string, units float64) {
+	if s := p.spaces[workspace]; s != nil {
+		s.lacking = max(0, s.lacking-units)
+	}
+}
+
+// Wants returns what the purse would ask for now.
+func (p *Purse) Wants(now time.Time) []protocol.QuotaWant {
+	var wants []protocol.QuotaWant
+	for name, s := range p.spaces {
+		want := s.lacking + s.rateOfUse(now)*ahead.Seconds() - s.held(now)
+		if want > 0 {
+			wants = append(wants, protocol.QuotaWant{Workspace: name, Units: want})
+		}
+	}
+	return wants
+}
+
+// Granted puts parts in. Lasts counts from when they were asked for.
+func (p *Purse) Granted(grants []protocol.QuotaGrant, asked, now time.Time) {
+	for _, g := range grants {
+		s := p.spaces[g.Workspace]
+		if s == nil {
+			continue
+		}
+		if g.Units > 0 {
+			s.parts = append(s.parts, part{units: g.Units, until: asked.Add(g.Lasts)})
+		}
+		s.until = time.Time{}
+		if g.Wait > 0 {
+			s.until = now.Add(min(g.Wait, mostWait))
+		}
+		s.lacking = 0
+	}
+}
+
+// mostWait bounds how long the coordinator is not asked again.
+const mostWait = 250 * time.Millisecond
+
+func (s *space) held(now time.Time) float64 {
+	sum, kept := 0.0, s.parts[:0]
+	for _, p := range s.parts {
+		if now.Before(p.until) && p.units > 0 {
+			kept = append(kept, p)
+			sum += p.units
+		}
+	}
+	s.parts = kept
+	return sum
+}
+
+// spend takes units from the parts, the one that expires first before others.
+func (s *space) spend(units float64, now time.Time) bool {
+	if s.held(now) < units {
+		return false
+	}
+	for i := range s.parts {
+		n := min(units, s.parts[i].units)
+		s.parts[i].units -= n
+		units -= n
+	}
+	return true
+}
+
+func (s *space) spendAlone(units float64, gateways int, now time.Time) bool {
+	share := aloneShare / float64(gateways)
+	if s.aloneAt.IsZero() || now.Sub(s.aloneAt) > useMemory {
+		s.aloneAt, s.alone = now, 0
+	}
+	s.alone = min(s.burst*share, s.alone+s.rate*share*now.Sub(s.aloneAt).Seconds())
+	s.aloneAt = now
+	if s.alone <= 0 {
+		return false
+	}
+	s.alone -= units // A large request is let in on credit, and the next ones wait.
+	return true
+}
+
+// refill is how long the quota takes to fill by so many units.
+func (s *space) refill(units float64) time.Duration {
+	return time.Duration(units / s.rate * float64(time.Second))
+}
+
+func (s *space) used(units float64, now time.Time) {
+	s.use = s.rateOfUse(now) + units/useMemory.Seconds()
+	s.usedAt = now
+}
+
+func (s *space) rateOfUse(now time.Time) float64 {
+	if s.usedAt.IsZero() {
+		return 0
+	}
+	left := 1 - float64(now.Sub(s.usedAt))/float64(useMemory)
+	return s.use * max(0, min(1, left))
+}
--- /dev/null
+++ b/coordination/scale/scale.go
@@ -0,0 +1,297 @@
+// Package scale plans how many servers a service has in each failure domain.
+//
+// Reclaimable servers cost a small part of the full price and may be taken away,
+// a whole domain's at once. So they are spread over the domains, enough of them
+// that the others carry the load when one domain's are gone, and servers at the
+// full price stay only where the service's least number asks for them, or while
+// the platform has no reclaimable ones to give.
+//
+// [Planner.Plan] is a function of what the gateways and the platform's list
+// tell, of the orders sent before, and of the time that comes with the message.
+package scale
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"time"
+
+	"github.com/weldstream/weldstream/protocol"
+)
+
+// MarketReclaimable marks servers that may be taken away.
+const MarketReclaimable = "reclaimable"
+
+// Service is a service whose servers are ours to order, with what its requests
+// ask for.
+type Service struct {
+	Spec    *protocol.ServiceSpec
+	Work    float64 // Work is how many requests run at once, in the mean of the last second.
+	Refused int64   // Refused counts requests that found no place, since the gateways' start.
+	Arrived int64   // Arrived counts all requests, since the gateways' start.
+}
+
+// PlanMsg asks for the orders of the moment.
+type PlanMsg struct {
+	Services []Service
+	Servers  []protocol.Instance
+	Now      time.Time
+}
+
+// Order is how many servers a service is to have in a failure domain.
+type Order struct {
+	Service     string
+	Domain      string
+	Count       int
+	Reclaimable bool
+}
+
+const (
+	// fillAim is the part of the slots that is to be in use.
+	fillAim = 0.5
+	// sinceMemory is how long a peak of the load counts.
+	sinceMemory = 20 * time.Second
+	// leastDomains have reclaimable servers, so that losing one leaves others.
+	leastDomains = 2
+	// refusedPause is how long no order follows one that was refused.
+	refusedPause = 2 * time.Second
+	// settle is between two orders of the same kind for the same domain.
+	settle = time.Second
+	// shrinkAfter is how long fewer servers have been enough before some go.
+	shrinkAfter = 6 * time.Second
+)
+
+// Planner remembers the orders that were sent.
+type Planner struct {
+	orders map[Order]sent // orders are by an Order whose Count is 0.
+	peaks  map[string]*peak
+}
+
+type sent struct {
+	count   int
+	at      time.Time
+	refused bool
+}
+
+// New returns a planner that has ordered nothing.
+func New() *Planner { return &Planner{orders: map[Order]sent{}, peaks: map[string]*peak{}} }
+
+// peak is the highest load of late.
+type peak struct {
+	work float64
+	at   time.Time
+}
+
+func (p *Planner) peak(name string, work float64, now time.Time) float64 {
+	k := p.peaks[name]
+	if k == nil {
+		k = &peak{}
+		p.peaks[name] = k
+	}
+	faded := k.work * max(0, 1-float64(now.Sub(k.at))/float64(sinceMemory))
+	if work >= faded {
+		k.work, k.at = work, now
+		return work
+	}
+	return faded
+}
+
+// Ordered notes what became of an order.
+func (p *Planner) Ordered(o Order, taken bool, now time.Time) {
+	key := o
+	key.Count = 0
+	p.orders[key] = sent{count: o.Count, at: now, refused: !taken}
+}
+
+// domainState is what a service has in one failure domain.
+type domainState struct {
+	name        string
+	price       float64
+	reclaimable int // reclaimable are those that serve.
+	full        int
+}
+
+// Plan returns the orders to send now.
+func (p *Planner) Plan(m PlanMsg) []Order {
+	var orders []Order
+	for i := range m.Services {
+		orders = append(orders, p.plan(&m.Services[i], m.Servers, m.Now)...)
+	}
+	return orders
+}
+
+func (p *Planner) plan(s *Service, servers []protocol.Instance, now time.Time) []Order {
+	domains := survey(s.Spec, servers)
+	need := p.need(s, now)
+	wantReclaimable, wantFull := p.wants(s.Spec.Scaling, domains, need, now)
+	var orders []Order
+	for i, d := range domains {
+		orders = p.order(orders, s.Spec.Name, d, wantReclaimable[i], true, now)
+	}
+	for i, d := range domains {
+		orders = p.order(orders, s.Spec.Name, d, wantFull[i], false, now)
+	}
+	return orders
+}
+
+// need is how many servers carry the load of late.
+func (p *Planner) need(s *Service, now time.Time) int {
+	slots := max(1, s.Spec.Slots)
+	work := p.peak(s.Spec.Name, s.Work, now)
+	return max(1, int(math.Ceil(work/(fillAim*float64(slots)))))
+}
+
+// survey counts what there is in each failure domain, the cheapest first.
+func survey(spec *protocol.ServiceSpec, servers []protocol.Instance) []domainState {
+	rows := map[string]*domainState{}
+	for name, price := range spec.Scaling.DomainPrices {
+		rows[name] = &domainState{name: name, price: price}
+	}
+	for i := range servers {
+		in := &servers[i]
+		if in.Service != spec.Name || in.Leaving {
+			continue
+		}
+		d := rows[in.Domain]
+		if d == nil {
+			d = &domainState{name: in.Domain, price: 1}
+			rows[in.Domain] = d
+		}
+		if in.Market == MarketReclaimable {
+			d.reclaimable++
+		} else {
+			d.full++
+		}
+	}
+	domains := make([]domainState, 0, len(rows))
+	for _, d := range rows {
+		domains = append(domains, *d)
+	}
+	slices.SortFunc(domains, func(a, b domainState) int {
+		if c := cmp.Compare(a.price, b.price); c != 0 {
+			return c
+		}
+		return cmp.Compare(a.name, b.name)
+	})
+	return domains
+}
+
+// wants returns how many servers of either kind each domain is to have.
+func (p *Planner) wants(spec *protocol.ScalingSpec, domains []domainState, need int, now time.Time) (reclaimable, full []int) {
+	n := len(domains)
+	reclaimable, full = make([]int, n), make([]int, n)
+	if n == 0 {
+		return reclaimable, full
+	}
+	spread(reclaimable, need, spec)
+	serving := 0
+	for i := range domains {
+		serving += domains[i].reclaimable
+	}
+	for i := range domains {
+		// The least number counts for both kinds together: what serves for less
+		// lets the others go, once it does.
+		full[i] = max(0, spec.Min-domains[i].reclaimable)
+		if serving < need {
+			full[i] = max(full[i], min(domains[i].full, spec.Max-reclaimable[i]))
+		}
+	}
+	if short := need - serving - sum(full); short > 0 && p.dry(domains, now) {
+		for i := 0; i < n && short > 0; i++ {
+			more := min(short, spec.Max-reclaimable[i]-full[i])
+			if more > 0 {
+				full[i] += more
+				short -= more
+			}
+		}
+	}
+	return reclaimable, full
+}
+
+// spread puts reclaimable servers into the domains so that without the fullest
+// domain there are still as many as needed.
+func spread(dst []int, need int, spec *protocol.ScalingSpec) {
+	for total := 0; ; total++ {
+		fullest := slices.Max(dst)
+		if sum(dst)-fullest >= need && used(dst) >= min(leastDomains, len(dst)) {
+			break
+		}
+		// The emptiest domain takes the next one; among equals the cheapest.
+		i := minIndex(dst)
+		if dst[i] >= spec.Max {
+			break
+		}
+		dst[i]++
+	}
+	for i := range dst {
+		dst[i] = max(dst[i], spec.Min)
+	}
+}
+
+func sum(list []int) int {
+	n := 0
+	for _, v := range list {
+		n += v
+	}
+	return n
+}
+
+func used(list []int) int {
+	n := 0
+	for _, v := range list {
+		if v > 0 {
+			n++
+		}
+	}
+	return n
+}
+
+func minIndex(list []int) int {
+	best := 0
+	for i, v := range list {
+		if v < list[best] {
+			best = i
+		}
+	}
+	return best
+}
+
+// dry reports whether the platform lately refused reclaimable servers.
+func (p *Planner) dry(domains []domainState, now time.Time) bool {
+	for key, s := range p.orders {
+		if key.Reclaimable && s.refused && now.Sub(s.at) < 2*refusedPause {
+			return true
+		}
+	}
+	return false
+}
+
+// order appends an order if it differs from the last one, or if that one was
+// refused a while ago, or if what it asked for did not come.
+func (p *Planner) order(orders []Order, service string, d domainState, want int, reclaimable bool, now time.Time) []Order {
+	o := Order{Service: service, Domain: d.name, Count: want, Reclaimable: reclaimable}
+	key := o
+	key.Count = 0
+	have := d.full
+	if reclaimable {
+		have = d.reclaimable
+	}
+	last, known := p.orders[key]
+	switch {
+	case !known:
+		if have == want {
+			return orders
+		}
+	case last.refused:
+		if now.Sub(last.at) < refusedPause || have == want {
+			return orders
+		}
+	case last.count == want:
+		return orders
+	case last.count < want && now.Sub(last.at) < settle:
+		return orders
+	case last.count > want && now.Sub(last.at) < shrinkAfter:
+		return orders
+	}
+	return append(orders, o)
+}
--- a/protocol/refusal.go
+++ b/protocol/refusal.go
@@ -117,3 +117,10 @@
 		RetryAfterMS: r.RetryAfter.Milliseconds(),
 	}}
 }
+
+// WithStatus returns a copy of r with another HTTP status.
+func (r *Refusal) WithStatus(status int) *Refusal {
+	c := *r
+	c.Status = status
+	return &c
+}
--- /dev/null
+++ b/settings/node.go
@@ -0,0 +1,131 @@
+package settings
+
+import (
+	"os"
+	"slices"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/weldstream/weldstream/internal/yamlfile"
+)
+
+// Node are the settings of one process that is a gateway or a control instance
+// on a platform with machines of several classes. The roles share one file
+// layout, so that one template lays both.
+type Node struct {
+	Name        string     `yaml:"name" validate:"required,name"`                    // Name is unique among all instances.
+	Domain      string     `yaml:"domain" validate:"required,name"`                  // Domain is the failure domain.
+	Caller      string     `yaml:"caller" validate:"omitempty,ipport"`               // Caller is where a gateway's callers connect.
+	Ready       string     `yaml:"ready" validate:"omitempty,ipport"`                // Ready is where a gateway tells the balancer whether it is ready.
+	Operator    string     `yaml:"operator" validate:"omitempty,ipport"`             // Operator is where a control instance serves operators.
+	Peer        string     `yaml:"peer" validate:"required,ipport"`                  // Peer is where a control instance serves the other instances.
+	Metrics     string     `yaml:"metrics" validate:"omitempty,ipport"`              // Metrics serves metrics and the dump.
+	DataDir     string     `yaml:"data_dir"`                                         // DataDir is the disk's folder of a control instance.
+	Seeds       []string   `yaml:"seeds" validate:"required,min=1,dive,ipport"`      // Seeds are the operator addresses of control instances to meet first.
+	Found       bool       `yaml:"found"`                                            // Found lets the seeds found the group: the first start of all.
+	Tolerate    int        `yaml:"tolerate" validate:"min=0,max=10"`                 // Tolerate is how many control instances may be lost at once.
+	ClusterKey  string     `yaml:"cluster_key"`                                      // ClusterKey guards the links between instances; empty trusts the network.
+	MemoryMB    int        `yaml:"memory_mb" validate:"min=0"`                       // MemoryMB is what the process may take; 0 sets no limit.
+	Source      NodeSource `yaml:"source" validate:"required"`                       // Source is the platform's API.
+	Bounds      NodeBounds `yaml:"bounds"`                                           // Bounds are the promises that timers are derived from.
+	LogLevel    string     `yaml:"log_level" validate:"oneof=debug info warn error"` // LogLevel is the least level that is logged.
+	Replication Replica    `yaml:"replica"`                                          // Replication tunes the group.
+}
+
+// NodeSource is the platform's API: the list of servers and the duties.
+type NodeSource struct {
+	Address   string        `yaml:"address" validate:"required,ipport"`
+	ListRate  float64       `yaml:"list_rate" validate:"min=0"`     // ListRate is how many list calls a second all instances may make.
+	OrderRate float64       `yaml:"order_rate" validate:"min=0"`    // OrderRate is how many duty calls a second all may make.
+	Lag       time.Duration `yaml:"lag" validate:"dmin=0s,dmax=1m"` // Lag is how old the list may be.
+	Duties    []string      `yaml:"duties"`                         // Duties are usage_report and autoscale, those that are owed; others are ignored.
+	Fenced    bool          `yaml:"fenced"`                         // Fenced says that the platform checks fencing tokens.
+}
+
+// The duties that the role carries out.
+const (
+	DutyUsage = "usage_report" // DutyUsage reports the usage of each workspace.
+	DutyFleet = "autoscale"    // DutyFleet orders the number of servers.
+)
+
+// Owes reports whether a duty is owed.
+func (s *NodeSource) Owes(duty string) bool { return slices.Contains(s.Duties, duty) }
+
+// NodeBounds are promises; every timer that keeps one is derived from it.
+type NodeBounds struct {
+	Apply       time.Duration `yaml:"apply" validate:"dmin=100ms,dmax=1h"`        // Apply is within what a configuration is in force everywhere.
+	Revoke      time.Duration `yaml:"revoke" validate:"dmin=0s,dmax=1h"`          // Revoke is within what a key that was taken away is refused; 0 sets no bound.
+	Drain       time.Duration `yaml:"drain" validate:"dmin=100ms,dmax=1h"`        // Drain is how soon a leaving server gets no new work.
+	Grace       time.Duration `yaml:"grace" validate:"dmin=100ms,dmax=1h"`        // Grace is between the order to stop and the end.
+	Lease       time.Duration `yaml:"lease" validate:"dmin=0s,dmax=1h"`           // Lease is how long a former holder of a duty may still act.
+	Reuse       time.Duration `yaml:"reuse" validate:"dmin=0s,dmax=1h"`           // Reuse is how soon an address may belong to another server.
+	RetryRatio  float64       `yaml:"retry_ratio" validate:"min=0,max=10"`        // RetryRatio is the part of requests that may be sent again.
+	RetryExtra  float64       `yaml:"retry_extra" validate:"min=0"`               // RetryExtra are retries in a window besides.
+	RetryWindow time.Duration `yaml:"retry_window" validate:"dmin=100ms,dmax=1h"` // RetryWindow is the window of both.
+	QuotaWindow time.Duration `yaml:"quota_window" validate:"dmin=100ms,dmax=1h"` // QuotaWindow is the window in which quotas are checked.
+	UsageWindow time.Duration `yaml:"usage_window" validate:"dmin=100ms,dmax=1h"` // UsageWindow is the length of a window of usage reports.
+	UsageDue    time.Duration `yaml:"usage_due" validate:"dmin=100ms,dmax=1h"`    // UsageDue is how long after a window its report is due.
+}
+
+// NewNode returns node settings with every default filled in.
+func NewNode() *Node {
+	return &Node{
+		LogLevel: DefaultLogLevel,
+		Source:   NodeSource{ListRate: DefaultListRate, OrderRate: DefaultOrderRate},
+		Bounds: NodeBounds{
+			Apply:       DefaultApply,
+			Revoke:      DefaultRevoke,
+			Drain:       DefaultLeaving,
+			Grace:       DefaultGrace,
+			Lease:       DefaultDutyLease,
+			Reuse:       DefaultReuse,
+			RetryRatio:  DefaultRetryRatio,
+			RetryWindow: DefaultRetryWindow,
+			QuotaWindow: DefaultQuotaWindow,
+			UsageWindow: DefaultUsageWindow,
+			UsageDue:    DefaultUsageDue,
+		},
+		Replication: Replica{Election: DefaultElection, Heartbeat: DefaultReplicaBeat, SnapshotEntries: DefaultSnapshotEntries, ReserveBytes: DefaultNodeReserve, Batch: DefaultCommitBatch},
+	}
+}
+
+// LoadNode reads a node's settings file. Every fault is returned, each with
+// file, line and field; the error is for a file that could not be read at all.
+func LoadNode(file string) (*Node, []yamlfile.Fault, error) {
+	data, err := os.ReadFile(file)
+	if err != nil {
+		return nil, nil, eris.Wrap(err, "read settings")
+	}
+	n := NewNode()
+	_, faults := yamlfile.Decode(file, data, n)
+	return n, faults, nil
+}
+
+// CheckGateway returns what a gateway lacks.
+func (n *Node) CheckGateway(file string) []yamlfile.Fault {
+	var faults []yamlfile.Fault
+	if n.Caller == "" {
+		faults = append(faults, missing(file, "caller", "a gateway"))
+	}
+	if n.Ready == "" {
+		faults = append(faults, missing(file, "ready", "a gateway"))
+	}
+	return faults
+}
+
+// CheckControl returns what a control instance lacks.
+func (n *Node) CheckControl(file string) []yamlfile.Fault {
+	var faults []yamlfile.Fault
+	if n.Operator == "" {
+		faults = append(faults, missing(file, "operator", "a control instance"))
+	}
+	if n.DataDir == "" {
+		faults = append(faults, missing(file, "data_dir", "a control instance"))
+	}
+	return faults
+}
+
+func missing(file, field, who string) yamlfile.Fault {
+	return yamlfile.Fault{File: file, Line: 1, Field: field, What: "is missing: " + who + " needs it"}
+}
--- /dev/null
+++ b/transport/backend/backend.go
@@ -0,0 +1,252 @@
+// Package backend holds the connections of a gateway to backend servers.
+//
+// A [Conn] is one HTTP/1.1 connection. The codec is fasthttp's; the connection
+// is ours, because a verdict needs to know whether a byte of a request was
+// written, and because a caller that hangs up must end its request at the server
+// at once. A pooled client hides both.
+//
+// Connections are kept by the server's identity, not by its address: an address
+// may come to belong to another server. One that delivered anything that was
+// not asked for is closed, never reused.
+package backend
+
+import (
+	"bufio"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"github.com/valyala/fasthttp"
+)
+
+const (
+	// idleMargin is taken off the time that a server says it keeps a connection.
+	idleMargin = 500 * time.Millisecond
+	// idleUsual is how long a connection may rest where the server says nothing.
+	idleUsual = 4 * time.Second
+	// idleMost bounds what a server says.
+	idleMost   = 30 * time.Second
+	readBuffer = 4 << 10
+)
+
+// ErrNotIdle is returned when a connection that rested turned out to be closed
+// or to have delivered something.
+var ErrNotIdle = eris.New("the connection did not rest")
+
+// Conn is one connection to a backend server.
+type Conn struct {
+	net   net.Conn
+	br    *bufio.Reader
+	bw    *bufio.Writer
+	wrote atomic.Int64 // wrote counts the bytes of the request that the kernel took.
+	used  bool         // used says that a request went over it before.
+	until time.Time    // until is when it may rest no longer.
+}
+
+// Write implements io.Writer and counts.
+func (c *Conn) Write(p []byte) (int, error) {
+	n, err := c.net.Write(p)
+	c.wrote.Add(int64(n))
+	return n, err
+}
+
+// Wrote reports whether any byte of the current request may have reached the
+// server.
+func (c *Conn) Wrote() bool { return c.wrote.Load() > 0 }
+
+// Used reports whether an earlier request went over the connection.
+func (c *Conn) Used() bool { return c.used }
+
+// Close closes the connection, which a server takes as a cancellation. It may
+// be called from any goroutine.
+func (c *Conn) Close() { _ = c.net.Close() }
+
+// bodyAlone is the size of a body above which the answer is read while the body
+// is still written: a server may answer before it has read all.
+const bodyAlone = 8 << 10
+
+// Exchange writes a request, to be done by a deadline, and reads the head of
+// the answer. Early says that the answer came before all of the request was
+// written; the connection is of no further use then.
+func (c *Conn) Exchange(req *fasthttp.Request, resp *fasthttp.Response, deadline time.Time) (early bool, err error) {
+	if err := c.net.SetDeadline(deadline); err != nil {
+		return false, eris.Wrap(err, "set deadline")
+	}
+	if len(req.Body()) < bodyAlone {
+		if err := c.send(req); err != nil {
+			return false, c.lastWords(resp, err)
+		}
+		return false, c.Head(resp)
+	}
+	sent := make(chan error, 1)
+	go func() { sent <- c.send(req) }()
+	err = c.Head(resp)
+	select {
+	case failed := <-sent:
+		return failed != nil, err
+	default:
+	}
+	if err == nil {
+		// The rest of the body is not wanted. A write that waits ends here.
+		_ = c.net.SetWriteDeadline(time.Unix(1, 0))
+	} else {
+		c.Close()
+	}
+	<-sent // The request must not be used any more when this returns.
+	return true, err
+}
+
+func (c *Conn) send(req *fasthttp.Request) error {
+	if err := req.Write(c.bw); err != nil {
+		return eris.Wrap(err, "write request")
+	}
+	return eris.Wrap(c.bw.Flush(), "write request")
+}
+
+// lastWords reads what a server said before it closed its side under the
+// request. Without an answer the write's error stands.
+func (c *Conn) lastWords(resp *fasthttp.Response, failed error) error {
+	if !c.Wrote() || c.Head(resp) != nil {
+		return failed
+	}
+	return nil
+}
+
+// Head reads the head of an answer; its body is left in the connection.
+func (c *Conn) Head(resp *fasthttp.Response) error {
+	for {
+		if err := resp.Header.Read(c.br); err != nil {
+			return eris.Wrap(err, "read answer")
+		}
+		if resp.StatusCode() >= fasthttp.StatusOK {
+			return nil
+		}
+		resp.Header.Reset() // An interim answer.
+	}
+}
+
+// Body returns the reader of an answer's body. Its end is io.EOF only when the
+// body is whole.
+func (c *Conn) Body(resp *fasthttp.Response) (*Body, error) {
+	resp.StreamBody = true
+	if resp.Header.ContentLength() == 0 || !hasBody(resp.StatusCode()) {
+		return &Body{}, nil
+	}
+	if err := resp.ReadBody(c.br, 0); err != nil {
+		return nil, eris.Wrap(err, "read answer")
+	}
+	return &Body{stream: resp.BodyStream()}, nil
+}
+
+func hasBody(status int) bool {
+	return status != fasthttp.StatusNoContent && status != fasthttp.StatusNotModified
+}
+
+// Clean reports whether the connection holds nothing that was not asked for.
+func (c *Conn) Clean() bool { return c.br.Buffered() == 0 }
+
+// Pool keeps idle connections by the server's identity.
+type Pool struct {
+	dial  time.Duration
+	opens atomic.Int64
+	mu    sync.Mutex // mu guards idle.
+	idle  map[string][]*Conn
+}
+
+// NewPool returns a pool that gives up a connect after a time.
+func NewPool(dial time.Duration) *Pool {
+	return &Pool{dial: dial, idle: map[string][]*Conn{}}
+}
+
+// Opens counts the connections opened since the start.
+func (p *Pool) Opens() int64 { return p.opens.Load() }
+
+// Get returns a connection to a server: one that rests and is sound, or a new
+// one, to be opened by a deadline.
+func (p *Pool) Get(server, address string, deadline time.Time) (*Conn, error) {
+	for {
+		c := p.pop(server)
+		if c == nil {
+			return p.open(address, deadline)
+		}
+		if time.Now().Before(c.until) && resting(c.net) {
+			return c, nil
+		}
+		c.Close()
+	}
+}
+
+func (p *Pool) open(address string, deadline time.Time) (*Conn, error) {
+	limit := min(p.dial, time.Until(deadline))
+	if limit <= 0 {
+		return nil, eris.New("no time is left to connect")
+	}
+	conn, err := net.DialTimeout("tcp", address, limit)
+	if err != nil {
+		return nil, eris.Wrap(err, "connect")
+	}
+	p.opens.Add(1)
+	c := &Conn{net: conn}
+	c.br, c.bw = bufio.NewReaderSize(conn, readBuffer), bufio.NewWriterSize(c, readBuffer)
+	return c, nil
+}
+
+func (p *Pool) pop(server string) *Conn {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	list := p.idle[server]
+	if len(list) == 0 {
+		return nil
+	}
+	c := list[len(list)-1]
+	p.idle[server] = list[:len(list)-1]
+	return c
+}
+
+// Put keeps a connection whose answer was read to its end, unless the server or
+// what it sent says otherwise. Keeps is how long the server keeps it; 0 where it
+// did not say.
+func (p *Pool) Put(server string, c *Conn, keeps time.Duration) {
+	if !c.Clean() || c.net.SetDeadline(time.Time{}) != nil {
+		c.Close()
+		return
+	}
+	rest := idleUsual
+	if keeps > 0 {
+		rest = min(keeps-idleMargin, idleMost)
+	}
+	if rest <= 0 {
+		c.Close()
+		return
+	}
+	c.used = true
+	c.wrote.Store(0)
+	c.until = time.Now().Add(rest)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.idle[server] = append(p.idle[server], c)
+}
+
+// Keep closes the idle connections to all servers but those named.
+func (p *Pool) Keep(server func(id string) bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := time.Now()
+	for id, list := range p.idle {
+		kept := list[:0]
+		for _, c := range list {
+			if server(id) && now.Before(c.until) {
+				kept = append(kept, c)
+				continue
+			}
+			c.Close()
+		}
+		if len(kept) == 0 {
+			delete(p.idle, id)
+			continue
+		}
+		p.idle[id] = kept
+	}
+}
--- /dev/null
+++ b/transport/caller/conn.go
@@ -0,0 +1,187 @@
+package caller
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/valyala/fasthttp"
+)
+
+// pastDeadline wakes a read that waits.
+var pastDeadline = time.Unix(1, 0)
+
+// Conn is one caller's connection. The codec is fasthttp's; the loop is ours,
+// since only so a caller that hangs up is noticed while nothing is written, and
+// an answer that breaks off can be told from one that ended.
+type Conn struct {
+	net   net.Conn
+	br    *bufio.Reader
+	bw    *bufio.Writer
+	stall time.Duration
+
+	mu    sync.Mutex // mu guards state.
+	state connState
+}
+
+type connState uint8
+
+const (
+	connIdle   connState = iota // connIdle waits for the first byte of a request.
+	connBusy                    // connBusy reads a request or answers one.
+	connClosed                  // connClosed was closed by Close of the server.
+)
+
+// Write implements io.Writer: each write has its own deadline, so that only a
+// caller that takes nothing is cut off.
+func (c *Conn) Write(p []byte) (int, error) {
+	if err := c.net.SetWriteDeadline(time.Now().Add(c.stall)); err != nil {
+		return 0, err
+	}
+	return c.net.Write(p)
+}
+
+// enter notes what the connection does; false means that it was closed.
+func (c *Conn) enter(s connState) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.state == connClosed {
+		return false
+	}
+	c.state = s
+	return true
+}
+
+// closeIdle closes a connection on which no request is under way.
+func (c *Conn) closeIdle() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.state == connIdle {
+		c.state = connClosed
+		_ = c.net.Close()
+	}
+}
+
+// watch calls gone once if the caller hangs up before stop is called. Bytes
+// that arrive stay in the reader, as they belong to the next request.
+func (c *Conn) watch(gone func()) (stop func()) {
+	_ = c.net.SetReadDeadline(time.Time{})
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		// What is buffered already says nothing of the connection, but a caller
+		// that has sent more is there.
+		if _, err := c.br.Peek(c.br.Buffered() + 1); err != nil && !isTimeout(err) && err != bufio.ErrBufferFull {
+			gone()
+		}
+	}()
+	return func() {
+		_ = c.net.SetReadDeadline(pastDeadline)
+		<-done
+		_ = c.net.SetReadDeadline(time.Time{})
+	}
+}
+
+func isTimeout(err error) bool {
+	e, ok := err.(net.Error)
+	return ok && e.Timeout()
+}
+
+// Answer writes the answer to one request: whole, or as a head and pieces.
+type Answer struct {
+	conn    *Conn
+	close   bool
+	began   bool
+	ended   bool
+	chunked bool
+}
+
+// Began reports whether a byte of the answer was written.
+func (a *Answer) Began() bool { return a.began }
+
+// Close has the connection closed behind the answer, which says so.
+func (a *Answer) Close() { a.close = true }
+
+// Whole writes a whole answer.
+func (a *Answer) Whole(resp *fasthttp.Response) error {
+	a.began, a.ended = true, true
+	a.mark(resp)
+	if err := resp.Write(a.conn.bw); err != nil {
+		a.close = true
+		return err
+	}
+	return a.flush()
+}
+
+// mark tells the caller what becomes of the connection.
+func (a *Answer) mark(resp *fasthttp.Response) {
+	resp.Header.Del(fasthttp.HeaderConnection)
+	if a.close {
+		resp.SetConnectionClose()
+	}
+}
+
+// Head writes the head of an answer whose body follows in pieces.
+func (a *Answer) Head(resp *fasthttp.Response) error {
+	a.began, a.chunked = true, true
+	a.mark(resp)
+	resp.Header.SetContentLength(-1)
+	if _, err := a.conn.bw.Write(resp.Header.Header()); err != nil {
+		return err
+	}
+	return a.flush()
+}
+
+// Piece writes one piece of the body and has it sent at once.
+func (a *Answer) Piece(p []byte) error {
+	if len(p) == 0 {
+		return nil
+	}
+	if err := writeChunk(a.conn.bw, p); err != nil {
+		a.close = true
+		return err
+	}
+	return a.flush()
+}
+
+// End writes the end of the body: the answer is whole.
+func (a *Answer) End() error {
+	a.ended = true
+	if _, err := io.WriteString(a.conn.bw, "0\r\n\r\n"); err != nil {
+		a.close = true
+		return err
+	}
+	return a.flush()
+}
+
+func (a *Answer) flush() error {
+	err := a.conn.bw.Flush()
+	if err != nil {
+		a.close = true
+	}
+	return err
+}
+
+const hexDigits = "0123456789abcdef"
+
+func writeChunk(w *bufio.Writer, p []byte) error {
+	var size [18]byte
+	i := len(size)
+	for n := len(p); n > 0; n >>= 4 {
+		i--
+		size[i] = hexDigits[n&15]
+	}
+	if _, err := w.Write(size[i:]); err != nil {
+		return err
+	}
+	if _, err := w.WriteString("\r\n"); err != nil {
+		return err
+	}
+	if _, err := w.Write(p); err != nil {
+		return err
+	}
+	_, err := w.WriteString("\r\n")
+	return err
+}
--- /dev/null
+++ b/transport/control/control.go
@@ -0,0 +1,67 @@
+// Package control is the control role: the instances with a disk, which keep the
+// configuration and what must be decided once for all gateways.
+//
+// The replicated log makes one of them the leader, for a term. Only the leader
+//
+//   - answers gateways ([Uplink]): the newest document, the list of servers,
+//     parts of the quotas;
+//   - reads the platform's list, once for all ([Duties]);
+//   - carries out the duties that one instance at a time may carry out. The
+//     fencing token of a duty is the term, which no two leaders share. A new
+//     leader waits out the former one's lease before its first call, and asks in
+//     the instant before each call whether its own still runs.
+//
+// Everything that the leader holds beside the log is told again by the gateways
+// within a second, so a new leader starts with nothing.
+package control
+
+import (
+	"context"
+	"time"
+
+	"github.com/weldstream/weldstream/protocol"
+)
+
+// Group is what the role needs of the replication group.
+type Group interface {
+	// Vouches returns the term if this instance leads and has applied all that
+	// was acknowledged.
+	Vouches() (term uint64, ok bool)
+	// Propose has a command committed; see group.Group.
+	Propose(ctx context.Context, c protocol.Command) (protocol.Result, error)
+}
+
+// Source is the platform's API in the product's words.
+type Source interface {
+	// List returns all backend servers.
+	List(ctx context.Context) ([]protocol.Instance, error)
+	// Report sends the counts of a window.
+	Report(ctx context.Context, d Duty, window int64, counts map[string]int64) error
+	// Order asks for a number of servers.
+	Order(ctx context.Context, d Duty, o Order) error
+}
+
+// Duty names who acts, and with which fencing token.
+type Duty struct {
+	Holder string
+	Token  uint64
+}
+
+// Order is how many servers a service is to have in a failure domain.
+type Order struct {
+	Service     string
+	Domain      string
+	Count       int
+	Reclaimable bool
+}
+
+// Limits are what the role's timers are derived from.
+type Limits struct {
+	ListRate    float64
+	Lag         time.Duration
+	Lease       time.Duration
+	UsageWindow time.Duration
+	UsageDue    time.Duration
+	Usage       bool
+	Fleet       bool
+}
--- /dev/null
+++ b/transport/control/uplink.go
@@ -0,0 +1,234 @@
+package control
+
+import (
+	"bytes"
+	"compress/flate"
+	"io"
+	"sync"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/weldstream/weldstream/coordination/quota"
+	"github.com/weldstream/weldstream/coordination/usage"
+	"github.com/weldstream/weldstream/protocol"
+)
+
+// gatewayKept is how long a gateway counts that does not ask any more.
+const gatewayKept = 3 * time.Second
+
+// Uplink answers the gateways. Its methods are called by net/rpc.
+type Uplink struct {
+	group Group
+	peers func() (leader string, all []string)
+	parse func(number uint64, data []byte) (*protocol.Catalog, error)
+
+	mu       sync.Mutex // mu guards all below.
+	number   uint64
+	packed   []byte
+	catalog  *protocol.Catalog
+	term     uint64 // term is the one that the rest belongs to.
+	lister   uint64
+	version  uint64
+	servers  []protocol.Instance
+	listed   bool
+	gateways map[string]*gateway
+	quotas   *quota.Coordinator
+	ledger   *usage.Ledger
+}
+
+// gateway is what a gateway told last.
+type gateway struct {
+	at       time.Time
+	pressure []protocol.Pressure
+}
+
+// NewUplink returns the receiver to register under "Uplink". The func peers
+// tells the peer addresses of the leader, as far as known, and of all control
+// instances; parse translates a document.
+func NewUplink(g Group, peers func() (string, []string), parse func(uint64, []byte) (*protocol.Catalog, error)) *Uplink {
+	u := &Uplink{group: g, peers: peers, parse: parse}
+	u.reset(0)
+	return u
+}
+
+// reset forgets what belongs to a term. It needs u.mu.
+func (u *Uplink) reset(term uint64) {
+	u.term = term
+	u.gateways = map[string]*gateway{}
+	u.quotas = quota.NewCoordinator()
+	u.ledger = usage.NewLedger()
+	u.listed, u.servers = false, nil
+	if u.catalog != nil {
+		u.quotas.Configure(u.catalog.Workspaces, time.Now())
+	}
+}
+
+// enter makes sure that what is held belongs to a term. It needs u.mu.
+func (u *Uplink) enter(term uint64) {
+	if u.term != term {
+		u.reset(term)
+	}
+}
+
+// Install takes an accepted document.
+func (u *Uplink) Install(number uint64, data []byte) error {
+	packed, err := Pack(data)
+	if err != nil {
+		return err
+	}
+	catalog, err := u.parse(number, data)
+	if err != nil {
+		return err
+	}
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if number > u.number {
+		u.number, u.packed, u.catalog = number, packed, catalog
+		u.quotas.Configure(catalog.Workspaces, time.Now())
+	}
+	return nil
+}
+
+// Catalog returns the catalog that holds, or nil.
+func (u *Uplink) Catalog() *protocol.Catalog {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.catalog
+}
+
+// Sync answers a gateway.
+func (u *Uplink) Sync(m protocol.SyncMsg, reply *protocol.SyncReply) error {
+	reply.Leader, reply.Controls = u.peers()
+	term, ok := u.group.Vouches()
+	if !ok {
+		return nil
+	}
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	now := time.Now()
+	u.enter(term)
+	u.gateways[m.Gateway] = &gateway{at: now, pressure: m.Pressure}
+	u.ledger.Take(m.Gateway, m.Life, m.Usage)
+	reply.Term = term
+	reply.Number = u.number
+	if u.number > m.Number {
+		reply.Document = u.packed
+	}
+	if u.listed && (m.Lister != u.lister || m.Servers != u.version) {
+		reply.Listed, reply.Lister, reply.Version, reply.Servers = true, u.lister, u.version, u.servers
+	}
+	reply.Gateways = u.alive(now)
+	for _, want := range m.Wants {
+		reply.Grants = append(reply.Grants, u.quotas.Grant(want, now))
+	}
+	// The lease may have run out meanwhile: then nothing of this may count.
+	still, ok := u.group.Vouches()
+	reply.Leads = ok && still == term
+	return nil
+}
+
+// alive counts the gateways that asked lately. It needs u.mu.
+func (u *Uplink) alive(now time.Time) int {
+	for name, g := range u.gateways {
+		if now.Sub(g.at) > gatewayKept {
+			delete(u.gateways, name)
+		}
+	}
+	return len(u.gateways)
+}
+
+// SetServers takes the platform's list, read in a term. A list that is the same
+// as the one before is no news.
+func (u *Uplink) SetServers(term uint64, list []protocol.Instance) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.enter(term)
+	if u.listed && sameServers(u.servers, list) {
+		return
+	}
+	u.lister, u.servers, u.listed = term, list, true
+	u.version++
+}
+
+// sameServers reports whether two lists say the same. How much longer a server
+// is slow from its start is told only when it begins and ends.
+func sameServers(a, b []protocol.Instance) bool {
+	if len(a) != len(b) {
+		return false
+	}
+	for i := range a {
+		x, y := a[i], b[i]
+		x.ColdMS, y.ColdMS = min(x.ColdMS, 1), min(y.ColdMS, 1)
+		if x != y {
+			return false
+		}
+	}
+	return true
+}
+
+// Load is what the gateways' requests ask of one service.
+type Load struct {
+	Work    float64
+	Running int
+	Refused int64
+	Arrived int64
+}
+
+// Loads adds up what all gateways told.
+func (u *Uplink) Loads() map[string]Load {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.alive(time.Now())
+	loads := map[string]Load{}
+	for _, g := range u.gateways {
+		for _, p := range g.pressure {
+			l := loads[p.Service]
+			l.Work += p.Work
+			l.Running += p.Running
+			l.Refused += p.Refused
+			l.Arrived += p.Arrived
+			loads[p.Service] = l
+		}
+	}
+	return loads
+}
+
+// Used returns a window's counts by workspace.
+func (u *Uplink) Used(window int64) map[string]int64 {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.ledger.Total(window)
+}
+
+// Servers returns the platform's list as it was read last, and whether it was.
+func (u *Uplink) Servers() ([]protocol.Instance, bool) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.servers, u.listed
+}
+
+// Pack compresses a document for the way to the gateways.
+func Pack(data []byte) ([]byte, error) {
+	var buf bytes.Buffer
+	w, err := flate.NewWriter(&buf, flate.BestSpeed)
+	if err != nil {
+		return nil, eris.Wrap(err, "compress document")
+	}
+	if _, err := w.Write(data); err != nil {
+		return nil, eris.Wrap(err, "compress document")
+	}
+	if err := w.Close(); err != nil {
+		return nil, eris.Wrap(err, "compress document")
+	}
+	return buf.Bytes(), nil
+}
+
+// maxDocument bounds what a packed document may hold, in bytes.
+const maxDocument = 64 << 20
+
+// Unpack undoes [Pack].
+func Unpack(packed []byte) ([]byte, error) {
+	data, err := io.ReadAll(io.LimitReader(flate.NewReader(bytes.NewReader(packed)), maxDocument))
+	return data, eris.Wrap(err, "unpack document")
+}
--- /dev/null
+++ b/transport/forward/attempt.go
@@ -0,0 +1,269 @@
+package forward
+
+import (
+	"context"
+	"errors"
+	"io"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"github.com/weldstream/weldstream/coordination/place"
+	"github.com/weldstream/weldstream/coordination/resend"
+	"github.com/weldstream/weldstream/protocol"
+	"github.com/weldstream/weldstream/transport/backend"
+)
+
+const (
+	// backMargin is kept of the deadline for the way back.
+	backMargin = 5 * time.Millisecond
+	// maxAnswer bounds an answer that is read whole.
+	maxAnswer = 16 << 20
+	// maxSkipped bounds the answers of other requests that are passed over.
+	maxSkipped = 4
+)
+
+// try is one attempt at one server.
+type try struct {
+	x      *exchange
+	server *place.Server
+	conn   *backend.Conn
+	reply  Reply
+	early  bool
+	extra  bool // extra says that the connection delivered what was not asked for.
+}
+
+// attempt sends the request to a server. It returns nil when the request is
+// answered, errAgain when another attempt is to follow.
+func (x *exchange) attempt() *protocol.Refusal {
+	server, refusal := x.choose()
+	if refusal != nil {
+		if x.state.MayHaveRun {
+			return refusal.WithVerdict(protocol.MayHaveRun).WithStatus(protocol.StatusBadGateway)
+		}
+		return refusal
+	}
+	x.server = server.ID
+	x.avoid = append(x.avoid, server.ID)
+	conn, err := x.g.pool.Get(server.ID, server.Address, x.deadline)
+	if err != nil {
+		server.Cell.Failed(true, time.Now())
+		return x.failed(protocol.NotRun, false, "the server cannot be reached: "+err.Error())
+	}
+	if x.workspace != nil && !x.route.Open && !x.g.sure() {
+		conn.Close()
+		return unsure()
+	}
+	t := &try{x: x, server: server, conn: conn}
+	return t.run()
+}
+
+// failed decides what follows an attempt without an answer that counts.
+func (x *exchange) failed(v protocol.Verdict, reached bool, reason string) *protocol.Refusal {
+	if x.gone.Err() != nil {
+		return callerGone().WithVerdict(v)
+	}
+	next, refusal := resend.Next(x.state, resend.FailedMsg{
+		Verdict: v,
+		Reached: reached,
+		Reason:  reason,
+		Budget:  func() bool { return x.g.retries(x.service) },
+		Left:    x.left(),
+		Target:  x.route.Target,
+	})
+	x.state = next
+	x.log.Info().Str("server", x.server).Stringer("verdict", v).Bool("reached", reached).Str("reason", reason).
+		Int("sent", next.Sent).Bool("again", refusal == nil).Msg("attempt failed")
+	if refusal != nil {
+		return refusal
+	}
+	x.g.meters.resent.Inc(1)
+	return errAgain
+}
+
+func (t *try) run() *protocol.Refusal {
+	x := t.x
+	x.g.meters.attempts.Inc(1)
+	t.server.Cell.Began()
+	x.g.runs(x.service, 1)
+	stop := context.AfterFunc(x.ctx, t.conn.Close)
+	defer func() {
+		stop()
+		t.server.Cell.Ended()
+		x.g.runs(x.service, -1)
+	}()
+	x.out.Reset()
+	x.resp.Reset()
+	x.g.dialect.Attempt(x.out, x.in, Attempt{
+		Server:    t.server.ID,
+		Workspace: x.workspaceName(),
+		Remaining: max(time.Millisecond, x.left()-backMargin),
+		Priority:  x.priority(),
+		LastEvent: x.events.last,
+	})
+	early, err := t.conn.Exchange(x.out, x.resp, x.deadline.Add(time.Second))
+	t.early = early
+	for skipped := 0; err == nil; skipped++ {
+		t.reply = x.g.dialect.Reply(&x.resp.Header)
+		if t.reply.ID == "" || t.reply.ID == x.call.ID || skipped == maxSkipped {
+			break
+		}
+		err = t.skip()
+	}
+	if err != nil {
+		return t.lost(err)
+	}
+	return t.answered(stop)
+}
+
+func (x *exchange) workspaceName() string {
+	if x.workspace == nil {
+		return ""
+	}
+	return x.workspace.Name
+}
+
+func (x *exchange) priority() int {
+	if x.workspace != nil && x.workspace.HasPriority {
+		return x.workspace.Priority
+	}
+	return x.route.Priority
+}
+
+// skip passes over an answer that belongs to another request.
+func (t *try) skip() error {
+	t.extra = true
+	body, err := t.conn.Body(t.x.resp)
+	if err != nil {
+		return err
+	}
+	if _, err := io.Copy(io.Discard, body); err != nil {
+		return err
+	}
+	t.x.resp.Reset()
+	return t.conn.Head(t.x.resp)
+}
+
+// lost ends an attempt whose answer did not come.
+func (t *try) lost(err error) *protocol.Refusal {
+	t.conn.Close()
+	if t.x.gone.Err() != nil {
+		return callerGone().WithVerdict(protocol.MayHaveRun)
+	}
+	if t.x.ctx.Err() != nil {
+		return t.x.failed(protocol.MayHaveRun, true, "the deadline passed before the answer")
+	}
+	if !t.conn.Wrote() {
+		t.server.Cell.Failed(true, time.Now())
+		return t.x.failed(protocol.NotRun, false, "nothing could be sent: "+err.Error())
+	}
+	t.server.Cell.Failed(false, time.Now())
+	return t.x.failed(protocol.MayHaveRun, true, "the answer did not come: "+err.Error())
+}
+
+// answered goes on with the head of an answer.
+func (t *try) answered(stop func() bool) *protocol.Refusal {
+	x, status := t.x, t.x.resp.StatusCode()
+	if t.reply.HasLoad {
+		t.server.Cell.Told(t.reply.Load, time.Now())
+	}
+	if t.reply.ID != "" && t.reply.ID != x.call.ID {
+		t.conn.Close()
+		return x.failed(protocol.MayHaveRun, true, "the answer belongs to another request")
+	}
+	if t.reply.NotRun {
+		return t.turnedAway(stop)
+	}
+	x.g.count(x.workspaceName())
+	if x.route.Kind == protocol.RouteStream && status >= 200 && status < 300 {
+		return t.stream(stop)
+	}
+	return t.whole(stop)
+}
+
+// turnedAway goes on after a server proved that it did not run the request.
+func (t *try) turnedAway(stop func() bool) *protocol.Refusal {
+	status := t.x.resp.StatusCode()
+	if t.reply.Foreign {
+		t.server.Cell.Failed(true, time.Now())
+	}
+	body, err := t.conn.Body(t.x.resp)
+	if err == nil {
+		_, err = io.Copy(io.Discard, io.LimitReader(body, maxAnswer))
+	}
+	t.finish(err == nil, stop)
+	return t.x.failed(protocol.NotRun, true, "the server turned the request away with status "+fasthttp.StatusMessage(status))
+}
+
+// finish keeps the connection if its answer was read to its end and nothing
+// speaks against it.
+func (t *try) finish(whole bool, stop func() bool) {
+	if !whole || t.early || t.extra || t.reply.Close || !stop() {
+		t.conn.Close()
+		return
+	}
+	t.x.g.pool.Put(t.server.ID, t.conn, t.reply.Keeps)
+}
+
+// whole relays an answer that is read to its end before a byte of it is passed
+// on, so that one that breaks off can still become a refusal.
+func (t *try) whole(stop func() bool) *protocol.Refusal {
+	x, status := t.x, t.x.resp.StatusCode()
+	body, err := t.conn.Body(x.resp)
+	var data []byte
+	if err == nil {
+		data, err = io.ReadAll(io.LimitReader(body, maxAnswer+1))
+	}
+	if err == nil && len(data) > maxAnswer {
+		err = errTooLarge
+	}
+	if err != nil {
+		return t.lost(err)
+	}
+	t.finish(true, stop)
+	failure := status >= 500
+	if failure {
+		t.server.Cell.Failed(false, time.Now())
+	} else {
+		t.server.Cell.Worked()
+	}
+	if promises(status) || t.reply.Encoded || (failure && x.state.Repeatable) {
+		if refusal := x.failed(protocol.MayHaveRun, true, "the server failed with status "+fasthttp.StatusMessage(status)); refusal == errAgain || promises(status) || t.reply.Encoded {
+			return refusal
+		}
+	}
+	return x.pass(data)
+}
+
+var errTooLarge = errors.New("the answer is too large")
+
+// promises reports whether a status tells a caller that its request has not run,
+// which only proof from the server may say.
+func promises(status int) bool {
+	switch status {
+	case fasthttp.StatusTooManyRequests, fasthttp.StatusServiceUnavailable, fasthttp.StatusRequestTimeout, fasthttp.StatusMisdirectedRequest:
+		return true
+	}
+	return false
+}
+
+// pass writes a whole answer to the caller.
+func (x *exchange) pass(data []byte) *protocol.Refusal {
+	resp := fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseResponse(resp)
+	x.g.dialect.Answer(resp, x.resp)
+	resp.SetBodyRaw(data)
+	x.note("answered")
+	if err := x.answer.Whole(resp); err != nil {
+		x.log.Info().Err(err).Msg("answer not taken")
+	}
+	return nil
+}
+
+// note logs the end of an answered request.
+func (x *exchange) note(outcome string) {
+	x.g.meters.answered.Inc(1)
+	x.g.meters.first.UpdateSince(x.start)
+	x.log.Debug().Str("outcome", outcome).Str("server", x.server).Int("status", x.resp.StatusCode()).
+		Int("resent", x.state.Sent).Uint64("number", x.index.Number).Dur("after", time.Since(x.start)).Msg("request")
+}
--- /dev/null
+++ b/transport/forward/exchange.go
@@ -0,0 +1,199 @@
+package forward
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/valyala/fasthttp"
+
+	"github.com/weldstream/weldstream/coordination/place"
+	"github.com/weldstream/weldstream/coordination/resend"
+	"github.com/weldstream/weldstream/protocol"
+	"github.com/weldstream/weldstream/transport/caller"
+)
+
+// exchange carries one request. One goroutine runs it.
+type exchange struct {
+	g      *Gateway
+	ctx    context.Context // ctx ends when the caller hangs up, or at the deadline.
+	cancel context.CancelFunc
+	gone   context.Context // gone ends when the caller hangs up.
+	in     *fasthttp.Request
+	out    *fasthttp.Request
+	resp   *fasthttp.Response // resp is the server's answer.
+	answer *caller.Answer
+	call   protocol.Call
+	log    zerolog.Logger
+
+	index     *Index
+	route     *protocol.PathRoute
+	workspace *protocol.Tenancy // workspace is nil on a route that needs none.
+	service   string
+	prefix    uint64
+	start     time.Time
+	deadline  time.Time
+
+	state  resend.State
+	avoid  []string
+	events events
+	headed bool // headed says that the head of the answer was written.
+	server string
+}
+
+func newExchange(ctx context.Context, g *Gateway, req *fasthttp.Request, a *caller.Answer) *exchange {
+	return &exchange{
+		g:      g,
+		gone:   ctx,
+		ctx:    ctx,
+		cancel: func() {},
+		in:     req,
+		out:    fasthttp.AcquireRequest(),
+		resp:   fasthttp.AcquireResponse(),
+		answer: a,
+		start:  time.Now(),
+	}
+}
+
+func (x *exchange) release() {
+	x.cancel()
+	fasthttp.ReleaseRequest(x.out)
+	fasthttp.ReleaseResponse(x.resp)
+}
+
+func (x *exchange) run() {
+	x.g.meters.requests.Inc(1)
+	x.call = x.g.dialect.Call(x.in)
+	x.log = x.g.log.With().Str("request", x.call.ID).Logger()
+	if refusal := x.admit(); refusal != nil {
+		x.refuse(refusal)
+		return
+	}
+	x.g.arrived(x.service)
+	for {
+		refusal := x.attempt()
+		if refusal == nil {
+			return
+		}
+		if refusal != errAgain {
+			x.refuse(refusal)
+			return
+		}
+	}
+}
+
+// errAgain asks for another attempt. It never reaches a caller.
+var errAgain = &protocol.Refusal{}
+
+// admit finds out what the request is, and whether it may go on.
+func (x *exchange) admit() *protocol.Refusal {
+	x.index = x.g.index.Load()
+	if x.index == nil {
+		return protocol.NewRefusal(protocol.StatusServiceUnavailable, protocol.CodeNotReady, "no configuration is known yet").WithRetryAfter(time.Second)
+	}
+	x.route = x.index.Route(x.call.Host, x.call.Path)
+	if x.route == nil {
+		return protocol.NewRefusal(fasthttp.StatusNotFound, protocol.CodeNotFound, "no route has this host and path")
+	}
+	if refusal := x.authenticate(); refusal != nil {
+		return refusal
+	}
+	x.setDeadline()
+	x.service = Split(x.route, x.call.ID)
+	if x.route.Affinity {
+		x.prefix = place.Prefix(x.call.Prefix)
+	}
+	x.state = resend.State{Repeatable: x.route.Repeatable(), Most: max(1, x.route.Attempts)}
+	if x.call.LastEvent != "" {
+		x.events.last, x.events.seen = x.call.LastEvent, true
+	}
+	if x.workspace == nil {
+		return nil
+	}
+	return x.take(x.call.Cost(x.workspace))
+}
+
+func (x *exchange) authenticate() *protocol.Refusal {
+	if len(x.index.Workspaces) == 0 {
+		return nil
+	}
+	x.workspace = x.index.Workspace(x.call.Secret)
+	if x.route.Open {
+		return nil
+	}
+	if !x.g.sure() {
+		return unsure()
+	}
+	if x.workspace == nil {
+		return protocol.NewRefusal(fasthttp.StatusUnauthorized, protocol.CodeUnauthorized, "the workspace key is not known")
+	}
+	return nil
+}
+
+func unsure() *protocol.Refusal {
+	return protocol.NewRefusal(protocol.StatusServiceUnavailable, protocol.CodeNoQuorum, "the configuration is not confirmed").WithRetryAfter(time.Second)
+}
+
+func callerGone() *protocol.Refusal {
+	return protocol.NewRefusal(protocol.StatusClientClosed, protocol.CodeCallerGone, "the caller hung up")
+}
+
+// setDeadline bounds the request by what the caller waits and the route allows.
+func (x *exchange) setDeadline() {
+	limit := x.route.Timeout
+	if x.call.Remaining > 0 {
+		limit = min(limit, x.call.Remaining)
+	}
+	x.deadline = x.start.Add(limit)
+	x.ctx, x.cancel = context.WithDeadline(x.gone, x.deadline)
+}
+
+func (x *exchange) left() time.Duration { return time.Until(x.deadline) }
+
+// refuse ends the request with a refusal, or cuts an answer that has begun.
+func (x *exchange) refuse(r *protocol.Refusal) {
+	x.g.meters.refused.Inc(1)
+	x.log.Info().Str("outcome", "refused").Str("code", string(r.Code)).Stringer("verdict", r.Verdict).Int("status", r.Status).
+		Str("reason", r.Message).Str("server", x.server).Int("sent", x.state.Sent).Dur("after", time.Since(x.start)).Bool("cut", x.headed).Msg("request")
+	if x.headed || x.gone.Err() != nil {
+		return // The connection is cut: the answer must not look whole.
+	}
+	resp := fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseResponse(resp)
+	x.g.dialect.Refuse(resp, x.call.ID, r)
+	_ = x.answer.Whole(resp) // A caller that is gone takes no answer.
+}
+
+// choose returns a server to send to.
+func (x *exchange) choose() (*place.Server, *protocol.Refusal) {
+	view := x.g.view.Load()
+	m := place.ChooseMsg{
+		Service: x.service,
+		Prefix:  x.prefix,
+		Domain:  x.g.cfg.Domain,
+		Rand:    rand.Uint64(),
+		Avoid:   x.avoid,
+		Most:    x.most(),
+		Now:     time.Now(),
+	}
+	i, ok := place.Choose(view, m)
+	if !ok {
+		x.g.refused(x.service)
+		return nil, protocol.NewRefusal(protocol.StatusServiceUnavailable, protocol.CodeNoBackend, "no server of the service can take the request").WithRetryAfter(resend.Later(x.route.Target))
+	}
+	return &view.Servers[i], nil
+}
+
+// connectionPart of a server's connections is shared out between gateways: the
+// rest is for those that do not know of one another yet.
+const connectionPart = 0.8
+
+// most is how many requests of this gateway one server may have.
+func (x *exchange) most() int {
+	spec := x.index.Service(x.service)
+	if spec == nil || spec.Connections == 0 {
+		return 0
+	}
+	return max(2, int(connectionPart*float64(spec.Connections))/int(x.g.gateways.Load()))
+}
--- /dev/null
+++ b/transport/forward/forward.go
@@ -0,0 +1,193 @@
+// Package forward carries requests that came by host and path from a caller to
+// a backend server and the answer back, with method, path and body unchanged.
+//
+// One request is one [exchange]: it resolves the route and the workspace, takes
+// from the quota, and makes attempts until one succeeds or none may follow. What
+// differs between protocols is behind [Dialect]; what is decided is in the pure
+// packages under coordination: place chooses servers, quota and retry bound what
+// all gateways do together, resend says what may follow a failed attempt.
+//
+//	caller ─► Serve ─► resolve ─► limits ─► attempt ─► relay ─► caller
+//	                                           ▲          │
+//	                                           └─ resend ◄┘
+//
+// Shared state and its locks, taken in this order: Gateway.mu (limits), then a
+// cell's own. The catalog and the view of servers are immutable and read through
+// atomic pointers.
+package forward
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	metrics "github.com/rcrowley/go-metrics"
+	"github.com/rs/zerolog"
+	"github.com/valyala/fasthttp"
+
+	"github.com/weldstream/weldstream/coordination/place"
+	"github.com/weldstream/weldstream/coordination/quota"
+	"github.com/weldstream/weldstream/coordination/retry"
+	"github.com/weldstream/weldstream/coordination/usage"
+	"github.com/weldstream/weldstream/protocol"
+	"github.com/weldstream/weldstream/transport/backend"
+	"github.com/weldstream/weldstream/transport/caller"
+)
+
+// Config bounds a gateway.
+type Config struct {
+	Name        string
+	Domain      string
+	Revoke      time.Duration // Revoke is within what a key that was taken away is refused; 0 sets no bound.
+	RetryRatio  float64
+	RetryExtra  float64
+	RetryWindow time.Duration
+	UsageWindow time.Duration
+	UsageDue    time.Duration
+}
+
+// Gateway forwards requests.
+type Gateway struct {
+	cfg     Config
+	dialect Dialect
+	log     zerolog.Logger
+	meters  *meters
+	pool    *backend.Pool
+	hurry   func() // hurry has the control role asked at once.
+
+	index     atomic.Pointer[Index]
+	view      atomic.Pointer[place.View]
+	began     time.Time
+	confirmed atomic.Int64 // confirmed is when the catalog was known to be the newest, since began; 0 for never.
+	gateways  atomic.Int64
+
+	mu       sync.Mutex // mu guards all below.
+	purse    *quota.Purse
+	granted  chan struct{} // granted is closed and replaced when grants arrive.
+	shares   map[string]*retry.Share
+	counter  *usage.Counter
+	pressure map[string]*pressure
+}
+
+// Option changes a new gateway.
+type Option func(*Gateway)
+
+// WithLogger sets the logger; without it nothing is logged.
+func WithLogger(l zerolog.Logger) Option { return func(g *Gateway) { g.log = l } }
+
+// WithRegistry sets the registry of the gateway's meters.
+func WithRegistry(r metrics.Registry) Option { return func(g *Gateway) { g.meters = newMeters(r) } }
+
+// WithHurry sets what has the control role asked at once.
+func WithHurry(f func()) Option { return func(g *Gateway) { g.hurry = f } }
+
+// dialTime is how long a connect to a backend server may take.
+const dialTime = 400 * time.Millisecond
+
+// New returns a gateway that knows no catalog yet.
+func New(cfg Config, d Dialect, opts ...Option) *Gateway {
+	g := &Gateway{
+		cfg:      cfg,
+		dialect:  d,
+		log:      zerolog.Nop(),
+		pool:     backend.NewPool(dialTime),
+		hurry:    func() {},
+		began:    time.Now(),
+		purse:    quota.NewPurse(),
+		granted:  make(chan struct{}),
+		shares:   map[string]*retry.Share{},
+		counter:  usage.NewCounter(cfg.UsageWindow, cfg.UsageDue),
+		pressure: map[string]*pressure{},
+	}
+	g.gateways.Store(1)
+	for _, opt := range opts {
+		opt(g)
+	}
+	if g.meters == nil {
+		g.meters = newMeters(metrics.NewRegistry())
+	}
+	return g
+}
+
+// Install puts a catalog in force if it is above the one that is, and reports
+// whether it did.
+func (g *Gateway) Install(c *protocol.Catalog) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if ix := g.index.Load(); ix != nil && c.Number <= ix.Number {
+		return false
+	}
+	g.purse.Configure(c.Workspaces)
+	g.index.Store(NewIndex(c))
+	return true
+}
+
+// Number returns the catalog's number in force; 0 before the first.
+func (g *Gateway) Number() uint64 {
+	if ix := g.index.Load(); ix != nil {
+		return ix.Number
+	}
+	return 0
+}
+
+// SetServers takes the list of backend servers.
+func (g *Gateway) SetServers(list []protocol.Instance) {
+	view := place.NewView(list, g.view.Load())
+	g.view.Store(view)
+	g.pool.Keep(func(id string) bool {
+		s := view.Find(id)
+		return s != nil && !s.Leaving
+	})
+}
+
+// Confirm notes that the catalog was the newest at a time.
+func (g *Gateway) Confirm(at time.Time, gateways int) {
+	g.confirmed.Store(max(g.confirmed.Load(), int64(at.Sub(g.began))))
+	g.gateways.Store(int64(max(1, gateways)))
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.purse.Heard(gateways, time.Now())
+	for _, s := range g.shares {
+		s.Resize(g.cfg.RetryExtra, gateways)
+	}
+}
+
+// Age returns how long ago the catalog was known to be the newest, or false if
+// it never was.
+func (g *Gateway) Age() (time.Duration, bool) {
+	at := g.confirmed.Load()
+	return time.Since(g.began) - time.Duration(at), at > 0
+}
+
+// revokePart of the bound on taken keys is left for clocks that run unevenly.
+const revokePart = 12
+
+// sure reports whether keys may be trusted right now.
+func (g *Gateway) sure() bool {
+	if g.cfg.Revoke == 0 {
+		return true
+	}
+	age, ok := g.Age()
+	return ok && age < g.cfg.Revoke-g.cfg.Revoke/revokePart
+}
+
+// Ready reports whether the gateway can serve.
+func (g *Gateway) Ready() bool {
+	_, confirmed := g.Age()
+	return confirmed && g.index.Load() != nil && g.view.Load() != nil && g.sure()
+}
+
+// Serve implements caller.Handler.
+func (g *Gateway) Serve(ctx context.Context, req *fasthttp.Request, a *caller.Answer) {
+	x := newExchange(ctx, g, req, a)
+	defer x.release()
+	x.run()
+}
+
+// Refuse implements caller.Handler.
+func (g *Gateway) Refuse(status int, reason string) *fasthttp.Response {
+	resp := &fasthttp.Response{}
+	g.dialect.Refuse(resp, "", protocol.NewRefusal(status, protocol.CodeBadRequest, "%s", reason))
+	return resp
+}
--- /dev/null
+++ b/transport/forward/limits.go
@@ -0,0 +1,156 @@
+package forward
+
+import (
+	"time"
+
+	"github.com/weldstream/weldstream/coordination/quota"
+	"github.com/weldstream/weldstream/coordination/retry"
+	"github.com/weldstream/weldstream/protocol"
+)
+
+// pressure counts what a service's requests ask for; see protocol.Pressure.
+type pressure struct {
+	running int
+	refused int64
+	arrived int64
+	work    float64
+	at      time.Time
+}
+
+// workMemory is the time over which the running requests are averaged.
+const workMemory = time.Second
+
+// add changes the number of running requests.
+func (p *pressure) add(n int, now time.Time) {
+	p.average(now)
+	p.running += n
+}
+
+func (p *pressure) average(now time.Time) {
+	part := min(1, float64(now.Sub(p.at))/float64(workMemory))
+	p.work += (float64(p.running) - p.work) * part
+	p.at = now
+}
+
+// service returns a service's counts. It needs g.mu.
+func (g *Gateway) service(name string) *pressure {
+	p := g.pressure[name]
+	if p == nil {
+		p = &pressure{at: time.Now()}
+		g.pressure[name] = p
+	}
+	return p
+}
+
+func (g *Gateway) runs(service string, n int) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.service(service).add(n, time.Now())
+}
+
+// arrived notes a request for a service, by which retries are earned.
+func (g *Gateway) arrived(service string) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := time.Now()
+	g.service(service).arrived++
+	g.share(service, now).Request(now)
+}
+
+// refused notes a request that found no place.
+func (g *Gateway) refused(service string) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.service(service).refused++
+}
+
+// share needs g.mu.
+func (g *Gateway) share(service string, now time.Time) *retry.Share {
+	s := g.shares[service]
+	if s == nil {
+		s = retry.NewShare(g.cfg.RetryRatio, g.cfg.RetryExtra, g.cfg.RetryWindow, int(g.gateways.Load()), now)
+		g.shares[service] = s
+	}
+	return s
+}
+
+// retries takes one retry from the budget of a service.
+func (g *Gateway) retries(service string) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := time.Now()
+	return g.share(service, now).Spend(now)
+}
+
+// count notes that a request of a workspace began to run.
+func (g *Gateway) count(workspace string) {
+	if workspace == "" {
+		return
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.counter.Began(workspace, time.Now())
+}
+
+// askTime is how long a request waits for a part of its quota.
+const askTime = 250 * time.Millisecond
+
+// take takes a request's units from its workspace's quota, and asks for more
+// where they are lacking. It returns nil when they were there.
+func (x *exchange) take(units float64) *protocol.Refusal {
+	g, name := x.g, x.workspace.Name
+	end := time.NewTimer(askTime)
+	defer end.Stop()
+	for {
+		g.mu.Lock()
+		verdict, wait := g.purse.Take(name, units, time.Now())
+		granted := g.granted
+		g.mu.Unlock()
+		switch verdict {
+		case quota.Taken:
+			return nil
+		case quota.Denied:
+			return overQuota(wait)
+		case quota.Ask:
+			g.hurry()
+		}
+		select {
+		case <-granted:
+		case <-end.C:
+			return overQuota(askTime)
+		case <-x.ctx.Done():
+			return callerGone()
+		}
+	}
+}
+
+func overQuota(wait time.Duration) *protocol.Refusal {
+	const least = 100 * time.Millisecond
+	return protocol.NewRefusal(protocol.StatusTooManyRequests, protocol.CodeOverloaded, "the workspace's quota is used up").WithRetryAfter(max(wait, least))
+}
+
+// Report returns what the gateway tells the leader of a term.
+func (g *Gateway) Report(term uint64) protocol.SyncMsg {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := time.Now()
+	m := protocol.SyncMsg{Gateway: g.cfg.Name, Number: g.Number(), Usage: g.counter.Rows(term, now), Wants: g.purse.Wants(now)}
+	for name, p := range g.pressure {
+		p.average(now)
+		m.Pressure = append(m.Pressure, protocol.Pressure{Service: name, Running: p.running, Refused: p.refused, Arrived: p.arrived, Work: p.work})
+	}
+	return m
+}
+
+// Told notes that the leader of a term has a report, and what it granted.
+func (g *Gateway) Told(m *protocol.SyncMsg, term uint64, grants []protocol.QuotaGrant, asked time.Time) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.counter.Told(term, m.Usage)
+	if len(m.Wants) == 0 {
+		return
+	}
+	g.purse.Granted(grants, asked, time.Now())
+	close(g.granted)
+	g.granted = make(chan struct{})
+}
--- a/transport/groupclient.go
+++ b/transport/groupclient.go
@@ -30,14 +30,28 @@
 type GroupClient struct {
 	tables   *state.Tables
 	links    *Links
-	replicas []string
+	replicas func() []string
 	mu       sync.Mutex
 	leader   string // leader is who led last.
 }
 
 // NewGroupClient returns a client that first knows the replicas by name.
 func NewGroupClient(t *state.Tables, l *Links, replicas []string) *GroupClient {
-	return &GroupClient{tables: t, links: l, replicas: replicas}
+	return &GroupClient{tables: t, links: l, replicas: func() []string { return replicas }}
+}
+
+// NewMembersClient returns a client that tries all known members: it is for a
+// cluster in which each of them keeps a replica.
+func NewMembersClient(t *state.Tables, l *Links) *GroupClient {
+	return &GroupClient{tables: t, links: l, replicas: func() []string {
+		var names []string
+		for _, row := range t.Members.Rows() {
+			if row.State < protocol.MemberDead {
+				names = append(names, row.Name)
+			}
+		}
+		return names
+	}}
 }
 
 // call tries the replicas until one carries the call out. All calls are such
@@ -68,9 +82,9 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.leader == "" {
-		return c.replicas
+		return c.replicas()
 	}
-	rest := slices.DeleteFunc(slices.Clone(c.replicas), func(n string) bool { return n == c.leader })
+	rest := slices.DeleteFunc(slices.Clone(c.replicas()), func(n string) bool { return n == c.leader })
 	return append([]string{c.leader}, rest...)
 }
 
@@ -169,6 +183,25 @@
 	return reply.Number, reply.Config, err
 }
 
+// Put has an opaque document accepted, and returns the number that holds.
+func (c *GroupClient) Put(ctx context.Context, number uint64, data []byte) (uint64, error) {
+	reply, err := c.call(ctx, "Group.Propose", protocol.Command{Put: &protocol.PutMsg{Number: number, Data: data}})
+	switch {
+	case err != nil:
+		return 0, err
+	case reply.Failed == GroupFull, reply.Result.Put == nil:
+		return 0, eris.New("the leader's disk is full")
+	}
+	return reply.Result.Put.Number, nil
+}
+
+// Document returns the opaque document that holds, confirmed by a quorum; number
+// 0 means that there is none.
+func (c *GroupClient) Document(ctx context.Context) (number uint64, data []byte, err error) {
+	reply, err := c.call(ctx, "Group.Document", true)
+	return reply.Number, reply.Config, err
+}
+
 // Leader implements [ConfigStore].
 func (c *GroupClient) Leader() string {
 	c.mu.Lock()
--- a/transport/replica.go
+++ b/transport/replica.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -193,6 +194,18 @@
 	Group uint64
 }
 
+// Document returns the opaque document that holds, confirmed by a quorum.
+func (s *GroupService) Document(_ bool, reply *GroupReply) error {
+	ctx, cancel := context.WithTimeout(s.ctx, serveTimeout)
+	defer cancel()
+	err := s.group.Confirm(ctx)
+	if err == nil {
+		reply.Number, reply.Config, err = s.group.Document(ctx)
+	}
+	reply.Failed, reply.Leader = failureOf(err), s.group.Status().Leader.Name
+	return nil
+}
+
 // Info tells who this replica is.
 func (s *GroupService) Info(_ bool, reply *ReplicaInfo) error {
 	reply.ID, reply.Group = s.group.ID(), s.group.Status().Group
@@ -231,13 +244,29 @@
 	log      zerolog.Logger
 	self     string
 	founders []string
+	found    bool // found says that a group may be founded.
+	others   bool // others says that any known member may be in the group.
 }
 
+// BootstrapOption changes a new bootstrap.
+type BootstrapOption func(*Bootstrap)
+
+// WithFound says whether the founders may found a group. Without it they may.
+func WithFound(found bool) BootstrapOption { return func(b *Bootstrap) { b.found = found } }
+
+// WithOthers has every known member asked for the group, as the founders may be
+// gone for good.
+func WithOthers() BootstrapOption { return func(b *Bootstrap) { b.others = true } }
+
 const bootstrapEvery = 200 * time.Millisecond
 
 // NewBootstrap returns a bootstrap among the founders, by name.
-func NewBootstrap(g *group.Group, t *state.Tables, l *Links, log zerolog.Logger, self string, founders []string) *Bootstrap {
-	return &Bootstrap{group: g, tables: t, links: l, log: log, self: self, founders: founders}
+func NewBootstrap(g *group.Group, t *state.Tables, l *Links, log zerolog.Logger, self string, founders []string, opts ...BootstrapOption) *Bootstrap {
+	b := &Bootstrap{group: g, tables: t, links: l, log: log, self: self, founders: founders, found: true}
+	for _, opt := range opts {
+		opt(b)
+	}
+	return b
 }
 
 // Run works until ctx ends.
@@ -258,6 +287,12 @@
 // enter founds a group or finds one. The founder with the least name founds,
 // so that two do not.
 func (b *Bootstrap) enter(ctx context.Context) {
+	if b.enterOthers(ctx) || !b.found {
+		return
+	}
+	if !slices.Contains(b.founders, b.self) {
+		return // Those who found a group are told by their names.
+	}
 	members := protocol.ReplicaMembers{}
 	least := true
 	for _, name := range b.founders {
@@ -275,11 +310,26 @@
 		members.Voters = append(members.Voters, info.ID)
 	}
 	if least {
-		b.found(ctx, members)
+		b.foundGroup(ctx, members)
 	}
 }
 
-func (b *Bootstrap) found(ctx context.Context, members protocol.ReplicaMembers) {
+// enterOthers enters the group of any known member that has one.
+func (b *Bootstrap) enterOthers(ctx context.Context) bool {
+	if !b.others {
+		return false
+	}
+	for _, name := range b.names(protocol.ReplicaMembers{}) {
+		info := ReplicaInfo{}
+		if name != b.self && b.call(name, "Group.Info", true, &info) && info.Group != 0 {
+			b.note(b.group.Enter(ctx, info.Group))
+			return true
+		}
+	}
+	return false
+}
+
+func (b *Bootstrap) foundGroup(ctx context.Context, members protocol.ReplicaMembers) {
 	args := FoundArgs{Group: randomGroup(), Founders: members}
 	if err := b.group.Found(ctx, args.Group, members); err != nil {
 		b.note(err)
@@ -327,6 +377,15 @@
 			names = append(names, id.Name)
 		}
 	}
+	if !b.others {
+		return names
+	}
+	for _, row := range b.tables.Members.Rows() {
+		if !seen[row.Name] {
+			seen[row.Name] = true
+			names = append(names, row.Name)
+		}
+	}
 	return names
 }
 
--- /dev/null
+++ b/transport/uplink/uplink.go
@@ -0,0 +1,208 @@
+// Package uplink keeps a gateway in touch with the control role.
+//
+// A [Client] has one link at a time, to the control instance that leads. A few
+// times a second it tells what the gateway counted and asks for what is newer
+// than it holds. Only the leader's answers count: it vouches for the newest
+// document at a moment after the question was sent, so the time of the question
+// is the time up to which the gateway is sure.
+//
+// It finds the leader by asking the seeds, and any control instance that it
+// heard of since; each tells whom it takes for the leader.
+package uplink
+
+import (
+	"context"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/weldstream/weldstream/protocol"
+)
+
+// Caller calls a method of another instance.
+type Caller interface {
+	Call(address, method string, args, reply any, timeout time.Duration) error
+}
+
+// Gateway is what the client keeps in touch.
+type Gateway interface {
+	// Report returns what the gateway tells the leader of a term.
+	Report(term uint64) protocol.SyncMsg
+	// Told notes that the leader of a term has a report, and what it granted.
+	Told(m *protocol.SyncMsg, term uint64, grants []protocol.QuotaGrant, asked time.Time)
+	// Document takes a document that is newer than the one in force.
+	Document(number uint64, data []byte) error
+	// SetServers takes the list of backend servers.
+	SetServers(list []protocol.Instance)
+	// Confirm notes that the document in force was the newest at a time.
+	Confirm(at time.Time, gateways int)
+}
+
+const (
+	// every is the usual time between two questions, at the least; it grows with
+	// the number of gateways, so that the leader's load is bounded.
+	every       = 250 * time.Millisecond
+	everyMember = 1500 * time.Microsecond
+	// callTime bounds a question to an instance that may be gone.
+	callTime = 700 * time.Millisecond
+	// searchPause is between two questions while no leader is known.
+	searchPause = 60 * time.Millisecond
+	// hurryPause is the least time between two questions.
+	hurryPause = 15 * time.Millisecond
+)
+
+// Client is a gateway's link to the control role.
+type Client struct {
+	caller  Caller
+	gateway Gateway
+	log     zerolog.Logger
+	life    uint64
+	hurry   chan struct{}
+
+	mu    sync.Mutex // mu guards seeds.
+	seeds []string
+
+	// The loop's own.
+	target   string
+	controls []string
+	next     int
+	term     uint64
+	lister   uint64
+	version  uint64
+	gateways int
+	linked   bool
+}
+
+// New returns a client that is not running. The seeds are peer addresses.
+func New(c Caller, g Gateway, seeds []string, log zerolog.Logger) *Client {
+	return &Client{caller: c, gateway: g, seeds: seeds, log: log, life: rand.Uint64(), hurry: make(chan struct{}, 1)}
+}
+
+// SetSeeds takes other seeds, for the next search.
+func (c *Client) SetSeeds(seeds []string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.seeds = seeds
+}
+
+// Hurry has the leader asked at once.
+func (c *Client) Hurry() {
+	select {
+	case c.hurry <- struct{}{}:
+	default:
+	}
+}
+
+// Run asks until ctx ends.
+func (c *Client) Run(ctx context.Context) error {
+	for ctx.Err() == nil {
+		began := time.Now()
+		pause := searchPause
+		if c.ask() {
+			pause = max(every, time.Duration(c.gateways)*everyMember)
+		}
+		c.wait(ctx, began, pause)
+	}
+	return nil
+}
+
+// wait lets the pause pass, or less if somebody is in a hurry.
+func (c *Client) wait(ctx context.Context, began time.Time, pause time.Duration) {
+	if left := hurryPause - time.Since(began); left > 0 {
+		sleep(ctx, left)
+	}
+	timer := time.NewTimer(pause - min(pause, time.Since(began)))
+	defer timer.Stop()
+	select {
+	case <-c.hurry:
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
+// ask asks the instance that is taken for the leader, and reports whether it is.
+func (c *Client) ask() bool {
+	address := c.target
+	if address == "" {
+		address = c.candidate()
+	}
+	m := c.gateway.Report(c.term)
+	m.Life, m.Lister, m.Servers = c.life, c.lister, c.version
+	asked := time.Now()
+	var reply protocol.SyncReply
+	if err := c.caller.Call(address, "Uplink.Sync", m, &reply, callTime); err != nil {
+		c.lost(address, err.Error())
+		return false
+	}
+	c.learn(reply.Controls)
+	if !reply.Leads {
+		c.lost(address, "does not lead")
+		if reply.Leader != address {
+			c.target = reply.Leader
+		}
+		return false
+	}
+	return c.take(address, &m, &reply, asked)
+}
+
+// take puts a leader's answer in force.
+func (c *Client) take(address string, m *protocol.SyncMsg, reply *protocol.SyncReply, asked time.Time) bool {
+	if len(reply.Document) > 0 {
+		if err := c.gateway.Document(reply.Number, reply.Document); err != nil {
+			c.log.Error().Err(err).Uint64("number", reply.Number).Msg("an accepted document cannot be read")
+			return false
+		}
+	}
+	if reply.Listed {
+		c.gateway.SetServers(reply.Servers)
+		c.lister, c.version = reply.Lister, reply.Version
+	}
+	c.gateway.Confirm(asked, reply.Gateways)
+	c.gateway.Told(m, reply.Term, reply.Grants, asked)
+	if !c.linked || c.term != reply.Term || c.target != address {
+		c.log.Info().Str("leader", address).Uint64("term", reply.Term).Uint64("number", reply.Number).Int("gateways", reply.Gateways).Msg("linked to the leader")
+	}
+	c.linked, c.target, c.term, c.gateways = true, address, reply.Term, reply.Gateways
+	return true
+}
+
+// lost forgets the leader that did not answer as one.
+func (c *Client) lost(address, reason string) {
+	if c.linked {
+		c.log.Warn().Str("leader", address).Str("reason", reason).Msg("link to the leader lost")
+	}
+	c.linked, c.target = false, ""
+}
+
+// learn notes control instances that were told of.
+func (c *Client) learn(controls []string) {
+	if len(controls) > 0 {
+		c.controls = controls
+	}
+}
+
+// candidate returns the next instance to ask who leads.
+func (c *Client) candidate() string {
+	c.mu.Lock()
+	list := slices.Clone(c.seeds)
+	c.mu.Unlock()
+	for _, address := range c.controls {
+		if !slices.Contains(list, address) {
+			list = append(list, address)
+		}
+	}
+	c.next++
+	return list[c.next%len(list)]
+}
