Servers by the first number and by slow answers; quotas by their window; a stop refuses what comes late

Now the need is three quarters of the number that a service had when it was first seen, settled in the log, corrected by how many answers use up 0.6 of their target; reclaimable ones are spread so that two domains may lose theirs, and what is lacking then is ordered at the full price at once.

It now refuses from 2.7 s on, as not run.

Duties: the log names the holder before its first call, so the first of all waits for nobody. Quotas: the bound is rate x window + burst in any window; a bucket of 0.4 of the burst that fills at the rate and the rest of the burst over the window keeps to it.

--- a/cmd/weldstreamd/control.go
+++ b/cmd/weldstreamd/control.go
@@ -108,7 +108,7 @@
 	if err != nil {
 		return err
 	}
-	c.uplink = control.NewUplink(c.group, c.peers, platform.ParseNumbered)
+	c.uplink = control.NewUplink(c.group, c.peers, platform.ParseNumbered, n.Bounds.QuotaWindow)
 	for name, receiver := range map[string]any{
 		"Member": transport.NewMemberService(work, c.membership),
 		"Group":  transport.NewGroupService(work, c.group),
--- a/cmd/weldstreamd/gateway.go
+++ b/cmd/weldstreamd/gateway.go
@@ -25,7 +25,8 @@
 	linkDial = 300 * time.Millisecond
 	// noticeTime is how long a stopping gateway goes on as before, so that the
 	// balancer, which asks every second and believes the second answer, can notice.
-	noticeTime = 3200 * time.Millisecond
+	// What comes later is refused as not run: it would be cut at the end.
+	noticeTime = 2700 * time.Millisecond
 	// lastPart of the grace time is left for the end.
 	lastPart = 10
 )
@@ -154,6 +155,7 @@
 	g.stopping.Store(true)
 	g.log.Info().Stringer("signal", s).Dur("grace", grace).Int("connections", g.server.Conns()).Msg("stopping: unready")
 	time.Sleep(min(noticeTime, grace/2))
+	g.forward.Close()
 	g.server.Drain()
 	ctx, cancel := context.WithDeadline(context.Background(), began.Add(grace-grace/lastPart))
 	defer cancel()
--- a/coordination/quota/quota.go
+++ b/coordination/quota/quota.go
@@ -20,17 +20,33 @@
 
 // Coordinator has the buckets of all workspaces.
 type Coordinator struct {
+	window  time.Duration
 	buckets map[string]*bucket
 }
 
-// bucket holds units; it fills at the quota's rate up to its burst.
+// bucket holds units. A quota allows its rate times the window, plus its burst,
+// in any window. So the bucket fills at the rate and a part of the burst spread
+// over the window, and holds the rest of the burst: both together are the bound.
 type bucket struct {
-	rate, burst, level float64
-	at                 time.Time
+	rate  float64 // rate is in units a second, the spread part of the burst with it.
+	size  float64 // size is what the bucket holds at the most.
+	level float64 // level may be below 0 after a large request.
+	at    time.Time
 }
 
-// NewCoordinator returns a coordinator without buckets.
-func NewCoordinator() *Coordinator { return &Coordinator{buckets: map[string]*bucket{}} }
+const (
+	// spreadPart of the burst fills the bucket, the rest is its size.
+	spreadPart = 0.6
+	// debt is how far ahead a request may take, so that a large one is let in as
+	// often as a small one.
+	debt = 600 * time.Millisecond
+)
+
+// NewCoordinator returns a coordinator without buckets, of quotas that are
+// bounded in windows of a length.
+func NewCoordinator(window time.Duration) *Coordinator {
+	return &Coordinator{window: window, buckets: map[string]*bucket{}}
+}
 
 // Configure puts the quotas of a configuration in force. A bucket that is new
 // begins empty: an earlier coordinator may have given its burst away just now.
@@ -46,8 +62,8 @@
 			b = &bucket{at: now}
 		}
 		b.fill(now)
-		b.rate, b.burst = w.Rate, max(w.Burst, w.Rate/10)
-		b.level = min(b.level, b.burst)
+		b.rate, b.size = w.Rate+spreadPart*w.Burst/c.window.Seconds(), max((1-spreadPart)*w.Burst, w.Rate/10)
+		b.level = min(b.level, b.size)
 		kept[w.Name] = b
 	}
 	c.buckets = kept
@@ -55,7 +71,7 @@
 
 func (b *bucket) fill(now time.Time) {
 	if d := now.Sub(b.at); d > 0 {
-		b.level = min(b.burst, b.level+b.rate*d.Seconds())
+		b.level = min(b.size, b.level+b.rate*d.Seconds())
 		b.at = now
 	}
 }
@@ -69,10 +85,12 @@
 		return g
 	}
 	b.fill(now)
-	g.Units = max(0, min(w.Units, b.level))
-	b.level -= g.Units
+	if b.level > 0 {
+		g.Units = min(w.Units, b.level+b.rate*debt.Seconds())
+		b.level -= g.Units
+	}
 	if short := w.Units - g.Units; short > 0 {
-		g.Wait = time.Duration(short / b.rate * float64(time.Second))
+		g.Wait = time.Duration((short - min(0, b.level)) / b.rate * float64(time.Second))
 	}
 	return g
 }
--- /dev/null
+++ b/coordination/scale/load.go
@@ -0,0 +1,59 @@
+package scale
+
+import "time"
+
+const (
+	// judgeEvery is between two looks at how slow the answers are.
+	judgeEvery = 500 * time.Millisecond
+	// judgeLeast answers are looked at together.
+	judgeLeast = 12
+	// slowMuch of the answers call for more servers, slowLittle for fewer.
+	slowMuch, slowLittle = 0.08, 0.015
+	// growBy and shrinkBy change the need at one look; leastFactor and mostFactor
+	// bound what comes of it.
+	growBy, shrinkBy        = 1.08, 0.994
+	leastFactor, mostFactor = 0.6, 1.8
+)
+
+// load is what is known of one service's load.
+type load struct {
+	work   float64 // work is the highest of late.
+	workAt time.Time
+	begun  int64
+	slow   int64
+	at     time.Time
+	factor float64 // factor corrects the first guess of the need.
+}
+
+func newLoad(s *Service, now time.Time) *load {
+	return &load{begun: s.Begun, slow: s.Slow, at: now, factor: 1}
+}
+
+// peak returns the highest number of running requests of late.
+func (l *load) peak(work float64, now time.Time) float64 {
+	faded := l.work * max(0, 1-float64(now.Sub(l.workAt))/float64(sinceMemory))
+	if work < faded {
+		return faded
+	}
+	l.work, l.workAt = work, now
+	return work
+}
+
+// observe corrects the need by how many answers were slow since the last look.
+func (l *load) observe(s *Service, now time.Time) {
+	begun, slow := s.Begun-l.begun, s.Slow-l.slow
+	if begun < 0 || slow < 0 {
+		l.begun, l.slow, l.at = s.Begun, s.Slow, now // A gateway is gone.
+		return
+	}
+	if now.Sub(l.at) < judgeEvery || begun < judgeLeast {
+		return
+	}
+	l.begun, l.slow, l.at = s.Begun, s.Slow, now
+	switch part := float64(slow) / float64(begun); {
+	case part > slowMuch:
+		l.factor = min(mostFactor, l.factor*growBy)
+	case part < slowLittle:
+		l.factor = max(leastFactor, l.factor*shrinkBy)
+	}
+}
--- a/coordination/scale/scale.go
+++ b/coordination/scale/scale.go
@@ -29,6 +29,9 @@
 	Work    float64 // Work is how many requests run at once, in the mean of the last second.
 	Refused int64   // Refused counts requests that found no place, since the gateways' start.
 	Arrived int64   // Arrived counts all requests, since the gateways' start.
+	Begun   int64   // Begun counts answers that began, since the gateways' start.
+	Slow    int64   // Slow counts those of them that used up much of their target.
+	Base    int     // Base is how many servers the service had when it was first seen.
 }
 
 // PlanMsg asks for the orders of the moment.
@@ -49,8 +52,16 @@
 const (
 	// fillAim is the part of the slots that is to be in use.
 	fillAim = 0.5
+	// basePart of the servers that a service had at first are taken for its need
+	// until its answers tell more.
+	basePart = 0.75
+	// fillMost and leastPart are the same for servers at the full price.
+	fillMost  = 0.8
+	leastPart = 0.7
 	// sinceMemory is how long a peak of the load counts.
 	sinceMemory = 20 * time.Second
+	// lostDomains may lose their reclaimable servers at about the same time.
+	lostDomains = 2
 	// leastDomains have reclaimable servers, so that losing one leaves others.
 	leastDomains = 2
 	// refusedPause is how long no order follows one that was refused.
@@ -64,7 +75,7 @@
 // Planner remembers the orders that were sent.
 type Planner struct {
 	orders map[Order]sent // orders are by an Order whose Count is 0.
-	peaks  map[string]*peak
+	loads  map[string]*load
 }
 
 type sent struct {
@@ -74,27 +85,7 @@
 }
 
 // New returns a planner that has ordered nothing.
-func New() *Planner { return &Planner{orders: map[Order]sent{}, peaks: map[string]*peak{}} }
-
-// peak is the highest load of late.
-type peak struct {
-	work float64
-	at   time.Time
-}
-
-func (p *Planner) peak(name string, work float64, now time.Time) float64 {
-	k := p.peaks[name]
-	if k == nil {
-		k = &peak{}
-		p.peaks[name] = k
-	}
-	faded := k.work * max(0, 1-float64(now.Sub(k.at))/float64(sinceMemory))
-	if work >= faded {
-		k.work, k.at = work, now
-		return work
-	}
-	return faded
-}
+func New() *Planner { return &Planner{orders: map[Order]sent{}, loads: map[string]*load{}} }
 
 // Ordered notes what became of an order.
 func (p *Planner) Ordered(o Order, taken bool, now time.Time) {
@@ -122,8 +113,8 @@
 
 func (p *Planner) plan(s *Service, servers []protocol.Instance, now time.Time) []Order {
 	domains := survey(s.Spec, servers)
-	need := p.need(s, now)
-	wantReclaimable, wantFull := p.wants(s.Spec.Scaling, domains, need, now)
+	need, least := p.need(s, now)
+	wantReclaimable, wantFull := wants(s.Spec.Scaling, domains, need, least)
 	var orders []Order
 	for i, d := range domains {
 		orders = p.order(orders, s.Spec.Name, d, wantReclaimable[i], true, now)
@@ -134,11 +125,21 @@
 	return orders
 }
 
-// need is how many servers carry the load of late.
-func (p *Planner) need(s *Service, now time.Time) int {
+// need is how many servers carry the load of late in time, and how few carry it
+// at all, for which servers at the full price are worth it.
+func (p *Planner) need(s *Service, now time.Time) (need, least int) {
+	l := p.loads[s.Spec.Name]
+	if l == nil {
+		l = newLoad(s, now)
+		p.loads[s.Spec.Name] = l
+	}
+	l.observe(s, now)
 	slots := max(1, s.Spec.Slots)
-	work := p.peak(s.Spec.Name, s.Work, now)
-	return max(1, int(math.Ceil(work/(fillAim*float64(slots)))))
+	work := l.peak(s.Work, now) / float64(slots)
+	base := float64(s.Base)
+	need = int(math.Ceil(max(work/fillAim, basePart*base*l.factor)))
+	least = int(math.Ceil(max(work/fillMost, leastPart*base)))
+	return max(1, need), max(1, least)
 }
 
 // survey counts what there is in each failure domain, the cheapest first.
@@ -177,7 +178,7 @@
 }
 
 // wants returns how many servers of either kind each domain is to have.
-func (p *Planner) wants(spec *protocol.ScalingSpec, domains []domainState, need int, now time.Time) (reclaimable, full []int) {
+func wants(spec *protocol.ScalingSpec, domains []domainState, need, least int) (reclaimable, full []int) {
 	n := len(domains)
 	reclaimable, full = make([]int, n), make([]int, n)
 	if n == 0 {
@@ -192,18 +193,17 @@
 		// The least number counts for both kinds together: what serves for less
 		// lets the others go, once it does.
 		full[i] = max(0, spec.Min-domains[i].reclaimable)
-		if serving < need {
-			full[i] = max(full[i], min(domains[i].full, spec.Max-reclaimable[i]))
+		if serving < least {
+			full[i] = max(full[i], min(domains[i].full, spec.Max-domains[i].reclaimable))
 		}
 	}
-	if short := need - serving - sum(full); short > 0 && p.dry(domains, now) {
-		for i := 0; i < n && short > 0; i++ {
-			more := min(short, spec.Max-reclaimable[i]-full[i])
-			if more > 0 {
-				full[i] += more
-				short -= more
-			}
-		}
+	// What is lacking is made up for at the full price, in the cheapest domains
+	// that have room.
+	short := least - serving - sum(full)
+	for i := 0; i < n && short > 0; i++ {
+		more := max(0, min(short, spec.Max-domains[i].reclaimable-full[i]))
+		full[i] += more
+		short -= more
 	}
 	return reclaimable, full
 }
@@ -212,8 +212,7 @@
 // domain there are still as many as needed.
 func spread(dst []int, need int, spec *protocol.ScalingSpec) {
 	for total := 0; ; total++ {
-		fullest := slices.Max(dst)
-		if sum(dst)-fullest >= need && used(dst) >= min(leastDomains, len(dst)) {
+		if sum(dst)-fullest(dst, lostDomains) >= need && used(dst) >= min(leastDomains, len(dst)) {
 			break
 		}
 		// The emptiest domain takes the next one; among equals the cheapest.
@@ -228,6 +227,12 @@
 	}
 }
 
+// fullest adds up the n largest.
+func fullest(list []int, n int) int {
+	sorted := slices.Sorted(slices.Values(list))
+	return sum(sorted[max(0, len(sorted)-n):])
+}
+
 func sum(list []int) int {
 	n := 0
 	for _, v := range list {
@@ -256,16 +261,6 @@
 	return best
 }
 
-// dry reports whether the platform lately refused reclaimable servers.
-func (p *Planner) dry(domains []domainState, now time.Time) bool {
-	for key, s := range p.orders {
-		if key.Reclaimable && s.refused && now.Sub(s.at) < 2*refusedPause {
-			return true
-		}
-	}
-	return false
-}
-
 // order appends an order if it differs from the last one, or if that one was
 // refused a while ago, or if what it asked for did not come.
 func (p *Planner) order(orders []Order, service string, d domainState, want int, reclaimable bool, now time.Time) []Order {
--- a/protocol/claim.go
+++ b/protocol/claim.go
@@ -108,6 +108,8 @@
 	Transfer *TransferMsg `json:"transfer,omitempty"`
 	Put      *PutMsg      `json:"put,omitempty"`
 	Settle   *SettleMsg   `json:"settle,omitempty"`
+	Base     *BaseMsg     `json:"base,omitempty"`
+	Hold     *HoldMsg     `json:"hold,omitempty"`
 }
 
 // Result is what a command came to.
@@ -117,6 +119,8 @@
 	Put   *PutReply      `json:"put,omitempty"`
 
 	Settle *SettleReply `json:"settle,omitempty"`
+	Base   *BaseReply   `json:"base,omitempty"`
+	Hold   *HoldReply   `json:"hold,omitempty"`
 }
 
 // Millis returns a time as the log carries it.
--- a/protocol/uplink.go
+++ b/protocol/uplink.go
@@ -36,6 +36,8 @@
 	Waiting int     // Waiting are those held for a place.
 	Refused int64   // Refused counts those turned away for want of a place, since the gateway's start.
 	Arrived int64   // Arrived counts all, since the gateway's start.
+	Begun   int64   // Begun counts answers that began, since the gateway's start.
+	Slow    int64   // Slow counts those of them that used up much of their target.
 	Work    float64 // Work is the mean number running over the last second.
 }
 
@@ -83,6 +85,31 @@
 	Sent   bool             `json:"sent,omitempty"` // Sent says that the platform has taken the report.
 }
 
+// HoldMsg names the holder of the duties and its fencing token. It is committed
+// before the holder's first call.
+type HoldMsg struct {
+	Holder string `json:"holder"`
+	Token  uint64 `json:"token"`
+}
+
+// HoldReply tells the highest token, and who held the duties before its holder.
+type HoldReply struct {
+	Token  uint64 `json:"token"`
+	Former string `json:"former,omitempty"`
+}
+
+// BaseMsg fixes how many servers a service had when it was first seen: what its
+// operators took for enough.
+type BaseMsg struct {
+	Service string `json:"service"`
+	Servers int    `json:"servers"`
+}
+
+// BaseReply returns what is fixed.
+type BaseReply struct {
+	Servers int `json:"servers"`
+}
+
 // SettleReply returns what is settled for the window.
 type SettleReply struct {
 	Counts map[string]int64 `json:"counts"`
--- a/state/machine.go
+++ b/state/machine.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"maps"
 
 	"github.com/rotisserie/eris"
 
@@ -20,10 +21,15 @@
 
 	document protocol.PutMsg // document is the opaque one that holds.
 	windows  windows
+	hold     protocol.HoldMsg
+	former   string         // former held the duties before the holder.
+	bases    map[string]int // bases are the servers of each service when it was first seen.
 }
 
 // NewMachine returns the state before the first command.
-func NewMachine() *Machine { return &Machine{claims: NewClaims(), windows: windows{}} }
+func NewMachine() *Machine {
+	return &Machine{claims: NewClaims(), windows: windows{}, bases: map[string]int{}}
+}
 
 // Apply carries out one command.
 func (m *Machine) Apply(c *protocol.Command) protocol.Result {
@@ -39,6 +45,10 @@
 		return protocol.Result{Claim: m.claims.Finish(c.Finish, m.now)}
 	case c.Put != nil:
 		return protocol.Result{Put: m.put(c.Put)}
+	case c.Hold != nil:
+		return protocol.Result{Hold: m.take(c.Hold)}
+	case c.Base != nil:
+		return protocol.Result{Base: m.base(c.Base)}
 	case c.Settle != nil:
 		return protocol.Result{Settle: m.windows.settle(c.Settle)}
 	}
@@ -68,6 +78,23 @@
 	return &protocol.PutReply{Number: m.document.Number}
 }
 
+// take names a holder of the duties with a higher token. Former is who may have
+// acted last before it.
+func (m *Machine) take(h *protocol.HoldMsg) *protocol.HoldReply {
+	if h.Token > m.hold.Token {
+		m.former, m.hold = m.hold.Holder, *h
+	}
+	return &protocol.HoldReply{Token: m.hold.Token, Former: m.former}
+}
+
+// base fixes a service's first number of servers.
+func (m *Machine) base(b *protocol.BaseMsg) *protocol.BaseReply {
+	if _, ok := m.bases[b.Service]; !ok {
+		m.bases[b.Service] = b.Servers
+	}
+	return &protocol.BaseReply{Servers: m.bases[b.Service]}
+}
+
 // Document returns the opaque document that holds; number 0 means none.
 func (m *Machine) Document() (number uint64, data []byte) {
 	return m.document.Number, m.document.Data
@@ -94,12 +121,15 @@
 
 	Document protocol.PutMsg      `json:"document"`
 	Windows  []protocol.SettleMsg `json:"windows,omitempty"`
+	Bases    map[string]int       `json:"bases,omitempty"`
+	Hold     protocol.HoldMsg     `json:"hold"`
+	Former   string               `json:"former,omitempty"`
 }
 
 // Image returns a copy of the state. Claims are never changed in place, so the
 // copy is one of pointers.
 func (m *Machine) Image() *Image {
-	return &Image{Now: m.now, Number: m.number, Config: m.config, Claims: m.claims.list(), Document: m.document, Windows: m.windows.list()}
+	return &Image{Now: m.now, Number: m.number, Config: m.config, Claims: m.claims.list(), Document: m.document, Windows: m.windows.list(), Bases: maps.Clone(m.bases), Hold: m.hold, Former: m.former}
 }
 
 // Encode renders the image as a snapshot.
@@ -119,7 +149,9 @@
 	if i.Number > 0 {
 		m.digest = protocol.DigestOf(i.Config)
 	}
-	m.document, m.windows = i.Document, windows{}
+	m.document, m.windows, m.bases = i.Document, windows{}, map[string]int{}
+	maps.Copy(m.bases, i.Bases)
+	m.hold, m.former = i.Hold, i.Former
 	for k := range i.Windows {
 		m.windows.settle(&i.Windows[k])
 	}
--- a/transport/backend/backend.go
+++ b/transport/backend/backend.go
@@ -94,7 +94,7 @@
 	} else {
 		c.Close()
 	}
-	<-sent // The request must not be used any more when this returns.
+	_ = <-sent // The request must not be used any more when this returns.
 	return true, err
 }
 
--- a/transport/caller/conn.go
+++ b/transport/caller/conn.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"errors"
 	"io"
 	"net"
 	"sync"
@@ -73,7 +74,7 @@
 		defer close(done)
 		// What is buffered already says nothing of the connection, but a caller
 		// that has sent more is there.
-		if _, err := c.br.Peek(c.br.Buffered() + 1); err != nil && !isTimeout(err) && err != bufio.ErrBufferFull {
+		if _, err := c.br.Peek(c.br.Buffered() + 1); err != nil && !isTimeout(err) && !errors.Is(err, bufio.ErrBufferFull) {
 			gone()
 		}
 	}()
@@ -85,8 +86,8 @@
 }
 
 func isTimeout(err error) bool {
-	e, ok := err.(net.Error)
-	return ok && e.Timeout()
+	var e net.Error
+	return errors.As(err, &e) && e.Timeout()
 }
 
 // Answer writes the answer to one request: whole, or as a head and pieces.
--- a/transport/control/duties.go
+++ b/transport/control/duties.go
@@ -24,7 +24,7 @@
 	// callTime bounds a call to the platform.
 	callTime = 1500 * time.Millisecond
 	// listMost and listLeast bound the time between two reads of the list.
-	listMost  = time.Second
+	listMost  = 500 * time.Millisecond
 	listLeast = 200 * time.Millisecond
 	// settleShare of the time until a report is due is left for counts to come in.
 	settleShare = 0.45
@@ -47,6 +47,8 @@
 	// The duty loop's own.
 	term   uint64
 	since  time.Time      // since is when this instance began to lead in the term.
+	held   bool           // held says that the log names this instance as the holder of the term.
+	former string         // former is the holder before.
 	fenced bool           // fenced says that the term's token was refused.
 	done   map[int64]bool // done are the windows whose reports were taken in this term.
 	retry  map[int64]time.Time
@@ -106,7 +108,7 @@
 // RunDuties carries out the duties while this instance leads.
 func (d *Duties) RunDuties(ctx context.Context) error {
 	for ctx.Err() == nil {
-		if d.mayAct(time.Now()) {
+		if d.mayAct(ctx) {
 			d.report(ctx)
 			d.scale(ctx)
 		}
@@ -116,21 +118,38 @@
 }
 
 // mayAct reports whether this instance holds the duties: it leads, its lease
-// runs, and the former holder's lease is over.
-func (d *Duties) mayAct(now time.Time) bool {
+// runs, the log names it as the holder, and the former holder's lease is over.
+func (d *Duties) mayAct(ctx context.Context) bool {
 	term, ok := d.group.Vouches()
 	if !ok {
 		return false
 	}
+	now := time.Now()
 	if term != d.term {
-		d.term, d.since, d.fenced = term, now, false
+		d.term, d.since, d.held, d.fenced = term, now, false, false
 		d.done, d.retry = map[int64]bool{}, map[int64]time.Time{}
 		if d.fleet != nil {
 			d.fleet.Reset(now)
 		}
-		d.log.Info().Uint64("term", term).Dur("from", d.limits.Lease).Msg("duties will be held")
 	}
-	return !d.fenced && now.Sub(d.since) >= d.limits.Lease
+	if d.fenced || (!d.held && !d.hold(ctx)) {
+		return false
+	}
+	return d.former == "" || d.former == d.holder || now.Sub(d.since) >= d.limits.Lease
+}
+
+// hold has the log name this instance as the holder. Nobody acts before, so the
+// one named before is the last that may have acted.
+func (d *Duties) hold(ctx context.Context) bool {
+	limit, cancel := context.WithTimeout(ctx, callTime)
+	defer cancel()
+	result, err := d.group.Propose(limit, protocol.Command{Hold: &protocol.HoldMsg{Holder: d.holder, Token: d.term}})
+	if err != nil || result.Hold == nil || result.Hold.Token != d.term {
+		return false
+	}
+	d.held, d.former = true, result.Hold.Former
+	d.log.Info().Uint64("token", d.term).Str("former", d.former).Msg("duties held")
+	return true
 }
 
 // duty returns the token to act with, if this instance still may, right now.
@@ -207,6 +226,7 @@
 	if d.fleet == nil {
 		return
 	}
+	d.settleBases(ctx)
 	for _, o := range d.fleet.Plan(time.Now()) {
 		duty, ok := d.duty()
 		if !ok {
@@ -221,3 +241,18 @@
 		d.fleet.Ordered(o, err, time.Now())
 	}
 }
+
+// settleBases has the first number of servers of each service settled in the
+// log, so that every later leader plans from the same.
+func (d *Duties) settleBases(ctx context.Context) {
+	for _, m := range d.fleet.Unsettled(time.Now()) {
+		limit, cancel := context.WithTimeout(ctx, callTime)
+		result, err := d.group.Propose(limit, protocol.Command{Base: &m})
+		cancel()
+		if err != nil || result.Base == nil {
+			return
+		}
+		d.fleet.Settled(m.Service, result.Base.Servers)
+		d.log.Info().Str("service", m.Service).Int("servers", result.Base.Servers).Msg("first number of servers settled")
+	}
+}
--- a/transport/control/fleet.go
+++ b/transport/control/fleet.go
@@ -6,6 +6,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/weldstream/weldstream/coordination/scale"
+	"github.com/weldstream/weldstream/protocol"
 )
 
 // Fleet feeds the planner with what the gateways and the list tell.
@@ -13,16 +14,61 @@
 	uplink  *Uplink
 	log     zerolog.Logger
 	planner *scale.Planner
+	bases   map[string]int // bases are the first numbers of servers, as settled in the log.
+	first   map[string]count
 }
 
+// count is how many servers a service had, and since when.
+type count struct {
+	servers int
+	since   time.Time
+}
+
+// baseSteady is how long a first number of servers must have stayed the same:
+// the list fills up while all servers start.
+const baseSteady = 1500 * time.Millisecond
+
 // NewFleet returns a fleet that has ordered nothing.
 func NewFleet(u *Uplink, log zerolog.Logger) *Fleet {
-	return &Fleet{uplink: u, log: log, planner: scale.New()}
+	return &Fleet{uplink: u, log: log, planner: scale.New(), bases: map[string]int{}, first: map[string]count{}}
 }
 
 // Reset forgets what an earlier term knew.
 func (f *Fleet) Reset(time.Time) { f.planner = scale.New() }
 
+// Unsettled returns the services whose first number of servers is not known to be
+// settled yet, with the number that there is.
+func (f *Fleet) Unsettled(now time.Time) []protocol.BaseMsg {
+	catalog := f.uplink.Catalog()
+	servers, listed := f.uplink.Servers()
+	if catalog == nil || !listed {
+		return nil
+	}
+	var rows []protocol.BaseMsg
+	for i := range catalog.Services {
+		s := &catalog.Services[i]
+		if _, ok := f.bases[s.Name]; ok || s.Scaling == nil {
+			continue
+		}
+		n := 0
+		for k := range servers {
+			if servers[k].Service == s.Name && !servers[k].Leaving {
+				n++
+			}
+		}
+		if c := f.first[s.Name]; c.servers != n {
+			f.first[s.Name] = count{servers: n, since: now}
+		}
+		if n > 0 && now.Sub(f.first[s.Name].since) >= baseSteady {
+			rows = append(rows, protocol.BaseMsg{Service: s.Name, Servers: n})
+		}
+	}
+	return rows
+}
+
+// Settled notes a service's first number of servers.
+func (f *Fleet) Settled(service string, servers int) { f.bases[service] = servers }
+
 // Plan returns the orders to send now.
 func (f *Fleet) Plan(now time.Time) []Order {
 	catalog := f.uplink.Catalog()
@@ -34,10 +80,12 @@
 	loads := f.uplink.Loads()
 	for i := range catalog.Services {
 		s := &catalog.Services[i]
-		if s.Scaling != nil {
-			l := loads[s.Name]
-			m.Services = append(m.Services, scale.Service{Spec: s, Work: l.Work, Refused: l.Refused, Arrived: l.Arrived})
+		base, ok := f.bases[s.Name]
+		if s.Scaling == nil || !ok {
+			continue
 		}
+		l := loads[s.Name]
+		m.Services = append(m.Services, scale.Service{Spec: s, Work: l.Work, Refused: l.Refused, Arrived: l.Arrived, Begun: l.Begun, Slow: l.Slow, Base: base})
 	}
 	var orders []Order
 	for _, o := range f.planner.Plan(m) {
--- a/transport/control/uplink.go
+++ b/transport/control/uplink.go
@@ -22,6 +22,7 @@
 	group Group
 	peers func() (leader string, all []string)
 	parse func(number uint64, data []byte) (*protocol.Catalog, error)
+	quota time.Duration // quota is the window in which quotas are bounded.
 
 	mu       sync.Mutex // mu guards all below.
 	number   uint64
@@ -46,8 +47,8 @@
 // NewUplink returns the receiver to register under "Uplink". The func peers
 // tells the peer addresses of the leader, as far as known, and of all control
 // instances; parse translates a document.
-func NewUplink(g Group, peers func() (string, []string), parse func(uint64, []byte) (*protocol.Catalog, error)) *Uplink {
-	u := &Uplink{group: g, peers: peers, parse: parse}
+func NewUplink(g Group, peers func() (string, []string), parse func(uint64, []byte) (*protocol.Catalog, error), quotaWindow time.Duration) *Uplink {
+	u := &Uplink{group: g, peers: peers, parse: parse, quota: quotaWindow}
 	u.reset(0)
 	return u
 }
@@ -56,7 +57,7 @@
 func (u *Uplink) reset(term uint64) {
 	u.term = term
 	u.gateways = map[string]*gateway{}
-	u.quotas = quota.NewCoordinator()
+	u.quotas = quota.NewCoordinator(u.quota)
 	u.ledger = usage.NewLedger()
 	u.listed, u.servers = false, nil
 	if u.catalog != nil {
@@ -173,6 +174,8 @@
 	Running int
 	Refused int64
 	Arrived int64
+	Begun   int64
+	Slow    int64
 }
 
 // Loads adds up what all gateways told.
@@ -188,6 +191,8 @@
 			l.Running += p.Running
 			l.Refused += p.Refused
 			l.Arrived += p.Arrived
+			l.Begun += p.Begun
+			l.Slow += p.Slow
 			loads[p.Service] = l
 		}
 	}
--- a/transport/forward/exchange.go
+++ b/transport/forward/exchange.go
@@ -65,8 +65,9 @@
 func (x *exchange) run() {
 	x.g.meters.requests.Inc(1)
 	x.call = x.g.dialect.Call(x.in)
-	x.log = x.g.log.With().Str("request", x.call.ID).Logger()
-	if refusal := x.admit(); refusal != nil {
+	refusal := x.admit()
+	x.log = x.g.log.With().Str("request", x.call.ID).Str("workspace", x.workspaceName()).Str("route", x.routeName()).Logger()
+	if refusal != nil {
 		x.refuse(refusal)
 		return
 	}
@@ -83,11 +84,17 @@
 	}
 }
 
+// stopRetry is when a caller may come back to another gateway.
+const stopRetry = 10 * time.Millisecond
+
 // errAgain asks for another attempt. It never reaches a caller.
 var errAgain = &protocol.Refusal{}
 
 // admit finds out what the request is, and whether it may go on.
 func (x *exchange) admit() *protocol.Refusal {
+	if x.g.closed.Load() {
+		return protocol.NewRefusal(protocol.StatusServiceUnavailable, protocol.CodeLeaving, "the gateway is stopping").WithRetryAfter(stopRetry)
+	}
 	x.index = x.g.index.Load()
 	if x.index == nil {
 		return protocol.NewRefusal(protocol.StatusServiceUnavailable, protocol.CodeNotReady, "no configuration is known yet").WithRetryAfter(time.Second)
@@ -114,6 +121,14 @@
 	return x.take(x.call.Cost(x.workspace))
 }
 
+func (x *exchange) routeName() string {
+	if x.route == nil {
+		return ""
+	}
+	return x.route.Name
+}
+
+// authenticate finds the workspace of the caller's key.
 func (x *exchange) authenticate() *protocol.Refusal {
 	if len(x.index.Workspaces) == 0 {
 		return nil
--- a/transport/forward/forward.go
+++ b/transport/forward/forward.go
@@ -61,6 +61,7 @@
 	began     time.Time
 	confirmed atomic.Int64 // confirmed is when the catalog was known to be the newest, since began; 0 for never.
 	gateways  atomic.Int64
+	closed    atomic.Bool // closed refuses new requests: the gateway ends soon.
 
 	mu       sync.Mutex // mu guards all below.
 	purse    *quota.Purse
@@ -178,6 +179,9 @@
 	return confirmed && g.index.Load() != nil && g.view.Load() != nil && g.sure()
 }
 
+// Close refuses the requests that come from now on, as not run.
+func (g *Gateway) Close() { g.closed.Store(true) }
+
 // Serve implements caller.Handler.
 func (g *Gateway) Serve(ctx context.Context, req *fasthttp.Request, a *caller.Answer) {
 	x := newExchange(ctx, g, req, a)
--- a/transport/forward/limits.go
+++ b/transport/forward/limits.go
@@ -13,6 +13,8 @@
 	running int
 	refused int64
 	arrived int64
+	begun   int64
+	slow    int64
 	work    float64
 	at      time.Time
 }
@@ -57,6 +59,20 @@
 	g.share(service, now).Request(now)
 }
 
+// slowPart of its target makes an answer a slow one.
+const slowPart = 0.6
+
+// begun notes how long an answer took to begin.
+func (g *Gateway) begun(service string, took, target time.Duration) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	p := g.service(service)
+	p.begun++
+	if float64(took) > slowPart*float64(target) {
+		p.slow++
+	}
+}
+
 // refused notes a request that found no place.
 func (g *Gateway) refused(service string) {
 	g.mu.Lock()
@@ -137,7 +153,7 @@
 	m := protocol.SyncMsg{Gateway: g.cfg.Name, Number: g.Number(), Usage: g.counter.Rows(term, now), Wants: g.purse.Wants(now)}
 	for name, p := range g.pressure {
 		p.average(now)
-		m.Pressure = append(m.Pressure, protocol.Pressure{Service: name, Running: p.running, Refused: p.refused, Arrived: p.arrived, Work: p.work})
+		m.Pressure = append(m.Pressure, protocol.Pressure{Service: name, Running: p.running, Refused: p.refused, Arrived: p.arrived, Begun: p.begun, Slow: p.slow, Work: p.work})
 	}
 	return m
 }
--- a/transport/forward/stream.go
+++ b/transport/forward/stream.go
@@ -57,6 +57,7 @@
 		return nil
 	}
 	x.headed = true
+	x.g.begun(x.service, time.Since(x.start), x.route.Target)
 	x.g.meters.first.UpdateSince(x.start)
 	resp := fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseResponse(resp)
