Long prompts and short ones keep to servers of their own

Gateways now learn from the prompts which are long (above the mean) and give them a part of the servers by their part of the tokens, in an order that all gateways share; a server whose pending prompts this gateway knows counts as fuller. Ruled out: lateness of the first event, which is a third as frequent.

The log has a line for each answered request, with the first event's time and the longest pause.

--- a/coordination/place/cell.go
+++ b/coordination/place/cell.go
@@ -27,6 +27,7 @@
 	toldAt   time.Time
 	failures int       // failures are in a row.
 	until    time.Time // until is how long the server is passed over.
+	pending  float64   // pending are prompts of mean length that it is still to read.
 	rate     float64   // rate is the part of the latest requests that failed.
 }
 
@@ -44,6 +45,24 @@
 	c.mu.Unlock()
 }
 
+// Reads notes a prompt that the server is to read, as a multiple of the mean
+// one, and Read that it has read it.
+func (c *Cell) Reads(prompt float64) {
+	c.mu.Lock()
+	c.pending += prompt
+	c.mu.Unlock()
+}
+
+// Read notes that the server has read a prompt.
+func (c *Cell) Read(prompt float64) { c.Reads(-prompt) }
+
+// Pending returns the prompts of mean length that the server is still to read.
+func (c *Cell) Pending() float64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.pending
+}
+
 // Told notes what the server said of its load: the requests that run there and
 // wait there, of all gateways.
 func (c *Cell) Told(load int, now time.Time) {
--- /dev/null
+++ b/coordination/place/lane.go
@@ -0,0 +1,102 @@
+package place
+
+// Lane says which servers of a service a request goes to first. While a server
+// reads a long prompt, the tokens of all that run beside it come late; so long
+// prompts and short ones keep to servers of their own.
+type Lane uint8
+
+// The lanes.
+const (
+	LaneAny   Lane = iota // LaneAny takes all servers.
+	LaneLong              // LaneLong takes the servers that read long prompts.
+	LaneShort             // LaneShort takes the others.
+)
+
+const (
+	// laneWeight is the weight of the latest prompt in the means.
+	laneWeight = 0.01
+	// laneLeast prompts are seen before any lanes are made.
+	laneLeast = 30
+	// leastShare and mostShare bound the part of the tokens in long prompts for
+	// which lanes are worth it.
+	leastShare, mostShare = 0.15, 0.9
+)
+
+// Lanes learns from the prompts of one service which of them are long: those
+// above the mean. All gateways see about the same prompts, so they come to about
+// the same lanes without talking.
+type Lanes struct {
+	seen int
+	mean float64 // mean is in tokens.
+	long float64 // long are the tokens of a mean prompt that are in long ones.
+}
+
+// Observe notes a prompt and returns its lane and the part of the servers that
+// the long lane has.
+func (l *Lanes) Observe(tokens int) (lane Lane, share float64) {
+	if tokens <= 0 {
+		return LaneAny, 0
+	}
+	weight := max(laneWeight, 1/float64(l.seen+1))
+	l.seen++
+	isLong := float64(tokens) > l.mean
+	l.mean += weight * (float64(tokens) - l.mean)
+	part := 0.0
+	if isLong {
+		part = float64(tokens)
+	}
+	l.long += weight * (part - l.long)
+	share = l.long / l.mean
+	switch {
+	case l.seen < laneLeast || share < leastShare || share > mostShare:
+		return LaneAny, share
+	case isLong:
+		return LaneLong, share
+	}
+	return LaneShort, share
+}
+
+// Size returns a prompt's length as a multiple of the mean one.
+func (l *Lanes) Size(tokens int) float64 {
+	if l.mean <= 0 {
+		return 0
+	}
+	return float64(tokens) / l.mean
+}
+
+// laneSeed makes the order of servers in which the long lane takes them.
+const laneSeed = 0x6c616e65
+
+// inLane drops the rows of the other lane, unless that leaves only servers that
+// have more to do than they can do at once.
+func inLane(v *View, rows []row, m ChooseMsg) []row {
+	if m.Lane == LaneAny || len(rows) < 2 {
+		return rows
+	}
+	n := min(len(rows)-1, max(1, int(m.Share*float64(len(rows))+0.5)))
+	order := make([]uint64, len(rows))
+	for i, r := range rows {
+		order[i] = mix(laneSeed ^ v.Servers[r.index].Hash)
+	}
+	kept := make([]row, 0, len(rows))
+	for i, r := range rows {
+		above := 0
+		for _, o := range order {
+			if o > order[i] {
+				above++
+			}
+		}
+		if (above < n) == (m.Lane == LaneLong) {
+			kept = append(kept, r)
+		}
+	}
+	for _, r := range kept {
+		if r.fill < fullLoad {
+			return kept
+		}
+	}
+	return rows
+}
+
+// fullLoad is a server that has as much to do as it does at once.
+const fullLoad = 1
--- a/coordination/place/place.go
+++ b/coordination/place/place.go
@@ -80,7 +80,9 @@
 	Domain  string // Domain is the gateway's own.
 	Rand    uint64 // Rand is fresh randomness.
 	Avoid   []string
-	Most    int // Most is how many requests of this gateway a server may have; 0 means no bound.
+	Lane    Lane
+	Share   float64 // Share is the part of the servers that the long lane has.
+	Most    int     // Most is how many requests of this gateway a server may have; 0 means no bound.
 	Now     time.Time
 }
 
@@ -96,6 +98,9 @@
 	suspectLoad = 4
 	// failingLoad is added in the measure in which a server fails requests.
 	failingLoad = 3
+	// pendingLoad is added for each prompt of mean length that the server is still
+	// to read for this gateway.
+	pendingLoad = 0.1
 	// coldLoad is added to that of one that has just started.
 	coldLoad = 0.3
 	// usualSlots are taken where the list tells none.
@@ -111,7 +116,7 @@
 
 // Choose returns the index of a server, or false where none may be sent to.
 func Choose(v *View, m ChooseMsg) (int, bool) {
-	rows := candidates(v, m)
+	rows := inLane(v, candidates(v, m), m)
 	if len(rows) == 0 {
 		return 0, false
 	}
@@ -133,6 +138,7 @@
 		if m.Most > 0 && s.Cell.Outstanding() >= m.Most {
 			continue
 		}
+		load += pendingLoad * s.Cell.Pending() * float64(s.Width())
 		r := row{index: i, fill: load/float64(s.Width()) + failingLoad*failing}
 		if suspect {
 			r.fill += suspectLoad
--- a/transport/forward/attempt.go
+++ b/transport/forward/attempt.go
@@ -30,6 +30,7 @@
 	conn   *backend.Conn
 	reply  Reply
 	early  bool
+	read   bool // read says that the server has read the prompt.
 	extra  bool // extra says that the connection delivered what was not asked for.
 }
 
@@ -85,10 +86,12 @@
 	x := t.x
 	x.g.meters.attempts.Inc(1)
 	t.server.Cell.Began()
+	t.server.Cell.Reads(x.size)
 	x.g.runs(x.service, 1)
 	stop := context.AfterFunc(x.ctx, t.conn.Close)
 	defer func() {
 		stop()
+		t.hasRead()
 		t.server.Cell.Ended()
 		x.g.runs(x.service, -1)
 	}()
@@ -116,6 +119,14 @@
 	return t.answered(stop)
 }
 
+// hasRead notes once that the server need not read the prompt any more.
+func (t *try) hasRead() {
+	if !t.read {
+		t.read = true
+		t.server.Cell.Read(t.x.size)
+	}
+}
+
 func (x *exchange) workspaceName() string {
 	if x.workspace == nil {
 		return ""
@@ -253,7 +264,8 @@
 	defer fasthttp.ReleaseResponse(resp)
 	x.g.dialect.Answer(resp, x.resp)
 	resp.SetBodyRaw(data)
-	x.note("answered")
+	x.first = time.Since(x.start)
+	x.note()
 	if err := x.answer.Whole(resp); err != nil {
 		x.log.Info().Err(err).Msg("answer not taken")
 	}
@@ -261,9 +273,9 @@
 }
 
 // note logs the end of an answered request.
-func (x *exchange) note(outcome string) {
+func (x *exchange) note() {
 	x.g.meters.answered.Inc(1)
-	x.g.meters.first.UpdateSince(x.start)
-	x.log.Debug().Str("outcome", outcome).Str("server", x.server).Int("status", x.resp.StatusCode()).
-		Int("resent", x.state.Sent).Uint64("number", x.index.Number).Dur("after", time.Since(x.start)).Msg("request")
+	x.g.meters.first.Update(x.first)
+	x.log.Info().Str("outcome", "answered").Str("server", x.server).Int("status", x.resp.StatusCode()).Int("resent", x.state.Sent).
+		Uint64("number", x.index.Number).Dur("first", x.first).Dur("gap", x.gap).Dur("after", time.Since(x.start)).Msg("request")
 }
--- a/transport/forward/exchange.go
+++ b/transport/forward/exchange.go
@@ -32,6 +32,9 @@
 	workspace *protocol.Tenancy // workspace is nil on a route that needs none.
 	service   string
 	prefix    uint64
+	lane      place.Lane
+	share     float64 // share is the part of the servers that the long lane has.
+	size      float64 // size is the prompt's length as a multiple of the mean one.
 	start     time.Time
 	deadline  time.Time
 
@@ -40,6 +43,10 @@
 	events events
 	headed bool // headed says that the head of the answer was written.
 	server string
+
+	first   time.Duration // first is from the start to the first byte of the answer.
+	pieceAt time.Time     // pieceAt is when the last events were passed on.
+	gap     time.Duration // gap is the longest pause between two of them.
 }
 
 func newExchange(ctx context.Context, g *Gateway, req *fasthttp.Request, a *caller.Answer) *exchange {
@@ -71,7 +78,7 @@
 		x.refuse(refusal)
 		return
 	}
-	x.g.arrived(x.service)
+	x.arrived()
 	for {
 		refusal := x.attempt()
 		if refusal == nil {
@@ -189,6 +196,8 @@
 		Domain:  x.g.cfg.Domain,
 		Rand:    rand.Uint64(),
 		Avoid:   x.avoid,
+		Lane:    x.lane,
+		Share:   x.share,
 		Most:    x.most(),
 		Now:     time.Now(),
 	}
--- a/transport/forward/limits.go
+++ b/transport/forward/limits.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/weldstream/weldstream/coordination/place"
 	"github.com/weldstream/weldstream/coordination/quota"
 	"github.com/weldstream/weldstream/coordination/retry"
 	"github.com/weldstream/weldstream/protocol"
@@ -16,6 +17,7 @@
 	begun   int64
 	slow    int64
 	work    float64
+	lanes   place.Lanes
 	at      time.Time
 }
 
@@ -50,13 +52,18 @@
 	g.service(service).add(n, time.Now())
 }
 
-// arrived notes a request for a service, by which retries are earned.
-func (g *Gateway) arrived(service string) {
+// arrived notes a request for a service, by which retries are earned, and finds
+// its lane.
+func (x *exchange) arrived() {
+	g := x.g
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := time.Now()
-	g.service(service).arrived++
-	g.share(service, now).Request(now)
+	p := g.service(x.service)
+	p.arrived++
+	g.share(x.service, now).Request(now)
+	x.lane, x.share = p.lanes.Observe(x.call.PromptTokens)
+	x.size = p.lanes.Size(x.call.PromptTokens)
 }
 
 // slowPart of its target makes an answer a slow one.
--- a/transport/forward/stream.go
+++ b/transport/forward/stream.go
@@ -40,10 +40,16 @@
 // relay passes whole events on.
 func (t *try) relay(whole []byte) *protocol.Refusal {
 	x := t.x
+	t.hasRead()
 	if err := x.head(); err != nil {
 		t.conn.Close()
 		return callerGone().WithVerdict(protocol.MayHaveRun)
 	}
+	now := time.Now()
+	if !x.pieceAt.IsZero() {
+		x.gap = max(x.gap, now.Sub(x.pieceAt))
+	}
+	x.pieceAt = now
 	if err := x.answer.Piece(whole); err != nil {
 		t.conn.Close()
 		return callerGone().WithVerdict(protocol.MayHaveRun)
@@ -57,8 +63,8 @@
 		return nil
 	}
 	x.headed = true
+	x.first = time.Since(x.start)
 	x.g.begun(x.service, time.Since(x.start), x.route.Target)
-	x.g.meters.first.UpdateSince(x.start)
 	resp := fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseResponse(resp)
 	x.g.dialect.Answer(resp, x.resp)
@@ -79,8 +85,7 @@
 	if err := x.head(); err != nil {
 		return callerGone().WithVerdict(protocol.MayHaveRun)
 	}
-	x.g.meters.answered.Inc(1)
-	x.log.Debug().Str("outcome", "answered").Str("server", x.server).Int("resent", x.state.Sent).Str("last", x.events.last).Dur("after", time.Since(x.start)).Msg("request")
+	x.note()
 	if err := x.answer.End(); err != nil {
 		x.log.Info().Err(err).Msg("answer not taken")
 	}
