Control instances elect within 0.3 to 0.6 s; a starting gateway says when it will serve

Ruled out: the start itself (0.1 s) and the reading of the log. The election timeout is 300 ms with heartbeats each 60 ms, and the time named is what is left of the usual start.

--- a/settings/node.go
+++ b/settings/node.go
@@ -86,7 +86,7 @@
 			UsageWindow: DefaultUsageWindow,
 			UsageDue:    DefaultUsageDue,
 		},
-		Replication: Replica{Election: DefaultElection, Heartbeat: DefaultReplicaBeat, SnapshotEntries: DefaultSnapshotEntries, ReserveBytes: DefaultNodeReserve, Batch: DefaultCommitBatch},
+		Replication: Replica{Election: DefaultNodeElection, Heartbeat: DefaultNodeBeat, SnapshotEntries: DefaultSnapshotEntries, ReserveBytes: DefaultNodeReserve, Batch: DefaultCommitBatch},
 	}
 }
 
--- a/transport/forward/exchange.go
+++ b/transport/forward/exchange.go
@@ -104,7 +104,7 @@
 	}
 	x.index = x.g.index.Load()
 	if x.index == nil {
-		return protocol.NewRefusal(protocol.StatusServiceUnavailable, protocol.CodeNotReady, "no configuration is known yet").WithRetryAfter(time.Second)
+		return protocol.NewRefusal(protocol.StatusServiceUnavailable, protocol.CodeNotReady, "no configuration is known yet").WithRetryAfter(x.g.untilReady())
 	}
 	x.route = x.index.Route(x.call.Host, x.call.Path)
 	if x.route == nil {
--- a/transport/forward/forward.go
+++ b/transport/forward/forward.go
@@ -179,6 +179,19 @@
 	return confirmed && g.index.Load() != nil && g.view.Load() != nil && g.sure()
 }
 
+const (
+	// startTime is how long a gateway usually takes until it can serve, when the
+	// control role has to start too.
+	startTime = 900 * time.Millisecond
+	// readyRetry is the least time after which a caller may come back.
+	readyRetry = 150 * time.Millisecond
+)
+
+// untilReady is when a gateway that knows no configuration will probably know it.
+func (g *Gateway) untilReady() time.Duration {
+	return max(readyRetry, startTime-time.Since(g.began))
+}
+
 // Close refuses the requests that come from now on, as not run.
 func (g *Gateway) Close() { g.closed.Store(true) }
 
