--- a/coordination/place/place.go
+++ b/coordination/place/place.go
@@ -87,10 +87,10 @@
 }
 
 const (
-	// bound and slack limit a server's load, as a part of its slots, above the
-	// mean of all, before a prefix is sent elsewhere.
+	// bound and slack limit a server's load before a prefix is sent elsewhere: so
+	// many times the mean, and so many requests more.
 	bound = 1.25
-	slack = 0.1
+	slack = 2
 	// nearLoad is how much fuller a server of the own domain may be and still be
 	// taken before one of another.
 	nearLoad = 0.12
@@ -121,7 +121,7 @@
 		return 0, false
 	}
 	if m.Prefix != 0 {
-		return ranked(rows), true
+		return ranked(rows, float64(v.Servers[rows[0].index].Width())), true
 	}
 	return lightest(v, rows, m), true
 }
@@ -166,7 +166,7 @@
 
 // ranked returns the highest in rank among those that are not much fuller than
 // the rest. The lightest is always one of them.
-func ranked(rows []row) int {
+func ranked(rows []row, width float64) int {
 	sum, n := 0.0, 0
 	for _, r := range rows {
 		if r.fill < suspectLoad {
@@ -174,7 +174,7 @@
 			n++
 		}
 	}
-	limit := bound*sum/float64(max(1, n)) + slack
+	limit := bound*sum/float64(max(1, n)) + slack/width
 	best := slices.MinFunc(rows, byFill)
 	for _, r := range rows {
 		if r.fill <= limit && (best.fill > limit || r.rank > best.rank) {
--- a/transport/forward/forward.go
+++ b/transport/forward/forward.go
@@ -182,7 +182,7 @@
 const (
 	// startTime is how long a gateway usually takes until it can serve, when the
 	// control role has to start too.
-	startTime = 900 * time.Millisecond
+	startTime = 600 * time.Millisecond
 	// readyRetry is the least time after which a caller may come back.
 	readyRetry = 150 * time.Millisecond
 )
