--- /dev/null
+++ b/transport/control/control_test.go
@@ -0,0 +1,263 @@
+package control
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"github.com/rs/zerolog"
+
+	"github.com/weldstream/weldstream/protocol"
+	"github.com/weldstream/weldstream/state"
+)
+
+// fakeGroup is a group of this instance alone, which leads as the test says.
+type fakeGroup struct {
+	mu      sync.Mutex
+	machine *state.Machine
+	term    uint64
+	leads   bool
+}
+
+func newFakeGroup() *fakeGroup { return &fakeGroup{machine: state.NewMachine(), term: 1, leads: true} }
+
+func (g *fakeGroup) Vouches() (uint64, bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.term, g.leads
+}
+
+func (g *fakeGroup) Propose(_ context.Context, c protocol.Command) (protocol.Result, error) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if !g.leads {
+		return protocol.Result{}, errors.New("does not lead")
+	}
+	return g.machine.Apply(&c), nil
+}
+
+func (g *fakeGroup) set(term uint64, leads bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.term, g.leads = term, leads
+}
+
+// report is one that the platform got.
+type report struct {
+	duty   Duty
+	window int64
+	counts map[string]int64
+}
+
+// fakeSource is a platform that keeps the reports and fails as the test says.
+type fakeSource struct {
+	mu      sync.Mutex
+	fail    error
+	reports []report
+}
+
+func (s *fakeSource) List(context.Context) ([]protocol.Instance, error) { return nil, nil }
+
+func (s *fakeSource) Report(_ context.Context, d Duty, window int64, counts map[string]int64) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.reports = append(s.reports, report{d, window, counts})
+	return s.fail
+}
+
+func (s *fakeSource) Order(context.Context, Duty, Order) error { return nil }
+
+func parse(number uint64, _ []byte) (*protocol.Catalog, error) {
+	return &protocol.Catalog{Number: number, Workspaces: []protocol.Tenancy{{Name: "w", Rate: 1000, Burst: 1000}}}, nil
+}
+
+func noPeers() (string, []string) { return "10.0.0.1:7000", []string{"10.0.0.1:7000", "10.0.0.2:7000"} }
+
+func newUplink(g Group) *Uplink { return NewUplink(g, noPeers, parse, 8*time.Second) }
+
+func sync1(t *testing.T, u *Uplink, m protocol.SyncMsg) protocol.SyncReply {
+	t.Helper()
+	var reply protocol.SyncReply
+	if err := u.Sync(m, &reply); err != nil {
+		t.Fatal(err)
+	}
+	return reply
+}
+
+// TestOnlyALeaderAnswers checks that an instance that cannot vouch for the newest
+// document hands out nothing but whom to ask.
+func TestOnlyALeaderAnswers(t *testing.T) {
+	g := newFakeGroup()
+	u := newUplink(g)
+	if err := u.Install(5, []byte("document")); err != nil {
+		t.Fatal(err)
+	}
+	g.set(1, false)
+	got := sync1(t, u, protocol.SyncMsg{Gateway: "g"})
+	if want := (protocol.SyncReply{Leader: "10.0.0.1:7000", Controls: []string{"10.0.0.1:7000", "10.0.0.2:7000"}}); !cmp.Equal(got, want) {
+		t.Error(cmp.Diff(want, got))
+	}
+}
+
+// TestOnlyWhatIsNewer checks that a gateway gets the document and the list once.
+func TestOnlyWhatIsNewer(t *testing.T) {
+	u := newUplink(newFakeGroup())
+	if err := u.Install(5, []byte("document")); err != nil {
+		t.Fatal(err)
+	}
+	u.SetServers(1, []protocol.Instance{{ID: "a", ColdMS: 500}})
+	first := sync1(t, u, protocol.SyncMsg{Gateway: "g"})
+	data, err := Unpack(first.Document)
+	if err != nil || string(data) != "document" || first.Number != 5 || !first.Listed || !first.Leads {
+		t.Fatalf("got %+v, %q, %v", first, data, err)
+	}
+	u.SetServers(1, []protocol.Instance{{ID: "a", ColdMS: 400}}) // Says nothing new.
+	again := sync1(t, u, protocol.SyncMsg{Gateway: "g", Number: 5, Lister: first.Lister, Servers: first.Version})
+	if len(again.Document) > 0 || again.Listed {
+		t.Errorf("got again %+v", again)
+	}
+	u.SetServers(1, nil)
+	if empty := sync1(t, u, protocol.SyncMsg{Gateway: "g", Number: 5, Lister: first.Lister, Servers: first.Version}); !empty.Listed || len(empty.Servers) != 0 {
+		t.Errorf("an empty list came as %+v", empty)
+	}
+}
+
+// TestANewTermForgets checks that a new leader's quotas begin empty, and that it
+// counts the gateways anew.
+func TestANewTermForgets(t *testing.T) {
+	g := newFakeGroup()
+	u := newUplink(g)
+	if err := u.Install(5, nil); err != nil {
+		t.Fatal(err)
+	}
+	sync1(t, u, protocol.SyncMsg{Gateway: "a"})
+	if got := sync1(t, u, protocol.SyncMsg{Gateway: "b"}); got.Gateways != 2 {
+		t.Errorf("%d gateways, want 2", got.Gateways)
+	}
+	g.set(2, true)
+	got := sync1(t, u, protocol.SyncMsg{Gateway: "a", Wants: []protocol.QuotaWant{{Workspace: "w", Units: 900}}})
+	if got.Gateways != 1 || len(got.Grants) != 1 || got.Grants[0].Units > 100 {
+		t.Errorf("got %+v", got)
+	}
+}
+
+func newDuties(g Group, s Source, holder string) *Duties {
+	const window = 50 * time.Millisecond
+	l := Limits{Lease: 30 * time.Millisecond, UsageWindow: window, UsageDue: 2 * window, Usage: true}
+	return NewDuties(l, holder, g, s, newUplink(g), zerolog.Nop())
+}
+
+// TestDutiesWaitOutTheFormerHolder checks that the first holder of all acts at
+// once, that another one waits out the lease, and that one whose lease is over
+// does not act.
+func TestDutiesWaitOutTheFormerHolder(t *testing.T) {
+	g := newFakeGroup()
+	ctx := context.Background()
+	a, b := newDuties(g, &fakeSource{}, "a"), newDuties(g, &fakeSource{}, "b")
+	if !a.mayAct(ctx) {
+		t.Error("the first holder did not act")
+	}
+	g.set(2, true)
+	if b.mayAct(ctx) {
+		t.Error("the next holder did not wait")
+	}
+	b.since = b.since.Add(-b.limits.Lease)
+	if !b.mayAct(ctx) {
+		t.Error("the next holder waited for longer than the lease")
+	}
+	g.set(3, true)
+	if !b.mayAct(ctx) {
+		t.Error("a holder that was its own former one waited")
+	}
+	g.set(3, false)
+	if b.mayAct(ctx) {
+		t.Error("acted without leading")
+	}
+}
+
+// TestReportsRepeat checks that a report whose answer is lost is sent again with
+// the same counts, though more came in meanwhile and another leader sends it.
+func TestReportsRepeat(t *testing.T) {
+	g := newFakeGroup()
+	s := &fakeSource{fail: errors.New("no answer")}
+	ctx := context.Background()
+	a := newDuties(g, s, "a")
+	if !a.mayAct(ctx) {
+		t.Fatal("the first holder did not act")
+	}
+	a.uplink.ledger.Take("g", 1, []protocol.UsageRow{{Window: 1, Workspace: "w", Count: 3}})
+	a.reportWindow(ctx, 1)
+	a.uplink.ledger.Take("g", 1, []protocol.UsageRow{{Window: 1, Workspace: "w", Count: 9}})
+	a.reportWindow(ctx, 1)
+	g.set(2, true)
+	b := newDuties(g, s, "b")
+	b.mayAct(ctx)
+	s.fail = nil
+	if !b.reportWindow(ctx, 1) {
+		t.Error("the report was not taken")
+	}
+	want := []report{
+		{Duty{"a", 1}, 1, map[string]int64{"w": 3}},
+		{Duty{"a", 1}, 1, map[string]int64{"w": 3}},
+		{Duty{"b", 2}, 1, map[string]int64{"w": 3}},
+	}
+	if diff := cmp.Diff(want, s.reports, cmp.AllowUnexported(report{})); diff != "" {
+		t.Error(diff)
+	}
+	b.reportWindow(ctx, 1)
+	if len(s.reports) != len(want) {
+		t.Error("a report that was taken was sent once more")
+	}
+}
+
+// TestRefusedTokenIsNotUsedAgain checks that nothing is sent with a token that
+// the platform refused.
+func TestRefusedTokenIsNotUsedAgain(t *testing.T) {
+	g := newFakeGroup()
+	s := &fakeSource{fail: fmt.Errorf("call: %w", ErrFenced)}
+	ctx := context.Background()
+	a := newDuties(g, s, "a")
+	a.mayAct(ctx)
+	a.reportWindow(ctx, 1)
+	a.reportWindow(ctx, 2)
+	if a.mayAct(ctx) || len(s.reports) != 1 {
+		t.Errorf("acts on after %d reports", len(s.reports))
+	}
+	g.set(2, true)
+	s.fail = nil
+	if !a.mayAct(ctx) || !a.reportWindow(ctx, 2) {
+		t.Error("did not act with a newer token")
+	}
+}
+
+// TestBaseWaitsForTheList checks that a first number of servers is settled only
+// once the list stands still, and then for all leaders: a list read while
+// servers start held two of nine.
+func TestBaseWaitsForTheList(t *testing.T) {
+	u := newUplink(newFakeGroup())
+	u.catalog = &protocol.Catalog{Services: []protocol.ServiceSpec{{Name: "s", Scaling: &protocol.ScalingSpec{Max: 9}}}}
+	f := NewFleet(u, zerolog.Nop())
+	now := time.Now()
+	list := []protocol.Instance{{ID: "1", Service: "s"}, {ID: "2", Service: "s"}}
+	u.SetServers(1, list)
+	if rows := f.Unsettled(now); len(rows) > 0 {
+		t.Errorf("settled at once: %v", rows)
+	}
+	u.SetServers(1, append(list, protocol.Instance{ID: "3", Service: "s"}))
+	now = now.Add(baseSteady - time.Millisecond)
+	if rows := f.Unsettled(now); len(rows) > 0 {
+		t.Errorf("settled while the list grew: %v", rows)
+	}
+	rows := f.Unsettled(now.Add(baseSteady))
+	if len(rows) != 1 || rows[0].Servers != 3 {
+		t.Errorf("settled %v, want 3 servers", rows)
+	}
+	f.Settled("s", 3)
+	if rows := f.Unsettled(now.Add(2 * baseSteady)); len(rows) > 0 {
+		t.Errorf("settled again: %v", rows)
+	}
+}
--- /dev/null
+++ b/transport/forward/forward_test.go
@@ -0,0 +1,425 @@
+package forward
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"github.com/weldstream/weldstream/protocol"
+	"github.com/weldstream/weldstream/transport/caller"
+)
+
+const patience = 10 * time.Second
+
+// plain is a dialect with few headers.
+type plain struct{}
+
+func (plain) Call(req *fasthttp.Request) protocol.Call {
+	return protocol.Call{
+		ID:        string(req.Header.Peek("Id")),
+		Host:      string(req.Header.Host()),
+		Path:      string(req.Header.RequestURI()),
+		Secret:    string(req.Header.Peek("Key")),
+		LastEvent: string(req.Header.Peek("Last")),
+	}
+}
+
+func (plain) Attempt(out, in *fasthttp.Request, a Attempt) {
+	in.Header.CopyTo(&out.Header)
+	out.Header.Set("Workspace", a.Workspace)
+	out.Header.Set("Remaining", strconv.FormatInt(a.Remaining.Milliseconds(), 10))
+	if a.LastEvent != "" {
+		out.Header.Set("Last", a.LastEvent)
+	}
+	out.SetBodyRaw(in.Body())
+}
+
+func (plain) Reply(h *fasthttp.ResponseHeader) Reply {
+	return Reply{ID: string(h.Peek("Id")), NotRun: len(h.Peek("Not-Run")) > 0, Close: h.ConnectionClose()}
+}
+
+func (plain) Answer(out, in *fasthttp.Response) {
+	out.SetStatusCode(in.StatusCode())
+	out.Header.Set("Seal", string(in.Header.Peek("Seal")))
+}
+
+func (plain) Refuse(out *fasthttp.Response, _ string, r *protocol.Refusal) {
+	out.SetStatusCode(r.Status)
+	out.Header.Set("Verdict", r.Verdict.String())
+	if r.RetryAfter > 0 {
+		out.Header.Set("Retry-After", fmt.Sprint(r.RetryAfter.Seconds()))
+	}
+}
+
+// backendServer is a server whose behavior is a func of the request.
+type backendServer struct {
+	id      string
+	address string
+	runs    atomic.Int64
+}
+
+// world is a gateway before some backend servers.
+type world struct {
+	t       *testing.T
+	g       *Gateway
+	address string
+	servers []protocol.Instance
+	number  uint64
+}
+
+func newWorld(t *testing.T) *world {
+	t.Helper()
+	w := &world{t: t, g: New(Config{Name: "g", Domain: "a", Revoke: time.Hour, RetryRatio: 1, RetryExtra: 100, RetryWindow: time.Second, UsageWindow: time.Second, UsageDue: time.Second}, plain{})}
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = ln.Close() })
+	server := caller.NewServer(w.g)
+	go func() { _ = server.Serve(ln) }()
+	w.address = ln.Addr().String()
+	w.g.Confirm(time.Now(), 1)
+	return w
+}
+
+// backend adds a server of the service "s".
+func (w *world) backend(id string, serve func(c net.Conn, req *fasthttp.Request)) *backendServer {
+	w.t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	w.t.Cleanup(func() { _ = ln.Close() })
+	b := &backendServer{id: id, address: ln.Addr().String()}
+	go func() {
+		for {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer c.Close()
+				br := bufio.NewReader(c)
+				for {
+					var req fasthttp.Request
+					if req.Read(br) != nil {
+						return
+					}
+					b.runs.Add(1)
+					serve(c, &req)
+				}
+			}()
+		}
+	}()
+	w.servers = append(w.servers, protocol.Instance{ID: id, Service: "s", Address: b.address, Domain: "a", Slots: 4})
+	w.g.SetServers(w.servers)
+	return b
+}
+
+// install puts a catalog with one route in force.
+func (w *world) install(r protocol.PathRoute, spaces ...protocol.Tenancy) {
+	w.number++
+	r.Host, r.Prefix, r.Split = "h", "/r/", []protocol.Weighted{{Service: "s", Weight: 1}}
+	if r.Timeout == 0 {
+		r.Timeout = patience
+	}
+	w.g.Install(&protocol.Catalog{Number: w.number, Routes: []protocol.PathRoute{r}, Services: []protocol.ServiceSpec{{Name: "s"}}, Workspaces: spaces})
+}
+
+// reply is what a caller got. Broken says that the answer did not end.
+type reply struct {
+	status  int
+	verdict string
+	retry   string
+	body    string
+	broken  bool
+}
+
+func (w *world) ask(headers ...string) reply {
+	w.t.Helper()
+	conn, err := net.Dial("tcp", w.address)
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	defer conn.Close()
+	_ = conn.SetDeadline(time.Now().Add(patience))
+	_, _ = io.WriteString(conn, "POST /r/x HTTP/1.1\r\n"+strings.Join(append(headers, "Host: h", "Id: 7", "Content-Length: 4"), "\r\n")+"\r\n\r\nbody")
+	resp := &fasthttp.Response{}
+	resp.StreamBody = true
+	if err := resp.Read(bufio.NewReader(conn)); err != nil {
+		return reply{broken: true}
+	}
+	var data []byte
+	err = nil
+	if resp.BodyStream() != nil {
+		data, err = io.ReadAll(resp.BodyStream())
+	}
+	return reply{
+		status:  resp.StatusCode(),
+		verdict: string(resp.Header.Peek("Verdict")),
+		retry:   string(resp.Header.Peek("Retry-After")),
+		body:    string(data),
+		broken:  err != nil,
+	}
+}
+
+func say(c net.Conn, status int, headers, body string) {
+	_, _ = fmt.Fprintf(c, "HTTP/1.1 %d X\r\nId: 7\r\n%sContent-Length: %d\r\n\r\n%s", status, headers, len(body), body)
+}
+
+func good(c net.Conn, _ *fasthttp.Request) { say(c, 200, "", "fine") }
+
+func full(c net.Conn, _ *fasthttp.Request) { say(c, 503, "Not-Run: 1\r\n", "") }
+
+func silent(c net.Conn, _ *fasthttp.Request) { _ = c.Close() }
+
+// TestAnswerIsPassedOn checks that status, body and the request's own body come
+// through unchanged.
+func TestAnswerIsPassedOn(t *testing.T) {
+	w := newWorld(t)
+	w.install(protocol.PathRoute{Attempts: 1})
+	w.backend("a", func(c net.Conn, req *fasthttp.Request) {
+		say(c, 201, "", string(req.Header.Method())+string(req.Header.RequestURI())+string(req.Body()))
+	})
+	if got := w.ask(); got.status != 201 || got.body != "POST/r/xbody" || got.broken {
+		t.Errorf("got %+v", got)
+	}
+}
+
+// TestVerdicts walks through what may become of an attempt and checks what the
+// caller is told, and how often the request ran.
+func TestVerdicts(t *testing.T) {
+	for name, c := range map[string]struct {
+		route   protocol.PathRoute
+		first   func(c net.Conn, req *fasthttp.Request)
+		status  int
+		verdict string
+		runs    int64 // runs are requests that reached any server.
+	}{
+		"once, turned away, elsewhere":     {protocol.PathRoute{Attempts: 2}, full, 200, "", 2},
+		"once, turned away, no more":       {protocol.PathRoute{Attempts: 1}, full, 503, "not-run", 1},
+		"once, no answer":                  {protocol.PathRoute{Attempts: 3}, silent, 502, "may-have-run", 1},
+		"repeatable, no answer":            {protocol.PathRoute{Kind: protocol.RouteRepeatable, Attempts: 2}, silent, 200, "", 2},
+		"repeatable, failed":               {protocol.PathRoute{Kind: protocol.RouteRepeatable, Attempts: 2}, func(c net.Conn, _ *fasthttp.Request) { say(c, 500, "", "") }, 200, "", 2},
+		"once, failed":                     {protocol.PathRoute{Attempts: 2}, func(c net.Conn, _ *fasthttp.Request) { say(c, 500, "", "") }, 500, "", 1},
+		"once, a promise without proof":    {protocol.PathRoute{Attempts: 2}, func(c net.Conn, _ *fasthttp.Request) { say(c, 503, "", "") }, 502, "may-have-run", 1},
+		"once, the answer of another":      {protocol.PathRoute{Attempts: 1}, another(false), 502, "may-have-run", 1},
+		"once, another's answer before it": {protocol.PathRoute{Attempts: 1}, another(true), 200, "", 1},
+		"once, short of its length": {protocol.PathRoute{Attempts: 1}, func(c net.Conn, _ *fasthttp.Request) {
+			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nId: 7\r\nContent-Length: 9\r\n\r\nshort")
+			_ = c.Close()
+		}, 502, "may-have-run", 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			w := newWorld(t)
+			w.install(c.route)
+			// The first server chosen behaves as the case says, any other is good.
+			var once sync.Once
+			var runs atomic.Int64
+			serve := func(conn net.Conn, req *fasthttp.Request) {
+				runs.Add(1)
+				bad := false
+				once.Do(func() { bad = true })
+				if bad {
+					c.first(conn, req)
+					return
+				}
+				good(conn, req)
+			}
+			w.backend("a", serve)
+			w.backend("b", serve)
+			got := w.ask()
+			if got.status != c.status || got.verdict != c.verdict || runs.Load() != c.runs {
+				t.Errorf("got %+v after %d runs; want status %d, verdict %q, %d runs", got, runs.Load(), c.status, c.verdict, c.runs)
+			}
+			if (got.status == 503) != (got.retry != "") {
+				t.Errorf("status %d says %q when to come back", got.status, got.retry)
+			}
+		})
+	}
+}
+
+// another sends the answer of another request, and then its own or none.
+func another(own bool) func(c net.Conn, _ *fasthttp.Request) {
+	return func(c net.Conn, req *fasthttp.Request) {
+		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nId: 6\r\nContent-Length: 5\r\n\r\nother")
+		if own {
+			good(c, req)
+			return
+		}
+		_ = c.Close()
+	}
+}
+
+const streamHead = "HTTP/1.1 200 OK\r\nId: 7\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
+
+func chunk(text string) string { return fmt.Sprintf("%x\r\n%s\r\n", len(text), text) }
+
+// TestStreamGoesOnElsewhere checks that a stream which breaks in the middle of an
+// event goes on at another server behind the last whole one: each event arrives
+// once and in order, though the second server repeats some.
+func TestStreamGoesOnElsewhere(t *testing.T) {
+	w := newWorld(t)
+	w.install(protocol.PathRoute{Kind: protocol.RouteStream, Resumable: true, Attempts: 2})
+	var once sync.Once
+	var last atomic.Value
+	serve := func(c net.Conn, req *fasthttp.Request) {
+		first := false
+		once.Do(func() { first = true })
+		if first {
+			_, _ = io.WriteString(c, streamHead+chunk("id: 1\ndata: a\n\n")+chunk("id: 2\ndata: b\n\nid: 3\nda"))
+			_ = c.Close()
+			return
+		}
+		last.Store(string(req.Header.Peek("Last")))
+		_, _ = io.WriteString(c, streamHead+chunk("id: 2\ndata: b\n\nid: 3\ndata: c\n\n")+chunk("id: 4\ndata: d\n\n")+"0\r\n\r\n")
+	}
+	w.backend("a", serve)
+	w.backend("b", serve)
+	got := w.ask()
+	if want := "id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\ndata: c\n\nid: 4\ndata: d\n\n"; got.body != want || got.broken {
+		t.Errorf("got %+v", got)
+	}
+	if last.Load() != "2" {
+		t.Errorf("the second server was asked to go on behind %v", last.Load())
+	}
+}
+
+// TestBrokenStreamIsCut checks that a stream that may run once and breaks off is
+// cut at the caller too, and not run again.
+func TestBrokenStreamIsCut(t *testing.T) {
+	w := newWorld(t)
+	w.install(protocol.PathRoute{Kind: protocol.RouteStream, Attempts: 3})
+	serve := func(c net.Conn, _ *fasthttp.Request) {
+		_, _ = io.WriteString(c, streamHead+chunk("id: 1\ndata: a\n\n"))
+		_ = c.Close()
+	}
+	a, b := w.backend("a", serve), w.backend("b", serve)
+	if got := w.ask(); !got.broken || got.status != 200 {
+		t.Errorf("got %+v", got)
+	}
+	if n := a.runs.Load() + b.runs.Load(); n != 1 {
+		t.Errorf("it ran %d times", n)
+	}
+}
+
+// TestTimeLimitOfTheRoute checks that a request gets its final answer when its
+// route's time is over, whatever the caller would wait, and that the server
+// learns of it.
+func TestTimeLimitOfTheRoute(t *testing.T) {
+	w := newWorld(t)
+	w.install(protocol.PathRoute{Attempts: 1, Timeout: 50 * time.Millisecond})
+	left := make(chan struct{})
+	w.backend("a", func(c net.Conn, _ *fasthttp.Request) {
+		_, _ = c.Read(make([]byte, 1)) // Ends when the gateway hangs up.
+		close(left)
+	})
+	if got := w.ask(); got.status != 504 || got.verdict != "may-have-run" {
+		t.Errorf("got %+v", got)
+	}
+	select {
+	case <-left:
+	case <-time.After(patience):
+		t.Error("the server was not told")
+	}
+}
+
+// TestKeys checks who is let in, and that nobody is while the configuration is
+// not known to be the newest.
+func TestKeys(t *testing.T) {
+	w := newWorld(t)
+	w.install(protocol.PathRoute{Attempts: 1}, protocol.Tenancy{Name: "w", Keys: []string{"k"}})
+	w.backend("a", func(c net.Conn, req *fasthttp.Request) { say(c, 200, "", string(req.Header.Peek("Workspace"))) })
+	if got := w.ask("Key: k"); got.status != 200 || got.body != "w" {
+		t.Errorf("with a key: %+v", got)
+	}
+	if got := w.ask("Key: other"); got.status != 401 {
+		t.Errorf("with another key: %+v", got)
+	}
+	w.g.cfg.Revoke = time.Nanosecond
+	if got := w.ask("Key: k"); got.status != 503 || got.verdict != "not-run" {
+		t.Errorf("unsure: %+v", got)
+	}
+}
+
+// TestQuotaIsAskedFor checks that a request waits for a part of its quota, and is
+// told when to come back if there is none.
+func TestQuotaIsAskedFor(t *testing.T) {
+	w := newWorld(t)
+	w.install(protocol.PathRoute{Attempts: 1}, protocol.Tenancy{Name: "w", Keys: []string{"k"}, Rate: 10, Burst: 10})
+	w.backend("a", good)
+	units := 1.0
+	w.g.hurry = func() {
+		go func() {
+			m := w.g.Report(1)
+			w.g.Told(&m, 1, []protocol.QuotaGrant{{Workspace: "w", Units: units, Lasts: time.Minute, Wait: time.Second}}, time.Now())
+		}()
+	}
+	if got := w.ask("Key: k"); got.status != 200 {
+		t.Errorf("with a part: %+v", got)
+	}
+	units = 0
+	if got := w.ask("Key: k"); got.status != 429 || got.retry == "" {
+		t.Errorf("without: %+v", got)
+	}
+}
+
+// TestIndex checks that the longest prefix wins, hosts do not mix, and weights
+// split requests as they say.
+func TestIndex(t *testing.T) {
+	ix := NewIndex(&protocol.Catalog{Routes: []protocol.PathRoute{
+		{Name: "short", Host: "H", Prefix: "/a/"},
+		{Name: "long", Host: "h", Prefix: "/a/b/"},
+		{Name: "other", Host: "o", Prefix: "/"},
+	}})
+	for path, want := range map[string]string{"/a/x": "short", "/a/b/x": "long", "/a/bx": "short", "/a": ""} {
+		got := ""
+		if r := ix.Route("h:80", path); r != nil {
+			got = r.Name
+		}
+		if got != want {
+			t.Errorf("%s went to %q, want %q", path, got, want)
+		}
+	}
+	r := &protocol.PathRoute{Split: []protocol.Weighted{{Service: "x", Weight: 90}, {Service: "y", Weight: 10}, {Service: "z"}}}
+	n := map[string]int{}
+	for i := range 2000 {
+		n[Split(r, fmt.Sprint(i))]++
+	}
+	if n["z"] > 0 || n["y"] < 120 || n["y"] > 280 {
+		t.Errorf("split as %v", n)
+	}
+}
+
+// FuzzEvents checks over any pieces that only whole events pass, each id once and
+// rising, and that nothing is lost when nothing is repeated.
+func FuzzEvents(f *testing.F) {
+	f.Add("id: 1\ndata: a\n\nid: 2\n\n", 3)
+	f.Add("id: 1\r\ndata: a\r\n\r\nid: 1\n\n", 1)
+	f.Add("\n\n\n\n", 2)
+	f.Fuzz(func(t *testing.T, text string, size int) {
+		size = max(1, min(size, 64))
+		var e events
+		var out []byte
+		for rest := []byte(text); len(rest) > 0; {
+			n := min(size, len(rest))
+			out = append(out, e.take(rest[:n])...)
+			rest = rest[n:]
+		}
+		if len(out)+len(e.rest) > len(text) {
+			t.Fatalf("%d bytes came of %d", len(out)+len(e.rest), len(text))
+		}
+		if !strings.Contains(text, "id:") && string(out)+string(e.rest) != text {
+			t.Fatalf("%q became %q and %q", text, out, e.rest)
+		}
+	})
+}
--- /dev/null
+++ b/transport/uplink/uplink_test.go
@@ -0,0 +1,116 @@
+package uplink
+
+import (
+	"errors"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/weldstream/weldstream/protocol"
+)
+
+// fakeCaller answers for control instances by their addresses.
+type fakeCaller struct {
+	answers map[string]func(m protocol.SyncMsg) (protocol.SyncReply, error)
+	asked   []string
+}
+
+func (c *fakeCaller) Call(address, _ string, args, reply any, _ time.Duration) error {
+	c.asked = append(c.asked, address)
+	f := c.answers[address]
+	if f == nil {
+		return errors.New("nobody is there")
+	}
+	got, err := f(args.(protocol.SyncMsg))
+	*reply.(*protocol.SyncReply) = got
+	return err
+}
+
+// fakeGateway notes what it is told.
+type fakeGateway struct {
+	number    uint64
+	servers   int
+	confirmed int
+	at        time.Time
+	bad       bool
+}
+
+func (g *fakeGateway) Report(uint64) protocol.SyncMsg { return protocol.SyncMsg{Number: g.number} }
+func (g *fakeGateway) Told(*protocol.SyncMsg, uint64, []protocol.QuotaGrant, time.Time) {
+}
+func (g *fakeGateway) Document(number uint64, _ []byte) error {
+	if g.bad {
+		return errors.New("cannot be read")
+	}
+	g.number = number
+	return nil
+}
+func (g *fakeGateway) SetServers(list []protocol.Instance) { g.servers = len(list) }
+func (g *fakeGateway) Confirm(at time.Time, _ int)         { g.confirmed, g.at = g.confirmed+1, at }
+
+func leads(m protocol.SyncMsg) (protocol.SyncReply, error) {
+	r := protocol.SyncReply{Leads: true, Term: 4, Number: 9, Gateways: 1, Controls: []string{"a", "b", "c"}}
+	if m.Number < 9 {
+		r.Document = []byte("document")
+	}
+	return r, nil
+}
+
+func follows(leader string) func(protocol.SyncMsg) (protocol.SyncReply, error) {
+	return func(protocol.SyncMsg) (protocol.SyncReply, error) {
+		return protocol.SyncReply{Leader: leader, Controls: []string{"a", "b", "c"}}, nil
+	}
+}
+
+// TestFindsTheLeader checks that the client goes from a seed that is gone over
+// one that follows to the leader, stays with it, and finds the next one.
+func TestFindsTheLeader(t *testing.T) {
+	c := &fakeCaller{answers: map[string]func(protocol.SyncMsg) (protocol.SyncReply, error){"b": follows("c"), "c": leads}}
+	g := &fakeGateway{}
+	u := New(c, g, []string{"a", "b"}, zerolog.Nop())
+	for range 4 {
+		u.ask()
+	}
+	if g.number != 9 || g.confirmed == 0 {
+		t.Fatalf("holds %d after asking %v", g.number, c.asked)
+	}
+	n := len(c.asked)
+	u.ask()
+	if c.asked[n] != "c" {
+		t.Errorf("asked %v after it had found the leader", c.asked[n:])
+	}
+	c.answers = map[string]func(protocol.SyncMsg) (protocol.SyncReply, error){"b": leads, "c": follows("b")}
+	before := g.confirmed
+	u.ask()
+	u.ask()
+	if g.confirmed != before+1 {
+		t.Errorf("the next leader was not found: asked %v", c.asked)
+	}
+}
+
+// TestConfirmsTheTimeOfTheQuestion checks that a late answer makes sure only up
+// to when it was asked for.
+func TestConfirmsTheTimeOfTheQuestion(t *testing.T) {
+	g := &fakeGateway{}
+	var answered time.Time
+	c := &fakeCaller{answers: map[string]func(protocol.SyncMsg) (protocol.SyncReply, error){"a": func(m protocol.SyncMsg) (protocol.SyncReply, error) {
+		answered = time.Now()
+		return leads(m)
+	}}}
+	u := New(c, g, []string{"a"}, zerolog.Nop())
+	u.ask()
+	if g.at.IsZero() || g.at.After(answered) {
+		t.Errorf("sure up to %v, the answer was made at %v", g.at, answered)
+	}
+}
+
+// TestUnreadableDocumentConfirmsNothing checks that a gateway which cannot put
+// the newest document in force does not count as up to date.
+func TestUnreadableDocumentConfirmsNothing(t *testing.T) {
+	g := &fakeGateway{bad: true}
+	u := New(&fakeCaller{answers: map[string]func(protocol.SyncMsg) (protocol.SyncReply, error){"a": leads}}, g, []string{"a"}, zerolog.Nop())
+	if u.ask() || g.confirmed > 0 {
+		t.Error("it counts as up to date")
+	}
+}
