A fault soak of the real processes; stand-ins of the platform's side; settings of the roles documented

weldsoak draws a plan from a seed and plays it on control instances and gateways as separate processes, each control instance and backend server behind a loopback proxy: kills, pauses, planned stops, reloads, lost disks, links that are slow, silent or cut one way, resets, bad answers, the platform's API down. It holds: a request that may run once runs once, a refusal that promises so has not run, answers whole and one's own, streams complete, configurations never older than acknowledged, no usage reported twice, all served again at the end.

--- /dev/null
+++ b/cmd/weldsoak/main.go
@@ -0,0 +1,103 @@
+// Command weldsoak runs the daemons as separate processes on this machine and
+// harms them while it holds their promises; see package soak.
+//
+//	weldsoak -daemon bin/weldstreamd [-seeds 1,2,3 | -first 1 -count 50] [-time 12s] [-controls 3] [-gateways 3]
+//
+// It prints a line a seed, and for one that broke a promise its plan, what was
+// broken and where the logs are. It exits with 1 if any did, with 2 on wrong use.
+package main
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/weldstream/weldstream/internal/soak"
+)
+
+func main() { os.Exit(run()) }
+
+func run() int {
+	daemon := flag.String("daemon", "", "the daemon's `program` (required)")
+	list := flag.String("seeds", "", "`seeds`, separated by commas")
+	first := flag.Uint64("first", 1, "the first `seed`, without -seeds")
+	count := flag.Uint64("count", 1, "how many seeds, without -seeds")
+	length := flag.Duration("time", 12*time.Second, "how long each seed's faults go on")
+	size := soak.Size{}
+	flag.IntVar(&size.Controls, "controls", 3, "control instances, 1 to 9")
+	flag.IntVar(&size.Gateways, "gateways", 3, "gateways, 1 to 30")
+	flag.IntVar(&size.Backends, "backends", 6, "backend servers, 1 to 30")
+	flag.Parse()
+	seeds, err := parseSeeds(*list, *first, *count)
+	if err != nil || *daemon == "" || flag.NArg() > 0 || !sound(size) {
+		if err != nil {
+			fmt.Fprintln(os.Stderr, "weldsoak:", err)
+		}
+		flag.Usage()
+		return 2
+	}
+	failed := 0
+	for _, seed := range seeds {
+		if !play(*daemon, seed, *length, size) {
+			failed++
+		}
+	}
+	fmt.Printf("%d seeds, %d failed\n", len(seeds), failed)
+	if failed > 0 {
+		return 1
+	}
+	return 0
+}
+
+func sound(s soak.Size) bool {
+	in := func(n, most int) bool { return n >= 1 && n <= most }
+	return in(s.Controls, 9) && in(s.Gateways, 30) && in(s.Backends, 30)
+}
+
+func parseSeeds(list string, first, count uint64) ([]uint64, error) {
+	var seeds []uint64
+	if list == "" {
+		for i := range count {
+			seeds = append(seeds, first+i)
+		}
+		return seeds, nil
+	}
+	for text := range strings.SplitSeq(list, ",") {
+		seed, err := strconv.ParseUint(strings.TrimSpace(text), 10, 64)
+		if err != nil {
+			return nil, fmt.Errorf("seed %q is no number", text)
+		}
+		seeds = append(seeds, seed)
+	}
+	return seeds, nil
+}
+
+// play runs one seed and reports whether every promise held. Logs of a run that
+// broke one are kept.
+func play(daemon string, seed uint64, length time.Duration, size soak.Size) bool {
+	dir, err := os.MkdirTemp("", fmt.Sprintf("weldsoak-%d-", seed))
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "weldsoak:", err)
+		return false
+	}
+	c, err := soak.New(dir, daemon, size)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "weldsoak:", err)
+		return false
+	}
+	plan := soak.Draw(seed, length, size)
+	result, err := soak.Run(c, plan)
+	c.Close()
+	if err == nil && len(result.Breaches) == 0 {
+		fmt.Printf("seed %d: %d faults, %d of %d requests served, nothing broken\n", seed, len(plan.Steps), result.Served, result.Asked)
+		return os.RemoveAll(dir) == nil
+	}
+	fmt.Printf("seed %d: BROKEN, error %v, logs in %s\n%s", seed, err, dir, plan)
+	for _, b := range result.Breaches {
+		fmt.Println("  broken:", b)
+	}
+	return false
+}
--- a/cmd/weldstreamd/control.go
+++ b/cmd/weldstreamd/control.go
@@ -61,7 +61,7 @@
 		duties.RunList,
 		duties.RunDuties,
 		func(ctx context.Context) error {
-			return serveHTTP(ctx, r.settings.Operator, documentBytes, platform.NewOperator(client, r.log).Handle)
+			return serveHTTP(ctx, r.settings.Listen(r.settings.Operator), documentBytes, platform.NewOperator(client, r.log).Handle)
 		},
 		func(ctx context.Context) error { return c.serveMetrics(ctx, func() any { return c.group.Status() }) },
 	} {
@@ -93,7 +93,7 @@
 
 func (c *controlInstance) wire(work context.Context) error {
 	n := c.settings
-	ln, err := net.Listen("tcp", n.Peer)
+	ln, err := net.Listen("tcp", n.Listen(n.Peer))
 	if err != nil {
 		return eris.Wrap(err, "listen")
 	}
--- a/cmd/weldstreamd/gateway.go
+++ b/cmd/weldstreamd/gateway.go
@@ -108,7 +108,7 @@
 func (g *gateway) ready() bool { return !g.stopping.Load() && g.forward.Ready() }
 
 func (g *gateway) run() error {
-	ln, err := net.Listen("tcp", g.settings.Caller)
+	ln, err := net.Listen("tcp", g.settings.Listen(g.settings.Caller))
 	if err != nil {
 		return eris.Wrap(err, "listen")
 	}
@@ -116,7 +116,9 @@
 	defer cancel()
 	eg, work := errgroup.WithContext(work)
 	eg.Go(func() error { return g.client.Run(work) })
-	eg.Go(func() error { return serveHTTP(work, g.settings.Ready, 1<<10, platform.Readiness(g.ready)) })
+	eg.Go(func() error {
+		return serveHTTP(work, g.settings.Listen(g.settings.Ready), 1<<10, platform.Readiness(g.ready))
+	})
 	eg.Go(func() error { return g.serveMetrics(work, g.dump) })
 	eg.Go(func() error { return g.server.Serve(ln) })
 	eg.Go(func() error {
--- a/cmd/weldstreamd/role.go
+++ b/cmd/weldstreamd/role.go
@@ -195,7 +195,7 @@
 	if r.settings.Metrics == "" {
 		return nil
 	}
-	return serveHTTP(ctx, r.settings.Metrics, 1<<10, func(c *fasthttp.RequestCtx) {
+	return serveHTTP(ctx, r.settings.Listen(r.settings.Metrics), 1<<10, func(c *fasthttp.RequestCtx) {
 		switch string(c.Path()) {
 		case "/metrics":
 			writeMetrics(c, r.registry)
--- a/coordination/scale/scale_test.go
+++ b/coordination/scale/scale_test.go
@@ -23,7 +23,6 @@
 type world struct {
 	counts map[Order]int // counts are by an Order whose Count is 0.
 	dry    bool          // dry refuses reclaimable servers.
-	max    int
 }
 
 func (w *world) list() []protocol.Instance {
--- /dev/null
+++ b/internal/soak/soak.go
@@ -0,0 +1,223 @@
+package soak
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/weldstream/weldstream/platform/standin"
+)
+
+// Result is how a run went.
+type Result struct {
+	Asked    int
+	Served   int
+	Breaches []string
+}
+
+const (
+	// readyTime bounds the first start and the recovery at the end.
+	readyTime = 40 * time.Second
+	// clientsEach is how many callers each gateway has.
+	clientsEach = 3
+	askPause    = 15 * time.Millisecond
+	putPause    = 300 * time.Millisecond
+)
+
+// Run plays a plan on a cluster and returns what was broken. The error is for a
+// cluster that could not be set up.
+func Run(c *Cluster, p Plan) (Result, error) {
+	k := NewChecker(c.Record)
+	o := NewOperator(c, k)
+	if err := c.Start(); err != nil {
+		return Result{}, err
+	}
+	if !o.first() {
+		return Result{}, fmt.Errorf("no configuration was taken within %v", readyTime)
+	}
+	if err := c.Founded(); err != nil {
+		return Result{}, err
+	}
+	r := &run{cluster: c, checker: k, operator: o}
+	ctx, cancel := context.WithCancel(context.Background())
+	var load sync.WaitGroup
+	for g := range c.Size.Gateways {
+		for i := range clientsEach {
+			load.Go(func() { r.ask(ctx, g, fmt.Sprintf("%d-%d", g, i), p.Seed) })
+		}
+	}
+	load.Go(func() { r.operate(ctx) })
+	r.play(p)
+	cancel()
+	load.Wait()
+	r.recover()
+	k.Finish()
+	return Result{Asked: len(k.asks), Served: k.Served(), Breaches: append(k.Breaches(), c.API.Breaches()...)}, nil
+}
+
+// first has the first configuration taken, which opens the day.
+func (o *Operator) first() bool {
+	for end := time.Now().Add(readyTime); time.Now().Before(end); time.Sleep(askPause) {
+		if o.Put(1) {
+			return true
+		}
+	}
+	return false
+}
+
+// run is one run of a plan.
+type run struct {
+	cluster  *Cluster
+	checker  *Checker
+	operator *Operator
+	faults   sync.WaitGroup
+}
+
+// paths are of the four kinds of requests.
+var paths = []Ask{
+	{Path: "/once/x", Once: true},
+	{Path: "/again/x"},
+	{Path: "/stream/again/x", Stream: true},
+	{Path: "/stream/once/x", Stream: true, Once: true},
+}
+
+// ask is one caller, which keeps its connection for as long as it is open.
+func (r *run) ask(ctx context.Context, g int, name string, seed uint64) {
+	rnd := rand.New(rand.NewPCG(seed, uint64(len(name)+g)))
+	c := NewClient(r.cluster.Callers()[g])
+	defer c.Close()
+	for n := 0; ctx.Err() == nil; n++ {
+		a := paths[rnd.IntN(len(paths))]
+		a.ID = fmt.Sprintf("%s-%d", name, n)
+		r.checker.Note(a, c.Ask(a))
+		time.Sleep(askPause)
+	}
+}
+
+// operate sends configurations, each until it is acknowledged, and reads back.
+func (r *run) operate(ctx context.Context) {
+	for n := uint64(2); ctx.Err() == nil; n++ {
+		for ctx.Err() == nil && !r.operator.Put(n) {
+			time.Sleep(askPause)
+		}
+		r.operator.Get(int(n))
+		time.Sleep(putPause)
+	}
+}
+
+// play carries the steps out at their times.
+func (r *run) play(p Plan) {
+	began := time.Now()
+	for _, s := range p.Steps {
+		time.Sleep(time.Until(began.Add(s.At)))
+		r.faults.Go(func() { r.harm(s) })
+	}
+	time.Sleep(time.Until(began.Add(p.Length)))
+	r.faults.Wait()
+}
+
+func (r *run) harm(s Step) {
+	c := r.cluster
+	switch s.Fault {
+	case FaultKill, FaultPause, FaultStop, FaultReload:
+		r.harmProcess(c.procs[s.Index], s)
+	case FaultWipe:
+		p := c.procs[s.Index]
+		p.Kill()
+		r.note(p.Wipe())
+		time.Sleep(s.For)
+		r.note(p.Start())
+	case FaultLink:
+		for _, proxy := range c.proxies[2*s.Index : 2*s.Index+2] {
+			proxy.Set(s.Link)
+			defer proxy.Set(LinkGood)
+		}
+		time.Sleep(s.For)
+	case FaultServer:
+		c.servers[s.Index].Set(s.Link)
+		time.Sleep(s.For)
+		c.servers[s.Index].Set(LinkGood)
+	case FaultReset:
+		c.servers[s.Index].Reset()
+		c.proxies[s.Index%len(c.proxies)].Reset()
+	case FaultReplies:
+		c.Backends[s.Index].SetFaults(standin.Faults{Shed: 5, Fail: 7, Lose: 9, Break: 3})
+		time.Sleep(s.For)
+		c.Backends[s.Index].SetFaults(standin.Faults{})
+	case FaultAPI:
+		c.API.SetDown(true)
+		time.Sleep(s.For)
+		c.API.SetDown(false)
+	}
+}
+
+func (r *run) harmProcess(p *Proc, s Step) {
+	switch s.Fault {
+	case FaultPause:
+		_ = p.Signal(syscall.SIGSTOP)
+		time.Sleep(s.For)
+		_ = p.Signal(syscall.SIGCONT)
+		return
+	case FaultReload:
+		_ = p.Signal(syscall.SIGHUP)
+		return
+	case FaultStop:
+		if err := p.Stop(); err != nil {
+			r.checker.breach("%s stopped with %v", p.Name, err)
+		}
+	default:
+		p.Kill()
+	}
+	time.Sleep(s.For)
+	r.note(p.Start())
+}
+
+// note keeps an error of the soak's own as a breach: the run shows nothing then.
+func (r *run) note(err error) {
+	if err != nil {
+		r.checker.breach("soak: %v", err)
+	}
+}
+
+// recover checks that everything works again once nothing is harmed: each
+// gateway serves each kind of request, and the configuration is read back.
+func (r *run) recover() {
+	for _, p := range r.cluster.procs {
+		if err, died := p.Died(); died {
+			r.checker.breach("%s ended by itself: %v", p.Name, err)
+		}
+	}
+	end := time.Now().Add(readyTime)
+	for g, address := range r.cluster.Callers() {
+		for i, a := range paths {
+			if !r.until(end, func(n int) bool {
+				c := NewClient(address)
+				defer c.Close()
+				a.ID = fmt.Sprintf("end-%d-%d-%d", g, i, n)
+				reply := c.Ask(a)
+				r.checker.Note(a, reply)
+				return reply.Whole && reply.Status == 200
+			}) {
+				r.checker.breach("%s at gateway %d does not come back", a.Path, g)
+			}
+		}
+	}
+	for i := range r.cluster.Operators() {
+		if !r.until(end, func(int) bool { return r.operator.Get(i) }) {
+			r.checker.breach("control instance %d reads nothing back", i)
+		}
+	}
+}
+
+func (r *run) until(end time.Time, done func(n int) bool) bool {
+	for n := 0; time.Now().Before(end); n++ {
+		if done(n) {
+			return true
+		}
+		time.Sleep(askPause)
+	}
+	return false
+}
--- a/settings/node.go
+++ b/settings/node.go
@@ -1,6 +1,7 @@
 package settings
 
 import (
+	"net"
 	"os"
 	"slices"
 	"time"
@@ -21,6 +22,7 @@
 	Operator    string     `yaml:"operator" validate:"omitempty,ipport"`             // Operator is where a control instance serves operators.
 	Peer        string     `yaml:"peer" validate:"required,ipport"`                  // Peer is where a control instance serves the other instances.
 	Metrics     string     `yaml:"metrics" validate:"omitempty,ipport"`              // Metrics serves metrics and the dump.
+	Bind        string     `yaml:"bind" validate:"omitempty,ip"`                     // Bind is the IP number to listen at, where the addresses above are of a proxy before it.
 	DataDir     string     `yaml:"data_dir"`                                         // DataDir is the disk's folder of a control instance.
 	Seeds       []string   `yaml:"seeds" validate:"required,min=1,dive,ipport"`      // Seeds are the operator addresses of control instances to meet first.
 	Found       bool       `yaml:"found"`                                            // Found lets the seeds found the group: the first start of all.
@@ -35,12 +37,12 @@
 
 // NodeSource is the platform's API: the list of servers and the duties.
 type NodeSource struct {
-	Address   string        `yaml:"address" validate:"required,ipport"`
-	ListRate  float64       `yaml:"list_rate" validate:"min=0"`     // ListRate is how many list calls a second all instances may make.
-	OrderRate float64       `yaml:"order_rate" validate:"min=0"`    // OrderRate is how many duty calls a second all may make.
-	Lag       time.Duration `yaml:"lag" validate:"dmin=0s,dmax=1m"` // Lag is how old the list may be.
-	Duties    []string      `yaml:"duties"`                         // Duties are usage_report and autoscale, those that are owed; others are ignored.
-	Fenced    bool          `yaml:"fenced"`                         // Fenced says that the platform checks fencing tokens.
+	Address   string        `yaml:"address" validate:"required,ipport"` // Address is the API's.
+	ListRate  float64       `yaml:"list_rate" validate:"min=0"`         // ListRate is how many list calls a second all instances may make.
+	OrderRate float64       `yaml:"order_rate" validate:"min=0"`        // OrderRate is how many duty calls a second all may make.
+	Lag       time.Duration `yaml:"lag" validate:"dmin=0s,dmax=1m"`     // Lag is how old the list may be.
+	Duties    []string      `yaml:"duties"`                             // Duties are usage_report and autoscale, those that are owed; others are ignored.
+	Fenced    bool          `yaml:"fenced"`                             // Fenced says that the platform checks fencing tokens.
 }
 
 // The duties that the role carries out.
@@ -102,6 +104,18 @@
 	return n, faults, nil
 }
 
+// Listen returns where to listen for what an address is told to others.
+func (n *Node) Listen(address string) string {
+	if n.Bind == "" {
+		return address
+	}
+	_, port, err := net.SplitHostPort(address)
+	if err != nil {
+		return address
+	}
+	return net.JoinHostPort(n.Bind, port)
+}
+
 // CheckGateway returns what a gateway lacks.
 func (n *Node) CheckGateway(file string) []yamlfile.Fault {
 	var faults []yamlfile.Fault
--- /dev/null
+++ b/settings/node_test.go
@@ -0,0 +1,77 @@
+package settings
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+)
+
+const nodeText = `name: gateway-1
+domain: zone-a
+caller: 10.0.0.1:80
+ready: 10.0.0.1:81
+peer: 10.0.0.1:7000
+seeds: [10.0.1.1:90]
+source: {address: 10.0.9.9:80, duties: [usage_report, something_new]}
+`
+
+func loadNode(t *testing.T, text string) (*Node, []string) {
+	t.Helper()
+	file := filepath.Join(t.TempDir(), "node.yaml")
+	if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	n, faults, err := LoadNode(file)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var lines []string
+	for _, f := range faults {
+		lines = append(lines, strings.TrimPrefix(f.Error(), file))
+	}
+	return n, lines
+}
+
+// TestNode checks that what is left out has its default, and that a duty which
+// this version does not know is passed over.
+func TestNode(t *testing.T) {
+	n, faults := loadNode(t, nodeText)
+	if len(faults) > 0 {
+		t.Fatal(faults)
+	}
+	if n.Bounds.Revoke != DefaultRevoke || !n.Source.Owes(DutyUsage) || n.Source.Owes(DutyFleet) || n.Listen(n.Caller) != n.Caller {
+		t.Errorf("%+v", n)
+	}
+	n.Bind = "10.0.0.9"
+	if got := n.Listen(n.Caller); got != "10.0.0.9:80" {
+		t.Errorf("listens at %s", got)
+	}
+	if len(n.CheckGateway("f")) > 0 || len(n.CheckControl("f")) != 2 {
+		t.Errorf("as a gateway %v, as a control instance %v", n.CheckGateway("f"), n.CheckControl("f"))
+	}
+}
+
+// TestNodeFaults checks that faults name line and field.
+func TestNodeFaults(t *testing.T) {
+	for name, c := range map[string]struct{ from, to, want string }{
+		"no port":  {"10.0.0.1:80", "10.0.0.1", ":3: caller"},
+		"unknown":  {"domain:", "dom: x\ndomain:", ":2: dom"},
+		"no seeds": {"seeds: [10.0.1.1:90]", "seeds: []", ":6: seeds"},
+		"too long": {"seeds:", "bounds: {apply: 200h}\nseeds:", ":6: bounds.apply"},
+	} {
+		_, faults := loadNode(t, strings.Replace(nodeText, c.from, c.to, 1))
+		if len(faults) != 1 || !strings.HasPrefix(faults[0], c.want) {
+			t.Errorf("%s: %v, want %q", name, faults, c.want)
+		}
+	}
+}
+
+// TestNodeDefaultsHold checks that timers which are derived from one another fit.
+func TestNodeDefaultsHold(t *testing.T) {
+	n := NewNode()
+	if n.Replication.Heartbeat*2 > n.Replication.Election || n.Bounds.Revoke < time.Second {
+		t.Errorf("%+v", n)
+	}
+}
--- a/settings/reference.go
+++ b/settings/reference.go
@@ -14,23 +14,27 @@
 // sources are this package's own files: the reference is made from the
 // comments beside the fields and the defaults, so that it cannot differ.
 //
-//go:embed settings.go defaults.go
+//go:embed settings.go defaults.go node.go
 var sources embed.FS
 
 // Reference renders every setting, with its default, its bounds and what it
 // means, as Markdown. docs/SETTINGS.md is its output.
 func Reference() (string, error) {
 	r := &reference{structs: map[string]*ast.StructType{}, notes: map[string]string{}, uses: map[string]string{}}
-	for _, file := range []string{"settings.go", "defaults.go"} {
+	for _, file := range []string{"settings.go", "defaults.go", "node.go"} {
 		if err := r.read(file); err != nil {
 			return "", err
 		}
 	}
-	r.out.WriteString("| setting | default | bounds | meaning |\n| --- | --- | --- | --- |\n")
+	r.out.WriteString(tableHead)
 	r.rows("", "Settings", reflect.ValueOf(New()).Elem())
+	r.out.WriteString("\n## The roles gateway and control\n\nOne file a process, `weldstreamd ROLE -settings FILE`.\n\n" + tableHead)
+	r.rows("", "Node", reflect.ValueOf(NewNode()).Elem())
 	return r.out.String(), nil
 }
 
+const tableHead = "| setting | default | bounds | meaning |\n| --- | --- | --- | --- |\n"
+
 // reference gathers what the sources say.
 type reference struct {
 	structs map[string]*ast.StructType
@@ -137,6 +141,8 @@
 			parts = append(parts, "length "+value)
 		case "oneof":
 			parts = append(parts, "one of "+value)
+		case "ip":
+			parts = append(parts, "IP")
 		case "ipport":
 			parts = append(parts, "IP:port")
 		case "required":
--- a/transport/backend/backend.go
+++ b/transport/backend/backend.go
@@ -80,12 +80,12 @@
 		}
 		return false, c.Head(resp)
 	}
-	sent := make(chan error, 1)
-	go func() { sent <- c.send(req) }()
+	sent := make(chan bool, 1)
+	go func() { sent <- c.send(req) == nil }()
 	err = c.Head(resp)
 	select {
-	case failed := <-sent:
-		return failed != nil, err
+	case whole := <-sent:
+		return !whole, err
 	default:
 	}
 	if err == nil {
@@ -94,7 +94,7 @@
 	} else {
 		c.Close()
 	}
-	_ = <-sent // The request must not be used any more when this returns.
+	<-sent // The request must not be used any more when this returns.
 	return true, err
 }
 
