The leader places long prompts; all gateways part long from short alike

The leader now keeps a ledger of where the long prompts of all gateways are, and places each where it holds up the fewest streams, with what the servers hold of its prefix; its speed of reading is learned. Without an answer in 60 ms a gateway chooses as before. The lanes are agreed: gateways that each drew the line by themselves sent both kinds to the servers at the boundary (102 short and 4 long prompts on one).

--- a/cmd/weldstreamd/gateway.go
+++ b/cmd/weldstreamd/gateway.go
@@ -93,7 +93,8 @@
 		RetryWindow: n.Bounds.RetryWindow,
 		UsageWindow: n.Bounds.UsageWindow,
 		UsageDue:    n.Bounds.UsageDue,
-	}, platform.Dialect{}, forward.WithLogger(r.log), forward.WithRegistry(r.registry), forward.WithHurry(func() { g.client.Hurry() }))
+	}, platform.Dialect{}, forward.WithLogger(r.log), forward.WithRegistry(r.registry), forward.WithHurry(func() { g.client.Hurry() }),
+		forward.WithPlace(func(m protocol.PlaceMsg) (protocol.PlaceReply, bool) { return g.client.Place(m) }))
 	g.server = caller.NewServer(g.forward)
 	seeds, err := r.peersOfSeeds(n)
 	if err != nil {
--- a/coordination/place/cell.go
+++ b/coordination/place/cell.go
@@ -103,6 +103,13 @@
 	return c.own
 }
 
+// Suspect reports whether the server failed lately and is to be passed over.
+func (c *Cell) Suspect(now time.Time) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return now.Before(c.until)
+}
+
 // load estimates how many requests the server has, tells the part of its latest
 // requests that failed, and reports whether it is to be passed over. What it told
 // of its load fades as it grows old.
--- a/coordination/place/lane.go
+++ b/coordination/place/lane.go
@@ -17,6 +17,8 @@
 	laneWeight = 0.01
 	// laneLeast prompts are seen before any lanes are made.
 	laneLeast = 30
+	// laneTrust prompts of one gateway are enough to count in full.
+	laneTrust = 200
 	// leastShare and mostShare bound the part of the tokens in long prompts for
 	// which lanes are worth it.
 	leastShare, mostShare = 0.15, 0.9
@@ -27,28 +29,76 @@
 // the same lanes without talking.
 type Lanes struct {
 	seen int
-	mean float64 // mean is in tokens.
-	long float64 // long are the tokens of a mean prompt that are in long ones.
+	mean float64 // mean is a prompt's length in tokens.
+	read float64 // read are the tokens of a mean prompt that a server has to read.
+	long float64 // long are those of them that are in long prompts.
+
+	// agreed are those of all gateways, if they were told.
+	agreed LaneTerms
+}
+
+// LaneTerms say which prompts of a service are long, and how much of all tokens
+// they have. Seen is how many prompts they rest on.
+type LaneTerms struct {
+	Mean  float64
+	Share float64
+	Seen  int
+}
+
+// Own returns what this gateway has seen by itself.
+func (l *Lanes) Own() LaneTerms {
+	t := LaneTerms{Mean: l.mean, Seen: l.seen}
+	if l.read > 0 {
+		t.Share = l.long / l.read
+	}
+	return t
+}
+
+// Agree takes the terms of all gateways, so that all make the same lanes.
+func (l *Lanes) Agree(t LaneTerms) { l.agreed = t }
+
+// Mean returns the terms of several gateways, each by the prompts it has seen.
+func Mean(terms []LaneTerms) LaneTerms {
+	var sum LaneTerms
+	for _, t := range terms {
+		n := float64(min(t.Seen, laneTrust))
+		sum.Mean += t.Mean * n
+		sum.Share += t.Share * n
+		sum.Seen += int(n)
+	}
+	if sum.Seen > 0 {
+		sum.Mean /= float64(sum.Seen)
+		sum.Share /= float64(sum.Seen)
+	}
+	return sum
 }
 
-// Observe notes a prompt and returns its lane and the part of the servers that
-// the long lane has.
-func (l *Lanes) Observe(tokens int) (lane Lane, share float64) {
+// heldPart of the parts that requests share are taken to be held by the server.
+const heldPart = 0.7
+
+// Observe notes a prompt, with how many of its tokens other requests may share,
+// and returns its lane and the part of the servers that the long lane has.
+func (l *Lanes) Observe(tokens, shared int) (lane Lane, share float64) {
 	if tokens <= 0 {
 		return LaneAny, 0
 	}
 	weight := max(laneWeight, 1/float64(l.seen+1))
 	l.seen++
-	isLong := float64(tokens) > l.mean
+	isLong := float64(tokens) > l.threshold()
 	l.mean += weight * (float64(tokens) - l.mean)
-	part := 0.0
+	read, part := max(0, float64(tokens)-heldPart*float64(shared)), 0.0
 	if isLong {
-		part = float64(tokens)
+		part = read
 	}
+	l.read += weight * (read - l.read)
 	l.long += weight * (part - l.long)
-	share = l.long / l.mean
+	seen := l.seen
+	share = l.Own().Share
+	if l.agreed.Seen > 0 {
+		share, seen = l.agreed.Share, l.agreed.Seen
+	}
 	switch {
-	case l.seen < laneLeast || share < leastShare || share > mostShare:
+	case seen < laneLeast || share < leastShare || share > mostShare:
 		return LaneAny, share
 	case isLong:
 		return LaneLong, share
@@ -56,6 +106,14 @@
 	return LaneShort, share
 }
 
+// threshold is the length above which a prompt is long.
+func (l *Lanes) threshold() float64 {
+	if l.agreed.Seen > 0 {
+		return l.agreed.Mean
+	}
+	return l.mean
+}
+
 // Size returns a prompt's length as a multiple of the mean one.
 func (l *Lanes) Size(tokens int) float64 {
 	if l.mean <= 0 {
--- /dev/null
+++ b/coordination/place/ledger.go
@@ -0,0 +1,267 @@
+package place
+
+import (
+	"maps"
+	"math"
+	"slices"
+	"time"
+)
+
+// PlaceMsg asks for a server for a long prompt.
+type PlaceMsg struct {
+	Service string
+	Prompt  int    // Prompt is its length in tokens.
+	Shared  int    // Shared are the tokens of its parts that other requests may share.
+	Answer  int    // Answer is the most tokens of the answer.
+	Prefix  uint64 // Prefix is the hash of the shared parts.
+	Domain  string
+	Avoid   []string
+	Share   float64       // Share is the part of the servers that the long lane has.
+	Target  time.Duration // Target is when the first event is in time.
+	Gap     time.Duration // Gap is the longest pause between events in time.
+}
+
+// Placed is a place that was given. Its number is named when the request ends.
+type Placed struct {
+	Server string
+	Number uint64
+}
+
+// DoneMsg tells how long a placed request took.
+type DoneMsg struct {
+	Number uint64
+	First  time.Duration // First is until its first event; 0 if none came.
+	Took   time.Duration
+}
+
+// Ledger places the long prompts of all gateways. A server that reads a long
+// prompt holds up every stream that it runs, so where the others are is what
+// matters most, and gateways that each know their own part cannot tell. The
+// leader of the control role keeps one ledger; a gateway that gets no answer
+// from it at once chooses by itself.
+type Ledger struct {
+	servers map[string]*book
+	placed  map[uint64]*stay
+	number  uint64
+	speed   float64 // speed is in tokens read a millisecond, learned.
+	pace    float64 // pace is in milliseconds a token of the answer, learned.
+}
+
+// book is what is known of one server.
+type book struct {
+	readUntil time.Time            // readUntil is when it has read all that was placed.
+	stays     map[uint64]*stay     // stays are the requests that are there.
+	prefixes  map[uint64]time.Time // prefixes are those read there, by when.
+}
+
+// stay is one request at a server.
+type stay struct {
+	server string
+	reads  time.Time // reads is when its prompt is read, as far as can be told.
+	ends   time.Time // ends is when it ends, as far as can be told.
+	tokens int       // tokens are those to read.
+	answer int
+	alone  bool // alone says that nothing else was to be read before it.
+}
+
+const (
+	firstSpeed = 40.0
+	firstPace  = 8.0
+	// learnWeight is the weight of the latest request. What seems faster weighs
+	// less: the server may have held more of the prompt than is known here.
+	learnWeight = 0.1
+	fasterPart  = 0.15
+	// gapPart of the longest pause is what reading may take without holding a
+	// stream up for too long.
+	gapPart = 0.8
+	// prefixKept is how long a prefix is taken to be held, and prefixMost how many
+	// of a server.
+	prefixKept = 30 * time.Second
+	prefixMost = 128
+	// These weigh against one stream that is held up: a late first event, a first
+	// event at its target, a request that is there, and the own domain.
+	lateCost = 2.0
+	waitCost = 0.5
+	stayCost = 0.1
+	nearGain = 0.05
+	// readCost is that of a prompt all of which could have been held elsewhere.
+	readCost = 0.8
+)
+
+// NewLedger returns an empty ledger.
+func NewLedger() *Ledger {
+	return &Ledger{servers: map[string]*book{}, placed: map[uint64]*stay{}, speed: firstSpeed, pace: firstPace}
+}
+
+// Place returns a server for a long prompt, or false where there is none.
+func (l *Ledger) Place(v *View, m PlaceMsg, now time.Time) (Placed, bool) {
+	l.forget(now)
+	rows := inLane(v, candidates(v, ChooseMsg{Service: m.Service, Avoid: m.Avoid, Now: now}), ChooseMsg{Lane: LaneLong, Share: m.Share})
+	best, least := -1, math.Inf(1)
+	for _, r := range rows {
+		if cost := l.cost(&v.Servers[r.index], m, now); cost < least {
+			best, least = r.index, cost
+		}
+	}
+	if best < 0 {
+		return Placed{}, false
+	}
+	return l.enter(v.Servers[best].ID, m, now), true
+}
+
+func (l *Ledger) book(server string) *book {
+	b := l.servers[server]
+	if b == nil {
+		b = &book{stays: map[uint64]*stay{}, prefixes: map[uint64]time.Time{}}
+		l.servers[server] = b
+	}
+	return b
+}
+
+// uncached is how many tokens a server has to read of a prompt.
+func (b *book) uncached(m PlaceMsg, now time.Time) int {
+	if b.holds(m.Prefix, now) {
+		return max(1, m.Prompt-m.Shared)
+	}
+	return m.Prompt
+}
+
+// holds reports whether the server has read a prefix lately.
+func (b *book) holds(prefix uint64, now time.Time) bool {
+	at, ok := b.prefixes[prefix]
+	return ok && prefix != 0 && now.Sub(at) < prefixKept
+}
+
+func (l *Ledger) reading(tokens int) time.Duration {
+	return time.Duration(float64(tokens) / l.speed * float64(time.Millisecond))
+}
+
+// cost is what placing a prompt at a server costs, in streams held up.
+func (l *Ledger) cost(s *Server, m PlaceMsg, now time.Time) float64 {
+	b := l.book(s.ID)
+	wait := max(0, b.readUntil.Sub(now))
+	read := l.reading(b.uncached(m, now))
+	limit := time.Duration(gapPart * float64(m.Gap))
+	if m.Gap <= 0 {
+		limit = m.Target
+	}
+	stalls, held := read > limit, 0
+	for _, st := range b.stays {
+		// One that runs is held up for the whole block, one that waits before this
+		// prompt for its reading alone.
+		if block := wait + read; !st.reads.After(now) {
+			if block > limit && wait <= limit {
+				held++
+			}
+		} else if stalls {
+			held++
+		}
+	}
+	cost := float64(held)
+	if m.Target > 0 {
+		cost += waitCost * float64(wait+read) / float64(m.Target)
+		if wait+read > m.Target {
+			cost += lateCost
+		}
+	}
+	cost += stayCost * float64(len(b.stays))
+	if m.Prompt > 0 && !b.holds(m.Prefix, now) {
+		cost += readCost * float64(m.Shared) / float64(m.Prompt)
+	}
+	if s.Domain == m.Domain {
+		cost -= nearGain
+	}
+	return cost
+}
+
+// enter notes a request at a server.
+func (l *Ledger) enter(server string, m PlaceMsg, now time.Time) Placed {
+	b := l.book(server)
+	tokens := b.uncached(m, now)
+	alone := !b.readUntil.After(now)
+	from := now
+	if !alone {
+		from = b.readUntil
+	}
+	b.readUntil = from.Add(l.reading(tokens))
+	l.number++
+	st := &stay{server: server, reads: b.readUntil, tokens: tokens, answer: m.Answer, alone: alone}
+	st.ends = st.reads.Add(time.Duration(l.pace * float64(m.Answer) * float64(time.Millisecond)))
+	b.stays[l.number], l.placed[l.number] = st, st
+	b.keep(m.Prefix, now)
+	return Placed{Server: server, Number: l.number}
+}
+
+// keep notes a prefix that is read at the server.
+func (b *book) keep(prefix uint64, now time.Time) {
+	if prefix == 0 {
+		return
+	}
+	b.prefixes[prefix] = now
+	if len(b.prefixes) <= prefixMost {
+		return
+	}
+	oldest, at := uint64(0), now
+	for p, t := range b.prefixes {
+		if t.Before(at) {
+			oldest, at = p, t
+		}
+	}
+	delete(b.prefixes, oldest)
+}
+
+// Done notes that a placed request ended, and learns from how long it took.
+func (l *Ledger) Done(m DoneMsg) {
+	st := l.placed[m.Number]
+	if st == nil {
+		return
+	}
+	l.drop(m.Number, st)
+	if m.First <= 0 || !st.alone {
+		return
+	}
+	if first := float64(m.First) / float64(time.Millisecond); first > 1 {
+		l.speed += learned(float64(st.tokens)/first - l.speed)
+	}
+	if st.answer > 0 {
+		rest := float64(m.Took-m.First) / float64(time.Millisecond)
+		l.pace += learnWeight * (rest/float64(st.answer) - l.pace)
+	}
+}
+
+// learned is the step that one observation makes.
+func learned(diff float64) float64 {
+	if diff > 0 {
+		return learnWeight * fasterPart * diff
+	}
+	return learnWeight * diff
+}
+
+func (l *Ledger) drop(number uint64, st *stay) {
+	delete(l.placed, number)
+	delete(l.servers[st.server].stays, number)
+}
+
+// forgetAfter its expected end a request whose end was never told is dropped.
+const forgetAfter = 2 * time.Second
+
+func (l *Ledger) forget(now time.Time) {
+	for number, st := range l.placed {
+		if now.Sub(st.ends) > forgetAfter {
+			l.drop(number, st)
+		}
+	}
+}
+
+// Keep drops the servers that are not listed any more.
+func (l *Ledger) Keep(v *View) {
+	for id, b := range l.servers {
+		if v.Find(id) != nil {
+			continue
+		}
+		for _, number := range slices.Collect(maps.Keys(b.stays)) {
+			delete(l.placed, number)
+		}
+		delete(l.servers, id)
+	}
+}
--- a/coordination/place/place_test.go
+++ b/coordination/place/place_test.go
@@ -173,14 +173,14 @@
 			tokens = 12_000
 		}
 		var lane Lane
-		lane, share = l.Observe(tokens)
+		lane, share = l.Observe(tokens, 0)
 		if i > 100 {
 			lanes[lane]++
 			if (tokens > 800) != (lane == LaneLong) {
 				t.Fatalf("%d tokens came into lane %d", tokens, lane)
 			}
 		}
-		if lane, _ := even.Observe(1000); lane != LaneAny {
+		if lane, _ := even.Observe(1000, 0); lane != LaneAny {
 			t.Fatalf("prompts of one size came into lane %d", lane)
 		}
 	}
--- a/protocol/catalog.go
+++ b/protocol/catalog.go
@@ -108,6 +108,16 @@
 	Tokens int
 }
 
+// SharedTokens are the tokens of the prompt's parts that other requests may
+// share: all but the last.
+func (c *Call) SharedTokens() int {
+	n := 0
+	for i := 0; i+1 < len(c.Prefix); i++ {
+		n += c.Prefix[i].Tokens
+	}
+	return n
+}
+
 // Cost is what the call takes from a workspace's quota.
 func (c *Call) Cost(w *Tenancy) float64 {
 	switch {
--- a/protocol/uplink.go
+++ b/protocol/uplink.go
@@ -14,6 +14,38 @@
 	Usage    []UsageRow
 	Wants    []QuotaWant
 	Pressure []Pressure
+	Done     []PlaceDone
+}
+
+// PlaceMsg asks for a server for a long prompt; see place.PlaceMsg.
+type PlaceMsg struct {
+	Gateway string
+	Service string
+	Prompt  int
+	Shared  int
+	Answer  int
+	Prefix  uint64
+	Domain  string
+	Avoid   []string
+	Share   float64
+	Target  time.Duration
+	Gap     time.Duration
+}
+
+// PlaceReply names a server, empty where none was found or this instance does
+// not lead.
+type PlaceReply struct {
+	Server string
+	Term   uint64
+	Number uint64
+}
+
+// PlaceDone tells that a placed request ended.
+type PlaceDone struct {
+	Term   uint64
+	Number uint64
+	First  time.Duration
+	Took   time.Duration
 }
 
 // UsageRow counts requests that began to run, since the gateway's start.
@@ -39,6 +71,20 @@
 	Begun   int64   // Begun counts answers that began, since the gateway's start.
 	Slow    int64   // Slow counts those of them that used up much of their target.
 	Work    float64 // Work is the mean number running over the last second.
+	Lanes   LaneTerms
+}
+
+// LaneTerms say which prompts of a service are long; see place.LaneTerms.
+type LaneTerms struct {
+	Mean  float64
+	Share float64
+	Seen  int
+}
+
+// ServiceLanes are the terms that all gateways keep to.
+type ServiceLanes struct {
+	Service string
+	Terms   LaneTerms
 }
 
 // SyncReply is the control role's answer. Leads is false from one that cannot
@@ -56,6 +102,7 @@
 	Listed   bool       // Listed says that Servers is set; the list may be empty.
 	Gateways int        // Gateways are how many synchronized lately.
 	Grants   []QuotaGrant
+	Lanes    []ServiceLanes
 }
 
 // QuotaGrant is a part of a workspace's quota, for one gateway.
--- a/transport/control/uplink.go
+++ b/transport/control/uplink.go
@@ -9,6 +9,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"github.com/weldstream/weldstream/coordination/place"
 	"github.com/weldstream/weldstream/coordination/quota"
 	"github.com/weldstream/weldstream/coordination/usage"
 	"github.com/weldstream/weldstream/protocol"
@@ -36,6 +37,8 @@
 	gateways map[string]*gateway
 	quotas   *quota.Coordinator
 	ledger   *usage.Ledger
+	view     *place.View
+	places   *place.Ledger
 }
 
 // gateway is what a gateway told last.
@@ -60,6 +63,7 @@
 	u.quotas = quota.NewCoordinator(u.quota)
 	u.ledger = usage.NewLedger()
 	u.listed, u.servers = false, nil
+	u.view, u.places = nil, place.NewLedger()
 	if u.catalog != nil {
 		u.quotas.Configure(u.catalog.Workspaces, time.Now())
 	}
@@ -111,6 +115,11 @@
 	u.enter(term)
 	u.gateways[m.Gateway] = &gateway{at: now, pressure: m.Pressure}
 	u.ledger.Take(m.Gateway, m.Life, m.Usage)
+	for _, d := range m.Done {
+		if d.Term == term {
+			u.places.Done(place.DoneMsg{Number: d.Number, First: d.First, Took: d.Took})
+		}
+	}
 	reply.Term = term
 	reply.Number = u.number
 	if u.number > m.Number {
@@ -120,6 +129,7 @@
 		reply.Listed, reply.Lister, reply.Version, reply.Servers = true, u.lister, u.version, u.servers
 	}
 	reply.Gateways = u.alive(now)
+	reply.Lanes = u.lanes()
 	for _, want := range m.Wants {
 		reply.Grants = append(reply.Grants, u.quotas.Grant(want, now))
 	}
@@ -129,6 +139,37 @@
 	return nil
 }
 
+// Place finds a server for a long prompt, in the knowledge of those of all
+// gateways.
+func (u *Uplink) Place(m protocol.PlaceMsg, reply *protocol.PlaceReply) error {
+	term, ok := u.group.Vouches()
+	if !ok {
+		return nil
+	}
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.enter(term)
+	if u.view == nil {
+		return nil
+	}
+	placed, ok := u.places.Place(u.view, place.PlaceMsg{
+		Service: m.Service,
+		Prompt:  m.Prompt,
+		Shared:  m.Shared,
+		Answer:  m.Answer,
+		Prefix:  m.Prefix,
+		Domain:  m.Domain,
+		Avoid:   m.Avoid,
+		Share:   m.Share,
+		Target:  m.Target,
+		Gap:     m.Gap,
+	}, time.Now())
+	if ok {
+		reply.Server, reply.Term, reply.Number = placed.Server, term, placed.Number
+	}
+	return nil
+}
+
 // alive counts the gateways that asked lately. It needs u.mu.
 func (u *Uplink) alive(now time.Time) int {
 	for name, g := range u.gateways {
@@ -149,6 +190,8 @@
 		return
 	}
 	u.lister, u.servers, u.listed = term, list, true
+	u.view = place.NewView(list, u.view)
+	u.places.Keep(u.view)
 	u.version++
 }
 
@@ -168,6 +211,23 @@
 	return true
 }
 
+// lanes returns the terms of all gateways together, by service. It needs u.mu.
+func (u *Uplink) lanes() []protocol.ServiceLanes {
+	terms := map[string][]place.LaneTerms{}
+	for _, g := range u.gateways {
+		for _, p := range g.pressure {
+			if p.Lanes.Seen > 0 {
+				terms[p.Service] = append(terms[p.Service], place.LaneTerms(p.Lanes))
+			}
+		}
+	}
+	rows := make([]protocol.ServiceLanes, 0, len(terms))
+	for name, list := range terms {
+		rows = append(rows, protocol.ServiceLanes{Service: name, Terms: protocol.LaneTerms(place.Mean(list))})
+	}
+	return rows
+}
+
 // Load is what the gateways' requests ask of one service.
 type Load struct {
 	Work    float64
--- a/transport/forward/attempt.go
+++ b/transport/forward/attempt.go
@@ -37,6 +37,7 @@
 // attempt sends the request to a server. It returns nil when the request is
 // answered, errAgain when another attempt is to follow.
 func (x *exchange) attempt() *protocol.Refusal {
+	x.ended()
 	server, refusal := x.choose()
 	if refusal != nil {
 		if x.state.MayHaveRun {
@@ -277,5 +278,5 @@
 	x.g.meters.answered.Inc(1)
 	x.g.meters.first.Update(x.first)
 	x.log.Info().Str("outcome", "answered").Str("server", x.server).Int("status", x.resp.StatusCode()).Int("resent", x.state.Sent).
-		Uint64("number", x.index.Number).Dur("first", x.first).Dur("gap", x.gap).Dur("after", time.Since(x.start)).Msg("request")
+		Uint64("number", x.index.Number).Int("tokens", x.call.PromptTokens).Dur("first", x.first).Dur("gap", x.gap).Dur("after", time.Since(x.start)).Msg("request")
 }
--- a/transport/forward/exchange.go
+++ b/transport/forward/exchange.go
@@ -38,6 +38,7 @@
 	start     time.Time
 	deadline  time.Time
 
+	placed protocol.PlaceReply // placed is the place that the leader gave for the current attempt.
 	state  resend.State
 	avoid  []string
 	events events
@@ -65,6 +66,7 @@
 
 func (x *exchange) release() {
 	x.cancel()
+	x.ended()
 	fasthttp.ReleaseRequest(x.out)
 	fasthttp.ReleaseResponse(x.resp)
 }
@@ -187,9 +189,42 @@
 	_ = x.answer.Whole(resp) // A caller that is gone takes no answer.
 }
 
+// leaderPlace asks the leader for a server for a long prompt.
+func (x *exchange) leaderPlace(view *place.View) *place.Server {
+	if x.lane != place.LaneLong {
+		return nil
+	}
+	reply, ok := x.g.place(protocol.PlaceMsg{
+		Gateway: x.g.cfg.Name,
+		Service: x.service,
+		Prompt:  x.call.PromptTokens,
+		Shared:  x.call.SharedTokens(),
+		Answer:  x.call.AnswerTokens,
+		Prefix:  x.prefix,
+		Domain:  x.g.cfg.Domain,
+		Avoid:   x.avoid,
+		Share:   x.share,
+		Target:  x.route.Target,
+		Gap:     x.route.TargetGap,
+	})
+	if !ok {
+		return nil
+	}
+	x.placed = reply
+	s := view.Find(reply.Server)
+	if s == nil || s.Leaving || s.Cell.Suspect(time.Now()) {
+		x.ended()
+		return nil
+	}
+	return s
+}
+
 // choose returns a server to send to.
 func (x *exchange) choose() (*place.Server, *protocol.Refusal) {
 	view := x.g.view.Load()
+	if s := x.leaderPlace(view); s != nil {
+		return s, nil
+	}
 	m := place.ChooseMsg{
 		Service: x.service,
 		Prefix:  x.prefix,
--- a/transport/forward/forward.go
+++ b/transport/forward/forward.go
@@ -55,6 +55,7 @@
 	meters  *meters
 	pool    *backend.Pool
 	hurry   func() // hurry has the control role asked at once.
+	place   func(protocol.PlaceMsg) (protocol.PlaceReply, bool)
 
 	index     atomic.Pointer[Index]
 	view      atomic.Pointer[place.View]
@@ -69,6 +70,7 @@
 	shares   map[string]*retry.Share
 	counter  *usage.Counter
 	pressure map[string]*pressure
+	done     []protocol.PlaceDone // done are placed requests whose end is to be told.
 }
 
 // Option changes a new gateway.
@@ -83,6 +85,12 @@
 // WithHurry sets what has the control role asked at once.
 func WithHurry(f func()) Option { return func(g *Gateway) { g.hurry = f } }
 
+// WithPlace sets what finds a server for a long prompt; without it the gateway
+// chooses by itself.
+func WithPlace(f func(protocol.PlaceMsg) (protocol.PlaceReply, bool)) Option {
+	return func(g *Gateway) { g.place = f }
+}
+
 // dialTime is how long a connect to a backend server may take.
 const dialTime = 400 * time.Millisecond
 
@@ -94,6 +102,7 @@
 		log:      zerolog.Nop(),
 		pool:     backend.NewPool(dialTime),
 		hurry:    func() {},
+		place:    func(protocol.PlaceMsg) (protocol.PlaceReply, bool) { return protocol.PlaceReply{}, false },
 		began:    time.Now(),
 		purse:    quota.NewPurse(),
 		granted:  make(chan struct{}),
--- a/transport/forward/limits.go
+++ b/transport/forward/limits.go
@@ -62,7 +62,7 @@
 	p := g.service(x.service)
 	p.arrived++
 	g.share(x.service, now).Request(now)
-	x.lane, x.share = p.lanes.Observe(x.call.PromptTokens)
+	x.lane, x.share = p.lanes.Observe(x.call.PromptTokens, x.call.SharedTokens())
 	x.size = p.lanes.Size(x.call.PromptTokens)
 }
 
@@ -157,10 +157,11 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := time.Now()
-	m := protocol.SyncMsg{Gateway: g.cfg.Name, Number: g.Number(), Usage: g.counter.Rows(term, now), Wants: g.purse.Wants(now)}
+	m := protocol.SyncMsg{Gateway: g.cfg.Name, Number: g.Number(), Usage: g.counter.Rows(term, now), Wants: g.purse.Wants(now), Done: g.done}
+	g.done = nil // One that is lost is forgotten by the leader in time.
 	for name, p := range g.pressure {
 		p.average(now)
-		m.Pressure = append(m.Pressure, protocol.Pressure{Service: name, Running: p.running, Refused: p.refused, Arrived: p.arrived, Begun: p.begun, Slow: p.slow, Work: p.work})
+		m.Pressure = append(m.Pressure, protocol.Pressure{Service: name, Running: p.running, Refused: p.refused, Arrived: p.arrived, Begun: p.begun, Slow: p.slow, Work: p.work, Lanes: protocol.LaneTerms(p.lanes.Own())})
 	}
 	return m
 }
@@ -177,3 +178,23 @@
 	close(g.granted)
 	g.granted = make(chan struct{})
 }
+
+// ended tells the leader that a placed request ended.
+func (x *exchange) ended() {
+	if x.placed.Server == "" {
+		return
+	}
+	x.g.mu.Lock()
+	defer x.g.mu.Unlock()
+	x.g.done = append(x.g.done, protocol.PlaceDone{Term: x.placed.Term, Number: x.placed.Number, First: x.first, Took: time.Since(x.start)})
+	x.placed = protocol.PlaceReply{}
+}
+
+// Agree takes the terms by which all gateways part long prompts from short ones.
+func (g *Gateway) Agree(lanes []protocol.ServiceLanes) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, l := range lanes {
+		g.service(l.Service).lanes.Agree(place.LaneTerms(l.Terms))
+	}
+}
--- a/transport/uplink/uplink.go
+++ b/transport/uplink/uplink.go
@@ -37,6 +37,8 @@
 	Document(number uint64, data []byte) error
 	// SetServers takes the list of backend servers.
 	SetServers(list []protocol.Instance)
+	// Agree takes the terms by which all gateways part long prompts from short ones.
+	Agree(lanes []protocol.ServiceLanes)
 	// Confirm notes that the document in force was the newest at a time.
 	Confirm(at time.Time, gateways int)
 }
@@ -62,8 +64,9 @@
 	life    uint64
 	hurry   chan struct{}
 
-	mu    sync.Mutex // mu guards seeds.
-	seeds []string
+	mu     sync.Mutex // mu guards seeds and leader.
+	seeds  []string
+	leader string // leader is the target while it leads, for calls beside the loop.
 
 	// The loop's own.
 	target   string
@@ -171,10 +174,12 @@
 	}
 	c.gateway.Confirm(asked, reply.Gateways)
 	c.gateway.Told(m, reply.Term, reply.Grants, asked)
+	c.gateway.Agree(reply.Lanes)
 	if !c.linked || c.term != reply.Term || c.target != address {
 		c.log.Info().Str("leader", address).Uint64("term", reply.Term).Uint64("number", reply.Number).Int("gateways", reply.Gateways).Msg("linked to the leader")
 	}
 	c.linked, c.target, c.term, c.gateways = true, address, reply.Term, reply.Gateways
+	c.lead(address)
 	return true
 }
 
@@ -184,6 +189,31 @@
 		c.log.Warn().Str("leader", address).Str("reason", reason).Msg("link to the leader lost")
 	}
 	c.linked, c.target = false, ""
+	c.lead("")
+}
+
+func (c *Client) lead(address string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.leader = address
+}
+
+// placeTime bounds the question for a place: a gateway that gets no answer in
+// that time chooses by itself.
+const placeTime = 60 * time.Millisecond
+
+// Place asks the leader for a server for a long prompt. It returns false where
+// there is no leader or no answer in time.
+func (c *Client) Place(m protocol.PlaceMsg) (protocol.PlaceReply, bool) {
+	c.mu.Lock()
+	leader := c.leader
+	c.mu.Unlock()
+	if leader == "" {
+		return protocol.PlaceReply{}, false
+	}
+	var reply protocol.PlaceReply
+	err := c.caller.Call(leader, "Uplink.Place", m, &reply, placeTime)
+	return reply, err == nil && reply.Server != ""
 }
 
 // learn notes control instances that were told of.
