Usage counts outlast a loss of power everywhere

The leader now logs the counts each 0.4 s, by life of each gateway, and the next leader recalls them; a gateway that lives tells more, one that was started anew adds its own. Gateways tell theirs each 150 ms instead of 250. TestCountsOutlastAll, TestTallies.

--- a/coordination/usage/usage.go
+++ b/coordination/usage/usage.go
@@ -93,6 +93,14 @@
 // Ledger adds up the counts of all gateways.
 type Ledger struct {
 	windows map[int64]map[source]map[string]int64
+	changed map[change]bool // changed are counts that were not logged yet.
+}
+
+// change names a count of a ledger.
+type change struct {
+	window    int64
+	from      source
+	workspace string
 }
 
 // source is one life of one gateway.
@@ -102,7 +110,9 @@
 }
 
 // NewLedger returns an empty ledger.
-func NewLedger() *Ledger { return &Ledger{windows: map[int64]map[source]map[string]int64{}} }
+func NewLedger() *Ledger {
+	return &Ledger{windows: map[int64]map[source]map[string]int64{}, changed: map[change]bool{}}
+}
 
 // Take notes the counts of a gateway. Counts only rise, so an old message
 // changes nothing.
@@ -117,10 +127,32 @@
 		if w[from] == nil {
 			w[from] = map[string]int64{}
 		}
-		w[from][r.Workspace] = max(w[from][r.Workspace], r.Count)
+		if r.Count <= w[from][r.Workspace] {
+			continue
+		}
+		w[from][r.Workspace] = r.Count
+		l.changed[change{r.Window, from, r.Workspace}] = true
 	}
 }
 
+// Changes returns the counts that changed since the last call, to be logged.
+func (l *Ledger) Changes() []protocol.TallyRow {
+	rows := make([]protocol.TallyRow, 0, len(l.changed))
+	for c := range l.changed {
+		rows = append(rows, protocol.TallyRow{Gateway: c.from.gateway, Life: c.from.life, Window: c.window, Workspace: c.workspace, Count: l.windows[c.window][c.from][c.workspace]})
+	}
+	clear(l.changed)
+	return rows
+}
+
+// Recall takes counts that were logged.
+func (l *Ledger) Recall(rows []protocol.TallyRow) {
+	for _, r := range rows {
+		l.Take(r.Gateway, r.Life, []protocol.UsageRow{{Window: r.Window, Workspace: r.Workspace, Count: r.Count}})
+	}
+	clear(l.changed)
+}
+
 // Total returns a window's counts by workspace.
 func (l *Ledger) Total(window int64) map[string]int64 {
 	total := map[string]int64{}
@@ -139,4 +171,9 @@
 			delete(l.windows, w)
 		}
 	}
+	for c := range l.changed {
+		if c.window < before {
+			delete(l.changed, c)
+		}
+	}
 }
--- a/protocol/claim.go
+++ b/protocol/claim.go
@@ -110,6 +110,7 @@
 	Settle   *SettleMsg   `json:"settle,omitempty"`
 	Base     *BaseMsg     `json:"base,omitempty"`
 	Hold     *HoldMsg     `json:"hold,omitempty"`
+	Tally    *TallyMsg    `json:"tally,omitempty"`
 }
 
 // Result is what a command came to.
@@ -121,6 +122,7 @@
 	Settle *SettleReply `json:"settle,omitempty"`
 	Base   *BaseReply   `json:"base,omitempty"`
 	Hold   *HoldReply   `json:"hold,omitempty"`
+	Tally  *TallyReply  `json:"tally,omitempty"`
 }
 
 // Millis returns a time as the log carries it.
--- a/protocol/uplink.go
+++ b/protocol/uplink.go
@@ -132,6 +132,26 @@
 	Sent   bool             `json:"sent,omitempty"` // Sent says that the platform has taken the report.
 }
 
+// TallyRow is the count of one life of a gateway.
+type TallyRow struct {
+	Gateway   string `json:"g"`
+	Life      uint64 `json:"l"`
+	Window    int64  `json:"w"`
+	Workspace string `json:"s"`
+	Count     int64  `json:"n"`
+}
+
+// TallyMsg keeps counts that are not settled yet, so that they outlast a loss of
+// power everywhere.
+type TallyMsg struct {
+	Rows []TallyRow `json:"rows"`
+}
+
+// TallyReply returns all counts that are kept, where none were given.
+type TallyReply struct {
+	Rows []TallyRow `json:"rows"`
+}
+
 // HoldMsg names the holder of the duties and its fencing token. It is committed
 // before the holder's first call.
 type HoldMsg struct {
--- a/settings/node.go
+++ b/settings/node.go
@@ -88,7 +88,7 @@
 			UsageWindow: DefaultUsageWindow,
 			UsageDue:    DefaultUsageDue,
 		},
-		Replication: Replica{Election: DefaultNodeElection, Heartbeat: DefaultNodeBeat, SnapshotEntries: DefaultSnapshotEntries, ReserveBytes: DefaultNodeReserve, Batch: DefaultCommitBatch},
+		Replication: Replica{Election: DefaultNodeElection, Heartbeat: DefaultNodeBeat, SnapshotEntries: DefaultNodeSnapshot, ReserveBytes: DefaultNodeReserve, Batch: DefaultCommitBatch},
 	}
 }
 
--- a/state/document_test.go
+++ b/state/document_test.go
@@ -82,6 +82,7 @@
 	applyAll(m, put(9, "{}"),
 		protocol.Command{Settle: &protocol.SettleMsg{Window: 1, Counts: map[string]int64{"a": 1}}},
 		protocol.Command{Settle: &protocol.SettleMsg{Window: 1, Sent: true}},
+		protocol.Command{Tally: &protocol.TallyMsg{Rows: []protocol.TallyRow{{Gateway: "g", Life: 7, Window: 3, Workspace: "w", Count: 5}}}},
 		protocol.Command{Base: &protocol.BaseMsg{Service: "s", Servers: 9}},
 		protocol.Command{Hold: &protocol.HoldMsg{Holder: "a", Token: 1}},
 		protocol.Command{Hold: &protocol.HoldMsg{Holder: "b", Token: 2}})
@@ -103,3 +104,26 @@
 		t.Errorf("the window's report is %+v", got)
 	}
 }
+
+// TestTallies checks that counts only rise, outlast older ones, and go with
+// their windows.
+func TestTallies(t *testing.T) {
+	m := NewMachine()
+	tally := func(rows ...protocol.TallyRow) []protocol.TallyRow {
+		return applyAll(m, protocol.Command{Tally: &protocol.TallyMsg{Rows: rows}}).Tally.Rows
+	}
+	row := protocol.TallyRow{Gateway: "g", Life: 1, Window: 10, Workspace: "w", Count: 5}
+	older, other := row, row
+	older.Count, other.Life = 3, 2
+	tally(row, other)
+	tally(older)
+	if diff := cmp.Diff([]protocol.TallyRow{row, other}, tally()); diff != "" {
+		t.Error(diff)
+	}
+	late := row
+	late.Window += talliesKept + 1
+	tally(late)
+	if diff := cmp.Diff([]protocol.TallyRow{late}, tally()); diff != "" {
+		t.Error(diff)
+	}
+}
--- a/state/machine.go
+++ b/state/machine.go
@@ -21,6 +21,7 @@
 
 	document protocol.PutMsg // document is the opaque one that holds.
 	windows  windows
+	tallies  tallies
 	hold     protocol.HoldMsg
 	former   string         // former held the duties before the holder.
 	bases    map[string]int // bases are the servers of each service when it was first seen.
@@ -28,7 +29,7 @@
 
 // NewMachine returns the state before the first command.
 func NewMachine() *Machine {
-	return &Machine{claims: NewClaims(), windows: windows{}, bases: map[string]int{}}
+	return &Machine{claims: NewClaims(), windows: windows{}, bases: map[string]int{}, tallies: tallies{}}
 }
 
 // Apply carries out one command.
@@ -45,6 +46,8 @@
 		return protocol.Result{Claim: m.claims.Finish(c.Finish, m.now)}
 	case c.Put != nil:
 		return protocol.Result{Put: m.put(c.Put)}
+	case c.Tally != nil:
+		return protocol.Result{Tally: m.tallies.keep(c.Tally)}
 	case c.Hold != nil:
 		return protocol.Result{Hold: m.take(c.Hold)}
 	case c.Base != nil:
@@ -121,6 +124,7 @@
 
 	Document protocol.PutMsg      `json:"document"`
 	Windows  []protocol.SettleMsg `json:"windows,omitempty"`
+	Tallies  []protocol.TallyRow  `json:"tallies,omitempty"`
 	Bases    map[string]int       `json:"bases,omitempty"`
 	Hold     protocol.HoldMsg     `json:"hold"`
 	Former   string               `json:"former,omitempty"`
@@ -129,7 +133,7 @@
 // Image returns a copy of the state. Claims are never changed in place, so the
 // copy is one of pointers.
 func (m *Machine) Image() *Image {
-	return &Image{Now: m.now, Number: m.number, Config: m.config, Claims: m.claims.list(), Document: m.document, Windows: m.windows.list(), Bases: maps.Clone(m.bases), Hold: m.hold, Former: m.former}
+	return &Image{Now: m.now, Number: m.number, Config: m.config, Claims: m.claims.list(), Document: m.document, Windows: m.windows.list(), Tallies: m.tallies.list(), Bases: maps.Clone(m.bases), Hold: m.hold, Former: m.former}
 }
 
 // Encode renders the image as a snapshot.
@@ -151,6 +155,8 @@
 	}
 	m.document, m.windows, m.bases = i.Document, windows{}, map[string]int{}
 	maps.Copy(m.bases, i.Bases)
+	m.tallies = tallies{}
+	m.tallies.keep(&protocol.TallyMsg{Rows: i.Tallies})
 	m.hold, m.former = i.Hold, i.Former
 	for k := range i.Windows {
 		m.windows.settle(&i.Windows[k])
--- a/transport/control/control_test.go
+++ b/transport/control/control_test.go
@@ -261,3 +261,27 @@
 		t.Errorf("settled again: %v", rows)
 	}
 }
+
+// TestCountsOutlastAll checks that counts which were logged are still there after
+// the leader and all gateways were lost, and add to those of the gateways' next
+// lives.
+func TestCountsOutlastAll(t *testing.T) {
+	g := newFakeGroup()
+	ctx := context.Background()
+	a := newDuties(g, &fakeSource{}, "a")
+	if !a.mayAct(ctx) {
+		t.Fatal("the first holder did not act")
+	}
+	now := time.Now().UnixNano() / int64(a.limits.UsageWindow)
+	a.uplink.ledger.Take("g", 1, []protocol.UsageRow{{Window: now, Workspace: "w", Count: 40}})
+	a.tally(ctx)
+	g.set(2, true)
+	b := newDuties(g, &fakeSource{}, "a")
+	if !b.mayAct(ctx) {
+		t.Fatal("the next holder did not act")
+	}
+	b.uplink.ledger.Take("g", 2, []protocol.UsageRow{{Window: now, Workspace: "w", Count: 9}})
+	if got := b.uplink.Used(now)["w"]; got != 49 {
+		t.Errorf("counted %d, want 49", got)
+	}
+}
--- a/transport/control/duties.go
+++ b/transport/control/duties.go
@@ -45,13 +45,14 @@
 	log    zerolog.Logger
 
 	// The duty loop's own.
-	term   uint64
-	since  time.Time      // since is when this instance began to lead in the term.
-	held   bool           // held says that the log names this instance as the holder of the term.
-	former string         // former is the holder before.
-	fenced bool           // fenced says that the term's token was refused.
-	done   map[int64]bool // done are the windows whose reports were taken in this term.
-	retry  map[int64]time.Time
+	tallied time.Time // tallied is when counts were logged last.
+	term    uint64
+	since   time.Time      // since is when this instance began to lead in the term.
+	held    bool           // held says that the log names this instance as the holder of the term.
+	former  string         // former is the holder before.
+	fenced  bool           // fenced says that the term's token was refused.
+	done    map[int64]bool // done are the windows whose reports were taken in this term.
+	retry   map[int64]time.Time
 }
 
 // NewDuties returns duties that nobody carries out yet.
@@ -109,6 +110,7 @@
 func (d *Duties) RunDuties(ctx context.Context) error {
 	for ctx.Err() == nil {
 		if d.mayAct(ctx) {
+			d.tally(ctx)
 			d.report(ctx)
 			d.scale(ctx)
 		}
@@ -147,6 +149,11 @@
 	if err != nil || result.Hold == nil || result.Hold.Token != d.term {
 		return false
 	}
+	tally, err := d.group.Propose(limit, protocol.Command{Tally: &protocol.TallyMsg{}})
+	if err != nil || tally.Tally == nil {
+		return false
+	}
+	d.uplink.Recall(d.term, tally.Tally.Rows)
 	d.held, d.former = true, result.Hold.Former
 	d.log.Info().Uint64("token", d.term).Str("former", d.former).Msg("duties held")
 	return true
@@ -242,6 +249,28 @@
 	}
 }
 
+// tallyEvery is between two logged states of the counts.
+const tallyEvery = 400 * time.Millisecond
+
+// tally logs the counts that are not settled yet: a loss of power everywhere
+// takes the gateways' own.
+func (d *Duties) tally(ctx context.Context) {
+	now := time.Now()
+	if !d.limits.Usage || now.Sub(d.tallied) < tallyEvery {
+		return
+	}
+	d.tallied = now
+	rows := d.uplink.Changes(usage.Window(now, d.limits.UsageWindow) - windowsBack)
+	if len(rows) == 0 {
+		return
+	}
+	limit, cancel := context.WithTimeout(ctx, callTime)
+	defer cancel()
+	if _, err := d.group.Propose(limit, protocol.Command{Tally: &protocol.TallyMsg{Rows: rows}}); err != nil {
+		d.log.Warn().Err(err).Int("rows", len(rows)).Msg("counts not logged")
+	}
+}
+
 // settleBases has the first number of servers of each service settled in the
 // log, so that every later leader plans from the same.
 func (d *Duties) settleBases(ctx context.Context) {
--- a/transport/control/uplink.go
+++ b/transport/control/uplink.go
@@ -266,6 +266,22 @@
 	return u.ledger.Total(window)
 }
 
+// Changes returns the counts that are to be logged, and forgets old windows.
+func (u *Uplink) Changes(before int64) []protocol.TallyRow {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.ledger.Forget(before)
+	return u.ledger.Changes()
+}
+
+// Recall takes the counts that were logged up to a term.
+func (u *Uplink) Recall(term uint64, rows []protocol.TallyRow) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.enter(term)
+	u.ledger.Recall(rows)
+}
+
 // Servers returns the platform's list as it was read last, and whether it was.
 func (u *Uplink) Servers() ([]protocol.Instance, bool) {
 	u.mu.Lock()
--- a/transport/uplink/uplink.go
+++ b/transport/uplink/uplink.go
@@ -46,7 +46,7 @@
 const (
 	// every is the usual time between two questions, at the least; it grows with
 	// the number of gateways, so that the leader's load is bounded.
-	every       = 250 * time.Millisecond
+	every       = 150 * time.Millisecond
 	everyMember = 1500 * time.Microsecond
 	// callTime bounds a question to an instance that may be gone.
 	callTime = 700 * time.Millisecond
