Reclaimable servers are ordered before the first number of servers is settled

Cause: nothing was ordered until the list had stood still for 1.5 s, while all servers at the full price were paid for. Reclaimable ones are now ordered by what the list shows so far; those at the full price still stay until the number is settled.

--- a/coordination/scale/scale.go
+++ b/coordination/scale/scale.go
@@ -32,6 +32,7 @@
 	Begun   int64   // Begun counts answers that began, since the gateways' start.
 	Slow    int64   // Slow counts those of them that used up much of their target.
 	Base    int     // Base is how many servers the service had when it was first seen.
+	Guessed bool    // Guessed says that Base may still rise: only reclaimable servers are ordered then.
 }
 
 // PlanMsg asks for the orders of the moment.
@@ -120,7 +121,9 @@
 		orders = p.order(orders, s.Spec.Name, d, wantReclaimable[i], true, now)
 	}
 	for i, d := range domains {
-		orders = p.order(orders, s.Spec.Name, d, wantFull[i], false, now)
+		if !s.Guessed {
+			orders = p.order(orders, s.Spec.Name, d, wantFull[i], false, now)
+		}
 	}
 	return orders
 }
--- a/transport/control/fleet.go
+++ b/transport/control/fleet.go
@@ -81,11 +81,12 @@
 	for i := range catalog.Services {
 		s := &catalog.Services[i]
 		base, ok := f.bases[s.Name]
-		if s.Scaling == nil || !ok {
+		guess := f.first[s.Name].servers
+		if s.Scaling == nil || (!ok && guess == 0) {
 			continue
 		}
 		l := loads[s.Name]
-		m.Services = append(m.Services, scale.Service{Spec: s, Work: l.Work, Refused: l.Refused, Arrived: l.Arrived, Begun: l.Begun, Slow: l.Slow, Base: base})
+		m.Services = append(m.Services, scale.Service{Spec: s, Work: l.Work, Refused: l.Refused, Arrived: l.Arrived, Begun: l.Begun, Slow: l.Slow, Base: pick(ok, base, guess), Guessed: !ok})
 	}
 	var orders []Order
 	for _, o := range f.planner.Plan(m) {
@@ -98,3 +99,11 @@
 func (f *Fleet) Ordered(o Order, err error, now time.Time) {
 	f.planner.Ordered(scale.Order(o), err == nil, now)
 }
+
+// pick returns the settled number if there is one, else the guess.
+func pick(settled bool, base, guess int) int {
+	if settled {
+		return base
+	}
+	return guess
+}
