A gateway that has just started waits for the control role instead of refusing; a new coordinator begins with 0.3 s of each quota

A request now waits for the gateway's own start for a quarter of what its caller waits, 0.8 s at the most, and a bucket begins with what its rate gives while nobody grants.

--- a/coordination/quota/quota.go
+++ b/coordination/quota/quota.go
@@ -40,6 +40,8 @@
 	// debt is how far ahead a request may take, so that a large one is let in as
 	// often as a small one.
 	debt = 600 * time.Millisecond
+	// changeTime is how long nobody grants anything while the coordinator changes.
+	changeTime = 300 * time.Millisecond
 	// leastWait is the least time after which a gateway is told to come back.
 	leastWait = time.Millisecond
 )
@@ -51,7 +53,8 @@
 }
 
 // Configure puts the quotas of a configuration in force. A bucket that is new
-// begins empty: an earlier coordinator may have given its burst away just now.
+// begins with what its rate gave in the time that a change of the coordinator
+// takes: an earlier one may have given the rest away just now.
 func (c *Coordinator) Configure(workspaces []protocol.Tenancy, now time.Time) {
 	kept := map[string]*bucket{}
 	for i := range workspaces {
@@ -61,7 +64,7 @@
 		}
 		b := c.buckets[w.Name]
 		if b == nil {
-			b = &bucket{at: now}
+			b = &bucket{at: now, level: w.Rate * changeTime.Seconds()}
 		}
 		b.fill(now)
 		b.rate, b.size = w.Rate+spreadPart*w.Burst/c.window.Seconds(), max((1-spreadPart)*w.Burst, w.Rate/10)
--- a/transport/forward/exchange.go
+++ b/transport/forward/exchange.go
@@ -104,10 +104,10 @@
 	if x.g.closed.Load() {
 		return protocol.NewRefusal(protocol.StatusServiceUnavailable, protocol.CodeLeaving, "the gateway is stopping").WithRetryAfter(stopRetry)
 	}
-	x.index = x.g.index.Load()
-	if x.index == nil {
+	if !x.g.await(x.ctx, x.g.known, x.patience()) {
 		return protocol.NewRefusal(protocol.StatusServiceUnavailable, protocol.CodeNotReady, "no configuration is known yet").WithRetryAfter(x.g.untilReady())
 	}
+	x.index = x.g.index.Load()
 	x.route = x.index.Route(x.call.Host, x.call.Path)
 	if x.route == nil {
 		return protocol.NewRefusal(fasthttp.StatusNotFound, protocol.CodeNotFound, "no route has this host and path")
@@ -146,15 +146,27 @@
 	if x.route.Open {
 		return nil
 	}
-	if !x.g.sure() {
+	if !x.g.await(x.ctx, x.g.sure, x.patience()) {
 		return unsure()
 	}
+	x.index = x.g.index.Load() // It may be a newer one by now.
+	x.workspace = x.index.Workspace(x.call.Secret)
 	if x.workspace == nil {
 		return protocol.NewRefusal(fasthttp.StatusUnauthorized, protocol.CodeUnauthorized, "the workspace key is not known")
 	}
 	return nil
 }
 
+// patience is how long the request may wait for the gateway itself: a part of
+// what its caller waits.
+func (x *exchange) patience() time.Duration {
+	const part = 4
+	if x.call.Remaining <= 0 {
+		return newsTime
+	}
+	return x.call.Remaining / part
+}
+
 func unsure() *protocol.Refusal {
 	return protocol.NewRefusal(protocol.StatusServiceUnavailable, protocol.CodeNoQuorum, "the configuration is not confirmed").WithRetryAfter(time.Second)
 }
--- a/transport/forward/forward.go
+++ b/transport/forward/forward.go
@@ -67,6 +67,7 @@
 	mu       sync.Mutex // mu guards all below.
 	purse    *quota.Purse
 	granted  chan struct{} // granted is closed and replaced when grants arrive.
+	news     chan struct{} // news is closed and replaced when anything arrives from the control role.
 	shares   map[string]*retry.Share
 	counter  *usage.Counter
 	pressure map[string]*pressure
@@ -106,6 +107,7 @@
 		began:    time.Now(),
 		purse:    quota.NewPurse(),
 		granted:  make(chan struct{}),
+		news:     make(chan struct{}),
 		shares:   map[string]*retry.Share{},
 		counter:  usage.NewCounter(cfg.UsageWindow, cfg.UsageDue),
 		pressure: map[string]*pressure{},
@@ -161,8 +163,40 @@
 	for _, s := range g.shares {
 		s.Resize(g.cfg.RetryExtra, gateways)
 	}
+	close(g.news)
+	g.news = make(chan struct{})
 }
 
+// newsTime is how long a request waits for a gateway that has just started, or
+// woken up, to hear from the control role: less than a caller that is told to
+// come back would be away.
+const newsTime = 800 * time.Millisecond
+
+// await waits until the gateway can serve, for as long as that is worth it, and
+// reports whether it can.
+func (g *Gateway) await(ctx context.Context, ready func() bool, limit time.Duration) bool {
+	end := time.NewTimer(min(limit, newsTime))
+	defer end.Stop()
+	for {
+		g.mu.Lock()
+		news := g.news
+		g.mu.Unlock()
+		if ready() {
+			return true
+		}
+		select {
+		case <-news:
+		case <-end.C:
+			return false
+		case <-ctx.Done():
+			return false
+		}
+	}
+}
+
+// known reports whether the gateway has a catalog and a list.
+func (g *Gateway) known() bool { return g.index.Load() != nil && g.view.Load() != nil }
+
 // Age returns how long ago the catalog was known to be the newest, or false if
 // it never was.
 func (g *Gateway) Age() (time.Duration, bool) {
@@ -185,7 +219,7 @@
 // Ready reports whether the gateway can serve.
 func (g *Gateway) Ready() bool {
 	_, confirmed := g.Age()
-	return confirmed && g.index.Load() != nil && g.view.Load() != nil && g.sure()
+	return confirmed && g.known() && g.sure()
 }
 
 const (
