The first number of servers leaves out those that were ordered here

Cause: reclaimable servers are ordered before the number is settled, and then counted for it: 184 instead of 90 on a fleet whose list takes 9 s to fill up. Ruled out: the platform and a second leader. TestBaseIgnoresOwnOrders failed first.

--- a/transport/control/control_test.go
+++ b/transport/control/control_test.go
@@ -11,6 +11,7 @@
 	"github.com/google/go-cmp/cmp"
 	"github.com/rs/zerolog"
 
+	"github.com/weldstream/weldstream/coordination/scale"
 	"github.com/weldstream/weldstream/protocol"
 	"github.com/weldstream/weldstream/state"
 )
@@ -285,3 +286,19 @@
 		t.Errorf("counted %d, want 49", got)
 	}
 }
+
+// TestBaseIgnoresOwnOrders checks that reclaimable servers, which the planner
+// orders before the first number is settled, do not count for it: they doubled
+// it (184 for 90) where the list took long to fill up.
+func TestBaseIgnoresOwnOrders(t *testing.T) {
+	u := newUplink(newFakeGroup())
+	u.catalog = &protocol.Catalog{Services: []protocol.ServiceSpec{{Name: "s", Scaling: &protocol.ScalingSpec{Max: 9}}}}
+	f := NewFleet(u, zerolog.Nop())
+	now := time.Now()
+	u.SetServers(1, []protocol.Instance{{ID: "1", Service: "s"}, {ID: "2", Service: "s", Market: scale.MarketReclaimable}, {ID: "3", Service: "s", Market: scale.MarketReclaimable}})
+	f.Unsettled(now)
+	rows := f.Unsettled(now.Add(baseSteady))
+	if len(rows) != 1 || rows[0].Servers != 1 {
+		t.Errorf("settled %v, want 1 server", rows)
+	}
+}
--- a/transport/control/fleet.go
+++ b/transport/control/fleet.go
@@ -50,12 +50,7 @@
 		if _, ok := f.bases[s.Name]; ok || s.Scaling == nil {
 			continue
 		}
-		n := 0
-		for k := range servers {
-			if servers[k].Service == s.Name && !servers[k].Leaving {
-				n++
-			}
-		}
+		n := standing(servers, s.Name)
 		if c := f.first[s.Name]; c.servers != n {
 			f.first[s.Name] = count{servers: n, since: now}
 		}
@@ -107,3 +102,22 @@
 	}
 	return guess
 }
+
+// standing counts a service's servers at the full price: reclaimable ones may
+// have been ordered here. Where there are no others, they count.
+func standing(servers []protocol.Instance, service string) int {
+	full, reclaimable := 0, 0
+	for i := range servers {
+		switch {
+		case servers[i].Service != service || servers[i].Leaving:
+		case servers[i].Market == scale.MarketReclaimable:
+			reclaimable++
+		default:
+			full++
+		}
+	}
+	if full == 0 {
+		return reclaimable
+	}
+	return full
+}
