--- a/cmd/weldctl/main.go
+++ b/cmd/weldctl/main.go
@@ -6,6 +6,7 @@
 //	weldctl dump                      the state of one process
 //	weldctl drop NAME                 take a replica that is gone for good out of the group
 //	weldctl send                      a caller's request, streamed to the terminal
+//	weldctl trace REQUEST FILE...     one request's story from the logs of several processes
 //	weldctl settings                  every setting of the daemon with its default and bounds
 //
 // Exit codes: 0 done; 1 refused, faulty or failed; 2 wrong use.
@@ -48,6 +49,7 @@
 		"dump":     {"show the state of one process", runDump},
 		"drop":     {"take a replica that is gone for good out of the group", runDrop},
 		"settings": {"list every setting of the daemon with its default and bounds", runSettings},
+		"trace":    {"tell one request's story from the logs of several processes", runTrace},
 		"send":     {"send a request as a caller and stream the answer", runSend},
 	}
 }
--- a/coordination/place/cell.go
+++ b/coordination/place/cell.go
@@ -71,29 +71,35 @@
 	c.mu.Unlock()
 }
 
-// Failed notes a failure that speaks against the server. A hard one, such as a
-// connection that cannot be opened, counts at once.
-func (c *Cell) Failed(hard bool, now time.Time) {
+// Failed notes a failure that speaks against the server, and reports whether the
+// server is passed over from now on. A hard one, such as a connection that cannot
+// be opened, counts at once.
+func (c *Cell) Failed(hard bool, now time.Time) (distrusted bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	trusted := !now.Before(c.until)
 	c.failures++
 	c.rate += rateWeight * (1 - c.rate)
 	if hard {
 		c.failures = max(c.failures, distrustAfter)
 	}
 	if c.failures < distrustAfter {
-		return
+		return false
 	}
 	wait := min(distrustFirst<<min(c.failures-distrustAfter, 5), distrustMost)
 	c.until = now.Add(wait)
+	return trusted
 }
 
-// Worked notes an answer that speaks for the server.
-func (c *Cell) Worked() {
+// Worked notes an answer that speaks for the server, and reports whether the
+// server had been passed over.
+func (c *Cell) Worked() (trusted bool) {
 	c.mu.Lock()
+	defer c.mu.Unlock()
+	trusted = !c.until.IsZero()
 	c.failures, c.until = 0, time.Time{}
 	c.rate -= rateWeight * c.rate
-	c.mu.Unlock()
+	return trusted
 }
 
 // Outstanding returns how many requests of this gateway the server has.
--- a/transport/forward/attempt.go
+++ b/transport/forward/attempt.go
@@ -49,17 +49,33 @@
 	x.avoid = append(x.avoid, server.ID)
 	conn, err := x.g.pool.Get(server.ID, server.Address, x.deadline)
 	if err != nil {
-		server.Cell.Failed(true, time.Now())
+		x.distrust(server, true)
 		return x.failed(protocol.NotRun, false, "the server cannot be reached: "+err.Error())
 	}
 	if x.workspace != nil && !x.route.Open && !x.g.sure() {
 		conn.Close()
 		return unsure()
 	}
+	x.log.Info().Str("server", server.ID).Str("domain", server.Domain).Int("outstanding", server.Cell.Outstanding()).Bool("placed", x.placed.Server != "").
+		Uint8("lane", uint8(x.lane)).Int("sent", x.state.Sent).Bool("kept", conn.Used()).Int64("left", x.left().Milliseconds()).Msg("attempt")
 	t := &try{x: x, server: server, conn: conn}
 	return t.run()
 }
 
+// distrust notes a failure that speaks against a server.
+func (x *exchange) distrust(s *place.Server, hard bool) {
+	if s.Cell.Failed(hard, time.Now()) {
+		x.log.Warn().Str("server", s.ID).Bool("hard", hard).Int("outstanding", s.Cell.Outstanding()).Msg("server distrusted")
+	}
+}
+
+// trust notes an answer that speaks for a server.
+func (x *exchange) trust(s *place.Server) {
+	if s.Cell.Worked() {
+		x.log.Info().Str("server", s.ID).Msg("server trusted again")
+	}
+}
+
 // failed decides what follows an attempt without an answer that counts.
 func (x *exchange) failed(v protocol.Verdict, reached bool, reason string) *protocol.Refusal {
 	if x.gone.Err() != nil {
@@ -166,10 +182,10 @@
 		return t.x.failed(protocol.MayHaveRun, true, "the deadline passed before the answer")
 	}
 	if !t.conn.Wrote() {
-		t.server.Cell.Failed(true, time.Now())
+		t.x.distrust(t.server, true)
 		return t.x.failed(protocol.NotRun, false, "nothing could be sent: "+err.Error())
 	}
-	t.server.Cell.Failed(false, time.Now())
+	t.x.distrust(t.server, false)
 	return t.x.failed(protocol.MayHaveRun, true, "the answer did not come: "+err.Error())
 }
 
@@ -197,7 +213,7 @@
 func (t *try) turnedAway(stop func() bool) *protocol.Refusal {
 	status := t.x.resp.StatusCode()
 	if t.reply.Foreign {
-		t.server.Cell.Failed(true, time.Now())
+		t.x.distrust(t.server, true)
 	}
 	body, err := t.conn.Body(t.x.resp)
 	if err == nil {
@@ -235,9 +251,9 @@
 	t.finish(true, stop)
 	failure := status >= 500
 	if failure {
-		t.server.Cell.Failed(false, time.Now())
+		t.x.distrust(t.server, false)
 	} else {
-		t.server.Cell.Worked()
+		t.x.trust(t.server)
 	}
 	if promises(status) || t.reply.Encoded || (failure && x.state.Repeatable) {
 		if refusal := x.failed(protocol.MayHaveRun, true, "the server failed with status "+fasthttp.StatusMessage(status)); refusal == errAgain || promises(status) || t.reply.Encoded {
--- a/transport/forward/forward.go
+++ b/transport/forward/forward.go
@@ -132,6 +132,7 @@
 	}
 	g.purse.Configure(c.Workspaces)
 	g.index.Store(NewIndex(c))
+	g.log.Info().Uint64("number", c.Number).Int("routes", len(c.Routes)).Int("workspaces", len(c.Workspaces)).Msg("configuration in force")
 	return true
 }
 
@@ -147,6 +148,13 @@
 func (g *Gateway) SetServers(list []protocol.Instance) {
 	view := place.NewView(list, g.view.Load())
 	g.view.Store(view)
+	leaving := 0
+	for i := range view.Servers {
+		if view.Servers[i].Leaving {
+			leaving++
+		}
+	}
+	g.log.Info().Int("servers", len(view.Servers)).Int("leaving", leaving).Msg("list of servers")
 	g.pool.Keep(func(id string) bool {
 		s := view.Find(id)
 		return s != nil && !s.Leaving
--- a/transport/forward/stream.go
+++ b/transport/forward/stream.go
@@ -80,7 +80,7 @@
 			return refusal
 		}
 	}
-	t.server.Cell.Worked()
+	t.x.trust(t.server)
 	t.finish(true, stop)
 	if err := x.head(); err != nil {
 		return callerGone().WithVerdict(protocol.MayHaveRun)
