--- a/Makefile
+++ b/Makefile
@@ -57,3 +57,8 @@
 	$(GO) test ./e2e -run '^$$' -bench 'Idle|Streams' -benchtime 1x -count 2 -timeout 30m
 	$(GO) test ./coordination/route -run '^$$' -bench Choose -count 3
 	$(GO) test ./state -run '^$$' -bench ClaimMemory -benchtime 1x -count 2
+
+# soak harms the real processes by fifty drawn plans; see docs/OPERATIONS.md.
+.PHONY: soak
+soak: build
+	$(BIN)/weldsoak -daemon $(BIN)/weldstreamd -first 1 -count 50 -time 8s
