--- a/coordination/place/ledger.go
+++ b/coordination/place/ledger.go
@@ -7,8 +7,8 @@
 	"time"
 )
 
-// PlaceMsg asks for a server for a long prompt.
-type PlaceMsg struct {
+// PromptMsg asks for a server for a long prompt.
+type PromptMsg struct {
 	Service string
 	Prompt  int    // Prompt is its length in tokens.
 	Shared  int    // Shared are the tokens of its parts that other requests may share.
@@ -94,7 +94,7 @@
 }
 
 // Place returns a server for a long prompt, or false where there is none.
-func (l *Ledger) Place(v *View, m PlaceMsg, now time.Time) (Placed, bool) {
+func (l *Ledger) Place(v *View, m PromptMsg, now time.Time) (Placed, bool) {
 	l.forget(now)
 	rows := inLane(v, candidates(v, ChooseMsg{Service: m.Service, Avoid: m.Avoid, Now: now}), ChooseMsg{Lane: LaneLong, Share: m.Share})
 	best, least := -1, math.Inf(1)
@@ -119,7 +119,7 @@
 }
 
 // uncached is how many tokens a server has to read of a prompt.
-func (b *book) uncached(m PlaceMsg, now time.Time) int {
+func (b *book) uncached(m PromptMsg, now time.Time) int {
 	if b.holds(m.Prefix, now) {
 		return max(1, m.Prompt-m.Shared)
 	}
@@ -137,7 +137,7 @@
 }
 
 // cost is what placing a prompt at a server costs, in streams held up.
-func (l *Ledger) cost(s *Server, m PlaceMsg, now time.Time) float64 {
+func (l *Ledger) cost(s *Server, m PromptMsg, now time.Time) float64 {
 	b := l.book(s.ID)
 	wait := max(0, b.readUntil.Sub(now))
 	read := l.reading(b.uncached(m, now))
@@ -175,7 +175,7 @@
 }
 
 // enter notes a request at a server.
-func (l *Ledger) enter(server string, m PlaceMsg, now time.Time) Placed {
+func (l *Ledger) enter(server string, m PromptMsg, now time.Time) Placed {
 	b := l.book(server)
 	tokens := b.uncached(m, now)
 	alone := !b.readUntil.After(now)
--- a/coordination/place/ledger_test.go
+++ b/coordination/place/ledger_test.go
@@ -8,12 +8,12 @@
 )
 
 // prompt is a long one that holds streams up where it is read.
-func prompt(tokens int) PlaceMsg {
-	return PlaceMsg{Service: "model", Prompt: tokens, Shared: tokens / 2, Answer: 100, Target: 2 * time.Second, Gap: 500 * time.Millisecond, Share: 1}
+func prompt(tokens int) PromptMsg {
+	return PromptMsg{Service: "model", Prompt: tokens, Shared: tokens / 2, Answer: 100, Target: 2 * time.Second, Gap: 500 * time.Millisecond, Share: 1}
 }
 
 // place places a prompt and fails the test where there is no place.
-func placeAt(t *testing.T, l *Ledger, v *View, m PlaceMsg, now time.Time) Placed {
+func placeAt(t *testing.T, l *Ledger, v *View, m PromptMsg, now time.Time) Placed {
 	t.Helper()
 	p, ok := l.Place(v, m, now)
 	if !ok {
--- a/protocol/uplink.go
+++ b/protocol/uplink.go
@@ -17,7 +17,7 @@
 	Done     []PlaceDone
 }
 
-// PlaceMsg asks for a server for a long prompt; see place.PlaceMsg.
+// PlaceMsg asks for a server for a long prompt; see place.PromptMsg.
 type PlaceMsg struct {
 	Gateway string
 	Service string
--- a/transport/control/uplink.go
+++ b/transport/control/uplink.go
@@ -152,7 +152,7 @@
 	if u.view == nil {
 		return nil
 	}
-	placed, ok := u.places.Place(u.view, place.PlaceMsg{
+	placed, ok := u.places.Place(u.view, place.PromptMsg{
 		Service: m.Service,
 		Prompt:  m.Prompt,
 		Shared:  m.Shared,
