--- a/settings/node.go
+++ b/settings/node.go
@@ -118,28 +118,23 @@
 
 // CheckGateway returns what a gateway lacks.
 func (n *Node) CheckGateway(file string) []yamlfile.Fault {
-	var faults []yamlfile.Fault
-	if n.Caller == "" {
-		faults = append(faults, missing(file, "caller", "a gateway"))
-	}
-	if n.Ready == "" {
-		faults = append(faults, missing(file, "ready", "a gateway"))
-	}
-	return faults
+	return missing(file, "a gateway", field{"caller", n.Caller}, field{"ready", n.Ready})
 }
 
 // CheckControl returns what a control instance lacks.
 func (n *Node) CheckControl(file string) []yamlfile.Fault {
+	return missing(file, "a control instance", field{"operator", n.Operator}, field{"data_dir", n.DataDir})
+}
+
+// field is a setting by its name.
+type field struct{ name, value string }
+
+func missing(file, who string, needed ...field) []yamlfile.Fault {
 	var faults []yamlfile.Fault
-	if n.Operator == "" {
-		faults = append(faults, missing(file, "operator", "a control instance"))
-	}
-	if n.DataDir == "" {
-		faults = append(faults, missing(file, "data_dir", "a control instance"))
+	for _, f := range needed {
+		if f.value == "" {
+			faults = append(faults, yamlfile.Fault{File: file, Line: 1, Field: f.name, What: "is missing: " + who + " needs it"})
+		}
 	}
 	return faults
 }
-
-func missing(file, field, who string) yamlfile.Fault {
-	return yamlfile.Fault{File: file, Line: 1, Field: field, What: "is missing: " + who + " needs it"}
-}
