Gateways are told what changed of the list, not the whole of it

It now keeps 64 versions and tells the changes (TestChangesAddUp, TestGatewayIsToldChanges, TestListOfChanges).

--- a/coordination/place/lane.go
+++ b/coordination/place/lane.go
@@ -1,5 +1,7 @@
 package place
 
+import "slices"
+
 // Lane says which servers of a service a request goes to first. While a server
 // reads a long prompt, the tokens of all that run beside it come late; so long
 // prompts and short ones keep to servers of their own.
@@ -136,15 +138,11 @@
 	for i, r := range rows {
 		order[i] = mix(laneSeed ^ v.Servers[r.index].Hash)
 	}
+	sorted := slices.Sorted(slices.Values(order))
+	least := sorted[len(sorted)-n] // The n highest are the long lane.
 	kept := make([]row, 0, len(rows))
 	for i, r := range rows {
-		above := 0
-		for _, o := range order {
-			if o > order[i] {
-				above++
-			}
-		}
-		if (above < n) == (m.Lane == LaneLong) {
+		if (order[i] >= least) == (m.Lane == LaneLong) {
 			kept = append(kept, r)
 		}
 	}
--- a/coordination/place/place_test.go
+++ b/coordination/place/place_test.go
@@ -217,3 +217,15 @@
 		t.Error("a server got what was known of another one at its address")
 	}
 }
+
+// BenchmarkChoose measures a decision before many servers, in both lanes.
+func BenchmarkChoose(b *testing.B) {
+	for _, n := range []int{20, 95, 600} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			v := fleet(n)
+			for i := 0; b.Loop(); i++ {
+				Choose(v, ChooseMsg{Service: "model", Prefix: mix(uint64(i)), Lane: LaneLong + Lane(i%2), Share: 0.6, Now: start})
+			}
+		})
+	}
+}
--- a/protocol/uplink.go
+++ b/protocol/uplink.go
@@ -101,7 +101,9 @@
 	Version  uint64
 	Servers  []Instance // Servers is set when the gateway's list is older.
 	Listed   bool       // Listed says that Servers is set; the list may be empty.
-	Gateways int        // Gateways are how many synchronized lately.
+	Changes  bool       // Changes says that Servers are only those that changed, and Gone those that are listed no more.
+	Gone     []string
+	Gateways int // Gateways are how many synchronized lately.
 	Grants   []QuotaGrant
 	Lanes    []ServiceLanes
 }
--- /dev/null
+++ b/transport/control/history.go
@@ -0,0 +1,72 @@
+package control
+
+import "github.com/weldstream/weldstream/protocol"
+
+// historyKept is how many versions of the list a gateway may be behind and still
+// be told the changes only.
+const historyKept = 64
+
+// history keeps what changed between the versions of the list: whole lists of a
+// large fleet, told to every gateway at each change, would fill the leader's link.
+type history struct {
+	steps []step // steps are in the order of their versions.
+}
+
+// step is what changed in one version.
+type step struct {
+	version uint64
+	changed []protocol.Instance
+	gone    []string
+}
+
+// add notes a new version.
+func (h *history) add(version uint64, before, after []protocol.Instance) {
+	old := make(map[string]protocol.Instance, len(before))
+	for _, in := range before {
+		old[in.ID] = in
+	}
+	s := step{version: version}
+	for _, in := range after {
+		was, ok := old[in.ID]
+		delete(old, in.ID)
+		if !ok || !sameServer(was, in) {
+			s.changed = append(s.changed, in)
+		}
+	}
+	for id := range old {
+		s.gone = append(s.gone, id)
+	}
+	h.steps = append(h.steps, s)
+	if len(h.steps) > historyKept {
+		h.steps = h.steps[len(h.steps)-historyKept:]
+	}
+}
+
+// since returns what changed behind a version, or false where that is not known
+// any more.
+func (h *history) since(version uint64) (changed []protocol.Instance, gone []string, ok bool) {
+	if len(h.steps) == 0 || h.steps[0].version > version+1 {
+		return nil, nil, false
+	}
+	latest := map[string]*protocol.Instance{} // latest is nil for those that are gone.
+	for i := range h.steps {
+		s := &h.steps[i]
+		if s.version <= version {
+			continue
+		}
+		for k := range s.changed {
+			latest[s.changed[k].ID] = &s.changed[k]
+		}
+		for _, id := range s.gone {
+			latest[id] = nil
+		}
+	}
+	for id, in := range latest {
+		if in == nil {
+			gone = append(gone, id)
+			continue
+		}
+		changed = append(changed, *in)
+	}
+	return changed, gone, true
+}
--- /dev/null
+++ b/transport/control/history_test.go
@@ -0,0 +1,78 @@
+package control
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+	"pgregory.net/rapid"
+
+	_ "github.com/weldstream/weldstream/internal/testseed" // Fixes the seed.
+	"github.com/weldstream/weldstream/protocol"
+)
+
+// TestChangesAddUp checks over random lists that a gateway which is told changes
+// only, from any version on, comes to hold the list as it is.
+func TestChangesAddUp(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var h history
+		lists := [][]protocol.Instance{nil}
+		for version := 1; version <= rapid.IntRange(1, 80).Draw(t, "versions"); version++ {
+			var list []protocol.Instance
+			for id := range 6 {
+				switch rapid.IntRange(0, 2).Draw(t, "server") {
+				case 1:
+					list = append(list, protocol.Instance{ID: fmt.Sprint(id)})
+				case 2:
+					list = append(list, protocol.Instance{ID: fmt.Sprint(id), Leaving: true})
+				}
+			}
+			h.add(uint64(version), lists[version-1], list)
+			lists = append(lists, list)
+		}
+		latest := len(lists) - 1
+		from := rapid.IntRange(0, latest).Draw(t, "from")
+		changed, gone, ok := h.since(uint64(from))
+		if ok != (latest-from <= historyKept) {
+			t.Fatalf("from %d of %d: known %v", from, latest, ok)
+		}
+		if !ok {
+			return
+		}
+		held := map[string]protocol.Instance{}
+		for _, in := range lists[from] {
+			held[in.ID] = in
+		}
+		for _, in := range changed {
+			held[in.ID] = in
+		}
+		for _, id := range gone {
+			delete(held, id)
+		}
+		want := map[string]protocol.Instance{}
+		for _, in := range lists[latest] {
+			want[in.ID] = in
+		}
+		if diff := cmp.Diff(want, held); diff != "" {
+			t.Fatal(diff)
+		}
+	})
+}
+
+// TestGatewayIsToldChanges checks that a gateway with a version of this term gets
+// the one server that changed, and one of another term the whole list.
+func TestGatewayIsToldChanges(t *testing.T) {
+	g := newFakeGroup()
+	u := newUplink(g)
+	list := []protocol.Instance{{ID: "a"}, {ID: "b"}, {ID: "c"}}
+	u.SetServers(1, list)
+	first := sync1(t, u, protocol.SyncMsg{Gateway: "g"})
+	u.SetServers(1, []protocol.Instance{{ID: "a"}, {ID: "b", Leaving: true}})
+	got := sync1(t, u, protocol.SyncMsg{Gateway: "g", Lister: first.Lister, Servers: first.Version})
+	if !got.Changes || len(got.Servers) != 1 || !got.Servers[0].Leaving || len(got.Gone) != 1 {
+		t.Errorf("got %+v", got)
+	}
+	if other := sync1(t, u, protocol.SyncMsg{Gateway: "g", Lister: 9, Servers: first.Version}); other.Changes || len(other.Servers) != 2 {
+		t.Errorf("one of another term got %+v", other)
+	}
+}
--- a/transport/control/uplink.go
+++ b/transport/control/uplink.go
@@ -37,6 +37,7 @@
 	gateways map[string]*gateway
 	quotas   *quota.Coordinator
 	ledger   *usage.Ledger
+	history  history
 	view     *place.View
 	places   *place.Ledger
 }
@@ -62,7 +63,7 @@
 	u.gateways = map[string]*gateway{}
 	u.quotas = quota.NewCoordinator(u.quota)
 	u.ledger = usage.NewLedger()
-	u.listed, u.servers = false, nil
+	u.listed, u.servers, u.history = false, nil, history{}
 	u.view, u.places = nil, place.NewLedger()
 	if u.catalog != nil {
 		u.quotas.Configure(u.catalog.Workspaces, time.Now())
@@ -125,9 +126,7 @@
 	if u.number > m.Number {
 		reply.Document = u.packed
 	}
-	if u.listed && (m.Lister != u.lister || m.Servers != u.version) {
-		reply.Listed, reply.Lister, reply.Version, reply.Servers = true, u.lister, u.version, u.servers
-	}
+	u.tellServers(&m, reply)
 	reply.Gateways = u.alive(now)
 	reply.Lanes = u.lanes()
 	for _, want := range m.Wants {
@@ -170,6 +169,21 @@
 	return nil
 }
 
+// tellServers tells a gateway what it lacks of the list: the changes, if it holds
+// a version of this term that is not too old. It needs u.mu.
+func (u *Uplink) tellServers(m *protocol.SyncMsg, reply *protocol.SyncReply) {
+	if !u.listed || (m.Lister == u.lister && m.Servers == u.version) {
+		return
+	}
+	reply.Listed, reply.Lister, reply.Version, reply.Servers = true, u.lister, u.version, u.servers
+	if m.Lister != u.lister {
+		return
+	}
+	if changed, gone, ok := u.history.since(m.Servers); ok {
+		reply.Changes, reply.Servers, reply.Gone = true, changed, gone
+	}
+}
+
 // alive counts the gateways that asked lately. It needs u.mu.
 func (u *Uplink) alive(now time.Time) int {
 	for name, g := range u.gateways {
@@ -189,10 +203,13 @@
 	if u.listed && sameServers(u.servers, list) {
 		return
 	}
+	u.version++
+	if u.listed {
+		u.history.add(u.version, u.servers, list)
+	}
 	u.lister, u.servers, u.listed = term, list, true
 	u.view = place.NewView(list, u.view)
 	u.places.Keep(u.view)
-	u.version++
 }
 
 // sameServers reports whether two lists say the same. How much longer a server
@@ -202,15 +219,18 @@
 		return false
 	}
 	for i := range a {
-		x, y := a[i], b[i]
-		x.ColdMS, y.ColdMS = min(x.ColdMS, 1), min(y.ColdMS, 1)
-		if x != y {
+		if !sameServer(a[i], b[i]) {
 			return false
 		}
 	}
 	return true
 }
 
+func sameServer(a, b protocol.Instance) bool {
+	a.ColdMS, b.ColdMS = min(a.ColdMS, 1), min(b.ColdMS, 1)
+	return a == b
+}
+
 // lanes returns the terms of all gateways together, by service. It needs u.mu.
 func (u *Uplink) lanes() []protocol.ServiceLanes {
 	terms := map[string][]place.LaneTerms{}
--- a/transport/uplink/uplink.go
+++ b/transport/uplink/uplink.go
@@ -12,6 +12,7 @@
 
 import (
 	"context"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -75,6 +76,7 @@
 	term     uint64
 	lister   uint64
 	version  uint64
+	servers  map[string]protocol.Instance // servers are the list as it was told last.
 	gateways int
 	linked   bool
 }
@@ -169,7 +171,7 @@
 		}
 	}
 	if reply.Listed {
-		c.gateway.SetServers(reply.Servers)
+		c.gateway.SetServers(c.list(reply))
 		c.lister, c.version = reply.Lister, reply.Version
 	}
 	c.gateway.Confirm(asked, reply.Gateways)
@@ -183,6 +185,24 @@
 	return true
 }
 
+// list returns the whole list behind an answer that told all of it or what changed.
+func (c *Client) list(reply *protocol.SyncReply) []protocol.Instance {
+	if !reply.Changes || c.servers == nil {
+		c.servers = make(map[string]protocol.Instance, len(reply.Servers))
+	}
+	for _, in := range reply.Servers {
+		c.servers[in.ID] = in
+	}
+	for _, id := range reply.Gone {
+		delete(c.servers, id)
+	}
+	list := make([]protocol.Instance, 0, len(c.servers))
+	for _, id := range slices.Sorted(maps.Keys(c.servers)) {
+		list = append(list, c.servers[id])
+	}
+	return list
+}
+
 // lost forgets the leader that did not answer as one.
 func (c *Client) lost(address, reason string) {
 	if c.linked {
--- a/transport/uplink/uplink_test.go
+++ b/transport/uplink/uplink_test.go
@@ -115,3 +115,30 @@
 		t.Error("it counts as up to date")
 	}
 }
+
+// TestListOfChanges checks that changes are put into the list that was told
+// before, and that a whole list replaces it.
+func TestListOfChanges(t *testing.T) {
+	c := New(nil, nil, nil, zerolog.Nop())
+	ids := func(list []protocol.Instance) (text string) {
+		for _, in := range list {
+			text += in.ID
+			if in.Leaving {
+				text += "!"
+			}
+		}
+		return text
+	}
+	for _, step := range []struct {
+		reply protocol.SyncReply
+		want  string
+	}{
+		{protocol.SyncReply{Servers: []protocol.Instance{{ID: "b"}, {ID: "a"}}}, "ab"},
+		{protocol.SyncReply{Changes: true, Servers: []protocol.Instance{{ID: "c"}, {ID: "a", Leaving: true}}, Gone: []string{"b"}}, "a!c"},
+		{protocol.SyncReply{Servers: []protocol.Instance{{ID: "d"}}}, "d"},
+	} {
+		if got := ids(c.list(&step.reply)); got != step.want {
+			t.Errorf("got %s, want %s", got, step.want)
+		}
+	}
+}
