--- /dev/null
+++ b/internal/soak/check.go
@@ -0,0 +1,142 @@
+package soak
+
+import (
+	"fmt"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/weldstream/weldstream/platform/standin"
+)
+
+// Ask is one request of a caller.
+type Ask struct {
+	ID     string
+	Path   string
+	Once   bool // Once says that it may run once at the most.
+	Stream bool
+}
+
+// Checker holds what callers see against what backend servers saw.
+type Checker struct {
+	record *standin.Record
+
+	mu       sync.Mutex // mu guards all below.
+	breaches []string
+	asks     map[string]Ask
+	replies  map[string]standin.Reply
+	served   int
+}
+
+// NewChecker returns a checker over a record.
+func NewChecker(r *standin.Record) *Checker {
+	return &Checker{record: r, asks: map[string]Ask{}, replies: map[string]standin.Reply{}}
+}
+
+func (k *Checker) breach(format string, args ...any) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.breaches = append(k.breaches, fmt.Sprintf(format, args...))
+}
+
+// Note keeps a request with its answer and checks what can be checked at once.
+func (k *Checker) Note(a Ask, r standin.Reply) {
+	k.mu.Lock()
+	k.asks[a.ID], k.replies[a.ID] = a, r
+	if r.Whole && r.Status == http.StatusOK {
+		k.served++
+	}
+	k.mu.Unlock()
+	if !r.Whole || r.Status != http.StatusOK {
+		return
+	}
+	if a.Stream {
+		if r.Body != standin.Stream() {
+			k.breach("%s: a stream came as %q", a.ID, r.Body)
+		}
+		return
+	}
+	if want := fmt.Sprintf("done %s body of %s", a.ID, a.ID); r.Body != want || !strings.HasPrefix(r.Seal, a.ID+".") {
+		k.breach("%s: got %q signed %q", a.ID, r.Body, r.Seal)
+	}
+}
+
+// Finish checks what only the end shows: how often each request ran.
+func (k *Checker) Finish() {
+	for id, a := range k.asks {
+		runs, r := k.record.Runs(id), k.replies[id]
+		if a.Once && len(runs) > 1 {
+			k.breach("%s ran %d times", id, len(runs))
+		}
+		if promised := r.Status == http.StatusServiceUnavailable || r.Status == http.StatusTooManyRequests; promised && a.Once && len(runs) > 0 {
+			k.breach("%s was refused with %d and ran", id, r.Status)
+		}
+		for _, run := range runs {
+			if run.Tenant != standin.Tenant || run.Path != a.Path || run.Body != "body of "+id {
+				k.breach("%s ran as %+v", id, run)
+			}
+		}
+	}
+}
+
+// Served counts the whole answers.
+func (k *Checker) Served() int {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.served
+}
+
+// Breaches returns the broken promises.
+func (k *Checker) Breaches() []string {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return append([]string(nil), k.breaches...)
+}
+
+// Operator sends configurations and reads them back.
+type Operator struct {
+	addresses []string
+	client    http.Client
+	checker   *Checker
+	next      int
+	acked     uint64 // acked is the highest number that was acknowledged.
+}
+
+// NewOperator returns an operator of a cluster.
+func NewOperator(c *Cluster, k *Checker) *Operator {
+	return &Operator{addresses: c.Operators(), client: http.Client{Timeout: 4 * time.Second}, checker: k}
+}
+
+// Put sends a configuration to the next instance and reports whether it was
+// acknowledged.
+func (o *Operator) Put(number uint64) bool {
+	at := o.addresses[o.next%len(o.addresses)]
+	o.next++
+	switch status := standin.Replace(&o.client, at, number); {
+	case status == http.StatusOK:
+		o.acked = max(o.acked, number)
+		return true
+	case status != 0 && status < http.StatusInternalServerError:
+		o.checker.breach("configuration %d was answered %d", number, status)
+	}
+	return false
+}
+
+// Get reads the configuration back at one instance and checks that it is no
+// older than what was acknowledged. It reports whether it was told any.
+func (o *Operator) Get(i int) bool {
+	data, ok := standin.Fetch(&o.client, o.addresses[i%len(o.addresses)])
+	if !ok {
+		return false
+	}
+	number, ok := standin.Number(data)
+	if !ok {
+		o.checker.breach("read back %.80q", data)
+		return false
+	}
+	if number < o.acked {
+		o.checker.breach("read back %d after %d was acknowledged", number, o.acked)
+	}
+	return true
+}
--- a/internal/soak/cluster.go
+++ b/internal/soak/cluster.go
@@ -63,9 +63,6 @@
 	ended    chan error
 }
 
-// services names the one service of the backends.
-const service = "s"
-
 // New makes a cluster in a folder; nothing of the daemons runs before Start.
 func New(dir, bin string, size Size) (*Cluster, error) {
 	c := &Cluster{Size: size, Record: standin.NewRecord(), dir: dir, bin: bin}
@@ -96,7 +93,7 @@
 
 func (c *Cluster) makeBackends() error {
 	for i := range c.Size.Backends {
-		b, err := standin.NewBackend(fmt.Sprintf("backend-%d", i), service, fmt.Sprintf("zone-%d", i%3), c.Record)
+		b, err := standin.NewBackend(fmt.Sprintf("backend-%d", i), standin.Service, fmt.Sprintf("zone-%d", i%3), c.Record)
 		if err != nil {
 			return err
 		}
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -87,12 +87,12 @@
 // ask is one caller, which keeps its connection for as long as it is open.
 func (r *run) ask(ctx context.Context, g int, name string, seed uint64) {
 	rnd := rand.New(rand.NewPCG(seed, uint64(len(name)+g)))
-	c := NewClient(r.cluster.Callers()[g])
+	c := standin.NewClient(r.cluster.Callers()[g])
 	defer c.Close()
 	for n := 0; ctx.Err() == nil; n++ {
 		a := paths[rnd.IntN(len(paths))]
 		a.ID = fmt.Sprintf("%s-%d", name, n)
-		r.checker.Note(a, c.Ask(a))
+		r.checker.Note(a, c.Ask(a.ID, a.Path))
 		time.Sleep(askPause)
 	}
 }
@@ -194,10 +194,10 @@
 	for g, address := range r.cluster.Callers() {
 		for i, a := range paths {
 			if !r.until(end, func(n int) bool {
-				c := NewClient(address)
+				c := standin.NewClient(address)
 				defer c.Close()
 				a.ID = fmt.Sprintf("end-%d-%d-%d", g, i, n)
-				reply := c.Ask(a)
+				reply := c.Ask(a.ID, a.Path)
 				r.checker.Note(a, reply)
 				return reply.Whole && reply.Status == 200
 			}) {
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -64,8 +64,8 @@
 func served(t *testing.T, address, id string) {
 	t.Helper()
 	for end := time.Now().Add(readyTime); time.Now().Before(end); time.Sleep(askPause) {
-		c := NewClient(address)
-		r := c.Ask(Ask{ID: id, Path: "/again/x"})
+		c := standin.NewClient(address)
+		r := c.Ask(id, "/again/x")
 		c.Close()
 		if r.Whole && r.Status == 200 {
 			return
@@ -82,10 +82,10 @@
 	c, k, o := cluster(t, small)
 	for g, address := range c.Callers() {
 		served(t, address, "first")
-		client := NewClient(address)
+		client := standin.NewClient(address)
 		for i, a := range paths {
 			a.ID = string(rune('a'+g)) + string(rune('a'+i))
-			r := client.Ask(a)
+			r := client.Ask(a.ID, a.Path)
 			k.Note(a, r)
 			if r.Status != 200 || !r.Whole {
 				t.Errorf("%s at %s: %+v", a.Path, address, r)
@@ -143,16 +143,16 @@
 	c, k, _ := cluster(t, small)
 	served(t, c.Callers()[0], "before")
 	begun := make(chan struct{})
-	done := make(chan Reply, 1)
+	done := make(chan standin.Reply, 1)
 	a := Ask{ID: "stream", Path: "/stream/once/x", Stream: true, Once: true}
 	for _, b := range c.Backends {
 		b.Pause = 200 * time.Millisecond
 	}
 	go func() {
-		client := NewClient(c.Callers()[0])
+		client := standin.NewClient(c.Callers()[0])
 		defer client.Close()
 		close(begun)
-		done <- client.Ask(a)
+		done <- client.Ask(a.ID, a.Path)
 	}()
 	<-begun
 	for end := time.Now().Add(readyTime); len(c.Record.Runs(a.ID)) == 0; time.Sleep(time.Millisecond) {
@@ -181,8 +181,8 @@
 	}
 	refused := false
 	for end := time.Now().Add(readyTime); !refused && time.Now().Before(end); time.Sleep(askPause) {
-		client := NewClient(c.Callers()[0])
-		r := client.Ask(Ask{ID: "cut off", Path: "/again/x"})
+		client := standin.NewClient(c.Callers()[0])
+		r := client.Ask("cut off", "/again/x")
 		client.Close()
 		refused = r.Status == 503
 	}
