--- a/cmd/weldstreamd/control.go
+++ b/cmd/weldstreamd/control.go
@@ -82,7 +82,6 @@
 	n := c.settings
 	return control.Limits{
 		ListRate:    n.Source.ListRate,
-		Lag:         n.Source.Lag,
 		Lease:       n.Bounds.Lease,
 		UsageWindow: n.Bounds.UsageWindow,
 		UsageDue:    n.Bounds.UsageDue,
--- a/cmd/weldstreamd/logs_test.go
+++ b/cmd/weldstreamd/logs_test.go
@@ -11,7 +11,7 @@
 // logged are the sources of the roles' log lines.
 var logged = []string{
 	"role.go", "gateway.go", "control.go", "../../transport/forward/*.go", "../../transport/uplink/*.go", "../../transport/control/*.go",
-	"../../coordination/group/*.go", "../../platform/*.go", "../../transport/replica.go", "../../transport/links.go", "../../transport/membership.go",
+	"../../coordination/group/*.go", "../../platform/*.go", "../../transport/replica.go", "../../transport/bootstrap.go", "../../transport/links.go", "../../transport/membership.go",
 }
 
 // TestLogsAreListed checks that docs/LOGS.md lists each line that the roles write
--- a/settings/defaults.go
+++ b/settings/defaults.go
@@ -38,13 +38,9 @@
 
 	// Of gateways and control instances; see Node.
 	DefaultListRate     = 10                     // list calls a second of all instances
-	DefaultOrderRate    = 10                     // duty calls a second of all instances
-	DefaultApply        = 2 * time.Second        // an accepted configuration is in force everywhere
 	DefaultRevoke       = 5 * time.Second        // a key that was taken away is refused everywhere
-	DefaultLeaving      = 3 * time.Second        // a leaving server gets no new work
 	DefaultGrace        = 8 * time.Second        // between the order to stop and the end
 	DefaultDutyLease    = 3 * time.Second        // a former holder of a duty may still act
-	DefaultReuse        = 2 * time.Second        // an address may belong to another server
 	DefaultRetryRatio   = 0.1                    // retries as a part of requests
 	DefaultRetryWindow  = 10 * time.Second       // the window of the retries
 	DefaultQuotaWindow  = 8 * time.Second        // the window of the quotas
--- a/settings/node.go
+++ b/settings/node.go
@@ -37,12 +37,9 @@
 
 // NodeSource is the platform's API: the list of servers and the duties.
 type NodeSource struct {
-	Address   string        `yaml:"address" validate:"required,ipport"` // Address is the API's.
-	ListRate  float64       `yaml:"list_rate" validate:"min=0"`         // ListRate is how many list calls a second all instances may make.
-	OrderRate float64       `yaml:"order_rate" validate:"min=0"`        // OrderRate is how many duty calls a second all may make.
-	Lag       time.Duration `yaml:"lag" validate:"dmin=0s,dmax=1m"`     // Lag is how old the list may be.
-	Duties    []string      `yaml:"duties"`                             // Duties are usage_report and autoscale, those that are owed; others are ignored.
-	Fenced    bool          `yaml:"fenced"`                             // Fenced says that the platform checks fencing tokens.
+	Address  string   `yaml:"address" validate:"required,ipport"` // Address is the API's.
+	ListRate float64  `yaml:"list_rate" validate:"min=0"`         // ListRate is how many list calls a second all instances may make.
+	Duties   []string `yaml:"duties"`                             // Duties are usage_report and autoscale, those that are owed; others are ignored.
 }
 
 // The duties that the role carries out.
@@ -56,12 +53,9 @@
 
 // NodeBounds are promises; every timer that keeps one is derived from it.
 type NodeBounds struct {
-	Apply       time.Duration `yaml:"apply" validate:"dmin=100ms,dmax=1h"`        // Apply is within what a configuration is in force everywhere.
 	Revoke      time.Duration `yaml:"revoke" validate:"dmin=0s,dmax=1h"`          // Revoke is within what a key that was taken away is refused; 0 sets no bound.
-	Drain       time.Duration `yaml:"drain" validate:"dmin=100ms,dmax=1h"`        // Drain is how soon a leaving server gets no new work.
 	Grace       time.Duration `yaml:"grace" validate:"dmin=100ms,dmax=1h"`        // Grace is between the order to stop and the end.
 	Lease       time.Duration `yaml:"lease" validate:"dmin=0s,dmax=1h"`           // Lease is how long a former holder of a duty may still act.
-	Reuse       time.Duration `yaml:"reuse" validate:"dmin=0s,dmax=1h"`           // Reuse is how soon an address may belong to another server.
 	RetryRatio  float64       `yaml:"retry_ratio" validate:"min=0,max=10"`        // RetryRatio is the part of requests that may be sent again.
 	RetryExtra  float64       `yaml:"retry_extra" validate:"min=0"`               // RetryExtra are retries in a window besides.
 	RetryWindow time.Duration `yaml:"retry_window" validate:"dmin=100ms,dmax=1h"` // RetryWindow is the window of both.
@@ -74,14 +68,11 @@
 func NewNode() *Node {
 	return &Node{
 		LogLevel: DefaultLogLevel,
-		Source:   NodeSource{ListRate: DefaultListRate, OrderRate: DefaultOrderRate},
+		Source:   NodeSource{ListRate: DefaultListRate},
 		Bounds: NodeBounds{
-			Apply:       DefaultApply,
 			Revoke:      DefaultRevoke,
-			Drain:       DefaultLeaving,
 			Grace:       DefaultGrace,
 			Lease:       DefaultDutyLease,
-			Reuse:       DefaultReuse,
 			RetryRatio:  DefaultRetryRatio,
 			RetryWindow: DefaultRetryWindow,
 			QuotaWindow: DefaultQuotaWindow,
--- a/settings/node_test.go
+++ b/settings/node_test.go
@@ -59,7 +59,7 @@
 		"no port":  {"10.0.0.1:80", "10.0.0.1", ":3: caller"},
 		"unknown":  {"domain:", "dom: x\ndomain:", ":2: dom"},
 		"no seeds": {"seeds: [10.0.1.1:90]", "seeds: []", ":6: seeds"},
-		"too long": {"seeds:", "bounds: {apply: 200h}\nseeds:", ":6: bounds.apply"},
+		"too long": {"seeds:", "bounds: {grace: 200h}\nseeds:", ":6: bounds.grace"},
 	} {
 		_, faults := loadNode(t, strings.Replace(nodeText, c.from, c.to, 1))
 		if len(faults) != 1 || !strings.HasPrefix(faults[0], c.want) {
--- a/transport/control/control.go
+++ b/transport/control/control.go
@@ -11,8 +11,8 @@
 //     leader waits out the former one's lease before its first call, and asks in
 //     the instant before each call whether its own still runs.
 //
-// Everything that the leader holds beside the log is told again by the gateways
-// within a second, so a new leader starts with nothing.
+// What the leader holds beside the log is told again by the gateways within a
+// second. Counts of usage are logged besides, as a loss of power takes both.
 package control
 
 import (
@@ -33,8 +33,8 @@
 
 // Source is the platform's API in the product's words.
 type Source interface {
-	// List returns all backend servers.
-	List(ctx context.Context) ([]protocol.Instance, error)
+	// List returns all backend servers, and how many calls that took.
+	List(ctx context.Context) (list []protocol.Instance, calls int, err error)
 	// Report sends the counts of a window.
 	Report(ctx context.Context, d Duty, window int64, counts map[string]int64) error
 	// Order asks for a number of servers.
@@ -58,7 +58,6 @@
 // Limits are what the role's timers are derived from.
 type Limits struct {
 	ListRate    float64
-	Lag         time.Duration
 	Lease       time.Duration
 	UsageWindow time.Duration
 	UsageDue    time.Duration
--- a/transport/control/control_test.go
+++ b/transport/control/control_test.go
@@ -67,7 +67,7 @@
 	reports []report
 }
 
-func (s *fakeSource) List(context.Context) ([]protocol.Instance, error) { return nil, nil }
+func (s *fakeSource) List(context.Context) ([]protocol.Instance, int, error) { return nil, 1, nil }
 
 func (s *fakeSource) Report(_ context.Context, d Duty, window int64, counts map[string]int64) error {
 	s.mu.Lock()
@@ -380,3 +380,14 @@
 		t.Errorf("plans from %d servers, 18 are settled", got)
 	}
 }
+
+// TestListKeepsToTheRate checks that a list of many pages is read so seldom that
+// its calls stay below the platform's rate.
+func TestListKeepsToTheRate(t *testing.T) {
+	for calls, want := range map[int]time.Duration{1: listEvery, 60: 2500 * time.Millisecond} {
+		d := &Duties{limits: Limits{ListRate: 40}}
+		if got := d.listPause(calls); got != want {
+			t.Errorf("%d calls: a pause of %v, want %v", calls, got, want)
+		}
+	}
+}
--- a/transport/control/duties.go
+++ b/transport/control/duties.go
@@ -23,9 +23,10 @@
 	dutyTick = 100 * time.Millisecond
 	// callTime bounds a call to the platform.
 	callTime = 1500 * time.Millisecond
-	// listMost and listLeast bound the time between two reads of the list.
-	listMost  = 500 * time.Millisecond
-	listLeast = 200 * time.Millisecond
+	// listEvery is between two reads of the list, at the least, and listPart the
+	// part of the platform's rate that they may take: another instance may read too.
+	listEvery = 500 * time.Millisecond
+	listPart  = 0.6
 	// settleShare of the time until a report is due is left for counts to come in.
 	settleShare = 0.45
 	// windowsBack is how many windows behind a leader looks for one that is not
@@ -74,7 +75,7 @@
 			continue
 		}
 		limit, cancel := context.WithTimeout(ctx, callTime)
-		list, err := d.source.List(limit)
+		list, calls, err := d.source.List(limit)
 		cancel()
 		if err == nil {
 			d.uplink.SetServers(term, list)
@@ -83,18 +84,18 @@
 			failing = err != nil
 			d.log.Warn().Err(err).Bool("failing", failing).Msg("the platform's list")
 		}
-		pause(ctx, d.listPause())
+		pause(ctx, d.listPause(calls))
 	}
 	return nil
 }
 
-// listPause is between two reads of the list.
-func (d *Duties) listPause() time.Duration {
+// listPause is between two reads of the list, so that the calls for its pages keep
+// to a part of the platform's rate.
+func (d *Duties) listPause(calls int) time.Duration {
 	if d.limits.ListRate <= 0 {
-		return listMost
+		return listEvery
 	}
-	const shareOfRate = 4 // Pages and a second reader take their part of the rate.
-	return max(listLeast, min(listMost, time.Duration(shareOfRate/d.limits.ListRate*float64(time.Second))*4))
+	return max(listEvery, time.Duration(float64(calls)/(listPart*d.limits.ListRate)*float64(time.Second)))
 }
 
 func pause(ctx context.Context, d time.Duration) {
