--- a/cmd/weldstreamd/gateway.go
+++ b/cmd/weldstreamd/gateway.go
@@ -102,7 +102,7 @@
 	}
 	links := transport.NewLinks(n.Name, []byte(n.ClusterKey), linkDial, r.log)
 	links.Meter(r.registry)
-	g.client = uplink.New(links, gatewayLink{g.forward, g.server}, seeds, r.log)
+	g.client = uplink.New(links, gatewayLink{g.forward, g.server}, seeds, control.UnpackList, r.log)
 	return g.run()
 }
 
--- a/protocol/uplink.go
+++ b/protocol/uplink.go
@@ -99,11 +99,11 @@
 	Document []byte // Document is set when the gateway's is older.
 	Lister   uint64
 	Version  uint64
-	Servers  []Instance // Servers is set when the gateway's list is older.
-	Listed   bool       // Listed says that Servers is set; the list may be empty.
-	Changes  bool       // Changes says that Servers are only those that changed, and Gone those that are listed no more.
-	Gone     []string
-	Gateways int // Gateways are how many synchronized lately.
+	Servers  []Instance // Servers are those that changed.
+	Listed   bool       // Listed says that the list is told.
+	List     []byte     // List is the whole of it, packed; empty where Servers tell what changed.
+	Gone     []string   // Gone are those that are listed no more.
+	Gateways int        // Gateways are how many synchronized lately.
 	Grants   []QuotaGrant
 	Lanes    []ServiceLanes
 }
--- a/transport/control/control_test.go
+++ b/transport/control/control_test.go
@@ -128,7 +128,7 @@
 		t.Errorf("got again %+v", again)
 	}
 	u.SetServers(1, nil)
-	if empty := sync1(t, u, protocol.SyncMsg{Gateway: "g", Number: 5, Lister: first.Lister, Servers: first.Version}); !empty.Listed || len(empty.Servers) != 0 {
+	if empty := sync1(t, u, protocol.SyncMsg{Gateway: "g", Number: 5, Lister: first.Lister, Servers: first.Version}); !empty.Listed || len(empty.Servers) != 0 || len(empty.Gone) != 1 {
 		t.Errorf("an empty list came as %+v", empty)
 	}
 }
--- a/transport/control/history_test.go
+++ b/transport/control/history_test.go
@@ -69,10 +69,12 @@
 	first := sync1(t, u, protocol.SyncMsg{Gateway: "g"})
 	u.SetServers(1, []protocol.Instance{{ID: "a"}, {ID: "b", Leaving: true}})
 	got := sync1(t, u, protocol.SyncMsg{Gateway: "g", Lister: first.Lister, Servers: first.Version})
-	if !got.Changes || len(got.Servers) != 1 || !got.Servers[0].Leaving || len(got.Gone) != 1 {
+	if len(got.List) > 0 || len(got.Servers) != 1 || !got.Servers[0].Leaving || len(got.Gone) != 1 {
 		t.Errorf("got %+v", got)
 	}
-	if other := sync1(t, u, protocol.SyncMsg{Gateway: "g", Lister: 9, Servers: first.Version}); other.Changes || len(other.Servers) != 2 {
+	if other := sync1(t, u, protocol.SyncMsg{Gateway: "g", Lister: 9, Servers: first.Version}); len(other.Servers) > 0 {
 		t.Errorf("one of another term got %+v", other)
+	} else if list, err := UnpackList(other.List); err != nil || len(list) != 2 {
+		t.Errorf("its list is %v, %v", list, err)
 	}
 }
--- a/transport/control/uplink.go
+++ b/transport/control/uplink.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"compress/flate"
+	"encoding/json"
 	"io"
 	"sync"
 	"time"
@@ -38,6 +39,7 @@
 	quotas   *quota.Coordinator
 	ledger   *usage.Ledger
 	history  history
+	whole    []byte // whole is the list, packed once for all gateways; nil until one asks.
 	view     *place.View
 	places   *place.Ledger
 }
@@ -175,13 +177,40 @@
 	if !u.listed || (m.Lister == u.lister && m.Servers == u.version) {
 		return
 	}
-	reply.Listed, reply.Lister, reply.Version, reply.Servers = true, u.lister, u.version, u.servers
-	if m.Lister != u.lister {
-		return
+	reply.Listed, reply.Lister, reply.Version = true, u.lister, u.version
+	if m.Lister == u.lister {
+		if changed, gone, ok := u.history.since(m.Servers); ok {
+			reply.Servers, reply.Gone = changed, gone
+			return
+		}
+	}
+	if u.whole == nil {
+		u.whole = packList(u.servers)
+	}
+	reply.List = u.whole
+}
+
+// packList packs a list; UnpackList undoes it.
+func packList(list []protocol.Instance) []byte {
+	data, err := json.Marshal(list)
+	if err != nil {
+		panic(err) // Instances hold only strings and numbers.
 	}
-	if changed, gone, ok := u.history.since(m.Servers); ok {
-		reply.Changes, reply.Servers, reply.Gone = true, changed, gone
+	packed, err := Pack(data)
+	if err != nil {
+		panic(err) // Nothing is written but to memory.
+	}
+	return packed
+}
+
+// UnpackList reads a packed list.
+func UnpackList(packed []byte) ([]protocol.Instance, error) {
+	data, err := Unpack(packed)
+	if err != nil {
+		return nil, err
 	}
+	var list []protocol.Instance
+	return list, eris.Wrap(json.Unmarshal(data, &list), "read list")
 }
 
 // alive counts the gateways that asked lately. It needs u.mu.
@@ -207,7 +236,7 @@
 	if u.listed {
 		u.history.add(u.version, u.servers, list)
 	}
-	u.lister, u.servers, u.listed = term, list, true
+	u.lister, u.servers, u.listed, u.whole = term, list, true, nil
 	u.view = place.NewView(list, u.view)
 	u.places.Keep(u.view)
 }
--- a/transport/uplink/uplink.go
+++ b/transport/uplink/uplink.go
@@ -49,8 +49,10 @@
 	// the number of gateways, so that the leader's load is bounded.
 	every       = 150 * time.Millisecond
 	everyMember = 1500 * time.Microsecond
-	// callTime bounds a question to an instance that may be gone.
-	callTime = 700 * time.Millisecond
+	// callTime bounds a question to an instance that may be gone, and firstTime one
+	// whose answer holds a whole list, for many gateways at once.
+	callTime  = 700 * time.Millisecond
+	firstTime = 3 * time.Second
 	// searchPause is between two questions while no leader is known.
 	searchPause = 60 * time.Millisecond
 	// hurryPause is the least time between two questions.
@@ -61,6 +63,7 @@
 type Client struct {
 	caller  Caller
 	gateway Gateway
+	unpack  func([]byte) ([]protocol.Instance, error)
 	log     zerolog.Logger
 	life    uint64
 	hurry   chan struct{}
@@ -81,9 +84,10 @@
 	linked   bool
 }
 
-// New returns a client that is not running. The seeds are peer addresses.
-func New(c Caller, g Gateway, seeds []string, log zerolog.Logger) *Client {
-	return &Client{caller: c, gateway: g, seeds: seeds, log: log, life: rand.Uint64(), hurry: make(chan struct{}, 1)}
+// New returns a client that is not running. The seeds are peer addresses; unpack
+// reads a whole list.
+func New(c Caller, g Gateway, seeds []string, unpack func([]byte) ([]protocol.Instance, error), log zerolog.Logger) *Client {
+	return &Client{caller: c, gateway: g, seeds: seeds, unpack: unpack, servers: map[string]protocol.Instance{}, log: log, life: rand.Uint64(), hurry: make(chan struct{}, 1)}
 }
 
 // SetSeeds takes other seeds, for the next search.
@@ -147,7 +151,11 @@
 	m.Life, m.Lister, m.Servers = c.life, c.lister, c.version
 	asked := time.Now()
 	var reply protocol.SyncReply
-	if err := c.caller.Call(address, "Uplink.Sync", m, &reply, callTime); err != nil {
+	limit := callTime
+	if c.target != "" && c.lister == 0 {
+		limit = firstTime
+	}
+	if err := c.caller.Call(address, "Uplink.Sync", m, &reply, limit); err != nil {
 		c.lost(address, err.Error())
 		return false
 	}
@@ -171,7 +179,12 @@
 		}
 	}
 	if reply.Listed {
-		c.gateway.SetServers(c.list(reply))
+		list, err := c.list(reply)
+		if err != nil {
+			c.log.Error().Err(err).Msg("the list cannot be read")
+			return false
+		}
+		c.gateway.SetServers(list)
 		c.lister, c.version = reply.Lister, reply.Version
 	}
 	c.gateway.Confirm(asked, reply.Gateways)
@@ -186,11 +199,16 @@
 }
 
 // list returns the whole list behind an answer that told all of it or what changed.
-func (c *Client) list(reply *protocol.SyncReply) []protocol.Instance {
-	if !reply.Changes || c.servers == nil {
-		c.servers = make(map[string]protocol.Instance, len(reply.Servers))
+func (c *Client) list(reply *protocol.SyncReply) ([]protocol.Instance, error) {
+	changed := reply.Servers
+	if len(reply.List) > 0 {
+		whole, err := c.unpack(reply.List)
+		if err != nil {
+			return nil, err
+		}
+		c.servers, changed = make(map[string]protocol.Instance, len(whole)), whole
 	}
-	for _, in := range reply.Servers {
+	for _, in := range changed {
 		c.servers[in.ID] = in
 	}
 	for _, id := range reply.Gone {
@@ -200,7 +218,7 @@
 	for _, id := range slices.Sorted(maps.Keys(c.servers)) {
 		list = append(list, c.servers[id])
 	}
-	return list
+	return list, nil
 }
 
 // lost forgets the leader that did not answer as one.
--- a/transport/uplink/uplink_test.go
+++ b/transport/uplink/uplink_test.go
@@ -69,7 +69,7 @@
 func TestFindsTheLeader(t *testing.T) {
 	c := &fakeCaller{answers: map[string]func(protocol.SyncMsg) (protocol.SyncReply, error){"b": follows("c"), "c": leads}}
 	g := &fakeGateway{}
-	u := New(c, g, []string{"a", "b"}, zerolog.Nop())
+	u := New(c, g, []string{"a", "b"}, unpackIDs, zerolog.Nop())
 	for range 4 {
 		u.ask()
 	}
@@ -99,7 +99,7 @@
 		answered = time.Now()
 		return leads(m)
 	}}}
-	u := New(c, g, []string{"a"}, zerolog.Nop())
+	u := New(c, g, []string{"a"}, unpackIDs, zerolog.Nop())
 	u.ask()
 	if g.at.IsZero() || g.at.After(answered) {
 		t.Errorf("sure up to %v, the answer was made at %v", g.at, answered)
@@ -110,7 +110,7 @@
 // the newest document in force does not count as up to date.
 func TestUnreadableDocumentConfirmsNothing(t *testing.T) {
 	g := &fakeGateway{bad: true}
-	u := New(&fakeCaller{answers: map[string]func(protocol.SyncMsg) (protocol.SyncReply, error){"a": leads}}, g, []string{"a"}, zerolog.Nop())
+	u := New(&fakeCaller{answers: map[string]func(protocol.SyncMsg) (protocol.SyncReply, error){"a": leads}}, g, []string{"a"}, unpackIDs, zerolog.Nop())
 	if u.ask() || g.confirmed > 0 {
 		t.Error("it counts as up to date")
 	}
@@ -119,7 +119,7 @@
 // TestListOfChanges checks that changes are put into the list that was told
 // before, and that a whole list replaces it.
 func TestListOfChanges(t *testing.T) {
-	c := New(nil, nil, nil, zerolog.Nop())
+	c := New(nil, nil, nil, unpackIDs, zerolog.Nop())
 	ids := func(list []protocol.Instance) (text string) {
 		for _, in := range list {
 			text += in.ID
@@ -133,12 +133,28 @@
 		reply protocol.SyncReply
 		want  string
 	}{
-		{protocol.SyncReply{Servers: []protocol.Instance{{ID: "b"}, {ID: "a"}}}, "ab"},
-		{protocol.SyncReply{Changes: true, Servers: []protocol.Instance{{ID: "c"}, {ID: "a", Leaving: true}}, Gone: []string{"b"}}, "a!c"},
-		{protocol.SyncReply{Servers: []protocol.Instance{{ID: "d"}}}, "d"},
+		{protocol.SyncReply{List: []byte("ba")}, "ab"},
+		{protocol.SyncReply{Servers: []protocol.Instance{{ID: "c"}, {ID: "a", Leaving: true}}, Gone: []string{"b"}}, "a!c"},
+		{protocol.SyncReply{List: []byte("d")}, "d"},
+		{protocol.SyncReply{Gone: []string{"d"}}, ""},
 	} {
-		if got := ids(c.list(&step.reply)); got != step.want {
-			t.Errorf("got %s, want %s", got, step.want)
+		list, err := c.list(&step.reply)
+		if got := ids(list); got != step.want || err != nil {
+			t.Errorf("got %s and %v, want %s", got, err, step.want)
 		}
 	}
+	if _, err := c.list(&protocol.SyncReply{List: []byte("?")}); err == nil {
+		t.Error("a list that cannot be read is no error")
+	}
+}
+
+// unpackIDs reads a list of servers with names of one letter.
+func unpackIDs(packed []byte) (list []protocol.Instance, err error) {
+	for _, id := range string(packed) {
+		if id == '?' {
+			return nil, errors.New("cannot be read")
+		}
+		list = append(list, protocol.Instance{ID: string(id)})
+	}
+	return list, nil
 }
