A fleet with one or two failure domains is not filled up; counts that nobody read are gone

Cause, found by reading: servers are spread so that two domains may lose theirs, which one or two domains can never bear, so each would have been filled up to its most. At least one domain now counts as not lost. TestFewDomains failed first (100 servers for a need of 7). Four counts of the uplink and the planner were told and read by nobody.

--- a/coordination/scale/scale.go
+++ b/coordination/scale/scale.go
@@ -2,9 +2,9 @@
 //
 // Reclaimable servers cost a small part of the full price and may be taken away,
 // a whole domain's at once. So they are spread over the domains, enough of them
-// that the others carry the load when one domain's are gone, and servers at the
-// full price stay only where the service's least number asks for them, or while
-// the platform has no reclaimable ones to give.
+// that the others carry the load when those of two domains are gone, and servers
+// at the full price stay only where the service's least number asks for them, or
+// while too few reclaimable ones serve.
 //
 // [Planner.Plan] is a function of what the gateways and the platform's list
 // tell, of the orders sent before, and of the time that comes with the message.
@@ -27,8 +27,6 @@
 type Service struct {
 	Spec    *protocol.ServiceSpec
 	Work    float64 // Work is how many requests run at once, in the mean of the last second.
-	Refused int64   // Refused counts requests that found no place, since the gateways' start.
-	Arrived int64   // Arrived counts all requests, since the gateways' start.
 	Begun   int64   // Begun counts answers that began, since the gateways' start.
 	Slow    int64   // Slow counts those of them that used up much of their target.
 	Base    int     // Base is how many servers the service had when it was first seen.
@@ -212,10 +210,11 @@
 }
 
 // spread puts reclaimable servers into the domains so that without the fullest
-// domain there are still as many as needed.
+// ones there are still as many as needed. One domain at the least is not lost.
 func spread(dst []int, need int, spec *protocol.ScalingSpec) {
-	for total := 0; ; total++ {
-		if sum(dst)-fullest(dst, lostDomains) >= need && used(dst) >= min(leastDomains, len(dst)) {
+	lost := min(lostDomains, len(dst)-1)
+	for {
+		if sum(dst)-fullest(dst, lost) >= need && used(dst) >= min(leastDomains, len(dst)) {
 			break
 		}
 		// The emptiest domain takes the next one; among equals the cheapest.
--- a/coordination/scale/scale_test.go
+++ b/coordination/scale/scale_test.go
@@ -159,3 +159,16 @@
 		t.Errorf("with none slow the factor stays at %.2f", l.factor)
 	}
 }
+
+// TestFewDomains checks that a fleet with one or two failure domains is not
+// filled up to its most: with no third domain to fall back on, as many as are
+// needed in each have to do.
+func TestFewDomains(t *testing.T) {
+	for domains, most := range map[int]int{1: 7, 2: 14, 3: 21} {
+		dst := make([]int, domains)
+		spread(dst, 7, &protocol.ScalingSpec{Min: 1, Max: 100})
+		if total := sum(dst); total > most || total < 7 {
+			t.Errorf("%d domains have %v, for a need of 7", domains, dst)
+		}
+	}
+}
--- a/protocol/uplink.go
+++ b/protocol/uplink.go
@@ -65,10 +65,6 @@
 // Pressure is what a service's requests ask of its servers through one gateway.
 type Pressure struct {
 	Service string
-	Running int     // Running are requests at a server now.
-	Waiting int     // Waiting are those held for a place.
-	Refused int64   // Refused counts those turned away for want of a place, since the gateway's start.
-	Arrived int64   // Arrived counts all, since the gateway's start.
 	Begun   int64   // Begun counts answers that began, since the gateway's start.
 	Slow    int64   // Slow counts those of them that used up much of their target.
 	Work    float64 // Work is the mean number running over the last second.
--- a/transport/control/fleet.go
+++ b/transport/control/fleet.go
@@ -93,7 +93,7 @@
 			continue
 		}
 		l := loads[s.Name]
-		m.Services = append(m.Services, scale.Service{Spec: s, Work: l.Work, Refused: l.Refused, Arrived: l.Arrived, Begun: l.Begun, Slow: l.Slow, Base: pick(ok, base, guess), Guessed: !ok})
+		m.Services = append(m.Services, scale.Service{Spec: s, Work: l.Work, Begun: l.Begun, Slow: l.Slow, Base: pick(ok, base, guess), Guessed: !ok})
 	}
 	var orders []Order
 	for _, o := range f.planner.Plan(m) {
--- a/transport/control/uplink.go
+++ b/transport/control/uplink.go
@@ -279,12 +279,9 @@
 
 // Load is what the gateways' requests ask of one service.
 type Load struct {
-	Work    float64
-	Running int
-	Refused int64
-	Arrived int64
-	Begun   int64
-	Slow    int64
+	Work  float64
+	Begun int64
+	Slow  int64
 }
 
 // Loads adds up what all gateways told.
@@ -297,9 +294,6 @@
 		for _, p := range g.pressure {
 			l := loads[p.Service]
 			l.Work += p.Work
-			l.Running += p.Running
-			l.Refused += p.Refused
-			l.Arrived += p.Arrived
 			l.Begun += p.Begun
 			l.Slow += p.Slow
 			loads[p.Service] = l
--- a/transport/forward/exchange.go
+++ b/transport/forward/exchange.go
@@ -250,7 +250,6 @@
 	}
 	i, ok := place.Choose(view, m)
 	if !ok {
-		x.g.refused(x.service)
 		return nil, protocol.NewRefusal(protocol.StatusServiceUnavailable, protocol.CodeNoBackend, "no server of the service can take the request").WithRetryAfter(resend.Later(x.route.Target))
 	}
 	return &view.Servers[i], nil
--- a/transport/forward/limits.go
+++ b/transport/forward/limits.go
@@ -12,8 +12,6 @@
 // pressure counts what a service's requests ask for; see protocol.Pressure.
 type pressure struct {
 	running int
-	refused int64
-	arrived int64
 	begun   int64
 	slow    int64
 	work    float64
@@ -60,7 +58,6 @@
 	defer g.mu.Unlock()
 	now := time.Now()
 	p := g.service(x.service)
-	p.arrived++
 	g.share(x.service, now).Request(now)
 	x.lane, x.share = p.lanes.Observe(x.call.PromptTokens, x.call.SharedTokens())
 	x.size = p.lanes.Size(x.call.PromptTokens)
@@ -80,13 +77,6 @@
 	}
 }
 
-// refused notes a request that found no place.
-func (g *Gateway) refused(service string) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	g.service(service).refused++
-}
-
 // share needs g.mu.
 func (g *Gateway) share(service string, now time.Time) *retry.Share {
 	s := g.shares[service]
@@ -161,7 +151,7 @@
 	g.done = nil // One that is lost is forgotten by the leader in time.
 	for name, p := range g.pressure {
 		p.average(now)
-		m.Pressure = append(m.Pressure, protocol.Pressure{Service: name, Running: p.running, Refused: p.refused, Arrived: p.arrived, Begun: p.begun, Slow: p.slow, Work: p.work, Lanes: protocol.LaneTerms(p.lanes.Own())})
+		m.Pressure = append(m.Pressure, protocol.Pressure{Service: name, Begun: p.begun, Slow: p.slow, Work: p.work, Lanes: protocol.LaneTerms(p.lanes.Own())})
 	}
 	return m
 }
