--- a/coordination/scale/scale.go
+++ b/coordination/scale/scale.go
@@ -213,10 +213,7 @@
 // ones there are still as many as needed. One domain at the least is not lost.
 func spread(dst []int, need int, spec *protocol.ScalingSpec) {
 	lost := min(lostDomains, len(dst)-1)
-	for {
-		if sum(dst)-fullest(dst, lost) >= need && used(dst) >= min(leastDomains, len(dst)) {
-			break
-		}
+	for sum(dst)-fullest(dst, lost) < need || used(dst) < min(leastDomains, len(dst)) {
 		// The emptiest domain takes the next one; among equals the cheapest.
 		i := minIndex(dst)
 		if dst[i] >= spec.Max {
