One pause for all loops, one budget box; what nobody calls is gone

Ruled out: the accept loops of the fake servers in transport/backend and transport/forward, 8 lines of test code that serve different protocols; the other pairs that the duplicates report names are import blocks and loops of the same shape over other types.

--- a/internal/soak/cluster.go
+++ b/internal/soak/cluster.go
@@ -237,15 +237,6 @@
 	return list
 }
 
-// Dumps returns the addresses of the gateways' metrics and dump.
-func (c *Cluster) Dumps() []string {
-	var list []string
-	for i := range c.Size.Gateways {
-		list = append(list, at(gatewayIP(i), c.ports.metrics))
-	}
-	return list
-}
-
 // Proc returns a process by its name.
 func (c *Cluster) Proc(name string) *Proc {
 	for _, p := range c.procs {
--- a/internal/standin/completions.go
+++ b/internal/standin/completions.go
@@ -10,6 +10,7 @@
 	"strings"
 	"time"
 
+	"github.com/weldstream/weldstream/internal/pause"
 	"github.com/weldstream/weldstream/protocol"
 )
 
@@ -203,7 +204,7 @@
 }
 
 func (o *eventWriter) token(ctx context.Context, tok jobToken) bool {
-	if !sleep(ctx, time.Duration(o.faults.DelayMS)*time.Millisecond) {
+	if !pause.For(ctx, time.Duration(o.faults.DelayMS)*time.Millisecond) {
 		return false
 	}
 	if o.faults.DropAfter > 0 && o.sent >= o.faults.DropAfter {
--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"github.com/weldstream/weldstream/internal/pause"
 	"github.com/weldstream/weldstream/protocol"
 )
 
@@ -103,7 +104,7 @@
 func (e *Engine) loop(ctx context.Context) {
 	for ctx.Err() == nil {
 		d := e.step()
-		if !sleep(ctx, d) || !e.faults.thaw(ctx) {
+		if !pause.For(ctx, d) || !e.faults.thaw(ctx) {
 			return
 		}
 	}
@@ -243,7 +244,7 @@
 }
 
 func (e *Engine) reportLoop(ctx context.Context) {
-	for sleep(ctx, max(e.cfg.ReportLag, time.Millisecond)) {
+	for pause.For(ctx, max(e.cfg.ReportLag, time.Millisecond)) {
 		e.mu.Lock()
 		e.report = e.loadReport()
 		e.mu.Unlock()
--- a/internal/standin/service.go
+++ b/internal/standin/service.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"github.com/weldstream/weldstream/internal/pause"
 	"github.com/weldstream/weldstream/protocol"
 )
 
@@ -84,7 +85,7 @@
 		return
 	}
 	answer := s.run(r, string(body))
-	sleep(r.Context(), time.Duration(f.DelayMS)*time.Millisecond)
+	pause.For(r.Context(), time.Duration(f.DelayMS)*time.Millisecond)
 	if f.DropAnswer {
 		hangUp()
 	}
--- a/internal/standin/standin.go
+++ b/internal/standin/standin.go
@@ -161,21 +161,6 @@
 	_ = json.NewEncoder(w).Encode(v) // The reader may be gone; there is nobody to tell.
 }
 
-// sleep waits for d or until ctx ends, and reports whether it waited to the end.
-func sleep(ctx context.Context, d time.Duration) bool {
-	if d <= 0 {
-		return ctx.Err() == nil
-	}
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 // hangUp closes the connection of a request without an answer.
 func hangUp() {
 	panic(http.ErrAbortHandler)
--- a/transport/budget.go
+++ b/transport/budget.go
@@ -19,6 +19,7 @@
 	b.budget = b.budget.Success(now)
 }
 
+// spend takes one resend out of the budget and reports whether there was one.
 func (b *budgetBox) spend(now time.Time) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -27,22 +28,13 @@
 	return ok
 }
 
-// hedgeBox shares each plain service's hedge delay between exchanges.
+// hedgeBox shares each plain service's hedge delay between exchanges, and the
+// budget of hedges. Its lock is the budget's.
 type hedgeBox struct {
-	mu     sync.Mutex
-	budget retry.Budget
+	budgetBox
 	delays map[string]retry.HedgeDelay
 }
 
-// spend takes one hedge out of the budget and reports whether there was one.
-func (b *hedgeBox) spend(now time.Time) bool {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	var ok bool
-	b.budget, ok = b.budget.Spend(now)
-	return ok
-}
-
 func (b *hedgeBox) wait(service string) time.Duration {
 	b.mu.Lock()
 	defer b.mu.Unlock()
--- a/transport/control/duties.go
+++ b/transport/control/duties.go
@@ -8,6 +8,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/weldstream/weldstream/coordination/usage"
+	"github.com/weldstream/weldstream/internal/pause"
 	"github.com/weldstream/weldstream/protocol"
 )
 
@@ -71,7 +72,7 @@
 	for ctx.Err() == nil {
 		term, ok := d.group.Vouches()
 		if !ok {
-			pause(ctx, dutyTick)
+			pause.For(ctx, dutyTick)
 			continue
 		}
 		limit, cancel := context.WithTimeout(ctx, callTime)
@@ -84,7 +85,7 @@
 			failing = err != nil
 			d.log.Warn().Err(err).Bool("failing", failing).Msg("the platform's list")
 		}
-		pause(ctx, d.listPause(calls))
+		pause.For(ctx, d.listPause(calls))
 	}
 	return nil
 }
@@ -98,15 +99,6 @@
 	return max(listEvery, time.Duration(float64(calls)/(listPart*d.limits.ListRate)*float64(time.Second)))
 }
 
-func pause(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
-
 // RunDuties carries out the duties while this instance leads.
 func (d *Duties) RunDuties(ctx context.Context) error {
 	for ctx.Err() == nil {
@@ -115,7 +107,7 @@
 			d.report(ctx)
 			d.scale(ctx)
 		}
-		pause(ctx, dutyTick)
+		pause.For(ctx, dutyTick)
 	}
 	return nil
 }
--- a/transport/gateway.go
+++ b/transport/gateway.go
@@ -56,9 +56,6 @@
 // GatewayOption changes a new gateway.
 type GatewayOption func(*Gateway)
 
-// WithChooser replaces the way in which backend servers are chosen.
-func WithChooser(c route.Chooser) GatewayOption { return func(g *Gateway) { g.chooser = c } }
-
 // WithLogger sets the logger; without it nothing is logged.
 func WithLogger(l zerolog.Logger) GatewayOption { return func(g *Gateway) { g.log = l } }
 
@@ -101,7 +98,7 @@
 		wires:     newWires(s.Timeouts.Dial),
 		counts:    sync.Pool{New: func() any { return new([]int32) }},
 		budget:    &budgetBox{budget: retry.New(time.Now())},
-		hedges:    &hedgeBox{budget: retry.NewHedges(time.Now()), delays: map[string]retry.HedgeDelay{}},
+		hedges:    &hedgeBox{budgetBox: budgetBox{budget: retry.NewHedges(time.Now())}, delays: map[string]retry.HedgeDelay{}},
 		ready:     func() error { return nil },
 		leaving:   func(l protocol.Leaving) { t.Backends.MarkLeaving(l) },
 		exchanges: map[string]*exchange{},
--- a/transport/limits.go
+++ b/transport/limits.go
@@ -13,6 +13,7 @@
 
 	"github.com/weldstream/weldstream/coordination/limit"
 	"github.com/weldstream/weldstream/coordination/member"
+	"github.com/weldstream/weldstream/internal/pause"
 	"github.com/weldstream/weldstream/protocol"
 	"github.com/weldstream/weldstream/settings"
 	"github.com/weldstream/weldstream/state"
@@ -80,26 +81,12 @@
 		l.round(ctx)
 		whole := limit.Interval(l.instances())
 		least := whole / hurryPart
-		if !pause(ctx, least, nil) || !pause(ctx, whole-least, l.kick) {
+		if !pause.For(ctx, least) || !pause.Until(ctx, whole-least, l.kick) {
 			return nil
 		}
 	}
 }
 
-// pause waits for a while or until it is cut short, and reports false when ctx
-// has ended.
-func pause(ctx context.Context, d time.Duration, short <-chan struct{}) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-short:
-	case <-ctx.Done():
-		return false
-	}
-	return true
-}
-
 // round brings each limiter up to date and asks for its next grant.
 func (l *Limits) round(ctx context.Context) {
 	instances := l.instances()
--- a/transport/uplink/uplink.go
+++ b/transport/uplink/uplink.go
@@ -20,6 +20,7 @@
 
 	"github.com/rs/zerolog"
 
+	"github.com/weldstream/weldstream/internal/pause"
 	"github.com/weldstream/weldstream/protocol"
 )
 
@@ -109,36 +110,21 @@
 func (c *Client) Run(ctx context.Context) error {
 	for ctx.Err() == nil {
 		began := time.Now()
-		pause := searchPause
+		most := searchPause
 		if c.ask() {
-			pause = max(every, time.Duration(c.gateways)*everyMember)
+			most = max(every, time.Duration(c.gateways)*everyMember)
 		}
-		c.wait(ctx, began, pause)
+		c.wait(ctx, began, most)
 	}
 	return nil
 }
 
-// wait lets the pause pass, or less if somebody is in a hurry.
-func (c *Client) wait(ctx context.Context, began time.Time, pause time.Duration) {
+// wait lets a time pass since the last question, or less if somebody is in a hurry.
+func (c *Client) wait(ctx context.Context, began time.Time, most time.Duration) {
 	if left := hurryPause - time.Since(began); left > 0 {
-		sleep(ctx, left)
-	}
-	timer := time.NewTimer(pause - min(pause, time.Since(began)))
-	defer timer.Stop()
-	select {
-	case <-c.hurry:
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
-
-func sleep(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
+		pause.For(ctx, left)
 	}
+	pause.Until(ctx, most-time.Since(began), c.hurry)
 }
 
 // ask asks the instance that is taken for the leader, and reports whether it is.
