Tests that see eighteen more mechanisms taken out

Cause: of 30 mechanisms of forwarding, the uplink, the control role, resending and connections that were taken out one at a time, 12 were seen by the tests of their packages, and 18 were not, or only after the code was taken out in a way that compiles. One test was wrong: TestChangesAddUp drew the number of versions anew in each round of its loop, so that it hardly ever came behind the 64 that are kept. Change: tests for each; TestChangesAddUp draws once, up to twice what is kept; askEvery is a func of its own, so that its rate can be tested. Ruled out: a method on the ledger for tests alone; the end of another term is seen by where the next prompts are placed. No decision of the product changes.

--- a/coordination/resend/resend_test.go
+++ b/coordination/resend/resend_test.go
@@ -43,6 +43,9 @@
 				if ran && !s.Repeatable {
 					t.Fatal("sent again though it may have run")
 				}
+				if m.Left < leastLeft {
+					t.Fatalf("sent again with %v left", m.Left)
+				}
 				if reached >= s.Most {
 					t.Fatalf("sent again after %d of %d servers", reached, s.Most)
 				}
@@ -58,3 +61,20 @@
 		}
 	})
 }
+
+// TestOutOfReach checks that a request looks for a server in vain for a few times
+// only, though it was sent to none and time is left.
+func TestOutOfReach(t *testing.T) {
+	s := State{Most: 9}
+	m := FailedMsg{Verdict: protocol.NotRun, Left: time.Minute, Target: time.Second, Budget: func() bool { return true }}
+	for n := 1; ; n++ {
+		var refusal *protocol.Refusal
+		s, refusal = Next(s, m)
+		if (refusal != nil) != (n == mostConnects) {
+			t.Fatalf("after %d servers: %+v", n, refusal)
+		}
+		if refusal != nil {
+			return
+		}
+	}
+}
--- a/transport/backend/backend_test.go
+++ b/transport/backend/backend_test.go
@@ -212,3 +212,48 @@
 		t.Errorf("on a closed connection: error %v, wrote %v", err, closed.Wrote())
 	}
 }
+
+// TestRestEnds checks that a connection which rested for as long as it may is
+// not used again, though nothing has come over it.
+func TestRestEnds(t *testing.T) {
+	address := server(t, func(c net.Conn, br *bufio.Reader) {
+		for answer(c, br, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok") {
+		}
+	})
+	p := NewPool(time.Second)
+	_, conn := ask(t, p, address)
+	p.Put("s", conn, 0)
+	conn.until = time.Now()
+	ask(t, p, address)
+	if p.Opens() != 2 {
+		t.Errorf("%d connections were opened, want 2", p.Opens())
+	}
+}
+
+// TestKeep checks that connections are kept to servers that are still listed, and
+// only for as long as they may rest.
+func TestKeep(t *testing.T) {
+	address := server(t, func(c net.Conn, br *bufio.Reader) {
+		for answer(c, br, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok") {
+		}
+	})
+	for _, tc := range []struct {
+		name         string
+		listed, rest bool
+	}{
+		{"listed", true, true},
+		{"not listed", false, true},
+		{"rested long enough", true, false},
+	} {
+		p := NewPool(time.Second)
+		_, conn := ask(t, p, address)
+		p.Put("s", conn, 0)
+		if !tc.rest {
+			conn.until = time.Now()
+		}
+		p.Keep(func(string) bool { return tc.listed })
+		if kept := len(p.idle["s"]) == 1; kept != (tc.listed && tc.rest) {
+			t.Errorf("%s: kept %v", tc.name, kept)
+		}
+	}
+}
--- a/transport/control/control_test.go
+++ b/transport/control/control_test.go
@@ -391,3 +391,58 @@
 		}
 	}
 }
+
+// TestOlderDocumentChangesNothing checks that a document which comes late does
+// not take the place of a newer one.
+func TestOlderDocumentChangesNothing(t *testing.T) {
+	u := newUplink(newFakeGroup())
+	for _, number := range []uint64{5, 4} {
+		if err := u.Install(number, []byte(fmt.Sprint(number))); err != nil {
+			t.Fatal(err)
+		}
+	}
+	got := sync1(t, u, protocol.SyncMsg{Gateway: "g"})
+	if data, err := Unpack(got.Document); err != nil || string(data) != "5" || got.Number != 5 || u.Catalog().Number != 5 {
+		t.Errorf("number %d with %q, %v", got.Number, data, err)
+	}
+}
+
+// TestEndsOfAnotherTerm checks that the end of a request placed in another term
+// does not end one of this term that has the same number: its server stays the
+// fuller one until its own end is told.
+func TestEndsOfAnotherTerm(t *testing.T) {
+	u := newUplink(newFakeGroup())
+	u.SetServers(1, []protocol.Instance{{ID: "a", Service: "s", Slots: 4}, {ID: "b", Service: "s", Slots: 4}, {ID: "c", Service: "s", Slots: 4}})
+	next := func() protocol.PlaceReply {
+		var reply protocol.PlaceReply
+		m := protocol.PlaceMsg{Service: "s", Prompt: 1, Answer: 1_000_000, Share: 1, Target: time.Second, Gap: time.Second}
+		if err := u.Place(m, &reply); err != nil || reply.Server == "" {
+			t.Fatalf("placed %+v, %v", reply, err)
+		}
+		return reply
+	}
+	end := func(term, number uint64) {
+		sync1(t, u, protocol.SyncMsg{Gateway: "g", Done: []protocol.PlaceDone{{Term: term, Number: number}}})
+	}
+	first := next()
+	end(first.Term+1, first.Number)
+	second := next()
+	if second.Server == first.Server {
+		t.Errorf("%s got both while another was free", first.Server)
+	}
+	end(first.Term, first.Number)
+	if third := next(); third.Server != first.Server {
+		t.Errorf("placed at %s, though %s was free again", third.Server, first.Server)
+	}
+}
+
+// TestSilentGatewayCountsNoMore checks that a gateway which asks no more leaves
+// its part of the budgets to the others.
+func TestSilentGatewayCountsNoMore(t *testing.T) {
+	u := newUplink(newFakeGroup())
+	sync1(t, u, protocol.SyncMsg{Gateway: "a"})
+	u.gateways["a"].at = time.Now().Add(-2 * gatewayKept)
+	if got := sync1(t, u, protocol.SyncMsg{Gateway: "b"}); got.Gateways != 1 {
+		t.Errorf("%d gateways count", got.Gateways)
+	}
+}
--- a/transport/control/history_test.go
+++ b/transport/control/history_test.go
@@ -17,7 +17,8 @@
 	rapid.Check(t, func(t *rapid.T) {
 		var h history
 		lists := [][]protocol.Instance{nil}
-		for version := 1; version <= rapid.IntRange(1, 80).Draw(t, "versions"); version++ {
+		versions := rapid.IntRange(1, 2*historyKept).Draw(t, "versions")
+		for version := 1; version <= versions; version++ {
 			var list []protocol.Instance
 			for id := range 6 {
 				switch rapid.IntRange(0, 2).Draw(t, "server") {
--- a/transport/forward/forward_test.go
+++ b/transport/forward/forward_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"fmt"
 	"io"
 	"net"
@@ -14,6 +15,7 @@
 
 	"github.com/valyala/fasthttp"
 
+	"github.com/weldstream/weldstream/coordination/resend"
 	"github.com/weldstream/weldstream/protocol"
 	"github.com/weldstream/weldstream/transport/caller"
 )
@@ -30,9 +32,16 @@
 		Path:      string(req.Header.RequestURI()),
 		Secret:    string(req.Header.Peek("Key")),
 		LastEvent: string(req.Header.Peek("Last")),
+		Remaining: remaining(string(req.Header.Peek("Remaining"))),
 	}
 }
 
+// remaining reads milliseconds; 0 where there are none.
+func remaining(text string) time.Duration {
+	ms, _ := strconv.Atoi(text)
+	return time.Duration(ms) * time.Millisecond
+}
+
 func (plain) Attempt(out, in *fasthttp.Request, a Attempt) {
 	in.Header.CopyTo(&out.Header)
 	out.Header.Set("Workspace", a.Workspace)
@@ -44,7 +53,7 @@
 }
 
 func (plain) Reply(h *fasthttp.ResponseHeader) Reply {
-	return Reply{ID: string(h.Peek("Id")), NotRun: len(h.Peek("Not-Run")) > 0, Close: h.ConnectionClose()}
+	return Reply{ID: string(h.Peek("Id")), NotRun: len(h.Peek("Not-Run")) > 0, Foreign: len(h.Peek("Foreign")) > 0, Close: h.ConnectionClose()}
 }
 
 func (plain) Answer(out, in *fasthttp.Response) {
@@ -144,7 +153,10 @@
 	broken  bool
 }
 
-func (w *world) ask(headers ...string) reply {
+func (w *world) ask(headers ...string) reply { return w.send("body", headers...) }
+
+// send sends a request with a body.
+func (w *world) send(body string, headers ...string) reply {
 	w.t.Helper()
 	conn, err := net.Dial("tcp", w.address)
 	if err != nil {
@@ -152,7 +164,7 @@
 	}
 	defer conn.Close()
 	_ = conn.SetDeadline(time.Now().Add(patience))
-	_, _ = io.WriteString(conn, "POST /r/x HTTP/1.1\r\n"+strings.Join(append(headers, "Host: h", "Id: 7", "Content-Length: 4"), "\r\n")+"\r\n\r\nbody")
+	_, _ = io.WriteString(conn, "POST /r/x HTTP/1.1\r\n"+strings.Join(append(headers, "Host: h", "Id: 7", fmt.Sprintf("Content-Length: %d", len(body))), "\r\n")+"\r\n\r\n"+body)
 	resp := &fasthttp.Response{}
 	resp.StreamBody = true
 	if err := resp.Read(bufio.NewReader(conn)); err != nil {
@@ -351,6 +363,180 @@
 	}
 }
 
+// TestConnectionIsUsedAgain checks over which connections a second request goes:
+// those whose first answer came alone and was asked for in full.
+func TestConnectionIsUsedAgain(t *testing.T) {
+	for name, c := range map[string]struct {
+		serve func(c net.Conn, req *fasthttp.Request)
+		opens int64
+	}{
+		"good":                     {good, 1},
+		"turned away":              {full, 1},
+		"another's answer too":     {another(true), 2},
+		"the server says it ends":  {func(c net.Conn, _ *fasthttp.Request) { say(c, 200, "Connection: close\r\n", "fine") }, 2},
+		"the server turns it away": {func(c net.Conn, _ *fasthttp.Request) { say(c, 503, "Not-Run: 1\r\nConnection: close\r\n", "") }, 2},
+	} {
+		t.Run(name, func(t *testing.T) {
+			w := newWorld(t)
+			w.install(protocol.PathRoute{Attempts: 1})
+			w.backend("a", c.serve)
+			w.ask()
+			w.ask()
+			if opens := w.g.pool.Opens(); opens != c.opens {
+				t.Errorf("%d connections were opened, want %d", opens, c.opens)
+			}
+		})
+	}
+}
+
+// TestEarlyAnswerEndsTheConnection checks that a connection over which the rest
+// of a request was never sent does not carry the next one.
+func TestEarlyAnswerEndsTheConnection(t *testing.T) {
+	w := newWorld(t)
+	w.install(protocol.PathRoute{Attempts: 1})
+	done := make(chan struct{})
+	t.Cleanup(func() { close(done) })
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = ln.Close() })
+	go func() {
+		for {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			_ = c.(*net.TCPConn).SetReadBuffer(4 << 10) // Most of the body stays unsent.
+			var h fasthttp.RequestHeader
+			_ = h.Read(bufio.NewReaderSize(c, 4096))
+			say(c, 422, "", "")
+			go func() {
+				<-done // It keeps the connection and reads nothing.
+				_ = c.Close()
+			}()
+		}
+	}()
+	w.g.SetServers([]protocol.Instance{{ID: "a", Service: "s", Address: ln.Addr().String(), Domain: "a", Slots: 4}})
+	long := strings.Repeat("x", 4<<20-1)
+	for range 2 {
+		if got := w.send(long); got.status != 422 {
+			t.Errorf("got %+v", got)
+		}
+	}
+	if opens := w.g.pool.Opens(); opens != 2 {
+		t.Errorf("%d connections were opened, want 2", opens)
+	}
+}
+
+// TestAnotherServerAtTheAddress checks that an address which has come to belong
+// to another server gets no further requests while there is another.
+func TestAnotherServerAtTheAddress(t *testing.T) {
+	w := newWorld(t)
+	w.install(protocol.PathRoute{Attempts: 2})
+	foreign := w.backend("a", func(c net.Conn, _ *fasthttp.Request) { say(c, 503, "Not-Run: 1\r\nForeign: 1\r\n", "") })
+	w.backend("b", good)
+	for range 30 {
+		if got := w.ask(); got.status != 200 {
+			t.Errorf("got %+v", got)
+		}
+	}
+	if n := foreign.runs.Load(); n > 1 {
+		t.Errorf("the foreign server was asked %d times", n)
+	}
+}
+
+// TestCallersTimeLimit checks that a request gets its final answer when the time
+// that its caller waits is over, though the route allows more.
+func TestCallersTimeLimit(t *testing.T) {
+	w := newWorld(t)
+	w.install(protocol.PathRoute{Attempts: 1})
+	w.backend("a", func(c net.Conn, _ *fasthttp.Request) { _, _ = c.Read(make([]byte, 1)) })
+	if got := w.ask("Remaining: 50"); got.status != 504 || got.verdict != "may-have-run" {
+		t.Errorf("got %+v", got)
+	}
+}
+
+// TestClosedRefuses checks that a gateway which stops refuses what comes, as not
+// run, and says when to come back.
+func TestClosedRefuses(t *testing.T) {
+	w := newWorld(t)
+	w.install(protocol.PathRoute{Attempts: 1})
+	a := w.backend("a", good)
+	w.g.Close()
+	if got := w.ask(); got.status != 503 || got.verdict != "not-run" || got.retry == "" || a.runs.Load() > 0 {
+		t.Errorf("got %+v after %d runs", got, a.runs.Load())
+	}
+}
+
+// TestKeyTakenWhileItWaits checks that a request which waited for the newest
+// configuration is judged by that one, not by the one that it found.
+func TestKeyTakenWhileItWaits(t *testing.T) {
+	w := newWorld(t)
+	w.g.cfg.Revoke = time.Hour
+	w.g.confirmed.Store(0) // Not sure of its configuration yet.
+	w.install(protocol.PathRoute{Attempts: 1}, protocol.Tenancy{Name: "w", Keys: []string{"k"}})
+	w.backend("a", good)
+	call := &fasthttp.Request{}
+	call.Header.SetHost("h")
+	call.SetRequestURI("/r/x")
+	call.Header.Set("Key", "k")
+	x := newExchange(context.Background(), w.g, call, nil)
+	defer x.release()
+	x.call = plain{}.Call(call)
+	x.index = w.g.index.Load()
+	x.route = x.index.Route(x.call.Host, x.call.Path)
+	w.install(protocol.PathRoute{Attempts: 1}, protocol.Tenancy{Name: "w", Keys: []string{"other"}})
+	w.g.Confirm(time.Now(), 1)
+	if refusal := x.authenticate(); refusal == nil || refusal.Code != protocol.CodeUnauthorized {
+		t.Errorf("got %+v", refusal)
+	}
+}
+
+// TestUnsureBeforeTheAttempt checks that a request which waited for its quota is
+// not sent once the gateway may no longer trust keys.
+func TestUnsureBeforeTheAttempt(t *testing.T) {
+	w := newWorld(t)
+	w.install(protocol.PathRoute{Attempts: 1}, protocol.Tenancy{Name: "w", Keys: []string{"k"}, Rate: 10, Burst: 10})
+	a := w.backend("a", good)
+	w.g.hurry = func() {
+		w.g.cfg.Revoke = time.Nanosecond // The confirmation is too old from here on.
+		m := w.g.Report(1)
+		w.g.Told(&m, 1, []protocol.QuotaGrant{{Workspace: "w", Units: 1, Lasts: time.Minute}}, time.Now())
+	}
+	if got := w.ask("Key: k"); got.status != 503 || got.verdict != "not-run" || a.runs.Load() > 0 {
+		t.Errorf("got %+v after %d runs", got, a.runs.Load())
+	}
+}
+
+// TestNoMoreForACallerThatLeft checks that nothing is sent again for a caller
+// that has hung up.
+func TestNoMoreForACallerThatLeft(t *testing.T) {
+	w := newWorld(t)
+	gone, leave := context.WithCancel(context.Background())
+	x := newExchange(gone, w.g, &fasthttp.Request{}, nil)
+	defer x.release()
+	x.route = &protocol.PathRoute{Target: time.Second}
+	x.deadline = time.Now().Add(patience)
+	x.state = resend.State{Repeatable: true, Most: 3}
+	if got := x.failed(protocol.NotRun, true, "turned away"); got != errAgain {
+		t.Errorf("got %+v while the caller waits", got)
+	}
+	leave()
+	if got := x.failed(protocol.NotRun, true, "turned away"); got.Code != protocol.CodeCallerGone {
+		t.Errorf("got %+v", got)
+	}
+}
+
+// TestOlderCatalogChangesNothing checks that a catalog that comes late does not
+// take the place of a newer one.
+func TestOlderCatalogChangesNothing(t *testing.T) {
+	g := newWorld(t).g
+	if !g.Install(&protocol.Catalog{Number: 5}) || g.Install(&protocol.Catalog{Number: 4}) || g.Install(&protocol.Catalog{Number: 5}) || g.Number() != 5 {
+		t.Errorf("catalog %d holds", g.Number())
+	}
+}
+
 // TestQuotaIsAskedFor checks that a request waits for a part of its quota, and is
 // told when to come back if there is none.
 func TestQuotaIsAskedFor(t *testing.T) {
--- a/transport/uplink/uplink.go
+++ b/transport/uplink/uplink.go
@@ -112,13 +112,18 @@
 		began := time.Now()
 		most := searchPause
 		if c.ask() {
-			most = max(every, time.Duration(c.gateways)*everyMember)
+			most = askEvery(c.gateways)
 		}
 		c.wait(ctx, began, most)
 	}
 	return nil
 }
 
+// askEvery is the time between two questions of each of some gateways.
+func askEvery(gateways int) time.Duration {
+	return max(every, time.Duration(gateways)*everyMember)
+}
+
 // wait lets a time pass since the last question, or less if somebody is in a hurry.
 func (c *Client) wait(ctx context.Context, began time.Time, most time.Duration) {
 	if left := hurryPause - time.Since(began); left > 0 {
--- a/transport/uplink/uplink_test.go
+++ b/transport/uplink/uplink_test.go
@@ -1,6 +1,7 @@
 package uplink
 
 import (
+	"context"
 	"errors"
 	"testing"
 	"time"
@@ -148,6 +149,28 @@
 	}
 }
 
+// TestLeaderIsAskedAtABoundedRate checks that all gateways together ask no more
+// often than a leader bears, however many they are.
+func TestLeaderIsAskedAtABoundedRate(t *testing.T) {
+	for _, gateways := range []int{1, 100, 300, 3000} {
+		if a := askEvery(gateways); a < every || a < time.Duration(gateways)*everyMember {
+			t.Errorf("each of %d asks every %v", gateways, a)
+		}
+	}
+}
+
+// TestHurryKeepsAPause checks that a gateway in a hurry lets the least time pass
+// between two questions.
+func TestHurryKeepsAPause(t *testing.T) {
+	c := New(nil, nil, nil, unpackIDs, zerolog.Nop())
+	c.Hurry()
+	began := time.Now()
+	c.wait(context.Background(), began, time.Hour)
+	if took := time.Since(began); took < hurryPause {
+		t.Errorf("asked again after %v", took)
+	}
+}
+
 // unpackIDs reads a list of servers with names of one letter.
 func unpackIDs(packed []byte) (list []protocol.Instance, err error) {
 	for _, id := range string(packed) {
