Tests of quotas, orders, distrust and the platform's ends; what did nothing is gone

Cause: of 45 mechanisms in platform, scale, quota, usage, retry and place that were taken out one at a time, 29 were not seen by the tests of their packages. Three of the unseen did nothing: a bound in scale that the spread over domains already keeps (of two domains or more at least one is taken for lost, so two are used), a cut of the bucket's level that Grant makes again, and Purse.GiveUp, which nobody called. The comment of order said that an order is repeated when its servers do not come; none is, as the platform keeps to the last one. Change: tests for each of the others; the three parts are gone; the comment says what is done. Ruled out: calling GiveUp when a request stops waiting. What it lacks is forgotten at the next grant, and the rest is given back when it expires.

--- a/coordination/place/place_test.go
+++ b/coordination/place/place_test.go
@@ -229,3 +229,27 @@
 		})
 	}
 }
+
+// TestNewAddressIsUnknown checks that a server which comes back under its name at
+// another address begins without what was known of it.
+func TestNewAddressIsUnknown(t *testing.T) {
+	before := fleet(1)
+	before.Servers[0].Cell.Failed(true, start)
+	in := before.Servers[0].Instance
+	in.Address = "10.9.9.9:80"
+	if NewView([]protocol.Instance{in}, before).Servers[0].Cell.Suspect(start) {
+		t.Error("a new server is passed over for what another did")
+	}
+}
+
+// TestColdServerComesAfterAWarmOne checks that of two equal servers the one that
+// has just started is not taken.
+func TestColdServerComesAfterAWarmOne(t *testing.T) {
+	v := fleet(2)
+	for cold := range v.Servers {
+		v.Servers[cold].ColdMS, v.Servers[1-cold].ColdMS = 500, 0
+		if i, _ := Choose(v, ChooseMsg{Service: "model", Now: start}); i == cold {
+			t.Errorf("server %d was taken though it is cold", i)
+		}
+	}
+}
--- a/coordination/quota/purse.go
+++ b/coordination/quota/purse.go
@@ -108,13 +108,6 @@
 	return Ask, 0
 }
 
-// GiveUp takes back what a request that no longer waits was lacking.
-func (p *Purse) GiveUp(workspace string, units float64) {
-	if s := p.spaces[workspace]; s != nil {
-		s.lacking = max(0, s.lacking-units)
-	}
-}
-
 // Wants returns what the purse would ask for now.
 func (p *Purse) Wants(now time.Time) []protocol.QuotaWant {
 	var wants []protocol.QuotaWant
--- a/coordination/quota/quota.go
+++ b/coordination/quota/quota.go
@@ -68,7 +68,6 @@
 		}
 		b.fill(now)
 		b.rate, b.size = w.Rate+spreadPart*w.Burst/c.window.Seconds(), max((1-spreadPart)*w.Burst, w.Rate/10)
-		b.level = min(b.level, b.size)
 		kept[w.Name] = b
 	}
 	c.buckets = kept
--- a/coordination/quota/quota_test.go
+++ b/coordination/quota/quota_test.go
@@ -180,3 +180,72 @@
 		t.Errorf("%.0f units were spent, the quota allows %.0f", spent, bound)
 	}
 }
+
+// TestBucketHoldsNoMoreThanItsSize checks that neither a change of the quota nor
+// what is given back fills a bucket above its size.
+func TestBucketHoldsNoMoreThanItsSize(t *testing.T) {
+	w := protocol.Tenancy{Name: "w", Rate: 1000}
+	size, ahead := w.Rate/10, w.Rate*debt.Seconds()
+	for name, back := range map[string]float64{"new": 0, "given back": 1e6} {
+		c := NewCoordinator(window)
+		c.Configure([]protocol.Tenancy{w}, start)
+		g := c.Grant(protocol.QuotaWant{Workspace: "w", Units: 1e9, Back: back}, start)
+		if g.Units > size+ahead {
+			t.Errorf("%s: granted %.0f of a bucket of %.0f, and %.0f ahead", name, g.Units, size, ahead)
+		}
+	}
+}
+
+// TestPartLastsFromItsQuestion checks that a part whose answer came late lasts no
+// longer for it: the coordinator counts it as over by then.
+func TestPartLastsFromItsQuestion(t *testing.T) {
+	p := NewPurse()
+	p.Configure([]protocol.Tenancy{{Name: "w", Rate: 100, Burst: 100}})
+	late := start.Add(GrantLasts)
+	p.Heard(1, late)
+	p.Granted([]protocol.QuotaGrant{{Workspace: "w", Units: 50, Lasts: GrantLasts}}, start, late)
+	if v, _ := p.Take("w", 1, late); v == Taken {
+		t.Error("a part that was over was spent")
+	}
+}
+
+// TestDenialIsShort checks that the coordinator is asked again soon, however long
+// it said that the quota is used up: others may give parts back.
+func TestDenialIsShort(t *testing.T) {
+	p := NewPurse()
+	p.Configure([]protocol.Tenancy{{Name: "w", Rate: 100, Burst: 100}})
+	p.Heard(1, start)
+	p.Granted([]protocol.QuotaGrant{{Workspace: "w", Wait: time.Hour}}, start, start)
+	if v, wait := p.Take("w", 1, start); v != Denied || wait != mostWait {
+		t.Errorf("got %d, wait %v", v, wait)
+	}
+	if v, _ := p.Take("w", 1, start.Add(mostWait)); v != Ask {
+		t.Errorf("after the pause it said %d", v)
+	}
+}
+
+// TestNothingInAdvanceForRareRequests checks that a gateway asks in advance for
+// what it uses often, and not for a part of one request, which would expire.
+func TestNothingInAdvanceForRareRequests(t *testing.T) {
+	for name, c := range map[string]struct {
+		pause time.Duration
+		want  bool
+	}{"often": {50 * time.Millisecond, true}, "rarely": {1500 * time.Millisecond, false}} {
+		p := NewPurse()
+		p.Configure([]protocol.Tenancy{{Name: "w", Rate: 1000, Burst: 1000}})
+		now := start
+		for range 60 {
+			now = now.Add(c.pause)
+			p.Heard(1, now)
+			p.Granted([]protocol.QuotaGrant{{Workspace: "w", Units: 10, Lasts: GrantLasts}}, now, now)
+			p.Take("w", 10, now)
+		}
+		units := 0.0
+		for _, w := range p.Wants(now) {
+			units += w.Units
+		}
+		if (units > 0) != c.want {
+			t.Errorf("%s: %.1f units are asked for in advance", name, units)
+		}
+	}
+}
--- a/coordination/retry/share_test.go
+++ b/coordination/retry/share_test.go
@@ -56,3 +56,21 @@
 	}
 	return n
 }
+
+// TestNothingIsSavedUp checks that retries earned in one window do not add to
+// those of a later one.
+func TestNothingIsSavedUp(t *testing.T) {
+	now := time.Unix(1_700_000_000, 0)
+	s := NewShare(0.2, 10, time.Second, 1, now)
+	for range 1000 {
+		s.Request(now)
+	}
+	now = now.Add(2 * time.Second)
+	spent := 0
+	for s.Spend(now) {
+		spent++
+	}
+	if spent > 10 {
+		t.Errorf("%d retries are left of an earlier window", spent)
+	}
+}
--- a/coordination/scale/scale.go
+++ b/coordination/scale/scale.go
@@ -61,8 +61,6 @@
 	sinceMemory = 20 * time.Second
 	// lostDomains may lose their reclaimable servers at about the same time.
 	lostDomains = 2
-	// leastDomains have reclaimable servers, so that losing one leaves others.
-	leastDomains = 2
 	// refusedPause is how long no order follows one that was refused.
 	refusedPause = 2 * time.Second
 	// settle is between two orders of the same kind for the same domain.
@@ -213,7 +211,7 @@
 // ones there are still as many as needed. One domain at the least is not lost.
 func spread(dst []int, need int, spec *protocol.ScalingSpec) {
 	lost := min(lostDomains, len(dst)-1)
-	for sum(dst)-fullest(dst, lost) < need || used(dst) < min(leastDomains, len(dst)) {
+	for sum(dst)-fullest(dst, lost) < need {
 		// The emptiest domain takes the next one; among equals the cheapest.
 		i := minIndex(dst)
 		if dst[i] >= spec.Max {
@@ -240,16 +238,6 @@
 	return n
 }
 
-func used(list []int) int {
-	n := 0
-	for _, v := range list {
-		if v > 0 {
-			n++
-		}
-	}
-	return n
-}
-
 func minIndex(list []int) int {
 	best := 0
 	for i, v := range list {
@@ -260,8 +248,8 @@
 	return best
 }
 
-// order appends an order if it differs from the last one, or if that one was
-// refused a while ago, or if what it asked for did not come.
+// order appends an order if it differs from the last one, which the platform
+// keeps to, or if that one was refused a while ago.
 func (p *Planner) order(orders []Order, service string, d domainState, want int, reclaimable bool, now time.Time) []Order {
 	o := Order{Service: service, Domain: d.name, Count: want, Reclaimable: reclaimable}
 	key := o
--- a/coordination/scale/scale_test.go
+++ b/coordination/scale/scale_test.go
@@ -172,3 +172,76 @@
 		}
 	}
 }
+
+// TestOrdersPause checks how long an order waits for the one before it, and that
+// one which was taken is not repeated.
+func TestOrdersPause(t *testing.T) {
+	for name, c := range map[string]struct {
+		last, want int
+		taken      bool
+		pause      time.Duration
+	}{
+		"refused": {5, 5, false, refusedPause},
+		"more":    {3, 5, true, settle},
+		"fewer":   {5, 3, true, shrinkAfter},
+		"as many": {5, 5, true, time.Hour},
+	} {
+		p := New()
+		key := Order{Service: "model", Domain: "a", Count: c.last, Reclaimable: true}
+		p.Ordered(key, c.taken, start)
+		for after, want := range map[time.Duration]int{c.pause - time.Millisecond: 0, c.pause: 1} {
+			if name == "as many" {
+				want = 0
+			}
+			if got := p.order(nil, "model", domainState{name: "a"}, c.want, true, start.Add(after)); len(got) != want {
+				t.Errorf("%s: after %v there were %d orders, want %d", name, after, len(got), want)
+			}
+		}
+	}
+}
+
+// TestLeastNumber checks that each domain is to have the least number of servers
+// that the operators set, however little there is to do.
+func TestLeastNumber(t *testing.T) {
+	dst := make([]int, 6)
+	spread(dst, 1, &protocol.ScalingSpec{Min: 2, Max: 10})
+	for i, n := range dst {
+		if n < 2 {
+			t.Errorf("domain %d is to have %d", i, n)
+		}
+	}
+}
+
+// TestGuessedBase checks that no servers at the full price are ordered, nor given
+// back, while the first number of servers is a guess.
+func TestGuessedBase(t *testing.T) {
+	w := &world{counts: map[Order]int{{Service: "model", Domain: "a"}: 2}}
+	for _, guessed := range []bool{true, false} {
+		full := false
+		for _, o := range New().Plan(PlanMsg{Services: []Service{{Spec: spec(), Base: 9, Guessed: guessed}}, Servers: w.list(), Now: start}) {
+			full = full || !o.Reclaimable
+		}
+		if full == guessed {
+			t.Errorf("guessed %v: ordered at the full price %v", guessed, full)
+		}
+	}
+}
+
+// TestLeavingServersDoNotCount checks that a server which leaves, or is another
+// service's, is not one that serves.
+func TestLeavingServersDoNotCount(t *testing.T) {
+	for _, d := range survey(spec(), []protocol.Instance{
+		{Service: "model", Domain: "a"},
+		{Service: "model", Domain: "a", Leaving: true},
+		{Service: "model", Domain: "a", Market: MarketReclaimable, Leaving: true},
+		{Service: "other", Domain: "a"},
+	}) {
+		want := 0
+		if d.name == "a" {
+			want = 1
+		}
+		if d.full != want || d.reclaimable != 0 {
+			t.Errorf("%+v", d)
+		}
+	}
+}
--- a/coordination/usage/usage_test.go
+++ b/coordination/usage/usage_test.go
@@ -79,3 +79,18 @@
 		t.Errorf("window %d ends at %v", w, End(w, length))
 	}
 }
+
+// TestOldCountsAreForgotten checks that a counter keeps the windows whose report
+// is still to come, and no others.
+func TestOldCountsAreForgotten(t *testing.T) {
+	now := time.Unix(1_700_000_000, 0)
+	c := NewCounter(length, 2*length)
+	c.Began("w", now)
+	if rows := c.Rows(1, now.Add(3*length)); len(rows) != 1 {
+		t.Errorf("%d counts before the report is due", len(rows))
+	}
+	c.Rows(1, now.Add(9*length))
+	if len(c.counts) > 0 {
+		t.Errorf("%d counts are kept for good", len(c.counts))
+	}
+}
