Platform's names of duties in platform/; Allowance for Purse; units in comments; fields that nobody read are gone

Cause: settings named the platform's duties (usage_report, autoscale), which only platform/ may know, and its test of words did not look for them. Purse was a metaphor of our own. ServiceSpec.HealthPath, ScalingSpec.Boot and .Reclaimable and PlaceMsg.Gateway were written and never read. Public fields of the messages between the roles lacked their units, the interfaces their errors. Ruled out: dropping the fields from the document too, which would take what was refused. The outcome of no decision changes.

--- a/cmd/weldstreamd/control.go
+++ b/cmd/weldstreamd/control.go
@@ -13,7 +13,6 @@
 	"github.com/weldstream/weldstream/coordination/replicate"
 	"github.com/weldstream/weldstream/platform"
 	"github.com/weldstream/weldstream/protocol"
-	"github.com/weldstream/weldstream/settings"
 	"github.com/weldstream/weldstream/state"
 	"github.com/weldstream/weldstream/transport"
 	"github.com/weldstream/weldstream/transport/control"
@@ -85,8 +84,8 @@
 		Lease:       n.Bounds.Lease,
 		UsageWindow: n.Bounds.UsageWindow,
 		UsageDue:    n.Bounds.UsageDue,
-		Usage:       n.Source.Owes(settings.DutyUsage),
-		Fleet:       n.Source.Owes(settings.DutyFleet),
+		Usage:       n.Source.Owes(platform.DutyUsage),
+		Fleet:       n.Source.Owes(platform.DutyFleet),
 	}
 }
 
--- a/coordination/quota/purse.go
+++ b/coordination/quota/allowance.go
@@ -29,14 +29,14 @@
 	Denied                // Denied means that the quota is used up for now.
 )
 
-// Purse is a gateway's part of the quotas.
-type Purse struct {
+// Allowance is a gateway's part of the quotas.
+type Allowance struct {
 	spaces   map[string]*space
 	gateways int
 	heard    time.Time // heard is when the coordinator answered last.
 }
 
-// space is one workspace in a purse.
+// space is one workspace in an allowance.
 type space struct {
 	rate    float64
 	burst   float64
@@ -56,18 +56,18 @@
 	until time.Time
 }
 
-// NewPurse returns an empty purse.
-func NewPurse() *Purse { return &Purse{spaces: map[string]*space{}, gateways: 1} }
+// NewAllowance returns an empty allowance.
+func NewAllowance() *Allowance { return &Allowance{spaces: map[string]*space{}, gateways: 1} }
 
 // Configure puts the quotas of a configuration in force.
-func (p *Purse) Configure(workspaces []protocol.Tenancy) {
+func (a *Allowance) Configure(workspaces []protocol.Tenancy) {
 	kept := map[string]*space{}
 	for i := range workspaces {
 		w := &workspaces[i]
 		if w.Rate <= 0 {
 			continue
 		}
-		s := p.spaces[w.Name]
+		s := a.spaces[w.Name]
 		if s == nil {
 			s = &space{}
 		}
@@ -77,17 +77,17 @@
 		s.rate, s.burst = w.Rate, max(w.Burst, w.Rate/10)
 		kept[w.Name] = s
 	}
-	p.spaces = kept
+	a.spaces = kept
 }
 
 // Heard notes an answer of the coordinator, and how many gateways there are.
-func (p *Purse) Heard(gateways int, now time.Time) {
-	p.heard, p.gateways = now, max(1, gateways)
+func (a *Allowance) Heard(gateways int, now time.Time) {
+	a.heard, a.gateways = now, max(1, gateways)
 }
 
 // Take takes the units of one request. With Denied, wait is when to come back.
-func (p *Purse) Take(workspace string, units float64, now time.Time) (v Verdict, wait time.Duration) {
-	s := p.spaces[workspace]
+func (a *Allowance) Take(workspace string, units float64, now time.Time) (v Verdict, wait time.Duration) {
+	s := a.spaces[workspace]
 	if s == nil {
 		return Taken, 0 // Without a quota there is no limit.
 	}
@@ -95,8 +95,8 @@
 		s.used(units, now)
 		return Taken, 0
 	}
-	if now.Sub(p.heard) > aloneAfter {
-		if s.spendAlone(units, p.gateways, now) {
+	if now.Sub(a.heard) > aloneAfter {
+		if s.spendAlone(units, a.gateways, now) {
 			return Taken, 0
 		}
 		return Denied, s.refill(units)
@@ -108,10 +108,10 @@
 	return Ask, 0
 }
 
-// Wants returns what the purse would ask for now.
-func (p *Purse) Wants(now time.Time) []protocol.QuotaWant {
+// Wants returns what the allowance would ask for now.
+func (a *Allowance) Wants(now time.Time) []protocol.QuotaWant {
 	var wants []protocol.QuotaWant
-	for name, s := range p.spaces {
+	for name, s := range a.spaces {
 		held := s.held(now)
 		want := max(0, s.lacking+s.inAdvance(now)-held)
 		if want > 0 || s.unspent > 0 {
@@ -123,9 +123,9 @@
 }
 
 // Granted puts parts in. Lasts counts from when they were asked for.
-func (p *Purse) Granted(grants []protocol.QuotaGrant, asked, now time.Time) {
+func (a *Allowance) Granted(grants []protocol.QuotaGrant, asked, now time.Time) {
 	for _, g := range grants {
-		s := p.spaces[g.Workspace]
+		s := a.spaces[g.Workspace]
 		if s == nil {
 			continue
 		}
--- a/coordination/quota/quota.go
+++ b/coordination/quota/quota.go
@@ -1,7 +1,7 @@
 // Package quota keeps the quotas of workspaces over all gateways.
 //
 // A [Coordinator], on the control instance that leads, has a bucket for each
-// workspace. A [Purse], one a gateway, asks it for a part of what the bucket
+// workspace. An [Allowance], one a gateway, asks it for a part of what the bucket
 // holds, sized by recent use, and spends it. A part expires soon, so what is
 // held anywhere never adds up to much more than the bound. A gateway that cannot
 // reach the coordinator goes on with half of its even part of the rate.
--- a/coordination/quota/quota_test.go
+++ b/coordination/quota/quota_test.go
@@ -68,16 +68,16 @@
 	}
 }
 
-// TestPurse walks a gateway's part through asking, spending, expiry and denial.
-func TestPurse(t *testing.T) {
-	p := NewPurse()
+// TestAllowance walks a gateway's part through asking, spending, expiry and denial.
+func TestAllowance(t *testing.T) {
+	p := NewAllowance()
 	p.Configure([]protocol.Tenancy{{Name: "w", Rate: 100, Burst: 100}})
 	p.Heard(2, start)
 	if v, _ := p.Take("free", 1e9, start); v != Taken {
 		t.Error("a workspace without a quota was limited")
 	}
 	if v, _ := p.Take("w", 30, start); v != Ask {
-		t.Fatalf("an empty purse said %d", v)
+		t.Fatalf("an empty allowance said %d", v)
 	}
 	wants := p.Wants(start)
 	if len(wants) != 1 || wants[0].Units < 30 {
@@ -98,14 +98,14 @@
 	}
 }
 
-// TestPurseAlone checks that gateways that reach no coordinator let in at most
+// TestAllowanceAlone checks that gateways that reach no coordinator let in at most
 // half of the rate together.
-func TestPurseAlone(t *testing.T) {
+func TestAllowanceAlone(t *testing.T) {
 	const gateways = 4
 	w := protocol.Tenancy{Name: "w", Rate: 1000, Burst: 500}
 	taken := 0.0
 	for range gateways {
-		p := NewPurse()
+		p := NewAllowance()
 		p.Configure([]protocol.Tenancy{w})
 		p.Heard(gateways, start)
 		for ms := 1500; ms < 9500; ms += 5 {
@@ -122,7 +122,7 @@
 // TestLowerQuotaDropsParts checks that what was granted under a higher quota is
 // not spent under a lower one.
 func TestLowerQuotaDropsParts(t *testing.T) {
-	p := NewPurse()
+	p := NewAllowance()
 	p.Configure([]protocol.Tenancy{{Name: "w", Rate: 1000, Burst: 1000}})
 	p.Heard(1, start)
 	p.Take("w", 1, start)
@@ -141,13 +141,13 @@
 	w := protocol.Tenancy{Name: "w", Rate: 1000, Burst: 1000}
 	c := NewCoordinator(window)
 	c.Configure([]protocol.Tenancy{w}, start)
-	purses := make([]*Purse, gateways)
-	for i := range purses {
-		purses[i] = NewPurse()
-		purses[i].Configure([]protocol.Tenancy{w})
+	allowances := make([]*Allowance, gateways)
+	for i := range allowances {
+		allowances[i] = NewAllowance()
+		allowances[i].Configure([]protocol.Tenancy{w})
 	}
 	now, spent := start, 0.0
-	ask := func(p *Purse) {
+	ask := func(p *Allowance) {
 		var grants []protocol.QuotaGrant
 		for _, want := range p.Wants(now) {
 			grants = append(grants, c.Grant(want, now))
@@ -156,7 +156,7 @@
 	}
 	for step := range 4000 { // 20 s, in steps of 5 ms
 		now = now.Add(5 * time.Millisecond)
-		for i, p := range purses {
+		for i, p := range allowances {
 			p.Heard(gateways, now)
 			if step%30 == i%30 {
 				ask(p) // As each gateway does each 150 ms.
@@ -199,7 +199,7 @@
 // TestPartLastsFromItsQuestion checks that a part whose answer came late lasts no
 // longer for it: the coordinator counts it as over by then.
 func TestPartLastsFromItsQuestion(t *testing.T) {
-	p := NewPurse()
+	p := NewAllowance()
 	p.Configure([]protocol.Tenancy{{Name: "w", Rate: 100, Burst: 100}})
 	late := start.Add(GrantLasts)
 	p.Heard(1, late)
@@ -212,7 +212,7 @@
 // TestDenialIsShort checks that the coordinator is asked again soon, however long
 // it said that the quota is used up: others may give parts back.
 func TestDenialIsShort(t *testing.T) {
-	p := NewPurse()
+	p := NewAllowance()
 	p.Configure([]protocol.Tenancy{{Name: "w", Rate: 100, Burst: 100}})
 	p.Heard(1, start)
 	p.Granted([]protocol.QuotaGrant{{Workspace: "w", Wait: time.Hour}}, start, start)
@@ -231,7 +231,7 @@
 		pause time.Duration
 		want  bool
 	}{"often": {50 * time.Millisecond, true}, "rarely": {1500 * time.Millisecond, false}} {
-		p := NewPurse()
+		p := NewAllowance()
 		p.Configure([]protocol.Tenancy{{Name: "w", Rate: 1000, Burst: 1000}})
 		now := start
 		for range 60 {
--- a/internal/soak/cluster.go
+++ b/internal/soak/cluster.go
@@ -21,6 +21,7 @@
 	"syscall"
 	"time"
 
+	"github.com/weldstream/weldstream/platform"
 	"github.com/weldstream/weldstream/platform/standin"
 )
 
@@ -167,7 +168,7 @@
 		seeds = append(seeds, at(told(k), c.ports.operator))
 	}
 	text := fmt.Sprintf("name: %s\ndomain: zone-%d\nseeds: [%s]\nfound: %v\ntolerate: %d\n", p.Name, i%3, strings.Join(seeds, ", "), found, (c.Size.Controls-1)/2)
-	text += fmt.Sprintf("source: {address: %s, duties: [usage_report], list_rate: 20}\n", c.API.Address)
+	text += fmt.Sprintf("source: {address: %s, duties: [%s], list_rate: 20}\n", c.API.Address, platform.DutyUsage)
 	text += "bounds: {grace: 6s, lease: 500ms, usage_window: 1s, usage_due: 2s, retry_ratio: 0.5, retry_extra: 50}\n"
 	if p.Role == "control" {
 		text += fmt.Sprintf("operator: %s\npeer: %s\nbind: %s\nmetrics: %s\ndata_dir: %s\n",
--- a/protocol/catalog.go
+++ b/protocol/catalog.go
@@ -53,7 +53,6 @@
 // ServiceSpec is a service as operators declare it.
 type ServiceSpec struct {
 	Name        string
-	HealthPath  string
 	Connections int          // Connections bounds those that one server takes from all gateways; 0 means no bound.
 	Slots       int          // Slots are the requests that one server runs at once; 0 where the list tells.
 	Scaling     *ScalingSpec // Scaling is nil where the number of servers is not ours to order.
@@ -62,8 +61,6 @@
 // ScalingSpec bounds the number of a service's servers in each failure domain.
 type ScalingSpec struct {
 	Min, Max     int
-	Boot         time.Duration      // Boot is from an order until the server serves.
-	Reclaimable  float64            // Reclaimable is the price of a reclaimable server, as a part of the full one.
 	DomainPrices map[string]float64 // DomainPrices are what a server costs a second, by failure domain.
 }
 
@@ -90,16 +87,16 @@
 // Call is one request of a caller as the protocol at the edge told it. Its
 // method, path and body stay opaque.
 type Call struct {
-	ID           string // ID names this send; resends carry another.
-	Host         string
-	Path         string
+	ID           string        // ID names this send; resends carry another.
+	Host         string        // Host is as it was sent, with a port or without.
+	Path         string        // Path is without the query.
 	Secret       string        // Secret is the workspace key, empty without one.
 	Remaining    time.Duration // Remaining is how long the caller waits; 0 where it did not say.
-	PromptTokens int
-	AnswerTokens int
-	HasTokens    bool
-	Prefix       []PromptPart
-	LastEvent    string // LastEvent is the last event that the caller holds, empty without one.
+	PromptTokens int           // PromptTokens is the prompt's length.
+	AnswerTokens int           // AnswerTokens is the most that the answer may have.
+	HasTokens    bool          // HasTokens says that both were told.
+	Prefix       []PromptPart  // Prefix are the prompt's parts, in their order.
+	LastEvent    string        // LastEvent is the last event that the caller holds, empty without one.
 }
 
 // PromptPart is one part of a prompt; parts are shared between requests.
--- a/protocol/uplink.go
+++ b/protocol/uplink.go
@@ -19,33 +19,32 @@
 
 // PlaceMsg asks for a server for a long prompt; see place.PromptMsg.
 type PlaceMsg struct {
-	Gateway string
 	Service string
-	Prompt  int
-	Shared  int
-	Answer  int
-	Prefix  uint64
-	Domain  string
-	Avoid   []string
-	Share   float64
-	Target  time.Duration
-	Gap     time.Duration
+	Prompt  int           // Prompt is its length in tokens.
+	Shared  int           // Shared are the tokens of its parts that other requests may share.
+	Answer  int           // Answer is the most tokens of the answer.
+	Prefix  uint64        // Prefix is the hash of the shared parts.
+	Domain  string        // Domain is the gateway's failure domain.
+	Avoid   []string      // Avoid are servers that the request was sent to before.
+	Share   float64       // Share is the part of the servers that the long lane has, 0 to 1.
+	Target  time.Duration // Target is when the first event is in time.
+	Gap     time.Duration // Gap is the longest pause between events in time.
 }
 
 // PlaceReply names a server, empty where none was found or this instance does
 // not lead.
 type PlaceReply struct {
 	Server string
-	Term   uint64
-	Number uint64
+	Term   uint64 // Term is the leader's that placed it.
+	Number uint64 // Number names the placed request in the term.
 }
 
 // PlaceDone tells that a placed request ended.
 type PlaceDone struct {
 	Term   uint64
 	Number uint64
-	First  time.Duration
-	Took   time.Duration
+	First  time.Duration // First is until the first event; 0 if none came.
+	Took   time.Duration // Took is until the end.
 }
 
 // UsageRow counts requests that began to run, since the gateway's start.
@@ -58,7 +57,7 @@
 // QuotaWant asks for a part of a workspace's quota.
 type QuotaWant struct {
 	Workspace string
-	Units     float64
+	Units     float64 // Units are requests or tokens, as the quota counts.
 	Back      float64 // Back are units of earlier parts that expired unspent.
 }
 
@@ -73,9 +72,9 @@
 
 // LaneTerms say which prompts of a service are long; see place.LaneTerms.
 type LaneTerms struct {
-	Mean  float64
-	Share float64
-	Seen  int
+	Mean  float64 // Mean is a prompt's length in tokens.
+	Share float64 // Share is the part of all tokens that long prompts have, 0 to 1.
+	Seen  int     // Seen is how many prompts both rest on.
 }
 
 // ServiceLanes are the terms that all gateways keep to.
--- a/settings/node.go
+++ b/settings/node.go
@@ -39,16 +39,10 @@
 type NodeSource struct {
 	Address  string   `yaml:"address" validate:"required,ipport"` // Address is the API's.
 	ListRate float64  `yaml:"list_rate" validate:"min=0"`         // ListRate is how many list calls a second all instances may make.
-	Duties   []string `yaml:"duties"`                             // Duties are usage_report and autoscale, those that are owed; others are ignored.
+	Duties   []string `yaml:"duties"`                             // Duties are those that are owed, by the platform's names; others are ignored.
 }
 
-// The duties that the role carries out.
-const (
-	DutyUsage = "usage_report" // DutyUsage reports the usage of each workspace.
-	DutyFleet = "autoscale"    // DutyFleet orders the number of servers.
-)
-
-// Owes reports whether a duty is owed.
+// Owes reports whether a duty of a name is owed.
 func (s *NodeSource) Owes(duty string) bool { return slices.Contains(s.Duties, duty) }
 
 // NodeBounds are promises; every timer that keeps one is derived from it.
--- a/settings/node_test.go
+++ b/settings/node_test.go
@@ -14,7 +14,7 @@
 ready: 10.0.0.1:81
 peer: 10.0.0.1:7000
 seeds: [10.0.1.1:90]
-source: {address: 10.0.9.9:80, duties: [usage_report, something_new]}
+source: {address: 10.0.9.9:80, duties: [count, something_new]}
 `
 
 func loadNode(t *testing.T, text string) (*Node, []string) {
@@ -41,7 +41,7 @@
 	if len(faults) > 0 {
 		t.Fatal(faults)
 	}
-	if n.Bounds.Revoke != DefaultRevoke || !n.Source.Owes(DutyUsage) || n.Source.Owes(DutyFleet) || n.Listen(n.Caller) != n.Caller {
+	if n.Bounds.Revoke != DefaultRevoke || !n.Source.Owes("count") || n.Source.Owes("order") || n.Listen(n.Caller) != n.Caller {
 		t.Errorf("%+v", n)
 	}
 	n.Bind = "10.0.0.9"
--- a/transport/control/control.go
+++ b/transport/control/control.go
@@ -33,11 +33,14 @@
 
 // Source is the platform's API in the product's words.
 type Source interface {
-	// List returns all backend servers, and how many calls that took.
+	// List returns all backend servers, and how many calls that took, also where
+	// it fails.
 	List(ctx context.Context) (list []protocol.Instance, calls int, err error)
-	// Report sends the counts of a window.
+	// Report sends the counts of a window. The error is ErrFenced where a higher
+	// token was seen; any other may have been carried out.
 	Report(ctx context.Context, d Duty, window int64, counts map[string]int64) error
-	// Order asks for a number of servers.
+	// Order asks for a number of servers. The error is ErrNoneLeft where there are
+	// none, ErrFenced where a higher token was seen.
 	Order(ctx context.Context, d Duty, o Order) error
 }
 
@@ -57,10 +60,10 @@
 
 // Limits are what the role's timers are derived from.
 type Limits struct {
-	ListRate    float64
-	Lease       time.Duration
-	UsageWindow time.Duration
-	UsageDue    time.Duration
-	Usage       bool
-	Fleet       bool
+	ListRate    float64       // ListRate is how many list calls a second all instances may make; 0 sets no limit.
+	Lease       time.Duration // Lease is how long a former holder of the duties may still act.
+	UsageWindow time.Duration // UsageWindow is the length of a window of usage reports.
+	UsageDue    time.Duration // UsageDue is how long after a window its report is due.
+	Usage       bool          // Usage says that usage reports are owed.
+	Fleet       bool          // Fleet says that the number of servers is ours to order.
 }
--- a/transport/forward/exchange.go
+++ b/transport/forward/exchange.go
@@ -207,7 +207,6 @@
 		return nil
 	}
 	reply, ok := x.g.place(protocol.PlaceMsg{
-		Gateway: x.g.cfg.Name,
 		Service: x.service,
 		Prompt:  x.call.PromptTokens,
 		Shared:  x.call.SharedTokens(),
--- a/transport/forward/forward.go
+++ b/transport/forward/forward.go
@@ -37,14 +37,14 @@
 
 // Config bounds a gateway.
 type Config struct {
-	Name        string
-	Domain      string
+	Name        string        // Name is the gateway's among all instances.
+	Domain      string        // Domain is its failure domain.
 	Revoke      time.Duration // Revoke is within what a key that was taken away is refused; 0 sets no bound.
-	RetryRatio  float64
-	RetryExtra  float64
+	RetryRatio  float64       // RetryRatio is the part of the requests of a window that all gateways may send again.
+	RetryExtra  float64       // RetryExtra are retries in a window besides, of all gateways.
 	RetryWindow time.Duration
-	UsageWindow time.Duration
-	UsageDue    time.Duration
+	UsageWindow time.Duration // UsageWindow is the length of a window of usage reports.
+	UsageDue    time.Duration // UsageDue is how long after a window its report is due.
 }
 
 // Gateway forwards requests.
@@ -64,14 +64,14 @@
 	gateways  atomic.Int64
 	closed    atomic.Bool // closed refuses new requests: the gateway ends soon.
 
-	mu       sync.Mutex // mu guards all below.
-	purse    *quota.Purse
-	granted  chan struct{} // granted is closed and replaced when grants arrive.
-	news     chan struct{} // news is closed and replaced when anything arrives from the control role.
-	shares   map[string]*retry.Share
-	counter  *usage.Counter
-	pressure map[string]*pressure
-	done     []protocol.PlaceDone // done are placed requests whose end is to be told.
+	mu        sync.Mutex // mu guards all below.
+	allowance *quota.Allowance
+	granted   chan struct{} // granted is closed and replaced when grants arrive.
+	news      chan struct{} // news is closed and replaced when anything arrives from the control role.
+	shares    map[string]*retry.Share
+	counter   *usage.Counter
+	pressure  map[string]*pressure
+	done      []protocol.PlaceDone // done are placed requests whose end is to be told.
 }
 
 // Option changes a new gateway.
@@ -98,19 +98,19 @@
 // New returns a gateway that knows no catalog yet.
 func New(cfg Config, d Dialect, opts ...Option) *Gateway {
 	g := &Gateway{
-		cfg:      cfg,
-		dialect:  d,
-		log:      zerolog.Nop(),
-		pool:     backend.NewPool(dialTime),
-		hurry:    func() {},
-		place:    func(protocol.PlaceMsg) (protocol.PlaceReply, bool) { return protocol.PlaceReply{}, false },
-		began:    time.Now(),
-		purse:    quota.NewPurse(),
-		granted:  make(chan struct{}),
-		news:     make(chan struct{}),
-		shares:   map[string]*retry.Share{},
-		counter:  usage.NewCounter(cfg.UsageWindow, cfg.UsageDue),
-		pressure: map[string]*pressure{},
+		cfg:       cfg,
+		dialect:   d,
+		log:       zerolog.Nop(),
+		pool:      backend.NewPool(dialTime),
+		hurry:     func() {},
+		place:     func(protocol.PlaceMsg) (protocol.PlaceReply, bool) { return protocol.PlaceReply{}, false },
+		began:     time.Now(),
+		allowance: quota.NewAllowance(),
+		granted:   make(chan struct{}),
+		news:      make(chan struct{}),
+		shares:    map[string]*retry.Share{},
+		counter:   usage.NewCounter(cfg.UsageWindow, cfg.UsageDue),
+		pressure:  map[string]*pressure{},
 	}
 	g.gateways.Store(1)
 	for _, opt := range opts {
@@ -130,7 +130,7 @@
 	if ix := g.index.Load(); ix != nil && c.Number <= ix.Number {
 		return false
 	}
-	g.purse.Configure(c.Workspaces)
+	g.allowance.Configure(c.Workspaces)
 	g.index.Store(NewIndex(c))
 	g.log.Info().Uint64("number", c.Number).Int("routes", len(c.Routes)).Int("workspaces", len(c.Workspaces)).Msg("configuration in force")
 	return true
@@ -167,7 +167,7 @@
 	g.gateways.Store(int64(max(1, gateways)))
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.purse.Heard(gateways, time.Now())
+	g.allowance.Heard(gateways, time.Now())
 	for _, s := range g.shares {
 		s.Resize(g.cfg.RetryExtra, gateways)
 	}
--- a/transport/forward/limits.go
+++ b/transport/forward/limits.go
@@ -116,7 +116,7 @@
 	defer end.Stop()
 	for {
 		g.mu.Lock()
-		verdict, wait := g.purse.Take(name, units, time.Now())
+		verdict, wait := g.allowance.Take(name, units, time.Now())
 		granted := g.granted
 		g.mu.Unlock()
 		switch verdict {
@@ -147,7 +147,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := time.Now()
-	m := protocol.SyncMsg{Gateway: g.cfg.Name, Number: g.Number(), Usage: g.counter.Rows(term, now), Wants: g.purse.Wants(now), Done: g.done}
+	m := protocol.SyncMsg{Gateway: g.cfg.Name, Number: g.Number(), Usage: g.counter.Rows(term, now), Wants: g.allowance.Wants(now), Done: g.done}
 	g.done = nil // One that is lost is forgotten by the leader in time.
 	for name, p := range g.pressure {
 		p.average(now)
@@ -164,7 +164,7 @@
 	if len(m.Wants) == 0 {
 		return
 	}
-	g.purse.Granted(grants, asked, time.Now())
+	g.allowance.Granted(grants, asked, time.Now())
 	close(g.granted)
 	g.granted = make(chan struct{})
 }
