A resume behind the end of an answer is refused, not answered empty

Cause: the tokens up to the named event are passed over, and an answer that ended before it was finished as if it were whole: status 200, no event, [DONE]. A caller that resumed the wrong stream took nothing for its answer. The kept answer of a claim was cut at its length likewise.

Now the step refuses with no_such_event, status 400, verdict may-have-run (ran for a kept answer). Resuming at the very end still gives the end alone. Ruled out: refusing before the run, since only the run tells the length.

Before: TestResumeBehindTheEnd failed in coordination/attempt (2 of 3 rows) and in e2e (both rows). After: both pass.

--- a/coordination/attempt/attempt.go
+++ b/coordination/attempt/attempt.go
@@ -193,6 +193,10 @@
 		return next, append(cmds, more...), true
 	}
 	s.Held += m.Tokens
+	if m.Finish != "" && s.Held < s.Floor {
+		next, more := s.stop(NoEvent(s.Floor, s.Held))
+		return next, append(cmds, more...), true
+	}
 	if s.Held > s.Floor || m.Tokens == 0 {
 		cmds = append(cmds, EmitCmd{Chunk: m, Offset: s.Held})
 		s.Floor = max(s.Floor, s.Held)
@@ -227,6 +231,12 @@
 	return s, []Cmd{CancelCmd{Attempt: m.Attempt}, RetryCmd{Attempt: m.Attempt, Cause: m}}
 }
 
+// NoEvent refuses to resume behind an event that the answer never had: an empty
+// rest would look like a whole answer.
+func NoEvent(event, tokens int) *protocol.Refusal {
+	return protocol.NewRefusal(protocol.StatusBadRequest, protocol.CodeNoEvent, "the answer has no event %d: it ends at %d", event, tokens)
+}
+
 // verdict widens an attempt's verdict to the whole request: once a token was
 // delivered, a move was made, or an earlier attempt may have run, so may the
 // request.
--- a/coordination/attempt/attempt_test.go
+++ b/coordination/attempt/attempt_test.go
@@ -231,3 +231,40 @@
 		t.Errorf("phase %d, want the end", s.Phase)
 	}
 }
+
+// TestResumeBehindTheEnd refuses to resume behind an event that the answer never
+// had. One that resumes at its very end lacks nothing but the end.
+func TestResumeBehindTheEnd(t *testing.T) {
+	for _, tc := range []struct {
+		name    string
+		floor   int
+		refused bool
+	}{
+		{"at the end", 5, false},
+		{"one behind it", 6, true},
+		{"far behind it", 999999, true},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			s := New(true, 4, tc.floor, 0)
+			s, _ = Update(s, StartMsg{})
+			s, _ = Update(s, ChunkMsg{Attempt: 1, Offset: 0, Tokens: 5, Text: "abcde"})
+			s, cmds := Update(s, ChunkMsg{Attempt: 1, Offset: 5, Finish: "stop"})
+			var refusal *protocol.Refusal
+			finished := false
+			for _, c := range cmds {
+				switch c := c.(type) {
+				case RefuseCmd:
+					refusal = c.Refusal
+				case FinishCmd:
+					finished = true
+				}
+			}
+			if s.Phase != PhaseEnded || finished == tc.refused || (refusal != nil) != tc.refused {
+				t.Fatalf("phase %d, finished %v, refusal %v", s.Phase, finished, refusal)
+			}
+			if tc.refused && (refusal.Code != protocol.CodeNoEvent || refusal.Status != protocol.StatusBadRequest || refusal.Verdict != protocol.MayHaveRun) {
+				t.Errorf("refused with %+v", refusal)
+			}
+		})
+	}
+}
--- a/e2e/once_test.go
+++ b/e2e/once_test.go
@@ -158,3 +158,25 @@
 	})
 	check("stopping", d.send(charge))
 }
+
+// TestResumeBehindTheEnd resumes answers behind an event that they never had: one
+// that runs for it, and one that is kept. Neither is answered as if it were whole.
+func TestResumeBehindTheEnd(t *testing.T) {
+	c := newCluster(t, clusterSpec{daemons: 1, engines: 1})
+	c.apply(1, configText())
+	d := c.daemons[0]
+	kept := completion("notice", "kept", 5, true).once("kept")
+	if s := d.open(kept); s.rest() != standin.AnswerText("kept", 5) || !s.done {
+		t.Fatalf("the first send ended with %+v", s.err)
+	}
+	fresh := completion("docket-summary", "fresh", 5, true).with(protocol.HeaderKey, "fresh")
+	for name, a := range map[string]ask{"kept": kept, "fresh": fresh} {
+		got := d.send(a.with(protocol.HeaderLastEvent, "999999"))
+		if got.status != 400 || got.code(t) != protocol.CodeNoEvent || got.verdict == protocol.NotRun.String() {
+			t.Errorf("%s: got %d, verdict %s: %s", name, got.status, got.verdict, got.body)
+		}
+	}
+	if s := d.open(kept.with(protocol.HeaderLastEvent, "5")); s.rest() != "" || !s.done {
+		t.Errorf("resumed at the end: %q, %+v", s.text.String(), s.err)
+	}
+}
--- a/protocol/refusal.go
+++ b/protocol/refusal.go
@@ -42,6 +42,7 @@
 	CodeKeyUndated     Code = "key_undated"
 	CodeClaimLost      Code = "claim_lost"
 	CodeAnswerDropped  Code = "answer_not_kept"
+	CodeNoEvent        Code = "no_such_event"
 	CodeDiskFull       Code = "disk_full"
 	CodeConflict       Code = "config_conflict"
 	CodeStale          Code = "config_stale"
--- a/transport/answer.go
+++ b/transport/answer.go
@@ -83,7 +83,7 @@
 func (x *exchange) replayStream(ctx *fasthttp.RequestCtx, a *protocol.Answer) {
 	ctx.SetContentType("text/event-stream")
 	ctx.SetBodyStreamWriter(func(w *bufio.Writer) {
-		from := min(x.request.Resume, a.Tokens)
+		from := x.request.Resume
 		chunk := attempt.ChunkMsg{Offset: from, Tokens: a.Tokens - from, Text: cutText(a.Text, a.Ends, from), Finish: a.Finish}
 		if x.writeEvent(w, attempt.EmitCmd{Chunk: chunk, Offset: a.Tokens}) == nil {
 			x.writeEnd(w)
