The log outlasts a loss of power at any operation of the disk

And one by reading: a frame whose first bytes lie alone in a disk sector that was not written passed for damage.

Ruled out: beginning a new segment at every start, which a full disk would not allow.

--- a/state/wal/segment.go
+++ b/state/wal/segment.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"encoding/binary"
 	"hash/crc32"
-	"os"
 
 	"github.com/rotisserie/eris"
 
@@ -16,6 +15,7 @@
 	frameHeader  = 12      // bytes: length, checksum of the payload, checksum of both
 	frameEnd     = 0xa5    // frameEnd is a payload's last byte; zero there means that it was not written
 	maxFrame     = 1 << 30 // bytes of a frame's payload
+	sector       = 512     // bytes that a disk writes whole; those of one write reach it in any order
 )
 
 var castagnoli = crc32.MakeTable(crc32.Castagnoli)
@@ -139,10 +139,10 @@
 
 // torn reports whether what is at an offset can be a write that was cut off:
 // the file ends too early, or a part of what was written is still zeros, as the
-// disk may write the blocks of a frame in any order. Anything else was written
+// disk may write the sectors of a frame in any order. Anything else was written
 // whole and changed later.
-func torn(rest []byte) bool {
-	if len(rest) < frameHeader || bytes.Contains(rest, unwritten[:]) {
+func torn(rest []byte, offset int) bool {
+	if len(rest) < frameHeader || bytes.Contains(rest, unwritten[:]) || missesSector(rest, offset) {
 		return true
 	}
 	if !goodHeader(rest) {
@@ -152,6 +152,18 @@
 	return len(rest) < frameHeader+size || rest[len(rest)-1] == 0
 }
 
+// missesSector reports whether a sector's share of what is at an offset is zeros.
+func missesSector(rest []byte, offset int) bool {
+	for len(rest) > 0 {
+		share := min(len(rest), sector-offset%sector)
+		if len(bytes.Trim(rest[:share], "\x00")) == 0 {
+			return true
+		}
+		rest, offset = rest[share:], offset+share
+	}
+	return false
+}
+
 // unwritten is a run of zeros that no frame holds.
 var unwritten [48]byte
 
@@ -159,82 +171,68 @@
 	return crc32.Checksum(frame[:8], castagnoli) == binary.LittleEndian.Uint32(frame[8:])
 }
 
-// replay reads all segments, in order, into loaded.
-func (f *Folder) replay(segments []uint64, loaded *Loaded) error {
-	var log []protocol.LogEntry
-	for i, seq := range segments {
-		var err error
-		if log, err = f.replaySegment(seq, i == len(segments)-1, log, loaded); err != nil {
-			return err
-		}
-	}
-	loaded.Entries = behind(log, loaded.Snapshot)
-	return nil
-}
-
-func (f *Folder) replaySegment(seq uint64, last bool, log []protocol.LogEntry, loaded *Loaded) ([]protocol.LogEntry, error) {
+// replay reads the last segment into loaded. It holds all that follows the
+// snapshot that it was begun after; older segments were removed, and are back
+// only where the power went before that lasted.
+func (f *Folder) replay(seq uint64, loaded *Loaded) error {
 	file := f.path(segmentPrefix, seq)
-	data, err := os.ReadFile(file)
+	data, err := f.disk.Read(file)
 	if err != nil {
-		return nil, eris.Wrap(err, "read log")
+		return eris.Wrap(err, "read log")
 	}
 	if len(data) < len(segmentMagic) || string(data[:len(segmentMagic)]) != segmentMagic {
-		return nil, &Damage{File: file, What: "is not a segment of a log"}
+		return &Damage{File: file, What: "is not a segment of a log"}
 	}
+	var log []protocol.LogEntry
 	offset := len(segmentMagic)
 	for offset < len(data) {
 		payload, ok := frameAt(data, offset)
 		if !ok {
-			return log, f.cutTorn(file, data, offset, last, loaded)
+			if err := f.cutTorn(file, data, offset, loaded); err != nil {
+				return err
+			}
+			break
 		}
 		hard, entries, ok := decodePayload(payload)
 		if !ok {
-			return nil, &Damage{File: file, Offset: int64(offset), What: "the frame cannot be decoded"}
+			return &Damage{File: file, Offset: int64(offset), What: "the frame cannot be decoded"}
 		}
 		loaded.Hard = hard
-		if log, ok = extend(log, entries, loaded.Snapshot); !ok {
-			return nil, &Damage{File: file, Offset: int64(offset), What: "an entry is missing before this frame"}
-		}
+		log = extend(log, entries)
 		offset += frameHeader + len(payload)
 	}
-	return log, nil
+	if len(log) > 0 && log[0].Index > loaded.Snapshot.Index+1 {
+		return &Damage{File: file, Offset: int64(offset), What: "an entry is missing behind the snapshot"}
+	}
+	loaded.Entries = behind(log, loaded.Snapshot)
+	return nil
 }
 
-// cutTorn cuts off a torn write at the end of the last segment. Anything else
-// that is bad is damage.
-func (f *Folder) cutTorn(file string, data []byte, offset int, last bool, loaded *Loaded) error {
-	if !last || !torn(data[offset:]) {
+// cutTorn cuts off a torn write at the end of a segment. Anything else that is
+// bad is damage.
+func (f *Folder) cutTorn(file string, data []byte, offset int, loaded *Loaded) error {
+	if !torn(data[offset:], offset) {
 		return &Damage{File: file, Offset: int64(offset), What: "the checksum does not match what was written"}
 	}
 	loaded.Torn = int64(len(data) - offset)
-	if err := os.Truncate(file, int64(offset)); err != nil {
+	if err := f.disk.Truncate(file, int64(offset)); err != nil {
 		return eris.Wrap(err, "cut off torn write")
 	}
 	return nil
 }
 
 // extend puts entries behind the log. An entry at an index that is there
-// already replaces it and what is behind it.
-func extend(log, entries []protocol.LogEntry, snap protocol.SnapshotMeta) ([]protocol.LogEntry, bool) {
+// already replaces it and what is behind it. One that does not follow the log
+// follows a leader's snapshot, which replaced all before it.
+func extend(log, entries []protocol.LogEntry) []protocol.LogEntry {
 	for _, e := range entries {
-		switch {
-		case len(log) == 0:
-			if e.Index > snap.Index+1 {
-				return nil, false
-			}
-			log = append(log, e)
-		case e.Index < log[0].Index:
+		if len(log) == 0 || e.Index < log[0].Index || e.Index > log[len(log)-1].Index+1 {
 			log = append(log[:0:0], e)
-		case e.Index > log[len(log)-1].Index+1:
-			if e.Index != snap.Index+1 {
-				return nil, false
-			}
-			log = append(log[:0:0], e) // A snapshot from the leader replaced the log before.
-		default:
-			log = append(log[:e.Index-log[0].Index], e)
+			continue
 		}
+		log = append(log[:e.Index-log[0].Index], e)
 	}
-	return log, true
+	return log
 }
 
 // behind returns the entries that follow a snapshot. If the log's own entry at
@@ -264,7 +262,7 @@
 }
 
 func (f *Folder) openSegment() error {
-	log, err := os.OpenFile(f.path(segmentPrefix, f.seq), os.O_WRONLY|os.O_APPEND, fileMode)
+	log, err := f.disk.Append(f.path(segmentPrefix, f.seq))
 	if err != nil {
 		return eris.Wrap(err, "open log")
 	}
--- a/state/wal/snapshot.go
+++ b/state/wal/snapshot.go
@@ -4,7 +4,6 @@
 	"encoding/binary"
 	"encoding/json"
 	"hash/crc32"
-	"os"
 
 	"github.com/rotisserie/eris"
 
@@ -62,14 +61,14 @@
 	}
 	for _, seq := range segments {
 		if seq < f.seq {
-			if err := os.Remove(f.path(segmentPrefix, seq)); err != nil {
+			if err := f.disk.Remove(f.path(segmentPrefix, seq)); err != nil {
 				return eris.Wrap(err, "remove segment")
 			}
 		}
 	}
 	for _, n := range snapshots {
 		if n < index {
-			if err := os.Remove(f.path(snapshotPrefix, n)); err != nil {
+			if err := f.disk.Remove(f.path(snapshotPrefix, n)); err != nil {
 				return eris.Wrap(err, "remove snapshot")
 			}
 		}
@@ -93,7 +92,7 @@
 
 func (f *Folder) loadSnapshot(index uint64, loaded *Loaded) error {
 	file := f.path(snapshotPrefix, index)
-	data, err := os.ReadFile(file)
+	data, err := f.disk.Read(file)
 	if err != nil {
 		return eris.Wrap(err, "read snapshot")
 	}
--- a/state/wal/wal.go
+++ b/state/wal/wal.go
@@ -21,6 +21,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"io"
 	"os"
 	"path/filepath"
 	"slices"
@@ -89,24 +90,35 @@
 // Folder is an open data folder. It is for one goroutine.
 type Folder struct {
 	dir    string
+	disk   Disk
 	id     identity
-	lock   *os.File
-	log    *os.File
+	lock   io.Closer
+	log    File
 	seq    uint64 // seq is the number of the segment that is written.
 	failed bool
 }
 
+// Option changes how a folder is opened.
+type Option func(*Folder)
+
+// WithDisk sets the disk that the folder is on; without it, it is the machine's.
+func WithDisk(d Disk) Option { return func(f *Folder) { f.disk = d } }
+
 // Open opens a folder for the replica with a name, and makes it if it is not
 // there: then it is a new incarnation.
-func Open(dir, name string) (*Folder, *Loaded, error) {
-	if err := os.MkdirAll(dir, folderMode); err != nil {
+func Open(dir, name string, opts ...Option) (*Folder, *Loaded, error) {
+	f := &Folder{dir: dir, disk: osDisk{}}
+	for _, opt := range opts {
+		opt(f)
+	}
+	if err := f.disk.MakeFolder(dir); err != nil {
 		return nil, nil, eris.Wrap(err, "make data folder")
 	}
-	lock, err := lockFolder(filepath.Join(dir, lockFile))
+	lock, err := f.disk.Lock(filepath.Join(dir, lockFile))
 	if err != nil {
 		return nil, nil, err
 	}
-	f := &Folder{dir: dir, lock: lock}
+	f.lock = lock
 	loaded, err := f.load(name)
 	if err == nil {
 		err = f.removeTemporary()
@@ -120,12 +132,10 @@
 // Close gives the folder back. It does not sync: every write did.
 func (f *Folder) Close() error {
 	var errs []error
-	for _, file := range []*os.File{f.log, f.lock} {
-		if file != nil {
-			errs = append(errs, file.Close())
-		}
+	if f.log != nil {
+		errs = append(errs, f.log.Close())
 	}
-	return errors.Join(errs...)
+	return errors.Join(append(errs, f.lock.Close())...)
 }
 
 // ID returns the replica's identity.
@@ -174,27 +184,32 @@
 			return nil, err
 		}
 	}
-	if err := f.replay(segments, loaded); err != nil {
+	// A process that was killed may have left names that a loss of power would
+	// still take back: what is acknowledged from now on rests on them.
+	if err := f.syncNames(); err != nil {
 		return nil, err
 	}
-	if len(segments) > 0 {
-		f.seq = segments[len(segments)-1]
-		return loaded, f.openSegment()
+	if len(segments) == 0 {
+		return loaded, f.newSegment(loaded.Hard, loaded.Entries)
+	}
+	f.seq = segments[len(segments)-1]
+	if err := f.replay(f.seq, loaded); err != nil {
+		return nil, err
 	}
-	return loaded, f.newSegment(loaded.Hard, loaded.Entries)
+	return loaded, f.openSegment()
 }
 
 // scan lists the numbers of segments and snapshots.
 func (f *Folder) scan() (segments, snapshots []uint64, err error) {
-	names, err := os.ReadDir(f.dir)
+	names, err := f.disk.List(f.dir)
 	if err != nil {
 		return nil, nil, eris.Wrap(err, "list data folder")
 	}
-	for _, n := range names {
-		if seq, ok := number(n.Name(), segmentPrefix); ok {
+	for _, name := range names {
+		if seq, ok := number(name, segmentPrefix); ok {
 			segments = append(segments, seq)
 		}
-		if index, ok := number(n.Name(), snapshotPrefix); ok {
+		if index, ok := number(name, snapshotPrefix); ok {
 			snapshots = append(snapshots, index)
 		}
 	}
@@ -205,12 +220,15 @@
 
 // removeTemporary removes what an interrupted write left behind.
 func (f *Folder) removeTemporary() error {
-	names, err := filepath.Glob(filepath.Join(f.dir, "*"+tempSuffix))
+	names, err := f.disk.List(f.dir)
 	if err != nil {
 		return eris.Wrap(err, "list data folder")
 	}
 	for _, name := range names {
-		if err := os.Remove(name); err != nil {
+		if !strings.HasSuffix(name, tempSuffix) {
+			continue
+		}
+		if err := f.disk.Remove(filepath.Join(f.dir, name)); err != nil {
 			return eris.Wrap(err, "remove temporary file")
 		}
 	}
@@ -232,7 +250,7 @@
 
 func (f *Folder) loadIdentity(name string, used bool) error {
 	file := filepath.Join(f.dir, identityFile)
-	data, err := os.ReadFile(file)
+	data, err := f.disk.Read(file)
 	if errors.Is(err, os.ErrNotExist) {
 		if used {
 			return &Damage{File: file, What: "is missing, though the folder holds a log"}
@@ -275,7 +293,7 @@
 // replace writes a file whole: under a temporary name, synced, renamed, and the
 // folder synced, so that a crash leaves the old or the new one.
 func (f *Folder) replace(file string, parts ...[]byte) error {
-	out, err := os.OpenFile(file+tempSuffix, os.O_CREATE|os.O_TRUNC|os.O_WRONLY, fileMode)
+	out, err := f.disk.Create(file + tempSuffix)
 	if err != nil {
 		return eris.Wrap(err, "create file")
 	}
@@ -287,16 +305,13 @@
 	if err := errors.Join(out.Sync(), out.Close()); err != nil {
 		return eris.Wrap(err, "sync file")
 	}
-	if err := os.Rename(file+tempSuffix, file); err != nil {
+	if err := f.disk.Rename(file+tempSuffix, file); err != nil {
 		return eris.Wrap(err, "rename file")
 	}
-	return f.syncDir()
+	return f.syncNames()
 }
 
-func (f *Folder) syncDir() error {
-	dir, err := os.Open(f.dir)
-	if err != nil {
-		return eris.Wrap(err, "open data folder")
-	}
-	return eris.Wrap(errors.Join(dir.Sync(), dir.Close()), "sync data folder")
+// syncNames makes the names in the folder last.
+func (f *Folder) syncNames() error {
+	return eris.Wrap(f.disk.Sync(f.dir), "sync data folder")
 }
