A control instance whose data folder is damaged joins anew

Cause: damage that is no torn write stopped the start for good, until somebody moved the folder away by hand; the platform only starts the process again.

Now an instance that has others beside it sets the files aside, identity first and synced, and comes back as one whose disk was lost: a learner that votes when the group has let it in. One that is alone still stops. Ruled out: cutting the log off at the damage, which would forget acknowledged entries while voting.

Before: TestDamagedFolderRejoins: no voter, connection refused. After: a voter again, configurations taken while another instance is gone. TestSetAsideOutlastsPower fails without the sync behind the identity's move.

--- a/cmd/weldstreamd/control.go
+++ b/cmd/weldstreamd/control.go
@@ -135,6 +135,7 @@
 		SnapshotEntries: n.Replication.SnapshotEntries,
 		Batch:           n.Replication.Batch,
 		Reserve:         n.Replication.ReserveBytes,
+		Rejoin:          len(n.Seeds) > 1,
 	}
 }
 
--- a/coordination/group/group.go
+++ b/coordination/group/group.go
@@ -15,6 +15,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"math/rand/v2"
 	"sync/atomic"
 	"time"
@@ -58,6 +59,10 @@
 	SnapshotEntries int    // SnapshotEntries is how many entries are applied between two snapshots.
 	Batch           int    // Batch is how many inputs are committed together; 0 means the default.
 	Reserve         uint64 // Reserve is how many bytes of the disk are kept free for what must be finished.
+	// Rejoin has a damaged folder set aside, and the replica join the group anew as
+	// after a lost disk. Without it, as for a replica that is alone, damage stops
+	// the start.
+	Rejoin bool
 }
 
 // Option changes a new group.
@@ -141,18 +146,11 @@
 
 // Open opens the data folder of a replica. The group does nothing before Run.
 func Open(cfg Config, dir, name string, sender Sender, opts ...Option) (*Group, error) {
-	folder, loaded, err := wal.Open(dir, name)
-	if err != nil {
-		return nil, err
-	}
 	if cfg.Batch == 0 {
 		cfg.Batch = DefaultBatch
 	}
 	g := &Group{
 		cfg:       cfg,
-		id:        folder.ID(),
-		folder:    folder,
-		loaded:    loaded,
 		sender:    sender,
 		log:       zerolog.Nop(),
 		revision:  func(uint64, []byte) {},
@@ -169,6 +167,9 @@
 	for _, opt := range opts {
 		opt(g)
 	}
+	if err := g.open(name); err != nil {
+		return nil, err
+	}
 	if err := g.restoreLoaded(); err != nil {
 		return nil, err
 	}
@@ -176,6 +177,24 @@
 	return g, nil
 }
 
+// open opens the data folder, or a new one in place of a damaged one where the
+// others of the group hold what it held.
+func (g *Group) open(name string) (err error) {
+	g.folder, g.loaded, err = wal.Open(g.dir, name)
+	if errors.Is(err, wal.ErrDamaged) && g.cfg.Rejoin {
+		g.log.Error().Err(err).Msg("the data folder is damaged: it is set aside, and the replica joins anew")
+		if err := wal.SetAside(g.dir); err != nil {
+			return err
+		}
+		g.folder, g.loaded, err = wal.Open(g.dir, name)
+	}
+	if err != nil {
+		return err
+	}
+	g.id = g.folder.ID()
+	return nil
+}
+
 func (g *Group) restoreLoaded() error {
 	if g.loaded.Torn > 0 {
 		g.log.Warn().Int64("bytes", g.loaded.Torn).Msg("a torn write was cut off the log")
--- a/internal/soak/cluster.go
+++ b/internal/soak/cluster.go
@@ -10,6 +10,7 @@
 package soak
 
 import (
+	"encoding/json"
 	"errors"
 	"fmt"
 	"net"
@@ -21,6 +22,9 @@
 	"syscall"
 	"time"
 
+	"github.com/valyala/fasthttp"
+
+	"github.com/weldstream/weldstream/coordination/group"
 	"github.com/weldstream/weldstream/platform"
 	"github.com/weldstream/weldstream/platform/standin"
 )
@@ -238,6 +242,16 @@
 	return list
 }
 
+// Status returns what a control instance dumps of its replica.
+func (c *Cluster) Status(i int) (group.Status, error) {
+	var s group.Status
+	status, body, err := fasthttp.GetTimeout(nil, "http://"+at(behind(i), c.ports.metrics)+"/dump", time.Second)
+	if err != nil || status != fasthttp.StatusOK {
+		return s, fmt.Errorf("control instance %d dumps nothing: status %d, %w", i, status, err)
+	}
+	return s, json.Unmarshal(body, &s)
+}
+
 // Proc returns a process by its name.
 func (c *Cluster) Proc(name string) *Proc {
 	for _, p := range c.procs {
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -4,6 +4,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"syscall"
 	"testing"
 	"time"
@@ -122,11 +123,7 @@
 		p := c.Proc("control-" + string(rune('0'+number%3)))
 		p.Kill()
 		served(t, c.Callers()[1], "while one is gone")
-		for end := time.Now().Add(readyTime); !o.Put(number); time.Sleep(askPause) {
-			if time.Now().After(end) {
-				t.Fatalf("configuration %d was not taken", number)
-			}
-		}
+		takes(t, o, number)
 		if err := p.Start(); err != nil {
 			t.Fatal(err)
 		}
@@ -196,6 +193,73 @@
 	}
 }
 
+// TestDamagedFolderRejoins flips a bit in the log of a control instance that does
+// not run. It comes back without hands, as one whose disk was lost, and is one of
+// the quorum again: configurations are taken while another one is gone.
+func TestDamagedFolderRejoins(t *testing.T) {
+	c, k, o := cluster(t, small)
+	served(t, c.Callers()[0], "before")
+	p := c.Proc("control-0")
+	p.Kill()
+	damage(t, p)
+	if err := p.Start(); err != nil {
+		t.Fatal(err)
+	}
+	votes(t, c, 0)
+	takes(t, o, 2)
+	c.Proc("control-1").Kill()
+	takes(t, o, 3)
+	served(t, c.Callers()[1], "after")
+	if kept, _ := filepath.Glob(filepath.Join(p.Data, "aside-log-*")); len(kept) == 0 {
+		t.Error("the damaged log was not kept")
+	}
+	for _, b := range append(k.Breaches(), c.API.Breaches()...) {
+		t.Error(b)
+	}
+}
+
+// votes waits until a control instance, as it is now, is a voter of its group.
+func votes(t *testing.T, c *Cluster, instance int) {
+	t.Helper()
+	var last error
+	for end := time.Now().Add(readyTime); time.Now().Before(end); time.Sleep(askPause) {
+		s, err := c.Status(instance)
+		if err == nil && slices.Contains(s.Members.Voters, s.ID) {
+			return
+		}
+		last = err
+	}
+	t.Fatalf("control instance %d is no voter: %v", instance, last)
+}
+
+// damage flips a bit in the middle of a control instance's log.
+func damage(t *testing.T, p *Proc) {
+	t.Helper()
+	logs, err := filepath.Glob(filepath.Join(p.Data, "log-*"))
+	if err != nil || len(logs) == 0 {
+		t.Fatalf("no log in %s: %v", p.Data, err)
+	}
+	file := logs[len(logs)-1]
+	data, err := os.ReadFile(file)
+	if err != nil {
+		t.Fatal(err)
+	}
+	data[len(data)/3] ^= 4
+	if err := os.WriteFile(file, data, 0o600); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// takes has the operator send a configuration until it is taken.
+func takes(t *testing.T, o *Operator, number uint64) {
+	t.Helper()
+	for end := time.Now().Add(readyTime); !o.Put(number); time.Sleep(askPause) {
+		if time.Now().After(end) {
+			t.Fatalf("configuration %d was not taken", number)
+		}
+	}
+}
+
 // TestSeeds plays a few short plans. Seeds that ever failed stay here, with the
 // cause.
 func TestSeeds(t *testing.T) {
--- a/state/wal/power_test.go
+++ b/state/wal/power_test.go
@@ -419,3 +419,56 @@
 		})
 	})
 }
+
+// TestSetAsideOutlastsPower sets a damaged folder aside while the power goes at
+// any operation. The folder is never opened under its former identity, and in the
+// end it is empty; the damaged files are kept.
+func TestSetAsideOutlastsPower(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		disk := newPowerDisk()
+		disk.t = t
+		former := damagedFolder(t, disk)
+		for again := true; again; {
+			disk.left = rapid.IntRange(0, 9).Draw(t, "after")
+			again = SetAside("/data", WithDisk(disk)) != nil
+			disk.left = -1
+			if rapid.Bool().Draw(t, "power") {
+				disk.lose()
+			}
+			disk.back()
+			folder, loaded, err := Open("/data", "entry-1", WithDisk(disk))
+			if err != nil {
+				if !errors.Is(err, ErrDamaged) {
+					t.Fatal(err)
+				}
+				again = true
+				continue
+			}
+			if folder.ID() == former || folder.Group() != 0 || len(loaded.Entries) > 0 || loaded.Hard.Term != 0 {
+				t.Fatalf("opened as %v of group %d with %+v", folder.ID(), folder.Group(), loaded)
+			}
+			again = false
+		}
+		if disk.names["/data/"+asidePrefix+identityFile] == nil {
+			t.Fatal("the former identity is not kept")
+		}
+	})
+}
+
+// damagedFolder leaves a folder of a group with a flipped bit in its log.
+func damagedFolder(t *rapid.T, disk *powerDisk) protocol.ReplicaID {
+	folder, _, err := Open("/data", "entry-1", WithDisk(disk))
+	if err == nil {
+		err = folder.Found(7, &protocol.ReplicaMembers{})
+	}
+	if err == nil {
+		err = folder.Write(protocol.HardState{Term: 3}, []protocol.LogEntry{entry(1, 3, "command")})
+	}
+	if err != nil {
+		t.Fatal(err)
+	}
+	log := disk.names[folder.path(segmentPrefix, folder.seq)]
+	log.content[len(log.content)-3] ^= 4
+	log.synced = bytes.Clone(log.content)
+	return folder.ID()
+}
--- a/state/wal/wal.go
+++ b/state/wal/wal.go
@@ -5,6 +5,7 @@
 //	identity     the replica's name and the incarnation of this folder
 //	log-N        segments of the log, in the order of N
 //	snapshot-N   the state machine at index N
+//	aside-*      what [SetAside] put out of the way
 //	lock         held by the process that uses the folder
 //
 // A segment is a row of frames. A frame is one group commit: length, checksums,
@@ -12,7 +13,7 @@
 // frame is written only after the sync of the one before. So only the last
 // frame can be a torn write, which nobody was promised, and which is cut off: it
 // ends too early, or in zeros. Anything else that does not match its checksum is
-// damage, which stops the start and touches nothing.
+// damage, which fails the opening and touches nothing.
 package wal
 
 import (
@@ -104,13 +105,18 @@
 // WithDisk sets the disk that the folder is on; without it, it is the machine's.
 func WithDisk(d Disk) Option { return func(f *Folder) { f.disk = d } }
 
-// Open opens a folder for the replica with a name, and makes it if it is not
-// there: then it is a new incarnation.
-func Open(dir, name string, opts ...Option) (*Folder, *Loaded, error) {
+func newFolder(dir string, opts []Option) *Folder {
 	f := &Folder{dir: dir, disk: osDisk{}}
 	for _, opt := range opts {
 		opt(f)
 	}
+	return f
+}
+
+// Open opens a folder for the replica with a name, and makes it if it is not
+// there: then it is a new incarnation.
+func Open(dir, name string, opts ...Option) (*Folder, *Loaded, error) {
+	f := newFolder(dir, opts)
 	if err := f.disk.MakeFolder(dir); err != nil {
 		return nil, nil, eris.Wrap(err, "make data folder")
 	}
