Servers at the full price stand by while reclaimable ones cannot be had

Now an order asks for no more than a domain has room for, so it is repeated when the others went, and again if servers do not come for 8 s; servers at the full price go first where they are in the way; and while reclaimable ones are refused the fullest domain counts as lost. Ruled out: more reclaimable servers from the start, which the domain's most does not allow on such a fleet.

Before: TestOrderIsFilledUp, TestAnotherLossIsBorne and a row of TestOrdersPause failed.

--- a/coordination/scale/scale.go
+++ b/coordination/scale/scale.go
@@ -65,6 +65,11 @@
 	refusedPause = 2 * time.Second
 	// settle is between two orders of the same kind for the same domain.
 	settle = time.Second
+	// unfilledAfter an order that was taken it is sent again if the servers are not
+	// there: the platform may have had no room for all of them.
+	unfilledAfter = 8 * time.Second
+	// dryFor after a refused order no reclaimable servers are taken to be had.
+	dryFor = 3 * time.Second
 	// shrinkAfter is how long fewer servers have been enough before some go.
 	shrinkAfter = 6 * time.Second
 )
@@ -111,7 +116,7 @@
 func (p *Planner) plan(s *Service, servers []protocol.Instance, now time.Time) []Order {
 	domains := survey(s.Spec, servers)
 	need, least := p.need(s, now)
-	wantReclaimable, wantFull := wants(s.Spec.Scaling, domains, need, least)
+	wantReclaimable, wantFull := wants(s.Spec.Scaling, domains, need, least, p.dry(s.Spec.Name, now))
 	var orders []Order
 	for i, d := range domains {
 		orders = p.order(orders, s.Spec.Name, d, wantReclaimable[i], true, now)
@@ -176,25 +181,49 @@
 	return domains
 }
 
-// wants returns how many servers of either kind each domain is to have.
-func wants(spec *protocol.ScalingSpec, domains []domainState, need, least int) (reclaimable, full []int) {
+// dry reports whether reclaimable servers of a service were refused lately.
+func (p *Planner) dry(service string, now time.Time) bool {
+	for key, last := range p.orders {
+		if key.Service == service && key.Reclaimable && last.refused && now.Sub(last.at) < dryFor {
+			return true
+		}
+	}
+	return false
+}
+
+// wants returns how many servers of either kind each domain is to have. While
+// there are no reclaimable ones to be had, those at the full price also make up
+// for the domain whose reclaimable ones are the most: it may be the next to lose
+// them, and then it would be too late.
+func wants(spec *protocol.ScalingSpec, domains []domainState, need, least int, dry bool) (reclaimable, full []int) {
 	n := len(domains)
 	reclaimable, full = make([]int, n), make([]int, n)
 	if n == 0 {
 		return reclaimable, full
 	}
 	spread(reclaimable, need, spec)
-	serving := 0
+	serving, risk, there := 0, 0, 0
 	for i := range domains {
 		serving += domains[i].reclaimable
+		risk = max(risk, domains[i].reclaimable)
+		there += domains[i].full
 	}
-	for i := range domains {
+	if dry {
+		serving -= risk
+	}
+	// Those that may go although too few reclaimable ones serve: they are in the
+	// way of more of these, where a domain may not have more of both kinds.
+	spare := serving + there - least
+	for i, d := range domains {
 		// The least number counts for both kinds together: what serves for less
 		// lets the others go, once it does.
-		full[i] = max(0, spec.Min-domains[i].reclaimable)
+		full[i] = max(0, spec.Min-d.reclaimable)
 		if serving < least {
-			full[i] = max(full[i], min(domains[i].full, spec.Max-domains[i].reclaimable))
+			inTheWay := min(spare, max(0, d.full+reclaimable[i]-spec.Max), d.full)
+			spare -= max(0, inTheWay)
+			full[i] = max(full[i], min(d.full-max(0, inTheWay), spec.Max-d.reclaimable))
 		}
+		reclaimable[i] = min(reclaimable[i], max(0, spec.Max-d.full))
 	}
 	// What is lacking is made up for at the full price, in the cheapest domains
 	// that have room.
@@ -269,7 +298,9 @@
 			return orders
 		}
 	case last.count == want:
-		return orders
+		if have >= want || now.Sub(last.at) < unfilledAfter {
+			return orders
+		}
 	case last.count < want && now.Sub(last.at) < settle:
 		return orders
 	case last.count > want && now.Sub(last.at) < shrinkAfter:
--- a/coordination/scale/scale_test.go
+++ b/coordination/scale/scale_test.go
@@ -23,6 +23,7 @@
 type world struct {
 	counts map[Order]int // counts are by an Order whose Count is 0.
 	dry    bool          // dry refuses reclaimable servers.
+	most   int           // most of both kinds may be in a domain, if it is not 0.
 }
 
 func (w *world) list() []protocol.Instance {
@@ -46,12 +47,22 @@
 		key.Count = 0
 		taken := !w.dry || !o.Reclaimable || o.Count <= w.counts[key]
 		if taken {
-			w.counts[key] = o.Count
+			w.counts[key] = w.held(o)
 		}
 		p.Ordered(o, taken, now)
 	}
 }
 
+// held is how many servers come of an order: the most that a domain may have
+// counts for both kinds together.
+func (w *world) held(o Order) int {
+	if w.most == 0 {
+		return o.Count
+	}
+	other := Order{Service: o.Service, Domain: o.Domain, Reclaimable: !o.Reclaimable}
+	return min(o.Count, max(0, w.most-w.counts[other]))
+}
+
 func (w *world) total(reclaimable bool) int {
 	n := 0
 	for key, count := range w.counts {
@@ -110,6 +121,50 @@
 	}
 }
 
+// TestOrderIsFilledUp checks that a domain which had no room for all reclaimable
+// servers while those at the full price were there gets the rest once they went.
+func TestOrderIsFilledUp(t *testing.T) {
+	w := &world{counts: map[Order]int{}, most: 10}
+	for _, d := range []string{"a", "b", "c", "d"} {
+		w.counts[Order{Service: "model", Domain: d}] = 6
+	}
+	p, now := New(), start
+	s := Service{Spec: spec(), Base: 24} // 18 are needed, without any two domains.
+	for range 40 {
+		w.step(p, s, now)
+		now = now.Add(500 * time.Millisecond)
+	}
+	for _, d := range []string{"a", "b", "c", "d"} {
+		if n := w.counts[Order{Service: "model", Domain: d, Reclaimable: true}]; n < 9 {
+			t.Errorf("%s has %d reclaimable servers", d, n)
+		}
+	}
+}
+
+// TestAnotherLossIsBorne checks that, while no reclaimable servers are to be had,
+// so many at the full price stand by that the fullest domain may lose its
+// reclaimable ones too.
+func TestAnotherLossIsBorne(t *testing.T) {
+	w := &world{counts: map[Order]int{{Service: "model", Domain: "a"}: 9}}
+	p, now := New(), start
+	s := Service{Spec: spec(), Base: 16}
+	run := func(steps int) {
+		for range steps {
+			w.step(p, s, now)
+			now = now.Add(500 * time.Millisecond)
+		}
+	}
+	run(40)
+	w.dry = true
+	for _, lost := range []string{"a", "b", "c"} {
+		w.counts[Order{Service: "model", Domain: lost, Reclaimable: true}] = 0
+		if n := w.total(true) + w.total(false); n < 11 {
+			t.Errorf("%d servers are left at the moment %s loses its own", n, lost)
+		}
+		run(8)
+	}
+}
+
 // TestOrdersKeepToTheBounds checks that no order is below or above what the
 // operators allow, whatever the load and the list.
 func TestOrdersKeepToTheBounds(t *testing.T) {
@@ -174,17 +229,18 @@
 }
 
 // TestOrdersPause checks how long an order waits for the one before it, and that
-// one which was taken is not repeated.
+// one which was taken is repeated only if the servers did not come.
 func TestOrdersPause(t *testing.T) {
 	for name, c := range map[string]struct {
-		last, want int
-		taken      bool
-		pause      time.Duration
+		have, last, want int
+		taken            bool
+		pause            time.Duration
 	}{
-		"refused": {5, 5, false, refusedPause},
-		"more":    {3, 5, true, settle},
-		"fewer":   {5, 3, true, shrinkAfter},
-		"as many": {5, 5, true, time.Hour},
+		"refused":   {0, 5, 5, false, refusedPause},
+		"more":      {0, 3, 5, true, settle},
+		"fewer":     {0, 5, 3, true, shrinkAfter},
+		"not there": {4, 5, 5, true, unfilledAfter},
+		"as many":   {5, 5, 5, true, time.Hour},
 	} {
 		p := New()
 		key := Order{Service: "model", Domain: "a", Count: c.last, Reclaimable: true}
@@ -193,7 +249,7 @@
 			if name == "as many" {
 				want = 0
 			}
-			if got := p.order(nil, "model", domainState{name: "a"}, c.want, true, start.Add(after)); len(got) != want {
+			if got := p.order(nil, "model", domainState{name: "a", reclaimable: c.have}, c.want, true, start.Add(after)); len(got) != want {
 				t.Errorf("%s: after %v there were %d orders, want %d", name, after, len(got), want)
 			}
 		}
