Gateways choose by the load that all of them make together

Cause: each gateway of a large fleet has a request or two under way at any moment and hears a server's own word of its load every few seconds, so it chose as if all servers were empty, but for the prompts that the leader places.

Now a gateway tells the leader with each question how many requests it has at which server, and gets back a byte a listed server: the sum of all, as old as the last question. Ruled out: asking servers for reports (priced, and 90 answers a gateway), and passing on what servers tell (as rare as before, once a gateway).

--- a/coordination/place/cell.go
+++ b/coordination/place/cell.go
@@ -27,6 +27,7 @@
 	toldAt   time.Time
 	failures int       // failures are in a row.
 	until    time.Time // until is how long the server is passed over.
+	reported int       // reported is own when it was last told to the leader.
 	pending  float64   // pending are prompts of mean length that it is still to read.
 	rate     float64   // rate is the part of the latest requests that failed.
 }
@@ -71,6 +72,23 @@
 	c.mu.Unlock()
 }
 
+// report returns how many requests the server has from this gateway, which is
+// about to tell it.
+func (c *Cell) report() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.reported = c.own
+	return c.own
+}
+
+// shared notes the load from all gateways, in which this one's own is as it was
+// reported.
+func (c *Cell) shared(load int, now time.Time) {
+	c.mu.Lock()
+	c.told, c.ownThen, c.toldAt = load, c.reported, now
+	c.mu.Unlock()
+}
+
 // Failed notes a failure that speaks against the server, and reports whether the
 // server is passed over from now on. A hard one, such as a connection that cannot
 // be opened, counts at once.
--- a/coordination/scale/scale.go
+++ b/coordination/scale/scale.go
@@ -84,6 +84,7 @@
 	count   int
 	at      time.Time
 	refused bool
+	grew    bool // grew says that the order was for more than the one before.
 }
 
 // New returns a planner that has ordered nothing.
@@ -93,7 +94,7 @@
 func (p *Planner) Ordered(o Order, taken bool, now time.Time) {
 	key := o
 	key.Count = 0
-	p.orders[key] = sent{count: o.Count, at: now, refused: !taken}
+	p.orders[key] = sent{count: o.Count, at: now, refused: !taken, grew: o.Count > p.orders[key].count}
 }
 
 // domainState is what a service has in one failure domain.
@@ -277,6 +278,16 @@
 	return best
 }
 
+// shrinkAfter is how long fewer servers have to be enough after an order. Those
+// at the full price that follow others out go soon: each costs as much as
+// several reclaimable ones.
+func (s sent) shrinkAfter(reclaimable bool) time.Duration {
+	if reclaimable || s.grew {
+		return shrinkAfter
+	}
+	return settle
+}
+
 // order appends an order if it differs from the last one, which the platform
 // keeps to, or if that one was refused a while ago.
 func (p *Planner) order(orders []Order, service string, d domainState, want int, reclaimable bool, now time.Time) []Order {
@@ -303,7 +314,7 @@
 		}
 	case last.count < want && now.Sub(last.at) < settle:
 		return orders
-	case last.count > want && now.Sub(last.at) < shrinkAfter:
+	case last.count > want && now.Sub(last.at) < last.shrinkAfter(reclaimable):
 		return orders
 	}
 	return append(orders, o)
--- a/coordination/scale/scale_test.go
+++ b/coordination/scale/scale_test.go
@@ -256,6 +256,31 @@
 	}
 }
 
+// TestFullPriceGoesOnGoing checks that servers at the full price which follow
+// others out wait only for as long as orders settle, and those that came lately
+// for longer.
+func TestFullPriceGoesOnGoing(t *testing.T) {
+	for _, c := range []struct {
+		counts []int
+		pause  time.Duration
+	}{
+		{[]int{5, 3}, settle},
+		{[]int{3, 5}, shrinkAfter},
+	} {
+		p := New()
+		for _, n := range c.counts {
+			p.Ordered(Order{Service: "model", Domain: "a", Count: n}, true, start)
+		}
+		d := domainState{name: "a", full: c.counts[1]}
+		if got := p.order(nil, "model", d, 1, false, start.Add(c.pause-time.Millisecond)); len(got) > 0 {
+			t.Errorf("after %v: ordered %v too soon", c.counts, got)
+		}
+		if got := p.order(nil, "model", d, 1, false, start.Add(c.pause)); len(got) != 1 {
+			t.Errorf("after %v: ordered %v", c.counts, got)
+		}
+	}
+}
+
 // TestLeastNumber checks that each domain is to have the least number of servers
 // that the operators set, however little there is to do.
 func TestLeastNumber(t *testing.T) {
--- a/protocol/uplink.go
+++ b/protocol/uplink.go
@@ -15,6 +15,13 @@
 	Wants    []QuotaWant
 	Pressure []Pressure
 	Done     []PlaceDone
+	Running  []ServerLoad // Running are the requests that it has under way.
+}
+
+// ServerLoad is how many requests one server has.
+type ServerLoad struct {
+	Server  string
+	Running int
 }
 
 // PlaceMsg asks for a server for a long prompt; see place.PromptMsg.
@@ -101,6 +108,7 @@
 	Gateways int        // Gateways are how many synchronized lately.
 	Grants   []QuotaGrant
 	Lanes    []ServiceLanes
+	Loads    []byte // Loads are the requests that the servers have from all gateways, in the order of their names; empty to a gateway with another list.
 }
 
 // QuotaGrant is a part of a workspace's quota, for one gateway.
--- a/transport/control/uplink.go
+++ b/transport/control/uplink.go
@@ -5,6 +5,7 @@
 	"compress/flate"
 	"encoding/json"
 	"io"
+	"slices"
 	"sync"
 	"time"
 
@@ -28,7 +29,7 @@
 
 	mu       sync.Mutex // mu guards all below.
 	number   uint64
-	packed   []byte
+	document []byte // document is packed.
 	catalog  *protocol.Catalog
 	term     uint64 // term is the one that the rest belongs to.
 	lister   uint64
@@ -42,8 +43,21 @@
 	whole    []byte // whole is the list, packed once for all gateways; nil until one asks.
 	view     *place.View
 	places   *place.Ledger
+	loads    *place.Loads
+	order    []string // order are the listed servers by name.
+	packed   packedLoads
 }
 
+// packedLoads are the loads as gateways get them.
+type packedLoads struct {
+	data []byte
+	at   time.Time
+}
+
+// loadsKept is how old packed loads may be: with hundreds of gateways they are
+// packed for several at once.
+const loadsKept = 10 * time.Millisecond
+
 // gateway is what a gateway told last.
 type gateway struct {
 	at       time.Time
@@ -67,6 +81,7 @@
 	u.ledger = usage.NewLedger()
 	u.listed, u.servers, u.history = false, nil, history{}
 	u.view, u.places = nil, place.NewLedger()
+	u.loads, u.order, u.packed = place.NewLoads(), nil, packedLoads{}
 	if u.catalog != nil {
 		u.quotas.Configure(u.catalog.Workspaces, time.Now())
 	}
@@ -92,7 +107,7 @@
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	if number > u.number {
-		u.number, u.packed, u.catalog = number, packed, catalog
+		u.number, u.document, u.catalog = number, packed, catalog
 		u.quotas.Configure(catalog.Workspaces, time.Now())
 	}
 	return nil
@@ -118,6 +133,7 @@
 	u.enter(term)
 	u.gateways[m.Gateway] = &gateway{at: now, pressure: m.Pressure}
 	u.ledger.Take(m.Gateway, m.Life, m.Usage)
+	u.loads.Take(m.Gateway, m.Running)
 	for _, d := range m.Done {
 		if d.Term == term {
 			u.places.Done(place.DoneMsg{Number: d.Number, First: d.First, Took: d.Took})
@@ -126,9 +142,12 @@
 	reply.Term = term
 	reply.Number = u.number
 	if u.number > m.Number {
-		reply.Document = u.packed
+		reply.Document = u.document
 	}
 	u.tellServers(&m, reply)
+	if m.Lister == u.lister && m.Servers == u.version {
+		reply.Loads = u.packLoads(now)
+	}
 	reply.Gateways = u.alive(now)
 	reply.Lanes = u.lanes()
 	for _, want := range m.Wants {
@@ -213,11 +232,20 @@
 	return list, eris.Wrap(json.Unmarshal(data, &list), "read list")
 }
 
+// packLoads returns the loads of the listed servers. It needs u.mu.
+func (u *Uplink) packLoads(now time.Time) []byte {
+	if u.packed.data == nil || now.Sub(u.packed.at) > loadsKept {
+		u.packed = packedLoads{data: u.loads.Pack(u.order), at: now}
+	}
+	return u.packed.data
+}
+
 // alive counts the gateways that asked lately. It needs u.mu.
 func (u *Uplink) alive(now time.Time) int {
 	for name, g := range u.gateways {
 		if now.Sub(g.at) > gatewayKept {
 			delete(u.gateways, name)
+			u.loads.Drop(name)
 		}
 	}
 	return len(u.gateways)
@@ -239,6 +267,11 @@
 	u.lister, u.servers, u.listed, u.whole = term, list, true, nil
 	u.view = place.NewView(list, u.view)
 	u.places.Keep(u.view)
+	u.order, u.packed = make([]string, 0, len(list)), packedLoads{}
+	for i := range list {
+		u.order = append(u.order, list[i].ID)
+	}
+	slices.Sort(u.order)
 }
 
 // sameServers reports whether two lists say the same. How much longer a server
--- a/transport/forward/limits.go
+++ b/transport/forward/limits.go
@@ -147,7 +147,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := time.Now()
-	m := protocol.SyncMsg{Gateway: g.cfg.Name, Number: g.Number(), Usage: g.counter.Rows(term, now), Wants: g.allowance.Wants(now), Done: g.done}
+	m := protocol.SyncMsg{Gateway: g.cfg.Name, Number: g.Number(), Usage: g.counter.Rows(term, now), Wants: g.allowance.Wants(now), Done: g.done, Running: g.view.Load().Running()}
 	g.done = nil // One that is lost is forgotten by the leader in time.
 	for name, p := range g.pressure {
 		p.average(now)
@@ -180,6 +180,9 @@
 	x.placed = protocol.PlaceReply{}
 }
 
+// Share takes how many requests the listed servers have from all gateways.
+func (g *Gateway) Share(loads []byte) { g.view.Load().Share(loads, time.Now()) }
+
 // Agree takes the terms by which all gateways part long prompts from short ones.
 func (g *Gateway) Agree(lanes []protocol.ServiceLanes) {
 	g.mu.Lock()
--- a/transport/uplink/uplink_test.go
+++ b/transport/uplink/uplink_test.go
@@ -32,6 +32,7 @@
 type fakeGateway struct {
 	number    uint64
 	servers   int
+	loads     []byte
 	confirmed int
 	at        time.Time
 	bad       bool
@@ -47,6 +48,7 @@
 	g.number = number
 	return nil
 }
+func (g *fakeGateway) Share(loads []byte)                  { g.loads = loads }
 func (g *fakeGateway) Agree([]protocol.ServiceLanes)       {}
 func (g *fakeGateway) SetServers(list []protocol.Instance) { g.servers = len(list) }
 func (g *fakeGateway) Confirm(at time.Time, _ int)         { g.confirmed, g.at = g.confirmed+1, at }
