The leader places long prompts by all that servers have to do

Cause: its ledger knew of the long prompts that it had placed and of nothing else, so it read a long prompt beside short requests that had overflowed from their own lane, and held them up.

Now the requests of all gateways count: as streams held up where reading takes too long, as a little load elsewhere. Ruled out: nothing else was tried.

--- a/coordination/place/ledger.go
+++ b/coordination/place/ledger.go
@@ -40,6 +40,7 @@
 // leader of the control role keeps one ledger; a gateway that gets no answer
 // from it at once chooses by itself.
 type Ledger struct {
+	loads   *Loads // loads are the requests of all gateways, those placed here among them.
 	servers map[string]*book
 	placed  map[uint64]*stay
 	number  uint64
@@ -88,9 +89,9 @@
 	readCost = 0.8
 )
 
-// NewLedger returns an empty ledger.
-func NewLedger() *Ledger {
-	return &Ledger{servers: map[string]*book{}, placed: map[uint64]*stay{}, speed: firstSpeed, pace: firstPace}
+// NewLedger returns an empty ledger beside the loads of all gateways.
+func NewLedger(loads *Loads) *Ledger {
+	return &Ledger{loads: loads, servers: map[string]*book{}, placed: map[uint64]*stay{}, speed: firstSpeed, pace: firstPace}
 }
 
 // Place returns a server for a long prompt, or false where there is none.
@@ -157,6 +158,10 @@
 			held++
 		}
 	}
+	others := max(0, l.loads.Of(s.ID)-len(b.stays))
+	if stalls {
+		held += others
+	}
 	cost := float64(held)
 	if m.Target > 0 {
 		cost += waitCost * float64(wait+read) / float64(m.Target)
@@ -164,7 +169,7 @@
 			cost += lateCost
 		}
 	}
-	cost += stayCost * float64(len(b.stays))
+	cost += stayCost * float64(len(b.stays)+others)
 	if m.Prompt > 0 && !b.holds(m.Prefix, now) {
 		cost += readCost * float64(m.Shared) / float64(m.Prompt)
 	}
--- a/transport/control/uplink.go
+++ b/transport/control/uplink.go
@@ -84,8 +84,8 @@
 	u.quotas = quota.NewCoordinator(u.quota)
 	u.ledger = usage.NewLedger()
 	u.listed, u.servers, u.history = false, nil, history{}
-	u.view, u.places = nil, place.NewLedger()
 	u.loads, u.order, u.packed = place.NewLoads(), nil, packedLoads{}
+	u.view, u.places = nil, place.NewLedger(u.loads)
 	if u.catalog != nil {
 		u.quotas.Configure(u.catalog.Workspaces, time.Now())
 	}
