Before the first request reclaimable servers take over as soon as they are ordered

Now, while nobody has asked a service for anything, ordered reclaimable servers count as if they served, for as long as an order may take, and those at the full price go, down to the operators' least number; a server that leaves serves on for about as long as another takes to start. Ruled out: ordering before the list shows the operators' servers, which are all that is known of the need; giving full ones back before they are counted.

TestChangesOverBeforeTheFirstRequest.

--- a/coordination/scale/scale.go
+++ b/coordination/scale/scale.go
@@ -116,6 +116,9 @@
 
 func (p *Planner) plan(s *Service, servers []protocol.Instance, now time.Time) []Order {
 	domains := survey(s.Spec, servers)
+	if s.idle() {
+		p.expect(s.Spec.Name, domains, now)
+	}
 	need, least := p.need(s, now)
 	wantReclaimable, wantFull := wants(s.Spec.Scaling, domains, need, least, p.dry(s.Spec.Name, now))
 	var orders []Order
@@ -130,6 +133,23 @@
 	return orders
 }
 
+// idle reports whether nobody has asked the service for anything yet.
+func (s *Service) idle() bool { return s.Begun == 0 && s.Work == 0 }
+
+// expect counts the reclaimable servers that were ordered as if they served
+// already: while nobody asks for anything, those at the full price need not stay
+// until they do. A server that leaves serves on for about as long as another
+// takes to start.
+func (p *Planner) expect(service string, domains []domainState, now time.Time) {
+	for i := range domains {
+		d := &domains[i]
+		last := p.orders[Order{Service: service, Domain: d.name, Reclaimable: true}]
+		if !last.refused && now.Sub(last.at) < unfilledAfter {
+			d.reclaimable = max(d.reclaimable, last.count)
+		}
+	}
+}
+
 // need is how many servers carry the load of late in time, and how few carry it
 // at all, for which servers at the full price are worth it.
 func (p *Planner) need(s *Service, now time.Time) (need, least int) {
--- a/coordination/scale/scale_test.go
+++ b/coordination/scale/scale_test.go
@@ -165,6 +165,43 @@
 	}
 }
 
+// TestChangesOverBeforeTheFirstRequest checks that, while nobody has asked for
+// anything, servers at the full price go as soon as reclaimable ones are ordered,
+// down to the least number, and that they stay until these serve once somebody
+// has. Orders that come to nothing do not count for long.
+func TestChangesOverBeforeTheFirstRequest(t *testing.T) {
+	full := func() []protocol.Instance {
+		w := &world{counts: map[Order]int{{Service: "model", Domain: "a"}: 5, {Service: "model", Domain: "b"}: 4}}
+		return w.list()
+	}()
+	for name, c := range map[string]struct {
+		begun int64
+		after time.Duration
+		gives bool
+	}{
+		"nobody asked":     {0, settle, true},
+		"somebody asked":   {1, settle, false},
+		"they do not come": {0, unfilledAfter, false},
+	} {
+		p := New()
+		s := Service{Spec: spec(), Base: 9, Begun: c.begun}
+		m := PlanMsg{Services: []Service{s}, Servers: full, Now: start}
+		for _, o := range p.Plan(m) {
+			if o.Reclaimable {
+				p.Ordered(o, true, start)
+			}
+		}
+		m.Now = start.Add(c.after)
+		gives := false
+		for _, o := range p.Plan(m) {
+			gives = gives || (!o.Reclaimable && o.Domain == "a" && o.Count < 5)
+		}
+		if gives != c.gives {
+			t.Errorf("%s: servers at the full price go: %v", name, gives)
+		}
+	}
+}
+
 // TestOrdersKeepToTheBounds checks that no order is below or above what the
 // operators allow, whatever the load and the list.
 func TestOrdersKeepToTheBounds(t *testing.T) {
