Linter: an unused value in a test, an unchecked close

No behaviour changes: the test's loop now ends on its one condition, and the lock's close says why its error does not matter. Linter and tests of state/wal pass.

--- a/state/wal/aside.go
+++ b/state/wal/aside.go
@@ -24,7 +24,7 @@
 	if err != nil {
 		return err
 	}
-	defer lock.Close()
+	defer func() { _ = lock.Close() }() // What was moved is synced.
 	names, err := f.disk.List(dir)
 	if err != nil {
 		return eris.Wrap(err, "list data folder")
--- a/state/wal/power_test.go
+++ b/state/wal/power_test.go
@@ -428,9 +428,9 @@
 		disk := newPowerDisk()
 		disk.t = t
 		former := damagedFolder(t, disk)
-		for again := true; again; {
+		for open := false; !open; {
 			disk.left = rapid.IntRange(0, 9).Draw(t, "after")
-			again = SetAside("/data", WithDisk(disk)) != nil
+			_ = SetAside("/data", WithDisk(disk)) // One that the power cut short is done again.
 			disk.left = -1
 			if rapid.Bool().Draw(t, "power") {
 				disk.lose()
@@ -441,13 +441,12 @@
 				if !errors.Is(err, ErrDamaged) {
 					t.Fatal(err)
 				}
-				again = true
 				continue
 			}
 			if folder.ID() == former || folder.Group() != 0 || len(loaded.Entries) > 0 || loaded.Hard.Term != 0 {
 				t.Fatalf("opened as %v of group %d with %+v", folder.ID(), folder.Group(), loaded)
 			}
-			again = false
+			open = true
 		}
 		if disk.names["/data/"+asidePrefix+identityFile] == nil {
 			t.Fatal("the former identity is not kept")
