Distrust of servers is shared between gateways, never on one's word alone

Cause: each gateway found out by itself, with its callers' requests, that a server fails; with 83 of them a server that is gone is tried 83 times, and again when each one's distrust is over, and the leader went on placing long prompts there.

Now a gateway tells the leader whom it distrusts, and passes over a server on the word of two gateways of its own domain or of two domains, for as long as they renew it; the word of others is not told on, so it cannot hold itself up. Ruled out: one domain's word for all, as a domain may have lost its path to a server that is sound.

TestDistrustIsShared, TestSharedDistrust, TestLedgerAvoidsTheDistrusted.

--- a/coordination/place/cell.go
+++ b/coordination/place/cell.go
@@ -14,6 +14,8 @@
 	distrustMost  = 6 * time.Second
 	// distrustAfter failures in a row a server is passed over.
 	distrustAfter = 2
+	// shunFor is how long the word of other gateways holds without being renewed.
+	shunFor = 800 * time.Millisecond
 	// rateWeight is the weight of the latest request in the rate of failures.
 	rateWeight = 0.15
 )
@@ -27,6 +29,7 @@
 	toldAt   time.Time
 	failures int       // failures are in a row.
 	until    time.Time // until is how long the server is passed over.
+	shunned  time.Time // shunned is how long it is on the word of other gateways.
 	reported int       // reported is own when it was last told to the leader.
 	pending  float64   // pending are prompts of mean length that it is still to read.
 	rate     float64   // rate is the part of the latest requests that failed.
@@ -82,11 +85,25 @@
 }
 
 // shared notes the load from all gateways, in which this one's own is as it was
-// reported.
-func (c *Cell) shared(load int, now time.Time) {
+// reported, and whether others distrust the server. It reports whether they do
+// since now.
+func (c *Cell) shared(load int, shunned bool, now time.Time) (since bool) {
 	c.mu.Lock()
+	defer c.mu.Unlock()
 	c.told, c.ownThen, c.toldAt = load, c.reported, now
-	c.mu.Unlock()
+	since = shunned && !now.Before(c.shunned)
+	c.shunned = time.Time{}
+	if shunned {
+		c.shunned = now.Add(shunFor)
+	}
+	return since
+}
+
+// distrusts reports whether the server is passed over by this gateway's own word.
+func (c *Cell) distrusts(now time.Time) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return now.Before(c.until)
 }
 
 // Failed notes a failure that speaks against the server, and reports whether the
@@ -127,13 +144,17 @@
 	return c.own
 }
 
-// Suspect reports whether the server failed lately and is to be passed over.
+// Suspect reports whether the server failed lately, here or elsewhere, and is to
+// be passed over.
 func (c *Cell) Suspect(now time.Time) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return now.Before(c.until)
+	return c.suspect(now)
 }
 
+// suspect needs c.mu.
+func (c *Cell) suspect(now time.Time) bool { return now.Before(c.until) || now.Before(c.shunned) }
+
 // load estimates how many requests the server has, tells the part of its latest
 // requests that failed, and reports whether it is to be passed over. What it told
 // of its load fades as it grows old.
@@ -146,5 +167,5 @@
 		others := float64(max(0, c.told-c.ownThen)) / (1 + age)
 		load += others
 	}
-	return load, c.rate, now.Before(c.until)
+	return load, c.rate, c.suspect(now)
 }
--- a/coordination/place/ledger.go
+++ b/coordination/place/ledger.go
@@ -85,6 +85,8 @@
 	waitCost = 0.5
 	stayCost = 0.1
 	nearGain = 0.05
+	// distrustCost keeps prompts off servers that fail, where there are others.
+	distrustCost = 1000.0
 	// readCost is that of a prompt all of which could have been held elsewhere.
 	readCost = 0.8
 )
@@ -100,7 +102,12 @@
 	rows := inLane(v, candidates(v, ChooseMsg{Service: m.Service, Avoid: m.Avoid, Now: now}), ChooseMsg{Lane: LaneLong, Share: m.Share})
 	best, least := -1, math.Inf(1)
 	for _, r := range rows {
-		if cost := l.cost(&v.Servers[r.index], m, now); cost < least {
+		s := &v.Servers[r.index]
+		cost := l.cost(s, m, now)
+		if l.loads.Distrusted(s.ID, m.Domain) {
+			cost += distrustCost
+		}
+		if cost < least {
 			best, least = r.index, cost
 		}
 	}
--- a/coordination/place/loads.go
+++ b/coordination/place/loads.go
@@ -7,42 +7,76 @@
 	"github.com/weldstream/weldstream/protocol"
 )
 
-// Loads adds up how many requests each server has from all gateways. With many
-// gateways each one sees a server's own word of its load too seldom to choose by
-// it; together they know it exactly, as old as the last question of each.
+// Loads adds up what all gateways know of the servers: how many requests each has,
+// and who distrusts it. With many gateways each one sees a server's own word of
+// its load too seldom to choose by it, and each would find out by itself, with its
+// callers' requests, that a server fails.
 type Loads struct {
-	totals   map[string]int
-	gateways map[string][]protocol.ServerLoad
+	totals    map[string]int
+	distrusts map[string]map[string]int // distrusts count gateways, by server and the gateways' domain.
+	gateways  map[string]Told
+}
+
+// Told is what one gateway knows of the servers.
+type Told struct {
+	Domain    string                // Domain is the gateway's.
+	Running   []protocol.ServerLoad // Running are its requests under way.
+	Distrusts []string              // Distrusts are servers that it passes over.
 }
 
 // NewLoads returns loads of which nothing is known.
 func NewLoads() *Loads {
-	return &Loads{totals: map[string]int{}, gateways: map[string][]protocol.ServerLoad{}}
+	return &Loads{totals: map[string]int{}, distrusts: map[string]map[string]int{}, gateways: map[string]Told{}}
 }
 
-// Take notes what one gateway has under way, in place of what it told before.
-func (l *Loads) Take(gateway string, rows []protocol.ServerLoad) {
+// Take notes what one gateway knows, in place of what it told before.
+func (l *Loads) Take(gateway string, t Told) {
 	l.Drop(gateway)
-	if len(rows) == 0 {
-		return
-	}
-	l.gateways[gateway] = rows
-	for _, r := range rows {
+	l.gateways[gateway] = t
+	for _, r := range t.Running {
 		l.totals[r.Server] += r.Running
 	}
+	for _, id := range t.Distrusts {
+		if l.distrusts[id] == nil {
+			l.distrusts[id] = map[string]int{}
+		}
+		l.distrusts[id][t.Domain]++
+	}
 }
 
 // Drop forgets a gateway.
 func (l *Loads) Drop(gateway string) {
-	for _, r := range l.gateways[gateway] {
+	t := l.gateways[gateway]
+	for _, r := range t.Running {
 		l.totals[r.Server] -= r.Running
 		if l.totals[r.Server] <= 0 {
 			delete(l.totals, r.Server)
 		}
 	}
+	for _, id := range t.Distrusts {
+		domains := l.distrusts[id]
+		if domains[t.Domain]--; domains[t.Domain] <= 0 {
+			delete(domains, t.Domain)
+		}
+		if len(domains) == 0 {
+			delete(l.distrusts, id)
+		}
+	}
 	delete(l.gateways, gateway)
 }
 
+// leastVoices are how many gateways of one domain, or domains with any, have to
+// distrust a server before others do.
+const leastVoices = 2
+
+// Distrusted reports whether the gateways of a domain are to pass a server over.
+// One gateway's word is never enough, as the fault may be its own; nor is that of
+// another domain alone, which may have lost its path to the server.
+func (l *Loads) Distrusted(server, domain string) bool {
+	domains := l.distrusts[server]
+	return domains[domain] >= leastVoices || len(domains) >= leastVoices
+}
+
 // Of returns how many requests a server has.
 func (l *Loads) Of(server string) int { return l.totals[server] }
 
@@ -56,6 +90,24 @@
 	return packed
 }
 
+// PackDistrust returns which of some servers the gateways of a domain are to pass
+// over, in their order, a bit each; nil where there are none.
+func (l *Loads) PackDistrust(servers []string, domain string) []byte {
+	var packed []byte
+	for i, id := range servers {
+		if !l.Distrusted(id, domain) {
+			continue
+		}
+		if packed == nil {
+			packed = make([]byte, (len(servers)+bitsPerByte-1)/bitsPerByte)
+		}
+		packed[i/bitsPerByte] |= 1 << (i % bitsPerByte)
+	}
+	return packed
+}
+
+const bitsPerByte = 8
+
 // Running returns the requests that this gateway has under way, and remembers
 // which they are: loads that are told later hold them.
 func (v *View) Running() []protocol.ServerLoad {
@@ -71,13 +123,33 @@
 	return rows
 }
 
+// Distrusts returns the servers that this gateway passes over by its own word.
+func (v *View) Distrusts(now time.Time) []string {
+	if v == nil {
+		return nil
+	}
+	var ids []string
+	for i := range v.Servers {
+		if v.Servers[i].Cell.distrusts(now) {
+			ids = append(ids, v.Servers[i].ID)
+		}
+	}
+	return ids
+}
+
 // Share takes the loads of all servers in the view's order, as they were when
-// Running was last asked, or later.
-func (v *View) Share(loads []byte, now time.Time) {
+// Running was last asked, or later, and which of them to pass over. It returns the
+// servers that are passed over from now on, and were not before.
+func (v *View) Share(loads, distrusted []byte, now time.Time) []string {
 	if v == nil || len(loads) != len(v.Servers) {
-		return // They are of another list.
+		return nil // They are of another list.
 	}
+	var ids []string
 	for i, n := range loads {
-		v.Servers[i].Cell.shared(int(n), now)
+		shunned := i/bitsPerByte < len(distrusted) && distrusted[i/bitsPerByte]&(1<<(i%bitsPerByte)) != 0
+		if v.Servers[i].Cell.shared(int(n), shunned, now) {
+			ids = append(ids, v.Servers[i].ID)
+		}
 	}
+	return ids
 }
--- a/coordination/place/loads_test.go
+++ b/coordination/place/loads_test.go
@@ -32,7 +32,7 @@
 					rows = append(rows, protocol.ServerLoad{Server: s, Running: n})
 				}
 			}
-			l.Take(gateway, rows)
+			l.Take(gateway, Told{Running: rows})
 		}
 		packed := l.Pack(servers)
 		for i, s := range servers {
@@ -59,7 +59,7 @@
 		t.Fatal(diff)
 	}
 	cell.Began() // Behind the report, so the leader does not know of it.
-	v.Share([]byte{0, 7}, start)
+	v.Share([]byte{0, 7}, nil, start)
 	if load, _, _ := cell.load(start); load != 8 {
 		t.Errorf("the load is %v, want the 7 that were told and one more", load)
 	}
@@ -69,7 +69,7 @@
 	if load, _, _ := cell.load(start); load != 5 {
 		t.Errorf("the load is %v, want the 5 of others", load)
 	}
-	v.Share([]byte{9}, start.Add(time.Second)) // Of another list.
+	v.Share([]byte{9}, nil, start.Add(time.Second)) // Of another list.
 	if load, _, _ := cell.load(start); load != 5 {
 		t.Errorf("loads of another list were taken: %v", load)
 	}
@@ -83,8 +83,90 @@
 	first, _ := Choose(v, m)
 	loads := []byte{4, 4, 4, 4}
 	loads[first] = 16
-	v.Share(loads, start)
+	v.Share(loads, nil, start)
 	if again, _ := Choose(v, m); again == first {
 		t.Error("the server that others have filled is chosen")
 	}
 }
+
+// TestDistrustIsShared checks whose word is enough for a server to be passed over,
+// and by whom.
+func TestDistrustIsShared(t *testing.T) {
+	for name, c := range map[string]struct {
+		by        map[string]string // by are the domains of the gateways that distrust it.
+		here, far bool
+	}{
+		"nobody":                     {nil, false, false},
+		"one gateway":                {map[string]string{"g": "here"}, false, false},
+		"two of one domain":          {map[string]string{"g": "here", "h": "here"}, true, false},
+		"two of two domains":         {map[string]string{"g": "here", "h": "there"}, true, true},
+		"many of another domain":     {map[string]string{"g": "there", "h": "there", "i": "there"}, false, false},
+		"one told of by its domains": {map[string]string{"g": "here", "h": "there", "i": "there"}, true, true},
+	} {
+		l := NewLoads()
+		for gateway, domain := range c.by {
+			l.Take(gateway, Told{Domain: domain, Distrusts: []string{"s"}})
+			l.Take(gateway, Told{Domain: domain, Distrusts: []string{"s"}}) // Told again, it counts once.
+		}
+		if here, far := l.Distrusted("s", "here"), l.Distrusted("s", "far"); here != c.here || far != c.far {
+			t.Errorf("%s: passed over here %v, want %v; far %v, want %v", name, here, c.here, far, c.far)
+		}
+		for gateway := range c.by {
+			l.Drop(gateway)
+		}
+		if l.Distrusted("s", "here") || len(l.distrusts) > 0 {
+			t.Errorf("%s: distrusted though all are gone", name)
+		}
+	}
+}
+
+// TestSharedDistrust checks that a server which others distrust is passed over for
+// as long as they do, and that this gateway does not tell their word as its own.
+func TestSharedDistrust(t *testing.T) {
+	v := fleet(10)
+	loads := make([]byte, 10)
+	if since := v.Share(loads, []byte{0, 2}, start); len(since) != 1 || since[0] != v.Servers[9].ID {
+		t.Errorf("passed over since now: %v, want the tenth", since)
+	}
+	if since := v.Share(loads, []byte{0, 2}, start.Add(time.Millisecond)); len(since) > 0 {
+		t.Errorf("told again, it counts as new: %v", since)
+	}
+	for i := range v.Servers {
+		if got := v.Servers[i].Cell.Suspect(start); got != (i == 9) {
+			t.Errorf("server %d is suspect: %v", i, got)
+		}
+	}
+	if own := v.Distrusts(start); len(own) > 0 {
+		t.Errorf("the others' word is told on: %v", own)
+	}
+	if v.Servers[9].Cell.Suspect(start.Add(time.Millisecond + shunFor)) {
+		t.Error("it is passed over though nobody renewed it")
+	}
+	v.Share(loads, nil, start)
+	if v.Servers[9].Cell.Suspect(start) {
+		t.Error("it is passed over though nobody distrusts it")
+	}
+	v.Servers[3].Cell.Failed(true, start)
+	if own := v.Distrusts(start); len(own) != 1 || own[0] != v.Servers[3].ID {
+		t.Errorf("by its own word it passes over %v", own)
+	}
+}
+
+// TestLedgerAvoidsTheDistrusted checks that no long prompt is placed at a server
+// that gateways distrust while there is another.
+func TestLedgerAvoidsTheDistrusted(t *testing.T) {
+	loads, v := NewLoads(), fleet(4)
+	l := NewLedger(loads)
+	first := placeAt(t, l, v, prompt(20_000), start)
+	for _, g := range []string{"g", "h"} {
+		loads.Take(g, Told{Domain: "domain-1", Distrusts: []string{first.Server}})
+	}
+	m := prompt(20_000)
+	m.Domain = "domain-1"
+	l.Done(DoneMsg{Number: first.Number})
+	for range 3 {
+		if again := placeAt(t, l, v, m, start.Add(time.Minute)); again.Server == first.Server {
+			t.Errorf("placed at %s, which is distrusted", again.Server)
+		}
+	}
+}
--- a/protocol/uplink.go
+++ b/protocol/uplink.go
@@ -6,17 +6,19 @@
 // of it is repeated until it is too old, so that a lost or doubled one does no
 // harm.
 type SyncMsg struct {
-	Gateway  string
-	Life     uint64 // Life differs with each start of the gateway.
-	Number   uint64 // Number is the document that the gateway holds.
-	Servers  uint64 // Servers is the version of the list that it holds.
-	Lister   uint64 // Lister tells versions of different list readers apart.
-	Usage    []UsageRow
-	Wants    []QuotaWant
-	Pressure []Pressure
-	Done     []PlaceDone
-	Running  []ServerLoad // Running are the requests that it has under way.
-	Clock    time.Time    // Clock is the gateway's own time of day.
+	Gateway   string
+	Life      uint64 // Life differs with each start of the gateway.
+	Number    uint64 // Number is the document that the gateway holds.
+	Servers   uint64 // Servers is the version of the list that it holds.
+	Lister    uint64 // Lister tells versions of different list readers apart.
+	Usage     []UsageRow
+	Wants     []QuotaWant
+	Pressure  []Pressure
+	Done      []PlaceDone
+	Domain    string       // Domain is the gateway's failure domain.
+	Distrusts []string     // Distrusts are servers that it passes over.
+	Running   []ServerLoad // Running are the requests that it has under way.
+	Clock     time.Time    // Clock is the gateway's own time of day.
 }
 
 // ServerLoad is how many requests one server has.
@@ -94,24 +96,25 @@
 // SyncReply is the control role's answer. Leads is false from one that cannot
 // vouch for the newest document; then only Leader and Controls are set.
 type SyncReply struct {
-	Leads    bool
-	Leader   string   // Leader is the peer address of who leads, as far as known.
-	Controls []string // Controls are the peer addresses of the control instances.
-	Term     uint64
-	Number   uint64
-	Document []byte // Document is set when the gateway's is older.
-	Lister   uint64
-	Version  uint64
-	Servers  []Instance // Servers are those that changed.
-	Listed   bool       // Listed says that the list is told.
-	List     []byte     // List is the whole of it, packed; empty where Servers tell what changed.
-	Gone     []string   // Gone are those that are listed no more.
-	Gateways int        // Gateways are how many synchronized lately.
-	Clock    time.Time  // Clock is the time of day that most instances agree on.
-	Grants   []QuotaGrant
-	Short    []string // Short are the workspaces of whose quota little is left.
-	Lanes    []ServiceLanes
-	Loads    []byte // Loads are the requests that the servers have from all gateways, in the order of their names; empty to a gateway with another list.
+	Leads      bool
+	Leader     string   // Leader is the peer address of who leads, as far as known.
+	Controls   []string // Controls are the peer addresses of the control instances.
+	Term       uint64
+	Number     uint64
+	Document   []byte // Document is set when the gateway's is older.
+	Lister     uint64
+	Version    uint64
+	Servers    []Instance // Servers are those that changed.
+	Listed     bool       // Listed says that the list is told.
+	List       []byte     // List is the whole of it, packed; empty where Servers tell what changed.
+	Gone       []string   // Gone are those that are listed no more.
+	Gateways   int        // Gateways are how many synchronized lately.
+	Clock      time.Time  // Clock is the time of day that most instances agree on.
+	Grants     []QuotaGrant
+	Short      []string // Short are the workspaces of whose quota little is left.
+	Lanes      []ServiceLanes
+	Distrusted []byte // Distrusted are the servers to pass over, a bit each in the same order; empty for none.
+	Loads      []byte // Loads are the requests that the servers have from all gateways, in the order of their names; empty to a gateway with another list.
 }
 
 // QuotaGrant is a part of a workspace's quota, for one gateway.
--- a/transport/control/uplink.go
+++ b/transport/control/uplink.go
@@ -52,8 +52,9 @@
 
 // packedLoads are the loads as gateways get them.
 type packedLoads struct {
-	data []byte
-	at   time.Time
+	data     []byte
+	distrust map[string][]byte // distrust is by the gateways' domain.
+	at       time.Time
 }
 
 // loadsKept is how old packed loads may be: with hundreds of gateways they are
@@ -141,7 +142,7 @@
 	}
 	u.gateways[m.Gateway] = g
 	u.ledger.Take(m.Gateway, m.Life, m.Usage)
-	u.loads.Take(m.Gateway, m.Running)
+	u.loads.Take(m.Gateway, place.Told{Domain: m.Domain, Running: m.Running, Distrusts: m.Distrusts})
 	for _, d := range m.Done {
 		if d.Term == term {
 			u.places.Done(place.DoneMsg{Number: d.Number, First: d.First, Took: d.Took})
@@ -154,7 +155,7 @@
 	}
 	u.tellServers(&m, reply)
 	if m.Lister == u.lister && m.Servers == u.version {
-		reply.Loads = u.packLoads(now)
+		reply.Loads, reply.Distrusted = u.packLoads(m.Domain, now)
 	}
 	reply.Gateways = u.alive(now)
 	reply.Clock = u.agreed(now)
@@ -262,12 +263,18 @@
 	return u.agreed(time.Now())
 }
 
-// packLoads returns the loads of the listed servers. It needs u.mu.
-func (u *Uplink) packLoads(now time.Time) []byte {
+// packLoads returns the loads of the listed servers, and which of them the
+// gateways of a domain are to pass over. It needs u.mu.
+func (u *Uplink) packLoads(domain string, now time.Time) (loads, distrusted []byte) {
 	if u.packed.data == nil || now.Sub(u.packed.at) > loadsKept {
-		u.packed = packedLoads{data: u.loads.Pack(u.order), at: now}
+		u.packed = packedLoads{data: u.loads.Pack(u.order), distrust: map[string][]byte{}, at: now}
+	}
+	distrusted, ok := u.packed.distrust[domain]
+	if !ok {
+		distrusted = u.loads.PackDistrust(u.order, domain)
+		u.packed.distrust[domain] = distrusted
 	}
-	return u.packed.data
+	return u.packed.data, distrusted
 }
 
 // alive counts the gateways that asked lately. It needs u.mu.
--- a/transport/forward/limits.go
+++ b/transport/forward/limits.go
@@ -160,7 +160,7 @@
 	defer g.mu.Unlock()
 	now := time.Now()
 	since := now.Sub(g.began)
-	m := protocol.SyncMsg{Gateway: g.cfg.Name, Number: g.Number(), Clock: g.clock.Own(since), Usage: g.counter.Rows(term, g.clock.Now(since)), Wants: g.allowance.Wants(now), Done: g.done, Running: g.view.Load().Running()}
+	m := protocol.SyncMsg{Gateway: g.cfg.Name, Number: g.Number(), Clock: g.clock.Own(since), Usage: g.counter.Rows(term, g.clock.Now(since)), Wants: g.allowance.Wants(now), Done: g.done, Domain: g.cfg.Domain, Running: g.view.Load().Running(), Distrusts: g.view.Load().Distrusts(now)}
 	g.done = nil // One that is lost is forgotten by the leader in time.
 	for name, p := range g.pressure {
 		p.average(now)
@@ -195,8 +195,13 @@
 	x.placed = protocol.PlaceReply{}
 }
 
-// Share takes how many requests the listed servers have from all gateways.
-func (g *Gateway) Share(loads []byte) { g.view.Load().Share(loads, time.Now()) }
+// Share takes how many requests the listed servers have from all gateways, and
+// which of them others distrust.
+func (g *Gateway) Share(loads, distrusted []byte) {
+	if ids := g.view.Load().Share(loads, distrusted, time.Now()); len(ids) > 0 {
+		g.log.Info().Strs("servers", ids).Msg("servers distrusted by other gateways")
+	}
+}
 
 // Agree takes the terms by which all gateways part long prompts from short ones.
 func (g *Gateway) Agree(lanes []protocol.ServiceLanes) {
--- a/transport/uplink/uplink.go
+++ b/transport/uplink/uplink.go
@@ -42,8 +42,8 @@
 	// Agree takes the terms by which all gateways part long prompts from short ones.
 	Agree(lanes []protocol.ServiceLanes)
 	// Share takes how many requests the listed servers have from all gateways, in
-	// the order of their names.
-	Share(loads []byte)
+	// the order of their names, and which of them to pass over, a bit each.
+	Share(loads, distrusted []byte)
 	// Confirm notes that the document in force was the newest at a time.
 	Confirm(at time.Time, gateways int)
 }
@@ -185,7 +185,7 @@
 	c.gateway.Told(m, reply, asked)
 	c.gateway.Agree(reply.Lanes)
 	if len(reply.Loads) > 0 && !reply.Listed {
-		c.gateway.Share(reply.Loads)
+		c.gateway.Share(reply.Loads, reply.Distrusted)
 	}
 	if !c.linked || c.term != reply.Term || c.target != address {
 		c.log.Info().Str("leader", address).Uint64("term", reply.Term).Uint64("number", reply.Number).Int("gateways", reply.Gateways).Msg("linked to the leader")
--- a/transport/uplink/uplink_test.go
+++ b/transport/uplink/uplink_test.go
@@ -47,7 +47,7 @@
 	g.number = number
 	return nil
 }
-func (g *fakeGateway) Share(loads []byte)                  { g.loads = loads }
+func (g *fakeGateway) Share(loads, _ []byte)               { g.loads = loads }
 func (g *fakeGateway) Agree([]protocol.ServiceLanes)       {}
 func (g *fakeGateway) SetServers(list []protocol.Instance) { g.servers = len(list) }
 func (g *fakeGateway) Confirm(at time.Time, _ int)         { g.confirmed, g.at = g.confirmed+1, at }
