Requests counted by route, workspace and verdict; syncs, term and lease on the metrics; the soak damages folders

Cause: on-call engineers could not see whose requests end how without the logs, nor a slow disk or a changing leader; and the soak took disks away but never damaged one.

The counters are bounded at 512 names, the rest counts as other (TestOutcomesAreBounded, TestRequestsAreCountedByOutcome, TestMetricsText). Not measured: what the counters cost.

--- a/cmd/weldstreamd/control.go
+++ b/cmd/weldstreamd/control.go
@@ -102,7 +102,7 @@
 		return err
 	}
 	sender := transport.NewReplicaSender(work, c.tables, c.links)
-	c.group, err = group.Open(c.groupConfig(), n.DataDir, c.name(), sender, group.WithLogger(c.log), group.WithDocument(c.install))
+	c.group, err = group.Open(c.groupConfig(), n.DataDir, c.name(), sender, group.WithLogger(c.log), group.WithRegistry(c.registry), group.WithDocument(c.install))
 	if err != nil {
 		return err
 	}
--- a/cmd/weldstreamd/metrics.go
+++ b/cmd/weldstreamd/metrics.go
@@ -25,14 +25,25 @@
 	}
 }
 
+// metricName returns a meter's name as scrapers read it; labels, which may follow
+// it in braces, stay as they are.
 func metricName(name string) string {
-	return "weldstream_" + strings.NewReplacer(".", "_", "-", "_").Replace(name)
+	name, labels := cutLabels(name)
+	return "weldstream_" + strings.NewReplacer(".", "_", "-", "_").Replace(name) + labels
+}
+
+func cutLabels(name string) (bare, labels string) {
+	if i := strings.IndexByte(name, '{'); i >= 0 {
+		return name[:i], name[i:]
+	}
+	return name, ""
 }
 
 func metricLines(name string, m any) []string {
 	switch m := m.(type) {
 	case metrics.Counter:
-		return []string{fmt.Sprintf("%s_total %d\n", name, m.Count())}
+		bare, labels := cutLabels(name)
+		return []string{fmt.Sprintf("%s_total%s %d\n", bare, labels, m.Count())}
 	case metrics.Gauge:
 		return []string{fmt.Sprintf("%s %d\n", name, m.Value())}
 	case metrics.Timer:
--- a/coordination/group/group.go
+++ b/coordination/group/group.go
@@ -20,6 +20,7 @@
 	"sync/atomic"
 	"time"
 
+	metrics "github.com/rcrowley/go-metrics"
 	"github.com/rotisserie/eris"
 	"github.com/rs/zerolog"
 
@@ -81,8 +82,30 @@
 	return func(g *Group) { g.document = f }
 }
 
+// WithRegistry sets the registry of the group's meters: how long syncs take, the
+// term, and how long the lease still runs.
+func WithRegistry(r metrics.Registry) Option {
+	return func(g *Group) { g.meters = newMeters(r) }
+}
+
+// meters are the group's own figures.
+type meters struct {
+	sync  metrics.Timer
+	term  metrics.Gauge
+	lease metrics.Gauge // lease is in milliseconds.
+}
+
+func newMeters(r metrics.Registry) *meters {
+	return &meters{
+		sync:  metrics.GetOrRegisterTimer("group.sync", r),
+		term:  metrics.GetOrRegisterGauge("group.term", r),
+		lease: metrics.GetOrRegisterGauge("group.lease_left_ms", r),
+	}
+}
+
 // Group is one replica of a replication group.
 type Group struct {
+	meters   *meters
 	document func(number uint64, data []byte)
 	dir      string
 	cfg      Config
@@ -155,6 +178,7 @@
 		log:       zerolog.Nop(),
 		revision:  func(uint64, []byte) {},
 		document:  func(uint64, []byte) {},
+		meters:    newMeters(metrics.NewRegistry()),
 		dir:       dir,
 		inbox:     make(chan input, inboxSize),
 		done:      make(chan struct{}),
@@ -239,6 +263,8 @@
 	s.Document, _ = g.machine.Document()
 	s.Settled = g.replica.Settled(g.applied)
 	s.LeaseEnd = max(0, (s.Lease - g.now()).Milliseconds())
+	g.meters.term.Update(int64(s.Term))
+	g.meters.lease.Update(s.LeaseEnd)
 	g.status.Store(&s)
 }
 
@@ -379,9 +405,11 @@
 		entries = append(entries, p.Entries...)
 	}
 	g.pending = g.pending[:0]
+	began := time.Now()
 	if err := g.folder.Write(g.hard, entries); err != nil {
 		return err
 	}
+	g.meters.sync.UpdateSince(began)
 	synced := replicate.SyncedMsg{}
 	if n := len(entries); n > 0 {
 		synced.Index, synced.Term = entries[n-1].Index, entries[n-1].Term
--- a/internal/soak/cluster.go
+++ b/internal/soak/cluster.go
@@ -335,3 +335,19 @@
 
 // Wipe removes the data of a control instance that does not run.
 func (p *Proc) Wipe() error { return os.RemoveAll(p.Data) }
+
+// Damage flips a bit in the middle of the log of a control instance that does not
+// run, if it has one.
+func (p *Proc) Damage() error {
+	logs, err := filepath.Glob(filepath.Join(p.Data, "log-*"))
+	if err != nil || len(logs) == 0 {
+		return err
+	}
+	file := logs[len(logs)-1]
+	data, err := os.ReadFile(file)
+	if err != nil {
+		return err
+	}
+	data[len(data)/3] ^= 4
+	return os.WriteFile(file, data, 0o600)
+}
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -23,10 +23,11 @@
 	FaultReset                // FaultReset resets the connections to both.
 	FaultReplies              // FaultReplies has backend servers shed, fail, lose and break off.
 	FaultAPI                  // FaultAPI has the platform's API fail.
+	FaultDamage               // FaultDamage kills a control instance and flips a bit in its log.
 	faults
 )
 
-var faultNames = [...]string{"kill", "pause", "stop", "reload", "wipe", "link", "server", "reset", "replies", "api"}
+var faultNames = [...]string{"kill", "pause", "stop", "reload", "wipe", "link", "server", "reset", "replies", "api", "damage"}
 
 // String returns the fault's name.
 func (f Fault) String() string { return faultNames[f] }
@@ -65,7 +66,7 @@
 		switch s.Fault {
 		case FaultKill, FaultPause, FaultStop, FaultReload:
 			s.Index = rnd.IntN(size.Controls + size.Gateways)
-		case FaultWipe, FaultLink:
+		case FaultWipe, FaultDamage, FaultLink:
 			s.Index = rnd.IntN(size.Controls)
 		default:
 			s.Index = rnd.IntN(size.Backends)
@@ -88,7 +89,7 @@
 	switch s.Fault {
 	case FaultKill, FaultPause, FaultStop:
 		return s.Index < size.Controls
-	case FaultWipe, FaultLink:
+	case FaultWipe, FaultDamage, FaultLink:
 		return true
 	}
 	return false
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -125,11 +125,9 @@
 	case FaultKill, FaultPause, FaultStop, FaultReload:
 		r.harmProcess(c.procs[s.Index], s)
 	case FaultWipe:
-		p := c.procs[s.Index]
-		p.Kill()
-		r.note(p.Wipe())
-		time.Sleep(s.For)
-		r.note(p.Start())
+		r.harmDisk(c.procs[s.Index], (*Proc).Wipe, s.For)
+	case FaultDamage:
+		r.harmDisk(c.procs[s.Index], (*Proc).Damage, s.For)
 	case FaultLink:
 		for _, proxy := range c.proxies[2*s.Index : 2*s.Index+2] {
 			proxy.Set(s.Link)
@@ -154,6 +152,14 @@
 	}
 }
 
+// harmDisk has a control instance come back with another data folder.
+func (r *run) harmDisk(p *Proc, harm func(*Proc) error, after time.Duration) {
+	p.Kill()
+	r.note(harm(p))
+	time.Sleep(after)
+	r.note(p.Start())
+}
+
 func (r *run) harmProcess(p *Proc, s Step) {
 	switch s.Fault {
 	case FaultPause:
--- a/transport/forward/attempt.go
+++ b/transport/forward/attempt.go
@@ -292,6 +292,7 @@
 // note logs the end of an answered request.
 func (x *exchange) note() {
 	x.g.meters.answered.Inc(1)
+	x.g.meters.end(outcome{x.routeName(), x.workspaceName(), protocol.Ran})
 	x.g.meters.first.Update(x.first)
 	x.log.Info().Str("outcome", "answered").Str("server", x.server).Int("status", x.resp.StatusCode()).Int("resent", x.state.Sent).
 		Uint64("number", x.index.Number).Int("tokens", x.call.PromptTokens).Dur("first", x.first).Dur("gap", x.gap).Dur("after", time.Since(x.start)).Msg("request")
--- a/transport/forward/exchange.go
+++ b/transport/forward/exchange.go
@@ -190,6 +190,7 @@
 // refuse ends the request with a refusal, or cuts an answer that has begun.
 func (x *exchange) refuse(r *protocol.Refusal) {
 	x.g.meters.refused.Inc(1)
+	x.g.meters.end(outcome{x.routeName(), x.workspaceName(), r.Verdict})
 	x.log.Info().Str("outcome", "refused").Str("code", string(r.Code)).Stringer("verdict", r.Verdict).Int("status", r.Status).
 		Str("reason", r.Message).Str("server", x.server).Int("sent", x.state.Sent).Dur("after", time.Since(x.start)).Bool("cut", x.headed).Msg("request")
 	if x.headed || x.gone.Err() != nil {
--- a/transport/forward/meters.go
+++ b/transport/forward/meters.go
@@ -1,6 +1,13 @@
 package forward
 
-import metrics "github.com/rcrowley/go-metrics"
+import (
+	"fmt"
+	"sync"
+
+	metrics "github.com/rcrowley/go-metrics"
+
+	"github.com/weldstream/weldstream/protocol"
+)
 
 // meters are the gateway's own figures.
 type meters struct {
@@ -11,8 +18,26 @@
 	attempts metrics.Counter
 	resent   metrics.Counter
 	first    metrics.Timer
+
+	registry metrics.Registry
+	mu       sync.Mutex // mu guards ended.
+	ended    map[outcome]metrics.Counter
+}
+
+// outcome is what requests are counted by when they end.
+type outcome struct {
+	route     string
+	workspace string
+	verdict   protocol.Verdict
 }
 
+// mostOutcomes bounds the counters of outcomes: names come from the operators, and
+// each counter costs memory and a line. What is beyond counts under otherName.
+const (
+	mostOutcomes = 512
+	otherName    = "other"
+)
+
 func newMeters(r metrics.Registry) *meters {
 	return &meters{
 		requests: metrics.GetOrRegisterCounter("requests", r),
@@ -22,5 +47,24 @@
 		attempts: metrics.GetOrRegisterCounter("attempts", r),
 		resent:   metrics.GetOrRegisterCounter("attempts.resent", r),
 		first:    metrics.GetOrRegisterTimer("first", r),
+		registry: r,
+		ended:    map[outcome]metrics.Counter{},
+	}
+}
+
+// end counts a request that ended. Its labels follow the name of the counter in
+// braces, as scrapers read them.
+func (m *meters) end(o outcome) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.ended[o] == nil && len(m.ended) >= mostOutcomes {
+		o.route, o.workspace = otherName, otherName
+	}
+	c := m.ended[o]
+	if c == nil {
+		name := fmt.Sprintf("requests.ended{route=%q,workspace=%q,verdict=%q}", o.route, o.workspace, o.verdict)
+		c = metrics.GetOrRegisterCounter(name, m.registry)
+		m.ended[o] = c
 	}
+	c.Inc(1)
 }
--- /dev/null
+++ b/transport/forward/meters_test.go
@@ -0,0 +1,58 @@
+package forward
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+
+	metrics "github.com/rcrowley/go-metrics"
+
+	"github.com/weldstream/weldstream/protocol"
+)
+
+// TestOutcomesAreBounded checks that requests are counted by route, workspace and
+// verdict, and that no number of names makes more counters than the bound, and one
+// for each verdict of all others.
+func TestOutcomesAreBounded(t *testing.T) {
+	r := metrics.NewRegistry()
+	m := newMeters(r)
+	m.end(outcome{"r", "w", protocol.Ran})
+	m.end(outcome{"r", "w", protocol.Ran})
+	if c, ok := r.Get(`requests.ended{route="r",workspace="w",verdict="ran"}`).(metrics.Counter); !ok || c.Count() != 2 {
+		t.Errorf("counted as %v", c)
+	}
+	for i := range 2 * mostOutcomes {
+		m.end(outcome{fmt.Sprint("route-", i), "w", protocol.NotRun})
+	}
+	total, names := int64(0), 0
+	r.Each(func(name string, c any) {
+		if strings.HasPrefix(name, "requests.ended") {
+			total += c.(metrics.Counter).Count()
+			names++
+		}
+	})
+	if total != 2*mostOutcomes+2 || names != mostOutcomes+1 {
+		t.Errorf("%d requests under %d names", total, names)
+	}
+}
+
+// TestRequestsAreCountedByOutcome checks that an answer and a refusal each count
+// once, with their verdicts.
+func TestRequestsAreCountedByOutcome(t *testing.T) {
+	w := newWorld(t)
+	w.install(protocol.PathRoute{Attempts: 1})
+	if got := w.ask(); got.status != 503 {
+		t.Fatalf("without a server: %+v", got)
+	}
+	w.backend("a", good)
+	if got := w.ask(); got.status != 200 {
+		t.Fatalf("with one: %+v", got)
+	}
+	got := map[protocol.Verdict]int64{}
+	for o, c := range w.g.meters.ended {
+		got[o.verdict] += c.Count()
+	}
+	if len(got) != 2 || got[protocol.NotRun] != 1 || got[protocol.Ran] != 1 {
+		t.Errorf("counted %v", got)
+	}
+}
