The fleet's wants in steps; what all gateways are told alike is made once

No behaviour changes but that the list of short quotas may be 10 ms old: wants() had grown to three decisions in one function, and each question of a gateway sorted the buckets anew. Names: what others say of a server is 'by others'. Tests of coordination/scale, place and transport pass.

--- a/coordination/place/cell.go
+++ b/coordination/place/cell.go
@@ -14,8 +14,8 @@
 	distrustMost  = 6 * time.Second
 	// distrustAfter failures in a row a server is passed over.
 	distrustAfter = 2
-	// shunFor is how long the word of other gateways holds without being renewed.
-	shunFor = 800 * time.Millisecond
+	// othersLast is how long the word of other gateways holds without being renewed.
+	othersLast = 800 * time.Millisecond
 	// rateWeight is the weight of the latest request in the rate of failures.
 	rateWeight = 0.15
 )
@@ -29,7 +29,7 @@
 	toldAt   time.Time
 	failures int       // failures are in a row.
 	until    time.Time // until is how long the server is passed over.
-	shunned  time.Time // shunned is how long it is on the word of other gateways.
+	byOthers time.Time // byOthers is how long it is on the word of other gateways.
 	reported int       // reported is own when it was last told to the leader.
 	pending  float64   // pending are prompts of mean length that it is still to read.
 	rate     float64   // rate is the part of the latest requests that failed.
@@ -87,14 +87,14 @@
 // shared notes the load from all gateways, in which this one's own is as it was
 // reported, and whether others distrust the server. It reports whether they do
 // since now.
-func (c *Cell) shared(load int, shunned bool, now time.Time) (since bool) {
+func (c *Cell) shared(load int, distrusted bool, now time.Time) (since bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.told, c.ownThen, c.toldAt = load, c.reported, now
-	since = shunned && !now.Before(c.shunned)
-	c.shunned = time.Time{}
-	if shunned {
-		c.shunned = now.Add(shunFor)
+	since = distrusted && !now.Before(c.byOthers)
+	c.byOthers = time.Time{}
+	if distrusted {
+		c.byOthers = now.Add(othersLast)
 	}
 	return since
 }
@@ -153,7 +153,7 @@
 }
 
 // suspect needs c.mu.
-func (c *Cell) suspect(now time.Time) bool { return now.Before(c.until) || now.Before(c.shunned) }
+func (c *Cell) suspect(now time.Time) bool { return now.Before(c.until) || now.Before(c.byOthers) }
 
 // load estimates how many requests the server has, tells the part of its latest
 // requests that failed, and reports whether it is to be passed over. What it told
--- a/coordination/place/loads.go
+++ b/coordination/place/loads.go
@@ -108,6 +108,11 @@
 
 const bitsPerByte = 8
 
+// bitSet reports whether a bit is set; what is behind the end is not.
+func bitSet(bits []byte, i int) bool {
+	return i/bitsPerByte < len(bits) && bits[i/bitsPerByte]&(1<<(i%bitsPerByte)) != 0
+}
+
 // Running returns the requests that this gateway has under way, and remembers
 // which they are: loads that are told later hold them.
 func (v *View) Running() []protocol.ServerLoad {
@@ -146,8 +151,7 @@
 	}
 	var ids []string
 	for i, n := range loads {
-		shunned := i/bitsPerByte < len(distrusted) && distrusted[i/bitsPerByte]&(1<<(i%bitsPerByte)) != 0
-		if v.Servers[i].Cell.shared(int(n), shunned, now) {
+		if v.Servers[i].Cell.shared(int(n), bitSet(distrusted, i), now) {
 			ids = append(ids, v.Servers[i].ID)
 		}
 	}
--- a/coordination/place/loads_test.go
+++ b/coordination/place/loads_test.go
@@ -139,7 +139,7 @@
 	if own := v.Distrusts(start); len(own) > 0 {
 		t.Errorf("the others' word is told on: %v", own)
 	}
-	if v.Servers[9].Cell.Suspect(start.Add(time.Millisecond + shunFor)) {
+	if v.Servers[9].Cell.Suspect(start.Add(time.Millisecond + othersLast)) {
 		t.Error("it is passed over though nobody renewed it")
 	}
 	v.Share(loads, nil, start)
--- a/coordination/scale/scale.go
+++ b/coordination/scale/scale.go
@@ -223,38 +223,53 @@
 		return reclaimable, full
 	}
 	spread(reclaimable, need, spec)
-	serving, risk, there := 0, 0, 0
+	serving, risk := 0, 0
 	for i := range domains {
 		serving += domains[i].reclaimable
 		risk = max(risk, domains[i].reclaimable)
-		there += domains[i].full
 	}
 	if dry {
 		serving -= risk
 	}
-	// Those that may go although too few reclaimable ones serve: they are in the
-	// way of more of these, where a domain may not have more of both kinds.
-	spare := serving + there - least
 	for i, d := range domains {
 		// The least number counts for both kinds together: what serves for less
 		// lets the others go, once it does.
 		full[i] = max(0, spec.Min-d.reclaimable)
-		if serving < least {
-			inTheWay := min(spare, max(0, d.full+reclaimable[i]-spec.Max), d.full)
-			spare -= max(0, inTheWay)
-			full[i] = max(full[i], min(d.full-max(0, inTheWay), spec.Max-d.reclaimable))
-		}
+	}
+	if serving < least {
+		keep(full, reclaimable, domains, spec.Max, least-serving)
+	}
+	makeUp(full, domains, spec.Max, least-serving)
+	for i, d := range domains {
 		reclaimable[i] = min(reclaimable[i], max(0, spec.Max-d.full))
 	}
-	// What is lacking is made up for at the full price, in the cheapest domains
-	// that have room.
-	short := least - serving - sum(full)
-	for i := 0; i < n && short > 0; i++ {
-		more := max(0, min(short, spec.Max-domains[i].reclaimable-full[i]))
+	return reclaimable, full
+}
+
+// keep has those at the full price stay while too few reclaimable ones serve.
+// Beyond what is short, those go that are in the way of reclaimable ones, where
+// the domain has no room for both.
+func keep(full, reclaimable []int, domains []domainState, most, short int) {
+	spare := -short
+	for _, d := range domains {
+		spare += d.full
+	}
+	for i, d := range domains {
+		inTheWay := max(0, min(spare, d.full+reclaimable[i]-most, d.full))
+		spare -= inTheWay
+		full[i] = max(full[i], min(d.full-inTheWay, most-d.reclaimable))
+	}
+}
+
+// makeUp puts what is short at the full price into the cheapest domains that have
+// room.
+func makeUp(full []int, domains []domainState, most, short int) {
+	short -= sum(full)
+	for i := 0; i < len(full) && short > 0; i++ {
+		more := max(0, min(short, most-domains[i].reclaimable-full[i]))
 		full[i] += more
 		short -= more
 	}
-	return reclaimable, full
 }
 
 // spread puts reclaimable servers into the domains so that without the fullest
--- a/transport/control/loads_test.go
+++ b/transport/control/loads_test.go
@@ -17,7 +17,7 @@
 	if len(first.Loads) > 0 {
 		t.Errorf("loads %v for a gateway without the list", first.Loads)
 	}
-	u.packed = packedLoads{} // As if some time had passed.
+	u.common = common{} // As if some time had passed.
 	got := sync1(t, u, protocol.SyncMsg{Gateway: "h", Lister: first.Lister, Servers: first.Version, Running: []protocol.ServerLoad{{Server: "b", Running: 2}, {Server: "a", Running: 1}}})
 	if !bytes.Equal(got.Loads, []byte{1, 5}) {
 		t.Errorf("loads %v, want 1 and 5", got.Loads)
--- a/transport/control/uplink.go
+++ b/transport/control/uplink.go
@@ -47,19 +47,20 @@
 	places   *place.Ledger
 	loads    *place.Loads
 	order    []string // order are the listed servers by name.
-	packed   packedLoads
+	common   common
 }
 
-// packedLoads are the loads as gateways get them.
-type packedLoads struct {
-	data     []byte
-	distrust map[string][]byte // distrust is by the gateways' domain.
+// common is what all gateways are told alike.
+type common struct {
 	at       time.Time
+	loads    []byte
+	distrust map[string][]byte // distrust is by the gateways' domain.
+	short    []string
 }
 
-// loadsKept is how old packed loads may be: with hundreds of gateways they are
-// packed for several at once.
-const loadsKept = 10 * time.Millisecond
+// commonKept is how old that may be: with hundreds of gateways it is made for
+// several at once.
+const commonKept = 10 * time.Millisecond
 
 // gateway is what a gateway told last.
 type gateway struct {
@@ -85,7 +86,7 @@
 	u.quotas = quota.NewCoordinator(u.quota)
 	u.ledger = usage.NewLedger()
 	u.listed, u.servers, u.history = false, nil, history{}
-	u.loads, u.order, u.packed = place.NewLoads(), nil, packedLoads{}
+	u.loads, u.order, u.common = place.NewLoads(), nil, common{}
 	u.view, u.places = nil, place.NewLedger(u.loads)
 	if u.catalog != nil {
 		u.quotas.Configure(u.catalog.Workspaces, time.Now())
@@ -154,8 +155,10 @@
 		reply.Document = u.document
 	}
 	u.tellServers(&m, reply)
+	u.renewCommon(now)
+	reply.Short = u.common.short
 	if m.Lister == u.lister && m.Servers == u.version {
-		reply.Loads, reply.Distrusted = u.packLoads(m.Domain, now)
+		reply.Loads, reply.Distrusted = u.common.loads, u.distrusted(m.Domain)
 	}
 	reply.Gateways = u.alive(now)
 	reply.Clock = u.agreed(now)
@@ -163,7 +166,6 @@
 	for _, want := range m.Wants {
 		reply.Grants = append(reply.Grants, u.quotas.Grant(want, now))
 	}
-	reply.Short = u.quotas.Short(now)
 	// The lease may have run out meanwhile: then nothing of this may count.
 	still, ok := u.group.Vouches()
 	reply.Leads = ok && still == term
@@ -263,18 +265,24 @@
 	return u.agreed(time.Now())
 }
 
-// packLoads returns the loads of the listed servers, and which of them the
-// gateways of a domain are to pass over. It needs u.mu.
-func (u *Uplink) packLoads(domain string, now time.Time) (loads, distrusted []byte) {
-	if u.packed.data == nil || now.Sub(u.packed.at) > loadsKept {
-		u.packed = packedLoads{data: u.loads.Pack(u.order), distrust: map[string][]byte{}, at: now}
+// renewCommon makes anew what all gateways are told alike, if it is too old. It
+// needs u.mu.
+func (u *Uplink) renewCommon(now time.Time) {
+	if u.common.distrust != nil && now.Sub(u.common.at) <= commonKept {
+		return
 	}
-	distrusted, ok := u.packed.distrust[domain]
+	u.common = common{at: now, loads: u.loads.Pack(u.order), distrust: map[string][]byte{}, short: u.quotas.Short(now)}
+}
+
+// distrusted returns the listed servers that the gateways of a domain are to pass
+// over. It needs u.mu.
+func (u *Uplink) distrusted(domain string) []byte {
+	packed, ok := u.common.distrust[domain]
 	if !ok {
-		distrusted = u.loads.PackDistrust(u.order, domain)
-		u.packed.distrust[domain] = distrusted
+		packed = u.loads.PackDistrust(u.order, domain)
+		u.common.distrust[domain] = packed
 	}
-	return u.packed.data, distrusted
+	return packed
 }
 
 // alive counts the gateways that asked lately. It needs u.mu.
@@ -304,7 +312,7 @@
 	u.lister, u.servers, u.listed, u.whole = term, list, true, nil
 	u.view = place.NewView(list, u.view)
 	u.places.Keep(u.view)
-	u.order, u.packed = make([]string, 0, len(list)), packedLoads{}
+	u.order, u.common = make([]string, 0, len(list)), common{}
 	for i := range list {
 		u.order = append(u.order, list[i].ID)
 	}
