The first number of servers is settled after 1.5 s of steady lists again

Ruled out: the change-over before the first request, which kept the least number in each domain.

TestBaseOutwaitsAPause walks through that list; it failed with 1 s.

--- a/transport/control/control_test.go
+++ b/transport/control/control_test.go
@@ -270,6 +270,32 @@
 	}
 }
 
+// TestBaseOutwaitsAPause walks through a list as it was seen to fill up: servers
+// that start apart from one another leave it as it is for more than a second.
+func TestBaseOutwaitsAPause(t *testing.T) {
+	u := newUplink(newFakeGroup())
+	u.catalog = &protocol.Catalog{Services: []protocol.ServiceSpec{{Name: "s", Scaling: &protocol.ScalingSpec{Max: 9}}}}
+	f := NewFleet(u, zerolog.Nop())
+	f.Settled("s", 0)
+	began := time.Now()
+	var list []protocol.Instance
+	for _, step := range []struct {
+		at      time.Duration
+		servers int
+	}{{0, 1}, {150 * time.Millisecond, 2}, {1200 * time.Millisecond, 2}, {1650 * time.Millisecond, 5}, {2100 * time.Millisecond, 9}} {
+		for len(list) < step.servers {
+			list = append(list, protocol.Instance{ID: string(rune('a' + len(list))), Service: "s"})
+		}
+		u.SetServers(1, list)
+		if rows := f.Unsettled(began.Add(step.at)); len(rows) > 0 {
+			t.Errorf("after %v settled %v", step.at, rows)
+		}
+	}
+	if rows := f.Unsettled(began.Add(4 * time.Second)); len(rows) != 1 || rows[0].Servers != 9 {
+		t.Errorf("settled %v, want 9 servers", rows)
+	}
+}
+
 // TestCountsOutlastAll checks that counts which were logged are still there after
 // the leader and all gateways were lost, and add to those of the gateways' next
 // lives.
--- a/transport/control/fleet.go
+++ b/transport/control/fleet.go
@@ -27,7 +27,7 @@
 
 // baseSteady is how long a first number of servers must have stayed the same:
 // the list fills up while all servers start.
-const baseSteady = time.Second
+const baseSteady = 1500 * time.Millisecond
 
 // NewFleet returns a fleet that has ordered nothing.
 func NewFleet(u *Uplink, log zerolog.Logger) *Fleet {
