--- a/coordination/group/group.go
+++ b/coordination/group/group.go
@@ -20,7 +20,6 @@
 	"sync/atomic"
 	"time"
 
-	metrics "github.com/rcrowley/go-metrics"
 	"github.com/rotisserie/eris"
 	"github.com/rs/zerolog"
 
@@ -82,27 +81,6 @@
 	return func(g *Group) { g.document = f }
 }
 
-// WithRegistry sets the registry of the group's meters: how long syncs take, the
-// term, and how long the lease still runs.
-func WithRegistry(r metrics.Registry) Option {
-	return func(g *Group) { g.meters = newMeters(r) }
-}
-
-// meters are the group's own figures.
-type meters struct {
-	sync  metrics.Timer
-	term  metrics.Gauge
-	lease metrics.Gauge // lease is in milliseconds.
-}
-
-func newMeters(r metrics.Registry) *meters {
-	return &meters{
-		sync:  metrics.GetOrRegisterTimer("group.sync", r),
-		term:  metrics.GetOrRegisterGauge("group.term", r),
-		lease: metrics.GetOrRegisterGauge("group.lease_left_ms", r),
-	}
-}
-
 // Group is one replica of a replication group.
 type Group struct {
 	meters   *meters
@@ -178,7 +156,7 @@
 		log:       zerolog.Nop(),
 		revision:  func(uint64, []byte) {},
 		document:  func(uint64, []byte) {},
-		meters:    newMeters(metrics.NewRegistry()),
+		meters:    noMeters(),
 		dir:       dir,
 		inbox:     make(chan input, inboxSize),
 		done:      make(chan struct{}),
