A late message of a leader's former life renews no lease

Cause: a replica answers a message of an older term in its own term, with the message's round. A leader that was started anew counts its rounds from 0 again. Where it leads the newer term by then, the answer to a message of its former life (round 14) counted as one to a round not sent yet, and each of its own rounds up to that one renewed its lease without anybody having answered.

Change: such an answer carries no round.

--- a/coordination/replicate/election.go
+++ b/coordination/replicate/election.go
@@ -79,7 +79,9 @@
 	case PreVote, Vote:
 		r.replyVote(m, r.hard.Term, true)
 	case Append, Snapshot:
-		r.do(SendCmd{Message: Message{Kind: AppendReply, From: r.id, To: m.From, Term: r.hard.Term, Reject: true, Round: m.Round}, Durable: true})
+		// It answers no round: the sender may lead the newer term by now, and have
+		// begun to count its rounds anew when it was started again.
+		r.do(SendCmd{Message: Message{Kind: AppendReply, From: r.id, To: m.From, Term: r.hard.Term, Reject: true}, Durable: true})
 	case PreVoteReply, VoteReply, AppendReply:
 	}
 	return true
--- a/coordination/replicate/rules_test.go
+++ b/coordination/replicate/rules_test.go
@@ -177,3 +177,22 @@
 		t.Error("the read was not answered by a quorum")
 	}
 }
+
+// TestOldRoundRenewsNoLease is a fault that the long runs found: a message of a
+// leader's former life, answered in the term that it leads now, counted as the
+// answer to a round that it had not sent yet, and renewed its lease from then on.
+func TestOldRoundRenewsNoLease(t *testing.T) {
+	a, b := replicaOf(idA, HardState{Term: 5}), replicaOf(idB, HardState{Term: 6})
+	elect(t, a)
+	lease := a.lease
+	late := Message{Kind: Append, From: idA, To: idB, Term: 5, Round: 14}
+	for _, reply := range sends(b.Update(StepMsg{Message: late, Now: time.Second})) {
+		a.Update(StepMsg{Message: reply.Message, Now: time.Second})
+	}
+	for i := range time.Duration(5) {
+		a.Update(TickMsg{Now: time.Second + i*testConfig.Heartbeat})
+	}
+	if a.hard.Term != 6 || a.lease != lease {
+		t.Errorf("in term %d the lease went from %v to %v without an answer", a.hard.Term, lease, a.lease)
+	}
+}
