A group whose processes were all killed leads again as soon as a quorum is up

Four waits followed each other: each voter waited out an election timeout for a lease that its former self may have helped; messages to a member that the membership had not met were lost for up to 200 ms, and a connect to a machine still off held 300 ms; the leader looked for a list each 100 ms; gateways asked one seed after the other each 60 ms.

Change: a replica that led the latest term it knows campaigns as soon as it is started and says that no lease of that term runs; voters whose promise was to it are free (replicate/renew.go has the proof, the model kills all replicas but one). Members of the log are reached by their names. The first connects to a silent address are short. Group.Changed wakes whoever waits for a leader. A gateway asks all control instances side by side; one that knows no leader keeps the question until it does, and the leader keeps a gateway without a list until it has read one.

Taking out Led, the term in the claim, or the pause between campaigns fails a test.

--- a/cmd/weldstreamd/control.go
+++ b/cmd/weldstreamd/control.go
@@ -101,7 +101,7 @@
 	if err := c.wireMembership(); err != nil {
 		return err
 	}
-	sender := transport.NewReplicaSender(work, c.tables, c.links)
+	sender := transport.NewReplicaSender(work, c.tables, c.links, transport.WithAddresses(c.peerAddress))
 	c.group, err = group.Open(c.groupConfig(), n.DataDir, c.name(), sender, group.WithLogger(c.log), group.WithRegistry(c.registry), group.WithDocument(c.install))
 	if err != nil {
 		return err
@@ -166,19 +166,27 @@
 	c.log.Info().Uint64("number", number).Int("bytes", len(data)).Msg("document accepted")
 }
 
-// peers returns the peer addresses of the leader, as far as it is known, and of
-// all control instances that are.
+// peerAddress returns the peer address of a control instance by its name, its
+// operator address. Members that the log names are reached by it before the
+// membership has met them.
+func (c *controlInstance) peerAddress(name string) (string, bool) {
+	address, err := peerOf(name, c.settings.Peer)
+	return address, err == nil
+}
+
+// peers returns the peer addresses of the leader, as far as one is known that can
+// answer, and of all control instances that are known.
 func (c *controlInstance) peers() (leader string, all []string) {
-	name := c.group.Status().Leader.Name
 	for _, row := range c.tables.Members.Rows() {
-		if row.State >= protocol.MemberDead {
-			continue
-		}
-		all = append(all, row.Address)
-		if row.Name == name {
-			leader = row.Address
+		if row.State < protocol.MemberDead {
+			all = append(all, row.Address)
 		}
 	}
+	name := c.group.Status().Leader.Name
+	if _, vouches := c.group.Vouches(); name == "" || (name == c.name() && !vouches) {
+		return "", all
+	}
+	leader, _ = c.peerAddress(name) // A name that is no address is nobody's.
 	return leader, all
 }
 
--- a/coordination/group/group.go
+++ b/coordination/group/group.go
@@ -96,6 +96,7 @@
 	inbox    chan input
 	done     chan struct{}
 	status   atomic.Pointer[Status]
+	changed  atomic.Pointer[chan struct{}] // changed is closed and replaced when who leads, or whether it vouches, changes.
 	began    time.Time
 
 	// The loop's own.
@@ -166,6 +167,8 @@
 		atIndex:   map[uint64]*waiter{},
 		snapshots: make(chan savedSnapshot, 1),
 	}
+	first := make(chan struct{})
+	g.changed.Store(&first)
 	for _, opt := range opts {
 		opt(g)
 	}
@@ -243,9 +246,30 @@
 	s.LeaseEnd = max(0, (s.Lease - g.now()).Milliseconds())
 	g.meters.term.Update(int64(s.Term))
 	g.meters.lease.Update(s.LeaseEnd)
-	g.status.Store(&s)
+	before := g.status.Swap(&s)
+	if before == nil || before.leadership() != s.leadership() {
+		next := make(chan struct{})
+		close(*g.changed.Swap(&next))
+	}
+}
+
+// leadership is what others wait for a change of.
+type leadership struct {
+	term    uint64
+	leader  protocol.ReplicaID
+	settled bool
+	leased  bool
 }
 
+func (s *Status) leadership() leadership {
+	return leadership{term: s.Term, leader: s.Leader, settled: s.Settled, leased: s.LeaseEnd > 0}
+}
+
+// Changed returns a channel that is closed when another replica leads, or when
+// what this one may answer as the leader changes. A caller takes it before it
+// looks at what it waits for.
+func (g *Group) Changed() <-chan struct{} { return *g.changed.Load() }
+
 // Leads returns the term in which this replica leads, if it does, and if its
 // lease still runs right now: no other replica can have been elected. It is
 // asked right before an order is sent, on a monotonic clock that goes on while
--- a/coordination/group/group_test.go
+++ b/coordination/group/group_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/weldstream/weldstream/coordination/replicate"
+	"github.com/weldstream/weldstream/protocol"
 )
 
 // noSender loses every message: the group of these tests is alone.
@@ -59,3 +60,33 @@
 	stop()
 	loop.Wait()
 }
+
+// TestChangedTellsOfLeadership checks that whoever waits for a leader learns of each
+// step up to one that vouches, without asking again and again.
+func TestChangedTellsOfLeadership(t *testing.T) {
+	g := openAlone(t)
+	ctx, stop := context.WithTimeout(t.Context(), 10*time.Second)
+	defer stop()
+	var loop sync.WaitGroup
+	loop.Go(func() {
+		if err := g.Run(ctx); err != nil {
+			t.Error(err)
+		}
+	})
+	if err := g.Found(ctx, 7, protocol.ReplicaMembers{Voters: []protocol.ReplicaID{g.ID()}}); err != nil {
+		t.Fatal(err)
+	}
+	for {
+		changed := g.Changed()
+		if _, vouches := g.Vouches(); vouches {
+			break
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			t.Fatalf("nothing more was told; it is %+v", g.Status())
+		}
+	}
+	stop()
+	loop.Wait()
+}
--- a/coordination/replicate/election.go
+++ b/coordination/replicate/election.go
@@ -16,9 +16,12 @@
 		r.votes[r.id] = true // A vote in earnest counts once it is on disk; see synced.
 	}
 	r.electionAt = r.now + r.cfg.Election + r.spread
+	if role == PreCandidate && r.renews() {
+		r.electionAt = r.now + r.renewPause()
+	}
 	for _, id := range r.log.Members().Voters {
 		if id != r.id {
-			m := Message{Kind: kind, From: r.id, To: id, Term: term, Index: r.log.Last(), LogTerm: r.log.LastTerm()}
+			m := Message{Kind: kind, From: r.id, To: id, Term: term, Index: r.log.Last(), LogTerm: r.log.LastTerm(), Void: r.void}
 			r.do(SendCmd{Message: m, Durable: true})
 		}
 	}
@@ -52,6 +55,7 @@
 	if m.To != r.id || r.broken {
 		return
 	}
+	r.release(m)
 	if r.stale(m) || !r.takeTerm(m) {
 		return
 	}
--- a/coordination/replicate/leader.go
+++ b/coordination/replicate/leader.go
@@ -17,6 +17,7 @@
 	r.votes = nil
 	r.peers = map[ID]*progress{}
 	r.sentAt = map[uint64]time.Duration{}
+	r.hard.Led = true // On disk with the entry below.
 	r.do(ElectedCmd{Term: r.hard.Term})
 	// The term begins with an entry of its own. It restates the members, so that
 	// a replica that was told of no founders learns them from the log.
--- a/coordination/replicate/message.go
+++ b/coordination/replicate/message.go
@@ -29,6 +29,7 @@
 	Reject   bool
 	Rejected uint64 // Rejected is the Index of the message that is refused.
 	Round    uint64 // Round pairs a leader's message with its answer.
+	Void     uint64 // Void is the term that the sender led before it was started anew, 0 without one: no lease of that term runs.
 	Snapshot SnapshotMeta
 	Data     []byte // Data is the state machine's snapshot.
 }
--- a/coordination/replicate/replicate.go
+++ b/coordination/replicate/replicate.go
@@ -135,13 +135,15 @@
 	beatAt     time.Duration
 	spread     time.Duration // spread is the random part of the election timeout.
 
-	votes  map[ID]bool
-	peers  map[ID]*progress
-	round  uint64
-	sentAt map[uint64]time.Duration // sentAt is when each open round was sent.
-	reads  []pendingRead
-	lease  time.Duration // lease is until when no other leader can have been elected.
-	broken bool          // broken says that the disk failed; nothing is promised any more.
+	votes      map[ID]bool
+	peers      map[ID]*progress
+	round      uint64
+	sentAt     map[uint64]time.Duration // sentAt is when each open round was sent.
+	reads      []pendingRead
+	renewUntil time.Duration // renewUntil is how long a former leader campaigns often.
+	void       uint64        // void is the term that this replica led before it was started anew.
+	lease      time.Duration // lease is until when no other leader can have been elected.
+	broken     bool          // broken says that the disk failed; nothing is promised any more.
 
 	cmds []Cmd
 }
@@ -158,13 +160,15 @@
 
 // New returns a replica that continues from what is on its disk. Until it has
 // heard from a leader it waits out an election timeout before it votes, since
-// its former self may have promised that.
+// its former self may have promised that. One that led the term itself does not
+// wait; see renew.go.
 func New(cfg Config, s Start) *Replica {
 	r := &Replica{cfg: cfg, id: s.ID, hard: s.Hard, log: NewLog(s.Snapshot, s.Entries)}
 	r.commit = s.Snapshot.Index
 	r.stable = r.log.Last()
 	r.now, r.heardAt = s.Now, s.Now
 	r.resetElection(s.Rand)
+	r.resume()
 	return r
 }
 
--- a/coordination/replicate/replicate_test.go
+++ b/coordination/replicate/replicate_test.go
@@ -300,6 +300,33 @@
 	s.cut[link] = !s.cut[link]
 }
 
+// bereave has all replicas but one crash at once, that one cut off from the rest for
+// as long as cuts last, and lets the rest try to go on: a leader that was spared
+// still has its lease.
+func (s *sim) bereave() {
+	spared := s.draw()
+	for _, name := range s.names() {
+		if n := s.nodes[name]; n != spared {
+			s.cut[spared.id.Name+">"+name], s.cut[name+">"+spared.id.Name] = true, true
+			s.crash(n)
+		}
+	}
+	for range 4 {
+		s.now += time.Duration(1+s.pick(4)) * time.Millisecond
+		for _, name := range s.names() {
+			if n := s.nodes[name]; n != spared {
+				s.update(n, TickMsg{Now: s.now, Rand: s.rand()})
+				s.sync(n)
+			}
+		}
+		for range 40 {
+			s.deliverAny()
+			s.sync(s.draw())
+		}
+		s.check()
+	}
+}
+
 // action is something that happens, with its weight in the long runs.
 type action struct {
 	name   string
@@ -322,6 +349,7 @@
 		{"heal", 3, func() { clear(s.cut) }},
 		{"compact", 3, func() { s.compact(s.draw()) }},
 		{"run", 1, func() { s.run(1 + s.pick(12)) }},
+		{"bereave", 2, s.bereave},
 	}
 }
 
--- a/protocol/replica.go
+++ b/protocol/replica.go
@@ -36,6 +36,7 @@
 type HardState struct {
 	Term uint64
 	Vote ReplicaID
+	Led  bool // Led says that this replica was the leader of Term.
 }
 
 // EntryKind tells entries of the log apart.
--- a/protocol/uplink.go
+++ b/protocol/uplink.go
@@ -93,6 +93,18 @@
 	Terms   LaneTerms
 }
 
+// LeaderMsg asks a control instance who leads. An instance that does not know keeps
+// the question for a while and answers as soon as it does.
+type LeaderMsg struct {
+	Besides string // Besides is the peer address of a leader that did not answer the asker.
+}
+
+// LeaderReply names who leads, as far as it is known.
+type LeaderReply struct {
+	Leader   string   // Leader is its peer address; empty where none was known in time.
+	Controls []string // Controls are the peer addresses of the control instances.
+}
+
 // SyncReply is the control role's answer. Leads is false from one that cannot
 // vouch for the newest document; then only Leader and Controls are set.
 type SyncReply struct {
--- a/state/wal/power_test.go
+++ b/state/wal/power_test.go
@@ -359,6 +359,7 @@
 func (p *powered) write(t *rapid.T) {
 	next := p.sure
 	next.Hard.Term += uint64(rapid.IntRange(0, 1).Draw(t, "term"))
+	next.Hard.Led = rapid.Bool().Draw(t, "led")
 	from := uint64(rapid.IntRange(int(next.Snap)+1, int(next.last())+1).Draw(t, "from"))
 	var entries []protocol.LogEntry
 	for i := range rapid.IntRange(0, 3).Draw(t, "entries") {
--- a/state/wal/segment.go
+++ b/state/wal/segment.go
@@ -40,7 +40,12 @@
 	return eris.Wrap(f.log.Sync(), "sync log")
 }
 
-// encodeFrame renders a frame: header, hard state, entries.
+// ledFlag marks, behind the entries of a frame, that the replica led the term of
+// its hard state. Frames of other replicas have no flags, as those of earlier
+// versions.
+const ledFlag = 1
+
+// encodeFrame renders a frame: header, hard state, entries, flags.
 func encodeFrame(hard protocol.HardState, entries []protocol.LogEntry) []byte {
 	frame := make([]byte, frameHeader, frameHeader+64)
 	frame = binary.AppendUvarint(frame, hard.Term)
@@ -54,6 +59,9 @@
 		frame = append(frame, byte(e.Kind))
 		frame = appendBytes(frame, e.Data)
 	}
+	if hard.Led {
+		frame = append(frame, ledFlag)
+	}
 	frame = append(frame, frameEnd)
 	payload := frame[frameHeader:]
 	binary.LittleEndian.PutUint32(frame, uint32(len(payload)))
@@ -116,6 +124,9 @@
 		e.Data = r.bytes()
 		entries = append(entries, e)
 	}
+	if len(r.rest) > 1 {
+		hard.Led = r.byte() == ledFlag
+	}
 	end := r.byte()
 	return hard, entries, !r.bad && end == frameEnd && len(r.rest) == 0
 }
--- a/transport/control/control.go
+++ b/transport/control/control.go
@@ -27,6 +27,9 @@
 	// Vouches returns the term if this instance leads and has applied all that
 	// was acknowledged.
 	Vouches() (term uint64, ok bool)
+	// Changed returns a channel that is closed when another instance leads, or when
+	// Vouches answers otherwise.
+	Changed() <-chan struct{}
 	// Propose has a command committed; see group.Group.
 	Propose(ctx context.Context, c protocol.Command) (protocol.Result, error)
 }
--- a/transport/control/control_test.go
+++ b/transport/control/control_test.go
@@ -16,6 +16,9 @@
 	"github.com/weldstream/weldstream/state"
 )
 
+// patience bounds what a test waits for.
+const patience = 10 * time.Second
+
 // fakeGroup is a group of this instance alone, which leads as the test says.
 type fakeGroup struct {
 	mu      sync.Mutex
@@ -23,9 +26,18 @@
 	term    uint64
 	leads   bool
 	asks    int // asks is after how many more questions it leads no more; 0 for never.
+	changed chan struct{}
+}
+
+func newFakeGroup() *fakeGroup {
+	return &fakeGroup{machine: state.NewMachine(), term: 1, leads: true, changed: make(chan struct{})}
 }
 
-func newFakeGroup() *fakeGroup { return &fakeGroup{machine: state.NewMachine(), term: 1, leads: true} }
+func (g *fakeGroup) Changed() <-chan struct{} {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.changed
+}
 
 func (g *fakeGroup) Vouches() (uint64, bool) {
 	g.mu.Lock()
@@ -51,6 +63,8 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.term, g.leads = term, leads
+	close(g.changed)
+	g.changed = make(chan struct{})
 }
 
 // report is one that the platform got.
@@ -110,6 +124,66 @@
 	}
 }
 
+// TestLeaderIsNamedOnceKnown checks that a question for the leader is kept while none
+// is known, and while the only one known is silent, and answered as soon as there is
+// another.
+func TestLeaderIsNamedOnceKnown(t *testing.T) {
+	g := newFakeGroup()
+	var mu sync.Mutex
+	leader := ""
+	u := NewUplink(g, func() (string, []string) {
+		mu.Lock()
+		defer mu.Unlock()
+		return leader, []string{"a", "b"}
+	}, parse, time.Second)
+	elect := func(name string) {
+		mu.Lock()
+		leader = name
+		mu.Unlock()
+		g.set(g.term, true)
+	}
+	for _, c := range []struct{ known, besides, next, want string }{
+		{"", "", "a", "a"},
+		{"a", "a", "b", "b"},
+		{"b", "a", "b", "b"},
+	} {
+		elect(c.known)
+		reply := make(chan protocol.LeaderReply, 1)
+		go func() {
+			var r protocol.LeaderReply
+			_ = u.Leader(protocol.LeaderMsg{Besides: c.besides}, &r)
+			reply <- r
+		}()
+		elect(c.next)
+		select {
+		case r := <-reply:
+			if r.Leader != c.want || len(r.Controls) != 2 {
+				t.Errorf("%+v: got %+v", c, r)
+			}
+		case <-time.After(patience):
+			t.Fatalf("%+v: no answer", c)
+		}
+	}
+}
+
+// TestFirstListIsAwaited checks that a gateway without a list gets it with the
+// document if it is read while the gateway asks, and the document alone if not.
+func TestFirstListIsAwaited(t *testing.T) {
+	u := newUplink(newFakeGroup())
+	if err := u.Install(5, []byte("document")); err != nil {
+		t.Fatal(err)
+	}
+	if got := sync1(t, u, protocol.SyncMsg{Gateway: "g"}); got.Listed || got.Number != 5 || !got.Leads {
+		t.Errorf("without a list it got %+v", got)
+	}
+	reply := make(chan protocol.SyncReply, 1)
+	go func() { reply <- sync1(t, u, protocol.SyncMsg{Gateway: "g"}) }()
+	u.SetServers(1, []protocol.Instance{{ID: "a"}})
+	if got := <-reply; !got.Listed || got.Number != 5 {
+		t.Errorf("got %+v", got)
+	}
+}
+
 // TestOnlyWhatIsNewer checks that a gateway gets the document and the list once.
 func TestOnlyWhatIsNewer(t *testing.T) {
 	u := newUplink(newFakeGroup())
@@ -146,7 +220,8 @@
 		t.Errorf("%d gateways, want 2", got.Gateways)
 	}
 	g.set(2, true)
-	got := sync1(t, u, protocol.SyncMsg{Gateway: "a", Wants: []protocol.QuotaWant{{Workspace: "w", Units: 5000}}})
+	// With a list of its own the gateway is not kept waiting while the bucket fills.
+	got := sync1(t, u, protocol.SyncMsg{Gateway: "a", Lister: 1, Wants: []protocol.QuotaWant{{Workspace: "w", Units: 5000}}})
 	if got.Gateways != 1 || len(got.Grants) != 1 || got.Grants[0].Units > 960 {
 		t.Errorf("got %+v", got)
 	}
--- a/transport/control/duties.go
+++ b/transport/control/duties.go
@@ -70,9 +70,10 @@
 func (d *Duties) RunList(ctx context.Context) error {
 	failing := false
 	for ctx.Err() == nil {
+		changed := d.group.Changed()
 		term, ok := d.group.Vouches()
 		if !ok {
-			pause.For(ctx, dutyTick)
+			pause.Until(ctx, dutyTick, changed)
 			continue
 		}
 		limit, cancel := context.WithTimeout(ctx, callTime)
--- a/transport/control/uplink.go
+++ b/transport/control/uplink.go
@@ -38,6 +38,7 @@
 	version  uint64
 	servers  []protocol.Instance
 	listed   bool
+	news     chan struct{} // news is closed and replaced when a list was read.
 	gateways map[string]*gateway
 	quotas   *quota.Coordinator
 	ledger   *usage.Ledger
@@ -70,11 +71,11 @@
 }
 
 // NewUplink returns the receiver to register under "Uplink". The func peers
-// tells the peer addresses of the leader, as far as known, and of all control
-// instances; parse translates a document.
+// tells the peer addresses of the leader, as far as one is known that can answer,
+// and of all control instances; parse translates a document.
 func NewUplink(g Group, peers func() (string, []string), parse func(uint64, []byte) (*protocol.Catalog, error), quotaWindow time.Duration) *Uplink {
 	now := time.Now()
-	u := &Uplink{group: g, peers: peers, parse: parse, quota: quotaWindow, began: now, clock: usage.NewClock(now)}
+	u := &Uplink{news: make(chan struct{}), group: g, peers: peers, parse: parse, quota: quotaWindow, began: now, clock: usage.NewClock(now)}
 	u.reset(0)
 	return u
 }
@@ -126,10 +127,63 @@
 	return u.catalog
 }
 
+const (
+	// leaderHold is how long a question for the leader is kept while none is known:
+	// about the longest election without a split vote.
+	leaderHold = 400 * time.Millisecond
+	// listHold is how long a gateway that has no list is kept waiting for the first
+	// one of a leader: some answers of the platform. Without it the gateway would ask
+	// again a whole pause later.
+	listHold = 150 * time.Millisecond
+)
+
+// Leader tells who leads, once that is known.
+func (u *Uplink) Leader(m protocol.LeaderMsg, reply *protocol.LeaderReply) error {
+	end := time.NewTimer(leaderHold)
+	defer end.Stop()
+	for {
+		changed := u.group.Changed()
+		leader, all := u.peers()
+		reply.Controls = all
+		if leader != m.Besides {
+			reply.Leader = leader
+		}
+		if reply.Leader != "" {
+			return nil
+		}
+		select {
+		case <-changed:
+		case <-end.C:
+			return nil
+		}
+	}
+}
+
+// awaitList waits until the list was read in a term, for a gateway without one.
+func (u *Uplink) awaitList(term uint64) {
+	u.mu.Lock()
+	u.enter(term)
+	listed, news := u.listed, u.news
+	u.mu.Unlock()
+	if listed {
+		return
+	}
+	end := time.NewTimer(listHold)
+	defer end.Stop()
+	select {
+	case <-news:
+	case <-end.C:
+	}
+}
+
 // Sync answers a gateway.
 func (u *Uplink) Sync(m protocol.SyncMsg, reply *protocol.SyncReply) error {
 	reply.Leader, reply.Controls = u.peers()
 	term, ok := u.group.Vouches()
+	if ok && m.Lister == 0 {
+		u.awaitList(term)
+		term, ok = u.group.Vouches()
+	}
 	if !ok {
 		return nil
 	}
@@ -310,6 +364,8 @@
 		u.history.add(u.version, u.servers, list)
 	}
 	u.lister, u.servers, u.listed, u.whole = term, list, true, nil
+	close(u.news)
+	u.news = make(chan struct{})
 	u.view = place.NewView(list, u.view)
 	u.places.Keep(u.view)
 	u.order, u.common = make([]string, 0, len(list)), common{}
--- a/transport/links.go
+++ b/transport/links.go
@@ -56,6 +56,7 @@
 	meter  byteMeter
 
 	mu      sync.Mutex
+	failed  map[string]int // failed are connects in a row that failed, by address.
 	clients map[string]*rpc.Client
 	conns   map[net.Conn]struct{}
 }
@@ -68,6 +69,7 @@
 		dial:    dial,
 		log:     log,
 		server:  rpc.NewServer(),
+		failed:  map[string]int{},
 		clients: map[string]*rpc.Client{},
 		conns:   map[net.Conn]struct{}{},
 	}
@@ -247,7 +249,8 @@
 	if c != nil {
 		return c, nil
 	}
-	conn, err := net.DialTimeout("tcp", address, l.dial)
+	conn, err := net.DialTimeout("tcp", address, l.dialTime(address))
+	l.dialed(address, err == nil)
 	if err != nil {
 		return nil, eris.Wrap(err, "connect to peer")
 	}
@@ -260,6 +263,33 @@
 	return l.keep(address, rpc.NewClient(buffered)), nil
 }
 
+const (
+	// firstDials connects to an address that failed get a part of the usual time,
+	// twice as much after as many more: what is silent now may be started the next
+	// moment, and a connect that began before would not notice.
+	firstDials = 4
+	// firstDialPart of the usual time is the shortest: some round trips of a region.
+	firstDialPart = 4
+)
+
+// dialTime is how long the next connect to an address may take.
+func (l *Links) dialTime(address string) time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return min(l.dial, l.dial/firstDialPart<<min(l.failed[address]/firstDials, firstDialPart))
+}
+
+// dialed notes the outcome of a connect.
+func (l *Links) dialed(address string, ok bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if ok {
+		delete(l.failed, address)
+		return
+	}
+	l.failed[address]++
+}
+
 // keep stores a new connection unless another call was faster.
 func (l *Links) keep(address string, c *rpc.Client) *rpc.Client {
 	l.mu.Lock()
--- a/transport/links_test.go
+++ b/transport/links_test.go
@@ -62,3 +62,26 @@
 		}
 	}
 }
+
+// TestFirstConnectsAreShort checks that an instance that is silent is tried often at
+// first, so that one that has just been started is found at once, and for the whole
+// time later, as the way to it may be long.
+func TestFirstConnectsAreShort(t *testing.T) {
+	l := NewLinks("a", []byte("0123456789abcdef"), 400*time.Millisecond, zerolog.Nop())
+	for i, want := range []time.Duration{100, 100, 100, 100, 200, 200, 200, 200, 400, 400} {
+		if got := l.dialTime("b"); got != want*time.Millisecond {
+			t.Errorf("connect %d may take %v, want %v ms", i+1, got, int64(want))
+		}
+		l.dialed("b", false)
+	}
+	for range 1000 {
+		l.dialed("b", false)
+	}
+	if got := l.dialTime("b"); got != 400*time.Millisecond {
+		t.Errorf("after many failures a connect may take %v", got)
+	}
+	l.dialed("b", true)
+	if got := l.dialTime("b"); got != 100*time.Millisecond {
+		t.Errorf("after a connect the next may take %v", got)
+	}
+}
--- a/transport/replica.go
+++ b/transport/replica.go
@@ -35,11 +35,34 @@
 	links  *Links
 	mu     sync.Mutex
 	queues map[string]chan StepArgs
+	guess  func(name string) (address string, ok bool)
+}
+
+// ReplicaSenderOption changes a new sender.
+type ReplicaSenderOption func(*ReplicaSender)
+
+// WithAddresses sets what tells the address of a replica that the membership has
+// not met yet; without it, messages to such a one are lost.
+func WithAddresses(f func(name string) (address string, ok bool)) ReplicaSenderOption {
+	return func(s *ReplicaSender) { s.guess = f }
 }
 
 // NewReplicaSender returns a sender that works until ctx ends.
-func NewReplicaSender(ctx context.Context, t *state.Tables, l *Links) *ReplicaSender {
-	return &ReplicaSender{ctx: ctx, tables: t, links: l, queues: map[string]chan StepArgs{}}
+func NewReplicaSender(ctx context.Context, t *state.Tables, l *Links, opts ...ReplicaSenderOption) *ReplicaSender {
+	s := &ReplicaSender{ctx: ctx, tables: t, links: l, queues: map[string]chan StepArgs{}}
+	s.guess = func(string) (string, bool) { return "", false }
+	for _, opt := range opts {
+		opt(s)
+	}
+	return s
+}
+
+// address returns where a replica is reached.
+func (s *ReplicaSender) address(name string) (string, bool) {
+	if row, ok := s.tables.Members.Get(name); ok {
+		return row.Address, true
+	}
+	return s.guess(name)
 }
 
 // Send implements group.Sender. A full queue loses the message; the protocol
@@ -88,7 +111,7 @@
 }
 
 func (s *ReplicaSender) call(name string, args StepArgs) {
-	row, ok := s.tables.Members.Get(name)
+	address, ok := s.address(name)
 	if !ok {
 		return
 	}
@@ -99,7 +122,7 @@
 		}
 	}
 	var done bool
-	_ = s.links.Call(row.Address, "Group.Step", args, &done, timeout) // Lost messages are sent again.
+	_ = s.links.Call(address, "Group.Step", args, &done, timeout) // Lost messages are sent again.
 }
 
 // GroupService answers the other instances' calls to this replica.
--- a/transport/uplink/uplink.go
+++ b/transport/uplink/uplink.go
@@ -7,7 +7,7 @@
 // is the time up to which the gateway is sure.
 //
 // It finds the leader by asking the seeds, and any control instance that it
-// heard of since; each tells whom it takes for the leader.
+// heard of since, side by side; each tells who leads as soon as it knows.
 package uplink
 
 import (
@@ -56,9 +56,16 @@
 	// callTime bounds a question to an instance that may be gone, and firstTime one
 	// whose answer holds a whole list, for many gateways at once.
 	callTime  = 700 * time.Millisecond
-	firstTime = 3 * time.Second
-	// searchPause is between two questions while no leader is known.
-	searchPause = 60 * time.Millisecond
+	firstTime = 1500 * time.Millisecond
+	// searchPause is between two rounds of questions while no leader is known, for
+	// those that could not be reached.
+	searchPause = 30 * time.Millisecond
+	// leaderTime bounds a question for the leader: an instance that knows none keeps
+	// it for a while.
+	leaderTime = time.Second
+	// silentFor is how long a leader that did not answer is not taken for one on
+	// another's word: by then a group that can has elected another.
+	silentFor = time.Second
 	// hurryPause is the least time between two questions.
 	hurryPause = 15 * time.Millisecond
 )
@@ -72,14 +79,17 @@
 	life    uint64
 	hurry   chan struct{}
 
-	mu     sync.Mutex // mu guards seeds and leader.
-	seeds  []string
-	leader string // leader is the target while it leads, for calls beside the loop.
+	mu       sync.Mutex // mu guards all up to the loop's own.
+	seeds    []string
+	leader   string          // leader is the target while it leads, for calls beside the loop.
+	asking   map[string]bool // asking are the instances that a question for the leader is under way to.
+	controls []string
+	found    chan string // found receives whom they name.
 
 	// The loop's own.
 	target   string
-	controls []string
-	next     int
+	silent   string    // silent is a leader that did not answer.
+	silentAt time.Time // silentAt is when.
 	term     uint64
 	lister   uint64
 	version  uint64
@@ -91,7 +101,7 @@
 // New returns a client that is not running. The seeds are peer addresses; unpack
 // reads a whole list.
 func New(c Caller, g Gateway, seeds []string, unpack func([]byte) ([]protocol.Instance, error), log zerolog.Logger) *Client {
-	return &Client{caller: c, gateway: g, seeds: seeds, unpack: unpack, servers: map[string]protocol.Instance{}, log: log, life: rand.Uint64(), hurry: make(chan struct{}, 1)}
+	return &Client{caller: c, gateway: g, seeds: seeds, unpack: unpack, servers: map[string]protocol.Instance{}, asking: map[string]bool{}, found: make(chan string, 1), log: log, life: rand.Uint64(), hurry: make(chan struct{}, 1)}
 }
 
 // SetSeeds takes other seeds, for the next search.
@@ -113,8 +123,8 @@
 func (c *Client) Run(ctx context.Context) error {
 	for ctx.Err() == nil {
 		began := time.Now()
-		most := searchPause
-		if c.ask() {
+		most := hurryPause
+		if c.step(ctx) {
 			most = askEvery(c.gateways)
 		}
 		c.wait(ctx, began, most)
@@ -122,6 +132,74 @@
 	return nil
 }
 
+// step asks the leader, or looks for one, and reports whether the leader answered.
+func (c *Client) step(ctx context.Context) bool {
+	if c.target == "" {
+		c.target = c.search(ctx)
+	}
+	return c.target != "" && c.ask(c.target)
+}
+
+// search asks all control instances that are known who leads, those that are not
+// being asked already, and waits a while for the first to name one.
+func (c *Client) search(ctx context.Context) string {
+	m := protocol.LeaderMsg{}
+	if time.Since(c.silentAt) < silentFor {
+		m.Besides = c.silent
+	}
+	for _, address := range c.candidates() {
+		go c.askLeader(address, m)
+	}
+	end := time.NewTimer(searchPause)
+	defer end.Stop()
+	for {
+		select {
+		case leader := <-c.found:
+			if leader != m.Besides {
+				return leader
+			}
+		case <-end.C:
+			return ""
+		case <-ctx.Done():
+			return ""
+		}
+	}
+}
+
+// candidates returns the instances to ask who leads, and notes that they are asked.
+func (c *Client) candidates() []string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var list []string
+	for _, address := range slices.Concat(c.seeds, c.controls) {
+		if !c.asking[address] {
+			c.asking[address] = true
+			list = append(list, address)
+		}
+	}
+	return list
+}
+
+// askLeader asks one instance who leads.
+func (c *Client) askLeader(address string, m protocol.LeaderMsg) {
+	var reply protocol.LeaderReply
+	err := c.caller.Call(address, "Uplink.Leader", m, &reply, leaderTime)
+	c.mu.Lock()
+	delete(c.asking, address)
+	c.mu.Unlock()
+	if err != nil {
+		return // It is asked again in the next round.
+	}
+	c.learn(reply.Controls)
+	if reply.Leader == "" {
+		return
+	}
+	select {
+	case c.found <- reply.Leader:
+	default: // Another was faster.
+	}
+}
+
 // askEvery is the time between two questions of each of some gateways.
 func askEvery(gateways int) time.Duration {
 	return max(every, time.Duration(gateways)*everyMember)
@@ -136,20 +214,17 @@
 }
 
 // ask asks the instance that is taken for the leader, and reports whether it is.
-func (c *Client) ask() bool {
-	address := c.target
-	if address == "" {
-		address = c.candidate()
-	}
+func (c *Client) ask(address string) bool {
 	m := c.gateway.Report(c.term)
 	m.Life, m.Lister, m.Servers = c.life, c.lister, c.version
 	asked := time.Now()
 	var reply protocol.SyncReply
 	limit := callTime
-	if c.target != "" && c.lister == 0 {
+	if c.lister == 0 {
 		limit = firstTime
 	}
 	if err := c.caller.Call(address, "Uplink.Sync", m, &reply, limit); err != nil {
+		c.silent, c.silentAt = address, time.Now()
 		c.lost(address, err.Error())
 		return false
 	}
@@ -251,23 +326,11 @@
 	return reply, err == nil && reply.Server != ""
 }
 
-// learn notes control instances that were told of.
+// learn notes the control instances that another one knows.
 func (c *Client) learn(controls []string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
 	if len(controls) > 0 {
 		c.controls = controls
 	}
 }
-
-// candidate returns the next instance to ask who leads.
-func (c *Client) candidate() string {
-	c.mu.Lock()
-	list := slices.Clone(c.seeds)
-	c.mu.Unlock()
-	for _, address := range c.controls {
-		if !slices.Contains(list, address) {
-			list = append(list, address)
-		}
-	}
-	c.next++
-	return list[c.next%len(list)]
-}
--- a/transport/uplink/uplink_test.go
+++ b/transport/uplink/uplink_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"errors"
+	"slices"
+	"sync"
 	"testing"
 	"time"
 
@@ -11,18 +13,45 @@
 	"github.com/weldstream/weldstream/protocol"
 )
 
+// patience bounds what a test waits for.
+const patience = 10 * time.Second
+
 // fakeCaller answers for control instances by their addresses.
 type fakeCaller struct {
+	mu      sync.Mutex // mu guards all below.
 	answers map[string]func(m protocol.SyncMsg) (protocol.SyncReply, error)
-	asked   []string
+	asked   []string // asked are those that were asked to synchronize.
+}
+
+// set exchanges the answers.
+func (c *fakeCaller) set(answers map[string]func(m protocol.SyncMsg) (protocol.SyncReply, error)) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.answers = answers
 }
 
-func (c *fakeCaller) Call(address, _ string, args, reply any, _ time.Duration) error {
-	c.asked = append(c.asked, address)
+func (c *fakeCaller) Call(address, method string, args, reply any, _ time.Duration) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
 	f := c.answers[address]
+	if method == "Uplink.Sync" {
+		c.asked = append(c.asked, address)
+	}
 	if f == nil {
 		return errors.New("nobody is there")
 	}
+	if m, ok := args.(protocol.LeaderMsg); ok {
+		got, err := f(protocol.SyncMsg{})
+		named := protocol.LeaderReply{Leader: got.Leader, Controls: got.Controls}
+		if got.Leads {
+			named.Leader = address
+		}
+		if named.Leader == m.Besides {
+			named.Leader = ""
+		}
+		*reply.(*protocol.LeaderReply) = named
+		return err
+	}
 	got, err := f(args.(protocol.SyncMsg))
 	*reply.(*protocol.SyncReply) = got
 	return err
@@ -72,23 +101,57 @@
 	c := &fakeCaller{answers: map[string]func(protocol.SyncMsg) (protocol.SyncReply, error){"b": follows("c"), "c": leads}}
 	g := &fakeGateway{}
 	u := New(c, g, []string{"a", "b"}, unpackIDs, zerolog.Nop())
-	for range 4 {
-		u.ask()
+	end := time.Now().Add(patience)
+	confirms := func(more int) {
+		t.Helper()
+		for want := g.confirmed + more; g.confirmed < want; {
+			if time.Now().After(end) {
+				t.Fatalf("the leader was not found: asked %v", c.asked)
+			}
+			u.step(t.Context())
+		}
 	}
-	if g.number != 9 || g.confirmed == 0 {
+	confirms(1)
+	if g.number != 9 {
 		t.Fatalf("holds %d after asking %v", g.number, c.asked)
 	}
 	n := len(c.asked)
-	u.ask()
-	if c.asked[n] != "c" {
-		t.Errorf("asked %v after it had found the leader", c.asked[n:])
+	confirms(3)
+	for _, address := range c.asked[n:] {
+		if address != "c" {
+			t.Errorf("asked %v after it had found the leader", c.asked[n:])
+		}
 	}
-	c.answers = map[string]func(protocol.SyncMsg) (protocol.SyncReply, error){"b": leads, "c": follows("b")}
-	before := g.confirmed
-	u.ask()
-	u.ask()
-	if g.confirmed != before+1 {
-		t.Errorf("the next leader was not found: asked %v", c.asked)
+	c.set(map[string]func(protocol.SyncMsg) (protocol.SyncReply, error){"b": leads, "c": follows("b")})
+	n = len(c.asked)
+	confirms(1)
+	if !slices.Equal(c.asked[n:], []string{"c", "b"}) {
+		t.Errorf("asked %v when another led", c.asked[n:])
+	}
+}
+
+// TestLooksPastTheSilent checks that a leader that does not answer is not asked
+// again on the word of those that still take it for the leader, and that the next
+// one is found as soon as somebody names it.
+func TestLooksPastTheSilent(t *testing.T) {
+	answers := map[string]func(protocol.SyncMsg) (protocol.SyncReply, error){"a": follows("gone"), "b": follows("gone")}
+	c := &fakeCaller{answers: answers}
+	g := &fakeGateway{}
+	u := New(c, g, []string{"a", "b"}, unpackIDs, zerolog.Nop())
+	for len(c.asked) == 0 {
+		u.step(t.Context())
+	}
+	for range 5 {
+		u.step(t.Context())
+	}
+	if len(c.asked) != 1 {
+		t.Errorf("asked %v while only a silent leader was named", c.asked)
+	}
+	c.set(map[string]func(protocol.SyncMsg) (protocol.SyncReply, error){"a": follows("gone"), "b": leads})
+	for end := time.Now().Add(patience); g.confirmed == 0; u.step(t.Context()) {
+		if time.Now().After(end) {
+			t.Fatalf("the next leader was not found: asked %v", c.asked)
+		}
 	}
 }
 
@@ -102,7 +165,7 @@
 		return leads(m)
 	}}}
 	u := New(c, g, []string{"a"}, unpackIDs, zerolog.Nop())
-	u.ask()
+	u.ask("a")
 	if g.at.IsZero() || g.at.After(answered) {
 		t.Errorf("sure up to %v, the answer was made at %v", g.at, answered)
 	}
@@ -113,7 +176,7 @@
 func TestUnreadableDocumentConfirmsNothing(t *testing.T) {
 	g := &fakeGateway{bad: true}
 	u := New(&fakeCaller{answers: map[string]func(protocol.SyncMsg) (protocol.SyncReply, error){"a": leads}}, g, []string{"a"}, unpackIDs, zerolog.Nop())
-	if u.ask() || g.confirmed > 0 {
+	if u.ask("a") || g.confirmed > 0 {
 		t.Error("it counts as up to date")
 	}
 }
