A server copies the shared parts of a long prompt from the one that read them last

Change: the ledger names the server that read the parts last, also one that leaves, unless it fails; the gateway tells the chosen server to copy from it. A copy is weighed by its time against that of reading, a quarter of it at least.

--- a/coordination/place/ledger.go
+++ b/coordination/place/ledger.go
@@ -16,6 +16,7 @@
 	Prefix  uint64 // Prefix is the hash of the shared parts.
 	Domain  string
 	Avoid   []string
+	Copies  float64       // Copies are the tokens a millisecond that a server copies from another; 0 where it cannot.
 	Share   float64       // Share is the part of the servers that the long lane has.
 	Target  time.Duration // Target is when the first event is in time.
 	Gap     time.Duration // Gap is the longest pause between events in time.
@@ -24,6 +25,7 @@
 // Placed is a place that was given. Its number is named when the request ends.
 type Placed struct {
 	Server string
+	Holder string // Holder is a server that holds the shared parts, if Server does not; empty for none.
 	Number uint64
 }
 
@@ -89,6 +91,9 @@
 	distrustCost = 1000.0
 	// readCost is that of a prompt all of which could have been held elsewhere.
 	readCost = 0.8
+	// copyLeast of that is the least for one that is copied: a copy takes memory at
+	// two servers and their links, so that a prompt stays at home where that has room.
+	copyLeast = 0.25
 )
 
 // NewLedger returns an empty ledger beside the loads of all gateways.
@@ -100,10 +105,11 @@
 func (l *Ledger) Place(v *View, m PromptMsg, now time.Time) (Placed, bool) {
 	l.forget(now)
 	rows := inLane(v, candidates(v, ChooseMsg{Service: m.Service, Avoid: m.Avoid, Now: now}), ChooseMsg{Lane: LaneLong, Share: m.Share})
+	holder := l.holder(v, m, now)
 	best, least := -1, math.Inf(1)
 	for _, r := range rows {
 		s := &v.Servers[r.index]
-		cost := l.cost(s, m, now)
+		cost := l.cost(s, m, holder != "", now)
 		if l.loads.Distrusted(s.ID, m.Domain) {
 			cost += distrustCost
 		}
@@ -114,7 +120,27 @@
 	if best < 0 {
 		return Placed{}, false
 	}
-	return l.enter(v.Servers[best].ID, m, now), true
+	return l.enter(v.Servers[best].ID, holder, m, now), true
+}
+
+// holder returns the server that read the shared parts of a prompt last, if the
+// others can copy them from there. One that leaves still can be copied from.
+func (l *Ledger) holder(v *View, m PromptMsg, now time.Time) string {
+	if m.Copies <= 0 || m.Prefix == 0 {
+		return ""
+	}
+	holder, latest := "", time.Time{}
+	for _, i := range v.Service(m.Service) {
+		id := v.Servers[i].ID
+		b := l.servers[id]
+		if b == nil || !b.holds(m.Prefix, now) || l.loads.Distrusted(id, m.Domain) {
+			continue
+		}
+		if at := b.prefixes[m.Prefix]; at.After(latest) {
+			holder, latest = id, at
+		}
+	}
+	return holder
 }
 
 func (l *Ledger) book(server string) *book {
@@ -126,14 +152,22 @@
 	return b
 }
 
-// uncached is how many tokens a server has to read of a prompt.
-func (b *book) uncached(m PromptMsg, now time.Time) int {
-	if b.holds(m.Prefix, now) {
-		return max(1, m.Prompt-m.Shared)
+// uncached is how many tokens a server has to read of a prompt. What it can copy is
+// counted by the time that the copy takes.
+func (l *Ledger) uncached(b *book, m PromptMsg, copies bool, now time.Time) int {
+	own := max(1, m.Prompt-m.Shared)
+	switch {
+	case b.holds(m.Prefix, now):
+		return own
+	case copies:
+		return own + int(float64(m.Shared)*l.copyPart(m))
 	}
 	return m.Prompt
 }
 
+// copyPart is the time of a copy as a part of that of reading.
+func (l *Ledger) copyPart(m PromptMsg) float64 { return min(1, l.speed/m.Copies) }
+
 // holds reports whether the server has read a prefix lately.
 func (b *book) holds(prefix uint64, now time.Time) bool {
 	at, ok := b.prefixes[prefix]
@@ -145,10 +179,10 @@
 }
 
 // cost is what placing a prompt at a server costs, in streams held up.
-func (l *Ledger) cost(s *Server, m PromptMsg, now time.Time) float64 {
+func (l *Ledger) cost(s *Server, m PromptMsg, copies bool, now time.Time) float64 {
 	b := l.book(s.ID)
 	wait := max(0, b.readUntil.Sub(now))
-	read := l.reading(b.uncached(m, now))
+	read := l.reading(l.uncached(b, m, copies, now))
 	limit := time.Duration(gapPart * float64(m.Gap))
 	if m.Gap <= 0 {
 		limit = m.Target
@@ -178,7 +212,11 @@
 	}
 	cost += stayCost * float64(len(b.stays)+others)
 	if m.Prompt > 0 && !b.holds(m.Prefix, now) {
-		cost += readCost * float64(m.Shared) / float64(m.Prompt)
+		weight := readCost
+		if copies {
+			weight *= max(copyLeast, l.copyPart(m))
+		}
+		cost += weight * float64(m.Shared) / float64(m.Prompt)
 	}
 	if s.Domain == m.Domain {
 		cost -= nearGain
@@ -187,9 +225,12 @@
 }
 
 // enter notes a request at a server.
-func (l *Ledger) enter(server string, m PromptMsg, now time.Time) Placed {
+func (l *Ledger) enter(server, holder string, m PromptMsg, now time.Time) Placed {
 	b := l.book(server)
-	tokens := b.uncached(m, now)
+	if b.holds(m.Prefix, now) {
+		holder = ""
+	}
+	tokens := l.uncached(b, m, holder != "", now)
 	alone := !b.readUntil.After(now)
 	from := now
 	if !alone {
@@ -201,7 +242,7 @@
 	st.ends = st.reads.Add(time.Duration(l.pace * float64(m.Answer) * float64(time.Millisecond)))
 	b.stays[l.number], l.placed[l.number] = st, st
 	b.keep(m.Prefix, now)
-	return Placed{Server: server, Number: l.number}
+	return Placed{Server: server, Holder: holder, Number: l.number}
 }
 
 // keep notes a prefix that is read at the server.
--- a/coordination/place/ledger_test.go
+++ b/coordination/place/ledger_test.go
@@ -1,10 +1,13 @@
 package place
 
 import (
+	"slices"
 	"testing"
 	"time"
 
 	"pgregory.net/rapid"
+
+	"github.com/weldstream/weldstream/protocol"
 )
 
 // prompt is a long one that holds streams up where it is read.
@@ -63,9 +66,9 @@
 	st := &stay{server: only.ID, reads: start.Add(-time.Second), ends: start.Add(time.Minute)}
 	l.book(only.ID).stays[1], l.placed[1] = st, st
 	m := prompt(10_000) // 250 ms at the first speed, 400 ms are borne.
-	free := l.cost(only, m, start)
+	free := l.cost(only, m, false, start)
 	l.book(only.ID).readUntil = start.Add(300 * time.Millisecond)
-	if busy := l.cost(only, m, start); busy < free+1 {
+	if busy := l.cost(only, m, false, start); busy < free+1 {
 		t.Errorf("behind another prompt it costs %.2f, alone %.2f: the stream is not counted", busy, free)
 	}
 }
@@ -83,6 +86,78 @@
 	}
 }
 
+// TestLedgerNamesAHolder checks that a server that has not read the shared parts of a
+// prompt is told which one has, also one that leaves, but none that fails, that is
+// gone, or where nothing can be copied.
+func TestLedgerNamesAHolder(t *testing.T) {
+	for name, c := range map[string]struct {
+		copies float64
+		change func(l *Ledger, list []protocol.Instance, first int) []protocol.Instance
+		want   bool
+	}{
+		"it leaves": {500, func(_ *Ledger, list []protocol.Instance, i int) []protocol.Instance {
+			list[i].Leaving = true
+			return list
+		}, true},
+		"nothing can be copied": {0, func(_ *Ledger, list []protocol.Instance, i int) []protocol.Instance {
+			list[i].Leaving = true
+			return list
+		}, false},
+		"it is gone": {500, func(_ *Ledger, list []protocol.Instance, i int) []protocol.Instance {
+			return slices.Delete(list, i, i+1)
+		}, false},
+		"it fails": {500, func(l *Ledger, list []protocol.Instance, i int) []protocol.Instance {
+			for _, gateway := range []string{"g", "h"} {
+				l.loads.Take(gateway, Told{Domain: "a", Distrusts: []string{list[i].ID}})
+			}
+			return list
+		}, false},
+	} {
+		loads := NewLoads()
+		l, v := NewLedger(loads), fleet(8)
+		m := prompt(8000)
+		m.Prefix, m.Copies, m.Domain = 77, c.copies, "a"
+		first := placeAt(t, l, v, m, start)
+		if first.Holder != "" {
+			t.Errorf("%s: the first prompt is copied from %s", name, first.Holder)
+		}
+		var list []protocol.Instance
+		at := 0
+		for i := range v.Servers {
+			if v.Servers[i].ID == first.Server {
+				at = i
+			}
+			list = append(list, v.Servers[i].Instance)
+		}
+		v = NewView(c.change(l, list, at), v)
+		l.Keep(v)
+		again := placeAt(t, l, v, m, start.Add(5*time.Second))
+		if again.Server == first.Server || (again.Holder == first.Server) != c.want || (again.Holder != "") != c.want {
+			t.Errorf("%s: placed at %s with holder %q, first at %s", name, again.Server, again.Holder, first.Server)
+		}
+	}
+}
+
+// TestLedgerCountsCopies checks that a server that can copy the shared parts is
+// dearer than the one that holds them and cheaper than one that reads them, and the
+// dearer the slower the copy.
+func TestLedgerCountsCopies(t *testing.T) {
+	l, v := NewLedger(NewLoads()), fleet(4)
+	m := prompt(8000)
+	m.Prefix = 77
+	held := &v.Servers[0]
+	l.book(held.ID).keep(m.Prefix, start)
+	costs := []float64{l.cost(held, m, false, start)}
+	for _, rate := range []float64{100 * firstSpeed, 2 * firstSpeed} {
+		m.Copies = rate
+		costs = append(costs, l.cost(&v.Servers[1], m, true, start))
+	}
+	costs = append(costs, l.cost(&v.Servers[1], m, false, start))
+	if !slices.IsSorted(costs) || costs[1] >= costs[2] || costs[2] >= costs[3] {
+		t.Errorf("costs held, copied fast, copied slowly, read: %.3f", costs)
+	}
+}
+
 // TestLedgerForgets checks over random histories that places are never given to
 // servers that may not be taken, and that nothing is kept of requests that ended,
 // were never told of again, or whose server is gone.
--- a/protocol/catalog.go
+++ b/protocol/catalog.go
@@ -55,6 +55,7 @@
 	Name        string
 	Connections int          // Connections bounds those that one server takes from all gateways; 0 means no bound.
 	Slots       int          // Slots are the requests that one server runs at once; 0 where the list tells.
+	CopyRate    float64      // CopyRate is how many tokens of a prompt a millisecond one server copies from another that has read them; 0 where none can.
 	Scaling     *ScalingSpec // Scaling is nil where the number of servers is not ours to order.
 }
 
--- a/protocol/uplink.go
+++ b/protocol/uplink.go
@@ -36,6 +36,7 @@
 	Prefix  uint64        // Prefix is the hash of the shared parts.
 	Domain  string        // Domain is the gateway's failure domain.
 	Avoid   []string      // Avoid are servers that the request was sent to before.
+	Copies  float64       // Copies are the tokens a millisecond that a server copies from another; 0 where it cannot.
 	Share   float64       // Share is the part of the servers that the long lane has, 0 to 1.
 	Target  time.Duration // Target is when the first event is in time.
 	Gap     time.Duration // Gap is the longest pause between events in time.
@@ -45,6 +46,7 @@
 // not lead.
 type PlaceReply struct {
 	Server string
+	Holder string // Holder is a server that holds the shared parts of the prompt, if Server does not.
 	Term   uint64 // Term is the leader's that placed it.
 	Number uint64 // Number names the placed request in the term.
 }
--- a/transport/control/uplink.go
+++ b/transport/control/uplink.go
@@ -247,12 +247,13 @@
 		Prefix:  m.Prefix,
 		Domain:  m.Domain,
 		Avoid:   m.Avoid,
+		Copies:  m.Copies,
 		Share:   m.Share,
 		Target:  m.Target,
 		Gap:     m.Gap,
 	}, time.Now())
 	if ok {
-		reply.Server, reply.Term, reply.Number = placed.Server, term, placed.Number
+		reply.Server, reply.Holder, reply.Term, reply.Number = placed.Server, placed.Holder, term, placed.Number
 	}
 	return nil
 }
--- a/transport/forward/attempt.go
+++ b/transport/forward/attempt.go
@@ -119,6 +119,7 @@
 		Workspace: x.workspaceName(),
 		Remaining: max(time.Millisecond, x.left()-backMargin),
 		Priority:  x.priority(),
+		CopyFrom:  x.copyFrom(),
 		LastEvent: x.events.last,
 	})
 	early, err := t.conn.Exchange(x.out, x.resp, x.deadline.Add(time.Second))
--- a/transport/forward/dialect.go
+++ b/transport/forward/dialect.go
@@ -30,6 +30,7 @@
 	Workspace string        // Workspace is the caller's; empty without one.
 	Remaining time.Duration // Remaining is how long the answer is waited for.
 	Priority  int           // Priority is the rank, 0 first; -1 says none.
+	CopyFrom  string        // CopyFrom is the address of a server that holds a part of the prompt; empty for none.
 	LastEvent string        // LastEvent is the event behind which a stream goes on.
 }
 
--- a/transport/forward/exchange.go
+++ b/transport/forward/exchange.go
@@ -215,6 +215,7 @@
 		Prefix:  x.prefix,
 		Domain:  x.g.cfg.Domain,
 		Avoid:   x.avoid,
+		Copies:  x.copyRate(),
 		Share:   x.share,
 		Target:  x.route.Target,
 		Gap:     x.route.TargetGap,
@@ -231,6 +232,25 @@
 	return s
 }
 
+// copyRate is how many tokens a millisecond a server of the service copies from
+// another one; 0 where it cannot.
+func (x *exchange) copyRate() float64 {
+	if spec := x.index.Service(x.service); spec != nil {
+		return spec.CopyRate
+	}
+	return 0
+}
+
+// copyFrom returns the address of a server that the chosen one is to copy the
+// shared parts of the prompt from, or none.
+func (x *exchange) copyFrom() string {
+	holder := x.g.view.Load().Find(x.placed.Holder)
+	if holder == nil || holder.Cell.Suspect(time.Now()) {
+		return ""
+	}
+	return holder.Address
+}
+
 // choose returns a server to send to.
 func (x *exchange) choose() (*place.Server, *protocol.Refusal) {
 	view := x.g.view.Load()
--- a/transport/forward/forward_test.go
+++ b/transport/forward/forward_test.go
@@ -587,6 +587,32 @@
 	}
 }
 
+// TestCopiesOnlyFromTheSound checks that the server that a long prompt was placed at
+// is told whom to copy the shared parts from, and not one that this gateway passes
+// over, or does not know.
+func TestCopiesOnlyFromTheSound(t *testing.T) {
+	for name, c := range map[string]struct {
+		holder string
+		fails  bool
+		want   bool
+	}{"sound": {"b", false, true}, "it failed here": {"b", true, false}, "not listed": {"c", false, false}, "none": {"", false, false}} {
+		w := newWorld(t)
+		w.install(protocol.PathRoute{Attempts: 1})
+		a, b := w.backend("a", good), w.backend("b", good)
+		if c.fails {
+			w.g.view.Load().Find("b").Cell.Failed(true, time.Now())
+		}
+		x := &exchange{g: w.g, placed: protocol.PlaceReply{Server: a.id, Holder: c.holder}}
+		want := ""
+		if c.want {
+			want = b.address
+		}
+		if got := x.copyFrom(); got != want {
+			t.Errorf("%s: copied from %q, want %q", name, got, want)
+		}
+	}
+}
+
 // FuzzEvents checks over any pieces that only whole events pass, each id once and
 // rising, and that nothing is lost when nothing is repeated.
 func FuzzEvents(f *testing.F) {
