--- a/transport/forward/attempt.go
+++ b/transport/forward/attempt.go
@@ -203,13 +203,22 @@
 	if t.reply.NotRun {
 		return t.turnedAway(stop)
 	}
-	x.g.count(x.workspaceName())
+	x.count()
 	if x.route.Kind == protocol.RouteStream && status >= 200 && status < 300 {
 		return t.stream(stop)
 	}
 	return t.whole(stop)
 }
 
+// count counts the request among those that began to run, once however often it is
+// sent.
+func (x *exchange) count() {
+	if !x.counted {
+		x.counted = true
+		x.g.count(x.workspaceName())
+	}
+}
+
 // turnedAway goes on after a server proved that it did not run the request.
 func (t *try) turnedAway(stop func() bool) *protocol.Refusal {
 	status := t.x.resp.StatusCode()
--- a/transport/forward/exchange.go
+++ b/transport/forward/exchange.go
@@ -38,12 +38,13 @@
 	start     time.Time
 	deadline  time.Time
 
-	placed protocol.PlaceReply // placed is the place that the leader gave for the current attempt.
-	state  resend.State
-	avoid  []string
-	events events
-	headed bool // headed says that the head of the answer was written.
-	server string
+	placed  protocol.PlaceReply // placed is the place that the leader gave for the current attempt.
+	state   resend.State
+	avoid   []string
+	events  events
+	counted bool // counted says that the request was counted as one that began to run.
+	headed  bool // headed says that the head of the answer was written.
+	server  string
 
 	first   time.Duration // first is from the start to the first byte of the answer.
 	pieceAt time.Time     // pieceAt is when the last events were passed on.
--- a/transport/forward/forward_test.go
+++ b/transport/forward/forward_test.go
@@ -613,6 +613,43 @@
 	}
 }
 
+// TestCountedOnce checks that a request that fails at one server and is sent to
+// another counts once in the usage reports, whatever ends it.
+func TestCountedOnce(t *testing.T) {
+	for name, c := range map[string]struct {
+		first func(c net.Conn, req *fasthttp.Request)
+		want  int64
+	}{
+		"answered at once":           {good, 1},
+		"failed, then answered":      {func(c net.Conn, _ *fasthttp.Request) { say(c, 500, "", "") }, 1},
+		"turned away, then answered": {full, 1},
+		"no answer, then answered":   {silent, 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			w := newWorld(t)
+			w.install(protocol.PathRoute{Kind: protocol.RouteRepeatable, Attempts: 2}, protocol.Tenancy{Name: "w", Keys: []string{"k"}})
+			var once sync.Once
+			serve := func(conn net.Conn, req *fasthttp.Request) {
+				serve := good
+				once.Do(func() { serve = c.first })
+				serve(conn, req)
+			}
+			w.backend("a", serve)
+			w.backend("b", serve)
+			if got := w.ask("Key: k"); got.status != 200 {
+				t.Fatalf("got %+v", got)
+			}
+			total := int64(0)
+			for _, row := range w.g.Report(1).Usage {
+				total += row.Count
+			}
+			if total != c.want {
+				t.Errorf("counted %d times, want %d", total, c.want)
+			}
+		})
+	}
+}
+
 // FuzzEvents checks over any pieces that only whole events pass, each id once and
 // rising, and that nothing is lost when nothing is repeated.
 func FuzzEvents(f *testing.F) {
