Gateways take a third less memory: small read buffers, a smaller heap

Cause: memory is priced at its peak, 14 MB a gateway. A connection's read buffer held the most that headers may have, 16 kB, and some 200 connections rest; the heap grew by 60 in 100 between collections.

TestLongHeaders fails without the growth.

--- a/cmd/weldstreamd/role.go
+++ b/cmd/weldstreamd/role.go
@@ -88,8 +88,9 @@
 	return n, len(faults) == 0
 }
 
-// gcPercent keeps the heap small: memory is dearer than the time to collect it.
-const gcPercent = 60
+// gcPercent keeps the heap small: memory is dearer than the time to collect it. With
+// 20 instead of 60 gateways took 3 in 100 more processor time and 4 of 14 MB less.
+const gcPercent = 20
 
 // memoryPart of what the process may take is what the heap may grow to.
 const memoryPart = 0.7
--- a/transport/caller/caller.go
+++ b/transport/caller/caller.go
@@ -126,9 +126,8 @@
 
 func (s *Server) run(conn net.Conn) {
 	defer s.active.Done()
-	limits := s.limits.Load()
 	c := &Conn{net: conn, stall: writeStall}
-	c.br = bufio.NewReaderSize(conn, limits.HeaderBytes)
+	c.br = bufio.NewReaderSize(conn, readBuffer)
 	c.bw = bufio.NewWriterSize(c, writeBuffer)
 	s.track(c, true)
 	defer func() {
@@ -142,7 +141,11 @@
 	}
 }
 
-const writeBuffer = 4 << 10
+const (
+	// readBuffer holds the headers of nearly all requests; see Conn.readHead.
+	readBuffer  = 4 << 10
+	writeBuffer = 4 << 10
+)
 
 func (s *Server) track(c *Conn, add bool) {
 	s.mu.Lock()
@@ -185,7 +188,7 @@
 	if c.net.SetReadDeadline(time.Now().Add(limits.HeaderTime)) != nil {
 		return -1, ""
 	}
-	if err := req.Header.Read(c.br); err != nil {
+	if err := c.readHead(req, limits.HeaderBytes); err != nil {
 		return readFault(err)
 	}
 	if c.net.SetReadDeadline(time.Now().Add(limits.BodyTime)) != nil {
--- a/transport/caller/caller_test.go
+++ b/transport/caller/caller_test.go
@@ -201,3 +201,20 @@
 		}
 	}
 }
+
+// TestLongHeaders checks that headers up to the limit are read whole, with the body
+// behind them and the request after it, and that longer ones are refused.
+func TestLongHeaders(t *testing.T) {
+	_, conn, _ := serve(t, echo)
+	br := bufio.NewReader(conn)
+	for _, size := range []int{100, readBuffer, DefaultLimits.HeaderBytes - 200, 100} {
+		_, _ = io.WriteString(conn, "POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\nLong: "+strings.Repeat("a", size)+"\r\n\r\nbody")
+		if status, got := read(t, br); status != 200 || got != "POST /x body" {
+			t.Errorf("%d bytes of headers: %d %q", size, status, got)
+		}
+	}
+	_, _ = io.WriteString(conn, "POST /x HTTP/1.1\r\nHost: h\r\nLong: "+strings.Repeat("a", DefaultLimits.HeaderBytes)+"\r\n\r\n")
+	if status, _ := read(t, br); status != fasthttp.StatusRequestHeaderFieldsTooLarge {
+		t.Errorf("headers beyond the limit got %d", status)
+	}
+}
--- a/transport/caller/conn.go
+++ b/transport/caller/conn.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"errors"
 	"io"
 	"net"
@@ -186,3 +187,21 @@
 	_, err := w.WriteString("\r\n")
 	return err
 }
+
+// readHead reads the headers of a request. They have to fit into the buffer, which
+// grows, once, to the most bytes that they may have: hundreds of connections rest at
+// a time, and few ever need that much.
+func (c *Conn) readHead(req *fasthttp.Request, most int) error {
+	err := req.Header.Read(c.br)
+	var small *fasthttp.ErrSmallBuffer
+	if !errors.As(err, &small) || c.br.Size() >= most {
+		return err
+	}
+	buffered, err := c.br.Peek(c.br.Buffered())
+	if err != nil {
+		return err
+	}
+	rest := io.MultiReader(bytes.NewReader(bytes.Clone(buffered)), c.net)
+	c.br = bufio.NewReaderSize(rest, most)
+	return req.Header.Read(c.br)
+}
