Replicas that were started together campaign in turn

Change: the first campaign after a start is put off by the replica's place among the members, a twentieth of an election timeout each; later ones are spread at random as before.

--- a/coordination/replicate/renew_test.go
+++ b/coordination/replicate/renew_test.go
@@ -92,3 +92,35 @@
 		t.Error("the first entry of the term was written without it")
 	}
 }
+
+// TestStartedTogether checks that of replicas that were started together the first of
+// the members that are up is elected, one election timeout after the start, and that
+// no two campaign at once.
+func TestStartedTogether(t *testing.T) {
+	now := time.Second
+	replicas := map[ID]*Replica{}
+	for _, id := range []ID{idB, idC} { // The first member is down.
+		replicas[id] = restarted(id, HardState{Term: 4}, now)
+	}
+	campaigns := 0
+	for end := now + 2*testConfig.Election; now < end && replicas[idB].role != Leader; now += time.Millisecond {
+		for _, id := range []ID{idC, idB} {
+			asked := sends(replicas[id].Update(TickMsg{Now: now}))
+			if len(asked) > 0 {
+				campaigns++
+			}
+			for len(asked) > 0 { // What is sent is answered at once.
+				m := asked[0].Message
+				asked = asked[1:]
+				if to := replicas[m.To]; to != nil {
+					asked = append(asked, sends(to.Update(StepMsg{Message: m, Now: now}))...)
+					asked = append(asked, sends(to.Update(SyncedMsg{}))...)
+				}
+			}
+		}
+	}
+	took := now - time.Second
+	if replicas[idB].role != Leader || campaigns != 1 || took > testConfig.Election+2*testConfig.Election/turnShare {
+		t.Errorf("%s after %v and %d campaigns", replicas[idB].role, took, campaigns)
+	}
+}
--- a/coordination/replicate/replicate.go
+++ b/coordination/replicate/replicate.go
@@ -24,6 +24,7 @@
 package replicate
 
 import (
+	"slices"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -167,7 +168,8 @@
 	r.commit = s.Snapshot.Index
 	r.stable = r.log.Last()
 	r.now, r.heardAt = s.Now, s.Now
-	r.resetElection(s.Rand)
+	r.spread = r.turn()
+	r.electionAt = r.now + r.cfg.Election + r.spread
 	r.resume()
 	return r
 }
@@ -221,9 +223,17 @@
 	}
 }
 
-func (r *Replica) resetElection(rnd uint64) {
-	r.spread = time.Duration(rnd % uint64(r.cfg.Election))
-	r.electionAt = r.now + r.cfg.Election + r.spread
+// turnShare of an election timeout is between the first campaigns of two replicas
+// that were started together: some round trips and syncs.
+const turnShare = 20
+
+// turn is by how much the first campaign after a start is put off. Replicas that were
+// started together campaign in the order of the members, the first of them at once,
+// so that no time is left for chance and two seldom split the votes; later campaigns
+// are spread at random, as this order may be the reason why one failed.
+func (r *Replica) turn() time.Duration {
+	place := max(0, slices.Index(r.log.Members().Voters, r.id))
+	return min(r.cfg.Election, time.Duration(place)*r.cfg.Election/turnShare)
 }
 
 // becomeFollower takes on a term. A new term has no vote yet.
