The field's terms in place of a few riddles

What a mature project would call so: SyncNow for Hurry, fresh for sure, startupWait for newsTime, Reported and Acknowledged for three meanings of Told, GatewayReport for place.Told, earlyAnswer for lastWords, unavailable for dry, targets for wants; comments say report and receive instead of tell.

--- a/cmd/weldstreamd/gateway.go
+++ b/cmd/weldstreamd/gateway.go
@@ -93,7 +93,7 @@
 		RetryWindow: n.Bounds.RetryWindow,
 		UsageWindow: n.Bounds.UsageWindow,
 		UsageDue:    n.Bounds.UsageDue,
-	}, platform.Dialect{}, forward.WithLogger(r.log), forward.WithRegistry(r.registry), forward.WithHurry(func() { g.client.Hurry() }),
+	}, platform.Dialect{}, forward.WithLogger(r.log), forward.WithRegistry(r.registry), forward.WithSyncNow(func() { g.client.SyncNow() }),
 		forward.WithPlace(func(m protocol.PlaceMsg) (protocol.PlaceReply, bool) { return g.client.Place(m) }))
 	g.server = caller.NewServer(g.forward)
 	seeds, err := r.peersOfSeeds(n)
@@ -163,8 +163,8 @@
 	ctx, cancel := context.WithDeadline(context.Background(), began.Add(grace-grace/lastPart))
 	defer cancel()
 	g.server.Wait(ctx)
-	g.client.Hurry() // The last counts are told.
-	time.Sleep(min(lastWords/4, grace/lastPart/2))
+	g.client.SyncNow() // The last counts are told.
+	time.Sleep(min(endTime/4, grace/lastPart/2))
 	g.log.Info().Dur("after", time.Since(began)).Int("connections", g.server.Conns()).Msg("stopping: done")
 }
 
--- a/cmd/weldstreamd/stop.go
+++ b/cmd/weldstreamd/stop.go
@@ -12,8 +12,8 @@
 	unreadyGrace = time.Second
 	// handOverTime is what a hand-over is given before an announced reclaim.
 	handOverTime = 3 * time.Second
-	// lastWords bounds what is left to do at the very end.
-	lastWords = time.Second
+	// endTime bounds what is left to do at the very end of a planned stop.
+	endTime = time.Second
 )
 
 // stopAfter waits for the order to stop, or for the platform's notice, and
@@ -63,7 +63,7 @@
 }
 
 func (d *daemon) shutdown() error {
-	ctx, cancel := context.WithTimeout(context.Background(), lastWords)
+	ctx, cancel := context.WithTimeout(context.Background(), endTime)
 	defer cancel()
 	if err := d.gateway.Shutdown(ctx); err != nil {
 		d.log.Warn().Err(err).Msg("stopping: connections are left")
--- a/coordination/place/cell.go
+++ b/coordination/place/cell.go
@@ -6,7 +6,7 @@
 )
 
 const (
-	// reportHalf is how long it takes for a told load to count half.
+	// reportHalf is how long it takes for a reported load to count half.
 	reportHalf = 2 * time.Second
 	// distrustFirst and distrustMost bound how long a server that failed is
 	// passed over.
@@ -14,7 +14,7 @@
 	distrustMost  = 6 * time.Second
 	// distrustAfter failures in a row a server is passed over.
 	distrustAfter = 2
-	// othersLast is how long the word of other gateways holds without being renewed.
+	// othersLast is how long a report of other gateways holds without being renewed.
 	othersLast = 800 * time.Millisecond
 	// rateWeight is the weight of the latest request in the rate of failures.
 	rateWeight = 0.15
@@ -22,17 +22,17 @@
 
 // Cell is one gateway's own knowledge of one server.
 type Cell struct {
-	mu       sync.Mutex // mu guards all below.
-	own      int        // own counts requests sent and not ended.
-	told     int        // told is the load that the server told last.
-	ownThen  int        // ownThen is own when it did.
-	toldAt   time.Time
-	failures int       // failures are in a row.
-	until    time.Time // until is how long the server is passed over.
-	byOthers time.Time // byOthers is how long it is on the word of other gateways.
-	reported int       // reported is own when it was last told to the leader.
-	pending  float64   // pending are prompts of mean length that it is still to read.
-	rate     float64   // rate is the part of the latest requests that failed.
+	mu          sync.Mutex // mu guards all below.
+	own         int        // own counts requests sent and not ended.
+	lastLoad    int        // lastLoad is the load that the server reported last, of all gateways.
+	lastLoadOwn int        // lastLoadOwn is own at that time.
+	lastLoadAt  time.Time
+	failures    int       // failures are in a row.
+	until       time.Time // until is how long the server is passed over.
+	byOthers    time.Time // byOthers is how long it is passed over because other gateways report failures.
+	ownReported int       // ownReported is own as it was last reported to the leader.
+	pending     float64   // pending are prompts of mean length that it has still to read.
+	rate        float64   // rate is the part of the latest requests that failed.
 }
 
 // Began notes a request that is sent.
@@ -60,18 +60,18 @@
 // Read notes that the server has read a prompt.
 func (c *Cell) Read(prompt float64) { c.Reads(-prompt) }
 
-// Pending returns the prompts of mean length that the server is still to read.
+// Pending returns the prompts of mean length that the server has still to read.
 func (c *Cell) Pending() float64 {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	return c.pending
 }
 
-// Told notes what the server said of its load: the requests that run there and
+// ReportedLoad notes what the server reported of its load: the requests that run there and
 // wait there, of all gateways.
-func (c *Cell) Told(load int, now time.Time) {
+func (c *Cell) ReportedLoad(load int, now time.Time) {
 	c.mu.Lock()
-	c.told, c.ownThen, c.toldAt = load, c.own, now
+	c.lastLoad, c.lastLoadOwn, c.lastLoadAt = load, c.own, now
 	c.mu.Unlock()
 }
 
@@ -80,7 +80,7 @@
 func (c *Cell) report() int {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.reported = c.own
+	c.ownReported = c.own
 	return c.own
 }
 
@@ -90,7 +90,7 @@
 func (c *Cell) shared(load int, distrusted bool, now time.Time) (since bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.told, c.ownThen, c.toldAt = load, c.reported, now
+	c.lastLoad, c.lastLoadOwn, c.lastLoadAt = load, c.ownReported, now
 	since = distrusted && !now.Before(c.byOthers)
 	c.byOthers = time.Time{}
 	if distrusted {
@@ -99,7 +99,7 @@
 	return since
 }
 
-// distrusts reports whether the server is passed over by this gateway's own word.
+// distrusts reports whether the server is passed over for failures that this gateway saw itself.
 func (c *Cell) distrusts(now time.Time) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -156,15 +156,15 @@
 func (c *Cell) suspect(now time.Time) bool { return now.Before(c.until) || now.Before(c.byOthers) }
 
 // load estimates how many requests the server has, tells the part of its latest
-// requests that failed, and reports whether it is to be passed over. What it told
+// requests that failed, and reports whether it is to be passed over. What it reported
 // of its load fades as it grows old.
 func (c *Cell) load(now time.Time) (load, failing float64, suspect bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	load = float64(c.own)
-	if !c.toldAt.IsZero() {
-		age := float64(now.Sub(c.toldAt)) / float64(reportHalf)
-		others := float64(max(0, c.told-c.ownThen)) / (1 + age)
+	if !c.lastLoadAt.IsZero() {
+		age := float64(now.Sub(c.lastLoadAt)) / float64(reportHalf)
+		others := float64(max(0, c.lastLoad-c.lastLoadOwn)) / (1 + age)
 		load += others
 	}
 	return load, c.rate, c.suspect(now)
--- a/coordination/place/cell_test.go
+++ b/coordination/place/cell_test.go
@@ -49,7 +49,7 @@
 	var c Cell
 	c.Began()
 	c.Began()
-	c.Told(8, start) // Two are this gateway's.
+	c.ReportedLoad(8, start) // Two are this gateway's.
 	c.Ended()
 	for age, want := range map[time.Duration]float64{0: 7, reportHalf: 4} {
 		if got, _, _ := c.load(start.Add(age)); got != want {
--- a/coordination/place/lane.go
+++ b/coordination/place/lane.go
@@ -35,7 +35,7 @@
 	read float64 // read are the tokens of a mean prompt that a server has to read.
 	long float64 // long are those of them that are in long prompts.
 
-	// agreed are those of all gateways, if they were told.
+	// agreed are those of all gateways, if they were received.
 	agreed LaneTerms
 }
 
--- a/coordination/place/ledger.go
+++ b/coordination/place/ledger.go
@@ -60,8 +60,8 @@
 // stay is one request at a server.
 type stay struct {
 	server string
-	reads  time.Time // reads is when its prompt is read, as far as can be told.
-	ends   time.Time // ends is when it ends, as far as can be told.
+	reads  time.Time // reads is when its prompt is estimated to be read.
+	ends   time.Time // ends is when it is estimated to end.
 	tokens int       // tokens are those to read.
 	answer int
 	alone  bool // alone says that nothing else was to be read before it.
@@ -295,7 +295,7 @@
 	delete(l.servers[st.server].stays, number)
 }
 
-// forgetAfter its expected end a request whose end was never told is dropped.
+// forgetAfter its expected end a request whose end was never reported is dropped.
 const forgetAfter = 2 * time.Second
 
 func (l *Ledger) forget(now time.Time) {
--- a/coordination/place/ledger_test.go
+++ b/coordination/place/ledger_test.go
@@ -108,7 +108,7 @@
 		}, false},
 		"it fails": {500, func(l *Ledger, list []protocol.Instance, i int) []protocol.Instance {
 			for _, gateway := range []string{"g", "h"} {
-				l.loads.Take(gateway, Told{Domain: "a", Distrusts: []string{list[i].ID}})
+				l.loads.Take(gateway, GatewayReport{Domain: "a", Distrusts: []string{list[i].ID}})
 			}
 			return list
 		}, false},
--- a/coordination/place/loads.go
+++ b/coordination/place/loads.go
@@ -8,17 +8,17 @@
 )
 
 // Loads adds up what all gateways know of the servers: how many requests each has,
-// and who distrusts it. With many gateways each one sees a server's own word of
+// and who distrusts it. With many gateways each one sees a server's own report of
 // its load too seldom to choose by it, and each would find out by itself, with its
 // callers' requests, that a server fails.
 type Loads struct {
 	totals    map[string]int
 	distrusts map[string]map[string]int // distrusts count gateways, by server and the gateways' domain.
-	gateways  map[string]Told
+	gateways  map[string]GatewayReport
 }
 
-// Told is what one gateway knows of the servers.
-type Told struct {
+// GatewayReport is what one gateway knows of the servers.
+type GatewayReport struct {
 	Domain    string                // Domain is the gateway's.
 	Running   []protocol.ServerLoad // Running are its requests under way.
 	Distrusts []string              // Distrusts are servers that it passes over.
@@ -26,11 +26,11 @@
 
 // NewLoads returns loads of which nothing is known.
 func NewLoads() *Loads {
-	return &Loads{totals: map[string]int{}, distrusts: map[string]map[string]int{}, gateways: map[string]Told{}}
+	return &Loads{totals: map[string]int{}, distrusts: map[string]map[string]int{}, gateways: map[string]GatewayReport{}}
 }
 
-// Take notes what one gateway knows, in place of what it told before.
-func (l *Loads) Take(gateway string, t Told) {
+// Take notes what one gateway knows, in place of its report before.
+func (l *Loads) Take(gateway string, t GatewayReport) {
 	l.Drop(gateway)
 	l.gateways[gateway] = t
 	for _, r := range t.Running {
@@ -70,7 +70,7 @@
 const leastVoices = 2
 
 // Distrusted reports whether the gateways of a domain are to pass a server over.
-// One gateway's word is never enough, as the fault may be its own; nor is that of
+// The report of one gateway is never enough, as the fault may be its own; nor is that of
 // another domain alone, which may have lost its path to the server.
 func (l *Loads) Distrusted(server, domain string) bool {
 	domains := l.distrusts[server]
@@ -81,7 +81,7 @@
 func (l *Loads) Of(server string) int { return l.totals[server] }
 
 // Pack returns the loads of some servers, in their order, a byte each; more than
-// fit into one are told as the most that do.
+// fit into one are reported as the most that do.
 func (l *Loads) Pack(servers []string) []byte {
 	packed := make([]byte, len(servers))
 	for i, id := range servers {
@@ -114,7 +114,7 @@
 }
 
 // Running returns the requests that this gateway has under way, and remembers
-// which they are: loads that are told later hold them.
+// which they are: loads that are received later include them.
 func (v *View) Running() []protocol.ServerLoad {
 	if v == nil {
 		return nil
--- a/coordination/place/place.go
+++ b/coordination/place/place.go
@@ -2,7 +2,7 @@
 // came by host and path.
 //
 // A [View] is an immutable snapshot of the servers; each has a [Cell] with this
-// gateway's own counts and the load that the server told last. [Choose] is a
+// gateway's own counts and the load that the server reported last. [Choose] is a
 // function of both and of a message: it holds no clock and sends nothing.
 //
 // Two aims pull apart. Requests that share the first parts of a prompt should
--- a/coordination/quota/quota.go
+++ b/coordination/quota/quota.go
@@ -43,7 +43,7 @@
 	debt = 600 * time.Millisecond
 	// changeTime is how long nobody grants anything while the coordinator changes.
 	changeTime = 300 * time.Millisecond
-	// leastWait is the least time after which a gateway is told to come back.
+	// leastWait is the least time after which a gateway may ask again.
 	leastWait = time.Millisecond
 )
 
--- a/coordination/scale/scale.go
+++ b/coordination/scale/scale.go
@@ -68,8 +68,8 @@
 	// unfilledAfter an order that was taken it is sent again if the servers are not
 	// there: the platform may have had no room for all of them.
 	unfilledAfter = 8 * time.Second
-	// dryFor after a refused order no reclaimable servers are taken to be had.
-	dryFor = 3 * time.Second
+	// refusedFor after a refused order reclaimable servers count as unavailable.
+	refusedFor = 3 * time.Second
 	// shrinkAfter is how long fewer servers have been enough before some go.
 	shrinkAfter = 6 * time.Second
 )
@@ -120,7 +120,7 @@
 		p.expect(s.Spec.Name, domains, now)
 	}
 	need, least := p.need(s, now)
-	wantReclaimable, wantFull := wants(s.Spec.Scaling, domains, need, least, p.dry(s.Spec.Name, now))
+	wantReclaimable, wantFull := targets(s.Spec.Scaling, domains, need, least, p.unavailable(s.Spec.Name, now))
 	var orders []Order
 	for i, d := range domains {
 		orders = p.order(orders, s.Spec.Name, d, wantReclaimable[i], true, now)
@@ -202,21 +202,21 @@
 	return domains
 }
 
-// dry reports whether reclaimable servers of a service were refused lately.
-func (p *Planner) dry(service string, now time.Time) bool {
+// unavailable reports whether reclaimable servers of a service were refused lately.
+func (p *Planner) unavailable(service string, now time.Time) bool {
 	for key, last := range p.orders {
-		if key.Service == service && key.Reclaimable && last.refused && now.Sub(last.at) < dryFor {
+		if key.Service == service && key.Reclaimable && last.refused && now.Sub(last.at) < refusedFor {
 			return true
 		}
 	}
 	return false
 }
 
-// wants returns how many servers of either kind each domain is to have. While
+// targets returns how many servers of either kind each domain is to have. While
 // there are no reclaimable ones to be had, those at the full price also make up
 // for the domain whose reclaimable ones are the most: it may be the next to lose
 // them, and then it would be too late.
-func wants(spec *protocol.ScalingSpec, domains []domainState, need, least int, dry bool) (reclaimable, full []int) {
+func targets(spec *protocol.ScalingSpec, domains []domainState, need, least int, unavailable bool) (reclaimable, full []int) {
 	n := len(domains)
 	reclaimable, full = make([]int, n), make([]int, n)
 	if n == 0 {
@@ -228,7 +228,7 @@
 		serving += domains[i].reclaimable
 		risk = max(risk, domains[i].reclaimable)
 	}
-	if dry {
+	if unavailable {
 		serving -= risk
 	}
 	for i, d := range domains {
--- a/coordination/usage/clock.go
+++ b/coordination/usage/clock.go
@@ -31,7 +31,7 @@
 // Agreed takes the time of day that most instances agree on.
 func (c *Clock) Agreed(at time.Time, since time.Duration) {
 	if at.IsZero() {
-		return // Nobody told any.
+		return // None was received.
 	}
 	c.shift = at.Sub(c.Own(since))
 	if c.shift.Abs() < farOff {
--- a/coordination/usage/usage.go
+++ b/coordination/usage/usage.go
@@ -3,7 +3,7 @@
 //
 // A [Counter] counts on a gateway. A [Ledger], on the control instance that
 // leads, adds the gateways' counts up. Counts are totals since the gateway's
-// start and are told again until a leader has them, so a lost or doubled message
+// start and are reported again until a leader has them, so a lost or doubled message
 // does no harm. What is reported for a window is settled in the replicated log
 // first; see protocol.SettleMsg.
 package usage
@@ -34,17 +34,17 @@
 
 // Counter counts on one gateway.
 type Counter struct {
-	length time.Duration
-	kept   int64 // kept is for how many windows counts are told again.
-	counts map[key]int64
-	told   map[key]int64
-	term   uint64 // term is of the leader that told counts were told to.
+	length       time.Duration
+	kept         int64 // kept is for how many windows counts are reported again.
+	counts       map[key]int64
+	acknowledged map[key]int64
+	term         uint64 // term is of the leader that acknowledged counts were reported to.
 }
 
 // NewCounter returns a counter of windows with a length, which tells its counts
 // for as long as a report is not due.
 func NewCounter(length, due time.Duration) *Counter {
-	return &Counter{length: length, kept: int64(due/length) + 2, counts: map[key]int64{}, told: map[key]int64{}}
+	return &Counter{length: length, kept: int64(due/length) + 2, counts: map[key]int64{}, acknowledged: map[key]int64{}}
 }
 
 // Began notes that a request of a workspace began to run.
@@ -57,7 +57,7 @@
 	c.forget(Window(now, c.length) - c.kept)
 	var rows []protocol.UsageRow
 	for k, n := range c.counts {
-		if c.term == term && c.told[k] == n {
+		if c.term == term && c.acknowledged[k] == n {
 			continue
 		}
 		rows = append(rows, protocol.UsageRow{Window: k.window, Workspace: k.workspace, Count: n})
@@ -71,11 +71,11 @@
 	return rows
 }
 
-// Told notes that the leader of a term has the rows.
-func (c *Counter) Told(term uint64, rows []protocol.UsageRow) {
+// Acknowledged notes that the leader of a term has the rows.
+func (c *Counter) Acknowledged(term uint64, rows []protocol.UsageRow) {
 	c.term = term // Rows gave all counts to a leader of another term.
 	for _, r := range rows {
-		c.told[key{r.Window, r.Workspace}] = r.Count
+		c.acknowledged[key{r.Window, r.Workspace}] = r.Count
 	}
 }
 
@@ -83,7 +83,7 @@
 	for k := range c.counts {
 		if k.window < before {
 			delete(c.counts, k)
-			delete(c.told, k)
+			delete(c.acknowledged, k)
 		}
 	}
 }
--- a/coordination/usage/usage_test.go
+++ b/coordination/usage/usage_test.go
@@ -29,7 +29,7 @@
 			rows := counters[name].Rows(term, now)
 			ledger.Take(name, 1, rows)
 			if !lost {
-				counters[name].Told(term, rows)
+				counters[name].Acknowledged(term, rows)
 			}
 		}
 		now := start
--- a/transport/backend/backend.go
+++ b/transport/backend/backend.go
@@ -76,7 +76,7 @@
 	}
 	if len(req.Body()) < bodyAlone {
 		if err := c.send(req); err != nil {
-			return false, c.lastWords(resp, err)
+			return false, c.earlyAnswer(resp, err)
 		}
 		return false, c.Head(resp)
 	}
@@ -105,9 +105,9 @@
 	return eris.Wrap(c.bw.Flush(), "write request")
 }
 
-// lastWords reads what a server said before it closed its side under the
+// earlyAnswer reads an answer that a server sent before it closed its side under the
 // request. Without an answer the write's error stands.
-func (c *Conn) lastWords(resp *fasthttp.Response, failed error) error {
+func (c *Conn) earlyAnswer(resp *fasthttp.Response, failed error) error {
 	if !c.Wrote() || c.Head(resp) != nil {
 		return failed
 	}
--- a/transport/control/control.go
+++ b/transport/control/control.go
@@ -11,7 +11,7 @@
 //     leader waits out the former one's lease before its first call, and asks in
 //     the instant before each call whether its own still runs.
 //
-// What the leader holds beside the log is told again by the gateways within a
+// What the leader holds beside the log is reported again by the gateways within a
 // second. Counts of usage are logged besides, as a loss of power takes both.
 package control
 
@@ -34,7 +34,7 @@
 	Propose(ctx context.Context, c protocol.Command) (protocol.Result, error)
 }
 
-// Source is the platform's API in the product's words.
+// Source is the platform's API in the product's terms.
 type Source interface {
 	// List returns all backend servers, and how many calls that took, also where
 	// it fails.
--- a/transport/control/history.go
+++ b/transport/control/history.go
@@ -3,11 +3,11 @@
 import "github.com/weldstream/weldstream/protocol"
 
 // historyKept is how many versions of the list a gateway may be behind and still
-// be told the changes only.
+// be sent the changes only.
 const historyKept = 64
 
 // history keeps what changed between the versions of the list: whole lists of a
-// large fleet, told to every gateway at each change, would fill the leader's link.
+// large fleet, sent to every gateway at each change, would fill the leader's link.
 type history struct {
 	steps []step // steps are in the order of their versions.
 }
--- a/transport/control/uplink.go
+++ b/transport/control/uplink.go
@@ -51,7 +51,7 @@
 	common   common
 }
 
-// common is what all gateways are told alike.
+// common is the part of the answers that is the same for all gateways.
 type common struct {
 	at       time.Time
 	loads    []byte
@@ -63,7 +63,7 @@
 // several at once.
 const commonKept = 10 * time.Millisecond
 
-// gateway is what a gateway told last.
+// gateway is the last report of a gateway.
 type gateway struct {
 	at       time.Time
 	pressure []protocol.Pressure
@@ -197,7 +197,7 @@
 	}
 	u.gateways[m.Gateway] = g
 	u.ledger.Take(m.Gateway, m.Life, m.Usage)
-	u.loads.Take(m.Gateway, place.Told{Domain: m.Domain, Running: m.Running, Distrusts: m.Distrusts})
+	u.loads.Take(m.Gateway, place.GatewayReport{Domain: m.Domain, Running: m.Running, Distrusts: m.Distrusts})
 	for _, d := range m.Done {
 		if d.Term == term {
 			u.places.Done(place.DoneMsg{Number: d.Number, First: d.First, Took: d.Took})
@@ -320,7 +320,7 @@
 	return u.agreed(time.Now())
 }
 
-// renewCommon makes anew what all gateways are told alike, if it is too old. It
+// renewCommon makes the common part of the answers anew if it is too old. It
 // needs u.mu.
 func (u *Uplink) renewCommon(now time.Time) {
 	if u.common.distrust != nil && now.Sub(u.common.at) <= commonKept {
@@ -377,7 +377,7 @@
 }
 
 // sameServers reports whether two lists say the same. How much longer a server
-// is slow from its start is told only when it begins and ends.
+// is slow from its start is reported only when it begins and ends.
 func sameServers(a, b []protocol.Instance) bool {
 	if len(a) != len(b) {
 		return false
@@ -419,7 +419,7 @@
 	Slow  int64
 }
 
-// Loads adds up what all gateways told.
+// Loads adds up the reports of all gateways.
 func (u *Uplink) Loads() map[string]Load {
 	u.mu.Lock()
 	defer u.mu.Unlock()
--- a/transport/forward/attempt.go
+++ b/transport/forward/attempt.go
@@ -52,9 +52,9 @@
 		x.distrust(server, true)
 		return x.failed(protocol.NotRun, false, "the server cannot be reached: "+err.Error())
 	}
-	if x.workspace != nil && !x.route.Open && !x.g.sure() {
+	if x.workspace != nil && !x.route.Open && !x.g.fresh() {
 		conn.Close()
-		return unsure()
+		return staleCatalog()
 	}
 	x.log.Info().Str("server", server.ID).Str("domain", server.Domain).Int("outstanding", server.Cell.Outstanding()).Bool("placed", x.placed.Server != "").
 		Uint8("lane", uint8(x.lane)).Int("sent", x.state.Sent).Bool("kept", conn.Used()).Int64("left", x.left().Milliseconds()).Msg("attempt")
@@ -194,7 +194,7 @@
 func (t *try) answered(stop func() bool) *protocol.Refusal {
 	x, status := t.x, t.x.resp.StatusCode()
 	if t.reply.HasLoad {
-		t.server.Cell.Told(t.reply.Load, time.Now())
+		t.server.Cell.ReportedLoad(t.reply.Load, time.Now())
 	}
 	if t.reply.ID != "" && t.reply.ID != x.call.ID {
 		t.conn.Close()
--- a/transport/forward/dialect.go
+++ b/transport/forward/dialect.go
@@ -40,7 +40,7 @@
 	NotRun  bool          // NotRun says that the server proved not to have run it.
 	Foreign bool          // Foreign says that another server has the address.
 	Load    int           // Load are the requests that run and wait there.
-	HasLoad bool          // HasLoad says that Load was told.
+	HasLoad bool          // HasLoad says that Load was reported.
 	Keeps   time.Duration // Keeps is how long the connection may rest; 0 where it is not said.
 	Close   bool          // Close says that the server ends the connection.
 	Encoded bool          // Encoded says that the body is not what the server made.
--- a/transport/forward/exchange.go
+++ b/transport/forward/exchange.go
@@ -147,8 +147,8 @@
 	if x.route.Open {
 		return nil
 	}
-	if !x.g.await(x.ctx, x.g.sure, x.patience()) {
-		return unsure()
+	if !x.g.await(x.ctx, x.g.fresh, x.patience()) {
+		return staleCatalog()
 	}
 	x.index = x.g.index.Load() // It may be a newer one by now.
 	x.workspace = x.index.Workspace(x.call.Secret)
@@ -163,12 +163,12 @@
 func (x *exchange) patience() time.Duration {
 	const part = 4
 	if x.call.Remaining <= 0 {
-		return newsTime
+		return startupWait
 	}
 	return x.call.Remaining / part
 }
 
-func unsure() *protocol.Refusal {
+func staleCatalog() *protocol.Refusal {
 	return protocol.NewRefusal(protocol.StatusServiceUnavailable, protocol.CodeNoQuorum, "the configuration is not confirmed").WithRetryAfter(time.Second)
 }
 
--- a/transport/forward/forward.go
+++ b/transport/forward/forward.go
@@ -54,7 +54,7 @@
 	log     zerolog.Logger
 	meters  *meters
 	pool    *backend.Pool
-	hurry   func() // hurry has the control role asked at once.
+	syncNow func() // syncNow has the control role asked at once.
 	place   func(protocol.PlaceMsg) (protocol.PlaceReply, bool)
 
 	index     atomic.Pointer[Index]
@@ -72,7 +72,7 @@
 	counter   *usage.Counter
 	clock     *usage.Clock
 	pressure  map[string]*pressure
-	done      []protocol.PlaceDone // done are placed requests whose end is to be told.
+	done      []protocol.PlaceDone // done are placed requests whose end is to be reported.
 }
 
 // Option changes a new gateway.
@@ -84,8 +84,8 @@
 // WithRegistry sets the registry of the gateway's meters.
 func WithRegistry(r metrics.Registry) Option { return func(g *Gateway) { g.meters = newMeters(r) } }
 
-// WithHurry sets what has the control role asked at once.
-func WithHurry(f func()) Option { return func(g *Gateway) { g.hurry = f } }
+// WithSyncNow sets what has the control role asked at once.
+func WithSyncNow(f func()) Option { return func(g *Gateway) { g.syncNow = f } }
 
 // WithPlace sets what finds a server for a long prompt; without it the gateway
 // chooses by itself.
@@ -104,7 +104,7 @@
 		dialect:   d,
 		log:       zerolog.Nop(),
 		pool:      backend.NewPool(dialTime),
-		hurry:     func() {},
+		syncNow:   func() {},
 		place:     func(protocol.PlaceMsg) (protocol.PlaceReply, bool) { return protocol.PlaceReply{}, false },
 		began:     now,
 		clock:     usage.NewClock(now),
@@ -178,15 +178,15 @@
 	g.news = make(chan struct{})
 }
 
-// newsTime is how long a request waits for a gateway that has just started, or
+// startupWait is how long a request waits for a gateway that has just started, or
 // woken up, to hear from the control role: less than a caller that is told to
 // come back would be away.
-const newsTime = 800 * time.Millisecond
+const startupWait = 800 * time.Millisecond
 
 // await waits until the gateway can serve, for as long as that is worth it, and
 // reports whether it can.
 func (g *Gateway) await(ctx context.Context, ready func() bool, limit time.Duration) bool {
-	end := time.NewTimer(min(limit, newsTime))
+	end := time.NewTimer(min(limit, startupWait))
 	defer end.Stop()
 	for {
 		g.mu.Lock()
@@ -218,8 +218,8 @@
 // revokePart of the bound on taken keys is left for clocks that run unevenly.
 const revokePart = 12
 
-// sure reports whether keys may be trusted right now.
-func (g *Gateway) sure() bool {
+// fresh reports whether the catalog was confirmed recently enough for keys to be trusted.
+func (g *Gateway) fresh() bool {
 	if g.cfg.Revoke == 0 {
 		return true
 	}
@@ -230,7 +230,7 @@
 // Ready reports whether the gateway can serve.
 func (g *Gateway) Ready() bool {
 	_, confirmed := g.Age()
-	return confirmed && g.known() && g.sure()
+	return confirmed && g.known() && g.fresh()
 }
 
 const (
--- a/transport/forward/forward_test.go
+++ b/transport/forward/forward_test.go
@@ -500,10 +500,10 @@
 	w := newWorld(t)
 	w.install(protocol.PathRoute{Attempts: 1}, protocol.Tenancy{Name: "w", Keys: []string{"k"}, Rate: 10, Burst: 10})
 	a := w.backend("a", good)
-	w.g.hurry = func() {
+	w.g.syncNow = func() {
 		w.g.cfg.Revoke = time.Nanosecond // The confirmation is too old from here on.
 		m := w.g.Report(1)
-		w.g.Told(&m, &protocol.SyncReply{Term: 1, Grants: []protocol.QuotaGrant{{Workspace: "w", Units: 1, Lasts: time.Minute}}}, time.Now())
+		w.g.Reported(&m, &protocol.SyncReply{Term: 1, Grants: []protocol.QuotaGrant{{Workspace: "w", Units: 1, Lasts: time.Minute}}}, time.Now())
 	}
 	if got := w.ask("Key: k"); got.status != 503 || got.verdict != "not-run" || a.runs.Load() > 0 {
 		t.Errorf("got %+v after %d runs", got, a.runs.Load())
@@ -545,10 +545,10 @@
 	w.install(protocol.PathRoute{Attempts: 1}, protocol.Tenancy{Name: "w", Keys: []string{"k"}, Rate: 10, Burst: 10})
 	w.backend("a", good)
 	units := 1.0
-	w.g.hurry = func() {
+	w.g.syncNow = func() {
 		go func() {
 			m := w.g.Report(1)
-			w.g.Told(&m, &protocol.SyncReply{Term: 1, Grants: []protocol.QuotaGrant{{Workspace: "w", Units: units, Lasts: time.Minute, Wait: time.Second}}}, time.Now())
+			w.g.Reported(&m, &protocol.SyncReply{Term: 1, Grants: []protocol.QuotaGrant{{Workspace: "w", Units: units, Lasts: time.Minute, Wait: time.Second}}}, time.Now())
 		}()
 	}
 	if got := w.ask("Key: k"); got.status != 200 {
@@ -680,7 +680,7 @@
 	w := newWorld(t)
 	m := w.g.Report(1)
 	ahead := 5 * w.g.cfg.UsageWindow
-	w.g.Told(&m, &protocol.SyncReply{Term: 1, Clock: m.Clock.Add(ahead)}, time.Now())
+	w.g.Reported(&m, &protocol.SyncReply{Term: 1, Clock: m.Clock.Add(ahead)}, time.Now())
 	before := w.g.clock.Now(time.Since(w.g.began))
 	w.g.count("w")
 	report := w.g.Report(1)
--- a/transport/forward/limits.go
+++ b/transport/forward/limits.go
@@ -125,7 +125,7 @@
 		case quota.Denied:
 			return overQuota(wait)
 		case quota.Ask:
-			g.hurry()
+			g.syncNow()
 		}
 		select {
 		case <-granted:
@@ -169,11 +169,11 @@
 	return m
 }
 
-// Told notes that the leader has a report, and what it answered of quotas.
-func (g *Gateway) Told(m *protocol.SyncMsg, reply *protocol.SyncReply, asked time.Time) {
+// Reported notes that the leader has a report, and what it answered of quotas.
+func (g *Gateway) Reported(m *protocol.SyncMsg, reply *protocol.SyncReply, asked time.Time) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.counter.Told(reply.Term, m.Usage)
+	g.counter.Acknowledged(reply.Term, m.Usage)
 	g.allowance.Short(reply.Short)
 	g.clock.Agreed(reply.Clock, time.Since(g.began))
 	if len(m.Wants) == 0 {
--- a/transport/limits.go
+++ b/transport/limits.go
@@ -22,9 +22,9 @@
 const (
 	// askTimeout bounds one question to a coordinator.
 	askTimeout = time.Second
-	// hurryPart is the part of the interval that passes between two questions
+	// leastPart is the part of the interval that passes between two questions
 	// even while requests wait: else a crowd of them would ask without a pause.
-	hurryPart = 4
+	leastPart = 4
 )
 
 // Limits drives a [limit.Limiter] for each pool that this instance's callers use,
@@ -80,7 +80,7 @@
 	for {
 		l.round(ctx)
 		whole := limit.Interval(l.instances())
-		least := whole / hurryPart
+		least := whole / leastPart
 		if !pause.For(ctx, least) || !pause.Until(ctx, whole-least, l.kick) {
 			return nil
 		}
@@ -223,13 +223,13 @@
 	g.waiting[m.ID] = ch
 	g.carryOut(g.Update(m))
 	if g.waiting[m.ID] != nil {
-		l.hurry()
+		l.askNow()
 	}
 	return ch, func() { l.leave(g, m.ID) }
 }
 
-// hurry asks for a round now, since somebody waits.
-func (l *Limits) hurry() {
+// askNow has a round asked now, since somebody waits.
+func (l *Limits) askNow() {
 	select {
 	case l.kick <- struct{}{}:
 	default:
--- a/transport/limits_test.go
+++ b/transport/limits_test.go
@@ -35,10 +35,10 @@
 	defer arrivals.Stop()
 	for l.asks.Load() < enough {
 		<-arrivals.C
-		l.hurry()
+		l.askNow()
 	}
 	asks := l.asks.Load()
-	most := int64(time.Since(began)/(limit.Interval(1)/hurryPart)) + 1
+	most := int64(time.Since(began)/(limit.Interval(1)/leastPart)) + 1
 	stop()
 	<-done
 	if asks > most {
--- a/transport/uplink/uplink.go
+++ b/transport/uplink/uplink.go
@@ -33,8 +33,8 @@
 type Gateway interface {
 	// Report returns what the gateway tells the leader of a term.
 	Report(term uint64) protocol.SyncMsg
-	// Told notes that the leader has a report, and what it answered of quotas.
-	Told(m *protocol.SyncMsg, reply *protocol.SyncReply, asked time.Time)
+	// Reported notes that the leader has a report, and what it answered of quotas.
+	Reported(m *protocol.SyncMsg, reply *protocol.SyncReply, asked time.Time)
 	// Document takes a document that is newer than the one in force.
 	Document(number uint64, data []byte) error
 	// SetServers takes the list of backend servers.
@@ -63,11 +63,11 @@
 	// leaderTime bounds a question for the leader: an instance that knows none keeps
 	// it for a while.
 	leaderTime = time.Second
-	// silentFor is how long a leader that did not answer is not taken for one on
-	// another's word: by then a group that can has elected another.
+	// silentFor is how long a leader that did not answer is not taken for one
+	// because another instance names it: by then a group that can has elected another.
 	silentFor = time.Second
-	// hurryPause is the least time between two questions.
-	hurryPause = 15 * time.Millisecond
+	// leastPause is the least time between two questions.
+	leastPause = 15 * time.Millisecond
 )
 
 // Client is a gateway's link to the control role.
@@ -77,7 +77,7 @@
 	unpack  func([]byte) ([]protocol.Instance, error)
 	log     zerolog.Logger
 	life    uint64
-	hurry   chan struct{}
+	syncNow chan struct{}
 
 	mu       sync.Mutex // mu guards all up to the loop's own.
 	seeds    []string
@@ -93,7 +93,7 @@
 	term     uint64
 	lister   uint64
 	version  uint64
-	servers  map[string]protocol.Instance // servers are the list as it was told last.
+	servers  map[string]protocol.Instance // servers are the list as it was received last.
 	gateways int
 	linked   bool
 }
@@ -101,7 +101,7 @@
 // New returns a client that is not running. The seeds are peer addresses; unpack
 // reads a whole list.
 func New(c Caller, g Gateway, seeds []string, unpack func([]byte) ([]protocol.Instance, error), log zerolog.Logger) *Client {
-	return &Client{caller: c, gateway: g, seeds: seeds, unpack: unpack, servers: map[string]protocol.Instance{}, asking: map[string]bool{}, found: make(chan string, 1), log: log, life: rand.Uint64(), hurry: make(chan struct{}, 1)}
+	return &Client{caller: c, gateway: g, seeds: seeds, unpack: unpack, servers: map[string]protocol.Instance{}, asking: map[string]bool{}, found: make(chan string, 1), log: log, life: rand.Uint64(), syncNow: make(chan struct{}, 1)}
 }
 
 // SetSeeds takes other seeds, for the next search.
@@ -111,10 +111,10 @@
 	c.seeds = seeds
 }
 
-// Hurry has the leader asked at once.
-func (c *Client) Hurry() {
+// SyncNow has the leader asked at once.
+func (c *Client) SyncNow() {
 	select {
-	case c.hurry <- struct{}{}:
+	case c.syncNow <- struct{}{}:
 	default:
 	}
 }
@@ -123,7 +123,7 @@
 func (c *Client) Run(ctx context.Context) error {
 	for ctx.Err() == nil {
 		began := time.Now()
-		most := hurryPause
+		most := leastPause
 		if c.step(ctx) {
 			most = askEvery(c.gateways)
 		}
@@ -205,12 +205,12 @@
 	return max(every, time.Duration(gateways)*everyMember)
 }
 
-// wait lets a time pass since the last question, or less if somebody is in a hurry.
+// wait lets a time pass since the last question, or less if SyncNow was called.
 func (c *Client) wait(ctx context.Context, began time.Time, most time.Duration) {
-	if left := hurryPause - time.Since(began); left > 0 {
+	if left := leastPause - time.Since(began); left > 0 {
 		pause.For(ctx, left)
 	}
-	pause.Until(ctx, most-time.Since(began), c.hurry)
+	pause.Until(ctx, most-time.Since(began), c.syncNow)
 }
 
 // ask asks the instance that is taken for the leader, and reports whether it is.
@@ -257,7 +257,7 @@
 		c.lister, c.version = reply.Lister, reply.Version
 	}
 	c.gateway.Confirm(asked, reply.Gateways)
-	c.gateway.Told(m, reply, asked)
+	c.gateway.Reported(m, reply, asked)
 	c.gateway.Agree(reply.Lanes)
 	if len(reply.Loads) > 0 && !reply.Listed {
 		c.gateway.Share(reply.Loads, reply.Distrusted)
@@ -270,7 +270,7 @@
 	return true
 }
 
-// list returns the whole list behind an answer that told all of it or what changed.
+// list returns the whole list behind an answer with all of it or with what changed.
 func (c *Client) list(reply *protocol.SyncReply) ([]protocol.Instance, error) {
 	changed := reply.Servers
 	if len(reply.List) > 0 {
--- a/transport/uplink/uplink_test.go
+++ b/transport/uplink/uplink_test.go
@@ -67,8 +67,8 @@
 	bad       bool
 }
 
-func (g *fakeGateway) Report(uint64) protocol.SyncMsg                         { return protocol.SyncMsg{Number: g.number} }
-func (g *fakeGateway) Told(*protocol.SyncMsg, *protocol.SyncReply, time.Time) {}
+func (g *fakeGateway) Report(uint64) protocol.SyncMsg                             { return protocol.SyncMsg{Number: g.number} }
+func (g *fakeGateway) Reported(*protocol.SyncMsg, *protocol.SyncReply, time.Time) {}
 func (g *fakeGateway) Document(number uint64, _ []byte) error {
 	if g.bad {
 		return errors.New("cannot be read")
@@ -223,14 +223,14 @@
 	}
 }
 
-// TestHurryKeepsAPause checks that a gateway in a hurry lets the least time pass
+// TestHurryKeepsAPause checks that a gateway in a syncNow lets the least time pass
 // between two questions.
 func TestHurryKeepsAPause(t *testing.T) {
 	c := New(nil, nil, nil, unpackIDs, zerolog.Nop())
-	c.Hurry()
+	c.SyncNow()
 	began := time.Now()
 	c.wait(context.Background(), began, time.Hour)
-	if took := time.Since(began); took < hurryPause {
+	if took := time.Since(began); took < leastPause {
 		t.Errorf("asked again after %v", took)
 	}
 }
