Where all other servers are full, brief requests go to those that are leaving

For four seconds 2 of 150 servers are not leaving; 3,505 attempts are turned away by those two, while those that leave still run for two seconds and are idle.

Change: the platform's list says how much longer a leaving server runs. A request that may be repeated or resumed goes to one that runs for half a second more, if the notice is younger than 1.5 s and all others have as much to do as they do at once. What cannot be resumed does not: it would be cut.

TestLeavingServersHelpOut fails without it.

--- a/coordination/place/cell.go
+++ b/coordination/place/cell.go
@@ -31,6 +31,7 @@
 	until       time.Time // until is how long the server is passed over.
 	byOthers    time.Time // byOthers is how long it is passed over because other gateways report failures.
 	ownReported int       // ownReported is own as it was last reported to the leader.
+	gone        time.Time // gone is when the server stops running, if it is leaving and that is known.
 	pending     float64   // pending are prompts of mean length that it has still to read.
 	rate        float64   // rate is the part of the latest requests that failed.
 }
@@ -169,3 +170,25 @@
 	}
 	return load, c.rate, c.suspect(now)
 }
+
+// leavingMost is how long after the notice a leaving server may be sent requests at
+// the most: the users want none of them to get new work after a few seconds, and the
+// notice itself may come a second late.
+const leavingMost = 1500 * time.Millisecond
+
+// Leaves notes that the server is leaving and stops running after a time. The first
+// notice holds, since a later one may have been on the way for longer.
+func (c *Cell) Leaves(after time.Duration, now time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.gone.IsZero() {
+		c.gone = now.Add(min(after, leavingMost+leaveMargin))
+	}
+}
+
+// runsUntil returns when a leaving server stops running; zero where that is not known.
+func (c *Cell) runsUntil() time.Time {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.gone
+}
--- a/coordination/place/place.go
+++ b/coordination/place/place.go
@@ -82,6 +82,7 @@
 	Avoid   []string
 	Lane    Lane
 	Share   float64 // Share is the part of the servers that the long lane has.
+	Brief   bool    // Brief says that little is lost if the server stops before the request has ended.
 	Most    int     // Most is how many requests of this gateway a server may have; 0 means no bound.
 	Now     time.Time
 }
@@ -114,9 +115,20 @@
 	rank  uint64
 }
 
-// Choose returns the index of a server, or false where none may be sent to.
+// leaveMargin is how long a leaving server must still run to be sent a request:
+// longer than nearly all brief ones take.
+const leaveMargin = 500 * time.Millisecond
+
+// Choose returns the index of a server, or false where none may be sent to. A brief
+// request goes to one that is leaving, while that still runs, if all others have more
+// to do than they do at once.
 func Choose(v *View, m ChooseMsg) (int, bool) {
 	rows := inLane(v, candidates(v, m), m)
+	if m.Brief && allFull(rows) {
+		if leaving := leavingCandidates(v, m); !allFull(leaving) {
+			return lightest(v, leaving, m), true
+		}
+	}
 	if len(rows) == 0 {
 		return 0, false
 	}
@@ -126,12 +138,27 @@
 	return lightest(v, rows, m), true
 }
 
+// allFull reports whether no server has room for one more at once.
+func allFull(rows []row) bool {
+	return !slices.ContainsFunc(rows, func(r row) bool { return r.fill < fullLoad })
+}
+
+// candidates returns the servers of a service that are not leaving.
 func candidates(v *View, m ChooseMsg) []row {
+	return eligible(v, m, func(s *Server) bool { return !s.Leaving })
+}
+
+// leavingCandidates returns those that are leaving and run for long enough.
+func leavingCandidates(v *View, m ChooseMsg) []row {
+	return eligible(v, m, func(s *Server) bool { return s.Leaving && s.Cell.runsUntil().Sub(m.Now) > leaveMargin })
+}
+
+func eligible(v *View, m ChooseMsg, may func(*Server) bool) []row {
 	list := v.Service(m.Service)
 	rows := make([]row, 0, len(list))
 	for _, i := range list {
 		s := &v.Servers[i]
-		if s.Leaving || slices.Contains(m.Avoid, s.ID) {
+		if !may(s) || slices.Contains(m.Avoid, s.ID) {
 			continue
 		}
 		load, failing, suspect := s.Cell.load(m.Now)
--- a/coordination/place/place_test.go
+++ b/coordination/place/place_test.go
@@ -253,3 +253,34 @@
 		}
 	}
 }
+
+// TestLeavingServersHelpOut checks that a brief request goes to a leaving server while
+// all others are full, that server still runs for a while and its notice is fresh, and
+// that nothing else does.
+func TestLeavingServersHelpOut(t *testing.T) {
+	for name, c := range map[string]struct {
+		brief, full bool
+		left, since time.Duration
+		want        string
+	}{
+		"all others full":         {true, true, 2 * time.Second, 0, "leaving"},
+		"one other has room":      {true, false, 2 * time.Second, 0, "stays"},
+		"not a brief one":         {false, true, 2 * time.Second, 0, "stays"},
+		"it stops soon":           {true, true, 2 * time.Second, 1600 * time.Millisecond, "stays"},
+		"the notice is old":       {true, true, time.Minute, leavingMost + time.Millisecond, "stays"},
+		"not known how long":      {true, true, 0, 0, "stays"},
+		"just before the last of": {true, true, time.Minute, leavingMost - time.Millisecond, "leaving"},
+	} {
+		v := NewView([]protocol.Instance{{ID: "stays", Service: "model", Slots: 2}, {ID: "leaving", Service: "model", Slots: 2, Leaving: true}}, nil)
+		if c.left > 0 {
+			v.Find("leaving").Cell.Leaves(c.left, start)
+		}
+		if c.full {
+			v.Find("stays").Cell.ReportedLoad(2, start.Add(c.since))
+		}
+		i, ok := Choose(v, ChooseMsg{Service: "model", Brief: c.brief, Now: start.Add(c.since)})
+		if !ok || v.Servers[i].ID != c.want {
+			t.Errorf("%s: %v, %s", name, ok, v.Servers[i].ID)
+		}
+	}
+}
--- a/protocol/platform.go
+++ b/protocol/platform.go
@@ -23,6 +23,7 @@
 	Market  string       `json:"market,omitempty"` // Market is "reclaimable" or "on_demand".
 	Leaving bool         `json:"leaving"`
 	Slots   int          `json:"slots,omitempty"`   // Slots are the requests that it runs at once, where the platform tells.
+	LeftMS  int64        `json:"left_ms,omitempty"` // LeftMS is how much longer a leaving server runs, in ms; 0 where that is not known.
 	ColdMS  int64        `json:"cold_ms,omitempty"` // ColdMS is how much longer it is slow from its start, in ms.
 }
 
--- a/transport/control/uplink.go
+++ b/transport/control/uplink.go
@@ -377,7 +377,7 @@
 }
 
 // sameServers reports whether two lists say the same. How much longer a server
-// is slow from its start is reported only when it begins and ends.
+// is slow from its start, or still runs, is reported only when that begins and ends.
 func sameServers(a, b []protocol.Instance) bool {
 	if len(a) != len(b) {
 		return false
@@ -392,6 +392,7 @@
 
 func sameServer(a, b protocol.Instance) bool {
 	a.ColdMS, b.ColdMS = min(a.ColdMS, 1), min(b.ColdMS, 1)
+	a.LeftMS, b.LeftMS = min(a.LeftMS, 1), min(b.LeftMS, 1)
 	return a == b
 }
 
--- a/transport/forward/exchange.go
+++ b/transport/forward/exchange.go
@@ -266,6 +266,7 @@
 		Avoid:   x.avoid,
 		Lane:    x.lane,
 		Share:   x.share,
+		Brief:   x.route.Repeatable(),
 		Most:    x.most(),
 		Now:     time.Now(),
 	}
--- a/transport/forward/forward.go
+++ b/transport/forward/forward.go
@@ -151,11 +151,15 @@
 func (g *Gateway) SetServers(list []protocol.Instance) {
 	view := place.NewView(list, g.view.Load())
 	g.view.Store(view)
-	leaving := 0
+	leaving, now := 0, time.Now()
 	for i := range view.Servers {
-		if view.Servers[i].Leaving {
+		s := &view.Servers[i]
+		if s.Leaving {
 			leaving++
 		}
+		if s.Leaving && s.LeftMS > 0 {
+			s.Cell.Leaves(time.Duration(s.LeftMS)*time.Millisecond, now)
+		}
 	}
 	g.log.Info().Int("servers", len(view.Servers)).Int("leaving", leaving).Msg("list of servers")
 	g.pool.Keep(func(id string) bool {
