--- a/transport/control/control_test.go
+++ b/transport/control/control_test.go
@@ -131,9 +131,14 @@
 	g := newFakeGroup()
 	var mu sync.Mutex
 	leader := ""
+	asked := make(chan struct{}, 1) // asked receives that the question was looked at.
 	u := NewUplink(g, func() (string, []string) {
 		mu.Lock()
 		defer mu.Unlock()
+		select {
+		case asked <- struct{}{}:
+		default:
+		}
 		return leader, []string{"a", "b"}
 	}, parse, time.Second)
 	elect := func(name string) {
@@ -148,12 +153,17 @@
 		{"b", "a", "b", "b"},
 	} {
 		elect(c.known)
+		select { // Of the case before.
+		case <-asked:
+		default:
+		}
 		reply := make(chan protocol.LeaderReply, 1)
 		go func() {
 			var r protocol.LeaderReply
 			_ = u.Leader(protocol.LeaderMsg{Besides: c.besides}, &r)
 			reply <- r
 		}()
+		<-asked
 		elect(c.next)
 		select {
 		case r := <-reply:
@@ -173,8 +183,9 @@
 	if err := u.Install(5, []byte("document")); err != nil {
 		t.Fatal(err)
 	}
-	if got := sync1(t, u, protocol.SyncMsg{Gateway: "g"}); got.Listed || got.Number != 5 || !got.Leads {
-		t.Errorf("without a list it got %+v", got)
+	began := time.Now()
+	if got := sync1(t, u, protocol.SyncMsg{Gateway: "g"}); got.Listed || got.Number != 5 || !got.Leads || time.Since(began) < listHold {
+		t.Errorf("without a list it got %+v after %v", got, time.Since(began))
 	}
 	reply := make(chan protocol.SyncReply, 1)
 	go func() { reply <- sync1(t, u, protocol.SyncMsg{Gateway: "g"}) }()
