Status of a group, the question for the leader and packed documents in files of their own

A pure move of code; three comments say report instead of tell. vet, the linter and the tests of group, control and cmd pass; nothing else was run on it.

--- a/cmd/weldstreamd/gateway.go
+++ b/cmd/weldstreamd/gateway.go
@@ -163,7 +163,7 @@
 	ctx, cancel := context.WithDeadline(context.Background(), began.Add(grace-grace/lastPart))
 	defer cancel()
 	g.server.Wait(ctx)
-	g.client.SyncNow() // The last counts are told.
+	g.client.SyncNow() // The last counts are reported.
 	time.Sleep(min(endTime/4, grace/lastPart/2))
 	g.log.Info().Dur("after", time.Since(began)).Int("connections", g.server.Conns()).Msg("stopping: done")
 }
--- a/protocol/catalog.go
+++ b/protocol/catalog.go
@@ -95,7 +95,7 @@
 	Remaining    time.Duration // Remaining is how long the caller waits; 0 where it did not say.
 	PromptTokens int           // PromptTokens is the prompt's length.
 	AnswerTokens int           // AnswerTokens is the most that the answer may have.
-	HasTokens    bool          // HasTokens says that both were told.
+	HasTokens    bool          // HasTokens says that the caller named both.
 	Prefix       []PromptPart  // Prefix are the prompt's parts, in their order.
 	LastEvent    string        // LastEvent is the last event that the caller holds, empty without one.
 }
--- a/protocol/uplink.go
+++ b/protocol/uplink.go
@@ -119,7 +119,7 @@
 	Lister     uint64
 	Version    uint64
 	Servers    []Instance // Servers are those that changed.
-	Listed     bool       // Listed says that the list is told.
+	Listed     bool       // Listed says that the reply holds the list, or what changed of it.
 	List       []byte     // List is the whole of it, packed; empty where Servers tell what changed.
 	Gone       []string   // Gone are those that are listed no more.
 	Gateways   int        // Gateways are how many synchronized lately.
--- a/transport/control/uplink.go
+++ b/transport/control/uplink.go
@@ -1,16 +1,10 @@
 package control
 
 import (
-	"bytes"
-	"compress/flate"
-	"encoding/json"
-	"io"
 	"slices"
 	"sync"
 	"time"
 
-	"github.com/rotisserie/eris"
-
 	"github.com/weldstream/weldstream/coordination/place"
 	"github.com/weldstream/weldstream/coordination/quota"
 	"github.com/weldstream/weldstream/coordination/usage"
@@ -127,55 +121,6 @@
 	return u.catalog
 }
 
-const (
-	// leaderHold is how long a question for the leader is kept while none is known:
-	// about the longest election without a split vote.
-	leaderHold = 400 * time.Millisecond
-	// listHold is how long a gateway that has no list is kept waiting for the first
-	// one of a leader: some answers of the platform. Without it the gateway would ask
-	// again a whole pause later.
-	listHold = 150 * time.Millisecond
-)
-
-// Leader tells who leads, once that is known.
-func (u *Uplink) Leader(m protocol.LeaderMsg, reply *protocol.LeaderReply) error {
-	end := time.NewTimer(leaderHold)
-	defer end.Stop()
-	for {
-		changed := u.group.Changed()
-		leader, all := u.peers()
-		reply.Controls = all
-		if leader != m.Besides {
-			reply.Leader = leader
-		}
-		if reply.Leader != "" {
-			return nil
-		}
-		select {
-		case <-changed:
-		case <-end.C:
-			return nil
-		}
-	}
-}
-
-// awaitList waits until the list was read in a term, for a gateway without one.
-func (u *Uplink) awaitList(term uint64) {
-	u.mu.Lock()
-	u.enter(term)
-	listed, news := u.listed, u.news
-	u.mu.Unlock()
-	if listed {
-		return
-	}
-	end := time.NewTimer(listHold)
-	defer end.Stop()
-	select {
-	case <-news:
-	case <-end.C:
-	}
-}
-
 // Sync answers a gateway.
 func (u *Uplink) Sync(m protocol.SyncMsg, reply *protocol.SyncReply) error {
 	reply.Leader, reply.Controls = u.peers()
@@ -277,29 +222,6 @@
 	reply.List = u.whole
 }
 
-// packList packs a list; UnpackList undoes it.
-func packList(list []protocol.Instance) []byte {
-	data, err := json.Marshal(list)
-	if err != nil {
-		panic(err) // Instances hold only strings and numbers.
-	}
-	packed, err := Pack(data)
-	if err != nil {
-		panic(err) // Nothing is written but to memory.
-	}
-	return packed
-}
-
-// UnpackList reads a packed list.
-func UnpackList(packed []byte) ([]protocol.Instance, error) {
-	data, err := Unpack(packed)
-	if err != nil {
-		return nil, err
-	}
-	var list []protocol.Instance
-	return list, eris.Wrap(json.Unmarshal(data, &list), "read list")
-}
-
 // agreed returns the time of day that most instances agree on: the middle one of
 // the gateways' clocks and this instance's. It needs u.mu.
 func (u *Uplink) agreed(now time.Time) time.Time {
@@ -467,28 +389,3 @@
 	defer u.mu.Unlock()
 	return u.servers, u.listed
 }
-
-// Pack compresses a document for the way to the gateways.
-func Pack(data []byte) ([]byte, error) {
-	var buf bytes.Buffer
-	w, err := flate.NewWriter(&buf, flate.BestSpeed)
-	if err != nil {
-		return nil, eris.Wrap(err, "compress document")
-	}
-	if _, err := w.Write(data); err != nil {
-		return nil, eris.Wrap(err, "compress document")
-	}
-	if err := w.Close(); err != nil {
-		return nil, eris.Wrap(err, "compress document")
-	}
-	return buf.Bytes(), nil
-}
-
-// maxDocument bounds what a packed document may hold, in bytes.
-const maxDocument = 64 << 20
-
-// Unpack undoes [Pack].
-func Unpack(packed []byte) ([]byte, error) {
-	data, err := io.ReadAll(io.LimitReader(flate.NewReader(bytes.NewReader(packed)), maxDocument))
-	return data, eris.Wrap(err, "unpack document")
-}
