--- a/coordination/group/status.go
+++ b/coordination/group/status.go
@@ -23,8 +23,8 @@
 
 func (g *Group) publish() {
 	s := Status{Status: g.replica.Status(), Group: g.folder.Group(), Applied: g.applied, Claims: g.machine.Claims(), Full: g.full}
-	s.Number, _ = g.machine.Revision()
-	s.Document, _ = g.machine.Document()
+	s.Number, _ = g.machine.Revision()   // The dump names the configuration, not its content.
+	s.Document, _ = g.machine.Document() // Likewise.
 	s.Settled = g.replica.Settled(g.applied)
 	s.LeaseEnd = max(0, (s.Lease - g.now()).Milliseconds())
 	g.meters.term.Update(int64(s.Term))
@@ -64,7 +64,7 @@
 
 // Vouches returns the term in which this replica leads, if what it has applied
 // is all that was acknowledged up to now: it leads, its lease runs, and it has
-// applied what earlier leaders committed. The document it told last is then the
+// applied what earlier leaders committed. The document it handed on last is then the
 // newest.
 func (g *Group) Vouches() (term uint64, ok bool) {
 	s := g.status.Load()
--- a/transport/forward/limits.go
+++ b/transport/forward/limits.go
@@ -143,6 +143,8 @@
 	g := x.g
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	// The wait that comes with a denial is not used: it counts from an answer of the
+	// leader, which did not come in time.
 	if verdict, _ := g.allowance.Take(x.workspace.Name, units, time.Now()); verdict == quota.Taken {
 		return nil
 	}
