Documents are read beside the replica's loop; what all gateways are told alike is made once

Cause: the loop that sends the heartbeats also packed and read each accepted document, and waited for the lock that 295 questions queue for. Each answer added up the clocks and the prompts of all gateways, and packed the changes of the list anew. Change: Uplink.Install only notes the document; it is made ready ahead of questions, and by the first that needs it, so an instance that vouches answers with no older one. Clocks, lanes and the count of gateways are made each 10 ms, the list's changes once a version. Gateways tell a new leader how many there were, so that the first are not told that they are alone.

--- a/cmd/weldstreamd/control.go
+++ b/cmd/weldstreamd/control.go
@@ -57,6 +57,7 @@
 		c.membership.Run,
 		c.group.Run,
 		boot.Run,
+		c.uplink.Run,
 		duties.RunList,
 		duties.RunDuties,
 		func(ctx context.Context) error {
@@ -102,11 +103,11 @@
 		return err
 	}
 	sender := transport.NewReplicaSender(work, c.tables, c.links, transport.WithAddresses(c.peerAddress))
-	c.group, err = group.Open(c.groupConfig(), n.DataDir, c.name(), sender, group.WithLogger(c.log), group.WithRegistry(c.registry), group.WithDocument(c.install))
+	c.group, err = group.Open(c.groupConfig(), n.DataDir, c.name(), sender, group.WithLogger(c.log), group.WithRegistry(c.registry), group.WithDocument(func(number uint64, data []byte) { c.uplink.Install(number, data) }))
 	if err != nil {
 		return err
 	}
-	c.uplink = control.NewUplink(c.group, c.peers, platform.ParseNumbered, n.Bounds.QuotaWindow)
+	c.uplink = control.NewUplink(c.group, c.peers, platform.ParseNumbered, n.Bounds.QuotaWindow, control.WithLogger(c.log))
 	for name, receiver := range map[string]any{
 		"Member": transport.NewMemberService(work, c.membership),
 		"Group":  transport.NewGroupService(work, c.group),
@@ -157,15 +158,6 @@
 	return nil
 }
 
-// install takes a document that the group accepted.
-func (c *controlInstance) install(number uint64, data []byte) {
-	if err := c.uplink.Install(number, data); err != nil {
-		c.log.Error().Err(err).Uint64("number", number).Msg("an accepted document cannot be read")
-		return
-	}
-	c.log.Info().Uint64("number", number).Int("bytes", len(data)).Msg("document accepted")
-}
-
 // peerAddress returns the peer address of a control instance by its name, its
 // operator address. Members that the log names are reached by it before the
 // membership has met them.
--- a/protocol/uplink.go
+++ b/protocol/uplink.go
@@ -19,6 +19,7 @@
 	Distrusts []string     // Distrusts are servers that it passes over.
 	Running   []ServerLoad // Running are the requests that it has under way.
 	Clock     time.Time    // Clock is the gateway's own time of day.
+	Gateways  int          // Gateways are how many a leader counted last; 0 before the first answer.
 }
 
 // ServerLoad is how many requests one server has.
@@ -118,12 +119,10 @@
 	Document   []byte // Document is set when the gateway's is older.
 	Lister     uint64
 	Version    uint64
-	Servers    []Instance // Servers are those that changed.
-	Listed     bool       // Listed says that the reply holds the list, or what changed of it.
-	List       []byte     // List is the whole of it, packed; empty where Servers tell what changed.
-	Gone       []string   // Gone are those that are listed no more.
-	Gateways   int        // Gateways are how many synchronized lately.
-	Clock      time.Time  // Clock is the time of day that most instances agree on.
+	Listed     bool      // Listed says that the reply holds the list, or what changed of it.
+	List       []byte    // List is a packed ServerList.
+	Gateways   int       // Gateways are how many synchronized lately.
+	Clock      time.Time // Clock is the time of day that most instances agree on.
 	Grants     []QuotaGrant
 	Short      []string // Short are the workspaces of whose quota little is left.
 	Lanes      []ServiceLanes
@@ -131,6 +130,14 @@
 	Loads      []byte // Loads are the requests that the servers have from all gateways, in the order of their names; empty to a gateway with another list.
 }
 
+// ServerList is the platform's list, or what changed of it since a version that the
+// asker holds.
+type ServerList struct {
+	Whole   bool       `json:"w,omitempty"` // Whole says that nothing but this is listed.
+	Servers []Instance `json:"s,omitempty"` // Servers are all, or those that changed.
+	Gone    []string   `json:"g,omitempty"` // Gone are those that are listed no more.
+}
+
 // QuotaGrant is a part of a workspace's quota, for one gateway.
 type QuotaGrant struct {
 	Workspace string
--- a/transport/control/control_test.go
+++ b/transport/control/control_test.go
@@ -114,9 +114,7 @@
 func TestOnlyALeaderAnswers(t *testing.T) {
 	g := newFakeGroup()
 	u := newUplink(g)
-	if err := u.Install(5, []byte("document")); err != nil {
-		t.Fatal(err)
-	}
+	u.Install(5, []byte("document"))
 	g.set(1, false)
 	got := sync1(t, u, protocol.SyncMsg{Gateway: "g"})
 	if want := (protocol.SyncReply{Leader: "10.0.0.1:7000", Controls: []string{"10.0.0.1:7000", "10.0.0.2:7000"}}); !cmp.Equal(got, want) {
@@ -180,9 +178,7 @@
 // document if it is read while the gateway asks, and the document alone if not.
 func TestFirstListIsAwaited(t *testing.T) {
 	u := newUplink(newFakeGroup())
-	if err := u.Install(5, []byte("document")); err != nil {
-		t.Fatal(err)
-	}
+	u.Install(5, []byte("document"))
 	began := time.Now()
 	if got := sync1(t, u, protocol.SyncMsg{Gateway: "g"}); got.Listed || got.Number != 5 || !got.Leads || time.Since(began) < listHold {
 		t.Errorf("without a list it got %+v after %v", got, time.Since(began))
@@ -198,9 +194,7 @@
 // TestOnlyWhatIsNewer checks that a gateway gets the document and the list once.
 func TestOnlyWhatIsNewer(t *testing.T) {
 	u := newUplink(newFakeGroup())
-	if err := u.Install(5, []byte("document")); err != nil {
-		t.Fatal(err)
-	}
+	u.Install(5, []byte("document"))
 	u.SetServers(1, []protocol.Instance{{ID: "a", ColdMS: 500}})
 	first := sync1(t, u, protocol.SyncMsg{Gateway: "g"})
 	data, err := Unpack(first.Document)
@@ -213,8 +207,9 @@
 		t.Errorf("got again %+v", again)
 	}
 	u.SetServers(1, nil)
-	if empty := sync1(t, u, protocol.SyncMsg{Gateway: "g", Number: 5, Lister: first.Lister, Servers: first.Version}); !empty.Listed || len(empty.Servers) != 0 || len(empty.Gone) != 1 {
-		t.Errorf("an empty list came as %+v", empty)
+	empty := sync1(t, u, protocol.SyncMsg{Gateway: "g", Number: 5, Lister: first.Lister, Servers: first.Version})
+	if list, err := UnpackList(empty.List); err != nil || !empty.Listed || len(list.Servers) != 0 || len(list.Gone) != 1 {
+		t.Errorf("an empty list came as %+v, %v", list, err)
 	}
 }
 
@@ -223,9 +218,7 @@
 func TestANewTermForgets(t *testing.T) {
 	g := newFakeGroup()
 	u := newUplink(g)
-	if err := u.Install(5, nil); err != nil {
-		t.Fatal(err)
-	}
+	u.Install(5, nil)
 	sync1(t, u, protocol.SyncMsg{Gateway: "a"})
 	if got := sync1(t, u, protocol.SyncMsg{Gateway: "b"}); got.Gateways != 2 {
 		t.Errorf("%d gateways, want 2", got.Gateways)
@@ -428,9 +421,7 @@
 func TestLeaseThatEndsMeanwhile(t *testing.T) {
 	g := newFakeGroup()
 	u := newUplink(g)
-	if err := u.Install(5, nil); err != nil {
-		t.Fatal(err)
-	}
+	u.Install(5, nil)
 	g.asks = 2
 	if got := sync1(t, u, protocol.SyncMsg{Gateway: "g"}); got.Leads {
 		t.Errorf("got %+v", got)
@@ -509,9 +500,7 @@
 func TestOlderDocumentChangesNothing(t *testing.T) {
 	u := newUplink(newFakeGroup())
 	for _, number := range []uint64{5, 4} {
-		if err := u.Install(number, []byte(fmt.Sprint(number))); err != nil {
-			t.Fatal(err)
-		}
+		u.Install(number, []byte(fmt.Sprint(number)))
 	}
 	got := sync1(t, u, protocol.SyncMsg{Gateway: "g"})
 	if data, err := Unpack(got.Document); err != nil || string(data) != "5" || got.Number != 5 || u.Catalog().Number != 5 {
--- a/transport/control/history_test.go
+++ b/transport/control/history_test.go
@@ -70,12 +70,40 @@
 	first := sync1(t, u, protocol.SyncMsg{Gateway: "g"})
 	u.SetServers(1, []protocol.Instance{{ID: "a"}, {ID: "b", Leaving: true}})
 	got := sync1(t, u, protocol.SyncMsg{Gateway: "g", Lister: first.Lister, Servers: first.Version})
-	if len(got.List) > 0 || len(got.Servers) != 1 || !got.Servers[0].Leaving || len(got.Gone) != 1 {
-		t.Errorf("got %+v", got)
+	if list, err := UnpackList(got.List); err != nil || list.Whole || len(list.Servers) != 1 || !list.Servers[0].Leaving || len(list.Gone) != 1 {
+		t.Errorf("got %+v, %v", list, err)
 	}
-	if other := sync1(t, u, protocol.SyncMsg{Gateway: "g", Lister: 9, Servers: first.Version}); len(other.Servers) > 0 {
-		t.Errorf("one of another term got %+v", other)
-	} else if list, err := UnpackList(other.List); err != nil || len(list) != 2 {
-		t.Errorf("its list is %v, %v", list, err)
+	other := sync1(t, u, protocol.SyncMsg{Gateway: "g", Lister: 9, Servers: first.Version})
+	if list, err := UnpackList(other.List); err != nil || !list.Whole || len(list.Servers) != 2 || len(list.Gone) > 0 {
+		t.Errorf("one of another term got %+v, %v", list, err)
+	}
+}
+
+// TestListIsPackedOnce checks that gateways which lack the same of the list are told
+// in the same bytes, that those which lack something else are not, and that nothing
+// of a list is told once there is a newer one.
+func TestListIsPackedOnce(t *testing.T) {
+	u := newUplink(newFakeGroup())
+	ask := func(lister, version uint64) []byte {
+		return sync1(t, u, protocol.SyncMsg{Gateway: "g", Lister: lister, Servers: version}).List
+	}
+	list := []protocol.Instance{{ID: "a"}, {ID: "b"}}
+	u.SetServers(1, list)
+	whole := ask(0, 0)
+	u.SetServers(1, list[:1])
+	u.SetServers(1, []protocol.Instance{{ID: "a", Leaving: true}})
+	first, second := ask(1, 1), ask(1, 2)
+	for name, c := range map[string]struct {
+		a, b []byte
+		same bool
+	}{
+		"the same changes": {first, ask(1, 1), true},
+		"other changes":    {first, second, false},
+		"the whole":        {ask(0, 0), ask(7, 2), true},
+		"a newer list":     {whole, ask(0, 0), false},
+	} {
+		if same := &c.a[0] == &c.b[0]; same != c.same {
+			t.Errorf("%s: the same bytes %v", name, same)
+		}
 	}
 }
--- a/transport/control/pack.go
+++ b/transport/control/pack.go
@@ -3,17 +3,18 @@
 import (
 	"bytes"
 	"compress/flate"
-	"encoding/json"
 	"io"
+	"sync"
 
+	"github.com/fxamacker/cbor/v2"
 	"github.com/rotisserie/eris"
 
 	"github.com/weldstream/weldstream/protocol"
 )
 
 // packList packs a list; UnpackList undoes it.
-func packList(list []protocol.Instance) []byte {
-	data, err := json.Marshal(list)
+func packList(list protocol.ServerList) []byte {
+	data, err := cbor.Marshal(list)
 	if err != nil {
 		panic(err) // Instances hold only strings and numbers.
 	}
@@ -25,22 +26,29 @@
 }
 
 // UnpackList reads a packed list.
-func UnpackList(packed []byte) ([]protocol.Instance, error) {
+func UnpackList(packed []byte) (list protocol.ServerList, err error) {
 	data, err := Unpack(packed)
 	if err != nil {
-		return nil, err
+		return list, err
 	}
-	var list []protocol.Instance
-	return list, eris.Wrap(json.Unmarshal(data, &list), "read list")
+	return list, eris.Wrap(cbor.Unmarshal(data, &list), "read list")
 }
 
+// packers are kept, since each takes more than half a megabyte.
+var packers = sync.Pool{New: func() any {
+	w, err := flate.NewWriter(io.Discard, flate.BestSpeed)
+	if err != nil {
+		panic(err) // The level is fixed.
+	}
+	return w
+}}
+
 // Pack compresses a document for the way to the gateways.
 func Pack(data []byte) ([]byte, error) {
 	var buf bytes.Buffer
-	w, err := flate.NewWriter(&buf, flate.BestSpeed)
-	if err != nil {
-		return nil, eris.Wrap(err, "compress document")
-	}
+	w, _ := packers.Get().(*flate.Writer) // The pool holds nothing else.
+	defer packers.Put(w)
+	w.Reset(&buf)
 	if _, err := w.Write(data); err != nil {
 		return nil, eris.Wrap(err, "compress document")
 	}
--- a/transport/control/uplink.go
+++ b/transport/control/uplink.go
@@ -3,8 +3,11 @@
 import (
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
+	"github.com/rs/zerolog"
+
 	"github.com/weldstream/weldstream/coordination/place"
 	"github.com/weldstream/weldstream/coordination/quota"
 	"github.com/weldstream/weldstream/coordination/usage"
@@ -22,12 +25,20 @@
 	quota time.Duration // quota is the window in which quotas are bounded.
 	began time.Time
 	clock *usage.Clock
+	log   zerolog.Logger
+
+	accepted atomic.Pointer[document] // accepted is the newest document, as it was accepted.
+	arrived  chan struct{}            // arrived receives that there is one.
+	prepare  sync.Mutex               // prepare is held while a document is made ready; it is taken before mu.
+	readied  atomic.Uint64            // readied is the number of the one that was made ready last.
 
 	mu       sync.Mutex // mu guards all below.
 	number   uint64
-	document []byte // document is packed.
+	packed   []byte // packed is the document.
 	catalog  *protocol.Catalog
 	term     uint64 // term is the one that the rest belongs to.
+	entered  time.Time
+	earlier  int // earlier is how many gateways a leader before counted, as they tell.
 	lister   uint64
 	version  uint64
 	servers  []protocol.Instance
@@ -37,7 +48,7 @@
 	quotas   *quota.Coordinator
 	ledger   *usage.Ledger
 	history  history
-	whole    []byte // whole is the list, packed once for all gateways; nil until one asks.
+	lists    map[uint64][]byte // lists are what changed since a version, packed once for all gateways.
 	view     *place.View
 	places   *place.Ledger
 	loads    *place.Loads
@@ -51,10 +62,13 @@
 	loads    []byte
 	distrust map[string][]byte // distrust is by the gateways' domain.
 	short    []string
+	lanes    []protocol.ServiceLanes
+	gateways int // gateways are how many asked lately.
 }
 
 // commonKept is how old that may be: with hundreds of gateways it is made for
-// several at once.
+// several at once. What is added up over all gateways would cost each answer the
+// more, the more of them there are.
 const commonKept = 10 * time.Millisecond
 
 // gateway is the last report of a gateway.
@@ -64,19 +78,38 @@
 	ahead    time.Duration // ahead is by how much its clock is before this instance's.
 }
 
+// UplinkOption changes a new uplink.
+type UplinkOption func(*Uplink)
+
+// WithLogger sets the logger; without it nothing is logged.
+func WithLogger(l zerolog.Logger) UplinkOption { return func(u *Uplink) { u.log = l } }
+
 // NewUplink returns the receiver to register under "Uplink". The func peers
 // tells the peer addresses of the leader, as far as one is known that can answer,
 // and of all control instances; parse translates a document.
-func NewUplink(g Group, peers func() (string, []string), parse func(uint64, []byte) (*protocol.Catalog, error), quotaWindow time.Duration) *Uplink {
+func NewUplink(g Group, peers func() (string, []string), parse func(uint64, []byte) (*protocol.Catalog, error), quotaWindow time.Duration, opts ...UplinkOption) *Uplink {
 	now := time.Now()
-	u := &Uplink{news: make(chan struct{}), group: g, peers: peers, parse: parse, quota: quotaWindow, began: now, clock: usage.NewClock(now)}
+	u := &Uplink{
+		news:    make(chan struct{}),
+		arrived: make(chan struct{}, 1),
+		group:   g,
+		peers:   peers,
+		parse:   parse,
+		quota:   quotaWindow,
+		began:   now,
+		clock:   usage.NewClock(now),
+		log:     zerolog.Nop(),
+	}
+	for _, opt := range opts {
+		opt(u)
+	}
 	u.reset(0)
 	return u
 }
 
 // reset forgets what belongs to a term. It needs u.mu.
 func (u *Uplink) reset(term uint64) {
-	u.term = term
+	u.term, u.entered, u.earlier = term, time.Now(), 0
 	u.gateways = map[string]*gateway{}
 	u.quotas = quota.NewCoordinator(u.quota)
 	u.ledger = usage.NewLedger()
@@ -95,27 +128,9 @@
 	}
 }
 
-// Install takes an accepted document.
-func (u *Uplink) Install(number uint64, data []byte) error {
-	packed, err := Pack(data)
-	if err != nil {
-		return err
-	}
-	catalog, err := u.parse(number, data)
-	if err != nil {
-		return err
-	}
-	u.mu.Lock()
-	defer u.mu.Unlock()
-	if number > u.number {
-		u.number, u.document, u.catalog = number, packed, catalog
-		u.quotas.Configure(catalog.Workspaces, time.Now())
-	}
-	return nil
-}
-
 // Catalog returns the catalog that holds, or nil.
 func (u *Uplink) Catalog() *protocol.Catalog {
+	u.ready()
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	return u.catalog
@@ -132,6 +147,7 @@
 	if !ok {
 		return nil
 	}
+	u.ready()
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	now := time.Now()
@@ -141,6 +157,7 @@
 		g.ahead = m.Clock.Sub(u.clock.Own(now.Sub(u.began)))
 	}
 	u.gateways[m.Gateway] = g
+	u.earlier = max(u.earlier, m.Gateways)
 	u.ledger.Take(m.Gateway, m.Life, m.Usage)
 	u.loads.Take(m.Gateway, place.GatewayReport{Domain: m.Domain, Running: m.Running, Distrusts: m.Distrusts})
 	for _, d := range m.Done {
@@ -151,7 +168,7 @@
 	reply.Term = term
 	reply.Number = u.number
 	if u.number > m.Number {
-		reply.Document = u.document
+		reply.Document = u.packed
 	}
 	u.tellServers(&m, reply)
 	u.renewCommon(now)
@@ -159,9 +176,9 @@
 	if m.Lister == u.lister && m.Servers == u.version {
 		reply.Loads, reply.Distrusted = u.common.loads, u.distrusted(m.Domain)
 	}
-	reply.Gateways = u.alive(now)
-	reply.Clock = u.agreed(now)
-	reply.Lanes = u.lanes()
+	reply.Gateways = u.common.gateways
+	reply.Clock = u.clock.Now(now.Sub(u.began))
+	reply.Lanes = u.common.lanes
 	for _, want := range m.Wants {
 		reply.Grants = append(reply.Grants, u.quotas.Grant(want, now))
 	}
@@ -210,16 +227,30 @@
 		return
 	}
 	reply.Listed, reply.Lister, reply.Version = true, u.lister, u.version
-	if m.Lister == u.lister {
-		if changed, gone, ok := u.history.since(m.Servers); ok {
-			reply.Servers, reply.Gone = changed, gone
-			return
-		}
+	from := m.Servers
+	if m.Lister != u.lister {
+		from = wholeList
 	}
-	if u.whole == nil {
-		u.whole = packList(u.servers)
+	list, ok := u.lists[from]
+	if !ok {
+		list = packList(u.listSince(from))
+		u.lists[from] = list
+	}
+	reply.List = list
+}
+
+// wholeList stands for a version that nobody holds: the first one is 1.
+const wholeList = 0
+
+// listSince returns what changed of the list since a version, or all of it. It
+// needs u.mu.
+func (u *Uplink) listSince(version uint64) protocol.ServerList {
+	if version != wholeList {
+		if changed, gone, ok := u.history.since(version); ok {
+			return protocol.ServerList{Servers: changed, Gone: gone}
+		}
 	}
-	reply.List = u.whole
+	return protocol.ServerList{Whole: true, Servers: u.servers}
 }
 
 // agreed returns the time of day that most instances agree on: the middle one of
@@ -248,7 +279,15 @@
 	if u.common.distrust != nil && now.Sub(u.common.at) <= commonKept {
 		return
 	}
-	u.common = common{at: now, loads: u.loads.Pack(u.order), distrust: map[string][]byte{}, short: u.quotas.Short(now)}
+	u.common = common{
+		at:       now,
+		gateways: u.alive(now),
+		loads:    u.loads.Pack(u.order),
+		distrust: map[string][]byte{},
+		short:    u.quotas.Short(now),
+		lanes:    u.lanes(),
+	}
+	u.agreed(now)
 }
 
 // distrusted returns the listed servers that the gateways of a domain are to pass
@@ -262,7 +301,9 @@
 	return packed
 }
 
-// alive counts the gateways that asked lately. It needs u.mu.
+// alive counts the gateways that asked lately, as many at least, at the beginning of
+// a term, as the leader before counted: they divide by it what all may do together,
+// and a tenth of them would each take ten times its part. It needs u.mu.
 func (u *Uplink) alive(now time.Time) int {
 	for name, g := range u.gateways {
 		if now.Sub(g.at) > gatewayKept {
@@ -270,6 +311,9 @@
 			u.loads.Drop(name)
 		}
 	}
+	if now.Sub(u.entered) <= gatewayKept {
+		return max(len(u.gateways), u.earlier)
+	}
 	return len(u.gateways)
 }
 
@@ -286,7 +330,7 @@
 	if u.listed {
 		u.history.add(u.version, u.servers, list)
 	}
-	u.lister, u.servers, u.listed, u.whole = term, list, true, nil
+	u.lister, u.servers, u.listed, u.lists = term, list, true, map[uint64][]byte{}
 	close(u.news)
 	u.news = make(chan struct{})
 	u.view = place.NewView(list, u.view)
--- a/transport/uplink/uplink.go
+++ b/transport/uplink/uplink.go
@@ -74,7 +74,7 @@
 type Client struct {
 	caller  Caller
 	gateway Gateway
-	unpack  func([]byte) ([]protocol.Instance, error)
+	unpack  func([]byte) (protocol.ServerList, error)
 	log     zerolog.Logger
 	life    uint64
 	syncNow chan struct{}
@@ -100,7 +100,7 @@
 
 // New returns a client that is not running. The seeds are peer addresses; unpack
 // reads a whole list.
-func New(c Caller, g Gateway, seeds []string, unpack func([]byte) ([]protocol.Instance, error), log zerolog.Logger) *Client {
+func New(c Caller, g Gateway, seeds []string, unpack func([]byte) (protocol.ServerList, error), log zerolog.Logger) *Client {
 	return &Client{caller: c, gateway: g, seeds: seeds, unpack: unpack, servers: map[string]protocol.Instance{}, asking: map[string]bool{}, found: make(chan string, 1), log: log, life: rand.Uint64(), syncNow: make(chan struct{}, 1)}
 }
 
@@ -216,7 +216,7 @@
 // ask asks the instance that is taken for the leader, and reports whether it is.
 func (c *Client) ask(address string) bool {
 	m := c.gateway.Report(c.term)
-	m.Life, m.Lister, m.Servers = c.life, c.lister, c.version
+	m.Life, m.Lister, m.Servers, m.Gateways = c.life, c.lister, c.version, c.gateways
 	asked := time.Now()
 	var reply protocol.SyncReply
 	limit := callTime
@@ -272,18 +272,17 @@
 
 // list returns the whole list behind an answer with all of it or with what changed.
 func (c *Client) list(reply *protocol.SyncReply) ([]protocol.Instance, error) {
-	changed := reply.Servers
-	if len(reply.List) > 0 {
-		whole, err := c.unpack(reply.List)
-		if err != nil {
-			return nil, err
-		}
-		c.servers, changed = make(map[string]protocol.Instance, len(whole)), whole
+	told, err := c.unpack(reply.List)
+	if err != nil {
+		return nil, err
+	}
+	if told.Whole {
+		c.servers = make(map[string]protocol.Instance, len(told.Servers))
 	}
-	for _, in := range changed {
+	for _, in := range told.Servers {
 		c.servers[in.ID] = in
 	}
-	for _, id := range reply.Gone {
+	for _, id := range told.Gone {
 		delete(c.servers, id)
 	}
 	list := make([]protocol.Instance, 0, len(c.servers))
--- a/transport/uplink/uplink_test.go
+++ b/transport/uplink/uplink_test.go
@@ -198,10 +198,10 @@
 		reply protocol.SyncReply
 		want  string
 	}{
-		{protocol.SyncReply{List: []byte("ba")}, "ab"},
-		{protocol.SyncReply{Servers: []protocol.Instance{{ID: "c"}, {ID: "a", Leaving: true}}, Gone: []string{"b"}}, "a!c"},
-		{protocol.SyncReply{List: []byte("d")}, "d"},
-		{protocol.SyncReply{Gone: []string{"d"}}, ""},
+		{protocol.SyncReply{List: []byte("=ba")}, "ab"},
+		{protocol.SyncReply{List: []byte("ca!-b")}, "a!c"},
+		{protocol.SyncReply{List: []byte("=d")}, "d"},
+		{protocol.SyncReply{List: []byte("-d")}, ""},
 	} {
 		list, err := c.list(&step.reply)
 		if got := ids(list); got != step.want || err != nil {
@@ -235,13 +235,25 @@
 	}
 }
 
-// unpackIDs reads a list of servers with names of one letter.
-func unpackIDs(packed []byte) (list []protocol.Instance, err error) {
+// unpackIDs reads a list of servers with names of one letter: all of them behind a
+// "=", "a!" for one that leaves, "-a" for one that is gone.
+func unpackIDs(packed []byte) (list protocol.ServerList, err error) {
+	gone := false
 	for _, id := range string(packed) {
-		if id == '?' {
-			return nil, errors.New("cannot be read")
+		switch {
+		case id == '?':
+			return list, errors.New("cannot be read")
+		case id == '=':
+			list.Whole = true
+		case id == '-':
+			gone = true
+		case id == '!':
+			list.Servers[len(list.Servers)-1].Leaving = true
+		case gone:
+			list.Gone, gone = append(list.Gone, string(id)), false
+		default:
+			list.Servers = append(list.Servers, protocol.Instance{ID: string(id)})
 		}
-		list = append(list, protocol.Instance{ID: string(id)})
 	}
 	return list, nil
 }
