Connections that fall silent end after a bound

Change: internal/tcp opens and bounds connections: to servers, to the platform, between instances, accepted ones too. Sent bytes that are not acknowledged for 0.7 s (instances) or 1 s (servers, platform) end them, and the kernel probes those that rest. Ruled out: a time-out on the first event of an answer; a server that queues is silent too, and must not be given up.

--- a/transport/backend/backend.go
+++ b/transport/backend/backend.go
@@ -19,6 +19,8 @@
 
 	"github.com/rotisserie/eris"
 	"github.com/valyala/fasthttp"
+
+	"github.com/weldstream/weldstream/internal/tcp"
 )
 
 const (
@@ -29,6 +31,11 @@
 	// idleMost bounds what a server says.
 	idleMost   = 30 * time.Second
 	readBuffer = 4 << 10
+	// silentServer is how long a server's kernel may acknowledge nothing: three packets
+	// in a row must be lost, repeated after 0.2 and 0.6 s. A request that was sent into
+	// a silent connection ends then, and not at its deadline of up to 15 s; one that
+	// rests is found closed before it is used.
+	silentServer = time.Second
 )
 
 // ErrNotIdle is returned when a connection that rested turned out to be closed
@@ -183,7 +190,7 @@
 	if limit <= 0 {
 		return nil, eris.New("no time is left to connect")
 	}
-	conn, err := net.DialTimeout("tcp", address, limit)
+	conn, err := tcp.Dial(address, limit, silentServer)
 	if err != nil {
 		return nil, eris.Wrap(err, "connect")
 	}
--- a/transport/links.go
+++ b/transport/links.go
@@ -17,6 +17,7 @@
 	"github.com/rotisserie/eris"
 	"github.com/rs/zerolog"
 
+	"github.com/weldstream/weldstream/internal/tcp"
 	"github.com/weldstream/weldstream/protocol"
 )
 
@@ -33,7 +34,10 @@
 const (
 	handshakeTimeout = 2 * time.Second
 	nonceBytes       = 16
-	helloBytes       = 1 << 10 // helloBytes bounds a greeting: nobody has proved anything yet.
+	// silentPeer is how long another instance's kernel may acknowledge nothing: two
+	// packets in a row may be lost, repeated after 0.2 s.
+	silentPeer = 700 * time.Millisecond
+	helloBytes = 1 << 10 // helloBytes bounds a greeting: nobody has proved anything yet.
 )
 
 // hello opens the handshake. Each side proves that it holds the cluster's key
@@ -108,8 +112,12 @@
 }
 
 func (l *Links) serveConn(conn net.Conn) {
-	conn = l.wrap(conn)
 	defer func() { _ = conn.Close() }()
+	if err := tcp.Bound(conn, silentPeer); err != nil {
+		l.log.Warn().Str("from", conn.RemoteAddr().String()).Err(err).Msg("peer refused")
+		return
+	}
+	conn = l.wrap(conn)
 	peer, err := l.accept(conn)
 	if err != nil {
 		l.log.Warn().Str("peer", peer.name).Str("from", conn.RemoteAddr().String()).Err(err).Msg("peer refused")
@@ -244,7 +252,7 @@
 	if c != nil {
 		return c, nil
 	}
-	conn, err := net.DialTimeout("tcp", address, l.dialTime(address))
+	conn, err := tcp.Dial(address, l.dialTime(address), silentPeer)
 	l.dialed(address, err == nil)
 	if err != nil {
 		return nil, eris.Wrap(err, "connect to peer")
--- a/transport/wire.go
+++ b/transport/wire.go
@@ -10,6 +10,8 @@
 
 	"github.com/rotisserie/eris"
 	"github.com/valyala/fasthttp"
+
+	"github.com/weldstream/weldstream/internal/tcp"
 )
 
 // ErrClosed is returned for a call on a connection that was dropped.
@@ -37,6 +39,10 @@
 	return n, err
 }
 
+// silentServer is how long a server's kernel may acknowledge nothing: three packets in
+// a row must be lost, repeated after 0.2 and 0.6 s.
+const silentServer = time.Second
+
 // wires keeps idle connections per address.
 type wires struct {
 	dial  time.Duration
@@ -56,7 +62,7 @@
 			return w, nil
 		}
 	}
-	conn, err := net.DialTimeout("tcp", address, p.dial)
+	conn, err := tcp.Dial(address, p.dial, silentServer)
 	if err != nil {
 		return nil, eris.Wrap(err, "connect")
 	}
