Callers over their quota are told when there is room, each another moment

Cause: the wait that the coordinator worked out was cut to 0.25 s before a caller was told of it, and was the same for all. Callers of a workspace that asked for five times its quota came back at once, most to be refused again. Change: a bucket counts what was refused and told to come back, less what there was room for since, and the wait is behind that, a window at most; what is asked for in advance does not count. A gateway passes it on, the next caller a moment later, and still asks the coordinator again within 0.25 s.

--- a/coordination/quota/allowance.go
+++ b/coordination/quota/allowance.go
@@ -58,7 +58,8 @@
 	cost    float64   // cost is what a request takes, averaged.
 	unspent float64   // unspent is what expired, to be given back.
 	lacking float64   // lacking is what waiting requests need.
-	until   time.Time // until is how long the coordinator has no more.
+	until   time.Time // until is how long the coordinator is not asked again.
+	room    time.Time // room is when there will be more, as far as is known.
 	alone   float64
 	aloneAt time.Time
 	// aloneRate is by how much alone grows in a second, up to aloneMost, since the
@@ -147,7 +148,7 @@
 	}
 	s.lacking += units
 	if now.Before(s.until) {
-		return Denied, s.until.Sub(now)
+		return Denied, s.later(units, now)
 	}
 	return Ask, 0
 }
@@ -159,7 +160,7 @@
 		held := s.held(now)
 		want := max(0, s.lacking+s.inAdvance(now)-held)
 		if want > 0 || s.unspent > 0 {
-			wants = append(wants, protocol.QuotaWant{Workspace: name, Units: want, Back: s.unspent})
+			wants = append(wants, protocol.QuotaWant{Workspace: name, Units: want, Waiting: min(want, s.lacking), Back: s.unspent})
 			s.unspent = 0 // If the message is lost, so are they.
 		}
 	}
@@ -178,13 +179,14 @@
 		}
 		s.until = time.Time{}
 		if g.Wait > 0 {
-			s.until = now.Add(min(g.Wait, mostWait))
+			s.until, s.room = now.Add(min(g.Wait, mostWait)), now.Add(g.Wait)
 		}
 		s.lacking = 0
 	}
 }
 
-// mostWait bounds how long the coordinator is not asked again.
+// mostWait bounds how long the coordinator is not asked again: others may give parts
+// back.
 const mostWait = 250 * time.Millisecond
 
 func (s *space) held(now time.Time) float64 {
@@ -243,6 +245,14 @@
 	return true
 }
 
+// later is when the caller of a request that is denied may come back: when there is
+// room, and the next one behind it.
+func (s *space) later(units float64, now time.Time) time.Duration {
+	wait := max(s.room.Sub(now), s.until.Sub(now))
+	s.room = now.Add(wait + s.refill(units))
+	return wait
+}
+
 // refill is how long the quota takes to fill by so many units.
 func (s *space) refill(units float64) time.Duration {
 	return time.Duration(units / s.rate * float64(time.Second))
--- a/coordination/quota/quota.go
+++ b/coordination/quota/quota.go
@@ -36,6 +36,7 @@
 	level float64 // level may be below 0 after a large request.
 	at    time.Time
 	whole time.Time // whole is when recent covers a whole window.
+	queue float64   // queue is what was refused and told to come back, less what there was room for since.
 	recent
 }
 
@@ -99,6 +100,7 @@
 
 func (b *bucket) fill(now time.Time) {
 	if d := now.Sub(b.at); d > 0 {
+		b.queue = max(0, b.queue-b.pace(now)*d.Seconds())
 		b.level = min(b.size, b.level+b.pace(now)*d.Seconds())
 		b.at = now
 	}
@@ -125,10 +127,14 @@
 	return units
 }
 
-// wait is how long it takes until some more units are there.
+// wait is how long it takes until some more units are there, behind all that were told
+// to come back before: each is told another moment. A workspace that asks for several
+// times its quota is told of seconds, and not to try again at once, only to be refused
+// again. After a whole window everything may be different.
 func (b *bucket) wait(units float64, now time.Time) time.Duration {
+	units += b.queue
 	filled := time.Duration((units - min(0, b.level)) / b.pace(now) * float64(time.Second))
-	return max(leastWait, filled, b.free(units, now))
+	return min(b.window, max(leastWait, filled, b.free(units, now)))
 }
 
 // Short returns the workspaces of whose quota little is left right now, sorted.
@@ -158,6 +164,7 @@
 	g.Units = b.take(w.Units, now)
 	if short := w.Units - g.Units; short > 0 {
 		g.Wait = b.wait(short, now)
+		b.queue += min(short, w.Waiting)
 	}
 	return g
 }
--- a/protocol/uplink.go
+++ b/protocol/uplink.go
@@ -71,6 +71,7 @@
 type QuotaWant struct {
 	Workspace string
 	Units     float64 // Units are requests or tokens, as the quota counts.
+	Waiting   float64 // Waiting are those of them that requests wait for; the rest is asked for in advance.
 	Back      float64 // Back are units of earlier parts that expired unspent.
 }
 
