--- a/coordination/quota/quota_test.go
+++ b/coordination/quota/quota_test.go
@@ -370,14 +370,15 @@
 // whether the bucket or the last window is what lacks.
 func TestWaitIsEnough(t *testing.T) {
 	w := protocol.Tenancy{Name: "w", Rate: 1000, Burst: 1000}
-	for name, asked := range map[string]time.Duration{"the bucket": time.Second, "the window": 10 * time.Second} {
+	for name, asked := range map[string]time.Duration{"the bucket": time.Second, "the window": 7600 * time.Millisecond} {
 		c := NewCoordinator(window)
 		c.Configure([]protocol.Tenancy{w}, start)
-		now := start
+		now := start.Add(20 * time.Second) // The bucket is full.
+		end := now.Add(asked)
 		var last protocol.QuotaGrant
-		for now.Before(start.Add(asked)) {
+		for now.Before(end) {
 			now = now.Add(10 * time.Millisecond)
-			last = c.Grant(protocol.QuotaWant{Workspace: "w", Units: 500}, now)
+			last = c.Grant(protocol.QuotaWant{Workspace: "w", Units: 50}, now)
 		}
 		if last.Wait <= 0 {
 			t.Fatalf("%s: all was granted", name)
--- a/transport/codec_test.go
+++ b/transport/codec_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"encoding/binary"
 	"errors"
+	"io"
 	"net"
 	"net/rpc"
 	"testing"
@@ -129,23 +130,26 @@
 // too long, end in an error and not in a large buffer.
 func TestUnreadableFrames(t *testing.T) {
 	length := func(n uint32) []byte { return binary.BigEndian.AppendUint32(nil, n) }
-	for name, sent := range map[string][]byte{
-		"too long":    length(helloBytes + 1),
-		"not CBOR":    append(length(2), 0xff, 0xff),
-		"another":     append(length(1), 0x01), // A number where an object is due.
-		"cut short":   append(length(9), 0x01),
-		"no body":     length(0),
-		"no greeting": []byte("GET / HTTP/1.1\r\n\r\n"),
+	for name, c := range map[string]struct {
+		sent []byte
+		want error
+	}{
+		"too long":    {length(helloBytes + 1), ErrFrame},
+		"not CBOR":    {append(length(2), 0xff, 0xff), ErrFrame},
+		"another":     {append(length(1), 0x01), ErrFrame}, // A number where an object is due.
+		"no body":     {length(0), ErrFrame},
+		"no greeting": {[]byte("GET / HTTP/1.1\r\n\r\n"), ErrFrame},
+		"cut short":   {append(length(9), 0x01), io.ErrUnexpectedEOF},
 	} {
 		t.Run(name, func(t *testing.T) {
 			near, far := net.Pipe()
 			go func() {
-				_, _ = near.Write(sent) // The other side may have hung up.
+				_, _ = near.Write(c.sent) // The other side may have hung up.
 				_ = near.Close()
 			}()
 			defer func() { _ = far.Close() }()
-			if _, err := NewLinks("a", []byte(echoKey), time.Second, zerolog.Nop()).accept(far); err == nil {
-				t.Error("it was taken for a greeting")
+			if _, err := NewLinks("a", []byte(echoKey), time.Second, zerolog.Nop()).accept(far); !errors.Is(err, c.want) {
+				t.Errorf("got %v, want %v", err, c.want)
 			}
 		})
 	}
--- a/transport/uplink/uplink_test.go
+++ b/transport/uplink/uplink_test.go
@@ -243,6 +243,14 @@
 	got := make(chan answer)
 	go func() { got <- u.await(t.Context(), "a", answers) }()
 	<-asked // The answer is overdue, and the other one is asked.
+	u.found <- "a"
+	for len(u.found) > 0 {
+		select {
+		case a := <-got:
+			t.Fatalf("left for itself: %+v", a)
+		default:
+		}
+	}
 	answers <- answer{reply: protocol.SyncReply{Leads: true, Number: 7}}
 	if a := <-got; a.err != nil || a.reply.Number != 7 {
 		t.Errorf("got %+v", a)
