What gateways spend alone counts at the next coordinator

While no control instance ran the gateways let in what they used of late, and the new leader gave as much again for the time of the outage. Change: a gateway tells the coordinator what it spent alone, until that has it, and the bucket and the last window are charged with it. Its part is what it used over 8 s; where little was left it begins anywhere between none and one request, by chance, and a request needs all of its units. Callers who are denied are told when the part has room, 1.2 s at the most. TestAloneAsBefore waits for the longer average; its assertion is the same.

--- a/coordination/quota/allowance.go
+++ b/coordination/quota/allowance.go
@@ -1,7 +1,6 @@
 package quota
 
 import (
-	"math"
 	"time"
 
 	"github.com/weldstream/weldstream/protocol"
@@ -25,6 +24,10 @@
 	// aloneShare is the part of its even share that it then takes, or as much as it
 	// used of late: the use of all gateways was within the quota.
 	aloneShare = 0.5
+	// aloneUse is the time over which the use is averaged by which it then goes on: as
+	// long as the window of a quota, in which all gateways together keep to it. Over
+	// useMemory a burst would count for much more than the quota's rate.
+	aloneUse = 8 * time.Second
 	// aloneMemory is for how long what was let in alone is remembered.
 	aloneMemory = 10 * time.Second
 )
@@ -46,6 +49,16 @@
 	heard    time.Time       // heard is when the coordinator answered last.
 	overdue  time.Time       // overdue is since when its answer is overdue; zero if it is not.
 	short    map[string]bool // short are workspaces of whose quota little was left then.
+	chance   func() float64  // chance is from 0 to 1, each time another.
+}
+
+// AllowanceOption changes a new allowance.
+type AllowanceOption func(*Allowance)
+
+// WithChance sets what is drawn by chance, from 0 to 1; without it gateways draw the
+// same.
+func WithChance(chance func() float64) AllowanceOption {
+	return func(a *Allowance) { a.chance = chance }
 }
 
 // space is one workspace in an allowance.
@@ -53,7 +66,8 @@
 	rate    float64
 	burst   float64
 	parts   []part
-	use     float64 // use is in units a second, averaged.
+	use     float64 // use is in units a second, averaged over useMemory.
+	steady  float64 // steady is the same over aloneUse.
 	usedAt  time.Time
 	cost    float64   // cost is what a request takes, averaged.
 	unspent float64   // unspent is what expired, to be given back.
@@ -62,6 +76,8 @@
 	room    time.Time // room is when there will be more, as far as is known.
 	alone   float64
 	aloneAt time.Time
+	lends   bool    // lends says that the next request is let in on credit.
+	owed    float64 // owed is what was spent alone and the coordinator does not know of.
 	// aloneRate is by how much alone grows in a second, up to aloneMost, since the
 	// coordinator was heard last at aloneSince.
 	aloneRate  float64
@@ -75,8 +91,12 @@
 }
 
 // NewAllowance returns an empty allowance.
-func NewAllowance() *Allowance {
-	return &Allowance{spaces: map[string]*space{}, gateways: 1, short: map[string]bool{}}
+func NewAllowance(opts ...AllowanceOption) *Allowance {
+	a := &Allowance{spaces: map[string]*space{}, gateways: 1, short: map[string]bool{}, chance: func() float64 { return 0 }}
+	for _, opt := range opts {
+		opt(a)
+	}
+	return a
 }
 
 // Configure puts the quotas of a configuration in force.
@@ -140,11 +160,11 @@
 		return Taken, 0
 	}
 	if a.alone(now) {
-		s.goAlone(a.heard, aloneShare/float64(a.gateways), !a.short[workspace], now)
+		s.goAlone(a.heard, aloneShare/float64(a.gateways), !a.short[workspace], units, a.chance(), now)
 		if s.spendAlone(units, now) {
 			return Taken, 0
 		}
-		return Denied, s.refill(units)
+		return Denied, s.aloneWait(units)
 	}
 	s.lacking += units
 	if now.Before(s.until) {
@@ -159,14 +179,24 @@
 	for name, s := range a.spaces {
 		held := s.held(now)
 		want := max(0, s.lacking+s.inAdvance(now)-held)
-		if want > 0 || s.unspent > 0 {
-			wants = append(wants, protocol.QuotaWant{Workspace: name, Units: want, Waiting: min(want, s.lacking), Back: s.unspent})
+		if want > 0 || s.unspent > 0 || s.owed > 0 {
+			wants = append(wants, protocol.QuotaWant{Workspace: name, Units: want, Waiting: min(want, s.lacking), Back: s.unspent, Alone: s.owed})
 			s.unspent = 0 // If the message is lost, so are they.
 		}
 	}
 	return wants
 }
 
+// Told notes that the coordinator has what was asked for: it knows of what was spent
+// alone.
+func (a *Allowance) Told(wants []protocol.QuotaWant) {
+	for _, w := range wants {
+		if s := a.spaces[w.Workspace]; s != nil {
+			s.owed = max(0, s.owed-w.Alone)
+		}
+	}
+}
+
 // Granted puts parts in. Lasts counts from when they were asked for.
 func (a *Allowance) Granted(grants []protocol.QuotaGrant, asked, now time.Time) {
 	for _, g := range grants {
@@ -219,29 +249,31 @@
 // goAlone sets the gateway's own part of the rate, once after each time that the
 // coordinator was heard last: a share of the rate, or what the gateway used of late if
 // that is more. The first request is let in on credit, unless little was left: a
-// gateway that sees a workspace once in a few seconds would refuse it each time.
-func (s *space) goAlone(heard time.Time, share float64, credit bool, now time.Time) {
+// gateway that sees a workspace once in a few seconds would refuse it each time. Where
+// little was left, the part begins anywhere between none and one request. Hundreds of
+// gateways that each let one in at once would spend several times the rate, and none of
+// them might ever if all began with nothing.
+func (s *space) goAlone(heard time.Time, share float64, credit bool, units, chance float64, now time.Time) {
 	if s.aloneAt.IsZero() || now.Sub(s.aloneAt) > aloneMemory {
-		s.aloneAt, s.alone = now, 0
-		if credit {
-			s.alone = math.SmallestNonzeroFloat64
-		}
+		s.aloneAt, s.alone, s.lends = now, chance*units, credit
 	}
 	if s.aloneSince.IsZero() || !s.aloneSince.Equal(heard) {
 		s.aloneSince = heard
-		s.aloneRate = max(s.rate*share, s.rateOfUse(now))
+		s.aloneRate = max(s.rate*share, s.averaged(s.steady, aloneUse, now))
 		s.aloneMost = max(s.burst*share, s.aloneRate)
 	}
 }
 
 // spendAlone takes units from the gateway's own part of the rate.
 func (s *space) spendAlone(units float64, now time.Time) bool {
-	s.alone = min(s.aloneMost, s.alone+s.aloneRate*now.Sub(s.aloneAt).Seconds())
+	s.alone = min(max(s.aloneMost, units), s.alone+s.aloneRate*now.Sub(s.aloneAt).Seconds())
 	s.aloneAt = now
-	if s.alone <= 0 {
+	if s.alone < units && !s.lends {
 		return false
 	}
-	s.alone -= units // A large request is let in on credit, and the next ones wait.
+	s.lends = false // The next ones wait for what this one took ahead.
+	s.alone -= units
+	s.owed += units
 	return true
 }
 
@@ -253,6 +285,19 @@
 	return wait
 }
 
+// aloneReturn is how long the coordinator is away as a rule, once a gateway has gone on
+// alone: control instances that were all killed are back within 1.6 s.
+const aloneReturn = 1200 * time.Millisecond
+
+// aloneWait is when the gateway's own part has room again, or when the coordinator is
+// back as a rule if that is earlier.
+func (s *space) aloneWait(units float64) time.Duration {
+	if s.aloneRate <= 0 {
+		return aloneReturn
+	}
+	return min(aloneReturn, time.Duration((units-s.alone)/s.aloneRate*float64(time.Second)))
+}
+
 // refill is how long the quota takes to fill by so many units.
 func (s *space) refill(units float64) time.Duration {
 	return time.Duration(units / s.rate * float64(time.Second))
@@ -260,6 +305,7 @@
 
 func (s *space) used(units float64, now time.Time) {
 	s.use = s.rateOfUse(now) + units/useMemory.Seconds()
+	s.steady = s.averaged(s.steady, aloneUse, now) + units/aloneUse.Seconds()
 	s.cost += costWeight * (units - s.cost)
 	s.usedAt = now
 }
@@ -273,10 +319,13 @@
 	return 0
 }
 
-func (s *space) rateOfUse(now time.Time) float64 {
+func (s *space) rateOfUse(now time.Time) float64 { return s.averaged(s.use, useMemory, now) }
+
+// averaged returns an average over a memory, as it is some time after the latest use.
+func (s *space) averaged(use float64, memory time.Duration, now time.Time) float64 {
 	if s.usedAt.IsZero() {
 		return 0
 	}
-	left := 1 - float64(now.Sub(s.usedAt))/float64(useMemory)
-	return s.use * max(0, min(1, left))
+	left := 1 - float64(now.Sub(s.usedAt))/float64(memory)
+	return use * max(0, min(1, left))
 }
--- a/coordination/quota/quota.go
+++ b/coordination/quota/quota.go
@@ -127,6 +127,12 @@
 	return units
 }
 
+// spent notes units that a gateway spent without a part: the bucket may owe them.
+func (b *bucket) spent(units float64, now time.Time) {
+	b.level -= units
+	b.add(units, now)
+}
+
 // wait is how long it takes until some more units are there, behind all that were told
 // to come back before: each is told another moment. A workspace that asks for several
 // times its quota is told of seconds, and not to try again at once, only to be refused
@@ -161,6 +167,7 @@
 	b.fill(now)
 	b.level = min(b.size, b.level+max(0, w.Back))
 	b.back(max(0, w.Back))
+	b.spent(max(0, w.Alone), now)
 	g.Units = b.take(w.Units, now)
 	if short := w.Units - g.Units; short > 0 {
 		g.Wait = b.wait(short, now)
--- a/coordination/quota/quota_test.go
+++ b/coordination/quota/quota_test.go
@@ -1,6 +1,8 @@
 package quota
 
 import (
+	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -473,13 +475,13 @@
 				perSecond = 40 // A quarter of the gateways has all of the use, the whole rate.
 			}
 			now := start
-			for range 5 * perSecond {
+			for range 40 * perSecond { // Until the average has settled.
 				now = now.Add(time.Second / time.Duration(perSecond))
 				p.Heard(gateways, now)
 				p.Granted([]protocol.QuotaGrant{{Workspace: "w", Units: cost, Lasts: GrantLasts}}, now, now)
 				p.Take("w", cost, now)
 			}
-			now = start.Add(5 * time.Second)
+			now = start.Add(40 * time.Second)
 			p.Heard(gateways, now)
 			p.Overdue(now)
 			now = now.Add(aloneOverdue)
@@ -533,3 +535,193 @@
 		t.Errorf("long after, it is told %v", wait)
 	}
 }
+
+// TestAloneTellsWhen checks that a caller which a gateway alone denies is told when
+// the gateway's own part has room again, and that one which could wait for long is told
+// when the coordinator should be back.
+func TestAloneTellsWhen(t *testing.T) {
+	for name, c := range map[string]struct {
+		gateways int
+		want     time.Duration
+	}{"soon": {1, 400 * time.Millisecond}, "a small part": {295, aloneReturn}} {
+		p := NewAllowance()
+		p.Configure([]protocol.Tenancy{{Name: "w", Rate: 1000, Burst: 1000}})
+		p.Heard(c.gateways, start)
+		p.Overdue(start)
+		now := start.Add(aloneOverdue + time.Millisecond)
+		if v, _ := p.Take("w", 100, now); v != Taken {
+			t.Fatalf("%s: the first request was said %d", name, v)
+		}
+		v, wait := p.Take("w", 100, now)
+		if v != Denied || (wait-c.want).Abs() > time.Microsecond {
+			t.Errorf("%s: the next one was said %d, to come back in %v, want %v", name, v, wait, c.want)
+		}
+		if v, _ := p.Take("w", 100, now.Add(wait+time.Millisecond)); c.want < aloneReturn && v != Taken {
+			t.Errorf("%s: when it came back it was said %d", name, v)
+		}
+	}
+}
+
+// fleet is a coordinator with its gateways, as their callers see them.
+type fleet struct {
+	w         protocol.Tenancy
+	c         *Coordinator // c is nil while nobody grants anything.
+	gateways  []*Allowance
+	now       time.Time
+	lastAsked []time.Time
+	spent     []grant
+}
+
+func newFleet(gateways int, w protocol.Tenancy) *fleet {
+	f := &fleet{w: w, now: start, lastAsked: make([]time.Time, gateways)}
+	draw := rand.New(rand.NewPCG(1, uint64(gateways)))
+	for range gateways {
+		p := NewAllowance(WithChance(draw.Float64))
+		p.Configure([]protocol.Tenancy{w})
+		f.gateways = append(f.gateways, p)
+	}
+	return f
+}
+
+// elect has another coordinator grant from now on, after an outage.
+func (f *fleet) elect(quiet time.Duration) {
+	f.c = NewCoordinator(window, WithQuiet(quiet))
+	f.c.Configure([]protocol.Tenancy{f.w}, f.now)
+}
+
+// ask has a gateway ask the coordinator, or find that there is none.
+func (f *fleet) ask(i int) {
+	p := f.gateways[i]
+	if f.c == nil {
+		p.Overdue(f.now)
+		return
+	}
+	wants := p.Wants(f.now)
+	var grants []protocol.QuotaGrant
+	for _, want := range wants {
+		grants = append(grants, f.c.Grant(want, f.now))
+	}
+	p.Heard(len(f.gateways), f.now)
+	p.Short(f.c.Short(f.now))
+	p.Told(wants)
+	p.Granted(grants, f.now, f.now)
+	f.lastAsked[i] = f.now
+}
+
+// request takes a request's units at a gateway.
+func (f *fleet) request(i int, units float64) {
+	v, _ := f.gateways[i].Take("w", units, f.now)
+	if v == Ask {
+		f.ask(i)
+		v, _ = f.gateways[i].Take("w", units, f.now)
+	}
+	if v == Taken {
+		f.spent = append(f.spent, grant{f.now, units})
+	}
+}
+
+// TestQuotaHoldsThroughAnOutage checks that a workspace which asks for several times
+// its quota gets at most a tenth more than it in any window when all coordinators are
+// away for a while, the gateways go on alone meanwhile, and a new one begins with what
+// the rate gave since. It once got 1.16 times its quota: what was spent alone counted
+// nowhere.
+func TestQuotaHoldsThroughAnOutage(t *testing.T) {
+	const step = 10 * time.Millisecond
+	for _, gateways := range []int{8, 76, 295} {
+		for _, away := range []time.Duration{300 * time.Millisecond, 1600 * time.Millisecond, 5 * time.Second} {
+			for _, hot := range []time.Duration{100 * time.Millisecond, 1500 * time.Millisecond, 3 * time.Second} {
+				w := protocol.Tenancy{Name: "w", Rate: 100_000, Burst: 100_000}
+				f := newFleet(gateways, w)
+				f.elect(time.Hour)
+				begins := start.Add(20 * time.Second)
+				lost, found := begins.Add(hot), begins.Add(hot+away)
+				every := max(150*time.Millisecond, time.Duration(gateways)*1500*time.Microsecond)
+				units, due := 2000.0, 0.0
+				for n := 0; f.now.Before(found.Add(18 * time.Second)); f.now = f.now.Add(step) {
+					if !f.now.Before(lost) && f.now.Before(found) {
+						f.c = nil
+					} else if f.c == nil {
+						f.elect(max(0, away-700*time.Millisecond))
+					}
+					demand := 0.55 * w.Rate
+					if !f.now.Before(begins) {
+						demand *= 9
+					}
+					for due += demand * step.Seconds(); due >= units; due -= units {
+						n++
+						f.request(n*7919%gateways, units)
+					}
+					for i := range f.gateways {
+						if f.now.Sub(f.lastAsked[i]) >= every {
+							f.ask(i)
+						}
+					}
+				}
+				bound := w.Rate*window.Seconds() + w.Burst
+				if sum := most(f.spent); sum > 1.1*bound {
+					t.Errorf("%d gateways, %v away, hot for %v before: %.2f of the quota in a window", gateways, away, hot, sum/bound)
+				}
+				last := slices.DeleteFunc(f.spent, func(g grant) bool { return g.at.Before(f.now.Add(-window)) })
+				if sum := most(last); sum < 0.9*w.Rate*window.Seconds() {
+					t.Errorf("%d gateways, %v away, hot for %v before: %.2f of the rate in the last window", gateways, away, hot, sum/w.Rate/window.Seconds())
+				}
+			}
+		}
+	}
+}
+
+// TestAloneWithLittleLeft checks that hundreds of gateways which each let in less than
+// a request alone, of a workspace of whose quota little was left, let in together about
+// what they used before: neither one each nor none.
+func TestAloneWithLittleLeft(t *testing.T) {
+	const gateways, units, seconds = 295, 2000.0, 2
+	w := protocol.Tenancy{Name: "w", Rate: 100_000, Burst: 100_000}
+	draw := rand.New(rand.NewPCG(1, 2))
+	taken := 0.0
+	for range gateways {
+		p := NewAllowance(WithChance(draw.Float64))
+		p.Configure([]protocol.Tenancy{w})
+		now := start
+		for range 6 { // A request each 6 s, a third of the rate for all together.
+			now = now.Add(6 * time.Second)
+			p.Heard(gateways, now)
+			p.Granted([]protocol.QuotaGrant{{Workspace: "w", Units: units, Lasts: GrantLasts}}, now, now)
+			p.Take("w", units, now)
+		}
+		p.Short([]string{"w"})
+		p.Overdue(now)
+		for range seconds * 100 {
+			now = now.Add(10 * time.Millisecond)
+			if v, _ := p.Take("w", units, now); v == Taken {
+				taken += units
+			}
+		}
+	}
+	if used := gateways * units / 6 * seconds; taken < 0.6*used || taken > 1.5*used {
+		t.Errorf("%.0f units were let in, %.0f were used in as long before", taken, used)
+	}
+}
+
+// TestBurstIsNotGoneOnWith checks that a gateway which spent a burst right before it
+// goes on alone does not go on at that pace: the burst is in a window once.
+func TestBurstIsNotGoneOnWith(t *testing.T) {
+	w := protocol.Tenancy{Name: "w", Rate: 1000, Burst: 1000}
+	p := NewAllowance()
+	p.Configure([]protocol.Tenancy{w})
+	p.Heard(1, start)
+	p.Granted([]protocol.QuotaGrant{{Workspace: "w", Units: 5000, Lasts: GrantLasts}}, start, start)
+	for range 250 {
+		p.Take("w", 20, start) // The rate of five seconds, at once.
+	}
+	p.Overdue(start)
+	taken, now := 0.0, start.Add(aloneOverdue)
+	for range 200 {
+		now = now.Add(10 * time.Millisecond)
+		if v, _ := p.Take("w", 20, now); v == Taken {
+			taken += 20
+		}
+	}
+	if most := 1.2 * 2 * w.Rate; taken > most {
+		t.Errorf("%.0f units were let in within 2 s, want %.0f at the most", taken, most)
+	}
+}
--- a/protocol/uplink.go
+++ b/protocol/uplink.go
@@ -73,6 +73,7 @@
 	Units     float64 // Units are requests or tokens, as the quota counts.
 	Waiting   float64 // Waiting are those of them that requests wait for; the rest is asked for in advance.
 	Back      float64 // Back are units of earlier parts that expired unspent.
+	Alone     float64 // Alone are units that were spent without a part, while nobody granted any.
 }
 
 // Pressure is what a service's requests ask of its servers through one gateway.
--- a/transport/forward/forward.go
+++ b/transport/forward/forward.go
@@ -18,6 +18,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -108,7 +109,7 @@
 		place:     func(protocol.PlaceMsg) (protocol.PlaceReply, bool) { return protocol.PlaceReply{}, false },
 		began:     now,
 		clock:     usage.NewClock(now),
-		allowance: quota.NewAllowance(),
+		allowance: quota.NewAllowance(quota.WithChance(rand.Float64)),
 		granted:   make(chan struct{}),
 		news:      make(chan struct{}),
 		shares:    map[string]*retry.Share{},
