--- a/coordination/scale/scale.go
+++ b/coordination/scale/scale.go
@@ -206,7 +206,7 @@
 // oneProbe leaves at most one order for reclaimable servers among those that were
 // refused before, and none soon after another refusal: while none are to be had
 // anywhere, one domain is asked for all, in turn. Six domains that were each asked
-// every 2 s gave 64 refusals in 22 s, one for all gives 29 in as long.
+// every 2 s gave 64 refusals in 22 s, one for all gave 29 in 31 s.
 func (p *Planner) oneProbe(orders []Order, service string, now time.Time) []Order {
 	probe, longest := Order{}, time.Time{}
 	for _, o := range orders {
