What a gateway does alone, and the list of the control role, in files of their own

Change: ownPart in coordination/quota/alone.go; the list of servers in transport/control/list.go. Run: the tests of both packages and of transport/forward, vet, the linter.

--- a/coordination/quota/allowance.go
+++ b/coordination/quota/allowance.go
@@ -13,23 +13,6 @@
 	useMemory = 2 * time.Second
 	// costWeight is the weight of the latest request in the mean cost.
 	costWeight = 0.1
-	// aloneAfter without an answer a gateway goes on alone; with many gateways,
-	// which are answered less often, after so many usual pauses.
-	aloneAfter  = 400 * time.Millisecond
-	aloneMember = 4 * time.Millisecond
-	// aloneOverdue after an answer became overdue a gateway goes on alone as well: by
-	// then most elections are over. Without it 295 gateways let in next to nothing for
-	// 1.2 s while no control instance ran, and everything that had waited at once then.
-	aloneOverdue = 150 * time.Millisecond
-	// aloneShare is the part of its even share that it then takes, or as much as it
-	// used of late: the use of all gateways was within the quota.
-	aloneShare = 0.5
-	// aloneUse is the time over which the use is averaged by which it then goes on: as
-	// long as the window of a quota, in which all gateways together keep to it. Over
-	// useMemory a burst would count for much more than the quota's rate.
-	aloneUse = 8 * time.Second
-	// aloneMemory is for how long what was let in alone is remembered.
-	aloneMemory = 10 * time.Second
 )
 
 // Verdict is the outcome of taking units.
@@ -74,15 +57,7 @@
 	lacking float64   // lacking is what waiting requests need.
 	until   time.Time // until is how long the coordinator is not asked again.
 	room    time.Time // room is when there will be more, as far as is known.
-	alone   float64
-	aloneAt time.Time
-	lends   bool    // lends says that the next request is let in on credit.
-	owed    float64 // owed is what was spent alone and the coordinator does not know of.
-	// aloneRate is by how much alone grows in a second, up to aloneMost, since the
-	// coordinator was heard last at aloneSince.
-	aloneRate  float64
-	aloneMost  float64
-	aloneSince time.Time
+	own     ownPart   // own is what the gateway lets in alone.
 }
 
 type part struct {
@@ -140,15 +115,6 @@
 	}
 }
 
-// alone reports whether the coordinator was not heard of for so long that the
-// gateway goes on by itself.
-func (a *Allowance) alone(now time.Time) bool {
-	if !a.overdue.IsZero() && now.Sub(a.overdue) > aloneOverdue {
-		return true
-	}
-	return now.Sub(a.heard) > max(aloneAfter, time.Duration(a.gateways)*aloneMember)
-}
-
 // Take takes the units of one request. With Denied, wait is when to come back.
 func (a *Allowance) Take(workspace string, units float64, now time.Time) (v Verdict, wait time.Duration) {
 	s := a.spaces[workspace]
@@ -160,11 +126,11 @@
 		return Taken, 0
 	}
 	if a.alone(now) {
-		s.goAlone(a.heard, aloneShare/float64(a.gateways), !a.short[workspace], units, a.chance(), now)
-		if s.spendAlone(units, now) {
+		a.goAlone(s, !a.short[workspace], units, now)
+		if s.own.take(units, now) {
 			return Taken, 0
 		}
-		return Denied, s.aloneWait(units)
+		return Denied, s.own.wait(units)
 	}
 	s.lacking += units
 	if now.Before(s.until) {
@@ -179,8 +145,8 @@
 	for name, s := range a.spaces {
 		held := s.held(now)
 		want := max(0, s.lacking+s.inAdvance(now)-held)
-		if want > 0 || s.unspent > 0 || s.owed > 0 {
-			wants = append(wants, protocol.QuotaWant{Workspace: name, Units: want, Waiting: min(want, s.lacking), Back: s.unspent, Alone: s.owed})
+		if want > 0 || s.unspent > 0 || s.own.owed > 0 {
+			wants = append(wants, protocol.QuotaWant{Workspace: name, Units: want, Waiting: min(want, s.lacking), Back: s.unspent, Alone: s.own.owed})
 			s.unspent = 0 // If the message is lost, so are they.
 		}
 	}
@@ -192,7 +158,7 @@
 func (a *Allowance) Told(wants []protocol.QuotaWant) {
 	for _, w := range wants {
 		if s := a.spaces[w.Workspace]; s != nil {
-			s.owed = max(0, s.owed-w.Alone)
+			s.own.owed = max(0, s.own.owed-w.Alone)
 		}
 	}
 }
@@ -246,37 +212,6 @@
 	return true
 }
 
-// goAlone sets the gateway's own part of the rate, once after each time that the
-// coordinator was heard last: a share of the rate, or what the gateway used of late if
-// that is more. The first request is let in on credit, unless little was left: a
-// gateway that sees a workspace once in a few seconds would refuse it each time. Where
-// little was left, the part begins anywhere between none and one request. Hundreds of
-// gateways that each let one in at once would spend several times the rate, and none of
-// them might ever if all began with nothing.
-func (s *space) goAlone(heard time.Time, share float64, credit bool, units, chance float64, now time.Time) {
-	if s.aloneAt.IsZero() || now.Sub(s.aloneAt) > aloneMemory {
-		s.aloneAt, s.alone, s.lends = now, chance*units, credit
-	}
-	if s.aloneSince.IsZero() || !s.aloneSince.Equal(heard) {
-		s.aloneSince = heard
-		s.aloneRate = max(s.rate*share, s.averaged(s.steady, aloneUse, now))
-		s.aloneMost = max(s.burst*share, s.aloneRate)
-	}
-}
-
-// spendAlone takes units from the gateway's own part of the rate.
-func (s *space) spendAlone(units float64, now time.Time) bool {
-	s.alone = min(max(s.aloneMost, units), s.alone+s.aloneRate*now.Sub(s.aloneAt).Seconds())
-	s.aloneAt = now
-	if s.alone < units && !s.lends {
-		return false
-	}
-	s.lends = false // The next ones wait for what this one took ahead.
-	s.alone -= units
-	s.owed += units
-	return true
-}
-
 // later is when the caller of a request that is denied may come back: when there is
 // room, and the next one behind it.
 func (s *space) later(units float64, now time.Time) time.Duration {
@@ -285,19 +220,6 @@
 	return wait
 }
 
-// aloneReturn is how long the coordinator is away as a rule, once a gateway has gone on
-// alone: control instances that were all killed are back within 1.6 s.
-const aloneReturn = 1200 * time.Millisecond
-
-// aloneWait is when the gateway's own part has room again, or when the coordinator is
-// back as a rule if that is earlier.
-func (s *space) aloneWait(units float64) time.Duration {
-	if s.aloneRate <= 0 {
-		return aloneReturn
-	}
-	return min(aloneReturn, time.Duration((units-s.alone)/s.aloneRate*float64(time.Second)))
-}
-
 // refill is how long the quota takes to fill by so many units.
 func (s *space) refill(units float64) time.Duration {
 	return time.Duration(units / s.rate * float64(time.Second))
