--- a/coordination/quota/allowance.go
+++ b/coordination/quota/allowance.go
@@ -153,9 +153,9 @@
 	return wants
 }
 
-// Told notes that the coordinator has what was asked for: it knows of what was spent
-// alone.
-func (a *Allowance) Told(wants []protocol.QuotaWant) {
+// Acknowledged notes that the coordinator has what was asked for: it knows of what was
+// spent alone.
+func (a *Allowance) Acknowledged(wants []protocol.QuotaWant) {
 	for _, w := range wants {
 		if s := a.spaces[w.Workspace]; s != nil {
 			s.own.owed = max(0, s.own.owed-w.Alone)
--- a/coordination/quota/quota.go
+++ b/coordination/quota/quota.go
@@ -36,7 +36,7 @@
 	level float64 // level may be below 0 after a large request.
 	at    time.Time
 	whole time.Time // whole is when recent covers a whole window.
-	queue float64   // queue is what was refused and told to come back, less what there was room for since.
+	queue float64   // queue is what was refused and may come back, less what there was room for since.
 	recent
 }
 
@@ -133,10 +133,10 @@
 	b.add(units, now)
 }
 
-// wait is how long it takes until some more units are there, behind all that were told
-// to come back before: each is told another moment. A workspace that asks for several
-// times its quota is told of seconds, and not to try again at once, only to be refused
-// again. After a whole window everything may be different.
+// wait is how long it takes until some more units are there, behind all that were
+// refused before and may come back: each caller gets another moment. For a workspace
+// that asks for several times its quota that is seconds; one that came back at once
+// would only be refused again. After a whole window everything may be different.
 func (b *bucket) wait(units float64, now time.Time) time.Duration {
 	units += b.queue
 	filled := time.Duration((units - min(0, b.level)) / b.pace(now) * float64(time.Second))
--- a/coordination/quota/quota_test.go
+++ b/coordination/quota/quota_test.go
@@ -603,7 +603,7 @@
 	}
 	p.Heard(len(f.gateways), f.now)
 	p.Short(f.c.Short(f.now))
-	p.Told(wants)
+	p.Acknowledged(wants)
 	p.Granted(grants, f.now, f.now)
 	f.lastAsked[i] = f.now
 }
--- a/internal/tcp/tcp.go
+++ b/internal/tcp/tcp.go
@@ -1,9 +1,9 @@
 // Package tcp opens connections that do not hang when the other side, or the way to
 // it, falls silent.
 //
-// A connection whose packets are lost sends no reset. Unless it is told otherwise the
-// kernel repeats what was not acknowledged for a quarter of an hour, and a connection
-// that rests says nothing at all. Connections of this package end after a bound: where
+// A connection whose packets are lost sends no reset. By default the kernel repeats
+// what was not acknowledged for a quarter of an hour, and a connection that rests sends
+// nothing at all. Connections of this package end after a bound: where
 // bytes are not acknowledged for so long, and where one that rests does not answer the
 // kernel's probes. A process that stands still is no reason: its kernel acknowledges.
 package tcp
--- a/transport/control/uplink.go
+++ b/transport/control/uplink.go
@@ -21,8 +21,8 @@
 	group Group
 	peers func() (leader string, all []string)
 	parse func(number uint64, data []byte) (*protocol.Catalog, error)
-	quota time.Duration // quota is the window in which quotas are bounded.
-	quiet func() time.Duration
+	quota time.Duration        // quota is the window in which quotas are bounded.
+	quiet func() time.Duration // quiet is for how long nothing was granted before this instance led.
 	began time.Time
 	clock *usage.Clock
 	log   zerolog.Logger
--- a/transport/forward/limits.go
+++ b/transport/forward/limits.go
@@ -177,7 +177,7 @@
 	defer g.mu.Unlock()
 	g.counter.Acknowledged(reply.Term, m.Usage)
 	g.allowance.Short(reply.Short)
-	g.allowance.Told(m.Wants)
+	g.allowance.Acknowledged(m.Wants)
 	g.clock.Agreed(reply.Clock, time.Since(g.began))
 	if len(m.Wants) == 0 {
 		return
--- a/transport/uplink/uplink.go
+++ b/transport/uplink/uplink.go
@@ -62,7 +62,7 @@
 	callTime  = 700 * time.Millisecond
 	firstTime = 1500 * time.Millisecond
 	// answerDue is how long the leader's answer may take before the others are asked
-	// who leads: some ten times what it usually takes, and less than an election. A
+	// who leads: many round trips of a region, and less than an election takes. A
 	// leader that lost its power sends no reset, and waiting for callTime instead left
 	// 295 gateways without quotas for 0.6 to 0.9 s after its successor stood.
 	answerDue = 100 * time.Millisecond
