--- a/internal/tcp/tcp.go
+++ b/internal/tcp/tcp.go
@@ -31,7 +31,7 @@
 		return nil, err
 	}
 	if err := Bound(conn, silent); err != nil {
-		_ = conn.Close()
+		_ = conn.Close() // The caller gets the error that made it of no use.
 		return nil, err
 	}
 	return conn, nil
