A gateway alone goes by its use over the window of the quotas, as set

Cause: reading the change anew: the use by which a gateway goes on alone was averaged over a constant of 8 s, which is the quota window of today's deployments; with another quota_window the bound on what is spent alone would not have held. Change: NewAllowance takes the window, as NewCoordinator does, from the setting. With 8 s nothing changes. Other tests pass the window; their assertions are the same. Run: the tests of coordination/quota, transport/forward and cmd/weldstreamd, vet, the linter.

--- a/cmd/weldstreamd/gateway.go
+++ b/cmd/weldstreamd/gateway.go
@@ -91,6 +91,7 @@
 		RetryRatio:  n.Bounds.RetryRatio,
 		RetryExtra:  n.Bounds.RetryExtra,
 		RetryWindow: n.Bounds.RetryWindow,
+		QuotaWindow: n.Bounds.QuotaWindow,
 		UsageWindow: n.Bounds.UsageWindow,
 		UsageDue:    n.Bounds.UsageDue,
 	}, platform.Dialect{}, forward.WithLogger(r.log), forward.WithRegistry(r.registry), forward.WithSyncNow(func() { g.client.SyncNow() }),
--- a/coordination/quota/allowance.go
+++ b/coordination/quota/allowance.go
@@ -33,6 +33,10 @@
 	overdue  time.Time       // overdue is since when its answer is overdue; zero if it is not.
 	short    map[string]bool // short are workspaces of whose quota little was left then.
 	chance   func() float64  // chance is from 0 to 1, each time another.
+	// memory is the time over which the use is averaged by which a gateway goes on
+	// alone: the window in which all gateways together keep to a quota. Over less a burst
+	// would count for more than the quota's rate.
+	memory time.Duration
 }
 
 // AllowanceOption changes a new allowance.
@@ -50,7 +54,7 @@
 	burst   float64
 	parts   []part
 	use     float64 // use is in units a second, averaged over useMemory.
-	steady  float64 // steady is the same over aloneUse.
+	steady  float64 // steady is the same over the window of the quotas.
 	usedAt  time.Time
 	cost    float64   // cost is what a request takes, averaged.
 	unspent float64   // unspent is what expired, to be given back.
@@ -65,9 +69,10 @@
 	until time.Time
 }
 
-// NewAllowance returns an empty allowance.
-func NewAllowance(opts ...AllowanceOption) *Allowance {
-	a := &Allowance{spaces: map[string]*space{}, gateways: 1, short: map[string]bool{}, chance: func() float64 { return 0 }}
+// NewAllowance returns an empty allowance, of quotas that are bounded in windows of a
+// length.
+func NewAllowance(window time.Duration, opts ...AllowanceOption) *Allowance {
+	a := &Allowance{spaces: map[string]*space{}, gateways: 1, short: map[string]bool{}, chance: func() float64 { return 0 }, memory: max(window, useMemory)}
 	for _, opt := range opts {
 		opt(a)
 	}
@@ -122,7 +127,7 @@
 		return Taken, 0 // Without a quota there is no limit.
 	}
 	if s.spend(units, now) {
-		s.used(units, now)
+		s.used(units, a.memory, now)
 		return Taken, 0
 	}
 	if a.alone(now) {
@@ -225,9 +230,9 @@
 	return time.Duration(units / s.rate * float64(time.Second))
 }
 
-func (s *space) used(units float64, now time.Time) {
+func (s *space) used(units float64, memory time.Duration, now time.Time) {
 	s.use = s.rateOfUse(now) + units/useMemory.Seconds()
-	s.steady = s.averaged(s.steady, aloneUse, now) + units/aloneUse.Seconds()
+	s.steady = s.averaged(s.steady, memory, now) + units/memory.Seconds()
 	s.cost += costWeight * (units - s.cost)
 	s.usedAt = now
 }
--- a/coordination/quota/alone.go
+++ b/coordination/quota/alone.go
@@ -14,10 +14,6 @@
 	// aloneShare is the part of its even share that it then takes, or as much as it
 	// used of late: the use of all gateways was within the quota.
 	aloneShare = 0.5
-	// aloneUse is the time over which the use is averaged by which it then goes on: as
-	// long as the window of a quota, in which all gateways together keep to it. Over
-	// useMemory a burst would count for much more than the quota's rate.
-	aloneUse = 8 * time.Second
 	// aloneMemory is for how long what was let in alone is remembered.
 	aloneMemory = 10 * time.Second
 	// aloneReturn is how long the coordinator is away as a rule, once a gateway has
@@ -60,7 +56,7 @@
 	if p.since.IsZero() || !p.since.Equal(a.heard) {
 		share := aloneShare / float64(a.gateways)
 		p.since = a.heard
-		p.rate = max(s.rate*share, s.averaged(s.steady, aloneUse, now))
+		p.rate = max(s.rate*share, s.averaged(s.steady, a.memory, now))
 		p.most = max(s.burst*share, p.rate)
 	}
 }
--- a/coordination/quota/quota_test.go
+++ b/coordination/quota/quota_test.go
@@ -72,7 +72,7 @@
 
 // TestAllowance walks a gateway's part through asking, spending, expiry and denial.
 func TestAllowance(t *testing.T) {
-	p := NewAllowance()
+	p := NewAllowance(window)
 	p.Configure([]protocol.Tenancy{{Name: "w", Rate: 100, Burst: 100}})
 	p.Heard(2, start)
 	if v, _ := p.Take("free", 1e9, start); v != Taken {
@@ -107,7 +107,7 @@
 	w := protocol.Tenancy{Name: "w", Rate: 1000, Burst: 500}
 	taken := 0.0
 	for range gateways {
-		p := NewAllowance()
+		p := NewAllowance(window)
 		p.Configure([]protocol.Tenancy{w})
 		p.Heard(gateways, start)
 		for ms := 1500; ms < 9500; ms += 5 {
@@ -128,7 +128,7 @@
 		short []string
 		want  Verdict
 	}{"plenty": {nil, Taken}, "little left": {[]string{"w"}, Denied}} {
-		p := NewAllowance()
+		p := NewAllowance(window)
 		p.Configure([]protocol.Tenancy{{Name: "w", Rate: 1000, Burst: 1000}})
 		p.Heard(40, start)
 		p.Short(c.short)
@@ -146,7 +146,7 @@
 // last answer, and not before.
 func TestAloneSoon(t *testing.T) {
 	for gateways, after := range map[int]time.Duration{8: aloneAfter, 360: 360 * aloneMember} {
-		p := NewAllowance()
+		p := NewAllowance(window)
 		p.Configure([]protocol.Tenancy{{Name: "w", Rate: 1000, Burst: 1000}})
 		p.Heard(gateways, start)
 		if v, _ := p.Take("w", 1, start.Add(after)); v != Ask {
@@ -175,7 +175,7 @@
 // TestLowerQuotaDropsParts checks that what was granted under a higher quota is
 // not spent under a lower one.
 func TestLowerQuotaDropsParts(t *testing.T) {
-	p := NewAllowance()
+	p := NewAllowance(window)
 	p.Configure([]protocol.Tenancy{{Name: "w", Rate: 1000, Burst: 1000}})
 	p.Heard(1, start)
 	p.Take("w", 1, start)
@@ -196,7 +196,7 @@
 	c.Configure([]protocol.Tenancy{w}, start)
 	allowances := make([]*Allowance, gateways)
 	for i := range allowances {
-		allowances[i] = NewAllowance()
+		allowances[i] = NewAllowance(window)
 		allowances[i].Configure([]protocol.Tenancy{w})
 	}
 	now, spent := start, 0.0
@@ -252,7 +252,7 @@
 // TestPartLastsFromItsQuestion checks that a part whose answer came late lasts no
 // longer for it: the coordinator counts it as over by then.
 func TestPartLastsFromItsQuestion(t *testing.T) {
-	p := NewAllowance()
+	p := NewAllowance(window)
 	p.Configure([]protocol.Tenancy{{Name: "w", Rate: 100, Burst: 100}})
 	late := start.Add(GrantLasts)
 	p.Heard(1, late)
@@ -266,7 +266,7 @@
 // it said that the quota is used up, as others may give parts back; and that callers are
 // told what it said, the next one a moment later.
 func TestDenialIsShort(t *testing.T) {
-	p := NewAllowance()
+	p := NewAllowance(window)
 	p.Configure([]protocol.Tenancy{{Name: "w", Rate: 100, Burst: 100}})
 	p.Heard(1, start)
 	p.Granted([]protocol.QuotaGrant{{Workspace: "w", Wait: time.Hour}}, start, start)
@@ -288,7 +288,7 @@
 		pause time.Duration
 		want  bool
 	}{"often": {50 * time.Millisecond, true}, "rarely": {1500 * time.Millisecond, false}} {
-		p := NewAllowance()
+		p := NewAllowance(window)
 		p.Configure([]protocol.Tenancy{{Name: "w", Rate: 1000, Burst: 1000}})
 		now := start
 		for range 60 {
@@ -441,7 +441,7 @@
 // TestAloneWhenOverdue checks that a gateway whose answer is overdue goes on alone
 // soon, and asks again once it was answered.
 func TestAloneWhenOverdue(t *testing.T) {
-	p := NewAllowance()
+	p := NewAllowance(window)
 	p.Configure([]protocol.Tenancy{{Name: "w", Rate: 1000, Burst: 1000}})
 	p.Heard(295, start)
 	p.Overdue(start)
@@ -468,7 +468,7 @@
 		w := protocol.Tenancy{Name: "w", Rate: 100 * float64(gateways), Burst: 100 * float64(gateways)}
 		used, busy, taken := 0.0, 0.0, 0.0
 		for i := range gateways {
-			p := NewAllowance()
+			p := NewAllowance(window)
 			p.Configure([]protocol.Tenancy{w})
 			perSecond := 0
 			if i%4 == 0 {
@@ -544,7 +544,7 @@
 		gateways int
 		want     time.Duration
 	}{"soon": {1, 400 * time.Millisecond}, "a small part": {295, aloneReturn}} {
-		p := NewAllowance()
+		p := NewAllowance(window)
 		p.Configure([]protocol.Tenancy{{Name: "w", Rate: 1000, Burst: 1000}})
 		p.Heard(c.gateways, start)
 		p.Overdue(start)
@@ -576,7 +576,7 @@
 	f := &fleet{w: w, now: start, lastAsked: make([]time.Time, gateways)}
 	draw := rand.New(rand.NewPCG(1, uint64(gateways)))
 	for range gateways {
-		p := NewAllowance(WithChance(draw.Float64))
+		p := NewAllowance(window, WithChance(draw.Float64))
 		p.Configure([]protocol.Tenancy{w})
 		f.gateways = append(f.gateways, p)
 	}
@@ -679,7 +679,7 @@
 	draw := rand.New(rand.NewPCG(1, 2))
 	taken := 0.0
 	for range gateways {
-		p := NewAllowance(WithChance(draw.Float64))
+		p := NewAllowance(window, WithChance(draw.Float64))
 		p.Configure([]protocol.Tenancy{w})
 		now := start
 		for range 6 { // A request each 6 s, a third of the rate for all together.
@@ -706,7 +706,7 @@
 // goes on alone does not go on at that pace: the burst is in a window once.
 func TestBurstIsNotGoneOnWith(t *testing.T) {
 	w := protocol.Tenancy{Name: "w", Rate: 1000, Burst: 1000}
-	p := NewAllowance()
+	p := NewAllowance(window)
 	p.Configure([]protocol.Tenancy{w})
 	p.Heard(1, start)
 	p.Granted([]protocol.QuotaGrant{{Workspace: "w", Units: 5000, Lasts: GrantLasts}}, start, start)
@@ -725,3 +725,21 @@
 		t.Errorf("%.0f units were let in within 2 s, want %.0f at the most", taken, most)
 	}
 }
+
+// TestOwnPartGoesByTheWindow checks that the use by which a gateway goes on alone is
+// averaged over the window of the quotas, however long that is.
+func TestOwnPartGoesByTheWindow(t *testing.T) {
+	for _, window := range []time.Duration{4 * time.Second, 8 * time.Second, 40 * time.Second} {
+		p := NewAllowance(window)
+		p.Configure([]protocol.Tenancy{{Name: "w", Rate: 1000, Burst: 1000}})
+		p.Heard(295, start)
+		p.Granted([]protocol.QuotaGrant{{Workspace: "w", Units: 4000, Lasts: GrantLasts}}, start, start)
+		p.Take("w", 4000, start)
+		p.Overdue(start)
+		p.Take("w", 1, start.Add(aloneOverdue+time.Millisecond))
+		got, want := p.spaces["w"].own.rate, 4000/window.Seconds()
+		if got > want || got < 0.9*want {
+			t.Errorf("with a window of %v it goes on with %.0f a second, want nearly %.0f", window, got, want)
+		}
+	}
+}
--- a/transport/forward/forward.go
+++ b/transport/forward/forward.go
@@ -44,6 +44,7 @@
 	RetryRatio  float64       // RetryRatio is the part of the requests of a window that all gateways may send again.
 	RetryExtra  float64       // RetryExtra are retries in a window besides, of all gateways.
 	RetryWindow time.Duration
+	QuotaWindow time.Duration // QuotaWindow is the window in which quotas are bounded.
 	UsageWindow time.Duration // UsageWindow is the length of a window of usage reports.
 	UsageDue    time.Duration // UsageDue is how long after a window its report is due.
 }
@@ -109,7 +110,7 @@
 		place:     func(protocol.PlaceMsg) (protocol.PlaceReply, bool) { return protocol.PlaceReply{}, false },
 		began:     now,
 		clock:     usage.NewClock(now),
-		allowance: quota.NewAllowance(quota.WithChance(rand.Float64)),
+		allowance: quota.NewAllowance(cfg.QuotaWindow, quota.WithChance(rand.Float64)),
 		granted:   make(chan struct{}),
 		news:      make(chan struct{}),
 		shares:    map[string]*retry.Share{},
