The log holds the roll-outs of services to other versions

Cause: weldstream could not move a service to servers of another version. What an operator ordered, and how far it came, has to outlast every leader and a loss of all power. Change: the replicated state keeps the newest roll-out of each service: trial, moving, completed, rolled back. Stages only rise and what is over stays. The same order sent again within its time finds what it began, also when that is over; another order while one runs is refused. Versions that earlier roll-outs left or turned back from get nothing. The group tells of changes, and reads are confirmed by a quorum, as for configurations.

--- a/coordination/group/api.go
+++ b/coordination/group/api.go
@@ -68,6 +68,13 @@
 	return got.number, got.config, err
 }
 
+// Rollouts returns the newest roll-out of each service, as of the last batch.
+func (g *Group) Rollouts(ctx context.Context) ([]protocol.Rollout, error) {
+	return inLoop(ctx, g, func() ([]protocol.Rollout, error) {
+		return g.machine.Rollouts(), nil
+	})
+}
+
 // accepted is a configuration with its number.
 type accepted struct {
 	number uint64
--- a/coordination/group/group.go
+++ b/coordination/group/group.go
@@ -80,6 +80,12 @@
 	return func(g *Group) { g.document = f }
 }
 
+// WithRollouts sets what is told of the roll-outs whenever one changes, with a number
+// that rises with each change.
+func WithRollouts(f func(changes uint64, list []protocol.Rollout)) Option {
+	return func(g *Group) { g.rollouts = f }
+}
+
 // WithTimeOfDay sets what tells the time of day, by which commands are stamped;
 // without it the machine's clock does.
 func WithTimeOfDay(f func() time.Time) Option { return func(g *Group) { g.timeOfDay = f } }
@@ -90,6 +96,7 @@
 
 	meters   *meters
 	document func(number uint64, data []byte)
+	rollouts func(changes uint64, list []protocol.Rollout)
 	dir      string
 	cfg      Config
 	id       protocol.ReplicaID
@@ -117,6 +124,7 @@
 	held      []replicate.Message
 	told      uint64 // told is the configuration number last told.
 	toldDoc   uint64 // toldDoc is the document's number last told.
+	toldRoll  uint64 // toldRoll is the change of the roll-outs last told.
 	snapshots chan savedSnapshot
 	saving    bool
 	failed    bool
@@ -149,6 +157,7 @@
 		log:       zerolog.Nop(),
 		revision:  func(uint64, []byte) {},
 		document:  func(uint64, []byte) {},
+		rollouts:  func(uint64, []protocol.Rollout) {},
 		meters:    noMeters(),
 		timeOfDay: time.Now,
 		dir:       dir,
@@ -412,4 +421,8 @@
 		g.toldDoc = number
 		g.document(number, data)
 	}
+	if changes := g.machine.RolloutChanges(); changes > g.toldRoll {
+		g.toldRoll = changes
+		g.rollouts(changes, g.machine.Rollouts())
+	}
 }
--- a/protocol/claim.go
+++ b/protocol/claim.go
@@ -111,6 +111,9 @@
 	Base     *BaseMsg     `json:"base,omitempty"`
 	Hold     *HoldMsg     `json:"hold,omitempty"`
 	Tally    *TallyMsg    `json:"tally,omitempty"`
+
+	BeginRollout *BeginRolloutMsg `json:"begin_rollout,omitempty"`
+	StageRollout *StageRolloutMsg `json:"stage_rollout,omitempty"`
 }
 
 // Result is what a command came to.
@@ -123,6 +126,9 @@
 	Base   *BaseReply   `json:"base,omitempty"`
 	Hold   *HoldReply   `json:"hold,omitempty"`
 	Tally  *TallyReply  `json:"tally,omitempty"`
+
+	BeginRollout *BeginRolloutReply `json:"begin_rollout,omitempty"`
+	StageRollout *StageRolloutReply `json:"stage_rollout,omitempty"`
 }
 
 // Millis returns a time as the log carries it.
--- a/state/machine.go
+++ b/state/machine.go
@@ -23,7 +23,8 @@
 	windows  windows
 	tallies  tallies
 	hold     protocol.HoldMsg
-	former   string         // former held the duties before the holder.
+	former   string // former held the duties before the holder.
+	rollouts rollouts
 	bases    map[string]int // bases are the servers of each service when it was first seen.
 }
 
@@ -54,6 +55,10 @@
 		return protocol.Result{Base: m.base(c.Base)}
 	case c.Settle != nil:
 		return protocol.Result{Settle: m.windows.settle(c.Settle)}
+	case c.BeginRollout != nil:
+		return protocol.Result{BeginRollout: m.rollouts.begin(c.BeginRollout, m.now)}
+	case c.StageRollout != nil:
+		return protocol.Result{StageRollout: m.rollouts.stage(c.StageRollout, m.now)}
 	}
 	return protocol.Result{}
 }
@@ -109,6 +114,12 @@
 // Settled returns what is settled for a window, or nil.
 func (m *Machine) Settled(window int64) *protocol.SettleReply { return m.windows.get(window) }
 
+// Rollouts returns the newest roll-out of each service.
+func (m *Machine) Rollouts() []protocol.Rollout { return m.rollouts.list() }
+
+// RolloutChanges returns how often a roll-out was begun or taken further.
+func (m *Machine) RolloutChanges() uint64 { return m.rollouts.changes }
+
 // PeekClaim answers a claim as far as that changes nothing: one that would be
 // granted is refused for want of room.
 func (m *Machine) PeekClaim(c *protocol.ClaimMsg) *protocol.ClaimReply {
@@ -131,12 +142,20 @@
 	Bases    map[string]int       `json:"bases,omitempty"`
 	Hold     protocol.HoldMsg     `json:"hold"`
 	Former   string               `json:"former,omitempty"`
+
+	Rollouts       []protocol.Rollout `json:"rollouts,omitempty"`
+	RolloutCount   uint64             `json:"rollout_count,omitempty"`
+	RolloutChanges uint64             `json:"rollout_changes,omitempty"`
 }
 
 // Image returns a copy of the state. Claims are never changed in place, so the
 // copy is one of pointers.
 func (m *Machine) Image() *Image {
-	return &Image{Now: m.now, Number: m.number, Config: m.config, Claims: m.claims.list(), Document: m.document, Windows: m.windows.list(), Tallies: m.tallies.list(), Bases: maps.Clone(m.bases), Hold: m.hold, Former: m.former}
+	return &Image{
+		Now: m.now, Number: m.number, Config: m.config, Claims: m.claims.list(), Document: m.document, Windows: m.windows.list(),
+		Tallies: m.tallies.list(), Bases: maps.Clone(m.bases), Hold: m.hold, Former: m.former,
+		Rollouts: m.rollouts.list(), RolloutCount: m.rollouts.count, RolloutChanges: m.rollouts.changes,
+	}
 }
 
 // Encode renders the image as a snapshot.
@@ -161,6 +180,7 @@
 	m.tallies = tallies{}
 	m.tallies.keep(&protocol.TallyMsg{Rows: i.Tallies})
 	m.hold, m.former = i.Hold, i.Former
+	m.rollouts = newRollouts(&i)
 	for k := range i.Windows {
 		m.windows.settle(&i.Windows[k])
 	}
--- /dev/null
+++ b/state/rollouts.go
@@ -0,0 +1,102 @@
+package state
+
+import (
+	"maps"
+	"slices"
+
+	"github.com/weldstream/weldstream/protocol"
+)
+
+// rollouts are the newest roll-out of each service. A roll-out is never changed in
+// place, so that copies may be handed out.
+type rollouts struct {
+	count   uint64 // count is how many were begun.
+	changes uint64 // changes counts what was begun and taken further.
+	latest  map[string]*protocol.Rollout
+}
+
+// newRollouts returns those of a snapshot.
+func newRollouts(i *Image) rollouts {
+	r := rollouts{count: i.RolloutCount, latest: map[string]*protocol.Rollout{}}
+	for k := range i.Rollouts {
+		r.put(&i.Rollouts[k])
+	}
+	r.changes = i.RolloutChanges
+	return r
+}
+
+// begin takes an order, unless another roll-out of the service runs. The same order
+// sent again within its time finds the roll-out that it began, also one that is over.
+func (r *rollouts) begin(m *protocol.BeginRolloutMsg, now int64) *protocol.BeginRolloutReply {
+	last := r.latest[m.Service]
+	if last != nil && repeats(last, m, now) {
+		return &protocol.BeginRolloutReply{Taken: true, Rollout: *last}
+	}
+	if last != nil && !last.Stage.Over() {
+		return &protocol.BeginRolloutReply{Rollout: *last}
+	}
+	next := &protocol.Rollout{Service: m.Service, Version: m.Version, LimitMS: m.LimitMS, BeganAt: now}
+	if last != nil {
+		next.Barred = barredBefore(last, m.Version)
+	}
+	r.count++
+	next.Number = r.count
+	r.put(next)
+	return &protocol.BeginRolloutReply{Taken: true, Rollout: *next}
+}
+
+// barredBefore are the versions that get nothing behind a roll-out that is over, but
+// for the one that is ordered now.
+func barredBefore(last *protocol.Rollout, ordered string) []string {
+	var barred []string
+	for _, version := range slices.Concat(last.Barred, last.Former, []string{last.Version}) {
+		if version != ordered && last.Bars(version) && !slices.Contains(barred, version) {
+			barred = append(barred, version)
+		}
+	}
+	return barred
+}
+
+// repeats reports whether an order is that of the service's newest roll-out.
+func repeats(last *protocol.Rollout, m *protocol.BeginRolloutMsg, now int64) bool {
+	same := last.Version == m.Version && last.LimitMS == m.LimitMS
+	return same && (!last.Stage.Over() || now-last.BeganAt <= m.RepeatMS)
+}
+
+// stage takes a running roll-out further. It never goes back, and what is over stays.
+func (r *rollouts) stage(m *protocol.StageRolloutMsg, now int64) *protocol.StageRolloutReply {
+	last := r.latest[m.Service]
+	if last == nil {
+		return &protocol.StageRolloutReply{}
+	}
+	if last.Number != m.Number || last.Stage.Over() || m.Stage <= last.Stage {
+		return &protocol.StageRolloutReply{Rollout: *last}
+	}
+	next := *last
+	next.Stage, next.Reason = m.Stage, m.Reason
+	if len(m.Former) > 0 {
+		next.Former = m.Former
+	}
+	if next.Stage.Over() {
+		next.EndedAt = now
+	}
+	r.put(&next)
+	return &protocol.StageRolloutReply{Rollout: next}
+}
+
+func (r *rollouts) put(next *protocol.Rollout) {
+	if r.latest == nil {
+		r.latest = map[string]*protocol.Rollout{}
+	}
+	r.latest[next.Service] = next
+	r.changes++
+}
+
+// list returns copies of the roll-outs in the order of their services.
+func (r *rollouts) list() []protocol.Rollout {
+	rows := make([]protocol.Rollout, 0, len(r.latest))
+	for _, service := range slices.Sorted(maps.Keys(r.latest)) {
+		rows = append(rows, *r.latest[service])
+	}
+	return rows
+}
--- /dev/null
+++ b/state/rollouts_test.go
@@ -0,0 +1,111 @@
+package state
+
+import (
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+	"pgregory.net/rapid"
+
+	"github.com/weldstream/weldstream/protocol"
+)
+
+func begin(m *Machine, at int64, version string) *protocol.BeginRolloutReply {
+	order := protocol.BeginRolloutMsg{Service: "s", Version: version, LimitMS: 12_000, RepeatMS: 5000}
+	return m.Apply(&protocol.Command{At: at, BeginRollout: &order}).BeginRollout
+}
+
+func stage(m *Machine, at int64, number uint64, s protocol.RolloutStage, former ...string) protocol.Rollout {
+	msg := protocol.StageRolloutMsg{Service: "s", Number: number, Stage: s, Former: former}
+	return m.Apply(&protocol.Command{At: at, StageRollout: &msg}).StageRollout.Rollout
+}
+
+// TestRolloutOrders checks which orders begin a roll-out, which are recognized as
+// sent again, and which are refused.
+func TestRolloutOrders(t *testing.T) {
+	m := NewMachine()
+	first := begin(m, 1000, "v2")
+	if !first.Taken || first.Rollout.Number != 1 || first.Rollout.BeganAt != 1000 {
+		t.Fatalf("the first order: %+v", first)
+	}
+	if again := begin(m, 1500, "v2"); !again.Taken || again.Rollout.Number != 1 || again.Rollout.BeganAt != 1000 {
+		t.Errorf("sent again while it runs: %+v", again)
+	}
+	if raced := begin(m, 1500, "v3"); raced.Taken || raced.Rollout.Version != "v2" {
+		t.Errorf("another version while it runs: %+v", raced)
+	}
+	longer := protocol.BeginRolloutMsg{Service: "s", Version: "v2", LimitMS: 13_000, RepeatMS: 5000}
+	if reply := m.Apply(&protocol.Command{At: 1500, BeginRollout: &longer}).BeginRollout; reply.Taken {
+		t.Errorf("another limit while it runs: %+v", reply)
+	}
+	stage(m, 3000, 1, protocol.RolloutRolledBack)
+	if again := begin(m, 5900, "v2"); !again.Taken || again.Rollout.Number != 1 || again.Rollout.Stage != protocol.RolloutRolledBack {
+		t.Errorf("sent again behind a quick end: %+v", again)
+	}
+	if anew := begin(m, 6100, "v2"); !anew.Taken || anew.Rollout.Number != 2 || anew.Rollout.Stage != protocol.RolloutTrial {
+		t.Errorf("ordered anew later: %+v", anew)
+	}
+}
+
+// TestRolloutStagesOnlyRise checks that no stage is left backwards, that what is over
+// stays, and that a step of another roll-out changes nothing.
+func TestRolloutStagesOnlyRise(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := NewMachine()
+		begin(m, 1, "v2")
+		last := protocol.RolloutTrial
+		for range rapid.IntRange(1, 20).Draw(t, "steps") {
+			number := rapid.Uint64Range(0, 2).Draw(t, "number")
+			s := protocol.RolloutStage(rapid.IntRange(0, 3).Draw(t, "stage"))
+			got := stage(m, 2, number, s, "v1").Stage
+			switch {
+			case got < last, last.Over() && got != last, number != 1 && got != last:
+				t.Fatalf("from %v to %v by a step to %v of number %d", last, got, s, number)
+			}
+			last = got
+		}
+	})
+}
+
+// TestRolloutBars checks which versions get requests, through several roll-outs and
+// a snapshot behind each step.
+func TestRolloutBars(t *testing.T) {
+	m := NewMachine()
+	at := int64(0)
+	check := func(want map[string]bool) {
+		t.Helper()
+		data, err := m.Image().Encode()
+		if err != nil {
+			t.Fatal(err)
+		}
+		restored := NewMachine()
+		if err := restored.Restore(data); err != nil {
+			t.Fatal(err)
+		}
+		list := restored.Rollouts()
+		if diff := cmp.Diff(m.Rollouts(), list); diff != "" || restored.RolloutChanges() != m.RolloutChanges() {
+			t.Fatalf("behind a snapshot: %d changes for %d, %s", restored.RolloutChanges(), m.RolloutChanges(), diff)
+		}
+		got := map[string]bool{}
+		for version := range want {
+			got[version] = list[0].Bars(version)
+		}
+		if diff := cmp.Diff(want, got); diff != "" {
+			t.Fatal(diff)
+		}
+		at += 10_000
+		m = restored
+	}
+	begin(m, at, "v2")
+	check(map[string]bool{"v1": false, "v2": false, "v0": false})
+	stage(m, at, 1, protocol.RolloutMoving, "v1")
+	check(map[string]bool{"v1": true, "v2": false, "v0": false})
+	stage(m, at, 1, protocol.RolloutRolledBack)
+	check(map[string]bool{"v1": false, "v2": true})
+	begin(m, at, "v3")
+	check(map[string]bool{"v1": false, "v2": true, "v3": false})
+	stage(m, at, 2, protocol.RolloutMoving, "v1")
+	stage(m, at, 2, protocol.RolloutCompleted)
+	check(map[string]bool{"v1": true, "v2": true, "v3": false})
+	begin(m, at, "v1")
+	check(map[string]bool{"v1": false, "v2": true, "v3": false})
+}
--- a/transport/groupclient.go
+++ b/transport/groupclient.go
@@ -190,7 +190,7 @@
 	case err != nil:
 		return 0, err
 	case reply.Failed == GroupFull, reply.Result.Put == nil:
-		return 0, eris.New("the leader's disk is full")
+		return 0, errNoRoom
 	}
 	return reply.Result.Put.Number, nil
 }
@@ -202,6 +202,39 @@
 	return reply.Number, reply.Config, err
 }
 
+// errNoRoom is returned where the leader's disk takes nothing more.
+var errNoRoom = eris.New("the leader's disk is full")
+
+// BeginRollout orders a roll-out, and tells whether the order holds.
+func (c *GroupClient) BeginRollout(ctx context.Context, m protocol.BeginRolloutMsg) (protocol.BeginRolloutReply, error) {
+	reply, err := c.call(ctx, "Group.Propose", protocol.Command{BeginRollout: &m})
+	switch {
+	case err != nil:
+		return protocol.BeginRolloutReply{}, err
+	case reply.Failed == GroupFull, reply.Result.BeginRollout == nil:
+		return protocol.BeginRolloutReply{}, errNoRoom
+	}
+	return *reply.Result.BeginRollout, nil
+}
+
+// StageRollout takes a roll-out further, and returns how it then stands.
+func (c *GroupClient) StageRollout(ctx context.Context, m protocol.StageRolloutMsg) (protocol.Rollout, error) {
+	reply, err := c.call(ctx, "Group.Propose", protocol.Command{StageRollout: &m})
+	switch {
+	case err != nil:
+		return protocol.Rollout{}, err
+	case reply.Failed == GroupFull, reply.Result.StageRollout == nil:
+		return protocol.Rollout{}, errNoRoom
+	}
+	return reply.Result.StageRollout.Rollout, nil
+}
+
+// Rollouts returns the newest roll-out of each service, confirmed by a quorum.
+func (c *GroupClient) Rollouts(ctx context.Context) ([]protocol.Rollout, error) {
+	reply, err := c.call(ctx, "Group.Rollouts", true)
+	return reply.Rollouts, err
+}
+
 // Leader implements [ConfigStore].
 func (c *GroupClient) Leader() string {
 	c.mu.Lock()
--- a/transport/replica.go
+++ b/transport/replica.go
@@ -154,6 +154,8 @@
 	Leader string // Leader is who leads, as far as this replica knows.
 	Number uint64
 	Config []byte
+
+	Rollouts []protocol.Rollout
 }
 
 // GroupFailure tells why a call was not carried out.
@@ -227,6 +229,18 @@
 	return nil
 }
 
+// Rollouts returns the newest roll-out of each service, confirmed by a quorum.
+func (s *GroupService) Rollouts(_ bool, reply *GroupReply) error {
+	ctx, cancel := context.WithTimeout(s.ctx, serveTimeout)
+	defer cancel()
+	err := s.group.Confirm(ctx)
+	if err == nil {
+		reply.Rollouts, err = s.group.Rollouts(ctx)
+	}
+	reply.Failed, reply.Leader = failureOf(err), s.group.Status().Leader.Name
+	return nil
+}
+
 // Info tells who this replica is.
 func (s *GroupService) Info(_ bool, reply *ReplicaInfo) error {
 	reply.ID, reply.Group = s.group.ID(), s.group.Status().Group
