A pure package decides how a service moves to another version, and back

Cause: a version can be bad from the start or later, under load or on one route, by failing or by being slow; it may get a tenth of the requests and 50 more, and none long behind its bad answers. Change: coordination/rollout. Credits bound what all gateways send to a version on trial, earned by requests that were sent to any server, so that the bound holds whatever becomes of a leader, a gateway or a report. A judge compares answers route by route with those of the other servers in the same seconds. Tests: exposure over drawn loads, leaders, restarts and lost answers; credits that end; the steps; reports that come twice. Run: the tests of the package.

--- /dev/null
+++ b/coordination/rollout/exposure.go
@@ -0,0 +1,135 @@
+package rollout
+
+import (
+	"math"
+	"time"
+)
+
+const (
+	// budgetPart of the allowed share is used: what gateways send while their reports are
+	// on the way, and what comes of a gateway that is lost, is left.
+	budgetPart = 0.9
+	// slackPart of the requests that are allowed besides is used, for the first
+	// evidence, or for any at all on a service that is asked little.
+	slackPart = 0.4
+	// CreditLease is how long a gateway may use credits behind the leader's last answer: a
+	// few questions.
+	CreditLease = time.Second
+)
+
+// Pool bounds what all gateways together send to a version on trial. Each credit
+// that it grants is one send. Credits are earned by the service's requests that were
+// sent to any server, so that the bound holds at every moment: whatever becomes of a
+// gateway, a leader or a report, it can only leave credits unused.
+type Pool struct {
+	share    float64 // share of the requests may go to the version at the most.
+	slack    float64 // slack are credits besides, which come evenly over the trial.
+	begun    float64 // begun is the part of the trial whose slack was given.
+	earned   float64 // earned are the credits that all requests so far allow.
+	released float64 // released are those of them that the pace of the trial allows.
+	granted  float64
+	gateways map[gatewayLife]*account
+}
+
+// gatewayLife is one life of a gateway.
+type gatewayLife struct {
+	name string
+	life uint64
+}
+
+// account is what one gateway reported, and what it was granted.
+type account struct {
+	arrived int64
+	granted int64
+}
+
+// NewPool returns a pool for a version that may get a share of the requests and some
+// more.
+func NewPool(share, slack float64) *Pool {
+	return &Pool{share: budgetPart * share, slack: slackPart * slack, gateways: map[gatewayLife]*account{}}
+}
+
+// ReportMsg is what a gateway tells of its sends since it heard of the roll-out.
+type ReportMsg struct {
+	Gateway string
+	Life    uint64
+	Arrived int64   // Arrived are the requests that were sent to any server.
+	Tried   int64   // Tried are sends to the version.
+	Wants   int     // Wants are credits that it asks for.
+	Pace    float64 // Pace is the part of the requests that the trial takes now.
+	Part    float64 // Part is how much of the trial is over, 0 to 1.
+	Grants  bool    // Grants says that the leader has led for long enough that earlier leaders' credits ran out.
+}
+
+// Grant takes a report and returns how many credits the gateway was granted here, in
+// all. Sends that an earlier leader granted count as granted.
+func (p *Pool) Grant(m ReportMsg) int64 {
+	key := gatewayLife{m.Gateway, m.Life}
+	a := p.gateways[key]
+	if a == nil {
+		a = &account{}
+		p.gateways[key] = a
+		p.granted += float64(m.Tried)
+	}
+	if more := float64(m.Arrived - a.arrived); more > 0 {
+		a.arrived = m.Arrived
+		p.earned += p.share * more
+		p.released = min(p.earned, p.released+m.Pace*more)
+	}
+	if more := p.slack * (m.Part - p.begun); more > 0 {
+		p.begun = m.Part
+		p.earned += more
+		p.released = min(p.earned, p.released+more)
+	}
+	if !m.Grants {
+		return a.granted
+	}
+	n := min(float64(m.Wants), math.Floor(p.released-p.granted))
+	if n > 0 {
+		a.granted += int64(n)
+		p.granted += n
+	}
+	return a.granted
+}
+
+// Purse holds one gateway's credits.
+type Purse struct {
+	term    uint64
+	granted int64 // granted are those of the leader of the term, in all.
+	spent   int64 // spent are those of them that were used.
+	until   time.Time
+}
+
+// Granted takes a leader's answer to a question that was sent at a time. Credits of
+// another leader are gone.
+func (p *Purse) Granted(term uint64, credits int64, asked time.Time) {
+	if term != p.term {
+		*p = Purse{term: term}
+	}
+	p.granted = max(p.granted, credits)
+	p.until = asked.Add(CreditLease)
+}
+
+// Held returns how many credits can be spent.
+func (p *Purse) Held(now time.Time) int64 {
+	if !now.Before(p.until) {
+		return 0
+	}
+	return p.granted - p.spent
+}
+
+// Spend takes one credit, if there is one.
+func (p *Purse) Spend(now time.Time) bool {
+	if p.Held(now) <= 0 {
+		return false
+	}
+	p.spent++
+	return true
+}
+
+// Back returns a credit that was not used.
+func (p *Purse) Back() {
+	if p.spent > 0 {
+		p.spent--
+	}
+}
--- /dev/null
+++ b/coordination/rollout/rollout_test.go
@@ -0,0 +1,189 @@
+package rollout
+
+import (
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"pgregory.net/rapid"
+
+	_ "github.com/weldstream/weldstream/internal/testseed"
+	"github.com/weldstream/weldstream/protocol"
+)
+
+// gateway is one gateway of the exposure's model.
+type gateway struct {
+	life           uint64
+	arrived, tried int64
+	purse          Purse
+}
+
+// leader is one leader's pool, from when on it grants.
+type leader struct {
+	term uint64
+	pool *Pool
+	from time.Time
+}
+
+// TestExposureIsBounded checks over drawn loads, lost answers, leaders that come and
+// go and gateways that start anew that a version never gets more than its share of
+// all requests so far and the slack, at any moment.
+func TestExposureIsBounded(t *testing.T) {
+	const share, slack = 0.1, 50
+	rapid.Check(t, func(t *rapid.T) {
+		now := time.Unix(0, 0)
+		gateways := make([]gateway, rapid.IntRange(1, 30).Draw(t, "gateways"))
+		l := leader{term: 1, pool: NewPool(share, slack), from: now}
+		began := now
+		var arrived, tried int64
+		for range rapid.IntRange(1, 400).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(1, 60).Draw(t, "ms")) * time.Millisecond)
+			g := &gateways[rapid.IntRange(0, len(gateways)-1).Draw(t, "gateway")]
+			switch rapid.IntRange(0, 20).Draw(t, "what") {
+			case 0:
+				l = leader{term: l.term + 1, pool: NewPool(share, slack), from: now.Add(CreditLease)}
+			case 1:
+				*g = gateway{life: g.life + 1}
+			case 2, 3, 4, 5:
+				m := ReportMsg{
+					Gateway: "g" + string(rune('a'+indexOf(gateways, g))), Life: g.life, Arrived: g.arrived, Tried: g.tried,
+					Wants: rapid.IntRange(0, 20).Draw(t, "wants"), Pace: rushShare, Part: min(1, now.Sub(began).Seconds()/8), Grants: !now.Before(l.from),
+				}
+				credits := l.pool.Grant(m)
+				if rapid.IntRange(0, 3).Draw(t, "lost") > 0 {
+					g.purse.Granted(l.term, credits, now)
+				}
+			default:
+				g.arrived++
+				arrived++
+				if g.purse.Spend(now) {
+					g.tried++
+					tried++
+				}
+			}
+			if limit := share*float64(arrived) + slack; float64(tried) > limit {
+				t.Fatalf("%d of %d requests were tried, %.1f are allowed", tried, arrived, limit)
+			}
+		}
+	})
+}
+
+func indexOf(gateways []gateway, g *gateway) int {
+	for i := range gateways {
+		if &gateways[i] == g {
+			return i
+		}
+	}
+	return -1
+}
+
+// TestCreditsEnd checks that a gateway that hears nothing sends nothing more to a
+// version on trial, and that credits of a former leader are gone.
+func TestCreditsEnd(t *testing.T) {
+	at := time.Unix(0, 0)
+	var p Purse
+	if p.Spend(at) {
+		t.Error("a gateway without a word of a leader has a credit")
+	}
+	p.Granted(1, 2, at)
+	if !p.Spend(at.Add(CreditLease-1)) || p.Spend(at.Add(CreditLease)) {
+		t.Error("credits last for the lease, and no longer")
+	}
+	p.Granted(1, 2, at.Add(CreditLease))
+	if p.Held(at.Add(CreditLease)) != 1 {
+		t.Error("the answer renews what was not spent")
+	}
+	p.Granted(2, 0, at.Add(CreditLease))
+	if p.Held(at.Add(CreditLease)) != 0 {
+		t.Error("another leader's credits hold on")
+	}
+}
+
+// TestSteps checks when a roll-out takes which step.
+func TestSteps(t *testing.T) {
+	good := Verdict{New: 40, Old: 400}
+	trial := TickMsg{Elapsed: 8500 * time.Millisecond, Led: time.Minute, Verdict: good, Slots: 100, Running: 20, Former: []string{"v1"}}
+	with := func(f func(*TickMsg)) TickMsg {
+		m := trial
+		f(&m)
+		return m
+	}
+	moving := TickMsg{Led: time.Minute, Verdict: good, Settled: true, Quiet: time.Second, Longest: 15 * time.Second, Moved: 2 * time.Second}
+	for name, c := range map[string]struct {
+		stage protocol.RolloutStage
+		msg   TickMsg
+		want  protocol.RolloutStage
+		step  bool
+	}{
+		"early":                            {protocol.RolloutTrial, with(func(m *TickMsg) { m.Elapsed = 7 * time.Second }), 0, false},
+		"a new leader":                     {protocol.RolloutTrial, with(func(m *TickMsg) { m.Led = time.Second / 2 }), 0, false},
+		"good":                             {protocol.RolloutTrial, trial, protocol.RolloutMoving, true},
+		"few answers":                      {protocol.RolloutTrial, with(func(m *TickMsg) { m.Verdict.New = 10 }), 0, false},
+		"few answers, late":                {protocol.RolloutTrial, with(func(m *TickMsg) { m.Verdict.New, m.Elapsed = 10, 11*time.Second }), protocol.RolloutMoving, true},
+		"no answer, late":                  {protocol.RolloutTrial, with(func(m *TickMsg) { m.Verdict.New, m.Elapsed = 0, 11*time.Second }), 0, false},
+		"no answer, past all":              {protocol.RolloutTrial, with(func(m *TickMsg) { m.Verdict.New, m.Elapsed = 0, 18*time.Second }), protocol.RolloutRolledBack, true},
+		"in doubt":                         {protocol.RolloutTrial, with(func(m *TickMsg) { m.Verdict.Doubtful = true }), 0, false},
+		"in doubt, late":                   {protocol.RolloutTrial, with(func(m *TickMsg) { m.Verdict.Doubtful, m.Elapsed = true, 11*time.Second }), protocol.RolloutRolledBack, true},
+		"worse":                            {protocol.RolloutTrial, with(func(m *TickMsg) { m.Verdict.Worse = true }), protocol.RolloutRolledBack, true},
+		"bad, at once":                     {protocol.RolloutTrial, with(func(m *TickMsg) { m.Verdict.Bad, m.Elapsed, m.Led = true, 0, 0 }), protocol.RolloutRolledBack, true},
+		"no room":                          {protocol.RolloutTrial, with(func(m *TickMsg) { m.Slots = 20 }), 0, false},
+		"moving, quiet":                    {protocol.RolloutMoving, moving, protocol.RolloutCompleted, true},
+		"moving, answers run":              {protocol.RolloutMoving, TickMsg{Verdict: good, Settled: true, Longest: 15 * time.Second, Moved: 14 * time.Second}, 0, false},
+		"moving, one has not heard":        {protocol.RolloutMoving, TickMsg{Verdict: good, Quiet: time.Second, Longest: 15 * time.Second}, 0, false},
+		"moving, an answer past all limit": {protocol.RolloutMoving, TickMsg{Verdict: good, Longest: 15 * time.Second, Moved: 16 * time.Second}, protocol.RolloutCompleted, true},
+		"moving, bad":                      {protocol.RolloutMoving, TickMsg{Verdict: Verdict{Bad: true}}, protocol.RolloutRolledBack, true},
+		"completed, bad":                   {protocol.RolloutCompleted, TickMsg{Verdict: Verdict{Bad: true}}, 0, false},
+		"rolled back, good":                {protocol.RolloutRolledBack, trial, 0, false},
+	} {
+		r := &protocol.Rollout{Service: "s", Number: 3, Version: "v2", LimitMS: 12_000, Stage: c.stage}
+		step, ok := Next(r, c.msg)
+		if ok != c.step || (ok && (step.Stage != c.want || step.Service != "s" || step.Number != 3 || (step.Stage == protocol.RolloutMoving && cmp.Diff(step.Former, []string{"v1"}) != ""))) {
+			t.Errorf("%s: %v, %+v", name, ok, step)
+		}
+	}
+}
+
+// TestReportsAreCountedOnce checks that reports which come twice, late or from another
+// life of a gateway add up to what was counted.
+func TestReportsAreCountedOnce(t *testing.T) {
+	b := NewBook()
+	row := func(good, bad int64) []protocol.EvidenceRow {
+		return []protocol.EvidenceRow{{Route: "r", New: true, Server: "i", Answers: protocol.Answers{Good: good, Bad: bad, First: []int64{0, good}}}}
+	}
+	var sum int64
+	take := func(life uint64, rows []protocol.EvidenceRow) {
+		for _, r := range b.Take("g", life, rows) {
+			sum += r.Answers.Good + r.Answers.Bad
+		}
+	}
+	take(1, row(3, 1))
+	take(1, row(3, 1))
+	take(1, row(5, 1))
+	take(1, row(3, 1))
+	take(2, row(2, 0))
+	if sum != 8 {
+		t.Errorf("%d answers were counted for 8", sum)
+	}
+}
+
+// TestBucket checks the classes of durations at their ends.
+func TestBucket(t *testing.T) {
+	for d, want := range map[time.Duration]int{0: 0, time.Millisecond: 0, 2 * time.Millisecond: 2, 4 * time.Millisecond: 4, time.Hour: Buckets - 1} {
+		if got := Bucket(d); got != want {
+			t.Errorf("%v: class %d, want %d", d, got, want)
+		}
+	}
+}
+
+// TestCanaries checks to how many servers a trial goes.
+func TestCanaries(t *testing.T) {
+	for _, c := range []struct {
+		servers int
+		share   float64
+		want    int
+	}{{0, 0.05, 0}, {1, 0.05, 1}, {4, 0.05, 2}, {112, calmShare, 6}, {112, rushShare, 31}, {4, rushShare, 2}} {
+		if got := Canaries(c.servers, c.share); got != c.want {
+			t.Errorf("%d servers, share %.2f: %d, want %d", c.servers, c.share, got, c.want)
+		}
+	}
+}
