The soak plays roll-outs, good and bad

Cause: a roll-out must end rightly while processes are killed, cut off and restarted, and no test with real processes began one. Change: stand-in servers have a version, which may fail, be slow, turn bad later or on one path alone. The soak orders roll-outs in series, stops the former servers at once where one is completed, and holds: what was acknowledged is read back, what is over stays, a bad version is not completed and gets no more than a tenth of the requests and 50, none 5 s behind its 50th bad answer.

--- a/cmd/weldsoak/main.go
+++ b/cmd/weldsoak/main.go
@@ -92,7 +92,8 @@
 	result, err := soak.Run(c, plan)
 	c.Close()
 	if err == nil && len(result.Breaches) == 0 {
-		fmt.Printf("seed %d: %d faults, %d of %d requests served, nothing broken\n", seed, len(plan.Steps), result.Served, result.Asked)
+		fmt.Printf("seed %d: %d faults, %d of %d requests served, %d roll-outs completed, %d turned back, nothing broken\n",
+			seed, len(plan.Steps), result.Served, result.Asked, result.Completed, result.RolledBack)
 		return os.RemoveAll(dir) == nil
 	}
 	fmt.Printf("seed %d: BROKEN, error %v, logs in %s\n%s", seed, err, dir, plan)
--- a/internal/soak/cluster.go
+++ b/internal/soak/cluster.go
@@ -107,6 +107,7 @@
 			return err
 		}
 		b.Address = p.Address() // What the list tells.
+		b.Version = firstVersion
 		c.servers = append(c.servers, p)
 		c.Backends = append(c.Backends, b)
 		c.API.Add(b)
@@ -173,7 +174,7 @@
 	}
 	text := fmt.Sprintf("name: %s\ndomain: zone-%d\nseeds: [%s]\nfound: %v\ntolerate: %d\n", p.Name, i%3, strings.Join(seeds, ", "), found, (c.Size.Controls-1)/2)
 	text += fmt.Sprintf("source: {address: %s, duties: [%s], list_rate: 20}\n", c.API.Address, platform.DutyUsage)
-	text += "bounds: {grace: 6s, lease: 500ms, usage_window: 1s, usage_due: 2s, retry_ratio: 0.5, retry_extra: 50}\n"
+	text += "bounds: {grace: 6s, lease: 500ms, usage_window: 1s, usage_due: 2s, order_repeat: 5s, retry_ratio: 0.5, retry_extra: 50}\n"
 	if p.Role == "control" {
 		text += fmt.Sprintf("operator: %s\npeer: %s\nbind: %s\nmetrics: %s\ndata_dir: %s\n",
 			at(told(i), c.ports.operator), at(told(i), c.ports.peer), behind(i), at(behind(i), c.ports.metrics), p.Data)
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -13,9 +13,11 @@
 
 // Result is how a run went.
 type Result struct {
-	Asked    int
-	Served   int
-	Breaches []string
+	Asked      int
+	Served     int
+	Completed  int // Completed and RolledBack are how roll-outs ended.
+	RolledBack int
+	Breaches   []string
 }
 
 const (
@@ -50,12 +52,15 @@
 		}
 	}
 	load.Go(func() { r.operate(ctx) })
+	rollouts := NewRollouts(c, k)
+	load.Go(func() { rollouts.run(ctx, p.Seed) })
 	r.play(p)
 	cancel()
 	load.Wait()
 	r.recover()
 	k.Finish()
-	return Result{Asked: len(k.asks), Served: k.Served(), Breaches: append(k.Breaches(), c.API.Breaches()...)}, nil
+	rollouts.Finish()
+	return Result{Asked: len(k.asks), Served: k.Served(), Completed: rollouts.Completed, RolledBack: rollouts.RolledBack, Breaches: append(k.Breaches(), c.API.Breaches()...)}, nil
 }
 
 // first has the first configuration taken, which opens the day.
