Roll-outs read in the field's words; the version that serves is completed at once

Cause: reading the change as a newcomer: Judge, Purse, Book, Verdict (taken by another type), rush and Bars needed explaining. And a fault by reading: an order for the version that already serves put all servers on trial, and the service was next to away until the limit. Change: Analyzer, Credits, Counters, Assessment, lateShare, Blocks, OnTrial. Where no other version is listed and none has answered, the roll-out is completed at the leader's first look; an order for the version that the service moved to last finds that roll-out. Tests: TestSteps and TestRolloutOrders have a row each for it.

--- a/coordination/place/place.go
+++ b/coordination/place/place.go
@@ -76,9 +76,9 @@
 	switch {
 	case r == nil:
 		v.services[in.Service] = append(v.services[in.Service], at)
-	case r.Tries(in.Version):
+	case r.OnTrial(in.Version):
 		v.trials[in.Service] = append(v.trials[in.Service], at)
-	case !r.Bars(in.Version):
+	case !r.Blocks(in.Version):
 		v.services[in.Service] = append(v.services[in.Service], at)
 	}
 }
--- a/coordination/rollout/judge.go
+++ b/coordination/rollout/analyzer.go
@@ -10,8 +10,8 @@
 	"github.com/weldstream/weldstream/protocol"
 )
 
-// Verdict is what the answers so far say of the new version.
-type Verdict struct {
+// Assessment is what the answers so far say of the new version.
+type Assessment struct {
 	Bad      bool // Bad says that it is to be turned back from at once.
 	Worse    bool // Worse says that it must not be completed, though no single sign is enough to act at once.
 	Doubtful bool // Doubtful says that more answers are to be waited for.
@@ -23,12 +23,12 @@
 	Slowness float64 // Slowness is the evidence for slower answers, in standard deviations.
 }
 
-// Judge weighs the answers of the new version against those of the others.
-type Judge interface {
+// Analyzer weighs the answers of the new version against those of the others.
+type Analyzer interface {
 	// Observe takes what the gateways counted since the last call.
 	Observe(rows []protocol.EvidenceRow, now time.Time)
-	// Verdict returns what all of it says.
-	Verdict() Verdict
+	// Assessment returns what all of it says.
+	Assessment() Assessment
 }
 
 const (
@@ -72,13 +72,13 @@
 	worseLeast = 0.01
 )
 
-// Sequential is the judge that acts as soon as the evidence is enough. Failures are
+// Sequential is the analyzer that acts as soon as the evidence is enough. Failures are
 // weighed by a cumulative sum of log-likelihood ratios, which starts anew
 // at zero, so that a version that was good for long is found as fast when it turns
 // bad. Times are weighed by ranks (Mann and Whitney), route by route, against the
 // others' answers of the last seconds. What ails both sides speaks against neither.
 //
-// Weighed against Bounds on 18 made days of 40 seeds (TestJudgesExperiment): a version
+// Weighed against Bounds on 18 made days of 40 seeds (TestAnalyzersExperiment): a version
 // that begins to fail 0.3 of its answers in mid-way gives 7 bad answers instead of 18
 // until it is turned back from, and one that is bad on one of five routes is never
 // completed, where Bounds completes 67 of 80. Two of 40 good versions are condemned
@@ -87,7 +87,7 @@
 	routes map[string]*routeEvidence
 	sums   map[string]*cusum // sums are the evidence for failures, by route and on allRoutes.
 	sides  map[string]*tally // sides count the new version's answers by server.
-	totals Verdict
+	totals Assessment
 }
 
 // cusum is a cumulative sum that starts anew at zero, and what each server has added
@@ -134,12 +134,12 @@
 // that is as fast, and its variance.
 type rankSum struct{ above, variance float64 }
 
-// NewSequential returns a judge that has seen nothing.
+// NewSequential returns an analyzer that has seen nothing.
 func NewSequential() *Sequential {
 	return &Sequential{routes: map[string]*routeEvidence{}, sums: map[string]*cusum{}, sides: map[string]*tally{}}
 }
 
-// Observe implements Judge. The others' answers are taken first, as they are what the
+// Observe implements Analyzer. The others' answers are taken first, as they are what the
 // new version's are compared with.
 func (j *Sequential) Observe(rows []protocol.EvidenceRow, now time.Time) {
 	for i := range rows {
@@ -266,8 +266,8 @@
 	return s.above / math.Sqrt(s.variance)
 }
 
-// Verdict implements Judge.
-func (j *Sequential) Verdict() Verdict {
+// Assessment implements Analyzer.
+func (j *Sequential) Assessment() Assessment {
 	v := j.totals
 	route := ""
 	v.Failures, route = j.failures()
@@ -413,10 +413,10 @@
 	return sum.all > 0 && (sum.bad-sum.expected)/sum.all > worseLeast && sum.more() > worseBy
 }
 
-// Bounds is the judge with fixed limits on the failures of the new version and on
+// Bounds is the analyzer with fixed limits on the failures of the new version and on
 // its mean time, as a first look would set them.
 type Bounds struct {
-	totals            Verdict
+	totals            Assessment
 	newSlow, oldSlow  float64 // These are sums of the logarithms of times.
 	newTimes, oldTime float64
 }
@@ -429,7 +429,7 @@
 	boundTimes    = 2.5
 )
 
-// Observe implements Judge.
+// Observe implements Analyzer.
 func (b *Bounds) Observe(rows []protocol.EvidenceRow, _ time.Time) {
 	for i := range rows {
 		a := &rows[i].Answers
@@ -448,8 +448,8 @@
 	}
 }
 
-// Verdict implements Judge.
-func (b *Bounds) Verdict() Verdict {
+// Assessment implements Analyzer.
+func (b *Bounds) Assessment() Assessment {
 	v := b.totals
 	if v.New < boundAnswers || v.Old < boundAnswers {
 		return v
--- a/coordination/rollout/answers.go
+++ b/coordination/rollout/answers.go
@@ -74,13 +74,13 @@
 	return diff
 }
 
-// Book adds up the reports of all gateways, whose counts only rise.
-type Book struct {
-	known map[bookKey]protocol.Answers
+// Counters adds up the reports of all gateways, whose counts only rise.
+type Counters struct {
+	known map[counterKey]protocol.Answers
 }
 
-// bookKey names one row of one life of a gateway.
-type bookKey struct {
+// counterKey names one row of one life of a gateway.
+type counterKey struct {
 	gateway string
 	life    uint64
 	route   string
@@ -88,15 +88,15 @@
 	isNew   bool
 }
 
-// NewBook returns an empty book.
-func NewBook() *Book { return &Book{known: map[bookKey]protocol.Answers{}} }
+// NewCounters returns an empty book.
+func NewCounters() *Counters { return &Counters{known: map[counterKey]protocol.Answers{}} }
 
 // Take returns what a report holds that the ones before did not. A report that comes
 // twice, or behind a later one, holds nothing new.
-func (b *Book) Take(gateway string, life uint64, rows []protocol.EvidenceRow) []protocol.EvidenceRow {
+func (b *Counters) Take(gateway string, life uint64, rows []protocol.EvidenceRow) []protocol.EvidenceRow {
 	var news []protocol.EvidenceRow
 	for _, row := range rows {
-		key := bookKey{gateway: gateway, life: life, route: row.Route, server: row.Server, isNew: row.New}
+		key := counterKey{gateway: gateway, life: life, route: row.Route, server: row.Server, isNew: row.New}
 		before := b.known[key]
 		if row.Answers.Good+row.Answers.Bad <= before.Good+before.Bad {
 			continue
--- a/coordination/rollout/experiment_test.go
+++ b/coordination/rollout/experiment_test.go
@@ -16,20 +16,20 @@
 // experimentSeeds are the days that each way is played on.
 const experimentSeeds = 40
 
-// TestJudgesExperiment compares the two judges on the same made days: bad answers
+// TestAnalyzersExperiment compares the two analyzers on the same made days: bad answers
 // that callers got until the version was turned back from, the part of the requests
 // that it got, good versions condemned and bad ones completed.
-func TestJudgesExperiment(t *testing.T) {
+func TestAnalyzersExperiment(t *testing.T) {
 	var out bytes.Buffer
 	w := tabwriter.NewWriter(&out, 0, 0, 2, ' ', 0)
-	fmt.Fprintln(w, "day\tjudge\tcompleted\tturned back\tbad answers, median\tmost\tshare, most\tseconds, median")
+	fmt.Fprintln(w, "day\tanalyzer\tcompleted\tturned back\tbad answers, median\tmost\tshare, most\tseconds, median")
 	for _, d := range days() {
 		for _, way := range []struct {
 			name string
-			make func() Judge
+			make func() Analyzer
 		}{
-			{"bounds", func() Judge { return &Bounds{} }},
-			{"sequential", func() Judge { return NewSequential() }},
+			{"bounds", func() Analyzer { return &Bounds{} }},
+			{"sequential", func() Analyzer { return NewSequential() }},
 		} {
 			row := d.compare(way.make)
 			fmt.Fprintf(w, "%s\t%s\t%d\t%d\t%d\t%d\t%.3f\t%.1f\n", d.name, way.name, row.completed, row.back, row.bad, row.mostBad, row.share, row.at.Seconds())
@@ -45,7 +45,7 @@
 		}
 	}
 	_ = w.Flush() // Writes to memory.
-	goldie.New(t).Assert(t, "judges", out.Bytes())
+	goldie.New(t).Assert(t, "analyzers", out.Bytes())
 }
 
 // comparison sums up the same day with several seeds.
@@ -56,7 +56,7 @@
 	at              time.Duration
 }
 
-func (d day) compare(make func() Judge) comparison {
+func (d day) compare(make func() Analyzer) comparison {
 	var c comparison
 	var bad []int64
 	var at []time.Duration
--- a/coordination/rollout/exposure.go
+++ b/coordination/rollout/exposure.go
@@ -94,8 +94,8 @@
 	return a.granted
 }
 
-// Purse holds one gateway's credits.
-type Purse struct {
+// Credits holds one gateway's credits.
+type Credits struct {
 	term    uint64
 	granted int64 // granted are those of the leader of the term, in all.
 	spent   int64 // spent are those of them that were used.
@@ -104,16 +104,16 @@
 
 // Granted takes a leader's answer to a question that was sent at a time. Credits of
 // another leader are gone.
-func (p *Purse) Granted(term uint64, credits int64, asked time.Time) {
+func (p *Credits) Granted(term uint64, credits int64, asked time.Time) {
 	if term != p.term {
-		*p = Purse{term: term}
+		*p = Credits{term: term}
 	}
 	p.granted = max(p.granted, credits)
 	p.until = asked.Add(CreditLease)
 }
 
 // Held returns how many credits can be spent.
-func (p *Purse) Held(now time.Time) int64 {
+func (p *Credits) Held(now time.Time) int64 {
 	if !now.Before(p.until) {
 		return 0
 	}
@@ -121,7 +121,7 @@
 }
 
 // Spend takes one credit, if there is one.
-func (p *Purse) Spend(now time.Time) bool {
+func (p *Credits) Spend(now time.Time) bool {
 	if p.Held(now) <= 0 {
 		return false
 	}
@@ -130,7 +130,7 @@
 }
 
 // Back returns a credit that was not used.
-func (p *Purse) Back() {
+func (p *Credits) Back() {
 	if p.spent > 0 {
 		p.spent--
 	}
--- a/coordination/rollout/load_test.go
+++ b/coordination/rollout/load_test.go
@@ -88,9 +88,9 @@
 	reason string
 }
 
-// play runs a roll-out on a day with a judge. The reports of gateways and the orders
+// play runs a roll-out on a day with an analyzer. The reports of gateways and the orders
 // to them take one tick each way.
-func (d day) play(seed uint64, j Judge) outcome {
+func (d day) play(seed uint64, j Analyzer) outcome {
 	rnd := rand.New(rand.NewPCG(seed, seed))
 	r := protocol.Rollout{Number: 1, Service: "s", Version: "v2", LimitMS: dayLimit.Milliseconds()}
 	pool := NewPool(0.1, 50)
@@ -117,7 +117,7 @@
 		}
 		j.Observe(list(rows), start.Add(at))
 		granted = pool.Grant(ReportMsg{Gateway: "g", Arrived: arrived, Tried: tried, Wants: int(d.rate), Pace: share, Part: Part(&r, at), Grants: true})
-		tick := TickMsg{Elapsed: at, Led: at, Verdict: j.Verdict(), Slots: 1000, Settled: true, Quiet: at - moved - time.Second, Longest: 15 * time.Second, Moved: at - moved, Former: []string{"v1"}}
+		tick := TickMsg{Elapsed: at, Led: at, Assessment: j.Assessment(), Slots: 1000, Settled: true, Quiet: at - moved - time.Second, Longest: 15 * time.Second, Moved: at - moved, Others: []string{"v1"}}
 		step, ok := Next(&r, tick)
 		if !ok {
 			continue
--- a/coordination/rollout/rollout.go
+++ b/coordination/rollout/rollout.go
@@ -9,8 +9,8 @@
 //	  └──────────┴─────► rolled back
 //
 // In the trial a bounded part of the service's requests goes to the new version
-// ([Pool] bounds it for all gateways, [Purse] for one of them), to few of its
-// servers, so that each has as much to do as it will have afterwards. [Judge]
+// ([Pool] bounds it for all gateways, [Credits] for one of them), to few of its
+// servers, so that each has as much to do as it will have afterwards. [Analyzer]
 // compares the answers with those of the other servers in the same seconds, route
 // by route. [Next] takes the roll-out to its next stage.
 //
@@ -27,13 +27,13 @@
 )
 
 const (
-	// calmShare of the requests are tried at first, and rushShare towards the end of
+	// earlyShare of the requests are tried at first, and lateShare towards the end of
 	// the trial, out of what was left over before: a version that is bad only under
 	// load shows it then. Half of the 0.1 that operators allow, and five times it.
-	calmShare = 0.045
-	rushShare = 0.25
-	// rushAfter is the part of the trial behind which the rush begins.
-	rushAfter = 0.6
+	earlyShare = 0.045
+	lateShare  = 0.25
+	// lateAfter is the part of the trial behind which lateShare begins.
+	lateAfter = 0.6
 	// movePart of the limit, and moveMost at the most, is kept for the answers that run
 	// on the former servers: most streams take 1 to 3 s.
 	movePart = 0.35
@@ -59,16 +59,17 @@
 
 // TickMsg is what is known at a moment.
 type TickMsg struct {
-	Elapsed time.Duration // Elapsed is since the order was accepted.
-	Led     time.Duration // Led is for how long this leader has gathered reports.
-	Verdict Verdict
-	Slots   int           // Slots are those of the new version's servers that take requests.
-	Running float64       // Running are the requests that the service has at once.
-	Settled bool          // Settled says that all gateways keep to the stage.
-	Quiet   time.Duration // Quiet is for how long nothing has run on the former servers.
-	Longest time.Duration // Longest is how long an answer of the service may take.
-	Moved   time.Duration // Moved is since the roll-out began to move.
-	Former  []string      // Former are the versions that are listed besides the new one.
+	Elapsed    time.Duration // Elapsed is since the order was accepted.
+	Led        time.Duration // Led is for how long this leader has gathered reports.
+	Assessment Assessment
+	Slots      int           // Slots are those of the new version's servers that take requests.
+	Running    float64       // Running are the requests that the service has at once.
+	Settled    bool          // Settled says that all gateways keep to the stage.
+	OldRunning int           // OldRunning are the requests that run on servers of other versions.
+	Quiet      time.Duration // Quiet is for how long there were none.
+	Longest    time.Duration // Longest is how long an answer of the service may take.
+	Moved      time.Duration // Moved is since the roll-out began to move.
+	Others     []string      // Others are the versions that are listed besides the new one.
 }
 
 // Next returns the step that a roll-out is to take now, if any.
@@ -77,8 +78,8 @@
 	switch {
 	case r.Stage.Over():
 		return step, false
-	case m.Verdict.Bad:
-		step.Stage, step.Reason = protocol.RolloutRolledBack, m.Verdict.Reason
+	case m.Assessment.Bad:
+		step.Stage, step.Reason = protocol.RolloutRolledBack, m.Assessment.Reason
 		return step, true
 	case r.Stage == protocol.RolloutMoving:
 		return completion(step, r, m)
@@ -88,18 +89,25 @@
 
 // move ends the trial, if it is time.
 func move(step protocol.StageRolloutMsg, r *protocol.Rollout, m TickMsg) (protocol.StageRolloutMsg, bool) {
-	v := m.Verdict
+	v := m.Assessment
 	enough := v.New >= leastAnswers && !v.Doubtful
 	late := m.Elapsed >= time.Duration(waitPart*float64(r.Limit()))
 	room := m.Slots > 0 && m.Running <= fullPart*float64(m.Slots)
 	switch {
-	case m.Elapsed < r.Limit()-moveTime(r.Limit()) || m.Led < leastLed:
+	case m.Led < leastLed:
+		return step, false
+	case m.Slots > 0 && len(m.Others) == 0 && v.Old == 0:
+		// Nobody serves but the version that was ordered: on trial it would get next to
+		// no requests, and the service would be away.
+		step.Stage, step.Reason = protocol.RolloutCompleted, "no other version serves"
+		return step, true
+	case m.Elapsed < r.Limit()-moveTime(r.Limit()):
 		return step, false
 	case v.Worse || (late && v.Doubtful):
 		step.Stage, step.Reason = protocol.RolloutRolledBack, v.Reason
 		return step, true
 	case room && v.New > 0 && (enough || late):
-		step.Stage, step.Former = protocol.RolloutMoving, m.Former
+		step.Stage, step.Former = protocol.RolloutMoving, m.Others
 		step.Reason = fmt.Sprintf("%d answers of the new version are as good as %d others", v.New, v.Old)
 		return step, true
 	case m.Elapsed < r.Limit()+lateMost:
@@ -117,7 +125,7 @@
 	if m.Slots == 0 {
 		return "no server of the new version takes requests"
 	}
-	if m.Verdict.New == 0 {
+	if m.Assessment.New == 0 {
 		return "no answer of the new version tells anything"
 	}
 	return fmt.Sprintf("%d slots of the new version are too few for %.0f requests", m.Slots, m.Running)
@@ -157,10 +165,10 @@
 	switch {
 	case r.Stage != protocol.RolloutTrial:
 		return 0
-	case Part(r, elapsed) < rushAfter:
-		return calmShare
+	case Part(r, elapsed) < lateAfter:
+		return earlyShare
 	}
-	return rushShare
+	return lateShare
 }
 
 // Canaries is to how many of the new version's servers a trial's requests go: as many
--- a/coordination/rollout/rollout_test.go
+++ b/coordination/rollout/rollout_test.go
@@ -17,7 +17,7 @@
 type gateway struct {
 	life           uint64
 	arrived, tried int64
-	purse          Purse
+	credits        Credits
 }
 
 // leader is one leader's pool, from when on it grants.
@@ -52,16 +52,16 @@
 			case what < 30:
 				credits := l.pool.Grant(ReportMsg{
 					Gateway: fmt.Sprint("g", i), Life: g.life, Arrived: g.arrived, Tried: g.tried,
-					Wants: rnd.IntN(40), Pace: rushShare, Part: min(1, now.Sub(began).Seconds()/4), Grants: !now.Before(l.from),
+					Wants: rnd.IntN(40), Pace: lateShare, Part: min(1, now.Sub(began).Seconds()/4), Grants: !now.Before(l.from),
 				})
 				if rnd.IntN(4) > 0 { // Else the answer is lost.
-					g.purse.Granted(l.term, credits, now)
+					g.credits.Granted(l.term, credits, now)
 				}
 			default:
 				for range rnd.IntN(20) {
 					g.arrived++
 					arrived++
-					if g.purse.Spend(now) {
+					if g.credits.Spend(now) {
 						g.tried++
 						tried++
 					}
@@ -78,7 +78,7 @@
 // version on trial, and that credits of a former leader are gone.
 func TestCreditsEnd(t *testing.T) {
 	at := time.Unix(0, 0)
-	var p Purse
+	var p Credits
 	if p.Spend(at) {
 		t.Error("a gateway without a word of a leader has a credit")
 	}
@@ -98,14 +98,14 @@
 
 // TestSteps checks when a roll-out takes which step.
 func TestSteps(t *testing.T) {
-	good := Verdict{New: 40, Old: 400}
-	trial := TickMsg{Elapsed: 8500 * time.Millisecond, Led: time.Minute, Verdict: good, Slots: 100, Running: 20, Former: []string{"v1"}}
+	good := Assessment{New: 40, Old: 400}
+	trial := TickMsg{Elapsed: 8500 * time.Millisecond, Led: time.Minute, Assessment: good, Slots: 100, Running: 20, Others: []string{"v1"}}
 	with := func(f func(*TickMsg)) TickMsg {
 		m := trial
 		f(&m)
 		return m
 	}
-	moving := TickMsg{Elapsed: 11 * time.Second, Led: time.Minute, Verdict: good, Settled: true, Quiet: time.Second, Longest: 15 * time.Second, Moved: 2 * time.Second}
+	moving := TickMsg{Elapsed: 11 * time.Second, Led: time.Minute, Assessment: good, Settled: true, Quiet: time.Second, Longest: 15 * time.Second, Moved: 2 * time.Second}
 	for name, c := range map[string]struct {
 		stage protocol.RolloutStage
 		msg   TickMsg
@@ -113,24 +113,26 @@
 		step  bool
 	}{
 		"early":                            {protocol.RolloutTrial, with(func(m *TickMsg) { m.Elapsed = 7 * time.Second }), 0, false},
+		"no other version serves":          {protocol.RolloutTrial, TickMsg{Led: time.Minute, Slots: 4}, protocol.RolloutCompleted, true},
+		"all others are gone":              {protocol.RolloutTrial, TickMsg{Led: time.Minute, Slots: 4, Assessment: Assessment{Old: 7}}, 0, false},
 		"a new leader":                     {protocol.RolloutTrial, with(func(m *TickMsg) { m.Led = time.Second / 2 }), 0, false},
 		"good":                             {protocol.RolloutTrial, trial, protocol.RolloutMoving, true},
-		"few answers":                      {protocol.RolloutTrial, with(func(m *TickMsg) { m.Verdict.New = 10 }), 0, false},
-		"few answers, late":                {protocol.RolloutTrial, with(func(m *TickMsg) { m.Verdict.New, m.Elapsed = 10, 11*time.Second }), protocol.RolloutMoving, true},
-		"no answer, late":                  {protocol.RolloutTrial, with(func(m *TickMsg) { m.Verdict.New, m.Elapsed = 0, 11*time.Second }), 0, false},
-		"no answer, past all":              {protocol.RolloutTrial, with(func(m *TickMsg) { m.Verdict.New, m.Elapsed = 0, 18*time.Second }), protocol.RolloutRolledBack, true},
-		"in doubt":                         {protocol.RolloutTrial, with(func(m *TickMsg) { m.Verdict.Doubtful = true }), 0, false},
-		"in doubt, late":                   {protocol.RolloutTrial, with(func(m *TickMsg) { m.Verdict.Doubtful, m.Elapsed = true, 11*time.Second }), protocol.RolloutRolledBack, true},
-		"worse":                            {protocol.RolloutTrial, with(func(m *TickMsg) { m.Verdict.Worse = true }), protocol.RolloutRolledBack, true},
-		"bad, at once":                     {protocol.RolloutTrial, with(func(m *TickMsg) { m.Verdict.Bad, m.Elapsed, m.Led = true, 0, 0 }), protocol.RolloutRolledBack, true},
+		"few answers":                      {protocol.RolloutTrial, with(func(m *TickMsg) { m.Assessment.New = 10 }), 0, false},
+		"few answers, late":                {protocol.RolloutTrial, with(func(m *TickMsg) { m.Assessment.New, m.Elapsed = 10, 11*time.Second }), protocol.RolloutMoving, true},
+		"no answer, late":                  {protocol.RolloutTrial, with(func(m *TickMsg) { m.Assessment.New, m.Elapsed = 0, 11*time.Second }), 0, false},
+		"no answer, past all":              {protocol.RolloutTrial, with(func(m *TickMsg) { m.Assessment.New, m.Elapsed = 0, 18*time.Second }), protocol.RolloutRolledBack, true},
+		"in doubt":                         {protocol.RolloutTrial, with(func(m *TickMsg) { m.Assessment.Doubtful = true }), 0, false},
+		"in doubt, late":                   {protocol.RolloutTrial, with(func(m *TickMsg) { m.Assessment.Doubtful, m.Elapsed = true, 11*time.Second }), protocol.RolloutRolledBack, true},
+		"worse":                            {protocol.RolloutTrial, with(func(m *TickMsg) { m.Assessment.Worse = true }), protocol.RolloutRolledBack, true},
+		"bad, at once":                     {protocol.RolloutTrial, with(func(m *TickMsg) { m.Assessment.Bad, m.Elapsed, m.Led = true, 0, 0 }), protocol.RolloutRolledBack, true},
 		"no room":                          {protocol.RolloutTrial, with(func(m *TickMsg) { m.Slots = 20 }), 0, false},
 		"moving, quiet":                    {protocol.RolloutMoving, moving, protocol.RolloutCompleted, true},
-		"moving, early":                    {protocol.RolloutMoving, TickMsg{Elapsed: 10 * time.Second, Verdict: good, Settled: true, Quiet: time.Second, Longest: 15 * time.Second}, 0, false},
-		"moving, answers run":              {protocol.RolloutMoving, TickMsg{Elapsed: 11 * time.Second, Verdict: good, Settled: true, Longest: 15 * time.Second, Moved: 14 * time.Second}, 0, false},
-		"moving, one has not heard":        {protocol.RolloutMoving, TickMsg{Elapsed: 11 * time.Second, Verdict: good, Quiet: time.Second, Longest: 15 * time.Second}, 0, false},
-		"moving, an answer past all limit": {protocol.RolloutMoving, TickMsg{Elapsed: 11 * time.Second, Verdict: good, Longest: 15 * time.Second, Moved: 16 * time.Second}, protocol.RolloutCompleted, true},
-		"moving, bad":                      {protocol.RolloutMoving, TickMsg{Verdict: Verdict{Bad: true}}, protocol.RolloutRolledBack, true},
-		"completed, bad":                   {protocol.RolloutCompleted, TickMsg{Verdict: Verdict{Bad: true}}, 0, false},
+		"moving, early":                    {protocol.RolloutMoving, TickMsg{Elapsed: 10 * time.Second, Assessment: good, Settled: true, Quiet: time.Second, Longest: 15 * time.Second}, 0, false},
+		"moving, answers run":              {protocol.RolloutMoving, TickMsg{Elapsed: 11 * time.Second, Assessment: good, Settled: true, Longest: 15 * time.Second, Moved: 14 * time.Second}, 0, false},
+		"moving, one has not heard":        {protocol.RolloutMoving, TickMsg{Elapsed: 11 * time.Second, Assessment: good, Quiet: time.Second, Longest: 15 * time.Second}, 0, false},
+		"moving, an answer past all limit": {protocol.RolloutMoving, TickMsg{Elapsed: 11 * time.Second, Assessment: good, Longest: 15 * time.Second, Moved: 16 * time.Second}, protocol.RolloutCompleted, true},
+		"moving, bad":                      {protocol.RolloutMoving, TickMsg{Assessment: Assessment{Bad: true}}, protocol.RolloutRolledBack, true},
+		"completed, bad":                   {protocol.RolloutCompleted, TickMsg{Assessment: Assessment{Bad: true}}, 0, false},
 		"rolled back, good":                {protocol.RolloutRolledBack, trial, 0, false},
 	} {
 		r := &protocol.Rollout{Service: "s", Number: 3, Version: "v2", LimitMS: 12_000, Stage: c.stage}
@@ -144,7 +146,7 @@
 // TestReportsAreCountedOnce checks that reports which come twice, late or from another
 // life of a gateway add up to what was counted.
 func TestReportsAreCountedOnce(t *testing.T) {
-	b := NewBook()
+	b := NewCounters()
 	row := func(good, bad int64) []protocol.EvidenceRow {
 		return []protocol.EvidenceRow{{Route: "r", New: true, Server: "i", Answers: protocol.Answers{Good: good, Bad: bad, First: []int64{0, good}}}}
 	}
@@ -179,7 +181,7 @@
 		servers int
 		share   float64
 		want    int
-	}{{0, 0.05, 0}, {1, 0.05, 1}, {4, 0.05, 2}, {112, calmShare, 6}, {112, rushShare, 31}, {4, rushShare, 2}} {
+	}{{0, 0.05, 0}, {1, 0.05, 1}, {4, 0.05, 2}, {112, earlyShare, 6}, {112, lateShare, 31}, {4, lateShare, 2}} {
 		if got := Canaries(c.servers, c.share); got != c.want {
 			t.Errorf("%d servers, share %.2f: %d, want %d", c.servers, c.share, got, c.want)
 		}
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -53,8 +53,12 @@
 	}
 	load.Go(func() { r.operate(ctx) })
 	rollouts := NewRollouts(c, k)
-	load.Go(func() { rollouts.run(ctx, p.Seed) })
+	ordering, stopOrders := context.WithCancel(ctx)
+	var ordered sync.WaitGroup
+	ordered.Go(func() { rollouts.run(ordering, p.Seed) })
 	r.play(p)
+	stopOrders()
+	ordered.Wait() // A version is judged by the callers' requests, so these go on until then.
 	cancel()
 	load.Wait()
 	r.recover()
--- a/protocol/rollout.go
+++ b/protocol/rollout.go
@@ -60,16 +60,16 @@
 	Stage   RolloutStage `json:"stage"`
 	Reason  string       `json:"reason,omitempty"` // Reason is why the stage was entered.
 	Former  []string     `json:"former,omitempty"` // Former are the versions that it leaves, known once it moves.
-	// Barred are the versions that earlier roll-outs of the service left, or turned
+	// Blocked are the versions that earlier roll-outs of the service left, or turned
 	// back from.
-	Barred []string `json:"barred,omitempty"`
+	Blocked []string `json:"blocked,omitempty"`
 }
 
 // Bars reports whether servers of a version get no requests. Those of the new
 // version get only what the trial grants while that runs, which is not told here.
-func (r *Rollout) Bars(version string) bool {
+func (r *Rollout) Blocks(version string) bool {
 	switch {
-	case slices.Contains(r.Barred, version):
+	case slices.Contains(r.Blocked, version):
 		return true
 	case r.Stage == RolloutRolledBack:
 		return version == r.Version
@@ -80,7 +80,7 @@
 }
 
 // Tries reports whether servers of a version get only what the trial grants.
-func (r *Rollout) Tries(version string) bool {
+func (r *Rollout) OnTrial(version string) bool {
 	return r.Stage == RolloutTrial && version == r.Version
 }
 
--- a/state/rollouts.go
+++ b/state/rollouts.go
@@ -37,7 +37,7 @@
 	}
 	next := &protocol.Rollout{Service: m.Service, Version: m.Version, LimitMS: m.LimitMS, BeganAt: now}
 	if last != nil {
-		next.Barred = barredBefore(last, m.Version)
+		next.Blocked = blockedBefore(last, m.Version)
 	}
 	r.count++
 	next.Number = r.count
@@ -45,22 +45,28 @@
 	return &protocol.BeginRolloutReply{Taken: true, Rollout: *next}
 }
 
-// barredBefore are the versions that get nothing behind a roll-out that is over, but
+// blockedBefore are the versions that get nothing behind a roll-out that is over, but
 // for the one that is ordered now.
-func barredBefore(last *protocol.Rollout, ordered string) []string {
-	var barred []string
-	for _, version := range slices.Concat(last.Barred, last.Former, []string{last.Version}) {
-		if version != ordered && last.Bars(version) && !slices.Contains(barred, version) {
-			barred = append(barred, version)
+func blockedBefore(last *protocol.Rollout, ordered string) []string {
+	var blocked []string
+	for _, version := range slices.Concat(last.Blocked, last.Former, []string{last.Version}) {
+		if version != ordered && last.Blocks(version) && !slices.Contains(blocked, version) {
+			blocked = append(blocked, version)
 		}
 	}
-	return barred
+	return blocked
 }
 
-// repeats reports whether an order is that of the service's newest roll-out.
+// repeats reports whether an order is that of the service's newest roll-out, or asks
+// for what that has come to.
 func repeats(last *protocol.Rollout, m *protocol.BeginRolloutMsg, now int64) bool {
-	same := last.Version == m.Version && last.LimitMS == m.LimitMS
-	return same && (!last.Stage.Over() || now-last.BeganAt <= m.RepeatMS)
+	if last.Version != m.Version {
+		return false
+	}
+	if last.Stage == protocol.RolloutCompleted {
+		return true // The service is there.
+	}
+	return last.LimitMS == m.LimitMS && (!last.Stage.Over() || now-last.BeganAt <= m.RepeatMS)
 }
 
 // stage takes a running roll-out further. It never goes back, and what is over stays.
--- a/state/rollouts_test.go
+++ b/state/rollouts_test.go
@@ -44,6 +44,10 @@
 	if anew := begin(m, 6100, "v2"); !anew.Taken || anew.Rollout.Number != 2 || anew.Rollout.Stage != protocol.RolloutTrial {
 		t.Errorf("ordered anew later: %+v", anew)
 	}
+	stage(m, 7000, 2, protocol.RolloutCompleted)
+	if there := begin(m, 60_000, "v2"); !there.Taken || there.Rollout.Number != 2 || there.Rollout.Stage != protocol.RolloutCompleted {
+		t.Errorf("ordered where the service is: %+v", there)
+	}
 }
 
 // TestRolloutStagesOnlyRise checks that no stage is left backwards, that what is over
@@ -87,7 +91,7 @@
 		}
 		got := map[string]bool{}
 		for version := range want {
-			got[version] = list[0].Bars(version)
+			got[version] = list[0].Blocks(version)
 		}
 		if diff := cmp.Diff(want, got); diff != "" {
 			t.Fatal(diff)
--- a/transport/control/rollouts.go
+++ b/transport/control/rollouts.go
@@ -64,8 +64,8 @@
 	movedAt    time.Time // movedAt is when this leader saw it move first.
 	quietSince time.Time // quietSince is since when nothing runs on the former servers; zero while something does.
 	pool       *rollout.Pool
-	book       *rollout.Book
-	judge      rollout.Judge
+	counters   *rollout.Counters
+	analyzer   rollout.Analyzer
 	held       map[string]protocol.RolloutStage // held are the stages that the gateways keep to.
 }
 
@@ -84,11 +84,11 @@
 		t := u.trials[r.Number]
 		if t == nil {
 			t = &trial{
-				began: l.began[r.Number],
-				pool:  rollout.NewPool(u.exposure.Share, u.exposure.Slack),
-				book:  rollout.NewBook(),
-				judge: rollout.NewSequential(),
-				held:  map[string]protocol.RolloutStage{},
+				began:    l.began[r.Number],
+				pool:     rollout.NewPool(u.exposure.Share, u.exposure.Slack),
+				counters: rollout.NewCounters(),
+				analyzer: rollout.NewSequential(),
+				held:     map[string]protocol.RolloutStage{},
 			}
 		}
 		if r.Stage == protocol.RolloutMoving && t.movedAt.IsZero() {
@@ -118,7 +118,7 @@
 			continue // It is over.
 		}
 		t.held[m.Gateway] = report.Held
-		t.judge.Observe(t.book.Take(m.Gateway, m.Life, report.Rows), now)
+		t.analyzer.Observe(t.counters.Take(m.Gateway, m.Life, report.Rows), now)
 		if t.record.Stage != protocol.RolloutTrial {
 			continue
 		}
@@ -168,8 +168,8 @@
 		}
 		steps = append(steps, step)
 		u.log.Info().Str("service", step.Service).Uint64("rollout", step.Number).Str("version", t.record.Version).Stringer("from", t.record.Stage).
-			Stringer("to", step.Stage).Str("reason", step.Reason).Dur("elapsed", m.Elapsed).Int64("new", m.Verdict.New).Int64("new_failed", m.Verdict.NewBad).
-			Int64("old", m.Verdict.Old).Int64("old_failed", m.Verdict.OldBad).Float64("failures", m.Verdict.Failures).Float64("slowness", m.Verdict.Slowness).
+			Stringer("to", step.Stage).Str("reason", step.Reason).Dur("elapsed", m.Elapsed).Int64("new", m.Assessment.New).Int64("new_failed", m.Assessment.NewBad).
+			Int64("old", m.Assessment.Old).Int64("old_failed", m.Assessment.OldBad).Float64("failures", m.Assessment.Failures).Float64("slowness", m.Assessment.Slowness).
 			Int("slots", m.Slots).Float64("running", m.Running).Msg("roll-out goes on")
 	}
 	return steps
@@ -178,14 +178,13 @@
 // tick gathers what is known of a roll-out. It needs u.mu.
 func (u *Uplink) tick(t *trial, now time.Time) rollout.TickMsg {
 	m := rollout.TickMsg{
-		Elapsed: now.Sub(t.began),
-		Led:     now.Sub(u.entered),
-		Verdict: t.judge.Verdict(),
-		Running: u.load(t.record.Service).Work,
-		Settled: u.keepTo(t, now),
-		Longest: u.longest(t.record.Service),
+		Elapsed:    now.Sub(t.began),
+		Led:        now.Sub(u.entered),
+		Assessment: t.analyzer.Assessment(),
+		Running:    u.load(t.record.Service).Work,
+		Settled:    u.keepTo(t, now),
+		Longest:    u.longest(t.record.Service),
 	}
-	running := 0
 	for i := range u.servers {
 		s := &u.servers[i]
 		switch {
@@ -195,14 +194,14 @@
 				m.Slots += width(s)
 			}
 		default:
-			running += u.loads.Of(s.ID)
-			if !slices.Contains(m.Former, s.Version) {
-				m.Former = append(m.Former, s.Version)
+			m.OldRunning += u.loads.Of(s.ID)
+			if !slices.Contains(m.Others, s.Version) {
+				m.Others = append(m.Others, s.Version)
 			}
 		}
 	}
 	switch {
-	case running > 0:
+	case m.OldRunning > 0:
 		t.quietSince = time.Time{}
 	case t.quietSince.IsZero():
 		t.quietSince = now
@@ -289,24 +288,19 @@
 	for _, number := range slices.Sorted(maps.Keys(u.trials)) {
 		t := u.trials[number]
 		m := u.tick(t, now)
-		row := protocol.RolloutProgress{
-			Rollout:   t.record,
-			LeftMS:    (t.record.Limit() - m.Elapsed).Milliseconds(),
-			Share:     rollout.Share(&t.record, m.Elapsed),
-			New:       m.Verdict.New,
-			NewFailed: m.Verdict.NewBad,
-			Old:       m.Verdict.Old,
-			OldFailed: m.Verdict.OldBad,
-			Failures:  m.Verdict.Failures,
-			Slowness:  m.Verdict.Slowness,
-			Slots:     m.Slots,
-		}
-		for i := range u.servers {
-			if s := &u.servers[i]; s.Service == t.record.Service && s.Version != t.record.Version {
-				row.OldRunning += u.loads.Of(s.ID)
-			}
-		}
-		*reply = append(*reply, row)
+		*reply = append(*reply, protocol.RolloutProgress{
+			Rollout:    t.record,
+			LeftMS:     (t.record.Limit() - m.Elapsed).Milliseconds(),
+			Share:      rollout.Share(&t.record, m.Elapsed),
+			New:        m.Assessment.New,
+			NewFailed:  m.Assessment.NewBad,
+			Old:        m.Assessment.Old,
+			OldFailed:  m.Assessment.OldBad,
+			Failures:   m.Assessment.Failures,
+			Slowness:   m.Assessment.Slowness,
+			Slots:      m.Slots,
+			OldRunning: m.OldRunning,
+		})
 	}
 	return nil
 }
@@ -320,7 +314,7 @@
 			continue
 		}
 		out := func(in protocol.Instance) bool {
-			return in.Service == service && (r.Bars(in.Version) || r.Tries(in.Version))
+			return in.Service == service && (r.Blocks(in.Version) || r.OnTrial(in.Version))
 		}
 		return slices.DeleteFunc(slices.Clone(servers), out), r.Stage != protocol.RolloutMoving
 	}
--- a/transport/forward/attempt.go
+++ b/transport/forward/attempt.go
@@ -33,11 +33,11 @@
 	read   bool // read says that the server has read the prompt.
 	extra  bool // extra says that the connection delivered what was not asked for.
 
-	began  time.Time // began is when the request was sent.
-	first  time.Time // first is when the first events came; zero before.
-	last   time.Time // last is when the latest events came.
-	pieces int       // pieces are how often events came.
-	judged bool      // judged says that the answer was counted for a roll-out.
+	began    time.Time // began is when the request was sent.
+	first    time.Time // first is when the first events came; zero before.
+	last     time.Time // last is when the latest events came.
+	pieces   int       // pieces are how often events came.
+	observed bool      // observed says that the answer was counted for a roll-out.
 }
 
 // attempt sends the request to a server. It returns nil when the request is
@@ -277,7 +277,7 @@
 		t.failedAnswer()
 	} else {
 		t.x.trust(t.server)
-		t.judge(t.times(time.Now()))
+		t.observe(t.times(time.Now()))
 	}
 	if promises(status) || t.reply.Encoded || (failure && x.state.Repeatable) {
 		if refusal := x.failed(protocol.MayHaveRun, true, "the server failed with status "+fasthttp.StatusMessage(status)); refusal == errAgain || promises(status) || t.reply.Encoded {
--- a/transport/forward/stream.go
+++ b/transport/forward/stream.go
@@ -52,7 +52,7 @@
 	}
 	x.pieceAt = now
 	if err := x.answer.Piece(whole); err != nil {
-		t.judge(t.times(now))
+		t.observe(t.times(now))
 		t.conn.Close()
 		return callerGone().WithVerdict(protocol.MayHaveRun)
 	}
@@ -83,7 +83,7 @@
 		}
 	}
 	t.x.trust(t.server)
-	t.judge(t.times(time.Now()))
+	t.observe(t.times(time.Now()))
 	t.finish(true, stop)
 	if err := x.head(); err != nil {
 		return callerGone().WithVerdict(protocol.MayHaveRun)
--- a/transport/forward/trial.go
+++ b/transport/forward/trial.go
@@ -12,7 +12,7 @@
 type trial struct {
 	record  protocol.Rollout
 	share   float64 // share is the part of the requests that the trial takes, as the leader told last.
-	purse   rollout.Purse
+	credits rollout.Credits
 	arrived int64 // arrived are the service's requests that were sent to a server.
 	tried   int64 // tried are sends to the new version.
 	told    int64 // told is arrived as it was in the report before.
@@ -51,7 +51,7 @@
 		return 0
 	}
 	want := min(wantMost, 1+int(wantPart*float64(t.arrived-t.told)))
-	return max(0, want-int(t.purse.Held(now)))
+	return max(0, want-int(t.credits.Held(now)))
 }
 
 // report returns what the leader of a term lacks.
@@ -99,7 +99,7 @@
 		for _, t := range g.trials {
 			if t.record.Number == grant.Number {
 				t.share = grant.Share
-				t.purse.Granted(reply.Term, grant.Credits, asked)
+				t.credits.Granted(reply.Term, grant.Credits, asked)
 			}
 		}
 	}
@@ -132,7 +132,7 @@
 	g := x.g
 	g.mu.Lock()
 	t := g.trials[x.service]
-	spend := t != nil && t.record.Stage == protocol.RolloutTrial && t.purse.Spend(m.Now)
+	spend := t != nil && t.record.Stage == protocol.RolloutTrial && t.credits.Spend(m.Now)
 	var number uint64
 	var share float64
 	if spend {
@@ -147,7 +147,7 @@
 		return &view.Servers[i]
 	}
 	g.mu.Lock()
-	t.purse.Back()
+	t.credits.Back()
 	g.mu.Unlock()
 	return nil
 }
@@ -169,16 +169,16 @@
 	}
 }
 
-// judge counts how an answer of a server went, for the roll-out of its service.
-func (t *try) judge(a rollout.Answer) {
+// observe counts how an answer of a server went, for the roll-out of its service.
+func (t *try) observe(a rollout.Answer) {
 	g := t.x.g
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	tr := g.trials[t.x.service]
-	if tr == nil || t.judged {
+	if tr == nil || t.observed {
 		return
 	}
-	t.judged = true
+	t.observed = true
 	key := evidenceKey{route: t.x.route.Name, isNew: t.server.Version == tr.record.Version}
 	if key.isNew {
 		key.server = t.server.ID
@@ -213,16 +213,12 @@
 }
 
 // failedAnswer counts an answer that failed.
-func (t *try) failedAnswer() { t.judge(rollout.Answer{Bad: true}) }
-
-// waitedMuch is how many times its target a caller waits in vain before the answer
-// counts as one that took that long.
-const waitedMuch = 1
+func (t *try) failedAnswer() { t.observe(rollout.Answer{Bad: true}) }
 
 // left counts an answer that its caller did not wait for: behind the target it took
 // as long at the least.
 func (t *try) left(now time.Time) {
-	if t.first.IsZero() && now.Sub(t.began) > waitedMuch*t.x.route.Target {
-		t.judge(t.times(now))
+	if t.first.IsZero() && now.Sub(t.began) > t.x.route.Target {
+		t.observe(t.times(now))
 	}
 }
