--- a/protocol/rollout.go
+++ b/protocol/rollout.go
@@ -65,7 +65,7 @@
 	Blocked []string `json:"blocked,omitempty"`
 }
 
-// Bars reports whether servers of a version get no requests. Those of the new
+// Blocks reports whether servers of a version get no requests. Those of the new
 // version get only what the trial grants while that runs, which is not told here.
 func (r *Rollout) Blocks(version string) bool {
 	switch {
@@ -79,7 +79,7 @@
 	return false
 }
 
-// Tries reports whether servers of a version get only what the trial grants.
+// OnTrial reports whether servers of a version get only what the trial grants.
 func (r *Rollout) OnTrial(version string) bool {
 	return r.Stage == RolloutTrial && version == r.Version
 }
