A gateway that ends waits for its callers without a race

The wait may then end though a caller has just been accepted. Change: open connections are counted under the server's lock; Wait tells whether none is left. Test: callers who connect beside a wait, with the race detector; a wait while a connection is open.

--- a/transport/caller/caller.go
+++ b/transport/caller/caller.go
@@ -57,14 +57,15 @@
 	handler Handler
 	limits  atomic.Pointer[Limits]
 	drain   atomic.Bool
-	mu      sync.Mutex // mu guards conns.
+	mu      sync.Mutex // mu guards all below.
 	conns   map[*Conn]struct{}
-	active  sync.WaitGroup
+	open    int           // open are the connections that were accepted and have not ended.
+	ended   chan struct{} // ended is closed and replaced when one ends.
 }
 
 // NewServer returns a server that is not serving yet.
 func NewServer(h Handler) *Server {
-	s := &Server{handler: h, conns: map[*Conn]struct{}{}}
+	s := &Server{handler: h, conns: map[*Conn]struct{}{}, ended: make(chan struct{})}
 	s.SetLimits(DefaultLimits)
 	return s
 }
@@ -90,7 +91,9 @@
 			time.Sleep(acceptPause) // Out of descriptors: the next try may find one.
 			continue
 		}
-		s.active.Add(1)
+		s.mu.Lock()
+		s.open++
+		s.mu.Unlock()
 		go s.run(conn)
 	}
 }
@@ -111,21 +114,35 @@
 	}
 }
 
-// Wait returns when no connection is left or ctx ends.
-func (s *Server) Wait(ctx context.Context) {
-	done := make(chan struct{})
-	go func() {
-		s.active.Wait()
-		close(done)
-	}()
-	select {
-	case <-done:
-	case <-ctx.Done():
+// Wait returns when no connection is left or ctx ends, and reports whether none is.
+// Callers may go on connecting meanwhile.
+func (s *Server) Wait(ctx context.Context) bool {
+	for {
+		s.mu.Lock()
+		open, ended := s.open, s.ended
+		s.mu.Unlock()
+		if open == 0 {
+			return true
+		}
+		select {
+		case <-ended:
+		case <-ctx.Done():
+			return false
+		}
 	}
 }
 
+// end counts a connection as ended.
+func (s *Server) end() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.open--
+	close(s.ended)
+	s.ended = make(chan struct{})
+}
+
 func (s *Server) run(conn net.Conn) {
-	defer s.active.Done()
+	defer s.end()
 	c := &Conn{net: conn, stall: writeStall}
 	c.br = bufio.NewReaderSize(conn, readBuffer)
 	c.bw = bufio.NewWriterSize(c, writeBuffer)
--- a/transport/caller/caller_test.go
+++ b/transport/caller/caller_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -162,6 +163,51 @@
 	}
 }
 
+// TestWaitBesideNewConnections checks that callers who connect while a server ends
+// neither race with its wait nor are left behind by it: what was accepted before
+// counts. The race detector tells of the first.
+func TestWaitBesideNewConnections(t *testing.T) {
+	s, first, _ := serve(t, handlerFunc(func(_ context.Context, _ *fasthttp.Request, a *Answer) { whole(a, "done") }))
+	address := first.RemoteAddr().String()
+	_ = first.Close()
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	var callers sync.WaitGroup
+	for range 4 {
+		callers.Go(func() {
+			for range 50 {
+				conn, err := net.Dial("tcp", address)
+				if err != nil {
+					t.Error(err)
+					return
+				}
+				_, _ = io.WriteString(conn, "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+				var resp fasthttp.Response
+				if err := resp.Read(bufio.NewReader(conn)); err != nil {
+					t.Error(err)
+				}
+				_ = conn.Close()
+			}
+		})
+	}
+	for range 50 {
+		s.Wait(ctx)
+	}
+	callers.Wait()
+	open := dial(t, address)
+	_, _ = io.WriteString(open, "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+	read(t, bufio.NewReader(open))
+	over, end := context.WithCancel(ctx)
+	end()
+	if s.Wait(over) {
+		t.Error("the wait ended though a connection is open")
+	}
+	_ = open.Close()
+	if !s.Wait(ctx) {
+		t.Error("the wait did not end with the last connection")
+	}
+}
+
 // awaitIdle waits until a connection of the server rests.
 func awaitIdle(t *testing.T, s *Server) {
 	t.Helper()
