Servers of a version that nothing names wait for their order

The trace: its servers were listed 1.1 s before the order was logged, as the operator had asked a control instance that was stopped; 76 requests had gone there as to any other server. Change: the log knows the versions of each service. Servers of another one are kept from the gateways' lists for as long as an order may be sent again and a second more, or until one names it, unless nobody else serves. What no order followed is logged as known. Ruled out: to hold by the leader's own memory, as a new leader would know nothing of what was there before. Tests: TestUnannouncedVersionWaits, also behind a change of the leader;

--- a/cmd/weldstreamd/control.go
+++ b/cmd/weldstreamd/control.go
@@ -95,6 +95,10 @@
 	}
 }
 
+// announceMargin is how much longer than an order may be sent again servers of a version
+// that none names are kept from gateways: the order has to be logged as well.
+const announceMargin = time.Second
+
 // progressTime bounds the question how roll-outs go, which an answer can do without.
 const progressTime = 500 * time.Millisecond
 
@@ -138,13 +142,13 @@
 	}
 	sender := transport.NewReplicaSender(work, c.tables, c.links, transport.WithAddresses(c.peerAddress))
 	c.group, err = group.Open(c.groupConfig(), n.DataDir, c.name(), sender, group.WithLogger(c.log), group.WithRegistry(c.registry), group.WithDocument(func(number uint64, data []byte) { c.uplink.Install(number, data) }),
-		group.WithRollouts(func(changes uint64, list []protocol.Rollout) { c.uplink.InstallRollouts(changes, list) }))
+		group.WithRollouts(func(l protocol.RolloutLog) { c.uplink.InstallRollouts(l) }))
 	if err != nil {
 		return err
 	}
 	opts := []control.UplinkOption{
 		control.WithLogger(c.log), control.WithRegistry(c.registry),
-		control.WithExposure(control.Exposure{Share: n.Bounds.TrialShare, Slack: n.Bounds.TrialSlack}),
+		control.WithExposure(control.Exposure{Share: n.Bounds.TrialShare, Slack: n.Bounds.TrialSlack, Unannounced: n.Bounds.OrderRepeat + announceMargin}),
 	}
 	if c.limits().Usage {
 		opts = append(opts, control.WithQuiet(func() time.Duration { return c.group.Status().Quiet }))
--- a/coordination/group/group.go
+++ b/coordination/group/group.go
@@ -80,9 +80,8 @@
 	return func(g *Group) { g.document = f }
 }
 
-// WithRollouts sets what is told of the roll-outs whenever one changes, with a number
-// that rises with each change.
-func WithRollouts(f func(changes uint64, list []protocol.Rollout)) Option {
+// WithRollouts sets what is told of the roll-outs whenever any of that changes.
+func WithRollouts(f func(protocol.RolloutLog)) Option {
 	return func(g *Group) { g.rollouts = f }
 }
 
@@ -96,7 +95,7 @@
 
 	meters   *meters
 	document func(number uint64, data []byte)
-	rollouts func(changes uint64, list []protocol.Rollout)
+	rollouts func(protocol.RolloutLog)
 	dir      string
 	cfg      Config
 	id       protocol.ReplicaID
@@ -157,7 +156,7 @@
 		log:       zerolog.Nop(),
 		revision:  func(uint64, []byte) {},
 		document:  func(uint64, []byte) {},
-		rollouts:  func(uint64, []protocol.Rollout) {},
+		rollouts:  func(protocol.RolloutLog) {},
 		meters:    noMeters(),
 		timeOfDay: time.Now,
 		dir:       dir,
@@ -423,6 +422,6 @@
 	}
 	if changes := g.machine.RolloutChanges(); changes > g.toldRoll {
 		g.toldRoll = changes
-		g.rollouts(changes, g.machine.Rollouts())
+		g.rollouts(g.machine.RolloutLog())
 	}
 }
--- a/coordination/group/group_test.go
+++ b/coordination/group/group_test.go
@@ -132,7 +132,7 @@
 	cfg := Config{Replica: replicate.Config{Election: 50 * time.Millisecond, Heartbeat: 10 * time.Millisecond, Batch: 1 << 20, Window: 8}, SnapshotEntries: 1 << 20}
 	for _, again := range []bool{false, true} {
 		var told []protocol.RolloutStage // told are the stages, in the order in which the loop told them.
-		g, err := Open(cfg, dir, "entry-1", noSender{}, WithRollouts(func(_ uint64, list []protocol.Rollout) { told = append(told, list[0].Stage) }))
+		g, err := Open(cfg, dir, "entry-1", noSender{}, WithRollouts(func(l protocol.RolloutLog) { told = append(told, l.Latest[0].Stage) }))
 		if err != nil {
 			t.Fatal(err)
 		}
--- a/protocol/claim.go
+++ b/protocol/claim.go
@@ -114,6 +114,7 @@
 
 	BeginRollout *BeginRolloutMsg `json:"begin_rollout,omitempty"`
 	StageRollout *StageRolloutMsg `json:"stage_rollout,omitempty"`
+	Versions     *VersionsMsg     `json:"versions,omitempty"`
 }
 
 // Result is what a command came to.
--- a/protocol/rollout.go
+++ b/protocol/rollout.go
@@ -120,6 +120,33 @@
 	Rollout Rollout `json:"rollout"`
 }
 
+// VersionsMsg names versions of a service whose servers get requests without a
+// roll-out: those that it had when it was first seen, and those that no order
+// followed.
+type VersionsMsg struct {
+	Service  string   `json:"service"`
+	Versions []string `json:"versions"`
+}
+
+// RolloutLog is what the log has of roll-outs.
+type RolloutLog struct {
+	Changes uint64              // Changes rises with each change of the rest.
+	Latest  []Rollout           // Latest are the newest of each service.
+	Known   map[string][]string // Known are the versions of each service that get requests without one.
+}
+
+// Knows reports whether servers of a version may be told to gateways: it is known, or a
+// roll-out names it. Of a service that was never seen all are.
+func (l *RolloutLog) Knows(service, version string) bool {
+	known := l.Known[service]
+	if len(known) == 0 || slices.Contains(known, version) {
+		return true
+	}
+	return slices.ContainsFunc(l.Latest, func(r Rollout) bool {
+		return r.Service == service && (r.Version == version || r.Blocks(version))
+	})
+}
+
 // TrialReport is what a gateway tells of a roll-out. All counts are since it
 // heard of the roll-out first, so that a report which is lost or doubled does no
 // harm.
--- a/state/machine.go
+++ b/state/machine.go
@@ -59,6 +59,8 @@
 		return protocol.Result{BeginRollout: m.rollouts.begin(c.BeginRollout, m.now)}
 	case c.StageRollout != nil:
 		return protocol.Result{StageRollout: m.rollouts.stage(c.StageRollout, m.now)}
+	case c.Versions != nil:
+		m.rollouts.know(c.Versions)
 	}
 	return protocol.Result{}
 }
@@ -117,7 +119,12 @@
 // Rollouts returns the newest roll-out of each service.
 func (m *Machine) Rollouts() []protocol.Rollout { return m.rollouts.list() }
 
-// RolloutChanges returns how often a roll-out was begun or taken further.
+// RolloutLog returns all that is known of roll-outs.
+func (m *Machine) RolloutLog() protocol.RolloutLog {
+	return protocol.RolloutLog{Changes: m.rollouts.changes, Latest: m.rollouts.list(), Known: m.rollouts.known}
+}
+
+// RolloutChanges returns how often what is known of roll-outs changed.
 func (m *Machine) RolloutChanges() uint64 { return m.rollouts.changes }
 
 // PeekClaim answers a claim as far as that changes nothing: one that would be
@@ -146,6 +153,8 @@
 	Rollouts       []protocol.Rollout `json:"rollouts,omitempty"`
 	RolloutCount   uint64             `json:"rollout_count,omitempty"`
 	RolloutChanges uint64             `json:"rollout_changes,omitempty"`
+
+	Versions map[string][]string `json:"versions,omitempty"`
 }
 
 // Image returns a copy of the state. Claims are never changed in place, so the
@@ -154,7 +163,7 @@
 	return &Image{
 		Now: m.now, Number: m.number, Config: m.config, Claims: m.claims.list(), Document: m.document, Windows: m.windows.list(),
 		Tallies: m.tallies.list(), Bases: maps.Clone(m.bases), Hold: m.hold, Former: m.former,
-		Rollouts: m.rollouts.list(), RolloutCount: m.rollouts.count, RolloutChanges: m.rollouts.changes,
+		Rollouts: m.rollouts.list(), RolloutCount: m.rollouts.count, RolloutChanges: m.rollouts.changes, Versions: m.rollouts.known,
 	}
 }
 
--- a/state/rollouts.go
+++ b/state/rollouts.go
@@ -11,8 +11,9 @@
 // place, so that copies may be handed out.
 type rollouts struct {
 	count   uint64 // count is how many were begun.
-	changes uint64 // changes counts what was begun and taken further.
+	changes uint64 // changes counts what was begun, taken further, and learnt of versions.
 	latest  map[string]*protocol.Rollout
+	known   map[string][]string // known are the versions of each service that get requests without one.
 }
 
 // newRollouts returns those of a snapshot.
@@ -21,6 +22,7 @@
 	for k := range i.Rollouts {
 		r.put(&i.Rollouts[k])
 	}
+	r.known = i.Versions
 	r.changes = i.RolloutChanges
 	return r
 }
@@ -90,6 +92,19 @@
 	return &protocol.StageRolloutReply{Rollout: next}
 }
 
+// know adds versions. The lists are never changed in place.
+func (r *rollouts) know(m *protocol.VersionsMsg) {
+	known := maps.Clone(r.known)
+	if known == nil {
+		known = map[string][]string{}
+	}
+	list := slices.Concat(known[m.Service], m.Versions)
+	slices.Sort(list)
+	known[m.Service] = slices.Compact(list)
+	r.known = known
+	r.changes++
+}
+
 func (r *rollouts) put(next *protocol.Rollout) {
 	if r.latest == nil {
 		r.latest = map[string]*protocol.Rollout{}
--- a/state/rollouts_test.go
+++ b/state/rollouts_test.go
@@ -86,8 +86,8 @@
 			t.Fatal(err)
 		}
 		list := restored.Rollouts()
-		if diff := cmp.Diff(m.Rollouts(), list); diff != "" || restored.RolloutChanges() != m.RolloutChanges() {
-			t.Fatalf("behind a snapshot: %d changes for %d, %s", restored.RolloutChanges(), m.RolloutChanges(), diff)
+		if diff := cmp.Diff(m.RolloutLog(), restored.RolloutLog()); diff != "" {
+			t.Fatalf("behind a snapshot: %s", diff)
 		}
 		got := map[string]bool{}
 		for version := range want {
@@ -99,6 +99,11 @@
 		at += 10_000
 		m = restored
 	}
+	m.Apply(&protocol.Command{Versions: &protocol.VersionsMsg{Service: "s", Versions: []string{"v1", "v0"}}})
+	m.Apply(&protocol.Command{Versions: &protocol.VersionsMsg{Service: "s", Versions: []string{"v1"}}})
+	if diff := cmp.Diff(map[string][]string{"s": {"v0", "v1"}}, m.RolloutLog().Known); diff != "" {
+		t.Error(diff)
+	}
 	begin(m, at, "v2")
 	check(map[string]bool{"v1": false, "v2": false, "v0": false})
 	stage(m, at, 1, protocol.RolloutMoving, "v1")
--- a/transport/control/list.go
+++ b/transport/control/list.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"time"
 
 	"github.com/weldstream/weldstream/coordination/place"
 	"github.com/weldstream/weldstream/protocol"
@@ -46,6 +47,7 @@
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	u.enter(term)
+	list = u.announced(list, time.Now())
 	if u.listed && sameServers(u.servers, list) {
 		return
 	}
@@ -56,7 +58,7 @@
 	u.lister, u.servers, u.listed, u.lists = term, list, true, map[uint64][]byte{}
 	close(u.news)
 	u.news = make(chan struct{})
-	u.view = place.NewView(list, u.view, place.WithRollouts(u.logged.Load().list))
+	u.view = place.NewView(list, u.view, place.WithRollouts(u.logged.Load().Latest))
 	u.places.Keep(u.view)
 	u.order, u.common = make([]string, 0, len(list)), common{}
 	for i := range list {
--- a/transport/control/rollouts.go
+++ b/transport/control/rollouts.go
@@ -28,22 +28,24 @@
 type Exposure struct {
 	Share float64 // Share is the part of its service's requests, 0 to 1.
 	Slack float64 // Slack are requests besides.
+	// Unannounced is for how long servers of a version that no order names are kept from
+	// the gateways: the order may be on its way.
+	Unannounced time.Duration
 }
 
 // logged are the roll-outs as the log has them.
 type logged struct {
-	changes uint64
-	list    []protocol.Rollout
-	began   map[uint64]time.Time // began is when each was ordered, by this instance's steady clock.
+	protocol.RolloutLog
+	began map[uint64]time.Time // began is when each was ordered, by this instance's steady clock.
 }
 
 // InstallRollouts takes the roll-outs of the log. The replica's loop calls it.
-func (u *Uplink) InstallRollouts(changes uint64, list []protocol.Rollout) {
+func (u *Uplink) InstallRollouts(l protocol.RolloutLog) {
 	before := u.logged.Load()
-	next := &logged{changes: changes, list: list, began: map[uint64]time.Time{}}
+	next := &logged{RolloutLog: l, began: map[uint64]time.Time{}}
 	now := time.Now()
-	for i := range list {
-		r := &list[i]
+	for i := range l.Latest {
+		r := &l.Latest[i]
 		if began, ok := before.began[r.Number]; ok {
 			next.began[r.Number] = began
 			continue
@@ -72,12 +74,12 @@
 // renewRollouts takes what changed in the log, and has the view follow. It needs u.mu.
 func (u *Uplink) renewRollouts() {
 	l := u.logged.Load()
-	if u.rolled == l.changes {
+	if u.rolled == l.Changes {
 		return
 	}
-	u.rolled = l.changes
+	u.rolled = l.Changes
 	trials := map[uint64]*trial{}
-	for _, r := range l.list {
+	for _, r := range l.Latest {
 		if r.Stage.Over() {
 			continue
 		}
@@ -99,7 +101,7 @@
 	}
 	u.trials = trials
 	if u.listed {
-		u.view = place.NewView(u.servers, u.view, place.WithRollouts(l.list))
+		u.view = place.NewView(u.servers, u.view, place.WithRollouts(l.Latest))
 	}
 }
 
@@ -107,9 +109,9 @@
 func (u *Uplink) tellRollouts(m *protocol.SyncMsg, reply *protocol.SyncReply, now time.Time) {
 	u.renewRollouts()
 	l := u.logged.Load()
-	reply.Changes = l.changes
-	if m.Rollouts != l.changes {
-		reply.Rollouts = l.list
+	reply.Changes = l.Changes
+	if m.Rollouts != l.Changes {
+		reply.Rollouts = l.Latest
 	}
 	for i := range m.Trials {
 		report := &m.Trials[i]
@@ -145,6 +147,9 @@
 		if !ok {
 			continue
 		}
+		for _, m := range u.newVersions(term, time.Now()) {
+			u.logVersions(ctx, m)
+		}
 		for _, step := range u.steps(term, time.Now()) {
 			u.takeStep(ctx, step)
 		}
@@ -309,7 +314,7 @@
 // whether it is to be planned now: those of a version on trial do not count, and
 // while requests move from one version to another no order is safe.
 func (u *Uplink) planned(service string, servers []protocol.Instance) ([]protocol.Instance, bool) {
-	for _, r := range u.logged.Load().list {
+	for _, r := range u.logged.Load().Latest {
 		if r.Service != service {
 			continue
 		}
--- a/transport/control/rollouts_test.go
+++ b/transport/control/rollouts_test.go
@@ -32,10 +32,10 @@
 func (g *tellingGroup) Propose(ctx context.Context, c protocol.Command) (protocol.Result, error) {
 	result, err := g.fakeGroup.Propose(ctx, c)
 	g.mu.Lock()
-	changes, list := g.machine.RolloutChanges(), g.machine.Rollouts()
+	l := g.machine.RolloutLog()
 	g.mu.Unlock()
-	if u := g.uplink(); u.logged.Load().changes != changes {
-		u.InstallRollouts(changes, list)
+	if u := g.uplink(); u.logged.Load().Changes != l.Changes {
+		u.InstallRollouts(l)
 	}
 	return result, err
 }
@@ -140,7 +140,7 @@
 		t.Fatalf("the steps are %+v", steps)
 	}
 	r.uplink.takeStep(context.Background(), steps[0])
-	if got := r.uplink.logged.Load().list[0].Stage; got != protocol.RolloutRolledBack || r.uplink.meters.turnedBack.Count() != 1 {
+	if got := r.uplink.logged.Load().Latest[0].Stage; got != protocol.RolloutRolledBack || r.uplink.meters.turnedBack.Count() != 1 {
 		t.Errorf("logged %v, counted %d", got, r.uplink.meters.turnedBack.Count())
 	}
 	if steps := r.uplink.steps(1, time.Now()); len(steps) > 0 {
@@ -212,6 +212,48 @@
 	}
 }
 
+// TestUnannouncedVersionWaits checks that servers of a version that nothing names are
+// not told to gateways until an order names it, its time is over, or nobody else
+// serves; also by a leader that has just been elected.
+func TestUnannouncedVersionWaits(t *testing.T) {
+	g := newFakeGroup()
+	var u *Uplink
+	u = NewUplink(&tellingGroup{g, func() *Uplink { return u }}, noPeers, parse, 8*time.Second, WithExposure(Exposure{Unannounced: time.Minute}))
+	list := func(term uint64, want string, versions ...string) {
+		t.Helper()
+		var servers []protocol.Instance
+		for _, v := range versions {
+			servers = append(servers, protocol.Instance{ID: v, Service: "s", Version: v})
+		}
+		u.SetServers(term, servers)
+		for _, m := range u.newVersions(term, time.Now()) {
+			u.logVersions(context.Background(), m)
+		}
+		told, _ := u.Servers()
+		got := ""
+		for _, in := range told {
+			got += in.Version
+		}
+		if got != want {
+			t.Errorf("of %v gateways are told %q, want %q", versions, got, want)
+		}
+	}
+	list(1, "v1", "v1")
+	list(1, "v1", "v1", "v2")
+	if _, err := u.group.Propose(context.Background(), protocol.Command{BeginRollout: &protocol.BeginRolloutMsg{Service: "s", Version: "v2", LimitMS: 1000}}); err != nil {
+		t.Fatal(err)
+	}
+	list(1, "v1v2", "v1", "v2")
+	list(1, "v1v2", "v1", "v2", "v3")
+	u.mu.Lock()
+	u.strange[versionOf{"s", "v3"}] = time.Now().Add(-time.Minute)
+	u.mu.Unlock()
+	list(1, "v1v2v3", "v1", "v2", "v3")
+	list(1, "v4", "v4")
+	g.set(2, true)
+	list(2, "v1v3", "v1", "v3", "v5")
+}
+
 // fakeRollouts is a store of one service's configuration.
 type fakeRollouts struct {
 	*fakeGroup
