--- a/transport/control/rollouts_test.go
+++ b/transport/control/rollouts_test.go
@@ -246,7 +246,7 @@
 	list(1, "v1v2", "v1", "v2")
 	list(1, "v1v2", "v1", "v2", "v3")
 	u.mu.Lock()
-	u.strange[versionOf{"s", "v3"}] = time.Now().Add(-time.Minute)
+	u.unnamed[versionOf{"s", "v3"}] = time.Now().Add(-time.Minute)
 	u.mu.Unlock()
 	list(1, "v1v2v3", "v1", "v2", "v3")
 	list(1, "v4", "v4")
--- a/transport/control/uplink.go
+++ b/transport/control/uplink.go
@@ -60,7 +60,7 @@
 	common   common
 	rolled   uint64                  // rolled is the change of the roll-outs that the view follows.
 	trials   map[uint64]*trial       // trials are the roll-outs that run, by number.
-	strange  map[versionOf]time.Time // strange are versions that nothing names, by when they were listed first.
+	unnamed  map[versionOf]time.Time // unnamed are versions that nothing names, by when they were listed first.
 }
 
 // common is the part of the answers that is the same for all gateways.
@@ -146,7 +146,7 @@
 	u.listed, u.servers, u.history = false, nil, history{}
 	u.loads, u.order, u.common = place.NewLoads(), nil, common{}
 	u.view, u.places = nil, place.NewLedger(u.loads)
-	u.rolled, u.trials, u.strange = 0, nil, map[versionOf]time.Time{}
+	u.rolled, u.trials, u.unnamed = 0, nil, map[versionOf]time.Time{}
 	if u.catalog != nil {
 		u.quotas.Configure(u.catalog.Workspaces, time.Now())
 	}
--- a/transport/control/versions.go
+++ b/transport/control/versions.go
@@ -29,11 +29,11 @@
 			continue
 		}
 		v := versionOf{in.Service, in.Version}
-		if _, ok := u.strange[v]; !ok {
-			u.strange[v] = now
+		if _, ok := u.unnamed[v]; !ok {
+			u.unnamed[v] = now
 			u.log.Warn().Str("service", v.service).Str("version", v.version).Dur("wait", u.exposure.Unannounced).Msg("servers of a version that nothing names")
 		}
-		unknown[v] = now.Sub(u.strange[v]) < u.exposure.Unannounced
+		unknown[v] = now.Sub(u.unnamed[v]) < u.exposure.Unannounced
 	}
 	if len(unknown) == 0 {
 		return list
@@ -58,7 +58,7 @@
 			versions[in.Service] = append(versions[in.Service], in.Version)
 		}
 	}
-	for v, since := range u.strange {
+	for v, since := range u.unnamed {
 		if now.Sub(since) < u.exposure.Unannounced {
 			versions[v.service] = slices.DeleteFunc(versions[v.service], func(version string) bool { return version == v.version })
 		}
--- a/transport/forward/attempt.go
+++ b/transport/forward/attempt.go
@@ -184,7 +184,7 @@
 func (t *try) lost(err error) *protocol.Refusal {
 	t.conn.Close()
 	if t.x.gone.Err() != nil {
-		t.left(time.Now())
+		t.callerLeft(time.Now())
 		return callerGone().WithVerdict(protocol.MayHaveRun)
 	}
 	if t.conn.Wrote() {
--- a/transport/forward/stream.go
+++ b/transport/forward/stream.go
@@ -46,7 +46,7 @@
 		return callerGone().WithVerdict(protocol.MayHaveRun)
 	}
 	now := time.Now()
-	t.came(now)
+	t.eventsCame(now)
 	if !x.pieceAt.IsZero() {
 		x.gap = max(x.gap, now.Sub(x.pieceAt))
 	}
--- a/transport/forward/trial.go
+++ b/transport/forward/trial.go
@@ -191,8 +191,8 @@
 	rollout.Add(&row.answers, a)
 }
 
-// came notes that events came.
-func (t *try) came(now time.Time) {
+// eventsCame notes that events came.
+func (t *try) eventsCame(now time.Time) {
 	if t.first.IsZero() {
 		t.first = now
 	}
@@ -215,9 +215,9 @@
 // failedAnswer counts an answer that failed.
 func (t *try) failedAnswer() { t.observe(rollout.Answer{Bad: true}) }
 
-// left counts an answer that its caller did not wait for: behind the target it took
+// callerLeft counts an answer that its caller did not wait for: behind the target it took
 // as long at the least.
-func (t *try) left(now time.Time) {
+func (t *try) callerLeft(now time.Time) {
 	if t.first.IsZero() && now.Sub(t.began) > t.x.route.Target {
 		t.observe(t.times(now))
 	}
