--- a/cmd/weldctl/rollout.go
+++ b/cmd/weldctl/rollout.go
@@ -19,6 +19,8 @@
 const (
 	rolloutTimeout = 5 * time.Second
 	watchPause     = 500 * time.Millisecond
+	// leftPrecision is that of the time left, of which a line is printed each watchPause.
+	leftPrecision = 100 * time.Millisecond
 )
 
 // rolloutFlags are shared by the calls of a control instance.
@@ -32,6 +34,20 @@
 	fs.BoolVar(&f.json, "json", false, "print JSON for a script")
 }
 
+// parseService parses the arguments of a subcommand that takes the name of one service.
+// Without ok, code is the exit status.
+func (f *rolloutFlags) parseService(e env, fs *flag.FlagSet, subcommand string, args []string) (service string, code int, ok bool) {
+	f.register(fs)
+	if code, ok := parse(fs, args); !ok {
+		return "", code, false
+	}
+	if fs.NArg() != 1 {
+		fmt.Fprintf(e.err, "weldctl: rollout %s needs the name of one service\n", subcommand)
+		return "", exitUsage, false
+	}
+	return fs.Arg(0), exitOK, true
+}
+
 // call makes one call and reads its answer into v.
 func (f *rolloutFlags) call(method, path string, body, v any) error {
 	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
@@ -134,26 +150,22 @@
 
 // progressText is one line on a roll-out that runs.
 func progressText(p *protocol.RolloutProgress) string {
-	left := (time.Duration(p.LeftMS) * time.Millisecond).Round(100 * time.Millisecond)
+	left := (time.Duration(p.LeftMS) * time.Millisecond).Round(leftPrecision)
 	return fmt.Sprintf("%s to %s: %s, %.1f %% of the requests, %d of %d answers failed (others %d of %d), evidence %.1f for failures and %.1f for slowness, %d answers on former servers, %s left",
 		p.Rollout.Service, p.Rollout.Version, p.Rollout.Stage, 100*p.Share, p.NewFailed, p.New, p.OldFailed, p.Old, p.Failures, p.Slowness, p.OldRunning, left)
 }
 
 func runRolloutWatch(e env, fs *flag.FlagSet, args []string) int {
 	var f rolloutFlags
-	f.register(fs)
-	if code, ok := parse(fs, args); !ok {
+	service, code, ok := f.parseService(e, fs, "watch", args)
+	if !ok {
 		return code
 	}
-	if fs.NArg() != 1 {
-		fmt.Fprintln(e.err, "weldctl: rollout watch needs the name of one service")
-		return exitUsage
-	}
-	return watchRollout(e, &f, fs.Arg(0))
+	return watchRollout(e, &f, service)
 }
 
-// watchRollout prints a line at each look until the roll-out is over. A look that
-// fails is told and made again: control instances may be electing a leader.
+// watchRollout prints a line each watchPause until the roll-out is over. A request that
+// fails is printed and repeated: control instances may be electing a leader.
 func watchRollout(e env, f *rolloutFlags, service string) int {
 	for failures := 0; ; time.Sleep(watchPause) {
 		var list control.RolloutList
@@ -197,16 +209,12 @@
 
 func runRolloutAbort(e env, fs *flag.FlagSet, args []string) int {
 	var f rolloutFlags
-	f.register(fs)
-	if code, ok := parse(fs, args); !ok {
+	service, code, ok := f.parseService(e, fs, "abort", args)
+	if !ok {
 		return code
 	}
-	if fs.NArg() != 1 {
-		fmt.Fprintln(e.err, "weldctl: rollout abort needs the name of one service")
-		return exitUsage
-	}
 	var r protocol.Rollout
-	if err := f.call(http.MethodDelete, "/"+url.PathEscape(fs.Arg(0)), nil, &r); err != nil {
+	if err := f.call(http.MethodDelete, "/"+url.PathEscape(service), nil, &r); err != nil {
 		return failf(e, "%v", err)
 	}
 	if r.Stage != protocol.RolloutRolledBack {
--- a/cmd/weldstreamd/control.go
+++ b/cmd/weldstreamd/control.go
@@ -106,7 +106,7 @@
 // reached.
 func (c *controlInstance) progress() []protocol.RolloutProgress {
 	var list []protocol.RolloutProgress
-	leader, _ := c.peers()
+	leader, _ := c.peers() // Only the leader knows; the list of all is not needed.
 	if leader == "" {
 		return nil
 	}
--- a/coordination/group/group.go
+++ b/coordination/group/group.go
@@ -70,17 +70,17 @@
 // WithLogger sets the logger; without it nothing is logged.
 func WithLogger(l zerolog.Logger) Option { return func(g *Group) { g.log = l } }
 
-// WithRevision sets what is told of each accepted configuration.
+// WithRevision sets the func that is called with each accepted configuration.
 func WithRevision(f func(number uint64, config []byte)) Option {
 	return func(g *Group) { g.revision = f }
 }
 
-// WithDocument sets what is told of each opaque document that is accepted.
+// WithDocument sets the func that is called with each opaque document that is accepted.
 func WithDocument(f func(number uint64, data []byte)) Option {
 	return func(g *Group) { g.document = f }
 }
 
-// WithRollouts sets what is told of the roll-outs whenever any of that changes.
+// WithRollouts sets the func that is called with the roll-outs whenever one changes.
 func WithRollouts(f func(protocol.RolloutLog)) Option {
 	return func(g *Group) { g.rollouts = f }
 }
@@ -111,25 +111,25 @@
 	began    time.Time
 
 	// The loop's own.
-	replica   *replicate.Replica
-	machine   *state.Machine
-	applied   uint64
-	waiting   map[uint64]*waiter // waiting are proposals and reads, by token.
-	atIndex   map[uint64]*waiter // atIndex are proposals, by index.
-	reads     []*waiter          // reads wait for an index to be applied.
-	token     uint64
-	hard      replicate.HardState
-	pending   []replicate.PersistCmd
-	held      []replicate.Message
-	told      uint64 // told is the configuration number last told.
-	toldDoc   uint64 // toldDoc is the document's number last told.
-	toldRoll  uint64 // toldRoll is the change of the roll-outs last told.
-	snapshots chan savedSnapshot
-	saving    bool
-	failed    bool
-	failedAt  time.Duration // failedAt is when the disk failed last, or was tried again.
-	full      bool
-	spaceAt   time.Duration // spaceAt is when the free space is asked for next.
+	replica          *replicate.Replica
+	machine          *state.Machine
+	applied          uint64
+	waiting          map[uint64]*waiter // waiting are proposals and reads, by token.
+	atIndex          map[uint64]*waiter // atIndex are proposals, by index.
+	reads            []*waiter          // reads wait for an index to be applied.
+	token            uint64
+	hard             replicate.HardState
+	pending          []replicate.PersistCmd
+	held             []replicate.Message
+	reported         uint64 // reported is the number of the configuration last reported.
+	reportedDoc      uint64 // reportedDoc is the number of the document last reported.
+	reportedRollouts uint64 // reportedRollouts is the change of the roll-outs last reported.
+	snapshots        chan savedSnapshot
+	saving           bool
+	failed           bool
+	failedAt         time.Duration // failedAt is when the disk failed last, or was tried again.
+	full             bool
+	spaceAt          time.Duration // spaceAt is when the free space is asked for next.
 }
 
 // input is what the inbox takes: a message for the replica, or a request that
@@ -397,7 +397,7 @@
 		}
 	}
 	g.answerReads()
-	g.tellRevision()
+	g.reportChanges()
 }
 
 func (g *Group) applyCommand(e *replicate.Entry) protocol.Result {
@@ -410,18 +410,18 @@
 	return g.machine.Apply(c)
 }
 
-func (g *Group) tellRevision() {
+func (g *Group) reportChanges() {
 	number, config := g.machine.Revision()
-	if number > g.told {
-		g.told = number
+	if number > g.reported {
+		g.reported = number
 		g.revision(number, config)
 	}
-	if number, data := g.machine.Document(); number > g.toldDoc {
-		g.toldDoc = number
+	if number, data := g.machine.Document(); number > g.reportedDoc {
+		g.reportedDoc = number
 		g.document(number, data)
 	}
-	if changes := g.machine.RolloutChanges(); changes > g.toldRoll {
-		g.toldRoll = changes
+	if changes := g.machine.RolloutChanges(); changes > g.reportedRollouts {
+		g.reportedRollouts = changes
 		g.rollouts(g.machine.RolloutLog())
 	}
 }
--- a/coordination/group/group_test.go
+++ b/coordination/group/group_test.go
@@ -87,29 +87,12 @@
 func TestQuietTellsOfTheOutage(t *testing.T) {
 	const before = 5 * time.Second
 	dir := t.TempDir()
-	cfg := Config{Replica: replicate.Config{Election: 50 * time.Millisecond, Heartbeat: 10 * time.Millisecond, Batch: 1 << 20, Window: 8}, SnapshotEntries: 1 << 20}
 	for _, again := range []bool{false, true} {
 		later := time.Duration(0)
 		if again {
 			later = before
 		}
-		g, err := Open(cfg, dir, "entry-1", noSender{}, WithTimeOfDay(func() time.Time { return time.Now().Add(later) }))
-		if err != nil {
-			t.Fatal(err)
-		}
-		ctx, stop := context.WithTimeout(t.Context(), 10*time.Second)
-		var loop sync.WaitGroup
-		loop.Go(func() {
-			if err := g.Run(ctx); err != nil {
-				t.Error(err)
-			}
-		})
-		if !again {
-			if err := g.Found(ctx, 7, protocol.ReplicaMembers{Voters: []protocol.ReplicaID{g.ID()}}); err != nil {
-				t.Fatal(err)
-			}
-		}
-		awaitVouching(ctx, t, g)
+		ctx, g, end := startAlone(t, dir, !again, WithTimeOfDay(func() time.Time { return time.Now().Add(later) }))
 		first := g.Status().Quiet
 		if again && (first < before || first > before+time.Minute) {
 			t.Errorf("the latest command was logged %v ago, and it says %v", before, first)
@@ -120,35 +103,17 @@
 		if got := g.Status().Quiet; got != first {
 			t.Errorf("after a command of its own it says %v, before %v", got, first)
 		}
-		stop()
-		loop.Wait()
+		end()
 	}
 }
 
-// TestRolloutsAreTold checks that each change of a roll-out is told once, and all of
+// TestRolloutsAreReported checks that each change of a roll-out is reported once, and all of
 // them again by a replica that starts from its folder.
-func TestRolloutsAreTold(t *testing.T) {
+func TestRolloutsAreReported(t *testing.T) {
 	dir := t.TempDir()
-	cfg := Config{Replica: replicate.Config{Election: 50 * time.Millisecond, Heartbeat: 10 * time.Millisecond, Batch: 1 << 20, Window: 8}, SnapshotEntries: 1 << 20}
 	for _, again := range []bool{false, true} {
-		var told []protocol.RolloutStage // told are the stages, in the order in which the loop told them.
-		g, err := Open(cfg, dir, "entry-1", noSender{}, WithRollouts(func(l protocol.RolloutLog) { told = append(told, l.Latest[0].Stage) }))
-		if err != nil {
-			t.Fatal(err)
-		}
-		ctx, stop := context.WithTimeout(t.Context(), 10*time.Second)
-		var loop sync.WaitGroup
-		loop.Go(func() {
-			if err := g.Run(ctx); err != nil {
-				t.Error(err)
-			}
-		})
-		if !again {
-			if err := g.Found(ctx, 7, protocol.ReplicaMembers{Voters: []protocol.ReplicaID{g.ID()}}); err != nil {
-				t.Fatal(err)
-			}
-		}
-		awaitVouching(ctx, t, g)
+		var reported []protocol.RolloutStage // reported are the stages, in the order in which the loop reported them.
+		ctx, g, end := startAlone(t, dir, !again, WithRollouts(func(l protocol.RolloutLog) { reported = append(reported, l.Latest[0].Stage) }))
 		want := []protocol.RolloutStage{protocol.RolloutMoving}
 		if !again {
 			for _, c := range []protocol.Command{
@@ -165,11 +130,38 @@
 		if list, err := g.Rollouts(ctx); err != nil || len(list) != 1 || list[0].Stage != protocol.RolloutMoving {
 			t.Errorf("read %+v, %v", list, err)
 		}
+		end()
+		if !slices.Equal(reported, want) {
+			t.Errorf("reported %v, want %v", reported, want)
+		}
+	}
+}
+
+// startAlone runs a replica on a folder until it leads and vouches, at first as the
+// founder of a group of one. The func that it returns ends it.
+func startAlone(t *testing.T, dir string, found bool, opts ...Option) (ctx context.Context, g *Group, end func()) {
+	t.Helper()
+	cfg := Config{Replica: replicate.Config{Election: 50 * time.Millisecond, Heartbeat: 10 * time.Millisecond, Batch: 1 << 20, Window: 8}, SnapshotEntries: 1 << 20}
+	g, err := Open(cfg, dir, "entry-1", noSender{}, opts...)
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, stop := context.WithTimeout(t.Context(), 10*time.Second)
+	var loop sync.WaitGroup
+	loop.Go(func() {
+		if err := g.Run(ctx); err != nil {
+			t.Error(err)
+		}
+	})
+	if found {
+		if err := g.Found(ctx, 7, protocol.ReplicaMembers{Voters: []protocol.ReplicaID{g.ID()}}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	awaitVouching(ctx, t, g)
+	return ctx, g, func() {
 		stop()
 		loop.Wait()
-		if !slices.Equal(told, want) {
-			t.Errorf("told %v, want %v", told, want)
-		}
 	}
 }
 
--- a/coordination/group/snapshot.go
+++ b/coordination/group/snapshot.go
@@ -61,7 +61,7 @@
 	}
 	g.applied = cmd.Snapshot.Index
 	g.log.Info().Uint64("index", cmd.Snapshot.Index).Msg("state restored from the leader's snapshot")
-	g.tellRevision()
+	g.reportChanges()
 }
 
 // sendSnapshot reads the latest snapshot from disk and sends it, beside the
--- a/coordination/rollout/answers.go
+++ b/coordination/rollout/answers.go
@@ -25,7 +25,7 @@
 type Answer struct {
 	Bad bool
 	// First is the time to the first event, or to a whole answer; 0 where none came and
-	// no time can be told.
+	// no time is known.
 	First time.Duration
 	Pace  time.Duration // Pace is the mean time between events; 0 with fewer than two.
 }
--- a/coordination/rollout/rollout.go
+++ b/coordination/rollout/rollout.go
@@ -137,7 +137,7 @@
 }
 
 // completion ends the move once nothing runs on the former servers any more, which
-// stop at once when it is told. An answer that runs is waited for as long as it may
+// stop as soon as the roll-out is reported as completed. An answer that runs is waited for as long as it may
 // take, also past the limit: to cut it would lose a caller's answer.
 func completion(step protocol.StageRolloutMsg, r *protocol.Rollout, m TickMsg) (protocol.StageRolloutMsg, bool) {
 	step.Stage = protocol.RolloutCompleted
--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -5,7 +5,6 @@
 	"net/http"
 	"strings"
 	"sync"
-	"time"
 
 	"github.com/weldstream/weldstream/platform/standin"
 )
@@ -105,7 +104,7 @@
 
 // NewOperator returns an operator of a cluster.
 func NewOperator(c *Cluster, k *Checker) *Operator {
-	return &Operator{addresses: c.Operators(), client: http.Client{Timeout: 4 * time.Second}, checker: k}
+	return &Operator{addresses: c.Operators(), client: http.Client{Timeout: operatorTimeout}, checker: k}
 }
 
 // Put sends a configuration to the next instance and reports whether it was
--- a/internal/soak/rollout.go
+++ b/internal/soak/rollout.go
@@ -12,6 +12,11 @@
 )
 
 const (
+	// operatorTimeout bounds each call of an operator: longer than an election takes.
+	operatorTimeout = 4 * time.Second
+	// slowPause is what a slow version adds to each answer: several times what a good
+	// one takes.
+	slowPause = 30 * time.Millisecond
 	// firstVersion is that of the servers that are there at first.
 	firstVersion = "v1"
 	// rolloutLimit is within what a roll-out is to be over.
@@ -33,7 +38,7 @@
 var flaws = []standin.Flaw{
 	{},
 	{Fail: 3},
-	{Slow: 30 * time.Millisecond},
+	{Slow: slowPause},
 	{Fail: 2, After: 12},
 	{Fail: 2, Path: "/again/"},
 }
@@ -59,7 +64,7 @@
 
 // NewRollouts returns what begins roll-outs on a cluster.
 func NewRollouts(c *Cluster, k *Checker) *Rollouts {
-	return &Rollouts{cluster: c, checker: k, client: http.Client{Timeout: 4 * time.Second}, old: c.Backends, version: firstVersion}
+	return &Rollouts{cluster: c, checker: k, client: http.Client{Timeout: operatorTimeout}, old: c.Backends, version: firstVersion}
 }
 
 // run begins roll-outs of drawn versions, one behind the other, until ctx ends.
--- a/transport/control/fleet.go
+++ b/transport/control/fleet.go
@@ -56,6 +56,7 @@
 			rows = append(rows, protocol.BaseMsg{Service: s.Name})
 			continue
 		}
+		// Whether servers may be ordered now does not matter to how many there are.
 		planned, _ := f.uplink.planned(s.Name, servers)
 		n := standing(planned, s.Name)
 		if c := f.first[s.Name]; c.servers != n {
--- a/transport/control/rollouts.go
+++ b/transport/control/rollouts.go
@@ -94,8 +94,8 @@
 	}
 }
 
-// tellRollouts answers what a gateway tells of roll-outs. It needs u.mu.
-func (u *Uplink) tellRollouts(m *protocol.SyncMsg, reply *protocol.SyncReply, now time.Time) {
+// answerRollouts answers what a gateway reports of roll-outs. It needs u.mu.
+func (u *Uplink) answerRollouts(m *protocol.SyncMsg, reply *protocol.SyncReply, now time.Time) {
 	u.renewRollouts()
 	l := u.logged.Load()
 	reply.Changes = l.Changes
--- a/transport/control/uplink.go
+++ b/transport/control/uplink.go
@@ -201,7 +201,7 @@
 	if u.number > m.Number {
 		reply.Document = u.packed
 	}
-	u.tellRollouts(&m, reply, now)
+	u.answerRollouts(&m, reply, now)
 	u.tellServers(&m, reply)
 	u.renewCommon(now)
 	reply.Short = u.common.short
