Test that a version on trial does not count to a service's first number

Cause: taking out the filter in Fleet.Unsettled made no test fail: a base of three instead of one server would have been settled beside a trial, and kept.

Run: the test passes, and with the filter taken out it fails (3 servers instead of 1, and instead of 2 while requests move). No product code changes.

--- a/transport/control/rollouts_test.go
+++ b/transport/control/rollouts_test.go
@@ -212,6 +212,27 @@
 	}
 }
 
+// TestBaseLeavesTrialsOut checks that the servers of a version on trial do not count to
+// a service's first number, and that the new ones count while requests move to them.
+func TestBaseLeavesTrialsOut(t *testing.T) {
+	r := newRolling(t)
+	r.uplink.catalog = &protocol.Catalog{Services: []protocol.ServiceSpec{{Name: "s", Scaling: &protocol.ScalingSpec{Max: 9}}}}
+	f := NewFleet(r.uplink, zerolog.Nop())
+	f.Settled("s", 0) // The log has none.
+	now := time.Now()
+	settles := func(want int) {
+		t.Helper()
+		f.Unsettled(now)
+		now = now.Add(baseSteady)
+		if rows := f.Unsettled(now); len(rows) != 1 || rows[0].Servers != want {
+			t.Errorf("settled %v, want %d", rows, want)
+		}
+	}
+	settles(1)
+	r.propose(protocol.Command{StageRollout: &protocol.StageRolloutMsg{Service: "s", Number: 1, Stage: protocol.RolloutMoving, Former: []string{"v1"}}})
+	settles(2)
+}
+
 // TestUnannouncedVersionWaits checks that servers of a version that nothing names are
 // not told to gateways until an order names it, its time is over, or nobody else
 // serves; also by a leader that has just been elected.
