Test that a version which served alone does not become known by that

Cause: taking out the wait in newVersions made no test fail. A version that is told to gateways at once, as its service has no other servers, would be logged as known, and stay told beside the former version before its order came.

Change: one more step of TestUnannouncedVersionWaits.

Run: the test passes, and with the wait taken out it fails ("v1v4" instead of "v1"). No product code changes.

--- a/transport/control/rollouts_test.go
+++ b/transport/control/rollouts_test.go
@@ -271,6 +271,7 @@
 	u.mu.Unlock()
 	list(1, "v1v2v3", "v1", "v2", "v3")
 	list(1, "v4", "v4")
+	list(1, "v1", "v1", "v4") // That v4 served alone does not make it known.
 	g.set(2, true)
 	list(2, "v1v3", "v1", "v3", "v5")
 }
