Failure domains lie in regions: settings, a pure topology, wiring

Cause: the settings of a platform with several regions name the region of each domain, and nothing read it. A server in the own region and one 16 ms away were alike to every decision.

Change: settings region and domains, checked (a domain in two regions, an own domain without a region or with another one get an error with file, line and field); package topology with the distance between two domains; gateways, uplink and ledger know it. No decision uses it yet: without regions, and with them, all stays as it is. The soak takes its loopback addresses from WELDSTREAM_LOOPBACK, so that several checkouts can test at once.

Run: tests of settings, topology, place and control.

--- a/cmd/weldstreamd/control.go
+++ b/cmd/weldstreamd/control.go
@@ -147,7 +147,7 @@
 		return err
 	}
 	opts := []control.UplinkOption{
-		control.WithLogger(c.log), control.WithRegistry(c.registry),
+		control.WithLogger(c.log), control.WithRegistry(c.registry), control.WithTopology(n.Topology()),
 		control.WithExposure(control.Exposure{Share: n.Bounds.TrialShare, Slack: n.Bounds.TrialSlack, Unannounced: n.Bounds.OrderRepeat + announceMargin}),
 	}
 	if c.limits().Usage {
--- a/cmd/weldstreamd/gateway.go
+++ b/cmd/weldstreamd/gateway.go
@@ -87,6 +87,7 @@
 	g.forward = forward.New(forward.Config{
 		Name:        n.Name,
 		Domain:      n.Domain,
+		Topology:    n.Topology(),
 		Revoke:      n.Bounds.Revoke,
 		RetryRatio:  n.Bounds.RetryRatio,
 		RetryExtra:  n.Bounds.RetryExtra,
--- a/coordination/place/ledger.go
+++ b/coordination/place/ledger.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"github.com/weldstream/weldstream/coordination/topology"
 	"github.com/weldstream/weldstream/protocol"
 )
 
@@ -44,14 +45,21 @@
 // leader of the control role keeps one ledger; a gateway that gets no answer
 // from it at once chooses by itself.
 type Ledger struct {
-	loads   *Loads // loads are the requests of all gateways, those placed here among them.
-	servers map[string]*book
-	placed  map[uint64]*stay
-	number  uint64
-	speed   float64 // speed is in tokens read a millisecond, learned.
-	pace    float64 // pace is in milliseconds a token of the answer, learned.
+	loads    *Loads // loads are the requests of all gateways, those placed here among them.
+	servers  map[string]*book
+	placed   map[uint64]*stay
+	number   uint64
+	speed    float64 // speed is in tokens read a millisecond, learned.
+	pace     float64 // pace is in milliseconds a token of the answer, learned.
+	topology *topology.Topology
 }
 
+// LedgerOption changes a new ledger.
+type LedgerOption func(*Ledger)
+
+// WithTopology sets where the failure domains lie; without it they all are near.
+func WithTopology(t *topology.Topology) LedgerOption { return func(l *Ledger) { l.topology = t } }
+
 // book is what is known of one server.
 type book struct {
 	readUntil time.Time            // readUntil is when it has read all that was placed.
@@ -99,8 +107,12 @@
 )
 
 // NewLedger returns an empty ledger beside the loads of all gateways.
-func NewLedger(loads *Loads) *Ledger {
-	return &Ledger{loads: loads, servers: map[string]*book{}, placed: map[uint64]*stay{}, speed: firstSpeed, pace: firstPace}
+func NewLedger(loads *Loads, opts ...LedgerOption) *Ledger {
+	l := &Ledger{loads: loads, servers: map[string]*book{}, placed: map[uint64]*stay{}, speed: firstSpeed, pace: firstPace}
+	for _, opt := range opts {
+		opt(l)
+	}
+	return l
 }
 
 // Place returns a server for a long prompt, or false where there is none.
@@ -220,7 +232,7 @@
 		}
 		cost += weight * float64(m.Shared) / float64(m.Prompt)
 	}
-	if s.Domain == m.Domain {
+	if l.topology.Distance(s.Domain, m.Domain) == topology.SameDomain {
 		cost -= nearGain
 	}
 	return cost
--- a/internal/soak/cluster.go
+++ b/internal/soak/cluster.go
@@ -10,6 +10,7 @@
 package soak
 
 import (
+	"cmp"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -88,7 +89,7 @@
 
 // freePort returns a port that was free a moment ago.
 func freePort() (int, error) {
-	ln, err := net.Listen("tcp", "127.0.1.1:0")
+	ln, err := net.Listen("tcp", behind(0)+":0")
 	if err != nil {
 		return 0, err
 	}
@@ -115,13 +116,20 @@
 	return nil
 }
 
+// LoopbackVariable names the environment variable with the first two parts of the
+// loopback addresses to use, so that clusters of several checkouts can run at once: a
+// port that one found free could otherwise be taken by another before it listens.
+const LoopbackVariable = "WELDSTREAM_LOOPBACK"
+
+var loopback = cmp.Or(os.Getenv(LoopbackVariable), "127.0")
+
 // told is the IP number that others know a control instance by: its proxy's.
-func told(i int) string { return fmt.Sprintf("127.0.1.%d", 101+i) }
+func told(i int) string { return fmt.Sprintf("%s.1.%d", loopback, 101+i) }
 
 // behind is where it listens.
-func behind(i int) string { return fmt.Sprintf("127.0.1.%d", 1+i) }
+func behind(i int) string { return fmt.Sprintf("%s.1.%d", loopback, 1+i) }
 
-func gatewayIP(i int) string { return fmt.Sprintf("127.0.2.%d", 1+i) }
+func gatewayIP(i int) string { return fmt.Sprintf("%s.2.%d", loopback, 1+i) }
 
 func at(ip string, port int) string { return fmt.Sprintf("%s:%d", ip, port) }
 
--- a/settings/node.go
+++ b/settings/node.go
@@ -1,6 +1,7 @@
 package settings
 
 import (
+	"fmt"
 	"net"
 	"os"
 	"slices"
@@ -8,6 +9,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"github.com/weldstream/weldstream/coordination/topology"
 	"github.com/weldstream/weldstream/internal/yamlfile"
 )
 
@@ -15,24 +17,26 @@
 // on a platform with machines of several classes. The roles share one file
 // layout, so that one template lays both.
 type Node struct {
-	Name        string     `yaml:"name" validate:"required,name"`                    // Name is unique among all instances.
-	Domain      string     `yaml:"domain" validate:"required,name"`                  // Domain is the failure domain.
-	Caller      string     `yaml:"caller" validate:"omitempty,ipport"`               // Caller is where a gateway's callers connect.
-	Ready       string     `yaml:"ready" validate:"omitempty,ipport"`                // Ready is where a gateway tells the balancer whether it is ready.
-	Operator    string     `yaml:"operator" validate:"omitempty,ipport"`             // Operator is where a control instance serves operators.
-	Peer        string     `yaml:"peer" validate:"required,ipport"`                  // Peer is where a control instance serves the other instances.
-	Metrics     string     `yaml:"metrics" validate:"omitempty,ipport"`              // Metrics serves metrics and the dump.
-	Bind        string     `yaml:"bind" validate:"omitempty,ip"`                     // Bind is the IP number to listen at, where the addresses above are of a proxy before it.
-	DataDir     string     `yaml:"data_dir"`                                         // DataDir is the disk's folder of a control instance.
-	Seeds       []string   `yaml:"seeds" validate:"required,min=1,dive,ipport"`      // Seeds are the operator addresses of control instances to meet first.
-	Found       bool       `yaml:"found"`                                            // Found lets the seeds found the group: the first start of all.
-	Tolerate    int        `yaml:"tolerate" validate:"min=0,max=10"`                 // Tolerate is how many control instances may be lost at once.
-	ClusterKey  string     `yaml:"cluster_key"`                                      // ClusterKey guards the links between instances; empty trusts the network.
-	MemoryMB    int        `yaml:"memory_mb" validate:"min=0"`                       // MemoryMB is what the process may take; 0 sets no limit.
-	Source      NodeSource `yaml:"source" validate:"required"`                       // Source is the platform's API.
-	Bounds      NodeBounds `yaml:"bounds"`                                           // Bounds are the promises that timers are derived from.
-	LogLevel    string     `yaml:"log_level" validate:"oneof=debug info warn error"` // LogLevel is the least level that is logged.
-	Replication Replica    `yaml:"replica"`                                          // Replication tunes the group.
+	Name        string            `yaml:"name" validate:"required,name"`                    // Name is unique among all instances.
+	Domain      string            `yaml:"domain" validate:"required,name"`                  // Domain is the failure domain.
+	Region      string            `yaml:"region" validate:"omitempty,name"`                 // Region is the one that the domain lies in; empty where all domains lie in one.
+	Domains     map[string]string `yaml:"domains" validate:"dive,keys,name,endkeys,name"`   // Domains are the regions of all failure domains, by domain; empty where all lie in one.
+	Caller      string            `yaml:"caller" validate:"omitempty,ipport"`               // Caller is where a gateway's callers connect.
+	Ready       string            `yaml:"ready" validate:"omitempty,ipport"`                // Ready is where a gateway tells the balancer whether it is ready.
+	Operator    string            `yaml:"operator" validate:"omitempty,ipport"`             // Operator is where a control instance serves operators.
+	Peer        string            `yaml:"peer" validate:"required,ipport"`                  // Peer is where a control instance serves the other instances.
+	Metrics     string            `yaml:"metrics" validate:"omitempty,ipport"`              // Metrics serves metrics and the dump.
+	Bind        string            `yaml:"bind" validate:"omitempty,ip"`                     // Bind is the IP number to listen at, where the addresses above are of a proxy before it.
+	DataDir     string            `yaml:"data_dir"`                                         // DataDir is the disk's folder of a control instance.
+	Seeds       []string          `yaml:"seeds" validate:"required,min=1,dive,ipport"`      // Seeds are the operator addresses of control instances to meet first.
+	Found       bool              `yaml:"found"`                                            // Found lets the seeds found the group: the first start of all.
+	Tolerate    int               `yaml:"tolerate" validate:"min=0,max=10"`                 // Tolerate is how many control instances may be lost at once.
+	ClusterKey  string            `yaml:"cluster_key"`                                      // ClusterKey guards the links between instances; empty trusts the network.
+	MemoryMB    int               `yaml:"memory_mb" validate:"min=0"`                       // MemoryMB is what the process may take; 0 sets no limit.
+	Source      NodeSource        `yaml:"source" validate:"required"`                       // Source is the platform's API.
+	Bounds      NodeBounds        `yaml:"bounds"`                                           // Bounds are the promises that timers are derived from.
+	LogLevel    string            `yaml:"log_level" validate:"oneof=debug info warn error"` // LogLevel is the least level that is logged.
+	Replication Replica           `yaml:"replica"`                                          // Replication tunes the group.
 }
 
 // NodeSource is the platform's API: the list of servers and the duties.
@@ -91,10 +95,30 @@
 		return nil, nil, eris.Wrap(err, "read settings")
 	}
 	n := NewNode()
-	_, faults := yamlfile.Decode(file, data, n)
+	doc, faults := yamlfile.Decode(file, data, n)
+	if len(faults) == 0 {
+		faults = n.checkRegions(doc)
+	}
 	return n, faults, nil
 }
 
+// checkRegions returns what contradicts itself in where the domains lie.
+func (n *Node) checkRegions(doc *yamlfile.Document) []yamlfile.Fault {
+	region, known := n.Domains[n.Domain]
+	switch {
+	case len(n.Domains) > 0 && !known:
+		return []yamlfile.Fault{doc.Fault("domains", fmt.Sprintf("does not tell the region of this instance's domain %q", n.Domain))}
+	case n.Region != "" && known && n.Region != region:
+		return []yamlfile.Fault{doc.Fault("region", fmt.Sprintf("is %q, but domains has %q in %q", n.Region, n.Domain, region))}
+	case n.Region == "" && known:
+		return []yamlfile.Fault{doc.Fault("region", fmt.Sprintf("is missing: domains has %q in %q", n.Domain, region))}
+	}
+	return nil
+}
+
+// Topology returns where the failure domains lie.
+func (n *Node) Topology() *topology.Topology { return topology.New(n.Domains) }
+
 // Listen returns where to listen for what an address is told to others.
 func (n *Node) Listen(address string) string {
 	if n.Bind == "" {
--- a/settings/node_test.go
+++ b/settings/node_test.go
@@ -56,10 +56,15 @@
 // TestNodeFaults checks that faults name line and field.
 func TestNodeFaults(t *testing.T) {
 	for name, c := range map[string]struct{ from, to, want string }{
-		"no port":  {"10.0.0.1:80", "10.0.0.1", ":3: caller"},
-		"unknown":  {"domain:", "dom: x\ndomain:", ":2: dom"},
-		"no seeds": {"seeds: [10.0.1.1:90]", "seeds: []", ":6: seeds"},
-		"too long": {"seeds:", "bounds: {grace: 200h}\nseeds:", ":6: bounds.grace"},
+		"no port":           {"10.0.0.1:80", "10.0.0.1", ":3: caller"},
+		"unknown":           {"domain:", "dom: x\ndomain:", ":2: dom"},
+		"no seeds":          {"seeds: [10.0.1.1:90]", "seeds: []", ":6: seeds"},
+		"region of its own": {"domain: zone-a", "domain: zone-a\nregion: north\ndomains: {zone-b: north}", ":4: domains"},
+		"another region":    {"domain: zone-a", "domain: zone-a\nregion: north\ndomains: {zone-a: south}", ":3: region"},
+		"no region":         {"domain: zone-a", "domain: zone-a\ndomains: {zone-a: south}", ":1: region"},
+		"two regions":       {"domain: zone-a", "domain: zone-a\nregion: north\ndomains: {zone-a: north, zone-a: south}", ":4:"},
+		"no name":           {"domain: zone-a", "domain: zone-a\nregion: north\ndomains: {zone-a: north, zone-b: 'a b'}", ":4: domains"},
+		"too long":          {"seeds:", "bounds: {grace: 200h}\nseeds:", ":6: bounds.grace"},
 	} {
 		_, faults := loadNode(t, strings.Replace(nodeText, c.from, c.to, 1))
 		if len(faults) != 1 || !strings.HasPrefix(faults[0], c.want) {
--- a/transport/control/uplink.go
+++ b/transport/control/uplink.go
@@ -10,6 +10,7 @@
 
 	"github.com/weldstream/weldstream/coordination/place"
 	"github.com/weldstream/weldstream/coordination/quota"
+	"github.com/weldstream/weldstream/coordination/topology"
 	"github.com/weldstream/weldstream/coordination/usage"
 	"github.com/weldstream/weldstream/protocol"
 )
@@ -34,6 +35,7 @@
 	readied  atomic.Uint64            // readied is the number of the one that was made ready last.
 	logged   atomic.Pointer[logged]   // logged are the roll-outs of the log.
 	exposure Exposure                 // exposure bounds what a version on trial gets.
+	topology *topology.Topology       // topology tells the regions of the domains.
 	meters   rolloutMeters
 
 	mu       sync.Mutex // mu guards all below.
@@ -94,6 +96,9 @@
 // WithExposure sets what a version on trial may get; without it, nothing.
 func WithExposure(e Exposure) UplinkOption { return func(u *Uplink) { u.exposure = e } }
 
+// WithTopology sets where the failure domains lie; without it they all are near.
+func WithTopology(t *topology.Topology) UplinkOption { return func(u *Uplink) { u.topology = t } }
+
 // WithRegistry sets the registry of the meters; without it nothing is counted.
 func WithRegistry(r metrics.Registry) UplinkOption {
 	return func(u *Uplink) { u.meters = newRolloutMeters(r) }
@@ -145,7 +150,7 @@
 	u.ledger = usage.NewLedger()
 	u.listed, u.servers, u.history = false, nil, history{}
 	u.loads, u.order, u.common = place.NewLoads(), nil, common{}
-	u.view, u.places = nil, place.NewLedger(u.loads)
+	u.view, u.places = nil, place.NewLedger(u.loads, place.WithTopology(u.topology))
 	u.rolled, u.trials, u.unnamed = 0, nil, map[versionOf]time.Time{}
 	if u.catalog != nil {
 		u.quotas.Configure(u.catalog.Workspaces, time.Now())
--- a/transport/forward/forward.go
+++ b/transport/forward/forward.go
@@ -30,6 +30,7 @@
 	"github.com/weldstream/weldstream/coordination/place"
 	"github.com/weldstream/weldstream/coordination/quota"
 	"github.com/weldstream/weldstream/coordination/retry"
+	"github.com/weldstream/weldstream/coordination/topology"
 	"github.com/weldstream/weldstream/coordination/usage"
 	"github.com/weldstream/weldstream/protocol"
 	"github.com/weldstream/weldstream/transport/backend"
@@ -38,11 +39,12 @@
 
 // Config bounds a gateway.
 type Config struct {
-	Name        string        // Name is the gateway's among all instances.
-	Domain      string        // Domain is its failure domain.
-	Revoke      time.Duration // Revoke is within what a key that was taken away is refused; 0 sets no bound.
-	RetryRatio  float64       // RetryRatio is the part of the requests of a window that all gateways may send again.
-	RetryExtra  float64       // RetryExtra are retries in a window besides, of all gateways.
+	Name        string             // Name is the gateway's among all instances.
+	Domain      string             // Domain is its failure domain.
+	Topology    *topology.Topology // Topology tells the regions of the domains; nil where all lie in one.
+	Revoke      time.Duration      // Revoke is within what a key that was taken away is refused; 0 sets no bound.
+	RetryRatio  float64            // RetryRatio is the part of the requests of a window that all gateways may send again.
+	RetryExtra  float64            // RetryExtra are retries in a window besides, of all gateways.
 	RetryWindow time.Duration
 	QuotaWindow time.Duration // QuotaWindow is the window in which quotas are bounded.
 	UsageWindow time.Duration // UsageWindow is the length of a window of usage reports.
