Usage is settled once all gateways have told it, and does not wait for orders

Cause: a window was settled at 0.45 of the time until its report was due, told or not. Gateways that were frozen or cut off over its end were left out (windows off by 10 to 34 in 100), while windows that all had told waited until the quorum or the platform was gone. Reports and orders shared a loop, so that each order to a silent platform held the reports up for 1.5 s.

Change: a gateway's message tells up to when its counts are whole, for the leader of which term; package usage keeps these as watermarks. A window is settled as soon as no gateway is missing that may have counted in it, and otherwise at 0.7 of the time. A new leader expects the gateways that the log names and as many as the one before counted. Reports and orders have a loop each, and share the tenure.

Not measured on a deployment yet.

--- a/cmd/weldstreamd/control.go
+++ b/cmd/weldstreamd/control.go
@@ -65,7 +65,8 @@
 		c.uplink.RunRollouts,
 		duties.RunList,
 		duties.RunTally,
-		duties.RunDuties,
+		duties.RunReports,
+		duties.RunOrders,
 		func(ctx context.Context) error {
 			return serveHTTP(ctx, r.settings.Listen(r.settings.Operator), documentBytes, operator)
 		},
@@ -147,7 +148,7 @@
 		return err
 	}
 	opts := []control.UplinkOption{
-		control.WithLogger(c.log), control.WithRegistry(c.registry), control.WithTopology(n.Topology()),
+		control.WithLogger(c.log), control.WithRegistry(c.registry), control.WithTopology(n.Topology()), control.WithAlone(n.Bounds.Revoke),
 		control.WithExposure(control.Exposure{Share: n.Bounds.TrialShare, Slack: n.Bounds.TrialSlack, Unannounced: n.Bounds.OrderRepeat + announceMargin}),
 	}
 	if c.limits().Usage {
--- a/protocol/uplink.go
+++ b/protocol/uplink.go
@@ -11,7 +11,9 @@
 	Number    uint64 // Number is the document that the gateway holds.
 	Servers   uint64 // Servers is the version of the list that it holds.
 	Lister    uint64 // Lister tells versions of different list readers apart.
+	Term      uint64 // Term is the leader's that Usage is for: what that one has is left out.
 	Usage     []UsageRow
+	Counted   time.Time // Counted is up to when Usage tells all that the gateway counted, by the clock that it counts by.
 	Wants     []QuotaWant
 	Pressure  []Pressure
 	Done      []PlaceDone
--- a/transport/control/control_test.go
+++ b/transport/control/control_test.go
@@ -251,7 +251,7 @@
 	if b.mayAct(ctx) {
 		t.Error("the next holder did not wait")
 	}
-	b.since = b.since.Add(-b.limits.Lease)
+	b.tenure.since = b.tenure.since.Add(-b.limits.Lease)
 	if !b.mayAct(ctx) {
 		t.Error("the next holder waited for longer than the lease")
 	}
@@ -425,7 +425,7 @@
 	d.limits.UsageWindow = time.Second // Longer than the pause between two logged states.
 	ctx, stop := context.WithCancel(t.Context())
 	var loops sync.WaitGroup
-	loops.Go(func() { _ = d.RunDuties(ctx) })
+	loops.Go(func() { _ = d.RunReports(ctx) })
 	<-s.asked // A report is under way.
 	loops.Go(func() { _ = d.RunTally(ctx) })
 	window := time.Now().UnixNano() / int64(d.limits.UsageWindow)
--- a/transport/control/duties.go
+++ b/transport/control/duties.go
@@ -29,15 +29,12 @@
 	// part of the platform's rate that they may take: another instance may read too.
 	listEvery = 500 * time.Millisecond
 	listPart  = 0.6
-	// settleShare of the time until a report is due is left for counts to come in.
-	settleShare = 0.45
-	// windowsBack is how many windows behind a leader looks for one that is not
-	// reported yet.
-	windowsBack = 6
 )
 
-// Duties is what the leader does. One goroutine runs the list, another the
-// duties, so that a call that hangs holds up only its own kind.
+// Duties is what the leader does. The list, the usage reports, the orders for servers
+// and the log of counts each have a goroutine, so that a call that hangs holds up only
+// its own kind: with reports behind orders, each order to a silent platform held them
+// up for callTime.
 type Duties struct {
 	limits Limits
 	holder string
@@ -48,20 +45,15 @@
 	log    zerolog.Logger
 
 	recalled atomic.Uint64 // recalled is the term in which the logged counts were recalled.
+	tenure   tenure
 
-	// The duty loop's own.
-	term   uint64
-	since  time.Time      // since is when this instance began to lead in the term.
-	held   bool           // held says that the log names this instance as the holder of the term.
-	former string         // former is the holder before.
-	fenced bool           // fenced says that the term's token was refused.
-	done   map[int64]bool // done are the windows whose reports were taken in this term.
-	retry  map[int64]time.Time
+	reports reports // reports belong to the loop of the reports.
+	ordered uint64  // ordered is the term that the orders belong to; the loop of the orders owns it.
 }
 
 // NewDuties returns duties that nobody carries out yet.
 func NewDuties(l Limits, holder string, g Group, s Source, u *Uplink, log zerolog.Logger) *Duties {
-	d := &Duties{limits: l, holder: holder, group: g, source: s, uplink: u, log: log}
+	d := &Duties{limits: l, holder: holder, group: g, source: s, uplink: u, log: log, reports: newReports(0)}
 	if l.Fleet {
 		d.fleet = NewFleet(u, log)
 	}
@@ -102,132 +94,32 @@
 	return max(listEvery, time.Duration(float64(calls)/(listPart*d.limits.ListRate)*float64(time.Second)))
 }
 
-// RunDuties carries out the duties while this instance leads.
-func (d *Duties) RunDuties(ctx context.Context) error {
-	for ctx.Err() == nil {
-		if d.mayAct(ctx) {
-			d.report(ctx)
-			d.scale(ctx)
-		}
-		pause.For(ctx, dutyTick)
-	}
-	return nil
-}
-
-// mayAct reports whether this instance holds the duties: it leads, its lease
-// runs, the log names it as the holder, and the former holder's lease is over.
-func (d *Duties) mayAct(ctx context.Context) bool {
-	term, ok := d.group.Vouches()
-	if !ok {
-		return false
-	}
-	now := time.Now()
-	if term != d.term {
-		d.term, d.since, d.held, d.fenced = term, now, false, false
-		d.done, d.retry = map[int64]bool{}, map[int64]time.Time{}
-		if d.fleet != nil {
-			d.fleet.Reset(now)
-		}
-	}
-	if d.fenced || (!d.held && !d.hold(ctx)) {
-		return false
-	}
-	return d.former == "" || d.former == d.holder || now.Sub(d.since) >= d.limits.Lease
-}
-
-// hold has the log name this instance as the holder. Nobody acts before, so the
-// one named before is the last that may have acted.
-func (d *Duties) hold(ctx context.Context) bool {
-	limit, cancel := context.WithTimeout(ctx, callTime)
-	defer cancel()
-	result, err := d.group.Propose(limit, protocol.Command{Hold: &protocol.HoldMsg{Holder: d.holder, Token: d.term}})
-	if err != nil || result.Hold == nil || result.Hold.Token != d.term {
-		return false
-	}
-	tally, err := d.group.Propose(limit, protocol.Command{Tally: &protocol.TallyMsg{}})
-	if err != nil || tally.Tally == nil {
-		return false
-	}
-	d.uplink.Recall(d.term, tally.Tally.Rows)
-	d.recalled.Store(d.term)
-	d.held, d.former = true, result.Hold.Former
-	d.log.Info().Uint64("token", d.term).Str("former", d.former).Msg("duties held")
-	return true
+// RunReports sends the usage reports while this instance leads.
+func (d *Duties) RunReports(ctx context.Context) error {
+	return d.run(ctx, d.limits.Usage, d.report)
 }
 
-// duty returns the token to act with, if this instance still may, right now.
-func (d *Duties) duty() (Duty, bool) {
-	term, ok := d.group.Vouches()
-	return Duty{Holder: d.holder, Token: term}, ok && term == d.term && !d.fenced
-}
-
-// refused notes an error of a call that carried a token.
-func (d *Duties) refused(err error) {
-	if errors.Is(err, ErrFenced) {
-		d.fenced = true
-		d.log.Warn().Uint64("term", d.term).Msg("the platform refused the fencing token")
-	}
+// RunOrders orders servers while this instance leads.
+func (d *Duties) RunOrders(ctx context.Context) error {
+	return d.run(ctx, d.fleet != nil, d.scale)
 }
 
-// report sends the reports that are owed: the counts are settled in the log
-// first, so that every repeat is the same.
-func (d *Duties) report(ctx context.Context) {
-	if !d.limits.Usage {
-		return
-	}
-	now := d.uplink.Clock()
-	late := time.Duration(settleShare * float64(d.limits.UsageDue))
-	current := usage.Window(now, d.limits.UsageWindow)
-	for w := current - windowsBack; w < current; w++ {
-		if d.done[w] || now.Before(usage.End(w, d.limits.UsageWindow).Add(late)) || now.Before(d.retry[w]) {
-			continue
-		}
-		if !d.reportWindow(ctx, w) {
-			d.retry[w] = now.Add(dutyRetry)
-		}
-	}
-	for w := range d.done {
-		if w < current-2*windowsBack {
-			delete(d.done, w)
-			delete(d.retry, w)
+// run does one kind of duty while this instance leads.
+func (d *Duties) run(ctx context.Context, owed bool, duty func(context.Context)) error {
+	for ctx.Err() == nil {
+		if owed && d.mayAct(ctx) {
+			duty(ctx)
 		}
+		pause.For(ctx, dutyTick)
 	}
-}
-
-const dutyRetry = 400 * time.Millisecond
-
-func (d *Duties) reportWindow(ctx context.Context, window int64) bool {
-	limit, cancel := context.WithTimeout(ctx, callTime)
-	defer cancel()
-	counts := d.uplink.Used(window)
-	result, err := d.group.Propose(limit, protocol.Command{Settle: &protocol.SettleMsg{Window: window, Counts: counts}})
-	if err != nil || result.Settle == nil {
-		d.log.Warn().Err(err).Int64("window", window).Msg("usage not settled")
-		return false
-	}
-	if result.Settle.Sent {
-		d.done[window] = true
-		return true
-	}
-	duty, ok := d.duty()
-	if !ok {
-		return false
-	}
-	if err := d.source.Report(limit, duty, window, result.Settle.Counts); err != nil {
-		d.refused(err)
-		d.log.Warn().Err(err).Int64("window", window).Uint64("token", duty.Token).Msg("usage report not taken")
-		return false
-	}
-	d.log.Info().Int64("window", window).Uint64("token", duty.Token).Interface("counts", result.Settle.Counts).Msg("usage reported")
-	d.done[window] = true
-	_, _ = d.group.Propose(limit, protocol.Command{Settle: &protocol.SettleMsg{Window: window, Sent: true}}) // Only saves a repeat.
-	return true
+	return nil
 }
 
 // scale sends the orders that the planner wants.
 func (d *Duties) scale(ctx context.Context) {
-	if d.fleet == nil {
-		return
+	if term := d.tenure.current(); term != d.ordered {
+		d.ordered = term
+		d.fleet.Reset(time.Now())
 	}
 	d.settleBases(ctx)
 	for _, o := range d.fleet.Plan(time.Now()) {
@@ -238,7 +130,7 @@
 		limit, cancel := context.WithTimeout(ctx, callTime)
 		err := d.source.Order(limit, duty, o)
 		cancel()
-		d.refused(err)
+		d.refused(duty, err)
 		d.log.Info().Err(err).Str("service", o.Service).Str("domain", o.Domain).Int("count", o.Count).Bool("reclaimable", o.Reclaimable).
 			Uint64("token", duty.Token).Msg("servers ordered")
 		d.fleet.Ordered(o, err, time.Now())
@@ -266,7 +158,7 @@
 	if !d.limits.Usage {
 		return
 	}
-	rows := d.uplink.Changes(usage.Window(d.uplink.Clock(), d.limits.UsageWindow) - windowsBack)
+	rows := d.uplink.Changes(usage.Window(d.uplink.Clock(), d.limits.UsageWindow)-windowsBack, d.limits.UsageWindow)
 	if len(rows) == 0 {
 		return
 	}
--- a/transport/control/uplink.go
+++ b/transport/control/uplink.go
@@ -24,6 +24,7 @@
 	peers func() (leader string, all []string)
 	parse func(number uint64, data []byte) (*protocol.Catalog, error)
 	quota time.Duration        // quota is the window in which quotas are bounded.
+	alone time.Duration        // alone is for how long a gateway that is not heard goes on serving.
 	quiet func() time.Duration // quiet is for how long nothing was granted before this instance led.
 	began time.Time
 	clock *usage.Clock
@@ -53,6 +54,7 @@
 	gateways map[string]*gateway
 	quotas   *quota.Coordinator
 	ledger   *usage.Ledger
+	marks    *usage.Watermarks // marks are up to when the gateways have told their counts.
 	history  history
 	lists    map[uint64][]byte // lists are what changed since a version, packed once for all gateways.
 	view     *place.View
@@ -116,6 +118,11 @@
 	return func(u *Uplink) { u.quiet = func() time.Duration { return quiet() - unlogged } }
 }
 
+// WithAlone sets for how long a gateway goes on serving that does not hear from the
+// control role. Without it, usage waits only for gateways that were heard in the
+// window.
+func WithAlone(d time.Duration) UplinkOption { return func(u *Uplink) { u.alone = d } }
+
 // NewUplink returns the receiver to register under "Uplink". The func peers
 // tells the peer addresses of the leader, as far as one is known that can answer,
 // and of all control instances; parse translates a document.
@@ -148,6 +155,7 @@
 	u.gateways = map[string]*gateway{}
 	u.quotas = quota.NewCoordinator(u.quota, quota.WithQuiet(u.quiet()))
 	u.ledger = usage.NewLedger()
+	u.marks = usage.NewWatermarks(u.alone)
 	u.listed, u.servers, u.history = false, nil, history{}
 	u.loads, u.order, u.common = place.NewLoads(), nil, common{}
 	u.view, u.places = nil, place.NewLedger(u.loads, place.WithTopology(u.topology))
@@ -195,6 +203,9 @@
 	u.gateways[m.Gateway] = g
 	u.earlier = max(u.earlier, m.Gateways)
 	u.ledger.Take(m.Gateway, m.Life, m.Usage)
+	if m.Term == term {
+		u.marks.Take(m.Gateway, m.Counted, u.clock.Now(now.Sub(u.began)))
+	}
 	u.loads.Take(m.Gateway, place.GatewayReport{Domain: m.Domain, Running: m.Running, Distrusts: m.Distrusts})
 	for _, d := range m.Done {
 		if d.Term == term {
@@ -383,18 +394,34 @@
 	return u.ledger.Total(window)
 }
 
-// Changes returns the counts that are to be logged, and forgets old windows.
-func (u *Uplink) Changes(before int64) []protocol.TallyRow {
+// Missing returns the gateways that may have counted in a window of a length and have
+// not told all of it, and whether the window is whole. It is not while a new leader
+// has heard fewer gateways than the one before, or none at all.
+func (u *Uplink) Missing(window int64, length time.Duration) (gateways []string, whole bool) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	gateways = u.marks.Missing(window, length)
+	met := time.Since(u.entered) > gatewayKept || u.marks.Known() >= u.earlier
+	return gateways, met && u.marks.Known() > 0 && len(gateways) == 0
+}
+
+// Changes returns the counts that are to be logged, and forgets windows of a length
+// before one.
+func (u *Uplink) Changes(before int64, length time.Duration) []protocol.TallyRow {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	u.ledger.Forget(before)
+	u.marks.Forget(usage.End(before-1, length))
 	return u.ledger.Changes()
 }
 
-// Recall takes the counts that were logged up to a term.
-func (u *Uplink) Recall(term uint64, rows []protocol.TallyRow) {
+// Recall takes the counts of windows of a length that were logged up to a term.
+func (u *Uplink) Recall(term uint64, length time.Duration, rows []protocol.TallyRow) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	u.enter(term)
 	u.ledger.Recall(rows)
+	for _, r := range rows {
+		u.marks.Expect(r.Gateway, usage.End(r.Window-1, length))
+	}
 }
--- a/transport/forward/limits.go
+++ b/transport/forward/limits.go
@@ -174,7 +174,7 @@
 	defer g.mu.Unlock()
 	now := time.Now()
 	since := now.Sub(g.began)
-	m := protocol.SyncMsg{Gateway: g.cfg.Name, Number: g.Number(), Clock: g.clock.Own(since), Usage: g.counter.Rows(term, g.clock.Now(since)), Wants: g.allowance.Wants(now), Done: g.done, Domain: g.cfg.Domain, Running: g.view.Load().Running(), Distrusts: g.view.Load().Distrusts(now)}
+	m := protocol.SyncMsg{Gateway: g.cfg.Name, Term: term, Number: g.Number(), Clock: g.clock.Own(since), Usage: g.counter.Rows(term, g.clock.Now(since)), Counted: g.clock.Now(since), Wants: g.allowance.Wants(now), Done: g.done, Domain: g.cfg.Domain, Running: g.view.Load().Running(), Distrusts: g.view.Load().Distrusts(now)}
 	g.done = nil // One that is lost is forgotten by the leader in time.
 	m.Rollouts = g.rolled
 	for _, t := range g.trials {
