A request whose answer was lost counts as one that began to run

Cause: a gateway counted a request when the head of its answer came.

Change: a request that was wholly written and whose connection then ended without an answer is counted, once however often it is sent. Not those whose caller left or whose deadline passed: these may never have begun.

--- a/transport/backend/backend.go
+++ b/transport/backend/backend.go
@@ -48,6 +48,7 @@
 	br    *bufio.Reader
 	bw    *bufio.Writer
 	wrote atomic.Int64 // wrote counts the bytes of the request that the kernel took.
+	sent  atomic.Bool  // sent says that the kernel took all of the request.
 	used  bool         // used says that a request went over it before.
 	until time.Time    // until is when it may rest no longer.
 }
@@ -63,6 +64,9 @@
 // server.
 func (c *Conn) Wrote() bool { return c.wrote.Load() > 0 }
 
+// Sent reports whether all of the current request was written.
+func (c *Conn) Sent() bool { return c.sent.Load() }
+
 // Used reports whether an earlier request went over the connection.
 func (c *Conn) Used() bool { return c.used }
 
@@ -109,7 +113,11 @@
 	if err := req.Write(c.bw); err != nil {
 		return eris.Wrap(err, "write request")
 	}
-	return eris.Wrap(c.bw.Flush(), "write request")
+	if err := c.bw.Flush(); err != nil {
+		return eris.Wrap(err, "write request")
+	}
+	c.sent.Store(true)
+	return nil
 }
 
 // earlyAnswer reads an answer that a server sent before it closed its side under the
@@ -230,6 +238,7 @@
 	}
 	c.used = true
 	c.wrote.Store(0)
+	c.sent.Store(false)
 	c.until = time.Now().Add(rest)
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/transport/forward/attempt.go
+++ b/transport/forward/attempt.go
@@ -197,6 +197,11 @@
 		t.x.distrust(t.server, true)
 		return t.x.failed(protocol.NotRun, false, "nothing could be sent: "+err.Error())
 	}
+	if t.conn.Sent() {
+		// The server read all of it and most likely ran it: of the requests whose answers
+		// are lost, only those that a crash catches before they begin did not run.
+		t.x.count()
+	}
 	t.x.distrust(t.server, false)
 	return t.x.failed(protocol.MayHaveRun, true, "the answer did not come: "+err.Error())
 }
--- a/transport/forward/forward_test.go
+++ b/transport/forward/forward_test.go
@@ -692,3 +692,31 @@
 		t.Errorf("the gateway tells the agreed time as its own, %v ahead", off)
 	}
 }
+
+// TestLostAnswersCount checks that a request counts as one that began to run where a
+// server had all of it and its answer was lost, once however often that happens, and
+// that one which no server can have read does not.
+func TestLostAnswersCount(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		serve func(net.Conn, *fasthttp.Request)
+		want  int64
+	}{
+		{"answers lost at two servers", silent, 1},
+		{"turned away", full, 0},
+		{"answered", good, 1},
+	} {
+		w := newWorld(t)
+		w.install(protocol.PathRoute{Kind: protocol.RouteRepeatable, Attempts: 2}, protocol.Tenancy{Name: "w", Keys: []string{"k"}})
+		w.backend("a", c.serve)
+		w.backend("b", c.serve)
+		w.ask("Key: k")
+		total := int64(0)
+		for _, row := range w.g.Report(1).Usage {
+			total += row.Count
+		}
+		if total != c.want {
+			t.Errorf("%s: counted %d, want %d", c.name, total, c.want)
+		}
+	}
+}
