--- a/coordination/usage/usage_test.go
+++ b/coordination/usage/usage_test.go
@@ -94,3 +94,21 @@
 		t.Errorf("%d counts are kept for good", len(c.counts))
 	}
 }
+
+// TestNextLeaderGetsWhatTheOneBeforeHad checks that counts which only a former leader
+// was told are told to the next one, though the first message to that one, sent before
+// its term is known, left them out.
+func TestNextLeaderGetsWhatTheOneBeforeHad(t *testing.T) {
+	c := NewCounter(time.Second, time.Second)
+	now := time.Unix(1_700_000_000, 0)
+	c.Began("w", now)
+	c.Acknowledged(1, c.Rows(1, now))
+	c.Acknowledged(2, c.Rows(1, now))
+	if rows := c.Rows(2, now); len(rows) != 1 || rows[0].Count != 1 {
+		t.Errorf("the next leader is told %v, want the count of 1", rows)
+	}
+	c.Acknowledged(2, c.Rows(2, now))
+	if rows := c.Rows(2, now); len(rows) != 0 {
+		t.Errorf("told again: %v", rows)
+	}
+}
