Servers are chosen by distance: domain, region, others

Cause: a server 16 ms away in another region was taken as one in the next room. Two thirds of all requests crossed between three regions, where bytes cost ten times as much as between domains.

Change: the way to a server counts as load, fixed for a distance, in a gateway's choice and in the ledger. Prompts that share parts are ranked within the region first; others are taken when the region's servers typically have 0.6 of their slots more in use. Each region has both lanes. Shared parts are copied from a near holder.

--- a/coordination/place/lane.go
+++ b/coordination/place/lane.go
@@ -147,9 +147,18 @@
 // requests from 24 to 40 s 3,153 were late by tokens alone, 779 by work alone, which
 // made long prompts late on calm days, and 546 so.
 func longServers(p protocol.LaneParts, servers int) int {
+	return atLeastOne(longPart(p, servers), servers)
+}
+
+// longPart is the part of some servers that is for long prompts.
+func longPart(p protocol.LaneParts, servers int) float64 {
 	share := min(p.Tokens, 1-p.Short/shortFill/float64(servers))
-	share = max(share, min(p.Tokens, p.Work))
-	return min(servers-1, max(1, int(share*float64(servers)+0.5)))
+	return max(share, min(p.Tokens, p.Work))
+}
+
+// atLeastOne is a part of some servers that leaves one to either lane.
+func atLeastOne(part float64, servers int) int {
+	return min(servers-1, max(1, int(part*float64(servers)+0.5)))
 }
 
 // heldPart of the parts that requests share are taken to be held by the server.
@@ -203,22 +212,44 @@
 // laneSeed makes the order of servers in which the long lane takes them.
 const laneSeed = 0x6c616e65
 
+// leastLong returns for each row the least order of the long lane in its region: each
+// region has both lanes, in the same parts. It is 0 for a server alone in its region,
+// which takes both kinds.
+func leastLong(v *View, rows []row, order []uint64, parts protocol.LaneParts) []uint64 {
+	regions := map[string][]uint64{}
+	for i, r := range rows {
+		region := v.Servers[r.index].spot.Region
+		regions[region] = append(regions[region], order[i])
+	}
+	part, least := longPart(parts, len(rows)), make([]uint64, len(rows))
+	byRegion := map[string]uint64{}
+	for region, list := range regions {
+		if len(list) > 1 {
+			slices.Sort(list)
+			byRegion[region] = list[len(list)-atLeastOne(part, len(list))] // The highest are the long lane.
+		}
+	}
+	for i, r := range rows {
+		least[i] = byRegion[v.Servers[r.index].spot.Region]
+	}
+	return least
+}
+
 // inLane drops the rows of the other lane, unless that leaves only servers that
 // have more to do than they can do at once.
 func inLane(v *View, rows []row, m ChooseMsg) []row {
 	if m.Lane == LaneAny || len(rows) < 2 {
 		return rows
 	}
-	n := longServers(m.Parts, len(rows))
 	order := make([]uint64, len(rows))
 	for i, r := range rows {
 		order[i] = mix(laneSeed ^ v.Servers[r.index].Hash)
 	}
-	sorted := slices.Sorted(slices.Values(order))
-	least := sorted[len(sorted)-n] // The n highest are the long lane.
+	least := leastLong(v, rows, order, m.Parts)
 	kept := make([]row, 0, len(rows))
 	for i, r := range rows {
-		if (order[i] >= least) == (m.Lane == LaneLong) {
+		both := least[i] == 0
+		if both || (order[i] >= least[i]) == (m.Lane == LaneLong) {
 			kept = append(kept, r)
 		}
 	}
--- a/coordination/place/ledger.go
+++ b/coordination/place/ledger.go
@@ -92,11 +92,10 @@
 	prefixKept = 30 * time.Second
 	prefixMost = 128
 	// These weigh against one stream that is held up: a late first event, a first
-	// event at its target, a request that is there, and the own domain.
+	// event at its target, and a request that is there; distanceLoad is one of them.
 	lateCost = 2.0
 	waitCost = 0.5
 	stayCost = 0.1
-	nearGain = 0.05
 	// distrustCost keeps prompts off servers that fail, where there are others.
 	distrustCost = 1000.0
 	// readCost is that of a prompt all of which could have been held elsewhere.
@@ -137,21 +136,24 @@
 	return l.enter(v.Servers[best].ID, holder, m, now), true
 }
 
-// holder returns the server that read the shared parts of a prompt last, if the
-// others can copy them from there. One that leaves still can be copied from.
+// holder returns the server that read the shared parts of a prompt last, one near the
+// gateway first, if the others can copy them from there. One that leaves still can be
+// copied from.
 func (l *Ledger) holder(v *View, m PromptMsg, now time.Time) string {
 	if m.Copies <= 0 || m.Prefix == 0 {
 		return ""
 	}
-	holder, latest := "", time.Time{}
+	holder, latest, isFar := "", time.Time{}, false
 	for _, i := range v.Service(m.Service) {
 		id := v.Servers[i].ID
 		b := l.servers[id]
 		if b == nil || !b.holds(m.Prefix, now) || l.loads.Distrusted(id, m.Domain) {
 			continue
 		}
-		if at := b.prefixes[m.Prefix]; at.After(latest) {
-			holder, latest = id, at
+		at, far := b.prefixes[m.Prefix], l.topology.Distance(m.Domain, v.Servers[i].Domain) == topology.OtherRegion
+		nearer := isFar && !far
+		if holder == "" || nearer || (far == isFar && at.After(latest)) {
+			holder, latest, isFar = id, at, far
 		}
 	}
 	return holder
@@ -232,10 +234,7 @@
 		}
 		cost += weight * float64(m.Shared) / float64(m.Prompt)
 	}
-	if l.topology.Distance(s.Domain, m.Domain) == topology.SameDomain {
-		cost -= nearGain
-	}
-	return cost
+	return cost + distanceLoad[l.topology.Distance(m.Domain, s.Domain)]
 }
 
 // enter notes a request at a server.
--- /dev/null
+++ b/coordination/place/near.go
@@ -0,0 +1,69 @@
+package place
+
+import (
+	"math"
+	"slices"
+
+	"github.com/weldstream/weldstream/coordination/topology"
+)
+
+const (
+	// nearLoad is how much fuller a server of the own domain may be and still be
+	// taken before one of another.
+	nearLoad = 0.12
+	// farLoad is the same for servers of the own region before those of others: a
+	// near server has room for one more until its load is 1, and one far away is
+	// seldom without any.
+	farLoad = 0.6
+)
+
+// distanceLoad is what the way to a server weighs against its load. Costs from the
+// bytes of request and answer and from observed round trips came to the same bytes
+// within a twentieth, so the simpler ones are kept.
+var distanceLoad = [...]float64{topology.SameDomain: 0, topology.SameRegion: nearLoad, topology.OtherRegion: farLoad}
+
+// nearest keeps the rows of the own region, or those of the others if these typically
+// have farLoad less to do: callers who share a prompt meet within a region before they
+// meet across, and further servers are taken before a near one is late. Within a region
+// the domain does not count here: what prompts that are read once in each domain cost
+// was as much as the bytes that they saved.
+func nearest(v *View, rows []row, domain string) []row {
+	if !v.topology.Several() {
+		return rows
+	}
+	from := v.topology.Spot(domain)
+	var near, far []row
+	for _, r := range rows {
+		if from.Distance(v.Servers[r.index].spot) == topology.OtherRegion {
+			far = append(far, r)
+		} else {
+			near = append(near, r)
+		}
+	}
+	if typical(far)+farLoad < typical(near) {
+		return far
+	}
+	return near
+}
+
+// typical returns the median load of the servers that are not suspect; of none, that
+// is without bound. The lightest would not do: servers that no shared prompt calls home
+// have next to nothing while all others are full.
+func typical(rows []row) float64 {
+	if len(rows) == 0 {
+		return math.Inf(1)
+	}
+	var fills, suspects []float64
+	for _, r := range rows {
+		if r.fill < suspectLoad {
+			fills = append(fills, r.fill)
+		} else {
+			suspects = append(suspects, r.fill)
+		}
+	}
+	if len(fills) == 0 {
+		return slices.Min(suspects)
+	}
+	slices.Sort(fills)
+	return fills[(len(fills)-1)/2]
+}
--- /dev/null
+++ b/coordination/place/near_test.go
@@ -0,0 +1,317 @@
+package place
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/weldstream/weldstream/coordination/topology"
+	"github.com/weldstream/weldstream/protocol"
+)
+
+// threeRegions is a topology of six domains, two a region.
+func threeRegions() *topology.Topology {
+	return topology.New(map[string]string{"a-1": "a", "a-2": "a", "b-1": "b", "b-2": "b", "c-1": "c", "c-2": "c"})
+}
+
+// spreadOver returns a view of n servers of one service in each of some domains.
+func spreadOver(t *topology.Topology, n int, domains ...string) *View {
+	var list []protocol.Instance
+	for _, d := range domains {
+		for i := range n {
+			list = append(list, protocol.Instance{ID: fmt.Sprintf("%s-%d", d, i), Address: "10.0.0.1:80", Service: "model", Domain: d, Slots: 16})
+		}
+	}
+	return NewView(list, nil, WithRegions(t))
+}
+
+var sixDomains = []string{"a-1", "a-2", "b-1", "b-2", "c-1", "c-2"}
+
+// TestNearServersFirst checks from where a server is taken: of the own region as long as
+// that has room, of another before a near one is late, and the same without a topology
+// as among domains of one region.
+func TestNearServersFirst(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		regions *topology.Topology
+		own     int // own are the requests on each server of the own region.
+		far     int
+		near    bool
+	}{
+		{"nothing runs", threeRegions(), 0, 0, true},
+		{"half full, the others empty", threeRegions(), 8, 0, true},
+		{"nearly full, the others empty", threeRegions(), 14, 0, false},
+		{"full, the others too", threeRegions(), 16, 16, true},
+		{"full, the others half", threeRegions(), 16, 4, false},
+		{"no regions: load alone", nil, 8, 0, false},
+	} {
+		for _, prefix := range []uint64{0, 7, 99} {
+			v := spreadOver(c.regions, 2, sixDomains...)
+			own := threeRegions()
+			for i := range v.Servers {
+				n := c.far
+				if own.Region(v.Servers[i].Domain) == "b" {
+					n = c.own
+				}
+				for range n {
+					v.Servers[i].Cell.Began()
+				}
+			}
+			i, ok := Choose(v, ChooseMsg{Service: "model", Domain: "b-1", Prefix: prefix, Rand: 5, Now: start})
+			if !ok {
+				t.Fatalf("%s: no server", c.name)
+			}
+			if got := v.Servers[i].Domain; (own.Region(got) == "b") != c.near {
+				t.Errorf("%s, prefix %d: taken from %s", c.name, prefix, got)
+			}
+		}
+	}
+}
+
+// TestRegionCutOff checks that a request goes to another region at once when all
+// servers of the own one are suspect, leaving or not listed, in each way of placing,
+// and that the first one after they are back stays.
+func TestRegionCutOff(t *testing.T) {
+	regions, now := threeRegions(), start
+	for name, cut := range map[string]func(*Server){
+		"suspect": func(s *Server) { s.Cell.Failed(true, now) },
+		"leaving": func(s *Server) { s.Leaving = true },
+		"others distrust them": func(s *Server) {
+			s.Cell.shared(0, true, now)
+		},
+	} {
+		v := spreadOver(regions, 3, sixDomains...)
+		at := func(lane Lane, prefix uint64, now time.Time) string {
+			m := ChooseMsg{Service: "model", Domain: "b-1", Lane: lane, Parts: protocol.LaneParts{Tokens: 0.5}, Prefix: prefix, Rand: 3, Now: now}
+			i, ok := Choose(v, m)
+			if !ok {
+				t.Fatalf("%s: no server", name)
+			}
+			return regions.Region(v.Servers[i].Domain)
+		}
+		for _, lane := range []Lane{LaneAny, LaneLong, LaneShort} {
+			for _, prefix := range []uint64{0, 42} {
+				if got := at(lane, prefix, now); got != "b" {
+					t.Errorf("%s: before, lane %d, prefix %d: taken from %s", name, lane, prefix, got)
+				}
+			}
+		}
+		for i := range v.Servers {
+			if regions.Region(v.Servers[i].Domain) == "b" {
+				cut(&v.Servers[i])
+			}
+		}
+		for _, lane := range []Lane{LaneAny, LaneLong, LaneShort} {
+			for _, prefix := range []uint64{0, 42} {
+				if got := at(lane, prefix, now); got == "b" {
+					t.Errorf("%s: lane %d, prefix %d: taken from the region that is cut off", name, lane, prefix)
+				}
+			}
+		}
+		for i := range v.Servers {
+			v.Servers[i].Leaving = false
+			v.Servers[i].Cell.Worked()
+		}
+		for _, prefix := range []uint64{0, 42} {
+			if got := at(LaneAny, prefix, now.Add(distrustMost)); got != "b" {
+				t.Errorf("%s: afterwards, prefix %d: taken from %s", name, prefix, got)
+			}
+		}
+	}
+}
+
+// TestLedgerPlacesNear checks that long prompts stay in the caller's region while it has
+// room, go across when its servers read others past the target or are distrusted,
+// and come back.
+func TestLedgerPlacesNear(t *testing.T) {
+	regions, loads := threeRegions(), NewLoads()
+	l, v := NewLedger(loads, WithTopology(regions)), spreadOver(regions, 3, sixDomains...)
+	m := prompt(8000)
+	m.Domain, m.Parts.Tokens, m.Shared = "b-1", 0.5, 0
+	region := func(now time.Time) string {
+		return regions.Region(v.Find(placeAt(t, l, v, m, now).Server).Domain)
+	}
+	if got := region(start); got != "b" {
+		t.Errorf("placed in %s though nothing runs", got)
+	}
+	for i := range v.Servers {
+		if s := &v.Servers[i]; s.spot.Region == "b" {
+			l.book(s.ID).readUntil = start.Add(3 * time.Second)
+		}
+	}
+	if got := region(start); got == "b" {
+		t.Error("placed where it is late")
+	}
+	if got := region(start.Add(4 * time.Second)); got != "b" {
+		t.Errorf("placed in %s though the own region has room again", got)
+	}
+	var all []string
+	for i := range v.Servers {
+		if s := &v.Servers[i]; s.spot.Region == "b" {
+			all = append(all, s.ID)
+		}
+	}
+	for _, gateway := range []string{"one", "two"} {
+		loads.Take(gateway, GatewayReport{Domain: "b-1", Distrusts: all})
+	}
+	if got := region(start.Add(5 * time.Second)); got == "b" {
+		t.Error("placed at a server that the gateways distrust")
+	}
+	loads.Drop("one")
+	loads.Drop("two")
+	if got := region(start.Add(6 * time.Second)); got != "b" {
+		t.Errorf("placed in %s though the own region is trusted again", got)
+	}
+}
+
+// TestHolderIsNear checks that shared parts are copied from a server of the caller's
+// region, even if one far away read them later.
+func TestHolderIsNear(t *testing.T) {
+	regions := threeRegions()
+	l, v := NewLedger(NewLoads(), WithTopology(regions)), spreadOver(regions, 1, sixDomains...)
+	m := prompt(8000)
+	m.Copies, m.Prefix, m.Domain = 100, 77, "b-1"
+	l.book("a-1-0").keep(77, start.Add(2*time.Second))
+	if got := l.holder(v, m, start.Add(3*time.Second)); got != "a-1-0" {
+		t.Errorf("copied from %q, the only holder is far away", got)
+	}
+	l.book("b-2-0").keep(77, start)
+	l.book("c-1-0").keep(77, start.Add(time.Second))
+	if got := l.holder(v, m, start.Add(3*time.Second)); got != "b-2-0" {
+		t.Errorf("copied from %q, want the near one", got)
+	}
+	l.book("b-1-0").keep(77, start.Add(time.Second))
+	if got := l.holder(v, m, start.Add(3*time.Second)); got != "b-1-0" {
+		t.Errorf("copied from %q, want the near one that read it last", got)
+	}
+}
+
+// TestNearestKeepsOneSide checks, for any loads, that what is kept is the own region
+// or all others, never empty, and that neither side is kept while each of its servers
+// has farLoad more to do than any of the other.
+func TestNearestKeepsOneSide(t *testing.T) {
+	regions := threeRegions()
+	rapid.Check(t, func(t *rapid.T) {
+		domains := rapid.SliceOfNDistinct(rapid.SampledFrom(sixDomains), 1, 6, rapid.ID[string]).Draw(t, "domains")
+		v := spreadOver(regions, 2, domains...)
+		own := rapid.SampledFrom(sixDomains).Draw(t, "own")
+		var rows []row
+		fills := map[bool][]float64{}
+		isFar := func(r row) bool {
+			return regions.Distance(own, v.Servers[r.index].Domain) == topology.OtherRegion
+		}
+		for i := range v.Servers {
+			r := row{index: i, fill: rapid.Float64Range(0, 5).Draw(t, "fill")}
+			rows = append(rows, r)
+			fills[isFar(r)] = append(fills[isFar(r)], r.fill)
+		}
+		kept := nearest(v, rows, own)
+		if len(kept) == 0 {
+			t.Fatal("nothing kept")
+		}
+		side := isFar(kept[0])
+		if len(kept) != len(fills[side]) {
+			t.Fatalf("%d kept of %d", len(kept), len(fills[side]))
+		}
+		if len(fills[!side]) == 0 {
+			return
+		}
+		if more := slices.Min(fills[side]) - slices.Max(fills[!side]); more > farLoad || (side && more > -farLoad) {
+			t.Fatalf("far %v is kept: near ones have %.2f, far ones %.2f", side, fills[false], fills[true])
+		}
+	})
+}
+
+// TestEachRegionHasBothLanes checks that a region which has two servers has some of
+// either lane, that a server is in one lane whoever asks, and that one alone in its
+// region takes both kinds.
+func TestEachRegionHasBothLanes(t *testing.T) {
+	regions := threeRegions()
+	for n := 1; n <= 8; n++ {
+		v := spreadOver(regions, n, "a-1", "a-2", "b-1")
+		lanes := map[Lane]map[string]int{}
+		inLanes := map[int]int{}
+		for _, lane := range []Lane{LaneLong, LaneShort} {
+			lanes[lane] = map[string]int{}
+			m := ChooseMsg{Service: "model", Domain: "a-1", Now: start, Lane: lane, Parts: protocol.LaneParts{Tokens: 0.7}}
+			for _, r := range inLane(v, candidates(v, m), m) {
+				lanes[lane][v.Servers[r.index].spot.Region]++
+				inLanes[r.index]++
+			}
+			for _, region := range []string{"a", "b"} {
+				if lanes[lane][region] == 0 {
+					t.Errorf("%d servers a domain: lane %d has none in %s", n, lane, region)
+				}
+			}
+		}
+		for i, times := range inLanes {
+			if alone := n == 1 && v.Servers[i].Domain == "b-1"; (times == 2) != alone {
+				t.Errorf("%d servers a domain: %s is in %d lanes", n, v.Servers[i].ID, times)
+			}
+		}
+	}
+}
+
+// TestRegionalLoad plays a load that is even over three regions, with prompts whose parts
+// are shared by all of them, and checks that next to nothing goes across; then the same
+// with most callers in one region, and checks that they go across before its
+// servers are full. A request holds a slot for 0.5 s; 36 servers of 16 slots run 40
+// in 100 of what they can.
+func TestRegionalLoad(t *testing.T) {
+	for _, c := range []struct {
+		name            string
+		inA             float64 // inA is the part of the callers in region a.
+		mostAcross      float64
+		leastAcross     float64
+		mostFullestPart float64
+	}{
+		{"even", 0.34, 0.02, 0, 1},
+		{"most in one region", 0.8, 0.4, 0.1, 1},
+	} {
+		v, regions := spreadOver(threeRegions(), 6, sixDomains...), threeRegions()
+		rnd := rand.New(rand.NewPCG(1, 2))
+		type event struct {
+			at     time.Time
+			server int
+		}
+		var running []event
+		sent, across, fullest := 0, 0, 0
+		for now := start; now.Before(start.Add(10 * time.Second)); now = now.Add(10 * time.Millisecond) {
+			kept := running[:0]
+			for _, e := range running {
+				if now.Before(e.at) {
+					kept = append(kept, e)
+					continue
+				}
+				v.Servers[e.server].Cell.Ended()
+			}
+			running = kept
+			for range poisson(rnd, 4.6) {
+				domain := sixDomains[2+rnd.IntN(4)]
+				if rnd.Float64() < c.inA {
+					domain = sixDomains[rnd.IntN(2)]
+				}
+				i, _ := Choose(v, ChooseMsg{Service: "model", Domain: domain, Prefix: mix(uint64(rnd.IntN(40))), Rand: rnd.Uint64(), Now: now})
+				v.Servers[i].Cell.Began()
+				fullest = max(fullest, v.Servers[i].Cell.Outstanding())
+				running = append(running, event{now.Add(500 * time.Millisecond), i})
+				sent++
+				if regions.Distance(domain, v.Servers[i].Domain) == topology.OtherRegion {
+					across++
+				}
+			}
+		}
+		part := float64(across) / float64(sent)
+		t.Logf("%s: %d sent, %.3f of them across, the fullest server had %d", c.name, sent, part, fullest)
+		if part > c.mostAcross || part < c.leastAcross {
+			t.Errorf("%s: %.3f of %d went across, want %.2f to %.2f", c.name, part, sent, c.leastAcross, c.mostAcross)
+		}
+		if float64(fullest) > c.mostFullestPart*16 {
+			t.Errorf("%s: a server of 16 slots had %d", c.name, fullest)
+		}
+	}
+}
--- a/coordination/place/place.go
+++ b/coordination/place/place.go
@@ -18,6 +18,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/weldstream/weldstream/coordination/topology"
 	"github.com/weldstream/weldstream/protocol"
 )
 
@@ -26,6 +27,7 @@
 	protocol.Instance
 	Hash uint64 // Hash is of the identity, for rendezvous ranks.
 	Cell *Cell  // Cell is shared by all views that hold the server.
+	spot topology.Spot
 }
 
 // View is an immutable snapshot of the servers, by service.
@@ -34,37 +36,41 @@
 	services map[string][]int // services have the servers that take requests.
 	trials   map[string][]int // trials have those of a version on trial.
 	byID     map[string]int
+	topology *topology.Topology           // topology tells the regions of the domains.
+	rollouts map[string]*protocol.Rollout // rollouts are by service.
 }
 
 // ViewOption changes a new view.
-type ViewOption func(map[string]*protocol.Rollout)
+type ViewOption func(*View)
 
 // WithRollouts keeps requests off servers whose version gets none.
 func WithRollouts(list []protocol.Rollout) ViewOption {
-	return func(rollouts map[string]*protocol.Rollout) {
+	return func(v *View) {
 		for i := range list {
-			rollouts[list[i].Service] = &list[i]
+			v.rollouts[list[i].Service] = &list[i]
 		}
 	}
 }
 
+// WithRegions sets where the failure domains lie; without it they all are near.
+func WithRegions(t *topology.Topology) ViewOption { return func(v *View) { v.topology = t } }
+
 // NewView returns a view of the listed servers. Those that the view before held
 // keep their cells.
 func NewView(list []protocol.Instance, before *View, opts ...ViewOption) *View {
-	v := &View{services: map[string][]int{}, trials: map[string][]int{}, byID: map[string]int{}}
-	rollouts := map[string]*protocol.Rollout{}
+	v := &View{services: map[string][]int{}, trials: map[string][]int{}, byID: map[string]int{}, rollouts: map[string]*protocol.Rollout{}}
 	for _, opt := range opts {
-		opt(rollouts)
+		opt(v)
 	}
 	for _, in := range list {
-		s := Server{Instance: in, Hash: xxhash.Sum64String(in.ID)}
+		s := Server{Instance: in, Hash: xxhash.Sum64String(in.ID), spot: v.topology.Spot(in.Domain)}
 		if old := before.Find(in.ID); old != nil && old.Address == in.Address {
 			s.Cell = old.Cell
 		} else {
 			s.Cell = &Cell{}
 		}
 		v.byID[in.ID] = len(v.Servers)
-		v.index(&in, rollouts[in.Service])
+		v.index(&in, v.rollouts[in.Service])
 		v.Servers = append(v.Servers, s)
 	}
 	return v
@@ -122,9 +128,6 @@
 	// many times the mean, and so many requests more.
 	bound = 1.25
 	slack = 2
-	// nearLoad is how much fuller a server of the own domain may be and still be
-	// taken before one of another.
-	nearLoad = 0.12
 	// suspectLoad is added to the load of a server that failed lately.
 	suspectLoad = 4
 	// failingLoad is added in the measure in which a server fails requests.
@@ -163,7 +166,9 @@
 		return 0, false
 	}
 	if m.Prefix != 0 {
-		return ranked(rows, float64(v.Servers[rows[0].index].Width())), true
+		rows = nearest(v, rows, m.Domain)
+		width := float64(v.Servers[rows[0].index].Width())
+		return ranked(rows, v.prefixLimit(rows, width)), true
 	}
 	return lightest(v, rows, m), true
 }
@@ -221,8 +226,20 @@
 }
 
 // ranked returns the highest in rank among those that are not much fuller than
-// the rest. The lightest is always one of them.
-func ranked(rows []row, width float64) int {
+// the rest, by a limit. The lightest is always one of them.
+func ranked(rows []row, limit float64) int {
+	best := slices.MinFunc(rows, byFill)
+	for _, r := range rows {
+		if r.fill <= limit && (best.fill > limit || r.rank > best.rank) {
+			best = r
+		}
+	}
+	return best.index
+}
+
+// prefixLimit is the load up to which a server takes prompts for their shared parts.
+// Where further servers stand by, none is filled up for that.
+func (v *View) prefixLimit(rows []row, width float64) float64 {
 	sum, n := 0.0, 0
 	for _, r := range rows {
 		if r.fill < suspectLoad {
@@ -231,13 +248,10 @@
 		}
 	}
 	limit := bound*sum/float64(max(1, n)) + slack/width
-	best := slices.MinFunc(rows, byFill)
-	for _, r := range rows {
-		if r.fill <= limit && (best.fill > limit || r.rank > best.rank) {
-			best = r
-		}
+	if v.topology.Several() {
+		return min(limit, fullLoad-1/width)
 	}
-	return best.index
+	return limit
 }
 
 func byFill(a, b row) int {
@@ -252,12 +266,11 @@
 	return 1
 }
 
-// lightest returns the one with the least to do, one of the own domain first.
+// lightest returns the one with the least to do, near ones first.
 func lightest(v *View, rows []row, m ChooseMsg) int {
+	from := v.topology.Spot(m.Domain)
 	for i := range rows {
-		if v.Servers[rows[i].index].Domain != m.Domain {
-			rows[i].fill += nearLoad
-		}
+		rows[i].fill += distanceLoad[from.Distance(v.Servers[rows[i].index].spot)]
 	}
 	return slices.MinFunc(rows, byFill).index
 }
--- a/coordination/topology/topology.go
+++ b/coordination/topology/topology.go
@@ -64,12 +64,24 @@
 
 // Distance returns how far two domains are from one another. One without a region
 // counts as near: nothing says that it is not.
-func (t *Topology) Distance(a, b string) Distance {
-	if a == b {
+func (t *Topology) Distance(a, b string) Distance { return t.Spot(a).Distance(t.Spot(b)) }
+
+// Spot is a domain with its region: what distances are measured between, without a
+// look-up for each.
+type Spot struct {
+	Domain string
+	Region string // Region is empty where none is known.
+}
+
+// Spot returns where a domain lies.
+func (t *Topology) Spot(domain string) Spot { return Spot{Domain: domain, Region: t.Region(domain)} }
+
+// Distance returns how far two spots are from one another.
+func (a Spot) Distance(b Spot) Distance {
+	switch {
+	case a.Domain == b.Domain:
 		return SameDomain
-	}
-	regionA, regionB := t.Region(a), t.Region(b)
-	if regionA == regionB || regionA == "" || regionB == "" {
+	case a.Region == b.Region || a.Region == "" || b.Region == "":
 		return SameRegion
 	}
 	return OtherRegion
--- a/transport/control/list.go
+++ b/transport/control/list.go
@@ -58,7 +58,7 @@
 	u.lister, u.servers, u.listed, u.lists = term, list, true, map[uint64][]byte{}
 	close(u.news)
 	u.news = make(chan struct{})
-	u.view = place.NewView(list, u.view, place.WithRollouts(u.logged.Load().Latest))
+	u.view = place.NewView(list, u.view, place.WithRollouts(u.logged.Load().Latest), place.WithRegions(u.topology))
 	u.places.Keep(u.view)
 	u.order, u.common = make([]string, 0, len(list)), common{}
 	for i := range list {
--- a/transport/control/rollouts.go
+++ b/transport/control/rollouts.go
@@ -90,7 +90,7 @@
 	}
 	u.trials = trials
 	if u.listed {
-		u.view = place.NewView(u.servers, u.view, place.WithRollouts(l.Latest))
+		u.view = place.NewView(u.servers, u.view, place.WithRollouts(l.Latest), place.WithRegions(u.topology))
 	}
 }
 
--- a/transport/forward/forward.go
+++ b/transport/forward/forward.go
@@ -186,7 +186,7 @@
 	list, rollouts := g.listed, g.rollouts
 	g.mu.Unlock()
 	if list != nil {
-		g.view.Store(place.NewView(list, g.view.Load(), place.WithRollouts(rollouts)))
+		g.view.Store(place.NewView(list, g.view.Load(), place.WithRollouts(rollouts), place.WithRegions(g.cfg.Topology)))
 	}
 }
 
