Gateways count bytes and attempts by distance, and tell domains without a region

Cause: what crosses between regions could not be seen in a gateway, nor that a domain is missing in the settings. Requests went across a lost region only after its last server was tried.

Change: counters servers.bytes by cause and distance, servers.attempts by distance; region and distance in an attempt's log line; domain and region in both dumps; a warning and the gauge domains.unplaced on gateways and control instances. The region's typical load counts suspect servers in: once most of them are passed over all requests go across.

Run: tests of place, topology, forward, backend with -race (forward three times), cmd/weldstreamd; linter.

--- a/cmd/weldstreamd/control.go
+++ b/cmd/weldstreamd/control.go
@@ -66,10 +66,11 @@
 		duties.RunList,
 		duties.RunTally,
 		duties.RunDuties,
+		c.watchRegions,
 		func(ctx context.Context) error {
 			return serveHTTP(ctx, r.settings.Listen(r.settings.Operator), documentBytes, operator)
 		},
-		func(ctx context.Context) error { return c.serveMetrics(ctx, func() any { return c.group.Status() }) },
+		func(ctx context.Context) error { return c.serveMetrics(ctx, c.dump) },
 	} {
 		eg.Go(func() error { return part(work) })
 	}
--- a/cmd/weldstreamd/gateway.go
+++ b/cmd/weldstreamd/gateway.go
@@ -173,6 +173,8 @@
 // gatewayDump is a gateway's state on request.
 type gatewayDump struct {
 	Name        string `json:"name"`
+	Domain      string `json:"domain"`
+	Region      string `json:"region,omitempty"`
 	Ready       bool   `json:"ready"`
 	Number      uint64 `json:"number"`
 	AgeMS       int64  `json:"age_ms"` // AgeMS is since Number was known to be the newest; -1 for never.
@@ -180,7 +182,7 @@
 }
 
 func (g *gateway) dump() any {
-	d := gatewayDump{Name: g.settings.Name, Ready: g.ready(), Number: g.forward.Number(), AgeMS: -1, Connections: g.server.Conns()}
+	d := gatewayDump{Name: g.settings.Name, Domain: g.settings.Domain, Region: g.forward.Region(), Ready: g.ready(), Number: g.forward.Number(), AgeMS: -1, Connections: g.server.Conns()}
 	if age, ok := g.forward.Age(); ok {
 		d.AgeMS = age.Milliseconds()
 	}
--- a/coordination/place/near.go
+++ b/coordination/place/near.go
@@ -46,23 +46,17 @@
 	return near
 }
 
-// typical returns the median load of the servers that are not suspect; of none, that
-// is without bound. The lightest would not do: servers that no shared prompt calls home
-// have next to nothing while all others are full.
+// typical returns the median load; of no servers, that is without bound. The lightest
+// would not do: servers that no shared prompt calls home have next to nothing while all
+// others are full, and of a region that was cut off the last server would have to be
+// tried before requests went across.
 func typical(rows []row) float64 {
 	if len(rows) == 0 {
 		return math.Inf(1)
 	}
-	var fills, suspects []float64
-	for _, r := range rows {
-		if r.fill < suspectLoad {
-			fills = append(fills, r.fill)
-		} else {
-			suspects = append(suspects, r.fill)
-		}
-	}
-	if len(fills) == 0 {
-		return slices.Min(suspects)
+	fills := make([]float64, len(rows))
+	for i, r := range rows {
+		fills[i] = r.fill
 	}
 	slices.Sort(fills)
 	return fills[(len(fills)-1)/2]
--- a/coordination/place/near_test.go
+++ b/coordination/place/near_test.go
@@ -124,6 +124,28 @@
 	}
 }
 
+// TestMostOfARegionIsGone checks that requests go across once most servers of the region
+// are suspect, before the last of them was tried, and stay while fewer are.
+func TestMostOfARegionIsGone(t *testing.T) {
+	regions := threeRegions()
+	v := spreadOver(regions, 3, sixDomains...)
+	gone := 0
+	for i := range v.Servers {
+		s := &v.Servers[i]
+		if regions.Region(s.Domain) != "b" {
+			continue
+		}
+		s.Cell.Failed(true, start)
+		gone++
+		for _, prefix := range []uint64{0, 42} {
+			j, _ := Choose(v, ChooseMsg{Service: "model", Domain: "b-2", Prefix: prefix, Rand: 3, Now: start})
+			if across := regions.Region(v.Servers[j].Domain) != "b"; across != (gone > 3) {
+				t.Errorf("%d of 6 gone, prefix %d: taken from %s", gone, prefix, v.Servers[j].Domain)
+			}
+		}
+	}
+}
+
 // TestLedgerPlacesNear checks that long prompts stay in the caller's region while it has
 // room, go across when its servers read others past the target or are distrusted,
 // and come back.
--- a/coordination/topology/topology.go
+++ b/coordination/topology/topology.go
@@ -62,6 +62,17 @@
 // Several reports whether there is more than one region.
 func (t *Topology) Several() bool { return len(t.Regions()) > 1 }
 
+// Unplaced returns those of some domains, sorted, that have no region though there are
+// several: they count as near, which may be wrong.
+func (t *Topology) Unplaced(domains []string) []string {
+	if !t.Several() {
+		return nil
+	}
+	unplaced := slices.DeleteFunc(slices.Clone(domains), func(d string) bool { return t.Region(d) != "" })
+	slices.Sort(unplaced)
+	return slices.Compact(unplaced)
+}
+
 // Distance returns how far two domains are from one another. One without a region
 // counts as near: nothing says that it is not.
 func (t *Topology) Distance(a, b string) Distance { return t.Spot(a).Distance(t.Spot(b)) }
--- a/coordination/topology/topology_test.go
+++ b/coordination/topology/topology_test.go
@@ -62,3 +62,23 @@
 		}
 	})
 }
+
+// TestUnplaced checks that domains without a region are told, where there are several.
+func TestUnplaced(t *testing.T) {
+	two := New(map[string]string{"a-1": "a", "b-1": "b"})
+	for _, c := range []struct {
+		name     string
+		topology *Topology
+		domains  []string
+		want     []string
+	}{
+		{"all known", two, []string{"a-1", "b-1"}, nil},
+		{"two unknown, one of them twice", two, []string{"d", "a-1", "c", "d"}, []string{"c", "d"}},
+		{"one region", New(map[string]string{"a-1": "a"}), []string{"c"}, nil},
+		{"no topology", nil, []string{"c"}, nil},
+	} {
+		if got := c.topology.Unplaced(c.domains); !slices.Equal(got, c.want) {
+			t.Errorf("%s: %v, want %v", c.name, got, c.want)
+		}
+	}
+}
--- a/transport/backend/backend.go
+++ b/transport/backend/backend.go
@@ -49,13 +49,35 @@
 	bw    *bufio.Writer
 	wrote atomic.Int64 // wrote counts the bytes of the request that the kernel took.
 	used  bool         // used says that a request went over it before.
+	meter Meter        // meter counts the bytes; nil for none.
 	until time.Time    // until is when it may rest no longer.
 }
 
+// Meter counts the bytes that a connection carries.
+type Meter interface {
+	Sent(n int)
+	Received(n int)
+}
+
+// Count has a meter count the bytes from now on, until another one is set.
+func (c *Conn) Count(m Meter) { c.meter = m }
+
 // Write implements io.Writer and counts.
 func (c *Conn) Write(p []byte) (int, error) {
 	n, err := c.net.Write(p)
 	c.wrote.Add(int64(n))
+	if c.meter != nil {
+		c.meter.Sent(n)
+	}
+	return n, err
+}
+
+// Read implements io.Reader and counts.
+func (c *Conn) Read(p []byte) (int, error) {
+	n, err := c.net.Read(p)
+	if c.meter != nil {
+		c.meter.Received(n)
+	}
 	return n, err
 }
 
@@ -196,7 +218,7 @@
 	}
 	p.opens.Add(1)
 	c := &Conn{net: conn}
-	c.br, c.bw = bufio.NewReaderSize(conn, readBuffer), bufio.NewWriterSize(c, readBuffer)
+	c.br, c.bw = bufio.NewReaderSize(c, readBuffer), bufio.NewWriterSize(c, readBuffer)
 	return c, nil
 }
 
--- a/transport/forward/attempt.go
+++ b/transport/forward/attempt.go
@@ -62,7 +62,10 @@
 		conn.Close()
 		return staleCatalog()
 	}
-	x.log.Info().Str("server", server.ID).Str("domain", server.Domain).Int("outstanding", server.Cell.Outstanding()).Bool("placed", x.placed.Server != "").
+	distance := x.g.distance(server)
+	conn.Count(&x.g.meters.distances.bytes[distance])
+	x.g.meters.distances.attempts[distance].Inc(1)
+	x.log.Info().Str("server", server.ID).Str("domain", server.Domain).Str("region", x.g.cfg.Topology.Region(server.Domain)).Stringer("distance", distance).Int("outstanding", server.Cell.Outstanding()).Bool("placed", x.placed.Server != "").
 		Uint8("lane", uint8(x.lane)).Int("sent", x.state.Sent).Bool("kept", conn.Used()).Int64("left", x.left().Milliseconds()).Msg("attempt")
 	x.sentTo(server)
 	t := &try{x: x, server: server, conn: conn, began: time.Now()}
--- a/transport/forward/forward.go
+++ b/transport/forward/forward.go
@@ -81,6 +81,7 @@
 	rolled    uint64               // rolled is the change of the roll-outs that the gateway keeps to; 0 before the first.
 	rollouts  []protocol.Rollout
 	trials    map[string]*trial // trials are the roll-outs that run, by service.
+	unplaced  []string          // unplaced are domains of servers that have no region though there are several.
 }
 
 // Option changes a new gateway.
@@ -162,6 +163,7 @@
 	g.mu.Unlock()
 	g.renewView()
 	view := g.view.Load()
+	g.checkRegions(view)
 	leaving, now := 0, time.Now()
 	for i := range view.Servers {
 		s := &view.Servers[i]
--- a/transport/forward/meters.go
+++ b/transport/forward/meters.go
@@ -19,9 +19,10 @@
 	resent   metrics.Counter
 	first    metrics.Timer
 
-	registry metrics.Registry
-	mu       sync.Mutex // mu guards ended.
-	ended    map[outcome]metrics.Counter
+	distances *distanceMeters
+	registry  metrics.Registry
+	mu        sync.Mutex // mu guards ended.
+	ended     map[outcome]metrics.Counter
 }
 
 // outcome is what requests are counted by when they end.
@@ -40,15 +41,16 @@
 
 func newMeters(r metrics.Registry) *meters {
 	return &meters{
-		requests: metrics.GetOrRegisterCounter("requests", r),
-		answered: metrics.GetOrRegisterCounter("requests.answered", r),
-		refused:  metrics.GetOrRegisterCounter("requests.refused", r),
-		broken:   metrics.GetOrRegisterCounter("requests.broken", r),
-		attempts: metrics.GetOrRegisterCounter("attempts", r),
-		resent:   metrics.GetOrRegisterCounter("attempts.resent", r),
-		first:    metrics.GetOrRegisterTimer("first", r),
-		registry: r,
-		ended:    map[outcome]metrics.Counter{},
+		requests:  metrics.GetOrRegisterCounter("requests", r),
+		answered:  metrics.GetOrRegisterCounter("requests.answered", r),
+		refused:   metrics.GetOrRegisterCounter("requests.refused", r),
+		broken:    metrics.GetOrRegisterCounter("requests.broken", r),
+		attempts:  metrics.GetOrRegisterCounter("attempts", r),
+		resent:    metrics.GetOrRegisterCounter("attempts.resent", r),
+		first:     metrics.GetOrRegisterTimer("first", r),
+		distances: newDistanceMeters(r),
+		registry:  r,
+		ended:     map[outcome]metrics.Counter{},
 	}
 }
 
