The fleet follows the need of regions

Cause: servers at the full price came into the cheapest domains wherever these lie: a region that lost its reclaimable servers sent its callers across while the others had servers to spare. Head-room was laid over all domains without weighing regions.

Change: the leader adds up where a service's work arises. Reclaimable servers are laid out in the cheapest of three ways, by servers and by what goes across; those at the full price are added where their region is short of servers, unless another is cheaper by more than the way across costs. Without regions all orders are as before.

Run: tests of scale and control with -race, linter.

--- a/coordination/scale/scale.go
+++ b/coordination/scale/scale.go
@@ -16,6 +16,7 @@
 	"slices"
 	"time"
 
+	"github.com/weldstream/weldstream/coordination/topology"
 	"github.com/weldstream/weldstream/protocol"
 )
 
@@ -26,11 +27,12 @@
 // ask for.
 type Service struct {
 	Spec    *protocol.ServiceSpec
-	Work    float64 // Work is how many requests run at once, in the mean of the last second.
-	Begun   int64   // Begun counts answers that began, since the gateways' start.
-	Slow    int64   // Slow counts those of them that used up much of their target.
-	Base    int     // Base is how many servers the service had when it was first seen.
-	Guessed bool    // Guessed says that Base may still rise: only reclaimable servers are ordered then.
+	Work    float64            // Work is how many requests run at once, in the mean of the last second.
+	Begun   int64              // Begun counts answers that began, since the gateways' start.
+	Slow    int64              // Slow counts those of them that used up much of their target.
+	Base    int                // Base is how many servers the service had when it was first seen.
+	Guessed bool               // Guessed says that Base may still rise: only reclaimable servers are ordered then.
+	Regions map[string]float64 // Regions are Work by the gateways' region; empty where all lie in one.
 }
 
 // PlanMsg asks for the orders of the moment.
@@ -76,8 +78,9 @@
 
 // Planner remembers the orders that were sent.
 type Planner struct {
-	orders map[Order]sent // orders are by an Order whose Count is 0.
-	loads  map[string]*load
+	orders   map[Order]sent // orders are by an Order whose Count is 0.
+	loads    map[string]*load
+	topology *topology.Topology
 }
 
 type sent struct {
@@ -88,7 +91,13 @@
 }
 
 // New returns a planner that has ordered nothing.
-func New() *Planner { return &Planner{orders: map[Order]sent{}, loads: map[string]*load{}} }
+func New(opts ...PlannerOption) *Planner {
+	p := &Planner{orders: map[Order]sent{}, loads: map[string]*load{}}
+	for _, opt := range opts {
+		opt(p)
+	}
+	return p
+}
 
 // Ordered notes what became of an order.
 func (p *Planner) Ordered(o Order, taken bool, now time.Time) {
@@ -121,6 +130,10 @@
 	}
 	need, least := p.need(s, now)
 	wantReclaimable, wantFull := targets(s.Spec.Scaling, domains, need, least, p.unavailable(s.Spec.Name, now))
+	if r := p.regions(s, domains); r != nil {
+		wantReclaimable = r.reclaimable(wantReclaimable, need)
+		wantFull = r.full(wantFull, p.pinned(s.Spec.Name, domains, now))
+	}
 	var orders []Order
 	for i, d := range domains {
 		orders = p.order(orders, s.Spec.Name, d, wantReclaimable[i], true, now)
--- a/transport/control/fleet.go
+++ b/transport/control/fleet.go
@@ -31,11 +31,11 @@
 
 // NewFleet returns a fleet that has ordered nothing.
 func NewFleet(u *Uplink, log zerolog.Logger) *Fleet {
-	return &Fleet{uplink: u, log: log, planner: scale.New(), bases: map[string]int{}, asked: map[string]bool{}, first: map[string]count{}}
+	return &Fleet{uplink: u, log: log, planner: u.planner(), bases: map[string]int{}, asked: map[string]bool{}, first: map[string]count{}}
 }
 
 // Reset forgets what an earlier term knew.
-func (f *Fleet) Reset(time.Time) { f.planner = scale.New() }
+func (f *Fleet) Reset(time.Time) { f.planner = f.uplink.planner() }
 
 // Unsettled returns the services whose first number of servers is not known here,
 // with the number that there is. The number is 0 until the log was asked whether
@@ -100,7 +100,7 @@
 		}
 		m.Servers = planned
 		l := loads[s.Name]
-		m.Services = append(m.Services, scale.Service{Spec: s, Work: l.Work, Begun: l.Begun, Slow: l.Slow, Base: pick(ok, base, guess), Guessed: !ok})
+		m.Services = append(m.Services, scale.Service{Spec: s, Work: l.Work, Begun: l.Begun, Slow: l.Slow, Base: pick(ok, base, guess), Guessed: !ok, Regions: l.Regions})
 	}
 	var orders []Order
 	for _, o := range f.planner.Plan(m) {
--- a/transport/control/uplink.go
+++ b/transport/control/uplink.go
@@ -83,6 +83,7 @@
 // gateway is the last report of a gateway.
 type gateway struct {
 	at       time.Time
+	domain   string
 	pressure []protocol.Pressure
 	ahead    time.Duration // ahead is by how much its clock is before this instance's.
 }
@@ -188,7 +189,7 @@
 	defer u.mu.Unlock()
 	now := time.Now()
 	u.enter(term)
-	g := &gateway{at: now, pressure: m.Pressure}
+	g := &gateway{at: now, domain: m.Domain, pressure: m.Pressure}
 	if !m.Clock.IsZero() {
 		g.ahead = m.Clock.Sub(u.clock.Own(now.Sub(u.began)))
 	}
@@ -340,9 +341,10 @@
 
 // Load is what the gateways' requests ask of one service.
 type Load struct {
-	Work  float64
-	Begun int64
-	Slow  int64
+	Work    float64
+	Begun   int64
+	Slow    int64
+	Regions map[string]float64 // Regions are Work by the gateways' region; empty where none is known.
 }
 
 // Loads adds up the reports of all gateways.
@@ -353,14 +355,14 @@
 	loads := map[string]Load{}
 	for _, g := range u.gateways {
 		for _, p := range g.pressure {
-			loads[p.Service] = loads[p.Service].plus(p)
+			loads[p.Service] = loads[p.Service].plus(p).from(u.topology.Region(g.domain), p.Work)
 		}
 	}
 	return loads
 }
 
 func (l Load) plus(p protocol.Pressure) Load {
-	return Load{Work: l.Work + p.Work, Begun: l.Begun + p.Begun, Slow: l.Slow + p.Slow}
+	return Load{Work: l.Work + p.Work, Begun: l.Begun + p.Begun, Slow: l.Slow + p.Slow, Regions: l.Regions}
 }
 
 // load adds up the reports on one service. It needs u.mu.
