Gateways learn round trips and tell domains that are further than their region

Cause: a domain that the settings put into the wrong region counted as near for ever, and nothing told so.

Change: a pure table of round trips and losses by domain, learned from connects; gauges servers.trip.us and domains.further, counter servers.connects.failed; a warning where a domain of the own region is further than another region. No decision uses it.

Run: tests of topology, forward, backend, cmd/weldstreamd with -race, linter.

--- /dev/null
+++ b/coordination/topology/trips.go
@@ -0,0 +1,103 @@
+package topology
+
+import (
+	"slices"
+	"time"
+)
+
+const (
+	// slowerWeight is the weight of an observation that is longer than what is known: a
+	// connect waits for a busy server, too, and that is not the path's.
+	slowerWeight = 0.02
+	// fasterWeight is that of a shorter one, which is nearer the path's own time.
+	fasterWeight = 0.2
+	// tripsLeast observations of a domain are needed before it is judged.
+	tripsLeast = 10
+)
+
+// Trips are the round trips and losses observed from one domain to others, learned
+// from connects. They are to be had from the same spot only.
+type Trips struct {
+	topology *Topology
+	own      string
+	domains  map[string]*trip
+}
+
+// trip is what was observed of the way to one domain.
+type trip struct {
+	time time.Duration
+	seen int
+	lost int
+}
+
+// NewTrips returns trips from a domain of which none was observed yet.
+func NewTrips(t *Topology, own string) *Trips {
+	return &Trips{topology: t, own: own, domains: map[string]*trip{}}
+}
+
+func (t *Trips) domain(name string) *trip {
+	d := t.domains[name]
+	if d == nil {
+		d = &trip{}
+		t.domains[name] = d
+	}
+	return d
+}
+
+// Observe notes how long a connect to a domain took.
+func (t *Trips) Observe(domain string, took time.Duration) {
+	d := t.domain(domain)
+	d.seen++
+	switch {
+	case d.seen == 1:
+		d.time = took
+	case took < d.time:
+		d.time -= time.Duration(fasterWeight * float64(d.time-took))
+	default:
+		d.time += time.Duration(slowerWeight * float64(took-d.time))
+	}
+}
+
+// Lost notes a connect to a domain that failed.
+func (t *Trips) Lost(domain string) { t.domain(domain).lost++ }
+
+// Losses returns how many connects over a distance failed.
+func (t *Trips) Losses(d Distance) int {
+	n := 0
+	for name, trip := range t.domains {
+		if t.topology.Distance(t.own, name) == d {
+			n += trip.lost
+		}
+	}
+	return n
+}
+
+// Trip returns the shortest round trip over a distance that was observed often enough;
+// 0 for none.
+func (t *Trips) Trip(d Distance) time.Duration {
+	least := time.Duration(0)
+	for name, trip := range t.domains {
+		if t.topology.Distance(t.own, name) == d && trip.seen >= tripsLeast && (least == 0 || trip.time < least) {
+			least = trip.time
+		}
+	}
+	return least
+}
+
+// Contradicting returns the domains, sorted, that are configured as near and whose round
+// trip is longer than the shortest one to another region: either they or the latter lie
+// elsewhere than the settings say.
+func (t *Trips) Contradicting() []string {
+	across := t.Trip(OtherRegion)
+	if across == 0 {
+		return nil
+	}
+	var further []string
+	for name, trip := range t.domains {
+		if t.topology.Distance(t.own, name) < OtherRegion && trip.seen >= tripsLeast && trip.time > across {
+			further = append(further, name)
+		}
+	}
+	slices.Sort(further)
+	return further
+}
--- /dev/null
+++ b/coordination/topology/trips_test.go
@@ -0,0 +1,63 @@
+package topology
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+// TestTrips checks what is told of observed round trips: the shortest over a distance,
+// losses, and domains that are further than their region says, each only after enough
+// observations.
+func TestTrips(t *testing.T) {
+	regions := New(map[string]string{"a-1": "a", "a-2": "a", "a-3": "a", "b-1": "b"})
+	for _, c := range []struct {
+		name  string
+		trips map[string]time.Duration
+		seen  int
+		near  time.Duration
+		far   time.Duration
+		wrong []string
+	}{
+		{"as configured", map[string]time.Duration{"a-2": 2 * time.Millisecond, "b-1": 16 * time.Millisecond}, tripsLeast, 2 * time.Millisecond, 16 * time.Millisecond, nil},
+		{"one further than its region", map[string]time.Duration{"a-2": 2 * time.Millisecond, "a-3": 30 * time.Millisecond, "b-1": 16 * time.Millisecond}, tripsLeast, 2 * time.Millisecond, 16 * time.Millisecond, []string{"a-3"}},
+		{"seen too seldom", map[string]time.Duration{"a-3": 30 * time.Millisecond, "b-1": 16 * time.Millisecond}, tripsLeast - 1, 0, 0, nil},
+		{"no other region seen", map[string]time.Duration{"a-3": 30 * time.Millisecond}, tripsLeast, 30 * time.Millisecond, 0, nil},
+	} {
+		trips := NewTrips(regions, "a-1")
+		for domain, took := range c.trips {
+			for range c.seen {
+				trips.Observe(domain, took)
+			}
+		}
+		if near, far := trips.Trip(SameRegion), trips.Trip(OtherRegion); near != c.near || far != c.far {
+			t.Errorf("%s: %s in the region, %s across", c.name, near, far)
+		}
+		if got := trips.Contradicting(); !slices.Equal(got, c.wrong) {
+			t.Errorf("%s: %v are further than configured, want %v", c.name, got, c.wrong)
+		}
+	}
+	trips := NewTrips(regions, "a-1")
+	trips.Lost("b-1")
+	trips.Lost("b-1")
+	if here, across := trips.Losses(SameRegion), trips.Losses(OtherRegion); here != 0 || across != 2 {
+		t.Errorf("%d lost in the region, %d across, want 0 and 2", here, across)
+	}
+}
+
+// TestTripsStayWithinWhatWasSeen checks that a learned round trip is between the
+// shortest and the longest that was observed.
+func TestTripsStayWithinWhatWasSeen(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		trips := NewTrips(New(map[string]string{"a": "x", "b": "y"}), "a")
+		seen := rapid.SliceOfN(rapid.Int64Range(1, int64(time.Second)), tripsLeast, 50).Draw(t, "seen")
+		for _, took := range seen {
+			trips.Observe("b", time.Duration(took))
+		}
+		if got := int64(trips.Trip(OtherRegion)); got < slices.Min(seen) || got > slices.Max(seen) {
+			t.Fatalf("learned %d of %v", got, seen)
+		}
+	})
+}
--- a/transport/backend/backend.go
+++ b/transport/backend/backend.go
@@ -47,10 +47,11 @@
 	net   net.Conn
 	br    *bufio.Reader
 	bw    *bufio.Writer
-	wrote atomic.Int64 // wrote counts the bytes of the request that the kernel took.
-	used  bool         // used says that a request went over it before.
-	meter Meter        // meter counts the bytes; nil for none.
-	until time.Time    // until is when it may rest no longer.
+	wrote atomic.Int64  // wrote counts the bytes of the request that the kernel took.
+	used  bool          // used says that a request went over it before.
+	meter Meter         // meter counts the bytes; nil for none.
+	took  time.Duration // took is how long the connect took.
+	until time.Time     // until is when it may rest no longer.
 }
 
 // Meter counts the bytes that a connection carries.
@@ -85,6 +86,9 @@
 // server.
 func (c *Conn) Wrote() bool { return c.wrote.Load() > 0 }
 
+// Took returns how long the connect took: a round trip, and the server's wait.
+func (c *Conn) Took() time.Duration { return c.took }
+
 // Used reports whether an earlier request went over the connection.
 func (c *Conn) Used() bool { return c.used }
 
@@ -212,12 +216,13 @@
 	if limit <= 0 {
 		return nil, eris.New("no time is left to connect")
 	}
+	began := time.Now()
 	conn, err := tcp.Dial(address, limit, silentServer)
 	if err != nil {
 		return nil, eris.Wrap(err, "connect")
 	}
 	p.opens.Add(1)
-	c := &Conn{net: conn}
+	c := &Conn{net: conn, took: time.Since(began)}
 	c.br, c.bw = bufio.NewReaderSize(c, readBuffer), bufio.NewWriterSize(c, readBuffer)
 	return c, nil
 }
--- a/transport/forward/attempt.go
+++ b/transport/forward/attempt.go
@@ -55,6 +55,7 @@
 	x.avoid = append(x.avoid, server.ID)
 	conn, err := x.g.pool.Get(server.ID, server.Address, x.deadline)
 	if err != nil {
+		x.g.connected(server, 0, true)
 		x.distrust(server, true)
 		return x.failed(protocol.NotRun, false, "the server cannot be reached: "+err.Error())
 	}
@@ -62,6 +63,9 @@
 		conn.Close()
 		return staleCatalog()
 	}
+	if !conn.Used() {
+		x.g.connected(server, conn.Took(), false)
+	}
 	distance := x.g.distance(server)
 	conn.Count(&x.g.meters.distances.bytes[distance])
 	x.g.meters.distances.attempts[distance].Inc(1)
--- a/transport/forward/forward.go
+++ b/transport/forward/forward.go
@@ -66,6 +66,7 @@
 	began     time.Time
 	confirmed atomic.Int64 // confirmed is when the catalog was known to be the newest, since began; 0 for never.
 	gateways  atomic.Int64
+	paths     paths
 	closed    atomic.Bool // closed refuses new requests: the gateway ends soon.
 
 	mu        sync.Mutex // mu guards all below.
@@ -125,6 +126,7 @@
 		pressure:  map[string]*pressure{},
 	}
 	g.gateways.Store(1)
+	g.paths.trips = topology.NewTrips(cfg.Topology, cfg.Domain)
 	for _, opt := range opts {
 		opt(g)
 	}
--- a/transport/forward/regions.go
+++ b/transport/forward/regions.go
@@ -3,7 +3,9 @@
 import (
 	"fmt"
 	"slices"
+	"sync"
 	"sync/atomic"
+	"time"
 
 	metrics "github.com/rcrowley/go-metrics"
 
@@ -19,6 +21,16 @@
 	attempts [len(distances)]metrics.Counter
 	bytes    [len(distances)]serverBytes
 	unplaced atomic.Int64 // unplaced are domains of servers that have no region, though there are several.
+	further  atomic.Int64 // further are domains whose observed round trips contradict their region.
+	trips    [len(distances)]atomic.Int64
+	lost     [len(distances)]metrics.Counter
+}
+
+// paths are what was observed of the ways to the servers' domains.
+type paths struct {
+	mu      sync.Mutex // mu guards all below.
+	trips   *topology.Trips
+	further []string // further are domains whose round trips contradict their region.
 }
 
 // serverBytes implements backend.Meter.
@@ -38,12 +50,15 @@
 	counter := func(name string, d topology.Distance, cause string) metrics.Counter {
 		return metrics.GetOrRegisterCounter(fmt.Sprintf("%s{%sdistance=%q}", name, cause, d), r)
 	}
-	for _, d := range distances {
+	for i, d := range distances {
+		metrics.NewRegisteredFunctionalGauge(fmt.Sprintf("servers.trip.us{distance=%q}", d), r, m.trips[i].Load)
+		m.lost[d] = counter("servers.connects.failed", d, "")
 		m.attempts[d] = counter("servers.attempts", d, "")
 		m.bytes[d].requests = counter("servers.bytes", d, `cause="request",`)
 		m.bytes[d].answers = counter("servers.bytes", d, `cause="answer",`)
 	}
 	metrics.NewRegisteredFunctionalGauge("domains.unplaced", r, m.unplaced.Load)
+	metrics.NewRegisteredFunctionalGauge("domains.further", r, m.further.Load)
 	return m
 }
 
@@ -68,6 +83,31 @@
 	}
 }
 
+// connected notes how long a new connection to a server took, or that it failed. It
+// warns of domains whose round trips contradict their region, when there are others than
+// before.
+func (g *Gateway) connected(s *place.Server, took time.Duration, failed bool) {
+	d, p, m := g.distance(s), &g.paths, g.meters.distances
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if failed {
+		p.trips.Lost(s.Domain)
+		m.lost[d].Inc(1)
+		return
+	}
+	p.trips.Observe(s.Domain, took)
+	m.trips[d].Store(p.trips.Trip(d).Microseconds())
+	further := p.trips.Contradicting()
+	if slices.Equal(further, p.further) {
+		return
+	}
+	p.further = further
+	m.further.Store(int64(len(further)))
+	if len(further) > 0 {
+		g.log.Warn().Strs("domains", further).Dur("across", p.trips.Trip(topology.OtherRegion)).Msg("domains further than their region")
+	}
+}
+
 // Region returns the gateway's region; empty where all domains lie in one.
 func (g *Gateway) Region() string { return g.cfg.Topology.Region(g.cfg.Domain) }
 
--- a/transport/forward/regions_test.go
+++ b/transport/forward/regions_test.go
@@ -7,11 +7,13 @@
 	"net"
 	"strings"
 	"testing"
+	"time"
 
 	metrics "github.com/rcrowley/go-metrics"
 	"github.com/rs/zerolog"
 	"github.com/valyala/fasthttp"
 
+	"github.com/weldstream/weldstream/coordination/place"
 	"github.com/weldstream/weldstream/coordination/topology"
 	"github.com/weldstream/weldstream/protocol"
 )
@@ -21,6 +23,7 @@
 func (w *world) regional(log io.Writer) metrics.Registry {
 	r := metrics.NewRegistry()
 	w.g.cfg.Topology = topology.New(map[string]string{"a": "near", "b": "near", "c": "far"})
+	w.g.paths.trips = topology.NewTrips(w.g.cfg.Topology, w.g.cfg.Domain)
 	w.g.meters = newMeters(r)
 	w.g.log = zerolog.New(log)
 	return r
@@ -167,3 +170,34 @@
 		}
 	}
 }
+
+// TestFurtherThanTheirRegion checks that a domain of the own region whose connects take
+// longer than those to another region is logged and counted once, and that connects
+// which fail are counted by distance.
+func TestFurtherThanTheirRegion(t *testing.T) {
+	var log bytes.Buffer
+	w := newWorld(t)
+	r := w.regional(&log)
+	server := func(domain string) *place.Server {
+		return &place.Server{Instance: protocol.Instance{Domain: domain}}
+	}
+	for range 30 {
+		w.g.connected(server("a"), time.Millisecond, false)
+		w.g.connected(server("b"), 40*time.Millisecond, false)
+		w.g.connected(server("c"), 16*time.Millisecond, false)
+	}
+	w.g.connected(server("c"), 0, true)
+	if n := strings.Count(log.String(), "domains further than their region"); n != 1 || !strings.Contains(log.String(), `"domains":["b"]`) {
+		t.Errorf("logged %d times: %s", n, log.String())
+	}
+	gauge := func(name string) int64 { return r.Get(name).(metrics.Gauge).Value() }
+	if n := gauge("domains.further"); n != 1 {
+		t.Errorf("%d domains counted", n)
+	}
+	if us := gauge(`servers.trip.us{distance="other region"}`); us != 16_000 {
+		t.Errorf("a round trip across takes %d us, want 16,000", us)
+	}
+	if n := counted(t, r, `servers.connects.failed{distance="other region"}`); n != 1 {
+		t.Errorf("%d connects across failed, want 1", n)
+	}
+}
