--- a/coordination/place/near_test.go
+++ b/coordination/place/near_test.go
@@ -337,3 +337,15 @@
 		}
 	}
 }
+
+// BenchmarkChooseByRegion measures a decision before servers in three regions.
+func BenchmarkChooseByRegion(b *testing.B) {
+	for _, n := range []int{10, 100} {
+		b.Run(fmt.Sprint(6*n), func(b *testing.B) {
+			v := spreadOver(threeRegions(), n, sixDomains...)
+			for i := 0; b.Loop(); i++ {
+				Choose(v, ChooseMsg{Service: "model", Domain: "b-1", Prefix: mix(uint64(i)), Lane: LaneLong + Lane(i%2), Parts: protocol.LaneParts{Tokens: 0.6}, Now: start})
+			}
+		})
+	}
+}
