A gateway's dump tells its ways by distance

Cause: round trips, attempts and bytes by distance were to be had as single metrics only.

Change: ways in the dump, from the same counters.

--- a/cmd/weldstreamd/gateway.go
+++ b/cmd/weldstreamd/gateway.go
@@ -179,10 +179,12 @@
 	Number      uint64 `json:"number"`
 	AgeMS       int64  `json:"age_ms"` // AgeMS is since Number was known to be the newest; -1 for never.
 	Connections int    `json:"connections"`
+
+	Ways []forward.Way `json:"ways"` // Ways are what was seen by distance to the servers.
 }
 
 func (g *gateway) dump() any {
-	d := gatewayDump{Name: g.settings.Name, Domain: g.settings.Domain, Region: g.forward.Region(), Ready: g.ready(), Number: g.forward.Number(), AgeMS: -1, Connections: g.server.Conns()}
+	d := gatewayDump{Name: g.settings.Name, Domain: g.settings.Domain, Region: g.forward.Region(), Ready: g.ready(), Number: g.forward.Number(), AgeMS: -1, Connections: g.server.Conns(), Ways: g.forward.Ways()}
 	if age, ok := g.forward.Age(); ok {
 		d.AgeMS = age.Milliseconds()
 	}
--- a/transport/forward/regions.go
+++ b/transport/forward/regions.go
@@ -115,3 +115,29 @@
 func (g *Gateway) distance(s *place.Server) topology.Distance {
 	return g.cfg.Topology.Distance(g.cfg.Domain, s.Domain)
 }
+
+// Way is what a gateway has seen of its ways over one distance.
+type Way struct {
+	Distance string `json:"distance"`
+	TripUS   int64  `json:"trip_us"` // TripUS is the shortest round trip; 0 where none was seen often enough.
+	Attempts int64  `json:"attempts"`
+	Failed   int64  `json:"connects_failed"`
+	Requests int64  `json:"request_bytes"`
+	Answers  int64  `json:"answer_bytes"`
+}
+
+// Ways returns what the gateway has seen by distance, the nearest first.
+func (g *Gateway) Ways() []Way {
+	m, ways := g.meters.distances, make([]Way, len(distances))
+	for i, d := range distances {
+		ways[i] = Way{
+			Distance: d.String(),
+			TripUS:   m.trips[d].Load(),
+			Attempts: m.attempts[d].Count(),
+			Failed:   m.lost[d].Count(),
+			Requests: m.bytes[d].requests.Count(),
+			Answers:  m.bytes[d].answers.Count(),
+		}
+	}
+	return ways
+}
