The way across is weighed against the full price of servers

Cause: a server's worth of requests across was taken as a fifth of a server of any kind. At the full price that is three times what its bytes cost, so that servers came into dearer domains; of reclaimable ones, at about a fifth of the price, it is less.

Change: a tenth of the full price, and reclaimable servers at a fifth of it.

--- a/coordination/scale/regions.go
+++ b/coordination/scale/regions.go
@@ -11,9 +11,13 @@
 
 const (
 	// acrossPart is what a server's worth of requests that goes to another region costs,
-	// as a part of a server: 26 kB/s of requests and answers a server came to 0.07 of one
-	// where bytes and servers are priced; the rest is for answers that come later.
-	acrossPart = 0.2
+	// as a part of a server at the full price: 26 kB/s of requests and answers a server
+	// came to 0.07 of one where bytes and servers are priced; the rest is for answers that
+	// come later.
+	acrossPart = 0.1
+	// reclaimablePart is what a reclaimable server costs as a part of the full price:
+	// platforms ask for 0.1 to 0.4.
+	reclaimablePart = 0.2
 	// lostPart is the part of the time in which some domain is without its servers: ten
 	// domains a day that lack them for some minutes come to less.
 	lostPart = 0.1
@@ -29,7 +33,7 @@
 type regions struct {
 	topology *topology.Topology
 	parts    map[string]float64 // parts are of the load, by the callers' region.
-	across   float64            // across is acrossPart.
+	across   float64            // across is acrossPart, in servers at the full price.
 	spec     *protocol.ScalingSpec
 	domains  []domainState
 }
@@ -118,7 +122,7 @@
 		without[i] = 0
 		lost += r.crossing(without, need) / float64(len(r.domains))
 	}
-	return servers + r.across*price*((1-lostPart)*r.crossing(layout, need)+lostPart*lost)
+	return reclaimablePart*servers + r.across*price*((1-lostPart)*r.crossing(layout, need)+lostPart*lost)
 }
 
 // crossing is how many servers' worth of requests a layout sends to other regions.
--- a/transport/control/regions_test.go
+++ b/transport/control/regions_test.go
@@ -35,7 +35,7 @@
 }
 
 // TestFleetFollowsTheRegions checks that servers at the full price are ordered where
-// the gateways' work arises: all of it is in the region that is a tenth dearer.
+// the gateways' work arises: all of it is in the region that is a twentieth dearer.
 func TestFleetFollowsTheRegions(t *testing.T) {
 	const servers = 4
 	for _, c := range []struct {
