A domain with its region is a Location

Spot was the field's word for reclaimable capacity, so it said something else here. Run: tests of coordination/place and coordination/topology.

--- a/coordination/place/lane.go
+++ b/coordination/place/lane.go
@@ -218,7 +218,7 @@
 func leastLong(v *View, rows []row, order []uint64, parts protocol.LaneParts) []uint64 {
 	regions := map[string][]uint64{}
 	for i, r := range rows {
-		region := v.Servers[r.index].spot.Region
+		region := v.Servers[r.index].location.Region
 		regions[region] = append(regions[region], order[i])
 	}
 	part, least := longPart(parts, len(rows)), make([]uint64, len(rows))
@@ -230,7 +230,7 @@
 		}
 	}
 	for i, r := range rows {
-		least[i] = byRegion[v.Servers[r.index].spot.Region]
+		least[i] = byRegion[v.Servers[r.index].location.Region]
 	}
 	return least
 }
--- a/coordination/place/near.go
+++ b/coordination/place/near.go
@@ -31,10 +31,10 @@
 	if !v.topology.Several() {
 		return rows
 	}
-	from := v.topology.Spot(domain)
+	from := v.topology.Location(domain)
 	var near, far []row
 	for _, r := range rows {
-		if from.Distance(v.Servers[r.index].spot) == topology.OtherRegion {
+		if from.Distance(v.Servers[r.index].location) == topology.OtherRegion {
 			far = append(far, r)
 		} else {
 			near = append(near, r)
--- a/coordination/place/near_test.go
+++ b/coordination/place/near_test.go
@@ -161,7 +161,7 @@
 		t.Errorf("placed in %s though nothing runs", got)
 	}
 	for i := range v.Servers {
-		if s := &v.Servers[i]; s.spot.Region == "b" {
+		if s := &v.Servers[i]; s.location.Region == "b" {
 			l.book(s.ID).readUntil = start.Add(3 * time.Second)
 		}
 	}
@@ -173,7 +173,7 @@
 	}
 	var all []string
 	for i := range v.Servers {
-		if s := &v.Servers[i]; s.spot.Region == "b" {
+		if s := &v.Servers[i]; s.location.Region == "b" {
 			all = append(all, s.ID)
 		}
 	}
@@ -261,7 +261,7 @@
 			lanes[lane] = map[string]int{}
 			m := ChooseMsg{Service: "model", Domain: "a-1", Now: start, Lane: lane, Parts: protocol.LaneParts{Tokens: 0.7}}
 			for _, r := range inLane(v, candidates(v, m), m) {
-				lanes[lane][v.Servers[r.index].spot.Region]++
+				lanes[lane][v.Servers[r.index].location.Region]++
 				inLanes[r.index]++
 			}
 			for _, region := range []string{"a", "b"} {
--- a/coordination/place/place.go
+++ b/coordination/place/place.go
@@ -25,9 +25,9 @@
 // Server is one backend server in a view.
 type Server struct {
 	protocol.Instance
-	Hash uint64 // Hash is of the identity, for rendezvous ranks.
-	Cell *Cell  // Cell is shared by all views that hold the server.
-	spot topology.Spot
+	Hash     uint64 // Hash is of the identity, for rendezvous ranks.
+	Cell     *Cell  // Cell is shared by all views that hold the server.
+	location topology.Location
 }
 
 // View is an immutable snapshot of the servers, by service.
@@ -63,7 +63,7 @@
 		opt(v)
 	}
 	for _, in := range list {
-		s := Server{Instance: in, Hash: xxhash.Sum64String(in.ID), spot: v.topology.Spot(in.Domain)}
+		s := Server{Instance: in, Hash: xxhash.Sum64String(in.ID), location: v.topology.Location(in.Domain)}
 		if old := before.Find(in.ID); old != nil && old.Address == in.Address {
 			s.Cell = old.Cell
 		} else {
@@ -268,9 +268,9 @@
 
 // lightest returns the one with the least to do, near ones first.
 func lightest(v *View, rows []row, m ChooseMsg) int {
-	from := v.topology.Spot(m.Domain)
+	from := v.topology.Location(m.Domain)
 	for i := range rows {
-		rows[i].fill += distanceLoad[from.Distance(v.Servers[rows[i].index].spot)]
+		rows[i].fill += distanceLoad[from.Distance(v.Servers[rows[i].index].location)]
 	}
 	return slices.MinFunc(rows, byFill).index
 }
--- a/coordination/topology/topology.go
+++ b/coordination/topology/topology.go
@@ -75,20 +75,22 @@
 
 // Distance returns how far two domains are from one another. One without a region
 // counts as near: nothing says that it is not.
-func (t *Topology) Distance(a, b string) Distance { return t.Spot(a).Distance(t.Spot(b)) }
+func (t *Topology) Distance(a, b string) Distance { return t.Location(a).Distance(t.Location(b)) }
 
-// Spot is a domain with its region: what distances are measured between, without a
+// Location is a domain with its region: what distances are measured between, without a
 // look-up for each.
-type Spot struct {
+type Location struct {
 	Domain string
 	Region string // Region is empty where none is known.
 }
 
-// Spot returns where a domain lies.
-func (t *Topology) Spot(domain string) Spot { return Spot{Domain: domain, Region: t.Region(domain)} }
+// Location returns where a domain lies.
+func (t *Topology) Location(domain string) Location {
+	return Location{Domain: domain, Region: t.Region(domain)}
+}
 
-// Distance returns how far two spots are from one another.
-func (a Spot) Distance(b Spot) Distance {
+// Distance returns how far two locations are from one another.
+func (a Location) Distance(b Location) Distance {
 	switch {
 	case a.Domain == b.Domain:
 		return SameDomain
--- a/coordination/topology/trips.go
+++ b/coordination/topology/trips.go
@@ -16,7 +16,7 @@
 )
 
 // Trips are the round trips and losses observed from one domain to others, learned
-// from connects. They are to be had from the same spot only.
+// from connects. They hold from that domain alone.
 type Trips struct {
 	topology *Topology
 	own      string
