A full lane of a region opens the region's other lane; a choice takes less time

Cause: with regions, inLane kept the lane of all regions while any server of it anywhere had room, so a request went to a full server of its region's lane beside idle ones (TestFullLaneOfARegion), which it did not do without regions. With one region and domains without any, lanes were made for the latter apart (TestOneRegionHasOneLane). Both tests failed before. A choice also looked up two region names for each server.

Change: lanes are divided and opened by region; a server's region is numbered and its order in the lanes made when the view is; a cell is locked once for a choice.

Run: tests of coordination/place.

--- a/coordination/place/cell.go
+++ b/coordination/place/cell.go
@@ -156,10 +156,10 @@
 // suspect needs c.mu.
 func (c *Cell) suspect(now time.Time) bool { return now.Before(c.until) || now.Before(c.byOthers) }
 
-// load estimates how many requests the server has, tells the part of its latest
-// requests that failed, and reports whether it is to be passed over. What it reported
-// of its load fades as it grows old.
-func (c *Cell) load(now time.Time) (load, failing float64, suspect bool) {
+// load estimates how many requests the server has, tells the prompts of mean length that
+// it has still to read and the part of its latest requests that failed, and reports
+// whether it is to be passed over. What it reported of its load fades as it grows old.
+func (c *Cell) load(now time.Time) (load, pending, failing float64, suspect bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	load = float64(c.own)
@@ -168,7 +168,7 @@
 		others := float64(max(0, c.lastLoad-c.lastLoadOwn)) / (1 + age)
 		load += others
 	}
-	return load, c.rate, c.suspect(now)
+	return load, c.pending, c.rate, c.suspect(now)
 }
 
 // leavingMost is how long after the notice a leaving server may be sent requests at
--- a/coordination/place/lane.go
+++ b/coordination/place/lane.go
@@ -212,53 +212,64 @@
 // laneSeed makes the order of servers in which the long lane takes them.
 const laneSeed = 0x6c616e65
 
-// leastLong returns for each row the least order of the long lane in its region: each
-// region has both lanes, in the same parts. It is 0 for a server alone in its region,
-// which takes both kinds.
-func leastLong(v *View, rows []row, order []uint64, parts protocol.LaneParts) []uint64 {
-	regions := map[string][]uint64{}
-	for i, r := range rows {
-		region := v.Servers[r.index].location.Region
-		regions[region] = append(regions[region], order[i])
+// regionLanes are how the candidates of one region are divided: each region has both
+// lanes, in the same parts.
+type regionLanes struct {
+	servers int    // servers are the candidates.
+	least   uint64 // least is the least order of the long lane; 0 for a server alone, which takes both kinds.
+	room    bool   // room says that the lane that is asked for has a server with room for one more at once.
+}
+
+// has reports whether a server is of a lane.
+func (l *regionLanes) has(s *Server, lane Lane) bool {
+	return l.least == 0 || (s.order >= l.least) == (lane == LaneLong)
+}
+
+// divide returns the lanes of each region of a view.
+func divide(v *View, rows []row, parts protocol.LaneParts) []regionLanes {
+	lanes := make([]regionLanes, v.regions)
+	for _, r := range rows {
+		lanes[v.Servers[r.index].region].servers++
 	}
-	part, least := longPart(parts, len(rows)), make([]uint64, len(rows))
-	byRegion := map[string]uint64{}
-	for region, list := range regions {
-		if len(list) > 1 {
-			slices.Sort(list)
-			byRegion[region] = list[len(list)-atLeastOne(part, len(list))] // The highest are the long lane.
+	part, orders := longPart(parts, len(rows)), make([]uint64, 0, len(rows))
+	for region := range lanes {
+		l := &lanes[region]
+		if l.servers < 2 {
+			continue
 		}
+		orders = orders[:0]
+		for _, r := range rows {
+			if s := &v.Servers[r.index]; s.region == region {
+				orders = append(orders, s.order)
+			}
+		}
+		slices.Sort(orders)
+		l.least = orders[len(orders)-atLeastOne(part, len(orders))] // The highest are the long lane.
 	}
-	for i, r := range rows {
-		least[i] = byRegion[v.Servers[r.index].location.Region]
-	}
-	return least
+	return lanes
 }
 
-// inLane drops the rows of the other lane, unless that leaves only servers that
-// have more to do than they can do at once.
+// inLane drops the rows of the other lane, but for regions in which that leaves only
+// servers that have more to do than they can do at once.
 func inLane(v *View, rows []row, m ChooseMsg) []row {
 	if m.Lane == LaneAny || len(rows) < 2 {
 		return rows
 	}
-	order := make([]uint64, len(rows))
-	for i, r := range rows {
-		order[i] = mix(laneSeed ^ v.Servers[r.index].Hash)
+	lanes := divide(v, rows, m.Parts)
+	for _, r := range rows {
+		s := &v.Servers[r.index]
+		if l := &lanes[s.region]; r.fill < fullLoad && l.has(s, m.Lane) {
+			l.room = true
+		}
 	}
-	least := leastLong(v, rows, order, m.Parts)
 	kept := make([]row, 0, len(rows))
-	for i, r := range rows {
-		both := least[i] == 0
-		if both || (order[i] >= least[i]) == (m.Lane == LaneLong) {
+	for _, r := range rows {
+		s := &v.Servers[r.index]
+		if l := &lanes[s.region]; !l.room || l.has(s, m.Lane) {
 			kept = append(kept, r)
 		}
 	}
-	for _, r := range kept {
-		if r.fill < fullLoad {
-			return kept
-		}
-	}
-	return rows
+	return kept
 }
 
 // fullLoad is a server that has as much to do as it does at once.
--- a/coordination/place/loads_test.go
+++ b/coordination/place/loads_test.go
@@ -60,17 +60,17 @@
 	}
 	cell.Began() // Behind the report, so the leader does not know of it.
 	v.Share([]byte{0, 7}, nil, start)
-	if load, _, _ := cell.load(start); load != 8 {
+	if load, _, _, _ := cell.load(start); load != 8 {
 		t.Errorf("the load is %v, want the 7 that were told and one more", load)
 	}
 	cell.Ended()
 	cell.Ended()
 	cell.Ended()
-	if load, _, _ := cell.load(start); load != 5 {
+	if load, _, _, _ := cell.load(start); load != 5 {
 		t.Errorf("the load is %v, want the 5 of others", load)
 	}
 	v.Share([]byte{9}, nil, start.Add(time.Second)) // Of another list.
-	if load, _, _ := cell.load(start); load != 5 {
+	if load, _, _, _ := cell.load(start); load != 5 {
 		t.Errorf("loads of another list were taken: %v", load)
 	}
 }
--- a/coordination/place/near_test.go
+++ b/coordination/place/near_test.go
@@ -349,3 +349,40 @@
 		})
 	}
 }
+
+// TestFullLaneOfARegion checks that a request goes to the other lane of its region while
+// its own lane there is full, as one does where there are no regions, though the same
+// lane of another region has room.
+func TestFullLaneOfARegion(t *testing.T) {
+	regions := threeRegions()
+	for _, prefix := range []uint64{0, 42} {
+		for _, lane := range []Lane{LaneLong, LaneShort} {
+			v := spreadOver(regions, 4, sixDomains...)
+			m := ChooseMsg{Service: "model", Domain: "b-1", Lane: lane, Parts: protocol.LaneParts{Tokens: 0.5}, Prefix: prefix, Rand: 3, Now: start}
+			for _, r := range inLane(v, candidates(v, m), m) {
+				own := 8 // Half full is not so light that requests go across.
+				if v.Servers[r.index].location.Region == "b" {
+					own = 16
+				}
+				for range own {
+					v.Servers[r.index].Cell.Began()
+				}
+			}
+			i, ok := Choose(v, m)
+			if s := &v.Servers[i]; !ok || s.location.Region != "b" || s.Cell.Outstanding() != 0 {
+				t.Errorf("lane %d, prefix %d: %s has %d requests, want an idle server of region b", lane, prefix, s.ID, s.Cell.Outstanding())
+			}
+		}
+	}
+}
+
+// TestOneRegionHasOneLane checks that servers whose domains have no region are in the
+// same lanes as the others where there is one region alone.
+func TestOneRegionHasOneLane(t *testing.T) {
+	m := ChooseMsg{Service: "model", Now: start, Lane: LaneLong, Parts: protocol.LaneParts{Tokens: 0.5}}
+	want := spreadOver(nil, 3, "a-1", "a-2", "d-1")
+	got := spreadOver(topology.New(map[string]string{"a-1": "a", "a-2": "a"}), 3, "a-1", "a-2", "d-1")
+	if w, g := inLane(want, candidates(want, m), m), inLane(got, candidates(got, m), m); !slices.Equal(w, g) {
+		t.Errorf("the long lane has %v, want %v as without regions", g, w)
+	}
+}
--- a/coordination/place/place.go
+++ b/coordination/place/place.go
@@ -28,6 +28,8 @@
 	Hash     uint64 // Hash is of the identity, for rendezvous ranks.
 	Cell     *Cell  // Cell is shared by all views that hold the server.
 	location topology.Location
+	region   int    // region is the number of its region in the view; 0 where all are near.
+	order    uint64 // order is that in which the long lane takes servers, the highest first.
 }
 
 // View is an immutable snapshot of the servers, by service.
@@ -37,6 +39,7 @@
 	trials   map[string][]int // trials have those of a version on trial.
 	byID     map[string]int
 	topology *topology.Topology           // topology tells the regions of the domains.
+	regions  int                          // regions are how many the servers lie in, those of no known region as one.
 	rollouts map[string]*protocol.Rollout // rollouts are by service.
 }
 
@@ -64,6 +67,7 @@
 	}
 	for _, in := range list {
 		s := Server{Instance: in, Hash: xxhash.Sum64String(in.ID), location: v.topology.Location(in.Domain)}
+		s.order = mix(laneSeed ^ s.Hash)
 		if old := before.Find(in.ID); old != nil && old.Address == in.Address {
 			s.Cell = old.Cell
 		} else {
@@ -73,9 +77,30 @@
 		v.index(&in, v.rollouts[in.Service])
 		v.Servers = append(v.Servers, s)
 	}
+	v.numberRegions()
 	return v
 }
 
+// numberRegions gives each server the number of its region, so that a choice needs no
+// look-up for each of them.
+func (v *View) numberRegions() {
+	v.regions = 1
+	if !v.topology.Several() {
+		return
+	}
+	numbers := map[string]int{}
+	for i := range v.Servers {
+		s := &v.Servers[i]
+		n, known := numbers[s.location.Region]
+		if !known {
+			n = len(numbers)
+			numbers[s.location.Region] = n
+		}
+		s.region = n
+	}
+	v.regions = max(1, len(numbers))
+}
+
 // index enters the server that is appended next.
 func (v *View) index(in *protocol.Instance, r *protocol.Rollout) {
 	at := len(v.Servers)
@@ -195,11 +220,11 @@
 		if !may(s) || slices.Contains(m.Avoid, s.ID) {
 			continue
 		}
-		load, failing, suspect := s.Cell.load(m.Now)
+		load, pending, failing, suspect := s.Cell.load(m.Now)
 		if m.Most > 0 && s.Cell.Outstanding() >= m.Most {
 			continue
 		}
-		load += pendingLoad * s.Cell.Pending() * float64(s.Width())
+		load += pendingLoad * pending * float64(s.Width())
 		r := row{index: i, fill: load/float64(s.Width()) + failingLoad*failing}
 		if suspect {
 			r.fill += suspectLoad
