A layout by region bears what the even one does; servers on their way stay

Cause: a layout that is cut short where servers at the full price are in the way has fewer servers, so it cost less and was taken though it does not carry the load without two domains: 32 servers left of 33 needed (TestCappedLayoutBearsLosses). Servers at the full price that were on their way to a region were ordered again elsewhere when the load moved, and cancelled only seconds later (TestServersOnTheirWayStay: 2 of 7 stayed). Both tests failed before. Run: tests of coordination/scale.

--- a/coordination/scale/regions.go
+++ b/coordination/scale/regions.go
@@ -74,14 +74,21 @@
 // loss of its fullest domain, so that nothing goes across then.
 func (r *regions) reclaimable(even []int, need int) []int {
 	best, least := even, r.cost(even, need)
+	enough := min(need, remaining(even))
 	for _, spare := range []int{0, 1} {
-		if layout := r.within(need, spare); r.cost(layout, need) < least {
-			best, least = layout, r.cost(layout, need)
+		layout := r.within(need, spare)
+		// One that is cut short where servers at the full price are in the way costs less,
+		// but does not bear as much.
+		if cost := r.cost(layout, need); cost < least && remaining(layout) >= enough {
+			best, least = layout, cost
 		}
 	}
 	return best
 }
 
+// remaining is how many servers of a layout are left without its fullest domains.
+func remaining(layout []int) int { return sum(layout) - fullest(layout, lostDomains) }
+
 // within lays servers out so that each region carries its need without some of its
 // domains, as far as it has that many.
 func (r *regions) within(need, spare int) []int {
@@ -148,13 +155,18 @@
 
 // full puts those servers at the full price that are to be added where their region is
 // short of servers, unless another domain is cheaper by more than the way across costs.
-// Those that are there, or on their way, stay.
+// Those that are there, or on their way, stay, wherever the load has moved since.
 func (r *regions) full(want, pinned []int) []int {
 	placed, added := make([]int, len(want)), 0
 	for i, d := range r.domains {
 		placed[i] = max(min(want[i], pinned[i]), min(want[i], r.spec.Min-d.reclaimable))
 		added += want[i] - placed[i]
 	}
+	for i, d := range r.domains {
+		stay := max(0, min(added, pinned[i]-placed[i], r.spec.Max-d.reclaimable-placed[i]))
+		placed[i] += stay
+		added -= stay
+	}
 	total := float64(sum(want))
 	for _, d := range r.domains {
 		total += float64(d.reclaimable)
--- a/coordination/scale/regions_test.go
+++ b/coordination/scale/regions_test.go
@@ -144,7 +144,7 @@
 	})
 }
 
-func bears(layout []int, need int) bool { return sum(layout)-fullest(layout, lostDomains) >= need }
+func bears(layout []int, need int) bool { return remaining(layout) >= need }
 
 // TestOneRegionPlansAsBefore checks that a planner gives the same orders with no
 // regions, one region, or no word of where the load arises.
@@ -209,3 +209,42 @@
 		}
 	}
 }
+
+// TestCappedLayoutBearsLosses checks, for any number of servers at the full price that
+// are in the way, that the layout that is taken bears the loss of two domains as far as
+// the even one does.
+func TestCappedLayoutBearsLosses(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		part := rapid.Float64Range(0.01, 1)
+		r := regional(map[string]float64{"a": part.Draw(t, "a"), "b": part.Draw(t, "b"), "c": part.Draw(t, "c")},
+			rapid.SampledFrom([]float64{0, acrossPart, 4, 20}).Draw(t, "across"), rapid.IntRange(4, 40).Draw(t, "most"))
+		all := r.parts["a"] + r.parts["b"] + r.parts["c"]
+		for region := range r.parts {
+			r.parts[region] /= all
+		}
+		for i := range r.domains {
+			r.domains[i].full = rapid.IntRange(0, r.spec.Max).Draw(t, "full")
+			r.domains[i].price = rapid.Float64Range(0.5, 2).Draw(t, "price")
+		}
+		need := rapid.IntRange(1, 60).Draw(t, "need")
+		even := r.evenly(need)
+		for i, d := range r.domains {
+			even[i] = min(even[i], max(0, r.spec.Max-d.full))
+		}
+		got := r.reclaimable(even, need)
+		if remaining(got) < min(need, remaining(even)) {
+			t.Fatalf("%v keeps %d of %d without two domains, %v keeps %d", got, remaining(got), need, even, remaining(even))
+		}
+	})
+}
+
+// TestServersOnTheirWayStay checks that servers at the full price that were ordered into
+// a region stay when the load moves to another one before they are there: the planner
+// would have two regions start them.
+func TestServersOnTheirWayStay(t *testing.T) {
+	r := regional(map[string]float64{"a": 0.2, "b": 0.2, "c": 0.6}, acrossPart, 30)
+	want, pinned := []int{10, 0, 0, 0, 0, 0}, []int{0, 0, 7, 0, 0, 0} // Seven are on their way to b-1.
+	if got := r.full(want, pinned); got[2] != 7 || sum(got) != 10 {
+		t.Errorf("%v, want 7 in b-1 of 10", got)
+	}
+}
