--- a/cmd/weldstreamd/control.go
+++ b/cmd/weldstreamd/control.go
@@ -67,10 +67,11 @@
 		duties.RunTally,
 		duties.RunReports,
 		duties.RunOrders,
+		c.watchRegions,
 		func(ctx context.Context) error {
 			return serveHTTP(ctx, r.settings.Listen(r.settings.Operator), documentBytes, operator)
 		},
-		func(ctx context.Context) error { return c.serveMetrics(ctx, func() any { return c.group.Status() }) },
+		func(ctx context.Context) error { return c.serveMetrics(ctx, c.dump) },
 	} {
 		eg.Go(func() error { return part(work) })
 	}
--- /dev/null
+++ b/coordination/place/near.go
@@ -0,0 +1,98 @@
+package place
+
+import (
+	"math"
+
+	"github.com/weldstream/weldstream/coordination/topology"
+)
+
+const (
+	// nearLoad is how much fuller a server of the own domain may be and still be
+	// taken before one of another.
+	nearLoad = 0.12
+	// farLoad is the same for servers of the own region before those of others: a
+	// near server has room for one more until its load is 1, and one far away is
+	// seldom without any.
+	farLoad = 0.6
+)
+
+// distanceLoad is what the way to a server weighs against its load. Costs from the
+// bytes of request and answer and from observed round trips came to the same bytes
+// within a twentieth, so the simpler ones are kept.
+var distanceLoad = [...]float64{topology.SameDomain: 0, topology.SameRegion: nearLoad, topology.OtherRegion: farLoad}
+
+// nearest keeps the rows of the own region, or those of the others if these typically
+// have farLoad less to do: callers who share a prompt meet within a region before they
+// meet across, and further servers are taken before a near one is late. Within a region
+// the domain does not count here: what prompts that are read once in each domain cost
+// was as much as the bytes that they saved.
+func nearest(v *View, rows []row, domain string) []row {
+	if !v.topology.Several() {
+		return rows
+	}
+	near, far := v.bySide(rows, domain)
+	if typical(far)+farLoad < typical(near) {
+		return far
+	}
+	return near
+}
+
+// bySide parts the rows of the own region from those of others.
+func (v *View) bySide(rows []row, domain string) (near, far []row) {
+	from, parted := v.topology.Location(domain), make([]row, len(rows))
+	first, last := 0, len(rows)
+	for _, r := range rows {
+		if from.Distance(v.Servers[r.index].location) == topology.OtherRegion {
+			last--
+			parted[last] = r
+		} else {
+			parted[first] = r
+			first++
+		}
+	}
+	return parted[:first], parted[first:]
+}
+
+// typical returns the median load; of no servers, that is without bound. The lightest
+// would not do: servers that no shared prompt calls home have next to nothing while all
+// others are full, and of a region that was cut off the last server would have to be
+// tried before requests went across.
+func typical(rows []row) float64 {
+	if len(rows) == 0 {
+		return math.Inf(1)
+	}
+	fills := make([]float64, len(rows))
+	for i, r := range rows {
+		fills[i] = r.fill
+	}
+	return nth(fills, (len(fills)-1)/2)
+}
+
+// nth returns the value that would be at an index if a list were sorted, and reorders the
+// list. It saves a choice among servers of different loads the sorting of the list.
+func nth(list []float64, index int) float64 {
+	for from, to := 0, len(list)-1; from < to; {
+		pivot, i, j := list[(from+to)/2], from, to
+		for i <= j {
+			for list[i] < pivot {
+				i++
+			}
+			for list[j] > pivot {
+				j--
+			}
+			if i <= j {
+				list[i], list[j] = list[j], list[i]
+				i, j = i+1, j-1
+			}
+		}
+		switch {
+		case index <= j:
+			to = j
+		case index >= i:
+			from = i
+		default:
+			return list[index]
+		}
+	}
+	return list[index]
+}
--- a/coordination/topology/topology.go
+++ b/coordination/topology/topology.go
@@ -62,14 +62,39 @@
 // Several reports whether there is more than one region.
 func (t *Topology) Several() bool { return len(t.Regions()) > 1 }
 
+// Unplaced returns those of some domains, sorted, that have no region though there are
+// several: they count as near, which may be wrong.
+func (t *Topology) Unplaced(domains []string) []string {
+	if !t.Several() {
+		return nil
+	}
+	unplaced := slices.DeleteFunc(slices.Clone(domains), func(d string) bool { return t.Region(d) != "" })
+	slices.Sort(unplaced)
+	return slices.Compact(unplaced)
+}
+
 // Distance returns how far two domains are from one another. One without a region
 // counts as near: nothing says that it is not.
-func (t *Topology) Distance(a, b string) Distance {
-	if a == b {
+func (t *Topology) Distance(a, b string) Distance { return t.Location(a).Distance(t.Location(b)) }
+
+// Location is a domain with its region: what distances are measured between, without a
+// look-up for each.
+type Location struct {
+	Domain string
+	Region string // Region is empty where none is known.
+}
+
+// Location returns where a domain lies.
+func (t *Topology) Location(domain string) Location {
+	return Location{Domain: domain, Region: t.Region(domain)}
+}
+
+// Distance returns how far two locations are from one another.
+func (a Location) Distance(b Location) Distance {
+	switch {
+	case a.Domain == b.Domain:
 		return SameDomain
-	}
-	regionA, regionB := t.Region(a), t.Region(b)
-	if regionA == regionB || regionA == "" || regionB == "" {
+	case a.Region == b.Region || a.Region == "" || b.Region == "":
 		return SameRegion
 	}
 	return OtherRegion
--- a/transport/backend/backend.go
+++ b/transport/backend/backend.go
@@ -47,16 +47,39 @@
 	net   net.Conn
 	br    *bufio.Reader
 	bw    *bufio.Writer
-	wrote atomic.Int64 // wrote counts the bytes of the request that the kernel took.
-	sent  atomic.Bool  // sent says that the kernel took all of the request.
-	used  bool         // used says that a request went over it before.
-	until time.Time    // until is when it may rest no longer.
+	wrote atomic.Int64  // wrote counts the bytes of the request that the kernel took.
+	sent  atomic.Bool   // sent says that the kernel took all of the request.
+	used  bool          // used says that a request went over it before.
+	meter Meter         // meter counts the bytes; nil for none.
+	took  time.Duration // took is how long the connect took.
+	until time.Time     // until is when it may rest no longer.
 }
 
+// Meter counts the bytes that a connection carries.
+type Meter interface {
+	Sent(n int)
+	Received(n int)
+}
+
+// Count has a meter count the bytes from now on, until another one is set.
+func (c *Conn) Count(m Meter) { c.meter = m }
+
 // Write implements io.Writer and counts.
 func (c *Conn) Write(p []byte) (int, error) {
 	n, err := c.net.Write(p)
 	c.wrote.Add(int64(n))
+	if c.meter != nil {
+		c.meter.Sent(n)
+	}
+	return n, err
+}
+
+// Read implements io.Reader and counts.
+func (c *Conn) Read(p []byte) (int, error) {
+	n, err := c.net.Read(p)
+	if c.meter != nil {
+		c.meter.Received(n)
+	}
 	return n, err
 }
 
@@ -64,6 +87,9 @@
 // server.
 func (c *Conn) Wrote() bool { return c.wrote.Load() > 0 }
 
+// Took returns how long the connect took: a round trip, and the server's wait.
+func (c *Conn) Took() time.Duration { return c.took }
+
 // Sent reports whether all of the current request was written.
 func (c *Conn) Sent() bool { return c.sent.Load() }
 
@@ -198,13 +224,14 @@
 	if limit <= 0 {
 		return nil, eris.New("no time is left to connect")
 	}
+	began := time.Now()
 	conn, err := tcp.Dial(address, limit, silentServer)
 	if err != nil {
 		return nil, eris.Wrap(err, "connect")
 	}
 	p.opens.Add(1)
-	c := &Conn{net: conn}
-	c.br, c.bw = bufio.NewReaderSize(conn, readBuffer), bufio.NewWriterSize(c, readBuffer)
+	c := &Conn{net: conn, took: time.Since(began)}
+	c.br, c.bw = bufio.NewReaderSize(c, readBuffer), bufio.NewWriterSize(c, readBuffer)
 	return c, nil
 }
 
--- a/transport/forward/attempt.go
+++ b/transport/forward/attempt.go
@@ -55,6 +55,7 @@
 	x.avoid = append(x.avoid, server.ID)
 	conn, err := x.g.pool.Get(server.ID, server.Address, x.deadline)
 	if err != nil {
+		x.g.connected(server, 0, true)
 		x.distrust(server, true)
 		return x.failed(protocol.NotRun, false, "the server cannot be reached: "+err.Error())
 	}
@@ -62,7 +63,13 @@
 		conn.Close()
 		return staleCatalog()
 	}
-	x.log.Info().Str("server", server.ID).Str("domain", server.Domain).Int("outstanding", server.Cell.Outstanding()).Bool("placed", x.placed.Server != "").
+	if !conn.Used() {
+		x.g.connected(server, conn.Took(), false)
+	}
+	distance := x.g.distance(server)
+	conn.Count(&x.g.meters.distances.bytes[distance])
+	x.g.meters.distances.attempts[distance].Inc(1)
+	x.log.Info().Str("server", server.ID).Str("domain", server.Domain).Str("region", x.g.cfg.Topology.Region(server.Domain)).Stringer("distance", distance).Int("outstanding", server.Cell.Outstanding()).Bool("placed", x.placed.Server != "").
 		Uint8("lane", uint8(x.lane)).Int("sent", x.state.Sent).Bool("kept", conn.Used()).Int64("left", x.left().Milliseconds()).Msg("attempt")
 	x.sentTo(server)
 	t := &try{x: x, server: server, conn: conn, began: time.Now()}
--- a/transport/forward/forward.go
+++ b/transport/forward/forward.go
@@ -66,6 +66,7 @@
 	began     time.Time
 	confirmed atomic.Int64 // confirmed is when the catalog was known to be the newest, since began; 0 for never.
 	gateways  atomic.Int64
+	paths     paths
 	closed    atomic.Bool // closed refuses new requests: the gateway ends soon.
 
 	mu        sync.Mutex // mu guards all below.
@@ -81,6 +82,7 @@
 	rolled    uint64               // rolled is the change of the roll-outs that the gateway keeps to; 0 before the first.
 	rollouts  []protocol.Rollout
 	trials    map[string]*trial // trials are the roll-outs that run, by service.
+	unplaced  []string          // unplaced are domains of servers that have no region though there are several.
 }
 
 // Option changes a new gateway.
@@ -124,6 +126,7 @@
 		pressure:  map[string]*pressure{},
 	}
 	g.gateways.Store(1)
+	g.paths.trips = topology.NewTrips(cfg.Topology, cfg.Domain)
 	for _, opt := range opts {
 		opt(g)
 	}
@@ -162,6 +165,7 @@
 	g.mu.Unlock()
 	g.renewView()
 	view := g.view.Load()
+	g.checkRegions(view)
 	leaving, now := 0, time.Now()
 	for i := range view.Servers {
 		s := &view.Servers[i]
@@ -186,7 +190,7 @@
 	list, rollouts := g.listed, g.rollouts
 	g.mu.Unlock()
 	if list != nil {
-		g.view.Store(place.NewView(list, g.view.Load(), place.WithRollouts(rollouts)))
+		g.view.Store(place.NewView(list, g.view.Load(), place.WithRollouts(rollouts), place.WithRegions(g.cfg.Topology)))
 	}
 }
 
