Replicas promise for as long as the leader asks, and leaders hand over

Cause: elections and leases went by one region's constants. At 80 ms one way a leader's lease of 180 ms ends between two rounds, and a planned stop of the leader cost an election.

Change: a leader's messages ask for a promise that follows the observed round trips (replicas in several regions only), a voter tells what it promised, and the lease is made of these answers; the longest promise is on disk. A leader hands over to a replica that has all of its log, which campaigns at once. Package roundtrip keeps round trips and chooses the leader's place. Messages to one replica no longer wait for the answer to those before when that takes longer than 4 ms.

--- a/coordination/group/snapshot.go
+++ b/coordination/group/snapshot.go
@@ -80,6 +80,7 @@
 			To:       cmd.To,
 			Term:     cmd.Term,
 			Round:    cmd.Round,
+			Promise:  cmd.Promise,
 			Snapshot: meta,
 			Data:     data,
 		})
--- a/coordination/replicate/election.go
+++ b/coordination/replicate/election.go
@@ -7,7 +7,7 @@
 	kind := PreVote
 	if role == Candidate {
 		kind = Vote
-		r.hard = HardState{Term: term, Vote: r.id}
+		r.hard = HardState{Term: term, Vote: r.id, Promise: r.hard.Promise}
 		r.persist(nil)
 	}
 	r.role, r.leader = role, ID{}
@@ -15,7 +15,7 @@
 	if role == PreCandidate {
 		r.votes[r.id] = true // A vote in earnest counts once it is on disk; see synced.
 	}
-	r.electionAt = r.now + r.cfg.Election + r.spread
+	r.electionAt = r.now + r.timeout() + r.spread
 	if role == PreCandidate && r.renews() {
 		r.electionAt = r.now + r.renewPause()
 	}
@@ -55,6 +55,9 @@
 	if m.To != r.id || r.broken {
 		return
 	}
+	if r.pinged(m) {
+		return
+	}
 	r.release(m)
 	if r.stale(m) || !r.takeTerm(m) {
 		return
@@ -70,6 +73,9 @@
 		r.appendReply(m)
 	case Snapshot:
 		r.restore(m)
+	case Handover:
+		r.takeOver(m)
+	case Ping, Pong:
 	}
 }
 
@@ -86,7 +92,7 @@
 		// It answers no round: the sender may lead the newer term by now, and have
 		// begun to count its rounds anew when it was started again.
 		r.do(SendCmd{Message: Message{Kind: AppendReply, From: r.id, To: m.From, Term: r.hard.Term, Reject: true}, Durable: true})
-	case PreVoteReply, VoteReply, AppendReply:
+	case PreVoteReply, VoteReply, AppendReply, Handover, Ping, Pong:
 	}
 	return true
 }
@@ -108,7 +114,7 @@
 		if r.sticky() {
 			return false
 		}
-	case Append, Snapshot, VoteReply, AppendReply:
+	case Append, Snapshot, VoteReply, AppendReply, Handover, Ping, Pong:
 	}
 	leader := ID{}
 	if m.Kind == Append || m.Kind == Snapshot {
@@ -121,7 +127,7 @@
 // sticky reports whether a leader was heard from so lately that its lease may
 // still run.
 func (r *Replica) sticky() bool {
-	return r.role == Leader || r.now-r.heardAt < r.cfg.Election
+	return r.role == Leader || r.now-r.heardAt < r.cfg.Election || r.now < r.owedUntil
 }
 
 func (r *Replica) vote(m Message) {
@@ -138,7 +144,7 @@
 	if grant {
 		r.hard.Vote = m.From
 		r.persist(nil)
-		r.electionAt = r.now + r.cfg.Election + r.spread
+		r.electionAt = r.now + r.timeout() + r.spread
 	}
 	r.replyVote(m, r.hard.Term, !grant)
 }
--- a/coordination/replicate/follower.go
+++ b/coordination/replicate/follower.go
@@ -1,9 +1,11 @@
 package replicate
 
+import "time"
+
 // appendFrom takes a leader's entries.
 func (r *Replica) appendFrom(m Message) {
-	r.hear(m)
-	reply := Message{Kind: AppendReply, From: r.id, To: m.From, Term: r.hard.Term, Round: m.Round}
+	promise := r.hear(m)
+	reply := Message{Kind: AppendReply, From: r.id, To: m.From, Term: r.hard.Term, Round: m.Round, Promise: promise}
 	if m.Index < r.log.Snapshot().Index {
 		m = r.skipCovered(m)
 	}
@@ -18,13 +20,16 @@
 	r.commitTo(min(m.Commit, reply.Index))
 }
 
-// hear notes a sign of life of the leader.
-func (r *Replica) hear(m Message) {
+// hear notes a sign of life of the leader, and returns for how long from now on this
+// replica elects no other.
+func (r *Replica) hear(m Message) time.Duration {
 	if r.role != Follower || r.leader != m.From {
 		r.becomeFollower(m.Term, m.From)
 	}
 	r.heardAt = r.now
-	r.electionAt = r.now + r.cfg.Election + r.spread
+	promise := r.promise(m.Promise)
+	r.electionAt = r.now + r.timeout() + r.spread
+	return promise
 }
 
 // skipCovered drops the entries that this replica's snapshot covers; they are
@@ -73,8 +78,8 @@
 
 // restore takes a leader's snapshot in place of a log that is too far behind.
 func (r *Replica) restore(m Message) {
-	r.hear(m)
-	reply := Message{Kind: AppendReply, From: r.id, To: m.From, Term: r.hard.Term, Round: m.Round}
+	promise := r.hear(m)
+	reply := Message{Kind: AppendReply, From: r.id, To: m.From, Term: r.hard.Term, Round: m.Round, Promise: promise}
 	switch term, ok := r.log.Term(m.Snapshot.Index); {
 	case m.Snapshot.Index <= r.commit:
 	case ok && term == m.Snapshot.Term:
--- /dev/null
+++ b/coordination/replicate/handover.go
@@ -0,0 +1,181 @@
+package replicate
+
+import (
+	"slices"
+	"time"
+
+	"github.com/weldstream/weldstream/coordination/roundtrip"
+)
+
+// A leader that is to lead no more hands over: it takes nothing new, waits until the
+// replica that is to follow has all of its log and what it has is committed, steps down
+// and tells that replica to campaign at once. What came meanwhile is held, and answered
+// as not proposed once the leader has stepped down.
+//
+// Why no promise is broken. The leader of a term that stepped down never leads that
+// term again, so no lease of it runs: that is what Message.Void says, and renew.go why
+// voters may then vote. The successor says it for the leader. If its message is lost,
+// nobody says so, and the voters wait out their promises as for a leader that died.
+
+// handoverTimes is for how many election timeouts a leader tries to hand over before
+// it goes on as before: a successor that keeps up needs some round trips.
+const handoverTimes = 2
+
+// handover is what a leader holds that is about to hand over.
+type handover struct {
+	token     uint64
+	to        ID
+	end       time.Duration
+	proposals []ProposeMsg
+	reads     []ReadMsg
+}
+
+func (h *handover) active() bool { return !h.to.IsZero() }
+
+// handOver begins to hand over.
+func (r *Replica) handOver(m HandoverMsg) {
+	if r.role != Leader {
+		r.do(HandoverCmd{Token: m.Token, Err: ErrNotLeader})
+		return
+	}
+	to, ok := r.successor(m.To)
+	if r.handover.active() || !r.mayChange() || !ok {
+		r.do(HandoverCmd{Token: m.Token, Err: ErrBusy})
+		return
+	}
+	r.handover = handover{token: m.Token, to: to, end: r.now + handoverTimes*r.timeout()}
+	r.broadcast()
+	r.goOnHandover()
+}
+
+// successor returns the voter of a name; for none, the one that answers and lacks the
+// least of the log, and among those the one that is nearest to a quorum.
+func (r *Replica) successor(name string) (ID, bool) {
+	members := r.log.Members()
+	var best ID
+	for _, id := range members.Voters {
+		p := r.peers[id]
+		if id == r.id || p == nil || r.now-p.heard >= r.timeout() || (name != "" && id.Name != name) {
+			continue
+		}
+		if best.IsZero() || r.better(id, best) {
+			best = id
+		}
+	}
+	return best, !best.IsZero()
+}
+
+func (r *Replica) better(id, than ID) bool {
+	a, b := r.peers[id], r.peers[than]
+	if lacksA, lacksB := a.match+catchUpSlack < r.log.Last(), b.match+catchUpSlack < r.log.Last(); lacksA != lacksB {
+		return lacksB
+	}
+	names := r.others()
+	quorum := r.log.Members().Quorum() - 1
+	tripA, okA := r.trips.Quorum(id.Name, names, quorum, r.now)
+	tripB, okB := r.trips.Quorum(than.Name, names, quorum, r.now)
+	if okA != okB {
+		return okA
+	}
+	return okA && tripA < tripB
+}
+
+// others are the names of the voters besides this replica: who is left behind a
+// planned stop.
+func (r *Replica) others() []string {
+	var names []string
+	for _, id := range r.log.Members().Voters {
+		if id != r.id {
+			names = append(names, id.Name)
+		}
+	}
+	return names
+}
+
+// goOnHandover steps down once the successor has everything, or gives up in the end.
+func (r *Replica) goOnHandover() {
+	if r.role != Leader || !r.handover.active() {
+		return
+	}
+	p := r.peers[r.handover.to]
+	last := r.log.Last()
+	switch {
+	case p == nil || r.now >= r.handover.end:
+		r.giveUpHandover()
+		return
+	case p.match != last || r.commit != last || len(r.reads) > 0:
+		return
+	}
+	to, token := r.handover.to, r.handover.token
+	r.void = r.hard.Term // No lease of the term runs from now on.
+	r.handover.to = ID{}
+	r.becomeFollower(r.hard.Term, ID{})
+	term, _ := r.log.Term(last)
+	r.do(SendCmd{Message: Message{Kind: Handover, From: r.id, To: to, Term: r.hard.Term, Index: last, LogTerm: term}})
+	r.do(HandoverCmd{Token: token, To: to})
+}
+
+// giveUpHandover goes on as the leader, with what was held.
+func (r *Replica) giveUpHandover() {
+	h := r.handover
+	r.handover = handover{}
+	r.do(HandoverCmd{Token: h.token, Err: ErrBusy})
+	for _, m := range h.proposals {
+		r.propose(m)
+	}
+	for _, m := range h.reads {
+		r.read(m)
+	}
+}
+
+// endHandover answers what was held when this replica leads no more.
+func (r *Replica) endHandover() {
+	h := r.handover
+	r.handover = handover{}
+	if h.active() {
+		r.do(HandoverCmd{Token: h.token, Err: ErrNotLeader})
+	}
+	for _, m := range h.proposals {
+		r.do(ProposedCmd{Token: m.Token, Err: ErrNotLeader})
+	}
+	for _, m := range h.reads {
+		r.do(ReadCmd{Token: m.Token, Err: ErrNotLeader})
+	}
+}
+
+// choosePlace hands over to where a quorum's round trip is clearly less, unless
+// something is under way that had better be finished first.
+func (r *Replica) choosePlace() {
+	if !r.cfg.Wide || r.now < r.placeAt {
+		return
+	}
+	r.placeAt = r.now + pingEvery
+	voters := append(r.others(), r.id.Name)
+	move, ok := r.place.Decide(r.trips, roundtrip.PlaceMsg{Now: r.now, Since: r.ledFrom, Leader: r.id.Name, Voters: voters, Able: r.able})
+	if !ok || r.busy {
+		return
+	}
+	r.do(MoveCmd{Move: move})
+	r.handOver(HandoverMsg{To: move.To})
+}
+
+// able reports whether a voter has nearly all of the log, and answers.
+func (r *Replica) able(name string) bool {
+	for id, p := range r.peers {
+		if id.Name == name && p.match+catchUpSlack >= r.log.Last() && r.now-p.heard < r.timeout() {
+			return true
+		}
+	}
+	return false
+}
+
+// takeOver campaigns at once, if this replica has what the leader had.
+func (r *Replica) takeOver(m Message) {
+	term, ok := r.log.Term(m.Index)
+	if !slices.Contains(r.log.Members().Voters, r.id) || !ok || term != m.LogTerm || r.role == Leader {
+		return
+	}
+	r.void = m.Term
+	r.owesNothing()
+	r.campaign(Candidate)
+}
--- a/coordination/replicate/leader.go
+++ b/coordination/replicate/leader.go
@@ -2,21 +2,20 @@
 
 import (
 	"slices"
-	"time"
+
+	"github.com/weldstream/weldstream/coordination/roundtrip"
 )
 
 // snapshotPatience is how many election timeouts a leader waits for the answer
 // to a snapshot before it sends another.
 const snapshotPatience = 30
 
-// leaseMargin takes a tenth off the lease, for clocks that run unevenly.
-const leaseMargin = 10
-
 func (r *Replica) becomeLeader() {
 	r.role, r.leader = Leader, r.id
 	r.votes = nil
+	r.ledFrom, r.place = r.now, roundtrip.Place{}
 	r.peers = map[ID]*progress{}
-	r.sentAt = map[uint64]time.Duration{}
+	r.asks = max(r.cfg.Election, r.hard.Promise)
 	r.hard.Led = true // On disk with the entry below.
 	r.do(ElectedCmd{Term: r.hard.Term})
 	// The term begins with an entry of its own. It restates the members, so that
@@ -58,6 +57,10 @@
 		r.do(ProposedCmd{Token: m.Token, Err: ErrNotLeader})
 		return
 	}
+	if r.handover.active() {
+		r.handover.proposals = append(r.handover.proposals, m)
+		return
+	}
 	r.appendEntries(Entry{Kind: EntryCommand, Data: m.Data})
 	r.do(ProposedCmd{Token: m.Token, Index: r.log.Last(), Term: r.hard.Term})
 	r.sendNew()
@@ -82,7 +85,8 @@
 // broadcast sends a round to all others, which counts as a heartbeat.
 func (r *Replica) broadcast() {
 	r.round++
-	r.sentAt[r.round] = r.now
+	r.sent.add(r.round, r.now)
+	r.retime()
 	r.beatAt = r.now + r.cfg.Heartbeat
 	for _, id := range r.peerIDs() {
 		r.sendTo(id, r.peers[id], true)
@@ -102,7 +106,7 @@
 	p.snapshot = 0
 	if _, ok := r.log.Term(p.next - 1); !ok {
 		p.snapshot = r.now
-		r.do(SendSnapshotCmd{To: id, Term: r.hard.Term, Round: r.round})
+		r.do(SendSnapshotCmd{To: id, Term: r.hard.Term, Round: r.round, Promise: r.asks})
 		return
 	}
 	if p.probing {
@@ -145,6 +149,7 @@
 		Entries: entries,
 		Commit:  r.commit,
 		Round:   r.round,
+		Promise: r.asked(),
 	}
 	r.do(SendCmd{Message: m})
 }
@@ -155,7 +160,7 @@
 		return
 	}
 	p.heard = r.now
-	p.round = max(p.round, m.Round)
+	r.answered(m, p)
 	p.inflight = max(0, p.inflight-1)
 	if m.Reject {
 		r.rejected(m, p)
@@ -163,6 +168,7 @@
 		r.matched(m, p)
 	}
 	r.confirm()
+	r.goOnHandover()
 }
 
 // rejected goes back to where the logs may match. An answer to an older message
@@ -255,6 +261,7 @@
 	switch r.role {
 	case Leader:
 		r.advance()
+		r.goOnHandover()
 	case Candidate:
 		r.votes[r.id] = true
 		r.count()
@@ -271,14 +278,18 @@
 		r.becomeFollower(r.hard.Term, ID{})
 		return
 	}
-	r.reconcile()
+	r.goOnHandover()
+	if !r.handover.active() {
+		r.reconcile()
+		r.choosePlace()
+	}
 }
 
 func (r *Replica) quorumHeard() bool {
 	members := r.log.Members()
 	heard := 0
 	for _, id := range members.Voters {
-		if id == r.id || (r.peers[id] != nil && r.now-r.peers[id].heard < 2*r.cfg.Election) {
+		if id == r.id || (r.peers[id] != nil && r.now-r.peers[id].heard < 2*r.asks) {
 			heard++
 		}
 	}
@@ -292,14 +303,8 @@
 		return
 	}
 	confirmed := r.reached(r.log.Members().Quorum(), r.round, func(p *progress) uint64 { return p.round })
-	if sent, ok := r.sentAt[confirmed]; ok {
-		r.lease = max(r.lease, sent+r.cfg.Election-r.cfg.Election/leaseMargin)
-	}
-	for round := range r.sentAt {
-		if round < confirmed {
-			delete(r.sentAt, round)
-		}
-	}
+	r.lease = max(r.lease, r.promised())
+	r.sent.forget(confirmed, r.now)
 	r.answerReads(confirmed)
 }
 
@@ -336,6 +341,10 @@
 		r.do(ReadCmd{Token: m.Token, Err: ErrNotLeader})
 		return
 	}
+	if r.handover.active() {
+		r.handover.reads = append(r.handover.reads, m)
+		return
+	}
 	r.reads = append(r.reads, pendingRead{token: m.Token, index: r.commit, round: r.round + 1})
 	r.broadcast()
 }
--- a/coordination/replicate/members.go
+++ b/coordination/replicate/members.go
@@ -83,7 +83,7 @@
 	if p == nil || p.match+catchUpSlack < r.log.Last() || p.match < r.log.Changed() {
 		return false
 	}
-	return r.now-p.heard < r.cfg.Election
+	return r.now-p.heard < r.timeout()
 }
 
 // promote makes a learner a voter, or makes room for it, if there is a place.
--- a/coordination/replicate/message.go
+++ b/coordination/replicate/message.go
@@ -1,6 +1,10 @@
 package replicate
 
-import "time"
+import (
+	"time"
+
+	"github.com/weldstream/weldstream/coordination/roundtrip"
+)
 
 // MessageKind tells messages between replicas apart.
 type MessageKind uint8
@@ -14,6 +18,9 @@
 	Append
 	AppendReply
 	Snapshot
+	Handover // Handover tells the receiver to campaign at once: the leader of the term leads no more.
+	Ping     // Ping is answered at once, with the same Round.
+	Pong
 )
 
 // Message is what replicas send each other. It is for exactly one incarnation.
@@ -27,9 +34,11 @@
 	Entries  []Entry
 	Commit   uint64
 	Reject   bool
-	Rejected uint64 // Rejected is the Index of the message that is refused.
-	Round    uint64 // Round pairs a leader's message with its answer.
-	Void     uint64 // Void is the term that the sender led before it was started anew, 0 without one: no lease of that term runs.
+	Rejected uint64           // Rejected is the Index of the message that is refused.
+	Round    uint64           // Round pairs a leader's message with its answer.
+	Void     uint64           // Void is the term that the sender led before it was started anew, 0 without one: no lease of that term runs.
+	Promise  time.Duration    `cbor:",omitempty"` // Promise is for how long the receiver is to elect no other; in a reply, for how long it will not.
+	Trips    []roundtrip.Trip `cbor:",omitempty"` // Trips are the sender's own round trips, in a Pong.
 	Snapshot SnapshotMeta
 	Data     []byte // Data is the state machine's snapshot.
 }
@@ -41,6 +50,7 @@
 type TickMsg struct {
 	Now  time.Duration
 	Rand uint64
+	Busy bool // Busy says that an order is under way: the leader does not move meanwhile.
 }
 
 // StepMsg is a message from another replica.
@@ -70,6 +80,13 @@
 	Name  string
 }
 
+// HandoverMsg asks the leader to hand over. The answer is a [HandoverCmd]; the next
+// leader is elected later.
+type HandoverMsg struct {
+	Token uint64
+	To    string // To is the name of the replica that is to lead; empty for the best one.
+}
+
 // SyncedMsg tells that every PersistCmd so far is on this replica's disk. Index
 // and Term are of the last entry there.
 type SyncedMsg struct {
@@ -90,6 +107,7 @@
 func (ReadMsg) msg()       {}
 func (JoinMsg) msg()       {}
 func (RemoveMsg) msg()     {}
+func (HandoverMsg) msg()   {}
 func (SyncedMsg) msg()     {}
 func (CompactedMsg) msg()  {}
 func (DiskFailedMsg) msg() {}
@@ -116,10 +134,14 @@
 	To    ID
 	Term  uint64
 	Round uint64
+
+	Promise time.Duration
 }
 
 // RestoreCmd replaces the state machine, and the log on disk, by a snapshot.
 type RestoreCmd struct {
+	Promise  time.Duration    // Promise is for how long the receiver is to elect no other; in a reply, for how long it will not.
+	Trips    []roundtrip.Trip // Trips are the sender's own round trips, in a Pong.
 	Snapshot SnapshotMeta
 	Data     []byte
 }
@@ -149,6 +171,17 @@
 	Err   error
 }
 
+// HandoverCmd answers a [HandoverMsg]: this replica leads no more, and told To to
+// campaign; or the error says why not.
+type HandoverCmd struct {
+	Token uint64
+	To    ID
+	Err   error
+}
+
+// MoveCmd tells that leadership is to move to a better place.
+type MoveCmd struct{ Move roundtrip.Move }
+
 // SteppedDownCmd tells that the replica leads no more.
 type SteppedDownCmd struct{ Term uint64 }
 
@@ -163,5 +196,7 @@
 func (ProposedCmd) cmd()     {}
 func (ReadCmd) cmd()         {}
 func (RemoveCmd) cmd()       {}
+func (HandoverCmd) cmd()     {}
+func (MoveCmd) cmd()         {}
 func (SteppedDownCmd) cmd()  {}
 func (ElectedCmd) cmd()      {}
--- a/coordination/replicate/renew.go
+++ b/coordination/replicate/renew.go
@@ -1,9 +1,6 @@
 package replicate
 
-import (
-	"math"
-	"time"
-)
+import "time"
 
 // A group whose processes were all killed comes back one replica after the other.
 // Each of them must wait out an election timeout before it votes, as it may have
@@ -34,9 +31,9 @@
 		return
 	}
 	r.void = r.hard.Term
-	r.heardAt = math.MinInt64 / 2 // It promised nothing to anybody else.
+	r.owesNothing() // It promised nothing to anybody else.
 	r.electionAt = r.now
-	r.renewUntil = r.now + renewTimes*r.cfg.Election
+	r.renewUntil = r.now + renewTimes*r.timeout()
 }
 
 // renews reports whether this replica led the latest term that it knows before it
@@ -44,11 +41,11 @@
 func (r *Replica) renews() bool { return r.void != 0 && r.void == r.hard.Term && r.now < r.renewUntil }
 
 // renewPause is between two campaigns of a former leader.
-func (r *Replica) renewPause() time.Duration { return r.cfg.Election / renewShare }
+func (r *Replica) renewPause() time.Duration { return r.timeout() / renewShare }
 
 // release ends the promise to a leader that says that its lease has ended.
 func (r *Replica) release(m Message) {
 	if m.Void != 0 && m.Void >= r.hard.Term && r.role != Leader {
-		r.heardAt = math.MinInt64 / 2
+		r.owesNothing()
 	}
 }
--- a/coordination/replicate/replicate.go
+++ b/coordination/replicate/replicate.go
@@ -9,7 +9,10 @@
 //   - a quorum check, so that a leader that was cut off steps down;
 //   - a lease: a voter grants no vote within the election timeout of hearing
 //     from a leader, so a leader that heard from a quorum knows for how long no
-//     other can have been elected;
+//     other can have been elected; timing.go tells how long that is where round
+//     trips are long;
+//   - a leader that hands over to another replica, so that no time passes
+//     without one; see handover.go;
 //   - reads confirmed by a quorum;
 //   - members changed one at a time, through learners;
 //   - identities that do not outlive a disk. An [ID] is a name with the
@@ -29,6 +32,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"github.com/weldstream/weldstream/coordination/roundtrip"
 	"github.com/weldstream/weldstream/protocol"
 )
 
@@ -89,6 +93,9 @@
 	// Voters is how many replicas vote at the most; further ones stay learners and
 	// take the place of a voter that is gone. 0 means no such bound.
 	Voters int
+	// Wide says that the replicas lie in several regions: times follow the round trips
+	// that are observed, and leadership moves to where a quorum's is least.
+	Wide bool
 	// Gone is how long a voter may be silent before a learner that has caught up
 	// takes its place; 0 means never.
 	Gone time.Duration
@@ -108,6 +115,8 @@
 	inflight int           // inflight counts messages with entries on the way.
 	heard    time.Duration // heard is when it last answered.
 	round    uint64        // round is the last round that it answered.
+	tripAt   time.Duration // tripAt is when its round trip was observed last.
+	until    time.Duration // until is for how long it elects no other, by this replica's clock, as far as it answered.
 	snapshot time.Duration // snapshot is when a snapshot was sent; 0 if none is on the way.
 }
 
@@ -132,6 +141,8 @@
 
 	now        time.Duration
 	heardAt    time.Duration // heardAt is when a leader was last heard from.
+	owedUntil  time.Duration // owedUntil is the end of the longest promise to a leader.
+	longUntil  time.Duration // longUntil is until when a promise of the length on disk may run.
 	electionAt time.Duration
 	beatAt     time.Duration
 	spread     time.Duration // spread is the random part of the election timeout.
@@ -139,7 +150,17 @@
 	votes      map[ID]bool
 	peers      map[ID]*progress
 	round      uint64
-	sentAt     map[uint64]time.Duration // sentAt is when each open round was sent.
+	sent       sentRounds
+	place      roundtrip.Place
+	placeAt    time.Duration
+	busy       bool             // busy says that something is under way that a move would break off.
+	ledFrom    time.Duration    // ledFrom is when this replica began to lead.
+	asks       time.Duration    // asks is the promise that this replica asks for as the leader.
+	trips      *roundtrip.Table // trips are those of pings between any two replicas.
+	rounds     *roundtrip.Table // rounds are those of a leader's rounds, with the syncs of the others.
+	pingAt     time.Duration
+	pings      map[ID]time.Duration // pings are those that wait for an answer.
+	handover   handover
 	reads      []pendingRead
 	renewUntil time.Duration // renewUntil is how long a former leader campaigns often.
 	void       uint64        // void is the term that this replica led before it was started anew.
@@ -168,8 +189,10 @@
 	r.commit = s.Snapshot.Index
 	r.stable = r.log.Last()
 	r.now, r.heardAt = s.Now, s.Now
+	r.trips, r.rounds = roundtrip.New(), roundtrip.New()
+	r.owe()
 	r.spread = r.turn()
-	r.electionAt = r.now + r.cfg.Election + r.spread
+	r.electionAt = r.now + r.timeout() + r.spread
 	r.resume()
 	return r
 }
@@ -191,6 +214,8 @@
 		r.join(m)
 	case RemoveMsg:
 		r.remove(m)
+	case HandoverMsg:
+		r.handOver(m)
 	case SyncedMsg:
 		r.synced(m)
 	case CompactedMsg:
@@ -210,10 +235,12 @@
 // tick lets time pass.
 func (r *Replica) tick(m TickMsg) {
 	r.now = max(r.now, m.Now)
-	r.spread = time.Duration(m.Rand % uint64(r.cfg.Election))
+	r.busy = m.Busy
+	r.spread = time.Duration(m.Rand % uint64(r.timeout()))
 	if r.broken {
 		return
 	}
+	r.ping()
 	if r.role == Leader {
 		r.leaderTick()
 		return
@@ -233,13 +260,13 @@
 // are spread at random, as this order may be the reason why one failed.
 func (r *Replica) turn() time.Duration {
 	place := max(0, slices.Index(r.log.Members().Voters, r.id))
-	return min(r.cfg.Election, time.Duration(place)*r.cfg.Election/turnShare)
+	return min(r.timeout(), time.Duration(place)*r.timeout()/turnShare)
 }
 
 // becomeFollower takes on a term. A new term has no vote yet.
 func (r *Replica) becomeFollower(term uint64, leader ID) {
 	if term > r.hard.Term {
-		r.hard = HardState{Term: term}
+		r.hard = HardState{Term: term, Promise: r.hard.Promise}
 		r.persist(nil)
 	}
 	if r.role == Leader {
@@ -247,14 +274,15 @@
 	}
 	r.role, r.leader = Follower, leader
 	r.votes = nil
-	r.electionAt = r.now + r.cfg.Election + r.spread
+	r.electionAt = r.now + r.timeout() + r.spread
 }
 
 // stepDown gives up what only a leader holds. Proposals that are not committed
 // have an unknown outcome.
 func (r *Replica) stepDown() {
-	r.peers, r.sentAt = nil, nil
+	r.peers, r.sent = nil, sentRounds{}
 	r.lease = 0
+	r.endHandover()
 	for _, rd := range r.reads {
 		r.do(ReadCmd{Token: rd.token, Err: ErrNotLeader})
 	}
@@ -283,8 +311,9 @@
 	Stable   uint64        `json:"stable"`
 	Snapshot uint64        `json:"snapshot"`
 	Members  Members       `json:"members"`
-	Broken   bool          `json:"broken"` // Broken says that the disk failed.
-	Lease    time.Duration `json:"lease"`  // Lease is on the clock of TickMsg.Now.
+	Broken   bool          `json:"broken"`  // Broken says that the disk failed.
+	Lease    time.Duration `json:"lease"`   // Lease is on the clock of TickMsg.Now.
+	Timeout  time.Duration `json:"timeout"` // Timeout is the least election timeout that this replica goes by.
 }
 
 // Status returns the replica's state.
@@ -301,6 +330,7 @@
 		Members:  r.log.Members(),
 		Broken:   r.broken,
 		Lease:    r.lease,
+		Timeout:  r.timeout(),
 	}
 }
 
--- a/coordination/replicate/replicate_test.go
+++ b/coordination/replicate/replicate_test.go
@@ -50,6 +50,8 @@
 	held    []Message // held are durable messages that wait for the sync.
 	applied []string  // applied are the commands that the state machine saw.
 	index   uint64    // index is the last that was applied.
+	cfg     Config
+	rate    float64 // rate is by how much the replica's clock runs faster than time goes on; 0 means evenly.
 }
 
 // reporter is what the simulation needs of a test.
@@ -82,7 +84,7 @@
 		m.Voters = append(m.Voters, ID{Name: string(rune('a' + i)), Incarnation: s.born})
 	}
 	for _, id := range m.Voters {
-		n := &node{id: id, disk: disk{snapshot: SnapshotMeta{Members: m}}}
+		n := &node{id: id, cfg: testConfig, disk: disk{snapshot: SnapshotMeta{Members: m}}}
 		s.nodes[id.Name] = n
 		s.boot(n)
 	}
@@ -92,9 +94,12 @@
 func (s *sim) boot(n *node) {
 	n.disk.pending, n.held = nil, nil
 	n.applied, n.index = slices.Clone(n.disk.data), n.disk.snapshot.Index
-	n.r = New(testConfig, Start{ID: n.id, Hard: n.disk.hard, Snapshot: n.disk.snapshot, Entries: n.disk.entries, Now: s.now, Rand: s.rand()})
+	n.r = New(n.cfg, Start{ID: n.id, Hard: n.disk.hard, Snapshot: n.disk.snapshot, Entries: n.disk.entries, Now: s.clock(n), Rand: s.rand()})
 }
 
+// clock is what a replica's clock shows.
+func (s *sim) clock(n *node) time.Duration { return s.now + time.Duration(n.rate*float64(s.now)) }
+
 func (s *sim) rand() uint64 { return uint64(s.pick(1 << 30)) }
 
 func (s *sim) names() []string {
@@ -130,7 +135,7 @@
 		}
 	case SendSnapshotCmd:
 		data, _ := json.Marshal(n.disk.data)
-		s.net = append(s.net, Message{Kind: Snapshot, From: n.id, To: c.To, Term: c.Term, Round: c.Round, Snapshot: n.disk.snapshot, Data: data})
+		s.net = append(s.net, Message{Kind: Snapshot, From: n.id, To: c.To, Term: c.Term, Round: c.Round, Promise: c.Promise, Snapshot: n.disk.snapshot, Data: data})
 	case ElectedCmd:
 		s.elected(n, c.Term)
 	case ApplyCmd:
@@ -199,7 +204,7 @@
 func (s *sim) deliver(m Message) {
 	n := s.nodes[m.To.Name]
 	if !s.cut[m.From.Name+">"+m.To.Name] && n != nil {
-		s.update(n, StepMsg{Message: m, Now: s.now})
+		s.update(n, StepMsg{Message: m, Now: s.clock(n)})
 	}
 }
 
@@ -223,7 +228,7 @@
 	}
 	s.lost[n.id] = true
 	s.born++
-	fresh := &node{id: ID{Name: n.id.Name, Incarnation: s.born}}
+	fresh := &node{id: ID{Name: n.id.Name, Incarnation: s.born}, cfg: n.cfg, rate: n.rate}
 	s.nodes[n.id.Name] = fresh
 	s.boot(fresh)
 }
@@ -240,7 +245,7 @@
 func (s *sim) check() {
 	holders := 0
 	for _, n := range s.nodes {
-		if _, leads := n.r.Leads(); leads && n.r.lease > s.now {
+		if _, leads := n.r.Leads(); leads && n.r.lease > s.clock(n) {
 			holders++
 		}
 	}
@@ -251,7 +256,8 @@
 
 func (s *sim) tick() {
 	s.now += time.Duration(1+s.pick(12)) * time.Millisecond
-	s.update(s.draw(), TickMsg{Now: s.now, Rand: s.rand()})
+	n := s.draw()
+	s.update(n, TickMsg{Now: s.clock(n), Rand: s.rand()})
 }
 
 // deliverAny delivers a message on the way: mostly the oldest, so that the
@@ -315,7 +321,7 @@
 		s.now += time.Duration(1+s.pick(4)) * time.Millisecond
 		for _, name := range s.names() {
 			if n := s.nodes[name]; n != spared {
-				s.update(n, TickMsg{Now: s.now, Rand: s.rand()})
+				s.update(n, TickMsg{Now: s.clock(n), Rand: s.rand()})
 				s.sync(n)
 			}
 		}
@@ -373,7 +379,7 @@
 	for range rounds {
 		s.now += 10 * time.Millisecond
 		for _, name := range s.names() {
-			s.update(s.nodes[name], TickMsg{Now: s.now, Rand: s.rand()})
+			s.update(s.nodes[name], TickMsg{Now: s.clock(s.nodes[name]), Rand: s.rand()})
 			s.sync(s.nodes[name])
 		}
 		for range 2 {
@@ -381,7 +387,7 @@
 			s.net = nil
 			for _, m := range batch {
 				if n := s.nodes[m.To.Name]; n != nil && !s.cut[m.From.Name+">"+m.To.Name] {
-					s.update(n, StepMsg{Message: m, Now: s.now})
+					s.update(n, StepMsg{Message: m, Now: s.clock(n)})
 				}
 			}
 			for _, name := range s.names() {
--- /dev/null
+++ b/coordination/roundtrip/roundtrip_test.go
@@ -0,0 +1,123 @@
+package roundtrip
+
+import (
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	_ "github.com/weldstream/weldstream/internal/testseed" // Fixes the seed.
+)
+
+const ms = time.Millisecond
+
+// TestOneLateAnswerMovesLittle checks that the answer of a replica that was frozen
+// does not make it a second away.
+func TestOneLateAnswerMovesLittle(t *testing.T) {
+	table := New()
+	for i := range 50 {
+		table.Observe("a", "b", 16*ms, time.Duration(i)*40*ms)
+	}
+	table.Observe("a", "b", 2*time.Second, 2*time.Second)
+	if trip, ok := table.Trip("a", "b", 2*time.Second); !ok || trip.Smoothed > 20*ms || trip.Late() > 70*ms {
+		t.Errorf("%+v, %v; late %v", trip, ok, trip.Late())
+	}
+}
+
+func TestQuorum(t *testing.T) {
+	table := New()
+	for to, trip := range map[string]time.Duration{"b": 2 * ms, "c": 16 * ms, "d": 80 * ms} {
+		table.Observe("a", to, trip, 0)
+	}
+	for range 10 {
+		table.Lose("a", "c", 1)
+	}
+	for _, tt := range []struct {
+		answers int
+		now     time.Duration
+		want    time.Duration
+		ok      bool
+	}{{0, 0, 0, true}, {1, 0, 2 * ms, true}, {2, 0, 80 * ms, true}, {3, 0, 0, false}, {1, time.Minute, 0, false}} {
+		if got, ok := table.Quorum("a", []string{"a", "b", "c", "d"}, tt.answers, tt.now); got != tt.want || ok != tt.ok {
+			t.Errorf("Quorum of %d at %v: %v, %v", tt.answers, tt.now, got, ok)
+		}
+	}
+}
+
+func TestLearnTakesOnlyOwnRows(t *testing.T) {
+	table := New()
+	table.Learn("b", []Trip{{From: "b", To: "c", Smoothed: ms}, {From: "a", To: "c", Smoothed: ms}}, 0)
+	if got := table.All(0); len(got) != 1 || got[0].From != "b" {
+		t.Errorf("%+v", got)
+	}
+}
+
+// placed drives a Place over some seconds with the same round trips.
+func placed(a, b time.Duration, lead, steady time.Duration) bool {
+	var p Place
+	moved := false
+	for now := lead; now <= lead+steady; now += time.Second {
+		table := New()
+		table.Observe("a", "b", a, now)
+		table.Observe("a", "c", a, now)
+		table.Observe("b", "a", a, now)
+		table.Observe("b", "c", b, now)
+		_, moved = p.Decide(table, PlaceMsg{Now: now, Leader: "a", Voters: []string{"a", "b", "c"}, Able: func(string) bool { return true }})
+	}
+	return moved
+}
+
+func TestPlace(t *testing.T) {
+	for name, tt := range map[string]struct {
+		a, b         time.Duration
+		lead, steady time.Duration
+		want         bool
+	}{
+		"far better":             {80 * ms, 2 * ms, calmFor, steadyFor, true},
+		"not for long yet":       {80 * ms, 2 * ms, calmFor, steadyFor - time.Second, false},
+		"just begun to lead":     {80 * ms, 2 * ms, 0, steadyFor, false},
+		"little in milliseconds": {6 * ms, 2 * ms, calmFor, steadyFor, false},
+		"little in part":         {160 * ms, 130 * ms, calmFor, steadyFor, false},
+		"no better":              {16 * ms, 16 * ms, calmFor, steadyFor, false},
+	} {
+		if got := placed(tt.a, tt.b, tt.lead, tt.steady); got != tt.want {
+			t.Errorf("%s: move %v", name, got)
+		}
+	}
+}
+
+// TestPlaceStays checks that moves never follow one another by turns: with round trips
+// that vary by a fifth about true ones, there are no more moves than places get better,
+// and no two within calmFor.
+func TestPlaceStays(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		voters := []string{"a", "b", "c", "d", "e"}[:rapid.SampledFrom([]int{3, 5}).Draw(t, "voters")]
+		trip := map[pair]time.Duration{}
+		for i, from := range voters {
+			for _, to := range voters[:i] {
+				d := time.Duration(rapid.IntRange(1, 160).Draw(t, "trip")) * ms
+				trip[pair{from, to}], trip[pair{to, from}] = d, d
+			}
+		}
+		table, leader, led := New(), "a", time.Duration(0)
+		place, moves := Place{}, 0
+		for now := time.Duration(0); now < 10*time.Minute; now += time.Second {
+			for p, d := range trip {
+				noise := time.Duration(rapid.IntRange(-10, 10).Draw(t, "noise"))
+				table.Observe(p.from, p.to, d+d*noise/100, now)
+			}
+			m, ok := place.Decide(table, PlaceMsg{Now: now, Since: led, Leader: leader, Voters: voters, Able: func(string) bool { return true }})
+			if !ok {
+				continue
+			}
+			if m.To == leader || now-led < calmFor || m.Before-m.After < leastGain {
+				t.Fatalf("moved from %s to %+v after %v", leader, m, now-led)
+			}
+			leader, led, place = m.To, now, Place{}
+			moves++
+		}
+		if moves > len(voters)-1 {
+			t.Fatalf("%d moves", moves)
+		}
+	})
+}
--- a/protocol/replica.go
+++ b/protocol/replica.go
@@ -1,6 +1,9 @@
 package protocol
 
-import "slices"
+import (
+	"slices"
+	"time"
+)
 
 // ReplicaID is the identity of a replica: a name and the incarnation of its
 // data folder. A folder that was lost comes back under another incarnation.
@@ -37,6 +40,9 @@
 	Term uint64
 	Vote ReplicaID
 	Led  bool // Led says that this replica was the leader of Term.
+	// Promise is the longest time that this replica may have promised a leader to elect
+	// no other; 0 where it never was longer than the least election timeout.
+	Promise time.Duration
 }
 
 // EntryKind tells entries of the log apart.
--- a/state/wal/power_test.go
+++ b/state/wal/power_test.go
@@ -11,6 +11,7 @@
 	"slices"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/google/go-cmp/cmp"
 	"pgregory.net/rapid"
@@ -360,6 +361,7 @@
 	next := p.sure
 	next.Hard.Term += uint64(rapid.IntRange(0, 1).Draw(t, "term"))
 	next.Hard.Led = rapid.Bool().Draw(t, "led")
+	next.Hard.Promise = time.Duration(rapid.Int64Range(0, int64(time.Minute)).Draw(t, "promise"))
 	from := uint64(rapid.IntRange(int(next.Snap)+1, int(next.last())+1).Draw(t, "from"))
 	var entries []protocol.LogEntry
 	for i := range rapid.IntRange(0, 3).Draw(t, "entries") {
--- a/state/wal/segment.go
+++ b/state/wal/segment.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"encoding/binary"
 	"hash/crc32"
+	"time"
 
 	"github.com/rotisserie/eris"
 
@@ -40,10 +41,12 @@
 	return eris.Wrap(f.log.Sync(), "sync log")
 }
 
-// ledFlag marks, behind the entries of a frame, that the replica led the term of
-// its hard state. Frames of other replicas have no flags, as those of earlier
-// versions.
-const ledFlag = 1
+// The flags behind the entries of a frame. A frame without any has no byte for them,
+// as those of earlier versions.
+const (
+	ledFlag     = 1 // ledFlag marks that the replica led the term of its hard state.
+	promiseFlag = 2 // promiseFlag marks that its longest promise follows.
+)
 
 // encodeFrame renders a frame: header, hard state, entries, flags.
 func encodeFrame(hard protocol.HardState, entries []protocol.LogEntry) []byte {
@@ -59,9 +62,7 @@
 		frame = append(frame, byte(e.Kind))
 		frame = appendBytes(frame, e.Data)
 	}
-	if hard.Led {
-		frame = append(frame, ledFlag)
-	}
+	frame = appendFlags(frame, hard)
 	frame = append(frame, frameEnd)
 	payload := frame[frameHeader:]
 	binary.LittleEndian.PutUint32(frame, uint32(len(payload)))
@@ -70,6 +71,24 @@
 	return frame
 }
 
+// appendFlags renders what only some hard states have.
+func appendFlags(frame []byte, hard protocol.HardState) []byte {
+	var flags byte
+	if hard.Led {
+		flags |= ledFlag
+	}
+	if hard.Promise > 0 {
+		flags |= promiseFlag
+	}
+	if flags != 0 {
+		frame = append(frame, flags)
+	}
+	if hard.Promise > 0 {
+		frame = binary.AppendUvarint(frame, uint64(hard.Promise))
+	}
+	return frame
+}
+
 func appendBytes(dst, b []byte) []byte {
 	dst = binary.AppendUvarint(dst, uint64(len(b)))
 	return append(dst, b...)
@@ -125,7 +144,12 @@
 		entries = append(entries, e)
 	}
 	if len(r.rest) > 1 {
-		hard.Led = r.byte() == ledFlag
+		flags := r.byte()
+		hard.Led = flags&ledFlag != 0
+		if flags&promiseFlag != 0 {
+			hard.Promise = time.Duration(r.uvarint())
+		}
+		r.bad = r.bad || flags&^(ledFlag|promiseFlag) != 0
 	}
 	end := r.byte()
 	return hard, entries, !r.bad && end == frameEnd && len(r.rest) == 0
--- a/transport/replica.go
+++ b/transport/replica.go
@@ -87,10 +87,11 @@
 }
 
 func (s *ReplicaSender) run(name string, q chan StepArgs) {
+	open := make(chan struct{}, openCalls)
 	for {
 		select {
 		case first := <-q:
-			s.call(name, gather(first, q))
+			s.callFor(name, gather(first, q), open)
 		case <-s.ctx.Done():
 			return
 		}
@@ -110,6 +111,36 @@
 	return args
 }
 
+// pipelineAfter is how long messages wait for the answer to those before them. Within
+// a region the answer comes by then, and what gathers meanwhile goes in one call. Over
+// long paths it does not, and a message would wait for up to a whole round trip.
+const pipelineAfter = 4 * time.Millisecond
+
+// openCalls is how many calls to one replica may be open: those of a quarter of a
+// second. One that answers nothing gets no more.
+const openCalls = 64
+
+// callFor makes a call and waits for its end, or for pipelineAfter. All calls to a
+// replica use one connection, so they seldom overtake each other; where one does, the
+// replica refuses what does not match and is sent it again.
+func (s *ReplicaSender) callFor(name string, args StepArgs, open chan struct{}) {
+	open <- struct{}{}
+	done := make(chan struct{})
+	go func() {
+		defer func() {
+			<-open
+			close(done)
+		}()
+		s.call(name, args)
+	}()
+	next := time.NewTimer(pipelineAfter)
+	defer next.Stop()
+	select {
+	case <-done:
+	case <-next.C:
+	}
+}
+
 func (s *ReplicaSender) call(name string, args StepArgs) {
 	address, ok := s.address(name)
 	if !ok {
