A stopping control instance hands leadership over; moves to a nearer quorum

Cause: a planned stop of the leader cost an election: the others had to find out that it was gone. And leadership stayed where chance had put it.

Change: on SIGTERM a leading control instance waits for a call to the platform that is under way, hands over and ends when another one leads. Where the settings name several regions the leader moves to where a quorum's round trip is clearly least, never while a report or an order is under way.

--- a/cmd/weldstreamd/control.go
+++ b/cmd/weldstreamd/control.go
@@ -37,6 +37,7 @@
 	links      *transport.Links
 	membership *transport.Membership
 	group      *group.Group
+	calls      *control.Calls
 	uplink     *control.Uplink
 	peer       net.Listener
 }
@@ -52,8 +53,7 @@
 	client := transport.NewMembersClient(c.tables, c.links)
 	orders := control.NewRolloutOrders(client, platform.ParseNumbered, r.settings.Bounds.OrderRepeat)
 	operator := c.operator(platform.NewOperator(client, orders, r.log), control.NewOperator(orders, c.progress, r.log))
-	source := platform.NewSource(r.settings.Source.Address)
-	duties := control.NewDuties(c.limits(), r.settings.Name, c.group, source, c.uplink, r.log)
+	duties := control.NewDuties(c.limits(), r.settings.Name, c.group, c.calls, c.uplink, r.log)
 	boot := transport.NewBootstrap(c.group, c.tables, c.links, r.log, c.name(), r.settings.Seeds,
 		transport.WithFound(r.settings.Found), transport.WithOthers())
 	for _, part := range []func(context.Context) error{
@@ -69,7 +69,7 @@
 		func(ctx context.Context) error {
 			return serveHTTP(ctx, r.settings.Listen(r.settings.Operator), documentBytes, operator)
 		},
-		func(ctx context.Context) error { return c.serveMetrics(ctx, func() any { return c.group.Status() }) },
+		func(ctx context.Context) error { return c.serveMetrics(ctx, c.status) },
 	} {
 		eg.Go(func() error { return part(work) })
 	}
@@ -140,8 +140,9 @@
 	if err := c.wireMembership(); err != nil {
 		return err
 	}
+	c.calls = control.NewCalls(platform.NewSource(n.Source.Address))
 	sender := transport.NewReplicaSender(work, c.tables, c.links, transport.WithAddresses(c.peerAddress))
-	c.group, err = group.Open(c.groupConfig(), n.DataDir, c.name(), sender, group.WithLogger(c.log), group.WithRegistry(c.registry), group.WithDocument(func(number uint64, data []byte) { c.uplink.Install(number, data) }),
+	c.group, err = group.Open(c.groupConfig(), n.DataDir, c.name(), sender, group.WithLogger(c.log), group.WithRegistry(c.registry), group.WithBusy(c.calls.Busy), group.WithDocument(func(number uint64, data []byte) { c.uplink.Install(number, data) }),
 		group.WithRollouts(func(l protocol.RolloutLog) { c.uplink.InstallRollouts(l) }))
 	if err != nil {
 		return err
@@ -178,6 +179,7 @@
 			Copies:    n.Tolerate + 1,
 			Voters:    2*n.Tolerate + 1,
 			Gone:      goneAfter,
+			Wide:      n.Topology().Several(),
 		},
 		SnapshotEntries: n.Replication.SnapshotEntries,
 		Batch:           n.Replication.Batch,
@@ -236,6 +238,7 @@
 			continue
 		case s := <-c.stops:
 			c.log.Info().Stringer("signal", s).Msg("stopping")
+			c.handOver(work)
 		case <-work.Done():
 		}
 		return
--- /dev/null
+++ b/cmd/weldstreamd/leave.go
@@ -0,0 +1,68 @@
+package main
+
+import (
+	"context"
+	"time"
+
+	"github.com/weldstream/weldstream/coordination/group"
+	"github.com/weldstream/weldstream/coordination/replicate"
+	"github.com/weldstream/weldstream/internal/pause"
+)
+
+const (
+	// handOverLimit bounds what a stopping control instance waits for its successor:
+	// several round trips between far regions, and a small part of what a planned
+	// stop may take.
+	handOverLimit = time.Second
+	// lastCall of that is left for a call to the platform that is under way.
+	lastCall  = 300 * time.Millisecond
+	leavePoll = 5 * time.Millisecond
+)
+
+// handOver has a control instance that leads hand leadership over before it ends, and
+// waits until another one leads: no election has to wait for its silence.
+func (c *controlInstance) handOver(work context.Context) {
+	if !c.leads() {
+		return
+	}
+	ctx, cancel := context.WithTimeout(work, handOverLimit)
+	defer cancel()
+	began := time.Now()
+	for c.calls.Busy() && time.Since(began) < lastCall {
+		pause.For(ctx, leavePoll) // A call that goes on is repeated safely: it carries a lower token.
+	}
+	if err := c.group.HandOver(ctx); err != nil {
+		c.log.Warn().Err(err).Msg("stopping without a successor")
+		return
+	}
+	for ctx.Err() == nil {
+		changed := c.group.Changed()
+		if leader := c.group.Status().Leader; !leader.IsZero() && leader != c.group.ID() {
+			c.log.Info().Str("to", leader.Name).Dur("after", time.Since(began)).Msg("another control instance leads")
+			return
+		}
+		pause.Until(ctx, handOverLimit, changed)
+	}
+}
+
+func (c *controlInstance) leads() bool { return c.group.Status().Role == replicate.Leader.String() }
+
+// controlStatus is what a control instance dumps.
+type controlStatus struct {
+	group.Status
+	Regions map[string]string `json:"regions,omitempty"` // Regions are those of the control instances, by name.
+}
+
+// status returns the state for the dump.
+func (c *controlInstance) status() any {
+	s := controlStatus{Status: c.group.Status()}
+	topology := c.settings.Topology()
+	if !topology.Several() {
+		return s
+	}
+	s.Regions = map[string]string{c.name(): c.settings.Region}
+	for _, row := range c.tables.Members.Rows() {
+		s.Regions[row.Name] = topology.Region(row.Domain)
+	}
+	return s
+}
--- a/coordination/group/group.go
+++ b/coordination/group/group.go
@@ -92,6 +92,7 @@
 // Group is one replica of a replication group.
 type Group struct {
 	timeOfDay func() time.Time
+	busy      func() bool
 
 	meters   *meters
 	document func(number uint64, data []byte)
@@ -129,6 +130,8 @@
 	failed           bool
 	failedAt         time.Duration // failedAt is when the disk failed last, or was tried again.
 	full             bool
+	trips            roundTrips
+	campaignAt       time.Duration // campaignAt is when this replica began to campaign; 0 while it does not.
 	spaceAt          time.Duration // spaceAt is when the free space is asked for next.
 }
 
@@ -159,6 +162,7 @@
 		rollouts:  func(protocol.RolloutLog) {},
 		meters:    noMeters(),
 		timeOfDay: time.Now,
+		busy:      func() bool { return false },
 		dir:       dir,
 		inbox:     make(chan input, inboxSize),
 		done:      make(chan struct{}),
@@ -247,7 +251,7 @@
 			g.failAll(ErrUnknown)
 			return g.folder.Close()
 		case <-tick.C:
-			g.update(replicate.TickMsg{Now: g.now(), Rand: rand.Uint64()})
+			g.update(replicate.TickMsg{Now: g.now(), Rand: rand.Uint64(), Busy: g.busy()})
 		case in := <-g.inbox:
 			g.take(in)
 			g.drain()
@@ -317,6 +321,10 @@
 		g.readable(cmd)
 	case replicate.RemoveCmd:
 		g.answer(cmd.Token, outcome{err: cmd.Err})
+	case replicate.HandoverCmd:
+		g.handedOver(cmd)
+	case replicate.MoveCmd:
+		g.moving(cmd)
 	case replicate.ElectedCmd:
 		g.log.Info().Uint64("term", cmd.Term).Msg("elected leader")
 	case replicate.SteppedDownCmd:
--- a/coordination/group/status.go
+++ b/coordination/group/status.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/weldstream/weldstream/coordination/replicate"
+	"github.com/weldstream/weldstream/coordination/roundtrip"
 	"github.com/weldstream/weldstream/protocol"
 )
 
@@ -21,6 +22,11 @@
 	// Quiet is how long ago the latest command had been committed, by the time of day,
 	// when this replica was settled as the leader.
 	Quiet time.Duration `json:"quiet"`
+	// RoundTrips are between any two replicas, as pings observed them, and Rounds those
+	// of the leader's rounds, with the others' disks; the first are of use, and taken,
+	// where replicas lie in several regions.
+	RoundTrips []roundtrip.Trip `json:"round_trips,omitempty"`
+	Rounds     []roundtrip.Trip `json:"rounds,omitempty"`
 }
 
 // Status returns the group's state at the end of the last batch.
@@ -38,7 +44,12 @@
 	if s.Settled && (before == nil || !before.Settled || before.Term != s.Term) {
 		s.Quiet = max(0, g.timeOfDay().Sub(time.UnixMilli(g.machine.Now())))
 	}
-	s.LeaseEnd = max(0, (s.Lease - g.now()).Milliseconds())
+	now := g.now()
+	g.lookAtTrips(now)
+	g.noteElection(&s, now)
+	s.RoundTrips, s.Rounds = g.trips.all, g.trips.rounds
+	s.LeaseEnd = max(0, (s.Lease - now).Milliseconds())
+	g.meters.timeout.Update(s.Timeout.Milliseconds())
 	g.meters.term.Update(int64(s.Term))
 	g.meters.lease.Update(s.LeaseEnd)
 	g.status.Store(&s)
--- a/coordination/group/waiter.go
+++ b/coordination/group/waiter.go
@@ -8,11 +8,12 @@
 
 // waiter is somebody who waits for a proposal or a read.
 type waiter struct {
-	command *protocol.Command // command is set for a proposal.
-	name    string            // name is set for a removal.
-	index   uint64
-	term    uint64
-	done    chan outcome
+	command  *protocol.Command // command is set for a proposal.
+	name     string            // name is set for a removal.
+	handover bool              // handover is set for a hand-over.
+	index    uint64
+	term     uint64
+	done     chan outcome
 }
 
 type outcome struct {
@@ -35,6 +36,8 @@
 			return
 		}
 		g.update(replicate.ProposeMsg{Token: g.token, Data: data})
+	case w.handover:
+		g.update(replicate.HandoverMsg{Token: g.token})
 	case w.name != "":
 		g.update(replicate.RemoveMsg{Token: g.token, Name: w.name})
 	default:
--- /dev/null
+++ b/transport/control/calls.go
@@ -0,0 +1,40 @@
+package control
+
+import (
+	"context"
+	"sync/atomic"
+
+	"github.com/weldstream/weldstream/protocol"
+)
+
+// Calls is a [Source] that knows whether a call which changes something is under way:
+// leadership does not move meanwhile.
+type Calls struct {
+	source Source
+	open   atomic.Int64
+}
+
+// NewCalls returns a source that passes everything on to another one.
+func NewCalls(s Source) *Calls { return &Calls{source: s} }
+
+// Busy reports whether a report or an order is under way.
+func (c *Calls) Busy() bool { return c.open.Load() > 0 }
+
+// List implements [Source].
+func (c *Calls) List(ctx context.Context) (list []protocol.Instance, calls int, err error) {
+	return c.source.List(ctx)
+}
+
+// Report implements [Source].
+func (c *Calls) Report(ctx context.Context, d Duty, window int64, counts map[string]int64) error {
+	c.open.Add(1)
+	defer c.open.Add(-1)
+	return c.source.Report(ctx, d, window, counts)
+}
+
+// Order implements [Source].
+func (c *Calls) Order(ctx context.Context, d Duty, o Order) error {
+	c.open.Add(1)
+	defer c.open.Add(-1)
+	return c.source.Order(ctx, d, o)
+}
