The soak lays its processes out in regions and cuts them

Cause: nothing with real processes had regions.

Change: size with regions and a delay; peer connections pass by the path between two regions, told by the greeting; faults that cut a region off, whole or one way, and two that lose each other, drawn beside the plans so that seeds keep theirs. Tests of the leader's region cut off, of two apart, and of round trips known everywhere.

--- a/internal/soak/cluster.go
+++ b/internal/soak/cluster.go
@@ -35,6 +35,8 @@
 	Controls int
 	Gateways int
 	Backends int
+	Regions  int           // Regions is in how many regions the processes lie; under 2 means none.
+	Delay    time.Duration // Delay is between two regions, one way.
 }
 
 // Cluster is the daemons with all that stands around them.
@@ -43,6 +45,7 @@
 	API      *standin.API
 	Record   *standin.Record
 	Backends []*standin.Backend
+	Paths    *Paths // Paths are the ways between regions; nil without regions.
 
 	dir     string
 	bin     string
@@ -84,6 +87,7 @@
 		return nil, err
 	}
 	c.API = api
+	c.makePaths()
 	return c, errors.Join(c.makeBackends(), c.makeProxies(), c.makeProcs())
 }
 
@@ -136,7 +140,11 @@
 func (c *Cluster) makeProxies() error {
 	for i := range c.Size.Controls {
 		for _, port := range []int{c.ports.operator, c.ports.peer} {
-			p, err := NewProxy(at(told(i), port), at(behind(i), port))
+			var opts []ProxyOption
+			if port == c.ports.peer && c.Paths != nil {
+				opts = append(opts, WithPaths(c.Paths, c.Size.regionOf(i)))
+			}
+			p, err := NewProxy(at(told(i), port), at(behind(i), port), opts...)
 			if err != nil {
 				return err
 			}
@@ -181,6 +189,7 @@
 		seeds = append(seeds, at(told(k), c.ports.operator))
 	}
 	text := fmt.Sprintf("name: %s\ndomain: zone-%d\nseeds: [%s]\nfound: %v\ntolerate: %d\n", p.Name, i%3, strings.Join(seeds, ", "), found, (c.Size.Controls-1)/2)
+	text += c.Size.regionSettings(i)
 	text += fmt.Sprintf("source: {address: %s, duties: [%s], list_rate: 20}\n", c.API.Address, platform.DutyUsage)
 	text += "bounds: {grace: 6s, lease: 500ms, usage_window: 1s, usage_due: 2s, order_repeat: 5s, retry_ratio: 0.5, retry_extra: 50}\n"
 	if p.Role == "control" {
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -27,7 +27,7 @@
 	faults
 )
 
-var faultNames = [...]string{"kill", "pause", "stop", "reload", "wipe", "link", "server", "reset", "replies", "api", "damage"}
+var faultNames = [...]string{"kill", "pause", "stop", "reload", "wipe", "link", "server", "reset", "replies", "api", "damage", "region", "apart"}
 
 // String returns the fault's name.
 func (f Fault) String() string { return faultNames[f] }
@@ -79,6 +79,7 @@
 		}
 		p.Steps = append(p.Steps, s)
 	}
+	p.withCuts(size)
 	return p
 }
 
@@ -101,7 +102,7 @@
 	fmt.Fprintf(&out, "seed %d, %v\n", p.Seed, p.Length)
 	for _, s := range p.Steps {
 		fmt.Fprintf(&out, "  %6dms %s %d for %dms", s.At.Milliseconds(), s.Fault, s.Index, s.For.Milliseconds())
-		if s.Fault == FaultLink || s.Fault == FaultServer {
+		if s.Fault == FaultLink || s.Fault == FaultServer || s.Fault == FaultRegion {
 			fmt.Fprintf(&out, " (%s)", s.Link)
 		}
 		out.WriteByte('\n')
--- a/internal/soak/proxy.go
+++ b/internal/soak/proxy.go
@@ -13,13 +13,14 @@
 
 // The ways to treat what passes.
 const (
-	LinkGood   Link = iota
-	LinkSlow        // LinkSlow delays all that passes.
-	LinkSilent      // LinkSilent passes nothing, either way, and closes nothing.
-	LinkOneWay      // LinkOneWay passes nothing towards the process behind it.
+	LinkGood    Link = iota
+	LinkSlow         // LinkSlow delays all that passes.
+	LinkSilent       // LinkSilent passes nothing, either way, and closes nothing.
+	LinkOneWay       // LinkOneWay passes nothing towards the process behind it.
+	linkOutward      // linkOutward is for regions alone: nothing passes out of one.
 )
 
-var linkNames = [...]string{"good", "slow", "silent", "one-way"}
+var linkNames = [...]string{"good", "slow", "silent", "one-way", "outward"}
 
 // String returns the link's name.
 func (l Link) String() string { return linkNames[l] }
@@ -31,6 +32,8 @@
 type Proxy struct {
 	target string
 	ln     net.Listener
+	paths  *Paths // paths are the ways between regions; nil without regions, or where none is passed.
+	region int    // region is the one of the process behind it.
 
 	mu    sync.Mutex // mu guards all below.
 	link  Link
@@ -38,13 +41,24 @@
 	conns map[net.Conn]struct{}
 }
 
+// ProxyOption changes a new proxy.
+type ProxyOption func(*Proxy)
+
+// WithPaths sets the ways between regions, and the region behind the proxy.
+func WithPaths(paths *Paths, region int) ProxyOption {
+	return func(p *Proxy) { p.paths, p.region = paths, region }
+}
+
 // NewProxy listens at an address and passes on to a target.
-func NewProxy(address, target string) (*Proxy, error) {
+func NewProxy(address, target string, opts ...ProxyOption) (*Proxy, error) {
 	ln, err := net.Listen("tcp", address)
 	if err != nil {
 		return nil, err
 	}
 	p := &Proxy{target: target, ln: ln, wake: make(chan struct{}), conns: map[net.Conn]struct{}{}}
+	for _, opt := range opts {
+		opt(p)
+	}
 	go p.accept()
 	return p, nil
 }
@@ -111,6 +125,10 @@
 	p.track(s, true)
 	defer p.track(s, false)
 	defer closeConn(s)
+	if p.paths != nil {
+		p.passBetween(c, s)
+		return
+	}
 	var both sync.WaitGroup
 	both.Go(func() { p.copy(s, c, true) })
 	both.Go(func() { p.copy(c, s, false) })
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -133,6 +133,8 @@
 	switch s.Fault {
 	case FaultKill, FaultPause, FaultStop, FaultReload:
 		r.harmProcess(c.procs[s.Index], s)
+	case FaultRegion, FaultApart:
+		r.harmRegion(s)
 	case FaultWipe:
 		r.harmDisk(c.procs[s.Index], (*Proc).Wipe, s.For)
 	case FaultDamage:
