Round trips count once they were seen a few times; a dead path's queue is dropped

Messages that waited for a replica that was not reached went out up to a second late.

Change: the least of the first four observations counts, and none before; what waits for a replica is dropped when a call to it fails.

Run: tests of roundtrip, replicate; TestLeadersRegionIsCutOff.

--- a/coordination/roundtrip/roundtrip.go
+++ b/coordination/roundtrip/roundtrip.go
@@ -22,6 +22,9 @@
 	// frozen for a second is no second away.
 	mostTimes = 2
 	leastStep = 10 * time.Millisecond
+	// firstFew are the observations of which the least counts: the first ones often
+	// hold the opening of a connection, or what waited while a path was cut.
+	firstFew = 4
 	// lossGain is the part by which one observation moves the loss.
 	lossGain = 16
 	// lateTimes is how many variations late answers take longer, as in RFC 6298.
@@ -51,6 +54,7 @@
 	smoothed, variation time.Duration
 	loss                float64
 	at                  time.Duration
+	first               int // first counts the observations up to firstFew.
 }
 
 // Table holds the round trips. It is changed in place.
@@ -63,7 +67,14 @@
 func (t *Table) Observe(from, to string, trip, now time.Duration) {
 	r := t.rows[pair{from, to}]
 	if r == nil || now-r.at > freshFor {
-		t.rows[pair{from, to}] = &row{smoothed: trip, variation: trip / spread, at: now}
+		t.rows[pair{from, to}] = &row{smoothed: trip, variation: trip / spread, at: now, first: 1}
+		return
+	}
+	if r.first < firstFew {
+		r.first++
+		r.smoothed = min(r.smoothed, trip)
+		r.variation = r.smoothed / spread
+		r.at = now
 		return
 	}
 	trip = min(trip, mostTimes*r.smoothed+leastStep)
@@ -88,7 +99,7 @@
 func (t *Table) Learn(from string, trips []Trip, now time.Duration) {
 	for _, trip := range trips {
 		if trip.From == from {
-			t.rows[pair{from, trip.To}] = &row{smoothed: trip.Smoothed, variation: trip.Variation, loss: trip.Loss, at: now - trip.Age}
+			t.rows[pair{from, trip.To}] = &row{smoothed: trip.Smoothed, variation: trip.Variation, loss: trip.Loss, at: now - trip.Age, first: firstFew}
 		}
 	}
 }
@@ -143,11 +154,11 @@
 }
 
 // Late returns a time within which nearly always so many of the others answer, or all
-// that were observed where they are fewer; zero for none.
+// that were observed often enough where they are fewer; zero for none.
 func (t *Table) Late(from string, others []string, answers int, now time.Duration) time.Duration {
 	var times []time.Duration
 	for _, name := range others {
-		if trip, ok := t.Trip(from, name, now); ok {
+		if trip, ok := t.Trip(from, name, now); ok && t.rows[pair{from, name}].first >= firstFew {
 			times = append(times, trip.Late())
 		}
 	}
--- a/coordination/roundtrip/roundtrip_test.go
+++ b/coordination/roundtrip/roundtrip_test.go
@@ -24,6 +24,18 @@
 	}
 }
 
+// TestOpeningOfAConnection checks that what the first answers waited for does not
+// count for the path.
+func TestOpeningOfAConnection(t *testing.T) {
+	table := New()
+	for i, trip := range []time.Duration{time.Second, 900 * ms, 16 * ms, 18 * ms} {
+		table.Observe("a", "b", trip, time.Duration(i)*40*ms)
+	}
+	if trip, ok := table.Trip("a", "b", time.Second); !ok || trip.Smoothed != 16*ms || trip.Late() != 32*ms {
+		t.Errorf("%+v, %v; late %v", trip, ok, trip.Late())
+	}
+}
+
 func TestQuorum(t *testing.T) {
 	table := New()
 	for to, trip := range map[string]time.Duration{"b": 2 * ms, "c": 16 * ms, "d": 80 * ms} {
--- a/internal/soak/region_test.go
+++ b/internal/soak/region_test.go
@@ -155,13 +155,17 @@
 	number := uint64(2)
 	for _, link := range []Link{LinkSilent, LinkOneWay, linkOutward} {
 		leader := leaderOf(t, c, -1)
+		before, err := c.Status(leader)
+		if err != nil {
+			t.Fatal(err)
+		}
 		s := Step{Fault: FaultRegion, Index: c.Size.regionOf(leader), Link: link}
 		for _, path := range s.cutPaths(c.Size) {
 			c.Paths.Cut(path[0], path[1], true)
 		}
 		began := time.Now()
 		next := leaderOf(t, c, leader)
-		t.Logf("%v: another led %v behind the cut", link, time.Since(began))
+		t.Logf("%v: another led %v behind the cut, timeout %v", link, time.Since(began), before.Timeout)
 		if former, err := c.Status(leader); err != nil || former.LeaseEnd > 0 {
 			t.Errorf("%v: the one that is cut off has a lease of %d ms, %v", link, former.LeaseEnd, err)
 		}
--- a/transport/replica.go
+++ b/transport/replica.go
@@ -91,7 +91,7 @@
 	for {
 		select {
 		case first := <-q:
-			s.callFor(name, gather(first, q), open)
+			s.callFor(name, gather(first, q), q, open)
 		case <-s.ctx.Done():
 			return
 		}
@@ -123,7 +123,7 @@
 // callFor makes a call and waits for its end, or for pipelineAfter. All calls to a
 // replica use one connection, so they seldom overtake each other; where one does, the
 // replica refuses what does not match and is sent it again.
-func (s *ReplicaSender) callFor(name string, args StepArgs, open chan struct{}) {
+func (s *ReplicaSender) callFor(name string, args StepArgs, q chan StepArgs, open chan struct{}) {
 	open <- struct{}{}
 	done := make(chan struct{})
 	go func() {
@@ -131,7 +131,9 @@
 			<-open
 			close(done)
 		}()
-		s.call(name, args)
+		if !s.call(name, args) {
+			forget(q)
+		}
 	}()
 	next := time.NewTimer(pipelineAfter)
 	defer next.Stop()
@@ -141,10 +143,24 @@
 	}
 }
 
-func (s *ReplicaSender) call(name string, args StepArgs) {
+// forget drops what waits for a replica that was not reached. It is sent again in newer
+// messages; when the path is back, rounds of a second ago would hold up those of now,
+// and their answers would look like a long path.
+func forget(q chan StepArgs) {
+	for range len(q) {
+		select {
+		case <-q:
+		default:
+			return
+		}
+	}
+}
+
+// call makes a call and reports whether it was answered.
+func (s *ReplicaSender) call(name string, args StepArgs) bool {
 	address, ok := s.address(name)
 	if !ok {
-		return
+		return false
 	}
 	timeout := stepTimeout
 	for _, m := range args.Messages {
@@ -153,7 +169,7 @@
 		}
 	}
 	var done bool
-	_ = s.links.Call(address, "Group.Step", args, &done, timeout) // Lost messages are sent again.
+	return s.links.Call(address, "Group.Step", args, &done, timeout) == nil // Lost messages are sent again.
 }
 
 // GroupService answers the other instances' calls to this replica.
