--- a/coordination/replicate/wide_test.go
+++ b/coordination/replicate/wide_test.go
@@ -138,8 +138,6 @@
 	reads   map[uint64]uint64 // reads are the indexes committed when each was asked.
 	refused int               // refused are reads that were not confirmed.
 	read    int               // read are those that were.
-	early   time.Duration     // early is for how long a leader had no lease.
-	checked time.Duration
 }
 
 type event struct {
