Only a replica that answers is sent to ahead of its answers

Cause: a machine that is gone was dialed by up to 64 calls at once. Change: calls pass ahead of answers only once the latest one to end was answered. A test of that (fails on the code before: the call is given up and dialed anew), and one of leadership that moves to the region of a quorum, with real processes.

--- a/internal/soak/region_test.go
+++ b/internal/soak/region_test.go
@@ -224,3 +224,43 @@
 		t.Error(b)
 	}
 }
+
+// TestLeadershipMoves has a leader alone in its region while a quorum is in another:
+// leadership moves there by itself, once, and configurations are taken all the while.
+// It waits out the half minute for which a leader leads at the least.
+func TestLeadershipMoves(t *testing.T) {
+	size := Size{Controls: 3, Gateways: 1, Backends: 2, Regions: 2, Delay: 40 * time.Millisecond}
+	c, k, o := cluster(t, size)
+	leader := leaderOf(t, c, -1)
+	for ; c.Size.regionOf(leader) != 1; leader = leaderOf(t, c, -1) {
+		p := c.procs[leader]
+		if err := p.Stop(); err != nil {
+			t.Fatal(err)
+		}
+		leaderOf(t, c, leader)
+		if err := p.Start(); err != nil {
+			t.Fatal(err)
+		}
+		readsBack(t, o, leader)
+	}
+	before, err := c.Status(leader)
+	if err != nil {
+		t.Fatal(err)
+	}
+	began, next := time.Now(), leader
+	for number := uint64(2); c.Size.regionOf(next) == 1; number++ {
+		if time.Since(began) > 2*readyTime {
+			t.Fatal("leadership stays where a quorum is far")
+		}
+		takes(t, o, number)
+		next = leaderOf(t, c, -1)
+	}
+	after, err := c.Status(next)
+	if err != nil || after.Term != before.Term+1 {
+		t.Errorf("from term %d to %d, %v", before.Term, after.Term, err)
+	}
+	t.Logf("leadership moved %v behind the look; round trips %+v", time.Since(began), after.RoundTrips)
+	for _, b := range append(k.Breaches(), c.API.Breaches()...) {
+		t.Error(b)
+	}
+}
--- a/transport/replica.go
+++ b/transport/replica.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -87,11 +88,11 @@
 }
 
 func (s *ReplicaSender) run(name string, q chan StepArgs) {
-	open := make(chan struct{}, openCalls)
+	way := pipeline{waiting: q, open: make(chan struct{}, openCalls)}
 	for {
 		select {
 		case first := <-q:
-			s.callFor(name, gather(first, q), q, open)
+			s.callFor(name, gather(first, q), &way)
 		case <-s.ctx.Done():
 			return
 		}
@@ -120,21 +121,35 @@
 // second. One that answers nothing gets no more.
 const openCalls = 64
 
-// callFor makes a call and waits for its end, or for pipelineAfter. All calls to a
-// replica use one connection, so they seldom overtake each other; where one does, the
-// replica refuses what does not match and is sent it again.
-func (s *ReplicaSender) callFor(name string, args StepArgs, q chan StepArgs, open chan struct{}) {
-	open <- struct{}{}
+// pipeline is what is under way to one replica.
+type pipeline struct {
+	waiting chan StepArgs
+	open    chan struct{} // open holds the calls that are not answered yet.
+	works   atomic.Bool   // works says that the latest call to end was answered.
+}
+
+// callFor makes a call and waits for its end, or for pipelineAfter where the replica
+// answers: one that does not is dialed by one call at a time. All calls to a replica
+// use one connection, so they seldom overtake each other; where one does, the replica
+// refuses what does not match and is sent it again.
+func (s *ReplicaSender) callFor(name string, args StepArgs, way *pipeline) {
+	way.open <- struct{}{}
 	done := make(chan struct{})
 	go func() {
 		defer func() {
-			<-open
+			<-way.open
 			close(done)
 		}()
-		if !s.call(name, args) {
-			forget(q)
+		answered := s.call(name, args)
+		way.works.Store(answered)
+		if !answered {
+			forget(way.waiting)
 		}
 	}()
+	if !way.works.Load() {
+		<-done
+		return
+	}
 	next := time.NewTimer(pipelineAfter)
 	defer next.Stop()
 	select {
--- /dev/null
+++ b/transport/replica_test.go
@@ -0,0 +1,84 @@
+package transport
+
+import (
+	"net"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/weldstream/weldstream/coordination/replicate"
+	"github.com/weldstream/weldstream/protocol"
+	"github.com/weldstream/weldstream/state"
+)
+
+// farReplica answers its first call at once and holds the second back until the third
+// has come, as a long path does.
+type farReplica struct {
+	rounds chan uint64
+	third  chan struct{}
+}
+
+// Step takes messages as [GroupService] does.
+func (r *farReplica) Step(args StepArgs, done *bool) error {
+	*done = true
+	round := args.Messages[0].Round
+	r.rounds <- round
+	switch round {
+	case 2:
+		<-r.third
+	case 3:
+		close(r.third)
+	}
+	return nil
+}
+
+// countingListener counts the connections that it accepts.
+type countingListener struct {
+	net.Listener
+	accepted atomic.Int64
+}
+
+// Accept implements net.Listener.
+func (l *countingListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err == nil {
+		l.accepted.Add(1)
+	}
+	return c, err
+}
+
+// TestMessagesDoNotWaitForAnswers checks that messages to a replica pass while the call
+// before them is not answered yet, over the same connection.
+func TestMessagesDoNotWaitForAnswers(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	counted := &countingListener{Listener: ln}
+	far := &farReplica{rounds: make(chan uint64, 8), third: make(chan struct{})}
+	server := NewLinks("far", []byte(echoKey), time.Second, zerolog.Nop())
+	if err := server.Register("Group", far); err != nil {
+		t.Fatal(err)
+	}
+	go func() { _ = server.Serve(t.Context(), counted) }()
+	links := NewLinks("near", []byte(echoKey), time.Second, zerolog.Nop())
+	t.Cleanup(links.closeAll)
+	sender := NewReplicaSender(t.Context(), state.NewTables(), links,
+		WithAddresses(func(string) (string, bool) { return ln.Addr().String(), true }))
+	for round := uint64(1); round <= 3; round++ {
+		sender.Send(7, replicate.Message{To: protocol.ReplicaID{Name: "far", Incarnation: 1}, Round: round})
+		select {
+		case got := <-far.rounds:
+			if got != round {
+				t.Fatalf("got round %d, want %d", got, round)
+			}
+		case <-time.After(10 * time.Second):
+			t.Fatalf("round %d did not come", round)
+		}
+	}
+	if n := counted.accepted.Load(); n != 1 {
+		t.Errorf("%d connections: the call before was given up first", n)
+	}
+}
