--- a/coordination/replicate/replicate_test.go
+++ b/coordination/replicate/replicate_test.go
@@ -423,22 +423,26 @@
 	for seed := range uint64(longSeeds) {
 		rnd := rand.New(rand.NewPCG(seed, 0))
 		s := newSim(seedTB{TB: t, seed: seed}, []int{3, 5, 3, 1}[seed%4], rnd.IntN)
-		actions := s.actions()
-		total := 0
+		s.long(rnd, s.actions())
+		s.recovers()
+	}
+}
+
+// long has the actions happen in turns drawn by their weights.
+func (s *sim) long(rnd *rand.Rand, actions []action) {
+	total := 0
+	for _, a := range actions {
+		total += a.weight
+	}
+	for range longSteps {
+		n := rnd.IntN(total)
 		for _, a := range actions {
-			total += a.weight
-		}
-		for range longSteps {
-			n := rnd.IntN(total)
-			for _, a := range actions {
-				if n -= a.weight; n < 0 {
-					a.do()
-					break
-				}
+			if n -= a.weight; n < 0 {
+				a.do()
+				break
 			}
-			s.check()
 		}
-		s.recovers()
+		s.check()
 	}
 }
 
--- a/coordination/replicate/wide_test.go
+++ b/coordination/replicate/wide_test.go
@@ -63,21 +63,7 @@
 	for seed := range uint64(longSeeds / 4) {
 		rnd := rand.New(rand.NewPCG(seed, 1))
 		s := wideSim(seedTB{TB: t, seed: seed}, []int{3, 5}[seed%2], rnd.IntN)
-		actions := s.wideActions()
-		total := 0
-		for _, a := range actions {
-			total += a.weight
-		}
-		for range longSteps {
-			n := rnd.IntN(total)
-			for _, a := range actions {
-				if n -= a.weight; n < 0 {
-					a.do()
-					break
-				}
-			}
-			s.check()
-		}
+		s.long(rnd, s.wideActions())
 		s.recovers()
 	}
 }
