The version of a completed roll-out stays known when the next one begins

Cause: it was known by its roll-out alone, which the next one of the service takes the place of. Its servers then counted as of a version that nothing names and were kept from the gateways; no other version seemed to serve, and the next one was completed without a trial.

Change: the log adds a completed version to those that are known as it is replaced.

Run: TestCompletedVersionStaysKnown (fails before), tests of state, control, rollout.

--- a/state/rollouts.go
+++ b/state/rollouts.go
@@ -41,6 +41,9 @@
 	if last != nil {
 		next.Blocked = blockedBefore(last, m.Version)
 	}
+	if last != nil && last.Stage == protocol.RolloutCompleted && len(r.known[m.Service]) > 0 {
+		r.know(&protocol.VersionsMsg{Service: m.Service, Versions: []string{last.Version}}) // So far its roll-out named it.
+	}
 	r.count++
 	next.Number = r.count
 	r.put(next)
--- a/state/rollouts_test.go
+++ b/state/rollouts_test.go
@@ -118,3 +118,21 @@
 	begin(m, at, "v1")
 	check(map[string]bool{"v1": false, "v2": true, "v3": false})
 }
+
+// TestCompletedVersionStaysKnown is a fault that a soak with regions found: the version
+// of a completed roll-out was known by that roll-out alone. With the next one its servers
+// counted as of a version that nothing names and were kept from the gateways, so that
+// no other version seemed to serve and the next one was completed without a trial.
+func TestCompletedVersionStaysKnown(t *testing.T) {
+	m := NewMachine()
+	m.Apply(&protocol.Command{At: 1, Versions: &protocol.VersionsMsg{Service: "s", Versions: []string{"v1"}}})
+	begin(m, 1000, "v2")
+	stage(m, 3000, 1, protocol.RolloutCompleted, "v1")
+	begin(m, 9000, "v3")
+	l := m.RolloutLog()
+	for version, want := range map[string]bool{"v1": true, "v2": true, "v3": true, "v4": false} {
+		if l.Knows("s", version) != want {
+			t.Errorf("%s is known: %v", version, !want)
+		}
+	}
+}
