Messages between replicas leave out what is zero

Cause: heartbeats and their answers are most of what passes between control instances in quiet times, and their fields cost bytes between regions whether they are used or not; pings and messages that no longer wait for one another add to that. Change: zero fields are left out on the wire. Run: TestHeartbeatsAreSmall (fails before), TestMessagesArriveWhole.

--- a/coordination/replicate/message.go
+++ b/coordination/replicate/message.go
@@ -23,24 +23,25 @@
 	Pong
 )
 
-// Message is what replicas send each other. It is for exactly one incarnation.
+// Message is what replicas send each other. It is for exactly one incarnation. What is
+// zero is left out on the wire, which halves a heartbeat.
 type Message struct {
 	Kind     MessageKind
 	From     ID
 	To       ID
 	Term     uint64
-	Index    uint64 // Index is of the entry before Entries; in a reply, the last that matches.
-	LogTerm  uint64 // LogTerm is the term of the entry at Index.
-	Entries  []Entry
-	Commit   uint64
-	Reject   bool
-	Rejected uint64           // Rejected is the Index of the message that is refused.
-	Round    uint64           // Round pairs a leader's message with its answer.
-	Void     uint64           // Void is the term that the sender led before it was started anew, 0 without one: no lease of that term runs.
+	Index    uint64           `cbor:",omitempty"` // Index is of the entry before Entries; in a reply, the last that matches.
+	LogTerm  uint64           `cbor:",omitempty"` // LogTerm is the term of the entry at Index.
+	Entries  []Entry          `cbor:",omitempty"`
+	Commit   uint64           `cbor:",omitempty"`
+	Reject   bool             `cbor:",omitempty"`
+	Rejected uint64           `cbor:",omitempty"` // Rejected is the Index of the message that is refused.
+	Round    uint64           `cbor:",omitempty"` // Round pairs a leader's message with its answer.
+	Void     uint64           `cbor:",omitempty"` // Void is the term that the sender led before it was started anew, 0 without one: no lease of that term runs.
 	Promise  time.Duration    `cbor:",omitempty"` // Promise is for how long the receiver is to elect no other; in a reply, for how long it will not.
 	Trips    []roundtrip.Trip `cbor:",omitempty"` // Trips are the sender's own round trips, in a Pong.
-	Snapshot SnapshotMeta
-	Data     []byte // Data is the state machine's snapshot.
+	Snapshot SnapshotMeta     `cbor:",omitzero"`
+	Data     []byte           `cbor:",omitempty"` // Data is the state machine's snapshot.
 }
 
 // Msg is a message to [Replica.Update].
--- a/transport/replica_test.go
+++ b/transport/replica_test.go
@@ -1,6 +1,7 @@
 package transport
 
 import (
+	"bytes"
 	"net"
 	"sync/atomic"
 	"testing"
@@ -82,3 +83,22 @@
 		t.Errorf("%d connections: the call before was given up first", n)
 	}
 }
+
+// TestHeartbeatsAreSmall checks that what a heartbeat and its answer do not use does not
+// go over the wire: they are most of what passes between regions in quiet times.
+func TestHeartbeatsAreSmall(t *testing.T) {
+	id := protocol.ReplicaID{Name: "10.0.0.1:7201", Incarnation: 1 << 62}
+	for name, m := range map[string]replicate.Message{
+		"heartbeat": {Kind: replicate.Append, From: id, To: id, Term: 9, Index: 70_000, LogTerm: 9, Commit: 70_000, Round: 90_000},
+		"answer":    {Kind: replicate.AppendReply, From: id, To: id, Term: 9, Index: 70_000, Round: 90_000, Promise: 250 * time.Millisecond},
+	} {
+		var buf bytes.Buffer
+		if err := encoding.MarshalToBuffer(m, &buf); err != nil {
+			t.Fatal(err)
+		}
+		const most = 150 // bytes; with all that is zero they were 225 and 234.
+		if buf.Len() > most {
+			t.Errorf("%s: %d bytes", name, buf.Len())
+		}
+	}
+}
