A leader that hears no quorum tells another to campaign; cuts spare lost disks

Cause: with the way to the leader's region cut alone, the others heard it until it found out, and then waited out what they had promised.

Change: a leader that steps down for want of answers tells the replica with most of the log to campaign, where there are several regions; no lease of its term runs any more. Cuts are left out of the time in which a lost disk is caught up.

--- a/coordination/replicate/handover.go
+++ b/coordination/replicate/handover.go
@@ -143,6 +143,29 @@
 	}
 }
 
+// abdicate steps down for want of a quorum's answers. Where the others still hear this
+// replica, as when only the way to it is cut, they would wait out their promises; so
+// the one that has most of the log, as far as is known, is told to campaign.
+func (r *Replica) abdicate() {
+	var best ID
+	for _, id := range r.peerIDs() {
+		if r.log.Members().IsVoter(id) && (best.IsZero() || r.peers[id].match > r.peers[best].match) {
+			best = id
+		}
+	}
+	var match uint64
+	if !best.IsZero() {
+		match = r.peers[best].match
+	}
+	r.becomeFollower(r.hard.Term, ID{})
+	term, ok := r.log.Term(match)
+	if !r.cfg.Wide || best.IsZero() || !ok {
+		return
+	}
+	r.void = r.hard.Term // It leads this term no more, so no lease of it runs.
+	r.do(SendCmd{Message: Message{Kind: Handover, From: r.id, To: best, Term: r.hard.Term, Index: match, LogTerm: term}})
+}
+
 // choosePlace hands over to where a quorum's round trip is clearly less, unless
 // something is under way that had better be finished first.
 func (r *Replica) choosePlace() {
--- a/coordination/replicate/handover_test.go
+++ b/coordination/replicate/handover_test.go
@@ -152,3 +152,18 @@
 		}
 	}
 }
+
+// TestAbdication checks that a leader without a quorum's answers tells the replica with
+// most of the log to campaign, if replicas lie in several regions, and leads no more.
+func TestAbdication(t *testing.T) {
+	for wide, want := range map[bool]bool{true: true, false: false} {
+		r := replicaOf(idA, HardState{Term: 2})
+		r.cfg.Wide = wide
+		elect(t, r)
+		answer(r, idB, 1)
+		_, told := outcomes(r.Update(TickMsg{Now: r.now + 2*testConfig.Election}))
+		if _, leads := r.Leads(); leads || told != want || r.lease != 0 {
+			t.Errorf("wide %v: told %v, %+v", wide, told, r.Status())
+		}
+	}
+}
--- a/coordination/replicate/leader.go
+++ b/coordination/replicate/leader.go
@@ -275,7 +275,7 @@
 		r.broadcast()
 	}
 	if !r.quorumHeard() {
-		r.becomeFollower(r.hard.Term, ID{})
+		r.abdicate()
 		return
 	}
 	r.goOnHandover()
--- a/coordination/replicate/wide_test.go
+++ b/coordination/replicate/wide_test.go
@@ -400,6 +400,9 @@
 			without := w.play(leader, c.stays)
 			clear(w.cut)
 			healed := w.until("behind the heal", 5*time.Second, w.whole)
+			if most := 4 * wideConfig.Election; without > most {
+				t.Errorf("%s, seed %d: %v without a leader, more than %v", c.name, seed, without, most)
+			}
 			if seed == 0 {
 				t.Logf("%s: %v without a leader, whole again %v behind the heal, %d reads, %d refused", c.name, without, healed, w.read, w.refused)
 			}
--- a/internal/soak/region.go
+++ b/internal/soak/region.go
@@ -186,15 +186,28 @@
 	return steps
 }
 
-// withCuts adds the faults of regions to a plan.
+// withCuts adds the faults of regions to a plan. None of them falls into the time in
+// which a control instance that lost its disk catches up: it could not, and the next
+// disk that is lost would be the second, which is more than a majority bears. In seed
+// 3543 at 80 ms one way the group lost two of three disks in that way.
 func (p *Plan) withCuts(size Size) {
 	if size.Regions < 2 {
 		return
 	}
-	p.Steps = append(p.Steps, drawCuts(p.Seed, p.Length, size)...)
+	cuts := slices.DeleteFunc(drawCuts(p.Seed, p.Length, size), func(cut Step) bool {
+		return slices.ContainsFunc(p.Steps, func(s Step) bool { return s.losesDisk() && s.overlaps(cut) })
+	})
+	p.Steps = append(p.Steps, cuts...)
 	slices.SortStableFunc(p.Steps, func(a, b Step) int { return cmp.Compare(a.At, b.At) })
 }
 
+func (s Step) losesDisk() bool { return s.Fault == FaultWipe || s.Fault == FaultDamage }
+
+// overlaps reports whether another step falls into this one, with the time to catch up.
+func (s Step) overlaps(other Step) bool {
+	return other.At < s.At+s.For+catchUp && s.At < other.At+other.For
+}
+
 // cutPaths are the paths that a fault of regions cuts.
 func (s Step) cutPaths(size Size) [][2]int {
 	var paths [][2]int
--- a/internal/soak/region_test.go
+++ b/internal/soak/region_test.go
@@ -37,6 +37,29 @@
 	}
 }
 
+// TestNoCutWhileADiskIsLost checks that no plan cuts a region off while a control
+// instance whose disk was lost catches up, and that most plans still cut some.
+func TestNoCutWhileADiskIsLost(t *testing.T) {
+	cuts := 0
+	for seed := range uint64(4000) {
+		steps := Draw(seed, 12*time.Second, wide).Steps
+		for _, cut := range steps {
+			if cut.Fault < FaultRegion {
+				continue
+			}
+			cuts++
+			for _, s := range steps {
+				if s.losesDisk() && cut.At < s.At+s.For+catchUp && cut.At+cut.For > s.At {
+					t.Fatalf("seed %d: %v at %v while the disk lost at %v is caught up", seed, cut.Fault, cut.At, s.At)
+				}
+			}
+		}
+	}
+	if cuts < 2*4000 {
+		t.Errorf("only %d cuts", cuts)
+	}
+}
+
 func TestCutPaths(t *testing.T) {
 	for name, tt := range map[string]struct {
 		step Step
