--- a/cmd/weldstreamd/regions.go
+++ b/cmd/weldstreamd/regions.go
@@ -21,13 +21,22 @@
 // controlDump is a control instance's state on request.
 type controlDump struct {
 	group.Status
-	Domain string `json:"domain"`
-	Region string `json:"region,omitempty"`
+	Domain  string            `json:"domain"`
+	Region  string            `json:"region,omitempty"`
+	Regions map[string]string `json:"regions,omitempty"` // Regions are those of the control instances, by name, where there are several.
 }
 
 func (c *controlInstance) dump() any {
-	n := c.settings
-	return controlDump{Status: c.group.Status(), Domain: n.Domain, Region: n.Topology().Region(n.Domain)}
+	n, topology := c.settings, c.settings.Topology()
+	d := controlDump{Status: c.group.Status(), Domain: n.Domain, Region: topology.Region(n.Domain)}
+	if !topology.Several() {
+		return d
+	}
+	d.Regions = map[string]string{c.name(): d.Region}
+	for _, row := range c.tables.Members.Rows() {
+		d.Regions[row.Name] = topology.Region(row.Domain)
+	}
+	return d
 }
 
 // watchRegions warns of domains that instances or servers are in and whose region the
