--- a/cmd/weldstreamd/leave.go
+++ b/cmd/weldstreamd/leave.go
@@ -4,7 +4,6 @@
 	"context"
 	"time"
 
-	"github.com/weldstream/weldstream/coordination/group"
 	"github.com/weldstream/weldstream/coordination/replicate"
 	"github.com/weldstream/weldstream/internal/pause"
 )
