Loads told as changes, sums of a relay's gateways: pure parts

Cause: each answer holds a byte for each server; a relay needs the sums of its gateways. Change: place.Vector, place.Sum, Loads.TakeRelay; messages of batches. Nothing uses them yet. Run: tests of place and control.

--- a/coordination/place/loads.go
+++ b/coordination/place/loads.go
@@ -15,6 +15,9 @@
 	totals    map[string]int
 	distrusts map[string]map[string]int // distrusts count gateways, by server and the gateways' domain.
 	gateways  map[string]GatewayReport
+	relays    map[string]*relayed
+	home      map[string]string          // home are the relays that gateways ask.
+	told      map[string]map[string]bool // told are the servers to pass over by the leader's word, by the gateways' domain; see Told.
 }
 
 // GatewayReport is what one gateway knows of the servers.
@@ -26,41 +29,39 @@
 
 // NewLoads returns loads of which nothing is known.
 func NewLoads() *Loads {
-	return &Loads{totals: map[string]int{}, distrusts: map[string]map[string]int{}, gateways: map[string]GatewayReport{}}
+	return &Loads{
+		totals:    map[string]int{},
+		distrusts: map[string]map[string]int{},
+		gateways:  map[string]GatewayReport{},
+		relays:    map[string]*relayed{},
+		home:      map[string]string{},
+	}
 }
 
-// Take notes what one gateway knows, in place of its report before.
+// Take notes what one gateway knows, in place of its report before, also where that
+// came through a relay.
 func (l *Loads) Take(gateway string, t GatewayReport) {
-	l.Drop(gateway)
+	l.leave(gateway)
 	l.gateways[gateway] = t
 	for _, r := range t.Running {
-		l.totals[r.Server] += r.Running
+		l.addRunning(r.Server, r.Running)
 	}
 	for _, id := range t.Distrusts {
-		if l.distrusts[id] == nil {
-			l.distrusts[id] = map[string]int{}
-		}
-		l.distrusts[id][t.Domain]++
+		l.addVoices(voiceOf{id, t.Domain}, 1)
 	}
 }
 
 // Drop forgets a gateway.
-func (l *Loads) Drop(gateway string) {
+func (l *Loads) Drop(gateway string) { l.leave(gateway) }
+
+// dropDirect forgets what a gateway told without a relay.
+func (l *Loads) dropDirect(gateway string) {
 	t := l.gateways[gateway]
 	for _, r := range t.Running {
-		l.totals[r.Server] -= r.Running
-		if l.totals[r.Server] <= 0 {
-			delete(l.totals, r.Server)
-		}
+		l.addRunning(r.Server, -r.Running)
 	}
 	for _, id := range t.Distrusts {
-		domains := l.distrusts[id]
-		if domains[t.Domain]--; domains[t.Domain] <= 0 {
-			delete(domains, t.Domain)
-		}
-		if len(domains) == 0 {
-			delete(l.distrusts, id)
-		}
+		l.addVoices(voiceOf{id, t.Domain}, -1)
 	}
 	delete(l.gateways, gateway)
 }
@@ -74,7 +75,7 @@
 // another domain alone, which may have lost its path to the server.
 func (l *Loads) Distrusted(server, domain string) bool {
 	domains := l.distrusts[server]
-	return domains[domain] >= leastVoices || len(domains) >= leastVoices
+	return l.told[domain][server] || domains[domain] >= leastVoices || len(domains) >= leastVoices
 }
 
 // Of returns how many requests a server has.
--- /dev/null
+++ b/coordination/place/sum.go
@@ -0,0 +1,109 @@
+package place
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+
+	"github.com/weldstream/weldstream/protocol"
+)
+
+// Sum adds up what the gateways of one relay know of the servers, and tells the leader
+// what changed since it took the sums last. One batch at a time is under way.
+type Sum struct {
+	loads   *Loads
+	told    *sums // told are those that the leader has; nil where that is not known.
+	pending *sums // pending are those of the batch under way.
+}
+
+// sums are the state of a relay's sums.
+type sums struct {
+	running map[string]int
+	voices  map[voiceOf]int
+	counted map[string]bool
+}
+
+// voiceOf names a distrust.
+type voiceOf struct{ server, domain string }
+
+// NewSum returns the sum of no gateways.
+func NewSum() *Sum { return &Sum{loads: NewLoads()} }
+
+// Take notes what one gateway knows, in place of its report before.
+func (s *Sum) Take(gateway string, t GatewayReport) { s.loads.Take(gateway, t) }
+
+// Drop forgets a gateway.
+func (s *Sum) Drop(gateway string) { s.loads.Drop(gateway) }
+
+// Counts reports whether a gateway is in the sum.
+func (s *Sum) Counts(gateway string) bool {
+	_, ok := s.loads.gateways[gateway]
+	return ok
+}
+
+// Changes returns what changed since the leader took the sums last, and whether it is
+// all of them. The batch that holds it is then under way.
+func (s *Sum) Changes() (m protocol.SumsMsg, whole bool) {
+	now := s.loads.sums()
+	s.pending = now
+	before := s.told
+	if whole = before == nil; whole {
+		before = &sums{}
+	}
+	eachChange(now.running, before.running, func(server string, n int) {
+		m.Running = append(m.Running, protocol.ServerSum{Server: server, Running: n})
+	})
+	eachChange(now.voices, before.voices, func(v voiceOf, n int) {
+		m.Voices = append(m.Voices, protocol.Voice{Server: v.server, Domain: v.domain, Gateways: n})
+	})
+	for _, name := range slices.Sorted(maps.Keys(now.counted)) {
+		if !before.counted[name] {
+			m.Counted = append(m.Counted, name)
+		}
+	}
+	for _, name := range slices.Sorted(maps.Keys(before.counted)) {
+		if !now.counted[name] {
+			m.Gone = append(m.Gone, name)
+		}
+	}
+	slices.SortFunc(m.Running, func(a, b protocol.ServerSum) int { return cmp.Compare(a.Server, b.Server) })
+	slices.SortFunc(m.Voices, func(a, b protocol.Voice) int {
+		return cmp.Or(cmp.Compare(a.Server, b.Server), cmp.Compare(a.Domain, b.Domain))
+	})
+	return m, whole
+}
+
+// eachChange calls do for what is other than before; what is gone counts as 0.
+func eachChange[K comparable](now, before map[K]int, do func(K, int)) {
+	for k, n := range now {
+		if before[k] != n {
+			do(k, n)
+		}
+	}
+	for k := range before {
+		if _, ok := now[k]; !ok {
+			do(k, 0)
+		}
+	}
+}
+
+// Acknowledged notes that the leader has the sums of the batch under way.
+func (s *Sum) Acknowledged() { s.told, s.pending = s.pending, nil }
+
+// Lost notes that it may have them or not, or another leader asks: the next ones are
+// whole.
+func (s *Sum) Lost() { s.told, s.pending = nil, nil }
+
+// sums returns a copy of what the gateways know together.
+func (l *Loads) sums() *sums {
+	s := &sums{running: maps.Clone(l.totals), voices: map[voiceOf]int{}, counted: make(map[string]bool, len(l.gateways))}
+	for server, domains := range l.distrusts {
+		for domain, n := range domains {
+			s.voices[voiceOf{server, domain}] = n
+		}
+	}
+	for name := range l.gateways {
+		s.counted[name] = true
+	}
+	return s
+}
--- /dev/null
+++ b/coordination/place/vector.go
@@ -0,0 +1,90 @@
+package place
+
+import (
+	"bytes"
+	"encoding/binary"
+
+	"github.com/rotisserie/eris"
+)
+
+// Vector is the loads of all listed servers, a byte each, and when each changed: who
+// holds an earlier state is told what changed since. At 300 gateways before 3,000
+// servers a whole state in each answer was two thirds of what a leader sent.
+type Vector struct {
+	version uint64 // version rises with each change.
+	base    uint64 // base is the first version of this list of servers.
+	values  []byte
+	changed []uint64 // changed are the versions in which the values changed last.
+}
+
+// Reset takes the loads of another list of servers.
+func (v *Vector) Reset(values []byte) {
+	v.version++
+	v.base = v.version
+	v.values, v.changed = bytes.Clone(values), make([]uint64, len(values))
+}
+
+// Set takes the loads of the same servers as they are now.
+func (v *Vector) Set(values []byte) {
+	if len(values) != len(v.values) {
+		v.Reset(values)
+		return
+	}
+	if bytes.Equal(values, v.values) {
+		return
+	}
+	v.version++
+	for i, n := range values {
+		if v.values[i] != n {
+			v.values[i], v.changed[i] = n, v.version
+		}
+	}
+}
+
+// Version returns the version of the loads that are held.
+func (v *Vector) Version() uint64 { return v.version }
+
+// Values returns the loads that are held. They are not to be changed.
+func (v *Vector) Values() []byte { return v.values }
+
+// Since returns what changed behind a version, or false where all loads are to be told:
+// the version is of another list, or the changes are no shorter. A change is how many
+// servers lie between it and the one before, as a variable-length number, and the
+// server's load.
+func (v *Vector) Since(version uint64) (changes []byte, ok bool) {
+	if version < v.base || version > v.version || v.base == 0 {
+		return nil, false
+	}
+	last := -1
+	for i, at := range v.changed {
+		if at <= version {
+			continue
+		}
+		changes = binary.AppendUvarint(changes, uint64(i-last-1))
+		changes = append(changes, v.values[i])
+		last = i
+		if len(changes) >= len(v.values) {
+			return nil, false
+		}
+	}
+	return changes, true
+}
+
+// ErrLoadChanges is returned for changes that are none of the loads that are held.
+var ErrLoadChanges = eris.New("the changes of the servers' loads cannot be read")
+
+// WithChanges returns loads with what changed of them.
+func WithChanges(loads, changes []byte) ([]byte, error) {
+	loads = bytes.Clone(loads)
+	at := -1
+	for len(changes) > 0 {
+		gap, n := binary.Uvarint(changes)
+		if n <= 0 || len(changes) == n || gap >= uint64(len(loads)) || at+1+int(gap) >= len(loads) {
+			return nil, ErrLoadChanges
+		}
+		at += 1 + int(gap)
+		loads[at] = changes[n]
+		changes = changes[n+1:]
+	}
+	return loads, nil
+}
--- a/protocol/uplink.go
+++ b/protocol/uplink.go
@@ -22,6 +22,8 @@
 	Gateways  int          // Gateways are how many a leader counted last; 0 before the first answer.
 	Rollouts  uint64       // Rollouts is the change of the roll-outs that it keeps to; 0 before the first.
 	Trials    []TrialReport
+	Loads     LoadMark // Loads are the loads that the gateway holds.
+	Relayed   bool     // Relayed asks an instance that does not lead to pass the question on to the leader.
 }
 
 // ServerLoad is how many requests one server has.
@@ -52,12 +54,14 @@
 	Holder string // Holder is a server that holds the shared parts of the prompt, if Server does not.
 	Term   uint64 // Term is the leader's that placed it.
 	Number uint64 // Number names the placed request in the term.
+	Placer uint64 // Placer is the instance that placed it: the leader, or a relay.
 }
 
 // PlaceDone tells that a placed request ended.
 type PlaceDone struct {
 	Term   uint64
 	Number uint64
+	Placer uint64
 	First  time.Duration // First is until the first event; 0 if none came.
 	Took   time.Duration // Took is until the end.
 }
@@ -118,14 +122,16 @@
 type LeaderReply struct {
 	Leader   string   // Leader is its peer address; empty where none was known in time.
 	Controls []string // Controls are the peer addresses of the control instances.
+	Domains  []string // Domains are their failure domains, in the same order, where those lie in several regions.
 }
 
 // SyncReply is the control role's answer. Leads is false from one that cannot
-// vouch for the newest document; then only Leader and Controls are set.
+// vouch for the newest document; then only Leader, Controls and Domains are set.
 type SyncReply struct {
 	Leads      bool
 	Leader     string   // Leader is the peer address of who leads, as far as known.
 	Controls   []string // Controls are the peer addresses of the control instances.
+	Domains    []string // Domains are their failure domains, in the same order, where those lie in several regions.
 	Term       uint64
 	Number     uint64
 	Document   []byte // Document is set when the gateway's is older.
@@ -142,7 +148,10 @@
 	Rollouts   []Rollout // Rollouts are the newest of each service, where the gateway keeps to others.
 	Changes    uint64    // Changes is the change of the roll-outs that the leader vouches for.
 	Trials     []TrialGrant
-	Loads      []byte // Loads are the requests that the servers have from all gateways, in the order of their names; empty to a gateway with another list.
+	Loads      []byte   // Loads are the requests that the servers have from all gateways, in the order of their names; empty to a gateway with another list, or with LoadChanges.
+	Loaded     LoadMark // Loaded names the loads that the gateway holds with this answer.
+	// LoadChanges are what changed of the loads that the gateway holds; see place.Vector.
+	LoadChanges []byte
 }
 
 // ServerList is the platform's list, or what changed of it since a version that the
