Counts told for one term are told again to the leader of the next

Cause: a gateway makes its question for the term it knows, without the counts that the leader of that term has. Where the leader of another term answered, those counted as acknowledged by it, though they were never told to it: only what was logged was left. Change: such an answer has all counts told again. Run: the new test fails without it (x missing); tests of usage.

--- a/coordination/usage/usage.go
+++ b/coordination/usage/usage.go
@@ -71,9 +71,13 @@
 	return rows
 }
 
-// Acknowledged notes that the leader of a term has the rows.
+// Acknowledged notes that the leader of a term has the rows. Where they were told for
+// another term, it may lack those that an earlier leader had: all are told again.
 func (c *Counter) Acknowledged(term uint64, rows []protocol.UsageRow) {
-	c.term = term // Rows gave all counts to a leader of another term.
+	if c.term != term {
+		clear(c.acknowledged)
+	}
+	c.term = term
 	for _, r := range rows {
 		c.acknowledged[key{r.Window, r.Workspace}] = r.Count
 	}
--- a/coordination/usage/usage_test.go
+++ b/coordination/usage/usage_test.go
@@ -94,3 +94,27 @@
 		t.Errorf("%d counts are kept for good", len(c.counts))
 	}
 }
+
+// TestLeaderInAnotherTermGetsAll checks that a leader whose term the gateway learned with
+// its answer gets the counts that an earlier one had acknowledged: the question was
+// made for that one.
+func TestLeaderInAnotherTermGetsAll(t *testing.T) {
+	now := time.Unix(1_700_000_000, 0)
+	c := NewCounter(length, 10*time.Second)
+	tell := func(l *Ledger, asked, answers uint64) {
+		rows := c.Rows(asked, now)
+		l.Take("g", 1, rows)
+		c.Acknowledged(answers, rows)
+	}
+	c.Began("x", now)
+	first, second := NewLedger(), NewLedger()
+	tell(first, 0, 1)
+	c.Began("y", now)
+	tell(second, 1, 2)
+	c.Began("z", now)
+	tell(second, 2, 2)
+	want := map[string]int64{"x": 1, "y": 1, "z": 1}
+	if diff := cmp.Diff(want, second.Total(Window(now, length))); diff != "" {
+		t.Errorf("the leader of the next term lacks counts: %s", diff)
+	}
+}
