--- a/cmd/weldstreamd/control.go
+++ b/cmd/weldstreamd/control.go
@@ -38,6 +38,7 @@
 	membership *transport.Membership
 	group      *group.Group
 	uplink     *control.Uplink
+	relay      *control.Relay // relay is nil where domains do not lie in several regions.
 	peer       net.Listener
 }
 
@@ -62,6 +63,7 @@
 		c.group.Run,
 		boot.Run,
 		c.uplink.Run,
+		c.runRelay,
 		c.uplink.RunRollouts,
 		duties.RunList,
 		duties.RunTally,
@@ -69,7 +71,7 @@
 		func(ctx context.Context) error {
 			return serveHTTP(ctx, r.settings.Listen(r.settings.Operator), documentBytes, operator)
 		},
-		func(ctx context.Context) error { return c.serveMetrics(ctx, func() any { return c.group.Status() }) },
+		func(ctx context.Context) error { return c.serveMetrics(ctx, c.dump) },
 	} {
 		eg.Go(func() error { return part(work) })
 	}
@@ -147,13 +149,16 @@
 		return err
 	}
 	opts := []control.UplinkOption{
-		control.WithLogger(c.log), control.WithRegistry(c.registry), control.WithTopology(n.Topology()),
+		control.WithLogger(c.log), control.WithRegistry(c.registry), control.WithTopology(n.Topology()), control.WithDomains(c.domains),
 		control.WithExposure(control.Exposure{Share: n.Bounds.TrialShare, Slack: n.Bounds.TrialSlack, Unannounced: n.Bounds.OrderRepeat + announceMargin}),
 	}
 	if c.limits().Usage {
 		opts = append(opts, control.WithQuiet(func() time.Duration { return c.group.Status().Quiet }))
 	}
 	c.uplink = control.NewUplink(c.group, c.peers, platform.ParseNumbered, n.Bounds.QuotaWindow, opts...)
+	if n.Topology().Several() {
+		c.relay = control.NewRelay(c.uplink, c.links, c.name(), n.Peer, c.registry)
+	}
 	for name, receiver := range map[string]any{
 		"Member": transport.NewMemberService(work, c.membership),
 		"Group":  transport.NewGroupService(work, c.group),
@@ -228,6 +233,43 @@
 	return leader, all
 }
 
+// domains returns the failure domains of control instances by their peer addresses;
+// empty for one that is not known.
+func (c *controlInstance) domains(peers []string) []string {
+	known := map[string]string{}
+	for _, row := range c.tables.Members.Rows() {
+		known[row.Address] = row.Domain
+	}
+	list := make([]string, len(peers))
+	for i, address := range peers {
+		list[i] = known[address]
+	}
+	return list
+}
+
+// runRelay answers gateways while another instance leads, where there are regions.
+func (c *controlInstance) runRelay(ctx context.Context) error {
+	if c.relay == nil {
+		return nil
+	}
+	return c.relay.Run(ctx)
+}
+
+// controlDump is a control instance's state on request.
+type controlDump struct {
+	group.Status
+	Relay *control.RelayState `json:"relay,omitempty"` // Relay is set where there are regions.
+}
+
+func (c *controlInstance) dump() any {
+	d := controlDump{Status: c.group.Status()}
+	if c.relay != nil {
+		state := c.relay.State()
+		d.Relay = &state
+	}
+	return d
+}
+
 func (c *controlInstance) await(work context.Context) {
 	for {
 		select {
--- a/coordination/place/vector.go
+++ b/coordination/place/vector.go
@@ -5,6 +5,8 @@
 	"encoding/binary"
 
 	"github.com/rotisserie/eris"
+
+	"github.com/weldstream/weldstream/protocol"
 )
 
 // Vector is the loads of all listed servers, a byte each, and when each changed: who
@@ -88,3 +90,13 @@
 	}
 	return loads, nil
 }
+
+// Renewed returns the loads that one who holds some has with what it is told: all of
+// them, or the changes. Between two marks of one teller without changes nothing but the
+// list of servers changed.
+func Renewed(held []byte, from protocol.LoadMark, whole, changes []byte, to protocol.LoadMark) ([]byte, error) {
+	if len(whole) > 0 || from.Teller != to.Teller || (len(changes) == 0 && from != to) {
+		return whole, nil
+	}
+	return WithChanges(held, changes)
+}
--- a/protocol/batch.go
+++ b/protocol/batch.go
@@ -16,11 +16,11 @@
 type BatchMsg struct {
 	_        struct{} `cbor:",toarray"`
 	Relay    string
-	Life     uint64   // Life differs with each start of the relay.
-	Batch    uint64   // Batch rises with each batch of a life.
-	Base     uint64   // Base is the batch that the sums build on; 0 where they are whole.
-	Number   uint64   // Number is the document that the relay holds.
-	Lister   uint64   // Lister and Servers tell which list it holds.
+	Life     uint64 // Life differs with each start of the relay.
+	Batch    uint64 // Batch rises with each batch of a life.
+	Base     uint64 // Base is the batch that the sums build on; 0 where they are whole.
+	Number   uint64 // Number is the document that the relay holds.
+	Lister   uint64 // Lister and Servers tell which list it holds.
 	Servers  uint64
 	Rollouts uint64   // Rollouts is the change of the roll-outs that it holds.
 	Loads    LoadMark // Loads are the loads that it holds.
--- /dev/null
+++ b/protocol/list.go
@@ -0,0 +1,28 @@
+package protocol
+
+import (
+	"maps"
+	"slices"
+)
+
+// Onto returns the servers that are listed once a list is told to one that holds some,
+// in the order of their ids.
+func (l *ServerList) Onto(held []Instance) []Instance {
+	servers := make(map[string]Instance, len(held)+len(l.Servers))
+	if !l.Whole {
+		for _, in := range held {
+			servers[in.ID] = in
+		}
+	}
+	for _, in := range l.Servers {
+		servers[in.ID] = in
+	}
+	for _, id := range l.Gone {
+		delete(servers, id)
+	}
+	list := make([]Instance, 0, len(servers))
+	for _, id := range slices.Sorted(maps.Keys(servers)) {
+		list = append(list, servers[id])
+	}
+	return list
+}
--- /dev/null
+++ b/transport/control/batch.go
@@ -0,0 +1,169 @@
+package control
+
+import (
+	"bytes"
+	"time"
+
+	"github.com/weldstream/weldstream/coordination/place"
+	"github.com/weldstream/weldstream/protocol"
+)
+
+// relayBook is what the leader keeps of a relay beside its sums.
+type relayBook struct {
+	at    time.Time
+	life  uint64
+	batch uint64 // batch is the latest one whose sums were taken.
+}
+
+// Batch answers a relay for the gateways whose questions it gathered. Each gets what
+// Sync would have answered it at this moment.
+func (u *Uplink) Batch(m protocol.BatchMsg, reply *protocol.BatchReply) error {
+	reply.Leader, _ = u.peers()
+	term, ok := u.group.Vouches()
+	if !ok {
+		return nil
+	}
+	u.ready()
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	now := time.Now()
+	u.enter(term)
+	u.takeSums(&m, reply, now)
+	reply.Answers = make([]protocol.BatchAnswer, len(m.Parts))
+	for i := range m.Parts {
+		question := questionOf(&m.Parts[i])
+		var own protocol.SyncReply
+		u.answerOwn(&question, &own, now)
+		reply.Answers[i] = answerOf(&own)
+	}
+	u.answerCommon(&m, reply, now)
+	// The lease may have run out meanwhile: then nothing of this may count.
+	still, ok := u.group.Vouches()
+	reply.Leads = ok && still == term
+	return nil
+}
+
+// takeSums takes the sums of a relay, if this instance holds what they build on, and
+// asks for the whole if not. It needs u.mu.
+func (u *Uplink) takeSums(m *protocol.BatchMsg, reply *protocol.BatchReply, now time.Time) {
+	book := u.relays[m.Relay]
+	whole := m.Base == 0
+	if !whole && (book == nil || book.life != m.Life || book.batch != m.Base) {
+		reply.Resend = true
+		return
+	}
+	if book != nil && book.life == m.Life && m.Batch <= book.batch {
+		reply.Resend = true // It was overtaken by a later one.
+		return
+	}
+	u.relays[m.Relay] = &relayBook{at: now, life: m.Life, batch: m.Batch}
+	asked := make([]string, len(m.Parts))
+	for i := range m.Parts {
+		asked[i] = m.Parts[i].Gateway
+	}
+	reply.Moved = u.loads.TakeRelay(place.RelayMsg{Relay: m.Relay, Whole: whole, Sums: m.Sums, Asked: asked})
+}
+
+// dropRelays forgets the relays that ask no more. It needs u.mu.
+func (u *Uplink) dropRelays(now time.Time) {
+	for name, book := range u.relays {
+		if now.Sub(book.at) > gatewayKept {
+			delete(u.relays, name)
+			u.loads.DropRelay(name)
+		}
+	}
+}
+
+// answerCommon answers what is the same for all gateways of a relay. It needs u.mu.
+func (u *Uplink) answerCommon(m *protocol.BatchMsg, reply *protocol.BatchReply, now time.Time) {
+	var all protocol.SyncReply // all is the answer to a gateway that holds what the relay does.
+	held := protocol.SyncMsg{Lister: m.Lister, Servers: m.Servers}
+	u.renewRollouts()
+	u.answerChanges(m.Rollouts, &all)
+	u.tellServers(&held, &all)
+	u.renewCommon(now)
+	tellLoads(&u.vector, u.mark(), m.Loads, &all)
+	reply.Term, reply.Number = u.term, u.number
+	if u.number > m.Number {
+		reply.Document = u.packed
+	}
+	reply.Rollouts, reply.Changes = all.Rollouts, all.Changes
+	reply.Listed, reply.Lister, reply.Version, reply.List = all.Listed, all.Lister, all.Version, all.List
+	reply.Loads, reply.Whole, reply.LoadChanges = all.Loaded, all.Loads, all.LoadChanges
+	reply.Short, reply.Gateways = u.common.short, u.common.gateways
+	reply.Clock = u.clock.Now(now.Sub(u.began)).UnixNano()
+	for _, l := range u.common.lanes {
+		reply.Lanes = append(reply.Lanes, protocol.LanesRow{BatchLanes: packLanes(l.Service, l.Terms)})
+	}
+	for i := range m.Parts {
+		domain := m.Parts[i].Domain
+		if packed := u.distrusted(domain); packed != nil {
+			if reply.Distrusted == nil {
+				reply.Distrusted = map[string][]byte{}
+			}
+			reply.Distrusted[domain] = bytes.Clone(packed)
+		}
+	}
+}
+
+// partOf is what is a gateway's own of its question, which waited for a time.
+func partOf(m *protocol.SyncMsg, waited time.Duration) protocol.BatchPart {
+	p := protocol.BatchPart{Gateway: m.Gateway, Life: m.Life, Domain: m.Domain, Gateways: m.Gateways, Trials: m.Trials}
+	if !m.Clock.IsZero() {
+		p.Clock = m.Clock.Add(waited).UnixNano()
+	}
+	for _, r := range m.Usage {
+		p.Usage = append(p.Usage, protocol.BatchUsage{Window: r.Window, Workspace: r.Workspace, Count: r.Count})
+	}
+	for _, w := range m.Wants {
+		p.Wants = append(p.Wants, protocol.BatchWant{Workspace: w.Workspace, Units: w.Units, Waiting: w.Waiting, Back: w.Back, Alone: w.Alone})
+	}
+	for _, r := range m.Pressure {
+		p.Pressure = append(p.Pressure, protocol.BatchPressure{Begun: r.Begun, Slow: r.Slow, Work: float32(r.Work), BatchLanes: packLanes(r.Service, r.Lanes)})
+	}
+	return p
+}
+
+// questionOf undoes partOf.
+func questionOf(p *protocol.BatchPart) protocol.SyncMsg {
+	m := protocol.SyncMsg{Gateway: p.Gateway, Life: p.Life, Domain: p.Domain, Gateways: p.Gateways, Trials: p.Trials}
+	if p.Clock != 0 {
+		m.Clock = time.Unix(0, p.Clock)
+	}
+	for _, r := range p.Usage {
+		m.Usage = append(m.Usage, protocol.UsageRow{Window: r.Window, Workspace: r.Workspace, Count: r.Count})
+	}
+	for _, w := range p.Wants {
+		m.Wants = append(m.Wants, protocol.QuotaWant{Workspace: w.Workspace, Units: w.Units, Waiting: w.Waiting, Back: w.Back, Alone: w.Alone})
+	}
+	for _, r := range p.Pressure {
+		m.Pressure = append(m.Pressure, protocol.Pressure{Service: r.Service, Begun: r.Begun, Slow: r.Slow, Work: float64(r.Work), Lanes: unpackLanes(r.BatchLanes)})
+	}
+	return m
+}
+
+// answerOf is what is a gateway's own of its answer.
+func answerOf(r *protocol.SyncReply) protocol.BatchAnswer {
+	a := protocol.BatchAnswer{Trials: r.Trials}
+	for _, g := range r.Grants {
+		a.Grants = append(a.Grants, protocol.BatchGrant{Workspace: g.Workspace, Units: g.Units, Lasts: g.Lasts, Wait: g.Wait})
+	}
+	return a
+}
+
+// grantsOf undoes answerOf.
+func grantsOf(a *protocol.BatchAnswer) []protocol.QuotaGrant {
+	var grants []protocol.QuotaGrant
+	for _, g := range a.Grants {
+		grants = append(grants, protocol.QuotaGrant{Workspace: g.Workspace, Units: g.Units, Lasts: g.Lasts, Wait: g.Wait})
+	}
+	return grants
+}
+
+func packLanes(service string, t protocol.LaneTerms) protocol.BatchLanes {
+	return protocol.BatchLanes{Service: service, Seen: t.Seen, Mean: float32(t.Mean), Tokens: float32(t.Parts.Tokens), Busy: float32(t.Parts.Work), Short: float32(t.Parts.Short)}
+}
+
+func unpackLanes(l protocol.BatchLanes) protocol.LaneTerms {
+	return protocol.LaneTerms{Seen: l.Seen, Mean: float64(l.Mean), Parts: protocol.LaneParts{Tokens: float64(l.Tokens), Work: float64(l.Busy), Short: float64(l.Short)}}
+}
--- /dev/null
+++ b/transport/control/copies.go
@@ -0,0 +1,142 @@
+package control
+
+import (
+	"bytes"
+	"math/rand/v2"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/weldstream/weldstream/coordination/place"
+	"github.com/weldstream/weldstream/coordination/topology"
+	"github.com/weldstream/weldstream/protocol"
+)
+
+// copies are what a relay holds of the leader's: what is common to the answers of its
+// gateways. They come with the answers to its batches, and are lost with it.
+type copies struct {
+	listing
+	leader     string // leader is the peer address of the one that answered last.
+	term       uint64
+	number     uint64 // number is the document that was vouched for last.
+	changes    uint64
+	rollouts   []protocol.Rollout
+	short      []string
+	lanes      []protocol.ServiceLanes
+	gateways   int
+	clock      time.Time
+	mark       protocol.LoadMark // mark names the leader's loads that are held.
+	vector     place.Vector      // vector is them, by versions of this relay.
+	distrusted map[string][]byte
+
+	teller uint64 // teller tells this relay's versions of loads, and what it placed, from others'.
+	view   *place.View
+	loads  *place.Loads
+	places *place.Ledger
+}
+
+func newCopies(t *topology.Topology) *copies {
+	loads := place.NewLoads()
+	return &copies{teller: rand.Uint64(), loads: loads, places: place.NewLedger(loads, place.WithTopology(t))}
+}
+
+// ask names what is held, for the next batch.
+func (c *copies) ask(m *protocol.BatchMsg) {
+	m.Lister, m.Servers, m.Rollouts, m.Loads = c.lister, c.version, c.changes, c.mark
+}
+
+// renew takes the leader's answer to a batch.
+func (c *copies) renew(leader string, r *protocol.BatchReply) error {
+	loads, err := place.Renewed(c.vector.Values(), c.mark, r.Whole, r.LoadChanges, r.Loads)
+	if err != nil {
+		return err
+	}
+	if err := c.renewList(r); err != nil {
+		return err
+	}
+	c.leader, c.term, c.number = leader, r.Term, r.Number
+	c.short, c.gateways, c.clock = r.Short, r.Gateways, time.Unix(0, r.Clock)
+	c.lanes = nil
+	for _, row := range r.Lanes {
+		c.lanes = append(c.lanes, protocol.ServiceLanes{Service: row.Service, Terms: unpackLanes(row.BatchLanes)})
+	}
+	c.distrusted = r.Distrusted
+	c.mark = r.Loads
+	if r.Listed {
+		c.vector.Reset(loads)
+	} else {
+		c.vector.Set(loads)
+	}
+	if len(loads) == len(c.order) {
+		c.loads.Told(c.order, loads, c.distrusted)
+	}
+	return nil
+}
+
+// renewList takes the list and the roll-outs, and has the view follow both.
+func (c *copies) renewList(r *protocol.BatchReply) error {
+	news := r.Listed
+	if r.Listed {
+		list, err := UnpackList(r.List)
+		if err != nil {
+			return err
+		}
+		c.take(r.Lister, r.Version, list.Onto(c.servers))
+	}
+	if r.Changes != c.changes {
+		c.changes, c.rollouts, news = r.Changes, r.Rollouts, true
+	}
+	if news && c.listed {
+		c.view = place.NewView(c.servers, c.view, place.WithRollouts(c.rollouts))
+		c.places.Keep(c.view)
+	}
+	return nil
+}
+
+// errBehind is returned for an answer that vouches for a document which the relay does
+// not hold.
+var errBehind = eris.New("the document that the leader vouches for is not held")
+
+// answer composes the answer to a gateway's question as the leader would have, of what
+// came with its batch. The document is the newest that this instance holds.
+func (c *copies) answer(m *protocol.SyncMsg, own *protocol.BatchAnswer, number uint64, document []byte, reply *protocol.SyncReply) error {
+	if number < c.number {
+		return errBehind
+	}
+	reply.Leader, reply.Term, reply.Number = c.leader, c.term, number
+	if number > m.Number {
+		reply.Document = document
+	}
+	reply.Changes = c.changes
+	if m.Rollouts != c.changes {
+		reply.Rollouts = c.rollouts
+	}
+	c.tellServers(m, reply)
+	reply.Short, reply.Lanes, reply.Gateways, reply.Clock = c.short, c.lanes, c.gateways, c.clock
+	if c.holds(m) && len(c.vector.Values()) == len(c.order) {
+		reply.Distrusted = bytes.Clone(c.distrusted[m.Domain])
+		tellLoads(&c.vector, protocol.LoadMark{Teller: c.teller, Version: c.vector.Version()}, m.Loads, reply)
+	}
+	reply.Grants, reply.Trials = grantsOf(own), own.Trials
+	reply.Leads = true
+	return nil
+}
+
+// place finds a server for a long prompt of one of the relay's gateways.
+func (c *copies) place(m *protocol.PlaceMsg, reply *protocol.PlaceReply) {
+	if c.view == nil {
+		return
+	}
+	if placed, ok := c.places.Place(c.view, prompt(m), time.Now()); ok {
+		reply.Server, reply.Holder, reply.Term, reply.Number, reply.Placer = placed.Server, placed.Holder, c.term, placed.Number, c.teller
+	}
+}
+
+// done notes the ends of requests that this relay placed.
+func (c *copies) done(ends []protocol.PlaceDone) {
+	for _, d := range ends {
+		if d.Placer == c.teller {
+			c.places.Done(place.DoneMsg{Number: d.Number, First: d.First, Took: d.Took})
+		}
+	}
+}
--- a/transport/control/document.go
+++ b/transport/control/document.go
@@ -76,6 +76,30 @@
 func (u *Uplink) hold(number uint64, packed []byte, catalog *protocol.Catalog) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
+	if number < u.number {
+		return // A relay got a newer one from the leader.
+	}
 	u.number, u.packed, u.catalog = number, packed, catalog
 	u.quotas.Configure(catalog.Workspaces, time.Now())
 }
+
+// document returns the newest document that is ready, packed.
+func (u *Uplink) document() (number uint64, packed []byte) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.number, u.packed
+}
+
+// learn takes a packed document that the leader sent to this instance as a relay.
+func (u *Uplink) learn(number uint64, packed []byte) error {
+	data, err := Unpack(packed)
+	if err != nil {
+		return err
+	}
+	catalog, err := u.parse(number, data)
+	if err != nil {
+		return err
+	}
+	u.hold(number, packed, catalog)
+	return nil
+}
--- a/transport/control/history.go
+++ b/transport/control/history.go
@@ -1,6 +1,10 @@
 package control
 
-import "github.com/weldstream/weldstream/protocol"
+import (
+	"slices"
+
+	"github.com/weldstream/weldstream/protocol"
+)
 
 // historyKept is how many versions of the list a gateway may be behind and still
 // be sent the changes only.
@@ -15,17 +19,18 @@
 // step is what changed in one version.
 type step struct {
 	version uint64
+	after   uint64 // after is the version that the changes are against; a relay may not see each one.
 	changed []protocol.Instance
 	gone    []string
 }
 
-// add notes a new version.
-func (h *history) add(version uint64, before, after []protocol.Instance) {
+// add notes a new version beside the one before.
+func (h *history) add(version, last uint64, before, after []protocol.Instance) {
 	old := make(map[string]protocol.Instance, len(before))
 	for _, in := range before {
 		old[in.ID] = in
 	}
-	s := step{version: version}
+	s := step{version: version, after: last}
 	for _, in := range after {
 		was, ok := old[in.ID]
 		delete(old, in.ID)
@@ -45,7 +50,7 @@
 // since returns what changed behind a version, or false where that is not known
 // any more.
 func (h *history) since(version uint64) (changed []protocol.Instance, gone []string, ok bool) {
-	if len(h.steps) == 0 || h.steps[0].version > version+1 {
+	if !h.knows(version) {
 		return nil, nil, false
 	}
 	latest := map[string]*protocol.Instance{} // latest is nil for those that are gone.
@@ -70,3 +75,8 @@
 	}
 	return changed, gone, true
 }
+
+// knows reports whether a version is one that changes are kept against.
+func (h *history) knows(version uint64) bool {
+	return slices.ContainsFunc(h.steps, func(s step) bool { return s.after == version || s.version == version })
+}
--- a/transport/control/history_test.go
+++ b/transport/control/history_test.go
@@ -28,7 +28,7 @@
 					list = append(list, protocol.Instance{ID: fmt.Sprint(id), Leaving: true})
 				}
 			}
-			h.add(uint64(version), lists[version-1], list)
+			h.add(uint64(version), uint64(version-1), lists[version-1], list)
 			lists = append(lists, list)
 		}
 		latest := len(lists) - 1
--- a/transport/control/leader.go
+++ b/transport/control/leader.go
@@ -23,7 +23,7 @@
 	for {
 		changed := u.group.Changed()
 		leader, all := u.peers()
-		reply.Controls = all
+		reply.Controls, reply.Domains = all, u.domains(all)
 		if leader != m.Besides {
 			reply.Leader = leader
 		}
--- a/transport/control/list.go
+++ b/transport/control/list.go
@@ -8,21 +8,53 @@
 	"github.com/weldstream/weldstream/protocol"
 )
 
+// listing is the platform's list with what changed of it lately. It is guarded by its
+// holder.
+type listing struct {
+	lister  uint64 // lister is the term in which the list was read.
+	version uint64
+	servers []protocol.Instance
+	listed  bool
+	order   []string // order are the listed servers by name.
+	history history
+	lists   map[uint64][]byte // lists are what changed since a version, packed once for all gateways.
+}
+
+// take takes a version of the list.
+func (l *listing) take(lister, version uint64, list []protocol.Instance) {
+	if l.listed && l.lister == lister {
+		l.history.add(version, l.version, l.servers, list)
+	} else {
+		l.history = history{}
+	}
+	l.lister, l.version, l.servers, l.listed, l.lists = lister, version, list, true, map[uint64][]byte{}
+	l.order = make([]string, 0, len(list))
+	for i := range list {
+		l.order = append(l.order, list[i].ID)
+	}
+	slices.Sort(l.order)
+}
+
+// holds reports whether a gateway holds the newest version.
+func (l *listing) holds(m *protocol.SyncMsg) bool {
+	return m.Lister == l.lister && m.Servers == l.version
+}
+
 // tellServers tells a gateway what it lacks of the list: the changes, if it holds
-// a version of this term that is not too old. It needs u.mu.
-func (u *Uplink) tellServers(m *protocol.SyncMsg, reply *protocol.SyncReply) {
-	if !u.listed || (m.Lister == u.lister && m.Servers == u.version) {
+// a version of this term that is not too old.
+func (l *listing) tellServers(m *protocol.SyncMsg, reply *protocol.SyncReply) {
+	if !l.listed || l.holds(m) {
 		return
 	}
-	reply.Listed, reply.Lister, reply.Version = true, u.lister, u.version
+	reply.Listed, reply.Lister, reply.Version = true, l.lister, l.version
 	from := m.Servers
-	if m.Lister != u.lister {
+	if m.Lister != l.lister {
 		from = wholeList
 	}
-	list, ok := u.lists[from]
+	list, ok := l.lists[from]
 	if !ok {
-		list = packList(u.listSince(from))
-		u.lists[from] = list
+		list = packList(l.listSince(from))
+		l.lists[from] = list
 	}
 	reply.List = list
 }
@@ -30,15 +62,14 @@
 // wholeList stands for a version that nobody holds: the first one is 1.
 const wholeList = 0
 
-// listSince returns what changed of the list since a version, or all of it. It
-// needs u.mu.
-func (u *Uplink) listSince(version uint64) protocol.ServerList {
+// listSince returns what changed of the list since a version, or all of it.
+func (l *listing) listSince(version uint64) protocol.ServerList {
 	if version != wholeList {
-		if changed, gone, ok := u.history.since(version); ok {
+		if changed, gone, ok := l.history.since(version); ok {
 			return protocol.ServerList{Servers: changed, Gone: gone}
 		}
 	}
-	return protocol.ServerList{Whole: true, Servers: u.servers}
+	return protocol.ServerList{Whole: true, Servers: l.servers}
 }
 
 // SetServers takes the platform's list, read in a term. A list that is the same
@@ -51,20 +82,13 @@
 	if u.listed && sameServers(u.servers, list) {
 		return
 	}
-	u.version++
-	if u.listed {
-		u.history.add(u.version, u.servers, list)
-	}
-	u.lister, u.servers, u.listed, u.lists = term, list, true, map[uint64][]byte{}
+	u.take(term, u.version+1, list)
 	close(u.news)
 	u.news = make(chan struct{})
 	u.view = place.NewView(list, u.view, place.WithRollouts(u.logged.Load().Latest))
 	u.places.Keep(u.view)
-	u.order, u.common = make([]string, 0, len(list)), common{}
-	for i := range list {
-		u.order = append(u.order, list[i].ID)
-	}
-	slices.Sort(u.order)
+	u.common = common{}
+	u.vector.Reset(u.loads.Pack(u.order))
 }
 
 // sameServers reports whether two lists say the same. How much longer a server
--- /dev/null
+++ b/transport/control/relay.go
@@ -0,0 +1,364 @@
+package control
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	metrics "github.com/rcrowley/go-metrics"
+
+	"github.com/weldstream/weldstream/coordination/link"
+	"github.com/weldstream/weldstream/coordination/place"
+	"github.com/weldstream/weldstream/internal/pause"
+	"github.com/weldstream/weldstream/protocol"
+)
+
+const (
+	// gatherTime is for how long a relay gathers questions: a part of a round trip
+	// between regions. While a batch is under way it gathers as well.
+	gatherTime = 3 * time.Millisecond
+	// batchSlack is behind what is usual the leader's answer to a batch is overdue,
+	// less than its gateways wait, so that they are told before they give the relay up.
+	// batchFirst is besides for the first one: a connection and a round trip at 80 ms
+	// one way.
+	batchSlack = 60 * time.Millisecond
+	batchFirst = 400 * time.Millisecond
+	// batchTime bounds a batch whose answer may hold a whole list.
+	batchTime = 1500 * time.Millisecond
+)
+
+// Caller calls another instance.
+type Caller interface {
+	Call(address, method string, args, reply any, timeout time.Duration) error
+}
+
+// Relay answers the gateways of its region from what the leader vouched for in answer
+// to a batch that was sent behind their questions. One batch at a time is under way.
+type Relay struct {
+	uplink *Uplink
+	caller Caller
+	name   string // name is what the leader knows the relay by.
+	own    string // own is its peer address.
+	life   uint64
+	wake   chan struct{} // wake receives that there are questions.
+	meters relayMeters
+
+	mu       sync.Mutex // mu guards all below.
+	waiting  []*question
+	copies   *copies
+	sum      *place.Sum
+	gateways map[string]time.Time // gateways are those in the sum, by when they asked last.
+	batch    uint64               // batch is the latest that was sent.
+	acked    uint64               // acked is the latest whose sums the leader has; 0 for none.
+	asked    string               // asked is the leader that the batch went to.
+	pace     link.Pace
+	cut      bool // cut says that the batch under way is overdue.
+}
+
+// question is one of a gateway that waits for its answer.
+type question struct {
+	m      protocol.SyncMsg
+	at     time.Time
+	answer chan protocol.SyncReply
+}
+
+// relayMeters count a relay's work.
+type relayMeters struct {
+	batches, questions, overdue metrics.Counter
+}
+
+// NewRelay has an uplink answer gateways that ask it to relay while it does not lead.
+func NewRelay(u *Uplink, c Caller, name, peer string, r metrics.Registry) *Relay {
+	relay := &Relay{
+		uplink:   u,
+		caller:   c,
+		name:     name,
+		own:      peer,
+		life:     rand.Uint64(),
+		wake:     make(chan struct{}, 1),
+		copies:   newCopies(u.topology),
+		sum:      place.NewSum(),
+		gateways: map[string]time.Time{},
+		meters: relayMeters{
+			batches:   metrics.NewRegisteredCounter("relay.batches", r),
+			questions: metrics.NewRegisteredCounter("relay.questions", r),
+			overdue:   metrics.NewRegisteredCounter("relay.overdue", r),
+		},
+	}
+	metrics.NewRegisteredFunctionalGauge("relay.gateways", r, func() int64 { return int64(relay.State().Gateways) })
+	u.relay.Store(relay)
+	return relay
+}
+
+// relayed answers a gateway from what the leader vouches for, where it asks for that
+// and this instance is a relay.
+func (u *Uplink) relayed(m protocol.SyncMsg, reply *protocol.SyncReply) error {
+	if r := u.relay.Load(); r != nil && m.Relayed {
+		r.sync(m, reply)
+	}
+	return nil
+}
+
+// relayedPlace finds a server for a long prompt where this instance is a relay.
+func (u *Uplink) relayedPlace(m *protocol.PlaceMsg, reply *protocol.PlaceReply) error {
+	if r := u.relay.Load(); r != nil {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		if !r.cut {
+			r.copies.place(m, reply)
+		}
+	}
+	return nil
+}
+
+// sync keeps a gateway's question until the answer to a later batch, or until that is
+// overdue. Either takes no longer than a batch may.
+func (r *Relay) sync(m protocol.SyncMsg, reply *protocol.SyncReply) {
+	q := &question{m: m, at: time.Now(), answer: make(chan protocol.SyncReply, 1)}
+	r.mu.Lock()
+	r.waiting = append(r.waiting, q)
+	r.mu.Unlock()
+	select {
+	case r.wake <- struct{}{}:
+	default:
+	}
+	a := <-q.answer
+	a.Controls, a.Domains = reply.Controls, reply.Domains
+	*reply = a
+}
+
+// Run sends the batches, until ctx ends.
+func (r *Relay) Run(ctx context.Context) error {
+	for {
+		select {
+		case <-r.wake:
+			pause.For(ctx, gatherTime)
+			r.exchange(ctx)
+		case <-ctx.Done():
+			r.refuse(r.gathered(), "")
+			return nil
+		}
+	}
+}
+
+// gathered returns the questions that wait, which then do no more.
+func (r *Relay) gathered() []*question {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	list := r.waiting
+	r.waiting = nil
+	return list
+}
+
+// refuse tells gateways that the relay cannot answer, and who leads, as far as known.
+func (r *Relay) refuse(list []*question, leader string) {
+	for _, q := range list {
+		q.answer <- protocol.SyncReply{Leader: leader}
+	}
+}
+
+// exchange sends the questions that wait as one batch, and answers them. While the
+// leader's answer is overdue, those that come are told so at once.
+func (r *Relay) exchange(ctx context.Context) {
+	changed := r.uplink.group.Changed()
+	leader, _ := r.uplink.peers()
+	list := r.gathered()
+	if len(list) == 0 {
+		return
+	}
+	if leader == "" || leader == r.own {
+		r.refuse(list, leader)
+		return
+	}
+	m, due := r.compose(leader, list)
+	sent := time.Now()
+	answers := r.call(leader, m)
+	overdue := time.NewTimer(due)
+	defer overdue.Stop()
+	var cut <-chan struct{} // cut is nil until the answer is overdue.
+	for {
+		select {
+		case reply := <-answers:
+			r.take(leader, reply, list, time.Since(sent))
+			return
+		case <-overdue.C:
+			r.setOverdue(leader)
+			r.refuse(list, leader)
+			list, cut = nil, r.wake
+		case <-cut:
+			r.refuse(r.gathered(), leader)
+		case <-changed:
+			changed = r.uplink.group.Changed()
+			if next, _ := r.uplink.peers(); next != leader {
+				r.lost()
+				r.refuse(list, next)
+				return
+			}
+		case <-ctx.Done():
+			r.refuse(list, "")
+			return
+		}
+	}
+}
+
+// call sends a batch. A nil answer is none.
+func (r *Relay) call(leader string, m protocol.BatchMsg) <-chan *protocol.BatchReply {
+	answers := make(chan *protocol.BatchReply, 1)
+	go func() {
+		var reply protocol.BatchReply
+		if err := r.caller.Call(leader, "Uplink.Batch", m, &reply, batchTime); err != nil {
+			r.uplink.log.Warn().Err(err).Str("leader", leader).Msg("a relay's batch got no answer")
+			answers <- nil
+			return
+		}
+		answers <- &reply
+	}()
+	return answers
+}
+
+// compose makes the batch for the questions of some gateways, and returns when its
+// answer is overdue.
+func (r *Relay) compose(leader string, list []*question) (protocol.BatchMsg, time.Duration) {
+	r.uplink.ready()
+	number, _ := r.uplink.document()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := time.Now()
+	if leader != r.asked {
+		r.asked, r.acked, r.pace = leader, 0, link.Pace{}
+		r.sum.Lost()
+	}
+	r.batch++
+	m := protocol.BatchMsg{Relay: r.name, Life: r.life, Batch: r.batch, Number: number}
+	r.copies.ask(&m)
+	for _, q := range list {
+		r.gateways[q.m.Gateway] = now
+		r.sum.Take(q.m.Gateway, place.GatewayReport{Domain: q.m.Domain, Running: q.m.Running, Distrusts: q.m.Distrusts})
+		r.copies.done(q.m.Done)
+		m.Parts = append(m.Parts, partOf(&q.m, now.Sub(q.at)))
+	}
+	for name, at := range r.gateways {
+		if now.Sub(at) > gatewayKept {
+			r.drop(name)
+		}
+	}
+	sums, whole := r.sum.Changes()
+	m.Sums = sums
+	if !whole {
+		m.Base = r.acked
+	}
+	r.meters.batches.Inc(1)
+	r.meters.questions.Inc(int64(len(list)))
+	return m, r.pace.Due(batchSlack, batchFirst)
+}
+
+// drop forgets a gateway. It needs r.mu.
+func (r *Relay) drop(name string) {
+	delete(r.gateways, name)
+	r.sum.Drop(name)
+}
+
+// take answers the questions of a batch with the leader's answer, if that counts.
+func (r *Relay) take(leader string, reply *protocol.BatchReply, list []*question, took time.Duration) {
+	if reply == nil || !reply.Leads {
+		r.lost()
+		next := ""
+		if reply != nil && reply.Leader != leader {
+			next = reply.Leader
+		}
+		r.refuse(list, next)
+		return
+	}
+	if err := r.renew(leader, reply, took); err != nil {
+		r.uplink.log.Error().Err(err).Uint64("number", reply.Number).Msg("a relay cannot read the leader's answer")
+		r.refuse(list, leader)
+		return
+	}
+	number, document := r.uplink.document()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for i, q := range list {
+		var a protocol.SyncReply
+		if i >= len(reply.Answers) || r.copies.answer(&q.m, &reply.Answers[i], number, document, &a) != nil {
+			a = protocol.SyncReply{Leader: leader}
+		}
+		q.answer <- a
+	}
+}
+
+// renew has the copies and sums follow the leader's answer.
+func (r *Relay) renew(leader string, reply *protocol.BatchReply, took time.Duration) error {
+	if len(reply.Document) > 0 {
+		if err := r.uplink.learn(reply.Number, reply.Document); err != nil {
+			return err
+		}
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.cut = false
+	r.pace.Observe(took)
+	if reply.Resend {
+		r.acked = 0
+		r.sum.Lost()
+	} else {
+		r.acked = r.batch
+		r.sum.Acknowledged()
+	}
+	for _, name := range reply.Moved {
+		r.drop(name)
+	}
+	if err := r.copies.renew(leader, reply); err != nil {
+		r.forget()
+		return err
+	}
+	return nil
+}
+
+// forget has the next batch ask for all that is copied. It needs r.mu.
+func (r *Relay) forget() {
+	r.copies = newCopies(r.uplink.topology)
+	r.acked = 0
+	r.sum.Lost()
+}
+
+// lost notes that the leader may have the sums of the batch under way or not.
+func (r *Relay) lost() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.cut, r.acked = false, 0
+	r.sum.Lost()
+}
+
+// setOverdue notes that the batch under way is overdue.
+func (r *Relay) setOverdue(leader string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.cut = true
+	r.meters.overdue.Inc(1)
+	r.uplink.log.Warn().Str("leader", leader).Int("gateways", len(r.gateways)).Msg("a relay's batch is overdue")
+}
+
+// RelayState is what a dump shows of a relay.
+type RelayState struct {
+	Leader   string `json:"leader"` // Leader is the one that it asked last.
+	Term     uint64 `json:"term"`
+	Number   uint64 `json:"number"` // Number is the document that was vouched for last.
+	Servers  int    `json:"servers"`
+	Gateways int    `json:"gateways"` // Gateways are those that asked it lately.
+	Batches  uint64 `json:"batches"`
+	Cut      bool   `json:"cut"` // Cut says that the leader's answer is overdue.
+}
+
+// State returns what a dump shows of the relay.
+func (r *Relay) State() RelayState {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now, gateways := time.Now(), 0
+	for _, at := range r.gateways {
+		if now.Sub(at) <= gatewayKept {
+			gateways++
+		}
+	}
+	return RelayState{Leader: r.asked, Term: r.copies.term, Number: r.copies.number, Servers: len(r.copies.servers), Gateways: gateways, Batches: r.batch, Cut: r.cut}
+}
--- a/transport/control/rollouts.go
+++ b/transport/control/rollouts.go
@@ -94,14 +94,18 @@
 	}
 }
 
-// answerRollouts answers what a gateway reports of roll-outs. It needs u.mu.
-func (u *Uplink) answerRollouts(m *protocol.SyncMsg, reply *protocol.SyncReply, now time.Time) {
-	u.renewRollouts()
+// answerChanges answers a gateway that keeps to the roll-outs of a change. It needs u.mu.
+func (u *Uplink) answerChanges(held uint64, reply *protocol.SyncReply) {
 	l := u.logged.Load()
 	reply.Changes = l.Changes
-	if m.Rollouts != l.Changes {
+	if held != l.Changes {
 		reply.Rollouts = l.Latest
 	}
+}
+
+// answerTrials answers what a gateway reports of roll-outs. It needs u.mu.
+func (u *Uplink) answerTrials(m *protocol.SyncMsg, reply *protocol.SyncReply, now time.Time) {
+	u.renewRollouts()
 	for i := range m.Trials {
 		report := &m.Trials[i]
 		t := u.trials[report.Number]
--- a/transport/control/uplink.go
+++ b/transport/control/uplink.go
@@ -1,6 +1,8 @@
 package control
 
 import (
+	"bytes"
+	"math/rand/v2"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -28,6 +30,9 @@
 	began time.Time
 	clock *usage.Clock
 	log   zerolog.Logger
+	// teller tells this instance's versions of loads, and the requests that it placed,
+	// from those of others and of its other starts.
+	teller uint64
 
 	accepted atomic.Pointer[document] // accepted is the newest document, as it was accepted.
 	arrived  chan struct{}            // arrived receives that there is one.
@@ -37,28 +42,26 @@
 	exposure Exposure                 // exposure bounds what a version on trial gets.
 	topology *topology.Topology       // topology tells the regions of the domains.
 	meters   rolloutMeters
-
-	mu       sync.Mutex // mu guards all below.
-	number   uint64
-	packed   []byte // packed is the document.
-	catalog  *protocol.Catalog
-	term     uint64 // term is the one that the rest belongs to.
-	entered  time.Time
-	earlier  int // earlier is how many gateways a leader before counted, as they tell.
-	lister   uint64
-	version  uint64
-	servers  []protocol.Instance
-	listed   bool
+	relay    atomic.Pointer[Relay]         // relay answers gateways while this instance does not lead; nil for none.
+	domainOf func(peers []string) []string // domainOf tells the domains of control instances.
+
+	mu      sync.Mutex // mu guards all below.
+	number  uint64
+	packed  []byte // packed is the document.
+	catalog *protocol.Catalog
+	term    uint64 // term is the one that the rest belongs to.
+	entered time.Time
+	earlier int // earlier is how many gateways a leader before counted, as they tell.
+	listing
 	news     chan struct{} // news is closed and replaced when a list was read.
 	gateways map[string]*gateway
 	quotas   *quota.Coordinator
 	ledger   *usage.Ledger
-	history  history
-	lists    map[uint64][]byte // lists are what changed since a version, packed once for all gateways.
 	view     *place.View
 	places   *place.Ledger
 	loads    *place.Loads
-	order    []string // order are the listed servers by name.
+	vector   place.Vector // vector is the loads as they were told last.
+	relays   map[string]*relayBook
 	common   common
 	rolled   uint64                  // rolled is the change of the roll-outs that the view follows.
 	trials   map[uint64]*trial       // trials are the roll-outs that run, by number.
@@ -68,7 +71,6 @@
 // common is the part of the answers that is the same for all gateways.
 type common struct {
 	at       time.Time
-	loads    []byte
 	distrust map[string][]byte // distrust is by the gateways' domain.
 	short    []string
 	lanes    []protocol.ServiceLanes
@@ -99,6 +101,20 @@
 // WithTopology sets where the failure domains lie; without it they all are near.
 func WithTopology(t *topology.Topology) UplinkOption { return func(u *Uplink) { u.topology = t } }
 
+// WithDomains sets what tells the failure domains of control instances by their peer
+// addresses. Gateways are told where those lie in several regions.
+func WithDomains(domainOf func(peers []string) []string) UplinkOption {
+	return func(u *Uplink) { u.domainOf = domainOf }
+}
+
+// domains returns the failure domains of control instances, where gateways need them.
+func (u *Uplink) domains(peers []string) []string {
+	if u.domainOf == nil || !u.topology.Several() {
+		return nil
+	}
+	return u.domainOf(peers)
+}
+
 // WithRegistry sets the registry of the meters; without it nothing is counted.
 func WithRegistry(r metrics.Registry) UplinkOption {
 	return func(u *Uplink) { u.meters = newRolloutMeters(r) }
@@ -122,6 +138,7 @@
 func NewUplink(g Group, peers func() (string, []string), parse func(uint64, []byte) (*protocol.Catalog, error), quotaWindow time.Duration, opts ...UplinkOption) *Uplink {
 	now := time.Now()
 	u := &Uplink{
+		teller:  rand.Uint64(),
 		news:    make(chan struct{}),
 		arrived: make(chan struct{}, 1),
 		group:   g,
@@ -150,6 +167,8 @@
 	u.ledger = usage.NewLedger()
 	u.listed, u.servers, u.history = false, nil, history{}
 	u.loads, u.order, u.common = place.NewLoads(), nil, common{}
+	u.vector.Reset(nil)
+	u.relays = map[string]*relayBook{}
 	u.view, u.places = nil, place.NewLedger(u.loads, place.WithTopology(u.topology))
 	u.rolled, u.trials, u.unnamed = 0, nil, map[versionOf]time.Time{}
 	if u.catalog != nil {
@@ -175,29 +194,23 @@
 // Sync answers a gateway.
 func (u *Uplink) Sync(m protocol.SyncMsg, reply *protocol.SyncReply) error {
 	reply.Leader, reply.Controls = u.peers()
+	reply.Domains = u.domains(reply.Controls)
 	term, ok := u.group.Vouches()
 	if ok && m.Lister == 0 {
 		u.awaitList(term)
 		term, ok = u.group.Vouches()
 	}
 	if !ok {
-		return nil
+		return u.relayed(m, reply)
 	}
 	u.ready()
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	now := time.Now()
 	u.enter(term)
-	g := &gateway{at: now, pressure: m.Pressure}
-	if !m.Clock.IsZero() {
-		g.ahead = m.Clock.Sub(u.clock.Own(now.Sub(u.began)))
-	}
-	u.gateways[m.Gateway] = g
-	u.earlier = max(u.earlier, m.Gateways)
-	u.ledger.Take(m.Gateway, m.Life, m.Usage)
 	u.loads.Take(m.Gateway, place.GatewayReport{Domain: m.Domain, Running: m.Running, Distrusts: m.Distrusts})
 	for _, d := range m.Done {
-		if d.Term == term {
+		if d.Term == term && d.Placer == u.teller {
 			u.places.Done(place.DoneMsg{Number: d.Number, First: d.First, Took: d.Took})
 		}
 	}
@@ -206,31 +219,61 @@
 	if u.number > m.Number {
 		reply.Document = u.packed
 	}
-	u.answerRollouts(&m, reply, now)
+	u.answerOwn(&m, reply, now)
+	u.answerChanges(m.Rollouts, reply)
 	u.tellServers(&m, reply)
 	u.renewCommon(now)
 	reply.Short = u.common.short
-	if m.Lister == u.lister && m.Servers == u.version {
-		reply.Loads, reply.Distrusted = u.common.loads, u.distrusted(m.Domain)
+	if u.holds(&m) {
+		reply.Distrusted = u.distrusted(m.Domain)
+		tellLoads(&u.vector, u.mark(), m.Loads, reply)
 	}
 	reply.Gateways = u.common.gateways
 	reply.Clock = u.clock.Now(now.Sub(u.began))
 	reply.Lanes = u.common.lanes
-	for _, want := range m.Wants {
-		reply.Grants = append(reply.Grants, u.quotas.Grant(want, now))
-	}
 	// The lease may have run out meanwhile: then nothing of this may count.
 	still, ok := u.group.Vouches()
 	reply.Leads = ok && still == term
 	return nil
 }
 
+// answerOwn takes what is a gateway's own of its question, and answers that. It needs
+// u.mu.
+func (u *Uplink) answerOwn(m *protocol.SyncMsg, reply *protocol.SyncReply, now time.Time) {
+	g := &gateway{at: now, pressure: m.Pressure}
+	if !m.Clock.IsZero() {
+		g.ahead = m.Clock.Sub(u.clock.Own(now.Sub(u.began)))
+	}
+	u.gateways[m.Gateway] = g
+	u.earlier = max(u.earlier, m.Gateways)
+	u.ledger.Take(m.Gateway, m.Life, m.Usage)
+	u.answerTrials(m, reply, now)
+	for _, want := range m.Wants {
+		reply.Grants = append(reply.Grants, u.quotas.Grant(want, now))
+	}
+}
+
+// tellLoads tells the loads of all servers, or what changed since the asker was told
+// last.
+func tellLoads(v *place.Vector, now, held protocol.LoadMark, reply *protocol.SyncReply) {
+	reply.Loaded = now
+	changes, ok := []byte(nil), false
+	if held.Teller == now.Teller {
+		changes, ok = v.Since(held.Version)
+	}
+	if ok {
+		reply.LoadChanges = changes
+		return
+	}
+	reply.Loads = bytes.Clone(v.Values())
+}
+
 // Place finds a server for a long prompt, in the knowledge of those of all
 // gateways.
 func (u *Uplink) Place(m protocol.PlaceMsg, reply *protocol.PlaceReply) error {
 	term, ok := u.group.Vouches()
 	if !ok {
-		return nil
+		return u.relayedPlace(&m, reply)
 	}
 	u.mu.Lock()
 	defer u.mu.Unlock()
@@ -238,7 +281,16 @@
 	if u.view == nil {
 		return nil
 	}
-	placed, ok := u.places.Place(u.view, place.PromptMsg{
+	placed, ok := u.places.Place(u.view, prompt(&m), time.Now())
+	if ok {
+		reply.Server, reply.Holder, reply.Term, reply.Number, reply.Placer = placed.Server, placed.Holder, term, placed.Number, u.teller
+	}
+	return nil
+}
+
+// prompt is a question for a place as the ledger takes it.
+func prompt(m *protocol.PlaceMsg) place.PromptMsg {
+	return place.PromptMsg{
 		Service: m.Service,
 		Prompt:  m.Prompt,
 		Shared:  m.Shared,
@@ -250,11 +302,7 @@
 		Parts:   m.Parts,
 		Target:  m.Target,
 		Gap:     m.Gap,
-	}, time.Now())
-	if ok {
-		reply.Server, reply.Holder, reply.Term, reply.Number = placed.Server, placed.Holder, term, placed.Number
 	}
-	return nil
 }
 
 // agreed returns the time of day that most instances agree on: the middle one of
@@ -286,14 +334,19 @@
 	u.common = common{
 		at:       now,
 		gateways: u.alive(now),
-		loads:    u.loads.Pack(u.order),
 		distrust: map[string][]byte{},
 		short:    u.quotas.Short(now),
 		lanes:    u.lanes(),
 	}
+	u.vector.Set(u.loads.Pack(u.order))
 	u.agreed(now)
 }
 
+// mark names the loads that answers tell now. It needs u.mu.
+func (u *Uplink) mark() protocol.LoadMark {
+	return protocol.LoadMark{Teller: u.teller, Version: u.vector.Version()}
+}
+
 // distrusted returns the listed servers that the gateways of a domain are to pass
 // over. It needs u.mu.
 func (u *Uplink) distrusted(domain string) []byte {
@@ -315,6 +368,7 @@
 			u.loads.Drop(name)
 		}
 	}
+	u.dropRelays(now)
 	if now.Sub(u.entered) <= gatewayKept {
 		return max(len(u.gateways), u.earlier)
 	}
--- a/transport/forward/limits.go
+++ b/transport/forward/limits.go
@@ -217,7 +217,7 @@
 	}
 	x.g.mu.Lock()
 	defer x.g.mu.Unlock()
-	x.g.done = append(x.g.done, protocol.PlaceDone{Term: x.placed.Term, Number: x.placed.Number, First: x.first, Took: time.Since(x.start)})
+	x.g.done = append(x.g.done, protocol.PlaceDone{Term: x.placed.Term, Number: x.placed.Number, Placer: x.placed.Placer, First: x.first, Took: time.Since(x.start)})
 	x.placed = protocol.PlaceReply{}
 }
 
--- a/transport/uplink/uplink.go
+++ b/transport/uplink/uplink.go
@@ -12,7 +12,6 @@
 
 import (
 	"context"
-	"maps"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -21,6 +20,9 @@
 	"github.com/rotisserie/eris"
 	"github.com/rs/zerolog"
 
+	"github.com/weldstream/weldstream/coordination/link"
+	"github.com/weldstream/weldstream/coordination/place"
+	"github.com/weldstream/weldstream/coordination/topology"
 	"github.com/weldstream/weldstream/internal/pause"
 	"github.com/weldstream/weldstream/protocol"
 )
@@ -69,7 +71,12 @@
 	// who leads: many round trips of a region, and less than an election takes. A
 	// leader that lost its power sends no reset, and waiting for callTime instead left
 	// 295 gateways without quotas for 0.6 to 0.9 s after its successor stood.
+	//
+	// Where domains lie in several regions, it is how long behind what was usual of late.
 	answerDue = 100 * time.Millisecond
+	// firstDue is besides for the first answer of an instance in such a case: with
+	// answerDue the two round trips that a relay may take at 80 ms one way.
+	firstDue = 220 * time.Millisecond
 	// searchPause is between two rounds of questions while no leader is known, for
 	// those that could not be reached.
 	searchPause = 30 * time.Millisecond
@@ -97,6 +104,7 @@
 	leader   string          // leader is the target while it leads, for calls beside the loop.
 	asking   map[string]bool // asking are the instances that a question for the leader is under way to.
 	controls []string
+	links    *link.Links // links choose an instance of the own region; nil without several regions.
 	found    chan string // found receives whom they name.
 
 	// The loop's own.
@@ -106,15 +114,36 @@
 	term     uint64
 	lister   uint64
 	version  uint64
-	servers  map[string]protocol.Instance // servers are the list as it was received last.
+	servers  []protocol.Instance // servers are the list as it was received last.
+	loads    []byte              // loads are those of the listed servers, as they were received last.
+	mark     protocol.LoadMark   // mark names them.
 	gateways int
-	linked   bool
+	linked   string                // linked is the instance that answered last; empty once it is lost.
+	knows    string                // knows is the leader as it was named last.
+	paces    map[string]*link.Pace // paces are of each instance's answers.
+}
+
+// Option changes a new client.
+type Option func(*Client)
+
+// WithRegions has the client of a gateway in a failure domain ask a control instance of
+// its own region, where there are several regions.
+func WithRegions(t *topology.Topology, domain, gateway string) Option {
+	return func(c *Client) {
+		if l := link.New(t, domain, gateway); l.Near() {
+			c.links = l
+		}
+	}
 }
 
 // New returns a client that is not running. The seeds are peer addresses; unpack
 // reads a whole list.
-func New(c Caller, g Gateway, seeds []string, unpack func([]byte) (protocol.ServerList, error), log zerolog.Logger) *Client {
-	return &Client{caller: c, gateway: g, seeds: seeds, unpack: unpack, servers: map[string]protocol.Instance{}, asking: map[string]bool{}, found: make(chan string, 1), log: log, life: rand.Uint64(), syncNow: make(chan struct{}, 1)}
+func New(calls Caller, g Gateway, seeds []string, unpack func([]byte) (protocol.ServerList, error), log zerolog.Logger, opts ...Option) *Client {
+	c := &Client{caller: calls, gateway: g, seeds: seeds, unpack: unpack, asking: map[string]bool{}, paces: map[string]*link.Pace{}, found: make(chan string, 1), log: log, life: rand.Uint64(), syncNow: make(chan struct{}, 1)}
+	for _, opt := range opts {
+		opt(c)
+	}
+	return c
 }
 
 // SetSeeds takes other seeds, for the next search.
@@ -147,9 +176,15 @@
 
 // step asks the leader, or looks for one, and reports whether the leader answered.
 func (c *Client) step(ctx context.Context) bool {
+	if near := c.near(); near != "" {
+		c.target = near
+	}
 	if c.target == "" {
 		c.gateway.Overdue()
 		c.target = c.search(ctx)
+		if near := c.near(); near != "" {
+			c.target = near
+		}
 	}
 	return c.target != "" && c.ask(ctx, c.target)
 }
@@ -210,7 +245,7 @@
 	if err != nil {
 		return // It is asked again in the next round.
 	}
-	c.learn(reply.Controls)
+	c.learn(reply.Controls, reply.Domains)
 	if reply.Leader == "" {
 		return
 	}
@@ -237,22 +272,28 @@
 func (c *Client) ask(ctx context.Context, address string) bool {
 	m := c.gateway.Report(c.term)
 	m.Life, m.Lister, m.Servers, m.Gateways = c.life, c.lister, c.version, c.gateways
+	m.Loads, m.Relayed = c.mark, c.links != nil
 	asked := time.Now()
 	got := c.await(ctx, address, c.sync(address, m))
 	if got.err != nil {
 		c.silent, c.silentAt = address, time.Now()
 		c.lost(address, got.err.Error())
+		c.pace(address).Miss(firstDue)
+		c.failed(address, true)
 		c.target = got.other
 		return false
 	}
-	c.learn(got.reply.Controls)
+	c.learn(got.reply.Controls, got.reply.Domains)
+	c.knows = got.reply.Leader
 	if !got.reply.Leads {
 		c.lost(address, "does not lead")
+		c.failed(address, false)
 		if got.reply.Leader != address {
 			c.target = got.reply.Leader
 		}
 		return false
 	}
+	c.observe(address, time.Since(asked))
 	return c.take(address, &m, &got.reply, asked)
 }
 
@@ -286,7 +327,7 @@
 // instances are asked who leads, and the first other leader ends the wait.
 func (c *Client) await(ctx context.Context, address string, answers <-chan answer) answer {
 	var found <-chan string // found is nil until the answer is overdue.
-	due := time.NewTimer(answerDue)
+	due := time.NewTimer(c.due(address))
 	defer due.Stop()
 	for {
 		select {
@@ -341,45 +382,100 @@
 	c.gateway.Confirm(asked, reply.Gateways)
 	c.gateway.Reported(m, reply, asked)
 	c.gateway.Agree(reply.Lanes)
-	if len(reply.Loads) > 0 && !reply.Listed {
-		c.gateway.Share(reply.Loads, reply.Distrusted)
-	}
-	if !c.linked || c.term != reply.Term || c.target != address {
-		c.log.Info().Str("leader", address).Uint64("term", reply.Term).Uint64("number", reply.Number).Int("gateways", reply.Gateways).Msg("linked to the leader")
+	if err := c.share(reply); err != nil {
+		c.log.Error().Err(err).Str("from", address).Msg("the servers' loads cannot be read")
 	}
-	c.linked, c.target, c.term, c.gateways = true, address, reply.Term, reply.Gateways
+	c.logLink(address, reply)
+	c.linked, c.target, c.term, c.gateways = address, address, reply.Term, reply.Gateways
 	c.lead(address)
 	return true
 }
 
-// list returns the whole list behind an answer with all of it or with what changed.
-func (c *Client) list(reply *protocol.SyncReply) ([]protocol.Instance, error) {
-	told, err := c.unpack(reply.List)
+// logLink logs whom the gateway is linked to, where that changes.
+func (c *Client) logLink(address string, reply *protocol.SyncReply) {
+	if c.linked == address && c.term == reply.Term {
+		return
+	}
+	line := c.log.Info().Uint64("term", reply.Term).Uint64("number", reply.Number).Int("gateways", reply.Gateways)
+	if c.links != nil && reply.Leader != "" && reply.Leader != address {
+		line.Str("relay", address).Str("leader", reply.Leader).Msg("linked to a relay")
+		return
+	}
+	line.Str("leader", address).Msg("linked to the leader")
+}
+
+// share hands the loads of all servers on, if they are of the list that is held.
+func (c *Client) share(reply *protocol.SyncReply) error {
+	if reply.Listed || (len(reply.Loads) == 0 && reply.Loaded.Version == 0) {
+		return nil
+	}
+	loads, err := place.Renewed(c.loads, c.mark, reply.Loads, reply.LoadChanges, reply.Loaded)
 	if err != nil {
-		return nil, err
+		c.loads, c.mark = nil, protocol.LoadMark{}
+		return err
 	}
-	if told.Whole {
-		c.servers = make(map[string]protocol.Instance, len(told.Servers))
+	c.loads, c.mark = loads, reply.Loaded
+	if len(loads) > 0 {
+		c.gateway.Share(loads, reply.Distrusted)
 	}
-	for _, in := range told.Servers {
-		c.servers[in.ID] = in
+	return nil
+}
+
+// near returns the instance of the own region to ask, or none.
+func (c *Client) near() string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.links.Choose(c.knows, time.Now())
+}
+
+// failed has an instance of the own region passed over for a while.
+func (c *Client) failed(address string, silent bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.links.Failed(address, silent, time.Now())
+}
+
+// observe notes how long an answer took.
+func (c *Client) observe(address string, took time.Duration) {
+	c.pace(address).Observe(took)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.links.Answered(address)
+}
+
+// due returns when an instance's answer is overdue.
+func (c *Client) due(address string) time.Duration {
+	if c.links == nil {
+		return answerDue
 	}
-	for _, id := range told.Gone {
-		delete(c.servers, id)
+	return c.pace(address).Due(answerDue, firstDue)
+}
+
+func (c *Client) pace(address string) *link.Pace {
+	p := c.paces[address]
+	if p == nil {
+		p = &link.Pace{}
+		c.paces[address] = p
 	}
-	list := make([]protocol.Instance, 0, len(c.servers))
-	for _, id := range slices.Sorted(maps.Keys(c.servers)) {
-		list = append(list, c.servers[id])
+	return p
+}
+
+// list returns the whole list behind an answer with all of it or with what changed.
+func (c *Client) list(reply *protocol.SyncReply) ([]protocol.Instance, error) {
+	told, err := c.unpack(reply.List)
+	if err != nil {
+		return nil, err
 	}
-	return list, nil
+	c.servers = told.Onto(c.servers)
+	return c.servers, nil
 }
 
 // lost forgets the leader that did not answer as one.
 func (c *Client) lost(address, reason string) {
-	if c.linked {
+	if c.linked != "" {
 		c.log.Warn().Str("leader", address).Str("reason", reason).Msg("link to the leader lost")
 	}
-	c.linked, c.target = false, ""
+	c.linked, c.target = "", ""
 	c.lead("")
 }
 
@@ -408,9 +504,10 @@
 }
 
 // learn notes the control instances that another one knows.
-func (c *Client) learn(controls []string) {
+func (c *Client) learn(controls, domains []string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.links.Learn(controls, domains)
 	if len(controls) > 0 {
 		c.controls = controls
 	}
