--- /dev/null
+++ b/coordination/place/relayed_test.go
@@ -0,0 +1,209 @@
+package place
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+	"pgregory.net/rapid"
+
+	_ "github.com/weldstream/weldstream/internal/testseed" // Fixes the seed.
+	"github.com/weldstream/weldstream/protocol"
+)
+
+// TestVectorTellsChanges checks over random loads that who holds any earlier version
+// comes to hold the loads as they are, and that no answer is longer than all of them.
+func TestVectorTellsChanges(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var v Vector
+		held := map[uint64][]byte{}
+		for range rapid.IntRange(1, 20).Draw(t, "steps") {
+			if rapid.IntRange(0, 5).Draw(t, "other list") == 0 {
+				v.Reset(rapid.SliceOfN(rapid.Byte(), 0, 400).Draw(t, "loads"))
+			} else {
+				loads := slices.Clone(v.Values())
+				for i := range loads {
+					if rapid.IntRange(0, 9).Draw(t, "changes") == 0 {
+						loads[i]++
+					}
+				}
+				v.Set(loads)
+			}
+			held[v.Version()] = slices.Clone(v.Values())
+		}
+		to := protocol.LoadMark{Teller: 7, Version: v.Version()}
+		for version, loads := range held {
+			changes, ok := v.Since(version)
+			var whole []byte
+			if !ok {
+				whole = v.Values()
+			}
+			if len(changes) > len(v.Values()) {
+				t.Fatalf("%d bytes of changes for %d servers", len(changes), len(v.Values()))
+			}
+			got, err := Renewed(loads, protocol.LoadMark{Teller: 7, Version: version}, whole, changes, to)
+			if err != nil || string(got) != string(v.Values()) {
+				t.Fatalf("from %d to %d: %v, %v; want %v", version, v.Version(), got, err, v.Values())
+			}
+		}
+	})
+}
+
+// TestChangesThatCannotBeRead checks that changes beside the loads are an error.
+func TestChangesThatCannotBeRead(t *testing.T) {
+	for _, changes := range [][]byte{{0}, {2, 1}, {0, 1, 1, 1}, {255}, {255, 255, 255, 255, 255, 255, 255, 255, 255, 1, 1}} {
+		if got, err := WithChanges([]byte{5, 6}, changes); err == nil {
+			t.Errorf("%v: read as %v", changes, got)
+		}
+	}
+}
+
+// fleetOfRelays is gateways that ask the leader or relays, for tests.
+type fleetOfRelays struct {
+	leader *Loads
+	relays map[string]*Sum
+	home   map[string]string
+	last   map[string]GatewayReport // last are the gateways' reports.
+}
+
+func (f *fleetOfRelays) ask(gateway string) {
+	if home := f.home[gateway]; home != "" {
+		f.relays[home].Take(gateway, f.last[gateway])
+		f.batch(home, []string{gateway}, true, true)
+		return
+	}
+	f.leader.Take(gateway, f.last[gateway])
+}
+
+func (f *fleetOfRelays) batch(relay string, asked []string, arrives, answered bool) {
+	s := f.relays[relay]
+	sums, whole := s.Changes()
+	var moved []string
+	if arrives {
+		moved = f.leader.TakeRelay(RelayMsg{Relay: relay, Whole: whole, Sums: sums, Asked: asked})
+	}
+	if !arrives || !answered {
+		s.Lost()
+		return
+	}
+	s.Acknowledged()
+	for _, name := range moved {
+		s.Drop(name)
+	}
+}
+
+// want is what all gateways have under way.
+func (f *fleetOfRelays) want() map[string]int {
+	total := map[string]int{}
+	for _, report := range f.last {
+		for _, r := range report.Running {
+			put(total, r.Server, total[r.Server]+r.Running)
+		}
+	}
+	return total
+}
+
+var servers = []string{"s1", "s2", "s3"}
+
+func drawReport(t *rapid.T) GatewayReport {
+	r := GatewayReport{Domain: rapid.SampledFrom([]string{"d1", "d2"}).Draw(t, "domain")}
+	for _, s := range servers {
+		if n := rapid.IntRange(0, 4).Draw(t, s); n > 0 {
+			r.Running = append(r.Running, protocol.ServerLoad{Server: s, Running: n})
+		}
+		if rapid.IntRange(0, 5).Draw(t, "distrusts") == 0 {
+			r.Distrusts = append(r.Distrusts, s)
+		}
+	}
+	return r
+}
+
+// TestRelaysAddUp checks over random moves of gateways between relays and the leader,
+// batches that are lost and answers that are lost, that once all have asked again the
+// leader knows of each server what all gateways have there, each counted once.
+func TestRelaysAddUp(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		f := &fleetOfRelays{leader: NewLoads(), relays: map[string]*Sum{"a": NewSum(), "b": NewSum()}, home: map[string]string{}, last: map[string]GatewayReport{}}
+		gateways := []string{"g1", "g2", "g3", "g4"}
+		for range rapid.IntRange(1, 40).Draw(t, "steps") {
+			g := rapid.SampledFrom(gateways).Draw(t, "gateway")
+			relay := rapid.SampledFrom([]string{"a", "b"}).Draw(t, "relay")
+			switch rapid.IntRange(0, 3).Draw(t, "step") {
+			case 0:
+				f.home[g] = rapid.SampledFrom([]string{"", "a", "b"}).Draw(t, "home")
+			case 1, 2:
+				f.last[g] = drawReport(t)
+				f.ask(g)
+			case 3:
+				arrives := rapid.Bool().Draw(t, "arrives")
+				f.batch(relay, nil, arrives, arrives && rapid.Bool().Draw(t, "answered"))
+			}
+		}
+		for range 2 { // Once to tell, once to take out those that moved.
+			for _, g := range slices.Sorted(maps.Keys(f.last)) {
+				f.ask(g)
+			}
+			f.batch("a", nil, true, true)
+			f.batch("b", nil, true, true)
+		}
+		if diff := cmp.Diff(f.want(), f.leader.totals); diff != "" {
+			t.Fatal(diff)
+		}
+		voices := NewLoads()
+		for g, r := range f.last {
+			voices.Take(g, r)
+		}
+		if diff := cmp.Diff(voices.distrusts, f.leader.distrusts); diff != "" {
+			t.Fatal(diff)
+		}
+		f.leader.DropRelay("a")
+		f.leader.DropRelay("b")
+		for _, g := range gateways {
+			f.leader.Drop(g)
+		}
+		if len(f.leader.totals)+len(f.leader.distrusts)+len(f.leader.home) > 0 {
+			t.Fatalf("left behind: %v %v %v", f.leader.totals, f.leader.distrusts, f.leader.home)
+		}
+	})
+}
+
+// TestDeadRelayCountsNoMore checks that the sums of a relay that died leave with its
+// gateways, one after the other, though it tells nothing any more.
+func TestDeadRelayCountsNoMore(t *testing.T) {
+	f := &fleetOfRelays{leader: NewLoads(), relays: map[string]*Sum{"a": NewSum(), "b": NewSum()}, home: map[string]string{}, last: map[string]GatewayReport{}}
+	const gateways = 10
+	for i := range gateways {
+		g := fmt.Sprint("g", i)
+		f.home[g], f.last[g] = "a", GatewayReport{Domain: "d", Running: []protocol.ServerLoad{{Server: "s1", Running: 3}}, Distrusts: []string{"s2"}}
+		f.ask(g)
+	}
+	for i := range gateways {
+		g := fmt.Sprint("g", i)
+		f.home[g] = "b"
+		if i%2 == 0 {
+			f.home[g] = ""
+		}
+		f.ask(g)
+		if n := f.leader.Of("s1"); n != 3*gateways {
+			t.Errorf("with %d gateways moved the server seems to have %d requests, it has %d", i+1, n, 3*gateways)
+		}
+	}
+	if n := f.leader.distrusts["s2"]["d"]; n != gateways {
+		t.Errorf("%d gateways distrust the other server, %d do", n, gateways)
+	}
+}
+
+// TestToldLoads checks that a relay's ledger goes by what the leader tells of all.
+func TestToldLoads(t *testing.T) {
+	l := NewLoads()
+	l.Told(servers, []byte{2, 0, 9}, map[string][]byte{"d1": {1 << 1}})
+	if l.Of("s1") != 2 || l.Of("s2") != 0 || l.Of("s3") != 9 || !l.Distrusted("s2", "d1") || l.Distrusted("s2", "d2") || l.Distrusted("s1", "d1") {
+		t.Errorf("knows %v, %v", l.totals, l.told)
+	}
+	l.Told(servers, []byte{0, 1, 0}, nil)
+	if l.Of("s1") != 0 || l.Of("s2") != 1 || l.Distrusted("s2", "d1") {
+		t.Errorf("then %v, %v", l.totals, l.told)
+	}
+}
