--- a/coordination/place/ledger.go
+++ b/coordination/place/ledger.go
@@ -52,6 +52,7 @@
 	speed    float64 // speed is in tokens read a millisecond, learned.
 	pace     float64 // pace is in milliseconds a token of the answer, learned.
 	topology *topology.Topology
+	fresh    []protocol.Placement // fresh are places that the others were not told yet.
 }
 
 // LedgerOption changes a new ledger.
@@ -134,7 +135,9 @@
 	if best < 0 {
 		return Placed{}, false
 	}
-	return l.enter(v.Servers[best].ID, holder, m, now), true
+	placed := l.enter(v.Servers[best].ID, holder, m, now)
+	l.noteFresh(placed, m)
+	return placed, true
 }
 
 // holder returns the server that read the shared parts of a prompt last, if the
--- a/protocol/batch.go
+++ b/protocol/batch.go
@@ -25,9 +25,19 @@
 	Rollouts uint64   // Rollouts is the change of the roll-outs that it holds.
 	Loads    LoadMark // Loads are the loads that it holds.
 	Sums     SumsMsg
+	Placed   []Placement // Placed are places that the relay gave since its last batch.
+	Known    uint64      // Known is the latest place of others that it was told.
 	Parts    []BatchPart
 }
 
+// Placement is a place that was given for a long prompt.
+type Placement struct {
+	_      struct{} `cbor:",toarray"`
+	Server string
+	Prefix uint64 // Prefix is the hash of the shared parts.
+	Tokens int    // Tokens are those that the server has to read.
+}
+
 // SumsMsg is what the gateways of a relay know together of the servers: all of it, or
 // what changed.
 type SumsMsg struct {
@@ -130,6 +140,8 @@
 	Distrusted  map[string][]byte // Distrusted are the servers to pass over, by the gateways' domain.
 	Resend      bool              // Resend asks for whole sums: the leader does not hold what they build on.
 	Moved       []string          // Moved are gateways in the relay's sums that ask elsewhere now.
+	Placed      []Placement       // Placed are places that others gave.
+	Known       uint64            // Known is the latest of them, to be named with the next batch.
 	Answers     []BatchAnswer     // Answers are in the order of the parts.
 }
 
--- a/transport/control/batch.go
+++ b/transport/control/batch.go
@@ -37,6 +37,7 @@
 		reply.Answers[i] = answerOf(&own)
 	}
 	u.answerCommon(&m, reply, now)
+	u.sharePlaces(&m, reply, now)
 	// The lease may have run out meanwhile: then nothing of this may count.
 	still, ok := u.group.Vouches()
 	reply.Leads = ok && still == term
@@ -74,6 +75,15 @@
 	}
 }
 
+// sharePlaces takes the places that a relay gave, and tells it those of others. It
+// needs u.mu.
+func (u *Uplink) sharePlaces(m *protocol.BatchMsg, reply *protocol.BatchReply, now time.Time) {
+	u.placed.Add("", u.places.Fresh())
+	u.placed.Add(m.Relay, m.Placed)
+	u.places.Note(m.Placed, now)
+	reply.Placed, reply.Known = u.placed.Since(m.Known, m.Relay)
+}
+
 // answerCommon answers what is the same for all gateways of a relay. It needs u.mu.
 func (u *Uplink) answerCommon(m *protocol.BatchMsg, reply *protocol.BatchReply, now time.Time) {
 	var all protocol.SyncReply // all is the answer to a gateway that holds what the relay does.
--- a/transport/control/copies.go
+++ b/transport/control/copies.go
@@ -30,6 +30,7 @@
 	distrusted map[string][]byte
 
 	teller uint64 // teller tells this relay's versions of loads, and what it placed, from others'.
+	known  uint64 // known is the latest place of others that the leader told.
 	view   *place.View
 	loads  *place.Loads
 	places *place.Ledger
@@ -43,6 +44,7 @@
 // ask names what is held, for the next batch.
 func (c *copies) ask(m *protocol.BatchMsg) {
 	m.Lister, m.Servers, m.Rollouts, m.Loads = c.lister, c.version, c.changes, c.mark
+	m.Placed, m.Known = c.places.Fresh(), c.known
 }
 
 // renew takes the leader's answer to a batch.
@@ -70,6 +72,8 @@
 	if len(loads) == len(c.order) {
 		c.loads.Told(c.order, loads, c.distrusted)
 	}
+	c.places.Note(r.Placed, time.Now())
+	c.known = r.Known
 	return nil
 }
 
--- a/transport/control/uplink.go
+++ b/transport/control/uplink.go
@@ -62,6 +62,7 @@
 	loads    *place.Loads
 	vector   place.Vector // vector is the loads as they were told last.
 	relays   map[string]*relayBook
+	placed   place.Placements // placed are the places that this instance and its relays gave.
 	common   common
 	rolled   uint64                  // rolled is the change of the roll-outs that the view follows.
 	trials   map[uint64]*trial       // trials are the roll-outs that run, by number.
@@ -168,7 +169,7 @@
 	u.listed, u.servers, u.history = false, nil, history{}
 	u.loads, u.order, u.common = place.NewLoads(), nil, common{}
 	u.vector.Reset(nil)
-	u.relays = map[string]*relayBook{}
+	u.relays, u.placed = map[string]*relayBook{}, place.Placements{}
 	u.view, u.places = nil, place.NewLedger(u.loads, place.WithTopology(u.topology))
 	u.rolled, u.trials, u.unnamed = 0, nil, map[versionOf]time.Time{}
 	if u.catalog != nil {
--- a/transport/uplink/uplink.go
+++ b/transport/uplink/uplink.go
@@ -387,7 +387,7 @@
 	}
 	c.logLink(address, reply)
 	c.linked, c.target, c.term, c.gateways = address, address, reply.Term, reply.Gateways
-	c.lead(reply.Leader)
+	c.lead(address)
 	return true
 }
 
