--- a/cmd/weldsoak/main.go
+++ b/cmd/weldsoak/main.go
@@ -1,7 +1,7 @@
 // Command weldsoak runs the daemons as separate processes on this machine and
 // harms them while it holds their promises; see package soak.
 //
-//	weldsoak -daemon bin/weldstreamd [-seeds 1,2,3 | -first 1 -count 50] [-time 12s] [-controls 3] [-gateways 3]
+//	weldsoak -daemon bin/weldstreamd [-seeds 1,2,3 | -first 1 -count 50] [-time 12s] [-controls 3] [-gateways 3] [-regions 1]
 //
 // It prints a line a seed, and for one that broke a promise its plan, what was
 // broken and where the logs are. It exits with 1 if any did, with 2 on wrong use.
@@ -30,6 +30,7 @@
 	flag.IntVar(&size.Controls, "controls", 3, "control instances, 1 to 9")
 	flag.IntVar(&size.Gateways, "gateways", 3, "gateways, 1 to 30")
 	flag.IntVar(&size.Backends, "backends", 6, "backend servers, 1 to 30")
+	flag.IntVar(&size.Regions, "regions", 1, "regions of the three failure domains, 1 to 3")
 	flag.Parse()
 	seeds, err := parseSeeds(*list, *first, *count)
 	if err != nil || *daemon == "" || flag.NArg() > 0 || !sound(size) {
@@ -54,7 +55,7 @@
 
 func sound(s soak.Size) bool {
 	in := func(n, most int) bool { return n >= 1 && n <= most }
-	return in(s.Controls, 9) && in(s.Gateways, 30) && in(s.Backends, 30)
+	return in(s.Controls, 9) && in(s.Gateways, 30) && in(s.Backends, 30) && in(s.Regions, 3)
 }
 
 func parseSeeds(list string, first, count uint64) ([]uint64, error) {
--- a/internal/soak/cluster.go
+++ b/internal/soak/cluster.go
@@ -28,6 +28,7 @@
 	"github.com/weldstream/weldstream/coordination/group"
 	"github.com/weldstream/weldstream/platform"
 	"github.com/weldstream/weldstream/platform/standin"
+	"github.com/weldstream/weldstream/transport/control"
 )
 
 // Size is how large a cluster is.
@@ -35,6 +36,7 @@
 	Controls int
 	Gateways int
 	Backends int
+	Regions  int // Regions are those that the three domains lie in; without them, or with one, all are near.
 }
 
 // Cluster is the daemons with all that stands around them.
@@ -99,7 +101,7 @@
 
 func (c *Cluster) makeBackends() error {
 	for i := range c.Size.Backends {
-		b, err := standin.NewBackend(fmt.Sprintf("backend-%d", i), standin.Service, fmt.Sprintf("zone-%d", i%3), c.Record)
+		b, err := standin.NewBackend(fmt.Sprintf("backend-%d", i), standin.Service, fmt.Sprintf("zone-%d", i%zones), c.Record)
 		if err != nil {
 			return err
 		}
@@ -180,7 +182,8 @@
 	for k := range min(3, c.Size.Controls) {
 		seeds = append(seeds, at(told(k), c.ports.operator))
 	}
-	text := fmt.Sprintf("name: %s\ndomain: zone-%d\nseeds: [%s]\nfound: %v\ntolerate: %d\n", p.Name, i%3, strings.Join(seeds, ", "), found, (c.Size.Controls-1)/2)
+	text := fmt.Sprintf("name: %s\ndomain: zone-%d\nseeds: [%s]\nfound: %v\ntolerate: %d\n", p.Name, i%zones, strings.Join(seeds, ", "), found, (c.Size.Controls-1)/2)
+	text += c.regions(i % zones)
 	text += fmt.Sprintf("source: {address: %s, duties: [%s], list_rate: 20}\n", c.API.Address, platform.DutyUsage)
 	text += "bounds: {grace: 6s, lease: 500ms, usage_window: 1s, usage_due: 2s, order_repeat: 5s, retry_ratio: 0.5, retry_extra: 50}\n"
 	if p.Role == "control" {
@@ -193,6 +196,21 @@
 	return os.WriteFile(p.settings, []byte(text), 0o600)
 }
 
+// zones are the failure domains of a cluster.
+const zones = 3
+
+// regions are the settings that tell where the domains lie, for a process in one.
+func (c *Cluster) regions(zone int) string {
+	if c.Size.Regions < 2 {
+		return ""
+	}
+	var domains []string
+	for z := range zones {
+		domains = append(domains, fmt.Sprintf("zone-%d: region-%d", z, z%c.Size.Regions))
+	}
+	return fmt.Sprintf("region: region-%d\ndomains: {%s}\n", zone%c.Size.Regions, strings.Join(domains, ", "))
+}
+
 // Start starts all processes; later starts found nothing.
 func (c *Cluster) Start() error {
 	for _, p := range c.procs {
@@ -252,13 +270,24 @@
 }
 
 // Status returns what a control instance dumps of its replica.
-func (c *Cluster) Status(i int) (group.Status, error) {
-	var s group.Status
-	status, body, err := fasthttp.GetTimeout(nil, "http://"+at(behind(i), c.ports.metrics)+"/dump", time.Second)
+func (c *Cluster) Status(i int) (s group.Status, err error) { return s, c.dumped(i, &s) }
+
+// Relay returns what a control instance dumps of itself as a relay.
+func (c *Cluster) Relay(i int) (control.RelayState, error) {
+	var d struct{ Relay control.RelayState }
+	return d.Relay, c.dumped(i, &d)
+}
+
+// dumped reads a control instance's dump.
+func (c *Cluster) dumped(i int, v any) error { return c.dumpedAt(at(behind(i), c.ports.metrics), v) }
+
+// dumpedAt reads the dump of the process with an address for metrics.
+func (c *Cluster) dumpedAt(address string, v any) error {
+	status, body, err := fasthttp.GetTimeout(nil, "http://"+address+"/dump", time.Second)
 	if err != nil || status != fasthttp.StatusOK {
-		return s, fmt.Errorf("control instance %d dumps nothing: status %d, %w", i, status, err)
+		return fmt.Errorf("%s dumps nothing: status %d, %w", address, status, err)
 	}
-	return s, json.Unmarshal(body, &s)
+	return json.Unmarshal(body, v)
 }
 
 // Proc returns a process by its name.
--- a/internal/soak/rollout_test.go
+++ b/internal/soak/rollout_test.go
@@ -14,7 +14,12 @@
 // underLoad runs a func while callers ask both gateways, and checks the promises.
 func underLoad(t *testing.T, f func(c *Cluster, r *Rollouts)) *Checker {
 	t.Helper()
-	c, k, _ := cluster(t, Size{Controls: 3, Gateways: 2, Backends: 4})
+	return underLoadOf(t, Size{Controls: 3, Gateways: 2, Backends: 4}, f)
+}
+
+func underLoadOf(t *testing.T, size Size, f func(c *Cluster, r *Rollouts)) *Checker {
+	t.Helper()
+	c, k, _ := cluster(t, size)
 	for g, address := range c.Callers() {
 		served(t, address, fmt.Sprint("first-", g))
 	}
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -248,6 +248,7 @@
 // cause.
 func TestSeeds(t *testing.T) {
 	usual := Size{Controls: 3, Gateways: 3, Backends: 6}
+	regional := Size{Controls: 3, Gateways: 3, Backends: 6, Regions: 2}
 	for _, s := range []struct {
 		seed   uint64
 		size   Size
@@ -260,6 +261,7 @@
 		// after all requests had moved.
 		{4, usual, 8 * time.Second},
 		{5, usual, 8 * time.Second},
+		{6, regional, 6 * time.Second},
 	} {
 		c, err := New(t.TempDir(), daemon, s.size)
 		if err != nil {
--- a/transport/uplink/relay_test.go
+++ b/transport/uplink/relay_test.go
@@ -41,10 +41,10 @@
 		f.asked = append(f.asked, address)
 	}
 	f.mu.Unlock()
-	switch {
-	case fault == "killed":
+	switch fault {
+	case "killed":
 		return errors.New("connection refused")
-	case fault == "frozen":
+	case "frozen":
 		<-f.release
 		return errors.New("no answer in time")
 	}
