Bytes between instances are counted by distance

Cause: bytes between regions are dear, and no counter told them from others. Change: the greeting of a link tells the failure domain; where domains lie in several regions, gauges peers.bytes.sent.by and received.by with a label for the distance. Run: tests of the links with -race.

--- a/cmd/weldstreamd/control.go
+++ b/cmd/weldstreamd/control.go
@@ -139,6 +139,7 @@
 	c.peer = ln
 	c.links = transport.NewLinks(c.name(), []byte(n.ClusterKey), linkDial, c.log)
 	c.links.Meter(c.registry)
+	c.links.MeterDistances(n.Topology(), n.Domain, c.registry)
 	if err := c.wireMembership(); err != nil {
 		return err
 	}
--- a/cmd/weldstreamd/gateway.go
+++ b/cmd/weldstreamd/gateway.go
@@ -104,6 +104,7 @@
 	}
 	links := transport.NewLinks(n.Name, []byte(n.ClusterKey), linkDial, r.log)
 	links.Meter(r.registry)
+	links.MeterDistances(n.Topology(), n.Domain, r.registry)
 	g.client = uplink.New(links, gatewayLink{g.forward, g.server}, seeds, control.UnpackList, r.log, uplink.WithRegions(n.Topology(), n.Domain, n.Name))
 	return g.run()
 }
--- /dev/null
+++ b/transport/distance_test.go
@@ -0,0 +1,59 @@
+package transport
+
+import (
+	"net"
+	"testing"
+	"time"
+
+	metrics "github.com/rcrowley/go-metrics"
+	"github.com/rs/zerolog"
+
+	"github.com/weldstream/weldstream/coordination/topology"
+)
+
+// Echoing answers with what it was asked.
+type Echoing struct{}
+
+// Say answers a call.
+func (Echoing) Say(text string, reply *string) error {
+	*reply = text
+	return nil
+}
+
+// TestBytesByDistance checks that both ends of a link count its bytes under the distance
+// of the other, and under no other one.
+func TestBytesByDistance(t *testing.T) {
+	regions := topology.New(map[string]string{"a1": "a", "a2": "a", "b1": "b"})
+	for _, c := range []struct {
+		domain string
+		want   topology.Distance
+	}{{"a1", topology.SameDomain}, {"a2", topology.SameRegion}, {"b1", topology.OtherRegion}} {
+		newLinks := func(domain string) *Links {
+			l := NewLinks(domain, []byte(echoKey), time.Second, zerolog.Nop())
+			l.MeterDistances(regions, domain, metrics.NewRegistry())
+			return l
+		}
+		server, client := newLinks("a1"), newLinks(c.domain)
+		if err := server.Register("Echoing", Echoing{}); err != nil {
+			t.Fatal(err)
+		}
+		ln, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		go func() { _ = server.Serve(t.Context(), ln) }()
+		var reply string
+		if err := client.Call(ln.Addr().String(), "Echoing.Say", "some text", &reply, 10*time.Second); err != nil || reply != "some text" {
+			t.Fatalf("%q, %v", reply, err)
+		}
+		for _, l := range []*Links{server, client} {
+			for d := range l.distances.meters {
+				m := &l.distances.meters[d]
+				counted := m.sent.Load() > 0 && m.received.Load() > 0
+				if counted != (topology.Distance(d) == c.want) {
+					t.Errorf("%s: %d bytes sent and %d received count as %v", c.domain, m.sent.Load(), m.received.Load(), topology.Distance(d))
+				}
+			}
+		}
+	}
+}
--- a/transport/links.go
+++ b/transport/links.go
@@ -45,6 +45,7 @@
 type hello struct {
 	Version int
 	Name    string
+	Domain  string // Domain is the failure domain; empty from an instance that does not tell.
 	Nonce   []byte
 	Proof   []byte
 }
@@ -58,6 +59,9 @@
 	log    zerolog.Logger
 	server *rpc.Server
 	meter  byteMeter
+	domain string
+	// distances are nil where failure domains do not lie in several regions.
+	distances *distances
 
 	mu      sync.Mutex
 	failed  map[string]int // failed are connects in a row that failed, by address.
@@ -123,6 +127,7 @@
 		l.log.Warn().Str("peer", peer.name).Str("from", conn.RemoteAddr().String()).Err(err).Msg("peer refused")
 		return
 	}
+	l.distances.classify(conn, peer.domain)
 	l.track(conn, true)
 	defer l.track(conn, false)
 	l.server.ServeCodec(serverCodec{peer.frames})
@@ -152,6 +157,7 @@
 // peer is the other side of a connection.
 type peer struct {
 	name   string // name is empty where the other side did not get to tell it.
+	domain string
 	frames *frames
 }
 
@@ -165,8 +171,8 @@
 	if err != nil {
 		return peer{}, eris.Wrap(err, "read greeting")
 	}
-	p := peer{name: theirs.Name, frames: s.frames}
-	ours := hello{Version: protocol.PeerVersion, Name: l.name, Nonce: s.nonce}
+	p := peer{name: theirs.Name, domain: theirs.Domain, frames: s.frames}
+	ours := hello{Version: protocol.PeerVersion, Name: l.name, Domain: l.domain, Nonce: s.nonce}
 	ours.Proof = l.proof("accept", theirs.Nonce, s.nonce)
 	if err := s.frames.write(ours); err != nil {
 		return p, eris.Wrap(err, "send greeting")
@@ -190,7 +196,7 @@
 	if err != nil {
 		return nil, err
 	}
-	if err := s.frames.write(hello{Version: protocol.PeerVersion, Name: l.name, Nonce: s.nonce}); err != nil {
+	if err := s.frames.write(hello{Version: protocol.PeerVersion, Name: l.name, Domain: l.domain, Nonce: s.nonce}); err != nil {
 		return nil, eris.Wrap(err, "send greeting")
 	}
 	theirs, err := s.receive()
@@ -206,6 +212,7 @@
 	if err := s.frames.write(hello{Proof: l.proof("connect", s.nonce, theirs.Nonce)}); err != nil {
 		return nil, eris.Wrap(err, "send proof")
 	}
+	l.distances.classify(conn, theirs.Domain)
 	return s.frames, conn.SetDeadline(time.Time{})
 }
 
--- a/transport/meter.go
+++ b/transport/meter.go
@@ -22,13 +22,15 @@
 // meteredConn counts the bytes of one connection.
 type meteredConn struct {
 	net.Conn
-	meter *byteMeter
+	meter    *byteMeter
+	distance distanceMeter
 }
 
 // Read implements net.Conn.
 func (c *meteredConn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
 	c.meter.received.Add(int64(n))
+	c.distance.count(0, n)
 	return n, err
 }
 
@@ -36,5 +38,6 @@
 func (c *meteredConn) Write(p []byte) (int, error) {
 	n, err := c.Conn.Write(p)
 	c.meter.sent.Add(int64(n))
+	c.distance.count(n, 0)
 	return n, err
 }
