A relay has several batches under way

Change: up to eight batches; sums build on the batch sent before, an answer that was overtaken renews no copies. The leader keeps which places a relay was told.

--- a/coordination/place/sum.go
+++ b/coordination/place/sum.go
@@ -9,11 +9,11 @@
 )
 
 // Sum adds up what the gateways of one relay know of the servers, and tells the leader
-// what changed since it took the sums last. One batch at a time is under way.
+// what changed since it was told the sums last. Batches build on one another, also
+// while they are under way.
 type Sum struct {
-	loads   *Loads
-	told    *sums // told are those that the leader has; nil where that is not known.
-	pending *sums // pending are those of the batch under way.
+	loads *Loads
+	told  *sums // told are those of the latest batch; nil where the leader may lack them.
 }
 
 // sums are the state of a relay's sums.
@@ -41,12 +41,12 @@
 	return ok
 }
 
-// Changes returns what changed since the leader took the sums last, and whether it is
-// all of them. The batch that holds it is then under way.
+// Changes returns what changed since it was called last, for the next batch, and whether
+// it is all.
 func (s *Sum) Changes() (m protocol.SumsMsg, whole bool) {
 	now := s.loads.sums()
-	s.pending = now
 	before := s.told
+	s.told = now
 	if whole = before == nil; whole {
 		before = &sums{}
 	}
@@ -87,12 +87,9 @@
 	}
 }
 
-// Acknowledged notes that the leader has the sums of the batch under way.
-func (s *Sum) Acknowledged() { s.told, s.pending = s.pending, nil }
-
-// Lost notes that it may have them or not, or another leader asks: the next ones are
-// whole.
-func (s *Sum) Lost() { s.told, s.pending = nil, nil }
+// Lost notes that the leader may have them or not, or another is asked: the next ones
+// are whole.
+func (s *Sum) Lost() { s.told = nil }
 
 // sums returns a copy of what the gateways know together.
 func (l *Loads) sums() *sums {
--- a/protocol/batch.go
+++ b/protocol/batch.go
@@ -26,7 +26,6 @@
 	Loads    LoadMark // Loads are the loads that it holds.
 	Sums     SumsMsg
 	Placed   []Placement // Placed are places that the relay gave since its last batch.
-	Known    uint64      // Known is the latest place of others that it was told.
 	Parts    []BatchPart
 }
 
@@ -141,7 +140,6 @@
 	Resend      bool              // Resend asks for whole sums: the leader does not hold what they build on.
 	Moved       []string          // Moved are gateways in the relay's sums that ask elsewhere now.
 	Placed      []Placement       // Placed are places that others gave.
-	Known       uint64            // Known is the latest of them, to be named with the next batch.
 	Answers     []BatchAnswer     // Answers are in the order of the parts.
 }
 
--- a/transport/control/batch.go
+++ b/transport/control/batch.go
@@ -13,6 +13,7 @@
 	at    time.Time
 	life  uint64
 	batch uint64 // batch is the latest one whose sums were taken.
+	known uint64 // known is the latest place of others that the relay was told.
 }
 
 // Batch answers a relay for the gateways whose questions it gathered. Each gets what
@@ -57,7 +58,11 @@
 		reply.Resend = true // It was overtaken by a later one.
 		return
 	}
-	u.relays[m.Relay] = &relayBook{at: now, life: m.Life, batch: m.Batch}
+	if book == nil {
+		book = &relayBook{}
+		u.relays[m.Relay] = book
+	}
+	book.at, book.life, book.batch = now, m.Life, m.Batch
 	asked := make([]string, len(m.Parts))
 	for i := range m.Parts {
 		asked[i] = m.Parts[i].Gateway
@@ -81,7 +86,9 @@
 	u.placed.Add("", u.places.Fresh())
 	u.placed.Add(m.Relay, m.Placed)
 	u.places.Note(m.Placed, now)
-	reply.Placed, reply.Known = u.placed.Since(m.Known, m.Relay)
+	if book := u.relays[m.Relay]; book != nil {
+		reply.Placed, book.known = u.placed.Since(book.known, m.Relay)
+	}
 }
 
 // answerCommon answers what is the same for all gateways of a relay. It needs u.mu.
--- a/transport/control/copies.go
+++ b/transport/control/copies.go
@@ -30,7 +30,6 @@
 	distrusted map[string][]byte
 
 	teller uint64 // teller tells this relay's versions of loads, and what it placed, from others'.
-	known  uint64 // known is the latest place of others that the leader told.
 	view   *place.View
 	loads  *place.Loads
 	places *place.Ledger
@@ -44,7 +43,7 @@
 // ask names what is held, for the next batch.
 func (c *copies) ask(m *protocol.BatchMsg) {
 	m.Lister, m.Servers, m.Rollouts, m.Loads = c.lister, c.version, c.changes, c.mark
-	m.Placed, m.Known = c.places.Fresh(), c.known
+	m.Placed = c.places.Fresh()
 }
 
 // renew takes the leader's answer to a batch.
@@ -71,21 +70,23 @@
 	}
 	if len(loads) == len(c.order) {
 		c.loads.Told(c.order, loads, c.distrusted)
+	} else {
+		c.mark = protocol.LoadMark{} // All are asked for next.
 	}
 	c.places.Note(r.Placed, time.Now())
-	c.known = r.Known
 	return nil
 }
 
 // renewList takes the list and the roll-outs, and has the view follow both.
 func (c *copies) renewList(r *protocol.BatchReply) error {
-	news := r.Listed
-	if r.Listed {
+	news := false
+	if r.Listed && !(c.listed && c.lister == r.Lister && c.version == r.Version) {
 		list, err := UnpackList(r.List)
 		if err != nil {
 			return err
 		}
 		c.take(r.Lister, r.Version, list.Onto(c.servers))
+		news = true
 	}
 	if r.Changes != c.changes {
 		c.changes, c.rollouts, news = r.Changes, r.Rollouts, true
--- a/transport/control/relay.go
+++ b/transport/control/relay.go
@@ -7,6 +7,7 @@
 	"time"
 
 	metrics "github.com/rcrowley/go-metrics"
+	"github.com/rotisserie/eris"
 
 	"github.com/weldstream/weldstream/coordination/link"
 	"github.com/weldstream/weldstream/coordination/place"
@@ -16,7 +17,8 @@
 
 const (
 	// gatherTime is for how long a relay gathers questions: a part of a round trip
-	// between regions. While a batch is under way it gathers as well.
+	// between regions, as requests wait for parts of their quotas. With one batch under
+	// way at a time half of them waited 35 ms instead of 25 (8 ms one way).
 	gatherTime = 3 * time.Millisecond
 	// batchSlack is behind what is usual the leader's answer to a batch is overdue,
 	// less than its gateways wait, so that they are told before they give the relay up.
@@ -24,6 +26,9 @@
 	// one way.
 	batchSlack = 60 * time.Millisecond
 	batchFirst = 400 * time.Millisecond
+	// mostBatches are under way at once: a gathering each in a round trip at 12 ms one
+	// way; further away a relay gathers for longer.
+	mostBatches = 8
 	// batchTime bounds a batch whose answer may hold a whole list.
 	batchTime = 1500 * time.Millisecond
 )
@@ -34,7 +39,7 @@
 }
 
 // Relay answers the gateways of its region from what the leader vouched for in answer
-// to a batch that was sent behind their questions. One batch at a time is under way.
+// to a batch that was sent behind their questions.
 type Relay struct {
 	uplink *Uplink
 	caller Caller
@@ -50,10 +55,12 @@
 	sum      *place.Sum
 	gateways map[string]time.Time // gateways are those in the sum, by when they asked last.
 	batch    uint64               // batch is the latest that was sent.
-	acked    uint64               // acked is the latest whose sums the leader has; 0 for none.
+	base     uint64               // base is the latest that others may build on; 0 for none.
+	renewed  uint64               // renewed is the latest whose answer the copies follow.
+	underWay int                  // underWay are the batches without an answer yet.
 	asked    string               // asked is the leader that the batch went to.
 	pace     link.Pace
-	cut      bool // cut says that the batch under way is overdue.
+	cut      bool // cut says that a batch under way is overdue.
 }
 
 // question is one of a gateway that waits for its answer.
@@ -119,22 +126,30 @@
 	r.mu.Lock()
 	r.waiting = append(r.waiting, q)
 	r.mu.Unlock()
-	select {
-	case r.wake <- struct{}{}:
-	default:
-	}
+	r.wakeUp()
 	a := <-q.answer
 	a.Controls, a.Domains = reply.Controls, reply.Domains
 	*reply = a
 }
 
+func (r *Relay) wakeUp() {
+	select {
+	case r.wake <- struct{}{}:
+	default: // It is to look already.
+	}
+}
+
 // Run sends the batches, until ctx ends.
 func (r *Relay) Run(ctx context.Context) error {
+	var exchanges sync.WaitGroup
+	defer exchanges.Wait()
 	for {
 		select {
 		case <-r.wake:
 			pause.For(ctx, gatherTime)
-			r.exchange(ctx)
+			if b := r.next(); b != nil {
+				exchanges.Go(func() { r.exchange(ctx, b) })
+			}
 		case <-ctx.Done():
 			r.refuse(r.gathered(), "")
 			return nil
@@ -142,6 +157,37 @@
 	}
 }
 
+// exchanged is a batch with the questions that it is for.
+type exchanged struct {
+	leader  string
+	m       protocol.BatchMsg
+	list    []*question
+	due     time.Duration // due is when its answer is overdue.
+	changed <-chan struct{}
+}
+
+// next returns the next batch to send, if there is one. While the leader's answer is
+// overdue, gateways are told so at once.
+func (r *Relay) next() *exchanged {
+	b := &exchanged{changed: r.uplink.group.Changed()}
+	b.leader, _ = r.uplink.peers()
+	r.mu.Lock()
+	full, cut := r.underWay >= mostBatches, r.cut
+	r.mu.Unlock()
+	switch {
+	case cut || b.leader == "" || b.leader == r.own:
+		r.refuse(r.gathered(), b.leader)
+		return nil
+	case full:
+		return nil // It is looked again when one has ended.
+	}
+	if b.list = r.gathered(); len(b.list) == 0 {
+		return nil
+	}
+	b.m, b.due = r.compose(b.leader, b.list)
+	return b
+}
+
 // gathered returns the questions that wait, which then do no more.
 func (r *Relay) gathered() []*question {
 	r.mu.Lock()
@@ -158,50 +204,45 @@
 	}
 }
 
-// exchange sends the questions that wait as one batch, and answers them. While the
-// leader's answer is overdue, those that come are told so at once.
-func (r *Relay) exchange(ctx context.Context) {
-	changed := r.uplink.group.Changed()
-	leader, _ := r.uplink.peers()
-	list := r.gathered()
-	if len(list) == 0 {
-		return
-	}
-	if leader == "" || leader == r.own {
-		r.refuse(list, leader)
-		return
-	}
-	m, due := r.compose(leader, list)
+// exchange sends a batch, and answers its questions.
+func (r *Relay) exchange(ctx context.Context, b *exchanged) {
+	defer r.wakeUp()
+	defer r.ended()
 	sent := time.Now()
-	answers := r.call(leader, m)
-	overdue := time.NewTimer(due)
+	answers := r.call(b.leader, b.m)
+	overdue := time.NewTimer(b.due)
 	defer overdue.Stop()
-	var cut <-chan struct{} // cut is nil until the answer is overdue.
 	for {
 		select {
 		case reply := <-answers:
-			r.take(leader, reply, list, time.Since(sent))
+			r.take(b, reply, time.Since(sent))
 			return
 		case <-overdue.C:
-			r.setOverdue(leader)
-			r.refuse(list, leader)
-			list, cut = nil, r.wake
-		case <-cut:
-			r.refuse(r.gathered(), leader)
-		case <-changed:
-			changed = r.uplink.group.Changed()
-			if next, _ := r.uplink.peers(); next != leader {
+			r.setOverdue(b.leader)
+			r.refuse(b.list, b.leader)
+			b.list = nil
+			r.wakeUp() // Those that came meanwhile are told as well.
+		case <-b.changed:
+			b.changed = r.uplink.group.Changed()
+			if next, _ := r.uplink.peers(); next != b.leader {
 				r.lost()
-				r.refuse(list, next)
+				r.refuse(b.list, next)
 				return
 			}
 		case <-ctx.Done():
-			r.refuse(list, "")
+			r.refuse(b.list, "")
 			return
 		}
 	}
 }
 
+// ended notes that a batch is under way no more.
+func (r *Relay) ended() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.underWay--
+}
+
 // call sends a batch. A nil answer is none.
 func (r *Relay) call(leader string, m protocol.BatchMsg) <-chan *protocol.BatchReply {
 	answers := make(chan *protocol.BatchReply, 1)
@@ -226,7 +267,7 @@
 	defer r.mu.Unlock()
 	now := time.Now()
 	if leader != r.asked {
-		r.asked, r.acked, r.pace = leader, 0, link.Pace{}
+		r.asked, r.pace = leader, link.Pace{}
 		r.sum.Lost()
 	}
 	r.batch++
@@ -246,8 +287,10 @@
 	sums, whole := r.sum.Changes()
 	m.Sums = sums
 	if !whole {
-		m.Base = r.acked
+		m.Base = r.base
 	}
+	r.base = r.batch
+	r.underWay++
 	r.meters.batches.Inc(1)
 	r.meters.questions.Inc(int64(len(list)))
 	return m, r.pace.Due(batchSlack, batchFirst)
@@ -260,35 +303,39 @@
 }
 
 // take answers the questions of a batch with the leader's answer, if that counts.
-func (r *Relay) take(leader string, reply *protocol.BatchReply, list []*question, took time.Duration) {
+func (r *Relay) take(b *exchanged, reply *protocol.BatchReply, took time.Duration) {
 	if reply == nil || !reply.Leads {
 		r.lost()
 		next := ""
-		if reply != nil && reply.Leader != leader {
+		if reply != nil && reply.Leader != b.leader {
 			next = reply.Leader
 		}
-		r.refuse(list, next)
+		r.refuse(b.list, next)
 		return
 	}
-	if err := r.renew(leader, reply, took); err != nil {
+	if err := r.renew(b, reply, took); err != nil {
 		r.uplink.log.Error().Err(err).Uint64("number", reply.Number).Msg("a relay cannot read the leader's answer")
-		r.refuse(list, leader)
+		r.refuse(b.list, b.leader)
 		return
 	}
 	number, document := r.uplink.document()
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	for i, q := range list {
+	for i, q := range b.list {
 		var a protocol.SyncReply
 		if i >= len(reply.Answers) || r.copies.answer(&q.m, &reply.Answers[i], number, document, &a) != nil {
-			a = protocol.SyncReply{Leader: leader}
+			a = protocol.SyncReply{Leader: b.leader}
 		}
 		q.answer <- a
 	}
 }
 
-// renew has the copies and sums follow the leader's answer.
-func (r *Relay) renew(leader string, reply *protocol.BatchReply, took time.Duration) error {
+// errOvertaken is returned for an answer of a leader behind that of a later one.
+var errOvertaken = eris.New("another leader has answered meanwhile")
+
+// renew has the copies and sums follow the leader's answer. One that was overtaken by
+// that to a later batch renews nothing: what is held is newer.
+func (r *Relay) renew(b *exchanged, reply *protocol.BatchReply, took time.Duration) error {
 	if len(reply.Document) > 0 {
 		if err := r.uplink.learn(reply.Number, reply.Document); err != nil {
 			return err
@@ -299,34 +346,31 @@
 	r.cut = false
 	r.pace.Observe(took)
 	if reply.Resend {
-		r.acked = 0
 		r.sum.Lost()
-	} else {
-		r.acked = r.batch
-		r.sum.Acknowledged()
 	}
 	for _, name := range reply.Moved {
 		r.drop(name)
 	}
-	if err := r.copies.renew(leader, reply); err != nil {
-		r.forget()
+	if b.m.Batch < r.renewed {
+		if reply.Term != r.copies.term {
+			return errOvertaken
+		}
+		return nil
+	}
+	r.renewed = b.m.Batch
+	if err := r.copies.renew(b.leader, reply); err != nil {
+		// Answers that are under way may be changes of what is dropped here.
+		r.copies, r.renewed = newCopies(r.uplink.topology), r.batch+1
 		return err
 	}
 	return nil
 }
 
-// forget has the next batch ask for all that is copied. It needs r.mu.
-func (r *Relay) forget() {
-	r.copies = newCopies(r.uplink.topology)
-	r.acked = 0
-	r.sum.Lost()
-}
-
-// lost notes that the leader may have the sums of the batch under way or not.
+// lost notes that the leader may have the sums of a batch under way or not.
 func (r *Relay) lost() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.cut, r.acked = false, 0
+	r.cut = false
 	r.sum.Lost()
 }
 
