--- a/transport/control/relay_test.go
+++ b/transport/control/relay_test.go
@@ -4,11 +4,13 @@
 	"errors"
 	"fmt"
 	"math"
+	"slices"
 	"sync"
 	"testing"
 	"time"
 
 	"github.com/google/go-cmp/cmp"
+	"github.com/google/go-cmp/cmp/cmpopts"
 	metrics "github.com/rcrowley/go-metrics"
 	"pgregory.net/rapid"
 
@@ -417,3 +419,74 @@
 		t.Errorf("placed at %s, though %s was free again", third.Server, first.Server)
 	}
 }
+
+// TestOvertakenAnswers checks that batches under way at once leave the relay with what
+// the leader had for the latest one, in whatever order their answers come, and that
+// each question is answered no older than its own batch was.
+func TestOvertakenAnswers(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		leader, _, w := newLeader(3)
+		u := NewUplink(newFakeGroup(), w.peers, parse, 8*time.Second, WithTopology(twoRegions))
+		r := NewRelay(u, w, "a", "a:7000", metrics.NewRegistry())
+		type underWay struct {
+			b      *exchanged
+			reply  protocol.BatchReply
+			number uint64
+		}
+		var batches []*underWay
+		g := &gatewayCopy{m: protocol.SyncMsg{Gateway: "g", Domain: "a1"}}
+		number := uint64(0)
+		// What the leader had when it answered the latest batch.
+		listed, servers, loads := false, []protocol.Instance(nil), []byte(nil)
+		answer := func(i int) {
+			x := batches[i]
+			batches = append(batches[:i], batches[i+1:]...)
+			r.take(x.b, &x.reply, time.Millisecond)
+			a := <-x.b.list[0].answer
+			if !a.Leads || a.Number < x.number {
+				t.Fatalf("answer %+v to a batch for which %d was vouched for", a, x.number)
+			}
+		}
+		for range rapid.IntRange(1, 30).Draw(t, "steps") {
+			switch rapid.IntRange(0, 3).Draw(t, "step") {
+			case 0:
+				number++
+				leader.Install(number, fmt.Append(nil, number))
+			case 1:
+				var list []protocol.Instance
+				for id := range 4 {
+					if rapid.Bool().Draw(t, "listed") {
+						list = append(list, protocol.Instance{ID: fmt.Sprint(id), Leaving: rapid.Bool().Draw(t, "leaving")})
+					}
+				}
+				leader.SetServers(3, list)
+			case 2:
+				g.m.Running = []protocol.ServerLoad{{Server: "1", Running: rapid.IntRange(0, 3).Draw(t, "running")}}
+				q := &question{m: g.m, at: time.Now(), answer: make(chan protocol.SyncReply, 1)}
+				x := &underWay{b: &exchanged{leader: leaderAt, list: []*question{q}}, number: number}
+				x.b.m, _ = r.compose(leaderAt, x.b.list)
+				leader.mu.Lock()
+				leader.common = common{} // As if some time had passed.
+				leader.mu.Unlock()
+				if err := leader.Batch(x.b.m, &x.reply); err != nil {
+					t.Fatal(err)
+				}
+				batches = append(batches, x)
+				listed, servers, loads = leader.listed, sortedByID(leader.servers), slices.Clone(leader.vector.Values())
+			case 3:
+				if len(batches) > 0 {
+					answer(rapid.IntRange(0, len(batches)-1).Draw(t, "answered"))
+				}
+			}
+		}
+		for len(batches) > 0 {
+			answer(rapid.IntRange(0, len(batches)-1).Draw(t, "answered"))
+		}
+		if listed && !sameServers(servers, r.copies.servers) {
+			t.Fatalf("holds %v, the leader had %v", r.copies.servers, servers)
+		}
+		if diff := cmp.Diff(loads, r.copies.vector.Values(), cmpopts.EquateEmpty()); diff != "" {
+			t.Fatalf("holds other loads: %s", diff)
+		}
+	})
+}
