--- a/transport/control/copies.go
+++ b/transport/control/copies.go
@@ -80,7 +80,8 @@
 // renewList takes the list and the roll-outs, and has the view follow both.
 func (c *copies) renewList(r *protocol.BatchReply) error {
 	news := false
-	if r.Listed && !(c.listed && c.lister == r.Lister && c.version == r.Version) {
+	held := c.listed && c.lister == r.Lister && c.version == r.Version // held is so by a batch under way beside this one.
+	if r.Listed && !held {
 		list, err := UnpackList(r.List)
 		if err != nil {
 			return err
--- a/transport/control/size_test.go
+++ b/transport/control/size_test.go
@@ -55,9 +55,9 @@
 
 const (
 	sizeServers = 3000
-	sizeStep    = gatherTime // sizeStep is a batch at the most.
-	sizeTime    = 1500 * time.Millisecond
-	sizeBegun   = 1900 // sizeBegun are the requests that begin in a second, for about 1 s each.
+	sizeStep    = gatherTime             // sizeStep is a batch at the most.
+	sizeTime    = 450 * time.Millisecond // sizeTime has each of 300 gateways ask once.
+	sizeBegun   = 1900                   // sizeBegun are the requests that begin in a second, for about 1 s each.
 )
 
 // sizeWorld is a fleet of gateways with servers in three regions, without a network.
@@ -105,16 +105,34 @@
 		}
 		s.gateways = append(s.gateways, g)
 	}
+	for range sizeBegun {
+		s.begin()
+	}
 	return s
 }
 
+// begin has a request begin at some gateway for some server.
+func (s *sizeWorld) begin() *sizeGateway {
+	g := s.gateways[s.rnd.IntN(len(s.gateways))]
+	g.running[s.leader.order[s.rnd.IntN(sizeServers)]]++
+	g.begun++
+	return g
+}
+
+// take takes an answer without unpacking the list, whose servers do not count here.
+func (g *sizeGateway) take(r *protocol.SyncReply) error {
+	if r.Listed {
+		g.m.Lister, g.m.Servers, r.Listed, r.List = r.Lister, r.Version, false, nil
+		return nil
+	}
+	return g.gatewayCopy.take(r)
+}
+
 // step lets the time of one batch pass: requests begin and end, gateways whose turn it
 // is ask.
 func (s *sizeWorld) step(number int, w way) {
 	for range s.due(number) {
-		g := s.gateways[s.rnd.IntN(len(s.gateways))]
-		g.running[s.leader.order[s.rnd.IntN(sizeServers)]]++
-		g.begun++
+		g := s.begin()
 		for server, n := range g.running { // One ends, of as many as began within a second.
 			if len(g.running) > sizeBegun/len(s.gateways) {
 				if g.running[server] = n - 1; n == 1 {
@@ -125,12 +143,20 @@
 		}
 	}
 	every := int(max(150*time.Millisecond, time.Duration(len(s.gateways))*1500*time.Microsecond) / sizeStep)
-	s.leader.common = common{} // As if more time had passed than it is kept.
-	waiting := map[*Relay][]*question{}
+	var asking []*sizeGateway
 	for i, g := range s.gateways {
-		if i%every != number%every {
-			continue
+		if i%every == number%every {
+			asking = append(asking, g)
 		}
+	}
+	s.ask(asking, number, w)
+}
+
+// ask has some gateways ask at once.
+func (s *sizeWorld) ask(list []*sizeGateway, number int, w way) {
+	s.leader.common = common{} // As if more time had passed than it is kept.
+	waiting := map[*Relay][]*question{}
+	for _, g := range list {
 		g.report(number, w)
 		if g.relay == nil {
 			s.askLeader(g)
@@ -210,15 +236,17 @@
 		rates[way(w)] = map[int]traffic{}
 		for _, gateways := range []int{30, 100, 300} {
 			s := newSizeWorld(gateways, way(w))
+			for range 2 {
+				s.ask(s.gateways, 0, way(w)) // Lists, documents and all loads are told then.
+			}
 			steps := int(sizeTime / sizeStep)
-			for number := range steps {
-				if number == steps/3 {
-					s.traffic = traffic{} // Lists and documents are told by now.
+			for number := range 2 * steps {
+				if number == steps {
+					s.traffic = traffic{} // Each has asked once since all did.
 				}
 				s.step(number, way(w))
 			}
-			part := sizeTime.Seconds() * 2 / 3
-			rate := func(n int) int { return int(float64(n) / part) }
+			rate := func(n int) int { return int(float64(n) / sizeTime.Seconds()) }
 			r := traffic{rate(s.traffic.leader), rate(s.traffic.between), rate(s.traffic.within), rate(s.traffic.messages)}
 			rates[way(w)][gateways] = r
 			t.Logf("%-14s %3d gateways: the leader sends %8d bytes/s; between regions %8d bytes/s in %5d messages/s, within %8d bytes/s", name, gateways, r.leader, r.between, r.messages, r.within)
--- a/transport/uplink/uplink.go
+++ b/transport/uplink/uplink.go
@@ -396,12 +396,11 @@
 	if c.linked == address && c.term == reply.Term {
 		return
 	}
-	line := c.log.Info().Uint64("term", reply.Term).Uint64("number", reply.Number).Int("gateways", reply.Gateways)
 	if c.links != nil && reply.Leader != "" && reply.Leader != address {
-		line.Str("relay", address).Str("leader", reply.Leader).Msg("linked to a relay")
+		c.log.Info().Str("relay", address).Str("leader", reply.Leader).Uint64("term", reply.Term).Uint64("number", reply.Number).Int("gateways", reply.Gateways).Msg("linked to a relay")
 		return
 	}
-	line.Str("leader", address).Msg("linked to the leader")
+	c.log.Info().Str("leader", address).Uint64("term", reply.Term).Uint64("number", reply.Number).Int("gateways", reply.Gateways).Msg("linked to the leader")
 }
 
 // share hands the loads of all servers on, if they are of the list that is held.
