--- a/transport/control/relay_test.go
+++ b/transport/control/relay_test.go
@@ -490,3 +490,42 @@
 		}
 	})
 }
+
+// TestTrialThroughRelays checks that the credits of a version on trial that relays hand
+// out are those that the leader granted: the same at each instance, never more together
+// than the share and the slack allow, and that the roll-out's end reaches the gateway.
+func TestTrialThroughRelays(t *testing.T) {
+	r := newRolling(t)
+	w := &wire{leader: leaderAt, arrived: make(chan struct{}, 100), leaders: map[string]*Uplink{leaderAt: r.uplink}}
+	a, _ := newRelayOf(t, w, "a")
+	b, _ := newRelayOf(t, w, "b")
+	r.uplink.mu.Lock()
+	r.uplink.enter(1)
+	r.uplink.entered = time.Now().Add(-time.Hour)
+	r.uplink.mu.Unlock()
+	const arrived = 1000
+	ask := func(u *Uplink, name string, wants int) protocol.SyncReply {
+		t.Helper()
+		return within(t, asked(u, protocol.SyncMsg{Gateway: name, Life: 1, Rollouts: 1, Trials: []protocol.TrialReport{{Number: 1, Arrived: arrived, Wants: wants}}}), "an answer")
+	}
+	first := ask(a, "g", 5)
+	if len(first.Trials) != 1 || first.Trials[0].Credits != 5 || first.Trials[0].Share <= 0 {
+		t.Fatalf("granted %+v", first.Trials)
+	}
+	for i, u := range []*Uplink{b, r.uplink, a} {
+		if got := ask(u, "g", 0); len(got.Trials) != 1 || got.Trials[0].Credits != 5 {
+			t.Errorf("instance %d: granted %+v", i, got.Trials)
+		}
+	}
+	total := int64(0)
+	for i := range 6 {
+		total += ask([]*Uplink{a, b, r.uplink}[i%3], fmt.Sprint("h", i), arrived).Trials[0].Credits
+	}
+	if most := int64(0.1*7*arrived) + 50; total+5 > most || total == 0 {
+		t.Errorf("granted %d credits of %d", total+5, most)
+	}
+	r.propose(protocol.Command{StageRollout: &protocol.StageRolloutMsg{Service: "s", Number: 1, Stage: protocol.RolloutRolledBack}})
+	if got := ask(b, "g", 5); len(got.Rollouts) != 1 || got.Rollouts[0].Stage != protocol.RolloutRolledBack || len(got.Trials) != 0 {
+		t.Errorf("its end is told as %+v, %+v", got.Rollouts, got.Trials)
+	}
+}
