--- a/protocol/batch.go
+++ b/protocol/batch.go
@@ -70,7 +70,9 @@
 	Domain   string
 	Clock    int64 // Clock is in nanoseconds since 1970, when the batch was made; 0 for unknown.
 	Gateways int
+	Term     uint64
 	Usage    []BatchUsage
+	Counted  int64 // Counted is in nanoseconds since 1970; 0 for none.
 	Wants    []BatchWant
 	Pressure []BatchPressure
 	Trials   []TrialReport
--- a/transport/control/batch.go
+++ b/transport/control/batch.go
@@ -125,7 +125,10 @@
 
 // partOf is what is a gateway's own of its question, which waited for a time.
 func partOf(m *protocol.SyncMsg, waited time.Duration) protocol.BatchPart {
-	p := protocol.BatchPart{Gateway: m.Gateway, Life: m.Life, Domain: m.Domain, Gateways: m.Gateways, Trials: m.Trials}
+	p := protocol.BatchPart{Gateway: m.Gateway, Life: m.Life, Domain: m.Domain, Gateways: m.Gateways, Term: m.Term, Trials: m.Trials}
+	if !m.Counted.IsZero() {
+		p.Counted = m.Counted.UnixNano()
+	}
 	if !m.Clock.IsZero() {
 		p.Clock = m.Clock.Add(waited).UnixNano()
 	}
@@ -143,7 +146,10 @@
 
 // questionOf undoes partOf.
 func questionOf(p *protocol.BatchPart) protocol.SyncMsg {
-	m := protocol.SyncMsg{Gateway: p.Gateway, Life: p.Life, Domain: p.Domain, Gateways: p.Gateways, Trials: p.Trials}
+	m := protocol.SyncMsg{Gateway: p.Gateway, Life: p.Life, Domain: p.Domain, Gateways: p.Gateways, Term: p.Term, Trials: p.Trials}
+	if p.Counted != 0 {
+		m.Counted = time.Unix(0, p.Counted)
+	}
 	if p.Clock != 0 {
 		m.Clock = time.Unix(0, p.Clock)
 	}
--- a/transport/control/relay_test.go
+++ b/transport/control/relay_test.go
@@ -16,6 +16,7 @@
 
 	"github.com/weldstream/weldstream/coordination/place"
 	"github.com/weldstream/weldstream/coordination/topology"
+	"github.com/weldstream/weldstream/coordination/usage"
 	_ "github.com/weldstream/weldstream/internal/testseed" // Fixes the seed.
 	"github.com/weldstream/weldstream/protocol"
 )
@@ -355,6 +356,23 @@
 	if got := leader.Used(9)["w"]; got != 41 {
 		t.Errorf("counted %d, want 41", got)
 	}
+	const length = time.Second
+	window := usage.Window(time.Now(), length)
+	told := func() int {
+		leader.mu.Lock()
+		defer leader.mu.Unlock()
+		return leader.marks.Known() - len(leader.marks.Missing(window, length))
+	}
+	m.Counted = usage.End(window, length)
+	within(t, asked(a, m), "an answer")
+	if told() != 0 {
+		t.Error("counts that were told for another term count as all that the gateway has")
+	}
+	m.Term = 3
+	within(t, asked(a, m), "an answer")
+	if told() != 1 {
+		t.Error("the leader does not know that a relay's gateway has told all of a window")
+	}
 }
 
 // TestQuotaThroughRelays checks that what relays and the leader grant together is what
