--- a/cmd/weldstreamd/control.go
+++ b/cmd/weldstreamd/control.go
@@ -39,6 +39,7 @@
 	group      *group.Group
 	calls      *control.Calls
 	uplink     *control.Uplink
+	relay      *control.Relay // relay is nil where domains do not lie in several regions.
 	peer       net.Listener
 }
 
@@ -62,6 +63,7 @@
 		c.group.Run,
 		boot.Run,
 		c.uplink.Run,
+		c.runRelay,
 		c.uplink.RunRollouts,
 		duties.RunList,
 		duties.RunTally,
@@ -139,6 +141,7 @@
 	c.peer = ln
 	c.links = transport.NewLinks(c.name(), []byte(n.ClusterKey), linkDial, c.log)
 	c.links.Meter(c.registry)
+	c.links.MeterDistances(n.Topology(), n.Domain, c.registry)
 	if err := c.wireMembership(); err != nil {
 		return err
 	}
@@ -150,13 +153,16 @@
 		return err
 	}
 	opts := []control.UplinkOption{
-		control.WithLogger(c.log), control.WithRegistry(c.registry), control.WithTopology(n.Topology()), control.WithAlone(n.Bounds.Revoke),
+		control.WithLogger(c.log), control.WithRegistry(c.registry), control.WithTopology(n.Topology()), control.WithDomains(c.domains), control.WithAlone(n.Bounds.Revoke),
 		control.WithExposure(control.Exposure{Share: n.Bounds.TrialShare, Slack: n.Bounds.TrialSlack, Unannounced: n.Bounds.OrderRepeat + announceMargin}),
 	}
 	if c.limits().Usage {
 		opts = append(opts, control.WithQuiet(func() time.Duration { return c.group.Status().Quiet }))
 	}
 	c.uplink = control.NewUplink(c.group, c.peers, platform.ParseNumbered, n.Bounds.QuotaWindow, opts...)
+	if n.Topology().Several() {
+		c.relay = control.NewRelay(c.uplink, c.links, c.name(), n.Peer, c.registry)
+	}
 	for name, receiver := range map[string]any{
 		"Member": transport.NewMemberService(work, c.membership),
 		"Group":  transport.NewGroupService(work, c.group),
@@ -232,6 +238,28 @@
 	return leader, all
 }
 
+// domains returns the failure domains of control instances by their peer addresses;
+// empty for one that is not known.
+func (c *controlInstance) domains(peers []string) []string {
+	known := map[string]string{}
+	for _, row := range c.tables.Members.Rows() {
+		known[row.Address] = row.Domain
+	}
+	list := make([]string, len(peers))
+	for i, address := range peers {
+		list[i] = known[address]
+	}
+	return list
+}
+
+// runRelay answers gateways while another instance leads, where there are regions.
+func (c *controlInstance) runRelay(ctx context.Context) error {
+	if c.relay == nil {
+		return nil
+	}
+	return c.relay.Run(ctx)
+}
+
 func (c *controlInstance) await(work context.Context) {
 	for {
 		select {
--- a/cmd/weldstreamd/regions.go
+++ b/cmd/weldstreamd/regions.go
@@ -12,6 +12,7 @@
 	"github.com/weldstream/weldstream/coordination/topology"
 	"github.com/weldstream/weldstream/protocol"
 	"github.com/weldstream/weldstream/state"
+	"github.com/weldstream/weldstream/transport/control"
 )
 
 // regionsEvery is between two looks for domains without a region: settings are changed
@@ -21,9 +22,10 @@
 // controlDump is a control instance's state on request.
 type controlDump struct {
 	group.Status
-	Domain  string            `json:"domain"`
-	Region  string            `json:"region,omitempty"`
-	Regions map[string]string `json:"regions,omitempty"` // Regions are those of the control instances, by name, where there are several.
+	Domain  string              `json:"domain"`
+	Region  string              `json:"region,omitempty"`
+	Regions map[string]string   `json:"regions,omitempty"` // Regions are those of the control instances, by name, where there are several.
+	Relay   *control.RelayState `json:"relay,omitempty"`   // Relay is set where there are several regions.
 }
 
 func (c *controlInstance) dump() any {
@@ -32,6 +34,8 @@
 	if !topology.Several() {
 		return d
 	}
+	relay := c.relay.State()
+	d.Relay = &relay
 	d.Regions = map[string]string{c.name(): d.Region}
 	for _, row := range c.tables.Members.Rows() {
 		d.Regions[row.Name] = topology.Region(row.Domain)
--- a/internal/soak/cluster.go
+++ b/internal/soak/cluster.go
@@ -28,6 +28,7 @@
 	"github.com/weldstream/weldstream/coordination/group"
 	"github.com/weldstream/weldstream/platform"
 	"github.com/weldstream/weldstream/platform/standin"
+	"github.com/weldstream/weldstream/transport/control"
 )
 
 // Size is how large a cluster is.
@@ -103,7 +104,7 @@
 
 func (c *Cluster) makeBackends() error {
 	for i := range c.Size.Backends {
-		b, err := standin.NewBackend(fmt.Sprintf("backend-%d", i), standin.Service, fmt.Sprintf("zone-%d", i%3), c.Record)
+		b, err := standin.NewBackend(fmt.Sprintf("backend-%d", i), standin.Service, fmt.Sprintf("zone-%d", i%zones), c.Record)
 		if err != nil {
 			return err
 		}
@@ -263,11 +264,27 @@
 // Status returns what a control instance dumps of its replica.
 func (c *Cluster) Status(i int) (group.Status, error) {
 	var s group.Status
-	status, body, err := fasthttp.GetTimeout(nil, "http://"+at(behind(i), c.ports.metrics)+"/dump", time.Second)
+	err := c.dumped(i, &s)
+	return s, err
+}
+
+// Relay returns what a control instance dumps of itself as a relay.
+func (c *Cluster) Relay(i int) (control.RelayState, error) {
+	var d struct{ Relay control.RelayState }
+	err := c.dumped(i, &d)
+	return d.Relay, err
+}
+
+// dumped reads a control instance's dump.
+func (c *Cluster) dumped(i int, v any) error { return c.dumpedAt(at(behind(i), c.ports.metrics), v) }
+
+// dumpedAt reads the dump of the process with an address for metrics.
+func (c *Cluster) dumpedAt(address string, v any) error {
+	status, body, err := fasthttp.GetTimeout(nil, "http://"+address+"/dump", time.Second)
 	if err != nil || status != fasthttp.StatusOK {
-		return s, fmt.Errorf("control instance %d dumps nothing: status %d, %w", i, status, err)
+		return fmt.Errorf("%s dumps nothing: status %d, %w", address, status, err)
 	}
-	return s, json.Unmarshal(body, &s)
+	return json.Unmarshal(body, v)
 }
 
 // Proc returns a process by its name.
