Remember who read which parts of prompts, and decide how runs move

Cause: only a holder of all shared parts of a long prompt was known, to the leader alone.

The ledger names the holder of the most tokens, the nearest first. Package move is the pure decision of how a running answer moves; nothing uses it yet.

--- /dev/null
+++ b/coordination/move/move.go
@@ -0,0 +1,292 @@
+// Package move decides how a running answer goes on at another server with its memory
+// while its own server is leaving.
+//
+// A run is copied to a target while it goes on, then copied once more and stopped, and
+// only behind the answer that says that it has stopped is the same request sent on with
+// the name of the copy. Where the target turns it away unrun, it goes back to the source,
+// which keeps the memory of a run that it has stopped. Whatever cannot be proved ends as
+// any broken stream does: the caller of [Next] decides that by the route.
+//
+//	staying ─► copying ─► stopping ─► stopped ─► going ─► over
+//	   ▲          │           │                    │
+//	   └──────────┴───────────┘                    └─► back at the source ─► over
+//
+// A copy is set aside at a server, so each has an end: it is used, or a [FreeCmd] names
+// it. Only a run whose servers cannot be reached leaves that to their own limit.
+package move
+
+// Phase is how far a run is.
+type Phase uint8
+
+// The phases.
+const (
+	Staying  Phase = iota // Staying is a run that is not being moved.
+	Copying               // Copying is one that is copied while it goes on.
+	Stopping              // Stopping is one that is told to stop; whether it has is not known.
+	Stopped               // Stopped is one that has, and that lies at the target or at the source.
+	Going                 // Going is one that was sent on; the server's answer is not here yet.
+	Over                  // Over is one that is moved, has ended, or is not moved any more.
+)
+
+var phaseNames = [...]string{"staying", "copying", "stopping", "stopped", "going", "over"}
+
+// String returns the phase's name.
+func (p Phase) String() string {
+	if int(p) < len(phaseNames) {
+		return phaseNames[p]
+	}
+	return "unknown"
+}
+
+// Outcome is what a server answered to a copy.
+type Outcome uint8
+
+// The outcomes.
+const (
+	Failed Outcome = iota // Failed is no answer, or none that says anything.
+	Copied                // Copied is done.
+	NoRun                 // NoRun is a run that the source does not have.
+	Busy                  // Busy is a copy that is under way already.
+	NoRoom                // NoRoom is a target without room, or that cannot be reached.
+)
+
+var outcomeNames = [...]string{"failed", "copied", "no run", "busy", "no room"}
+
+// String returns the outcome's name.
+func (o Outcome) String() string {
+	if int(o) < len(outcomeNames) {
+		return outcomeNames[o]
+	}
+	return "unknown"
+}
+
+// State is what is known of one run. The zero value stays where it is.
+type State struct {
+	Phase  Phase
+	Target string // Target is the server that the copy lies at, or is made at.
+	Handle string // Handle names the copy; empty without one.
+	Tries  int    // Tries are copies that came to nothing.
+	AtHome bool   // AtHome says that the run goes on at the source, from its own memory.
+	Broke  bool   // Broke says that the source's stream has ended without its end.
+}
+
+// mostTries bounds the copies of one run that come to nothing: each holds a link and
+// a target's memory for some milliseconds.
+const mostTries = 4
+
+// Msg is what happened.
+type Msg interface{ msg() }
+
+// LeavesMsg tells that the source leaves before the run will have ended, and which
+// server has room; none where it is empty.
+type LeavesMsg struct{ Target string }
+
+// CopiedMsg is the answer to a [CopyCmd].
+type CopiedMsg struct {
+	Outcome Outcome
+	Handle  string
+}
+
+// StoppedMsg is the answer to a [StopCmd]. With NoRoom and a handle the run has
+// stopped and lies at the source.
+type StoppedMsg struct {
+	Outcome Outcome
+	Handle  string
+}
+
+// BrokeMsg tells that the source's stream ended without its end.
+type BrokeMsg struct{}
+
+// TakenMsg tells that a server answers the run that was sent on.
+type TakenMsg struct{}
+
+// RefusedMsg tells that it proved not to have run it.
+type RefusedMsg struct{}
+
+// LostMsg tells that it may have run it, and does not answer.
+type LostMsg struct{}
+
+// EndedMsg tells that the request has ended, whatever it ended with.
+type EndedMsg struct{}
+
+func (LeavesMsg) msg()  {}
+func (CopiedMsg) msg()  {}
+func (StoppedMsg) msg() {}
+func (BrokeMsg) msg()   {}
+func (TakenMsg) msg()   {}
+func (RefusedMsg) msg() {}
+func (LostMsg) msg()    {}
+func (EndedMsg) msg()   {}
+
+// Cmd is what is to be done.
+type Cmd interface{ cmd() }
+
+// CopyCmd has the source copy the run while it goes on.
+type CopyCmd struct{ Target string }
+
+// StopCmd has the source stop the run and copy what is new.
+type StopCmd struct{ Target string }
+
+// GoOnCmd sends the request on: to the target, or back to the source.
+type GoOnCmd struct {
+	Target string
+	AtHome bool
+	Handle string
+}
+
+// BreakCmd ends the run as any broken stream.
+type BreakCmd struct{}
+
+// FreeCmd has the source, and with it the target, drop a copy that nobody uses.
+type FreeCmd struct{ Handle string }
+
+func (CopyCmd) cmd()  {}
+func (StopCmd) cmd()  {}
+func (GoOnCmd) cmd()  {}
+func (BreakCmd) cmd() {}
+func (FreeCmd) cmd()  {}
+
+// Next returns the state behind a message, and what is to be done.
+func Next(s State, m Msg) (State, []Cmd) {
+	switch m := m.(type) {
+	case LeavesMsg:
+		return s.leaves(m)
+	case CopiedMsg:
+		return s.copied(m)
+	case StoppedMsg:
+		return s.stopped(m)
+	case BrokeMsg:
+		return s.broke()
+	case TakenMsg:
+		return s.taken()
+	case RefusedMsg:
+		return s.refused()
+	case LostMsg:
+		return s.lost()
+	case EndedMsg:
+		return s.ended()
+	}
+	return s, nil
+}
+
+// leaves begins a copy, if there is a target and the run was not tried too often.
+func (s State) leaves(m LeavesMsg) (State, []Cmd) {
+	if s.Phase != Staying || m.Target == "" || s.Tries >= mostTries {
+		return s, nil
+	}
+	s.Phase, s.Target = Copying, m.Target
+	return s, []Cmd{CopyCmd{Target: m.Target}}
+}
+
+// copied goes on to stop a run of which a copy lies at the target.
+func (s State) copied(m CopiedMsg) (State, []Cmd) {
+	if s.Phase != Copying {
+		return s, free(m.Handle) // The run ended, or broke off, meanwhile.
+	}
+	switch m.Outcome {
+	case Copied:
+		s.Phase, s.Handle = Stopping, m.Handle
+		return s, []Cmd{StopCmd{Target: s.Target}}
+	case NoRun:
+		s.Phase = Over
+		return s, free(m.Handle)
+	}
+	return s.stays(m.Handle)
+}
+
+// stays gives up a copy; another one may follow.
+func (s State) stays(handle string) (State, []Cmd) {
+	cmds := free(handle)
+	s.Phase, s.Target, s.Handle = Staying, "", ""
+	s.Tries++
+	return s, cmds
+}
+
+// stopped sends the run on once its stream has ended, or gives the copy up.
+func (s State) stopped(m StoppedMsg) (State, []Cmd) {
+	if s.Phase != Stopping {
+		return s, free(m.Handle) // The request ended meanwhile.
+	}
+	switch {
+	case m.Outcome == Copied && m.Handle != "":
+		s.Phase, s.Handle = Stopped, m.Handle
+	case m.Outcome == NoRoom && m.Handle != "":
+		s.Phase, s.Handle, s.AtHome = Stopped, m.Handle, true
+	case s.Broke:
+		// Nothing proves that the run has stopped because it was told to.
+		cmds := append([]Cmd{BreakCmd{}}, free(s.Handle)...)
+		s.Phase, s.Handle = Over, ""
+		return s, cmds
+	default:
+		return s.stays(s.Handle)
+	}
+	if s.Broke {
+		return s.goesOn()
+	}
+	return s, nil
+}
+
+// broke answers the end of the source's stream. While it is not known whether the run
+// was stopped nothing follows: the answer to the stop does.
+func (s State) broke() (State, []Cmd) {
+	switch s.Phase {
+	case Stopping:
+		s.Broke = true
+		return s, nil
+	case Stopped:
+		s.Broke = true
+		return s.goesOn()
+	}
+	s.Phase = Over
+	return s, []Cmd{BreakCmd{}}
+}
+
+func (s State) goesOn() (State, []Cmd) {
+	s.Phase = Going
+	return s, []Cmd{GoOnCmd{Target: s.Target, AtHome: s.AtHome, Handle: s.Handle}}
+}
+
+// taken notes that the copy is used.
+func (s State) taken() (State, []Cmd) {
+	if s.Phase != Going {
+		return s, nil
+	}
+	s.Phase, s.Handle = Over, ""
+	return s, nil
+}
+
+// refused goes back to the source, or ends the move there.
+func (s State) refused() (State, []Cmd) {
+	switch {
+	case s.Phase != Going:
+		return s, nil
+	case !s.AtHome:
+		s.AtHome = true
+		return s, []Cmd{GoOnCmd{Target: s.Target, AtHome: true, Handle: s.Handle}}
+	}
+	return s.lost()
+}
+
+// lost ends the move.
+func (s State) lost() (State, []Cmd) {
+	if s.Phase != Going {
+		return s, nil
+	}
+	cmds := append([]Cmd{BreakCmd{}}, free(s.Handle)...)
+	s.Phase, s.Handle = Over, ""
+	return s, cmds
+}
+
+// ended frees what was set aside. A copy under way is freed when its answer comes.
+func (s State) ended() (State, []Cmd) {
+	cmds := free(s.Handle)
+	s.Phase, s.Handle = Over, ""
+	return s, cmds
+}
+
+func free(handle string) []Cmd {
+	if handle == "" {
+		return nil
+	}
+	return []Cmd{FreeCmd{Handle: handle}}
+}
--- /dev/null
+++ b/coordination/move/order.go
@@ -0,0 +1,36 @@
+package move
+
+import (
+	"cmp"
+	"slices"
+)
+
+// Run is a run that could be moved.
+type Run struct {
+	Priority int  // Priority is its rank, 0 first.
+	Read     int  // Read are the tokens that were read and made for it: what would be done again.
+	Left     int  // Left are the most tokens that it may still make.
+	Lost     bool // Lost says that its caller cannot take it up elsewhere.
+}
+
+// Order returns the indices of some runs, the most worthwhile first: those of a higher
+// rank, then those that would be lost without a move, then those that would have the
+// most read again. It is the order in which they are moved where the links or the time
+// do not carry all.
+func Order(runs []Run) []int {
+	order := make([]int, len(runs))
+	for i := range order {
+		order[i] = i
+	}
+	slices.SortStableFunc(order, func(a, b int) int {
+		x, y := runs[a], runs[b]
+		lost := func(r Run) int {
+			if r.Lost {
+				return 0
+			}
+			return 1
+		}
+		return cmp.Or(cmp.Compare(x.Priority, y.Priority), cmp.Compare(lost(x), lost(y)), cmp.Compare(y.Read, x.Read), cmp.Compare(y.Left, x.Left))
+	})
+	return order
+}
--- /dev/null
+++ b/coordination/place/holders.go
@@ -0,0 +1,184 @@
+package place
+
+import (
+	"math"
+	"time"
+
+	"github.com/weldstream/weldstream/coordination/topology"
+	"github.com/weldstream/weldstream/protocol"
+)
+
+// Chain returns the links of the parts that other requests may share: all but the
+// last. The hash of the last link is [Prefix].
+func Chain(parts []protocol.PromptPart) []protocol.PromptLink {
+	if len(parts) < 2 {
+		return nil
+	}
+	chain := make([]protocol.PromptLink, len(parts)-1)
+	var at protocol.PromptLink
+	for i := range chain {
+		at = protocol.PromptLink{Hash: mix(at.Hash ^ parts[i].ID), Tokens: at.Tokens + parts[i].Tokens}
+		chain[i] = at
+	}
+	return chain
+}
+
+const (
+	// holdersKept are how many servers are remembered for one link. First parts are held
+	// by most servers of a lane; with 4, most readings of them counted as news, and what
+	// the leader sends grew by 0.007 GB a minute.
+	holdersKept = 64
+	// linksMost bounds the links that are remembered; each takes some hundred bytes.
+	linksMost = 8192
+	// distanceTokens is how many tokens more a holder of the next distance has to hold
+	// to be asked before a nearer one. Between domains a copy takes twice as long, and
+	// the first bytes of one come some milliseconds later between regions.
+	distanceTokens = 256
+)
+
+// linkKey is the part of a link's hash by which it is remembered. Two links that share
+// it cost a question to a server that holds nothing.
+type linkKey uint32
+
+func keyOf(link protocol.PromptLink) linkKey { return linkKey(link.Hash >> 32) }
+
+// Holders remembers which servers read which links last. It is a hint: a server may
+// have dropped them since. It is not safe for use by several goroutines.
+type Holders struct {
+	links    map[linkKey][]holding
+	topology *topology.Topology
+}
+
+// holding is one server that read a link.
+type holding struct {
+	server string
+	at     time.Time
+}
+
+// NewHolders returns holders of which nothing is known.
+func NewHolders(t *topology.Topology) *Holders {
+	return &Holders{links: map[linkKey][]holding{}, topology: t}
+}
+
+// Read notes that a server was given a prompt to read, and returns the keys of the
+// links that it was not known to hold.
+func (h *Holders) Read(server string, chain []protocol.PromptLink, now time.Time) (fresh []uint32) {
+	for _, link := range chain {
+		if key := keyOf(link); h.note(server, key, now) {
+			fresh = append(fresh, uint32(key))
+		}
+	}
+	h.bound(now)
+	return fresh
+}
+
+func (h *Holders) bound(now time.Time) {
+	if len(h.links) > linksMost {
+		h.forget(now)
+	}
+}
+
+// note reports whether the server was not known to hold the link.
+func (h *Holders) note(server string, key linkKey, now time.Time) (fresh bool) {
+	rows := h.links[key]
+	oldest := 0
+	for i := range rows {
+		if rows[i].server == server {
+			fresh = now.Sub(rows[i].at) >= prefixKept
+			rows[i].at = now
+			return fresh
+		}
+		if rows[i].at.Before(rows[oldest].at) {
+			oldest = i
+		}
+	}
+	row := holding{server: server, at: now}
+	if len(rows) < holdersKept {
+		h.links[key] = append(rows, row)
+		return true
+	}
+	rows[oldest] = row
+	return true
+}
+
+// forget drops the links that nobody read for long, and where that is not enough
+// those of the older half of that time.
+func (h *Holders) forget(now time.Time) {
+	for limit := prefixKept; len(h.links) > linksMost/2 && limit > time.Second; limit /= 2 {
+		for key, rows := range h.links {
+			if !recent(rows, now.Add(-limit)) {
+				delete(h.links, key)
+			}
+		}
+	}
+}
+
+func recent(rows []holding, since time.Time) bool {
+	for _, r := range rows {
+		if r.at.After(since) {
+			return true
+		}
+	}
+	return false
+}
+
+// Held returns how many tokens of a prompt's shared parts a server holds.
+func (h *Holders) Held(server string, chain []protocol.PromptLink, now time.Time) int {
+	for i := len(chain) - 1; i >= 0; i-- {
+		for _, r := range h.links[keyOf(chain[i])] {
+			if r.server == server && now.Sub(r.at) < prefixKept {
+				return chain[i].Tokens
+			}
+		}
+	}
+	return 0
+}
+
+// Find returns the server to copy a prompt's shared parts from, and how many of their
+// tokens it holds: one that holds more, and of those that hold about as much the
+// nearest to a domain. A server that may not be asked is passed over. One that leaves
+// is asked while it is listed.
+func (h *Holders) Find(v *View, chain []protocol.PromptLink, domain string, may func(*Server) bool, now time.Time) (holder string, tokens int) {
+	best := math.MinInt
+	for _, link := range chain {
+		for _, r := range h.links[keyOf(link)] {
+			if now.Sub(r.at) >= prefixKept {
+				continue
+			}
+			s := v.Find(r.server)
+			if s == nil || !may(s) {
+				continue
+			}
+			worth := link.Tokens - distanceTokens*int(h.topology.Distance(s.Domain, domain))
+			if worth > best {
+				best, holder, tokens = worth, r.server, link.Tokens
+			}
+		}
+	}
+	return holder, tokens
+}
+
+// source returns the server that one is to copy the shared parts of a prompt from, or
+// none. A holder of all of them is known already; where the prompt names its links, the
+// best one is found anew for the server that was chosen, and one that holds a part is
+// better than none.
+func (l *Ledger) source(v *View, at *Server, holder string, m PromptMsg, now time.Time) string {
+	if m.Copies <= 0 || len(m.Chain) == 0 {
+		return holder
+	}
+	found, tokens := l.holders.Find(v, m.Chain, at.Domain, func(s *Server) bool {
+		return s.ID != at.ID && s.Service == at.Service && s.Version == at.Version && !l.loads.Distrusted(s.ID, m.Domain)
+	}, now)
+	if tokens <= l.holders.Held(at.ID, m.Chain, now) {
+		return ""
+	}
+	return found
+}
+
+// Told notes links that a server read for a gateway which placed the prompt by itself.
+func (l *Ledger) Told(server string, links []uint32, now time.Time) {
+	for _, key := range links {
+		l.holders.note(server, linkKey(key), now)
+	}
+	l.holders.bound(now)
+}
--- /dev/null
+++ b/coordination/place/holders_test.go
@@ -0,0 +1,183 @@
+package place
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/weldstream/weldstream/coordination/topology"
+	_ "github.com/weldstream/weldstream/internal/testseed"
+	"github.com/weldstream/weldstream/protocol"
+)
+
+// parts are a prompt of three parts, the last its own.
+func parts(first, second uint64) []protocol.PromptPart {
+	return []protocol.PromptPart{{ID: first, Tokens: 1000}, {ID: second, Tokens: 500}, {ID: 99, Tokens: 50}}
+}
+
+// TestChainEndsInThePrefix checks that the links are those of the shared parts in
+// order, and that the last is the prefix by which servers are ranked.
+func TestChainEndsInThePrefix(t *testing.T) {
+	chain := Chain(parts(1, 2))
+	if len(chain) != 2 || chain[0].Tokens != 1000 || chain[1].Tokens != 1500 || chain[1].Hash != Prefix(parts(1, 2)) {
+		t.Errorf("chain %+v", chain)
+	}
+	if other := Chain(parts(1, 3)); other[0] != chain[0] || other[1].Hash == chain[1].Hash {
+		t.Errorf("chain %+v beside %+v", other, chain)
+	}
+	if Chain(nil) != nil || Chain(parts(1, 2)[:1]) != nil {
+		t.Error("a prompt without shared parts has links")
+	}
+}
+
+// TestHoldersFind checks which server is named for a copy.
+func TestHoldersFind(t *testing.T) {
+	list := []protocol.Instance{
+		{ID: "near", Service: "m", Domain: "a1"}, {ID: "same", Service: "m", Domain: "a2"}, {ID: "far", Service: "m", Domain: "b1"},
+	}
+	v := NewView(list, nil)
+	regions := topology.New(map[string]string{"a1": "a", "a2": "a", "b1": "b"})
+	whole, first := Chain(parts(1, 2)), Chain(parts(1, 3))
+	all := func(*Server) bool { return true }
+	for name, c := range map[string]struct {
+		read   map[string][]protocol.PromptLink
+		may    func(*Server) bool
+		after  time.Duration
+		holder string
+		tokens int
+	}{
+		"nobody":                     {nil, all, 0, "", 0},
+		"the nearest of equals":      {map[string][]protocol.PromptLink{"far": whole, "near": whole, "same": whole}, all, 0, "near", 1500},
+		"one that holds more":        {map[string][]protocol.PromptLink{"far": whole[:1], "near": first, "same": whole}, all, 0, "same", 1500},
+		"a part is better than none": {map[string][]protocol.PromptLink{"far": first}, all, 0, "far", 1000},
+		"not one that may not":       {map[string][]protocol.PromptLink{"far": whole, "near": whole}, func(s *Server) bool { return s.ID != "near" }, 0, "far", 1500},
+		"not one that is gone":       {map[string][]protocol.PromptLink{"gone": whole}, all, 0, "", 0},
+		"not one of long ago":        {map[string][]protocol.PromptLink{"near": whole}, all, prefixKept, "", 0},
+	} {
+		h := NewHolders(regions)
+		for server, chain := range c.read {
+			h.Read(server, chain, start)
+		}
+		if holder, tokens := h.Find(v, whole, "a1", c.may, start.Add(c.after)); holder != c.holder || tokens != c.tokens {
+			t.Errorf("%s: found %q with %d tokens, want %q with %d", name, holder, tokens, c.holder, c.tokens)
+		}
+	}
+}
+
+// TestHoldersAreBounded checks that what is remembered stays within its bound, that
+// what was read last is never forgotten for it, and that no server is named for what it
+// was not given.
+func TestHoldersAreBounded(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		h, now := NewHolders(nil), start
+		v := fleet(6)
+		given := map[string]map[uint64]bool{}
+		for range rapid.IntRange(1, 40).Draw(t, "rounds") {
+			now = now.Add(time.Duration(rapid.IntRange(1, 2000).Draw(t, "ms")) * time.Millisecond)
+			base := rapid.Uint64Range(1, 5).Draw(t, "base")
+			server := v.Servers[rapid.IntRange(0, 5).Draw(t, "server")].ID
+			var last []protocol.PromptLink
+			for i := range rapid.IntRange(1, linksMost/4).Draw(t, "prompts") {
+				last = Chain(parts(base, uint64(i)*7+base))
+				h.Read(server, last, now)
+				if given[server] == nil {
+					given[server] = map[uint64]bool{}
+				}
+				for _, link := range last {
+					given[server][uint64(keyOf(link))] = true
+				}
+			}
+			if len(h.links) > linksMost {
+				t.Fatalf("%d links are remembered", len(h.links))
+			}
+			if h.Held(server, last, now) != last[1].Tokens {
+				t.Fatalf("%s is not known to hold what it read last", server)
+			}
+			chain := Chain(parts(base, rapid.Uint64Range(0, 50).Draw(t, "second")))
+			holder, tokens := h.Find(v, chain, "a", func(*Server) bool { return true }, now)
+			if holder == "" {
+				continue
+			}
+			at := slices.IndexFunc(chain, func(l protocol.PromptLink) bool { return l.Tokens == tokens })
+			if !given[holder][uint64(keyOf(chain[at]))] {
+				t.Fatalf("%s is named for %d tokens that it was not given", holder, tokens)
+			}
+		}
+	})
+}
+
+// TestReadingsReachAll checks that a gateway that asks now and then, also over changes
+// of the list, knows of all that others told in between, as far as it is kept, and
+// never takes one server for another.
+func TestReadingsReachAll(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		r, told := NewReadings(), NewHolders(nil)
+		v := fleet(6)
+		list := func() {
+			var order []string
+			for i := range v.Servers {
+				order = append(order, v.Servers[i].ID)
+			}
+			slices.Sort(order)
+			r.List(order)
+		}
+		list()
+		position, number := uint64(0), uint64(0)
+		read := map[string][]protocol.PromptLink{}
+		for range rapid.IntRange(1, 30).Draw(t, "steps") {
+			server := fmt.Sprintf("gone-%d", rapid.IntRange(0, 1).Draw(t, "gone"))
+			if rapid.Bool().Draw(t, "listed") {
+				server = v.Servers[rapid.IntRange(0, len(v.Servers)-1).Draw(t, "server")].ID
+			}
+			number++
+			link := protocol.PromptLink{Hash: mix(number), Tokens: 10}
+			read[server] = append(read[server], link)
+			r.Add(server, []uint32{uint32(keyOf(link))})
+			if rapid.Bool().Draw(t, "asks") {
+				var packed []byte
+				packed, position = r.Since(position)
+				told.Told(v, packed, start)
+			}
+			if rapid.IntRange(0, 5).Draw(t, "change") == 0 {
+				list()
+			}
+		}
+		packed, _ := r.Since(position)
+		told.Told(v, packed, start)
+		for i := range v.Servers {
+			for _, link := range read[v.Servers[i].ID] {
+				if told.Held(v.Servers[i].ID, []protocol.PromptLink{link}, start) == 0 {
+					t.Fatalf("the gateway does not know that %s holds %x", v.Servers[i].ID, link.Hash)
+				}
+			}
+		}
+		for key, rows := range told.links {
+			for _, row := range rows {
+				if !slices.ContainsFunc(read[row.server], func(l protocol.PromptLink) bool { return keyOf(l) == key }) {
+					t.Fatalf("%s is taken to hold %x", row.server, key)
+				}
+			}
+		}
+	})
+}
+
+// TestReadingsAreBounded checks that a log which nobody follows stays within its bound,
+// and that a position of another log is taken for its end or beginning, not for rows
+// that are not there.
+func TestReadingsAreBounded(t *testing.T) {
+	r := NewReadings()
+	r.List([]string{"a"})
+	for i := range 3 * readingsKept {
+		r.Add("a", []uint32{uint32(i)})
+	}
+	packed, next := r.Since(1)
+	if len(packed) != len(r.rows)*readingBytes || len(r.rows) > readingsKept || next != 3*readingsKept {
+		t.Errorf("%d bytes of %d rows, up to %d", len(packed), len(r.rows), next)
+	}
+	if packed, again := r.Since(next + 1000); len(packed) != 0 || again != next {
+		t.Errorf("%d bytes behind the end, up to %d", len(packed), again)
+	}
+}
--- a/coordination/place/ledger.go
+++ b/coordination/place/ledger.go
@@ -17,6 +17,7 @@
 	Shared  int    // Shared are the tokens of its parts that other requests may share.
 	Answer  int    // Answer is the most tokens of the answer.
 	Prefix  uint64 // Prefix is the hash of the shared parts.
+	Chain   []protocol.PromptLink
 	Domain  string
 	Avoid   []string
 	Copies  float64 // Copies are the tokens a millisecond that a server copies from another; 0 where it cannot.
@@ -52,6 +53,7 @@
 	speed    float64 // speed is in tokens read a millisecond, learned.
 	pace     float64 // pace is in milliseconds a token of the answer, learned.
 	topology *topology.Topology
+	holders  *Holders
 }
 
 // LedgerOption changes a new ledger.
@@ -112,6 +114,7 @@
 	for _, opt := range opts {
 		opt(l)
 	}
+	l.holders = NewHolders(l.topology)
 	return l
 }
 
@@ -134,7 +137,7 @@
 	if best < 0 {
 		return Placed{}, false
 	}
-	return l.enter(v.Servers[best].ID, holder, m, now), true
+	return l.enter(v.Servers[best].ID, l.source(v, &v.Servers[best], holder, m, now), m, now), true
 }
 
 // holder returns the server that read the shared parts of a prompt last, if the
@@ -256,6 +259,7 @@
 	st.ends = st.reads.Add(time.Duration(l.pace * float64(m.Answer) * float64(time.Millisecond)))
 	b.stays[l.number], l.placed[l.number] = st, st
 	b.keep(m.Prefix, now)
+	l.holders.Read(server, m.Chain, now)
 	return Placed{Server: server, Holder: holder, Number: l.number}
 }
 
--- a/protocol/catalog.go
+++ b/protocol/catalog.go
@@ -106,6 +106,14 @@
 	Tokens int
 }
 
+// PromptLink is one step of a prompt's shared parts: the hash of all parts up to it,
+// and their tokens. A server holds parts in their order, so a shorter chain can be held
+// where a longer one is not.
+type PromptLink struct {
+	Hash   uint64
+	Tokens int
+}
+
 // SharedTokens are the tokens of the prompt's parts that other requests may
 // share: all but the last.
 func (c *Call) SharedTokens() int {
--- a/protocol/uplink.go
+++ b/protocol/uplink.go
@@ -6,22 +6,30 @@
 // of it is repeated until it is too old, so that a lost or doubled one does no
 // harm.
 type SyncMsg struct {
-	Gateway   string
-	Life      uint64 // Life differs with each start of the gateway.
-	Number    uint64 // Number is the document that the gateway holds.
-	Servers   uint64 // Servers is the version of the list that it holds.
-	Lister    uint64 // Lister tells versions of different list readers apart.
-	Usage     []UsageRow
-	Wants     []QuotaWant
-	Pressure  []Pressure
-	Done      []PlaceDone
-	Domain    string       // Domain is the gateway's failure domain.
-	Distrusts []string     // Distrusts are servers that it passes over.
-	Running   []ServerLoad // Running are the requests that it has under way.
-	Clock     time.Time    // Clock is the gateway's own time of day.
-	Gateways  int          // Gateways are how many a leader counted last; 0 before the first answer.
-	Rollouts  uint64       // Rollouts is the change of the roll-outs that it keeps to; 0 before the first.
-	Trials    []TrialReport
+	Gateway    string
+	Life       uint64 // Life differs with each start of the gateway.
+	Number     uint64 // Number is the document that the gateway holds.
+	Servers    uint64 // Servers is the version of the list that it holds.
+	Lister     uint64 // Lister tells versions of different list readers apart.
+	Usage      []UsageRow
+	Wants      []QuotaWant
+	Pressure   []Pressure
+	Done       []PlaceDone
+	Domain     string       // Domain is the gateway's failure domain.
+	Distrusts  []string     // Distrusts are servers that it passes over.
+	Running    []ServerLoad // Running are the requests that it has under way.
+	Clock      time.Time    // Clock is the gateway's own time of day.
+	Gateways   int          // Gateways are how many a leader counted last; 0 before the first answer.
+	Rollouts   uint64       // Rollouts is the change of the roll-outs that it keeps to; 0 before the first.
+	Trials     []TrialReport
+	Readings   []Reading // Readings are of prompts that it placed by itself, those that it did not tell yet.
+	ReadingsAt uint64    // ReadingsAt is up to where it has heard of the term's log of readings.
+}
+
+// Reading tells that a server was given shared parts of prompts to read.
+type Reading struct {
+	Server string
+	Links  []uint32 // Links are the front halves of the hashes of prompt links.
 }
 
 // ServerLoad is how many requests one server has.
@@ -33,10 +41,11 @@
 // PlaceMsg asks for a server for a long prompt; see place.PromptMsg.
 type PlaceMsg struct {
 	Service string
-	Prompt  int      // Prompt is its length in tokens.
-	Shared  int      // Shared are the tokens of its parts that other requests may share.
-	Answer  int      // Answer is the most tokens of the answer.
-	Prefix  uint64   // Prefix is the hash of the shared parts.
+	Prompt  int    // Prompt is its length in tokens.
+	Shared  int    // Shared are the tokens of its parts that other requests may share.
+	Answer  int    // Answer is the most tokens of the answer.
+	Prefix  uint64 // Prefix is the hash of the shared parts.
+	Chain   []PromptLink
 	Domain  string   // Domain is the gateway's failure domain.
 	Avoid   []string // Avoid are servers that the request was sent to before.
 	Copies  float64  // Copies are the tokens a millisecond that a server copies from another; 0 where it cannot.
@@ -142,6 +151,8 @@
 	Rollouts   []Rollout // Rollouts are the newest of each service, where the gateway keeps to others.
 	Changes    uint64    // Changes is the change of the roll-outs that the leader vouches for.
 	Trials     []TrialGrant
+	Readings   []byte // Readings are those of other gateways behind where the asker stands, packed by the order of its list.
+	ReadingsAt uint64 // ReadingsAt is where it stands behind them; 0 where the answer tells of none.
 	Loads      []byte // Loads are the requests that the servers have from all gateways, in the order of their names; empty to a gateway with another list.
 }
 
--- a/transport/control/list.go
+++ b/transport/control/list.go
@@ -65,6 +65,7 @@
 		u.order = append(u.order, list[i].ID)
 	}
 	slices.Sort(u.order)
+	u.readings.List(u.order)
 }
 
 // sameServers reports whether two lists say the same. How much longer a server
--- a/transport/control/uplink.go
+++ b/transport/control/uplink.go
@@ -57,6 +57,7 @@
 	lists    map[uint64][]byte // lists are what changed since a version, packed once for all gateways.
 	view     *place.View
 	places   *place.Ledger
+	readings *place.Readings
 	loads    *place.Loads
 	order    []string // order are the listed servers by name.
 	common   common
@@ -151,6 +152,7 @@
 	u.listed, u.servers, u.history = false, nil, history{}
 	u.loads, u.order, u.common = place.NewLoads(), nil, common{}
 	u.view, u.places = nil, place.NewLedger(u.loads, place.WithTopology(u.topology))
+	u.readings = place.NewReadings()
 	u.rolled, u.trials, u.unnamed = 0, nil, map[versionOf]time.Time{}
 	if u.catalog != nil {
 		u.quotas.Configure(u.catalog.Workspaces, time.Now())
@@ -196,6 +198,10 @@
 	u.earlier = max(u.earlier, m.Gateways)
 	u.ledger.Take(m.Gateway, m.Life, m.Usage)
 	u.loads.Take(m.Gateway, place.GatewayReport{Domain: m.Domain, Running: m.Running, Distrusts: m.Distrusts})
+	for _, r := range m.Readings {
+		u.readings.Add(r.Server, r.Links)
+		u.places.Told(r.Server, r.Links, now)
+	}
 	for _, d := range m.Done {
 		if d.Term == term {
 			u.places.Done(place.DoneMsg{Number: d.Number, First: d.First, Took: d.Took})
@@ -212,6 +218,7 @@
 	reply.Short = u.common.short
 	if m.Lister == u.lister && m.Servers == u.version {
 		reply.Loads, reply.Distrusted = u.common.loads, u.distrusted(m.Domain)
+		reply.Readings, reply.ReadingsAt = u.readings.Since(m.ReadingsAt)
 	}
 	reply.Gateways = u.common.gateways
 	reply.Clock = u.clock.Now(now.Sub(u.began))
@@ -244,6 +251,7 @@
 		Shared:  m.Shared,
 		Answer:  m.Answer,
 		Prefix:  m.Prefix,
+		Chain:   m.Chain,
 		Domain:  m.Domain,
 		Avoid:   m.Avoid,
 		Copies:  m.Copies,
