Move running answers off leaving servers; copy shared parts for all prompts

Gateways that place a prompt by themselves had no holder to copy from. A stream that went on at a server which answered with a failure got that answer's head among its events.

Change: when the list says that a server leaves, the gateway has its runs copied, then stopped, and sends the same request on with the copy's name behind the last whole event; it goes back to the source where the target refuses, and ends as any broken stream where nothing is proved. Copies that serve nobody are freed. Each attempt names a holder, from the gateway's own table or the leader's answer. An answer that has begun gets no second head.

Run: TestRunsMove, one failure at each step on both kinds of routes; TestStreamGetsNoSecondHead, which fails without its mend; tests of forward, platform, control, place and move with -race.

--- a/cmd/weldstreamd/gateway.go
+++ b/cmd/weldstreamd/gateway.go
@@ -96,6 +96,7 @@
 		UsageWindow: n.Bounds.UsageWindow,
 		UsageDue:    n.Bounds.UsageDue,
 	}, platform.Dialect{}, forward.WithLogger(r.log), forward.WithRegistry(r.registry), forward.WithSyncNow(func() { g.client.SyncNow() }),
+		forward.WithMover(platform.Mover{}),
 		forward.WithPlace(func(m protocol.PlaceMsg) (protocol.PlaceReply, bool) { return g.client.Place(m) }))
 	g.server = caller.NewServer(g.forward)
 	seeds, err := r.peersOfSeeds(n)
--- a/coordination/move/move.go
+++ b/coordination/move/move.go
@@ -175,7 +175,7 @@
 		return s, nil
 	}
 	s.Phase, s.Target = Copying, m.Target
-	return s, []Cmd{CopyCmd{Target: m.Target}}
+	return s, []Cmd{CopyCmd(m)}
 }
 
 // copied goes on to stop a run of which a copy lies at the target.
--- a/coordination/place/ledger.go
+++ b/coordination/place/ledger.go
@@ -31,6 +31,7 @@
 	Server string
 	Holder string // Holder is a server that holds the shared parts, if Server does not; empty for none.
 	Number uint64
+	Fresh  []uint32 // Fresh are the links that Server was not known to hold; see [Readings].
 }
 
 // DoneMsg tells how long a placed request took.
@@ -259,8 +260,8 @@
 	st.ends = st.reads.Add(time.Duration(l.pace * float64(m.Answer) * float64(time.Millisecond)))
 	b.stays[l.number], l.placed[l.number] = st, st
 	b.keep(m.Prefix, now)
-	l.holders.Read(server, m.Chain, now)
-	return Placed{Server: server, Holder: holder, Number: l.number}
+	fresh := l.holders.Read(server, m.Chain, now)
+	return Placed{Server: server, Holder: holder, Number: l.number, Fresh: fresh}
 }
 
 // keep notes a prefix that is read at the server.
--- a/coordination/place/readings.go
+++ b/coordination/place/readings.go
@@ -5,8 +5,8 @@
 	"time"
 )
 
-// Readings is the leader's log of what gateways had servers read without asking it:
-// short prompts, which each gateway places by itself. Each gateway is told what it has
+// Readings is the leader's log of which servers were given which links to read. It is for
+// the short prompts, which each gateway places by itself: each gateway is told what it has
 // not heard of yet, so that a server can be told to copy the parts that another one
 // read for another gateway. With 65 gateways one alone knew of a holder for 0.55 of the
 // tokens of first parts that were read again, and for 0.05 of those of second parts
--- a/transport/control/uplink.go
+++ b/transport/control/uplink.go
@@ -260,6 +260,7 @@
 		Gap:     m.Gap,
 	}, time.Now())
 	if ok {
+		u.readings.Add(placed.Server, placed.Fresh)
 		reply.Server, reply.Holder, reply.Term, reply.Number = placed.Server, placed.Holder, term, placed.Number
 	}
 	return nil
--- a/transport/forward/attempt.go
+++ b/transport/forward/attempt.go
@@ -25,13 +25,14 @@
 
 // try is one attempt at one server.
 type try struct {
-	x      *exchange
-	server *place.Server
-	conn   *backend.Conn
-	reply  Reply
-	early  bool
-	read   bool // read says that the server has read the prompt.
-	extra  bool // extra says that the connection delivered what was not asked for.
+	x       *exchange
+	server  *place.Server
+	conn    *backend.Conn
+	reply   Reply
+	early   bool
+	read    bool     // read says that the server has read the prompt.
+	running *running // running is nil where the answer cannot be moved.
+	extra   bool     // extra says that the connection delivered what was not asked for.
 
 	began    time.Time // began is when the request was sent.
 	first    time.Time // first is when the first events came; zero before.
@@ -63,7 +64,7 @@
 		return staleCatalog()
 	}
 	x.log.Info().Str("server", server.ID).Str("domain", server.Domain).Int("outstanding", server.Cell.Outstanding()).Bool("placed", x.placed.Server != "").
-		Uint8("lane", uint8(x.lane)).Int("sent", x.state.Sent).Bool("kept", conn.Used()).Int64("left", x.left().Milliseconds()).Msg("attempt")
+		Uint8("lane", uint8(x.lane)).Int("sent", x.state.Sent).Bool("kept", conn.Used()).Int64("left", x.left().Milliseconds()).Str("go_on", x.copyName()).Msg("attempt")
 	x.sentTo(server)
 	t := &try{x: x, server: server, conn: conn, began: time.Now()}
 	return t.run()
@@ -88,6 +89,9 @@
 	if x.gone.Err() != nil {
 		return callerGone().WithVerdict(v)
 	}
+	if x.movedFailed(v) {
+		return errAgain
+	}
 	next, refusal := resend.Next(x.state, resend.FailedMsg{
 		Verdict: v,
 		Reached: reached,
@@ -119,6 +123,9 @@
 		t.server.Cell.Ended()
 		x.givesBack(time.Since(t.began), t.server.Width())
 	}()
+	copyFrom := x.reads(t.server)
+	t.enter()
+	defer t.leave()
 	x.out.Reset()
 	x.resp.Reset()
 	x.g.dialect.Attempt(x.out, x.in, Attempt{
@@ -126,7 +133,8 @@
 		Workspace: x.workspaceName(),
 		Remaining: max(time.Millisecond, x.left()-backMargin),
 		Priority:  x.priority(),
-		CopyFrom:  x.copyFrom(),
+		CopyFrom:  copyFrom,
+		GoOn:      x.copyName(),
 		LastEvent: x.events.last,
 	})
 	early, err := t.conn.Exchange(x.out, x.resp, x.deadline.Add(time.Second))
@@ -148,6 +156,9 @@
 func (t *try) hasRead() {
 	if !t.read {
 		t.read = true
+		if t.running != nil {
+			t.running.begun.Store(true)
+		}
 		t.server.Cell.Read(t.x.size)
 	}
 }
@@ -215,6 +226,7 @@
 	if t.reply.NotRun {
 		return t.turnedAway(stop)
 	}
+	x.movedTaken(status)
 	x.count()
 	if x.route.Kind == protocol.RouteStream && status >= 200 && status < 300 {
 		return t.stream(stop)
@@ -279,6 +291,9 @@
 		t.x.trust(t.server)
 		t.observe(t.times(time.Now()))
 	}
+	if x.headed {
+		return x.failed(protocol.MayHaveRun, true, "an answer that had begun got no events any more, but status "+fasthttp.StatusMessage(status))
+	}
 	if promises(status) || t.reply.Encoded || (failure && x.state.Repeatable) {
 		if refusal := x.failed(protocol.MayHaveRun, true, "the server failed with status "+fasthttp.StatusMessage(status)); refusal == errAgain || promises(status) || t.reply.Encoded {
 			return refusal
--- /dev/null
+++ b/transport/forward/copy.go
@@ -0,0 +1,81 @@
+package forward
+
+import (
+	"time"
+
+	"github.com/weldstream/weldstream/coordination/place"
+	"github.com/weldstream/weldstream/protocol"
+)
+
+// memory is what a gateway knows of where the shared parts of prompts lie.
+type memory struct {
+	holders  *place.Holders
+	fresh    []protocol.Reading // fresh are readings that the leader does not know of.
+	term     uint64             // term is of the leader whose log of readings is followed,
+	position uint64             // and position is up to where.
+}
+
+// leastCopied is the least number of tokens that are copied rather than read: reading
+// fewer takes about as long as the question for them.
+const leastCopied = 64
+
+// reads notes that a server is sent the prompt, and returns the address of a server
+// that it is to copy shared parts of it from, or none.
+func (x *exchange) reads(at *place.Server) (from string) {
+	if x.copyRate() <= 0 || len(x.chain) == 0 || x.onward != nil {
+		return ""
+	}
+	g := x.g
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := time.Now()
+	from = x.copyFrom(at, now)
+	if from != "" {
+		g.meters.copies.Inc(1)
+	}
+	fresh := g.memory.holders.Read(at.ID, x.chain, now)
+	if x.placed.Server == "" && len(fresh) > 0 {
+		g.memory.fresh = append(g.memory.fresh, protocol.Reading{Server: at.ID, Links: fresh})
+	}
+	return from
+}
+
+// copyFrom finds whom to copy from: the holder that the leader named, or, for a prompt
+// that was placed here, the best one that is known here. It needs g.mu.
+func (x *exchange) copyFrom(at *place.Server, now time.Time) string {
+	view := x.g.view.Load()
+	may := func(s *place.Server) bool {
+		return s.ID != at.ID && s.Service == at.Service && s.Version == at.Version && !s.Cell.Suspect(now)
+	}
+	if x.placed.Server != "" {
+		if holder := view.Find(x.placed.Holder); holder != nil && may(holder) {
+			return holder.Address
+		}
+		return ""
+	}
+	holders := x.g.memory.holders
+	holder, tokens := holders.Find(view, x.chain, at.Domain, may, now)
+	if tokens < holders.Held(at.ID, x.chain, now)+leastCopied {
+		return ""
+	}
+	return view.Find(holder).Address
+}
+
+// reportReadings tells the leader of a term what it does not know, and up to where its
+// log is known here. It needs g.mu.
+func (g *Gateway) reportReadings(term uint64, m *protocol.SyncMsg) {
+	if g.memory.term != term {
+		g.memory.term, g.memory.position = term, 0
+	}
+	m.Readings, m.ReadingsAt = g.memory.fresh, g.memory.position
+	g.memory.fresh = nil // What is lost with the message is a hint less.
+}
+
+// takeReadings takes what the leader of a term tells of its log. It needs g.mu.
+func (g *Gateway) takeReadings(reply *protocol.SyncReply, now time.Time) {
+	if reply.ReadingsAt == 0 {
+		return
+	}
+	g.memory.term, g.memory.position = reply.Term, reply.ReadingsAt
+	g.memory.holders.Told(g.view.Load(), reply.Readings, now)
+}
--- a/transport/forward/dialect.go
+++ b/transport/forward/dialect.go
@@ -31,6 +31,7 @@
 	Remaining time.Duration // Remaining is how long the answer is waited for.
 	Priority  int           // Priority is the rank, 0 first; -1 says none.
 	CopyFrom  string        // CopyFrom is the address of a server that holds a part of the prompt; empty for none.
+	GoOn      string        // GoOn names the copy of a run that the server goes on from; empty for none.
 	LastEvent string        // LastEvent is the event behind which a stream goes on.
 }
 
--- a/transport/forward/exchange.go
+++ b/transport/forward/exchange.go
@@ -32,6 +32,7 @@
 	workspace *protocol.Tenancy // workspace is nil on a route that needs none.
 	service   string
 	prefix    uint64
+	chain     []protocol.PromptLink // chain are the shared parts of the prompt.
 	lane      place.Lane
 	parts     protocol.LaneParts // parts say how the servers are parted between the lanes.
 	size      float64            // size is the prompt's length as a multiple of the mean one.
@@ -40,6 +41,7 @@
 
 	placed  protocol.PlaceReply // placed is the place that the leader gave for the current attempt.
 	state   resend.State
+	onward  *onward // onward is where the run goes on with its memory; nil for none.
 	avoid   []string
 	events  events
 	counted bool // counted says that the request was counted as one that began to run.
@@ -68,6 +70,7 @@
 func (x *exchange) release() {
 	x.cancel()
 	x.ended()
+	x.dropOnward()
 	fasthttp.ReleaseRequest(x.out)
 	fasthttp.ReleaseResponse(x.resp)
 }
@@ -120,6 +123,7 @@
 	x.service = Split(x.route, x.call.ID)
 	if x.route.Affinity {
 		x.prefix = place.Prefix(x.call.Prefix)
+		x.chain = place.Chain(x.call.Prefix)
 	}
 	x.state = resend.State{Repeatable: x.route.Repeatable(), Most: max(1, x.route.Attempts)}
 	if x.call.LastEvent != "" {
@@ -214,6 +218,7 @@
 		Shared:  x.call.SharedTokens(),
 		Answer:  x.call.AnswerTokens,
 		Prefix:  x.prefix,
+		Chain:   x.chain,
 		Domain:  x.g.cfg.Domain,
 		Avoid:   x.avoid,
 		Copies:  x.copyRate(),
@@ -242,18 +247,11 @@
 	return 0
 }
 
-// copyFrom returns the address of a server that the chosen one is to copy the
-// shared parts of the prompt from, or none.
-func (x *exchange) copyFrom() string {
-	holder := x.g.view.Load().Find(x.placed.Holder)
-	if holder == nil || holder.Cell.Suspect(time.Now()) {
-		return ""
-	}
-	return holder.Address
-}
-
 // choose returns a server to send to.
 func (x *exchange) choose() (*place.Server, *protocol.Refusal) {
+	if s := x.movedTo(); s != nil {
+		return s, nil
+	}
 	view := x.g.view.Load()
 	m := place.ChooseMsg{
 		Service: x.service,
--- a/transport/forward/forward.go
+++ b/transport/forward/forward.go
@@ -68,6 +68,8 @@
 	gateways  atomic.Int64
 	closed    atomic.Bool // closed refuses new requests: the gateway ends soon.
 
+	moves moves
+
 	mu        sync.Mutex // mu guards all below.
 	allowance *quota.Allowance
 	granted   chan struct{} // granted is closed and replaced when grants arrive.
@@ -76,6 +78,7 @@
 	counter   *usage.Counter
 	clock     *usage.Clock
 	pressure  map[string]*pressure
+	memory    memory
 	done      []protocol.PlaceDone // done are placed requests whose end is to be reported.
 	listed    []protocol.Instance  // listed are the servers of the last list.
 	rolled    uint64               // rolled is the change of the roll-outs that the gateway keeps to; 0 before the first.
@@ -127,6 +130,7 @@
 	for _, opt := range opts {
 		opt(g)
 	}
+	g.memory.holders = place.NewHolders(cfg.Topology)
 	if g.meters == nil {
 		g.meters = newMeters(metrics.NewRegistry())
 	}
@@ -173,6 +177,7 @@
 		}
 	}
 	g.log.Info().Int("servers", len(view.Servers)).Int("leaving", leaving).Msg("list of servers")
+	g.evacuate(view, now)
 	g.pool.Keep(func(id string) bool {
 		s := view.Find(id)
 		return s != nil && !s.Leaving
--- a/transport/forward/forward_test.go
+++ b/transport/forward/forward_test.go
@@ -50,6 +50,9 @@
 	if a.LastEvent != "" {
 		out.Header.Set("Last", a.LastEvent)
 	}
+	if a.GoOn != "" {
+		out.Header.Set("Go-On", a.GoOn)
+	}
 	out.SetBodyRaw(in.Body())
 }
 
@@ -603,11 +606,12 @@
 			w.g.view.Load().Find("b").Cell.Failed(true, time.Now())
 		}
 		x := &exchange{g: w.g, placed: protocol.PlaceReply{Server: a.id, Holder: c.holder}}
+		at := w.g.view.Load().Find(a.id)
 		want := ""
 		if c.want {
 			want = b.address
 		}
-		if got := x.copyFrom(); got != want {
+		if got := x.copyFrom(at, time.Now()); got != want {
 			t.Errorf("%s: copied from %q, want %q", name, got, want)
 		}
 	}
--- a/transport/forward/limits.go
+++ b/transport/forward/limits.go
@@ -177,6 +177,7 @@
 	m := protocol.SyncMsg{Gateway: g.cfg.Name, Number: g.Number(), Clock: g.clock.Own(since), Usage: g.counter.Rows(term, g.clock.Now(since)), Wants: g.allowance.Wants(now), Done: g.done, Domain: g.cfg.Domain, Running: g.view.Load().Running(), Distrusts: g.view.Load().Distrusts(now)}
 	g.done = nil // One that is lost is forgotten by the leader in time.
 	m.Rollouts = g.rolled
+	g.reportReadings(term, &m)
 	for _, t := range g.trials {
 		m.Trials = append(m.Trials, t.report(term, now))
 	}
@@ -195,6 +196,7 @@
 	g.allowance.Short(reply.Short)
 	g.allowance.Acknowledged(m.Wants)
 	g.clock.Agreed(reply.Clock, time.Since(g.began))
+	g.takeReadings(reply, time.Now())
 	for i := range m.Trials {
 		for _, t := range g.trials {
 			if t.record.Number == m.Trials[i].Number {
--- a/transport/forward/meters.go
+++ b/transport/forward/meters.go
@@ -19,6 +19,15 @@
 	resent   metrics.Counter
 	first    metrics.Timer
 
+	moves      metrics.Counter // moves are copies of runs that were begun.
+	moved      metrics.Counter // moved are runs that went on elsewhere.
+	moveFailed metrics.Counter // moveFailed are runs that had stopped and were not taken anywhere.
+	moveFreed  metrics.Counter // moveFreed are copies that served nobody.
+	moveTokens metrics.Counter // moveTokens are those of the moved prompts.
+	moveCopy   metrics.Timer   // moveCopy is how long one copy takes.
+	moveTime   metrics.Timer   // moveTime is from the first copy until the next server answers.
+	copies     metrics.Counter // copies are requests whose server was told whom to copy from.
+
 	registry metrics.Registry
 	mu       sync.Mutex // mu guards ended.
 	ended    map[outcome]metrics.Counter
@@ -40,15 +49,23 @@
 
 func newMeters(r metrics.Registry) *meters {
 	return &meters{
-		requests: metrics.GetOrRegisterCounter("requests", r),
-		answered: metrics.GetOrRegisterCounter("requests.answered", r),
-		refused:  metrics.GetOrRegisterCounter("requests.refused", r),
-		broken:   metrics.GetOrRegisterCounter("requests.broken", r),
-		attempts: metrics.GetOrRegisterCounter("attempts", r),
-		resent:   metrics.GetOrRegisterCounter("attempts.resent", r),
-		first:    metrics.GetOrRegisterTimer("first", r),
-		registry: r,
-		ended:    map[outcome]metrics.Counter{},
+		requests:   metrics.GetOrRegisterCounter("requests", r),
+		answered:   metrics.GetOrRegisterCounter("requests.answered", r),
+		refused:    metrics.GetOrRegisterCounter("requests.refused", r),
+		broken:     metrics.GetOrRegisterCounter("requests.broken", r),
+		attempts:   metrics.GetOrRegisterCounter("attempts", r),
+		resent:     metrics.GetOrRegisterCounter("attempts.resent", r),
+		first:      metrics.GetOrRegisterTimer("first", r),
+		moves:      metrics.GetOrRegisterCounter("moves.begun", r),
+		moved:      metrics.GetOrRegisterCounter("moves.done", r),
+		moveFailed: metrics.GetOrRegisterCounter("moves.failed", r),
+		moveFreed:  metrics.GetOrRegisterCounter("moves.freed", r),
+		moveTokens: metrics.GetOrRegisterCounter("moves.tokens", r),
+		moveCopy:   metrics.GetOrRegisterTimer("moves.copy", r),
+		moveTime:   metrics.GetOrRegisterTimer("moves.time", r),
+		copies:     metrics.GetOrRegisterCounter("copies", r),
+		registry:   r,
+		ended:      map[outcome]metrics.Counter{},
 	}
 }
 
--- /dev/null
+++ b/transport/forward/move.go
@@ -0,0 +1,453 @@
+package forward
+
+import (
+	"io"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"github.com/rs/zerolog"
+	"github.com/valyala/fasthttp"
+
+	"github.com/weldstream/weldstream/coordination/move"
+	"github.com/weldstream/weldstream/coordination/place"
+	"github.com/weldstream/weldstream/protocol"
+)
+
+// Mover translates the calls by which the memory of a running answer is moved.
+type Mover interface {
+	// Copy makes out the call that has a server copy a run's memory to another one.
+	Copy(out *fasthttp.Request, c CopyCall)
+	// Copied reads the answer, whose body is given.
+	Copied(status int, body []byte) CopyReply
+	// Free makes out the call that drops a copy at both its ends.
+	Free(out *fasthttp.Request, handle string)
+	// Name names a copy of a source for the request that goes on from it.
+	Name(source, handle string) string
+}
+
+// CopyCall asks for a copy of a run.
+type CopyCall struct {
+	Request string // Request is the run's identity.
+	Target  string // Target is the address of the server that takes the copy.
+	Last    bool   // Last has the run stopped first.
+}
+
+// CopyReply is the answer.
+type CopyReply struct {
+	Outcome move.Outcome
+	Handle  string
+}
+
+const (
+	// moveAhead of the end of a leaving server its runs are moved: one that ends by
+	// itself until then costs nothing. A domain's servers have some hundreds of runs, each
+	// of which takes 5 to 15 ms on its links, and a notice comes 1 to 1.7 s ahead.
+	moveAhead = time.Second
+	// moveTick is how often the runs of a leaving server are looked at: some begin, and
+	// some could not be copied at once.
+	moveTick = 40 * time.Millisecond
+	// moveAtOnce are the runs of one server that a gateway moves at a time.
+	moveAtOnce = 4
+	// moveGrace is how long after its expected end a server is still asked: the
+	// platform's word is old when it arrives, and servers often run for longer.
+	moveGrace = time.Second
+	// copyTime bounds one call. What takes longer comes too late to be of use.
+	copyTime = 600 * time.Millisecond
+	// closeTime is how long a run that has stopped may take to end its stream. Its last
+	// events are on their way; behind it they are made again by the server that goes on.
+	closeTime = 150 * time.Millisecond
+	// maxCopied bounds the answer to a call.
+	maxCopied = 64 << 10
+)
+
+// moves are the answers that run at servers which can copy them.
+type moves struct {
+	mover   Mover                            // mover is nil where nothing is moved.
+	mu      sync.Mutex                       // mu guards all below.
+	runs    map[string]map[*running]struct{} // runs are by their server.
+	leaving map[string]bool                  // leaving are servers whose runs are looked at.
+}
+
+// WithMover sets what translates the calls of moves; without it nothing is moved.
+func WithMover(m Mover) Option { return func(g *Gateway) { g.moves.mover = m } }
+
+// running is one answer that runs at a server.
+type running struct {
+	g      *Gateway
+	try    *try
+	log    zerolog.Logger
+	call   protocol.Call
+	server *place.Server
+	rank   int
+	lost   bool // lost says that the caller cannot take it up elsewhere.
+	begun  atomic.Bool
+
+	mu    sync.Mutex // mu guards all below.
+	state move.State
+	known chan struct{} // known is closed when the answer to a stop is here; nil before the stop.
+	went  time.Time     // went is when the move began.
+}
+
+// enter notes an answer that begins, if it could be moved.
+func (t *try) enter() {
+	x := t.x
+	if x.g.moves.mover == nil || x.route.Kind != protocol.RouteStream || x.copyRate() <= 0 {
+		return
+	}
+	r := &running{g: x.g, try: t, log: x.log, call: x.call, server: t.server, rank: x.priority(), lost: !x.state.Repeatable}
+	t.running = r
+	m := &x.g.moves
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.runs == nil {
+		m.runs, m.leaving = map[string]map[*running]struct{}{}, map[string]bool{}
+	}
+	if m.runs[t.server.ID] == nil {
+		m.runs[t.server.ID] = map[*running]struct{}{}
+	}
+	m.runs[t.server.ID][r] = struct{}{}
+}
+
+// leave notes that the answer of one server has ended. A run that goes on elsewhere
+// keeps its copy until that server answers.
+func (t *try) leave() {
+	r := t.running
+	if r == nil {
+		return
+	}
+	m := &t.x.g.moves
+	m.mu.Lock()
+	delete(m.runs[r.server.ID], r)
+	if len(m.runs[r.server.ID]) == 0 {
+		delete(m.runs, r.server.ID)
+	}
+	m.mu.Unlock()
+	if t.x.onward == nil || t.x.onward.run != r {
+		r.take(move.EndedMsg{})
+	}
+}
+
+// onward is where a moved run goes on.
+type onward struct {
+	run    *running
+	server *place.Server
+	handle string
+	sent   bool // sent says that the server was chosen.
+}
+
+// take takes a message and carries out what follows, but for what the goroutine of the
+// exchange does: that is returned.
+func (r *running) take(m move.Msg) (rest []move.Cmd) {
+	r.mu.Lock()
+	next, cmds := move.Next(r.state, m)
+	if next.Phase != r.state.Phase {
+		r.log.Info().Str("server", r.server.ID).Str("target", next.Target).Stringer("phase", next.Phase).Bool("home", next.AtHome).
+			Int("tries", next.Tries).Dur("after", r.since()).Msg("move")
+	}
+	r.state = next
+	for _, c := range cmds {
+		if _, ok := c.(move.StopCmd); ok {
+			r.known = make(chan struct{})
+		}
+	}
+	r.mu.Unlock()
+	for _, c := range cmds {
+		switch c := c.(type) {
+		case move.FreeCmd:
+			r.g.meters.moveFreed.Inc(1)
+			go r.free(c.Handle)
+		default:
+			rest = append(rest, c)
+		}
+	}
+	return rest
+}
+
+// since needs r.mu.
+func (r *running) since() time.Duration {
+	if r.went.IsZero() {
+		return 0
+	}
+	return time.Since(r.went)
+}
+
+// phase returns how far the run is.
+func (r *running) phase() move.Phase {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.state.Phase
+}
+
+// evacuate moves the runs of the servers that leave soon, as the list tells.
+func (g *Gateway) evacuate(v *place.View, now time.Time) {
+	m := &g.moves
+	if m.mover == nil {
+		return
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for i := range v.Servers {
+		s := &v.Servers[i]
+		if s.Leaving && s.LeftMS > 0 && !m.leaving[s.ID] && len(m.runs[s.ID]) > 0 {
+			m.leaving[s.ID] = true
+			go g.empty(s, now.Add(time.Duration(s.LeftMS)*time.Millisecond))
+		}
+	}
+}
+
+// empty moves the runs of one server until it is gone.
+func (g *Gateway) empty(s *place.Server, until time.Time) {
+	m := &g.moves
+	g.log.Info().Str("server", s.ID).Int64("left", time.Until(until).Milliseconds()).Msg("server leaves, its runs are moved")
+	time.Sleep(time.Until(until) - moveAhead)
+	for time.Now().Before(until.Add(moveGrace)) {
+		due := m.due(s.ID)
+		var batch sync.WaitGroup
+		for _, r := range due[:min(len(due), moveAtOnce)] {
+			batch.Go(r.move)
+		}
+		batch.Wait()
+		if len(due) <= moveAtOnce {
+			time.Sleep(moveTick)
+		}
+	}
+	m.mu.Lock()
+	delete(m.leaving, s.ID)
+	m.mu.Unlock()
+}
+
+// due returns the runs of a server that have begun and are not being moved, the most
+// worthwhile first.
+func (m *moves) due(server string) []*running {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var list []*running
+	var rows []move.Run
+	for r := range m.runs[server] {
+		if r.begun.Load() && r.phase() == move.Staying {
+			list = append(list, r)
+			rows = append(rows, move.Run{Priority: r.rank, Read: r.call.PromptTokens, Left: r.call.AnswerTokens, Lost: r.lost})
+		}
+	}
+	sorted := make([]*running, 0, len(list))
+	for _, i := range move.Order(rows) {
+		sorted = append(sorted, list[i])
+	}
+	return sorted
+}
+
+// move copies a run to another server and stops it at its own.
+func (r *running) move() {
+	view, now := r.g.view.Load(), time.Now()
+	target := place.Refuge(view, r.server, place.ChooseMsg{Rand: rand.Uint64(), Now: now})
+	if target == nil {
+		return // It is tried again in a while.
+	}
+	r.mu.Lock()
+	if r.went.IsZero() {
+		r.went = now
+	}
+	r.mu.Unlock()
+	for _, c := range r.take(move.LeavesMsg{Target: target.ID}) {
+		if _, ok := c.(move.CopyCmd); !ok {
+			continue
+		}
+		r.g.meters.moves.Inc(1)
+		reply := r.copy(target, false)
+		for _, c := range r.take(move.CopiedMsg{Outcome: reply.Outcome, Handle: reply.Handle}) {
+			if _, ok := c.(move.StopCmd); ok {
+				r.stop(target)
+			}
+		}
+	}
+}
+
+// stop stops the run at its server. The exchange goes on when its stream has ended.
+func (r *running) stop(target *place.Server) {
+	reply := r.copy(target, true)
+	r.take(move.StoppedMsg{Outcome: reply.Outcome, Handle: reply.Handle})
+	r.mu.Lock()
+	close(r.known)
+	stopped := r.state.Phase == move.Stopped || r.state.Phase == move.Going
+	r.mu.Unlock()
+	if !stopped {
+		return
+	}
+	time.AfterFunc(closeTime, func() {
+		if r.phase() == move.Stopped {
+			r.try.conn.Close()
+		}
+	})
+}
+
+// copy has the run's server copy it.
+func (r *running) copy(target *place.Server, last bool) CopyReply {
+	out := fasthttp.AcquireRequest()
+	defer fasthttp.ReleaseRequest(out)
+	r.g.moves.mover.Copy(out, CopyCall{Request: r.call.ID, Target: target.Address, Last: last})
+	began := time.Now()
+	status, body, err := r.g.ask(r.server, out, began.Add(copyTime))
+	var reply CopyReply
+	if err == nil {
+		reply = r.g.moves.mover.Copied(status, body)
+	}
+	r.g.meters.moveCopy.UpdateSince(began)
+	r.log.Info().Err(err).Str("server", r.server.ID).Str("target", target.ID).Bool("last", last).Int("status", status).Str("handle", reply.Handle).
+		Stringer("outcome", reply.Outcome).Dur("took", time.Since(began)).Msg("run copied")
+	return reply
+}
+
+// free drops a copy that nobody uses. If that fails it is dropped at the servers' limit.
+func (r *running) free(handle string) {
+	out := fasthttp.AcquireRequest()
+	defer fasthttp.ReleaseRequest(out)
+	r.g.moves.mover.Free(out, handle)
+	status, _, err := r.g.ask(r.server, out, time.Now().Add(copyTime))
+	r.log.Info().Err(err).Str("server", r.server.ID).Str("handle", handle).Int("status", status).Msg("copy freed")
+}
+
+// ask sends a call to a server and returns the whole answer.
+func (g *Gateway) ask(s *place.Server, out *fasthttp.Request, deadline time.Time) (status int, body []byte, err error) {
+	conn, err := g.pool.Get(s.ID, s.Address, deadline)
+	if err != nil {
+		return 0, nil, err
+	}
+	resp := fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseResponse(resp)
+	early, err := conn.Exchange(out, resp, deadline)
+	if err == nil {
+		var stream io.Reader
+		if stream, err = conn.Body(resp); err == nil {
+			body, err = io.ReadAll(io.LimitReader(stream, maxCopied))
+		}
+	}
+	if err != nil {
+		conn.Close()
+		return 0, nil, eris.Wrap(err, "call a server")
+	}
+	// A leaving server ends the connection with its answer.
+	if early || resp.ConnectionClose() || len(body) == maxCopied {
+		conn.Close()
+	} else {
+		g.pool.Put(s.ID, conn, 0)
+	}
+	return resp.StatusCode(), body, nil
+}
+
+// goesOn reports whether the answer goes on at another server, after its stream ended
+// without its end.
+func (t *try) goesOn() bool {
+	r := t.running
+	if r == nil || t.x.ctx.Err() != nil {
+		return false
+	}
+	cmds := r.take(move.BrokeMsg{})
+	r.mu.Lock()
+	known := r.known
+	r.mu.Unlock()
+	if len(cmds) == 0 && known != nil {
+		select {
+		case <-known: // The answer to the stop, or the end of its time.
+		case <-t.x.ctx.Done():
+			return false
+		}
+		cmds = r.decided()
+	}
+	for _, c := range cmds {
+		if c, ok := c.(move.GoOnCmd); ok {
+			return t.x.goOn(r, c)
+		}
+	}
+	return false
+}
+
+// decided returns what the answer to a stop led to, when the stream had ended before.
+func (r *running) decided() []move.Cmd {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.state.Phase != move.Going {
+		return nil
+	}
+	return []move.Cmd{move.GoOnCmd{Target: r.state.Target, AtHome: r.state.AtHome, Handle: r.state.Handle}}
+}
+
+// goOn has the next attempt go to where the run's memory lies. The run began, so
+// nothing may be called unrun from here on.
+func (x *exchange) goOn(r *running, c move.GoOnCmd) bool {
+	server := r.server
+	if !c.AtHome {
+		server = x.g.view.Load().Find(c.Target)
+	}
+	x.state.MayHaveRun = true
+	x.onward = &onward{run: r, server: server, handle: c.Handle}
+	if server != nil {
+		return true
+	}
+	return x.movedFailed(protocol.NotRun) // The target is listed no more.
+}
+
+// dropOnward frees the copy of a run that goes on nowhere, as its request has ended.
+func (x *exchange) dropOnward() {
+	if x.onward != nil {
+		x.onward.run.take(move.EndedMsg{})
+		x.onward = nil
+	}
+}
+
+// movedTo returns the server that a moved run goes on at, once for each, or nil.
+func (x *exchange) movedTo() *place.Server {
+	if x.onward == nil || x.onward.sent {
+		return nil
+	}
+	x.onward.sent = true
+	return x.onward.server
+}
+
+// copyName names the copy that the attempt goes on from; empty for none.
+func (x *exchange) copyName() string {
+	if x.onward == nil {
+		return ""
+	}
+	return x.g.moves.mover.Name(x.onward.run.server.Address, x.onward.handle)
+}
+
+// movedTaken notes that a server answers the run that was moved there. What is no good
+// answer ends the move when the attempt has failed.
+func (x *exchange) movedTaken(status int) {
+	if x.onward == nil || status < 200 || status >= 300 {
+		return
+	}
+	r := x.onward.run
+	x.onward = nil
+	r.take(move.TakenMsg{})
+	r.mu.Lock()
+	took := r.since()
+	r.mu.Unlock()
+	x.g.meters.moved.Inc(1)
+	x.g.meters.moveTokens.Inc(int64(x.call.PromptTokens))
+	x.g.meters.moveTime.Update(took)
+}
+
+// movedFailed reports whether a run that was sent on and not taken is to be sent on
+// once more, to the source that stopped it.
+func (x *exchange) movedFailed(v protocol.Verdict) bool {
+	if x.onward == nil {
+		return false
+	}
+	r := x.onward.run
+	x.onward = nil
+	var m move.Msg = move.LostMsg{}
+	if v == protocol.NotRun {
+		m = move.RefusedMsg{}
+	}
+	for _, c := range r.take(m) {
+		if c, ok := c.(move.GoOnCmd); ok {
+			return x.goOn(r, c)
+		}
+	}
+	x.g.meters.moveFailed.Inc(1)
+	return false
+}
--- /dev/null
+++ b/transport/forward/move_test.go
@@ -0,0 +1,393 @@
+package forward
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"github.com/weldstream/weldstream/coordination/move"
+	"github.com/weldstream/weldstream/protocol"
+)
+
+// plainMover speaks of moves in plain words.
+type plainMover struct{}
+
+func (plainMover) Copy(out *fasthttp.Request, c CopyCall) {
+	out.SetRequestURI("/copy")
+	out.Header.SetHost("h")
+	out.Header.SetMethod("POST")
+	out.SetBodyString(fmt.Sprint(c.Target, " ", c.Last))
+}
+
+func (plainMover) Copied(status int, body []byte) CopyReply {
+	outcomes := map[int]move.Outcome{200: move.Copied, 404: move.NoRun, 409: move.Busy, 503: move.NoRoom}
+	return CopyReply{Outcome: outcomes[status], Handle: string(body)}
+}
+
+func (plainMover) Free(out *fasthttp.Request, handle string) {
+	out.SetRequestURI("/free/" + handle)
+	out.Header.SetHost("h")
+	out.Header.SetMethod("DELETE")
+}
+
+func (plainMover) Name(source, handle string) string { return source + "/" + handle }
+
+// moveFaults say what goes wrong in a move.
+type moveFaults struct {
+	copies  []int // copies are the statuses of the first copies; 200 behind them, 0 for no answer.
+	stop    int   // stop is the status of the stop; 0 for no answer.
+	unnamed bool  // unnamed leaves the name out of a refused stop.
+	runs    bool  // runs has a stop that is not answered with 200 leave the run as it is.
+	dies    bool  // dies has the source break its stream when it is asked for a copy.
+	target  int   // target is the status with which another server takes the run; 0 for none.
+	garbles bool  // garbles has the target send what is no answer.
+}
+
+// fakeEngines are servers that stream some events and move runs.
+type fakeEngines struct {
+	t  *testing.T
+	w  *world
+	do moveFaults
+
+	mu       sync.Mutex
+	source   string          // source is the address of the first server that ran the request.
+	copied   int             // copied are calls for a copy.
+	copies   map[string]bool // copies are those set aside.
+	working  int             // working are servers that work on the run.
+	most     int             // most is how many did at once.
+	starts   []string        // starts are who began to work on it, and from where.
+	stopped  chan struct{}   // stopped is closed when the source has stopped the run.
+	once     sync.Once       // once closes one of both, once.
+	finished chan struct{}   // finished is closed when a run that stays may end.
+}
+
+const (
+	fakeEvents = 9
+	// movedBehind is how many events the source makes before it waits to be moved.
+	movedBehind = 3
+)
+
+func newFakeEngines(t *testing.T, do moveFaults, servers ...string) *fakeEngines {
+	w := newWorld(t)
+	w.g.moves.mover = plainMover{}
+	f := &fakeEngines{t: t, w: w, do: do, copies: map[string]bool{}, stopped: make(chan struct{}), finished: make(chan struct{})}
+	for _, id := range servers {
+		var b *backendServer
+		ready := make(chan struct{})
+		b = w.backend(id, func(c net.Conn, req *fasthttp.Request) { <-ready; f.serve(b.address, c, req) })
+		close(ready)
+	}
+	return f
+}
+
+func (f *fakeEngines) serve(address string, c net.Conn, req *fasthttp.Request) {
+	path := string(req.URI().Path())
+	switch {
+	case path == "/copy":
+		f.copy(c, string(req.Body()))
+	case strings.HasPrefix(path, "/free/"):
+		f.mu.Lock()
+		delete(f.copies, strings.TrimPrefix(path, "/free/"))
+		f.mu.Unlock()
+		say(c, 200, "", "")
+	case len(req.Header.Peek("Go-On")) > 0:
+		f.goOn(address, c, req)
+	default:
+		f.run(address, c, req)
+	}
+}
+
+func (f *fakeEngines) copy(c net.Conn, body string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	handle := "m1"
+	if strings.HasSuffix(body, "true") {
+		f.stop(c, handle)
+		return
+	}
+	status := 200
+	if f.copied < len(f.do.copies) {
+		status = f.do.copies[f.copied]
+	}
+	f.copied++
+	if f.do.dies {
+		f.once.Do(func() { close(f.stopped) })
+	}
+	switch status {
+	case 0:
+		_ = c.Close()
+	case 200:
+		f.copies[handle] = true
+		say(c, 200, "Connection: close\r\n", handle)
+	default:
+		say(c, status, "", "")
+		if f.copied == len(f.do.copies) && status == 404 {
+			f.once.Do(func() { close(f.finished) })
+		}
+	}
+}
+
+// stop answers the last call for a copy. It needs f.mu.
+func (f *fakeEngines) stop(c net.Conn, handle string) {
+	if !f.do.runs {
+		f.once.Do(func() { close(f.stopped) })
+	} else {
+		f.once.Do(func() { close(f.finished) })
+	}
+	switch {
+	case f.do.stop == 0:
+		_ = c.Close()
+	case f.do.unnamed:
+		say(c, f.do.stop, "", "")
+	default:
+		say(c, f.do.stop, "Connection: close\r\n", handle)
+	}
+}
+
+// begin notes that a server works on the run, and returns what ends that.
+func (f *fakeEngines) begin(what string) (end func()) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.starts = append(f.starts, what)
+	f.working++
+	f.most = max(f.most, f.working)
+	return func() {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		f.working--
+	}
+}
+
+func fakeEvent(n int) string { return fmt.Sprintf("id: %d\ndata: %d\n\n", n, n) }
+
+func fakeChunk(c net.Conn, text string) { _, _ = fmt.Fprintf(c, "%x\r\n%s\r\n", len(text), text) }
+
+func fakeHead(c net.Conn, seal string) {
+	_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nId: 7\r\nSeal: %s\r\nTransfer-Encoding: chunked\r\n\r\n", seal)
+}
+
+// run answers a request that does not go on from a copy.
+func (f *fakeEngines) run(address string, c net.Conn, req *fasthttp.Request) {
+	last := string(req.Header.Peek("Last"))
+	f.mu.Lock()
+	first := f.source == ""
+	if first {
+		f.source = address
+	}
+	f.mu.Unlock()
+	end := f.begin("run behind " + last)
+	fakeHead(c, address)
+	if !first {
+		from := 0
+		_, _ = fmt.Sscan(last, &from)
+		f.finish(c, from, end)
+		return
+	}
+	for n := 1; n <= movedBehind; n++ {
+		fakeChunk(c, fakeEvent(n))
+	}
+	f.w.leaves(address)
+	select {
+	case <-f.stopped:
+		// It stops in the middle of an event.
+		fakeChunk(c, "id: 4\nda")
+		end()
+		_ = c.Close()
+	case <-f.finished:
+		f.finish(c, movedBehind, end)
+	case <-time.After(patience):
+		f.t.Error("the run was neither stopped nor left alone")
+		end()
+		_ = c.Close()
+	}
+}
+
+func (*fakeEngines) finish(c net.Conn, from int, end func()) {
+	for n := from + 1; n <= fakeEvents; n++ {
+		fakeChunk(c, fakeEvent(n))
+	}
+	end()
+	_, _ = io.WriteString(c, "0\r\n\r\n")
+}
+
+// goOn answers a request that goes on from a copy.
+func (f *fakeEngines) goOn(address string, c net.Conn, req *fasthttp.Request) {
+	f.mu.Lock()
+	home := address == f.source
+	name := f.source + "/m1"
+	f.mu.Unlock()
+	if got := string(req.Header.Peek("Go-On")); got != name {
+		f.t.Errorf("goes on from %q, want %q", got, name)
+	}
+	if !home {
+		switch {
+		case f.do.garbles:
+			_, _ = io.WriteString(c, "\x00\x01garbage\r\n\r\n")
+			_ = c.Close()
+			return
+		case f.do.target == 0:
+			_ = c.Close()
+			return
+		case f.do.target == 500:
+			say(c, 500, "", "failed")
+			return
+		case f.do.target != 200:
+			say(c, f.do.target, "Not-Run: 1\r\n", "")
+			return
+		}
+	}
+	f.mu.Lock()
+	f.copies = map[string]bool{}
+	f.mu.Unlock()
+	end := f.begin(fmt.Sprintf("copy behind %s, home %v", req.Header.Peek("Last"), home))
+	from := 0
+	_, _ = fmt.Sscan(string(req.Header.Peek("Last")), &from)
+	fakeHead(c, address)
+	// An event that the caller has already comes once more.
+	fakeChunk(c, fakeEvent(from))
+	f.finish(c, from, end)
+}
+
+// leaves lists the server at an address as one that leaves.
+func (w *world) leaves(address string) {
+	for i := range w.servers {
+		if w.servers[i].Address == address {
+			w.servers[i].Leaving, w.servers[i].LeftMS = true, 100
+		}
+	}
+	w.g.SetServers(slices.Clone(w.servers))
+}
+
+// TestRunsMove moves a running answer off a leaving server, with one failure at each
+// step, on a route whose callers can resume and on one whose callers cannot. The caller
+// sees one stream with one head, whole where that is promised, never an event twice or
+// out of turn, and no copy is left behind.
+func TestRunsMove(t *testing.T) {
+	resumed := []string{"run behind ", "run behind 3"}
+	moved := []string{"run behind ", "copy behind 3, home false"}
+	home := []string{"run behind ", "copy behind 3, home true"}
+	alone := []string{"run behind "}
+	for name, c := range map[string]struct {
+		do     moveFaults
+		starts []string // starts are who worked on it.
+		broken bool     // broken says that a caller who cannot resume gets a part.
+	}{
+		"all is well":                     {moveFaults{stop: 200, target: 200}, moved, false},
+		"the first target is full":        {moveFaults{copies: []int{503}, stop: 200, target: 200}, moved, false},
+		"a copy is under way":             {moveFaults{copies: []int{409}, stop: 200, target: 200}, moved, false},
+		"a copy is not answered":          {moveFaults{copies: []int{0}, stop: 200, target: 200}, moved, false},
+		"no such run":                     {moveFaults{copies: []int{404}}, alone, false},
+		"the source dies as it copies":    {moveFaults{dies: true}, resumed, true},
+		"the stop is not answered":        {moveFaults{}, resumed, true},
+		"no room at the stop":             {moveFaults{stop: 503}, home, false},
+		"no room at the stop, no name":    {moveFaults{stop: 503, unnamed: true, runs: true}, alone, false},
+		"the stop fails, the run goes on": {moveFaults{stop: 500, unnamed: true, runs: true}, alone, false},
+		"the target refuses":              {moveFaults{stop: 200, target: 503}, home, false},
+		"the target dies":                 {moveFaults{stop: 200}, resumed, true},
+		"the target sends garbage":        {moveFaults{stop: 200, garbles: true}, resumed, true},
+		"the target fails":                {moveFaults{stop: 200, target: 500}, resumed, true},
+	} {
+		for _, resumable := range []bool{true, false} {
+			t.Run(fmt.Sprintf("%s, resumable %v", name, resumable), func(t *testing.T) {
+				f := newFakeEngines(t, c.do, "a", "b", "c")
+				f.w.installMoves(resumable)
+				got := f.w.ask()
+				broken := c.broken && !resumable
+				want, starts := "", c.starts
+				for n := 1; n <= fakeEvents && (!broken || n <= movedBehind); n++ {
+					want += fakeEvent(n)
+				}
+				if broken {
+					starts = starts[:1]
+				}
+				if got.status != 200 || got.body != want || got.broken != broken {
+					t.Errorf("status %d, broken %v, got %q, want %q", got.status, got.broken, got.body, want)
+				}
+				f.mu.Lock()
+				if !slices.Equal(f.starts, starts) || f.most > 1 {
+					t.Errorf("runs %q, %d at once, want %q", f.starts, f.most, starts)
+				}
+				f.mu.Unlock()
+				f.awaitFreed()
+			})
+		}
+	}
+}
+
+// awaitFreed waits until no copy is set aside.
+func (f *fakeEngines) awaitFreed() {
+	for end := time.Now().Add(patience); ; time.Sleep(time.Millisecond) {
+		f.mu.Lock()
+		left := len(f.copies)
+		f.mu.Unlock()
+		if left == 0 {
+			return
+		}
+		if time.Now().After(end) {
+			f.t.Error("a copy is left behind")
+			return
+		}
+	}
+}
+
+// installMoves puts a route of streams in force whose servers can move runs.
+func (w *world) installMoves(resumable bool) {
+	w.number++
+	w.g.Install(&protocol.Catalog{
+		Number:   w.number,
+		Routes:   []protocol.PathRoute{{Host: "h", Prefix: "/r/", Kind: protocol.RouteStream, Resumable: resumable, Attempts: 3, Timeout: patience, Split: []protocol.Weighted{{Service: "s", Weight: 1}}}},
+		Services: []protocol.ServiceSpec{{Name: "s", CopyRate: 100}},
+	})
+}
+
+// TestStreamGetsNoSecondHead checks that a stream which goes on at a server that answers
+// with a failure is cut: the failure's head would stand among its events.
+func TestStreamGetsNoSecondHead(t *testing.T) {
+	for _, attempts := range []int{2, 3} {
+		w := newWorld(t)
+		w.install(protocol.PathRoute{Kind: protocol.RouteStream, Resumable: true, Attempts: attempts})
+		var first sync.Once
+		serve := func(c net.Conn, _ *fasthttp.Request) {
+			broke := false
+			first.Do(func() {
+				broke = true
+				fakeHead(c, "")
+				fakeChunk(c, fakeEvent(1))
+				_ = c.Close()
+			})
+			if !broke {
+				say(c, 500, "", "failed")
+			}
+		}
+		for _, id := range []string{"a", "b", "c"} {
+			w.backend(id, serve)
+		}
+		if got := w.raw(); strings.Count(got, "HTTP/1.1") != 1 || !strings.HasSuffix(got, fakeEvent(1)+"\r\n") {
+			t.Errorf("%d attempts: the caller got %q", attempts, got)
+		}
+	}
+}
+
+// raw sends a request and returns all bytes that come until the connection ends.
+func (w *world) raw() string {
+	w.t.Helper()
+	conn, err := net.Dial("tcp", w.address)
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	defer conn.Close()
+	_ = conn.SetDeadline(time.Now().Add(patience))
+	_, _ = io.WriteString(conn, "POST /r/x HTTP/1.1\r\nHost: h\r\nId: 7\r\nConnection: close\r\nContent-Length: 0\r\n\r\n")
+	data, err := io.ReadAll(conn)
+	if err != nil {
+		w.t.Logf("read: %v", err) // A reset ends it as well.
+	}
+	return string(data)
+}
--- a/transport/forward/stream.go
+++ b/transport/forward/stream.go
@@ -99,6 +99,10 @@
 func (t *try) streamBroke(err error) *protocol.Refusal {
 	x := t.x
 	x.events.rest = x.events.rest[:0]
+	if t.goesOn() {
+		t.conn.Close()
+		return errAgain
+	}
 	x.g.meters.broken.Inc(1)
 	return t.lost(err)
 }
--- a/transport/forward/trial.go
+++ b/transport/forward/trial.go
@@ -158,8 +158,8 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	t := g.trials[x.service]
-	if t == nil {
-		return
+	if t == nil || x.onward != nil {
+		return // A moved run is the same run.
 	}
 	if x.state.Sent == 0 && x.state.Connects == 0 {
 		t.arrived++
