--- a/coordination/place/holders.go
+++ b/coordination/place/holders.go
@@ -34,6 +34,9 @@
 	// to be asked before a nearer one. Between domains a copy takes twice as long, and
 	// the first bytes of one come some milliseconds later between regions.
 	distanceTokens = 256
+	// ageTokens are as many for each second since it read them: what was unused for
+	// longest is what a server drops first.
+	ageTokens = 100
 )
 
 // linkKey is the part of a link's hash by which it is remembered. Two links that share
@@ -136,7 +139,7 @@
 
 // Find returns the server to copy a prompt's shared parts from, and how many of their
 // tokens it holds: one that holds more, and of those that hold about as much the
-// nearest to a domain. A server that may not be asked is passed over. One that leaves
+// nearest to a domain and the one that read them last. A server that may not be asked is passed over. One that leaves
 // is asked while it is listed.
 func (h *Holders) Find(v *View, chain []protocol.PromptLink, domain string, may func(*Server) bool, now time.Time) (holder string, tokens int) {
 	best := math.MinInt
@@ -149,7 +152,7 @@
 			if s == nil || !may(s) {
 				continue
 			}
-			worth := link.Tokens - distanceTokens*int(h.topology.Distance(s.Domain, domain))
+			worth := link.Tokens - distanceTokens*int(h.topology.Distance(s.Domain, domain)) - int(ageTokens*now.Sub(r.at).Seconds())
 			if worth > best {
 				best, holder, tokens = worth, r.server, link.Tokens
 			}
--- a/coordination/place/holders_test.go
+++ b/coordination/place/holders_test.go
@@ -37,6 +37,7 @@
 func TestHoldersFind(t *testing.T) {
 	list := []protocol.Instance{
 		{ID: "near", Service: "m", Domain: "a1"}, {ID: "same", Service: "m", Domain: "a2"}, {ID: "far", Service: "m", Domain: "b1"},
+		{ID: "old", Service: "m", Domain: "b1"},
 	}
 	v := NewView(list, nil)
 	regions := topology.New(map[string]string{"a1": "a", "a2": "a", "b1": "b"})
@@ -55,11 +56,16 @@
 		"a part is better than none": {map[string][]protocol.PromptLink{"far": first}, all, 0, "far", 1000},
 		"not one that may not":       {map[string][]protocol.PromptLink{"far": whole, "near": whole}, func(s *Server) bool { return s.ID != "near" }, 0, "far", 1500},
 		"not one that is gone":       {map[string][]protocol.PromptLink{"gone": whole}, all, 0, "", 0},
+		"the latest of as near ones": {map[string][]protocol.PromptLink{"far": whole, "old": whole}, all, 0, "far", 1500},
 		"not one of long ago":        {map[string][]protocol.PromptLink{"near": whole}, all, prefixKept, "", 0},
 	} {
 		h := NewHolders(regions)
 		for server, chain := range c.read {
-			h.Read(server, chain, start)
+			at := start
+			if server == "old" {
+				at = start.Add(-10 * time.Second)
+			}
+			h.Read(server, chain, at)
 		}
 		if holder, tokens := h.Find(v, whole, "a1", c.may, start.Add(c.after)); holder != c.holder || tokens != c.tokens {
 			t.Errorf("%s: found %q with %d tokens, want %q with %d", name, holder, tokens, c.holder, c.tokens)
--- a/transport/forward/move.go
+++ b/transport/forward/move.go
@@ -68,6 +68,7 @@
 	mover   Mover                            // mover is nil where nothing is moved.
 	mu      sync.Mutex                       // mu guards all below.
 	runs    map[string]map[*running]struct{} // runs are by their server.
+	until   map[string]time.Time             // until is when leaving servers end, by the first notice of each.
 	leaving map[string]bool                  // leaving are servers whose runs are looked at.
 }
 
@@ -102,13 +103,11 @@
 	m := &x.g.moves
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if m.runs == nil {
-		m.runs, m.leaving = map[string]map[*running]struct{}{}, map[string]bool{}
-	}
 	if m.runs[t.server.ID] == nil {
 		m.runs[t.server.ID] = map[*running]struct{}{}
 	}
 	m.runs[t.server.ID][r] = struct{}{}
+	x.g.look(t.server)
 }
 
 // leave notes that the answer of one server has ended. A run that goes on elsewhere
@@ -143,7 +142,7 @@
 func (r *running) take(m move.Msg) (rest []move.Cmd) {
 	r.mu.Lock()
 	next, cmds := move.Next(r.state, m)
-	if next.Phase != r.state.Phase {
+	if next.Phase != r.state.Phase && !r.went.IsZero() {
 		r.log.Info().Str("server", r.server.ID).Str("target", next.Target).Stringer("phase", next.Phase).Bool("home", next.AtHome).
 			Int("tries", next.Tries).Dur("after", r.since()).Msg("move")
 	}
@@ -189,21 +188,41 @@
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	until := map[string]time.Time{}
 	for i := range v.Servers {
 		s := &v.Servers[i]
-		if s.Leaving && s.LeftMS > 0 && !m.leaving[s.ID] && len(m.runs[s.ID]) > 0 {
-			m.leaving[s.ID] = true
-			go g.empty(s, now.Add(time.Duration(s.LeftMS)*time.Millisecond))
+		if !s.Leaving || s.LeftMS <= 0 {
+			continue
 		}
+		until[s.ID] = now.Add(time.Duration(s.LeftMS) * time.Millisecond)
+		if first, ok := m.until[s.ID]; ok {
+			until[s.ID] = first
+		}
+	}
+	m.until = until
+	for i := range v.Servers {
+		g.look(&v.Servers[i])
+	}
+}
+
+// look begins to look at the runs of a server if it leaves and has any. It needs the
+// lock of the moves.
+func (g *Gateway) look(s *place.Server) {
+	m := &g.moves
+	until, leaves := m.until[s.ID]
+	if !leaves || m.leaving[s.ID] || len(m.runs[s.ID]) == 0 {
+		return
 	}
+	m.leaving[s.ID] = true
+	go g.empty(s, until)
 }
 
-// empty moves the runs of one server until it is gone.
+// empty moves the runs of one server until none is left, or the server is gone.
 func (g *Gateway) empty(s *place.Server, until time.Time) {
 	m := &g.moves
 	g.log.Info().Str("server", s.ID).Int64("left", time.Until(until).Milliseconds()).Msg("server leaves, its runs are moved")
 	time.Sleep(time.Until(until) - moveAhead)
-	for time.Now().Before(until.Add(moveGrace)) {
+	for m.looks(s.ID, until.Add(moveGrace)) {
 		due := m.due(s.ID)
 		var batch sync.WaitGroup
 		for _, r := range due[:min(len(due), moveAtOnce)] {
@@ -214,9 +233,18 @@
 			time.Sleep(moveTick)
 		}
 	}
+}
+
+// looks reports whether a leaving server has runs and is not gone. Otherwise the next
+// run has it looked at anew.
+func (m *moves) looks(server string, gone time.Time) bool {
 	m.mu.Lock()
-	delete(m.leaving, s.ID)
-	m.mu.Unlock()
+	defer m.mu.Unlock()
+	if len(m.runs[server]) == 0 || time.Now().After(gone) {
+		delete(m.leaving, server)
+		return false
+	}
+	return true
 }
 
 // due returns the runs of a server that have begun and are not being moved, the most
