--- a/coordination/move/move.go
+++ b/coordination/move/move.go
@@ -137,8 +137,12 @@
 // BreakCmd ends the run as any broken stream.
 type BreakCmd struct{}
 
-// FreeCmd has the source, and with it the target, drop a copy that nobody uses.
-type FreeCmd struct{ Handle string }
+// FreeCmd has the source, and with it the target, drop a copy that nobody uses, or the
+// target alone where the source is gone.
+type FreeCmd struct {
+	Handle string
+	Target string
+}
 
 func (CopyCmd) cmd()  {}
 func (StopCmd) cmd()  {}
@@ -181,7 +185,7 @@
 // copied goes on to stop a run of which a copy lies at the target.
 func (s State) copied(m CopiedMsg) (State, []Cmd) {
 	if s.Phase != Copying {
-		return s, free(m.Handle) // The run ended, or broke off, meanwhile.
+		return s, s.free(m.Handle) // The run ended, or broke off, meanwhile.
 	}
 	switch m.Outcome {
 	case Copied:
@@ -189,14 +193,14 @@
 		return s, []Cmd{StopCmd{Target: s.Target}}
 	case NoRun:
 		s.Phase = Over
-		return s, free(m.Handle)
+		return s, s.free(m.Handle)
 	}
 	return s.stays(m.Handle)
 }
 
 // stays gives up a copy; another one may follow.
 func (s State) stays(handle string) (State, []Cmd) {
-	cmds := free(handle)
+	cmds := s.free(handle)
 	s.Phase, s.Target, s.Handle = Staying, "", ""
 	s.Tries++
 	return s, cmds
@@ -205,7 +209,7 @@
 // stopped sends the run on once its stream has ended, or gives the copy up.
 func (s State) stopped(m StoppedMsg) (State, []Cmd) {
 	if s.Phase != Stopping {
-		return s, free(m.Handle) // The request ended meanwhile.
+		return s, s.free(m.Handle) // The request ended meanwhile.
 	}
 	switch {
 	case m.Outcome == Copied && m.Handle != "":
@@ -214,7 +218,7 @@
 		s.Phase, s.Handle, s.AtHome = Stopped, m.Handle, true
 	case s.Broke:
 		// Nothing proves that the run has stopped because it was told to.
-		cmds := append([]Cmd{BreakCmd{}}, free(s.Handle)...)
+		cmds := append([]Cmd{BreakCmd{}}, s.free(s.Handle)...)
 		s.Phase, s.Handle = Over, ""
 		return s, cmds
 	default:
@@ -272,21 +276,21 @@
 	if s.Phase != Going {
 		return s, nil
 	}
-	cmds := append([]Cmd{BreakCmd{}}, free(s.Handle)...)
+	cmds := append([]Cmd{BreakCmd{}}, s.free(s.Handle)...)
 	s.Phase, s.Handle = Over, ""
 	return s, cmds
 }
 
 // ended frees what was set aside. A copy under way is freed when its answer comes.
 func (s State) ended() (State, []Cmd) {
-	cmds := free(s.Handle)
+	cmds := s.free(s.Handle)
 	s.Phase, s.Handle = Over, ""
 	return s, cmds
 }
 
-func free(handle string) []Cmd {
+func (s State) free(handle string) []Cmd {
 	if handle == "" {
 		return nil
 	}
-	return []Cmd{FreeCmd{Handle: handle}}
+	return []Cmd{FreeCmd{Handle: handle, Target: s.Target}}
 }
--- a/transport/forward/move.go
+++ b/transport/forward/move.go
@@ -157,7 +157,7 @@
 		switch c := c.(type) {
 		case move.FreeCmd:
 			r.g.meters.moveFreed.Inc(1)
-			go r.free(c.Handle)
+			go r.free(c)
 		default:
 			rest = append(rest, c)
 		}
@@ -328,13 +328,24 @@
 	return reply
 }
 
-// free drops a copy that nobody uses. If that fails it is dropped at the servers' limit.
-func (r *running) free(handle string) {
+// free drops a copy that nobody uses, at its source and with that at both ends, or at
+// the target if the source is gone. If both fail it is dropped at the servers' limit.
+func (r *running) free(c move.FreeCmd) {
+	for _, s := range []*place.Server{r.server, r.g.view.Load().Find(c.Target)} {
+		if s != nil && r.freeAt(s, c.Handle) {
+			return
+		}
+	}
+}
+
+// freeAt reports whether a server dropped a copy.
+func (r *running) freeAt(s *place.Server, handle string) bool {
 	out := fasthttp.AcquireRequest()
 	defer fasthttp.ReleaseRequest(out)
 	r.g.moves.mover.Free(out, handle)
-	status, _, err := r.g.ask(r.server, out, time.Now().Add(copyTime))
-	r.log.Info().Err(err).Str("server", r.server.ID).Str("handle", handle).Int("status", status).Msg("copy freed")
+	status, _, err := r.g.ask(s, out, time.Now().Add(copyTime))
+	r.log.Info().Err(err).Str("server", s.ID).Str("handle", handle).Int("status", status).Msg("copy freed")
+	return err == nil && status < fasthttp.StatusBadRequest
 }
 
 // ask sends a call to a server and returns the whole answer.
