--- a/cmd/weldstreamd/gateway.go
+++ b/cmd/weldstreamd/gateway.go
@@ -95,8 +95,10 @@
 		QuotaWindow: n.Bounds.QuotaWindow,
 		UsageWindow: n.Bounds.UsageWindow,
 		UsageDue:    n.Bounds.UsageDue,
+		NoCopies:    !n.Prompts.Copies,
+		MoveAhead:   n.Prompts.MoveAhead,
 	}, platform.Dialect{}, forward.WithLogger(r.log), forward.WithRegistry(r.registry), forward.WithSyncNow(func() { g.client.SyncNow() }),
-		forward.WithMover(platform.Mover{}),
+		forward.WithMover(mover(n)),
 		forward.WithPlace(func(m protocol.PlaceMsg) (protocol.PlaceReply, bool) { return g.client.Place(m) }))
 	g.server = caller.NewServer(g.forward)
 	seeds, err := r.peersOfSeeds(n)
@@ -109,6 +111,14 @@
 	return g.run()
 }
 
+// mover returns what translates the calls of moves, or nil where nothing is moved.
+func mover(n *settings.Node) forward.Mover {
+	if !n.Prompts.Moves {
+		return nil
+	}
+	return platform.Mover{}
+}
+
 func (g *gateway) ready() bool { return !g.stopping.Load() && g.forward.Ready() }
 
 func (g *gateway) run() error {
@@ -173,15 +183,16 @@
 
 // gatewayDump is a gateway's state on request.
 type gatewayDump struct {
-	Name        string `json:"name"`
-	Ready       bool   `json:"ready"`
-	Number      uint64 `json:"number"`
-	AgeMS       int64  `json:"age_ms"` // AgeMS is since Number was known to be the newest; -1 for never.
-	Connections int    `json:"connections"`
+	Name        string       `json:"name"`
+	Ready       bool         `json:"ready"`
+	Number      uint64       `json:"number"`
+	AgeMS       int64        `json:"age_ms"` // AgeMS is since Number was known to be the newest; -1 for never.
+	Connections int          `json:"connections"`
+	Memory      forward.Dump `json:"prompt_memory"` // Memory is what is known of what servers have read.
 }
 
 func (g *gateway) dump() any {
-	d := gatewayDump{Name: g.settings.Name, Ready: g.ready(), Number: g.forward.Number(), AgeMS: -1, Connections: g.server.Conns()}
+	d := gatewayDump{Name: g.settings.Name, Ready: g.ready(), Number: g.forward.Number(), AgeMS: -1, Connections: g.server.Conns(), Memory: g.forward.DumpMemory()}
 	if age, ok := g.forward.Age(); ok {
 		d.AgeMS = age.Milliseconds()
 	}
--- a/coordination/move/move.go
+++ b/coordination/move/move.go
@@ -72,7 +72,7 @@
 
 // mostTries bounds the copies of one run that come to nothing: each holds a link and
 // a target's memory for some milliseconds.
-const mostTries = 4
+const mostTries = 8
 
 // Msg is what happened.
 type Msg interface{ msg() }
--- a/coordination/place/holders.go
+++ b/coordination/place/holders.go
@@ -125,6 +125,9 @@
 	return false
 }
 
+// Len returns how many links are remembered.
+func (h *Holders) Len() int { return len(h.links) }
+
 // Held returns how many tokens of a prompt's shared parts a server holds.
 func (h *Holders) Held(server string, chain []protocol.PromptLink, now time.Time) int {
 	for i := len(chain) - 1; i >= 0; i-- {
--- a/settings/defaults.go
+++ b/settings/defaults.go
@@ -49,6 +49,9 @@
 	DefaultTrialShare   = 0.1                    // the part of a service's requests that a version may get before a roll-out moves to it
 	DefaultTrialSlack   = 50.0                   // requests that it may get besides
 	DefaultOrderRepeat  = 5 * time.Second        // the order of a roll-out may be sent again for so long
+	DefaultCopies       = true                   // shared parts of prompts are copied between servers
+	DefaultMoves        = true                   // running answers of leaving servers go on elsewhere
+	DefaultMoveAhead    = time.Second            // before its end a leaving server's answers are moved: a domain's servers have hundreds, of 5 to 200 ms each on their links
 	DefaultNodeElection = 200 * time.Millisecond // least election timeout of control instances
 	DefaultNodeBeat     = 40 * time.Millisecond  // between two heartbeats of their leader
 	DefaultNodeSnapshot = 1024                   // log entries between two snapshots of a control instance
--- a/settings/node.go
+++ b/settings/node.go
@@ -35,6 +35,7 @@
 	MemoryMB    int               `yaml:"memory_mb" validate:"min=0"`                       // MemoryMB is what the process may take; 0 sets no limit.
 	Source      NodeSource        `yaml:"source" validate:"required"`                       // Source is the platform's API.
 	Bounds      NodeBounds        `yaml:"bounds"`                                           // Bounds are the promises that timers are derived from.
+	Prompts     NodePrompts       `yaml:"prompts"`                                          // Prompts says what a gateway does with what servers have read of prompts.
 	LogLevel    string            `yaml:"log_level" validate:"oneof=debug info warn error"` // LogLevel is the least level that is logged.
 	Replication Replica           `yaml:"replica"`                                          // Replication tunes the group.
 }
@@ -65,6 +66,14 @@
 	OrderRepeat time.Duration `yaml:"order_repeat" validate:"dmin=0s,dmax=1h"`    // OrderRepeat is how long the order of a roll-out may be sent again.
 }
 
+// NodePrompts are switches of what a gateway does with the memory of prompts, where the
+// configuration says that a service's servers offer it.
+type NodePrompts struct {
+	Copies    bool          `yaml:"copies"`                                  // Copies has servers copy shared parts that another one has read.
+	Moves     bool          `yaml:"moves"`                                   // Moves has running answers of leaving servers go on elsewhere.
+	MoveAhead time.Duration `yaml:"move_ahead" validate:"dmin=50ms,dmax=1m"` // MoveAhead is how long before its end a leaving server's answers are moved.
+}
+
 // NewNode returns node settings with every default filled in.
 func NewNode() *Node {
 	return &Node{
@@ -83,6 +92,7 @@
 			TrialSlack:  DefaultTrialSlack,
 			OrderRepeat: DefaultOrderRepeat,
 		},
+		Prompts:     NodePrompts{Copies: DefaultCopies, Moves: DefaultMoves, MoveAhead: DefaultMoveAhead},
 		Replication: Replica{Election: DefaultNodeElection, Heartbeat: DefaultNodeBeat, SnapshotEntries: DefaultNodeSnapshot, ReserveBytes: DefaultNodeReserve, Batch: DefaultCommitBatch},
 	}
 }
--- a/transport/forward/attempt.go
+++ b/transport/forward/attempt.go
@@ -146,6 +146,10 @@
 		}
 		err = t.skip()
 	}
+	if err != nil && t.goesOn() {
+		t.conn.Close()
+		return errAgain
+	}
 	if err != nil {
 		return t.lost(err)
 	}
--- a/transport/forward/exchange.go
+++ b/transport/forward/exchange.go
@@ -221,7 +221,7 @@
 		Chain:   x.chain,
 		Domain:  x.g.cfg.Domain,
 		Avoid:   x.avoid,
-		Copies:  x.copyRate(),
+		Copies:  x.copiesRate(),
 		Parts:   x.parts,
 		Target:  x.route.Target,
 		Gap:     x.route.TargetGap,
@@ -247,6 +247,14 @@
 	return 0
 }
 
+// copiesRate is copyRate, or 0 where nothing is to be copied for prompts.
+func (x *exchange) copiesRate() float64 {
+	if x.g.cfg.NoCopies {
+		return 0
+	}
+	return x.copyRate()
+}
+
 // choose returns a server to send to.
 func (x *exchange) choose() (*place.Server, *protocol.Refusal) {
 	if s := x.movedTo(); s != nil {
--- a/transport/forward/forward.go
+++ b/transport/forward/forward.go
@@ -49,6 +49,8 @@
 	QuotaWindow time.Duration // QuotaWindow is the window in which quotas are bounded.
 	UsageWindow time.Duration // UsageWindow is the length of a window of usage reports.
 	UsageDue    time.Duration // UsageDue is how long after a window its report is due.
+	NoCopies    bool          // NoCopies has no server copy shared parts of prompts from another one.
+	MoveAhead   time.Duration // MoveAhead is how long before the end of a leaving server its answers are moved; 0 for as soon as it is known.
 }
 
 // Gateway forwards requests.
--- a/transport/forward/meters.go
+++ b/transport/forward/meters.go
@@ -23,6 +23,7 @@
 	moved      metrics.Counter // moved are runs that went on elsewhere.
 	moveFailed metrics.Counter // moveFailed are runs that had stopped and were not taken anywhere.
 	moveFreed  metrics.Counter // moveFreed are copies that served nobody.
+	moveHeld   metrics.Counter // moveHeld are copies that are set aside now.
 	moveTokens metrics.Counter // moveTokens are those of the moved prompts.
 	moveCopy   metrics.Timer   // moveCopy is how long one copy takes.
 	moveTime   metrics.Timer   // moveTime is from the first copy until the next server answers.
@@ -56,10 +57,11 @@
 		attempts:   metrics.GetOrRegisterCounter("attempts", r),
 		resent:     metrics.GetOrRegisterCounter("attempts.resent", r),
 		first:      metrics.GetOrRegisterTimer("first", r),
-		moves:      metrics.GetOrRegisterCounter("moves.begun", r),
-		moved:      metrics.GetOrRegisterCounter("moves.done", r),
-		moveFailed: metrics.GetOrRegisterCounter("moves.failed", r),
+		moves:      metrics.GetOrRegisterCounter(`moves.begun{cause="leaving"}`, r),
+		moved:      metrics.GetOrRegisterCounter(`moves.done{cause="leaving"}`, r),
+		moveFailed: metrics.GetOrRegisterCounter(`moves.failed{cause="leaving"}`, r),
 		moveFreed:  metrics.GetOrRegisterCounter("moves.freed", r),
+		moveHeld:   metrics.GetOrRegisterCounter("moves.held", r),
 		moveTokens: metrics.GetOrRegisterCounter("moves.tokens", r),
 		moveCopy:   metrics.GetOrRegisterTimer("moves.copy", r),
 		moveTime:   metrics.GetOrRegisterTimer("moves.time", r),
--- a/transport/forward/move.go
+++ b/transport/forward/move.go
@@ -42,10 +42,9 @@
 }
 
 const (
-	// moveAhead of the end of a leaving server its runs are moved: one that ends by
-	// itself until then costs nothing. A domain's servers have some hundreds of runs, each
-	// of which takes 5 to 15 ms on its links, and a notice comes 1 to 1.7 s ahead.
-	moveAhead = time.Second
+	// moveUnbegun of the end of a leaving server also runs are moved whose first event has
+	// not come: it can no longer be waited for.
+	moveUnbegun = 500 * time.Millisecond
 	// moveTick is how often the runs of a leaving server are looked at: some begin, and
 	// some could not be copied at once.
 	moveTick = 40 * time.Millisecond
@@ -146,6 +145,7 @@
 		r.log.Info().Str("server", r.server.ID).Str("target", next.Target).Stringer("phase", next.Phase).Bool("home", next.AtHome).
 			Int("tries", next.Tries).Dur("after", r.since()).Msg("move")
 	}
+	r.g.meters.moveHeld.Inc(held(next) - held(r.state))
 	r.state = next
 	for _, c := range cmds {
 		if _, ok := c.(move.StopCmd); ok {
@@ -165,6 +165,14 @@
 	return rest
 }
 
+// held is 1 for a run of which a copy is set aside.
+func held(s move.State) int64 {
+	if s.Handle == "" {
+		return 0
+	}
+	return 1
+}
+
 // since needs r.mu.
 func (r *running) since() time.Duration {
 	if r.went.IsZero() {
@@ -221,9 +229,11 @@
 func (g *Gateway) empty(s *place.Server, until time.Time) {
 	m := &g.moves
 	g.log.Info().Str("server", s.ID).Int64("left", time.Until(until).Milliseconds()).Msg("server leaves, its runs are moved")
-	time.Sleep(time.Until(until) - moveAhead)
+	if g.cfg.MoveAhead > 0 {
+		time.Sleep(time.Until(until) - g.cfg.MoveAhead)
+	}
 	for m.looks(s.ID, until.Add(moveGrace)) {
-		due := m.due(s.ID)
+		due := m.due(s.ID, time.Until(until) < moveUnbegun)
 		var batch sync.WaitGroup
 		for _, r := range due[:min(len(due), moveAtOnce)] {
 			batch.Go(r.move)
@@ -247,15 +257,15 @@
 	return true
 }
 
-// due returns the runs of a server that have begun and are not being moved, the most
-// worthwhile first.
-func (m *moves) due(server string) []*running {
+// due returns the runs of a server that are not being moved, the most worthwhile first:
+// those that have begun, or all.
+func (m *moves) due(server string, all bool) []*running {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	var list []*running
 	var rows []move.Run
 	for r := range m.runs[server] {
-		if r.begun.Load() && r.phase() == move.Staying {
+		if (all || r.begun.Load()) && r.phase() == move.Staying {
 			list = append(list, r)
 			rows = append(rows, move.Run{Priority: r.rank, Read: r.call.PromptTokens, Left: r.call.AnswerTokens, Lost: r.lost})
 		}
@@ -285,6 +295,9 @@
 		}
 		r.g.meters.moves.Inc(1)
 		reply := r.copy(target, false)
+		if reply.Outcome == move.NoRun && !r.begun.Load() {
+			reply.Outcome = move.Busy // It waits, and may run in a moment.
+		}
 		for _, c := range r.take(move.CopiedMsg{Outcome: reply.Outcome, Handle: reply.Handle}) {
 			if _, ok := c.(move.StopCmd); ok {
 				r.stop(target)
@@ -490,3 +503,40 @@
 	x.g.meters.moveFailed.Inc(1)
 	return false
 }
+
+// Dump is what a gateway tells of prompt memory on request.
+type Dump struct {
+	Links int       `json:"links"` // Links are the parts of prompts whose holders are remembered.
+	Moves []MoveRow `json:"moves"` // Moves are the answers that are being moved.
+}
+
+// MoveRow is one answer that is being moved.
+type MoveRow struct {
+	Request string `json:"request"`
+	Server  string `json:"server"`
+	Target  string `json:"target"`
+	Phase   string `json:"phase"`
+	Tokens  int    `json:"tokens"`
+	AgeMS   int64  `json:"age_ms"`
+}
+
+// DumpMemory returns what is known of prompt memory.
+func (g *Gateway) DumpMemory() Dump {
+	d := Dump{Moves: []MoveRow{}}
+	g.mu.Lock()
+	d.Links = g.memory.holders.Len()
+	g.mu.Unlock()
+	m := &g.moves
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, runs := range m.runs {
+		for r := range runs {
+			r.mu.Lock()
+			if !r.went.IsZero() {
+				d.Moves = append(d.Moves, MoveRow{Request: r.call.ID, Server: r.server.ID, Target: r.state.Target, Phase: r.state.Phase.String(), Tokens: r.call.PromptTokens, AgeMS: r.since().Milliseconds()})
+			}
+			r.mu.Unlock()
+		}
+	}
+	return d
+}
