The soak takes servers away with what runs there

Cause: no drawn plan had a server end under its streams.

Change: Plan.WithReclaims adds such steps from draws of its own, so that the other steps of a seed stay as they are; weldsoak -reclaim; the stand-ins watch that no two servers work on one stream for over 0.4 s.

--- a/cmd/weldsoak/main.go
+++ b/cmd/weldsoak/main.go
@@ -30,6 +30,7 @@
 	flag.IntVar(&size.Controls, "controls", 3, "control instances, 1 to 9")
 	flag.IntVar(&size.Gateways, "gateways", 3, "gateways, 1 to 30")
 	flag.IntVar(&size.Backends, "backends", 6, "backend servers, 1 to 30")
+	reclaim := flag.Bool("reclaim", false, "take servers away with what runs there as well")
 	flag.Parse()
 	seeds, err := parseSeeds(*list, *first, *count)
 	if err != nil || *daemon == "" || flag.NArg() > 0 || !sound(size) {
@@ -41,7 +42,7 @@
 	}
 	failed := 0
 	for _, seed := range seeds {
-		if !play(*daemon, seed, *length, size) {
+		if !play(*daemon, seed, *length, size, *reclaim) {
 			failed++
 		}
 	}
@@ -77,7 +78,7 @@
 
 // play runs one seed and reports whether every promise held. Logs of a run that
 // broke one are kept.
-func play(daemon string, seed uint64, length time.Duration, size soak.Size) bool {
+func play(daemon string, seed uint64, length time.Duration, size soak.Size, reclaim bool) bool {
 	dir, err := os.MkdirTemp("", fmt.Sprintf("weldsoak-%d-", seed))
 	if err != nil {
 		fmt.Fprintln(os.Stderr, "weldsoak:", err)
@@ -89,11 +90,14 @@
 		return false
 	}
 	plan := soak.Draw(seed, length, size)
+	if reclaim {
+		plan = plan.WithReclaims(size)
+	}
 	result, err := soak.Run(c, plan)
 	c.Close()
 	if err == nil && len(result.Breaches) == 0 {
-		fmt.Printf("seed %d: %d faults, %d of %d requests served, %d roll-outs completed, %d turned back, nothing broken\n",
-			seed, len(plan.Steps), result.Served, result.Asked, result.Completed, result.RolledBack)
+		fmt.Printf("seed %d: %d faults, %d of %d requests served, %d roll-outs completed, %d turned back, %d answers moved, nothing broken\n",
+			seed, len(plan.Steps), result.Served, result.Asked, result.Completed, result.RolledBack, result.Moved)
 		return os.RemoveAll(dir) == nil
 	}
 	fmt.Printf("seed %d: BROKEN, error %v, logs in %s\n%s", seed, err, dir, plan)
--- a/internal/soak/move_test.go
+++ b/internal/soak/move_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -143,3 +144,32 @@
 	}
 	t.Errorf("%d copies are set aside for nobody", left)
 }
+
+// TestReclaimSeeds plays plans that take servers away with what runs there, beside all
+// other faults. The other steps of a seed stay as they are.
+func TestReclaimSeeds(t *testing.T) {
+	for _, seed := range []uint64{1, 2} {
+		plain := Draw(seed, 6*time.Second, small)
+		plan := plain.WithReclaims(small)
+		others := slices.DeleteFunc(slices.Clone(plan.Steps), func(s Step) bool { return s.Fault == FaultReclaim })
+		if !slices.Equal(others, plain.Steps) || len(others) == len(plan.Steps) {
+			t.Fatalf("the plan changed:\n%s%s", plain, plan)
+		}
+		c, err := New(t.TempDir(), daemon, small)
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Log(plan)
+		result, err := Run(c, plan)
+		c.Close()
+		if err != nil {
+			t.Fatal(err)
+		}
+		for _, b := range result.Breaches {
+			t.Error(b)
+		}
+		if result.Moved == 0 || result.Served == 0 {
+			t.Errorf("%d answers moved, %d requests served", result.Moved, result.Served)
+		}
+	}
+}
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -24,10 +24,11 @@
 	FaultReplies              // FaultReplies has backend servers shed, fail, lose and break off.
 	FaultAPI                  // FaultAPI has the platform's API fail.
 	FaultDamage               // FaultDamage kills a control instance and flips a bit in its log.
-	faults
+	faults                    // faults are those above, which Draw draws from.
+	FaultReclaim              // FaultReclaim takes a server away after a notice; see WithReclaims.
 )
 
-var faultNames = [...]string{"kill", "pause", "stop", "reload", "wipe", "link", "server", "reset", "replies", "api", "damage"}
+var faultNames = [...]string{"kill", "pause", "stop", "reload", "wipe", "link", "server", "reset", "replies", "api", "damage", "", "reclaim"}
 
 // String returns the fault's name.
 func (f Fault) String() string { return faultNames[f] }
@@ -46,6 +47,8 @@
 	Seed   uint64
 	Length time.Duration
 	Steps  []Step
+	// Reclaims says that servers are taken away with what runs there.
+	Reclaims bool
 }
 
 const (
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -17,6 +18,7 @@
 	Served     int
 	Completed  int // Completed and RolledBack are how roll-outs ended.
 	RolledBack int
+	Moved      int // Moved are running answers that went on at another server.
 	Breaches   []string
 }
 
@@ -34,6 +36,7 @@
 func Run(c *Cluster, p Plan) (Result, error) {
 	k := NewChecker(c.Record)
 	o := NewOperator(c, k)
+	c.prepare(p)
 	if err := c.Start(); err != nil {
 		return Result{}, err
 	}
@@ -64,7 +67,8 @@
 	r.recover()
 	k.Finish()
 	rollouts.Finish()
-	return Result{Asked: len(k.asks), Served: k.Served(), Completed: rollouts.Completed, RolledBack: rollouts.RolledBack, Breaches: append(k.Breaches(), c.API.Breaches()...)}, nil
+	return Result{Asked: len(k.asks), Served: k.Served(), Completed: rollouts.Completed, RolledBack: rollouts.RolledBack, Moved: c.Record.Moved(),
+		Breaches: slices.Concat(k.Breaches(), c.API.Breaches(), c.Record.Breaches())}, nil
 }
 
 // first has the first configuration taken, which opens the day.
@@ -83,6 +87,7 @@
 	checker  *Checker
 	operator *Operator
 	faults   sync.WaitGroup
+	reclaims sync.Mutex // reclaims is held while a server is taken away.
 }
 
 // paths are of the four kinds of requests.
@@ -154,6 +159,8 @@
 		c.Backends[s.Index].SetFaults(standin.Faults{Shed: 5, Fail: 7, Lose: 9, Break: 3})
 		time.Sleep(s.For)
 		c.Backends[s.Index].SetFaults(standin.Faults{})
+	case FaultReclaim:
+		r.reclaim(c.Backends[s.Index], s.For)
 	case FaultAPI:
 		c.API.SetDown(true)
 		time.Sleep(s.For)
