A moved run goes on with the weights that began it, or goes back

Cause: servers of one version of the software can hold other weights; memory made by one would have been gone on from by another.

Change: a request that goes on from a copy names the version of the weights that its first answer told; a server with another turns it away unrun, and it goes back to its source, without the server being distrusted.

Run: TestRunsMove, TestMoveCalls; forward and platform with -race.

--- a/transport/forward/attempt.go
+++ b/transport/forward/attempt.go
@@ -137,6 +137,7 @@
 		Priority:  x.priority(),
 		CopyFrom:  copyFrom,
 		GoOn:      x.copyName(),
+		Weights:   x.copyWeights(),
 		LastEvent: x.events.last,
 	})
 	early, err := t.conn.Exchange(x.out, x.resp, x.deadline.Add(time.Second))
@@ -233,6 +234,9 @@
 		return t.turnedAway(stop)
 	}
 	x.movedTaken(status)
+	if !x.headed {
+		x.weights = t.reply.Weights
+	}
 	x.hasLinks(t.server, true)
 	x.count()
 	if x.route.Kind == protocol.RouteStream && status >= 200 && status < 300 {
@@ -254,7 +258,7 @@
 func (t *try) turnedAway(stop func() bool) *protocol.Refusal {
 	status := t.x.resp.StatusCode()
 	t.x.hasLinks(t.server, false)
-	if t.reply.Foreign {
+	if t.reply.Foreign && t.x.onward == nil { // Of a moved run it may say that the weights are others.
 		t.x.distrust(t.server, true)
 	}
 	body, err := t.conn.Body(t.x.resp)
--- a/transport/forward/dialect.go
+++ b/transport/forward/dialect.go
@@ -32,6 +32,7 @@
 	Priority  int           // Priority is the rank, 0 first; -1 says none.
 	CopyFrom  string        // CopyFrom is the address of a server that holds a part of the prompt; empty for none.
 	GoOn      string        // GoOn names the copy of a run that the server goes on from; empty for none.
+	Weights   string        // Weights is the only version of a model's weights that may go on with the answer; empty for any.
 	LastEvent string        // LastEvent is the event behind which a stream goes on.
 }
 
@@ -44,5 +45,6 @@
 	HasLoad bool          // HasLoad says that Load was reported.
 	Keeps   time.Duration // Keeps is how long the connection may rest; 0 where it is not said.
 	Close   bool          // Close says that the server ends the connection.
+	Weights string        // Weights is the version of the model's weights that makes the answer; empty where it is not said.
 	Encoded bool          // Encoded says that the body is not what the server made.
 }
--- a/transport/forward/forward_test.go
+++ b/transport/forward/forward_test.go
@@ -50,6 +50,9 @@
 	if a.LastEvent != "" {
 		out.Header.Set("Last", a.LastEvent)
 	}
+	if a.Weights != "" {
+		out.Header.Set("Only-Weights", a.Weights)
+	}
 	if a.GoOn != "" {
 		out.Header.Set("Go-On", a.GoOn)
 	}
@@ -57,7 +60,7 @@
 }
 
 func (plain) Reply(h *fasthttp.ResponseHeader) Reply {
-	return Reply{ID: string(h.Peek("Id")), NotRun: len(h.Peek("Not-Run")) > 0, Foreign: len(h.Peek("Foreign")) > 0, Close: h.ConnectionClose()}
+	return Reply{ID: string(h.Peek("Id")), NotRun: len(h.Peek("Not-Run")) > 0, Foreign: len(h.Peek("Foreign")) > 0, Weights: string(h.Peek("Weights")), Close: h.ConnectionClose()}
 }
 
 func (plain) Answer(out, in *fasthttp.Response) {
--- a/transport/forward/move.go
+++ b/transport/forward/move.go
@@ -466,6 +466,15 @@
 	return x.g.moves.mover.Name(x.onward.run.server.Address, x.onward.handle)
 }
 
+// copyWeights is the version of the weights that alone may go on from the copy: memory
+// that others made would make another answer.
+func (x *exchange) copyWeights() string {
+	if x.onward == nil {
+		return ""
+	}
+	return x.weights
+}
+
 // movedTaken notes that a server answers the run that was moved there. What is no good
 // answer ends the move when the attempt has failed.
 func (x *exchange) movedTaken(status int) {
--- a/transport/forward/move_test.go
+++ b/transport/forward/move_test.go
@@ -172,7 +172,7 @@
 func fakeChunk(c net.Conn, text string) { _, _ = fmt.Fprintf(c, "%x\r\n%s\r\n", len(text), text) }
 
 func fakeHead(c net.Conn, seal string) {
-	_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nId: 7\r\nSeal: %s\r\nTransfer-Encoding: chunked\r\n\r\n", seal)
+	_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nId: 7\r\nWeights: 4\r\nSeal: %s\r\nTransfer-Encoding: chunked\r\n\r\n", seal)
 }
 
 // run answers a request that does not go on from a copy.
@@ -235,6 +235,9 @@
 	if got := string(req.Header.Peek("Go-On")); got != name {
 		f.t.Errorf("goes on from %q, want %q", got, name)
 	}
+	if got := string(req.Header.Peek("Only-Weights")); (got == "4") == f.do.unbegun {
+		f.t.Errorf("goes on with weights %q", got)
+	}
 	if !home {
 		switch {
 		case f.do.garbles:
@@ -247,6 +250,9 @@
 		case f.do.target == 500:
 			say(c, 500, "", "failed")
 			return
+		case f.do.target == 421:
+			say(c, 421, "Not-Run: 1\r\nForeign: 1\r\n", "")
+			return
 		case f.do.target != 200:
 			say(c, f.do.target, "Not-Run: 1\r\n", "")
 			return
@@ -308,6 +314,7 @@
 		"no room at the stop, no name":    {moveFaults{stop: 503, unnamed: true, runs: true}, alone, false},
 		"the stop fails, the run goes on": {moveFaults{stop: 500, unnamed: true, runs: true}, alone, false},
 		"the target refuses":              {moveFaults{stop: 200, target: 503}, home, false},
+		"the target has other weights":    {moveFaults{stop: 200, target: 421}, home, false},
 		"the target dies":                 {moveFaults{stop: 200}, resumed, true},
 		"the target sends garbage":        {moveFaults{stop: 200, garbles: true}, resumed, true},
 		"the target fails":                {moveFaults{stop: 200, target: 500}, resumed, true},
