--- a/internal/soak/move_test.go
+++ b/internal/soak/move_test.go
@@ -156,19 +156,7 @@
 		if !slices.Equal(others, plain.Steps) || len(others) == len(plan.Steps) {
 			t.Fatalf("the plan changed:\n%s%s", plain, plan)
 		}
-		c, err := New(t.TempDir(), daemon, small)
-		if err != nil {
-			t.Fatal(err)
-		}
-		t.Log(plan)
-		result, err := Run(c, plan)
-		c.Close()
-		if err != nil {
-			t.Fatal(err)
-		}
-		for _, b := range result.Breaches {
-			t.Error(b)
-		}
+		result := played(t, small, plan)
 		if result.Served == 0 {
 			t.Errorf("seed %d: nothing was served", seed)
 		}
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -261,26 +261,32 @@
 		{4, usual, 8 * time.Second},
 		{5, usual, 8 * time.Second},
 	} {
-		c, err := New(t.TempDir(), daemon, s.size)
-		if err != nil {
-			t.Fatal(err)
-		}
-		plan := Draw(s.seed, s.length, s.size)
-		t.Log(plan)
-		result, err := Run(c, plan)
-		c.Close()
-		if err != nil {
-			t.Fatal(err)
-		}
-		for _, b := range result.Breaches {
-			t.Error(b)
-		}
+		result := played(t, s.size, Draw(s.seed, s.length, s.size))
 		if result.Served == 0 {
 			t.Error("nothing was served")
 		}
 	}
 }
 
+// played plays a plan and fails the test with what it broke.
+func played(t *testing.T, size Size, plan Plan) Result {
+	t.Helper()
+	c, err := New(t.TempDir(), daemon, size)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Log(plan)
+	result, err := Run(c, plan)
+	c.Close()
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, b := range result.Breaches {
+		t.Error(b)
+	}
+	return result
+}
+
 // TestDraw checks that a seed draws the same plan each time, and that no two
 // control instances are lost at once.
 func TestDraw(t *testing.T) {
--- a/transport/forward/move.go
+++ b/transport/forward/move.go
@@ -45,6 +45,10 @@
 	// moveUnbegun of the end of a leaving server also runs are moved whose first event has
 	// not come: it can no longer be waited for.
 	moveUnbegun = 500 * time.Millisecond
+	// moveLatest is when moves begin at the latest, after they could: a run that its target
+	// refuses goes back to its leaving server, which the users want to get nothing new some
+	// seconds behind the notice.
+	moveLatest = 1500 * time.Millisecond
 	// moveTick is how often the runs of a leaving server are looked at: some begin, and
 	// some could not be copied at once.
 	moveTick = 40 * time.Millisecond
@@ -230,7 +234,7 @@
 	m := &g.moves
 	g.log.Info().Str("server", s.ID).Int64("left", time.Until(until).Milliseconds()).Msg("server leaves, its runs are moved")
 	if g.cfg.MoveAhead > 0 {
-		time.Sleep(time.Until(until) - g.cfg.MoveAhead)
+		time.Sleep(min(time.Until(until)-g.cfg.MoveAhead, moveLatest))
 	}
 	for m.looks(s.ID, until.Add(moveGrace)) {
 		due := m.due(s.ID, time.Until(until) < moveUnbegun)
