--- a/coordination/place/ledger.go
+++ b/coordination/place/ledger.go
@@ -17,6 +17,7 @@
 	Shared  int    // Shared are the tokens of its parts that other requests may share.
 	Answer  int    // Answer is the most tokens of the answer.
 	Prefix  uint64 // Prefix is the hash of the shared parts.
+	Chain   []protocol.PromptLink
 	Domain  string
 	Avoid   []string
 	Copies  float64 // Copies are the tokens a millisecond that a server copies from another; 0 where it cannot.
@@ -30,6 +31,7 @@
 	Server string
 	Holder string // Holder is a server that holds the shared parts, if Server does not; empty for none.
 	Number uint64
+	Fresh  []uint32 // Fresh are the links that Server was not known to hold; see [Readings].
 }
 
 // DoneMsg tells how long a placed request took.
@@ -53,6 +55,7 @@
 	pace     float64 // pace is in milliseconds a token of the answer, learned.
 	topology *topology.Topology
 	fresh    []protocol.Placement // fresh are places that the others were not told yet.
+	holders  *Holders
 }
 
 // LedgerOption changes a new ledger.
@@ -112,6 +115,7 @@
 	for _, opt := range opts {
 		opt(l)
 	}
+	l.holders = NewHolders(l.topology)
 	return l
 }
 
@@ -134,7 +138,7 @@
 	if best < 0 {
 		return Placed{}, false
 	}
-	placed := l.enter(v.Servers[best].ID, holder, m, now)
+	placed := l.enter(v.Servers[best].ID, l.source(v, &v.Servers[best], holder, m, now), m, now)
 	l.noteFresh(placed, m)
 	return placed, true
 }
@@ -258,7 +262,8 @@
 	st.ends = st.reads.Add(time.Duration(l.pace * float64(m.Answer) * float64(time.Millisecond)))
 	b.stays[l.number], l.placed[l.number] = st, st
 	b.keep(m.Prefix, now)
-	return Placed{Server: server, Holder: holder, Number: l.number}
+	fresh := l.holders.Read(server, m.Chain, now)
+	return Placed{Server: server, Holder: holder, Number: l.number, Fresh: fresh}
 }
 
 // keep notes a prefix that is read at the server.
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -17,6 +18,7 @@
 	Served     int
 	Completed  int // Completed and RolledBack are how roll-outs ended.
 	RolledBack int
+	Moved      int // Moved are running answers that went on at another server.
 	Breaches   []string
 }
 
@@ -34,6 +36,7 @@
 func Run(c *Cluster, p Plan) (Result, error) {
 	k := NewChecker(c.Record)
 	o := NewOperator(c, k)
+	c.prepare(p)
 	if err := c.Start(); err != nil {
 		return Result{}, err
 	}
@@ -55,7 +58,9 @@
 	rollouts := NewRollouts(c, k)
 	ordering, stopOrders := context.WithCancel(ctx)
 	var ordered sync.WaitGroup
-	ordered.Go(func() { rollouts.run(ordering, p.Seed) })
+	if !p.Reclaims {
+		ordered.Go(func() { rollouts.run(ordering, p.Seed) })
+	}
 	r.play(p)
 	stopOrders()
 	ordered.Wait() // A version is judged by the callers' requests, so these go on until then.
@@ -64,7 +69,8 @@
 	r.recover()
 	k.Finish()
 	rollouts.Finish()
-	return Result{Asked: len(k.asks), Served: k.Served(), Completed: rollouts.Completed, RolledBack: rollouts.RolledBack, Breaches: append(k.Breaches(), c.API.Breaches()...)}, nil
+	return Result{Asked: len(k.asks), Served: k.Served(), Completed: rollouts.Completed, RolledBack: rollouts.RolledBack, Moved: c.Record.Moved(),
+		Breaches: slices.Concat(k.Breaches(), c.API.Breaches(), c.Record.Breaches())}, nil
 }
 
 // first has the first configuration taken, which opens the day.
@@ -83,6 +89,7 @@
 	checker  *Checker
 	operator *Operator
 	faults   sync.WaitGroup
+	reclaims sync.Mutex // reclaims is held while a server is taken away.
 }
 
 // paths are of the four kinds of requests.
@@ -156,6 +163,8 @@
 		c.Backends[s.Index].SetFaults(standin.Faults{Shed: 5, Fail: 7, Lose: 9, Break: 3})
 		time.Sleep(s.For)
 		c.Backends[s.Index].SetFaults(standin.Faults{})
+	case FaultReclaim:
+		r.reclaim(c.Backends[s.Index], s.For)
 	case FaultAPI:
 		c.API.SetDown(true)
 		time.Sleep(s.For)
--- a/protocol/batch.go
+++ b/protocol/batch.go
@@ -26,6 +26,7 @@
 	Loads    LoadMark // Loads are the loads that it holds.
 	Sums     SumsMsg
 	Placed   []Placement // Placed are places that the relay gave since its last batch.
+	Readings []Reading   // Readings are those that its gateways and its own ledger told since.
 	Parts    []BatchPart
 }
 
@@ -142,6 +143,7 @@
 	Resend      bool              // Resend asks for whole sums: the leader does not hold what they build on.
 	Moved       []string          // Moved are gateways in the relay's sums that ask elsewhere now.
 	Placed      []Placement       // Placed are places that others gave.
+	Readings    []byte            // Readings are those of others that the relay was not told yet, packed by the order of the list.
 	Answers     []BatchAnswer     // Answers are in the order of the parts.
 }
 
--- a/transport/control/batch.go
+++ b/transport/control/batch.go
@@ -14,6 +14,7 @@
 	life  uint64
 	batch uint64 // batch is the latest one whose sums were taken.
 	known uint64 // known is the latest place of others that the relay was told.
+	heard uint64 // heard is up to where it was told of the readings of others.
 }
 
 // Batch answers a relay for the gateways whose questions it gathered. Each gets what
@@ -62,6 +63,9 @@
 		book = &relayBook{}
 		u.relays[m.Relay] = book
 	}
+	if book.life != m.Life {
+		book.heard = 0 // It was started anew and knows of none.
+	}
 	book.at, book.life, book.batch = now, m.Life, m.Batch
 	asked := make([]string, len(m.Parts))
 	for i := range m.Parts {
@@ -86,8 +90,14 @@
 	u.placed.Add("", u.places.Fresh())
 	u.placed.Add(m.Relay, m.Placed)
 	u.places.Note(m.Placed, now)
-	if book := u.relays[m.Relay]; book != nil {
-		reply.Placed, book.known = u.placed.Since(book.known, m.Relay)
+	u.takeReadings(m.Life, m.Readings, now)
+	book := u.relays[m.Relay]
+	if book == nil {
+		return
+	}
+	reply.Placed, book.known = u.placed.Since(book.known, m.Relay)
+	if reply.Listed || (m.Lister == u.lister && m.Servers == u.version) {
+		reply.Readings, book.heard = u.readings.Others(book.heard, m.Life)
 	}
 }
 
--- a/transport/control/copies.go
+++ b/transport/control/copies.go
@@ -29,21 +29,60 @@
 	vector     place.Vector      // vector is them, by versions of this relay.
 	distrusted map[string][]byte
 
+	readings *place.Readings
+	fresh    []protocol.Reading // fresh are readings that the leader was not told yet.
+
 	teller uint64 // teller tells this relay's versions of loads, and what it placed, from others'.
 	view   *place.View
 	loads  *place.Loads
 	places *place.Ledger
+
+	topology *topology.Topology
 }
 
 func newCopies(t *topology.Topology) *copies {
 	loads := place.NewLoads()
-	return &copies{teller: rand.Uint64(), loads: loads, places: place.NewLedger(loads, place.WithTopology(t))}
+	return &copies{
+		teller:   rand.Uint64(),
+		loads:    loads,
+		places:   place.NewLedger(loads, place.WithTopology(t)),
+		readings: place.NewReadings(),
+		topology: t,
+	}
 }
 
 // ask names what is held, for the next batch.
 func (c *copies) ask(m *protocol.BatchMsg) {
 	m.Lister, m.Servers, m.Rollouts, m.Loads = c.lister, c.version, c.changes, c.mark
 	m.Placed = c.places.Fresh()
+	m.Readings, c.fresh = c.fresh, nil
+}
+
+// read takes readings that one of the relay's gateways tells.
+func (c *copies) read(rows []protocol.Reading) {
+	now := time.Now()
+	for _, r := range rows {
+		c.readings.Add(c.teller, r.Server, r.Links)
+		c.places.Told(r.Server, r.Links, now)
+	}
+	c.fresh = append(c.fresh, rows...)
+}
+
+// hear takes readings of others in the leader's answer to a batch. It tells each once:
+// those in an answer that was lost are not missed but as a hint.
+func (c *copies) hear(m *protocol.BatchMsg, r *protocol.BatchReply) {
+	lister, version := m.Lister, m.Servers
+	if r.Listed {
+		lister, version = r.Lister, r.Version
+	}
+	if !c.listed || c.lister != lister || c.version != version {
+		return // They are packed by the order of another list.
+	}
+	now := time.Now()
+	place.Unpacked(r.Readings, c.order, func(server string, key uint32) {
+		c.readings.Add(0, server, []uint32{key})
+		c.places.Told(server, []uint32{key}, now)
+	})
 }
 
 // renew takes the leader's answer to a batch.
@@ -87,13 +126,14 @@
 			return err
 		}
 		c.take(r.Lister, r.Version, list.Onto(c.servers))
+		c.readings.List(c.order)
 		news = true
 	}
 	if r.Changes != c.changes {
 		c.changes, c.rollouts, news = r.Changes, r.Rollouts, true
 	}
 	if news && c.listed {
-		c.view = place.NewView(c.servers, c.view, place.WithRollouts(c.rollouts))
+		c.view = place.NewView(c.servers, c.view, place.WithRollouts(c.rollouts), place.WithRegions(c.topology))
 		c.places.Keep(c.view)
 	}
 	return nil
@@ -122,6 +162,7 @@
 	if c.holds(m) && len(c.vector.Values()) == len(c.order) {
 		reply.Distrusted = bytes.Clone(c.distrusted[m.Domain])
 		tellLoads(&c.vector, protocol.LoadMark{Teller: c.teller, Version: c.vector.Version()}, m.Loads, reply)
+		reply.Readings, reply.ReadingsAt = c.readings.Since(m.ReadingsAt)
 	}
 	reply.Grants, reply.Trials = grantsOf(own), own.Trials
 	reply.Leads = true
@@ -134,6 +175,10 @@
 		return
 	}
 	if placed, ok := c.places.Place(c.view, prompt(m), time.Now()); ok {
+		if len(placed.Fresh) > 0 {
+			c.readings.Add(c.teller, placed.Server, placed.Fresh)
+			c.fresh = append(c.fresh, protocol.Reading{Server: placed.Server, Links: placed.Fresh})
+		}
 		reply.Server, reply.Holder, reply.Term, reply.Number, reply.Placer = placed.Server, placed.Holder, c.term, placed.Number, c.teller
 	}
 }
--- a/transport/control/list.go
+++ b/transport/control/list.go
@@ -89,6 +89,7 @@
 	u.places.Keep(u.view)
 	u.common = common{}
 	u.vector.Reset(u.loads.Pack(u.order))
+	u.readings.List(u.order)
 }
 
 // sameServers reports whether two lists say the same. How much longer a server
--- a/transport/control/relay.go
+++ b/transport/control/relay.go
@@ -272,11 +272,11 @@
 	}
 	r.batch++
 	m := protocol.BatchMsg{Relay: r.name, Life: r.life, Batch: r.batch, Number: number}
-	r.copies.ask(&m)
 	for _, q := range list {
 		r.gateways[q.m.Gateway] = now
 		r.sum.Take(q.m.Gateway, place.GatewayReport{Domain: q.m.Domain, Running: q.m.Running, Distrusts: q.m.Distrusts})
 		r.copies.done(q.m.Done)
+		r.copies.read(q.m.Readings)
 		m.Parts = append(m.Parts, partOf(&q.m, now.Sub(q.at)))
 	}
 	for name, at := range r.gateways {
@@ -284,6 +284,7 @@
 			r.drop(name)
 		}
 	}
+	r.copies.ask(&m)
 	sums, whole := r.sum.Changes()
 	m.Sums = sums
 	if !whole {
@@ -355,6 +356,7 @@
 		if reply.Term != r.copies.term {
 			return errOvertaken
 		}
+		r.copies.hear(&b.m, reply)
 		return nil
 	}
 	r.renewed = b.m.Batch
@@ -363,6 +365,7 @@
 		r.copies, r.renewed = newCopies(r.uplink.topology), r.batch+1
 		return err
 	}
+	r.copies.hear(&b.m, reply)
 	return nil
 }
 
--- a/transport/control/relay_test.go
+++ b/transport/control/relay_test.go
@@ -547,3 +547,46 @@
 		t.Errorf("its end is told as %+v, %+v", got.Rollouts, got.Trials)
 	}
 }
+
+// TestReadingsPassThroughRelays checks that gateways of relays and of the leader learn
+// which server was given what to read by any of them, and that a relay is not told by
+// the leader what it passed on itself.
+func TestReadingsPassThroughRelays(t *testing.T) {
+	leader, _, w := newLeader(1)
+	leader.SetServers(1, []protocol.Instance{{ID: "a", Service: "s"}, {ID: "b", Service: "s"}})
+	first, _ := newRelayOf(t, w, "first")
+	second, _ := newRelayOf(t, w, "second")
+	held, known, rows := map[string]protocol.SyncReply{}, map[string]map[uint32]string{}, map[string]int{}
+	ask := func(u *Uplink, gateway string, told ...protocol.Reading) {
+		before := held[gateway]
+		m := protocol.SyncMsg{Gateway: gateway, Relayed: true, Readings: told, ReadingsAt: before.ReadingsAt, Lister: before.Lister, Servers: before.Version}
+		r := within(t, asked(u, m), "an answer to "+gateway)
+		if known[gateway] == nil {
+			known[gateway] = map[uint32]string{}
+		}
+		place.Unpacked(r.Readings, []string{"a", "b"}, func(server string, key uint32) {
+			known[gateway][key] = server
+			rows[gateway]++
+		})
+		if !r.Listed {
+			r.Lister, r.Version = before.Lister, before.Version
+		}
+		held[gateway] = r
+	}
+	everyone := func() {
+		ask(leader, "g0")
+		ask(first, "g1")
+		ask(second, "g2")
+	}
+	everyone()
+	ask(first, "g1", protocol.Reading{Server: "b", Links: []uint32{7}})
+	ask(leader, "g0", protocol.Reading{Server: "a", Links: []uint32{8}})
+	everyone()
+	everyone()
+	want := map[uint32]string{7: "b", 8: "a"}
+	for gateway, got := range known {
+		if !cmp.Equal(got, want) || rows[gateway] != len(want) {
+			t.Errorf("%s is told %v in %d rows, want %v, each once", gateway, got, rows[gateway], want)
+		}
+	}
+}
--- a/transport/control/uplink.go
+++ b/transport/control/uplink.go
@@ -61,6 +61,7 @@
 	marks    *usage.Watermarks // marks are up to when the gateways have told their counts.
 	view     *place.View
 	places   *place.Ledger
+	readings *place.Readings
 	loads    *place.Loads
 	vector   place.Vector // vector is the loads as they were told last.
 	relays   map[string]*relayBook
@@ -180,6 +181,7 @@
 	u.vector.Reset(nil)
 	u.relays, u.placed = map[string]*relayBook{}, place.Placements{}
 	u.view, u.places = nil, place.NewLedger(u.loads, place.WithTopology(u.topology))
+	u.readings = place.NewReadings()
 	u.rolled, u.trials, u.unnamed = 0, nil, map[versionOf]time.Time{}
 	if u.catalog != nil {
 		u.quotas.Configure(u.catalog.Workspaces, time.Now())
@@ -219,6 +221,7 @@
 	now := time.Now()
 	u.enter(term)
 	u.loads.Take(m.Gateway, place.GatewayReport{Domain: m.Domain, Running: m.Running, Distrusts: m.Distrusts})
+	u.takeReadings(u.teller, m.Readings, now)
 	for _, d := range m.Done {
 		if d.Term == term && d.Placer == u.teller {
 			u.places.Done(place.DoneMsg{Number: d.Number, First: d.First, Took: d.Took})
@@ -237,6 +240,7 @@
 	if u.holds(&m) {
 		reply.Distrusted = u.distrusted(m.Domain)
 		tellLoads(&u.vector, u.mark(), m.Loads, reply)
+		reply.Readings, reply.ReadingsAt = u.readings.Since(m.ReadingsAt)
 	}
 	reply.Gateways = u.common.gateways
 	reply.Clock = u.clock.Now(now.Sub(u.began))
@@ -247,6 +251,15 @@
 	return nil
 }
 
+// takeReadings notes what servers were given to read, as a gateway or a relay tells:
+// teller is the instance that passes it on. It needs u.mu.
+func (u *Uplink) takeReadings(teller uint64, rows []protocol.Reading, now time.Time) {
+	for _, r := range rows {
+		u.readings.Add(teller, r.Server, r.Links)
+		u.places.Told(r.Server, r.Links, now)
+	}
+}
+
 // answerOwn takes what is a gateway's own of its question, and answers that. It needs
 // u.mu.
 func (u *Uplink) answerOwn(m *protocol.SyncMsg, reply *protocol.SyncReply, now time.Time) {
@@ -296,6 +309,7 @@
 	}
 	placed, ok := u.places.Place(u.view, prompt(&m), time.Now())
 	if ok {
+		u.readings.Add(u.teller, placed.Server, placed.Fresh)
 		reply.Server, reply.Holder, reply.Term, reply.Number, reply.Placer = placed.Server, placed.Holder, term, placed.Number, u.teller
 	}
 	return nil
@@ -309,6 +323,7 @@
 		Shared:  m.Shared,
 		Answer:  m.Answer,
 		Prefix:  m.Prefix,
+		Chain:   m.Chain,
 		Domain:  m.Domain,
 		Avoid:   m.Avoid,
 		Copies:  m.Copies,
--- a/transport/forward/attempt.go
+++ b/transport/forward/attempt.go
@@ -25,13 +25,14 @@
 
 // try is one attempt at one server.
 type try struct {
-	x      *exchange
-	server *place.Server
-	conn   *backend.Conn
-	reply  Reply
-	early  bool
-	read   bool // read says that the server has read the prompt.
-	extra  bool // extra says that the connection delivered what was not asked for.
+	x       *exchange
+	server  *place.Server
+	conn    *backend.Conn
+	reply   Reply
+	early   bool
+	read    bool     // read says that the server has read the prompt.
+	running *running // running is nil where the answer cannot be moved.
+	extra   bool     // extra says that the connection delivered what was not asked for.
 
 	began    time.Time // began is when the request was sent.
 	first    time.Time // first is when the first events came; zero before.
@@ -52,7 +53,9 @@
 		return refusal
 	}
 	x.server = server.ID
-	x.avoid = append(x.avoid, server.ID)
+	if x.onward == nil {
+		x.avoid = append(x.avoid, server.ID) // A moved run may come back to where it was.
+	}
 	conn, err := x.g.pool.Get(server.ID, server.Address, x.deadline)
 	if err != nil {
 		x.g.connected(server, 0, true)
@@ -70,7 +73,7 @@
 	conn.Count(&x.g.meters.distances.bytes[distance])
 	x.g.meters.distances.attempts[distance].Inc(1)
 	x.log.Info().Str("server", server.ID).Str("domain", server.Domain).Str("region", x.g.cfg.Topology.Region(server.Domain)).Stringer("distance", distance).Int("outstanding", server.Cell.Outstanding()).Bool("placed", x.placed.Server != "").
-		Uint8("lane", uint8(x.lane)).Int("sent", x.state.Sent).Bool("kept", conn.Used()).Int64("left", x.left().Milliseconds()).Msg("attempt")
+		Uint8("lane", uint8(x.lane)).Int("sent", x.state.Sent).Bool("kept", conn.Used()).Int64("left", x.left().Milliseconds()).Str("go_on", x.copyName()).Msg("attempt")
 	x.sentTo(server)
 	t := &try{x: x, server: server, conn: conn, began: time.Now()}
 	return t.run()
@@ -95,6 +98,9 @@
 	if x.gone.Err() != nil {
 		return callerGone().WithVerdict(v)
 	}
+	if x.movedFailed(v) {
+		return errAgain
+	}
 	next, refusal := resend.Next(x.state, resend.FailedMsg{
 		Verdict: v,
 		Reached: reached,
@@ -126,6 +132,9 @@
 		t.server.Cell.Ended()
 		x.givesBack(time.Since(t.began), t.server.Width())
 	}()
+	copyFrom := x.reads(t.server)
+	t.enter()
+	defer t.leave()
 	x.out.Reset()
 	x.resp.Reset()
 	x.g.dialect.Attempt(x.out, x.in, Attempt{
@@ -133,7 +142,9 @@
 		Workspace: x.workspaceName(),
 		Remaining: max(time.Millisecond, x.left()-backMargin),
 		Priority:  x.priority(),
-		CopyFrom:  x.copyFrom(),
+		CopyFrom:  copyFrom,
+		GoOn:      x.copyName(),
+		Weights:   x.copyWeights(),
 		LastEvent: x.events.last,
 	})
 	early, err := t.conn.Exchange(x.out, x.resp, x.deadline.Add(time.Second))
@@ -145,6 +156,10 @@
 		}
 		err = t.skip()
 	}
+	if err != nil && t.goesOn() {
+		t.conn.Close()
+		return errAgain
+	}
 	if err != nil {
 		return t.lost(err)
 	}
@@ -155,6 +170,9 @@
 func (t *try) hasRead() {
 	if !t.read {
 		t.read = true
+		if t.running != nil {
+			t.running.begun.Store(true)
+		}
 		t.server.Cell.Read(t.x.size)
 	}
 }
@@ -227,6 +245,11 @@
 	if t.reply.NotRun {
 		return t.turnedAway(stop)
 	}
+	x.movedTaken(status)
+	if !x.headed {
+		x.weights = t.reply.Weights
+	}
+	x.hasLinks(t.server, true)
 	x.count()
 	if x.route.Kind == protocol.RouteStream && status >= 200 && status < 300 {
 		return t.stream(stop)
@@ -246,7 +269,8 @@
 // turnedAway goes on after a server proved that it did not run the request.
 func (t *try) turnedAway(stop func() bool) *protocol.Refusal {
 	status := t.x.resp.StatusCode()
-	if t.reply.Foreign {
+	t.x.hasLinks(t.server, false)
+	if t.reply.Foreign && t.x.onward == nil { // Of a moved run it may say that the weights are others.
 		t.x.distrust(t.server, true)
 	}
 	body, err := t.conn.Body(t.x.resp)
@@ -291,6 +315,9 @@
 		t.x.trust(t.server)
 		t.observe(t.times(time.Now()))
 	}
+	if x.headed {
+		return x.failed(protocol.MayHaveRun, true, "an answer that had begun got no events any more, but status "+fasthttp.StatusMessage(status))
+	}
 	if promises(status) || t.reply.Encoded || (failure && x.state.Repeatable) {
 		if refusal := x.failed(protocol.MayHaveRun, true, "the server failed with status "+fasthttp.StatusMessage(status)); refusal == errAgain || promises(status) || t.reply.Encoded {
 			return refusal
--- a/transport/forward/exchange.go
+++ b/transport/forward/exchange.go
@@ -32,6 +32,8 @@
 	workspace *protocol.Tenancy // workspace is nil on a route that needs none.
 	service   string
 	prefix    uint64
+	chain     []protocol.PromptLink // chain are the shared parts of the prompt.
+	fresh     []uint32              // fresh are the links that the present server was not known to hold.
 	lane      place.Lane
 	parts     protocol.LaneParts // parts say how the servers are parted between the lanes.
 	size      float64            // size is the prompt's length as a multiple of the mean one.
@@ -40,6 +42,8 @@
 
 	placed  protocol.PlaceReply // placed is the place that the leader gave for the current attempt.
 	state   resend.State
+	weights string  // weights is the version of the model's weights that began the answer; empty where it is not said.
+	onward  *onward // onward is where the run goes on with its memory; nil for none.
 	avoid   []string
 	events  events
 	counted bool // counted says that the request was counted as one that began to run.
@@ -68,6 +72,7 @@
 func (x *exchange) release() {
 	x.cancel()
 	x.ended()
+	x.dropOnward()
 	fasthttp.ReleaseRequest(x.out)
 	fasthttp.ReleaseResponse(x.resp)
 }
@@ -120,6 +125,7 @@
 	x.service = Split(x.route, x.call.ID)
 	if x.route.Affinity {
 		x.prefix = place.Prefix(x.call.Prefix)
+		x.chain = place.Chain(x.call.Prefix)
 	}
 	x.state = resend.State{Repeatable: x.route.Repeatable(), Most: max(1, x.route.Attempts)}
 	if x.call.LastEvent != "" {
@@ -214,9 +220,10 @@
 		Shared:  x.call.SharedTokens(),
 		Answer:  x.call.AnswerTokens,
 		Prefix:  x.prefix,
+		Chain:   x.chain,
 		Domain:  x.g.cfg.Domain,
 		Avoid:   x.avoid,
-		Copies:  x.copyRate(),
+		Copies:  x.copiesRate(),
 		Parts:   x.parts,
 		Target:  x.route.Target,
 		Gap:     x.route.TargetGap,
@@ -242,18 +249,19 @@
 	return 0
 }
 
-// copyFrom returns the address of a server that the chosen one is to copy the
-// shared parts of the prompt from, or none.
-func (x *exchange) copyFrom() string {
-	holder := x.g.view.Load().Find(x.placed.Holder)
-	if holder == nil || holder.Cell.Suspect(time.Now()) {
-		return ""
+// copiesRate is copyRate, or 0 where nothing is to be copied for prompts.
+func (x *exchange) copiesRate() float64 {
+	if x.g.cfg.NoCopies {
+		return 0
 	}
-	return holder.Address
+	return x.copyRate()
 }
 
 // choose returns a server to send to.
 func (x *exchange) choose() (*place.Server, *protocol.Refusal) {
+	if s := x.movedTo(); s != nil {
+		return s, nil
+	}
 	view := x.g.view.Load()
 	m := place.ChooseMsg{
 		Service: x.service,
--- a/transport/forward/forward.go
+++ b/transport/forward/forward.go
@@ -49,6 +49,8 @@
 	QuotaWindow time.Duration // QuotaWindow is the window in which quotas are bounded.
 	UsageWindow time.Duration // UsageWindow is the length of a window of usage reports.
 	UsageDue    time.Duration // UsageDue is how long after a window its report is due.
+	NoCopies    bool          // NoCopies has no server copy shared parts of prompts from another one.
+	MoveAhead   time.Duration // MoveAhead is how long before the end of a leaving server its answers are moved; 0 for as soon as it is known.
 }
 
 // Gateway forwards requests.
@@ -69,6 +71,8 @@
 	paths     paths
 	closed    atomic.Bool // closed refuses new requests: the gateway ends soon.
 
+	moves moves
+
 	mu        sync.Mutex // mu guards all below.
 	allowance *quota.Allowance
 	granted   chan struct{} // granted is closed and replaced when grants arrive.
@@ -77,6 +81,7 @@
 	counter   *usage.Counter
 	clock     *usage.Clock
 	pressure  map[string]*pressure
+	memory    memory
 	done      []protocol.PlaceDone // done are placed requests whose end is to be reported.
 	listed    []protocol.Instance  // listed are the servers of the last list.
 	rolled    uint64               // rolled is the change of the roll-outs that the gateway keeps to; 0 before the first.
@@ -130,6 +135,8 @@
 	for _, opt := range opts {
 		opt(g)
 	}
+	g.moves.runs, g.moves.leaving = map[string]map[*running]struct{}{}, map[string]bool{}
+	g.memory.holders = place.NewHolders(cfg.Topology)
 	if g.meters == nil {
 		g.meters = newMeters(metrics.NewRegistry())
 	}
@@ -177,6 +184,7 @@
 		}
 	}
 	g.log.Info().Int("servers", len(view.Servers)).Int("leaving", leaving).Msg("list of servers")
+	g.evacuate(view, now)
 	g.pool.Keep(func(id string) bool {
 		s := view.Find(id)
 		return s != nil && !s.Leaving
--- a/transport/forward/forward_test.go
+++ b/transport/forward/forward_test.go
@@ -50,11 +50,17 @@
 	if a.LastEvent != "" {
 		out.Header.Set("Last", a.LastEvent)
 	}
+	if a.Weights != "" {
+		out.Header.Set("Only-Weights", a.Weights)
+	}
+	if a.GoOn != "" {
+		out.Header.Set("Go-On", a.GoOn)
+	}
 	out.SetBodyRaw(in.Body())
 }
 
 func (plain) Reply(h *fasthttp.ResponseHeader) Reply {
-	return Reply{ID: string(h.Peek("Id")), NotRun: len(h.Peek("Not-Run")) > 0, Foreign: len(h.Peek("Foreign")) > 0, Close: h.ConnectionClose()}
+	return Reply{ID: string(h.Peek("Id")), NotRun: len(h.Peek("Not-Run")) > 0, Foreign: len(h.Peek("Foreign")) > 0, Weights: string(h.Peek("Weights")), Close: h.ConnectionClose()}
 }
 
 func (plain) Answer(out, in *fasthttp.Response) {
@@ -156,15 +162,22 @@
 
 func (w *world) ask(headers ...string) reply { return w.send("body", headers...) }
 
-// send sends a request with a body.
-func (w *world) send(body string, headers ...string) reply {
+// dial connects to the gateway for a bounded time.
+func (w *world) dial() net.Conn {
 	w.t.Helper()
 	conn, err := net.Dial("tcp", w.address)
 	if err != nil {
 		w.t.Fatal(err)
 	}
-	defer conn.Close()
 	_ = conn.SetDeadline(time.Now().Add(patience))
+	return conn
+}
+
+// send sends a request with a body.
+func (w *world) send(body string, headers ...string) reply {
+	w.t.Helper()
+	conn := w.dial()
+	defer conn.Close()
 	_, _ = io.WriteString(conn, "POST /r/x HTTP/1.1\r\n"+strings.Join(append(headers, "Host: h", "Id: 7", fmt.Sprintf("Content-Length: %d", len(body))), "\r\n")+"\r\n\r\n"+body)
 	resp := &fasthttp.Response{}
 	resp.StreamBody = true
@@ -172,7 +185,7 @@
 		return reply{broken: true}
 	}
 	var data []byte
-	err = nil
+	var err error
 	if resp.BodyStream() != nil {
 		data, err = io.ReadAll(resp.BodyStream())
 	}
@@ -603,11 +616,12 @@
 			w.g.view.Load().Find("b").Cell.Failed(true, time.Now())
 		}
 		x := &exchange{g: w.g, placed: protocol.PlaceReply{Server: a.id, Holder: c.holder}}
+		at := w.g.view.Load().Find(a.id)
 		want := ""
 		if c.want {
 			want = b.address
 		}
-		if got := x.copyFrom(); got != want {
+		if got := x.copyFrom(at, time.Now()); got != want {
 			t.Errorf("%s: copied from %q, want %q", name, got, want)
 		}
 	}
