Admit bodies and answers by memory; a store for callers that lag; least rates; a bound on connections

Cause: one caller who sent or read a byte now and then held its part of a gateway for as long as it liked (a flat 30 s for a body, 10 s for each write), a server was read as fast as its caller read, and 46 bodies of 4 MB were the end of the process. Change: the account of memory is asked before a body is read (503 with a time to come back, nothing run), as it grows, for whole answers, for what callers have not taken yet and for connections. Callers have to send and take 1 KB a second over 15 s. A piece goes to the socket at once without a wait; what the kernel does not take goes to a store of at most 256 KB, so that the server is read at its own pace and its slot is given back behind the answer. Connections stay below the descriptors: those that rest, or have sent half of their headers, go first. Settings memory.*, descriptors; counters; the dump's memory; log lines. Run: go test -race ./transport/caller ./transport/forward ./settings, ./cmd/weldstreamd, the linter.

--- a/cmd/weldstreamd/gateway.go
+++ b/cmd/weldstreamd/gateway.go
@@ -36,6 +36,7 @@
 	*roleRun
 	forward  *forward.Gateway
 	server   *caller.Server
+	memory   *caller.Memory // memory is nil without a limit.
 	client   *uplink.Client
 	stopping atomic.Bool
 }
@@ -97,7 +98,7 @@
 		UsageDue:    n.Bounds.UsageDue,
 	}, platform.Dialect{}, forward.WithLogger(r.log), forward.WithRegistry(r.registry), forward.WithSyncNow(func() { g.client.SyncNow() }),
 		forward.WithPlace(func(m protocol.PlaceMsg) (protocol.PlaceReply, bool) { return g.client.Place(m) }))
-	g.server = caller.NewServer(g.forward)
+	g.server = caller.NewServer(g.forward, g.callerOptions()...)
 	seeds, err := r.peersOfSeeds(n)
 	if err != nil {
 		return err
@@ -108,6 +109,22 @@
 	return g.run()
 }
 
+// callerOptions bound what callers may take of the process.
+func (g *gateway) callerOptions() []caller.Option {
+	n := g.settings
+	if held := n.Held(); held > 0 {
+		g.memory = caller.NewMemory(held, g.registry)
+	}
+	return []caller.Option{
+		caller.WithMemory(g.memory),
+		caller.WithPace(caller.Pace{Rate: n.Memory.Rate, Window: n.Memory.Window}),
+		caller.WithSocket(n.Memory.SocketKB << 10),
+		caller.WithConnections(n.Connections()),
+		caller.WithLogger(g.log),
+		caller.WithRegistry(g.registry),
+	}
+}
+
 func (g *gateway) ready() bool { return !g.stopping.Load() && g.forward.Ready() }
 
 func (g *gateway) run() error {
@@ -177,10 +194,12 @@
 	Number      uint64 `json:"number"`
 	AgeMS       int64  `json:"age_ms"` // AgeMS is since Number was known to be the newest; -1 for never.
 	Connections int    `json:"connections"`
+
+	Memory *caller.MemoryRow `json:"memory,omitempty"` // Memory is what is held for callers.
 }
 
 func (g *gateway) dump() any {
-	d := gatewayDump{Name: g.settings.Name, Ready: g.ready(), Number: g.forward.Number(), AgeMS: -1, Connections: g.server.Conns()}
+	d := gatewayDump{Name: g.settings.Name, Ready: g.ready(), Number: g.forward.Number(), AgeMS: -1, Connections: g.server.Conns(), Memory: g.memory.Row()}
 	if age, ok := g.forward.Age(); ok {
 		d.AgeMS = age.Milliseconds()
 	}
--- a/protocol/refusal.go
+++ b/protocol/refusal.go
@@ -31,6 +31,7 @@
 	CodeMethod         Code = "method_not_allowed"
 	CodeTooLarge       Code = "too_large"
 	CodeOverloaded     Code = "overloaded"
+	CodeMemory         Code = "memory"
 	CodeNoBackend      Code = "no_backend"
 	CodeBackendFailed  Code = "backend_failed"
 	CodeDeadline       Code = "deadline"
--- a/settings/node.go
+++ b/settings/node.go
@@ -33,12 +33,58 @@
 	Tolerate    int               `yaml:"tolerate" validate:"min=0,max=10"`                 // Tolerate is how many control instances may be lost at once.
 	ClusterKey  string            `yaml:"cluster_key"`                                      // ClusterKey guards the links between instances; empty trusts the network.
 	MemoryMB    int               `yaml:"memory_mb" validate:"min=0"`                       // MemoryMB is what the process may take; 0 sets no limit.
+	Descriptors int               `yaml:"descriptors" validate:"min=0"`                     // Descriptors are what the process may have open; 0 sets no limit.
+	Memory      NodeMemory        `yaml:"memory"`                                           // Memory bounds what a gateway holds for its callers.
 	Source      NodeSource        `yaml:"source" validate:"required"`                       // Source is the platform's API.
 	Bounds      NodeBounds        `yaml:"bounds"`                                           // Bounds are the promises that timers are derived from.
 	LogLevel    string            `yaml:"log_level" validate:"oneof=debug info warn error"` // LogLevel is the least level that is logged.
 	Replication Replica           `yaml:"replica"`                                          // Replication tunes the group.
 }
 
+// NodeMemory bounds what a gateway holds for its callers.
+type NodeMemory struct {
+	Part     float64       `yaml:"part" validate:"min=0,max=0.6"`       // Part is what of memory_mb bodies, answers and connections may take; 0 sets no limit.
+	Rate     int           `yaml:"rate" validate:"min=0,max=1048576"`   // Rate is the least, in bytes a second, at which a caller sends a body or takes an answer; 0 asks for a byte in each window.
+	Window   time.Duration `yaml:"window" validate:"dmin=1s,dmax=10m"`  // Window is the time over which the rate holds.
+	SocketKB int           `yaml:"socket_kb" validate:"min=0,max=4096"` // SocketKB is what the kernel may keep of a caller's connection each way, in KB; 0 leaves it to the kernel.
+}
+
+const (
+	// keptDescriptors are left for files, listeners and the links to control instances:
+	// what platforms reserve, and some tens of links.
+	keptDescriptors = 264
+	// callerPart of the others is for callers. A request has one descriptor towards its
+	// caller and at most one towards a server, and some connections to servers rest.
+	callerPart = 0.45
+)
+
+// Held is how many bytes may be held for callers; 0 sets no limit.
+func (n *Node) Held() int64 { return int64(n.Memory.Part * float64(n.MemoryMB) * (1 << 20)) }
+
+// Connections is how many connections callers may have; 0 sets no limit.
+func (n *Node) Connections() int {
+	if n.Descriptors == 0 {
+		return 0
+	}
+	return max(1, int(callerPart*float64(n.Descriptors-keptDescriptors)))
+}
+
+// leastHeld is the least that is of use: two bodies of the usual limit, of which one may
+// ever be held by a single workspace, and as much for connections.
+const leastHeld = 4 * DefaultBodyBytes
+
+// checkMemory returns what contradicts itself in the bounds of memory and descriptors.
+func (n *Node) checkMemory(doc *yamlfile.Document) []yamlfile.Fault {
+	var faults []yamlfile.Fault
+	if held := n.Held(); n.Caller != "" && held > 0 && held < leastHeld {
+		faults = append(faults, doc.Fault("memory_mb", fmt.Sprintf("leaves %d bytes for callers (memory.part of it), fewer than %d: raise either, or set the part to 0", held, leastHeld)))
+	}
+	if n.Descriptors > 0 && n.Descriptors < 2*keptDescriptors {
+		faults = append(faults, doc.Fault("descriptors", fmt.Sprintf("are fewer than %d", 2*keptDescriptors)))
+	}
+	return faults
+}
+
 // NodeSource is the platform's API: the list of servers and the duties.
 type NodeSource struct {
 	Address  string   `yaml:"address" validate:"required,ipport"` // Address is the API's.
@@ -69,6 +115,7 @@
 func NewNode() *Node {
 	return &Node{
 		LogLevel: DefaultLogLevel,
+		Memory:   NodeMemory{Part: DefaultMemoryPart, Rate: DefaultCallerRate, Window: DefaultCallerWindow, SocketKB: DefaultSocketKB},
 		Source:   NodeSource{ListRate: DefaultListRate},
 		Bounds: NodeBounds{
 			Revoke:      DefaultRevoke,
@@ -97,7 +144,7 @@
 	n := NewNode()
 	doc, faults := yamlfile.Decode(file, data, n)
 	if len(faults) == 0 {
-		faults = n.checkRegions(doc)
+		faults = append(n.checkRegions(doc), n.checkMemory(doc)...)
 	}
 	return n, faults, nil
 }
--- a/settings/node_test.go
+++ b/settings/node_test.go
@@ -64,6 +64,10 @@
 		"no region":         {"domain: zone-a", "domain: zone-a\ndomains: {zone-a: south}", ":1: region"},
 		"two regions":       {"domain: zone-a", "domain: zone-a\nregion: north\ndomains: {zone-a: north, zone-a: south}", ":4:"},
 		"no name":           {"domain: zone-a", "domain: zone-a\nregion: north\ndomains: {zone-a: north, zone-b: 'a b'}", ":4: domains"},
+		"too little memory": {"seeds:", "memory_mb: 20\nseeds:", ":6: memory_mb"},
+		"too large a part":  {"seeds:", "memory: {part: 0.7}\nseeds:", ":6: memory.part"},
+		"no descriptors":    {"seeds:", "descriptors: 300\nseeds:", ":6: descriptors"},
+		"too short":         {"seeds:", "memory: {window: 1ms}\nseeds:", ":6: memory.window"},
 		"too long":          {"seeds:", "bounds: {grace: 200h}\nseeds:", ":6: bounds.grace"},
 	} {
 		_, faults := loadNode(t, strings.Replace(nodeText, c.from, c.to, 1))
@@ -80,3 +84,20 @@
 		t.Errorf("%+v", n)
 	}
 }
+
+// TestNodeHeld checks what memory and descriptors allow callers, and that without them
+// there is no limit.
+func TestNodeHeld(t *testing.T) {
+	n := NewNode()
+	if n.Held() != 0 || n.Connections() != 0 {
+		t.Errorf("without limits %d bytes and %d connections", n.Held(), n.Connections())
+	}
+	n.MemoryMB, n.Descriptors = 200, 4264
+	if n.Held() != 80<<20 || n.Connections() != 1800 {
+		t.Errorf("%d bytes and %d connections", n.Held(), n.Connections())
+	}
+	n.Memory.Part = 0
+	if n.Held() != 0 {
+		t.Errorf("%d bytes for a part of 0", n.Held())
+	}
+}
--- a/transport/caller/caller.go
+++ b/transport/caller/caller.go
@@ -16,12 +16,17 @@
 	"bufio"
 	"context"
 	"errors"
+	"fmt"
 	"net"
 	"sync"
 	"sync/atomic"
 	"time"
 
+	metrics "github.com/rcrowley/go-metrics"
+	"github.com/rs/zerolog"
 	"github.com/valyala/fasthttp"
+
+	"github.com/weldstream/weldstream/coordination/memory"
 )
 
 // Handler answers one request. The context ends when the caller hangs up.
@@ -49,27 +54,83 @@
 	IdleTime:    60 * time.Second,
 }
 
-// writeStall is how long a caller may take no byte of an answer.
-const writeStall = 10 * time.Second
-
 // Server serves callers on one listener.
 type Server struct {
 	handler Handler
-	limits  atomic.Pointer[Limits]
-	drain   atomic.Bool
-	mu      sync.Mutex // mu guards all below.
-	conns   map[*Conn]struct{}
-	open    int           // open are the connections that were accepted and have not ended.
-	ended   chan struct{} // ended is closed and replaced when one ends.
+	memory  *Memory // memory is nil where nothing is admitted by it.
+	pace    Pace
+	socket  int // socket is what the kernel may keep of a connection each way, in bytes; 0 leaves it to the kernel.
+	log     zerolog.Logger
+
+	mostConns int // mostConns bounds the connections; 0 sets no bound.
+	slow      [2]metrics.Counter
+	crowd     metrics.Counter // crowd counts connections that were closed at once.
+	evictions metrics.Counter // evictions counts those that were closed for others.
+
+	limits atomic.Pointer[Limits]
+	drain  atomic.Bool
+	mu     sync.Mutex // mu guards all below.
+	conns  map[*Conn]struct{}
+	open   int           // open are the connections that were accepted and have not ended.
+	ended  chan struct{} // ended is closed and replaced when one ends.
 }
 
+// Option changes a new server.
+type Option func(*Server)
+
+// WithMemory sets the account that bytes are taken from.
+func WithMemory(m *Memory) Option { return func(s *Server) { s.memory = m } }
+
+// WithPace sets the least rate of callers.
+func WithPace(p Pace) Option { return func(s *Server) { s.pace = p } }
+
+// WithSocket bounds what the kernel keeps of a connection each way, which no account
+// counts.
+func WithSocket(bytes int) Option { return func(s *Server) { s.socket = bytes } }
+
+// WithConnections bounds the connections of callers; 0 sets no bound.
+func WithConnections(most int) Option { return func(s *Server) { s.mostConns = most } }
+
+// WithLogger sets the logger; without it nothing is logged.
+func WithLogger(l zerolog.Logger) Option { return func(s *Server) { s.log = l } }
+
+// WithRegistry sets the registry of the server's counters.
+func WithRegistry(r metrics.Registry) Option { return func(s *Server) { s.meter(r) } }
+
 // NewServer returns a server that is not serving yet.
-func NewServer(h Handler) *Server {
-	s := &Server{handler: h, conns: map[*Conn]struct{}{}, ended: make(chan struct{})}
+func NewServer(h Handler, opts ...Option) *Server {
+	s := &Server{handler: h, pace: DefaultPace, log: zerolog.Nop(), conns: map[*Conn]struct{}{}, ended: make(chan struct{})}
+	s.meter(metrics.NewRegistry())
 	s.SetLimits(DefaultLimits)
+	for _, opt := range opts {
+		opt(s)
+	}
 	return s
 }
 
+// The sides on which a caller can be too slow.
+const (
+	sends = iota
+	reads
+)
+
+var sideNames = [2]string{"sends", "reads"}
+
+func (s *Server) meter(r metrics.Registry) {
+	s.crowd = metrics.GetOrRegisterCounter("connections.refused", r)
+	s.evictions = metrics.GetOrRegisterCounter("connections.evicted", r)
+	for i, name := range sideNames {
+		s.slow[i] = metrics.GetOrRegisterCounter(fmt.Sprintf("callers.slow{side=%q}", name), r)
+	}
+}
+
+// tooSlow notes a caller that is cut for its rate.
+func (s *Server) tooSlow(c *Conn, side int) {
+	s.slow[side].Inc(1)
+	s.log.Info().Str("request", c.request).Str("workspace", c.hold.Workspace).Str("side", sideNames[side]).
+		Int("rate", s.pace.Rate).Dur("window", s.pace.Window).Str("caller", c.net.RemoteAddr().String()).Msg("caller too slow")
+}
+
 // SetLimits puts other limits in force for the requests that follow.
 func (s *Server) SetLimits(l Limits) { s.limits.Store(&l) }
 
@@ -91,10 +152,13 @@
 			time.Sleep(acceptPause) // Out of descriptors: the next try may find one.
 			continue
 		}
-		s.mu.Lock()
-		s.open++
-		s.mu.Unlock()
-		go s.run(conn)
+		c := s.newConn(conn)
+		if !s.admit(c) { // One after the other, so that the bound holds.
+			_ = conn.Close()
+			continue
+		}
+		s.track(c, true)
+		go s.run(c)
 	}
 }
 
@@ -110,7 +174,7 @@
 	}
 	s.mu.Unlock()
 	for _, c := range conns {
-		c.closeIdle()
+		c.closeIf(connIdle)
 	}
 }
 
@@ -141,15 +205,14 @@
 	s.ended = make(chan struct{})
 }
 
-func (s *Server) run(conn net.Conn) {
+func (s *Server) run(c *Conn) {
 	defer s.end()
-	c := &Conn{net: conn, stall: writeStall}
-	c.br = bufio.NewReaderSize(conn, readBuffer)
-	c.bw = bufio.NewWriterSize(c, writeBuffer)
-	s.track(c, true)
 	defer func() {
+		_ = c.net.Close()
+		_ = c.out.settle() // Its goroutine uses the hold; behind the close it ends at once.
+		s.memory.End(&c.hold)
+		s.memory.End(&c.cost)
 		s.track(c, false)
-		_ = conn.Close()
 	}()
 	req := fasthttp.AcquireRequest()
 	defer fasthttp.ReleaseRequest(req)
@@ -158,6 +221,18 @@
 	}
 }
 
+// newConn returns the state of a connection that was accepted.
+func (s *Server) newConn(conn net.Conn) *Conn {
+	if tcp, ok := conn.(*net.TCPConn); ok && s.socket > 0 {
+		_, _ = tcp.SetReadBuffer(s.socket), tcp.SetWriteBuffer(s.socket) // A connection that ended says so when it is read.
+	}
+	c := &Conn{net: conn}
+	c.out = newStore(conn, s.memory, &c.hold, s.pace, func() { s.tooSlow(c, reads) })
+	c.br = bufio.NewReaderSize(c, readBuffer)
+	c.bw = bufio.NewWriterSize(c.out, writeBuffer)
+	return c
+}
+
 const (
 	// readBuffer holds the headers of nearly all requests; see Conn.readHead.
 	readBuffer  = 4 << 10
@@ -168,6 +243,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if add {
+		s.open++
 		s.conns[c] = struct{}{}
 		return
 	}
@@ -183,47 +259,47 @@
 	if s.drain.Load() && c.br.Buffered() == 0 {
 		return false
 	}
-	if _, err := c.br.Peek(1); err != nil || !c.enter(connBusy) {
+	if _, err := c.br.Peek(1); err != nil || !c.enter(connHead) {
 		return false
 	}
-	if status, reason := s.read(c, req, limits); status != 0 {
-		s.refuse(c, status, reason)
+	c.request, c.hold.Workspace = "", ""
+	if err := s.read(c, req, limits); err != nil {
+		s.refuse(c, req, err)
 		return false
 	}
 	a := &Answer{conn: c, close: s.drain.Load() || req.Header.ConnectionClose()}
 	ctx, cancel := context.WithCancel(context.Background())
 	stop := c.watch(cancel)
 	s.handler.Serve(ctx, req, a)
+	req.ResetBody() // What follows may take long, and needs it no more.
+	s.memory.Give(&c.hold, memory.Body, int(c.hold.Held(memory.Body)))
+	err := c.out.settle()
 	stop()
 	cancel()
-	return a.ended && !a.close
+	s.memory.End(&c.hold)
+	return a.ended && !a.close && err == nil
 }
 
-// read reads a whole request. A status other than 0 says what to answer where
-// that failed; -1 that there is nobody to answer.
-func (s *Server) read(c *Conn, req *fasthttp.Request, limits *Limits) (status int, reason string) {
-	if c.net.SetReadDeadline(time.Now().Add(limits.HeaderTime)) != nil {
-		return -1, ""
+// read reads a whole request.
+func (s *Server) read(c *Conn, req *fasthttp.Request, limits *Limits) error {
+	if err := c.net.SetReadDeadline(time.Now().Add(limits.HeaderTime)); err != nil {
+		return err
 	}
 	if err := c.readHead(req, limits.HeaderBytes); err != nil {
-		return readFault(err)
+		return err
 	}
-	if c.net.SetReadDeadline(time.Now().Add(limits.BodyTime)) != nil {
-		return -1, ""
-	}
-	if req.MayContinue() {
-		if _, err := c.bw.WriteString("HTTP/1.1 100 Continue\r\n\r\n"); err != nil || c.bw.Flush() != nil {
-			return -1, ""
-		}
+	if !c.enter(connBusy) {
+		return net.ErrClosed
 	}
-	if err := req.ContinueReadBody(c.br, limits.BodyBytes, false); err != nil {
-		return readFault(err)
+	err := s.readBody(c, req, limits)
+	if isTimeout(err) {
+		s.tooSlow(c, sends)
 	}
-	return 0, ""
+	return err
 }
 
 // readFault names what was wrong without quoting the request, which may hold a
-// key.
+// key. The status is what to answer; -1 says that there is nobody to answer.
 func readFault(err error) (status int, reason string) {
 	var small *fasthttp.ErrSmallBuffer
 	switch {
@@ -233,7 +309,7 @@
 		return fasthttp.StatusRequestHeaderFieldsTooLarge, "the headers are too large"
 	case isTimeout(err):
 		return fasthttp.StatusRequestTimeout, "the request did not arrive in time"
-	case isBroken(err):
+	case isBroken(err), errors.Is(err, net.ErrClosed):
 		return -1, ""
 	}
 	return fasthttp.StatusBadRequest, "the request cannot be read"
@@ -241,10 +317,18 @@
 
 // refuse answers what could not be read. The connection ends with it, since
 // where the next request begins is not known.
-func (s *Server) refuse(c *Conn, status int, reason string) {
+func (s *Server) refuse(c *Conn, req *fasthttp.Request, err error) {
+	a := &Answer{conn: c, close: true}
+	var full *noRoom
+	if admitter, ok := s.handler.(Admitter); ok && errors.As(err, &full) {
+		_ = a.Whole(admitter.NoRoom(req, full.verdict)) // The connection is closed in any case.
+		c.linger()
+		return
+	}
+	status, reason := readFault(err)
 	if status < 0 {
 		return
 	}
-	a := &Answer{conn: c, close: true}
 	_ = a.Whole(s.handler.Refuse(status, reason)) // The connection is closed in any case.
+	c.linger()
 }
--- a/transport/caller/conn.go
+++ b/transport/caller/conn.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"github.com/valyala/fasthttp"
+
+	"github.com/weldstream/weldstream/coordination/memory"
 )
 
 // pastDeadline wakes a read that waits.
@@ -19,32 +21,32 @@
 // since only so a caller that hangs up is noticed while nothing is written, and
 // an answer that breaks off can be told from one that ended.
 type Conn struct {
-	net   net.Conn
-	br    *bufio.Reader
-	bw    *bufio.Writer
-	stall time.Duration
-
-	mu    sync.Mutex // mu guards state.
+	net net.Conn
+	br  *bufio.Reader
+	bw  *bufio.Writer
+	out *store // out is what bw writes to.
+
+	cost     memory.Hold // cost is what the connection holds by itself.
+	hold     memory.Hold // hold is what its request holds.
+	request  string      // request names the request, where its owner was asked for.
+	reads    window      // reads are held to the pace while a body is read.
+	lastRead time.Time   // lastRead is when the body has to be there.
+	paced    bool
+
+	mu    sync.Mutex // mu guards state and since.
 	state connState
+	since time.Time // since is when it began to rest, or to send its headers.
 }
 
 type connState uint8
 
 const (
 	connIdle   connState = iota // connIdle waits for the first byte of a request.
-	connBusy                    // connBusy reads a request or answers one.
+	connHead                    // connHead reads the headers of a request.
+	connBusy                    // connBusy reads a request's body or answers it.
 	connClosed                  // connClosed was closed by Close of the server.
 )
 
-// Write implements io.Writer: each write has its own deadline, so that only a
-// caller that takes nothing is cut off.
-func (c *Conn) Write(p []byte) (int, error) {
-	if err := c.net.SetWriteDeadline(time.Now().Add(c.stall)); err != nil {
-		return 0, err
-	}
-	return c.net.Write(p)
-}
-
 // enter notes what the connection does; false means that it was closed.
 func (c *Conn) enter(s connState) bool {
 	c.mu.Lock()
@@ -53,17 +55,33 @@
 		return false
 	}
 	c.state = s
+	if s != connBusy {
+		c.since = time.Now()
+	}
 	return true
 }
 
-// closeIdle closes a connection on which no request is under way.
-func (c *Conn) closeIdle() {
+// waits returns what a connection waits for, and since when; connBusy where it does
+// not wait for its caller.
+func (c *Conn) waits() (connState, time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.state == connIdle {
-		c.state = connClosed
-		_ = c.net.Close()
+	if c.state == connClosed {
+		return connBusy, c.since
 	}
+	return c.state, c.since
+}
+
+// closeIf closes a connection that is in a state, and reports whether it was.
+func (c *Conn) closeIf(s connState) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.state != s {
+		return false
+	}
+	c.state = connClosed
+	_ = c.net.Close()
+	return true
 }
 
 // watch calls gone once if the caller hangs up before stop is called. Bytes
@@ -103,6 +121,25 @@
 // Began reports whether a byte of the answer was written.
 func (a *Answer) Began() bool { return a.began }
 
+// Own names the request and the workspace that what is held for it belongs to.
+func (a *Answer) Own(request, workspace string) {
+	c := a.conn
+	c.request = request
+	if c.hold == (memory.Hold{Workspace: c.hold.Workspace}) { // What is held stays with whom it was taken for.
+		c.hold.Workspace = workspace
+	}
+}
+
+// Hold takes bytes for a whole answer that is read before it is written.
+func (a *Answer) Hold(n int) memory.Verdict {
+	return a.conn.out.memory.Take(&a.conn.hold, memory.Answer, n)
+}
+
+// Free gives the bytes of a whole answer back.
+func (a *Answer) Free() {
+	a.conn.out.memory.Give(&a.conn.hold, memory.Answer, int(a.conn.hold.Held(memory.Answer)))
+}
+
 // Close has the connection closed behind the answer, which says so.
 func (a *Answer) Close() { a.close = true }
 
@@ -201,7 +238,7 @@
 	if err != nil {
 		return err
 	}
-	rest := io.MultiReader(bytes.NewReader(bytes.Clone(buffered)), c.net)
+	rest := io.MultiReader(bytes.NewReader(bytes.Clone(buffered)), c)
 	c.br = bufio.NewReaderSize(rest, most)
 	return req.Header.Read(c.br)
 }
--- /dev/null
+++ b/transport/caller/crowd.go
@@ -0,0 +1,86 @@
+package caller
+
+import (
+	"slices"
+	"time"
+
+	"github.com/weldstream/weldstream/coordination/memory"
+)
+
+const (
+	// connectionBytes is what a connection is taken to cost: 10 KB at rest and 14 KB with
+	// a request under way (BenchmarkConnection), and the one to a server beside it.
+	connectionBytes = 24 << 10
+	// evicted are closed at a time where there are too many: one look at all of them for
+	// so many, not for each that is accepted.
+	evicted = 32
+)
+
+// admit takes a connection in, or says that there is no room for it. Where there are too
+// many, those that rest longest go first, then those that have sent a part of their
+// headers longest ago: so many of either keep no other caller out.
+func (s *Server) admit(c *Conn) bool {
+	if s.mostConns > 0 && s.Conns() >= s.mostConns {
+		s.evict()
+		if s.Conns() >= s.mostConns {
+			return s.crowded(c, memory.Verdict{})
+		}
+	}
+	v := s.memory.Take(&c.cost, memory.Connection, connectionBytes)
+	if !v.Taken {
+		s.evict()
+		if v = s.memory.Take(&c.cost, memory.Connection, connectionBytes); !v.Taken {
+			return s.crowded(c, v)
+		}
+	}
+	return true
+}
+
+// crowded notes a connection that is closed at once. Nothing of it was read, so its
+// caller knows that nothing ran.
+func (s *Server) crowded(c *Conn, v memory.Verdict) bool {
+	s.crowd.Inc(1)
+	s.log.Info().Str("caller", c.net.RemoteAddr().String()).Int("connections", s.Conns()).Int("most", s.mostConns).
+		Int64("held", v.Held).Int64("bound", v.Bound).Msg("no room for a connection")
+	return false
+}
+
+// waiting is a connection that waits for its caller.
+type waiting struct {
+	conn  *Conn
+	state connState
+	since time.Time
+}
+
+// evict closes connections that wait for their callers, and forgets them.
+func (s *Server) evict() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var list []waiting
+	for c := range s.conns {
+		if state, since := c.waits(); state != connBusy {
+			list = append(list, waiting{c, state, since})
+		}
+	}
+	slices.SortFunc(list, func(a, b waiting) int {
+		if a.state != b.state {
+			return int(a.state) - int(b.state)
+		}
+		return a.since.Compare(b.since)
+	})
+	gone := 0
+	for _, w := range list {
+		if gone == evicted {
+			break
+		}
+		if w.conn.closeIf(w.state) {
+			gone++
+			delete(s.conns, w.conn)
+			s.memory.End(&w.conn.cost)
+		}
+	}
+	if gone > 0 {
+		s.evictions.Inc(int64(gone))
+		s.log.Info().Int("closed", gone).Int("waiting", len(list)).Int("connections", len(s.conns)).Msg("connections that rest closed for others")
+	}
+}
--- /dev/null
+++ b/transport/caller/pace.go
@@ -0,0 +1,44 @@
+package caller
+
+import "time"
+
+// Pace is the least rate that callers are held to while they send a body or take an
+// answer: bytes over a window, so that a pause is allowed and a byte now and then is
+// not enough.
+type Pace struct {
+	Rate   int           // Rate is in bytes a second; 0 asks for one byte in each window.
+	Window time.Duration // Window is the time over which the rate holds.
+}
+
+// DefaultPace is far below what any caller needs who means to go on: the slowest links
+// in use carry ten times the rate. The window is longer than a caller pauses who waits
+// for its disk or for a lost packet to be repeated several times, and as long as a
+// kernel that takes an answer in steps of 15 KB needs for one.
+var DefaultPace = Pace{Rate: 1 << 10, Window: 15 * time.Second}
+
+// need is how many bytes each window has to bring.
+func (p Pace) need() int { return max(1, int(float64(p.Rate)*p.Window.Seconds())) }
+
+// window is one direction of a connection, held to a pace.
+type window struct {
+	need int
+	time time.Duration
+	end  time.Time
+	got  int
+}
+
+// begin starts the first window.
+func (w *window) begin(p Pace, now time.Time) {
+	*w = window{need: p.need(), time: p.Window, end: now.Add(p.Window)}
+}
+
+// moved notes bytes, and reports whether they filled the window, so that the next one
+// has begun.
+func (w *window) moved(n int, now func() time.Time) bool {
+	w.got += n
+	if w.got < w.need {
+		return false
+	}
+	w.got, w.end = 0, now().Add(w.time)
+	return true
+}
--- /dev/null
+++ b/transport/caller/store_unix.go
@@ -0,0 +1,53 @@
+//go:build unix
+
+package caller
+
+import (
+	"errors"
+	"net"
+	"syscall"
+)
+
+// now writes to a connection what its kernel takes at once. It allocates nothing for a
+// write, as each event of each stream passes here.
+type now struct {
+	raw syscall.RawConn // raw is nil for a connection without one: nothing is taken at once.
+	try func(fd uintptr) bool
+	p   []byte
+	n   int
+	err error
+}
+
+func newNow(conn net.Conn) *now {
+	w := &now{}
+	if sc, ok := conn.(syscall.Conn); ok {
+		if raw, err := sc.SyscallConn(); err == nil {
+			w.raw = raw
+		}
+	}
+	w.try = func(fd uintptr) bool {
+		w.n, w.err = syscall.Write(int(fd), w.p)
+		for errors.Is(w.err, syscall.EINTR) {
+			w.n, w.err = syscall.Write(int(fd), w.p)
+		}
+		return true // Never waits.
+	}
+	return w
+}
+
+// write returns how many bytes were taken; fewer than all are no error.
+func (w *now) write(p []byte) (int, error) {
+	if w.raw == nil {
+		return 0, nil
+	}
+	w.p, w.n, w.err = p, 0, nil
+	err := w.raw.Write(w.try)
+	w.p = nil
+	if err != nil {
+		return 0, err
+	}
+	if errors.Is(w.err, syscall.EAGAIN) {
+		return 0, nil
+	}
+	return max(0, w.n), w.err
+}
--- a/transport/forward/attempt.go
+++ b/transport/forward/attempt.go
@@ -38,6 +38,7 @@
 	last     time.Time // last is when the latest events came.
 	pieces   int       // pieces are how often events came.
 	observed bool      // observed says that the answer was counted for a roll-out.
+	left     bool      // left says that the request has left the server.
 }
 
 // attempt sends the request to a server. It returns nil when the request is
@@ -115,9 +116,7 @@
 	stop := context.AfterFunc(x.ctx, t.conn.Close)
 	defer func() {
 		stop()
-		t.hasRead()
-		t.server.Cell.Ended()
-		x.givesBack(time.Since(t.began), t.server.Width())
+		t.leave()
 	}()
 	x.out.Reset()
 	x.resp.Reset()
@@ -144,6 +143,18 @@
 	return t.answered(stop)
 }
 
+// leave notes once that the server has done with the request: its caller may take the
+// rest of the answer for much longer.
+func (t *try) leave() {
+	if t.left {
+		return
+	}
+	t.left = true
+	t.hasRead()
+	t.server.Cell.Ended()
+	t.x.givesBack(time.Since(t.began), t.server.Width())
+}
+
 // hasRead notes once that the server need not read the prompt any more.
 func (t *try) hasRead() {
 	if !t.read {
@@ -248,6 +259,7 @@
 // finish keeps the connection if its answer was read to its end and nothing
 // speaks against it.
 func (t *try) finish(whole bool, stop func() bool) {
+	defer t.leave() // Behind the connection's return, so that the next request finds it.
 	if !whole || t.early || t.extra || t.reply.Close || !stop() {
 		t.conn.Close()
 		return
@@ -260,12 +272,13 @@
 func (t *try) whole(stop func() bool) *protocol.Refusal {
 	x, status := t.x, t.x.resp.StatusCode()
 	body, err := t.conn.Body(x.resp)
+	defer x.answer.Free()
 	var data []byte
 	if err == nil {
-		data, err = io.ReadAll(io.LimitReader(body, maxAnswer+1))
+		data, err = x.readWhole(body, x.resp.Header.ContentLength())
 	}
-	if err == nil && len(data) > maxAnswer {
-		err = errTooLarge
+	if errors.Is(err, errNoRoom) {
+		return t.unread()
 	}
 	if err != nil {
 		return t.lost(err)
--- a/transport/forward/exchange.go
+++ b/transport/forward/exchange.go
@@ -76,6 +76,7 @@
 	x.g.meters.requests.Inc(1)
 	x.call = x.g.dialect.Call(x.in)
 	refusal := x.admit()
+	x.answer.Own(x.call.ID, x.workspaceName())
 	x.log = x.g.log.With().Str("request", x.call.ID).Str("workspace", x.workspaceName()).Str("route", x.routeName()).Logger()
 	if refusal != nil {
 		x.refuse(refusal)
