--- a/transport/forward/forward_test.go
+++ b/transport/forward/forward_test.go
@@ -86,7 +86,7 @@
 	number  uint64
 }
 
-func newWorld(t *testing.T) *world {
+func newWorld(t *testing.T, opts ...caller.Option) *world {
 	t.Helper()
 	w := &world{t: t, g: New(Config{Name: "g", Domain: "a", Revoke: time.Hour, RetryRatio: 1, RetryExtra: 100, RetryWindow: time.Second, UsageWindow: time.Second, UsageDue: time.Second}, plain{})}
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
@@ -94,7 +94,7 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { _ = ln.Close() })
-	server := caller.NewServer(w.g)
+	server := caller.NewServer(w.g, opts...)
 	go func() { _ = server.Serve(ln) }()
 	w.address = ln.Addr().String()
 	w.g.Confirm(time.Now(), 1)
--- /dev/null
+++ b/transport/forward/room_test.go
@@ -0,0 +1,116 @@
+package forward
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"strings"
+	"testing"
+	"time"
+
+	metrics "github.com/rcrowley/go-metrics"
+	"github.com/valyala/fasthttp"
+
+	"github.com/weldstream/weldstream/coordination/memory"
+	"github.com/weldstream/weldstream/protocol"
+	"github.com/weldstream/weldstream/transport/caller"
+)
+
+// TestAnswerWithoutRoom checks what becomes of whole answers that find no memory: the
+// request may have run, its server is not blamed, and nothing stays held. What fits
+// arrives, with its length told and without.
+func TestAnswerWithoutRoom(t *testing.T) {
+	m := caller.NewMemory(4<<20, metrics.NewRegistry())
+	w := newWorld(t, caller.WithMemory(m))
+	w.install(protocol.PathRoute{Kind: protocol.RouteRepeatable, Attempts: 3})
+	var size int
+	var chunked bool
+	b := w.backend("a", func(c net.Conn, _ *fasthttp.Request) {
+		text := strings.Repeat("x", size)
+		if chunked {
+			_, _ = fmt.Fprintf(c, "HTTP/1.1 200 X\r\nId: 7\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n\r\n", size, text)
+			return
+		}
+		say(c, 200, "", text)
+	})
+	for _, chunked = range []bool{false, true} {
+		for _, size = range []int{1, answerPiece - 1, answerPiece, answerPiece + 1, 1 << 20} {
+			if got := w.ask(); got.status != 200 || len(got.body) != size {
+				t.Errorf("%d bytes, chunked %v: %d, %d bytes", size, chunked, got.status, len(got.body))
+			}
+		}
+		b.runs.Store(0)
+		size = 3 << 20
+		if got := w.ask(); got.status != 502 || got.verdict != "may-have-run" || b.runs.Load() != 1 {
+			t.Errorf("chunked %v: beyond the share: %+v after %d runs", chunked, got, b.runs.Load())
+		}
+		if s := w.g.view.Load().Find("a"); s.Cell.Suspect(time.Now()) || s.Cell.Outstanding() != 0 {
+			t.Errorf("the server is blamed (%v), or has %d requests", s.Cell.Suspect(time.Now()), s.Cell.Outstanding())
+		}
+	}
+	// What was given back is counted as the connection ends, which its caller may see
+	// before.
+	for end := time.Now().Add(patience); m.Row().Held != 0; time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("at rest: %+v", m.Row())
+		}
+	}
+}
+
+// TestBodyWithoutRoom checks that a body for which the workspace has no memory left is
+// refused as not run before any server sees it, and that another workspace's is served.
+func TestBodyWithoutRoom(t *testing.T) {
+	m := caller.NewMemory(4<<20, metrics.NewRegistry())
+	w := newWorld(t, caller.WithMemory(m))
+	w.install(protocol.PathRoute{Attempts: 1}, protocol.Tenancy{Name: "one", Keys: []string{"1"}}, protocol.Tenancy{Name: "two", Keys: []string{"2"}})
+	b := w.backend("a", good)
+	hold := memory.Hold{Workspace: "one"}
+	if !m.Take(&hold, memory.Lag, 3<<19).Taken {
+		t.Fatal("nothing was taken")
+	}
+	body := strings.Repeat("x", 1<<20)
+	if got := w.send(body, "Key: 1"); got.status != 503 || got.verdict != "not-run" || got.retry == "" || b.runs.Load() != 0 {
+		t.Errorf("got %+v after %d runs", got, b.runs.Load())
+	}
+	if got := w.send(body, "Key: 2"); got.status != 200 {
+		t.Errorf("another workspace got %+v", got)
+	}
+	m.End(&hold)
+	if got := w.send(body, "Key: 1"); got.status != 200 {
+		t.Errorf("with room again got %+v", got)
+	}
+}
+
+// TestSlowCallerFreesTheServer checks that a server is read to the end of its answer
+// while the caller reads none of it, whole or in pieces: its slot and its connection
+// serve the next request.
+func TestSlowCallerFreesTheServer(t *testing.T) {
+	const size = 200_000
+	for _, kind := range []protocol.RouteKind{protocol.RouteStream, protocol.RouteRepeatable} {
+		w := newWorld(t, caller.WithSocket(8<<10))
+		w.install(protocol.PathRoute{Kind: kind, Attempts: 1})
+		w.backend("a", func(c net.Conn, _ *fasthttp.Request) { say(c, 200, "", strings.Repeat("data: xy\n\n", size/10)) })
+		slow, err := net.Dial("tcp", w.address)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer slow.Close()
+		_ = slow.(*net.TCPConn).SetReadBuffer(32 << 10)
+		_, _ = io.WriteString(slow, "POST /r/x HTTP/1.1\r\nHost: h\r\nId: 7\r\nContent-Length: 0\r\n\r\n")
+		cell := w.g.view.Load().Find("a").Cell
+		for end := time.Now().Add(patience); w.g.meters.answered.Count() == 0 || cell.Outstanding() > 0; time.Sleep(time.Millisecond) {
+			if time.Now().After(end) {
+				t.Fatalf("route kind %v: the server has %d requests", kind, cell.Outstanding())
+			}
+		}
+		if got := w.ask(); got.status != 200 || w.g.pool.Opens() != 1 {
+			t.Errorf("route kind %v: the next request got %d over %d connections", kind, got.status, w.g.pool.Opens())
+		}
+		_ = slow.SetReadDeadline(time.Now().Add(patience))
+		var resp fasthttp.Response
+		if err := resp.Read(bufio.NewReader(slow)); err != nil || len(resp.Body()) != size {
+			t.Errorf("route kind %v: the slow caller got %d bytes, %v", kind, len(resp.Body()), err)
+		}
+	}
+}
