--- a/settings/defaults.go
+++ b/settings/defaults.go
@@ -52,7 +52,7 @@
 	DefaultMemoryPart   = 0.4                    // part of memory_mb that bodies, answers and connections may take, 0 for no limit: the heap may grow to 0.7 of it, and the collector needs a quarter above what is held
 	DefaultCallerRate   = 1 << 10                // least bytes a second at which a caller sends a body or takes an answer, 0 for one byte in each window: a tenth of what the slowest links in use carry
 	DefaultCallerWindow = 15 * time.Second       // the time over which that rate holds: longer than a lost packet is repeated several times
-	DefaultSocketKB     = 64                     // KB that the kernel may keep of a caller's connection each way, 0 to leave it to the kernel: it doubles them, and carries 20 MB/s over 6 ms there and back
+	DefaultSocketKB     = 64                     // KB that the kernel may keep of a connection of a caller or server each way, 0 to leave it to the kernel: it doubles them, and carries 20 MB/s over 6 ms there and back
 	DefaultNodeElection = 200 * time.Millisecond // least election timeout of control instances
 	DefaultNodeBeat     = 40 * time.Millisecond  // between two heartbeats of their leader
 	DefaultNodeSnapshot = 1024                   // log entries between two snapshots of a control instance
--- a/settings/node.go
+++ b/settings/node.go
@@ -46,7 +46,7 @@
 	Part     float64       `yaml:"part" validate:"min=0,max=0.6"`       // Part is what of memory_mb bodies, answers and connections may take; 0 sets no limit.
 	Rate     int           `yaml:"rate" validate:"min=0,max=1048576"`   // Rate is the least, in bytes a second, at which a caller sends a body or takes an answer; 0 asks for a byte in each window.
 	Window   time.Duration `yaml:"window" validate:"dmin=1s,dmax=10m"`  // Window is the time over which the rate holds.
-	SocketKB int           `yaml:"socket_kb" validate:"min=0,max=4096"` // SocketKB is what the kernel may keep of a caller's connection each way, in KB; 0 leaves it to the kernel.
+	SocketKB int           `yaml:"socket_kb" validate:"min=0,max=4096"` // SocketKB is what the kernel may keep of a caller's or server's connection each way, in KB; 0 leaves it to the kernel.
 }
 
 const (
--- a/transport/backend/backend.go
+++ b/transport/backend/backend.go
@@ -12,6 +12,7 @@
 
 import (
 	"bufio"
+	"errors"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -50,10 +51,17 @@
 	wrote atomic.Int64 // wrote counts the bytes of the request that the kernel took.
 	used  bool         // used says that a request went over it before.
 	until time.Time    // until is when it may rest no longer.
+
+	stall    time.Duration // stall is how long a server may take nothing of a body.
+	deadline time.Time     // deadline is the current request's.
+	unwanted atomic.Bool   // unwanted says that the rest of its body is not wanted.
 }
 
 // Write implements io.Writer and counts.
 func (c *Conn) Write(p []byte) (int, error) {
+	if len(p) > bodyAlone {
+		return c.writeAll(p)
+	}
 	n, err := c.net.Write(p)
 	c.wrote.Add(int64(n))
 	return n, err
@@ -81,6 +89,7 @@
 	if err := c.net.SetDeadline(deadline); err != nil {
 		return false, eris.Wrap(err, "set deadline")
 	}
+	c.deadline = deadline
 	if len(req.Body()) < bodyAlone {
 		if err := c.send(req); err != nil {
 			return false, c.earlyAnswer(resp, err)
@@ -88,20 +97,35 @@
 		return false, c.Head(resp)
 	}
 	sent := make(chan bool, 1)
-	go func() { sent <- c.send(req) == nil }()
+	var stalled error
+	go func() {
+		err := c.send(req)
+		if errors.Is(err, ErrStalled) {
+			stalled = err
+			c.Close() // No answer is waited for: the head's read ends.
+		}
+		sent <- err == nil
+	}()
 	err = c.Head(resp)
 	select {
 	case whole := <-sent:
+		if err != nil && stalled != nil {
+			err = stalled
+		}
 		return !whole, err
 	default:
 	}
 	if err == nil {
 		// The rest of the body is not wanted. A write that waits ends here.
+		c.unwanted.Store(true)
 		_ = c.net.SetWriteDeadline(time.Unix(1, 0))
 	} else {
 		c.Close()
 	}
 	<-sent // The request must not be used any more when this returns.
+	if err != nil && stalled != nil {
+		err = stalled
+	}
 	return true, err
 }
 
@@ -156,15 +180,21 @@
 
 // Pool keeps idle connections by the server's identity.
 type Pool struct {
-	dial  time.Duration
-	opens atomic.Int64
+	dial   time.Duration
+	stall  time.Duration
+	socket int
+	opens  atomic.Int64
 	mu    sync.Mutex // mu guards idle.
 	idle  map[string][]*Conn
 }
 
 // NewPool returns a pool that gives up a connect after a time.
-func NewPool(dial time.Duration) *Pool {
-	return &Pool{dial: dial, idle: map[string][]*Conn{}}
+func NewPool(dial time.Duration, opts ...PoolOption) *Pool {
+	p := &Pool{dial: dial, stall: stallTime, idle: map[string][]*Conn{}}
+	for _, opt := range opts {
+		opt(p)
+	}
+	return p
 }
 
 // Opens counts the connections opened since the start.
@@ -195,7 +225,8 @@
 		return nil, eris.Wrap(err, "connect")
 	}
 	p.opens.Add(1)
-	c := &Conn{net: conn}
+	p.bound(conn)
+	c := &Conn{net: conn, stall: p.stall}
 	c.br, c.bw = bufio.NewReaderSize(conn, readBuffer), bufio.NewWriterSize(c, readBuffer)
 	return c, nil
 }
--- /dev/null
+++ b/transport/backend/progress.go
@@ -0,0 +1,71 @@
+package backend
+
+import (
+	"errors"
+	"net"
+	"os"
+	"time"
+
+	"github.com/rotisserie/eris"
+)
+
+// ErrStalled is returned when a server takes no more of a request's body.
+var ErrStalled = eris.New("the server has stopped taking the body")
+
+const (
+	// stallTime is how long a server may take nothing of a body. Its kernel acknowledges
+	// meanwhile, so that the bound on silence does not see it. A pause of a server that
+	// moves or restarts threads is far shorter, and the deadlines of requests with large
+	// bodies are several times as long.
+	stallTime = 3 * time.Second
+	// pieceBytes are handed to the kernel at a time: each has to be taken in stallTime.
+	pieceBytes = 32 << 10
+)
+
+// writeAll writes a large part of a request piece by piece, so that a server which takes
+// nothing any more is noticed before the deadline.
+func (c *Conn) writeAll(p []byte) (written int, err error) {
+	for len(p) > 0 {
+		end := time.Now().Add(c.stall)
+		last := !c.deadline.IsZero() && c.deadline.Before(end)
+		if last {
+			end = c.deadline
+		}
+		if err := c.net.SetWriteDeadline(end); err != nil {
+			return written, err
+		}
+		if c.unwanted.Load() { // Set before the deadline that wakes a write, which this one replaced.
+			return written, os.ErrDeadlineExceeded
+		}
+		n, err := c.net.Write(p[:min(len(p), pieceBytes)])
+		c.wrote.Add(int64(n))
+		written += n
+		p = p[n:]
+		switch {
+		case errors.Is(err, os.ErrDeadlineExceeded) && n > 0 && !last && !c.unwanted.Load():
+			continue // A part was taken.
+		case errors.Is(err, os.ErrDeadlineExceeded) && !last && !c.unwanted.Load():
+			return written, ErrStalled
+		case err != nil:
+			return written, err
+		}
+	}
+	return written, c.net.SetWriteDeadline(c.deadline)
+}
+
+// PoolOption changes a new pool.
+type PoolOption func(*Pool)
+
+// WithStall sets how long a server may take nothing of a body.
+func WithStall(d time.Duration) PoolOption { return func(p *Pool) { p.stall = d } }
+
+// WithSocket bounds what the kernel keeps of a connection each way, in bytes; 0 leaves
+// it to the kernel.
+func WithSocket(bytes int) PoolOption { return func(p *Pool) { p.socket = bytes } }
+
+// bound bounds what the kernel keeps of a connection.
+func (p *Pool) bound(conn net.Conn) {
+	if tcp, ok := conn.(*net.TCPConn); ok && p.socket > 0 {
+		_, _ = tcp.SetReadBuffer(p.socket), tcp.SetWriteBuffer(p.socket) // A connection that ended says so when it is used.
+	}
+}
--- /dev/null
+++ b/transport/backend/progress_test.go
@@ -0,0 +1,76 @@
+package backend
+
+import (
+	"bufio"
+	"errors"
+	"io"
+	"net"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/valyala/fasthttp"
+)
+
+const quickStall = 300 * time.Millisecond
+
+// TestStalledServerIsGivenUp checks that a server which takes no more of a body is given
+// up long before the deadline, and that what was sent of it counts as sent.
+func TestStalledServerIsGivenUp(t *testing.T) {
+	address := server(t, func(_ net.Conn, br *bufio.Reader) {
+		_, _ = br.ReadByte()
+		time.Sleep(patience) // It lives, its kernel acknowledges, and it reads nothing.
+	})
+	p := NewPool(patience, WithStall(quickStall), WithSocket(16<<10))
+	deadline := time.Now().Add(10 * patience)
+	c, err := p.Get("s", address, deadline)
+	if err != nil {
+		t.Fatal(err)
+	}
+	done := make(chan error, 1)
+	go func() {
+		var resp fasthttp.Response
+		_, err := c.Exchange(request(strings.Repeat("x", 8<<20)), &resp, deadline)
+		done <- err
+	}()
+	select {
+	case err := <-done:
+		if !errors.Is(err, ErrStalled) || !c.Wrote() {
+			t.Errorf("got %v, wrote %v", err, c.Wrote())
+		}
+	case <-time.After(patience):
+		t.Fatal("the server is still waited for")
+	}
+}
+
+// TestSlowServerIsWaitedFor checks that a server which takes a body slowly, for longer
+// than it may take nothing, gets all of it.
+func TestSlowServerIsWaitedFor(t *testing.T) {
+	const size = 1 << 20
+	address := server(t, func(c net.Conn, br *bufio.Reader) {
+		var req fasthttp.Request
+		if req.Header.Read(br) != nil {
+			return
+		}
+		n, buf := 0, make([]byte, 64<<10)
+		for n < size {
+			m, err := br.Read(buf)
+			if err != nil {
+				return
+			}
+			n += m
+			time.Sleep(time.Duration(m) * 2 * quickStall / size)
+		}
+		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+	})
+	p := NewPool(patience, WithStall(quickStall), WithSocket(16<<10))
+	deadline := time.Now().Add(patience)
+	c, err := p.Get("s", address, deadline)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var resp fasthttp.Response
+	if early, err := c.Exchange(request(strings.Repeat("x", size)), &resp, deadline); err != nil || early || resp.StatusCode() != 200 {
+		t.Errorf("early %v, %v, status %d", early, err, resp.StatusCode())
+	}
+}
--- a/transport/forward/forward.go
+++ b/transport/forward/forward.go
@@ -49,6 +49,7 @@
 	QuotaWindow time.Duration // QuotaWindow is the window in which quotas are bounded.
 	UsageWindow time.Duration // UsageWindow is the length of a window of usage reports.
 	UsageDue    time.Duration // UsageDue is how long after a window its report is due.
+	Socket      int           // Socket is what the kernel may keep of a server's connection each way, in bytes; 0 leaves it to the kernel.
 }
 
 // Gateway forwards requests.
@@ -111,7 +112,7 @@
 		cfg:       cfg,
 		dialect:   d,
 		log:       zerolog.Nop(),
-		pool:      backend.NewPool(dialTime),
+		pool:      backend.NewPool(dialTime, backend.WithSocket(cfg.Socket)),
 		syncNow:   func() {},
 		place:     func(protocol.PlaceMsg) (protocol.PlaceReply, bool) { return protocol.PlaceReply{}, false },
 		began:     now,
