Bytes of bodies at servers: count them, and send no more than a server is known to bear

Cause: requests of a server that fell over under their bytes could all go to one other, and bring it down too. Change: a gateway counts the bodies beyond 4 KB that each server has from it. A server that ends requests without an answer while it has more than 1 MB teaches its service's servers half of that as limit, which grows again by what is answered. What has no room anywhere is refused 503 as not run. Gauges servers.bytes and servers.bytes_limit, the dump's bodies_at_servers, two log lines. Run: go test -race -count=3 ./transport/forward, ./transport/backend, ./cmd/weldstreamd, the linter.

--- a/cmd/weldstreamd/gateway.go
+++ b/cmd/weldstreamd/gateway.go
@@ -197,10 +197,12 @@
 	Connections int    `json:"connections"`
 
 	Memory *caller.MemoryRow `json:"memory,omitempty"` // Memory is what is held for callers.
+
+	Flights map[string]forward.FlightRow `json:"bodies_at_servers"` // Flights are the bytes of bodies at servers, by service.
 }
 
 func (g *gateway) dump() any {
-	d := gatewayDump{Name: g.settings.Name, Ready: g.ready(), Number: g.forward.Number(), AgeMS: -1, Connections: g.server.Conns(), Memory: g.memory.Row()}
+	d := gatewayDump{Name: g.settings.Name, Ready: g.ready(), Number: g.forward.Number(), AgeMS: -1, Connections: g.server.Conns(), Memory: g.memory.Row(), Flights: g.forward.Flights()}
 	if age, ok := g.forward.Age(); ok {
 		d.AgeMS = age.Milliseconds()
 	}
--- a/transport/backend/backend.go
+++ b/transport/backend/backend.go
@@ -184,8 +184,8 @@
 	stall  time.Duration
 	socket int
 	opens  atomic.Int64
-	mu    sync.Mutex // mu guards idle.
-	idle  map[string][]*Conn
+	mu     sync.Mutex // mu guards idle.
+	idle   map[string][]*Conn
 }
 
 // NewPool returns a pool that gives up a connect after a time.
--- a/transport/forward/attempt.go
+++ b/transport/forward/attempt.go
@@ -39,6 +39,7 @@
 	pieces   int       // pieces are how often events came.
 	observed bool      // observed says that the answer was counted for a roll-out.
 	left     bool      // left says that the request has left the server.
+	done     bool      // done says that its answer was read to its end.
 }
 
 // attempt sends the request to a server. It returns nil when the request is
@@ -113,6 +114,7 @@
 	t.server.Cell.Began()
 	t.server.Cell.Reads(x.size)
 	x.takesSlot(t.server.Width())
+	t.takesBytes()
 	stop := context.AfterFunc(x.ctx, t.conn.Close)
 	defer func() {
 		stop()
@@ -153,6 +155,7 @@
 	t.hasRead()
 	t.server.Cell.Ended()
 	t.x.givesBack(time.Since(t.began), t.server.Width())
+	t.givesBytes()
 }
 
 // hasRead notes once that the server need not read the prompt any more.
@@ -208,6 +211,7 @@
 		t.x.distrust(t.server, true)
 		return t.x.failed(protocol.NotRun, false, "nothing could be sent: "+err.Error())
 	}
+	t.fell()
 	t.x.distrust(t.server, false)
 	return t.x.failed(protocol.MayHaveRun, true, "the answer did not come: "+err.Error())
 }
@@ -259,6 +263,7 @@
 // finish keeps the connection if its answer was read to its end and nothing
 // speaks against it.
 func (t *try) finish(whole bool, stop func() bool) {
+	t.done = whole
 	defer t.leave() // Behind the connection's return, so that the next request finds it.
 	if !whole || t.early || t.extra || t.reply.Close || !stop() {
 		t.conn.Close()
--- a/transport/forward/exchange.go
+++ b/transport/forward/exchange.go
@@ -216,7 +216,7 @@
 		Answer:  x.call.AnswerTokens,
 		Prefix:  x.prefix,
 		Domain:  x.g.cfg.Domain,
-		Avoid:   x.avoid,
+		Avoid:   x.passedOver(),
 		Copies:  x.copyRate(),
 		Parts:   x.parts,
 		Target:  x.route.Target,
@@ -261,7 +261,7 @@
 		Prefix:  x.prefix,
 		Domain:  x.g.cfg.Domain,
 		Rand:    rand.Uint64(),
-		Avoid:   x.avoid,
+		Avoid:   x.passedOver(),
 		Lane:    x.lane,
 		Parts:   x.parts,
 		Brief:   x.route.Repeatable(),
@@ -275,6 +275,9 @@
 		return s, nil
 	}
 	i, ok := place.Choose(view, m)
+	if !ok && len(x.full()) > 0 {
+		return nil, x.noServer()
+	}
 	if !ok {
 		return nil, protocol.NewRefusal(protocol.StatusServiceUnavailable, protocol.CodeNoBackend, "no server of the service can take the request").WithRetryAfter(resend.Later(x.route.Target))
 	}
--- a/transport/forward/forward.go
+++ b/transport/forward/forward.go
@@ -67,6 +67,7 @@
 	began     time.Time
 	confirmed atomic.Int64 // confirmed is when the catalog was known to be the newest, since began; 0 for never.
 	gateways  atomic.Int64
+	flights   sync.Map    // flights are the bytes at servers, a *flight by service.
 	closed    atomic.Bool // closed refuses new requests: the gateway ends soon.
 
 	mu        sync.Mutex // mu guards all below.
--- a/transport/forward/room.go
+++ b/transport/forward/room.go
@@ -2,11 +2,16 @@
 
 import (
 	"errors"
+	"fmt"
 	"io"
+	"slices"
+	"sync"
 
+	metrics "github.com/rcrowley/go-metrics"
 	"github.com/valyala/fasthttp"
 
 	"github.com/weldstream/weldstream/coordination/memory"
+	"github.com/weldstream/weldstream/coordination/resend"
 	"github.com/weldstream/weldstream/protocol"
 )
 
@@ -37,6 +42,128 @@
 	return resp
 }
 
+// smallBody is a body that is not counted at servers: any number of slots bears it.
+const smallBody = 4 << 10
+
+// flight are the bytes at the servers of a service.
+type flight struct {
+	mu sync.Mutex // mu guards Flights.
+	*memory.Flights
+}
+
+// bytesAt returns the bytes at the servers of a service.
+func (g *Gateway) bytesAt(service string) *flight {
+	if f, ok := g.flights.Load(service); ok {
+		return f.(*flight)
+	}
+	f, loaded := g.flights.LoadOrStore(service, &flight{Flights: memory.NewFlights()})
+	if !loaded {
+		name := service
+		_ = g.meters.registry.Register(fmt.Sprintf("servers.bytes{service=%q}", name), metrics.NewFunctionalGauge(func() int64 { return g.bytesAt(name).all() }))
+		_ = g.meters.registry.Register(fmt.Sprintf("servers.bytes_limit{service=%q}", name), metrics.NewFunctionalGauge(func() int64 { return g.bytesAt(name).most() }))
+	}
+	return f.(*flight)
+}
+
+func (f *flight) all() int64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.All()
+}
+
+func (f *flight) most() int64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.Limit()
+}
+
+// body is how many bytes of the request count at its server; 0 for a small one.
+func (x *exchange) body() int64 {
+	if n := len(x.in.Body()); n > smallBody {
+		return int64(n)
+	}
+	return 0
+}
+
+// full returns the servers that have no room for the request's body.
+func (x *exchange) full() []string {
+	n := x.body()
+	if n == 0 {
+		return nil
+	}
+	f := x.g.bytesAt(x.service)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.Full(n)
+}
+
+// passedOver are the servers that are not sent the request: those that had it, and those
+// that have no room for its body.
+func (x *exchange) passedOver() []string {
+	return append(slices.Clip(x.avoid), x.full()...)
+}
+
+// noServer refuses a request that no server has room for.
+func (x *exchange) noServer() *protocol.Refusal {
+	f := x.g.bytesAt(x.service)
+	x.log.Info().Str("service", x.service).Int64("bytes", x.body()).Int64("at_servers", f.all()).Int64("limit", f.most()).Msg("no server has room for a body")
+	return protocol.NewRefusal(protocol.StatusServiceUnavailable, protocol.CodeMemory, "no server has room for a body of this size").WithRetryAfter(resend.Later(x.route.Target))
+}
+
+// takesBytes notes that the request's body is sent to a server, and givesBytes that it
+// is not held there any more.
+func (t *try) takesBytes() {
+	if n := t.x.body(); n > 0 {
+		f := t.x.g.bytesAt(t.x.service)
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		f.Began(t.server.ID, n)
+	}
+}
+
+func (t *try) givesBytes() {
+	if n := t.x.body(); n > 0 {
+		f := t.x.g.bytesAt(t.x.service)
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		f.Ended(t.server.ID, n, t.done)
+	}
+}
+
+// fell notes that the server ended the request without an answer.
+func (t *try) fell() {
+	if t.x.body() == 0 {
+		return
+	}
+	f := t.x.g.bytesAt(t.x.service)
+	f.mu.Lock()
+	bytes, lower := f.Bytes()[t.server.ID], f.Fell(t.server.ID)
+	limit := f.Limit()
+	f.mu.Unlock()
+	if lower {
+		t.x.log.Warn().Str("server", t.server.ID).Str("service", t.x.service).Int64("bytes", bytes).Int64("limit", limit).Msg("server failed with many bytes under way")
+	}
+}
+
+// FlightRow is what the servers of a service have of this gateway, for people.
+type FlightRow struct {
+	Limit   int64            `json:"limit"` // Limit is what one server gets, in bytes; 0 before one failed with many.
+	Servers map[string]int64 `json:"servers"`
+}
+
+// Flights returns the bytes at servers, by service.
+func (g *Gateway) Flights() map[string]FlightRow {
+	out := map[string]FlightRow{}
+	g.flights.Range(func(service, value any) bool {
+		f := value.(*flight)
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		out[service.(string)] = FlightRow{Limit: f.Limit(), Servers: f.Bytes()}
+		return true
+	})
+	return out
+}
+
 // answerPiece is what an answer begins with that tells no length. Answers that fit into
 // it, as most do, are a part of what the connection costs.
 const answerPiece = 16 << 10
--- a/transport/forward/room_test.go
+++ b/transport/forward/room_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -114,3 +115,62 @@
 		}
 	}
 }
+
+// TestBytesAtServers has a server fall over while it has large bodies, and checks that
+// its service's servers get no more than half as many at once from then on, that what
+// cannot be placed is refused as not run, and that small requests go on.
+func TestBytesAtServers(t *testing.T) {
+	const size = 2 << 20
+	w := newWorld(t)
+	w.install(protocol.PathRoute{Attempts: 1})
+	var large atomic.Int64
+	arrived, fall, release := make(chan struct{}, 8), make(chan struct{}), make(chan struct{})
+	serve := func(c net.Conn, req *fasthttp.Request) {
+		if len(req.Body()) < size {
+			good(c, req)
+			return
+		}
+		first := large.Add(1) <= 2
+		arrived <- struct{}{}
+		if first {
+			<-fall
+			_ = c.Close()
+			return
+		}
+		<-release
+		good(c, req)
+	}
+	w.backend("a", serve)
+	replies := make(chan reply, 8)
+	send := func() { replies <- w.send(strings.Repeat("x", size)) }
+	for range 2 {
+		go send()
+	}
+	for range 2 {
+		<-arrived
+	}
+	if got := w.g.Flights()["s"]; got.Limit != 0 || got.Servers["a"] != 2*size {
+		t.Errorf("with two bodies under way: %+v", got)
+	}
+	close(fall)
+	for range 2 {
+		if got := <-replies; got.status != 502 || got.verdict != "may-have-run" {
+			t.Errorf("the server fell over: %+v", got)
+		}
+	}
+	if got := w.g.Flights()["s"]; got.Limit != size || len(got.Servers) != 0 {
+		t.Errorf("behind the failure: %+v", got)
+	}
+	go send()
+	<-arrived
+	if got := w.send(strings.Repeat("x", size)); got.status != 503 || got.verdict != "not-run" || got.retry == "" {
+		t.Errorf("beyond the limit: %+v", got)
+	}
+	if got := w.ask(); got.status != 200 {
+		t.Errorf("a small request: %+v", got)
+	}
+	close(release)
+	if got := <-replies; got.status != 200 {
+		t.Errorf("the one within the limit: %+v", got)
+	}
+}
