Callers and servers that take their time in the stand-ins and the soak

Callers read an answer of 320 KB slowly, send a body of 64 KB in pieces, and leave in the middle of one, which must not run; a third of the servers read bodies slowly; gateways have limits of memory and descriptors.

--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -15,6 +15,18 @@
 	Path   string
 	Once   bool // Once says that it may run once at the most.
 	Stream bool
+	Large  bool // Large says that the answer holds the body many times.
+	Halted bool // Halted says that the caller left in the middle of its body, so that it must not run.
+	Pad    int  // Pad are bytes that the body has besides.
+}
+
+// answer is what the caller of a plain request gets.
+func (a Ask) answer() string {
+	body := standin.Body(a.ID, a.Pad)
+	if a.Large {
+		return standin.Large(a.ID, body)
+	}
+	return fmt.Sprintf("done %s %s", a.ID, body)
 }
 
 // Checker holds what callers see against what backend servers saw.
@@ -56,8 +68,8 @@
 		}
 		return
 	}
-	if want := fmt.Sprintf("done %s body of %s", a.ID, a.ID); r.Body != want || !strings.HasPrefix(r.Seal, a.ID+".") {
-		k.breach("%s: got %q signed %q", a.ID, r.Body, r.Seal)
+	if r.Body != a.answer() || !strings.HasPrefix(r.Seal, a.ID+".") {
+		k.breach("%s: got %.200q (%d bytes) signed %q", a.ID, r.Body, len(r.Body), r.Seal)
 	}
 }
 
@@ -68,12 +80,15 @@
 		if a.Once && len(runs) > 1 {
 			k.breach("%s ran %d times", id, len(runs))
 		}
+		if a.Halted && len(runs) > 0 {
+			k.breach("%s ran though its body was never whole", id)
+		}
 		if promised := r.Status == http.StatusServiceUnavailable || r.Status == http.StatusTooManyRequests; promised && a.Once && len(runs) > 0 {
 			k.breach("%s was refused with %d and ran", id, r.Status)
 		}
 		for _, run := range runs {
-			if run.Tenant != standin.Tenant || run.Path != a.Path || run.Body != "body of "+id {
-				k.breach("%s ran as %+v", id, run)
+			if run.Tenant != standin.Tenant || run.Path != a.Path || run.Body != standin.Body(id, a.Pad) {
+				k.breach("%s ran as %.300v", id, run)
 			}
 		}
 	}
--- a/internal/soak/cluster.go
+++ b/internal/soak/cluster.go
@@ -103,6 +103,9 @@
 		if err != nil {
 			return err
 		}
+		if i%3 == 0 {
+			b.ReadPause = slowServer
+		}
 		p, err := NewProxy("127.0.0.1:0", b.Address)
 		if err != nil {
 			return err
@@ -174,6 +177,10 @@
 	return c.writeSettings(p, i, true)
 }
 
+// slowServer is the pause of the servers that read slowly, a third of them, behind 8 KB
+// of a body: 64 KB take 40 ms.
+const slowServer = 5 * time.Millisecond
+
 // writeSettings lays a process's settings. Only the first start of all may found.
 func (c *Cluster) writeSettings(p *Proc, i int, found bool) error {
 	var seeds []string
@@ -188,6 +195,7 @@
 			at(told(i), c.ports.operator), at(told(i), c.ports.peer), behind(i), at(behind(i), c.ports.metrics), p.Data)
 	} else {
 		ip := gatewayIP(i)
+		text += "memory_mb: 64\ndescriptors: 1000\n"
 		text += fmt.Sprintf("caller: %s\nready: %s\npeer: %s\nmetrics: %s\n", at(ip, c.ports.caller), at(ip, c.ports.ready), at(ip, c.ports.peer), at(ip, c.ports.metrics))
 	}
 	return os.WriteFile(p.settings, []byte(text), 0o600)
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -51,6 +51,9 @@
 			load.Go(func() { r.ask(ctx, g, fmt.Sprintf("%d-%d", g, i), p.Seed) })
 		}
 	}
+	for g := range c.Size.Gateways {
+		load.Go(func() { r.askSlowly(ctx, g) })
+	}
 	load.Go(func() { r.operate(ctx) })
 	rollouts := NewRollouts(c, k)
 	ordering, stopOrders := context.WithCancel(ctx)
@@ -106,6 +109,29 @@
 	}
 }
 
+// slowAsks are of callers and servers that take their time: an answer of 320 KB that is
+// read at 80 KB a second at first, a body of 64 KB that comes in pieces, and one that
+// never ends.
+var slowAsks = []struct {
+	ask  Ask
+	slow standin.Slow
+}{
+	{Ask{Path: "/again/large", Large: true, Pad: 5 << 10}, standin.Slow{Pause: 10 * time.Millisecond, Piece: 2 << 10, Pad: 5 << 10}},
+	{Ask{Path: "/once/x", Once: true, Pad: 64 << 10}, standin.Slow{Pause: 5 * time.Millisecond, Piece: 4 << 10, Pad: 64 << 10}},
+	{Ask{Path: "/once/x", Once: true, Halted: true, Pad: 64 << 10}, standin.Slow{Pause: 5 * time.Millisecond, Piece: 8 << 10, Pad: 64 << 10, Halt: true}},
+	{Ask{Path: "/stream/again/x", Stream: true}, standin.Slow{Pause: 10 * time.Millisecond, Piece: 16}},
+}
+
+// askSlowly is one caller that takes its time.
+func (r *run) askSlowly(ctx context.Context, g int) {
+	for n := g; ctx.Err() == nil; n++ {
+		s := slowAsks[n%len(slowAsks)]
+		s.ask.ID = fmt.Sprintf("slow-%d-%d", g, n)
+		r.checker.Note(s.ask, standin.AskSlowly(r.cluster.Callers()[g], s.ask.ID, s.ask.Path, s.slow))
+		time.Sleep(askPause)
+	}
+}
+
 // operate sends configurations, each until it is acknowledged, and reads back.
 func (r *run) operate(ctx context.Context) {
 	for n := uint64(2); ctx.Err() == nil; n++ {
