Sharpen three tests of memory that passed without what they test

Cause: each was run on a scratch copy with its code taken out. The refusal of one who sends passed, since the caller had sent all before the reset; the slow body passed at times, since the caller's own deadline came at the same moment; the slot passed, since the answer fitted into the store. Change: the caller sends on behind the refusal; the time for bodies is twice the test's patience; the whole answer is longer than the store.

--- a/transport/caller/memory_test.go
+++ b/transport/caller/memory_test.go
@@ -42,7 +42,7 @@
 var quick = Pace{Rate: 1 << 20, Window: 200 * time.Millisecond}
 
 // impatient limits leave the window as it is.
-var impatient = Limits{HeaderBytes: 16 << 10, BodyBytes: 4 << 20, HeaderTime: 100 * time.Millisecond, BodyTime: patience, IdleTime: patience}
+var impatient = Limits{HeaderBytes: 16 << 10, BodyBytes: 4 << 20, HeaderTime: 100 * time.Millisecond, BodyTime: 2 * patience, IdleTime: patience}
 
 // listen starts a server and returns it with its address.
 func listen(t testing.TB, h Handler, opts ...Option) (*Server, string) {
@@ -125,9 +125,15 @@
 		t.Fatal("half of the bound was not taken")
 	}
 	conn := dial(t, address)
-	if _, err := io.WriteString(conn, post("a", 1<<19)+strings.Repeat("x", 1<<19)); err != nil {
+	if _, err := io.WriteString(conn, post("a", 1<<19)+strings.Repeat("x", 1<<17)); err != nil {
 		t.Fatal(err)
 	}
+	await(t, "the body is refused", func() bool { return h.refused.Load() == 1 })
+	for range 3 {
+		if _, err := io.WriteString(conn, strings.Repeat("x", 1<<17)); err != nil {
+			t.Fatal(err)
+		}
+	}
 	if status, _ := read(t, bufio.NewReader(conn)); status != 503 {
 		t.Errorf("got %d", status)
 	}
--- a/transport/forward/room_test.go
+++ b/transport/forward/room_test.go
@@ -87,8 +87,8 @@
 // while the caller reads none of it, whole or in pieces: its slot and its connection
 // serve the next request.
 func TestSlowCallerFreesTheServer(t *testing.T) {
-	const size = 200_000
-	for _, kind := range []protocol.RouteKind{protocol.RouteStream, protocol.RouteRepeatable} {
+	// A stream fits into the store of its caller; a whole answer need not.
+	for kind, size := range map[protocol.RouteKind]int{protocol.RouteStream: 200_000, protocol.RouteRepeatable: 600_000} {
 		w := newWorld(t, caller.WithSocket(8<<10))
 		w.install(protocol.PathRoute{Kind: kind, Attempts: 1})
 		w.backend("a", func(c net.Conn, _ *fasthttp.Request) { say(c, 200, "", strings.Repeat("data: xy\n\n", size/10)) })
