--- a/internal/soak/cluster.go
+++ b/internal/soak/cluster.go
@@ -35,8 +35,12 @@
 	Controls int
 	Gateways int
 	Backends int
+	MemoryMB int // MemoryMB is what a gateway may take; 0 for the usual.
 }
 
+// usualMemory is a third of what a gateway has on a platform with small machines.
+const usualMemory = 64
+
 // Cluster is the daemons with all that stands around them.
 type Cluster struct {
 	Size     Size
@@ -195,7 +199,7 @@
 			at(told(i), c.ports.operator), at(told(i), c.ports.peer), behind(i), at(behind(i), c.ports.metrics), p.Data)
 	} else {
 		ip := gatewayIP(i)
-		text += "memory_mb: 64\ndescriptors: 1000\n"
+		text += fmt.Sprintf("memory_mb: %d\ndescriptors: 2000\n", cmp.Or(c.Size.MemoryMB, usualMemory))
 		text += fmt.Sprintf("caller: %s\nready: %s\npeer: %s\nmetrics: %s\n", at(ip, c.ports.caller), at(ip, c.ports.ready), at(ip, c.ports.peer), at(ip, c.ports.metrics))
 	}
 	return os.WriteFile(p.settings, []byte(text), 0o600)
@@ -297,6 +301,23 @@
 	return nil
 }
 
+// ResidentKB returns what the process has in memory, 0 if it does not run.
+func (p *Proc) ResidentKB() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.cmd == nil {
+		return 0
+	}
+	data, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", p.cmd.Process.Pid))
+	if err != nil {
+		return 0
+	}
+	_, rest, _ := strings.Cut(string(data), "VmRSS:")
+	var kb int
+	_, _ = fmt.Sscan(rest, &kb) // 0 where the kernel tells none.
+	return kb
+}
+
 // Signal sends a signal to the process, if it runs.
 func (p *Proc) Signal(s syscall.Signal) error {
 	p.mu.Lock()
--- /dev/null
+++ b/internal/soak/slow_test.go
@@ -0,0 +1,114 @@
+package soak
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"os/exec"
+	"path/filepath"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/weldstream/weldstream/platform/standin"
+)
+
+// dripping is a caller who asks for a large answer and takes a byte of it a second.
+func dripping(t *testing.T, address string, n int) {
+	t.Helper()
+	conn, err := net.Dial("tcp", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = conn.Close() })
+	_ = conn.(*net.TCPConn).SetReadBuffer(4 << 10)
+	if _, err := io.WriteString(conn, standin.Request(fmt.Sprintf("drip-%d", n), "/again/large", 2000)); err != nil {
+		t.Fatal(err)
+	}
+	go func() {
+		var b [1]byte
+		for {
+			if _, err := conn.Read(b[:]); err != nil {
+				return
+			}
+			time.Sleep(time.Second)
+		}
+	}()
+}
+
+// median has good callers ask, and returns the median time of an answer.
+func median(t *testing.T, address, name string) time.Duration {
+	t.Helper()
+	const callers, asks = 50, 10
+	var mu sync.Mutex
+	var times []time.Duration
+	var all sync.WaitGroup
+	for i := range callers {
+		all.Go(func() {
+			c := standin.NewClient(address)
+			defer c.Close()
+			for n := range asks {
+				began := time.Now()
+				r := c.Ask(fmt.Sprintf("%s-%d-%d", name, i, n), "/again/x")
+				if r.Status != 200 || !r.Whole {
+					t.Errorf("a good caller got %d, whole %v", r.Status, r.Whole)
+					return
+				}
+				mu.Lock()
+				times = append(times, time.Since(began))
+				mu.Unlock()
+			}
+		})
+	}
+	all.Wait()
+	slices.Sort(times)
+	if len(times) == 0 {
+		t.Fatal("nobody was served")
+	}
+	return times[len(times)/2]
+}
+
+// TestSlowCallersHoldNobodyUp has 500 callers take a byte a second of their answers at one
+// gateway. Good callers beside them are served about as fast as alone, the gateway's
+// memory stays within its limit, and an order to stop is carried out in time.
+func TestSlowCallersHoldNobodyUp(t *testing.T) {
+	// The race detector multiplies memory, so this test's daemon goes without.
+	bin := filepath.Join(t.TempDir(), "weldstreamd")
+	if out, err := exec.Command("go", "build", "-o", bin, "../../cmd/weldstreamd").CombinedOutput(); err != nil {
+		t.Fatalf("%v: %s", err, out)
+	}
+	const memoryMB, slow = 184, 500
+	usual := daemon
+	daemon = bin
+	c, _, _ := cluster(t, Size{Controls: 3, Gateways: 1, Backends: 3, MemoryMB: memoryMB})
+	daemon = usual
+	address, gateway := c.Callers()[0], c.Proc("gateway-0")
+	served(t, address, "first")
+	alone := median(t, address, "alone")
+	for n := range slow {
+		dripping(t, address, n)
+	}
+	for end := time.Now().Add(readyTime); ; time.Sleep(askPause) {
+		if ran := c.Record.Count(time.Time{}, time.Now()); ran >= slow+1+500 {
+			break // All answers are under way, the good callers' 500 before them.
+		}
+		if time.Now().After(end) {
+			t.Fatalf("the slow callers' requests did not all run: %d", c.Record.Count(time.Time{}, time.Now()))
+		}
+	}
+	beside := median(t, address, "beside")
+	t.Logf("a good caller's median: %v alone, %v beside %d slow ones; %d KB resident", alone, beside, slow, gateway.ResidentKB())
+	// Five times leaves room for a machine on which other tests run.
+	if beside > 5*alone+20*time.Millisecond {
+		t.Errorf("a good caller waits %v beside slow ones, %v alone", beside, alone)
+	}
+	if kb := gateway.ResidentKB(); kb == 0 || kb > memoryMB<<10 {
+		t.Errorf("the gateway takes %d KB of %d", kb, memoryMB<<10)
+	}
+	began := time.Now()
+	if err := gateway.Stop(); err != nil {
+		t.Errorf("stopped with %v", err)
+	}
+	t.Logf("stopped within %v", time.Since(began))
+}
