--- a/internal/soak/slow_test.go
+++ b/internal/soak/slow_test.go
@@ -1,9 +1,11 @@
 package soak
 
 import (
+	"encoding/json"
 	"fmt"
 	"io"
 	"net"
+	"net/http"
 	"os/exec"
 	"path/filepath"
 	"slices"
@@ -23,7 +25,7 @@
 	}
 	t.Cleanup(func() { _ = conn.Close() })
 	_ = conn.(*net.TCPConn).SetReadBuffer(4 << 10)
-	if _, err := io.WriteString(conn, standin.Request(fmt.Sprintf("drip-%d", n), "/again/large", 2000)); err != nil {
+	if _, err := io.WriteString(conn, standin.Request(fmt.Sprintf("drip-%d", n), "/again/large", 2500)); err != nil {
 		t.Fatal(err)
 	}
 	go func() {
@@ -69,6 +71,24 @@
 	return times[len(times)/2]
 }
 
+// lagging returns the bytes that the first gateway holds for callers who lag.
+func lagging(t *testing.T, c *Cluster) int64 {
+	t.Helper()
+	resp, err := http.Get("http://" + at(gatewayIP(0), c.ports.metrics) + "/dump")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	var dump struct {
+		Memory struct{ Causes map[string]int64 }
+	}
+	if err := json.NewDecoder(resp.Body).Decode(&dump); err != nil {
+		t.Fatal(err)
+	}
+	t.Logf("held, by cause: %v", dump.Memory.Causes)
+	return dump.Memory.Causes["lag"]
+}
+
 // TestSlowCallersHoldNobodyUp has 500 callers take a byte a second of their answers at one
 // gateway. Good callers beside them are served about as fast as alone, the gateway's
 // memory stays within its limit, and an order to stop is carried out in time.
@@ -97,6 +117,9 @@
 			t.Fatalf("the slow callers' requests did not all run: %d", c.Record.Count(time.Time{}, time.Now()))
 		}
 	}
+	if held := lagging(t, c); held < 10<<20 {
+		t.Errorf("only %d bytes are held for slow callers", held)
+	}
 	beside := median(t, address, "beside")
 	t.Logf("a good caller's median: %v alone, %v beside %d slow ones; %d KB resident", alone, beside, slow, gateway.ResidentKB())
 	// Five times leaves room for a machine on which other tests run.
