Bound the connections to servers by the descriptors too

Cause: connections that rest at some servers and requests to others could together pass the descriptors; a connect then failed for want of one, and its server was blamed. Change: what callers do not have of the descriptors is for servers. Where it is used up, the connection whose rest ends first is closed for a new one; with none resting the request is refused as not run, and no server is blamed.

--- a/cmd/weldstreamd/gateway.go
+++ b/cmd/weldstreamd/gateway.go
@@ -97,6 +97,7 @@
 		UsageWindow: n.Bounds.UsageWindow,
 		UsageDue:    n.Bounds.UsageDue,
 		Socket:      n.Memory.SocketKB << 10,
+		Connections: n.ServerConnections(),
 	}, platform.Dialect{}, forward.WithLogger(r.log), forward.WithRegistry(r.registry), forward.WithSyncNow(func() { g.client.SyncNow() }),
 		forward.WithPlace(func(m protocol.PlaceMsg) (protocol.PlaceReply, bool) { return g.client.Place(m) }))
 	g.server = caller.NewServer(g.forward, g.callerOptions()...)
--- a/settings/node.go
+++ b/settings/node.go
@@ -69,6 +69,14 @@
 	return max(1, int(callerPart*float64(n.Descriptors-keptDescriptors)))
 }
 
+// ServerConnections is how many connections there may be to servers; 0 sets no limit.
+func (n *Node) ServerConnections() int {
+	if n.Descriptors == 0 {
+		return 0
+	}
+	return max(1, n.Descriptors-keptDescriptors-n.Connections())
+}
+
 // leastHeld is the least that is of use: two bodies of the usual limit, of which one may
 // ever be held by a single workspace, and as much for connections.
 const leastHeld = 4 * DefaultBodyBytes
--- a/settings/node_test.go
+++ b/settings/node_test.go
@@ -93,7 +93,7 @@
 		t.Errorf("without limits %d bytes and %d connections", n.Held(), n.Connections())
 	}
 	n.MemoryMB, n.Descriptors = 200, 4264
-	if n.Held() != 80<<20 || n.Connections() != 1800 {
+	if n.Held() != 80<<20 || n.Connections() != 1800 || n.ServerConnections() != 2200 {
 		t.Errorf("%d bytes and %d connections", n.Held(), n.Connections())
 	}
 	n.Memory.Part = 0
--- a/transport/backend/backend.go
+++ b/transport/backend/backend.go
@@ -54,7 +54,9 @@
 
 	stall    time.Duration // stall is how long a server may take nothing of a body.
 	deadline time.Time     // deadline is the current request's.
-	unwanted atomic.Bool   // unwanted says that the rest of its body is not wanted.
+	pool     *Pool
+	closed   atomic.Bool
+	unwanted atomic.Bool // unwanted says that the rest of its body is not wanted.
 }
 
 // Write implements io.Writer and counts.
@@ -76,7 +78,12 @@
 
 // Close closes the connection, which a server takes as a cancellation. It may
 // be called from any goroutine.
-func (c *Conn) Close() { _ = c.net.Close() }
+func (c *Conn) Close() {
+	if !c.closed.Swap(true) {
+		c.pool.count.Add(-1)
+	}
+	_ = c.net.Close()
+}
 
 // bodyAlone is the size of a body above which the answer is read while the body
 // is still written: a server may answer before it has read all.
@@ -183,6 +190,8 @@
 	dial   time.Duration
 	stall  time.Duration
 	socket int
+	most   int          // most bounds the open connections; 0 sets no bound.
+	count  atomic.Int64 // count are the open connections.
 	opens  atomic.Int64
 	mu     sync.Mutex // mu guards idle.
 	idle   map[string][]*Conn
@@ -220,13 +229,17 @@
 	if limit <= 0 {
 		return nil, eris.New("no time is left to connect")
 	}
+	if !p.room() {
+		return nil, ErrFull
+	}
 	conn, err := tcp.Dial(address, limit, silentServer)
 	if err != nil {
+		p.count.Add(-1)
 		return nil, eris.Wrap(err, "connect")
 	}
 	p.opens.Add(1)
 	p.bound(conn)
-	c := &Conn{net: conn, stall: p.stall}
+	c := &Conn{net: conn, stall: p.stall, pool: p}
 	c.br, c.bw = bufio.NewReaderSize(conn, readBuffer), bufio.NewWriterSize(c, readBuffer)
 	return c, nil
 }
--- a/transport/backend/progress.go
+++ b/transport/backend/progress.go
@@ -4,6 +4,7 @@
 	"errors"
 	"net"
 	"os"
+	"slices"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -63,6 +64,49 @@
 // it to the kernel.
 func WithSocket(bytes int) PoolOption { return func(p *Pool) { p.socket = bytes } }
 
+// WithConnections bounds the connections to all servers together; 0 sets no bound.
+func WithConnections(most int) PoolOption { return func(p *Pool) { p.most = most } }
+
+// ErrFull is returned when no connection may be opened, and none rests that could be
+// closed for it.
+var ErrFull = eris.New("there are too many connections to servers")
+
+// room counts a connection that is to be opened. Where there are too many, the one that
+// may rest for the shortest time yet is closed for it.
+func (p *Pool) room() bool {
+	for p.most > 0 && p.count.Load() >= int64(p.most) {
+		if !p.closeOldest() {
+			return false
+		}
+	}
+	p.count.Add(1)
+	return true
+}
+
+// closeOldest closes the connection whose rest ends first, and reports whether one rested.
+func (p *Pool) closeOldest() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var server string
+	var oldest *Conn
+	for id, list := range p.idle {
+		for _, c := range list {
+			if oldest == nil || c.until.Before(oldest.until) {
+				server, oldest = id, c
+			}
+		}
+	}
+	if oldest == nil {
+		return false
+	}
+	p.idle[server] = slices.DeleteFunc(p.idle[server], func(c *Conn) bool { return c == oldest })
+	if len(p.idle[server]) == 0 {
+		delete(p.idle, server)
+	}
+	oldest.Close()
+	return true
+}
+
 // bound bounds what the kernel keeps of a connection.
 func (p *Pool) bound(conn net.Conn) {
 	if tcp, ok := conn.(*net.TCPConn); ok && p.socket > 0 {
--- a/transport/backend/progress_test.go
+++ b/transport/backend/progress_test.go
@@ -74,3 +74,51 @@
 		t.Errorf("early %v, %v, status %d", early, err, resp.StatusCode())
 	}
 }
+
+// TestConnectionsAreBounded checks that no more connections are open than may be: one that
+// rests is closed for a new one, the oldest first, and without one there is no room.
+func TestConnectionsAreBounded(t *testing.T) {
+	address := server(t, func(_ net.Conn, br *bufio.Reader) { _, _ = br.ReadByte() })
+	p := NewPool(patience, WithConnections(2))
+	get := func(server string) (*Conn, error) { return p.Get(server, address, time.Now().Add(patience)) }
+	first, errFirst := get("a")
+	second, errSecond := get("b")
+	if errFirst != nil || errSecond != nil {
+		t.Fatal(errFirst, errSecond)
+	}
+	if _, err := get("c"); !errors.Is(err, ErrFull) {
+		t.Errorf("a third connection beside two in use: %v", err)
+	}
+	p.Put("a", first, 2*time.Second)
+	p.Put("b", second, 20*time.Second)
+	third, err := get("c")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if c, err := get("b"); c != second || err != nil {
+		t.Errorf("the one that rested for less was closed: %v", err)
+	}
+	third.Close()
+	third.Close() // It counts once.
+	if _, err := get("a"); err != nil {
+		t.Errorf("where one was closed: %v", err)
+	}
+	if _, err := get("a"); !errors.Is(err, ErrFull) {
+		t.Errorf("beside two in use again: %v", err)
+	}
+}
+
+// TestFailedConnectIsNotCounted checks that a server that cannot be reached takes no room.
+func TestFailedConnectIsNotCounted(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	_ = ln.Close()
+	p := NewPool(patience, WithConnections(1))
+	for range 3 {
+		if _, err := p.Get("a", ln.Addr().String(), time.Now().Add(patience)); err == nil || errors.Is(err, ErrFull) {
+			t.Errorf("got %v", err)
+		}
+	}
+}
--- a/transport/forward/attempt.go
+++ b/transport/forward/attempt.go
@@ -56,6 +56,9 @@
 	x.server = server.ID
 	x.avoid = append(x.avoid, server.ID)
 	conn, err := x.g.pool.Get(server.ID, server.Address, x.deadline)
+	if errors.Is(err, backend.ErrFull) {
+		return x.crowded()
+	}
 	if err != nil {
 		x.distrust(server, true)
 		return x.failed(protocol.NotRun, false, "the server cannot be reached: "+err.Error())
--- a/transport/forward/forward.go
+++ b/transport/forward/forward.go
@@ -49,6 +49,7 @@
 	QuotaWindow time.Duration // QuotaWindow is the window in which quotas are bounded.
 	UsageWindow time.Duration // UsageWindow is the length of a window of usage reports.
 	UsageDue    time.Duration // UsageDue is how long after a window its report is due.
+	Connections int           // Connections bounds those to all servers together; 0 sets no bound.
 	Socket      int           // Socket is what the kernel may keep of a server's connection each way, in bytes; 0 leaves it to the kernel.
 }
 
@@ -113,7 +114,7 @@
 		cfg:       cfg,
 		dialect:   d,
 		log:       zerolog.Nop(),
-		pool:      backend.NewPool(dialTime, backend.WithSocket(cfg.Socket)),
+		pool:      backend.NewPool(dialTime, backend.WithSocket(cfg.Socket), backend.WithConnections(cfg.Connections)),
 		syncNow:   func() {},
 		place:     func(protocol.PlaceMsg) (protocol.PlaceReply, bool) { return protocol.PlaceReply{}, false },
 		began:     now,
--- a/transport/forward/room.go
+++ b/transport/forward/room.go
@@ -110,6 +110,15 @@
 	return protocol.NewRefusal(protocol.StatusServiceUnavailable, protocol.CodeMemory, "no server has room for a body of this size").WithRetryAfter(resend.Later(x.route.Target))
 }
 
+// crowded refuses a request for which no connection may be opened. No server is at fault.
+func (x *exchange) crowded() *protocol.Refusal {
+	r := protocol.NewRefusal(protocol.StatusServiceUnavailable, protocol.CodeOverloaded, "the gateway has too many connections to servers").WithRetryAfter(resend.Later(x.route.Target))
+	if x.state.MayHaveRun {
+		return r.WithVerdict(protocol.MayHaveRun).WithStatus(protocol.StatusBadGateway)
+	}
+	return r
+}
+
 // takesBytes notes that the request's body is sent to a server, and givesBytes that it
 // is not held there any more.
 func (t *try) takesBytes() {
--- a/transport/forward/room_test.go
+++ b/transport/forward/room_test.go
@@ -15,6 +15,7 @@
 
 	"github.com/weldstream/weldstream/coordination/memory"
 	"github.com/weldstream/weldstream/protocol"
+	"github.com/weldstream/weldstream/transport/backend"
 	"github.com/weldstream/weldstream/transport/caller"
 )
 
@@ -174,3 +175,30 @@
 		t.Errorf("the one within the limit: %+v", got)
 	}
 }
+
+// TestTooManyConnections checks that a request for which no connection may be opened is
+// refused as not run, and that its server is not blamed.
+func TestTooManyConnections(t *testing.T) {
+	w := newWorld(t)
+	w.g.pool = backend.NewPool(patience, backend.WithConnections(1))
+	w.install(protocol.PathRoute{Attempts: 2})
+	arrived, release := make(chan struct{}), make(chan struct{})
+	w.backend("a", func(c net.Conn, req *fasthttp.Request) {
+		close(arrived)
+		<-release
+		good(c, req)
+	})
+	first := make(chan reply, 1)
+	go func() { first <- w.ask() }()
+	<-arrived
+	if got := w.ask(); got.status != 503 || got.verdict != "not-run" || got.retry == "" {
+		t.Errorf("got %+v", got)
+	}
+	if w.g.view.Load().Find("a").Cell.Suspect(time.Now()) {
+		t.Error("the server is blamed")
+	}
+	close(release)
+	if got := <-first; got.status != 200 {
+		t.Errorf("the first got %+v", got)
+	}
+}
