--- a/internal/soak/slow_test.go
+++ b/internal/soak/slow_test.go
@@ -9,6 +9,7 @@
 	"os/exec"
 	"path/filepath"
 	"slices"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -85,6 +86,20 @@
 	if err := json.NewDecoder(resp.Body).Decode(&dump); err != nil {
 		t.Fatal(err)
 	}
+	text, err := http.Get("http://" + at(gatewayIP(0), c.ports.metrics) + "/metrics")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer text.Body.Close()
+	lines, err := io.ReadAll(text.Body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, want := range []string{`weldstream_memory_held{cause="lag"} `, `weldstream_memory_held_for{workspace="` + standin.Tenant + `"} `, "weldstream_memory_bound ", "weldstream_memory_refused_total ", `weldstream_callers_slow_total{side="reads"} `} {
+		if !strings.Contains(string(lines), want) {
+			t.Errorf("the metrics lack %s", want)
+		}
+	}
 	t.Logf("held, by cause: %v", dump.Memory.Causes)
 	return dump.Memory.Causes["lag"]
 }
