--- a/internal/soak/slow_test.go
+++ b/internal/soak/slow_test.go
@@ -150,3 +150,50 @@
 	}
 	t.Logf("stopped within %v", time.Since(began))
 }
+
+// TestServersAreSparedTheirFalls has servers fall over beyond 4 MB of bodies, with more on
+// the way than all of them bear. The gateway learns it: they hardly ever fall over any
+// more, what has no room is refused as not run, and the others are served.
+func TestServersAreSparedTheirFalls(t *testing.T) {
+	const bears, body, callers, asks = 4 << 20, 512 << 10, 40, 15
+	c, k, _ := cluster(t, Size{Controls: 3, Gateways: 1, Backends: 3, MemoryMB: 512})
+	for _, b := range c.Backends {
+		b.Bears, b.Pause, b.ReadPause = bears, 50*time.Millisecond, 0
+	}
+	served(t, c.Callers()[0], "first")
+	statuses := map[int]int{}
+	var mu sync.Mutex
+	var all sync.WaitGroup
+	for i := range callers {
+		all.Go(func() {
+			for n := range asks {
+				a := Ask{ID: fmt.Sprintf("big-%d-%d", i, n), Path: "/once/x", Once: true, Pad: body}
+				r := standin.AskSlowly(c.Callers()[0], a.ID, a.Path, standin.Slow{Piece: 64 << 10, Pad: body})
+				k.Note(a, r)
+				mu.Lock()
+				statuses[r.Status]++
+				mu.Unlock()
+			}
+		})
+	}
+	all.Wait()
+	falls := 0
+	for _, b := range c.Backends {
+		falls += b.Falls()
+	}
+	t.Logf("%d falls, answers by status: %v", falls, statuses)
+	if falls == 0 {
+		t.Error("no server fell over, so nothing was tested")
+	}
+	// Without a limit each server falls over with about every ninth body that it gets.
+	if falls > callers*asks/40 {
+		t.Errorf("servers fell over %d times", falls)
+	}
+	if statuses[200] < callers*asks/10 {
+		t.Errorf("answers by status: %v", statuses)
+	}
+	k.Finish()
+	for _, b := range k.Breaches() {
+		t.Error(b)
+	}
+}
