--- a/transport/caller/store_unix.go
+++ b/transport/caller/atonce_unix.go
@@ -8,9 +8,9 @@
 	"syscall"
 )
 
-// now writes to a connection what its kernel takes at once. It allocates nothing for a
+// atOnce writes to a connection what its kernel takes at once. It allocates nothing for a
 // write, as each event of each stream passes here.
-type now struct {
+type atOnce struct {
 	raw syscall.RawConn // raw is nil for a connection without one: nothing is taken at once.
 	try func(fd uintptr) bool
 	p   []byte
@@ -18,8 +18,8 @@
 	err error
 }
 
-func newNow(conn net.Conn) *now {
-	w := &now{}
+func newAtOnce(conn net.Conn) *atOnce {
+	w := &atOnce{}
 	if sc, ok := conn.(syscall.Conn); ok {
 		if raw, err := sc.SyscallConn(); err == nil {
 			w.raw = raw
@@ -36,7 +36,7 @@
 }
 
 // write returns how many bytes were taken; fewer than all are no error.
-func (w *now) write(p []byte) (int, error) {
+func (w *atOnce) write(p []byte) (int, error) {
 	if w.raw == nil {
 		return 0, nil
 	}
--- a/transport/caller/store.go
+++ b/transport/caller/store.go
@@ -32,7 +32,7 @@
 	hold   *memory.Hold
 	pace   Pace
 	slow   func() // slow is told of a caller that is cut for its rate.
-	now    *now
+	now    *atOnce
 
 	mu     sync.Mutex // mu guards all below.
 	moved  sync.Cond  // moved is told when blocks were written, or none will be.
@@ -43,7 +43,7 @@
 }
 
 func newStore(conn net.Conn, m *Memory, h *memory.Hold, p Pace, slow func()) *store {
-	s := &store{conn: conn, memory: m, hold: h, pace: p, slow: slow, now: newNow(conn)}
+	s := &store{conn: conn, memory: m, hold: h, pace: p, slow: slow, now: newAtOnce(conn)}
 	s.moved.L = &s.mu
 	return s
 }
