An answer ends with its caller's time; servers that cut off unread answers

Cause: with a store, an answer that was read from its server in time could be written to a slow caller for minutes behind its deadline, at 1 KB a second. Change: what a caller has not taken when its time, or the route's, is over is not kept; its connection is cut, so that the answer does not look whole. Stand-in servers, and all of the soak's, cut off what is left unread for 2 s.

--- a/internal/soak/cluster.go
+++ b/internal/soak/cluster.go
@@ -107,6 +107,7 @@
 		if err != nil {
 			return err
 		}
+		b.CutUnread = cutUnread
 		if i%3 == 0 {
 			b.ReadPause = slowServer
 		}
@@ -185,6 +186,9 @@
 // of a body: 64 KB take 40 ms.
 const slowServer = 5 * time.Millisecond
 
+// cutUnread is how long servers let a piece of an answer lie unread.
+const cutUnread = 2 * time.Second
+
 // writeSettings lays a process's settings. Only the first start of all may found.
 func (c *Cluster) writeSettings(p *Proc, i int, found bool) error {
 	var seeds []string
--- a/transport/caller/caller.go
+++ b/transport/caller/caller.go
@@ -262,7 +262,7 @@
 	if _, err := c.br.Peek(1); err != nil || !c.enter(connHead) {
 		return false
 	}
-	c.request, c.hold.Workspace = "", ""
+	c.request, c.hold.Workspace, c.out.until = "", "", time.Time{}
 	if err := s.read(c, req, limits); err != nil {
 		s.refuse(c, req, err)
 		return false
--- a/transport/caller/conn.go
+++ b/transport/caller/conn.go
@@ -130,6 +130,10 @@
 	}
 }
 
+// Until says how long the caller waits for the answer: what it has not taken by then is
+// of no use to it.
+func (a *Answer) Until(t time.Time) { a.conn.out.until = t }
+
 // Hold takes bytes for a whole answer that is read before it is written.
 func (a *Answer) Hold(n int) memory.Verdict {
 	return a.conn.out.memory.Take(&a.conn.hold, memory.Answer, n)
--- a/transport/caller/memory_test.go
+++ b/transport/caller/memory_test.go
@@ -423,3 +423,25 @@
 		t.Errorf("%d bytes are held, of a bound of %d", held, bound)
 	}
 }
+
+// TestAnswerEndsWithItsCallersTime checks that what a caller has not taken when its time
+// is over is not kept for it, however long the pace would allow.
+func TestAnswerEndsWithItsCallersTime(t *testing.T) {
+	m := NewMemory(8<<20, metrics.NewRegistry())
+	r := metrics.NewRegistry()
+	s, address := listen(t, handlerFunc(func(_ context.Context, _ *fasthttp.Request, a *Answer) {
+		a.Until(time.Now().Add(100 * time.Millisecond))
+		whole(a, strings.Repeat("x", 200_000))
+	}), WithMemory(m), WithSocket(8<<10), WithPace(Pace{Rate: 1, Window: 100 * patience}), WithRegistry(r))
+	conn := lazy(t, address)
+	_, _ = io.WriteString(conn, "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+	await(t, "the answer is held", func() bool { return m.Row().Causes["lag"] > 0 })
+	await(t, "the connection ends", func() bool { return s.Conns() == 0 })
+	if n := metrics.GetOrRegisterCounter(`callers.slow{side="reads"}`, r).Count(); n != 0 || m.Row().Held != 0 {
+		t.Errorf("%d callers were counted as too slow, at rest: %+v", n, m.Row())
+	}
+	var resp fasthttp.Response
+	if err := resp.Read(bufio.NewReader(conn)); err == nil || isTimeout(err) {
+		t.Errorf("the cut answer looks whole: %v", err)
+	}
+}
--- a/transport/caller/store.go
+++ b/transport/caller/store.go
@@ -19,6 +19,9 @@
 	storeBlocks = 64
 )
 
+// errLate ends an answer whose caller waits for it no longer.
+var errLate = eris.New("the caller's time is over")
+
 // errSlow ends an answer whose caller takes less of it than the pace asks for.
 var errSlow = eris.New("the caller takes its answer too slowly")
 
@@ -33,6 +36,7 @@
 	pace   Pace
 	slow   func() // slow is told of a caller that is cut for its rate.
 	now    *atOnce
+	until  time.Time // until is how long the caller waits for the answer under way; zero where that is not known.
 
 	mu     sync.Mutex // mu guards all below.
 	moved  sync.Cond  // moved is told when blocks were written, or none will be.
@@ -170,7 +174,11 @@
 // write writes p, as long as each window brings what the pace asks for.
 func (s *store) write(p []byte, w *window) error {
 	for len(p) > 0 {
-		if err := s.conn.SetWriteDeadline(w.end); err != nil {
+		end, last := w.end, !s.until.IsZero() && s.until.Before(w.end)
+		if last {
+			end = s.until
+		}
+		if err := s.conn.SetWriteDeadline(end); err != nil {
 			return err
 		}
 		n, err := s.conn.Write(p)
@@ -179,6 +187,9 @@
 		if err != nil && !isTimeout(err) {
 			return err
 		}
+		if err != nil && last {
+			return errLate
+		}
 		if err != nil && !next {
 			s.slow()
 			return errSlow
--- a/transport/forward/exchange.go
+++ b/transport/forward/exchange.go
@@ -184,6 +184,7 @@
 		limit = min(limit, x.call.Remaining)
 	}
 	x.deadline = x.start.Add(limit)
+	x.answer.Until(x.deadline)
 	x.ctx, x.cancel = context.WithDeadline(x.gone, x.deadline)
 }
 
--- a/transport/forward/room_test.go
+++ b/transport/forward/room_test.go
@@ -202,3 +202,40 @@
 		t.Errorf("the first got %+v", got)
 	}
 }
+
+// TestUnreadAnswerIsNotCutOff has a server cut off what is left unread for a moment, and a
+// caller who reads nothing for longer: it still gets the whole answer.
+func TestUnreadAnswerIsNotCutOff(t *testing.T) {
+	const size, unread = 250_000, 2 * time.Second
+	w := newWorld(t, caller.WithSocket(8<<10))
+	w.g.pool = backend.NewPool(patience, backend.WithSocket(32<<10))
+	w.install(protocol.PathRoute{Kind: protocol.RouteStream, Attempts: 1})
+	written := make(chan error, 1)
+	w.backend("a", func(c net.Conn, _ *fasthttp.Request) {
+		_ = c.(*net.TCPConn).SetWriteBuffer(32 << 10)
+		_, err := fmt.Fprintf(c, "HTTP/1.1 200 X\r\nId: 7\r\nContent-Length: %d\r\n\r\n", size)
+		for n := 0; n < size && err == nil; n += 1000 {
+			_ = c.SetWriteDeadline(time.Now().Add(unread))
+			_, err = io.WriteString(c, strings.Repeat("data: xy\n\n", 100))
+		}
+		if err != nil {
+			_ = c.Close()
+		}
+		written <- err
+	})
+	slow, err := net.Dial("tcp", w.address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer slow.Close()
+	_ = slow.(*net.TCPConn).SetReadBuffer(16 << 10)
+	_, _ = io.WriteString(slow, "POST /r/x HTTP/1.1\r\nHost: h\r\nId: 7\r\nContent-Length: 0\r\n\r\n")
+	if err := <-written; err != nil { // Nothing is read before the server is done.
+		t.Fatalf("the server cut the answer off: %v", err)
+	}
+	_ = slow.SetReadDeadline(time.Now().Add(patience))
+	var resp fasthttp.Response
+	if err := resp.Read(bufio.NewReader(slow)); err != nil || len(resp.Body()) != size {
+		t.Errorf("the caller got %d bytes, %v", len(resp.Body()), err)
+	}
+}
