Under pressure a slow reader keeps no place at a server for a whole window

Cause: where a workspace's share of the account was used up, each of its slow callers kept a place at a server for up to 15 s, other workspaces' callers waiting behind. Change: while the account gives no more, the window is no longer than a block of 4 KB takes at the least rate (4 s). A flood of connections is told once a second in the log; connections that find no room count by themselves alone.

--- a/transport/caller/caller.go
+++ b/transport/caller/caller.go
@@ -62,7 +62,8 @@
 	socket  int // socket is what the kernel may keep of a connection each way, in bytes; 0 leaves it to the kernel.
 	log     zerolog.Logger
 
-	mostConns int // mostConns bounds the connections; 0 sets no bound.
+	crowdTold time.Time // crowdTold is when the log last told of crowd; of Serve alone.
+	mostConns int       // mostConns bounds the connections; 0 sets no bound.
 	slow      [2]metrics.Counter
 	crowd     metrics.Counter // crowd counts connections that were closed at once.
 	evictions metrics.Counter // evictions counts those that were closed for others.
--- a/transport/caller/crowd.go
+++ b/transport/caller/crowd.go
@@ -14,6 +14,9 @@
 	// evicted are closed at a time where there are too many: one look at all of them for
 	// so many, not for each that is accepted.
 	evicted = 32
+	// crowdPause is between two log lines of connections that were closed at once: a flood
+	// of them must not push other lines out.
+	crowdPause = time.Second
 )
 
 // admit takes a connection in, or says that there is no room for it. Where there are too
@@ -40,7 +43,12 @@
 // caller knows that nothing ran.
 func (s *Server) crowded(c *Conn, v memory.Verdict) bool {
 	s.crowd.Inc(1)
-	s.log.Info().Str("caller", c.net.RemoteAddr().String()).Int("connections", s.Conns()).Int("most", s.mostConns).
+	now := time.Now()
+	if now.Sub(s.crowdTold) < crowdPause {
+		return false
+	}
+	s.crowdTold = now
+	s.log.Info().Int64("refused", s.crowd.Count()).Str("caller", c.net.RemoteAddr().String()).Int("connections", s.Conns()).Int("most", s.mostConns).
 		Int64("held", v.Held).Int64("bound", v.Bound).Msg("no room for a connection")
 	return false
 }
--- a/transport/caller/memory.go
+++ b/transport/caller/memory.go
@@ -61,7 +61,8 @@
 		m.metered[h.Workspace] = true
 	}
 	m.mu.Unlock()
-	if !v.Taken && c != memory.Lag { // Where a store is full the answer goes on, slower.
+	// Where a store is full the answer goes on, slower; connections have their own count.
+	if !v.Taken && (c == memory.Body || c == memory.Answer) {
 		m.refused.Inc(1)
 	}
 	if newcomer {
--- a/transport/caller/memory_test.go
+++ b/transport/caller/memory_test.go
@@ -445,3 +445,72 @@
 		t.Errorf("the cut answer looks whole: %v", err)
 	}
 }
+
+// TestPressedReaderIsCutSooner checks that a caller who reads nothing is cut long before
+// its window ends where the account gives its store no more, so that its server need not
+// wait; and that one who reads is not.
+func TestPressedReaderIsCutSooner(t *testing.T) {
+	done := make(chan error, 1)
+	m := NewMemory(512<<10, metrics.NewRegistry())
+	s, address := listen(t, streamOf(2000, 700, done), WithMemory(m), WithSocket(8<<10), WithPace(Pace{Rate: 16 << 10, Window: 100 * patience}))
+	for _, reads := range []bool{false, true} {
+		conn := lazy(t, address)
+		_, _ = io.WriteString(conn, "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+		if reads {
+			if status, body := read(t, bufio.NewReader(conn)); status != 200 || len(body) != 2000*700 {
+				t.Errorf("one who reads got %d and %d bytes", status, len(body))
+			}
+		}
+		select {
+		case err := <-done:
+			if errors.Is(err, errSlow) == reads {
+				t.Errorf("the caller reads: %v, its handler ended with %v", reads, err)
+			}
+		case <-time.After(patience):
+			t.Fatal("the handler waits for its caller")
+		}
+		_ = conn.Close()
+		await(t, "the connection ends", func() bool { return s.Conns() == 0 })
+		if held := m.Row().Held; held != 0 {
+			t.Errorf("at rest %d bytes are held", held)
+		}
+	}
+}
+
+// TestCrowdIsRefused checks that a connection beyond the bound is closed unread where all
+// others have requests under way, and that there is room again behind them; and the same
+// by memory.
+func TestCrowdIsRefused(t *testing.T) {
+	for name, option := range map[string]Option{
+		"descriptors": WithConnections(2),
+		"memory":      WithMemory(NewMemory(4*connectionBytes, metrics.NewRegistry())),
+	} {
+		begun, release := make(chan struct{}), make(chan struct{})
+		r := metrics.NewRegistry()
+		_, address := listen(t, handlerFunc(func(_ context.Context, _ *fasthttp.Request, a *Answer) {
+			begun <- struct{}{}
+			<-release
+			a.Close()
+			whole(a, "done")
+		}), option, WithRegistry(r))
+		var conns []net.Conn
+		for range 2 {
+			conn := dial(t, address)
+			_, _ = io.WriteString(conn, "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+			<-begun
+			conns = append(conns, conn)
+		}
+		if _, err := dial(t, address).Read(make([]byte, 1)); err == nil || isTimeout(err) {
+			t.Errorf("%s: a third connection got %v", name, err)
+		}
+		if n := metrics.GetOrRegisterCounter("connections.refused", r).Count(); n != 1 {
+			t.Errorf("%s: %d connections were counted as refused", name, n)
+		}
+		close(release)
+		for _, conn := range conns {
+			if status, _ := read(t, bufio.NewReader(conn)); status != 200 {
+				t.Errorf("%s: one under way got %d", name, status)
+			}
+		}
+	}
+}
--- a/transport/caller/store.go
+++ b/transport/caller/store.go
@@ -41,6 +41,7 @@
 	mu     sync.Mutex // mu guards all below.
 	moved  sync.Cond  // moved is told when blocks were written, or none will be.
 	blocks [][]byte   // blocks wait, the first of them longest.
+	wrotes int        // wrotes counts the blocks that were written.
 	taken  int        // taken are the blocks in the account, one that is being written included.
 	busy   bool       // busy says that the goroutine runs.
 	err    error      // err is why nothing is written any more.
@@ -91,24 +92,57 @@
 			return room, nil
 		}
 	}
-	if s.taken < storeBlocks && s.memory.Take(s.hold, memory.Lag, blockBytes).Taken {
+	full := s.taken >= storeBlocks
+	if !full && s.memory.Take(s.hold, memory.Lag, blockBytes).Taken {
 		s.taken++
 		n := min(blockBytes, len(p))
 		s.blocks = append(s.blocks, append(make([]byte, 0, blockBytes), p[:n]...))
 		s.start()
 		return n, nil
 	}
-	if s.busy {
+	switch {
+	case s.busy && full:
 		s.moved.Wait()
 		return 0, nil
+	case s.busy:
+		s.waitPressed()
+		return 0, nil
 	}
 	return s.direct(p)
 }
 
+// pressed is the pace while the account gives no more: the same rate, and a window no
+// longer than a block takes at it. The server waits with the caller then, and who reads
+// slowly is not to keep a place there for as long as a whole window.
+func (s *store) pressed() Pace {
+	p := s.pace
+	if p.Rate > 0 {
+		p.Window = min(p.Window, blockBytes*time.Second/time.Duration(p.Rate))
+	}
+	return p
+}
+
+// waitPressed waits until a block was written, and cuts the caller if that takes longer
+// than it may. It needs s.mu.
+func (s *store) waitPressed() {
+	before := s.wrotes
+	end := time.AfterFunc(s.pressed().Window, func() {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		if s.wrotes == before && s.err == nil {
+			s.err = errSlow
+			s.slow()
+			_ = s.conn.Close() // The write that waits ends with it.
+		}
+	})
+	s.moved.Wait()
+	end.Stop()
+}
+
 // direct writes without the store, which got no room at all.
 func (s *store) direct(p []byte) (int, error) {
 	var w window
-	w.begin(s.pace, time.Now())
+	w.begin(s.pressed(), time.Now())
 	s.mu.Unlock()
 	err := s.write(p, &w)
 	s.mu.Lock()
@@ -162,8 +196,11 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.taken--
+	s.wrotes++
 	if err != nil {
-		s.err = err
+		if s.err == nil {
+			s.err = err
+		}
 		s.memory.Give(s.hold, memory.Lag, len(s.blocks)*blockBytes)
 		s.taken -= len(s.blocks)
 		s.blocks = nil
