A new connection is not evicted as the oldest; the bound on connections to servers holds at once

A connection that was accepted had no time since when it rests until its goroutine ran, so that a flood had just accepted callers closed before all that rested. And the bound on connections to servers was read and raised in two steps: many opened at once went beyond it.

--- a/transport/backend/progress.go
+++ b/transport/backend/progress.go
@@ -74,13 +74,18 @@
 // room counts a connection that is to be opened. Where there are too many, the one that
 // may rest for the shortest time yet is closed for it.
 func (p *Pool) room() bool {
-	for p.most > 0 && p.count.Load() >= int64(p.most) {
+	for {
+		n := p.count.Load()
+		if p.most == 0 || n < int64(p.most) {
+			if p.count.CompareAndSwap(n, n+1) {
+				return true
+			}
+			continue
+		}
 		if !p.closeOldest() {
 			return false
 		}
 	}
-	p.count.Add(1)
-	return true
 }
 
 // closeOldest closes the connection whose rest ends first, and reports whether one rested.
--- a/transport/backend/progress_test.go
+++ b/transport/backend/progress_test.go
@@ -6,6 +6,8 @@
 	"io"
 	"net"
 	"strings"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -122,3 +124,29 @@
 		}
 	}
 }
+
+// TestConnectionsAreBoundedAtOnce checks that the bound holds where many connections are
+// opened at once.
+func TestConnectionsAreBoundedAtOnce(t *testing.T) {
+	const most, rounds = 4, 2000
+	p := NewPool(patience, WithConnections(most))
+	for range rounds {
+		var all sync.WaitGroup
+		var got atomic.Int64
+		begin := make(chan struct{})
+		for range 4 * most {
+			all.Go(func() {
+				<-begin
+				if p.room() {
+					got.Add(1)
+				}
+			})
+		}
+		close(begin)
+		all.Wait()
+		if n := got.Load(); n != most || p.count.Load() != most {
+			t.Fatalf("%d got room, and %d are counted", n, p.count.Load())
+		}
+		p.count.Store(0)
+	}
+}
--- a/transport/caller/caller.go
+++ b/transport/caller/caller.go
@@ -227,7 +227,7 @@
 	if tcp, ok := conn.(*net.TCPConn); ok && s.socket > 0 {
 		_, _ = tcp.SetReadBuffer(s.socket), tcp.SetWriteBuffer(s.socket) // A connection that ended says so when it is read.
 	}
-	c := &Conn{net: conn}
+	c := &Conn{net: conn, since: time.Now()} // It rests from now on, and not longest of all.
 	c.out = newStore(conn, s.memory, &c.hold, s.pace, func() { s.tooSlow(c, reads) })
 	c.br = bufio.NewReaderSize(c, readBuffer)
 	c.bw = bufio.NewWriterSize(c.out, writeBuffer)
--- a/transport/caller/memory_test.go
+++ b/transport/caller/memory_test.go
@@ -368,6 +368,28 @@
 	}
 }
 
+// TestNewConnectionIsNotTakenForOneThatRests checks that a connection which was just
+// accepted, and whose goroutine has not run yet, makes no room for others before those
+// that have rested for longer.
+func TestNewConnectionIsNotTakenForOneThatRests(t *testing.T) {
+	s := NewServer(handlerFunc(echo), WithConnections(evicted+1))
+	pipe := func() *Conn {
+		ours, theirs := net.Pipe()
+		t.Cleanup(func() { _, _ = ours.Close(), theirs.Close() })
+		c := s.newConn(ours)
+		s.track(c, true)
+		return c
+	}
+	for range evicted {
+		pipe().enter(connIdle)
+	}
+	fresh := pipe()
+	s.evict()
+	if state, _ := fresh.waits(); state != connIdle || s.Conns() != 1 {
+		t.Errorf("the new connection is in state %d, and %d are left", state, s.Conns())
+	}
+}
+
 // TestManySlowCallers has 500 callers take a long answer a byte at a time, and 50 good
 // ones beside them. The memory in use stays bounded, and the good ones all get theirs.
 func TestManySlowCallers(t *testing.T) {
