What a server bears is learnt from each fall, and from falls alone

A fall taught once until the server had no bytes at all: under steady load a server that fell over again taught nothing. Now a request carries how often its server had fallen when it began, and the first one that is lost of each fall teaches. And an answer above 16 MB, a machine that fell silent, and a server that stops as it was told to lowered the limit of their whole service, so that proper bodies were refused where no server lacked memory.

--- a/coordination/memory/flights.go
+++ b/coordination/memory/flights.go
@@ -30,7 +30,7 @@
 // flight is what one server has.
 type flight struct {
 	bytes int64
-	fell  bool // fell says that it fell over with what it has: that teaches once.
+	falls int // falls counts how often it fell over while it had bytes all the time: each teaches once.
 }
 
 // NewFlights returns flights with no limit.
@@ -63,14 +63,16 @@
 	return full
 }
 
-// Began notes bytes that are sent to a server.
-func (f *Flights) Began(server string, bytes int64) {
+// Began notes bytes that are sent to a server, and returns how often it fell over before,
+// which Fell asks for.
+func (f *Flights) Began(server string, bytes int64) (falls int) {
 	s := f.servers[server]
 	if s == nil {
 		s = &flight{}
 		f.servers[server] = s
 	}
 	s.bytes += bytes
+	return s.falls
 }
 
 // Ended notes that their request has left the server, answered or not.
@@ -90,14 +92,18 @@
 	}
 }
 
-// Fell notes that a server ended requests without an answer, and reports whether that
-// taught a lower limit.
-func (f *Flights) Fell(server string) bool {
+// Fell notes that a server ended a request without an answer, and reports whether that
+// taught a lower limit. Of the requests that are lost in one fall, which all began behind
+// as many falls, the first teaches.
+func (f *Flights) Fell(server string, falls int) bool {
 	s := f.servers[server]
-	if s == nil || s.fell || s.bytes < leastLimit {
+	if s == nil || falls < s.falls {
+		return false
+	}
+	s.falls++
+	if s.bytes < leastLimit {
 		return false
 	}
-	s.fell = true
 	lower := max(leastLimit, float64(s.bytes)/2)
 	if f.limit > 0 && lower >= f.limit {
 		return false
--- a/coordination/memory/flights_test.go
+++ b/coordination/memory/flights_test.go
@@ -31,7 +31,7 @@
 					under = slices.Delete(under, i, i+1)
 				}
 			case 4:
-				f.Fell(fmt.Sprint(rapid.IntRange(0, 3).Draw(t, "server")))
+				f.Fell(fmt.Sprint(rapid.IntRange(0, 3).Draw(t, "server")), rapid.IntRange(0, 2).Draw(t, "falls"))
 			}
 			want, all := map[string]int64{}, int64(0)
 			for _, r := range under {
@@ -72,7 +72,7 @@
 		if f.Bytes()["s"] <= bears {
 			continue
 		}
-		f.Fell("s")
+		f.Fell("s", 0)
 		fell++
 		if turn < 1000 {
 			first++
@@ -94,11 +94,11 @@
 func TestWhatTeaches(t *testing.T) {
 	f := NewFlights()
 	f.Began("a", leastLimit-1)
-	if f.Fell("a") || f.Limit() != 0 || f.Fell("unknown") {
+	if f.Fell("a", 0) || f.Limit() != 0 || f.Fell("unknown", 0) {
 		t.Errorf("a failure with little under way set the limit %d", f.Limit())
 	}
 	f.Began("b", 8<<20)
-	if !f.Fell("b") || f.Fell("b") || f.Limit() != 4<<20 {
+	if !f.Fell("b", 0) || f.Fell("b", 0) || f.Limit() != 4<<20 {
 		t.Errorf("a failure with 8 MB set the limit %d", f.Limit())
 	}
 	if got := f.Full(4 << 20); len(got) != 2 {
@@ -109,3 +109,21 @@
 		t.Errorf("full for 8 MB are %v", got)
 	}
 }
+
+// TestEachFallTeaches checks that a server which falls over again teaches again, though
+// it had requests all the time, and that what was lost in the first fall does not.
+func TestEachFallTeaches(t *testing.T) {
+	f := NewFlights()
+	first := f.Began("a", 8<<20)
+	if !f.Fell("a", first) || f.Limit() != 4<<20 {
+		t.Fatalf("the first fall set the limit %d", f.Limit())
+	}
+	second := f.Began("a", 4<<20)
+	if f.Fell("a", first) {
+		t.Error("a second request that was lost in the first fall lowered the limit")
+	}
+	f.Ended("a", 8<<20, false)
+	if !f.Fell("a", second) || f.Limit() != 2<<20 {
+		t.Errorf("the second fall set the limit %d", f.Limit())
+	}
+}
--- a/transport/forward/attempt.go
+++ b/transport/forward/attempt.go
@@ -40,6 +40,7 @@
 	observed bool      // observed says that the answer was counted for a roll-out.
 	left     bool      // left says that the request has left the server.
 	done     bool      // done says that its answer was read to its end.
+	falls    int       // falls are how often the server fell over before, of which takesBytes was told.
 }
 
 // attempt sends the request to a server. It returns nil when the request is
@@ -219,7 +220,7 @@
 		// are lost, only those that a crash catches before they begin did not run.
 		t.x.count()
 	}
-	t.fell()
+	t.fell(err)
 	t.x.distrust(t.server, false)
 	return t.x.failed(protocol.MayHaveRun, true, "the answer did not come: "+err.Error())
 }
--- a/transport/forward/room.go
+++ b/transport/forward/room.go
@@ -4,6 +4,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"net"
 	"slices"
 	"sync"
 
@@ -126,7 +127,7 @@
 		f := t.x.g.bytesAt(t.x.service)
 		f.mu.Lock()
 		defer f.mu.Unlock()
-		f.Began(t.server.ID, n)
+		t.falls = f.Began(t.server.ID, n)
 	}
 }
 
@@ -139,14 +140,26 @@
 	}
 }
 
-// fell notes that the server ended the request without an answer.
-func (t *try) fell() {
-	if t.x.body() == 0 {
+// fellOver reports whether an error says that a server's process ended, or takes nothing
+// any more. A machine that is silent, and an answer that the gateway does not take, do not
+// follow from the bytes that the server has.
+func fellOver(err error) bool {
+	var timeout net.Error
+	return !errors.Is(err, errTooLarge) && (!errors.As(err, &timeout) || !timeout.Timeout())
+}
+
+// fell notes that the server ended the request without an answer. One that was told to
+// stop has a reason of its own.
+func (t *try) fell(err error) {
+	if t.x.body() == 0 || !fellOver(err) {
+		return
+	}
+	if s := t.x.g.view.Load().Find(t.server.ID); s != nil && s.Leaving {
 		return
 	}
 	f := t.x.g.bytesAt(t.x.service)
 	f.mu.Lock()
-	bytes, lower := f.Bytes()[t.server.ID], f.Fell(t.server.ID)
+	bytes, lower := f.Bytes()[t.server.ID], f.Fell(t.server.ID, t.falls)
 	limit := f.Limit()
 	f.mu.Unlock()
 	if lower {
--- a/transport/forward/room_test.go
+++ b/transport/forward/room_test.go
@@ -5,12 +5,15 @@
 	"fmt"
 	"io"
 	"net"
+	"os"
 	"strings"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
 	metrics "github.com/rcrowley/go-metrics"
+	"github.com/rotisserie/eris"
 	"github.com/valyala/fasthttp"
 
 	"github.com/weldstream/weldstream/coordination/memory"
@@ -176,6 +179,47 @@
 	}
 }
 
+// TestFailuresThatDoNotFollowBytes checks that a server whose answer is too large, and one
+// that stops as it was told to, teach nothing of the bytes that servers bear.
+func TestFailuresThatDoNotFollowBytes(t *testing.T) {
+	for name, serve := range map[string]func(w *world, c net.Conn){
+		"too large an answer": func(_ *world, c net.Conn) {
+			_, _ = fmt.Fprintf(c, "HTTP/1.1 200 X\r\nId: 7\r\nContent-Length: %d\r\n\r\n", maxAnswer+1)
+		},
+		"planned stop": func(w *world, c net.Conn) {
+			w.servers[0].Leaving = true
+			w.g.SetServers(w.servers)
+			_ = c.Close()
+		},
+	} {
+		w := newWorld(t)
+		w.install(protocol.PathRoute{Attempts: 1})
+		w.backend("a", func(c net.Conn, _ *fasthttp.Request) { serve(w, c) })
+		if got := w.send(strings.Repeat("x", 2<<20)); got.status != 502 || got.verdict != "may-have-run" {
+			t.Errorf("%s: %+v", name, got)
+		}
+		if got := w.g.Flights()["s"]; got.Limit != 0 {
+			t.Errorf("%s set the limit %d", name, got.Limit)
+		}
+	}
+}
+
+// TestFellOver checks which errors say that a server's process ended.
+func TestFellOver(t *testing.T) {
+	for err, want := range map[error]bool{
+		io.ErrUnexpectedEOF:    true,
+		syscall.ECONNRESET:     true,
+		backend.ErrStalled:     true,
+		syscall.ETIMEDOUT:      false, // Its machine is silent, or the way to it.
+		os.ErrDeadlineExceeded: false,
+		errTooLarge:            false,
+	} {
+		if got := fellOver(eris.Wrap(err, "read answer")); got != want {
+			t.Errorf("%v: %v", err, got)
+		}
+	}
+}
+
 // TestTooManyConnections checks that a request for which no connection may be opened is
 // refused as not run, and that its server is not blamed.
 func TestTooManyConnections(t *testing.T) {
