A process that stood still takes no caller and no server for slow

The windows of the pace (4 s under pressure) and the time in which a server has to take a piece of a body (3 s) are judged by this process's clock. Behind a freeze of its machine all of them have ended at once, and each caller and server that waited was given up for it, although it may have moved meanwhile. A time-out that is noticed more than 250 ms late now starts its window anew; deadlines of requests and the whole time of a body hold as before.

--- a/transport/backend/progress.go
+++ b/transport/backend/progress.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"github.com/rotisserie/eris"
+
+	"github.com/weldstream/weldstream/internal/tcp"
 )
 
 // ErrStalled is returned when a server takes no more of a request's body.
@@ -42,10 +44,11 @@
 		c.wrote.Add(int64(n))
 		written += n
 		p = p[n:]
+		stalled := errors.Is(err, os.ErrDeadlineExceeded) && !last && !c.unwanted.Load()
 		switch {
-		case errors.Is(err, os.ErrDeadlineExceeded) && n > 0 && !last && !c.unwanted.Load():
-			continue // A part was taken.
-		case errors.Is(err, os.ErrDeadlineExceeded) && !last && !c.unwanted.Load():
+		case stalled && (n > 0 || tcp.Late(end, time.Now())):
+			continue // A part was taken, or may have been while this process stood still.
+		case stalled:
 			return written, ErrStalled
 		case err != nil:
 			return written, err
--- a/transport/backend/progress_test.go
+++ b/transport/backend/progress_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net"
+	"os"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -150,3 +151,32 @@
 		p.count.Store(0)
 	}
 }
+
+// frozen is a connection whose process stands still in the first write, until its
+// time-out is long past. What comes behind it is taken.
+type frozen struct {
+	net.Conn
+	end   time.Time
+	stood bool
+}
+
+func (f *frozen) SetWriteDeadline(t time.Time) error { f.end = t; return nil }
+
+func (f *frozen) Write(p []byte) (int, error) {
+	if !f.stood {
+		f.stood = true
+		time.Sleep(time.Until(f.end) + 500*time.Millisecond)
+		return 0, os.ErrDeadlineExceeded
+	}
+	return len(p), nil
+}
+
+// TestStandingStillBlamesNoServer checks that a process which stood still for longer than
+// a server may take nothing does not give the server up for it.
+func TestStandingStillBlamesNoServer(t *testing.T) {
+	const size = 4 * pieceBytes
+	c := &Conn{net: &frozen{}, stall: 20 * time.Millisecond}
+	if n, err := c.Write(make([]byte, size)); n != size || err != nil {
+		t.Errorf("%d bytes were written: %v", n, err)
+	}
+}
--- a/transport/caller/body.go
+++ b/transport/caller/body.go
@@ -146,15 +146,24 @@
 // Read implements io.Reader and notes whether the caller keeps the pace.
 func (c *Conn) Read(p []byte) (int, error) {
 	n, err := c.net.Read(p)
-	if !c.paced || err != nil {
+	if !c.paced {
 		return n, err
 	}
-	if c.reads.moved(n, time.Now) {
+	if isTimeout(err) && c.again() {
+		n, err = c.net.Read(p)
+	}
+	if err == nil && c.reads.moved(n, time.Now) {
 		err = c.net.SetReadDeadline(earlier(c.reads.end, c.lastRead))
 	}
 	return n, err
 }
 
+// again gives the caller another window if the process stood still at the end of the
+// last one.
+func (c *Conn) again() bool {
+	return c.reads.end.Before(c.lastRead) && c.reads.again(time.Now()) && c.net.SetReadDeadline(earlier(c.reads.end, c.lastRead)) == nil
+}
+
 const (
 	// lingerTime and lingerBytes bound what is read and thrown away of a caller who is
 	// refused while it sends. Closed at once, its connection would be reset, and the
--- a/transport/caller/pace.go
+++ b/transport/caller/pace.go
@@ -1,6 +1,10 @@
 package caller
 
-import "time"
+import (
+	"time"
+
+	"github.com/weldstream/weldstream/internal/tcp"
+)
 
 // Pace is the least rate that callers are held to while they send a body or take an
 // answer: bytes over a window, so that a pause is allowed and a byte now and then is
@@ -32,6 +36,16 @@
 	*w = window{need: p.need(), time: p.Window, end: now.Add(p.Window)}
 }
 
+// again starts the window anew if the process stood still at its end, and reports whether
+// it did.
+func (w *window) again(now time.Time) bool {
+	if !tcp.Late(w.end, now) {
+		return false
+	}
+	w.got, w.end = 0, now.Add(w.time)
+	return true
+}
+
 // moved notes bytes, and reports whether they filled the window, so that the next one
 // has begun.
 func (w *window) moved(n int, now func() time.Time) bool {
--- a/transport/caller/store.go
+++ b/transport/caller/store.go
@@ -125,18 +125,27 @@
 // waitPressed waits until a block was written, and cuts the caller if that takes longer
 // than it may. It needs s.mu.
 func (s *store) waitPressed() {
-	before := s.wrotes
-	end := time.AfterFunc(s.pressed().Window, func() {
+	before, waits := s.wrotes, true
+	var w window
+	w.begin(s.pressed(), time.Now())
+	var timer *time.Timer
+	timer = time.AfterFunc(w.time, func() {
 		s.mu.Lock()
 		defer s.mu.Unlock()
-		if s.wrotes == before && s.err == nil {
-			s.err = errSlow
-			s.slow()
-			_ = s.conn.Close() // The write that waits ends with it.
+		if !waits || s.wrotes != before || s.err != nil {
+			return
+		}
+		if w.again(time.Now()) {
+			timer.Reset(w.time)
+			return
 		}
+		s.err = errSlow
+		s.slow()
+		_ = s.conn.Close() // The write that waits ends with it.
 	})
 	s.moved.Wait()
-	end.Stop()
+	waits = false
+	timer.Stop()
 }
 
 // direct writes without the store, which got no room at all.
@@ -227,7 +236,7 @@
 		if err != nil && last {
 			return errLate
 		}
-		if err != nil && !next {
+		if err != nil && !next && !w.again(time.Now()) {
 			s.slow()
 			return errSlow
 		}
