--- a/transport/caller/body.go
+++ b/transport/caller/body.go
@@ -46,10 +46,7 @@
 		}
 	}
 	if req.MayContinue() {
-		if _, err := c.bw.WriteString("HTTP/1.1 100 Continue\r\n\r\n"); err != nil {
-			return err
-		}
-		if err := c.bw.Flush(); err != nil {
+		if err := c.sayContinue(); err != nil {
 			return err
 		}
 	}
@@ -71,6 +68,18 @@
 	return req.ContinueReadBody(c.br, most, false)
 }
 
+// sayContinue asks for the body, and returns when that is written: a rest of it that
+// still waits must not meet what the request sets for its own answer.
+func (c *Conn) sayContinue() error {
+	if _, err := c.bw.WriteString("HTTP/1.1 100 Continue\r\n\r\n"); err != nil {
+		return err
+	}
+	if err := c.bw.Flush(); err != nil {
+		return err
+	}
+	return c.out.settle()
+}
+
 // own has the account know whose the request is.
 func (s *Server) own(c *Conn, req *fasthttp.Request) {
 	if a, ok := s.handler.(Admitter); ok && s.memory != nil {
--- a/transport/forward/attempt.go
+++ b/transport/forward/attempt.go
@@ -40,7 +40,7 @@
 	observed bool      // observed says that the answer was counted for a roll-out.
 	left     bool      // left says that the request has left the server.
 	done     bool      // done says that its answer was read to its end.
-	falls    int       // falls are how often the server fell over before, of which takesBytes was told.
+	falls    int       // falls are how often the server had fallen over when the request was sent.
 }
 
 // attempt sends the request to a server. It returns nil when the request is
