--- a/internal/soak/cluster.go
+++ b/internal/soak/cluster.go
@@ -38,8 +38,12 @@
 	Backends int
 	Regions  int           // Regions is in how many regions the processes lie; under 2 means none.
 	Delay    time.Duration // Delay is between two regions, one way.
+	MemoryMB int           // MemoryMB is what a gateway may take; 0 for the usual.
 }
 
+// usualMemory is a third of what a gateway has on a platform with small machines.
+const usualMemory = 64
+
 // Cluster is the daemons with all that stands around them.
 type Cluster struct {
 	Size     Size
@@ -108,6 +112,10 @@
 		if err != nil {
 			return err
 		}
+		b.CutUnread = cutUnread
+		if i%3 == 0 {
+			b.ReadPause = slowServer
+		}
 		p, err := NewProxy("127.0.0.1:0", b.Address)
 		if err != nil {
 			return err
@@ -183,6 +191,13 @@
 	return c.writeSettings(p, i, true)
 }
 
+// slowServer is the pause of the servers that read slowly, a third of them, behind 8 KB
+// of a body: 64 KB take 40 ms.
+const slowServer = 5 * time.Millisecond
+
+// cutUnread is how long servers let a piece of an answer lie unread.
+const cutUnread = 2 * time.Second
+
 // writeSettings lays a process's settings. Only the first start of all may found.
 func (c *Cluster) writeSettings(p *Proc, i int, found bool) error {
 	var seeds []string
@@ -198,6 +213,7 @@
 			at(told(i), c.ports.operator), at(told(i), c.ports.peer), behind(i), at(behind(i), c.ports.metrics), p.Data)
 	} else {
 		ip := gatewayIP(i)
+		text += fmt.Sprintf("memory_mb: %d\ndescriptors: 2000\n", cmp.Or(c.Size.MemoryMB, usualMemory))
 		text += fmt.Sprintf("caller: %s\nready: %s\npeer: %s\nmetrics: %s\n", at(ip, c.ports.caller), at(ip, c.ports.ready), at(ip, c.ports.peer), at(ip, c.ports.metrics))
 	}
 	return os.WriteFile(p.settings, []byte(text), 0o600)
@@ -315,6 +331,23 @@
 	return nil
 }
 
+// ResidentKB returns what the process has in memory, 0 if it does not run.
+func (p *Proc) ResidentKB() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.cmd == nil {
+		return 0
+	}
+	data, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", p.cmd.Process.Pid))
+	if err != nil {
+		return 0
+	}
+	_, rest, _ := strings.Cut(string(data), "VmRSS:")
+	var kb int
+	_, _ = fmt.Sscan(rest, &kb) // 0 where the kernel tells none.
+	return kb
+}
+
 // Signal sends a signal to the process, if it runs.
 func (p *Proc) Signal(s syscall.Signal) error {
 	p.mu.Lock()
--- a/transport/forward/attempt.go
+++ b/transport/forward/attempt.go
@@ -39,6 +39,9 @@
 	last     time.Time // last is when the latest events came.
 	pieces   int       // pieces are how often events came.
 	observed bool      // observed says that the answer was counted for a roll-out.
+	left     bool      // left says that the request has left the server.
+	done     bool      // done says that its answer was read to its end.
+	falls    int       // falls are how often the server had fallen over when the request was sent.
 }
 
 // attempt sends the request to a server. It returns nil when the request is
@@ -57,6 +60,9 @@
 		x.avoid = append(x.avoid, server.ID) // A moved run may come back to where it was.
 	}
 	conn, err := x.g.pool.Get(server.ID, server.Address, x.deadline)
+	if errors.Is(err, backend.ErrFull) {
+		return x.crowded()
+	}
 	if err != nil {
 		x.g.connected(server, 0, true)
 		x.distrust(server, true)
@@ -125,16 +131,14 @@
 	t.server.Cell.Began()
 	t.server.Cell.Reads(x.size)
 	x.takesSlot(t.server.Width())
+	t.takesBytes()
 	stop := context.AfterFunc(x.ctx, t.conn.Close)
 	defer func() {
 		stop()
-		t.hasRead()
-		t.server.Cell.Ended()
-		x.givesBack(time.Since(t.began), t.server.Width())
+		t.leave()
 	}()
 	copyFrom := x.reads(t.server)
-	t.enter()
-	defer t.leave()
+	t.track()
 	x.out.Reset()
 	x.resp.Reset()
 	x.g.dialect.Attempt(x.out, x.in, Attempt{
@@ -166,6 +170,20 @@
 	return t.answered(stop)
 }
 
+// leave notes once that the server has done with the request: its caller may take the
+// rest of the answer for much longer.
+func (t *try) leave() {
+	if t.left {
+		return
+	}
+	t.left = true
+	t.untrack()
+	t.hasRead()
+	t.server.Cell.Ended()
+	t.x.givesBack(time.Since(t.began), t.server.Width())
+	t.givesBytes()
+}
+
 // hasRead notes once that the server need not read the prompt any more.
 func (t *try) hasRead() {
 	if !t.read {
@@ -227,6 +245,7 @@
 		// are lost, only those that a crash catches before they begin did not run.
 		t.x.count()
 	}
+	t.fell(err)
 	t.x.distrust(t.server, false)
 	return t.x.failed(protocol.MayHaveRun, true, "the answer did not come: "+err.Error())
 }
@@ -284,6 +303,8 @@
 // finish keeps the connection if its answer was read to its end and nothing
 // speaks against it.
 func (t *try) finish(whole bool, stop func() bool) {
+	t.done = whole
+	defer t.leave() // Behind the connection's return, so that the next request finds it.
 	if !whole || t.early || t.extra || t.reply.Close || !stop() {
 		t.conn.Close()
 		return
@@ -296,12 +317,13 @@
 func (t *try) whole(stop func() bool) *protocol.Refusal {
 	x, status := t.x, t.x.resp.StatusCode()
 	body, err := t.conn.Body(x.resp)
+	defer x.answer.Free()
 	var data []byte
 	if err == nil {
-		data, err = io.ReadAll(io.LimitReader(body, maxAnswer+1))
+		data, err = x.readWhole(body, x.resp.Header.ContentLength())
 	}
-	if err == nil && len(data) > maxAnswer {
-		err = errTooLarge
+	if errors.Is(err, errNoRoom) {
+		return t.unread()
 	}
 	if err != nil {
 		return t.lost(err)
--- a/transport/forward/copy.go
+++ b/transport/forward/copy.go
@@ -7,8 +7,8 @@
 	"github.com/weldstream/weldstream/protocol"
 )
 
-// memory is what a gateway knows of where the shared parts of prompts lie.
-type memory struct {
+// promptMemory is what a gateway knows of where the shared parts of prompts lie.
+type promptMemory struct {
 	holders  *place.Holders
 	fresh    []protocol.Reading // fresh are readings that the leader does not know of.
 	term     uint64             // term is of the leader whose log of readings is followed,
@@ -33,7 +33,7 @@
 	if from != "" {
 		g.meters.copies.Inc(1)
 	}
-	x.fresh = g.memory.holders.Read(at.ID, x.chain, now)
+	x.fresh = g.prompts.holders.Read(at.ID, x.chain, now)
 	return from
 }
 
@@ -48,9 +48,9 @@
 	defer g.mu.Unlock()
 	switch {
 	case !read:
-		g.memory.holders.Unread(at.ID, x.fresh)
+		g.prompts.holders.Unread(at.ID, x.fresh)
 	case x.placed.Server == "":
-		g.memory.fresh = append(g.memory.fresh, protocol.Reading{Server: at.ID, Links: x.fresh})
+		g.prompts.fresh = append(g.prompts.fresh, protocol.Reading{Server: at.ID, Links: x.fresh})
 	}
 	x.fresh = nil
 }
@@ -68,7 +68,7 @@
 		}
 		return ""
 	}
-	holders := x.g.memory.holders
+	holders := x.g.prompts.holders
 	holder, tokens := holders.Find(view, x.chain, at.Domain, may, now)
 	if tokens < holders.Held(at.ID, x.chain, now)+leastCopied {
 		return ""
@@ -79,11 +79,11 @@
 // reportReadings tells the leader of a term what it does not know, and up to where its
 // log is known here. It needs g.mu.
 func (g *Gateway) reportReadings(term uint64, m *protocol.SyncMsg) {
-	if g.memory.term != term {
-		g.memory.term, g.memory.position = term, 0
+	if g.prompts.term != term {
+		g.prompts.term, g.prompts.position = term, 0
 	}
-	m.Readings, m.ReadingsAt = g.memory.fresh, g.memory.position
-	g.memory.fresh = nil // What is lost with the message is a hint less.
+	m.Readings, m.ReadingsAt = g.prompts.fresh, g.prompts.position
+	g.prompts.fresh = nil // What is lost with the message is a hint less.
 }
 
 // takeReadings takes what the leader of a term tells of its log. It needs g.mu.
@@ -91,6 +91,6 @@
 	if reply.ReadingsAt == 0 {
 		return
 	}
-	g.memory.term, g.memory.position = reply.Term, reply.ReadingsAt
-	g.memory.holders.Told(g.view.Load(), reply.Readings, now)
+	g.prompts.term, g.prompts.position = reply.Term, reply.ReadingsAt
+	g.prompts.holders.Told(g.view.Load(), reply.Readings, now)
 }
--- a/transport/forward/copy_test.go
+++ b/transport/forward/copy_test.go
@@ -22,15 +22,15 @@
 		learn func(w *world, x *exchange)
 		want  bool
 	}{
-		"read for this gateway":   {func(w *world, x *exchange) { w.g.memory.holders.Read("b", x.chain, past) }, true},
-		"read for another one":    {func(w *world, x *exchange) { w.g.memory.holders.Told(w.g.view.Load(), packed(x, 1), past) }, true},
+		"read for this gateway":   {func(w *world, x *exchange) { w.g.prompts.holders.Read("b", x.chain, past) }, true},
+		"read for another one":    {func(w *world, x *exchange) { w.g.prompts.holders.Told(w.g.view.Load(), packed(x, 1), past) }, true},
 		"of another leader's log": {func(w *world, x *exchange) { w.g.takeReadings(&protocol.SyncReply{Term: 3}, past) }, false},
 		"read by itself": {func(w *world, x *exchange) {
-			w.g.memory.holders.Read("a", x.chain, past)
-			w.g.memory.holders.Read("b", x.chain, past)
+			w.g.prompts.holders.Read("a", x.chain, past)
+			w.g.prompts.holders.Read("b", x.chain, past)
 		}, false},
 		"switched off": {func(w *world, x *exchange) {
-			w.g.memory.holders.Read("b", x.chain, past)
+			w.g.prompts.holders.Read("b", x.chain, past)
 			w.g.cfg.NoCopies = true
 		}, false},
 		"turned away": {func(w *world, x *exchange) {
--- a/transport/forward/exchange.go
+++ b/transport/forward/exchange.go
@@ -81,6 +81,7 @@
 	x.g.meters.requests.Inc(1)
 	x.call = x.g.dialect.Call(x.in)
 	refusal := x.admit()
+	x.answer.Own(x.call.ID, x.workspaceName())
 	x.log = x.g.log.With().Str("request", x.call.ID).Str("workspace", x.workspaceName()).Str("route", x.routeName()).Logger()
 	if refusal != nil {
 		x.refuse(refusal)
@@ -189,6 +190,7 @@
 		limit = min(limit, x.call.Remaining)
 	}
 	x.deadline = x.start.Add(limit)
+	x.answer.Until(x.deadline)
 	x.ctx, x.cancel = context.WithDeadline(x.gone, x.deadline)
 }
 
@@ -222,7 +224,7 @@
 		Prefix:  x.prefix,
 		Chain:   x.chain,
 		Domain:  x.g.cfg.Domain,
-		Avoid:   x.avoid,
+		Avoid:   x.passedOver(),
 		Copies:  x.copiesRate(),
 		Parts:   x.parts,
 		Target:  x.route.Target,
@@ -268,7 +270,7 @@
 		Prefix:  x.prefix,
 		Domain:  x.g.cfg.Domain,
 		Rand:    rand.Uint64(),
-		Avoid:   x.avoid,
+		Avoid:   x.passedOver(),
 		Lane:    x.lane,
 		Parts:   x.parts,
 		Brief:   x.route.Repeatable(),
@@ -282,6 +284,9 @@
 		return s, nil
 	}
 	i, ok := place.Choose(view, m)
+	if !ok && len(x.full()) > 0 {
+		return nil, x.noServer()
+	}
 	if !ok {
 		return nil, protocol.NewRefusal(protocol.StatusServiceUnavailable, protocol.CodeNoBackend, "no server of the service can take the request").WithRetryAfter(resend.Later(x.route.Target))
 	}
--- a/transport/forward/forward.go
+++ b/transport/forward/forward.go
@@ -51,6 +51,8 @@
 	UsageDue    time.Duration // UsageDue is how long after a window its report is due.
 	NoCopies    bool          // NoCopies has no server copy shared parts of prompts from another one.
 	MoveAhead   time.Duration // MoveAhead is how long before the end of a leaving server its answers are moved; 0 for as soon as it is known.
+	Connections int           // Connections bounds those to all servers together; 0 sets no bound.
+	Socket      int           // Socket is what the kernel may keep of a server's connection each way, in bytes; 0 leaves it to the kernel.
 }
 
 // Gateway forwards requests.
@@ -69,6 +71,7 @@
 	confirmed atomic.Int64 // confirmed is when the catalog was known to be the newest, since began; 0 for never.
 	gateways  atomic.Int64
 	paths     paths
+	flights   sync.Map    // flights are the bytes at servers, a *flight by service.
 	closed    atomic.Bool // closed refuses new requests: the gateway ends soon.
 
 	moves moves
@@ -81,7 +84,7 @@
 	counter   *usage.Counter
 	clock     *usage.Clock
 	pressure  map[string]*pressure
-	memory    memory
+	prompts   promptMemory
 	done      []protocol.PlaceDone // done are placed requests whose end is to be reported.
 	listed    []protocol.Instance  // listed are the servers of the last list.
 	rolled    uint64               // rolled is the change of the roll-outs that the gateway keeps to; 0 before the first.
@@ -118,7 +121,7 @@
 		cfg:       cfg,
 		dialect:   d,
 		log:       zerolog.Nop(),
-		pool:      backend.NewPool(dialTime),
+		pool:      backend.NewPool(dialTime, backend.WithSocket(cfg.Socket), backend.WithConnections(cfg.Connections)),
 		syncNow:   func() {},
 		place:     func(protocol.PlaceMsg) (protocol.PlaceReply, bool) { return protocol.PlaceReply{}, false },
 		began:     now,
@@ -136,7 +139,7 @@
 		opt(g)
 	}
 	g.moves.runs, g.moves.leaving = map[string]map[*running]struct{}{}, map[string]bool{}
-	g.memory.holders = place.NewHolders(cfg.Topology)
+	g.prompts.holders = place.NewHolders(cfg.Topology)
 	if g.meters == nil {
 		g.meters = newMeters(metrics.NewRegistry())
 	}
--- a/transport/forward/move.go
+++ b/transport/forward/move.go
@@ -95,8 +95,8 @@
 	went  time.Time     // went is when the move began.
 }
 
-// enter notes an answer that begins, if it could be moved.
-func (t *try) enter() {
+// track notes an answer that begins, if it could be moved.
+func (t *try) track() {
 	x := t.x
 	if x.g.moves.mover == nil || x.route.Kind != protocol.RouteStream || x.copyRate() <= 0 {
 		return
@@ -113,9 +113,9 @@
 	x.g.look(t.server)
 }
 
-// leave notes that the answer of one server has ended. A run that goes on elsewhere
+// untrack notes that the answer of one server has ended. A run that goes on elsewhere
 // keeps its copy until that server answers.
-func (t *try) leave() {
+func (t *try) untrack() {
 	r := t.running
 	if r == nil {
 		return
@@ -538,7 +538,7 @@
 func (g *Gateway) DumpMemory() Dump {
 	d := Dump{Moves: []MoveRow{}}
 	g.mu.Lock()
-	d.Links = g.memory.holders.Len()
+	d.Links = g.prompts.holders.Len()
 	g.mu.Unlock()
 	m := &g.moves
 	m.mu.Lock()
