A caller's pace is measured by what its kernel acknowledged

A blocked write goes on only when the kernel has a third of its buffer free, up to 40 KB. For that a caller who takes its answer at four times the least rate needs longer than a window, under pressure above all (4 KB in 4 s), and was cut as one that stands still. A window that brought nothing now looks at what was acknowledged meanwhile (SIOCOUTQ), one look a window and only for callers who lag.

--- a/transport/caller/pace.go
+++ b/transport/caller/pace.go
@@ -16,8 +16,7 @@
 
 // DefaultPace is far below what any caller needs who means to go on: the slowest links
 // in use carry ten times the rate. The window is longer than a caller pauses who waits
-// for its disk or for a lost packet to be repeated several times, and as long as a
-// kernel that takes an answer in steps of 15 KB needs for one.
+// for its disk or for a lost packet to be repeated several times.
 var DefaultPace = Pace{Rate: 1 << 10, Window: 15 * time.Second}
 
 // need is how many bytes each window has to bring.
@@ -29,6 +28,8 @@
 	time time.Duration
 	end  time.Time
 	got  int
+
+	queued int // queued are the bytes that the kernel kept at its begin; for answers.
 }
 
 // begin starts the first window.
--- /dev/null
+++ b/transport/caller/queued_other.go
@@ -0,0 +1,6 @@
+//go:build !linux
+
+package caller
+
+// queued tells nothing: what the kernel takes stands for what the caller takes.
+func (*atOnce) queued() (bytes int, known bool) { return 0, false }
--- a/transport/caller/store.go
+++ b/transport/caller/store.go
@@ -126,8 +126,7 @@
 // than it may. It needs s.mu.
 func (s *store) waitPressed() {
 	before, waits := s.wrotes, true
-	var w window
-	w.begin(s.pressed(), time.Now())
+	w := s.window(s.pressed())
 	var timer *time.Timer
 	timer = time.AfterFunc(w.time, func() {
 		s.mu.Lock()
@@ -135,7 +134,7 @@
 		if !waits || s.wrotes != before || s.err != nil {
 			return
 		}
-		if w.again(time.Now()) {
+		if w.again(time.Now()) || s.took(&w) {
 			timer.Reset(w.time)
 			return
 		}
@@ -150,8 +149,7 @@
 
 // direct writes without the store, which got no room at all.
 func (s *store) direct(p []byte) (int, error) {
-	var w window
-	w.begin(s.pressed(), time.Now())
+	w := s.window(s.pressed())
 	s.mu.Unlock()
 	err := s.write(p, &w)
 	s.mu.Lock()
@@ -172,8 +170,7 @@
 
 // drain writes blocks until none is left.
 func (s *store) drain() {
-	var w window
-	w.begin(s.pace, time.Now())
+	w := s.window(s.pace)
 	for {
 		block := s.next()
 		if block == nil {
@@ -217,6 +214,26 @@
 	s.moved.Broadcast()
 }
 
+// window begins a window of a pace.
+func (s *store) window(p Pace) window {
+	var w window
+	w.begin(p, time.Now())
+	w.queued, _ = s.now.queued()
+	return w
+}
+
+// took reports whether the caller has acknowledged what a window asks for, and begins the
+// next one then. A kernel makes room in steps of a third of what it keeps, up to 40 KB,
+// for which a caller well above the pace takes longer than a window.
+func (s *store) took(w *window) bool {
+	queued, known := s.now.queued()
+	if !known || w.queued+w.got-queued < w.need {
+		return false
+	}
+	w.got, w.end, w.queued = 0, time.Now().Add(w.time), queued
+	return true
+}
+
 // write writes p, as long as each window brings what the pace asks for.
 func (s *store) write(p []byte, w *window) error {
 	for len(p) > 0 {
@@ -230,13 +247,16 @@
 		n, err := s.conn.Write(p)
 		p = p[n:]
 		next := w.moved(n, time.Now)
+		if next {
+			w.queued, _ = s.now.queued()
+		}
 		if err != nil && !isTimeout(err) {
 			return err
 		}
 		if err != nil && last {
 			return errLate
 		}
-		if err != nil && !next && !w.again(time.Now()) {
+		if err != nil && !next && !w.again(time.Now()) && !s.took(w) {
 			s.slow()
 			return errSlow
 		}
