Large buffers grow by a quarter: what fits is not refused for a doubled one

An answer without a length asked the account for twice what it had: 9 MB needed room for 16 and ended as may-have-run, though 12 were free. Beyond 1 MB buffers of answers and bodies grow by a quarter, by one function for both.

Run: tests of coordination/memory, transport/caller and transport/forward with -race (TestAnswerOfNoLengthFits failed before), linter.

--- a/transport/caller/body.go
+++ b/transport/caller/body.go
@@ -119,9 +119,9 @@
 	}
 }
 
-// grow returns the body with room for as much again, taken from the account.
+// grow returns the body with more room, taken from the account.
 func (s *Server) grow(c *Conn, body []byte, most int) ([]byte, error) {
-	size := max(firstPiece, min(2*cap(body), most+1))
+	size := memory.Grown(cap(body), firstPiece, most+1)
 	if size <= cap(body) {
 		return nil, fasthttp.ErrBodyTooLarge
 	}
--- a/transport/forward/room.go
+++ b/transport/forward/room.go
@@ -227,9 +227,9 @@
 	}
 }
 
-// grow returns the answer with room for as much again.
+// grow returns the answer with more room.
 func (x *exchange) grow(data []byte) ([]byte, error) {
-	size := min(2*cap(data), maxAnswer+1)
+	size := memory.Grown(cap(data), answerPiece, maxAnswer+1)
 	if size <= cap(data) {
 		return nil, errTooLarge
 	}
--- a/transport/forward/room_test.go
+++ b/transport/forward/room_test.go
@@ -63,6 +63,20 @@
 	}
 }
 
+// TestAnswerOfNoLengthFits checks that an answer without a length, which would fit, does
+// not end for a buffer of twice its size: its request has run.
+func TestAnswerOfNoLengthFits(t *testing.T) {
+	const bound, size = 24 << 20, 9 << 20
+	w := newWorld(t, caller.WithMemory(caller.NewMemory(bound, metrics.NewRegistry())))
+	w.install(protocol.PathRoute{Attempts: 1})
+	w.backend("a", func(c net.Conn, _ *fasthttp.Request) {
+		_, _ = fmt.Fprintf(c, "HTTP/1.1 200 X\r\nId: 7\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n\r\n", size, strings.Repeat("x", size))
+	})
+	if got := w.ask(); got.status != 200 || len(got.body) != size {
+		t.Errorf("status %d, %d bytes", got.status, len(got.body))
+	}
+}
+
 // TestBodyWithoutRoom checks that a body for which the workspace has no memory left is
 // refused as not run before any server sees it, and that another workspace's is served.
 func TestBodyWithoutRoom(t *testing.T) {
