--- a/cmd/weldctl/main.go
+++ b/cmd/weldctl/main.go
@@ -6,6 +6,7 @@
 //	weldctl dump                      the state of one process
 //	weldctl drop NAME                 take a replica that is gone for good out of the group
 //	weldctl rollout VERB              move a service to another version, look on, turn back
+//	weldctl status ADDRESS...         who leads, what control instances have applied, round trips
 //	weldctl send                      a caller's request, streamed to the terminal
 //	weldctl trace REQUEST FILE...     one request's story from the logs of several processes
 //	weldctl settings                  every setting of the daemon with its default and bounds
@@ -51,6 +52,7 @@
 		"drop":     {"take a replica that is gone for good out of the group", runDrop},
 		"settings": {"list every setting of the daemon with its default and bounds", runSettings},
 		"trace":    {"tell one request's story from the logs of several processes", runTrace},
+		"status":   {"show who leads, and the round trips between control instances", runStatus},
 		"rollout":  {"move a service to servers of another version: begin, status, watch, abort", runRollout},
 		"send":     {"send a request as a caller and stream the answer", runSend},
 	}
