A voter's disk covers each promise that runs; a lease is cut when voters change

Cause: the promise on a voter's disk fell once the longest one was over, also while another, longer than the new one, still ran. Started again, the voter owed too little and could elect a second leader within the first one's lease. And a leader kept a lease made of a long promise of one voter when voters were taken in who had promised less: three of five could elect another without that one.

Change: what is on disk falls only when no promise that runs ends later than the new one. A change of members cuts the lease to what a quorum of the new members promised.

--- a/coordination/replicate/handover_test.go
+++ b/coordination/replicate/handover_test.go
@@ -167,3 +167,60 @@
 		}
 	}
 }
+
+// TestLoweredPromiseCoversThoseThatRun checks that what is on a voter's disk covers each
+// promise that still runs, also one that was neither the longest nor the last.
+func TestLoweredPromiseCoversThoseThatRun(t *testing.T) {
+	b := replicaOf(idB, HardState{Term: 4})
+	began := time.Second
+	longest, middle := 6*testConfig.Election, 5*testConfig.Election
+	ask := func(promise, at time.Duration) {
+		b.Update(StepMsg{Message: Message{Kind: Append, From: idA, To: idB, Term: 4, Promise: promise}, Now: began + at})
+	}
+	ask(longest, 0)
+	ask(middle, longest-testConfig.Election)
+	ask(2*testConfig.Election, longest)
+	end := began + longest - testConfig.Election + middle
+	fresh := restarted(idB, b.hard, began+longest)
+	for _, s := range sends(fresh.Update(StepMsg{Message: Message{Kind: Vote, From: idC, To: idB, Term: 5, Index: 9, LogTerm: 9}, Now: end - time.Millisecond})) {
+		if !s.Message.Reject {
+			t.Errorf("a vote within a promise, behind a restart: %+v", s.Message)
+		}
+	}
+}
+
+// TestLeaseEndsWithItsQuorum checks that voters that are taken in shorten a lease which
+// rests on a promise that they did not make: they may be a quorum without it.
+func TestLeaseEndsWithItsQuorum(t *testing.T) {
+	r := replicaOf(idA, HardState{Term: 2})
+	elect(t, r)
+	r.asks = 4 * testConfig.Election
+	r.broadcast()
+	r.Update(StepMsg{Message: Message{Kind: AppendReply, From: idB, To: idA, Term: r.hard.Term, Index: 1, Round: r.round, Promise: r.asks}, Now: r.now})
+	r.Update(SyncedMsg{Index: 1, Term: r.hard.Term})
+	if r.lease-r.now <= testConfig.Election {
+		t.Fatalf("the lease runs %v only", r.lease-r.now)
+	}
+	r.asks = testConfig.Election
+	idD, idE := ID{Name: "d", Incarnation: 4}, ID{Name: "e", Incarnation: 5}
+	catchUp := func(ids ...ID) {
+		r.broadcast()
+		r.Update(SyncedMsg{Index: r.log.Last(), Term: r.hard.Term})
+		for _, id := range ids {
+			answer(r, id, r.log.Last())
+		}
+	}
+	catchUp(idC)
+	for _, id := range []ID{idD, idE} {
+		r.Update(JoinMsg{ID: id})
+		catchUp(idC, idD, idE)
+		r.Update(TickMsg{Now: r.now}) // It is made a voter.
+		catchUp(idC, idD, idE)
+	}
+	if n := len(r.log.Members().Voters); n != 5 {
+		t.Fatalf("%d voters", n)
+	}
+	if r.lease-r.now > testConfig.Election {
+		t.Errorf("the lease runs %v, but three of five elect another after %v", r.lease-r.now, testConfig.Election)
+	}
+}
--- a/coordination/replicate/members.go
+++ b/coordination/replicate/members.go
@@ -51,6 +51,7 @@
 func (r *Replica) change(next Members) {
 	r.appendEntries(Entry{Kind: EntryMembers, Data: encodeMembers(next)})
 	r.syncPeers()
+	r.lease = min(r.lease, r.promised()) // Those it rested on may be no quorum any more.
 	r.sendNew()
 	r.advance()
 }
--- a/coordination/replicate/replicate.go
+++ b/coordination/replicate/replicate.go
@@ -142,7 +142,6 @@
 	now        time.Duration
 	heardAt    time.Duration // heardAt is when a leader was last heard from.
 	owedUntil  time.Duration // owedUntil is the end of the longest promise to a leader.
-	longUntil  time.Duration // longUntil is until when a promise of the length on disk may run.
 	electionAt time.Duration
 	beatAt     time.Duration
 	spread     time.Duration // spread is the random part of the election timeout.
@@ -334,6 +333,10 @@
 	}
 }
 
+// Lease returns until when no other leader can have been elected, on the clock of
+// TickMsg.Now; 0 for a replica that does not lead.
+func (r *Replica) Lease() time.Duration { return r.lease }
+
 // Leads reports whether the replica leads, and its term, the fence of its
 // orders.
 func (r *Replica) Leads() (term uint64, ok bool) { return r.hard.Term, r.role == Leader }
--- a/coordination/replicate/timing.go
+++ b/coordination/replicate/timing.go
@@ -22,7 +22,8 @@
 // disk before the answer is sent). The message was sent before it came, so by the
 // leader's clock the promise ends after the sending plus P, less what the clocks differ
 // by in P; leaseMargin takes that off. The leader acts until the end that a quorum of
-// voters reaches, and an election needs a voter out of that quorum.
+// voters reaches, and an election needs a voter out of that quorum. When the voters
+// change, the lease is cut to what a quorum of the new ones promised.
 
 // leaseMargin takes a tenth off a promise, for clocks that run unevenly.
 const leaseMargin = 10
@@ -82,28 +83,25 @@
 func (r *Replica) promise(asked time.Duration) time.Duration {
 	p := min(max(asked, r.cfg.Election), mostPromise*r.cfg.Election)
 	r.owedUntil = max(r.owedUntil, r.now+p)
+	onDisk := r.hard.Promise
 	switch {
-	case p > max(r.hard.Promise, r.cfg.Election):
-		r.hard.Promise = p
-		r.persist(nil)
-	case p < r.hard.Promise && r.now >= r.longUntil:
-		r.hard.Promise = p
+	case p > max(onDisk, r.cfg.Election):
+		onDisk = p
+	case p < onDisk && r.owedUntil <= r.now+p: // No other that runs ends later.
+		onDisk = p
 		if p == r.cfg.Election {
-			r.hard.Promise = 0
+			onDisk = 0
 		}
-		r.persist(nil)
 	}
-	if p >= r.hard.Promise {
-		r.longUntil = r.now + p
+	if onDisk != r.hard.Promise {
+		r.hard.Promise = onDisk
+		r.persist(nil)
 	}
 	return p
 }
 
 // owe takes up, at a start, the longest promise that the former self may have made.
-func (r *Replica) owe() {
-	r.owedUntil = r.now + r.hard.Promise
-	r.longUntil = r.owedUntil
-}
+func (r *Replica) owe() { r.owedUntil = r.now + r.hard.Promise }
 
 // owesNothing ends all promises.
 func (r *Replica) owesNothing() {
