A lease that is given up is made known before the successor is told

Cause: the message to campaign went out when the leader stepped down, but what others ask the group, whether it leads, was brought up to date only at the end of the batch, behind its syncs. While a sync hung, the former leader went on to vouch by a lease that it had given up, beside the new one.

Change: a lease that falls is published before the commands are carried out.

Run: TestNoLeaseBehindAHandover failed before and passes (three times with -race); go test -race ./coordination/group ./coordination/replicate.

--- a/coordination/group/group.go
+++ b/coordination/group/group.go
@@ -297,8 +297,15 @@
 	}
 }
 
+// update has the replica take a message and carries out what follows. A lease that was
+// given up or cut is made known first: what is sent may let another replica lead before
+// this batch is on disk.
 func (g *Group) update(m replicate.Msg) {
-	for _, cmd := range g.replica.Update(m) {
+	cmds := g.replica.Update(m)
+	if g.replica.Lease() < g.status.Load().Lease {
+		g.publish()
+	}
+	for _, cmd := range cmds {
 		g.execute(cmd)
 	}
 }
