Commands hold only what they use

RestoreCmd had fields that nothing set or read; the comment of Message.Void told of restarts alone, though a leader that handed over says the same.

--- a/coordination/replicate/message.go
+++ b/coordination/replicate/message.go
@@ -37,7 +37,7 @@
 	Reject   bool             `cbor:",omitempty"`
 	Rejected uint64           `cbor:",omitempty"` // Rejected is the Index of the message that is refused.
 	Round    uint64           `cbor:",omitempty"` // Round pairs a leader's message with its answer.
-	Void     uint64           `cbor:",omitempty"` // Void is the term that the sender led before it was started anew, 0 without one: no lease of that term runs.
+	Void     uint64           `cbor:",omitempty"` // Void is a term whose leader leads no more, 0 without one: no lease of that term runs.
 	Promise  time.Duration    `cbor:",omitempty"` // Promise is for how long the receiver is to elect no other; in a reply, for how long it will not.
 	Trips    []roundtrip.Trip `cbor:",omitempty"` // Trips are the sender's own round trips, in a Pong.
 	Snapshot SnapshotMeta     `cbor:",omitzero"`
@@ -132,17 +132,14 @@
 
 // SendSnapshotCmd sends the latest snapshot on disk to a replica.
 type SendSnapshotCmd struct {
-	To    ID
-	Term  uint64
-	Round uint64
-
-	Promise time.Duration
+	To      ID
+	Term    uint64
+	Round   uint64
+	Promise time.Duration // Promise is as in [Message].
 }
 
 // RestoreCmd replaces the state machine, and the log on disk, by a snapshot.
 type RestoreCmd struct {
-	Promise  time.Duration    // Promise is for how long the receiver is to elect no other; in a reply, for how long it will not.
-	Trips    []roundtrip.Trip // Trips are the sender's own round trips, in a Pong.
 	Snapshot SnapshotMeta
 	Data     []byte
 }
