A move of leadership that failed is not tried again at once

Cause: where the better place answered but did not catch up, the leader gave up after two timeouts and began anew within a second: what is proposed was held up for much of the time, with two log lines a second. A change of members under way had a move begun and refused once a second.

Change: behind a hand-over that failed the leader stays for as long as one that has just begun to lead, 30 s; no move is begun while members change.

--- a/coordination/replicate/handover.go
+++ b/coordination/replicate/handover.go
@@ -115,10 +115,12 @@
 	r.do(HandoverCmd{Token: token, To: to})
 }
 
-// giveUpHandover goes on as the leader, with what was held.
+// giveUpHandover goes on as the leader, with what was held. It moves no sooner than if
+// it had just begun to lead: each try holds up proposals for handoverTimes.
 func (r *Replica) giveUpHandover() {
 	h := r.handover
 	r.handover = handover{}
+	r.calmFrom, r.place = r.now, roundtrip.Place{}
 	r.do(HandoverCmd{Token: h.token, Err: ErrBusy})
 	for _, m := range h.proposals {
 		r.propose(m)
@@ -174,8 +176,8 @@
 	}
 	r.placeAt = r.now + pingEvery
 	voters := append(r.others(), r.id.Name)
-	move, ok := r.place.Decide(r.trips, roundtrip.PlaceMsg{Now: r.now, Since: r.ledFrom, Leader: r.id.Name, Voters: voters, Able: r.able})
-	if !ok || r.busy {
+	move, ok := r.place.Decide(r.trips, roundtrip.PlaceMsg{Now: r.now, Since: r.calmFrom, Leader: r.id.Name, Voters: voters, Able: r.able})
+	if !ok || r.busy || !r.mayChange() {
 		return
 	}
 	r.do(MoveCmd{Move: move})
--- a/coordination/replicate/handover_test.go
+++ b/coordination/replicate/handover_test.go
@@ -224,3 +224,30 @@
 		t.Errorf("the lease runs %v, but three of five elect another after %v", r.lease-r.now, testConfig.Election)
 	}
 }
+
+// TestFailedMoveIsNotRepeatedAtOnce checks that a leader whose better place answers, but
+// does not catch up, leaves it alone for a while: each try holds up what is proposed.
+func TestFailedMoveIsNotRepeatedAtOnce(t *testing.T) {
+	r := New(wideConfig, Start{ID: idA, Hard: HardState{Term: 2}, Snapshot: SnapshotMeta{Members: abc}})
+	r.heardAt = -time.Hour
+	elect(t, r)
+	r.Update(SyncedMsg{Index: 1, Term: r.hard.Term})
+	answer(r, idB, 1)
+	r.Update(ProposeMsg{Token: 1}) // Nobody has it on disk.
+	moves := 0
+	for at := r.now; at < 2*time.Minute; at += wideConfig.Heartbeat {
+		for _, id := range []ID{idB, idC} {
+			r.Update(StepMsg{Message: Message{Kind: AppendReply, From: id, To: idA, Term: r.hard.Term, Index: 1, Round: r.round}, Now: at})
+			r.trips.Observe("a", id.Name, 80*time.Millisecond, at)
+		}
+		r.trips.Observe("b", "c", 2*time.Millisecond, at)
+		for _, c := range r.Update(TickMsg{Now: at}) {
+			if _, ok := c.(MoveCmd); ok {
+				moves++
+			}
+		}
+	}
+	if moves < 1 || moves > 4 {
+		t.Errorf("%d moves begun in two minutes, want one to four", moves)
+	}
+}
--- a/coordination/replicate/leader.go
+++ b/coordination/replicate/leader.go
@@ -13,7 +13,7 @@
 func (r *Replica) becomeLeader() {
 	r.role, r.leader = Leader, r.id
 	r.votes = nil
-	r.ledFrom, r.place = r.now, roundtrip.Place{}
+	r.calmFrom, r.place = r.now, roundtrip.Place{}
 	r.peers = map[ID]*progress{}
 	r.asks = max(r.cfg.Election, r.hard.Promise)
 	r.hard.Led = true // On disk with the entry below.
--- a/coordination/replicate/replicate.go
+++ b/coordination/replicate/replicate.go
@@ -153,7 +153,7 @@
 	place      roundtrip.Place
 	placeAt    time.Duration
 	busy       bool             // busy says that something is under way that a move would break off.
-	ledFrom    time.Duration    // ledFrom is when this replica began to lead.
+	calmFrom   time.Duration    // calmFrom is when this replica began to lead, or last failed to hand over.
 	asks       time.Duration    // asks is the promise that this replica asks for as the leader.
 	trips      *roundtrip.Table // trips are those of pings between any two replicas.
 	rounds     *roundtrip.Table // rounds are those of a leader's rounds, with the syncs of the others.
--- a/coordination/roundtrip/place.go
+++ b/coordination/roundtrip/place.go
@@ -14,15 +14,16 @@
 	// steadyFor is how long the same place must have been better: longer than a burst
 	// of losses or a full queue lasts.
 	steadyFor = 5 * time.Second
-	// calmFor is the least time in which a leader leads before it is moved. It bounds
-	// the moves where what is observed goes up and down: one in that time.
+	// calmFor is the least time in which a leader leads, or goes on behind a move that
+	// failed, before it is moved. It bounds the moves where what is observed goes up and
+	// down, or the better place does not catch up: one in that time.
 	calmFor = 30 * time.Second
 )
 
 // PlaceMsg asks where the leader is best placed.
 type PlaceMsg struct {
 	Now    time.Duration
-	Since  time.Duration // Since is when this replica began to lead.
+	Since  time.Duration // Since is when this replica began to lead, or last failed to move.
 	Leader string
 	Voters []string
 	Able   func(name string) bool // Able reports whether a voter has the log, and answers.
