Versions side by side: a test of the messages, and how to go back

Cause: what is zero is left out of messages now, and there are kinds and fields that earlier versions do not know; no test held that both read each other alike.

Run: transport TestMessagesOfAnEarlierVersion, TestHeartbeatsAreSmall.

--- a/transport/replica_test.go
+++ b/transport/replica_test.go
@@ -7,9 +7,11 @@
 	"testing"
 	"time"
 
+	"github.com/google/go-cmp/cmp"
 	"github.com/rs/zerolog"
 
 	"github.com/weldstream/weldstream/coordination/replicate"
+	"github.com/weldstream/weldstream/coordination/roundtrip"
 	"github.com/weldstream/weldstream/protocol"
 	"github.com/weldstream/weldstream/state"
 )
@@ -102,3 +104,57 @@
 		}
 	}
 }
+
+// earlierMessage is what versions without promises, hand-overs and round trips send and
+// read: they write every field, and know none of the later ones.
+type earlierMessage struct {
+	Kind     replicate.MessageKind
+	From     protocol.ReplicaID
+	To       protocol.ReplicaID
+	Term     uint64
+	Index    uint64
+	LogTerm  uint64
+	Entries  []protocol.LogEntry
+	Commit   uint64
+	Reject   bool
+	Rejected uint64
+	Round    uint64
+	Void     uint64
+	Snapshot protocol.SnapshotMeta
+	Data     []byte
+}
+
+// TestMessagesOfAnEarlierVersion checks that replicas of this version and of an earlier
+// one read each other's messages alike, as both run during an update.
+func TestMessagesOfAnEarlierVersion(t *testing.T) {
+	id := protocol.ReplicaID{Name: "a", Incarnation: 7}
+	meta := protocol.SnapshotMeta{Index: 4, Term: 2, Members: protocol.ReplicaMembers{Voters: []protocol.ReplicaID{id}}}
+	earlier := earlierMessage{
+		Kind: replicate.Snapshot, From: id, To: id, Term: 9, Index: 1, LogTerm: 2, Entries: []protocol.LogEntry{{Index: 3, Term: 2, Data: []byte("x")}},
+		Commit: 5, Reject: true, Rejected: 6, Round: 8, Void: 4, Snapshot: meta, Data: []byte("y"),
+	}
+	now := replicate.Message{
+		Kind: earlier.Kind, From: id, To: id, Term: 9, Index: 1, LogTerm: 2, Entries: earlier.Entries,
+		Commit: 5, Reject: true, Rejected: 6, Round: 8, Void: 4, Snapshot: meta, Data: earlier.Data,
+	}
+	promised := now
+	promised.Promise, promised.Trips = time.Second, []roundtrip.Trip{{From: "a", To: "b"}}
+	bare, heartbeat := earlierMessage{Kind: replicate.Append, From: id, To: id, Term: 9}, replicate.Message{Kind: replicate.Append, From: id, To: id, Term: 9}
+	for name, tt := range map[string]struct{ sent, got, want any }{
+		"to an earlier one":   {promised, &earlierMessage{}, &earlier},
+		"from an earlier one": {earlier, &replicate.Message{}, &now},
+		"a bare one to":       {heartbeat, &earlierMessage{}, &bare},
+		"a bare one from":     {bare, &replicate.Message{}, &heartbeat},
+	} {
+		var buf bytes.Buffer
+		if err := encoding.MarshalToBuffer(tt.sent, &buf); err != nil {
+			t.Fatal(err)
+		}
+		if err := decoding.Unmarshal(buf.Bytes(), tt.got); err != nil {
+			t.Fatalf("%s: %v", name, err)
+		}
+		if diff := cmp.Diff(tt.want, tt.got); diff != "" {
+			t.Errorf("%s (-want +got):\n%s", name, diff)
+		}
+	}
+}
