A new leader's state tells that it leads before the others hear of it

Cause: the state was brought up to date at the end of the batch in which a replica was elected, behind its sync, and the first round had gone out by then. A follower named a leader that said of itself that it was none. TestStoppingLeaderHandsOver failed by that on a busy machine (2 of 4 runs): the stopped process had ended as it had heard of the next leader, which did not say so yet.

Change: the state is published when the replica is elected. Its lease is empty then.

Run: TestNoLeaseBehindAHandover, with the new look failed before and passes; TestStoppingLeaderHandsOver six times, passed; go test -race ./coordination/group.

--- a/coordination/group/group.go
+++ b/coordination/group/group.go
@@ -334,6 +334,7 @@
 		g.moving(cmd)
 	case replicate.ElectedCmd:
 		g.log.Info().Uint64("term", cmd.Term).Msg("elected leader")
+		g.publish() // Before the others hear of it: they may send here whoever asks.
 	case replicate.SteppedDownCmd:
 		g.log.Info().Uint64("term", cmd.Term).Msg("no longer leader")
 		g.failProposals()
--- a/coordination/group/place_test.go
+++ b/coordination/group/place_test.go
@@ -11,11 +11,13 @@
 )
 
 // agreeing is a sender whose replicas vote for, and take, whatever they are sent. It
-// looks at what others are told of the leader when the message to campaign goes out.
+// looks at what the state of the leader tells when its messages go out.
 type agreeing struct {
 	group   *Group
 	told    bool
 	leading bool // leading says that the leader vouched for its state at that moment.
+	heard   bool // heard says that the leader made itself known.
+	hidden  bool // hidden says that others heard of the leader before its state told.
 }
 
 // Send implements Sender; it is called in the group's loop.
@@ -27,6 +29,9 @@
 	case replicate.Vote:
 		reply.Kind = replicate.VoteReply
 	case replicate.Append:
+		if s := a.group.Status(); !a.heard {
+			a.heard, a.hidden = true, s.Role != replicate.Leader.String() || s.Term != m.Term
+		}
 		reply.Kind, reply.Index = replicate.AppendReply, m.Index+uint64(len(m.Entries))
 	case replicate.Handover:
 		_, a.leading = a.group.Leads()
@@ -39,7 +44,8 @@
 }
 
 // TestNoLeaseBehindAHandover checks that whoever asks is told that this replica leads
-// no more before another one is told to campaign, which then may lead at once.
+// no more before another one is told to campaign, which then may lead at once; and that
+// it leads before the others hear of that.
 func TestNoLeaseBehindAHandover(t *testing.T) {
 	cfg := Config{
 		Replica:         replicate.Config{Election: time.Second, Heartbeat: 10 * time.Millisecond, Batch: 1 << 20, Window: 8},
@@ -72,4 +78,7 @@
 	if !others.told || others.leading {
 		t.Errorf("told to campaign: %v, while the lease still counted: %v", others.told, others.leading)
 	}
+	if others.hidden {
+		t.Error("others heard of the leader before its state told that it leads")
+	}
 }
