Long runs of promises cut a leader off for as long as a promise runs

Change: an action that cuts a leader off, starts half of the others again and lets them elect another.

--- a/coordination/replicate/wide_test.go
+++ b/coordination/replicate/wide_test.go
@@ -39,8 +39,30 @@
 	s.update(s.draw(), HandoverMsg{Token: uint64(s.seq), To: s.draw().id.Name})
 }
 
+// abandon cuts a leader off for as long as a promise may run, has the others start
+// again, and lets them elect another as soon as they may.
+func (s *sim) abandon() {
+	spared := s.draw()
+	if _, leads := spared.r.Leads(); !leads {
+		return
+	}
+	for _, name := range s.names() {
+		if n := s.nodes[name]; n != spared {
+			s.cut[spared.id.Name+">"+name], s.cut[name+">"+spared.id.Name] = true, true
+			if s.pick(2) == 0 {
+				s.crash(n)
+			}
+		}
+	}
+	for range 30 {
+		s.run(3)
+		s.check()
+	}
+	clear(s.cut)
+}
+
 func (s *sim) wideActions() []action {
-	return append(s.actions(), action{"estimate", 20, s.estimate}, action{"handover", 20, s.handOver})
+	return append(s.actions(), action{"estimate", 20, s.estimate}, action{"handover", 20, s.handOver}, action{"abandon", 3, s.abandon})
 }
 
 // TestPromisesWide is TestPromises where leaders ask for any promise, settings and
