--- a/coordination/group/group.go
+++ b/coordination/group/group.go
@@ -297,8 +297,15 @@
 	}
 }
 
+// update has the replica take a message and carries out what follows. A lease that was
+// given up or cut is made known first: what is sent may let another replica lead before
+// this batch is on disk.
 func (g *Group) update(m replicate.Msg) {
-	for _, cmd := range g.replica.Update(m) {
+	cmds := g.replica.Update(m)
+	if g.replica.Lease() < g.status.Load().Lease {
+		g.publish()
+	}
+	for _, cmd := range cmds {
 		g.execute(cmd)
 	}
 }
@@ -327,6 +334,7 @@
 		g.moving(cmd)
 	case replicate.ElectedCmd:
 		g.log.Info().Uint64("term", cmd.Term).Msg("elected leader")
+		g.publish() // Before the others hear of it: they may send here whoever asks.
 	case replicate.SteppedDownCmd:
 		g.log.Info().Uint64("term", cmd.Term).Msg("no longer leader")
 		g.failProposals()
