Tests of a full way out of a region, of servers on their way, of the least number

Each fails without the part that it checks: the load of near servers above a full one, the memory of orders under way, the least number of a domain. The lane of a server that is alone needs no case of its own since a region's full lane opens the other. Run: tests of coordination/place and coordination/scale.

--- a/coordination/place/lane.go
+++ b/coordination/place/lane.go
@@ -216,13 +216,13 @@
 // lanes, in the same parts.
 type regionLanes struct {
 	servers int    // servers are the candidates.
-	least   uint64 // least is the least order of the long lane; 0 for a server alone, which takes both kinds.
+	least   uint64 // least is the least order of the long lane. A server alone is of that one, and takes both kinds.
 	room    bool   // room says that the lane that is asked for has a server with room for one more at once.
 }
 
 // has reports whether a server is of a lane.
 func (l *regionLanes) has(s *Server, lane Lane) bool {
-	return l.least == 0 || (s.order >= l.least) == (lane == LaneLong)
+	return (s.order >= l.least) == (lane == LaneLong)
 }
 
 // divide returns the lanes of each region of a view.
--- a/coordination/place/near_test.go
+++ b/coordination/place/near_test.go
@@ -407,3 +407,25 @@
 		}
 	})
 }
+
+// TestRegionCutOffFromFullOnes checks that a request leaves a region whose servers are
+// suspect though those of the others have as much to do as they do at once.
+func TestRegionCutOffFromFullOnes(t *testing.T) {
+	v := spreadOver(threeRegions(), 3, sixDomains...)
+	for i := range v.Servers {
+		s := &v.Servers[i]
+		if s.location.Region == "b" {
+			s.Cell.Failed(true, start)
+			continue
+		}
+		for range s.Width() {
+			s.Cell.Began()
+		}
+	}
+	for _, prefix := range []uint64{0, 42} {
+		i, ok := Choose(v, ChooseMsg{Service: "model", Domain: "b-1", Prefix: prefix, Rand: 3, Now: start})
+		if !ok || v.Servers[i].location.Region == "b" {
+			t.Errorf("prefix %d: taken from %s", prefix, v.Servers[i].Domain)
+		}
+	}
+}
--- a/coordination/scale/regions_test.go
+++ b/coordination/scale/regions_test.go
@@ -248,3 +248,50 @@
 		t.Errorf("%v, want 7 in b-1 of 10", got)
 	}
 }
+
+// TestMovedLoadOrdersNoMore checks that no servers at the full price are ordered in
+// another region when the load moves there before those that were ordered are there.
+func TestMovedLoadOrdersNoMore(t *testing.T) {
+	s := Service{Spec: &protocol.ServiceSpec{Name: "model", Slots: 16, Scaling: &protocol.ScalingSpec{
+		Max: 30, DomainPrices: map[string]float64{"a-1": 1, "a-2": 1, "b-1": 1, "b-2": 1, "c-1": 1, "c-2": 1},
+	}}, Base: 20, Begun: 1, Work: 100}
+	p := New(WithTopology(threeRegions()))
+	full := func(load map[string]float64, now time.Time) map[string]int {
+		s.Regions = load
+		counts := map[string]int{}
+		for _, o := range p.Plan(PlanMsg{Services: []Service{s}, Now: now}) {
+			if !o.Reclaimable {
+				counts[o.Domain] += o.Count
+			}
+			p.Ordered(o, true, now)
+		}
+		return counts
+	}
+	first := full(map[string]float64{"b": 1}, start)
+	if n := first["b-1"] + first["b-2"]; n == 0 || len(first) != 1 {
+		t.Fatalf("ordered %v, want some in region b alone", first)
+	}
+	if moved := full(map[string]float64{"c": 1}, start.Add(2*settle)); len(moved) != 0 {
+		t.Errorf("ordered %v beside %v", moved, first)
+	}
+}
+
+// TestLeastNumberStays checks that no domain is left with fewer servers than its least
+// number, wherever the load is.
+func TestLeastNumberStays(t *testing.T) {
+	for _, load := range []map[string]float64{{"a": 1}, {"b": 1}, {"a": 0.2, "b": 0.2, "c": 0.6}} {
+		r := regional(load, acrossPart, 30)
+		r.spec.Min = 2
+		r.domains[3].reclaimable = 1
+		want := []int{8, 2, 2, 1, 2, 2} // Six are to be added wherever they are needed.
+		got := r.full(want, make([]int, 6))
+		if sum(got) != sum(want) {
+			t.Errorf("%v: %v, want %d", load, got, sum(want))
+		}
+		for i, d := range r.domains {
+			if got[i]+d.reclaimable < r.spec.Min {
+				t.Errorf("%v: %v leaves %s with fewer than %d", load, got, d.name, r.spec.Min)
+			}
+		}
+	}
+}
