A request that two near servers failed goes to another region

Cause: a retry left its region only once most servers there were known as suspect or full. With six servers a request's three attempts all went to a region that was cut off or full. TestRetriesLeaveTheRegion and TestLongRetriesLeaveTheRegion failed before.

--- a/coordination/place/near.go
+++ b/coordination/place/near.go
@@ -14,6 +14,10 @@
 	// near server has room for one more until its load is 1, and one far away is
 	// seldom without any.
 	farLoad = 0.6
+	// leaveAfter servers of the own region that a request was sent to without an answer,
+	// it goes to another one: routes have three attempts as a rule, and a region that is
+	// cut off or full would take all of them before its loads tell.
+	leaveAfter = 2
 )
 
 // distanceLoad is what the way to a server weighs against its load. Costs from the
@@ -22,21 +26,34 @@
 var distanceLoad = [...]float64{topology.SameDomain: 0, topology.SameRegion: nearLoad, topology.OtherRegion: farLoad}
 
 // nearest keeps the rows of the own region, or those of the others if these typically
-// have farLoad less to do: callers who share a prompt meet within a region before they
+// have farLoad less to do, or room after leaveAfter attempts in the own one: callers who share a prompt meet within a region before they
 // meet across, and further servers are taken before a near one is late. Within a region
 // the domain does not count here: what prompts that are read once in each domain cost
 // was as much as the bytes that they saved.
-func nearest(v *View, rows []row, domain string) []row {
+func nearest(v *View, rows []row, m ChooseMsg) []row {
 	if !v.topology.Several() {
 		return rows
 	}
-	near, far := v.bySide(rows, domain)
-	if typical(far)+farLoad < typical(near) {
+	near, far := v.bySide(rows, m.Domain)
+	others := typical(far)
+	if others+farLoad < typical(near) || (others < fullLoad && v.leaves(m.Domain, m.Avoid)) {
 		return far
 	}
 	return near
 }
 
+// leaves reports whether a request is to leave the region of a domain after the servers
+// that it was sent to before.
+func (v *View) leaves(domain string, tried []string) bool {
+	near := 0
+	for _, id := range tried {
+		if s := v.Find(id); s != nil && v.topology.Distance(domain, s.Domain) < topology.OtherRegion {
+			near++
+		}
+	}
+	return v.topology.Several() && near >= leaveAfter
+}
+
 // bySide parts the rows of the own region from those of others.
 func (v *View) bySide(rows []row, domain string) (near, far []row) {
 	from, parted := v.topology.Location(domain), make([]row, len(rows))
--- a/coordination/place/near_test.go
+++ b/coordination/place/near_test.go
@@ -232,7 +232,7 @@
 			rows = append(rows, r)
 			fills[isFar(r)] = append(fills[isFar(r)], r.fill)
 		}
-		kept := nearest(v, rows, own)
+		kept := nearest(v, rows, ChooseMsg{Domain: own})
 		if len(kept) == 0 {
 			t.Fatal("nothing kept")
 		}
@@ -429,3 +429,49 @@
 		}
 	}
 }
+
+// TestRetriesLeaveTheRegion checks that a request which several servers of its region
+// failed or turned away is sent to another region, though the loads that are known of the
+// others there are low; and that it stays while the other regions are full.
+func TestRetriesLeaveTheRegion(t *testing.T) {
+	for _, full := range []bool{false, true} {
+		for _, prefix := range []uint64{0, 42} {
+			v := spreadOver(threeRegions(), 4, sixDomains...)
+			for i := range v.Servers {
+				s := &v.Servers[i]
+				for range s.Width() {
+					if full && s.location.Region != "b" {
+						s.Cell.Began()
+					}
+				}
+			}
+			m := ChooseMsg{Service: "model", Domain: "b-1", Prefix: prefix, Rand: 3, Now: start}
+			for try := range 3 {
+				i, ok := Choose(v, m)
+				if !ok {
+					t.Fatal("no server")
+				}
+				s := &v.Servers[i]
+				if across := s.location.Region != "b"; across != (try == leaveAfter && !full) {
+					t.Errorf("others full %v, prefix %d, attempt %d: taken from %s", full, prefix, try+1, s.Domain)
+				}
+				m.Avoid = append(m.Avoid, s.ID)
+			}
+		}
+	}
+}
+
+// TestLongRetriesLeaveTheRegion checks the same of long prompts that the ledger places.
+func TestLongRetriesLeaveTheRegion(t *testing.T) {
+	regions := threeRegions()
+	l, v := NewLedger(NewLoads(), WithTopology(regions)), spreadOver(regions, 4, sixDomains...)
+	m := prompt(8000)
+	m.Domain, m.Parts.Tokens = "b-1", 0.5
+	for try := range 3 {
+		id := placeAt(t, l, v, m, start).Server
+		if across := regions.Region(v.Find(id).Domain) != "b"; across != (try == leaveAfter) {
+			t.Errorf("attempt %d: placed at %s", try+1, id)
+		}
+		m.Avoid = append(m.Avoid, id)
+	}
+}
--- a/coordination/place/place.go
+++ b/coordination/place/place.go
@@ -190,7 +190,7 @@
 	if len(rows) == 0 {
 		return 0, false
 	}
-	rows = nearest(v, rows, m.Domain)
+	rows = nearest(v, rows, m)
 	if m.Prefix != 0 {
 		width := float64(v.Servers[rows[0].index].Width())
 		return ranked(rows, v.prefixLimit(rows, width)), true
