The planner bears services without domains; regions' parts of the load are averaged

Cause: with regions, a service whose servers and prices name no domain yet, while gateways report its load, panicked the leader (TestRegionsOfFewDomains). Change: no layout by region without domains; the parts are averaged over 10 s, the first reports of a term at most as much as those behind them.

--- a/coordination/scale/load.go
+++ b/coordination/scale/load.go
@@ -1,6 +1,9 @@
 package scale
 
-import "time"
+import (
+	"maps"
+	"time"
+)
 
 const (
 	// judgeEvery is between two looks at how slow the answers are.
@@ -13,6 +16,11 @@
 	// bound what comes of it.
 	growBy, shrinkBy        = 1.08, 0.994
 	leastFactor, mostFactor = 0.6, 1.8
+	// partsMemory is the time over which the regions' parts of the load are averaged:
+	// reports are of a second, of some hundred requests, whose parts vary by a few
+	// hundredths, and each turn of a layout starts servers that the next one ends. Half of
+	// sinceMemory, for which a peak counts.
+	partsMemory = sinceMemory / 2
 )
 
 // load is what is known of one service's load.
@@ -23,6 +31,10 @@
 	slow   int64
 	at     time.Time
 	factor float64 // factor corrects the first guess of the need.
+
+	parts      map[string]float64 // parts are of the load by region, in the mean of late.
+	partsAt    time.Time
+	partsSince time.Time
 }
 
 func newLoad(s *Service, now time.Time) *load {
@@ -57,3 +69,25 @@
 		l.factor = max(leastFactor, l.factor*shrinkBy)
 	}
 }
+
+// meanParts returns the regions' parts of the load in the mean of late. The first ones
+// weigh no more than those behind them.
+func (l *load) meanParts(parts map[string]float64, now time.Time) map[string]float64 {
+	if l.parts == nil {
+		l.parts, l.partsAt, l.partsSince = maps.Clone(parts), now, now
+		return parts
+	}
+	weight := 0.0
+	if past := now.Sub(l.partsAt); past > 0 {
+		weight = float64(past) / float64(min(partsMemory, now.Sub(l.partsSince)))
+	}
+	mean := map[string]float64{}
+	for region, part := range l.parts {
+		mean[region] = (1 - min(1, weight)) * part
+	}
+	for region, part := range parts {
+		mean[region] += min(1, weight) * part
+	}
+	l.parts, l.partsAt = mean, now
+	return mean
+}
--- a/coordination/scale/regions.go
+++ b/coordination/scale/regions.go
@@ -39,20 +39,22 @@
 	domains  []domainState
 }
 
-// regions returns how a service's load lies, or nil where that does not matter.
-func (p *Planner) regions(s *Service, domains []domainState) *regions {
+// regions returns how a service's load lies, or nil where that does not matter. The
+// planner has looked at the load before.
+func (p *Planner) regions(s *Service, domains []domainState, now time.Time) *regions {
 	sum := 0.0
 	for _, work := range s.Regions {
 		sum += work
 	}
-	if !p.topology.Several() || sum <= 0 {
+	if !p.topology.Several() || sum <= 0 || len(domains) == 0 {
 		return nil
 	}
-	r := &regions{topology: p.topology, parts: map[string]float64{}, across: acrossPart, spec: s.Spec.Scaling, domains: domains}
+	parts := map[string]float64{}
 	for region, work := range s.Regions {
-		r.parts[region] = work / sum
+		parts[region] = work / sum
 	}
-	return r
+	parts = p.loads[s.Spec.Name].meanParts(parts, now)
+	return &regions{topology: p.topology, parts: parts, across: acrossPart, spec: s.Spec.Scaling, domains: domains}
 }
 
 // pinned returns how many servers at the full price each domain has or has ordered.
@@ -86,8 +88,11 @@
 	return best
 }
 
-// remaining is how many servers of a layout are left without its fullest domains.
-func remaining(layout []int) int { return sum(layout) - fullest(layout, lostDomains) }
+// remaining is how many servers of a layout are left without its fullest domains. One
+// domain at the least is not lost.
+func remaining(layout []int) int {
+	return sum(layout) - fullest(layout, min(lostDomains, len(layout)-1))
+}
 
 // within lays servers out so that each region carries its need without some of its
 // domains, as far as it has that many.
--- a/coordination/scale/scale.go
+++ b/coordination/scale/scale.go
@@ -131,7 +131,7 @@
 	}
 	need, least := p.need(s, now)
 	wantReclaimable, wantFull := targets(s.Spec.Scaling, domains, need, least, p.unavailable(s.Spec.Name, now))
-	if r := p.regions(s, domains); r != nil {
+	if r := p.regions(s, domains, now); r != nil {
 		wantReclaimable = r.reclaimable(wantReclaimable, need)
 		wantFull = r.full(wantFull, p.pinned(s.Spec.Name, domains, now))
 	}
