A domain is told as further than its region at 1.5 times the way to another one

Cause: where both take about as long, the warning and the metric came and went with each connect: 35 turns in 200 looks (TestContradictionIsSteady, which failed before). Change: told from 1.5 times the shortest round trip to another region, until it is below that one.

--- a/coordination/topology/trips.go
+++ b/coordination/topology/trips.go
@@ -13,6 +13,10 @@
 	fasterWeight = 0.2
 	// tripsLeast observations of a domain are needed before it is judged.
 	tripsLeast = 10
+	// furtherFactor is how many times as long as to another region the round trip to a
+	// near domain is before it contradicts the settings: means of connects vary by some
+	// tenths, an estimate.
+	furtherFactor = 1.5
 )
 
 // Trips are the round trips and losses observed from one domain to others, learned
@@ -25,9 +29,10 @@
 
 // trip is what was observed of the way to one domain.
 type trip struct {
-	time time.Duration
-	seen int
-	lost int
+	time    time.Duration
+	seen    int
+	lost    int
+	further bool // further says that it contradicts the settings.
 }
 
 // NewTrips returns trips from a domain of which none was observed yet.
@@ -85,8 +90,8 @@
 }
 
 // Contradicting returns the domains, sorted, that are configured as near and whose round
-// trip is longer than the shortest one to another region: either they or the latter lie
-// elsewhere than the settings say.
+// trip is furtherFactor times as long as the shortest one to another region, until it is
+// shorter than that one: either they or the latter lie elsewhere than the settings say.
 func (t *Trips) Contradicting() []string {
 	across := t.Trip(OtherRegion)
 	if across == 0 {
@@ -94,7 +99,14 @@
 	}
 	var further []string
 	for name, trip := range t.domains {
-		if t.topology.Distance(t.own, name) < OtherRegion && trip.seen >= tripsLeast && trip.time > across {
+		if t.topology.Distance(t.own, name) == OtherRegion || trip.seen < tripsLeast {
+			continue
+		}
+		limit := time.Duration(furtherFactor * float64(across))
+		if trip.further {
+			limit = across
+		}
+		if trip.further = trip.time > limit; trip.further {
 			further = append(further, name)
 		}
 	}
--- a/coordination/topology/trips_test.go
+++ b/coordination/topology/trips_test.go
@@ -61,3 +61,36 @@
 		}
 	})
 }
+
+// TestContradictionIsSteady checks that a domain whose round trips are about those to
+// another region is not told and taken back in turn, and that one that is told stays so
+// until it is nearer than the other region.
+func TestContradictionIsSteady(t *testing.T) {
+	trips := NewTrips(New(map[string]string{"a-1": "a", "a-2": "a", "b-1": "b"}), "a-1")
+	turns, before := 0, false
+	look := func(near, far time.Duration) {
+		trips.Observe("a-2", near)
+		trips.Observe("b-1", far)
+		if now := len(trips.Contradicting()) > 0; now != before {
+			turns, before = turns+1, now
+		}
+	}
+	for i := range 200 {
+		look(10*time.Millisecond+time.Duration(i%10)*300*time.Microsecond, 10*time.Millisecond+time.Duration(i%7)*400*time.Microsecond)
+	}
+	if turns != 0 {
+		t.Errorf("told and taken back %d times", turns)
+	}
+	for range 300 {
+		look(40*time.Millisecond, 10*time.Millisecond)
+	}
+	if turns != 1 || !before {
+		t.Errorf("not told once but %d times though it is further by far", turns)
+	}
+	for range 30 {
+		look(2*time.Millisecond, 10*time.Millisecond)
+	}
+	if turns != 2 || before {
+		t.Errorf("still told though it is nearer, after %d turns", turns)
+	}
+}
