--- a/coordination/move/move.go
+++ b/coordination/move/move.go
@@ -173,9 +173,9 @@
 	return s, nil
 }
 
-// leaves begins a copy, if there is a target and the run was not tried too often.
+// leaves begins a copy, if there is a target.
 func (s State) leaves(m LeavesMsg) (State, []Cmd) {
-	if s.Phase != Staying || m.Target == "" || s.Tries >= mostTries {
+	if s.Phase != Staying || m.Target == "" {
 		return s, nil
 	}
 	s.Phase, s.Target = Copying, m.Target
@@ -198,11 +198,15 @@
 	return s.stays(m.Handle)
 }
 
-// stays gives up a copy; another one may follow.
+// stays gives up a copy; another one may follow, unless too many came to nothing: the
+// run is then left alone, so that others of its server are moved.
 func (s State) stays(handle string) (State, []Cmd) {
 	cmds := s.free(handle)
 	s.Phase, s.Target, s.Handle = Staying, "", ""
 	s.Tries++
+	if s.Tries >= mostTries {
+		s.Phase = Over
+	}
 	return s, cmds
 }
 
--- a/transport/forward/move.go
+++ b/transport/forward/move.go
@@ -88,6 +88,7 @@
 	rank   int
 	lost   bool // lost says that the caller cannot take it up elsewhere.
 	begun  atomic.Bool
+	busy   atomic.Bool // busy says that a goroutine moves it.
 
 	mu    sync.Mutex // mu guards all below.
 	state move.State
@@ -236,15 +237,37 @@
 	if g.cfg.MoveAhead > 0 {
 		time.Sleep(min(time.Until(until)-g.cfg.MoveAhead, moveLatest))
 	}
+	underWay, done := 0, make(chan bool, moveAtOnce)
 	for m.looks(s.ID, until.Add(moveGrace)) {
 		due := m.due(s.ID, time.Until(until) < moveUnbegun)
-		var batch sync.WaitGroup
-		for _, r := range due[:min(len(due), moveAtOnce)] {
-			batch.Go(r.move)
+		for _, r := range due[:min(len(due), moveAtOnce-underWay)] {
+			underWay++
+			r.busy.Store(true)
+			go func() {
+				moved := r.move()
+				r.busy.Store(false)
+				done <- moved
+			}()
 		}
-		batch.Wait()
-		if len(due) <= moveAtOnce {
-			time.Sleep(moveTick)
+		underWay -= settled(done, moveTick)
+	}
+}
+
+// settled waits until a move has come to an end, for a tick at the most, and returns how
+// many have. One that came to nothing has the whole tick waited for, so that a server
+// whose runs have nowhere to go takes no processor time of the streams beside it.
+func settled(done <-chan bool, tick time.Duration) int {
+	wait := time.NewTimer(tick)
+	defer wait.Stop()
+	for ended := 0; ; {
+		select {
+		case moved := <-done:
+			ended++
+			if moved {
+				return ended
+			}
+		case <-wait.C:
+			return ended
 		}
 	}
 }
@@ -269,7 +292,7 @@
 	var list []*running
 	var rows []move.Run
 	for r := range m.runs[server] {
-		if (all || r.begun.Load()) && r.phase() == move.Staying {
+		if (all || r.begun.Load()) && !r.busy.Load() && r.phase() == move.Staying {
 			list = append(list, r)
 			rows = append(rows, move.Run{Priority: r.rank, Read: r.call.PromptTokens, Left: r.call.AnswerTokens, Lost: r.lost})
 		}
@@ -281,12 +304,13 @@
 	return sorted
 }
 
-// move copies a run to another server and stops it at its own.
-func (r *running) move() {
+// move copies a run to another server and stops it at its own. It reports whether the
+// copy was made.
+func (r *running) move() (copied bool) {
 	view, now := r.g.view.Load(), time.Now()
 	target := place.Refuge(view, r.server, place.ChooseMsg{Rand: rand.Uint64(), Now: now})
 	if target == nil {
-		return // It is tried again in a while.
+		return false // It is tried again in a while.
 	}
 	r.mu.Lock()
 	if r.went.IsZero() {
@@ -304,10 +328,12 @@
 		}
 		for _, c := range r.take(move.CopiedMsg{Outcome: reply.Outcome, Handle: reply.Handle}) {
 			if _, ok := c.(move.StopCmd); ok {
+				copied = true
 				r.stop(target)
 			}
 		}
 	}
+	return copied
 }
 
 // stop stops the run at its server. The exchange goes on when its stream has ended.
--- a/transport/forward/move_test.go
+++ b/transport/forward/move_test.go
@@ -432,3 +432,68 @@
 		t.Errorf("runs %q, want %q", f.starts, starts)
 	}
 }
+
+// namingMover has the fake server see which run a copy is for.
+type namingMover struct{ plainMover }
+
+func (namingMover) Copy(out *fasthttp.Request, c CopyCall) {
+	plainMover{}.Copy(out, c)
+	out.SetBodyString(c.Request)
+}
+
+// TestHopelessRunsBlockNoOthers checks that runs which come first and cannot be copied
+// do not keep others of the same server from being moved, however long they go on.
+func TestHopelessRunsBlockNoOthers(t *testing.T) {
+	w := newWorld(t)
+	w.g.moves.mover = namingMover{}
+	var mu sync.Mutex
+	asked := map[string]bool{}
+	w.backend("b", good)
+	w.backend("a", func(c net.Conn, req *fasthttp.Request) {
+		mu.Lock()
+		defer mu.Unlock()
+		if strings.HasPrefix(string(req.Body()), "first") {
+			say(c, 503, "", "")
+			return
+		}
+		asked[string(req.Body())] = true
+		say(c, 404, "", "")
+		if len(asked) == moveAtOnce {
+			w.g.moves.mu.Lock()
+			w.g.moves.runs = map[string]map[*running]struct{}{} // All runs have ended.
+			w.g.moves.mu.Unlock()
+		}
+	})
+	source := w.g.view.Load().Find("a")
+	runs := map[*running]struct{}{}
+	for i := range moveAtOnce {
+		for rank, name := range []string{"first", "second"} {
+			r := &running{g: w.g, server: source, rank: rank, call: protocol.Call{ID: fmt.Sprint(name, i)}}
+			r.begun.Store(true)
+			runs[r] = struct{}{}
+		}
+	}
+	w.g.moves.runs["a"] = runs
+	w.g.empty(source, time.Now().Add(patience))
+	mu.Lock()
+	defer mu.Unlock()
+	if len(asked) != moveAtOnce {
+		t.Errorf("%d of %d runs behind those that cannot be copied were tried", len(asked), moveAtOnce)
+	}
+}
+
+// TestMovesThatCameToNothingWait checks that a move which came to nothing is followed by
+// no other one at once, and one that was made is.
+func TestMovesThatCameToNothingWait(t *testing.T) {
+	done := make(chan bool, moveAtOnce)
+	done <- false
+	done <- false
+	done <- true
+	if n := settled(done, patience); n != 3 {
+		t.Errorf("%d moves were waited for, want those until the first that was made", n)
+	}
+	done <- false
+	if n := settled(done, moveTick); n != 1 {
+		t.Errorf("%d moves were waited for within a tick", n)
+	}
+}
