A moved run goes on without a fresh configuration; a refusal behind an attempt tells the truth

When the configuration was too old at the moment of an attempt, the request was refused as not run, also where an earlier attempt may have run, or where its run had been stopped to be moved. A moved run now goes on, as it does at its own server; others that may have run get 502 and their verdict. TestMovedRunNeedsNoNewConfiguration and TestUnsureBehindAnAttempt failed before (503, not-run). Run: transport/forward with -race.

--- a/transport/forward/attempt.go
+++ b/transport/forward/attempt.go
@@ -47,10 +47,7 @@
 	x.ended()
 	server, refusal := x.choose()
 	if refusal != nil {
-		if x.state.MayHaveRun {
-			return refusal.WithVerdict(protocol.MayHaveRun).WithStatus(protocol.StatusBadGateway)
-		}
-		return refusal
+		return x.truly(refusal)
 	}
 	x.server = server.ID
 	if x.onward == nil {
@@ -61,9 +58,10 @@
 		x.distrust(server, true)
 		return x.failed(protocol.NotRun, false, "the server cannot be reached: "+err.Error())
 	}
-	if x.workspace != nil && !x.route.Open && !x.g.fresh() {
+	// A moved run was let in when it began, and is the same one.
+	if x.workspace != nil && !x.route.Open && x.onward == nil && !x.g.fresh() {
 		conn.Close()
-		return staleCatalog()
+		return x.truly(staleCatalog())
 	}
 	x.log.Info().Str("server", server.ID).Str("domain", server.Domain).Int("outstanding", server.Cell.Outstanding()).Bool("placed", x.placed.Server != "").
 		Uint8("lane", uint8(x.lane)).Int("sent", x.state.Sent).Bool("kept", conn.Used()).Int64("left", x.left().Milliseconds()).Str("go_on", x.copyName()).Msg("attempt")
@@ -72,6 +70,15 @@
 	return t.run()
 }
 
+// truly returns a refusal to send the request, as one of a request that may have run if
+// an earlier attempt may have.
+func (x *exchange) truly(refusal *protocol.Refusal) *protocol.Refusal {
+	if !x.state.MayHaveRun {
+		return refusal
+	}
+	return refusal.WithVerdict(protocol.MayHaveRun).WithStatus(protocol.StatusBadGateway)
+}
+
 // distrust notes a failure that speaks against a server.
 func (x *exchange) distrust(s *place.Server, hard bool) {
 	if s.Cell.Failed(hard, time.Now()) {
--- a/transport/forward/move_test.go
+++ b/transport/forward/move_test.go
@@ -68,6 +68,7 @@
 	stopped  chan struct{}   // stopped is closed when the source has stopped the run.
 	once     sync.Once       // once closes one of both, once.
 	finished chan struct{}   // finished is closed when a run that stays may end.
+	onStop   func()          // onStop is called when a run without an event has stopped; may be nil.
 }
 
 const (
@@ -188,6 +189,9 @@
 	if first && f.do.unbegun {
 		f.w.leaves(address)
 		<-f.stopped
+		if f.onStop != nil {
+			f.onStop()
+		}
 		end()
 		_ = c.Close()
 		return
@@ -366,12 +370,13 @@
 }
 
 // installMoves puts a route of streams in force whose servers can move runs.
-func (w *world) installMoves(resumable bool) {
+func (w *world) installMoves(resumable bool, spaces ...protocol.Tenancy) {
 	w.number++
 	w.g.Install(&protocol.Catalog{
-		Number:   w.number,
-		Routes:   []protocol.PathRoute{{Host: "h", Prefix: "/r/", Kind: protocol.RouteStream, Resumable: resumable, Attempts: 3, Timeout: patience, Split: []protocol.Weighted{{Service: "s", Weight: 1}}}},
-		Services: []protocol.ServiceSpec{{Name: "s", CopyRate: 100}},
+		Number:     w.number,
+		Routes:     []protocol.PathRoute{{Host: "h", Prefix: "/r/", Kind: protocol.RouteStream, Resumable: resumable, Attempts: 3, Timeout: patience, Split: []protocol.Weighted{{Service: "s", Weight: 1}}}},
+		Services:   []protocol.ServiceSpec{{Name: "s", CopyRate: 100}},
+		Workspaces: spaces,
 	})
 }
 
@@ -497,3 +502,31 @@
 		t.Errorf("%d moves were waited for within a tick", n)
 	}
 }
+
+// TestMovedRunNeedsNoNewConfiguration checks that a run which has stopped goes on though
+// the gateway is not sure of its configuration any more: the run was let in once, and it
+// is the same one.
+func TestMovedRunNeedsNoNewConfiguration(t *testing.T) {
+	f := newFakeEngines(t, moveFaults{stop: 200, target: 200, unbegun: true}, "a", "b")
+	f.w.installMoves(false, protocol.Tenancy{Name: "w", Keys: []string{"k"}})
+	f.onStop = func() { f.w.g.confirmed.Store(0) }
+	if got := f.w.ask("Key: k"); got.status != 200 || got.broken {
+		t.Errorf("status %d, verdict %q, broken %v", got.status, got.verdict, got.broken)
+	}
+}
+
+// TestUnsureBehindAnAttempt checks that a request which may have run, and is not sent again
+// as the gateway is not sure of its configuration any more, is not called unrun.
+func TestUnsureBehindAnAttempt(t *testing.T) {
+	w := newWorld(t)
+	w.install(protocol.PathRoute{Kind: protocol.RouteStream, Resumable: true, Attempts: 3}, protocol.Tenancy{Name: "w", Keys: []string{"k"}})
+	for _, id := range []string{"a", "b"} {
+		w.backend(id, func(c net.Conn, _ *fasthttp.Request) {
+			w.g.confirmed.Store(0)
+			_ = c.Close()
+		})
+	}
+	if got := w.ask("Key: k"); got.status != 502 || got.verdict == "not-run" {
+		t.Errorf("status %d, verdict %q", got.status, got.verdict)
+	}
+}
