A moved run goes on with the weights that made its memory

A moved run was bound to the weights that began its stream. Where another server had taken the stream up since, with other weights, the memory was that one's; and a run without an event was bound to none, so that the target could go on with other weights from it. Now each run knows the weights with which its own server answers, and one that has not begun those of that server's last answer, for the target alone. TestMovedRunKeepsItsWeights failed before (4 and none in place of 5). Run: transport/forward with -race.

--- a/transport/forward/attempt.go
+++ b/transport/forward/attempt.go
@@ -241,9 +241,7 @@
 		return t.turnedAway(stop)
 	}
 	x.movedTaken(status)
-	if !x.headed {
-		x.weights = t.reply.Weights
-	}
+	t.madeBy(t.reply.Weights)
 	x.hasLinks(t.server, true)
 	x.count()
 	if x.route.Kind == protocol.RouteStream && status >= 200 && status < 300 {
--- a/transport/forward/exchange.go
+++ b/transport/forward/exchange.go
@@ -42,7 +42,6 @@
 
 	placed  protocol.PlaceReply // placed is the place that the leader gave for the current attempt.
 	state   resend.State
-	weights string  // weights is the version of the model's weights that began the answer; empty where it is not said.
 	onward  *onward // onward is where the run goes on with its memory; nil for none.
 	avoid   []string
 	events  events
--- a/transport/forward/forward.go
+++ b/transport/forward/forward.go
@@ -132,7 +132,7 @@
 	for _, opt := range opts {
 		opt(g)
 	}
-	g.moves.runs, g.moves.leaving = map[string]map[*running]struct{}{}, map[string]bool{}
+	g.moves.runs, g.moves.leaving, g.moves.weights = map[string]map[*running]struct{}{}, map[string]bool{}, map[string]string{}
 	g.memory.holders = place.NewHolders(cfg.Topology)
 	if g.meters == nil {
 		g.meters = newMeters(metrics.NewRegistry())
--- a/transport/forward/move.go
+++ b/transport/forward/move.go
@@ -73,6 +73,7 @@
 	runs    map[string]map[*running]struct{} // runs are by their server.
 	until   map[string]time.Time             // until is when leaving servers end, by the first notice of each.
 	leaving map[string]bool                  // leaving are servers whose runs are looked at.
+	weights map[string]string                // weights are the versions that servers told with their last answers.
 }
 
 // WithMover sets what translates the calls of moves; without it nothing is moved.
@@ -87,8 +88,11 @@
 	server *place.Server
 	rank   int
 	lost   bool // lost says that the caller cannot take it up elsewhere.
-	begun  atomic.Bool
-	busy   atomic.Bool // busy says that a goroutine moves it.
+	// weights is the version of the model's weights that makes the answer; empty where it
+	// is not known. It is the exchange's own.
+	weights string
+	begun   atomic.Bool
+	busy    atomic.Bool // busy says that a goroutine moves it.
 
 	mu    sync.Mutex // mu guards all below.
 	state move.State
@@ -114,6 +118,18 @@
 	x.g.look(t.server)
 }
 
+// madeBy notes with which weights a server makes the answer, if it says so.
+func (t *try) madeBy(weights string) {
+	if t.running == nil || weights == "" {
+		return
+	}
+	t.running.weights = weights
+	m := &t.x.g.moves
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.weights[t.server.ID] = weights
+}
+
 // leave notes that the answer of one server has ended. A run that goes on elsewhere
 // keeps its copy until that server answers.
 func (t *try) leave() {
@@ -135,10 +151,11 @@
 
 // onward is where a moved run goes on.
 type onward struct {
-	run    *running
-	server *place.Server
-	handle string
-	sent   bool // sent says that the server was chosen.
+	run     *running
+	server  *place.Server
+	handle  string
+	weights string // weights is the version that made the run's memory; empty where it is not known.
+	sent    bool   // sent says that the server was chosen.
 }
 
 // take takes a message and carries out what follows, but for what the goroutine of the
@@ -213,6 +230,11 @@
 		}
 	}
 	m.until = until
+	for id := range m.weights {
+		if v.Find(id) == nil {
+			delete(m.weights, id)
+		}
+	}
 	for i := range v.Servers {
 		g.look(&v.Servers[i])
 	}
@@ -456,15 +478,25 @@
 	return []move.Cmd{move.GoOnCmd{Target: r.state.Target, AtHome: r.state.AtHome, Handle: r.state.Handle}}
 }
 
+// told returns the version of the weights that a server told with its last answer.
+func (m *moves) told(server string) string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.weights[server]
+}
+
 // goOn has the next attempt go to where the run's memory lies. The run began, so
 // nothing may be called unrun from here on.
 func (x *exchange) goOn(r *running, c move.GoOnCmd) bool {
-	server := r.server
+	server, weights := r.server, r.weights
 	if !c.AtHome {
 		server = x.g.view.Load().Find(c.Target)
+		if weights == "" {
+			weights = x.g.moves.told(r.server.ID) // It has not begun.
+		}
 	}
 	x.state.MayHaveRun = true
-	x.onward = &onward{run: r, server: server, handle: c.Handle}
+	x.onward = &onward{run: r, server: server, handle: c.Handle, weights: weights}
 	if server != nil {
 		return true
 	}
@@ -502,7 +534,7 @@
 	if x.onward == nil {
 		return ""
 	}
-	return x.weights
+	return x.onward.weights
 }
 
 // movedTaken notes that a server answers the run that was moved there. What is no good
--- a/transport/forward/move_test.go
+++ b/transport/forward/move_test.go
@@ -7,6 +7,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -530,3 +531,77 @@
 		t.Errorf("status %d, verdict %q", got.status, got.verdict)
 	}
 }
+
+// TestMovedRunKeepsItsWeights checks that a moved run goes on only with the weights that
+// made its memory: those of the server that it moves off, also where another one had begun
+// the stream, or where that one told them with an earlier answer and this one has not begun.
+func TestMovedRunKeepsItsWeights(t *testing.T) {
+	for name, unbegun := range map[string]bool{"taken up again": false, "not begun": true} {
+		t.Run(name, func(t *testing.T) {
+			w := newWorld(t)
+			w.g.moves.mover = plainMover{}
+			w.installMoves(true)
+			stopped, weights := make(chan struct{}), make(chan string, 1)
+			var runs atomic.Int64
+			head := func(c net.Conn, version int) {
+				_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nId: 7\r\nWeights: %d\r\nTransfer-Encoding: chunked\r\n\r\n", version)
+			}
+			end := func(c net.Conn) { _, _ = io.WriteString(c, "0\r\n\r\n") }
+			var serve func(c net.Conn, req *fasthttp.Request)
+			serve = func(c net.Conn, req *fasthttp.Request) {
+				switch {
+				case string(req.URI().Path()) == "/copy":
+					if strings.HasSuffix(string(req.Body()), "true") {
+						close(stopped)
+					}
+					say(c, 200, "", "m1")
+				case len(req.Header.Peek("Go-On")) > 0:
+					weights <- string(req.Header.Peek("Only-Weights"))
+					head(c, 5)
+					fakeChunk(c, fakeEvent(2))
+					end(c)
+				case runs.Add(1) == 1:
+					if unbegun {
+						head(c, 5)
+						end(c)
+						return
+					}
+					head(c, 4)
+					fakeChunk(c, fakeEvent(1))
+					w.backend("b", serve)
+					_ = c.Close()
+				default:
+					source := w.servers[len(w.servers)-1].Address
+					if !unbegun {
+						head(c, 5)
+						fakeChunk(c, fakeEvent(2))
+					} else {
+						source = w.servers[0].Address
+						w.backend("b", serve)
+					}
+					w.backend("c", serve)
+					w.leaves(source)
+					<-stopped
+					_ = c.Close()
+				}
+			}
+			w.backend("a", serve)
+			if got := w.ask(); got.status != 200 {
+				t.Fatalf("status %d", got.status)
+			}
+			if unbegun {
+				if got := w.ask(); got.status != 200 || got.broken {
+					t.Fatalf("status %d, broken %v", got.status, got.broken)
+				}
+			}
+			select {
+			case got := <-weights:
+				if got != "5" {
+					t.Errorf("goes on with weights %q, want those that made its memory", got)
+				}
+			default:
+				t.Error("the run was not moved")
+			}
+		})
+	}
+}
