Runs of a server that stays after all are not moved

A notice that was withdrawn, or a server that came back under its name before the expected end, did not end the moves of its runs: each cost a pause, memory on the links and a slot elsewhere. TestServerThatStaysKeepsItsRuns failed before (8 copies were asked for). Run: transport/forward with -race.

--- a/transport/forward/move.go
+++ b/transport/forward/move.go
@@ -260,7 +260,7 @@
 		time.Sleep(min(time.Until(until)-g.cfg.MoveAhead, moveLatest))
 	}
 	underWay, done := 0, make(chan bool, moveAtOnce)
-	for m.looks(s.ID, until.Add(moveGrace)) {
+	for m.looks(s.ID, until.Add(moveGrace), g.stays(s.ID)) {
 		due := m.due(s.ID, time.Until(until) < moveUnbegun)
 		for _, r := range due[:min(len(due), moveAtOnce-underWay)] {
 			underWay++
@@ -294,12 +294,19 @@
 	}
 }
 
-// looks reports whether a leaving server has runs and is not gone. Otherwise the next
-// run has it looked at anew.
-func (m *moves) looks(server string, gone time.Time) bool {
+// stays reports whether a server is listed as one that does not leave: its notice was
+// withdrawn, or it has come back.
+func (g *Gateway) stays(server string) bool {
+	s := g.view.Load().Find(server)
+	return s != nil && !s.Leaving
+}
+
+// looks reports whether a leaving server has runs, is not gone and does not stay.
+// Otherwise the next run has it looked at anew.
+func (m *moves) looks(server string, gone time.Time, stays bool) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if len(m.runs[server]) == 0 || time.Now().After(gone) {
+	if stays || len(m.runs[server]) == 0 || time.Now().After(gone) {
 		delete(m.leaving, server)
 		return false
 	}
--- a/transport/forward/move_test.go
+++ b/transport/forward/move_test.go
@@ -480,6 +480,8 @@
 		}
 	}
 	w.g.moves.runs["a"] = runs
+	w.servers[1].Leaving = true // It has no notice: the list alone would move nothing.
+	w.g.SetServers(w.servers)
 	w.g.empty(source, time.Now().Add(patience))
 	mu.Lock()
 	defer mu.Unlock()
@@ -605,3 +607,24 @@
 		})
 	}
 }
+
+// TestServerThatStaysKeepsItsRuns checks that runs are left alone when their server does
+// not leave after all.
+func TestServerThatStaysKeepsItsRuns(t *testing.T) {
+	w := newWorld(t)
+	w.g.moves.mover = plainMover{}
+	var copies atomic.Int64
+	w.backend("b", good)
+	w.backend("a", func(c net.Conn, _ *fasthttp.Request) {
+		copies.Add(1)
+		say(c, 503, "", "")
+	})
+	source := w.g.view.Load().Find("a")
+	r := &running{g: w.g, server: source}
+	r.begun.Store(true)
+	w.g.moves.runs["a"] = map[*running]struct{}{r: {}}
+	w.g.empty(source, time.Now().Add(patience))
+	if n := copies.Load(); n != 0 {
+		t.Errorf("%d copies were asked for", n)
+	}
+}
