A connection that rests is not closed for the run that used it

A run that was told to stop, and came to its end meanwhile, had its connection closed 150 ms later though it rested in the pool, or served another request. The run is now left before its connection is given back, and the two are decided under one lock. TestRestingConnectionIsNoRuns failed before. Run: transport/forward with -race.

--- a/transport/forward/attempt.go
+++ b/transport/forward/attempt.go
@@ -281,6 +281,7 @@
 		t.conn.Close()
 		return
 	}
+	t.leave() // From here on the connection may be another request's.
 	t.x.g.pool.Put(t.server.ID, t.conn, t.reply.Keeps)
 }
 
--- a/transport/forward/move.go
+++ b/transport/forward/move.go
@@ -376,11 +376,16 @@
 	if !stopped {
 		return
 	}
-	time.AfterFunc(closeTime, func() {
-		if r.phase() == move.Stopped {
-			r.try.conn.Close()
-		}
-	})
+	time.AfterFunc(closeTime, r.hangUp)
+}
+
+// hangUp ends the stream of a run that has stopped and did not end it by itself.
+func (r *running) hangUp() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.state.Phase == move.Stopped {
+		r.try.conn.Close()
+	}
 }
 
 // copy has the run's server copy it.
--- a/transport/forward/move_test.go
+++ b/transport/forward/move_test.go
@@ -628,3 +628,29 @@
 		t.Errorf("%d copies were asked for", n)
 	}
 }
+
+// TestRestingConnectionIsNoRuns checks that a connection on which an answer came to its
+// end is not closed any more for the run that it belonged to: another request may use it.
+func TestRestingConnectionIsNoRuns(t *testing.T) {
+	w := newWorld(t)
+	w.g.moves.mover = plainMover{}
+	b := w.backend("a", good)
+	server := w.g.view.Load().Find("a")
+	conn, err := w.g.pool.Get("a", b.address, time.Now().Add(patience))
+	if err != nil {
+		t.Fatal(err)
+	}
+	x := &exchange{g: w.g}
+	r := &running{g: w.g, server: server, state: move.State{Phase: move.Stopped, Target: "b"}}
+	r.try = &try{x: x, server: server, conn: conn, running: r}
+	r.try.finish(true, func() bool { return true })
+	r.hangUp()
+	again, err := w.g.pool.Get("a", b.address, time.Now().Add(patience))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if again != conn {
+		t.Error("the connection that rests was closed")
+	}
+	again.Close()
+}
