A stream whose events have no ids is not moved

Behind an event without an id the next server cannot be told where to go on: the caller would get events twice. TestEventsWithoutIdsStay failed before. Run: transport/forward with -race.

--- a/transport/forward/event.go
+++ b/transport/forward/event.go
@@ -12,6 +12,7 @@
 	rest []byte
 	last string // last is the id of the last whole event, empty before the first.
 	seen bool   // seen says that an event came.
+	bare bool   // bare says that one with data and without an id came: no server can be told to go on behind it.
 }
 
 // take adds what was read and returns the whole events, which are valid until
@@ -41,6 +42,7 @@
 func (e *events) passes(event []byte) bool {
 	id, ok := eventID(event)
 	if !ok {
+		e.bare = e.bare || hasData(event)
 		return true
 	}
 	if e.seen && !above(id, e.last) {
@@ -71,6 +73,15 @@
 	return "", false
 }
 
+func hasData(event []byte) bool {
+	for line := range bytes.Lines(event) {
+		if bytes.HasPrefix(line, []byte("data:")) {
+			return true
+		}
+	}
+	return false
+}
+
 // firstBoundary returns the length of the first event with its empty line.
 func firstBoundary(p []byte) int {
 	lf, crlf := bytes.Index(p, []byte("\n\n")), bytes.Index(p, []byte("\r\n\r\n"))
--- a/transport/forward/move_test.go
+++ b/transport/forward/move_test.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"bufio"
 	"fmt"
 	"io"
 	"net"
@@ -654,3 +655,36 @@
 	}
 	again.Close()
 }
+
+// TestEventsWithoutIdsStay checks that a stream is not moved once the caller has got an
+// event without an id: the next server could not be told where to go on.
+func TestEventsWithoutIdsStay(t *testing.T) {
+	for event, moves := range map[string]bool{"data: x\n\n": false, "id: 1\ndata: x\n\n": true, ": comment\n\n": true} {
+		w := newWorld(t)
+		w.g.moves.mover = plainMover{}
+		w.installMoves(false)
+		seen := make(chan struct{})
+		w.backend("a", func(c net.Conn, _ *fasthttp.Request) {
+			fakeHead(c, "")
+			fakeChunk(c, event)
+			<-seen
+			_, _ = io.WriteString(c, "0\r\n\r\n")
+		})
+		conn := w.dial()
+		_, _ = io.WriteString(conn, "POST /r/x HTTP/1.1\r\nHost: h\r\nId: 7\r\nContent-Length: 0\r\n\r\n")
+		br := bufio.NewReader(conn)
+		for line := ""; line != event[:strings.IndexByte(event, '\n')+1]; {
+			var err error
+			if line, err = br.ReadString('\n'); err != nil {
+				t.Fatal(err)
+			}
+		}
+		w.g.moves.mu.Lock()
+		if got := len(w.g.moves.runs) > 0; got != moves {
+			t.Errorf("%q: the run may be moved: %v, want %v", event, got, moves)
+		}
+		w.g.moves.mu.Unlock()
+		close(seen)
+		_ = conn.Close()
+	}
+}
--- a/transport/forward/stream.go
+++ b/transport/forward/stream.go
@@ -41,6 +41,9 @@
 func (t *try) relay(whole []byte) *protocol.Refusal {
 	x := t.x
 	t.hasRead()
+	if x.events.bare {
+		t.leave() // It is not moved.
+	}
 	if err := x.head(); err != nil {
 		t.conn.Close()
 		return callerGone().WithVerdict(protocol.MayHaveRun)
