--- a/coordination/place/refuge.go
+++ b/coordination/place/movetarget.go
@@ -6,11 +6,11 @@
 // the next request there waits for the moved one.
 const roomFill = 0.9
 
-// Refuge returns a server that has room for a run of a leaving one, or nil: of the same
+// MoveTarget returns a server that has room for a run of a leaving one, or nil: of the same
 // service and version, trusted, and the lighter of two drawn ones, so that gateways which
 // move runs at the same moment do not all take the lightest. Those of a near domain go
 // first, as the copy is faster there.
-func Refuge(v *View, source *Server, m ChooseMsg) *Server {
+func MoveTarget(v *View, source *Server, m ChooseMsg) *Server {
 	m.Service = source.Service
 	rows := slices.DeleteFunc(candidates(v, m), func(r row) bool {
 		s := &v.Servers[r.index]
--- a/transport/forward/copy_test.go
+++ b/transport/forward/copy_test.go
@@ -38,6 +38,15 @@
 			other.reads(w.g.view.Load().Find("b"))
 			other.hasLinks(w.g.view.Load().Find("b"), false)
 		}, false},
+		"of another version": {func(w *world, x *exchange) {
+			w.g.memory.holders.Read("b", x.chain, past)
+			w.servers[1].Version = "2"
+			w.g.SetServers(w.servers)
+		}, false},
+		"a moved run": {func(w *world, x *exchange) {
+			w.g.memory.holders.Read("b", x.chain, past)
+			x.onward = &onward{}
+		}, false},
 		"nobody": {func(*world, *exchange) {}, false},
 	} {
 		w := newWorld(t)
--- a/transport/forward/move.go
+++ b/transport/forward/move.go
@@ -337,7 +337,7 @@
 // copy was made.
 func (r *running) move() (copied bool) {
 	view, now := r.g.view.Load(), time.Now()
-	target := place.Refuge(view, r.server, place.ChooseMsg{Rand: rand.Uint64(), Now: now})
+	target := place.MoveTarget(view, r.server, place.ChooseMsg{Rand: rand.Uint64(), Now: now})
 	if target == nil {
 		return false // It is tried again in a while.
 	}
--- a/transport/forward/move_test.go
+++ b/transport/forward/move_test.go
@@ -52,6 +52,8 @@
 	unbegun bool  // unbegun has the source make no event before it is moved.
 	breaks  bool  // breaks has the source break off behind one event more, when a run has come back.
 	garbles bool  // garbles has the target send what is no answer.
+	holds   bool  // holds has the target not answer.
+	shuts   bool  // shuts has the source refuse a run that comes back.
 }
 
 // fakeEngines are servers that stream some events and move runs.
@@ -244,8 +246,16 @@
 	if got := string(req.Header.Peek("Only-Weights")); (got == "4") == f.do.unbegun {
 		f.t.Errorf("goes on with weights %q", got)
 	}
+	if home && f.do.shuts {
+		say(c, 503, "Not-Run: 1\r\n", "")
+		return
+	}
 	if !home {
 		switch {
+		case f.do.holds:
+			close(f.finished)
+			_, _ = c.Read(make([]byte, 1)) // Until the gateway closes it.
+			return
 		case f.do.garbles:
 			_, _ = io.WriteString(c, "\x00\x01garbage\r\n\r\n")
 			_ = c.Close()
@@ -688,3 +698,29 @@
 		_ = conn.Close()
 	}
 }
+
+// TestRunWithoutAPlaceIsNotCalledUnrun checks that a run which had stopped at its server,
+// and which both servers refuse, is not called unrun, and is cut if its answer had begun.
+func TestRunWithoutAPlaceIsNotCalledUnrun(t *testing.T) {
+	for _, unbegun := range []bool{true, false} {
+		f := newFakeEngines(t, moveFaults{stop: 200, target: 503, shuts: true, unbegun: unbegun}, "a", "b")
+		f.w.installMoves(false)
+		got := f.w.ask()
+		if unbegun && (got.status != 502 || got.verdict == "not-run") || !unbegun && !got.broken {
+			t.Errorf("unbegun %v: status %d, verdict %q, broken %v", unbegun, got.status, got.verdict, got.broken)
+		}
+		f.awaitFreed()
+	}
+}
+
+// TestCallerLeavesInMidMove checks that the copy of a run is freed whose caller leaves
+// while the target has not answered.
+func TestCallerLeavesInMidMove(t *testing.T) {
+	f := newFakeEngines(t, moveFaults{stop: 200, holds: true}, "a", "b")
+	f.w.installMoves(false)
+	conn := f.w.dial()
+	_, _ = io.WriteString(conn, "POST /r/x HTTP/1.1\r\nHost: h\r\nId: 7\r\nContent-Length: 0\r\n\r\n")
+	<-f.finished
+	_ = conn.Close()
+	f.awaitFreed()
+}
