--- a/transport/forward/move_test.go
+++ b/transport/forward/move_test.go
@@ -52,6 +52,7 @@
 	unbegun bool  // unbegun has the source make no event before it is moved.
 	breaks  bool  // breaks has the source break off behind one event more, when a run has come back.
 	garbles bool  // garbles has the target send what is no answer.
+	hangs   bool  // hangs has the source leave the stream of a run open that it has stopped.
 	holds   bool  // holds has the target not answer.
 	shuts   bool  // shuts has the source refuse a run that comes back.
 }
@@ -216,6 +217,9 @@
 		// It stops in the middle of an event.
 		fakeChunk(c, "id: 4\nda")
 		end()
+		if f.do.hangs {
+			_, _ = c.Read(make([]byte, 1)) // Until the gateway closes it.
+		}
 		_ = c.Close()
 	case <-f.finished:
 		f.finish(c, movedBehind, end)
@@ -318,6 +322,7 @@
 		broken bool     // broken says that a caller who cannot resume gets a part.
 	}{
 		"all is well":                     {moveFaults{stop: 200, target: 200}, moved, false},
+		"its stream does not end":         {moveFaults{stop: 200, target: 200, hangs: true}, moved, false},
 		"it has not begun":                {moveFaults{stop: 200, target: 200, unbegun: true}, []string{"run behind ", "copy behind , home false"}, false},
 		"nor is it found at once":         {moveFaults{copies: []int{404}, stop: 200, target: 200, unbegun: true}, []string{"run behind ", "copy behind , home false"}, false},
 		"the first target is full":        {moveFaults{copies: []int{503}, stop: 200, target: 200}, moved, false},
@@ -357,6 +362,11 @@
 				}
 				f.mu.Unlock()
 				f.awaitFreed()
+				for _, id := range []string{"a", "b", "c"} {
+					if c.do.target == 421 && f.w.g.view.Load().Find(id).Cell.Suspect(time.Now()) {
+						t.Errorf("%s is distrusted for its weights", id)
+					}
+				}
 				if n := f.w.g.meters.moveHeld.Count(); n != 0 {
 					t.Errorf("%d copies count as set aside", n)
 				}
