--- a/coordination/move/move.go
+++ b/coordination/move/move.go
@@ -62,12 +62,12 @@
 
 // State is what is known of one run. The zero value stays where it is.
 type State struct {
-	Phase  Phase
-	Target string // Target is the server that the copy lies at, or is made at.
-	Handle string // Handle names the copy; empty without one.
-	Tries  int    // Tries are copies that came to nothing.
-	AtHome bool   // AtHome says that the run goes on at the source, from its own memory.
-	Broke  bool   // Broke says that the source's stream has ended without its end.
+	Phase    Phase
+	Target   string // Target is the server that the copy lies at, or is made at.
+	Handle   string // Handle names the copy; empty without one.
+	Tries    int    // Tries are copies that came to nothing.
+	AtSource bool   // AtSource says that the run goes on at the source, from its own memory.
+	Broke    bool   // Broke says that the source's stream has ended without its end.
 }
 
 // mostTries bounds the copies of one run that come to nothing: each holds a link and
@@ -129,9 +129,9 @@
 
 // GoOnCmd sends the request on: to the target, or back to the source.
 type GoOnCmd struct {
-	Target string
-	AtHome bool
-	Handle string
+	Target   string
+	AtSource bool
+	Handle   string
 }
 
 // BreakCmd ends the run as any broken stream.
@@ -219,7 +219,7 @@
 	case m.Outcome == Copied && m.Handle != "":
 		s.Phase, s.Handle = Stopped, m.Handle
 	case m.Outcome == NoRoom && m.Handle != "":
-		s.Phase, s.Handle, s.AtHome = Stopped, m.Handle, true
+		s.Phase, s.Handle, s.AtSource = Stopped, m.Handle, true
 	case s.Broke:
 		// Nothing proves that the run has stopped because it was told to.
 		cmds := append([]Cmd{BreakCmd{}}, s.free(s.Handle)...)
@@ -251,7 +251,7 @@
 
 func (s State) goesOn() (State, []Cmd) {
 	s.Phase = Going
-	return s, []Cmd{GoOnCmd{Target: s.Target, AtHome: s.AtHome, Handle: s.Handle}}
+	return s, []Cmd{GoOnCmd{Target: s.Target, AtSource: s.AtSource, Handle: s.Handle}}
 }
 
 // taken notes that the copy is used.
@@ -268,9 +268,9 @@
 	switch {
 	case s.Phase != Going:
 		return s, nil
-	case !s.AtHome:
-		s.AtHome = true
-		return s, []Cmd{GoOnCmd{Target: s.Target, AtHome: true, Handle: s.Handle}}
+	case !s.AtSource:
+		s.AtSource = true
+		return s, []Cmd{GoOnCmd{Target: s.Target, AtSource: true, Handle: s.Handle}}
 	}
 	return s.lost()
 }
--- a/coordination/place/holders.go
+++ b/coordination/place/holders.go
@@ -165,9 +165,9 @@
 }
 
 // Find returns the server to copy a prompt's shared parts from, and how many of their
-// tokens it holds: one that holds more, and of those that hold about as much the
-// nearest to a domain and the one that read them last. A server that may not be asked is passed over. One that leaves
-// is asked while it is listed.
+// tokens it holds: one that holds more, and of those that hold about as much the nearest
+// to a domain and the one that read them last. A server that may not be asked is passed
+// over. One that leaves is asked while it is listed.
 func (h *Holders) Find(v *View, chain []protocol.PromptLink, domain string, may func(*Server) bool, now time.Time) (holder string, tokens int) {
 	best := math.MinInt
 	for _, link := range chain {
--- a/transport/forward/move.go
+++ b/transport/forward/move.go
@@ -45,9 +45,9 @@
 	// moveUnbegun of the end of a leaving server also runs are moved whose first event has
 	// not come: it can no longer be waited for.
 	moveUnbegun = 500 * time.Millisecond
-	// moveLatest is when moves begin at the latest, after they could: a run that its target
-	// refuses goes back to its leaving server, which the users want to get nothing new some
-	// seconds behind the notice.
+	// moveLatest is how long behind the notice moves begin at the latest. A run that its
+	// target refuses goes back to its leaving server, which may not be sent
+	// anything some seconds behind the notice.
 	moveLatest = 1500 * time.Millisecond
 	// moveTick is how often the runs of a leaving server are looked at: some begin, and
 	// some could not be copied at once.
@@ -164,7 +164,7 @@
 	r.mu.Lock()
 	next, cmds := move.Next(r.state, m)
 	if next.Phase != r.state.Phase && !r.went.IsZero() {
-		r.log.Info().Str("server", r.server.ID).Str("target", next.Target).Stringer("phase", next.Phase).Bool("home", next.AtHome).
+		r.log.Info().Str("server", r.server.ID).Str("target", next.Target).Stringer("phase", next.Phase).Bool("at_source", next.AtSource).
 			Int("tries", next.Tries).Dur("after", r.since()).Msg("move")
 	}
 	r.g.meters.moveHeld.Inc(held(next) - held(r.state))
@@ -249,11 +249,11 @@
 		return
 	}
 	m.leaving[s.ID] = true
-	go g.empty(s, until)
+	go g.moveOff(s, until)
 }
 
-// empty moves the runs of one server until none is left, or the server is gone.
-func (g *Gateway) empty(s *place.Server, until time.Time) {
+// moveOff moves the runs of one server until none is left, or the server is gone.
+func (g *Gateway) moveOff(s *place.Server, until time.Time) {
 	m := &g.moves
 	g.log.Info().Str("server", s.ID).Int64("left", time.Until(until).Milliseconds()).Msg("server leaves, its runs are moved")
 	if g.cfg.MoveAhead > 0 {
@@ -487,7 +487,7 @@
 	if r.state.Phase != move.Going {
 		return nil
 	}
-	return []move.Cmd{move.GoOnCmd{Target: r.state.Target, AtHome: r.state.AtHome, Handle: r.state.Handle}}
+	return []move.Cmd{move.GoOnCmd{Target: r.state.Target, AtSource: r.state.AtSource, Handle: r.state.Handle}}
 }
 
 // told returns the version of the weights that a server told with its last answer.
@@ -501,7 +501,7 @@
 // nothing may be called unrun from here on.
 func (x *exchange) goOn(r *running, c move.GoOnCmd) bool {
 	server, weights := r.server, r.weights
-	if !c.AtHome {
+	if !c.AtSource {
 		server = x.g.view.Load().Find(c.Target)
 		if weights == "" {
 			weights = x.g.moves.told(r.server.ID) // It has not begun.
--- a/transport/forward/move_test.go
+++ b/transport/forward/move_test.go
@@ -503,7 +503,7 @@
 	w.g.moves.runs["a"] = runs
 	w.servers[1].Leaving = true // It has no notice: the list alone would move nothing.
 	w.g.SetServers(w.servers)
-	w.g.empty(source, time.Now().Add(patience))
+	w.g.moveOff(source, time.Now().Add(patience))
 	mu.Lock()
 	defer mu.Unlock()
 	if len(asked) != moveAtOnce {
@@ -644,7 +644,7 @@
 	r := &running{g: w.g, server: source}
 	r.begun.Store(true)
 	w.g.moves.runs["a"] = map[*running]struct{}{r: {}}
-	w.g.empty(source, time.Now().Add(patience))
+	w.g.moveOff(source, time.Now().Add(patience))
 	if n := copies.Load(); n != 0 {
 		t.Errorf("%d copies were asked for", n)
 	}
