A run goes back to its source only while that may be sent something

With a notice of several seconds, a run that its target refused went back to its leaving server however old the notice was. From 2 s behind it the stream now ends as a broken one. TestSourceIsSentNothingLate failed before.

--- a/transport/forward/move.go
+++ b/transport/forward/move.go
@@ -45,10 +45,13 @@
 	// moveUnbegun of the end of a leaving server also runs are moved whose first event has
 	// not come: it can no longer be waited for.
 	moveUnbegun = 500 * time.Millisecond
-	// moveLatest is how long behind the notice moves begin at the latest. A run that its
-	// target refuses goes back to its leaving server, which may not be sent
-	// anything some seconds behind the notice.
+	// moveLatest is how long behind the notice moves begin at the latest, so that a run
+	// which its target refuses can go back to its source.
 	moveLatest = 1500 * time.Millisecond
+	// sourceLatest is how long behind the notice a run may go back to its source: 1.5 s
+	// until its move begins and what most moves take. Leaving servers may be sent nothing
+	// some seconds behind the notice, which itself may come a second late.
+	sourceLatest = 2 * time.Second
 	// moveTick is how often the runs of a leaving server are looked at: some begin, and
 	// some could not be copied at once.
 	moveTick = 40 * time.Millisecond
@@ -71,11 +74,17 @@
 	mover   Mover                            // mover is nil where nothing is moved.
 	mu      sync.Mutex                       // mu guards all below.
 	runs    map[string]map[*running]struct{} // runs are by their server.
-	until   map[string]time.Time             // until is when leaving servers end, by the first notice of each.
+	notices map[string]notice                // notices are the first ones of leaving servers.
 	leaving map[string]bool                  // leaving are servers whose runs are looked at.
 	weights map[string]string                // weights are the versions that servers told with their last answers.
 }
 
+// notice tells that a server leaves.
+type notice struct {
+	at  time.Time // at is when it came here,
+	end time.Time // and end is when the server ends by it.
+}
+
 // WithMover sets what translates the calls of moves; without it nothing is moved.
 func WithMover(m Mover) Option { return func(g *Gateway) { g.moves.mover = m } }
 
@@ -98,6 +107,8 @@
 	state move.State
 	known chan struct{} // known is closed when the answer to a stop is here; nil before the stop.
 	went  time.Time     // went is when the move began.
+	// noticed is when the notice came for which it is moved.
+	noticed time.Time
 }
 
 // enter notes an answer that begins, if it could be moved.
@@ -218,18 +229,18 @@
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	until := map[string]time.Time{}
+	notices := map[string]notice{}
 	for i := range v.Servers {
 		s := &v.Servers[i]
 		if !s.Leaving || s.LeftMS <= 0 {
 			continue
 		}
-		until[s.ID] = now.Add(time.Duration(s.LeftMS) * time.Millisecond)
-		if first, ok := m.until[s.ID]; ok {
-			until[s.ID] = first
+		notices[s.ID] = notice{at: now, end: now.Add(time.Duration(s.LeftMS) * time.Millisecond)}
+		if first, ok := m.notices[s.ID]; ok {
+			notices[s.ID] = first
 		}
 	}
-	m.until = until
+	m.notices = notices
 	for id := range m.weights {
 		if v.Find(id) == nil {
 			delete(m.weights, id)
@@ -244,17 +255,17 @@
 // lock of the moves.
 func (g *Gateway) look(s *place.Server) {
 	m := &g.moves
-	until, leaves := m.until[s.ID]
+	n, leaves := m.notices[s.ID]
 	if !leaves || m.leaving[s.ID] || len(m.runs[s.ID]) == 0 {
 		return
 	}
 	m.leaving[s.ID] = true
-	go g.moveOff(s, until)
+	go g.moveOff(s, n)
 }
 
 // moveOff moves the runs of one server until none is left, or the server is gone.
-func (g *Gateway) moveOff(s *place.Server, until time.Time) {
-	m := &g.moves
+func (g *Gateway) moveOff(s *place.Server, n notice) {
+	m, until := &g.moves, n.end
 	g.log.Info().Str("server", s.ID).Int64("left", time.Until(until).Milliseconds()).Msg("server leaves, its runs are moved")
 	if g.cfg.MoveAhead > 0 {
 		time.Sleep(min(time.Until(until)-g.cfg.MoveAhead, moveLatest))
@@ -266,7 +277,7 @@
 			underWay++
 			r.busy.Store(true)
 			go func() {
-				moved := r.move()
+				moved := r.move(n)
 				r.busy.Store(false)
 				done <- moved
 			}()
@@ -335,7 +346,7 @@
 
 // move copies a run to another server and stops it at its own. It reports whether the
 // copy was made.
-func (r *running) move() (copied bool) {
+func (r *running) move(n notice) (copied bool) {
 	view, now := r.g.view.Load(), time.Now()
 	target := place.MoveTarget(view, r.server, place.ChooseMsg{Rand: rand.Uint64(), Now: now})
 	if target == nil {
@@ -345,6 +356,7 @@
 	if r.went.IsZero() {
 		r.went = now
 	}
+	r.noticed = n.at
 	r.mu.Unlock()
 	for _, c := range r.take(move.LeavesMsg{Target: target.ID}) {
 		if _, ok := c.(move.CopyCmd); !ok {
@@ -490,6 +502,13 @@
 	return []move.Cmd{move.GoOnCmd{Target: r.state.Target, AtSource: r.state.AtSource, Handle: r.state.Handle}}
 }
 
+// late reports whether the source may be sent nothing more.
+func (r *running) late() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return time.Since(r.noticed) >= sourceLatest
+}
+
 // told returns the version of the weights that a server told with its last answer.
 func (m *moves) told(server string) string {
 	m.mu.Lock()
@@ -509,10 +528,13 @@
 	}
 	x.state.MayHaveRun = true
 	x.onward = &onward{run: r, server: server, handle: c.Handle, weights: weights}
-	if server != nil {
-		return true
+	switch {
+	case server == nil:
+		return x.movedFailed(protocol.NotRun) // The target is listed no more.
+	case c.AtSource && r.late():
+		return x.movedFailed(protocol.MayHaveRun) // No server may go on with it.
 	}
-	return x.movedFailed(protocol.NotRun) // The target is listed no more.
+	return true
 }
 
 // dropOnward frees the copy of a run that goes on nowhere, as its request has ended.
--- a/transport/forward/move_test.go
+++ b/transport/forward/move_test.go
@@ -73,6 +73,7 @@
 	stopped  chan struct{}   // stopped is closed when the source has stopped the run.
 	once     sync.Once       // once closes one of both, once.
 	finished chan struct{}   // finished is closed when a run that stays may end.
+	onLeave  func()          // onLeave is called before the source is listed as leaving; may be nil.
 	onStop   func()          // onStop is called when a run without an event has stopped; may be nil.
 }
 
@@ -211,6 +212,9 @@
 	for n := 1; n <= movedBehind; n++ {
 		fakeChunk(c, fakeEvent(n))
 	}
+	if f.onLeave != nil {
+		f.onLeave()
+	}
 	f.w.leaves(address)
 	select {
 	case <-f.stopped:
@@ -503,7 +507,7 @@
 	w.g.moves.runs["a"] = runs
 	w.servers[1].Leaving = true // It has no notice: the list alone would move nothing.
 	w.g.SetServers(w.servers)
-	w.g.moveOff(source, time.Now().Add(patience))
+	w.g.moveOff(source, notice{end: time.Now().Add(patience)})
 	mu.Lock()
 	defer mu.Unlock()
 	if len(asked) != moveAtOnce {
@@ -644,7 +648,7 @@
 	r := &running{g: w.g, server: source}
 	r.begun.Store(true)
 	w.g.moves.runs["a"] = map[*running]struct{}{r: {}}
-	w.g.moveOff(source, time.Now().Add(patience))
+	w.g.moveOff(source, notice{end: time.Now().Add(patience)})
 	if n := copies.Load(); n != 0 {
 		t.Errorf("%d copies were asked for", n)
 	}
@@ -734,3 +738,23 @@
 	_ = conn.Close()
 	f.awaitFreed()
 }
+
+// TestSourceIsSentNothingLate checks that a run does not go back to a server whose notice
+// is so old that it may be sent nothing more.
+func TestSourceIsSentNothingLate(t *testing.T) {
+	f := newFakeEngines(t, moveFaults{stop: 200, target: 503}, "a", "b")
+	f.w.installMoves(false)
+	f.onLeave = func() {
+		f.w.g.moves.mu.Lock()
+		defer f.w.g.moves.mu.Unlock()
+		for _, id := range []string{"a", "b"} {
+			f.w.g.moves.notices[id] = notice{at: time.Now().Add(-sourceLatest), end: time.Now().Add(patience)}
+		}
+	}
+	got := f.w.ask()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if starts := []string{"run behind "}; !got.broken || !slices.Equal(f.starts, starts) {
+		t.Errorf("broken %v, runs %q, want %q", got.broken, f.starts, starts)
+	}
+}
