Reclaimed servers of the soak get 1.2 s of notice again

With 2.5 s every gateway had known of the notice for 1.5 s when the leader was killed. With 1.2 s one can hear of it while the leader is dead, which is the harder case.

--- a/internal/soak/move_test.go
+++ b/internal/soak/move_test.go
@@ -14,8 +14,8 @@
 	// movePause is between two events of a stream that is long enough to be moved.
 	movePause = 160 * time.Millisecond
 	// moveNotice is how long ahead a server is known to be taken away: less than a
-	// stream lasts, and longer than a leader's death keeps the list from a gateway.
-	moveNotice = 2500 * time.Millisecond
+	// stream lasts, and little more than the time ahead at which moves begin.
+	moveNotice = 1200 * time.Millisecond
 	// streamsEach is how many streams run through each gateway.
 	streamsEach = 6
 )
