A target that goes on with other weights is hung up on

A target is told the weights that made a run's memory and turns the run away if it has others. One that goes on with others nonetheless was passed on; now its answer does not count, and the stream goes on elsewhere behind its last event or is cut, as the route allows. The new case of TestRunsMove failed before.

--- a/transport/forward/attempt.go
+++ b/transport/forward/attempt.go
@@ -240,6 +240,11 @@
 	if t.reply.NotRun {
 		return t.turnedAway(stop)
 	}
+	if !x.sameWeights(t.reply.Weights) {
+		t.conn.Close()
+		t.failedAnswer()
+		return x.failed(protocol.MayHaveRun, true, "the server goes on with other weights")
+	}
 	x.movedTaken(status)
 	t.madeBy(t.reply.Weights)
 	x.hasLinks(t.server, true)
--- a/transport/forward/move.go
+++ b/transport/forward/move.go
@@ -571,6 +571,12 @@
 	return x.onward.weights
 }
 
+// sameWeights reports whether a server goes on with a moved run by the weights that made
+// its memory, as far as both are known. It was told to turn the run away otherwise.
+func (x *exchange) sameWeights(weights string) bool {
+	return x.onward == nil || weights == "" || x.onward.weights == "" || weights == x.onward.weights
+}
+
 // movedTaken notes that a server answers the run that was moved there. What is no good
 // answer ends the move when the attempt has failed.
 func (x *exchange) movedTaken(status int) {
--- a/transport/forward/move_test.go
+++ b/transport/forward/move_test.go
@@ -53,6 +53,7 @@
 	breaks  bool  // breaks has the source break off behind one event more, when a run has come back.
 	garbles bool  // garbles has the target send what is no answer.
 	hangs   bool  // hangs has the source leave the stream of a run open that it has stopped.
+	strange bool  // strange has the target go on with other weights than it was told.
 	holds   bool  // holds has the target not answer.
 	shuts   bool  // shuts has the source refuse a run that comes back.
 }
@@ -264,6 +265,11 @@
 			close(f.finished)
 			_, _ = c.Read(make([]byte, 1)) // Until the gateway closes it.
 			return
+		case f.do.strange:
+			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nId: 7\r\nWeights: 5\r\nTransfer-Encoding: chunked\r\n\r\n")
+			fakeChunk(c, fakeEvent(movedBehind+1))
+			_, _ = c.Read(make([]byte, 1)) // Until the gateway closes it.
+			return
 		case f.do.garbles:
 			_, _ = io.WriteString(c, "\x00\x01garbage\r\n\r\n")
 			_ = c.Close()
@@ -342,6 +348,7 @@
 		"the target has other weights":    {moveFaults{stop: 200, target: 421}, home, false},
 		"the target dies":                 {moveFaults{stop: 200}, resumed, true},
 		"the target sends garbage":        {moveFaults{stop: 200, garbles: true}, resumed, true},
+		"the target uses other weights":   {moveFaults{stop: 200, strange: true}, resumed, true},
 		"the target fails":                {moveFaults{stop: 200, target: 500}, resumed, true},
 	} {
 		for _, resumable := range []bool{true, false} {
