--- a/coordination/move/move.go
+++ b/coordination/move/move.go
@@ -62,12 +62,12 @@
 
 // State is what is known of one run. The zero value stays where it is.
 type State struct {
-	Phase  Phase
-	Target string // Target is the server that the copy lies at, or is made at.
-	Handle string // Handle names the copy; empty without one.
-	Tries  int    // Tries are copies that came to nothing.
-	AtHome bool   // AtHome says that the run goes on at the source, from its own memory.
-	Broke  bool   // Broke says that the source's stream has ended without its end.
+	Phase    Phase
+	Target   string // Target is the server that the copy lies at, or is made at.
+	Handle   string // Handle names the copy; empty without one.
+	Tries    int    // Tries are copies that came to nothing.
+	AtSource bool   // AtSource says that the run goes on at the source, from its own memory.
+	Broke    bool   // Broke says that the source's stream has ended without its end.
 }
 
 // mostTries bounds the copies of one run that come to nothing: each holds a link and
@@ -129,9 +129,9 @@
 
 // GoOnCmd sends the request on: to the target, or back to the source.
 type GoOnCmd struct {
-	Target string
-	AtHome bool
-	Handle string
+	Target   string
+	AtSource bool
+	Handle   string
 }
 
 // BreakCmd ends the run as any broken stream.
@@ -173,9 +173,9 @@
 	return s, nil
 }
 
-// leaves begins a copy, if there is a target and the run was not tried too often.
+// leaves begins a copy, if there is a target.
 func (s State) leaves(m LeavesMsg) (State, []Cmd) {
-	if s.Phase != Staying || m.Target == "" || s.Tries >= mostTries {
+	if s.Phase != Staying || m.Target == "" {
 		return s, nil
 	}
 	s.Phase, s.Target = Copying, m.Target
@@ -198,11 +198,15 @@
 	return s.stays(m.Handle)
 }
 
-// stays gives up a copy; another one may follow.
+// stays gives up a copy; another one may follow, unless too many came to nothing: the
+// run is then left alone, so that others of its server are moved.
 func (s State) stays(handle string) (State, []Cmd) {
 	cmds := s.free(handle)
 	s.Phase, s.Target, s.Handle = Staying, "", ""
 	s.Tries++
+	if s.Tries >= mostTries {
+		s.Phase = Over
+	}
 	return s, cmds
 }
 
@@ -215,7 +219,7 @@
 	case m.Outcome == Copied && m.Handle != "":
 		s.Phase, s.Handle = Stopped, m.Handle
 	case m.Outcome == NoRoom && m.Handle != "":
-		s.Phase, s.Handle, s.AtHome = Stopped, m.Handle, true
+		s.Phase, s.Handle, s.AtSource = Stopped, m.Handle, true
 	case s.Broke:
 		// Nothing proves that the run has stopped because it was told to.
 		cmds := append([]Cmd{BreakCmd{}}, s.free(s.Handle)...)
@@ -247,7 +251,7 @@
 
 func (s State) goesOn() (State, []Cmd) {
 	s.Phase = Going
-	return s, []Cmd{GoOnCmd{Target: s.Target, AtHome: s.AtHome, Handle: s.Handle}}
+	return s, []Cmd{GoOnCmd{Target: s.Target, AtSource: s.AtSource, Handle: s.Handle}}
 }
 
 // taken notes that the copy is used.
@@ -264,9 +268,9 @@
 	switch {
 	case s.Phase != Going:
 		return s, nil
-	case !s.AtHome:
-		s.AtHome = true
-		return s, []Cmd{GoOnCmd{Target: s.Target, AtHome: true, Handle: s.Handle}}
+	case !s.AtSource:
+		s.AtSource = true
+		return s, []Cmd{GoOnCmd{Target: s.Target, AtSource: true, Handle: s.Handle}}
 	}
 	return s.lost()
 }
--- a/transport/forward/attempt.go
+++ b/transport/forward/attempt.go
@@ -50,10 +50,7 @@
 	x.ended()
 	server, refusal := x.choose()
 	if refusal != nil {
-		if x.state.MayHaveRun {
-			return refusal.WithVerdict(protocol.MayHaveRun).WithStatus(protocol.StatusBadGateway)
-		}
-		return refusal
+		return x.truly(refusal)
 	}
 	x.server = server.ID
 	if x.onward == nil {
@@ -68,9 +65,10 @@
 		x.distrust(server, true)
 		return x.failed(protocol.NotRun, false, "the server cannot be reached: "+err.Error())
 	}
-	if x.workspace != nil && !x.route.Open && !x.g.fresh() {
+	// A moved run was let in when it began, and is the same one.
+	if x.workspace != nil && !x.route.Open && x.onward == nil && !x.g.fresh() {
 		conn.Close()
-		return staleCatalog()
+		return x.truly(staleCatalog())
 	}
 	if !conn.Used() {
 		x.g.connected(server, conn.Took(), false)
@@ -85,6 +83,15 @@
 	return t.run()
 }
 
+// truly returns a refusal to send the request, as one of a request that may have run if
+// an earlier attempt may have.
+func (x *exchange) truly(refusal *protocol.Refusal) *protocol.Refusal {
+	if !x.state.MayHaveRun {
+		return refusal
+	}
+	return refusal.WithVerdict(protocol.MayHaveRun).WithStatus(protocol.StatusBadGateway)
+}
+
 // distrust notes a failure that speaks against a server.
 func (x *exchange) distrust(s *place.Server, hard bool) {
 	if s.Cell.Failed(hard, time.Now()) {
@@ -264,10 +271,13 @@
 	if t.reply.NotRun {
 		return t.turnedAway(stop)
 	}
-	x.movedTaken(status)
-	if !x.headed {
-		x.weights = t.reply.Weights
+	if !x.sameWeights(t.reply.Weights) {
+		t.conn.Close()
+		t.failedAnswer()
+		return x.failed(protocol.MayHaveRun, true, "the server goes on with other weights")
 	}
+	x.movedTaken(status)
+	t.madeBy(t.reply.Weights)
 	x.hasLinks(t.server, true)
 	x.count()
 	if x.route.Kind == protocol.RouteStream && status >= 200 && status < 300 {
@@ -309,6 +319,7 @@
 		t.conn.Close()
 		return
 	}
+	t.untrack() // From here on the connection may be another request's.
 	t.x.g.pool.Put(t.server.ID, t.conn, t.reply.Keeps)
 }
 
--- a/transport/forward/move.go
+++ b/transport/forward/move.go
@@ -45,10 +45,13 @@
 	// moveUnbegun of the end of a leaving server also runs are moved whose first event has
 	// not come: it can no longer be waited for.
 	moveUnbegun = 500 * time.Millisecond
-	// moveLatest is when moves begin at the latest, after they could: a run that its target
-	// refuses goes back to its leaving server, which the users want to get nothing new some
-	// seconds behind the notice.
+	// moveLatest is how long behind the notice moves begin at the latest, so that a run
+	// which its target refuses can go back to its source.
 	moveLatest = 1500 * time.Millisecond
+	// sourceLatest is how long behind the notice a run may go back to its source: 1.5 s
+	// until its move begins and what most moves take. Leaving servers may be sent nothing
+	// some seconds behind the notice, which itself may come a second late.
+	sourceLatest = 2 * time.Second
 	// moveTick is how often the runs of a leaving server are looked at: some begin, and
 	// some could not be copied at once.
 	moveTick = 40 * time.Millisecond
@@ -71,8 +74,15 @@
 	mover   Mover                            // mover is nil where nothing is moved.
 	mu      sync.Mutex                       // mu guards all below.
 	runs    map[string]map[*running]struct{} // runs are by their server.
-	until   map[string]time.Time             // until is when leaving servers end, by the first notice of each.
+	notices map[string]notice                // notices are the first ones of leaving servers.
 	leaving map[string]bool                  // leaving are servers whose runs are looked at.
+	weights map[string]string                // weights are the versions that servers told with their last answers.
+}
+
+// notice tells that a server leaves.
+type notice struct {
+	at  time.Time // at is when it came here,
+	end time.Time // and end is when the server ends by it.
 }
 
 // WithMover sets what translates the calls of moves; without it nothing is moved.
@@ -87,12 +97,18 @@
 	server *place.Server
 	rank   int
 	lost   bool // lost says that the caller cannot take it up elsewhere.
-	begun  atomic.Bool
+	// weights is the version of the model's weights that makes the answer; empty where it
+	// is not known. It is the exchange's own.
+	weights string
+	begun   atomic.Bool
+	busy    atomic.Bool // busy says that a goroutine moves it.
 
 	mu    sync.Mutex // mu guards all below.
 	state move.State
 	known chan struct{} // known is closed when the answer to a stop is here; nil before the stop.
 	went  time.Time     // went is when the move began.
+	// noticed is when the notice came for which it is moved.
+	noticed time.Time
 }
 
 // track notes an answer that begins, if it could be moved.
@@ -113,6 +129,18 @@
 	x.g.look(t.server)
 }
 
+// madeBy notes with which weights a server makes the answer, if it says so.
+func (t *try) madeBy(weights string) {
+	if t.running == nil || weights == "" {
+		return
+	}
+	t.running.weights = weights
+	m := &t.x.g.moves
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.weights[t.server.ID] = weights
+}
+
 // untrack notes that the answer of one server has ended. A run that goes on elsewhere
 // keeps its copy until that server answers.
 func (t *try) untrack() {
@@ -134,10 +162,11 @@
 
 // onward is where a moved run goes on.
 type onward struct {
-	run    *running
-	server *place.Server
-	handle string
-	sent   bool // sent says that the server was chosen.
+	run     *running
+	server  *place.Server
+	handle  string
+	weights string // weights is the version that made the run's memory; empty where it is not known.
+	sent    bool   // sent says that the server was chosen.
 }
 
 // take takes a message and carries out what follows, but for what the goroutine of the
@@ -146,7 +175,7 @@
 	r.mu.Lock()
 	next, cmds := move.Next(r.state, m)
 	if next.Phase != r.state.Phase && !r.went.IsZero() {
-		r.log.Info().Str("server", r.server.ID).Str("target", next.Target).Stringer("phase", next.Phase).Bool("home", next.AtHome).
+		r.log.Info().Str("server", r.server.ID).Str("target", next.Target).Stringer("phase", next.Phase).Bool("at_source", next.AtSource).
 			Int("tries", next.Tries).Dur("after", r.since()).Msg("move")
 	}
 	r.g.meters.moveHeld.Inc(held(next) - held(r.state))
@@ -200,18 +229,23 @@
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	until := map[string]time.Time{}
+	notices := map[string]notice{}
 	for i := range v.Servers {
 		s := &v.Servers[i]
 		if !s.Leaving || s.LeftMS <= 0 {
 			continue
 		}
-		until[s.ID] = now.Add(time.Duration(s.LeftMS) * time.Millisecond)
-		if first, ok := m.until[s.ID]; ok {
-			until[s.ID] = first
+		notices[s.ID] = notice{at: now, end: now.Add(time.Duration(s.LeftMS) * time.Millisecond)}
+		if first, ok := m.notices[s.ID]; ok {
+			notices[s.ID] = first
+		}
+	}
+	m.notices = notices
+	for id := range m.weights {
+		if v.Find(id) == nil {
+			delete(m.weights, id)
 		}
 	}
-	m.until = until
 	for i := range v.Servers {
 		g.look(&v.Servers[i])
 	}
@@ -221,40 +255,69 @@
 // lock of the moves.
 func (g *Gateway) look(s *place.Server) {
 	m := &g.moves
-	until, leaves := m.until[s.ID]
+	n, leaves := m.notices[s.ID]
 	if !leaves || m.leaving[s.ID] || len(m.runs[s.ID]) == 0 {
 		return
 	}
 	m.leaving[s.ID] = true
-	go g.empty(s, until)
+	go g.moveOff(s, n)
 }
 
-// empty moves the runs of one server until none is left, or the server is gone.
-func (g *Gateway) empty(s *place.Server, until time.Time) {
-	m := &g.moves
+// moveOff moves the runs of one server until none is left, or the server is gone.
+func (g *Gateway) moveOff(s *place.Server, n notice) {
+	m, until := &g.moves, n.end
 	g.log.Info().Str("server", s.ID).Int64("left", time.Until(until).Milliseconds()).Msg("server leaves, its runs are moved")
 	if g.cfg.MoveAhead > 0 {
 		time.Sleep(min(time.Until(until)-g.cfg.MoveAhead, moveLatest))
 	}
-	for m.looks(s.ID, until.Add(moveGrace)) {
+	underWay, done := 0, make(chan bool, moveAtOnce)
+	for m.looks(s.ID, until.Add(moveGrace), g.stays(s.ID)) {
 		due := m.due(s.ID, time.Until(until) < moveUnbegun)
-		var batch sync.WaitGroup
-		for _, r := range due[:min(len(due), moveAtOnce)] {
-			batch.Go(r.move)
+		for _, r := range due[:min(len(due), moveAtOnce-underWay)] {
+			underWay++
+			r.busy.Store(true)
+			go func() {
+				moved := r.move(n)
+				r.busy.Store(false)
+				done <- moved
+			}()
 		}
-		batch.Wait()
-		if len(due) <= moveAtOnce {
-			time.Sleep(moveTick)
+		underWay -= settled(done, moveTick)
+	}
+}
+
+// settled waits until a move has come to an end, for a tick at the most, and returns how
+// many have. One that came to nothing has the whole tick waited for, so that a server
+// whose runs have nowhere to go takes no processor time of the streams beside it.
+func settled(done <-chan bool, tick time.Duration) int {
+	wait := time.NewTimer(tick)
+	defer wait.Stop()
+	for ended := 0; ; {
+		select {
+		case moved := <-done:
+			ended++
+			if moved {
+				return ended
+			}
+		case <-wait.C:
+			return ended
 		}
 	}
 }
 
-// looks reports whether a leaving server has runs and is not gone. Otherwise the next
-// run has it looked at anew.
-func (m *moves) looks(server string, gone time.Time) bool {
+// stays reports whether a server is listed as one that does not leave: its notice was
+// withdrawn, or it has come back.
+func (g *Gateway) stays(server string) bool {
+	s := g.view.Load().Find(server)
+	return s != nil && !s.Leaving
+}
+
+// looks reports whether a leaving server has runs, is not gone and does not stay.
+// Otherwise the next run has it looked at anew.
+func (m *moves) looks(server string, gone time.Time, stays bool) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if len(m.runs[server]) == 0 || time.Now().After(gone) {
+	if stays || len(m.runs[server]) == 0 || time.Now().After(gone) {
 		delete(m.leaving, server)
 		return false
 	}
@@ -269,7 +332,7 @@
 	var list []*running
 	var rows []move.Run
 	for r := range m.runs[server] {
-		if (all || r.begun.Load()) && r.phase() == move.Staying {
+		if (all || r.begun.Load()) && !r.busy.Load() && r.phase() == move.Staying {
 			list = append(list, r)
 			rows = append(rows, move.Run{Priority: r.rank, Read: r.call.PromptTokens, Left: r.call.AnswerTokens, Lost: r.lost})
 		}
@@ -281,17 +344,19 @@
 	return sorted
 }
 
-// move copies a run to another server and stops it at its own.
-func (r *running) move() {
+// move copies a run to another server and stops it at its own. It reports whether the
+// copy was made.
+func (r *running) move(n notice) (copied bool) {
 	view, now := r.g.view.Load(), time.Now()
-	target := place.Refuge(view, r.server, place.ChooseMsg{Rand: rand.Uint64(), Now: now})
+	target := place.MoveTarget(view, r.server, place.ChooseMsg{Rand: rand.Uint64(), Now: now})
 	if target == nil {
-		return // It is tried again in a while.
+		return false // It is tried again in a while.
 	}
 	r.mu.Lock()
 	if r.went.IsZero() {
 		r.went = now
 	}
+	r.noticed = n.at
 	r.mu.Unlock()
 	for _, c := range r.take(move.LeavesMsg{Target: target.ID}) {
 		if _, ok := c.(move.CopyCmd); !ok {
@@ -304,10 +369,12 @@
 		}
 		for _, c := range r.take(move.CopiedMsg{Outcome: reply.Outcome, Handle: reply.Handle}) {
 			if _, ok := c.(move.StopCmd); ok {
+				copied = true
 				r.stop(target)
 			}
 		}
 	}
+	return copied
 }
 
 // stop stops the run at its server. The exchange goes on when its stream has ended.
@@ -321,11 +388,16 @@
 	if !stopped {
 		return
 	}
-	time.AfterFunc(closeTime, func() {
-		if r.phase() == move.Stopped {
-			r.try.conn.Close()
-		}
-	})
+	time.AfterFunc(closeTime, r.hangUp)
+}
+
+// hangUp ends the stream of a run that has stopped and did not end it by itself.
+func (r *running) hangUp() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.state.Phase == move.Stopped {
+		r.try.conn.Close()
+	}
 }
 
 // copy has the run's server copy it.
@@ -427,22 +499,42 @@
 	if r.state.Phase != move.Going {
 		return nil
 	}
-	return []move.Cmd{move.GoOnCmd{Target: r.state.Target, AtHome: r.state.AtHome, Handle: r.state.Handle}}
+	return []move.Cmd{move.GoOnCmd{Target: r.state.Target, AtSource: r.state.AtSource, Handle: r.state.Handle}}
+}
+
+// late reports whether the source may be sent nothing more.
+func (r *running) late() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return time.Since(r.noticed) >= sourceLatest
+}
+
+// told returns the version of the weights that a server told with its last answer.
+func (m *moves) told(server string) string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.weights[server]
 }
 
 // goOn has the next attempt go to where the run's memory lies. The run began, so
 // nothing may be called unrun from here on.
 func (x *exchange) goOn(r *running, c move.GoOnCmd) bool {
-	server := r.server
-	if !c.AtHome {
+	server, weights := r.server, r.weights
+	if !c.AtSource {
 		server = x.g.view.Load().Find(c.Target)
+		if weights == "" {
+			weights = x.g.moves.told(r.server.ID) // It has not begun.
+		}
 	}
 	x.state.MayHaveRun = true
-	x.onward = &onward{run: r, server: server, handle: c.Handle}
-	if server != nil {
-		return true
+	x.onward = &onward{run: r, server: server, handle: c.Handle, weights: weights}
+	switch {
+	case server == nil:
+		return x.movedFailed(protocol.NotRun) // The target is listed no more.
+	case c.AtSource && r.late():
+		return x.movedFailed(protocol.MayHaveRun) // No server may go on with it.
 	}
-	return x.movedFailed(protocol.NotRun) // The target is listed no more.
+	return true
 }
 
 // dropOnward frees the copy of a run that goes on nowhere, as its request has ended.
@@ -476,7 +568,13 @@
 	if x.onward == nil {
 		return ""
 	}
-	return x.weights
+	return x.onward.weights
+}
+
+// sameWeights reports whether a server goes on with a moved run by the weights that made
+// its memory, as far as both are known. It was told to turn the run away otherwise.
+func (x *exchange) sameWeights(weights string) bool {
+	return x.onward == nil || weights == "" || x.onward.weights == "" || weights == x.onward.weights
 }
 
 // movedTaken notes that a server answers the run that was moved there. What is no good
--- a/transport/forward/move_test.go
+++ b/transport/forward/move_test.go
@@ -1,12 +1,14 @@
 package forward
 
 import (
+	"bufio"
 	"fmt"
 	"io"
 	"net"
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -50,6 +52,10 @@
 	unbegun bool  // unbegun has the source make no event before it is moved.
 	breaks  bool  // breaks has the source break off behind one event more, when a run has come back.
 	garbles bool  // garbles has the target send what is no answer.
+	hangs   bool  // hangs has the source leave the stream of a run open that it has stopped.
+	strange bool  // strange has the target go on with other weights than it was told.
+	holds   bool  // holds has the target not answer.
+	shuts   bool  // shuts has the source refuse a run that comes back.
 }
 
 // fakeEngines are servers that stream some events and move runs.
@@ -68,6 +74,8 @@
 	stopped  chan struct{}   // stopped is closed when the source has stopped the run.
 	once     sync.Once       // once closes one of both, once.
 	finished chan struct{}   // finished is closed when a run that stays may end.
+	onLeave  func()          // onLeave is called before the source is listed as leaving; may be nil.
+	onStop   func()          // onStop is called when a run without an event has stopped; may be nil.
 }
 
 const (
@@ -188,6 +196,9 @@
 	if first && f.do.unbegun {
 		f.w.leaves(address)
 		<-f.stopped
+		if f.onStop != nil {
+			f.onStop()
+		}
 		end()
 		_ = c.Close()
 		return
@@ -202,12 +213,18 @@
 	for n := 1; n <= movedBehind; n++ {
 		fakeChunk(c, fakeEvent(n))
 	}
+	if f.onLeave != nil {
+		f.onLeave()
+	}
 	f.w.leaves(address)
 	select {
 	case <-f.stopped:
 		// It stops in the middle of an event.
 		fakeChunk(c, "id: 4\nda")
 		end()
+		if f.do.hangs {
+			_, _ = c.Read(make([]byte, 1)) // Until the gateway closes it.
+		}
 		_ = c.Close()
 	case <-f.finished:
 		f.finish(c, movedBehind, end)
@@ -238,8 +255,21 @@
 	if got := string(req.Header.Peek("Only-Weights")); (got == "4") == f.do.unbegun {
 		f.t.Errorf("goes on with weights %q", got)
 	}
+	if home && f.do.shuts {
+		say(c, 503, "Not-Run: 1\r\n", "")
+		return
+	}
 	if !home {
 		switch {
+		case f.do.holds:
+			close(f.finished)
+			_, _ = c.Read(make([]byte, 1)) // Until the gateway closes it.
+			return
+		case f.do.strange:
+			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nId: 7\r\nWeights: 5\r\nTransfer-Encoding: chunked\r\n\r\n")
+			fakeChunk(c, fakeEvent(movedBehind+1))
+			_, _ = c.Read(make([]byte, 1)) // Until the gateway closes it.
+			return
 		case f.do.garbles:
 			_, _ = io.WriteString(c, "\x00\x01garbage\r\n\r\n")
 			_ = c.Close()
@@ -302,6 +332,7 @@
 		broken bool     // broken says that a caller who cannot resume gets a part.
 	}{
 		"all is well":                     {moveFaults{stop: 200, target: 200}, moved, false},
+		"its stream does not end":         {moveFaults{stop: 200, target: 200, hangs: true}, moved, false},
 		"it has not begun":                {moveFaults{stop: 200, target: 200, unbegun: true}, []string{"run behind ", "copy behind , home false"}, false},
 		"nor is it found at once":         {moveFaults{copies: []int{404}, stop: 200, target: 200, unbegun: true}, []string{"run behind ", "copy behind , home false"}, false},
 		"the first target is full":        {moveFaults{copies: []int{503}, stop: 200, target: 200}, moved, false},
@@ -317,6 +348,7 @@
 		"the target has other weights":    {moveFaults{stop: 200, target: 421}, home, false},
 		"the target dies":                 {moveFaults{stop: 200}, resumed, true},
 		"the target sends garbage":        {moveFaults{stop: 200, garbles: true}, resumed, true},
+		"the target uses other weights":   {moveFaults{stop: 200, strange: true}, resumed, true},
 		"the target fails":                {moveFaults{stop: 200, target: 500}, resumed, true},
 	} {
 		for _, resumable := range []bool{true, false} {
@@ -341,6 +373,11 @@
 				}
 				f.mu.Unlock()
 				f.awaitFreed()
+				for _, id := range []string{"a", "b", "c"} {
+					if c.do.target == 421 && f.w.g.view.Load().Find(id).Cell.Suspect(time.Now()) {
+						t.Errorf("%s is distrusted for its weights", id)
+					}
+				}
 				if n := f.w.g.meters.moveHeld.Count(); n != 0 {
 					t.Errorf("%d copies count as set aside", n)
 				}
@@ -366,12 +403,13 @@
 }
 
 // installMoves puts a route of streams in force whose servers can move runs.
-func (w *world) installMoves(resumable bool) {
+func (w *world) installMoves(resumable bool, spaces ...protocol.Tenancy) {
 	w.number++
 	w.g.Install(&protocol.Catalog{
-		Number:   w.number,
-		Routes:   []protocol.PathRoute{{Host: "h", Prefix: "/r/", Kind: protocol.RouteStream, Resumable: resumable, Attempts: 3, Timeout: patience, Split: []protocol.Weighted{{Service: "s", Weight: 1}}}},
-		Services: []protocol.ServiceSpec{{Name: "s", CopyRate: 100}},
+		Number:     w.number,
+		Routes:     []protocol.PathRoute{{Host: "h", Prefix: "/r/", Kind: protocol.RouteStream, Resumable: resumable, Attempts: 3, Timeout: patience, Split: []protocol.Weighted{{Service: "s", Weight: 1}}}},
+		Services:   []protocol.ServiceSpec{{Name: "s", CopyRate: 100}},
+		Workspaces: spaces,
 	})
 }
 
@@ -432,3 +470,298 @@
 		t.Errorf("runs %q, want %q", f.starts, starts)
 	}
 }
+
+// namingMover has the fake server see which run a copy is for.
+type namingMover struct{ plainMover }
+
+func (namingMover) Copy(out *fasthttp.Request, c CopyCall) {
+	plainMover{}.Copy(out, c)
+	out.SetBodyString(c.Request)
+}
+
+// TestHopelessRunsBlockNoOthers checks that runs which come first and cannot be copied
+// do not keep others of the same server from being moved, however long they go on.
+func TestHopelessRunsBlockNoOthers(t *testing.T) {
+	w := newWorld(t)
+	w.g.moves.mover = namingMover{}
+	var mu sync.Mutex
+	asked := map[string]bool{}
+	w.backend("b", good)
+	w.backend("a", func(c net.Conn, req *fasthttp.Request) {
+		mu.Lock()
+		defer mu.Unlock()
+		if strings.HasPrefix(string(req.Body()), "first") {
+			say(c, 503, "", "")
+			return
+		}
+		asked[string(req.Body())] = true
+		say(c, 404, "", "")
+		if len(asked) == moveAtOnce {
+			w.g.moves.mu.Lock()
+			w.g.moves.runs = map[string]map[*running]struct{}{} // All runs have ended.
+			w.g.moves.mu.Unlock()
+		}
+	})
+	source := w.g.view.Load().Find("a")
+	runs := map[*running]struct{}{}
+	for i := range moveAtOnce {
+		for rank, name := range []string{"first", "second"} {
+			r := &running{g: w.g, server: source, rank: rank, call: protocol.Call{ID: fmt.Sprint(name, i)}}
+			r.begun.Store(true)
+			runs[r] = struct{}{}
+		}
+	}
+	w.g.moves.runs["a"] = runs
+	w.servers[1].Leaving = true // It has no notice: the list alone would move nothing.
+	w.g.SetServers(w.servers)
+	w.g.moveOff(source, notice{end: time.Now().Add(patience)})
+	mu.Lock()
+	defer mu.Unlock()
+	if len(asked) != moveAtOnce {
+		t.Errorf("%d of %d runs behind those that cannot be copied were tried", len(asked), moveAtOnce)
+	}
+}
+
+// TestMovesThatCameToNothingWait checks that a move which came to nothing is followed by
+// no other one at once, and one that was made is.
+func TestMovesThatCameToNothingWait(t *testing.T) {
+	done := make(chan bool, moveAtOnce)
+	done <- false
+	done <- false
+	done <- true
+	if n := settled(done, patience); n != 3 {
+		t.Errorf("%d moves were waited for, want those until the first that was made", n)
+	}
+	done <- false
+	if n := settled(done, moveTick); n != 1 {
+		t.Errorf("%d moves were waited for within a tick", n)
+	}
+}
+
+// TestMovedRunNeedsNoNewConfiguration checks that a run which has stopped goes on though
+// the gateway is not sure of its configuration any more: the run was let in once, and it
+// is the same one.
+func TestMovedRunNeedsNoNewConfiguration(t *testing.T) {
+	f := newFakeEngines(t, moveFaults{stop: 200, target: 200, unbegun: true}, "a", "b")
+	f.w.installMoves(false, protocol.Tenancy{Name: "w", Keys: []string{"k"}})
+	f.onStop = func() { f.w.g.confirmed.Store(0) }
+	if got := f.w.ask("Key: k"); got.status != 200 || got.broken {
+		t.Errorf("status %d, verdict %q, broken %v", got.status, got.verdict, got.broken)
+	}
+}
+
+// TestUnsureBehindAnAttempt checks that a request which may have run, and is not sent again
+// as the gateway is not sure of its configuration any more, is not called unrun.
+func TestUnsureBehindAnAttempt(t *testing.T) {
+	w := newWorld(t)
+	w.install(protocol.PathRoute{Kind: protocol.RouteStream, Resumable: true, Attempts: 3}, protocol.Tenancy{Name: "w", Keys: []string{"k"}})
+	for _, id := range []string{"a", "b"} {
+		w.backend(id, func(c net.Conn, _ *fasthttp.Request) {
+			w.g.confirmed.Store(0)
+			_ = c.Close()
+		})
+	}
+	if got := w.ask("Key: k"); got.status != 502 || got.verdict == "not-run" {
+		t.Errorf("status %d, verdict %q", got.status, got.verdict)
+	}
+}
+
+// TestMovedRunKeepsItsWeights checks that a moved run goes on only with the weights that
+// made its memory: those of the server that it moves off, also where another one had begun
+// the stream, or where that one told them with an earlier answer and this one has not begun.
+func TestMovedRunKeepsItsWeights(t *testing.T) {
+	for name, unbegun := range map[string]bool{"taken up again": false, "not begun": true} {
+		t.Run(name, func(t *testing.T) {
+			w := newWorld(t)
+			w.g.moves.mover = plainMover{}
+			w.installMoves(true)
+			stopped, weights := make(chan struct{}), make(chan string, 1)
+			var runs atomic.Int64
+			head := func(c net.Conn, version int) {
+				_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nId: 7\r\nWeights: %d\r\nTransfer-Encoding: chunked\r\n\r\n", version)
+			}
+			end := func(c net.Conn) { _, _ = io.WriteString(c, "0\r\n\r\n") }
+			var serve func(c net.Conn, req *fasthttp.Request)
+			serve = func(c net.Conn, req *fasthttp.Request) {
+				switch {
+				case string(req.URI().Path()) == "/copy":
+					if strings.HasSuffix(string(req.Body()), "true") {
+						close(stopped)
+					}
+					say(c, 200, "", "m1")
+				case len(req.Header.Peek("Go-On")) > 0:
+					weights <- string(req.Header.Peek("Only-Weights"))
+					head(c, 5)
+					fakeChunk(c, fakeEvent(2))
+					end(c)
+				case runs.Add(1) == 1:
+					if unbegun {
+						head(c, 5)
+						end(c)
+						return
+					}
+					head(c, 4)
+					fakeChunk(c, fakeEvent(1))
+					w.backend("b", serve)
+					_ = c.Close()
+				default:
+					source := w.servers[len(w.servers)-1].Address
+					if !unbegun {
+						head(c, 5)
+						fakeChunk(c, fakeEvent(2))
+					} else {
+						source = w.servers[0].Address
+						w.backend("b", serve)
+					}
+					w.backend("c", serve)
+					w.leaves(source)
+					<-stopped
+					_ = c.Close()
+				}
+			}
+			w.backend("a", serve)
+			if got := w.ask(); got.status != 200 {
+				t.Fatalf("status %d", got.status)
+			}
+			if unbegun {
+				if got := w.ask(); got.status != 200 || got.broken {
+					t.Fatalf("status %d, broken %v", got.status, got.broken)
+				}
+			}
+			select {
+			case got := <-weights:
+				if got != "5" {
+					t.Errorf("goes on with weights %q, want those that made its memory", got)
+				}
+			default:
+				t.Error("the run was not moved")
+			}
+		})
+	}
+}
+
+// TestServerThatStaysKeepsItsRuns checks that runs are left alone when their server does
+// not leave after all.
+func TestServerThatStaysKeepsItsRuns(t *testing.T) {
+	w := newWorld(t)
+	w.g.moves.mover = plainMover{}
+	var copies atomic.Int64
+	w.backend("b", good)
+	w.backend("a", func(c net.Conn, _ *fasthttp.Request) {
+		copies.Add(1)
+		say(c, 503, "", "")
+	})
+	source := w.g.view.Load().Find("a")
+	r := &running{g: w.g, server: source}
+	r.begun.Store(true)
+	w.g.moves.runs["a"] = map[*running]struct{}{r: {}}
+	w.g.moveOff(source, notice{end: time.Now().Add(patience)})
+	if n := copies.Load(); n != 0 {
+		t.Errorf("%d copies were asked for", n)
+	}
+}
+
+// TestRestingConnectionIsNoRuns checks that a connection on which an answer came to its
+// end is not closed any more for the run that it belonged to: another request may use it.
+func TestRestingConnectionIsNoRuns(t *testing.T) {
+	w := newWorld(t)
+	w.g.moves.mover = plainMover{}
+	b := w.backend("a", good)
+	server := w.g.view.Load().Find("a")
+	conn, err := w.g.pool.Get("a", b.address, time.Now().Add(patience))
+	if err != nil {
+		t.Fatal(err)
+	}
+	x := &exchange{g: w.g, in: &fasthttp.Request{}}
+	r := &running{g: w.g, server: server, state: move.State{Phase: move.Stopped, Target: "b"}}
+	r.try = &try{x: x, server: server, conn: conn, running: r}
+	r.try.finish(true, func() bool { return true })
+	r.hangUp()
+	again, err := w.g.pool.Get("a", b.address, time.Now().Add(patience))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if again != conn {
+		t.Error("the connection that rests was closed")
+	}
+	again.Close()
+}
+
+// TestEventsWithoutIdsStay checks that a stream is not moved once the caller has got an
+// event without an id: the next server could not be told where to go on.
+func TestEventsWithoutIdsStay(t *testing.T) {
+	for event, moves := range map[string]bool{"data: x\n\n": false, "id: 1\ndata: x\n\n": true, ": comment\n\n": true} {
+		w := newWorld(t)
+		w.g.moves.mover = plainMover{}
+		w.installMoves(false)
+		seen := make(chan struct{})
+		w.backend("a", func(c net.Conn, _ *fasthttp.Request) {
+			fakeHead(c, "")
+			fakeChunk(c, event)
+			<-seen
+			_, _ = io.WriteString(c, "0\r\n\r\n")
+		})
+		conn := w.dial()
+		_, _ = io.WriteString(conn, "POST /r/x HTTP/1.1\r\nHost: h\r\nId: 7\r\nContent-Length: 0\r\n\r\n")
+		br := bufio.NewReader(conn)
+		for line := ""; line != event[:strings.IndexByte(event, '\n')+1]; {
+			var err error
+			if line, err = br.ReadString('\n'); err != nil {
+				t.Fatal(err)
+			}
+		}
+		w.g.moves.mu.Lock()
+		if got := len(w.g.moves.runs) > 0; got != moves {
+			t.Errorf("%q: the run may be moved: %v, want %v", event, got, moves)
+		}
+		w.g.moves.mu.Unlock()
+		close(seen)
+		_ = conn.Close()
+	}
+}
+
+// TestRunWithoutAPlaceIsNotCalledUnrun checks that a run which had stopped at its server,
+// and which both servers refuse, is not called unrun, and is cut if its answer had begun.
+func TestRunWithoutAPlaceIsNotCalledUnrun(t *testing.T) {
+	for _, unbegun := range []bool{true, false} {
+		f := newFakeEngines(t, moveFaults{stop: 200, target: 503, shuts: true, unbegun: unbegun}, "a", "b")
+		f.w.installMoves(false)
+		got := f.w.ask()
+		if unbegun && (got.status != 502 || got.verdict == "not-run") || !unbegun && !got.broken {
+			t.Errorf("unbegun %v: status %d, verdict %q, broken %v", unbegun, got.status, got.verdict, got.broken)
+		}
+		f.awaitFreed()
+	}
+}
+
+// TestCallerLeavesInMidMove checks that the copy of a run is freed whose caller leaves
+// while the target has not answered.
+func TestCallerLeavesInMidMove(t *testing.T) {
+	f := newFakeEngines(t, moveFaults{stop: 200, holds: true}, "a", "b")
+	f.w.installMoves(false)
+	conn := f.w.dial()
+	_, _ = io.WriteString(conn, "POST /r/x HTTP/1.1\r\nHost: h\r\nId: 7\r\nContent-Length: 0\r\n\r\n")
+	<-f.finished
+	_ = conn.Close()
+	f.awaitFreed()
+}
+
+// TestSourceIsSentNothingLate checks that a run does not go back to a server whose notice
+// is so old that it may be sent nothing more.
+func TestSourceIsSentNothingLate(t *testing.T) {
+	f := newFakeEngines(t, moveFaults{stop: 200, target: 503}, "a", "b")
+	f.w.installMoves(false)
+	f.onLeave = func() {
+		f.w.g.moves.mu.Lock()
+		defer f.w.g.moves.mu.Unlock()
+		for _, id := range []string{"a", "b"} {
+			f.w.g.moves.notices[id] = notice{at: time.Now().Add(-sourceLatest), end: time.Now().Add(patience)}
+		}
+	}
+	got := f.w.ask()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if starts := []string{"run behind "}; !got.broken || !slices.Equal(f.starts, starts) {
+		t.Errorf("broken %v, runs %q, want %q", got.broken, f.starts, starts)
+	}
+}
