--- a/transport/forward/trial_test.go
+++ b/transport/forward/trial_test.go
@@ -187,3 +187,21 @@
 	w.g.Reported(&m, &protocol.SyncReply{Term: 1}, time.Now())
 	told(2, 3)
 }
+
+// TestMovedRunCountsOnce checks that a run which is sent on to where its memory lies is
+// not counted for a roll-out once more.
+func TestMovedRunCountsOnce(t *testing.T) {
+	w := newWorld(t)
+	w.install(protocol.PathRoute{Attempts: 1})
+	w.versioned("a", "v1", good)
+	w.versioned("b", "v2", good)
+	w.tell(1, protocol.Rollout{Stage: protocol.RolloutTrial}, 1)
+	x := &exchange{g: w.g, service: "s"}
+	server := w.g.view.Load().Find("b")
+	x.sentTo(server)
+	x.onward = &onward{server: server}
+	x.sentTo(server)
+	if m := w.g.Report(1); len(m.Trials) != 1 || m.Trials[0].Arrived != 1 || m.Trials[0].Tried != 1 {
+		t.Errorf("reported %+v", m.Trials)
+	}
+}
