--- a/cmd/weldstreamd/control.go
+++ b/cmd/weldstreamd/control.go
@@ -37,7 +37,9 @@
 	links      *transport.Links
 	membership *transport.Membership
 	group      *group.Group
+	calls      *control.Calls
 	uplink     *control.Uplink
+	relay      *control.Relay // relay is nil where domains do not lie in several regions.
 	peer       net.Listener
 }
 
@@ -52,8 +54,7 @@
 	client := transport.NewMembersClient(c.tables, c.links)
 	orders := control.NewRolloutOrders(client, platform.ParseNumbered, r.settings.Bounds.OrderRepeat)
 	operator := c.operator(platform.NewOperator(client, orders, r.log), control.NewOperator(orders, c.progress, r.log))
-	source := platform.NewSource(r.settings.Source.Address)
-	duties := control.NewDuties(c.limits(), r.settings.Name, c.group, source, c.uplink, r.log)
+	duties := control.NewDuties(c.limits(), r.settings.Name, c.group, c.calls, c.uplink, r.log)
 	boot := transport.NewBootstrap(c.group, c.tables, c.links, r.log, c.name(), r.settings.Seeds,
 		transport.WithFound(r.settings.Found), transport.WithOthers())
 	for _, part := range []func(context.Context) error{
@@ -62,15 +63,17 @@
 		c.group.Run,
 		boot.Run,
 		c.uplink.Run,
+		c.runRelay,
 		c.uplink.RunRollouts,
 		duties.RunList,
 		duties.RunTally,
 		duties.RunReports,
 		duties.RunOrders,
+		c.watchRegions,
 		func(ctx context.Context) error {
 			return serveHTTP(ctx, r.settings.Listen(r.settings.Operator), documentBytes, operator)
 		},
-		func(ctx context.Context) error { return c.serveMetrics(ctx, func() any { return c.group.Status() }) },
+		func(ctx context.Context) error { return c.serveMetrics(ctx, c.dump) },
 	} {
 		eg.Go(func() error { return part(work) })
 	}
@@ -138,23 +141,28 @@
 	c.peer = ln
 	c.links = transport.NewLinks(c.name(), []byte(n.ClusterKey), linkDial, c.log)
 	c.links.Meter(c.registry)
+	c.links.MeterDistances(n.Topology(), n.Domain, c.registry)
 	if err := c.wireMembership(); err != nil {
 		return err
 	}
+	c.calls = control.NewCalls(platform.NewSource(n.Source.Address))
 	sender := transport.NewReplicaSender(work, c.tables, c.links, transport.WithAddresses(c.peerAddress))
-	c.group, err = group.Open(c.groupConfig(), n.DataDir, c.name(), sender, group.WithLogger(c.log), group.WithRegistry(c.registry), group.WithDocument(func(number uint64, data []byte) { c.uplink.Install(number, data) }),
+	c.group, err = group.Open(c.groupConfig(), n.DataDir, c.name(), sender, group.WithLogger(c.log), group.WithRegistry(c.registry), group.WithBusy(c.calls.Busy), group.WithDocument(func(number uint64, data []byte) { c.uplink.Install(number, data) }),
 		group.WithRollouts(func(l protocol.RolloutLog) { c.uplink.InstallRollouts(l) }))
 	if err != nil {
 		return err
 	}
 	opts := []control.UplinkOption{
-		control.WithLogger(c.log), control.WithRegistry(c.registry), control.WithTopology(n.Topology()), control.WithAlone(n.Bounds.Revoke),
+		control.WithLogger(c.log), control.WithRegistry(c.registry), control.WithTopology(n.Topology()), control.WithDomains(c.domains), control.WithAlone(n.Bounds.Revoke),
 		control.WithExposure(control.Exposure{Share: n.Bounds.TrialShare, Slack: n.Bounds.TrialSlack, Unannounced: n.Bounds.OrderRepeat + announceMargin}),
 	}
 	if c.limits().Usage {
 		opts = append(opts, control.WithQuiet(func() time.Duration { return c.group.Status().Quiet }))
 	}
 	c.uplink = control.NewUplink(c.group, c.peers, platform.ParseNumbered, n.Bounds.QuotaWindow, opts...)
+	if n.Topology().Several() {
+		c.relay = control.NewRelay(c.uplink, c.links, c.name(), n.Peer, c.registry)
+	}
 	for name, receiver := range map[string]any{
 		"Member": transport.NewMemberService(work, c.membership),
 		"Group":  transport.NewGroupService(work, c.group),
@@ -179,6 +187,7 @@
 			Copies:    n.Tolerate + 1,
 			Voters:    2*n.Tolerate + 1,
 			Gone:      goneAfter,
+			Wide:      n.Topology().Several(),
 		},
 		SnapshotEntries: n.Replication.SnapshotEntries,
 		Batch:           n.Replication.Batch,
@@ -229,6 +238,28 @@
 	return leader, all
 }
 
+// domains returns the failure domains of control instances by their peer addresses;
+// empty for one that is not known.
+func (c *controlInstance) domains(peers []string) []string {
+	known := map[string]string{}
+	for _, row := range c.tables.Members.Rows() {
+		known[row.Address] = row.Domain
+	}
+	list := make([]string, len(peers))
+	for i, address := range peers {
+		list[i] = known[address]
+	}
+	return list
+}
+
+// runRelay answers gateways while another instance leads, where there are regions.
+func (c *controlInstance) runRelay(ctx context.Context) error {
+	if c.relay == nil {
+		return nil
+	}
+	return c.relay.Run(ctx)
+}
+
 func (c *controlInstance) await(work context.Context) {
 	for {
 		select {
@@ -237,6 +268,7 @@
 			continue
 		case s := <-c.stops:
 			c.log.Info().Stringer("signal", s).Msg("stopping")
+			c.handOver(work)
 		case <-work.Done():
 		}
 		return
--- a/cmd/weldstreamd/gateway.go
+++ b/cmd/weldstreamd/gateway.go
@@ -36,6 +36,7 @@
 	*roleRun
 	forward  *forward.Gateway
 	server   *caller.Server
+	memory   *caller.Memory // memory is nil without a limit.
 	client   *uplink.Client
 	stopping atomic.Bool
 }
@@ -95,19 +96,49 @@
 		QuotaWindow: n.Bounds.QuotaWindow,
 		UsageWindow: n.Bounds.UsageWindow,
 		UsageDue:    n.Bounds.UsageDue,
+		NoCopies:    !n.Prompts.Copies,
+		MoveAhead:   n.Prompts.MoveAhead,
+		Socket:      n.Memory.SocketKB << 10,
+		Connections: n.ServerConnections(),
 	}, platform.Dialect{}, forward.WithLogger(r.log), forward.WithRegistry(r.registry), forward.WithSyncNow(func() { g.client.SyncNow() }),
+		forward.WithMover(mover(n)),
 		forward.WithPlace(func(m protocol.PlaceMsg) (protocol.PlaceReply, bool) { return g.client.Place(m) }))
-	g.server = caller.NewServer(g.forward)
+	g.server = caller.NewServer(g.forward, g.callerOptions()...)
 	seeds, err := r.peersOfSeeds(n)
 	if err != nil {
 		return err
 	}
 	links := transport.NewLinks(n.Name, []byte(n.ClusterKey), linkDial, r.log)
 	links.Meter(r.registry)
-	g.client = uplink.New(links, gatewayLink{g.forward, g.server}, seeds, control.UnpackList, r.log)
+	links.MeterDistances(n.Topology(), n.Domain, r.registry)
+	g.client = uplink.New(links, gatewayLink{g.forward, g.server}, seeds, control.UnpackList, r.log, uplink.WithRegions(n.Topology(), n.Domain, n.Name))
 	return g.run()
 }
 
+// mover returns what translates the calls of moves, or nil where nothing is moved.
+func mover(n *settings.Node) forward.Mover {
+	if !n.Prompts.Moves {
+		return nil
+	}
+	return platform.Mover{}
+}
+
+// callerOptions bound what callers may take of the process.
+func (g *gateway) callerOptions() []caller.Option {
+	n := g.settings
+	if held := n.Held(); held > 0 {
+		g.memory = caller.NewMemory(held, g.registry)
+	}
+	return []caller.Option{
+		caller.WithMemory(g.memory),
+		caller.WithPace(caller.Pace{Rate: n.Memory.Rate, Window: n.Memory.Window}),
+		caller.WithSocket(n.Memory.SocketKB << 10),
+		caller.WithConnections(n.Connections()),
+		caller.WithLogger(g.log),
+		caller.WithRegistry(g.registry),
+	}
+}
+
 func (g *gateway) ready() bool { return !g.stopping.Load() && g.forward.Ready() }
 
 func (g *gateway) run() error {
@@ -173,14 +204,22 @@
 // gatewayDump is a gateway's state on request.
 type gatewayDump struct {
 	Name        string `json:"name"`
+	Domain      string `json:"domain"`
+	Region      string `json:"region,omitempty"`
 	Ready       bool   `json:"ready"`
 	Number      uint64 `json:"number"`
 	AgeMS       int64  `json:"age_ms"` // AgeMS is since Number was known to be the newest; -1 for never.
 	Connections int    `json:"connections"`
+
+	Ways    []forward.Way     `json:"ways"`             // Ways are what was seen by distance to the servers.
+	Prompts forward.Dump      `json:"prompt_memory"`    // Prompts are what is known of what servers have read.
+	Memory  *caller.MemoryRow `json:"memory,omitempty"` // Memory is what is held for callers.
+
+	Flights map[string]forward.FlightRow `json:"bodies_at_servers"` // Flights are the bytes of bodies at servers, by service.
 }
 
 func (g *gateway) dump() any {
-	d := gatewayDump{Name: g.settings.Name, Ready: g.ready(), Number: g.forward.Number(), AgeMS: -1, Connections: g.server.Conns()}
+	d := gatewayDump{Name: g.settings.Name, Domain: g.settings.Domain, Region: g.forward.Region(), Ready: g.ready(), Number: g.forward.Number(), AgeMS: -1, Connections: g.server.Conns(), Ways: g.forward.Ways(), Prompts: g.forward.DumpMemory(), Memory: g.memory.Row(), Flights: g.forward.Flights()}
 	if age, ok := g.forward.Age(); ok {
 		d.AgeMS = age.Milliseconds()
 	}
--- a/coordination/place/lane.go
+++ b/coordination/place/lane.go
@@ -147,9 +147,18 @@
 // requests from 24 to 40 s 3,153 were late by tokens alone, 779 by work alone, which
 // made long prompts late on calm days, and 546 so.
 func longServers(p protocol.LaneParts, servers int) int {
+	return atLeastOne(longPart(p, servers), servers)
+}
+
+// longPart is the part of some servers that is for long prompts.
+func longPart(p protocol.LaneParts, servers int) float64 {
 	share := min(p.Tokens, 1-p.Short/shortFill/float64(servers))
-	share = max(share, min(p.Tokens, p.Work))
-	return min(servers-1, max(1, int(share*float64(servers)+0.5)))
+	return max(share, min(p.Tokens, p.Work))
+}
+
+// atLeastOne is a part of some servers that leaves one to either lane.
+func atLeastOne(part float64, servers int) int {
+	return min(servers-1, max(1, int(part*float64(servers)+0.5)))
 }
 
 // heldPart of the parts that requests share are taken to be held by the server.
@@ -203,31 +212,64 @@
 // laneSeed makes the order of servers in which the long lane takes them.
 const laneSeed = 0x6c616e65
 
-// inLane drops the rows of the other lane, unless that leaves only servers that
-// have more to do than they can do at once.
+// regionLanes are how the candidates of one region are divided: each region has both
+// lanes, in the same parts.
+type regionLanes struct {
+	servers int    // servers are the candidates.
+	least   uint64 // least is the least order of the long lane. A server alone is of that one, and takes both kinds.
+	room    bool   // room says that the lane that is asked for has a server with room for one more at once.
+}
+
+// has reports whether a server is of a lane.
+func (l *regionLanes) has(s *Server, lane Lane) bool {
+	return (s.order >= l.least) == (lane == LaneLong)
+}
+
+// divide returns the lanes of each region of a view.
+func divide(v *View, rows []row, parts protocol.LaneParts) []regionLanes {
+	lanes := make([]regionLanes, v.regions)
+	for _, r := range rows {
+		lanes[v.Servers[r.index].region].servers++
+	}
+	part, orders := longPart(parts, len(rows)), make([]uint64, 0, len(rows))
+	for region := range lanes {
+		l := &lanes[region]
+		if l.servers < 2 {
+			continue
+		}
+		orders = orders[:0]
+		for _, r := range rows {
+			if s := &v.Servers[r.index]; s.region == region {
+				orders = append(orders, s.order)
+			}
+		}
+		slices.Sort(orders)
+		l.least = orders[len(orders)-atLeastOne(part, len(orders))] // The highest are the long lane.
+	}
+	return lanes
+}
+
+// inLane drops the rows of the other lane, but for regions in which that leaves only
+// servers that have more to do than they can do at once.
 func inLane(v *View, rows []row, m ChooseMsg) []row {
 	if m.Lane == LaneAny || len(rows) < 2 {
 		return rows
 	}
-	n := longServers(m.Parts, len(rows))
-	order := make([]uint64, len(rows))
-	for i, r := range rows {
-		order[i] = mix(laneSeed ^ v.Servers[r.index].Hash)
+	lanes := divide(v, rows, m.Parts)
+	for _, r := range rows {
+		s := &v.Servers[r.index]
+		if l := &lanes[s.region]; r.fill < fullLoad && l.has(s, m.Lane) {
+			l.room = true
+		}
 	}
-	sorted := slices.Sorted(slices.Values(order))
-	least := sorted[len(sorted)-n] // The n highest are the long lane.
 	kept := make([]row, 0, len(rows))
-	for i, r := range rows {
-		if (order[i] >= least) == (m.Lane == LaneLong) {
+	for _, r := range rows {
+		s := &v.Servers[r.index]
+		if l := &lanes[s.region]; !l.room || l.has(s, m.Lane) {
 			kept = append(kept, r)
 		}
 	}
-	for _, r := range kept {
-		if r.fill < fullLoad {
-			return kept
-		}
-	}
-	return rows
+	return kept
 }
 
 // fullLoad is a server that has as much to do as it does at once.
--- a/coordination/place/ledger.go
+++ b/coordination/place/ledger.go
@@ -17,6 +17,7 @@
 	Shared  int    // Shared are the tokens of its parts that other requests may share.
 	Answer  int    // Answer is the most tokens of the answer.
 	Prefix  uint64 // Prefix is the hash of the shared parts.
+	Chain   []protocol.PromptLink
 	Domain  string
 	Avoid   []string
 	Copies  float64 // Copies are the tokens a millisecond that a server copies from another; 0 where it cannot.
@@ -30,6 +31,7 @@
 	Server string
 	Holder string // Holder is a server that holds the shared parts, if Server does not; empty for none.
 	Number uint64
+	Fresh  []uint32 // Fresh are the links that Server was not known to hold; see [Readings].
 }
 
 // DoneMsg tells how long a placed request took.
@@ -52,6 +54,8 @@
 	speed    float64 // speed is in tokens read a millisecond, learned.
 	pace     float64 // pace is in milliseconds a token of the answer, learned.
 	topology *topology.Topology
+	fresh    []protocol.Placement // fresh are places that the others were not told yet.
+	holders  *Holders
 }
 
 // LedgerOption changes a new ledger.
@@ -92,11 +96,10 @@
 	prefixKept = 30 * time.Second
 	prefixMost = 128
 	// These weigh against one stream that is held up: a late first event, a first
-	// event at its target, a request that is there, and the own domain.
+	// event at its target, and a request that is there; distanceLoad is one of them.
 	lateCost = 2.0
 	waitCost = 0.5
 	stayCost = 0.1
-	nearGain = 0.05
 	// distrustCost keeps prompts off servers that fail, where there are others.
 	distrustCost = 1000.0
 	// readCost is that of a prompt all of which could have been held elsewhere.
@@ -112,6 +115,7 @@
 	for _, opt := range opts {
 		opt(l)
 	}
+	l.holders = NewHolders(l.topology)
 	return l
 }
 
@@ -134,24 +138,29 @@
 	if best < 0 {
 		return Placed{}, false
 	}
-	return l.enter(v.Servers[best].ID, holder, m, now), true
+	placed := l.enter(v.Servers[best].ID, l.source(v, &v.Servers[best], holder, m, now), m, now)
+	l.noteFresh(placed, m)
+	return placed, true
 }
 
-// holder returns the server that read the shared parts of a prompt last, if the
-// others can copy them from there. One that leaves still can be copied from.
+// holder returns the server that read the shared parts of a prompt last, one near the
+// gateway first, if the others can copy them from there. One that leaves still can be
+// copied from.
 func (l *Ledger) holder(v *View, m PromptMsg, now time.Time) string {
 	if m.Copies <= 0 || m.Prefix == 0 {
 		return ""
 	}
-	holder, latest := "", time.Time{}
+	holder, latest, isFar := "", time.Time{}, false
 	for _, i := range v.Service(m.Service) {
 		id := v.Servers[i].ID
 		b := l.servers[id]
 		if b == nil || !b.holds(m.Prefix, now) || l.loads.Distrusted(id, m.Domain) {
 			continue
 		}
-		if at := b.prefixes[m.Prefix]; at.After(latest) {
-			holder, latest = id, at
+		at, far := b.prefixes[m.Prefix], l.topology.Distance(m.Domain, v.Servers[i].Domain) == topology.OtherRegion
+		nearer := isFar && !far
+		if holder == "" || nearer || (far == isFar && at.After(latest)) {
+			holder, latest, isFar = id, at, far
 		}
 	}
 	return holder
@@ -232,10 +241,7 @@
 		}
 		cost += weight * float64(m.Shared) / float64(m.Prompt)
 	}
-	if l.topology.Distance(s.Domain, m.Domain) == topology.SameDomain {
-		cost -= nearGain
-	}
-	return cost
+	return cost + distanceLoad[l.topology.Distance(m.Domain, s.Domain)]
 }
 
 // enter notes a request at a server.
@@ -256,7 +262,8 @@
 	st.ends = st.reads.Add(time.Duration(l.pace * float64(m.Answer) * float64(time.Millisecond)))
 	b.stays[l.number], l.placed[l.number] = st, st
 	b.keep(m.Prefix, now)
-	return Placed{Server: server, Holder: holder, Number: l.number}
+	fresh := l.holders.Read(server, m.Chain, now)
+	return Placed{Server: server, Holder: holder, Number: l.number, Fresh: fresh}
 }
 
 // keep notes a prefix that is read at the server.
--- a/coordination/replicate/members.go
+++ b/coordination/replicate/members.go
@@ -51,6 +51,7 @@
 func (r *Replica) change(next Members) {
 	r.appendEntries(Entry{Kind: EntryMembers, Data: encodeMembers(next)})
 	r.syncPeers()
+	r.lease = min(r.lease, r.promised()) // Those it rested on may be no quorum any more.
 	r.sendNew()
 	r.advance()
 }
@@ -83,7 +84,7 @@
 	if p == nil || p.match+catchUpSlack < r.log.Last() || p.match < r.log.Changed() {
 		return false
 	}
-	return r.now-p.heard < r.cfg.Election
+	return r.now-p.heard < r.timeout()
 }
 
 // promote makes a learner a voter, or makes room for it, if there is a place.
--- a/internal/soak/cluster.go
+++ b/internal/soak/cluster.go
@@ -28,6 +28,7 @@
 	"github.com/weldstream/weldstream/coordination/group"
 	"github.com/weldstream/weldstream/platform"
 	"github.com/weldstream/weldstream/platform/standin"
+	"github.com/weldstream/weldstream/transport/control"
 )
 
 // Size is how large a cluster is.
@@ -35,14 +36,21 @@
 	Controls int
 	Gateways int
 	Backends int
+	Regions  int           // Regions is in how many regions the processes lie; under 2 means none.
+	Delay    time.Duration // Delay is between two regions, one way.
+	MemoryMB int           // MemoryMB is what a gateway may take; 0 for the usual.
 }
 
+// usualMemory is a third of what a gateway has on a platform with small machines.
+const usualMemory = 64
+
 // Cluster is the daemons with all that stands around them.
 type Cluster struct {
 	Size     Size
 	API      *standin.API
 	Record   *standin.Record
 	Backends []*standin.Backend
+	Paths    *Paths // Paths are the ways between regions; nil without regions.
 
 	dir     string
 	bin     string
@@ -84,6 +92,7 @@
 		return nil, err
 	}
 	c.API = api
+	c.makePaths()
 	return c, errors.Join(c.makeBackends(), c.makeProxies(), c.makeProcs())
 }
 
@@ -99,10 +108,14 @@
 
 func (c *Cluster) makeBackends() error {
 	for i := range c.Size.Backends {
-		b, err := standin.NewBackend(fmt.Sprintf("backend-%d", i), standin.Service, fmt.Sprintf("zone-%d", i%3), c.Record)
+		b, err := standin.NewBackend(fmt.Sprintf("backend-%d", i), standin.Service, fmt.Sprintf("zone-%d", i%zones), c.Record)
 		if err != nil {
 			return err
 		}
+		b.CutUnread = cutUnread
+		if i%3 == 0 {
+			b.ReadPause = slowServer
+		}
 		p, err := NewProxy("127.0.0.1:0", b.Address)
 		if err != nil {
 			return err
@@ -136,7 +149,11 @@
 func (c *Cluster) makeProxies() error {
 	for i := range c.Size.Controls {
 		for _, port := range []int{c.ports.operator, c.ports.peer} {
-			p, err := NewProxy(at(told(i), port), at(behind(i), port))
+			var opts []ProxyOption
+			if port == c.ports.peer && c.Paths != nil {
+				opts = append(opts, WithPaths(c.Paths, c.Size.regionOf(i)))
+			}
+			p, err := NewProxy(at(told(i), port), at(behind(i), port), opts...)
 			if err != nil {
 				return err
 			}
@@ -174,6 +191,13 @@
 	return c.writeSettings(p, i, true)
 }
 
+// slowServer is the pause of the servers that read slowly, a third of them, behind 8 KB
+// of a body: 64 KB take 40 ms.
+const slowServer = 5 * time.Millisecond
+
+// cutUnread is how long servers let a piece of an answer lie unread.
+const cutUnread = 2 * time.Second
+
 // writeSettings lays a process's settings. Only the first start of all may found.
 func (c *Cluster) writeSettings(p *Proc, i int, found bool) error {
 	var seeds []string
@@ -181,6 +205,7 @@
 		seeds = append(seeds, at(told(k), c.ports.operator))
 	}
 	text := fmt.Sprintf("name: %s\ndomain: zone-%d\nseeds: [%s]\nfound: %v\ntolerate: %d\n", p.Name, i%3, strings.Join(seeds, ", "), found, (c.Size.Controls-1)/2)
+	text += c.Size.regionSettings(i)
 	text += fmt.Sprintf("source: {address: %s, duties: [%s], list_rate: 20}\n", c.API.Address, platform.DutyUsage)
 	text += "bounds: {grace: 6s, lease: 500ms, usage_window: 1s, usage_due: 2s, order_repeat: 5s, retry_ratio: 0.5, retry_extra: 50}\n"
 	if p.Role == "control" {
@@ -188,6 +213,7 @@
 			at(told(i), c.ports.operator), at(told(i), c.ports.peer), behind(i), at(behind(i), c.ports.metrics), p.Data)
 	} else {
 		ip := gatewayIP(i)
+		text += fmt.Sprintf("memory_mb: %d\ndescriptors: 2000\n", cmp.Or(c.Size.MemoryMB, usualMemory))
 		text += fmt.Sprintf("caller: %s\nready: %s\npeer: %s\nmetrics: %s\n", at(ip, c.ports.caller), at(ip, c.ports.ready), at(ip, c.ports.peer), at(ip, c.ports.metrics))
 	}
 	return os.WriteFile(p.settings, []byte(text), 0o600)
@@ -254,11 +280,27 @@
 // Status returns what a control instance dumps of its replica.
 func (c *Cluster) Status(i int) (group.Status, error) {
 	var s group.Status
-	status, body, err := fasthttp.GetTimeout(nil, "http://"+at(behind(i), c.ports.metrics)+"/dump", time.Second)
+	err := c.dumped(i, &s)
+	return s, err
+}
+
+// Relay returns what a control instance dumps of itself as a relay.
+func (c *Cluster) Relay(i int) (control.RelayState, error) {
+	var d struct{ Relay control.RelayState }
+	err := c.dumped(i, &d)
+	return d.Relay, err
+}
+
+// dumped reads a control instance's dump.
+func (c *Cluster) dumped(i int, v any) error { return c.dumpedAt(at(behind(i), c.ports.metrics), v) }
+
+// dumpedAt reads the dump of the process with an address for metrics.
+func (c *Cluster) dumpedAt(address string, v any) error {
+	status, body, err := fasthttp.GetTimeout(nil, "http://"+address+"/dump", time.Second)
 	if err != nil || status != fasthttp.StatusOK {
-		return s, fmt.Errorf("control instance %d dumps nothing: status %d, %w", i, status, err)
+		return fmt.Errorf("%s dumps nothing: status %d, %w", address, status, err)
 	}
-	return s, json.Unmarshal(body, &s)
+	return json.Unmarshal(body, v)
 }
 
 // Proc returns a process by its name.
@@ -289,6 +331,23 @@
 	return nil
 }
 
+// ResidentKB returns what the process has in memory, 0 if it does not run.
+func (p *Proc) ResidentKB() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.cmd == nil {
+		return 0
+	}
+	data, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", p.cmd.Process.Pid))
+	if err != nil {
+		return 0
+	}
+	_, rest, _ := strings.Cut(string(data), "VmRSS:")
+	var kb int
+	_, _ = fmt.Sscan(rest, &kb) // 0 where the kernel tells none.
+	return kb
+}
+
 // Signal sends a signal to the process, if it runs.
 func (p *Proc) Signal(s syscall.Signal) error {
 	p.mu.Lock()
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -24,10 +24,14 @@
 	FaultReplies              // FaultReplies has backend servers shed, fail, lose and break off.
 	FaultAPI                  // FaultAPI has the platform's API fail.
 	FaultDamage               // FaultDamage kills a control instance and flips a bit in its log.
-	faults
+	faults                    // faults are those above, which Draw draws from.
 )
 
-var faultNames = [...]string{"kill", "pause", "stop", "reload", "wipe", "link", "server", "reset", "replies", "api", "damage"}
+// FaultReclaim takes a server away after a notice; see WithReclaims. It stands behind
+// the faults of regions.
+const FaultReclaim = FaultApart + 1
+
+var faultNames = [...]string{"kill", "pause", "stop", "reload", "wipe", "link", "server", "reset", "replies", "api", "damage", "region", "apart", "reclaim"}
 
 // String returns the fault's name.
 func (f Fault) String() string { return faultNames[f] }
@@ -46,6 +50,8 @@
 	Seed   uint64
 	Length time.Duration
 	Steps  []Step
+	// Reclaims says that servers are taken away with what runs there.
+	Reclaims bool
 }
 
 const (
@@ -79,6 +85,7 @@
 		}
 		p.Steps = append(p.Steps, s)
 	}
+	p.withCuts(size)
 	return p
 }
 
@@ -101,7 +108,7 @@
 	fmt.Fprintf(&out, "seed %d, %v\n", p.Seed, p.Length)
 	for _, s := range p.Steps {
 		fmt.Fprintf(&out, "  %6dms %s %d for %dms", s.At.Milliseconds(), s.Fault, s.Index, s.For.Milliseconds())
-		if s.Fault == FaultLink || s.Fault == FaultServer {
+		if s.Fault == FaultLink || s.Fault == FaultServer || s.Fault == FaultRegion {
 			fmt.Fprintf(&out, " (%s)", s.Link)
 		}
 		out.WriteByte('\n')
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -17,6 +18,7 @@
 	Served     int
 	Completed  int // Completed and RolledBack are how roll-outs ended.
 	RolledBack int
+	Moved      int // Moved are running answers that went on at another server.
 	Breaches   []string
 }
 
@@ -34,6 +36,7 @@
 func Run(c *Cluster, p Plan) (Result, error) {
 	k := NewChecker(c.Record)
 	o := NewOperator(c, k)
+	c.prepare(p)
 	if err := c.Start(); err != nil {
 		return Result{}, err
 	}
@@ -51,11 +54,16 @@
 			load.Go(func() { r.ask(ctx, g, fmt.Sprintf("%d-%d", g, i), p.Seed) })
 		}
 	}
+	for g := range c.Size.Gateways {
+		load.Go(func() { r.askSlowly(ctx, g) })
+	}
 	load.Go(func() { r.operate(ctx) })
 	rollouts := NewRollouts(c, k)
 	ordering, stopOrders := context.WithCancel(ctx)
 	var ordered sync.WaitGroup
-	ordered.Go(func() { rollouts.run(ordering, p.Seed) })
+	if !p.Reclaims {
+		ordered.Go(func() { rollouts.run(ordering, p.Seed) })
+	}
 	r.play(p)
 	stopOrders()
 	ordered.Wait() // A version is judged by the callers' requests, so these go on until then.
@@ -64,7 +72,8 @@
 	r.recover()
 	k.Finish()
 	rollouts.Finish()
-	return Result{Asked: len(k.asks), Served: k.Served(), Completed: rollouts.Completed, RolledBack: rollouts.RolledBack, Breaches: append(k.Breaches(), c.API.Breaches()...)}, nil
+	return Result{Asked: len(k.asks), Served: k.Served(), Completed: rollouts.Completed, RolledBack: rollouts.RolledBack, Moved: c.Record.Moved(),
+		Breaches: slices.Concat(k.Breaches(), c.API.Breaches(), c.Record.Breaches())}, nil
 }
 
 // first has the first configuration taken, which opens the day.
@@ -83,6 +92,7 @@
 	checker  *Checker
 	operator *Operator
 	faults   sync.WaitGroup
+	reclaims sync.Mutex // reclaims is held while a server is taken away.
 }
 
 // paths are of the four kinds of requests.
@@ -106,6 +116,29 @@
 	}
 }
 
+// slowAsks are of callers and servers that take their time: an answer of 320 KB that is
+// read at 80 KB a second at first, a body of 64 KB that comes in pieces, and one that
+// never ends.
+var slowAsks = []struct {
+	ask  Ask
+	slow standin.Slow
+}{
+	{Ask{Path: "/again/large", Large: true, Pad: 5 << 10}, standin.Slow{Pause: 10 * time.Millisecond, Piece: 2 << 10, Pad: 5 << 10}},
+	{Ask{Path: "/once/x", Once: true, Pad: 64 << 10}, standin.Slow{Pause: 5 * time.Millisecond, Piece: 4 << 10, Pad: 64 << 10}},
+	{Ask{Path: "/once/x", Once: true, Halted: true, Pad: 64 << 10}, standin.Slow{Pause: 5 * time.Millisecond, Piece: 8 << 10, Pad: 64 << 10, Halt: true}},
+	{Ask{Path: "/stream/again/x", Stream: true}, standin.Slow{Pause: 10 * time.Millisecond, Piece: 16}},
+}
+
+// askSlowly is one caller that takes its time.
+func (r *run) askSlowly(ctx context.Context, g int) {
+	for n := g; ctx.Err() == nil; n++ {
+		s := slowAsks[n%len(slowAsks)]
+		s.ask.ID = fmt.Sprintf("slow-%d-%d", g, n)
+		r.checker.Note(s.ask, standin.AskSlowly(r.cluster.Callers()[g], s.ask.ID, s.ask.Path, s.slow))
+		time.Sleep(askPause)
+	}
+}
+
 // operate sends configurations, each until it is acknowledged, and reads back.
 func (r *run) operate(ctx context.Context) {
 	for n := uint64(2); ctx.Err() == nil; n++ {
@@ -133,6 +166,8 @@
 	switch s.Fault {
 	case FaultKill, FaultPause, FaultStop, FaultReload:
 		r.harmProcess(c.procs[s.Index], s)
+	case FaultRegion, FaultApart:
+		r.harmRegion(s)
 	case FaultWipe:
 		r.harmDisk(c.procs[s.Index], (*Proc).Wipe, s.For)
 	case FaultDamage:
@@ -154,6 +189,8 @@
 		c.Backends[s.Index].SetFaults(standin.Faults{Shed: 5, Fail: 7, Lose: 9, Break: 3})
 		time.Sleep(s.For)
 		c.Backends[s.Index].SetFaults(standin.Faults{})
+	case FaultReclaim:
+		r.reclaim(c.Backends[s.Index], s.For)
 	case FaultAPI:
 		c.API.SetDown(true)
 		time.Sleep(s.For)
--- a/transport/backend/backend.go
+++ b/transport/backend/backend.go
@@ -12,6 +12,7 @@
 
 import (
 	"bufio"
+	"errors"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -47,16 +48,53 @@
 	net   net.Conn
 	br    *bufio.Reader
 	bw    *bufio.Writer
-	wrote atomic.Int64 // wrote counts the bytes of the request that the kernel took.
-	sent  atomic.Bool  // sent says that the kernel took all of the request.
-	used  bool         // used says that a request went over it before.
-	until time.Time    // until is when it may rest no longer.
+	wrote atomic.Int64  // wrote counts the bytes of the request that the kernel took.
+	sent  atomic.Bool   // sent says that the kernel took all of the request.
+	used  bool          // used says that a request went over it before.
+	meter Meter         // meter counts the bytes; nil for none.
+	took  time.Duration // took is how long the connect took.
+	until time.Time     // until is when it may rest no longer.
+
+	stall    time.Duration // stall is how long a server may take nothing of a body.
+	deadline time.Time     // deadline is the current request's.
+	pool     *Pool
+	closed   atomic.Bool
+	unwanted atomic.Bool // unwanted says that the rest of its body is not wanted.
+}
+
+// Meter counts the bytes that a connection carries.
+type Meter interface {
+	Sent(n int)
+	Received(n int)
 }
 
+// Count has a meter count the bytes from now on, until another one is set.
+func (c *Conn) Count(m Meter) { c.meter = m }
+
 // Write implements io.Writer and counts.
 func (c *Conn) Write(p []byte) (int, error) {
+	if len(p) > bodyAlone {
+		return c.writeAll(p)
+	}
 	n, err := c.net.Write(p)
+	c.counted(n)
+	return n, err
+}
+
+// counted counts bytes that the kernel took.
+func (c *Conn) counted(n int) {
 	c.wrote.Add(int64(n))
+	if c.meter != nil {
+		c.meter.Sent(n)
+	}
+}
+
+// Read implements io.Reader and counts.
+func (c *Conn) Read(p []byte) (int, error) {
+	n, err := c.net.Read(p)
+	if c.meter != nil {
+		c.meter.Received(n)
+	}
 	return n, err
 }
 
@@ -64,6 +102,9 @@
 // server.
 func (c *Conn) Wrote() bool { return c.wrote.Load() > 0 }
 
+// Took returns how long the connect took: a round trip, and the server's wait.
+func (c *Conn) Took() time.Duration { return c.took }
+
 // Sent reports whether all of the current request was written.
 func (c *Conn) Sent() bool { return c.sent.Load() }
 
@@ -72,7 +113,12 @@
 
 // Close closes the connection, which a server takes as a cancellation. It may
 // be called from any goroutine.
-func (c *Conn) Close() { _ = c.net.Close() }
+func (c *Conn) Close() {
+	if !c.closed.Swap(true) {
+		c.pool.count.Add(-1)
+	}
+	_ = c.net.Close()
+}
 
 // bodyAlone is the size of a body above which the answer is read while the body
 // is still written: a server may answer before it has read all.
@@ -85,6 +131,7 @@
 	if err := c.net.SetDeadline(deadline); err != nil {
 		return false, eris.Wrap(err, "set deadline")
 	}
+	c.deadline = deadline
 	if len(req.Body()) < bodyAlone {
 		if err := c.send(req); err != nil {
 			return false, c.earlyAnswer(resp, err)
@@ -92,20 +139,35 @@
 		return false, c.Head(resp)
 	}
 	sent := make(chan bool, 1)
-	go func() { sent <- c.send(req) == nil }()
+	var stalled error
+	go func() {
+		err := c.send(req)
+		if errors.Is(err, ErrStalled) {
+			stalled = err
+			c.Close() // No answer is waited for: the head's read ends.
+		}
+		sent <- err == nil
+	}()
 	err = c.Head(resp)
 	select {
 	case whole := <-sent:
+		if err != nil && stalled != nil {
+			err = stalled
+		}
 		return !whole, err
 	default:
 	}
 	if err == nil {
 		// The rest of the body is not wanted. A write that waits ends here.
+		c.unwanted.Store(true)
 		_ = c.net.SetWriteDeadline(time.Unix(1, 0))
 	} else {
 		c.Close()
 	}
 	<-sent // The request must not be used any more when this returns.
+	if err != nil && stalled != nil {
+		err = stalled
+	}
 	return true, err
 }
 
@@ -164,15 +226,23 @@
 
 // Pool keeps idle connections by the server's identity.
 type Pool struct {
-	dial  time.Duration
-	opens atomic.Int64
-	mu    sync.Mutex // mu guards idle.
-	idle  map[string][]*Conn
+	dial   time.Duration
+	stall  time.Duration
+	socket int
+	most   int          // most bounds the open connections; 0 sets no bound.
+	count  atomic.Int64 // count are the open connections.
+	opens  atomic.Int64
+	mu     sync.Mutex // mu guards idle.
+	idle   map[string][]*Conn
 }
 
 // NewPool returns a pool that gives up a connect after a time.
-func NewPool(dial time.Duration) *Pool {
-	return &Pool{dial: dial, idle: map[string][]*Conn{}}
+func NewPool(dial time.Duration, opts ...PoolOption) *Pool {
+	p := &Pool{dial: dial, stall: stallTime, idle: map[string][]*Conn{}}
+	for _, opt := range opts {
+		opt(p)
+	}
+	return p
 }
 
 // Opens counts the connections opened since the start.
@@ -198,13 +268,19 @@
 	if limit <= 0 {
 		return nil, eris.New("no time is left to connect")
 	}
+	if !p.room() {
+		return nil, ErrFull
+	}
+	began := time.Now()
 	conn, err := tcp.Dial(address, limit, silentServer)
 	if err != nil {
+		p.count.Add(-1)
 		return nil, eris.Wrap(err, "connect")
 	}
 	p.opens.Add(1)
-	c := &Conn{net: conn}
-	c.br, c.bw = bufio.NewReaderSize(conn, readBuffer), bufio.NewWriterSize(c, readBuffer)
+	p.bound(conn)
+	c := &Conn{net: conn, took: time.Since(began), stall: p.stall, pool: p}
+	c.br, c.bw = bufio.NewReaderSize(c, readBuffer), bufio.NewWriterSize(c, readBuffer)
 	return c, nil
 }
 
--- a/transport/forward/attempt.go
+++ b/transport/forward/attempt.go
@@ -25,19 +25,23 @@
 
 // try is one attempt at one server.
 type try struct {
-	x      *exchange
-	server *place.Server
-	conn   *backend.Conn
-	reply  Reply
-	early  bool
-	read   bool // read says that the server has read the prompt.
-	extra  bool // extra says that the connection delivered what was not asked for.
+	x       *exchange
+	server  *place.Server
+	conn    *backend.Conn
+	reply   Reply
+	early   bool
+	read    bool     // read says that the server has read the prompt.
+	running *running // running is nil where the answer cannot be moved.
+	extra   bool     // extra says that the connection delivered what was not asked for.
 
 	began    time.Time // began is when the request was sent.
 	first    time.Time // first is when the first events came; zero before.
 	last     time.Time // last is when the latest events came.
 	pieces   int       // pieces are how often events came.
 	observed bool      // observed says that the answer was counted for a roll-out.
+	left     bool      // left says that the request has left the server.
+	done     bool      // done says that its answer was read to its end.
+	falls    int       // falls are how often the server had fallen over when the request was sent.
 }
 
 // attempt sends the request to a server. It returns nil when the request is
@@ -46,29 +50,48 @@
 	x.ended()
 	server, refusal := x.choose()
 	if refusal != nil {
-		if x.state.MayHaveRun {
-			return refusal.WithVerdict(protocol.MayHaveRun).WithStatus(protocol.StatusBadGateway)
-		}
-		return refusal
+		return x.truly(refusal)
 	}
 	x.server = server.ID
-	x.avoid = append(x.avoid, server.ID)
+	if x.onward == nil {
+		x.avoid = append(x.avoid, server.ID) // A moved run may come back to where it was.
+	}
 	conn, err := x.g.pool.Get(server.ID, server.Address, x.deadline)
+	if errors.Is(err, backend.ErrFull) {
+		return x.crowded()
+	}
 	if err != nil {
+		x.g.connected(server, 0, true)
 		x.distrust(server, true)
 		return x.failed(protocol.NotRun, false, "the server cannot be reached: "+err.Error())
 	}
-	if x.workspace != nil && !x.route.Open && !x.g.fresh() {
+	// A moved run was let in when it began, and is the same one.
+	if x.workspace != nil && !x.route.Open && x.onward == nil && !x.g.fresh() {
 		conn.Close()
-		return staleCatalog()
+		return x.truly(staleCatalog())
+	}
+	if !conn.Used() {
+		x.g.connected(server, conn.Took(), false)
 	}
-	x.log.Info().Str("server", server.ID).Str("domain", server.Domain).Int("outstanding", server.Cell.Outstanding()).Bool("placed", x.placed.Server != "").
-		Uint8("lane", uint8(x.lane)).Int("sent", x.state.Sent).Bool("kept", conn.Used()).Int64("left", x.left().Milliseconds()).Msg("attempt")
+	distance := x.g.distance(server)
+	conn.Count(&x.g.meters.distances.bytes[distance])
+	x.g.meters.distances.attempts[distance].Inc(1)
+	x.log.Info().Str("server", server.ID).Str("domain", server.Domain).Str("region", x.g.cfg.Topology.Region(server.Domain)).Stringer("distance", distance).Int("outstanding", server.Cell.Outstanding()).Bool("placed", x.placed.Server != "").
+		Uint8("lane", uint8(x.lane)).Int("sent", x.state.Sent).Bool("kept", conn.Used()).Int64("left", x.left().Milliseconds()).Str("go_on", x.copyName()).Msg("attempt")
 	x.sentTo(server)
 	t := &try{x: x, server: server, conn: conn, began: time.Now()}
 	return t.run()
 }
 
+// truly returns a refusal to send the request, as one of a request that may have run if
+// an earlier attempt may have.
+func (x *exchange) truly(refusal *protocol.Refusal) *protocol.Refusal {
+	if !x.state.MayHaveRun {
+		return refusal
+	}
+	return refusal.WithVerdict(protocol.MayHaveRun).WithStatus(protocol.StatusBadGateway)
+}
+
 // distrust notes a failure that speaks against a server.
 func (x *exchange) distrust(s *place.Server, hard bool) {
 	if s.Cell.Failed(hard, time.Now()) {
@@ -88,6 +111,9 @@
 	if x.gone.Err() != nil {
 		return callerGone().WithVerdict(v)
 	}
+	if x.movedFailed(v) {
+		return errAgain
+	}
 	next, refusal := resend.Next(x.state, resend.FailedMsg{
 		Verdict: v,
 		Reached: reached,
@@ -112,13 +138,14 @@
 	t.server.Cell.Began()
 	t.server.Cell.Reads(x.size)
 	x.takesSlot(t.server.Width())
+	t.takesBytes()
 	stop := context.AfterFunc(x.ctx, t.conn.Close)
 	defer func() {
 		stop()
-		t.hasRead()
-		t.server.Cell.Ended()
-		x.givesBack(time.Since(t.began), t.server.Width())
+		t.leave()
 	}()
+	copyFrom := x.reads(t.server)
+	t.track()
 	x.out.Reset()
 	x.resp.Reset()
 	x.g.dialect.Attempt(x.out, x.in, Attempt{
@@ -126,7 +153,9 @@
 		Workspace: x.workspaceName(),
 		Remaining: max(time.Millisecond, x.left()-backMargin),
 		Priority:  x.priority(),
-		CopyFrom:  x.copyFrom(),
+		CopyFrom:  copyFrom,
+		GoOn:      x.copyName(),
+		Weights:   x.copyWeights(),
 		LastEvent: x.events.last,
 	})
 	early, err := t.conn.Exchange(x.out, x.resp, x.deadline.Add(time.Second))
@@ -138,16 +167,37 @@
 		}
 		err = t.skip()
 	}
+	if err != nil && t.goesOn() {
+		t.conn.Close()
+		return errAgain
+	}
 	if err != nil {
 		return t.lost(err)
 	}
 	return t.answered(stop)
 }
 
+// leave notes once that the server has done with the request: its caller may take the
+// rest of the answer for much longer.
+func (t *try) leave() {
+	if t.left {
+		return
+	}
+	t.left = true
+	t.untrack()
+	t.hasRead()
+	t.server.Cell.Ended()
+	t.x.givesBack(time.Since(t.began), t.server.Width())
+	t.givesBytes()
+}
+
 // hasRead notes once that the server need not read the prompt any more.
 func (t *try) hasRead() {
 	if !t.read {
 		t.read = true
+		if t.running != nil {
+			t.running.begun.Store(true)
+		}
 		t.server.Cell.Read(t.x.size)
 	}
 }
@@ -202,6 +252,7 @@
 		// are lost, only those that a crash catches before they begin did not run.
 		t.x.count()
 	}
+	t.fell(err)
 	t.x.distrust(t.server, false)
 	return t.x.failed(protocol.MayHaveRun, true, "the answer did not come: "+err.Error())
 }
@@ -220,6 +271,14 @@
 	if t.reply.NotRun {
 		return t.turnedAway(stop)
 	}
+	if !x.sameWeights(t.reply.Weights) {
+		t.conn.Close()
+		t.failedAnswer()
+		return x.failed(protocol.MayHaveRun, true, "the server goes on with other weights")
+	}
+	x.movedTaken(status)
+	t.madeBy(t.reply.Weights)
+	x.hasLinks(t.server, true)
 	x.count()
 	if x.route.Kind == protocol.RouteStream && status >= 200 && status < 300 {
 		return t.stream(stop)
@@ -239,7 +298,8 @@
 // turnedAway goes on after a server proved that it did not run the request.
 func (t *try) turnedAway(stop func() bool) *protocol.Refusal {
 	status := t.x.resp.StatusCode()
-	if t.reply.Foreign {
+	t.x.hasLinks(t.server, false)
+	if t.reply.Foreign && t.x.onward == nil { // Of a moved run it may say that the weights are others.
 		t.x.distrust(t.server, true)
 	}
 	body, err := t.conn.Body(t.x.resp)
@@ -253,10 +313,13 @@
 // finish keeps the connection if its answer was read to its end and nothing
 // speaks against it.
 func (t *try) finish(whole bool, stop func() bool) {
+	t.done = whole
+	defer t.leave() // Behind the connection's return, so that the next request finds it.
 	if !whole || t.early || t.extra || t.reply.Close || !stop() {
 		t.conn.Close()
 		return
 	}
+	t.untrack() // From here on the connection may be another request's.
 	t.x.g.pool.Put(t.server.ID, t.conn, t.reply.Keeps)
 }
 
@@ -265,12 +328,13 @@
 func (t *try) whole(stop func() bool) *protocol.Refusal {
 	x, status := t.x, t.x.resp.StatusCode()
 	body, err := t.conn.Body(x.resp)
+	defer x.answer.Free()
 	var data []byte
 	if err == nil {
-		data, err = io.ReadAll(io.LimitReader(body, maxAnswer+1))
+		data, err = x.readWhole(body, x.resp.Header.ContentLength())
 	}
-	if err == nil && len(data) > maxAnswer {
-		err = errTooLarge
+	if errors.Is(err, errNoRoom) {
+		return t.unread()
 	}
 	if err != nil {
 		return t.lost(err)
@@ -284,6 +348,9 @@
 		t.x.trust(t.server)
 		t.observe(t.times(time.Now()))
 	}
+	if x.headed {
+		return x.failed(protocol.MayHaveRun, true, "an answer that had begun got no events any more, but status "+fasthttp.StatusMessage(status))
+	}
 	if promises(status) || t.reply.Encoded || (failure && x.state.Repeatable) {
 		if refusal := x.failed(protocol.MayHaveRun, true, "the server failed with status "+fasthttp.StatusMessage(status)); refusal == errAgain || promises(status) || t.reply.Encoded {
 			return refusal
--- a/transport/forward/forward.go
+++ b/transport/forward/forward.go
@@ -49,6 +49,10 @@
 	QuotaWindow time.Duration // QuotaWindow is the window in which quotas are bounded.
 	UsageWindow time.Duration // UsageWindow is the length of a window of usage reports.
 	UsageDue    time.Duration // UsageDue is how long after a window its report is due.
+	NoCopies    bool          // NoCopies has no server copy shared parts of prompts from another one.
+	MoveAhead   time.Duration // MoveAhead is how long before the end of a leaving server its answers are moved; 0 for as soon as it is known.
+	Connections int           // Connections bounds those to all servers together; 0 sets no bound.
+	Socket      int           // Socket is what the kernel may keep of a server's connection each way, in bytes; 0 leaves it to the kernel.
 }
 
 // Gateway forwards requests.
@@ -66,8 +70,12 @@
 	began     time.Time
 	confirmed atomic.Int64 // confirmed is when the catalog was known to be the newest, since began; 0 for never.
 	gateways  atomic.Int64
+	paths     paths
+	flights   sync.Map    // flights are the bytes at servers, a *flight by service.
 	closed    atomic.Bool // closed refuses new requests: the gateway ends soon.
 
+	moves moves
+
 	mu        sync.Mutex // mu guards all below.
 	allowance *quota.Allowance
 	granted   chan struct{} // granted is closed and replaced when grants arrive.
@@ -76,11 +84,13 @@
 	counter   *usage.Counter
 	clock     *usage.Clock
 	pressure  map[string]*pressure
+	prompts   promptMemory
 	done      []protocol.PlaceDone // done are placed requests whose end is to be reported.
 	listed    []protocol.Instance  // listed are the servers of the last list.
 	rolled    uint64               // rolled is the change of the roll-outs that the gateway keeps to; 0 before the first.
 	rollouts  []protocol.Rollout
 	trials    map[string]*trial // trials are the roll-outs that run, by service.
+	unplaced  []string          // unplaced are domains of servers that have no region though there are several.
 }
 
 // Option changes a new gateway.
@@ -111,7 +121,7 @@
 		cfg:       cfg,
 		dialect:   d,
 		log:       zerolog.Nop(),
-		pool:      backend.NewPool(dialTime),
+		pool:      backend.NewPool(dialTime, backend.WithSocket(cfg.Socket), backend.WithConnections(cfg.Connections)),
 		syncNow:   func() {},
 		place:     func(protocol.PlaceMsg) (protocol.PlaceReply, bool) { return protocol.PlaceReply{}, false },
 		began:     now,
@@ -124,9 +134,12 @@
 		pressure:  map[string]*pressure{},
 	}
 	g.gateways.Store(1)
+	g.paths.trips = topology.NewTrips(cfg.Topology, cfg.Domain)
 	for _, opt := range opts {
 		opt(g)
 	}
+	g.moves.runs, g.moves.leaving, g.moves.weights = map[string]map[*running]struct{}{}, map[string]bool{}, map[string]string{}
+	g.prompts.holders = place.NewHolders(cfg.Topology)
 	if g.meters == nil {
 		g.meters = newMeters(metrics.NewRegistry())
 	}
@@ -162,6 +175,7 @@
 	g.mu.Unlock()
 	g.renewView()
 	view := g.view.Load()
+	g.checkRegions(view)
 	leaving, now := 0, time.Now()
 	for i := range view.Servers {
 		s := &view.Servers[i]
@@ -173,6 +187,7 @@
 		}
 	}
 	g.log.Info().Int("servers", len(view.Servers)).Int("leaving", leaving).Msg("list of servers")
+	g.evacuate(view, now)
 	g.pool.Keep(func(id string) bool {
 		s := view.Find(id)
 		return s != nil && !s.Leaving
@@ -186,7 +201,7 @@
 	list, rollouts := g.listed, g.rollouts
 	g.mu.Unlock()
 	if list != nil {
-		g.view.Store(place.NewView(list, g.view.Load(), place.WithRollouts(rollouts)))
+		g.view.Store(place.NewView(list, g.view.Load(), place.WithRollouts(rollouts), place.WithRegions(g.cfg.Topology)))
 	}
 }
 
--- a/transport/forward/stream.go
+++ b/transport/forward/stream.go
@@ -41,6 +41,9 @@
 func (t *try) relay(whole []byte) *protocol.Refusal {
 	x := t.x
 	t.hasRead()
+	if x.events.bare {
+		t.untrack() // It is not moved.
+	}
 	if err := x.head(); err != nil {
 		t.conn.Close()
 		return callerGone().WithVerdict(protocol.MayHaveRun)
@@ -99,6 +102,10 @@
 func (t *try) streamBroke(err error) *protocol.Refusal {
 	x := t.x
 	x.events.rest = x.events.rest[:0]
+	if t.goesOn() {
+		t.conn.Close()
+		return errAgain
+	}
 	x.g.meters.broken.Inc(1)
 	return t.lost(err)
 }
--- a/transport/replica.go
+++ b/transport/replica.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -87,10 +88,11 @@
 }
 
 func (s *ReplicaSender) run(name string, q chan StepArgs) {
+	way := pipeline{waiting: q, open: make(chan struct{}, openCalls)}
 	for {
 		select {
 		case first := <-q:
-			s.call(name, gather(first, q))
+			s.callFor(name, gather(first, q), &way)
 		case <-s.ctx.Done():
 			return
 		}
@@ -110,10 +112,70 @@
 	return args
 }
 
-func (s *ReplicaSender) call(name string, args StepArgs) {
+// pipelineAfter is how long messages wait for the answer to those before them. Within
+// a region the answer comes by then, and what gathers meanwhile goes in one call. Over
+// long paths it does not, and a message would wait for up to a whole round trip.
+const pipelineAfter = 4 * time.Millisecond
+
+// openCalls is how many calls to one replica may be open: those of a quarter of a
+// second. One that answers nothing gets no more.
+const openCalls = 64
+
+// pipeline is what is under way to one replica.
+type pipeline struct {
+	waiting chan StepArgs
+	open    chan struct{} // open holds the calls that are not answered yet.
+	works   atomic.Bool   // works says that the latest call to end was answered.
+}
+
+// callFor makes a call and waits for its end, or for pipelineAfter where the replica
+// answers: one that does not is dialed by one call at a time. All calls to a replica
+// use one connection, so they seldom overtake each other; where one does, the replica
+// refuses what does not match and is sent it again.
+func (s *ReplicaSender) callFor(name string, args StepArgs, way *pipeline) {
+	way.open <- struct{}{}
+	done := make(chan struct{})
+	go func() {
+		defer func() {
+			<-way.open
+			close(done)
+		}()
+		answered := s.call(name, args)
+		way.works.Store(answered)
+		if !answered {
+			forget(way.waiting)
+		}
+	}()
+	if !way.works.Load() {
+		<-done
+		return
+	}
+	next := time.NewTimer(pipelineAfter)
+	defer next.Stop()
+	select {
+	case <-done:
+	case <-next.C:
+	}
+}
+
+// forget drops what waits for a replica that was not reached. It is sent again in newer
+// messages; when the path is back, rounds of a second ago would hold up those of now,
+// and their answers would look like a long path.
+func forget(q chan StepArgs) {
+	for range len(q) {
+		select {
+		case <-q:
+		default:
+			return
+		}
+	}
+}
+
+// call makes a call and reports whether it was answered.
+func (s *ReplicaSender) call(name string, args StepArgs) bool {
 	address, ok := s.address(name)
 	if !ok {
-		return
+		return false
 	}
 	timeout := stepTimeout
 	for _, m := range args.Messages {
@@ -122,7 +184,7 @@
 		}
 	}
 	var done bool
-	_ = s.links.Call(address, "Group.Step", args, &done, timeout) // Lost messages are sent again.
+	return s.links.Call(address, "Group.Step", args, &done, timeout) == nil // Lost messages are sent again.
 }
 
 // GroupService answers the other instances' calls to this replica.
