replicate, roundtrip: names that say what they are

A newcomer had to read the bodies of abdicate, owe, owesNothing, asks, asked, retime and calmFor. They are stepDownWithoutQuorum, restorePromise, clearPromises, wantPromise, promiseToSend, adaptPromise and minTenure now, and the hand-over's functions say what they do with it. Fields of handover, Place and roundTrips have comments; the comment of void told one of its three causes. Behaviour, messages on the wire and what is on disk stay.

--- a/coordination/group/place.go
+++ b/coordination/group/place.go
@@ -25,13 +25,13 @@
 
 // roundTrips are what the dump tells of the paths between replicas.
 type roundTrips struct {
-	at     time.Duration
-	all    []roundtrip.Trip
-	rounds []roundtrip.Trip
+	at     time.Duration    // at is when they were read.
+	all    []roundtrip.Trip // all are those of pings between any two replicas.
+	rounds []roundtrip.Trip // rounds are those of the leader's rounds.
 }
 
-// lookAtTrips takes the round trips for the dump and the meters.
-func (g *Group) lookAtTrips(now time.Duration) {
+// refreshTrips reads the round trips anew, once each tripsEvery, for the dump and the meters.
+func (g *Group) refreshTrips(now time.Duration) {
 	if now-g.trips.at < tripsEvery && g.trips.at > 0 {
 		return
 	}
--- a/coordination/group/status.go
+++ b/coordination/group/status.go
@@ -45,7 +45,7 @@
 		s.Quiet = max(0, g.timeOfDay().Sub(time.UnixMilli(g.machine.Now())))
 	}
 	now := g.now()
-	g.lookAtTrips(now)
+	g.refreshTrips(now)
 	g.noteElection(&s, now)
 	s.RoundTrips, s.Rounds = g.trips.all, g.trips.rounds
 	s.LeaseEnd = max(0, (s.Lease - now).Milliseconds())
--- a/coordination/replicate/election.go
+++ b/coordination/replicate/election.go
@@ -127,7 +127,7 @@
 // sticky reports whether a leader was heard from so lately that its lease may
 // still run.
 func (r *Replica) sticky() bool {
-	return r.role == Leader || r.now-r.heardAt < r.cfg.Election || r.now < r.owedUntil
+	return r.role == Leader || r.now-r.heardAt < r.cfg.Election || r.now < r.promisedUntil
 }
 
 func (r *Replica) vote(m Message) {
--- a/coordination/replicate/handover.go
+++ b/coordination/replicate/handover.go
@@ -24,10 +24,10 @@
 // handover is what a leader holds that is about to hand over.
 type handover struct {
 	token     uint64
-	to        ID
-	end       time.Duration
-	proposals []ProposeMsg
-	reads     []ReadMsg
+	to        ID            // to is the successor; zero while none is under way.
+	end       time.Duration // end is when the leader gives up.
+	proposals []ProposeMsg  // proposals came meanwhile, and wait.
+	reads     []ReadMsg     // reads came meanwhile, and wait.
 }
 
 func (h *handover) active() bool { return !h.to.IsZero() }
@@ -45,11 +45,11 @@
 	}
 	r.handover = handover{token: m.Token, to: to, end: r.now + handoverTimes*r.timeout()}
 	r.broadcast()
-	r.goOnHandover()
+	r.continueHandover()
 }
 
-// successor returns the voter of a name; for none, the one that answers and lacks the
-// least of the log, and among those the one that is nearest to a quorum.
+// successor returns the voter of a name if it answers; without a name, the best of those
+// that answer.
 func (r *Replica) successor(name string) (ID, bool) {
 	members := r.log.Members()
 	var best ID
@@ -65,6 +65,8 @@
 	return best, !best.IsZero()
 }
 
+// better reports whether a replica is the better successor: one that lacks little of
+// the log before one that lacks more, and then the one that is nearer to a quorum.
 func (r *Replica) better(id, than ID) bool {
 	a, b := r.peers[id], r.peers[than]
 	if lacksA, lacksB := a.match+catchUpSlack < r.log.Last(), b.match+catchUpSlack < r.log.Last(); lacksA != lacksB {
@@ -92,8 +94,8 @@
 	return names
 }
 
-// goOnHandover steps down once the successor has everything, or gives up in the end.
-func (r *Replica) goOnHandover() {
+// continueHandover steps down once the successor has everything, or gives up in the end.
+func (r *Replica) continueHandover() {
 	if r.role != Leader || !r.handover.active() {
 		return
 	}
@@ -101,7 +103,7 @@
 	last := r.log.Last()
 	switch {
 	case p == nil || r.now >= r.handover.end:
-		r.giveUpHandover()
+		r.cancelHandover()
 		return
 	case p.match != last || r.commit != last || len(r.reads) > 0:
 		return
@@ -115,12 +117,12 @@
 	r.do(HandoverCmd{Token: token, To: to})
 }
 
-// giveUpHandover goes on as the leader, with what was held. It moves no sooner than if
+// cancelHandover goes on as the leader, with what was held. It moves no sooner than if
 // it had just begun to lead: each try holds up proposals for handoverTimes.
-func (r *Replica) giveUpHandover() {
+func (r *Replica) cancelHandover() {
 	h := r.handover
 	r.handover = handover{}
-	r.calmFrom, r.place = r.now, roundtrip.Place{}
+	r.leadSince, r.place = r.now, roundtrip.Place{}
 	r.do(HandoverCmd{Token: h.token, Err: ErrBusy})
 	for _, m := range h.proposals {
 		r.propose(m)
@@ -130,8 +132,9 @@
 	}
 }
 
-// endHandover answers what was held when this replica leads no more.
-func (r *Replica) endHandover() {
+// refuseHeld answers what was held during a hand-over as not proposed, once this replica
+// leads no more.
+func (r *Replica) refuseHeld() {
 	h := r.handover
 	r.handover = handover{}
 	if h.active() {
@@ -145,10 +148,10 @@
 	}
 }
 
-// abdicate steps down for want of a quorum's answers. Where the others still hear this
-// replica, as when only the way to it is cut, they would wait out their promises; so
+// stepDownWithoutQuorum steps down since no quorum answers. Where the others still hear
+// this replica, as when only the way to it is cut, they would wait out their promises; so
 // the one that has most of the log, as far as is known, is told to campaign.
-func (r *Replica) abdicate() {
+func (r *Replica) stepDownWithoutQuorum() {
 	var best ID
 	for _, id := range r.peerIDs() {
 		if r.log.Members().IsVoter(id) && (best.IsZero() || r.peers[id].match > r.peers[best].match) {
@@ -171,12 +174,12 @@
 // choosePlace hands over to where a quorum's round trip is clearly less, unless
 // something is under way that had better be finished first.
 func (r *Replica) choosePlace() {
-	if !r.cfg.Wide || r.now < r.placeAt {
+	if !r.cfg.Wide || r.now < r.placeCheckAt {
 		return
 	}
-	r.placeAt = r.now + pingEvery
+	r.placeCheckAt = r.now + pingEvery
 	voters := append(r.others(), r.id.Name)
-	move, ok := r.place.Decide(r.trips, roundtrip.PlaceMsg{Now: r.now, Since: r.calmFrom, Leader: r.id.Name, Voters: voters, Able: r.able})
+	move, ok := r.place.Decide(r.trips, roundtrip.PlaceMsg{Now: r.now, Since: r.leadSince, Leader: r.id.Name, Voters: voters, Able: r.able})
 	if !ok || r.busy || !r.mayChange() {
 		return
 	}
@@ -194,13 +197,14 @@
 	return false
 }
 
-// takeOver campaigns at once, if this replica has what the leader had.
+// takeOver campaigns at once when the leader has handed over, if this replica has what
+// the leader had.
 func (r *Replica) takeOver(m Message) {
 	term, ok := r.log.Term(m.Index)
 	if !slices.Contains(r.log.Members().Voters, r.id) || !ok || term != m.LogTerm || r.role == Leader {
 		return
 	}
 	r.void = m.Term
-	r.owesNothing()
+	r.clearPromises()
 	r.campaign(Candidate)
 }
--- a/coordination/replicate/handover_test.go
+++ b/coordination/replicate/handover_test.go
@@ -194,14 +194,14 @@
 func TestLeaseEndsWithItsQuorum(t *testing.T) {
 	r := replicaOf(idA, HardState{Term: 2})
 	elect(t, r)
-	r.asks = 4 * testConfig.Election
+	r.wantPromise = 4 * testConfig.Election
 	r.broadcast()
-	r.Update(StepMsg{Message: Message{Kind: AppendReply, From: idB, To: idA, Term: r.hard.Term, Index: 1, Round: r.round, Promise: r.asks}, Now: r.now})
+	r.Update(StepMsg{Message: Message{Kind: AppendReply, From: idB, To: idA, Term: r.hard.Term, Index: 1, Round: r.round, Promise: r.wantPromise}, Now: r.now})
 	r.Update(SyncedMsg{Index: 1, Term: r.hard.Term})
 	if r.lease-r.now <= testConfig.Election {
 		t.Fatalf("the lease runs %v only", r.lease-r.now)
 	}
-	r.asks = testConfig.Election
+	r.wantPromise = testConfig.Election
 	idD, idE := ID{Name: "d", Incarnation: 4}, ID{Name: "e", Incarnation: 5}
 	catchUp := func(ids ...ID) {
 		r.broadcast()
--- a/coordination/replicate/leader.go
+++ b/coordination/replicate/leader.go
@@ -13,9 +13,9 @@
 func (r *Replica) becomeLeader() {
 	r.role, r.leader = Leader, r.id
 	r.votes = nil
-	r.calmFrom, r.place = r.now, roundtrip.Place{}
+	r.leadSince, r.place = r.now, roundtrip.Place{}
 	r.peers = map[ID]*progress{}
-	r.asks = max(r.cfg.Election, r.hard.Promise)
+	r.wantPromise = max(r.cfg.Election, r.hard.Promise)
 	r.hard.Led = true // On disk with the entry below.
 	r.do(ElectedCmd{Term: r.hard.Term})
 	// The term begins with an entry of its own. It restates the members, so that
@@ -86,7 +86,7 @@
 func (r *Replica) broadcast() {
 	r.round++
 	r.sent.add(r.round, r.now)
-	r.retime()
+	r.adaptPromise()
 	r.beatAt = r.now + r.cfg.Heartbeat
 	for _, id := range r.peerIDs() {
 		r.sendTo(id, r.peers[id], true)
@@ -106,7 +106,7 @@
 	p.snapshot = 0
 	if _, ok := r.log.Term(p.next - 1); !ok {
 		p.snapshot = r.now
-		r.do(SendSnapshotCmd{To: id, Term: r.hard.Term, Round: r.round, Promise: r.asks})
+		r.do(SendSnapshotCmd{To: id, Term: r.hard.Term, Round: r.round, Promise: r.wantPromise})
 		return
 	}
 	if p.probing {
@@ -149,7 +149,7 @@
 		Entries: entries,
 		Commit:  r.commit,
 		Round:   r.round,
-		Promise: r.asked(),
+		Promise: r.promiseToSend(),
 	}
 	r.do(SendCmd{Message: m})
 }
@@ -160,7 +160,7 @@
 		return
 	}
 	p.heard = r.now
-	r.answered(m, p)
+	r.noteAnswer(m, p)
 	p.inflight = max(0, p.inflight-1)
 	if m.Reject {
 		r.rejected(m, p)
@@ -168,7 +168,7 @@
 		r.matched(m, p)
 	}
 	r.confirm()
-	r.goOnHandover()
+	r.continueHandover()
 }
 
 // rejected goes back to where the logs may match. An answer to an older message
@@ -261,7 +261,7 @@
 	switch r.role {
 	case Leader:
 		r.advance()
-		r.goOnHandover()
+		r.continueHandover()
 	case Candidate:
 		r.votes[r.id] = true
 		r.count()
@@ -275,10 +275,10 @@
 		r.broadcast()
 	}
 	if !r.quorumHeard() {
-		r.abdicate()
+		r.stepDownWithoutQuorum()
 		return
 	}
-	r.goOnHandover()
+	r.continueHandover()
 	if !r.handover.active() {
 		r.reconcile()
 		r.choosePlace()
@@ -289,7 +289,7 @@
 	members := r.log.Members()
 	heard := 0
 	for _, id := range members.Voters {
-		if id == r.id || (r.peers[id] != nil && r.now-r.peers[id].heard < 2*r.asks) {
+		if id == r.id || (r.peers[id] != nil && r.now-r.peers[id].heard < 2*r.wantPromise) {
 			heard++
 		}
 	}
--- a/coordination/replicate/renew.go
+++ b/coordination/replicate/renew.go
@@ -31,7 +31,7 @@
 		return
 	}
 	r.void = r.hard.Term
-	r.owesNothing() // It promised nothing to anybody else.
+	r.clearPromises() // It promised nothing to anybody else.
 	r.electionAt = r.now
 	r.renewUntil = r.now + renewTimes*r.timeout()
 }
@@ -46,6 +46,6 @@
 // release ends the promise to a leader that says that its lease has ended.
 func (r *Replica) release(m Message) {
 	if m.Void != 0 && m.Void >= r.hard.Term && r.role != Leader {
-		r.owesNothing()
+		r.clearPromises()
 	}
 }
--- a/coordination/replicate/replicate.go
+++ b/coordination/replicate/replicate.go
@@ -109,15 +109,15 @@
 
 // progress is what a leader knows of another replica.
 type progress struct {
-	match    uint64        // match is the last index known to be on its disk.
-	next     uint64        // next is the index to send next.
-	probing  bool          // probing says that next is a guess after a refusal.
-	inflight int           // inflight counts messages with entries on the way.
-	heard    time.Duration // heard is when it last answered.
-	round    uint64        // round is the last round that it answered.
-	tripAt   time.Duration // tripAt is when its round trip was observed last.
-	until    time.Duration // until is for how long it elects no other, by this replica's clock, as far as it answered.
-	snapshot time.Duration // snapshot is when a snapshot was sent; 0 if none is on the way.
+	match         uint64        // match is the last index known to be on its disk.
+	next          uint64        // next is the index to send next.
+	probing       bool          // probing says that next is a guess after a refusal.
+	inflight      int           // inflight counts messages with entries on the way.
+	heard         time.Duration // heard is when it last answered.
+	round         uint64        // round is the last round that it answered.
+	tripAt        time.Duration // tripAt is when its round trip was observed last.
+	promisedUntil time.Duration // promisedUntil is until when it elects no other, by this replica's clock, as far as it answered.
+	snapshot      time.Duration // snapshot is when a snapshot was sent; 0 if none is on the way.
 }
 
 // pendingRead waits for a quorum to confirm that this replica still leads.
@@ -139,32 +139,32 @@
 	commit uint64
 	stable uint64 // stable is the last index on this replica's disk.
 
-	now        time.Duration
-	heardAt    time.Duration // heardAt is when a leader was last heard from.
-	owedUntil  time.Duration // owedUntil is the end of the longest promise to a leader.
-	electionAt time.Duration
-	beatAt     time.Duration
-	spread     time.Duration // spread is the random part of the election timeout.
-
-	votes      map[ID]bool
-	peers      map[ID]*progress
-	round      uint64
-	sent       sentRounds
-	place      roundtrip.Place
-	placeAt    time.Duration
-	busy       bool             // busy says that something is under way that a move would break off.
-	calmFrom   time.Duration    // calmFrom is when this replica began to lead, or last failed to hand over.
-	asks       time.Duration    // asks is the promise that this replica asks for as the leader.
-	trips      *roundtrip.Table // trips are those of pings between any two replicas.
-	rounds     *roundtrip.Table // rounds are those of a leader's rounds, with the syncs of the others.
-	pingAt     time.Duration
-	pings      map[ID]time.Duration // pings are those that wait for an answer.
-	handover   handover
-	reads      []pendingRead
-	renewUntil time.Duration // renewUntil is how long a former leader campaigns often.
-	void       uint64        // void is the term that this replica led before it was started anew.
-	lease      time.Duration // lease is until when no other leader can have been elected.
-	broken     bool          // broken says that the disk failed; nothing is promised any more.
+	now           time.Duration
+	heardAt       time.Duration // heardAt is when a leader was last heard from.
+	promisedUntil time.Duration // promisedUntil is the end of the longest promise to a leader.
+	electionAt    time.Duration
+	beatAt        time.Duration
+	spread        time.Duration // spread is the random part of the election timeout.
+
+	votes        map[ID]bool
+	peers        map[ID]*progress
+	round        uint64
+	sent         sentRounds
+	place        roundtrip.Place
+	placeCheckAt time.Duration        // placeCheckAt is when the leader looks for a better place next.
+	busy         bool                 // busy says that something is under way that a move would break off.
+	leadSince    time.Duration        // leadSince is when this replica began to lead, or last failed to hand over.
+	wantPromise  time.Duration        // wantPromise is the promise that this replica asks for as the leader.
+	trips        *roundtrip.Table     // trips are those of pings between any two replicas.
+	rounds       *roundtrip.Table     // rounds are those of a leader's rounds, with the syncs of the others.
+	pingAt       time.Duration        // pingAt is when the other voters are pinged next.
+	pings        map[ID]time.Duration // pings are those that wait for an answer.
+	handover     handover
+	reads        []pendingRead
+	renewUntil   time.Duration // renewUntil is how long a former leader campaigns often.
+	void         uint64        // void is the term whose leader leads no more, as this replica knows: its own before a start or a step down, or that of the leader that handed over.
+	lease        time.Duration // lease is until when no other leader can have been elected.
+	broken       bool          // broken says that the disk failed; nothing is promised any more.
 
 	cmds []Cmd
 }
@@ -189,7 +189,7 @@
 	r.stable = r.log.Last()
 	r.now, r.heardAt = s.Now, s.Now
 	r.trips, r.rounds = roundtrip.New(), roundtrip.New()
-	r.owe()
+	r.restorePromise()
 	r.spread = r.turn()
 	r.electionAt = r.now + r.timeout() + r.spread
 	r.resume()
@@ -281,7 +281,7 @@
 func (r *Replica) stepDown() {
 	r.peers, r.sent = nil, sentRounds{}
 	r.lease = 0
-	r.endHandover()
+	r.refuseHeld()
 	for _, rd := range r.reads {
 		r.do(ReadCmd{Token: rd.token, Err: ErrNotLeader})
 	}
--- a/coordination/replicate/timing.go
+++ b/coordination/replicate/timing.go
@@ -18,7 +18,7 @@
 //
 // Why a lease is safe. A voter that promised P when a message came helps to elect no
 // other before P has passed on its own clock, also if a later message asked for less
-// (owedUntil only grows) and after a restart (the longest promise that may run is on
+// (promisedUntil only grows) and after a restart (the longest promise that may run is on
 // disk before the answer is sent). The message was sent before it came, so by the
 // leader's clock the promise ends after the sending plus P, less what the clocks differ
 // by in P; leaseMargin takes that off. The leader acts until the end that a quorum of
@@ -46,24 +46,24 @@
 // the longest promise of late, which tells how far the replicas are from one another.
 func (r *Replica) timeout() time.Duration {
 	if r.role == Leader {
-		return r.asks
+		return r.wantPromise
 	}
 	return max(r.cfg.Election, r.hard.Promise)
 }
 
-// asked is the promise that a message asks for: none where the voters' own election
+// promiseToSend is the promise that a message asks for: none where the voters' own election
 // timeout will do.
-func (r *Replica) asked() time.Duration {
-	if r.asks <= r.cfg.Election {
+func (r *Replica) promiseToSend() time.Duration {
+	if r.wantPromise <= r.cfg.Election {
 		return 0
 	}
-	return r.asks
+	return r.wantPromise
 }
 
-// retime follows the round trips of a quorum with one voter to spare: the lease must
+// adaptPromise follows the round trips of a quorum with one voter to spare: the lease must
 // outlast a round trip with some heartbeats, and a candidate two round trips, for
 // whether it would be elected and for the votes.
-func (r *Replica) retime() {
+func (r *Replica) adaptPromise() {
 	if !r.cfg.Wide {
 		return
 	}
@@ -73,8 +73,8 @@
 	need := 2*late + leaseBeats*r.cfg.Heartbeat
 	need += need / leaseMargin
 	need = min(max((need+step-1)/step*step, r.cfg.Election), mostPromise*r.cfg.Election)
-	if need > r.asks || need <= r.asks-lowerSteps*step {
-		r.asks = need
+	if need > r.wantPromise || need <= r.wantPromise-lowerSteps*step {
+		r.wantPromise = need
 	}
 }
 
@@ -82,12 +82,12 @@
 // timeout, and returns for how long.
 func (r *Replica) promise(asked time.Duration) time.Duration {
 	p := min(max(asked, r.cfg.Election), mostPromise*r.cfg.Election)
-	r.owedUntil = max(r.owedUntil, r.now+p)
+	r.promisedUntil = max(r.promisedUntil, r.now+p)
 	onDisk := r.hard.Promise
 	switch {
 	case p > max(onDisk, r.cfg.Election):
 		onDisk = p
-	case p < onDisk && r.owedUntil <= r.now+p: // No other that runs ends later.
+	case p < onDisk && r.promisedUntil <= r.now+p: // No other that runs ends later.
 		onDisk = p
 		if p == r.cfg.Election {
 			onDisk = 0
@@ -100,21 +100,21 @@
 	return p
 }
 
-// owe takes up, at a start, the longest promise that the former self may have made.
-func (r *Replica) owe() { r.owedUntil = r.now + r.hard.Promise }
+// restorePromise takes up, at a start, the longest promise that the former self may have made.
+func (r *Replica) restorePromise() { r.promisedUntil = r.now + r.hard.Promise }
 
-// owesNothing ends all promises.
-func (r *Replica) owesNothing() {
-	r.heardAt, r.owedUntil = math.MinInt64/2, math.MinInt64/2
+// clearPromises ends all promises.
+func (r *Replica) clearPromises() {
+	r.heardAt, r.promisedUntil = math.MinInt64/2, math.MinInt64/2
 }
 
-// answered notes for how long a voter that answered a round elects no other, and how
+// noteAnswer notes for how long a voter that answered a round elects no other, and how
 // long the answer took.
-func (r *Replica) answered(m Message, p *progress) {
+func (r *Replica) noteAnswer(m Message, p *progress) {
 	sent, ok := r.sent.at(m.Round)
 	if ok {
 		promise := cmp.Or(m.Promise, r.cfg.Election) // An earlier version tells none.
-		p.until = max(p.until, sent+promise-promise/leaseMargin)
+		p.promisedUntil = max(p.promisedUntil, sent+promise-promise/leaseMargin)
 	}
 	if ok && m.Round > p.round && r.now-p.tripAt >= r.cfg.Heartbeat/2 {
 		// Answers that come in a heap, as from a replica that was frozen, count once.
@@ -131,9 +131,9 @@
 	for _, id := range members.Voters {
 		switch p := r.peers[id]; {
 		case id == r.id:
-			ends = append(ends, r.sent.latest+r.asks-r.asks/leaseMargin)
+			ends = append(ends, r.sent.latest+r.wantPromise-r.wantPromise/leaseMargin)
 		case p != nil:
-			ends = append(ends, p.until)
+			ends = append(ends, p.promisedUntil)
 		default:
 			ends = append(ends, 0)
 		}
--- a/coordination/replicate/wide_test.go
+++ b/coordination/replicate/wide_test.go
@@ -30,7 +30,7 @@
 func (s *sim) estimate() {
 	n := s.draw()
 	if _, leads := n.r.Leads(); leads {
-		n.r.asks = time.Duration(1+s.pick(1000)) * time.Millisecond
+		n.r.wantPromise = time.Duration(1+s.pick(1000)) * time.Millisecond
 	}
 }
 
@@ -101,7 +101,7 @@
 	} {
 		r := replicaOf(idA, HardState{Term: 2})
 		elect(t, r)
-		r.asks = max(tt.asked, testConfig.Election)
+		r.wantPromise = max(tt.asked, testConfig.Election)
 		r.broadcast()
 		r.Update(StepMsg{Message: Message{Kind: AppendReply, From: idB, To: idA, Term: r.hard.Term, Round: r.round, Promise: tt.told}, Now: r.now})
 		if got := r.lease - r.now; got != tt.want {
@@ -348,7 +348,7 @@
 			for range 2000 {
 				w.run(10 * time.Millisecond)
 				if _, leads := n.r.Leads(); !leads || n.r.lease <= w.clock(n) {
-					t.Fatalf("%v, seed %d: the lease of a calm leader ended; promise %v", oneWay, seed, n.r.asks)
+					t.Fatalf("%v, seed %d: the lease of a calm leader ended; promise %v", oneWay, seed, n.r.wantPromise)
 				}
 			}
 			timeout := n.r.timeout()
--- a/coordination/roundtrip/place.go
+++ b/coordination/roundtrip/place.go
@@ -11,13 +11,13 @@
 	// leastPart is the least part of it, so that far replicas are not moved for what
 	// is small against their round trips.
 	leastPart = 0.25
-	// steadyFor is how long the same place must have been better: longer than a burst
+	// betterFor is how long the same place must have been better: longer than a burst
 	// of losses or a full queue lasts.
-	steadyFor = 5 * time.Second
-	// calmFor is the least time in which a leader leads, or goes on behind a move that
+	betterFor = 5 * time.Second
+	// minTenure is the least time in which a leader leads, or goes on behind a move that
 	// failed, before it is moved. It bounds the moves where what is observed goes up and
 	// down, or the better place does not catch up: one in that time.
-	calmFor = 30 * time.Second
+	minTenure = 30 * time.Second
 )
 
 // PlaceMsg asks where the leader is best placed.
@@ -39,11 +39,11 @@
 // Place chooses the leader's place. It holds what it has seen of late, and is for one
 // time of leading.
 type Place struct {
-	better string
-	since  time.Duration
+	better string        // better is the place that was best at the last look; empty for the leader's own.
+	since  time.Duration // since is from when on it has been that one.
 }
 
-// Decide returns where to move, if that gains enough and has for some time.
+// Decide returns where to move, and whether that gains enough now and has for some time.
 func (p *Place) Decide(t *Table, m PlaceMsg) (Move, bool) {
 	move, ok := t.best(m)
 	if !ok || !enough(move) {
@@ -53,9 +53,10 @@
 	if move.To != p.better {
 		p.better, p.since = move.To, m.Now
 	}
-	return move, m.Now-p.since >= steadyFor && m.Now-m.Since >= calmFor
+	return move, m.Now-p.since >= betterFor && m.Now-m.Since >= minTenure
 }
 
+// enough reports whether a move gains what makes it worth a short time without a leader.
 func enough(m Move) bool {
 	gained := m.Before - m.After
 	return gained >= leastGain && float64(gained) >= leastPart*float64(m.Before)
--- a/coordination/roundtrip/roundtrip_test.go
+++ b/coordination/roundtrip/roundtrip_test.go
@@ -85,12 +85,12 @@
 		lead, steady time.Duration
 		want         bool
 	}{
-		"far better":             {80 * ms, 2 * ms, calmFor, steadyFor, true},
-		"not for long yet":       {80 * ms, 2 * ms, calmFor, steadyFor - time.Second, false},
-		"just begun to lead":     {80 * ms, 2 * ms, 0, steadyFor, false},
-		"little in milliseconds": {6 * ms, 2 * ms, calmFor, steadyFor, false},
-		"little in part":         {160 * ms, 130 * ms, calmFor, steadyFor, false},
-		"no better":              {16 * ms, 16 * ms, calmFor, steadyFor, false},
+		"far better":             {80 * ms, 2 * ms, minTenure, betterFor, true},
+		"not for long yet":       {80 * ms, 2 * ms, minTenure, betterFor - time.Second, false},
+		"just begun to lead":     {80 * ms, 2 * ms, 0, betterFor, false},
+		"little in milliseconds": {6 * ms, 2 * ms, minTenure, betterFor, false},
+		"little in part":         {160 * ms, 130 * ms, minTenure, betterFor, false},
+		"no better":              {16 * ms, 16 * ms, minTenure, betterFor, false},
 	} {
 		if got := placed(tt.a, tt.b, tt.lead, tt.steady); got != tt.want {
 			t.Errorf("%s: move %v", name, got)
@@ -100,7 +100,7 @@
 
 // TestPlaceStays checks that moves never follow one another by turns: with round trips
 // that vary by a fifth about true ones, there are no more moves than places get better,
-// and no two within calmFor.
+// and no two within minTenure.
 func TestPlaceStays(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		voters := []string{"a", "b", "c", "d", "e"}[:rapid.SampledFrom([]int{3, 5}).Draw(t, "voters")]
@@ -122,7 +122,7 @@
 			if !ok {
 				continue
 			}
-			if m.To == leader || now-led < calmFor || m.Before-m.After < leastGain {
+			if m.To == leader || now-led < minTenure || m.Before-m.After < leastGain {
 				t.Fatalf("moved from %s to %+v after %v", leader, m, now-led)
 			}
 			leader, led, place = m.To, now, Place{}
