standin, soak: names of what goes wrong at servers, and grounds for constants

Moves, Bears, takes, gives, diesWith, live and saved of the stand-in needed explaining; they are CopyFaults, MaxHeld, addBody, removeBody, abortIfFallen, runningStream and runCopy. Constants of the reclaims have units and grounds. The tests of the soak follow the names alone.

The package standin has no tests of its own.

--- a/internal/soak/move_test.go
+++ b/internal/soak/move_test.go
@@ -26,16 +26,16 @@
 // answer to a stop is lost none is left, and what is cut is cut, not doubled.
 func TestReclaimedServerCutsNothing(t *testing.T) {
 	for name, c := range map[string]struct {
-		moves standin.Moves
+		moves standin.CopyFaults
 		kill  bool // kill has the leader die as a run is moved.
 		cuts  bool // cuts says that streams which cannot be resumed may be cut.
 	}{
 		"all is well":           {},
 		"the leader dies":       {kill: true},
-		"targets are full":      {moves: standin.Moves{Full: 3}},
-		"targets refuse":        {moves: standin.Moves{Refuse: 2}},
-		"answers are lost":      {moves: standin.Moves{Lose: 4}, cuts: true},
-		"everything goes wrong": {moves: standin.Moves{Full: 3, Refuse: 2, Lose: 5}, cuts: true},
+		"targets are full":      {moves: standin.CopyFaults{Full: 3}},
+		"targets refuse":        {moves: standin.CopyFaults{Refuse: 2}},
+		"answers are lost":      {moves: standin.CopyFaults{Lose: 4}, cuts: true},
+		"everything goes wrong": {moves: standin.CopyFaults{Full: 3, Refuse: 2, Lose: 5}, cuts: true},
 	} {
 		t.Run(name, func(t *testing.T) {
 			c0, k, _ := cluster(t, small)
@@ -44,7 +44,7 @@
 			}
 			for _, b := range c0.Backends {
 				b.Pause = movePause
-				b.SetMoves(c.moves)
+				b.SetCopyFaults(c.moves)
 			}
 			var streams sync.WaitGroup
 			for g, address := range c0.Callers() {
--- a/internal/soak/reclaim.go
+++ b/internal/soak/reclaim.go
@@ -10,9 +10,12 @@
 )
 
 const (
-	// reclaimStream makes the draws of reclaimed servers others than those of the plan.
+	// reclaimStream is the second seed of the draws of reclaimed servers (the bytes of
+	// "reclaim"), so that they are other than those of the plan.
 	reclaimStream = 0x7265636c61696d
-	mostReclaim   = 3 * time.Second
+	// mostReclaim is the longest time between two reclaims, beyond leastNotice: some fall
+	// into each run of seconds.
+	mostReclaim = 3 * time.Second
 	// leastNotice is how long ahead a server is known to be taken away, at the least.
 	leastNotice = 400 * time.Millisecond
 	// reclaimPause is between two events where servers are reclaimed: a stream then lasts
@@ -35,7 +38,7 @@
 	return p
 }
 
-// prepare has the servers' streams last long enough to be moved, and copies fail now and
+// prepare, where servers are reclaimed, has their streams last long enough to be moved, and copies fail now and
 // then, where servers are reclaimed.
 func (c *Cluster) prepare(p Plan) {
 	if !p.Reclaims {
@@ -44,7 +47,7 @@
 	for i, b := range c.Backends {
 		b.Pause = reclaimPause
 		if i%2 == 1 {
-			b.SetMoves(standin.Moves{Full: 4, Lose: 9, Refuse: 5})
+			b.SetCopyFaults(standin.CopyFaults{Full: 4, Lose: 9, Refuse: 5})
 		}
 	}
 }
--- a/internal/soak/slow_test.go
+++ b/internal/soak/slow_test.go
@@ -164,7 +164,7 @@
 	const bears, body, callers, asks = 4 << 20, 512 << 10, 40, 15
 	c, k, _ := cluster(t, Size{Controls: 3, Gateways: 1, Backends: 3, MemoryMB: 512})
 	for _, b := range c.Backends {
-		b.Bears, b.Pause, b.ReadPause = bears, 50*time.Millisecond, 0
+		b.MaxHeld, b.Pause, b.ReadPause = bears, 50*time.Millisecond, 0
 	}
 	served(t, c.Callers()[0], "first")
 	for _, b := range c.Backends {
