weldstreamd, weldctl: constants with grounds, comments that say what is done

lastCall and leavePoll of a stopping control instance are callWait and callPoll; printTrips said that it shows what any instance knows, and shows only what one that leads, or knows no leader, does.

--- a/cmd/weldctl/status.go
+++ b/cmd/weldctl/status.go
@@ -18,10 +18,11 @@
 // looks on, and one that is cut off answers nothing.
 const statusTime = 2 * time.Second
 
-const (
-	tripRound = 100 * time.Microsecond // tripRound is what round trips are rounded to: those of a region take a millisecond.
-	percent   = 100
-)
+// tripRound is what round trips are rounded to: those of a region take a millisecond.
+const tripRound = 100 * time.Microsecond
+
+// percent turns a part into percent.
+const percent = 100
 
 // controlView is the part of a control instance's dump that the tables show.
 type controlView struct {
@@ -72,6 +73,7 @@
 	return view, eris.Wrap(json.Unmarshal(body, &view), "read the dump")
 }
 
+// printControls shows a row for each control instance.
 func printControls(e env, views []controlView) {
 	if len(views) == 0 {
 		return
@@ -97,8 +99,8 @@
 	return fmt.Sprintf("%d gateways", r.Gateways)
 }
 
-// printTrips shows the round trips as the leader knows them, or the first instance that
-// knows any.
+// printTrips shows the round trips as the first instance knows them that leads, or that
+// knows of no leader.
 func printTrips(e env, views []controlView) {
 	for i := range views {
 		v := &views[i]
--- a/cmd/weldstreamd/leave.go
+++ b/cmd/weldstreamd/leave.go
@@ -13,9 +13,11 @@
 	// several round trips between far regions, and a small part of what a planned
 	// stop may take.
 	handOverLimit = time.Second
-	// lastCall of that is left for a call to the platform that is under way.
-	lastCall  = 300 * time.Millisecond
-	leavePoll = 5 * time.Millisecond
+	// callWait is the part of handOverLimit in which a call to the platform that is
+	// under way may still end; the hand-over has the rest.
+	callWait = 300 * time.Millisecond
+	// callPoll is between two looks whether it has ended: little against callWait.
+	callPoll = 5 * time.Millisecond
 )
 
 // handOver has a control instance that leads hand leadership over before it ends, and
@@ -27,8 +29,8 @@
 	ctx, cancel := context.WithTimeout(work, handOverLimit)
 	defer cancel()
 	began := time.Now()
-	for c.calls.Busy() && time.Since(began) < lastCall {
-		pause.For(ctx, leavePoll) // A call that goes on is repeated safely: it carries a lower token.
+	for c.calls.Busy() && time.Since(began) < callWait {
+		pause.For(ctx, callPoll) // One that takes longer does no harm: the successor's calls have a higher fencing token.
 	}
 	if err := c.group.HandOver(ctx); err != nil {
 		c.log.Warn().Err(err).Msg("stopping without a successor")
@@ -44,4 +46,5 @@
 	}
 }
 
+// leads reports whether this replica is the leader.
 func (c *controlInstance) leads() bool { return c.group.Status().Role == replicate.Leader.String() }
--- a/cmd/weldstreamd/regions.go
+++ b/cmd/weldstreamd/regions.go
@@ -28,6 +28,7 @@
 	Relay   *control.RelayState `json:"relay,omitempty"`   // Relay is set where there are several regions.
 }
 
+// dump returns the state that /dump shows.
 func (c *controlInstance) dump() any {
 	n, topology := c.settings, c.settings.Topology()
 	d := controlDump{Status: c.group.Status(), Domain: n.Domain, Region: topology.Region(n.Domain)}
