--- a/cmd/weldstreamd/logs_test.go
+++ b/cmd/weldstreamd/logs_test.go
@@ -10,7 +10,7 @@
 
 // logged are the sources of the roles' log lines.
 var logged = []string{
-	"role.go", "gateway.go", "control.go", "leave.go", "../../transport/caller/*.go", "../../transport/forward/*.go", "../../transport/uplink/*.go", "../../transport/control/*.go",
+	"role.go", "gateway.go", "control.go", "leave.go", "regions.go", "../../transport/caller/*.go", "../../transport/forward/*.go", "../../transport/uplink/*.go", "../../transport/control/*.go",
 	"../../coordination/group/*.go", "../../platform/*.go", "../../transport/replica.go", "../../transport/bootstrap.go", "../../transport/links.go", "../../transport/membership.go",
 }
 
