--- a/internal/soak/cluster.go
+++ b/internal/soak/cluster.go
@@ -191,11 +191,11 @@
 	return c.writeSettings(p, i, true)
 }
 
-// slowServer is the pause of the servers that read slowly, a third of them, behind 8 KB
-// of a body: 64 KB take 40 ms.
+// slowServer is the pause after each 8 KB of a body of the servers that read slowly, a
+// third of all: 64 KB take 40 ms.
 const slowServer = 5 * time.Millisecond
 
-// cutUnread is how long servers let a piece of an answer lie unread.
+// cutUnread is how long servers let a piece of an answer lie unread before they cut it.
 const cutUnread = 2 * time.Second
 
 // writeSettings lays a process's settings. Only the first start of all may found.
--- a/internal/soak/region.go
+++ b/internal/soak/region.go
@@ -82,7 +82,8 @@
 	}
 }
 
-// greeted returns the region of the process that a greeting names.
+// greeted returns the region of the process that a greeting names. A name that is only
+// the beginning of a longer one, as gateway-1 of gateway-12, does not count.
 func (p *Paths) greeted(greeting []byte) (region int, ok bool) {
 	for name, region := range p.names {
 		if i := bytes.Index(greeting, []byte(name)); i >= 0 && !continues(greeting[i+len(name):]) {
@@ -119,7 +120,8 @@
 	data []byte
 }
 
-// piecesUnderWay is how many pieces of a direction may be on the way.
+// piecesUnderWay is how many pieces of a direction may be on the way before the reader
+// waits: 4 MB, as each is of 16 KB at the most.
 const piecesUnderWay = 256
 
 // carry passes one direction on, each piece as much later as the regions are apart.
@@ -170,7 +172,7 @@
 	FaultApart                        // FaultApart has two regions lose each other.
 )
 
-// mostCuts is the longest pause between two cuts.
+// mostCuts is the longest pause between two cuts, so that some fall into each run.
 const mostCuts = 4 * time.Second
 
 // drawCuts draws the faults of regions.
@@ -237,7 +239,7 @@
 	}
 }
 
-// makePaths lays the ways between regions.
+// makePaths sets the paths between regions, and which process greets from which.
 func (c *Cluster) makePaths() {
 	if c.Size.Regions < 2 {
 		return
--- a/settings/node.go
+++ b/settings/node.go
@@ -89,7 +89,7 @@
 		faults = append(faults, doc.Fault("memory_mb", fmt.Sprintf("leaves %d bytes for callers (memory.part of it), fewer than %d: raise either, or set the part to 0", held, leastHeld)))
 	}
 	if n.Descriptors > 0 && n.Descriptors < 2*keptDescriptors {
-		faults = append(faults, doc.Fault("descriptors", fmt.Sprintf("are fewer than %d", 2*keptDescriptors)))
+		faults = append(faults, doc.Fault("descriptors", fmt.Sprintf("are fewer than %d: %d are kept for files and links between instances, and callers and servers need as many", 2*keptDescriptors, keptDescriptors)))
 	}
 	return faults
 }
