--- a/coordination/link/link.go
+++ b/coordination/link/link.go
@@ -7,7 +7,7 @@
 // One that fails is passed over for a while. Without one in the region, or without
 // several regions, [Links.Choose] names none, and the gateway asks the leader.
 //
-// All is pure: time comes in with each call.
+// The package reads no clock: the time comes in with each call.
 package link
 
 import (
@@ -21,13 +21,17 @@
 )
 
 const (
-	// toldAway is how long an instance that tells that it cannot answer is passed over
-	// first: about the time in which a relay learns of a new leader.
-	toldAway = 100 * time.Millisecond
-	// silentAway is that for one that is silent, since each try costs an overdue answer.
-	silentAway = time.Second
-	// mostAway is the longest of both; each failure in a row doubles the time.
-	mostAway = 16 * time.Second
+	// refusedBackoff is for how long an instance that says that it cannot answer is passed
+	// over the first time: about the time in which a relay learns of a new leader.
+	refusedBackoff = 100 * time.Millisecond
+	// silentBackoff is the same for one that is silent. It is longer, since each try of such
+	// an instance costs a gateway a whole timeout.
+	silentBackoff = time.Second
+	// maxBackoff bounds both, which double with each failure in a row: an instance that is
+	// back is used again within that time.
+	maxBackoff = 16 * time.Second
+	// maxDoublings keeps the doubled time from running over; maxBackoff is reached before.
+	maxDoublings = 10
 )
 
 // Links are the control instances as one gateway knows them.
@@ -46,8 +50,8 @@
 
 // failure is what is known of an instance that failed.
 type failure struct {
-	inRow int
-	until time.Time
+	inRow int       // inRow is how many times in a row it failed.
+	until time.Time // until is when it may be asked again.
 }
 
 // New returns links of which nothing is known, for a gateway in a failure domain.
@@ -55,7 +59,8 @@
 	return &Links{topology: t, domain: domain, gateway: gateway, failures: map[string]failure{}}
 }
 
-// Near reports whether instances of the own region are asked at all.
+// Near reports whether instances of the own region are asked at all: only where there
+// are several regions. The other methods do nothing otherwise.
 func (l *Links) Near() bool { return l != nil && l.topology.Several() }
 
 // Learn takes the addresses of all control instances and their domains, in one order.
@@ -69,17 +74,18 @@
 	}
 }
 
-// Failed notes that an instance did not answer, or told that it cannot.
+// Failed notes that an instance did not answer in time (silent), or said that it cannot
+// answer. It is passed over for a backoff.
 func (l *Links) Failed(address string, silent bool, now time.Time) {
 	if !l.Near() {
 		return
 	}
 	f := l.failures[address]
-	away := toldAway
+	backoff := refusedBackoff
 	if silent {
-		away = silentAway
+		backoff = silentBackoff
 	}
-	f.until = now.Add(min(mostAway, away<<min(f.inRow, 10)))
+	f.until = now.Add(min(maxBackoff, backoff<<min(f.inRow, maxDoublings)))
 	f.inRow++
 	l.failures[address] = f
 }
@@ -91,7 +97,8 @@
 	}
 }
 
-// Choose returns the instance to ask, or none. The leader may be unknown.
+// Choose returns the address of the instance to ask; empty if there is none in the own
+// region that has not failed lately. The leader's address is empty while it is unknown.
 func (l *Links) Choose(leader string, now time.Time) string {
 	if !l.Near() {
 		return ""
@@ -126,5 +133,6 @@
 	return 2
 }
 
-// draw parts the gateways evenly between instances that are alike.
+// draw is a hash (rendezvous hashing) that spreads the gateways evenly over instances of
+// the same rank.
 func (l *Links) draw(c control) uint64 { return xxhash.Sum64String(l.gateway + " " + c.address) }
--- a/coordination/link/link_test.go
+++ b/coordination/link/link_test.go
@@ -69,14 +69,14 @@
 			for l.Choose("", now.Add(away)) != "at-a1" {
 				away += 10 * time.Millisecond
 			}
-			if away < last || away > mostAway || (away == last && away < mostAway) {
+			if away < last || away > maxBackoff || (away == last && away < maxBackoff) {
 				t.Errorf("silent %v: away for %v after %v", silent, away, last)
 			}
 			now, last = now.Add(away), away
 		}
 		l.Answered("at-a1")
 		l.Failed("at-a1", silent, now)
-		if l.Choose("", now.Add(silentAway)) != "at-a1" {
+		if l.Choose("", now.Add(silentBackoff)) != "at-a1" {
 			t.Errorf("silent %v: an earlier failure counts after an answer", silent)
 		}
 	}
@@ -127,13 +127,13 @@
 	})
 }
 
-// TestPaceFollowsRoundTrips checks that answers at any distance are not overdue once
+// TestAnswerTimeFollowsRoundTrips checks that answers at any distance are not overdue once
 // some were seen, and a missing one is noticed within the slack and a few round trips.
-func TestPaceFollowsRoundTrips(t *testing.T) {
+func TestAnswerTimeFollowsRoundTrips(t *testing.T) {
 	const slack = 100 * time.Millisecond
 	for _, oneWay := range []time.Duration{1, 8, 40, 80} {
 		trip := 2 * oneWay * time.Millisecond
-		var p Pace
+		var p AnswerTime
 		if first := p.Due(slack, 400*time.Millisecond); first != 500*time.Millisecond {
 			t.Errorf("the first answer is overdue after %v", first)
 		}
--- a/transport/control/relay.go
+++ b/transport/control/relay.go
@@ -49,18 +49,18 @@
 	wake   chan struct{} // wake receives that there are questions.
 	meters relayMeters
 
-	mu       sync.Mutex // mu guards all below.
-	waiting  []*question
-	copies   *copies
-	sum      *place.Sum
-	gateways map[string]time.Time // gateways are those in the sum, by when they asked last.
-	batch    uint64               // batch is the latest that was sent.
-	base     uint64               // base is the latest that others may build on; 0 for none.
-	renewed  uint64               // renewed is the latest whose answer the copies follow.
-	underWay int                  // underWay are the batches without an answer yet.
-	asked    string               // asked is the leader that the batch went to.
-	pace     link.Pace
-	cut      bool // cut says that a batch under way is overdue.
+	mu         sync.Mutex // mu guards all below.
+	waiting    []*question
+	copies     *copies
+	sum        *place.Sum
+	gateways   map[string]time.Time // gateways are those in the sum, by when they asked last.
+	batch      uint64               // batch is the latest that was sent.
+	base       uint64               // base is the latest that others may build on; 0 for none.
+	renewed    uint64               // renewed is the latest whose answer the copies follow.
+	underWay   int                  // underWay are the batches without an answer yet.
+	asked      string               // asked is the leader that the batch went to.
+	answerTime link.AnswerTime
+	cut        bool // cut says that a batch under way is overdue.
 }
 
 // question is one of a gateway that waits for its answer.
@@ -267,7 +267,7 @@
 	defer r.mu.Unlock()
 	now := time.Now()
 	if leader != r.asked {
-		r.asked, r.pace = leader, link.Pace{}
+		r.asked, r.answerTime = leader, link.AnswerTime{}
 		r.sum.Lost()
 	}
 	r.batch++
@@ -294,7 +294,7 @@
 	r.underWay++
 	r.meters.batches.Inc(1)
 	r.meters.questions.Inc(int64(len(list)))
-	return m, r.pace.Due(batchSlack, batchFirst)
+	return m, r.answerTime.Due(batchSlack, batchFirst)
 }
 
 // drop forgets a gateway. It needs r.mu.
@@ -345,7 +345,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.cut = false
-	r.pace.Observe(took)
+	r.answerTime.Observe(took)
 	if reply.Resend {
 		r.sum.Lost()
 	}
--- a/transport/uplink/uplink.go
+++ b/transport/uplink/uplink.go
@@ -108,19 +108,19 @@
 	found    chan string // found receives whom they name.
 
 	// The loop's own.
-	target   string
-	silent   string    // silent is a leader that did not answer.
-	silentAt time.Time // silentAt is when.
-	term     uint64
-	lister   uint64
-	version  uint64
-	servers  []protocol.Instance // servers are the list as it was received last.
-	loads    []byte              // loads are those of the listed servers, as they were received last.
-	mark     protocol.LoadMark   // mark names them.
-	gateways int
-	linked   string                // linked is the instance that answered last; empty once it is lost.
-	knows    string                // knows is the leader as it was named last.
-	paces    map[string]*link.Pace // paces are of each instance's answers.
+	target      string
+	silent      string    // silent is a leader that did not answer.
+	silentAt    time.Time // silentAt is when.
+	term        uint64
+	lister      uint64
+	version     uint64
+	servers     []protocol.Instance // servers are the list as it was received last.
+	loads       []byte              // loads are those of the listed servers, as they were received last.
+	mark        protocol.LoadMark   // mark names them.
+	gateways    int
+	linked      string                      // linked is the instance that answered last; empty once it is lost.
+	knows       string                      // knows is the leader as it was named last.
+	answerTimes map[string]*link.AnswerTime // answerTimes are by instance.
 }
 
 // Option changes a new client.
@@ -139,7 +139,7 @@
 // New returns a client that is not running. The seeds are peer addresses; unpack
 // reads a whole list.
 func New(calls Caller, g Gateway, seeds []string, unpack func([]byte) (protocol.ServerList, error), log zerolog.Logger, opts ...Option) *Client {
-	c := &Client{caller: calls, gateway: g, seeds: seeds, unpack: unpack, asking: map[string]bool{}, paces: map[string]*link.Pace{}, found: make(chan string, 1), log: log, life: rand.Uint64(), syncNow: make(chan struct{}, 1)}
+	c := &Client{caller: calls, gateway: g, seeds: seeds, unpack: unpack, asking: map[string]bool{}, answerTimes: map[string]*link.AnswerTime{}, found: make(chan string, 1), log: log, life: rand.Uint64(), syncNow: make(chan struct{}, 1)}
 	for _, opt := range opts {
 		opt(c)
 	}
@@ -278,7 +278,7 @@
 	if got.err != nil {
 		c.silent, c.silentAt = address, time.Now()
 		c.lost(address, got.err.Error())
-		c.pace(address).Miss(firstDue)
+		c.answerTime(address).Miss(firstDue)
 		c.failed(address, true)
 		c.target = got.other
 		return false
@@ -436,7 +436,7 @@
 
 // observe notes how long an answer took.
 func (c *Client) observe(address string, took time.Duration) {
-	c.pace(address).Observe(took)
+	c.answerTime(address).Observe(took)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.links.Answered(address)
@@ -447,14 +447,14 @@
 	if c.links == nil {
 		return answerDue
 	}
-	return c.pace(address).Due(answerDue, firstDue)
+	return c.answerTime(address).Due(answerDue, firstDue)
 }
 
-func (c *Client) pace(address string) *link.Pace {
-	p := c.paces[address]
+func (c *Client) answerTime(address string) *link.AnswerTime {
+	p := c.answerTimes[address]
 	if p == nil {
-		p = &link.Pace{}
-		c.paces[address] = p
+		p = &link.AnswerTime{}
+		c.answerTimes[address] = p
 	}
 	return p
 }
