coordination/place: distrusts, relayOf and avoided instead of voices, home and told

A voice was a distrust under another name, which only the sums of relays used; home is the relay that a gateway asks, and told in Loads was the set of servers to pass over, while told in Sum was what had been sent. The fields of sums say what they count, and TakeRelay says why it adds whole sums anew. SumsMsg is sent as an array, so the bytes on the wire stay the same.

Names and comments only. Run: go vet, go test of coordination/place, transport/control and transport/uplink, all passed.

--- a/coordination/place/loads.go
+++ b/coordination/place/loads.go
@@ -16,8 +16,8 @@
 	distrusts map[string]map[string]int // distrusts count gateways, by server and the gateways' domain.
 	gateways  map[string]GatewayReport
 	relays    map[string]*relayed
-	home      map[string]string          // home are the relays that gateways ask.
-	told      map[string]map[string]bool // told are the servers to pass over by the leader's word, by the gateways' domain; see Told.
+	relayOf   map[string]string          // relayOf names the relay that a gateway asks, by gateway; none for those that ask the leader.
+	avoided   map[string]map[string]bool // avoided are the servers that the leader has a relay's gateways pass over, by their domain; see Told.
 }
 
 // GatewayReport is what one gateway knows of the servers.
@@ -34,7 +34,7 @@
 		distrusts: map[string]map[string]int{},
 		gateways:  map[string]GatewayReport{},
 		relays:    map[string]*relayed{},
-		home:      map[string]string{},
+		relayOf:   map[string]string{},
 	}
 }
 
@@ -47,7 +47,7 @@
 		l.addRunning(r.Server, r.Running)
 	}
 	for _, id := range t.Distrusts {
-		l.addVoices(voiceOf{id, t.Domain}, 1)
+		l.addDistrusts(distrustKey{id, t.Domain}, 1)
 	}
 }
 
@@ -61,21 +61,21 @@
 		l.addRunning(r.Server, -r.Running)
 	}
 	for _, id := range t.Distrusts {
-		l.addVoices(voiceOf{id, t.Domain}, -1)
+		l.addDistrusts(distrustKey{id, t.Domain}, -1)
 	}
 	delete(l.gateways, gateway)
 }
 
-// leastVoices are how many gateways of one domain, or domains with any, have to
+// leastDistrusts are how many gateways of one domain, or domains with any, have to
 // distrust a server before others do.
-const leastVoices = 2
+const leastDistrusts = 2
 
 // Distrusted reports whether the gateways of a domain are to pass a server over.
 // The report of one gateway is never enough, as the fault may be its own; nor is that of
 // another domain alone, which may have lost its path to the server.
 func (l *Loads) Distrusted(server, domain string) bool {
 	domains := l.distrusts[server]
-	return l.told[domain][server] || domains[domain] >= leastVoices || len(domains) >= leastVoices
+	return l.avoided[domain][server] || domains[domain] >= leastDistrusts || len(domains) >= leastDistrusts
 }
 
 // Of returns how many requests a server has.
--- a/coordination/place/relayed.go
+++ b/coordination/place/relayed.go
@@ -29,7 +29,7 @@
 	r := l.relays[m.Relay]
 	if r == nil || m.Whole {
 		l.DropRelay(m.Relay)
-		r = &relayed{sums: sums{running: map[string]int{}, voices: map[voiceOf]int{}, counted: map[string]bool{}}}
+		r = &relayed{sums: sums{running: map[string]int{}, distrusts: map[distrustKey]int{}, counted: map[string]bool{}}}
 		l.relays[m.Relay] = r
 	}
 	before, awayBefore := len(r.counted), r.away
@@ -38,6 +38,8 @@
 	}
 	l.count(m.Relay, r, &m)
 	if awayBefore > 0 || r.away > 0 {
+		// The part of the gateways that still ask there changes with each batch, so the
+		// sums are taken out whole and added again.
 		if awayBefore == 0 {
 			l.addRelayOf(r, -1, before, 0)
 		}
@@ -57,28 +59,28 @@
 	return moved
 }
 
-// count notes which gateways the sums of a relay hold, and who of them asks there.
+// count notes which gateways the sums of a relay hold, and which of them still ask it.
 func (l *Loads) count(relay string, r *relayed, m *RelayMsg) {
 	for _, name := range m.Sums.Gone {
 		delete(r.counted, name)
-		if l.home[name] == relay {
-			delete(l.home, name)
+		if l.relayOf[name] == relay {
+			delete(l.relayOf, name)
 		}
 	}
 	for _, name := range m.Asked {
-		if l.home[name] != relay {
+		if l.relayOf[name] != relay {
 			l.leave(name)
-			l.home[name] = relay
+			l.relayOf[name] = relay
 		}
 		if _, ok := r.counted[name]; ok {
 			r.counted[name] = true
 		}
 	}
 	for _, name := range m.Sums.Counted {
-		if _, direct := l.gateways[name]; !direct && l.home[name] == "" {
-			l.home[name] = relay
+		if _, direct := l.gateways[name]; !direct && l.relayOf[name] == "" {
+			l.relayOf[name] = relay
 		}
-		r.counted[name] = l.home[name] == relay
+		r.counted[name] = l.relayOf[name] == relay
 	}
 	r.away = 0
 	for _, here := range r.counted {
@@ -88,12 +90,13 @@
 	}
 }
 
-// leave notes that a gateway asks elsewhere than before.
+// leave notes that a gateway asks elsewhere than before: what it told without a relay is
+// forgotten, and its part of its relay's sums is taken out.
 func (l *Loads) leave(gateway string) {
 	l.dropDirect(gateway)
-	home := l.home[gateway]
-	delete(l.home, gateway)
-	r := l.relays[home]
+	relay := l.relayOf[gateway]
+	delete(l.relayOf, gateway)
+	r := l.relays[relay]
 	if r == nil || !r.counted[gateway] {
 		return
 	}
@@ -112,22 +115,23 @@
 	l.addRelay(r, -1)
 	delete(l.relays, relay)
 	for name := range r.counted {
-		if l.home[name] == relay {
-			delete(l.home, name)
+		if l.relayOf[name] == relay {
+			delete(l.relayOf, name)
 		}
 	}
 }
 
-// take notes new sums.
+// take notes sums that changed.
 func (r *relayed) take(m protocol.SumsMsg) {
 	for _, s := range m.Running {
 		put(r.running, s.Server, s.Running)
 	}
-	for _, v := range m.Voices {
-		put(r.voices, voiceOf{v.Server, v.Domain}, v.Gateways)
+	for _, v := range m.Distrusts {
+		put(r.distrusts, distrustKey{v.Server, v.Domain}, v.Gateways)
 	}
 }
 
+// put sets a count, or deletes it where that is none.
 func put[K comparable](m map[K]int, k K, n int) {
 	if n <= 0 {
 		delete(m, k)
@@ -142,8 +146,8 @@
 	for _, s := range m.Running {
 		l.addRunning(s.Server, max(0, s.Running)-r.running[s.Server])
 	}
-	for _, v := range m.Voices {
-		l.addVoices(voiceOf{v.Server, v.Domain}, max(0, v.Gateways)-r.voices[voiceOf{v.Server, v.Domain}])
+	for _, v := range m.Distrusts {
+		l.addDistrusts(distrustKey{v.Server, v.Domain}, max(0, v.Gateways)-r.distrusts[distrustKey{v.Server, v.Domain}])
 	}
 	r.take(m)
 }
@@ -151,7 +155,8 @@
 // addRelay adds a relay's part to what all know, or takes it away with -1.
 func (l *Loads) addRelay(r *relayed, sign int) { l.addRelayOf(r, sign, len(r.counted), r.away) }
 
-// addRelayOf does so for a number of gateways in its sums, some of which ask elsewhere.
+// addRelayOf does the same as if counted gateways were in the relay's sums, and away of
+// them asked elsewhere.
 func (l *Loads) addRelayOf(r *relayed, sign, counted, away int) {
 	part := 1.0
 	if counted > 0 {
@@ -160,8 +165,8 @@
 	for server, n := range r.running {
 		l.addRunning(server, sign*int(math.Round(part*float64(n))))
 	}
-	for v, n := range r.voices {
-		l.addVoices(v, sign*int(math.Ceil(part*float64(n))))
+	for v, n := range r.distrusts {
+		l.addDistrusts(v, sign*int(math.Ceil(part*float64(n))))
 	}
 }
 
@@ -169,7 +174,7 @@
 	put(l.totals, server, l.totals[server]+n)
 }
 
-func (l *Loads) addVoices(v voiceOf, n int) {
+func (l *Loads) addDistrusts(v distrustKey, n int) {
 	domains := l.distrusts[v.server]
 	if domains == nil {
 		domains = map[string]int{}
@@ -181,14 +186,14 @@
 	}
 }
 
-// Told takes what the leader tells a relay of all servers: their loads, in the order of
+// Told replaces what is known, at a relay, by what the leader tells of all servers: their loads, in the order of
 // some names, and which of them the gateways of a domain are to pass over, a bit each.
 func (l *Loads) Told(servers []string, loads []byte, distrusted map[string][]byte) {
 	clear(l.totals)
 	for i, n := range loads {
 		put(l.totals, servers[i], int(n))
 	}
-	l.told = make(map[string]map[string]bool, len(distrusted))
+	l.avoided = make(map[string]map[string]bool, len(distrusted))
 	for domain, bits := range distrusted {
 		passed := map[string]bool{}
 		for i, id := range servers {
@@ -196,6 +201,6 @@
 				passed[id] = true
 			}
 		}
-		l.told[domain] = passed
+		l.avoided[domain] = passed
 	}
 }
--- a/coordination/place/relayed_test.go
+++ b/coordination/place/relayed_test.go
@@ -150,11 +150,11 @@
 		if diff := cmp.Diff(f.want(), f.leader.totals); diff != "" {
 			t.Fatal(diff)
 		}
-		voices := NewLoads()
+		direct := NewLoads()
 		for g, r := range f.last {
-			voices.Take(g, r)
+			direct.Take(g, r)
 		}
-		if diff := cmp.Diff(voices.distrusts, f.leader.distrusts); diff != "" {
+		if diff := cmp.Diff(direct.distrusts, f.leader.distrusts); diff != "" {
 			t.Fatal(diff)
 		}
 		f.leader.DropRelay("a")
@@ -162,8 +162,8 @@
 		for _, g := range gateways {
 			f.leader.Drop(g)
 		}
-		if len(f.leader.totals)+len(f.leader.distrusts)+len(f.leader.home) > 0 {
-			t.Fatalf("left behind: %v %v %v", f.leader.totals, f.leader.distrusts, f.leader.home)
+		if len(f.leader.totals)+len(f.leader.distrusts)+len(f.leader.relayOf) > 0 {
+			t.Fatalf("left behind: %v %v %v", f.leader.totals, f.leader.distrusts, f.leader.relayOf)
 		}
 	})
 }
@@ -199,10 +199,10 @@
 	l := NewLoads()
 	l.Told(servers, []byte{2, 0, 9}, map[string][]byte{"d1": {1 << 1}})
 	if l.Of("s1") != 2 || l.Of("s2") != 0 || l.Of("s3") != 9 || !l.Distrusted("s2", "d1") || l.Distrusted("s2", "d2") || l.Distrusted("s1", "d1") {
-		t.Errorf("knows %v, %v", l.totals, l.told)
+		t.Errorf("knows %v, %v", l.totals, l.avoided)
 	}
 	l.Told(servers, []byte{0, 1, 0}, nil)
 	if l.Of("s1") != 0 || l.Of("s2") != 1 || l.Distrusted("s2", "d1") {
-		t.Errorf("then %v, %v", l.totals, l.told)
+		t.Errorf("then %v, %v", l.totals, l.avoided)
 	}
 }
--- a/coordination/place/sum.go
+++ b/coordination/place/sum.go
@@ -13,18 +13,18 @@
 // while they are under way.
 type Sum struct {
 	loads *Loads
-	told  *sums // told are those of the latest batch; nil where the leader may lack them.
+	sent  *sums // sent are those of the latest batch; nil where the leader may lack them.
 }
 
-// sums are the state of a relay's sums.
+// sums are what the gateways of a relay know together.
 type sums struct {
-	running map[string]int
-	voices  map[voiceOf]int
-	counted map[string]bool
+	running   map[string]int      // running are requests under way, by server.
+	distrusts map[distrustKey]int // distrusts count gateways.
+	counted   map[string]bool     // counted are the gateways in the sums; in the leader's, false for one that asks elsewhere by now.
 }
 
-// voiceOf names a distrust.
-type voiceOf struct{ server, domain string }
+// distrustKey says whose distrusts are counted: those of a domain's gateways in a server.
+type distrustKey struct{ server, domain string }
 
 // NewSum returns the sum of no gateways.
 func NewSum() *Sum { return &Sum{loads: NewLoads()} }
@@ -42,19 +42,19 @@
 }
 
 // Changes returns what changed since it was called last, for the next batch, and whether
-// it is all.
+// that is the whole sums, as after Lost.
 func (s *Sum) Changes() (m protocol.SumsMsg, whole bool) {
 	now := s.loads.sums()
-	before := s.told
-	s.told = now
+	before := s.sent
+	s.sent = now
 	if whole = before == nil; whole {
 		before = &sums{}
 	}
 	eachChange(now.running, before.running, func(server string, n int) {
 		m.Running = append(m.Running, protocol.ServerSum{Server: server, Running: n})
 	})
-	eachChange(now.voices, before.voices, func(v voiceOf, n int) {
-		m.Voices = append(m.Voices, protocol.Voice{Server: v.server, Domain: v.domain, Gateways: n})
+	eachChange(now.distrusts, before.distrusts, func(v distrustKey, n int) {
+		m.Distrusts = append(m.Distrusts, protocol.DistrustSum{Server: v.server, Domain: v.domain, Gateways: n})
 	})
 	for _, name := range slices.Sorted(maps.Keys(now.counted)) {
 		if !before.counted[name] {
@@ -67,7 +67,7 @@
 		}
 	}
 	slices.SortFunc(m.Running, func(a, b protocol.ServerSum) int { return cmp.Compare(a.Server, b.Server) })
-	slices.SortFunc(m.Voices, func(a, b protocol.Voice) int {
+	slices.SortFunc(m.Distrusts, func(a, b protocol.DistrustSum) int {
 		return cmp.Or(cmp.Compare(a.Server, b.Server), cmp.Compare(a.Domain, b.Domain))
 	})
 	return m, whole
@@ -87,16 +87,16 @@
 	}
 }
 
-// Lost notes that the leader may have them or not, or another is asked: the next ones
-// are whole.
-func (s *Sum) Lost() { s.told = nil }
+// Lost notes that the leader may lack the sums that were sent last, or that another
+// leader is asked: Changes returns the whole sums next.
+func (s *Sum) Lost() { s.sent = nil }
 
 // sums returns a copy of what the gateways know together.
 func (l *Loads) sums() *sums {
-	s := &sums{running: maps.Clone(l.totals), voices: map[voiceOf]int{}, counted: make(map[string]bool, len(l.gateways))}
+	s := &sums{running: maps.Clone(l.totals), distrusts: map[distrustKey]int{}, counted: make(map[string]bool, len(l.gateways))}
 	for server, domains := range l.distrusts {
 		for domain, n := range domains {
-			s.voices[voiceOf{server, domain}] = n
+			s.distrusts[distrustKey{server, domain}] = n
 		}
 	}
 	for name := range l.gateways {
--- a/protocol/batch.go
+++ b/protocol/batch.go
@@ -41,11 +41,11 @@
 // SumsMsg is what the gateways of a relay know together of the servers: all of it, or
 // what changed.
 type SumsMsg struct {
-	_       struct{}    `cbor:",toarray"`
-	Running []ServerSum // Running are requests under way; 0 where none are left.
-	Voices  []Voice     // Voices are distrusts; 0 gateways where none is left.
-	Counted []string    // Counted are gateways that the sums hold from now on.
-	Gone    []string    // Gone are gateways that they hold no more.
+	_         struct{}      `cbor:",toarray"`
+	Running   []ServerSum   // Running are requests under way; 0 where none are left.
+	Distrusts []DistrustSum // Distrusts count gateways by server and domain; 0 where none is left.
+	Counted   []string      // Counted are gateways that the sums hold from now on.
+	Gone      []string      // Gone are gateways that they hold no more.
 }
 
 // ServerSum is how many requests one server has from the gateways of a relay.
@@ -55,8 +55,8 @@
 	Running int
 }
 
-// Voice is how many gateways of a domain distrust a server.
-type Voice struct {
+// DistrustSum is how many gateways of a domain distrust a server.
+type DistrustSum struct {
 	_        struct{} `cbor:",toarray"`
 	Server   string
 	Domain   string
