Incarnation instead of teller; rows of readings are unpacked in one place

What tells versions of loads and placed requests apart is drawn at each start: the glossary's word for that is incarnation. In the log of readings the same number is whom a row is from. Unpacked and Holders.Told held the same loop over packed rows with the number 4 in each; eachPacked has it once, and the widths have names. LoadMark is sent as an array, so the bytes on the wire stay the same.

--- a/coordination/place/readings.go
+++ b/coordination/place/readings.go
@@ -21,13 +21,15 @@
 type readingRow struct {
 	key    linkKey
 	server string
-	teller uint64 // teller is the instance that passed it on.
+	from   uint64 // from is the incarnation of the instance that passed it on.
 }
 
 const (
-	// readingBytes are those of a packed row: the link's key and the server's place in
-	// the list.
-	readingBytes = 6
+	// keyBytes and placeBytes are those of a link's key and of the server's place in the
+	// list, which make a packed row.
+	keyBytes     = 4
+	placeBytes   = 2
+	readingBytes = keyBytes + placeBytes
 	// readingsKept are the rows for gateways that have not asked for a while: some ten
 	// seconds of 400 requests a second.
 	readingsKept = 4096
@@ -38,10 +40,10 @@
 // NewReadings returns an empty log.
 func NewReadings() *Readings { return &Readings{} }
 
-// Add notes that a server read some links, as an instance tells.
-func (r *Readings) Add(teller uint64, server string, keys []uint32) {
+// Add notes that a server read some links, as the instance of an incarnation tells.
+func (r *Readings) Add(from uint64, server string, keys []uint32) {
 	for _, key := range keys {
-		row := readingRow{key: linkKey(key), server: server, teller: teller}
+		row := readingRow{key: linkKey(key), server: server, from: from}
 		r.rows = append(r.rows, row)
 		r.packed = r.pack(r.packed, row)
 	}
@@ -88,39 +90,44 @@
 	return r.packed[from*readingBytes : len(r.packed) : len(r.packed)], next
 }
 
-// Others returns the rows behind a position that other instances than one passed on,
-// packed, and the position behind them.
-func (r *Readings) Others(position uint64, but uint64) (packed []byte, next uint64) {
+// Others returns the rows behind a position that other instances than one (by its
+// incarnation) passed on, packed, and the position behind them.
+func (r *Readings) Others(position, but uint64) (packed []byte, next uint64) {
 	next = r.first + uint64(len(r.rows))
 	if position > next {
 		position = next // It is of another log.
 	}
 	for _, row := range r.rows[max(position, r.first)-r.first:] {
-		if row.teller != but {
+		if row.from != but {
 			packed = r.pack(packed, row)
 		}
 	}
 	return packed, next
 }
 
-// Unpacked calls a func with each of some packed rows, in whose log the servers stood in
-// an order.
+// Unpacked calls row with the server and the link of each of some packed rows. The order
+// is that of the list by which the rows were packed; rows of servers that are not in it
+// are left out.
 func Unpacked(packed []byte, order []string, row func(server string, key uint32)) {
+	eachPacked(packed, len(order), func(i int, key uint32) { row(order[i], key) })
+}
+
+// eachPacked calls row with the server's place in the list and the link of each packed
+// row whose place is less than a number of servers.
+func eachPacked(packed []byte, servers int, row func(i int, key uint32)) {
 	for ; len(packed) >= readingBytes; packed = packed[readingBytes:] {
 		key := binary.LittleEndian.Uint32(packed)
-		if i := int(binary.LittleEndian.Uint16(packed[4:])); i < len(order) {
-			row(order[i], key)
+		if i := int(binary.LittleEndian.Uint16(packed[keyBytes:])); i < servers {
+			row(i, key)
 		}
 	}
 }
 
-// Told takes packed rows, of a log that packs by the order of a view's servers.
+// Told notes the rows that the leader or a relay tells a gateway, packed by the order of
+// a view's servers. Without a view they are dropped.
 func (h *Holders) Told(v *View, packed []byte, now time.Time) {
-	for ; len(packed) >= readingBytes; packed = packed[readingBytes:] {
-		key := linkKey(binary.LittleEndian.Uint32(packed))
-		if i := int(binary.LittleEndian.Uint16(packed[4:])); v != nil && i < len(v.Servers) {
-			h.note(v.Servers[i].ID, key, now)
-		}
+	if v != nil {
+		eachPacked(packed, len(v.Servers), func(i int, key uint32) { h.note(v.Servers[i].ID, linkKey(key), now) })
 	}
 	h.bound(now)
 }
--- a/coordination/place/vector.go
+++ b/coordination/place/vector.go
@@ -91,11 +91,12 @@
 	return loads, nil
 }
 
-// Renewed returns the loads that one who holds some has with what it is told: all of
-// them, or the changes. Between two marks of one teller without changes nothing but the
-// list of servers changed.
+// Renewed returns the loads that an asker has after an answer: those that it held under
+// the mark from, with the changes, or the whole ones that the answer holds. An answer
+// without changes under another mark is for another list of servers, whose loads are
+// whole, if there are any.
 func Renewed(held []byte, from protocol.LoadMark, whole, changes []byte, to protocol.LoadMark) ([]byte, error) {
-	if len(whole) > 0 || from.Teller != to.Teller || (len(changes) == 0 && from != to) {
+	if len(whole) > 0 || from.Incarnation != to.Incarnation || (len(changes) == 0 && from != to) {
 		return whole, nil
 	}
 	return WithChanges(held, changes)
--- a/protocol/batch.go
+++ b/protocol/batch.go
@@ -2,12 +2,12 @@
 
 import "time"
 
-// LoadMark names a state of the loads of all servers at one instance that tells them.
-// One that holds it is told only what changed since.
+// LoadMark names a version of the loads of all servers, as one instance tells them. An
+// asker that holds that version is told only what changed since.
 type LoadMark struct {
-	_       struct{} `cbor:",toarray"`
-	Teller  uint64   // Teller tells instances, and their starts, apart.
-	Version uint64   // Version rises with each change; 0 for none.
+	_           struct{} `cbor:",toarray"`
+	Incarnation uint64   // Incarnation is drawn at each start of the instance that tells the loads.
+	Version     uint64   // Version rises with each change; 0 for none.
 }
 
 // BatchMsg is what a relay asks the leader for the gateways that ask it. It names the
--- a/transport/control/control_test.go
+++ b/transport/control/control_test.go
@@ -591,7 +591,7 @@
 		return reply
 	}
 	end := func(term, number uint64) {
-		sync1(t, u, protocol.SyncMsg{Gateway: "g", Done: []protocol.PlaceDone{{Term: term, Number: number, Placer: u.teller}}})
+		sync1(t, u, protocol.SyncMsg{Gateway: "g", Done: []protocol.PlaceDone{{Term: term, Number: number, Placer: u.incarnation}}})
 	}
 	first := next()
 	end(first.Term+1, first.Number)
--- a/transport/control/copies.go
+++ b/transport/control/copies.go
@@ -32,10 +32,10 @@
 	readings *place.Readings
 	fresh    []protocol.Reading // fresh are readings that the leader was not told yet.
 
-	teller uint64 // teller tells this relay's versions of loads, and what it placed, from others'.
-	view   *place.View
-	loads  *place.Loads
-	places *place.Ledger
+	incarnation uint64 // incarnation is drawn with each new copies: versions of loads and placed requests go by it.
+	view        *place.View
+	loads       *place.Loads
+	places      *place.Ledger
 
 	topology *topology.Topology
 }
@@ -43,11 +43,11 @@
 func newCopies(t *topology.Topology) *copies {
 	loads := place.NewLoads()
 	return &copies{
-		teller:   rand.Uint64(),
-		loads:    loads,
-		places:   place.NewLedger(loads, place.WithTopology(t)),
-		readings: place.NewReadings(),
-		topology: t,
+		incarnation: rand.Uint64(),
+		loads:       loads,
+		places:      place.NewLedger(loads, place.WithTopology(t)),
+		readings:    place.NewReadings(),
+		topology:    t,
 	}
 }
 
@@ -62,7 +62,7 @@
 func (c *copies) read(rows []protocol.Reading) {
 	now := time.Now()
 	for _, r := range rows {
-		c.readings.Add(c.teller, r.Server, r.Links)
+		c.readings.Add(c.incarnation, r.Server, r.Links)
 		c.places.Told(r.Server, r.Links, now)
 	}
 	c.fresh = append(c.fresh, rows...)
@@ -161,7 +161,7 @@
 	reply.Short, reply.Lanes, reply.Gateways, reply.Clock = c.short, c.lanes, c.gateways, c.clock
 	if c.holds(m) && len(c.vector.Values()) == len(c.order) {
 		reply.Distrusted = bytes.Clone(c.distrusted[m.Domain])
-		tellLoads(&c.vector, protocol.LoadMark{Teller: c.teller, Version: c.vector.Version()}, m.Loads, reply)
+		tellLoads(&c.vector, protocol.LoadMark{Incarnation: c.incarnation, Version: c.vector.Version()}, m.Loads, reply)
 		reply.Readings, reply.ReadingsAt = c.readings.Since(m.ReadingsAt)
 	}
 	reply.Grants, reply.Trials = grantsOf(own), own.Trials
@@ -176,17 +176,17 @@
 	}
 	if placed, ok := c.places.Place(c.view, prompt(m), time.Now()); ok {
 		if len(placed.Fresh) > 0 {
-			c.readings.Add(c.teller, placed.Server, placed.Fresh)
+			c.readings.Add(c.incarnation, placed.Server, placed.Fresh)
 			c.fresh = append(c.fresh, protocol.Reading{Server: placed.Server, Links: placed.Fresh})
 		}
-		reply.Server, reply.Holder, reply.Term, reply.Number, reply.Placer = placed.Server, placed.Holder, c.term, placed.Number, c.teller
+		reply.Server, reply.Holder, reply.Term, reply.Number, reply.Placer = placed.Server, placed.Holder, c.term, placed.Number, c.incarnation
 	}
 }
 
 // done notes the ends of requests that this relay placed.
 func (c *copies) done(ends []protocol.PlaceDone) {
 	for _, d := range ends {
-		if d.Placer == c.teller {
+		if d.Placer == c.incarnation {
 			c.places.Done(place.DoneMsg{Number: d.Number, First: d.First, Took: d.Took})
 		}
 	}
--- a/transport/control/uplink.go
+++ b/transport/control/uplink.go
@@ -31,9 +31,9 @@
 	began time.Time
 	clock *usage.Clock
 	log   zerolog.Logger
-	// teller tells this instance's versions of loads, and the requests that it placed,
-	// from those of others and of its other starts.
-	teller uint64
+	// incarnation is drawn at each start. Versions of loads, and the requests that this
+	// instance placed, go by it, so that those of others and of other starts differ.
+	incarnation uint64
 
 	accepted atomic.Pointer[document] // accepted is the newest document, as it was accepted.
 	arrived  chan struct{}            // arrived receives that there is one.
@@ -148,18 +148,18 @@
 func NewUplink(g Group, peers func() (string, []string), parse func(uint64, []byte) (*protocol.Catalog, error), quotaWindow time.Duration, opts ...UplinkOption) *Uplink {
 	now := time.Now()
 	u := &Uplink{
-		teller:  rand.Uint64(),
-		news:    make(chan struct{}),
-		arrived: make(chan struct{}, 1),
-		group:   g,
-		peers:   peers,
-		parse:   parse,
-		quota:   quotaWindow,
-		began:   now,
-		clock:   usage.NewClock(now),
-		log:     zerolog.Nop(),
-		meters:  newRolloutMeters(metrics.NewRegistry()),
-		quiet:   func() time.Duration { return 0 },
+		incarnation: rand.Uint64(),
+		news:        make(chan struct{}),
+		arrived:     make(chan struct{}, 1),
+		group:       g,
+		peers:       peers,
+		parse:       parse,
+		quota:       quotaWindow,
+		began:       now,
+		clock:       usage.NewClock(now),
+		log:         zerolog.Nop(),
+		meters:      newRolloutMeters(metrics.NewRegistry()),
+		quiet:       func() time.Duration { return 0 },
 	}
 	for _, opt := range opts {
 		opt(u)
@@ -221,9 +221,9 @@
 	now := time.Now()
 	u.enter(term)
 	u.loads.Take(m.Gateway, place.GatewayReport{Domain: m.Domain, Running: m.Running, Distrusts: m.Distrusts})
-	u.takeReadings(u.teller, m.Readings, now)
+	u.takeReadings(u.incarnation, m.Readings, now)
 	for _, d := range m.Done {
-		if d.Term == term && d.Placer == u.teller {
+		if d.Term == term && d.Placer == u.incarnation {
 			u.places.Done(place.DoneMsg{Number: d.Number, First: d.First, Took: d.Took})
 		}
 	}
@@ -251,11 +251,11 @@
 	return nil
 }
 
-// takeReadings notes what servers were given to read, as a gateway or a relay tells:
-// teller is the instance that passes it on. It needs u.mu.
-func (u *Uplink) takeReadings(teller uint64, rows []protocol.Reading, now time.Time) {
+// takeReadings notes what servers were given to read, as a gateway or a relay tells: from
+// is the incarnation of the instance that passes it on. It needs u.mu.
+func (u *Uplink) takeReadings(from uint64, rows []protocol.Reading, now time.Time) {
 	for _, r := range rows {
-		u.readings.Add(teller, r.Server, r.Links)
+		u.readings.Add(from, r.Server, r.Links)
 		u.places.Told(r.Server, r.Links, now)
 	}
 }
@@ -284,7 +284,7 @@
 func tellLoads(v *place.Vector, now, held protocol.LoadMark, reply *protocol.SyncReply) {
 	reply.Loaded = now
 	changes, ok := []byte(nil), false
-	if held.Teller == now.Teller {
+	if held.Incarnation == now.Incarnation {
 		changes, ok = v.Since(held.Version)
 	}
 	if ok {
@@ -309,8 +309,8 @@
 	}
 	placed, ok := u.places.Place(u.view, prompt(&m), time.Now())
 	if ok {
-		u.readings.Add(u.teller, placed.Server, placed.Fresh)
-		reply.Server, reply.Holder, reply.Term, reply.Number, reply.Placer = placed.Server, placed.Holder, term, placed.Number, u.teller
+		u.readings.Add(u.incarnation, placed.Server, placed.Fresh)
+		reply.Server, reply.Holder, reply.Term, reply.Number, reply.Placer = placed.Server, placed.Holder, term, placed.Number, u.incarnation
 	}
 	return nil
 }
@@ -372,7 +372,7 @@
 
 // mark names the loads that answers tell now. It needs u.mu.
 func (u *Uplink) mark() protocol.LoadMark {
-	return protocol.LoadMark{Teller: u.teller, Version: u.vector.Version()}
+	return protocol.LoadMark{Incarnation: u.incarnation, Version: u.vector.Version()}
 }
 
 // distrusted returns the listed servers that the gateways of a domain are to pass
--- a/transport/uplink/relay_test.go
+++ b/transport/uplink/relay_test.go
@@ -146,7 +146,7 @@
 func TestLoadsAsChanges(t *testing.T) {
 	g := &fakeGateway{}
 	c := New(nil, g, nil, unpackIDs, zerolog.Nop())
-	mark := func(version uint64) protocol.LoadMark { return protocol.LoadMark{Teller: 5, Version: version} }
+	mark := func(version uint64) protocol.LoadMark { return protocol.LoadMark{Incarnation: 5, Version: version} }
 	for _, step := range []struct {
 		reply protocol.SyncReply
 		want  string
