transport/control: overdue, exchange and relayRecord; a relay's comments say what happens

cut meant that the leader's answer is late, which is not that the path is cut, and the dump's own words for it are overdue; exchanged was a batch, and exchange the method that sends it; a book held what the leader knows of a relay. Each timeout of a relay has its own comment with unit and reason. renew said that an answer that was overtaken renews nothing, but it renews the document, the sums and the readings. The dump's field cut keeps its name, as weldctl reads it.

Names and comments only.

--- a/transport/control/batch.go
+++ b/transport/control/batch.go
@@ -8,13 +8,13 @@
 	"github.com/weldstream/weldstream/protocol"
 )
 
-// relayBook is what the leader keeps of a relay beside its sums.
-type relayBook struct {
+// relayRecord is what the leader keeps of a relay beside its sums, which are in the loads.
+type relayRecord struct {
 	at    time.Time
 	life  uint64
 	batch uint64 // batch is the latest one whose sums were taken.
-	known uint64 // known is the latest place of others that the relay was told.
-	heard uint64 // heard is up to where it was told of the readings of others.
+	known uint64 // known is the position in placed up to which the relay was told the places of others.
+	heard uint64 // heard is the position in readings up to which it was told those of others.
 }
 
 // Batch answers a relay for the gateways whose questions it gathered. Each gets what
@@ -49,24 +49,24 @@
 // takeSums takes the sums of a relay, if this instance holds what they build on, and
 // asks for the whole if not. It needs u.mu.
 func (u *Uplink) takeSums(m *protocol.BatchMsg, reply *protocol.BatchReply, now time.Time) {
-	book := u.relays[m.Relay]
+	record := u.relays[m.Relay]
 	whole := m.Base == 0
-	if !whole && (book == nil || book.life != m.Life || book.batch != m.Base) {
+	if !whole && (record == nil || record.life != m.Life || record.batch != m.Base) {
 		reply.Resend = true
 		return
 	}
-	if book != nil && book.life == m.Life && m.Batch <= book.batch {
+	if record != nil && record.life == m.Life && m.Batch <= record.batch {
 		reply.Resend = true // It was overtaken by a later one.
 		return
 	}
-	if book == nil {
-		book = &relayBook{}
-		u.relays[m.Relay] = book
+	if record == nil {
+		record = &relayRecord{}
+		u.relays[m.Relay] = record
 	}
-	if book.life != m.Life {
-		book.heard = 0 // It was started anew and knows of none.
+	if record.life != m.Life {
+		record.heard = 0 // It was started anew and knows no readings.
 	}
-	book.at, book.life, book.batch = now, m.Life, m.Batch
+	record.at, record.life, record.batch = now, m.Life, m.Batch
 	asked := make([]string, len(m.Parts))
 	for i := range m.Parts {
 		asked[i] = m.Parts[i].Gateway
@@ -76,8 +76,8 @@
 
 // dropRelays forgets the relays that ask no more. It needs u.mu.
 func (u *Uplink) dropRelays(now time.Time) {
-	for name, book := range u.relays {
-		if now.Sub(book.at) > gatewayKept {
+	for name, record := range u.relays {
+		if now.Sub(record.at) > gatewayKept {
 			delete(u.relays, name)
 			u.loads.DropRelay(name)
 		}
@@ -91,13 +91,13 @@
 	u.placed.Add(m.Relay, m.Placed)
 	u.places.Note(m.Placed, now)
 	u.takeReadings(m.Life, m.Readings, now)
-	book := u.relays[m.Relay]
-	if book == nil {
+	record := u.relays[m.Relay]
+	if record == nil {
 		return
 	}
-	reply.Placed, book.known = u.placed.Since(book.known, m.Relay)
+	reply.Placed, record.known = u.placed.Since(record.known, m.Relay)
 	if reply.Listed || (m.Lister == u.lister && m.Servers == u.version) {
-		reply.Readings, book.heard = u.readings.Others(book.heard, m.Life)
+		reply.Readings, record.heard = u.readings.Others(record.heard, m.Life)
 	}
 }
 
@@ -133,7 +133,8 @@
 	}
 }
 
-// partOf is what is a gateway's own of its question, which waited for a time.
+// partOf returns the part of a gateway's question that is its own. The clock in it is set
+// on by how long the question has waited at the relay.
 func partOf(m *protocol.SyncMsg, waited time.Duration) protocol.BatchPart {
 	p := protocol.BatchPart{Gateway: m.Gateway, Life: m.Life, Domain: m.Domain, Gateways: m.Gateways, Term: m.Term, Trials: m.Trials}
 	if !m.Counted.IsZero() {
@@ -154,7 +155,7 @@
 	return p
 }
 
-// questionOf undoes partOf.
+// questionOf returns the question that a part was made of, without what all share.
 func questionOf(p *protocol.BatchPart) protocol.SyncMsg {
 	m := protocol.SyncMsg{Gateway: p.Gateway, Life: p.Life, Domain: p.Domain, Gateways: p.Gateways, Term: p.Term, Trials: p.Trials}
 	if p.Counted != 0 {
@@ -175,7 +176,7 @@
 	return m
 }
 
-// answerOf is what is a gateway's own of its answer.
+// answerOf returns the part of an answer that is one gateway's own.
 func answerOf(r *protocol.SyncReply) protocol.BatchAnswer {
 	a := protocol.BatchAnswer{Trials: r.Trials}
 	for _, g := range r.Grants {
@@ -184,7 +185,7 @@
 	return a
 }
 
-// grantsOf undoes answerOf.
+// grantsOf returns the grants in the part of an answer that is one gateway's own.
 func grantsOf(a *protocol.BatchAnswer) []protocol.QuotaGrant {
 	var grants []protocol.QuotaGrant
 	for _, g := range a.Grants {
@@ -193,10 +194,12 @@
 	return grants
 }
 
+// packLanes returns a service's terms in single precision, which is enough for estimates.
 func packLanes(service string, t protocol.LaneTerms) protocol.BatchLanes {
 	return protocol.BatchLanes{Service: service, Seen: t.Seen, Mean: float32(t.Mean), Tokens: float32(t.Parts.Tokens), Busy: float32(t.Parts.Work), Short: float32(t.Parts.Short)}
 }
 
+// unpackLanes returns the terms that packLanes packed.
 func unpackLanes(l protocol.BatchLanes) protocol.LaneTerms {
 	return protocol.LaneTerms{Seen: l.Seen, Mean: float64(l.Mean), Parts: protocol.LaneParts{Tokens: float64(l.Tokens), Work: float64(l.Busy), Short: float64(l.Short)}}
 }
--- a/transport/control/copies.go
+++ b/transport/control/copies.go
@@ -26,7 +26,7 @@
 	gateways   int
 	clock      time.Time
 	mark       protocol.LoadMark // mark names the leader's loads that are held.
-	vector     place.Vector      // vector is them, by versions of this relay.
+	vector     place.Vector      // vector is those loads under this relay's own versions, for its gateways.
 	distrusted map[string][]byte
 
 	readings *place.Readings
@@ -51,7 +51,7 @@
 	}
 }
 
-// ask names what is held, for the next batch.
+// ask puts into the next batch what is held here, and what the leader was not told yet.
 func (c *copies) ask(m *protocol.BatchMsg) {
 	m.Lister, m.Servers, m.Rollouts, m.Loads = c.lister, c.version, c.changes, c.mark
 	m.Placed = c.places.Fresh()
@@ -68,8 +68,9 @@
 	c.fresh = append(c.fresh, rows...)
 }
 
-// hear takes readings of others in the leader's answer to a batch. It tells each once:
-// those in an answer that was lost are not missed but as a hint.
+// hear takes the readings of others that are in the leader's answer to a batch. The leader
+// tells each once. Those of a lost answer are not asked for again: they are a hint, without
+// which a prompt's parts are read instead of copied.
 func (c *copies) hear(m *protocol.BatchMsg, r *protocol.BatchReply) {
 	lister, version := m.Lister, m.Servers
 	if r.Listed {
@@ -119,7 +120,7 @@
 // renewList takes the list and the roll-outs, and has the view follow both.
 func (c *copies) renewList(r *protocol.BatchReply) error {
 	news := false
-	held := c.listed && c.lister == r.Lister && c.version == r.Version // held is so by a batch under way beside this one.
+	held := c.listed && c.lister == r.Lister && c.version == r.Version // held says that the answer to another batch brought this version.
 	if r.Listed && !held {
 		list, err := UnpackList(r.List)
 		if err != nil {
--- a/transport/control/relay.go
+++ b/transport/control/relay.go
@@ -20,16 +20,17 @@
 	// between regions, as requests wait for parts of their quotas. With one batch under
 	// way at a time half of them waited 35 ms instead of 25 (8 ms one way).
 	gatherTime = 3 * time.Millisecond
-	// batchSlack is behind what is usual the leader's answer to a batch is overdue,
-	// less than its gateways wait, so that they are told before they give the relay up.
-	// batchFirst is besides for the first one: a connection and a round trip at 80 ms
-	// one way.
+	// batchSlack is how much longer than usual the leader's answer to a batch may take
+	// before it is overdue. It is less than the gateways' own slack (100 ms), so that they
+	// are told before they give the relay up.
 	batchSlack = 60 * time.Millisecond
+	// batchFirst is what the first answer of a leader may take besides: a connection and
+	// a round trip at 80 ms one way.
 	batchFirst = 400 * time.Millisecond
-	// mostBatches are under way at once: a gathering each in a round trip at 12 ms one
-	// way; further away a relay gathers for longer.
+	// mostBatches are under way at once: over a round trip at 12 ms one way, one for each
+	// gatherTime. Further away a relay gathers for longer.
 	mostBatches = 8
-	// batchTime bounds a batch whose answer may hold a whole list.
+	// batchTime is the timeout of the call: the answer to a batch may hold a whole list.
 	batchTime = 1500 * time.Millisecond
 )
 
@@ -38,8 +39,10 @@
 	Call(address, method string, args, reply any, timeout time.Duration) error
 }
 
-// Relay answers the gateways of its region from what the leader vouched for in answer
-// to a batch that was sent behind their questions.
+// Relay answers the gateways of its region. It gathers their questions and sends them to
+// the leader as a batch. It answers each from the leader's answer to a batch that was
+// sent after the question came in, so that what is vouched for is as new as if the
+// gateway had asked the leader.
 type Relay struct {
 	uplink *Uplink
 	caller Caller
@@ -53,14 +56,14 @@
 	waiting    []*question
 	copies     *copies
 	sum        *place.Sum
-	gateways   map[string]time.Time // gateways are those in the sum, by when they asked last.
+	gateways   map[string]time.Time // gateways tells when each gateway in the sum asked last.
 	batch      uint64               // batch is the latest that was sent.
-	base       uint64               // base is the latest that others may build on; 0 for none.
+	base       uint64               // base is the batch that the sums of the next one build on; 0 for none.
 	renewed    uint64               // renewed is the latest whose answer the copies follow.
 	underWay   int                  // underWay are the batches without an answer yet.
-	asked      string               // asked is the leader that the batch went to.
+	asked      string               // asked is the leader that the latest batch went to.
 	answerTime link.AnswerTime
-	cut        bool // cut says that a batch under way is overdue.
+	overdue    bool // overdue says that the leader is late with the answer to a batch, and none came since.
 }
 
 // question is one of a gateway that waits for its answer.
@@ -112,7 +115,7 @@
 	if r := u.relay.Load(); r != nil {
 		r.mu.Lock()
 		defer r.mu.Unlock()
-		if !r.cut {
+		if !r.overdue {
 			r.copies.place(m, reply)
 		}
 	}
@@ -135,7 +138,7 @@
 func (r *Relay) wakeUp() {
 	select {
 	case r.wake <- struct{}{}:
-	default: // It is to look already.
+	default: // Run has not looked since it was woken up last.
 	}
 }
 
@@ -148,7 +151,7 @@
 		case <-r.wake:
 			pause.For(ctx, gatherTime)
 			if b := r.next(); b != nil {
-				exchanges.Go(func() { r.exchange(ctx, b) })
+				exchanges.Go(func() { r.run(ctx, b) })
 			}
 		case <-ctx.Done():
 			r.refuse(r.gathered(), "")
@@ -157,29 +160,29 @@
 	}
 }
 
-// exchanged is a batch with the questions that it is for.
-type exchanged struct {
+// exchange is a batch with the questions that it is for.
+type exchange struct {
 	leader  string
 	m       protocol.BatchMsg
 	list    []*question
-	due     time.Duration // due is when its answer is overdue.
-	changed <-chan struct{}
+	due     time.Duration   // due is the time after which the answer is overdue.
+	changed <-chan struct{} // changed is closed when another leader may be known.
 }
 
 // next returns the next batch to send, if there is one. While the leader's answer is
 // overdue, gateways are told so at once.
-func (r *Relay) next() *exchanged {
-	b := &exchanged{changed: r.uplink.group.Changed()}
+func (r *Relay) next() *exchange {
+	b := &exchange{changed: r.uplink.group.Changed()}
 	b.leader, _ = r.uplink.peers()
 	r.mu.Lock()
-	full, cut := r.underWay >= mostBatches, r.cut
+	full, overdue := r.underWay >= mostBatches, r.overdue
 	r.mu.Unlock()
 	switch {
-	case cut || b.leader == "" || b.leader == r.own:
+	case overdue || b.leader == "" || b.leader == r.own:
 		r.refuse(r.gathered(), b.leader)
 		return nil
 	case full:
-		return nil // It is looked again when one has ended.
+		return nil // The end of a batch wakes Run up again.
 	}
 	if b.list = r.gathered(); len(b.list) == 0 {
 		return nil
@@ -188,7 +191,7 @@
 	return b
 }
 
-// gathered returns the questions that wait, which then do no more.
+// gathered returns the questions that wait, and leaves none.
 func (r *Relay) gathered() []*question {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -204,8 +207,8 @@
 	}
 }
 
-// exchange sends a batch, and answers its questions.
-func (r *Relay) exchange(ctx context.Context, b *exchanged) {
+// run sends a batch, and answers its questions.
+func (r *Relay) run(ctx context.Context, b *exchange) {
 	defer r.wakeUp()
 	defer r.ended()
 	sent := time.Now()
@@ -243,7 +246,7 @@
 	r.underWay--
 }
 
-// call sends a batch. A nil answer is none.
+// call sends a batch. The answer is nil where the call failed.
 func (r *Relay) call(leader string, m protocol.BatchMsg) <-chan *protocol.BatchReply {
 	answers := make(chan *protocol.BatchReply, 1)
 	go func() {
@@ -297,14 +300,14 @@
 	return m, r.answerTime.Due(batchSlack, batchFirst)
 }
 
-// drop forgets a gateway. It needs r.mu.
+// drop forgets a gateway and its part of the sums. It needs r.mu.
 func (r *Relay) drop(name string) {
 	delete(r.gateways, name)
 	r.sum.Drop(name)
 }
 
 // take answers the questions of a batch with the leader's answer, if that counts.
-func (r *Relay) take(b *exchanged, reply *protocol.BatchReply, took time.Duration) {
+func (r *Relay) take(b *exchange, reply *protocol.BatchReply, took time.Duration) {
 	if reply == nil || !reply.Leads {
 		r.lost()
 		next := ""
@@ -331,12 +334,14 @@
 	}
 }
 
-// errOvertaken is returned for an answer of a leader behind that of a later one.
+// errOvertaken is returned for an answer of another term than that of a batch which was
+// sent later and answered first.
 var errOvertaken = eris.New("another leader has answered meanwhile")
 
-// renew has the copies and sums follow the leader's answer. One that was overtaken by
-// that to a later batch renews nothing: what is held is newer.
-func (r *Relay) renew(b *exchanged, reply *protocol.BatchReply, took time.Duration) error {
+// renew has the copies and sums follow the leader's answer. One that comes after the
+// answer to a later batch renews only the document, sums and readings: the rest of what is
+// held is newer.
+func (r *Relay) renew(b *exchange, reply *protocol.BatchReply, took time.Duration) error {
 	if len(reply.Document) > 0 {
 		if err := r.uplink.learn(reply.Number, reply.Document); err != nil {
 			return err
@@ -344,7 +349,7 @@
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.cut = false
+	r.overdue = false
 	r.answerTime.Observe(took)
 	if reply.Resend {
 		r.sum.Lost()
@@ -361,7 +366,8 @@
 	}
 	r.renewed = b.m.Batch
 	if err := r.copies.renew(b.leader, reply); err != nil {
-		// Answers that are under way may be changes of what is dropped here.
+		// Answers to batches under way may hold only changes of what is dropped here: those
+		// are treated as overtaken.
 		r.copies, r.renewed = newCopies(r.uplink.topology), r.batch+1
 		return err
 	}
@@ -369,19 +375,20 @@
 	return nil
 }
 
-// lost notes that the leader may have the sums of a batch under way or not.
+// lost notes that a batch got no answer that counts: whether the leader has its sums is
+// not known, so the next ones are whole.
 func (r *Relay) lost() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.cut = false
+	r.overdue = false
 	r.sum.Lost()
 }
 
-// setOverdue notes that the batch under way is overdue.
+// setOverdue notes that the answer to a batch is overdue.
 func (r *Relay) setOverdue(leader string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.cut = true
+	r.overdue = true
 	r.meters.overdue.Inc(1)
 	r.uplink.log.Warn().Str("leader", leader).Int("gateways", len(r.gateways)).Msg("a relay's batch is overdue")
 }
@@ -407,5 +414,5 @@
 			gateways++
 		}
 	}
-	return RelayState{Leader: r.asked, Term: r.copies.term, Number: r.copies.number, Servers: len(r.copies.servers), Gateways: gateways, Batches: r.batch, Cut: r.cut}
+	return RelayState{Leader: r.asked, Term: r.copies.term, Number: r.copies.number, Servers: len(r.copies.servers), Gateways: gateways, Batches: r.batch, Cut: r.overdue}
 }
--- a/transport/control/relay_test.go
+++ b/transport/control/relay_test.go
@@ -447,7 +447,7 @@
 		u := NewUplink(newFakeGroup(), w.peers, parse, 8*time.Second, WithTopology(twoRegions))
 		r := NewRelay(u, w, "a", "a:7000", metrics.NewRegistry())
 		type underWay struct {
-			b      *exchanged
+			b      *exchange
 			reply  protocol.BatchReply
 			number uint64
 		}
@@ -481,7 +481,7 @@
 			case 2:
 				g.m.Running = []protocol.ServerLoad{{Server: "1", Running: rapid.IntRange(0, 3).Draw(t, "running")}}
 				q := &question{m: g.m, at: time.Now(), answer: make(chan protocol.SyncReply, 1)}
-				x := &underWay{b: &exchanged{leader: leaderAt, list: []*question{q}}, number: number}
+				x := &underWay{b: &exchange{leader: leaderAt, list: []*question{q}}, number: number}
 				x.b.m, _ = r.compose(leaderAt, x.b.list)
 				leader.mu.Lock()
 				leader.common = common{} // As if some time had passed.
--- a/transport/control/size_test.go
+++ b/transport/control/size_test.go
@@ -211,7 +211,7 @@
 	_ = s.leader.Batch(m, &reply)
 	s.traffic.add(s.topology, r.own, "a1", m, false)
 	s.traffic.add(s.topology, "a1", r.own, reply, true)
-	r.take(&exchanged{leader: "a1", m: m, list: list}, &reply, 5*sizeStep)
+	r.take(&exchange{leader: "a1", m: m, list: list}, &reply, 5*sizeStep)
 	for _, q := range list {
 		a := <-q.answer
 		s.traffic.add(s.topology, r.own, q.m.Domain, a, false)
--- a/transport/control/uplink.go
+++ b/transport/control/uplink.go
@@ -64,7 +64,7 @@
 	readings *place.Readings
 	loads    *place.Loads
 	vector   place.Vector // vector is the loads as they were told last.
-	relays   map[string]*relayBook
+	relays   map[string]*relayRecord
 	placed   place.Placements // placed are the places that this instance and its relays gave.
 	common   common
 	rolled   uint64                  // rolled is the change of the roll-outs that the view follows.
@@ -179,7 +179,7 @@
 	u.listed, u.servers, u.history = false, nil, history{}
 	u.loads, u.order, u.common = place.NewLoads(), nil, common{}
 	u.vector.Reset(nil)
-	u.relays, u.placed = map[string]*relayBook{}, place.Placements{}
+	u.relays, u.placed = map[string]*relayRecord{}, place.Placements{}
 	u.view, u.places = nil, place.NewLedger(u.loads, place.WithTopology(u.topology))
 	u.readings = place.NewReadings()
 	u.rolled, u.trials, u.unnamed = 0, nil, map[versionOf]time.Time{}
