place, scale: comments that say what is returned, byRegion and shortfall

Comments began with what a value is not, or with a clause that only made sense beside the one before (as many, the same, does so); the constants name their unit. bySide parted regions, gap was a shortfall, and nth is quickselect. regions said that the planner had looked at the load before; it names the call that it needs.

Names and comments only.

--- a/coordination/place/holders.go
+++ b/coordination/place/holders.go
@@ -35,15 +35,16 @@
 	// to be asked before a nearer one. Between domains a copy takes twice as long, and
 	// the first bytes of one come some milliseconds later between regions.
 	distanceTokens = 256
-	// ageTokens are as many for each second since it read them: what was unused for
-	// longest is what a server drops first.
+	// ageTokens is how many tokens more a holder has to hold for each second that it read
+	// them earlier: what was unused for longest is what a server drops first.
 	ageTokens = 100
-	// readingTime is how long a server is taken to be still reading what it was given
-	// last: a copy made meanwhile lacks the rest. Half of the first events come in that.
+	// readingTime is how long a server is taken to be still reading (prefill) what it was
+	// given last: a copy made meanwhile lacks the rest. Half of all first events come
+	// within that time.
 	readingTime = 150 * time.Millisecond
 	// surelyHeld is how long a server is sure to hold what it read: memory for 500,000
 	// tokens is full of other prompts after some 25 s at 20,000 tokens a second, of which
-	// running requests take a part. Behind that it is told of a later holder; if it still
+	// running requests take a part. After that time it is told of another holder; if it still
 	// holds the parts, nothing is copied.
 	surelyHeld = 8 * time.Second
 )
@@ -52,6 +53,7 @@
 // it cost a question to a server that holds nothing.
 type linkKey uint32
 
+// keyOf returns the key of a link: the front half of its hash.
 func keyOf(link protocol.PromptLink) linkKey { return linkKey(link.Hash >> 32) }
 
 // Holders remembers which servers read which links last. It is a hint: a server may
@@ -64,8 +66,8 @@
 // holding is one server that read a link.
 type holding struct {
 	server string
-	at     time.Time // at is when it was given it last,
-	since  time.Time // and since when it holds it.
+	at     time.Time // at is when it was last given the link to read.
+	since  time.Time // since is when it was given it first, without a pause of prefixKept.
 }
 
 // NewHolders returns holders of which nothing is known.
@@ -85,13 +87,14 @@
 	return fresh
 }
 
+// bound keeps the links within linksMost.
 func (h *Holders) bound(now time.Time) {
 	if len(h.links) > linksMost {
 		h.forget(now)
 	}
 }
 
-// note reports whether the server was not known to hold the link.
+// note notes that a server reads a link, and reports whether it was not known to hold it.
 func (h *Holders) note(server string, key linkKey, now time.Time) (fresh bool) {
 	rows := h.links[key]
 	oldest := 0
@@ -128,6 +131,7 @@
 	}
 }
 
+// recent reports whether some server read a link after a time.
 func recent(rows []holding, since time.Time) bool {
 	for _, r := range rows {
 		if r.at.After(since) {
--- a/coordination/place/near.go
+++ b/coordination/place/near.go
@@ -7,17 +7,18 @@
 )
 
 const (
-	// nearLoad is how much fuller a server of the own domain may be and still be
-	// taken before one of another.
+	// nearLoad is how much fuller, in parts of its slots, a server of the own domain may be
+	// and still be taken before one of another.
 	nearLoad = 0.12
 	// farLoad is the same for servers of the own region before those of others: a
 	// near server has room for one more until its load is 1, and one far away is
 	// seldom without any.
 	farLoad = 0.6
-	// leaveAfter servers of the own region that failed a request, it goes to another one:
-	// routes have three attempts as a rule, and a region that is cut off would take all of
-	// them. Those that turned it away for their load do not count: on days that lose domains
-	// of each region in turn that was worth 0.008 less in the mean of three.
+	// leaveAfter is after how many servers of the own region that failed a request it goes to
+	// another region: routes have three attempts as a rule, and a region that is cut off would
+	// take all of them. Servers that turned it away for their load do not count: with these
+	// counted, days that lose domains of each region in turn were worth 0.008 less in the
+	// mean of three.
 	leaveAfter = 2
 )
 
@@ -26,16 +27,17 @@
 // within a twentieth, so the simpler ones are kept.
 var distanceLoad = [...]float64{topology.SameDomain: 0, topology.SameRegion: nearLoad, topology.OtherRegion: farLoad}
 
-// nearest keeps the rows of the own region, or those of the others if these typically
-// have farLoad less to do, or room after leaveAfter failures in the own one: callers who share a prompt meet within a region before they
-// meet across, and further servers are taken before a near one is late. Within a region
-// the domain does not count here: what prompts that are read once in each domain cost
-// was as much as the bytes that they saved.
+// nearest returns the rows of the own region, or those of the others if these typically
+// have farLoad less to do, or if they typically have room and leaveAfter servers of the
+// own one failed the request. So callers who share a prompt meet within a region before
+// they meet across, and further servers are taken before a near one is late. Domains of
+// one region are not told apart here: reading shared prompts once in each domain cost as
+// much as the bytes that it saved.
 func nearest(v *View, rows []row, m ChooseMsg) []row {
 	if !v.topology.Several() {
 		return rows
 	}
-	near, far := v.bySide(rows, m.Domain)
+	near, far := v.byRegion(rows, m.Domain)
 	others := typical(far)
 	if others+farLoad < typical(near) || (others < fullLoad && v.leaves(m)) {
 		return far
@@ -43,8 +45,8 @@
 	return near
 }
 
-// leaves reports whether a request is to leave its region after the servers there that
-// it was sent to before and that are passed over since.
+// leaves reports whether a request is to leave its region: whether leaveAfter servers there
+// that it was sent to before are suspect.
 func (v *View) leaves(m ChooseMsg) bool {
 	failed := 0
 	for _, id := range m.Avoid {
@@ -56,8 +58,8 @@
 	return failed >= leaveAfter
 }
 
-// bySide parts the rows of the own region from those of others.
-func (v *View) bySide(rows []row, domain string) (near, far []row) {
+// byRegion parts the rows of the own region from those of others, which come in reverse.
+func (v *View) byRegion(rows []row, domain string) (near, far []row) {
 	from, parted := v.topology.Location(domain), make([]row, len(rows))
 	first, last := 0, len(rows)
 	for _, r := range rows {
@@ -72,9 +74,9 @@
 	return parted[:first], parted[first:]
 }
 
-// typical returns the median load; of no servers, that is without bound. The lightest
-// would not do: servers that no shared prompt calls home have next to nothing while all
-// others are full, and of a region that was cut off the last server would have to be
+// typical returns the median load, or infinity where there are no servers. The least load
+// would not do: servers that no shared prompt ranks first have next to nothing to do while
+// all others are full, and of a region that was cut off the last server would have to be
 // tried before requests went across.
 func typical(rows []row) float64 {
 	if len(rows) == 0 {
@@ -87,8 +89,8 @@
 	return nth(fills, (len(fills)-1)/2)
 }
 
-// nth returns the value that would be at an index if a list were sorted, and reorders the
-// list. It saves a choice among servers of different loads the sorting of the list.
+// nth returns the value that would be at an index if a list were sorted (quickselect), and
+// reorders the list. Each choice of a server needs two medians, and sorting takes longer.
 func nth(list []float64, index int) float64 {
 	for from, to := 0, len(list)-1; from < to; {
 		pivot, i, j := list[(from+to)/2], from, to
--- a/coordination/place/placements.go
+++ b/coordination/place/placements.go
@@ -12,11 +12,11 @@
 // tokens read again, and 27 in 1,000 fewer requests in time (three regions, 65 gateways,
 // 60 engines, one day of the same load).
 
-// mostFresh is how many places are kept for the others; a relay's batches leave several
-// times a second.
+// mostFresh is how many places an instance keeps for the others between two batches, which
+// a relay sends several times a second.
 const mostFresh = 256
 
-// noteFresh keeps a place for the others.
+// noteFresh keeps a place until the other instances are told of it.
 func (l *Ledger) noteFresh(p Placed, m PromptMsg) {
 	st := l.placed[p.Number]
 	l.fresh = append(l.fresh, protocol.Placement{Server: p.Server, Prefix: m.Prefix, Tokens: st.tokens})
@@ -32,8 +32,8 @@
 	return fresh
 }
 
-// Note takes places that another instance gave. Their ends are not told: once read,
-// a request counts by the server's load alone.
+// Note takes places that another instance gave. It is not told when their requests end:
+// once its prompt is read, such a request counts by the server's load alone.
 func (l *Ledger) Note(rows []protocol.Placement, now time.Time) {
 	for _, r := range rows {
 		b := l.book(r.Server)
--- a/coordination/scale/regions.go
+++ b/coordination/scale/regions.go
@@ -18,9 +18,9 @@
 	// reclaimablePart is what a reclaimable server costs as a part of the full price:
 	// platforms ask for 0.1 to 0.4.
 	reclaimablePart = 0.2
-	// lostPart is the part of the time in which some domain is without its servers, an
-	// estimate: ten domains a day that lack them for some minutes come to less. With 0.5
-	// the made loads of the tests get the same layouts at acrossPart.
+	// lostPart is the part of the time in which some domain is without its servers. It is
+	// an estimate on the safe side: ten domains a day that lack them for some minutes come
+	// to less. With 0.5 the layouts of the tests are the same at acrossPart.
 	lostPart = 0.1
 )
 
@@ -30,17 +30,17 @@
 // WithTopology sets where the failure domains lie; without it they all are near.
 func WithTopology(t *topology.Topology) PlannerOption { return func(p *Planner) { p.topology = t } }
 
-// regions are how a service's load and its failure domains lie.
+// regions holds what is needed to lay out one service's servers over several regions.
 type regions struct {
 	topology *topology.Topology
 	parts    map[string]float64 // parts are of the load, by the callers' region.
-	across   float64            // across is acrossPart, in servers at the full price.
+	across   float64            // across is what a server's worth of requests to another region costs, in servers at the full price.
 	spec     *protocol.ScalingSpec
 	domains  []domainState
 }
 
-// regions returns how a service's load lies, or nil where that does not matter. The
-// planner has looked at the load before.
+// regions returns how a service's load lies, or nil without several regions or without
+// load. It needs the service's entry in p.loads, which need makes.
 func (p *Planner) regions(s *Service, domains []domainState, now time.Time) *regions {
 	sum := 0.0
 	for _, work := range s.Regions {
@@ -88,7 +88,7 @@
 	return best
 }
 
-// remaining is how many servers of a layout are left without its fullest domains. One
+// remaining returns how many servers of a layout are left without its fullest domains. One
 // domain at the least is not lost.
 func remaining(layout []int) int {
 	return sum(layout) - fullest(layout, min(lostDomains, len(layout)-1))
@@ -110,7 +110,7 @@
 	return layout
 }
 
-// size is how many domains a region has.
+// size returns how many domains a region has.
 func (r *regions) size(region string) int {
 	n := 0
 	for _, d := range r.domains {
@@ -121,7 +121,7 @@
 	return n
 }
 
-// cost is what a layout costs a second: its servers, and what goes across while nothing
+// cost returns what a layout costs a second, in the unit of the domains' prices: its servers, and what goes across while nothing
 // and while any one domain is lost.
 func (r *regions) cost(layout []int, need int) float64 {
 	servers, price := 0.0, 0.0
@@ -138,7 +138,7 @@
 	return reclaimablePart*servers + r.across*price*((1-lostPart)*r.crossing(layout, need)+lostPart*lost)
 }
 
-// crossing is how many servers' worth of requests a layout sends to other regions.
+// crossing returns how many servers' worth of requests a layout sends to other regions.
 func (r *regions) crossing(layout []int, need int) float64 {
 	short := 0.0
 	for region, part := range r.parts {
@@ -179,7 +179,7 @@
 	for ; added > 0; added-- {
 		i := r.next(placed, total)
 		if i < 0 {
-			return want // There is no room: targets knows no better either.
+			return want // No domain has room: the layout without regions is as good.
 		}
 		placed[i]++
 	}
@@ -197,7 +197,7 @@
 		if d.reclaimable+placed[i] >= r.spec.Max {
 			continue
 		}
-		cost := d.price - r.across*price*r.gap(r.topology.Region(d.name), placed, total)
+		cost := d.price - r.across*price*r.shortfall(r.topology.Region(d.name), placed, total)
 		if best < 0 || cost < least {
 			best, least = i, cost
 		}
@@ -205,9 +205,9 @@
 	return best
 }
 
-// gap is which part of the next server a region is short of, if all servers were laid
-// out by need.
-func (r *regions) gap(region string, placed []int, total float64) float64 {
+// shortfall returns which part of one more server, from 0 to 1, a region lacks beside what
+// it would have if all servers were laid out by need.
+func (r *regions) shortfall(region string, placed []int, total float64) float64 {
 	have := float64(r.sum(region, placed))
 	for _, d := range r.domains {
 		if r.topology.Region(d.name) == region {
