uplink: the log names the control role where a relay may be meant; names and comments

"link to the leader lost" was also logged for a relay, whose address stood in the field leader: an on-call engineer would have looked at the leader. A replica's pipeline is p, and answers in it says that the replica does.

Behaviour is as before but for that line.

--- a/transport/replica.go
+++ b/transport/replica.go
@@ -88,11 +88,11 @@
 }
 
 func (s *ReplicaSender) run(name string, q chan StepArgs) {
-	way := pipeline{waiting: q, open: make(chan struct{}, openCalls)}
+	p := pipeline{waiting: q, open: make(chan struct{}, openCalls)}
 	for {
 		select {
 		case first := <-q:
-			s.callFor(name, gather(first, q), &way)
+			s.callFor(name, gather(first, q), &p)
 		case <-s.ctx.Done():
 			return
 		}
@@ -117,36 +117,36 @@
 // long paths it does not, and a message would wait for up to a whole round trip.
 const pipelineAfter = 4 * time.Millisecond
 
-// openCalls is how many calls to one replica may be open: those of a quarter of a
-// second. One that answers nothing gets no more.
+// openCalls is how many calls to one replica may be open: those of a quarter of a second
+// at one each pipelineAfter. A replica that answers none of them gets no more.
 const openCalls = 64
 
-// pipeline is what is under way to one replica.
+// pipeline is what waits for, and is under way to, one replica.
 type pipeline struct {
 	waiting chan StepArgs
 	open    chan struct{} // open holds the calls that are not answered yet.
-	works   atomic.Bool   // works says that the latest call to end was answered.
+	answers atomic.Bool   // answers says that the latest call to end was answered.
 }
 
 // callFor makes a call and waits for its end, or for pipelineAfter where the replica
-// answers: one that does not is dialed by one call at a time. All calls to a replica
+// answered the call before. One that did not gets one call at a time. All calls to a replica
 // use one connection, so they seldom overtake each other; where one does, the replica
 // refuses what does not match and is sent it again.
-func (s *ReplicaSender) callFor(name string, args StepArgs, way *pipeline) {
-	way.open <- struct{}{}
+func (s *ReplicaSender) callFor(name string, args StepArgs, p *pipeline) {
+	p.open <- struct{}{}
 	done := make(chan struct{})
 	go func() {
 		defer func() {
-			<-way.open
+			<-p.open
 			close(done)
 		}()
 		answered := s.call(name, args)
-		way.works.Store(answered)
+		p.answers.Store(answered)
 		if !answered {
-			forget(way.waiting)
+			forget(p.waiting)
 		}
 	}()
-	if !way.works.Load() {
+	if !p.answers.Load() {
 		<-done
 		return
 	}
--- a/transport/uplink/uplink.go
+++ b/transport/uplink/uplink.go
@@ -72,10 +72,12 @@
 	// leader that lost its power sends no reset, and waiting for callTime instead left
 	// 295 gateways without quotas for 0.6 to 0.9 s after its successor stood.
 	//
-	// Where domains lie in several regions, it is how long behind what was usual of late.
+	// Where domains lie in several regions, it is how much longer an answer may take than
+	// the instance's answers took of late; see [link.AnswerTime].
 	answerDue = 100 * time.Millisecond
-	// firstDue is besides for the first answer of an instance in such a case: with
-	// answerDue the two round trips that a relay may take at 80 ms one way.
+	// firstDue is what the first answer of an instance may take besides, where there are
+	// several regions: with answerDue it is the two round trips, at 80 ms one way, that an
+	// answer through a relay may take.
 	firstDue = 220 * time.Millisecond
 	// searchPause is between two rounds of questions while no leader is known, for
 	// those that could not be reached.
@@ -119,7 +121,7 @@
 	mark        protocol.LoadMark   // mark names them.
 	gateways    int
 	linked      string                      // linked is the instance that answered last; empty once it is lost.
-	knows       string                      // knows is the leader as it was named last.
+	named       string                      // named is the leader's address as an answer named it last; it may be a relay's word.
 	answerTimes map[string]*link.AnswerTime // answerTimes are by instance.
 }
 
@@ -139,7 +141,18 @@
 // New returns a client that is not running. The seeds are peer addresses; unpack
 // reads a whole list.
 func New(calls Caller, g Gateway, seeds []string, unpack func([]byte) (protocol.ServerList, error), log zerolog.Logger, opts ...Option) *Client {
-	c := &Client{caller: calls, gateway: g, seeds: seeds, unpack: unpack, asking: map[string]bool{}, answerTimes: map[string]*link.AnswerTime{}, found: make(chan string, 1), log: log, life: rand.Uint64(), syncNow: make(chan struct{}, 1)}
+	c := &Client{
+		caller:      calls,
+		gateway:     g,
+		unpack:      unpack,
+		log:         log,
+		life:        rand.Uint64(),
+		syncNow:     make(chan struct{}, 1),
+		seeds:       seeds,
+		asking:      map[string]bool{},
+		found:       make(chan string, 1),
+		answerTimes: map[string]*link.AnswerTime{},
+	}
 	for _, opt := range opts {
 		opt(c)
 	}
@@ -284,7 +297,7 @@
 		return false
 	}
 	c.learn(got.reply.Controls, got.reply.Domains)
-	c.knows = got.reply.Leader
+	c.named = got.reply.Leader
 	if !got.reply.Leads {
 		c.lost(address, "does not lead")
 		c.failed(address, false)
@@ -403,7 +416,8 @@
 	c.log.Info().Str("leader", address).Uint64("term", reply.Term).Uint64("number", reply.Number).Int("gateways", reply.Gateways).Msg("linked to the leader")
 }
 
-// share hands the loads of all servers on, if they are of the list that is held.
+// share hands the loads of all servers on to the gateway, if the answer has those of the
+// list that is held. Where they cannot be read, all are asked for next.
 func (c *Client) share(reply *protocol.SyncReply) error {
 	if reply.Listed || (len(reply.Loads) == 0 && reply.Loaded.Version == 0) {
 		return nil
@@ -420,14 +434,15 @@
 	return nil
 }
 
-// near returns the instance of the own region to ask, or none.
+// near returns the address of the instance of the own region to ask; empty for none.
 func (c *Client) near() string {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.links.Choose(c.knows, time.Now())
+	return c.links.Choose(c.named, time.Now())
 }
 
-// failed has an instance of the own region passed over for a while.
+// failed has an instance of the own region passed over for a backoff; silent says that it
+// did not answer in time.
 func (c *Client) failed(address string, silent bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -442,7 +457,7 @@
 	c.links.Answered(address)
 }
 
-// due returns when an instance's answer is overdue.
+// due returns the timeout after which an instance's answer is overdue.
 func (c *Client) due(address string) time.Duration {
 	if c.links == nil {
 		return answerDue
@@ -450,6 +465,7 @@
 	return c.answerTime(address).Due(answerDue, firstDue)
 }
 
+// answerTime returns how long an instance's answers take.
 func (c *Client) answerTime(address string) *link.AnswerTime {
 	p := c.answerTimes[address]
 	if p == nil {
@@ -469,10 +485,10 @@
 	return c.servers, nil
 }
 
-// lost forgets the leader that did not answer as one.
+// lost forgets the instance, the leader or a relay, that did not answer as it should.
 func (c *Client) lost(address, reason string) {
 	if c.linked != "" {
-		c.log.Warn().Str("leader", address).Str("reason", reason).Msg("link to the leader lost")
+		c.log.Warn().Str("instance", address).Str("reason", reason).Msg("link to the control role lost")
 	}
 	c.linked, c.target = "", ""
 	c.lead("")
