--- a/coordination/topology/trips.go
+++ b/coordination/topology/trips.go
@@ -6,16 +6,16 @@
 )
 
 const (
-	// slowerWeight is the weight of an observation that is longer than what is known: a
-	// connect waits for a busy server, too, and that is not the path's.
+	// slowerWeight is the weight of an observation that is longer than the mean so far. It is
+	// small, since a connect also waits for a busy server, and that is not the path's time.
 	slowerWeight = 0.02
-	// fasterWeight is that of a shorter one, which is nearer the path's own time.
+	// fasterWeight is the weight of a shorter one, which is nearer the path's own time.
 	fasterWeight = 0.2
-	// tripsLeast observations of a domain are needed before it is judged.
+	// tripsLeast is how many observations of a domain are needed before it is judged.
 	tripsLeast = 10
-	// furtherFactor is how many times as long as to another region the round trip to a
-	// near domain is before it contradicts the settings: means of connects vary by some
-	// tenths, an estimate.
+	// furtherFactor is by how many times the round trip to a near domain has to exceed the
+	// one to another region before it contradicts the settings: means of connects vary by
+	// some tenths (an estimate).
 	furtherFactor = 1.5
 )
 
@@ -29,10 +29,10 @@
 
 // trip is what was observed of the way to one domain.
 type trip struct {
-	time    time.Duration
-	seen    int
-	lost    int
-	further bool // further says that it contradicts the settings.
+	time    time.Duration // time is the mean round trip, weighted.
+	seen    int           // seen are connects that were made.
+	lost    int           // lost are connects that failed.
+	further bool          // further says that it contradicts the settings.
 }
 
 // NewTrips returns trips from a domain of which none was observed yet.
@@ -40,6 +40,7 @@
 	return &Trips{topology: t, own: own, domains: map[string]*trip{}}
 }
 
+// domain returns what was observed of a domain.
 func (t *Trips) domain(name string) *trip {
 	d := t.domains[name]
 	if d == nil {
--- a/transport/control/copies.go
+++ b/transport/control/copies.go
@@ -58,7 +58,8 @@
 	m.Readings, c.fresh = c.fresh, nil
 }
 
-// read takes readings that one of the relay's gateways tells.
+// read takes readings that one of the relay's gateways tells, and keeps them for the next
+// batch.
 func (c *copies) read(rows []protocol.Reading) {
 	now := time.Now()
 	for _, r := range rows {
@@ -180,7 +181,7 @@
 			c.readings.Add(c.incarnation, placed.Server, placed.Fresh)
 			c.fresh = append(c.fresh, protocol.Reading{Server: placed.Server, Links: placed.Fresh})
 		}
-		reply.Server, reply.Holder, reply.Term, reply.Number, reply.Placer = placed.Server, placed.Holder, c.term, placed.Number, c.incarnation
+		*reply = placeReply(&placed, c.term, c.incarnation)
 	}
 }
 
--- a/transport/control/regions.go
+++ b/transport/control/regions.go
@@ -2,7 +2,8 @@
 
 import "github.com/weldstream/weldstream/coordination/scale"
 
-// from notes in which region a gateway's work arises.
+// from returns the load with work by a gateway of a region added to that region's. It adds
+// nothing to Work.
 func (l Load) from(region string, work float64) Load {
 	if region == "" {
 		return l
--- a/transport/control/report.go
+++ b/transport/control/report.go
@@ -9,23 +9,24 @@
 )
 
 const (
-	// settleShare of the time until a report is due is left for counts to come in from
-	// gateways that are frozen or cut off. With 0.45 windows in which gateways were frozen
+	// settleShare is the part of the time until a report is due that is left for counts to
+	// come in from gateways that are frozen or cut off. With 0.45 windows in which gateways were frozen
 	// for four seconds were off by up to 34 in 100; the rest is enough for two calls to a
 	// silent platform.
 	settleShare = 0.7
 	// windowsBack is how many windows behind a leader looks for one that is not
 	// reported yet.
 	windowsBack = 6
-	dutyRetry   = 400 * time.Millisecond
+	// dutyRetry is the pause before a report that failed is sent again.
+	dutyRetry = 400 * time.Millisecond
 )
 
 // reports are what a leader has sent of the usage, by window.
 type reports struct {
 	term   uint64
-	done   map[int64]bool // done are the windows whose reports were taken in this term.
-	retry  map[int64]time.Time
-	logged map[int64]bool // logged are those of which a log line tells that gateways are missing.
+	done   map[int64]bool      // done are the windows whose reports were taken in this term.
+	retry  map[int64]time.Time // retry tells when reports that failed are sent again.
+	logged map[int64]bool      // logged are those of which a log line tells that gateways are missing.
 }
 
 // newReports returns the reports of a term in which none was sent.
@@ -95,6 +96,8 @@
 	return whole
 }
 
+// reportWindow settles the counts of a window in the log and sends its report, and reports
+// whether that is done, here or by an earlier holder of the duties.
 func (d *Duties) reportWindow(ctx context.Context, window int64) bool {
 	limit, cancel := context.WithTimeout(ctx, callTime)
 	defer cancel()
--- a/transport/control/uplink.go
+++ b/transport/control/uplink.go
@@ -260,8 +260,8 @@
 	}
 }
 
-// answerOwn takes what is a gateway's own of its question, and answers that. It needs
-// u.mu.
+// answerOwn takes the part of a gateway's question that is its own, whether it came from
+// the gateway or in a relay's batch, and answers it. It needs u.mu.
 func (u *Uplink) answerOwn(m *protocol.SyncMsg, reply *protocol.SyncReply, now time.Time) {
 	g := &gateway{at: now, domain: m.Domain, pressure: m.Pressure}
 	if !m.Clock.IsZero() {
@@ -279,8 +279,8 @@
 	}
 }
 
-// tellLoads tells the loads of all servers, or what changed since the asker was told
-// last.
+// tellLoads puts the loads of all servers into an answer, or what changed since those that
+// the asker holds, where that is known and shorter. The mark now names those of v.
 func tellLoads(v *place.Vector, now, held protocol.LoadMark, reply *protocol.SyncReply) {
 	reply.Loaded = now
 	changes, ok := []byte(nil), false
@@ -310,12 +310,18 @@
 	placed, ok := u.places.Place(u.view, prompt(&m), time.Now())
 	if ok {
 		u.readings.Add(u.incarnation, placed.Server, placed.Fresh)
-		reply.Server, reply.Holder, reply.Term, reply.Number, reply.Placer = placed.Server, placed.Holder, term, placed.Number, u.incarnation
+		*reply = placeReply(&placed, term, u.incarnation)
 	}
 	return nil
 }
 
-// prompt is a question for a place as the ledger takes it.
+// placeReply returns the answer to a gateway for whose long prompt a server was found, by
+// the placer of an incarnation.
+func placeReply(p *place.Placed, term, placer uint64) protocol.PlaceReply {
+	return protocol.PlaceReply{Server: p.Server, Holder: p.Holder, Term: term, Number: p.Number, Placer: placer}
+}
+
+// prompt returns a gateway's question for a place as the ledger takes it.
 func prompt(m *protocol.PlaceMsg) place.PromptMsg {
 	return place.PromptMsg{
 		Service: m.Service,
@@ -370,7 +376,7 @@
 	u.agreed(now)
 }
 
-// mark names the loads that answers tell now. It needs u.mu.
+// mark returns the mark of the loads that answers tell now. It needs u.mu.
 func (u *Uplink) mark() protocol.LoadMark {
 	return protocol.LoadMark{Incarnation: u.incarnation, Version: u.vector.Version()}
 }
--- a/transport/distance.go
+++ b/transport/distance.go
@@ -10,9 +10,9 @@
 	"github.com/weldstream/weldstream/coordination/topology"
 )
 
-// distances count the bytes between this instance and others by how far those are:
-// bytes between regions are dearer than others. The greeting of a link tells the
-// failure domain; what went before that is not counted.
+// distances count the bytes between this instance and others by their distance, since
+// bytes between regions are dearer than others. The other side's failure domain comes
+// with the greeting of a connection; the bytes up to then are not counted.
 type distances struct {
 	topology *topology.Topology
 	domain   string
