place: one name for each of three methods Told; comments of lanes, limits and averages

TestToldLoads is TestReplacedLoads, unchanged otherwise. The parameter but is except.

Names and comments only.

--- a/coordination/place/holders.go
+++ b/coordination/place/holders.go
@@ -195,10 +195,10 @@
 	return holder, tokens
 }
 
-// source returns the server that one is to copy the shared parts of a prompt from, or
-// none. A holder of all of them is known already; where the prompt names its links, the
-// best one is found anew for the server that was chosen, and one that holds a part is
-// better than none.
+// source returns the server from which the chosen server, at, is to copy the shared parts
+// of a prompt; empty for none. The given holder has read all of them, and is kept where the
+// prompt does not name its links. Where it does, the best holder for the chosen server is
+// looked for, also among those that hold some of the parts.
 func (l *Ledger) source(v *View, at *Server, holder string, m PromptMsg, now time.Time) string {
 	if m.Copies <= 0 || len(m.Chain) == 0 {
 		return holder
@@ -212,8 +212,8 @@
 	return found
 }
 
-// Told notes links that a server read for a gateway which placed the prompt by itself.
-func (l *Ledger) Told(server string, links []uint32, now time.Time) {
+// NoteRead notes links that a server read for a gateway which placed the prompt by itself.
+func (l *Ledger) NoteRead(server string, links []uint32, now time.Time) {
 	for _, key := range links {
 		l.holders.note(server, linkKey(key), now)
 	}
--- a/coordination/place/lane.go
+++ b/coordination/place/lane.go
@@ -150,13 +150,13 @@
 	return atLeastOne(longPart(p, servers), servers)
 }
 
-// longPart is the part of some servers that is for long prompts.
+// longPart returns the part of some servers that is for long prompts, from 0 to 1.
 func longPart(p protocol.LaneParts, servers int) float64 {
 	share := min(p.Tokens, 1-p.Short/shortFill/float64(servers))
 	return max(share, min(p.Tokens, p.Work))
 }
 
-// atLeastOne is a part of some servers that leaves one to either lane.
+// atLeastOne returns how many servers a part of them is, with one left to either lane.
 func atLeastOne(part float64, servers int) int {
 	return min(servers-1, max(1, int(part*float64(servers)+0.5)))
 }
--- a/coordination/place/loads.go
+++ b/coordination/place/loads.go
@@ -17,7 +17,7 @@
 	gateways  map[string]GatewayReport
 	relays    map[string]*relayed
 	relayOf   map[string]string          // relayOf names the relay that a gateway asks, by gateway; none for those that ask the leader.
-	avoided   map[string]map[string]bool // avoided are the servers that the leader has a relay's gateways pass over, by their domain; see Told.
+	avoided   map[string]map[string]bool // avoided are the servers that the leader has a relay's gateways pass over, by their domain; see Replace.
 }
 
 // GatewayReport is what one gateway knows of the servers.
--- a/coordination/place/place.go
+++ b/coordination/place/place.go
@@ -262,8 +262,8 @@
 	return best.index
 }
 
-// prefixLimit is the load up to which a server takes prompts for their shared parts.
-// Where further servers stand by, none is filled up for that.
+// prefixLimit returns the load up to which a server takes prompts for their shared parts.
+// Where there are other regions, that leaves room for one request more.
 func (v *View) prefixLimit(rows []row, width float64) float64 {
 	sum, n := 0.0, 0
 	for _, r := range rows {
--- a/coordination/place/placements.go
+++ b/coordination/place/placements.go
@@ -74,13 +74,13 @@
 
 // Since returns what others than one instance placed behind a number that it was told,
 // and the number to name next. A number that was never told counts as none.
-func (p *Placements) Since(number uint64, but string) (rows []protocol.Placement, latest uint64) {
+func (p *Placements) Since(number uint64, except string) (rows []protocol.Placement, latest uint64) {
 	first := p.latest - uint64(len(p.rows))
 	if number > p.latest {
 		number = 0
 	}
 	for i := max(number, first); i < p.latest; i++ {
-		if r := p.rows[i-first]; r.placer != but {
+		if r := p.rows[i-first]; r.placer != except {
 			rows = append(rows, r.Placement)
 		}
 	}
--- a/coordination/place/readings.go
+++ b/coordination/place/readings.go
@@ -92,13 +92,13 @@
 
 // Others returns the rows behind a position that other instances than one (by its
 // incarnation) passed on, packed, and the position behind them.
-func (r *Readings) Others(position, but uint64) (packed []byte, next uint64) {
+func (r *Readings) Others(position, except uint64) (packed []byte, next uint64) {
 	next = r.first + uint64(len(r.rows))
 	if position > next {
 		position = next // It is of another log.
 	}
 	for _, row := range r.rows[max(position, r.first)-r.first:] {
-		if row.from != but {
+		if row.from != except {
 			packed = r.pack(packed, row)
 		}
 	}
@@ -123,9 +123,9 @@
 	}
 }
 
-// Told notes the rows that the leader or a relay tells a gateway, packed by the order of
+// TakePacked notes the rows that the leader or a relay tells a gateway, packed by the order of
 // a view's servers. Without a view they are dropped.
-func (h *Holders) Told(v *View, packed []byte, now time.Time) {
+func (h *Holders) TakePacked(v *View, packed []byte, now time.Time) {
 	if v != nil {
 		eachPacked(packed, len(v.Servers), func(i int, key uint32) { h.note(v.Servers[i].ID, linkKey(key), now) })
 	}
--- a/coordination/place/relayed.go
+++ b/coordination/place/relayed.go
@@ -186,9 +186,9 @@
 	}
 }
 
-// Told replaces what is known, at a relay, by what the leader tells of all servers: their loads, in the order of
+// Replace replaces what is known, at a relay, by what the leader tells of all servers: their loads, in the order of
 // some names, and which of them the gateways of a domain are to pass over, a bit each.
-func (l *Loads) Told(servers []string, loads []byte, distrusted map[string][]byte) {
+func (l *Loads) Replace(servers []string, loads []byte, distrusted map[string][]byte) {
 	clear(l.totals)
 	for i, n := range loads {
 		put(l.totals, servers[i], int(n))
--- a/coordination/place/relayed_test.go
+++ b/coordination/place/relayed_test.go
@@ -194,14 +194,14 @@
 	}
 }
 
-// TestToldLoads checks that a relay's ledger goes by what the leader tells of all.
-func TestToldLoads(t *testing.T) {
+// TestReplacedLoads checks that a relay's ledger goes by what the leader tells of all.
+func TestReplacedLoads(t *testing.T) {
 	l := NewLoads()
-	l.Told(servers, []byte{2, 0, 9}, map[string][]byte{"d1": {1 << 1}})
+	l.Replace(servers, []byte{2, 0, 9}, map[string][]byte{"d1": {1 << 1}})
 	if l.Of("s1") != 2 || l.Of("s2") != 0 || l.Of("s3") != 9 || !l.Distrusted("s2", "d1") || l.Distrusted("s2", "d2") || l.Distrusted("s1", "d1") {
 		t.Errorf("knows %v, %v", l.totals, l.avoided)
 	}
-	l.Told(servers, []byte{0, 1, 0}, nil)
+	l.Replace(servers, []byte{0, 1, 0}, nil)
 	if l.Of("s1") != 0 || l.Of("s2") != 1 || l.Distrusted("s2", "d1") {
 		t.Errorf("then %v, %v", l.totals, l.avoided)
 	}
--- a/coordination/scale/load.go
+++ b/coordination/scale/load.go
@@ -16,9 +16,9 @@
 	// bound what comes of it.
 	growBy, shrinkBy        = 1.08, 0.994
 	leastFactor, mostFactor = 0.6, 1.8
-	// partsMemory is the time over which the regions' parts of the load are averaged:
-	// reports are of a second, of some hundred requests, whose parts vary by a few
-	// hundredths, and each turn of a layout starts servers that the next one ends. Half of
+	// partsMemory is the time over which the regions' parts of the load are averaged: the
+	// parts of the some hundred requests of one second vary by a few hundredths, and each
+	// change of a layout starts servers that the next change ends. It is half of
 	// sinceMemory, for which a peak counts.
 	partsMemory = sinceMemory / 2
 )
@@ -33,8 +33,8 @@
 	factor float64 // factor corrects the first guess of the need.
 
 	parts      map[string]float64 // parts are of the load by region, in the mean of late.
-	partsAt    time.Time
-	partsSince time.Time
+	partsAt    time.Time          // partsAt is when parts were renewed last.
+	partsSince time.Time          // partsSince is when the first ones came.
 }
 
 func newLoad(s *Service, now time.Time) *load {
@@ -70,8 +70,8 @@
 	}
 }
 
-// meanParts returns the regions' parts of the load in the mean of late. The first ones
-// weigh no more than those behind them.
+// meanParts returns the regions' parts of the load, averaged over partsMemory, or over the
+// time since the first ones while that is shorter.
 func (l *load) meanParts(parts map[string]float64, now time.Time) map[string]float64 {
 	if l.parts == nil {
 		l.parts, l.partsAt, l.partsSince = maps.Clone(parts), now, now
--- a/protocol/batch.go
+++ b/protocol/batch.go
@@ -20,7 +20,7 @@
 	Batch    uint64 // Batch rises with each batch of a life.
 	Base     uint64 // Base is the batch that the sums build on; 0 where they are whole.
 	Number   uint64 // Number is the document that the relay holds.
-	Lister   uint64 // Lister and Servers tell which list it holds.
+	Lister   uint64 // Lister and Servers are the term and the version of the list that it holds.
 	Servers  uint64
 	Rollouts uint64   // Rollouts is the change of the roll-outs that it holds.
 	Loads    LoadMark // Loads are the loads that it holds.
@@ -107,7 +107,7 @@
 	BatchLanes
 }
 
-// BatchLanes are ServiceLanes likewise.
+// BatchLanes are ServiceLanes without the names of the fields, of single precision.
 type BatchLanes struct {
 	Service string
 	Seen    int
@@ -128,7 +128,7 @@
 	Document    []byte // Document is set when the relay's is older.
 	Lister      uint64
 	Version     uint64
-	Listed      bool
+	Listed      bool // Listed says that List is set: the relay's list is older.
 	List        []byte
 	Gateways    int
 	Clock       int64 // Clock is in nanoseconds since 1970.
@@ -137,7 +137,7 @@
 	Rollouts    []Rollout
 	Changes     uint64
 	Loads       LoadMark          // Loads names the loads that the relay holds with this answer.
-	Whole       []byte            // Whole are all loads, where they are not told as changes.
+	Whole       []byte            // Whole are all loads; empty where LoadChanges tells them.
 	LoadChanges []byte            // LoadChanges are what changed; see place.Vector.
 	Distrusted  map[string][]byte // Distrusted are the servers to pass over, by the gateways' domain.
 	Resend      bool              // Resend asks for whole sums: the leader does not hold what they build on.
--- a/transport/control/copies.go
+++ b/transport/control/copies.go
@@ -64,7 +64,7 @@
 	now := time.Now()
 	for _, r := range rows {
 		c.readings.Add(c.incarnation, r.Server, r.Links)
-		c.places.Told(r.Server, r.Links, now)
+		c.places.NoteRead(r.Server, r.Links, now)
 	}
 	c.fresh = append(c.fresh, rows...)
 }
@@ -83,7 +83,7 @@
 	now := time.Now()
 	place.Unpacked(r.Readings, c.order, func(server string, key uint32) {
 		c.readings.Add(0, server, []uint32{key})
-		c.places.Told(server, []uint32{key}, now)
+		c.places.NoteRead(server, []uint32{key}, now)
 	})
 }
 
@@ -110,7 +110,7 @@
 		c.vector.Set(loads)
 	}
 	if len(loads) == len(c.order) {
-		c.loads.Told(c.order, loads, c.distrusted)
+		c.loads.Replace(c.order, loads, c.distrusted)
 	} else {
 		c.mark = protocol.LoadMark{} // All are asked for next.
 	}
--- a/transport/control/uplink.go
+++ b/transport/control/uplink.go
@@ -256,7 +256,7 @@
 func (u *Uplink) takeReadings(from uint64, rows []protocol.Reading, now time.Time) {
 	for _, r := range rows {
 		u.readings.Add(from, r.Server, r.Links)
-		u.places.Told(r.Server, r.Links, now)
+		u.places.NoteRead(r.Server, r.Links, now)
 	}
 }
 
