--- a/coordination/place/readings.go
+++ b/coordination/place/readings.go
@@ -70,6 +70,7 @@
 	}
 }
 
+// pack appends a row, packed by the present list.
 func (r *Readings) pack(to []byte, row readingRow) []byte {
 	at, ok := r.index[row.server]
 	if !ok {
--- a/coordination/place/relayed.go
+++ b/coordination/place/relayed.go
@@ -152,7 +152,8 @@
 	r.take(m)
 }
 
-// addRelay adds a relay's part to what all know, or takes it away with -1.
+// addRelay adds a relay's sums to what all gateways know, or takes them out with sign -1:
+// of them the part of the gateways that still ask there.
 func (l *Loads) addRelay(r *relayed, sign int) { l.addRelayOf(r, sign, len(r.counted), r.away) }
 
 // addRelayOf does the same as if counted gateways were in the relay's sums, and away of
@@ -170,10 +171,12 @@
 	}
 }
 
+// addRunning adds to the requests of a server that all know of.
 func (l *Loads) addRunning(server string, n int) {
 	put(l.totals, server, l.totals[server]+n)
 }
 
+// addDistrusts adds to the gateways of a domain that distrust a server.
 func (l *Loads) addDistrusts(v distrustKey, n int) {
 	domains := l.distrusts[v.server]
 	if domains == nil {
--- a/transport/control/relay.go
+++ b/transport/control/relay.go
@@ -151,7 +151,7 @@
 		case <-r.wake:
 			pause.For(ctx, gatherTime)
 			if b := r.next(); b != nil {
-				exchanges.Go(func() { r.run(ctx, b) })
+				exchanges.Go(func() { r.send(ctx, b) })
 			}
 		case <-ctx.Done():
 			r.refuse(r.gathered(), "")
@@ -207,8 +207,8 @@
 	}
 }
 
-// run sends a batch, and answers its questions.
-func (r *Relay) run(ctx context.Context, b *exchange) {
+// send sends a batch, and answers its questions once the leader answers or is overdue.
+func (r *Relay) send(ctx context.Context, b *exchange) {
 	defer r.wakeUp()
 	defer r.ended()
 	sent := time.Now()
@@ -276,17 +276,10 @@
 	r.batch++
 	m := protocol.BatchMsg{Relay: r.name, Life: r.life, Batch: r.batch, Number: number}
 	for _, q := range list {
-		r.gateways[q.m.Gateway] = now
-		r.sum.Take(q.m.Gateway, place.GatewayReport{Domain: q.m.Domain, Running: q.m.Running, Distrusts: q.m.Distrusts})
-		r.copies.done(q.m.Done)
-		r.copies.read(q.m.Readings)
+		r.note(&q.m, now)
 		m.Parts = append(m.Parts, partOf(&q.m, now.Sub(q.at)))
 	}
-	for name, at := range r.gateways {
-		if now.Sub(at) > gatewayKept {
-			r.drop(name)
-		}
-	}
+	r.dropIdle(now)
 	r.copies.ask(&m)
 	sums, whole := r.sum.Changes()
 	m.Sums = sums
@@ -300,6 +293,23 @@
 	return m, r.answerTime.Due(batchSlack, batchFirst)
 }
 
+// note takes what a gateway's question tells this relay. It needs r.mu.
+func (r *Relay) note(m *protocol.SyncMsg, now time.Time) {
+	r.gateways[m.Gateway] = now
+	r.sum.Take(m.Gateway, place.GatewayReport{Domain: m.Domain, Running: m.Running, Distrusts: m.Distrusts})
+	r.copies.done(m.Done)
+	r.copies.read(m.Readings)
+}
+
+// dropIdle forgets the gateways that have not asked for gatewayKept. It needs r.mu.
+func (r *Relay) dropIdle(now time.Time) {
+	for name, at := range r.gateways {
+		if now.Sub(at) > gatewayKept {
+			r.drop(name)
+		}
+	}
+}
+
 // drop forgets a gateway and its part of the sums. It needs r.mu.
 func (r *Relay) drop(name string) {
 	delete(r.gateways, name)
