--- a/transport/control/copies.go
+++ b/transport/control/copies.go
@@ -26,16 +26,16 @@
 	gateways   int
 	clock      time.Time
 	mark       protocol.LoadMark // mark names the leader's loads that are held.
-	vector     place.Vector      // vector is them, by versions of this relay.
+	vector     place.Vector      // vector is those loads under this relay's own versions, for its gateways.
 	distrusted map[string][]byte
 
 	readings *place.Readings
 	fresh    []protocol.Reading // fresh are readings that the leader was not told yet.
 
-	teller uint64 // teller tells this relay's versions of loads, and what it placed, from others'.
-	view   *place.View
-	loads  *place.Loads
-	places *place.Ledger
+	incarnation uint64 // incarnation is drawn with each new copies: versions of loads and placed requests go by it.
+	view        *place.View
+	loads       *place.Loads
+	places      *place.Ledger
 
 	topology *topology.Topology
 }
@@ -43,33 +43,35 @@
 func newCopies(t *topology.Topology) *copies {
 	loads := place.NewLoads()
 	return &copies{
-		teller:   rand.Uint64(),
-		loads:    loads,
-		places:   place.NewLedger(loads, place.WithTopology(t)),
-		readings: place.NewReadings(),
-		topology: t,
+		incarnation: rand.Uint64(),
+		loads:       loads,
+		places:      place.NewLedger(loads, place.WithTopology(t)),
+		readings:    place.NewReadings(),
+		topology:    t,
 	}
 }
 
-// ask names what is held, for the next batch.
+// ask puts into the next batch what is held here, and what the leader was not told yet.
 func (c *copies) ask(m *protocol.BatchMsg) {
 	m.Lister, m.Servers, m.Rollouts, m.Loads = c.lister, c.version, c.changes, c.mark
 	m.Placed = c.places.Fresh()
 	m.Readings, c.fresh = c.fresh, nil
 }
 
-// read takes readings that one of the relay's gateways tells.
+// read takes readings that one of the relay's gateways tells, and keeps them for the next
+// batch.
 func (c *copies) read(rows []protocol.Reading) {
 	now := time.Now()
 	for _, r := range rows {
-		c.readings.Add(c.teller, r.Server, r.Links)
-		c.places.Told(r.Server, r.Links, now)
+		c.readings.Add(c.incarnation, r.Server, r.Links)
+		c.places.NoteRead(r.Server, r.Links, now)
 	}
 	c.fresh = append(c.fresh, rows...)
 }
 
-// hear takes readings of others in the leader's answer to a batch. It tells each once:
-// those in an answer that was lost are not missed but as a hint.
+// hear takes the readings of others that are in the leader's answer to a batch. The leader
+// tells each once. Those of a lost answer are not asked for again: they are a hint, without
+// which a prompt's parts are read instead of copied.
 func (c *copies) hear(m *protocol.BatchMsg, r *protocol.BatchReply) {
 	lister, version := m.Lister, m.Servers
 	if r.Listed {
@@ -81,7 +83,7 @@
 	now := time.Now()
 	place.Unpacked(r.Readings, c.order, func(server string, key uint32) {
 		c.readings.Add(0, server, []uint32{key})
-		c.places.Told(server, []uint32{key}, now)
+		c.places.NoteRead(server, []uint32{key}, now)
 	})
 }
 
@@ -108,7 +110,7 @@
 		c.vector.Set(loads)
 	}
 	if len(loads) == len(c.order) {
-		c.loads.Told(c.order, loads, c.distrusted)
+		c.loads.Replace(c.order, loads, c.distrusted)
 	} else {
 		c.mark = protocol.LoadMark{} // All are asked for next.
 	}
@@ -119,7 +121,7 @@
 // renewList takes the list and the roll-outs, and has the view follow both.
 func (c *copies) renewList(r *protocol.BatchReply) error {
 	news := false
-	held := c.listed && c.lister == r.Lister && c.version == r.Version // held is so by a batch under way beside this one.
+	held := c.listed && c.lister == r.Lister && c.version == r.Version // held says that the answer to another batch brought this version.
 	if r.Listed && !held {
 		list, err := UnpackList(r.List)
 		if err != nil {
@@ -161,7 +163,7 @@
 	reply.Short, reply.Lanes, reply.Gateways, reply.Clock = c.short, c.lanes, c.gateways, c.clock
 	if c.holds(m) && len(c.vector.Values()) == len(c.order) {
 		reply.Distrusted = bytes.Clone(c.distrusted[m.Domain])
-		tellLoads(&c.vector, protocol.LoadMark{Teller: c.teller, Version: c.vector.Version()}, m.Loads, reply)
+		tellLoads(&c.vector, protocol.LoadMark{Incarnation: c.incarnation, Version: c.vector.Version()}, m.Loads, reply)
 		reply.Readings, reply.ReadingsAt = c.readings.Since(m.ReadingsAt)
 	}
 	reply.Grants, reply.Trials = grantsOf(own), own.Trials
@@ -176,17 +178,17 @@
 	}
 	if placed, ok := c.places.Place(c.view, prompt(m), time.Now()); ok {
 		if len(placed.Fresh) > 0 {
-			c.readings.Add(c.teller, placed.Server, placed.Fresh)
+			c.readings.Add(c.incarnation, placed.Server, placed.Fresh)
 			c.fresh = append(c.fresh, protocol.Reading{Server: placed.Server, Links: placed.Fresh})
 		}
-		reply.Server, reply.Holder, reply.Term, reply.Number, reply.Placer = placed.Server, placed.Holder, c.term, placed.Number, c.teller
+		*reply = placeReply(&placed, c.term, c.incarnation)
 	}
 }
 
 // done notes the ends of requests that this relay placed.
 func (c *copies) done(ends []protocol.PlaceDone) {
 	for _, d := range ends {
-		if d.Placer == c.teller {
+		if d.Placer == c.incarnation {
 			c.places.Done(place.DoneMsg{Number: d.Number, First: d.First, Took: d.Took})
 		}
 	}
