Memory, forward: bytes in flight and crashes instead of flights and falls

A new reader took "flights" for hedged or parallel requests, and "fell over", "fell" and "falls" for three things. They are the bytes of request bodies in flight at servers, and crashes, and are now called so: memory.InFlight, Crashed, beginBytes and endBytes, isCrash. The refusals noRoomAtServers, noRoomForAnswer, noConnection and afterEarlierAttempts say which they are. Tests were renamed with what they test; no check changed.

--- a/cmd/weldstreamd/gateway.go
+++ b/cmd/weldstreamd/gateway.go
@@ -215,11 +215,11 @@
 	Prompts forward.Dump      `json:"prompt_memory"`    // Prompts are what is known of what servers have read.
 	Memory  *caller.MemoryRow `json:"memory,omitempty"` // Memory is what is held for callers.
 
-	Flights map[string]forward.FlightRow `json:"bodies_at_servers"` // Flights are the bytes of bodies at servers, by service.
+	InFlight map[string]forward.InFlightRow `json:"bodies_at_servers"` // InFlight are the bytes of bodies at servers, by service.
 }
 
 func (g *gateway) dump() any {
-	d := gatewayDump{Name: g.settings.Name, Domain: g.settings.Domain, Region: g.forward.Region(), Ready: g.ready(), Number: g.forward.Number(), AgeMS: -1, Connections: g.server.Conns(), Ways: g.forward.Ways(), Prompts: g.forward.DumpMemory(), Memory: g.memory.Row(), Flights: g.forward.Flights()}
+	d := gatewayDump{Name: g.settings.Name, Domain: g.settings.Domain, Region: g.forward.Region(), Ready: g.ready(), Number: g.forward.Number(), AgeMS: -1, Connections: g.server.Conns(), Ways: g.forward.Ways(), Prompts: g.forward.DumpMemory(), Memory: g.memory.Row(), InFlight: g.forward.InFlight()}
 	if age, ok := g.forward.Age(); ok {
 		d.AgeMS = age.Milliseconds()
 	}
--- a/coordination/memory/flights_test.go
+++ b/coordination/memory/inflight_test.go
@@ -8,11 +8,11 @@
 	"pgregory.net/rapid"
 )
 
-// TestFlightsInvariant checks that what servers have is what began less what ended, that
+// TestInFlightInvariant checks that what servers have is what began less what ended, that
 // a limit is never below the least, and that nothing is left at rest.
-func TestFlightsInvariant(t *testing.T) {
+func TestInFlightInvariant(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		f := NewFlights()
+		f := NewInFlight()
 		type request struct {
 			server string
 			bytes  int64
@@ -31,7 +31,7 @@
 					under = slices.Delete(under, i, i+1)
 				}
 			case 4:
-				f.Fell(fmt.Sprint(rapid.IntRange(0, 3).Draw(t, "server")), rapid.IntRange(0, 2).Draw(t, "falls"))
+				f.Crashed(fmt.Sprint(rapid.IntRange(0, 3).Draw(t, "server")), rapid.IntRange(0, 2).Draw(t, "crashes"))
 			}
 			want, all := map[string]int64{}, int64(0)
 			for _, r := range under {
@@ -55,10 +55,10 @@
 }
 
 // TestLimitIsLearnt has servers that fall over beyond so many bytes: without a limit each
-// falls again and again, with it hardly ever, and they still get most of what they bear.
+// crashes again and again, with it hardly ever, and they still get most of what they bear.
 func TestLimitIsLearnt(t *testing.T) {
 	const bears, body = 8 << 20, 512 << 10
-	f := NewFlights()
+	f := NewInFlight()
 	fell, first, sent := 0, 0, 0
 	for turn := range 4000 {
 		if len(f.Full(body)) > 0 {
@@ -72,7 +72,7 @@
 		if f.Bytes()["s"] <= bears {
 			continue
 		}
-		f.Fell("s", 0)
+		f.Crashed("s", 0)
 		fell++
 		if turn < 1000 {
 			first++
@@ -82,7 +82,7 @@
 		}
 	}
 	if f.Limit() == 0 || fell > sent/50 || fell == 0 {
-		t.Errorf("it fell over %d times in %d requests (%d in the first quarter), limit %d", fell, sent, first, f.Limit())
+		t.Errorf("it crashed %d times in %d requests (%d in the first quarter), limit %d", fell, sent, first, f.Limit())
 	}
 	if f.Limit() < bears/4 || f.Limit() > 2*bears {
 		t.Errorf("the limit is %d where a server bears %d", f.Limit(), bears)
@@ -92,13 +92,13 @@
 // TestWhatTeaches checks that a failure with little under way teaches nothing, one with
 // much teaches once, and that an empty server has room for anything.
 func TestWhatTeaches(t *testing.T) {
-	f := NewFlights()
+	f := NewInFlight()
 	f.Began("a", leastLimit-1)
-	if f.Fell("a", 0) || f.Limit() != 0 || f.Fell("unknown", 0) {
+	if f.Crashed("a", 0) || f.Limit() != 0 || f.Crashed("unknown", 0) {
 		t.Errorf("a failure with little under way set the limit %d", f.Limit())
 	}
 	f.Began("b", 8<<20)
-	if !f.Fell("b", 0) || f.Fell("b", 0) || f.Limit() != 4<<20 {
+	if !f.Crashed("b", 0) || f.Crashed("b", 0) || f.Limit() != 4<<20 {
 		t.Errorf("a failure with 8 MB set the limit %d", f.Limit())
 	}
 	if got := f.Full(4 << 20); len(got) != 2 {
@@ -110,20 +110,20 @@
 	}
 }
 
-// TestEachFallTeaches checks that a server which falls over again teaches again, though
+// TestEachFallTeaches checks that a server which crashes again teaches again, though
 // it had requests all the time, and that what was lost in the first fall does not.
 func TestEachFallTeaches(t *testing.T) {
-	f := NewFlights()
+	f := NewInFlight()
 	first := f.Began("a", 8<<20)
-	if !f.Fell("a", first) || f.Limit() != 4<<20 {
+	if !f.Crashed("a", first) || f.Limit() != 4<<20 {
 		t.Fatalf("the first fall set the limit %d", f.Limit())
 	}
 	second := f.Began("a", 4<<20)
-	if f.Fell("a", first) {
+	if f.Crashed("a", first) {
 		t.Error("a second request that was lost in the first fall lowered the limit")
 	}
 	f.Ended("a", 8<<20, false)
-	if !f.Fell("a", second) || f.Limit() != 2<<20 {
+	if !f.Crashed("a", second) || f.Limit() != 2<<20 {
 		t.Errorf("the second fall set the limit %d", f.Limit())
 	}
 }
--- a/transport/forward/attempt.go
+++ b/transport/forward/attempt.go
@@ -41,7 +41,7 @@
 	observed bool      // observed says that the answer was counted for a roll-out.
 	left     bool      // left says that the request has left the server.
 	done     bool      // done says that its answer was read to its end.
-	falls    int       // falls are how often the server had fallen over when the request was sent.
+	crashes  int       // crashes are how often the server had crashed when the request was sent.
 }
 
 // attempt sends the request to a server. It returns nil when the request is
@@ -50,7 +50,7 @@
 	x.ended()
 	server, refusal := x.choose()
 	if refusal != nil {
-		return x.truly(refusal)
+		return x.afterEarlierAttempts(refusal)
 	}
 	x.server = server.ID
 	if x.onward == nil {
@@ -58,7 +58,7 @@
 	}
 	conn, err := x.g.pool.Get(server.ID, server.Address, x.deadline)
 	if errors.Is(err, backend.ErrFull) {
-		return x.crowded()
+		return x.noConnection()
 	}
 	if err != nil {
 		x.g.connected(server, 0, true)
@@ -68,7 +68,7 @@
 	// A moved run was let in when it began, and is the same one.
 	if x.workspace != nil && !x.route.Open && x.onward == nil && !x.g.fresh() {
 		conn.Close()
-		return x.truly(staleCatalog())
+		return x.afterEarlierAttempts(staleCatalog())
 	}
 	if !conn.Used() {
 		x.g.connected(server, conn.Took(), false)
@@ -83,9 +83,9 @@
 	return t.run()
 }
 
-// truly returns a refusal to send the request, as one of a request that may have run if
-// an earlier attempt may have.
-func (x *exchange) truly(refusal *protocol.Refusal) *protocol.Refusal {
+// afterEarlierAttempts returns a refusal to send the request once more. If an earlier
+// attempt may have run, the refusal must not say not-run.
+func (x *exchange) afterEarlierAttempts(refusal *protocol.Refusal) *protocol.Refusal {
 	if !x.state.MayHaveRun {
 		return refusal
 	}
@@ -138,7 +138,7 @@
 	t.server.Cell.Began()
 	t.server.Cell.Reads(x.size)
 	x.takesSlot(t.server.Width())
-	t.takesBytes()
+	t.beginBytes()
 	stop := context.AfterFunc(x.ctx, t.conn.Close)
 	defer func() {
 		stop()
@@ -188,7 +188,7 @@
 	t.hasRead()
 	t.server.Cell.Ended()
 	t.x.givesBack(time.Since(t.began), t.server.Width())
-	t.givesBytes()
+	t.endBytes()
 }
 
 // hasRead notes once that the server need not read the prompt any more.
@@ -252,7 +252,7 @@
 		// are lost, only those that a crash catches before they begin did not run.
 		t.x.count()
 	}
-	t.fell(err)
+	t.crashed(err)
 	t.x.distrust(t.server, false)
 	return t.x.failed(protocol.MayHaveRun, true, "the answer did not come: "+err.Error())
 }
@@ -334,7 +334,7 @@
 		data, err = x.readWhole(body, x.resp.Header.ContentLength())
 	}
 	if errors.Is(err, errNoRoom) {
-		return t.unread()
+		return t.noRoomForAnswer()
 	}
 	if err != nil {
 		return t.lost(err)
--- a/transport/forward/exchange.go
+++ b/transport/forward/exchange.go
@@ -223,7 +223,7 @@
 		Prefix:  x.prefix,
 		Chain:   x.chain,
 		Domain:  x.g.cfg.Domain,
-		Avoid:   x.passedOver(),
+		Avoid:   x.excluded(),
 		Copies:  x.copiesRate(),
 		Parts:   x.parts,
 		Target:  x.route.Target,
@@ -269,7 +269,7 @@
 		Prefix:  x.prefix,
 		Domain:  x.g.cfg.Domain,
 		Rand:    rand.Uint64(),
-		Avoid:   x.passedOver(),
+		Avoid:   x.excluded(),
 		Lane:    x.lane,
 		Parts:   x.parts,
 		Brief:   x.route.Repeatable(),
@@ -283,8 +283,8 @@
 		return s, nil
 	}
 	i, ok := place.Choose(view, m)
-	if !ok && len(x.full()) > 0 {
-		return nil, x.noServer()
+	if !ok && len(x.fullServers()) > 0 {
+		return nil, x.noRoomAtServers()
 	}
 	if !ok {
 		return nil, protocol.NewRefusal(protocol.StatusServiceUnavailable, protocol.CodeNoBackend, "no server of the service can take the request").WithRetryAfter(resend.Later(x.route.Target))
--- a/transport/forward/forward.go
+++ b/transport/forward/forward.go
@@ -71,7 +71,7 @@
 	confirmed atomic.Int64 // confirmed is when the catalog was known to be the newest, since began; 0 for never.
 	gateways  atomic.Int64
 	paths     paths
-	flights   sync.Map    // flights are the bytes at servers, a *flight by service.
+	inFlight  sync.Map    // inFlight are the bytes at servers, a *inFlight by service.
 	closed    atomic.Bool // closed refuses new requests: the gateway ends soon.
 
 	moves moves
--- a/transport/forward/room.go
+++ b/transport/forward/room.go
@@ -43,52 +43,53 @@
 	return resp
 }
 
-// smallBody is a body that is not counted at servers: any number of slots bears it.
+// smallBody, in bytes, is the largest body that is not counted at servers: as many of
+// them as a server has slots do not use up its memory.
 const smallBody = 4 << 10
 
-// flight are the bytes at the servers of a service.
-type flight struct {
-	mu sync.Mutex // mu guards Flights.
-	*memory.Flights
+// inFlight counts the bytes at the servers of a service.
+type inFlight struct {
+	mu sync.Mutex // mu guards the embedded counts.
+	*memory.InFlight
 }
 
-// bytesAt returns the bytes at the servers of a service.
-func (g *Gateway) bytesAt(service string) *flight {
-	if f, ok := g.flights.Load(service); ok {
-		return f.(*flight)
+// bytesAt returns the counts of a service, and registers its gauges with the first call.
+func (g *Gateway) bytesAt(service string) *inFlight {
+	if f, ok := g.inFlight.Load(service); ok {
+		return f.(*inFlight)
 	}
-	f, loaded := g.flights.LoadOrStore(service, &flight{Flights: memory.NewFlights()})
+	f, loaded := g.inFlight.LoadOrStore(service, &inFlight{InFlight: memory.NewInFlight()})
 	if !loaded {
 		name := service
 		_ = g.meters.registry.Register(fmt.Sprintf("servers.bytes{service=%q}", name), metrics.NewFunctionalGauge(func() int64 { return g.bytesAt(name).all() }))
 		_ = g.meters.registry.Register(fmt.Sprintf("servers.bytes_limit{service=%q}", name), metrics.NewFunctionalGauge(func() int64 { return g.bytesAt(name).most() }))
 	}
-	return f.(*flight)
+	return f.(*inFlight)
 }
 
-func (f *flight) all() int64 {
+func (f *inFlight) all() int64 {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	return f.All()
 }
 
-func (f *flight) most() int64 {
+func (f *inFlight) most() int64 {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	return f.Limit()
 }
 
-// body is how many bytes of the request count at its server; 0 for a small one.
-func (x *exchange) body() int64 {
+// countedBody is how many bytes of the request count at its server; 0 for a small one.
+func (x *exchange) countedBody() int64 {
 	if n := len(x.in.Body()); n > smallBody {
 		return int64(n)
 	}
 	return 0
 }
 
-// full returns the servers that have no room for the request's body.
-func (x *exchange) full() []string {
-	n := x.body()
+// fullServers returns the servers that have no room for the request's body.
+func (x *exchange) fullServers() []string {
+	n := x.countedBody()
 	if n == 0 {
 		return nil
 	}
@@ -98,21 +99,21 @@
 	return f.Full(n)
 }
 
-// passedOver are the servers that are not sent the request: those that had it, and those
+// excluded are the servers that are not sent the request: those that had it, and those
 // that have no room for its body.
-func (x *exchange) passedOver() []string {
-	return append(slices.Clip(x.avoid), x.full()...)
+func (x *exchange) excluded() []string {
+	return append(slices.Clip(x.avoid), x.fullServers()...)
 }
 
-// noServer refuses a request that no server has room for.
-func (x *exchange) noServer() *protocol.Refusal {
+// noRoomAtServers refuses a request that no server has room for.
+func (x *exchange) noRoomAtServers() *protocol.Refusal {
 	f := x.g.bytesAt(x.service)
-	x.log.Info().Str("service", x.service).Int64("bytes", x.body()).Int64("at_servers", f.all()).Int64("limit", f.most()).Msg("no server has room for a body")
+	x.log.Info().Str("service", x.service).Int64("bytes", x.countedBody()).Int64("at_servers", f.all()).Int64("limit", f.most()).Msg("no server has room for a body")
 	return protocol.NewRefusal(protocol.StatusServiceUnavailable, protocol.CodeMemory, "no server has room for a body of this size").WithRetryAfter(resend.Later(x.route.Target))
 }
 
-// crowded refuses a request for which no connection may be opened. No server is at fault.
-func (x *exchange) crowded() *protocol.Refusal {
+// noConnection refuses a request for which no connection may be opened. No server is at fault.
+func (x *exchange) noConnection() *protocol.Refusal {
 	r := protocol.NewRefusal(protocol.StatusServiceUnavailable, protocol.CodeOverloaded, "the gateway has too many connections to servers").WithRetryAfter(resend.Later(x.route.Target))
 	if x.state.MayHaveRun {
 		return r.WithVerdict(protocol.MayHaveRun).WithStatus(protocol.StatusBadGateway)
@@ -120,19 +121,19 @@
 	return r
 }
 
-// takesBytes notes that the request's body is sent to a server, and givesBytes that it
-// is not held there any more.
-func (t *try) takesBytes() {
-	if n := t.x.body(); n > 0 {
+// beginBytes counts the request's body as in flight at its server.
+func (t *try) beginBytes() {
+	if n := t.x.countedBody(); n > 0 {
 		f := t.x.g.bytesAt(t.x.service)
 		f.mu.Lock()
 		defer f.mu.Unlock()
-		t.falls = f.Began(t.server.ID, n)
+		t.crashes = f.Began(t.server.ID, n)
 	}
 }
 
-func (t *try) givesBytes() {
-	if n := t.x.body(); n > 0 {
+// endBytes counts it no longer, once the server has done with the request.
+func (t *try) endBytes() {
+	if n := t.x.countedBody(); n > 0 {
 		f := t.x.g.bytesAt(t.x.service)
 		f.mu.Lock()
 		defer f.mu.Unlock()
@@ -140,18 +141,18 @@
 	}
 }
 
-// fellOver reports whether an error says that a server's process ended, or takes nothing
-// any more. A machine that is silent, and an answer that the gateway does not take, do not
-// follow from the bytes that the server has.
-func fellOver(err error) bool {
+// isCrash reports whether an error can follow from the bytes that a server has: its
+// process ended, or takes no more of a body. A time-out (an unreachable machine) and an
+// answer too large for the gateway have other causes.
+func isCrash(err error) bool {
 	var timeout net.Error
 	return !errors.Is(err, errTooLarge) && (!errors.As(err, &timeout) || !timeout.Timeout())
 }
 
-// fell notes that the server ended the request without an answer. One that was told to
-// stop has a reason of its own.
-func (t *try) fell(err error) {
-	if t.x.body() == 0 || !fellOver(err) {
+// crashed lowers the limit of bytes if the server ended the request as a crash does. A
+// server that is leaving ends requests for that reason, and teaches nothing.
+func (t *try) crashed(err error) {
+	if t.x.countedBody() == 0 || !isCrash(err) {
 		return
 	}
 	if s := t.x.g.view.Load().Find(t.server.ID); s != nil && s.Leaving {
@@ -159,7 +160,7 @@
 	}
 	f := t.x.g.bytesAt(t.x.service)
 	f.mu.Lock()
-	bytes, lower := f.Bytes()[t.server.ID], f.Fell(t.server.ID, t.falls)
+	bytes, lower := f.Bytes()[t.server.ID], f.Crashed(t.server.ID, t.crashes)
 	limit := f.Limit()
 	f.mu.Unlock()
 	if lower {
@@ -167,30 +168,30 @@
 	}
 }
 
-// FlightRow is what the servers of a service have of this gateway, for people.
-type FlightRow struct {
+// InFlightRow is what this gateway has in flight at the servers of a service, as dumps show it.
+type InFlightRow struct {
 	Limit   int64            `json:"limit"` // Limit is what one server gets, in bytes; 0 before one failed with many.
 	Servers map[string]int64 `json:"servers"`
 }
 
-// Flights returns the bytes at servers, by service.
-func (g *Gateway) Flights() map[string]FlightRow {
-	out := map[string]FlightRow{}
-	g.flights.Range(func(service, value any) bool {
-		f := value.(*flight)
+// InFlight returns the bytes at servers, by service.
+func (g *Gateway) InFlight() map[string]InFlightRow {
+	out := map[string]InFlightRow{}
+	g.inFlight.Range(func(service, value any) bool {
+		f := value.(*inFlight)
 		f.mu.Lock()
 		defer f.mu.Unlock()
-		out[service.(string)] = FlightRow{Limit: f.Limit(), Servers: f.Bytes()}
+		out[service.(string)] = InFlightRow{Limit: f.Limit(), Servers: f.Bytes()}
 		return true
 	})
 	return out
 }
 
-// answerPiece is what an answer begins with that tells no length. Answers that fit into
+// answerPiece, in bytes, is the first buffer of an answer without a length. Answers that fit into
 // it, as most do, are a part of what the connection costs.
 const answerPiece = 16 << 10
 
-// errNoRoom ends an answer that has no more room.
+// errNoRoom ends the reading of an answer that the account of memory has no room for.
 var errNoRoom = errors.New("no memory is left for the answer")
 
 // readWhole reads an answer to its end, each piece taken from the account first. The
@@ -239,7 +240,7 @@
 	return append(make([]byte, 0, size), data...), nil
 }
 
-// room takes bytes for the answer.
+// room takes bytes for the answer from the account of memory.
 func (x *exchange) room(n int) error {
 	v := x.answer.Hold(n)
 	if v.Taken {
@@ -249,9 +250,9 @@
 	return errNoRoom
 }
 
-// unread ends an attempt whose answer found no room. The server is not at fault, and
-// another one's answer would find none either.
-func (t *try) unread() *protocol.Refusal {
+// noRoomForAnswer ends an attempt whose answer does not fit into the account. The server
+// is not at fault, and the answer of another one would not fit either.
+func (t *try) noRoomForAnswer() *protocol.Refusal {
 	t.conn.Close()
 	return protocol.NewRefusal(protocol.StatusBadGateway, protocol.CodeMemory, "no memory is left for the answer").WithVerdict(protocol.MayHaveRun)
 }
--- a/transport/forward/room_test.go
+++ b/transport/forward/room_test.go
@@ -167,7 +167,7 @@
 	for range 2 {
 		<-arrived
 	}
-	if got := w.g.Flights()["s"]; got.Limit != 0 || got.Servers["a"] != 2*size {
+	if got := w.g.InFlight()["s"]; got.Limit != 0 || got.Servers["a"] != 2*size {
 		t.Errorf("with two bodies under way: %+v", got)
 	}
 	close(fall)
@@ -176,7 +176,7 @@
 			t.Errorf("the server fell over: %+v", got)
 		}
 	}
-	if got := w.g.Flights()["s"]; got.Limit != size || len(got.Servers) != 0 {
+	if got := w.g.InFlight()["s"]; got.Limit != size || len(got.Servers) != 0 {
 		t.Errorf("behind the failure: %+v", got)
 	}
 	go send()
@@ -212,7 +212,7 @@
 		if got := w.send(strings.Repeat("x", 2<<20)); got.status != 502 || got.verdict != "may-have-run" {
 			t.Errorf("%s: %+v", name, got)
 		}
-		if got := w.g.Flights()["s"]; got.Limit != 0 {
+		if got := w.g.InFlight()["s"]; got.Limit != 0 {
 			t.Errorf("%s set the limit %d", name, got.Limit)
 		}
 	}
@@ -228,7 +228,7 @@
 		os.ErrDeadlineExceeded: false,
 		errTooLarge:            false,
 	} {
-		if got := fellOver(eris.Wrap(err, "read answer")); got != want {
+		if got := isCrash(eris.Wrap(err, "read answer")); got != want {
 			t.Errorf("%v: %v", err, got)
 		}
 	}
