--- a/coordination/move/move.go
+++ b/coordination/move/move.go
@@ -66,12 +66,12 @@
 	Target   string // Target is the server that the copy lies at, or is made at.
 	Handle   string // Handle names the copy; empty without one.
 	Tries    int    // Tries are copies that came to nothing.
-	AtSource bool   // AtSource says that the run goes on at the source, from its own memory.
-	Broke    bool   // Broke says that the source's stream has ended without its end.
+	AtSource bool   // AtSource says that the run is to go on at the source, which kept its memory.
+	Broke    bool   // Broke says that the source's stream broke off: it ended before the end of the answer.
 }
 
-// mostTries bounds the copies of one run that come to nothing: each holds a link and
-// a target's memory for some milliseconds.
+// mostTries bounds the failed copies of one run: each loads a link and holds a target's
+// memory for some milliseconds.
 const mostTries = 8
 
 // Msg is what happened.
@@ -94,7 +94,7 @@
 	Handle  string
 }
 
-// BrokeMsg tells that the source's stream ended without its end.
+// BrokeMsg tells that the source's stream broke off.
 type BrokeMsg struct{}
 
 // TakenMsg tells that a server answers the run that was sent on.
@@ -127,8 +127,8 @@
 // StopCmd has the source stop the run and copy what is new.
 type StopCmd struct{ Target string }
 
-// GoOnCmd sends the request on: to the target, or back to the source.
-type GoOnCmd struct {
+// ContinueCmd sends the request on: to the target, or back to the source.
+type ContinueCmd struct {
 	Target   string
 	AtSource bool
 	Handle   string
@@ -144,11 +144,11 @@
 	Target string
 }
 
-func (CopyCmd) cmd()  {}
-func (StopCmd) cmd()  {}
-func (GoOnCmd) cmd()  {}
-func (BreakCmd) cmd() {}
-func (FreeCmd) cmd()  {}
+func (CopyCmd) cmd()     {}
+func (StopCmd) cmd()     {}
+func (ContinueCmd) cmd() {}
+func (BreakCmd) cmd()    {}
+func (FreeCmd) cmd()     {}
 
 // Next returns the state behind a message, and what is to be done.
 func Next(s State, m Msg) (State, []Cmd) {
@@ -229,7 +229,7 @@
 		return s.stays(s.Handle)
 	}
 	if s.Broke {
-		return s.goesOn()
+		return s.continues()
 	}
 	return s, nil
 }
@@ -243,15 +243,16 @@
 		return s, nil
 	case Stopped:
 		s.Broke = true
-		return s.goesOn()
+		return s.continues()
 	}
 	s.Phase = Over
 	return s, []Cmd{BreakCmd{}}
 }
 
-func (s State) goesOn() (State, []Cmd) {
+// continues sends the stopped run on, once its stream has ended.
+func (s State) continues() (State, []Cmd) {
 	s.Phase = Going
-	return s, []Cmd{GoOnCmd{Target: s.Target, AtSource: s.AtSource, Handle: s.Handle}}
+	return s, []Cmd{ContinueCmd{Target: s.Target, AtSource: s.AtSource, Handle: s.Handle}}
 }
 
 // taken notes that the copy is used.
@@ -270,7 +271,7 @@
 		return s, nil
 	case !s.AtSource:
 		s.AtSource = true
-		return s, []Cmd{GoOnCmd{Target: s.Target, AtSource: true, Handle: s.Handle}}
+		return s, []Cmd{ContinueCmd{Target: s.Target, AtSource: true, Handle: s.Handle}}
 	}
 	return s.lost()
 }
@@ -292,6 +293,7 @@
 	return s, cmds
 }
 
+// free returns the command that drops a copy, or none without a handle.
 func (s State) free(handle string) []Cmd {
 	if handle == "" {
 		return nil
--- a/coordination/move/move_test.go
+++ b/coordination/move/move_test.go
@@ -23,8 +23,8 @@
 		"no target":                             {[]Msg{LeavesMsg{}}, nil, Staying},
 		"copied first":                          {[]Msg{leaves}, []Cmd{CopyCmd{"t"}}, Copying},
 		"then stopped":                          {[]Msg{leaves, copied}, []Cmd{StopCmd{"t"}}, Stopping},
-		"goes on behind both":                   {[]Msg{leaves, copied, stopped, broke}, []Cmd{GoOnCmd{"t", false, "h"}}, Going},
-		"goes on in the other order":            {[]Msg{leaves, copied, broke, stopped}, []Cmd{GoOnCmd{"t", false, "h"}}, Going},
+		"goes on behind both":                   {[]Msg{leaves, copied, stopped, broke}, []Cmd{ContinueCmd{"t", false, "h"}}, Going},
+		"goes on in the other order":            {[]Msg{leaves, copied, broke, stopped}, []Cmd{ContinueCmd{"t", false, "h"}}, Going},
 		"not before the answer":                 {[]Msg{leaves, copied, broke}, nil, Stopping},
 		"not before the end of the stream":      {[]Msg{leaves, copied, stopped}, nil, Stopped},
 		"taken":                                 {[]Msg{leaves, copied, stopped, broke, TakenMsg{}}, nil, Over},
@@ -39,9 +39,9 @@
 		"source dies while it stops":            {[]Msg{leaves, copied, broke, StoppedMsg{}}, []Cmd{BreakCmd{}, FreeCmd{"h", "t"}}, Over},
 		"stop not answered, the run goes on":    {[]Msg{leaves, copied, StoppedMsg{}}, []Cmd{FreeCmd{"h", "t"}}, Staying},
 		"stop refused":                          {[]Msg{leaves, copied, StoppedMsg{Busy, ""}}, []Cmd{FreeCmd{"h", "t"}}, Staying},
-		"no room at the stop, it lies at home":  {[]Msg{leaves, copied, StoppedMsg{NoRoom, "h"}, broke}, []Cmd{GoOnCmd{"t", true, "h"}}, Going},
+		"no room at the stop, it lies at home":  {[]Msg{leaves, copied, StoppedMsg{NoRoom, "h"}, broke}, []Cmd{ContinueCmd{"t", true, "h"}}, Going},
 		"no room at the stop, without a name":   {[]Msg{leaves, copied, StoppedMsg{NoRoom, ""}}, []Cmd{FreeCmd{"h", "t"}}, Staying},
-		"the target refuses it, back home":      {[]Msg{leaves, copied, stopped, broke, RefusedMsg{}}, []Cmd{GoOnCmd{"t", true, "h"}}, Going},
+		"the target refuses it, back home":      {[]Msg{leaves, copied, stopped, broke, RefusedMsg{}}, []Cmd{ContinueCmd{"t", true, "h"}}, Going},
 		"both refuse it":                        {[]Msg{leaves, copied, stopped, broke, RefusedMsg{}, RefusedMsg{}}, []Cmd{BreakCmd{}, FreeCmd{"h", "t"}}, Over},
 		"the target does not answer":            {[]Msg{leaves, copied, stopped, broke, LostMsg{}}, []Cmd{BreakCmd{}, FreeCmd{"h", "t"}}, Over},
 		"it ends by itself while it is copied":  {[]Msg{leaves, EndedMsg{}, copied}, []Cmd{FreeCmd{"h", "t"}}, Over},
@@ -64,7 +64,7 @@
 
 // TestOrder checks which runs are moved first.
 func TestOrder(t *testing.T) {
-	runs := []Run{{Priority: 2, Read: 9000}, {Priority: 1, Read: 10}, {Priority: 1, Read: 500, Lost: true}, {Priority: 1, Read: 9000}, {Priority: 1, Read: 9000, Left: 10}}
+	runs := []Run{{Priority: 2, Read: 9000}, {Priority: 1, Read: 10}, {Priority: 1, Read: 500, NoRetry: true}, {Priority: 1, Read: 9000}, {Priority: 1, Read: 9000, Left: 10}}
 	if got := Order(runs); !slices.Equal(got, []int{2, 4, 3, 1, 0}) {
 		t.Errorf("order %v", got)
 	}
@@ -89,7 +89,7 @@
 		do := func(cmds []Cmd) {
 			for _, c := range cmds {
 				switch c := c.(type) {
-				case GoOnCmd:
+				case ContinueCmd:
 					if !w.stopped || w.runs != 0 || !broke || ended {
 						t.Fatalf("sent on: stopped %v, %d runs, broke %v, ended %v", w.stopped, w.runs, broke, ended)
 					}
@@ -138,7 +138,7 @@
 					w.stopped, w.runs = true, 0
 				}
 				next(StoppedMsg{outcome, name})
-			case GoOnCmd:
+			case ContinueCmd:
 				switch rapid.IntRange(0, 2).Draw(t, "sent on") {
 				case 0:
 					w.runs++
@@ -185,7 +185,7 @@
 		for len(waiting) > 0 {
 			c := waiting[0]
 			waiting = waiting[1:]
-			if _, sent := c.(GoOnCmd); !sent {
+			if _, sent := c.(ContinueCmd); !sent {
 				answer(c)
 			}
 		}
--- a/coordination/move/order.go
+++ b/coordination/move/order.go
@@ -10,7 +10,7 @@
 	Priority int  // Priority is its rank, 0 first.
 	Read     int  // Read are the tokens that were read and made for it: what would be done again.
 	Left     int  // Left are the most tokens that it may still make.
-	Lost     bool // Lost says that its caller cannot take it up elsewhere.
+	NoRetry  bool // NoRetry says that its request is not repeatable: without a move its answer is lost.
 }
 
 // Order returns the indices of some runs, the most worthwhile first: those of a higher
@@ -24,13 +24,13 @@
 	}
 	slices.SortStableFunc(order, func(a, b int) int {
 		x, y := runs[a], runs[b]
-		lost := func(r Run) int {
-			if r.Lost {
+		noRetryFirst := func(r Run) int {
+			if r.NoRetry {
 				return 0
 			}
 			return 1
 		}
-		return cmp.Or(cmp.Compare(x.Priority, y.Priority), cmp.Compare(lost(x), lost(y)), cmp.Compare(y.Read, x.Read), cmp.Compare(y.Left, x.Left))
+		return cmp.Or(cmp.Compare(x.Priority, y.Priority), cmp.Compare(noRetryFirst(x), noRetryFirst(y)), cmp.Compare(y.Read, x.Read), cmp.Compare(y.Left, x.Left))
 	})
 	return order
 }
--- a/transport/forward/attempt.go
+++ b/transport/forward/attempt.go
@@ -53,7 +53,7 @@
 		return x.afterEarlierAttempts(refusal)
 	}
 	x.server = server.ID
-	if x.onward == nil {
+	if x.continuation == nil {
 		x.avoid = append(x.avoid, server.ID) // A moved run may come back to where it was.
 	}
 	conn, err := x.g.pool.Get(server.ID, server.Address, x.deadline)
@@ -66,7 +66,7 @@
 		return x.failed(protocol.NotRun, false, "the server cannot be reached: "+err.Error())
 	}
 	// A moved run was let in when it began, and is the same one.
-	if x.workspace != nil && !x.route.Open && x.onward == nil && !x.g.fresh() {
+	if x.workspace != nil && !x.route.Open && x.continuation == nil && !x.g.fresh() {
 		conn.Close()
 		return x.afterEarlierAttempts(staleCatalog())
 	}
@@ -167,7 +167,7 @@
 		}
 		err = t.skip()
 	}
-	if err != nil && t.goesOn() {
+	if err != nil && t.continuesElsewhere() {
 		t.conn.Close()
 		return errAgain
 	}
@@ -277,7 +277,7 @@
 		return x.failed(protocol.MayHaveRun, true, "the server goes on with other weights")
 	}
 	x.movedTaken(status)
-	t.madeBy(t.reply.Weights)
+	t.noteWeights(t.reply.Weights)
 	x.hasLinks(t.server, true)
 	x.count()
 	if x.route.Kind == protocol.RouteStream && status >= 200 && status < 300 {
@@ -299,7 +299,7 @@
 func (t *try) turnedAway(stop func() bool) *protocol.Refusal {
 	status := t.x.resp.StatusCode()
 	t.x.hasLinks(t.server, false)
-	if t.reply.Foreign && t.x.onward == nil { // Of a moved run it may say that the weights are others.
+	if t.reply.Foreign && t.x.continuation == nil { // Of a moved run it may say that the weights are others.
 		t.x.distrust(t.server, true)
 	}
 	body, err := t.conn.Body(t.x.resp)
--- a/transport/forward/copy.go
+++ b/transport/forward/copy.go
@@ -22,7 +22,7 @@
 // reads notes that a server is sent the prompt, and returns the address of a server
 // that it is to copy shared parts of it from, or none.
 func (x *exchange) reads(at *place.Server) (from string) {
-	if x.g.cfg.NoCopies || x.copyRate() <= 0 || len(x.chain) == 0 || x.onward != nil {
+	if x.g.cfg.NoCopies || x.copyRate() <= 0 || len(x.chain) == 0 || x.continuation != nil {
 		return ""
 	}
 	g := x.g
--- a/transport/forward/copy_test.go
+++ b/transport/forward/copy_test.go
@@ -45,7 +45,7 @@
 		}, false},
 		"a moved run": {func(w *world, x *exchange) {
 			w.g.prompts.holders.Read("b", x.chain, past)
-			x.onward = &onward{}
+			x.continuation = &continuation{}
 		}, false},
 		"nobody": {func(*world, *exchange) {}, false},
 	} {
--- a/transport/forward/exchange.go
+++ b/transport/forward/exchange.go
@@ -40,14 +40,14 @@
 	start     time.Time
 	deadline  time.Time
 
-	placed  protocol.PlaceReply // placed is the place that the leader gave for the current attempt.
-	state   resend.State
-	onward  *onward // onward is where the run goes on with its memory; nil for none.
-	avoid   []string
-	events  events
-	counted bool // counted says that the request was counted as one that began to run.
-	headed  bool // headed says that the head of the answer was written.
-	server  string
+	placed       protocol.PlaceReply // placed is the place that the leader gave for the current attempt.
+	state        resend.State
+	continuation *continuation // continuation is where the run goes on with its memory; nil for none.
+	avoid        []string
+	events       events
+	counted      bool // counted says that the request was counted as one that began to run.
+	headed       bool // headed says that the head of the answer was written.
+	server       string
 
 	first   time.Duration // first is from the start to the first byte of the answer.
 	pieceAt time.Time     // pieceAt is when the last events were passed on.
@@ -71,7 +71,7 @@
 func (x *exchange) release() {
 	x.cancel()
 	x.ended()
-	x.dropOnward()
+	x.dropContinuation()
 	fasthttp.ReleaseRequest(x.out)
 	fasthttp.ReleaseResponse(x.resp)
 }
--- a/transport/forward/forward.go
+++ b/transport/forward/forward.go
@@ -138,7 +138,7 @@
 	for _, opt := range opts {
 		opt(g)
 	}
-	g.moves.runs, g.moves.leaving, g.moves.weights = map[string]map[*running]struct{}{}, map[string]bool{}, map[string]string{}
+	g.moves.runs, g.moves.watched, g.moves.weights = map[string]map[*running]struct{}{}, map[string]bool{}, map[string]string{}
 	g.prompts.holders = place.NewHolders(cfg.Topology)
 	if g.meters == nil {
 		g.meters = newMeters(metrics.NewRegistry())
@@ -187,7 +187,7 @@
 		}
 	}
 	g.log.Info().Int("servers", len(view.Servers)).Int("leaving", leaving).Msg("list of servers")
-	g.evacuate(view, now)
+	g.moveFromLeaving(view, now)
 	g.pool.Keep(func(id string) bool {
 		s := view.Find(id)
 		return s != nil && !s.Leaving
--- a/transport/forward/move_test.go
+++ b/transport/forward/move_test.go
@@ -514,7 +514,7 @@
 	w.g.moves.runs["a"] = runs
 	w.servers[1].Leaving = true // It has no notice: the list alone would move nothing.
 	w.g.SetServers(w.servers)
-	w.g.moveOff(source, notice{end: time.Now().Add(patience)})
+	w.g.moveRuns(source, notice{end: time.Now().Add(patience)})
 	mu.Lock()
 	defer mu.Unlock()
 	if len(asked) != moveAtOnce {
@@ -529,11 +529,11 @@
 	done <- false
 	done <- false
 	done <- true
-	if n := settled(done, patience); n != 3 {
+	if n := awaitMoves(done, patience); n != 3 {
 		t.Errorf("%d moves were waited for, want those until the first that was made", n)
 	}
 	done <- false
-	if n := settled(done, moveTick); n != 1 {
+	if n := awaitMoves(done, moveTick); n != 1 {
 		t.Errorf("%d moves were waited for within a tick", n)
 	}
 }
@@ -655,7 +655,7 @@
 	r := &running{g: w.g, server: source}
 	r.begun.Store(true)
 	w.g.moves.runs["a"] = map[*running]struct{}{r: {}}
-	w.g.moveOff(source, notice{end: time.Now().Add(patience)})
+	w.g.moveRuns(source, notice{end: time.Now().Add(patience)})
 	if n := copies.Load(); n != 0 {
 		t.Errorf("%d copies were asked for", n)
 	}
--- a/transport/forward/stream.go
+++ b/transport/forward/stream.go
@@ -102,7 +102,7 @@
 func (t *try) streamBroke(err error) *protocol.Refusal {
 	x := t.x
 	x.events.rest = x.events.rest[:0]
-	if t.goesOn() {
+	if t.continuesElsewhere() {
 		t.conn.Close()
 		return errAgain
 	}
--- a/transport/forward/trial.go
+++ b/transport/forward/trial.go
@@ -158,7 +158,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	t := g.trials[x.service]
-	if t == nil || x.onward != nil {
+	if t == nil || x.continuation != nil {
 		return // A moved run is the same run.
 	}
 	if x.state.Sent == 0 && x.state.Connects == 0 {
--- a/transport/forward/trial_test.go
+++ b/transport/forward/trial_test.go
@@ -199,7 +199,7 @@
 	x := &exchange{g: w.g, service: "s"}
 	server := w.g.view.Load().Find("b")
 	x.sentTo(server)
-	x.onward = &onward{server: server}
+	x.continuation = &continuation{server: server}
 	x.sentTo(server)
 	if m := w.g.Report(1); len(m.Trials) != 1 || m.Trials[0].Arrived != 1 || m.Trials[0].Tried != 1 {
 		t.Errorf("reported %+v", m.Trials)
