Caller: a send buffer instead of a store, and what each wait waits for

store, crowd, atOnce, pressed, keep, took, wrotes and settle had to be looked up. They are the send buffer of an answer, whose fullness is backpressure; admission of connections (admit.go, refuseConn, evictBatch); a nonblocking write; paceWhenFull, buffer, acknowledged, written and awaitWritten. A window is restarted if the process was frozen. Constants name their unit. Metrics keep their names. Tests were renamed with what they test; no check changed.

--- a/transport/caller/crowd.go
+++ b/transport/caller/admit.go
@@ -8,15 +8,15 @@
 )
 
 const (
-	// connectionBytes is what a connection is taken to cost: 10 KB at rest and 14 KB with
+	// connectionBytes is what a connection is taken to cost, in bytes: 10 KB at rest and 14 KB with
 	// a request under way (BenchmarkConnection), and the one to a server beside it.
 	connectionBytes = 24 << 10
-	// evicted are closed at a time where there are too many: one look at all of them for
-	// so many, not for each that is accepted.
-	evicted = 32
-	// crowdPause is between two log lines of connections that were closed at once: a flood
-	// of them must not push other lines out.
-	crowdPause = time.Second
+	// evictBatch is how many waiting connections are closed at a time where there are too
+	// many, so that not each accept has to sort all of them.
+	evictBatch = 32
+	// refusalLogPause is the least time between two log lines of refused connections: a
+	// flood of them must not push other lines out.
+	refusalLogPause = time.Second
 )
 
 // admit takes a connection in, or says that there is no room for it. Where there are too
@@ -26,29 +26,28 @@
 	if s.mostConns > 0 && s.Conns() >= s.mostConns {
 		s.evict()
 		if s.Conns() >= s.mostConns {
-			return s.crowded(c, memory.Verdict{})
+			return s.refuseConn(c, memory.Verdict{})
 		}
 	}
 	v := s.memory.Take(&c.cost, memory.Connection, connectionBytes)
 	if !v.Taken {
 		s.evict()
 		if v = s.memory.Take(&c.cost, memory.Connection, connectionBytes); !v.Taken {
-			return s.crowded(c, v)
+			return s.refuseConn(c, v)
 		}
 	}
 	return true
 }
 
-// crowded notes a connection that is closed at once. Nothing of it was read, so its
-// caller knows that nothing ran.
-func (s *Server) crowded(c *Conn, v memory.Verdict) bool {
-	s.crowd.Inc(1)
+// refuseConn counts and logs a connection that is closed unread, and returns false.
+func (s *Server) refuseConn(c *Conn, v memory.Verdict) bool {
+	s.refusedConns.Inc(1)
 	now := time.Now()
-	if now.Sub(s.crowdTold) < crowdPause {
+	if now.Sub(s.refusalLogged) < refusalLogPause {
 		return false
 	}
-	s.crowdTold = now
-	s.log.Info().Int64("refused", s.crowd.Count()).Str("caller", c.net.RemoteAddr().String()).Int("connections", s.Conns()).Int("most", s.mostConns).
+	s.refusalLogged = now
+	s.log.Info().Int64("refused", s.refusedConns.Count()).Str("caller", c.net.RemoteAddr().String()).Int("connections", s.Conns()).Int("most", s.mostConns).
 		Int64("held", v.Held).Int64("bound", v.Bound).Msg("no room for a connection")
 	return false
 }
@@ -78,7 +77,7 @@
 	})
 	gone := 0
 	for _, w := range list {
-		if gone == evicted {
+		if gone == evictBatch {
 			break
 		}
 		if w.conn.closeIf(w.state) {
@@ -89,6 +88,6 @@
 	}
 	if gone > 0 {
 		s.evictions.Inc(int64(gone))
-		s.log.Info().Int("closed", gone).Int("waiting", len(list)).Int("connections", len(s.conns)).Msg("connections that rest closed for others")
+		s.log.Info().Int("closed", gone).Int("waiting", len(list)).Int("connections", len(s.conns)).Msg("waiting connections closed to make room")
 	}
 }
--- a/transport/caller/body.go
+++ b/transport/caller/body.go
@@ -20,8 +20,8 @@
 	NoRoom(req *fasthttp.Request, v memory.Verdict) *fasthttp.Response
 }
 
-// firstPiece is what a body begins with that tells no length.
-const firstPiece = 16 << 10
+// firstBuffer, in bytes, is the first buffer of a body without a length.
+const firstBuffer = 16 << 10
 
 // noRoom is a request that was refused for want of memory.
 type noRoom struct{ verdict memory.Verdict }
@@ -38,7 +38,7 @@
 		return fasthttp.ErrBodyTooLarge
 	}
 	if length > readBuffer || length == -1 {
-		s.own(c, req)
+		s.setOwner(c, req)
 	}
 	if length > readBuffer {
 		if v := s.memory.Take(&c.hold, memory.Body, length); !v.Taken {
@@ -77,11 +77,11 @@
 	if err := c.bw.Flush(); err != nil {
 		return err
 	}
-	return c.out.settle()
+	return c.out.awaitWritten()
 }
 
-// own has the account know whose the request is.
-func (s *Server) own(c *Conn, req *fasthttp.Request) {
+// setOwner tells the account which workspace the request belongs to.
+func (s *Server) setOwner(c *Conn, req *fasthttp.Request) {
 	if a, ok := s.handler.(Admitter); ok && s.memory != nil {
 		c.request, c.hold.Workspace = a.Owner(req)
 	}
@@ -121,7 +121,7 @@
 
 // grow returns the body with more room, taken from the account.
 func (s *Server) grow(c *Conn, body []byte, most int) ([]byte, error) {
-	size := memory.Grown(cap(body), firstPiece, most+1)
+	size := memory.Grown(cap(body), firstBuffer, most+1)
 	if size <= cap(body) {
 		return nil, fasthttp.ErrBodyTooLarge
 	}
@@ -144,8 +144,10 @@
 	return c.net.SetReadDeadline(earlier(c.reads.end, c.lastRead))
 }
 
+// endPace holds the caller to no pace any more.
 func (c *Conn) endPace() { c.paced = false }
 
+// earlier returns the earlier of two times.
 func earlier(a, b time.Time) time.Time {
 	if a.Before(b) {
 		return a
@@ -159,19 +161,19 @@
 	if !c.paced {
 		return n, err
 	}
-	if isTimeout(err) && c.again() {
+	if isTimeout(err) && c.restartIfFrozen() {
 		n, err = c.net.Read(p)
 	}
-	if err == nil && c.reads.moved(n, time.Now) {
+	if err == nil && c.reads.add(n, time.Now) {
 		err = c.net.SetReadDeadline(earlier(c.reads.end, c.lastRead))
 	}
 	return n, err
 }
 
-// again gives the caller another window if the process stood still at the end of the
-// last one.
-func (c *Conn) again() bool {
-	return c.reads.end.Before(c.lastRead) && c.reads.again(time.Now()) && c.net.SetReadDeadline(earlier(c.reads.end, c.lastRead)) == nil
+// restartIfFrozen gives the caller another window if the process was frozen at the end of
+// the last one.
+func (c *Conn) restartIfFrozen() bool {
+	return c.reads.end.Before(c.lastRead) && c.reads.restartIfFrozen(time.Now()) && c.net.SetReadDeadline(earlier(c.reads.end, c.lastRead)) == nil
 }
 
 const (
--- a/transport/caller/caller.go
+++ b/transport/caller/caller.go
@@ -62,11 +62,11 @@
 	socket  int // socket is what the kernel may keep of a connection each way, in bytes; 0 leaves it to the kernel.
 	log     zerolog.Logger
 
-	crowdTold time.Time // crowdTold is when the log last told of crowd; of Serve alone.
-	mostConns int       // mostConns bounds the connections; 0 sets no bound.
-	slow      [2]metrics.Counter
-	crowd     metrics.Counter // crowd counts connections that were closed at once.
-	evictions metrics.Counter // evictions counts those that were closed for others.
+	refusalLogged time.Time // refusalLogged is when refusals were last logged; only Serve uses it.
+	mostConns     int       // mostConns bounds the connections; 0 sets no bound.
+	slow          [2]metrics.Counter
+	refusedConns  metrics.Counter // refusedConns counts connections that were closed unread.
+	evictions     metrics.Counter // evictions counts those that were closed for others.
 
 	limits atomic.Pointer[Limits]
 	drain  atomic.Bool
@@ -118,7 +118,7 @@
 var sideNames = [2]string{"sends", "reads"}
 
 func (s *Server) meter(r metrics.Registry) {
-	s.crowd = metrics.GetOrRegisterCounter("connections.refused", r)
+	s.refusedConns = metrics.GetOrRegisterCounter("connections.refused", r)
 	s.evictions = metrics.GetOrRegisterCounter("connections.evicted", r)
 	for i, name := range sideNames {
 		s.slow[i] = metrics.GetOrRegisterCounter(fmt.Sprintf("callers.slow{side=%q}", name), r)
@@ -210,7 +210,7 @@
 	defer s.end()
 	defer func() {
 		_ = c.net.Close()
-		_ = c.out.settle() // Its goroutine uses the hold; behind the close it ends at once.
+		_ = c.out.awaitWritten() // Its goroutine uses the hold; behind the close it ends at once.
 		s.memory.End(&c.hold)
 		s.memory.End(&c.cost)
 		s.track(c, false)
@@ -228,7 +228,7 @@
 		_, _ = tcp.SetReadBuffer(s.socket), tcp.SetWriteBuffer(s.socket) // A connection that ended says so when it is read.
 	}
 	c := &Conn{net: conn, since: time.Now()} // It rests from now on, and not longest of all.
-	c.out = newStore(conn, s.memory, &c.hold, s.pace, func() { s.tooSlow(c, reads) })
+	c.out = newSendBuffer(conn, s.memory, &c.hold, s.pace, func() { s.tooSlow(c, reads) })
 	c.br = bufio.NewReaderSize(c, readBuffer)
 	c.bw = bufio.NewWriterSize(c.out, writeBuffer)
 	return c
@@ -274,7 +274,7 @@
 	s.handler.Serve(ctx, req, a)
 	req.ResetBody() // What follows may take long, and needs it no more.
 	s.memory.Give(&c.hold, memory.Body, int(c.hold.Held(memory.Body)))
-	err := c.out.settle()
+	err := c.out.awaitWritten()
 	stop()
 	cancel()
 	s.memory.End(&c.hold)
--- a/transport/caller/conn.go
+++ b/transport/caller/conn.go
@@ -24,7 +24,7 @@
 	net net.Conn
 	br  *bufio.Reader
 	bw  *bufio.Writer
-	out *store // out is what bw writes to.
+	out *sendBuffer // out is what bw writes to.
 
 	cost     memory.Hold // cost is what the connection holds by itself.
 	hold     memory.Hold // hold is what its request holds.
--- a/transport/caller/late_test.go
+++ b/transport/caller/late_test.go
@@ -59,9 +59,9 @@
 	pace := Pace{Rate: 1 << 20, Window: 20 * time.Millisecond}
 	for name, bound := range map[string]int64{"kept": 1 << 20, "direct": 0} {
 		cut := false
-		s := newStore(&frozen{}, NewMemory(bound, metrics.NewRegistry()), &memory.Hold{}, pace, func() { cut = true })
+		s := newSendBuffer(&frozen{}, NewMemory(bound, metrics.NewRegistry()), &memory.Hold{}, pace, func() { cut = true })
 		_, err := s.Write(make([]byte, 100))
-		if err = errors.Join(err, s.settle()); err != nil || cut {
+		if err = errors.Join(err, s.awaitWritten()); err != nil || cut {
 			t.Errorf("%s: an answer ended with %v, cut %v", name, err, cut)
 		}
 	}
@@ -98,15 +98,15 @@
 	const window = 500 * time.Millisecond
 	conn := &gated{began: make(chan struct{}, 2), may: make(chan struct{})}
 	cut := false
-	s := newStore(conn, NewMemory(2*blockBytes, metrics.NewRegistry()), &memory.Hold{}, Pace{Rate: 1, Window: window}, func() { cut = true })
+	s := newSendBuffer(conn, NewMemory(2*blockBytes, metrics.NewRegistry()), &memory.Hold{}, Pace{Rate: 1, Window: window}, func() { cut = true })
 	done := make(chan error, 1)
 	go func() {
 		_, err := s.Write(make([]byte, 2*blockBytes))
-		done <- errors.Join(err, s.settle())
+		done <- errors.Join(err, s.awaitWritten())
 	}()
 	<-conn.began // The second block waits for the first one's bytes now.
 	s.mu.Lock()
-	time.Sleep(window + stillFor) // Nothing of the store goes on meanwhile.
+	time.Sleep(window + stillFor) // Nothing of the send buffer goes on meanwhile.
 	close(conn.may)
 	s.mu.Unlock()
 	if err := <-done; err != nil || cut {
--- a/transport/caller/memory.go
+++ b/transport/caller/memory.go
@@ -61,7 +61,7 @@
 		m.metered[h.Workspace] = true
 	}
 	m.mu.Unlock()
-	// Where a store is full the answer goes on, slower; connections have their own count.
+	// Where a send buffer is full the answer goes on, slower; connections have their own count.
 	if !v.Taken && (c == memory.Body || c == memory.Answer) {
 		m.refused.Inc(1)
 	}
--- a/transport/caller/memory_test.go
+++ b/transport/caller/memory_test.go
@@ -174,7 +174,7 @@
 		}
 		return text + "0\r\n\r\n"
 	}
-	for _, size := range []int{0, 1, firstPiece - 1, firstPiece, firstPiece + 1, 300_000} {
+	for _, size := range []int{0, 1, firstBuffer - 1, firstBuffer, firstBuffer + 1, 300_000} {
 		conn := dial(t, address)
 		go func() { _, _ = io.WriteString(conn, chunked(size)+"GET /next HTTP/1.1\r\nHost: h\r\n\r\n") }()
 		br := bufio.NewReader(conn)
@@ -422,7 +422,7 @@
 // accepted, and whose goroutine has not run yet, makes no room for others before those
 // that have rested for longer.
 func TestNewConnectionIsNotTakenForOneThatRests(t *testing.T) {
-	s := NewServer(echo, WithConnections(evicted+1))
+	s := NewServer(echo, WithConnections(evictBatch+1))
 	pipe := func() *Conn {
 		ours, theirs := net.Pipe()
 		t.Cleanup(func() { _, _ = ours.Close(), theirs.Close() })
@@ -430,7 +430,7 @@
 		s.track(c, true)
 		return c
 	}
-	for range evicted {
+	for range evictBatch {
 		pipe().enter(connIdle)
 	}
 	fresh := pipe()
@@ -519,7 +519,7 @@
 }
 
 // TestPressedReaderIsCutSooner checks that a caller who reads nothing is cut long before
-// its window ends where the account gives its store no more, so that its server need not
+// its window ends where the account gives its send buffer no more, so that its server need not
 // wait; and that one who reads is not.
 func TestPressedReaderIsCutSooner(t *testing.T) {
 	done := make(chan error, 1)
--- a/transport/caller/atonce_unix.go
+++ b/transport/caller/nonblocking_unix.go
@@ -8,18 +8,18 @@
 	"syscall"
 )
 
-// atOnce writes to a connection what its kernel takes at once. It allocates nothing for a
+// nonblocking writes to a connection what its kernel takes without waiting. It allocates nothing for a
 // write, as each event of each stream passes here.
-type atOnce struct {
-	raw syscall.RawConn // raw is nil for a connection without one: nothing is taken at once.
+type nonblocking struct {
+	raw syscall.RawConn // raw is nil for a connection without one: nothing is taken.
 	try func(fd uintptr) bool
 	p   []byte
 	n   int
 	err error
 }
 
-func newAtOnce(conn net.Conn) *atOnce {
-	w := &atOnce{}
+func newNonblocking(conn net.Conn) *nonblocking {
+	w := &nonblocking{}
 	if sc, ok := conn.(syscall.Conn); ok {
 		if raw, err := sc.SyscallConn(); err == nil {
 			w.raw = raw
@@ -36,7 +36,7 @@
 }
 
 // write returns how many bytes were taken; fewer than all are no error.
-func (w *atOnce) write(p []byte) (int, error) {
+func (w *nonblocking) write(p []byte) (int, error) {
 	if w.raw == nil {
 		return 0, nil
 	}
--- a/transport/caller/pace.go
+++ b/transport/caller/pace.go
@@ -37,9 +37,9 @@
 	*w = window{need: p.need(), time: p.Window, end: now.Add(p.Window)}
 }
 
-// again starts the window anew if the process stood still at its end, and reports whether
-// it did.
-func (w *window) again(now time.Time) bool {
+// restartIfFrozen starts the window anew if the process was frozen at its end, and reports
+// whether it was: such a window says nothing of the caller.
+func (w *window) restartIfFrozen(now time.Time) bool {
 	if !tcp.Late(w.end, now) {
 		return false
 	}
@@ -47,9 +47,9 @@
 	return true
 }
 
-// moved notes bytes, and reports whether they filled the window, so that the next one
+// add counts bytes, and reports whether they filled the window, so that the next one
 // has begun.
-func (w *window) moved(n int, now func() time.Time) bool {
+func (w *window) add(n int, now func() time.Time) bool {
 	w.got += n
 	if w.got < w.need {
 		return false
--- a/transport/caller/queued_linux.go
+++ b/transport/caller/queued_linux.go
@@ -4,7 +4,7 @@
 
 // queued returns how many bytes the kernel keeps that the caller has not acknowledged;
 // false where that is not known.
-func (w *atOnce) queued() (bytes int, known bool) {
+func (w *nonblocking) queued() (bytes int, known bool) {
 	if w.raw == nil {
 		return 0, false
 	}
--- a/transport/caller/queued_other.go
+++ b/transport/caller/queued_other.go
@@ -3,4 +3,4 @@
 package caller
 
 // queued tells nothing: what the kernel takes stands for what the caller takes.
-func (*atOnce) queued() (bytes int, known bool) { return 0, false }
+func (*nonblocking) queued() (bytes int, known bool) { return 0, false }
--- a/transport/caller/steady_linux_test.go
+++ b/transport/caller/steady_linux_test.go
@@ -14,7 +14,7 @@
 
 // TestSteadyReaderIsNotCut checks that a caller who takes its answer at four times the
 // pace is not cut, though its kernel tells of room only in steps that are longer than
-// a window: with room in the store, and while the account gives no more.
+// a window: with room in the send buffer, and while the account gives no more.
 func TestSteadyReaderIsNotCut(t *testing.T) {
 	const rate, size = 4 << 10, 150_000
 	usualPackets := net.Dialer{Control: func(_, _ string, raw syscall.RawConn) error {
