Memory, prompt memory, backend, stand-in: names that say what is decided

The account's answer was a Verdict, which the glossary keeps for whether a request may have run: it is a Decision, with Workspace and OverShare instead of Space and Own. reads and hasLinks are planCopy and notePromptRead; three fields called fresh are newLinks, unreported and (the catalog's) fresh. The pool's room and bound are reserve and limitBuffers; Took is ConnectTime. The stand-in's server crashes, as the gateway says. Constants name unit and reason. No statement changed but by these names; the log fields share and own stay.

Run: go vet ./..., golangci-lint ./..., go test ./coordination/memory ./transport/... ./platform/... ./cmd/..., and of internal/soak TestServersAreSparedTheirFalls: pass.

--- a/coordination/memory/grown.go
+++ b/coordination/memory/grown.go
@@ -1,12 +1,12 @@
 package memory
 
-// doubledBytes is up to where a buffer doubles. Beyond, a doubled one would ask for up to
-// as much again as it needs, and what is a few MB long would be refused for that; copies
-// of a quarter more at a time cost some ms for 16 MB.
+// doubledBytes is the size, in bytes, below which a buffer grows to twice its size. A
+// larger one grows by a quarter: doubled, it would take up to as much again as it needs,
+// and be refused for that. The additional copies cost some ms for 16 MB.
 const doubledBytes = 1 << 20
 
-// Grown is the size of a buffer that grows beyond a size: at least the first, never more
-// than the most. It is the size itself where there is no larger one.
+// Grown returns the next size of a full buffer: at least first, at most most. It returns
+// size itself where the buffer may not grow.
 func Grown(size, first, most int) int {
 	more := size
 	if size >= doubledBytes {
--- a/coordination/memory/memory.go
+++ b/coordination/memory/memory.go
@@ -39,28 +39,29 @@
 }
 
 const (
-	// givenTime is the time over which the bytes that are given back are averaged: some
+	// givenTime is the time over which the rate of bytes given back is averaged: some
 	// requests of a usual length.
 	givenTime = 2 * time.Second
 	// leastWait and mostWait bound when a caller may come back: a shorter time finds the
 	// same bytes held, and behind a longer one the rate is no longer that of now.
 	leastWait = 100 * time.Millisecond
 	mostWait  = 10 * time.Second
-	// connectionPart of the bound is the most for connections, which nobody owns.
+	// connectionPart is the part of the bound that connections may have: they belong to no
+	// workspace, whose share would bound them.
 	connectionPart = 0.5
 )
 
 // Account counts the bytes of one process.
 type Account struct {
-	bound  int64
-	held   int64
-	causes [causes]int64
-	spaces map[string]*space
-	given  rate
+	bound      int64
+	held       int64
+	causes     [causes]int64
+	workspaces map[string]*workspaceBytes
+	given      rate
 }
 
-// space is what one workspace holds.
-type space struct {
+// workspaceBytes is what one workspace holds.
+type workspaceBytes struct {
 	held  int64
 	given rate
 }
@@ -75,21 +76,22 @@
 // Held returns the bytes that are held for a cause.
 func (h *Hold) Held(c Cause) int64 { return h.held[c] }
 
-// Verdict says whether bytes were taken, and if not, by which figures.
-type Verdict struct {
+// Decision says whether bytes were taken, and by which figures. Sizes are in bytes.
+type Decision struct {
 	Taken bool
-	Never bool          // Never says that so much is never taken, whatever else is held.
-	Own   bool          // Own says that the workspace's share is used up, not the whole.
-	Bytes int64         // Bytes are those asked for.
-	Space int64         // Space is what the workspace holds.
-	Held  int64         // Held is what is held in all.
-	Bound int64         // Bound is the most.
-	Wait  time.Duration // Wait is when to come back; 0 where they were taken.
+	Never bool // Never says that so much is never taken, whatever else is held.
+	// OverShare says that the workspace's share is used up, and not the whole account.
+	OverShare bool
+	Bytes     int64         // Bytes are those asked for.
+	Workspace int64         // Workspace is what the workspace holds.
+	Held      int64         // Held is what is held in all.
+	Bound     int64         // Bound is the most.
+	Wait      time.Duration // Wait is when to come back; 0 where they were taken.
 }
 
 // New returns an account of at most some bytes.
 func New(bound int64) *Account {
-	return &Account{bound: bound, spaces: map[string]*space{}}
+	return &Account{bound: bound, workspaces: map[string]*workspaceBytes{}}
 }
 
 // Most is the most that one hold can ever take: what leaves as much to the others.
@@ -104,42 +106,42 @@
 // Of returns the bytes held for a cause.
 func (a *Account) Of(c Cause) int64 { return a.causes[c] }
 
-// Space returns the bytes that a workspace holds.
-func (a *Account) Space(workspace string) int64 {
-	if s := a.spaces[workspace]; s != nil {
+// HeldBy returns the bytes that a workspace holds.
+func (a *Account) HeldBy(workspace string) int64 {
+	if s := a.workspaces[workspace]; s != nil {
 		return s.held
 	}
 	return 0
 }
 
-// Spaces returns what each workspace holds that holds anything.
-func (a *Account) Spaces() map[string]int64 {
-	out := make(map[string]int64, len(a.spaces))
-	for name, s := range a.spaces {
+// Workspaces returns the bytes of each workspace that holds any.
+func (a *Account) Workspaces() map[string]int64 {
+	out := make(map[string]int64, len(a.workspaces))
+	for name, s := range a.workspaces {
 		out[name] = s.held
 	}
 	return out
 }
 
 // Take takes bytes for a cause, all of them or none.
-func (a *Account) Take(h *Hold, c Cause, n int64, now time.Time) Verdict {
-	v := Verdict{Bytes: n, Space: a.Space(h.Workspace), Held: a.held, Bound: a.bound}
+func (a *Account) Take(h *Hold, c Cause, n int64, now time.Time) Decision {
+	v := Decision{Bytes: n, Workspace: a.HeldBy(h.Workspace), Held: a.held, Bound: a.bound}
 	free := a.bound - a.held - n
-	lacks := -free // lacks are the bytes that have to be given back first.
+	missing := -free // missing is how many bytes have to be given back first.
 	given := &a.given
 	if c == Connection {
-		lacks = max(lacks, a.causes[Connection]+n-int64(connectionPart*float64(a.bound)))
-	} else if over := v.Space + n - free; over > lacks {
+		missing = max(missing, a.causes[Connection]+n-int64(connectionPart*float64(a.bound)))
+	} else if over := v.Workspace + n - free; over > missing {
 		// A byte of its own that it gives back counts twice: it has less, and there
 		// is more free.
-		lacks, v.Own = (over+1)/2, v.Space > 0
-		if v.Own {
-			given = &a.spaces[h.Workspace].given
+		missing, v.OverShare = (over+1)/2, v.Workspace > 0
+		if v.OverShare {
+			given = &a.workspaces[h.Workspace].given
 		}
 	}
-	if lacks > 0 {
+	if missing > 0 {
 		v.Never = n > a.Most()
-		v.Wait = given.wait(lacks, now)
+		v.Wait = given.wait(missing, now)
 		return v
 	}
 	v.Taken = true
@@ -147,6 +149,7 @@
 	return v
 }
 
+// add changes all sums by n, which is negative for bytes given back.
 func (a *Account) add(h *Hold, c Cause, n int64) {
 	h.held[c] += n
 	a.causes[c] += n
@@ -154,14 +157,14 @@
 	if c == Connection || n == 0 {
 		return
 	}
-	s := a.spaces[h.Workspace]
+	s := a.workspaces[h.Workspace]
 	if s == nil {
-		s = &space{}
-		a.spaces[h.Workspace] = s
+		s = &workspaceBytes{}
+		a.workspaces[h.Workspace] = s
 	}
 	s.held += n
 	if s.held == 0 {
-		delete(a.spaces, h.Workspace) // Names come and go with the configuration.
+		delete(a.workspaces, h.Workspace) // Names come and go with the configuration.
 	}
 }
 
@@ -172,7 +175,7 @@
 		return
 	}
 	a.given.add(n, now)
-	if s := a.spaces[h.Workspace]; s != nil && c != Connection {
+	if s := a.workspaces[h.Workspace]; s != nil && c != Connection {
 		s.given.add(n, now)
 	}
 	a.add(h, c, -n)
@@ -191,6 +194,7 @@
 	at    time.Time
 }
 
+// fade forgets bytes by the time since they were added (exponential decay).
 func (r *rate) fade(now time.Time) {
 	if d := now.Sub(r.at); d > 0 {
 		r.bytes *= math.Exp(-float64(d) / float64(givenTime))
@@ -198,6 +202,7 @@
 	}
 }
 
+// add counts bytes that were given back now.
 func (r *rate) add(n int64, now time.Time) {
 	r.fade(now)
 	r.bytes += float64(n)
--- a/coordination/memory/memory_test.go
+++ b/coordination/memory/memory_test.go
@@ -60,8 +60,8 @@
 			a.End(&holds[i], now)
 		}
 		checkBook(t, a, holds, nil)
-		if len(a.Spaces()) > 0 {
-			t.Fatalf("at rest there are %v", a.Spaces())
+		if len(a.Workspaces()) > 0 {
+			t.Fatalf("at rest there are %v", a.Workspaces())
 		}
 	})
 }
@@ -89,8 +89,8 @@
 		}
 	}
 	for _, w := range []string{"0", "1", "2", "3"} {
-		if a.Space(w) != bySpace[w] {
-			t.Fatalf("workspace %s has %d bytes, want %d", w, a.Space(w), bySpace[w])
+		if a.HeldBy(w) != bySpace[w] {
+			t.Fatalf("workspace %s has %d bytes, want %d", w, a.HeldBy(w), bySpace[w])
 		}
 	}
 }
@@ -106,7 +106,7 @@
 	if !v.Taken {
 		t.Fatalf("another workspace does not get %d of %d free bytes: %+v", free/2, free, v)
 	}
-	for w, n := range a.Spaces() {
+	for w, n := range a.Workspaces() {
 		if n > bound/2 {
 			t.Fatalf("workspace %s has %d of %d bytes", w, n, bound)
 		}
@@ -128,7 +128,7 @@
 			}
 		}
 		for i := range holds {
-			if got := float64(a.Space(holds[i].Workspace)) / bound; got < want-0.01 || got > want+0.01 {
+			if got := float64(a.HeldBy(holds[i].Workspace)) / bound; got < want-0.01 || got > want+0.01 {
 				t.Errorf("of %d workspaces one has %.3f of the bound, want %.3f", spaces, got, want)
 			}
 		}
@@ -164,7 +164,7 @@
 		a.Take(&h, Body, given, start)
 		other.Workspace = "w"
 		v := a.Take(&other, Body, bound/8, start.Add(time.Millisecond))
-		if v.Taken || v.Never || !v.Own {
+		if v.Taken || v.Never || !v.OverShare {
 			t.Fatalf("got %+v", v)
 		}
 		return v.Wait
--- a/internal/soak/slow_test.go
+++ b/internal/soak/slow_test.go
@@ -187,7 +187,7 @@
 	}
 	falls := func() (sum int) {
 		for _, b := range c.Backends {
-			sum += b.Falls()
+			sum += b.Crashes()
 		}
 		return sum
 	}
--- a/transport/backend/backend.go
+++ b/transport/backend/backend.go
@@ -45,21 +45,21 @@
 
 // Conn is one connection to a backend server.
 type Conn struct {
-	net   net.Conn
-	br    *bufio.Reader
-	bw    *bufio.Writer
-	wrote atomic.Int64  // wrote counts the bytes of the request that the kernel took.
-	sent  atomic.Bool   // sent says that the kernel took all of the request.
-	used  bool          // used says that a request went over it before.
-	meter Meter         // meter counts the bytes; nil for none.
-	took  time.Duration // took is how long the connect took.
-	until time.Time     // until is when it may rest no longer.
-
-	stall    time.Duration // stall is how long a server may take nothing of a body.
-	deadline time.Time     // deadline is the current request's.
-	pool     *Pool
-	closed   atomic.Bool
-	unwanted atomic.Bool // unwanted says that the rest of its body is not wanted.
+	net         net.Conn
+	br          *bufio.Reader
+	bw          *bufio.Writer
+	wrote       atomic.Int64  // wrote counts the bytes of the request that the kernel took.
+	sent        atomic.Bool   // sent says that the kernel took all of the request.
+	used        bool          // used says that a request went over it before.
+	meter       Meter         // meter counts the bytes; nil for none.
+	connectTime time.Duration // connectTime is how long the connect took.
+	until       time.Time     // until is when it may rest no longer.
+
+	stall        time.Duration // stall is how long a server may take nothing of a body.
+	deadline     time.Time     // deadline is the current request's.
+	pool         *Pool
+	closed       atomic.Bool
+	bodyUnwanted atomic.Bool // bodyUnwanted says that the rest of its body is not wanted.
 }
 
 // Meter counts the bytes that a connection carries.
@@ -77,12 +77,12 @@
 		return c.writeAll(p)
 	}
 	n, err := c.net.Write(p)
-	c.counted(n)
+	c.count(n)
 	return n, err
 }
 
-// counted counts bytes that the kernel took.
-func (c *Conn) counted(n int) {
+// count counts bytes that the kernel took.
+func (c *Conn) count(n int) {
 	c.wrote.Add(int64(n))
 	if c.meter != nil {
 		c.meter.Sent(n)
@@ -102,8 +102,8 @@
 // server.
 func (c *Conn) Wrote() bool { return c.wrote.Load() > 0 }
 
-// Took returns how long the connect took: a round trip, and the server's wait.
-func (c *Conn) Took() time.Duration { return c.took }
+// ConnectTime returns how long the connect took: a round trip, and the server's wait.
+func (c *Conn) ConnectTime() time.Duration { return c.connectTime }
 
 // Sent reports whether all of the current request was written.
 func (c *Conn) Sent() bool { return c.sent.Load() }
@@ -159,7 +159,7 @@
 	}
 	if err == nil {
 		// The rest of the body is not wanted. A write that waits ends here.
-		c.unwanted.Store(true)
+		c.bodyUnwanted.Store(true)
 		_ = c.net.SetWriteDeadline(time.Unix(1, 0))
 	} else {
 		c.Close()
@@ -268,7 +268,7 @@
 	if limit <= 0 {
 		return nil, eris.New("no time is left to connect")
 	}
-	if !p.room() {
+	if !p.reserve() {
 		return nil, ErrFull
 	}
 	began := time.Now()
@@ -278,8 +278,8 @@
 		return nil, eris.Wrap(err, "connect")
 	}
 	p.opens.Add(1)
-	p.bound(conn)
-	c := &Conn{net: conn, took: time.Since(began), stall: p.stall, pool: p}
+	p.limitBuffers(conn)
+	c := &Conn{net: conn, connectTime: time.Since(began), stall: p.stall, pool: p}
 	c.br, c.bw = bufio.NewReaderSize(c, readBuffer), bufio.NewWriterSize(c, readBuffer)
 	return c, nil
 }
--- a/transport/backend/progress.go
+++ b/transport/backend/progress.go
@@ -21,7 +21,8 @@
 	// moves or restarts threads is far shorter, and the deadlines of requests with large
 	// bodies are several times as long.
 	stallTime = 3 * time.Second
-	// pieceBytes are handed to the kernel at a time: each has to be taken in stallTime.
+	// pieceBytes, in bytes, are handed to the kernel at a time. Each piece has to be taken
+	// within stallTime.
 	pieceBytes = 32 << 10
 )
 
@@ -37,14 +38,14 @@
 		if err := c.net.SetWriteDeadline(end); err != nil {
 			return written, err
 		}
-		if c.unwanted.Load() { // Set before the deadline that wakes a write, which this one replaced.
+		if c.bodyUnwanted.Load() { // Set before the deadline that wakes a write, which this one replaced.
 			return written, os.ErrDeadlineExceeded
 		}
 		n, err := c.net.Write(p[:min(len(p), pieceBytes)])
-		c.counted(n)
+		c.count(n)
 		written += n
 		p = p[n:]
-		stalled := errors.Is(err, os.ErrDeadlineExceeded) && !last && !c.unwanted.Load()
+		stalled := errors.Is(err, os.ErrDeadlineExceeded) && !last && !c.bodyUnwanted.Load()
 		switch {
 		case stalled && (n > 0 || tcp.Late(end, time.Now())):
 			continue // A part was taken, or may have been while this process stood still.
@@ -74,9 +75,9 @@
 // closed for it.
 var ErrFull = eris.New("there are too many connections to servers")
 
-// room counts a connection that is to be opened. Where there are too many, the one that
+// reserve counts a connection that is to be opened. Where there are too many, the one that
 // may rest for the shortest time yet is closed for it.
-func (p *Pool) room() bool {
+func (p *Pool) reserve() bool {
 	for {
 		n := p.count.Load()
 		if p.most == 0 || n < int64(p.most) {
@@ -115,8 +116,8 @@
 	return true
 }
 
-// bound bounds what the kernel keeps of a connection.
-func (p *Pool) bound(conn net.Conn) {
+// limitBuffers bounds what the kernel keeps of a connection.
+func (p *Pool) limitBuffers(conn net.Conn) {
 	if tcp, ok := conn.(*net.TCPConn); ok && p.socket > 0 {
 		_, _ = tcp.SetReadBuffer(p.socket), tcp.SetWriteBuffer(p.socket) // A connection that ended says so when it is used.
 	}
--- a/transport/backend/progress_test.go
+++ b/transport/backend/progress_test.go
@@ -138,7 +138,7 @@
 		for range 4 * most {
 			all.Go(func() {
 				<-begin
-				if p.room() {
+				if p.reserve() {
 					got.Add(1)
 				}
 			})
--- a/transport/caller/admit.go
+++ b/transport/caller/admit.go
@@ -26,7 +26,7 @@
 	if s.mostConns > 0 && s.Conns() >= s.mostConns {
 		s.evict()
 		if s.Conns() >= s.mostConns {
-			return s.refuseConn(c, memory.Verdict{})
+			return s.refuseConn(c, memory.Decision{})
 		}
 	}
 	v := s.memory.Take(&c.cost, memory.Connection, connectionBytes)
@@ -40,7 +40,7 @@
 }
 
 // refuseConn counts and logs a connection that is closed unread, and returns false.
-func (s *Server) refuseConn(c *Conn, v memory.Verdict) bool {
+func (s *Server) refuseConn(c *Conn, v memory.Decision) bool {
 	s.refusedConns.Inc(1)
 	now := time.Now()
 	if now.Sub(s.refusalLogged) < refusalLogPause {
--- a/transport/caller/body.go
+++ b/transport/caller/body.go
@@ -17,14 +17,14 @@
 	// not known.
 	Owner(req *fasthttp.Request) (request, workspace string)
 	// NoRoom answers a request that was refused for want of memory: it has not run.
-	NoRoom(req *fasthttp.Request, v memory.Verdict) *fasthttp.Response
+	NoRoom(req *fasthttp.Request, v memory.Decision) *fasthttp.Response
 }
 
 // firstBuffer, in bytes, is the first buffer of a body without a length.
 const firstBuffer = 16 << 10
 
 // noRoom is a request that was refused for want of memory.
-type noRoom struct{ verdict memory.Verdict }
+type noRoom struct{ decision memory.Decision }
 
 // Error implements error.
 func (*noRoom) Error() string { return "no memory is left for the request" }
--- a/transport/caller/caller.go
+++ b/transport/caller/caller.go
@@ -322,7 +322,7 @@
 	a := &Answer{conn: c, close: true}
 	var full *noRoom
 	if admitter, ok := s.handler.(Admitter); ok && errors.As(err, &full) {
-		_ = a.Whole(admitter.NoRoom(req, full.verdict)) // The connection is closed in any case.
+		_ = a.Whole(admitter.NoRoom(req, full.decision)) // The connection is closed in any case.
 		c.linger()
 		return
 	}
--- a/transport/caller/conn.go
+++ b/transport/caller/conn.go
@@ -135,7 +135,7 @@
 func (a *Answer) Until(t time.Time) { a.conn.out.until = t }
 
 // Hold takes bytes for a whole answer that is read before it is written.
-func (a *Answer) Hold(n int) memory.Verdict {
+func (a *Answer) Hold(n int) memory.Decision {
 	return a.conn.out.memory.Take(&a.conn.hold, memory.Answer, n)
 }
 
--- a/transport/caller/memory.go
+++ b/transport/caller/memory.go
@@ -50,9 +50,9 @@
 }
 
 // Take takes bytes for a cause, all or none.
-func (m *Memory) Take(h *memory.Hold, c memory.Cause, n int) memory.Verdict {
+func (m *Memory) Take(h *memory.Hold, c memory.Cause, n int) memory.Decision {
 	if m == nil {
-		return memory.Verdict{Taken: true}
+		return memory.Decision{Taken: true}
 	}
 	m.mu.Lock()
 	v := m.account.Take(h, c, int64(n), time.Now())
@@ -67,7 +67,7 @@
 	}
 	if newcomer {
 		name := h.Workspace
-		m.gauge(fmt.Sprintf("memory.held_for{workspace=%q}", name), func(a *memory.Account) int64 { return a.Space(name) })
+		m.gauge(fmt.Sprintf("memory.held_for{workspace=%q}", name), func(a *memory.Account) int64 { return a.HeldBy(name) })
 	}
 	return v
 }
@@ -116,7 +116,7 @@
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	row := &MemoryRow{Bound: m.account.Bound(), Held: m.account.Held(), Causes: map[string]int64{}, Workspaces: m.account.Spaces()}
+	row := &MemoryRow{Bound: m.account.Bound(), Held: m.account.Held(), Causes: map[string]int64{}, Workspaces: m.account.Workspaces()}
 	for _, c := range memory.Causes {
 		row.Causes[c.String()] = m.account.Of(c)
 	}
--- a/transport/caller/memory_test.go
+++ b/transport/caller/memory_test.go
@@ -30,7 +30,7 @@
 	return "", string(req.Header.Peek("W"))
 }
 
-func (k *keyed) NoRoom(_ *fasthttp.Request, v memory.Verdict) *fasthttp.Response {
+func (k *keyed) NoRoom(_ *fasthttp.Request, v memory.Decision) *fasthttp.Response {
 	k.refused.Add(1)
 	resp := &fasthttp.Response{}
 	resp.SetStatusCode(fasthttp.StatusServiceUnavailable)
--- a/transport/forward/attempt.go
+++ b/transport/forward/attempt.go
@@ -71,7 +71,7 @@
 		return x.afterEarlierAttempts(staleCatalog())
 	}
 	if !conn.Used() {
-		x.g.connected(server, conn.Took(), false)
+		x.g.connected(server, conn.ConnectTime(), false)
 	}
 	distance := x.g.distance(server)
 	conn.Count(&x.g.meters.distances.bytes[distance])
@@ -144,7 +144,7 @@
 		stop()
 		t.leave()
 	}()
-	copyFrom := x.reads(t.server)
+	copyFrom := x.planCopy(t.server)
 	t.track()
 	x.out.Reset()
 	x.resp.Reset()
@@ -278,7 +278,7 @@
 	}
 	x.movedTaken(status)
 	t.noteWeights(t.reply.Weights)
-	x.hasLinks(t.server, true)
+	x.notePromptRead(t.server, true)
 	x.count()
 	if x.route.Kind == protocol.RouteStream && status >= 200 && status < 300 {
 		return t.stream(stop)
@@ -298,7 +298,7 @@
 // turnedAway goes on after a server proved that it did not run the request.
 func (t *try) turnedAway(stop func() bool) *protocol.Refusal {
 	status := t.x.resp.StatusCode()
-	t.x.hasLinks(t.server, false)
+	t.x.notePromptRead(t.server, false)
 	if t.reply.Foreign && t.x.continuation == nil { // Of a moved run it may say that the weights are others.
 		t.x.distrust(t.server, true)
 	}
--- a/transport/forward/copy.go
+++ b/transport/forward/copy.go
@@ -9,19 +9,19 @@
 
 // promptMemory is what a gateway knows of where the shared parts of prompts lie.
 type promptMemory struct {
-	holders  *place.Holders
-	fresh    []protocol.Reading // fresh are readings that the leader does not know of.
-	term     uint64             // term is of the leader whose log of readings is followed,
-	position uint64             // and position is up to where.
+	holders    *place.Holders
+	unreported []protocol.Reading // unreported are readings that the leader does not know of.
+	term       uint64             // term is of the leader whose log of readings is followed,
+	position   uint64             // and position is up to where.
 }
 
-// leastCopied is the least number of tokens that are copied rather than read: reading
-// fewer takes about as long as the question for them.
+// leastCopied is the least number of tokens that are worth a copy from another server:
+// the prefill of fewer takes about as long as asking for them.
 const leastCopied = 64
 
-// reads notes that a server is sent the prompt, and returns the address of a server
+// planCopy notes that a server is sent the prompt, and returns the address of a server
 // that it is to copy shared parts of it from, or none.
-func (x *exchange) reads(at *place.Server) (from string) {
+func (x *exchange) planCopy(at *place.Server) (from string) {
 	if x.g.cfg.NoCopies || x.copyRate() <= 0 || len(x.chain) == 0 || x.continuation != nil {
 		return ""
 	}
@@ -33,14 +33,14 @@
 	if from != "" {
 		g.meters.copies.Inc(1)
 	}
-	x.fresh = g.prompts.holders.Read(at.ID, x.chain, now)
+	x.newLinks = g.prompts.holders.Read(at.ID, x.chain, now)
 	return from
 }
 
-// hasLinks notes whether the server has read what it was sent. If so the leader is told
+// notePromptRead notes whether the server has read what it was sent. If so the leader is told
 // of what is news, unless it placed the prompt; if not the server is not known to hold it.
-func (x *exchange) hasLinks(at *place.Server, read bool) {
-	if len(x.fresh) == 0 {
+func (x *exchange) notePromptRead(at *place.Server, read bool) {
+	if len(x.newLinks) == 0 {
 		return
 	}
 	g := x.g
@@ -48,11 +48,11 @@
 	defer g.mu.Unlock()
 	switch {
 	case !read:
-		g.prompts.holders.Unread(at.ID, x.fresh)
+		g.prompts.holders.Unread(at.ID, x.newLinks)
 	case x.placed.Server == "":
-		g.prompts.fresh = append(g.prompts.fresh, protocol.Reading{Server: at.ID, Links: x.fresh})
+		g.prompts.unreported = append(g.prompts.unreported, protocol.Reading{Server: at.ID, Links: x.newLinks})
 	}
-	x.fresh = nil
+	x.newLinks = nil
 }
 
 // copyFrom finds whom to copy from: the holder that the leader named, or, for a prompt
@@ -82,8 +82,8 @@
 	if g.prompts.term != term {
 		g.prompts.term, g.prompts.position = term, 0
 	}
-	m.Readings, m.ReadingsAt = g.prompts.fresh, g.prompts.position
-	g.prompts.fresh = nil // What is lost with the message is a hint less.
+	m.Readings, m.ReadingsAt = g.prompts.unreported, g.prompts.position
+	g.prompts.unreported = nil // What is lost with the message is a hint less.
 }
 
 // takeReadings takes what the leader of a term tells of its log. It needs g.mu.
--- a/transport/forward/copy_test.go
+++ b/transport/forward/copy_test.go
@@ -35,8 +35,8 @@
 		}, false},
 		"turned away": {func(w *world, x *exchange) {
 			other := sharing(w)
-			other.reads(w.g.view.Load().Find("b"))
-			other.hasLinks(w.g.view.Load().Find("b"), false)
+			other.planCopy(w.g.view.Load().Find("b"))
+			other.notePromptRead(w.g.view.Load().Find("b"), false)
 		}, false},
 		"of another version": {func(w *world, x *exchange) {
 			w.g.prompts.holders.Read("b", x.chain, past)
@@ -59,7 +59,7 @@
 		if c.want {
 			want = b.address
 		}
-		if got := x.reads(w.g.view.Load().Find("a")); got != want {
+		if got := x.planCopy(w.g.view.Load().Find("a")); got != want {
 			t.Errorf("%s: copied from %q, want %q", name, got, want)
 		}
 	}
@@ -79,11 +79,11 @@
 	w.backend("a", good)
 	a := w.g.view.Load().Find("a")
 	x := sharing(w)
-	x.reads(a)
+	x.planCopy(a)
 	if m := w.g.Report(1); len(m.Readings) != 0 {
 		t.Errorf("%+v is told before the answer", m.Readings)
 	}
-	x.hasLinks(a, true)
+	x.notePromptRead(a, true)
 	m := w.g.Report(1)
 	if len(m.Readings) != 1 || m.Readings[0].Server != "a" || len(m.Readings[0].Links) != 1 {
 		t.Errorf("told %+v", m.Readings)
@@ -96,8 +96,8 @@
 		t.Errorf("another leader is asked from %d", m.ReadingsAt)
 	}
 	again := sharing(w)
-	again.reads(a)
-	again.hasLinks(a, true)
+	again.planCopy(a)
+	again.notePromptRead(a, true)
 	if m := w.g.Report(2); len(m.Readings) != 0 {
 		t.Errorf("told %+v of what is known", m.Readings)
 	}
--- a/transport/forward/exchange.go
+++ b/transport/forward/exchange.go
@@ -33,7 +33,7 @@
 	service   string
 	prefix    uint64
 	chain     []protocol.PromptLink // chain are the shared parts of the prompt.
-	fresh     []uint32              // fresh are the links that the present server was not known to hold.
+	newLinks  []uint32              // newLinks are the links that the present server was not known to hold.
 	lane      place.Lane
 	parts     protocol.LaneParts // parts say how the servers are parted between the lanes.
 	size      float64            // size is the prompt's length as a multiple of the mean one.
--- a/transport/forward/regions.go
+++ b/transport/forward/regions.go
@@ -13,10 +13,10 @@
 	"github.com/weldstream/weldstream/coordination/topology"
 )
 
-// distances are all that there are.
+// distances are all distances, each at its own index, the nearest first.
 var distances = [...]topology.Distance{topology.SameDomain, topology.SameRegion, topology.OtherRegion}
 
-// distanceMeters count by how far away servers are.
+// distanceMeters are the metrics that are kept for each distance to servers.
 type distanceMeters struct {
 	attempts [len(distances)]metrics.Counter
 	bytes    [len(distances)]serverBytes
@@ -26,14 +26,15 @@
 	lost     [len(distances)]metrics.Counter
 }
 
-// paths are what was observed of the ways to the servers' domains.
+// paths are the observed round trips to the servers' domains.
 type paths struct {
 	mu      sync.Mutex // mu guards all below.
 	trips   *topology.Trips
 	further []string // further are domains whose round trips contradict their region.
 }
 
-// serverBytes implements backend.Meter.
+// serverBytes counts what goes to servers of one distance, and comes back. It implements
+// backend.Meter.
 type serverBytes struct {
 	requests metrics.Counter
 	answers  metrics.Counter
@@ -116,7 +117,7 @@
 	return g.cfg.Topology.Distance(g.cfg.Domain, s.Domain)
 }
 
-// Way is what a gateway has seen of its ways over one distance.
+// Way is what a gateway has seen of servers at one distance, as dumps show it.
 type Way struct {
 	Distance string `json:"distance"`
 	TripUS   int64  `json:"trip_us"` // TripUS is the shortest round trip; 0 where none was seen often enough.
--- a/transport/forward/room.go
+++ b/transport/forward/room.go
@@ -28,7 +28,7 @@
 }
 
 // NoRoom implements caller.Admitter.
-func (g *Gateway) NoRoom(req *fasthttp.Request, v memory.Verdict) *fasthttp.Response {
+func (g *Gateway) NoRoom(req *fasthttp.Request, v memory.Decision) *fasthttp.Response {
 	call := g.dialect.Call(req)
 	_, workspace := g.Owner(req)
 	r := protocol.NewRefusal(protocol.StatusServiceUnavailable, protocol.CodeMemory, "no memory is left for a body of this size").WithRetryAfter(v.Wait)
@@ -36,7 +36,7 @@
 	g.meters.refused.Inc(1)
 	g.meters.end(outcome{"", workspace, r.Verdict})
 	g.log.Info().Str("request", call.ID).Str("workspace", workspace).Str("outcome", "refused").Str("code", string(r.Code)).Stringer("verdict", r.Verdict).
-		Int("status", r.Status).Str("reason", r.Message).Int64("bytes", v.Bytes).Int64("share", v.Space).Bool("own", v.Own).Int64("held", v.Held).Int64("bound", v.Bound).
+		Int("status", r.Status).Str("reason", r.Message).Int64("bytes", v.Bytes).Int64("share", v.Workspace).Bool("own", v.OverShare).Int64("held", v.Held).Int64("bound", v.Bound).
 		Int64("wait", v.Wait.Milliseconds()).Msg("request")
 	resp := &fasthttp.Response{}
 	g.dialect.Refuse(resp, call.ID, r)
@@ -205,7 +205,7 @@
 		return nil, errTooLarge
 	}
 	if size > answerPiece {
-		if err := x.room(size); err != nil {
+		if err := x.takeRoom(size); err != nil {
 			return nil, err
 		}
 	}
@@ -234,19 +234,19 @@
 	if size <= cap(data) {
 		return nil, errTooLarge
 	}
-	if err := x.room(size - cap(data)); err != nil {
+	if err := x.takeRoom(size - cap(data)); err != nil {
 		return nil, err
 	}
 	return append(make([]byte, 0, size), data...), nil
 }
 
-// room takes bytes for the answer from the account of memory.
-func (x *exchange) room(n int) error {
+// takeRoom takes bytes for the answer from the account of memory.
+func (x *exchange) takeRoom(n int) error {
 	v := x.answer.Hold(n)
 	if v.Taken {
 		return nil
 	}
-	x.log.Info().Int64("bytes", v.Bytes).Int64("share", v.Space).Bool("own", v.Own).Int64("held", v.Held).Int64("bound", v.Bound).Msg("no room for an answer")
+	x.log.Info().Int64("bytes", v.Bytes).Int64("share", v.Workspace).Bool("own", v.OverShare).Int64("held", v.Held).Int64("bound", v.Bound).Msg("no room for an answer")
 	return errNoRoom
 }
 
