Forward: attempt in three steps, and log lines that name the move

attempt chose, connected, counted, logged and sent: connect and noteAttempt are functions of their own now, in the same order. "domains further than their region" is "domains whose round trips contradict their region". Fields and metrics stay.

--- a/transport/forward/attempt.go
+++ b/transport/forward/attempt.go
@@ -56,31 +56,48 @@
 	if x.continuation == nil {
 		x.avoid = append(x.avoid, server.ID) // A moved run may come back to where it was.
 	}
+	conn, refusal := x.connect(server)
+	if refusal != nil {
+		return refusal
+	}
+	x.noteAttempt(server, conn)
+	x.sentTo(server)
+	t := &try{x: x, server: server, conn: conn, began: time.Now()}
+	return t.run()
+}
+
+// connect returns a connection to a server that the request may be sent over, or why
+// there is none.
+func (x *exchange) connect(server *place.Server) (*backend.Conn, *protocol.Refusal) {
 	conn, err := x.g.pool.Get(server.ID, server.Address, x.deadline)
 	if errors.Is(err, backend.ErrFull) {
-		return x.noConnection()
+		return nil, x.noConnection()
 	}
 	if err != nil {
 		x.g.connected(server, 0, true)
 		x.distrust(server, true)
-		return x.failed(protocol.NotRun, false, "the server cannot be reached: "+err.Error())
+		return nil, x.failed(protocol.NotRun, false, "the server cannot be reached: "+err.Error())
 	}
 	// A moved run was let in when it began, and is the same one.
 	if x.workspace != nil && !x.route.Open && x.continuation == nil && !x.g.fresh() {
 		conn.Close()
-		return x.afterEarlierAttempts(staleCatalog())
+		return nil, x.afterEarlierAttempts(staleCatalog())
 	}
 	if !conn.Used() {
 		x.g.connected(server, conn.ConnectTime(), false)
 	}
+	return conn, nil
+}
+
+// noteAttempt counts and logs an attempt that is about to be sent.
+func (x *exchange) noteAttempt(server *place.Server, conn *backend.Conn) {
 	distance := x.g.distance(server)
 	conn.Count(&x.g.meters.distances.bytes[distance])
 	x.g.meters.distances.attempts[distance].Inc(1)
-	x.log.Info().Str("server", server.ID).Str("domain", server.Domain).Str("region", x.g.cfg.Topology.Region(server.Domain)).Stringer("distance", distance).Int("outstanding", server.Cell.Outstanding()).Bool("placed", x.placed.Server != "").
-		Uint8("lane", uint8(x.lane)).Int("sent", x.state.Sent).Bool("kept", conn.Used()).Int64("left", x.left().Milliseconds()).Str("go_on", x.copyName()).Msg("attempt")
-	x.sentTo(server)
-	t := &try{x: x, server: server, conn: conn, began: time.Now()}
-	return t.run()
+	x.log.Info().Str("server", server.ID).Str("domain", server.Domain).Str("region", x.g.cfg.Topology.Region(server.Domain)).
+		Stringer("distance", distance).Int("outstanding", server.Cell.Outstanding()).Bool("placed", x.placed.Server != "").
+		Uint8("lane", uint8(x.lane)).Int("sent", x.state.Sent).Bool("kept", conn.Used()).
+		Int64("left", x.left().Milliseconds()).Str("go_on", x.copyName()).Msg("attempt")
 }
 
 // afterEarlierAttempts returns a refusal to send the request once more. If an earlier
--- a/transport/forward/move_call.go
+++ b/transport/forward/move_call.go
@@ -49,7 +49,7 @@
 	}
 	r.g.meters.moveCopy.UpdateSince(began)
 	r.log.Info().Err(err).Str("server", r.server.ID).Str("target", target.ID).Bool("last", last).Int("status", status).Str("handle", reply.Handle).
-		Stringer("outcome", reply.Outcome).Dur("took", time.Since(began)).Msg("run copied")
+		Stringer("outcome", reply.Outcome).Dur("took", time.Since(began)).Msg("move: copy ended")
 	return reply
 }
 
@@ -69,7 +69,7 @@
 	defer fasthttp.ReleaseRequest(out)
 	r.g.moves.mover.Free(out, handle)
 	status, _, err := r.g.ask(s, out, time.Now().Add(copyTime))
-	r.log.Info().Err(err).Str("server", s.ID).Str("handle", handle).Int("status", status).Msg("copy freed")
+	r.log.Info().Err(err).Str("server", s.ID).Str("handle", handle).Int("status", status).Msg("move: copy released")
 	return err == nil && status < fasthttp.StatusBadRequest
 }
 
--- a/transport/forward/regions.go
+++ b/transport/forward/regions.go
@@ -105,7 +105,7 @@
 	p.further = further
 	m.further.Store(int64(len(further)))
 	if len(further) > 0 {
-		g.log.Warn().Strs("domains", further).Dur("across", p.trips.Trip(topology.OtherRegion)).Msg("domains further than their region")
+		g.log.Warn().Strs("domains", further).Dur("across", p.trips.Trip(topology.OtherRegion)).Msg("domains whose round trips contradict their region")
 	}
 }
 
--- a/transport/forward/regions_test.go
+++ b/transport/forward/regions_test.go
@@ -188,7 +188,7 @@
 		w.g.connected(server("c"), 16*time.Millisecond, false)
 	}
 	w.g.connected(server("c"), 0, true)
-	if n := strings.Count(log.String(), "domains further than their region"); n != 1 || !strings.Contains(log.String(), `"domains":["b"]`) {
+	if n := strings.Count(log.String(), "domains whose round trips contradict their region"); n != 1 || !strings.Contains(log.String(), `"domains":["b"]`) {
 		t.Errorf("logged %d times: %s", n, log.String())
 	}
 	gauge := func(name string) int64 { return r.Get(name).(metrics.Gauge).Value() }
