--- a/coordination/move/move.go
+++ b/coordination/move/move.go
@@ -1,5 +1,5 @@
-// Package move decides how a running answer goes on at another server with its memory
-// while its own server is leaving.
+// Package move decides how a running answer (a run) goes on at another server with its
+// memory while its own server is leaving: the source has the run, the target takes it.
 //
 // A run is copied to a target while it goes on, then copied once more and stopped, and
 // only behind the answer that says that it has stopped is the same request sent on with
@@ -43,8 +43,8 @@
 
 // The outcomes.
 const (
-	Failed Outcome = iota // Failed is no answer, or none that says anything.
-	Copied                // Copied is done.
+	Failed Outcome = iota // Failed is no answer, or one that cannot be read.
+	Copied                // Copied is a copy that lies at the target.
 	NoRun                 // NoRun is a run that the source does not have.
 	Busy                  // Busy is a copy that is under way already.
 	NoRoom                // NoRoom is a target without room, or that cannot be reached.
@@ -100,10 +100,10 @@
 // TakenMsg tells that a server answers the run that was sent on.
 type TakenMsg struct{}
 
-// RefusedMsg tells that it proved not to have run it.
+// RefusedMsg tells that the server turned it away, and proved that it did not run it.
 type RefusedMsg struct{}
 
-// LostMsg tells that it may have run it, and does not answer.
+// LostMsg tells that the server may have run it, and did not answer.
 type LostMsg struct{}
 
 // EndedMsg tells that the request has ended, whatever it ended with.
@@ -134,11 +134,11 @@
 	Handle   string
 }
 
-// BreakCmd ends the run as any broken stream.
+// BreakCmd ends the move: the stream counts as broken, and the route decides what follows.
 type BreakCmd struct{}
 
-// FreeCmd has the source, and with it the target, drop a copy that nobody uses, or the
-// target alone where the source is gone.
+// FreeCmd has a copy that nobody uses dropped: by the source, which tells the target, or
+// by the target alone where the source is gone.
 type FreeCmd struct {
 	Handle string
 	Target string
