Forward, regions: names of what is noted of servers' distances

connected, checkRegions and further needed their comments to be read; they are noteConnect, noteUnplaced and contradicting. copyRate and copiesRate differed by a letter or two: the second is promptCopyRate. A constant got its unit. Metrics keep their names.

--- a/transport/forward/attempt.go
+++ b/transport/forward/attempt.go
@@ -74,7 +74,7 @@
 		return nil, x.noConnection()
 	}
 	if err != nil {
-		x.g.connected(server, 0, true)
+		x.g.noteConnect(server, 0, true)
 		x.distrust(server, true)
 		return nil, x.failed(protocol.NotRun, false, "the server cannot be reached: "+err.Error())
 	}
@@ -84,7 +84,7 @@
 		return nil, x.afterEarlierAttempts(staleCatalog())
 	}
 	if !conn.Used() {
-		x.g.connected(server, conn.ConnectTime(), false)
+		x.g.noteConnect(server, conn.ConnectTime(), false)
 	}
 	return conn, nil
 }
--- a/transport/forward/exchange.go
+++ b/transport/forward/exchange.go
@@ -224,7 +224,7 @@
 		Chain:   x.chain,
 		Domain:  x.g.cfg.Domain,
 		Avoid:   x.excluded(),
-		Copies:  x.copiesRate(),
+		Copies:  x.promptCopyRate(),
 		Parts:   x.parts,
 		Target:  x.route.Target,
 		Gap:     x.route.TargetGap,
@@ -250,8 +250,9 @@
 	return 0
 }
 
-// copiesRate is copyRate, or 0 where nothing is to be copied for prompts.
-func (x *exchange) copiesRate() float64 {
+// promptCopyRate is copyRate for the shared parts of prompts; 0 where the settings switch
+// their copies off.
+func (x *exchange) promptCopyRate() float64 {
 	if x.g.cfg.NoCopies {
 		return 0
 	}
--- a/transport/forward/forward.go
+++ b/transport/forward/forward.go
@@ -175,7 +175,7 @@
 	g.mu.Unlock()
 	g.renewView()
 	view := g.view.Load()
-	g.checkRegions(view)
+	g.noteUnplaced(view)
 	leaving, now := 0, time.Now()
 	for i := range view.Servers {
 		s := &view.Servers[i]
--- a/transport/forward/regions.go
+++ b/transport/forward/regions.go
@@ -18,19 +18,19 @@
 
 // distanceMeters are the metrics that are kept for each distance to servers.
 type distanceMeters struct {
-	attempts [len(distances)]metrics.Counter
-	bytes    [len(distances)]serverBytes
-	unplaced atomic.Int64 // unplaced are domains of servers that have no region, though there are several.
-	further  atomic.Int64 // further are domains whose observed round trips contradict their region.
-	trips    [len(distances)]atomic.Int64
-	lost     [len(distances)]metrics.Counter
+	attempts      [len(distances)]metrics.Counter
+	bytes         [len(distances)]serverBytes
+	unplaced      atomic.Int64 // unplaced are domains of servers that have no region, though there are several.
+	contradicting atomic.Int64 // contradicting are domains whose observed round trips contradict their region.
+	trips         [len(distances)]atomic.Int64
+	lost          [len(distances)]metrics.Counter
 }
 
 // paths are the observed round trips to the servers' domains.
 type paths struct {
-	mu      sync.Mutex // mu guards all below.
-	trips   *topology.Trips
-	further []string // further are domains whose round trips contradict their region.
+	mu            sync.Mutex // mu guards all below.
+	trips         *topology.Trips
+	contradicting []string // contradicting are domains whose round trips contradict their region.
 }
 
 // serverBytes counts what goes to servers of one distance, and comes back. It implements
@@ -59,13 +59,13 @@
 		m.bytes[d].answers = counter("servers.bytes", d, `cause="answer",`)
 	}
 	metrics.NewRegisteredFunctionalGauge("domains.unplaced", r, m.unplaced.Load)
-	metrics.NewRegisteredFunctionalGauge("domains.further", r, m.further.Load)
+	metrics.NewRegisteredFunctionalGauge("domains.further", r, m.contradicting.Load)
 	return m
 }
 
-// checkRegions warns of servers in domains whose region the settings do not tell,
+// noteUnplaced warns of servers in domains whose region the settings do not tell,
 // when there are others than before. They count as near.
-func (g *Gateway) checkRegions(view *place.View) {
+func (g *Gateway) noteUnplaced(view *place.View) {
 	domains := make([]string, 0, len(view.Servers))
 	for i := range view.Servers {
 		domains = append(domains, view.Servers[i].Domain)
@@ -84,10 +84,10 @@
 	}
 }
 
-// connected notes how long a new connection to a server took, or that it failed. It
+// noteConnect notes how long a new connection to a server took, or that it failed. It
 // warns of domains whose round trips contradict their region, when there are others than
 // before.
-func (g *Gateway) connected(s *place.Server, took time.Duration, failed bool) {
+func (g *Gateway) noteConnect(s *place.Server, took time.Duration, failed bool) {
 	d, p, m := g.distance(s), &g.paths, g.meters.distances
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -98,14 +98,14 @@
 	}
 	p.trips.Observe(s.Domain, took)
 	m.trips[d].Store(p.trips.Trip(d).Microseconds())
-	further := p.trips.Contradicting()
-	if slices.Equal(further, p.further) {
+	contradicting := p.trips.Contradicting()
+	if slices.Equal(contradicting, p.contradicting) {
 		return
 	}
-	p.further = further
-	m.further.Store(int64(len(further)))
-	if len(further) > 0 {
-		g.log.Warn().Strs("domains", further).Dur("across", p.trips.Trip(topology.OtherRegion)).Msg("domains whose round trips contradict their region")
+	p.contradicting = contradicting
+	m.contradicting.Store(int64(len(contradicting)))
+	if len(contradicting) > 0 {
+		g.log.Warn().Strs("domains", contradicting).Dur("across", p.trips.Trip(topology.OtherRegion)).Msg("domains whose round trips contradict their region")
 	}
 }
 
--- a/transport/forward/regions_test.go
+++ b/transport/forward/regions_test.go
@@ -183,11 +183,11 @@
 		return &place.Server{Instance: protocol.Instance{Domain: domain}}
 	}
 	for range 30 {
-		w.g.connected(server("a"), time.Millisecond, false)
-		w.g.connected(server("b"), 40*time.Millisecond, false)
-		w.g.connected(server("c"), 16*time.Millisecond, false)
+		w.g.noteConnect(server("a"), time.Millisecond, false)
+		w.g.noteConnect(server("b"), 40*time.Millisecond, false)
+		w.g.noteConnect(server("c"), 16*time.Millisecond, false)
 	}
-	w.g.connected(server("c"), 0, true)
+	w.g.noteConnect(server("c"), 0, true)
 	if n := strings.Count(log.String(), "domains whose round trips contradict their region"); n != 1 || !strings.Contains(log.String(), `"domains":["b"]`) {
 		t.Errorf("logged %d times: %s", n, log.String())
 	}
--- a/transport/forward/stream.go
+++ b/transport/forward/stream.go
@@ -10,6 +10,7 @@
 	"github.com/weldstream/weldstream/protocol"
 )
 
+// pieceBytes, in bytes, is the most that is read of a stream at a time: several events.
 const pieceBytes = 4 << 10
 
 // stream relays events as they arrive. The head waits for the first of them, so
