--- a/coordination/place/sum.go
+++ b/coordination/place/sum.go
@@ -35,12 +35,6 @@
 // Drop forgets a gateway.
 func (s *Sum) Drop(gateway string) { s.loads.Drop(gateway) }
 
-// Counts reports whether a gateway is in the sum.
-func (s *Sum) Counts(gateway string) bool {
-	_, ok := s.loads.gateways[gateway]
-	return ok
-}
-
 // Changes returns what changed since it was called last, for the next batch, and whether
 // that is the whole sums, as after Lost.
 func (s *Sum) Changes() (m protocol.SumsMsg, whole bool) {
--- a/transport/control/relay.go
+++ b/transport/control/relay.go
@@ -64,6 +64,7 @@
 	asked      string               // asked is the leader that the latest batch went to.
 	answerTime link.AnswerTime
 	overdue    bool // overdue says that the leader is late with the answer to a batch, and none came since.
+	stopped    bool // stopped says that Run has ended: nobody answers questions any more.
 }
 
 // question is one of a gateway that waits for its answer.
@@ -123,10 +124,14 @@
 }
 
 // sync keeps a gateway's question until the answer to a later batch, or until that is
-// overdue. Either takes no longer than a batch may.
+// overdue. Either takes no longer than a batch may. A relay that has ended answers at once.
 func (r *Relay) sync(m protocol.SyncMsg, reply *protocol.SyncReply) {
 	q := &question{m: m, at: time.Now(), answer: make(chan protocol.SyncReply, 1)}
 	r.mu.Lock()
+	if r.stopped {
+		r.mu.Unlock()
+		return
+	}
 	r.waiting = append(r.waiting, q)
 	r.mu.Unlock()
 	r.wakeUp()
@@ -154,6 +159,9 @@
 				exchanges.Go(func() { r.send(ctx, b) })
 			}
 		case <-ctx.Done():
+			r.mu.Lock()
+			r.stopped = true
+			r.mu.Unlock()
 			r.refuse(r.gathered(), "")
 			return nil
 		}
--- a/transport/control/relay_test.go
+++ b/transport/control/relay_test.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"context"
 	"errors"
 	"fmt"
 	"math"
@@ -590,3 +591,25 @@
 		}
 	}
 }
+
+// TestEndedRelayAnswersAtOnce checks that a question which comes behind a relay's end
+// does not wait for an answer that nobody gives.
+func TestEndedRelayAnswersAtOnce(t *testing.T) {
+	_, _, w := newLeader(1)
+	u := newUplink(newFakeGroup())
+	ctx, stop := context.WithCancel(t.Context())
+	stop()
+	relay := NewRelay(u, w, "ended", "10.0.0.9:7000", metrics.NewRegistry())
+	if err := relay.Run(ctx); err != nil {
+		t.Fatal(err)
+	}
+	answer := make(chan protocol.SyncReply, 1)
+	go func() {
+		var reply protocol.SyncReply
+		relay.sync(protocol.SyncMsg{Gateway: "g", Relayed: true}, &reply)
+		answer <- reply
+	}()
+	if got := within(t, answer, "an answer"); got.Leads {
+		t.Errorf("answered %+v", got)
+	}
+}
--- a/transport/forward/forward.go
+++ b/transport/forward/forward.go
@@ -71,7 +71,7 @@
 	confirmed atomic.Int64 // confirmed is when the catalog was known to be the newest, since began; 0 for never.
 	gateways  atomic.Int64
 	paths     paths
-	flights   sync.Map    // flights are the bytes at servers, a *flight by service.
+	inFlight  sync.Map    // inFlight are the bytes at servers, a *inFlight by service.
 	closed    atomic.Bool // closed refuses new requests: the gateway ends soon.
 
 	moves moves
@@ -138,7 +138,7 @@
 	for _, opt := range opts {
 		opt(g)
 	}
-	g.moves.runs, g.moves.leaving, g.moves.weights = map[string]map[*running]struct{}{}, map[string]bool{}, map[string]string{}
+	g.moves.runs, g.moves.watched, g.moves.weights = map[string]map[*running]struct{}{}, map[string]bool{}, map[string]string{}
 	g.prompts.holders = place.NewHolders(cfg.Topology)
 	if g.meters == nil {
 		g.meters = newMeters(metrics.NewRegistry())
@@ -175,7 +175,7 @@
 	g.mu.Unlock()
 	g.renewView()
 	view := g.view.Load()
-	g.checkRegions(view)
+	g.noteUnplaced(view)
 	leaving, now := 0, time.Now()
 	for i := range view.Servers {
 		s := &view.Servers[i]
@@ -187,7 +187,7 @@
 		}
 	}
 	g.log.Info().Int("servers", len(view.Servers)).Int("leaving", leaving).Msg("list of servers")
-	g.evacuate(view, now)
+	g.moveFromLeaving(view, now)
 	g.pool.Keep(func(id string) bool {
 		s := view.Find(id)
 		return s != nil && !s.Leaving
