--- a/cmd/weldctl/status.go
+++ b/cmd/weldctl/status.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"flag"
 	"fmt"
+	"slices"
 	"text/tabwriter"
 	"time"
 
@@ -18,10 +19,11 @@
 // looks on, and one that is cut off answers nothing.
 const statusTime = 2 * time.Second
 
-const (
-	tripRound = 100 * time.Microsecond // tripRound is what round trips are rounded to: those of a region take a millisecond.
-	percent   = 100
-)
+// tripRound is what round trips are rounded to: those of a region take a millisecond.
+const tripRound = 100 * time.Microsecond
+
+// percent turns a part into percent.
+const percent = 100
 
 // controlView is the part of a control instance's dump that the tables show.
 type controlView struct {
@@ -72,6 +74,7 @@
 	return view, eris.Wrap(json.Unmarshal(body, &view), "read the dump")
 }
 
+// printControls shows a row for each control instance.
 func printControls(e env, views []controlView) {
 	if len(views) == 0 {
 		return
@@ -97,20 +100,22 @@
 	return fmt.Sprintf("%d gateways", r.Gateways)
 }
 
-// printTrips shows the round trips as the leader knows them, or the first instance that
-// knows any.
+// printTrips shows the round trips as the leader knows them; where it is not among the
+// instances or does not tell, as the first one that knows any.
 func printTrips(e env, views []controlView) {
-	for i := range views {
-		v := &views[i]
-		if len(v.RoundTrips) == 0 || (v.Leader.Name != v.ID.Name && v.Leader.Name != "") {
-			continue
-		}
-		w := tabwriter.NewWriter(e.out, 0, 0, 2, ' ', 0)
-		fmt.Fprintln(w, "FROM\tTO\tROUND TRIP\tLATE\tLOST")
-		for _, trip := range v.RoundTrips {
-			fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%.0f%%\n", trip.From, trip.To, trip.Smoothed.Round(tripRound), trip.Late().Round(tripRound), trip.Loss*percent)
-		}
-		_ = w.Flush() // Writes to the terminal.
+	knows := func(v controlView) bool { return len(v.RoundTrips) > 0 }
+	leads := func(v controlView) bool { return knows(v) && v.Leader.Name == v.ID.Name }
+	from := slices.IndexFunc(views, leads)
+	if from < 0 {
+		from = slices.IndexFunc(views, knows)
+	}
+	if from < 0 {
 		return
 	}
+	w := tabwriter.NewWriter(e.out, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(w, "FROM\tTO\tROUND TRIP\tLATE\tLOST")
+	for _, trip := range views[from].RoundTrips {
+		fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%.0f%%\n", trip.From, trip.To, trip.Smoothed.Round(tripRound), trip.Late().Round(tripRound), trip.Loss*percent)
+	}
+	_ = w.Flush() // Writes to the terminal.
 }
--- a/coordination/place/cell.go
+++ b/coordination/place/cell.go
@@ -61,13 +61,6 @@
 // Read notes that the server has read a prompt.
 func (c *Cell) Read(prompt float64) { c.Reads(-prompt) }
 
-// Pending returns the prompts of mean length that the server has still to read.
-func (c *Cell) Pending() float64 {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.pending
-}
-
 // ReportedLoad notes what the server reported of its load: the requests that run there and
 // wait there, of all gateways.
 func (c *Cell) ReportedLoad(load int, now time.Time) {
--- a/protocol/batch.go
+++ b/protocol/batch.go
@@ -2,12 +2,12 @@
 
 import "time"
 
-// LoadMark names a state of the loads of all servers at one instance that tells them.
-// One that holds it is told only what changed since.
+// LoadMark names a version of the loads of all servers, as one instance tells them. An
+// asker that holds that version is told only what changed since.
 type LoadMark struct {
-	_       struct{} `cbor:",toarray"`
-	Teller  uint64   // Teller tells instances, and their starts, apart.
-	Version uint64   // Version rises with each change; 0 for none.
+	_           struct{} `cbor:",toarray"`
+	Incarnation uint64   // Incarnation is drawn at each start of the instance that tells the loads.
+	Version     uint64   // Version rises with each change; 0 for none.
 }
 
 // BatchMsg is what a relay asks the leader for the gateways that ask it. It names the
@@ -20,7 +20,7 @@
 	Batch    uint64 // Batch rises with each batch of a life.
 	Base     uint64 // Base is the batch that the sums build on; 0 where they are whole.
 	Number   uint64 // Number is the document that the relay holds.
-	Lister   uint64 // Lister and Servers tell which list it holds.
+	Lister   uint64 // Lister and Servers are the term and the version of the list that it holds.
 	Servers  uint64
 	Rollouts uint64   // Rollouts is the change of the roll-outs that it holds.
 	Loads    LoadMark // Loads are the loads that it holds.
@@ -41,11 +41,11 @@
 // SumsMsg is what the gateways of a relay know together of the servers: all of it, or
 // what changed.
 type SumsMsg struct {
-	_       struct{}    `cbor:",toarray"`
-	Running []ServerSum // Running are requests under way; 0 where none are left.
-	Voices  []Voice     // Voices are distrusts; 0 gateways where none is left.
-	Counted []string    // Counted are gateways that the sums hold from now on.
-	Gone    []string    // Gone are gateways that they hold no more.
+	_         struct{}      `cbor:",toarray"`
+	Running   []ServerSum   // Running are requests under way; 0 where none are left.
+	Distrusts []DistrustSum // Distrusts count gateways by server and domain; 0 where none is left.
+	Counted   []string      // Counted are gateways that the sums hold from now on.
+	Gone      []string      // Gone are gateways that they hold no more.
 }
 
 // ServerSum is how many requests one server has from the gateways of a relay.
@@ -55,8 +55,8 @@
 	Running int
 }
 
-// Voice is how many gateways of a domain distrust a server.
-type Voice struct {
+// DistrustSum is how many gateways of a domain distrust a server.
+type DistrustSum struct {
 	_        struct{} `cbor:",toarray"`
 	Server   string
 	Domain   string
@@ -107,7 +107,7 @@
 	BatchLanes
 }
 
-// BatchLanes are ServiceLanes likewise.
+// BatchLanes are ServiceLanes without the names of the fields, of single precision.
 type BatchLanes struct {
 	Service string
 	Seen    int
@@ -128,7 +128,7 @@
 	Document    []byte // Document is set when the relay's is older.
 	Lister      uint64
 	Version     uint64
-	Listed      bool
+	Listed      bool // Listed says that List is set: the relay's list is older.
 	List        []byte
 	Gateways    int
 	Clock       int64 // Clock is in nanoseconds since 1970.
@@ -137,7 +137,7 @@
 	Rollouts    []Rollout
 	Changes     uint64
 	Loads       LoadMark          // Loads names the loads that the relay holds with this answer.
-	Whole       []byte            // Whole are all loads, where they are not told as changes.
+	Whole       []byte            // Whole are all loads; empty where LoadChanges tells them.
 	LoadChanges []byte            // LoadChanges are what changed; see place.Vector.
 	Distrusted  map[string][]byte // Distrusted are the servers to pass over, by the gateways' domain.
 	Resend      bool              // Resend asks for whole sums: the leader does not hold what they build on.
--- a/transport/control/relay_test.go
+++ b/transport/control/relay_test.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"context"
 	"errors"
 	"fmt"
 	"math"
@@ -447,7 +448,7 @@
 		u := NewUplink(newFakeGroup(), w.peers, parse, 8*time.Second, WithTopology(twoRegions))
 		r := NewRelay(u, w, "a", "a:7000", metrics.NewRegistry())
 		type underWay struct {
-			b      *exchanged
+			b      *exchange
 			reply  protocol.BatchReply
 			number uint64
 		}
@@ -481,7 +482,7 @@
 			case 2:
 				g.m.Running = []protocol.ServerLoad{{Server: "1", Running: rapid.IntRange(0, 3).Draw(t, "running")}}
 				q := &question{m: g.m, at: time.Now(), answer: make(chan protocol.SyncReply, 1)}
-				x := &underWay{b: &exchanged{leader: leaderAt, list: []*question{q}}, number: number}
+				x := &underWay{b: &exchange{leader: leaderAt, list: []*question{q}}, number: number}
 				x.b.m, _ = r.compose(leaderAt, x.b.list)
 				leader.mu.Lock()
 				leader.common = common{} // As if some time had passed.
@@ -590,3 +591,25 @@
 		}
 	}
 }
+
+// TestEndedRelayAnswersAtOnce checks that a question which comes behind a relay's end
+// does not wait for an answer that nobody gives.
+func TestEndedRelayAnswersAtOnce(t *testing.T) {
+	_, _, w := newLeader(1)
+	u := newUplink(newFakeGroup())
+	ctx, stop := context.WithCancel(t.Context())
+	stop()
+	relay := NewRelay(u, w, "ended", "10.0.0.9:7000", metrics.NewRegistry())
+	if err := relay.Run(ctx); err != nil {
+		t.Fatal(err)
+	}
+	answer := make(chan protocol.SyncReply, 1)
+	go func() {
+		var reply protocol.SyncReply
+		relay.sync(protocol.SyncMsg{Gateway: "g", Relayed: true}, &reply)
+		answer <- reply
+	}()
+	if got := within(t, answer, "an answer"); got.Leads {
+		t.Errorf("answered %+v", got)
+	}
+}
--- a/transport/forward/attempt.go
+++ b/transport/forward/attempt.go
@@ -41,7 +41,7 @@
 	observed bool      // observed says that the answer was counted for a roll-out.
 	left     bool      // left says that the request has left the server.
 	done     bool      // done says that its answer was read to its end.
-	falls    int       // falls are how often the server had fallen over when the request was sent.
+	crashes  int       // crashes are how often the server had crashed when the request was sent.
 }
 
 // attempt sends the request to a server. It returns nil when the request is
@@ -50,42 +50,59 @@
 	x.ended()
 	server, refusal := x.choose()
 	if refusal != nil {
-		return x.truly(refusal)
+		return x.afterEarlierAttempts(refusal)
 	}
 	x.server = server.ID
-	if x.onward == nil {
+	if x.continuation == nil {
 		x.avoid = append(x.avoid, server.ID) // A moved run may come back to where it was.
 	}
+	conn, refusal := x.connect(server)
+	if refusal != nil {
+		return refusal
+	}
+	x.noteAttempt(server, conn)
+	x.sentTo(server)
+	t := &try{x: x, server: server, conn: conn, began: time.Now()}
+	return t.run()
+}
+
+// connect returns a connection to a server that the request may be sent over, or why
+// there is none.
+func (x *exchange) connect(server *place.Server) (*backend.Conn, *protocol.Refusal) {
 	conn, err := x.g.pool.Get(server.ID, server.Address, x.deadline)
 	if errors.Is(err, backend.ErrFull) {
-		return x.crowded()
+		return nil, x.noConnection()
 	}
 	if err != nil {
-		x.g.connected(server, 0, true)
+		x.g.noteConnect(server, 0, true)
 		x.distrust(server, true)
-		return x.failed(protocol.NotRun, false, "the server cannot be reached: "+err.Error())
+		return nil, x.failed(protocol.NotRun, false, "the server cannot be reached: "+err.Error())
 	}
 	// A moved run was let in when it began, and is the same one.
-	if x.workspace != nil && !x.route.Open && x.onward == nil && !x.g.fresh() {
+	if x.workspace != nil && !x.route.Open && x.continuation == nil && !x.g.fresh() {
 		conn.Close()
-		return x.truly(staleCatalog())
+		return nil, x.afterEarlierAttempts(staleCatalog())
 	}
 	if !conn.Used() {
-		x.g.connected(server, conn.Took(), false)
+		x.g.noteConnect(server, conn.ConnectTime(), false)
 	}
+	return conn, nil
+}
+
+// noteAttempt counts and logs an attempt that is about to be sent.
+func (x *exchange) noteAttempt(server *place.Server, conn *backend.Conn) {
 	distance := x.g.distance(server)
 	conn.Count(&x.g.meters.distances.bytes[distance])
 	x.g.meters.distances.attempts[distance].Inc(1)
-	x.log.Info().Str("server", server.ID).Str("domain", server.Domain).Str("region", x.g.cfg.Topology.Region(server.Domain)).Stringer("distance", distance).Int("outstanding", server.Cell.Outstanding()).Bool("placed", x.placed.Server != "").
-		Uint8("lane", uint8(x.lane)).Int("sent", x.state.Sent).Bool("kept", conn.Used()).Int64("left", x.left().Milliseconds()).Str("go_on", x.copyName()).Msg("attempt")
-	x.sentTo(server)
-	t := &try{x: x, server: server, conn: conn, began: time.Now()}
-	return t.run()
+	x.log.Info().Str("server", server.ID).Str("domain", server.Domain).Str("region", x.g.cfg.Topology.Region(server.Domain)).
+		Stringer("distance", distance).Int("outstanding", server.Cell.Outstanding()).Bool("placed", x.placed.Server != "").
+		Uint8("lane", uint8(x.lane)).Int("sent", x.state.Sent).Bool("kept", conn.Used()).
+		Int64("left", x.left().Milliseconds()).Str("go_on", x.copyName()).Msg("attempt")
 }
 
-// truly returns a refusal to send the request, as one of a request that may have run if
-// an earlier attempt may have.
-func (x *exchange) truly(refusal *protocol.Refusal) *protocol.Refusal {
+// afterEarlierAttempts returns a refusal to send the request once more. If an earlier
+// attempt may have run, the refusal must not say not-run.
+func (x *exchange) afterEarlierAttempts(refusal *protocol.Refusal) *protocol.Refusal {
 	if !x.state.MayHaveRun {
 		return refusal
 	}
@@ -138,13 +155,13 @@
 	t.server.Cell.Began()
 	t.server.Cell.Reads(x.size)
 	x.takesSlot(t.server.Width())
-	t.takesBytes()
+	t.beginBytes()
 	stop := context.AfterFunc(x.ctx, t.conn.Close)
 	defer func() {
 		stop()
 		t.leave()
 	}()
-	copyFrom := x.reads(t.server)
+	copyFrom := x.planCopy(t.server)
 	t.track()
 	x.out.Reset()
 	x.resp.Reset()
@@ -167,7 +184,7 @@
 		}
 		err = t.skip()
 	}
-	if err != nil && t.goesOn() {
+	if err != nil && t.continuesElsewhere() {
 		t.conn.Close()
 		return errAgain
 	}
@@ -188,7 +205,7 @@
 	t.hasRead()
 	t.server.Cell.Ended()
 	t.x.givesBack(time.Since(t.began), t.server.Width())
-	t.givesBytes()
+	t.endBytes()
 }
 
 // hasRead notes once that the server need not read the prompt any more.
@@ -252,7 +269,7 @@
 		// are lost, only those that a crash catches before they begin did not run.
 		t.x.count()
 	}
-	t.fell(err)
+	t.crashed(err)
 	t.x.distrust(t.server, false)
 	return t.x.failed(protocol.MayHaveRun, true, "the answer did not come: "+err.Error())
 }
@@ -277,8 +294,8 @@
 		return x.failed(protocol.MayHaveRun, true, "the server goes on with other weights")
 	}
 	x.movedTaken(status)
-	t.madeBy(t.reply.Weights)
-	x.hasLinks(t.server, true)
+	t.noteWeights(t.reply.Weights)
+	x.notePromptRead(t.server, true)
 	x.count()
 	if x.route.Kind == protocol.RouteStream && status >= 200 && status < 300 {
 		return t.stream(stop)
@@ -298,8 +315,8 @@
 // turnedAway goes on after a server proved that it did not run the request.
 func (t *try) turnedAway(stop func() bool) *protocol.Refusal {
 	status := t.x.resp.StatusCode()
-	t.x.hasLinks(t.server, false)
-	if t.reply.Foreign && t.x.onward == nil { // Of a moved run it may say that the weights are others.
+	t.x.notePromptRead(t.server, false)
+	if t.reply.Foreign && t.x.continuation == nil { // Of a moved run it may say that the weights are others.
 		t.x.distrust(t.server, true)
 	}
 	body, err := t.conn.Body(t.x.resp)
@@ -334,7 +351,7 @@
 		data, err = x.readWhole(body, x.resp.Header.ContentLength())
 	}
 	if errors.Is(err, errNoRoom) {
-		return t.unread()
+		return t.noRoomForAnswer()
 	}
 	if err != nil {
 		return t.lost(err)
--- a/transport/forward/exchange.go
+++ b/transport/forward/exchange.go
@@ -33,21 +33,21 @@
 	service   string
 	prefix    uint64
 	chain     []protocol.PromptLink // chain are the shared parts of the prompt.
-	fresh     []uint32              // fresh are the links that the present server was not known to hold.
+	newLinks  []uint32              // newLinks are the links that the present server was not known to hold.
 	lane      place.Lane
 	parts     protocol.LaneParts // parts say how the servers are parted between the lanes.
 	size      float64            // size is the prompt's length as a multiple of the mean one.
 	start     time.Time
 	deadline  time.Time
 
-	placed  protocol.PlaceReply // placed is the place that the leader gave for the current attempt.
-	state   resend.State
-	onward  *onward // onward is where the run goes on with its memory; nil for none.
-	avoid   []string
-	events  events
-	counted bool // counted says that the request was counted as one that began to run.
-	headed  bool // headed says that the head of the answer was written.
-	server  string
+	placed       protocol.PlaceReply // placed is the place that the leader gave for the current attempt.
+	state        resend.State
+	continuation *continuation // continuation is where the run goes on with its memory; nil for none.
+	avoid        []string
+	events       events
+	counted      bool // counted says that the request was counted as one that began to run.
+	headed       bool // headed says that the head of the answer was written.
+	server       string
 
 	first   time.Duration // first is from the start to the first byte of the answer.
 	pieceAt time.Time     // pieceAt is when the last events were passed on.
@@ -71,7 +71,7 @@
 func (x *exchange) release() {
 	x.cancel()
 	x.ended()
-	x.dropOnward()
+	x.dropContinuation()
 	fasthttp.ReleaseRequest(x.out)
 	fasthttp.ReleaseResponse(x.resp)
 }
@@ -223,8 +223,8 @@
 		Prefix:  x.prefix,
 		Chain:   x.chain,
 		Domain:  x.g.cfg.Domain,
-		Avoid:   x.passedOver(),
-		Copies:  x.copiesRate(),
+		Avoid:   x.excluded(),
+		Copies:  x.promptCopyRate(),
 		Parts:   x.parts,
 		Target:  x.route.Target,
 		Gap:     x.route.TargetGap,
@@ -250,8 +250,9 @@
 	return 0
 }
 
-// copiesRate is copyRate, or 0 where nothing is to be copied for prompts.
-func (x *exchange) copiesRate() float64 {
+// promptCopyRate is copyRate for the shared parts of prompts; 0 where the settings switch
+// their copies off.
+func (x *exchange) promptCopyRate() float64 {
 	if x.g.cfg.NoCopies {
 		return 0
 	}
@@ -269,7 +270,7 @@
 		Prefix:  x.prefix,
 		Domain:  x.g.cfg.Domain,
 		Rand:    rand.Uint64(),
-		Avoid:   x.passedOver(),
+		Avoid:   x.excluded(),
 		Lane:    x.lane,
 		Parts:   x.parts,
 		Brief:   x.route.Repeatable(),
@@ -283,8 +284,8 @@
 		return s, nil
 	}
 	i, ok := place.Choose(view, m)
-	if !ok && len(x.full()) > 0 {
-		return nil, x.noServer()
+	if !ok && len(x.fullServers()) > 0 {
+		return nil, x.noRoomAtServers()
 	}
 	if !ok {
 		return nil, protocol.NewRefusal(protocol.StatusServiceUnavailable, protocol.CodeNoBackend, "no server of the service can take the request").WithRetryAfter(resend.Later(x.route.Target))
--- a/transport/forward/regions.go
+++ b/transport/forward/regions.go
@@ -13,27 +13,28 @@
 	"github.com/weldstream/weldstream/coordination/topology"
 )
 
-// distances are all that there are.
+// distances are all distances, each at its own index, the nearest first.
 var distances = [...]topology.Distance{topology.SameDomain, topology.SameRegion, topology.OtherRegion}
 
-// distanceMeters count by how far away servers are.
+// distanceMeters are the metrics that are kept for each distance to servers.
 type distanceMeters struct {
-	attempts [len(distances)]metrics.Counter
-	bytes    [len(distances)]serverBytes
-	unplaced atomic.Int64 // unplaced are domains of servers that have no region, though there are several.
-	further  atomic.Int64 // further are domains whose observed round trips contradict their region.
-	trips    [len(distances)]atomic.Int64
-	lost     [len(distances)]metrics.Counter
+	attempts      [len(distances)]metrics.Counter
+	bytes         [len(distances)]serverBytes
+	unplaced      atomic.Int64 // unplaced are domains of servers that have no region, though there are several.
+	contradicting atomic.Int64 // contradicting are domains whose observed round trips contradict their region.
+	trips         [len(distances)]atomic.Int64
+	lost          [len(distances)]metrics.Counter
 }
 
-// paths are what was observed of the ways to the servers' domains.
+// paths are the observed round trips to the servers' domains.
 type paths struct {
-	mu      sync.Mutex // mu guards all below.
-	trips   *topology.Trips
-	further []string // further are domains whose round trips contradict their region.
+	mu            sync.Mutex // mu guards all below.
+	trips         *topology.Trips
+	contradicting []string // contradicting are domains whose round trips contradict their region.
 }
 
-// serverBytes implements backend.Meter.
+// serverBytes counts what goes to servers of one distance, and comes back. It implements
+// backend.Meter.
 type serverBytes struct {
 	requests metrics.Counter
 	answers  metrics.Counter
@@ -58,13 +59,13 @@
 		m.bytes[d].answers = counter("servers.bytes", d, `cause="answer",`)
 	}
 	metrics.NewRegisteredFunctionalGauge("domains.unplaced", r, m.unplaced.Load)
-	metrics.NewRegisteredFunctionalGauge("domains.further", r, m.further.Load)
+	metrics.NewRegisteredFunctionalGauge("domains.further", r, m.contradicting.Load)
 	return m
 }
 
-// checkRegions warns of servers in domains whose region the settings do not tell,
+// noteUnplaced warns of servers in domains whose region the settings do not tell,
 // when there are others than before. They count as near.
-func (g *Gateway) checkRegions(view *place.View) {
+func (g *Gateway) noteUnplaced(view *place.View) {
 	domains := make([]string, 0, len(view.Servers))
 	for i := range view.Servers {
 		domains = append(domains, view.Servers[i].Domain)
@@ -83,10 +84,10 @@
 	}
 }
 
-// connected notes how long a new connection to a server took, or that it failed. It
+// noteConnect notes how long a new connection to a server took, or that it failed. It
 // warns of domains whose round trips contradict their region, when there are others than
 // before.
-func (g *Gateway) connected(s *place.Server, took time.Duration, failed bool) {
+func (g *Gateway) noteConnect(s *place.Server, took time.Duration, failed bool) {
 	d, p, m := g.distance(s), &g.paths, g.meters.distances
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -97,14 +98,14 @@
 	}
 	p.trips.Observe(s.Domain, took)
 	m.trips[d].Store(p.trips.Trip(d).Microseconds())
-	further := p.trips.Contradicting()
-	if slices.Equal(further, p.further) {
+	contradicting := p.trips.Contradicting()
+	if slices.Equal(contradicting, p.contradicting) {
 		return
 	}
-	p.further = further
-	m.further.Store(int64(len(further)))
-	if len(further) > 0 {
-		g.log.Warn().Strs("domains", further).Dur("across", p.trips.Trip(topology.OtherRegion)).Msg("domains further than their region")
+	p.contradicting = contradicting
+	m.contradicting.Store(int64(len(contradicting)))
+	if len(contradicting) > 0 {
+		g.log.Warn().Strs("domains", contradicting).Dur("across", p.trips.Trip(topology.OtherRegion)).Msg("domains whose round trips contradict their region")
 	}
 }
 
@@ -116,7 +117,7 @@
 	return g.cfg.Topology.Distance(g.cfg.Domain, s.Domain)
 }
 
-// Way is what a gateway has seen of its ways over one distance.
+// Way is what a gateway has seen of servers at one distance, as dumps show it.
 type Way struct {
 	Distance string `json:"distance"`
 	TripUS   int64  `json:"trip_us"` // TripUS is the shortest round trip; 0 where none was seen often enough.
--- a/transport/forward/stream.go
+++ b/transport/forward/stream.go
@@ -10,6 +10,7 @@
 	"github.com/weldstream/weldstream/protocol"
 )
 
+// pieceBytes, in bytes, is the most that is read of a stream at a time: several events.
 const pieceBytes = 4 << 10
 
 // stream relays events as they arrive. The head waits for the first of them, so
@@ -102,7 +103,7 @@
 func (t *try) streamBroke(err error) *protocol.Refusal {
 	x := t.x
 	x.events.rest = x.events.rest[:0]
-	if t.goesOn() {
+	if t.continuesElsewhere() {
 		t.conn.Close()
 		return errAgain
 	}
