Split the two uplink files; name the soak's pauses; give reasons for dropped values

Change: counts of usage and loads of services have files of their own at the control instance, the search for a leader and the choice of an instance at the gateway. No statement changed but the default of the soak's delay, which is the same constant with a name.

Build, vet and linter clean; tests of transport, group, replicate, move, place and the commands pass.

--- a/cmd/weldsoak/main.go
+++ b/cmd/weldsoak/main.go
@@ -20,6 +20,9 @@
 
 func main() { os.Exit(run()) }
 
+// regionDelay is between two regions some thousand kilometers apart, one way.
+const regionDelay = 8 * time.Millisecond
+
 func run() int {
 	daemon := flag.String("daemon", "", "the daemon's `program` (required)")
 	list := flag.String("seeds", "", "`seeds`, separated by commas")
@@ -31,7 +34,7 @@
 	flag.IntVar(&size.Gateways, "gateways", 3, "gateways, 1 to 30")
 	flag.IntVar(&size.Backends, "backends", 6, "backend servers, 1 to 30")
 	flag.IntVar(&size.Regions, "regions", 0, "regions that all lie in, 2 or 3; 0 for none")
-	flag.DurationVar(&size.Delay, "delay", 8*time.Millisecond, "the delay between two regions, one way")
+	flag.DurationVar(&size.Delay, "delay", regionDelay, "the delay between two regions, one way")
 	reclaim := flag.Bool("reclaim", false, "take servers away with what runs there as well")
 	flag.Parse()
 	seeds, err := parseSeeds(*list, *first, *count)
--- a/cmd/weldstreamd/regions.go
+++ b/cmd/weldstreamd/regions.go
@@ -72,7 +72,7 @@
 }
 
 // unplacedDomains returns the domains of members and servers that have no region. A
-// member that is known as a seed alone has not told its domain yet.
+// member that is known as a seed alone has no known domain yet.
 func unplacedDomains(t *topology.Topology, members []state.MemberRow, servers []protocol.Instance) []string {
 	var domains []string
 	for i := range members {
--- a/coordination/group/place.go
+++ b/coordination/group/place.go
@@ -57,7 +57,7 @@
 
 // moving logs a move of leadership with what it was chosen by.
 func (g *Group) moving(cmd replicate.MoveCmd) {
-	all, _ := g.replica.Trips()
+	all, _ := g.replica.Trips() // The rounds wait for disks, which say nothing of the distance.
 	g.meters.moves.Inc(1)
 	g.log.Info().Str("to", cmd.Move.To).Dur("before", cmd.Move.Before).Dur("after", cmd.Move.After).
 		Any("round_trips", all).Msg("leadership moves to where a quorum is nearer")
--- a/coordination/move/move.go
+++ b/coordination/move/move.go
@@ -22,7 +22,7 @@
 const (
 	Staying  Phase = iota // Staying is a run that is not being moved.
 	Copying               // Copying is one that is copied while it goes on.
-	Stopping              // Stopping is one that is told to stop; whether it has is not known.
+	Stopping              // Stopping was asked to stop and has not confirmed it.
 	Stopped               // Stopped is one that has, and that lies at the target or at the source.
 	Going                 // Going is one that was sent on; the server's answer is not here yet.
 	Over                  // Over is one that is moved, has ended, or is not moved any more.
@@ -221,7 +221,7 @@
 	case m.Outcome == NoRoom && m.Handle != "":
 		s.Phase, s.Handle, s.AtSource = Stopped, m.Handle, true
 	case s.Broke:
-		// Nothing proves that the run has stopped because it was told to.
+		// A request to stop does not prove that the run has stopped.
 		cmds := append([]Cmd{BreakCmd{}}, s.free(s.Handle)...)
 		s.Phase, s.Handle = Over, ""
 		return s, cmds
--- a/coordination/place/holders.go
+++ b/coordination/place/holders.go
@@ -44,7 +44,7 @@
 	readingTime = 150 * time.Millisecond
 	// surelyHeld is how long a server is sure to hold what it read: memory for 500,000
 	// tokens is full of other prompts after some 25 s at 20,000 tokens a second, of which
-	// running requests take a part. After that time it is told of another holder; if it still
+	// running requests take a part. After that time another holder is named to it; if it still
 	// holds the parts, nothing is copied.
 	surelyHeld = 8 * time.Second
 )
--- a/coordination/place/ledger.go
+++ b/coordination/place/ledger.go
@@ -54,7 +54,7 @@
 	speed    float64 // speed is in tokens read a millisecond, learned.
 	pace     float64 // pace is in milliseconds a token of the answer, learned.
 	topology *topology.Topology
-	fresh    []protocol.Placement // fresh are places that the others were not told yet.
+	fresh    []protocol.Placement // fresh are places that were not yet sent to the other instances.
 	holders  *Holders
 }
 
--- a/coordination/replicate/handover.go
+++ b/coordination/replicate/handover.go
@@ -112,7 +112,7 @@
 	r.void = r.hard.Term // No lease of the term runs from now on.
 	r.handover.to = ID{}
 	r.becomeFollower(r.hard.Term, ID{})
-	term, _ := r.log.Term(last)
+	term, _ := r.log.Term(last) // The log holds its last entry.
 	r.do(SendCmd{Message: Message{Kind: Handover, From: r.id, To: to, Term: r.hard.Term, Index: last, LogTerm: term}})
 	r.do(HandoverCmd{Token: token, To: to})
 }
--- a/internal/soak/cluster.go
+++ b/internal/soak/cluster.go
@@ -342,7 +342,7 @@
 	if err != nil {
 		return 0
 	}
-	_, rest, _ := strings.Cut(string(data), "VmRSS:")
+	_, rest, _ := strings.Cut(string(data), "VmRSS:") // Without it nothing is scanned below.
 	var kb int
 	_, _ = fmt.Sscan(rest, &kb) // 0 where the kernel tells none.
 	return kb
--- a/internal/soak/proxy.go
+++ b/internal/soak/proxy.go
@@ -140,8 +140,8 @@
 // copy passes one direction on until either side closes.
 func (p *Proxy) copy(dst, src net.Conn, inward bool) {
 	defer func() {
-		_ = dst.Close()
-		_ = src.Close()
+		_ = dst.Close() // The copy has ended; there is nobody to report to.
+		_ = src.Close() // The copy has ended; there is nobody to report to.
 	}()
 	buf := make([]byte, 16<<10)
 	for {
--- a/internal/soak/region.go
+++ b/internal/soak/region.go
@@ -127,8 +127,8 @@
 // carry passes one direction on, each piece as much later as the regions are apart.
 func (p *Proxy) carry(dst, src net.Conn, in *bufio.Reader, inward bool, from, to int) {
 	defer func() {
-		_ = dst.Close()
-		_ = src.Close()
+		_ = dst.Close() // The copy has ended; there is nobody to report to.
+		_ = src.Close() // The copy has ended; there is nobody to report to.
 	}()
 	delay := p.paths.delay
 	if from == to {
@@ -160,7 +160,7 @@
 		}
 		if _, err := dst.Write(next.data); err != nil {
 			broken = true
-			_ = src.Close()
+			_ = src.Close() // The copy has ended; there is nobody to report to.
 		}
 	}
 }
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -123,10 +123,10 @@
 	ask  Ask
 	slow standin.Slow
 }{
-	{Ask{Path: "/again/large", Large: true, Pad: 5 << 10}, standin.Slow{Pause: 10 * time.Millisecond, Piece: 2 << 10, Pad: 5 << 10}},
-	{Ask{Path: "/once/x", Once: true, Pad: 64 << 10}, standin.Slow{Pause: 5 * time.Millisecond, Piece: 4 << 10, Pad: 64 << 10}},
-	{Ask{Path: "/once/x", Once: true, Halted: true, Pad: 64 << 10}, standin.Slow{Pause: 5 * time.Millisecond, Piece: 8 << 10, Pad: 64 << 10, Halt: true}},
-	{Ask{Path: "/stream/again/x", Stream: true}, standin.Slow{Pause: 10 * time.Millisecond, Piece: 16}},
+	{Ask{Path: "/again/large", Large: true, Pad: 5 << 10}, standin.Slow{Pause: eventPause, Piece: 2 << 10, Pad: 5 << 10}},
+	{Ask{Path: "/once/x", Once: true, Pad: 64 << 10}, standin.Slow{Pause: bodyPause, Piece: 4 << 10, Pad: 64 << 10}},
+	{Ask{Path: "/once/x", Once: true, Halted: true, Pad: 64 << 10}, standin.Slow{Pause: bodyPause, Piece: 8 << 10, Pad: 64 << 10, Halt: true}},
+	{Ask{Path: "/stream/again/x", Stream: true}, standin.Slow{Pause: eventPause, Piece: 16}},
 }
 
 // askSlowly is one caller that takes its time.
@@ -273,3 +273,12 @@
 	}
 	return false
 }
+
+const (
+	// eventPause is between two pieces that a slow caller takes: an answer then lasts some
+	// tenths of a second, so that faults meet it.
+	eventPause = 10 * time.Millisecond
+	// bodyPause is between two pieces of a body that a slow caller sends: 64 KB then take
+	// about as long.
+	bodyPause = 5 * time.Millisecond
+)
--- a/transport/control/copies.go
+++ b/transport/control/copies.go
@@ -30,7 +30,7 @@
 	distrusted map[string][]byte
 
 	readings *place.Readings
-	fresh    []protocol.Reading // fresh are readings that the leader was not told yet.
+	fresh    []protocol.Reading // fresh are readings that were not yet sent to the leader.
 
 	incarnation uint64 // incarnation is drawn with each new copies: versions of loads and placed requests go by it.
 	view        *place.View
--- a/transport/uplink/uplink.go
+++ b/transport/uplink/uplink.go
@@ -13,7 +13,6 @@
 import (
 	"context"
 	"math/rand/v2"
-	"slices"
 	"sync"
 	"time"
 
@@ -202,72 +201,6 @@
 	return c.target != "" && c.ask(ctx, c.target)
 }
 
-// search asks all control instances that are known who leads, those that are not
-// being asked already, and waits a while for the first to name one.
-func (c *Client) search(ctx context.Context) string {
-	m := protocol.LeaderMsg{}
-	if time.Since(c.silentAt) < silentFor {
-		m.Besides = c.silent
-	}
-	c.askWho(m, "")
-	end := time.NewTimer(searchPause)
-	defer end.Stop()
-	for {
-		select {
-		case leader := <-c.found:
-			if leader != m.Besides {
-				return leader
-			}
-		case <-end.C:
-			return ""
-		case <-ctx.Done():
-			return ""
-		}
-	}
-}
-
-// askWho asks all control instances that are known who leads, but for one that did
-// not answer and those that are being asked already.
-func (c *Client) askWho(m protocol.LeaderMsg, except string) {
-	for _, address := range c.candidates(except) {
-		go c.askLeader(address, m)
-	}
-}
-
-// candidates returns the instances to ask who leads, and notes that they are asked.
-func (c *Client) candidates(except string) []string {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	var list []string
-	for _, address := range slices.Concat(c.seeds, c.controls) {
-		if address != except && !c.asking[address] {
-			c.asking[address] = true
-			list = append(list, address)
-		}
-	}
-	return list
-}
-
-// askLeader asks one instance who leads.
-func (c *Client) askLeader(address string, m protocol.LeaderMsg) {
-	var reply protocol.LeaderReply
-	err := c.caller.Call(address, "Uplink.Leader", m, &reply, leaderTime)
-	c.mu.Lock()
-	delete(c.asking, address)
-	c.mu.Unlock()
-	if err != nil {
-		return // It is asked again in the next round.
-	}
-	c.learn(reply.Controls, reply.Domains)
-	if reply.Leader == "" {
-		return
-	}
-	select {
-	case c.found <- reply.Leader:
-	default: // Another was faster.
-	}
-}
-
 // askEvery is the time between two questions of each of some gateways.
 func askEvery(gateways int) time.Duration {
 	return max(every, time.Duration(gateways)*everyMember)
@@ -434,47 +367,6 @@
 	return nil
 }
 
-// near returns the address of the instance of the own region to ask; empty for none.
-func (c *Client) near() string {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.links.Choose(c.named, time.Now())
-}
-
-// failed has an instance of the own region passed over for a backoff; silent says that it
-// did not answer in time.
-func (c *Client) failed(address string, silent bool) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.links.Failed(address, silent, time.Now())
-}
-
-// observe notes how long an answer took.
-func (c *Client) observe(address string, took time.Duration) {
-	c.answerTime(address).Observe(took)
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.links.Answered(address)
-}
-
-// due returns the timeout after which an instance's answer is overdue.
-func (c *Client) due(address string) time.Duration {
-	if c.links == nil {
-		return answerDue
-	}
-	return c.answerTime(address).Due(answerDue, firstDue)
-}
-
-// answerTime returns how long an instance's answers take.
-func (c *Client) answerTime(address string) *link.AnswerTime {
-	p := c.answerTimes[address]
-	if p == nil {
-		p = &link.AnswerTime{}
-		c.answerTimes[address] = p
-	}
-	return p
-}
-
 // list returns the whole list behind an answer with all of it or with what changed.
 func (c *Client) list(reply *protocol.SyncReply) ([]protocol.Instance, error) {
 	told, err := c.unpack(reply.List)
