Soak: ports of one cluster differ

Cause: a port that was found free and closed again can be drawn once more for another purpose; a daemon then cannot listen on it. Ports are drawn until five differ. TestPortsDiffer draws a double one (run: ok).

--- a/internal/soak/cluster.go
+++ b/internal/soak/cluster.go
@@ -18,6 +18,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"syscall"
@@ -80,13 +81,11 @@
 // New makes a cluster in a folder; nothing of the daemons runs before Start.
 func New(dir, bin string, size Size) (*Cluster, error) {
 	c := &Cluster{Size: size, Record: standin.NewRecord(), dir: dir, bin: bin}
-	for _, p := range []*int{&c.ports.operator, &c.ports.peer, &c.ports.caller, &c.ports.ready, &c.ports.metrics} {
-		port, err := freePort()
-		if err != nil {
-			return nil, err
-		}
-		*p = port
+	free, err := distinctPorts(5, freePort)
+	if err != nil {
+		return nil, err
 	}
+	c.ports = ports{operator: free[0], peer: free[1], caller: free[2], ready: free[3], metrics: free[4]}
 	api, err := standin.NewAPI()
 	if err != nil {
 		return nil, err
@@ -96,6 +95,22 @@
 	return c, errors.Join(c.makeBackends(), c.makeProxies(), c.makeProcs())
 }
 
+// distinctPorts draws some ports that differ: one that was closed again may be drawn
+// once more, and a daemon cannot listen on it twice.
+func distinctPorts(count int, draw func() (int, error)) ([]int, error) {
+	var list []int
+	for len(list) < count {
+		port, err := draw()
+		if err != nil {
+			return nil, err
+		}
+		if !slices.Contains(list, port) {
+			list = append(list, port)
+		}
+	}
+	return list, nil
+}
+
 // freePort returns a port that was free a moment ago.
 func freePort() (int, error) {
 	ln, err := net.Listen("tcp", behind(0)+":0")
--- /dev/null
+++ b/internal/soak/ports_test.go
@@ -0,0 +1,27 @@
+package soak
+
+import (
+	"errors"
+	"slices"
+	"testing"
+)
+
+// TestPortsDiffer checks that no port is drawn for two purposes, which a daemon that
+// listens on both would not start with, and that an error ends the drawing.
+func TestPortsDiffer(t *testing.T) {
+	row := []int{7, 7, 8, 7, 9}
+	draw := func() (int, error) {
+		if len(row) == 0 {
+			return 0, errors.New("no port is left")
+		}
+		port := row[0]
+		row = row[1:]
+		return port, nil
+	}
+	if got, err := distinctPorts(3, draw); err != nil || !slices.Equal(got, []int{7, 8, 9}) {
+		t.Errorf("drew %v, %v", got, err)
+	}
+	if _, err := distinctPorts(1, draw); err == nil {
+		t.Error("drew a port though none was left")
+	}
+}
