Gateways tell which requests were at a server that ended

Cause: three hypotheses for the incident could not be told apart: log lines named ids, which each send has anew, and a connection that broke did not say whether its server had ended.

Change: a request has a fingerprint (caller, host, path and body; 128 bits of a cryptographic hash). Where connections of a server that is not known to leave break off under requests, the gateway gathers them for 20 ms, connects once, and logs what that shows with the fingerprints; servers.ended counts those whose port refuses. Nothing is decided by it.

Run: tests of transport/forward and transport/backend with the race detector, formatter, vet and linters: ok.

--- a/transport/forward/attempt.go
+++ b/transport/forward/attempt.go
@@ -270,6 +270,7 @@
 		t.x.count()
 	}
 	t.crashed(err)
+	t.brokeOff(err)
 	t.x.distrust(t.server, false)
 	return t.x.failed(protocol.MayHaveRun, true, "the answer did not come: "+err.Error())
 }
--- /dev/null
+++ b/transport/forward/crash_test.go
@@ -0,0 +1,69 @@
+package forward
+
+import (
+	"encoding/json"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/valyala/fasthttp"
+
+	"github.com/weldstream/weldstream/protocol"
+)
+
+// find waits for a line with a message.
+func (l lines) find(t *testing.T, message string) map[string]any {
+	t.Helper()
+	end := time.After(patience)
+	for {
+		select {
+		case line := <-l:
+			var fields map[string]any
+			if json.Unmarshal([]byte(line), &fields) == nil && fields["message"] == message {
+				return fields
+			}
+		case <-end:
+			t.Fatalf("no line says %q", message)
+		}
+	}
+}
+
+// TestServerThatEndedIsTold checks what a gateway tells of a server whose connection broke
+// under a request: whether its port refuses, and the request's fingerprint, which does not
+// depend on the request's id.
+func TestServerThatEndedIsTold(t *testing.T) {
+	for name, c := range map[string]struct {
+		ends bool
+		want string
+	}{
+		"the server ends":         {true, "ended"},
+		"the connection is reset": {false, "up"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			var prints []any
+			for _, id := range []string{"1", "2"} {
+				w, log := newWorld(t), make(lines, 100)
+				w.g.log = zerolog.New(log)
+				w.install(protocol.PathRoute{Attempts: 1})
+				var ln net.Listener
+				b := w.backend("a", func(conn net.Conn, _ *fasthttp.Request) {
+					if c.ends {
+						_ = ln.Close()
+					}
+					_ = conn.Close()
+				})
+				ln = b.listener
+				w.ask("Attempt: " + id)
+				line := log.find(t, "connections of a server broke")
+				if line["presence"] != c.want || line["runs"] != float64(1) {
+					t.Errorf("told %v; want presence %s", line, c.want)
+				}
+				prints = append(prints, line["fingerprints"].([]any)[0])
+			}
+			if prints[0] != prints[1] {
+				t.Errorf("two sends of one request have the fingerprints %v", prints)
+			}
+		})
+	}
+}
--- a/transport/forward/exchange.go
+++ b/transport/forward/exchange.go
@@ -45,8 +45,9 @@
 	continuation *continuation // continuation is where the run goes on with its memory; nil for none.
 	avoid        []string
 	events       events
-	counted      bool // counted says that the request was counted as one that began to run.
-	headed       bool // headed says that the head of the answer was written.
+	print        *protocol.Fingerprint // print is the request's fingerprint, once it was asked for.
+	counted      bool                  // counted says that the request was counted as one that began to run.
+	headed       bool                  // headed says that the head of the answer was written.
 	server       string
 
 	first   time.Duration // first is from the start to the first byte of the answer.
--- a/transport/forward/forward.go
+++ b/transport/forward/forward.go
@@ -74,7 +74,8 @@
 	inFlight  sync.Map    // inFlight are the bytes at servers, a *inFlight by service.
 	closed    atomic.Bool // closed refuses new requests: the gateway ends soon.
 
-	moves moves
+	moves   moves
+	crashes crashes
 
 	mu        sync.Mutex // mu guards all below.
 	allowance *quota.Allowance
--- a/transport/forward/forward_test.go
+++ b/transport/forward/forward_test.go
@@ -78,9 +78,10 @@
 
 // backendServer is a server whose behavior is a func of the request.
 type backendServer struct {
-	id      string
-	address string
-	runs    atomic.Int64
+	id       string
+	address  string
+	listener net.Listener
+	runs     atomic.Int64
 }
 
 // world is a gateway before some backend servers.
@@ -115,7 +116,7 @@
 		w.t.Fatal(err)
 	}
 	w.t.Cleanup(func() { _ = ln.Close() })
-	b := &backendServer{id: id, address: ln.Addr().String()}
+	b := &backendServer{id: id, address: ln.Addr().String(), listener: ln}
 	go func() {
 		for {
 			c, err := ln.Accept()
--- a/transport/forward/meters.go
+++ b/transport/forward/meters.go
@@ -19,6 +19,8 @@
 	resent   metrics.Counter
 	first    metrics.Timer
 
+	serversEnded metrics.Counter // serversEnded are servers that ended under requests, unannounced.
+
 	distances  *distanceMeters
 	moves      metrics.Counter // moves are copies of runs that were begun.
 	moved      metrics.Counter // moved are runs that went on elsewhere.
@@ -51,25 +53,27 @@
 
 func newMeters(r metrics.Registry) *meters {
 	return &meters{
-		requests:   metrics.GetOrRegisterCounter("requests", r),
-		answered:   metrics.GetOrRegisterCounter("requests.answered", r),
-		refused:    metrics.GetOrRegisterCounter("requests.refused", r),
-		broken:     metrics.GetOrRegisterCounter("requests.broken", r),
-		attempts:   metrics.GetOrRegisterCounter("attempts", r),
-		resent:     metrics.GetOrRegisterCounter("attempts.resent", r),
-		first:      metrics.GetOrRegisterTimer("first", r),
-		moves:      metrics.GetOrRegisterCounter(`moves.begun{cause="leaving"}`, r),
-		moved:      metrics.GetOrRegisterCounter(`moves.done{cause="leaving"}`, r),
-		moveFailed: metrics.GetOrRegisterCounter(`moves.failed{cause="leaving"}`, r),
-		moveFreed:  metrics.GetOrRegisterCounter("moves.freed", r),
-		moveHeld:   metrics.GetOrRegisterCounter("moves.held", r),
-		moveTokens: metrics.GetOrRegisterCounter("moves.tokens", r),
-		moveCopy:   metrics.GetOrRegisterTimer("moves.copy", r),
-		moveTime:   metrics.GetOrRegisterTimer("moves.time", r),
-		copies:     metrics.GetOrRegisterCounter("copies", r),
-		distances:  newDistanceMeters(r),
-		registry:   r,
-		ended:      map[outcome]metrics.Counter{},
+		requests: metrics.GetOrRegisterCounter("requests", r),
+		answered: metrics.GetOrRegisterCounter("requests.answered", r),
+		refused:  metrics.GetOrRegisterCounter("requests.refused", r),
+		broken:   metrics.GetOrRegisterCounter("requests.broken", r),
+		attempts: metrics.GetOrRegisterCounter("attempts", r),
+		resent:   metrics.GetOrRegisterCounter("attempts.resent", r),
+		first:    metrics.GetOrRegisterTimer("first", r),
+
+		serversEnded: metrics.GetOrRegisterCounter("servers.ended", r),
+		moves:        metrics.GetOrRegisterCounter(`moves.begun{cause="leaving"}`, r),
+		moved:        metrics.GetOrRegisterCounter(`moves.done{cause="leaving"}`, r),
+		moveFailed:   metrics.GetOrRegisterCounter(`moves.failed{cause="leaving"}`, r),
+		moveFreed:    metrics.GetOrRegisterCounter("moves.freed", r),
+		moveHeld:     metrics.GetOrRegisterCounter("moves.held", r),
+		moveTokens:   metrics.GetOrRegisterCounter("moves.tokens", r),
+		moveCopy:     metrics.GetOrRegisterTimer("moves.copy", r),
+		moveTime:     metrics.GetOrRegisterTimer("moves.time", r),
+		copies:       metrics.GetOrRegisterCounter("copies", r),
+		distances:    newDistanceMeters(r),
+		registry:     r,
+		ended:        map[outcome]metrics.Counter{},
 	}
 }
 
