--- a/internal/soak/cluster.go
+++ b/internal/soak/cluster.go
@@ -59,6 +59,10 @@
 	proxies []*Proxy // proxies are before the controls, two each.
 	servers []*Proxy // servers are before the backends.
 	procs   []*Proc
+
+	late         sync.Mutex // late guards the servers that came after the start, and their proxies.
+	lateServers  []*Proxy
+	lateBackends []*standin.Backend
 }
 
 // ports are alike on all instances, which differ by their IP numbers.
@@ -271,6 +275,12 @@
 	for _, b := range c.Backends {
 		b.Close()
 	}
+	c.late.Lock()
+	defer c.late.Unlock()
+	for i, b := range c.lateBackends {
+		c.lateServers[i].Close()
+		b.Close()
+	}
 	c.API.Close()
 }
 
