--- a/coordination/group/group.go
+++ b/coordination/group/group.go
@@ -23,6 +23,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/weldstream/weldstream/coordination/replicate"
+	"github.com/weldstream/weldstream/internal/clock"
 	"github.com/weldstream/weldstream/protocol"
 	"github.com/weldstream/weldstream/state"
 	"github.com/weldstream/weldstream/state/wal"
@@ -178,7 +179,7 @@
 		dir:       dir,
 		inbox:     make(chan input, inboxSize),
 		done:      make(chan struct{}),
-		began:     time.Now(),
+		began:     clock.Now(),
 		machine:   state.NewMachine(),
 		waiting:   map[uint64]*waiter{},
 		atIndex:   map[uint64]*waiter{},
@@ -247,7 +248,7 @@
 }
 
 // now is on a monotonic clock.
-func (g *Group) now() time.Duration { return time.Since(g.began) }
+func (g *Group) now() time.Duration { return clock.Since(g.began) }
 
 // ID returns the replica's identity.
 func (g *Group) ID() protocol.ReplicaID { return g.id }
--- a/transport/admin.go
+++ b/transport/admin.go
@@ -16,6 +16,7 @@
 	"github.com/rs/zerolog"
 	"github.com/valyala/fasthttp"
 
+	"github.com/weldstream/weldstream/internal/clock"
 	"github.com/weldstream/weldstream/internal/yamlfile"
 	"github.com/weldstream/weldstream/protocol"
 	"github.com/weldstream/weldstream/settings"
@@ -184,7 +185,7 @@
 			Number:  m.Revision,
 			Digest:  m.Digest.Short(),
 			InForce: m.Revision == newest && newest > 0,
-			ForMS:   time.Since(m.Since).Milliseconds(),
+			ForMS:   clock.Since(m.Since).Milliseconds(),
 		})
 	}
 	return places
--- a/transport/backend/backend.go
+++ b/transport/backend/backend.go
@@ -21,6 +21,7 @@
 	"github.com/rotisserie/eris"
 	"github.com/valyala/fasthttp"
 
+	"github.com/weldstream/weldstream/internal/clock"
 	"github.com/weldstream/weldstream/internal/tcp"
 )
 
@@ -256,7 +257,7 @@
 		if c == nil {
 			return p.open(address, deadline)
 		}
-		if time.Now().Before(c.until) && resting(c.net) {
+		if clock.Now().Before(c.until) && resting(c.net) {
 			return c, nil
 		}
 		c.Close()
@@ -315,7 +316,7 @@
 	c.used = true
 	c.wrote.Store(0)
 	c.sent.Store(false)
-	c.until = time.Now().Add(rest)
+	c.until = clock.Now().Add(rest)
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.idle[server] = append(p.idle[server], c)
@@ -325,7 +326,7 @@
 func (p *Pool) Keep(server func(id string) bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	now := time.Now()
+	now := clock.Now()
 	for id, list := range p.idle {
 		kept := list[:0]
 		for _, c := range list {
--- a/transport/backend/backend_test.go
+++ b/transport/backend/backend_test.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"github.com/valyala/fasthttp"
+
+	"github.com/weldstream/weldstream/internal/clock"
 )
 
 const patience = 10 * time.Second
@@ -223,7 +225,7 @@
 	p := NewPool(time.Second)
 	_, conn := ask(t, p, address)
 	p.Put("s", conn, 0)
-	conn.until = time.Now()
+	conn.until = clock.Now()
 	ask(t, p, address)
 	if p.Opens() != 2 {
 		t.Errorf("%d connections were opened, want 2", p.Opens())
@@ -249,7 +251,7 @@
 		_, conn := ask(t, p, address)
 		p.Put("s", conn, 0)
 		if !tc.rest {
-			conn.until = time.Now()
+			conn.until = clock.Now()
 		}
 		p.Keep(func(string) bool { return tc.listed })
 		if kept := len(p.idle["s"]) == 1; kept != (tc.listed && tc.rest) {
--- a/transport/claim.go
+++ b/transport/claim.go
@@ -10,6 +10,7 @@
 
 	"github.com/weldstream/weldstream/coordination/admit"
 	"github.com/weldstream/weldstream/coordination/attempt"
+	"github.com/weldstream/weldstream/internal/clock"
 	"github.com/weldstream/weldstream/protocol"
 	"github.com/weldstream/weldstream/settings"
 )
@@ -112,7 +113,7 @@
 }
 
 func (x *exchange) askClaim() admit.Step {
-	limit := min(claimWait, time.Until(x.request.Deadline))
+	limit := min(claimWait, clock.Until(x.request.Deadline))
 	wait, cancel := context.WithTimeout(context.Background(), limit)
 	defer cancel()
 	began := time.Now()
--- a/transport/control/batch.go
+++ b/transport/control/batch.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/weldstream/weldstream/coordination/place"
+	"github.com/weldstream/weldstream/internal/clock"
 	"github.com/weldstream/weldstream/protocol"
 )
 
@@ -28,7 +29,7 @@
 	u.ready()
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	now := time.Now()
+	now := clock.Now()
 	u.enter(term)
 	u.takeSums(&m, reply, now)
 	reply.Answers = make([]protocol.BatchAnswer, len(m.Parts))
--- a/transport/control/control_test.go
+++ b/transport/control/control_test.go
@@ -12,6 +12,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/weldstream/weldstream/coordination/scale"
+	"github.com/weldstream/weldstream/internal/clock"
 	"github.com/weldstream/weldstream/protocol"
 	"github.com/weldstream/weldstream/state"
 )
@@ -328,7 +329,7 @@
 	u.catalog = &protocol.Catalog{Services: []protocol.ServiceSpec{{Name: "s", Scaling: &protocol.ScalingSpec{Max: 9}}}}
 	f := NewFleet(u, zerolog.Nop())
 	f.Settled("s", 0) // The log has none.
-	now := time.Now()
+	now := clock.Now()
 	list := []protocol.Instance{{ID: "1", Service: "s"}, {ID: "2", Service: "s"}}
 	u.SetServers(1, list)
 	if rows := f.Unsettled(now); len(rows) > 0 {
@@ -475,7 +476,7 @@
 	u.catalog = &protocol.Catalog{Services: []protocol.ServiceSpec{{Name: "s", Scaling: &protocol.ScalingSpec{Max: 9}}}}
 	f := NewFleet(u, zerolog.Nop())
 	f.Settled("s", 0) // The log has none.
-	now := time.Now()
+	now := clock.Now()
 	u.SetServers(1, []protocol.Instance{{ID: "1", Service: "s"}, {ID: "2", Service: "s", Market: scale.MarketReclaimable}, {ID: "3", Service: "s", Market: scale.MarketReclaimable}})
 	f.Unsettled(now)
 	rows := f.Unsettled(now.Add(baseSteady))
@@ -542,7 +543,7 @@
 		t.Fatal("does not act")
 	}
 	d.settleBases(ctx)
-	for _, o := range d.fleet.Plan(time.Now()) {
+	for _, o := range d.fleet.Plan(clock.Now()) {
 		if o.Reclaimable && o.Count < 9 {
 			t.Errorf("ordered %+v where 9 serve", o)
 		}
@@ -610,7 +611,7 @@
 func TestSilentGatewayCountsNoMore(t *testing.T) {
 	u := newUplink(newFakeGroup())
 	sync1(t, u, protocol.SyncMsg{Gateway: "a"})
-	u.gateways["a"].at = time.Now().Add(-2 * gatewayKept)
+	u.gateways["a"].at = clock.Now().Add(-2 * gatewayKept)
 	if got := sync1(t, u, protocol.SyncMsg{Gateway: "b"}); got.Gateways != 1 {
 		t.Errorf("%d gateways count", got.Gateways)
 	}
--- a/transport/control/copies.go
+++ b/transport/control/copies.go
@@ -9,6 +9,7 @@
 
 	"github.com/weldstream/weldstream/coordination/place"
 	"github.com/weldstream/weldstream/coordination/topology"
+	"github.com/weldstream/weldstream/internal/clock"
 	"github.com/weldstream/weldstream/protocol"
 )
 
@@ -64,7 +65,7 @@
 // read takes readings that one of the relay's gateways tells, and keeps them for the next
 // batch.
 func (c *copies) read(rows []protocol.Reading) {
-	now := time.Now()
+	now := clock.Now()
 	for _, r := range rows {
 		c.readings.Add(c.incarnation, r.Server, r.Links)
 		c.places.NoteRead(r.Server, r.Links, now)
@@ -83,7 +84,7 @@
 	if !c.listed || c.lister != lister || c.version != version {
 		return // They are packed by the order of another list.
 	}
-	now := time.Now()
+	now := clock.Now()
 	place.Unpacked(r.Readings, c.order, func(server string, key uint32) {
 		c.readings.Add(0, server, []uint32{key})
 		c.places.NoteRead(server, []uint32{key}, now)
@@ -123,7 +124,7 @@
 	} else {
 		c.mark = protocol.LoadMark{} // All are asked for next.
 	}
-	c.places.Note(r.Placed, time.Now())
+	c.places.Note(r.Placed, clock.Now())
 	return nil
 }
 
@@ -186,7 +187,7 @@
 	if c.view == nil {
 		return
 	}
-	if placed, ok := c.places.Place(c.view, prompt(m), time.Now()); ok {
+	if placed, ok := c.places.Place(c.view, prompt(m), clock.Now()); ok {
 		if len(placed.Fresh) > 0 {
 			c.readings.Add(c.incarnation, placed.Server, placed.Fresh)
 			c.fresh = append(c.fresh, protocol.Reading{Server: placed.Server, Links: placed.Fresh})
--- a/transport/control/counts.go
+++ b/transport/control/counts.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/weldstream/weldstream/coordination/usage"
+	"github.com/weldstream/weldstream/internal/clock"
 	"github.com/weldstream/weldstream/protocol"
 )
 
@@ -21,7 +22,7 @@
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	gateways = u.marks.Missing(window, length)
-	met := time.Since(u.entered) > gatewayKept || u.marks.Known() >= u.earlier
+	met := clock.Since(u.entered) > gatewayKept || u.marks.Known() >= u.earlier
 	return gateways, met && u.marks.Known() > 0 && len(gateways) == 0
 }
 
--- a/transport/control/document.go
+++ b/transport/control/document.go
@@ -2,8 +2,8 @@
 
 import (
 	"context"
-	"time"
 
+	"github.com/weldstream/weldstream/internal/clock"
 	"github.com/weldstream/weldstream/protocol"
 )
 
@@ -80,7 +80,7 @@
 		return // A relay got a newer one from the leader.
 	}
 	u.number, u.packed, u.catalog = number, packed, catalog
-	u.quotas.Configure(catalog.Workspaces, time.Now())
+	u.quotas.Configure(catalog.Workspaces, clock.Now())
 }
 
 // document returns the newest document that is ready, packed.
--- a/transport/control/duties.go
+++ b/transport/control/duties.go
@@ -9,6 +9,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/weldstream/weldstream/coordination/usage"
+	"github.com/weldstream/weldstream/internal/clock"
 	"github.com/weldstream/weldstream/internal/pause"
 	"github.com/weldstream/weldstream/protocol"
 )
@@ -119,10 +120,10 @@
 func (d *Duties) scale(ctx context.Context) {
 	if term := d.tenure.current(); term != d.ordered {
 		d.ordered = term
-		d.fleet.Reset(time.Now())
+		d.fleet.Reset(clock.Now())
 	}
 	d.settleBases(ctx)
-	for _, o := range d.fleet.Plan(time.Now()) {
+	for _, o := range d.fleet.Plan(clock.Now()) {
 		duty, ok := d.duty()
 		if !ok {
 			return
@@ -133,7 +134,7 @@
 		d.refused(duty, err)
 		d.log.Info().Err(err).Str("service", o.Service).Str("domain", o.Domain).Int("count", o.Count).Bool("reclaimable", o.Reclaimable).
 			Uint64("token", duty.Token).Msg("servers ordered")
-		d.fleet.Ordered(o, err, time.Now())
+		d.fleet.Ordered(o, err, clock.Now())
 	}
 }
 
@@ -172,7 +173,7 @@
 // settleBases has the first number of servers of each service settled in the
 // log, so that every later leader plans from the same.
 func (d *Duties) settleBases(ctx context.Context) {
-	for _, m := range d.fleet.Unsettled(time.Now()) {
+	for _, m := range d.fleet.Unsettled(clock.Now()) {
 		limit, cancel := context.WithTimeout(ctx, callTime)
 		result, err := d.group.Propose(limit, protocol.Command{Base: &m})
 		cancel()
--- a/transport/control/list.go
+++ b/transport/control/list.go
@@ -2,9 +2,9 @@
 
 import (
 	"slices"
-	"time"
 
 	"github.com/weldstream/weldstream/coordination/place"
+	"github.com/weldstream/weldstream/internal/clock"
 	"github.com/weldstream/weldstream/protocol"
 )
 
@@ -78,7 +78,7 @@
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	u.enter(term)
-	list = u.announced(list, time.Now())
+	list = u.announced(list, clock.Now())
 	if u.listed && sameServers(u.servers, list) {
 		return
 	}
--- a/transport/control/load.go
+++ b/transport/control/load.go
@@ -1,9 +1,8 @@
 package control
 
 import (
-	"time"
-
 	"github.com/weldstream/weldstream/coordination/place"
+	"github.com/weldstream/weldstream/internal/clock"
 	"github.com/weldstream/weldstream/protocol"
 )
 
@@ -19,7 +18,7 @@
 func (u *Uplink) Loads() map[string]Load {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	u.alive(time.Now())
+	u.alive(clock.Now())
 	loads := map[string]Load{}
 	for _, g := range u.gateways {
 		for _, p := range g.pressure {
--- a/transport/control/loads_test.go
+++ b/transport/control/loads_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"github.com/weldstream/weldstream/internal/clock"
 	"github.com/weldstream/weldstream/protocol"
 )
 
@@ -22,8 +23,8 @@
 	if !bytes.Equal(got.Loads, []byte{1, 5}) {
 		t.Errorf("loads %v, want 1 and 5", got.Loads)
 	}
-	u.gateways["g"].at = time.Now().Add(-gatewayKept - time.Second)
-	u.alive(time.Now())
+	u.gateways["g"].at = clock.Now().Add(-gatewayKept - time.Second)
+	u.alive(clock.Now())
 	if n := u.loads.Of("b"); n != 2 {
 		t.Errorf("b has %d with a gateway gone, want 2", n)
 	}
--- a/transport/control/quarantine.go
+++ b/transport/control/quarantine.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/weldstream/weldstream/coordination/quarantine"
+	"github.com/weldstream/weldstream/internal/clock"
 	"github.com/weldstream/weldstream/internal/pause"
 	"github.com/weldstream/weldstream/protocol"
 )
@@ -32,7 +33,7 @@
 		if !ok {
 			continue
 		}
-		if m := u.judge(term, time.Now()); len(m.Hold)+len(m.Try)+len(m.Free) > 0 {
+		if m := u.judge(term, clock.Now()); len(m.Hold)+len(m.Try)+len(m.Free) > 0 {
 			u.logQuarantine(ctx, m)
 		}
 	}
--- a/transport/control/quarantine_test.go
+++ b/transport/control/quarantine_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/weldstream/weldstream/coordination/quarantine"
+	"github.com/weldstream/weldstream/internal/clock"
 	"github.com/weldstream/weldstream/protocol"
 )
 
@@ -57,7 +58,7 @@
 func decide(t *testing.T, u *Uplink, ahead time.Duration) {
 	t.Helper()
 	term, _ := u.group.Vouches()
-	u.logQuarantine(t.Context(), u.judge(term, time.Now().Add(ahead)))
+	u.logQuarantine(t.Context(), u.judge(term, clock.Now().Add(ahead)))
 }
 
 // TestAllGatewaysAreToldOfAHeldRequest checks that what several gateways saw adds up, and
@@ -138,7 +139,7 @@
 	if held := heldOf(r); len(held) != 1 || held[0].Trial != "g" || held[0].Trials != 1 {
 		t.Fatalf("told %+v", r.Quarantine)
 	}
-	if m := leader.judge(3, time.Now().Add(time.Second)); len(m.Hold) != 1 || m.Hold[0].Fingerprint != bodyPrint("worse") {
+	if m := leader.judge(3, clock.Now().Add(time.Second)); len(m.Hold) != 1 || m.Hold[0].Fingerprint != bodyPrint("worse") {
 		t.Errorf("the leader decides %+v", m)
 	}
 	leader.InstallQuarantine(protocol.QuarantineLog{Changes: 5, Entries: []protocol.Quarantined{
--- a/transport/control/regions_test.go
+++ b/transport/control/regions_test.go
@@ -8,6 +8,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/weldstream/weldstream/coordination/topology"
+	"github.com/weldstream/weldstream/internal/clock"
 	"github.com/weldstream/weldstream/protocol"
 )
 
@@ -55,7 +56,7 @@
 		sync1(t, u, protocol.SyncMsg{Gateway: "g", Domain: "b-1", Pressure: []protocol.Pressure{{Service: "s", Work: 10, Begun: 1}}})
 		u.SetServers(1, []protocol.Instance{})
 		full := map[string]int{}
-		for _, o := range f.Plan(time.Now()) {
+		for _, o := range f.Plan(clock.Now()) {
 			if !o.Reclaimable {
 				full[o.Domain] += o.Count
 			}
--- a/transport/control/relay.go
+++ b/transport/control/relay.go
@@ -11,6 +11,7 @@
 
 	"github.com/weldstream/weldstream/coordination/link"
 	"github.com/weldstream/weldstream/coordination/place"
+	"github.com/weldstream/weldstream/internal/clock"
 	"github.com/weldstream/weldstream/internal/pause"
 	"github.com/weldstream/weldstream/protocol"
 )
@@ -128,7 +129,7 @@
 // sync keeps a gateway's question until the answer to a later batch, or until that is
 // overdue. Either takes no longer than a batch may. A relay that has ended answers at once.
 func (r *Relay) sync(m protocol.SyncMsg, reply *protocol.SyncReply) {
-	q := &question{m: m, at: time.Now(), answer: make(chan protocol.SyncReply, 1)}
+	q := &question{m: m, at: clock.Now(), answer: make(chan protocol.SyncReply, 1)}
 	r.mu.Lock()
 	if r.stopped {
 		r.mu.Unlock()
@@ -221,14 +222,14 @@
 func (r *Relay) send(ctx context.Context, b *exchange) {
 	defer r.wakeUp()
 	defer r.ended()
-	sent := time.Now()
+	sent := clock.Now()
 	answers := r.call(b.leader, b.m)
 	overdue := time.NewTimer(b.due)
 	defer overdue.Stop()
 	for {
 		select {
 		case reply := <-answers:
-			r.take(b, reply, time.Since(sent))
+			r.take(b, reply, clock.Since(sent))
 			return
 		case <-overdue.C:
 			r.setOverdue(b.leader)
@@ -278,7 +279,7 @@
 	number, _ := r.uplink.document()
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	now := time.Now()
+	now := clock.Now()
 	if leader != r.asked {
 		r.asked, r.answerTime = leader, link.AnswerTime{}
 		r.sum.Lost()
@@ -428,7 +429,7 @@
 func (r *Relay) State() RelayState {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	now, gateways := time.Now(), 0
+	now, gateways := clock.Now(), 0
 	for _, at := range r.gateways {
 		if now.Sub(at) <= gatewayKept {
 			gateways++
--- a/transport/control/relay_test.go
+++ b/transport/control/relay_test.go
@@ -18,6 +18,7 @@
 	"github.com/weldstream/weldstream/coordination/place"
 	"github.com/weldstream/weldstream/coordination/topology"
 	"github.com/weldstream/weldstream/coordination/usage"
+	"github.com/weldstream/weldstream/internal/clock"
 	_ "github.com/weldstream/weldstream/internal/testseed" // Fixes the seed.
 	"github.com/weldstream/weldstream/protocol"
 )
@@ -490,7 +491,7 @@
 				leader.SetServers(3, list)
 			case 2:
 				g.m.Running = []protocol.ServerLoad{{Server: "1", Running: rapid.IntRange(0, 3).Draw(t, "running")}}
-				q := &question{m: g.m, at: time.Now(), answer: make(chan protocol.SyncReply, 1)}
+				q := &question{m: g.m, at: clock.Now(), answer: make(chan protocol.SyncReply, 1)}
 				x := &underWay{b: &exchange{leader: leaderAt, list: []*question{q}}, number: number}
 				x.b.m, _ = r.compose(leaderAt, x.b.list)
 				leader.mu.Lock()
@@ -529,7 +530,7 @@
 	b, _ := newRelayOf(t, w, "b")
 	r.uplink.mu.Lock()
 	r.uplink.enter(1)
-	r.uplink.entered = time.Now().Add(-time.Hour)
+	r.uplink.entered = clock.Now().Add(-time.Hour)
 	r.uplink.mu.Unlock()
 	const arrived = 1000
 	ask := func(u *Uplink, name string, wants int) protocol.SyncReply {
--- a/transport/control/rollouts.go
+++ b/transport/control/rollouts.go
@@ -6,6 +6,7 @@
 
 	"github.com/weldstream/weldstream/coordination/place"
 	"github.com/weldstream/weldstream/coordination/rollout"
+	"github.com/weldstream/weldstream/internal/clock"
 	"github.com/weldstream/weldstream/protocol"
 )
 
@@ -25,21 +26,21 @@
 // logged are the roll-outs as the log has them.
 type logged struct {
 	protocol.RolloutLog
-	began map[uint64]time.Time // began is when each was ordered, by this instance's steady clock.
+	began map[uint64]time.Time // began is when each was ordered, by this instance's own clock.
 }
 
 // InstallRollouts takes the roll-outs of the log. The replica's loop calls it.
 func (u *Uplink) InstallRollouts(l protocol.RolloutLog) {
 	before := u.logged.Load()
 	next := &logged{RolloutLog: l, began: map[uint64]time.Time{}}
-	now := time.Now()
+	now := clock.Now()
 	for i := range l.Latest {
 		r := &l.Latest[i]
 		if began, ok := before.began[r.Number]; ok {
 			next.began[r.Number] = began
 			continue
 		}
-		age := now.Sub(time.UnixMilli(r.BeganAt))
+		age := time.Since(time.UnixMilli(r.BeganAt)) // By the time of day, as the log has it.
 		if age < liveOrder {
 			age = 0
 		}
@@ -83,7 +84,7 @@
 			}
 		}
 		if r.Stage == protocol.RolloutMoving && t.movedAt.IsZero() {
-			t.movedAt = time.Now()
+			t.movedAt = clock.Now()
 		}
 		t.record = r
 		trials[r.Number] = t
--- a/transport/control/rollouts_test.go
+++ b/transport/control/rollouts_test.go
@@ -11,6 +11,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/weldstream/weldstream/coordination/rollout"
+	"github.com/weldstream/weldstream/internal/clock"
 	"github.com/weldstream/weldstream/protocol"
 )
 
@@ -102,13 +103,13 @@
 	r.sync()
 	r.m.Trials[0].Arrived, r.m.Trials[0].Wants = 1000, 5
 	r.uplink.mu.Lock()
-	r.uplink.entered = time.Now().Add(-rollout.CreditLease / 2)
+	r.uplink.entered = clock.Now().Add(-rollout.CreditLease / 2)
 	r.uplink.mu.Unlock()
 	if r.sync(); r.reply.Trials[0].Credits != 0 {
 		t.Errorf("%d credits within the lease of the former ones", r.reply.Trials[0].Credits)
 	}
 	r.uplink.mu.Lock()
-	r.uplink.entered = time.Now().Add(-rollout.CreditLease)
+	r.uplink.entered = clock.Now().Add(-rollout.CreditLease)
 	r.uplink.mu.Unlock()
 	if r.sync(); r.reply.Trials[0].Credits != 5 {
 		t.Errorf("%d credits behind it", r.reply.Trials[0].Credits)
@@ -117,7 +118,7 @@
 	r.m.Trials[0].Tried = 90
 	r.sync()
 	r.uplink.mu.Lock()
-	r.uplink.entered = time.Now().Add(-rollout.CreditLease)
+	r.uplink.entered = clock.Now().Add(-rollout.CreditLease)
 	r.uplink.mu.Unlock()
 	if r.sync(); r.reply.Trials[0].Credits != 0 {
 		t.Errorf("%d credits though 90 of 1,000 requests were tried", r.reply.Trials[0].Credits)
@@ -135,7 +136,7 @@
 		{Route: "r", New: true, Server: "c", Answers: protocol.Answers{Good: 3, Bad: 5}},
 	}
 	r.sync()
-	steps := r.uplink.steps(1, time.Now())
+	steps := r.uplink.steps(1, clock.Now())
 	if len(steps) != 1 || steps[0].Stage != protocol.RolloutRolledBack {
 		t.Fatalf("the steps are %+v", steps)
 	}
@@ -143,7 +144,7 @@
 	if got := r.uplink.logged.Load().Latest[0].Stage; got != protocol.RolloutRolledBack || r.uplink.meters.turnedBack.Count() != 1 {
 		t.Errorf("logged %v, counted %d", got, r.uplink.meters.turnedBack.Count())
 	}
-	if steps := r.uplink.steps(1, time.Now()); len(steps) > 0 {
+	if steps := r.uplink.steps(1, clock.Now()); len(steps) > 0 {
 		t.Errorf("what is over takes steps: %+v", steps)
 	}
 }
@@ -155,7 +156,7 @@
 	r.sync()
 	r.propose(protocol.Command{StageRollout: &protocol.StageRolloutMsg{Service: "s", Number: 1, Stage: protocol.RolloutMoving, Former: []string{"v1"}}})
 	r.uplink.hold(1, nil, &protocol.Catalog{Routes: []protocol.PathRoute{{Timeout: time.Hour, Split: []protocol.Weighted{{Service: "s", Weight: 1}}}}})
-	now := time.Now()
+	now := clock.Now()
 	r.uplink.mu.Lock()
 	r.uplink.renewRollouts()
 	r.uplink.trials[1].began = now.Add(-time.Minute) // Its limit is near.
@@ -169,7 +170,7 @@
 	if steps := later(time.Second); len(steps) > 0 {
 		t.Errorf("though a gateway keeps to the trial: %+v", steps)
 	}
-	now = time.Now()
+	now = clock.Now()
 	r.m.Running = []protocol.ServerLoad{{Server: "a", Running: 1}}
 	r.sync() // It is told.
 	r.sync() // It tells that it keeps to it.
@@ -219,7 +220,7 @@
 	r.uplink.catalog = &protocol.Catalog{Services: []protocol.ServiceSpec{{Name: "s", Scaling: &protocol.ScalingSpec{Max: 9}}}}
 	f := NewFleet(r.uplink, zerolog.Nop())
 	f.Settled("s", 0) // The log has none.
-	now := time.Now()
+	now := clock.Now()
 	settles := func(want int) {
 		t.Helper()
 		f.Unsettled(now)
@@ -247,7 +248,7 @@
 			servers = append(servers, protocol.Instance{ID: v, Service: "s", Version: v})
 		}
 		u.SetServers(term, servers)
-		for _, m := range u.newVersions(term, time.Now()) {
+		for _, m := range u.newVersions(term, clock.Now()) {
 			u.logVersions(context.Background(), m)
 		}
 		told, _ := u.Servers()
@@ -267,7 +268,7 @@
 	list(1, "v1v2", "v1", "v2")
 	list(1, "v1v2", "v1", "v2", "v3")
 	u.mu.Lock()
-	u.unnamed[versionOf{"s", "v3"}] = time.Now().Add(-time.Minute)
+	u.unnamed[versionOf{"s", "v3"}] = clock.Now().Add(-time.Minute)
 	u.mu.Unlock()
 	list(1, "v1v2v3", "v1", "v2", "v3")
 	list(1, "v4", "v4")
--- a/transport/control/size_test.go
+++ b/transport/control/size_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/weldstream/weldstream/coordination/link"
 	"github.com/weldstream/weldstream/coordination/topology"
+	"github.com/weldstream/weldstream/internal/clock"
 	"github.com/weldstream/weldstream/protocol"
 )
 
@@ -100,7 +101,7 @@
 		g.m = protocol.SyncMsg{Gateway: fmt.Sprintf("edge-%s-%d", s.domains[i%6], i), Life: rand.Uint64(), Domain: s.domains[i%6], Relayed: w == byRelays}
 		l := link.New(s.topology, g.m.Domain, g.m.Gateway)
 		l.Learn(controls, controls)
-		if near := l.Choose("a1", time.Now()); w == byRelays {
+		if near := l.Choose("a1", clock.Now()); w == byRelays {
 			g.relay = s.relays[near]
 		}
 		s.gateways = append(s.gateways, g)
@@ -163,7 +164,7 @@
 			continue
 		}
 		s.traffic.add(s.topology, g.m.Domain, g.relay.own, g.m, false)
-		waiting[g.relay] = append(waiting[g.relay], &question{m: g.m, at: time.Now(), answer: make(chan protocol.SyncReply, 1)})
+		waiting[g.relay] = append(waiting[g.relay], &question{m: g.m, at: clock.Now(), answer: make(chan protocol.SyncReply, 1)})
 	}
 	for r, list := range waiting {
 		s.askRelay(r, list)
--- a/transport/control/steps.go
+++ b/transport/control/steps.go
@@ -10,6 +10,7 @@
 
 	"github.com/weldstream/weldstream/coordination/place"
 	"github.com/weldstream/weldstream/coordination/rollout"
+	"github.com/weldstream/weldstream/internal/clock"
 	"github.com/weldstream/weldstream/internal/pause"
 	"github.com/weldstream/weldstream/protocol"
 )
@@ -27,10 +28,10 @@
 		if !ok {
 			continue
 		}
-		for _, m := range u.newVersions(term, time.Now()) {
+		for _, m := range u.newVersions(term, clock.Now()) {
 			u.logVersions(ctx, m)
 		}
-		for _, step := range u.steps(term, time.Now()) {
+		for _, step := range u.steps(term, clock.Now()) {
 			u.takeStep(ctx, step)
 		}
 	}
@@ -169,7 +170,7 @@
 	defer u.mu.Unlock()
 	u.enter(term)
 	u.renewRollouts()
-	now := time.Now()
+	now := clock.Now()
 	for _, number := range slices.Sorted(maps.Keys(u.trials)) {
 		t := u.trials[number]
 		m := u.tick(t, now)
--- a/transport/control/tenure.go
+++ b/transport/control/tenure.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"github.com/weldstream/weldstream/internal/clock"
 	"github.com/weldstream/weldstream/protocol"
 )
 
@@ -37,7 +38,7 @@
 	t := &d.tenure
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	now := time.Now()
+	now := clock.Now()
 	if term != t.term {
 		t.term, t.since, t.held, t.fenced = term, now, false, false
 	}
--- a/transport/control/uplink.go
+++ b/transport/control/uplink.go
@@ -15,6 +15,7 @@
 	"github.com/weldstream/weldstream/coordination/quota"
 	"github.com/weldstream/weldstream/coordination/topology"
 	"github.com/weldstream/weldstream/coordination/usage"
+	"github.com/weldstream/weldstream/internal/clock"
 	"github.com/weldstream/weldstream/protocol"
 )
 
@@ -151,7 +152,7 @@
 // tells the peer addresses of the leader, as far as one is known that can answer,
 // and of all control instances; parse translates a document.
 func NewUplink(g Group, peers func() (string, []string), parse func(uint64, []byte) (*protocol.Catalog, error), quotaWindow time.Duration, opts ...UplinkOption) *Uplink {
-	now := time.Now()
+	now := clock.Now()
 	u := &Uplink{
 		incarnation: rand.Uint64(),
 		news:        make(chan struct{}),
@@ -177,7 +178,7 @@
 
 // reset forgets what belongs to a term. It needs u.mu.
 func (u *Uplink) reset(term uint64) {
-	u.term, u.entered, u.earlier = term, time.Now(), 0
+	u.term, u.entered, u.earlier = term, clock.Now(), 0
 	u.gateways = map[string]*gateway{}
 	u.quotas = quota.NewCoordinator(u.quota, quota.WithQuiet(u.quiet()))
 	u.ledger = usage.NewLedger()
@@ -191,7 +192,7 @@
 	u.suspects = suspects{table: quarantine.NewTable()}
 	u.rolled, u.trials, u.unnamed = 0, nil, map[versionOf]time.Time{}
 	if u.catalog != nil {
-		u.quotas.Configure(u.catalog.Workspaces, time.Now())
+		u.quotas.Configure(u.catalog.Workspaces, clock.Now())
 	}
 }
 
@@ -225,7 +226,7 @@
 	u.ready()
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	now := time.Now()
+	now := clock.Now()
 	u.enter(term)
 	u.loads.Take(m.Gateway, place.GatewayReport{Domain: m.Domain, Running: m.Running, Distrusts: m.Distrusts})
 	u.takeReadings(u.incarnation, m.Readings, now)
@@ -316,7 +317,7 @@
 	if u.view == nil {
 		return nil
 	}
-	placed, ok := u.places.Place(u.view, prompt(&m), time.Now())
+	placed, ok := u.places.Place(u.view, prompt(&m), clock.Now())
 	if ok {
 		u.readings.Add(u.incarnation, placed.Server, placed.Fresh)
 		*reply = placeReply(&placed, term, u.incarnation)
@@ -364,8 +365,8 @@
 func (u *Uplink) Clock() time.Time {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	u.alive(time.Now())
-	return u.agreed(time.Now())
+	u.alive(clock.Now())
+	return u.agreed(clock.Now())
 }
 
 // renewCommon makes the common part of the answers anew if it is too old. It
--- a/transport/exchange.go
+++ b/transport/exchange.go
@@ -11,6 +11,7 @@
 
 	"github.com/weldstream/weldstream/coordination/attempt"
 	"github.com/weldstream/weldstream/coordination/route"
+	"github.com/weldstream/weldstream/internal/clock"
 	"github.com/weldstream/weldstream/protocol"
 	"github.com/weldstream/weldstream/state"
 )
@@ -66,7 +67,7 @@
 }
 
 func (g *Gateway) newExchange(r *protocol.Request, id string) *exchange {
-	now := time.Now()
+	now := clock.Now()
 	return &exchange{
 		g:       g,
 		request: r,
@@ -106,7 +107,7 @@
 // watch starts the deadline. The returned func releases what the exchange
 // holds.
 func (x *exchange) watch() (end func()) {
-	timer := time.AfterFunc(time.Until(x.request.Deadline), func() { x.post(attempt.DeadlineMsg{}) })
+	timer := time.AfterFunc(clock.Until(x.request.Deadline), func() { x.post(attempt.DeadlineMsg{}) })
 	return func() {
 		timer.Stop()
 		x.finished.Do(func() { close(x.done) })
@@ -177,7 +178,7 @@
 
 // dispatch chooses a server and starts the attempt's goroutine.
 func (x *exchange) dispatch(cmd attempt.DispatchCmd) {
-	if cmd.Hedge && !x.g.hedges.spend(time.Now()) {
+	if cmd.Hedge && !x.g.hedges.spend(clock.Now()) {
 		x.apply(attempt.FailedMsg{Attempt: cmd.Attempt, Verdict: protocol.NotRun, Reason: "too many hedges"})
 		return
 	}
@@ -225,7 +226,7 @@
 	x.server.Store(server)
 	x.row.Server, x.row.Attempt, x.row.Tokens = server.ID, cmd.Attempt, x.state.Held
 	x.g.tables.Streams.Update(x.row)
-	x.sentAt = time.Now()
+	x.sentAt = clock.Now()
 	if x.request.Hedge {
 		time.AfterFunc(x.g.hedges.wait(x.request.Route), func() { x.deliver(attempt.HedgeMsg{}) })
 	}
@@ -234,9 +235,9 @@
 // end notes the whole answer.
 func (x *exchange) end(cmd attempt.FinishCmd) {
 	x.finish, x.over = cmd.Finish, true
-	x.g.budget.success(time.Now())
+	x.g.budget.success(clock.Now())
 	if x.request.Hedge {
-		x.g.hedges.observe(x.request.Route, time.Since(x.sentAt), time.Now())
+		x.g.hedges.observe(x.request.Route, clock.Since(x.sentAt), clock.Now())
 	}
 	x.mu.Lock()
 	defer x.mu.Unlock()
@@ -360,7 +361,7 @@
 		s.Counters.Failed.Add(1)
 	}
 	x.log.Info().Int("attempt", cmd.Attempt).Stringer("verdict", cmd.Cause.Verdict).Str("cause", cmd.Cause.Reason).Int("held", x.state.Held).Msg("attempt failed")
-	if x.state.Held == 0 && !x.g.budget.spend(time.Now()) {
+	if x.state.Held == 0 && !x.g.budget.spend(clock.Now()) {
 		r := protocol.NewRefusal(503, protocol.CodeOverloaded, "too many retries: %s", cmd.Cause.Reason)
 		x.apply(attempt.RetryMsg{Refused: r.WithVerdict(cmd.Cause.Verdict).WithRetryAfter(retryOverload)})
 		return
@@ -385,7 +386,7 @@
 
 // choose copies the counts and asks the chooser.
 func (g *Gateway) choose(r *protocol.Request, cmd attempt.DispatchCmd) (*state.Server, error) {
-	began := time.Now()
+	began := clock.Now()
 	defer func() { g.metrics.decision.UpdateSince(began) }()
 	view := g.tables.Backends.View()
 	m := route.ChooseMsg{
--- a/transport/fleet.go
+++ b/transport/fleet.go
@@ -13,6 +13,7 @@
 
 	"github.com/weldstream/weldstream/coordination/fleet"
 	"github.com/weldstream/weldstream/coordination/order"
+	"github.com/weldstream/weldstream/internal/clock"
 	"github.com/weldstream/weldstream/protocol"
 	"github.com/weldstream/weldstream/settings"
 	"github.com/weldstream/weldstream/state"
@@ -91,7 +92,7 @@
 }
 
 func (f *Fleet) readPrices() error {
-	if time.Since(f.priced) < pricesEvery {
+	if clock.Since(f.priced) < pricesEvery {
 		return nil
 	}
 	status, body, err := f.wires.call(f.settings.Platform.Address, http.MethodGet, "/v1/prices", nil, fleetTimeout)
@@ -105,13 +106,13 @@
 	if err := json.Unmarshal(body, &prices); err != nil {
 		return eris.Wrap(err, "parse prices")
 	}
-	f.prices, f.priced = prices, time.Now()
+	f.prices, f.priced = prices, clock.Now()
 	return nil
 }
 
 // view is what the leader sees now.
 func (f *Fleet) view(ix *state.Index) (fleet.ViewMsg, error) {
-	v := fleet.ViewMsg{Now: time.Now()}
+	v := fleet.ViewMsg{Now: clock.Now()}
 	for _, p := range f.prices {
 		v.Offers = append(v.Offers, fleet.Offer{Domain: p.Domain, Class: p.Class, Market: fleet.Market(p.Market), Hourly: p.Hourly})
 	}
@@ -179,7 +180,7 @@
 // again: the orders were planned together.
 func (f *Fleet) start(cmd fleet.StartCmd) {
 	offer := protocol.Price{Domain: cmd.Domain, Class: cmd.Class, Market: string(cmd.Market)}
-	refused := fleet.RefusedMsg{Order: cmd.Order, Now: time.Now()}
+	refused := fleet.RefusedMsg{Order: cmd.Order, Now: clock.Now()}
 	if f.refused[offer] {
 		f.planner.Update(refused)
 		return
@@ -198,7 +199,7 @@
 	log := f.log.Info().Str("domain", cmd.Domain).Str("class", cmd.Class).Str("market", string(cmd.Market)).Str("model", cmd.Model)
 	switch {
 	case err == nil && status == http.StatusCreated && json.Unmarshal(answer, &in) == nil:
-		f.planner.Update(fleet.StartedMsg{Order: cmd.Order, ID: in.ID, Now: time.Now()})
+		f.planner.Update(fleet.StartedMsg{Order: cmd.Order, ID: in.ID, Now: clock.Now()})
 		log.Str("server", in.ID).Msg("instance bought")
 	case err == nil && status >= 400 && status < 500:
 		f.refused[offer] = true
--- a/transport/forward/attempt.go
+++ b/transport/forward/attempt.go
@@ -10,6 +10,7 @@
 
 	"github.com/weldstream/weldstream/coordination/place"
 	"github.com/weldstream/weldstream/coordination/resend"
+	"github.com/weldstream/weldstream/internal/clock"
 	"github.com/weldstream/weldstream/protocol"
 	"github.com/weldstream/weldstream/transport/backend"
 )
@@ -77,7 +78,7 @@
 // connect returns a connection to a server that the request may be sent over, or why
 // there is none.
 func (x *exchange) connect(server *place.Server) (*backend.Conn, *protocol.Refusal) {
-	conn, err := x.g.pool.Get(server.ID, server.Address, x.deadline)
+	conn, err := x.g.pool.Get(server.ID, server.Address, clock.Steady(x.deadline))
 	if errors.Is(err, backend.ErrFull) {
 		return nil, x.noConnection()
 	}
@@ -119,7 +120,7 @@
 
 // distrust notes a failure that speaks against a server.
 func (x *exchange) distrust(s *place.Server, hard bool) {
-	if s.Cell.Failed(hard, time.Now()) {
+	if s.Cell.Failed(hard, clock.Now()) {
 		x.log.Warn().Str("server", s.ID).Bool("hard", hard).Int("outstanding", s.Cell.Outstanding()).Msg("server distrusted")
 	}
 }
@@ -183,7 +184,7 @@
 		Weights:   x.copyWeights(),
 		LastEvent: x.events.last,
 	})
-	early, err := t.conn.Exchange(x.out, x.resp, x.deadline.Add(time.Second))
+	early, err := t.conn.Exchange(x.out, x.resp, clock.Steady(x.deadline).Add(time.Second))
 	t.early = early
 	for skipped := 0; err == nil; skipped++ {
 		t.reply = x.g.dialect.Reply(&x.resp.Header)
@@ -287,7 +288,7 @@
 func (t *try) answered(stop func() bool) *protocol.Refusal {
 	x, status := t.x, t.x.resp.StatusCode()
 	if t.reply.HasLoad {
-		t.server.Cell.ReportedLoad(t.reply.Load, time.Now())
+		t.server.Cell.ReportedLoad(t.reply.Load, clock.Now())
 	}
 	if t.reply.ID != "" && t.reply.ID != x.call.ID {
 		t.conn.Close()
@@ -404,7 +405,7 @@
 	defer fasthttp.ReleaseResponse(resp)
 	x.g.dialect.Answer(resp, x.resp)
 	resp.SetBodyRaw(data)
-	x.first = time.Since(x.start)
+	x.first = clock.Since(x.start)
 	x.note()
 	if err := x.answer.Whole(resp); err != nil {
 		x.log.Info().Err(err).Msg("answer not taken")
@@ -418,5 +419,5 @@
 	x.g.meters.end(outcome{x.routeName(), x.workspaceName(), protocol.Ran})
 	x.g.meters.first.Update(x.first)
 	x.log.Info().Str("outcome", "answered").Str("server", x.server).Int("status", x.resp.StatusCode()).Int("resent", x.state.Sent).
-		Uint64("number", x.index.Number).Int("tokens", x.call.PromptTokens).Dur("first", x.first).Dur("gap", x.gap).Dur("after", time.Since(x.start)).Msg("request")
+		Uint64("number", x.index.Number).Int("tokens", x.call.PromptTokens).Dur("first", x.first).Dur("gap", x.gap).Dur("after", clock.Since(x.start)).Msg("request")
 }
--- a/transport/forward/copy.go
+++ b/transport/forward/copy.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/weldstream/weldstream/coordination/place"
+	"github.com/weldstream/weldstream/internal/clock"
 	"github.com/weldstream/weldstream/protocol"
 )
 
@@ -28,7 +29,7 @@
 	g := x.g
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	now := time.Now()
+	now := clock.Now()
 	from = x.copyFrom(at, now)
 	if from != "" {
 		g.meters.copies.Inc(1)
--- a/transport/forward/copy_test.go
+++ b/transport/forward/copy_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/weldstream/weldstream/coordination/place"
+	"github.com/weldstream/weldstream/internal/clock"
 	"github.com/weldstream/weldstream/protocol"
 )
 
@@ -17,7 +18,7 @@
 // for this gateway or for others, and is not where it holds it, where copies are switched
 // off, or where the other one turned the prompt away.
 func TestOwnPlacingsAreCopied(t *testing.T) {
-	past := time.Now().Add(-time.Second)
+	past := clock.Now().Add(-time.Second)
 	for name, c := range map[string]struct {
 		learn func(w *world, x *exchange)
 		want  bool
@@ -88,7 +89,7 @@
 	if len(m.Readings) != 1 || m.Readings[0].Server != "a" || len(m.Readings[0].Links) != 1 {
 		t.Errorf("told %+v", m.Readings)
 	}
-	w.g.Reported(&m, &protocol.SyncReply{Term: 1, ReadingsAt: 40}, time.Now())
+	w.g.Reported(&m, &protocol.SyncReply{Term: 1, ReadingsAt: 40}, clock.Now())
 	if m := w.g.Report(1); len(m.Readings) != 0 || m.ReadingsAt != 40 {
 		t.Errorf("told %+v again, asked from %d", m.Readings, m.ReadingsAt)
 	}
--- a/transport/forward/exchange.go
+++ b/transport/forward/exchange.go
@@ -10,6 +10,7 @@
 
 	"github.com/weldstream/weldstream/coordination/place"
 	"github.com/weldstream/weldstream/coordination/resend"
+	"github.com/weldstream/weldstream/internal/clock"
 	"github.com/weldstream/weldstream/protocol"
 	"github.com/weldstream/weldstream/transport/caller"
 )
@@ -66,7 +67,7 @@
 		out:    fasthttp.AcquireRequest(),
 		resp:   fasthttp.AcquireResponse(),
 		answer: a,
-		start:  time.Now(),
+		start:  clock.Now(),
 	}
 }
 
@@ -194,18 +195,18 @@
 		limit = min(limit, x.call.Remaining)
 	}
 	x.deadline = x.start.Add(limit)
-	x.answer.Until(x.deadline)
-	x.ctx, x.cancel = context.WithDeadline(x.gone, x.deadline)
+	x.answer.Until(clock.Steady(x.deadline))
+	x.ctx, x.cancel = context.WithTimeout(x.gone, x.left())
 }
 
-func (x *exchange) left() time.Duration { return time.Until(x.deadline) }
+func (x *exchange) left() time.Duration { return clock.Until(x.deadline) }
 
 // refuse ends the request with a refusal, or cuts an answer that has begun.
 func (x *exchange) refuse(r *protocol.Refusal) {
 	x.g.meters.refused.Inc(1)
 	x.g.meters.end(outcome{x.routeName(), x.workspaceName(), r.Verdict})
 	x.log.Info().Str("outcome", "refused").Str("code", string(r.Code)).Stringer("verdict", r.Verdict).Int("status", r.Status).
-		Str("reason", r.Message).Str("server", x.server).Int("sent", x.state.Sent).Dur("after", time.Since(x.start)).Bool("cut", x.headed).Msg("request")
+		Str("reason", r.Message).Str("server", x.server).Int("sent", x.state.Sent).Dur("after", clock.Since(x.start)).Bool("cut", x.headed).Msg("request")
 	if x.headed || x.gone.Err() != nil {
 		return // The connection is cut: the answer must not look whole.
 	}
@@ -239,7 +240,7 @@
 	}
 	x.placed = reply
 	s := view.Find(reply.Server)
-	if s == nil || s.Leaving || s.Cell.Suspect(time.Now()) {
+	if s == nil || s.Leaving || s.Cell.Suspect(clock.Now()) {
 		x.ended()
 		return nil
 	}
@@ -280,7 +281,7 @@
 		Parts:   x.parts,
 		Brief:   x.route.Repeatable(),
 		Most:    x.most(),
-		Now:     time.Now(),
+		Now:     clock.Now(),
 	}
 	if s := x.chooseTrial(view, m); s != nil {
 		return s, nil
--- a/transport/forward/forward.go
+++ b/transport/forward/forward.go
@@ -32,6 +32,7 @@
 	"github.com/weldstream/weldstream/coordination/retry"
 	"github.com/weldstream/weldstream/coordination/topology"
 	"github.com/weldstream/weldstream/coordination/usage"
+	"github.com/weldstream/weldstream/internal/clock"
 	"github.com/weldstream/weldstream/protocol"
 	"github.com/weldstream/weldstream/transport/backend"
 	"github.com/weldstream/weldstream/transport/caller"
@@ -118,7 +119,7 @@
 
 // New returns a gateway that knows no catalog yet.
 func New(cfg Config, d Dialect, opts ...Option) *Gateway {
-	now := time.Now()
+	now := clock.Now()
 	g := &Gateway{
 		cfg:         cfg,
 		dialect:     d,
@@ -180,7 +181,7 @@
 	g.renewView()
 	view := g.view.Load()
 	g.noteUnplaced(view)
-	leaving, now := 0, time.Now()
+	leaving, now := 0, clock.Now()
 	for i := range view.Servers {
 		s := &view.Servers[i]
 		if s.Leaving {
@@ -215,7 +216,7 @@
 	g.gateways.Store(int64(max(1, gateways)))
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.allowance.Heard(gateways, time.Now())
+	g.allowance.Heard(gateways, clock.Now())
 	for _, s := range g.shares {
 		s.Resize(g.cfg.RetryExtra, gateways)
 	}
@@ -227,7 +228,7 @@
 func (g *Gateway) Overdue() {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.allowance.Overdue(time.Now())
+	g.allowance.Overdue(clock.Now())
 }
 
 // startupWait is how long a request waits for a gateway that has just started, or
@@ -264,7 +265,7 @@
 // it never was.
 func (g *Gateway) Age() (time.Duration, bool) {
 	at := g.confirmed.Load()
-	return time.Since(g.began) - time.Duration(at), at > 0
+	return clock.Since(g.began) - time.Duration(at), at > 0
 }
 
 // revokePart of the bound on taken keys is left for clocks that run unevenly.
@@ -295,7 +296,7 @@
 
 // untilReady is when a gateway that knows no configuration will probably know it.
 func (g *Gateway) untilReady() time.Duration {
-	return max(readyRetry, startTime-time.Since(g.began))
+	return max(readyRetry, startTime-clock.Since(g.began))
 }
 
 // Close refuses the requests that come from now on, as not run.
--- a/transport/forward/forward_test.go
+++ b/transport/forward/forward_test.go
@@ -17,6 +17,7 @@
 
 	"github.com/weldstream/weldstream/coordination/resend"
 	"github.com/weldstream/weldstream/coordination/usage"
+	"github.com/weldstream/weldstream/internal/clock"
 	"github.com/weldstream/weldstream/protocol"
 	"github.com/weldstream/weldstream/transport/caller"
 )
@@ -104,7 +105,7 @@
 	server := caller.NewServer(w.g, opts...)
 	go func() { _ = server.Serve(ln) }()
 	w.address = ln.Addr().String()
-	w.g.Confirm(time.Now(), 1)
+	w.g.Confirm(clock.Now(), 1)
 	return w
 }
 
@@ -502,7 +503,7 @@
 	x.index = w.g.index.Load()
 	x.route = x.index.Route(x.call.Host, x.call.Path)
 	w.install(protocol.PathRoute{Attempts: 1}, protocol.Tenancy{Name: "w", Keys: []string{"other"}})
-	w.g.Confirm(time.Now(), 1)
+	w.g.Confirm(clock.Now(), 1)
 	if refusal := x.authenticate(); refusal == nil || refusal.Code != protocol.CodeUnauthorized {
 		t.Errorf("got %+v", refusal)
 	}
@@ -517,7 +518,7 @@
 	w.g.syncNow = func() {
 		w.g.cfg.Revoke = time.Nanosecond // The confirmation is too old from here on.
 		m := w.g.Report(1)
-		w.g.Reported(&m, &protocol.SyncReply{Term: 1, Grants: []protocol.QuotaGrant{{Workspace: "w", Units: 1, Lasts: time.Minute}}}, time.Now())
+		w.g.Reported(&m, &protocol.SyncReply{Term: 1, Grants: []protocol.QuotaGrant{{Workspace: "w", Units: 1, Lasts: time.Minute}}}, clock.Now())
 	}
 	if got := w.ask("Key: k"); got.status != 503 || got.verdict != "not-run" || a.runs.Load() > 0 {
 		t.Errorf("got %+v after %d runs", got, a.runs.Load())
@@ -562,7 +563,7 @@
 	w.g.syncNow = func() {
 		go func() {
 			m := w.g.Report(1)
-			w.g.Reported(&m, &protocol.SyncReply{Term: 1, Grants: []protocol.QuotaGrant{{Workspace: "w", Units: units, Lasts: time.Minute, Wait: time.Second}}}, time.Now())
+			w.g.Reported(&m, &protocol.SyncReply{Term: 1, Grants: []protocol.QuotaGrant{{Workspace: "w", Units: units, Lasts: time.Minute, Wait: time.Second}}}, clock.Now())
 		}()
 	}
 	if got := w.ask("Key: k"); got.status != 200 {
@@ -614,7 +615,7 @@
 		w.install(protocol.PathRoute{Attempts: 1})
 		a, b := w.backend("a", good), w.backend("b", good)
 		if c.fails {
-			w.g.view.Load().Find("b").Cell.Failed(true, time.Now())
+			w.g.view.Load().Find("b").Cell.Failed(true, clock.Now())
 		}
 		x := &exchange{g: w.g, placed: protocol.PlaceReply{Server: a.id, Holder: c.holder}}
 		at := w.g.view.Load().Find(a.id)
@@ -622,7 +623,7 @@
 		if c.want {
 			want = b.address
 		}
-		if got := x.copyFrom(at, time.Now()); got != want {
+		if got := x.copyFrom(at, clock.Now()); got != want {
 			t.Errorf("%s: copied from %q, want %q", name, got, want)
 		}
 	}
@@ -695,7 +696,7 @@
 	w := newWorld(t)
 	m := w.g.Report(1)
 	ahead := 5 * w.g.cfg.UsageWindow
-	w.g.Reported(&m, &protocol.SyncReply{Term: 1, Clock: m.Clock.Add(ahead)}, time.Now())
+	w.g.Reported(&m, &protocol.SyncReply{Term: 1, Clock: m.Clock.Add(ahead)}, clock.Now())
 	before := w.g.clock.Now(time.Since(w.g.began))
 	w.g.count("w")
 	report := w.g.Report(1)
--- a/transport/forward/limits.go
+++ b/transport/forward/limits.go
@@ -6,6 +6,7 @@
 	"github.com/weldstream/weldstream/coordination/place"
 	"github.com/weldstream/weldstream/coordination/quota"
 	"github.com/weldstream/weldstream/coordination/retry"
+	"github.com/weldstream/weldstream/internal/clock"
 	"github.com/weldstream/weldstream/protocol"
 )
 
@@ -38,7 +39,7 @@
 func (g *Gateway) service(name string) *pressure {
 	p := g.pressure[name]
 	if p == nil {
-		p = &pressure{at: time.Now()}
+		p = &pressure{at: clock.Now()}
 		g.pressure[name] = p
 	}
 	return p
@@ -49,7 +50,7 @@
 func (x *exchange) takesSlot(slots int) {
 	x.g.mu.Lock()
 	defer x.g.mu.Unlock()
-	p, now := x.g.service(x.service), time.Now()
+	p, now := x.g.service(x.service), clock.Now()
 	p.add(1, now)
 	p.lanes.Began(x.lane, slots, now)
 }
@@ -57,7 +58,7 @@
 func (x *exchange) givesBack(held time.Duration, slots int) {
 	x.g.mu.Lock()
 	defer x.g.mu.Unlock()
-	p, now := x.g.service(x.service), time.Now()
+	p, now := x.g.service(x.service), clock.Now()
 	p.add(-1, now)
 	p.lanes.Ended(x.lane, held, slots, now)
 }
@@ -68,7 +69,7 @@
 	g := x.g
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	now := time.Now()
+	now := clock.Now()
 	p := g.service(x.service)
 	g.share(x.service, now).Request(now)
 	x.lane, x.parts = p.lanes.Observe(x.call.PromptTokens, x.call.SharedTokens())
@@ -103,7 +104,7 @@
 func (g *Gateway) retries(service string) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	now := time.Now()
+	now := clock.Now()
 	return g.share(service, now).Spend(now)
 }
 
@@ -114,7 +115,7 @@
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.counter.Began(workspace, g.clock.Now(time.Since(g.began)))
+	g.counter.Began(workspace, g.clock.Now(clock.Since(g.began)))
 }
 
 // askTime is how long a request waits for a part of its quota.
@@ -128,7 +129,7 @@
 	defer end.Stop()
 	for {
 		g.mu.Lock()
-		verdict, wait := g.allowance.Take(name, units, time.Now())
+		verdict, wait := g.allowance.Take(name, units, clock.Now())
 		granted := g.granted
 		g.mu.Unlock()
 		switch verdict {
@@ -157,7 +158,7 @@
 	defer g.mu.Unlock()
 	// The wait that comes with a denial is not used: it counts from an answer of the
 	// leader, which did not come in time.
-	if verdict, _ := g.allowance.Take(x.workspace.Name, units, time.Now()); verdict == quota.Taken {
+	if verdict, _ := g.allowance.Take(x.workspace.Name, units, clock.Now()); verdict == quota.Taken {
 		return nil
 	}
 	return overQuota(askTime)
@@ -172,7 +173,7 @@
 func (g *Gateway) Report(term uint64) protocol.SyncMsg {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	now := time.Now()
+	now := clock.Now()
 	since := now.Sub(g.began)
 	m := protocol.SyncMsg{Gateway: g.cfg.Name, Term: term, Number: g.Number(), Clock: g.clock.Own(since), Usage: g.counter.Rows(term, g.clock.Now(since)), Counted: g.clock.Now(since), Wants: g.allowance.Wants(now), Done: g.done, Domain: g.cfg.Domain, Running: g.view.Load().Running(), Distrusts: g.view.Load().Distrusts(now)}
 	g.done = nil // One that is lost is forgotten by the leader in time.
@@ -196,8 +197,8 @@
 	g.counter.Acknowledged(reply.Term, m.Usage)
 	g.allowance.Short(reply.Short)
 	g.allowance.Acknowledged(m.Wants)
-	g.clock.Agreed(reply.Clock, time.Since(g.began))
-	g.takeReadings(reply, time.Now())
+	g.clock.Agreed(reply.Clock, clock.Since(g.began))
+	g.takeReadings(reply, clock.Now())
 	g.reportedQuarantine(reply.Term, m)
 	for i := range m.Trials {
 		for _, t := range g.trials {
@@ -209,7 +210,7 @@
 	if len(m.Wants) == 0 {
 		return
 	}
-	g.allowance.Granted(reply.Grants, asked, time.Now())
+	g.allowance.Granted(reply.Grants, asked, clock.Now())
 	close(g.granted)
 	g.granted = make(chan struct{})
 }
@@ -221,14 +222,14 @@
 	}
 	x.g.mu.Lock()
 	defer x.g.mu.Unlock()
-	x.g.done = append(x.g.done, protocol.PlaceDone{Term: x.placed.Term, Number: x.placed.Number, Placer: x.placed.Placer, First: x.first, Took: time.Since(x.start)})
+	x.g.done = append(x.g.done, protocol.PlaceDone{Term: x.placed.Term, Number: x.placed.Number, Placer: x.placed.Placer, First: x.first, Took: clock.Since(x.start)})
 	x.placed = protocol.PlaceReply{}
 }
 
 // Share takes how many requests the listed servers have from all gateways, and
 // which of them others distrust.
 func (g *Gateway) Share(loads, distrusted []byte) {
-	if ids := g.view.Load().Share(loads, distrusted, time.Now()); len(ids) > 0 {
+	if ids := g.view.Load().Share(loads, distrusted, clock.Now()); len(ids) > 0 {
 		g.log.Info().Strs("servers", ids).Msg("servers distrusted by other gateways")
 	}
 }
--- a/transport/forward/move.go
+++ b/transport/forward/move.go
@@ -10,6 +10,7 @@
 
 	"github.com/weldstream/weldstream/coordination/move"
 	"github.com/weldstream/weldstream/coordination/place"
+	"github.com/weldstream/weldstream/internal/clock"
 	"github.com/weldstream/weldstream/protocol"
 )
 
@@ -176,7 +177,7 @@
 	if r.moveBegan.IsZero() {
 		return 0
 	}
-	return time.Since(r.moveBegan)
+	return clock.Since(r.moveBegan)
 }
 
 // phase returns how far the run is.
@@ -189,7 +190,7 @@
 // move copies a run to another server and stops it at its own. It reports whether the
 // copy was made.
 func (r *running) move(n notice) (copied bool) {
-	view, now := r.g.view.Load(), time.Now()
+	view, now := r.g.view.Load(), clock.Now()
 	target := place.MoveTarget(view, r.server, place.ChooseMsg{Rand: rand.Uint64(), Now: now})
 	if target == nil {
 		return false // It is tried again in a while.
--- a/transport/forward/move_continue.go
+++ b/transport/forward/move_continue.go
@@ -1,10 +1,9 @@
 package forward
 
 import (
-	"time"
-
 	"github.com/weldstream/weldstream/coordination/move"
 	"github.com/weldstream/weldstream/coordination/place"
+	"github.com/weldstream/weldstream/internal/clock"
 	"github.com/weldstream/weldstream/protocol"
 )
 
@@ -59,7 +58,7 @@
 func (r *running) tooLateForSource() bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return time.Since(r.noticed) >= sourceLatest
+	return clock.Since(r.noticed) >= sourceLatest
 }
 
 // weightsOf returns the version of the weights that a server named with its last answer.
--- a/transport/forward/move_leaving.go
+++ b/transport/forward/move_leaving.go
@@ -5,6 +5,7 @@
 
 	"github.com/weldstream/weldstream/coordination/move"
 	"github.com/weldstream/weldstream/coordination/place"
+	"github.com/weldstream/weldstream/internal/clock"
 )
 
 // moveFromLeaving notes which servers a new list calls leaving, and has their runs moved.
@@ -52,13 +53,13 @@
 // moveRuns moves the runs of one server until none is left, or the server is gone.
 func (g *Gateway) moveRuns(s *place.Server, n notice) {
 	m, until := &g.moves, n.end
-	g.log.Info().Str("server", s.ID).Int64("left", time.Until(until).Milliseconds()).Msg("server leaves, its runs are moved")
+	g.log.Info().Str("server", s.ID).Int64("left", clock.Until(until).Milliseconds()).Msg("server leaves, its runs are moved")
 	if g.cfg.MoveAhead > 0 {
-		time.Sleep(min(time.Until(until)-g.cfg.MoveAhead, moveLatest))
+		time.Sleep(min(clock.Until(until)-g.cfg.MoveAhead, moveLatest))
 	}
 	underWay, done := 0, make(chan bool, moveAtOnce)
 	for m.keepsMoving(s.ID, until.Add(moveGrace), g.stays(s.ID)) {
-		due := m.movable(s.ID, time.Until(until) < moveUnbegun)
+		due := m.movable(s.ID, clock.Until(until) < moveUnbegun)
 		for _, r := range due[:min(len(due), moveAtOnce-underWay)] {
 			underWay++
 			r.busy.Store(true)
@@ -103,7 +104,7 @@
 func (m *moves) keepsMoving(server string, gone time.Time, stays bool) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if stays || len(m.runs[server]) == 0 || time.Now().After(gone) {
+	if stays || len(m.runs[server]) == 0 || clock.Now().After(gone) {
 		delete(m.watched, server)
 		return false
 	}
--- a/transport/forward/move_test.go
+++ b/transport/forward/move_test.go
@@ -15,6 +15,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/weldstream/weldstream/coordination/move"
+	"github.com/weldstream/weldstream/internal/clock"
 	"github.com/weldstream/weldstream/protocol"
 )
 
@@ -374,7 +375,7 @@
 				f.mu.Unlock()
 				f.awaitFreed()
 				for _, id := range []string{"a", "b", "c"} {
-					if c.do.target == 421 && f.w.g.view.Load().Find(id).Cell.Suspect(time.Now()) {
+					if c.do.target == 421 && f.w.g.view.Load().Find(id).Cell.Suspect(clock.Now()) {
 						t.Errorf("%s is distrusted for its weights", id)
 					}
 				}
--- a/transport/forward/quarantine.go
+++ b/transport/forward/quarantine.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/weldstream/weldstream/coordination/quarantine"
+	"github.com/weldstream/weldstream/internal/clock"
 	"github.com/weldstream/weldstream/protocol"
 )
 
@@ -56,7 +57,7 @@
 		g.log.Info().Uint64("changes", q.changes).Int("held", len(q.held)).Msg("quarantine")
 	}
 	if reply.Watch != nil {
-		q.watch(reply.Watch.Requests, time.Now())
+		q.watch(reply.Watch.Requests, clock.Now())
 	}
 	if reply.Quarantine != nil || reply.Watch != nil {
 		q.index()
@@ -116,7 +117,7 @@
 	q := g.quarantined
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	m.Observations, m.Quarantined, m.Watched = q.seen.Report(term, time.Now()), q.changes, q.mark
+	m.Observations, m.Quarantined, m.Watched = q.seen.Report(term, clock.Now()), q.changes, q.mark
 }
 
 // reportedQuarantine notes that the leader of a term has a report.
@@ -137,7 +138,7 @@
 
 // sawEnd keeps that a server ended under requests.
 func (g *Gateway) sawEnd(server string, runs []protocol.ObservedRun) {
-	q, now := g.quarantined, time.Now()
+	q, now := g.quarantined, clock.Now()
 	q.mu.Lock()
 	for i := range runs {
 		if ago, ok := q.well.Ago(runs[i].Quick, now); ok {
@@ -153,7 +154,7 @@
 
 // endedWell notes that the request ran to an end at a server, which answered it.
 func (x *exchange) endedWell() {
-	q, now, quick := x.g.quarantined, time.Now(), x.quickHash()
+	q, now, quick := x.g.quarantined, clock.Now(), x.quickHash()
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	q.well.Note(quick, now)
@@ -214,7 +215,7 @@
 // heldAlone reports whether enough servers ended under the request at this gateway. It
 // needs q.mu.
 func (q *quarantined) heldAlone(x *exchange) bool {
-	now := time.Now()
+	now := clock.Now()
 	if !q.own.Any() {
 		return false
 	}
--- a/transport/forward/quarantine_test.go
+++ b/transport/forward/quarantine_test.go
@@ -8,6 +8,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/weldstream/weldstream/coordination/quarantine"
+	"github.com/weldstream/weldstream/internal/clock"
 	"github.com/weldstream/weldstream/protocol"
 )
 
@@ -161,7 +162,7 @@
 		t.Errorf("the server's end: %+v", o)
 	}
 	m := protocol.SyncMsg{Observations: told}
-	w.g.Reported(&m, &protocol.SyncReply{Term: 1}, time.Now())
+	w.g.Reported(&m, &protocol.SyncReply{Term: 1}, clock.Now())
 	if again := w.g.Report(1).Observations; len(again) != 0 {
 		t.Errorf("told again: %+v", again)
 	}
@@ -175,7 +176,7 @@
 func TestAloneByOwnSight(t *testing.T) {
 	w := newWorld(t)
 	w.install(protocol.PathRoute{Attempts: 1})
-	w.g.Confirm(time.Now(), 1)
+	w.g.Confirm(clock.Now(), 1)
 	for i := range 3 {
 		var b *backendServer
 		b = w.backend(string(rune('a'+i)), func(c net.Conn, req *fasthttp.Request) {
@@ -203,7 +204,7 @@
 	if got := w.send("other"); got.status != 200 {
 		t.Errorf("another request got %+v", got)
 	}
-	w.g.Confirm(time.Now(), 1)
+	w.g.Confirm(clock.Now(), 1)
 	if got := w.send("bad"); got.status != 200 || b.runs.Load() == 0 {
 		t.Errorf("with a leader got %+v", got)
 	}
--- a/transport/forward/room_test.go
+++ b/transport/forward/room_test.go
@@ -17,6 +17,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/weldstream/weldstream/coordination/memory"
+	"github.com/weldstream/weldstream/internal/clock"
 	"github.com/weldstream/weldstream/protocol"
 	"github.com/weldstream/weldstream/transport/backend"
 	"github.com/weldstream/weldstream/transport/caller"
@@ -50,8 +51,8 @@
 		if got := w.ask(); got.status != 502 || got.verdict != "may-have-run" || b.runs.Load() != 1 {
 			t.Errorf("chunked %v: beyond the share: %+v after %d runs", chunked, got, b.runs.Load())
 		}
-		if s := w.g.view.Load().Find("a"); s.Cell.Suspect(time.Now()) || s.Cell.Outstanding() != 0 {
-			t.Errorf("the server is blamed (%v), or has %d requests", s.Cell.Suspect(time.Now()), s.Cell.Outstanding())
+		if s := w.g.view.Load().Find("a"); s.Cell.Suspect(clock.Now()) || s.Cell.Outstanding() != 0 {
+			t.Errorf("the server is blamed (%v), or has %d requests", s.Cell.Suspect(clock.Now()), s.Cell.Outstanding())
 		}
 	}
 	// What was given back is counted as the connection ends, which its caller may see
@@ -252,7 +253,7 @@
 	if got := w.ask(); got.status != 503 || got.verdict != "not-run" || got.retry == "" {
 		t.Errorf("got %+v", got)
 	}
-	if w.g.view.Load().Find("a").Cell.Suspect(time.Now()) {
+	if w.g.view.Load().Find("a").Cell.Suspect(clock.Now()) {
 		t.Error("the server is blamed")
 	}
 	close(release)
--- a/transport/forward/stream.go
+++ b/transport/forward/stream.go
@@ -7,6 +7,7 @@
 
 	"github.com/valyala/fasthttp"
 
+	"github.com/weldstream/weldstream/internal/clock"
 	"github.com/weldstream/weldstream/protocol"
 )
 
@@ -69,8 +70,8 @@
 		return nil
 	}
 	x.headed = true
-	x.first = time.Since(x.start)
-	x.g.begun(x.service, time.Since(x.start), x.route.Target)
+	x.first = clock.Since(x.start)
+	x.g.begun(x.service, clock.Since(x.start), x.route.Target)
 	resp := fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseResponse(resp)
 	x.g.dialect.Answer(resp, x.resp)
--- a/transport/forward/stream_test.go
+++ b/transport/forward/stream_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/valyala/fasthttp"
 
+	"github.com/weldstream/weldstream/internal/clock"
 	"github.com/weldstream/weldstream/protocol"
 	"github.com/weldstream/weldstream/transport/caller"
 )
@@ -40,7 +41,7 @@
 		}
 	}()
 	g := New(Config{Name: "g", Domain: "a", Revoke: time.Hour, RetryWindow: time.Second, UsageWindow: time.Second, UsageDue: time.Second}, plain{})
-	g.Confirm(time.Now(), 1)
+	g.Confirm(clock.Now(), 1)
 	g.SetServers([]protocol.Instance{{ID: "a", Service: "s", Address: server.Addr().String(), Domain: "a", Slots: 4}})
 	g.Install(&protocol.Catalog{Number: 1, Services: []protocol.ServiceSpec{{Name: "s"}}, Routes: []protocol.PathRoute{{
 		Host: "h", Prefix: "/r/", Kind: protocol.RouteStream, Timeout: time.Hour, Attempts: 1, Split: []protocol.Weighted{{Service: "s", Weight: 1}},
--- /dev/null
+++ b/transport/forward/suspend_test.go
@@ -0,0 +1,101 @@
+package forward
+
+import (
+	"net"
+	"strconv"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"github.com/weldstream/weldstream/internal/clock"
+	"github.com/weldstream/weldstream/protocol"
+)
+
+// suspend has the machine be suspended for a time: the steady clock does not count it.
+func suspend(t *testing.T, d time.Duration) {
+	t.Helper()
+	clock.Skip(d)
+	t.Cleanup(func() { clock.Skip(-d) })
+}
+
+// TestSuspendedGatewayTrustsNoKey checks that a gateway which was suspended for longer than
+// a key that was taken away may be used refuses keys until it hears from the leader.
+func TestSuspendedGatewayTrustsNoKey(t *testing.T) {
+	w := newWorld(t)
+	w.install(protocol.PathRoute{Attempts: 1}, protocol.Tenancy{Name: "w", Keys: []string{"k"}})
+	w.backend("a", good)
+	if got := w.ask("Key: k", "Remaining: 100"); got.status != 200 {
+		t.Fatalf("got %+v", got)
+	}
+	suspend(t, w.g.cfg.Revoke)
+	if got := w.ask("Key: k", "Remaining: 100"); got.status != 503 || got.verdict != "not-run" {
+		t.Errorf("behind a suspension got %+v", got)
+	}
+	w.g.Confirm(clock.Now(), 1)
+	if got := w.ask("Key: k", "Remaining: 100"); got.status != 200 {
+		t.Errorf("confirmed again got %+v", got)
+	}
+}
+
+// TestSuspendedRequestHasLessLeft checks that the second server of a request that was under
+// way during a suspension is told what is left of its caller's time.
+func TestSuspendedRequestHasLessLeft(t *testing.T) {
+	w := newWorld(t)
+	w.install(protocol.PathRoute{Attempts: 2, Kind: protocol.RouteRepeatable})
+	var sent, left atomic.Int64
+	serve := func(c net.Conn, req *fasthttp.Request) {
+		if sent.Add(1) == 1 {
+			suspend(t, 6*time.Second)
+			_ = c.Close()
+			return
+		}
+		ms, _ := strconv.Atoi(string(req.Header.Peek("Remaining")))
+		left.Store(int64(ms))
+		good(c, req)
+	}
+	w.backend("a", serve)
+	w.backend("b", serve)
+	got := w.ask("Remaining: 9000")
+	if got.status != 200 || left.Load() <= 0 || left.Load() > 3000 {
+		t.Errorf("got %+v; the second server was told %d ms", got, left.Load())
+	}
+}
+
+// TestSuspendedQuotaExpires checks that a part of a quota is not used up behind a suspension
+// that it does not outlast.
+func TestSuspendedQuotaExpires(t *testing.T) {
+	w := newWorld(t)
+	w.install(protocol.PathRoute{Attempts: 1}, protocol.Tenancy{Name: "w", Keys: []string{"k"}, Rate: 1})
+	w.backend("a", good)
+	m := w.g.Report(1)
+	m.Wants = []protocol.QuotaWant{{Workspace: "w", Units: 5}}
+	reply := &protocol.SyncReply{Term: 1, Grants: []protocol.QuotaGrant{{Workspace: "w", Units: 5, Lasts: 10 * time.Second}}}
+	w.g.Reported(&m, reply, clock.Now())
+	if got := w.ask("Key: k"); got.status != 200 {
+		t.Fatalf("got %+v", got)
+	}
+	suspend(t, 20*time.Second)
+	w.ask("Key: k")
+	if wants := w.g.Report(1).Wants; len(wants) != 1 || wants[0].Back < 4 {
+		t.Errorf("behind a suspension it gives back %+v", wants)
+	}
+}
+
+// TestSuspendedLeavingServerGetsNothing checks that a server which was about to leave when
+// the gateway was suspended is taken to have left.
+func TestSuspendedLeavingServerGetsNothing(t *testing.T) {
+	w := newWorld(t)
+	w.install(protocol.PathRoute{Attempts: 1, Kind: protocol.RouteRepeatable})
+	b := w.backend("a", good)
+	w.servers[0].Leaving, w.servers[0].LeftMS = true, 5000
+	w.g.SetServers(w.servers)
+	if got := w.ask(); got.status != 200 {
+		t.Fatalf("a brief request to the last server: %+v", got)
+	}
+	suspend(t, time.Minute)
+	if got := w.ask(); got.status != 503 || b.runs.Load() != 1 {
+		t.Errorf("behind a suspension got %+v after %d runs", got, b.runs.Load())
+	}
+}
--- a/transport/forward/trial_test.go
+++ b/transport/forward/trial_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/valyala/fasthttp"
 
+	"github.com/weldstream/weldstream/internal/clock"
 	"github.com/weldstream/weldstream/protocol"
 )
 
@@ -23,7 +24,7 @@
 // tell hands the gateway a leader's answer on a roll-out to v2.
 func (w *world) tell(changes uint64, r protocol.Rollout, credits int64) {
 	r.Number, r.Service, r.Version, r.LimitMS = 1, "s", "v2", 60_000
-	w.g.SetRollouts(&protocol.SyncReply{Term: 1, Changes: changes, Rollouts: []protocol.Rollout{r}, Trials: []protocol.TrialGrant{{Number: 1, Share: 0.05, Credits: credits}}}, time.Now())
+	w.g.SetRollouts(&protocol.SyncReply{Term: 1, Changes: changes, Rollouts: []protocol.Rollout{r}, Trials: []protocol.TrialGrant{{Number: 1, Share: 0.05, Credits: credits}}}, clock.Now())
 }
 
 func (w *world) askMany(n int) {
@@ -180,11 +181,11 @@
 	}
 	m := told(1, 2)
 	told(1, 2) // The answer was lost.
-	w.g.Reported(&m, &protocol.SyncReply{Term: 1}, time.Now())
+	w.g.Reported(&m, &protocol.SyncReply{Term: 1}, clock.Now())
 	told(1)
 	w.askMany(1)
 	m = told(1, 3)
-	w.g.Reported(&m, &protocol.SyncReply{Term: 1}, time.Now())
+	w.g.Reported(&m, &protocol.SyncReply{Term: 1}, clock.Now())
 	told(2, 3)
 }
 
--- a/transport/gateway.go
+++ b/transport/gateway.go
@@ -19,6 +19,7 @@
 	"github.com/weldstream/weldstream/coordination/attempt"
 	"github.com/weldstream/weldstream/coordination/retry"
 	"github.com/weldstream/weldstream/coordination/route"
+	"github.com/weldstream/weldstream/internal/clock"
 	"github.com/weldstream/weldstream/protocol"
 	"github.com/weldstream/weldstream/settings"
 	"github.com/weldstream/weldstream/state"
@@ -97,8 +98,8 @@
 		log:       zerolog.Nop(),
 		wires:     newWires(s.Timeouts.Dial),
 		counts:    sync.Pool{New: func() any { return new([]int32) }},
-		budget:    &budgetBox{budget: retry.New(time.Now())},
-		hedges:    &hedgeBox{budgetBox: budgetBox{budget: retry.NewHedges(time.Now())}, delays: map[string]retry.HedgeDelay{}},
+		budget:    &budgetBox{budget: retry.New(clock.Now())},
+		hedges:    &hedgeBox{budgetBox: budgetBox{budget: retry.NewHedges(clock.Now())}, delays: map[string]retry.HedgeDelay{}},
 		ready:     func() error { return nil },
 		leaving:   func(l protocol.Leaving) { t.Backends.MarkLeaving(l) },
 		exchanges: map[string]*exchange{},
@@ -287,7 +288,7 @@
 		ctx:       ctx,
 		index:     index,
 		workspace: w,
-		now:       time.Now(),
+		now:       clock.Now(),
 		longest:   g.settings.Timeouts.MaxDeadline,
 		usual:     g.settings.Timeouts.Request,
 	}, nil
--- a/transport/handover.go
+++ b/transport/handover.go
@@ -7,6 +7,7 @@
 
 	"github.com/weldstream/weldstream/coordination/attempt"
 	"github.com/weldstream/weldstream/coordination/member"
+	"github.com/weldstream/weldstream/internal/clock"
 	"github.com/weldstream/weldstream/protocol"
 )
 
@@ -119,7 +120,7 @@
 // findHandOver looks for a record of a request that its caller resumes.
 func (g *Gateway) findHandOver(r *protocol.Request) (protocol.HandOver, bool) {
 	m := protocol.FetchHandOverMsg{Key: r.Key, Body: r.BodyDigest}
-	if row, ok := g.handOvers.get(m, time.Now()); ok {
+	if row, ok := g.handOvers.get(m, clock.Now()); ok {
 		return row, true
 	}
 	if g.links == nil {
@@ -211,12 +212,12 @@
 		go s.g.adopt(r)
 		return nil
 	}
-	s.g.handOvers.put(r, time.Now())
+	s.g.handOvers.put(r, clock.Now())
 	return nil
 }
 
 // Fetch returns a request that was handed over.
 func (s *HandOverService) Fetch(m protocol.FetchHandOverMsg, reply *protocol.FetchHandOverReplyMsg) error {
-	reply.HandOver, reply.Found = s.g.handOvers.get(m, time.Now())
+	reply.HandOver, reply.Found = s.g.handOvers.get(m, clock.Now())
 	return nil
 }
--- a/transport/limits.go
+++ b/transport/limits.go
@@ -13,6 +13,7 @@
 
 	"github.com/weldstream/weldstream/coordination/limit"
 	"github.com/weldstream/weldstream/coordination/member"
+	"github.com/weldstream/weldstream/internal/clock"
 	"github.com/weldstream/weldstream/internal/pause"
 	"github.com/weldstream/weldstream/protocol"
 	"github.com/weldstream/weldstream/settings"
@@ -109,7 +110,7 @@
 // refresh tells a limiter what this instance knows of its pool. It needs l.mu.
 func (l *Limits) refresh(pool string, g *poolLimiter, instances int) {
 	g.slots = l.slots(pool)
-	g.carryOut(g.Update(limit.PoolMsg{Slots: g.slots, Instances: instances, Now: time.Now()}))
+	g.carryOut(g.Update(limit.PoolMsg{Slots: g.slots, Instances: instances, Now: clock.Now()}))
 }
 
 // slots returns how many requests a pool's servers run at once: what the
@@ -142,7 +143,7 @@
 func (l *Limits) ask(ctx context.Context, g *poolLimiter, m protocol.DemandMsg) {
 	l.asks.Add(1)
 	grant, err := l.coordinator(m)
-	now := time.Now()
+	now := clock.Now()
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	g.asking = false
@@ -178,7 +179,7 @@
 
 // coordinate answers a limiter's question.
 func (l *Limits) coordinate(m protocol.DemandMsg) protocol.GrantMsg {
-	slots, instances, now := l.slots(m.Pool), l.instances(), time.Now()
+	slots, instances, now := l.slots(m.Pool), l.instances(), clock.Now()
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	c := l.pools[m.Pool]
@@ -219,7 +220,7 @@
 		l.refresh(pool, g, l.instances())
 	}
 	l.nextID++
-	m.ID, m.Now = l.nextID, time.Now()
+	m.ID, m.Now = l.nextID, clock.Now()
 	g.waiting[m.ID] = ch
 	g.carryOut(g.Update(m))
 	if g.waiting[m.ID] != nil {
@@ -240,7 +241,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	delete(g.waiting, id)
-	g.carryOut(g.Update(limit.DoneMsg{ID: id, Now: time.Now()}))
+	g.carryOut(g.Update(limit.DoneMsg{ID: id, Now: clock.Now()}))
 }
 
 // Wanted returns how many slots of a pool the callers of all instances could
@@ -259,7 +260,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if c := l.pools[pool]; c != nil {
-		return c.Total(l.instances(), time.Now())
+		return c.Total(l.instances(), clock.Now())
 	}
 	return 0
 }
--- a/transport/membership.go
+++ b/transport/membership.go
@@ -9,6 +9,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/weldstream/weldstream/coordination/member"
+	"github.com/weldstream/weldstream/internal/clock"
 	"github.com/weldstream/weldstream/protocol"
 	"github.com/weldstream/weldstream/state"
 )
@@ -75,7 +76,7 @@
 
 func (m *Membership) describe() member.SelfMsg {
 	msg := m.self()
-	msg.Now, msg.Rand = time.Now(), rand.Uint64()
+	msg.Now, msg.Rand = clock.Now(), rand.Uint64()
 	msg.Revision, msg.Digest = m.tables.Revision()
 	return msg
 }
@@ -101,7 +102,7 @@
 // ServerLeaving spreads that a backend server takes no new work.
 func (m *Membership) ServerLeaving(ctx context.Context, l protocol.Leaving) {
 	if l.Seen.IsZero() {
-		l.Seen = time.Now()
+		l.Seen = clock.Now()
 	}
 	m.tables.Backends.MarkLeaving(l)
 	m.post(ctx, member.ServerLeavingMsg{Leaving: l, Rand: rand.Uint64()})
@@ -109,7 +110,7 @@
 
 // ServerJoined spreads that the platform's list has a new backend server.
 func (m *Membership) ServerJoined(ctx context.Context, in protocol.Instance) {
-	m.post(ctx, member.ServerJoinedMsg{Joined: protocol.Joined{Instance: in, Seen: time.Now()}, Rand: rand.Uint64()})
+	m.post(ctx, member.ServerJoinedMsg{Joined: protocol.Joined{Instance: in, Seen: clock.Now()}, Rand: rand.Uint64()})
 }
 
 // Leave tells a few members that this instance is gone for good, so that nobody
@@ -159,7 +160,7 @@
 	case member.LeavingCmd:
 		m.tables.Backends.MarkLeaving(cmd.Leaving)
 	case member.JoinedCmd:
-		m.tables.Backends.Join(cmd.Joined, time.Now())
+		m.tables.Backends.Join(cmd.Joined, clock.Now())
 	case member.FetchCmd:
 		go m.fetch(cmd)
 	}
@@ -176,7 +177,7 @@
 		err := m.links.Call(via, "Member.Probe", protocol.ProbeMsg{Address: cmd.Address}, &reply, 2*probeTimeout)
 		alive = err == nil && reply.Alive
 	}
-	m.post(ctx, member.ProbedMsg{Name: cmd.Name, Alive: alive, Now: time.Now(), Rand: rand.Uint64()})
+	m.post(ctx, member.ProbedMsg{Name: cmd.Name, Alive: alive, Now: clock.Now(), Rand: rand.Uint64()})
 }
 
 func (m *Membership) push(cmd member.PushCmd) {
@@ -192,7 +193,7 @@
 		m.log.Debug().Str("address", cmd.Address).Err(err).Msg("synchronization failed")
 		return
 	}
-	m.post(ctx, member.NewsMsg{News: reply, Now: time.Now(), Rand: rand.Uint64()})
+	m.post(ctx, member.NewsMsg{News: reply, Now: clock.Now(), Rand: rand.Uint64()})
 }
 
 func (m *Membership) fetch(cmd member.FetchCmd) {
@@ -229,13 +230,13 @@
 // Ping takes in news; that it answers is the sign of life.
 func (s *MemberService) Ping(news protocol.News, ok *bool) error {
 	*ok = true
-	s.m.post(s.ctx, member.NewsMsg{News: news, Now: time.Now(), Rand: rand.Uint64()})
+	s.m.post(s.ctx, member.NewsMsg{News: news, Now: clock.Now(), Rand: rand.Uint64()})
 	return nil
 }
 
 // Sync takes in all of another instance's records and returns all of this one's.
 func (s *MemberService) Sync(news protocol.News, reply *protocol.News) error {
-	s.m.post(s.ctx, member.NewsMsg{News: news, Now: time.Now(), Rand: rand.Uint64()})
+	s.m.post(s.ctx, member.NewsMsg{News: news, Now: clock.Now(), Rand: rand.Uint64()})
 	full := make(chan protocol.News, 1)
 	select {
 	case s.m.syncs <- full:
--- a/transport/orders.go
+++ b/transport/orders.go
@@ -11,6 +11,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/weldstream/weldstream/coordination/order"
+	"github.com/weldstream/weldstream/internal/clock"
 	"github.com/weldstream/weldstream/protocol"
 	"github.com/weldstream/weldstream/state"
 )
@@ -58,7 +59,7 @@
 }
 
 func (c *Commander) round() {
-	if !c.settled(time.Now()) {
+	if !c.settled(clock.Now()) {
 		c.settledIn.Store(0)
 		return
 	}
--- a/transport/poller.go
+++ b/transport/poller.go
@@ -16,6 +16,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/weldstream/weldstream/coordination/poll"
+	"github.com/weldstream/weldstream/internal/clock"
 	"github.com/weldstream/weldstream/protocol"
 	"github.com/weldstream/weldstream/settings"
 	"github.com/weldstream/weldstream/state"
@@ -165,7 +166,7 @@
 		return 0, err
 	}
 	old := p.tables.Backends.View()
-	p.tables.Backends.SetList(list.Instances, time.Now())
+	p.tables.Backends.SetList(list.Instances, clock.Now())
 	if !p.listed.Swap(true) {
 		return size, nil // At the start all of it is new here, and nothing to the others.
 	}
@@ -231,12 +232,12 @@
 }
 
 func (p *Poller) readLoad(s *state.Server) state.ReportRow {
-	row := state.ReportRow{Server: s.ID, At: time.Now()}
+	row := state.ReportRow{Server: s.ID, At: clock.Now()}
 	if _, err := p.get(s.Address, "/load", p.settings.Timeouts.Dial, &row.Report); err != nil {
 		row.Failed = true
 		return row
 	}
-	row.At = time.Now()
+	row.At = clock.Now()
 	if row.Report.Leaving && !s.Leaving {
 		p.events.Leaving(protocol.Leaving{Server: s.ID, Origin: "report"})
 	}
--- a/transport/slot.go
+++ b/transport/slot.go
@@ -1,10 +1,9 @@
 package transport
 
 import (
-	"time"
-
 	"github.com/weldstream/weldstream/coordination/attempt"
 	"github.com/weldstream/weldstream/coordination/limit"
+	"github.com/weldstream/weldstream/internal/clock"
 	"github.com/weldstream/weldstream/protocol"
 )
 
@@ -22,7 +21,7 @@
 		Workspace: x.request.Key.Workspace,
 		Share:     share,
 		Priority:  x.request.Priority,
-		Latest:    time.Now().Add(x.g.settings.Limits.QueueWait),
+		Latest:    clock.Now().Add(x.g.settings.Limits.QueueWait),
 		Deadline:  x.request.Deadline,
 		Taken:     taken,
 	})
--- a/transport/uplink/choice.go
+++ b/transport/uplink/choice.go
@@ -4,13 +4,14 @@
 	"time"
 
 	"github.com/weldstream/weldstream/coordination/link"
+	"github.com/weldstream/weldstream/internal/clock"
 )
 
 // near returns the address of the instance of the own region to ask; empty for none.
 func (c *Client) near() string {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.links.Choose(c.named, time.Now())
+	return c.links.Choose(c.named, clock.Now())
 }
 
 // failed has an instance of the own region passed over for a backoff; silent says that it
@@ -18,7 +19,7 @@
 func (c *Client) failed(address string, silent bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.links.Failed(address, silent, time.Now())
+	c.links.Failed(address, silent, clock.Now())
 }
 
 // observe notes how long an answer took.
--- a/transport/uplink/search.go
+++ b/transport/uplink/search.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"github.com/weldstream/weldstream/internal/clock"
 	"github.com/weldstream/weldstream/protocol"
 )
 
@@ -12,7 +13,7 @@
 // being asked already, and waits a while for the first to name one.
 func (c *Client) search(ctx context.Context) string {
 	m := protocol.LeaderMsg{}
-	if time.Since(c.silentAt) < silentFor {
+	if clock.Since(c.silentAt) < silentFor {
 		m.Besides = c.silent
 	}
 	c.askWho(m, "")
--- a/transport/uplink/uplink.go
+++ b/transport/uplink/uplink.go
@@ -22,6 +22,7 @@
 	"github.com/weldstream/weldstream/coordination/link"
 	"github.com/weldstream/weldstream/coordination/place"
 	"github.com/weldstream/weldstream/coordination/topology"
+	"github.com/weldstream/weldstream/internal/clock"
 	"github.com/weldstream/weldstream/internal/pause"
 	"github.com/weldstream/weldstream/protocol"
 )
@@ -179,7 +180,7 @@
 // Run asks until ctx ends.
 func (c *Client) Run(ctx context.Context) error {
 	for ctx.Err() == nil {
-		began := time.Now()
+		began := clock.Now()
 		most := leastPause
 		if c.step(ctx) {
 			most = askEvery(c.gateways)
@@ -211,10 +212,10 @@
 
 // wait lets a time pass since the last question, or less if SyncNow was called.
 func (c *Client) wait(ctx context.Context, began time.Time, most time.Duration) {
-	if left := leastPause - time.Since(began); left > 0 {
+	if left := leastPause - clock.Since(began); left > 0 {
 		pause.For(ctx, left)
 	}
-	pause.Until(ctx, most-time.Since(began), c.syncNow)
+	pause.Until(ctx, most-clock.Since(began), c.syncNow)
 }
 
 // ask asks the instance that is taken for the leader, and reports whether it is.
@@ -222,10 +223,10 @@
 	m := c.gateway.Report(c.term)
 	m.Life, m.Lister, m.Servers, m.Gateways = c.life, c.lister, c.version, c.gateways
 	m.Loads, m.Relayed = c.mark, c.links != nil
-	asked := time.Now()
+	asked := clock.Now()
 	got := c.await(ctx, address, c.sync(address, m))
 	if got.err != nil {
-		c.silent, c.silentAt = address, time.Now()
+		c.silent, c.silentAt = address, clock.Now()
 		c.lost(address, got.err.Error())
 		c.answerTime(address).Miss(firstDue)
 		c.failed(address, true)
@@ -242,7 +243,7 @@
 		}
 		return false
 	}
-	c.observe(address, time.Since(asked))
+	c.observe(address, clock.Since(asked))
 	return c.take(address, &m, &got.reply, asked)
 }
 
