A server that starts again under its name is another one; entries of other writers are left out

Cause: servers were known by the name that the platform lists, so that what was known of a former start (distrust, memory, running requests, connections) went on for the new one, and a list of before brought the former one back. A list with one entry of another writer was refused as a whole, or the entry used with fields missing.

Change: a server's identity outside platform/ is its name and its start (protocol.Incarnation); former starts are left out of lists at the leader and at each gateway; connections in use to a former start are closed, so that requests there end as may-have-run or go elsewhere. The stand-in tells starts; of servers that end in the soak each second one starts again under its name.

--- a/internal/soak/crash.go
+++ b/internal/soak/crash.go
@@ -121,13 +121,17 @@
 	}
 }
 
-// replace has another server come for one that crashed.
+// replace has another server come for one that crashed, or the same one start again.
 func (k *crashing) replace(b *standin.Backend, n int) {
 	time.Sleep(crashListed)
 	k.cluster.API.Remove(b)
 	b.Close()
 	time.Sleep(crashAway - crashListed)
-	next, err := standin.NewBackend(fmt.Sprintf("%s-%d", b.ID, n), b.Service, b.Zone, k.cluster.Record)
+	id := b.ID // Each second one starts again under its name.
+	if n%2 == 0 {
+		id = fmt.Sprintf("%s-%d", b.ID, n)
+	}
+	next, err := standin.NewBackend(id, b.Service, b.Zone, k.cluster.Record)
 	if err != nil {
 		k.cluster.Record.Breach("no server could be started: " + err.Error())
 		return
--- a/transport/backend/backend.go
+++ b/transport/backend/backend.go
@@ -13,7 +13,9 @@
 import (
 	"bufio"
 	"errors"
+	"maps"
 	"net"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -59,6 +61,7 @@
 	stall        time.Duration // stall is how long a server may take nothing of a body.
 	deadline     time.Time     // deadline is the current request's.
 	pool         *Pool
+	server       string // server is the one that the connection was taken for.
 	closed       atomic.Bool
 	bodyUnwanted atomic.Bool // bodyUnwanted says that the rest of its body is not wanted.
 }
@@ -117,6 +120,7 @@
 func (c *Conn) Close() {
 	if !c.closed.Swap(true) {
 		c.pool.count.Add(-1)
+		c.pool.release(c)
 	}
 	_ = c.net.Close()
 }
@@ -235,11 +239,13 @@
 	opens  atomic.Int64
 	mu     sync.Mutex // mu guards idle.
 	idle   map[string][]*Conn
+	usedMu sync.Mutex // usedMu guards used; no other lock is taken under it.
+	used   map[string]map[*Conn]struct{}
 }
 
 // NewPool returns a pool that gives up a connect after a time.
 func NewPool(dial time.Duration, opts ...PoolOption) *Pool {
-	p := &Pool{dial: dial, stall: stallTime, idle: map[string][]*Conn{}}
+	p := &Pool{dial: dial, stall: stallTime, idle: map[string][]*Conn{}, used: map[string]map[*Conn]struct{}{}}
 	for _, opt := range opts {
 		opt(p)
 	}
@@ -255,15 +261,53 @@
 	for {
 		c := p.pop(server)
 		if c == nil {
-			return p.open(address, deadline)
+			c, err := p.open(address, deadline)
+			if err == nil {
+				p.use(server, c)
+			}
+			return c, err
 		}
 		if clock.Now().Before(c.until) && resting(c.net) {
+			p.use(server, c)
 			return c, nil
 		}
 		c.Close()
 	}
 }
 
+// use notes a connection that is taken for a request.
+func (p *Pool) use(server string, c *Conn) {
+	p.usedMu.Lock()
+	defer p.usedMu.Unlock()
+	c.server = server
+	if p.used[server] == nil {
+		p.used[server] = map[*Conn]struct{}{}
+	}
+	p.used[server][c] = struct{}{}
+}
+
+// release notes that a connection is in use no more.
+func (p *Pool) release(c *Conn) {
+	p.usedMu.Lock()
+	defer p.usedMu.Unlock()
+	delete(p.used[c.server], c)
+	if len(p.used[c.server]) == 0 {
+		delete(p.used, c.server)
+	}
+}
+
+// End closes the connections that are in use to a server which has ended, and returns how
+// many: one that ended behind a cut closes none itself.
+func (p *Pool) End(server string) int {
+	p.usedMu.Lock()
+	list := slices.Collect(maps.Keys(p.used[server]))
+	p.usedMu.Unlock()
+	for _, c := range list {
+		c.Close()
+	}
+	return len(list)
+}
+
 func (p *Pool) open(address string, deadline time.Time) (*Conn, error) {
 	limit := min(p.dial, time.Until(deadline))
 	if limit <= 0 {
@@ -317,6 +361,7 @@
 	c.wrote.Store(0)
 	c.sent.Store(false)
 	c.until = clock.Now().Add(rest)
+	p.release(c)
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.idle[server] = append(p.idle[server], c)
--- a/transport/control/list.go
+++ b/transport/control/list.go
@@ -78,6 +78,10 @@
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	u.enter(term)
+	list, again := u.starts.Newest(list, clock.Now())
+	for _, r := range again {
+		u.log.Warn().Str("server", r.After.String()).Str("before", r.Before.String()).Msg("server started again")
+	}
 	list = u.announced(list, clock.Now())
 	if u.listed && sameServers(u.servers, list) {
 		return
--- a/transport/control/uplink.go
+++ b/transport/control/uplink.go
@@ -75,6 +75,7 @@
 	rolled   uint64            // rolled is the change of the roll-outs that the view follows.
 	trials   map[uint64]*trial // trials are the roll-outs that run, by number.
 	suspects suspects
+	starts   place.Starts            // starts are the newest ones of the servers, over all terms.
 	unnamed  map[versionOf]time.Time // unnamed are versions that nothing names, by when they were listed first.
 }
 
--- a/transport/forward/crash.go
+++ b/transport/forward/crash.go
@@ -2,11 +2,14 @@
 
 import (
 	"context"
+	"errors"
+	"net"
 	"sync"
 	"time"
 
 	"github.com/weldstream/weldstream/coordination/place"
 	"github.com/weldstream/weldstream/coordination/quarantine"
+	"github.com/weldstream/weldstream/internal/clock"
 	"github.com/weldstream/weldstream/internal/pause"
 	"github.com/weldstream/weldstream/protocol"
 	"github.com/weldstream/weldstream/transport/backend"
@@ -20,8 +23,49 @@
 // crashes are servers whose connections broke a moment ago, with the requests that were
 // there.
 type crashes struct {
-	mu     sync.Mutex // mu guards broken.
+	mu     sync.Mutex // mu guards all below.
 	broken map[string][]brokenRun
+	open   map[string]openEnd // open are the servers that answered a connect behind that.
+}
+
+// openEnd are the requests at a server whose connections broke and which answered a
+// connect: it was not at fault, or has started again since.
+type openEnd struct {
+	at   time.Time
+	runs []protocol.ObservedRun
+}
+
+// openKept is for how long it is left open which it was: the platform lists a new start
+// within some seconds.
+const openKept = 10 * time.Second
+
+// leave leaves open what the requests at a server have to do with its broken connections.
+func (c *crashes) leave(server string, runs []protocol.ObservedRun) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.open == nil {
+		c.open = map[string]openEnd{}
+	}
+	now := clock.Now()
+	for id, o := range c.open {
+		if now.Sub(o.at) > openKept {
+			delete(c.open, id)
+		}
+	}
+	c.open[server] = openEnd{at: now, runs: runs}
+}
+
+// unsolved returns the requests that were at a start of a server when its connections
+// broke, and forgets them.
+func (c *crashes) unsolved(server string) []protocol.ObservedRun {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	o := c.open[server]
+	delete(c.open, server)
+	if clock.Now().Sub(o.at) > openKept {
+		return nil
+	}
+	return o.runs
 }
 
 // brokenRun is a request whose connection broke.
@@ -53,9 +97,10 @@
 }
 
 // brokeOff notes that the server's connection ended under the request. A server that
-// leaves ends requests for that reason, which says nothing about them.
+// leaves ends requests for that reason, which says nothing about them; nor does a
+// connection that was closed here, as the server had started again behind a cut.
 func (t *try) brokeOff(err error) {
-	if !isCrash(err) || !t.conn.Sent() || t.x.g.leaving(t.server.ID) {
+	if !isCrash(err) || errors.Is(err, net.ErrClosed) || !t.conn.Sent() || t.x.g.leaving(t.server.ID) {
 		return
 	}
 	g := t.x.g
@@ -83,11 +128,14 @@
 		names[i] = r.print.String()
 		runs[i] = protocol.ObservedRun{Fingerprint: r.print, Age: broke.Sub(r.sent)}
 	}
-	g.log.Warn().Str("server", s.ID).Str("service", s.Service).Stringer("presence", presence).Int("runs", len(list)).Strs("fingerprints", names).Msg("connections of a server broke")
-	if presence == backend.PresenceEnded {
+	switch presence {
+	case backend.PresenceEnded:
 		g.meters.serversEnded.Inc(1)
 		g.sawEnd(s.ID, runs)
+	case backend.PresenceUp:
+		g.crashes.leave(s.ID, runs)
 	}
+	g.log.Warn().Str("server", s.ID).Str("service", s.Service).Stringer("presence", presence).Int("runs", len(list)).Strs("fingerprints", names).Msg("connections of a server broke")
 }
 
 // fingerprint returns the request's fingerprint.
--- a/transport/forward/forward.go
+++ b/transport/forward/forward.go
@@ -90,6 +90,7 @@
 	prompts   promptMemory
 	done      []protocol.PlaceDone // done are placed requests whose end is to be reported.
 	listed    []protocol.Instance  // listed are the servers of the last list.
+	starts    place.Starts         // starts are the newest ones of the servers.
 	rolled    uint64               // rolled is the change of the roll-outs that the gateway keeps to; 0 before the first.
 	rollouts  []protocol.Rollout
 	trials    map[string]*trial // trials are the roll-outs that run, by service.
@@ -173,12 +174,15 @@
 	return 0
 }
 
-// SetServers takes the list of backend servers.
+// SetServers takes the list of backend servers. A former start of a server is left out,
+// whoever lists it.
 func (g *Gateway) SetServers(list []protocol.Instance) {
 	g.mu.Lock()
+	list, again := g.starts.Newest(list, clock.Now())
 	g.listed = list
 	g.mu.Unlock()
 	g.renewView()
+	g.endFormer(again)
 	view := g.view.Load()
 	g.noteUnplaced(view)
 	leaving, now := 0, clock.Now()
--- a/transport/forward/meters.go
+++ b/transport/forward/meters.go
@@ -20,6 +20,7 @@
 	first    metrics.Timer
 
 	serversEnded metrics.Counter // serversEnded are servers that ended under requests, unannounced.
+	restarted    metrics.Counter // restarted are servers that started again under their names.
 	refusedHeld  metrics.Counter // refusedHeld are requests that were refused since servers had ended under them.
 	triedHeld    metrics.Counter // triedHeld are trials of such requests.
 
@@ -64,6 +65,7 @@
 		first:    metrics.GetOrRegisterTimer("first", r),
 
 		serversEnded: metrics.GetOrRegisterCounter("servers.ended", r),
+		restarted:    metrics.GetOrRegisterCounter("servers.restarted", r),
 		refusedHeld:  metrics.GetOrRegisterCounter("quarantine.refused", r),
 		triedHeld:    metrics.GetOrRegisterCounter("quarantine.tried", r),
 		moves:        metrics.GetOrRegisterCounter(`moves.begun{cause="leaving"}`, r),
