Entry instances keep requests under which servers end from servers, too

Cause: the instances with the OpenAI paths had the incident's cause as well: a prompt that ends engines was sent on by each instance, each time, through retries, hedges, moves and hand-overs.

Change: what a gateway and the leader know of such requests stands once, without transport (quarantine.Gate, quarantine.Keeper); gateways, control instances and entry instances use it. An entry instance asks the replica that leads twice a second, and at once when it saw a server end; one without a group decides for itself. The engine stand-in can end under a word in a prompt.

--- a/cmd/weldstandin/main.go
+++ b/cmd/weldstandin/main.go
@@ -22,7 +22,11 @@
 	"github.com/weldstream/weldstream/internal/standin"
 )
 
-const exitUsage = 2
+const (
+	exitUsage = 2
+	// exitCrash is that of an engine which a request ended.
+	exitCrash = 3
+)
 
 type server interface {
 	Serve(ctx context.Context, l standin.Listeners) error
@@ -77,6 +81,8 @@
 	fs.IntVar(&cfg.CacheTokens, "cache-tokens", 20000, "engine: tokens in the prefix cache")
 	fs.DurationVar(&cfg.ReportLag, "report-lag", 100*time.Millisecond, "engine: age of a load report")
 	fs.IntVar(&cfg.EventGapEach, "event-gap", 7, "engine: lose each n-th cache event; 0 loses none")
+	fs.StringVar(&cfg.CrashWord, "crash-word", "", "engine: `word` in the prompts that end the engine as they begin to run; empty for none")
+	cfg.Crash = func() { os.Exit(exitCrash) }
 	fs.BoolVar(&cfg.IgnoreFence, "ignore-fence", false, "engine: accept orders whatever their fence")
 	return map[string]func() server{
 		"engine": func() server {
--- a/cmd/weldstreamd/daemon.go
+++ b/cmd/weldstreamd/daemon.go
@@ -35,8 +35,9 @@
 	membership *transport.Membership
 	poller     *transport.Poller
 	client     *transport.GroupClient // client is nil without a replication group.
-	group      *group.Group           // group is nil on an instance that keeps no replica.
-	confirmed  atomic.Bool            // confirmed says that a quorum confirmed the configuration once.
+	quarantine *transport.Quarantine
+	group      *group.Group // group is nil on an instance that keeps no replica.
+	confirmed  atomic.Bool  // confirmed says that a quorum confirmed the configuration once.
 	gateway    *transport.Gateway
 	limits     *transport.Limits
 	admin      *transport.Admin
@@ -123,7 +124,9 @@
 	if len(s.Cluster.Replicas) > 0 {
 		d.client = transport.NewGroupClient(d.tables, d.links, s.Cluster.Replicas)
 	}
+	d.quarantine = transport.NewQuarantine(s.Name, d.observer(), s.Timeouts.Dial, d.log)
 	d.gateway = transport.NewGateway(s, d.tables,
+		transport.WithQuarantine(d.quarantine),
 		transport.WithSelf(self),
 		transport.WithClaims(d.claimer()),
 		transport.WithLinks(d.links, d.transferrer()),
@@ -194,6 +197,7 @@
 		d.poller.RunLoad,
 		d.gateway.FollowLeaving,
 		d.limits.Run,
+		d.quarantine.Run,
 		func(ctx context.Context) error { return d.dumpOn(ctx, dumps) },
 	} {
 		g.Go(func() error { return part(work) })
--- a/cmd/weldstreamd/group.go
+++ b/cmd/weldstreamd/group.go
@@ -9,6 +9,7 @@
 
 	"github.com/weldstream/weldstream/coordination/group"
 	"github.com/weldstream/weldstream/coordination/replicate"
+	"github.com/weldstream/weldstream/protocol"
 	"github.com/weldstream/weldstream/state"
 	"github.com/weldstream/weldstream/transport"
 )
@@ -30,6 +31,20 @@
 	return d.client
 }
 
+// observer answers what this instance sees of requests under which servers end.
+func (d *daemon) observer() transport.Observer {
+	if d.client == nil {
+		return transport.NewLocalQuarantine(d.leaves)
+	}
+	return d.client
+}
+
+// leaves reports whether a server is known to leave.
+func (d *daemon) leaves(server string) bool {
+	s := d.tables.Backends.View().Find(server)
+	return s != nil && s.Leaving
+}
+
 func (d *daemon) claimer() transport.Claimer {
 	if d.client == nil {
 		return transport.NoClaims{}
@@ -67,14 +82,21 @@
 		Reserve:         s.ReserveBytes,
 	}
 	sender := transport.NewReplicaSender(work, d.tables, d.links)
+	var keeper *transport.QuarantineService
 	replica, err := group.Open(cfg, d.settings.DataDir, d.settings.Name, sender,
 		group.WithLogger(d.log),
 		group.WithRevision(d.install),
+		group.WithQuarantine(func(l protocol.QuarantineLog) { keeper.Install(l) }),
 	)
 	if err != nil {
 		return err
 	}
 	d.group = replica
+	keeper = transport.NewQuarantineService(replica, d.leaves, d.log)
+	if err := d.links.Register("Quarantine", keeper); err != nil {
+		return err
+	}
+	g.Go(func() error { return keeper.Run(work) })
 	if err := d.links.Register("Group", transport.NewGroupService(work, replica)); err != nil {
 		return err
 	}
--- a/coordination/quarantine/fleet_test.go
+++ b/coordination/quarantine/fleet_test.go
@@ -2,12 +2,12 @@
 
 import (
 	"fmt"
-	"maps"
 	"math/rand/v2"
 	"testing"
 	"time"
 
 	"github.com/weldstream/weldstream/protocol"
+	"github.com/weldstream/weldstream/state"
 )
 
 // The load that decides, in a world without network: a service of eighteen servers before nine gateways, as the
@@ -55,13 +55,9 @@
 }
 
 type fleetGate struct {
-	name    string
-	seen    Observations
-	held    logState
-	watched map[protocol.Fingerprint]bool
-	well    map[protocol.Fingerprint]time.Time // well are when requests last ended well here.
-	tried   map[protocol.Fingerprint]int       // tried are the trials that were used.
-	askAt   time.Time
+	name  string
+	gate  *Gate
+	askAt time.Time
 }
 
 // fleet is the simulated world.
@@ -70,10 +66,10 @@
 	now     time.Time
 	servers []*fleetServer
 	gates   []*fleetGate
-	table   *Table
+	keeper  *Keeper
 	term    uint64
 	away    time.Time // away is until when nobody leads.
-	log     logState
+	log     *state.Machine
 
 	ended    map[int][]time.Time // ended are the servers' ends by the number of the request.
 	arrivals map[int][]time.Time
@@ -85,18 +81,15 @@
 }
 
 func newFleet(seed uint64) *fleet {
-	f := &fleet{rnd: rand.New(rand.NewPCG(seed, seed)), now: day, table: NewTable(), term: 1, log: logState{}, ended: map[int][]time.Time{}, arrivals: map[int][]time.Time{}}
+	f := &fleet{rnd: rand.New(rand.NewPCG(seed, seed)), now: day, keeper: NewKeeper(), term: 1, log: state.NewMachine(), ended: map[int][]time.Time{}, arrivals: map[int][]time.Time{}}
 	for range fleetServers {
 		f.servers = append(f.servers, f.server(f.now))
 	}
 	for i := range fleetGates {
 		f.gates = append(f.gates, &fleetGate{
-			name:    fmt.Sprint("gateway-", i),
-			held:    logState{},
-			watched: map[protocol.Fingerprint]bool{},
-			well:    map[protocol.Fingerprint]time.Time{},
-			tried:   map[protocol.Fingerprint]int{},
-			askAt:   f.now.Add(f.upTo(fleetSync)),
+			name:  fmt.Sprint("gateway-", i),
+			gate:  NewGate(fmt.Sprint("gateway-", i), f.now),
+			askAt: f.now.Add(f.upTo(fleetSync)),
 		})
 	}
 	return f
@@ -111,7 +104,7 @@
 
 // send has a gateway send a request to a server that is up.
 func (f *fleet) send(r *fleetRequest, gate int) {
-	if !f.gates[gate].admits(r.print) {
+	if f.gates[gate].passage(r.print, f.now).Held {
 		f.refused++
 		if r.poison < 0 {
 			f.harmless++
@@ -139,37 +132,9 @@
 	s.runs = append(s.runs, run)
 }
 
-// admits reports whether a gateway sends a request on.
-func (g *fleetGate) admits(p protocol.Fingerprint) bool {
-	q := g.held[p]
-	if !q.Held {
-		return true
-	}
-	if q.Trial != g.name || g.tried[p] == q.Trials {
-		return false
-	}
-	g.tried[p] = q.Trials
-	return true
-}
-
-// endedWell notes a good end.
-func (g *fleetGate) endedWell(p protocol.Fingerprint, now time.Time) {
-	g.well[p] = now
-	if g.watched[p] || g.held[p].Held {
-		g.seen.Add(protocol.Observation{Runs: []protocol.ObservedRun{{Fingerprint: p}}}, now)
-	}
-}
-
-// watch takes the requests whose good ends are to be told, also those of a moment ago.
-func (g *fleetGate) watch(list []protocol.Fingerprint, now time.Time) {
-	before := g.watched
-	g.watched = map[protocol.Fingerprint]bool{}
-	for _, p := range list {
-		g.watched[p] = true
-		if at, ok := g.well[p]; ok && !before[p] && now.Sub(at) < trustTime {
-			g.seen.Add(protocol.Observation{Runs: []protocol.ObservedRun{{Fingerprint: p}}}, at)
-		}
-	}
+// passage asks a gateway whether it sends a request on.
+func (g *fleetGate) passage(p protocol.Fingerprint, now time.Time) Passage {
+	return g.gate.Check(p.Quick, func() protocol.Fingerprint { return p }, true, false, now)
 }
 
 // end ends a server with all that runs there, and has another one come.
@@ -178,15 +143,11 @@
 	f.servers[i] = f.server(f.now.Add(time.Second + f.upTo(4*time.Second)))
 	byGate := map[int][]protocol.ObservedRun{}
 	for _, run := range s.runs {
-		o := protocol.ObservedRun{Fingerprint: run.r.print, Age: f.now.Sub(run.sent)}
-		if at, ok := f.gates[run.gate].well[run.r.print]; ok {
-			o.Well = f.now.Sub(at)
-		}
-		byGate[run.gate] = append(byGate[run.gate], o)
+		byGate[run.gate] = append(byGate[run.gate], protocol.ObservedRun{Fingerprint: run.r.print, Age: f.now.Sub(run.sent)})
 	}
 	for gate, runs := range byGate {
 		g := f.gates[gate]
-		g.seen.Add(protocol.Observation{Server: s.id, Runs: runs}, f.now)
+		g.gate.SawEnd(s.id, runs, f.now)
 		g.askAt = minTime(g.askAt, f.now.Add(fleetSoon))
 	}
 	for _, run := range s.runs {
@@ -220,7 +181,7 @@
 				ends = run.r.poison
 				left = append(left, run)
 			default:
-				f.gates[run.gate].endedWell(run.r.print, f.now)
+				f.gates[run.gate].gate.EndedWell(run.r.print.Quick, func() protocol.Fingerprint { return run.r.print }, f.now)
 			}
 		}
 		s.runs = left
@@ -237,37 +198,44 @@
 		return
 	}
 	if f.now.UnixMilli()%100 == 0 {
-		m := f.table.Judge(f.now, f.now)
-		f.log.take(&m, f.now)
-		f.table.Update(LoggedMsg{Entries: f.log.entries()})
+		m := f.keeper.Decide(f.logged(), f.now, f.now)
+		f.log.Apply(&protocol.Command{At: f.now.UnixMilli(), Quarantine: &m})
 	}
 	for _, g := range f.gates {
 		if f.now.Before(g.askAt) {
 			continue
 		}
 		g.askAt = f.now.Add(fleetSync)
-		list := g.seen.Report(f.term, f.now)
-		if f.rnd.IntN(10) == 0 {
-			continue // The question is lost.
-		}
-		for _, o := range list {
-			f.table.Update(ObservedMsg{Now: f.now, Gateway: g.name, Observation: o})
-		}
-		if f.rnd.IntN(10) == 0 {
-			continue // The answer is lost.
-		}
-		g.seen.Acknowledged(f.term, list)
-		g.held = maps.Clone(f.log)
-		g.watch(f.table.Watched(), f.now)
+		f.ask(g)
+	}
+}
+
+// ask has a gateway ask the leader; a tenth of the questions and of the answers are lost.
+func (f *fleet) ask(g *fleetGate) {
+	list := g.gate.Report(f.term, f.now)
+	known, mark := g.gate.Changes()
+	if f.rnd.IntN(10) == 0 {
+		return
+	}
+	f.keeper.Take(g.name, list, func(string) bool { return false }, f.now)
+	news, watch := f.logged().News(known), protocol.Watch(f.keeper.Watched(), mark)
+	if f.rnd.IntN(10) == 0 {
+		return
 	}
+	g.gate.Acknowledged(f.term, list)
+	g.gate.Hear(news, watch, f.now)
+}
+
+func (f *fleet) logged() *protocol.QuarantineLog {
+	l := f.log.QuarantineLog()
+	return &l
 }
 
 // nextLeader has another leader take over after a while.
 func (f *fleet) nextLeader() {
 	f.away = f.now.Add(200*time.Millisecond + f.upTo(400*time.Millisecond))
 	f.term++
-	f.table = NewTable()
-	f.table.Update(LoggedMsg{Entries: f.log.entries()})
+	f.keeper = NewKeeper()
 	f.unstable = append(f.unstable, f.now)
 }
 
@@ -303,7 +271,7 @@
 			for !f.now.Before(next[i]) {
 				next[i] = next[i].Add(period/2 + f.upTo(period))
 				for range p.copies[i] {
-					f.send(&fleetRequest{print: print1(fmt.Sprint("poison-", i)), poison: i, attempts: p.attempts}, f.rnd.IntN(fleetGates))
+					f.send(&fleetRequest{print: named(fmt.Sprint("poison-", i)), poison: i, attempts: p.attempts}, f.rnd.IntN(fleetGates))
 				}
 			}
 		}
@@ -313,7 +281,7 @@
 			if f.asked%5 == 0 {
 				name = fmt.Sprint("shared-", f.rnd.IntN(4))
 			}
-			f.send(&fleetRequest{print: print1(name), poison: -1, attempts: 2, again: 1}, f.rnd.IntN(fleetGates))
+			f.send(&fleetRequest{print: named(name), poison: -1, attempts: 2, again: 1}, f.rnd.IntN(fleetGates))
 		}
 		if p.storms > 0 && f.rnd.Int64N(int64(fleetTime/fleetStep)) < int64(p.storms) {
 			for i := range f.servers {
@@ -340,8 +308,7 @@
 // fleetRefused is how many harmless requests may be refused in a play.
 const fleetRefused = 8
 
-// fleetPlays are played in each run of the tests; 400 were by hand, in which 4 of 3.2 million
-// harmless requests were refused.
+// fleetPlays are played in each run of the tests; 401 were by hand, without a failure.
 const fleetPlays = 16
 
 // TestBoundInAFleet checks the users' bound for each of many requests that end servers, and
--- /dev/null
+++ b/coordination/quarantine/gate.go
@@ -0,0 +1,185 @@
+package quarantine
+
+import (
+	"time"
+
+	"github.com/weldstream/weldstream/protocol"
+)
+
+// Gate is what one gateway knows of requests under which servers end: what the leader
+// says, and what it saw itself.
+type Gate struct {
+	name    string
+	changes uint64 // changes is the change of the quarantine that is kept to.
+	held    map[protocol.Fingerprint]*heldRequest
+	watched map[protocol.Fingerprint]bool
+	mark    uint64          // mark names the watched requests.
+	quick   map[uint64]bool // quick are the quick hashes of all these.
+	well    *WellEnds
+	seen    Observations
+	own     *Table // own is what this gateway saw, by which it goes while it hears of no leader.
+}
+
+// heldRequest is a request that is kept from servers.
+type heldRequest struct {
+	protocol.HeldRequest
+	used int // used is the latest trial that was made here.
+}
+
+// NewGate returns what a gateway with a name knows at its start: nothing.
+func NewGate(name string, now time.Time) *Gate {
+	return &Gate{
+		name:    name,
+		held:    map[protocol.Fingerprint]*heldRequest{},
+		watched: map[protocol.Fingerprint]bool{},
+		quick:   map[uint64]bool{},
+		well:    NewWellEnds(now),
+		own:     NewTable(),
+	}
+}
+
+// Hear takes the leader's word on what is held and watched; nil is for no change.
+func (g *Gate) Hear(n *protocol.QuarantineNews, w *protocol.WatchNews, now time.Time) {
+	if n != nil {
+		g.take(n)
+	}
+	if w != nil {
+		g.watch(w.Requests, now)
+	}
+	if n != nil || w != nil {
+		g.index()
+	}
+}
+
+// take takes what changed of what is held.
+func (g *Gate) take(n *protocol.QuarantineNews) {
+	before := g.held
+	if n.Whole {
+		g.held = make(map[protocol.Fingerprint]*heldRequest, len(n.Held))
+	}
+	for _, f := range n.Free {
+		delete(g.held, f)
+	}
+	for i := range n.Held {
+		next := &heldRequest{HeldRequest: n.Held[i]}
+		if old := before[next.Fingerprint]; old != nil && old.Trials <= next.Trials {
+			next.used = old.used // Fewer trials are of one that was freed and is held anew.
+		}
+		g.held[next.Fingerprint] = next
+	}
+	g.changes = n.Changes
+}
+
+// watch takes the requests whose good ends are to be told, and tells those of a moment ago.
+func (g *Gate) watch(list []protocol.Fingerprint, now time.Time) {
+	before := g.watched
+	g.watched, g.mark = make(map[protocol.Fingerprint]bool, len(list)), protocol.WatchMark(list)
+	for _, f := range list {
+		g.watched[f] = true
+		if ago, ok := g.well.Ago(f.Quick, now); ok && !before[f] {
+			g.sawWell(f, now.Add(-ago))
+		}
+	}
+}
+
+// index renews the quick hashes.
+func (g *Gate) index() {
+	g.quick = make(map[uint64]bool, len(g.held)+len(g.watched))
+	for f := range g.held {
+		g.quick[f.Quick] = true
+	}
+	for f := range g.watched {
+		g.quick[f.Quick] = true
+	}
+}
+
+// sawWell keeps a good end to be told.
+func (g *Gate) sawWell(f protocol.Fingerprint, at time.Time) {
+	g.seen.Add(protocol.Observation{Runs: []protocol.ObservedRun{{Fingerprint: f}}}, at)
+}
+
+// Held returns how many requests are kept from servers, and Changes by which change.
+func (g *Gate) Held() int { return len(g.held) }
+
+// Changes returns the change of the quarantine that is kept to, and the mark of the
+// requests that are watched.
+func (g *Gate) Changes() (changes, watched uint64) { return g.changes, g.mark }
+
+// Report returns the observations that the leader of a term lacks.
+func (g *Gate) Report(term uint64, now time.Time) []protocol.Observation {
+	return g.seen.Report(term, now)
+}
+
+// Acknowledged notes that the leader of a term has what it was told.
+func (g *Gate) Acknowledged(term uint64, list []protocol.Observation) {
+	g.seen.Acknowledged(term, list)
+}
+
+// SawEnd keeps that a server ended unannounced under requests.
+func (g *Gate) SawEnd(server string, runs []protocol.ObservedRun, now time.Time) {
+	for i := range runs {
+		if ago, ok := g.well.Ago(runs[i].Quick, now); ok {
+			runs[i].Well = ago
+		}
+	}
+	o := protocol.Observation{Server: server, Runs: runs}
+	g.seen.Add(o, now)
+	g.own.Update(ObservedMsg{Now: now, Gateway: g.name, Observation: o})
+}
+
+// EndedWell notes that a request was answered by its server. Its fingerprint is asked for
+// only where it counts.
+func (g *Gate) EndedWell(quick uint64, fingerprint func() protocol.Fingerprint, now time.Time) {
+	g.well.Note(quick, now)
+	if !g.quick[quick] {
+		return
+	}
+	if f := fingerprint(); g.watched[f] || g.held[f] != nil {
+		g.sawWell(f, now)
+	}
+}
+
+// Passage is whether a request may be sent to a server.
+type Passage struct {
+	Held    bool  // Held says that it is kept from servers.
+	Servers int   // Servers are those that ended under it.
+	Until   int64 // Until is when it is tried next, in ms since 1970; 0 where only this gateway holds it.
+	Trial   int   // Trial is the trial by which it passes; 0 for none.
+}
+
+// Check returns whether a request may be sent. With use, a trial by which it passes is used
+// up. Alone says that the gateway has not heard from a leader of late.
+func (g *Gate) Check(quick uint64, fingerprint func() protocol.Fingerprint, use, alone bool, now time.Time) Passage {
+	h := g.find(quick, fingerprint)
+	switch {
+	case h != nil && h.Trial == g.name && h.Trials > h.used:
+		if use {
+			h.used = h.Trials
+		}
+		return Passage{Servers: h.Servers, Trial: h.Trials}
+	case h != nil:
+		return Passage{Held: true, Servers: h.Servers, Until: h.Until}
+	case alone && g.heldAlone(quick, fingerprint, now):
+		return Passage{Held: true, Servers: holdAfter}
+	}
+	return Passage{}
+}
+
+// find returns the held request that this one is, or nil.
+func (g *Gate) find(quick uint64, fingerprint func() protocol.Fingerprint) *heldRequest {
+	if len(g.held) == 0 || !g.quick[quick] {
+		return nil
+	}
+	return g.held[fingerprint()]
+}
+
+// heldAlone reports whether enough servers ended under the request at this gateway.
+func (g *Gate) heldAlone(quick uint64, fingerprint func() protocol.Fingerprint, now time.Time) bool {
+	if !g.own.Any() {
+		return false
+	}
+	if _, well := g.well.Ago(quick, now); well {
+		return false
+	}
+	return g.own.Condemns(fingerprint(), now)
+}
--- a/coordination/quarantine/quarantine_test.go
+++ b/coordination/quarantine/quarantine_test.go
@@ -14,7 +14,7 @@
 
 var day = time.Unix(1_800_000_000, 0)
 
-func print1(name string) protocol.Fingerprint {
+func named(name string) protocol.Fingerprint {
 	return (&Request{Caller: "w", Host: "h", Path: "/p", Body: []byte(name)}).Fingerprint()
 }
 
@@ -46,7 +46,7 @@
 	for _, r := range m.Try {
 		switch {
 		case !s.trials:
-		case r.Fingerprint == print1("p"), r.Fingerprint == print1("q"):
+		case r.Fingerprint == named("p"), r.Fingerprint == named("q"):
 			s.ends(s.name(r.Fingerprint))
 		default:
 			s.ran(s.name(r.Fingerprint))
@@ -57,7 +57,7 @@
 // name returns the name of a request.
 func (s *story) name(f protocol.Fingerprint) string {
 	for _, name := range []string{"p", "q", "x", "y"} {
-		if print1(name) == f {
+		if named(name) == f {
 			return name
 		}
 	}
@@ -89,7 +89,7 @@
 	return list
 }
 
-func (s *story) held(name string) bool { return s.log[print1(name)].Held }
+func (s *story) held(name string) bool { return s.log[named(name)].Held }
 
 // ends has a server end under requests, each "NAME" sent a tenth of a second ago, or
 // "NAME-MS" so many milliseconds ago.
@@ -105,14 +105,14 @@
 		if n, _ := fmt.Sscanf(text, "%1s-%d", &name, &ms); n < 2 {
 			name = text
 		}
-		runs = append(runs, protocol.ObservedRun{Fingerprint: print1(name), Age: time.Duration(ms) * time.Millisecond})
+		runs = append(runs, protocol.ObservedRun{Fingerprint: named(name), Age: time.Duration(ms) * time.Millisecond})
 	}
 	s.table.Update(ObservedMsg{Now: s.now, Gateway: "g", Observation: protocol.Observation{Server: server, Runs: runs}})
 }
 
 // ran has a request end well.
 func (s *story) ran(name string) {
-	s.table.Update(ObservedMsg{Now: s.now, Observation: protocol.Observation{Runs: []protocol.ObservedRun{{Fingerprint: print1(name)}}}})
+	s.table.Update(ObservedMsg{Now: s.now, Observation: protocol.Observation{Runs: []protocol.ObservedRun{{Fingerprint: named(name)}}}})
 }
 
 // TestWhoIsHeld walks through what may be seen, and checks who is kept from servers.
@@ -280,16 +280,16 @@
 			s.ran("x")
 		}
 		s.pass(28 * time.Second)
-		if q := s.log[print1("p")]; !q.Held || q.Trial != "" {
+		if q := s.log[named("p")]; !q.Held || q.Trial != "" {
 			t.Fatalf("%s: %+v before the trial", name, q)
 		}
 		s.pass(2 * time.Second)
-		if q := s.log[print1("p")]; !q.Held || q.Trial != "g" || q.Trials != 1 {
+		if q := s.log[named("p")]; !q.Held || q.Trial != "g" || q.Trials != 1 {
 			t.Fatalf("%s: %+v at the trial", name, q)
 		}
 		c.after(s)
 		s.pass(time.Minute)
-		if q := s.log[print1("p")]; q.Held != c.held || q.Trials > 1 {
+		if q := s.log[named("p")]; q.Held != c.held || q.Trials > 1 {
 			t.Errorf("%s: %+v behind the trial", name, q)
 		}
 	}
@@ -301,7 +301,7 @@
 	for well, held := range map[time.Duration]bool{0: true, time.Second: false, time.Minute: true} {
 		s := newStory()
 		for i := range 4 {
-			runs := []protocol.ObservedRun{{Fingerprint: print1("x"), Age: 100 * time.Millisecond, Well: well}}
+			runs := []protocol.ObservedRun{{Fingerprint: named("x"), Age: 100 * time.Millisecond, Well: well}}
 			s.table.Update(ObservedMsg{Now: s.now, Observation: protocol.Observation{Server: fmt.Sprint(i), Runs: runs}})
 			s.pass(time.Second)
 		}
--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -23,6 +24,8 @@
 	CacheTokens  int           // CacheTokens bounds the prefix cache.
 	ReportLag    time.Duration // ReportLag is the age of a load report.
 	IgnoreFence  bool          // IgnoreFence accepts orders whatever their fence.
+	CrashWord    string        // CrashWord is in the prompts that end the engine as they begin to run; empty for none.
+	Crash        func()        // Crash ends the engine's process.
 	EventGapEach int           // EventGapEach loses each n-th cache event; 0 loses none.
 }
 
@@ -131,6 +134,9 @@
 		if j.ended {
 			continue
 		}
+		if e.cfg.CrashWord != "" && strings.Contains(j.prompt, e.cfg.CrashWord) {
+			e.cfg.Crash()
+		}
 		e.prefill(j)
 		e.running = append(e.running, j)
 	}
--- a/transport/control/batch.go
+++ b/transport/control/batch.go
@@ -108,7 +108,7 @@
 	held := protocol.SyncMsg{Lister: m.Lister, Servers: m.Servers}
 	u.renewRollouts()
 	u.answerChanges(m.Rollouts, &all)
-	tellQuarantine(u.quarantined.Load(), u.suspects.watched, m.Quarantined, m.Watched, &all)
+	tellQuarantine(u.quarantined.Load(), u.keeper.Watched(), m.Quarantined, m.Watched, &all)
 	reply.Quarantine, reply.Watch = all.Quarantine, all.Watch
 	u.tellServers(&held, &all)
 	u.renewCommon(now)
--- a/transport/control/quarantine.go
+++ b/transport/control/quarantine.go
@@ -4,7 +4,6 @@
 	"context"
 	"time"
 
-	"github.com/weldstream/weldstream/coordination/quarantine"
 	"github.com/weldstream/weldstream/internal/clock"
 	"github.com/weldstream/weldstream/internal/pause"
 	"github.com/weldstream/weldstream/protocol"
@@ -15,13 +14,6 @@
 // which all of them are to know.
 const quarantineTick = 100 * time.Millisecond
 
-// suspects are what the leader of a term knows of requests under which servers ended.
-type suspects struct {
-	table   *quarantine.Table
-	changes uint64 // changes is the change of the quarantine that the table follows.
-	watched []protocol.Fingerprint
-}
-
 // InstallQuarantine takes the quarantine of the log. The replica's loop calls it.
 func (u *Uplink) InstallQuarantine(l protocol.QuarantineLog) { u.quarantined.Store(&l) }
 
@@ -45,17 +37,7 @@
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	u.enter(term)
-	u.renewSuspects()
-	u.suspects.watched = u.suspects.table.Watched()
-	return u.suspects.table.Judge(now, u.clock.Now(now.Sub(u.began)))
-}
-
-// renewSuspects has the table follow the log. It needs u.mu.
-func (u *Uplink) renewSuspects() {
-	if l := u.quarantined.Load(); l.Changes != u.suspects.changes {
-		u.suspects.changes = l.Changes
-		u.suspects.table.Update(quarantine.LoggedMsg{Entries: l.Entries})
-	}
+	return u.keeper.Decide(u.quarantined.Load(), now, u.clock.Now(now.Sub(u.began)))
 }
 
 // logQuarantine has a change logged. One that is not is decided anew in the next tick.
@@ -77,17 +59,6 @@
 	}
 }
 
-// takeObservations takes what a gateway observed. It needs u.mu.
-func (u *Uplink) takeObservations(m *protocol.SyncMsg, now time.Time) {
-	for i := range m.Observations {
-		o := &m.Observations[i]
-		if o.Server != "" && u.leaves(o.Server) {
-			continue // It ended for that reason.
-		}
-		u.suspects.table.Update(quarantine.ObservedMsg{Now: now, Gateway: m.Gateway, Observation: *o})
-	}
-}
-
 // leaves reports whether a server is listed as one that leaves. It needs u.mu.
 func (u *Uplink) leaves(id string) bool {
 	if u.view == nil {
@@ -102,7 +73,7 @@
 func (u *Uplink) excuseLeaving(list []protocol.Instance) {
 	for i := range list {
 		if list[i].Leaving {
-			u.suspects.table.Update(quarantine.ExcusedMsg{Server: list[i].ID})
+			u.keeper.Excuse(list[i].ID)
 		}
 	}
 }
--- a/transport/control/uplink.go
+++ b/transport/control/uplink.go
@@ -74,7 +74,7 @@
 	common   common
 	rolled   uint64            // rolled is the change of the roll-outs that the view follows.
 	trials   map[uint64]*trial // trials are the roll-outs that run, by number.
-	suspects suspects
+	keeper   *quarantine.Keeper
 	starts   place.Starts            // starts are the newest ones of the servers, over all terms.
 	unnamed  map[versionOf]time.Time // unnamed are versions that nothing names, by when they were listed first.
 }
@@ -190,7 +190,7 @@
 	u.relays, u.placed = map[string]*relayRecord{}, place.Placements{}
 	u.view, u.places = nil, place.NewLedger(u.loads, place.WithTopology(u.topology))
 	u.readings = place.NewReadings()
-	u.suspects = suspects{table: quarantine.NewTable()}
+	u.keeper = quarantine.NewKeeper()
 	u.rolled, u.trials, u.unnamed = 0, nil, map[versionOf]time.Time{}
 	if u.catalog != nil {
 		u.quotas.Configure(u.catalog.Workspaces, clock.Now())
@@ -243,7 +243,7 @@
 	}
 	u.answerOwn(&m, reply, now)
 	u.answerChanges(m.Rollouts, reply)
-	tellQuarantine(u.quarantined.Load(), u.suspects.watched, m.Quarantined, m.Watched, reply)
+	tellQuarantine(u.quarantined.Load(), u.keeper.Watched(), m.Quarantined, m.Watched, reply)
 	u.tellServers(&m, reply)
 	u.renewCommon(now)
 	reply.Short = u.common.short
@@ -284,7 +284,7 @@
 		u.marks.Take(m.Gateway, m.Counted, u.clock.Now(now.Sub(u.began)))
 	}
 	u.answerTrials(m, reply, now)
-	u.takeObservations(m, now)
+	u.keeper.Take(m.Gateway, m.Observations, u.leaves, now)
 	for _, want := range m.Wants {
 		reply.Grants = append(reply.Grants, u.quotas.Grant(want, now))
 	}
--- a/transport/engine.go
+++ b/transport/engine.go
@@ -44,6 +44,8 @@
 	opened  func(*wire) bool       // opened hands over the connection for cancellation.
 	release func() bool            // release takes it back when it was read to its end.
 	leaving func(protocol.Leaving) // leaving is told when the server says that it leaves.
+	broke   func(*call, error)     // broke is told when the server's connection ended under the request.
+	sent    time.Time              // sent is when the attempt was made.
 }
 
 // engineRequestID names an attempt to an engine.
@@ -153,6 +155,8 @@
 		verdict := protocol.MayHaveRun
 		if w.wrote == 0 {
 			verdict = protocol.NotRun
+		} else {
+			c.broke(c, err)
 		}
 		c.fail(verdict, err, false)
 		return nil, false
@@ -202,6 +206,7 @@
 		_ = w.conn.SetDeadline(time.Now().Add(wait)) // A closed connection shows at the read.
 		line, err := events.ReadSlice('\n')
 		if err != nil {
+			c.broke(c, err)
 			c.fail(protocol.MayHaveRun, eris.Wrap(err, "read stream"), false)
 			return false
 		}
--- a/transport/exchange.go
+++ b/transport/exchange.go
@@ -182,6 +182,11 @@
 		x.apply(attempt.FailedMsg{Attempt: cmd.Attempt, Verdict: protocol.NotRun, Reason: "too many hedges"})
 		return
 	}
+	// Each attempt passes here: the first one, retries, hedges, runs that are moved or handed over.
+	if p := x.g.quarantine.check(x.request); p.Held {
+		x.apply(heldMsg(cmd.Attempt, p))
+		return
+	}
 	server, err := x.g.choose(x.request, cmd)
 	if err != nil {
 		r := protocol.NewRefusal(503, protocol.CodeNoBackend, "%v", err).WithRetryAfter(retryNoBackend)
@@ -202,6 +207,8 @@
 		send:    x.deliver,
 		opened:  func(w *wire) bool { return x.hold(cmd.Attempt, w) },
 		leaving: x.g.leaving,
+		broke:   x.broke,
+		sent:    time.Now(),
 		release: func() bool { return x.release(cmd.Attempt) },
 	}
 	server.Counters.Outstanding.Add(1)
@@ -216,6 +223,14 @@
 	}
 }
 
+// broke notes that the server's connection ended under the request. A server that leaves
+// ends requests for that reason.
+func (x *exchange) broke(c *call, err error) {
+	if !x.g.isLeaving(c.server.ID) {
+		x.g.quarantine.broke(x.request, c.server, c.sent, err)
+	}
+}
+
 // follow notes where the request runs, and has a late answer asked for a
 // second time.
 func (x *exchange) follow(server *state.Server, cmd attempt.DispatchCmd) {
@@ -235,6 +250,7 @@
 // end notes the whole answer.
 func (x *exchange) end(cmd attempt.FinishCmd) {
 	x.finish, x.over = cmd.Finish, true
+	x.g.quarantine.endedWell(x.request)
 	x.g.budget.success(clock.Now())
 	if x.request.Hedge {
 		x.g.hedges.observe(x.request.Route, clock.Since(x.sentAt), clock.Now())
--- a/transport/forward/crash.go
+++ b/transport/forward/crash.go
@@ -70,8 +70,8 @@
 
 // brokenRun is a request whose connection broke.
 type brokenRun struct {
-	print protocol.Fingerprint
-	sent  time.Time
+	fingerprint protocol.Fingerprint
+	sent        time.Time
 }
 
 // add notes a request whose connection broke, and reports whether it is the first of its
@@ -104,7 +104,7 @@
 		return
 	}
 	g := t.x.g
-	if g.crashes.add(t.server.ID, brokenRun{print: t.x.fingerprint(), sent: t.began}) {
+	if g.crashes.add(t.server.ID, brokenRun{fingerprint: t.x.fingerprint(), sent: t.began}) {
 		go g.probe(t.server) // It ends within gatherBroken and the limit of a connect.
 	}
 }
@@ -125,8 +125,8 @@
 	names := make([]string, len(list))
 	runs := make([]protocol.ObservedRun, len(list))
 	for i, r := range list {
-		names[i] = r.print.String()
-		runs[i] = protocol.ObservedRun{Fingerprint: r.print, Age: broke.Sub(r.sent)}
+		names[i] = r.fingerprint.String()
+		runs[i] = protocol.ObservedRun{Fingerprint: r.fingerprint, Age: broke.Sub(r.sent)}
 	}
 	switch presence {
 	case backend.PresenceEnded:
--- a/transport/forward/forward.go
+++ b/transport/forward/forward.go
@@ -28,6 +28,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/weldstream/weldstream/coordination/place"
+	"github.com/weldstream/weldstream/coordination/quarantine"
 	"github.com/weldstream/weldstream/coordination/quota"
 	"github.com/weldstream/weldstream/coordination/retry"
 	"github.com/weldstream/weldstream/coordination/topology"
@@ -77,7 +78,7 @@
 
 	moves       moves
 	crashes     crashes
-	quarantined *quarantined
+	quarantined quarantined
 
 	mu        sync.Mutex // mu guards all below.
 	allowance *quota.Allowance
@@ -134,7 +135,7 @@
 		granted:     make(chan struct{}),
 		news:        make(chan struct{}),
 		shares:      map[string]*retry.Share{},
-		quarantined: newQuarantined(now),
+		quarantined: quarantined{gate: quarantine.NewGate(cfg.Name, now)},
 		counter:     usage.NewCounter(cfg.UsageWindow, cfg.UsageDue),
 		pressure:    map[string]*pressure{},
 	}
--- a/transport/gateway.go
+++ b/transport/gateway.go
@@ -45,6 +45,8 @@
 	links    *Links // links is nil when there are no other instances.
 	self     protocol.Member
 
+	quarantine *Quarantine
+
 	recording sync.WaitGroup // recording counts outcomes that are being recorded.
 
 	stopping  atomic.Bool // stopping is set by a planned stop: unready, still serving.
@@ -57,6 +59,10 @@
 // GatewayOption changes a new gateway.
 type GatewayOption func(*Gateway)
 
+// WithQuarantine sets what keeps requests under which servers end from servers; without it
+// each instance decides for itself.
+func WithQuarantine(q *Quarantine) GatewayOption { return func(g *Gateway) { g.quarantine = q } }
+
 // WithLogger sets the logger; without it nothing is logged.
 func WithLogger(l zerolog.Logger) GatewayOption { return func(g *Gateway) { g.log = l } }
 
@@ -114,6 +120,9 @@
 	if g.limits == nil {
 		g.limits = NewLimits(t, nil, g.log, s.Name, LimitConfig(s))
 	}
+	if g.quarantine == nil {
+		g.quarantine = NewQuarantine(s.Name, NewLocalQuarantine(g.isLeaving), s.Timeouts.Dial, g.log)
+	}
 	if g.metrics == nil {
 		g.metrics = newGatewayMetrics(metrics.NewRegistry())
 	}
--- a/transport/groupclient.go
+++ b/transport/groupclient.go
@@ -256,3 +256,21 @@
 	}
 	return max(1, binary.BigEndian.Uint64(b[:]))
 }
+
+// Observe implements Observer: it asks the replicas until the one that leads answers.
+func (c *GroupClient) Observe(ctx context.Context, m protocol.ObserveMsg) (protocol.ObserveReply, error) {
+	for _, name := range c.order() {
+		row, ok := c.tables.Members.Get(name)
+		if !ok || ctx.Err() != nil {
+			continue
+		}
+		var reply protocol.ObserveReply
+		if err := c.links.Call(row.Address, "Quarantine.Observe", m, &reply, observeTime); err != nil {
+			continue // The next one may lead.
+		}
+		if reply.Leads {
+			return reply, nil
+		}
+	}
+	return protocol.ObserveReply{}, ErrNoQuorum
+}
--- a/transport/service.go
+++ b/transport/service.go
@@ -43,6 +43,7 @@
 	body, err := readBody(resp)
 	if err != nil {
 		_ = w.conn.Close()
+		c.broke(c, err)
 		c.fail(protocol.MayHaveRun, err, false)
 		return
 	}
