The gathering of broken connections stands once

Gateways and entry instances gathered the requests at a server whose connections broke by code of their own; quarantine.Broken has it for both.

--- a/transport/forward/crash.go
+++ b/transport/forward/crash.go
@@ -15,16 +15,10 @@
 	"github.com/weldstream/weldstream/transport/backend"
 )
 
-// gatherBroken is for how long the broken connections of one server are gathered before
-// it is probed: a process that ends breaks all of them within 3 ms, as the output of nine
-// gateways showed.
-const gatherBroken = 20 * time.Millisecond
-
-// crashes are servers whose connections broke a moment ago, with the requests that were
-// there.
+// crashes are servers whose connections broke, until it is known what that was.
 type crashes struct {
 	mu     sync.Mutex // mu guards all below.
-	broken map[string][]brokenRun
+	broken quarantine.Broken
 	open   map[string]openEnd // open are the servers that answered a connect behind that.
 }
 
@@ -68,34 +62,6 @@
 	return o.runs
 }
 
-// brokenRun is a request whose connection broke.
-type brokenRun struct {
-	fingerprint protocol.Fingerprint
-	sent        time.Time
-}
-
-// add notes a request whose connection broke, and reports whether it is the first of its
-// server, which is then to be probed.
-func (c *crashes) add(server string, r brokenRun) (first bool) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.broken == nil {
-		c.broken = map[string][]brokenRun{}
-	}
-	list, ok := c.broken[server]
-	c.broken[server] = append(list, r)
-	return !ok
-}
-
-// take returns the requests that were gathered for a server, and forgets them.
-func (c *crashes) take(server string) []brokenRun {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	list := c.broken[server]
-	delete(c.broken, server)
-	return list
-}
-
 // brokeOff notes that the server's connection ended under the request. A server that
 // leaves ends requests for that reason, which says nothing about them; nor does a
 // connection that was closed here, as the server had started again behind a cut.
@@ -103,9 +69,12 @@
 	if !isCrash(err) || errors.Is(err, net.ErrClosed) || !t.conn.Sent() || t.x.g.leaving(t.server.ID) {
 		return
 	}
-	g := t.x.g
-	if g.crashes.add(t.server.ID, brokenRun{fingerprint: t.x.fingerprint(), sent: t.began}) {
-		go g.probe(t.server) // It ends within gatherBroken and the limit of a connect.
+	g, fingerprint := t.x.g, t.x.fingerprint()
+	g.crashes.mu.Lock()
+	first := g.crashes.broken.Add(t.server.ID, fingerprint, t.began)
+	g.crashes.mu.Unlock()
+	if first {
+		go g.probe(t.server) // It ends within GatherBroken and the limit of a connect.
 	}
 }
 
@@ -119,15 +88,11 @@
 // requests there come into question: connections are reset for many other reasons.
 func (g *Gateway) probe(s *place.Server) {
 	broke := time.Now()
-	pause.For(context.Background(), gatherBroken)
+	pause.For(context.Background(), quarantine.GatherBroken)
 	presence := g.pool.Probe(s.Address)
-	list := g.crashes.take(s.ID)
-	names := make([]string, len(list))
-	runs := make([]protocol.ObservedRun, len(list))
-	for i, r := range list {
-		names[i] = r.fingerprint.String()
-		runs[i] = protocol.ObservedRun{Fingerprint: r.fingerprint, Age: broke.Sub(r.sent)}
-	}
+	g.crashes.mu.Lock()
+	runs, names := g.crashes.broken.Take(s.ID, broke)
+	g.crashes.mu.Unlock()
 	switch presence {
 	case backend.PresenceEnded:
 		g.meters.serversEnded.Inc(1)
@@ -135,7 +100,7 @@
 	case backend.PresenceUp:
 		g.crashes.leave(s.ID, runs)
 	}
-	g.log.Warn().Str("server", s.ID).Str("service", s.Service).Stringer("presence", presence).Int("runs", len(list)).Strs("fingerprints", names).Msg("connections of a server broke")
+	g.log.Warn().Str("server", s.ID).Str("service", s.Service).Stringer("presence", presence).Int("runs", len(runs)).Strs("fingerprints", names).Msg("connections of a server broke")
 }
 
 // fingerprint returns the request's fingerprint.
--- a/transport/quarantine.go
+++ b/transport/quarantine.go
@@ -28,9 +28,6 @@
 	// observeAlone is how old the leader's word may be before an instance goes by what it
 	// saw itself.
 	observeAlone = 3 * observeEvery
-	// gatherBroken is for how long the broken connections of one server are gathered
-	// before it is probed; see package forward.
-	gatherBroken = 20 * time.Millisecond
 	// judgeEvery is between two decisions of the leader.
 	judgeEvery = 100 * time.Millisecond
 )
@@ -53,19 +50,13 @@
 	mu     sync.Mutex // mu guards all below; no other lock is taken under it.
 	gate   *quarantine.Gate
 	term   uint64
-	broken map[string][]brokenRun // broken are servers whose connections broke a moment ago.
-}
-
-// brokenRun is a request whose connection broke.
-type brokenRun struct {
-	fingerprint protocol.Fingerprint
-	sent        time.Time
+	broken quarantine.Broken
 }
 
 // NewQuarantine returns an instance's quarantine, which holds nothing before Run.
 func NewQuarantine(name string, o Observer, dial time.Duration, log zerolog.Logger) *Quarantine {
 	now := clock.Now()
-	q := &Quarantine{observer: o, name: name, dial: dial, log: log, wake: make(chan struct{}, 1), gate: quarantine.NewGate(name, now), broken: map[string][]brokenRun{}}
+	q := &Quarantine{observer: o, name: name, dial: dial, log: log, wake: make(chan struct{}, 1), gate: quarantine.NewGate(name, now)}
 	q.heard.Store(&now)
 	return q
 }
@@ -152,32 +143,24 @@
 	}
 	fingerprint := sameRequest(r).Fingerprint()
 	q.mu.Lock()
-	list, known := q.broken[s.ID]
-	q.broken[s.ID] = append(list, brokenRun{fingerprint: fingerprint, sent: sent})
+	first := q.broken.Add(s.ID, fingerprint, sent)
 	q.mu.Unlock()
-	if !known {
-		go q.probe(s) // It ends within gatherBroken and the limit of a connect.
+	if first {
+		go q.probe(s) // It ends within GatherBroken and the limit of a connect.
 	}
 }
 
 // probe finds out whether a server whose connections broke has ended: its port refuses.
 func (q *Quarantine) probe(s *state.Server) {
 	broke := time.Now()
-	pause.For(context.Background(), gatherBroken)
+	pause.For(context.Background(), quarantine.GatherBroken)
 	conn, err := net.DialTimeout("tcp", s.Address, q.dial)
 	if err == nil {
 		_ = conn.Close() // Nothing was sent over it.
 	}
 	ended := errors.Is(err, syscall.ECONNREFUSED)
 	q.mu.Lock()
-	list := q.broken[s.ID]
-	delete(q.broken, s.ID)
-	runs := make([]protocol.ObservedRun, len(list))
-	names := make([]string, len(list))
-	for i, r := range list {
-		runs[i] = protocol.ObservedRun{Fingerprint: r.fingerprint, Age: broke.Sub(r.sent)}
-		names[i] = r.fingerprint.String()
-	}
+	runs, names := q.broken.Take(s.ID, broke)
 	if ended {
 		q.gate.SawEnd(s.ID, runs, clock.Now())
 	}
