Test of a refusing target: no second move while the first one's return breaks off

Cause: the run that came home to its leaving server runs there for a moment before the fake breaks it off; the mover, which looks each 40 ms, may move it once more in that moment, which is right, and the test's list of runs then has one row more.

Change: the fake server knows no such run any more when it is asked for a second copy, as one that has broken it off does. What is expected is unchanged.

--- a/transport/forward/move_test.go
+++ b/transport/forward/move_test.go
@@ -456,9 +456,10 @@
 }
 
 // TestRefusingTargetIsAskedAgain checks that a server which refused a moved run may run it
-// when the stream can be resumed there and no other is left.
+// when the stream can be resumed there and no other is left. The run that came home is moved
+// no second time: by the time that it could be, it has broken off, and the server knows none.
 func TestRefusingTargetIsAskedAgain(t *testing.T) {
-	f := newFakeEngines(t, moveFaults{stop: 200, target: 503, breaks: true}, "a", "b")
+	f := newFakeEngines(t, moveFaults{copies: []int{200, 404, 404, 404, 404}, stop: 200, target: 503, breaks: true}, "a", "b")
 	f.w.installMoves(true)
 	got, want := f.w.ask(), ""
 	for n := 1; n <= fakeEvents; n++ {
