Tests for what no test would have missed; what stood twice stands once

What stood twice is one: hashing of a request's parts, the refusal of a held request, the probe of a port and the question who ended a connection (internal/tcp), comparisons.

Run: tests of the changed packages with the race detector, linters.

--- a/coordination/group/group_test.go
+++ b/coordination/group/group_test.go
@@ -137,6 +137,30 @@
 	}
 }
 
+// TestQuarantineIsReported checks that each change of the quarantine is reported once, and
+// all of it again by a replica that starts from its folder.
+func TestQuarantineIsReported(t *testing.T) {
+	dir := t.TempDir()
+	for _, again := range []bool{false, true} {
+		var reported []int // reported are how many entries there were.
+		ctx, g, end := startAlone(t, dir, !again, WithQuarantine(func(l protocol.QuarantineLog) { reported = append(reported, len(l.Entries)) }))
+		want := []int{2}
+		if !again {
+			for _, n := range []uint64{1, 1, 2} { // The first one is sent again.
+				m := &protocol.QuarantineMsg{Hold: []protocol.HoldRequest{{Fingerprint: protocol.Fingerprint{Quick: n}}}}
+				if _, err := g.Propose(ctx, protocol.Command{Quarantine: m}); err != nil {
+					t.Fatal(err)
+				}
+			}
+			want = []int{1, 2}
+		}
+		end()
+		if !slices.Equal(reported, want) {
+			t.Errorf("reported %v, want %v", reported, want)
+		}
+	}
+}
+
 // startAlone runs a replica on a folder until it leads and vouches, at first as the
 // founder of a group of one. The func that it returns ends it.
 func startAlone(t *testing.T, dir string, found bool, opts ...Option) (ctx context.Context, g *Group, end func()) {
--- a/coordination/place/loads.go
+++ b/coordination/place/loads.go
@@ -54,7 +54,7 @@
 // Drop forgets a gateway.
 func (l *Loads) Drop(gateway string) { l.leave(gateway) }
 
-// dropDirect forgets what a gateway told without a relay.
+// dropDirect forgets what a gateway reported without a relay.
 func (l *Loads) dropDirect(gateway string) {
 	t := l.gateways[gateway]
 	for _, r := range t.Running {
--- a/coordination/place/near.go
+++ b/coordination/place/near.go
@@ -31,7 +31,7 @@
 // have farLoad less to do, or if they typically have room and leaveAfter servers of the
 // own one failed the request. So callers who share a prompt meet within a region before
 // they meet across, and further servers are taken before a near one is late. Domains of
-// one region are not told apart here: reading shared prompts once in each domain cost as
+// one region count alike here: reading shared prompts once in each domain cost as
 // much as the bytes that it saved.
 func nearest(v *View, rows []row, m ChooseMsg) []row {
 	if !v.topology.Several() {
--- a/coordination/place/placements.go
+++ b/coordination/place/placements.go
@@ -16,7 +16,7 @@
 // a relay sends several times a second.
 const mostFresh = 256
 
-// noteFresh keeps a place until the other instances are told of it.
+// noteFresh keeps a place until it was sent to the other instances.
 func (l *Ledger) noteFresh(p Placed, m PromptMsg) {
 	st := l.placed[p.Number]
 	l.fresh = append(l.fresh, protocol.Placement{Server: p.Server, Prefix: m.Prefix, Tokens: st.tokens})
@@ -32,7 +32,7 @@
 	return fresh
 }
 
-// Note takes places that another instance gave. It is not told when their requests end:
+// Note takes places that another instance gave. It does not learn when their requests end:
 // once its prompt is read, such a request counts by the server's load alone.
 func (l *Ledger) Note(rows []protocol.Placement, now time.Time) {
 	for _, r := range rows {
@@ -72,8 +72,8 @@
 	}
 }
 
-// Since returns what others than one instance placed behind a number that it was told,
-// and the number to name next. A number that was never told counts as none.
+// Since returns what others than one instance placed behind a number that it was given,
+// and the number to name next. A number that was never given out counts as none.
 func (p *Placements) Since(number uint64, except string) (rows []protocol.Placement, latest uint64) {
 	first := p.latest - uint64(len(p.rows))
 	if number > p.latest {
--- a/coordination/quarantine/broken.go
+++ b/coordination/quarantine/broken.go
@@ -41,5 +41,8 @@
 	return runs, names
 }
 
+// Len returns how many servers are held.
+func (b *Broken) Len() int { return len(b.runs) }
+
 // GatherBroken is for how long the broken connections of a server are gathered.
 const GatherBroken = 20 * time.Millisecond
--- a/coordination/quarantine/fingerprint.go
+++ b/coordination/quarantine/fingerprint.go
@@ -4,6 +4,8 @@
 import (
 	"crypto/sha256"
 	"encoding/binary"
+	"hash"
+	"strings"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -20,30 +22,30 @@
 
 // Quick returns a hash that is cheap to make: a tenth of a microsecond for a body of 1 KB.
 func (r *Request) Quick() uint64 {
-	d := xxhash.New()
-	for _, part := range []string{r.Caller, r.Host, r.Path} {
-		_, _ = d.WriteString(part) // A hash takes everything.
-		_, _ = d.Write(separator)
-	}
-	_, _ = d.Write(r.Body)
-	return d.Sum64()
+	h := xxhash.New()
+	r.hash(h)
+	return h.Sum64()
 }
 
-// separator is between two parts; no header holds it.
-var separator = []byte{0}
-
 // Fingerprint returns the request's fingerprint. Its hash is a cryptographic one: a
 // caller cannot make a request that counts as somebody else's.
 func (r *Request) Fingerprint() protocol.Fingerprint {
 	h := sha256.New()
-	for _, part := range []string{r.Caller, r.Host, r.Path} {
-		_, _ = h.Write([]byte(part)) // A hash takes everything.
-		_, _ = h.Write(separator)
-	}
-	_, _ = h.Write(r.Body)
+	r.hash(h)
 	sum := h.Sum(nil)
 	return protocol.Fingerprint{
 		Quick:   r.Quick(),
 		Content: [2]uint64{binary.BigEndian.Uint64(sum), binary.BigEndian.Uint64(sum[8:])},
 	}
 }
+
+// separator is between two parts; no header holds it.
+const separator = "\x00"
+
+// hash has all parts hashed.
+func (r *Request) hash(h hash.Hash) {
+	head := strings.Join([]string{r.Caller, r.Host, r.Path, ""}, separator)
+	for _, part := range [][]byte{[]byte(head), r.Body} {
+		_, _ = h.Write(part) // A hash takes everything; see hash.Hash.
+	}
+}
--- a/coordination/quarantine/gate.go
+++ b/coordination/quarantine/gate.go
@@ -98,7 +98,7 @@
 	g.seen.Add(protocol.Observation{Runs: []protocol.ObservedRun{{Fingerprint: f}}}, at)
 }
 
-// Held returns how many requests are kept from servers, and Changes by which change.
+// Held returns how many requests are kept from servers.
 func (g *Gate) Held() int { return len(g.held) }
 
 // Changes returns the change of the quarantine that is kept to, and the mark of the
@@ -147,6 +147,20 @@
 	Trial   int   // Trial is the trial by which it passes; 0 for none.
 }
 
+// leastHeld is the soonest that the caller of a held request is told to come back.
+const leastHeld = time.Second
+
+// Refusal returns the refusal of a held request at a time of day: it has not run, this
+// time, and is to come back when it is tried next.
+func (p Passage) Refusal(date time.Time) *protocol.Refusal {
+	wait := leastHeld
+	if p.Until > 0 {
+		wait = max(wait, time.UnixMilli(p.Until).Sub(date))
+	}
+	r := protocol.NewRefusal(protocol.StatusServiceUnavailable, protocol.CodeQuarantined, "%d servers ended under this request: it is kept from others", p.Servers)
+	return r.WithRetryAfter(wait)
+}
+
 // Check returns whether a request may be sent. With use, a trial by which it passes is used
 // up. Alone says that the gateway has not heard from a leader of late.
 func (g *Gate) Check(quick uint64, fingerprint func() protocol.Fingerprint, use, alone bool, now time.Time) Passage {
--- a/coordination/quarantine/quarantine_test.go
+++ b/coordination/quarantine/quarantine_test.go
@@ -311,26 +311,100 @@
 	}
 }
 
+// TestDoubtfulTrialWaits checks that a doubtful request is tried only once what was under
+// way when it was held must have ended.
+func TestDoubtfulTrialWaits(t *testing.T) {
+	s := newStory()
+	for range holdAfter {
+		s.ends("p", "x")
+	}
+	s.pass(proofTime - 100*time.Millisecond)
+	if q := s.log[named("x")]; !q.Held || q.Trials != 0 {
+		t.Errorf("shortly before: %+v", q)
+	}
+	s.pass(200 * time.Millisecond)
+	if q := s.log[named("x")]; q.Trials != 1 {
+		t.Errorf("behind it: %+v", q)
+	}
+}
+
+// TestKeeperExcusesLeavingServers checks that the ends of servers which leave speak against
+// nobody, whether that is known ahead of the observation or behind it.
+func TestKeeperExcusesLeavingServers(t *testing.T) {
+	for name, c := range map[string]struct {
+		leaves func(string) bool
+		excuse []string
+		held   int
+	}{
+		"none":   {func(string) bool { return false }, nil, 1},
+		"known":  {func(s string) bool { return s == "0" }, nil, 0},
+		"behind": {func(string) bool { return false }, []string{"2"}, 0},
+	} {
+		k := NewKeeper()
+		for i := range holdAfter {
+			o := protocol.Observation{Server: fmt.Sprint(i), Runs: []protocol.ObservedRun{{Fingerprint: named("x")}}}
+			k.Take("g", []protocol.Observation{o}, c.leaves, day)
+		}
+		for _, server := range c.excuse {
+			k.Excuse(server)
+		}
+		if m := k.Decide(&protocol.QuarantineLog{}, day.Add(time.Second), day); len(m.Hold) != c.held {
+			t.Errorf("%s: held %+v", name, m.Hold)
+		}
+	}
+}
+
+// endsOf tells a table of a server's end under some requests of its own.
+func endsOf(table *Table, now time.Time, ago time.Duration, server string, from, to int) {
+	var runs []protocol.ObservedRun
+	for k := from; k < to; k++ {
+		runs = append(runs, protocol.ObservedRun{Fingerprint: protocol.Fingerprint{Content: [2]uint64{uint64(k), 1}}})
+	}
+	table.Update(ObservedMsg{Now: now, Observation: protocol.Observation{Server: server, Ago: ago, Runs: runs}})
+}
+
 // TestTableIsBounded checks that no number of ends or of requests makes the table grow
 // beyond its bounds, and that what is over is forgotten.
 func TestTableIsBounded(t *testing.T) {
-	table := NewTable()
-	now := day
-	for i := range 3000 {
-		now = now.Add(time.Millisecond)
-		var runs []protocol.ObservedRun
-		for k := range 40 {
-			runs = append(runs, protocol.ObservedRun{Fingerprint: protocol.Fingerprint{Content: [2]uint64{uint64(i), uint64(k)}}})
+	for name, each := range map[string]int{"many ends": 1, "many requests": 40} {
+		table, now := NewTable(), day
+		for i := range 3000 {
+			now = now.Add(time.Millisecond)
+			endsOf(table, now, 0, fmt.Sprint(i), i*each, (i+1)*each)
+			if len(table.crashes) > mostCrashes || table.runs > mostRuns || len(table.suspects) > mostRuns {
+				t.Fatalf("%s: %d ends, %d runs, %d requests", name, len(table.crashes), table.runs, len(table.suspects))
+			}
 		}
-		table.Update(ObservedMsg{Now: now, Observation: protocol.Observation{Server: fmt.Sprint(i), Runs: runs}})
-		if len(table.crashes) > mostCrashes || table.runs > mostRuns || len(table.suspects) > mostRuns {
-			t.Fatalf("%d ends, %d runs, %d requests", len(table.crashes), table.runs, len(table.suspects))
+		now = now.Add(forgetAfter + time.Second)
+		endsOf(table, now, 0, "last", 0, 1)
+		endsOf(table, now, forgetAfter+time.Second, "told late", 0, 1)
+		if len(table.crashes) != 1 || table.runs != 1 || len(table.suspects) != 1 {
+			t.Errorf("%s: %d ends, %d runs, %d requests are left", name, len(table.crashes), table.runs, len(table.suspects))
 		}
 	}
-	now = now.Add(forgetAfter + time.Second)
-	table.Update(ObservedMsg{Now: now, Observation: protocol.Observation{Server: "last", Runs: []protocol.ObservedRun{{}}}})
-	if len(table.crashes) != 1 || table.runs != 1 || len(table.suspects) != 1 {
-		t.Errorf("%d ends, %d runs, %d requests are left", len(table.crashes), table.runs, len(table.suspects))
+	table := NewTable()
+	endsOf(table, day, 0, "one", 0, 2*mostRunsEach)
+	if table.runs != mostRunsEach {
+		t.Errorf("%d runs of one end", table.runs)
+	}
+	for i := range watchAfter {
+		endsOf(table, day, 0, fmt.Sprint("watched-", i), 0, mostWatched+9)
+	}
+	if n := len(table.Watched()); n != mostWatched {
+		t.Errorf("%d requests are watched", n)
+	}
+}
+
+// TestFreedRequestsLeaveNothing checks that a good end of a held request, at no server that
+// ended, is forgotten once the request is free.
+func TestFreedRequestsLeaveNothing(t *testing.T) {
+	s := newStory()
+	s.log[named("p")] = protocol.Quarantined{Fingerprint: named("p"), Held: true, Servers: 3, Until: day.Add(time.Hour).UnixMilli()}
+	s.table.Update(LoggedMsg{Entries: s.log.entries()})
+	s.ran("p")
+	s.pass(time.Second)
+	if s.held("p") || len(s.table.suspects) != 0 {
+		t.Errorf("held %v, %d requests are kept", s.held("p"), len(s.table.suspects))
 	}
 }
 
--- a/transport/backend/presence.go
+++ b/internal/tcp/probe.go
@@ -1,13 +1,13 @@
-package backend
+package tcp
 
 import (
 	"errors"
+	"net"
 	"syscall"
-
-	"github.com/weldstream/weldstream/internal/tcp"
+	"time"
 )
 
-// Presence is what a connect tells of a server.
+// Presence is what a connect tells of the process at an address.
 type Presence uint8
 
 // The answers to a connect.
@@ -26,9 +26,9 @@
 // String returns the presence's name.
 func (p Presence) String() string { return presenceNames[p] }
 
-// Probe connects to an address, sends nothing and tells what that shows.
-func (p *Pool) Probe(address string) Presence {
-	conn, err := tcp.Dial(address, p.dial, silentServer)
+// Probe connects to an address within a limit, sends nothing and returns what that shows.
+func Probe(address string, limit time.Duration) Presence {
+	conn, err := net.DialTimeout("tcp", address, limit)
 	if err == nil {
 		_ = conn.Close() // Nothing was sent over it.
 		return PresenceUp
@@ -38,3 +38,10 @@
 	}
 	return PresenceUnknown
 }
+
+// EndedByPeer reports whether an error of a connection is that the other side ended it:
+// not a time-out, and not that it was closed here.
+func EndedByPeer(err error) bool {
+	var timeout net.Error
+	return !errors.Is(err, net.ErrClosed) && (!errors.As(err, &timeout) || !timeout.Timeout())
+}
--- a/protocol/quarantine.go
+++ b/protocol/quarantine.go
@@ -1,6 +1,7 @@
 package protocol
 
 import (
+	"cmp"
 	"encoding/binary"
 	"slices"
 	"time"
@@ -93,15 +94,7 @@
 	if n.Whole {
 		known = 0
 	}
-	first, _ := slices.BinarySearchFunc(l.Entries, known+1, func(q Quarantined, change uint64) int {
-		switch {
-		case q.Change < change:
-			return -1
-		case q.Change > change:
-			return 1
-		}
-		return 0
-	})
+	first, _ := slices.BinarySearchFunc(l.Entries, known+1, func(q Quarantined, change uint64) int { return cmp.Compare(q.Change, change) })
 	for i := range l.Entries[first:] {
 		q := &l.Entries[first+i]
 		if q.Held {
--- a/state/quarantine.go
+++ b/state/quarantine.go
@@ -1,6 +1,7 @@
 package state
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 
@@ -114,12 +115,7 @@
 // list returns the entries in the order of their changes.
 func (q *quarantine) list() []protocol.Quarantined {
 	list := slices.Collect(maps.Values(q.entries))
-	slices.SortFunc(list, func(a, b protocol.Quarantined) int {
-		if a.Change < b.Change {
-			return -1
-		}
-		return 1
-	})
+	slices.SortFunc(list, func(a, b protocol.Quarantined) int { return cmp.Compare(a.Change, b.Change) })
 	return list
 }
 
--- a/state/quarantine_test.go
+++ b/state/quarantine_test.go
@@ -167,3 +167,35 @@
 		t.Error(diff)
 	}
 }
+
+// TestForgottenEntries checks that where entries are forgotten those that are held no more go
+// first, and that somebody who knew one of them is told the whole.
+func TestForgottenEntries(t *testing.T) {
+	m := NewMachine()
+	var all protocol.QuarantineMsg
+	for n := range uint64(mostQuarantined) {
+		all.Hold = append(all.Hold, hold(n).Hold...)
+	}
+	quarantined(m, 1, all)
+	freed := protocol.QuarantineMsg{}
+	for n := range uint64(2000) {
+		freed.Free = append(freed.Free, printOf(mostQuarantined-1-n))
+	}
+	quarantined(m, 2, freed) // The latest to be held, so that their age does not decide.
+	l := m.QuarantineLog()
+	known := l.Changes
+	quarantined(m, 3, hold(mostQuarantined))
+	l = m.QuarantineLog()
+	held := 0
+	for _, e := range l.Entries {
+		if e.Held {
+			held++
+		}
+	}
+	if len(l.Entries) != leastKept || held != mostQuarantined-2000+1 {
+		t.Errorf("%d entries are left, %d of them held", len(l.Entries), held)
+	}
+	if news := l.News(known); news == nil || !news.Whole || len(news.Held) != held {
+		t.Errorf("somebody who knew what was forgotten is told %+v", news)
+	}
+}
--- a/transport/backend/backend_test.go
+++ b/transport/backend/backend_test.go
@@ -232,6 +232,50 @@
 	}
 }
 
+// TestRestCountsSuspensions checks that a connection which rested while the machine was
+// suspended is not used again: its server has closed it meanwhile.
+func TestRestCountsSuspensions(t *testing.T) {
+	address := server(t, func(c net.Conn, br *bufio.Reader) {
+		for answer(c, br, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok") {
+		}
+	})
+	p := NewPool(time.Second)
+	_, conn := ask(t, p, address)
+	p.Put("s", conn, 0)
+	clock.Skip(time.Minute)
+	defer clock.Skip(-time.Minute)
+	ask(t, p, address)
+	if p.Opens() != 2 {
+		t.Errorf("%d connections were opened, want 2", p.Opens())
+	}
+}
+
+// TestEndClosesWhatIsInUse checks that the connections in use to a server that has ended
+// are closed, those to others and those that rest are not, and that none is kept in mind.
+func TestEndClosesWhatIsInUse(t *testing.T) {
+	address := server(t, func(c net.Conn, br *bufio.Reader) {
+		for answer(c, br, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok") {
+		}
+	})
+	p := NewPool(time.Second)
+	deadline := time.Now().Add(patience)
+	var conns []*Conn
+	for _, id := range []string{"a", "a", "b"} {
+		c, err := p.Get(id, address, deadline)
+		if err != nil {
+			t.Fatal(err)
+		}
+		conns = append(conns, c)
+	}
+	if n := p.End("a"); n != 2 || !conns[0].closed.Load() || !conns[1].closed.Load() || conns[2].closed.Load() {
+		t.Errorf("%d were closed", n)
+	}
+	p.Put("b", conns[2], 0)
+	if n := p.End("b"); n != 0 || len(p.used) != 0 {
+		t.Errorf("%d that rest were closed, %d servers are kept in mind", n, len(p.used))
+	}
+}
+
 // TestKeep checks that connections are kept to servers that are still listed, and
 // only for as long as they may rest.
 func TestKeep(t *testing.T) {
--- a/transport/caller/pace.go
+++ b/transport/caller/pace.go
@@ -17,7 +17,12 @@
 // DefaultPace is far below what any caller needs who means to go on: the slowest links
 // in use carry ten times the rate. The window is longer than a caller pauses who waits
 // for its disk or for a lost packet to be repeated several times.
-var DefaultPace = Pace{Rate: 1 << 10, Window: 15 * time.Second}
+var DefaultPace = Pace{Rate: defaultRate, Window: defaultWindow}
+
+const (
+	defaultRate   = 1 << 10 // in bytes a second
+	defaultWindow = 15 * time.Second
+)
 
 // need is how many bytes each window has to bring.
 func (p Pace) need() int { return max(1, int(float64(p.Rate)*p.Window.Seconds())) }
--- a/transport/control/quarantine_test.go
+++ b/transport/control/quarantine_test.go
@@ -142,10 +142,18 @@
 	if m := leader.judge(3, clock.Now().Add(time.Second)); len(m.Hold) != 1 || m.Hold[0].Fingerprint != bodyPrint("worse") {
 		t.Errorf("the leader decides %+v", m)
 	}
+	r = within(t, asked(relay, protocol.SyncMsg{Gateway: "g", Lister: 1, Quarantined: 4}), "the answer that names whom to watch")
+	if r.Watch == nil || len(r.Watch.Requests) != 1 || r.Watch.Requests[0] != bodyPrint("worse") {
+		t.Errorf("to be watched are %+v", r.Watch)
+	}
 	leader.InstallQuarantine(protocol.QuarantineLog{Changes: 5, Entries: []protocol.Quarantined{
 		{Fingerprint: bodyPrint("old"), Change: 2}, {Fingerprint: bodyPrint("bad"), Change: 5},
 	}})
-	r = within(t, asked(relay, protocol.SyncMsg{Gateway: "g", Lister: 1, Quarantined: 4}), "the second answer")
+	mark := protocol.WatchMark([]protocol.Fingerprint{bodyPrint("worse")})
+	r = within(t, asked(relay, protocol.SyncMsg{Gateway: "g", Lister: 1, Quarantined: 4, Watched: mark}), "the second answer")
+	if r.Watch != nil {
+		t.Errorf("told again whom to watch: %+v", r.Watch)
+	}
 	if n := r.Quarantine; n == nil || n.Changes != 5 || len(n.Free) != 1 || n.Free[0] != bodyPrint("bad") {
 		t.Errorf("told %+v", n)
 	}
@@ -155,6 +163,48 @@
 	}
 }
 
+// TestObservationsAgeAtARelay checks that an observation is as old for the leader as it is:
+// it has waited at the relay.
+func TestObservationsAgeAtARelay(t *testing.T) {
+	m := protocol.SyncMsg{Gateway: "g", Observations: ended("x", time.Second)}
+	p := partOf(&m, 2*time.Second)
+	if got := questionOf(&p).Observations; len(got) != 1 || got[0].Ago != 3*time.Second {
+		t.Errorf("the leader is told %+v", got)
+	}
+	if m.Observations[0].Ago != time.Second {
+		t.Error("the gateway's own message was changed")
+	}
+}
+
+// TestNewTermBeginsAnew checks that what a leader was told in an earlier term counts no more
+// unless it is told again: good ends may have been told to others meanwhile.
+func TestNewTermBeginsAnew(t *testing.T) {
+	u, g := newHolding()
+	seen := ended("x", 3*time.Second, 2*time.Second, time.Second)
+	sync1(t, u, protocol.SyncMsg{Gateway: "a", Life: 1, Observations: seen[:2]})
+	g.set(3, true)
+	sync1(t, u, protocol.SyncMsg{Gateway: "a", Life: 1, Observations: seen[2:]})
+	decide(t, u, time.Second)
+	if r := sync1(t, u, protocol.SyncMsg{Gateway: "a", Life: 1}); len(heldOf(r)) != 0 {
+		t.Errorf("told %+v", r.Quarantine)
+	}
+}
+
+// TestLeaderListsNoFormerStart checks that a list with a former start of a server, which the
+// platform or an instance that was cut off had kept, brings it back to nobody, in this term
+// and the next.
+func TestLeaderListsNoFormerStart(t *testing.T) {
+	u, g := newHolding()
+	u.SetServers(1, []protocol.Instance{{ID: "a@2", Service: "s"}, {ID: "b@1", Service: "s"}})
+	for term := uint64(1); term <= 2; term++ {
+		g.set(term, true)
+		u.SetServers(term, []protocol.Instance{{ID: "a@1", Service: "s"}, {ID: "b@1", Service: "s"}})
+		if list, _ := u.Servers(); len(list) != 1 || list[0].ID != "b@1" {
+			t.Errorf("term %d lists %+v", term, list)
+		}
+	}
+}
+
 // heldOf are the requests that an answer tells are held.
 func heldOf(r protocol.SyncReply) []protocol.HeldRequest {
 	if r.Quarantine == nil {
--- a/transport/forward/crash.go
+++ b/transport/forward/crash.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"errors"
-	"net"
 	"sync"
 	"time"
 
@@ -11,8 +9,8 @@
 	"github.com/weldstream/weldstream/coordination/quarantine"
 	"github.com/weldstream/weldstream/internal/clock"
 	"github.com/weldstream/weldstream/internal/pause"
+	"github.com/weldstream/weldstream/internal/tcp"
 	"github.com/weldstream/weldstream/protocol"
-	"github.com/weldstream/weldstream/transport/backend"
 )
 
 // crashes are servers whose connections broke, until it is known what that was.
@@ -66,7 +64,7 @@
 // leaves ends requests for that reason, which says nothing about them; nor does a
 // connection that was closed here, as the server had started again behind a cut.
 func (t *try) brokeOff(err error) {
-	if !isCrash(err) || errors.Is(err, net.ErrClosed) || !t.conn.Sent() || t.x.g.leaving(t.server.ID) {
+	if !isCrash(err) || !t.conn.Sent() || t.x.g.leaving(t.server.ID) {
 		return
 	}
 	g, fingerprint := t.x.g, t.x.fingerprint()
@@ -89,15 +87,15 @@
 func (g *Gateway) probe(s *place.Server) {
 	broke := time.Now()
 	pause.For(context.Background(), quarantine.GatherBroken)
-	presence := g.pool.Probe(s.Address)
+	presence := tcp.Probe(s.Address, dialTime)
 	g.crashes.mu.Lock()
 	runs, names := g.crashes.broken.Take(s.ID, broke)
 	g.crashes.mu.Unlock()
 	switch presence {
-	case backend.PresenceEnded:
+	case tcp.PresenceEnded:
 		g.meters.serversEnded.Inc(1)
 		g.sawEnd(s.ID, runs)
-	case backend.PresenceUp:
+	case tcp.PresenceUp:
 		g.crashes.leave(s.ID, runs)
 	}
 	g.log.Warn().Str("server", s.ID).Str("service", s.Service).Stringer("presence", presence).Int("runs", len(runs)).Strs("fingerprints", names).Msg("connections of a server broke")
--- a/transport/forward/quarantine.go
+++ b/transport/forward/quarantine.go
@@ -9,13 +9,9 @@
 	"github.com/weldstream/weldstream/protocol"
 )
 
-const (
-	// aloneAfter is how old the leader's word may be before a gateway goes by what it saw
-	// itself: some questions in a row without an answer.
-	aloneAfter = time.Second
-	// leastHeld is the soonest that the caller of a held request is told to come back.
-	leastHeld = time.Second
-)
+// aloneAfter is how old the leader's word may be before a gateway goes by what it saw
+// itself: some questions in a row without an answer.
+const aloneAfter = time.Second
 
 // quarantined is what a gateway knows of requests under which servers end.
 type quarantined struct {
@@ -86,7 +82,7 @@
 	switch {
 	case p.Held:
 		x.g.meters.refusedHeld.Inc(1)
-		return heldRefusal(p)
+		return p.Refusal(time.Now())
 	case use && p.Trial > 0:
 		x.g.meters.triedHeld.Inc(1)
 		x.log.Info().Stringer("fingerprint", x.fingerprint()).Int("trial", p.Trial).Msg("held request is tried")
@@ -100,16 +96,6 @@
 	return ok && age > aloneAfter
 }
 
-// heldRefusal refuses a request under which servers ended. It has not run, this time.
-func heldRefusal(p quarantine.Passage) *protocol.Refusal {
-	wait := leastHeld
-	if p.Until > 0 {
-		wait = max(wait, time.Until(time.UnixMilli(p.Until)))
-	}
-	r := protocol.NewRefusal(protocol.StatusServiceUnavailable, protocol.CodeQuarantined, "%d servers ended under this request: it is kept from others", p.Servers)
-	return r.WithRetryAfter(wait)
-}
-
 // quickHash returns the request's quick hash.
 func (x *exchange) quickHash() uint64 {
 	if x.quick == 0 {
--- a/transport/forward/quarantine_test.go
+++ b/transport/forward/quarantine_test.go
@@ -1,15 +1,21 @@
 package forward
 
 import (
+	"io"
 	"net"
+	"os"
+	"strings"
+	"syscall"
 	"testing"
 	"time"
 
+	"github.com/rotisserie/eris"
 	"github.com/valyala/fasthttp"
 
 	"github.com/weldstream/weldstream/coordination/quarantine"
 	"github.com/weldstream/weldstream/internal/clock"
 	"github.com/weldstream/weldstream/protocol"
+	"github.com/weldstream/weldstream/transport/backend"
 )
 
 // bodyPrint is the fingerprint of what world.send sends.
@@ -126,6 +132,45 @@
 	if runs := a.runs.Load() + b.runs.Load(); got.status != 502 || got.verdict != "may-have-run" || runs != 1 {
 		t.Errorf("got %+v after %d runs", got, runs)
 	}
+	if n := w.g.pool.Opens(); n != 1 {
+		t.Errorf("%d connections were opened for it", n)
+	}
+}
+
+// TestOneTrialAtATime checks that of several sends of a request that may be tried, which
+// come at once, one reaches a server.
+func TestOneTrialAtATime(t *testing.T) {
+	w := newWorld(t)
+	w.install(protocol.PathRoute{Attempts: 1})
+	goOn := make(chan struct{})
+	w.backend("slow", func(c net.Conn, req *fasthttp.Request) {
+		<-goOn
+		good(c, req)
+	})
+	w.quarantine(heldNews(1, "bad", 1, "g"))
+	first := make(chan reply, 1)
+	go func() { first <- w.send("bad") }()
+	for end := time.Now().Add(patience); w.g.meters.triedHeld.Count() == 0; time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatal("it is not tried")
+		}
+	}
+	if got := w.send("bad"); got.status != 503 {
+		t.Errorf("the second one got %+v", got)
+	}
+	close(goOn)
+	if got := <-first; got.status != 200 {
+		t.Errorf("the first one got %+v", got)
+	}
+	x := newExchange(t.Context(), w.g, fasthttp.AcquireRequest(), nil)
+	x.in.SetRequestURI("/r/x")
+	x.in.Header.SetHost("h")
+	x.in.SetBodyString("bad")
+	x.call = w.g.dialect.Call(x.in)
+	w.quarantine(heldNews(2, "bad", 2, "g"))
+	if peeked, used, again := x.refusedHeld(false), x.refusedHeld(true), x.refusedHeld(true); peeked != nil || used != nil || again == nil {
+		t.Errorf("a look is refused with %v, the use with %v, a second use with %v", peeked, used, again)
+	}
 }
 
 // TestGatewayTellsWhatEnded checks that a gateway tells the leader which requests were at a
@@ -209,3 +254,94 @@
 		t.Errorf("with a leader got %+v", got)
 	}
 }
+
+// TestEndsThatSpeakAgainstNobody checks that a gateway tells of no request where a server
+// ended that was to leave, or before it had the whole request.
+func TestEndsThatSpeakAgainstNobody(t *testing.T) {
+	for name, c := range map[string]struct {
+		body  string
+		leave bool
+		told  int
+	}{
+		"a server that stays":         {"bad", false, 1},
+		"one that leaves":             {"bad", true, 0},
+		"one without all of the body": {strings.Repeat("x", 8<<20), false, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			w := newWorld(t)
+			log := make(lines, 100)
+			w.regional(log)
+			w.install(protocol.PathRoute{Attempts: 1, Kind: protocol.RouteRepeatable})
+			ln, err := net.Listen("tcp", "127.0.0.1:0")
+			if err != nil {
+				t.Fatal(err)
+			}
+			go func() {
+				conn, err := ln.Accept()
+				if err != nil {
+					return
+				}
+				_, _ = conn.Read(make([]byte, 1))
+				if len(c.body) < 1<<20 {
+					_, _ = conn.Read(make([]byte, 1<<10))
+				}
+				_ = ln.Close()
+				_ = conn.Close()
+			}()
+			w.servers = []protocol.Instance{{ID: "a", Service: "s", Address: ln.Addr().String(), Domain: "a", Slots: 4, Leaving: c.leave, LeftMS: 60_000}}
+			w.g.SetServers(w.servers)
+			w.send(c.body)
+			// A second server ends behind that, and is told of behind the first one.
+			w.servers = nil
+			var z *backendServer
+			z = w.backend("z", func(conn net.Conn, _ *fasthttp.Request) {
+				_ = z.listener.Close()
+				_ = conn.Close()
+			})
+			w.send("other")
+			for line := log.find(t, "connections of a server broke"); line["server"] != "z"; {
+				line = log.find(t, "connections of a server broke")
+			}
+			if told := w.g.Report(1).Observations; len(told) != 1+c.told {
+				t.Errorf("told %+v", told)
+			}
+		})
+	}
+}
+
+// TestIsCrash checks which errors of a connection can follow from the server's end.
+func TestIsCrash(t *testing.T) {
+	for err, want := range map[error]bool{
+		io.EOF:                 true,
+		io.ErrUnexpectedEOF:    true,
+		syscall.ECONNRESET:     true,
+		backend.ErrStalled:     true,
+		syscall.ETIMEDOUT:      false,
+		os.ErrDeadlineExceeded: false,
+		net.ErrClosed:          false,
+		errTooLarge:            false,
+	} {
+		if got := isCrash(eris.Wrap(err, "read answer")); got != want {
+			t.Errorf("%v: %v", err, got)
+		}
+	}
+}
+
+// TestLeaderIsAskedAtOnce checks that a gateway which saw a server end tells at once.
+func TestLeaderIsAskedAtOnce(t *testing.T) {
+	w := newWorld(t)
+	asked := make(chan struct{}, 10)
+	w.g.syncNow = func() { asked <- struct{}{} }
+	w.install(protocol.PathRoute{Attempts: 1})
+	var b *backendServer
+	b = w.backend("a", func(c net.Conn, _ *fasthttp.Request) {
+		_ = b.listener.Close()
+		_ = c.Close()
+	})
+	w.send("bad")
+	select {
+	case <-asked:
+	case <-time.After(patience):
+		t.Error("the leader is not asked")
+	}
+}
--- a/transport/forward/restart_test.go
+++ b/transport/forward/restart_test.go
@@ -104,24 +104,34 @@
 // where it tells none.
 func TestServerBackAtOnceHasEnded(t *testing.T) {
 	for _, again := range []bool{true, false} {
-		w := newWorld(t)
-		log := make(lines, 100)
-		w.regional(log)
-		w.install(protocol.PathRoute{Attempts: 1})
-		b := w.backend("a@1", silent)
-		w.send("bad")
-		log.find(t, "connections of a server broke")
-		if again {
-			w.startsAgain(b, 2)
-		} else {
-			w.g.SetServers(w.servers)
-		}
-		told := w.g.Report(1).Observations
-		if again && (len(told) != 1 || told[0].Server != "a@1" || told[0].Runs[0].Fingerprint != bodyPrint("bad")) {
-			t.Errorf("told %+v", told)
-		}
-		if !again && len(told) != 0 {
-			t.Errorf("told %+v of a server that did not end", told)
-		}
+		testBackAtOnce(t, again, 0)
+	}
+	testBackAtOnce(t, true, 2*openKept) // Too late: it may have ended since for any reason.
+}
+
+// testBackAtOnce has a server's connection break and, after a while, the list tell its new
+// start or none.
+func testBackAtOnce(t *testing.T, again bool, after time.Duration) {
+	t.Helper()
+	w := newWorld(t)
+	log := make(lines, 100)
+	w.regional(log)
+	w.install(protocol.PathRoute{Attempts: 1})
+	b := w.backend("a@1", silent)
+	w.send("bad")
+	log.find(t, "connections of a server broke")
+	suspend(t, after)
+	if again {
+		w.startsAgain(b, 2)
+	} else {
+		w.g.SetServers(w.servers)
+	}
+	told := w.g.Report(1).Observations
+	again = again && after < openKept
+	if again && (len(told) != 1 || told[0].Server != "a@1" || told[0].Runs[0].Fingerprint != bodyPrint("bad")) {
+		t.Errorf("told %+v", told)
+	}
+	if !again && len(told) != 0 {
+		t.Errorf("told %+v of a server that did not end", told)
 	}
 }
--- a/transport/forward/room.go
+++ b/transport/forward/room.go
@@ -4,7 +4,6 @@
 	"errors"
 	"fmt"
 	"io"
-	"net"
 	"slices"
 	"sync"
 
@@ -13,6 +12,7 @@
 
 	"github.com/weldstream/weldstream/coordination/memory"
 	"github.com/weldstream/weldstream/coordination/resend"
+	"github.com/weldstream/weldstream/internal/tcp"
 	"github.com/weldstream/weldstream/protocol"
 )
 
@@ -144,10 +144,7 @@
 // isCrash reports whether an error can follow from the bytes that a server has: its
 // process ended, or takes no more of a body. A time-out (an unreachable machine) and an
 // answer too large for the gateway have other causes.
-func isCrash(err error) bool {
-	var timeout net.Error
-	return !errors.Is(err, errTooLarge) && (!errors.As(err, &timeout) || !timeout.Timeout())
-}
+func isCrash(err error) bool { return !errors.Is(err, errTooLarge) && tcp.EndedByPeer(err) }
 
 // crashed lowers the limit of bytes if the server ended the request as a crash does. A
 // server that is leaving ends requests for that reason, and teaches nothing.
--- a/transport/quarantine.go
+++ b/transport/quarantine.go
@@ -2,11 +2,8 @@
 
 import (
 	"context"
-	"errors"
-	"net"
 	"sync"
 	"sync/atomic"
-	"syscall"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -15,6 +12,7 @@
 	"github.com/weldstream/weldstream/coordination/quarantine"
 	"github.com/weldstream/weldstream/internal/clock"
 	"github.com/weldstream/weldstream/internal/pause"
+	"github.com/weldstream/weldstream/internal/tcp"
 	"github.com/weldstream/weldstream/protocol"
 	"github.com/weldstream/weldstream/state"
 )
@@ -119,12 +117,8 @@
 
 // heldMsg ends an attempt that is not made, as servers ended under its request.
 func heldMsg(attemptNumber int, p quarantine.Passage) attempt.FailedMsg {
-	wait := time.Second
-	if p.Until > 0 {
-		wait = max(wait, time.Until(time.UnixMilli(p.Until)))
-	}
-	r := protocol.NewRefusal(protocol.StatusServiceUnavailable, protocol.CodeQuarantined, "%d servers ended under this request: it is kept from others", p.Servers)
-	return attempt.FailedMsg{Attempt: attemptNumber, Verdict: protocol.NotRun, Status: r.Status, Code: r.Code, Reason: r.Message, RetryAfter: wait, Final: true}
+	r := p.Refusal(time.Now())
+	return attempt.FailedMsg{Attempt: attemptNumber, Verdict: r.Verdict, Status: r.Status, Code: r.Code, Reason: r.Message, RetryAfter: r.RetryAfter, Final: true}
 }
 
 // endedWell notes that a request was answered by its server.
@@ -137,8 +131,7 @@
 
 // broke notes that a server's connection ended under a request, for none of our reasons.
 func (q *Quarantine) broke(r *protocol.Request, s *state.Server, sent time.Time, err error) {
-	var timeout net.Error
-	if errors.Is(err, net.ErrClosed) || (errors.As(err, &timeout) && timeout.Timeout()) {
+	if !tcp.EndedByPeer(err) {
 		return
 	}
 	fingerprint := sameRequest(r).Fingerprint()
@@ -154,18 +147,15 @@
 func (q *Quarantine) probe(s *state.Server) {
 	broke := time.Now()
 	pause.For(context.Background(), quarantine.GatherBroken)
-	conn, err := net.DialTimeout("tcp", s.Address, q.dial)
-	if err == nil {
-		_ = conn.Close() // Nothing was sent over it.
-	}
-	ended := errors.Is(err, syscall.ECONNREFUSED)
+	presence := tcp.Probe(s.Address, q.dial)
+	ended := presence == tcp.PresenceEnded
 	q.mu.Lock()
 	runs, names := q.broken.Take(s.ID, broke)
 	if ended {
 		q.gate.SawEnd(s.ID, runs, clock.Now())
 	}
 	q.mu.Unlock()
-	q.log.Warn().Str("server", s.ID).Bool("ended", ended).Int("runs", len(runs)).Strs("fingerprints", names).Msg("connections of a server broke")
+	q.log.Warn().Str("server", s.ID).Stringer("presence", presence).Int("runs", len(runs)).Strs("fingerprints", names).Msg("connections of a server broke")
 	if ended {
 		select {
 		case q.wake <- struct{}{}:
@@ -239,25 +229,31 @@
 // Run decides while this replica leads, until ctx ends.
 func (s *QuarantineService) Run(ctx context.Context) error {
 	for pause.For(ctx, judgeEvery) {
-		term, ok := s.group.Vouches()
-		if !ok {
-			continue
-		}
-		s.mu.Lock()
-		s.enter(term)
-		m := s.keeper.Decide(s.logged.Load(), clock.Now(), time.Now())
-		s.mu.Unlock()
-		if len(m.Hold)+len(m.Try)+len(m.Free) == 0 {
-			continue
-		}
-		limit, cancel := context.WithTimeout(ctx, observeTime)
-		_, err := s.group.Propose(limit, protocol.Command{Quarantine: &m})
-		cancel()
-		s.log.Warn().Err(err).Int("held", len(m.Hold)).Int("tried", len(m.Try)).Int("freed", len(m.Free)).Msg("quarantine changed")
+		s.decide(ctx)
 	}
 	return nil
 }
 
+// decide has the log take what is to change, if this replica leads. A change that is not
+// taken is decided anew.
+func (s *QuarantineService) decide(ctx context.Context) {
+	term, ok := s.group.Vouches()
+	if !ok {
+		return
+	}
+	s.mu.Lock()
+	s.enter(term)
+	m := s.keeper.Decide(s.logged.Load(), clock.Now(), time.Now())
+	s.mu.Unlock()
+	if len(m.Hold)+len(m.Try)+len(m.Free) == 0 {
+		return
+	}
+	limit, cancel := context.WithTimeout(ctx, observeTime)
+	defer cancel()
+	_, err := s.group.Propose(limit, protocol.Command{Quarantine: &m})
+	s.log.Warn().Err(err).Int("held", len(m.Hold)).Int("tried", len(m.Try)).Int("freed", len(m.Free)).Msg("quarantine changed")
+}
+
 // LocalQuarantine decides for an instance without a group, and keeps the quarantine in its
 // memory.
 type LocalQuarantine struct {
--- a/transport/uplink/uplink_test.go
+++ b/transport/uplink/uplink_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"github.com/weldstream/weldstream/internal/clock"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -66,11 +67,12 @@
 	confirmed int
 	at        time.Time
 	bad       bool
+	held      []int        // held are how often it was confirmed when it was told what is held.
 	overdue   atomic.Int32 // overdue counts how often it was told so.
 }
 
 func (g *fakeGateway) Report(uint64) protocol.SyncMsg    { return protocol.SyncMsg{Number: g.number} }
-func (g *fakeGateway) SetQuarantine(*protocol.SyncReply) {}
+func (g *fakeGateway) SetQuarantine(*protocol.SyncReply) { g.held = append(g.held, g.confirmed) }
 
 func (g *fakeGateway) SetRollouts(*protocol.SyncReply, time.Time)                 {}
 func (g *fakeGateway) Reported(*protocol.SyncMsg, *protocol.SyncReply, time.Time) {}
@@ -336,3 +338,22 @@
 	}
 	return list, nil
 }
+
+// TestHeldRequestsAreKnownFirst checks that a gateway is told which requests are held ahead
+// of being told that it may serve, and that the time of a question counts suspensions.
+func TestHeldRequestsAreKnownFirst(t *testing.T) {
+	clock.Skip(time.Hour)
+	defer clock.Skip(-time.Hour)
+	c := &fakeCaller{answers: map[string]func(protocol.SyncMsg) (protocol.SyncReply, error){"a": leads}}
+	g := &fakeGateway{}
+	u := New(c, g, []string{"a"}, unpackIDs, zerolog.Nop())
+	for end := time.Now().Add(patience); g.confirmed == 0 && time.Now().Before(end); {
+		u.step(t.Context())
+	}
+	if !slices.Equal(g.held, []int{0}) {
+		t.Errorf("told of held requests behind so many confirmations: %v", g.held)
+	}
+	if age := clock.Since(g.at); age < 0 || age > patience {
+		t.Errorf("the question counts as %v old", age)
+	}
+}
