Tests: notices of a server's end while no leader stands (failing)

Cause: traced behind TestReclaimedServerCutsNothing/the_leader_dies. Gateways hear of a server that is taken away from the leader alone.

The stand-in answers the published question for a server's own state.

--- /dev/null
+++ b/internal/soak/notice_test.go
@@ -0,0 +1,138 @@
+package soak
+
+import (
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/weldstream/weldstream/platform/standin"
+)
+
+// streaming starts streams through each gateway, half of them on a route whose callers
+// cannot resume, and returns what waits for their ends. A stream that is cut fails the test.
+func streaming(t *testing.T, c *Cluster, k *Checker, name string) (wait func()) {
+	t.Helper()
+	var streams sync.WaitGroup
+	for g, address := range c.Callers() {
+		for i := range streamsEach {
+			a := paths[2+i%2]
+			a.ID = fmt.Sprintf("%s-%d-%d", name, g, i)
+			streams.Go(func() {
+				client := standin.NewClient(address)
+				defer client.Close()
+				r := client.Ask(a.ID, a.Path)
+				k.Note(a, r)
+				if !r.Whole || r.Status != 200 {
+					t.Errorf("%s on %s: %+v", a.ID, a.Path, r)
+				}
+			})
+		}
+	}
+	return streams.Wait
+}
+
+// nothingBroken checks the promises over all that was asked.
+func nothingBroken(t *testing.T, c *Cluster, k *Checker) {
+	t.Helper()
+	if c.Record.Moved() == 0 {
+		t.Error("no run was moved")
+	}
+	k.Finish()
+	for _, b := range append(append(k.Breaches(), c.API.Breaches()...), c.Record.Breaches()...) {
+		t.Error(b)
+	}
+	noneSetAside(t, c, 2*time.Second)
+}
+
+// TestNoticeWithoutLeader gives notice of a server's end while no control instance leads:
+// the leader is dead, and so is another, so that none can be elected. The notice stands in
+// the platform's list, and the server itself tells it to whoever asks. A gateway that
+// hears of notices from the leader alone moves nothing, and each stream of that server on
+// a route that cannot be resumed is cut.
+//
+// What showed it: in 30 rounds in which the leader died as the first gateway began to move
+// runs (notices of 1.2 s), and once more as it was back, streams were cut in 13. All were
+// at a gateway that logged no "server leaves, its runs are moved" before the server's end and
+// was "linked to the leader" 0.35 to 0.8 s behind it. No stream was cut at a gateway that
+// had logged it.
+func TestNoticeWithoutLeader(t *testing.T) {
+	c, k, _ := cluster(t, small)
+	for g, address := range c.Callers() {
+		served(t, address, fmt.Sprint("before-", g))
+	}
+	for _, b := range c.Backends {
+		b.Pause = movePause
+	}
+	wait := streaming(t, c, k, "unled")
+	leaver := busiest(t, c)
+	leader := leaderOf(t, c, -1)
+	c.procs[leader].Kill()
+	c.procs[(leader+1)%c.Size.Controls].Kill()
+	leaver.Reclaim(moveNotice)
+	time.Sleep(moveNotice)
+	leaver.Cut()
+	c.API.Remove(leaver)
+	wait()
+	nothingBroken(t, c, k)
+}
+
+// TestLeadersDieBesideNotices gives one notice after the other, and with each the leader
+// dies as the first run is moved, comes back, and dies again: each at another moment of
+// the gateways' questions, so that some notices reach one gateway and not the other.
+func TestLeadersDieBesideNotices(t *testing.T) {
+	const notices = 6 // notices are enough for two to fall between the questions of two gateways.
+	c, k, _ := cluster(t, small)
+	for _, b := range c.Backends {
+		b.Pause = movePause
+	}
+	for n := range notices {
+		for g, address := range c.Callers() {
+			served(t, address, fmt.Sprintf("before-%d-%d", n, g))
+		}
+		moved := c.Record.Moved()
+		wait := streaming(t, c, k, fmt.Sprint("dies-", n))
+		leaver := busiest(t, c)
+		time.Sleep(time.Duration(n) * 60 * time.Millisecond) // Each notice comes at another moment of the leader's reading of the list.
+		leaver.Reclaim(moveNotice)
+		gone := time.After(moveNotice)
+		for range 2 {
+			restartLeader(t, c, moved)
+		}
+		<-gone
+		leaver.Cut()
+		c.API.Remove(leaver)
+		wait()
+		leaver.Unreclaim()
+		c.API.Add(leaver)
+		for i := range c.Size.Controls {
+			votes(t, c, i)
+		}
+	}
+	nothingBroken(t, c, k)
+}
+
+// restartLeader kills the leader once more runs were moved, or are being moved, than a
+// number, and starts its process again at once.
+func restartLeader(t *testing.T, c *Cluster, moved int) {
+	t.Helper()
+	for end := time.Now().Add(readyTime); time.Now().Before(end); time.Sleep(time.Millisecond) {
+		copies := c.Record.Moved()
+		for _, b := range c.Backends {
+			copies += b.Copies()
+		}
+		if copies <= moved {
+			continue
+		}
+		for i := range c.Size.Controls {
+			if s, err := c.Status(i); err == nil && s.LeaseEnd > 0 {
+				c.procs[i].Kill()
+				if err := c.procs[i].Start(); err != nil {
+					t.Fatal(err)
+				}
+				return
+			}
+		}
+	}
+	t.Error("no leader could be killed while a run was moved")
+}
