A leader that came back is followed at its own word

Cause: a gateway whose leader falls silent passes over that leader for a second, whoever names it. A leader whose process ends and starts again at once leads again 0.2 s later, and was passed over although it said so itself: control instances left it out of their answer, and the gateway dropped its name.

Change: an instance that leads names itself to whoever asks, and a gateway takes an instance's word on itself. What others say of a silent leader counts as little as before.

--- a/transport/control/leader.go
+++ b/transport/control/leader.go
@@ -24,7 +24,8 @@
 		changed := u.group.Changed()
 		leader, all := u.peers()
 		reply.Controls, reply.Domains = all, u.domains(all)
-		if leader != m.Besides {
+		// An instance that leads has not fallen silent, whatever the asker heard of it.
+		if _, leads := u.group.Vouches(); leads || leader != m.Besides {
 			reply.Leader = leader
 		}
 		if reply.Leader != "" {
--- a/transport/uplink/search.go
+++ b/transport/uplink/search.go
@@ -21,9 +21,9 @@
 	defer end.Stop()
 	for {
 		select {
-		case leader := <-c.found:
-			if leader != m.Besides {
-				return leader
+		case n := <-c.found:
+			if n.byItself || n.leader != m.Besides {
+				return n.leader
 			}
 		case <-end.C:
 			return ""
@@ -70,7 +70,7 @@
 		return
 	}
 	select {
-	case c.found <- reply.Leader:
+	case c.found <- named{leader: reply.Leader, byItself: reply.Leader == address}:
 	default: // Another was faster.
 	}
 }
--- a/transport/uplink/uplink.go
+++ b/transport/uplink/uplink.go
@@ -89,7 +89,8 @@
 	// it for a while.
 	leaderTime = time.Second
 	// silentFor is how long a leader that did not answer is not taken for one
-	// because another instance names it: by then a group that can has elected another.
+	// because another instance names it: by then a group that can has elected another. Its
+	// own word counts at once.
 	silentFor = time.Second
 	// leastPause is the least time between two questions.
 	leastPause = 15 * time.Millisecond
@@ -110,7 +111,7 @@
 	asking   map[string]bool // asking are the instances that a question for the leader is under way to.
 	controls []string
 	links    *link.Links // links choose an instance of the own region; nil without several regions.
-	found    chan string // found receives whom they name.
+	found    chan named  // found receives whom they name.
 
 	// The loop's own.
 	target      string
@@ -153,7 +154,7 @@
 		syncNow:     make(chan struct{}, 1),
 		seeds:       seeds,
 		asking:      map[string]bool{},
-		found:       make(chan string, 1),
+		found:       make(chan named, 1),
 		answerTimes: map[string]*link.AnswerTime{},
 	}
 	for _, opt := range opts {
@@ -254,6 +255,13 @@
 	other string // other is another leader that was found meanwhile; err is set then.
 }
 
+// named is a leader that an instance named. One that names itself leads now, also where it
+// fell silent a moment ago: it has come back.
+type named struct {
+	leader   string
+	byItself bool
+}
+
 // ErrOverdue is the reason why a leader is given up whose answer is overdue while
 // another one leads.
 var ErrOverdue = eris.New("its answer is overdue, and another instance leads")
@@ -276,7 +284,7 @@
 // await waits for the leader's answer. While it is overdue the other control
 // instances are asked who leads, and the first other leader ends the wait.
 func (c *Client) await(ctx context.Context, address string, answers <-chan answer) answer {
-	var found <-chan string // found is nil until the answer is overdue.
+	var found <-chan named // found is nil until the answer is overdue.
 	due := time.NewTimer(c.due(address))
 	defer due.Stop()
 	for {
@@ -291,9 +299,9 @@
 			c.gateway.Overdue()
 			c.askWho(protocol.LeaderMsg{Besides: address}, address)
 			due.Reset(searchPause)
-		case other := <-found:
-			if other != address {
-				return answer{err: ErrOverdue, other: other}
+		case n := <-found:
+			if n.leader != address {
+				return answer{err: ErrOverdue, other: n.leader}
 			}
 		case <-ctx.Done():
 			return answer{err: ctx.Err()}
