Test: a notice while the platform's API is down (failing)

Cause: the same as of notices without a leader, on the leader's other side: it leads and has no newer list.

--- a/internal/soak/notice_test.go
+++ b/internal/soak/notice_test.go
@@ -136,3 +136,31 @@
 	}
 	t.Error("no leader could be killed while a run was moved")
 }
+
+// TestNoticeWhileThePlatformIsDown gives notice of a server's end while the platform's API
+// answers nobody: the leader leads and answers gateways, and has no newer list to give. The
+// cause is that of TestNoticeWithoutLeader, on the other side of the leader.
+func TestNoticeWhileThePlatformIsDown(t *testing.T) {
+	c, k, _ := cluster(t, small)
+	for g, address := range c.Callers() {
+		served(t, address, fmt.Sprint("before-", g))
+	}
+	for _, b := range c.Backends {
+		b.Pause = movePause
+	}
+	c.API.SetDown(true)
+	for end := time.Now().Add(readyTime); c.API.Unread() < 3; time.Sleep(askPause) { // By then the list is out of date.
+		if time.Now().After(end) {
+			t.Fatal("the leader does not ask for the list")
+		}
+	}
+	wait := streaming(t, c, k, "down")
+	leaver := busiest(t, c)
+	leaver.Reclaim(moveNotice)
+	time.Sleep(moveNotice)
+	leaver.Cut()
+	c.API.Remove(leaver)
+	wait()
+	c.API.SetDown(false)
+	nothingBroken(t, c, k)
+}
