Servers are asked for their notices while the list is late

Cause: while the platform did not answer the leader, gateways had a list that stood still, and no other way to hear that a server ends.

Change: the leader tells gateways that its list was not read in time (0.25 s behind the pause between two readings), and they ask the servers at which they have runs, as without a leader. Gateways that ask a relay are not told yet: its answers have no place for it.

--- a/protocol/uplink.go
+++ b/protocol/uplink.go
@@ -155,6 +155,7 @@
 	Version    uint64
 	Listed     bool      // Listed says that the reply holds the list, or what changed of it.
 	List       []byte    // List is a packed ServerList.
+	ListLate   bool      // ListLate says that the list could not be read for a while: servers may be leaving that it does not show so.
 	Gateways   int       // Gateways are how many synchronized lately.
 	Clock      time.Time // Clock is the time of day that most instances agree on.
 	Grants     []QuotaGrant
--- a/transport/control/control_test.go
+++ b/transport/control/control_test.go
@@ -633,3 +633,23 @@
 		t.Errorf("%d gateways count", got.Gateways)
 	}
 }
+
+// TestLateListIsTold checks that gateways are told while the list was not read in time, and
+// that a failed reading puts nothing off. A leader has some time for its first reading.
+func TestLateListIsTold(t *testing.T) {
+	u := newUplink(newFakeGroup())
+	late := func() bool { return sync1(t, u, protocol.SyncMsg{Gateway: "g", Lister: 1}).ListLate }
+	if late() {
+		t.Error("late at the beginning of a term")
+	}
+	for _, c := range []struct {
+		read  bool
+		after time.Duration
+		want  bool
+	}{{true, -time.Hour, true}, {false, time.Hour, true}, {true, time.Hour, false}, {false, -time.Hour, false}} {
+		u.ExpectList(1, c.read, c.after)
+		if got := late(); got != c.want {
+			t.Errorf("%+v: late %v", c, got)
+		}
+	}
+}
--- a/transport/control/duties.go
+++ b/transport/control/duties.go
@@ -30,6 +30,9 @@
 	// part of the platform's rate that they may take: another instance may read too.
 	listEvery = 500 * time.Millisecond
 	listPart  = 0.6
+	// listSlack is how much later than expected the list may be read before it counts as
+	// out of date: some answers of the platform. Notices are of a second or more.
+	listSlack = 250 * time.Millisecond
 )
 
 // Duties is what the leader does. The list, the usage reports, the orders for servers
@@ -81,7 +84,9 @@
 			failing = err != nil
 			d.log.Warn().Err(err).Bool("failing", failing).Msg("the platform's list")
 		}
-		pause.For(ctx, d.listPause(calls))
+		wait := d.listPause(calls)
+		d.uplink.ExpectList(term, err == nil, wait)
+		pause.For(ctx, wait)
 	}
 	return nil
 }
--- a/transport/control/list.go
+++ b/transport/control/list.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"time"
 
 	"github.com/weldstream/weldstream/coordination/place"
 	"github.com/weldstream/weldstream/internal/clock"
@@ -15,7 +16,8 @@
 	version uint64
 	servers []protocol.Instance
 	listed  bool
-	order   []string // order are the listed servers by name.
+	due     time.Time // due is when the list is out of date, unless it was read again.
+	order   []string  // order are the listed servers by name.
 	history history
 	lists   map[uint64][]byte // lists are what changed since a version, packed once for all gateways.
 }
@@ -97,6 +99,16 @@
 	u.readings.List(u.order)
 }
 
+// ExpectList notes that the list, read in a term or not, is to be read again after a pause.
+func (u *Uplink) ExpectList(term uint64, read bool, after time.Duration) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.enter(term)
+	if read {
+		u.due = clock.Now().Add(after + listSlack)
+	}
+}
+
 // sameServers reports whether two lists say the same. How much longer a server
 // is slow from its start, or still runs, is reported only when that begins and ends.
 func sameServers(a, b []protocol.Instance) bool {
--- a/transport/control/revoke_test.go
+++ b/transport/control/revoke_test.go
@@ -60,6 +60,7 @@
 func (g *confirming) SetRollouts(*protocol.SyncReply, time.Time)                 {}
 func (g *confirming) SetQuarantine(*protocol.SyncReply)                          {}
 func (g *confirming) Agree([]protocol.ServiceLanes)                              {}
+func (g *confirming) ListLate()                                                  {}
 func (g *confirming) Overdue()                                                   {}
 func (g *confirming) Document(number uint64, _ []byte) error {
 	g.number = number
--- a/transport/control/uplink.go
+++ b/transport/control/uplink.go
@@ -184,7 +184,7 @@
 	u.quotas = quota.NewCoordinator(u.quota, quota.WithQuiet(u.quiet()))
 	u.ledger = usage.NewLedger()
 	u.marks = usage.NewWatermarks(u.alone)
-	u.listed, u.servers, u.history = false, nil, history{}
+	u.listed, u.servers, u.history, u.due = false, nil, history{}, u.entered.Add(listEvery+listSlack)
 	u.loads, u.order, u.common = place.NewLoads(), nil, common{}
 	u.vector.Reset(nil)
 	u.relays, u.placed = map[string]*relayRecord{}, place.Placements{}
@@ -245,6 +245,7 @@
 	u.answerChanges(m.Rollouts, reply)
 	tellQuarantine(u.quarantined.Load(), u.keeper.Watched(), m.Quarantined, m.Watched, reply)
 	u.tellServers(&m, reply)
+	reply.ListLate = now.After(u.due)
 	u.renewCommon(now)
 	reply.Short = u.common.short
 	if u.holds(&m) {
--- a/transport/forward/forward.go
+++ b/transport/forward/forward.go
@@ -259,6 +259,9 @@
 	g.askForNotices(now)
 }
 
+// ListLate notes that the leader's list may be out of date.
+func (g *Gateway) ListLate() { g.askForNotices(clock.Now()) }
+
 // startupWait is how long a request waits for a gateway that has just started, or
 // woken up, to hear from the control role: less than a caller that is told to
 // come back would be away.
--- a/transport/forward/notice.go
+++ b/transport/forward/notice.go
@@ -43,8 +43,8 @@
 func WithReporter(r Reporter) Option { return func(g *Gateway) { g.moves.reporter = r } }
 
 // askForNotices asks the servers that have runs whether they are leaving. It is called
-// again and again while the list may be out of date, since no leader answers: the servers
-// then are the only ones that tell of their ends. Without it the running answers of a
+// again and again while the list may be out of date, since no leader answers or the platform
+// does not answer the leader: the servers then are the only ones that tell of their ends. Without it the running answers of a
 // server that is taken away between two leaders were cut: 27 of 360 in 30 notices of 1.2 s
 // beside two deaths of the leader.
 func (g *Gateway) askForNotices(now time.Time) {
--- a/transport/uplink/uplink.go
+++ b/transport/uplink/uplink.go
@@ -49,6 +49,9 @@
 	SetQuarantine(reply *protocol.SyncReply)
 	// SetServers takes the list of backend servers.
 	SetServers(list []protocol.Instance)
+	// ListLate notes that the leader could not read the list for a while. It is called with
+	// each answer until it could.
+	ListLate()
 	// Agree takes the terms by which all gateways part long prompts from short ones.
 	Agree(lanes []protocol.ServiceLanes)
 	// Share takes how many requests the listed servers have from all gateways, in
@@ -338,6 +341,9 @@
 		c.gateway.SetServers(list)
 		c.lister, c.version = reply.Lister, reply.Version
 	}
+	if reply.ListLate {
+		c.gateway.ListLate()
+	}
 	c.gateway.Confirm(asked, reply.Gateways)
 	c.gateway.Reported(m, reply, asked)
 	c.gateway.Agree(reply.Lanes)
--- a/transport/uplink/uplink_test.go
+++ b/transport/uplink/uplink_test.go
@@ -67,6 +67,7 @@
 	confirmed int
 	at        time.Time
 	bad       bool
+	late      int          // late counts how often it was told that the list is out of date.
 	held      []int        // held are how often it was confirmed when it was told what is held.
 	overdue   atomic.Int32 // overdue counts how often it was told so.
 }
@@ -84,6 +85,7 @@
 	return nil
 }
 func (g *fakeGateway) Overdue()                            { g.overdue.Add(1) }
+func (g *fakeGateway) ListLate()                           { g.late++ }
 func (g *fakeGateway) Share(loads, _ []byte)               { g.loads = loads }
 func (g *fakeGateway) Agree([]protocol.ServiceLanes)       {}
 func (g *fakeGateway) SetServers(list []protocol.Instance) { g.servers = len(list) }
@@ -384,3 +386,22 @@
 		t.Errorf("the question counts as %v old", age)
 	}
 }
+
+// TestLateListIsPassedOn checks that the gateway learns that the leader's list is late, with
+// each answer that says so.
+func TestLateListIsPassedOn(t *testing.T) {
+	for _, late := range []bool{true, false} {
+		g := &fakeGateway{}
+		c := &fakeCaller{answers: map[string]func(protocol.SyncMsg) (protocol.SyncReply, error){"a": func(m protocol.SyncMsg) (protocol.SyncReply, error) {
+			r, err := leads(m)
+			r.ListLate = late
+			return r, err
+		}}}
+		u := New(c, g, []string{"a"}, unpackIDs, zerolog.Nop())
+		u.ask(t.Context(), "a")
+		u.ask(t.Context(), "a")
+		if want := map[bool]int{true: 2, false: 0}[late]; g.late != want {
+			t.Errorf("late %v: the gateway heard it %d times", late, g.late)
+		}
+	}
+}
