Test: few answers move nothing (failing)

Change: the leader's pool tells what is still to come and what a bad version may get of it; a property over drawn loads and grants, and rows of TestSteps, which fail (100 requests where 100 are allowed; 38.9 requests a second). Nothing decides by it yet.

--- a/coordination/rollout/exposure.go
+++ b/coordination/rollout/exposure.go
@@ -94,6 +94,31 @@
 	return a.granted
 }
 
+// turnBackTime is how long a bad version that all requests go to may stay unnoticed: one
+// that fails half of its answers behind the twelfth of each of six servers was turned back
+// from 1.6 s behind the move.
+const turnBackTime = 2 * time.Second
+
+// Coming returns how many requests the service will get until the limit, or until a bad
+// version would be turned back from, at the mean rate since the order.
+func (p *Pool) Coming(elapsed, limit time.Duration) float64 {
+	if elapsed <= 0 {
+		return 0
+	}
+	rest := max(limit-elapsed, turnBackTime)
+	arrived := 0.0
+	for _, a := range p.gateways {
+		arrived += float64(a.arrived)
+	}
+	return arrived * float64(rest) / float64(elapsed)
+}
+
+// Spare returns how many sends the version may get beyond those that were granted, when
+// some more requests will have come.
+func (p *Pool) Spare(coming float64) float64 {
+	return p.earned + p.share*coming + p.slack*(1-p.begun) - p.granted
+}
+
 // Credits holds one gateway's credits.
 type Credits struct {
 	term    uint64
--- a/coordination/rollout/rollout.go
+++ b/coordination/rollout/rollout.go
@@ -69,6 +69,8 @@
 	Quiet      time.Duration // Quiet is for how long there were none.
 	Longest    time.Duration // Longest is how long an answer of the service may take.
 	Moved      time.Duration // Moved is since the roll-out began to move.
+	Coming     float64       // Coming are the requests that the service will get until a bad version would be turned back from.
+	Spare      float64       // Spare are those that the version may get of them if it is bad.
 	Others     []string      // Others are the versions that are listed besides the new one.
 }
 
@@ -91,6 +93,7 @@
 func move(step protocol.StageRolloutMsg, r *protocol.Rollout, m TickMsg) (protocol.StageRolloutMsg, bool) {
 	v := m.Assessment
 	enough := v.New >= leastAnswers && !v.Doubtful
+	harmless := v.New > 0
 	late := m.Elapsed >= time.Duration(waitPart*float64(r.Limit()))
 	room := m.Slots > 0 && m.Running <= fullPart*float64(m.Slots)
 	switch {
@@ -106,7 +109,7 @@
 	case v.Worse || (late && v.Doubtful):
 		step.Stage, step.Reason = protocol.RolloutRolledBack, v.Reason
 		return step, true
-	case room && v.New > 0 && (enough || late):
+	case room && (enough || (late && harmless)):
 		step.Stage, step.Former = protocol.RolloutMoving, m.Others
 		step.Reason = fmt.Sprintf("%d answers of the new version are as good as %d others", v.New, v.Old)
 		return step, true
@@ -128,6 +131,9 @@
 	if m.Assessment.New == 0 {
 		return "no answer of the new version tells anything"
 	}
+	if m.Running <= fullPart*float64(m.Slots) {
+		return fmt.Sprintf("%d answers of the new version tell too little", m.Assessment.New)
+	}
 	return fmt.Sprintf("%d slots of the new version are too few for %.0f requests", m.Slots, m.Running)
 }
 
--- a/coordination/rollout/rollout_test.go
+++ b/coordination/rollout/rollout_test.go
@@ -119,6 +119,10 @@
 		"good":                             {protocol.RolloutTrial, trial, protocol.RolloutMoving, true},
 		"few answers":                      {protocol.RolloutTrial, with(func(m *TickMsg) { m.Assessment.New = 10 }), 0, false},
 		"few answers, late":                {protocol.RolloutTrial, with(func(m *TickMsg) { m.Assessment.New, m.Elapsed = 10, 11*time.Second }), protocol.RolloutMoving, true},
+		"few answers, many to come":        {protocol.RolloutTrial, with(func(m *TickMsg) { m.Assessment.New, m.Elapsed, m.Coming, m.Spare = 26, 11*time.Second, 200, 40 }), 0, false},
+		"few answers, few to come":         {protocol.RolloutTrial, with(func(m *TickMsg) { m.Assessment.New, m.Elapsed, m.Coming, m.Spare = 10, 11*time.Second, 30, 40 }), protocol.RolloutMoving, true},
+		"few answers, past all":            {protocol.RolloutTrial, with(func(m *TickMsg) { m.Assessment.New, m.Elapsed, m.Coming, m.Spare = 26, 18*time.Second, 200, 40 }), protocol.RolloutRolledBack, true},
+		"enough answers, many to come":     {protocol.RolloutTrial, with(func(m *TickMsg) { m.Coming, m.Spare = 200, 40 }), protocol.RolloutMoving, true},
 		"no answer, late":                  {protocol.RolloutTrial, with(func(m *TickMsg) { m.Assessment.New, m.Elapsed = 0, 11*time.Second }), 0, false},
 		"no answer, past all":              {protocol.RolloutTrial, with(func(m *TickMsg) { m.Assessment.New, m.Elapsed = 0, 18*time.Second }), protocol.RolloutRolledBack, true},
 		"in doubt":                         {protocol.RolloutTrial, with(func(m *TickMsg) { m.Assessment.Doubtful = true }), 0, false},
@@ -187,3 +191,39 @@
 		}
 	}
 }
+
+// TestFewAnswersMoveNothing has faults keep the requests of a trial from the new version,
+// whose servers fail half of their answers behind the twelfth of each: 26 answers were seen when
+// the time for the trial was over, none of them bad. Moved to on these, the version got 211
+// requests where 169 were allowed ("26 answers of the new version are as good as", "roll-out goes
+// on", 4.6 s behind the order; turned back from 1.6 s later). However the loads and the
+// grants so far are drawn, a version that is moved to on few answers stays within what a bad
+// one may get, if all requests go to it until it is turned back from, and come no faster
+// than so far.
+func TestFewAnswersMoveNothing(t *testing.T) {
+	const share, slack = 0.1, 50
+	moved, stayed := 0, 0
+	rapid.Check(t, func(t *rapid.T) {
+		rate := rapid.Float64Range(0.5, 200).Draw(t, "rate")
+		p := NewPool(share, slack)
+		r := &protocol.Rollout{Service: "s", Number: 3, Version: "v2", LimitMS: 12_000}
+		elapsed := time.Duration(waitPart * float64(r.Limit()))
+		arrived := int64(rate * elapsed.Seconds())
+		granted := p.Grant(ReportMsg{Gateway: "g", Arrived: arrived, Wants: rapid.IntRange(0, 40).Draw(t, "wants"), Pace: lateShare, Part: 1, Grants: true})
+		coming := p.Coming(elapsed, r.Limit())
+		spare := p.Spare(coming)
+		_, moves := Next(r, TickMsg{Elapsed: elapsed, Led: time.Minute, Assessment: Assessment{New: 26, Old: 400}, Slots: 1000, Others: []string{"v1"}, Coming: coming, Spare: spare})
+		if !moves {
+			stayed++
+			return
+		}
+		moved++
+		rest := rate * max(r.Limit()-elapsed, turnBackTime).Seconds()
+		if got, most := float64(granted)+rest, share*(float64(arrived)+rest)+slack; got > most {
+			t.Fatalf("%.0f requests where %.0f are allowed", got, most)
+		}
+	})
+	if moved == 0 || stayed == 0 {
+		t.Errorf("%d were moved to and %d were not", moved, stayed)
+	}
+}
--- a/transport/control/steps.go
+++ b/transport/control/steps.go
@@ -71,6 +71,8 @@
 		Settled:    u.keepTo(t, now),
 		Longest:    u.longest(t.record.Service),
 	}
+	m.Coming = t.pool.Coming(m.Elapsed, t.record.Limit())
+	m.Spare = t.pool.Spare(m.Coming)
 	for i := range u.servers {
 		s := &u.servers[i]
 		switch {
