A trial that saw little is moved from only where that is harmless

Cause: at nine tenths of the limit a trial with fewer answers than are enough was moved from on any good answer, though nothing bounds what a version gets behind the move.

A service that is asked little moves as before.

Before: TestFewAnswersMoveNothing and two rows of TestSteps failed. After: both pass, with the other tests of the package and those of transport/control. A good version of a busy service whose trial is kept from its servers is turned back from instead of moved to: the exposure of callers to a bad one goes first.

--- a/coordination/rollout/rollout.go
+++ b/coordination/rollout/rollout.go
@@ -40,8 +40,12 @@
 	moveMost = 4 * time.Second
 	// waitPart of the limit is waited for evidence that is not there in time.
 	waitPart = 0.9
-	// leastAnswers of the new version are enough to complete by; with fewer it is waited
-	// until waitPart, and with none at all the roll-out is turned back.
+	// leastAnswers of the new version are enough to complete by. With fewer it is waited
+	// until waitPart. Then a version is moved to that may get all that the service is asked
+	// until it would be turned back from, were it bad; for any other more answers are
+	// waited for, and it is turned back from without them.
+	// Moved to on 26 answers, a version that turned bad behind the twelfth of each server
+	// got 211 requests where 169 were allowed.
 	leastAnswers = 30
 	// lastPart of the limit is when a roll-out that moves is completed, and no earlier: as
 	// long as the former servers stand, there is a way back.
@@ -93,7 +97,7 @@
 func move(step protocol.StageRolloutMsg, r *protocol.Rollout, m TickMsg) (protocol.StageRolloutMsg, bool) {
 	v := m.Assessment
 	enough := v.New >= leastAnswers && !v.Doubtful
-	harmless := v.New > 0
+	harmless := v.New > 0 && m.Coming <= m.Spare
 	late := m.Elapsed >= time.Duration(waitPart*float64(r.Limit()))
 	room := m.Slots > 0 && m.Running <= fullPart*float64(m.Slots)
 	switch {
