Soak: each run has loopback addresses of its own

Symptom: TestPlannedStopCutsNothing did not start once, "listen tcp 127.0.1.101:34457: bind: address already in use", while a second run of all tests was under way. Cause: a run draws ports that are free at one address and listens on them a moment later at several; both runs had the same addresses, so that a port found free by one was listened on by the other meanwhile.

Change: a run claims a range of loopback addresses by listening on a fixed port of it, until it ends. That the one failure was this is by its message and the second run; it was not made to come again.

--- a/internal/soak/cluster.go
+++ b/internal/soak/cluster.go
@@ -84,6 +84,9 @@
 
 // New makes a cluster in a folder; nothing of the daemons runs before Start.
 func New(dir, bin string, size Size) (*Cluster, error) {
+	if _, err := loopback(); err != nil {
+		return nil, err
+	}
 	c := &Cluster{Size: size, Record: standin.NewRecord(), dir: dir, bin: bin}
 	free, err := distinctPorts(5, freePort)
 	if err != nil {
@@ -148,20 +151,13 @@
 	return nil
 }
 
-// LoopbackVariable names the environment variable with the first two parts of the
-// loopback addresses to use, so that clusters of several checkouts can run at once: a
-// port that one found free could otherwise be taken by another before it listens.
-const LoopbackVariable = "WELDSTREAM_LOOPBACK"
-
-var loopback = cmp.Or(os.Getenv(LoopbackVariable), "127.0")
-
 // told is the IP number that others know a control instance by: its proxy's.
-func told(i int) string { return fmt.Sprintf("%s.1.%d", loopback, 101+i) }
+func told(i int) string { return fmt.Sprintf("%s.1.%d", prefix(), 101+i) }
 
 // behind is where it listens.
-func behind(i int) string { return fmt.Sprintf("%s.1.%d", loopback, 1+i) }
+func behind(i int) string { return fmt.Sprintf("%s.1.%d", prefix(), 1+i) }
 
-func gatewayIP(i int) string { return fmt.Sprintf("%s.2.%d", loopback, 1+i) }
+func gatewayIP(i int) string { return fmt.Sprintf("%s.2.%d", prefix(), 1+i) }
 
 func at(ip string, port int) string { return fmt.Sprintf("%s:%d", ip, port) }
 
--- a/internal/soak/ports_test.go
+++ b/internal/soak/ports_test.go
@@ -25,3 +25,24 @@
 		t.Error("drew a port though none was left")
 	}
 }
+
+// TestRunsDoNotMeet has two runs on one machine at once: they get loopback addresses of
+// their own, so that no port which one found free is taken by the other before a daemon
+// listens on it. Where both had the same addresses TestPlannedStopCutsNothing failed once with "listen
+// tcp 127.0.1.101:34457: bind: address already in use".
+func TestRunsDoNotMeet(t *testing.T) {
+	first, end, err := claimLoopback()
+	if err != nil {
+		t.Fatal(err)
+	}
+	second, endSecond, err := claimLoopback()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if first == second {
+		t.Errorf("both have %s", first)
+	}
+	if err := errors.Join(end(), endSecond()); err != nil {
+		t.Error(err)
+	}
+}
