Soak: an earlier build beside the present one (failing)

Cause: nothing played two builds together. A leader of the present build names servers by their starts, and gateways of send that on as the server's own name: each server turns each request away.

--- a/cmd/weldsoak/main.go
+++ b/cmd/weldsoak/main.go
@@ -1,7 +1,7 @@
 // Command weldsoak runs the daemons as separate processes on this machine and
 // harms them while it holds their promises; see package soak.
 //
-//	weldsoak -daemon bin/weldstreamd [-seeds 1,2,3 | -first 1 -count 50] [-time 12s] [-controls 3] [-gateways 3] [-regions 3]
+//	weldsoak -daemon bin/weldstreamd [-seeds 1,2,3 | -first 1 -count 50] [-time 12s] [-controls 3] [-gateways 3] [-regions 3] [-earlier PROGRAM -mix gateways|controls|first|last]
 //
 // It prints a line a seed, and for one that broke a promise its plan, what was
 // broken and where the logs are. It exits with 1 if any did, with 2 on wrong use.
@@ -37,7 +37,11 @@
 	flag.DurationVar(&size.Delay, "delay", regionDelay, "the delay between two regions, one way")
 	reclaim := flag.Bool("reclaim", false, "take servers away with what runs there as well")
 	crash := flag.Bool("crash", false, "have requests come that end each server which runs them")
+	earlier := builds{}
+	flag.StringVar(&earlier.program, "earlier", "", "the daemon's `program` of an earlier build, for some processes")
+	mix := flag.String("mix", string(soak.MixFirst), "which processes run it: gateways, controls, first (lives) or last (lives)")
 	flag.Parse()
+	earlier.mix = soak.Mix(*mix)
 	seeds, err := parseSeeds(*list, *first, *count)
 	if err != nil || *daemon == "" || flag.NArg() > 0 || !sound(size) {
 		if err != nil {
@@ -48,7 +52,7 @@
 	}
 	failed := 0
 	for _, seed := range seeds {
-		if !play(*daemon, seed, *length, size, *reclaim, *crash) {
+		if !play(*daemon, earlier, seed, *length, size, *reclaim, *crash) {
 			failed++
 		}
 	}
@@ -82,9 +86,15 @@
 	return seeds, nil
 }
 
+// builds are which processes run an earlier build; none without a program.
+type builds struct {
+	program string
+	mix     soak.Mix
+}
+
 // play runs one seed and reports whether every promise held. Logs of a run that
 // broke one are kept.
-func play(daemon string, seed uint64, length time.Duration, size soak.Size, reclaim, crash bool) bool {
+func play(daemon string, earlier builds, seed uint64, length time.Duration, size soak.Size, reclaim, crash bool) bool {
 	dir, err := os.MkdirTemp("", fmt.Sprintf("weldsoak-%d-", seed))
 	if err != nil {
 		fmt.Fprintln(os.Stderr, "weldsoak:", err)
@@ -95,6 +105,13 @@
 		fmt.Fprintln(os.Stderr, "weldsoak:", err)
 		return false
 	}
+	if earlier.program != "" {
+		if err := c.Beside(earlier.program, earlier.mix); err != nil {
+			c.Close()
+			fmt.Fprintln(os.Stderr, "weldsoak:", err)
+			return false
+		}
+	}
 	plan := soak.Draw(seed, length, size)
 	if reclaim {
 		plan = plan.WithReclaims(size)
--- a/internal/soak/cluster.go
+++ b/internal/soak/cluster.go
@@ -75,6 +75,7 @@
 	Data string
 
 	bin      string
+	later    string // later is the program of the next lives; empty for the same.
 	settings string
 	out      *os.File
 	mu       sync.Mutex // mu guards cmd.
@@ -346,6 +347,9 @@
 	if err := cmd.Start(); err != nil {
 		return err
 	}
+	if p.later != "" {
+		p.bin = p.later
+	}
 	ended := make(chan error, 1)
 	go func() { ended <- cmd.Wait() }()
 	p.cmd, p.ended = cmd, ended
