Gateways of earlier builds are told servers by their names

Symptom: with gateways of before a leader of the present build, in an upgrade and in a return, every request is turned away by every server. Cause: the leader names servers by their starts, and told so whoever asked; an earlier gateway sends that on as the server's own name. On the way back a gateway that knew starts took a list without any for older news, and left all servers out.

Change: gateways tell the features of their build. One that knows no starts is told names alone, and what it reports counts for the servers of those names; it is told no loads, as these go by the order of identities. A list that tells no start at all is no older news to a gateway; runs follow a server whose identity changes with the build of the leader, so that notices find them.

Relays: what differs in their batches between builds was not changed here.

--- /dev/null
+++ b/protocol/feature.go
@@ -0,0 +1,19 @@
+package protocol
+
+// Features are what a build understands that builds before it did not. Instances of
+// different builds run side by side while they are replaced one after the other: what
+// one of them does not understand is not sent to it. A build that tells none understands
+// what the first one did that had this type, as far as its messages do not show more.
+type Features uint64
+
+// The features.
+const (
+	// FeatureStarts is that servers are named by their starts; see [Incarnation].
+	FeatureStarts Features = 1 << iota
+)
+
+// OwnFeatures are those of this build.
+const OwnFeatures = FeatureStarts
+
+// Has reports whether all of some features are among f.
+func (f Features) Has(some Features) bool { return f&some == some }
--- a/protocol/uplink.go
+++ b/protocol/uplink.go
@@ -30,8 +30,24 @@
 	ReadingsAt uint64    // ReadingsAt is up to where it has heard of the term's log of readings.
 
 	Observations []Observation // Observations are of servers that ended under requests, and of such requests, that the leader of Term lacks.
-	Quarantined  uint64        // Quarantined is the change of the quarantine that it keeps to; 0 before the first.
+	Quarantined  *uint64       // Quarantined is the change of the quarantine that it keeps to, 0 before the first; nil from a build that knows none.
 	Watched      uint64        // Watched names the requests whose good ends it tells; see WatchMark.
+
+	Features Features // Features are those of the gateway's build.
+}
+
+// KnowsStarts reports whether the gateway's build names servers by their starts. The first
+// that did told no features; it is known by its quarantine, which came with it.
+func (m *SyncMsg) KnowsStarts() bool {
+	return m.Quarantined != nil || m.Features.Has(FeatureStarts)
+}
+
+// QuarantineChange is the change of the quarantine that the gateway keeps to.
+func (m *SyncMsg) QuarantineChange() uint64 {
+	if m.Quarantined == nil {
+		return 0
+	}
+	return *m.Quarantined
 }
 
 // Reading tells that a server was given shared parts of prompts to read.
--- a/transport/control/copies.go
+++ b/transport/control/copies.go
@@ -169,10 +169,10 @@
 	if m.Rollouts != c.changes {
 		reply.Rollouts = c.rollouts
 	}
-	tellQuarantine(&c.quarantine, c.watched, m.Quarantined, m.Watched, reply)
+	tellQuarantine(&c.quarantine, c.watched, m.QuarantineChange(), m.Watched, reply)
 	c.tellServers(m, reply)
 	reply.Short, reply.Lanes, reply.Gateways, reply.Clock = c.short, c.lanes, c.gateways, c.clock
-	if c.holds(m) && len(c.vector.Values()) == len(c.order) {
+	if c.holds(m) && !c.startless(m) && len(c.vector.Values()) == len(c.order) {
 		reply.Distrusted = bytes.Clone(c.distrusted[m.Domain])
 		tellLoads(&c.vector, protocol.LoadMark{Incarnation: c.incarnation, Version: c.vector.Version()}, m.Loads, reply)
 		reply.Readings, reply.ReadingsAt = c.readings.Since(m.ReadingsAt)
--- a/transport/control/list.go
+++ b/transport/control/list.go
@@ -20,6 +20,7 @@
 	order   []string  // order are the listed servers by name.
 	history history
 	lists   map[uint64][]byte // lists are what changed since a version, packed once for all gateways.
+	names   listNames
 }
 
 // take takes a version of the list.
@@ -30,6 +31,7 @@
 		l.history = history{}
 	}
 	l.lister, l.version, l.servers, l.listed, l.lists = lister, version, list, true, map[uint64][]byte{}
+	l.names = listNames{starts: slices.ContainsFunc(list, func(in protocol.Instance) bool { return protocol.ParseIncarnation(in.ID).Start > 0 })}
 	l.order = make([]string, 0, len(list))
 	for i := range list {
 		l.order = append(l.order, list[i].ID)
@@ -49,6 +51,10 @@
 		return
 	}
 	reply.Listed, reply.Lister, reply.Version = true, l.lister, l.version
+	if l.startless(m) {
+		reply.List = l.withoutStarts()
+		return
+	}
 	from := m.Servers
 	if m.Lister != l.lister {
 		from = wholeList
--- a/transport/control/quarantine_test.go
+++ b/transport/control/quarantine_test.go
@@ -83,7 +83,7 @@
 		t.Fatalf("behind three servers: %+v", r.Quarantine)
 	}
 	known := r.Quarantine.Changes
-	if r := sync1(t, u, protocol.SyncMsg{Gateway: "c", Life: 1, Quarantined: known}); r.Quarantine != nil {
+	if r := sync1(t, u, protocol.SyncMsg{Gateway: "c", Life: 1, Quarantined: &known}); r.Quarantine != nil {
 		t.Errorf("told again: %+v", r.Quarantine)
 	}
 	g.set(2, true)
@@ -142,7 +142,7 @@
 	if m := leader.judge(3, clock.Now().Add(time.Second)); len(m.Hold) != 1 || m.Hold[0].Fingerprint != bodyPrint("worse") {
 		t.Errorf("the leader decides %+v", m)
 	}
-	r = within(t, asked(relay, protocol.SyncMsg{Gateway: "g", Lister: 1, Quarantined: 4}), "the answer that names whom to watch")
+	r = within(t, asked(relay, protocol.SyncMsg{Gateway: "g", Lister: 1, Quarantined: new(uint64(4))}), "the answer that names whom to watch")
 	if r.Watch == nil || len(r.Watch.Requests) != 1 || r.Watch.Requests[0] != bodyPrint("worse") {
 		t.Errorf("to be watched are %+v", r.Watch)
 	}
@@ -150,7 +150,7 @@
 		{Fingerprint: bodyPrint("old"), Change: 2}, {Fingerprint: bodyPrint("bad"), Change: 5},
 	}})
 	mark := protocol.WatchMark([]protocol.Fingerprint{bodyPrint("worse")})
-	r = within(t, asked(relay, protocol.SyncMsg{Gateway: "g", Lister: 1, Quarantined: 4, Watched: mark}), "the second answer")
+	r = within(t, asked(relay, protocol.SyncMsg{Gateway: "g", Lister: 1, Quarantined: new(uint64(4)), Watched: mark}), "the second answer")
 	if r.Watch != nil {
 		t.Errorf("told again whom to watch: %+v", r.Watch)
 	}
--- a/transport/control/relay.go
+++ b/transport/control/relay.go
@@ -287,6 +287,7 @@
 	r.batch++
 	m := protocol.BatchMsg{Relay: r.name, Life: r.life, Batch: r.batch, Number: number}
 	for _, q := range list {
+		r.copies.identify(&q.m)
 		r.note(&q.m, now)
 		m.Parts = append(m.Parts, partOf(&q.m, now.Sub(q.at)))
 	}
--- a/transport/control/uplink.go
+++ b/transport/control/uplink.go
@@ -229,6 +229,7 @@
 	defer u.mu.Unlock()
 	now := clock.Now()
 	u.enter(term)
+	u.identify(&m)
 	u.loads.Take(m.Gateway, place.GatewayReport{Domain: m.Domain, Running: m.Running, Distrusts: m.Distrusts})
 	u.takeReadings(u.incarnation, m.Readings, now)
 	for _, d := range m.Done {
@@ -243,12 +244,12 @@
 	}
 	u.answerOwn(&m, reply, now)
 	u.answerChanges(m.Rollouts, reply)
-	tellQuarantine(u.quarantined.Load(), u.keeper.Watched(), m.Quarantined, m.Watched, reply)
+	tellQuarantine(u.quarantined.Load(), u.keeper.Watched(), m.QuarantineChange(), m.Watched, reply)
 	u.tellServers(&m, reply)
 	reply.ListLate = now.After(u.due)
 	u.renewCommon(now)
 	reply.Short = u.common.short
-	if u.holds(&m) {
+	if u.holds(&m) && !u.startless(&m) { // The rest is told by the order of identities.
 		reply.Distrusted = u.distrusted(m.Domain)
 		tellLoads(&u.vector, u.mark(), m.Loads, reply)
 		reply.Readings, reply.ReadingsAt = u.readings.Since(m.ReadingsAt)
--- a/transport/forward/forward.go
+++ b/transport/forward/forward.go
@@ -19,6 +19,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -178,12 +179,16 @@
 }
 
 // SetServers takes the list of backend servers. A former start of a server is left out,
-// whoever lists it.
+// whoever lists it. A list that tells no start at all is of a platform that tells none, or
+// of a leader whose build knows none: nothing in it is older than what is known.
 func (g *Gateway) SetServers(list []protocol.Instance) {
 	g.listing.Lock()
 	defer g.listing.Unlock()
 	g.mu.Lock()
-	list, again := g.starts.Newest(list, clock.Now())
+	var again []place.Restart
+	if len(list) == 0 || slices.ContainsFunc(list, func(in protocol.Instance) bool { return protocol.ParseIncarnation(in.ID).Start > 0 }) {
+		list, again = g.starts.Newest(list, clock.Now())
+	}
 	g.listed = list
 	g.mu.Unlock()
 	g.renewView()
--- a/transport/forward/move.go
+++ b/transport/forward/move.go
@@ -83,6 +83,7 @@
 	log     zerolog.Logger
 	call    protocol.Call
 	server  *place.Server
+	listed  string // listed is the server's identity in the latest list; the lock of the moves guards it.
 	rank    int
 	noRetry bool // noRetry says that the request is not repeatable: without a move its answer is lost.
 	// weights is the version of the model's weights that makes the answer; empty where it
@@ -104,7 +105,7 @@
 	if x.g.moves.mover == nil || x.route.Kind != protocol.RouteStream || x.copyRate() <= 0 {
 		return
 	}
-	r := &running{g: x.g, try: t, log: x.log, call: x.call, server: t.server, rank: x.priority(), noRetry: !x.state.Repeatable}
+	r := &running{g: x.g, try: t, log: x.log, call: x.call, server: t.server, listed: t.server.ID, rank: x.priority(), noRetry: !x.state.Repeatable}
 	t.running = r
 	m := &x.g.moves
 	m.mu.Lock()
@@ -137,9 +138,9 @@
 	}
 	m := &t.x.g.moves
 	m.mu.Lock()
-	delete(m.runs[r.server.ID], r)
-	if len(m.runs[r.server.ID]) == 0 {
-		delete(m.runs, r.server.ID)
+	delete(m.runs[r.listed], r)
+	if len(m.runs[r.listed]) == 0 {
+		delete(m.runs, r.listed)
 	}
 	m.mu.Unlock()
 	if t.x.continuation == nil || t.x.continuation.run != r {
--- a/transport/forward/move_leaving.go
+++ b/transport/forward/move_leaving.go
@@ -6,6 +6,7 @@
 	"github.com/weldstream/weldstream/coordination/move"
 	"github.com/weldstream/weldstream/coordination/place"
 	"github.com/weldstream/weldstream/internal/clock"
+	"github.com/weldstream/weldstream/protocol"
 )
 
 // moveFromLeaving notes which servers a new list calls leaving, and has their runs moved.
@@ -16,6 +17,7 @@
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	m.rename(v)
 	notices := map[string]notice{}
 	for i := range v.Servers {
 		s := &v.Servers[i]
@@ -38,6 +40,38 @@
 	}
 }
 
+// rename has runs follow a server whose identity changed though it did not start again: a
+// leader of another build tells its start, or tells none. It needs the lock of the moves.
+func (m *moves) rename(v *place.View) {
+	unlisted := map[string]protocol.Incarnation{} // unlisted are the servers of runs by their names.
+	for id := range m.runs {
+		if v.Find(id) == nil {
+			in := protocol.ParseIncarnation(id)
+			unlisted[in.Name] = in
+		}
+	}
+	for i := 0; len(unlisted) > 0 && i < len(v.Servers); i++ {
+		now := protocol.ParseIncarnation(v.Servers[i].ID)
+		before, ok := unlisted[now.Name]
+		if ok && (before.Start == 0 || now.Start == 0) {
+			m.relist(before.String(), v.Servers[i].ID)
+		}
+	}
+}
+
+// relist has the runs of a server's former identity stand under its present one. It needs
+// the lock of the moves.
+func (m *moves) relist(before, now string) {
+	if m.runs[now] == nil {
+		m.runs[now] = map[*running]struct{}{}
+	}
+	for r := range m.runs[before] {
+		r.listed = now
+		m.runs[now][r] = struct{}{}
+	}
+	delete(m.runs, before)
+}
+
 // startMoving starts moveRuns for a server that is leaving and has runs, unless it is at
 // work already. It needs the lock of the moves.
 func (g *Gateway) startMoving(s *place.Server) {
--- a/transport/forward/notice_test.go
+++ b/transport/forward/notice_test.go
@@ -143,3 +143,29 @@
 		t.Error("a server whose start is not known does not count")
 	}
 }
+
+// TestLeadersOfOtherBuilds has the leader's list tell a server's start, then not, and again,
+// as leaders of two builds do by turns. The server serves throughout, did not start again,
+// and its runs are found under each name when it leaves.
+func TestLeadersOfOtherBuilds(t *testing.T) {
+	w, _ := newTellers(t)
+	r := &running{listed: "a"}
+	w.g.moves.mu.Lock()
+	w.g.moves.runs["a"] = map[*running]struct{}{r: {}}
+	w.g.moves.mu.Unlock()
+	address := w.servers[0].Address
+	for _, id := range []string{"a", "a@5", "a", "a@5"} {
+		w.g.SetServers([]protocol.Instance{{ID: id, Service: "s", Address: address}})
+		if w.g.view.Load().Find(id) == nil {
+			t.Fatalf("%s is left out", id)
+		}
+		w.g.moves.mu.Lock()
+		if len(w.g.moves.runs[id]) != 1 || r.listed != id || len(w.g.moves.runs) != 1 {
+			t.Errorf("as %s: runs %v", id, w.g.moves.runs)
+		}
+		w.g.moves.mu.Unlock()
+	}
+	if n := w.g.meters.restarted.Count(); n != 0 {
+		t.Errorf("%d servers started again", n)
+	}
+}
--- a/transport/forward/quarantine.go
+++ b/transport/forward/quarantine.go
@@ -36,7 +36,8 @@
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	m.Observations = q.gate.Report(term, clock.Now())
-	m.Quarantined, m.Watched = q.gate.Changes()
+	changes, watched := q.gate.Changes()
+	m.Quarantined, m.Watched = &changes, watched
 }
 
 // reportedQuarantine notes that the leader of a term has a report.
--- a/transport/uplink/uplink.go
+++ b/transport/uplink/uplink.go
@@ -227,6 +227,7 @@
 	m := c.gateway.Report(c.term)
 	m.Life, m.Lister, m.Servers, m.Gateways = c.life, c.lister, c.version, c.gateways
 	m.Loads, m.Relayed = c.mark, c.links != nil
+	m.Features = protocol.OwnFeatures
 	asked := clock.Now()
 	got := c.await(ctx, address, c.sync(address, m))
 	if got.err != nil {
