Test: relays are told servers by their starts (failing)

From the logs: linked to a relay a gateway is told "backend-v4-3", linked to the leader "backend-v4-3@"; the list through the relay then holds nothing that is not older ("list of servers", servers 0). The leader answers a relay's batch by a question that it makes itself, without features. Since, so also between instances of one build; nothing broke there, as today's gateways take names for no older news. Fails: two of three builds.

--- a/transport/control/startless_test.go
+++ b/transport/control/startless_test.go
@@ -68,3 +68,27 @@
 	}
 	return names
 }
+
+// TestRelaysAreToldStarts checks that a relay, and through it each gateway, is told of a
+// server as the leader tells gateways of that build. Told names alone, a relay passed these on;
+// gateways of the build before, which had the starts from the leader itself, took the names for
+// older news and left all servers out ("list of servers", servers 0; soak seed 105 in three
+// regions).
+func TestRelaysAreToldStarts(t *testing.T) {
+	for name, c := range map[string]struct {
+		from protocol.SyncMsg
+		want string
+	}{
+		"no starts":              {protocol.SyncMsg{Gateway: "g"}, "a"},
+		"starts and no features": {protocol.SyncMsg{Gateway: "g", Quarantined: new(uint64)}, "a@5"},
+		"today's":                {protocol.SyncMsg{Gateway: "g", Features: protocol.OwnFeatures}, "a@5"},
+	} {
+		leader, _, w := newLeader(1)
+		leader.SetServers(1, []protocol.Instance{{ID: "a@5", Service: "s"}})
+		relay, _ := newRelayOf(t, w, "relay")
+		r := within(t, asked(relay, c.from), "an answer")
+		if got := ids(t, r.List); !cmp.Equal(got, []string{c.want}) {
+			t.Errorf("%s: told of %v", name, got)
+		}
+	}
+}
