Relays are told servers by their starts

Cause: the question by which the leader answers a relay's batch told no features, so that the relay got names alone. Change: it tells that it knows starts, as every relay does whose batches can be read. TestRelaysAreToldStarts failed before and passes now, with the package's tests.

--- a/transport/control/batch.go
+++ b/transport/control/batch.go
@@ -105,7 +105,8 @@
 // answerCommon answers what is the same for all gateways of a relay. It needs u.mu.
 func (u *Uplink) answerCommon(m *protocol.BatchMsg, reply *protocol.BatchReply, now time.Time) {
 	var all protocol.SyncReply // all is the answer to a gateway that holds what the relay does.
-	held := protocol.SyncMsg{Lister: m.Lister, Servers: m.Servers}
+	// A relay whose batches can be read knows the starts of servers.
+	held := protocol.SyncMsg{Lister: m.Lister, Servers: m.Servers, Features: protocol.FeatureStarts}
 	u.renewRollouts()
 	u.answerChanges(m.Rollouts, &all)
 	tellQuarantine(u.quarantined.Load(), u.keeper.Watched(), m.Quarantined, m.Watched, &all)
