--- a/internal/soak/mix_test.go
+++ b/internal/soak/mix_test.go
@@ -57,17 +57,30 @@
 func besideEarlier(t *testing.T, earlier string) {
 	for _, mix := range []Mix{MixGateways, MixControls, MixFirst, MixLast} {
 		t.Run(string(mix), func(t *testing.T) {
-			c, err := New(t.TempDir(), daemon, small)
-			if err != nil {
-				t.Fatal(err)
-			}
-			if err := c.Beside(earlier, mix); err != nil {
-				t.Fatal(err)
-			}
-			result := playedOn(t, c, Draw(102, 4*time.Second, small))
-			if result.Served == 0 {
-				t.Error("nothing was served")
-			}
+			mixed(t, earlier, mix, small, Draw(102, 4*time.Second, small))
 		})
 	}
 }
+
+// mixed plays a plan on a cluster of two builds.
+func mixed(t *testing.T, earlier string, mix Mix, size Size, plan Plan) {
+	t.Helper()
+	c, err := New(t.TempDir(), daemon, size)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := c.Beside(earlier, mix); err != nil {
+		t.Fatal(err)
+	}
+	if playedOn(t, c, plan).Served == 0 {
+		t.Error("nothing was served")
+	}
+}
+
+// TestRelaysServeEarlierGateways plays a seed in three regions that served nothing behind
+// its faults: relays were told servers by their names alone and told gateways so, which
+// had the starts from the leader and took the names for older news ("list of servers", servers 0).
+func TestRelaysServeEarlierGateways(t *testing.T) {
+	regional := Size{Controls: 3, Gateways: 3, Backends: 6, Regions: 3, Delay: 8 * time.Millisecond}
+	mixed(t, buildEarlier(t, "94a15e6"), MixGateways, regional, Draw(105, 10*time.Second, regional))
+}
