A list of an earlier term that comes late changes nothing

Cause, by reading: an instance that is elected anew while its question for the list hangs entered the earlier term again with the answer, and forgot the gateways' reports, loads and parts of quotas of the term that runs. Change: a list of an earlier term is left out and logged, and the time at which the list is due follows readings of the present term alone.

Before: TestListOfAnEarlierTerm failed (the gateway was told no list, as all of the term was forgotten). After: it passes with the tests of transport/control under the race detector.

--- a/transport/control/control_test.go
+++ b/transport/control/control_test.go
@@ -653,3 +653,21 @@
 		}
 	}
 }
+
+// TestListOfAnEarlierTerm checks that a list which was asked for in an earlier term and came
+// late changes nothing: the gateways' reports of the term would be forgotten with it.
+func TestListOfAnEarlierTerm(t *testing.T) {
+	g := newFakeGroup()
+	u := newUplink(g)
+	g.set(2, true)
+	u.SetServers(2, []protocol.Instance{{ID: "a", Service: "s"}})
+	sync1(t, u, protocol.SyncMsg{Gateway: "g", Running: []protocol.ServerLoad{{Server: "a", Running: 3}}})
+	u.SetServers(1, []protocol.Instance{{ID: "b", Service: "s"}})
+	u.ExpectList(1, true, -time.Hour)
+	if got := sync1(t, u, protocol.SyncMsg{Gateway: "h"}); !cmp.Equal(ids(t, got.List), []string{"a"}) || got.Term != 2 || got.ListLate {
+		t.Errorf("told of %v in term %d, late %v", ids(t, got.List), got.Term, got.ListLate)
+	}
+	if n := u.loads.Of("a"); n != 3 {
+		t.Errorf("the server has %d requests, want 3", n)
+	}
+}
--- a/transport/control/list.go
+++ b/transport/control/list.go
@@ -81,10 +81,14 @@
 }
 
 // SetServers takes the platform's list, read in a term. A list that is the same
-// as the one before is no news.
+// as the one before is no news. One that was asked for in an earlier term came too late.
 func (u *Uplink) SetServers(term uint64, list []protocol.Instance) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
+	if term < u.term {
+		u.log.Warn().Uint64("term", term).Uint64("now", u.term).Msg("list of an earlier term left out")
+		return
+	}
 	u.enter(term)
 	list, again := u.starts.Newest(list, clock.Now())
 	for _, r := range again {
@@ -105,12 +109,12 @@
 	u.readings.List(u.order)
 }
 
-// ExpectList notes that the list, read in a term or not, is to be read again after a pause.
+// ExpectList notes whether the list could be read in a term, and that it is to be read again
+// after a pause.
 func (u *Uplink) ExpectList(term uint64, read bool, after time.Duration) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	u.enter(term)
-	if read {
+	if read && term == u.term {
 		u.due = clock.Now().Add(after + listSlack)
 	}
 }
