--- a/internal/soak/mix_test.go
+++ b/internal/soak/mix_test.go
@@ -80,6 +80,8 @@
 // TestRelaysServeEarlierGateways plays a seed in three regions that served nothing behind
 // its faults: relays were told servers by their names alone and told gateways so, which
 // had the starts from the leader and took the names for older news ("list of servers", servers 0).
+// The play shows that at times only, by which list a gateway was told last when the faults were over;
+// control's TestRelaysAreToldStarts shows it each time.
 func TestRelaysServeEarlierGateways(t *testing.T) {
 	regional := Size{Controls: 3, Gateways: 3, Backends: 6, Regions: 3, Delay: 8 * time.Millisecond}
 	mixed(t, buildEarlier(t, "94a15e6"), MixGateways, regional, Draw(105, 10*time.Second, regional))
