--- a/coordination/rollout/exposure.go
+++ b/coordination/rollout/exposure.go
@@ -113,8 +113,8 @@
 	return arrived * float64(rest) / float64(elapsed)
 }
 
-// Spare returns how many sends the version may get beyond those that were granted, when
-// some more requests will have come.
+// Spare returns how many more requests the version may be sent, if it is bad, once as many
+// as are coming have come.
 func (p *Pool) Spare(coming float64) float64 {
 	return p.earned + p.share*coming + p.slack*(1-p.begun) - p.granted
 }
--- a/protocol/feature.go
+++ b/protocol/feature.go
@@ -2,8 +2,8 @@
 
 // Features are what a build understands that builds before it did not. Instances of
 // different builds run side by side while they are replaced one after the other: what
-// one of them does not understand is not sent to it. A build that tells none understands
-// what the first one did that had this type, as far as its messages do not show more.
+// one of them does not understand is not sent to it. Builds from before this type send
+// none; what they understand shows in their messages, if at all ([SyncMsg.KnowsStarts]).
 type Features uint64
 
 // The features.
--- a/transport/forward/notice.go
+++ b/transport/forward/notice.go
@@ -96,7 +96,7 @@
 	g.log.Info().Str("server", s.ID).Dur("left", state.Left).Msg("server tells that it leaves")
 	g.meters.noticed.Inc(1)
 	now := clock.Now()
-	g.moves.tell(s.ID, notice{at: now, end: now.Add(state.Left)})
+	g.moves.addOwn(s.ID, notice{at: now, end: now.Add(state.Left)})
 	g.relist()
 	time.AfterFunc(state.Left+moveGrace, g.relist) // Else a server that stays would count as leaving until the list changes.
 }
@@ -108,8 +108,8 @@
 	return known == 0 || start == 0 || known == start
 }
 
-// tell keeps a notice that a server gave itself.
-func (m *moves) tell(server string, n notice) {
+// addOwn keeps a notice that a server gave itself.
+func (m *moves) addOwn(server string, n notice) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.own[server] = n
