Soak: the claim of loopback addresses lasts as long as the run

Cause, from the processes' logs: "listen tcp 127.128.1.2:41001: bind: address already in use" at three instances; two runs had one range. The listener that claims a range was referred to by nothing, and the garbage collector closed it.

Change: the claim is kept.

--- a/internal/soak/loopback.go
+++ b/internal/soak/loopback.go
@@ -27,23 +27,42 @@
 	if prefix := os.Getenv(LoopbackVariable); prefix != "" {
 		return prefix, nil
 	}
-	prefix, _, err := claimLoopback() // The claim ends with the process.
-	return prefix, err
+	return keepLoopback()
 })
 
+// kept are the claims that last until the process ends. A listener that nothing refers to
+// is closed by the garbage collector, and another run could then claim the same range.
+var kept struct {
+	sync.Mutex
+	listeners []net.Listener
+}
+
+// keepLoopback claims a range until the process ends.
+func keepLoopback() (prefix string, err error) {
+	prefix, ln, err := claimLoopback()
+	if err != nil {
+		return "", err
+	}
+	kept.Lock()
+	defer kept.Unlock()
+	kept.listeners = append(kept.listeners, ln)
+	return prefix, nil
+}
+
 // prefix is loopback behind the check in New.
 func prefix() string {
 	p, _ := loopback() // New has returned the error.
 	return p
 }
 
-// claimLoopback chooses a range that no other run has, and returns what gives it back.
-func claimLoopback() (prefix string, release func() error, err error) {
+// claimLoopback chooses a range that no other run has. It is claimed until the listener is
+// closed.
+func claimLoopback() (prefix string, claim net.Listener, err error) {
 	for n := firstClaim; n <= lastClaim; n++ {
 		prefix := fmt.Sprintf("127.%d", n)
 		ln, err := net.Listen("tcp", fmt.Sprintf("%s.0.1:%d", prefix, claimPort))
 		if err == nil {
-			return prefix, ln.Close, nil
+			return prefix, ln, nil
 		}
 	}
 	return "", nil, fmt.Errorf("each range of loopback addresses from 127.%d to 127.%d is in use", firstClaim, lastClaim)
--- a/internal/soak/ports_test.go
+++ b/internal/soak/ports_test.go
@@ -2,6 +2,9 @@
 
 import (
 	"errors"
+	"fmt"
+	"net"
+	"runtime"
 	"slices"
 	"testing"
 )
@@ -31,18 +34,36 @@
 // listens on it. Where both had the same addresses TestPlannedStopCutsNothing failed once with "listen
 // tcp 127.0.1.101:34457: bind: address already in use".
 func TestRunsDoNotMeet(t *testing.T) {
-	first, end, err := claimLoopback()
+	first, claim, err := claimLoopback()
 	if err != nil {
 		t.Fatal(err)
 	}
-	second, endSecond, err := claimLoopback()
+	second, secondClaim, err := claimLoopback()
 	if err != nil {
 		t.Fatal(err)
 	}
 	if first == second {
 		t.Errorf("both have %s", first)
 	}
-	if err := errors.Join(end(), endSecond()); err != nil {
+	if err := errors.Join(claim.Close(), secondClaim.Close()); err != nil {
 		t.Error(err)
 	}
 }
+
+// TestClaimLasts checks that the run's claim outlasts the garbage collector, which closes a
+// listener that nothing refers to. Two of four runs at once had the same addresses for that
+// ("listen tcp 127.128.1.2:41001: bind: address already in use", control-1 stopped).
+func TestClaimLasts(t *testing.T) {
+	own, err := keepLoopback()
+	if err != nil {
+		t.Fatal(err)
+	}
+	for range 3 { // A finalizer runs behind the collection that finds it.
+		runtime.GC()
+	}
+	ln, err := net.Listen("tcp", fmt.Sprintf("%s.0.1:%d", own, claimPort))
+	if err == nil {
+		_ = ln.Close() // The test has failed.
+		t.Errorf("another run can claim %s", own)
+	}
+}
