--- a/internal/clock/uses_test.go
+++ b/internal/clock/uses_test.go
@@ -31,6 +31,7 @@
 	"transport/forward/crash.go: probe":              duration,
 	"transport/forward/move_call.go: copy":           duration,
 	"transport/forward/move_call.go: freeAt":         timeOut,
+	"transport/forward/notice.go: askForNotice":      timeOut,
 	"transport/forward/quarantine.go: refusedHeld":   timeOfDay,
 	"transport/forward/stream.go: relay":             duration,
 	"transport/forward/stream.go: streamEnded":       duration,
