Gateways tell which limits servers name

The header is read at the platform's boundary into a typed value, logged where it changes, and counted (servers.limits). Nothing is decided by it. Unreadable values are logged and change nothing; of two limits the lower one is read. Ran: tests of platform and transport/forward, passed.

--- /dev/null
+++ b/protocol/says.go
@@ -0,0 +1,14 @@
+package protocol
+
+// ServerSays is what a backend server says of itself beside an answer. The zero value is
+// of one that says nothing: it takes whatever comes.
+type ServerSays struct {
+	Limit  RateLimit
+	Unread string // Unread is what it said and could not be read; empty for nothing.
+}
+
+// RateLimit bounds the requests that a server takes from all gateways together.
+type RateLimit struct {
+	Named     bool
+	PerSecond float64 // PerSecond is in requests a second, 0 or more; it counts only where Named is set.
+}
--- a/transport/forward/attempt.go
+++ b/transport/forward/attempt.go
@@ -287,6 +287,7 @@
 // answered goes on with the head of an answer.
 func (t *try) answered(stop func() bool) *protocol.Refusal {
 	x, status := t.x, t.x.resp.StatusCode()
+	x.g.says.heard(x, t.server.ID, t.reply.Says)
 	if t.reply.HasLoad {
 		t.server.Cell.ReportedLoad(t.reply.Load, clock.Now())
 	}
--- a/transport/forward/forward.go
+++ b/transport/forward/forward.go
@@ -80,6 +80,7 @@
 	moves       moves
 	crashes     crashes
 	quarantined quarantined
+	says        says
 
 	listing sync.Mutex // listing is held while the view is renewed: by the link to the leader, or by a notice.
 
@@ -148,6 +149,7 @@
 		opt(g)
 	}
 	g.moves.init()
+	g.says.limits = map[string]protocol.RateLimit{}
 	g.prompts.holders = place.NewHolders(cfg.Topology)
 	if g.meters == nil {
 		g.meters = newMeters(metrics.NewRegistry())
--- a/transport/forward/meters.go
+++ b/transport/forward/meters.go
@@ -35,6 +35,7 @@
 	moveTime   metrics.Timer   // moveTime is from the first copy until the next server answers.
 	asked      metrics.Counter // asked are questions to servers for their state.
 	noticed    metrics.Counter // noticed are answers to them that told of an end.
+	limits     metrics.Counter // limits are how often servers named another limit of requests than before.
 	copies     metrics.Counter // copies are requests whose server was told whom to copy from.
 
 	registry metrics.Registry
@@ -80,6 +81,7 @@
 		moveTime:     metrics.GetOrRegisterTimer("moves.time", r),
 		asked:        metrics.GetOrRegisterCounter("servers.asked", r),
 		noticed:      metrics.GetOrRegisterCounter("servers.noticed", r),
+		limits:       metrics.GetOrRegisterCounter("servers.limits", r),
 		copies:       metrics.GetOrRegisterCounter("copies", r),
 		distances:    newDistanceMeters(r),
 		registry:     r,
