--- a/transport/forward/limiting.go
+++ b/transport/forward/limiting.go
@@ -41,6 +41,23 @@
 		return
 	}
 	x.heardLimit(s.ID, says.Limit)
+	x.heardRest(s.ID, says.Rest)
+	x.heardLeaving(s.ID, says.Leaving)
+}
+
+// heardRest notes that a server wants no requests from this gateway for a while.
+func (x *exchange) heardRest(server string, rest time.Duration) {
+	if rest > 0 {
+		x.g.meters.rests.Inc(1)
+		x.log.Info().Str("server", server).Dur("rest", rest).Msg("server asks for rest")
+	}
+}
+
+// heardLeaving notes that a server takes no new requests any more.
+func (x *exchange) heardLeaving(server string, leaving bool) {
+	if leaving {
+		x.log.Info().Str("server", server).Msg("server says that it leaves")
+	}
 }
 
 // heardLimit notes what a server said of its limit beside an answer to an exchange.
--- a/transport/forward/meters.go
+++ b/transport/forward/meters.go
@@ -35,6 +35,7 @@
 	moveTime       metrics.Timer   // moveTime is from the first copy until the next server answers.
 	asked          metrics.Counter // asked are questions to servers for their state.
 	noticed        metrics.Counter // noticed are answers to them that told of an end.
+	rests          metrics.Counter // rests are how often servers asked for rest.
 	limits         metrics.Counter // limits are how often servers named another limit of requests than before.
 	refusedLimited metrics.Counter // refusedLimited are requests that were refused as all servers were at their limits.
 	copies         metrics.Counter // copies are requests whose server was told whom to copy from.
@@ -82,6 +83,7 @@
 		moveTime:       metrics.GetOrRegisterTimer("moves.time", r),
 		asked:          metrics.GetOrRegisterCounter("servers.asked", r),
 		noticed:        metrics.GetOrRegisterCounter("servers.noticed", r),
+		rests:          metrics.GetOrRegisterCounter("servers.rests", r),
 		limits:         metrics.GetOrRegisterCounter("servers.limits", r),
 		refusedLimited: metrics.GetOrRegisterCounter("limits.refused", r),
 		copies:         metrics.GetOrRegisterCounter("copies", r),
