Servers that ask for rest get it, and a server's own word that it leaves holds

What callers and operators saw: a server that had turned a gateway's request away and asked it for 3 s of rest got 3 to 20 requests from it within those, each turned away; case reviews were refused meanwhile. A server that said in answers that it leaves went on to get requests while the list showed it as staying. Cause: neither word was read; that a request is turned away as not run counts for nothing by design. Change: rests are kept by gateway and start of the server, departures by start. Every send asks words.take; what waits for a connection looks once more; runs are not moved to or off a server that rests, and it is not asked for a notice. Where all rest, a request is refused at once as not run with the time of the first end. Why it holds: there is one place that sends pass, and calls beside it are withheld there. A rest speaks against nobody, and ends only by its time, so that a shorter one, a list or a new leader cannot cut it. Taken out to see tests fail: the look at the source and at the target of a move.

--- a/coordination/backpressure/backpressure_test.go
+++ b/coordination/backpressure/backpressure_test.go
@@ -413,3 +413,24 @@
 		t.Errorf("%d permits once that is made up for; want 1", n)
 	}
 }
+
+// TestWaitEndsWithTheLeader checks that a time until the next permit, as a leader told it,
+// holds for as long as one answers: without one the gateway takes its own part.
+func TestWaitEndsWithTheLeader(t *testing.T) {
+	l := NewLimits(WithChance(func() float64 { return 1 }))
+	l.Heard("s", protocol.RateLimit{Named: true, PerSecond: 1}, start)
+	m, _ := l.Report(start)
+	l.Answered(&m, &protocol.LimitsReply{Term: 1, Grants: []protocol.PermitGrant{{Server: "s", Wait: time.Minute}}}, start, start)
+	waiting := func(now time.Time) (n int) {
+		l.EachWaiting(now, func(string, time.Duration) { n++ })
+		return n
+	}
+	l.Report(start)
+	if waiting(start) != 1 {
+		t.Error("the server is not waited for")
+	}
+	late := start.Add(2 * aloneAfter)
+	if v, _ := l.Take("s", late); waiting(late) != 0 || v != Send {
+		t.Errorf("without a leader %d servers are waited for, and a request is said %v", waiting(late), v)
+	}
+}
--- a/coordination/backpressure/limits.go
+++ b/coordination/backpressure/limits.go
@@ -170,6 +170,19 @@
 	return protocol.RateLimit{}
 }
 
+// EachWaiting calls a func with each server for which there is no permit for a while, as the
+// leader told, and for how long. While none answers, that says nothing.
+func (l *Limits) EachWaiting(now time.Time, call func(server string, wait time.Duration)) {
+	if l.isAlone(now) {
+		return
+	}
+	for server, s := range l.servers {
+		if wait := s.room.Sub(now); s.limit.Named && wait > 0 && s.expire(now) == 0 {
+			call(server, wait)
+		}
+	}
+}
+
 // Limited returns the servers that name a limit, sorted.
 func (l *Limits) Limited() []string {
 	var list []string
--- a/transport/forward/attempt.go
+++ b/transport/forward/attempt.go
@@ -69,6 +69,10 @@
 		conn.Close()
 		return x.afterEarlierAttempts(refusal)
 	}
+	if x.g.words.resting(server.ID) { // It asked for rest while the connection was made.
+		conn.Close()
+		return x.turnedBack()
+	}
 	x.noteAttempt(server, conn)
 	x.sentTo(server)
 	x.g.noteSent(server.ID)
@@ -288,7 +292,6 @@
 // answered goes on with the head of an answer.
 func (t *try) answered(stop func() bool) *protocol.Refusal {
 	x, status := t.x, t.x.resp.StatusCode()
-	x.heard(t.server, &t.reply.Says)
 	if t.reply.HasLoad {
 		t.server.Cell.ReportedLoad(t.reply.Load, clock.Now())
 	}
@@ -297,6 +300,9 @@
 		t.failedAnswer()
 		return x.failed(protocol.MayHaveRun, true, "the answer belongs to another request")
 	}
+	if !t.reply.Foreign {
+		x.heard(t.server, &t.reply.Says)
+	}
 	if t.reply.NotRun {
 		return t.turnedAway(stop)
 	}
--- a/transport/forward/exchange.go
+++ b/transport/forward/exchange.go
@@ -45,7 +45,7 @@
 	state        resend.State
 	continuation *continuation // continuation is where the run goes on with its memory; nil for none.
 	avoid        []string
-	limited      []string // limited are servers that have no permit for the attempt that is being placed.
+	closed       []string // closed are servers that do not take the attempt that is being placed: they rest, leave, or limit their requests.
 	credited     bool     // credited says that a credit of a roll-out's trial was taken for it.
 	events       events
 	print        *protocol.Fingerprint // print is the request's fingerprint, once it was asked for.
--- a/transport/forward/forward.go
+++ b/transport/forward/forward.go
@@ -12,7 +12,7 @@
 //	                                           └─ resend ◄┘
 //
 // Shared state and its locks, taken in this order: Gateway.listing, Gateway.mu (limits),
-// then a cell's own, that of the moves, of the limits or of the quarantine. The catalog and the view of servers are immutable and read through
+// then a cell's own, that of the moves, of the servers' words or of the quarantine. The catalog and the view of servers are immutable and read through
 // atomic pointers.
 package forward
 
@@ -82,7 +82,7 @@
 	moves       moves
 	crashes     crashes
 	quarantined quarantined
-	limiting    limiting
+	words       words
 
 	listing sync.Mutex // listing is held while the view is renewed: by the link to the leader, or by a notice.
 
@@ -152,7 +152,7 @@
 		opt(g)
 	}
 	g.moves.init()
-	g.limiting.limits, g.limiting.answered = backpressure.NewLimits(backpressure.WithChance(rand.Float64)), make(chan struct{})
+	g.words.limits, g.words.answered = backpressure.NewLimits(backpressure.WithChance(rand.Float64)), make(chan struct{})
 	g.prompts.holders = place.NewHolders(cfg.Topology)
 	if g.meters == nil {
 		g.meters = newMeters(metrics.NewRegistry())
@@ -229,7 +229,7 @@
 	}
 	g.log.Info().Int("servers", len(view.Servers)).Int("leaving", leaving).Msg("list of servers")
 	g.moveFromLeaving(view, now)
-	g.keepLimits(view)
+	g.words.keep(view, now)
 	g.pool.Keep(func(id string) bool {
 		s := view.Find(id)
 		return s != nil && !s.Leaving
@@ -243,7 +243,7 @@
 	list, rollouts := g.listed, g.rollouts
 	g.mu.Unlock()
 	if list != nil {
-		list = g.moves.withNotices(list, clock.Now())
+		list = g.words.withDepartures(g.moves.withNotices(list, clock.Now()))
 		g.view.Store(place.NewView(list, g.view.Load(), place.WithRollouts(rollouts), place.WithRegions(g.cfg.Topology)))
 	}
 }
--- a/transport/forward/forward_test.go
+++ b/transport/forward/forward_test.go
@@ -71,6 +71,10 @@
 		s.Limit.Named = true
 		s.Limit.PerSecond, _ = strconv.ParseFloat(text, 64)
 	}
+	if seconds, err := strconv.ParseFloat(string(h.Peek("Rest")), 64); err == nil {
+		s.Rest = time.Duration(seconds * float64(time.Second))
+	}
+	s.Leaving = len(h.Peek("Leaving")) > 0
 	return s
 }
 
--- a/transport/forward/limiting.go
+++ b/transport/forward/limiting.go
@@ -2,7 +2,6 @@
 
 import (
 	"math/rand/v2"
-	"sync"
 	"time"
 
 	"github.com/weldstream/weldstream/coordination/backpressure"
@@ -16,69 +15,20 @@
 	// limits its requests takes it, before another server is chosen.
 	permitTime = 100 * time.Millisecond
 	// roomTime is how long a request waits until one of the servers takes requests again,
-	// where all of them limit theirs; one that would wait for longer is refused at once.
+	// where none does; one that would wait for longer is refused at once.
 	roomTime = 250 * time.Millisecond
 	// backSpread is by how much longer than until there is room callers are told to wait, at
 	// the most, as a part of that: those that were refused together do not come together.
 	backSpread = 0.5
 )
 
-// limiting are the limits that servers name.
-type limiting struct {
-	mu       sync.Mutex // mu guards all below; no other lock is taken under it.
-	limits   *backpressure.Limits
-	answered chan struct{} // answered is closed and replaced when the leader answered, or did not in time.
-}
-
 // WithLimitsNow sets what has the leader asked for permits at once.
 func WithLimitsNow(f func()) Option { return func(g *Gateway) { g.limitsNow = f } }
 
-// heard notes what a server says of itself beside an answer. What cannot be read changes
-// nothing.
-func (x *exchange) heard(s *place.Server, says *protocol.ServerSays) {
-	if says.Unread != "" {
-		x.log.Warn().Str("server", s.ID).Str("said", says.Unread).Msg("what a server says of itself cannot be read")
-		return
-	}
-	x.heardLimit(s.ID, says.Limit)
-	x.heardRest(s.ID, says.Rest)
-	x.heardLeaving(s.ID, says.Leaving)
-}
-
-// heardRest notes that a server wants no requests from this gateway for a while.
-func (x *exchange) heardRest(server string, rest time.Duration) {
-	if rest > 0 {
-		x.g.meters.rests.Inc(1)
-		x.log.Info().Str("server", server).Dur("rest", rest).Msg("server asks for rest")
-	}
-}
-
-// heardLeaving notes that a server takes no new requests any more.
-func (x *exchange) heardLeaving(server string, leaving bool) {
-	if leaving {
-		x.log.Info().Str("server", server).Msg("server says that it leaves")
-	}
-}
-
-// heardLimit notes what a server said of its limit beside an answer to an exchange.
-func (x *exchange) heardLimit(server string, limit protocol.RateLimit) {
-	l := &x.g.limiting
-	l.mu.Lock()
-	before := l.limits.Limit(server)
-	changed := l.limits.Heard(server, limit, clock.Now())
-	l.mu.Unlock()
-	if !changed {
-		return
-	}
-	x.g.meters.limits.Inc(1)
-	x.log.Info().Str("server", server).Bool("named", limit.Named).Float64("rate", limit.PerSecond).Float64("before", before.PerSecond).Msg("server names another limit")
-	x.g.limitsNow() // Others send to the server as well.
-}
-
 // takePermit takes a permit for the request to a server, and asks the leader for one where
 // the server limits its requests. Without one, wait is when there may be one.
 func (x *exchange) takePermit(server string) (ok bool, wait time.Duration) {
-	verdict, wait, answered := x.g.limiting.take(server)
+	verdict, wait, answered := x.g.words.take(server)
 	if verdict != backpressure.Ask {
 		return verdict == backpressure.Send, wait
 	}
@@ -93,76 +43,83 @@
 		case <-x.ctx.Done():
 			return false, permitTime
 		}
-		verdict, wait, answered = x.g.limiting.take(server)
+		verdict, wait, answered = x.g.words.take(server)
 	}
 	return verdict == backpressure.Send, wait
 }
 
 // take takes a permit for a request to a server. With Ask, the leader's next answer closes
 // the channel.
-func (l *limiting) take(server string) (backpressure.Verdict, time.Duration, <-chan struct{}) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	verdict, wait := l.limits.Take(server, clock.Now())
-	return verdict, wait, l.answered
+func (w *words) take(server string) (backpressure.Verdict, time.Duration, <-chan struct{}) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	now := clock.Now()
+	if w.departures.Leaves(server) {
+		return backpressure.Wait, forGood, nil
+	}
+	if left := w.rests.Left(server, now); left > 0 {
+		return backpressure.Wait, left, nil
+	}
+	verdict, wait := w.limits.Take(server, now)
+	return verdict, wait, w.answered
 }
 
 // noteSent counts a request that is sent to a server: limits are kept to over what came
 // ahead of them, too.
 func (g *Gateway) noteSent(server string) {
-	l := &g.limiting
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.limits.Sent(server, clock.Now())
+	w := &g.words
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.limits.Sent(server, clock.Now())
 }
 
-// spare takes a permit for a question to a server, and reports whether there was one.
+// spare takes a permit for a question to a server, and reports whether there was one. A
+// server that leaves is asked: its answer tells when it ends.
 func (g *Gateway) spare(server string) bool {
-	verdict, _, _ := g.limiting.take(server)
+	w := &g.words
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	now := clock.Now()
+	if w.rests.Left(server, now) > 0 {
+		return false
+	}
+	verdict, _ := w.limits.Take(server, now)
 	return verdict == backpressure.Send
 }
 
 // forcePermit takes a permit for a run that goes on at a server which has its memory
 // already, or notes that there was none.
 func (g *Gateway) forcePermit(server string) {
-	l := &g.limiting
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.limits.Force(server, clock.Now())
-}
-
-// keepLimits drops the limits of servers that are listed no more.
-func (g *Gateway) keepLimits(view *place.View) {
-	l := &g.limiting
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.limits.Keep(func(server string) bool { return view.Find(server) != nil })
+	w := &g.words
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.limits.Force(server, clock.Now())
 }
 
 // LimitedServers returns the servers that limit their requests, sorted.
 func (g *Gateway) LimitedServers() []string {
-	l := &g.limiting
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.limits.Limited()
+	w := &g.words
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.limits.Limited()
 }
 
 // LimitsBehind reports whether the leader of a term has limits that are not known here.
 func (g *Gateway) LimitsBehind(term, change uint64) bool {
-	l := &g.limiting
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.limits.Behind(term, change)
+	w := &g.words
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.limits.Behind(term, change)
 }
 
 // ReportLimits returns what the leader lacks of the servers' limits, and what permits are
 // wanted. It is false where no server is known to limit its requests.
 func (g *Gateway) ReportLimits() (m protocol.LimitsMsg, any bool) {
-	l := &g.limiting
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.limits.SetGateways(int(g.gateways.Load()))
-	m, any = l.limits.Report(clock.Now())
+	w := &g.words
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.limits.SetGateways(int(g.gateways.Load()))
+	m, any = w.limits.Report(clock.Now())
 	m.Gateway = g.cfg.Name
 	return m, any
 }
@@ -170,36 +127,35 @@
 // AnsweredLimits takes the leader's answer to a report that was made at a time; it is nil
 // where none came. Requests that wait look again.
 func (g *Gateway) AnsweredLimits(m *protocol.LimitsMsg, reply *protocol.LimitsReply, asked time.Time) {
-	l := &g.limiting
-	l.mu.Lock()
-	defer l.mu.Unlock()
+	w := &g.words
+	w.mu.Lock()
+	defer w.mu.Unlock()
 	if reply != nil {
-		l.limits.Answered(m, reply, asked, clock.Now())
+		w.limits.Answered(m, reply, asked, clock.Now())
 	}
-	close(l.answered)
-	l.answered = make(chan struct{})
+	close(w.answered)
+	w.answered = make(chan struct{})
 }
 
 // permitted returns a server that the request may be sent to now: one that pick returns
-// and that does not limit its requests, or has a permit for it. Where all that are left
-// limit theirs and none has, it waits for a short while.
+// and that takes it. Where none does, it waits for a short while.
 func (x *exchange) permitted(pick func() (*place.Server, *protocol.Refusal)) (*place.Server, *protocol.Refusal) {
 	for end := clock.Now().Add(roomTime); ; {
 		s, wait, refusal := x.pickPermitted(pick)
-		if s != nil || len(x.limited) == 0 {
+		if refusal == nil || wait == forGood {
 			return s, refusal
 		}
 		if clock.Now().Add(wait).After(end) || !x.waitFor(wait) {
-			return nil, x.atLimits(wait)
+			return nil, x.noneTakes(wait)
 		}
 	}
 }
 
-// pickPermitted has pick choose among the servers until it returns one that there is a
-// permit for. Where there is none, wait is when one of those that it returned may have one,
-// or the refusal is pick's for other reasons.
+// pickPermitted has pick choose among the servers until it returns one that takes the
+// request. Where it finds none, wait is when one of those that were passed over may take
+// it; forGood where none was passed over that will.
 func (x *exchange) pickPermitted(pick func() (*place.Server, *protocol.Refusal)) (s *place.Server, wait time.Duration, refusal *protocol.Refusal) {
-	x.limited = nil
+	x.closed, wait = x.g.words.closed(x.g.view.Load(), x.service)
 	for {
 		s, refusal = pick()
 		if refusal != nil {
@@ -211,10 +167,8 @@
 		}
 		x.ended() // A place that the leader gave is not taken.
 		x.creditBack()
-		if len(x.limited) == 0 || free < wait {
-			wait = free
-		}
-		x.limited = append(x.limited, s.ID)
+		wait = min(wait, free)
+		x.closed = append(x.closed, s.ID)
 	}
 }
 
@@ -233,11 +187,21 @@
 // leastRoomWait is the least time between two looks for room.
 const leastRoomWait = 10 * time.Millisecond
 
-// atLimits refuses a request that no server takes within its limit for a while.
-func (x *exchange) atLimits(wait time.Duration) *protocol.Refusal {
+// noneTakes refuses a request that no server takes for a while.
+func (x *exchange) noneTakes(wait time.Duration) *protocol.Refusal {
 	x.g.meters.refusedLimited.Inc(1)
-	x.log.Info().Strs("servers", x.limited).Dur("wait", wait).Msg("all servers are at the limits that they name")
+	x.log.Info().Int("servers", len(x.closed)).Dur("wait", wait).Msg("no server takes a request at present")
 	back := max(leastRoomWait, wait)
 	back += time.Duration(backSpread * rand.Float64() * float64(back))
 	return protocol.NewRefusal(protocol.StatusServiceUnavailable, protocol.CodeOverloaded, "the servers take no more requests at present").WithRetryAfter(back)
 }
+
+// turnedBack goes on after a server that was chosen takes nothing any more: another one is
+// chosen, and a moved run goes back to its source.
+func (x *exchange) turnedBack() *protocol.Refusal {
+	x.ended()
+	if x.continuation != nil && !x.movedFailed(protocol.NotRun) {
+		return x.afterEarlierAttempts(protocol.NewRefusal(protocol.StatusServiceUnavailable, protocol.CodeNoBackend, "the server that the answer was moved to takes no requests"))
+	}
+	return errAgain
+}
--- a/transport/forward/move.go
+++ b/transport/forward/move.go
@@ -203,8 +203,11 @@
 // move copies a run to another server and stops it at its own. It reports whether the
 // copy was made.
 func (r *running) move(n notice) (copied bool) {
+	if r.g.words.resting(r.server.ID) {
+		return false // It is tried again behind the rest, if the server is there for so long.
+	}
 	view, now := r.g.view.Load(), clock.Now()
-	target := place.MoveTarget(view, r.server, place.ChooseMsg{Rand: rand.Uint64(), Now: now})
+	target := place.MoveTarget(view, r.server, place.ChooseMsg{Rand: rand.Uint64(), Now: now, Avoid: r.g.words.unwilling()})
 	if target == nil {
 		return false // It is tried again in a while.
 	}
--- a/transport/forward/move_call.go
+++ b/transport/forward/move_call.go
@@ -66,6 +66,9 @@
 
 // freeAt reports whether a server dropped a copy.
 func (r *running) freeAt(s *place.Server, handle string) bool {
+	if r.g.words.resting(s.ID) {
+		return false
+	}
 	out := fasthttp.AcquireRequest()
 	defer fasthttp.ReleaseRequest(out)
 	r.g.moves.mover.Free(out, handle)
--- a/transport/forward/room.go
+++ b/transport/forward/room.go
@@ -100,9 +100,9 @@
 }
 
 // excluded are the servers that are not sent the request: those that had it, those that
-// have no room for its body, and those that are at the limit which they name.
+// have no room for its body, and those that take nothing now.
 func (x *exchange) excluded() []string {
-	return slices.Concat(x.avoid, x.fullServers(), x.limited)
+	return slices.Concat(x.avoid, x.fullServers(), x.closed)
 }
 
 // noRoomAtServers refuses a request that no server has room for.
