Entry instances keep the rest that a backend server asks for

What callers saw: a server that turned a request away with a time to come back got the next request of the same entry instance at once, and where all servers had done so callers were told 2 s whatever those said. Change: restBox keeps rests by server with the same package as gateways; exchange.choose, which first sends, retries, hedges, moved and handed-over runs all pass, leaves resting servers out, and a refusal tells when the first of them takes requests.

--- a/transport/engine.go
+++ b/transport/engine.go
@@ -44,6 +44,7 @@
 	opened  func(*wire) bool       // opened hands over the connection for cancellation.
 	release func() bool            // release takes it back when it was read to its end.
 	leaving func(protocol.Leaving) // leaving is told when the server says that it leaves.
+	rests   *restBox               // rests are told when it asks for rest.
 	broke   func(*call, error)     // broke is told when the server's connection ended under the request.
 	sent    time.Time              // sent is when the attempt was made.
 }
@@ -178,6 +179,7 @@
 	if string(resp.Header.Peek(protocol.HeaderLeaving)) == "true" {
 		c.leaving(protocol.Leaving{Server: c.server.ID, Origin: "refusal"})
 	}
+	c.rests.heard(c.server.ID, resp)
 	if status == http.StatusNotFound {
 		m.Verdict = protocol.NotRun // It does not have the model, perhaps since a moment ago.
 	}
--- a/transport/exchange.go
+++ b/transport/exchange.go
@@ -187,9 +187,9 @@
 		x.apply(heldMsg(cmd.Attempt, p))
 		return
 	}
-	server, err := x.g.choose(x.request, cmd)
+	server, wait, err := x.g.choose(x.request, cmd)
 	if err != nil {
-		r := protocol.NewRefusal(503, protocol.CodeNoBackend, "%v", err).WithRetryAfter(retryNoBackend)
+		r := protocol.NewRefusal(503, protocol.CodeNoBackend, "%v", err).WithRetryAfter(wait)
 		x.apply(attempt.FailedMsg{Attempt: cmd.Attempt, Verdict: protocol.NotRun, Status: r.Status, Code: r.Code, Reason: r.Message, RetryAfter: r.RetryAfter, Final: true})
 		return
 	}
@@ -207,6 +207,7 @@
 		send:    x.deliver,
 		opened:  func(w *wire) bool { return x.hold(cmd.Attempt, w) },
 		leaving: x.g.leaving,
+		rests:   x.g.rests,
 		broke:   x.broke,
 		sent:    time.Now(),
 		release: func() bool { return x.release(cmd.Attempt) },
@@ -348,7 +349,7 @@
 		return
 	}
 	elsewhere := attempt.DispatchCmd{AvoidServers: append([]string{cmd.Server}, x.state.Failed...)}
-	if _, err := x.g.choose(x.request, elsewhere); err != nil {
+	if _, _, err := x.g.choose(x.request, elsewhere); err != nil {
 		// Nowhere to go yet: the old server goes on, and is asked again later.
 		x.post(attempt.ExportedMsg{Attempt: cmd.Attempt})
 		time.AfterFunc(moveRetry, func() { x.post(attempt.LeavingMsg{Server: cmd.Server}) })
@@ -400,8 +401,9 @@
 	return rand.N(most)
 }
 
-// choose copies the counts and asks the chooser.
-func (g *Gateway) choose(r *protocol.Request, cmd attempt.DispatchCmd) (*state.Server, error) {
+// choose copies the counts and asks the chooser. With an error, wait is when there may be a
+// server.
+func (g *Gateway) choose(r *protocol.Request, cmd attempt.DispatchCmd) (s *state.Server, wait time.Duration, err error) {
 	began := clock.Now()
 	defer func() { g.metrics.decision.UpdateSince(began) }()
 	view := g.tables.Backends.View()
@@ -420,11 +422,15 @@
 	counts := g.counts.Get().(*[]int32)
 	defer g.counts.Put(counts)
 	*counts = view.Outstanding(*counts)
-	i, err := g.chooser.Choose(view, *counts, m)
-	if err != nil {
-		return nil, err
+	i, err := g.chooser.Choose(view, *counts, g.rests.avoid(m))
+	if err == nil {
+		return &view.Servers[i], 0, nil
+	}
+	g.rests.forget(view)
+	if wait, rests := g.rests.free(view, m); rests {
+		return nil, wait, err
 	}
-	return &view.Servers[i], nil
+	return nil, retryNoBackend, err
 }
 
 func (g *Gateway) isLeaving(server string) bool {
--- a/transport/gateway.go
+++ b/transport/gateway.go
@@ -46,6 +46,7 @@
 	self     protocol.Member
 
 	quarantine *Quarantine
+	rests      *restBox // rests are the servers that asked for rest.
 
 	recording sync.WaitGroup // recording counts outcomes that are being recorded.
 
@@ -123,6 +124,7 @@
 	if g.quarantine == nil {
 		g.quarantine = NewQuarantine(s.Name, NewLocalQuarantine(g.isLeaving), s.Timeouts.Dial, g.log)
 	}
+	g.rests = &restBox{log: g.log}
 	if g.metrics == nil {
 		g.metrics = newGatewayMetrics(metrics.NewRegistry())
 	}
