--- a/coordination/backpressure/book.go
+++ b/coordination/backpressure/book.go
@@ -47,7 +47,7 @@
 	atOnce = 500 * time.Millisecond
 	// leastWait is the least time after which a gateway may ask again.
 	leastWait = 10 * time.Millisecond
-	// goneKept is for how long a limit that is gone stays in the book, so that all are told.
+	// goneKept is for how long a limit that is gone stays in the book, so that all gateways hear of it.
 	goneKept = time.Minute
 )
 
--- a/coordination/backpressure/limits.go
+++ b/coordination/backpressure/limits.go
@@ -31,17 +31,17 @@
 
 // limited is one server that named a limit.
 type limited struct {
-	limit   protocol.RateLimit
-	said    time.Time // said is when the server said so, as far as is known.
-	told    bool      // told says that the leader of the term has this.
-	counted bool      // counted says that it has what was sent here, too.
-	permits []permits
-	lacking int       // lacking are requests without a permit since the last question.
-	back    int       // back are permits that expired unused, to be told.
-	alone   int       // alone are requests that were sent without a permit, to be told.
-	telling int       // telling are those of them that the report under way tells.
-	room    time.Time // room is when there will be more permits, as far as is known.
-	own     ownPart
+	limit     protocol.RateLimit
+	said      time.Time // said is when the server said so, as far as is known.
+	reported  bool      // reported says that the leader of the term has this.
+	counted   bool      // counted says that it has what was sent here, too.
+	permits   []permits
+	lacking   int       // lacking are requests without a permit since the last question.
+	back      int       // back are permits that expired unused, to be reported.
+	alone     int       // alone are requests that were sent without a permit, to be reported.
+	reporting int       // reporting are those of them that the report under way names.
+	room      time.Time // room is when there will be more permits, as far as is known.
+	own       ownPart
 }
 
 // permits may be used up to a time.
@@ -84,14 +84,14 @@
 }
 
 // set puts a limit in force, and reports whether it is another one than before.
-func (s *limited) set(limit protocol.RateLimit, told bool) (changed bool) {
+func (s *limited) set(limit protocol.RateLimit, reported bool) (changed bool) {
 	if s.limit == limit {
 		return false
 	}
 	if !s.limit.Named {
-		s.counted = false // What was sent meanwhile is to be told.
+		s.counted = false // What was sent meanwhile is to be reported.
 	}
-	s.limit, s.told = limit, told
+	s.limit, s.reported = limit, reported
 	s.permits, s.room = nil, time.Time{} // What was granted under another limit is given up.
 	return true
 }
@@ -128,7 +128,7 @@
 }
 
 // Force takes a permit for a request that is sent in any case: it has its place at the
-// server already. Where there is none, it is told as sent without one.
+// server already. Where there is none, it is reported as sent without one.
 func (l *Limits) Force(server string, now time.Time) {
 	s := l.servers[server]
 	if s != nil && s.limit.Named && !s.spend(now) {
@@ -171,7 +171,7 @@
 }
 
 // EachWaiting calls a func with each server for which there is no permit for a while, as the
-// leader told, and for how long. While none answers, that says nothing.
+// leader said, and for how long. While none answers, that says nothing.
 func (l *Limits) EachWaiting(now time.Time, call func(server string, wait time.Duration)) {
 	if l.isAlone(now) {
 		return
@@ -212,7 +212,7 @@
 func (l *Limits) Report(now time.Time) (m protocol.LimitsMsg, any bool) {
 	m.Term, m.Held = l.term, l.held
 	for server, s := range l.servers {
-		if !s.told {
+		if !s.reported {
 			m.Heard = append(m.Heard, protocol.HeardLimit{Server: server, Limit: s.limit, Ago: now.Sub(s.said)})
 		}
 		if !s.limit.Named {
@@ -248,7 +248,7 @@
 func (s *limited) want(server string, now time.Time) protocol.PermitWant {
 	count := max(0, s.lacking-s.expire(now))
 	w := protocol.PermitWant{Server: server, Count: count, Back: s.back}
-	s.telling = s.alone
+	s.reporting = s.alone
 	if s.counted {
 		w.Alone = s.alone // Else they are among what was sent.
 	}
@@ -271,7 +271,7 @@
 	for i := range reply.Grants {
 		news = l.granted(&reply.Grants[i], asked, now) || news
 	}
-	maps.DeleteFunc(l.servers, func(_ string, s *limited) bool { return !s.limit.Named && s.told })
+	maps.DeleteFunc(l.servers, func(_ string, s *limited) bool { return !s.limit.Named && s.reported })
 	return news
 }
 
@@ -279,7 +279,7 @@
 func (l *Limits) acknowledge(m *protocol.LimitsMsg) {
 	for _, h := range m.Heard {
 		if s := l.servers[h.Server]; s != nil && s.limit == h.Limit {
-			s.told = true
+			s.reported = true
 		}
 	}
 	for _, row := range m.Sent {
@@ -288,31 +288,31 @@
 		}
 	}
 	for _, s := range l.servers {
-		s.alone, s.telling = s.alone-s.telling, 0
+		s.alone, s.reporting = s.alone-s.reporting, 0
 	}
 }
 
-// newTerm has all told again: another leader knows nothing of it.
+// newTerm has all reported again: another leader knows nothing of it.
 func (l *Limits) newTerm(term uint64) {
 	l.term = term
 	for _, s := range l.servers {
-		s.told, s.counted = false, false
+		s.reported, s.counted = false, false
 	}
 }
 
-// hear takes a limit that the leader tells. What a server said here and the leader was not
-// told yet goes before it.
-func (l *Limits) hear(told *protocol.ServerLimit, asked time.Time) (changed bool) {
-	s := l.servers[told.Server]
-	if s != nil && !s.told {
+// hear takes a limit that the leader tells. What a server said here and has not been
+// reported yet goes before it.
+func (l *Limits) hear(news *protocol.ServerLimit, asked time.Time) (changed bool) {
+	s := l.servers[news.Server]
+	if s != nil && !s.reported {
 		return false
 	}
 	if s == nil {
-		s = &limited{told: true}
-		l.servers[told.Server] = s
+		s = &limited{reported: true}
+		l.servers[news.Server] = s
 	}
 	s.said = asked
-	return s.set(told.Limit, true)
+	return s.set(news.Limit, true)
 }
 
 // granted puts permits in.
--- a/transport/forward/limiting.go
+++ b/transport/forward/limiting.go
@@ -200,6 +200,7 @@
 // chosen, and a moved run goes back to its source.
 func (x *exchange) turnedBack() *protocol.Refusal {
 	x.ended()
+	x.creditBack()
 	if x.continuation != nil && !x.movedFailed(protocol.NotRun) {
 		return x.afterEarlierAttempts(protocol.NewRefusal(protocol.StatusServiceUnavailable, protocol.CodeNoBackend, "the server that the answer was moved to takes no requests"))
 	}
