--- a/cmd/weldsoak/main.go
+++ b/cmd/weldsoak/main.go
@@ -37,6 +37,7 @@
 	flag.DurationVar(&size.Delay, "delay", regionDelay, "the delay between two regions, one way")
 	reclaim := flag.Bool("reclaim", false, "take servers away with what runs there as well")
 	crash := flag.Bool("crash", false, "have requests come that end each server which runs them")
+	words := flag.Bool("words", false, "have servers name limits and ask for rest")
 	earlier := builds{}
 	flag.StringVar(&earlier.program, "earlier", "", "the daemon's `program` of an earlier build, for some processes")
 	mix := flag.String("mix", string(soak.MixFirst), "which processes run it: gateways, controls, first (lives) or last (lives)")
@@ -52,7 +53,7 @@
 	}
 	failed := 0
 	for _, seed := range seeds {
-		if !play(*daemon, earlier, seed, *length, size, *reclaim, *crash) {
+		if !play(*daemon, earlier, seed, *length, size, *reclaim, *crash, *words) {
 			failed++
 		}
 	}
@@ -94,7 +95,7 @@
 
 // play runs one seed and reports whether every promise held. Logs of a run that
 // broke one are kept.
-func play(daemon string, earlier builds, seed uint64, length time.Duration, size soak.Size, reclaim, crash bool) bool {
+func play(daemon string, earlier builds, seed uint64, length time.Duration, size soak.Size, reclaim, crash, words bool) bool {
 	dir, err := os.MkdirTemp("", fmt.Sprintf("weldsoak-%d-", seed))
 	if err != nil {
 		fmt.Fprintln(os.Stderr, "weldsoak:", err)
@@ -119,11 +120,14 @@
 	if crash {
 		plan = plan.WithCrashes()
 	}
+	if words {
+		plan = plan.WithWords()
+	}
 	result, err := soak.Run(c, plan)
 	c.Close()
 	if err == nil && len(result.Breaches) == 0 {
-		fmt.Printf("seed %d: %d faults, %d of %d requests served, %d roll-outs completed, %d turned back, %d answers moved, %d servers ended under requests, nothing broken\n",
-			seed, len(plan.Steps), result.Served, result.Asked, result.Completed, result.RolledBack, result.Moved, result.Crashed)
+		fmt.Printf("seed %d: %d faults, %d of %d requests served, %d roll-outs completed, %d turned back, %d answers moved, %d servers ended under requests, %d limits kept to, nothing broken\n",
+			seed, len(plan.Steps), result.Served, result.Asked, result.Completed, result.RolledBack, result.Moved, result.Crashed, result.Limits)
 		return os.RemoveAll(dir) == nil
 	}
 	fmt.Printf("seed %d: BROKEN, error %v, logs in %s\n%s", seed, err, dir, plan)
--- a/internal/soak/limit_test.go
+++ b/internal/soak/limit_test.go
@@ -12,11 +12,6 @@
 )
 
 const (
-	// limitWindow and limitBurst are what a server that names a limit bears: in the window one
-	// and a half times what the limit allows, and a burst.
-	limitWindow = 4 * time.Second
-	limitFactor = 1.5
-	limitBurst  = 5
 	// limitContact is how long after it named its limit first that holds.
 	limitContact = 3 * time.Second
 	// limitPause is between two requests at each gateway: together they send a server two to
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -53,6 +53,7 @@
 	// Reclaims says that servers are taken away with what runs there.
 	Reclaims bool
 	Crashes  bool // Crashes says that requests come which end servers.
+	Words    bool // Words says that servers name limits and ask for rest.
 }
 
 const (
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -19,6 +19,7 @@
 	Completed  int // Completed and RolledBack are how roll-outs ended.
 	RolledBack int
 	Crashed    int // Crashed are servers that ended under requests.
+	Limits     int // Limits are how many were named for long enough to be checked.
 	Moved      int // Moved are running answers that went on at another server.
 	Breaches   []string
 }
@@ -67,7 +68,11 @@
 		crashes = c.letCrash()
 		r.crash(ctx, &load)
 	}
-	if !p.Reclaims && !p.Crashes {
+	words := talkers{}
+	if p.Words {
+		words.talk(ordering, c, p.Seed)
+	}
+	if !p.Reclaims && !p.Crashes && !p.Words {
 		ordered.Go(func() { rollouts.run(ordering, p.Seed) })
 	}
 	r.play(p)
@@ -79,11 +84,12 @@
 	cancel()
 	load.Wait()
 	ended := crashes()
+	overLimits, limits := words.breaches()
 	r.recover()
 	k.Finish()
 	rollouts.Finish()
-	return Result{Asked: len(k.asks), Served: k.Served(), Completed: rollouts.Completed, RolledBack: rollouts.RolledBack, Moved: c.Record.Moved(), Crashed: ended,
-		Breaches: slices.Concat(k.Breaches(), c.API.Breaches(), c.Record.Breaches())}, nil
+	return Result{Asked: len(k.asks), Served: k.Served(), Completed: rollouts.Completed, RolledBack: rollouts.RolledBack, Moved: c.Record.Moved(), Crashed: ended, Limits: limits,
+		Breaches: slices.Concat(k.Breaches(), c.API.Breaches(), c.Record.Breaches(), overLimits)}, nil
 }
 
 // first has the first configuration taken, which opens the day.
