A request waits once for a leader that does not answer

What callers would see: while no leader answers and all servers of a service limit their requests, a request waited 0.1 s for each server in turn until its gateway went on alone after 0.7 s, too late for brief ones. Change: the time in which the leader is asked belongs to the choice of a server, not to each server. After: one question in each look for room.

--- a/transport/forward/limiting.go
+++ b/transport/forward/limiting.go
@@ -11,8 +11,8 @@
 )
 
 const (
-	// permitTime is how long a request waits for the leader's answer to whether a server that
-	// limits its requests takes it, before another server is chosen.
+	// permitTime is how long a request waits for the leader's answers to whether servers that
+	// limit their requests take it, before others are chosen.
 	permitTime = 100 * time.Millisecond
 	// roomTime is how long a request waits until one of the servers takes requests again,
 	// where none does; one that would wait for longer is refused at once.
@@ -25,22 +25,12 @@
 // WithLimitsNow sets what has the leader asked for permits at once.
 func WithLimitsNow(f func()) Option { return func(g *Gateway) { g.limitsNow = f } }
 
-// takePermit takes a permit for the request to a server, and asks the leader for one where
-// the server limits its requests. Without one, wait is when there may be one.
-func (x *exchange) takePermit(server string) (ok bool, wait time.Duration) {
+// takePermit takes a permit for the request to a server, and asks the leader for one until a
+// time where the server limits its requests. Without one, wait is when there may be one.
+func (x *exchange) takePermit(server string, until time.Time) (ok bool, wait time.Duration) {
 	verdict, wait, answered := x.g.words.take(server)
-	if verdict != backpressure.Ask {
-		return verdict == backpressure.Send, wait
-	}
-	end := time.NewTimer(permitTime)
-	defer end.Stop()
 	for verdict == backpressure.Ask {
-		x.g.limitsNow()
-		select {
-		case <-answered:
-		case <-end.C:
-			return false, permitTime
-		case <-x.ctx.Done():
+		if !x.askPermit(answered, until) {
 			return false, permitTime
 		}
 		verdict, wait, answered = x.g.words.take(server)
@@ -48,6 +38,24 @@
 	return verdict == backpressure.Send, wait
 }
 
+// askPermit has the leader asked for permits, and reports whether it answered by a time.
+func (x *exchange) askPermit(answered <-chan struct{}, until time.Time) bool {
+	left := clock.Until(until)
+	if left <= 0 {
+		return false // It was asked for another server, and did not answer.
+	}
+	end := time.NewTimer(left)
+	defer end.Stop()
+	x.g.limitsNow()
+	select {
+	case <-answered:
+		return true
+	case <-end.C:
+	case <-x.ctx.Done():
+	}
+	return false
+}
+
 // take takes a permit for a request to a server. With Ask, the leader's next answer closes
 // the channel.
 func (w *words) take(server string) (backpressure.Verdict, time.Duration, <-chan struct{}) {
@@ -156,12 +164,12 @@
 // it; forGood where none was passed over that will.
 func (x *exchange) pickPermitted(pick func() (*place.Server, *protocol.Refusal)) (s *place.Server, wait time.Duration, refusal *protocol.Refusal) {
 	x.closed, wait = x.g.words.closed(x.g.view.Load(), x.service)
-	for {
+	for until := clock.Now().Add(permitTime); ; {
 		s, refusal = pick()
 		if refusal != nil {
 			return nil, wait, refusal
 		}
-		ok, free := x.takePermit(s.ID)
+		ok, free := x.takePermit(s.ID, until)
 		if ok {
 			return s, 0, nil
 		}
--- a/transport/forward/limiting_test.go
+++ b/transport/forward/limiting_test.go
@@ -121,3 +121,22 @@
 	serve(1)
 	serve(300) // Within the limit they would take 15 s, and twice that alone.
 }
+
+// TestSilentLeaderIsAskedOnce checks that a request waits once for a leader that does not
+// answer, and not once for each of the servers that limit their requests.
+func TestSilentLeaderIsAskedOnce(t *testing.T) {
+	w := newWorld(t)
+	w.install(protocol.PathRoute{Attempts: 1})
+	var asked atomic.Int64
+	w.g.limitsNow = func() { asked.Add(1) }
+	for _, id := range []string{"a", "b", "c", "d", "e"} {
+		w.backend(id, good)
+		w.g.words.limits.Heard(id, protocol.RateLimit{Named: true, PerSecond: 1}, clock.Now())
+	}
+	if got := w.ask(); got.status != 503 || got.verdict != "not-run" {
+		t.Errorf("got %+v", got)
+	}
+	if n := asked.Load(); n > 4 { // It looks again while it waits for room.
+		t.Errorf("the leader was asked %d times", n)
+	}
+}
