--- a/transport/control/startless_test.go
+++ b/transport/control/startless_test.go
@@ -8,19 +8,23 @@
 	"github.com/weldstream/weldstream/protocol"
 )
 
+// gatewayBuilds are a gateway's questions, by its build, and how it is told of the start 5 of
+// a server "a".
+var gatewayBuilds = map[string]struct {
+	from protocol.SyncMsg
+	want string
+}{
+	"no starts":              {protocol.SyncMsg{Gateway: "g"}, "a"},
+	"starts and no features": {protocol.SyncMsg{Gateway: "g", Quarantined: new(uint64)}, "a@5"},
+	"today's":                {protocol.SyncMsg{Gateway: "g", Features: protocol.OwnFeatures}, "a@5"},
+}
+
 // TestGatewaysOfEarlierBuilds checks how gateways of three builds are told of a server that
 // tells its start: one that knows no starts, by the name alone, whole at each change; one that
 // knows them and tells no features; and one of today. What each reports counts for the same
 // server.
 func TestGatewaysOfEarlierBuilds(t *testing.T) {
-	for name, c := range map[string]struct {
-		from protocol.SyncMsg
-		want string
-	}{
-		"no starts":              {protocol.SyncMsg{Gateway: "g"}, "a"},
-		"starts and no features": {protocol.SyncMsg{Gateway: "g", Quarantined: new(uint64)}, "a@5"},
-		"today's":                {protocol.SyncMsg{Gateway: "g", Features: protocol.OwnFeatures}, "a@5"},
-	} {
+	for name, c := range gatewayBuilds {
 		u := newUplink(newFakeGroup())
 		u.SetServers(1, []protocol.Instance{{ID: "a@5", Service: "s"}, {ID: "b", Service: "s"}})
 		first := sync1(t, u, c.from)
@@ -75,14 +79,7 @@
 // older news and left all servers out ("list of servers", servers 0; soak seed 105 in three
 // regions).
 func TestRelaysAreToldStarts(t *testing.T) {
-	for name, c := range map[string]struct {
-		from protocol.SyncMsg
-		want string
-	}{
-		"no starts":              {protocol.SyncMsg{Gateway: "g"}, "a"},
-		"starts and no features": {protocol.SyncMsg{Gateway: "g", Quarantined: new(uint64)}, "a@5"},
-		"today's":                {protocol.SyncMsg{Gateway: "g", Features: protocol.OwnFeatures}, "a@5"},
-	} {
+	for name, c := range gatewayBuilds {
 		leader, _, w := newLeader(1)
 		leader.SetServers(1, []protocol.Instance{{ID: "a@5", Service: "s"}})
 		relay, _ := newRelayOf(t, w, "relay")
