--- a/coordination/backpressure/backpressure_test.go
+++ b/coordination/backpressure/backpressure_test.go
@@ -460,3 +460,18 @@
 		book.Answer(&m, 1, now)
 	}
 }
+
+// TestLimitUnheardWithoutLeader has the leader go just as a server names its limit, before
+// many gateways that send rarely have heard of it. Each of them hears of it from the server
+// alone, with an answer to a request that it had sent before it knew.
+func TestLimitUnheardWithoutLeader(t *testing.T) {
+	const gateways, limit = 40, 1
+	f := newFleet(2, gateways)
+	f.run(Window, limit)
+	f.names(limit)
+	f.book = nil
+	f.run(2*Window, 8*limit)
+	if most := f.server.most(); most > f.server.bears() {
+		t.Errorf("%d requests in a window; the server bears %d", most, f.server.bears())
+	}
+}
