Soak: the drawn times of servers' words have names; reasons beside two dropped values

The draws of a seed stay as they are: the bounds have the values that they had. In the product only comments changed.

--- a/internal/soak/words.go
+++ b/internal/soak/words.go
@@ -19,6 +19,13 @@
 	// limitHeard is within what gateways have heard of a limit: their callers come all the
 	// while.
 	limitHeard = 500 * time.Millisecond
+	// leastRest and mostRest bound the rest that a server asks for with each restEach-th
+	// request, for mostTired at the most; mostSilent is how long it then says nothing.
+	leastRest  = 300 * time.Millisecond
+	mostRest   = 1300 * time.Millisecond
+	restEach   = 3
+	mostTired  = 2 * time.Second
+	mostSilent = time.Second
 )
 
 // limitHold is a time in which a server named one limit.
@@ -67,11 +74,11 @@
 			k.holds = append(k.holds, hold)
 			k.mu.Unlock()
 		case 1:
-			b.SetRest(3, 300*time.Millisecond+time.Duration(rnd.Int64N(int64(time.Second))))
-			pauseFor(ctx, time.Duration(rnd.Int64N(int64(2*time.Second))))
+			b.SetRest(restEach, leastRest+time.Duration(rnd.Int64N(int64(mostRest-leastRest))))
+			pauseFor(ctx, time.Duration(rnd.Int64N(int64(mostTired))))
 			b.SetRest(0, 0)
 		default:
-			pauseFor(ctx, time.Duration(rnd.Int64N(int64(time.Second))))
+			pauseFor(ctx, time.Duration(rnd.Int64N(int64(mostSilent))))
 		}
 	}
 }
--- a/transport/control/limits.go
+++ b/transport/control/limits.go
@@ -55,7 +55,7 @@
 
 // passLimits has the leader answer one of the relay's gateways.
 func (r *Relay) passLimits(m protocol.LimitsMsg, reply *protocol.LimitsReply) {
-	leader, _ := r.uplink.peers()
+	leader, _ := r.uplink.peers() // The list of all control instances is not needed.
 	if leader == "" || leader == r.own {
 		return
 	}
--- a/transport/control/relay.go
+++ b/transport/control/relay.go
@@ -65,7 +65,7 @@
 	underWay   int                  // underWay are the batches without an answer yet.
 	asked      string               // asked is the leader that the latest batch went to.
 	answerTime link.AnswerTime
-	limits     protocol.LimitsMark // limits are those of the leader, as it told last.
+	limits     protocol.LimitsMark // limits are those of the leader, as of its last answer.
 	overdue    bool                // overdue says that the leader is late with the answer to a batch, and none came since.
 	stopped    bool                // stopped says that Run has ended: nobody answers questions any more.
 }
--- a/transport/forward/limiting.go
+++ b/transport/forward/limiting.go
@@ -91,7 +91,7 @@
 	if w.rests.Left(server, now) > 0 {
 		return false
 	}
-	verdict, _ := w.limits.Take(server, now)
+	verdict, _ := w.limits.Take(server, now) // A question does not wait: it comes again in the next round.
 	return verdict == backpressure.Send
 }
 
