Limits of servers pass through any control instance while none leads

What callers saw: nothing yet; a server in need would.

Cause: only the leader's answers told limits on, and gateways have no way to one another.

Change: while no leader answers, a gateway asks the control instances in turn (Uplink.Passed), each as often as a leader would be asked by all gateways together (1.5 ms a gateway), tells what servers said to it and takes what they said to others. An instance holds the words for a minute and tells each gateway only what it lacks, by a mark. The later word holds. Nothing is granted this way; gateways go on with their even parts, which they do from the moment they hear of the limit. A gateway that was never linked asks none: all of them start at once.

The simulation's control instances stand without a leader now, as the deployments' do. TestNoMoreThanAServerTakes is stricter: its leader may now go at any time, also before all gateways know of the limit.

--- a/coordination/backpressure/backpressure.go
+++ b/coordination/backpressure/backpressure.go
@@ -11,7 +11,10 @@
 //	server ◄─requests─ gateway ◄─limits, permits───── leader
 //
 // A gateway that gets no answer from a leader goes on with a part of the limit, evenly
-// spaced, that depends on how many gateways there are.
+// spaced, that depends on how many gateways there are. Meanwhile any control instance
+// passes on what servers say of their limits ([Passed]):
+//
+//	gateway ──words──► control instance ──► other gateways
 //
 // All of it is pure: time and chance come in with each call.
 package backpressure
--- a/coordination/backpressure/backpressure_test.go
+++ b/coordination/backpressure/backpressure_test.go
@@ -24,6 +24,9 @@
 	knows = 500 * time.Millisecond
 )
 
+// controls are the control instances of a simulation.
+const controls = 3
+
 // tick is the time between two steps of a simulation.
 const tick = 10 * time.Millisecond
 
@@ -70,21 +73,28 @@
 	cut     bool      // cut says that the leader does not answer it.
 	told    time.Time // told is when the first answer with a limit came; zero before.
 	answers []time.Time
+	turn    int // turn is whose turn among the control instances it is to be asked while none leads.
+	marks   []protocol.PassedMark
 }
 
-// fleet is gateways and a leader before one server.
+// fleet is gateways, control instances and a leader before one server.
 type fleet struct {
 	rnd     *rand.Rand
 	now     time.Time
 	server  server
 	members []*member
-	book    *Book // book is nil while no leader stands.
+	asked   int       // asked counts the questions to control instances while none leads.
+	passed  []*Passed // passed are those of the control instances, which stand whether or not one leads.
+	book    *Book     // book is nil while no leader stands.
 	term    uint64
 	loss    float64 // loss is the part of the questions to the leader that get no answer.
 }
 
 func newFleet(seed uint64, gateways int) *fleet {
 	f := &fleet{rnd: rand.New(rand.NewPCG(seed, 1)), now: start, book: NewBook(), term: 1}
+	for i := range controls {
+		f.passed = append(f.passed, NewPassed(uint64(i+1)))
+	}
 	for range gateways {
 		f.join()
 	}
@@ -92,7 +102,7 @@
 }
 
 func (f *fleet) join() {
-	m := &member{limits: NewLimits(WithChance(f.rnd.Float64)), life: f.rnd.Uint64(), next: f.now.Add(f.after())}
+	m := &member{limits: NewLimits(WithChance(f.rnd.Float64)), life: f.rnd.Uint64(), next: f.now.Add(f.after()), marks: make([]protocol.PassedMark, controls)}
 	f.members = append(f.members, m)
 	for _, m := range f.members {
 		m.limits.SetGateways(len(f.members))
@@ -163,7 +173,11 @@
 func (f *fleet) report(m *member) {
 	m.next = f.now.Add(f.every())
 	msg, any := m.limits.Report(f.now)
-	if !any && !m.limits.Behind(f.told()) || f.book == nil || m.cut || f.rnd.Float64() < f.loss {
+	if f.book == nil {
+		f.pass(m)
+		return
+	}
+	if !any && !m.limits.Behind(f.told()) || m.cut || f.rnd.Float64() < f.loss {
 		return
 	}
 	msg.Gateway, msg.Life = strconv.FormatUint(m.life, 16), m.life
@@ -174,14 +188,19 @@
 	m.limits.Answered(&msg, &reply, f.now, f.now)
 }
 
-// allKnow reports whether all gateways go by the server's limit.
-func (f *fleet) allKnow() bool {
-	for _, m := range f.members {
-		if m.limits.Limit("s") != f.server.limit {
-			return false
-		}
+// pass has a gateway ask the next control instance what servers said to others.
+func (f *fleet) pass(m *member) {
+	m.next = f.now.Add(f.every() / controls)
+	m.turn = (m.turn + 1) % controls
+	f.asked++
+	if m.cut || f.rnd.Float64() < f.loss {
+		return
+	}
+	reply := f.passed[m.turn].Answer(&protocol.PassedMsg{Held: m.marks[m.turn], Heard: m.limits.Words(f.now)}, f.now)
+	if f.rnd.Float64() >= f.loss {
+		m.limits.TakePassed(reply.Heard, f.now)
+		m.marks[m.turn] = reply.Holds
 	}
-	return true
 }
 
 // names has the server name a limit.
@@ -212,11 +231,7 @@
 		for range rapid.IntRange(2, 8).Draw(t, "steps") {
 			switch rapid.SampledFrom([]string{"calm", "no leader", "elect", "join", "cut", "mend"}).Draw(t, "step") {
 			case "no leader":
-				// A gateway that has not heard of the limit when the leader goes hears of it from
-				// the server alone.
-				if f.allKnow() {
-					f.book = nil
-				}
+				f.book = nil
 			case "elect":
 				f.elect()
 			case "join":
@@ -435,6 +450,28 @@
 	}
 }
 
+// TestLimitPassedOnAtSize has the leader go just as a server names its limit, before a
+// thousand gateways. What each asks of control instances meanwhile is bounded as questions
+// to the leader are.
+func TestLimitPassedOnAtSize(t *testing.T) {
+	for _, gateways := range []int{300, 986} {
+		for _, limit := range []float64{1, 10} {
+			f := newFleet(uint64(gateways), gateways)
+			f.run(Window, limit)
+			f.names(limit)
+			f.book = nil
+			f.run(2*Window, 8*limit)
+			if most := f.server.most(); most > f.server.bears() {
+				t.Errorf("%d gateways, limit %.0f: %d requests in a window; the server bears %d", gateways, limit, most, f.server.bears())
+			}
+			// Each limited gateway may ask once more as a request of its finds no permit.
+			if most := int((2*Window).Seconds()*(1000/1.5*controls+8*limit)) + gateways; f.asked > most {
+				t.Errorf("%d gateways, limit %.0f: %d questions to control instances, at most %d", gateways, limit, f.asked, most)
+			}
+		}
+	}
+}
+
 // BenchmarkAnswer answers gateways of the largest fleet while all its servers name limits:
 // each question wants permits for five of them.
 func BenchmarkAnswer(b *testing.B) {
--- a/coordination/backpressure/limits.go
+++ b/coordination/backpressure/limits.go
@@ -35,6 +35,7 @@
 	said      time.Time // said is when the server said so, as far as is known.
 	reported  bool      // reported says that the leader of the term has this.
 	counted   bool      // counted says that it has what was sent here, too.
+	heard     bool      // heard says that the server said so in an answer to this gateway.
 	permits   []permits
 	lacking   int       // lacking are requests without a permit since the last question.
 	back      int       // back are permits that expired unused, to be reported.
@@ -80,7 +81,11 @@
 		l.servers[server] = s
 	}
 	s.said = now
-	return s.set(limit, false)
+	if !s.set(limit, false) {
+		return false
+	}
+	s.heard = true
+	return true
 }
 
 // set puts a limit in force, and reports whether it is another one than before.
@@ -312,7 +317,11 @@
 		l.servers[news.Server] = s
 	}
 	s.said = asked
-	return s.set(news.Limit, true)
+	if !s.set(news.Limit, true) {
+		return false
+	}
+	s.heard = false
+	return true
 }
 
 // granted puts permits in.
--- /dev/null
+++ b/coordination/backpressure/passed.go
@@ -0,0 +1,114 @@
+package backpressure
+
+import (
+	"maps"
+	"time"
+
+	"github.com/weldstream/weldstream/protocol"
+)
+
+// passedKept is for how long a limit is passed on: gateways tell it once, and those that
+// can still reach a control instance have heard of it long before.
+const passedKept = time.Minute
+
+// Passed are the limits that gateways tell a control instance while no leader answers them.
+// It passes them on to the others, and gives out no permits.
+type Passed struct {
+	incarnation uint64 // incarnation differs with each start of the control instance.
+	change      uint64 // change rises with each limit that changes.
+	limits      map[string]passedLimit
+}
+
+// passedLimit is what a server said to some gateway.
+type passedLimit struct {
+	limit  protocol.RateLimit
+	said   time.Time
+	change uint64 // change is that by which the limit came.
+}
+
+// NewPassed returns those of a control instance that has heard of none.
+func NewPassed(incarnation uint64) *Passed {
+	return &Passed{incarnation: incarnation, limits: map[string]passedLimit{}}
+}
+
+// Answer takes what servers said to a gateway and returns what the gateway lacks of what
+// they said to others.
+func (p *Passed) Answer(m *protocol.PassedMsg, now time.Time) protocol.PassedReply {
+	maps.DeleteFunc(p.limits, func(_ string, l passedLimit) bool { return now.Sub(l.said) > passedKept })
+	held := m.Held.Change
+	if m.Held.Incarnation != p.incarnation {
+		held = 0
+	}
+	reply := protocol.PassedReply{Heard: p.since(held, now)}
+	for i := range m.Heard {
+		p.hear(&m.Heard[i], now)
+	}
+	reply.Holds = protocol.PassedMark{Incarnation: p.incarnation, Change: p.change}
+	return reply
+}
+
+// since returns the limits that changed behind a change.
+func (p *Passed) since(change uint64, now time.Time) (list []protocol.HeardLimit) {
+	if change == p.change {
+		return nil
+	}
+	for server, l := range p.limits {
+		if l.change > change {
+			list = append(list, protocol.HeardLimit{Server: server, Limit: l.limit, Ago: now.Sub(l.said)})
+		}
+	}
+	return list
+}
+
+// hear takes what a server said to a gateway, unless it said something else since.
+func (p *Passed) hear(h *protocol.HeardLimit, now time.Time) {
+	l, known := p.limits[h.Server]
+	said := now.Add(-h.Ago)
+	if known && said.Before(l.said) {
+		return
+	}
+	if !known || l.limit != h.Limit {
+		p.change++
+		l.change = p.change
+	}
+	l.limit, l.said = h.Limit, said
+	p.limits[h.Server] = l
+}
+
+// Words returns the limits that servers named, or took back, in answers to this gateway.
+// They are what is passed on while no leader answers: one that is gone may have told only
+// some gateways what it knew.
+func (l *Limits) Words(now time.Time) (list []protocol.HeardLimit) {
+	for server, s := range l.servers {
+		if s.heard {
+			list = append(list, protocol.HeardLimit{Server: server, Limit: s.limit, Ago: now.Sub(s.said)})
+		}
+	}
+	return list
+}
+
+// TakePassed takes what servers said to other gateways, and reports whether a limit changed
+// by it. What a server said here later goes before it. The next leader is told of it, too.
+func (l *Limits) TakePassed(rows []protocol.HeardLimit, now time.Time) (changed bool) {
+	for i := range rows {
+		changed = l.takePassed(&rows[i], now) || changed
+	}
+	return changed
+}
+
+func (l *Limits) takePassed(row *protocol.HeardLimit, now time.Time) bool {
+	s, said := l.servers[row.Server], now.Add(-row.Ago)
+	if s == nil && !row.Limit.Named || s != nil && !said.After(s.said) {
+		return false
+	}
+	if s == nil {
+		s = &limited{}
+		l.servers[row.Server] = s
+	}
+	s.said = said
+	if !s.set(row.Limit, false) {
+		return false
+	}
+	s.heard = false
+	return true
+}
--- a/protocol/limits.go
+++ b/protocol/limits.go
@@ -21,6 +21,25 @@
 	Change uint64 // Change is 0 where it knows none.
 }
 
+// PassedMsg asks a control instance what servers said of their limits to other gateways,
+// while no leader answers.
+type PassedMsg struct {
+	Held  PassedMark   // Held is what the gateway has of this control instance.
+	Heard []HeardLimit // Heard is what servers said to the gateway itself.
+}
+
+// PassedReply is the answer.
+type PassedReply struct {
+	Holds PassedMark
+	Heard []HeardLimit // Heard is what came behind the mark that the gateway held.
+}
+
+// PassedMark names the limits that a control instance passes on.
+type PassedMark struct {
+	Incarnation uint64 // Incarnation differs with each start of the instance.
+	Change      uint64
+}
+
 // HeardLimit is what a server said of its limit in an answer to a gateway.
 type HeardLimit struct {
 	Server string
--- a/transport/control/limits.go
+++ b/transport/control/limits.go
@@ -37,6 +37,15 @@
 	return nil
 }
 
+// Passed tells a gateway that no leader answers what servers said of their limits to
+// others.
+func (u *Uplink) Passed(m protocol.PassedMsg, reply *protocol.PassedReply) error {
+	u.passing.Lock()
+	defer u.passing.Unlock()
+	*reply = u.passed.Answer(&m, clock.Now())
+	return nil
+}
+
 // LimitedServers returns the limits that servers name, in requests a second, for dumps;
 // nil from an instance that does not lead.
 func (u *Uplink) LimitedServers() map[string]float64 {
--- a/transport/control/uplink.go
+++ b/transport/control/uplink.go
@@ -52,6 +52,9 @@
 	relay    atomic.Pointer[Relay]         // relay answers gateways while this instance does not lead; nil for none.
 	domainOf func(peers []string) []string // domainOf tells the domains of control instances.
 
+	passing sync.Mutex           // passing guards passed, and is taken alone.
+	passed  *backpressure.Passed // passed are limits of servers that are told on while none leads.
+
 	mu      sync.Mutex // mu guards all below.
 	number  uint64
 	packed  []byte // packed is the document.
@@ -173,6 +176,7 @@
 	for _, opt := range opts {
 		opt(u)
 	}
+	u.passed = backpressure.NewPassed(u.incarnation)
 	u.logged.Store(&logged{})
 	u.quarantined.Store(&protocol.QuarantineLog{})
 	u.reset(0)
--- a/transport/forward/limiting.go
+++ b/transport/forward/limiting.go
@@ -132,6 +132,22 @@
 	return m, any
 }
 
+// Words returns what servers said to this gateway of their limits.
+func (g *Gateway) Words() []protocol.HeardLimit {
+	w := &g.words
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.limits.Words(clock.Now())
+}
+
+// TakePassed takes what servers said to other gateways.
+func (g *Gateway) TakePassed(rows []protocol.HeardLimit) {
+	w := &g.words
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.limits.TakePassed(rows, clock.Now())
+}
+
 // AnsweredLimits takes the leader's answer to a report that was made at a time; it is nil
 // where none came. Requests that wait look again.
 func (g *Gateway) AnsweredLimits(m *protocol.LimitsMsg, reply *protocol.LimitsReply, asked time.Time) {
--- a/transport/uplink/limits.go
+++ b/transport/uplink/limits.go
@@ -22,6 +22,10 @@
 	// AnsweredLimits takes the leader's answer to a report that was made at a time; it is
 	// nil where none came.
 	AnsweredLimits(m *protocol.LimitsMsg, reply *protocol.LimitsReply, asked time.Time)
+	// Words returns what servers said to the gateway itself of their limits.
+	Words() []protocol.HeardLimit
+	// TakePassed takes what servers said to other gateways, while no leader answers.
+	TakePassed(rows []protocol.HeardLimit)
 }
 
 // WithLimiter sets the gateway that keeps to the servers' limits; without it none is kept.
@@ -37,11 +41,16 @@
 
 // RunLimits keeps the gateway's part in the servers' limits up to date, until ctx ends. It
 // has a loop of its own: requests wait for its answers, and a question to the leader may
-// wait for a list.
+// wait for a list. While no leader answers, the control instances are asked in turn what
+// servers said to other gateways, each of them as often as a leader would be.
 func (c *Client) RunLimits(ctx context.Context) error {
+	most := every
 	for ctx.Err() == nil {
-		pause.Until(ctx, askEvery(int(c.members.Load())), c.limitsNow)
+		pause.Until(ctx, most, c.limitsNow)
+		most = askEvery(int(c.members.Load()))
 		if !c.askLimits() {
+			c.askPassed()
+			most /= time.Duration(max(1, len(c.known())))
 			pause.For(ctx, searchPause) // Requests that wait ask again at once.
 		}
 	}
@@ -49,11 +58,12 @@
 }
 
 // askLimits asks the leader, or a relay, if there is anything to ask or to tell. It is
-// false where no answer came.
+// false where no leader answers.
 func (c *Client) askLimits() bool {
 	m, any := c.limiter.ReportLimits()
-	if behind := c.limitsBehind.Swap(false); !any && !behind {
-		return true
+	behind := c.limitsBehind.Swap(false)
+	if !any && !behind {
+		return c.leading() != ""
 	}
 	m.Life = c.life
 	asked := clock.Now()
@@ -65,11 +75,48 @@
 	return err == nil
 }
 
+// leading returns the instance that answers for the leader; empty while there is none.
+func (c *Client) leading() string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.leader
+}
+
+// known returns the control instances that are known: the seeds before one told of others.
+func (c *Client) known() []string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if len(c.controls) > 0 {
+		return c.controls
+	}
+	return c.seeds
+}
+
+// askPassed asks the next control instance what servers said to other gateways. A gateway
+// that was never linked serves nothing, and asks none: all of them start at the same time.
+func (c *Client) askPassed() {
+	all := c.known()
+	if len(all) == 0 || c.members.Load() == 0 {
+		return
+	}
+	c.passedTurn++
+	address := all[c.passedTurn%len(all)]
+	m := protocol.PassedMsg{Held: c.passed[address], Heard: c.limiter.Words()}
+	var reply protocol.PassedReply
+	if err := c.caller.Call(address, "Uplink.Passed", m, &reply, limitsTime); err != nil {
+		c.log.Debug().Err(err).Str("instance", address).Msg("a control instance does not pass on the servers' limits")
+		return
+	}
+	c.passed[address] = reply.Holds
+	if len(reply.Heard) > 0 {
+		c.log.Info().Str("instance", address).Int("limits", len(reply.Heard)).Msg("limits of servers that other gateways heard of")
+		c.limiter.TakePassed(reply.Heard)
+	}
+}
+
 // callLimits returns the answer of a leader, or why there is none.
 func (c *Client) callLimits(m protocol.LimitsMsg) (*protocol.LimitsReply, error) {
-	c.mu.Lock()
-	leader := c.leader
-	c.mu.Unlock()
+	leader := c.leading()
 	if leader == "" {
 		return nil, errNoLeader
 	}
--- a/transport/uplink/limits_test.go
+++ b/transport/uplink/limits_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -20,6 +21,8 @@
 
 func (*limiter) LimitsBehind(uint64, uint64) bool         { return false }
 func (*limiter) ReportLimits() (protocol.LimitsMsg, bool) { return protocol.LimitsMsg{}, true }
+func (*limiter) Words() []protocol.HeardLimit             { return nil }
+func (*limiter) TakePassed([]protocol.HeardLimit)         {}
 func (l *limiter) AnsweredLimits(_ *protocol.LimitsMsg, reply *protocol.LimitsReply, _ time.Time) {
 	if reply == nil {
 		l.failed.Add(1)
@@ -77,3 +80,62 @@
 		}
 	}
 }
+
+// passedCaller answers for control instances none of which leads.
+type passedCaller struct {
+	mu    sync.Mutex // mu guards asked.
+	asked map[string][]protocol.PassedMsg
+}
+
+func (c *passedCaller) Call(address, method string, args, reply any, _ time.Duration) error {
+	if method != "Uplink.Passed" {
+		return errors.New("none leads")
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.asked[address] = append(c.asked[address], args.(protocol.PassedMsg))
+	*reply.(*protocol.PassedReply) = protocol.PassedReply{
+		Holds: protocol.PassedMark{Incarnation: 7, Change: uint64(len(c.asked[address]))},
+		Heard: []protocol.HeardLimit{{Server: address}},
+	}
+	return nil
+}
+
+// hearing is a limiter that notes what is passed on to it.
+type hearing struct {
+	limiter
+	took map[string]int
+}
+
+func (h *hearing) Words() []protocol.HeardLimit { return []protocol.HeardLimit{{Server: "own"}} }
+func (h *hearing) TakePassed(rows []protocol.HeardLimit) {
+	for _, row := range rows {
+		h.took[row.Server]++
+	}
+}
+
+// TestPassedWithoutLeader checks that a gateway without a leader asks all control instances
+// in turn, with the mark of each, and tells them what it heard itself; and that one that was
+// never linked asks none.
+func TestPassedWithoutLeader(t *testing.T) {
+	calls, gateway := &passedCaller{asked: map[string][]protocol.PassedMsg{}}, &hearing{took: map[string]int{}}
+	client := New(calls, nil, []string{"a", "b"}, nil, zerolog.Nop(), WithLimiter(gateway))
+	client.askPassed()
+	if len(calls.asked) > 0 {
+		t.Errorf("a gateway that was never linked asked %v", calls.asked)
+	}
+	client.members.Store(3)
+	client.learn([]string{"a", "b", "c"}, nil)
+	for range 6 {
+		client.askPassed()
+	}
+	for _, address := range []string{"a", "b", "c"} {
+		asked := calls.asked[address]
+		if len(asked) != 2 || gateway.took[address] != 2 {
+			t.Fatalf("%s was asked %d times, and %d limits were taken from it", address, len(asked), gateway.took[address])
+		}
+		if asked[1].Held.Change != 1 || len(asked[1].Heard) != 1 {
+			t.Errorf("%s was asked %+v", address, asked[1])
+		}
+	}
+}
--- a/transport/uplink/uplink.go
+++ b/transport/uplink/uplink.go
@@ -122,7 +122,11 @@
 	links    *link.Links // links choose an instance of the own region; nil without several regions.
 	found    chan named  // found receives whom they name.
 
-	// The loop's own.
+	// The own of the loop on limits.
+	passed     map[string]protocol.PassedMark // passed are the marks of what control instances passed on, by address.
+	passedTurn int
+
+	// The main loop's own.
 	target      string
 	silent      string    // silent is a leader that did not answer.
 	silentAt    time.Time // silentAt is when.
@@ -166,6 +170,7 @@
 		asking:      map[string]bool{},
 		found:       make(chan named, 1),
 		answerTimes: map[string]*link.AnswerTime{},
+		passed:      map[string]protocol.PassedMark{},
 	}
 	for _, opt := range opts {
 		opt(c)
