No more servers are ordered than give each running request its own

Some 420 requests run at a time.

Cause: the need rests on the first number of servers (three quarters of it, and room for two domains), which says something only where a fleet is about as large as its load needs. Slow answers correct it by 0.6 % each half second, down to 0.45 of the first number.

Change: once requests have come for 6 s, need and least need are bounded by one and a half servers for each running request, by the peak of 20 s, and 16 besides. Where each request has a server of its own more servers shorten nothing that its caller waits for.

--- a/coordination/scale/load.go
+++ b/coordination/scale/load.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"math"
 	"time"
 )
 
@@ -16,6 +17,12 @@
 	// bound what comes of it.
 	growBy, shrinkBy        = 1.08, 0.994
 	leastFactor, mostFactor = 0.6, 1.8
+	// ownServers for each running request, and ownSpare besides, are the most that are
+	// needed: where each has a server of its own, more servers shorten nothing that a caller
+	// waits for. Half as many again are for bursts and for requests that meet at the server
+	// which has read their prompt.
+	ownServers = 1.5
+	ownSpare   = 16
 	// partsMemory is the time over which the regions' parts of the load are averaged: the
 	// parts of the some hundred requests of one second vary by a few hundredths, and each
 	// change of a layout starts servers that the next change ends. It is half of
@@ -30,7 +37,8 @@
 	begun  int64
 	slow   int64
 	at     time.Time
-	factor float64 // factor corrects the first guess of the need.
+	factor float64   // factor corrects the first guess of the need.
+	busy   time.Time // busy is when the first answer began; zero before.
 
 	parts      map[string]float64 // parts are of the load by region, in the mean of late.
 	partsAt    time.Time          // partsAt is when parts were renewed last.
@@ -51,8 +59,20 @@
 	return work
 }
 
+// most is how many servers are needed at the most, by how many requests run. It is no bound
+// before requests have come for a while: the first ones say little about how many will.
+func (l *load) most(now time.Time) int {
+	if l.busy.IsZero() || now.Sub(l.busy) < shrinkAfter {
+		return math.MaxInt
+	}
+	return int(math.Ceil(ownServers*l.work)) + ownSpare
+}
+
 // observe corrects the need by how many answers were slow since the last look.
 func (l *load) observe(s *Service, now time.Time) {
+	if l.busy.IsZero() && !s.idle() {
+		l.busy = now
+	}
 	begun, slow := s.Begun-l.begun, s.Slow-l.slow
 	if begun < 0 || slow < 0 {
 		l.begun, l.slow, l.at = s.Begun, s.Slow, now // A gateway is gone.
--- a/coordination/scale/scale.go
+++ b/coordination/scale/scale.go
@@ -179,7 +179,8 @@
 	base := float64(s.Base)
 	need = int(math.Ceil(max(work/fillAim, basePart*base*l.factor)))
 	least = int(math.Ceil(max(work/fillMost, leastPart*base)))
-	return max(1, need), max(1, least)
+	most := l.most(now)
+	return max(1, min(need, most)), max(1, min(least, most))
 }
 
 // survey counts what there is in each failure domain, the cheapest first.
--- a/coordination/scale/scale_test.go
+++ b/coordination/scale/scale_test.go
@@ -95,6 +95,54 @@
 	}
 }
 
+// TestNeedFollowsRunningRequests checks the pattern of a fleet with many more servers than
+// requests that run: its first number says little about its need. Each running request has
+// a server of its own, also without two domains, and the rest goes; that holds at any size.
+// The first requests decide nothing, and a burst is followed at once.
+func TestNeedFollowsRunningRequests(t *testing.T) {
+	for _, size := range []int{300, 2930, 5860} {
+		w := &world{counts: map[Order]int{}}
+		spec := &protocol.ServiceSpec{Name: "model", Slots: 12, Scaling: &protocol.ScalingSpec{Min: 1, Max: size, DomainPrices: map[string]float64{}}}
+		for _, domain := range []string{"a", "b", "c", "d", "e", "f"} {
+			spec.Scaling.DomainPrices[domain] = 1
+			w.counts[Order{Service: "model", Domain: domain}] = size / 6
+		}
+		p, now := New(), start
+		s := Service{Spec: spec, Base: size}
+		pass := func(d time.Duration, work float64) {
+			for end := now.Add(d); now.Before(end); now = now.Add(250 * time.Millisecond) {
+				s.Work = work
+				s.Begun += int64(work / 4)
+				w.step(p, s, now)
+			}
+		}
+		without := func() int {
+			most := 0
+			for key, n := range w.counts {
+				if key.Reclaimable {
+					most = max(most, n)
+				}
+			}
+			return w.total(true) - lostDomains*most
+		}
+		running := float64(size) / 7
+		pass(20*time.Second, 0)
+		idle := w.total(true)
+		pass(5*time.Second, running/5) // A part of those that are to come.
+		if n := w.total(true); n < idle*9/10 {
+			t.Errorf("%d servers: the first requests leave %d of %d", size, n, idle)
+		}
+		pass(20*time.Second, running)
+		if n, most := w.total(true), int(1.5*(ownServers*running+ownSpare))+6; n > most || without() < int(running) {
+			t.Errorf("%d servers: %d are held for %.0f running requests, %d without two domains; at most %d", size, n, running, without(), most)
+		}
+		pass(3*time.Second, 2*running)
+		if without() < int(2*running) {
+			t.Errorf("%d servers: %d are there without two domains for %.0f running requests behind a burst", size, without(), 2*running)
+		}
+	}
+}
+
 // TestReclaimWhileNoneAreLeft checks that servers at the full price come when
 // all reclaimable ones are taken away and there are no others. Counting those
 // that are wanted against the most that a domain may have left it without any.
