A stopping gateway reads requests that were sent before callers could know

Cause: Drain closed resting connections, and new ones, without a look at what had arrived on them. With unread bytes the kernel resets the connection. At 0.19 of a core some milliseconds pass between the arrival of a request and the goroutine that reads it.

Change: resting and new connections of a draining server end 100 ms later, if no request has come by then; one that came is answered, as not run where the gateway takes nothing any more.

Failing first: TestDrainReadsWhatWasSent gets EOF for all 50 requests on the code before. Under the race detector three times, passed.

--- a/transport/caller/caller.go
+++ b/transport/caller/caller.go
@@ -70,7 +70,8 @@
 
 	limits atomic.Pointer[Limits]
 	drain  atomic.Bool
-	mu     sync.Mutex // mu guards all below.
+	cross  time.Duration // cross is crossTime, and more where a test is not to depend on it.
+	mu     sync.Mutex    // mu guards all below.
 	conns  map[*Conn]struct{}
 	open   int           // open are the connections that were accepted and have not ended.
 	ended  chan struct{} // ended is closed and replaced when one ends.
@@ -100,7 +101,7 @@
 
 // NewServer returns a server that is not serving yet.
 func NewServer(h Handler, opts ...Option) *Server {
-	s := &Server{handler: h, pace: DefaultPace, log: zerolog.Nop(), conns: map[*Conn]struct{}{}, ended: make(chan struct{})}
+	s := &Server{handler: h, cross: crossTime, pace: DefaultPace, log: zerolog.Nop(), conns: map[*Conn]struct{}{}, ended: make(chan struct{})}
 	s.meter(metrics.NewRegistry())
 	s.SetLimits(DefaultLimits)
 	for _, opt := range opts {
@@ -165,7 +166,13 @@
 
 const acceptPause = 5 * time.Millisecond
 
-// Drain closes the connections that rest, and each other one behind its answer.
+// crossTime is for how long a draining server still reads requests on connections that rest:
+// those that callers sent before they could know. Closed at once, a connection whose request
+// has arrived and was not read yet is reset.
+const crossTime = 100 * time.Millisecond
+
+// Drain closes the connections that rest, and each other one behind its answer, a moment
+// later.
 func (s *Server) Drain() {
 	s.drain.Store(true)
 	s.mu.Lock()
@@ -175,7 +182,7 @@
 	}
 	s.mu.Unlock()
 	for _, c := range conns {
-		c.closeIf(connIdle)
+		c.expireIdle(s.cross)
 	}
 }
 
@@ -257,8 +264,8 @@
 	if !c.enter(connIdle) || c.net.SetReadDeadline(time.Now().Add(limits.IdleTime)) != nil {
 		return false
 	}
-	if s.drain.Load() && c.br.Buffered() == 0 {
-		return false
+	if s.drain.Load() {
+		c.expireIdle(s.cross)
 	}
 	if _, err := c.br.Peek(1); err != nil || !c.enter(connHead) {
 		return false
--- a/transport/caller/caller_test.go
+++ b/transport/caller/caller_test.go
@@ -163,6 +163,40 @@
 	}
 }
 
+// TestDrainReadsWhatWasSent checks that a request which was sent on a resting connection, or
+// on a new one, just as the server drains gets an answer: closed unread, the connection would
+// be reset, and its caller would not know what became of the request.
+func TestDrainReadsWhatWasSent(t *testing.T) {
+	s, first, _ := serve(t, handlerFunc(func(_ context.Context, _ *fasthttp.Request, a *Answer) { whole(a, "done") }))
+	s.cross = patience // A machine that stands still for a moment decides nothing.
+	address := first.RemoteAddr().String()
+	var resting []net.Conn
+	for range 50 {
+		conn := dial(t, address)
+		_, _ = io.WriteString(conn, "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+		read(t, bufio.NewReader(conn))
+		resting = append(resting, conn)
+	}
+	drained := make(chan struct{})
+	go func() {
+		defer close(drained)
+		s.Drain()
+	}()
+	for i, conn := range resting {
+		if i%2 == 0 {
+			conn = dial(t, address)
+		}
+		if _, err := io.WriteString(conn, "GET / HTTP/1.1\r\nHost: h\r\n\r\n"); err != nil {
+			t.Fatal(err)
+		}
+		var resp fasthttp.Response
+		if err := resp.Read(bufio.NewReader(conn)); err != nil {
+			t.Errorf("request %d: %v", i, err)
+		}
+	}
+	<-drained
+}
+
 // TestWaitBesideNewConnections checks that callers who connect while a server ends
 // neither race with its wait nor are left behind by it: what was accepted before
 // counts. The race detector tells of the first.
--- a/transport/caller/conn.go
+++ b/transport/caller/conn.go
@@ -84,6 +84,15 @@
 	return true
 }
 
+// expireIdle has a connection that rests end after a time in which no request comes.
+func (c *Conn) expireIdle(after time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.state == connIdle {
+		_ = c.net.SetReadDeadline(time.Now().Add(after)) // A connection that ended says so when it is read.
+	}
+}
+
 // watch calls gone once if the caller hangs up before stop is called. Bytes
 // that arrive stay in the reader, as they belong to the next request.
 func (c *Conn) watch(gone func()) (stop func()) {
