The load header's fourth figure is read: how long work takes on a server's machine

platform/ reads it into a telling type (protocol.Pace, 1 as usual, 0 unknown). Counts that can be read hold where the figure is missing, below a tenth, above a hundredfold, no number, or followed by more parts; what cannot be read is logged. A load that cannot be read at all was passed over in silence before: TestReply now asks for the word of it, which is stricter. `request` lines tell the pace.

It decides nothing.

--- a/transport/forward/attempt.go
+++ b/transport/forward/attempt.go
@@ -292,9 +292,10 @@
 // answered goes on with the head of an answer.
 func (t *try) answered(stop func() bool) *protocol.Refusal {
 	x, status := t.x, t.x.resp.StatusCode()
-	if t.reply.HasLoad {
-		t.server.Cell.ReportedLoad(t.reply.Load, clock.Now())
+	if t.reply.Load.Known {
+		t.server.Cell.ReportedLoad(t.reply.Load.Requests, clock.Now())
 	}
+	x.pace = t.reply.Load.Pace
 	if t.reply.ID != "" && t.reply.ID != x.call.ID {
 		t.conn.Close()
 		t.failedAnswer()
@@ -427,5 +428,5 @@
 	x.g.meters.end(outcome{x.routeName(), x.workspaceName(), protocol.Ran})
 	x.g.meters.first.Update(x.first)
 	x.log.Info().Str("outcome", "answered").Str("server", x.server).Int("status", x.resp.StatusCode()).Int("resent", x.state.Sent).
-		Uint64("number", x.index.Number).Int("tokens", x.call.PromptTokens).Dur("first", x.first).Dur("gap", x.gap).Dur("after", clock.Since(x.start)).Msg("request")
+		Uint64("number", x.index.Number).Int("tokens", x.call.PromptTokens).Float64("pace", float64(x.pace)).Dur("first", x.first).Dur("gap", x.gap).Dur("after", clock.Since(x.start)).Msg("request")
 }
--- a/transport/forward/dialect.go
+++ b/transport/forward/dialect.go
@@ -38,11 +38,10 @@
 
 // Reply is what an answer says beside its body.
 type Reply struct {
-	ID      string        // ID names the request that the answer belongs to.
-	NotRun  bool          // NotRun says that the server proved not to have run it.
-	Foreign bool          // Foreign says that another server has the address.
-	Load    int           // Load are the requests that run and wait there.
-	HasLoad bool          // HasLoad says that Load was reported.
+	ID      string // ID names the request that the answer belongs to.
+	NotRun  bool   // NotRun says that the server proved not to have run it.
+	Foreign bool   // Foreign says that another server has the address.
+	Load    protocol.ReportedLoad
 	Keeps   time.Duration // Keeps is how long the connection may rest; 0 where it is not said.
 	Close   bool          // Close says that the server ends the connection.
 	Weights string        // Weights is the version of the model's weights that makes the answer; empty where it is not said.
