Parts of quotas are asked for apart from the gateway's other questions

Cause: at 0.7 requests a second and 333 workspaces a gateway holds no part of a quota beforehand, so that each request waits for an answer of the leader, and the one it waited for held the loads of all servers and what they were given to read: some 14 KB over a link of 10 Mbit/s (9.76 MB/s in 667 answers a second), behind all other answers.

Change: a call of its own (Uplink.Quota), in a loop of its own, to the leader itself: 232 bytes with the answer at 30, 300, 986 and 1,972 gateways (TestQuotaAnswerDoesNotGrow, no network). Where there are several regions the relay goes on gathering the questions. A leader of an earlier build is asked as before, behind one failed call. Promises are as they were: one coordinator grants, a lost answer loses its grant, a gateway without an answer is told so by its other questions. `attempt` lines tell how long a request waited before it was sent.

--- a/cmd/weldstreamd/gateway.go
+++ b/cmd/weldstreamd/gateway.go
@@ -101,6 +101,7 @@
 		Socket:      n.Memory.SocketKB << 10,
 		Connections: n.ServerConnections(),
 	}, platform.Dialect{}, forward.WithLogger(r.log), forward.WithRegistry(r.registry), forward.WithSyncNow(func() { g.client.SyncNow() }), forward.WithLimitsNow(func() { g.client.LimitsNow() }),
+		forward.WithQuotaNow(func() { g.client.QuotaNow() }),
 		forward.WithMover(mover(n)),
 		forward.WithReporter(platform.Reporter{}),
 		forward.WithPlace(func(m protocol.PlaceMsg) (protocol.PlaceReply, bool) { return g.client.Place(m) }))
@@ -112,7 +113,7 @@
 	links := transport.NewLinks(n.Name, []byte(n.ClusterKey), linkDial, r.log)
 	links.Meter(r.registry)
 	links.MeterDistances(n.Topology(), n.Domain, r.registry)
-	g.client = uplink.New(links, gatewayLink{g.forward, g.server}, seeds, control.UnpackList, r.log, uplink.WithRegions(n.Topology(), n.Domain, n.Name), uplink.WithLimiter(g.forward))
+	g.client = uplink.New(links, gatewayLink{g.forward, g.server}, seeds, control.UnpackList, r.log, uplink.WithRegions(n.Topology(), n.Domain, n.Name), uplink.WithLimiter(g.forward), uplink.WithQuotas(g.forward))
 	return g.run()
 }
 
@@ -152,6 +153,7 @@
 	eg, work := errgroup.WithContext(work)
 	eg.Go(func() error { return g.client.Run(work) })
 	eg.Go(func() error { return g.client.RunLimits(work) })
+	eg.Go(func() error { return g.client.RunQuotas(work) })
 	eg.Go(func() error {
 		return serveHTTP(work, g.settings.Listen(g.settings.Ready), 1<<10, platform.Readiness(g.ready))
 	})
--- a/protocol/uplink.go
+++ b/protocol/uplink.go
@@ -114,6 +114,20 @@
 	Alone     float64 // Alone are units that were spent without a part, while nobody granted any.
 }
 
+// QuotaMsg asks the leader for parts of quotas, beside the gateway's other questions: a
+// request waits for it, and what those tell and are told grows with the fleet.
+type QuotaMsg struct {
+	Gateway string
+	Wants   []QuotaWant
+}
+
+// QuotaReply is the answer, a grant for each want. Leads is false from an instance that
+// cannot vouch to lead; then nothing else counts.
+type QuotaReply struct {
+	Leads  bool
+	Grants []QuotaGrant
+}
+
 // Pressure is what a service's requests ask of its servers through one gateway.
 type Pressure struct {
 	Service string
--- /dev/null
+++ b/transport/control/quota_test.go
@@ -0,0 +1,55 @@
+package control
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/weldstream/weldstream/protocol"
+)
+
+// TestQuotaNeedsALeader checks that parts of quotas are granted by an instance that leads
+// alone, also where it loses its lease while it answers.
+func TestQuotaNeedsALeader(t *testing.T) {
+	g := newFakeGroup()
+	u := newUplink(g)
+	m := protocol.QuotaMsg{Gateway: "g", Wants: []protocol.QuotaWant{{Workspace: "w", Units: 1}}}
+	ask := func() (reply protocol.QuotaReply) {
+		if err := u.Quota(m, &reply); err != nil {
+			t.Fatal(err)
+		}
+		return reply
+	}
+	if reply := ask(); !reply.Leads || len(reply.Grants) != 1 {
+		t.Errorf("a leader answers %+v", reply)
+	}
+	g.asks = 2
+	if reply := ask(); reply.Leads {
+		t.Errorf("an instance whose lease ran out meanwhile answers %+v", reply)
+	}
+	if reply := ask(); reply.Leads || len(reply.Grants) > 0 {
+		t.Errorf("an instance that does not lead answers %+v", reply)
+	}
+}
+
+// TestQuotaAnswerDoesNotGrow checks the pattern of many gateways that each see few requests:
+// nothing can be asked for in advance, so that each request waits for an answer. What that
+// holds must not grow with the gateways and servers, as an answer with loads does.
+func TestQuotaAnswerDoesNotGrow(t *testing.T) {
+	const most = 300 // bytes, of a question and its answer
+	for _, gateways := range []int{30, 300, 986, 1972} {
+		s := newSizeWorld(gateways, changedLoads)
+		s.ask(s.gateways, 0, changedLoads)
+		m := protocol.QuotaMsg{Gateway: "edge-a1-77", Wants: []protocol.QuotaWant{{Workspace: "workspace-77", Units: 12000, Waiting: 12000}}}
+		var reply protocol.QuotaReply
+		if err := s.leader.Quota(m, &reply); err != nil || !reply.Leads {
+			t.Fatalf("%+v, %v", reply, err)
+		}
+		s.traffic = traffic{}
+		s.traffic.add(s.topology, "a1", "a1", m, false)
+		s.traffic.add(s.topology, "a1", "a1", reply, true)
+		if s.traffic.within > most {
+			t.Errorf("%d gateways: %d bytes", gateways, s.traffic.within)
+		}
+		t.Logf("%s", fmt.Sprintf("%4d gateways: %d bytes for a part of a quota", gateways, s.traffic.within))
+	}
+}
--- a/transport/forward/attempt.go
+++ b/transport/forward/attempt.go
@@ -111,7 +111,7 @@
 	x.log.Info().Str("server", server.ID).Str("domain", server.Domain).Str("region", x.g.cfg.Topology.Region(server.Domain)).
 		Stringer("distance", distance).Int("outstanding", server.Cell.Outstanding()).Bool("placed", x.placed.Server != "").
 		Uint8("lane", uint8(x.lane)).Int("sent", x.state.Sent).Bool("kept", conn.Used()).
-		Int64("left", x.left().Milliseconds()).Str("go_on", x.copyName()).Msg("attempt")
+		Int64("left", x.left().Milliseconds()).Dur("waited", clock.Since(x.start)).Str("go_on", x.copyName()).Msg("attempt")
 }
 
 // afterEarlierAttempts returns a refusal to send the request once more. If an earlier
--- a/transport/forward/forward.go
+++ b/transport/forward/forward.go
@@ -67,6 +67,7 @@
 	meters    *meters
 	pool      *backend.Pool
 	syncNow   func() // syncNow has the control role asked at once.
+	quotaNow  func() // quotaNow has the leader asked at once for parts of quotas; nil where they go with the other questions.
 	limitsNow func() // limitsNow has the leader asked for permits at once.
 	place     func(protocol.PlaceMsg) (protocol.PlaceReply, bool)
 
@@ -88,6 +89,7 @@
 
 	mu        sync.Mutex // mu guards all below.
 	allowance *quota.Allowance
+	apart     bool          // apart says that parts of quotas are not asked for with the other questions.
 	granted   chan struct{} // granted is closed and replaced when grants arrive.
 	news      chan struct{} // news is closed and replaced when anything arrives from the control role.
 	shares    map[string]*retry.Share
@@ -116,6 +118,10 @@
 // WithSyncNow sets what has the control role asked at once.
 func WithSyncNow(f func()) Option { return func(g *Gateway) { g.syncNow = f } }
 
+// WithQuotaNow sets what has the leader asked at once for parts of quotas; without it they
+// are asked for with the other questions.
+func WithQuotaNow(f func()) Option { return func(g *Gateway) { g.quotaNow = f } }
+
 // WithPlace sets what finds a server for a long prompt; without it the gateway
 // chooses by itself.
 func WithPlace(f func(protocol.PlaceMsg) (protocol.PlaceReply, bool)) Option {
--- a/transport/forward/forward_test.go
+++ b/transport/forward/forward_test.go
@@ -589,6 +589,33 @@
 	}
 }
 
+// TestQuotaIsAskedForApart checks that a request which waits for a part of its quota gets it
+// from an answer that holds nothing else, and that it is then not asked for twice.
+func TestQuotaIsAskedForApart(t *testing.T) {
+	w := newWorld(t)
+	w.install(protocol.PathRoute{Attempts: 1}, protocol.Tenancy{Name: "w", Keys: []string{"k"}, Rate: 10, Burst: 10})
+	w.backend("a", good)
+	w.g.WantsApart(true)
+	w.g.quotaNow = func() {
+		go func() {
+			if m := w.g.Report(1); len(m.Wants) > 0 {
+				t.Errorf("%+v are asked for with the other questions", m.Wants)
+			}
+			m, any := w.g.ReportWants()
+			if !any || len(m.Wants) != 1 || m.Wants[0].Units != 1 {
+				t.Errorf("asked for %+v", m.Wants)
+			}
+			w.g.GrantedWants(&m, &protocol.QuotaReply{Leads: true, Grants: []protocol.QuotaGrant{{Workspace: "w", Units: 1, Lasts: time.Minute}}}, clock.Now())
+		}()
+	}
+	if got := w.ask("Key: k"); got.status != 200 {
+		t.Errorf("got %+v", got)
+	}
+	if m, _ := w.g.ReportWants(); len(m.Wants) > 0 && m.Wants[0].Waiting > 0 {
+		t.Errorf("asked for again as if a request waited: %+v", m.Wants)
+	}
+}
+
 // TestIndex checks that the longest prefix wins, hosts do not mix, and weights
 // split requests as they say.
 func TestIndex(t *testing.T) {
--- a/transport/forward/limits.go
+++ b/transport/forward/limits.go
@@ -138,7 +138,7 @@
 		case quota.Denied:
 			return overQuota(wait)
 		case quota.Ask:
-			g.syncNow()
+			g.askQuota()
 		}
 		select {
 		case <-granted:
@@ -175,7 +175,10 @@
 	defer g.mu.Unlock()
 	now := clock.Now()
 	since := now.Sub(g.began)
-	m := protocol.SyncMsg{Gateway: g.cfg.Name, Term: term, Number: g.Number(), Clock: g.clock.Own(since), Usage: g.counter.Rows(term, g.clock.Now(since)), Counted: g.clock.Now(since), Wants: g.allowance.Wants(now), Done: g.done, Domain: g.cfg.Domain, Running: g.view.Load().Running(), Distrusts: g.view.Load().Distrusts(now)}
+	m := protocol.SyncMsg{Gateway: g.cfg.Name, Term: term, Number: g.Number(), Clock: g.clock.Own(since), Usage: g.counter.Rows(term, g.clock.Now(since)), Counted: g.clock.Now(since), Done: g.done, Domain: g.cfg.Domain, Running: g.view.Load().Running(), Distrusts: g.view.Load().Distrusts(now)}
+	if !g.apart {
+		m.Wants = g.allowance.Wants(now)
+	}
 	g.done = nil // One that is lost is forgotten by the leader in time.
 	m.Rollouts = g.rolled
 	g.reportReadings(term, &m)
@@ -207,8 +210,8 @@
 			}
 		}
 	}
-	if len(m.Wants) == 0 {
-		return
+	if len(m.Wants) > 0 {
+		g.grant(reply.Grants, asked)
 	}
 	g.allowance.Granted(reply.Grants, asked, clock.Now())
 	close(g.granted)
--- /dev/null
+++ b/transport/forward/quota.go
@@ -0,0 +1,51 @@
+package forward
+
+import (
+	"time"
+
+	"github.com/weldstream/weldstream/internal/clock"
+	"github.com/weldstream/weldstream/protocol"
+)
+
+// askQuota has the leader asked for the part of a quota that a request waits for.
+func (g *Gateway) askQuota() {
+	if g.quotaNow != nil {
+		g.quotaNow()
+		return
+	}
+	g.syncNow()
+}
+
+// WantsApart implements uplink.Quotas.
+func (g *Gateway) WantsApart(apart bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.apart = apart
+}
+
+// ReportWants implements uplink.Quotas.
+func (g *Gateway) ReportWants() (m protocol.QuotaMsg, any bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	m = protocol.QuotaMsg{Gateway: g.cfg.Name, Wants: g.allowance.Wants(clock.Now())}
+	return m, len(m.Wants) > 0
+}
+
+// GrantedWants implements uplink.Quotas.
+func (g *Gateway) GrantedWants(m *protocol.QuotaMsg, reply *protocol.QuotaReply, asked time.Time) {
+	if reply == nil {
+		return // What was to be given back is lost, as the question may have come through.
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.allowance.Acknowledged(m.Wants)
+	g.grant(reply.Grants, asked)
+}
+
+// grant takes parts of quotas, and has the requests that wait for them look again. It needs
+// g.mu.
+func (g *Gateway) grant(grants []protocol.QuotaGrant, asked time.Time) {
+	g.allowance.Granted(grants, asked, clock.Now())
+	close(g.granted)
+	g.granted = make(chan struct{})
+}
--- a/transport/uplink/limits_test.go
+++ b/transport/uplink/limits_test.go
@@ -57,7 +57,7 @@
 	} {
 		calls, gateway := &limitsCaller{answer: c.answer}, &limiter{}
 		client := New(calls, nil, nil, nil, zerolog.Nop(), WithLimiter(gateway))
-		client.lead(c.leader)
+		client.lead(c.leader, c.leader)
 		ctx, cancel := context.WithCancel(t.Context())
 		ended := make(chan struct{})
 		began := time.Now()
--- a/transport/uplink/uplink.go
+++ b/transport/uplink/uplink.go
@@ -11,6 +11,7 @@
 package uplink
 
 import (
+	"cmp"
 	"context"
 	"math/rand/v2"
 	"sync"
@@ -102,14 +103,19 @@
 
 // Client is a gateway's link to the control role.
 type Client struct {
-	caller  Caller
-	gateway Gateway
-	limiter Limiter // limiter is nil where no limits of servers are kept.
-	unpack  func([]byte) (protocol.ServerList, error)
-	log     zerolog.Logger
-	life    uint64
-	syncNow chan struct{}
-
+	caller   Caller
+	gateway  Gateway
+	limiter  Limiter // limiter is nil where no limits of servers are kept.
+	quotas   Quotas  // quotas is nil where parts of quotas are asked for with the other questions.
+	unpack   func([]byte) (protocol.ServerList, error)
+	topology *topology.Topology
+	log      zerolog.Logger
+	life     uint64
+	syncNow  chan struct{}
+
+	quotaNow     chan struct{}
+	apart        atomic.Bool  // apart says that parts of quotas are asked for apart.
+	without      atomic.Value // without is the address of the latest leader whose build grants none apart.
 	limitsNow    chan struct{}
 	limitsBehind atomic.Bool  // limitsBehind says that the leader has limits that the gateway lacks.
 	members      atomic.Int64 // members are how many gateways there are.
@@ -117,9 +123,10 @@
 	mu       sync.Mutex // mu guards all up to the loop's own.
 	seeds    []string
 	leader   string          // leader is the target while it leads, for calls beside the loop.
+	granter  string          // granter is the leader itself, also where the target is a relay.
 	asking   map[string]bool // asking are the instances that a question for the leader is under way to.
 	controls []string
-	links    *link.Links // links choose an instance of the own region; nil without several regions.
+	links    *link.Links // links choose an instance of the own region; nil where only the leader is asked.
 	found    chan named  // found receives whom they name.
 
 	// The own of the loop on limits.
@@ -149,6 +156,7 @@
 // its own region, where there are several regions.
 func WithRegions(t *topology.Topology, domain, gateway string) Option {
 	return func(c *Client) {
+		c.topology = t
 		if l := link.New(t, domain, gateway); l.Near() {
 			c.links = l
 		}
@@ -165,6 +173,7 @@
 		log:         log,
 		life:        rand.Uint64(),
 		syncNow:     make(chan struct{}, 1),
+		quotaNow:    make(chan struct{}, 1),
 		limitsNow:   make(chan struct{}, 1),
 		seeds:       seeds,
 		asking:      map[string]bool{},
@@ -331,7 +340,7 @@
 // overdue has no question for a place wait for a leader that may be gone, and forgets
 // whom others named before.
 func (c *Client) overdue() {
-	c.lead("")
+	c.lead("", "")
 	select {
 	case <-c.found:
 	default:
@@ -368,7 +377,8 @@
 	}
 	c.logLink(address, reply)
 	c.linked, c.target, c.term, c.gateways = address, address, reply.Term, reply.Gateways
-	c.lead(address)
+	c.lead(address, cmp.Or(reply.Leader, address))
+	c.askApart(c.mayApart(cmp.Or(reply.Leader, address)))
 	c.members.Store(int64(reply.Gateways))
 	c.noteLimits(reply)
 	return true
@@ -420,13 +430,14 @@
 		c.log.Warn().Str("instance", address).Str("reason", reason).Msg("link to the control role lost")
 	}
 	c.linked, c.target = "", ""
-	c.lead("")
+	c.lead("", "")
 }
 
-func (c *Client) lead(address string) {
+// lead notes the instance that answers for the leader, and the leader itself.
+func (c *Client) lead(address, leader string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.leader = address
+	c.leader, c.granter = address, leader
 }
 
 // learn notes the control instances that another one knows.
