Gateways of one region are shared out over the control instances where they are many

What callers saw: one leader answers all gateways of a region, 667 answers a second at the most.

Change: beyond 100 gateways, which is what one instance answers at the usual pace, each gateway asks a control instance of its own domain, or any if there is none or it failed, and the leader last. The pause between questions goes by the share of one instance: 165 ms at 986 gateways and ten instances, 330 ms at twice as many gateways. A relay gathers for 1.5 ms for each relay, so that the leader gets no more batches than it gave answers. A leader that has 100 gateways sends those that start to a relay, so that it does not send a thousand whole lists. A gateway that relays refuse goes on with its own part of quotas at once, and pauses longer behind each refusal. That the list is out of date now passes relays, with the call by which they ask for the leader's limits.

--- a/cmd/weldstreamd/control.go
+++ b/cmd/weldstreamd/control.go
@@ -63,7 +63,7 @@
 		c.group.Run,
 		boot.Run,
 		c.uplink.Run,
-		c.runRelay,
+		c.relay.Run,
 		c.uplink.RunRollouts,
 		c.uplink.RunQuarantine,
 		duties.RunList,
@@ -162,9 +162,7 @@
 		opts = append(opts, control.WithQuiet(func() time.Duration { return c.group.Status().Quiet }))
 	}
 	c.uplink = control.NewUplink(c.group, c.peers, platform.ParseNumbered, n.Bounds.QuotaWindow, opts...)
-	if n.Topology().Several() {
-		c.relay = control.NewRelay(c.uplink, c.links, c.name(), n.Peer, c.registry)
-	}
+	c.relay = control.NewRelay(c.uplink, c.links, c.name(), n.Peer, c.registry)
 	for name, receiver := range map[string]any{
 		"Member": transport.NewMemberService(work, c.membership),
 		"Group":  transport.NewGroupService(work, c.group),
@@ -254,14 +252,6 @@
 	return list
 }
 
-// runRelay answers gateways while another instance leads, where there are regions.
-func (c *controlInstance) runRelay(ctx context.Context) error {
-	if c.relay == nil {
-		return nil
-	}
-	return c.relay.Run(ctx)
-}
-
 func (c *controlInstance) await(work context.Context) {
 	for {
 		select {
--- a/cmd/weldstreamd/regions.go
+++ b/cmd/weldstreamd/regions.go
@@ -25,7 +25,7 @@
 	Domain  string              `json:"domain"`
 	Region  string              `json:"region,omitempty"`
 	Regions map[string]string   `json:"regions,omitempty"` // Regions are those of the control instances, by name, where there are several.
-	Relay   *control.RelayState `json:"relay,omitempty"`   // Relay is set where there are several regions.
+	Relay   *control.RelayState `json:"relay,omitempty"`   // Relay is set where gateways asked the instance as a relay.
 
 	Quarantine []protocol.Quarantined `json:"quarantine,omitempty"` // Quarantine are the requests that are kept from servers.
 
@@ -36,11 +36,12 @@
 func (c *controlInstance) dump() any {
 	n, topology := c.settings, c.settings.Topology()
 	d := controlDump{Status: c.group.Status(), Domain: n.Domain, Region: topology.Region(n.Domain), Quarantine: c.uplink.Quarantine(), Limited: c.uplink.LimitedServers()}
+	if relay := c.relay.State(); relay.Batches > 0 {
+		d.Relay = &relay
+	}
 	if !topology.Several() {
 		return d
 	}
-	relay := c.relay.State()
-	d.Relay = &relay
 	d.Regions = map[string]string{c.name(): d.Region}
 	for _, row := range c.tables.Members.Rows() {
 		d.Regions[row.Name] = topology.Region(row.Domain)
--- a/coordination/link/link.go
+++ b/coordination/link/link.go
@@ -7,6 +7,12 @@
 // One that fails is passed over for a while. Without one in the region, or without
 // several regions, [Links.Choose] names none, and the gateway asks the leader.
 //
+// In one region the gateways ask the leader while there are no more of them than one
+// instance answers at the usual pace. Beyond that they are shared out over the control
+// instances, each gateway to one in its own domain if there is one, so that how long a
+// change takes to reach all of them does not grow with their number. The leader comes last:
+// it answers the relays.
+//
 // The package reads no clock: the time comes in with each call.
 package link
 
@@ -34,6 +40,14 @@
 	maxDoublings = 10
 )
 
+const (
+	// ShareFrom is how many gateways of one region ask the leader themselves: as many as one
+	// instance answers at the usual pace, every 150 ms at 1.5 ms for each.
+	ShareFrom = 100
+	// shareUntil is below how many they do so again.
+	shareUntil = 75
+)
+
 // Links are the control instances as one gateway knows them.
 type Links struct {
 	topology *topology.Topology
@@ -41,6 +55,7 @@
 	gateway  string
 	controls []control
 	failures map[string]failure
+	shared   bool // shared says that the gateways of the only region are shared out.
 }
 
 type control struct {
@@ -60,12 +75,33 @@
 }
 
 // Near reports whether instances of the own region are asked at all: only where there
-// are several regions. The other methods do nothing otherwise.
-func (l *Links) Near() bool { return l != nil && l.topology.Several() }
+// are several regions, or many gateways. Choose names none otherwise.
+func (l *Links) Near() bool { return l != nil && (l.shared || l.topology.Several()) }
+
+// SetGateways notes how many gateways there are.
+func (l *Links) SetGateways(n int) {
+	switch {
+	case l == nil:
+	case n > ShareFrom:
+		l.shared = true
+	case n < shareUntil:
+		l.shared = false
+	}
+}
+
+// Share is how many of some gateways one instance answers. Where there are several regions
+// it is all of them: their questions cross to the leader's, however they are parted.
+func (l *Links) Share(gateways int) int {
+	if !l.Near() || l.topology.Several() {
+		return gateways
+	}
+	relays := max(1, len(l.controls)-1)
+	return (gateways + relays - 1) / relays
+}
 
 // Learn takes the addresses of all control instances and their domains, in one order.
 func (l *Links) Learn(addresses, domains []string) {
-	if !l.Near() || len(addresses) != len(domains) {
+	if l == nil || len(addresses) != len(domains) {
 		return // An instance that does not tell domains.
 	}
 	l.controls = l.controls[:0]
@@ -103,10 +139,9 @@
 	if !l.Near() {
 		return ""
 	}
-	own := l.topology.Region(l.domain)
 	var near []control
 	for _, c := range l.controls {
-		if own != "" && l.topology.Region(c.domain) == own && !now.Before(l.failures[c.address].until) {
+		if l.inRegion(c) && !now.Before(l.failures[c.address].until) {
 			near = append(near, c)
 		}
 	}
@@ -122,9 +157,20 @@
 	}).address
 }
 
+// inRegion reports whether an instance is of the own region. One region needs no names.
+func (l *Links) inRegion(c control) bool {
+	if !l.topology.Several() {
+		return true
+	}
+	own := l.topology.Region(l.domain)
+	return own != "" && l.topology.Region(c.domain) == own
+}
+
 // rank is lower for an instance that is asked first.
 func (l *Links) rank(c control, leader string) int {
 	switch {
+	case c.address == leader && !l.topology.Several():
+		return 3
 	case c.domain == l.domain:
 		return 0
 	case c.address == leader:
--- a/coordination/link/link_test.go
+++ b/coordination/link/link_test.go
@@ -149,3 +149,63 @@
 		}
 	}
 }
+
+// TestManyGatewaysOfOneRegionAreShared checks the pattern of a thousand gateways before one
+// leader: beyond what it answers at the usual pace they are shared out evenly over the other
+// control instances, also over those that are left when two are gone, and the pause between
+// two questions of each does not grow with the fleet as long as the instances do.
+func TestManyGatewaysOfOneRegionAreShared(t *testing.T) {
+	var addresses, domains []string
+	for i := range 10 {
+		domains = append(domains, fmt.Sprint("d", i%5))
+		addresses = append(addresses, fmt.Sprint("at-d", i%5, "-", i/5))
+	}
+	const leader = "at-d2-0"
+	for _, gateways := range []int{60, 100, 300, 986, 1972} {
+		counts := map[string]int{}
+		for i := range gateways {
+			l := New(topology.New(nil), fmt.Sprint("d", i%6), fmt.Sprint("edge-", i)) // One domain has no control instance.
+			l.Learn(addresses, domains)
+			l.SetGateways(gateways)
+			l.Failed("at-d0-0", true, start)
+			l.Failed("at-d1-1", true, start)
+			counts[l.Choose(leader, start)]++
+			if share := l.Share(gateways); gateways > ShareFrom && share != (gateways+8)/9 || gateways <= ShareFrom && share != gateways {
+				t.Fatalf("%d gateways: the share of an instance is %d", gateways, share)
+			}
+		}
+		if gateways <= ShareFrom {
+			if counts[""] != gateways {
+				t.Errorf("%d gateways ask by themselves: %v", gateways, counts)
+			}
+			continue
+		}
+		if counts[""] > 0 || counts[leader] > 0 || counts["at-d0-0"] > 0 || counts["at-d1-1"] > 0 {
+			t.Errorf("%d gateways: some ask the leader, one that failed, or none: %v", gateways, counts)
+		}
+		for address, n := range counts {
+			if n > 2*gateways/9 {
+				t.Errorf("%d gateways: %d ask %s", gateways, n, address)
+			}
+		}
+	}
+}
+
+// TestSharingIsSteady checks that a fleet around the bound does not change to and fro.
+func TestSharingIsSteady(t *testing.T) {
+	l := New(topology.New(nil), "d0", "g")
+	changes, before := 0, false
+	for n := range 200 {
+		l.SetGateways(ShareFrom - 10 + n%20)
+		if l.Near() != before {
+			changes, before = changes+1, l.Near()
+		}
+	}
+	if changes > 1 {
+		t.Errorf("changed %d times", changes)
+	}
+	l.SetGateways(shareUntil - 1)
+	if l.Near() {
+		t.Error("a fleet that shrank is still shared out")
+	}
+}
--- a/protocol/feature.go
+++ b/protocol/feature.go
@@ -10,10 +10,13 @@
 const (
 	// FeatureStarts is that servers are named by their starts; see [Incarnation].
 	FeatureStarts Features = 1 << iota
+	// FeatureShared is that a gateway asks a relay of the only region where the leader has
+	// more gateways than it answers at the usual pace.
+	FeatureShared
 )
 
 // OwnFeatures are those of this build.
-const OwnFeatures = FeatureStarts
+const OwnFeatures = FeatureStarts | FeatureShared
 
 // Has reports whether all of some features are among f.
 func (f Features) Has(some Features) bool { return f&some == some }
--- a/protocol/limits.go
+++ b/protocol/limits.go
@@ -72,6 +72,8 @@
 	Change uint64 // Change is that of the limits which the gateway holds with this answer.
 	Limits []ServerLimit
 	Grants []PermitGrant
+
+	ListLate bool // ListLate is as in SyncReply: a batch has no place for it.
 }
 
 // ServerLimit is the limit of a server that holds now, or that none does.
--- a/transport/control/limits.go
+++ b/transport/control/limits.go
@@ -30,7 +30,9 @@
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	u.enter(term)
-	*reply = u.book.Answer(&m, term, clock.Now())
+	now := clock.Now()
+	*reply = u.book.Answer(&m, term, now)
+	reply.ListLate = now.After(u.due)
 	// The lease may have run out meanwhile: then the permits are another one's to give.
 	still, ok := u.group.Vouches()
 	reply.Leads = ok && still == term
@@ -83,11 +85,12 @@
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.limits = protocol.LimitsMark{Term: reply.Term, Change: reply.Change}
+	r.limits, r.listLate = protocol.LimitsMark{Term: reply.Term, Change: reply.Change}, reply.ListLate
 }
 
-// watchLimits asks the leader again and again which limits it has, while gateways ask this
-// relay. Their answers tell it, and they then ask for what they lack.
+// watchLimits asks the leader again and again which limits it has, and whether its list is
+// late, while gateways ask this relay. Their answers tell it, and they then ask for what they
+// lack.
 func (r *Relay) watchLimits(ctx context.Context) {
 	for pause.For(ctx, limitsEvery) {
 		r.mu.Lock()
--- a/transport/control/relay.go
+++ b/transport/control/relay.go
@@ -21,6 +21,9 @@
 	// between regions, as requests wait for parts of their quotas. With one batch under
 	// way at a time half of them waited 35 ms instead of 25 (8 ms one way).
 	gatherTime = 3 * time.Millisecond
+	// batchEach is what each relay of one region gathers for besides: there requests wait for
+	// no batch, and the leader is to be asked as rarely as by the gateways themselves.
+	batchEach = 1500 * time.Microsecond
 	// batchSlack is how much longer than usual the leader's answer to a batch may take
 	// before it is overdue. It is less than the gateways' own slack (100 ms), so that they
 	// are told before they give the relay up.
@@ -40,7 +43,7 @@
 	Call(address, method string, args, reply any, timeout time.Duration) error
 }
 
-// Relay answers the gateways of its region. It gathers their questions and sends them to
+// Relay answers the gateways of its region, or a part of them where they are many. It gathers their questions and sends them to
 // the leader as a batch. It answers each from the leader's answer to a batch that was
 // sent after the question came in, so that what is vouched for is as new as if the
 // gateway had asked the leader.
@@ -66,6 +69,7 @@
 	asked      string               // asked is the leader that the latest batch went to.
 	answerTime link.AnswerTime
 	limits     protocol.LimitsMark // limits are those of the leader, as of its last answer.
+	listLate   bool                // listLate says that its list was out of date then.
 	overdue    bool                // overdue says that the leader is late with the answer to a batch, and none came since.
 	stopped    bool                // stopped says that Run has ended: nobody answers questions any more.
 }
@@ -159,7 +163,7 @@
 	for {
 		select {
 		case <-r.wake:
-			pause.For(ctx, gatherTime)
+			pause.For(ctx, r.gather())
 			if b := r.next(); b != nil {
 				exchanges.Go(func() { r.send(ctx, b) })
 			}
@@ -173,6 +177,15 @@
 	}
 }
 
+// gather is for how long questions are gathered.
+func (r *Relay) gather() time.Duration {
+	if r.uplink.topology.Several() {
+		return gatherTime
+	}
+	_, all := r.uplink.peers()
+	return max(gatherTime, time.Duration(len(all)-1)*batchEach)
+}
+
 // exchange is a batch with the questions that it is for.
 type exchange struct {
 	leader  string
@@ -355,7 +368,7 @@
 			a = protocol.SyncReply{Leader: b.leader}
 		}
 		if r.limits.Term == a.Term {
-			a.Limits = r.limits.Change
+			a.Limits, a.ListLate = r.limits.Change, r.listLate
 		}
 		q.answer <- a
 	}
--- a/transport/control/relay_test.go
+++ b/transport/control/relay_test.go
@@ -42,6 +42,9 @@
 	u, fail, hold := w.leaders[address], w.fail, w.hold
 	w.batches = append(w.batches, m)
 	w.mu.Unlock()
+	if m, ok := args.(protocol.LimitsMsg); ok && u != nil && !fail {
+		return u.Limits(m, reply.(*protocol.LimitsReply))
+	}
 	if u == nil || fail || method != "Uplink.Batch" {
 		return errors.New("no answer")
 	}
--- a/transport/control/size_test.go
+++ b/transport/control/size_test.go
@@ -61,13 +61,42 @@
 	sizeBegun   = 1900                   // sizeBegun are the requests that begin in a second, for about 1 s each.
 )
 
-// sizeWorld is a fleet of gateways with servers in three regions, without a network.
+// layout is where control instances and servers stand.
+type layout struct {
+	regions  map[string]string
+	domains  []string
+	controls []string // controls are the instances by address; the first one leads.
+	servers  int
+}
+
+var (
+	// threeRegions has a control instance in most domains, named by it.
+	threeRegions = layout{
+		regions:  map[string]string{"a1": "a", "a2": "a", "b1": "b", "b2": "b", "c1": "c", "c2": "c"},
+		domains:  []string{"a1", "a2", "b1", "b2", "c1", "c2"},
+		controls: []string{"a1", "a2", "b1", "b2", "c1"},
+		servers:  sizeServers,
+	}
+	// oneRegion has two of them in most domains.
+	oneRegion = layout{
+		domains:  []string{"d1", "d2", "d3", "d4", "d5", "d6"},
+		controls: []string{"d1", "d2", "d3", "d4", "d5", "d1-2", "d2-2", "d3-2", "d4-2", "d5-2"},
+		servers:  sizeServers,
+	}
+)
+
+// domainOf is the domain of a control instance.
+func (l *layout) domainOf(address string) string { return address[:2] }
+
+// sizeWorld is a fleet of gateways with servers, without a network.
 type sizeWorld struct {
+	layout
 	topology *topology.Topology
-	domains  []string
 	leader   *Uplink
-	relays   map[string]*Relay // relays are by domain.
+	relays   map[string]*Relay // relays are by address.
+	batches  int               // batches counts those that the leader answered.
 	gateways []*sizeGateway
+	share    int // share is how many gateways one instance answers.
 	rnd      *rand.Rand
 	traffic  traffic
 }
@@ -79,31 +108,35 @@
 	begun   int64
 }
 
-func newSizeWorld(gateways int, w way) *sizeWorld {
-	regions := map[string]string{"a1": "a", "a2": "a", "b1": "b", "b2": "b", "c1": "c", "c2": "c"}
-	s := &sizeWorld{topology: topology.New(regions), domains: []string{"a1", "a2", "b1", "b2", "c1", "c2"}, relays: map[string]*Relay{}, rnd: rand.New(rand.NewPCG(1, 2))}
+func newSizeWorld(gateways int, w way) *sizeWorld { return newSizeWorldIn(threeRegions, gateways, w) }
+
+func newSizeWorldIn(at layout, gateways int, w way) *sizeWorld {
+	s := &sizeWorld{layout: at, topology: topology.New(at.regions), relays: map[string]*Relay{}, rnd: rand.New(rand.NewPCG(1, 2))}
 	s.leader = NewUplink(newFakeGroup(), noPeers, parse, 8*time.Second, WithTopology(s.topology))
 	var list []protocol.Instance
-	for i := range sizeServers {
+	for i := range at.servers {
 		list = append(list, protocol.Instance{ID: fmt.Sprintf("i-%010x", i*7919), Service: "s", Domain: s.domains[i%6], Slots: 32})
 	}
 	s.leader.Install(1, []byte("document"))
 	s.leader.SetServers(1, list)
-	controls := []string{"a1", "a2", "b1", "b2", "c1"} // The leader is in a1.
-	for _, domain := range controls[1:] {
-		if w == byRelays {
+	var domains []string
+	for i, address := range at.controls {
+		domains = append(domains, at.domainOf(address))
+		if w == byRelays && i > 0 {
 			u := NewUplink(newFakeGroup(), noPeers, parse, 8*time.Second, WithTopology(s.topology))
-			s.relays[domain] = NewRelay(u, nil, "control-"+domain, domain, metrics.NewRegistry())
+			s.relays[address] = NewRelay(u, nil, "control-"+address, address, metrics.NewRegistry())
 		}
 	}
 	for i := range gateways {
 		g := &sizeGateway{running: map[string]int{}}
 		g.m = protocol.SyncMsg{Gateway: fmt.Sprintf("edge-%s-%d", s.domains[i%6], i), Life: rand.Uint64(), Domain: s.domains[i%6], Relayed: w == byRelays}
 		l := link.New(s.topology, g.m.Domain, g.m.Gateway)
-		l.Learn(controls, controls)
-		if near := l.Choose("a1", clock.Now()); w == byRelays {
+		l.Learn(at.controls, domains)
+		l.SetGateways(gateways)
+		if near := l.Choose(at.controls[0], clock.Now()); w == byRelays {
 			g.relay = s.relays[near]
 		}
+		s.share = l.Share(gateways)
 		s.gateways = append(s.gateways, g)
 	}
 	for range sizeBegun {
@@ -115,7 +148,7 @@
 // begin has a request begin at some gateway for some server.
 func (s *sizeWorld) begin() *sizeGateway {
 	g := s.gateways[s.rnd.IntN(len(s.gateways))]
-	g.running[s.leader.order[s.rnd.IntN(sizeServers)]]++
+	g.running[s.leader.order[s.rnd.IntN(s.servers)]]++
 	g.begun++
 	return g
 }
@@ -143,7 +176,7 @@
 			break
 		}
 	}
-	every := int(max(150*time.Millisecond, time.Duration(len(s.gateways))*1500*time.Microsecond) / sizeStep)
+	every := int(s.every() / sizeStep)
 	var asking []*sizeGateway
 	for i, g := range s.gateways {
 		if i%every == number%every {
@@ -153,6 +186,11 @@
 	s.ask(asking, number, w)
 }
 
+// every is the pause between two questions of each gateway.
+func (s *sizeWorld) every() time.Duration {
+	return max(150*time.Millisecond, time.Duration(s.share)*1500*time.Microsecond)
+}
+
 // ask has some gateways ask at once.
 func (s *sizeWorld) ask(list []*sizeGateway, number int, w way) {
 	s.leader.common = common{} // As if more time had passed than it is kept.
@@ -163,7 +201,7 @@
 			s.askLeader(g)
 			continue
 		}
-		s.traffic.add(s.topology, g.m.Domain, g.relay.own, g.m, false)
+		s.traffic.add(s.topology, g.m.Domain, s.domainOf(g.relay.own), g.m, false)
 		waiting[g.relay] = append(waiting[g.relay], &question{m: g.m, at: clock.Now(), answer: make(chan protocol.SyncReply, 1)})
 	}
 	for r, list := range waiting {
@@ -199,23 +237,25 @@
 func (s *sizeWorld) askLeader(g *sizeGateway) {
 	var reply protocol.SyncReply
 	_ = s.leader.Sync(g.m, &reply)
-	s.traffic.add(s.topology, g.m.Domain, "a1", g.m, false)
-	s.traffic.add(s.topology, "a1", g.m.Domain, reply, true)
+	s.traffic.add(s.topology, g.m.Domain, s.domains[0], g.m, false)
+	s.traffic.add(s.topology, s.domains[0], g.m.Domain, reply, true)
 	if err := g.take(&reply); err != nil {
 		panic(err)
 	}
 }
 
 func (s *sizeWorld) askRelay(r *Relay, list []*question) {
-	m, _ := r.compose("a1", list)
+	m, _ := r.compose(s.controls[0], list)
+	s.batches++
 	var reply protocol.BatchReply
 	_ = s.leader.Batch(m, &reply)
-	s.traffic.add(s.topology, r.own, "a1", m, false)
-	s.traffic.add(s.topology, "a1", r.own, reply, true)
-	r.take(&exchange{leader: "a1", m: m, list: list}, &reply, 5*sizeStep)
+	own := s.domainOf(r.own)
+	s.traffic.add(s.topology, own, s.domains[0], m, false)
+	s.traffic.add(s.topology, s.domains[0], own, reply, true)
+	r.take(&exchange{leader: s.controls[0], m: m, list: list}, &reply, 5*sizeStep)
 	for _, q := range list {
 		a := <-q.answer
-		s.traffic.add(s.topology, r.own, q.m.Domain, a, false)
+		s.traffic.add(s.topology, own, q.m.Domain, a, false)
 		for _, g := range s.gateways {
 			if g.m.Gateway != q.m.Gateway {
 				continue
@@ -266,3 +306,53 @@
 		t.Errorf("%d bytes a second cross between regions for 30 gateways, %d for 300: they grow with the gateways", a, b)
 	}
 }
+
+// TestOneRegionOfAThousand checks the pattern of a thousand gateways in one region, and of
+// twice as many, before as many servers as theirs: a change that the leader knows reaches all
+// gateways within a pause that the share of one instance sets, and what the leader sends
+// grows with the relays, not with the gateways.
+func TestOneRegionOfAThousand(t *testing.T) {
+	const (
+		steps  = 120                   // steps are more than a pause.
+		every  = 15 * time.Millisecond // every is what a relay gathers for.
+		second = float64(time.Second) / float64(steps*every)
+	)
+	sent := map[way]map[int]int{changedLoads: {}, byRelays: {}}
+	for _, size := range []struct{ gateways, servers int }{{300, 900}, {986, 2996}, {1972, 5992}} {
+		at := oneRegion
+		at.servers = size.servers
+		for w := range sent {
+			s := newSizeWorldIn(at, size.gateways, w)
+			if w == changedLoads {
+				s.share = size.gateways // All ask the leader.
+			}
+			for range 2 {
+				s.ask(s.gateways, 0, w)
+			}
+			s.traffic, s.batches = traffic{}, 0
+			pause := max(1, int(s.every()/every))
+			for number := range steps {
+				for range int(sizeBegun * every.Seconds()) {
+					s.begin()
+				}
+				var asking []*sizeGateway
+				for i, g := range s.gateways {
+					if i%pause == number%pause {
+						asking = append(asking, g)
+					}
+				}
+				s.ask(asking, number, w)
+			}
+			sent[w][size.gateways] = int(float64(s.traffic.leader) * second)
+			t.Logf("%4d gateways before %4d servers, by relays %5v: each asks every %4v; the leader answers %4.0f batches and sends %8d bytes a second", size.gateways, size.servers, w == byRelays, s.every(), float64(s.batches)*second, sent[w][size.gateways])
+			if w == byRelays && s.every() > 350*time.Millisecond {
+				t.Errorf("%d gateways: each asks every %v", size.gateways, s.every())
+			}
+		}
+	}
+	for _, gateways := range []int{300, 986, 1972} {
+		if n := sent[byRelays][gateways]; n >= 1_000_000 || n >= sent[changedLoads][gateways] {
+			t.Errorf("%d gateways: the leader sends %d bytes a second to relays, %d to all", gateways, n, sent[changedLoads][gateways])
+		}
+	}
+}
--- a/transport/control/uplink.go
+++ b/transport/control/uplink.go
@@ -119,14 +119,14 @@
 func WithTopology(t *topology.Topology) UplinkOption { return func(u *Uplink) { u.topology = t } }
 
 // WithDomains sets what tells the failure domains of control instances by their peer
-// addresses. Gateways are told where those lie in several regions.
+// addresses. Gateways ask the near ones, where they do not ask the leader.
 func WithDomains(domainOf func(peers []string) []string) UplinkOption {
 	return func(u *Uplink) { u.domainOf = domainOf }
 }
 
 // domains returns the failure domains of control instances, where gateways need them.
 func (u *Uplink) domains(peers []string) []string {
-	if u.domainOf == nil || !u.topology.Several() {
+	if u.domainOf == nil {
 		return nil
 	}
 	return u.domainOf(peers)
@@ -236,6 +236,9 @@
 	defer u.mu.Unlock()
 	now := clock.Now()
 	u.enter(term)
+	if u.sharesOut(&m, reply, now) {
+		return nil
+	}
 	u.identify(&m)
 	u.loads.Take(m.Gateway, place.GatewayReport{Domain: m.Domain, Running: m.Running, Distrusts: m.Distrusts})
 	u.takeReadings(u.incarnation, m.Readings, now)
--- a/transport/forward/limits.go
+++ b/transport/forward/limits.go
@@ -213,9 +213,6 @@
 	if len(m.Wants) > 0 {
 		g.grant(reply.Grants, asked)
 	}
-	g.allowance.Granted(reply.Grants, asked, clock.Now())
-	close(g.granted)
-	g.granted = make(chan struct{})
 }
 
 // ended tells the leader that a placed request ended.
--- a/transport/uplink/choice.go
+++ b/transport/uplink/choice.go
@@ -32,7 +32,7 @@
 
 // due returns the timeout after which an instance's answer is overdue.
 func (c *Client) due(address string) time.Duration {
-	if c.links == nil {
+	if !c.nears() {
 		return answerDue
 	}
 	return c.answerTime(address).Due(answerDue, firstDue)
--- a/transport/uplink/uplink.go
+++ b/transport/uplink/uplink.go
@@ -99,6 +99,8 @@
 	silentFor = time.Second
 	// leastPause is the least time between two questions.
 	leastPause = 15 * time.Millisecond
+	// mostDoublings keeps a doubled leastPause from running over; every is reached before.
+	mostDoublings = 10
 )
 
 // Client is a gateway's link to the control role.
@@ -153,13 +155,11 @@
 type Option func(*Client)
 
 // WithRegions has the client of a gateway in a failure domain ask a control instance of
-// its own region, where there are several regions.
+// its own region, where there are several regions or many gateways.
 func WithRegions(t *topology.Topology, domain, gateway string) Option {
 	return func(c *Client) {
 		c.topology = t
-		if l := link.New(t, domain, gateway); l.Near() {
-			c.links = l
-		}
+		c.links = link.New(t, domain, gateway)
 	}
 }
 
@@ -204,13 +204,15 @@
 
 // Run asks until ctx ends.
 func (c *Client) Run(ctx context.Context) error {
-	for ctx.Err() == nil {
+	for failed := 0; ctx.Err() == nil; {
 		began := clock.Now()
-		most := leastPause
 		if c.step(ctx) {
-			most = askEvery(c.gateways)
+			failed = 0
+			c.wait(ctx, began, c.askEvery())
+			continue
 		}
-		c.wait(ctx, began, most)
+		c.wait(ctx, began, c.failedPause(failed))
+		failed++
 	}
 	return nil
 }
@@ -230,6 +232,22 @@
 	return c.target != "" && c.ask(ctx, c.target)
 }
 
+// askEvery is the usual time between two questions.
+func (c *Client) askEvery() time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return askEvery(c.links.Share(c.gateways))
+}
+
+// failedPause is the time between two questions behind some that failed in a row. Relays
+// that have lost the leader refuse at once, and many gateways share few of them.
+func (c *Client) failedPause(failed int) time.Duration {
+	if !c.nears() {
+		return leastPause
+	}
+	return min(every, leastPause<<min(failed, mostDoublings))
+}
+
 // askEvery is the time between two questions of each of some gateways.
 func askEvery(gateways int) time.Duration {
 	return max(every, time.Duration(gateways)*everyMember)
@@ -247,7 +265,7 @@
 func (c *Client) ask(ctx context.Context, address string) bool {
 	m := c.gateway.Report(c.term)
 	m.Life, m.Lister, m.Servers, m.Gateways = c.life, c.lister, c.version, c.gateways
-	m.Loads, m.Relayed = c.mark, c.links != nil
+	m.Loads, m.Relayed = c.mark, c.nears()
 	m.Features = protocol.OwnFeatures
 	asked := clock.Now()
 	got := c.await(ctx, address, c.sync(address, m))
@@ -261,9 +279,15 @@
 	}
 	c.learn(got.reply.Controls, got.reply.Domains)
 	c.named = got.reply.Leader
+	if !got.reply.Leads && got.reply.Gateways > 0 {
+		return c.shareOut(address, got.reply.Gateways)
+	}
 	if !got.reply.Leads {
 		c.lost(address, "does not lead")
 		c.failed(address, false)
+		if c.nears() {
+			c.gateway.Overdue() // The relay does: another one may not.
+		}
 		if got.reply.Leader != address {
 			c.target = got.reply.Leader
 		}
@@ -273,6 +297,29 @@
 	return c.take(address, &m, &got.reply, asked)
 }
 
+// shareOut has the gateway ask one of the relays, as a leader with many gateways wants it.
+func (c *Client) shareOut(address string, gateways int) bool {
+	c.log.Info().Str("leader", address).Int("gateways", gateways).Msg("the leader has a relay asked")
+	c.setGateways(gateways)
+	c.target = ""
+	return false
+}
+
+// setGateways notes how many gateways there are.
+func (c *Client) setGateways(n int) {
+	c.gateways = n
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.links.SetGateways(n)
+}
+
+// nears reports whether an instance of the own region is asked, which may be a relay.
+func (c *Client) nears() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.links.Near()
+}
+
 // answer is what came of a question to the leader.
 type answer struct {
 	reply protocol.SyncReply
@@ -376,7 +423,8 @@
 		c.log.Error().Err(err).Str("from", address).Msg("the servers' loads cannot be read")
 	}
 	c.logLink(address, reply)
-	c.linked, c.target, c.term, c.gateways = address, address, reply.Term, reply.Gateways
+	c.linked, c.target, c.term = address, address, reply.Term
+	c.setGateways(reply.Gateways)
 	c.lead(address, cmp.Or(reply.Leader, address))
 	c.askApart(c.mayApart(cmp.Or(reply.Leader, address)))
 	c.members.Store(int64(reply.Gateways))
@@ -389,7 +437,7 @@
 	if c.linked == address && c.term == reply.Term {
 		return
 	}
-	if c.links != nil && reply.Leader != "" && reply.Leader != address {
+	if reply.Leader != "" && reply.Leader != address {
 		c.log.Info().Str("relay", address).Str("leader", reply.Leader).Uint64("term", reply.Term).Uint64("number", reply.Number).Int("gateways", reply.Gateways).Msg("linked to a relay")
 		return
 	}
