Places for long prompts are asked of the leader itself within one region

Cause: each relay placed the prompts of its gateways. Its ledger hears of the places that others gave only with its next batch, and four of them give the same server meanwhile. Over several regions that is the price of not crossing; within one it buys nothing.

Change: in one region a gateway asks the leader for a place, as for parts of quotas, and tells it the end of a placed request with the next such question, at once, instead of with its other questions. Over several regions nothing changes.

TestEndsComeWithQuotas, TestQuestionsOfRequests.

--- a/coordination/place/ledger.go
+++ b/coordination/place/ledger.go
@@ -327,6 +327,9 @@
 	}
 }
 
+// UnderWay returns how many requests were placed and have not ended.
+func (l *Ledger) UnderWay() int { return len(l.placed) }
+
 // Keep drops the servers that are not listed any more.
 func (l *Ledger) Keep(v *View) {
 	for id, b := range l.servers {
--- a/protocol/uplink.go
+++ b/protocol/uplink.go
@@ -119,6 +119,7 @@
 type QuotaMsg struct {
 	Gateway string
 	Wants   []QuotaWant
+	Done    []PlaceDone // Done are ends of requests that the leader placed.
 }
 
 // QuotaReply is the answer, a grant for each want. Leads is false from an instance that
--- a/transport/control/quota.go
+++ b/transport/control/quota.go
@@ -17,6 +17,7 @@
 	defer u.mu.Unlock()
 	u.enter(term)
 	now := clock.Now()
+	u.placesDone(m.Done, term)
 	for _, want := range m.Wants {
 		reply.Grants = append(reply.Grants, u.quotas.Grant(want, now))
 	}
--- a/transport/control/quota_test.go
+++ b/transport/control/quota_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"testing"
+	"time"
 
 	"github.com/weldstream/weldstream/protocol"
 )
@@ -31,6 +32,33 @@
 	}
 }
 
+// TestEndsComeWithQuotas checks that the leader hears of the ends of requests that it placed
+// beside questions for parts of quotas, of this term and of its own places alone.
+func TestEndsComeWithQuotas(t *testing.T) {
+	u := newUplink(newFakeGroup())
+	u.SetServers(1, []protocol.Instance{{ID: "s", Service: "s", Slots: 4}})
+	var place protocol.PlaceReply
+	if err := u.Place(protocol.PlaceMsg{Service: "s", Prompt: 5000, Answer: 100, Target: time.Second, Gap: time.Second}, &place); err != nil || place.Server != "s" {
+		t.Fatalf("placed %+v, %v", place, err)
+	}
+	ends := func(d protocol.PlaceDone) int {
+		var reply protocol.QuotaReply
+		if err := u.Quota(protocol.QuotaMsg{Gateway: "g", Done: []protocol.PlaceDone{d}}, &reply); err != nil || !reply.Leads {
+			t.Fatalf("%+v, %v", reply, err)
+		}
+		return u.places.UnderWay()
+	}
+	if n := ends(protocol.PlaceDone{Term: 1, Number: place.Number, Placer: place.Placer + 1}); n != 1 {
+		t.Errorf("%d places behind an end of another placer", n)
+	}
+	if n := ends(protocol.PlaceDone{Term: 2, Number: place.Number, Placer: place.Placer}); n != 1 {
+		t.Errorf("%d places behind an end of another term", n)
+	}
+	if n := ends(protocol.PlaceDone{Term: 1, Number: place.Number, Placer: place.Placer}); n != 0 {
+		t.Errorf("%d places behind its end", n)
+	}
+}
+
 // TestQuotaAnswerDoesNotGrow checks the pattern of many gateways that each see few requests:
 // nothing can be asked for in advance, so that each request waits for an answer. What that
 // holds must not grow with the gateways and servers, as an answer with loads does.
--- a/transport/control/uplink.go
+++ b/transport/control/uplink.go
@@ -242,11 +242,7 @@
 	u.identify(&m)
 	u.loads.Take(m.Gateway, place.GatewayReport{Domain: m.Domain, Running: m.Running, Distrusts: m.Distrusts})
 	u.takeReadings(u.incarnation, m.Readings, now)
-	for _, d := range m.Done {
-		if d.Term == term && d.Placer == u.incarnation {
-			u.places.Done(place.DoneMsg{Number: d.Number, First: d.First, Took: d.Took})
-		}
-	}
+	u.placesDone(m.Done, term)
 	reply.Term = term
 	reply.Number = u.number
 	if u.number > m.Number {
@@ -274,6 +270,15 @@
 	return nil
 }
 
+// placesDone notes the ends of requests that this instance placed in a term. It needs u.mu.
+func (u *Uplink) placesDone(ends []protocol.PlaceDone, term uint64) {
+	for _, d := range ends {
+		if d.Term == term && d.Placer == u.incarnation {
+			u.places.Done(place.DoneMsg{Number: d.Number, First: d.First, Took: d.Took})
+		}
+	}
+}
+
 // takeReadings notes what servers were given to read, as a gateway or a relay tells: from
 // is the incarnation of the instance that passes it on. It needs u.mu.
 func (u *Uplink) takeReadings(from uint64, rows []protocol.Reading, now time.Time) {
--- a/transport/forward/limits.go
+++ b/transport/forward/limits.go
@@ -175,11 +175,11 @@
 	defer g.mu.Unlock()
 	now := clock.Now()
 	since := now.Sub(g.began)
-	m := protocol.SyncMsg{Gateway: g.cfg.Name, Term: term, Number: g.Number(), Clock: g.clock.Own(since), Usage: g.counter.Rows(term, g.clock.Now(since)), Counted: g.clock.Now(since), Done: g.done, Domain: g.cfg.Domain, Running: g.view.Load().Running(), Distrusts: g.view.Load().Distrusts(now)}
+	m := protocol.SyncMsg{Gateway: g.cfg.Name, Term: term, Number: g.Number(), Clock: g.clock.Own(since), Usage: g.counter.Rows(term, g.clock.Now(since)), Counted: g.clock.Now(since), Domain: g.cfg.Domain, Running: g.view.Load().Running(), Distrusts: g.view.Load().Distrusts(now)}
 	if !g.apart {
 		m.Wants = g.allowance.Wants(now)
+		m.Done, g.done = g.done, nil // One that is lost is forgotten by the leader in time.
 	}
-	g.done = nil // One that is lost is forgotten by the leader in time.
 	m.Rollouts = g.rolled
 	g.reportReadings(term, &m)
 	g.reportQuarantine(term, &m)
@@ -224,6 +224,9 @@
 	defer x.g.mu.Unlock()
 	x.g.done = append(x.g.done, protocol.PlaceDone{Term: x.placed.Term, Number: x.placed.Number, Placer: x.placed.Placer, First: x.first, Took: clock.Since(x.start)})
 	x.placed = protocol.PlaceReply{}
+	if x.g.apart && x.g.quotaNow != nil {
+		x.g.quotaNow()
+	}
 }
 
 // Share takes how many requests the listed servers have from all gateways, and
--- a/transport/forward/quota.go
+++ b/transport/forward/quota.go
@@ -27,8 +27,9 @@
 func (g *Gateway) ReportWants() (m protocol.QuotaMsg, any bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	m = protocol.QuotaMsg{Gateway: g.cfg.Name, Wants: g.allowance.Wants(clock.Now())}
-	return m, len(m.Wants) > 0
+	m = protocol.QuotaMsg{Gateway: g.cfg.Name, Wants: g.allowance.Wants(clock.Now()), Done: g.done}
+	g.done = nil // One that is lost is forgotten by the leader in time.
+	return m, len(m.Wants)+len(m.Done) > 0
 }
 
 // GrantedWants implements uplink.Quotas.
--- a/transport/uplink/quota_test.go
+++ b/transport/uplink/quota_test.go
@@ -82,11 +82,24 @@
 	}
 }
 
-// TestQuotaOverRegions checks that a question of a single request does not cross regions.
-func TestQuotaOverRegions(t *testing.T) {
+// TestQuestionsOfRequests checks whom a question of a single request goes to: within one
+// region the leader, which alone knows all places that were given, and over several regions
+// a relay of the own one.
+func TestQuestionsOfRequests(t *testing.T) {
 	regions := topology.New(map[string]string{"a1": "a", "b1": "b"})
-	client := New(&quotaCaller{}, nil, nil, nil, zerolog.Nop(), WithQuotas(&wanting{}), WithRegions(regions, "a1", "g"))
-	if client.mayApart("leader") {
-		t.Error("parts of quotas are asked of a leader that may be in another region")
+	for _, c := range []struct {
+		topology *topology.Topology
+		apart    bool
+		placer   string
+	}{{nil, true, "leader"}, {regions, false, "relay"}} {
+		client := New(&quotaCaller{}, nil, nil, nil, zerolog.Nop(), WithQuotas(&wanting{}), WithRegions(c.topology, "a1", "g"))
+		client.lead("relay", "leader")
+		if client.mayApart("leader") != c.apart || client.placer() != c.placer {
+			t.Errorf("several regions %v: quotas apart %v, places by %q", c.topology.Several(), client.mayApart("leader"), client.placer())
+		}
+		client.lead("", "")
+		if got := client.placer(); got != "" {
+			t.Errorf("without a leader places are asked of %q", got)
+		}
 	}
 }
