A gateway whose relay is gone lets in its own part of quotas as soon as one without a leader

What callers would see: with all control instances gone at once, requests of a shared-out fleet are refused for their quota for longer.

Cause, by reading: a gateway is told that nobody answers when it begins to search for a leader. With relays it tries the next one instead, ten of them in turn, and is told only as an answer is overdue, 320 ms for an instance that never answered it.

Change: it is told with the first relay that fails or refuses; and within one region a first answer is overdue after 100 ms, as a leader's is: the 220 ms besides are for round trips between regions.

TestLostRelaysAreOverdueAtOnce; without the change it is told nothing.

--- a/transport/uplink/choice.go
+++ b/transport/uplink/choice.go
@@ -35,7 +35,11 @@
 	if !c.nears() {
 		return answerDue
 	}
-	return c.answerTime(address).Due(answerDue, firstDue)
+	first := firstDue
+	if !c.topology.Several() {
+		first = 0
+	}
+	return c.answerTime(address).Due(answerDue, first)
 }
 
 // answerTime returns how long an instance's answers take.
--- a/transport/uplink/uplink.go
+++ b/transport/uplink/uplink.go
@@ -274,6 +274,7 @@
 		c.lost(address, got.err.Error())
 		c.answerTime(address).Miss(firstDue)
 		c.failed(address, true)
+		c.overdueNear()
 		c.target = got.other
 		return false
 	}
@@ -285,9 +286,7 @@
 	if !got.reply.Leads {
 		c.lost(address, "does not lead")
 		c.failed(address, false)
-		if c.nears() {
-			c.gateway.Overdue() // The relay does: another one may not.
-		}
+		c.overdueNear()
 		if got.reply.Leader != address {
 			c.target = got.reply.Leader
 		}
@@ -297,6 +296,14 @@
 	return c.take(address, &m, &got.reply, asked)
 }
 
+// overdueNear tells the gateway that nobody answers where another instance of the own region
+// is asked next: with none known it is told as soon as the search begins.
+func (c *Client) overdueNear() {
+	if c.nears() {
+		c.gateway.Overdue()
+	}
+}
+
 // shareOut has the gateway ask one of the relays, as a leader with many gateways wants it.
 func (c *Client) shareOut(address string, gateways int) bool {
 	c.log.Info().Str("leader", address).Int("gateways", gateways).Msg("the leader has a relay asked")
--- a/transport/uplink/uplink_test.go
+++ b/transport/uplink/uplink_test.go
@@ -405,3 +405,23 @@
 		}
 	}
 }
+
+// TestLostRelaysAreOverdueAtOnce checks that a gateway of a large fleet whose relays end all at
+// the same time, or refuse as they have lost the leader, is told with the first of them that
+// nobody answers: its requests then wait for no part of a quota.
+func TestLostRelaysAreOverdueAtOnce(t *testing.T) {
+	for name, relay := range map[string]func(protocol.SyncMsg) (protocol.SyncReply, error){
+		"ended":   nil,
+		"refuses": follows(""),
+	} {
+		c := &fakeCaller{answers: map[string]func(protocol.SyncMsg) (protocol.SyncReply, error){"b": relay, "c": relay}}
+		g := &fakeGateway{}
+		u := New(c, g, []string{"a"}, unpackIDs, zerolog.Nop(), WithRegions(nil, "d1", "g"))
+		u.learn([]string{"a", "b", "c"}, []string{"d1", "d1", "d2"})
+		u.setGateways(986)
+		u.step(t.Context())
+		if len(c.asked) != 1 || g.overdue.Load() == 0 {
+			t.Errorf("%s: asked %v, told %d times that nobody answers", name, c.asked, g.overdue.Load())
+		}
+	}
+}
