--- a/coordination/backpressure/passed.go
+++ b/coordination/backpressure/passed.go
@@ -76,8 +76,8 @@
 }
 
 // Words returns the limits that servers named, or took back, in answers to this gateway.
-// They are what is passed on while no leader answers: one that is gone may have told only
-// some gateways what it knew.
+// The gateway reports all of them while no leader answers, also those that a leader had:
+// it may have told only some gateways before it failed.
 func (l *Limits) Words(now time.Time) (list []protocol.HeardLimit) {
 	for server, s := range l.servers {
 		if s.heard {
@@ -88,7 +88,8 @@
 }
 
 // TakePassed takes what servers said to other gateways, and reports whether a limit changed
-// by it. What a server said here later goes before it. The next leader is told of it, too.
+// by it. A later answer of the server to this gateway overrides it. The next leader gets it
+// with the gateway's report.
 func (l *Limits) TakePassed(rows []protocol.HeardLimit, now time.Time) (changed bool) {
 	for i := range rows {
 		changed = l.takePassed(&rows[i], now) || changed
--- a/protocol/uplink.go
+++ b/protocol/uplink.go
@@ -114,8 +114,8 @@
 	Alone     float64 // Alone are units that were spent without a part, while nobody granted any.
 }
 
-// QuotaMsg asks the leader for parts of quotas, beside the gateway's other questions: a
-// request waits for it, and what those tell and are told grows with the fleet.
+// QuotaMsg asks the leader for parts of quotas. It is apart from SyncMsg since requests wait
+// for the answer, and the size of a SyncReply grows with the number of servers.
 type QuotaMsg struct {
 	Gateway string
 	Wants   []QuotaWant
--- a/transport/control/relay.go
+++ b/transport/control/relay.go
@@ -43,8 +43,8 @@
 	Call(address, method string, args, reply any, timeout time.Duration) error
 }
 
-// Relay answers the gateways of its region, or a part of them where they are many. It gathers their questions and sends them to
-// the leader as a batch. It answers each from the leader's answer to a batch that was
+// Relay answers the gateways of its region, or a part of them where they are many. It
+// gathers their questions and sends them to the leader as a batch. It answers each from the leader's answer to a batch that was
 // sent after the question came in, so that what is vouched for is as new as if the
 // gateway had asked the leader.
 type Relay struct {
@@ -177,15 +177,6 @@
 	}
 }
 
-// gather is for how long questions are gathered.
-func (r *Relay) gather() time.Duration {
-	if r.uplink.topology.Several() {
-		return gatherTime
-	}
-	_, all := r.uplink.peers()
-	return max(gatherTime, time.Duration(len(all)-1)*batchEach)
-}
-
 // exchange is a batch with the questions that it is for.
 type exchange struct {
 	leader  string
@@ -432,27 +423,3 @@
 	r.meters.overdue.Inc(1)
 	r.uplink.log.Warn().Str("leader", leader).Int("gateways", len(r.gateways)).Msg("a relay's batch is overdue")
 }
-
-// RelayState is what a dump shows of a relay.
-type RelayState struct {
-	Leader   string `json:"leader"` // Leader is the one that it asked last.
-	Term     uint64 `json:"term"`
-	Number   uint64 `json:"number"` // Number is the document that was vouched for last.
-	Servers  int    `json:"servers"`
-	Gateways int    `json:"gateways"` // Gateways are those that asked it lately.
-	Batches  uint64 `json:"batches"`
-	Cut      bool   `json:"cut"` // Cut says that the leader's answer is overdue.
-}
-
-// State returns what a dump shows of the relay.
-func (r *Relay) State() RelayState {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	now, gateways := clock.Now(), 0
-	for _, at := range r.gateways {
-		if now.Sub(at) <= gatewayKept {
-			gateways++
-		}
-	}
-	return RelayState{Leader: r.asked, Term: r.copies.term, Number: r.copies.number, Servers: len(r.copies.servers), Gateways: gateways, Batches: r.batch, Cut: r.overdue}
-}
--- a/transport/control/share.go
+++ b/transport/control/share.go
@@ -22,3 +22,12 @@
 	reply.Gateways = n + 1
 	return true
 }
+
+// gather is for how long questions are gathered.
+func (r *Relay) gather() time.Duration {
+	if r.uplink.topology.Several() {
+		return gatherTime
+	}
+	_, all := r.uplink.peers()
+	return max(gatherTime, time.Duration(len(all)-1)*batchEach)
+}
--- a/transport/control/uplink.go
+++ b/transport/control/uplink.go
@@ -53,7 +53,7 @@
 	domainOf func(peers []string) []string // domainOf tells the domains of control instances.
 
 	passing sync.Mutex           // passing guards passed, and is taken alone.
-	passed  *backpressure.Passed // passed are limits of servers that are told on while none leads.
+	passed  *backpressure.Passed // passed holds the limits of servers that gateways report while there is no leader.
 
 	mu      sync.Mutex // mu guards all below.
 	number  uint64
