What a server says of itself and cannot be read is logged once for each of its starts

What operators saw: nothing yet; a server whose load header has a part that cannot be read says so in each answer, and each answer was logged as a warning. Cause: since the load's fourth figure is read its faults go the way of the other words, which come rarely. Change: a line for each start, kept while the server is listed; both words in it.

--- a/transport/forward/says.go
+++ b/transport/forward/says.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -19,6 +20,21 @@
 	answered   chan struct{} // answered is closed and replaced when the leader answered on limits, or did not in time.
 	rests      backpressure.Rests
 	departures backpressure.Departures
+	unread     map[string]bool // unread are the servers of which something could not be read, which was logged.
+}
+
+// firstUnread reports whether nothing of a server's start could not be read before.
+func (w *words) firstUnread(server string) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.unread[server] {
+		return false
+	}
+	if w.unread == nil {
+		w.unread = map[string]bool{}
+	}
+	w.unread[server] = true
+	return true
 }
 
 // forGood stands for a time that does not end while the server is there.
@@ -44,7 +60,7 @@
 
 // heard notes what a server says of itself beside an answer.
 func (x *exchange) heard(s *place.Server, says *protocol.ServerSays) {
-	if says.Unread != "" {
+	if says.Unread != "" && x.g.words.firstUnread(s.ID) { // A server says the same in each answer.
 		x.log.Warn().Str("server", s.ID).Str("said", says.Unread).Msg("what a server says of itself cannot be read")
 	}
 	if !says.LimitUnread {
@@ -122,6 +138,7 @@
 	w.limits.Keep(listed)
 	w.rests.Keep(listed, now)
 	w.departures.Keep(listed, now)
+	maps.DeleteFunc(w.unread, func(server string, _ bool) bool { return !listed(server) })
 }
 
 // resting reports whether a server wants nothing from this gateway now, calls for running
--- a/transport/forward/says_test.go
+++ b/transport/forward/says_test.go
@@ -121,3 +121,23 @@
 	w.g.SetServers(w.servers)
 	ask("listed again")
 }
+
+// TestUnreadIsLoggedOnce checks that what a server says of itself and cannot be read is logged
+// once for each start, and anew behind a list that no longer had the server.
+func TestUnreadIsLoggedOnce(t *testing.T) {
+	w := newWorld(t)
+	w.backend("a", good)
+	words := &w.g.words
+	for _, c := range []struct {
+		server string
+		want   bool
+	}{{"a", true}, {"a", false}, {"b", true}, {"a", false}} {
+		if got := words.firstUnread(c.server); got != c.want {
+			t.Errorf("server %s: logged %v, want %v", c.server, got, c.want)
+		}
+	}
+	words.keep(w.g.view.Load(), time.Now()) // Server a is listed.
+	if words.firstUnread("a") || !words.firstUnread("b") {
+		t.Error("what was logged is not kept for the listed servers alone")
+	}
+}
