Tests: a leader that sends a gateway to a relay, pauses behind refusals, how long relays gather

Cause: with the code behind these three promises taken out no test failed: a gateway that is sent away, the doubled pause, and the gathering by the number of relays. Change: tests alone.

--- a/transport/control/share_test.go
+++ b/transport/control/share_test.go
@@ -5,6 +5,8 @@
 	"testing"
 	"time"
 
+	metrics "github.com/rcrowley/go-metrics"
+
 	"github.com/weldstream/weldstream/coordination/link"
 	"github.com/weldstream/weldstream/internal/clock"
 	"github.com/weldstream/weldstream/protocol"
@@ -74,3 +76,23 @@
 	heard(true)
 	heard(false)
 }
+
+// TestRelaysGatherByTheirNumber checks that the relays of one region together ask the leader
+// no more often than it answers gateways, however many relays there are, and those of several
+// regions as soon as requests that wait for parts of quotas need.
+func TestRelaysGatherByTheirNumber(t *testing.T) {
+	for _, instances := range []int{2, 3, 10, 40} {
+		peers := func() (string, []string) { return "", make([]string, instances) }
+		u := NewUplink(newFakeGroup(), peers, parse, 8*time.Second)
+		r := NewRelay(u, nil, "relay", "relay:7000", metrics.NewRegistry())
+		relays := instances - 1
+		if a := float64(relays) / r.gather().Seconds(); a > 668 {
+			t.Errorf("%d relays ask %.0f times a second", relays, a)
+		}
+	}
+	_, _, w := newLeader(1)
+	u, _ := newRelayOf(t, w, "a")
+	if got := u.relay.Load().gather(); got != gatherTime {
+		t.Errorf("over several regions a relay gathers for %v", got)
+	}
+}
--- a/transport/uplink/uplink_test.go
+++ b/transport/uplink/uplink_test.go
@@ -425,3 +425,49 @@
 		}
 	}
 }
+
+// TestLeaderSendsItToARelay checks that a gateway which a leader of many sends away asks a
+// relay next, as one that may be, keeps to it, and asks again by the share of one instance.
+func TestLeaderSendsItToARelay(t *testing.T) {
+	controls, domains := []string{"a", "b", "c"}, []string{"d2", "d1", "d3"}
+	relayed := false
+	c := &fakeCaller{answers: map[string]func(protocol.SyncMsg) (protocol.SyncReply, error){
+		"a": func(m protocol.SyncMsg) (protocol.SyncReply, error) {
+			if m.Gateways > 0 {
+				t.Errorf("a gateway that knows of %d gateways asked the leader", m.Gateways)
+			}
+			return protocol.SyncReply{Leader: "a", Controls: controls, Domains: domains, Gateways: 986}, nil
+		},
+		"b": func(m protocol.SyncMsg) (protocol.SyncReply, error) {
+			relayed = m.Relayed
+			return protocol.SyncReply{Leads: true, Leader: "a", Term: 1, Controls: controls, Domains: domains, Gateways: 986}, nil
+		},
+	}}
+	g := &fakeGateway{}
+	u := New(c, g, []string{"a"}, unpackIDs, zerolog.Nop(), WithRegions(nil, "d1", "g"))
+	u.target = "a"
+	for range 3 {
+		u.step(t.Context())
+	}
+	if !slices.Equal(c.asked, []string{"a", "b", "b"}) || !relayed || g.confirmed != 2 {
+		t.Fatalf("asked %v, as one that may relay: %v, confirmed %d times", c.asked, relayed, g.confirmed)
+	}
+	if got, want := u.askEvery(), askEvery(986/2); got != want {
+		t.Errorf("asks every %v, want %v: two relays share 986 gateways", got, want)
+	}
+}
+
+// TestPauseBehindRefusals checks that a gateway of a large fleet whose relays refuse pauses
+// longer behind each, up to its usual pause, and one that asks the leader does not.
+func TestPauseBehindRefusals(t *testing.T) {
+	u := New(&fakeCaller{}, &fakeGateway{}, nil, unpackIDs, zerolog.Nop(), WithRegions(nil, "d1", "g"))
+	if got := u.failedPause(9); got != leastPause {
+		t.Errorf("without relays it pauses for %v", got)
+	}
+	u.setGateways(986)
+	for failed, want := range map[int]time.Duration{0: leastPause, 1: 2 * leastPause, 4: every, 1000: every} {
+		if got := u.failedPause(failed); got != want {
+			t.Errorf("behind %d failures it pauses for %v, want %v", failed, got, want)
+		}
+	}
+}
