--- a/coordination/scale/scale_test.go
+++ b/coordination/scale/scale_test.go
@@ -136,6 +136,9 @@
 		if n, most := w.total(true), int(1.5*(ownServers*running+ownSpare))+6; n > most || without() < int(running) {
 			t.Errorf("%d servers: %d are held for %.0f running requests, %d without two domains; at most %d", size, n, running, without(), most)
 		}
+		if n := w.total(false); n > 0 {
+			t.Errorf("%d servers: %d at the full price stay for a first number that the load does not need", size, n)
+		}
 		pass(3*time.Second, 2*running)
 		if without() < int(2*running) {
 			t.Errorf("%d servers: %d are there without two domains for %.0f running requests behind a burst", size, without(), 2*running)
--- a/transport/forward/forward_test.go
+++ b/transport/forward/forward_test.go
@@ -777,3 +777,24 @@
 		}
 	}
 }
+
+// TestEndOfAPlaceIsToldAtOnce checks that the end of a request which the leader placed is
+// reported beside questions for parts of quotas, at once, and with the other questions to a
+// leader that takes none apart.
+func TestEndOfAPlaceIsToldAtOnce(t *testing.T) {
+	for _, apart := range []bool{true, false} {
+		w := newWorld(t)
+		told := 0
+		w.g.quotaNow = func() { told++ }
+		w.g.WantsApart(apart)
+		x := &exchange{g: w.g, placed: protocol.PlaceReply{Server: "a", Term: 1, Number: 7}, start: clock.Now()}
+		x.ended()
+		own, others := 0, len(w.g.Report(1).Done)
+		if m, any := w.g.ReportWants(); any {
+			own = len(m.Done)
+		}
+		if want := map[bool][3]int{true: {1, 1, 0}, false: {0, 0, 1}}[apart]; [3]int{told, own, others} != want {
+			t.Errorf("apart %v: asked at once %d times, %d ends beside quotas, %d with the others", apart, told, own, others)
+		}
+	}
+}
--- a/transport/uplink/uplink_test.go
+++ b/transport/uplink/uplink_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/rs/zerolog"
 
+	"github.com/weldstream/weldstream/coordination/topology"
 	"github.com/weldstream/weldstream/protocol"
 )
 
@@ -471,3 +472,19 @@
 		}
 	}
 }
+
+// TestFirstAnswerOfARelayIsDue checks that the first answer of a relay is overdue as soon as a
+// leader's within one region, and later by round trips over several.
+func TestFirstAnswerOfARelayIsDue(t *testing.T) {
+	several := topology.New(map[string]string{"d1": "a", "d2": "b"})
+	for _, c := range []struct {
+		topology *topology.Topology
+		want     time.Duration
+	}{{nil, answerDue}, {several, answerDue + firstDue}} {
+		u := New(&fakeCaller{}, &fakeGateway{}, nil, unpackIDs, zerolog.Nop(), WithRegions(c.topology, "d1", "g"))
+		u.setGateways(986)
+		if got := u.due("relay"); got != c.want {
+			t.Errorf("several regions %v: overdue after %v, want %v", c.topology.Several(), got, c.want)
+		}
+	}
+}
