One place for the pace of questions; names of the link's fields; placed prompts are a gauge

Cause: 150 ms, 1.5 ms a gateway and the 100 gateways that follow from both stood in three packages; granter, without, apart, leads and leading needed an explanation; Ledger.UnderWay had no caller but a test. Change: link.AskEvery and link.AnswerEach, from which ShareFrom, the pause and the gathering are made; leaderAddr, noQuotaCall, quotaApart, leaderAddress, linkAddress; the gauge "places". Values are as they were.

--- a/coordination/link/link.go
+++ b/coordination/link/link.go
@@ -41,11 +41,16 @@
 )
 
 const (
+	// AskEvery is the usual time between two questions of a gateway, at the least, and
+	// AnswerEach what each gateway adds to it: one instance then answers 667 times a second at
+	// the most.
+	AskEvery   = 150 * time.Millisecond
+	AnswerEach = 1500 * time.Microsecond
 	// ShareFrom is how many gateways of one region ask the leader themselves: as many as one
-	// instance answers at the usual pace, every 150 ms at 1.5 ms for each.
-	ShareFrom = 100
+	// instance answers at the usual pace.
+	ShareFrom = int(AskEvery / AnswerEach)
 	// shareUntil is below how many they do so again.
-	shareUntil = 75
+	shareUntil = ShareFrom * 3 / 4
 )
 
 // Links are the control instances as one gateway knows them.
--- a/transport/control/relay.go
+++ b/transport/control/relay.go
@@ -21,9 +21,6 @@
 	// between regions, as requests wait for parts of their quotas. With one batch under
 	// way at a time half of them waited 35 ms instead of 25 (8 ms one way).
 	gatherTime = 3 * time.Millisecond
-	// batchEach is what each relay of one region gathers for besides: there requests wait for
-	// no batch, and the leader is to be asked as rarely as by the gateways themselves.
-	batchEach = 1500 * time.Microsecond
 	// batchSlack is how much longer than usual the leader's answer to a batch may take
 	// before it is overdue. It is less than the gateways' own slack (100 ms), so that they
 	// are told before they give the relay up.
--- a/transport/control/share.go
+++ b/transport/control/share.go
@@ -23,11 +23,12 @@
 	return true
 }
 
-// gather is for how long questions are gathered.
+// gather is for how long questions are gathered. Within one region no request waits for a
+// batch, and the relays together ask the leader as rarely as gateways would.
 func (r *Relay) gather() time.Duration {
 	if r.uplink.topology.Several() {
 		return gatherTime
 	}
 	_, all := r.uplink.peers()
-	return max(gatherTime, time.Duration(len(all)-1)*batchEach)
+	return max(gatherTime, time.Duration(len(all)-1)*link.AnswerEach)
 }
--- a/transport/control/uplink.go
+++ b/transport/control/uplink.go
@@ -134,7 +134,10 @@
 
 // WithRegistry sets the registry of the meters; without it nothing is counted.
 func WithRegistry(r metrics.Registry) UplinkOption {
-	return func(u *Uplink) { u.meters = newRolloutMeters(r) }
+	return func(u *Uplink) {
+		u.meters = newRolloutMeters(r)
+		metrics.NewRegisteredFunctionalGauge("places", r, u.placesUnderWay)
+	}
 }
 
 // unlogged is for how long a leader may have gone on after what it logged last, while
@@ -270,6 +273,13 @@
 	return nil
 }
 
+// placesUnderWay is how many requests this instance placed that have not ended, as it knows.
+func (u *Uplink) placesUnderWay() int64 {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return int64(u.places.UnderWay())
+}
+
 // placesDone notes the ends of requests that this instance placed in a term. It needs u.mu.
 func (u *Uplink) placesDone(ends []protocol.PlaceDone, term uint64) {
 	for _, d := range ends {
--- a/transport/engine.go
+++ b/transport/engine.go
@@ -44,7 +44,7 @@
 	opened  func(*wire) bool       // opened hands over the connection for cancellation.
 	release func() bool            // release takes it back when it was read to its end.
 	leaving func(protocol.Leaving) // leaving is told when the server says that it leaves.
-	rests   *restBox               // rests are told when it asks for rest.
+	rests   *restBox               // rests records until when the engine asked for rest.
 	broke   func(*call, error)     // broke is told when the server's connection ended under the request.
 	sent    time.Time              // sent is when the attempt was made.
 }
--- a/transport/uplink/limits.go
+++ b/transport/uplink/limits.go
@@ -63,7 +63,7 @@
 	m, any := c.limiter.ReportLimits()
 	behind := c.limitsBehind.Swap(false)
 	if !any && !behind {
-		return c.leading() != ""
+		return c.linkAddress() != ""
 	}
 	m.Life = c.life
 	asked := clock.Now()
@@ -75,8 +75,8 @@
 	return err == nil
 }
 
-// leading returns the instance that answers for the leader; empty while there is none.
-func (c *Client) leading() string {
+// linkAddress returns the instance that answers for the leader; empty while there is none.
+func (c *Client) linkAddress() string {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	return c.leader
@@ -116,7 +116,7 @@
 
 // callLimits returns the answer of a leader, or why there is none.
 func (c *Client) callLimits(m protocol.LimitsMsg) (*protocol.LimitsReply, error) {
-	leader := c.leading()
+	leader := c.linkAddress()
 	if leader == "" {
 		return nil, errNoLeader
 	}
--- a/transport/uplink/place.go
+++ b/transport/uplink/place.go
@@ -27,7 +27,7 @@
 // only with their batches, and each gives the same server to others meanwhile.
 func (c *Client) placer() string {
 	if c.topology.Several() {
-		return c.leading()
+		return c.linkAddress()
 	}
-	return c.leads()
+	return c.leaderAddress()
 }
--- a/transport/uplink/quota.go
+++ b/transport/uplink/quota.go
@@ -34,7 +34,7 @@
 
 // QuotaNow has the leader asked at once for parts of quotas.
 func (c *Client) QuotaNow() {
-	if !c.apart.Load() {
+	if !c.quotaApart.Load() {
 		c.SyncNow()
 		return
 	}
@@ -49,7 +49,7 @@
 func (c *Client) RunQuotas(ctx context.Context) error {
 	for ctx.Err() == nil {
 		pause.Until(ctx, askEvery(int(c.members.Load())), c.quotaNow)
-		if c.apart.Load() {
+		if c.quotaApart.Load() {
 			c.askQuota()
 		}
 	}
@@ -64,7 +64,7 @@
 	}
 	asked := clock.Now()
 	var reply protocol.QuotaReply
-	leader := c.leads()
+	leader := c.leaderAddress()
 	err := errNoLeader
 	if leader != "" {
 		err = c.caller.Call(leader, "Uplink.Quota", m, &reply, quotaTime)
@@ -75,7 +75,7 @@
 	}
 	c.log.Debug().Err(err).Str("leader", leader).Msg("no leader grants parts of quotas")
 	if server := rpc.ServerError(""); errors.As(err, &server) {
-		c.without.Store(leader)
+		c.noQuotaCall.Store(leader)
 	}
 	c.quotas.GrantedWants(&m, nil, asked)
 	c.askApart(false)
@@ -86,23 +86,23 @@
 // there are several regions a relay gathers the questions instead: those of single requests do
 // not cross regions.
 func (c *Client) mayApart(leader string) bool {
-	return !c.topology.Several() && c.without.Load() != leader
+	return !c.topology.Several() && c.noQuotaCall.Load() != leader
 }
 
 // askApart has parts of quotas asked for apart, or with the other questions.
 func (c *Client) askApart(apart bool) {
-	if c.quotas != nil && c.apart.Swap(apart) != apart {
+	if c.quotas != nil && c.quotaApart.Swap(apart) != apart {
 		c.quotas.WantsApart(apart)
 	}
 }
 
-// leads returns the address of the instance that leads, as it was named last; empty while
+// leaderAddress returns the address of the instance that leads, as it was named last; empty while
 // none answers.
-func (c *Client) leads() string {
+func (c *Client) leaderAddress() string {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.leader == "" {
 		return ""
 	}
-	return c.granter
+	return c.leaderAddr
 }
--- a/transport/uplink/uplink.go
+++ b/transport/uplink/uplink.go
@@ -69,8 +69,8 @@
 const (
 	// every is the usual time between two questions, at the least; it grows with
 	// the number of gateways, so that the leader's load is bounded.
-	every       = 150 * time.Millisecond
-	everyMember = 1500 * time.Microsecond
+	every       = link.AskEvery
+	everyMember = link.AnswerEach
 	// callTime bounds a question to an instance that may be gone, and firstTime one
 	// whose answer holds a whole list, for many gateways at once.
 	callTime  = 700 * time.Millisecond
@@ -116,20 +116,20 @@
 	syncNow  chan struct{}
 
 	quotaNow     chan struct{}
-	apart        atomic.Bool  // apart says that parts of quotas are asked for apart.
-	without      atomic.Value // without is the address of the latest leader whose build grants none apart.
+	quotaApart   atomic.Bool  // quotaApart says that parts of quotas are asked for apart.
+	noQuotaCall  atomic.Value // noQuotaCall is the address of the latest leader whose build grants none apart.
 	limitsNow    chan struct{}
 	limitsBehind atomic.Bool  // limitsBehind says that the leader has limits that the gateway lacks.
 	members      atomic.Int64 // members are how many gateways there are.
 
-	mu       sync.Mutex // mu guards all up to the loop's own.
-	seeds    []string
-	leader   string          // leader is the target while it leads, for calls beside the loop.
-	granter  string          // granter is the leader itself, also where the target is a relay.
-	asking   map[string]bool // asking are the instances that a question for the leader is under way to.
-	controls []string
-	links    *link.Links // links choose an instance of the own region; nil where only the leader is asked.
-	found    chan named  // found receives whom they name.
+	mu         sync.Mutex // mu guards all up to the loop's own.
+	seeds      []string
+	leader     string          // leader is the target while it leads, for calls beside the loop.
+	leaderAddr string          // leaderAddr is the leader itself, also where the target is a relay.
+	asking     map[string]bool // asking are the instances that a question for the leader is under way to.
+	controls   []string
+	links      *link.Links // links choose an instance of the own region; nil where only the leader is asked.
+	found      chan named  // found receives whom they name.
 
 	// The own of the loop on limits.
 	passed     map[string]protocol.PassedMark // passed are the marks of what control instances passed on, by address.
@@ -440,7 +440,7 @@
 func (c *Client) lead(address, leader string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.leader, c.granter = address, leader
+	c.leader, c.leaderAddr = address, leader
 }
 
 // learn notes the control instances that another one knows.
