--- a/coordination/link/link.go
+++ b/coordination/link/link.go
@@ -41,10 +41,10 @@
 )
 
 const (
-	// AskEvery is the usual time between two questions of a gateway, at the least, and
-	// AnswerEach what each gateway adds to it: one instance then answers 667 times a second at
-	// the most.
-	AskEvery   = 150 * time.Millisecond
+	// AskEvery is the usual time between two questions of a gateway, at the least.
+	AskEvery = 150 * time.Millisecond
+	// AnswerEach is the time between two questions for each gateway that asks the same
+	// instance, which then answers 667 times a second at the most.
 	AnswerEach = 1500 * time.Microsecond
 	// ShareFrom is how many gateways of one region ask the leader themselves: as many as one
 	// instance answers at the usual pace.
