--- a/cmd/weldstreamd/control.go
+++ b/cmd/weldstreamd/control.go
@@ -52,7 +52,7 @@
 	if err := c.wire(ctx); err != nil {
 		return err
 	}
-	client := transport.NewMembersClient(c.tables, c.links)
+	client := transport.NewMembersClient(c.tables, c.links, transport.WithGroupLogger(c.log))
 	orders := control.NewRolloutOrders(client, platform.ParseNumbered, r.settings.Bounds.OrderRepeat)
 	operator := c.operator(platform.NewOperator(client, orders, r.log), control.NewOperator(orders, c.progress, r.log))
 	duties := control.NewDuties(c.limits(), r.settings.Name, c.group, c.calls, c.uplink, r.log)
--- a/cmd/weldstreamd/daemon.go
+++ b/cmd/weldstreamd/daemon.go
@@ -122,7 +122,7 @@
 	d.poller.Meter(d.registry)
 	d.limits.Meter(d.registry)
 	if len(s.Cluster.Replicas) > 0 {
-		d.client = transport.NewGroupClient(d.tables, d.links, s.Cluster.Replicas)
+		d.client = transport.NewGroupClient(d.tables, d.links, s.Cluster.Replicas, transport.WithGroupLogger(d.log))
 	}
 	d.quarantine = transport.NewQuarantine(s.Name, d.quarantineObserver(), s.Timeouts.Dial, d.log)
 	d.gateway = transport.NewGateway(s, d.tables,
--- a/coordination/group/group.go
+++ b/coordination/group/group.go
@@ -350,6 +350,8 @@
 	case replicate.ElectedCmd:
 		g.log.Info().Uint64("term", cmd.Term).Msg("elected leader")
 		g.publish() // Before the others learn of it, since they may then redirect clients here.
+	case replicate.CampaignCmd, replicate.VoteRefusedCmd, replicate.HandoverReceivedCmd:
+		g.logElection(cmd)
 	case replicate.SteppedDownCmd:
 		g.log.Info().Uint64("term", cmd.Term).Msg("no longer leader")
 		g.failProposals()
--- a/coordination/group/place.go
+++ b/coordination/group/place.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"github.com/rs/zerolog"
+
 	"github.com/weldstream/weldstream/coordination/replicate"
 	"github.com/weldstream/weldstream/coordination/roundtrip"
 )
@@ -66,6 +68,27 @@
 		Any("round_trips", all).Msg("moving leadership to shorten the quorum round trip")
 }
 
+// logElection logs a step of an election. Pre-votes are logged at level debug, since a
+// partitioned replica repeats them.
+func (g *Group) logElection(cmd replicate.Cmd) {
+	switch cmd := cmd.(type) {
+	case replicate.CampaignCmd:
+		level := zerolog.InfoLevel
+		if cmd.Role == replicate.PreCandidate {
+			level = zerolog.DebugLevel
+		}
+		g.log.WithLevel(level).Stringer("role", cmd.Role).Uint64("term", cmd.Term).Uint64("void", cmd.Void).Msg("campaigning")
+	case replicate.VoteRefusedCmd:
+		level := zerolog.InfoLevel
+		if cmd.PreVote {
+			level = zerolog.DebugLevel
+		}
+		g.log.WithLevel(level).Str("to", cmd.To.Name).Bool("pre_vote", cmd.PreVote).Uint64("term", cmd.Term).Str("reason", string(cmd.Reason)).Msg("vote refused")
+	case replicate.HandoverReceivedCmd:
+		g.log.Info().Str("from", cmd.From.Name).Uint64("term", cmd.Term).Uint64("index", cmd.Index).Bool("campaigns", cmd.Campaigns).Msg("handover received")
+	}
+}
+
 // measureElection measures the time from this replica's first campaign until it knows a
 // leader.
 func (g *Group) measureElection(s *Status, now time.Duration) {
--- a/coordination/replicate/election.go
+++ b/coordination/replicate/election.go
@@ -10,6 +10,7 @@
 		r.hard = HardState{Term: term, Vote: r.id, Promise: r.hard.Promise}
 		r.persist(nil)
 	}
+	r.emit(CampaignCmd{Role: role, Term: term, Void: r.voidTerm})
 	r.role, r.leader = role, ID{}
 	r.votes = map[ID]bool{}
 	if role == PreCandidate {
@@ -113,6 +114,7 @@
 		}
 	case Vote:
 		if r.leaderMayHoldLease() {
+			r.emit(VoteRefusedCmd{To: m.From, Term: m.Term, Reason: VoteRefusedLease})
 			return false
 		}
 	case Append, Snapshot, VoteReply, AppendReply, Handover, Ping, Pong:
@@ -132,8 +134,12 @@
 }
 
 func (r *Replica) handleVote(m Message) {
+	refusal := r.refuseVote(m)
+	grant := refusal == ""
+	if !grant {
+		r.emit(VoteRefusedCmd{To: m.From, PreVote: m.Kind == PreVote, Term: m.Term, Reason: refusal})
+	}
 	if m.Kind == PreVote {
-		grant := !r.leaderMayHoldLease() && m.Term > r.hard.Term && r.upToDate(m)
 		term := m.Term
 		if !grant {
 			term = r.hard.Term
@@ -141,7 +147,6 @@
 		r.replyVote(m, term, !grant)
 		return
 	}
-	grant := !r.leaderMayHoldLease() && (r.hard.Vote.IsZero() || r.hard.Vote == m.From) && r.upToDate(m)
 	if grant {
 		r.hard.Vote = m.From
 		r.persist(nil)
@@ -150,6 +155,21 @@
 	r.replyVote(m, r.hard.Term, !grant)
 }
 
+// refuseVote returns the reason why this replica refuses a vote, or "" if it grants it.
+func (r *Replica) refuseVote(m Message) VoteRefusal {
+	switch {
+	case r.leaderMayHoldLease():
+		return VoteRefusedLease
+	case m.Kind == PreVote && m.Term <= r.hard.Term:
+		return VoteRefusedTerm
+	case m.Kind == Vote && !r.hard.Vote.IsZero() && r.hard.Vote != m.From:
+		return VoteRefusedAlready
+	case !r.upToDate(m):
+		return VoteRefusedLog
+	}
+	return ""
+}
+
 // upToDate reports whether a candidate's log has everything that this replica may have
 // helped to commit.
 func (r *Replica) upToDate(m Message) bool {
--- a/coordination/replicate/handover.go
+++ b/coordination/replicate/handover.go
@@ -204,7 +204,9 @@
 // the leader's whole log.
 func (r *Replica) handleHandover(m Message) {
 	term, ok := r.log.Term(m.Index)
-	if !slices.Contains(r.log.Members().Voters, r.id) || !ok || term != m.LogTerm || r.role == Leader {
+	campaigns := slices.Contains(r.log.Members().Voters, r.id) && ok && term == m.LogTerm && r.role != Leader
+	r.emit(HandoverReceivedCmd{From: m.From, Term: m.Term, Index: m.Index, Campaigns: campaigns})
+	if !campaigns {
 		return
 	}
 	r.voidTerm = m.Term
--- a/coordination/replicate/message.go
+++ b/coordination/replicate/message.go
@@ -184,6 +184,45 @@
 // ElectedCmd reports that the replica has become the leader.
 type ElectedCmd struct{ Term uint64 }
 
+// CampaignCmd reports that the replica has begun to request votes.
+type CampaignCmd struct {
+	Role Role   // Role is PreCandidate or Candidate.
+	Term uint64 // Term is the term that it campaigns for.
+	Void uint64 // Void is the Void of its messages.
+}
+
+// VoteRefusedCmd reports that the replica has refused a vote.
+type VoteRefusedCmd struct {
+	To      ID
+	PreVote bool
+	Term    uint64 // Term is the term that To campaigns for.
+	Reason  VoteRefusal
+}
+
+// VoteRefusal is the reason why a vote was refused.
+type VoteRefusal string
+
+// The reasons why a vote is refused.
+const (
+	VoteRefusedLease   VoteRefusal = "a leader may hold a lease"
+	VoteRefusedTerm    VoteRefusal = "the term is not newer"
+	VoteRefusedAlready VoteRefusal = "voted for another candidate"
+	VoteRefusedLog     VoteRefusal = "the candidate's log lacks entries"
+)
+
+// HandoverReceivedCmd reports that a leader has told the replica to campaign. It campaigns
+// if its log has the entry at Index.
+type HandoverReceivedCmd struct {
+	From      ID
+	Term      uint64
+	Index     uint64
+	Campaigns bool
+}
+
+func (CampaignCmd) cmd()         {}
+func (VoteRefusedCmd) cmd()      {}
+func (HandoverReceivedCmd) cmd() {}
+
 func (PersistCmd) cmd()      {}
 func (SendCmd) cmd()         {}
 func (SendSnapshotCmd) cmd() {}
--- a/e2e/caller_test.go
+++ b/e2e/caller_test.go
@@ -51,6 +51,8 @@
 	lastID string
 	err    *protocol.ErrorDetail
 	done   bool
+	// unparsed collects the body, which is logged if it is no event stream.
+	unparsed bytes.Buffer
 }
 
 func (d *daemon) openStream(a request) *stream {
@@ -90,7 +92,9 @@
 		cancel()
 		return nil, err
 	}
-	return &stream{t: d.c.t, resp: resp, lines: bufio.NewReader(resp.Body), cancel: cancel}, nil
+	s := &stream{t: d.c.t, resp: resp, cancel: cancel}
+	s.lines = bufio.NewReader(io.TeeReader(resp.Body, &s.unparsed))
+	return s, nil
 }
 
 // next reads the next event and appends its text. It returns false at the end of
@@ -99,6 +103,7 @@
 	for {
 		line, err := s.lines.ReadString('\n')
 		if err != nil {
+			s.logRefusal(err)
 			return false
 		}
 		line = strings.TrimSpace(line)
@@ -117,6 +122,14 @@
 	}
 }
 
+// logRefusal logs an answer that is not an event stream, such as a refusal. Without it, such an
+// answer looks like a stream without events.
+func (s *stream) logRefusal(err error) {
+	if kind := s.resp.Header.Get("Content-Type"); !strings.HasPrefix(kind, "text/event-stream") {
+		s.t.Logf("answer %d of type %q instead of an event stream, ended by %v: %s", s.resp.StatusCode, kind, err, s.unparsed.String())
+	}
+}
+
 func (s *stream) addEvent(data string) bool {
 	var e protocol.ErrorBody
 	if json.Unmarshal([]byte(data), &e) == nil && e.Error.Code != "" {
--- a/e2e/process_test.go
+++ b/e2e/process_test.go
@@ -114,7 +114,7 @@
 		if strings.Contains(p.err.String(), "DATA RACE") {
 			t.Errorf("data race in %s:\n%s", name, raceReports(p.err.String()))
 		}
-		if t.Failed() && os.Getenv("E2E_LOGS") != "" {
+		if t.Failed() {
 			t.Logf("%s wrote:\n%s%s", name, p.out.String(), p.err.String())
 		}
 	})
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -41,10 +41,7 @@
 	t.Cleanup(func() {
 		c.Close()
 		if t.Failed() {
-			for _, p := range c.procs {
-				data, _ := os.ReadFile(p.out.Name())
-				t.Logf("%s:\n%s", p.Name, data)
-			}
+			logEvidence(t, c)
 		}
 	})
 	if err := c.Start(); err != nil {
@@ -61,6 +58,24 @@
 	return c, k, o
 }
 
+// logEvidence logs what a failure is traced by: the requests that crashed servers, by arrival,
+// and what each process wrote.
+func logEvidence(t *testing.T, c *Cluster) {
+	t.Helper()
+	for body, list := range c.Record.Arrivals() {
+		for _, a := range list {
+			t.Logf("%d %s got %q as %s", a.At.UnixMilli(), a.Server, body, a.ID)
+		}
+	}
+	for _, p := range c.procs {
+		data, err := os.ReadFile(p.out.Name())
+		if err != nil {
+			t.Logf("%s: its log cannot be read: %v", p.Name, err)
+		}
+		t.Logf("%s:\n%s", p.Name, data)
+	}
+}
+
 // waitUntilServed retries a request until a gateway serves it.
 func waitUntilServed(t *testing.T, address, id string) {
 	t.Helper()
@@ -293,6 +308,9 @@
 	for _, b := range result.Breaches {
 		t.Error(b)
 	}
+	if t.Failed() {
+		logEvidence(t, c)
+	}
 	return result
 }
 
--- a/transport/groupclient.go
+++ b/transport/groupclient.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/rotisserie/eris"
+	"github.com/rs/zerolog"
 
 	"github.com/weldstream/weldstream/protocol"
 	"github.com/weldstream/weldstream/state"
@@ -31,19 +32,28 @@
 	tables   *state.Tables
 	links    *Links
 	replicas func() []string
+	log      zerolog.Logger
 	mu       sync.Mutex
 	leader   string // leader is the last known leader.
 }
 
+// GroupClientOption configures a GroupClient.
+type GroupClientOption func(*GroupClient)
+
+// WithGroupLogger sets the logger; the default logs nothing.
+func WithGroupLogger(l zerolog.Logger) GroupClientOption {
+	return func(c *GroupClient) { c.log = l }
+}
+
 // NewGroupClient returns a client that calls the replicas with the given names.
-func NewGroupClient(t *state.Tables, l *Links, replicas []string) *GroupClient {
-	return &GroupClient{tables: t, links: l, replicas: func() []string { return replicas }}
+func NewGroupClient(t *state.Tables, l *Links, replicas []string, opts ...GroupClientOption) *GroupClient {
+	return newGroupClient(t, l, func() []string { return replicas }, opts)
 }
 
 // NewMembersClient returns a client that calls all known members, for a cluster in
 // which each of them has a replica.
-func NewMembersClient(t *state.Tables, l *Links) *GroupClient {
-	return &GroupClient{tables: t, links: l, replicas: func() []string {
+func NewMembersClient(t *state.Tables, l *Links, opts ...GroupClientOption) *GroupClient {
+	members := func() []string {
 		var names []string
 		for _, row := range t.Members.Rows() {
 			if row.State < protocol.MemberDead {
@@ -51,20 +61,33 @@
 			}
 		}
 		return names
-	}}
+	}
+	return newGroupClient(t, l, members, opts)
+}
+
+func newGroupClient(t *state.Tables, l *Links, replicas func() []string, opts []GroupClientOption) *GroupClient {
+	c := &GroupClient{tables: t, links: l, replicas: replicas, log: zerolog.Nop()}
+	for _, opt := range opts {
+		opt(c)
+	}
+	return c
 }
 
 // call tries the replicas until one executes the call. Every call is idempotent,
 // so repeating one after an unknown outcome is safe.
 func (c *GroupClient) call(ctx context.Context, method string, args any) (GroupReply, error) {
+	tried := callTrace{began: time.Now(), method: method}
 	for wait := leaderRetry; ; wait = min(2*wait, maxLeaderRetry) {
 		for _, name := range c.leaderFirst() {
 			if ctx.Err() != nil {
-				return GroupReply{}, ErrNoQuorum
+				return GroupReply{}, c.noQuorum(&tried)
 			}
-			if reply, ok := c.callReplica(ctx, name, method, args); ok {
+			began := time.Now()
+			reply, err := c.callReplica(ctx, name, method, args)
+			if err == nil {
 				return reply, nil
 			}
+			tried.add(name, time.Since(began), err)
 		}
 		// Add jitter, since all clients that wait for an election start waiting
 		// together.
@@ -73,11 +96,45 @@
 		case <-timer.C:
 		case <-ctx.Done():
 			timer.Stop()
-			return GroupReply{}, ErrNoQuorum
+			return GroupReply{}, c.noQuorum(&tried)
 		}
 	}
 }
 
+// noQuorum logs the calls that were made in vain and returns ErrNoQuorum.
+func (c *GroupClient) noQuorum(t *callTrace) error {
+	c.log.Warn().Str("method", t.method).Dur("after", time.Since(t.began)).Any("replicas", t.replicas).Msg("no replica executed the call in time")
+	return ErrNoQuorum
+}
+
+// callTrace records the failed calls to the replicas, for the log.
+type callTrace struct {
+	began    time.Time
+	method   string
+	replicas map[string]*replicaTrace
+}
+
+// replicaTrace summarizes the failed calls to one replica.
+type replicaTrace struct {
+	Calls     int    `json:"calls"`
+	LongestMS int64  `json:"longest_ms"`
+	LastError string `json:"last_error"`
+}
+
+func (t *callTrace) add(name string, took time.Duration, err error) {
+	if t.replicas == nil {
+		t.replicas = map[string]*replicaTrace{}
+	}
+	row := t.replicas[name]
+	if row == nil {
+		row = &replicaTrace{}
+		t.replicas[name] = row
+	}
+	row.Calls++
+	row.LongestMS = max(row.LongestMS, took.Milliseconds())
+	row.LastError = err.Error()
+}
+
 // leaderFirst returns the replicas, beginning with the last known leader.
 func (c *GroupClient) leaderFirst() []string {
 	c.mu.Lock()
@@ -89,10 +146,12 @@
 	return append([]string{c.leader}, others...)
 }
 
-func (c *GroupClient) callReplica(ctx context.Context, name, method string, args any) (GroupReply, bool) {
+// callReplica calls one replica. It returns an error if the replica did not execute the call,
+// or may not have.
+func (c *GroupClient) callReplica(ctx context.Context, name, method string, args any) (GroupReply, error) {
 	row, ok := c.tables.Members.Get(name)
 	if !ok {
-		return GroupReply{}, false
+		return GroupReply{}, errUnknownReplica
 	}
 	timeout := proposeTimeout
 	if end, ok := ctx.Deadline(); ok {
@@ -101,19 +160,22 @@
 	var reply GroupReply
 	if err := c.links.Call(row.Address, method, args, &reply, timeout); err != nil {
 		c.updateLeader("", name)
-		return GroupReply{}, false
+		return GroupReply{}, err
 	}
 	if reply.Failed == GroupDiskFull {
-		return reply, true
+		return reply, nil
 	}
 	if reply.Failed != GroupOK {
 		c.updateLeader(reply.Leader, name)
-		return GroupReply{}, false
+		return GroupReply{}, eris.Errorf("%v; it knows %q as the leader", reply.Failed, reply.Leader)
 	}
 	c.updateLeader(name, "")
-	return reply, true
+	return reply, nil
 }
 
+// errUnknownReplica is returned for a replica that is not a known member.
+var errUnknownReplica = eris.New("the replica is not a known member")
+
 // updateLeader records the leader, or that the replica notLeader does not lead.
 func (c *GroupClient) updateLeader(name, notLeader string) {
 	c.mu.Lock()
--- a/transport/replica.go
+++ b/transport/replica.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -234,6 +235,21 @@
 	GroupDiskFull                    // GroupDiskFull means that the leader's disk is full.
 )
 
+// String describes the failure.
+func (f GroupFailure) String() string {
+	switch f {
+	case GroupOK:
+		return "executed"
+	case GroupNotExecuted:
+		return "not executed"
+	case GroupOutcomeUnknown:
+		return "outcome not known"
+	case GroupDiskFull:
+		return "disk full"
+	}
+	return "unknown failure " + strconv.Itoa(int(f))
+}
+
 func groupFailure(err error) GroupFailure {
 	switch {
 	case err == nil:
