--- a/transport/handover.go
+++ b/transport/handover.go
@@ -9,14 +9,21 @@
 	"github.com/weldstream/weldstream/coordination/member"
 	"github.com/weldstream/weldstream/internal/clock"
 	"github.com/weldstream/weldstream/protocol"
+	"github.com/weldstream/weldstream/state"
 )
 
 const (
 	handOverCopies    = 2                // instances that store a repeatable request's record
 	handOverLookups   = 3                // instances that are asked for a record
+	maxHandOverOffers = 6                // instances that are offered a record
 	handOverRetention = 10 * time.Minute // how long a record is stored
 	maxHandOvers      = 4096             // records stored at the same time
-	handOverTimeout   = time.Second      // for one call to another instance
+	handOverTimeout   = time.Second      // for finding instances that accept a record, or one that has it
+	// adoptReplyDelay is how long the answer to an offered claim waits for the transfer of the
+	// claim, so that a caller that resumes finds the new owner.
+	adoptReplyDelay = handOverTimeout / 2
+	// adoptRetryInterval is the delay before a transfer whose outcome is not known is repeated.
+	adoptRetryInterval = 100 * time.Millisecond
 )
 
 // Transferrer changes the owner of a claim; the claims group implements it.
@@ -99,23 +106,32 @@
 	x.apply(attempt.StopMsg{Refusal: r})
 }
 
-// sendHandOver sends the record to the instances selected by rendezvous hashing of
-// its key. A request that must run at most once is sent to only one.
+// sendHandOver offers the record to instances in the order of rendezvous hashing of its
+// key, until enough of them have accepted it: one for a request that must run at most once.
+// It reports whether any has. A claim has one owner at a time, so a second offer of the
+// same claim does no harm.
 func (g *Gateway) sendHandOver(r protocol.HandOver) bool {
-	n := handOverCopies
+	copies := handOverCopies
 	if r.Claimed {
-		n = 1
+		copies = 1
 	}
-	given := false
-	for _, peer := range member.Rendezvous(g.tables.Members.Rows(), r.Request.Key.String(), g.self.Name, n) {
+	ctx, cancel := context.WithTimeout(context.Background(), handOverTimeout)
+	defer cancel()
+	accepted := firstAnswers(ctx, g.rankedPeers(r.Request.Key, maxHandOverOffers), copies, func(peer state.MemberRow) (string, bool) {
 		var ok bool
 		err := g.links.Call(peer.Address, "HandOver.Put", r, &ok, handOverTimeout)
-		if err != nil {
-			g.log.Warn().Err(err).Str("peer", peer.Name).Msg("hand-over failed")
+		if err != nil || !ok {
+			g.log.Warn().Err(err).Str("key", r.Request.Key.String()).Str("peer", peer.Name).Msg("hand-over not accepted")
 		}
-		given = given || (err == nil && ok)
-	}
-	return given
+		return peer.Name, err == nil && ok
+	})
+	g.log.Info().Str("key", r.Request.Key.String()).Strs("peers", accepted).Msg("hand-over accepted")
+	return len(accepted) > 0
+}
+
+// rankedPeers returns up to n live peers in the order of rendezvous hashing of a key.
+func (g *Gateway) rankedPeers(key protocol.Key, n int) []state.MemberRow {
+	return member.Rendezvous(g.tables.Members.Rows(), key.String(), g.self.Name, n)
 }
 
 // findHandOver looks up the record of a request that its caller resumes.
@@ -127,14 +143,20 @@
 	if g.links == nil {
 		return protocol.HandOver{}, false
 	}
-	for _, peer := range member.Rendezvous(g.tables.Members.Rows(), r.Key.String(), g.self.Name, handOverLookups) {
+	ctx, cancel := context.WithTimeout(context.Background(), handOverTimeout)
+	defer cancel()
+	found := firstAnswers(ctx, g.rankedPeers(r.Key, handOverLookups), 1, func(peer state.MemberRow) (protocol.HandOver, bool) {
 		var reply protocol.FetchHandOverReplyMsg
-		err := g.links.Call(peer.Address, "HandOver.Fetch", m, &reply, handOverTimeout)
-		if err == nil && reply.Found {
-			return reply.HandOver, true
+		if err := g.links.Call(peer.Address, "HandOver.Fetch", m, &reply, handOverTimeout); err != nil {
+			g.log.Debug().Err(err).Str("peer", peer.Name).Msg("hand-over record not fetched")
+			return protocol.HandOver{}, false
 		}
+		return reply.HandOver, reply.Found
+	})
+	if len(found) == 0 {
+		return protocol.HandOver{}, false
 	}
-	return protocol.HandOver{}, false
+	return found[0], true
 }
 
 // resume continues a request from its record. The part of the recorded answer that
@@ -166,17 +188,15 @@
 	return text[ends[from-1]:]
 }
 
-// adopt continues a handed-over request that must run at most once. It first
-// transfers the claim; if that fails, the request is not run.
-func (g *Gateway) adopt(r protocol.HandOver) {
+// adopt continues a handed-over request that must run at most once, after it has taken over
+// the claim; otherwise the request is not run. It sends the outcome of the transfer to
+// transferred, which needs room for it.
+func (g *Gateway) adopt(r protocol.HandOver, transferred chan<- bool) {
 	x := g.newExchange(&r.Request, r.ID)
 	x.renewOwner()
-	ctx, cancel := context.WithTimeout(context.Background(), claimTimeout)
-	defer cancel()
-	ok, err := g.transfer.Transfer(ctx, protocol.TransferClaimMsg{Key: r.Request.Key, From: r.Owner, To: x.owner})
-	if err != nil || !ok {
-		g.log.Error().Err(err).Str("key", r.Request.Key.String()).Msg("transferring a claim failed")
-		g.recordOutcome(x.finishClaimMsg(protocol.MayHaveRun, nil))
+	ok := x.takeOverClaim(r.Owner)
+	transferred <- ok
+	if !ok {
 		return
 	}
 	x.claimed = true
@@ -197,23 +217,56 @@
 	x.report()
 }
 
+// takeOverClaim transfers the claim from its former owner to this exchange, and reports
+// whether this exchange holds it. A transfer whose outcome is not known, as while no replica
+// leads, is repeated until the request's deadline.
+func (x *exchange) takeOverClaim(from protocol.Owner) bool {
+	m := protocol.TransferClaimMsg{Key: x.request.Key, From: from, To: x.owner}
+	for {
+		ctx, cancel := context.WithTimeout(context.Background(), claimTimeout)
+		ok, err := x.g.transfer.Transfer(ctx, m)
+		cancel()
+		switch {
+		case err == nil && !ok:
+			x.log.Warn().Str("from", from.Instance).Msg("claim not transferred: another instance has taken it over, or its outcome is recorded")
+			return false
+		case err == nil:
+			return true
+		case clock.Until(x.request.Deadline) <= adoptRetryInterval:
+			x.log.Error().Err(err).Str("from", from.Instance).Msg("claim not transferred by the request's deadline")
+			x.g.recordOutcome(x.finishClaimMsg(protocol.MayHaveRun, nil)) // The transfer may have succeeded despite the error.
+			return false
+		}
+		x.log.Warn().Err(err).Str("from", from.Instance).Msg("outcome of a claim's transfer not known: repeating it")
+		time.Sleep(adoptRetryInterval)
+	}
+}
+
 // HandOverService handles hand-over calls from other instances.
 type HandOverService struct{ g *Gateway }
 
 // NewHandOverService returns the receiver to register under "HandOver".
 func NewHandOverService(g *Gateway) *HandOverService { return &HandOverService{g: g} }
 
-// Put accepts a hand-over record.
+// Put accepts a hand-over record. For a claim, ok is false if this instance cannot take the
+// claim over; after adoptReplyDelay it is true though the transfer is still in progress.
 func (s *HandOverService) Put(r protocol.HandOver, ok *bool) error {
 	if s.g.stopping.Load() {
 		return errStopping
 	}
 	*ok = true
-	if r.Claimed {
-		go s.g.adopt(r)
+	if !r.Claimed {
+		s.g.handOvers.put(r, clock.Now())
 		return nil
 	}
-	s.g.handOvers.put(r, clock.Now())
+	transferred := make(chan bool, 1)
+	go s.g.adopt(r, transferred)
+	delay := time.NewTimer(adoptReplyDelay)
+	defer delay.Stop()
+	select {
+	case *ok = <-transferred:
+	case <-delay.C:
+	}
 	return nil
 }
 
