--- a/transport/links.go
+++ b/transport/links.go
@@ -64,23 +64,25 @@
 	// distances is nil unless the failure domains span several regions.
 	distances *distanceMeters
 
-	mu      sync.Mutex
-	failed  map[string]int // failed counts consecutive failed connects by address.
-	clients map[string]*rpc.Client
-	conns   map[net.Conn]struct{}
+	mu       sync.Mutex
+	failed   map[string]int // failed counts consecutive failed connects by address.
+	clients  map[string]*rpc.Client
+	connects map[string]*pendingConnect
+	conns    map[net.Conn]struct{}
 }
 
 // NewLinks returns links that authenticate with the cluster's key.
 func NewLinks(name string, key []byte, dial time.Duration, log zerolog.Logger) *Links {
 	return &Links{
-		name:    name,
-		key:     key,
-		dial:    dial,
-		log:     log,
-		server:  rpc.NewServer(),
-		failed:  map[string]int{},
-		clients: map[string]*rpc.Client{},
-		conns:   map[net.Conn]struct{}{},
+		name:     name,
+		key:      key,
+		dial:     dial,
+		log:      log,
+		server:   rpc.NewServer(),
+		failed:   map[string]int{},
+		clients:  map[string]*rpc.Client{},
+		connects: map[string]*pendingConnect{},
+		conns:    map[net.Conn]struct{}{},
 	}
 }
 
@@ -252,14 +254,52 @@
 	return mac.Sum(nil)
 }
 
-// client returns the connection to an address and opens it on first use.
-func (l *Links) client(address string) (*rpc.Client, error) {
+// pendingConnect is a connect in progress, which several calls may wait for.
+type pendingConnect struct {
+	done   chan struct{} // done is closed when client or err is set.
+	client *rpc.Client
+	err    error
+}
+
+// client returns the connection to an address. If there is none, it waits for up to timeout
+// until one is open. The connect goes on beyond that, for later calls.
+func (l *Links) client(address string, timeout time.Duration) (*rpc.Client, error) {
 	l.mu.Lock()
-	c := l.clients[address]
+	c, p := l.clients[address], l.connects[address]
+	if c == nil && p == nil {
+		p = &pendingConnect{done: make(chan struct{})}
+		l.connects[address] = p
+		go l.open(address, p)
+	}
 	l.mu.Unlock()
 	if c != nil {
 		return c, nil
 	}
+	timer := time.NewTimer(timeout)
+	defer timer.Stop()
+	select {
+	case <-p.done:
+		return p.client, p.err
+	case <-timer.C:
+		return nil, eris.Wrap(ErrPeerTimeout, "connect to peer")
+	}
+}
+
+// open connects to an address and completes the pending connect.
+func (l *Links) open(address string, p *pendingConnect) {
+	c, err := l.dialPeer(address)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	p.client, p.err = c, err
+	if err == nil {
+		l.clients[address] = c
+	}
+	delete(l.connects, address)
+	close(p.done)
+}
+
+// dialPeer opens a connection to an address and runs the handshake.
+func (l *Links) dialPeer(address string) (*rpc.Client, error) {
 	conn, err := tcp.Dial(address, l.dialTimeout(address), peerAckTimeout)
 	l.recordDial(address, err == nil)
 	if err != nil {
@@ -271,7 +311,7 @@
 		_ = conn.Close()
 		return nil, err
 	}
-	return l.storeClient(address, rpc.NewClientWithCodec(clientCodec{opened})), nil
+	return rpc.NewClientWithCodec(clientCodec{opened}), nil
 }
 
 const (
@@ -303,19 +343,6 @@
 	l.failed[address]++
 }
 
-// storeClient stores a new connection unless a concurrent call has already stored
-// one.
-func (l *Links) storeClient(address string, c *rpc.Client) *rpc.Client {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if existing := l.clients[address]; existing != nil {
-		_ = c.Close()
-		return existing
-	}
-	l.clients[address] = c
-	return c
-}
-
 // dropClient closes a failed connection, so that the next call opens a new one.
 func (l *Links) dropClient(address string, c *rpc.Client) {
 	l.mu.Lock()
@@ -326,15 +353,16 @@
 	_ = c.Close()
 }
 
-// Call calls a method on the instance at an address. A call that times out closes
-// the connection, since the path may be broken.
+// Call calls a method on the instance at an address. The timeout includes opening a
+// connection, if there is none. A call that times out closes the connection, since the path
+// may be broken.
 func (l *Links) Call(address, method string, args, reply any, timeout time.Duration) error {
-	c, err := l.client(address)
+	timer := time.NewTimer(timeout)
+	defer timer.Stop()
+	c, err := l.client(address, timeout)
 	if err != nil {
 		return err
 	}
-	timer := time.NewTimer(timeout)
-	defer timer.Stop()
 	call := c.Go(method, args, reply, make(chan *rpc.Call, 1))
 	select {
 	case done := <-call.Done:
--- a/transport/links_test.go
+++ b/transport/links_test.go
@@ -1,6 +1,8 @@
 package transport
 
 import (
+	"context"
+	"errors"
 	"net"
 	"testing"
 	"time"
@@ -39,7 +41,7 @@
 	const testTimeout = 20 * time.Second // Only bounds a test that would hang.
 	address := stalledPeer(t, key)
 	l := NewLinks("entry-1", []byte(key), time.Second, zerolog.Nop())
-	if _, err := l.client(address); err != nil {
+	if _, err := l.client(address, time.Second); err != nil {
 		t.Fatal(err)
 	}
 	results := make(chan error, 2)
@@ -85,3 +87,34 @@
 		t.Errorf("timeout after a successful connect is %v", got)
 	}
 }
+
+// TestCallTimeoutIncludesConnect calls an instance whose kernel accepts connections while its
+// process is suspended. Each call waited for the whole handshake, however short its time-out.
+// The connect goes on beyond the calls and serves a later one.
+func TestCallTimeoutIncludesConnect(t *testing.T) {
+	const key = "a key of the cluster"
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	peer := NewLinks("entry-2", []byte(key), time.Second, zerolog.Nop())
+	l := NewLinks("entry-1", []byte(key), time.Second, zerolog.Nop())
+	results := make(chan error, 3)
+	for range cap(results) {
+		go func() {
+			var ok bool
+			results <- l.Call(ln.Addr().String(), "Sink.Take", true, &ok, 10*time.Millisecond)
+		}()
+	}
+	for range cap(results) {
+		if err := <-results; !errors.Is(err, ErrPeerTimeout) {
+			t.Errorf("a call to a suspended peer failed with %v, want %v", err, ErrPeerTimeout)
+		}
+	}
+	go func() { _ = peer.Serve(ctx, ln) }()
+	if _, err := l.client(ln.Addr().String(), handshakeTimeout); err != nil {
+		t.Errorf("the pending connect failed with %v after the peer had resumed", err)
+	}
+}
