--- a/transport/groupclient.go
+++ b/transport/groupclient.go
@@ -4,6 +4,7 @@
 	"context"
 	"crypto/rand"
 	"encoding/binary"
+	"maps"
 	mrand "math/rand/v2"
 	"net/http"
 	"slices"
@@ -73,44 +74,105 @@
 	return c
 }
 
-// call tries the replicas until one executes the call. Every call is idempotent,
-// so repeating one after an unknown outcome is safe.
+// call asks the replicas until one executes the call. A replica that does not answer within
+// nextPeerDelay stays asked while the others are asked too, since one of them may lead by
+// then. Every call is idempotent, so repeating one after an unknown outcome is safe.
 func (c *GroupClient) call(ctx context.Context, method string, args any) (GroupReply, error) {
-	tried := callTrace{began: time.Now(), method: method}
-	for wait := leaderRetry; ; wait = min(2*wait, maxLeaderRetry) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	q := &groupCall{
+		client:  c,
+		method:  method,
+		args:    args,
+		answers: make(chan replicaAnswer),
+		open:    map[string]bool{},
+		trace:   callTrace{began: time.Now()},
+	}
+	for wait := leaderRetry; ctx.Err() == nil; wait = min(2*wait, maxLeaderRetry) {
 		for _, name := range c.leaderFirst() {
-			if ctx.Err() != nil {
-				return GroupReply{}, c.noQuorum(&tried)
+			if q.open[name] || ctx.Err() != nil {
+				continue
 			}
-			began := time.Now()
-			reply, err := c.callReplica(ctx, name, method, args)
-			if err == nil {
+			q.ask(ctx, name)
+			if reply, ok := q.await(ctx, name, nextPeerDelay); ok {
 				return reply, nil
 			}
-			tried.add(name, time.Since(began), err)
 		}
 		// Add jitter, since all clients that wait for an election start waiting
 		// together.
-		timer := time.NewTimer(wait/2 + mrand.N(wait/2))
+		if reply, ok := q.await(ctx, "", wait/2+mrand.N(wait/2)); ok {
+			return reply, nil
+		}
+	}
+	return GroupReply{}, c.noQuorum(q)
+}
+
+// groupCall is one call in progress, which several replicas may have been asked to execute.
+type groupCall struct {
+	client  *GroupClient
+	method  string
+	args    any
+	answers chan replicaAnswer
+	open    map[string]bool // open holds the replicas that were asked and have not answered.
+	trace   callTrace
+}
+
+// replicaAnswer is the outcome of asking one replica.
+type replicaAnswer struct {
+	name  string
+	reply GroupReply
+	err   error
+	took  time.Duration
+}
+
+// ask makes the call to a replica in the background. The answer is dropped if ctx has ended
+// by then.
+func (q *groupCall) ask(ctx context.Context, name string) {
+	q.open[name] = true
+	began := time.Now()
+	go func() {
+		reply, err := q.client.callReplica(ctx, name, q.method, q.args)
 		select {
+		case q.answers <- replicaAnswer{name, reply, err, time.Since(began)}:
+		case <-ctx.Done():
+		}
+	}()
+}
+
+// await waits until a replica has executed the call, the named one has answered without
+// executing it, or the time is up. It reports whether the call was executed.
+func (q *groupCall) await(ctx context.Context, name string, limit time.Duration) (GroupReply, bool) {
+	timer := time.NewTimer(limit)
+	defer timer.Stop()
+	for {
+		select {
+		case a := <-q.answers:
+			delete(q.open, a.name)
+			if a.err == nil {
+				return a.reply, true
+			}
+			q.trace.add(a.name, a.took, a.err)
+			if a.name == name {
+				return GroupReply{}, false
+			}
 		case <-timer.C:
+			return GroupReply{}, false
 		case <-ctx.Done():
-			timer.Stop()
-			return GroupReply{}, c.noQuorum(&tried)
+			return GroupReply{}, false
 		}
 	}
 }
 
 // noQuorum logs the calls that were made in vain and returns ErrNoQuorum.
-func (c *GroupClient) noQuorum(t *callTrace) error {
-	c.log.Warn().Str("method", t.method).Dur("after", time.Since(t.began)).Any("replicas", t.replicas).Msg("no replica executed the call in time")
+func (c *GroupClient) noQuorum(q *groupCall) error {
+	waiting := slices.Sorted(maps.Keys(q.open))
+	c.log.Warn().Str("method", q.method).Dur("after", time.Since(q.trace.began)).Any("replicas", q.trace.replicas).Strs("unanswered", waiting).Msg("no replica executed the call in time")
 	return ErrNoQuorum
 }
 
 // callTrace records the failed calls to the replicas, for the log.
 type callTrace struct {
 	began    time.Time
-	method   string
 	replicas map[string]*replicaTrace
 }
 
@@ -322,18 +384,19 @@
 
 // Observe implements Observer: it asks the replicas until the leader answers.
 func (c *GroupClient) Observe(ctx context.Context, m protocol.ObserveMsg) (protocol.ObserveReply, error) {
+	var replicas []state.MemberRow
 	for _, name := range c.leaderFirst() {
-		row, ok := c.tables.Members.Get(name)
-		if !ok || ctx.Err() != nil {
-			continue
+		if row, ok := c.tables.Members.Get(name); ok {
+			replicas = append(replicas, row)
 		}
+	}
+	found := firstAnswers(ctx, replicas, 1, func(row state.MemberRow) (protocol.ObserveReply, bool) {
 		var reply protocol.ObserveReply
-		if err := c.links.Call(row.Address, "Quarantine.Observe", m, &reply, observeTimeout); err != nil {
-			continue // The next replica may lead.
-		}
-		if reply.Leads {
-			return reply, nil
-		}
+		err := c.links.Call(row.Address, "Quarantine.Observe", m, &reply, observeTimeout)
+		return reply, err == nil && reply.Leads
+	})
+	if len(found) == 0 {
+		return protocol.ObserveReply{}, ErrNoQuorum
 	}
-	return protocol.ObserveReply{}, ErrNoQuorum
+	return found[0], nil
 }
--- a/transport/handover.go
+++ b/transport/handover.go
@@ -125,7 +125,7 @@
 		}
 		return peer.Name, err == nil && ok
 	})
-	g.log.Info().Str("key", r.Request.Key.String()).Strs("peers", accepted).Msg("hand-over accepted")
+	g.log.Info().Str("key", r.Request.Key.String()).Strs("accepted_by", accepted).Msg("hand-over offered")
 	return len(accepted) > 0
 }
 
