--- a/cmd/weldstreamd/leave.go
+++ b/cmd/weldstreamd/leave.go
@@ -4,12 +4,15 @@
 	"context"
 	"time"
 
+	"github.com/rs/zerolog"
+
+	"github.com/weldstream/weldstream/coordination/group"
 	"github.com/weldstream/weldstream/coordination/replicate"
 	"github.com/weldstream/weldstream/internal/pause"
 )
 
 const (
-	// leaderHandOverTimeout bounds how long a stopping control instance waits for its
+	// leaderHandOverTimeout bounds how long a stopping replica waits for its
 	// successor: several round trips between distant regions, and a small part of the
 	// time of a planned stop.
 	leaderHandOverTimeout = time.Second
@@ -21,9 +24,8 @@
 	platformCallPoll = 5 * time.Millisecond
 )
 
-// handOver transfers leadership, if this instance is the leader, and waits until another
-// instance leads. Without it, the others would start an election only after the election
-// timeout.
+// handOver transfers leadership, if this instance is the leader, once a running call to the
+// platform has finished.
 func (c *controlInstance) handOver(parent context.Context) {
 	if !c.isLeader() {
 		return
@@ -34,19 +36,30 @@
 	for c.calls.Busy() && time.Since(start) < platformCallTimeout {
 		pause.For(ctx, platformCallPoll) // A longer call does no harm: the calls of the successor have a higher fencing token.
 	}
-	if err := c.group.HandOver(ctx); err != nil {
-		c.log.Warn().Err(err).Msg("leadership hand-over failed; stopping without a successor")
+	handOverLeadership(ctx, c.group, c.log)
+}
+
+// handOverLeadership transfers leadership from a replica whose process is about to end, if it
+// is the leader, and waits until another replica leads. Without it, the others would start an
+// election only after the election timeout.
+func handOverLeadership(ctx context.Context, g *group.Group, log zerolog.Logger) {
+	if g.Status().Role != replicate.Leader.String() {
+		return
+	}
+	start := time.Now()
+	if err := g.HandOver(ctx); err != nil {
+		log.Warn().Err(err).Msg("leadership hand-over failed; stopping without a successor")
 		return
 	}
 	for ctx.Err() == nil {
-		changed := c.group.Changed()
-		if leader := c.group.Status().Leader; !leader.IsZero() && leader != c.group.ID() {
-			c.log.Info().Str("to", leader.Name).Dur("after", time.Since(start)).Msg("another control instance took over leadership")
+		changed := g.Changed()
+		if leader := g.Status().Leader; !leader.IsZero() && leader != g.ID() {
+			log.Info().Str("to", leader.Name).Dur("after", time.Since(start)).Msg("another replica took over leadership")
 			return
 		}
 		pause.Until(ctx, leaderHandOverTimeout, changed)
 	}
-	c.log.Warn().Dur("after", time.Since(start)).Msg("no new leader within the hand-over timeout")
+	log.Warn().Dur("after", time.Since(start)).Msg("no new leader within the hand-over timeout")
 }
 
 // isLeader reports whether this replica is the leader.
--- a/coordination/group/place.go
+++ b/coordination/group/place.go
@@ -14,8 +14,9 @@
 // leadership would interrupt; the default reports that there is none.
 func WithMoveBlocker(f func() bool) Option { return func(g *Group) { g.moveBlocked = f } }
 
-// HandOver transfers leadership from this replica, if it is the leader, to the other
-// replica with the best round-trip times, and returns once it is no longer the leader.
+// HandOver prepares this replica for the end of its process: it does not campaign any more,
+// and if it is the leader, it transfers leadership to another replica that answers, preferably
+// the one with the best round-trip times. It returns once this replica is no longer the leader.
 // Proposals that arrive during the transfer fail with replicate.ErrNotLeader: they were
 // not proposed.
 func (g *Group) HandOver(ctx context.Context) error {
--- a/coordination/group/waiter.go
+++ b/coordination/group/waiter.go
@@ -37,7 +37,7 @@
 		}
 		g.update(replicate.ProposeMsg{Token: g.token, Data: data})
 	case r.handover:
-		g.update(replicate.HandoverMsg{Token: g.token})
+		g.update(replicate.HandoverMsg{Token: g.token, Retire: true})
 	case r.removeName != "":
 		g.update(replicate.RemoveMsg{Token: g.token, Name: r.removeName})
 	default:
--- a/coordination/replicate/election.go
+++ b/coordination/replicate/election.go
@@ -4,9 +4,7 @@
 // a term that nobody adopts because of it; as a candidate it requests them.
 func (r *Replica) campaign(role Role) {
 	term := r.hard.Term + 1
-	kind := PreVote
 	if role == Candidate {
-		kind = Vote
 		r.hard = HardState{Term: term, Vote: r.id, Promise: r.hard.Promise}
 		r.persist(nil)
 	}
@@ -20,13 +18,33 @@
 	if role == PreCandidate && r.seeksReelection() {
 		r.electionDeadline = r.now + r.reelectionInterval()
 	}
+	r.requestVotes()
+	r.tallyVotes()
+}
+
+// requestVotes requests the votes that are not known yet.
+func (r *Replica) requestVotes() {
+	kind, term := Vote, r.hard.Term
+	if r.role == PreCandidate {
+		kind, term = PreVote, r.hard.Term+1
+	}
 	for _, id := range r.log.Members().Voters {
-		if id != r.id {
+		if _, known := r.votes[id]; id != r.id && !known {
 			m := Message{Kind: kind, From: r.id, To: id, Term: term, Index: r.log.Last(), LogTerm: r.log.LastTerm(), Void: r.voidTerm}
 			r.emit(SendCmd{Message: m, Durable: true})
 		}
 	}
-	r.tallyVotes()
+	r.voteRequestsAt = r.now + voteRequestHeartbeats*r.cfg.Heartbeat
+}
+
+// voteRequestHeartbeats is after how many heartbeat intervals a candidate requests missing
+// votes again: a lost message would otherwise cost a whole election timeout.
+const voteRequestHeartbeats = 2
+
+func (r *Replica) repeatVoteRequests() {
+	if (r.role == PreCandidate || r.role == Candidate) && r.now >= r.voteRequestsAt {
+		r.requestVotes()
+	}
 }
 
 // tallyVotes continues the campaign once a quorum has granted the vote, and ends it once
@@ -147,7 +165,7 @@
 		r.replyVote(m, term, !grant)
 		return
 	}
-	if grant {
+	if grant && r.hard.Vote.IsZero() { // A repeated request does not delay this replica's own campaign.
 		r.hard.Vote = m.From
 		r.persist(nil)
 		r.electionDeadline = r.now + r.electionTimeout() + r.electionJitter
--- a/coordination/replicate/handover.go
+++ b/coordination/replicate/handover.go
@@ -7,25 +7,32 @@
 	"github.com/weldstream/weldstream/coordination/roundtrip"
 )
 
-// In a handover the leader accepts no new requests, waits until the successor has its
-// whole log and all of it is committed, steps down and tells the successor to campaign at
-// once. Requests that arrive meanwhile are held, and refused with ErrNotLeader once the
+// In a handover the leader accepts no new requests, waits until a voter that still answers
+// has its whole log and all of it is committed, steps down and tells that voter to campaign
+// at once. Requests that arrive meanwhile are held, and refused with ErrNotLeader once the
 // leader has stepped down.
 //
 // Why this breaks no promise: the leader of a term that stepped down never leads that term
 // again, so no lease of the term is valid. Message.Void says so, and renew.go explains why
-// voters may then vote. The successor sends it on the leader's behalf. If the message to
-// the successor is lost, nobody sends it, and the voters wait until their promises end, as
-// for a leader that failed.
+// voters may then vote. The successor sends it on the leader's behalf.
+//
+// The message to the successor may be lost, and the successor may fail. So the former leader
+// repeats the message until it hears of a newer term, and tells the other voters that have
+// its log in turn. Several candidates do no harm: a voter votes once in a term.
 
 // handoverElections is how many election timeouts a handover may take before the leader
 // aborts it and continues to lead. A successor that keeps up needs a few round trips.
 const handoverElections = 2
 
+// answerHeartbeats is for how many heartbeat intervals a successor may have been silent.
+const answerHeartbeats = 2
+
 // handover is the state of a leader that hands over.
 type handover struct {
 	token     uint64
 	to        ID            // to is the successor; zero while no handover is in progress.
+	named     bool          // named says that no other successor may be chosen.
+	switchAt  time.Duration // switchAt is when another voter that is ready is preferred to one that is not.
 	deadline  time.Duration // deadline is when the leader aborts the handover.
 	proposals []ProposeMsg  // proposals are held until the handover ends.
 	reads     []ReadMsg     // reads are held until the handover ends.
@@ -34,6 +41,7 @@
 func (h *handover) active() bool { return !h.to.IsZero() }
 
 func (r *Replica) startHandover(m HandoverMsg) {
+	r.retiring = r.retiring || m.Retire
 	if r.role != Leader {
 		r.emit(HandoverCmd{Token: m.Token, Err: ErrNotLeader})
 		return
@@ -43,7 +51,13 @@
 		r.emit(HandoverCmd{Token: m.Token, Err: ErrBusy})
 		return
 	}
-	r.handover = handover{token: m.Token, to: to, deadline: r.now + handoverElections*r.electionTimeout()}
+	r.handover = handover{
+		token:    m.Token,
+		to:       to,
+		named:    m.To != "",
+		switchAt: r.now + r.electionTimeout()/2,
+		deadline: r.now + handoverElections*r.electionTimeout(),
+	}
 	r.broadcast()
 	r.advanceHandover()
 }
@@ -65,10 +79,14 @@
 	return best, !best.IsZero()
 }
 
-// betterSuccessor reports whether the first replica is the better successor. One that has
-// nearly caught up is preferred, then the one with the shorter round trip to a quorum.
+// betterSuccessor reports whether the first replica is the better successor. One that answers
+// is preferred, then one that has nearly caught up, then the one with the shorter round trip to
+// a quorum.
 func (r *Replica) betterSuccessor(id, than ID) bool {
 	a, b := r.peers[id], r.peers[than]
+	if answersA, answersB := r.answers(a), r.answers(b); answersA != answersB {
+		return answersA
+	}
 	if behindA, behindB := a.match+maxLearnerLag < r.log.Last(), b.match+maxLearnerLag < r.log.Last(); behindA != behindB {
 		return behindB
 	}
@@ -94,28 +112,111 @@
 	return names
 }
 
-// advanceHandover steps down once the successor has the whole log, or aborts the handover
-// at its deadline.
+// advanceHandover steps down once a successor is ready, or aborts the handover at its
+// deadline.
 func (r *Replica) advanceHandover() {
 	if r.role != Leader || !r.handover.active() {
 		return
 	}
-	p := r.peers[r.handover.to]
-	last := r.log.Last()
-	switch {
-	case p == nil || r.now >= r.handover.deadline:
+	if r.peers[r.handover.to] == nil || r.now >= r.handover.deadline {
 		r.cancelHandover()
 		return
-	case p.match != last || r.commit != last || len(r.reads) > 0:
+	}
+	to, ok := r.readySuccessor()
+	last := r.log.Last()
+	if !ok || r.commit != last || len(r.reads) > 0 {
 		return
 	}
-	to, token := r.handover.to, r.handover.token
-	r.voidTerm = r.hard.Term // No lease of this term is valid from now on.
+	token := r.handover.token
+	targets := r.handoverTargets(to)
 	r.handover.to = ID{}
 	r.becomeFollower(r.hard.Term, ID{})
-	term, _ := r.log.Term(last) // The log always has its last entry.
-	r.emit(SendCmd{Message: Message{Kind: Handover, From: r.id, To: to, Term: r.hard.Term, Index: last, LogTerm: term}})
 	r.emit(HandoverCmd{Token: token, To: to})
+	r.offerLeadership(targets, last)
+}
+
+// ready reports whether a voter has the whole log and still answers.
+func (r *Replica) ready(id ID) bool {
+	p := r.peers[id]
+	return p != nil && p.match == r.log.Last() && r.answers(p)
+}
+
+// answers reports whether a replica has answered one of the latest heartbeats.
+func (r *Replica) answers(p *progress) bool {
+	return r.now-p.lastContact < answerHeartbeats*r.cfg.Heartbeat
+}
+
+// readySuccessor returns the chosen successor if it is ready. If it is not ready by
+// handover.switchAt, as when it is suspended, it returns the best voter that is.
+func (r *Replica) readySuccessor() (ID, bool) {
+	if r.ready(r.handover.to) {
+		return r.handover.to, true
+	}
+	if r.handover.named || r.now < r.handover.switchAt {
+		return ID{}, false
+	}
+	var best ID
+	for _, id := range r.log.Members().Voters {
+		if id != r.id && r.ready(id) && (best.IsZero() || r.betterSuccessor(id, best)) {
+			best = id
+		}
+	}
+	return best, !best.IsZero()
+}
+
+// handoverTargets returns the voters to tell to campaign: the successor, and then the
+// others that have the whole log, unless the successor was named.
+func (r *Replica) handoverTargets(to ID) []ID {
+	targets := []ID{to}
+	for _, id := range r.log.Members().Voters {
+		if p := r.peers[id]; !r.handover.named && id != to && p != nil && p.match == r.log.Last() {
+			targets = append(targets, id)
+		}
+	}
+	return targets
+}
+
+// leadershipOffer is the handover message of a former leader, which it repeats until it hears
+// of a newer term.
+type leadershipOffer struct {
+	targets  []ID // targets are the voters to tell, in turn; empty if there is no offer.
+	index    uint64
+	logTerm  uint64
+	sent     int // sent counts the messages.
+	repeatAt time.Duration
+	until    time.Duration // until is when voters campaign by themselves.
+}
+
+// offerLeadership tells the first target to campaign, and the others in turn unless a newer
+// term begins. Only a target whose log has the entry at index campaigns. No lease of this
+// replica's term is valid from now on.
+func (r *Replica) offerLeadership(targets []ID, index uint64) {
+	term, ok := r.log.Term(index)
+	if !ok || len(targets) == 0 {
+		return
+	}
+	r.voidTerm = r.hard.Term
+	r.offer = leadershipOffer{targets: targets, index: index, logTerm: term, until: r.now + handoverElections*r.electionTimeout()}
+	r.sendOffer()
+}
+
+func (r *Replica) sendOffer() {
+	o := &r.offer
+	to := o.targets[o.sent%len(o.targets)]
+	o.sent++
+	o.repeatAt = r.now + r.cfg.Heartbeat
+	r.emit(SendCmd{Message: Message{Kind: Handover, From: r.id, To: to, Term: r.hard.Term, Index: o.index, LogTerm: o.logTerm}})
+}
+
+// repeatOffer sends the offer again while no newer term is known.
+func (r *Replica) repeatOffer() {
+	switch {
+	case len(r.offer.targets) == 0:
+	case r.hard.Term != r.voidTerm || r.role == Leader || r.now >= r.offer.until:
+		r.offer = leadershipOffer{}
+	case r.now >= r.offer.repeatAt:
+		r.sendOffer()
+	}
 }
 
 // cancelHandover continues to lead and processes the held requests. Resetting leaderSince
@@ -166,12 +267,9 @@
 		match = r.peers[best].match
 	}
 	r.becomeFollower(r.hard.Term, ID{})
-	term, ok := r.log.Term(match)
-	if !r.cfg.Wide || best.IsZero() || !ok {
-		return
+	if r.cfg.Wide && !best.IsZero() {
+		r.offerLeadership([]ID{best}, match)
 	}
-	r.voidTerm = r.hard.Term // It no longer leads this term, so no lease of the term is valid.
-	r.emit(SendCmd{Message: Message{Kind: Handover, From: r.id, To: best, Term: r.hard.Term, Index: match, LogTerm: term}})
 }
 
 // improvePlacement hands over to the replica with a clearly shorter round trip to a
@@ -204,7 +302,7 @@
 // the leader's whole log.
 func (r *Replica) handleHandover(m Message) {
 	term, ok := r.log.Term(m.Index)
-	campaigns := slices.Contains(r.log.Members().Voters, r.id) && ok && term == m.LogTerm && r.role != Leader
+	campaigns := slices.Contains(r.log.Members().Voters, r.id) && ok && term == m.LogTerm && r.role != Leader && !r.retiring
 	r.emit(HandoverReceivedCmd{From: m.From, Term: m.Term, Index: m.Index, Campaigns: campaigns})
 	if !campaigns {
 		return
--- a/coordination/replicate/message.go
+++ b/coordination/replicate/message.go
@@ -85,6 +85,9 @@
 type HandoverMsg struct {
 	Token uint64
 	To    string // To is the name of the next leader; empty for the best candidate.
+	// Retire says that this replica is about to end: it votes, but does not campaign any
+	// more.
+	Retire bool
 }
 
 // SyncedMsg reports that all previous PersistCmds are on this replica's disk. Index and
--- a/coordination/replicate/replicate.go
+++ b/coordination/replicate/replicate.go
@@ -152,6 +152,7 @@
 	electionJitter   time.Duration // electionJitter is the random part of the election timeout.
 
 	votes                map[ID]bool
+	voteRequestsAt       time.Duration // voteRequestsAt is when the votes that are missing are requested again.
 	peers                map[ID]*progress
 	round                uint64
 	sentRounds           sentRounds
@@ -165,6 +166,8 @@
 	nextPingAt           time.Duration        // nextPingAt is when the other voters are pinged next.
 	pendingPings         map[ID]time.Duration // pendingPings holds the send times of unanswered pings.
 	handover             handover
+	offer                leadershipOffer
+	retiring             bool // retiring says that this replica is about to end and does not campaign.
 	reads                []pendingRead
 	reelectionUntil      time.Duration // reelectionUntil is until when a restarted former leader campaigns at short intervals.
 	voidTerm             uint64        // voidTerm is a term whose leader is known to have stopped leading: this replica's own before a restart or step-down, or that of a leader that handed over.
@@ -248,7 +251,9 @@
 		r.leaderTick()
 		return
 	}
-	if r.now >= r.electionDeadline && r.log.Members().IsVoter(r.id) {
+	r.repeatOffer()
+	r.repeatVoteRequests()
+	if r.now >= r.electionDeadline && r.log.Members().IsVoter(r.id) && !r.retiring {
 		r.campaign(PreCandidate)
 	}
 }
--- a/coordination/replicate/wide_test.go
+++ b/coordination/replicate/wide_test.go
@@ -143,9 +143,10 @@
 	rnd             *rand.Rand
 	syncing         map[string]bool
 	down            map[string]bool
-	committedAtRead map[uint64]uint64 // committedAtRead holds the committed index at the time of each read, by token.
-	readsRefused    int               // readsRefused counts the reads refused with ErrNotLeader.
-	readsConfirmed  int               // readsConfirmed counts the other reads.
+	drops           func(Message) bool // drops reports whether a message is lost; nil loses none.
+	committedAtRead map[uint64]uint64  // committedAtRead holds the committed index at the time of each read, by token.
+	readsRefused    int                // readsRefused counts the reads refused with ErrNotLeader.
+	readsConfirmed  int                // readsConfirmed counts the other reads.
 }
 
 type event struct {
@@ -237,7 +238,7 @@
 	batch := w.inFlight
 	w.inFlight = nil
 	for _, m := range batch {
-		if w.rnd.Float64() < w.loss || w.cutLinks[m.From.Name+">"+m.To.Name] {
+		if (w.drops != nil && w.drops(m)) || w.rnd.Float64() < w.loss || w.cutLinks[m.From.Name+">"+m.To.Name] {
 			continue
 		}
 		w.schedule(w.delay(m.From.Name, m.To.Name), func() {
