--- a/cmd/weldstreamd/stop.go
+++ b/cmd/weldstreamd/stop.go
@@ -63,12 +63,24 @@
 	}
 }
 
+// handOverLeadership transfers leadership of the replication group, if this instance has it,
+// so that the claims of the others do not wait for an election.
+func (d *daemon) handOverLeadership() {
+	if d.group == nil {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), leaderHandOverTimeout)
+	defer cancel()
+	handOverLeadership(ctx, d.group, d.log)
+}
+
 func (d *daemon) shutdown() error {
 	ctx, cancel := context.WithTimeout(context.Background(), shutdownTimeout)
 	defer cancel()
 	if err := d.gateway.Shutdown(ctx); err != nil {
 		d.log.Warn().Err(err).Msg("stopping: caller connections still open")
 	}
+	d.handOverLeadership()
 	d.membership.Leave(ctx)
 	if err := d.admin.Shutdown(ctx); err != nil {
 		d.log.Debug().Err(err).Msg("stopping: operator connections still open")
