--- a/transport/forward/attempt.go
+++ b/transport/forward/attempt.go
@@ -309,6 +309,12 @@
 	if t.reply.NotRun {
 		return t.handleNotRun(stop)
 	}
+	if t.reply.Foreign {
+		t.conn.Close()
+		x.distrust(t.server, true)
+		t.observeFailure()
+		return x.afterFailure(protocol.MayHaveRun, true, "another process answers at the server's address")
+	}
 	if !x.weightsMatch(t.reply.Weights) {
 		t.conn.Close()
 		t.observeFailure()
--- a/transport/forward/quarantine_test.go
+++ b/transport/forward/quarantine_test.go
@@ -400,3 +400,45 @@
 		t.Error("no sync was triggered")
 	}
 }
+
+// TestForeignAnswerReleasesNothing has another process answer at the address of a server that
+// has ended, without proof that it ran the request. The answer was passed on, and released a
+// request that crashes servers from quarantine: it was sent to five more servers.
+func TestForeignAnswerReleasesNothing(t *testing.T) {
+	w := newTestGateway(t)
+	w.install(protocol.PathRoute{Attempts: 1, Kind: protocol.RouteRepeatable})
+	w.backend("a", func(c net.Conn, _ *fasthttp.Request) {
+		_, _ = io.WriteString(c, "HTTP/1.1 404 Not Found\r\nForeign: 1\r\nContent-Length: 0\r\n\r\n")
+	})
+	w.quarantine(heldUpdate(1, "bad", 1, "g"), bodyFingerprint("bad"))
+	if got := w.send("bad"); got.status != 502 || got.verdict != "may-have-run" {
+		t.Errorf("a foreign answer was passed on as %+v", got)
+	}
+	var m protocol.SyncMsg
+	w.g.reportQuarantine(1, &m)
+	if len(m.Observations) > 0 {
+		t.Errorf("a foreign answer counts as a success of the request: %+v", m.Observations)
+	}
+}
+
+// TestForeignAnswerIsRetried checks that a repeatable request goes to another server after a
+// foreign answer.
+func TestForeignAnswerIsRetried(t *testing.T) {
+	w := newTestGateway(t)
+	w.install(protocol.PathRoute{Attempts: 2, Kind: protocol.RouteRepeatable})
+	for _, id := range []string{"a", "b"} {
+		first := id == "a"
+		w.backend(id, func(c net.Conn, req *fasthttp.Request) {
+			if first {
+				_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nForeign: 1\r\nContent-Length: 5\r\n\r\nother")
+				return
+			}
+			answerOK(c, req)
+		})
+	}
+	for range 8 {
+		if got := w.send("body"); got.status != 200 || got.body == "other" {
+			t.Errorf("got %+v", got)
+		}
+	}
+}
