--- a/coordination/backpressure/backpressure.go
+++ b/coordination/backpressure/backpressure.go
@@ -10,8 +10,9 @@
 //	server ──limit───► gateway ──limits, sent requests, permit requests──► leader
 //	server ◄─requests─ gateway ◄─limits, permits────────────────────────── leader
 //
-// A gateway that gets no answer from a leader sends a part of the limit that depends on the
-// number of gateways, at even intervals. During that time, any control instance stores the
+// A gateway that gets no answer from a leader sends a part of the limit, at even intervals.
+// The part depends on the number of gateways, and on how much of the server's requests came
+// from this one, as the last leader told. During that time, any control instance stores the
 // limits that gateways received from servers, and serves them to other gateways
 // ([LimitCache]):
 //
--- a/coordination/backpressure/backpressure_test.go
+++ b/coordination/backpressure/backpressure_test.go
@@ -521,3 +521,39 @@
 		t.Errorf("%d requests in a window; the server tolerates %d", most, f.server.tolerated())
 	}
 }
+
+// TestLeaderlessShareFollowsUse has all requests for a server come through one of several
+// gateways, as where routing prefers the servers of the own failure domain. Without a leader,
+// that gateway had an even part of the leaderless share, and the rest was not used: some limited
+// servers got no request for seconds. The bound is that of TestLimitIsUsed.
+func TestLeaderlessShareFollowsUse(t *testing.T) {
+	for _, gateways := range []int{4, 9, 40} {
+		for _, limit := range []float64{2.4, 4, 30} {
+			f := newFleet(uint64(gateways), gateways)
+			all := f.gateways
+			one := func(d time.Duration) (sent int) {
+				for end := f.now.Add(d); f.now.Before(end); {
+					f.gateways = all
+					f.run(2*step, 0) // All gateways report.
+					f.gateways = all[:1]
+					sent += f.run(step, 30*limit)
+				}
+				f.gateways = all
+				return sent
+			}
+			one(Window)
+			f.setLimit(limit)
+			one(Window)
+			f.allocator = nil
+			one(2 * time.Second)
+			const measured = 10 * time.Second
+			if sent, want := one(measured), leaderlessShare*limit*measured.Seconds(); float64(sent) < want/2 {
+				t.Errorf("%d gateways, limit %.1f, no leader: %d requests, leaderless share is %.0f", gateways, limit, sent, want)
+			}
+			f.run(2*Window, 10*limit) // Now all gateways ask.
+			if most := f.server.maxInWindow(); most > f.server.tolerated() {
+				t.Errorf("%d gateways, limit %.1f: %d requests in a window; the server tolerates %d", gateways, limit, most, f.server.tolerated())
+			}
+		}
+	}
+}
--- a/coordination/backpressure/leaderless.go
+++ b/coordination/backpressure/leaderless.go
@@ -1,10 +1,6 @@
 package backpressure
 
-import (
-	"time"
-
-	"github.com/weldstream/weldstream/protocol"
-)
+import "time"
 
 const (
 	// leaderTimeout is how long a gateway waits for an answer from a leader before it sends
@@ -14,6 +10,10 @@
 	// It is below 1 because their requests are then not coordinated, so that some windows get
 	// half as many again as others, and because the number of gateways may be out of date.
 	leaderlessShare = 0.5
+	// leaderlessUsePart is the part of leaderlessShare that is divided by how much each gateway
+	// used the server under the last leader; the rest is divided evenly. Routing prefers near
+	// servers, so a few gateways send most of the requests for one.
+	leaderlessUsePart = 0.6
 	// bucketRetention is how long the level of a bucket is kept after its last use.
 	bucketRetention = 10 * time.Second
 )
@@ -37,8 +37,8 @@
 // bucket not used for bucketRetention starts at a random level: if hundreds of gateways each
 // started with a full one, they would together send the server several times its limit at
 // once.
-func (b *leaderlessBucket) prepare(l *Limits, limit protocol.RateLimit, now time.Time) {
-	b.rate = max(limit.PerSecond, minRate) * leaderlessShare / float64(l.gateways)
+func (b *leaderlessBucket) prepare(l *Limits, s *serverState, now time.Time) {
+	b.rate = max(s.limit.PerSecond, minRate) * leaderlessShare * l.leaderlessPart(s)
 	if b.preparedFor.Equal(l.unansweredSince) {
 		return
 	}
@@ -48,6 +48,16 @@
 	b.preparedFor, b.updatedAt = l.unansweredSince, now
 }
 
+// leaderlessPart returns this gateway's part of leaderlessShare for a server. It is even if the
+// last leader had not counted the requests to the server, or told no uses.
+func (l *Limits) leaderlessPart(s *serverState) float64 {
+	even := 1 / float64(l.gateways)
+	if !l.usesKnown || !s.counted {
+		return even
+	}
+	return (1-leaderlessUsePart)*even + leaderlessUsePart*s.usePart
+}
+
 // take uses a whole request if the bucket holds one, and reports whether it did.
 func (b *leaderlessBucket) take(now time.Time) bool {
 	b.level = min(1, b.level+b.rate*now.Sub(b.updatedAt).Seconds())
--- a/coordination/backpressure/limits.go
+++ b/coordination/backpressure/limits.go
@@ -25,6 +25,7 @@
 	term            uint64         // term is the term of the leader that heldChange belongs to.
 	heldChange      uint64         // heldChange is the leader's change counter up to which its limits are known here.
 	unansweredSince time.Time      // unansweredSince is when the first unanswered report was made; zero if there is none.
+	usesKnown       bool           // usesKnown means that the last leader that answered tells uses.
 	servers         map[string]*serverState
 	sent            map[string]*sentCounter
 }
@@ -42,6 +43,8 @@
 	unpermitted         int       // unpermitted is the number of requests sent without a permit and not yet acknowledged.
 	unpermittedInReport int       // unpermittedInReport is the part of unpermitted that the last report includes.
 	nextPermitAt        time.Time // nextPermitAt is when the leader expects to have more permits; zero if unknown.
+	usePart             float64   // usePart is the part of the server's requests that this gateway sent, as the leader last told.
+	triedAt             time.Time // triedAt is when a request was last to be sent to the server.
 	bucket              leaderlessBucket
 }
 
@@ -116,11 +119,15 @@
 // time until a permit may be available.
 func (l *Limits) Acquire(server string, now time.Time) (d Decision, wait time.Duration) {
 	s := l.servers[server]
-	if s == nil || !s.limit.Named || s.usePermit(now) {
+	if s == nil || !s.limit.Named {
+		return Send, 0
+	}
+	s.triedAt = now
+	if s.usePermit(now) {
 		return Send, 0
 	}
 	if l.isLeaderless(now) {
-		s.bucket.prepare(l, s.limit, now)
+		s.bucket.prepare(l, s, now)
 		if s.bucket.take(now) {
 			s.unpermitted++
 			return Send, 0
@@ -226,6 +233,9 @@
 		if !s.limit.Named {
 			continue
 		}
+		if now.Sub(s.triedAt) < useMemory {
+			m.Using = append(m.Using, server)
+		}
 		if !s.counted {
 			m.Sent = append(m.Sent, protocol.SentRequests{Server: server, Slots: l.sentByAge(server, now)})
 		}
@@ -281,10 +291,24 @@
 	for i := range reply.Grants {
 		changed = l.addGrant(&reply.Grants[i], reportedAt, now) || changed
 	}
+	l.setUses(reply)
 	maps.DeleteFunc(l.servers, func(_ string, s *serverState) bool { return !s.limit.Named && s.reported })
 	return changed
 }
 
+// setUses stores this gateway's parts of the requests to each server.
+func (l *Limits) setUses(reply *protocol.LimitsReply) {
+	l.usesKnown = reply.TellsUses
+	for _, s := range l.servers {
+		s.usePart = 0
+	}
+	for _, u := range reply.Uses {
+		if s := l.servers[u.Server]; s != nil {
+			s.usePart = u.Part
+		}
+	}
+}
+
 // markReported marks what the leader knows through the report.
 func (l *Limits) markReported(m *protocol.LimitsMsg) {
 	for _, h := range m.Heard {
--- a/coordination/backpressure/permit_allocator.go
+++ b/coordination/backpressure/permit_allocator.go
@@ -23,6 +23,7 @@
 	counted    map[gatewayIncarnation]bool
 	available  float64 // available is the number of permits for immediate use; below 0 after requests without permits.
 	refilledAt time.Time
+	use        gatewayUse
 	recent     []requestCount // recent holds permits issued and requests sent without one, in the last accountingPeriod.
 }
 
@@ -60,6 +61,7 @@
 // HandleReport processes a gateway's report. It returns the limits that the gateway does
 // not know yet, and the permits issued to it.
 func (a *PermitAllocator) HandleReport(m *protocol.LimitsMsg, term uint64, now time.Time) protocol.LimitsReply {
+	from := gatewayIncarnation{m.Gateway, m.Life}
 	var corrections []protocol.ServerLimit
 	for i := range m.Heard {
 		h := &m.Heard[i]
@@ -69,15 +71,20 @@
 		}
 	}
 	for i := range m.Sent {
-		a.countSent(gatewayIncarnation{m.Gateway, m.Life}, &m.Sent[i], now)
+		a.countSent(from, &m.Sent[i], now)
 	}
 	known := m.Held
 	if m.Term != term {
 		known = 0
 	}
-	reply := protocol.LimitsReply{Leads: true, Term: term, Change: a.change, Limits: append(a.changedSince(known), corrections...)}
+	reply := protocol.LimitsReply{Leads: true, Term: term, Change: a.change, TellsUses: true, Limits: append(a.changedSince(known), corrections...)}
 	for i := range m.Wants {
-		reply.Grants = append(reply.Grants, a.grant(gatewayIncarnation{m.Gateway, m.Life}, &m.Wants[i], now))
+		reply.Grants = append(reply.Grants, a.grant(from, &m.Wants[i], now))
+	}
+	for _, server := range m.Using {
+		if e := a.entries[server]; e != nil && e.limit.Named {
+			reply.Uses = append(reply.Uses, protocol.ServerUse{Server: server, Part: e.use.part(from, now)})
+		}
 	}
 	return reply
 }
@@ -116,6 +123,7 @@
 	for age, n := range row.Slots {
 		if n > 0 {
 			e.recent = append(e.recent, requestCount{n, now.Add(-time.Duration(age) * protocol.SentInterval)})
+			e.use.add(from, n, now)
 		}
 	}
 }
@@ -174,10 +182,10 @@
 	}
 	e.refill(now)
 	e.reclaim(max(0, w.Back))
-	e.charge(max(0, w.Alone), now)
+	e.charge(to, max(0, w.Alone), now)
 	if e.counted[to] {
 		g.Count = max(0, min(w.Count, int(math.Floor(e.available)), e.headroom()))
-		e.charge(g.Count, now)
+		e.charge(to, g.Count, now)
 	}
 	if g.Count < w.Count {
 		g.Wait = e.untilNext(now)
@@ -217,12 +225,13 @@
 
 // charge counts permits that are issued, or requests that were sent without one. The
 // deficit from the latter is at most what becomes available within a Window.
-func (e *serverPermits) charge(requests int, now time.Time) {
+func (e *serverPermits) charge(from gatewayIncarnation, requests int, now time.Time) {
 	if requests == 0 {
 		return
 	}
 	e.available = max(e.available-float64(requests), -e.rate()*Window.Seconds())
 	e.recent = append(e.recent, requestCount{requests, now})
+	e.use.add(from, requests, now)
 }
 
 // reclaim takes back permits that expired unused. It takes them from the latest counts, as
--- a/protocol/limits.go
+++ b/protocol/limits.go
@@ -13,6 +13,7 @@
 	Heard   []ReportedLimit
 	Sent    []SentRequests
 	Wants   []PermitRequest
+	Using   []string // servers with a rate limit that the gateway has sent requests to lately
 }
 
 // LimitsVersion identifies a version of the limits known to the leader of a term.
@@ -74,6 +75,9 @@
 	Limits []ServerLimit
 	Grants []PermitGrant
 
+	TellsUses bool        // false in answers of earlier builds, which have no Uses
+	Uses      []ServerUse // for the servers in Using
+
 	// ListLate has the same meaning as in [SyncReply]. It is sent here for relays, as a
 	// batch has no field for it.
 	ListLate bool
@@ -85,6 +89,12 @@
 	Limit  RateLimit
 }
 
+// ServerUse is the part of the requests to a server that one gateway sends.
+type ServerUse struct {
+	Server string
+	Part   float64 // 0 to 1; the parts of all gateways add up to 1
+}
+
 // PermitGrant gives a gateway a number of permits, each for one request.
 type PermitGrant struct {
 	Server string
