--- a/cmd/weldstreamd/daemon.go
+++ b/cmd/weldstreamd/daemon.go
@@ -170,7 +170,7 @@
 
 // run serves until it receives a stop signal or a reclaim notice of the platform, and then
 // carries out a planned stop.
-func (d *daemon) run(stops, dumps <-chan os.Signal) error {
+func (d *daemon) run(signals processSignals) error {
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	g, ctx := errgroup.WithContext(ctx)
@@ -199,7 +199,7 @@
 		d.gateway.FollowLeaving,
 		d.limits.Run,
 		d.quarantine.Run,
-		func(ctx context.Context) error { return d.dumpOnSignal(ctx, dumps) },
+		func(ctx context.Context) error { return d.dumpOnSignal(ctx, signals.dumps) },
 	} {
 		g.Go(func() error { return run(ctx) })
 	}
@@ -207,7 +207,7 @@
 	g.Go(func() error { return d.admin.Serve(d.listeners.admin) })
 	g.Go(func() error {
 		defer cancel()
-		return d.waitAndStop(stops, ctx)
+		return d.waitAndStop(signals, ctx)
 	})
 	d.log.Info().Str("caller", d.listeners.caller.Addr().String()).Str("peer", d.listeners.peer.Addr().String()).Str("admin", d.listeners.admin.Addr().String()).Msg("serving")
 	return g.Wait()
--- a/cmd/weldstreamd/main.go
+++ b/cmd/weldstreamd/main.go
@@ -10,16 +10,15 @@
 //
 // SIGTERM starts a planned stop: the instance reports unready, finishes the running
 // requests and exits. After a second SIGTERM, or at the end of the drain time, the
-// requests that still run are handed over to other instances. SIGQUIT writes the state
-// of the process to standard error as JSON.
+// requests that still run are handed over to other instances. SIGHUP makes a gateway reload
+// its settings; other instances ignore it. SIGQUIT writes the state of an entry instance to
+// standard error as JSON.
 package main
 
 import (
 	"flag"
 	"fmt"
 	"os"
-	"os/signal"
-	"syscall"
 
 	"github.com/rs/zerolog"
 
@@ -32,15 +31,16 @@
 )
 
 func main() {
-	os.Exit(run())
+	os.Exit(run(notifySignals()))
 }
 
-func run() int {
+func run(signals processSignals) int {
 	if len(os.Args) > 1 {
 		if _, ok := roles[os.Args[1]]; ok {
-			return runRole(os.Args[1], os.Args[2:])
+			return runRole(os.Args[1], os.Args[2:], signals)
 		}
 	}
+	signals.notifyDumps()
 	file := flag.String("settings", "", "settings `file` in YAML (required)")
 	flag.Parse()
 	if *file == "" || flag.NArg() > 0 {
@@ -58,21 +58,17 @@
 		}
 		return exitSettings
 	}
-	return serve(s)
+	return serve(s, signals)
 }
 
-func serve(s *settings.Settings) int {
+func serve(s *settings.Settings, signals processSignals) int {
 	log := newLogger(s)
 	d, err := newDaemon(s, log)
 	if err != nil {
 		log.Error().Err(err).Msg("start failed")
 		return exitFailed
 	}
-	stops := make(chan os.Signal, 2)
-	signal.Notify(stops, syscall.SIGTERM, syscall.SIGINT)
-	dumps := make(chan os.Signal, 1)
-	signal.Notify(dumps, syscall.SIGQUIT)
-	if err := d.run(stops, dumps); err != nil {
+	if err := d.run(signals); err != nil {
 		log.Error().Err(err).Msg("stopped after an error")
 		return exitFailed
 	}
--- a/cmd/weldstreamd/role.go
+++ b/cmd/weldstreamd/role.go
@@ -7,9 +7,7 @@
 	"net"
 	"net/netip"
 	"os"
-	"os/signal"
 	"runtime/debug"
-	"syscall"
 	"time"
 
 	metrics "github.com/rcrowley/go-metrics"
@@ -41,8 +39,7 @@
 	settings *settings.Node
 	log      zerolog.Logger
 	registry metrics.Registry
-	stops    chan os.Signal // stops receives SIGTERM and SIGINT.
-	reloads  chan os.Signal // reloads receives SIGHUP, which requests a reload of the settings.
+	processSignals
 }
 
 // maxQueuedLogLines is the maximum number of log lines that wait to be written. Further
@@ -50,7 +47,7 @@
 const maxQueuedLogLines = 2000
 
 // runRole runs a role until it is stopped and returns the exit status.
-func runRole(name string, args []string) int {
+func runRole(name string, args []string, signals processSignals) int {
 	flags := flag.NewFlagSet("weldstreamd "+name, flag.ContinueOnError)
 	file := flags.String("settings", "", "settings `file` in YAML")
 	variable := flags.String("settings-from", "", "environment `variable` that names the settings file")
@@ -69,7 +66,7 @@
 	if !ok {
 		return exitSettings
 	}
-	return startRole(name, *file, n)
+	return startRole(name, *file, n, signals)
 }
 
 // loadNode reads the settings of a role and prints every fault to standard error.
@@ -96,7 +93,7 @@
 // heapFraction is the part of memory_mb that the heap may grow to.
 const heapFraction = 0.7
 
-func startRole(name, file string, n *settings.Node) int {
+func startRole(name, file string, n *settings.Node, signals processSignals) int {
 	debug.SetGCPercent(gcPercent)
 	if n.MemoryMB > 0 {
 		debug.SetMemoryLimit(int64(heapFraction * float64(n.MemoryMB) * (1 << 20)))
@@ -110,11 +107,9 @@
 		settings: n,
 		log:      newRoleLogger(out, name, n),
 		registry: metrics.NewRegistry(),
-		stops:    make(chan os.Signal, 2),
-		reloads:  make(chan os.Signal, 1),
+
+		processSignals: signals,
 	}
-	signal.Notify(r.stops, syscall.SIGTERM, syscall.SIGINT)
-	signal.Notify(r.reloads, syscall.SIGHUP)
 	r.log.Info().Str("file", file).Bool("found", n.Found).Strs("seeds", n.Seeds).Msg("started")
 	err := roles[name].run(r)
 	r.log.Info().Err(err).Msg("stopped")
--- a/cmd/weldstreamd/stop.go
+++ b/cmd/weldstreamd/stop.go
@@ -19,10 +19,11 @@
 
 // waitAndStop waits for a stop signal or a reclaim notice of the platform and carries
 // out a planned stop.
-func (d *daemon) waitAndStop(stops <-chan os.Signal, ctx context.Context) error {
+func (d *daemon) waitAndStop(signals processSignals, ctx context.Context) error {
 	limit := d.settings.Timeouts.Drain
+	go d.ignoreReloads(ctx, signals.reloads)
 	select {
-	case <-stops:
+	case <-signals.stops:
 	case n := <-d.reclaims:
 		left := time.Until(n.At)
 		limit = min(limit, max(left-handOverTimeout, left/2))
@@ -34,10 +35,22 @@
 	d.log.Info().Dur("limit", limit).Msg("stopping: unready")
 	timer := time.NewTimer(limit)
 	defer timer.Stop()
-	d.drain(stops, timer.C)
+	d.drain(signals.stops, timer.C)
 	return d.shutdown()
 }
 
+// ignoreReloads logs that this instance reads its settings only at its start.
+func (d *daemon) ignoreReloads(ctx context.Context, reloads <-chan os.Signal) {
+	for {
+		select {
+		case <-reloads:
+			d.log.Info().Msg("reload ignored: an entry instance reads its settings only at start")
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
 // drain waits for the running requests. When the time is up or a second signal
 // arrives, it hands the remaining ones over to other instances.
 func (d *daemon) drain(stops <-chan os.Signal, timeUp <-chan time.Time) {
