--- a/internal/soak/cluster.go
+++ b/internal/soak/cluster.go
@@ -77,9 +77,11 @@
 	nextBin      string // nextBin is the program for all starts after the first; empty for the same program.
 	settingsFile string
 	out          *os.File
-	mu           sync.Mutex // mu guards cmd.
+	ending       sync.Mutex // ending is held by a start, and until a process that was told to end has ended. It is acquired before mu.
+	mu           sync.Mutex // mu guards the fields below.
 	cmd          *exec.Cmd
 	ended        chan error
+	told         bool // told says that the process was told to end.
 }
 
 // New prepares a cluster in a directory. No daemon runs before Start.
@@ -341,6 +343,8 @@
 
 // Start starts the process unless it runs.
 func (p *Proc) Start() error {
+	p.ending.Lock()
+	defer p.ending.Unlock()
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.cmd != nil {
@@ -356,7 +360,7 @@
 	}
 	ended := make(chan error, 1)
 	go func() { ended <- cmd.Wait() }()
-	p.cmd, p.ended = cmd, ended
+	p.cmd, p.ended, p.told = cmd, ended, false
 	return nil
 }
 
@@ -396,20 +400,34 @@
 // Stop shuts the process down with SIGTERM and returns its exit error.
 func (p *Proc) Stop() error { return p.end(syscall.SIGTERM) }
 
+// end sends a signal and waits for the end of the process. Other signals can be sent
+// meanwhile: a suspended process handles a termination signal only once it is resumed.
 func (p *Proc) end(s syscall.Signal) error {
+	p.ending.Lock()
+	defer p.ending.Unlock()
 	p.mu.Lock()
-	defer p.mu.Unlock()
-	if p.cmd == nil {
+	cmd, ended := p.cmd, p.ended
+	p.told = true
+	p.mu.Unlock()
+	if cmd == nil {
 		return nil
 	}
-	_ = p.cmd.Process.Signal(s)
-	defer func() { p.cmd = nil }()
+	_ = cmd.Process.Signal(s)
+	err := p.awaitEnd(cmd, ended, s)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.cmd = nil
+	return err
+}
+
+// awaitEnd waits for the end of the process after a signal, and kills it after stopTimeout.
+func (p *Proc) awaitEnd(cmd *exec.Cmd, ended <-chan error, s syscall.Signal) error {
 	select {
-	case err := <-p.ended:
+	case err := <-ended:
 		return err
 	case <-time.After(stopTimeout):
-		_ = p.cmd.Process.Kill()
-		err := <-p.ended
+		_ = cmd.Process.Kill()
+		err := <-ended
 		return fmt.Errorf("%s did not end within %v of signal %v, and then with %w", p.Name, stopTimeout, s, err)
 	}
 }
@@ -418,7 +436,7 @@
 func (p *Proc) Exited() (error, bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.cmd == nil {
+	if p.cmd == nil || p.told {
 		return nil, false
 	}
 	select {
