--- a/settings/defaults.go
+++ b/settings/defaults.go
@@ -53,7 +53,7 @@
 	DefaultMoveAhead      = time.Second            // answers are moved this long before their server ends: the servers of a domain have hundreds, and each takes 5 to 200 ms on their links
 	DefaultMemoryFraction = 0.4                    // fraction of memory_mb that bodies, answers and connections may use, 0 for no limit: the heap may grow to 0.7 of memory_mb, and the garbage collector needs a quarter more than what is held
 	DefaultCallerRate     = 1 << 10                // minimum rate in bytes per second at which a caller must send a body or read an answer, 0 for one byte per window: a tenth of the throughput of the slowest links in use
-	DefaultCallerWindow   = 15 * time.Second       // window over which memory.rate is measured: longer than it takes to retransmit a lost packet several times
+	DefaultCallerWindow   = 15 * time.Second       // window over which memory.rate is measured: longer than it takes to retransmit a lost packet several times; what a caller reads beyond the rate counts for up to three more windows, in which it may read nothing
 	DefaultSocketKB       = 64                     // kernel buffer of a connection of a caller or server in each direction, in KB, 0 for the default of the kernel: the kernel doubles the value, which is enough for 20 MB/s at a round trip of 6 ms
 	DefaultNodeElection   = 200 * time.Millisecond // minimum election timeout; the maximum is twice as long
 	DefaultNodeHeartbeat  = 40 * time.Millisecond  // interval between two heartbeats of a leader
--- a/transport/caller/pace.go
+++ b/transport/caller/pace.go
@@ -33,7 +33,18 @@
 	end         time.Time
 	transferred int
 
-	queued int // queued is the kernel's send queue in bytes at the start of the window; for responses.
+	queued  int // queued is the kernel's send queue in bytes at the start of the window; for responses.
+	surplus int // surplus is what the caller acknowledged beyond the minimum of earlier windows, up to maxSurplusWindows; for responses.
+}
+
+// maxSurplusWindows is how many windows a caller may acknowledge nothing after it has
+// acknowledged enough for them. A caller's kernel acknowledges in steps of up to its receive
+// buffer, which a caller above the minimum rate may need several windows to read.
+const maxSurplusWindows = 3
+
+// addSurplus adds acknowledged bytes beyond the minimum, or subtracts missing ones.
+func (w *rateWindow) addSurplus(n int) {
+	w.surplus = min(max(0, w.surplus+n), maxSurplusWindows*w.minBytes)
 }
 
 // start starts the first window.
--- a/transport/caller/send_buffer.go
+++ b/transport/caller/send_buffer.go
@@ -138,7 +138,7 @@
 		if !waiting || s.writtenBlocks != before || s.err != nil {
 			return
 		}
-		if w.restartIfFrozen(time.Now()) || s.restartIfAcknowledged(&w) {
+		if s.restartIfFrozen(&w) || s.restartIfAcknowledged(&w) {
 			timer.Reset(w.length)
 			return
 		}
@@ -221,23 +221,52 @@
 	s.changed.Broadcast()
 }
 
-// newWindow starts a window of a minimum rate.
+// newWindow starts the first window of a minimum rate. The caller may not have read yet what its
+// kernel has acknowledged, so it begins with a surplus.
 func (s *sendBuffer) newWindow(p MinRate) rateWindow {
 	var w rateWindow
+	queued, _ := s.socket.queued() // Measured before the window starts, as this goroutine may have to wait for a processor.
 	w.start(p, time.Now())
-	w.queued, _ = s.socket.queued()
+	w.queued, w.surplus = queued, maxSurplusWindows*w.minBytes
 	return w
 }
 
-// restartIfAcknowledged reports whether the caller has acknowledged the minimum of a window, and
-// starts the next window in that case. A kernel frees its send buffer in steps of a third of its
-// size, up to 40 KB, for which a caller well above the minimum rate may need longer than a window.
+// restartIfTransferred starts the next window if the kernel took the minimum in this one, and
+// reports whether it did.
+func (s *sendBuffer) restartIfTransferred(w *rateWindow) bool {
+	if w.transferred < w.minBytes {
+		return false
+	}
+	queued, known := s.socket.queued()
+	if known {
+		w.addSurplus(max(0, w.queued+w.transferred-queued-w.minBytes))
+	}
+	w.transferred, w.queued, w.end = 0, queued, time.Now().Add(w.length)
+	return true
+}
+
+// restartIfAcknowledged starts the next window if the caller has acknowledged the minimum in this
+// one, or its surplus makes up for the rest, and reports whether it did. A kernel frees its send
+// buffer in steps of a third of its size, up to 40 KB, for which a caller well above the minimum
+// rate may need longer than a window.
 func (s *sendBuffer) restartIfAcknowledged(w *rateWindow) bool {
 	queued, known := s.socket.queued()
-	if !known || w.queued+w.transferred-queued < w.minBytes {
+	acknowledged := w.queued + w.transferred - queued
+	if !known || acknowledged+w.surplus < w.minBytes {
 		return false
 	}
-	w.transferred, w.end, w.queued = 0, time.Now().Add(w.length), queued
+	w.addSurplus(acknowledged - w.minBytes)
+	w.transferred, w.queued, w.end = 0, queued, time.Now().Add(w.length)
+	return true
+}
+
+// restartIfFrozen restarts a window in which the process was suspended, and reports whether it
+// was.
+func (s *sendBuffer) restartIfFrozen(w *rateWindow) bool {
+	if !w.restartIfFrozen(time.Now()) {
+		return false
+	}
+	w.queued, _ = s.socket.queued()
 	return true
 }
 
@@ -253,17 +282,15 @@
 		}
 		n, err := s.conn.Write(p)
 		p = p[n:]
-		next := w.add(n, time.Now)
-		if next {
-			w.queued, _ = s.socket.queued()
-		}
+		w.transferred += n
+		next := s.restartIfTransferred(w)
 		if err != nil && !isTimeout(err) {
 			return err
 		}
 		if err != nil && last {
 			return errDeadlinePassed
 		}
-		if err != nil && !next && !w.restartIfFrozen(time.Now()) && !s.restartIfAcknowledged(w) {
+		if err != nil && !next && !s.restartIfFrozen(w) && !s.restartIfAcknowledged(w) {
 			s.onSlow()
 			return errTooSlow
 		}
