--- a/cmd/weldstreamd/logs_test.go
+++ b/cmd/weldstreamd/logs_test.go
@@ -11,7 +11,7 @@
 // logSources are the files that contain the log lines of the roles.
 var logSources = []string{
 	"role.go", "gateway.go", "control.go", "leave.go", "regions.go", "../../transport/caller/*.go", "../../transport/forward/*.go", "../../transport/uplink/*.go", "../../transport/control/*.go",
-	"../../coordination/group/*.go", "../../platform/*.go", "../../transport/replica.go", "../../transport/bootstrap.go", "../../transport/links.go", "../../transport/membership.go",
+	"../../coordination/group/*.go", "../../platform/*.go", "../../transport/replica.go", "../../transport/groupclient.go", "../../transport/bootstrap.go", "../../transport/links.go", "../../transport/membership.go",
 }
 
 // TestLogsAreListed checks that docs/LOGS.md lists exactly the log messages above
--- a/coordination/group/place.go
+++ b/coordination/group/place.go
@@ -4,8 +4,6 @@
 	"context"
 	"time"
 
-	"github.com/rs/zerolog"
-
 	"github.com/weldstream/weldstream/coordination/replicate"
 	"github.com/weldstream/weldstream/coordination/roundtrip"
 )
@@ -74,17 +72,17 @@
 func (g *Group) logElection(cmd replicate.Cmd) {
 	switch cmd := cmd.(type) {
 	case replicate.CampaignCmd:
-		level := zerolog.InfoLevel
 		if cmd.Role == replicate.PreCandidate {
-			level = zerolog.DebugLevel
+			g.log.Debug().Uint64("term", cmd.Term).Uint64("void", cmd.Void).Msg("requesting pre-votes")
+			return
 		}
-		g.log.WithLevel(level).Stringer("role", cmd.Role).Uint64("term", cmd.Term).Uint64("void", cmd.Void).Msg("campaigning")
+		g.log.Info().Uint64("term", cmd.Term).Uint64("void", cmd.Void).Msg("campaigning")
 	case replicate.VoteRefusedCmd:
-		level := zerolog.InfoLevel
 		if cmd.PreVote {
-			level = zerolog.DebugLevel
+			g.log.Debug().Str("to", cmd.To.Name).Uint64("term", cmd.Term).Str("reason", string(cmd.Reason)).Msg("pre-vote refused")
+			return
 		}
-		g.log.WithLevel(level).Str("to", cmd.To.Name).Bool("pre_vote", cmd.PreVote).Uint64("term", cmd.Term).Str("reason", string(cmd.Reason)).Msg("vote refused")
+		g.log.Info().Str("to", cmd.To.Name).Uint64("term", cmd.Term).Str("reason", string(cmd.Reason)).Msg("vote refused")
 	case replicate.HandoverReceivedCmd:
 		g.log.Info().Str("from", cmd.From.Name).Uint64("term", cmd.Term).Uint64("index", cmd.Index).Bool("campaigns", cmd.Campaigns).Msg("handover received")
 	}
