--- a/coordination/group/group.go
+++ b/coordination/group/group.go
@@ -43,6 +43,9 @@
 
 const (
 	inboxSize = 4096
+	// slowSyncDivisor is the part of an election timeout from which on a sync is logged: a
+	// leader that syncs for the rest as well loses its lease.
+	slowSyncDivisor = 2
 	// DefaultBatch is the default of Config.Batch.
 	DefaultBatch      = 512
 	ticksPerHeartbeat = 4 // ticksPerHeartbeat is the number of ticks per heartbeat interval.
@@ -397,6 +400,9 @@
 		return err
 	}
 	g.meters.sync.UpdateSince(began)
+	if took := time.Since(began); took > g.cfg.Replica.Election/slowSyncDivisor {
+		g.log.Warn().Dur("took", took).Int("entries", len(entries)).Str("role", g.status.Load().Role).Msg("slow disk sync delayed this replica's messages")
+	}
 	synced := replicate.SyncedMsg{}
 	if n := len(entries); n > 0 {
 		synced.Index, synced.Term = entries[n-1].Index, entries[n-1].Term
