--- a/transport/groupcall.go
+++ b/transport/groupcall.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"time"
+
+	"github.com/weldstream/weldstream/internal/clock"
 )
 
 // groupCall is one call in progress, which several replicas may have been asked to execute.
@@ -27,11 +29,11 @@
 // by then.
 func (q *groupCall) ask(ctx context.Context, name string) {
 	q.open[name] = true
-	began := time.Now()
+	began := clock.Now()
 	go func() {
 		reply, err := q.client.callReplica(ctx, name, q.method, q.args)
 		select {
-		case q.answers <- replicaAnswer{name, reply, err, time.Since(began)}:
+		case q.answers <- replicaAnswer{name, reply, err, clock.Since(began)}:
 		case <-ctx.Done():
 		}
 	}()
--- a/transport/groupclient.go
+++ b/transport/groupclient.go
@@ -14,6 +14,7 @@
 	"github.com/rotisserie/eris"
 	"github.com/rs/zerolog"
 
+	"github.com/weldstream/weldstream/internal/clock"
 	"github.com/weldstream/weldstream/protocol"
 	"github.com/weldstream/weldstream/state"
 )
@@ -86,7 +87,7 @@
 		args:    args,
 		answers: make(chan replicaAnswer),
 		open:    map[string]bool{},
-		trace:   callTrace{began: time.Now()},
+		trace:   callTrace{began: clock.Now()},
 	}
 	for wait := leaderRetry; ctx.Err() == nil; wait = min(2*wait, maxLeaderRetry) {
 		for _, name := range c.leaderFirst() {
@@ -110,7 +111,7 @@
 // noQuorum logs the calls that were made in vain and returns ErrNoQuorum.
 func (c *GroupClient) noQuorum(q *groupCall) error {
 	waiting := slices.Sorted(maps.Keys(q.open))
-	c.log.Warn().Str("method", q.method).Dur("after", time.Since(q.trace.began)).Any("replicas", q.trace.replicas).Strs("unanswered", waiting).Msg("no replica executed the call in time")
+	c.log.Warn().Str("method", q.method).Dur("after", clock.Since(q.trace.began)).Any("replicas", q.trace.replicas).Strs("unanswered", waiting).Msg("no replica executed the call in time")
 	return ErrNoQuorum
 }
 
