--- a/coordination/backpressure/leaderless.go
+++ b/coordination/backpressure/leaderless.go
@@ -49,7 +49,7 @@
 }
 
 // leaderlessPart returns this gateway's part of leaderlessShare for a server. It is even if the
-// last leader had not counted the requests to the server, or told no uses.
+// last leader had not counted the requests to the server, or reports no uses.
 func (l *Limits) leaderlessPart(s *serverState) float64 {
 	even := 1 / float64(l.gateways)
 	if !l.usesKnown || !s.counted {
--- a/coordination/backpressure/limits.go
+++ b/coordination/backpressure/limits.go
@@ -25,7 +25,7 @@
 	term            uint64         // term is the term of the leader that heldChange belongs to.
 	heldChange      uint64         // heldChange is the leader's change counter up to which its limits are known here.
 	unansweredSince time.Time      // unansweredSince is when the first unanswered report was made; zero if there is none.
-	usesKnown       bool           // usesKnown means that the last leader that answered tells uses.
+	usesKnown       bool           // usesKnown means that the last leader that answered reports uses.
 	servers         map[string]*serverState
 	sent            map[string]*sentCounter
 }
@@ -43,7 +43,7 @@
 	unpermitted         int       // unpermitted is the number of requests sent without a permit and not yet acknowledged.
 	unpermittedInReport int       // unpermittedInReport is the part of unpermitted that the last report includes.
 	nextPermitAt        time.Time // nextPermitAt is when the leader expects to have more permits; zero if unknown.
-	usePart             float64   // usePart is the part of the server's requests that this gateway sent, as the leader last told.
+	usePart             float64   // usePart is the part of the server's requests that this gateway sent, as of the leader's latest answer.
 	triedAt             time.Time // triedAt is when a request was last to be sent to the server.
 	bucket              leaderlessBucket
 }
@@ -298,7 +298,7 @@
 
 // setUses stores this gateway's parts of the requests to each server.
 func (l *Limits) setUses(reply *protocol.LimitsReply) {
-	l.usesKnown = reply.TellsUses
+	l.usesKnown = reply.ReportsUses
 	for _, s := range l.servers {
 		s.usePart = 0
 	}
--- a/coordination/backpressure/permit_allocator.go
+++ b/coordination/backpressure/permit_allocator.go
@@ -77,7 +77,7 @@
 	if m.Term != term {
 		known = 0
 	}
-	reply := protocol.LimitsReply{Leads: true, Term: term, Change: a.change, TellsUses: true, Limits: append(a.changedSince(known), corrections...)}
+	reply := protocol.LimitsReply{Leads: true, Term: term, Change: a.change, ReportsUses: true, Limits: append(a.changedSince(known), corrections...)}
 	for i := range m.Wants {
 		reply.Grants = append(reply.Grants, a.grant(from, &m.Wants[i], now))
 	}
--- a/protocol/limits.go
+++ b/protocol/limits.go
@@ -75,7 +75,7 @@
 	Limits []ServerLimit
 	Grants []PermitGrant
 
-	TellsUses bool        // false in answers of earlier builds, which have no Uses
+	ReportsUses bool        // false in answers of earlier builds, which have no Uses
 	Uses      []ServerUse // for the servers in Using
 
 	// ListLate has the same meaning as in [SyncReply]. It is sent here for relays, as a
