--- a/protocol/limits.go
+++ b/protocol/limits.go
@@ -76,7 +76,7 @@
 	Grants []PermitGrant
 
 	ReportsUses bool        // false in answers of earlier builds, which have no Uses
-	Uses      []ServerUse // for the servers in Using
+	Uses        []ServerUse // for the servers in Using
 
 	// ListLate has the same meaning as in [SyncReply]. It is sent here for relays, as a
 	// batch has no field for it.
