--- a/coordination/backpressure/backpressure_test.go
+++ b/coordination/backpressure/backpressure_test.go
@@ -557,3 +557,28 @@
 		}
 	}
 }
+
+// TestLeaderlessPartIsEvenWithoutUses checks the part of a gateway whose leader reports no uses,
+// as one of an earlier build, or has not counted its requests.
+func TestLeaderlessPartIsEvenWithoutUses(t *testing.T) {
+	for name, tt := range map[string]struct {
+		reports, counted bool
+		want             float64
+	}{
+		"uses reported":        {true, true, (1-leaderlessUsePart)/4 + leaderlessUsePart*0.5},
+		"an earlier leader":    {false, true, 0.25},
+		"requests not counted": {true, false, 0.25},
+	} {
+		l := NewLimits()
+		l.SetGateways(4)
+		l.UpdateLimit("s", protocol.RateLimit{Named: true, PerSecond: 4}, start)
+		m, _ := l.Report(start)
+		if !tt.counted {
+			m.Sent = nil
+		}
+		l.HandleReply(&m, &protocol.LimitsReply{Term: 1, ReportsUses: tt.reports, Uses: []protocol.ServerUse{{Server: "s", Part: 0.5}}}, start, start)
+		if got := l.leaderlessPart(l.servers["s"]); got != tt.want {
+			t.Errorf("%s: part %v, want %v", name, got, tt.want)
+		}
+	}
+}
--- a/coordination/replicate/lost_handover_test.go
+++ b/coordination/replicate/lost_handover_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 )
@@ -37,6 +38,10 @@
 		"a vote is lost":                loseFirst(VoteReply),
 		"the first voter is suspended":  func(c *cluster) { c.w.down[c.first] = true },
 		"the second voter is suspended": func(c *cluster) { c.w.down[c.other] = true },
+		"the first voter is suspended and lacks an entry": func(c *cluster) {
+			c.w.down[c.first] = true
+			c.w.step(c.leader, ProposeMsg{Token: 2, Data: []byte("x")})
+		},
 		"the first voter is suspended as it is told": func(c *cluster) {
 			c.w.drops = func(m Message) bool {
 				if m.Kind == Handover && m.To.Name == c.first {
@@ -99,3 +104,47 @@
 		w.runUntil(fmt.Sprintf("seed %d: an election with the vote of the retiring replica", seed), 2*time.Second, w.hasLeader)
 	}
 }
+
+// TestSilentVoterIsNotChosen checks that a handover prefers a voter that answers to one that
+// has been silent for some heartbeats.
+func TestSilentVoterIsNotChosen(t *testing.T) {
+	for silent, want := range map[ID]ID{idB: idC, idC: idB} {
+		r := replicaOf(idA, HardState{Term: 2})
+		elect(t, r)
+		r.Update(SyncedMsg{Index: 1, Term: r.hard.Term})
+		acknowledge(r, idB, 1)
+		acknowledge(r, idC, 1)
+		r.peers[silent].lastContact = r.now - answerHeartbeats*testConfig.Heartbeat
+		if got, ok := r.successor(""); !ok || got != want {
+			t.Errorf("%v is silent: the successor is %v (%v), want %v", silent, got, ok, want)
+		}
+	}
+}
+
+// TestRetiringReplicaIgnoresHandover checks that a replica that is about to end does not
+// campaign when a leader tells it to.
+func TestRetiringReplicaIgnoresHandover(t *testing.T) {
+	b := replicaOf(idB, HardState{Term: 4})
+	b.Update(HandoverMsg{Token: 1, Retire: true})
+	b.Update(StepMsg{Message: Message{Kind: Handover, From: idA, To: idB, Term: 4}, Now: time.Second})
+	if b.role != Follower {
+		t.Errorf("the retiring replica is a %v", b.role)
+	}
+}
+
+// TestMissingVotesAreRequestedAgain checks that a candidate repeats its request to the voters
+// that have not answered, and to no others: a lost message cost an election timeout.
+func TestMissingVotesAreRequestedAgain(t *testing.T) {
+	b := replicaOf(idB, HardState{Term: 4})
+	b.Update(StepMsg{Message: Message{Kind: Handover, From: idA, To: idB, Term: 4}, Now: time.Second})
+	b.Update(StepMsg{Message: Message{Kind: VoteReply, From: idA, To: idB, Term: 5, Reject: true}, Now: time.Second})
+	var to []ID
+	for _, s := range sentMessages(b.Update(TickMsg{Now: time.Second + voteRequestHeartbeats*testConfig.Heartbeat})) {
+		if s.Message.Kind == Vote {
+			to = append(to, s.Message.To)
+		}
+	}
+	if !slices.Equal(to, []ID{idC}) {
+		t.Errorf("votes were requested again of %v, want %v", to, idC)
+	}
+}
