--- a/coordination/replicate/message.go
+++ b/coordination/replicate/message.go
@@ -213,7 +213,7 @@
 	VoteRefusedLog     VoteRefusal = "the candidate's log lacks entries"
 )
 
-// HandoverReceivedCmd reports that a leader has told the replica to campaign. It campaigns
+// HandoverReceivedCmd reports that a leader has asked the replica to campaign. It campaigns
 // if its log has the entry at Index.
 type HandoverReceivedCmd struct {
 	From      ID
