--- a/coordination/retry/share.go
+++ b/coordination/retry/share.go
@@ -48,6 +48,13 @@
 	return true
 }
 
+// Available returns how many retries are available at the time, and the number that a share is
+// refilled to.
+func (s *Share) Available(now time.Time) (available, refilledTo float64) {
+	s.adjust(now)
+	return s.tokens, s.extraTokens
+}
+
 // adjust refills extraTokens over two windows. Tokens above it decay over one
 // window, so that retries do not accumulate for a later window.
 func (s *Share) adjust(now time.Time) {
--- a/transport/forward/attempt.go
+++ b/transport/forward/attempt.go
@@ -151,7 +151,7 @@
 		Verdict:  v,
 		Reached:  reached,
 		Reason:   reason,
-		Budget:   func() bool { return x.g.spendRetry(x.service) },
+		Budget:   x.spendRetry,
 		TimeLeft: x.timeLeft(),
 		Target:   x.route.Target,
 	})
--- a/transport/forward/limits.go
+++ b/transport/forward/limits.go
@@ -101,12 +101,19 @@
 	return s
 }
 
-// spendRetry takes one retry from the budget of a service.
-func (g *Gateway) spendRetry(service string) bool {
+// spendRetry takes one retry from the budget of a service, and counts and logs the outcome.
+func (x *exchange) spendRetry() bool {
+	g := x.g
 	g.mu.Lock()
-	defer g.mu.Unlock()
 	now := clock.Now()
-	return g.retryShare(service, now).Spend(now)
+	share := g.retryShare(x.service, now)
+	available, refilledTo := share.Available(now)
+	granted := share.Spend(now)
+	g.mu.Unlock()
+	g.meters.countRetry(x.service, granted)
+	x.log.Info().Str("service", x.service).Bool("granted", granted).Float64("available", available).
+		Float64("refilled_to", refilledTo).Int64("gateways", g.gateways.Load()).Msg("retry budget")
+	return granted
 }
 
 // countUsage records that a request of a workspace started to run.
--- a/transport/forward/meters.go
+++ b/transport/forward/meters.go
@@ -41,8 +41,9 @@
 	promptCopies     metrics.Counter // promptCopies counts requests whose server was told to copy from another one.
 
 	registry metrics.Registry
-	mu       sync.Mutex // mu guards ended.
+	mu       sync.Mutex // mu guards the fields below.
 	ended    map[outcome]metrics.Counter
+	retries  map[retryOutcome]metrics.Counter
 }
 
 // outcome is the key by which ended requests are counted.
@@ -91,6 +92,7 @@
 		distances:         newDistanceMeters(r),
 		registry:          r,
 		ended:             map[outcome]metrics.Counter{},
+		retries:           map[retryOutcome]metrics.Counter{},
 	}
 }
 
@@ -110,3 +112,29 @@
 	}
 	c.Inc(1)
 }
+
+// retryOutcome is the key by which decisions on the retry budget are counted.
+type retryOutcome struct {
+	service string
+	granted bool
+}
+
+// countRetry counts a retry that the budget of a service granted or refused.
+func (m *meters) countRetry(service string, granted bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	o := retryOutcome{service, granted}
+	if m.retries[o] == nil && len(m.retries) >= maxOutcomes {
+		o.service = overflowLabel
+	}
+	c := m.retries[o]
+	if c == nil {
+		name := "retries.refused"
+		if granted {
+			name = "retries.granted"
+		}
+		c = metrics.GetOrRegisterCounter(fmt.Sprintf("%s{service=%q}", name, o.service), m.registry)
+		m.retries[o] = c
+	}
+	c.Inc(1)
+}
--- a/transport/forward/meters_test.go
+++ b/transport/forward/meters_test.go
@@ -56,3 +56,30 @@
 		t.Errorf("counted %v", got)
 	}
 }
+
+// TestRetriesAreCounted checks that decisions on the retry budget are counted by service and
+// outcome, and that the number of counters is bounded.
+func TestRetriesAreCounted(t *testing.T) {
+	r := metrics.NewRegistry()
+	m := newMeters(r)
+	m.countRetry("s", true)
+	m.countRetry("s", false)
+	m.countRetry("s", false)
+	for name, want := range map[string]int64{`retries.granted{service="s"}`: 1, `retries.refused{service="s"}`: 2} {
+		if c, ok := r.Get(name).(metrics.Counter); !ok || c.Count() != want {
+			t.Errorf("%s: %v, want %d", name, r.Get(name), want)
+		}
+	}
+	for i := range 2 * maxOutcomes {
+		m.countRetry(fmt.Sprint("service-", i), false)
+	}
+	names := 0
+	r.Each(func(name string, _ any) {
+		if strings.HasPrefix(name, "retries.") {
+			names++
+		}
+	})
+	if names != maxOutcomes+1 {
+		t.Errorf("%d counters, want %d", names, maxOutcomes+1)
+	}
+}
