--- a/transport/forward/forward_test.go
+++ b/transport/forward/forward_test.go
@@ -108,9 +108,19 @@
 	number  uint64
 }
 
+// testConfig returns the settings of a gateway that may retry each request.
+func testConfig() Config {
+	return Config{Name: "g", Domain: "a", KeyRevocationBound: time.Hour, RetryRatio: 1, RetryExtra: 100, RetryWindow: time.Second, UsageWindow: time.Second, UsageReportDelay: time.Second}
+}
+
 func newTestGateway(t *testing.T, opts ...caller.Option) *testGateway {
 	t.Helper()
-	w := &testGateway{t: t, g: New(Config{Name: "g", Domain: "a", KeyRevocationBound: time.Hour, RetryRatio: 1, RetryExtra: 100, RetryWindow: time.Second, UsageWindow: time.Second, UsageReportDelay: time.Second}, testDialect{})}
+	return newConfiguredGateway(t, testConfig(), opts...)
+}
+
+func newConfiguredGateway(t *testing.T, cfg Config, opts ...caller.Option) *testGateway {
+	t.Helper()
+	w := &testGateway{t: t, g: New(cfg, testDialect{})}
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
