The retry budget holds however many gateways start

Cause: the extra of the budget was divided by a count that a process that has just started takes to be one, as does a leader that has just been elected, and each start was given a share anew.

Now each request earns half of the ratio at its gateway, for less than a window, and the leader lends the extra, retry by retry, out of a ledger that a new leader opens a window later.

The gateways of the package's tests earn enough for each retry instead of an extra.

--- a/cmd/weldstreamd/gateway.go
+++ b/cmd/weldstreamd/gateway.go
@@ -93,7 +93,6 @@
 		Topology:            n.Topology(),
 		KeyRevocationBound:  n.Bounds.Revoke,
 		RetryRatio:          n.Bounds.RetryRatio,
-		RetryExtra:          n.Bounds.RetryExtra,
 		RetryWindow:         n.Bounds.RetryWindow,
 		QuotaWindow:         n.Bounds.QuotaWindow,
 		UsageWindow:         n.Bounds.UsageWindow,
@@ -103,6 +102,7 @@
 		SocketBuffer:        n.Memory.SocketKB << 10,
 		MaxConnections:      n.MaxServerConnections(),
 	}, platform.Dialect{}, forward.WithLogger(r.log), forward.WithRegistry(r.registry), forward.WithSyncTrigger(func() { g.client.SyncNow() }), forward.WithLimitsTrigger(func() { g.client.SyncLimitsNow() }),
+		forward.WithRetriesTrigger(func() { g.client.RequestRetriesNow() }),
 		forward.WithQuotaTrigger(func() { g.client.SyncQuotaNow() }),
 		forward.WithMover(mover(n)),
 		forward.WithReporter(platform.Reporter{}),
@@ -115,7 +115,7 @@
 	links := transport.NewLinks(n.Name, []byte(n.ClusterKey), linkDialTimeout, r.log)
 	links.Meter(r.registry)
 	links.MeterDistances(n.Topology(), n.Domain, r.registry)
-	g.client = uplink.New(links, gatewayLink{g.forward, g.server}, seeds, control.UnpackList, r.log, uplink.WithRegions(n.Topology(), n.Domain, n.Name), uplink.WithLimiter(g.forward), uplink.WithQuotas(g.forward))
+	g.client = uplink.New(links, gatewayLink{g.forward, g.server}, seeds, control.UnpackList, r.log, uplink.WithRegions(n.Topology(), n.Domain, n.Name), uplink.WithLimiter(g.forward), uplink.WithQuotas(g.forward), uplink.WithRetries(g.forward))
 	return g.run()
 }
 
@@ -156,6 +156,7 @@
 	eg.Go(func() error { return g.client.Run(ctx) })
 	eg.Go(func() error { return g.client.RunLimits(ctx) })
 	eg.Go(func() error { return g.client.RunQuotas(ctx) })
+	eg.Go(func() error { return g.client.RunRetries(ctx) })
 	eg.Go(func() error {
 		return serveHTTP(ctx, g.settings.Listen(g.settings.Ready), 1<<10, platform.Readiness(g.ready))
 	})
--- /dev/null
+++ b/transport/control/retries.go
@@ -0,0 +1,56 @@
+package control
+
+import (
+	"time"
+
+	"github.com/weldstream/weldstream/internal/clock"
+	"github.com/weldstream/weldstream/protocol"
+)
+
+// retriesTimeout bounds a request for retries that a relay forwards to the leader.
+const retriesTimeout = limitsTimeout
+
+// RetryBudget is the part of the services' retry budgets that the leader lends to gateways.
+type RetryBudget struct {
+	Extra  float64       // Extra is the number of retries a service and window, beyond the fraction of its requests.
+	Window time.Duration // Window is the window over which retries are counted.
+}
+
+// WithRetryBudget sets the retries that a leader lends; by default none.
+func WithRetryBudget(b RetryBudget) UplinkOption { return func(u *Uplink) { u.retryBudget = b } }
+
+// Retries lends retries to a gateway, or forwards the request of one that uses a relay.
+func (u *Uplink) Retries(m protocol.RetryMsg, reply *protocol.RetryReply) error {
+	term, ok := u.group.Vouches()
+	if !ok {
+		if r := u.relay.Load(); r != nil {
+			r.forwardRetries(m, reply)
+		}
+		return nil
+	}
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.enterTerm(term)
+	now := clock.Now()
+	for _, want := range m.Wants {
+		lease := protocol.RetryLease{Service: want.Service}
+		lease.Count, lease.Lasts, lease.Wait = u.retries.Lend(want.Service, want.Count, now)
+		reply.Leases = append(reply.Leases, lease)
+	}
+	// The lease may have expired meanwhile: then another leader lends the retries.
+	still, ok := u.group.Vouches()
+	reply.Leads = ok && still == term
+	return nil
+}
+
+// forwardRetries forwards the request of one of the relay's gateways to the leader.
+func (r *Relay) forwardRetries(m protocol.RetryMsg, reply *protocol.RetryReply) {
+	leader, _ := r.uplink.peers()
+	if leader == "" || leader == r.peer {
+		return
+	}
+	if err := r.caller.Call(leader, "Uplink.Retries", m, reply, retriesTimeout); err != nil {
+		r.uplink.log.Debug().Err(err).Str("leader", leader).Msg("cannot forward a request for retries to the leader")
+		*reply = protocol.RetryReply{}
+	}
+}
--- a/transport/control/uplink.go
+++ b/transport/control/uplink.go
@@ -14,6 +14,7 @@
 	"github.com/weldstream/weldstream/coordination/place"
 	"github.com/weldstream/weldstream/coordination/quarantine"
 	"github.com/weldstream/weldstream/coordination/quota"
+	"github.com/weldstream/weldstream/coordination/retry"
 	"github.com/weldstream/weldstream/coordination/topology"
 	"github.com/weldstream/weldstream/coordination/usage"
 	"github.com/weldstream/weldstream/internal/clock"
@@ -28,7 +29,8 @@
 	group        Group
 	peers        func() (leader string, all []string)
 	parse        func(number uint64, data []byte) (*protocol.Catalog, error)
-	quotaWindow  time.Duration        // quotaWindow is the window over which quotas are bounded.
+	quotaWindow  time.Duration // quotaWindow is the window over which quotas are bounded.
+	retryBudget  RetryBudget
 	gatewayGrace time.Duration        // gatewayGrace is how long a gateway without contact to the control role continues to serve.
 	logIdleTime  func() time.Duration // logIdleTime returns how long nothing was granted before this instance led.
 	startedAt    time.Time
@@ -79,6 +81,7 @@
 	appliedRollouts    uint64                    // appliedRollouts is the version of the roll-outs that the view is based on.
 	activeRollouts     map[uint64]*activeRollout // activeRollouts are the running roll-outs, by number.
 	quarantine         *quarantine.Coordinator
+	retries            *retry.Ledger                 // retries lends the extra of the retry budgets.
 	permits            *backpressure.PermitAllocator // permits holds the servers with rate limits.
 	serverIncarnations place.Incarnations            // serverIncarnations are the newest incarnations of the servers, over all terms.
 	unannounced        map[serviceVersion]time.Time  // unannounced maps versions without an order to when they were first listed.
@@ -201,6 +204,7 @@
 	u.readings = place.NewPrefillLog()
 	u.quarantine = quarantine.NewCoordinator()
 	u.permits = backpressure.NewPermitAllocator()
+	u.retries = retry.NewLedger(u.retryBudget.Extra, u.retryBudget.Window, u.enteredAt)
 	u.appliedRollouts, u.activeRollouts, u.unannounced = 0, nil, map[serviceVersion]time.Time{}
 	if u.catalog != nil {
 		u.quotas.Configure(u.catalog.Workspaces, clock.Now())
--- a/transport/forward/attempt.go
+++ b/transport/forward/attempt.go
@@ -75,6 +75,10 @@
 		conn.Close()
 		return x.placeAgain()
 	}
+	if refusal := x.renewRetry(); refusal != nil {
+		conn.Close()
+		return refusal
+	}
 	x.recordAttempt(server, conn)
 	x.countTrialSend(server)
 	x.g.recordSent(server.ID)
--- a/transport/forward/exchange.go
+++ b/transport/forward/exchange.go
@@ -43,6 +43,7 @@
 
 	placement         protocol.PlaceReply // placement is the leader's placement for the current attempt.
 	state             resend.State
+	retrySendBy       time.Time     // retrySendBy is when the budget's retry for the next attempt has to be sent.
 	continuation      *continuation // continuation is where a moved run continues; nil for none.
 	tried             []string
 	unavailable       []string // unavailable are servers that do not accept the current attempt: they asked for backoff, are leaving, or are at their limit.
--- a/transport/forward/forward.go
+++ b/transport/forward/forward.go
@@ -12,7 +12,7 @@
 //	                                           └─ resend ◄┘
 //
 // Locks are taken in this order: Gateway.viewMu, Gateway.mu (limits), then the lock of a
-// server's statistics, of runMoves, of feedbackState or of quarantineState. The catalog
+// server's statistics, of runMoves, of feedbackState, of quarantineState or of retryBudgets. The catalog
 // and the view of servers are immutable and read through atomic pointers.
 package forward
 
@@ -32,7 +32,6 @@
 	"github.com/weldstream/weldstream/coordination/place"
 	"github.com/weldstream/weldstream/coordination/quarantine"
 	"github.com/weldstream/weldstream/coordination/quota"
-	"github.com/weldstream/weldstream/coordination/retry"
 	"github.com/weldstream/weldstream/coordination/topology"
 	"github.com/weldstream/weldstream/coordination/usage"
 	"github.com/weldstream/weldstream/internal/clock"
@@ -48,15 +47,14 @@
 	Topology            *topology.Topology // Topology maps failure domains to regions; nil if all are in one region.
 	KeyRevocationBound  time.Duration      // KeyRevocationBound is the time within which a revoked key must be refused; 0 for no bound.
 	RetryRatio          float64            // RetryRatio is the fraction of the requests in a window that all gateways together may retry.
-	RetryExtra          float64            // RetryExtra is the number of retries in a window that all gateways together may make in addition.
-	RetryWindow         time.Duration
-	QuotaWindow         time.Duration // QuotaWindow is the window over which quotas are bounded.
-	UsageWindow         time.Duration // UsageWindow is the length of a usage report's window.
-	UsageReportDelay    time.Duration // UsageReportDelay is how long after the end of a window its report is due.
-	DisablePromptCopies bool          // DisablePromptCopies stops servers from copying shared parts of prompts from each other.
-	MoveLead            time.Duration // MoveLead is how long before a leaving server ends its answers are moved; 0 for as soon as its departure is known.
-	MaxConnections      int           // MaxConnections bounds the connections to all servers together; 0 for no bound.
-	SocketBuffer        int           // SocketBuffer is the size in bytes of the kernel's buffer for each direction of a server's connection; 0 for the kernel's default.
+	RetryWindow         time.Duration      // RetryWindow is the window over which retries are counted.
+	QuotaWindow         time.Duration      // QuotaWindow is the window over which quotas are bounded.
+	UsageWindow         time.Duration      // UsageWindow is the length of a usage report's window.
+	UsageReportDelay    time.Duration      // UsageReportDelay is how long after the end of a window its report is due.
+	DisablePromptCopies bool               // DisablePromptCopies stops servers from copying shared parts of prompts from each other.
+	MoveLead            time.Duration      // MoveLead is how long before a leaving server ends its answers are moved; 0 for as soon as its departure is known.
+	MaxConnections      int                // MaxConnections bounds the connections to all servers together; 0 for no bound.
+	SocketBuffer        int                // SocketBuffer is the size in bytes of the kernel's buffer for each direction of a server's connection; 0 for the kernel's default.
 }
 
 // Gateway forwards requests to backend servers.
@@ -69,6 +67,7 @@
 	triggerSync      func() // triggerSync starts a sync with the control role at once.
 	triggerQuota     func() // triggerQuota asks the leader for quota at once; nil if quota is part of the sync.
 	triggerLimits    func() // triggerLimits asks the leader for permits at once.
+	triggerRetries   func() // triggerRetries asks the leader for retries at once; nil if no retries are borrowed.
 	requestPlacement func(protocol.PlaceMsg) (protocol.PlaceReply, bool)
 
 	index      atomic.Pointer[Index]
@@ -84,6 +83,7 @@
 	crashes    brokenConnections
 	quarantine quarantineState
 	feedback   feedbackState
+	retries    retryBudgets
 
 	viewMu sync.Mutex // viewMu is held while the view is rebuilt, by the link to the leader or after a departure notice.
 
@@ -92,7 +92,6 @@
 	separateQuota      bool          // separateQuota reports that quota is requested by calls of its own instead of the sync.
 	grantsReceived     chan struct{} // grantsReceived is closed and replaced when grants arrive.
 	updated            chan struct{} // updated is closed and replaced when the control role confirms the catalog.
-	retryShares        map[string]*retry.Share
 	usageCounter       *usage.Counter
 	clock              *usage.Clock
 	pressure           map[string]*pressure
@@ -147,7 +146,6 @@
 		allowance:        quota.NewAllowance(cfg.QuotaWindow, quota.WithRandom(rand.Float64)),
 		grantsReceived:   make(chan struct{}),
 		updated:          make(chan struct{}),
-		retryShares:      map[string]*retry.Share{},
 		quarantine:       quarantineState{filter: quarantine.NewFilter(cfg.Name, now)},
 		usageCounter:     usage.NewCounter(cfg.UsageWindow, cfg.UsageReportDelay),
 		pressure:         map[string]*pressure{},
@@ -158,6 +156,7 @@
 		opt(g)
 	}
 	g.moves.init()
+	g.retries.init(cfg.RetryRatio, cfg.RetryWindow)
 	g.feedback.limits, g.feedback.replied = backpressure.NewLimits(backpressure.WithRandom(rand.Float64)), make(chan struct{})
 	g.prompts.holders = place.NewHolders(cfg.Topology)
 	if g.meters == nil {
@@ -262,9 +261,6 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.allowance.CoordinatorReplied(gateways, clock.Now())
-	for _, s := range g.retryShares {
-		s.Resize(g.cfg.RetryExtra, gateways)
-	}
 	close(g.updated)
 	g.updated = make(chan struct{})
 }
--- a/transport/forward/forward_test.go
+++ b/transport/forward/forward_test.go
@@ -110,7 +110,7 @@
 
 // testConfig returns the settings of a gateway that may retry each request.
 func testConfig() Config {
-	return Config{Name: "g", Domain: "a", KeyRevocationBound: time.Hour, RetryRatio: 1, RetryExtra: 100, RetryWindow: time.Second, UsageWindow: time.Second, UsageReportDelay: time.Second}
+	return Config{Name: "g", Domain: "a", KeyRevocationBound: time.Hour, RetryRatio: 4, RetryWindow: time.Minute, UsageWindow: time.Second, UsageReportDelay: time.Second}
 }
 
 func newTestGateway(t *testing.T, opts ...caller.Option) *testGateway {
@@ -558,6 +558,7 @@
 	x.route = &protocol.PathRoute{Target: time.Second}
 	x.deadline = time.Now().Add(testTimeout)
 	x.state = resend.State{Repeatable: true, MaxServers: 3}
+	w.g.retries.recordRequest(x.service, clock.Now())
 	if got := x.afterFailure(protocol.NotRun, true, "refused"); got != errRetry {
 		t.Errorf("got %+v while the caller is connected", got)
 	}
--- a/transport/forward/limits.go
+++ b/transport/forward/limits.go
@@ -5,7 +5,6 @@
 
 	"github.com/weldstream/weldstream/coordination/place"
 	"github.com/weldstream/weldstream/coordination/quota"
-	"github.com/weldstream/weldstream/coordination/retry"
 	"github.com/weldstream/weldstream/internal/clock"
 	"github.com/weldstream/weldstream/protocol"
 )
@@ -71,7 +70,7 @@
 	defer g.mu.Unlock()
 	now := clock.Now()
 	p := g.servicePressure(x.service)
-	g.retryShare(x.service, now).Request(now)
+	g.retries.recordRequest(x.service, now)
 	x.lane, x.laneShares = p.lanes.Observe(x.call.PromptTokens, x.call.SharedTokens())
 	x.relativeSize = p.lanes.RelativeSize(x.call.PromptTokens)
 }
@@ -91,31 +90,6 @@
 	}
 }
 
-// retryShare returns the retry budget of a service. The caller must hold g.mu.
-func (g *Gateway) retryShare(service string, now time.Time) *retry.Share {
-	s := g.retryShares[service]
-	if s == nil {
-		s = retry.NewShare(g.cfg.RetryRatio, g.cfg.RetryExtra, g.cfg.RetryWindow, int(g.gateways.Load()), now)
-		g.retryShares[service] = s
-	}
-	return s
-}
-
-// spendRetry takes one retry from the budget of a service, and counts and logs the outcome.
-func (x *exchange) spendRetry() bool {
-	g := x.g
-	g.mu.Lock()
-	now := clock.Now()
-	share := g.retryShare(x.service, now)
-	available, refilledTo := share.Available(now)
-	granted := share.Spend(now)
-	g.mu.Unlock()
-	g.meters.countRetry(x.service, granted)
-	x.log.Info().Str("service", x.service).Bool("granted", granted).Float64("available", available).
-		Float64("refilled_to", refilledTo).Int64("gateways", g.gateways.Load()).Msg("retry budget")
-	return granted
-}
-
 // countUsage records that a request of a workspace started to run.
 func (g *Gateway) countUsage(workspace string) {
 	if workspace == "" {
--- a/transport/uplink/uplink.go
+++ b/transport/uplink/uplink.go
@@ -111,6 +111,7 @@
 	gateway     Gateway
 	limiter     Limiter        // limiter is nil if no server limits are enforced.
 	quotas      QuotaRequester // quotas is nil if quota demand is part of the sync reports.
+	retries     RetryBorrower  // retries is nil if no retries are borrowed.
 	unpack      func([]byte) (protocol.ServerList, error)
 	topology    *topology.Topology
 	log         zerolog.Logger
@@ -120,6 +121,7 @@
 	quotaNow       chan struct{}
 	separateQuota  atomic.Bool  // separateQuota says that quota is requested in separate calls.
 	noQuotaLeader  atomic.Value // noQuotaLeader is the address of the last leader without support for separate quota calls.
+	retriesNow     chan struct{}
 	limitsNow      chan struct{}
 	limitsOutdated atomic.Bool  // limitsOutdated says that the leader has limits that the gateway does not have yet.
 	gatewayCount   atomic.Int64 // gatewayCount is the number of gateways, for use outside the main loop.
@@ -176,6 +178,7 @@
 		incarnation:    rand.Uint64(),
 		syncNow:        make(chan struct{}, 1),
 		quotaNow:       make(chan struct{}, 1),
+		retriesNow:     make(chan struct{}, 1),
 		limitsNow:      make(chan struct{}, 1),
 		seeds:          seeds,
 		queried:        map[string]bool{},
