Gateways without a leader go by parts that the leader allotted them

A workspace's quota and the limit that a server names could be exceeded many times over while no leader answered: each gateway took half of them divided by the number of gateways that the last leader had told, and a leader that has just been elected tells one.

Tests of both packages that simulate gateways under a leader give them equal parts, which is what they were told before as a count; TestLimitWithoutLeader gives its only gateway the whole. No bound was changed.

--- a/cmd/weldstreamd/gateway.go
+++ b/cmd/weldstreamd/gateway.go
@@ -115,7 +115,7 @@
 	links := transport.NewLinks(n.Name, []byte(n.ClusterKey), linkDialTimeout, r.log)
 	links.Meter(r.registry)
 	links.MeterDistances(n.Topology(), n.Domain, r.registry)
-	g.client = uplink.New(links, gatewayLink{g.forward, g.server}, seeds, control.UnpackList, r.log, uplink.WithRegions(n.Topology(), n.Domain, n.Name), uplink.WithLimiter(g.forward), uplink.WithQuotas(g.forward), uplink.WithRetries(g.forward))
+	g.client = uplink.New(links, gatewayLink{g.forward, g.server}, seeds, control.UnpackList, r.log, uplink.WithRegions(n.Topology(), n.Domain, n.Name), uplink.WithLimiter(g.forward), uplink.WithQuotas(g.forward), uplink.WithRetries(g.forward), uplink.WithPartHolder(g.forward))
 	return g.run()
 }
 
@@ -157,6 +157,7 @@
 	eg.Go(func() error { return g.client.RunLimits(ctx) })
 	eg.Go(func() error { return g.client.RunQuotas(ctx) })
 	eg.Go(func() error { return g.client.RunRetries(ctx) })
+	eg.Go(func() error { return g.client.RunParts(ctx) })
 	eg.Go(func() error {
 		return serveHTTP(ctx, g.settings.Listen(g.settings.Ready), 1<<10, platform.Readiness(g.ready))
 	})
--- a/coordination/backpressure/backpressure.go
+++ b/coordination/backpressure/backpressure.go
@@ -11,8 +11,8 @@
 //	server ◄─requests─ gateway ◄─limits, permits────────────────────────── leader
 //
 // A gateway that gets no answer from a leader sends a part of the limit, at even intervals.
-// The part depends on the number of gateways, and on how much of the server's requests came
-// from this one under the last leader. During that time, any control instance stores the
+// The part depends on the one that the leader allotted the gateway, and on how much of the
+// server's requests came from this one under the last leader. During that time, any control instance stores the
 // limits that gateways received from servers, and serves them to other gateways
 // ([LimitCache]):
 //
--- a/coordination/backpressure/backpressure_test.go
+++ b/coordination/backpressure/backpressure_test.go
@@ -8,6 +8,7 @@
 
 	"pgregory.net/rapid"
 
+	"github.com/weldstream/weldstream/coordination/allot"
 	_ "github.com/weldstream/weldstream/internal/testseed" // Fixes the seed.
 	"github.com/weldstream/weldstream/protocol"
 )
@@ -108,7 +109,7 @@
 	g := &gateway{limits: NewLimits(WithRandom(f.rnd.Float64)), incarnation: f.rnd.Uint64(), next: f.now.Add(f.randomDelay()), marks: make([]protocol.SharedLimitsVersion, controlInstances)}
 	f.gateways = append(f.gateways, g)
 	for _, g := range f.gateways {
-		g.limits.SetGateways(len(f.gateways))
+		g.limits.SetPart(allot.NewPart(1/float64(len(f.gateways)), start.Add(time.Hour)))
 	}
 }
 
@@ -570,15 +571,38 @@
 		"requests not counted": {true, false, 0.25},
 	} {
 		l := NewLimits()
-		l.SetGateways(4)
+		l.SetPart(allot.NewPart(0.25, start.Add(time.Second)))
 		l.UpdateLimit("s", protocol.RateLimit{Named: true, PerSecond: 4}, start)
 		m, _ := l.Report(start)
 		if !tt.counted {
 			m.Sent = nil
 		}
 		l.HandleReply(&m, &protocol.LimitsReply{Term: 1, ReportsUses: tt.reports, Uses: []protocol.ServerUse{{Server: "s", Part: 0.5}}}, start, start)
-		if got := l.leaderlessPart(l.servers["s"]); got != tt.want {
+		if got := l.leaderlessPart(l.servers["s"], start); got != tt.want {
 			t.Errorf("%s: part %v, want %v", name, got, tt.want)
 		}
 	}
 }
+
+// TestLeaderlessGatewaysThatStart guards against gateways that together send a server more than its
+// limit without a leader because each of them takes itself for the only one when it starts.
+func TestLeaderlessGatewaysThatStart(t *testing.T) {
+	const limit, seconds = 8.0, 3
+	for _, gateways := range []int{1, 8, 80} {
+		draw := rand.New(rand.NewPCG(1, uint64(gateways)))
+		sent := 0
+		for range 2 * gateways { // Each starts twice.
+			l := NewLimits(WithRandom(draw.Float64))
+			l.UpdateLimit("s", protocol.RateLimit{Named: true, PerSecond: limit}, start)
+			l.Report(start) // No leader answers.
+			for ms := 700; ms < 700+seconds*1000; ms += 5 {
+				if d, _ := l.Acquire("s", start.Add(time.Duration(ms)*time.Millisecond)); d == Send {
+					sent++
+				}
+			}
+		}
+		if most := limit * seconds; float64(sent) > most {
+			t.Errorf("%d gateways that started twice sent %d requests, at most %.0f", gateways, sent, most)
+		}
+	}
+}
--- a/coordination/backpressure/leaderless.go
+++ b/coordination/backpressure/leaderless.go
@@ -8,10 +8,10 @@
 	leaderTimeout = 700 * time.Millisecond
 	// leaderlessShare is the part of a limit that all gateways together use without a leader.
 	// It is below 1 because their requests are then not coordinated, so that some windows get
-	// half as many again as others, and because the number of gateways may be out of date.
+	// half as many again as others.
 	leaderlessShare = 0.5
 	// leaderlessUsePart is the part of leaderlessShare that is divided by how much each gateway
-	// used the server under the last leader; the rest is divided evenly. Routing prefers near
+	// used the server under the last leader; the rest by the allotted parts. Routing prefers near
 	// servers, so a few gateways send most of the requests for one.
 	leaderlessUsePart = 0.6
 	// bucketRetention is how long the level of a bucket is kept after its last use.
@@ -38,7 +38,7 @@
 // started with a full one, they would together send the server several times its limit at
 // once.
 func (b *leaderlessBucket) prepare(l *Limits, s *serverState, now time.Time) {
-	b.rate = max(s.limit.PerSecond, minRate) * leaderlessShare * l.leaderlessPart(s)
+	b.rate = max(s.limit.PerSecond, minRate) * leaderlessShare * l.leaderlessPart(s, now)
 	if b.preparedFor.Equal(l.unansweredSince) {
 		return
 	}
@@ -48,10 +48,10 @@
 	b.preparedFor, b.updatedAt = l.unansweredSince, now
 }
 
-// leaderlessPart returns this gateway's part of leaderlessShare for a server. It is even if the
-// last leader had not counted the requests to the server, or reports no uses.
-func (l *Limits) leaderlessPart(s *serverState) float64 {
-	even := 1 / float64(l.gateways)
+// leaderlessPart returns this gateway's part of leaderlessShare for a server. It is the allotted
+// one if the last leader had not counted the requests to the server, or reports no uses.
+func (l *Limits) leaderlessPart(s *serverState, now time.Time) float64 {
+	even := l.part.Size(now)
 	if !l.usesKnown || !s.counted {
 		return even
 	}
@@ -69,7 +69,11 @@
 	return true
 }
 
-// untilNext returns how long it takes until the bucket holds a whole request.
+// untilNext returns how long it takes until the bucket holds a whole request; the retention of
+// the bucket if it does not fill.
 func (b *leaderlessBucket) untilNext() time.Duration {
+	if b.rate <= 0 {
+		return bucketRetention
+	}
 	return time.Duration((1 - b.level) / b.rate * float64(time.Second))
 }
--- a/coordination/backpressure/limits.go
+++ b/coordination/backpressure/limits.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"github.com/weldstream/weldstream/coordination/allot"
 	"github.com/weldstream/weldstream/protocol"
 )
 
@@ -20,7 +21,7 @@
 
 // Limits holds the limits of servers that one gateway knows, and its permits.
 type Limits struct {
-	gateways        int
+	part            allot.Part     // part is this gateway's part of what all gateways together may send without a leader.
 	random          func() float64 // random returns a random number from 0 to 1.
 	term            uint64         // term is the term of the leader that heldChange belongs to.
 	heldChange      uint64         // heldChange is the leader's change counter up to which its limits are known here.
@@ -63,15 +64,15 @@
 
 // NewLimits returns the Limits of a gateway that knows no limits yet.
 func NewLimits(opts ...LimitsOption) *Limits {
-	l := &Limits{gateways: 1, random: func() float64 { return 0 }, servers: map[string]*serverState{}, sent: map[string]*sentCounter{}}
+	l := &Limits{random: func() float64 { return 0 }, servers: map[string]*serverState{}, sent: map[string]*sentCounter{}}
 	for _, opt := range opts {
 		opt(l)
 	}
 	return l
 }
 
-// SetGateways sets the number of gateways.
-func (l *Limits) SetGateways(n int) { l.gateways = max(1, n) }
+// SetPart sets this gateway's part of what all gateways together may send without a leader.
+func (l *Limits) SetPart(p allot.Part) { l.part = p }
 
 // UpdateLimit stores the limit from a server's response, and reports whether it differs
 // from the one before.
--- a/coordination/quota/allowance.go
+++ b/coordination/quota/allowance.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/weldstream/weldstream/coordination/allot"
 	"github.com/weldstream/weldstream/protocol"
 )
 
@@ -29,6 +30,7 @@
 type Allowance struct {
 	workspaces   map[string]*workspaceQuota
 	gateways     int
+	part         allot.Part      // part is what this gateway may admit of the standalone share.
 	lastReply    time.Time       // lastReply is the time of the coordinator's last reply.
 	overdueSince time.Time       // overdueSince is when a reply became overdue; zero if none is.
 	short        map[string]bool // short holds the workspaces that were nearly out of quota at lastReply.
@@ -106,6 +108,10 @@
 	a.lastReply, a.gateways, a.overdueSince = now, max(1, gateways), time.Time{}
 }
 
+// SetPart sets the gateway's part of what all gateways together may admit in standalone mode.
+// Without one, a gateway admits no more than it recently used.
+func (a *Allowance) SetPart(p allot.Part) { a.part = p }
+
 // ReplyOverdue records that a reply of the coordinator is overdue.
 func (a *Allowance) ReplyOverdue(now time.Time) {
 	if a.overdueSince.IsZero() {
--- a/coordination/quota/alone.go
+++ b/coordination/quota/alone.go
@@ -13,9 +13,9 @@
 	// 1.2 s while no control instance was running, and everything that had been waiting at
 	// once afterwards.
 	standaloneAfterOverdue = 150 * time.Millisecond
-	// standaloneShare is the fraction of its even share that a standalone gateway admits,
-	// or its recent use if that is more: the use of all gateways together was within the
-	// quota.
+	// standaloneShare is the fraction of a quota that all standalone gateways together admit,
+	// each by the part that the leader allotted it, or its recent use if that is more: the use
+	// of all gateways together was within the quota.
 	standaloneShare = 0.5
 	// standaloneRetention is how long the units admitted in standalone mode are remembered.
 	standaloneRetention = 10 * time.Second
@@ -46,18 +46,18 @@
 
 // startStandalone sets the gateway's own limit on a quota, once after each last reply of
 // the coordinator: a share of the rate, or the gateway's recent use if that is more. The
-// first request is admitted on credit unless the quota was nearly exhausted; otherwise a
+// first request is admitted on credit if the gateway has a part and the quota was not nearly exhausted; otherwise a
 // gateway that sees a workspace once in a few seconds would refuse every request. If the
 // quota was nearly exhausted, the level starts at a random value below one request. If
 // hundreds of gateways each admitted one request immediately, they would spend several
 // times the rate; if all started at zero, none of them might ever admit one.
 func (a *Allowance) startStandalone(s *workspaceQuota, credit bool, units float64, now time.Time) {
-	p := &s.standalone
+	p, part := &s.standalone, a.part.Size(now)
 	if p.updatedAt.IsZero() || now.Sub(p.updatedAt) > standaloneRetention {
-		p.updatedAt, p.level, p.onCredit = now, a.random()*units, credit
+		p.updatedAt, p.level, p.onCredit = now, a.random()*units, credit && part > 0
 	}
 	if p.lastReply.IsZero() || !p.lastReply.Equal(a.lastReply) {
-		share := standaloneShare / float64(a.gateways)
+		share := standaloneShare * part
 		p.lastReply = a.lastReply
 		p.rate = max(s.rate*share, s.decayed(s.steadyUse, a.steadyWindow, now))
 		p.capacity = max(s.burst*share, p.rate)
--- a/coordination/quota/quota.go
+++ b/coordination/quota/quota.go
@@ -4,7 +4,7 @@
 // workspace. Each gateway has an [Allowance], which leases units from these buckets, sized
 // by recent use, and spends them. A lease expires soon, so the units leased by all gateways
 // never exceed the bound by much. A gateway that cannot reach the coordinator falls back to
-// half of its even share of the rate.
+// its allotted part of half of the rate, or to its recent use.
 //
 // Both types are deterministic: the time is an argument of each call.
 package quota
--- a/coordination/quota/quota_test.go
+++ b/coordination/quota/quota_test.go
@@ -8,6 +8,7 @@
 
 	"pgregory.net/rapid"
 
+	"github.com/weldstream/weldstream/coordination/allot"
 	_ "github.com/weldstream/weldstream/internal/testseed" // Fixes the seed.
 	"github.com/weldstream/weldstream/protocol"
 )
@@ -74,7 +75,7 @@
 func TestAllowance(t *testing.T) {
 	p := NewAllowance(window)
 	p.Configure([]protocol.WorkspaceSpec{{Name: "w", Rate: 100, Burst: 100}})
-	p.CoordinatorReplied(2, start)
+	replied(p, 2, start)
 	if v, _ := p.Take("free", 1e9, start); v != Taken {
 		t.Error("a workspace without a quota was limited")
 	}
@@ -90,7 +91,7 @@
 		t.Fatalf("taking 30 of 40 granted units returned verdict %d", v)
 	}
 	late := start.Add(GrantLifetime)
-	p.CoordinatorReplied(2, late)
+	replied(p, 2, late)
 	if v, _ := p.Take("w", 5, late); v != Ask {
 		t.Errorf("taking expired units returned verdict %d", v)
 	}
@@ -109,7 +110,7 @@
 	for range gateways {
 		p := NewAllowance(window)
 		p.Configure([]protocol.WorkspaceSpec{w})
-		p.CoordinatorReplied(gateways, start)
+		replied(p, gateways, start)
 		for ms := 1500; ms < 9500; ms += 5 {
 			if v, _ := p.Take("w", 10, start.Add(time.Duration(ms)*time.Millisecond)); v == Taken {
 				taken += 10
@@ -130,7 +131,7 @@
 	}{"not short": {nil, Taken}, "short": {[]string{"w"}, Denied}} {
 		p := NewAllowance(window)
 		p.Configure([]protocol.WorkspaceSpec{{Name: "w", Rate: 1000, Burst: 1000}})
-		p.CoordinatorReplied(40, start)
+		replied(p, 40, start)
 		p.SetShort(c.short)
 		now := start.Add(time.Second)
 		if v, _ := p.Take("w", 500, now); v != c.want {
@@ -148,7 +149,7 @@
 	for gateways, after := range map[int]time.Duration{8: standaloneAfter, 360: 360 * standalonePerGateway} {
 		p := NewAllowance(window)
 		p.Configure([]protocol.WorkspaceSpec{{Name: "w", Rate: 1000, Burst: 1000}})
-		p.CoordinatorReplied(gateways, start)
+		replied(p, gateways, start)
 		if v, _ := p.Take("w", 1, start.Add(after)); v != Ask {
 			t.Errorf("%d gateways: after %v: verdict %d", gateways, after, v)
 		}
@@ -177,7 +178,7 @@
 func TestLowerQuotaDropsLeases(t *testing.T) {
 	p := NewAllowance(window)
 	p.Configure([]protocol.WorkspaceSpec{{Name: "w", Rate: 1000, Burst: 1000}})
-	p.CoordinatorReplied(1, start)
+	replied(p, 1, start)
 	p.Take("w", 1, start)
 	p.AddGrants([]protocol.QuotaGrant{{Workspace: "w", Units: 900, Lasts: GrantLifetime}}, start, start)
 	p.Configure([]protocol.WorkspaceSpec{{Name: "w", Rate: 10, Burst: 10}})
@@ -209,7 +210,7 @@
 	for step := range 4000 { // 20 s, in steps of 5 ms
 		now = now.Add(5 * time.Millisecond)
 		for i, p := range allowances {
-			p.CoordinatorReplied(gateways, now)
+			replied(p, gateways, now)
 			if step%30 == i%30 {
 				ask(p) // Each gateway asks every 150 ms.
 			}
@@ -254,7 +255,7 @@
 	p := NewAllowance(window)
 	p.Configure([]protocol.WorkspaceSpec{{Name: "w", Rate: 100, Burst: 100}})
 	late := start.Add(GrantLifetime)
-	p.CoordinatorReplied(1, late)
+	replied(p, 1, late)
 	p.AddGrants([]protocol.QuotaGrant{{Workspace: "w", Units: 50, Lasts: GrantLifetime}}, start, late)
 	if v, _ := p.Take("w", 1, late); v == Taken {
 		t.Error("spent an expired lease")
@@ -267,7 +268,7 @@
 func TestAskPauseIsShort(t *testing.T) {
 	p := NewAllowance(window)
 	p.Configure([]protocol.WorkspaceSpec{{Name: "w", Rate: 100, Burst: 100}})
-	p.CoordinatorReplied(1, start)
+	replied(p, 1, start)
 	p.AddGrants([]protocol.QuotaGrant{{Workspace: "w", Wait: time.Hour}}, start, start)
 	if v, wait := p.Take("w", 50, start); v != Denied || wait != time.Hour {
 		t.Errorf("verdict %d, wait %v", v, wait)
@@ -292,7 +293,7 @@
 		now := start
 		for range 60 {
 			now = now.Add(c.pause)
-			p.CoordinatorReplied(1, now)
+			replied(p, 1, now)
 			p.AddGrants([]protocol.QuotaGrant{{Workspace: "w", Units: 10, Lasts: GrantLifetime}}, now, now)
 			p.Take("w", 10, now)
 		}
@@ -442,7 +443,7 @@
 func TestStandaloneWhenOverdue(t *testing.T) {
 	p := NewAllowance(window)
 	p.Configure([]protocol.WorkspaceSpec{{Name: "w", Rate: 1000, Burst: 1000}})
-	p.CoordinatorReplied(295, start)
+	replied(p, 295, start)
 	p.ReplyOverdue(start)
 	p.ReplyOverdue(start.Add(standaloneAfterOverdue)) // Repeated calls do not restart the time.
 	if v, _ := p.Take("w", 1, start.Add(standaloneAfterOverdue)); v != Ask {
@@ -452,7 +453,7 @@
 	if v, _ := p.Take("w", 1, later); v != Taken {
 		t.Errorf("verdict %d in standalone mode", v)
 	}
-	p.CoordinatorReplied(295, later)
+	replied(p, 295, later)
 	if v, _ := p.Take("w", 1, later); v != Ask {
 		t.Errorf("verdict %d after a reply", v)
 	}
@@ -476,12 +477,12 @@
 			now := start
 			for range 40 * perSecond { // Until the average has settled.
 				now = now.Add(time.Second / time.Duration(perSecond))
-				p.CoordinatorReplied(gateways, now)
+				replied(p, gateways, now)
 				p.AddGrants([]protocol.QuotaGrant{{Workspace: "w", Units: cost, Lasts: GrantLifetime}}, now, now)
 				p.Take("w", cost, now)
 			}
 			now = start.Add(40 * time.Second)
-			p.CoordinatorReplied(gateways, now)
+			replied(p, gateways, now)
 			p.ReplyOverdue(now)
 			now = now.Add(standaloneAfterOverdue)
 			own := 0.0
@@ -545,7 +546,7 @@
 	}{"large share": {1, 400 * time.Millisecond}, "small share": {295, standaloneMaxWait}} {
 		p := NewAllowance(window)
 		p.Configure([]protocol.WorkspaceSpec{{Name: "w", Rate: 1000, Burst: 1000}})
-		p.CoordinatorReplied(c.gateways, start)
+		replied(p, c.gateways, start)
 		p.ReplyOverdue(start)
 		now := start.Add(standaloneAfterOverdue + time.Millisecond)
 		if v, _ := p.Take("w", 100, now); v != Taken {
@@ -561,6 +562,12 @@
 	}
 }
 
+// replied records a reply of the coordinator to one of several gateways with equal parts.
+func replied(a *Allowance, gateways int, now time.Time) {
+	a.CoordinatorReplied(gateways, now)
+	a.SetPart(allot.NewPart(1/float64(gateways), now.Add(time.Hour)))
+}
+
 // cluster simulates a coordinator and its gateways.
 type cluster struct {
 	w         protocol.WorkspaceSpec
@@ -600,7 +607,7 @@
 	for _, want := range wants {
 		grants = append(grants, f.c.Grant(want, f.now))
 	}
-	p.CoordinatorReplied(len(f.gateways), f.now)
+	replied(p, len(f.gateways), f.now)
 	p.SetShort(f.c.Short(f.now))
 	p.Acknowledge(wants)
 	p.AddGrants(grants, f.now, f.now)
@@ -683,7 +690,7 @@
 		now := start
 		for range 6 { // A request every 6 s, a third of the rate for all together.
 			now = now.Add(6 * time.Second)
-			p.CoordinatorReplied(gateways, now)
+			replied(p, gateways, now)
 			p.AddGrants([]protocol.QuotaGrant{{Workspace: "w", Units: units, Lasts: GrantLifetime}}, now, now)
 			p.Take("w", units, now)
 		}
@@ -708,7 +715,7 @@
 	w := protocol.WorkspaceSpec{Name: "w", Rate: 1000, Burst: 1000}
 	p := NewAllowance(window)
 	p.Configure([]protocol.WorkspaceSpec{w})
-	p.CoordinatorReplied(1, start)
+	replied(p, 1, start)
 	p.AddGrants([]protocol.QuotaGrant{{Workspace: "w", Units: 5000, Lasts: GrantLifetime}}, start, start)
 	for range 250 {
 		p.Take("w", 20, start) // The units of five seconds, at once.
@@ -732,7 +739,7 @@
 	for _, window := range []time.Duration{4 * time.Second, 8 * time.Second, 40 * time.Second} {
 		p := NewAllowance(window)
 		p.Configure([]protocol.WorkspaceSpec{{Name: "w", Rate: 1000, Burst: 1000}})
-		p.CoordinatorReplied(295, start)
+		replied(p, 295, start)
 		p.AddGrants([]protocol.QuotaGrant{{Workspace: "w", Units: 4000, Lasts: GrantLifetime}}, start, start)
 		p.Take("w", 4000, start)
 		p.ReplyOverdue(start)
@@ -743,3 +750,28 @@
 		}
 	}
 }
+
+// TestStandaloneGatewaysThatStart guards against gateways that together exceed a quota without the
+// coordinator because each of them takes itself for the only one when it starts.
+func TestStandaloneGatewaysThatStart(t *testing.T) {
+	const seconds = 3
+	for _, gateways := range []int{1, 8, 80} {
+		w := protocol.WorkspaceSpec{Name: "w", Rate: 1000, Burst: 1000}
+		draw := rand.New(rand.NewPCG(1, uint64(gateways)))
+		taken := 0.0
+		for range 2 * gateways { // Each starts twice.
+			p := NewAllowance(window, WithRandom(draw.Float64))
+			p.Configure([]protocol.WorkspaceSpec{w})
+			p.CoordinatorReplied(1, start) // The only reply, of a coordinator that has just started.
+			p.ReplyOverdue(start)
+			for ms := 200; ms < seconds*1000; ms += 5 {
+				if v, _ := p.Take("w", 10, start.Add(time.Duration(ms)*time.Millisecond)); v == Taken {
+					taken += 10
+				}
+			}
+		}
+		if most := standaloneShare * (w.Rate*seconds + w.Burst); taken > most {
+			t.Errorf("%d gateways that started twice admitted %.0f units, at most %.0f", gateways, taken, most)
+		}
+	}
+}
--- a/transport/control/limits.go
+++ b/transport/control/limits.go
@@ -10,8 +10,8 @@
 )
 
 const (
-	// limitsTimeout bounds a request that a relay forwards to the leader.
-	limitsTimeout = 250 * time.Millisecond
+	// forwardTimeout bounds a request that a relay forwards to the leader.
+	forwardTimeout = 250 * time.Millisecond
 	// limitsInterval is the interval at which a relay polls the version of the leader's
 	// limits, so that its gateways learn of a new limit as soon as those that poll the
 	// leader directly.
@@ -68,15 +68,7 @@
 
 // forwardLimits forwards the request of one of the relay's gateways to the leader.
 func (r *Relay) forwardLimits(m protocol.LimitsMsg, reply *protocol.LimitsReply) {
-	leader, _ := r.uplink.peers() // The list of all control instances is not needed.
-	if leader == "" || leader == r.peer {
-		return
-	}
-	if err := r.caller.Call(leader, "Uplink.Limits", m, reply, limitsTimeout); err != nil {
-		r.uplink.log.Debug().Err(err).Str("leader", leader).Msg("cannot forward a request for server limits to the leader")
-		*reply = protocol.LimitsReply{}
-		return
-	}
+	*reply = forwardToLeader[protocol.LimitsReply](r, "Uplink.Limits", m)
 	r.recordLimits(reply)
 }
 
--- a/transport/control/retries.go
+++ b/transport/control/retries.go
@@ -7,9 +7,6 @@
 	"github.com/weldstream/weldstream/protocol"
 )
 
-// retriesTimeout bounds a request for retries that a relay forwards to the leader.
-const retriesTimeout = limitsTimeout
-
 // RetryBudget is the part of the services' retry budgets that the leader lends to gateways.
 type RetryBudget struct {
 	Extra  float64       // Extra is the number of retries a service and window, beyond the fraction of its requests.
@@ -24,7 +21,7 @@
 	term, ok := u.group.Vouches()
 	if !ok {
 		if r := u.relay.Load(); r != nil {
-			r.forwardRetries(m, reply)
+			*reply = forwardToLeader[protocol.RetryReply](r, "Uplink.Retries", m)
 		}
 		return nil
 	}
@@ -42,15 +39,3 @@
 	reply.Leads = ok && still == term
 	return nil
 }
-
-// forwardRetries forwards the request of one of the relay's gateways to the leader.
-func (r *Relay) forwardRetries(m protocol.RetryMsg, reply *protocol.RetryReply) {
-	leader, _ := r.uplink.peers()
-	if leader == "" || leader == r.peer {
-		return
-	}
-	if err := r.caller.Call(leader, "Uplink.Retries", m, reply, retriesTimeout); err != nil {
-		r.uplink.log.Debug().Err(err).Str("leader", leader).Msg("cannot forward a request for retries to the leader")
-		*reply = protocol.RetryReply{}
-	}
-}
--- a/transport/control/uplink.go
+++ b/transport/control/uplink.go
@@ -10,6 +10,7 @@
 	metrics "github.com/rcrowley/go-metrics"
 	"github.com/rs/zerolog"
 
+	"github.com/weldstream/weldstream/coordination/allot"
 	"github.com/weldstream/weldstream/coordination/backpressure"
 	"github.com/weldstream/weldstream/coordination/place"
 	"github.com/weldstream/weldstream/coordination/quarantine"
@@ -81,6 +82,7 @@
 	appliedRollouts    uint64                    // appliedRollouts is the version of the roll-outs that the view is based on.
 	activeRollouts     map[uint64]*activeRollout // activeRollouts are the running roll-outs, by number.
 	quarantine         *quarantine.Coordinator
+	parts              *allot.Table                  // parts are the gateways' parts of what they may do without a leader.
 	retries            *retry.Ledger                 // retries lends the extra of the retry budgets.
 	permits            *backpressure.PermitAllocator // permits holds the servers with rate limits.
 	serverIncarnations place.Incarnations            // serverIncarnations are the newest incarnations of the servers, over all terms.
@@ -204,6 +206,7 @@
 	u.readings = place.NewPrefillLog()
 	u.quarantine = quarantine.NewCoordinator()
 	u.permits = backpressure.NewPermitAllocator()
+	u.parts = allot.NewTable(u.enteredAt)
 	u.retries = retry.NewLedger(u.retryBudget.Extra, u.retryBudget.Window, u.enteredAt)
 	u.appliedRollouts, u.activeRollouts, u.unannounced = 0, nil, map[serviceVersion]time.Time{}
 	if u.catalog != nil {
--- a/transport/forward/forward.go
+++ b/transport/forward/forward.go
@@ -28,6 +28,7 @@
 	"github.com/rs/zerolog"
 	"github.com/valyala/fasthttp"
 
+	"github.com/weldstream/weldstream/coordination/allot"
 	"github.com/weldstream/weldstream/coordination/backpressure"
 	"github.com/weldstream/weldstream/coordination/place"
 	"github.com/weldstream/weldstream/coordination/quarantine"
@@ -89,6 +90,7 @@
 
 	mu                 sync.Mutex // mu guards the fields below.
 	allowance          *quota.Allowance
+	part               allot.Part    // part is the gateway's part of what all gateways together may do without a leader.
 	separateQuota      bool          // separateQuota reports that quota is requested by calls of its own instead of the sync.
 	grantsReceived     chan struct{} // grantsReceived is closed and replaced when grants arrive.
 	updated            chan struct{} // updated is closed and replaced when the control role confirms the catalog.
--- a/transport/forward/server_limits.go
+++ b/transport/forward/server_limits.go
@@ -128,7 +128,6 @@
 	w := &g.feedback
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.limits.SetGateways(int(g.gateways.Load()))
 	m, any = w.limits.Report(clock.Now())
 	m.Gateway = g.cfg.Name
 	return m, any
--- a/transport/forward/server_limits_test.go
+++ b/transport/forward/server_limits_test.go
@@ -99,6 +99,7 @@
 func TestLimitWithoutLeader(t *testing.T) {
 	w := newTestGateway(t)
 	w.g.triggerLimits = func() { w.g.ReportLimits() } // The report gets no answer.
+	w.g.HandlePartReply(&protocol.PartReply{Leads: true, Part: 1, Lasts: time.Hour}, clock.Now())
 	w.install(protocol.PathRoute{Attempts: 1})
 	var limit atomic.Value
 	limit.Store("Limit: 20\r\n")
--- a/transport/uplink/limits.go
+++ b/transport/uplink/limits.go
@@ -124,12 +124,8 @@
 
 // callLeaderLimits sends the report to the leader or relay in use and returns its reply.
 func (c *Client) callLeaderLimits(m protocol.LimitsMsg) (*protocol.LimitsReply, error) {
-	leader := c.linkedInstance()
-	if leader == "" {
-		return nil, errNoLeader
-	}
 	var reply protocol.LimitsReply
-	if err := c.caller.Call(leader, "Uplink.Limits", m, &reply, limitsTimeout); err != nil {
+	if err := c.callLink("Uplink.Limits", m, &reply); err != nil {
 		return nil, err
 	}
 	if !reply.Leads {
--- a/transport/uplink/retries.go
+++ b/transport/uplink/retries.go
@@ -8,10 +8,6 @@
 	"github.com/weldstream/weldstream/protocol"
 )
 
-// retriesTimeout bounds a request for retries: two round trips between regions with a one-way
-// latency of 80 ms.
-const retriesTimeout = limitsTimeout
-
 // RetryBorrower is a gateway that borrows retries from the leader.
 type RetryBorrower interface {
 	// ReportRetries returns the retries to request, and false if there are none.
@@ -51,25 +47,12 @@
 		return
 	}
 	asked := clock.Now()
-	reply, err := c.callLeaderRetries(m)
-	if err != nil {
-		c.log.Debug().Err(err).Msg("no leader answered the request for retries")
-	}
-	c.retries.HandleRetryReply(&m, reply, asked)
-}
-
-// callLeaderRetries sends a request to the leader or relay in use and returns its reply.
-func (c *Client) callLeaderRetries(m protocol.RetryMsg) (*protocol.RetryReply, error) {
-	leader := c.linkedInstance()
-	if leader == "" {
-		return nil, errNoLeader
-	}
 	var reply protocol.RetryReply
-	if err := c.caller.Call(leader, "Uplink.Retries", m, &reply, retriesTimeout); err != nil {
-		return nil, err
-	}
-	if !reply.Leads {
-		return nil, errNoLeader
+	err := c.callLink("Uplink.Retries", m, &reply)
+	if err == nil && reply.Leads {
+		c.retries.HandleRetryReply(&m, &reply, asked)
+		return
 	}
-	return &reply, nil
+	c.log.Debug().Err(err).Msg("no leader answered the request for retries")
+	c.retries.HandleRetryReply(&m, nil, asked)
 }
--- a/transport/uplink/uplink.go
+++ b/transport/uplink/uplink.go
@@ -112,6 +112,7 @@
 	limiter     Limiter        // limiter is nil if no server limits are enforced.
 	quotas      QuotaRequester // quotas is nil if quota demand is part of the sync reports.
 	retries     RetryBorrower  // retries is nil if no retries are borrowed.
+	parts       PartHolder     // parts is nil if no part is requested.
 	unpack      func([]byte) (protocol.ServerList, error)
 	topology    *topology.Topology
 	log         zerolog.Logger
