The soak kills all gateways at once while servers reject most requests

Plans with -restarts kill all gateways several times, each second time with the leader, before servers that accept one request of five, and check the retries that servers received against the budget of each window.

The kinds of steps of weldsoak are one value now, and the load of a run starts in a function of its own.

--- a/cmd/weldsoak/main.go
+++ b/cmd/weldsoak/main.go
@@ -35,9 +35,11 @@
 	flag.IntVar(&size.Backends, "backends", 6, "number of backend servers, 1 to 30")
 	flag.IntVar(&size.Regions, "regions", 0, "number of regions that instances and servers are spread over, 2 or 3; 0 for none")
 	flag.DurationVar(&size.Delay, "delay", regionDelay, "one-way delay between two regions")
-	reclaim := flag.Bool("reclaim", false, "also reclaim servers while requests run on them")
-	crash := flag.Bool("crash", false, "also send requests that crash every server that runs them")
-	limitsAndRests := flag.Bool("words", false, "also let servers announce request limits and ask for pauses")
+	var kinds planKinds
+	flag.BoolVar(&kinds.reclaim, "reclaim", false, "also reclaim servers while requests run on them")
+	flag.BoolVar(&kinds.crash, "crash", false, "also send requests that crash every server that runs them")
+	flag.BoolVar(&kinds.restarts, "restarts", false, "also kill all gateways at once, and the leader with them, while servers reject most requests")
+	flag.BoolVar(&kinds.backpressure, "words", false, "also let servers announce request limits and ask for pauses")
 	earlier := earlierBuild{}
 	flag.StringVar(&earlier.program, "earlier", "", "`program` of an earlier build of the daemon, for some of the processes")
 	mix := flag.String("mix", string(soak.MixUpgrade), "processes that run the earlier build: gateways, controls, first (every process until its first restart) or last (every process after its first restart)")
@@ -51,9 +53,12 @@
 		flag.Usage()
 		return 2
 	}
+	if kinds.restarts {
+		size.RetryRatio = soak.RestartRetryRatio
+	}
 	failed := 0
 	for _, seed := range seeds {
-		if !runSeed(*daemon, earlier, seed, *length, size, *reclaim, *crash, *limitsAndRests) {
+		if !runSeed(*daemon, earlier, seed, *length, size, kinds) {
 			failed++
 		}
 	}
@@ -94,9 +99,28 @@
 	mix     soak.BuildMix
 }
 
+// planKinds are the kinds of steps that are added to a plan.
+type planKinds struct{ reclaim, crash, backpressure, restarts bool }
+
+func (k planKinds) addTo(p soak.Plan, size soak.Size) soak.Plan {
+	if k.reclaim {
+		p = p.WithReclaims(size)
+	}
+	if k.crash {
+		p = p.WithCrashes()
+	}
+	if k.backpressure {
+		p = p.WithBackpressure()
+	}
+	if k.restarts {
+		p = p.WithRestarts()
+	}
+	return p
+}
+
 // runSeed runs one seed and reports whether all guarantees held. The logs of a failed
 // run are kept.
-func runSeed(daemon string, earlier earlierBuild, seed uint64, length time.Duration, size soak.Size, reclaim, crash, limitsAndRests bool) bool {
+func runSeed(daemon string, earlier earlierBuild, seed uint64, length time.Duration, size soak.Size, kinds planKinds) bool {
 	dir, err := os.MkdirTemp("", fmt.Sprintf("weldsoak-%d-", seed))
 	if err != nil {
 		fmt.Fprintln(os.Stderr, "weldsoak:", err)
@@ -114,16 +138,7 @@
 			return false
 		}
 	}
-	plan := soak.DrawPlan(seed, length, size)
-	if reclaim {
-		plan = plan.WithReclaims(size)
-	}
-	if crash {
-		plan = plan.WithCrashes()
-	}
-	if limitsAndRests {
-		plan = plan.WithBackpressure()
-	}
+	plan := kinds.addTo(soak.DrawPlan(seed, length, size), size)
 	result, err := soak.Run(c, plan)
 	c.Close()
 	if err == nil && len(result.Breaches) == 0 {
--- a/internal/soak/cluster.go
+++ b/internal/soak/cluster.go
@@ -38,8 +38,14 @@
 	Regions  int           // Regions is the number of regions that the processes are spread over; less than 2 means no regions.
 	Delay    time.Duration // Delay is the one-way delay between two regions.
 	MemoryMB int           // MemoryMB is the memory limit of a gateway; 0 means defaultMemoryMB.
+	// RetryRatio is the fraction of a service's requests that may be retried; 0 means
+	// defaultRetryRatio.
+	RetryRatio float64
 }
 
+// retryRatio returns the fraction of a service's requests that may be retried.
+func (s Size) retryRatio() float64 { return cmp.Or(s.RetryRatio, defaultRetryRatio) }
+
 // defaultMemoryMB is a third of what a gateway has on a platform with small machines.
 const defaultMemoryMB = 64
 
@@ -209,7 +215,8 @@
 	text := fmt.Sprintf("name: %s\ndomain: zone-%d\nseeds: [%s]\nfound: %v\ntolerate: %d\n", p.Name, i%3, strings.Join(seeds, ", "), found, (c.Size.Controls-1)/2)
 	text += c.Size.regionSettings(i)
 	text += fmt.Sprintf("source: {address: %s, duties: [%s], list_rate: 20}\n", c.API.Address, platform.DutyUsage)
-	text += "bounds: {grace: 6s, lease: 500ms, usage_window: 1s, usage_due: 2s, order_repeat: 5s, retry_ratio: 0.5, retry_extra: 50}\n"
+	text += "bounds: {grace: 6s, lease: 500ms, usage_window: 1s, usage_due: 2s, order_repeat: 5s, "
+	text += fmt.Sprintf("retry_ratio: %v, retry_extra: %d, retry_window: %v}\n", c.Size.retryRatio(), retryExtra, retryWindow)
 	if p.Role == "control" {
 		text += fmt.Sprintf("operator: %s\npeer: %s\nbind: %s\nmetrics: %s\ndata_dir: %s\n",
 			hostPort(advertisedIP(i), c.ports.operator), hostPort(advertisedIP(i), c.ports.peer), listenIP(i), hostPort(listenIP(i), c.ports.metrics), p.Data)
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -27,11 +27,14 @@
 	faultCount                // faultCount is the number of faults above, from which DrawPlan draws.
 )
 
-// FaultReclaim takes a server away after a notice; see WithReclaims. Its value comes after
-// those of the region faults.
-const FaultReclaim = FaultPartition + 1
+// The faults that plans draw only with an option. Their values come after those of the region
+// faults.
+const (
+	FaultReclaim = FaultPartition + 1 + iota // FaultReclaim takes a server away after a notice; see WithReclaims.
+	FaultRestart                             // FaultRestart kills all gateways, and the leader as well if Index is not 0; see WithRestarts.
+)
 
-var faultNames = [...]string{"kill", "pause", "stop", "reload", "wipe", "link", "server", "reset", "replies", "api", "damage", "region", "apart", "reclaim"}
+var faultNames = [...]string{"kill", "pause", "stop", "reload", "wipe", "link", "server", "reset", "replies", "api", "damage", "region", "apart", "reclaim", "restart"}
 
 // String returns the name of the fault.
 func (f Fault) String() string { return faultNames[f] }
@@ -53,6 +56,7 @@
 	// Reclaims enables the removal of servers with the requests that run on them.
 	Reclaims     bool
 	Crashes      bool // Crashes enables requests that crash servers.
+	Restarts     bool // Restarts makes servers reject most requests.
 	Backpressure bool // Backpressure enables servers that announce rate limits and send retry delays.
 }
 
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -51,15 +51,7 @@
 	r := &run{cluster: c, checker: k, operator: o}
 	ctx, cancel := context.WithCancel(context.Background())
 	var load sync.WaitGroup
-	for g := range c.Size.Gateways {
-		for i := range clientsPerGateway {
-			load.Go(func() { r.sendRequests(ctx, g, fmt.Sprintf("%d-%d", g, i), p.Seed) })
-		}
-	}
-	for g := range c.Size.Gateways {
-		load.Go(func() { r.sendPacedRequests(ctx, g) })
-	}
-	load.Go(func() { r.runOperator(ctx) })
+	r.startLoad(ctx, &load, p.Seed)
 	rollouts := NewRollouts(c, k)
 	ordering, stopOrders := context.WithCancel(ctx)
 	var ordered sync.WaitGroup
@@ -72,13 +64,17 @@
 	if p.Backpressure {
 		pressure.start(ordering, c, p.Seed)
 	}
-	if !p.Reclaims && !p.Crashes && !p.Backpressure {
+	if p.Restarts {
+		c.rejectMost()
+	}
+	if !p.Reclaims && !p.Crashes && !p.Backpressure && !p.Restarts {
 		ordered.Go(func() { rollouts.run(ordering, p.Seed) })
 	}
 	r.play(p)
 	if p.Crashes {
 		r.checkQuarantine()
 	}
+	c.acceptAll()
 	stopOrders()
 	ordered.Wait() // A version is judged by the callers' requests, so they continue until the roll-outs end.
 	cancel()
@@ -89,7 +85,18 @@
 	k.Finish()
 	rollouts.Finish()
 	return Result{Sent: len(k.requests), Served: k.Served(), Completed: rollouts.Completed, RolledBack: rollouts.RolledBack, Moved: c.Record.Moved(), ServersCrashed: ended, LimitsChecked: limits,
-		Breaches: slices.Concat(k.Breaches(), c.API.Breaches(), c.Record.Breaches(), overLimits)}, nil
+		Breaches: slices.Concat(k.Breaches(), c.API.Breaches(), c.Record.Breaches(), overLimits, c.retryBudgetBreaches(p))}, nil
+}
+
+// startLoad starts the callers and the operator, who go on until ctx ends.
+func (r *run) startLoad(ctx context.Context, load *sync.WaitGroup, seed uint64) {
+	for g := range r.cluster.Size.Gateways {
+		for i := range clientsPerGateway {
+			load.Go(func() { r.sendRequests(ctx, g, fmt.Sprintf("%d-%d", g, i), seed) })
+		}
+		load.Go(func() { r.sendPacedRequests(ctx, g) })
+	}
+	load.Go(func() { r.runOperator(ctx) })
 }
 
 // putFirst sends the first configuration until it is accepted or readyTimeout has passed.
@@ -109,6 +116,7 @@
 	operator *Operator
 	faults   sync.WaitGroup
 	reclaims sync.Mutex // reclaims is held while a server is taken away.
+	restarts sync.Mutex // restarts is held while all gateways are started again.
 }
 
 // requestKinds are the four kinds of requests.
@@ -207,6 +215,8 @@
 		c.Backends[s.Index].SetFaults(standin.Faults{})
 	case FaultReclaim:
 		r.reclaim(c.Backends[s.Index], s.For)
+	case FaultRestart:
+		r.restartGateways(s.Index != 0, s.For)
 	case FaultAPI:
 		c.API.SetDown(true)
 		time.Sleep(s.For)
