--- a/coordination/backpressure/backpressure_test.go
+++ b/coordination/backpressure/backpressure_test.go
@@ -106,13 +106,17 @@
 }
 
 func (f *fleet) addGateway() {
-	g := &gateway{limits: NewLimits(WithRandom(f.rnd.Float64)), incarnation: f.rnd.Uint64(), next: f.now.Add(f.randomDelay()), marks: make([]protocol.SharedLimitsVersion, controlInstances)}
-	f.gateways = append(f.gateways, g)
+	f.gateways = append(f.gateways, f.newGateway())
 	for _, g := range f.gateways {
 		g.limits.SetPart(allot.NewPart(1/float64(len(f.gateways)), start.Add(time.Hour)))
 	}
 }
 
+// newGateway returns a gateway that has just started.
+func (f *fleet) newGateway() *gateway {
+	return &gateway{limits: NewLimits(WithRandom(f.rnd.Float64)), incarnation: f.rnd.Uint64(), next: f.now.Add(f.randomDelay()), marks: make([]protocol.SharedLimitsVersion, controlInstances)}
+}
+
 // reportInterval is the time between two reports of a gateway.
 func (f *fleet) reportInterval() time.Duration {
 	return max(150*time.Millisecond, time.Duration(len(f.gateways))*1500*time.Microsecond)
@@ -215,6 +219,15 @@
 	f.server.limitedAt = f.now
 }
 
+// restartGateways starts all gateways again. They know nothing and have no part.
+func (f *fleet) restartGateways() {
+	n := len(f.gateways)
+	f.gateways = nil
+	for range n {
+		f.gateways = append(f.gateways, f.newGateway())
+	}
+}
+
 // newLeader installs another leader, which knows nothing.
 func (f *fleet) newLeader() {
 	f.term++
@@ -235,11 +248,16 @@
 		f.setLimit(limit)
 		f.run(time.Second, offered)
 		for range rapid.IntRange(2, 8).Draw(t, "steps") {
-			switch rapid.SampledFrom([]string{"none", "no leader", "new leader", "join", "isolate", "reconnect"}).Draw(t, "step") {
+			switch rapid.SampledFrom([]string{"none", "no leader", "new leader", "join", "isolate", "reconnect", "restart", "restart with a new leader"}).Draw(t, "step") {
 			case "no leader":
 				f.allocator = nil
 			case "new leader":
 				f.newLeader()
+			case "restart":
+				f.restartGateways()
+			case "restart with a new leader":
+				f.newLeader()
+				f.restartGateways()
 			case "join":
 				f.addGateway()
 			case "isolate":
