--- a/coordination/allot/allot.go
+++ b/coordination/allot/allot.go
@@ -16,9 +16,12 @@
 	// Lifetime is how long a part may be used after the gateway requested it.
 	Lifetime = 10 * time.Second
 	// RenewalInterval is the time between two requests of a gateway.
-	RenewalInterval = 2 * time.Second
+	RenewalInterval = 3 * time.Second
 	// renewalMargin is more than a request takes.
 	renewalMargin = time.Second
+	// expiryInterval is the shortest time between two looks for expired parts, which visit all
+	// gateways.
+	expiryInterval = 250 * time.Millisecond
 	// minPart is the least part that is allotted.
 	minPart = 1e-6
 )
@@ -46,9 +49,11 @@
 
 // Table holds the parts that the leader of one term allotted.
 type Table struct {
-	opensAt time.Time
-	held    map[uint64][]Part // held are the parts that each start of a gateway may still use.
-	seen    map[uint64]time.Time
+	opensAt   time.Time
+	held      map[uint64][]Part // held are the parts that each start of a gateway may still use.
+	total     float64           // total is the sum over all of them; see largest.
+	seen      map[uint64]time.Time
+	expiredAt time.Time // expiredAt is when expired parts were last looked for.
 }
 
 // NewTable returns the table of a leader whose term began at the given time.
@@ -65,31 +70,28 @@
 	if size < minPart {
 		return 0
 	}
-	t.held[start] = append(t.held[start], NewPart(size, now.Add(Lifetime)))
+	t.add(start, NewPart(size, now.Add(Lifetime)))
 	return size
 }
 
+func (t *Table) add(start uint64, p Part) {
+	before := largest(t.held[start])
+	t.held[start] = append(t.held[start], p)
+	t.total += max(before, p.size) - before
+}
+
 // next returns the size of the next part of a gateway.
 func (t *Table) next(start uint64, holds float64, now time.Time) float64 {
 	if now.Before(t.opensAt) {
 		return holds
 	}
 	even := 1 / float64(len(t.seen))
-	return min(even, max(0, 1-t.heldByOthers(start)))
-}
-
-// heldByOthers returns the sum of the parts that other gateways may use. Of several parts of one
-// gateway, it may use the largest, because an answer can be lost.
-func (t *Table) heldByOthers(start uint64) float64 {
-	sum := 0.0
-	for other, parts := range t.held {
-		if other != start {
-			sum += largest(parts)
-		}
-	}
-	return sum
+	heldByOthers := t.total - largest(t.held[start])
+	return min(even, max(0, 1-heldByOthers))
 }
 
+// largest returns the largest of the parts of one gateway. It is the one that counts, because the
+// answers with the later ones may have been lost.
 func largest(parts []Part) float64 {
 	size := 0.0
 	for _, p := range parts {
@@ -98,8 +100,12 @@
 	return size
 }
 
-// expire drops the parts that no gateway may use any more.
+// expire drops the parts that no gateway may use any more, some time after they expired.
 func (t *Table) expire(now time.Time) {
+	if now.Sub(t.expiredAt) < expiryInterval {
+		return
+	}
+	t.expiredAt, t.total = now, 0
 	for start, parts := range t.held {
 		kept := parts[:0]
 		for _, p := range parts {
@@ -107,10 +113,12 @@
 				kept = append(kept, p)
 			}
 		}
-		t.held[start] = kept
 		if len(kept) == 0 {
 			delete(t.held, start)
+			continue
 		}
+		t.held[start] = kept
+		t.total += largest(kept)
 	}
 	for start, at := range t.seen {
 		if now.Sub(at) > Lifetime {
--- a/coordination/allot/allot_test.go
+++ b/coordination/allot/allot_test.go
@@ -100,6 +100,30 @@
 	}
 }
 
+// TestPartExpires checks until when a part may be used, and named in a request.
+func TestPartExpires(t *testing.T) {
+	p := NewPart(0.5, testStart.Add(Lifetime))
+	for _, c := range []struct {
+		after           time.Duration
+		size, renewable float64
+	}{{0, 0.5, 0.5}, {Lifetime - renewalMargin - 1, 0.5, 0.5}, {Lifetime - renewalMargin, 0.5, 0}, {Lifetime - 1, 0.5, 0}, {Lifetime, 0, 0}} {
+		now := testStart.Add(c.after)
+		if size, renewable := p.Size(now), p.Renewable(now); size != c.size || renewable != c.renewable {
+			t.Errorf("after %v: size %v, renewable %v", c.after, size, renewable)
+		}
+	}
+}
+
+// BenchmarkRequest measures the requests of a thousand gateways.
+func BenchmarkRequest(b *testing.B) {
+	const gateways = 1000
+	table, now := NewTable(testStart.Add(-Lifetime)), testStart
+	for i := range b.N {
+		now = now.Add(RenewalInterval / gateways)
+		table.Request(uint64(i%gateways), 0, now)
+	}
+}
+
 // TestWholeIsAllotted checks that gateways which renew their parts come to hold equal ones that add
 // up to the whole, keep them under a new leader, and give way to gateways that start.
 func TestWholeIsAllotted(t *testing.T) {
--- a/transport/forward/retry_budget_test.go
+++ b/transport/forward/retry_budget_test.go
@@ -2,9 +2,13 @@
 
 import (
 	"fmt"
+	"strings"
 	"testing"
 	"time"
 
+	"github.com/valyala/fasthttp"
+
+	"github.com/weldstream/weldstream/coordination/resend"
 	"github.com/weldstream/weldstream/internal/clock"
 	"github.com/weldstream/weldstream/protocol"
 )
@@ -133,3 +137,25 @@
 		t.Errorf("in time: got %+v", got)
 	}
 }
+
+// TestLateRetryIsNotSent checks that an attempt which is a retry and too late for the budget ends
+// before anything is sent.
+func TestLateRetryIsNotSent(t *testing.T) {
+	cfg := testConfig()
+	cfg.RetryRatio = 0
+	w := newConfiguredGateway(t, cfg)
+	b := w.backend("b", answerOK)
+	w.install(protocol.PathRoute{Name: "r", Kind: protocol.RouteRepeatable, Attempts: 2})
+	x := newExchange(t.Context(), w.g, &fasthttp.Request{}, nil)
+	defer x.release()
+	x.index = w.g.index.Load()
+	x.route, x.service, x.deadline = x.index.Route("h", "/r/x"), "s", clock.Now().Add(testTimeout)
+	x.state = resend.State{Repeatable: true, MaxServers: 2, Sent: 1}
+	x.retrySendBy = clock.Now().Add(-time.Second)
+	if got := x.attempt(); got == nil || got.Status != 503 || !strings.Contains(got.Message, "retry budget") {
+		t.Errorf("got %+v", got)
+	}
+	if n := b.runs.Load(); n != 0 {
+		t.Errorf("the server received %d requests", n)
+	}
+}
