What a leader gives away goes through one place; the package comment of retry names both budgets

Parts and retries repeated the check that the instance led throughout, and the soak's new test the start of a cluster.

--- a/coordination/retry/retry.go
+++ b/coordination/retry/retry.go
@@ -1,8 +1,12 @@
-// Package retry implements retry and hedge budgets. Retries are limited to a
-// fraction of the recent successes, so that retries do not add load to a failing
-// system.
+// Package retry implements retry and hedge budgets, so that retries do not add
+// load to a failing system.
 //
-// A [Budget] is an immutable value. Each update returns the new one:
+// The budget of a service applies to all gateways together. Each gateway has an
+// [Allowance], which its own requests fill with credit; the leader's [Ledger]
+// lends single retries beside it.
+//
+// An entry instance has budgets of its own: its retries are limited to a fraction
+// of its recent successes. A [Budget] is an immutable value. Each update returns the new one:
 //
 //	budget = budget.Success(now)
 //	budget, ok := budget.Spend(now)
--- a/internal/soak/restarts_test.go
+++ b/internal/soak/restarts_test.go
@@ -9,16 +9,7 @@
 // of them start at once, with the leader or without, while servers reject most requests.
 func TestRetryBudgetInRestarts(t *testing.T) {
 	size := Size{Controls: 3, Gateways: 4, Backends: 3, RetryRatio: RestartRetryRatio}
-	c, err := New(t.TempDir(), daemon, size)
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() {
-		c.Close()
-		if t.Failed() {
-			logEvidence(t, c)
-		}
-	})
+	c := newCluster(t, size)
 	result, err := Run(c, Plan{Seed: 1, Length: 8 * time.Second}.WithRestarts())
 	if err != nil {
 		t.Fatal(err)
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -34,16 +34,7 @@
 // startCluster starts a cluster and puts a first configuration.
 func startCluster(t *testing.T, size Size) (*Cluster, *Checker, *Operator) {
 	t.Helper()
-	c, err := New(t.TempDir(), daemon, size)
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() {
-		c.Close()
-		if t.Failed() {
-			logEvidence(t, c)
-		}
-	})
+	c := newCluster(t, size)
 	if err := c.Start(); err != nil {
 		t.Fatal(err)
 	}
@@ -58,6 +49,22 @@
 	return c, k, o
 }
 
+// newCluster returns a cluster that is not started yet. If the test fails, its evidence is logged.
+func newCluster(t *testing.T, size Size) *Cluster {
+	t.Helper()
+	c, err := New(t.TempDir(), daemon, size)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() {
+		c.Close()
+		if t.Failed() {
+			logEvidence(t, c)
+		}
+	})
+	return c
+}
+
 // logEvidence logs what a failure is traced by: the requests that crashed servers, by arrival,
 // and what each process wrote.
 func logEvidence(t *testing.T, c *Cluster) {
--- a/transport/control/retries.go
+++ b/transport/control/retries.go
@@ -3,7 +3,6 @@
 import (
 	"time"
 
-	"github.com/weldstream/weldstream/internal/clock"
 	"github.com/weldstream/weldstream/protocol"
 )
 
@@ -18,24 +17,16 @@
 
 // Retries lends retries to a gateway, or forwards the request of one that uses a relay.
 func (u *Uplink) Retries(m protocol.RetryMsg, reply *protocol.RetryReply) error {
-	term, ok := u.group.Vouches()
-	if !ok {
-		if r := u.relay.Load(); r != nil {
-			*reply = forwardToLeader[protocol.RetryReply](r, "Uplink.Retries", m)
+	began, leads := u.answerAsLeader(func(now time.Time) {
+		for _, want := range m.Wants {
+			lease := protocol.RetryLease{Service: want.Service}
+			lease.Count, lease.Lasts, lease.Wait = u.retries.Lend(want.Service, want.Count, now)
+			reply.Leases = append(reply.Leases, lease)
 		}
-		return nil
+	})
+	reply.Leads = leads
+	if r := u.relay.Load(); !began && r != nil {
+		*reply = forwardToLeader[protocol.RetryReply](r, "Uplink.Retries", m)
 	}
-	u.mu.Lock()
-	defer u.mu.Unlock()
-	u.enterTerm(term)
-	now := clock.Now()
-	for _, want := range m.Wants {
-		lease := protocol.RetryLease{Service: want.Service}
-		lease.Count, lease.Lasts, lease.Wait = u.retries.Lend(want.Service, want.Count, now)
-		reply.Leases = append(reply.Leases, lease)
-	}
-	// The lease may have expired meanwhile: then another leader lends the retries.
-	still, ok := u.group.Vouches()
-	reply.Leads = ok && still == term
 	return nil
 }
