--- a/coordination/resend/resend.go
+++ b/coordination/resend/resend.go
@@ -26,7 +26,7 @@
 	Verdict  protocol.Verdict
 	Reached  bool // Reached is set when the server received any part of the request.
 	Reason   string
-	Budget   func() bool   // Budget takes one retry from the budget and reports whether one was available.
+	Budget   func() bool   // Budget takes one retry from the budget, perhaps after a short wait, and reports whether one was available.
 	TimeLeft time.Duration // TimeLeft is the time until the request's deadline.
 	Target   time.Duration // Target is the route's latency target, from which Retry-After is derived.
 }
