The first leader of a group lends retries and allots parts at once

Each leader waited for one and a quarter windows before it lent, for what a predecessor might have lent.

The first leader of a group has none: its log was empty when it was elected, and a leader that lent anything had committed an entry before, which every later leader has.

--- a/cmd/weldstreamd/control.go
+++ b/cmd/weldstreamd/control.go
@@ -160,6 +160,7 @@
 	}
 	opts := []control.UplinkOption{
 		control.WithLogger(c.log), control.WithRegistry(c.registry), control.WithTopology(n.Topology()), control.WithDomains(c.domains), control.WithGatewayGrace(n.Bounds.Revoke),
+		control.WithFirstLeader(func() bool { return c.group.Status().First }),
 		control.WithRetryBudget(control.RetryBudget{Extra: n.Bounds.RetryExtra, Window: n.Bounds.RetryWindow}),
 		control.WithExposure(control.Exposure{Share: n.Bounds.TrialShare, Slack: n.Bounds.TrialSlack, Unannounced: n.Bounds.OrderRepeat + unannouncedMargin}),
 	}
--- a/coordination/allot/allot.go
+++ b/coordination/allot/allot.go
@@ -56,9 +56,19 @@
 	expiredAt time.Time // expiredAt is when expired parts were last looked for.
 }
 
+// TableOption configures a new table.
+type TableOption func(*Table)
+
+// WithoutPredecessor makes the table allot parts at once: there was no earlier leader.
+func WithoutPredecessor() TableOption { return func(t *Table) { t.opensAt = time.Time{} } }
+
 // NewTable returns the table of a leader whose term began at the given time.
-func NewTable(began time.Time) *Table {
-	return &Table{opensAt: began.Add(Lifetime), held: map[uint64][]Part{}, seen: map[uint64]time.Time{}}
+func NewTable(began time.Time, opts ...TableOption) *Table {
+	t := &Table{opensAt: began.Add(Lifetime), held: map[uint64][]Part{}, seen: map[uint64]time.Time{}}
+	for _, opt := range opts {
+		opt(t)
+	}
+	return t
 }
 
 // Request returns the size of the part for a start of a gateway that holds a part of the given
--- a/coordination/allot/allot_test.go
+++ b/coordination/allot/allot_test.go
@@ -114,6 +114,14 @@
 	}
 }
 
+// TestFirstLeaderAllotsAtOnce checks that a leader without a predecessor allots parts at once.
+func TestFirstLeaderAllotsAtOnce(t *testing.T) {
+	table := NewTable(testStart, WithoutPredecessor())
+	if size := table.Request(1, 0, testStart); size != 1 {
+		t.Errorf("the only gateway got %v", size)
+	}
+}
+
 // BenchmarkRequest measures the requests of a thousand gateways.
 func BenchmarkRequest(b *testing.B) {
 	const gateways = 1000
--- a/coordination/replicate/leader.go
+++ b/coordination/replicate/leader.go
@@ -12,6 +12,7 @@
 
 func (r *Replica) becomeLeader() {
 	r.role, r.leader = Leader, r.id
+	r.firstLeader = r.log.Last() == 0
 	r.votes = nil
 	r.leaderSince, r.placement = r.now, roundtrip.Placer{}
 	r.peers = map[ID]*progress{}
--- a/coordination/replicate/replicate.go
+++ b/coordination/replicate/replicate.go
@@ -159,6 +159,7 @@
 	placement            roundtrip.Placer
 	nextPlacementCheckAt time.Duration        // nextPlacementCheckAt is when the leader next checks whether another replica is better placed to lead.
 	busy                 bool                 // busy says that an operation is in progress that a change of leader would abort.
+	firstLeader          bool                 // firstLeader is whether the log was empty when this replica last became the leader.
 	leaderSince          time.Duration        // leaderSince is when this replica became the leader, or when its last handover failed.
 	requestedPromise     time.Duration        // requestedPromise is the promise that this replica requests as the leader.
 	pingTrips            *roundtrip.Table     // pingTrips are the ping round-trip times between any two replicas.
@@ -319,6 +320,7 @@
 	Stable   uint64        `json:"stable"`
 	Snapshot uint64        `json:"snapshot"`
 	Members  Members       `json:"members"`
+	First    bool          `json:"first"`   // First reports that this replica leads and that no earlier leader committed anything: its log was empty when it was elected.
 	Broken   bool          `json:"broken"`  // Broken says that the disk failed.
 	Lease    time.Duration `json:"lease"`   // Lease is the end of the lease on the clock of TickMsg.Now.
 	Timeout  time.Duration `json:"timeout"` // Timeout is the current minimum election timeout.
@@ -336,6 +338,7 @@
 		Stable:   r.stable,
 		Snapshot: r.log.Snapshot().Index,
 		Members:  r.log.Members(),
+		First:    r.role == Leader && r.firstLeader,
 		Broken:   r.diskFailed,
 		Lease:    r.leaseUntil,
 		Timeout:  r.electionTimeout(),
--- a/coordination/retry/ledger.go
+++ b/coordination/retry/ledger.go
@@ -24,12 +24,22 @@
 	at    time.Time
 }
 
+// LedgerOption configures a new ledger.
+type LedgerOption func(*Ledger)
+
+// WithoutPredecessor makes the ledger lend at once: there was no earlier leader.
+func WithoutPredecessor() LedgerOption { return func(l *Ledger) { l.opensAt = time.Time{} } }
+
 // NewLedger returns the ledger of a leader whose term began at the given time. It lends up to
 // extra retries a service in each window.
-func NewLedger(extra float64, window time.Duration, began time.Time) *Ledger {
+func NewLedger(extra float64, window time.Duration, began time.Time, opts ...LedgerOption) *Ledger {
 	lasts := window / leaseDivisor
 	span := window + lasts
-	return &Ledger{extra: int(extra), lasts: lasts, span: span, opensAt: began.Add(span), services: map[string][]loan{}}
+	l := &Ledger{extra: int(extra), lasts: lasts, span: span, opensAt: began.Add(span), services: map[string][]loan{}}
+	for _, opt := range opts {
+		opt(l)
+	}
+	return l
 }
 
 // Lend lends up to the requested number of retries at a service. They may be sent until lasts
--- a/coordination/retry/ledger_test.go
+++ b/coordination/retry/ledger_test.go
@@ -45,6 +45,9 @@
 	if count, _, _ := l.Lend("s", 1, testStart.Add(span)); count != 1 {
 		t.Errorf("lent %d after the wait", count)
 	}
+	if count, _, _ := NewLedger(testExtra, testWindow, testStart, WithoutPredecessor()).Lend("s", 1, testStart); count != 1 {
+		t.Errorf("the first leader lent %d at once", count)
+	}
 	if count, _, wait := NewLedger(0, testWindow, testStart).Lend("s", 1, testStart.Add(time.Hour)); count != 0 || wait != span {
 		t.Errorf("without an extra: lent %d, wait %v", count, wait)
 	}
--- a/transport/control/retries_test.go
+++ b/transport/control/retries_test.go
@@ -57,3 +57,23 @@
 		t.Errorf("in the next term: got %+v", r)
 	}
 }
+
+// TestFirstLeaderLendsAtOnce checks that the first leader of a group, which has no predecessor, lends
+// retries and allots parts at once, and a later one does not.
+func TestFirstLeaderLendsAtOnce(t *testing.T) {
+	g, first := newFakeGroup(), true
+	u := NewUplink(g, noPeers, parse, 8*time.Second, WithRetryBudget(RetryBudget{Extra: 3, Window: time.Hour}), WithFirstLeader(func() bool { return first }))
+	if r := mustRetries(t, u, 1); r.Leases[0].Count != 1 {
+		t.Errorf("the first leader lent %+v", r)
+	}
+	if r := mustPart(t, u, 0); r.Part != 1 {
+		t.Errorf("the first leader allotted %+v", r)
+	}
+	g.term, first = g.term+1, false
+	if r := mustRetries(t, u, 1); r.Leases[0].Count != 0 {
+		t.Errorf("the next leader lent %+v", r)
+	}
+	if r := mustPart(t, u, 0); r.Part != 0 {
+		t.Errorf("the next leader allotted %+v", r)
+	}
+}
--- a/transport/control/uplink.go
+++ b/transport/control/uplink.go
@@ -33,6 +33,7 @@
 	quotaWindow  time.Duration // quotaWindow is the window over which quotas are bounded.
 	retryBudget  RetryBudget
 	gatewayGrace time.Duration        // gatewayGrace is how long a gateway without contact to the control role continues to serve.
+	firstLeader  func() bool          // firstLeader reports whether this instance leads and no other led before.
 	logIdleTime  func() time.Duration // logIdleTime returns how long nothing was granted before this instance led.
 	startedAt    time.Time
 	clock        *usage.Clock
@@ -157,6 +158,12 @@
 	return func(u *Uplink) { u.logIdleTime = func() time.Duration { return quiet() - maxUnloggedTime } }
 }
 
+// WithFirstLeader sets the func that reports whether this instance leads and no other led before.
+// Without it, the state of an earlier leader is awaited in each term.
+func WithFirstLeader(first func() bool) UplinkOption {
+	return func(u *Uplink) { u.firstLeader = first }
+}
+
 // WithGatewayGrace sets how long a gateway without contact to the control role continues to
 // serve. By default, usage reports wait only for gateways that were in contact during the
 // window.
@@ -179,6 +186,7 @@
 		clock:            usage.NewClock(now),
 		log:              zerolog.Nop(),
 		meters:           newRolloutMeters(metrics.NewRegistry()),
+		firstLeader:      func() bool { return false },
 		logIdleTime:      func() time.Duration { return 0 },
 	}
 	for _, opt := range opts {
@@ -206,14 +214,24 @@
 	u.readings = place.NewPrefillLog()
 	u.quarantine = quarantine.NewCoordinator()
 	u.permits = backpressure.NewPermitAllocator()
-	u.parts = allot.NewTable(u.enteredAt)
-	u.retries = retry.NewLedger(u.retryBudget.Extra, u.retryBudget.Window, u.enteredAt)
+	u.resetShares()
 	u.appliedRollouts, u.activeRollouts, u.unannounced = 0, nil, map[serviceVersion]time.Time{}
 	if u.catalog != nil {
 		u.quotas.Configure(u.catalog.Workspaces, clock.Now())
 	}
 }
 
+// resetShares discards what an earlier leader, or this one in an earlier term, gave away. The caller
+// holds u.mu.
+func (u *Uplink) resetShares() {
+	u.parts = allot.NewTable(u.enteredAt)
+	u.retries = retry.NewLedger(u.retryBudget.Extra, u.retryBudget.Window, u.enteredAt)
+	if u.firstLeader() {
+		u.parts = allot.NewTable(u.enteredAt, allot.WithoutPredecessor())
+		u.retries = retry.NewLedger(u.retryBudget.Extra, u.retryBudget.Window, u.enteredAt, retry.WithoutPredecessor())
+	}
+}
+
 // enterTerm ensures that the state belongs to a term. The caller holds u.mu.
 func (u *Uplink) enterTerm(term uint64) {
 	if u.term != term {
