Gateways log and count servers they do not reach, rejections, and what brittle servers say

'server not reached' and 'server reached again' carry how many of the listed servers are lost; the gauge servers.unreached sums them. No decision depends on it yet.

Run: the packages' tests.

--- a/coordination/backpressure/limit_cache.go
+++ b/coordination/backpressure/limit_cache.go
@@ -99,7 +99,7 @@
 
 func (l *Limits) mergeLimit(row *protocol.ReportedLimit, now time.Time) bool {
 	s, statedAt := l.servers[row.Server], now.Add(-row.Ago)
-	if s == nil && !row.Limit.Named || s != nil && !statedAt.After(s.statedAt) {
+	if s == nil && row.Limit.IsZero() || s != nil && !statedAt.After(s.statedAt) {
 		return false
 	}
 	if s == nil {
--- a/coordination/backpressure/limits.go
+++ b/coordination/backpressure/limits.go
@@ -78,7 +78,7 @@
 // from the one before.
 func (l *Limits) UpdateLimit(server string, limit protocol.RateLimit, now time.Time) (changed bool) {
 	s := l.servers[server]
-	if s == nil && !limit.Named {
+	if s == nil && limit.IsZero() {
 		return false
 	}
 	if s == nil {
@@ -293,7 +293,7 @@
 		changed = l.addGrant(&reply.Grants[i], reportedAt, now) || changed
 	}
 	l.setUses(reply)
-	maps.DeleteFunc(l.servers, func(_ string, s *serverState) bool { return !s.limit.Named && s.reported })
+	maps.DeleteFunc(l.servers, func(_ string, s *serverState) bool { return s.limit.IsZero() && s.reported })
 	return changed
 }
 
--- a/coordination/backpressure/permit_allocator.go
+++ b/coordination/backpressure/permit_allocator.go
@@ -168,7 +168,7 @@
 // withdrawnRetention.
 func (a *PermitAllocator) Prune(listed func(server string) bool, now time.Time) {
 	maps.DeleteFunc(a.entries, func(server string, e *serverPermits) bool {
-		return !listed(server) || (!e.limit.Named && now.Sub(e.statedAt) > withdrawnRetention)
+		return !listed(server) || (e.limit.IsZero() && now.Sub(e.statedAt) > withdrawnRetention)
 	})
 }
 
--- a/coordination/place/place.go
+++ b/coordination/place/place.go
@@ -133,6 +133,17 @@
 	return v.services[name]
 }
 
+// Listed returns the number of a service's servers that take regular requests and are not
+// leaving.
+func (v *View) Listed(name string) (n int) {
+	for _, i := range v.Service(name) {
+		if !v.Servers[i].Leaving {
+			n++
+		}
+	}
+	return n
+}
+
 // ChooseMsg requests a server.
 type ChooseMsg struct {
 	Service        string
--- a/protocol/feedback.go
+++ b/protocol/feedback.go
@@ -14,9 +14,17 @@
 	Unread      string        // values that could not be parsed; empty for none
 }
 
-// RateLimit is the maximum request rate that a server accepts from all gateways
-// combined.
+// RateLimit is what a server accepts from all gateways combined: a maximum request rate,
+// a maximum number of requests that it can reject, or both. The zero value is no limit.
 type RateLimit struct {
 	Named     bool
 	PerSecond float64 // requests per second, at least 0; valid only if Named is set
+
+	// Brittle says that the server crashes if it has to reject more than MaxRejections
+	// requests within a second for want of room.
+	Brittle       bool
+	MaxRejections int // valid only if Brittle is set
 }
+
+// IsZero reports whether there is no limit.
+func (l RateLimit) IsZero() bool { return l == RateLimit{} }
--- a/transport/forward/attempt.go
+++ b/transport/forward/attempt.go
@@ -95,6 +95,7 @@
 	}
 	if err != nil {
 		x.g.recordConnect(server, 0, true)
+		x.g.recordLost(server, err.Error())
 		x.distrust(server, true)
 		return nil, x.afterFailure(protocol.NotRun, false, "the server cannot be reached: "+err.Error())
 	}
@@ -289,12 +290,21 @@
 		// answers are lost, only those that a crash hits before they start did not run.
 		t.x.countUsage()
 	}
+	t.recordUnanswered(err)
 	t.recordBodyCrash(err)
 	t.recordBrokenConnection(err)
 	t.x.distrust(t.server, false)
 	return t.x.afterFailure(protocol.MayHaveRun, true, "the answer did not come: "+err.Error())
 }
 
+// recordUnanswered records that a new connection brought no answer. A kept one may have been
+// closed by the server in the moment in which it was used.
+func (t *serverAttempt) recordUnanswered(err error) {
+	if !t.conn.Used() && !t.x.headWritten && t.reply.ID == "" {
+		t.x.g.recordLost(t.server, err.Error())
+	}
+}
+
 // handleAnswer processes the head of an answer.
 func (t *serverAttempt) handleAnswer(stop func() bool) *protocol.Refusal {
 	x, status := t.x, t.x.resp.StatusCode()
@@ -308,6 +318,7 @@
 		return x.afterFailure(protocol.MayHaveRun, true, "the answer belongs to another request")
 	}
 	if !t.reply.Foreign {
+		x.g.recordReached(t.server)
 		x.applyFeedback(t.server, &t.reply.Feedback)
 	}
 	if t.reply.NotRun {
@@ -355,9 +366,18 @@
 		_, err = io.Copy(io.Discard, io.LimitReader(body, maxAnswerBytes))
 	}
 	t.closeOrReuse(err == nil, stop)
+	t.recordRejection()
 	return t.x.afterFailure(protocol.NotRun, true, "the server turned the request away with status "+fasthttp.StatusMessage(status))
 }
 
+// recordRejection counts and logs a request that the server turned away.
+func (t *serverAttempt) recordRejection() {
+	load, feedback := t.reply.Load, &t.reply.Feedback
+	t.x.g.meters.countRejection(t.x.service)
+	t.x.log.Info().Str("server", t.server.ID).Int("load", load.Requests).Int("slots", t.server.SlotCount()).Int("outstanding", t.server.Stats.Outstanding()).
+		Bool("brittle", feedback.Limit.Brittle).Int("max_rejections", feedback.Limit.MaxRejections).Msg("server turned a request away")
+}
+
 // closeOrReuse returns the connection to the pool if its answer was read to the end and the
 // connection is still usable, and closes it otherwise.
 func (t *serverAttempt) closeOrReuse(readToEnd bool, stop func() bool) {
--- a/transport/forward/feedback.go
+++ b/transport/forward/feedback.go
@@ -87,7 +87,8 @@
 		return
 	}
 	x.g.meters.limitChanges.Inc(1)
-	x.log.Info().Str("server", server).Bool("named", limit.Named).Float64("rate", limit.PerSecond).Float64("before", before.PerSecond).Msg("server changed its request limit")
+	x.log.Info().Str("server", server).Bool("named", limit.Named).Float64("rate", limit.PerSecond).Float64("before", before.PerSecond).
+		Bool("brittle", limit.Brittle).Int("max_rejections", limit.MaxRejections).Msg("server changed its request limit")
 	x.g.triggerLimits() // Other gateways send to the server as well.
 }
 
--- a/transport/forward/forward.go
+++ b/transport/forward/forward.go
@@ -12,7 +12,7 @@
 //	                                           └─ resend ◄┘
 //
 // Locks are taken in this order: Gateway.viewMu, Gateway.mu (limits), then the lock of a
-// server's statistics, of runMoves, of feedbackState, of quarantineState or of retryBudgets. The catalog
+// server's statistics, of runMoves, of feedbackState, of quarantineState, of retryBudgets or of reachState. The catalog
 // and the view of servers are immutable and read through atomic pointers.
 package forward
 
@@ -33,6 +33,7 @@
 	"github.com/weldstream/weldstream/coordination/place"
 	"github.com/weldstream/weldstream/coordination/quarantine"
 	"github.com/weldstream/weldstream/coordination/quota"
+	"github.com/weldstream/weldstream/coordination/reach"
 	"github.com/weldstream/weldstream/coordination/topology"
 	"github.com/weldstream/weldstream/coordination/usage"
 	"github.com/weldstream/weldstream/internal/clock"
@@ -85,6 +86,7 @@
 	quarantine quarantineState
 	feedback   feedbackState
 	retries    retryBudgets
+	reach      reachState
 
 	viewMu sync.Mutex // viewMu is held while the view is rebuilt, by the link to the leader or after a departure notice.
 
@@ -159,12 +161,14 @@
 	}
 	g.moves.init()
 	g.retries.init(cfg.RetryRatio, cfg.RetryWindow)
+	g.reach.tracker = reach.NewTracker()
 	g.feedback.limits, g.feedback.replied = backpressure.NewLimits(backpressure.WithRandom(rand.Float64)), make(chan struct{})
 	g.prompts.holders = place.NewHolders(cfg.Topology)
 	if g.meters == nil {
 		g.meters = newMeters(metrics.NewRegistry())
 	}
 	metrics.NewRegisteredFunctionalGauge("servers.limited", g.meters.registry, func() int64 { return int64(len(g.LimitedServers())) })
+	metrics.NewRegisteredFunctionalGauge("servers.unreached", g.meters.registry, g.lostTotal)
 	metrics.NewRegisteredFunctionalGauge("quarantine.held", g.meters.registry, func() int64 { return int64(g.Held()) })
 	return g
 }
@@ -238,6 +242,7 @@
 	g.log.Info().Int("servers", len(view.Servers)).Int("leaving", leaving).Msg("list of servers")
 	g.moveFromLeaving(view, now)
 	g.feedback.prune(view, now)
+	g.pruneReach(view)
 	g.pool.Retain(func(id string) bool {
 		s := view.Find(id)
 		return s != nil && !s.Leaving
--- a/transport/forward/meters.go
+++ b/transport/forward/meters.go
@@ -44,6 +44,7 @@
 	mu       sync.Mutex // mu guards the fields below.
 	ended    map[outcome]metrics.Counter
 	retries  map[retryOutcome]metrics.Counter
+	rejected map[string]metrics.Counter // rejected counts the requests that servers turned away, by service.
 }
 
 // outcome is the key by which ended requests are counted.
@@ -93,6 +94,7 @@
 		registry:          r,
 		ended:             map[outcome]metrics.Counter{},
 		retries:           map[retryOutcome]metrics.Counter{},
+		rejected:          map[string]metrics.Counter{},
 	}
 }
 
@@ -138,3 +140,18 @@
 	}
 	c.Inc(1)
 }
+
+// countRejection counts a request that a server of a service turned away.
+func (m *meters) countRejection(service string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.rejected[service] == nil && len(m.rejected) >= maxOutcomes {
+		service = overflowLabel
+	}
+	c := m.rejected[service]
+	if c == nil {
+		c = metrics.GetOrRegisterCounter(fmt.Sprintf("servers.rejections{service=%q}", service), m.registry)
+		m.rejected[service] = c
+	}
+	c.Inc(1)
+}
