--- a/internal/soak/cluster.go
+++ b/internal/soak/cluster.go
@@ -228,6 +228,21 @@
 	return os.WriteFile(p.settingsFile, []byte(text), 0o600)
 }
 
+// CutOff cuts a gateway off from all backend servers: its connections to them are reset, and so
+// are new ones. Callers, control instances and other gateways still reach it. The returned
+// function ends that.
+func (c *Cluster) CutOff(gateway int) (restore func()) {
+	p := c.procs[c.Size.Controls+gateway]
+	for _, proxy := range c.backendProxies {
+		proxy.CutOff(p.Opened)
+	}
+	return func() {
+		for _, proxy := range c.backendProxies {
+			proxy.CutOff(nil)
+		}
+	}
+}
+
 // Start starts all processes that do not run.
 func (c *Cluster) Start() error {
 	for _, p := range c.procs {
--- a/internal/soak/proxy.go
+++ b/internal/soak/proxy.go
@@ -35,7 +35,8 @@
 	paths  *RegionPaths // paths are the paths between regions; nil without regions, or where the proxy is within one.
 	region int          // region is the region of the process behind the proxy.
 
-	mu    sync.Mutex // mu guards the fields below.
+	mu    sync.Mutex          // mu guards the fields below.
+	isCut func(net.Conn) bool // isCut reports whether the process that opened a connection is cut off; nil if none is.
 	link  Link
 	wake  chan struct{} // wake is closed and replaced when link changes.
 	conns map[net.Conn]struct{}
@@ -80,13 +81,38 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for c := range p.conns {
-		if tcp, ok := c.(*net.TCPConn); ok {
-			_ = tcp.SetLinger(0)
+		resetConn(c)
+	}
+}
+
+func resetConn(c net.Conn) {
+	if tcp, ok := c.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0)
+	}
+	_ = c.Close()
+}
+
+// CutOff resets the connections of the processes for which isCut returns true, and those that
+// they open from now on. With nil, nothing is cut off.
+func (p *Proxy) CutOff(isCut func(net.Conn) bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.isCut = isCut
+	for c := range p.conns {
+		if isCut != nil && isCut(c) {
+			resetConn(c)
 		}
-		_ = c.Close()
 	}
 }
 
+// refuses reports whether a connection comes from a process that is cut off.
+func (p *Proxy) refuses(c net.Conn) bool {
+	p.mu.Lock()
+	isCut := p.isCut
+	p.mu.Unlock()
+	return isCut != nil && isCut(c)
+}
+
 // Close closes the listener and all connections.
 func (p *Proxy) Close() {
 	_ = p.ln.Close()
@@ -115,6 +141,10 @@
 }
 
 func (p *Proxy) forward(c net.Conn) {
+	if p.refuses(c) {
+		resetConn(c)
+		return
+	}
 	p.track(c, true)
 	defer p.track(c, false)
 	defer closeConn(c)
