A gateway that reaches no server passes requests on to one that does

Cause: a gateway served only over its own connections, and took what it saw of the path for the state of the servers.

- coordination/reach keeps which servers a gateway does not reach.
Two or more of a service are probed until they are reached again, so no caller's request is sent into the cut to see its end.
If no server of a service sends anything for 0.4 s while a request is under way, two are probed at once: kept connections show a cut only after their time-out.
- Each gateway tells the leader its peer address and its losses (Uplink.Peers) and is told up to eight others, those that reach most first, then those of its domain.
They stay in use while no leader answers.
- A gateway passes on the share of a service's requests that the best peer reaches and it does not: all when it is cut off, none when the servers are gone for everybody.
A request is passed on once and only while no server may have received it; a pass that breaks after it was sent ends as may-have-run.
- Request connections between gateways are authenticated like the links, on the peer address; gateways serve their metrics on the next port, as control instances do.
- What such a gateway sees is no longer told to others: distrust of servers that it does not reach and others do, crashes, and failures of a version on trial.
- The soak tells gateways apart by the address their connections come from, so 'bind' is now also the source of a gateway's connections to servers.

--- a/cmd/weldstreamd/gateway.go
+++ b/cmd/weldstreamd/gateway.go
@@ -38,6 +38,8 @@
 	*roleRun
 	forward  *forward.Gateway
 	server   *caller.Server
+	peers    *caller.Server // peers serves requests that other gateways pass on.
+	links    *transport.Links
 	memory   *caller.Memory // memory is nil if there is no limit.
 	client   *uplink.Client
 	stopping atomic.Bool
@@ -47,6 +49,7 @@
 type gatewayLink struct {
 	*forward.Gateway
 	server *caller.Server
+	peers  *caller.Server
 }
 
 // Document implements uplink.Gateway.
@@ -61,6 +64,7 @@
 	}
 	if l.Install(catalog) {
 		l.server.SetLimits(callerLimits(catalog.Edge))
+		l.peers.SetLimits(callerLimits(catalog.Edge))
 	}
 	return nil
 }
@@ -86,7 +90,9 @@
 
 func runGateway(r *roleRun) error {
 	n := r.settings
-	g := &gateway{roleRun: r}
+	g := &gateway{roleRun: r, links: transport.NewLinks(n.Name, []byte(n.ClusterKey), linkDialTimeout, r.log)}
+	g.links.Meter(r.registry)
+	g.links.MeterDistances(n.Topology(), n.Domain, r.registry)
 	g.forward = forward.New(forward.Config{
 		Name:                n.Name,
 		Domain:              n.Domain,
@@ -100,22 +106,22 @@
 		DisablePromptCopies: !n.Prompts.Copies,
 		MoveLead:            n.Prompts.MoveAhead,
 		SocketBuffer:        n.Memory.SocketKB << 10,
+		SourceIP:            n.Bind,
 		MaxConnections:      n.MaxServerConnections(),
 	}, platform.Dialect{}, forward.WithLogger(r.log), forward.WithRegistry(r.registry), forward.WithSyncTrigger(func() { g.client.SyncNow() }), forward.WithLimitsTrigger(func() { g.client.SyncLimitsNow() }),
 		forward.WithRetriesTrigger(func() { g.client.RequestRetriesNow() }),
 		forward.WithQuotaTrigger(func() { g.client.SyncQuotaNow() }),
 		forward.WithMover(mover(n)),
 		forward.WithReporter(platform.Reporter{}),
+		forward.WithPeers(forward.PeerConfig{Address: g.passAddress(), Dial: g.links.DialRequests, MaxConnections: n.MaxPeerConnections(), Trigger: func() { g.client.FindPeersNow() }}),
 		forward.WithPlacer(func(m protocol.PlaceMsg) (protocol.PlaceReply, bool) { return g.client.Place(m) }))
-	g.server = caller.NewServer(g.forward, g.callerOptions()...)
+	g.server = caller.NewServer(g.forward, append(g.callerOptions(), caller.WithMaxConnections(n.MaxCallerConnections()))...)
+	g.peers = caller.NewServer(g.forward.PassHandler(), append(g.callerOptions(), caller.WithMaxConnections(n.MaxPeerConnections()))...)
 	seeds, err := r.seedPeerAddresses(n)
 	if err != nil {
 		return err
 	}
-	links := transport.NewLinks(n.Name, []byte(n.ClusterKey), linkDialTimeout, r.log)
-	links.Meter(r.registry)
-	links.MeterDistances(n.Topology(), n.Domain, r.registry)
-	g.client = uplink.New(links, gatewayLink{g.forward, g.server}, seeds, control.UnpackList, r.log, uplink.WithRegions(n.Topology(), n.Domain, n.Name), uplink.WithLimiter(g.forward), uplink.WithQuotas(g.forward), uplink.WithRetries(g.forward), uplink.WithPartHolder(g.forward))
+	g.client = uplink.New(g.links, gatewayLink{g.forward, g.server, g.peers}, seeds, control.UnpackList, r.log, uplink.WithRegions(n.Topology(), n.Domain, n.Name), uplink.WithLimiter(g.forward), uplink.WithQuotas(g.forward), uplink.WithRetries(g.forward), uplink.WithPartHolder(g.forward), uplink.WithPeerFinder(g.forward))
 	return g.run()
 }
 
@@ -130,19 +136,42 @@
 // callerOptions returns the options that bound the resources callers may use.
 func (g *gateway) callerOptions() []caller.Option {
 	n := g.settings
-	if limit := n.MaxCallerBytes(); limit > 0 {
+	if limit := n.MaxCallerBytes(); limit > 0 && g.memory == nil {
 		g.memory = caller.NewMemory(limit, g.registry)
 	}
 	return []caller.Option{
 		caller.WithMemory(g.memory),
 		caller.WithMinRate(caller.MinRate{Rate: n.Memory.Rate, Window: n.Memory.Window}),
 		caller.WithSocketBuffer(n.Memory.SocketKB << 10),
-		caller.WithMaxConnections(n.MaxCallerConnections()),
 		caller.WithLogger(g.log),
 		caller.WithRegistry(g.registry),
 	}
 }
 
+// passAddress returns the address on which the gateway takes requests from other gateways; empty if
+// it takes none, since the address is used for the metrics.
+func (g *gateway) passAddress() string {
+	if g.settings.Peer == g.settings.Metrics {
+		return ""
+	}
+	return g.settings.Peer
+}
+
+// servePeers serves requests that other gateways pass on until ctx ends.
+func (g *gateway) servePeers(ctx context.Context) error {
+	if g.passAddress() == "" {
+		return nil
+	}
+	ln, err := net.Listen("tcp", g.settings.Listen(g.passAddress()))
+	if err != nil {
+		return eris.Wrap(err, "listen for other gateways")
+	}
+	requests := g.links.ListenRequests(ln)
+	stop := context.AfterFunc(ctx, func() { _ = requests.Close() })
+	defer stop()
+	return g.peers.Serve(requests)
+}
+
 func (g *gateway) ready() bool { return !g.stopping.Load() && g.forward.Ready() }
 
 func (g *gateway) run() error {
@@ -158,6 +187,8 @@
 	eg.Go(func() error { return g.client.RunQuotas(ctx) })
 	eg.Go(func() error { return g.client.RunRetries(ctx) })
 	eg.Go(func() error { return g.client.RunParts(ctx) })
+	eg.Go(func() error { return g.client.RunPeers(ctx) })
+	eg.Go(func() error { return g.servePeers(ctx) })
 	eg.Go(func() error {
 		return serveHTTP(ctx, g.settings.Listen(g.settings.Ready), 1<<10, platform.Readiness(g.ready))
 	})
@@ -201,9 +232,11 @@
 	time.Sleep(min(unreadyDelay, grace/2))
 	g.forward.Close()
 	g.server.Drain()
+	g.peers.Drain()
 	ctx, cancel := context.WithDeadline(context.Background(), start.Add(grace-grace/shutdownReserveDivisor))
 	defer cancel()
 	g.server.Wait(ctx)
+	g.peers.Wait(ctx)
 	g.client.SyncNow() // Reports the final counts.
 	time.Sleep(min(shutdownTimeout/4, grace/shutdownReserveDivisor/2))
 	g.log.Info().Dur("after", time.Since(start)).Int("connections", g.server.Conns()).Msg("stopping: done")
@@ -225,13 +258,15 @@
 
 	HeldRequests int `json:"held_requests"` // HeldRequests is the number of quarantined requests, which are not sent to servers.
 
+	LostServers map[string]int `json:"lost_servers"` // LostServers is the number of servers that the gateway does not reach, by service.
+
 	LimitedServers []string `json:"limited_servers"` // LimitedServers are the servers that announce a request limit.
 
 	BodiesAtServers map[string]forward.InFlightRow `json:"bodies_at_servers"` // BodiesAtServers is the size of the request bodies in flight at servers, by service.
 }
 
 func (g *gateway) dump() any {
-	d := gatewayDump{Name: g.settings.Name, Domain: g.settings.Domain, Region: g.forward.Region(), Ready: g.ready(), Number: g.forward.Number(), AgeMS: -1, Connections: g.server.Conns(), Ways: g.forward.StatsByDistance(), PromptMemory: g.forward.DumpMemory(), Memory: g.memory.Status(), BodiesAtServers: g.forward.InFlight(), HeldRequests: g.forward.Held(), LimitedServers: g.forward.LimitedServers()}
+	d := gatewayDump{Name: g.settings.Name, Domain: g.settings.Domain, Region: g.forward.Region(), Ready: g.ready(), Number: g.forward.Number(), AgeMS: -1, Connections: g.server.Conns(), Ways: g.forward.StatsByDistance(), PromptMemory: g.forward.DumpMemory(), Memory: g.memory.Status(), BodiesAtServers: g.forward.InFlight(), HeldRequests: g.forward.Held(), LimitedServers: g.forward.LimitedServers(), LostServers: g.forward.LostServers()}
 	if age, ok := g.forward.Age(); ok {
 		d.AgeMS = age.Milliseconds()
 	}
--- a/coordination/reach/reach.go
+++ b/coordination/reach/reach.go
@@ -23,6 +23,9 @@
 	// lossWindow is how long a loss counts that was not seen again: probes repeat it far
 	// more often.
 	lossWindow = 10 * time.Second
+	// answerMemory is how long an answer speaks for the path to a server: a server under load
+	// may reset new connections while it answers on others.
+	answerMemory = 500 * time.Millisecond
 	// minLost is the number of unreachable servers of one service from which the path is
 	// suspected. One that fails alone is taken to have failed itself.
 	minLost = 2
@@ -30,7 +33,8 @@
 
 // Tracker keeps which servers one gateway does not reach.
 type Tracker struct {
-	lost map[string]loss // lost is keyed by server.
+	lost     map[string]loss      // lost is keyed by server.
+	answered map[string]time.Time // answered is when each server was last reached.
 }
 
 // loss is a server that could not be reached.
@@ -41,11 +45,16 @@
 }
 
 // NewTracker returns a tracker that has seen no failure.
-func NewTracker() *Tracker { return &Tracker{lost: map[string]loss{}} }
+func NewTracker() *Tracker {
+	return &Tracker{lost: map[string]loss{}, answered: map[string]time.Time{}}
+}
 
 // Lost records that a server could not be reached. It reports whether the server was reached
-// before.
-func (t *Tracker) Lost(server, service string, now time.Time) (isNew bool) {
+// before. A server that answered a moment ago is not lost, unless it refused the connection.
+func (t *Tracker) Lost(server, service string, refused bool, now time.Time) (isNew bool) {
+	if !refused && t.AnsweredWithin(server, answerMemory, now) {
+		return false
+	}
 	l, known := t.lost[server]
 	if !known {
 		l = loss{service: service, since: now}
@@ -58,6 +67,7 @@
 // Reached records that a server was reached, and returns for how long it had not been; false
 // if it was not lost.
 func (t *Tracker) Reached(server string, now time.Time) (after time.Duration, wasLost bool) {
+	t.answered[server] = now
 	l, wasLost := t.lost[server]
 	if !wasLost {
 		return 0, false
@@ -66,6 +76,12 @@
 	return now.Sub(l.since), true
 }
 
+// AnsweredWithin reports whether a server was reached within the time before now.
+func (t *Tracker) AnsweredWithin(server string, d time.Duration, now time.Time) bool {
+	at, ok := t.answered[server]
+	return ok && now.Sub(at) < d
+}
+
 // IsLost reports whether a server is not reached at present.
 func (t *Tracker) IsLost(server string, now time.Time) bool {
 	l, known := t.lost[server]
@@ -88,6 +104,20 @@
 	return t.Count(service, now) >= minLost
 }
 
+// Servers returns the servers of a service that are not reached, if the path to them is suspected:
+// requests should not be sent to them until a probe has succeeded.
+func (t *Tracker) Servers(service string, now time.Time) (servers []string) {
+	for server, l := range t.lost {
+		if l.service == service && now.Sub(l.seen) < lossWindow {
+			servers = append(servers, server)
+		}
+	}
+	if len(servers) < minLost {
+		return nil
+	}
+	return servers
+}
+
 // Counts returns the number of unreachable servers of each service that has any.
 func (t *Tracker) Counts(now time.Time) map[string]int {
 	counts := map[string]int{}
@@ -104,4 +134,5 @@
 	maps.DeleteFunc(t.lost, func(server string, l loss) bool {
 		return !listed(server) || now.Sub(l.seen) >= lossWindow
 	})
+	maps.DeleteFunc(t.answered, func(server string, _ time.Time) bool { return !listed(server) })
 }
--- a/internal/soak/cluster.go
+++ b/internal/soak/cluster.go
@@ -223,7 +223,7 @@
 	} else {
 		ip := gatewayIP(i)
 		text += fmt.Sprintf("memory_mb: %d\ndescriptors: 2000\n", cmp.Or(c.Size.MemoryMB, defaultMemoryMB))
-		text += fmt.Sprintf("caller: %s\nready: %s\npeer: %s\nmetrics: %s\n", hostPort(ip, c.ports.caller), hostPort(ip, c.ports.ready), hostPort(ip, c.ports.peer), hostPort(ip, c.ports.metrics))
+		text += fmt.Sprintf("caller: %s\nready: %s\npeer: %s\nmetrics: %s\nbind: %s\n", hostPort(ip, c.ports.caller), hostPort(ip, c.ports.ready), hostPort(ip, c.ports.peer), hostPort(ip, c.ports.metrics), ip)
 	}
 	return os.WriteFile(p.settingsFile, []byte(text), 0o600)
 }
@@ -232,13 +232,12 @@
 // are new ones. Callers, control instances and other gateways still reach it. The returned
 // function ends that.
 func (c *Cluster) CutOff(gateway int) (restore func()) {
-	p := c.procs[c.Size.Controls+gateway]
 	for _, proxy := range c.backendProxies {
-		proxy.CutOff(p.Opened)
+		proxy.CutOff(gatewayIP(gateway))
 	}
 	return func() {
 		for _, proxy := range c.backendProxies {
-			proxy.CutOff(nil)
+			proxy.CutOff("")
 		}
 	}
 }
--- a/internal/soak/proc.go
+++ b/internal/soak/proc.go
@@ -2,11 +2,9 @@
 
 import (
 	"fmt"
-	"net"
 	"os"
 	"os/exec"
 	"path/filepath"
-	"slices"
 	"strings"
 	"sync"
 	"syscall"
@@ -70,53 +68,6 @@
 	return kb
 }
 
-// Opened reports whether the process opened a connection that was accepted on this machine.
-func (p *Proc) Opened(accepted net.Conn) bool {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if p.cmd == nil {
-		return false
-	}
-	socket, ok := peerSocket(accepted)
-	if !ok {
-		return false
-	}
-	files, err := filepath.Glob(fmt.Sprintf("/proc/%d/fd/*", p.cmd.Process.Pid))
-	if err != nil {
-		return false
-	}
-	return slices.ContainsFunc(files, func(file string) bool {
-		target, err := os.Readlink(file)
-		return err == nil && target == socket
-	})
-}
-
-// peerSocket returns the name under which /proc lists the socket at the other end of a TCP
-// connection on this machine; false if it is closed.
-func peerSocket(accepted net.Conn) (name string, ok bool) {
-	local, okLocal := accepted.LocalAddr().(*net.TCPAddr)
-	remote, okRemote := accepted.RemoteAddr().(*net.TCPAddr)
-	data, err := os.ReadFile("/proc/net/tcp")
-	if !okLocal || !okRemote || err != nil {
-		return "", false
-	}
-	ends := procAddress(remote) + " " + procAddress(local)
-	for line := range strings.Lines(string(data)) {
-		fields := strings.Fields(line)
-		const inodeField = 9
-		if len(fields) > inodeField && fields[1]+" "+fields[2] == ends {
-			return "socket:[" + fields[inodeField] + "]", true
-		}
-	}
-	return "", false
-}
-
-// procAddress formats an IPv4 address as in /proc/net/tcp: the bytes of the IP in reverse order.
-func procAddress(a *net.TCPAddr) string {
-	ip := a.IP.To4()
-	return fmt.Sprintf("%02X%02X%02X%02X:%04X", ip[3], ip[2], ip[1], ip[0], a.Port)
-}
-
 // Signal sends a signal to the process if it runs.
 func (p *Proc) Signal(s syscall.Signal) error {
 	p.mu.Lock()
--- a/internal/soak/proxy.go
+++ b/internal/soak/proxy.go
@@ -35,8 +35,8 @@
 	paths  *RegionPaths // paths are the paths between regions; nil without regions, or where the proxy is within one.
 	region int          // region is the region of the process behind the proxy.
 
-	mu    sync.Mutex          // mu guards the fields below.
-	isCut func(net.Conn) bool // isCut reports whether the process that opened a connection is cut off; nil if none is.
+	mu    sync.Mutex // mu guards the fields below.
+	cut   string     // cut is the IP address whose connections are reset; empty for none.
 	link  Link
 	wake  chan struct{} // wake is closed and replaced when link changes.
 	conns map[net.Conn]struct{}
@@ -92,25 +92,24 @@
 	_ = c.Close()
 }
 
-// CutOff resets the connections of the processes for which isCut returns true, and those that
-// they open from now on. With nil, nothing is cut off.
-func (p *Proxy) CutOff(isCut func(net.Conn) bool) {
+// CutOff resets the connections that come from an IP address, and those that come from it from
+// now on. With an empty address, nothing is cut off.
+func (p *Proxy) CutOff(ip string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.isCut = isCut
+	p.cut = ip
 	for c := range p.conns {
-		if isCut != nil && isCut(c) {
+		if p.refuses(c) {
 			resetConn(c)
 		}
 	}
 }
 
-// refuses reports whether a connection comes from a process that is cut off.
+// refuses reports whether a connection comes from the address that is cut off. The caller must hold
+// p.mu.
 func (p *Proxy) refuses(c net.Conn) bool {
-	p.mu.Lock()
-	isCut := p.isCut
-	p.mu.Unlock()
-	return isCut != nil && isCut(c)
+	from, ok := c.RemoteAddr().(*net.TCPAddr)
+	return ok && p.cut != "" && from.IP.String() == p.cut
 }
 
 // Close closes the listener and all connections.
@@ -130,30 +129,33 @@
 	}
 }
 
-func (p *Proxy) track(c net.Conn, add bool) {
+// track adds a connection to those that can be reset, and reports false if it is to be reset at once.
+func (p *Proxy) track(c net.Conn) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.conns[c] = struct{}{}
+	return !p.refuses(c)
+}
+
+func (p *Proxy) untrack(c net.Conn) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if add {
-		p.conns[c] = struct{}{}
-		return
-	}
 	delete(p.conns, c)
 }
 
 func (p *Proxy) forward(c net.Conn) {
-	if p.refuses(c) {
+	defer p.untrack(c)
+	if !p.track(c) {
 		resetConn(c)
 		return
 	}
-	p.track(c, true)
-	defer p.track(c, false)
 	defer closeConn(c)
 	s, err := net.Dial("tcp", p.target)
 	if err != nil {
 		return
 	}
-	p.track(s, true)
-	defer p.track(s, false)
+	p.track(s)
+	defer p.untrack(s)
 	defer closeConn(s)
 	if p.paths != nil {
 		p.forwardBetweenRegions(c, s)
--- a/internal/tcp/tcp.go
+++ b/internal/tcp/tcp.go
@@ -29,7 +29,17 @@
 // acknowledged nothing for ackTimeout, which should be long enough that several packets in
 // a row must be lost.
 func Dial(address string, limit, ackTimeout time.Duration) (net.Conn, error) {
-	conn, err := net.DialTimeout("tcp", address, limit)
+	return DialFrom("", address, limit, ackTimeout)
+}
+
+// DialFrom is Dial with the IP address that the connection comes from; empty for the kernel's
+// choice.
+func DialFrom(source, address string, limit, ackTimeout time.Duration) (net.Conn, error) {
+	dialer := net.Dialer{Timeout: limit}
+	if source != "" {
+		dialer.LocalAddr = &net.TCPAddr{IP: net.ParseIP(source)}
+	}
+	conn, err := dialer.Dial("tcp", address)
 	if err != nil {
 		return nil, err
 	}
--- a/protocol/refusal.go
+++ b/protocol/refusal.go
@@ -33,6 +33,7 @@
 	CodeOverloaded     Code = "overloaded"
 	CodeMemory         Code = "memory"
 	CodeNoBackend      Code = "no_backend"
+	CodeNoPath         Code = "no_path"
 	CodeBackendFailed  Code = "backend_failed"
 	CodeDeadline       Code = "deadline"
 	CodeLeaving        Code = "instance_leaving"
--- a/settings/node.go
+++ b/settings/node.go
@@ -24,9 +24,9 @@
 	Caller      string            `yaml:"caller" validate:"omitempty,ipport"`               // Caller is the address that callers of a gateway connect to.
 	Ready       string            `yaml:"ready" validate:"omitempty,ipport"`                // Ready is the address of the readiness endpoint that the load balancer polls on a gateway.
 	Operator    string            `yaml:"operator" validate:"omitempty,ipport"`             // Operator is the address of the operator API of a control instance.
-	Peer        string            `yaml:"peer" validate:"required,ipport"`                  // Peer is the address on which a control instance serves the other instances.
+	Peer        string            `yaml:"peer" validate:"required,ipport"`                  // Peer is the address on which a control instance serves the other instances, and a gateway serves requests that other gateways pass on; a gateway does not if it equals metrics.
 	Metrics     string            `yaml:"metrics" validate:"omitempty,ipport"`              // Metrics is the address that serves the metrics and the state dump.
-	Bind        string            `yaml:"bind" validate:"omitempty,ip"`                     // Bind is the IP address to listen on if the addresses above are those of a proxy in front of the process.
+	Bind        string            `yaml:"bind" validate:"omitempty,ip"`                     // Bind is the IP address to listen on if the addresses above are those of a proxy in front of the process; connections of a gateway to backend servers come from it.
 	DataDir     string            `yaml:"data_dir"`                                         // DataDir is the data directory of a control instance.
 	Seeds       []string          `yaml:"seeds" validate:"required,min=1,dive,ipport"`      // Seeds are the operator addresses of the control instances to contact first.
 	Found       bool              `yaml:"found"`                                            // Found lets the seeds found the replication group; set it only for the first start of the cluster.
@@ -58,6 +58,9 @@
 	// one half: a request needs one descriptor for its caller and at most one for a server,
 	// and some server connections are idle.
 	callerShare = 0.45
+	// peerShare is the share of the other descriptors that requests from other gateways may
+	// use, and the share that requests passed on to other gateways may use.
+	peerShare = 0.06
 )
 
 // MaxCallerBytes returns the number of bytes that may be held for callers; 0 sets no limit.
@@ -78,7 +81,16 @@
 	if n.Descriptors == 0 {
 		return 0
 	}
-	return max(1, n.Descriptors-reservedDescriptors-n.MaxCallerConnections())
+	return max(1, n.Descriptors-reservedDescriptors-n.MaxCallerConnections()-2*n.MaxPeerConnections())
+}
+
+// MaxPeerConnections returns the maximum number of connections from other gateways, which is also
+// that of connections to them; 0 sets no limit.
+func (n *Node) MaxPeerConnections() int {
+	if n.Descriptors == 0 {
+		return 0
+	}
+	return max(1, int(peerShare*float64(n.Descriptors-reservedDescriptors)))
 }
 
 // minCallerBytes is the smallest useful limit: two bodies of the default maximum size, of
--- a/settings/node_test.go
+++ b/settings/node_test.go
@@ -93,8 +93,11 @@
 		t.Errorf("without limits: %d bytes and %d connections, want 0", n.MaxCallerBytes(), n.MaxCallerConnections())
 	}
 	n.MemoryMB, n.Descriptors = 200, 4264
-	if n.MaxCallerBytes() != 80<<20 || n.MaxCallerConnections() != 1800 || n.MaxServerConnections() != 2200 {
-		t.Errorf("%d bytes and %d connections", n.MaxCallerBytes(), n.MaxCallerConnections())
+	if n.MaxCallerBytes() != 80<<20 || n.MaxCallerConnections() != 1800 || n.MaxServerConnections() != 1720 || n.MaxPeerConnections() != 240 {
+		t.Errorf("%d bytes, and %d, %d and %d connections of callers, servers and other gateways", n.MaxCallerBytes(), n.MaxCallerConnections(), n.MaxServerConnections(), n.MaxPeerConnections())
+	}
+	if sum := n.MaxCallerConnections() + n.MaxServerConnections() + 2*n.MaxPeerConnections(); sum > n.Descriptors-reservedDescriptors {
+		t.Errorf("%d connections altogether, with %d descriptors", sum, n.Descriptors)
 	}
 	n.Memory.Fraction = 0
 	if n.MaxCallerBytes() != 0 {
--- a/transport/backend/backend.go
+++ b/transport/backend/backend.go
@@ -232,6 +232,7 @@
 
 // Pool keeps idle connections by server ID.
 type Pool struct {
+	dial           DialFunc
 	dialTimeout    time.Duration
 	stallTimeout   time.Duration
 	socketBuffer   int
@@ -244,9 +245,20 @@
 	inUse          map[string]map[*Conn]struct{}
 }
 
+// DialFunc opens a connection to an address within a limit.
+type DialFunc func(address string, limit time.Duration) (net.Conn, error)
+
+// DialServers returns a DialFunc for backend servers, whose connections come from an IP address;
+// empty for the kernel's choice.
+func DialServers(source string) DialFunc {
+	return func(address string, limit time.Duration) (net.Conn, error) {
+		return tcp.DialFrom(source, address, limit, ackTimeout)
+	}
+}
+
 // NewPool returns a pool with the given timeout for connects.
 func NewPool(dial time.Duration, opts ...PoolOption) *Pool {
-	p := &Pool{dialTimeout: dial, stallTimeout: defaultStallTimeout, idle: map[string][]*Conn{}, inUse: map[string]map[*Conn]struct{}{}}
+	p := &Pool{dial: DialServers(""), dialTimeout: dial, stallTimeout: defaultStallTimeout, idle: map[string][]*Conn{}, inUse: map[string]map[*Conn]struct{}{}}
 	for _, opt := range opts {
 		opt(p)
 	}
@@ -318,7 +330,7 @@
 		return nil, ErrTooManyConnections
 	}
 	started := time.Now()
-	conn, err := tcp.Dial(address, limit, ackTimeout)
+	conn, err := p.dial(address, limit)
 	if err != nil {
 		p.openCount.Add(-1)
 		return nil, eris.Wrap(err, "connect")
--- a/transport/backend/progress.go
+++ b/transport/backend/progress.go
@@ -71,6 +71,9 @@
 // WithMaxConnections bounds the connections to all servers together; 0 for no bound.
 func WithMaxConnections(n int) PoolOption { return func(p *Pool) { p.maxConnections = n } }
 
+// WithDialer sets the function that opens connections.
+func WithDialer(dial DialFunc) PoolOption { return func(p *Pool) { p.dial = dial } }
+
 // ErrTooManyConnections is returned when no connection may be opened and there is no idle one
 // to close.
 var ErrTooManyConnections = eris.New("there are too many connections to servers")
--- a/transport/control/uplink.go
+++ b/transport/control/uplink.go
@@ -15,6 +15,7 @@
 	"github.com/weldstream/weldstream/coordination/place"
 	"github.com/weldstream/weldstream/coordination/quarantine"
 	"github.com/weldstream/weldstream/coordination/quota"
+	"github.com/weldstream/weldstream/coordination/reach"
 	"github.com/weldstream/weldstream/coordination/retry"
 	"github.com/weldstream/weldstream/coordination/topology"
 	"github.com/weldstream/weldstream/coordination/usage"
@@ -87,6 +88,7 @@
 	retries            *retry.Ledger                 // retries lends the extra of the retry budgets.
 	permits            *backpressure.PermitAllocator // permits holds the servers with rate limits.
 	serverIncarnations place.Incarnations            // serverIncarnations are the newest incarnations of the servers, over all terms.
+	directory          *reach.Directory              // directory holds the gateways that take requests from others.
 	unannounced        map[serviceVersion]time.Time  // unannounced maps versions without an order to when they were first listed.
 }
 
@@ -214,6 +216,7 @@
 	u.readings = place.NewPrefillLog()
 	u.quarantine = quarantine.NewCoordinator()
 	u.permits = backpressure.NewPermitAllocator()
+	u.directory = reach.NewDirectory()
 	u.resetShares()
 	u.appliedRollouts, u.activeRollouts, u.unannounced = 0, nil, map[serviceVersion]time.Time{}
 	if u.catalog != nil {
--- a/transport/forward/attempt.go
+++ b/transport/forward/attempt.go
@@ -64,8 +64,8 @@
 		x.tried = append(x.tried, server.ID) // A moved run may return to its source.
 	}
 	conn, refusal := x.connect(server)
-	if refusal != nil {
-		return refusal
+	if conn == nil {
+		return refusal // It is nil if another gateway answered.
 	}
 	if refusal := x.quarantineRefusal(true); refusal != nil { // Another send of the same request took the trial in the meantime.
 		conn.Close()
@@ -87,7 +87,7 @@
 }
 
 // connect returns a connection to a server over which the request may be sent, or the reason
-// why there is none.
+// why there is none. It returns neither if another gateway answered the request.
 func (x *exchange) connect(server *place.Server) (*backend.Conn, *protocol.Refusal) {
 	conn, err := x.g.pool.Get(server.ID, server.Address, clock.Monotonic(x.deadline))
 	if errors.Is(err, backend.ErrTooManyConnections) {
@@ -95,9 +95,11 @@
 	}
 	if err != nil {
 		x.g.recordConnect(server, 0, true)
-		x.g.recordLost(server, err.Error())
+		if x.timeLeft() > 0 { // Otherwise the connect may have had too little time.
+			x.g.recordLost(server, err)
+		}
 		x.distrust(server, true)
-		return nil, x.afterFailure(protocol.NotRun, false, "the server cannot be reached: "+err.Error())
+		return nil, x.unreachable(err)
 	}
 	// A moved run was authorized when it started, and is still the same run.
 	if x.workspace != nil && !x.route.Open && x.continuation == nil && !x.g.catalogFresh() {
@@ -196,7 +198,11 @@
 		Weights:      x.continuationWeights(),
 		LastEvent:    x.events.last,
 	})
+	sentAt := clock.Now()
+	unheard := time.AfterFunc(silenceTimeout, func() { x.g.checkSilence(x.service, sentAt) })
+	defer unheard.Stop()
 	early, err := t.conn.Exchange(x.out, x.resp, clock.Monotonic(x.deadline).Add(time.Second))
+	unheard.Stop()
 	t.earlyAnswer = early
 	for skipped := 0; err == nil; skipped++ {
 		t.reply = x.g.dialect.Reply(&x.resp.Header)
@@ -275,6 +281,7 @@
 		t.observeCallerGone(time.Now())
 		return callerGone().WithVerdict(protocol.MayHaveRun)
 	}
+	t.recordUnanswered(err)
 	if t.conn.Wrote() {
 		t.observeFailure()
 	}
@@ -290,7 +297,6 @@
 		// answers are lost, only those that a crash hits before they start did not run.
 		t.x.countUsage()
 	}
-	t.recordUnanswered(err)
 	t.recordBodyCrash(err)
 	t.recordBrokenConnection(err)
 	t.x.distrust(t.server, false)
@@ -300,8 +306,8 @@
 // recordUnanswered records that a new connection brought no answer. A kept one may have been
 // closed by the server in the moment in which it was used.
 func (t *serverAttempt) recordUnanswered(err error) {
-	if !t.conn.Used() && !t.x.headWritten && t.reply.ID == "" {
-		t.x.g.recordLost(t.server, err.Error())
+	if !t.conn.Used() && !t.x.headWritten && t.reply.ID == "" && t.x.ctx.Err() == nil {
+		t.x.g.recordLost(t.server, err)
 	}
 }
 
--- a/transport/forward/crash.go
+++ b/transport/forward/crash.go
@@ -95,6 +95,9 @@
 	g.crashes.mu.Unlock()
 	switch presence {
 	case tcp.PresenceEnded:
+		if g.refusedByPath(s) {
+			break
+		}
 		g.meters.serversCrashed.Inc(1)
 		g.recordCrash(s.ID, runs)
 	case tcp.PresenceUp:
--- a/transport/forward/dialect.go
+++ b/transport/forward/dialect.go
@@ -16,6 +16,9 @@
 	// Attempt builds the request for one attempt from the caller's request in. Method, path
 	// and body stay unchanged.
 	Attempt(out, in *fasthttp.Request, a Attempt)
+	// Pass builds the request that is passed on to another gateway from the caller's request in,
+	// with the time that is left for it.
+	Pass(out, in *fasthttp.Request, remaining time.Duration)
 	// Reply reads the metadata of a server's answer.
 	Reply(h *fasthttp.ResponseHeader) Reply
 	// Answer builds the head of the caller's answer from the server's answer in.
--- a/transport/forward/exchange.go
+++ b/transport/forward/exchange.go
@@ -28,6 +28,7 @@
 	call      protocol.Call
 	log       zerolog.Logger
 
+	passed       string // passed is the mark of a request that another gateway passed on; empty for one of a caller.
 	index        *Index
 	route        *protocol.PathRoute
 	workspace    *protocol.WorkspaceSpec // workspace is nil on a route that needs none.
@@ -89,19 +90,32 @@
 	refusal := x.admit()
 	x.answer.SetOwner(x.call.ID, x.workspaceName())
 	x.log = x.g.log.With().Str("request", x.call.ID).Str("workspace", x.workspaceName()).Str("route", x.routeName()).Logger()
+	if refusal == nil {
+		refusal = x.serve()
+	}
 	if refusal != nil {
 		x.refuse(refusal)
-		return
+	}
+}
+
+// serve passes the request on to another gateway or sends it to servers. It returns nil if the
+// request was answered.
+func (x *exchange) serve() *protocol.Refusal {
+	if x.passesOn() {
+		if refusal := x.pass(passNew); refusal != errRetry {
+			return refusal
+		}
+	}
+	if refusal := x.refuseWithoutPath(); refusal != nil {
+		return refusal
+	}
+	if refusal := x.takeWorkspaceQuota(); refusal != nil {
+		return refusal
 	}
 	x.recordArrival()
 	for {
-		refusal := x.attempt()
-		if refusal == nil {
-			return
-		}
-		if refusal != errRetry {
-			x.refuse(refusal)
-			return
+		if refusal := x.attempt(); refusal != errRetry {
+			return refusal
 		}
 	}
 }
@@ -138,10 +152,13 @@
 	if x.call.LastEvent != "" {
 		x.events.last, x.events.hasLast = x.call.LastEvent, true
 	}
-	if refusal := x.quarantineRefusal(false); refusal != nil {
-		return refusal // Checked before the quota, so that it does not consume any.
-	}
-	if x.workspace == nil {
+	return x.quarantineRefusal(false) // Checked before the quota, so that it does not consume any.
+}
+
+// takeWorkspaceQuota takes the request's units from the quota of its workspace, unless the gateway
+// that passed it on has done so.
+func (x *exchange) takeWorkspaceQuota() *protocol.Refusal {
+	if x.workspace == nil || x.passed == passCounted {
 		return nil
 	}
 	return x.takeQuota(x.call.Cost(x.workspace))
@@ -217,6 +234,7 @@
 	resp := fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseResponse(resp)
 	x.g.dialect.Refuse(resp, x.call.ID, r)
+	x.markUnserved(resp, r)
 	_ = x.answer.WriteResponse(resp) // A disconnected caller takes no answer.
 }
 
--- a/transport/forward/forward.go
+++ b/transport/forward/forward.go
@@ -12,7 +12,7 @@
 //	                                           └─ resend ◄┘
 //
 // Locks are taken in this order: Gateway.viewMu, Gateway.mu (limits), then the lock of a
-// server's statistics, of runMoves, of feedbackState, of quarantineState, of retryBudgets or of reachState. The catalog
+// server's statistics, of runMoves, of feedbackState, of quarantineState, of retryBudgets, of reachState or of peerState. The catalog
 // and the view of servers are immutable and read through atomic pointers.
 package forward
 
@@ -56,6 +56,7 @@
 	DisablePromptCopies bool               // DisablePromptCopies stops servers from copying shared parts of prompts from each other.
 	MoveLead            time.Duration      // MoveLead is how long before a leaving server ends its answers are moved; 0 for as soon as its departure is known.
 	MaxConnections      int                // MaxConnections bounds the connections to all servers together; 0 for no bound.
+	SourceIP            string             // SourceIP is the address that connections to servers come from; empty for the kernel's choice.
 	SocketBuffer        int                // SocketBuffer is the size in bytes of the kernel's buffer for each direction of a server's connection; 0 for the kernel's default.
 }
 
@@ -87,6 +88,7 @@
 	feedback   feedbackState
 	retries    retryBudgets
 	reach      reachState
+	peers      peerState
 
 	viewMu sync.Mutex // viewMu is held while the view is rebuilt, by the link to the leader or after a departure notice.
 
@@ -141,7 +143,7 @@
 		cfg:              cfg,
 		dialect:          d,
 		log:              zerolog.Nop(),
-		pool:             backend.NewPool(dialTimeout, backend.WithSocketBuffer(cfg.SocketBuffer), backend.WithMaxConnections(cfg.MaxConnections)),
+		pool:             backend.NewPool(dialTimeout, backend.WithDialer(backend.DialServers(cfg.SourceIP)), backend.WithSocketBuffer(cfg.SocketBuffer), backend.WithMaxConnections(cfg.MaxConnections)),
 		triggerSync:      func() {},
 		triggerLimits:    func() {},
 		requestPlacement: func(protocol.PlaceMsg) (protocol.PlaceReply, bool) { return protocol.PlaceReply{}, false },
@@ -161,7 +163,7 @@
 	}
 	g.moves.init()
 	g.retries.init(cfg.RetryRatio, cfg.RetryWindow)
-	g.reach.tracker = reach.NewTracker()
+	g.reach.tracker, g.reach.silence = reach.NewTracker(), map[string]*silence{}
 	g.feedback.limits, g.feedback.replied = backpressure.NewLimits(backpressure.WithRandom(rand.Float64)), make(chan struct{})
 	g.prompts.holders = place.NewHolders(cfg.Topology)
 	if g.meters == nil {
--- a/transport/forward/forward_test.go
+++ b/transport/forward/forward_test.go
@@ -60,6 +60,12 @@
 	out.SetBodyRaw(in.Body())
 }
 
+func (testDialect) Pass(out, in *fasthttp.Request, remaining time.Duration) {
+	in.Header.CopyTo(&out.Header)
+	out.Header.Set("Remaining", strconv.FormatInt(remaining.Milliseconds(), 10))
+	out.SetBodyRaw(in.Body())
+}
+
 func (testDialect) Reply(h *fasthttp.ResponseHeader) Reply {
 	return Reply{ID: string(h.Peek("Id")), NotRun: len(h.Peek("Not-Run")) > 0, Foreign: len(h.Peek("Foreign")) > 0, Weights: string(h.Peek("Weights")), Close: h.ConnectionClose(), Feedback: parseFeedback(h)}
 }
--- a/transport/forward/limits.go
+++ b/transport/forward/limits.go
@@ -70,7 +70,9 @@
 	defer g.mu.Unlock()
 	now := clock.Now()
 	p := g.servicePressure(x.service)
-	g.retries.recordRequest(x.service, now)
+	if x.passed != passCounted {
+		g.retries.recordRequest(x.service, now)
+	}
 	x.lane, x.laneShares = p.lanes.Observe(x.call.PromptTokens, x.call.SharedTokens())
 	x.relativeSize = p.lanes.RelativeSize(x.call.PromptTokens)
 }
@@ -157,7 +159,7 @@
 	defer g.mu.Unlock()
 	now := clock.Now()
 	since := now.Sub(g.startedAt)
-	m := protocol.SyncMsg{Gateway: g.cfg.Name, Term: term, Number: g.Number(), Clock: g.clock.Local(since), Usage: g.usageCounter.Rows(term, g.clock.Now(since)), Counted: g.clock.Now(since), Domain: g.cfg.Domain, Running: g.view.Load().Running(), Distrusts: g.view.Load().Distrusts(now)}
+	m := protocol.SyncMsg{Gateway: g.cfg.Name, Term: term, Number: g.Number(), Clock: g.clock.Local(since), Usage: g.usageCounter.Rows(term, g.clock.Now(since)), Counted: g.clock.Now(since), Domain: g.cfg.Domain, Running: g.view.Load().Running(), Distrusts: g.reportableDistrusts(now)}
 	if !g.separateQuota {
 		m.Wants = g.allowance.Wants(now)
 		m.Done, g.finishedPlacements = g.finishedPlacements, nil // If the message is lost, the leader forgets the placements after a timeout.
--- a/transport/forward/memory.go
+++ b/transport/forward/memory.go
@@ -102,9 +102,10 @@
 }
 
 // excluded returns the servers to which the request is not sent: those that had it before,
-// those without memory for its body, and those that accept no requests at present.
+// those without memory for its body, those that accept no requests at present, and those that are
+// not reached.
 func (x *exchange) excluded() []string {
-	return slices.Concat(x.tried, x.fullServers(), x.unavailable)
+	return slices.Concat(x.tried, x.fullServers(), x.unavailable, x.g.lostServers(x.service))
 }
 
 // refuseServersFull refuses a request whose body fits no server.
@@ -154,7 +155,7 @@
 // crash. A leaving server ends requests because it leaves, which says nothing about its
 // memory.
 func (t *serverAttempt) recordBodyCrash(err error) {
-	if t.x.countedBodyBytes() == 0 || !isCrash(err) {
+	if t.x.countedBodyBytes() == 0 || !isCrash(err) || t.x.g.pathSuspected(t.x.service) {
 		return
 	}
 	if s := t.x.g.view.Load().Find(t.server.ID); s != nil && s.Leaving {
--- a/transport/forward/meters.go
+++ b/transport/forward/meters.go
@@ -38,6 +38,11 @@
 	backoffs         metrics.Counter // backoffs counts how often servers asked for backoff.
 	limitChanges     metrics.Counter // limitChanges counts how often servers changed their request limit.
 	limitRefused     metrics.Counter // limitRefused counts requests refused because all servers were at their limits.
+	probes           metrics.Counter // probes counts connections opened to see whether a server is reached.
+	passes           metrics.Counter // passes counts requests that another gateway answered.
+	passesUntaken    metrics.Counter // passesUntaken counts requests that no other gateway took.
+	passesLost       metrics.Counter // passesLost counts requests whose answer did not come from another gateway.
+	passesServed     metrics.Counter // passesServed counts requests that other gateways passed on to this one.
 	promptCopies     metrics.Counter // promptCopies counts requests whose server was told to copy from another one.
 
 	registry metrics.Registry
@@ -89,6 +94,11 @@
 		backoffs:          metrics.GetOrRegisterCounter("servers.rests", r),
 		limitChanges:      metrics.GetOrRegisterCounter("servers.limits", r),
 		limitRefused:      metrics.GetOrRegisterCounter("limits.refused", r),
+		probes:            metrics.GetOrRegisterCounter("servers.probed", r),
+		passes:            metrics.GetOrRegisterCounter("passes", r),
+		passesUntaken:     metrics.GetOrRegisterCounter("passes.untaken", r),
+		passesLost:        metrics.GetOrRegisterCounter("passes.lost", r),
+		passesServed:      metrics.GetOrRegisterCounter("passes.served", r),
 		promptCopies:      metrics.GetOrRegisterCounter("copies", r),
 		distances:         newDistanceMeters(r),
 		registry:          r,
--- a/transport/forward/stream.go
+++ b/transport/forward/stream.go
@@ -51,6 +51,7 @@
 		return callerGone().WithVerdict(protocol.MayHaveRun)
 	}
 	now := time.Now()
+	x.g.heard(x.service)
 	t.recordEvents(now)
 	if !x.eventsAt.IsZero() {
 		x.maxGap = max(x.maxGap, now.Sub(x.eventsAt))
--- a/transport/forward/trial.go
+++ b/transport/forward/trial.go
@@ -232,7 +232,12 @@
 }
 
 // observeFailure records a failed answer.
-func (t *serverAttempt) observeFailure() { t.observe(rollout.Answer{Failed: true}) }
+func (t *serverAttempt) observeFailure() {
+	if t.x.g.pathSuspected(t.x.service) {
+		return // It says nothing of the version.
+	}
+	t.observe(rollout.Answer{Failed: true})
+}
 
 // observeCallerGone records an answer whose caller disconnected. It counts only after the
 // target latency: the answer then took at least that long.
--- /dev/null
+++ b/transport/uplink/peers.go
@@ -0,0 +1,55 @@
+package uplink
+
+import (
+	"context"
+	"time"
+
+	"github.com/weldstream/weldstream/coordination/reach"
+	"github.com/weldstream/weldstream/internal/pause"
+	"github.com/weldstream/weldstream/protocol"
+)
+
+// PeerFinder is a gateway that may pass requests on to other gateways.
+type PeerFinder interface {
+	// ReportPeers returns what other gateways need to know of this one.
+	ReportPeers() protocol.PeersMsg
+	// SetPeers sets the gateways that requests may be passed on to, best first.
+	SetPeers(peers []protocol.Peer)
+}
+
+// WithPeerFinder sets the gateway that may pass requests on. Without it, no other gateways are
+// asked for.
+func WithPeerFinder(f PeerFinder) Option { return func(c *Client) { c.peerFinder = f } }
+
+// FindPeersNow makes RunPeers contact the leader immediately.
+func (c *Client) FindPeersNow() {
+	select {
+	case c.peersNow <- struct{}{}:
+	default: // A request is already pending.
+	}
+}
+
+// minPeersInterval bounds how often FindPeersNow has an effect.
+const minPeersInterval = 100 * time.Millisecond
+
+// RunPeers tells the leader what the gateway does not reach and asks it for other gateways, until
+// ctx ends. While no leader answers, the gateways named last stay in use.
+func (c *Client) RunPeers(ctx context.Context) error {
+	interval := time.Duration(0)
+	for pause.Until(ctx, interval, c.peersNow) && pause.For(ctx, min(interval, minPeersInterval)) {
+		m := c.peerFinder.ReportPeers()
+		m.Life = c.incarnation
+		interval = reach.ReportInterval
+		if len(m.Lost) > 0 {
+			interval = reach.LossReportInterval
+		}
+		var reply protocol.PeersReply
+		if err := c.callLink("Uplink.Peers", m, &reply); err != nil || !reply.Leads {
+			c.log.Debug().Err(err).Msg("no leader answered the request for other gateways")
+			interval = reach.LossReportInterval
+			continue
+		}
+		c.peerFinder.SetPeers(reply.Peers)
+	}
+	return nil
+}
--- a/transport/uplink/uplink.go
+++ b/transport/uplink/uplink.go
@@ -112,6 +112,7 @@
 	limiter     Limiter        // limiter is nil if no server limits are enforced.
 	quotas      QuotaRequester // quotas is nil if quota demand is part of the sync reports.
 	retries     RetryBorrower  // retries is nil if no retries are borrowed.
+	peerFinder  PeerFinder     // peerFinder is nil if no other gateways are asked for.
 	parts       PartHolder     // parts is nil if no part is requested.
 	unpack      func([]byte) (protocol.ServerList, error)
 	topology    *topology.Topology
@@ -123,6 +124,7 @@
 	separateQuota  atomic.Bool  // separateQuota says that quota is requested in separate calls.
 	noQuotaLeader  atomic.Value // noQuotaLeader is the address of the last leader without support for separate quota calls.
 	retriesNow     chan struct{}
+	peersNow       chan struct{}
 	limitsNow      chan struct{}
 	limitsOutdated atomic.Bool  // limitsOutdated says that the leader has limits that the gateway does not have yet.
 	gatewayCount   atomic.Int64 // gatewayCount is the number of gateways, for use outside the main loop.
@@ -180,6 +182,7 @@
 		syncNow:        make(chan struct{}, 1),
 		quotaNow:       make(chan struct{}, 1),
 		retriesNow:     make(chan struct{}, 1),
+		peersNow:       make(chan struct{}, 1),
 		limitsNow:      make(chan struct{}, 1),
 		seeds:          seeds,
 		queried:        map[string]bool{},
