The soak cuts gateways off from all servers and makes servers brittle

A period in which servers are brittle is broken if they fall over more than 2 and a tenth of their number times.

--- a/cmd/weldsoak/main.go
+++ b/cmd/weldsoak/main.go
@@ -40,6 +40,8 @@
 	flag.BoolVar(&kinds.crash, "crash", false, "also send requests that crash every server that runs them")
 	flag.BoolVar(&kinds.restarts, "restarts", false, "also kill all gateways at once, and the leader with them, while servers reject most requests")
 	flag.BoolVar(&kinds.backpressure, "words", false, "also let servers announce request limits and ask for pauses")
+	flag.BoolVar(&kinds.cutOffs, "cut", false, "also cut gateways off from all backend servers")
+	flag.BoolVar(&kinds.brittle, "brittle", false, "also let servers be brittle, which fall over under requests that they have to reject")
 	earlier := earlierBuild{}
 	flag.StringVar(&earlier.program, "earlier", "", "`program` of an earlier build of the daemon, for some of the processes")
 	mix := flag.String("mix", string(soak.MixUpgrade), "processes that run the earlier build: gateways, controls, first (every process until its first restart) or last (every process after its first restart)")
@@ -53,6 +55,7 @@
 		flag.Usage()
 		return 2
 	}
+	size.Sources = kinds.cutOffs
 	if kinds.restarts {
 		size.RetryRatio = soak.RestartRetryRatio
 	}
@@ -100,7 +103,7 @@
 }
 
 // planKinds are the kinds of steps that are added to a plan.
-type planKinds struct{ reclaim, crash, backpressure, restarts bool }
+type planKinds struct{ reclaim, crash, backpressure, restarts, cutOffs, brittle bool }
 
 func (k planKinds) addTo(p soak.Plan, size soak.Size) soak.Plan {
 	if k.reclaim {
@@ -115,6 +118,12 @@
 	if k.restarts {
 		p = p.WithRestarts()
 	}
+	if k.cutOffs {
+		p = p.WithCutOffs(size)
+	}
+	if k.brittle {
+		p = p.WithBrittleServers()
+	}
 	return p
 }
 
--- a/internal/soak/brittle_test.go
+++ b/internal/soak/brittle_test.go
@@ -31,10 +31,6 @@
 	minRoomUsed = 0.6
 )
 
-// allowedFalls is how many times brittle servers may fall over in one period: 2, and a tenth of
-// their number.
-func allowedFalls(servers int) int { return 2 + servers/10 }
-
 // TestBrittleServersStayUp guards against servers that fall over under the requests that they have
 // to reject: gateways sent them more than they had room for, each without regard to the others.
 func TestBrittleServersStayUp(t *testing.T) {
@@ -52,7 +48,7 @@
 			c, k, _ := startCluster(t, Size{Controls: 3, Gateways: 4, Backends: 4})
 			for _, b := range c.Backends {
 				b.Pause = brittlePause
-				b.SetBrittle(brittleSlots, manyRequests, brittleRejections, brittleDown)
+				b.SetBrittle(brittleSlots, unlimitedRoom, brittleRejections, brittleDown)
 			}
 			for g, address := range c.Callers() {
 				waitUntilServed(t, address, fmt.Sprint("before-", g))
@@ -79,9 +75,6 @@
 	}
 }
 
-// manyRequests is more than the callers of a test send at once.
-const manyRequests = 1000
-
 // startManyCallers starts brittleCallers callers at each gateway, which send plain requests until
 // ctx ends. The returned function waits for the last answers.
 func startManyCallers(ctx context.Context, c *Cluster, k *Checker) (wait func()) {
@@ -114,7 +107,7 @@
 	ran := c.Record.Count(from, until)
 	capacity := float64(len(c.Backends)*brittleSlots) * float64(until.Sub(from)) / float64(brittlePause)
 	t.Logf("%d falls, %d rejections, %d runs of %.0f possible", falls, rejected, ran, capacity)
-	if allowed := allowedFalls(len(c.Backends)); falls > allowed {
+	if allowed := AllowedFalls(len(c.Backends)); falls > allowed {
 		t.Errorf("brittle servers fell over %d times, allowed %d", falls, allowed)
 	}
 	if float64(ran) < minRoomUsed*capacity {
--- a/internal/soak/cluster.go
+++ b/internal/soak/cluster.go
@@ -243,11 +243,11 @@
 // function ends that.
 func (c *Cluster) CutOff(gateway int) (restore func()) {
 	for _, proxy := range c.backendProxies {
-		proxy.CutOff(gatewaySourceIP(gateway))
+		proxy.CutOff(gatewaySourceIP(gateway), true)
 	}
 	return func() {
 		for _, proxy := range c.backendProxies {
-			proxy.CutOff("")
+			proxy.CutOff(gatewaySourceIP(gateway), false)
 		}
 	}
 }
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -32,9 +32,10 @@
 const (
 	FaultReclaim = FaultPartition + 1 + iota // FaultReclaim takes a server away after a notice; see WithReclaims.
 	FaultRestart                             // FaultRestart kills all gateways, and the leader as well if Index is not 0; see WithRestarts.
+	FaultCutOff                              // FaultCutOff cuts a gateway off from all servers; see WithCutOffs.
 )
 
-var faultNames = [...]string{"kill", "pause", "stop", "reload", "wipe", "link", "server", "reset", "replies", "api", "damage", "region", "apart", "reclaim", "restart"}
+var faultNames = [...]string{"kill", "pause", "stop", "reload", "wipe", "link", "server", "reset", "replies", "api", "damage", "region", "apart", "reclaim", "restart", "cut off"}
 
 // String returns the name of the fault.
 func (f Fault) String() string { return faultNames[f] }
@@ -56,6 +57,7 @@
 	// Reclaims enables the removal of servers with the requests that run on them.
 	Reclaims     bool
 	Crashes      bool // Crashes enables requests that crash servers.
+	Brittle      bool // Brittle enables periods in which servers are brittle.
 	Restarts     bool // Restarts makes servers reject most requests.
 	Backpressure bool // Backpressure enables servers that announce rate limits and send retry delays.
 }
--- a/internal/soak/proxy.go
+++ b/internal/soak/proxy.go
@@ -35,8 +35,8 @@
 	paths  *RegionPaths // paths are the paths between regions; nil without regions, or where the proxy is within one.
 	region int          // region is the region of the process behind the proxy.
 
-	mu    sync.Mutex // mu guards the fields below.
-	cut   string     // cut is the IP address whose connections are reset; empty for none.
+	mu    sync.Mutex      // mu guards the fields below.
+	cut   map[string]bool // cut are the IP addresses whose connections are reset.
 	link  Link
 	wake  chan struct{} // wake is closed and replaced when link changes.
 	conns map[net.Conn]struct{}
@@ -56,7 +56,7 @@
 	if err != nil {
 		return nil, err
 	}
-	p := &Proxy{target: target, ln: ln, wake: make(chan struct{}), conns: map[net.Conn]struct{}{}}
+	p := &Proxy{target: target, ln: ln, wake: make(chan struct{}), cut: map[string]bool{}, conns: map[net.Conn]struct{}{}}
 	for _, opt := range opts {
 		opt(p)
 	}
@@ -93,11 +93,11 @@
 }
 
 // CutOff resets the connections that come from an IP address, and those that come from it from
-// now on. With an empty address, nothing is cut off.
-func (p *Proxy) CutOff(ip string) {
+// now on, or ends that.
+func (p *Proxy) CutOff(ip string, cut bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.cut = ip
+	p.cut[ip] = cut
 	for c := range p.conns {
 		if p.refuses(c) {
 			resetConn(c)
@@ -105,11 +105,11 @@
 	}
 }
 
-// refuses reports whether a connection comes from the address that is cut off. The caller must hold
+// refuses reports whether a connection comes from an address that is cut off. The caller must hold
 // p.mu.
 func (p *Proxy) refuses(c net.Conn) bool {
 	from, ok := c.RemoteAddr().(*net.TCPAddr)
-	return ok && p.cut != "" && from.IP.String() == p.cut
+	return ok && p.cut[from.IP.String()]
 }
 
 // Close closes the listener and all connections.
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -64,10 +64,14 @@
 	if p.Backpressure {
 		pressure.start(ordering, c, p.Seed)
 	}
+	brittle := brittlePeriods{}
+	if p.Brittle {
+		brittle.start(ordering, c, p.Seed)
+	}
 	if p.Restarts {
 		c.rejectMost()
 	}
-	if !p.Reclaims && !p.Crashes && !p.Backpressure && !p.Restarts {
+	if !p.Reclaims && !p.Crashes && !p.Backpressure && !p.Restarts && !p.Brittle {
 		ordered.Go(func() { rollouts.run(ordering, p.Seed) })
 	}
 	r.play(p)
@@ -85,7 +89,7 @@
 	k.Finish()
 	rollouts.Finish()
 	return Result{Sent: len(k.requests), Served: k.Served(), Completed: rollouts.Completed, RolledBack: rollouts.RolledBack, Moved: c.Record.Moved(), ServersCrashed: ended, LimitsChecked: limits,
-		Breaches: slices.Concat(k.Breaches(), c.API.Breaches(), c.Record.Breaches(), overLimits, c.retryBudgetBreaches(p))}, nil
+		Breaches: slices.Concat(k.Breaches(), c.API.Breaches(), c.Record.Breaches(), overLimits, c.retryBudgetBreaches(p), brittle.breaches())}, nil
 }
 
 // startLoad starts the callers and the operator, who go on until ctx ends.
@@ -217,6 +221,10 @@
 		r.reclaim(c.Backends[s.Index], s.For)
 	case FaultRestart:
 		r.restartGateways(s.Index != 0, s.For)
+	case FaultCutOff:
+		restore := c.CutOff(s.Index)
+		time.Sleep(s.For)
+		restore()
 	case FaultAPI:
 		c.API.SetDown(true)
 		time.Sleep(s.For)
