A crash beside servers that are gone for all is still reported

Connections that are refused count as a lost path only if another gateway reaches at least two more servers of the service: one more may have just ended, before the others noticed. TestRefusedByPathIsNoCrash fails without it.

--- a/coordination/reach/share.go
+++ b/coordination/reach/share.go
@@ -39,3 +39,9 @@
 	}
 	return helpers
 }
+
+// LacksPath reports whether a gateway that has lost the given number of a service's servers has lost
+// its path to them: another gateway reaches at least minLost more. One more may have just ended.
+func LacksPath(service string, lost int, peers []protocol.Peer) bool {
+	return len(Helpers(service, lost-minLost+1, peers)) > 0
+}
--- a/transport/forward/pass_test.go
+++ b/transport/forward/pass_test.go
@@ -264,3 +264,34 @@
 		t.Errorf("distrusts %v are reported of servers that no gateway reaches, want two", m.Distrusts)
 	}
 }
+
+// TestRefusedByPathIsNoCrash checks that servers whose connections break and are refused together are
+// not reported as ended if another gateway reaches them, and are if none does.
+func TestRefusedByPathIsNoCrash(t *testing.T) {
+	for name, c := range map[string]struct {
+		lostByPeer, reported int
+	}{"another gateway reaches them": {0, 0}, "another gateway reaches one more": {2, 1}, "no gateway reaches them": {3, 1}} {
+		t.Run(name, func(t *testing.T) {
+			w := newTestGateway(t)
+			WithPeers(PeerConfig{Dial: dialPlain})(w.g)
+			log := make(logLines, 100)
+			w.setRegions(log)
+			w.install(protocol.PathRoute{Attempts: 1})
+			var servers []*backendServer
+			for _, id := range []string{"a", "b", "c"} {
+				servers = append(servers, w.backend(id, func(conn net.Conn, _ *fasthttp.Request) {
+					for _, s := range servers {
+						_ = s.listener.Close()
+					}
+					_ = conn.Close()
+				}))
+			}
+			w.g.SetPeers([]protocol.Peer{{Name: "peer", Address: closedAddress(t), Lost: []protocol.ServiceLoss{{Service: "s", Lost: c.lostByPeer}}}})
+			w.ask()
+			log.await(t, "connections of a server broke")
+			if observations := w.g.Report(1).Observations; len(observations) != c.reported {
+				t.Errorf("reported %+v, want %d", observations, c.reported)
+			}
+		})
+	}
+}
--- a/transport/forward/probe.go
+++ b/transport/forward/probe.go
@@ -126,7 +126,7 @@
 	if len(others) == 0 || g.probeAll(others) {
 		return false
 	}
-	return len(reach.Helpers(s.Service, g.lostOf(s.Service), g.peers.all())) > 0
+	return reach.LacksPath(s.Service, g.lostOf(s.Service), g.peers.all())
 }
 
 // probeSome probes some servers of a service, drawn at random.
