--- a/internal/soak/brittle_test.go
+++ b/internal/soak/brittle_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -67,10 +66,7 @@
 			stop()
 			wait()
 			checkBrittle(t, c, from, until)
-			k.Finish()
-			for _, b := range slices.Concat(k.Breaches(), c.API.Breaches(), c.Record.Breaches()) {
-				t.Error(b)
-			}
+			reportBreaches(t, c, k)
 		})
 	}
 }
--- a/internal/soak/crash_test.go
+++ b/internal/soak/crash_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -46,10 +45,7 @@
 	if n := len(c.Record.Arrivals()); n != 2 {
 		t.Errorf("%d distinct requests that crash servers arrived at servers, want 2", n)
 	}
-	k.Finish()
-	for _, b := range slices.Concat(k.Breaches(), c.API.Breaches(), c.Record.Breaches()) {
-		t.Error(b)
-	}
+	reportBreaches(t, c, k)
 }
 
 // sendHarmlessRequests sends requests that do not crash servers, until end.
--- a/internal/soak/cutoff_test.go
+++ b/internal/soak/cutoff_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -53,10 +52,7 @@
 			if again < minServedRatio*others {
 				t.Errorf("after the cut the gateway served %.2f of its requests, the others %.2f", again, others)
 			}
-			k.Finish()
-			for _, b := range slices.Concat(k.Breaches(), c.API.Breaches(), c.Record.Breaches()) {
-				t.Error(b)
-			}
+			reportBreaches(t, c, k)
 		})
 	}
 }
--- a/internal/soak/limit_region_test.go
+++ b/internal/soak/limit_region_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"slices"
 	"testing"
 	"time"
 )
@@ -25,8 +24,5 @@
 	for _, b := range c.Backends[1:] {
 		checkLimit(t, b, named)
 	}
-	k.Finish()
-	for _, b := range slices.Concat(k.Breaches(), c.API.Breaches(), c.Record.Breaches()) {
-		t.Error(b)
-	}
+	reportBreaches(t, c, k)
 }
--- a/internal/soak/limit_test.go
+++ b/internal/soak/limit_test.go
@@ -59,10 +59,7 @@
 			for _, b := range limited {
 				checkLimit(t, b, named)
 			}
-			k.Finish()
-			for _, b := range slices.Concat(k.Breaches(), c.API.Breaches(), c.Record.Breaches()) {
-				t.Error(b)
-			}
+			reportBreaches(t, c, k)
 		})
 	}
 }
--- a/internal/soak/rest_test.go
+++ b/internal/soak/rest_test.go
@@ -46,10 +46,7 @@
 	for _, b := range resting {
 		checkRest(t, b, c.Size.Gateways)
 	}
-	k.Finish()
-	for _, b := range slices.Concat(k.Breaches(), c.API.Breaches(), c.Record.Breaches()) {
-		t.Error(b)
-	}
+	reportBreaches(t, c, k)
 }
 
 // checkRest checks that no gateway sent a server more requests than it tolerates within
@@ -115,8 +112,5 @@
 	if len(informed) == 0 {
 		t.Error("no gateway got the announcement")
 	}
-	k.Finish()
-	for _, b := range slices.Concat(k.Breaches(), c.API.Breaches(), c.Record.Breaches()) {
-		t.Error(b)
-	}
+	reportBreaches(t, c, k)
 }
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -49,6 +49,15 @@
 	return c, k, o
 }
 
+// reportBreaches ends the checks of a run and reports each guarantee that was broken.
+func reportBreaches(t *testing.T, c *Cluster, k *Checker) {
+	t.Helper()
+	k.Finish()
+	for _, b := range slices.Concat(k.Breaches(), c.API.Breaches(), c.Record.Breaches()) {
+		t.Error(b)
+	}
+}
+
 // newCluster returns a cluster that is not started yet. If the test fails, its evidence is logged.
 func newCluster(t *testing.T, size Size) *Cluster {
 	t.Helper()
--- a/internal/soak/wiped_test.go
+++ b/internal/soak/wiped_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"slices"
 	"testing"
 	"time"
 )
@@ -48,8 +47,5 @@
 	for i := range c.Size.Controls {
 		waitForVoter(t, c, i)
 	}
-	k.Finish()
-	for _, b := range slices.Concat(k.Breaches(), c.API.Breaches(), c.Record.Breaches()) {
-		t.Error(b)
-	}
+	reportBreaches(t, c, k)
 }
