--- a/coordination/backpressure/brittle_test.go
+++ b/coordination/backpressure/brittle_test.go
@@ -140,7 +140,7 @@
 			f.room = rapid.IntRange(0, f.slots).Draw(t, "room")
 		}
 		f.startLeader(true)
-		for i := range rapid.SampledFrom([]int{1, 3, 9, 40}).Draw(t, "gateways") {
+		for i := range rapid.SampledFrom([]int{1, 3, 8, 40, 80}).Draw(t, "gateways") {
 			g := &brittleGateway{name: fmt.Sprint("g", i)}
 			f.gateways = append(f.gateways, g)
 			f.startGateway(g)
--- a/coordination/backpressure/permit_allocator.go
+++ b/coordination/backpressure/permit_allocator.go
@@ -160,7 +160,7 @@
 	return list
 }
 
-// Inherit takes limits that an earlier leader knew, as last told by it.
+// Inherit takes limits that an earlier leader knew.
 func (a *PermitAllocator) Inherit(limits []protocol.ServerLimit, now time.Time) {
 	for i := range limits {
 		if !limits[i].Limit.IsZero() {
