--- a/internal/clock/uses_test.go
+++ b/internal/clock/uses_test.go
@@ -17,6 +17,7 @@
 	"coordination/group/group.go: Open":                  timeOfDay,
 	"coordination/group/group.go: write":                 duration,
 	"transport/backend/backend.go: open":                 duration,
+	"transport/backend/probe.go: Probe":                  timeOut,
 	"transport/backend/progress.go: writeChunks":         timeOut,
 	"transport/claim.go: requestClaim":                   duration,
 	"transport/conn_unix.go: Write":                      timeOut,
@@ -42,6 +43,8 @@
 	"transport/quarantine.go: decide":                    timeOfDay,
 	"transport/quarantine.go: heldMsg":                   timeOfDay,
 	"transport/quarantine.go: probe":                     duration,
+	"transport/requestconn.go: DialRequests":             timeOut,
+	"transport/requestconn.go: acceptRequests":           timeOut,
 	"transport/service.go: runService":                   timeOut,
 	"transport/wire.go: call":                            timeOut,
 }
