Log and count how the answers of servers are framed and how they end

An operator could not tell a stream that was cut off by a close from one that ended: the line of the request said `answered` in both cases. Each answer's framing (length, chunks, close) and ending (whole, closed, reset, timeout, local, fault) is counted now, and one that did not end by its framing, or ended inside an event, has a log line. No decision changes.

Tests of transport/forward and transport/backend pass.

--- a/transport/forward/attempt.go
+++ b/transport/forward/attempt.go
@@ -371,6 +371,7 @@
 	var data []byte
 	if err == nil {
 		data, err = x.readWhole(body, x.resp.Header.ContentLength())
+		t.recordEnd(err)
 	}
 	if errors.Is(err, errOutOfMemory) {
 		return t.refuseForAnswerMemory()
@@ -430,6 +431,6 @@
 	x.g.meters.answered.Inc(1)
 	x.g.meters.countOutcome(outcome{x.routeName(), x.workspaceName(), protocol.Ran})
 	x.g.meters.firstByte.Update(x.firstByte)
-	x.log.Info().Str("outcome", "answered").Str("server", x.server).Int("status", x.resp.StatusCode()).Int("resent", x.state.Sent).
+	x.log.Info().Str("outcome", "answered").Str("server", x.server).Int("status", x.resp.StatusCode()).Int("resent", x.state.Sent).Stringer("framing", x.end.framing).
 		Uint64("number", x.index.Number).Int("tokens", x.call.PromptTokens).Float64("pace", float64(x.pace)).Dur("first", x.firstByte).Dur("gap", x.maxGap).Dur("after", clock.Since(x.start)).Msg("request")
 }
--- a/transport/forward/exchange.go
+++ b/transport/forward/exchange.go
@@ -57,6 +57,7 @@
 	usageCounted      bool                  // usageCounted reports that the request was counted as started.
 	headWritten       bool                  // headWritten reports that the head of the answer was written.
 	server            string
+	end               answerEnd // end is how the latest answer of a server ended.
 
 	pace      protocol.Slowdown // pace is the slowdown reported by the server that answered last.
 	firstByte time.Duration     // firstByte is the time from the start to the first byte of the answer.
--- a/transport/forward/meters.go
+++ b/transport/forward/meters.go
@@ -50,6 +50,7 @@
 	ended    map[outcome]metrics.Counter
 	retries  map[retryOutcome]metrics.Counter
 	rejected map[string]metrics.Counter // rejected counts the requests that servers turned away, by service.
+	ends     map[answerEnd]metrics.Counter
 }
 
 // outcome is the key by which ended requests are counted.
@@ -105,6 +106,7 @@
 		ended:             map[outcome]metrics.Counter{},
 		retries:           map[retryOutcome]metrics.Counter{},
 		rejected:          map[string]metrics.Counter{},
+		ends:              map[answerEnd]metrics.Counter{},
 	}
 }
 
--- a/transport/forward/stream.go
+++ b/transport/forward/stream.go
@@ -30,6 +30,9 @@
 				return refusal
 			}
 		}
+		if err != nil {
+			t.recordEnd(err)
+		}
 		if errors.Is(err, io.EOF) {
 			return t.streamEnded(stop)
 		}
