Callers of HTTP/1.0 get bodies without chunks, and a reset if one is cut off

A caller of HTTP/1.0, which knows no chunks, got the chunk marks as part of a stream, and a close at the end of a complete and of a truncated one alike. Its stream now comes without chunks and ends with its connection, by a close if it is complete and by a reset if not.

--- a/transport/caller/caller.go
+++ b/transport/caller/caller.go
@@ -274,7 +274,7 @@
 		s.writeError(c, req, err)
 		return false
 	}
-	a := &ResponseWriter{conn: c, closeAfter: s.draining.Load() || req.Header.ConnectionClose()}
+	a := &ResponseWriter{conn: c, closeAfter: s.draining.Load() || req.Header.ConnectionClose(), unframed: !req.Header.IsHTTP11()}
 	ctx, cancel := context.WithCancel(context.Background())
 	stop := c.watchClose(cancel)
 	s.handler.Serve(ctx, req, a)
@@ -284,9 +284,20 @@
 	stop()
 	cancel()
 	s.memory.ReleaseAll(&c.requestHold)
+	if a.unframed && a.started && !a.finished {
+		c.resetOnClose()
+	}
 	return a.finished && !a.closeAfter && err == nil
 }
 
+// resetOnClose makes the close of the connection a reset. An ordinary close would end a truncated
+// response that has neither a length nor chunks like a complete one.
+func (c *Conn) resetOnClose() {
+	if tcp, ok := c.net.(interface{ SetLinger(sec int) error }); ok {
+		_ = tcp.SetLinger(0) // It fails only if the connection is closed already.
+	}
+}
+
 // readRequest reads the headers and body of a request.
 func (s *Server) readRequest(c *Conn, req *fasthttp.Request, limits *Limits) error {
 	if err := c.net.SetReadDeadline(time.Now().Add(limits.HeaderTime)); err != nil {
--- a/transport/caller/conn.go
+++ b/transport/caller/conn.go
@@ -124,7 +124,7 @@
 	closeAfter bool
 	started    bool
 	finished   bool
-	chunked    bool
+	unframed   bool // unframed reports that the caller's protocol version has no chunks: the connection ends the body.
 }
 
 // Started reports whether any part of the response was written.
@@ -175,11 +175,22 @@
 	}
 }
 
-// WriteHeader writes the headers of a response whose body follows in chunks.
+// The codec's lengths of a body that has none.
+const (
+	chunkedLength = -1
+	untilClose    = -2
+)
+
+// WriteHeader writes the headers of a response whose body follows in chunks. For a caller that
+// knows no chunks, the body ends with its connection.
 func (a *ResponseWriter) WriteHeader(resp *fasthttp.Response) error {
-	a.started, a.chunked = true, true
+	a.started = true
+	length := chunkedLength
+	if a.unframed {
+		length, a.closeAfter = untilClose, true
+	}
 	a.setConnectionHeader(resp)
-	resp.Header.SetContentLength(-1)
+	resp.Header.SetContentLength(length)
 	if _, err := a.conn.bw.Write(resp.Header.Header()); err != nil {
 		return err
 	}
@@ -191,16 +202,29 @@
 	if len(p) == 0 {
 		return nil
 	}
-	if err := writeChunk(a.conn.bw, p); err != nil {
+	if err := a.writePart(p); err != nil {
 		a.closeAfter = true
 		return err
 	}
 	return a.flush()
 }
 
-// Finish writes the final chunk, which completes the response.
+// writePart writes a part of the body in the response's framing.
+func (a *ResponseWriter) writePart(p []byte) error {
+	if a.unframed {
+		_, err := a.conn.bw.Write(p)
+		return err
+	}
+	return writeChunk(a.conn.bw, p)
+}
+
+// Finish writes the final chunk, which completes the response. Without chunks, the close of the
+// connection does.
 func (a *ResponseWriter) Finish() error {
 	a.finished = true
+	if a.unframed {
+		return a.flush()
+	}
 	if _, err := io.WriteString(a.conn.bw, "0\r\n\r\n"); err != nil {
 		a.closeAfter = true
 		return err
