Entry instances confirm the end of a plain service's answer without a length

A plain service that crashed in an answer without a length ended it like a whole one, and the truncated body was kept as the answer of a request that runs at most once. Such an answer counts as complete now if its server accepts another connection, which is kept for the next request; without one the request ends as may-have-run. Streams of engines end with [DONE] and calls to engines and the platform return JSON, whose parser rejects a truncated document.

--- a/transport/service.go
+++ b/transport/service.go
@@ -40,7 +40,7 @@
 		return
 	}
 	_ = w.conn.SetDeadline(time.Now().Add(g.settings.Timeouts.ChunkGap)) // The read reports a closed connection.
-	body, err := readBody(resp)
+	body, err := g.pool.readConfirmed(resp, c.server.Address)
 	if err != nil {
 		_ = w.conn.Close()
 		c.connBroken(c, err)
--- a/transport/wire.go
+++ b/transport/wire.go
@@ -12,6 +12,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/weldstream/weldstream/internal/tcp"
+	"github.com/weldstream/weldstream/transport/backend"
 )
 
 // ErrClosed is returned for a call on a closed connection.
@@ -182,6 +183,25 @@
 	return readBody(resp)
 }
 
+// errEndUnconfirmed is returned for an answer that has neither a length nor chunks and whose server
+// accepts no connection any more: it may have crashed before the end of the answer.
+var errEndUnconfirmed = eris.New("the answer ended with its connection, and its server accepts no other one")
+
+// readConfirmed reads the whole body of an answer from an address. An answer that ends with its
+// connection counts as complete if the server accepts another one, which is kept.
+func (p *connPool) readConfirmed(resp *fasthttp.Response, address string) ([]byte, error) {
+	body, err := readBody(resp)
+	if err != nil || backend.FramingOf(resp) != backend.FramedByClose {
+		return body, err
+	}
+	w, err := p.get(address, true)
+	if err != nil {
+		return nil, eris.Wrap(errEndUnconfirmed, err.Error())
+	}
+	p.put(address, w)
+	return body, nil
+}
+
 func readBody(resp *fasthttp.Response) ([]byte, error) {
 	if resp.BodyStream() == nil {
 		return append([]byte(nil), resp.Body()...), nil
