Log the software version of an attempt's server, and what stream a request goes on with

Nothing in the logs told that a stream went on at another version, within one answer or over a caller's tries: the line of an attempt named the server alone. No decision changes. Tests of platform and transport/forward pass.

--- a/protocol/catalog.go
+++ b/protocol/catalog.go
@@ -100,6 +100,7 @@
 	HasTokens    bool          // the caller gave both token counts
 	Prefix       []PromptPart  // parts of the prompt, in order
 	LastEvent    string        // ID of the last event that the caller received; empty without one
+	Resumes      string        // ID of the send that brought the stream's first event; empty without one
 }
 
 // PromptPart is one part of a prompt. Requests can have parts in common.
--- a/transport/forward/attempt_record.go
+++ b/transport/forward/attempt_record.go
@@ -11,7 +11,7 @@
 	distance := x.g.distance(server)
 	conn.SetMeter(&x.g.meters.distances.bytes[distance])
 	x.g.meters.distances.attempts[distance].Inc(1)
-	x.log.Info().Str("server", server.ID).Str("domain", server.Domain).Str("region", x.g.cfg.Topology.Region(server.Domain)).
+	x.log.Info().Str("server", server.ID).Str("version", server.Version).Str("last_event", x.events.last).Str("resumes", x.call.Resumes).Str("domain", server.Domain).Str("region", x.g.cfg.Topology.Region(server.Domain)).
 		Stringer("distance", distance).Int("outstanding", server.Stats.Outstanding()).Bool("placed", x.placement.Server != "").
 		Uint8("lane", uint8(x.lane)).Int("sent", x.state.Sent).Bool("kept", conn.Used()).
 		Int64("left", x.timeLeft().Milliseconds()).Dur("waited", clock.Since(x.start)).Str("go_on", x.continuationName()).Msg("attempt")
--- a/transport/forward/forward_test.go
+++ b/transport/forward/forward_test.go
@@ -34,6 +34,7 @@
 		Path:      string(req.Header.RequestURI()),
 		Secret:    string(req.Header.Peek("Key")),
 		LastEvent: string(req.Header.Peek("Last")),
+		Resumes:   string(req.Header.Peek("Resumes")),
 		Remaining: parseRemaining(string(req.Header.Peek("Remaining"))),
 	}
 }
