--- a/transport/forward/forward_test.go
+++ b/transport/forward/forward_test.go
@@ -113,6 +113,14 @@
 	address string
 	servers []protocol.Instance
 	number  uint64
+	ended   []func() // ended are the functions that close what the gateway listens on.
+}
+
+// kill ends what the gateway listens on and closes its connections.
+func (w *testGateway) kill() {
+	for _, end := range w.ended {
+		end()
+	}
 }
 
 // testConfig returns the settings of a gateway that may retry each request.
@@ -133,6 +141,7 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { _ = ln.Close() })
+	w.ended = append(w.ended, func() { _ = ln.Close() })
 	server := caller.NewServer(w.g, opts...)
 	go func() { _ = server.Serve(ln) }()
 	w.address = ln.Addr().String()
--- a/transport/forward/pass_test.go
+++ b/transport/forward/pass_test.go
@@ -53,6 +53,7 @@
 	}
 	w.t.Cleanup(func() { _ = ln.Close() })
 	server := caller.NewServer(w.g.PassHandler())
+	w.ended = append(w.ended, func() { _ = ln.Close(); server.Drain() })
 	go func() { _ = server.Serve(ln) }()
 	return protocol.Peer{Name: name, Address: ln.Addr().String(), Domain: "a"}
 }
