A stream goes on only at the software version that began it

Cause: the version of the server that began a stream was known only to the attempt that began it. No later attempt asked for it, and no gateway kept it for a caller that comes back.

Change: from its first event on, a stream has an origin, its service and version. Attempts within the answer go to servers of that version alone; with none left the answer is cut at once. A caller that comes back names the request that began its stream. The gateway asked knows the origin from its own table, from the two gateways that keep it, or because one version alone was listed since before the stream can have begun (coordination/origin). What is not known is refused as not run, and so is what has no server left; neither waits. Origins are keyed by workspace, host and request, so that no caller reaches another's. They are sent to others only while lists do not tell the version: with a second version listed, or for twice the route's time-out behind a start. The leader names the same keepers to all gateways.

--- a/coordination/place/place.go
+++ b/coordination/place/place.go
@@ -155,6 +155,7 @@
 	Parts          protocol.LaneShares // Parts is how the servers are split between the lanes.
 	Brief          bool                // Brief says that little is lost if the server stops before the request ends.
 	MaxOutstanding int                 // MaxOutstanding limits the requests of this gateway at one server; 0 means no limit.
+	Version        *string             // Version is the only software version that may take the request; nil for any.
 	Now            time.Time
 }
 
@@ -221,14 +222,19 @@
 
 // leavingCandidates returns the leaving servers that run for long enough.
 func leavingCandidates(v *View, m ChooseMsg) []candidate {
-	return scoreCandidates(v, v.Service(m.Service), m, func(s *Server) bool { return s.Leaving && s.Stats.stopTime().Sub(m.Now) > minRemainingTime })
+	return scoreCandidates(v, v.Service(m.Service), m, func(s *Server) bool { return s.Leaving && s.runsOn(m.Now) })
+}
+
+// runsOn reports whether a leaving server runs long enough for a brief request.
+func (s *Server) runsOn(now time.Time) bool {
+	return s.Stats.stopTime().Sub(now) > minRemainingTime
 }
 
 func scoreCandidates(v *View, list []int, m ChooseMsg, allowed func(*Server) bool) []candidate {
 	rows := make([]candidate, 0, len(list))
 	for _, i := range list {
 		s := &v.Servers[i]
-		if !allowed(s) || slices.Contains(m.Avoid, s.ID) {
+		if !allowed(s) || !m.admits(s) {
 			continue
 		}
 		load, pending, failing, suspect := s.Stats.load(m.Now)
@@ -253,6 +259,19 @@
 	return rows
 }
 
+// admits reports whether the request may be sent to a server at all.
+func (m *ChooseMsg) admits(s *Server) bool {
+	return (m.Version == nil || s.Version == *m.Version) && !slices.Contains(m.Avoid, s.ID)
+}
+
+// Serves reports whether any listed server of the service may be sent the request, full or not.
+func Serves(v *View, m ChooseMsg) bool {
+	return slices.ContainsFunc(slices.Concat(v.Service(m.Service), v.trials[m.Service]), func(i int) bool {
+		s := &v.Servers[i]
+		return m.admits(s) && (!s.Leaving || s.runsOn(m.Now))
+	})
+}
+
 // SlotCount returns the number of requests that the server runs at once.
 func (s *Server) SlotCount() int {
 	if s.Slots > 0 {
--- a/coordination/reach/directory.go
+++ b/coordination/reach/directory.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -68,6 +69,40 @@
 	return peers
 }
 
+// maxKeepers bounds the gateways that keep the origins of streams: each gateway knows all of them.
+const maxKeepers = 16
+
+// Keepers returns the gateways that keep the origins of streams, and a digest of the list. They are
+// the same for all gateways and taken from all failure domains in turn, and they stay the same as
+// long as they report.
+func (d *Directory) Keepers(now time.Time) ([]protocol.Peer, uint64) {
+	domains := map[string][]protocol.Peer{}
+	for _, e := range d.gateways {
+		if e.peer.Address != "" && now.Sub(e.at) <= directoryTTL {
+			domains[e.peer.Domain] = append(domains[e.peer.Domain], protocol.Peer{Name: e.peer.Name, Address: e.peer.Address, Domain: e.peer.Domain})
+		}
+	}
+	names := slices.Sorted(maps.Keys(domains))
+	for _, list := range domains {
+		slices.SortFunc(list, func(a, b protocol.Peer) int {
+			return cmp.Compare(xxhash.Sum64String(a.Name), xxhash.Sum64String(b.Name))
+		})
+	}
+	var keepers []protocol.Peer
+	digest := xxhash.New()
+	for n, added := 0, true; added; n++ {
+		added = false
+		for _, domain := range names {
+			if n < len(domains[domain]) && len(keepers) < maxKeepers {
+				p := domains[domain][n]
+				keepers, added = append(keepers, p), true
+				_, _ = digest.WriteString(p.Name + "\x00" + p.Address + "\x00") // A digest returns no error.
+			}
+		}
+	}
+	return keepers, digest.Sum64()
+}
+
 func compareBool(a, b bool) int {
 	switch {
 	case a == b:
--- /dev/null
+++ b/protocol/origin.go
@@ -0,0 +1,49 @@
+package protocol
+
+import (
+	"crypto/sha256"
+	"time"
+)
+
+// StreamKey identifies a stream over all requests with which its caller resumes it: a digest of the
+// caller's workspace, the host and the ID of the request that brought the first event.
+type StreamKey [16]byte
+
+// NewStreamKey returns the key of the stream that a request began. Callers of different workspaces
+// or hosts have different streams, whatever IDs they choose.
+func NewStreamKey(workspace, host, id string) StreamKey {
+	digest := sha256.Sum256([]byte(workspace + "\x00" + host + "\x00" + id))
+	return StreamKey(digest[:len(StreamKey{})])
+}
+
+// StreamOrigin is the service and the software version of the server that sent the first event of a
+// stream. The stream may continue at that version only.
+type StreamOrigin struct {
+	Key      StreamKey
+	Service  string
+	Version  string
+	Lifetime time.Duration // how long the stream may still be resumed
+}
+
+// OriginsMsg gives another gateway the origins of streams to keep.
+type OriginsMsg struct{ Origins []StreamOrigin }
+
+// OriginQuery asks another gateway for the origin of a stream, and for the versions of services.
+type OriginQuery struct {
+	Key      StreamKey
+	Services []string
+}
+
+// OriginReply answers an [OriginQuery].
+type OriginReply struct {
+	Found  bool
+	Origin StreamOrigin    // meaningful if Found
+	Single []SingleVersion // those of the services that have had one version only
+}
+
+// SingleVersion is the only version of a service that was listed for a time up to now.
+type SingleVersion struct {
+	Service string
+	Version string
+	For     time.Duration
+}
--- a/protocol/peers.go
+++ b/protocol/peers.go
@@ -8,6 +8,7 @@
 	Domain  string // failure domain of the gateway
 	Address string // peer address; empty if the gateway accepts no requests from others
 	Lost    []ServiceLoss
+	Keepers uint64 // digest of the keepers that the gateway knows; 0 for none
 }
 
 // ServiceLoss is the number of a service's servers that a gateway does not reach.
@@ -21,6 +22,10 @@
 type PeersReply struct {
 	Leads bool
 	Peers []Peer // best first
+	// Keepers are the gateways that keep the origins of streams, the same for all; empty if they are
+	// those of the digest in the request.
+	Keepers       []Peer
+	KeepersDigest uint64
 }
 
 // Peer is a gateway that accepts requests from other gateways.
--- a/protocol/refusal.go
+++ b/protocol/refusal.go
@@ -50,6 +50,8 @@
 	CodeStale          Code = "config_stale"
 	CodeCallerGone     Code = "caller_gone"
 	CodeQuarantined    Code = "quarantined"
+	CodeVersionUnknown Code = "version_unknown"
+	CodeVersionGone    Code = "version_gone"
 )
 
 // Refusal is the typed error for a request that does not receive its complete answer.
--- a/transport/forward/attempt.go
+++ b/transport/forward/attempt.go
@@ -56,6 +56,9 @@
 	if refusal := x.quarantineRefusal(false); refusal != nil {
 		return x.afterEarlierAttempts(refusal)
 	}
+	if refusal := x.refuseVanishedVersion(nil); refusal != nil {
+		return x.afterEarlierAttempts(refusal)
+	}
 	server, refusal := x.choose()
 	if refusal != nil {
 		return x.afterEarlierAttempts(refusal)
@@ -130,6 +133,9 @@
 	if x.retryContinuation(v) {
 		return errRetry
 	}
+	if refusal := x.refuseVanishedVersion(x.tried); refusal != nil && x.headWritten {
+		return refusal.WithVerdict(protocol.MayHaveRun).WithStatus(protocol.StatusBadGateway)
+	}
 	next, refusal := resend.Next(x.state, resend.FailedMsg{
 		Verdict:  v,
 		Reached:  reached,
--- a/transport/forward/exchange.go
+++ b/transport/forward/exchange.go
@@ -52,10 +52,12 @@
 	ticket            *backpressure.Ticket // ticket is that of the current attempt; nil if it needs none.
 	trialCredited     bool                 // trialCredited reports that a credit of a rollout trial was spent on the attempt.
 	events            events
-	cachedFingerprint *protocol.Fingerprint // cachedFingerprint is the request's fingerprint; nil until first used.
-	cachedQuickHash   uint64                // cachedQuickHash is the request's quick hash; 0 until first used.
-	usageCounted      bool                  // usageCounted reports that the request was counted as started.
-	headWritten       bool                  // headWritten reports that the head of the answer was written.
+	cachedFingerprint *protocol.Fingerprint  // cachedFingerprint is the request's fingerprint; nil until first used.
+	cachedQuickHash   uint64                 // cachedQuickHash is the request's quick hash; 0 until first used.
+	origin            *protocol.StreamOrigin // origin is that of the stream; nil until its first event unless the caller resumes it.
+	originRecorded    bool                   // originRecorded reports that the origin was kept for later requests.
+	usageCounted      bool                   // usageCounted reports that the request was counted as started.
+	headWritten       bool                   // headWritten reports that the head of the answer was written.
 	server            string
 	end               answerEnd // end is how the latest answer of a server ended.
 
@@ -113,6 +115,9 @@
 	if refusal := x.refuseWithoutPath(); refusal != nil {
 		return refusal
 	}
+	if refusal := x.findOrigin(); refusal != nil {
+		return refusal
+	}
 	if refusal := x.takeWorkspaceQuota(); refusal != nil {
 		return refusal
 	}
@@ -266,7 +271,8 @@
 	}
 	x.placement = reply
 	s := view.Find(reply.Server)
-	if s == nil || s.Leaving || s.Stats.Suspect(clock.Now()) {
+	version := x.requiredVersion()
+	if s == nil || s.Leaving || s.Stats.Suspect(clock.Now()) || (version != nil && s.Version != *version) {
 		x.reportPlacementEnd()
 		return nil
 	}
@@ -313,6 +319,7 @@
 		Parts:          x.laneShares,
 		Brief:          x.route.Repeatable(),
 		MaxOutstanding: x.maxOutstanding(),
+		Version:        x.requiredVersion(),
 		Now:            clock.Now(),
 	}
 	if s := x.chooseTrial(view, m); s != nil {
--- a/transport/forward/forward.go
+++ b/transport/forward/forward.go
@@ -89,6 +89,7 @@
 	retries    retryBudgets
 	reach      reachState
 	peers      peerState
+	origins    originState
 
 	viewMu sync.Mutex // viewMu is held while the view is rebuilt, by the link to the leader or after a departure notice.
 
@@ -162,6 +163,7 @@
 		opt(g)
 	}
 	g.moves.init()
+	g.origins.init(now)
 	g.retries.init(cfg.RetryRatio, cfg.RetryWindow)
 	g.reach.tracker, g.reach.silence = reach.NewTracker(), map[string]*silence{}
 	g.feedback.limits, g.feedback.replied = backpressure.NewLimits(backpressure.WithRandom(rand.Float64)), make(chan struct{})
@@ -172,6 +174,7 @@
 	metrics.NewRegisteredFunctionalGauge("servers.limited", g.meters.registry, func() int64 { return int64(len(g.LimitedServers())) })
 	metrics.NewRegisteredFunctionalGauge("servers.brittle", g.meters.registry, func() int64 { return int64(len(g.BrittleServers())) })
 	metrics.NewRegisteredFunctionalGauge("servers.unreached", g.meters.registry, g.lostTotal)
+	metrics.NewRegisteredFunctionalGauge("streams.origins", g.meters.registry, func() int64 { return int64(g.Origins()) })
 	metrics.NewRegisteredFunctionalGauge("quarantine.held", g.meters.registry, func() int64 { return int64(g.Held()) })
 	return g
 }
@@ -183,6 +186,7 @@
 	if ix := g.index.Load(); ix != nil && c.Number <= ix.Number {
 		return false
 	}
+	g.recordRoutes(c.Routes)
 	g.allowance.Configure(c.Workspaces)
 	g.index.Store(NewIndex(c))
 	g.log.Info().Uint64("number", c.Number).Int("routes", len(c.Routes)).Int("workspaces", len(c.Workspaces)).Msg("configuration in force")
@@ -211,6 +215,7 @@
 	}
 	g.instances = list
 	g.mu.Unlock()
+	g.recordVersions(list)
 	g.rebuildView()
 	g.endFormerIncarnations(restarts)
 	g.applyView()
@@ -268,6 +273,7 @@
 func (g *Gateway) Confirm(at time.Time, gateways int) {
 	g.confirmed.Store(max(g.confirmed.Load(), int64(at.Sub(g.startedAt))))
 	g.gateways.Store(int64(max(1, gateways)))
+	g.confirmVersions(at)
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.allowance.CoordinatorReplied(gateways, clock.Now())
--- a/transport/forward/meters.go
+++ b/transport/forward/meters.go
@@ -6,6 +6,7 @@
 
 	metrics "github.com/rcrowley/go-metrics"
 
+	"github.com/weldstream/weldstream/coordination/origin"
 	"github.com/weldstream/weldstream/protocol"
 )
 
@@ -45,12 +46,14 @@
 	passesServed     metrics.Counter // passesServed counts requests that other gateways passed on to this one.
 	promptCopies     metrics.Counter // promptCopies counts requests whose server was told to copy from another one.
 
-	registry metrics.Registry
-	mu       sync.Mutex // mu guards the fields below.
-	ended    map[outcome]metrics.Counter
-	retries  map[retryOutcome]metrics.Counter
-	rejected map[string]metrics.Counter // rejected counts the requests that servers turned away, by service.
-	ends     map[answerEnd]metrics.Counter
+	registry     metrics.Registry
+	mu           sync.Mutex // mu guards the fields below.
+	ended        map[outcome]metrics.Counter
+	retries      map[retryOutcome]metrics.Counter
+	rejected     map[string]metrics.Counter // rejected counts the requests that servers turned away, by service.
+	ends         map[answerEnd]metrics.Counter
+	originsLate  metrics.Counter // originsLate counts first events that no longer waited for their stream's origin to be kept.
+	originsGiven metrics.Counter // originsGiven counts the origins of streams that other gateways took.
 }
 
 // outcome is the key by which ended requests are counted.
@@ -101,6 +104,8 @@
 		passesLost:        metrics.GetOrRegisterCounter("passes.lost", r),
 		passesServed:      metrics.GetOrRegisterCounter("passes.served", r),
 		promptCopies:      metrics.GetOrRegisterCounter("copies", r),
+		originsLate:       metrics.GetOrRegisterCounter("streams.origins.late", r),
+		originsGiven:      metrics.GetOrRegisterCounter("streams.origins.given", r),
 		distances:         newDistanceMeters(r),
 		registry:          r,
 		ended:             map[outcome]metrics.Counter{},
@@ -153,6 +158,16 @@
 	c.Inc(1)
 }
 
+// countStreamResumed counts a stream that a caller resumes, by whence its version is known.
+func (m *meters) countStreamResumed(source origin.Source) {
+	metrics.GetOrRegisterCounter(fmt.Sprintf("streams.resumed{source=%q}", source), m.registry).Inc(1)
+}
+
+// countStreamRefused counts a stream that cannot go on, by the reason.
+func (m *meters) countStreamRefused(reason string) {
+	metrics.GetOrRegisterCounter(fmt.Sprintf("streams.refused{reason=%q}", reason), m.registry).Inc(1)
+}
+
 // countRejection counts a request that a server of a service turned away.
 func (m *meters) countRejection(service string) {
 	m.mu.Lock()
--- a/transport/forward/move_call.go
+++ b/transport/forward/move_call.go
@@ -92,13 +92,7 @@
 	defer fasthttp.ReleaseResponse(resp)
 	early, err := conn.Exchange(out, resp, deadline)
 	if err == nil {
-		var stream io.Reader
-		if stream, err = conn.Body(resp); err == nil {
-			body, err = io.ReadAll(io.LimitReader(stream, maxCallAnswerBytes))
-		}
-		if errors.Is(err, backend.ErrEndUnconfirmed) {
-			err = nil // The parser rejects a truncated document.
-		}
+		body, err = readCall(conn, resp, maxCallAnswerBytes)
 	}
 	if err != nil {
 		conn.Close()
@@ -112,3 +106,17 @@
 	}
 	return resp.StatusCode(), body, nil
 }
+
+// readCall reads the body of the answer to a call, up to a limit. An answer without a length may be
+// truncated, which the parser of its document notices.
+func readCall(conn *backend.Conn, resp *fasthttp.Response, limit int64) ([]byte, error) {
+	stream, err := conn.Body(resp)
+	if err != nil {
+		return nil, err
+	}
+	body, err := io.ReadAll(io.LimitReader(stream, limit))
+	if errors.Is(err, backend.ErrEndUnconfirmed) {
+		err = nil
+	}
+	return body, err
+}
--- /dev/null
+++ b/transport/forward/origin_lookup.go
@@ -0,0 +1,136 @@
+package forward
+
+import (
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/weldstream/weldstream/coordination/origin"
+	"github.com/weldstream/weldstream/coordination/resend"
+	"github.com/weldstream/weldstream/internal/clock"
+	"github.com/weldstream/weldstream/protocol"
+)
+
+// firstAsked is the number of gateways that are asked first for the origin of a stream: those that
+// keep it, and the one that began the stream if it would suit best itself.
+const firstAsked = origin.Copies + 1
+
+// findOrigin finds out which version began the stream that the caller resumes. It returns a refusal
+// if that is not known for certain.
+func (x *exchange) findOrigin() *protocol.Refusal {
+	if x.call.LastEvent == "" || x.route.Kind != protocol.RouteStream {
+		return nil
+	}
+	began := clock.Now()
+	found, source, complete := x.lookUpOrigin()
+	x.g.meters.countStreamResumed(source)
+	x.log.Info().Str("resumes", x.call.Resumes).Stringer("source", source).Str("service", found.Service).Str("version", found.Version).
+		Bool("all_answered", complete).Dur("list_age", x.listAge()).Dur("took", clock.Since(began)).Msg("version of a resumed stream")
+	if source == origin.Unknown {
+		return x.refuseUnknownVersion(complete)
+	}
+	if !slices.ContainsFunc(x.route.Split, func(s protocol.WeightedService) bool { return s.Service == found.Service }) {
+		x.g.meters.countStreamRefused("service gone")
+		return protocol.NewRefusal(protocol.StatusServiceUnavailable, protocol.CodeVersionGone, "the route no longer leads to the service that began the stream")
+	}
+	x.service = found.Service
+	found.Key, found.Lifetime = x.streamKey(), x.streamLifetime()
+	x.origin = &found
+	return x.refuseVanishedVersion(nil)
+}
+
+// refuseUnknownVersion refuses a stream of unknown version. Another gateway may know it unless all
+// that would keep it have answered.
+func (x *exchange) refuseUnknownVersion(complete bool) *protocol.Refusal {
+	x.g.meters.countStreamRefused("version unknown")
+	refusal := protocol.NewRefusal(protocol.StatusServiceUnavailable, protocol.CodeVersionUnknown, "the version that began the stream is not known")
+	if complete {
+		return refusal
+	}
+	return refusal.WithRetryAfter(resend.RetryAfter(x.route.Target))
+}
+
+// lookUpOrigin looks for the origin of the stream in the table, at other gateways and in the
+// history. complete reports that all gateways that may keep it have answered.
+func (x *exchange) lookUpOrigin() (found protocol.StreamOrigin, source origin.Source, complete bool) {
+	g, key := x.g, x.streamKey()
+	s, now := &g.origins, clock.Now()
+	s.mu.Lock()
+	r, known := s.table.Find(key, now)
+	s.mu.Unlock()
+	if known {
+		return r.Origin(key, now), origin.FromTable, true
+	}
+	m := origin.JudgeMsg{Lifetime: x.streamLifetime()}
+	keepers := origin.Keepers(key, g.cfg.Topology, g.keepers())
+	for _, ask := range [][]protocol.Peer{keepers[:min(firstAsked, len(keepers))], keepers[min(firstAsked, len(keepers)):]} {
+		m.Replies = append(m.Replies, g.askOrigin(ask, key, x.route)...)
+		m.AllAnswered = len(keepers) > 0 && len(m.Replies) == len(keepers)
+		x.addHistory(&m)
+		if found, source = origin.Judge(m); source != origin.Unknown {
+			break
+		}
+	}
+	return found, source, m.AllAnswered
+}
+
+// addHistory adds what this gateway has seen of the route's service and its versions.
+func (x *exchange) addHistory(m *origin.JudgeMsg) {
+	s, now := &x.g.origins, clock.Now()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	m.Service, m.ServiceFor = s.history.Service(x.route.Name, now)
+	m.Version, m.VersionFor = s.history.Version(m.Service, now)
+	m.ListAge = s.history.ListAge(now)
+}
+
+func (x *exchange) listAge() time.Duration {
+	s := &x.g.origins
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.history.ListAge(clock.Now())
+}
+
+// askOrigin asks gateways for the origin of a stream, all at once, and returns the replies that came.
+func (g *Gateway) askOrigin(peers []protocol.Peer, key protocol.StreamKey, route *protocol.PathRoute) []protocol.OriginReply {
+	query := protocol.OriginQuery{Key: key}
+	for _, s := range route.Split {
+		query.Services = append(query.Services, s.Service)
+	}
+	var wg sync.WaitGroup
+	var mu sync.Mutex // mu guards replies.
+	var replies []protocol.OriginReply
+	for i := range peers {
+		wg.Go(func() {
+			var reply protocol.OriginReply
+			if err := g.callPeer(&peers[i], findOriginCall, &query, &reply); err != nil {
+				g.log.Info().Str("peer", peers[i].Name).Err(err).Msg("another gateway did not say what version began a stream")
+				return
+			}
+			mu.Lock()
+			defer mu.Unlock()
+			replies = append(replies, reply)
+		})
+	}
+	wg.Wait()
+	return replies
+}
+
+// answerOrigin answers another gateway's query.
+func (g *Gateway) answerOrigin(q *protocol.OriginQuery) (reply protocol.OriginReply) {
+	s, now := &g.origins, clock.Now()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if r, ok := s.table.Find(q.Key, now); ok {
+		reply.Found, reply.Origin = true, r.Origin(q.Key, now)
+	}
+	if !origin.Current(s.history.ListAge(now)) {
+		return reply
+	}
+	for _, service := range q.Services {
+		if version, lasting := s.history.Version(service, now); lasting > 0 {
+			reply.Single = append(reply.Single, protocol.SingleVersion{Service: service, Version: version, For: lasting})
+		}
+	}
+	return reply
+}
--- a/transport/forward/pass.go
+++ b/transport/forward/pass.go
@@ -229,6 +229,9 @@
 
 // Serve implements caller.Handler.
 func (h passHandler) Serve(ctx context.Context, req *fasthttp.Request, a *caller.ResponseWriter) {
+	if h.serveCall(req, a) {
+		return
+	}
 	mark := string(req.Header.Peek(passHeader))
 	if mark == "" {
 		mark = passNew
@@ -242,7 +245,7 @@
 }
 
 // unservedCodes are the codes of refusals that say nothing of what another gateway could do.
-var unservedCodes = map[protocol.Code]bool{protocol.CodeLeaving: true, protocol.CodeNotReady: true, protocol.CodeNoQuorum: true, protocol.CodeNoPath: true}
+var unservedCodes = map[protocol.Code]bool{protocol.CodeLeaving: true, protocol.CodeNotReady: true, protocol.CodeNoQuorum: true, protocol.CodeNoPath: true, protocol.CodeVersionUnknown: true}
 
 // markUnserved marks the refusal of a request that another gateway passed on and for which that
 // one may try a further gateway.
--- a/transport/forward/stream.go
+++ b/transport/forward/stream.go
@@ -43,6 +43,7 @@
 		t.untrack()
 		x.state.Repeatable = false
 	}
+	x.recordOrigin(t.server)
 	if err := x.writeHead(); err != nil {
 		t.conn.Close()
 		return callerGone().WithVerdict(protocol.MayHaveRun)
--- a/transport/uplink/peers.go
+++ b/transport/uplink/peers.go
@@ -15,6 +15,8 @@
 	ReportPeers() protocol.PeersMsg
 	// SetPeers sets the gateways that requests may be passed on to, best first.
 	SetPeers(peers []protocol.Peer)
+	// SetKeepers sets the gateways that keep the origins of streams.
+	SetKeepers(keepers []protocol.Peer)
 }
 
 // WithPeerFinder sets the gateway that may pass requests on. Without it, no other gateways are
@@ -36,9 +38,11 @@
 // ctx ends. While no leader answers, the gateways named last stay in use.
 func (c *Client) RunPeers(ctx context.Context) error {
 	interval := time.Duration(0)
+	var keepers []protocol.Peer
+	var digest uint64
 	for pause.Until(ctx, interval, c.peersNow) && pause.For(ctx, min(interval, minPeersInterval)) {
 		m := c.peerFinder.ReportPeers()
-		m.Life = c.incarnation
+		m.Life, m.Keepers = c.incarnation, digest
 		interval = reach.ReportInterval
 		if len(m.Lost) > 0 {
 			interval = reach.LossReportInterval
@@ -49,7 +53,13 @@
 			interval = reach.LossReportInterval
 			continue
 		}
+		if reply.KeepersDigest != digest {
+			keepers, digest = reply.Keepers, reply.KeepersDigest
+		}
 		c.peerFinder.SetPeers(reply.Peers)
+		if digest != 0 { // An earlier build names none.
+			c.peerFinder.SetKeepers(keepers)
+		}
 	}
 	return nil
 }
