Origins: a gateway that has just started learns from others which version a route had

A gateway that had just started refused streams for twice the route's time-out although others knew that one version alone had been listed, since it did not know for how long the route had led to its service. The question for a stream's origin names the route now, and the answer tells the only service and version of it and since when. Tests for what lists tell, shared streams at a second version, earlier builds, passed streams, many resumptions, full servers, split routes and withdrawn versions.

--- a/coordination/origin/history.go
+++ b/coordination/origin/history.go
@@ -99,16 +99,12 @@
 	return restarted
 }
 
-// Version returns the only version of a service that was listed lately, and for how long it has been
-// the only one; 0 if there are several.
-func (h *History) Version(service string, now time.Time) (version string, lasting time.Duration) {
-	return h.versions[service].lasting(now)
-}
-
-// Service returns the only service that a route led to lately, and for how long it has been the only
-// one; 0 if there are several.
-func (h *History) Service(route string, now time.Time) (service string, lasting time.Duration) {
-	return h.services[route].lasting(now)
+// Single returns the only service that a route led to lately and its only version, and for how long
+// both have been the only ones.
+func (h *History) Single(route string, now time.Time) protocol.SingleVersion {
+	service, serviceFor := h.services[route].lasting(now)
+	version, versionFor := h.versions[service].lasting(now)
+	return protocol.SingleVersion{Service: service, Version: version, For: min(serviceFor, versionFor)}
 }
 
 // lasting returns the single value of a spell and its time up to now; 0 without a single value.
--- a/coordination/origin/judge.go
+++ b/coordination/origin/judge.go
@@ -31,11 +31,8 @@
 type JudgeMsg struct {
 	Lifetime    time.Duration // Lifetime is the longest time since the stream can have begun.
 	Replies     []protocol.OriginReply
-	AllAnswered bool   // AllAnswered reports that each gateway that may keep the origin has answered.
-	Service     string // Service is the only service of the route for ServiceFor; empty if there are several.
-	ServiceFor  time.Duration
-	Version     string // Version is the only version of the service for VersionFor; empty if there are several.
-	VersionFor  time.Duration
+	AllAnswered bool                   // AllAnswered reports that each gateway that may keep the origin has answered.
+	Single      protocol.SingleVersion // Single is what the own history says of the route.
 	ListAge     time.Duration
 }
 
@@ -49,17 +46,12 @@
 			return m.Replies[i].Origin, FromPeer
 		}
 	}
-	if m.Service == "" || m.ServiceFor < m.Lifetime {
-		return protocol.StreamOrigin{}, Unknown
-	}
-	if m.VersionFor >= m.Lifetime && (m.ListAge <= maxListAge || m.AllAnswered) {
-		return protocol.StreamOrigin{Service: m.Service, Version: m.Version}, FromHistory
+	if m.Single.For >= m.Lifetime && (Current(m.ListAge) || m.AllAnswered) {
+		return protocol.StreamOrigin{Service: m.Single.Service, Version: m.Single.Version}, FromHistory
 	}
 	for i := range m.Replies {
-		for _, s := range m.Replies[i].Single {
-			if s.Service == m.Service && s.For >= m.Lifetime {
-				return protocol.StreamOrigin{Service: m.Service, Version: s.Version}, FromPeerList
-			}
+		if s := &m.Replies[i].Single; s.For >= m.Lifetime {
+			return protocol.StreamOrigin{Service: s.Service, Version: s.Version}, FromPeerList
 		}
 	}
 	return protocol.StreamOrigin{}, Unknown
--- a/coordination/origin/origin_test.go
+++ b/coordination/origin/origin_test.go
@@ -91,9 +91,16 @@
 	}
 }
 
+// newHistory returns a history in which a route has led to the service since the start.
+func newHistory() *History {
+	h := NewHistory(start)
+	h.Routes([]protocol.PathRoute{{Name: "r", Split: []protocol.WeightedService{{Service: "s"}}}}, start)
+	return h
+}
+
 // TestHistory checks since when a service is known to have a single version.
 func TestHistory(t *testing.T) {
-	h := NewHistory(start)
+	h := newHistory()
 	steps := []struct {
 		at      float64
 		list    []protocol.Instance
@@ -114,16 +121,16 @@
 		if changed := h.List(s.list, after(s.at)); changed != s.changed {
 			t.Errorf("at %v: changed %v, want %v", s.at, changed, s.changed)
 		}
-		version, lasting := h.Version("s", after(s.at+0.5))
-		if version != s.version || lasting != time.Duration(s.lasting*float64(time.Second)) {
-			t.Errorf("at %v: version %q for %v, want %q for %v s", s.at, version, lasting, s.version, s.lasting)
+		got := h.Single("r", after(s.at+0.5))
+		if got.Version != s.version || got.For != time.Duration(s.lasting*float64(time.Second)) {
+			t.Errorf("at %v: version %q for %v, want %q for %v s", s.at, got.Version, got.For, s.version, s.lasting)
 		}
 	}
 }
 
 // TestHistoryHasGaps checks that a time in which the list was not confirmed is not taken for known.
 func TestHistoryHasGaps(t *testing.T) {
-	h := NewHistory(start)
+	h := newHistory()
 	h.List(servers("v1"), start)
 	for at := 1.0; at <= 10; at++ {
 		if h.Confirm(after(at)) {
@@ -136,8 +143,8 @@
 	if h.Confirm(after(12)) {
 		t.Error("a late confirmation starts the history anew")
 	}
-	if _, lasting := h.Version("s", after(15)); lasting != time.Second {
-		t.Errorf("a single version for %v, want 1 s", lasting)
+	if got := h.Single("r", after(15)); got.For != time.Second {
+		t.Errorf("a single version for %v, want 1 s", got.For)
 	}
 	if age := h.ListAge(after(15)); age != time.Second {
 		t.Errorf("the list is %v old, want 1 s", age)
@@ -154,34 +161,38 @@
 		return []protocol.PathRoute{r}
 	}
 	h := NewHistory(start)
+	h.List([]protocol.Instance{{Service: "s", Version: "v1"}, {Service: "z", Version: "v2"}}, start)
 	h.Routes(route("s"), after(1))
-	if service, lasting := h.Service("r", after(2)); service != "s" || lasting != 2*time.Second {
-		t.Errorf("%q for %v, want s for 2 s", service, lasting)
+	if got, want := h.Single("r", after(2)), (protocol.SingleVersion{Service: "s", Version: "v1", For: 2 * time.Second}); got != want {
+		t.Errorf("got %+v, want %+v", got, want)
 	}
 	if h.Routes(route("s"), after(3)) || !h.Routes(route("s", "z"), after(4)) {
 		t.Error("only the split changes what is known")
 	}
-	if _, lasting := h.Service("r", after(5)); lasting != 0 {
-		t.Errorf("a single service for %v, want none", lasting)
+	if got := h.Single("r", after(5)); got.For != 0 {
+		t.Errorf("got %+v of two services", got)
 	}
 	h.Routes(route("z"), after(6))
-	if service, lasting := h.Service("r", after(7)); service != "z" || lasting != time.Second {
-		t.Errorf("%q for %v, want z for 1 s", service, lasting)
+	if got, want := h.Single("r", after(7)), (protocol.SingleVersion{Service: "z", Version: "v2", For: time.Second}); got != want {
+		t.Errorf("got %+v, want %+v", got, want)
 	}
 }
 
 // TestJudge checks from what the version of a stream is certain.
 func TestJudge(t *testing.T) {
 	const lifetime = 10 * time.Second
-	known := JudgeMsg{Lifetime: lifetime, Service: "s", ServiceFor: lifetime, Version: "v1", VersionFor: lifetime}
+	single := func(service, version string, lasting time.Duration) protocol.SingleVersion {
+		return protocol.SingleVersion{Service: service, Version: version, For: lasting}
+	}
+	known := JudgeMsg{Lifetime: lifetime, Single: single("s", "v1", lifetime)}
 	with := func(change func(*JudgeMsg)) JudgeMsg {
 		m := known
 		change(&m)
 		return m
 	}
 	found := protocol.OriginReply{Found: true, Origin: streamOrigin(1, "v2", 3)}
-	elsewhere := func(service string, lasting time.Duration) []protocol.OriginReply {
-		return []protocol.OriginReply{{Single: []protocol.SingleVersion{{Service: service, Version: "v3", For: lasting}}}}
+	elsewhere := func(lasting time.Duration) []protocol.OriginReply {
+		return []protocol.OriginReply{{}, {Single: single("s", "v3", lasting)}}
 	}
 	for name, c := range map[string]struct {
 		msg     JudgeMsg
@@ -193,16 +204,10 @@
 		"one version, current list":             {known, "v1", FromHistory},
 		"one version, old list":                 {with(func(m *JudgeMsg) { m.ListAge = 2 * maxListAge }), "", Unknown},
 		"one version, old list, all answered":   {with(func(m *JudgeMsg) { m.ListAge, m.AllAnswered = 2*maxListAge, true }), "v1", FromHistory},
-		"one version, for too short":            {with(func(m *JudgeMsg) { m.VersionFor-- }), "", Unknown},
-		"several versions":                      {with(func(m *JudgeMsg) { m.Version, m.VersionFor = "", 0 }), "", Unknown},
-		"several versions, all answered":        {with(func(m *JudgeMsg) { m.VersionFor, m.AllAnswered = 0, true }), "", Unknown},
-		"several services":                      {with(func(m *JudgeMsg) { m.Service = "" }), "", Unknown},
-		"another service a while ago":           {with(func(m *JudgeMsg) { m.ServiceFor-- }), "", Unknown},
-		"another gateway knows of one version":  {with(func(m *JudgeMsg) { m.VersionFor, m.Replies = 0, elsewhere("s", lifetime) }), "v3", FromPeerList},
-		"another gateway has just started, too": {with(func(m *JudgeMsg) { m.VersionFor, m.Replies = 0, elsewhere("s", lifetime-1) }), "", Unknown},
-		"another gateway knows of another service": {with(func(m *JudgeMsg) {
-			m.VersionFor, m.Replies = 0, elsewhere("z", lifetime)
-		}), "", Unknown},
+		"one version, for too short":            {with(func(m *JudgeMsg) { m.Single.For-- }), "", Unknown},
+		"several versions, all answered":        {with(func(m *JudgeMsg) { m.Single, m.AllAnswered = single("s", "", 0), true }), "", Unknown},
+		"another gateway knows of one version":  {with(func(m *JudgeMsg) { m.Single.For, m.Replies = 0, elsewhere(lifetime) }), "v3", FromPeerList},
+		"another gateway has just started, too": {with(func(m *JudgeMsg) { m.Single.For, m.Replies = 0, elsewhere(lifetime-1) }), "", Unknown},
 	} {
 		if got, source := Judge(c.msg); got.Version != c.version || source != c.source {
 			t.Errorf("%s: version %q from %v, want %q from %v", name, got.Version, source, c.version, c.source)
--- a/protocol/origin.go
+++ b/protocol/origin.go
@@ -28,20 +28,21 @@
 // OriginsMsg gives another gateway the origins of streams to keep.
 type OriginsMsg struct{ Origins []StreamOrigin }
 
-// OriginQuery asks another gateway for the origin of a stream, and for the versions of services.
+// OriginQuery asks another gateway for the origin of a stream of a route.
 type OriginQuery struct {
-	Key      StreamKey
-	Services []string
+	Key   StreamKey
+	Route string
 }
 
 // OriginReply answers an [OriginQuery].
 type OriginReply struct {
 	Found  bool
-	Origin StreamOrigin    // meaningful if Found
-	Single []SingleVersion // those of the services that have had one version only
+	Origin StreamOrigin  // meaningful if Found
+	Single SingleVersion // for any stream of the route
 }
 
-// SingleVersion is the only version of a service that was listed for a time up to now.
+// SingleVersion is the only service to which a route led, and the only version of it that was
+// listed, for a time up to now. For is 0 if there were several.
 type SingleVersion struct {
 	Service string
 	Version string
--- a/transport/forward/origin.go
+++ b/transport/forward/origin.go
@@ -114,10 +114,9 @@
 	s, now := &x.g.origins, clock.Now()
 	s.mu.Lock()
 	s.table.Add(*x.origin, true, now)
-	_, versionFor := s.history.Version(x.service, now)
-	_, serviceFor := s.history.Service(x.route.Name, now)
+	single := s.history.Single(x.route.Name, now)
 	s.mu.Unlock()
-	if min(versionFor, serviceFor) < x.streamLifetime() {
+	if single.For < x.streamLifetime() || single.Version != x.origin.Version {
 		x.awaitKept(x.g.giveOrigins([]protocol.StreamOrigin{*x.origin}))
 	}
 }
--- a/transport/forward/origin_lookup.go
+++ b/transport/forward/origin_lookup.go
@@ -23,9 +23,10 @@
 	}
 	began := clock.Now()
 	found, source, complete := x.lookUpOrigin()
+	_, listAge := x.history()
 	x.g.meters.countStreamResumed(source)
 	x.log.Info().Str("resumes", x.call.Resumes).Stringer("source", source).Str("service", found.Service).Str("version", found.Version).
-		Bool("all_answered", complete).Dur("list_age", x.listAge()).Dur("took", clock.Since(began)).Msg("version of a resumed stream")
+		Bool("all_answered", complete).Dur("list_age", listAge).Dur("took", clock.Since(began)).Msg("version of a resumed stream")
 	if source == origin.Unknown {
 		return x.refuseUnknownVersion(complete)
 	}
@@ -64,9 +65,9 @@
 	m := origin.JudgeMsg{Lifetime: x.streamLifetime()}
 	keepers := origin.Keepers(key, g.cfg.Topology, g.keepers())
 	for _, ask := range [][]protocol.Peer{keepers[:min(firstAsked, len(keepers))], keepers[min(firstAsked, len(keepers)):]} {
-		m.Replies = append(m.Replies, g.askOrigin(ask, key, x.route)...)
+		m.Replies = append(m.Replies, g.askOrigin(ask, &protocol.OriginQuery{Key: key, Route: x.route.Name})...)
 		m.AllAnswered = len(keepers) > 0 && len(m.Replies) == len(keepers)
-		x.addHistory(&m)
+		m.Single, m.ListAge = x.history()
 		if found, source = origin.Judge(m); source != origin.Unknown {
 			break
 		}
@@ -74,36 +75,24 @@
 	return found, source, m.AllAnswered
 }
 
-// addHistory adds what this gateway has seen of the route's service and its versions.
-func (x *exchange) addHistory(m *origin.JudgeMsg) {
+// history returns what this gateway has seen of the route's service and its versions, and how old
+// its list of servers is.
+func (x *exchange) history() (protocol.SingleVersion, time.Duration) {
 	s, now := &x.g.origins, clock.Now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	m.Service, m.ServiceFor = s.history.Service(x.route.Name, now)
-	m.Version, m.VersionFor = s.history.Version(m.Service, now)
-	m.ListAge = s.history.ListAge(now)
-}
-
-func (x *exchange) listAge() time.Duration {
-	s := &x.g.origins
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.history.ListAge(clock.Now())
+	return s.history.Single(x.route.Name, now), s.history.ListAge(now)
 }
 
 // askOrigin asks gateways for the origin of a stream, all at once, and returns the replies that came.
-func (g *Gateway) askOrigin(peers []protocol.Peer, key protocol.StreamKey, route *protocol.PathRoute) []protocol.OriginReply {
-	query := protocol.OriginQuery{Key: key}
-	for _, s := range route.Split {
-		query.Services = append(query.Services, s.Service)
-	}
+func (g *Gateway) askOrigin(peers []protocol.Peer, query *protocol.OriginQuery) []protocol.OriginReply {
 	var wg sync.WaitGroup
 	var mu sync.Mutex // mu guards replies.
 	var replies []protocol.OriginReply
 	for i := range peers {
 		wg.Go(func() {
 			var reply protocol.OriginReply
-			if err := g.callPeer(&peers[i], findOriginCall, &query, &reply); err != nil {
+			if err := g.callPeer(&peers[i], findOriginCall, query, &reply); err != nil {
 				g.log.Info().Str("peer", peers[i].Name).Err(err).Msg("another gateway did not say what version began a stream")
 				return
 			}
@@ -124,13 +113,8 @@
 	if r, ok := s.table.Find(q.Key, now); ok {
 		reply.Found, reply.Origin = true, r.Origin(q.Key, now)
 	}
-	if !origin.Current(s.history.ListAge(now)) {
-		return reply
-	}
-	for _, service := range q.Services {
-		if version, lasting := s.history.Version(service, now); lasting > 0 {
-			reply.Single = append(reply.Single, protocol.SingleVersion{Service: service, Version: version, For: lasting})
-		}
+	if origin.Current(s.history.ListAge(now)) {
+		reply.Single = s.history.Single(q.Route, now)
 	}
 	return reply
 }
--- a/transport/forward/trial_test.go
+++ b/transport/forward/trial_test.go
@@ -17,7 +17,7 @@
 func (w *testGateway) backendVersion(id, version string, serve func(net.Conn, *fasthttp.Request)) *backendServer {
 	b := w.backend(id, serve)
 	w.servers[len(w.servers)-1].Version = version
-	w.g.SetServers(w.servers)
+	w.g.SetServers(slices.Clone(w.servers))
 	return b
 }
 
--- a/transport/forward/version_test.go
+++ b/transport/forward/version_test.go
@@ -42,10 +42,7 @@
 // serverOf adds a server of a version.
 func (w *testGateway) serverOf(id, version string) *backendServer {
 	w.t.Helper()
-	b := w.backend(id, breakingServer(version))
-	w.servers[len(w.servers)-1].Version = version
-	w.g.SetServers(slices.Clone(w.servers))
-	return b
+	return w.backendVersion(id, version, breakingServer(version))
 }
 
 // askAs sends a request with an ID and reads its answer.
