The leader places a long prompt of a resumed stream at the stream's version

A gateway that asked the leader for a server for a stream that goes on at one version only got one of any version, dropped it and chose itself. The request names the version now; a leader of an earlier build ignores it, and the gateway still checks.

--- a/coordination/place/scheduler.go
+++ b/coordination/place/scheduler.go
@@ -24,6 +24,7 @@
 	Parts   protocol.LaneShares
 	Target  time.Duration // Target is the latest time for the first event.
 	Gap     time.Duration // Gap is the longest acceptable pause between events.
+	Version *string       // Version is the only software version that may take the prompt; nil for any.
 }
 
 // Placed is the placement of a prompt. Its number identifies the request in DoneMsg.
@@ -132,7 +133,7 @@
 // Place returns a server for a long prompt, or false if there is none.
 func (ps *PromptScheduler) Place(v *View, m PromptMsg, now time.Time) (Placed, bool) {
 	ps.removeOverdue(now)
-	rows := inLane(v, candidates(v, ChooseMsg{Service: m.Service, Avoid: m.Avoid, Now: now}), ChooseMsg{Lane: LaneLong, Parts: m.Parts})
+	rows := inLane(v, candidates(v, ChooseMsg{Service: m.Service, Avoid: m.Avoid, Version: m.Version, Now: now}), ChooseMsg{Lane: LaneLong, Parts: m.Parts})
 	holder := ps.holder(v, m, now)
 	best, least := -1, math.Inf(1)
 	for _, r := range rows {
--- a/protocol/uplink.go
+++ b/protocol/uplink.go
@@ -86,6 +86,7 @@
 	Parts   LaneShares
 	Target  time.Duration // latency target for the first event
 	Gap     time.Duration // latency target for the gap between events
+	Version *string       // only software version that may take the request; nil for any
 }
 
 // PlaceReply names the selected server. Server is empty if none was found or if this
--- a/transport/control/uplink.go
+++ b/transport/control/uplink.go
@@ -361,6 +361,7 @@
 		Parts:   m.Parts,
 		Target:  m.Target,
 		Gap:     m.Gap,
+		Version: m.Version,
 	}
 }
 
--- a/transport/forward/exchange.go
+++ b/transport/forward/exchange.go
@@ -265,6 +265,7 @@
 		Parts:   x.laneShares,
 		Target:  x.route.Target,
 		Gap:     x.route.TargetGap,
+		Version: x.requiredVersion(),
 	})
 	if !ok {
 		return nil
