A run whose stop is not answered has not ended

A server that is told to stop a run so that it goes on elsewhere closes the run's stream. For a stream without a length that close looks like its end, and if the answer to the stop was lost, the gateway asked whether the server still accepts connections, which it does, and passed the truncated stream on as complete. Such a stream counts as broken now unless the server answered that the run had ended before the stop.

The case of TestMoveOffLeavingServer without an answer to the stop fails on the code before, on both kinds of route.

--- a/transport/forward/ending.go
+++ b/transport/forward/ending.go
@@ -61,13 +61,17 @@
 }
 
 // endStream ends an attempt whose stream ended at the server. A server that was told to stop the
-// run closes a stream without a length like one that has ended.
+// run closes a stream without a length like one that has ended, unless it says that the run had
+// ended before.
 func (t *serverAttempt) endStream(err error, stop func() bool) *protocol.Refusal {
 	t.recordEnd(err)
 	stopped := errors.Is(err, backend.ErrEndUnconfirmed) && !t.x.events.insideEvent() && t.stopRequested()
 	if stopped && t.continueElsewhere() {
 		return errRetry
 	}
+	if stopped && !t.endedBeforeStop() {
+		return t.streamBroken(err)
+	}
 	if err := t.verifyStreamEnd(err); err != nil {
 		return t.streamBroken(err)
 	}
@@ -90,7 +94,7 @@
 	framing := backend.FramingOf(x.resp)
 	x.end = answerEnd{framing: framing, ending: backend.EndingOf(err)}
 	x.g.meters.countEnd(x.end)
-	inEvent := len(x.events.partial) > 0
+	inEvent := x.events.insideEvent()
 	if x.end.ending == backend.EndedWhole && !inEvent {
 		return
 	}
--- a/transport/forward/move.go
+++ b/transport/forward/move.go
@@ -95,6 +95,7 @@
 
 	mu            sync.Mutex // mu guards the fields below.
 	state         move.State
+	stopReply     move.Outcome  // stopReply is the answer to the stop.
 	stopAnswered  chan struct{} // stopAnswered is closed when the server answers the stop or copyTimeout has passed; nil before the stop.
 	moveStartedAt time.Time     // moveStartedAt is when the move started; zero before that.
 	noticedAt     time.Time     // noticedAt is when the departure notice that caused the move arrived.
@@ -244,6 +245,7 @@
 	reply := r.requestCopy(target, true)
 	r.apply(move.StoppedMsg{Outcome: reply.Outcome, Handle: reply.Handle})
 	r.mu.Lock()
+	r.stopReply = reply.Outcome
 	close(r.stopAnswered)
 	stopped := r.state.Phase == move.Stopped || r.state.Phase == move.Going
 	r.mu.Unlock()
--- a/transport/forward/move_continue.go
+++ b/transport/forward/move_continue.go
@@ -43,6 +43,14 @@
 	return false
 }
 
+// endedBeforeStop reports whether the server answered the stop that the run had ended.
+func (t *serverAttempt) endedBeforeStop() bool {
+	r := t.activeRun
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.stopReply == move.NoRun
+}
+
 // stopRequested reports whether the server was told to stop the run so that it continues elsewhere.
 func (t *serverAttempt) stopRequested() bool {
 	r := t.activeRun
