The soak lets two versions serve, ends and breaks their streams, and resumes them

weldsoak -streams: every second server has another version, half of them send streams without a length, break some inside an event and end from time to time without a reset; callers' connections break, and they go on at any gateway. Each stream must be of one version and in order, and complete only with all of its events. A proxy that turned a reset of a server into a close, which ends an answer without a length, resets the other side now. TestStreamsKeepTheirVersion runs two short plans and wants half of the resumptions to go on.

--- a/cmd/weldsoak/main.go
+++ b/cmd/weldsoak/main.go
@@ -42,6 +42,7 @@
 	flag.BoolVar(&kinds.backpressure, "words", false, "also let servers announce request limits and ask for pauses")
 	flag.BoolVar(&kinds.cutOffs, "cut", false, "also cut gateways off from all backend servers")
 	flag.BoolVar(&kinds.brittle, "brittle", false, "also let servers be brittle, which fall over under requests that they have to reject")
+	flag.BoolVar(&kinds.streams, "streams", false, "also let servers of two versions break streams and send some without a length, and callers resume theirs")
 	earlier := earlierBuild{}
 	flag.StringVar(&earlier.program, "earlier", "", "`program` of an earlier build of the daemon, for some of the processes")
 	mix := flag.String("mix", string(soak.MixUpgrade), "processes that run the earlier build: gateways, controls, first (every process until its first restart) or last (every process after its first restart)")
@@ -103,7 +104,7 @@
 }
 
 // planKinds are the kinds of steps that are added to a plan.
-type planKinds struct{ reclaim, crash, backpressure, restarts, cutOffs, brittle bool }
+type planKinds struct{ reclaim, crash, backpressure, restarts, cutOffs, brittle, streams bool }
 
 func (k planKinds) addTo(p soak.Plan, size soak.Size) soak.Plan {
 	if k.reclaim {
@@ -124,6 +125,9 @@
 	if k.brittle {
 		p = p.WithBrittleServers()
 	}
+	if k.streams {
+		p = p.WithStreams()
+	}
 	return p
 }
 
@@ -153,6 +157,9 @@
 	if err == nil && len(result.Breaches) == 0 {
 		fmt.Printf("seed %d: %d faults, %d of %d requests served, %d roll-outs completed, %d turned back, %d answers moved, %d servers ended under requests, %d limits kept to, nothing broken\n",
 			seed, len(plan.Steps), result.Served, result.Sent, result.Completed, result.RolledBack, result.Moved, result.ServersCrashed, result.LimitsChecked)
+		if s := result.Streams; plan.Streams {
+			fmt.Printf("  %d streams begun, %d whole, %d resumptions, %d of them went on, %d servers send streams without a length\n", s.Begun, s.Whole, s.Resumed, s.WentOn, s.Unframed)
+		}
 		return os.RemoveAll(dir) == nil
 	}
 	fmt.Printf("seed %d: BROKEN, error %v, logs in %s\n%s", seed, err, dir, plan)
--- a/internal/soak/crash.go
+++ b/internal/soak/crash.go
@@ -146,6 +146,7 @@
 		return
 	}
 	next.Address, next.Version, next.Pause, next.UnreadTimeout = proxy.Address(), b.Version, b.Pause, b.UnreadTimeout
+	next.SetUnframed(b.Unframed())
 	next.SetOnCrash(func() { k.onCrash(next, proxy) })
 	k.cluster.trackBackend(next, proxy)
 	k.cluster.API.Add(next)
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -59,6 +59,7 @@
 	Crashes      bool // Crashes enables requests that crash servers.
 	Brittle      bool // Brittle enables periods in which servers are brittle.
 	Restarts     bool // Restarts makes servers reject most requests.
+	Streams      bool // Streams enables servers of two versions and callers that resume their streams; see WithStreams.
 	Backpressure bool // Backpressure enables servers that announce rate limits and send retry delays.
 }
 
--- a/internal/soak/proxy.go
+++ b/internal/soak/proxy.go
@@ -119,6 +119,17 @@
 	p.Reset()
 }
 
+// CloseOrderly closes the listener and then all connections without a reset, as the end of a process
+// that has read all of its input does.
+func (p *Proxy) CloseOrderly() {
+	_ = p.ln.Close()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for c := range p.conns {
+		_ = c.Close()
+	}
+}
+
 func (p *Proxy) accept() {
 	for {
 		c, err := p.ln.Accept()
@@ -186,6 +197,7 @@
 		}
 		if err != nil {
 			if !errors.Is(err, io.EOF) {
+				resetConn(dst) // A close would make a truncated response look complete.
 				return
 			}
 			p.waitPassable(inward)
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -21,6 +21,7 @@
 	ServersCrashed int // ServersCrashed counts servers that crashed under requests.
 	LimitsChecked  int // LimitsChecked counts rate limits that were in force long enough to be checked.
 	Moved          int // Moved counts running answers that continued on another server.
+	Streams        StreamCounts
 	Breaches       []string
 }
 
@@ -39,6 +40,7 @@
 	k := NewChecker(c.Record)
 	o := NewOperator(c, k)
 	c.prepareReclaims(p)
+	c.prepareStreams(p)
 	if err := c.Start(); err != nil {
 		return Result{}, err
 	}
@@ -54,24 +56,9 @@
 	r.startLoad(ctx, &load, p.Seed)
 	rollouts := NewRollouts(c, k)
 	ordering, stopOrders := context.WithCancel(ctx)
+	d := r.startDisturbances(ctx, ordering, &load, p)
 	var ordered sync.WaitGroup
-	crashes := func() int { return 0 }
-	if p.Crashes {
-		crashes = c.enableCrashes()
-		r.startCrashRequests(ctx, &load)
-	}
-	pressure := backpressure{}
-	if p.Backpressure {
-		pressure.start(ordering, c, p.Seed)
-	}
-	brittle := brittlePeriods{}
-	if p.Brittle {
-		brittle.start(ordering, c, p.Seed)
-	}
-	if p.Restarts {
-		c.rejectMost()
-	}
-	if !p.Reclaims && !p.Crashes && !p.Backpressure && !p.Restarts && !p.Brittle {
+	if !p.replacesRollouts() {
 		ordered.Go(func() { rollouts.run(ordering, p.Seed) })
 	}
 	r.play(p)
@@ -83,13 +70,50 @@
 	ordered.Wait() // A version is judged by the callers' requests, so they continue until the roll-outs end.
 	cancel()
 	load.Wait()
-	ended := crashes()
-	overLimits, limits := pressure.breaches()
+	counts, ended := d.streams.finish(), d.crashes()
+	overLimits, limits := d.pressure.breaches()
 	r.checkRecovery()
 	k.Finish()
 	rollouts.Finish()
-	return Result{Sent: len(k.requests), Served: k.Served(), Completed: rollouts.Completed, RolledBack: rollouts.RolledBack, Moved: c.Record.Moved(), ServersCrashed: ended, LimitsChecked: limits,
-		Breaches: slices.Concat(k.Breaches(), c.API.Breaches(), c.Record.Breaches(), overLimits, c.retryBudgetBreaches(p), brittle.breaches())}, nil
+	return Result{Sent: len(k.requests), Served: k.Served(), Completed: rollouts.Completed, RolledBack: rollouts.RolledBack, Moved: c.Record.Moved(), ServersCrashed: ended, LimitsChecked: limits, Streams: counts,
+		Breaches: slices.Concat(k.Breaches(), c.API.Breaches(), c.Record.Breaches(), overLimits, c.retryBudgetBreaches(p), d.brittle.breaches())}, nil
+}
+
+// replacesRollouts reports whether a kind of disturbance leaves no room for roll-outs.
+func (p Plan) replacesRollouts() bool {
+	return p.Streams || p.Reclaims || p.Crashes || p.Backpressure || p.Restarts || p.Brittle
+}
+
+// disturbances are what a plan does beside its steps.
+type disturbances struct {
+	crashes  func() int // crashes ends the replacement of crashed servers and returns their number.
+	pressure backpressure
+	brittle  brittlePeriods
+	streams  markedStreams
+}
+
+// startDisturbances starts what the plan does beside its steps. The requests that crash servers end
+// with ctx, everything else with ordering.
+func (r *run) startDisturbances(ctx, ordering context.Context, load *sync.WaitGroup, p Plan) *disturbances {
+	c := r.cluster
+	d := &disturbances{crashes: func() int { return 0 }, streams: markedStreams{cluster: c, checker: r.checker}}
+	if p.Crashes {
+		d.crashes = c.enableCrashes()
+		r.startCrashRequests(ctx, load)
+	}
+	if p.Backpressure {
+		d.pressure.start(ordering, c, p.Seed)
+	}
+	if p.Brittle {
+		d.brittle.start(ordering, c, p.Seed)
+	}
+	if p.Streams {
+		d.streams.start(ordering, p.Seed)
+	}
+	if p.Restarts {
+		c.rejectMost()
+	}
+	return d
 }
 
 // startLoad starts the callers and the operator, who go on until ctx ends.
