A new leader does not wait for limits that no instance has

After a loss of power everywhere gateways sent nothing for 250 ms behind the election: a leader that had just started repeated its question for the servers' limits until that time was over, although every other instance had answered that it has none. An answer without a copy, and a refused connection, end the question to that instance now; once all other voters are known to have no copy the wait is over. An instance that is silent may have limits and is still waited for, 250 ms at the most, and voters are asked that the membership does not know yet.

No bound on limited or brittle servers changes: what nobody holds cannot arrive, and servers tell their limits anew in their first answers, as before behind the wait.

TestLeaderDoesNotWaitForLimitsNobodyHas fails on the code before: an instance without a copy was asked 25 times.

--- a/cmd/weldstreamd/control.go
+++ b/cmd/weldstreamd/control.go
@@ -161,6 +161,7 @@
 	}
 	opts := []control.UplinkOption{
 		control.WithLogger(c.log), control.WithRegistry(c.registry), control.WithTopology(n.Topology()), control.WithDomains(c.domains), control.WithGatewayGrace(n.Bounds.Revoke),
+		control.WithVoters(c.voters),
 		control.WithFirstLeader(func() bool { return c.group.Status().First }),
 		control.WithRetryBudget(control.RetryBudget{Extra: n.Bounds.RetryExtra, Window: n.Bounds.RetryWindow}),
 		control.WithExposure(control.Exposure{Share: n.Bounds.TrialShare, Slack: n.Bounds.TrialSlack, Unannounced: n.Bounds.OrderRepeat + unannouncedMargin}),
@@ -229,6 +230,16 @@
 	return address, err == nil
 }
 
+// voters returns the peer addresses of the control instances that vote.
+func (c *controlInstance) voters() (addresses []string) {
+	for _, id := range c.group.Status().Members.Voters {
+		if address, ok := c.peerAddress(id.Name); ok {
+			addresses = append(addresses, address)
+		}
+	}
+	return addresses
+}
+
 // peers returns the peer address of the leader and those of all known control instances. The
 // leader is empty if it is unknown, or if this instance leads but cannot confirm it.
 func (c *controlInstance) peers() (leader string, all []string) {
--- a/transport/control/limit_copies.go
+++ b/transport/control/limit_copies.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"errors"
+	"slices"
 	"sync"
-	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/weldstream/weldstream/internal/clock"
@@ -117,44 +119,82 @@
 	go u.fetchLimits(r, u.term, u.limitsInherited)
 }
 
-// fetchLimits asks the other control instances for their copies until one has answered, and closes
-// done.
+// fetchLimits asks the other control instances for their copies, and closes done. It ends when one
+// has answered with a copy, or when no instance is left that may have one.
 func (u *Uplink) fetchLimits(r *Relay, term uint64, done chan<- struct{}) {
 	defer close(done)
+	without := map[string]bool{} // without are the instances that have no copy.
 	for end := clock.Now().Add(maxCopiesWait); clock.Now().Before(end); pause.For(context.Background(), copiesRetryPause) {
-		_, peers := u.peers()
-		var calls sync.WaitGroup
-		var answered atomic.Bool
-		for _, peer := range peers {
-			if peer != r.peer {
-				calls.Go(func() {
-					if u.fetchLimitsFrom(r.caller, peer, term) {
-						answered.Store(true)
-					}
-				})
+		asked, outcomes := u.askForCopies(r, term, without)
+		if slices.Contains(outcomes, copyTaken) {
+			return
+		}
+		for i, outcome := range outcomes {
+			if outcome == copyMissing {
+				without[asked[i]] = true
 			}
 		}
-		calls.Wait()
-		if answered.Load() {
+		if u.allWithout(r.peer, without) {
+			u.log.Info().Uint64("term", term).Int("instances", len(without)).Msg("no control instance has a copy of the servers' limits")
 			return
 		}
 	}
 	u.log.Warn().Uint64("term", term).Msg("no control instance returned the servers' limits of the former leader")
 }
 
-// fetchLimitsFrom takes the copy of one control instance and reports whether it had one.
-func (u *Uplink) fetchLimitsFrom(caller Caller, peer string, term uint64) bool {
+// copyOutcome is the outcome of a request for the copy of another instance.
+type copyOutcome uint8
+
+const (
+	copyUnknown copyOutcome = iota // copyUnknown: no answer; the instance may have a copy.
+	copyTaken                      // copyTaken: its copy was taken over.
+	copyMissing                    // copyMissing: it has had none since it started, or its process has ended.
+)
+
+// askForCopies asks the instances that may have a copy, all at once.
+func (u *Uplink) askForCopies(r *Relay, term uint64, without map[string]bool) (asked []string, outcomes []copyOutcome) {
+	_, peers := u.peers()
+	for _, peer := range slices.Concat(peers, u.voters()) {
+		if peer != r.peer && !without[peer] && !slices.Contains(asked, peer) {
+			asked = append(asked, peer)
+		}
+	}
+	outcomes = make([]copyOutcome, len(asked))
+	var calls sync.WaitGroup
+	for i, peer := range asked {
+		calls.Go(func() { outcomes[i] = u.fetchLimitsFrom(r.caller, peer, term) })
+	}
+	calls.Wait()
+	return asked, outcomes
+}
+
+// allWithout reports whether all other voters are known to have no copy.
+func (u *Uplink) allWithout(self string, without map[string]bool) bool {
+	voters := u.voters()
+	return len(without) > 0 && len(voters) > 0 && !slices.ContainsFunc(voters, func(v string) bool { return v != self && !without[v] })
+}
+
+// fetchLimitsFrom takes the copy of one control instance.
+func (u *Uplink) fetchLimitsFrom(caller Caller, peer string, term uint64) copyOutcome {
 	var reply protocol.LimitsReply
-	if err := caller.Call(peer, "Uplink.LimitCopies", protocol.LimitsMsg{}, &reply, copiesTimeout); err != nil || !reply.Leads {
+	err := caller.Call(peer, "Uplink.LimitCopies", protocol.LimitsMsg{}, &reply, copiesTimeout)
+	if err != nil || !reply.Leads {
 		u.log.Debug().Err(err).Str("instance", peer).Msg("a control instance has no copy of the limits")
-		return false
+	}
+	switch {
+	case errors.Is(err, syscall.ECONNREFUSED): // Copies are held in memory only.
+		return copyMissing
+	case err != nil:
+		return copyUnknown
+	case !reply.Leads:
+		return copyMissing
 	}
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	if u.term == term {
 		u.permits.Inherit(reply.Limits, u.enteredAt)
 	}
-	return true
+	return copyTaken
 }
 
 // awaitLimits waits until a new leader knows what its predecessor knew.
--- a/transport/control/limit_copies_test.go
+++ b/transport/control/limit_copies_test.go
@@ -2,6 +2,10 @@
 
 import (
 	"errors"
+	"fmt"
+	"strings"
+	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -52,6 +56,63 @@
 	}
 }
 
+// countingCaller answers requests for copies as the address says, and counts them.
+type countingCaller struct {
+	mu    sync.Mutex // mu guards calls.
+	calls map[string]int
+}
+
+func (c *countingCaller) Call(address, _ string, _, reply any, _ time.Duration) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.calls[address]++
+	switch {
+	case strings.HasPrefix(address, "refused"):
+		return fmt.Errorf("connect to peer: %w", syscall.ECONNREFUSED)
+	case strings.HasPrefix(address, "silent"):
+		return errors.New("the call timed out")
+	case strings.HasPrefix(address, "late") && c.calls[address] > 2:
+		*reply.(*protocol.LimitsReply) = protocol.LimitsReply{Leads: true, Limits: []protocol.ServerLimit{{Server: "a", Limit: brittle}}}
+	case strings.HasPrefix(address, "late"):
+		return errors.New("the call timed out")
+	}
+	return nil // It has no copy.
+}
+
+// TestLeaderDoesNotWaitForLimitsNobodyHas guards against gateways that send nothing for as long as a
+// new leader asks instances for limits that have said that they have none, or cannot have any.
+func TestLeaderDoesNotWaitForLimitsNobodyHas(t *testing.T) {
+	for name, c := range map[string]struct {
+		voters []string
+		again  string // again is the only instance that is asked more than once; empty for none.
+		limits int
+	}{
+		"all have just started":          {[]string{"self", "started-1", "started-2", "started-3", "started-4"}, "", 0},
+		"some are still down":            {[]string{"self", "started-1", "started-2", "refused-1", "refused-2"}, "", 0},
+		"one may have limits":            {[]string{"self", "started-1", "started-2", "refused-1", "silent-1"}, "silent-1", 0},
+		"one that answers late has some": {[]string{"self", "started-1", "late-1"}, "late-1", 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			caller := &countingCaller{calls: map[string]int{}}
+			known := c.voters[:2] // The others are not known from the membership yet.
+			u := NewUplink(newFakeGroup(), func() (string, []string) { return "", known }, parse, 8*time.Second, WithVoters(func() []string { return c.voters }))
+			u.relay.Store(NewRelay(u, caller, "r", "self", metrics.NewRegistry()))
+			var reply protocol.LimitsReply
+			if err := u.Limits(protocol.LimitsMsg{Gateway: "g", Life: 1}, &reply); err != nil || len(reply.Limits) != c.limits {
+				t.Fatalf("got %+v, error %v, want %d limits", reply, err, c.limits)
+			}
+			for _, v := range c.voters[1:] {
+				if n := caller.calls[v]; (v == c.again) != (n > 1) || n == 0 {
+					t.Errorf("%s was asked %d times", v, n)
+				}
+			}
+			if caller.calls["self"] > 0 {
+				t.Error("the leader asked itself")
+			}
+		})
+	}
+}
+
 // TestNoRoomBeforePredecessorsExpired checks that a new leader grants no room at a brittle server that
 // its predecessor may have granted to others, and renews what a gateway has.
 func TestNoRoomBeforePredecessorsExpired(t *testing.T) {
--- a/transport/control/options.go
+++ b/transport/control/options.go
@@ -53,6 +53,13 @@
 	return func(u *Uplink) { u.firstLeader = first }
 }
 
+// WithVoters sets the func that returns the peer addresses of the control instances that vote. Without
+// it, a new leader that has just started waits for the limits of its predecessor although no other
+// instance has them.
+func WithVoters(voters func() []string) UplinkOption {
+	return func(u *Uplink) { u.voters = voters }
+}
+
 // WithGatewayGrace sets how long a gateway without contact to the control role continues to
 // serve. By default, usage reports wait only for gateways that were in contact during the
 // window.
--- a/transport/control/uplink.go
+++ b/transport/control/uplink.go
@@ -35,6 +35,7 @@
 	retryBudget  RetryBudget
 	gatewayGrace time.Duration        // gatewayGrace is how long a gateway without contact to the control role continues to serve.
 	firstLeader  func() bool          // firstLeader reports whether this instance leads and no other led before.
+	voters       func() []string      // voters returns the peer addresses of the instances that vote.
 	logIdleTime  func() time.Duration // logIdleTime returns how long nothing was granted before this instance led.
 	startedAt    time.Time
 	clock        *usage.Clock
@@ -143,6 +144,7 @@
 		log:              zerolog.Nop(),
 		meters:           newRolloutMeters(metrics.NewRegistry()),
 		firstLeader:      func() bool { return false },
+		voters:           func() []string { return nil },
 		logIdleTime:      func() time.Duration { return 0 },
 	}
 	for _, opt := range opts {
