Connections that break with the path to the servers do not count for a version

The path is suspected only once further servers are not reached. Where the servers are gone for all, it counts as before.

--- a/transport/forward/attempt.go
+++ b/transport/forward/attempt.go
@@ -266,7 +266,7 @@
 	}
 	t.recordUnanswered(err)
 	if t.conn.Wrote() {
-		t.observeFailure()
+		t.observeBroken()
 	}
 	if t.x.ctx.Err() != nil {
 		return t.x.afterFailure(protocol.MayHaveRun, true, "the deadline passed before the answer")
--- a/transport/forward/reach.go
+++ b/transport/forward/reach.go
@@ -23,6 +23,7 @@
 // silence tells whether the servers of a service have stopped sending anything.
 type silence struct {
 	heardAt   time.Time // heardAt is when a server last sent anything.
+	suspectAt time.Time // suspectAt is when the path to the servers was last suspected.
 	checkedAt time.Time // checkedAt is when servers were last probed for it.
 }
 
@@ -75,7 +76,11 @@
 	r.mu.Lock()
 	isNew := r.tracker.Lost(s.ID, s.Service, errors.Is(err, syscall.ECONNREFUSED), now)
 	lost := r.tracker.Count(s.Service, now)
-	probe := r.tracker.Suspected(s.Service, now) && !r.probing
+	suspected := r.tracker.Suspected(s.Service, now)
+	if suspected {
+		r.silenceOf(s.Service).suspectAt = now
+	}
+	probe := suspected && !r.probing
 	r.probing = r.probing || probe
 	r.mu.Unlock()
 	if probe {
@@ -128,6 +133,18 @@
 // pathSuspected reports whether the path to the servers of a service may be gone.
 func (g *Gateway) pathSuspected(service string) bool { return len(g.lostServers(service)) > 0 }
 
+// failedByPath reports whether a connection to a server that broke at a time broke with the path to
+// the servers: the path was suspected since, and the server is still there or another gateway reaches
+// more of them.
+func (g *Gateway) failedByPath(s *place.Server, at time.Time) bool {
+	r, now := &g.reach, clock.Now()
+	r.mu.Lock()
+	suspected := !r.silenceOf(s.Service).suspectAt.Before(at)
+	lost := r.tracker.IsLost(s.ID, now)
+	r.mu.Unlock()
+	return suspected && (!lost || reach.LacksPath(s.Service, g.lostOf(s.Service), g.peers.all()))
+}
+
 // pruneReach forgets the servers that are no longer listed.
 func (g *Gateway) pruneReach(view *place.View) {
 	r := &g.reach
