A caller's header does not make a passed request a call between gateways

A request that is passed on carries its caller's headers. The header is removed where a request is passed on. TestCallerCannotCallGateways fails without it.

The state dump of a gateway tells how many streams' origins it holds and who keeps its own.

--- a/cmd/weldstreamd/gateway.go
+++ b/cmd/weldstreamd/gateway.go
@@ -264,11 +264,14 @@
 
 	BrittleServers []string `json:"brittle_servers"` // BrittleServers are the servers that announce how few rejections they bear.
 
+	StreamOrigins int      `json:"stream_origins"` // StreamOrigins is the number of streams of which the gateway knows what version began them.
+	OriginKeepers []string `json:"origin_keepers"` // OriginKeepers are the gateways that keep the versions of this one's streams.
+
 	BodiesAtServers map[string]forward.InFlightRow `json:"bodies_at_servers"` // BodiesAtServers is the size of the request bodies in flight at servers, by service.
 }
 
 func (g *gateway) dump() any {
-	d := gatewayDump{Name: g.settings.Name, Domain: g.settings.Domain, Region: g.forward.Region(), Ready: g.ready(), Number: g.forward.Number(), AgeMS: -1, Connections: g.server.Conns(), Ways: g.forward.StatsByDistance(), PromptMemory: g.forward.DumpMemory(), Memory: g.memory.Status(), BodiesAtServers: g.forward.InFlight(), HeldRequests: g.forward.Held(), LimitedServers: g.forward.LimitedServers(), LostServers: g.forward.LostServers(), BrittleServers: g.forward.BrittleServers()}
+	d := gatewayDump{Name: g.settings.Name, Domain: g.settings.Domain, Region: g.forward.Region(), Ready: g.ready(), Number: g.forward.Number(), AgeMS: -1, Connections: g.server.Conns(), Ways: g.forward.StatsByDistance(), PromptMemory: g.forward.DumpMemory(), Memory: g.memory.Status(), BodiesAtServers: g.forward.InFlight(), HeldRequests: g.forward.Held(), LimitedServers: g.forward.LimitedServers(), LostServers: g.forward.LostServers(), BrittleServers: g.forward.BrittleServers(), StreamOrigins: g.forward.Origins(), OriginKeepers: g.forward.OriginKeepers()}
 	if age, ok := g.forward.Age(); ok {
 		d.AgeMS = age.Milliseconds()
 	}
--- a/transport/forward/origin.go
+++ b/transport/forward/origin.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"slices"
 	"sync"
 	"time"
 
@@ -40,6 +41,16 @@
 	return s.table.Len()
 }
 
+// OriginKeepers returns the names of the gateways that keep the origins of streams, sorted.
+func (g *Gateway) OriginKeepers() []string {
+	var names []string
+	for _, k := range g.keepers() {
+		names = append(names, k.Name)
+	}
+	slices.Sort(names)
+	return names
+}
+
 // recordVersions records the list of servers, and gives others the origins of running streams once
 // the list no longer tells them.
 func (g *Gateway) recordVersions(list []protocol.Instance) {
--- a/transport/forward/origin_test.go
+++ b/transport/forward/origin_test.go
@@ -286,3 +286,15 @@
 		t.Errorf("got %+v, %d runs of the former version", got, former.runs.Load())
 	}
 }
+
+// TestCallerCannotCallGateways guards against callers whose headers make a gateway that their request is
+// passed on to take it for a call of another gateway.
+func TestCallerCannotCallGateways(t *testing.T) {
+	all := newVersionGateways(t, 3)
+	unreached := newUnreachingGateway(t, all)
+	for _, call := range []string{keepOriginsCall, findOriginCall} {
+		if got := unreached.askAs("first-"+call, callHeader+": "+call); !got.broken || got.status != 200 {
+			t.Errorf("%s: got %+v, want the stream that was asked for", call, got)
+		}
+	}
+}
--- a/transport/forward/pass.go
+++ b/transport/forward/pass.go
@@ -95,6 +95,7 @@
 	x.resp.Reset()
 	x.g.dialect.Pass(x.out, x.in, x.timeLeft()-returnMargin)
 	x.out.Header.Set(passHeader, mark)
+	x.out.Header.Del(callHeader) // Only gateways call gateways.
 	early, err := p.conn.Exchange(x.out, x.resp, clock.Monotonic(x.deadline))
 	if err != nil && !p.conn.Wrote() && x.ctx.Err() == nil {
 		p.conn.Close()
