--- a/coordination/reach/reach_test.go
+++ b/coordination/reach/reach_test.go
@@ -94,3 +94,41 @@
 		t.Errorf("%d gateways are named, want at most %d", n, maxPeers)
 	}
 }
+
+// TestKeepersAreTheSameForAll checks that the leader names the same gateways to all as those that keep
+// origins of streams, from all failure domains, and that their digest tells a change.
+func TestKeepersAreTheSameForAll(t *testing.T) {
+	d := NewDirectory()
+	report := func(n int, at time.Time) {
+		d.Report(&protocol.PeersMsg{Gateway: fmt.Sprint("gateway-", n), Domain: string(rune('a' + n%4)), Address: fmt.Sprint("10.0.0.", n)}, at)
+	}
+	if keepers, _ := d.Keepers(start); len(keepers) != 0 {
+		t.Errorf("keepers %v without gateways", keepers)
+	}
+	for n := range 3 {
+		report(n, start)
+	}
+	few, first := d.Keepers(start)
+	if again, digest := d.Keepers(start); len(few) != 3 || digest != first || len(again) != 3 {
+		t.Errorf("%d and %d keepers of three, digests %x and %x", len(few), len(again), first, digest)
+	}
+	for n := range 40 {
+		report(n, start.Add(time.Second))
+	}
+	d.Report(&protocol.PeersMsg{Gateway: "takes no requests", Domain: "a"}, start)
+	keepers, digest := d.Keepers(start.Add(time.Second))
+	domains := map[string]int{}
+	for _, k := range keepers {
+		domains[k.Domain]++
+		if k.Address == "" {
+			t.Errorf("%s takes no requests", k.Name)
+		}
+	}
+	if len(keepers) != maxKeepers || len(domains) != 4 || domains["a"] != maxKeepers/4 || digest == first {
+		t.Errorf("%d keepers, by domain %v, digest changed: %v", len(keepers), domains, digest != first)
+	}
+	report(1, start.Add(time.Second+directoryTTL))
+	if keepers, _ := d.Keepers(start.Add(2*time.Second + directoryTTL)); len(keepers) != 1 {
+		t.Errorf("%d keepers, want the one that reported lately", len(keepers))
+	}
+}
--- a/transport/forward/origin_test.go
+++ b/transport/forward/origin_test.go
@@ -298,3 +298,32 @@
 		}
 	}
 }
+
+// TestKeepersOutliveTheirNaming checks that gateways which the leader no longer names are still asked for
+// a while, and that those that requests may be passed on to take the place of keepers that nobody names.
+func TestKeepersOutliveTheirNaming(t *testing.T) {
+	w := newTestGateway(t)
+	WithPeers(PeerConfig{Dial: dialPlain})(w.g)
+	peer := func(names ...string) (list []protocol.Peer) {
+		for _, name := range names {
+			list = append(list, protocol.Peer{Name: name})
+		}
+		return list
+	}
+	expect := func(want ...string) {
+		t.Helper()
+		if got := w.g.OriginKeepers(); !slices.Equal(got, want) {
+			t.Errorf("keepers %v, want %v", got, want)
+		}
+	}
+	w.g.SetPeers(peer("helper"))
+	expect("helper")
+	w.g.SetKeepers(peer("a", "b", w.g.cfg.Name))
+	expect("a", "b")
+	w.g.SetKeepers(peer("b", "c"))
+	expect("a", "b", "c")
+	clock.Skip(keeperRetention)
+	expect("helper")
+	w.g.SetKeepers(peer("c"))
+	expect("c")
+}
--- a/transport/forward/peer_call.go
+++ b/transport/forward/peer_call.go
@@ -177,14 +177,14 @@
 	if p.pool == nil {
 		return nil
 	}
-	if p.keepers == nil {
-		return p.peers
-	}
-	keepers := make([]protocol.Peer, 0, len(p.keepers))
+	var keepers []protocol.Peer
 	for _, k := range p.keepers {
 		if clock.Since(k.namedAt) < keeperRetention {
 			keepers = append(keepers, k.peer)
 		}
 	}
+	if len(keepers) == 0 {
+		return p.peers
+	}
 	return keepers
 }
--- a/transport/forward/peers.go
+++ b/transport/forward/peers.go
@@ -20,7 +20,7 @@
 
 	mu      sync.Mutex // mu guards the fields below; no other lock is taken while it is held.
 	peers   []protocol.Peer
-	keepers map[string]keeper    // keepers are the gateways that keep origins of streams, by name; nil if the leader names none.
+	keepers map[string]keeper    // keepers are the gateways that keep origins of streams, by name; empty if the leader names none.
 	failed  map[string]time.Time // failed is when a peer last could not help.
 }
 
