Gateways that have just started learn of one another within a few tenths of a second

All gateways that start at once asked the leader for others as the first ones had reported, and then 2 s later: until then they gave the origins of their streams to nobody, and refused streams that callers resumed elsewhere. They ask again after 0.1 s, in doubling times up to 2 s, and so does one whose keepers change; without an answer right after the start as well.

--- a/transport/uplink/peers.go
+++ b/transport/uplink/peers.go
@@ -43,17 +43,16 @@
 	for pause.Until(ctx, interval, c.peersNow) && pause.For(ctx, min(interval, minPeersInterval)) {
 		m := c.peerFinder.ReportPeers()
 		m.Life, m.Keepers = c.incarnation, digest
-		interval = reach.ReportInterval
-		if len(m.Lost) > 0 {
-			interval = reach.LossReportInterval
-		}
 		var reply protocol.PeersReply
-		if err := c.callLink("Uplink.Peers", m, &reply); err != nil || !reply.Leads {
+		err := c.callLink("Uplink.Peers", m, &reply)
+		answered := err == nil && reply.Leads
+		changed := answered && reply.KeepersDigest != digest
+		interval = nextPeersInterval(interval, answered, changed, len(m.Lost) > 0)
+		if !answered {
 			c.log.Debug().Err(err).Msg("no leader answered the request for other gateways")
-			interval = reach.LossReportInterval
 			continue
 		}
-		if reply.KeepersDigest != digest {
+		if changed {
 			keepers, digest = reply.Keepers, reply.KeepersDigest
 		}
 		c.peerFinder.SetPeers(reply.Peers)
@@ -63,3 +62,16 @@
 	}
 	return nil
 }
+
+// nextPeersInterval returns the time until the next report. Right after a start, and after a change of
+// the keepers, others have yet to report to the leader; the interval then grows from the shortest one.
+func nextPeersInterval(last time.Duration, answered, changed, lost bool) time.Duration {
+	next := min(max(2*last, minPeersInterval), reach.ReportInterval)
+	if changed {
+		next = minPeersInterval
+	}
+	if lost || !answered {
+		next = min(next, reach.LossReportInterval)
+	}
+	return next
+}
--- a/transport/uplink/peers_test.go
+++ b/transport/uplink/peers_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/rs/zerolog"
 
+	"github.com/weldstream/weldstream/coordination/reach"
 	"github.com/weldstream/weldstream/protocol"
 )
 
@@ -63,3 +64,25 @@
 		t.Errorf("asked with the digests %v", d)
 	}
 }
+
+// TestPeersAreAskedForOftenAtFirst guards against gateways that know no others for seconds after all
+// have started, since the first answer named those alone that had reported before.
+func TestPeersAreAskedForOftenAtFirst(t *testing.T) {
+	for name, c := range map[string]struct {
+		last                    time.Duration
+		answered, changed, lost bool
+		want                    time.Duration
+	}{
+		"no answer after the start":  {0, false, false, false, minPeersInterval},
+		"first answer":               {minPeersInterval, true, true, false, minPeersInterval},
+		"nothing changed":            {minPeersInterval, true, false, false, 2 * minPeersInterval},
+		"nothing changed for long":   {reach.ReportInterval, true, false, false, reach.ReportInterval},
+		"another keeper":             {reach.ReportInterval, true, true, false, minPeersInterval},
+		"servers are not reached":    {reach.ReportInterval, true, false, true, reach.LossReportInterval},
+		"no leader answers for long": {reach.ReportInterval, false, false, false, reach.LossReportInterval},
+	} {
+		if got := nextPeersInterval(c.last, c.answered, c.changed, c.lost); got != c.want {
+			t.Errorf("%s: %v, want %v", name, got, c.want)
+		}
+	}
+}
