Origins go to gateways that answer, and a lookup ends with the first that knows

Origins go to the gateways of the leader's last answer, without those that did not answer within 0.5 s, 1,000 at a time.

--- a/transport/forward/attempt.go
+++ b/transport/forward/attempt.go
@@ -133,8 +133,10 @@
 	if x.retryContinuation(v) {
 		return errRetry
 	}
-	if refusal := x.refuseVanishedVersion(x.tried); refusal != nil && x.headWritten {
-		return refusal.WithVerdict(protocol.MayHaveRun).WithStatus(protocol.StatusBadGateway)
+	if x.headWritten { // The answer is cut at once rather than after another retry was taken.
+		if refusal := x.refuseVanishedVersion(x.tried); refusal != nil {
+			return refusal.WithVerdict(protocol.MayHaveRun).WithStatus(protocol.StatusBadGateway)
+		}
 	}
 	next, refusal := resend.Next(x.state, resend.FailedMsg{
 		Verdict:  v,
--- a/transport/forward/origin.go
+++ b/transport/forward/origin.go
@@ -12,7 +12,7 @@
 )
 
 const (
-	// maxOrigins bounds the streams whose origins a gateway holds, at some 150 bytes each.
+	// maxOrigins bounds the streams whose origins a gateway holds, at some 200 bytes each.
 	maxOrigins = 16 << 10
 	// streamLifetimeFactor is the longest time for which a stream is resumed, relative to the time
 	// for which its route holds one request.
--- a/transport/forward/origin_lookup.go
+++ b/transport/forward/origin_lookup.go
@@ -2,7 +2,6 @@
 
 import (
 	"slices"
-	"sync"
 	"time"
 
 	"github.com/weldstream/weldstream/coordination/origin"
@@ -84,24 +83,31 @@
 	return s.history.Single(x.route.Name, now), s.history.ListAge(now)
 }
 
-// askOrigin asks gateways for the origin of a stream, all at once, and returns the replies that came.
-func (g *Gateway) askOrigin(peers []protocol.Peer, query *protocol.OriginQuery) []protocol.OriginReply {
-	var wg sync.WaitGroup
-	var mu sync.Mutex // mu guards replies.
-	var replies []protocol.OriginReply
+// askOrigin asks gateways for the origin of a stream, all at once, and returns the replies that came
+// until one of them has it.
+func (g *Gateway) askOrigin(peers []protocol.Peer, query *protocol.OriginQuery) (replies []protocol.OriginReply) {
+	received := make(chan *protocol.OriginReply, len(peers))
 	for i := range peers {
-		wg.Go(func() {
+		go func() { // It ends with the time-out of the call.
 			var reply protocol.OriginReply
 			if err := g.callPeer(&peers[i], findOriginCall, query, &reply); err != nil {
 				g.log.Info().Str("peer", peers[i].Name).Err(err).Msg("another gateway did not say what version began a stream")
+				received <- nil
 				return
 			}
-			mu.Lock()
-			defer mu.Unlock()
-			replies = append(replies, reply)
-		})
+			received <- &reply
+		}()
+	}
+	for range peers {
+		reply := <-received
+		if reply == nil {
+			continue
+		}
+		replies = append(replies, *reply)
+		if reply.Found {
+			break
+		}
 	}
-	wg.Wait()
 	return replies
 }
 
--- a/transport/forward/origin_share.go
+++ b/transport/forward/origin_share.go
@@ -25,26 +25,40 @@
 	return s.sent
 }
 
+// maxOriginBatch bounds the origins that are sent at a time.
+const maxOriginBatch = 1000
+
 func (g *Gateway) sendOrigins() {
-	s := &g.origins
 	for {
-		s.mu.Lock()
-		list, sent := s.unsent, s.sent
-		s.unsent, s.sent = nil, nil
-		s.sending = len(list) > 0
-		s.mu.Unlock()
+		list, sent := g.origins.nextBatch()
 		if len(list) == 0 {
 			return
 		}
 		g.sendToKeepers(list)
-		close(sent)
+		if sent != nil {
+			close(sent)
+		}
+	}
+}
+
+// nextBatch returns the origins to send next; none if there are no more. The channel is closed after
+// they were sent; it is nil if others that it stands for follow.
+func (s *originState) nextBatch() (list []protocol.StreamOrigin, sent chan struct{}) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	n := min(len(s.unsent), maxOriginBatch)
+	list, s.unsent = s.unsent[:n], s.unsent[n:]
+	if len(s.unsent) == 0 {
+		sent, s.sent, s.unsent = s.sent, nil, nil
 	}
+	s.sending = n > 0
+	return list, sent
 }
 
 // sendToKeepers sends each origin to the gateways that suit best to keep it, and to others in place
 // of those that do not answer.
 func (g *Gateway) sendToKeepers(list []protocol.StreamOrigin) {
-	peers := g.keepers()
+	peers := g.availableKeepers()
 	batches := map[string]*originBatch{}
 	for _, o := range list {
 		keepers := origin.Keepers(o.Key, g.cfg.Topology, peers)
@@ -98,6 +112,7 @@
 				g.meters.originsGiven.Inc(int64(len(b.origins)))
 				return
 			}
+			g.peers.couldNotHelp(name)
 			g.log.Info().Str("peer", name).Int("streams", len(b.origins)).Err(err).Msg("another gateway did not take the versions of streams")
 			mu.Lock()
 			defer mu.Unlock()
--- a/transport/forward/peer_call.go
+++ b/transport/forward/peer_call.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"slices"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -153,6 +154,7 @@
 	p, now := &g.peers, clock.Now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.keepersNamedAt = now
 	if p.keepers == nil {
 		p.keepers = map[string]keeper{}
 	}
@@ -168,18 +170,45 @@
 	}
 }
 
-// keepers returns the gateways that keep the origins of streams: those that the leader named, or,
-// of an earlier leader, those that requests may be passed on to.
+// keepers returns the gateways that may keep the origins of streams: those that the leader named
+// lately, or, of an earlier leader, those that requests may be passed on to. While no leader answers,
+// those that were named last stay.
 func (g *Gateway) keepers() []protocol.Peer {
 	p := &g.peers
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	return p.keepersNamedSince(clock.Now().Add(-keeperRetention))
+}
+
+// availableKeepers returns the keepers that new origins are given to: those of the leader's last
+// answer, without those that did not answer a moment ago.
+func (g *Gateway) availableKeepers() []protocol.Peer {
+	p := &g.peers
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	keepers := p.keepersNamedSince(p.keepersNamedAt)
+	answering := slices.DeleteFunc(slices.Clone(keepers), func(k protocol.Peer) bool {
+		at, failed := p.failed[k.Name]
+		return failed && clock.Since(at) < peerRetryPause
+	})
+	if len(answering) == 0 {
+		return keepers
+	}
+	return answering
+}
+
+// keepersNamedSince returns the keepers of the leader's last answer and those named since a time before
+// it. The caller must hold p.mu.
+func (p *peerState) keepersNamedSince(t time.Time) []protocol.Peer {
 	if p.pool == nil {
 		return nil
 	}
+	if p.keepersNamedAt.Before(t) {
+		t = p.keepersNamedAt
+	}
 	var keepers []protocol.Peer
 	for _, k := range p.keepers {
-		if clock.Since(k.namedAt) < keeperRetention {
+		if !k.namedAt.Before(t) {
 			keepers = append(keepers, k.peer)
 		}
 	}
--- a/transport/forward/peers.go
+++ b/transport/forward/peers.go
@@ -18,10 +18,11 @@
 	pool    *backend.Pool // pool holds the connections to other gateways; nil if no requests are passed on.
 	trigger func()        // trigger reports to the leader at once.
 
-	mu      sync.Mutex // mu guards the fields below; no other lock is taken while it is held.
-	peers   []protocol.Peer
-	keepers map[string]keeper    // keepers are the gateways that keep origins of streams, by name; empty if the leader names none.
-	failed  map[string]time.Time // failed is when a peer last could not help.
+	mu             sync.Mutex // mu guards the fields below; no other lock is taken while it is held.
+	peers          []protocol.Peer
+	keepers        map[string]keeper    // keepers are the gateways that keep origins of streams, by name; empty if the leader names none.
+	keepersNamedAt time.Time            // keepersNamedAt is when the leader last named keepers.
+	failed         map[string]time.Time // failed is when a peer last could not help.
 }
 
 // peerRetryPause is how long a peer that could not help is passed over.
