--- a/transport/forward/ending.go
+++ b/transport/forward/ending.go
@@ -42,7 +42,7 @@
 	if e.insideEvent() {
 		return errEndsInEvent
 	}
-	if errors.Is(err, backend.ErrEndUnconfirmed) && !e.hasLast && t.x.eventsAt.IsZero() {
+	if errors.Is(err, backend.ErrEndUnconfirmed) && !e.hasLast && !e.withoutID {
 		return errNoEvents
 	}
 	return t.verifyEnd(err)
@@ -65,11 +65,7 @@
 // ended before.
 func (t *serverAttempt) endStream(err error, stop func() bool) *protocol.Refusal {
 	t.recordEnd(err)
-	stopped := errors.Is(err, backend.ErrEndUnconfirmed) && !t.x.events.insideEvent() && t.stopRequested()
-	if stopped && t.continueElsewhere() {
-		return errRetry
-	}
-	if stopped && !t.endedBeforeStop() {
+	if errors.Is(err, backend.ErrEndUnconfirmed) && t.runStopped() {
 		return t.streamBroken(err)
 	}
 	if err := t.verifyStreamEnd(err); err != nil {
--- a/transport/forward/ending_test.go
+++ b/transport/forward/ending_test.go
@@ -197,6 +197,31 @@
 	}
 }
 
+// TestUnframedStreamWithoutEventsIsNotComplete guards against streams that end before their first event
+// and reach their caller as complete, although their server is there.
+func TestUnframedStreamWithoutEventsIsNotComplete(t *testing.T) {
+	for name, c := range map[string]struct {
+		route protocol.PathRoute
+		body  string
+		want  reply
+	}{
+		"no byte":                  {protocol.PathRoute{Kind: protocol.RouteStream, Attempts: 2}, "", reply{status: 502, verdict: "may-have-run"}},
+		"line ends alone":          {protocol.PathRoute{Kind: protocol.RouteStream, Attempts: 2}, "\n", reply{status: 200, body: "\n", broken: true}},
+		"no byte, another answers": {protocol.PathRoute{Kind: protocol.RouteStream, Resumable: true, Attempts: 2}, "", reply{status: 200, body: event("1", "a")}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			w := newTestGateway(t)
+			w.install(c.route)
+			serve := firstThen(closingServer(unframedHead+c.body), closingServer(streamHead+chunk(event("1", "a"))+"0\r\n\r\n"))
+			w.backend("a", serve)
+			w.backend("b", serve)
+			if got := w.ask(); got != c.want {
+				t.Errorf("got %+v, want %+v", got, c.want)
+			}
+		})
+	}
+}
+
 // TestUnframedAnswersStayWhole guards against the loss of answers without a length that their
 // servers ended by a close: none is cut off, none is run twice.
 func TestUnframedAnswersStayWhole(t *testing.T) {
--- a/transport/forward/move_continue.go
+++ b/transport/forward/move_continue.go
@@ -43,23 +43,27 @@
 	return false
 }
 
-// endedBeforeStop reports whether the server answered the stop that the run had ended.
-func (t *serverAttempt) endedBeforeStop() bool {
-	r := t.activeRun
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return r.stopReply == move.NoRun
-}
-
-// stopRequested reports whether the server was told to stop the run so that it continues elsewhere.
-func (t *serverAttempt) stopRequested() bool {
+// runStopped reports whether the server stopped the run, or may have, because it was told to. It waits
+// for the answer to the stop.
+func (t *serverAttempt) runStopped() bool {
 	r := t.activeRun
 	if r == nil {
 		return false
 	}
 	r.mu.Lock()
+	answered := r.stopAnswered
+	r.mu.Unlock()
+	if answered == nil {
+		return false
+	}
+	select {
+	case <-answered: // The stop was answered or timed out.
+	case <-t.x.ctx.Done():
+		return true
+	}
+	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.stopAnswered != nil
+	return r.stopReply != move.NoRun
 }
 
 // stopOutcome returns the command to continue, for a stream that had ended before the stop
--- a/transport/forward/origin_test.go
+++ b/transport/forward/origin_test.go
@@ -9,9 +9,11 @@
 	"testing"
 	"time"
 
+	metrics "github.com/rcrowley/go-metrics"
 	"github.com/valyala/fasthttp"
 
 	"github.com/weldstream/weldstream/coordination/origin"
+	"github.com/weldstream/weldstream/coordination/place"
 	"github.com/weldstream/weldstream/internal/clock"
 	"github.com/weldstream/weldstream/protocol"
 )
@@ -344,3 +346,52 @@
 	w.g.SetKeepers(peer("c"))
 	expect("c")
 }
+
+// TestOriginIsKeptBesideEndedGateways checks that a stream is known although the gateways that suit best
+// to keep its origin had ended before it began, and the one that began it ends as well.
+func TestOriginIsKeptBesideEndedGateways(t *testing.T) {
+	all := newVersionGateways(t, 5)
+	all[1].kill()
+	all[2].kill()
+	began := map[string]string{}
+	for n := range versionStreams {
+		all[0].g.peers.failed = nil // Otherwise the ended ones are passed over after the first stream.
+		id := fmt.Sprint("first-", n)
+		began[id] = versionOf(t, all[0].askAs(id))
+	}
+	all[0].kill()
+	for id, version := range began {
+		if got := all[3].resume("again-"+id, id); got.status != 200 || got.broken || got.body != event("2", version)+event("3", version) {
+			t.Errorf("stream %s of %s: got %+v", id, version, got)
+		}
+	}
+}
+
+// TestHopelessStreamTakesNoRetry guards against a retry that is taken from the budget for a stream whose
+// version has no other server.
+func TestHopelessStreamTakesNoRetry(t *testing.T) {
+	w := newTestGateway(t)
+	registry := w.setRegions(io.Discard)
+	w.install(resumableRoute(3))
+	w.serverOf("a", "v1")
+	w.serverOf("b", "v2")
+	versionOf(t, w.askAs("first"))
+	if c, ok := registry.Get(`retries.granted{service="s"}`).(metrics.Counter); ok && c.Count() > 0 {
+		t.Errorf("%d retries were taken", c.Count())
+	}
+}
+
+// TestPlacementOfAnotherVersionIsNotTaken checks that a gateway does not send a stream to the server that
+// a leader of an earlier build, which knows no versions of streams, placed it at.
+func TestPlacementOfAnotherVersionIsNotTaken(t *testing.T) {
+	w := newTestGateway(t)
+	w.install(resumableRoute(1))
+	w.serverOf("a", "v1")
+	w.g.requestPlacement = func(protocol.PlaceMsg) (protocol.PlaceReply, bool) { return protocol.PlaceReply{Server: "a"}, true }
+	for version, taken := range map[string]bool{"v1": true, "v2": false} {
+		x := &exchange{g: w.g, in: &fasthttp.Request{}, index: w.g.index.Load(), route: &w.g.index.Load().Routes[0], service: "s", lane: place.LaneLong, origin: &protocol.StreamOrigin{Service: "s", Version: version}}
+		if got := x.leaderPlacement(w.g.view.Load()); (got != nil) != taken {
+			t.Errorf("a stream of %s: server of v1 taken: %v", version, got != nil)
+		}
+	}
+}
