--- a/internal/clock/uses_test.go
+++ b/internal/clock/uses_test.go
@@ -33,6 +33,7 @@
 	"transport/forward/move_call.go: requestCopy":        duration,
 	"transport/forward/move_call.go: freeAt":             timeOut,
 	"transport/forward/notice.go: askForNotice":          timeOut,
+	"transport/forward/peer_call.go: callPeer":           timeOut,
 	"transport/forward/quarantine.go: quarantineRefusal": timeOfDay,
 	"transport/forward/stream.go: relayEvents":           duration,
 	"transport/forward/stream.go: streamEnded":           duration,
