Logs and metrics tell requests to servers that have not answered yet

'request to a server that has not answered this gateway yet' is logged with what is known of the server, and counted as servers.first_contacts; 'server turned a request away' says how long the server has been listed, whether it had been heard and whether the request had a ticket.

--- a/transport/forward/attempt.go
+++ b/transport/forward/attempt.go
@@ -46,6 +46,7 @@
 	observed      bool      // observed reports that the answer was counted for a rollout.
 	released      bool      // released reports that the server has finished with the request.
 	complete      bool      // complete reports that the answer was read to its end.
+	heardBefore   bool      // heardBefore reports that the server had answered this gateway before.
 	crashesAtSend int       // crashesAtSend is the server's crash count when the request was sent.
 }
 
@@ -87,6 +88,7 @@
 		return refusal
 	}
 	x.recordAttempt(server, conn)
+	x.recordFirstContact(server.ID)
 	x.countTrialSend(server)
 	x.g.recordSent(server.ID, x.ticket)
 	t := &serverAttempt{x: x, server: server, conn: conn, sentAt: time.Now()}
@@ -306,6 +308,7 @@
 	}
 	if !t.reply.Foreign {
 		x.g.recordReached(t.server)
+		t.heardBefore = x.g.contacts.recordAnswer(t.server.ID)
 		x.applyFeedback(t.server, &t.reply.Feedback)
 	}
 	if t.reply.NotRun && !t.reply.Foreign {
--- a/transport/forward/attempt_record.go
+++ b/transport/forward/attempt_record.go
@@ -42,7 +42,9 @@
 // recordRejection counts and logs a request that the server turned away.
 func (t *serverAttempt) recordRejection() {
 	load, feedback := t.reply.Load, &t.reply.Feedback
+	listedFor, _ := t.x.g.contacts.get(t.server.ID, clock.Now())
 	t.x.g.meters.countRejection(t.x.service)
 	t.x.log.Info().Str("server", t.server.ID).Int("load", load.Requests).Int("slots", t.server.SlotCount()).Int("outstanding", t.server.Stats.Outstanding()).
-		Bool("brittle", feedback.Limit.Brittle).Int("max_rejections", feedback.Limit.MaxRejections).Msg("server turned a request away")
+		Bool("brittle", feedback.Limit.Brittle).Int("max_rejections", feedback.Limit.MaxRejections).
+		Dur("listed", listedFor).Bool("heard", t.heardBefore).Bool("ticket", t.x.ticket != nil).Msg("server turned a request away")
 }
--- a/transport/forward/forward.go
+++ b/transport/forward/forward.go
@@ -86,6 +86,7 @@
 	crashes    brokenConnections
 	quarantine quarantineState
 	feedback   feedbackState
+	contacts   firstContacts
 	retries    retryBudgets
 	reach      reachState
 	peers      peerState
@@ -251,6 +252,7 @@
 	g.log.Info().Int("servers", len(view.Servers)).Int("leaving", leaving).Msg("list of servers")
 	g.moveFromLeaving(view, now)
 	g.feedback.prune(view, now)
+	g.contacts.update(view, now)
 	g.pruneReach(view)
 	g.pool.Retain(func(id string) bool {
 		s := view.Find(id)
--- a/transport/forward/meters.go
+++ b/transport/forward/meters.go
@@ -39,6 +39,7 @@
 	departureNotices metrics.Counter // departureNotices counts answers to them that announced a departure.
 	backoffs         metrics.Counter // backoffs counts how often servers asked for backoff.
 	limitChanges     metrics.Counter // limitChanges counts how often servers changed their request limit.
+	firstContacts    metrics.Counter // firstContacts counts requests to servers that had not answered this gateway yet.
 	limitRefused     metrics.Counter // limitRefused counts requests refused because all servers were at their limits.
 	probes           metrics.Counter // probes counts connections opened to see whether a server is reached.
 	passes           metrics.Counter // passes counts requests that another gateway answered.
@@ -99,6 +100,7 @@
 		departureNotices:  metrics.GetOrRegisterCounter("servers.noticed", r),
 		backoffs:          metrics.GetOrRegisterCounter("servers.rests", r),
 		limitChanges:      metrics.GetOrRegisterCounter("servers.limits", r),
+		firstContacts:     metrics.GetOrRegisterCounter("servers.first_contacts", r),
 		limitRefused:      metrics.GetOrRegisterCounter("limits.refused", r),
 		probes:            metrics.GetOrRegisterCounter("servers.probed", r),
 		passes:            metrics.GetOrRegisterCounter("passes", r),
--- a/transport/forward/server_limits.go
+++ b/transport/forward/server_limits.go
@@ -169,6 +169,14 @@
 	w.limits.ForceAcquire(server, clock.Now())
 }
 
+// limitOf returns the limit of a server, as known to this gateway.
+func (g *Gateway) limitOf(server string) protocol.RateLimit {
+	w := &g.feedback
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.limits.Limit(server)
+}
+
 // LimitedServers returns the servers that limit their requests, sorted.
 func (g *Gateway) LimitedServers() []string {
 	w := &g.feedback
