--- a/internal/soak/brittle_test.go
+++ b/internal/soak/brittle_test.go
@@ -53,7 +53,7 @@
 				waitUntilServed(t, address, fmt.Sprint("before-", g))
 			}
 			ctx, stop := context.WithCancel(t.Context())
-			wait := startManyCallers(ctx, c, k)
+			wait := startManyCallers(ctx, c, k, brittleCallers)
 			time.Sleep(brittleEffectTime)
 			for _, b := range c.Backends {
 				b.SetBrittle(brittleSlots, brittleSlots, brittleRejections, brittleDown)
@@ -71,12 +71,12 @@
 	}
 }
 
-// startManyCallers starts brittleCallers callers at each gateway, which send plain requests until
-// ctx ends. The returned function waits for the last answers.
-func startManyCallers(ctx context.Context, c *Cluster, k *Checker) (wait func()) {
+// startManyCallers starts a number of callers at each gateway, which send plain requests until ctx ends.
+// The returned function waits for the last answers.
+func startManyCallers(ctx context.Context, c *Cluster, k *Checker, count int) (wait func()) {
 	var callers sync.WaitGroup
 	for g, address := range c.Callers() {
-		for i := range brittleCallers {
+		for i := range count {
 			callers.Go(func() {
 				client := standin.NewClient(address)
 				defer client.Close()
