The soak's brittle servers come back under new ids

Servers are replaced under other ids now, a gateway that is cut off is cut off from replacements as well, and the result counts falls.

--- a/internal/soak/brittle.go
+++ b/internal/soak/brittle.go
@@ -44,23 +44,29 @@
 type brittlePeriods struct {
 	running sync.WaitGroup
 	broken  []string
+	falls   int // falls is how often servers fell over.
 }
 
 // start makes the cluster's servers brittle at times generated from a seed, until ctx ends.
 func (b *brittlePeriods) start(ctx context.Context, c *Cluster, seed uint64) {
 	rnd := rand.New(rand.NewPCG(seed, brittleStream))
-	c.setBrittle(unlimitedRoom, notBrittle)
+	servers := newBrittleServers(c, soakSlots, brittleDownTime)
 	b.running.Go(func() {
+		defer func() {
+			servers.stop()
+			b.falls, _ = servers.counts()
+		}()
 		for ctx.Err() == nil {
-			c.setBrittle(unlimitedRoom, maxRejections)
+			servers.set(unlimitedRoom, maxRejections)
 			sleepContext(ctx, brittleNotice)
-			before := c.falls()
-			c.setBrittle(soakSlots, maxRejections)
+			before, _ := servers.counts()
+			servers.set(soakSlots, maxRejections)
 			sleepContext(ctx, time.Duration(rnd.Int64N(int64(maxBrittleTime))))
-			if n := c.falls() - before; n > AllowedFalls(len(c.Backends)) {
+			after, _ := servers.counts()
+			if n := after - before; n > AllowedFalls(len(c.Backends)) {
 				b.broken = append(b.broken, fmt.Sprintf("brittle servers fell over %d times in one period, allowed %d", n, AllowedFalls(len(c.Backends))))
 			}
-			c.setBrittle(unlimitedRoom, notBrittle)
+			servers.set(unlimitedRoom, notBrittle)
 			sleepContext(ctx, time.Duration(rnd.Int64N(int64(maxQuietPhase))))
 		}
 	})
@@ -71,18 +77,3 @@
 	b.running.Wait()
 	return b.broken
 }
-
-// setBrittle sets the room of all servers, and how many rejections they announce that they bear.
-func (c *Cluster) setBrittle(room, rejections int) {
-	for _, b := range c.Backends {
-		b.SetBrittle(soakSlots, room, rejections, brittleDownTime)
-	}
-}
-
-// falls returns how many times servers have fallen over.
-func (c *Cluster) falls() (n int) {
-	for _, b := range c.Backends {
-		n += len(b.Room().Falls)
-	}
-	return n
-}
--- a/internal/soak/cluster.go
+++ b/internal/soak/cluster.go
@@ -70,6 +70,7 @@
 	addedMu       sync.Mutex // addedMu guards the backend servers that were added after the start, and their proxies.
 	addedProxies  []*Proxy
 	addedBackends []*standin.Backend
+	cutOff        map[string]bool // cutOff are the source addresses of gateways that are cut off from servers.
 }
 
 // ports are the same on all instances, which differ by their IP addresses.
@@ -242,13 +243,21 @@
 // are new ones. The cluster must have Sources. Callers, control instances and other gateways still reach it. The returned
 // function ends that.
 func (c *Cluster) CutOff(gateway int) (restore func()) {
-	for _, proxy := range c.backendProxies {
-		proxy.CutOff(gatewaySourceIP(gateway), true)
+	c.setCutOff(gatewaySourceIP(gateway), true)
+	return func() { c.setCutOff(gatewaySourceIP(gateway), false) }
+}
+
+// setCutOff cuts off a source address from all backend servers, also from those that are added later, or
+// ends that.
+func (c *Cluster) setCutOff(source string, cut bool) {
+	c.addedMu.Lock()
+	defer c.addedMu.Unlock()
+	if c.cutOff == nil {
+		c.cutOff = map[string]bool{}
 	}
-	return func() {
-		for _, proxy := range c.backendProxies {
-			proxy.CutOff(gatewaySourceIP(gateway), false)
-		}
+	c.cutOff[source] = cut
+	for _, proxy := range slices.Concat(c.backendProxies, c.addedProxies) {
+		proxy.CutOff(source, cut)
 	}
 }
 
--- a/internal/soak/crash.go
+++ b/internal/soak/crash.go
@@ -185,5 +185,10 @@
 func (c *Cluster) trackBackend(b *standin.Backend, p *Proxy) {
 	c.addedMu.Lock()
 	defer c.addedMu.Unlock()
+	for source, cut := range c.cutOff {
+		if cut {
+			p.CutOff(source, true)
+		}
+	}
 	c.addedProxies, c.addedBackends = append(c.addedProxies, p), append(c.addedBackends, b)
 }
--- a/internal/soak/disturb_test.go
+++ b/internal/soak/disturb_test.go
@@ -26,7 +26,7 @@
 			if result.Served == 0 {
 				t.Error("no request was served")
 			}
-			t.Logf("%d faults, %d of %d requests served, %d falls", len(plan.Steps), result.Served, result.Sent, c.falls())
+			t.Logf("%d faults, %d of %d requests served, %d falls", len(plan.Steps), result.Served, result.Sent, result.Falls)
 		})
 	}
 }
--- a/internal/soak/reclaim.go
+++ b/internal/soak/reclaim.go
@@ -63,5 +63,7 @@
 	r.cluster.API.Remove(b)
 	b.Unreclaim()
 	time.Sleep(minNotice)
-	r.cluster.API.Add(b)
+	if !b.Closed() { // It may have fallen over meanwhile, and been replaced.
+		r.cluster.API.Add(b)
+	}
 }
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -19,6 +19,7 @@
 	Completed      int // Completed and RolledBack count roll-outs by their final state.
 	RolledBack     int
 	ServersCrashed int // ServersCrashed counts servers that crashed under requests.
+	Falls          int // Falls counts how often brittle servers fell over.
 	LimitsChecked  int // LimitsChecked counts rate limits that were in force long enough to be checked.
 	Moved          int // Moved counts running answers that continued on another server.
 	Streams        StreamCounts
@@ -74,12 +75,13 @@
 	cancel()
 	load.Wait()
 	counts, ended := d.streams.finish(), d.crashes()
+	fallen := d.brittle.breaches()
 	overLimits, limits := d.pressure.breaches()
 	r.checkRecovery()
 	k.Finish()
 	rollouts.Finish()
-	return Result{Sent: len(k.requests), Served: k.Served(), Completed: rollouts.Completed, RolledBack: rollouts.RolledBack, Moved: c.Record.Moved(), ServersCrashed: ended, LimitsChecked: limits, Streams: counts,
-		Breaches: slices.Concat(k.Breaches(), c.API.Breaches(), c.Record.Breaches(), overLimits, c.retryBudgetBreaches(p), d.brittle.breaches())}, nil
+	return Result{Sent: len(k.requests), Served: k.Served(), Completed: rollouts.Completed, RolledBack: rollouts.RolledBack, Moved: c.Record.Moved(), ServersCrashed: ended, Falls: d.brittle.falls, LimitsChecked: limits, Streams: counts,
+		Breaches: slices.Concat(k.Breaches(), c.API.Breaches(), c.Record.Breaches(), overLimits, c.retryBudgetBreaches(p), fallen)}, nil
 }
 
 // replacesRollouts reports whether a kind of disturbance leaves no room for roll-outs.
