--- a/coordination/backpressure/backpressure_test.go
+++ b/coordination/backpressure/backpressure_test.go
@@ -374,8 +374,8 @@
 	l.UpdateLimit("s", protocol.RateLimit{Named: true, PerSecond: 1}, start)
 	m, _ := l.Report(start)
 	allocator.HandleReport(&m, 1, start)
-	l.Prune(func(string) bool { return false })
-	allocator.Prune(func(string) bool { return false }, start)
+	l.SetServers(nil, start)
+	allocator.SetServers(nil, start)
 	if len(l.Limited()) > 0 || len(allocator.Limits()) > 0 {
 		t.Errorf("still limited: %v, %v", l.Limited(), allocator.Limits())
 	}
--- a/coordination/backpressure/limit_cache.go
+++ b/coordination/backpressure/limit_cache.go
@@ -21,6 +21,7 @@
 
 // cachedLimit is a limit that a server sent to some gateway.
 type cachedLimit struct {
+	service  string // service is empty if the gateway is of an earlier build.
 	limit    protocol.RateLimit
 	statedAt time.Time
 	change   uint64 // change is the cache's counter at the last change of this limit.
@@ -54,7 +55,7 @@
 	}
 	for server, l := range c.limits {
 		if l.change > change {
-			list = append(list, protocol.ReportedLimit{Server: server, Limit: l.limit, Ago: now.Sub(l.statedAt)})
+			list = append(list, protocol.ReportedLimit{Server: server, Service: l.service, Limit: l.limit, Ago: now.Sub(l.statedAt)})
 		}
 	}
 	return list
@@ -71,7 +72,7 @@
 		c.change++
 		l.change = c.change
 	}
-	l.limit, l.statedAt = h.Limit, statedAt
+	l.service, l.limit, l.statedAt = h.Service, h.Limit, statedAt
 	c.limits[h.Server] = l
 }
 
@@ -81,7 +82,7 @@
 func (l *Limits) DirectLimits(now time.Time) (list []protocol.ReportedLimit) {
 	for server, s := range l.servers {
 		if s.direct {
-			list = append(list, protocol.ReportedLimit{Server: server, Limit: s.limit, Ago: now.Sub(s.statedAt)})
+			list = append(list, protocol.ReportedLimit{Server: server, Service: l.listed[server].Service, Limit: s.limit, Ago: now.Sub(s.statedAt)})
 		}
 	}
 	return list
@@ -97,19 +98,18 @@
 	return changed
 }
 
-func (l *Limits) mergeLimit(row *protocol.ReportedLimit, now time.Time) bool {
+func (l *Limits) mergeLimit(row *protocol.ReportedLimit, now time.Time) (changed bool) {
 	s, statedAt := l.servers[row.Server], now.Add(-row.Ago)
-	if s == nil && row.Limit.IsZero() || s != nil && !statedAt.After(s.statedAt) {
+	if s == nil && row.Limit.IsZero() || s != nil && !s.presumed && !statedAt.After(s.statedAt) {
 		return false
 	}
 	if s == nil {
 		s = &serverState{}
 		l.servers[row.Server] = s
 	}
-	s.statedAt = statedAt
-	if !s.setLimit(row.Limit, false) {
-		return false
-	}
-	s.direct = false
-	return true
+	s.statedAt, s.presumed = statedAt, false
+	changed = s.setLimit(row.Limit, false)
+	s.direct = s.direct && !changed
+	l.recordBrittle(row.Server, row.Service, row.Limit)
+	return changed
 }
--- a/coordination/backpressure/limits.go
+++ b/coordination/backpressure/limits.go
@@ -30,14 +30,20 @@
 	answered        bool           // answered means that a leader has answered a report.
 	withoutRooms    bool           // withoutRooms means that the last leader that answered is of a build that grants no room at brittle servers.
 	usesKnown       bool           // usesKnown means that the last leader that answered reports uses.
+	choosesRooms    bool           // choosesRooms means that the last leader that answered chooses the servers at which it grants room.
+	number          uint64         // number is that of the last report.
 	servers         map[string]*serverState
 	sent            map[string]*sentCounter
+	listed          map[string]protocol.ListedServer
+	brittle         brittleServices
+	rooms           map[string]*serviceRoom // rooms is keyed by service.
 }
 
 // serverState is the state of one server that named a limit.
 type serverState struct {
 	limit               protocol.RateLimit
 	statedAt            time.Time // statedAt is when the server sent the limit, as far as known.
+	presumed            bool      // presumed means that the server has not been heard: others of its service are brittle.
 	reported            bool      // reported means that the leader of the term knows the limit.
 	counted             bool      // counted means that the leader also knows the requests sent from here.
 	direct              bool      // direct means that the limit came in a server's response to this gateway.
@@ -68,7 +74,14 @@
 
 // NewLimits returns the Limits of a gateway that knows no limits yet.
 func NewLimits(opts ...LimitsOption) *Limits {
-	l := &Limits{random: func() float64 { return 0 }, servers: map[string]*serverState{}, sent: map[string]*sentCounter{}}
+	l := &Limits{
+		random:  func() float64 { return 0 },
+		servers: map[string]*serverState{},
+		sent:    map[string]*sentCounter{},
+		listed:  map[string]protocol.ListedServer{},
+		brittle: brittleServices{},
+		rooms:   map[string]*serviceRoom{},
+	}
 	for _, opt := range opts {
 		opt(l)
 	}
@@ -83,6 +96,7 @@
 func (l *Limits) UpdateLimit(server string, limit protocol.RateLimit, now time.Time) (changed bool) {
 	s := l.servers[server]
 	if s == nil && limit.IsZero() {
+		l.recordBrittle(server, "", limit)
 		return false
 	}
 	if s == nil {
@@ -90,11 +104,57 @@
 		l.servers[server] = s
 	}
 	s.statedAt = now
-	if !s.setLimit(limit, false) {
-		return false
+	if s.presumed {
+		s.presumed, s.reported, s.direct = false, false, true // Others only presume it.
 	}
-	s.direct = true
-	return true
+	changed = s.setLimit(limit, false)
+	s.direct = s.direct || changed
+	l.recordBrittle(server, "", limit)
+	return changed
+}
+
+// recordBrittle records whether a server says that it is brittle, and presumes of the others of its
+// service what follows. The service may be empty if the server is listed.
+func (l *Limits) recordBrittle(server, service string, limit protocol.RateLimit) {
+	if in, ok := l.listed[server]; ok {
+		service = in.Service
+	}
+	if began, ended := l.brittle.record(service, server, limit); began || ended {
+		l.presume(service)
+	}
+}
+
+// presume gives the servers of a service that have not been heard the limit that the others have, or none
+// if the service is not brittle.
+func (l *Limits) presume(service string) {
+	limit, brittle := l.brittle.presumed(service)
+	for server, in := range l.listed {
+		if in.Service != service {
+			continue
+		}
+		s := l.servers[server]
+		switch {
+		case brittle && (s == nil || s.presumed || !s.limit.Brittle):
+			l.presumeServer(server, limit)
+		case !brittle && s != nil && s.presumed:
+			s.presumed = false
+			s.setLimit(presumeBrittle(s.limit, limit), s.reported)
+			if s.limit.IsZero() {
+				delete(l.servers, server)
+			}
+		}
+	}
+}
+
+// presumeServer presumes that a server is brittle.
+func (l *Limits) presumeServer(server string, limit protocol.RateLimit) {
+	s := l.servers[server]
+	if s == nil {
+		s = &serverState{}
+		l.servers[server] = s
+	}
+	s.presumed = true
+	s.setLimit(presumeBrittle(s.limit, limit), s.reported)
 }
 
 // setLimit replaces the limit, and reports whether it changed.
@@ -216,11 +276,32 @@
 	return list
 }
 
-// Prune removes the servers that are no longer listed.
-func (l *Limits) Prune(listed func(server string) bool) {
-	unlisted := func(server string) bool { return !listed(server) }
+// SetServers sets the listed servers. It removes the state of others, and presumes that servers which
+// were not listed before are as brittle as the others of their service.
+func (l *Limits) SetServers(list []protocol.ListedServer, now time.Time) {
+	before := l.listed
+	l.listed = make(map[string]protocol.ListedServer, len(list))
+	for _, in := range list {
+		l.listed[in.Server] = in
+	}
+	isListed := func(server string) bool { _, ok := l.listed[server]; return ok }
+	for server, s := range l.servers {
+		if _, known := before[server]; !known && isListed(server) && s.limit.Brittle && !s.presumed {
+			l.recordBrittle(server, "", s.limit)
+		}
+	}
+	unlisted := func(server string) bool { return !isListed(server) }
 	maps.DeleteFunc(l.servers, func(server string, _ *serverState) bool { return unlisted(server) })
 	maps.DeleteFunc(l.sent, func(server string, _ *sentCounter) bool { return unlisted(server) })
+	l.brittle.prune(isListed, now)
+	for _, in := range list {
+		if _, known := before[in.Server]; known || l.servers[in.Server] != nil {
+			continue
+		}
+		if limit, brittle := l.brittle.presumed(in.Service); brittle {
+			l.presumeServer(in.Server, limit)
+		}
+	}
 }
 
 // IsStale records and reports whether the leader has limits that are not known here.
@@ -237,13 +318,12 @@
 // Report returns the limits that the leader does not know yet, and the permits to request.
 // It returns false if no server is known to have a limit, so that there is nothing to report.
 func (l *Limits) Report(now time.Time) (m protocol.LimitsMsg, hasData bool) {
-	m.Term, m.Held = l.term, l.heldChange
+	l.number++
+	m.Term, m.Held, m.Number = l.term, l.heldChange, l.number
+	l.reportRooms(&m, now)
 	for server, s := range l.servers {
-		if !s.reported {
-			m.Heard = append(m.Heard, protocol.ReportedLimit{Server: server, Limit: s.limit, Ago: now.Sub(s.statedAt)})
-		}
-		if r, needed := s.room.request(server, now); s.limit.Brittle && needed {
-			m.Rooms = append(m.Rooms, r)
+		if h, ok := l.heardLimit(server, s, now); ok {
+			m.Heard = append(m.Heard, h)
 		}
 		if !s.limit.Named {
 			continue
@@ -267,6 +347,17 @@
 	return m, len(l.servers) > 0
 }
 
+// heardLimit returns what the leader is told of a server's limit. It presumes for itself what servers have
+// not said, unless it is of an earlier build.
+func (l *Limits) heardLimit(server string, s *serverState, now time.Time) (h protocol.ReportedLimit, ok bool) {
+	h = protocol.ReportedLimit{Server: server, Service: l.listed[server].Service, Limit: s.limit, Ago: now.Sub(s.statedAt)}
+	if s.presumed {
+		h.Ago = inheritedAge
+		return h, !s.reported && l.answered && !l.choosesRooms
+	}
+	return h, !s.reported
+}
+
 // sentByAge returns the numbers of requests sent to a server, by age.
 func (l *Limits) sentByAge(server string, now time.Time) []int {
 	if s := l.sent[server]; s != nil {
@@ -295,7 +386,7 @@
 // returns whether a limit changed or permits arrived, so that waiting requests may proceed.
 func (l *Limits) HandleReply(m *protocol.LimitsMsg, reply *protocol.LimitsReply, reportedAt, now time.Time) (changed bool) {
 	l.unansweredSince = time.Time{}
-	l.behind, l.answered, l.withoutRooms = false, true, !reply.GrantsRooms
+	l.behind, l.answered, l.withoutRooms, l.choosesRooms = false, true, !reply.GrantsRooms, reply.ChoosesRooms
 	if reply.Term != l.term {
 		l.resetReported(reply.Term)
 	}
@@ -307,11 +398,7 @@
 	for i := range reply.Grants {
 		changed = l.addGrant(&reply.Grants[i], reportedAt, now) || changed
 	}
-	for i := range reply.Rooms {
-		if s := l.servers[reply.Rooms[i].Server]; s != nil {
-			s.room.grant(&reply.Rooms[i], reportedAt)
-		}
-	}
+	l.applyRooms(reply, reportedAt, now)
 	l.setUses(reply)
 	maps.DeleteFunc(l.servers, func(_ string, s *serverState) bool { return s.limit.IsZero() && s.reported })
 	return changed
@@ -359,19 +446,31 @@
 // that has not been reported yet takes precedence.
 func (l *Limits) applyLimit(update *protocol.ServerLimit, reportedAt time.Time) (changed bool) {
 	s := l.servers[update.Server]
-	if s != nil && !s.reported {
+	if s != nil && !s.reported && !s.presumed {
 		return false
 	}
 	if s == nil {
 		s = &serverState{reported: true}
 		l.servers[update.Server] = s
 	}
-	s.statedAt = reportedAt
-	if !s.setLimit(update.Limit, true) {
-		return false
+	s.statedAt, s.presumed, s.reported = reportedAt, update.Presumed, true
+	if update.Presumed {
+		l.brittle.remember(l.serviceOf(update), update.Limit.MaxRejections, reportedAt)
 	}
-	s.direct = false
-	return true
+	changed = s.setLimit(update.Limit, true)
+	s.direct = s.direct && !changed
+	if !update.Presumed {
+		l.recordBrittle(update.Server, update.Service, update.Limit)
+	}
+	return changed
+}
+
+// serviceOf returns the service of a server that the leader tells of.
+func (l *Limits) serviceOf(update *protocol.ServerLimit) string {
+	if in, ok := l.listed[update.Server]; ok {
+		return in.Service
+	}
+	return update.Service
 }
 
 // addGrant adds the permits of a grant, and reports whether there are any.
--- a/coordination/backpressure/permit_allocator.go
+++ b/coordination/backpressure/permit_allocator.go
@@ -14,12 +14,17 @@
 	change  uint64 // change is a counter that rises with each change of a limit.
 	entries map[string]*serverPermits
 	rooms   *RoomLedger
+	brittle brittleServices
+	listed  map[string]protocol.ListedServer
 }
 
 // serverPermits is the limit of one server and the permits issued for it.
 type serverPermits struct {
 	limit      protocol.RateLimit
 	statedAt   time.Time // statedAt is when the server sent the limit.
+	service    string    // service is empty while unknown.
+	changedAt  time.Time // changedAt is when the limit last changed here.
+	presumed   bool      // presumed says that the server has not been heard: other servers of its service are brittle.
 	change     uint64    // change is the allocator's counter at the last change of this limit.
 	counted    map[gatewayIncarnation]bool
 	available  float64 // available is the number of permits for immediate use; below 0 after requests without permits.
@@ -65,10 +70,11 @@
 
 // NewPermitAllocator returns an allocator that knows no limits.
 func NewPermitAllocator(opts ...PermitAllocatorOption) *PermitAllocator {
-	a := &PermitAllocator{entries: map[string]*serverPermits{}, rooms: NewRoomLedger(time.Time{}, WithoutPredecessor())}
+	a := &PermitAllocator{entries: map[string]*serverPermits{}, rooms: NewRoomLedger(time.Time{}, WithoutPredecessor()), brittle: brittleServices{}, listed: map[string]protocol.ListedServer{}}
 	for _, opt := range opts {
 		opt(a)
 	}
+	a.rooms.limitOf = a.Limit
 	return a
 }
 
@@ -81,7 +87,7 @@
 		h := &m.Heard[i]
 		a.recordLimit(h, now)
 		if current := a.Limit(h.Server); current != h.Limit {
-			corrections = append(corrections, protocol.ServerLimit{Server: h.Server, Limit: current})
+			corrections = append(corrections, a.toServerLimit(h.Server))
 		}
 	}
 	for i := range m.Sent {
@@ -91,13 +97,12 @@
 	if m.Term != term {
 		known = 0
 	}
-	reply := protocol.LimitsReply{Leads: true, Term: term, Change: a.change, ReportsUses: true, GrantsRooms: true, Limits: append(a.changedSince(known), corrections...)}
+	reply := protocol.LimitsReply{Leads: true, Term: term, Change: a.change, ReportsUses: true, GrantsRooms: true, ChoosesRooms: true, RoomsOpen: !now.Before(a.rooms.opensAt), Limits: append(a.changedSince(known), corrections...)}
 	for i := range m.Wants {
 		reply.Grants = append(reply.Grants, a.grant(from, &m.Wants[i], now))
 	}
-	for i := range m.Rooms {
-		r := &m.Rooms[i]
-		reply.Rooms = append(reply.Rooms, a.rooms.Request(from, r, a.Limit(r.Server), now))
+	if m.Gateway != "" {
+		reply.Rooms, reply.RoomStates = a.rooms.report(from, m, now)
 	}
 	for _, server := range m.Using {
 		if e := a.entries[server]; e != nil && e.limit.Named {
@@ -110,23 +115,71 @@
 // recordLimit stores the limit that a server sent to a gateway, unless a later one is known.
 func (a *PermitAllocator) recordLimit(h *protocol.ReportedLimit, now time.Time) {
 	statedAt := now.Add(-h.Ago)
-	e := a.entries[h.Server]
+	e := a.entry(h.Server, h.Service, now)
+	if statedAt.Before(e.statedAt) {
+		return
+	}
+	e.statedAt, e.presumed = statedAt, false
+	a.setLimit(e, h.Limit, now)
+	began, ended := a.brittle.record(e.service, h.Server, h.Limit)
+	if began || ended {
+		a.presume(e.service, now)
+	}
+}
+
+// entry returns the entry of a server.
+func (a *PermitAllocator) entry(server, service string, now time.Time) *serverPermits {
+	e := a.entries[server]
 	if e == nil {
 		e = &serverPermits{refilledAt: now, counted: map[gatewayIncarnation]bool{}}
-		a.entries[h.Server] = e
+		a.entries[server] = e
 	}
-	if statedAt.Before(e.statedAt) {
-		return
+	if in, ok := a.listed[server]; ok {
+		service = in.Service
+	}
+	if service != "" {
+		e.service = service
 	}
-	e.statedAt = statedAt
-	if e.limit == h.Limit {
+	return e
+}
+
+// presume gives the servers of a service that have not been heard the limit that the others have, or none
+// if the service is not brittle.
+func (a *PermitAllocator) presume(service string, now time.Time) {
+	limit, brittle := a.brittle.presumed(service)
+	for server, in := range a.listed {
+		if in.Service != service {
+			continue
+		}
+		e := a.entries[server]
+		switch {
+		case brittle && (e == nil || e.presumed || !e.limit.Brittle):
+			e = a.entry(server, service, now)
+			e.presumed = true
+			a.setLimit(e, presumeBrittle(e.limit, limit), now)
+		case !brittle && e != nil && e.presumed:
+			e.presumed = false
+			a.setLimit(e, presumeBrittle(e.limit, limit), now)
+		}
+	}
+}
+
+// presumeBrittle returns a limit that is as brittle as another one.
+func presumeBrittle(limit, as protocol.RateLimit) protocol.RateLimit {
+	limit.Brittle, limit.MaxRejections = as.Brittle, as.MaxRejections
+	return limit
+}
+
+// setLimit sets the limit of an entry.
+func (a *PermitAllocator) setLimit(e *serverPermits, limit protocol.RateLimit, now time.Time) {
+	if e.limit == limit {
 		return
 	}
 	if !e.limit.Named {
 		clear(e.counted) // Gateways report again what they sent while there was no limit.
 		e.recent, e.available, e.refilledAt = nil, 0, now
 	}
-	e.limit = h.Limit
+	e.limit, e.changedAt = limit, now
 	a.change++
 	e.change = a.change
 }
@@ -154,21 +207,50 @@
 	var list []protocol.ServerLimit
 	for server, e := range a.entries {
 		if e.change > known {
-			list = append(list, protocol.ServerLimit{Server: server, Limit: e.limit})
+			list = append(list, a.toServerLimit(server))
 		}
 	}
 	return list
 }
 
+// toServerLimit returns the limit of a server as gateways are told.
+func (a *PermitAllocator) toServerLimit(server string) protocol.ServerLimit {
+	e := a.entries[server]
+	return protocol.ServerLimit{Server: server, Service: e.service, Limit: e.limit, Presumed: e.presumed}
+}
+
 // Inherit takes limits that an earlier leader knew.
 func (a *PermitAllocator) Inherit(limits []protocol.ServerLimit, now time.Time) {
 	for i := range limits {
-		if !limits[i].Limit.IsZero() {
-			a.recordLimit(&protocol.ReportedLimit{Server: limits[i].Server, Limit: limits[i].Limit, Ago: inheritedAge}, now)
+		in := &limits[i]
+		switch {
+		case in.Limit.IsZero():
+		case in.Presumed:
+			a.RememberBrittle([]protocol.BrittleService{{Service: in.Service, MaxRejections: in.Limit.MaxRejections}}, now)
+		default:
+			a.recordLimit(&protocol.ReportedLimit{Server: in.Server, Service: in.Service, Limit: in.Limit, Ago: inheritedAge}, now)
 		}
 	}
 }
 
+// RememberBrittle takes the services that had brittle servers before this allocator existed.
+func (a *PermitAllocator) RememberBrittle(list []protocol.BrittleService, now time.Time) {
+	for _, s := range list {
+		if a.brittle.remember(s.Service, s.MaxRejections, now) {
+			a.presume(s.Service, now)
+		}
+	}
+}
+
+// ReserveCredits lets a new leader grant the reserved credits early; see WithReservedCredit.
+func (a *PermitAllocator) ReserveCredits() { a.rooms.reserve = true }
+
+// BrittleServices returns the services with brittle servers, sorted by name.
+func (a *PermitAllocator) BrittleServices() []protocol.BrittleService { return a.brittle.list() }
+
+// RoomUse returns the room at the brittle servers of each service, sorted by name.
+func (a *PermitAllocator) RoomUse(now time.Time) []RoomUse { return a.rooms.use(now) }
+
 // SetIncomplete makes gateways ask for the limits before they use a server, since an earlier leader
 // may have known some that are not known here yet.
 func (a *PermitAllocator) SetIncomplete() { a.change++ }
@@ -199,13 +281,43 @@
 	return all
 }
 
-// Prune removes servers that are no longer listed, and limits withdrawn longer ago than
-// withdrawnRetention.
-func (a *PermitAllocator) Prune(listed func(server string) bool, now time.Time) {
-	a.rooms.Prune(listed)
+// SetServers sets the listed servers. It removes the limits of others, and those withdrawn longer ago than
+// withdrawnRetention, and presumes that servers which were not listed before are as brittle as the others of
+// their service.
+func (a *PermitAllocator) SetServers(list []protocol.ListedServer, now time.Time) {
+	before := a.listed
+	a.listed = make(map[string]protocol.ListedServer, len(list))
+	for _, in := range list {
+		a.listed[in.Server] = in
+	}
+	for server, e := range a.entries {
+		if in, ok := a.listed[server]; ok && e.service == "" {
+			e.service = in.Service
+			if e.limit.Brittle && !e.presumed {
+				a.brittle.record(e.service, server, e.limit)
+			}
+		}
+	}
+	isListed := func(server string) bool { _, ok := a.listed[server]; return ok }
 	maps.DeleteFunc(a.entries, func(server string, e *serverPermits) bool {
-		return !listed(server) || (e.limit.IsZero() && now.Sub(e.statedAt) > withdrawnRetention)
+		return !isListed(server) || (e.limit.IsZero() && now.Sub(e.changedAt) > withdrawnRetention)
 	})
+	a.brittle.prune(isListed, now)
+	a.rooms.setServers(list)
+	for _, in := range list {
+		if _, known := before[in.Server]; !known && a.entries[in.Server] == nil {
+			a.presumeNew(&in, now)
+		}
+	}
+}
+
+// presumeNew presumes that a server is brittle if others of its service are.
+func (a *PermitAllocator) presumeNew(in *protocol.ListedServer, now time.Time) {
+	if limit, brittle := a.brittle.presumed(in.Service); brittle {
+		e := a.entry(in.Server, in.Service, now)
+		e.presumed = true
+		a.setLimit(e, limit, now)
+	}
 }
 
 // grant issues permits to a gateway. It issues none before the gateway's earlier requests
--- a/coordination/backpressure/room_ledger.go
+++ b/coordination/backpressure/room_ledger.go
@@ -3,42 +3,65 @@
 import (
 	"maps"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/weldstream/weldstream/protocol"
 )
 
-// RoomLedger is the leader's record of the places and credits that gateways have at brittle
-// servers. At no time do they add up to more than a server has: what was granted counts until it
-// expires or the gateway says that it has less, and a credit rests after that, since it may just have
-// been used up by a rejection. A new leader renews what gateways have, which its predecessor had
-// counted, and grants no more until all grants of its predecessor have expired and rested.
+// RoomLedger is the leader's record of the places and credits that gateways have at brittle servers. At
+// no time do they add up to more than a server has. Each report of a gateway lists all that it has, so
+// what it does not list is free again at once. What a gateway does not report on expires; a credit then
+// rests, since it may just have been used up by a rejection.
+//
+// A new leader renews what gateways have, which its predecessor had counted. It grants no more until all grants of
+// the predecessor have expired, and then, until their credits have rested, one credit at each server: the one that
+// is reserved (see creditsOf), and only if the predecessor cannot have granted that.
 type RoomLedger struct {
-	opensAt time.Time
-	servers map[string]*serverRoom
-	credits map[creditHolder]int // credits are those of a gateway at all servers of a service.
+	opensAt  time.Time
+	reserve  bool // reserve says that the reserved credit of each server may be granted before opensAt.
+	services map[string]*serviceRooms
+	servers  map[string]*serverRoom
+	gateways map[string]*roomHolder
+	limitOf  func(server string) protocol.RateLimit
+	sweptAt  time.Time
 }
 
-// creditHolder is a start of a gateway at the servers of one service.
-type creditHolder struct {
-	gateway gatewayIncarnation
-	service string
+// serviceRooms is the room at all servers of a service.
+type serviceRooms struct {
+	servers []*serverRoom // servers are those that take new requests.
+	next    int           // next is where the search for room begins, so that equal servers take turns.
+	short   map[gatewayIncarnation]shortage
+	used    map[gatewayIncarnation]holding // used is what each gateway has at all servers.
+	total   holding
+	places  int    // places is the number of places at all servers.
+	keep    int    // keep is how many requests' worth of room each gateway may keep unused.
+	refused uint64 // refused counts the reports that got no room though they asked for some.
+}
+
+// shortage is that of a gateway that got less than it asked for.
+type shortage struct {
+	since   time.Time // since is when it last got room, or began to ask.
+	askedAt time.Time
 }
 
 // serverRoom is the room of one server.
 type serverRoom struct {
-	service string
-	granted map[gatewayIncarnation][]roomGrant
+	server  string
+	service *serviceRooms
+	slots   int
+	ceiling ceiling
+	granted map[gatewayIncarnation]holding
+	used    holding // used is the sum of granted.
 	resting []restingCredits
-	yielded map[gatewayIncarnation]int       // yielded is how many credits fewer a gateway was granted than it had; see yield.
-	short   map[gatewayIncarnation]time.Time // short is when a gateway last got less than it asked for.
 }
 
-// roomGrant is what one answer granted.
-type roomGrant struct {
-	places  int
-	credits int
-	expires time.Time
+// holding is what a gateway has.
+type holding struct {
+	places   int
+	credits  int
+	reserved int // reserved is how many of the credits are reserved ones that this leader granted.
+	expires  time.Time
 }
 
 // restingCredits are credits that nobody has, and that may not be granted yet.
@@ -47,12 +70,26 @@
 	until time.Time
 }
 
-// maxShareDivisor sets the most credits that one gateway has at a server, as a part of all, so that
-// the first one that asks does not take them all.
-const maxShareDivisor = 2
+// roomHolder is the latest start of a gateway.
+type roomHolder struct {
+	start  gatewayIncarnation
+	number uint64 // number is that of its latest report.
+	rooms  map[string]*serverRoom
+}
 
-// shortageTime is how long a gateway that got less than it asked for counts as short of room.
-const shortageTime = time.Second
+const (
+	// shortageTime is how long a gateway that got less than it asked for counts as short of room.
+	shortageTime = 300 * time.Millisecond
+	// waitSlack is how much longer a gateway must have waited for room than another one to get it first.
+	waitSlack = 100 * time.Millisecond
+	// sweepInterval is the time between two sweeps of expired grants.
+	sweepInterval = 20 * time.Millisecond
+	// retryPerGateway is the time, for each gateway that is short of room, after which one asks again: together
+	// they ask a thousand times a second. It is bounded by minRoomRetry and maxRoomRetry.
+	retryPerGateway = time.Millisecond
+	minRoomRetry    = 5 * time.Millisecond
+	maxRoomRetry    = 100 * time.Millisecond
+)
 
 // RoomLedgerOption configures a new ledger.
 type RoomLedgerOption func(*RoomLedger)
@@ -60,9 +97,13 @@
 // WithoutPredecessor makes the ledger grant room at once: there was no earlier leader.
 func WithoutPredecessor() RoomLedgerOption { return func(l *RoomLedger) { l.opensAt = time.Time{} } }
 
+// WithReservedCredit makes the ledger grant the reserved credit of each server before the grants of its
+// predecessor have expired. The predecessor must not have granted it.
+func WithReservedCredit() RoomLedgerOption { return func(l *RoomLedger) { l.reserve = true } }
+
 // NewRoomLedger returns the ledger of a leader whose term began at the given time.
 func NewRoomLedger(began time.Time, opts ...RoomLedgerOption) *RoomLedger {
-	l := &RoomLedger{opensAt: began.Add(roomLifetime + rejectionRest), servers: map[string]*serverRoom{}, credits: map[creditHolder]int{}}
+	l := &RoomLedger{opensAt: began.Add(roomLifetime + rejectionRest), services: map[string]*serviceRooms{}, servers: map[string]*serverRoom{}, gateways: map[string]*roomHolder{}}
 	for _, opt := range opts {
 		opt(l)
 	}
@@ -70,8 +111,7 @@
 }
 
 // creditsOf returns how many credits all gateways together have at a server. One rejection is
-// reserved for requests without a ticket, such as those that were sent before a gateway knew that
-// the server is brittle.
+// reserved for requests without a ticket and for new leaders.
 func creditsOf(limit protocol.RateLimit) int {
 	if !limit.Brittle {
 		return 0
@@ -79,208 +119,456 @@
 	return max(1, limit.MaxRejections-1)
 }
 
-// Request returns the room of a gateway at a server, until roomLifetime after it requested it.
-func (l *RoomLedger) Request(from gatewayIncarnation, m *protocol.RoomRequest, limit protocol.RateLimit, now time.Time) protocol.RoomGrant {
-	s := l.servers[m.Server]
+// setServers sets the listed servers. Those that are gone have no room any more.
+func (l *RoomLedger) setServers(list []protocol.ListedServer) {
+	for _, s := range l.services {
+		s.servers = nil
+	}
+	listed := map[string]bool{}
+	for _, in := range list {
+		listed[in.Server] = true
+		s := l.server(in.Server, in.Service, in.Slots)
+		if in.Takes {
+			s.service.servers = append(s.service.servers, s)
+		}
+	}
+	for id, s := range l.servers {
+		if !listed[id] {
+			l.remove(s)
+		}
+	}
+	maps.DeleteFunc(l.services, func(_ string, s *serviceRooms) bool { return len(s.servers) == 0 && len(s.used) == 0 })
+}
+
+// server returns the room of a server.
+func (l *RoomLedger) server(id, service string, slots int) *serverRoom {
+	s := l.servers[id]
 	if s == nil {
-		s = &serverRoom{service: m.Service, granted: map[gatewayIncarnation][]roomGrant{}, yielded: map[gatewayIncarnation]int{}, short: map[gatewayIncarnation]time.Time{}}
-		l.servers[m.Server] = s
-	}
-	l.expire(s, now)
-	l.endEarlierStarts(s, from, now)
-	l.trim(s, from, m, now)
-	g := protocol.RoomGrant{Server: m.Server, Lasts: roomLifetime}
-	g.Places, g.Credits = l.next(s, from, m, creditsOf(limit), now)
-	// Requests that run beyond the places go on, so their places are not free.
-	l.add(s, from, roomGrant{max(g.Places, min(m.Running, m.Places)), g.Credits, now.Add(roomLifetime)})
-	if g.Credits < m.Credits {
-		l.yield(s, from, m.Credits-g.Credits)
-	}
-	delete(s.short, from)
-	if g.Credits == 0 || g.Places < m.Running+m.Wanted {
-		s.short[from] = now
+		s = &serverRoom{server: id, service: l.service(service), granted: map[gatewayIncarnation]holding{}}
+		l.servers[id] = s
 	}
-	return g
+	s.slots = max(1, slots)
+	return s
 }
 
-// next returns the places and credits of a gateway.
-func (l *RoomLedger) next(s *serverRoom, from gatewayIncarnation, m *protocol.RoomRequest, totalCredits int, now time.Time) (places, credits int) {
-	freePlaces, freeCredits := max(1, m.Slots), totalCredits
-	for gateway, list := range s.granted {
-		if gateway != from {
-			g := largestGrant(list)
-			freePlaces, freeCredits = freePlaces-g.places, freeCredits-g.credits
-		}
+func (l *RoomLedger) service(name string) *serviceRooms {
+	s := l.services[name]
+	if s == nil {
+		s = &serviceRooms{short: map[gatewayIncarnation]shortage{}, used: map[gatewayIncarnation]holding{}}
+		l.services[name] = s
 	}
-	for _, r := range s.resting {
-		freeCredits -= r.count
+	return s
+}
+
+// remove removes a server.
+func (l *RoomLedger) remove(s *serverRoom) {
+	for start := range s.granted {
+		s.set(start, holding{})
 	}
-	freePlaces, freeCredits = max(0, freePlaces), max(0, freeCredits)
-	if now.Before(l.opensAt) {
-		return min(m.Places, freePlaces), min(m.Credits, freeCredits)
+	for _, g := range l.gateways {
+		delete(g.rooms, s.server)
 	}
-	credits = min(freeCredits, (totalCredits+1)/maxShareDivisor, max(1, totalCredits/s.users(from)))
-	switch {
-	case m.Credits == 0 && l.poorerWaits(s, from, 0):
-		credits = 0
-	case m.Credits > 0 && l.poorerWaits(s, from, 1):
-		credits = min(credits, m.Credits-1)
+	delete(l.servers, s.server)
+}
+
+// set sets what a gateway has at the server.
+func (s *serverRoom) set(start gatewayIncarnation, h holding) {
+	old := s.granted[start]
+	s.used.add(h, old)
+	s.service.total.add(h, old)
+	sum := s.service.used[start]
+	sum.add(h, old)
+	s.service.used[start], s.granted[start] = sum, h
+	if h.places == 0 && h.credits == 0 {
+		delete(s.granted, start)
+	}
+	if sum.places == 0 && sum.credits == 0 {
+		delete(s.service.used, start)
 	}
-	if credits == 0 {
-		return 0, 0 // Places are of no use without a credit.
+}
+
+// add replaces one of the holdings that h is the sum of.
+func (h *holding) add(with, instead holding) {
+	h.places += with.places - instead.places
+	h.credits += with.credits - instead.credits
+	h.reserved += with.reserved - instead.reserved
+}
+
+// release drops what a gateway has at the server. Credits that it may have used up rest.
+func (l *RoomLedger) release(s *serverRoom, start gatewayIncarnation, restFrom time.Time) {
+	if credits := s.granted[start].credits; credits > 0 && !restFrom.IsZero() {
+		s.resting = append(s.resting, restingCredits{credits, restFrom.Add(rejectionRest)})
 	}
-	// One place more than asked for, so that the next request need not ask.
-	places = min(freePlaces, m.Running+m.Wanted+1)
-	if s.othersShort(from) {
-		senders := s.senders(from)
-		places = min(places, max(1, (m.Slots+senders-1)/senders))
+	s.set(start, holding{})
+	if g := l.gateways[start.gateway]; g != nil && g.start == start {
+		delete(g.rooms, s.server)
 	}
-	return places, credits
 }
 
-// senders returns how many gateways have credits, if one more gets some.
-func (s *serverRoom) senders(from gatewayIncarnation) int {
-	n := 1
-	for gateway, list := range s.granted {
-		if gateway != from && largestGrant(list).credits > 0 {
-			n++
+// sweep drops what has expired.
+func (l *RoomLedger) sweep(now time.Time) {
+	if now.Sub(l.sweptAt) < sweepInterval {
+		return
+	}
+	l.sweptAt = now
+	for _, s := range l.servers {
+		for start, h := range s.granted {
+			if !now.Before(h.expires) {
+				l.release(s, start, h.expires)
+			}
 		}
 	}
-	return n
+	for _, s := range l.services {
+		maps.DeleteFunc(s.short, func(_ gatewayIncarnation, x shortage) bool { return now.Sub(x.askedAt) > shortageTime })
+		l.update(s, now)
+	}
 }
 
-// users returns how many gateways use or want the server.
-func (s *serverRoom) users(from gatewayIncarnation) int {
-	users := map[gatewayIncarnation]bool{from: true}
-	for gateway := range s.granted {
-		users[gateway] = true
+// report processes a gateway's report. It returns what the gateway may use from now on, and the state of
+// the services that it uses. A report that was overtaken by a later one returns nothing.
+func (l *RoomLedger) report(from gatewayIncarnation, m *protocol.LimitsMsg, now time.Time) (grants []protocol.RoomGrant, states []protocol.RoomState) {
+	l.sweep(now)
+	g := l.enter(from, now)
+	if m.Number > 0 && m.Number <= g.number {
+		return nil, nil
+	}
+	g.number = m.Number
+	for i := range m.Rejected {
+		l.recordRejection(&m.Rejected[i], now)
+	}
+	touched := map[string]bool{}
+	for i := range m.Rooms {
+		touched[m.Rooms[i].Server] = true
+		l.renew(g, &m.Rooms[i], m.Number > 0, now)
+	}
+	if m.Number > 0 {
+		for id, s := range g.rooms {
+			if !touched[id] {
+				l.release(s, from, time.Time{}) // It was given back, or the answer that granted it was lost.
+			}
+		}
+	}
+	for i := range m.Rooms {
+		l.grantAt(g, &m.Rooms[i], m.Number > 0, now)
+	}
+	if m.Number > 0 {
+		l.endShortages(g, m)
 	}
-	for gateway := range s.short {
-		users[gateway] = true
+	for i := range m.Wanted {
+		l.grantAny(g, &m.Wanted[i], now)
 	}
-	return len(users)
+	for id := range touched {
+		grants = append(grants, l.grantOf(id, from, now))
+	}
+	for id := range g.rooms {
+		if !touched[id] {
+			grants = append(grants, l.grantOf(id, from, now))
+		}
+	}
+	return grants, l.states(g, m, now)
 }
 
-// othersShort reports whether another gateway that may send requests has too few places.
-func (s *serverRoom) othersShort(from gatewayIncarnation) bool {
-	for gateway := range s.short {
-		if gateway != from && largestGrant(s.granted[gateway]).credits > 0 {
-			return true
+// endShortages ends the shortage of a gateway at services where none of its requests wait any more.
+func (l *RoomLedger) endShortages(g *roomHolder, m *protocol.LimitsMsg) {
+	for name, s := range l.services {
+		if !slices.ContainsFunc(m.Wanted, func(w protocol.RoomWant) bool { return w.Service == name }) {
+			delete(s.short, g.start)
 		}
 	}
-	return false
 }
 
-// poorerWaits reports whether a gateway without credits at the server waits for some and has fewer
-// than another one at the servers of the service, by more than the margin.
-func (l *RoomLedger) poorerWaits(s *serverRoom, than gatewayIncarnation, margin int) bool {
-	own := l.credits[creditHolder{than, s.service}]
-	for gateway := range s.short {
-		if gateway != than && largestGrant(s.granted[gateway]).credits == 0 && l.credits[creditHolder{gateway, s.service}]+margin < own {
-			return true
+// enter returns the record of a start of a gateway. Earlier starts of it have ended: nothing of theirs
+// runs, but their credits may just have been used up.
+func (l *RoomLedger) enter(from gatewayIncarnation, now time.Time) *roomHolder {
+	g := l.gateways[from.gateway]
+	if g != nil && g.start == from {
+		return g
+	}
+	if g != nil {
+		for _, s := range maps.Clone(g.rooms) {
+			l.release(s, g.start, now)
+			delete(s.service.short, g.start)
 		}
 	}
-	return false
+	g = &roomHolder{start: from, rooms: map[string]*serverRoom{}}
+	l.gateways[from.gateway] = g
+	return g
 }
 
-// yield records that a gateway was granted fewer credits than it has. It still counts them until it
-// says so, but not among those by which gateways are compared.
-func (l *RoomLedger) yield(s *serverRoom, from gatewayIncarnation, credits int) {
-	s.yielded[from] = credits
-	l.credits[creditHolder{from, s.service}] -= credits
+// recordRejection lowers what a server is taken to have room for.
+func (l *RoomLedger) recordRejection(m *protocol.RoomRejection, now time.Time) {
+	s := l.servers[m.Server]
+	if s == nil || m.Count <= 0 {
+		return
+	}
+	load := m.Load
+	if load <= 0 {
+		load = s.used.places - m.Count
+	}
+	s.ceiling.reject(load, now)
 }
 
-// largestGrant returns the most that a gateway may be using: answers with less may have been lost.
-func largestGrant(list []roomGrant) (g roomGrant) {
-	for i := range list {
-		g.places, g.credits = max(g.places, list[i].places), max(g.credits, list[i].credits)
+// renew sets what a gateway has at a server to what it reports. A gateway of an earlier build may have
+// used up credits that it no longer reports.
+func (l *RoomLedger) renew(g *roomHolder, m *protocol.RoomRequest, complete bool, now time.Time) {
+	s := l.server(m.Server, m.Service, m.Slots)
+	old, known := s.granted[g.start]
+	h := holding{places: m.Places, credits: m.Credits, expires: now.Add(roomLifetime)}
+	if known || !now.Before(l.opensAt) {
+		// What was not granted here, a predecessor granted, and it has expired.
+		h.places, h.credits = min(h.places, old.places), min(h.credits, old.credits)
 	}
-	return g
+	if rested := old.credits - h.credits; rested > 0 && !complete {
+		s.resting = append(s.resting, restingCredits{rested, now.Add(rejectionRest)})
+	}
+	h.places = max(h.places, m.Running) // Requests that run go on.
+	h.reserved = min(old.reserved, h.credits)
+	s.set(g.start, h)
+	g.rooms[m.Server] = s
+	if h.places == 0 && h.credits == 0 {
+		delete(g.rooms, m.Server)
+	}
+}
+
+// free returns the places and credits that may be granted at a server.
+func (l *RoomLedger) free(s *serverRoom, now time.Time) (places, credits int) {
+	total := creditsOf(l.limitOf(s.server))
+	if total == 0 || now.Before(l.opensAt.Add(-rejectionRest)) {
+		return 0, 0 // The predecessor's grants have not expired.
+	}
+	kept := s.resting[:0]
+	for _, r := range s.resting {
+		if now.Before(r.until) {
+			kept = append(kept, r)
+			total -= r.count
+		}
+	}
+	s.resting = kept
+	credits = max(0, total-s.used.credits)
+	if now.Before(l.opensAt) {
+		credits = l.reserved(s)
+	}
+	return max(0, s.ceiling.limit(s.slots, now)-s.used.places), credits
 }
 
-// replace sets what a gateway was granted at a server. The credits that it no longer has rest from
-// the given time on.
-func (l *RoomLedger) replace(s *serverRoom, gateway gatewayIncarnation, list []roomGrant, restFrom time.Time) {
-	holder := creditHolder{gateway, s.service}
-	more := largestGrant(list).credits - largestGrant(s.granted[gateway]).credits
-	l.credits[holder] += more + s.yielded[gateway]
-	delete(s.yielded, gateway)
-	if more < 0 {
-		s.resting = append(s.resting, restingCredits{-more, restFrom.Add(rejectionRest)})
+// reserved returns the reserved credit of a server if it may still be granted. The others may be those of
+// the predecessor.
+func (l *RoomLedger) reserved(s *serverRoom) int {
+	if !l.reserve || l.limitOf(s.server).MaxRejections < 2 || len(s.resting) > 0 {
+		return 0
 	}
-	if l.credits[holder] == 0 {
-		delete(l.credits, holder)
+	return max(0, 1-s.used.reserved)
+}
+
+// add grants places and credits at a server in addition to what the gateway has.
+func (l *RoomLedger) add(g *roomHolder, s *serverRoom, places, credits int, now time.Time) {
+	h := s.granted[g.start]
+	h.places, h.credits, h.expires = h.places+places, h.credits+credits, now.Add(roomLifetime)
+	if now.Before(l.opensAt) {
+		h.reserved += credits
 	}
-	if len(list) == 0 {
-		delete(s.granted, gateway)
+	s.set(g.start, h)
+	g.rooms[s.server] = s
+}
+
+// grantAt grants a gateway the room that it wants at one server. One of an earlier build gets one place
+// more than it asks for, and a part of the credits that it may keep.
+func (l *RoomLedger) grantAt(g *roomHolder, m *protocol.RoomRequest, complete bool, now time.Time) {
+	if complete && m.Wanted == 0 {
 		return
 	}
-	s.granted[gateway] = list
+	s := l.servers[m.Server]
+	h := s.granted[g.start]
+	places, credits := l.free(s, now)
+	wanted, most := m.Wanted, 1
+	if !complete {
+		wanted, most = max(0, m.Running+m.Wanted+1-h.places), max(1, creditsOf(l.limitOf(m.Server))/max(1, len(s.service.used)))
+	}
+	places, credits = min(places, wanted), min(credits, max(0, most-h.credits))
+	if places+h.places == 0 || credits+h.credits == 0 || places+credits == 0 {
+		return
+	}
+	l.add(g, s, places, credits, now)
 }
 
-// add adds what an answer grants.
-func (l *RoomLedger) add(s *serverRoom, gateway gatewayIncarnation, g roomGrant) {
-	if g.places > 0 || g.credits > 0 {
-		l.replace(s, gateway, append(s.granted[gateway], g), time.Time{})
+// grantAny grants a gateway room for requests that may go to any server of a service. While others are short of
+// room, it gets at most an even part of all places at once, but one place at least; and what is left of those for
+// gateways that have waited for longer than it.
+func (l *RoomLedger) grantAny(g *roomHolder, m *protocol.RoomWant, now time.Time) {
+	if m.Count == 0 {
+		return
+	}
+	s := l.service(m.Service)
+	x, waits := s.short[g.start]
+	delete(s.short, g.start)
+	if !waits {
+		x.since = now
+	}
+	granted, most := 0, m.Count
+	if len(s.short) > 0 {
+		most = min(most, max(1, s.places/max(1, len(s.used))))
+	}
+	reserved := s.ahead(x.since)
+	for ; granted < most; granted++ {
+		best := l.emptiest(s, g, m.Avoid, now)
+		if best == nil || reserved > 0 && l.freeRequests(s, g, now) <= reserved {
+			break
+		}
+		_, credits := l.free(best, now)
+		l.add(g, best, 1, min(1, credits), now)
+		x.since = now
+	}
+	if granted == 0 {
+		s.refused++
+	}
+	if granted < m.Count {
+		s.short[g.start] = shortage{x.since, now}
 	}
 }
 
-// expire drops what no gateway may use any more, and gateways that are no longer short.
-func (l *RoomLedger) expire(s *serverRoom, now time.Time) {
-	for gateway, list := range s.granted {
-		var kept []roomGrant
-		for _, g := range list {
-			if now.Before(g.expires) {
-				kept = append(kept, g)
-			}
+// ahead returns the number of gateways that have waited for much longer than since the given time.
+func (s *serviceRooms) ahead(since time.Time) (n int) {
+	for _, x := range s.short {
+		if since.Sub(x.since) > waitSlack {
+			n++
 		}
-		if len(kept) < len(list) {
-			l.replace(s, gateway, kept, now)
+	}
+	return n
+}
+
+// freeRequests returns how many requests a gateway may be allowed to send to the servers of a service at once,
+// with the credits that it has and those that are free.
+func (l *RoomLedger) freeRequests(s *serviceRooms, g *roomHolder, now time.Time) (n int) {
+	for _, room := range s.servers {
+		if room.used.places < room.slots {
+			places, credits := l.free(room, now)
+			n += min(places, credits+room.granted[g.start].credits)
 		}
 	}
-	s.resting = slices.DeleteFunc(s.resting, func(r restingCredits) bool { return !now.Before(r.until) })
-	maps.DeleteFunc(s.short, func(_ gatewayIncarnation, at time.Time) bool { return now.Sub(at) > shortageTime })
+	return n
 }
 
-// endEarlierStarts drops what earlier starts of a gateway were granted: those processes have ended.
-func (l *RoomLedger) endEarlierStarts(s *serverRoom, from gatewayIncarnation, now time.Time) {
-	for gateway := range s.granted {
-		if gateway.gateway == from.gateway && gateway != from {
-			l.replace(s, gateway, nil, now)
+// emptiest returns the server with the most free places, as a part of its slots, of those that have a credit; or
+// else of those at which the gateway has one; nil if there is none.
+func (l *RoomLedger) emptiest(s *serviceRooms, g *roomHolder, avoid []string, now time.Time) (best *serverRoom) {
+	most, bestHasCredit := 0.0, false
+	s.next++
+	for i := range s.servers {
+		room := s.servers[(i+s.next)%len(s.servers)]
+		if room.used.places >= room.slots || slices.Contains(avoid, room.server) {
+			continue
+		}
+		places, credits := l.free(room, now)
+		if credits == 0 && (bestHasCredit || room.granted[g.start].credits == 0) {
+			continue
 		}
+		part := float64(places) / float64(room.slots)
+		if part > most || part > 0 && credits > 0 && !bestHasCredit {
+			best, most, bestHasCredit = room, part, credits > 0
+		}
+	}
+	return best
+}
+
+// grantOf returns what a gateway may use of a server. If more is granted there than the server turned out
+// to have room for, the gateway keeps no place that it does not use.
+func (l *RoomLedger) grantOf(server string, start gatewayIncarnation, now time.Time) protocol.RoomGrant {
+	g := protocol.RoomGrant{Server: server, Lasts: roomLifetime}
+	if s := l.servers[server]; s != nil {
+		h := s.granted[start]
+		g.Places, g.Credits = h.places, h.credits
+		if over := s.used.places - s.ceiling.limit(s.slots, now); over > 0 {
+			g.Places = max(0, g.Places-over)
+		}
+	}
+	return g
+}
+
+// update computes the sums over all servers, and how many requests' worth of room each gateway may keep unused. While
+// little is free, that is an even part.
+func (l *RoomLedger) update(s *serviceRooms, now time.Time) {
+	var total, free holding
+	for _, room := range s.servers {
+		places, credits := l.free(room, now)
+		free.places, free.credits = free.places+places, free.credits+credits
+		total.places, total.credits = total.places+room.ceiling.limit(room.slots, now), total.credits+creditsOf(l.limitOf(room.server))
+	}
+	s.keep, s.places = unlimitedKeep, total.places
+	if free.places*tightPart < total.places || free.credits*tightPart < total.credits {
+		s.keep = min(total.places, total.credits) / max(1, len(s.used))
 	}
-	maps.DeleteFunc(s.short, func(gateway gatewayIncarnation, _ time.Time) bool {
-		return gateway.gateway == from.gateway && gateway != from
-	})
 }
 
-// trim reduces what a gateway was granted to what it says that it has. Its report is made after the
-// answers to the earlier ones arrived or timed out. What it has and was not granted here, a
-// predecessor granted.
-func (l *RoomLedger) trim(s *serverRoom, from gatewayIncarnation, m *protocol.RoomRequest, now time.Time) {
-	list, known := s.granted[from]
-	if !known {
-		list = []roomGrant{{m.Places, m.Credits, now.Add(roomLifetime)}}
+const (
+	// tightPart is the inverse of the part of all places or credits below which little is free.
+	tightPart = 4
+	// unlimitedKeep is more than any gateway has.
+	unlimitedKeep = 1 << 20
+)
+
+// states returns the state of the services that a gateway uses.
+func (l *RoomLedger) states(g *roomHolder, m *protocol.LimitsMsg, now time.Time) (list []protocol.RoomState) {
+	names := map[string]bool{}
+	for i := range m.Rooms {
+		names[m.Rooms[i].Service] = true
+	}
+	for i := range m.Wanted {
+		names[m.Wanted[i].Service] = true
 	}
-	kept := make([]roomGrant, 0, len(list)+1)
-	for _, g := range list {
-		g.places, g.credits = min(g.places, max(m.Places, m.Running)), min(g.credits, m.Credits)
-		if g.places > 0 || g.credits > 0 {
-			kept = append(kept, g)
+	for name := range names {
+		s := l.service(name)
+		state := protocol.RoomState{Service: name, Keep: s.keep}
+		_, self := s.short[g.start]
+		switch {
+		case now.Before(l.opensAt):
+			state.Keep = unlimitedKeep // What is given back could not be granted to others.
+		case len(s.short) > 1 || len(s.short) == 1 && !self:
+			state.Keep = 0
 		}
+		if len(s.short) > 0 {
+			state.Retry = min(maxRoomRetry, max(minRoomRetry, time.Duration(len(s.short))*retryPerGateway))
+		}
+		list = append(list, state)
 	}
-	l.replace(s, from, kept, now)
+	return list
 }
 
-// Prune removes servers that are no longer listed.
-func (l *RoomLedger) Prune(listed func(server string) bool) {
-	for server, s := range l.servers {
-		if listed(server) {
-			continue
+// RoomUse is the room at the brittle servers of a service, as the leader counts it.
+type RoomUse struct {
+	Service        string `json:"service"`
+	Servers        int    `json:"servers"`
+	Places         int    `json:"places"`          // Places is the number of requests that the servers have room for.
+	GrantedPlaces  int    `json:"granted_places"`  // GrantedPlaces is how many of them gateways have.
+	Credits        int    `json:"credits"`         // Credits is the number of requests that may be undecided at a time.
+	GrantedCredits int    `json:"granted_credits"` // GrantedCredits is how many of them gateways have.
+	RestingCredits int    `json:"resting_credits"` // RestingCredits is how many may have been used up by a rejection.
+	Gateways       int    `json:"gateways"`        // Gateways is the number of gateways that have room.
+	Short          int    `json:"short"`           // Short is the number of gateways that lately got less than they asked for.
+	Refused        uint64 `json:"refused"`         // Refused counts the requests for room that got none.
+}
+
+// use returns the room at the brittle servers of each service.
+func (l *RoomLedger) use(now time.Time) (list []RoomUse) {
+	for name, s := range l.services {
+		u := RoomUse{Service: name, Gateways: len(s.used), Short: len(s.short), Refused: s.refused}
+		for _, room := range s.servers {
+			credits := creditsOf(l.limitOf(room.server))
+			if credits == 0 {
+				continue
+			}
+			u.Servers++
+			u.Places, u.GrantedPlaces = u.Places+room.ceiling.limit(room.slots, now), u.GrantedPlaces+room.used.places
+			u.Credits, u.GrantedCredits = u.Credits+credits, u.GrantedCredits+room.used.credits
+			for _, r := range room.resting {
+				if now.Before(r.until) {
+					u.RestingCredits += r.count
+				}
+			}
 		}
-		for gateway := range s.granted {
-			l.replace(s, gateway, nil, time.Time{})
+		if u.Servers > 0 {
+			list = append(list, u)
 		}
-		delete(l.servers, server)
 	}
+	slices.SortFunc(list, func(a, b RoomUse) int { return strings.Compare(a.Service, b.Service) })
+	return list
 }
--- a/coordination/place/place.go
+++ b/coordination/place/place.go
@@ -144,6 +144,28 @@
 	return n
 }
 
+// OnTrial reports whether a server has a version on trial.
+func (v *View) OnTrial(s *Server) bool {
+	r := v.rollouts[s.Service]
+	return r != nil && r.OnTrial(s.Version)
+}
+
+// HasTrials reports whether servers of a service have a version on trial.
+func (v *View) HasTrials(service string) bool { return v != nil && len(v.trials[service]) > 0 }
+
+// Listing returns what limits are based on: the slots of each server, and whether it takes regular
+// requests.
+func (v *View) Listing() []protocol.ListedServer {
+	list := make([]protocol.ListedServer, 0, len(v.Servers))
+	for i := range v.Servers {
+		s := &v.Servers[i]
+		r := v.rollouts[s.Service]
+		takes := !s.Leaving && (r == nil || !r.OnTrial(s.Version) && !r.Blocks(s.Version))
+		list = append(list, protocol.ListedServer{Server: s.ID, Service: s.Service, Slots: s.SlotCount(), Takes: takes})
+	}
+	return list
+}
+
 // ChooseMsg requests a server.
 type ChooseMsg struct {
 	Service        string
--- a/protocol/limits.go
+++ b/protocol/limits.go
@@ -12,9 +12,16 @@
 	Held    uint64 // version of the leader's limits that the gateway has
 	Heard   []ReportedLimit
 	Sent    []SentRequests
-	Wants   []PermitRequest
 	Rooms   []RoomRequest
-	Using   []string // servers with a rate limit that the gateway has sent requests to lately
+
+	// Number rises with each message of a start of a gateway. It is 0 in messages of earlier builds,
+	// whose Rooms list only some of what the gateway has.
+	Number   uint64
+	Wants    []PermitRequest
+	Wanted   []RoomWant      // requests that wait for room at any server of a service
+	Rejected []RoomRejection // rejections since the last answered message
+
+	Using []string // servers with a rate limit that the gateway has sent requests to lately
 }
 
 // LimitsVersion identifies a version of the limits known to the leader of a term.
@@ -45,9 +52,10 @@
 
 // ReportedLimit is a rate limit that a server announced in an answer to a gateway.
 type ReportedLimit struct {
-	Server string
-	Limit  RateLimit
-	Ago    time.Duration // age of the announcement
+	Server  string
+	Service string // service of the server; empty in messages of earlier builds
+	Limit   RateLimit
+	Ago     time.Duration // age of the announcement
 }
 
 // SentInterval is the period that each count in [SentRequests] covers.
@@ -77,7 +85,11 @@
 	Grants []PermitGrant
 
 	GrantsRooms bool        // false in answers of earlier builds, which have no Rooms
-	Rooms       []RoomGrant // for the servers in Rooms of the message
+	Rooms       []RoomGrant // for the servers in Rooms of the message, and others with room
+
+	ChoosesRooms bool        // false in answers of earlier builds, which ignore Wanted
+	RoomStates   []RoomState // for the services in Rooms and Wanted
+	RoomsOpen    bool        // all that earlier leaders granted has expired
 
 	ReportsUses bool        // false in answers of earlier builds, which have no Uses
 	Uses        []ServerUse // for the servers in Using
@@ -89,8 +101,12 @@
 
 // ServerLimit is the current rate limit of a server, or states that it has none.
 type ServerLimit struct {
-	Server string
-	Limit  RateLimit
+	Server  string
+	Service string // service of the server; empty in answers of earlier builds
+	Limit   RateLimit
+	// Presumed says that the server has not been heard yet: it is taken to be brittle, since other
+	// servers of its service are.
+	Presumed bool
 }
 
 // ServerUse is the part of the requests to a server that one gateway sends.
@@ -107,6 +123,46 @@
 	Wait   time.Duration // when further permits become available if Count falls short
 }
 
+// RoomWant asks for room at any brittle servers of a service.
+type RoomWant struct {
+	Service string
+	Count   int      // requests that wait; 0 if they do not ask now
+	Avoid   []string // servers that none of them may be sent to
+}
+
+// RoomRejection tells that a brittle server rejected requests of the gateway.
+type RoomRejection struct {
+	Server string
+	Count  int
+	Load   int // requests that the server says it had at the last rejection; 0 if it does not say
+}
+
+// RoomState is the state of the room at the brittle servers of a service.
+type RoomState struct {
+	Service string
+	Keep    int           // requests' worth of room that the gateway may have; what it uses may be more
+	Retry   time.Duration // time after which the gateway may ask again
+}
+
+// BrittleService is a service with brittle servers.
+type BrittleService struct {
+	Service       string `json:"service"`
+	MaxRejections int    `json:"max_rejections"` // the least that one of its servers bears
+}
+
+// BrittleServicesMsg replaces the services with brittle servers in the log.
+type BrittleServicesMsg struct {
+	Services []BrittleService `json:"services"` // sorted by service
+}
+
+// ListedServer is what the server list tells of a server that limits may apply to.
+type ListedServer struct {
+	Server  string
+	Service string
+	Slots   int  // requests that the server runs at once
+	Takes   bool // it takes new requests
+}
+
 // RoomRequest asks for room at a brittle server.
 type RoomRequest struct {
 	Server  string
--- a/transport/control/limits.go
+++ b/transport/control/limits.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/weldstream/weldstream/coordination/backpressure"
 	"github.com/weldstream/weldstream/internal/clock"
 	"github.com/weldstream/weldstream/internal/pause"
 	"github.com/weldstream/weldstream/protocol"
@@ -64,10 +65,17 @@
 	return u.permits.Limits()
 }
 
-// pruneLimits removes the limits of servers that are no longer listed. The caller holds
-// u.mu.
-func (u *Uplink) pruneLimits() {
-	u.permits.Prune(func(server string) bool { return u.view.Find(server) != nil }, clock.Now())
+// updateLimits tells the limits which servers are listed. The caller holds u.mu.
+func (u *Uplink) updateLimits() { u.permits.SetServers(u.view.Listing(), clock.Now()) }
+
+// RoomUse returns the room at brittle servers, for dumps. It returns nil on an instance that does not lead.
+func (u *Uplink) RoomUse() []backpressure.RoomUse {
+	if _, ok := u.group.Vouches(); !ok {
+		return nil
+	}
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.permits.RoomUse(clock.Now())
 }
 
 // forwardLimits forwards the request of one of the relay's gateways to the leader.
--- a/transport/control/limits_test.go
+++ b/transport/control/limits_test.go
@@ -33,7 +33,7 @@
 		t.Errorf("leads %v, change %d, and %d to another gateway", first.Leads, first.Change, other.Limits)
 	}
 	news := mustLimits(t, u, protocol.LimitsMsg{Gateway: "other"})
-	if len(news.Limits) != 1 || news.Limits[0] != (protocol.ServerLimit{Server: "a@5", Limit: limit}) {
+	if len(news.Limits) != 1 || news.Limits[0] != (protocol.ServerLimit{Server: "a@5", Service: "s", Limit: limit}) {
 		t.Errorf("the other gateway received %v", news.Limits)
 	}
 	if again := mustLimits(t, u, protocol.LimitsMsg{Gateway: "other", Term: news.Term, Held: news.Change}); len(again.Limits) > 0 {
--- a/transport/control/list.go
+++ b/transport/control/list.go
@@ -103,7 +103,7 @@
 	u.listChanged = make(chan struct{})
 	u.view = place.NewView(list, u.view, place.WithRollouts(u.loggedRollouts.Load().Latest), place.WithRegions(u.topology))
 	u.places.Prune(u.view)
-	u.pruneLimits()
+	u.updateLimits()
 	u.common = commonReply{}
 	u.vector.Reset(u.loads.Pack(u.serverOrder))
 	u.readings.SetServers(u.serverOrder)
--- a/transport/control/rollouts.go
+++ b/transport/control/rollouts.go
@@ -93,6 +93,7 @@
 	u.activeRollouts = trials
 	if u.listed {
 		u.view = place.NewView(u.servers, u.view, place.WithRollouts(l.Latest), place.WithRegions(u.topology))
+		u.updateLimits()
 	}
 }
 
--- a/transport/forward/attempt.go
+++ b/transport/forward/attempt.go
@@ -312,7 +312,7 @@
 		x.applyFeedback(t.server, &t.reply.Feedback)
 	}
 	if t.reply.NotRun && !t.reply.Foreign {
-		x.g.recordRejection(t.server.ID) // Before the ticket's credit is free.
+		x.g.recordRejection(t.server.ID, t.reply.Load.Requests) // Before the ticket's credit is free.
 	}
 	x.acceptTicket()
 	if t.reply.NotRun {
--- a/transport/forward/feedback.go
+++ b/transport/forward/feedback.go
@@ -56,7 +56,11 @@
 		}
 	}
 	w.backoffs.Each(now, add)
-	w.limits.EachWaiting(now, add)
+	w.limits.EachWaiting(now, func(server string, left time.Duration) {
+		if s := view.Find(server); s != nil && !view.OnTrial(s) { // Room at a server on trial is asked for by its name.
+			add(server, left)
+		}
+	})
 	return list, wait
 }
 
@@ -135,12 +139,18 @@
 	return list
 }
 
+// setServers tells the limits which servers are listed, before requests are sent to them.
+func (w *feedbackState) setServers(view *place.View) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.limits.SetServers(view.Listing(), clock.Now())
+}
+
 // prune removes the state of servers that are no longer listed.
 func (w *feedbackState) prune(view *place.View, now time.Time) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	listed := func(server string) bool { return view.Find(server) != nil }
-	w.limits.Prune(listed)
 	w.backoffs.Prune(listed, now)
 	w.departures.Prune(listed, now)
 	maps.DeleteFunc(w.unparsed, func(server string, _ bool) bool { return !listed(server) })
--- a/transport/forward/forward.go
+++ b/transport/forward/forward.go
@@ -268,7 +268,9 @@
 	g.mu.Unlock()
 	if list != nil {
 		list = g.feedback.applyDepartures(g.moves.applySelfNotices(list, clock.Now()))
-		g.view.Store(place.NewView(list, g.view.Load(), place.WithRollouts(rollouts), place.WithRegions(g.cfg.Topology)))
+		view := place.NewView(list, g.view.Load(), place.WithRollouts(rollouts), place.WithRegions(g.cfg.Topology))
+		g.feedback.setServers(view)
+		g.view.Store(view)
 	}
 }
 
--- a/transport/forward/meters.go
+++ b/transport/forward/meters.go
@@ -40,6 +40,7 @@
 	backoffs         metrics.Counter // backoffs counts how often servers asked for backoff.
 	limitChanges     metrics.Counter // limitChanges counts how often servers changed their request limit.
 	firstContacts    metrics.Counter // firstContacts counts requests to servers that had not answered this gateway yet.
+	roomWaits        metrics.Counter // roomWaits counts requests that waited for room at brittle servers.
 	limitRefused     metrics.Counter // limitRefused counts requests refused because all servers were at their limits.
 	probes           metrics.Counter // probes counts connections opened to see whether a server is reached.
 	passes           metrics.Counter // passes counts requests that another gateway answered.
@@ -101,6 +102,7 @@
 		backoffs:          metrics.GetOrRegisterCounter("servers.rests", r),
 		limitChanges:      metrics.GetOrRegisterCounter("servers.limits", r),
 		firstContacts:     metrics.GetOrRegisterCounter("servers.first_contacts", r),
+		roomWaits:         metrics.GetOrRegisterCounter("servers.room_waits", r),
 		limitRefused:      metrics.GetOrRegisterCounter("limits.refused", r),
 		probes:            metrics.GetOrRegisterCounter("servers.probed", r),
 		passes:            metrics.GetOrRegisterCounter("passes", r),
--- a/transport/forward/server_limits.go
+++ b/transport/forward/server_limits.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/weldstream/weldstream/coordination/backpressure"
@@ -43,7 +44,7 @@
 
 // ticketRequest returns the request for a ticket at a server, which is needed if it is brittle.
 func (x *exchange) ticketRequest(server string) *backpressure.TicketRequest {
-	m := &backpressure.TicketRequest{Server: server, Service: x.service, Urgent: x.priority() <= 0, Settle: backpressure.MinSettleTime}
+	m := &backpressure.TicketRequest{Server: server, Service: x.service, Urgent: x.isUrgent(), Settle: backpressure.MinSettleTime}
 	if s := x.g.view.Load().Find(server); s != nil {
 		m.Slots, m.Running = s.SlotCount(), s.Stats.Outstanding()
 		trip := time.Duration(x.g.meters.distances.roundTrips[x.g.distance(s)].Load()) * time.Microsecond
@@ -52,6 +53,9 @@
 	return m
 }
 
+// isUrgent reports whether no request is more urgent.
+func (x *exchange) isUrgent() bool { return x.priority() <= 0 }
+
 // settleRoundTrips is the number of round trips to a server after which a request that it has not
 // rejected counts as accepted.
 const settleRoundTrips = 4
@@ -62,17 +66,40 @@
 		w := &x.g.feedback
 		w.mu.Lock()
 		defer w.mu.Unlock()
-		w.limits.AcceptTicket(x.ticket)
+		if w.limits.AcceptTicket(x.ticket, clock.Now()) {
+			w.wakeWaiting()
+			x.g.triggerLimits()
+		}
 	}
 }
 
+// settleTicket accepts a ticket on whose request the server has said nothing for its settle time.
+func (g *Gateway) settleTicket(t *backpressure.Ticket) {
+	w := &g.feedback
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.limits.AcceptTicket(t, clock.Now()) {
+		w.wakeWaiting()
+		g.triggerLimits()
+	}
+}
+
+// wakeWaiting makes requests that wait check again. The caller holds w.mu.
+func (w *feedbackState) wakeWaiting() {
+	close(w.replied)
+	w.replied = make(chan struct{})
+}
+
 // endTicket returns the ticket of the current attempt, if it has one that was not returned.
 func (x *exchange) endTicket() {
 	if x.ticket != nil {
 		w := &x.g.feedback
 		w.mu.Lock()
 		defer w.mu.Unlock()
-		w.limits.EndTicket(x.ticket)
+		if w.limits.EndTicket(x.ticket, clock.Now()) {
+			w.wakeWaiting()
+			x.g.triggerLimits()
+		}
 		x.ticket = nil
 	}
 }
@@ -121,7 +148,7 @@
 	}
 	decision, wait = w.limits.Acquire(m.Server, now)
 	if decision != backpressure.Send {
-		w.limits.EndTicket(ticket)
+		w.limits.EndTicket(ticket, now)
 		ticket = nil
 	}
 	return permission{decision, wait, ticket}, w.replied
@@ -135,15 +162,21 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.limits.RecordSent(server, now)
-	w.limits.RecordTicketSent(ticket, now)
+	if ticket != nil {
+		w.limits.RecordTicketSent(ticket, now)
+		time.AfterFunc(ticket.Settle(), func() { g.settleTicket(ticket) })
+	}
 }
 
-// recordRejection records that a server rejected a request.
-func (g *Gateway) recordRejection(server string) {
+// recordRejection records that a server rejected a request, and how many it says it has; 0 if it does not
+// say.
+func (g *Gateway) recordRejection(server string, load int) {
 	w := &g.feedback
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.limits.RecordRejection(server, clock.Now())
+	if w.limits.RecordRejection(server, load, clock.Now()) {
+		g.triggerLimits() // Other gateways learn that it has less room.
+	}
 }
 
 // acquireProbePermit acquires a permit for a state request and reports whether there was one.
@@ -207,6 +240,13 @@
 	w := &g.feedback
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	view := g.view.Load()
+	w.limits.SetRunning(func(server string) int {
+		if s := view.Find(server); s != nil {
+			return s.Stats.Outstanding()
+		}
+		return 0
+	})
 	m, any = w.limits.Report(clock.Now())
 	m.Gateway = g.cfg.Name
 	return m, any
@@ -237,29 +277,101 @@
 	if reply != nil {
 		w.limits.HandleReply(m, reply, asked, clock.Now())
 	}
-	close(w.replied)
-	w.replied = make(chan struct{})
+	w.wakeWaiting()
 }
 
 // choosePermitted returns a server returned by pick that accepts the request now. If there is
 // none, it waits for a short time.
 func (x *exchange) choosePermitted(pick func() (*place.Server, *protocol.Refusal)) (*place.Server, *protocol.Refusal) {
+	defer x.endRoomWait()
 	for deadline := clock.Now().Add(availabilityTimeout); ; {
 		s, wait, refusal := x.pickPermitted(pick)
 		if refusal == nil || wait == unboundedWait {
 			return s, refusal
 		}
-		if clock.Now().Add(wait).After(deadline) || !x.sleep(wait) {
+		if !x.waitForServer(wait, deadline) {
 			return nil, x.refuseAllLimited(wait)
 		}
 	}
 }
 
+// waitForServer waits until a server may accept the request, which is expected in the given time. It
+// returns false if that is later than the deadline, or if the request ended.
+func (x *exchange) waitForServer(wait time.Duration, deadline time.Time) bool {
+	if !x.beginRoomWait() {
+		return !clock.Now().Add(wait).After(deadline) && x.sleep(wait)
+	}
+	w := &x.g.feedback
+	w.mu.Lock()
+	untilAsk, changed := w.limits.UntilAsk(x.service, clock.Now()), w.replied
+	w.mu.Unlock()
+	if untilAsk == 0 {
+		x.g.triggerLimits()
+	} else {
+		wait = min(wait, untilAsk)
+	}
+	timer := time.NewTimer(min(max(wait, minAvailabilityWait), clock.Until(deadline)))
+	defer timer.Stop()
+	select {
+	case <-changed:
+	case <-timer.C:
+	case <-x.ctx.Done():
+		return false
+	}
+	return clock.Now().Before(deadline)
+}
+
+// beginRoomWait records that the request waits for room at any brittle server of its service, and reports
+// whether the leader grants such room.
+func (x *exchange) beginRoomWait() bool {
+	if x.waitsForRoom {
+		return true
+	}
+	avoid := x.unsuitable()
+	w := &x.g.feedback
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	x.waitsForRoom = w.limits.BeginWait(x.service, x.isUrgent(), avoid, clock.Now())
+	if x.waitsForRoom {
+		x.g.meters.roomWaits.Inc(1)
+	}
+	return x.waitsForRoom
+}
+
+func (x *exchange) endRoomWait() {
+	if !x.waitsForRoom {
+		return
+	}
+	x.waitsForRoom = false
+	w := &x.g.feedback
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.limits.EndWait(x.service, x.isUrgent()) {
+		x.g.triggerLimits()
+	}
+}
+
+// unsuitable returns the servers of the service that the request is not sent to even if they have room.
+func (x *exchange) unsuitable() []string {
+	list := slices.Concat(x.tried, x.fullServers(), x.g.lostServers(x.service))
+	view, version := x.g.view.Load(), x.requiredVersion()
+	for _, i := range view.Service(x.service) {
+		if s := &view.Servers[i]; s.Leaving || version != nil && s.Version != *version || x.g.feedback.backingOff(s.ID) {
+			list = append(list, s.ID)
+		}
+	}
+	return list
+}
+
 // pickPermitted calls pick until it returns a server that accepts the request. If there is
 // none, wait is the time until one of the skipped servers may accept it, or unboundedWait if
 // none of them will.
 func (x *exchange) pickPermitted(pick func() (*place.Server, *protocol.Refusal)) (s *place.Server, wait time.Duration, refusal *protocol.Refusal) {
-	x.unavailable, wait = x.g.feedback.unavailable(x.g.view.Load(), x.service)
+	view := x.g.view.Load()
+	x.unavailable, wait = x.g.feedback.unavailable(view, x.service)
+	if wait != unboundedWait && x.noneAvailable(view) {
+		return nil, wait, protocol.NewRefusal(protocol.StatusServiceUnavailable, protocol.CodeOverloaded, "no server of the service takes a request at present")
+	}
 	for deadline := clock.Now().Add(permitTimeout); ; {
 		s, refusal = pick()
 		if refusal != nil {
@@ -276,6 +388,14 @@
 	}
 }
 
+// noneAvailable reports whether the request cannot be sent to any server of its service at present.
+func (x *exchange) noneAvailable(view *place.View) bool {
+	if view.HasTrials(x.service) {
+		return false
+	}
+	return !slices.ContainsFunc(view.Service(x.service), func(i int) bool { return !slices.Contains(x.unavailable, view.Servers[i].ID) })
+}
+
 // sleep waits for a duration. It returns false if the request ended in the meantime.
 func (x *exchange) sleep(d time.Duration) bool {
 	timer := time.NewTimer(max(d, minAvailabilityWait))
