The log keeps which services have brittle servers; the leader's room in metrics and dump

After a loss of all power nobody knew which services are brittle, and all gateways sent to servers that had not answered yet (28 falls in a run of TestNewBrittleServersStayUp). The leader writes the services and the least number of rejections to the log when they change, and a new one presumes them of servers that it has not heard of for 30 s, or until one says that it is not brittle.

Copies of limits carry the term and whether all that earlier leaders had granted has expired, so that a new leader may grant the reserved credit of each server.

rooms.* and brittle_rooms in the leader's dump tell the room that is granted, used, resting and refused, by service.

--- a/cmd/weldstreamd/control.go
+++ b/cmd/weldstreamd/control.go
@@ -68,6 +68,7 @@
 		func(ctx context.Context) error { return c.uplink.CopyLimits(ctx, c.links, r.settings.Peer) },
 		c.uplink.RunRollouts,
 		c.uplink.RunQuarantine,
+		c.uplink.RunBrittleServices,
 		duties.RunList,
 		duties.RunUsageLog,
 		duties.RunReports,
@@ -155,7 +156,8 @@
 	sender := transport.NewReplicaSender(ctx, c.tables, c.links, transport.WithAddresses(c.peerAddress))
 	c.group, err = group.Open(c.groupConfig(), n.DataDir, c.name(), sender, group.WithLogger(c.log), group.WithRegistry(c.registry), group.WithMoveBlocker(c.calls.Busy), group.WithDocument(func(number uint64, data []byte) { c.uplink.Install(number, data) }),
 		group.WithRollouts(func(l protocol.RolloutLog) { c.uplink.InstallRollouts(l) }),
-		group.WithQuarantine(func(l protocol.QuarantineLog) { c.uplink.InstallQuarantine(l) }))
+		group.WithQuarantine(func(l protocol.QuarantineLog) { c.uplink.InstallQuarantine(l) }),
+		group.WithBrittleServices(func(l []protocol.BrittleService) { c.uplink.InstallBrittleServices(l) }))
 	if err != nil {
 		return err
 	}
--- a/cmd/weldstreamd/regions.go
+++ b/cmd/weldstreamd/regions.go
@@ -8,6 +8,7 @@
 
 	metrics "github.com/rcrowley/go-metrics"
 
+	"github.com/weldstream/weldstream/coordination/backpressure"
 	"github.com/weldstream/weldstream/coordination/group"
 	"github.com/weldstream/weldstream/coordination/topology"
 	"github.com/weldstream/weldstream/protocol"
@@ -30,12 +31,14 @@
 	Quarantine []protocol.Quarantined `json:"quarantine,omitempty"` // Quarantine are the quarantined requests, which are not sent to servers.
 
 	LimitedServers map[string]float64 `json:"limited_servers"` // LimitedServers maps servers that announce a limit to that limit, in requests per second, as known to the leader.
+
+	BrittleRooms []backpressure.RoomUse `json:"brittle_rooms,omitempty"` // BrittleRooms is the room at brittle servers, as counted by the leader.
 }
 
 // dump returns the state that /dump serves.
 func (c *controlInstance) dump() any {
 	n, topology := c.settings, c.settings.Topology()
-	d := controlDump{Status: c.group.Status(), Domain: n.Domain, Region: topology.Region(n.Domain), Quarantine: c.uplink.Quarantine(), LimitedServers: c.uplink.LimitedServers()}
+	d := controlDump{Status: c.group.Status(), Domain: n.Domain, Region: topology.Region(n.Domain), Quarantine: c.uplink.Quarantine(), LimitedServers: c.uplink.LimitedServers(), BrittleRooms: c.uplink.RoomUse()}
 	if relay := c.relay.State(); relay.Batches > 0 {
 		d.Relay = &relay
 	}
--- a/coordination/group/apply.go
+++ b/coordination/group/apply.go
@@ -61,4 +61,8 @@
 		g.reportedQuarantine = changes
 		g.quarantine(g.machine.QuarantineLog())
 	}
+	if changes := g.machine.BrittleChanges(); changes > g.reportedBrittle {
+		g.reportedBrittle = changes
+		g.brittle(g.machine.BrittleServices())
+	}
 }
--- a/coordination/group/group.go
+++ b/coordination/group/group.go
@@ -94,6 +94,11 @@
 	return func(g *Group) { g.quarantine = f }
 }
 
+// WithBrittleServices sets the callback that gets the services with brittle servers whenever they change.
+func WithBrittleServices(f func([]protocol.BrittleService)) Option {
+	return func(g *Group) { g.brittle = f }
+}
+
 // WithTimeOfDay sets the wall clock that commands are timestamped with; the default is
 // the system clock.
 func WithTimeOfDay(f func() time.Time) Option { return func(g *Group) { g.timeOfDay = f } }
@@ -108,6 +113,7 @@
 	rollouts func(protocol.RolloutLog)
 
 	quarantine func(protocol.QuarantineLog)
+	brittle    func([]protocol.BrittleService)
 
 	dir       string
 	cfg       Config
@@ -138,6 +144,7 @@
 	reportedDocument   uint64              // reportedDocument is the same for the opaque document.
 	reportedRollouts   uint64              // reportedRollouts is the count of rollout changes at the latest callback.
 	reportedQuarantine uint64              // reportedQuarantine is the same for the quarantine.
+	reportedBrittle    uint64              // reportedBrittle is the same for the services with brittle servers.
 	snapshots          chan savedSnapshot
 	savingSnapshot     bool
 	failed             bool
@@ -176,6 +183,7 @@
 		rollouts: func(protocol.RolloutLog) {},
 
 		quarantine: func(protocol.QuarantineLog) {},
+		brittle:    func([]protocol.BrittleService) {},
 
 		meters:      discardMeters(),
 		timeOfDay:   time.Now,
--- a/protocol/claim.go
+++ b/protocol/claim.go
@@ -121,6 +121,8 @@
 	StageRollout *StageRolloutMsg `json:"stage_rollout,omitempty"`
 	Versions     *VersionsMsg     `json:"versions,omitempty"`
 	Quarantine   *QuarantineMsg   `json:"quarantine,omitempty"`
+
+	Brittle *BrittleServicesMsg `json:"brittle,omitempty"`
 }
 
 // Result is the result of applying a [Command].
--- a/state/machine.go
+++ b/state/machine.go
@@ -27,6 +27,7 @@
 	rollouts     rollouts
 
 	quarantine quarantine
+	brittle    brittleServices
 	baselines  map[string]int // servers of each service when it was first seen
 }
 
@@ -65,6 +66,8 @@
 		m.rollouts.addVersions(c.Versions)
 	case c.Quarantine != nil:
 		m.quarantine.apply(c.Quarantine, m.now)
+	case c.Brittle != nil:
+		m.brittle.replace(c.Brittle)
 	}
 	return protocol.Result{}
 }
@@ -138,6 +141,12 @@
 // QuarantineChanges returns the number of changes to the quarantine.
 func (m *Machine) QuarantineChanges() uint64 { return m.quarantine.changes }
 
+// BrittleServices returns the services with brittle servers, sorted by name.
+func (m *Machine) BrittleServices() []protocol.BrittleService { return m.brittle.list }
+
+// BrittleChanges returns the number of changes to the services with brittle servers.
+func (m *Machine) BrittleChanges() uint64 { return m.brittle.changes }
+
 // PeekClaim answers a claim without changing the state. If the claim would be granted,
 // the answer is ClaimFull.
 func (m *Machine) PeekClaim(c *protocol.ClaimMsg) *protocol.ClaimReply {
@@ -171,6 +180,9 @@
 	Quarantine        []protocol.Quarantined `json:"quarantine,omitempty"`
 	QuarantineChanges uint64                 `json:"quarantine_changes,omitempty"`
 	QuarantineFloor   uint64                 `json:"quarantine_floor,omitempty"`
+
+	Brittle        []protocol.BrittleService `json:"brittle,omitempty"`
+	BrittleChanges uint64                    `json:"brittle_changes,omitempty"`
 }
 
 // Image returns a copy of the state. Claims are copied as pointers, as they are never
@@ -181,6 +193,7 @@
 		Tallies: m.tallies.list(), Bases: maps.Clone(m.baselines), Hold: m.dutyHolder, Former: m.formerHolder,
 		Rollouts: m.rollouts.list(), RolloutCount: m.rollouts.count, RolloutChanges: m.rollouts.changes, Versions: m.rollouts.known,
 		Quarantine: m.quarantine.list(), QuarantineChanges: m.quarantine.changes, QuarantineFloor: m.quarantine.floor,
+		Brittle: m.brittle.list, BrittleChanges: m.brittle.changes,
 	}
 }
 
@@ -208,6 +221,7 @@
 	m.dutyHolder, m.formerHolder = i.Hold, i.Former
 	m.rollouts = newRollouts(&i)
 	m.quarantine = newQuarantine(&i)
+	m.brittle = brittleServices{list: i.Brittle, changes: i.BrittleChanges}
 	for k := range i.Windows {
 		m.windows.settle(&i.Windows[k])
 	}
--- a/transport/control/limit_copies.go
+++ b/transport/control/limit_copies.go
@@ -8,6 +8,7 @@
 	"syscall"
 	"time"
 
+	"github.com/weldstream/weldstream/coordination/backpressure"
 	"github.com/weldstream/weldstream/internal/clock"
 	"github.com/weldstream/weldstream/internal/pause"
 	"github.com/weldstream/weldstream/protocol"
@@ -19,7 +20,8 @@
 type limitCopies struct {
 	mu      sync.Mutex // mu guards the fields below; no other lock is taken while it is held.
 	version protocol.LimitsVersion
-	byName  map[string]protocol.RateLimit // byName is keyed by server.
+	byName  map[string]protocol.ServerLimit // byName is keyed by server.
+	open    bool                            // open reports that all that earlier leaders had granted at brittle servers has expired.
 }
 
 // limitCopyInterval is the time between two requests for the leader's limits. Most of them are
@@ -31,11 +33,12 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.version.Term != reply.Term || c.byName == nil {
-		c.byName = map[string]protocol.RateLimit{}
+		c.byName = map[string]protocol.ServerLimit{}
 	}
+	c.open = reply.RoomsOpen
 	c.version = protocol.LimitsVersion{Term: reply.Term, Change: reply.Change}
 	for i := range reply.Limits {
-		c.byName[reply.Limits[i].Server] = reply.Limits[i].Limit
+		c.byName[reply.Limits[i].Server] = reply.Limits[i]
 		if reply.Limits[i].Limit.IsZero() {
 			delete(c.byName, reply.Limits[i].Server)
 		}
@@ -60,12 +63,20 @@
 func (c *limitCopies) limits() (list []protocol.ServerLimit) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	for server, limit := range c.byName {
-		list = append(list, protocol.ServerLimit{Server: server, Limit: limit})
+	for _, limit := range c.byName {
+		list = append(list, limit)
 	}
 	return list
 }
 
+// wasOpen reports whether a copy came from the leader of a term when all that its predecessors had granted at
+// brittle servers had expired.
+func (c *limitCopies) wasOpen(term uint64) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.open && c.version.Term == term
+}
+
 // CopyLimits copies the leader's limits until ctx ends. The peer address is that of this instance.
 func (u *Uplink) CopyLimits(ctx context.Context, caller Caller, peer string) error {
 	for pause.For(ctx, limitCopyInterval) {
@@ -93,6 +104,8 @@
 // says that it has had one since it started.
 func (u *Uplink) LimitCopies(_ protocol.LimitsMsg, reply *protocol.LimitsReply) error {
 	reply.Leads, reply.Limits = u.limitCopies.complete(), u.limitCopies.limits()
+	reply.Term = u.limitCopies.held().Term
+	reply.RoomsOpen = u.limitCopies.wasOpen(reply.Term)
 	return nil
 }
 
@@ -106,6 +119,15 @@
 	copiesRetryPause = 10 * time.Millisecond
 )
 
+// ledgerOptions returns the options of a new leader's ledger of room at brittle servers. The credit that is
+// reserved for new leaders may be granted if no other leader can have granted it within the time that it rests.
+func (u *Uplink) ledgerOptions() (opts []backpressure.RoomLedgerOption) {
+	if u.term > 0 && u.limitCopies.wasOpen(u.term-1) {
+		opts = append(opts, backpressure.WithReservedCredit())
+	}
+	return opts
+}
+
 // inheritLimits gives a new leader the limits that its predecessor knew. An instance that has just
 // started asks the others for them, and answers gateways after that. The caller holds u.mu.
 func (u *Uplink) inheritLimits() {
@@ -193,6 +215,9 @@
 	defer u.mu.Unlock()
 	if u.term == term {
 		u.permits.Inherit(reply.Limits, u.enteredAt)
+		if reply.RoomsOpen && reply.Term+1 == term {
+			u.permits.ReserveCredits()
+		}
 	}
 	return copyTaken
 }
--- a/transport/control/options.go
+++ b/transport/control/options.go
@@ -30,7 +30,7 @@
 // WithRegistry sets the registry of the metrics; by default nothing is counted.
 func WithRegistry(r metrics.Registry) UplinkOption {
 	return func(u *Uplink) {
-		u.meters = newRolloutMeters(r)
+		u.meters, u.registry = newRolloutMeters(r), r
 		metrics.NewRegisteredFunctionalGauge("places", r, u.placementsInProgress)
 	}
 }
--- a/transport/control/uplink.go
+++ b/transport/control/uplink.go
@@ -58,6 +58,9 @@
 	relay    atomic.Pointer[Relay]         // relay answers gateways while this instance does not lead; nil if there is none.
 	domainOf func(peers []string) []string // domainOf returns the domains of control instances.
 
+	registry      metrics.Registry
+	loggedBrittle atomic.Pointer[[]protocol.BrittleService] // loggedBrittle are the services with brittle servers of the log.
+
 	limitCopies limitCopies // limitCopies are the servers' limits that the leader knows.
 
 	sharedMu     sync.Mutex               // sharedMu guards sharedLimits and is not held together with other locks.
@@ -143,6 +146,7 @@
 		clock:            usage.NewClock(now),
 		log:              zerolog.Nop(),
 		meters:           newRolloutMeters(metrics.NewRegistry()),
+		registry:         metrics.NewRegistry(),
 		firstLeader:      func() bool { return false },
 		voters:           func() []string { return nil },
 		logIdleTime:      func() time.Duration { return 0 },
@@ -153,6 +157,7 @@
 	u.sharedLimits = backpressure.NewLimitCache(u.incarnation)
 	u.loggedRollouts.Store(&loggedRollouts{})
 	u.quarantineLog.Store(&protocol.QuarantineLog{})
+	u.loggedBrittle.Store(&[]protocol.BrittleService{})
 	u.reset(0)
 	return u
 }
@@ -183,7 +188,7 @@
 // holds u.mu.
 func (u *Uplink) resetShares() {
 	u.parts = allot.NewTable(u.enteredAt)
-	rooms := backpressure.NewRoomLedger(u.enteredAt)
+	rooms := backpressure.NewRoomLedger(u.enteredAt, u.ledgerOptions()...)
 	u.retries = retry.NewLedger(u.retryBudget.Extra, u.retryBudget.Window, u.enteredAt)
 	if u.firstLeader() {
 		u.parts = allot.NewTable(u.enteredAt, allot.WithoutPredecessor())
@@ -191,6 +196,7 @@
 		rooms = backpressure.NewRoomLedger(u.enteredAt, backpressure.WithoutPredecessor())
 	}
 	u.permits = backpressure.NewPermitAllocator(backpressure.WithRoomLedger(rooms))
+	u.permits.RememberBrittle(*u.loggedBrittle.Load(), u.enteredAt)
 	u.inheritLimits()
 }
 
