Relays tell gateways that limits are not known yet

A relay that had not asked the leader for the version of its limits told gateways that there are none. A gateway that had just started then sent to servers whose limits it did not know. It is told a version that it does not have instead, and asks.

--- a/transport/control/relay.go
+++ b/transport/control/relay.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"math/rand/v2"
 	"sync"
 	"time"
@@ -356,6 +357,7 @@
 		if i >= len(reply.Answers) || r.state.fillReply(&q.m, &reply.Answers[i], number, document, &a) != nil {
 			a = protocol.SyncReply{Leader: b.leader}
 		}
+		a.Limits = unknownLimits
 		if r.limits.Term == a.Term {
 			a.Limits, a.ListLate = r.limits.Change, r.listLate
 		}
@@ -363,6 +365,10 @@
 	}
 }
 
+// unknownLimits is the version that a relay tells gateways while it does not know that of the leader's limits, so
+// that they ask for them: one that has just started must not send to servers that may have limits.
+const unknownLimits = math.MaxUint64
+
 // errSuperseded is returned for an answer of another term than that of a later batch that
 // was answered first.
 var errSuperseded = eris.New("another leader has answered meanwhile")
