Urgent requests get room at a gateway first; servers that waiting requests avoid are copied for the leader

Where requests of several priorities wait for room at a gateway, the most urgent ones get it first, and after 100 ms the others as well, so that none starves. The list of servers that the waiting requests avoid was shared with the message to the leader while it was changed.

--- a/coordination/backpressure/brittle.go
+++ b/coordination/backpressure/brittle.go
@@ -41,6 +41,8 @@
 	// silentTime is how long a report is unanswered until a gateway keeps what it would give back to others:
 	// the leader may have ended.
 	silentTime = 100 * time.Millisecond
+	// urgentLead is how long other requests leave the room to the most urgent ones that wait.
+	urgentLead = 100 * time.Millisecond
 	// freshRoomTime is how long the requests that wait have to use room that was just granted, before it
 	// is given back to others that wait.
 	freshRoomTime = 20 * time.Millisecond
@@ -67,6 +69,7 @@
 	Slots   int           // Slots is the number of requests that the server runs at once.
 	Running int           // Running is the number of requests of this gateway that the server has.
 	Urgent  bool          // Urgent says that no request is more urgent.
+	Waited  time.Duration // Waited is how long the request has waited for room.
 	Settle  time.Duration // Settle is how long the request counts as not accepted if the server says nothing.
 }
 
@@ -155,7 +158,7 @@
 	}
 	r := &s.room
 	r.service, r.slots, r.running, r.triedAt = m.Service, m.Slots, m.Running, now
-	if !m.Urgent && l.service(m.Service).waitingUrgent > 0 {
+	if !m.Urgent && m.Waited < urgentLead && l.service(m.Service).waitingUrgent > 0 {
 		return nil, Wait, placeWait
 	}
 	wait, lacksPlaces := l.untilRoom(r, now)
@@ -203,7 +206,7 @@
 // owes reports whether others wait for what the gateway does not use at a server.
 func (l *Limits) owes(r *room, now time.Time) bool {
 	svc := l.rooms[r.service]
-	return svc != nil && now.Sub(r.grantedAt) >= freshRoomTime && !l.isSilent(now) && l.creditsAt(r.service) > svc.keep
+	return svc != nil && svc.keep < unlimitedKeep && now.Sub(r.grantedAt) >= freshRoomTime && !l.isSilent(now) && l.creditsAt(r.service) > svc.keep
 }
 
 // isSilent reports whether the leader has not answered for so long that it may have ended.
@@ -239,7 +242,8 @@
 	}
 	svc := l.service(r.service)
 	r.running, r.usedAt = max(0, r.running-1), now
-	return svc.waiting > 0 || svc.keep < unlimitedKeep
+	unused := svc.keep < unlimitedKeep && r.credits == 0 && r.places > r.taken()
+	return svc.waiting > 0 || unused || l.owes(r, now)
 }
 
 // RecordRejection records that a server rejected a request, whether or not it had a ticket. Load is the
@@ -359,7 +363,7 @@
 		if s.waiting == 0 {
 			continue
 		}
-		w := protocol.RoomWant{Service: name, Avoid: s.avoid}
+		w := protocol.RoomWant{Service: name, Avoid: slices.Clone(s.avoid)}
 		if !now.Before(s.askAgainAt) {
 			w.Count = s.waiting
 		}
--- a/coordination/backpressure/brittle_sim_test.go
+++ b/coordination/backpressure/brittle_sim_test.go
@@ -72,9 +72,9 @@
 }
 
 type simWaiter struct {
-	since    time.Time
-	begun    bool
-	asked    bool
+	since time.Time
+	begun bool
+	asked bool
 }
 
 func newSim(seed uint64, gateways, servers, slots, rejections int, runTime time.Duration) *sim {
--- a/transport/forward/exchange.go
+++ b/transport/forward/exchange.go
@@ -51,6 +51,7 @@
 	unavailable       []string             // unavailable are servers that do not accept the current attempt: they asked for backoff, are leaving, or are at their limit.
 	ticket            *backpressure.Ticket // ticket is that of the current attempt; nil if it needs none.
 	waitsForRoom      bool                 // waitsForRoom reports that the request counts as waiting for room at brittle servers.
+	roomWaitSince     time.Time            // roomWaitSince is since when it has waited.
 	trialCredited     bool                 // trialCredited reports that a credit of a rollout trial was spent on the attempt.
 	events            events
 	cachedFingerprint *protocol.Fingerprint  // cachedFingerprint is the request's fingerprint; nil until first used.
--- a/transport/forward/server_limits.go
+++ b/transport/forward/server_limits.go
@@ -45,6 +45,9 @@
 // ticketRequest returns the request for a ticket at a server, which is needed if it is brittle.
 func (x *exchange) ticketRequest(server string) *backpressure.TicketRequest {
 	m := &backpressure.TicketRequest{Server: server, Service: x.service, Urgent: x.isUrgent(), Settle: backpressure.MinSettleTime}
+	if x.waitsForRoom {
+		m.Waited = clock.Since(x.roomWaitSince)
+	}
 	if s := x.g.view.Load().Find(server); s != nil {
 		m.Slots, m.Running = s.SlotCount(), s.Stats.Outstanding()
 		trip := time.Duration(x.g.meters.distances.roundTrips[x.g.distance(s)].Load()) * time.Microsecond
@@ -333,6 +336,7 @@
 	defer w.mu.Unlock()
 	x.waitsForRoom = w.limits.BeginWait(x.service, x.isUrgent(), avoid, clock.Now())
 	if x.waitsForRoom {
+		x.roomWaitSince = clock.Now()
 		x.g.meters.roomWaits.Inc(1)
 	}
 	return x.waitsForRoom
