--- a/coordination/backpressure/permit_allocator.go
+++ b/coordination/backpressure/permit_allocator.go
@@ -120,7 +120,7 @@
 		return
 	}
 	e.statedAt, e.presumed = statedAt, false
-	a.setLimit(e, h.Limit, now)
+	a.setLimit(h.Server, e, h.Limit, now)
 	began, ended := a.brittle.record(e.service, h.Server, h.Limit)
 	if began || ended {
 		a.presume(e.service, now)
@@ -156,10 +156,10 @@
 		case brittle && (e == nil || e.presumed || !e.limit.Brittle):
 			e = a.entry(server, service, now)
 			e.presumed = true
-			a.setLimit(e, presumeBrittle(e.limit, limit), now)
+			a.setLimit(server, e, presumeBrittle(e.limit, limit), now)
 		case !brittle && e != nil && e.presumed:
 			e.presumed = false
-			a.setLimit(e, presumeBrittle(e.limit, limit), now)
+			a.setLimit(server, e, presumeBrittle(e.limit, limit), now)
 		}
 	}
 }
@@ -171,7 +171,7 @@
 }
 
 // setLimit sets the limit of an entry.
-func (a *PermitAllocator) setLimit(e *serverPermits, limit protocol.RateLimit, now time.Time) {
+func (a *PermitAllocator) setLimit(server string, e *serverPermits, limit protocol.RateLimit, now time.Time) {
 	if e.limit == limit {
 		return
 	}
@@ -180,6 +180,7 @@
 		e.recent, e.available, e.refilledAt = nil, 0, now
 	}
 	e.limit, e.changedAt = limit, now
+	a.rooms.setLimit(server, limit)
 	a.change++
 	e.change = a.change
 }
@@ -316,7 +317,7 @@
 	if limit, brittle := a.brittle.presumed(in.Service); brittle {
 		e := a.entry(in.Server, in.Service, now)
 		e.presumed = true
-		a.setLimit(e, limit, now)
+		a.setLimit(in.Server, e, limit, now)
 	}
 }
 
--- a/coordination/backpressure/room_ledger.go
+++ b/coordination/backpressure/room_ledger.go
@@ -50,6 +50,8 @@
 	server  string
 	service *serviceRooms
 	slots   int
+	credits int  // credits is how many all gateways together may have; 0 if the server is not brittle.
+	reserve bool // reserve reports that one more is reserved for new leaders.
 	ceiling ceiling
 	granted map[gatewayIncarnation]holding
 	used    holding // used is the sum of granted.
@@ -145,12 +147,24 @@
 	s := l.servers[id]
 	if s == nil {
 		s = &serverRoom{server: id, service: l.service(service), granted: map[gatewayIncarnation]holding{}}
+		s.setLimit(l.limitOf(id))
 		l.servers[id] = s
 	}
 	s.slots = max(1, slots)
 	return s
 }
 
+// setLimit sets the limit of a server.
+func (l *RoomLedger) setLimit(server string, limit protocol.RateLimit) {
+	if s := l.servers[server]; s != nil {
+		s.setLimit(limit)
+	}
+}
+
+func (s *serverRoom) setLimit(limit protocol.RateLimit) {
+	s.credits, s.reserve = creditsOf(limit), limit.Brittle && limit.MaxRejections >= 2
+}
+
 func (l *RoomLedger) service(name string) *serviceRooms {
 	s := l.services[name]
 	if s == nil {
@@ -332,7 +346,7 @@
 
 // free returns the places and credits that may be granted at a server.
 func (l *RoomLedger) free(s *serverRoom, now time.Time) (places, credits int) {
-	total := creditsOf(l.limitOf(s.server))
+	total := s.credits
 	if total == 0 || now.Before(l.opensAt.Add(-rejectionRest)) {
 		return 0, 0 // The predecessor's grants have not expired.
 	}
@@ -354,7 +368,7 @@
 // reserved returns the reserved credit of a server if it may still be granted. The others may be those of
 // the predecessor.
 func (l *RoomLedger) reserved(s *serverRoom) int {
-	if !l.reserve || l.limitOf(s.server).MaxRejections < 2 || len(s.resting) > 0 {
+	if !l.reserve || !s.reserve || len(s.resting) > 0 {
 		return 0
 	}
 	return max(0, 1-s.used.reserved)
@@ -382,7 +396,7 @@
 	places, credits := l.free(s, now)
 	wanted, most := m.Wanted, 1
 	if !complete {
-		wanted, most = max(0, m.Running+m.Wanted+1-h.places), max(1, creditsOf(l.limitOf(m.Server))/max(1, len(s.service.used)))
+		wanted, most = max(0, m.Running+m.Wanted+1-h.places), max(1, s.credits/max(1, len(s.service.used)))
 	}
 	places, credits = min(places, wanted), min(credits, max(0, most-h.credits))
 	if places+h.places == 0 || credits+h.credits == 0 || places+credits == 0 {
@@ -491,7 +505,7 @@
 	for _, room := range s.servers {
 		places, credits := l.free(room, now)
 		free.places, free.credits = free.places+places, free.credits+credits
-		total.places, total.credits = total.places+room.ceiling.limit(room.slots, now), total.credits+creditsOf(l.limitOf(room.server))
+		total.places, total.credits = total.places+room.ceiling.limit(room.slots, now), total.credits+room.credits
 	}
 	s.keep, s.places = unlimitedKeep, total.places
 	if free.places*tightPart < total.places || free.credits*tightPart < total.credits {
@@ -552,7 +566,7 @@
 	for name, s := range l.services {
 		u := RoomUse{Service: name, Gateways: len(s.used), Short: len(s.short), Refused: s.refused}
 		for _, room := range s.servers {
-			credits := creditsOf(l.limitOf(room.server))
+			credits := room.credits
 			if credits == 0 {
 				continue
 			}
