--- a/coordination/backpressure/room_ledger.go
+++ b/coordination/backpressure/room_ledger.go
@@ -33,10 +33,9 @@
 	next    int           // next is where the search for room begins, so that equal servers take turns.
 	short   map[gatewayIncarnation]shortage
 	used    map[gatewayIncarnation]holding // used is what each gateway has at all servers.
-	total   holding
-	places  int    // places is the number of places at all servers.
-	keep    int    // keep is how many requests' worth of room each gateway may keep unused.
-	refused uint64 // refused counts the reports that got no room though they asked for some.
+	places  int                            // places is the number of places at all servers.
+	keep    int                            // keep is how many requests' worth of room each gateway may keep unused.
+	refused uint64                         // refused counts the reports that got no room though they asked for some.
 }
 
 // shortage is that of a gateway that got less than it asked for.
@@ -75,7 +74,8 @@
 // roomHolder is the latest start of a gateway.
 type roomHolder struct {
 	start  gatewayIncarnation
-	number uint64 // number is that of its latest report.
+	number uint64    // number is that of its latest report.
+	at     time.Time // at is when that arrived.
 	rooms  map[string]*serverRoom
 }
 
@@ -84,6 +84,8 @@
 	shortageTime = 300 * time.Millisecond
 	// waitSlack is how much longer a gateway must have waited for room than another one to get it first.
 	waitSlack = 100 * time.Millisecond
+	// holderMemory is how long a gateway without room is remembered, by which a report that was overtaken is told.
+	holderMemory = time.Minute
 	// sweepInterval is the time between two sweeps of expired grants.
 	sweepInterval = 20 * time.Millisecond
 	// retryPerGateway is the time, for each gateway that is short of room, after which one asks again: together
@@ -189,7 +191,6 @@
 func (s *serverRoom) set(start gatewayIncarnation, h holding) {
 	old := s.granted[start]
 	s.used.add(h, old)
-	s.service.total.add(h, old)
 	sum := s.service.used[start]
 	sum.add(h, old)
 	s.service.used[start], s.granted[start] = sum, h
@@ -232,6 +233,7 @@
 			}
 		}
 	}
+	maps.DeleteFunc(l.gateways, func(_ string, g *roomHolder) bool { return len(g.rooms) == 0 && now.Sub(g.at) > holderMemory })
 	for _, s := range l.services {
 		maps.DeleteFunc(s.short, func(_ gatewayIncarnation, x shortage) bool { return now.Sub(x.askedAt) > shortageTime })
 		l.update(s, now)
@@ -246,7 +248,7 @@
 	if m.Number > 0 && m.Number <= g.number {
 		return nil, nil
 	}
-	g.number = m.Number
+	g.number, g.at = m.Number, now
 	for i := range m.Rejected {
 		l.recordRejection(&m.Rejected[i], now)
 	}
--- a/internal/soak/brittle_scale_test.go
+++ b/internal/soak/brittle_scale_test.go
@@ -48,14 +48,7 @@
 		},
 	} {
 		t.Run(name, func(t *testing.T) {
-			c, k, _ := startCluster(t, Size{Controls: 3, Gateways: scaleGateways, Backends: scaleServers})
-			for _, b := range c.Backends {
-				b.Pause = brittlePause
-			}
-			for g, address := range c.Callers() {
-				waitUntilServed(t, address, fmt.Sprint("before-", g))
-			}
-			s := newBrittleServers(c, brittleSlots, brittleDown)
+			c, k, s := startBrittleServers(t, brittleSlots, brittlePause)
 			s.set(unlimitedRoom, brittleRejections)
 			ctx, stop := context.WithCancel(t.Context())
 			wait := startManyCallers(ctx, c, k, scaleCallers)
@@ -77,6 +70,20 @@
 	}
 }
 
+// startBrittleServers starts a cluster of many gateways whose servers have a number of slots and take some time for
+// a request, and waits until each gateway serves.
+func startBrittleServers(t *testing.T, slots int, pause time.Duration) (*Cluster, *Checker, *brittleServers) {
+	t.Helper()
+	c, k, _ := startCluster(t, Size{Controls: 3, Gateways: scaleGateways, Backends: scaleServers})
+	for _, b := range c.Backends {
+		b.Pause = pause
+	}
+	for g, address := range c.Callers() {
+		waitUntilServed(t, address, fmt.Sprint("before-", g))
+	}
+	return c, k, newBrittleServers(c, slots, brittleDown)
+}
+
 // endFirst ends a number of servers at the same time.
 func (s *brittleServers) endFirst(n int) {
 	for _, b := range s.servers()[:n] {
@@ -114,14 +121,7 @@
 func TestLightLoadAtBrittleServers(t *testing.T) {
 	for _, rejections := range []int{8, 3} {
 		t.Run(fmt.Sprint("bears ", rejections), func(t *testing.T) {
-			c, k, _ := startCluster(t, Size{Controls: 3, Gateways: scaleGateways, Backends: scaleServers})
-			for _, b := range c.Backends {
-				b.Pause = lightPause
-			}
-			for g, address := range c.Callers() {
-				waitUntilServed(t, address, fmt.Sprint("before-", g))
-			}
-			s := newBrittleServers(c, lightSlots, brittleDown)
+			c, k, s := startBrittleServers(t, lightSlots, lightPause)
 			s.set(lightSlots, rejections)
 			rate := lightPart * float64(scaleServers*lightSlots) / lightPause.Seconds()
 			rows := sendEvenly(t, c, k, rate, lightTime)
@@ -179,14 +179,7 @@
 func TestRoomOfBrittleServersIsUsed(t *testing.T) {
 	for name, room := range map[string]int{"room for all slots": brittleSlots, "room for half of the slots": brittleSlots / 2} {
 		t.Run(name, func(t *testing.T) {
-			c, k, _ := startCluster(t, Size{Controls: 3, Gateways: scaleGateways, Backends: scaleServers})
-			for _, b := range c.Backends {
-				b.Pause = brittlePause
-			}
-			for g, address := range c.Callers() {
-				waitUntilServed(t, address, fmt.Sprint("before-", g))
-			}
-			s := newBrittleServers(c, brittleSlots, brittleDown)
+			c, k, s := startBrittleServers(t, brittleSlots, brittlePause)
 			s.set(unlimitedRoom, brittleRejections)
 			ctx, stop := context.WithCancel(t.Context())
 			wait := startManyCallers(ctx, c, k, scaleCallers)
