--- a/coordination/backpressure/brittle_sim_test.go
+++ b/coordination/backpressure/brittle_sim_test.go
@@ -257,6 +257,9 @@
 
 // serve sends the waiting requests of a gateway that may be sent, and refuses those that waited for too long.
 func (s *sim) serve(g *simGateway) {
+	if len(g.waiters) == 0 {
+		return
+	}
 	kept := g.waiters[:0]
 	ids := s.available(g)
 	for _, w := range g.waiters {
