Gateways that come first for room ask again sooner; tests of relays and of rejections are stricter

A gateway that is short of room asked again after 1 ms for each gateway that is short, also where most of those come behind it, and never sooner than after 10 ms, so places lay free. It counts those that come no later.

TestRelayThatDoesNotKnowLimitsSaysSo fails if relays say that there are none.

--- a/coordination/backpressure/brittle_test.go
+++ b/coordination/backpressure/brittle_test.go
@@ -53,6 +53,9 @@
 			if s.falls > 0 {
 				t.Errorf("servers fell over %d times", s.falls)
 			}
+			if c.room == c.slots && s.rejected > 0 {
+				t.Errorf("%d rejections by servers with room for all their slots", s.rejected)
+			}
 			if used < 0.9 {
 				t.Errorf("%.3f of the room was used", used)
 			}
@@ -111,9 +114,9 @@
 // less room than slots.
 func TestRejectionsHoldByConstruction(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		gateways := rapid.SampledFrom([]int{1, 4, 9, 24, 80}).Draw(t, "gateways")
+		gateways := rapid.SampledFrom([]int{1, 3, 4, 8, 9, 24, 40, 80}).Draw(t, "gateways")
 		servers := rapid.SampledFrom([]int{1, 4, 9}).Draw(t, "servers")
-		slots, rejections := rapid.IntRange(1, 16).Draw(t, "slots"), rapid.IntRange(1, 9).Draw(t, "rejections")
+		slots, rejections := rapid.IntRange(1, 32).Draw(t, "slots"), rapid.IntRange(1, 9).Draw(t, "rejections")
 		s := newSim(rapid.Uint64().Draw(t, "seed"), gateways, servers, slots, rejections, time.Duration(rapid.IntRange(5, 600).Draw(t, "run"))*time.Millisecond)
 		s.lossRate = rapid.Float64Range(0, 0.2).Draw(t, "loss")
 		s.pass(time.Second, 0, 1)
--- a/coordination/backpressure/room_ledger.go
+++ b/coordination/backpressure/room_ledger.go
@@ -452,6 +452,26 @@
 	return n
 }
 
+// rivals returns how many gateways get room no later than one that is short: those that no other one comes ahead
+// of, if it is one of them, or else all.
+func (s *serviceRooms) rivals(start gatewayIncarnation) (n int) {
+	var oldest time.Time
+	for _, x := range s.short {
+		if oldest.IsZero() || x.since.Before(oldest) {
+			oldest = x.since
+		}
+	}
+	for _, x := range s.short {
+		if x.since.Sub(oldest) <= waitSlack {
+			n++
+		}
+	}
+	if x, short := s.short[start]; !short || x.since.Sub(oldest) > waitSlack {
+		return len(s.short)
+	}
+	return n
+}
+
 // freeRequests returns how many requests a gateway may be allowed to send to the servers of a service at once,
 // with the credits that it has and those that are free.
 func (l *RoomLedger) freeRequests(s *serviceRooms, g *roomHolder, now time.Time) (n int) {
@@ -542,7 +562,7 @@
 			state.Keep = 0
 		}
 		if len(s.short) > 0 {
-			state.Retry = min(maxRoomRetry, max(minRoomRetry, time.Duration(len(s.short))*retryPerGateway))
+			state.Retry = min(maxRoomRetry, max(minRoomRetry, time.Duration(s.rivals(g.start))*retryPerGateway))
 		}
 		list = append(list, state)
 	}
--- a/transport/control/limit_copies_test.go
+++ b/transport/control/limit_copies_test.go
@@ -135,3 +135,23 @@
 		t.Errorf("a gateway that has none: got %+v", r)
 	}
 }
+
+// TestRelayThatDoesNotKnowLimitsSaysSo guards against a gateway that has just started and sends to servers whose limits
+// the leader knows, since its relay had not asked for their version yet.
+func TestRelayThatDoesNotKnowLimitsSaysSo(t *testing.T) {
+	leader, _, w := newLeader(3)
+	w.noLimits = true
+	relay, _ := newTestRelay(t, w, "a")
+	leader.Install(5, []byte("five"))
+	sync := func() protocol.SyncReply {
+		return receive(t, syncAsync(relay, protocol.SyncMsg{Gateway: "g", Lister: 1}), "an answer")
+	}
+	if r := sync(); !r.Leads || r.Limits == 0 {
+		t.Errorf("a relay that knows no version: leads %v, limits %d", r.Leads, r.Limits)
+	}
+	w.set(func() { w.noLimits = false })
+	mustLimits(t, relay, protocol.LimitsMsg{Gateway: "g", Life: 1, Number: 1})
+	if r := sync(); !r.Leads || r.Limits != 0 {
+		t.Errorf("a leader without limits: leads %v, limits %d", r.Leads, r.Limits)
+	}
+}
--- a/transport/control/relay_test.go
+++ b/transport/control/relay_test.go
@@ -31,6 +31,7 @@
 	leaders  map[string]*Uplink
 	leader   string
 	fail     bool
+	noLimits bool          // noLimits reports that requests for limits get no answer.
 	hold     chan struct{} // hold delays answers until it is closed; nil does not.
 	batches  []protocol.BatchMsg
 	answered chan struct{} // answered signals that a batch was processed, before its answer is delayed.
@@ -39,10 +40,10 @@
 func (w *leaderLink) Call(address, method string, args, reply any, _ time.Duration) error {
 	m, _ := args.(protocol.BatchMsg)
 	w.mu.Lock()
-	u, fail, hold := w.leaders[address], w.fail, w.hold
+	u, fail, hold, noLimits := w.leaders[address], w.fail, w.hold, w.noLimits
 	w.batches = append(w.batches, m)
 	w.mu.Unlock()
-	if m, ok := args.(protocol.LimitsMsg); ok && u != nil && !fail {
+	if m, ok := args.(protocol.LimitsMsg); ok && u != nil && !fail && !noLimits {
 		return u.Limits(m, reply.(*protocol.LimitsReply))
 	}
 	if u == nil || fail || method != "Uplink.Batch" {
--- a/transport/forward/server_limits.go
+++ b/transport/forward/server_limits.go
@@ -308,12 +308,13 @@
 	w.mu.Lock()
 	untilAsk, changed := w.limits.UntilAsk(x.service, clock.Now()), w.replied
 	w.mu.Unlock()
+	wait = max(wait, minAvailabilityWait)
 	if untilAsk == 0 {
 		x.g.triggerLimits()
 	} else {
 		wait = min(wait, untilAsk)
 	}
-	timer := time.NewTimer(min(max(wait, minAvailabilityWait), clock.Until(deadline)))
+	timer := time.NewTimer(min(wait, clock.Until(deadline)))
 	defer timer.Stop()
 	select {
 	case <-changed:
