--- a/coordination/backpressure/backpressure.go
+++ b/coordination/backpressure/backpressure.go
@@ -21,7 +21,8 @@
 // A brittle server crashes under requests that it has to reject. Gateways need a [Ticket] for each
 // request to one, and the leader grants the room for them ([RoomLedger]): places, which add up to the
 // server's slots, and credits, which add up to fewer than the rejections that it bears. A gateway
-// without room refuses a request, or chooses another server.
+// without room asks for some at any server of the service, and refuses requests that wait for too long. A
+// server that has not answered yet is presumed to be as brittle as the others of its service.
 //
 // The package is pure: the time is passed in with each call, and the source of randomness
 // is an option.
--- a/coordination/backpressure/permit_allocator.go
+++ b/coordination/backpressure/permit_allocator.go
@@ -214,7 +214,7 @@
 	return list
 }
 
-// toServerLimit returns the limit of a server as gateways are told.
+// toServerLimit returns the limit of a server in the form that answers to gateways have.
 func (a *PermitAllocator) toServerLimit(server string) protocol.ServerLimit {
 	e := a.entries[server]
 	return protocol.ServerLimit{Server: server, Service: e.service, Limit: e.limit, Presumed: e.presumed}
--- a/internal/soak/brittle.go
+++ b/internal/soak/brittle.go
@@ -54,16 +54,15 @@
 	b.running.Go(func() {
 		defer func() {
 			servers.stop()
-			b.falls, _ = servers.counts()
+			b.falls = servers.falls()
 		}()
 		for ctx.Err() == nil {
 			servers.set(unlimitedRoom, maxRejections)
 			sleepContext(ctx, brittleNotice)
-			before, _ := servers.counts()
+			before := servers.falls()
 			servers.set(soakSlots, maxRejections)
 			sleepContext(ctx, time.Duration(rnd.Int64N(int64(maxBrittleTime))))
-			after, _ := servers.counts()
-			if n := after - before; n > AllowedFalls(len(c.Backends)) {
+			if n := servers.falls() - before; n > AllowedFalls(len(c.Backends)) {
 				b.broken = append(b.broken, fmt.Sprintf("brittle servers fell over %d times in one period, allowed %d", n, AllowedFalls(len(c.Backends))))
 			}
 			servers.set(unlimitedRoom, notBrittle)
--- a/internal/soak/brittle_scale_test.go
+++ b/internal/soak/brittle_scale_test.go
@@ -49,18 +49,11 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			c, k, s := startBrittleServers(t, brittleSlots, brittlePause)
-			s.set(unlimitedRoom, brittleRejections)
-			ctx, stop := context.WithCancel(t.Context())
-			wait := startManyCallers(ctx, c, k, scaleCallers)
-			time.Sleep(brittleEffectTime)
-			s.set(brittleSlots, brittleRejections)
-			time.Sleep(brittleEffectTime)
+			stop := s.saturate(t, k, brittleSlots)
 			disturb(t, c, s)
 			time.Sleep(scaleFaultTime)
 			stop()
-			wait()
-			s.stop()
-			falls, rejected := s.counts()
+			falls, rejected := s.falls(), s.rejected()
 			t.Logf("%d falls, %d rejections", falls, rejected)
 			if allowed := AllowedFalls(scaleServers); falls > allowed {
 				t.Errorf("brittle servers fell over %d times, allowed %d", falls, allowed)
@@ -84,6 +77,23 @@
 	return c, k, newBrittleServers(c, slots, brittleDown)
 }
 
+// saturate starts callers that together ask for more than the servers can do. The servers say that they are brittle
+// for a time before they have the given room. The returned function ends the callers and the replacement of servers.
+func (s *brittleServers) saturate(t *testing.T, k *Checker, room int) (stop func()) {
+	t.Helper()
+	s.set(unlimitedRoom, brittleRejections)
+	ctx, cancel := context.WithCancel(t.Context())
+	wait := startManyCallers(ctx, s.cluster, k, scaleCallers)
+	time.Sleep(brittleEffectTime)
+	s.set(room, brittleRejections)
+	time.Sleep(brittleEffectTime)
+	return func() {
+		cancel()
+		wait()
+		s.stop()
+	}
+}
+
 // endFirst ends a number of servers at the same time.
 func (s *brittleServers) endFirst(n int) {
 	for _, b := range s.servers()[:n] {
@@ -131,7 +141,7 @@
 				total.sent, total.served = total.sent+n.sent, total.served+n.served
 				least = min(least, n.share())
 			}
-			falls, rejected := s.counts()
+			falls, rejected := s.falls(), s.rejected()
 			t.Logf("served %d of %d, %.3f at the gateway that served the least; %d falls, %d rejections", total.served, total.sent, least, falls, rejected)
 			if total.share() < lightServed || least < lightLeast {
 				t.Errorf("served %.3f of the requests, %.3f at the gateway that served the least; want %.2f and %.2f", total.share(), least, lightServed, lightLeast)
@@ -180,19 +190,12 @@
 	for name, room := range map[string]int{"room for all slots": brittleSlots, "room for half of the slots": brittleSlots / 2} {
 		t.Run(name, func(t *testing.T) {
 			c, k, s := startBrittleServers(t, brittleSlots, brittlePause)
-			s.set(unlimitedRoom, brittleRejections)
-			ctx, stop := context.WithCancel(t.Context())
-			wait := startManyCallers(ctx, c, k, scaleCallers)
-			time.Sleep(brittleEffectTime)
-			s.set(room, brittleRejections)
-			time.Sleep(brittleEffectTime)
+			stop := s.saturate(t, k, room)
 			from := time.Now()
 			time.Sleep(scaleFaultTime)
 			until := time.Now()
 			stop()
-			wait()
-			s.stop()
-			falls, rejected := s.counts()
+			falls, rejected := s.falls(), s.rejected()
 			ran, possible := c.Record.Count(from, until), float64(scaleServers*room)*float64(until.Sub(from))/float64(brittlePause)
 			t.Logf("%d falls, %d rejections, %d runs of %.0f possible", falls, rejected, ran, possible)
 			if allowed := AllowedFalls(scaleServers); falls > allowed {
--- a/internal/soak/brittle_servers.go
+++ b/internal/soak/brittle_servers.go
@@ -116,14 +116,28 @@
 	s.replacements.Wait()
 }
 
-// counts returns how often servers have fallen over, and how many requests they rejected for want of
-// room.
-func (s *brittleServers) counts() (falls, rejected int) {
+// falls returns how often servers have fallen over.
+func (s *brittleServers) falls() (n int) {
+	for _, r := range s.rooms() {
+		n += len(r.Falls)
+	}
+	return n
+}
+
+// rejected returns how many requests servers have rejected for want of room.
+func (s *brittleServers) rejected() (n int) {
+	for _, r := range s.rooms() {
+		n += r.Rejected
+	}
+	return n
+}
+
+// rooms returns what became of the room of all servers that run or have ended.
+func (s *brittleServers) rooms() (list []standin.Room) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, b := range slices.Concat(s.live, s.ended) {
-		r := b.Room()
-		falls, rejected = falls+len(r.Falls), rejected+r.Rejected
+		list = append(list, b.Room())
 	}
-	return falls, rejected
+	return list
 }
--- a/transport/forward/attempt.go
+++ b/transport/forward/attempt.go
@@ -237,20 +237,6 @@
 	}
 }
 
-func (x *exchange) workspaceName() string {
-	if x.workspace == nil {
-		return ""
-	}
-	return x.workspace.Name
-}
-
-func (x *exchange) priority() int {
-	if x.workspace != nil && x.workspace.HasPriority {
-		return x.workspace.Priority
-	}
-	return x.route.Priority
-}
-
 // skipAnswer discards an answer that belongs to another request.
 func (t *serverAttempt) skipAnswer() error {
 	t.unsolicited = true
--- a/transport/forward/exchange.go
+++ b/transport/forward/exchange.go
@@ -355,3 +355,17 @@
 	}
 	return max(2, int(connectionFraction*float64(spec.Connections))/int(x.g.gateways.Load()))
 }
+
+func (x *exchange) workspaceName() string {
+	if x.workspace == nil {
+		return ""
+	}
+	return x.workspace.Name
+}
+
+func (x *exchange) priority() int {
+	if x.workspace != nil && x.workspace.HasPriority {
+		return x.workspace.Priority
+	}
+	return x.route.Priority
+}
