--- a/review/standin/list.go
+++ b/review/standin/list.go
@@ -9,7 +9,7 @@
 
 // otherWriter is an entry that another writer has produced: like one of the platform's, with bytes
 // in a field that cannot be read.
-const otherWriter = `{"service":"docket-llm","address":"10.128.0.` + "\x00\x01\xff" + `","zone":"br-main","version":"v1","slots":64,"state":"ready","coldLeftMs":0,"stage":"prefill_decode","models":[{"name":"m","version":1,"adapters":[]}],"id":"i-7f3a91c2"}`
+const otherWriter = `{"service":"docket-llm","address":"127.0.0.` + "\x00\x01\xff" + `","zone":"br-main","version":"v1","slots":64,"state":"ready","coldLeftMs":0,"stage":"prefill_decode","models":[{"name":"m","version":1,"adapters":[]}],"id":"i-7f3a91c2"}`
 
 // listed checks Fault: an entry of another writer stands in the platform's list before the
 // replicas. The other entries hold, so clients must be served.
