Review: the stand-ins lie in a folder for the platform's words

make test had failed in TestPlatformNamesStayInPackage alone: the stand-ins of the review spoke the platform's words outside a folder named platform. They are moved to review/platform/standin, as those of the project lie in platform/standin; the test is unchanged and passes. The other packages passed in that run of make test.

--- a/review/build.sh
+++ b/review/build.sh
@@ -2,4 +2,4 @@
 # Builds the stand-in that the scripts of the cases start; the build of deploy/system.toml makes the daemon.
 set -euo pipefail
 cd "$(dirname "$0")/.."
-go build -tags review -o target/review-standin ./review/standin
+go build -tags review -o target/review-standin ./review/platform/standin
