Check heads and trailers of answers against the grammar before parsing them

Callers got answers that are none: one with the status 000, and ones with a blank in a field name, with that line passed on or with the body read by a wrong length.

Cause: what an answer is was decided by what fasthttp made of its bytes. Its StatusCode() of 000 is 200, it skips spaces before the status and before a colon, tolerates empty lines and any version before the status line, reads 101 and 099 as informational, and ignores a transfer encoding of HTTP/1.0.

ReadHead now checks each line by RFC 9112 as it arrives, and only then lets fasthttp parse the same number of bytes; what it parsed must have the size that was checked. Bodies are read by the same package: by length, by the chunk reader of the standard library, or up to the close; trailers pass the same check. A malformed answer may have run, its connection is closed, and it counts against the server, but neither as a crash nor as a path that is lost. Heads of another gateway's answers pass the same check.

Empty lines, garbage and malformed fields are noticed as they arrive, not at the end of the head.

--- a/transport/backend/backend.go
+++ b/transport/backend/backend.go
@@ -198,30 +198,10 @@
 }
 
 // ReadHead reads the head of an answer and leaves the body in the connection.
-func (c *Conn) ReadHead(resp *fasthttp.Response) error {
-	for {
-		if err := resp.Header.Read(c.br); err != nil {
-			return eris.Wrap(err, "read answer")
-		}
-		if resp.StatusCode() >= fasthttp.StatusOK {
-			return nil
-		}
-		resp.Header.Reset() // An informational answer.
-	}
-}
+func (c *Conn) ReadHead(resp *fasthttp.Response) error { return ReadHead(c.br, resp) }
 
-// Body returns a reader for an answer's body. It returns io.EOF only at the end of a complete
-// body, and ErrEndUnconfirmed at the end of one that ends with its connection.
-func (c *Conn) Body(resp *fasthttp.Response) (*Body, error) {
-	resp.StreamBody = true
-	if resp.Header.ContentLength() == 0 || !hasBody(resp.StatusCode()) {
-		return &Body{}, nil
-	}
-	if err := resp.ReadBody(c.br, 0); err != nil {
-		return nil, eris.Wrap(err, "read answer")
-	}
-	return &Body{stream: resp.BodyStream(), framing: FramingOf(resp)}, nil
-}
+// Body returns a reader for the body of an answer.
+func (c *Conn) Body(resp *fasthttp.Response) *Body { return NewBody(c.br, resp) }
 
 func hasBody(status int) bool {
 	return status != fasthttp.StatusNoContent && status != fasthttp.StatusNotModified
--- a/transport/backend/backend_test.go
+++ b/transport/backend/backend_test.go
@@ -61,11 +61,7 @@
 	if _, err := c.Exchange(request("x"), &resp, deadline); err != nil {
 		t.Fatal(err)
 	}
-	body, err := c.Body(&resp)
-	if err != nil {
-		t.Fatal(err)
-	}
-	data, err := io.ReadAll(body)
+	data, err := io.ReadAll(c.Body(&resp))
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -163,11 +159,7 @@
 		if _, err := conn.Exchange(request("x"), &resp, deadline); err != nil {
 			t.Fatal(err)
 		}
-		body, err := conn.Body(&resp)
-		if err != nil {
-			t.Fatal(err)
-		}
-		data, err := io.ReadAll(body)
+		data, err := io.ReadAll(conn.Body(&resp))
 		if (err == nil) != (c.ending == EndedWhole) || errors.Is(err, ErrEndUnconfirmed) != (c.framing == FramedByClose) || string(data) != "ok" {
 			t.Errorf("%s: %q, error %v", name, data, err)
 		}
--- a/transport/backend/body.go
+++ b/transport/backend/body.go
@@ -1,10 +1,14 @@
 package backend
 
 import (
+	"bufio"
 	"errors"
 	"io"
+	"net"
+	"net/http/httputil"
 
 	"github.com/rotisserie/eris"
+	"github.com/valyala/fasthttp"
 )
 
 // ErrEndUnconfirmed is returned at the end of a body that ends with its connection: a server that
@@ -13,19 +17,87 @@
 
 // Body reads the body of an answer.
 type Body struct {
-	stream  io.Reader
+	br      *bufio.Reader
 	framing Framing
+	left    int       // left is the number of bytes left of a body with a length.
+	chunks  io.Reader // chunks decodes a body in chunks.
 }
 
-// Read implements io.Reader. It returns io.EOF only at the end of a complete body, and
-// ErrEndUnconfirmed where the framing cannot tell whether the body is complete.
+// NewBody returns a reader for the body of an answer whose head was read from br.
+func NewBody(br *bufio.Reader, resp *fasthttp.Response) *Body {
+	b := &Body{br: br, framing: FramingOf(resp)}
+	switch {
+	case !hasBody(resp.StatusCode()):
+	case b.framing == FramedByLength:
+		b.left = resp.Header.ContentLength()
+	case b.framing == FramedByChunks:
+		b.chunks = httputil.NewChunkedReader(br)
+	}
+	return b
+}
+
+// Read implements io.Reader. It returns io.EOF only at the end of a complete body, ErrEndUnconfirmed
+// where the framing cannot tell whether the body is complete, and an error that wraps ErrMalformed for
+// chunks that are none.
 func (b *Body) Read(p []byte) (int, error) {
-	if b.stream == nil {
+	switch b.framing {
+	case FramedByChunks:
+		return b.readChunks(p)
+	case FramedByClose:
+		n, err := b.br.Read(p)
+		if errors.Is(err, io.EOF) {
+			err = ErrEndUnconfirmed
+		}
+		return n, err
+	}
+	return b.readLength(p)
+}
+
+func (b *Body) readLength(p []byte) (int, error) {
+	if b.left == 0 {
 		return 0, io.EOF
 	}
-	n, err := b.stream.Read(p)
-	if b.framing == FramedByClose && errors.Is(err, io.EOF) {
-		err = ErrEndUnconfirmed
+	n, err := b.br.Read(p[:min(len(p), b.left)])
+	b.left -= n
+	if errors.Is(err, io.EOF) && b.left > 0 {
+		err = io.ErrUnexpectedEOF
+	}
+	return n, err
+}
+
+// readChunks reads from a body in chunks, behind which there is a trailer.
+func (b *Body) readChunks(p []byte) (int, error) {
+	n, err := b.chunks.Read(p)
+	switch {
+	case errors.Is(err, io.EOF):
+		err = b.skipTrailer()
+	case err != nil:
+		err = chunkError(err)
 	}
 	return n, err
 }
+
+// skipTrailer reads the fields behind the last chunk, none of which is used, and returns io.EOF.
+func (b *Body) skipTrailer() error {
+	size, err := awaitLines(b.br, checkTrailerLine)
+	if errors.Is(err, io.EOF) {
+		return io.ErrUnexpectedEOF
+	}
+	if err != nil {
+		return err
+	}
+	if _, err := b.br.Discard(size); err != nil {
+		return err
+	}
+	return io.EOF
+}
+
+// chunkError returns the error of the chunk decoder. An error that is not of the connection is one of
+// the bytes.
+func chunkError(err error) error {
+	var network net.Error
+	if errors.Is(err, io.ErrUnexpectedEOF) || errors.As(err, &network) {
+		return err
+	}
+	return eris.Wrap(ErrMalformed, err.Error())
+}
--- a/transport/forward/attempt.go
+++ b/transport/forward/attempt.go
@@ -240,11 +240,7 @@
 // skipAnswer discards an answer that belongs to another request.
 func (t *serverAttempt) skipAnswer() error {
 	t.unsolicited = true
-	body, err := t.conn.Body(t.x.resp)
-	if err != nil {
-		return err
-	}
-	if _, err := io.Copy(io.Discard, body); err != nil {
+	if _, err := io.Copy(io.Discard, t.conn.Body(t.x.resp)); err != nil {
 		return err
 	}
 	t.x.resp.Reset()
@@ -341,10 +337,7 @@
 	if t.reply.Foreign && t.x.continuation == nil { // For a moved run, this status may also mean that the weights differ.
 		t.x.distrust(t.server, true)
 	}
-	body, err := t.conn.Body(t.x.resp)
-	if err == nil {
-		_, err = io.Copy(io.Discard, io.LimitReader(body, maxAnswerBytes))
-	}
+	_, err := io.Copy(io.Discard, io.LimitReader(t.conn.Body(t.x.resp), maxAnswerBytes))
 	t.closeOrReuse(err == nil, stop)
 	t.recordRejection()
 	return t.x.afterFailure(protocol.NotRun, true, "the server turned the request away with status "+fasthttp.StatusMessage(status))
@@ -367,14 +360,10 @@
 // answer can still become a refusal.
 func (t *serverAttempt) relayWhole(stop func() bool) *protocol.Refusal {
 	x, status := t.x, t.x.resp.StatusCode()
-	body, err := t.conn.Body(x.resp)
 	defer x.answer.Release()
-	var data []byte
-	if err == nil {
-		data, err = x.readWhole(body, x.resp.Header.ContentLength())
-		t.recordEnd(err)
-		err = t.verifyEnd(err)
-	}
+	data, err := x.readWhole(t.conn.Body(x.resp), x.resp.Header.ContentLength())
+	t.recordEnd(err)
+	err = t.verifyEnd(err)
 	if errors.Is(err, errOutOfMemory) {
 		return t.refuseForAnswerMemory()
 	}
--- a/transport/forward/attempt_record.go
+++ b/transport/forward/attempt_record.go
@@ -1,6 +1,8 @@
 package forward
 
 import (
+	"errors"
+
 	"github.com/weldstream/weldstream/coordination/place"
 	"github.com/weldstream/weldstream/internal/clock"
 	"github.com/weldstream/weldstream/transport/backend"
@@ -32,8 +34,13 @@
 }
 
 // recordUnanswered records that a new connection brought no answer. A kept one may have been
-// closed by the server in the moment in which it was used.
+// closed by the server in the moment in which it was used, and a server that sent a malformed answer
+// was reached.
 func (t *serverAttempt) recordUnanswered(err error) {
+	if errors.Is(err, backend.ErrMalformed) {
+		t.x.g.recordReached(t.server)
+		return
+	}
 	if !t.conn.Used() && !t.x.headWritten && t.reply.ID == "" && t.x.ctx.Err() == nil {
 		t.x.g.recordLost(t.server, err)
 	}
--- a/transport/forward/memory.go
+++ b/transport/forward/memory.go
@@ -14,6 +14,7 @@
 	"github.com/weldstream/weldstream/coordination/resend"
 	"github.com/weldstream/weldstream/internal/tcp"
 	"github.com/weldstream/weldstream/protocol"
+	"github.com/weldstream/weldstream/transport/backend"
 )
 
 // Owner implements caller.Admitter. An unknown key belongs to no workspace.
@@ -147,9 +148,11 @@
 }
 
 // isCrash reports whether an error can be caused by the bytes in flight at a server: its
-// process terminated, or it no longer reads a body. A time-out (an unreachable machine) and
-// an answer too large for the gateway have other causes.
-func isCrash(err error) bool { return !errors.Is(err, errTooLarge) && tcp.EndedByPeer(err) }
+// process terminated, or it no longer reads a body. A time-out (an unreachable machine), an answer too
+// large for the gateway and a malformed one have other causes.
+func isCrash(err error) bool {
+	return !errors.Is(err, errTooLarge) && !errors.Is(err, backend.ErrMalformed) && tcp.EndedByPeer(err)
+}
 
 // recordBodyCrash lowers the limit of body bytes if the server ended the request as in a
 // crash. A leaving server ends requests because it leaves, which says nothing about its
--- a/transport/forward/move_call.go
+++ b/transport/forward/move_call.go
@@ -110,11 +110,7 @@
 // readCall reads the body of the answer to a call, up to a limit. An answer without a length may be
 // truncated, which the parser of its document notices.
 func readCall(conn *backend.Conn, resp *fasthttp.Response, limit int64) ([]byte, error) {
-	stream, err := conn.Body(resp)
-	if err != nil {
-		return nil, err
-	}
-	body, err := io.ReadAll(io.LimitReader(stream, limit))
+	body, err := io.ReadAll(io.LimitReader(conn.Body(resp), limit))
 	if errors.Is(err, backend.ErrEndUnconfirmed) {
 		err = nil
 	}
--- a/transport/forward/pass.go
+++ b/transport/forward/pass.go
@@ -116,10 +116,7 @@
 
 // untaken ends an attempt at a helper that could not try.
 func (p *passAttempt) untaken(early bool, stop func() bool) *protocol.Refusal {
-	body, err := p.conn.Body(p.x.resp)
-	if err == nil {
-		_, err = io.Copy(io.Discard, io.LimitReader(body, maxAnswerBytes))
-	}
+	_, err := io.Copy(io.Discard, io.LimitReader(p.conn.Body(p.x.resp), maxAnswerBytes))
 	p.closeOrReuse(err == nil && !early, stop)
 	p.x.log.Info().Str("helper", p.helper).Int("status", p.x.resp.StatusCode()).Msg("another gateway could not help")
 	return errRetry
@@ -158,11 +155,7 @@
 func (p *passAttempt) relayWhole(early bool, stop func() bool) *protocol.Refusal {
 	x := p.x
 	defer x.answer.Release()
-	body, err := p.conn.Body(x.resp)
-	var data []byte
-	if err == nil {
-		data, err = x.readWhole(body, x.resp.Header.ContentLength())
-	}
+	data, err := x.readWhole(p.conn.Body(x.resp), x.resp.Header.ContentLength())
 	if err != nil {
 		return p.answerLost(err)
 	}
@@ -181,10 +174,7 @@
 // relayChunks relays a stream as it arrives.
 func (p *passAttempt) relayChunks(early bool, stop func() bool) *protocol.Refusal {
 	x := p.x
-	body, err := p.conn.Body(x.resp)
-	if err != nil {
-		return p.answerLost(err)
-	}
+	body := p.conn.Body(x.resp)
 	resp := fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseResponse(resp)
 	x.g.dialect.Answer(resp, x.resp)
--- a/transport/forward/stream.go
+++ b/transport/forward/stream.go
@@ -16,10 +16,7 @@
 // that a stream that ends before that can still become a refusal.
 func (t *serverAttempt) relayStream(stop func() bool) *protocol.Refusal {
 	x := t.x
-	body, err := t.conn.Body(x.resp)
-	if err != nil {
-		return t.answerLost(err)
-	}
+	body := t.conn.Body(x.resp)
 	buf := make([]byte, streamReadBytes)
 	for {
 		n, err := body.Read(buf)
