Keep a reset that the write of a request was told of

A server answered a long upload at once with a 200 without a length, sent part of its body and reset the connection while the upload was still being written. The caller got that part as a complete answer.

Cause: the kernel reports a reset once, to whichever call comes first. Where that was the write of the request's body, its error was dropped, as a server may answer early; the read of the answer then saw an ordinary end, and the server, which still accepts connections, seemed to confirm it.

A connection now keeps the failure that a write returned. A body that ends with its connection then ends with that failure, not with an end that could be confirmed. EPIPE is not kept: the peer had closed its sending side before the reset, so the answer had ended. Answers with a length or in chunks end by their framing as before.

--- a/transport/backend/backend.go
+++ b/transport/backend/backend.go
@@ -14,9 +14,11 @@
 	"errors"
 	"maps"
 	"net"
+	"os"
 	"slices"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -62,6 +64,7 @@
 	deadline     time.Time     // deadline is the deadline of the current request.
 	pool         *Pool
 	server       string // server is the ID of the server that the connection was taken for.
+	writeErr     error  // writeErr is the failure of the connection that a write of the current request returned.
 	closed       atomic.Bool
 	bodyAborted  atomic.Bool // bodyAborted reports that the rest of the body is not needed.
 }
@@ -80,11 +83,26 @@
 	if len(p) > concurrentBodyBytes {
 		return c.writeChunks(p)
 	}
+	return c.writeNow(p)
+}
+
+// writeNow passes bytes to the kernel and records a failure of the connection. The kernel reports a
+// reset once: the read that follows the write would see an ordinary end.
+func (c *Conn) writeNow(p []byte) (int, error) {
 	n, err := c.net.Write(p)
 	c.countWritten(n)
+	if isConnFailure(err) {
+		c.writeErr = err
+	}
 	return n, err
 }
 
+// isConnFailure reports whether an error of a write means that the peer may not have sent all that it
+// wanted to. With EPIPE it had closed its sending side before it reset the connection.
+func isConnFailure(err error) bool {
+	return err != nil && !errors.Is(err, os.ErrDeadlineExceeded) && !errors.Is(err, net.ErrClosed) && !errors.Is(err, syscall.EPIPE)
+}
+
 // countWritten counts bytes that the kernel accepted.
 func (c *Conn) countWritten(n int) {
 	c.written.Add(int64(n))
@@ -201,7 +219,13 @@
 func (c *Conn) ReadHead(resp *fasthttp.Response) error { return ReadHead(c.br, resp) }
 
 // Body returns a reader for the body of an answer.
-func (c *Conn) Body(resp *fasthttp.Response) *Body { return NewBody(c.br, resp) }
+func (c *Conn) Body(resp *fasthttp.Response) *Body {
+	b := NewBody(c.br, resp)
+	if c.writeErr != nil {
+		b.closeErr = eris.Wrap(c.writeErr, "the connection failed while the request was sent")
+	}
+	return b
+}
 
 func hasBody(status int) bool {
 	return status != fasthttp.StatusNoContent && status != fasthttp.StatusNotModified
@@ -349,7 +373,7 @@
 		c.Close()
 		return
 	}
-	c.used = true
+	c.used, c.writeErr = true, nil
 	c.written.Store(0)
 	c.sent.Store(false)
 	c.idleUntil = clock.Now().Add(idle)
--- a/transport/backend/body.go
+++ b/transport/backend/body.go
@@ -17,15 +17,16 @@
 
 // Body reads the body of an answer.
 type Body struct {
-	br      *bufio.Reader
-	framing Framing
-	left    int       // left is the number of bytes left of a body with a length.
-	chunks  io.Reader // chunks decodes a body in chunks.
+	br       *bufio.Reader
+	framing  Framing
+	left     int       // left is the number of bytes left of a body with a length.
+	chunks   io.Reader // chunks decodes a body in chunks.
+	closeErr error     // closeErr is returned at the end of a body that ends with its connection.
 }
 
 // NewBody returns a reader for the body of an answer whose head was read from br.
 func NewBody(br *bufio.Reader, resp *fasthttp.Response) *Body {
-	b := &Body{br: br, framing: FramingOf(resp)}
+	b := &Body{br: br, framing: FramingOf(resp), closeErr: ErrEndUnconfirmed}
 	switch {
 	case !hasBody(resp.StatusCode()):
 	case b.framing == FramedByLength:
@@ -36,8 +37,8 @@
 	return b
 }
 
-// Read implements io.Reader. It returns io.EOF only at the end of a complete body, ErrEndUnconfirmed
-// where the framing cannot tell whether the body is complete, and an error that wraps ErrMalformed for
+// Read implements io.Reader. It returns io.EOF only at the end of a complete body. At the end of one
+// that ends with its connection it returns ErrEndUnconfirmed, or the failure of the connection. It returns an error that wraps ErrMalformed for
 // chunks that are none.
 func (b *Body) Read(p []byte) (int, error) {
 	switch b.framing {
@@ -46,7 +47,7 @@
 	case FramedByClose:
 		n, err := b.br.Read(p)
 		if errors.Is(err, io.EOF) {
-			err = ErrEndUnconfirmed
+			err = b.closeErr
 		}
 		return n, err
 	}
--- a/transport/backend/progress.go
+++ b/transport/backend/progress.go
@@ -41,8 +41,7 @@
 		if c.bodyAborted.Load() { // It was set before the write deadline that aborts the body, which the deadline above has replaced.
 			return written, os.ErrDeadlineExceeded
 		}
-		n, err := c.net.Write(p[:min(len(p), writeChunkBytes)])
-		c.countWritten(n)
+		n, err := c.writeNow(p[:min(len(p), writeChunkBytes)])
 		written += n
 		p = p[n:]
 		stalled := errors.Is(err, os.ErrDeadlineExceeded) && !atDeadline && !c.bodyAborted.Load()
