Check the answers of the platform, of entry instances' servers and of weldctl's calls alike

The same malformed answers were taken for answers elsewhere: a list of servers and the acknowledgement of a usage report with the status 000 or a blank in a field name, answers of engines and plain services at entry instances, and what weldctl prints. A list whose announced length is 1,000,000,000,000 bytes ended the process that asked for it: fasthttp's client allocates the length that it is told ("fatal error: out of memory").

Cause: each read answers by fasthttp's parser or client of its own, with the same leniency, and without a bound of the body.

All of them now use the checks of package backend. Pool.Call and Pool.RoundTrip are the one way to make a call and read a bounded answer; calls between gateways and to servers use them, too. At entry instances a malformed answer does not count as a crash, as at gateways. weldctl send fails on an answer that ends with its connection: instances frame all that they send.

Answers in chunks, of HTTP/1.0, behind informational ones and without a reason are read as before.

--- a/cmd/weldctl/admin.go
+++ b/cmd/weldctl/admin.go
@@ -54,9 +54,8 @@
 	if err != nil {
 		return 0, nil, err
 	}
-	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	req := fasthttp.AcquireRequest()
 	defer fasthttp.ReleaseRequest(req)
-	defer fasthttp.ReleaseResponse(resp)
 	req.Header.SetMethod(method)
 	req.SetRequestURI("http://" + a.address + path)
 	req.Header.Set("Authorization", "Bearer "+token)
@@ -67,10 +66,8 @@
 		}
 		req.SetBodyRaw(data)
 	}
-	if err := fasthttp.DoTimeout(req, resp, adminTimeout); err != nil {
-		return 0, nil, eris.Wrapf(err, "call %s", a.address)
-	}
-	return resp.StatusCode(), append([]byte(nil), resp.Body()...), nil
+	status, answer, err := callInstance(a.address, req, adminTimeout)
+	return status, answer, eris.Wrapf(err, "call %s", a.address)
 }
 
 // errorText renders an error body as readable text.
--- a/cmd/weldctl/rollout.go
+++ b/cmd/weldctl/rollout.go
@@ -51,9 +51,8 @@
 
 // call sends one request and decodes the answer into v.
 func (f *controlFlags) call(method, path string, body, v any) error {
-	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	req := fasthttp.AcquireRequest()
 	defer fasthttp.ReleaseRequest(req)
-	defer fasthttp.ReleaseResponse(resp)
 	req.Header.SetMethod(method)
 	req.SetRequestURI("http://" + f.address + f.path + path)
 	if body != nil {
@@ -63,13 +62,14 @@
 		}
 		req.SetBodyRaw(data)
 	}
-	if err := fasthttp.DoTimeout(req, resp, controlTimeout); err != nil {
+	status, answer, err := callInstance(f.address, req, controlTimeout)
+	if err != nil {
 		return eris.Wrapf(err, "call %s", f.address)
 	}
-	if resp.StatusCode() != http.StatusOK {
-		return eris.New(errorText(resp.StatusCode(), resp.Body()))
+	if status != http.StatusOK {
+		return eris.New(errorText(status, answer))
 	}
-	return eris.Wrap(json.Unmarshal(resp.Body(), v), "parse answer")
+	return eris.Wrap(json.Unmarshal(answer, v), "parse answer")
 }
 
 // rolloutCommands holds the subcommands of "weldctl rollout".
--- a/cmd/weldctl/send.go
+++ b/cmd/weldctl/send.go
@@ -15,6 +15,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/weldstream/weldstream/protocol"
+	"github.com/weldstream/weldstream/transport/backend"
 )
 
 // KeyVariable is the environment variable that holds the workspace's key.
@@ -65,11 +66,15 @@
 	if s.notRepeatable {
 		fmt.Fprintf(e.err, "issued at %s: a resend needs -issued-at with this time\n", s.issuedAt)
 	}
-	client := &fasthttp.Client{StreamResponseBody: true}
-	if err := client.Do(req, resp); err != nil {
+	conn, err := backend.NewPool(connectTimeout).Get(s.address, s.address, time.Now().Add(connectTimeout))
+	if err != nil {
 		return failf(e, "%v", err)
 	}
-	return printAnswer(e, resp)
+	defer conn.Close()
+	if _, err := conn.Exchange(req, resp, time.Time{}); err != nil { // An answer may take as long as the caller lets it.
+		return failf(e, "%v", err)
+	}
+	return printAnswer(e, resp, conn.Body(resp))
 }
 
 func (s *sendFlags) buildRequest(e env, req *fasthttp.Request, text string) error {
@@ -120,11 +125,7 @@
 	return s.issuedAt
 }
 
-func printAnswer(e env, resp *fasthttp.Response) int {
-	body := resp.BodyStream()
-	if body == nil {
-		body = strings.NewReader(string(resp.Body()))
-	}
+func printAnswer(e env, resp *fasthttp.Response, body io.Reader) int {
 	if resp.StatusCode() >= http.StatusBadRequest {
 		data, err := io.ReadAll(body)
 		if err != nil {
--- a/cmd/weldctl/status.go
+++ b/cmd/weldctl/status.go
@@ -65,7 +65,10 @@
 // readStatus reads the state dump of the control instance with this metrics address.
 func readStatus(address string) (controlView, error) {
 	var view controlView
-	status, body, err := fasthttp.GetTimeout(nil, "http://"+address+"/dump", statusTimeout)
+	req := fasthttp.AcquireRequest()
+	defer fasthttp.ReleaseRequest(req)
+	req.SetRequestURI("http://" + address + "/dump")
+	status, body, err := callInstance(address, req, statusTimeout)
 	if err != nil {
 		return view, eris.Wrap(err, "read the dump")
 	}
--- a/transport/engine.go
+++ b/transport/engine.go
@@ -16,6 +16,7 @@
 	"github.com/weldstream/weldstream/coordination/attempt"
 	"github.com/weldstream/weldstream/protocol"
 	"github.com/weldstream/weldstream/state"
+	"github.com/weldstream/weldstream/transport/backend"
 )
 
 // finishExported is the finish reason by which an engine ends the stream of an
@@ -116,11 +117,11 @@
 		return
 	}
 	if status := resp.StatusCode(); status != http.StatusOK {
-		c.refused(status, resp)
+		c.refused(status, resp, w.body)
 		_ = w.conn.Close()
 		return
 	}
-	if !g.readEvents(c, w, resp) {
+	if !g.readEvents(c, w) {
 		_ = w.conn.Close()
 		return
 	}
@@ -172,7 +173,7 @@
 // refused reports a response other than a stream. The verdict is not-run if the
 // server says so, does not have the model, or rejects the request itself: 4xx
 // other than 404 and 429 are final, since every server would answer the same.
-func (c *call) refused(status int, resp *fasthttp.Response) {
+func (c *call) refused(status int, resp *fasthttp.Response, answer *backend.Body) {
 	m := attempt.FailedMsg{Attempt: c.cmd.Attempt, Verdict: protocol.MayHaveRun}
 	if string(resp.Header.Peek(protocol.HeaderVerdict)) == protocol.NotRun.String() {
 		m.Verdict = protocol.NotRun
@@ -184,7 +185,7 @@
 	if status == http.StatusNotFound {
 		m.Verdict = protocol.NotRun // The server does not have the model; it may have just unloaded it.
 	}
-	body, _ := readBody(resp) // If the body cannot be read, the reason has only the status.
+	body, _ := readBody(answer) // If the body cannot be read, the reason has only the status.
 	m.Reason = "the backend server answered " + strconv.Itoa(status) + ": " + string(bytes.TrimSpace(body))
 	if status >= 400 && status < 500 && status != http.StatusTooManyRequests && status != http.StatusNotFound {
 		m.Final, m.Status, m.Code, m.Verdict = true, status, protocol.CodeBadRequest, protocol.NotRun
@@ -194,13 +195,8 @@
 
 // readEvents turns the engine's events into messages. It reports whether the
 // stream was read to its end, so that the connection can be reused.
-func (g *Gateway) readEvents(c *call, w *serverConn, resp *fasthttp.Response) bool {
-	body := resp.BodyStream()
-	if body == nil {
-		c.fail(protocol.MayHaveRun, eris.New("the engine answered without a stream"), false)
-		return false
-	}
-	events := bufio.NewReaderSize(body, 4<<10)
+func (g *Gateway) readEvents(c *call, w *serverConn) bool {
+	events := bufio.NewReaderSize(w.body, 4<<10)
 	// The engine sends the header before it generates; until the first event the
 	// request may wait in its queue.
 	wait := g.settings.Timeouts.FirstByte
--- a/transport/forward/move_call.go
+++ b/transport/forward/move_call.go
@@ -1,8 +1,6 @@
 package forward
 
 import (
-	"errors"
-	"io"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -10,7 +8,6 @@
 
 	"github.com/weldstream/weldstream/coordination/move"
 	"github.com/weldstream/weldstream/coordination/place"
-	"github.com/weldstream/weldstream/transport/backend"
 )
 
 // Mover translates the calls that move the memory of a running answer.
@@ -90,29 +87,6 @@
 	g.recordSent(s.ID, nil)
 	resp := fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseResponse(resp)
-	early, err := conn.Exchange(out, resp, deadline)
-	if err == nil {
-		body, err = readCall(conn, resp, maxCallAnswerBytes)
-	}
-	if err != nil {
-		conn.Close()
-		return 0, nil, eris.Wrap(err, "call server")
-	}
-	// A leaving server closes the connection after its answer.
-	if early || resp.ConnectionClose() || len(body) == maxCallAnswerBytes {
-		conn.Close()
-	} else {
-		g.pool.Put(s.ID, conn, 0)
-	}
-	return resp.StatusCode(), body, nil
-}
-
-// readCall reads the body of the answer to a call, up to a limit. An answer without a length may be
-// truncated, which the parser of its document notices.
-func readCall(conn *backend.Conn, resp *fasthttp.Response, limit int64) ([]byte, error) {
-	body, err := io.ReadAll(io.LimitReader(conn.Body(resp), limit))
-	if errors.Is(err, backend.ErrEndUnconfirmed) {
-		err = nil
-	}
-	return body, err
+	body, err = g.pool.RoundTrip(s.ID, conn, out, resp, deadline, maxCallAnswerBytes)
+	return resp.StatusCode(), body, eris.Wrap(err, "call server")
 }
--- a/transport/forward/peer_call.go
+++ b/transport/forward/peer_call.go
@@ -69,21 +69,11 @@
 	req.SetRequestURI("/")
 	req.Header.Set(callHeader, name)
 	req.SetBodyRaw(body)
-	early, err := conn.Exchange(req, resp, deadline)
-	var answer []byte
-	if err == nil {
-		answer, err = readCall(conn, resp, maxPeerCallBytes)
-	}
+	kept = conn.Used()
+	answer, err := g.peers.pool.RoundTrip(peer.Name, conn, req, resp, deadline, maxPeerCallBytes)
 	if err != nil {
-		kept = conn.Used()
-		conn.Close()
 		return kept, eris.Wrap(err, "call another gateway")
 	}
-	if early || resp.ConnectionClose() {
-		conn.Close()
-	} else {
-		g.peers.pool.Put(peer.Name, conn, 0)
-	}
 	if string(resp.Header.Peek(callHeader)) != name {
 		return false, eris.Errorf("the gateway %q does not know the call %q and answered with status %d", peer.Name, name, resp.StatusCode())
 	}
--- a/transport/quarantine.go
+++ b/transport/quarantine.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -15,6 +16,7 @@
 	"github.com/weldstream/weldstream/internal/tcp"
 	"github.com/weldstream/weldstream/protocol"
 	"github.com/weldstream/weldstream/state"
+	"github.com/weldstream/weldstream/transport/backend"
 )
 
 const (
@@ -137,7 +139,7 @@
 // connBroken records that a server's connection ended during a request, unless
 // this side closed it or timed out.
 func (q *Quarantine) connBroken(r *protocol.Request, s *state.Server, sent time.Time, err error) {
-	if !tcp.EndedByPeer(err) {
+	if errors.Is(err, backend.ErrMalformed) || !tcp.EndedByPeer(err) {
 		return
 	}
 	run := quarantine.BrokenRun{Fingerprint: quarantineRequest(r).Fingerprint(), Sent: sent}
--- a/transport/service.go
+++ b/transport/service.go
@@ -35,12 +35,12 @@
 	}
 	status := resp.StatusCode()
 	if retryableStatus(status) {
-		c.refused(status, resp)
+		c.refused(status, resp, w.body)
 		_ = w.conn.Close()
 		return
 	}
 	_ = w.conn.SetDeadline(time.Now().Add(g.settings.Timeouts.ChunkGap)) // The read reports a closed connection.
-	body, err := g.pool.readConfirmed(resp, c.server.Address)
+	body, err := g.pool.readConfirmed(w.body, c.server.Address)
 	if err != nil {
 		_ = w.conn.Close()
 		c.connBroken(c, err)
--- a/transport/wire.go
+++ b/transport/wire.go
@@ -29,8 +29,9 @@
 	conn  net.Conn
 	br    *bufio.Reader
 	bw    *bufio.Writer
-	wrote int64 // wrote counts the bytes that the kernel accepted.
-	fresh bool  // fresh is set until the first response on this connection is complete.
+	body  *backend.Body // body is that of the last response.
+	wrote int64         // wrote counts the bytes that the kernel accepted.
+	fresh bool          // fresh is set until the first response on this connection is complete.
 }
 
 // Write implements io.Writer and counts the bytes written.
@@ -113,7 +114,7 @@
 }
 
 // send writes a request and reads the response header. The body is left to be read
-// from resp.BodyStream().
+// from w.body.
 func (w *serverConn) send(req *fasthttp.Request, resp *fasthttp.Response, deadline time.Time) error {
 	if err := w.conn.SetDeadline(deadline); err != nil {
 		return eris.Wrap(err, "set deadline")
@@ -124,10 +125,10 @@
 	if err := w.bw.Flush(); err != nil {
 		return eris.Wrap(err, "write request")
 	}
-	resp.StreamBody = true
-	if err := resp.Read(w.br); err != nil {
-		return eris.Wrap(err, "read answer")
+	if err := backend.ReadHead(w.br, resp); err != nil {
+		return err
 	}
+	w.body = backend.NewBody(w.br, resp)
 	return nil
 }
 
@@ -175,12 +176,17 @@
 // maxBodyBytes limits a response body that is read whole.
 const maxBodyBytes = 16 << 20
 
-// roundTrip sends a request and reads the whole response.
+// roundTrip sends a request and reads the whole response. The parser of a document notices if one
+// without a length is truncated.
 func (w *serverConn) roundTrip(req *fasthttp.Request, resp *fasthttp.Response, deadline time.Time) ([]byte, error) {
 	if err := w.send(req, resp, deadline); err != nil {
 		return nil, err
 	}
-	return readBody(resp)
+	data, err := readBody(w.body)
+	if errors.Is(err, backend.ErrEndUnconfirmed) {
+		err = nil
+	}
+	return data, err
 }
 
 // errEndUnconfirmed is returned for an answer that has neither a length nor chunks and whose server
@@ -189,29 +195,27 @@
 
 // readConfirmed reads the whole body of an answer from an address. An answer that ends with its
 // connection counts as complete if the server accepts another one, which is kept.
-func (p *connPool) readConfirmed(resp *fasthttp.Response, address string) ([]byte, error) {
-	body, err := readBody(resp)
-	if err != nil || backend.FramingOf(resp) != backend.FramedByClose {
-		return body, err
+func (p *connPool) readConfirmed(body *backend.Body, address string) ([]byte, error) {
+	data, err := readBody(body)
+	if !errors.Is(err, backend.ErrEndUnconfirmed) {
+		return data, err
 	}
 	w, err := p.get(address, true)
 	if err != nil {
 		return nil, eris.Wrap(errEndUnconfirmed, err.Error())
 	}
 	p.put(address, w)
-	return body, nil
+	return data, nil
 }
 
-func readBody(resp *fasthttp.Response) ([]byte, error) {
-	if resp.BodyStream() == nil {
-		return append([]byte(nil), resp.Body()...), nil
-	}
-	data, err := io.ReadAll(io.LimitReader(resp.BodyStream(), maxBodyBytes+1))
+// readBody reads a whole body. With an error it returns what was read.
+func readBody(body *backend.Body) ([]byte, error) {
+	data, err := io.ReadAll(io.LimitReader(body, maxBodyBytes+1))
 	if err != nil {
-		return nil, eris.Wrap(err, "read body")
+		return data, eris.Wrap(err, "read body")
 	}
 	if len(data) > maxBodyBytes {
-		return nil, eris.Errorf("the answer is larger than %d bytes", maxBodyBytes)
+		return nil, eris.Wrapf(backend.ErrTooLarge, "it has more than %d bytes", maxBodyBytes)
 	}
 	return data, nil
 }
--- a/transport/wire_test.go
+++ b/transport/wire_test.go
@@ -53,7 +53,7 @@
 		if err := w.send(&req, &resp, time.Now().Add(time.Minute)); err != nil {
 			t.Fatal(err)
 		}
-		body, err := pool.readConfirmed(&resp, address)
+		body, err := pool.readConfirmed(w.body, address)
 		if c.whole && (err != nil || string(body) != "half") {
 			t.Errorf("%s: %q, error %v", name, body, err)
 		}
@@ -63,3 +63,62 @@
 		_ = w.conn.Close()
 	}
 }
+
+// startRaw answers the first request of each connection with raw bytes and keeps the connection open.
+func startRaw(t *testing.T, raw string) (address string) {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = ln.Close() })
+	go func() {
+		for {
+			conn, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			t.Cleanup(func() { _ = conn.Close() })
+			go func() {
+				var req fasthttp.Request
+				if req.Read(bufio.NewReader(conn)) == nil {
+					_, _ = io.WriteString(conn, raw)
+				}
+			}()
+		}
+	}()
+	return ln.Addr().String()
+}
+
+// TestMalformedAnswerOfServer guards against malformed answers of servers and of the platform that count
+// as answers.
+func TestMalformedAnswerOfServer(t *testing.T) {
+	for name, raw := range map[string]string{
+		"status 000":               "HTTP/1.1 000 X\r\nContent-Length: 4\r\n\r\nfine",
+		"status 000 after a 100":   "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 000 X\r\nContent-Length: 4\r\n\r\nfine",
+		"a blank in a name":        "HTTP/1.1 200 OK\r\nBad Name: x\r\nContent-Length: 4\r\n\r\nfine",
+		"a blank behind a name":    "HTTP/1.1 200 OK\r\nContent-Length: 4\r\nBad : x\r\n\r\nfine",
+		"a control byte in a name": "HTTP/1.1 200 OK\r\nB\x01d: x\r\nContent-Length: 4\r\n\r\nfine",
+		"a blank in a trailer":     "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nfine\r\n0\r\nBad Name: x\r\n\r\n",
+	} {
+		status, body, err := newConnPool(time.Second).call(startRaw(t, raw), "GET", "/", nil, time.Minute)
+		if err == nil {
+			t.Errorf("%s: status %d, body %q", name, status, body)
+		}
+	}
+}
+
+// TestUnusualAnswersOfServer checks that answers with a rare form are read whole.
+func TestUnusualAnswersOfServer(t *testing.T) {
+	for name, raw := range map[string]string{
+		"after 100 and 103": "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nfine",
+		"HTTP/1.0":          "HTTP/1.0 200 OK\r\nContent-Length: 4\r\n\r\nfine",
+		"no reason":         "HTTP/1.1 200\r\nContent-Length: 4\r\n\r\nfine",
+		"chunks, a trailer": "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nfine\r\n0\r\nA: x\r\n\r\n",
+	} {
+		status, body, err := newConnPool(time.Second).call(startRaw(t, raw), "GET", "/", nil, time.Minute)
+		if err != nil || status != 200 || string(body) != "fine" {
+			t.Errorf("%s: status %d, body %q, error %v", name, status, body, err)
+		}
+	}
+}
