Bound events whose bytes never end, and what is skipped of answers

An event without end was read until the request's deadline: outside the memory account, and searched from its start at each read, so that its cost grew with the square of its size. A surplus answer of another request without an end was read until the deadline, too, and entry instances read on behind the last event of an engine's stream for as long as a pause may last.

An event is now searched once, reserves memory in the account beyond 16 KiB, as answers that are buffered as a whole do, and may be as large as such an answer (16 MiB). Beyond that the stream counts as broken and goes on at another server where its route allows that; where the account is full, the answer ends. Skipped answers have the same bound, and a connection with an unread rest is not used again. Behind an engine's last event 64 KiB are read to find the end.

--- a/transport/engine.go
+++ b/transport/engine.go
@@ -193,6 +193,9 @@
 	c.send(m)
 }
 
+// maxTailBytes bounds what is read behind the last event to find the end of the response.
+const maxTailBytes = 64 << 10
+
 // readEvents turns the engine's events into messages. It reports whether the
 // stream was read to its end, so that the connection can be reused.
 func (g *Gateway) readEvents(c *call, w *serverConn) bool {
@@ -214,9 +217,9 @@
 			continue
 		}
 		if bytes.Equal(data, []byte("[DONE]")) {
-			_, err := io.Copy(io.Discard, events)
+			n, err := io.Copy(io.Discard, io.LimitReader(events, maxTailBytes))
 			c.fail(protocol.MayHaveRun, errEndedEarly, false)
-			return err == nil
+			return err == nil && n < maxTailBytes
 		}
 		if !c.event(&p, data) {
 			return false
--- a/transport/forward/attempt.go
+++ b/transport/forward/attempt.go
@@ -18,7 +18,7 @@
 const (
 	// returnMargin is the part of the deadline reserved for sending the answer back.
 	returnMargin = 5 * time.Millisecond
-	// maxAnswerBytes bounds an answer that is buffered as a whole.
+	// maxAnswerBytes bounds an answer, or an event of a stream, that is buffered as a whole.
 	maxAnswerBytes = 16 << 20
 	// maxSkippedAnswers bounds how many answers to other requests are skipped on a
 	// connection.
@@ -240,13 +240,22 @@
 // skipAnswer discards an answer that belongs to another request.
 func (t *serverAttempt) skipAnswer() error {
 	t.unsolicited = true
-	if _, err := io.Copy(io.Discard, t.conn.Body(t.x.resp)); err != nil {
+	if err := discard(t.conn.Body(t.x.resp)); err != nil {
 		return err
 	}
 	t.x.resp.Reset()
 	return t.conn.ReadHead(t.x.resp)
 }
 
+// discard reads a body to its end. It returns errTooLarge for one that is larger than an answer may be.
+func discard(body io.Reader) error {
+	n, err := io.Copy(io.Discard, io.LimitReader(body, maxAnswerBytes+1))
+	if err == nil && n > maxAnswerBytes {
+		return errTooLarge
+	}
+	return err
+}
+
 // answerLost ends an attempt whose answer did not arrive.
 func (t *serverAttempt) answerLost(err error) *protocol.Refusal {
 	t.conn.Close()
@@ -337,7 +346,7 @@
 	if t.reply.Foreign && t.x.continuation == nil { // For a moved run, this status may also mean that the weights differ.
 		t.x.distrust(t.server, true)
 	}
-	_, err := io.Copy(io.Discard, io.LimitReader(t.conn.Body(t.x.resp), maxAnswerBytes))
+	err := discard(t.conn.Body(t.x.resp))
 	t.closeOrReuse(err == nil, stop)
 	t.recordRejection()
 	return t.x.afterFailure(protocol.NotRun, true, "the server turned the request away with status "+fasthttp.StatusMessage(status))
--- a/transport/forward/event.go
+++ b/transport/forward/event.go
@@ -10,6 +10,8 @@
 // resume after the last complete event.
 type events struct {
 	partial   []byte
+	line      int    // line is the start of the first line of partial that has not ended.
+	searched  int    // searched is the length of the part of partial in which that line does not end.
 	last      string // last is the ID of the last complete event; empty before the first.
 	hasLast   bool   // hasLast reports that an event with an ID was seen.
 	withoutID bool   // withoutID reports that an event with data but no ID was seen: no server can be told where to resume.
@@ -21,13 +23,15 @@
 	e.partial = append(e.partial, p...)
 	var whole []byte
 	rest := e.partial
-	for n := eventLength(rest); n > 0; n = eventLength(rest) {
+	for n := e.nextLength(rest); n > 0; n = e.nextLength(rest) {
 		if e.accept(rest[:n]) {
 			whole = append(whole, rest[:n]...)
 		}
 		rest = rest[n:]
 	}
-	e.partial = e.partial[:copy(e.partial, rest)]
+	if len(rest) < len(e.partial) { // Otherwise a long event would be copied at each read.
+		e.partial = e.partial[:copy(e.partial, rest)]
+	}
 	return whole
 }
 
@@ -36,7 +40,7 @@
 func (e *events) insideEvent() bool { return len(bytes.Trim(e.partial, "\r\n")) > 0 }
 
 // dropPartial drops an incomplete event.
-func (e *events) dropPartial() { e.partial = e.partial[:0] }
+func (e *events) dropPartial() { e.partial, e.line, e.searched = e.partial[:0], 0, 0 }
 
 // accept records an event and reports whether it is new.
 func (e *events) accept(event []byte) bool {
@@ -77,7 +81,7 @@
 // field returns the value of the first field of an event that has the given name.
 func field(event []byte, name string) (value []byte, ok bool) {
 	for start := 0; start < len(event); {
-		end, next := lineEnd(event, start)
+		end, next := lineEnd(event, start, start)
 		key, value, _ := bytes.Cut(event[start:end], []byte(":"))
 		if string(key) == name {
 			return bytes.TrimSpace(value), true
@@ -87,31 +91,38 @@
 	return nil, false
 }
 
-// eventLength returns the length of the first event of p, including the blank line that ends it; 0
-// if the event is incomplete.
-func eventLength(p []byte) int {
-	for start := 0; start < len(p); {
-		end, next := lineEnd(p, start)
-		if end == len(p) {
+// nextLength returns the length of the first event of p, which begins with the unfinished event,
+// including the blank line that ends it; 0 if the event is incomplete. Bytes that were searched before
+// are not searched again.
+func (e *events) nextLength(p []byte) int {
+	for {
+		end, next := lineEnd(p, e.line, e.searched)
+		switch {
+		case end == len(p):
+			e.searched = end
 			return 0
-		}
-		if end == start {
+		case end == e.line:
+			e.line, e.searched = 0, 0
 			return next
+		case end+1 == len(p) && p[end] == '\r':
+			e.searched = end // An LF that belongs to this line may follow.
+			return 0
 		}
-		start = next
+		e.line, e.searched = next, next
 	}
-	return 0
 }
 
-// lineEnd returns the end of the line that begins at start, and the start of the next one. Lines
-// end with LF, CR or CRLF; both results are len(p) for a line without an end. If a read ends
-// between the bytes of a CRLF, the LF counts as a line of its own, which changes no event.
-func lineEnd(p []byte, start int) (end, next int) {
-	i := bytes.IndexAny(p[start:], "\r\n")
+// lineEnd returns the end of the line that begins at start and does not end before searched, and the
+// start of the next one. Lines end with LF, CR or CRLF; both results are len(p) for a line without an
+// end. If a read ends between the bytes of a CRLF behind an event, the LF counts as a line of its own,
+// which changes no event.
+func lineEnd(p []byte, start, searched int) (end, next int) {
+	from := max(start, searched)
+	i := bytes.IndexAny(p[from:], "\r\n")
 	if i < 0 {
 		return len(p), len(p)
 	}
-	end = start + i
+	end = from + i
 	if p[end] == '\r' && end+1 < len(p) && p[end+1] == '\n' {
 		return end, end + len("\r\n")
 	}
--- a/transport/forward/memory.go
+++ b/transport/forward/memory.go
@@ -247,6 +247,30 @@
 	return append(make([]byte, 0, size), data...), nil
 }
 
+// reserveEvent makes room for further bytes of an incomplete event, and reserves memory for it if the
+// event is large. It returns errTooLarge for an event that is larger than an answer may be.
+func (x *exchange) reserveEvent(n int) error {
+	e := &x.events
+	if len(e.partial) == 0 && cap(e.partial) > answerBufferBytes {
+		x.freeEvent()
+	}
+	for len(e.partial)+n > max(cap(e.partial), answerBufferBytes) {
+		grown, err := x.growAnswer(e.partial)
+		if err != nil {
+			return err
+		}
+		e.partial = grown
+	}
+	return nil
+}
+
+// freeEvent drops an incomplete event and returns the memory that was reserved for it.
+func (x *exchange) freeEvent() {
+	x.events.dropPartial()
+	x.events.partial = nil
+	x.answer.Release()
+}
+
 // reserveMemory reserves bytes for the answer in the memory account.
 func (x *exchange) reserveMemory(n int) error {
 	decision := x.answer.Reserve(n)
--- a/transport/forward/pass.go
+++ b/transport/forward/pass.go
@@ -116,7 +116,7 @@
 
 // untaken ends an attempt at a helper that could not try.
 func (p *passAttempt) untaken(early bool, stop func() bool) *protocol.Refusal {
-	_, err := io.Copy(io.Discard, io.LimitReader(p.conn.Body(p.x.resp), maxAnswerBytes))
+	err := discard(p.conn.Body(p.x.resp))
 	p.closeOrReuse(err == nil && !early, stop)
 	p.x.log.Info().Str("helper", p.helper).Int("status", p.x.resp.StatusCode()).Msg("another gateway could not help")
 	return errRetry
--- a/transport/forward/stream.go
+++ b/transport/forward/stream.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"errors"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -17,9 +18,15 @@
 func (t *serverAttempt) relayStream(stop func() bool) *protocol.Refusal {
 	x := t.x
 	body := t.conn.Body(x.resp)
+	defer x.freeEvent()
 	buf := make([]byte, streamReadBytes)
 	for {
 		n, err := body.Read(buf)
+		if err := x.reserveEvent(n); errors.Is(err, errOutOfMemory) {
+			return t.refuseForAnswerMemory()
+		} else if err != nil {
+			return t.streamBroken(err)
+		}
 		if whole := x.events.append(buf[:n]); len(whole) > 0 {
 			if refusal := t.relayEvents(whole); refusal != nil {
 				return refusal
