Keep the origins of streams at control instances, too

After all gateways were killed at once, callers that took their streams up again were refused for twice their route's time-out, although servers of their version were there: nobody knew any more what version had begun them. Nothing was joined from two versions: what is not known is not guessed.

Cause: only gateways kept the origin of a stream, and all of them had ended. Control instances had not.

Gateways give each origin that two other gateways get to two control instances as well, chosen by rendezvous, in batches of their own. All control instances are asked together with the first gateways; whether they lead does not matter. The leader also tells for how long its lists have had a single version, so streams that began while nothing was given away are known, too. Only if some instance that may keep the origin did not answer is the caller told to come back.

--- a/cmd/weldstreamd/gateway.go
+++ b/cmd/weldstreamd/gateway.go
@@ -114,6 +114,7 @@
 		forward.WithMover(mover(n)),
 		forward.WithReporter(platform.Reporter{}),
 		forward.WithPeers(forward.PeerConfig{Address: g.passAddress(), Dial: g.links.DialRequests, MaxConnections: n.MaxPeerConnections(), Trigger: func() { g.client.FindPeersNow() }}),
+		forward.WithOriginStore(func() forward.OriginStore { return g.client }),
 		forward.WithPlacer(func(m protocol.PlaceMsg) (protocol.PlaceReply, bool) { return g.client.Place(m) }))
 	g.server = caller.NewServer(g.forward, append(g.callerOptions(), caller.WithMaxConnections(n.MaxCallerConnections()))...)
 	g.peers = caller.NewServer(g.forward.PassHandler(), append(g.callerOptions(), caller.WithMaxConnections(n.MaxPeerConnections()))...)
--- a/protocol/origin.go
+++ b/protocol/origin.go
@@ -25,10 +25,15 @@
 	Lifetime time.Duration // how long the stream may still be resumed
 }
 
-// OriginsMsg gives another gateway the origins of streams to keep.
+// OriginsMsg gives another gateway, or a control instance, the origins of streams to keep.
 type OriginsMsg struct{ Origins []StreamOrigin }
 
-// OriginQuery asks another gateway for the origin of a stream of a route.
+// KeepOriginsReply is a control instance's answer to an [OriginsMsg].
+type KeepOriginsReply struct {
+	Kept int // the number of streams whose origins it keeps
+}
+
+// OriginQuery asks another gateway, or a control instance, for the origin of a stream of a route.
 type OriginQuery struct {
 	Key   StreamKey
 	Route string
--- a/transport/control/document.go
+++ b/transport/control/document.go
@@ -81,6 +81,7 @@
 	}
 	u.number, u.packed, u.catalog = number, packed, catalog
 	u.quotas.Configure(catalog.Workspaces, clock.Now())
+	u.versions.Routes(catalog.Routes, clock.Now())
 }
 
 // document returns the newest prepared document, compressed.
--- a/transport/control/list.go
+++ b/transport/control/list.go
@@ -98,6 +98,7 @@
 		return
 	}
 	u.setList(term, u.version+1, list)
+	u.versions.List(list, clock.Now())
 	u.ignoreLeavingCrashes(list)
 	close(u.listChanged)
 	u.listChanged = make(chan struct{})
@@ -114,8 +115,9 @@
 func (u *Uplink) RecordListRead(term uint64, read bool, after time.Duration) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	if read && term == u.term {
-		u.staleAt = clock.Now().Add(after + listGrace)
+	if now := clock.Now(); read && term == u.term {
+		u.staleAt = now.Add(after + listGrace)
+		u.versions.Confirm(now)
 	}
 }
 
--- a/transport/control/uplink.go
+++ b/transport/control/uplink.go
@@ -12,6 +12,7 @@
 
 	"github.com/weldstream/weldstream/coordination/allot"
 	"github.com/weldstream/weldstream/coordination/backpressure"
+	"github.com/weldstream/weldstream/coordination/origin"
 	"github.com/weldstream/weldstream/coordination/place"
 	"github.com/weldstream/weldstream/coordination/quarantine"
 	"github.com/weldstream/weldstream/coordination/quota"
@@ -61,6 +62,8 @@
 	registry      metrics.Registry
 	loggedBrittle atomic.Pointer[[]protocol.BrittleService] // loggedBrittle are the services with brittle servers of the log.
 
+	keptOrigins keptOrigins // keptOrigins are the origins of streams that gateways gave this instance to keep.
+
 	limitCopies limitCopies // limitCopies are the servers' limits that the leader knows.
 
 	sharedMu     sync.Mutex               // sharedMu guards sharedLimits and is not held together with other locks.
@@ -96,6 +99,7 @@
 	limitsInherited    chan struct{}                 // limitsInherited is closed when permits has the limits of the predecessor; nil if it had them from the start.
 	serverIncarnations place.Incarnations            // serverIncarnations are the newest incarnations of the servers, over all terms.
 	directory          *reach.Directory              // directory holds the gateways that take requests from others.
+	versions           *origin.History               // versions are the versions and services that the lists and documents of this term had.
 	unannounced        map[serviceVersion]time.Time  // unannounced maps versions without an order to when they were first listed.
 }
 
@@ -154,6 +158,7 @@
 	for _, opt := range opts {
 		opt(u)
 	}
+	u.keptOrigins.table = origin.NewTable(maxKeptOrigins)
 	u.sharedLimits = backpressure.NewLimitCache(u.incarnation)
 	u.loggedRollouts.Store(&loggedRollouts{})
 	u.quarantineLog.Store(&protocol.QuarantineLog{})
@@ -177,10 +182,12 @@
 	u.readings = place.NewPrefillLog()
 	u.quarantine = quarantine.NewCoordinator()
 	u.directory = reach.NewDirectory()
+	u.versions = origin.NewHistory(u.enteredAt)
 	u.resetShares()
 	u.appliedRollouts, u.activeRollouts, u.unannounced = 0, nil, map[serviceVersion]time.Time{}
 	if u.catalog != nil {
-		u.quotas.Configure(u.catalog.Workspaces, clock.Now())
+		u.quotas.Configure(u.catalog.Workspaces, u.enteredAt)
+		u.versions.Routes(u.catalog.Routes, u.enteredAt)
 	}
 }
 
--- a/transport/forward/forward.go
+++ b/transport/forward/forward.go
@@ -72,6 +72,7 @@
 	triggerLimits    func() // triggerLimits asks the leader for permits at once.
 	triggerRetries   func() // triggerRetries asks the leader for retries at once; nil if no retries are borrowed.
 	requestPlacement func(protocol.PlaceMsg) (protocol.PlaceReply, bool)
+	originStore      func() OriginStore // originStore returns where origins of streams are kept besides gateways; nil for nowhere.
 
 	index      atomic.Pointer[Index]
 	view       atomic.Pointer[place.View]
--- a/transport/forward/origin.go
+++ b/transport/forward/origin.go
@@ -21,12 +21,12 @@
 
 // originState holds what the gateway knows of the versions that began streams.
 type originState struct {
-	mu      sync.Mutex // mu guards the fields below; no other lock is taken while it is held.
+	mu      sync.Mutex // mu guards table and history; no other lock is taken while it is held.
 	table   *origin.Table
 	history *origin.History
-	unsent  []protocol.StreamOrigin // unsent are origins that others have yet to be given.
-	sent    chan struct{}           // sent is closed once they were sent.
-	sending bool                    // sending reports that sendOrigins runs.
+
+	toPeers originQueue // toPeers holds origins for other gateways.
+	toStore originQueue // toStore holds origins for the origin store.
 }
 
 func (s *originState) init(now time.Time) {
@@ -136,14 +136,18 @@
 // caller of a stream that breaks later may come back to any gateway at once.
 const maxOriginWait = 25 * time.Millisecond
 
-func (x *exchange) awaitKept(sent <-chan struct{}) {
+func (x *exchange) awaitKept(sent []<-chan struct{}) {
 	end := time.NewTimer(maxOriginWait)
 	defer end.Stop()
-	select {
-	case <-sent:
-	case <-end.C:
-		x.g.meters.originsLate.Inc(1)
-	case <-x.ctx.Done():
+	for _, s := range sent {
+		select {
+		case <-s:
+		case <-end.C:
+			x.g.meters.originsLate.Inc(1)
+			return
+		case <-x.ctx.Done():
+			return
+		}
 	}
 }
 
--- a/transport/forward/origin_lookup.go
+++ b/transport/forward/origin_lookup.go
@@ -50,8 +50,8 @@
 	return refusal.WithRetryAfter(resend.RetryAfter(x.route.Target))
 }
 
-// lookUpOrigin looks for the origin of the stream in the table, at other gateways and in the
-// history. complete reports that all gateways that may keep it have answered.
+// lookUpOrigin looks for the origin of the stream in the table, at other gateways, in the origin store
+// and in the history. complete reports that all instances that may keep it have answered.
 func (x *exchange) lookUpOrigin() (found protocol.StreamOrigin, source origin.Source, complete bool) {
 	g, key := x.g, x.streamKey()
 	s, now := &g.origins, clock.Now()
@@ -62,16 +62,22 @@
 		return r.Origin(key, now), origin.FromTable, true
 	}
 	m := origin.JudgeMsg{Lifetime: x.streamLifetime()}
-	keepers := origin.Keepers(key, g.cfg.Topology, g.keepers())
-	for _, ask := range [][]protocol.Peer{keepers[:min(firstAsked, len(keepers))], keepers[min(firstAsked, len(keepers)):]} {
-		m.Replies = append(m.Replies, g.askOrigin(ask, &protocol.OriginQuery{Key: key, Route: x.route.Name})...)
-		m.AllAnswered = len(keepers) > 0 && len(m.Replies) == len(keepers)
+	keepers, store := g.peerTargets(origin.Keepers(key, g.cfg.Topology, g.keepers())), g.storeTargets()
+	first, answered := min(firstAsked, len(keepers)), 0
+	for _, targets := range [][]originTarget{slices.Concat(store, keepers[:first]), keepers[first:]} {
+		for i, reply := range g.askOrigin(targets, &protocol.OriginQuery{Key: key, Route: x.route.Name}) {
+			m.Replies = append(m.Replies, reply)
+			if !targets[i].isStore {
+				answered++
+			}
+		}
+		m.AllAnswered = len(keepers) > 0 && answered == len(keepers)
 		m.Single, m.ListAge = x.history()
 		if found, source = origin.Judge(m); source != origin.Unknown {
 			break
 		}
 	}
-	return found, source, m.AllAnswered
+	return found, source, m.AllAnswered && len(m.Replies) == len(keepers)+len(store)
 }
 
 // history returns what this gateway has seen of the route's service and its versions, and how old
@@ -83,28 +89,31 @@
 	return s.history.Single(x.route.Name, now), s.history.ListAge(now)
 }
 
-// askOrigin asks gateways for the origin of a stream, all at once, and returns the replies that came
-// until one of them has it.
-func (g *Gateway) askOrigin(peers []protocol.Peer, query *protocol.OriginQuery) (replies []protocol.OriginReply) {
-	received := make(chan *protocol.OriginReply, len(peers))
-	for i := range peers {
+// askOrigin asks instances for the origin of a stream, all at once, and returns the replies that came
+// until one of them has it, by the index of the instance.
+func (g *Gateway) askOrigin(targets []originTarget, query *protocol.OriginQuery) map[int]protocol.OriginReply {
+	type answer struct {
+		index int
+		reply protocol.OriginReply
+		err   error
+	}
+	received := make(chan answer, len(targets))
+	for i := range targets {
 		go func() { // It ends with the time-out of the call.
-			var reply protocol.OriginReply
-			if err := g.callPeer(&peers[i], findOriginCall, query, &reply); err != nil {
-				g.log.Info().Str("peer", peers[i].Name).Err(err).Msg("another gateway did not say what version began a stream")
-				received <- nil
-				return
-			}
-			received <- &reply
+			a := answer{index: i}
+			a.err = targets[i].find(query, &a.reply)
+			received <- a
 		}()
 	}
-	for range peers {
-		reply := <-received
-		if reply == nil {
+	replies := map[int]protocol.OriginReply{}
+	for range targets {
+		a := <-received
+		if a.err != nil {
+			g.log.Info().Str("peer", targets[a.index].name).Err(a.err).Msg("an instance did not say what version began a stream")
 			continue
 		}
-		replies = append(replies, *reply)
-		if reply.Found {
+		replies[a.index] = a.reply
+		if a.reply.Found {
 			break
 		}
 	}
--- a/transport/forward/peer_call.go
+++ b/transport/forward/peer_call.go
@@ -177,10 +177,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	keepers := p.keepersNamedSince(p.keepersNamedAt)
-	answering := slices.DeleteFunc(slices.Clone(keepers), func(k protocol.Peer) bool {
-		at, failed := p.failed[k.Name]
-		return failed && clock.Since(at) < peerRetryPause
-	})
+	answering := slices.DeleteFunc(slices.Clone(keepers), func(k protocol.Peer) bool { return p.failedLately(k.Name) })
 	if len(answering) == 0 {
 		return keepers
 	}
--- a/transport/forward/peers.go
+++ b/transport/forward/peers.go
@@ -81,10 +81,13 @@
 func (p *peerState) available() []protocol.Peer {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return slices.DeleteFunc(slices.Clone(p.peers), func(peer protocol.Peer) bool {
-		at, failed := p.failed[peer.Name]
-		return failed && clock.Since(at) < peerRetryPause
-	})
+	return slices.DeleteFunc(slices.Clone(p.peers), func(peer protocol.Peer) bool { return p.failedLately(peer.Name) })
+}
+
+// failedLately reports whether an instance could not help a moment ago. The caller must hold p.mu.
+func (p *peerState) failedLately(name string) bool {
+	at, failed := p.failed[name]
+	return failed && clock.Since(at) < peerRetryPause
 }
 
 // couldNotHelp records that a peer did not take a request.
--- a/transport/forward/version_test.go
+++ b/transport/forward/version_test.go
@@ -67,16 +67,19 @@
 // awaitOriginsSent waits until the gateway has given the origins of its streams to others, for which a
 // first event waits only for a short time.
 func (w *testGateway) awaitOriginsSent() {
-	s := &w.g.origins
-	for end := time.Now().Add(testTimeout); time.Now().Before(end); time.Sleep(time.Millisecond) {
-		s.mu.Lock()
-		sending := s.sending
-		s.mu.Unlock()
-		if !sending {
-			return
+	for _, q := range []*originQueue{&w.g.origins.toPeers, &w.g.origins.toStore} {
+		for end := time.Now().Add(testTimeout); q.isSending(); time.Sleep(time.Millisecond) {
+			if time.Now().After(end) {
+				w.t.Fatal("the origins of streams were not sent")
+			}
 		}
 	}
-	w.t.Error("the origins of streams were not sent")
+}
+
+func (q *originQueue) isSending() bool {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return q.sending
 }
 
 // resume goes on with the stream of an earlier request behind its first event.
--- a/transport/uplink/uplink.go
+++ b/transport/uplink/uplink.go
@@ -129,14 +129,16 @@
 	limitsOutdated atomic.Bool  // limitsOutdated says that the leader has limits that the gateway does not have yet.
 	gatewayCount   atomic.Int64 // gatewayCount is the number of gateways, for use outside the main loop.
 
-	mu          sync.Mutex // mu guards the fields of this block.
-	seeds       []string
-	linkAddr    string          // linkAddr is the instance in use, the leader or a relay, for calls outside the main loop.
-	leaderAddr  string          // leaderAddr is the leader itself, even if linkAddr is a relay.
-	queried     map[string]bool // queried holds the instances with a leader query in flight.
-	controls    []string
-	links       *link.Selector  // links picks a relay or the leader; nil if only the leader is asked.
-	leaderHints chan leaderHint // leaderHints receives the leaders that instances name.
+	mu         sync.Mutex // mu guards the fields of this block.
+	seeds      []string
+	linkAddr   string          // linkAddr is the instance in use, the leader or a relay, for calls outside the main loop.
+	leaderAddr string          // leaderAddr is the leader itself, even if linkAddr is a relay.
+	queried    map[string]bool // queried holds the instances with a leader query in flight.
+	controls   []string
+
+	controlDomains []string        // controlDomains are the failure domains of controls; empty if they are not known.
+	links          *link.Selector  // links picks a relay or the leader; nil if only the leader is asked.
+	leaderHints    chan leaderHint // leaderHints receives the leaders that instances name.
 
 	// The fields of this block belong to the goroutine of RunLimits.
 	sharedVersions map[string]protocol.SharedLimitsVersion // sharedVersions are the versions of the shared limits received, by control instance.
@@ -463,6 +465,6 @@
 	defer c.mu.Unlock()
 	c.links.SetControls(controls, domains)
 	if len(controls) > 0 {
-		c.controls = controls
+		c.controls, c.controlDomains = controls, domains
 	}
 }
