Answer the requests that are still open at the end of a planned stop

In a planned stop of a gateway, requests whose servers did not answer in time were cut off without an answer at the end of the grace period, among them requests that may not be repeated.

Cause: the wait for requests in progress ended at nine tenths of the grace period, and then the process, without telling the requests that were left. Those that wait in the gateway are not among them: all such waits are shorter than the time between the last admitted request (2.7 s behind the signal, or half of the grace period) and that end.

At nine tenths of the grace period the gateway now ends the requests that are left: what no server may have run is refused as not run (503), other requests get 502 and no promise, streams that have begun are cut. No server is blamed for it, and nothing is sent again. Half of the last tenth is for the answers.

--- a/cmd/weldstreamd/gateway.go
+++ b/cmd/weldstreamd/gateway.go
@@ -224,7 +224,8 @@
 }
 
 // stop reports unready, keeps serving until the balancer has noticed, and then waits
-// for the requests in progress.
+// for the requests in progress. Those that have not ended shortly before the end of the grace
+// period are answered by the gateway.
 func (g *gateway) stop(s os.Signal) {
 	start := time.Now()
 	grace := g.settings.Bounds.Grace
@@ -234,15 +235,25 @@
 	g.forward.Close()
 	g.server.Drain()
 	g.peers.Drain()
-	ctx, cancel := context.WithDeadline(context.Background(), start.Add(grace-grace/shutdownReserveDivisor))
-	defer cancel()
-	g.server.Wait(ctx)
-	g.peers.Wait(ctx)
+	reserve := grace / shutdownReserveDivisor
+	if !g.awaitRequests(start.Add(grace - reserve)) {
+		g.log.Info().Int("connections", g.server.Conns()+g.peers.Conns()).Msg("stopping: the rest of the requests is ended")
+		g.forward.EndRequests()
+		g.awaitRequests(start.Add(grace - reserve/2))
+	}
 	g.client.SyncNow() // Reports the final counts.
 	time.Sleep(min(shutdownTimeout/4, grace/shutdownReserveDivisor/2))
 	g.log.Info().Dur("after", time.Since(start)).Int("connections", g.server.Conns()).Msg("stopping: done")
 }
 
+// awaitRequests waits until no connection of callers or other gateways is open, and reports whether that
+// was so before the deadline.
+func (g *gateway) awaitRequests(deadline time.Time) bool {
+	ctx, cancel := context.WithDeadline(context.Background(), deadline)
+	defer cancel()
+	return g.server.Wait(ctx) && g.peers.Wait(ctx)
+}
+
 // gatewayDump is the state of a gateway, served at /dump.
 type gatewayDump struct {
 	Name        string `json:"name"`
--- a/transport/forward/attempt.go
+++ b/transport/forward/attempt.go
@@ -263,6 +263,9 @@
 		t.observeCallerGone(time.Now())
 		return callerGone().WithVerdict(protocol.MayHaveRun)
 	}
+	if t.x.g.requestsEnded() { // The server is not at fault.
+		return t.x.afterFailure(protocol.MayHaveRun, true, "the gateway stopped before the answer")
+	}
 	t.recordUnanswered(err)
 	if t.conn.Wrote() {
 		t.observeBroken()
--- a/transport/forward/exchange.go
+++ b/transport/forward/exchange.go
@@ -19,7 +19,7 @@
 // exchange handles one request. It is used by one goroutine.
 type exchange struct {
 	g         *Gateway
-	ctx       context.Context // ctx ends when the caller disconnects or the deadline passes.
+	ctx       context.Context // ctx ends when the caller disconnects, the deadline passes or the gateway ends its requests.
 	cancel    context.CancelFunc
 	callerCtx context.Context // callerCtx ends when the caller disconnects.
 	in        *fasthttp.Request
@@ -72,11 +72,12 @@
 }
 
 func newExchange(ctx context.Context, g *Gateway, req *fasthttp.Request, a *caller.ResponseWriter) *exchange {
+	untilEnd, cancel := g.endWithGateway(ctx)
 	return &exchange{
 		g:         g,
 		callerCtx: ctx,
-		ctx:       ctx,
-		cancel:    func() {},
+		ctx:       untilEnd,
+		cancel:    cancel,
 		in:        req,
 		out:       fasthttp.AcquireRequest(),
 		resp:      fasthttp.AcquireResponse(),
@@ -103,6 +104,9 @@
 	if refusal == nil {
 		refusal = x.serve()
 	}
+	if refusal != nil && x.g.requestsEnded() {
+		refusal = x.refuseAtEnd(refusal)
+	}
 	if refusal != nil {
 		x.refuse(refusal)
 	}
@@ -142,7 +146,7 @@
 // admit resolves the request's route and workspace, and decides whether it may proceed.
 func (x *exchange) admit() *protocol.Refusal {
 	if x.g.closed.Load() {
-		return protocol.NewRefusal(protocol.StatusServiceUnavailable, protocol.CodeLeaving, "the gateway is stopping").WithRetryAfter(shutdownRetryAfter)
+		return leavingRefusal()
 	}
 	if !x.g.await(x.ctx, x.g.configured, x.startupWait()) {
 		return protocol.NewRefusal(protocol.StatusServiceUnavailable, protocol.CodeNotReady, "no configuration is known yet").WithRetryAfter(x.g.readyRetryAfter())
@@ -230,10 +234,21 @@
 	}
 	x.deadline = x.start.Add(limit)
 	x.answer.SetDeadline(clock.Monotonic(x.deadline))
-	x.ctx, x.cancel = context.WithTimeout(x.callerCtx, x.timeLeft())
+	ctx, cancel := context.WithTimeout(x.ctx, x.timeLeft())
+	untilEnd := x.cancel
+	x.ctx, x.cancel = ctx, func() {
+		cancel()
+		untilEnd()
+	}
 }
 
-func (x *exchange) timeLeft() time.Duration { return clock.Until(x.deadline) }
+// timeLeft returns the time until the deadline; 0 once the gateway ends its requests.
+func (x *exchange) timeLeft() time.Duration {
+	if x.g.requestsEnded() {
+		return 0
+	}
+	return clock.Until(x.deadline)
+}
 
 // refuse ends the request with a refusal, or cuts off an answer that has started.
 func (x *exchange) refuse(r *protocol.Refusal) {
--- a/transport/forward/forward.go
+++ b/transport/forward/forward.go
@@ -83,6 +83,9 @@
 	inFlight   sync.Map    // inFlight holds the body bytes at servers, as an *inFlight for each service.
 	closed     atomic.Bool // closed makes the gateway refuse new requests, as it is about to stop.
 
+	untilEnd    context.Context // untilEnd ends when requests in progress have to end.
+	endRequests context.CancelFunc
+
 	moves      runMoves
 	crashes    brokenConnections
 	quarantine quarantineState
@@ -159,6 +162,7 @@
 		usageCounter:     usage.NewCounter(cfg.UsageWindow, cfg.UsageReportDelay),
 		pressure:         map[string]*pressure{},
 	}
+	g.untilEnd, g.endRequests = context.WithCancel(context.Background())
 	g.gateways.Store(1)
 	g.roundTrips.roundTrips = topology.NewRoundTrips(cfg.Topology, cfg.Domain)
 	for _, opt := range opts {
@@ -367,9 +371,6 @@
 	return max(minReadyRetryAfter, typicalStartup-clock.Since(g.startedAt))
 }
 
-// Close makes the gateway refuse all further requests as not run.
-func (g *Gateway) Close() { g.closed.Store(true) }
-
 // Serve implements caller.Handler.
 func (g *Gateway) Serve(ctx context.Context, req *fasthttp.Request, a *caller.ResponseWriter) {
 	x := newExchange(ctx, g, req, a)
