Chunked answers: data does not wait for the trailer, HTTP/1.1 alone has chunks

Data that came with the last chunk was returned only once the trailer had arrived, and a read behind the end would have read on. fasthttp ignores a transfer encoding for any version but HTTP/1.1, so that with HTTP/1.2 the marks of the chunks would have been taken for the body: such a head is malformed, as with HTTP/1.0.

--- a/transport/backend/body.go
+++ b/transport/backend/body.go
@@ -21,6 +21,7 @@
 	framing  Framing
 	left     int       // left is the number of bytes left of a body with a length.
 	chunks   io.Reader // chunks decodes a body in chunks.
+	ended    bool      // ended reports that the trailer behind the chunks was read.
 	closeErr error     // closeErr is returned at the end of a body that ends with its connection.
 }
 
@@ -38,8 +39,8 @@
 }
 
 // Read implements io.Reader. It returns io.EOF only at the end of a complete body. At the end of one
-// that ends with its connection it returns ErrEndUnconfirmed, or the failure of the connection. It returns an error that wraps ErrMalformed for
-// chunks that are none.
+// that ends with its connection it returns ErrEndUnconfirmed, or the failure of the connection. For
+// malformed chunks it returns an error that wraps ErrMalformed.
 func (b *Body) Read(p []byte) (int, error) {
 	switch b.framing {
 	case FramedByChunks:
@@ -70,6 +71,8 @@
 func (b *Body) readChunks(p []byte) (int, error) {
 	n, err := b.chunks.Read(p)
 	switch {
+	case errors.Is(err, io.EOF) && n > 0:
+		err = nil // The data does not wait for the trailer.
 	case errors.Is(err, io.EOF):
 		err = b.skipTrailer()
 	case err != nil:
@@ -80,6 +83,9 @@
 
 // skipTrailer reads the fields behind the last chunk, none of which is used, and returns io.EOF.
 func (b *Body) skipTrailer() error {
+	if b.ended {
+		return io.EOF
+	}
 	size, err := awaitLines(b.br, checkTrailerLine)
 	if errors.Is(err, io.EOF) {
 		return io.ErrUnexpectedEOF
@@ -90,6 +96,7 @@
 	if _, err := b.br.Discard(size); err != nil {
 		return err
 	}
+	b.ended = true
 	return io.EOF
 }
 
--- a/transport/backend/head.go
+++ b/transport/backend/head.go
@@ -5,6 +5,7 @@
 	"bytes"
 	"errors"
 	"io"
+	"strings"
 
 	"github.com/rotisserie/eris"
 	"github.com/valyala/fasthttp"
@@ -105,7 +106,7 @@
 // headGrammar checks the lines of one head in turn.
 type headGrammar struct {
 	inFields  bool // inFields reports that the status line was seen.
-	http10    bool
+	http11    bool
 	hasLength bool
 	hasChunks bool
 }
@@ -114,7 +115,7 @@
 func (g *headGrammar) checkLine(line []byte) (last bool, err error) {
 	if !g.inFields {
 		g.inFields = true
-		g.http10 = bytes.HasPrefix(line, []byte("HTTP/1.0 "))
+		g.http11 = bytes.HasPrefix(line, []byte("HTTP/1.1 "))
 		return false, checkStatusLine(line)
 	}
 	if len(line) == 0 {
@@ -129,8 +130,8 @@
 	switch {
 	case g.hasChunks && g.hasLength:
 		return false, eris.Wrap(ErrMalformed, "it has both a length and a transfer encoding")
-	case g.hasChunks && g.http10:
-		return false, eris.Wrap(ErrMalformed, "it has a transfer encoding, which HTTP/1.0 does not know")
+	case g.hasChunks && !g.http11:
+		return false, eris.Wrap(ErrMalformed, "it has a transfer encoding, but its version is not HTTP/1.1")
 	}
 	return false, nil
 }
@@ -178,10 +179,13 @@
 
 func isLetter(c byte) bool { return 'a' <= c|0x20 && c|0x20 <= 'z' }
 
+// tokenMarks are the bytes of tokens other than letters and digits.
+const tokenMarks = "!#$%&'*+-.^_`|~"
+
 // isToken reports whether p is a token of RFC 9110, section 5.6.2.
 func isToken(p []byte) bool {
 	for _, c := range p {
-		if !isDigit(c) && !isLetter(c) && bytes.IndexByte([]byte("!#$%&'*+-.^_`|~"), c) < 0 {
+		if !isDigit(c) && !isLetter(c) && strings.IndexByte(tokenMarks, c) < 0 {
 			return false
 		}
 	}
--- a/transport/backend/head_test.go
+++ b/transport/backend/head_test.go
@@ -120,7 +120,11 @@
 			if err := ReadHead(br, &resp); err != nil {
 				t.Fatal(err)
 			}
-			data, err := io.ReadAll(NewBody(br, &resp))
+			body := NewBody(br, &resp)
+			data, err := io.ReadAll(body)
+			if _, again := body.Read(make([]byte, 1)); c.want == nil && !errors.Is(again, io.EOF) {
+				t.Errorf("%s, %s: a read behind the end returned %v", name, arrival, again)
+			}
 			if string(data) != c.body || !errors.Is(err, c.want) || (c.want == nil) != (err == nil) {
 				t.Errorf("%s, %s: %q, error %v", name, arrival, data, err)
 			}
--- a/transport/forward/head_test.go
+++ b/transport/forward/head_test.go
@@ -45,6 +45,7 @@
 	"two lengths":                   "HTTP/1.1 200 X\r\nId: 7\r\nContent-Length: 6\r\nContent-Length: 6\r\n\r\n",
 	"a length and chunks":           "HTTP/1.1 200 X\r\nId: 7\r\nContent-Length: 6\r\nTransfer-Encoding: chunked\r\n\r\n6\r\n" + tinyEvent + "\r\n0\r\n\r\n",
 	"chunks with HTTP/1.0":          "HTTP/1.0 200 X\r\nId: 7\r\nTransfer-Encoding: chunked\r\n\r\n6\r\n" + tinyEvent + "\r\n0\r\n\r\n",
+	"chunks with HTTP/1.2":          "HTTP/1.2 200 X\r\nId: 7\r\nTransfer-Encoding: chunked\r\n\r\n6\r\n" + tinyEvent + "\r\n0\r\n\r\n",
 	"another protocol":              "HTTP/1.1 101 X\r\nUpgrade: x\r\n\r\nHTTP/1.1 200 X\r\nId: 7\r\nContent-Length: 6\r\n\r\n",
 	"a broken informational answer": "HTTP/1.1 103 X\r\nBad Name: x\r\n\r\nHTTP/1.1 200 X\r\nId: 7\r\nContent-Length: 6\r\n\r\n",
 	"a blank in a trailer's name":   "HTTP/1.1 200 X\r\nId: 7\r\nTransfer-Encoding: chunked\r\n\r\n6\r\n" + tinyEvent + "\r\n0\r\nBad Name: x\r\n\r\n",
