Origins go to all control instances again if none answered a moment ago

As with other gateways: without it, origins that come within 0.5 s of a failed call to the only reachable control instance were given to none.

--- a/transport/forward/origin_store.go
+++ b/transport/forward/origin_store.go
@@ -1,10 +1,6 @@
 package forward
 
-import (
-	"slices"
-
-	"github.com/weldstream/weldstream/protocol"
-)
+import "github.com/weldstream/weldstream/protocol"
 
 // OriginStore keeps origins of streams at instances that do not end with the gateways.
 type OriginStore interface {
@@ -29,12 +25,12 @@
 }
 
 // availableStoreKeepers returns the instances of the origin store without those that did not answer a
-// moment ago.
+// moment ago, or all if none did.
 func (g *Gateway) availableStoreKeepers() []protocol.Peer {
 	keepers := g.storeKeepers()
 	g.peers.mu.Lock()
 	defer g.peers.mu.Unlock()
-	return slices.DeleteFunc(keepers, func(k protocol.Peer) bool { return g.peers.failedLately(k.Name) })
+	return g.peers.withoutFailed(keepers)
 }
 
 // originTarget is an instance that may keep the origin of a stream.
--- a/transport/forward/peer_call.go
+++ b/transport/forward/peer_call.go
@@ -176,7 +176,12 @@
 	p := &g.peers
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	keepers := p.keepersNamedSince(p.keepersNamedAt)
+	return p.withoutFailed(p.keepersNamedSince(p.keepersNamedAt))
+}
+
+// withoutFailed returns the keepers without those that did not answer a moment ago, or all if none did.
+// The caller must hold p.mu.
+func (p *peerState) withoutFailed(keepers []protocol.Peer) []protocol.Peer {
 	answering := slices.DeleteFunc(slices.Clone(keepers), func(k protocol.Peer) bool { return p.failedLately(k.Name) })
 	if len(answering) == 0 {
 		return keepers
