--- a/cmd/weldctl/client.go
+++ b/cmd/weldctl/client.go
@@ -15,7 +15,8 @@
 	maxAnswerBytes = 256 << 20
 )
 
-// callInstance sends a request to an instance and returns the whole answer.
+// callInstance sends a request to an instance over a connection of its own and returns the whole answer.
 func callInstance(address string, req *fasthttp.Request, timeout time.Duration) (status int, body []byte, err error) {
+	req.SetConnectionClose()
 	return backend.NewPool(connectTimeout).Call(address, req, time.Now().Add(timeout), maxAnswerBytes)
 }
