--- a/transport/forward/head_test.go
+++ b/transport/forward/head_test.go
@@ -5,6 +5,7 @@
 	"net"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/valyala/fasthttp"
 
@@ -161,3 +162,44 @@
 		})
 	}
 }
+
+// TestMalformedHeadOfResumedStream checks that a stream which goes on at another server is cut, not ended or
+// continued, if that one's answer is malformed.
+func TestMalformedHeadOfResumedStream(t *testing.T) {
+	for name, head := range malformedHeads {
+		if strings.Contains(name, "trailer") {
+			continue // The events come first.
+		}
+		t.Run(name, func(t *testing.T) {
+			w := newTestGateway(t)
+			w.install(protocol.PathRoute{Kind: protocol.RouteStream, Resumable: true, Attempts: 2})
+			serve := firstThen(closingServer(streamHead+chunk(event("1", "a"))), openServer(withBody(strings.ReplaceAll(head, tinyEvent, "id:2\n\n"))))
+			w.backend("a", serve)
+			w.backend("b", serve)
+			if got := w.ask(); got.status != 200 || !got.broken || got.body != event("1", "a") {
+				t.Errorf("got %+v, want the first event alone", got)
+			}
+		})
+	}
+}
+
+// TestMalformedAnswersToCalls checks that calls to servers, such as those that move a run, and to other
+// gateways fail if the answer is malformed.
+func TestMalformedAnswersToCalls(t *testing.T) {
+	for name, head := range malformedHeads {
+		t.Run(name, func(t *testing.T) {
+			w := newPassingGateway(t)
+			b := w.backend("a", openServer(withBody(head)))
+			out := fasthttp.AcquireRequest()
+			defer fasthttp.ReleaseRequest(out)
+			out.SetRequestURI("/call")
+			out.Header.SetHost("h")
+			if status, body, err := w.g.call(w.g.view.Load().Find("a"), out, time.Now().Add(time.Second)); err == nil {
+				t.Errorf("a call to a server returned status %d and %q", status, body)
+			}
+			if err := w.g.callPeer(&protocol.Peer{Name: "peer", Address: b.address}, keepOriginsCall, &protocol.OriginsMsg{}, nil); err == nil {
+				t.Error("a call to another gateway succeeded")
+			}
+		})
+	}
+}
