TestLeadershipMoves: the leader hands over to the other region, not by chance

The test needs a leader that is alone in its region. It stopped leaders until one of the other region came to lead, without a bound: a leader that stops hands over to the voter with the shortest round trip to a quorum, which is the other one of its region if that one answers and its round trips are known. So whether the test ended at all was left to chance and to when round trips were measured.

The others of the leader's region are suspended while it stops, so only the other region can take over, and the set-up has a time limit. What the test checks is unchanged: one move without intervention, one term later, configurations accepted all the time.

--- a/internal/soak/paths_test.go
+++ b/internal/soak/paths_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"slices"
+	"syscall"
 	"testing"
 	"time"
 
@@ -249,6 +250,38 @@
 	}
 }
 
+// handOverToOtherRegion stops a leader while the other control instances of its region are suspended, so
+// that it hands over to another region: otherwise the nearest one always takes over.
+func handOverToOtherRegion(t *testing.T, c *Cluster, o *Operator, leader int) {
+	t.Helper()
+	var near []*Proc
+	for i := range c.Size.Controls {
+		if i != leader && c.Size.regionOf(i) == c.Size.regionOf(leader) {
+			near = append(near, c.procs[i])
+		}
+	}
+	signalAll(t, near, syscall.SIGSTOP)
+	err := c.procs[leader].Stop()
+	signalAll(t, near, syscall.SIGCONT)
+	if err != nil {
+		t.Fatal(err)
+	}
+	waitForLeader(t, c, leader)
+	if err := c.procs[leader].Start(); err != nil {
+		t.Fatal(err)
+	}
+	waitUntilReadBack(t, o, leader)
+}
+
+func signalAll(t *testing.T, procs []*Proc, s syscall.Signal) {
+	t.Helper()
+	for _, p := range procs {
+		if err := p.Signal(s); err != nil {
+			t.Error(err)
+		}
+	}
+}
+
 // TestLeadershipMoves has a leader alone in its region while a quorum is in another:
 // leadership moves there once without intervention, and configurations are accepted all
 // the time. The test waits for the half minute that a leader leads at least.
@@ -256,16 +289,11 @@
 	size := Size{Controls: 3, Gateways: 1, Backends: 2, Regions: 2, Delay: 40 * time.Millisecond}
 	c, k, o := startCluster(t, size)
 	leader := waitForLeader(t, c, -1)
-	for ; c.Size.regionOf(leader) != 1; leader = waitForLeader(t, c, -1) {
-		p := c.procs[leader]
-		if err := p.Stop(); err != nil {
-			t.Fatal(err)
+	for end := time.Now().Add(2 * readyTimeout); c.Size.regionOf(leader) != 1; leader = waitForLeader(t, c, -1) {
+		if time.Now().After(end) {
+			t.Fatal("no control instance of the other region came to lead")
 		}
-		waitForLeader(t, c, leader)
-		if err := p.Start(); err != nil {
-			t.Fatal(err)
-		}
-		waitUntilReadBack(t, o, leader)
+		handOverToOtherRegion(t, c, o, leader)
 	}
 	before, err := c.Status(leader)
 	if err != nil {
