--- a/transport/backend/head_test.go
+++ b/transport/backend/head_test.go
@@ -158,3 +158,18 @@
 		}
 	}
 }
+
+// TestLastChunkDoesNotWaitForTrailer checks that the data of the last chunk is returned although the trailer
+// behind it has not arrived.
+func TestLastChunkDoesNotWaitForTrailer(t *testing.T) {
+	var resp fasthttp.Response
+	text := "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n"
+	br := bufio.NewReaderSize(io.MultiReader(strings.NewReader(text), iotest.ErrReader(io.ErrNoProgress)), readBuffer)
+	if err := ReadHead(br, &resp); err != nil {
+		t.Fatal(err)
+	}
+	buf := make([]byte, 8)
+	if n, err := NewBody(br, &resp).Read(buf); string(buf[:n]) != "ok" || err != nil {
+		t.Errorf("%q, error %v", buf[:n], err)
+	}
+}
--- a/transport/forward/head_test.go
+++ b/transport/forward/head_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/valyala/fasthttp"
 
+	"github.com/weldstream/weldstream/internal/clock"
 	"github.com/weldstream/weldstream/protocol"
 )
 
@@ -203,3 +204,17 @@
 		})
 	}
 }
+
+// TestMalformedAnswersCountAgainstServer checks that a server is distrusted for malformed answers as for
+// others that are lost.
+func TestMalformedAnswersCountAgainstServer(t *testing.T) {
+	w := newTestGateway(t)
+	w.install(protocol.PathRoute{Attempts: 1})
+	w.backend("a", openServer(withBody(malformedHeads["status 000"])))
+	for range 3 {
+		w.ask()
+	}
+	if !w.g.view.Load().Find("a").Stats.Suspect(clock.Now()) {
+		t.Error("the server is trusted")
+	}
+}
--- a/transport/forward/origin_share.go
+++ b/transport/forward/origin_share.go
@@ -17,7 +17,7 @@
 	sending bool                    // sending reports that run runs.
 }
 
-// add adds origins and returns a channel that is closed once it was tried to send them.
+// add adds origins and returns a channel that is closed once they were sent or that failed.
 func (q *originQueue) add(list []protocol.StreamOrigin, send func([]protocol.StreamOrigin)) (sent <-chan struct{}) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
@@ -63,7 +63,7 @@
 }
 
 // giveOrigins gives origins of streams to the gateways that keep them and to the origin store, and
-// returns channels that are closed once that was tried.
+// returns channels that are closed once each was sent or that failed.
 func (g *Gateway) giveOrigins(list []protocol.StreamOrigin) (sent []<-chan struct{}) {
 	sent = append(sent, g.origins.toPeers.add(list, g.sendToPeers))
 	if g.originStore != nil {
--- a/transport/forward/origin_store_test.go
+++ b/transport/forward/origin_store_test.go
@@ -147,3 +147,19 @@
 		t.Errorf("got %+v", got)
 	}
 }
+
+// TestStoreIsUsedAgainAtOnce checks that an origin is given to the only instance of the store although that
+// did not answer a moment ago.
+func TestStoreIsUsedAgainAtOnce(t *testing.T) {
+	store := newFakeStore("a")
+	former := newStoredGateways(t, 1, store)
+	store.silence("a")
+	versionOf(t, former[0].askAs("lost"))
+	store.silence()
+	version := versionOf(t, former[0].askAs("kept"))
+	former[0].kill()
+	all := newStoredGateways(t, 1, store)
+	if got := all[0].resume("again", "kept"); got.status != 200 || got.body != event("2", version)+event("3", version) {
+		t.Errorf("got %+v", got)
+	}
+}
