A test that malformed answers are no crashes

Taken out on a copy, no test failed: an answer that is malformed would have lowered the limit of body bytes and made its request a suspect. The test fails without the check and passes with it.

--- a/transport/forward/head_test.go
+++ b/transport/forward/head_test.go
@@ -1,9 +1,11 @@
 package forward
 
 import (
+	"fmt"
 	"io"
 	"net"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -11,6 +13,7 @@
 
 	"github.com/weldstream/weldstream/internal/clock"
 	"github.com/weldstream/weldstream/protocol"
+	"github.com/weldstream/weldstream/transport/backend"
 )
 
 // tinyEvent is a body that is a whole answer on any route.
@@ -218,3 +221,19 @@
 		t.Error("the server is trusted")
 	}
 }
+
+// TestMalformedAnswerIsNoCrash checks that a malformed answer says nothing of a crash, while an end of the
+// connection may.
+func TestMalformedAnswerIsNoCrash(t *testing.T) {
+	for err, want := range map[error]bool{
+		backend.ErrMalformed:                         false,
+		fmt.Errorf("read: %w", backend.ErrMalformed): false,
+		errTooLarge:         false,
+		io.ErrUnexpectedEOF: true,
+		syscall.ECONNRESET:  true,
+	} {
+		if got := isCrash(err); got != want {
+			t.Errorf("%v: %v, want %v", err, got, want)
+		}
+	}
+}
