--- a/review/cases2/cluster.go
+++ b/review/cases2/cluster.go
@@ -21,6 +21,7 @@
 // proc is one daemon.
 type proc struct {
 	name, role, settings, ip string
+	index                    int
 	out                      *os.File
 	cmd                      *exec.Cmd
 	ended                    chan error
@@ -36,6 +37,10 @@
 	gateways []*proc
 	api      *platformAPI
 	rec      *record
+	founded  bool // founded says that the system has been started before: bootstrap is false from then on.
+	seeds    []string
+	tolerate int
+	listRate string
 }
 
 // record writes what happened, with times since the start, to a file.
@@ -80,11 +85,12 @@
 	for i := range min(3, controls) {
 		seeds = append(seeds, fmt.Sprintf("%s.1.%d:%d", c.net, i+1, c.ports[0]))
 	}
+	c.seeds, c.tolerate, c.listRate = seeds, tolerate, listRate
 	for i := range controls {
-		c.controls = append(c.controls, c.newProc("control", i, seeds, tolerate, listRate))
+		c.controls = append(c.controls, c.newProc("control", i))
 	}
 	for i := range gateways {
-		c.gateways = append(c.gateways, c.newProc("gateway", i, seeds, tolerate, listRate))
+		c.gateways = append(c.gateways, c.newProc("gateway", i))
 	}
 	time.AfterFunc(caseLimit, func() {
 		rec.log("the case took too long")
@@ -97,38 +103,44 @@
 // caseLimit is below the 120 s that a case may take.
 const caseLimit = 110 * time.Second
 
-func (c *cluster) newProc(role string, i int, seeds []string, tolerate int, listRate string) *proc {
+func (c *cluster) newProc(role string, i int) *proc {
 	third := map[string]int{"control": 1, "gateway": 2}[role]
 	ip := fmt.Sprintf("%s.%d.%d", c.net, third, i+1)
 	p := &proc{name: fmt.Sprintf("%s-%d", role, i), role: role, ip: ip, settings: filepath.Join(c.dir, fmt.Sprintf("%s-%d.yaml", role, i))}
+	p.index = i
+	c.rewrite(p)
+	out, err := os.Create(filepath.Join(c.dir, p.name+".log"))
+	if err != nil {
+		panic(err)
+	}
+	p.out = out
+	return p
+}
+
+// rewrite writes the settings of a process as the platform lays them before a start.
+func (c *cluster) rewrite(p *proc) {
 	var s strings.Builder
-	fmt.Fprintf(&s, "name: %s\ndomain: zone-%d\nregion: r\ndomains:\n  zone-0: r\n  zone-1: r\n  zone-2: r\n", p.name, i%3)
-	if role == "gateway" {
-		fmt.Fprintf(&s, "caller: %s:%d\nready: %s:%d\n", ip, c.ports[3], ip, c.ports[4])
+	fmt.Fprintf(&s, "name: %s\ndomain: zone-%d\nregion: r\ndomains:\n  zone-0: r\n  zone-1: r\n  zone-2: r\n", p.name, p.index%3)
+	if p.role == "gateway" {
+		fmt.Fprintf(&s, "caller: %s:%d\nready: %s:%d\n", p.ip, c.ports[3], p.ip, c.ports[4])
 	} else {
-		fmt.Fprintf(&s, "operator: %s:%d\n", ip, c.ports[0])
+		fmt.Fprintf(&s, "operator: %s:%d\n", p.ip, c.ports[0])
 	}
-	fmt.Fprintf(&s, "peer: %s:%d\nmetrics: %s:%d\n", ip, c.ports[1], ip, c.ports[2])
-	if role == "control" {
+	fmt.Fprintf(&s, "peer: %s:%d\nmetrics: %s:%d\n", p.ip, c.ports[1], p.ip, c.ports[2])
+	if p.role == "control" {
 		fmt.Fprintf(&s, "data_dir: %s\n", filepath.Join(c.dir, p.name))
 	}
 	s.WriteString("seeds:\n")
-	for _, seed := range seeds {
+	for _, seed := range c.seeds {
 		fmt.Fprintf(&s, "  - %s\n", seed)
 	}
-	memory := map[string]int{"control": 280, "gateway": 284}[role]
-	fmt.Fprintf(&s, "found: true\ntolerate: %d\nmemory_mb: %d\ndescriptors: 4096\n", tolerate, memory)
-	fmt.Fprintf(&s, "source:\n  address: %s\n  list_rate: %s\n  duties: [usage_report,autoscale]\n", c.api.address, listRate)
+	memory := map[string]int{"control": 280, "gateway": 284}[p.role]
+	fmt.Fprintf(&s, "found: %v\ntolerate: %d\nmemory_mb: %d\ndescriptors: 4096\n", !c.founded, c.tolerate, memory)
+	fmt.Fprintf(&s, "source:\n  address: %s\n  list_rate: %s\n  duties: [usage_report,autoscale]\n", c.api.address, c.listRate)
 	s.WriteString("bounds:\n  revoke: 5000ms\n  grace: 8s\n  lease: 3000ms\n  retry_ratio: 0.2\n  retry_extra: 58\n  retry_window: 10s\n  quota_window: 8s\n  usage_window: 5s\n  order_repeat: 4000ms\n  usage_due: 10s\n")
 	if err := os.WriteFile(p.settings, []byte(s.String()), 0o600); err != nil {
 		panic(err)
 	}
-	out, err := os.Create(filepath.Join(c.dir, p.name+".log"))
-	if err != nil {
-		panic(err)
-	}
-	p.out = out
-	return p
 }
 
 // start starts the process with the command of the deploy file.
@@ -192,6 +204,36 @@
 	return fmt.Errorf("%s is not ready", p.name)
 }
 
+// addControl prepares a control instance with an empty disk at an address of its own.
+func (c *cluster) addControl() *proc {
+	c.founded = true
+	p := c.newProc("control", len(c.controls))
+	c.controls = append(c.controls, p)
+	return p
+}
+
+// fetch reads the configuration from the control instances in turn, and returns it once one of
+// them answers.
+func (c *cluster) fetch(limit time.Duration) (document string, ok bool) {
+	client := &http.Client{Timeout: 1500 * time.Millisecond}
+	end := time.Now().Add(limit)
+	for i := 0; time.Now().Before(end); i++ {
+		resp, err := client.Get("http://" + c.operator(i%len(c.controls)) + "/api/Config.Fetch")
+		if err == nil {
+			data, readErr := io.ReadAll(resp.Body)
+			_ = resp.Body.Close()
+			if readErr == nil && resp.StatusCode == http.StatusOK {
+				return string(data), true
+			}
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+	return "", false
+}
+
+// dataDir is the disk of a control instance.
+func (c *cluster) dataDir(p *proc) string { return filepath.Join(c.dir, p.name) }
+
 // close ends all processes that were started.
 func (c *cluster) close(keep bool) {
 	for _, p := range append(append([]*proc{}, c.controls...), c.gateways...) {
