--- a/review/cases2/cluster.go
+++ b/review/cases2/cluster.go
@@ -11,6 +11,7 @@
 	"net/http"
 	"os"
 	"os/exec"
+	"os/signal"
 	"path/filepath"
 	"strings"
 	"sync"
@@ -92,11 +93,18 @@
 	for i := range gateways {
 		c.gateways = append(c.gateways, c.newProc("gateway", i))
 	}
-	time.AfterFunc(caseLimit, func() {
-		rec.log("the case took too long")
+	giveUp := func(reason string) {
+		rec.log("%s", reason)
 		c.close(false)
 		os.Exit(couldNot)
-	})
+	}
+	time.AfterFunc(caseLimit, func() { giveUp("the case took too long") })
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGINT, syscall.SIGTERM)
+	go func() {
+		<-signals
+		giveUp("the case was stopped")
+	}()
 	return c, nil
 }
 
--- a/review/cases2/truncated.go
+++ b/review/cases2/truncated.go
@@ -16,10 +16,9 @@
 // streams, which have neither a length nor chunks, ended early.
 func truncated(root string, trouble bool, rec *record) int {
 	const (
-		events   = 45
-		patience = 4800 * time.Millisecond // Eight times the gap of 600 ms.
-		freeze   = 3500 * time.Millisecond
-		down     = 2 * time.Second
+		events = 45
+		freeze = 3500 * time.Millisecond
+		down   = 2 * time.Second
 	)
 	c, err := newCluster(root, 5, 3, 2, rec, "47")
 	if err != nil {
--- a/review/cases2/versions.go
+++ b/review/cases2/versions.go
@@ -18,8 +18,8 @@
 	streamKey  = "key-one"
 	// routeTimeout, aim and gap are those of the route.
 	routeTimeout = 12 * time.Second
-	aim          = 500 * time.Millisecond
-	gap          = 400 * time.Millisecond
+	aim          = 600 * time.Millisecond
+	gap          = 600 * time.Millisecond
 	// patience is how long a client bears silence: PROTOCOL.md, Requests (two seconds, four times
 	// the objective or eight times the gap, whichever is the longest).
 	patience = 8 * gap
@@ -32,7 +32,7 @@
 // streamDocument returns a configuration whose route leads to targets, a part of its JSON.
 func streamDocument(version int, targets string) string {
 	return fmt.Sprintf(`{"version":%d,"routes":[{"name":"draft","host":%q,"pathPrefix":"/draft/","kind":"streaming","timeoutMs":%d,"targetLatencyMs":%d,"priority":0,%s,"maxAttempts":2,"authExempt":false,"sessionAffinity":true,"streamResume":true,"targetGapMs":%d}],`+
-		`"services":[{"name":"llm","healthPath":"/health","maxConnections":250,"protocol":"h1","tls":false,"engine":{"slots":32,"kvCapacityTokens":587977,"kvTokenBytes":163840,"linkMbps":740000.0,"moves":false,"backups":false,"stride":6,"most":12,"pinMs":4000.0,"holdMs":2000.0,"handleS":5.0,"models":[{"name":"m"}]}},{"name":"llm-b","healthPath":"/health","maxConnections":250,"protocol":"h1","tls":false}],`+
+		`"services":[{"name":"llm","healthPath":"/health","maxConnections":250,"protocol":"h1","tls":false,"engine":{"slots":64,"kvCapacityTokens":587977,"kvTokenBytes":163840,"linkMbps":740000.0,"moves":false,"backups":false,"stride":6,"most":12,"pinMs":4000.0,"holdMs":2000.0,"handleS":5.0,"models":[{"name":"m"}]}},{"name":"llm-b","healthPath":"/health","maxConnections":250,"protocol":"h1","tls":false}],`+
 		`"limits":{"maxHeaderBytes":16384,"maxBodyBytes":4194304,"headerTimeoutMs":3000,"idleTimeoutMs":15000},"tenants":[{"name":"t1","apiKeys":[%q]}]}`,
 		version, streamHost, routeTimeout.Milliseconds(), aim.Milliseconds(), targets, gap.Milliseconds(), streamKey)
 }
