--- a/review/8/run.sh
+++ b/review/8/run.sh
@@ -4,4 +4,4 @@
 folder="$(cd "$(dirname "$0")" && pwd)"
 cd "$folder/../.." || exit 2
 [ -x target/weldstreamd ] && [ -x target/review2 ] || exit 2
-exec target/review2 upgrade "$folder"
+exec target/review2 versions "$folder"
--- a/review/cases2/replica.go
+++ b/review/cases2/replica.go
@@ -22,12 +22,8 @@
 	rec                                 *record
 	server                              *http.Server
 
-	// unframed makes it send its answers with neither a length nor chunks: they end with their connection.
-	unframed bool
-
 	mu      sync.Mutex
 	running int
-	conns   map[net.Conn]bool // conns are the connections of unframed answers.
 }
 
 func newReplica(rec *record, id, service, zone, version string, events int, pause time.Duration) (*replica, error) {
@@ -35,21 +31,14 @@
 	if err != nil {
 		return nil, err
 	}
-	r := &replica{id: id, service: service, zone: zone, version: version, address: ln.Addr().String(), slots: 64, born: time.Now().UnixMilli(), events: events, pause: pause, rec: rec, conns: map[net.Conn]bool{}}
+	r := &replica{id: id, service: service, zone: zone, version: version, address: ln.Addr().String(), slots: 64, born: time.Now().UnixMilli(), events: events, pause: pause, rec: rec}
 	r.server = &http.Server{Handler: http.HandlerFunc(r.serve)}
 	go func() { _ = r.server.Serve(ln) }()
 	return r, nil
 }
 
 // stop ends the replica like a crash: it listens no more, and its connections break.
-func (r *replica) stop() {
-	_ = r.server.Close()
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	for conn := range r.conns {
-		_ = conn.Close()
-	}
-}
+func (r *replica) stop() { _ = r.server.Close() }
 
 // startAgain starts the replica again under its id and address, with another software version.
 func (r *replica) startAgain(version string) (*replica, error) {
@@ -57,7 +46,7 @@
 	if err != nil {
 		return nil, err
 	}
-	n := &replica{unframed: r.unframed, id: r.id, service: r.service, zone: r.zone, version: version, address: r.address, slots: r.slots, born: time.Now().UnixMilli(), events: r.events, pause: r.pause, rec: r.rec, conns: map[net.Conn]bool{}}
+	n := &replica{id: r.id, service: r.service, zone: r.zone, version: version, address: r.address, slots: r.slots, born: time.Now().UnixMilli(), events: r.events, pause: r.pause, rec: r.rec}
 	n.server = &http.Server{Handler: http.HandlerFunc(n.serve)}
 	go func() { _ = n.server.Serve(ln) }()
 	return n, nil
@@ -95,10 +84,6 @@
 		first = last + 1
 	}
 	r.rec.log("replica %s (version %s) runs %s from event %d, %d bytes", r.id, r.version, id, first, len(body))
-	if r.unframed {
-		r.serveUnframed(w, id, first)
-		return
-	}
 	w.Header().Set("Server-Seal", id+"."+r.id)
 	w.Header().Set("Server-Load", fmt.Sprintf("%d,0,%d", r.load(0), r.slots))
 	w.Header().Set("Content-Type", "text/event-stream")
@@ -115,31 +100,6 @@
 	}
 }
 
-// serveUnframed sends the stream without a length or chunks, and closes the connection behind it.
-func (r *replica) serveUnframed(w http.ResponseWriter, id string, first int) {
-	conn, _, err := http.NewResponseController(w).Hijack()
-	if err != nil {
-		return
-	}
-	r.mu.Lock()
-	r.conns[conn] = true
-	r.mu.Unlock()
-	defer func() {
-		r.mu.Lock()
-		delete(r.conns, conn)
-		r.mu.Unlock()
-		_ = conn.Close()
-	}()
-	fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nAttempt-Id: %s\r\nServer-Seal: %s.%s\r\nContent-Type: text/event-stream\r\n\r\n", id, id, r.id)
-	for n := first; n <= r.events; n++ {
-		if _, err := fmt.Fprintf(conn, "id: %d\ndata: %s %d\n\n", n, r.version, n); err != nil {
-			return
-		}
-		time.Sleep(r.pause)
-	}
-	r.rec.log("replica %s ends %s after event %d", r.id, id, r.events)
-}
-
 func flush(w http.ResponseWriter) bool { return http.NewResponseController(w).Flush() == nil }
 
 func (r *replica) load(d int) int {
