--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -3,4 +3,4 @@
 # is built by the build line of deploy/system.toml.
 set -euo pipefail
 cd "$(dirname "$0")/.."
-go build -tags review2 -o target/review2 ./review/cases2
+go build -tags review2 -o target/review2 ./review/platform/cases2
