The versions of all resumable streams are kept from their first event on

Cause: the origin of a stream was given to others only beside a second version, or by its own gateway once it saw the change. A gateway that has gone dark sees none, and the history of the others ends with the change, which forgets what had been the only version until then.

Fix: each resumable stream's origin goes to its keepers at its first event, whatever the history says. The event waits for them only beside another version, as before. Weighed against a history that remembers the spell before the change: nothing shows when a stream began, and the lost gateway may have begun it at the new version without reaching a keeper (TestStreamsOfLostGatewayAreNotGuessed).

--- a/transport/forward/origin.go
+++ b/transport/forward/origin.go
@@ -51,8 +51,8 @@
 	return names
 }
 
-// recordVersions records the list of servers, and gives others the origins of running streams once
-// the list no longer tells them.
+// recordVersions records the list of servers. Once a service has another version it gives others the
+// origins of running streams again: those that took them may have ended since.
 func (g *Gateway) recordVersions(list []protocol.Instance) {
 	s, now := &g.origins, clock.Now()
 	s.mu.Lock()
@@ -109,8 +109,9 @@
 	return protocol.NewStreamKey(x.workspaceName(), x.call.Host, id)
 }
 
-// recordOrigin records, at the first event, which version the stream goes on with. Others are given
-// the origin unless what they have seen of the service's versions tells it anyway.
+// recordOrigin records, at the first event, which version the stream goes on with, and gives others the
+// origin: this gateway may end without a word, and what others have seen of the service's versions until
+// then need not hold when the caller comes back. The event waits for them only beside another version.
 func (x *exchange) recordOrigin(server *place.Server) {
 	if x.originRecorded {
 		return
@@ -127,8 +128,9 @@
 	s.table.Add(*x.origin, true, now)
 	single := s.history.Single(x.route.Name, now)
 	s.mu.Unlock()
+	sent := x.g.giveOrigins([]protocol.StreamOrigin{*x.origin})
 	if single.For < x.streamLifetime() || single.Version != x.origin.Version {
-		x.awaitKept(x.g.giveOrigins([]protocol.StreamOrigin{*x.origin}))
+		x.awaitKept(sent)
 	}
 }
 
