Only the leader's history vouches for the version of a stream

Callers saw (reported): streams that had begun at a new software version were taken up at a gateway that was out of step for a moment, and went on at another version.

Cause: a gateway took its own list for certain while it was younger than a second, though no keeper had answered, and believed another gateway's list in the same way. A second version can join within that second and begin streams at gateways that are in touch.

Fix: a history counts only if it has every version that any gateway may use. That is the leader's: gateways use no server that it has not listed, its answer is given under its lease, and the stream began before it was asked. Where there is no origin store to ask the leader at, all other gateways must have answered, and none may have listed another version. What is kept since a stream's first event is believed as before. A refusal is final only if the leader has answered too.

TestJudge had "one version, current list" and "one version, old list, all answered" as certain, which was the fault; its table has the new conditions, and more of them.

Ruled out: that keepers that reach the others mix (the origin is found there).

--- a/coordination/origin/history.go
+++ b/coordination/origin/history.go
@@ -107,6 +107,16 @@
 	return protocol.SingleVersion{Service: service, Version: version, For: min(serviceFor, versionFor)}
 }
 
+// Several reports whether the route now leads to several services, or its service has several versions.
+func (h *History) Several(route string) bool {
+	services := h.services[route]
+	if services == nil || !services.single {
+		return services != nil
+	}
+	versions := h.versions[services.value]
+	return versions != nil && !versions.single
+}
+
 // lasting returns the single value of a spell and its time up to now; 0 without a single value.
 func (s *spell) lasting(now time.Time) (string, time.Duration) {
 	if s == nil || !s.single {
--- a/coordination/origin/origin_test.go
+++ b/coordination/origin/origin_test.go
@@ -184,30 +184,39 @@
 	single := func(service, version string, lasting time.Duration) protocol.SingleVersion {
 		return protocol.SingleVersion{Service: service, Version: version, For: lasting}
 	}
-	known := JudgeMsg{Lifetime: lifetime, Single: single("s", "v1", lifetime)}
+	known := JudgeMsg{Lifetime: lifetime, AllAnswered: true, Single: single("s", "v1", lifetime)}
 	with := func(change func(*JudgeMsg)) JudgeMsg {
 		m := known
 		change(&m)
 		return m
 	}
 	found := protocol.OriginReply{Found: true, Origin: streamOrigin(1, "v2", 3)}
-	elsewhere := func(lasting time.Duration) []protocol.OriginReply {
-		return []protocol.OriginReply{{}, {Single: single("s", "v3", lasting)}}
+	elsewhere := func(version string, lasting time.Duration) []protocol.OriginReply {
+		return []protocol.OriginReply{{}, {Single: single("s", version, lasting)}}
 	}
 	for name, c := range map[string]struct {
 		msg     JudgeMsg
 		version string
 		source  Source
 	}{
-		"nothing is known":                      {JudgeMsg{Lifetime: lifetime}, "", Unknown},
+		"nothing is known":                      {JudgeMsg{Lifetime: lifetime, AllAnswered: true}, "", Unknown},
 		"another gateway kept it":               {with(func(m *JudgeMsg) { m.Replies = []protocol.OriginReply{{}, found} }), "v2", FromPeer},
 		"one version, current list":             {known, "v1", FromHistory},
+		"one version, not all answered":         {with(func(m *JudgeMsg) { m.AllAnswered = false }), "", Unknown},
 		"one version, old list":                 {with(func(m *JudgeMsg) { m.ListAge = 2 * maxListAge }), "", Unknown},
-		"one version, old list, all answered":   {with(func(m *JudgeMsg) { m.ListAge, m.AllAnswered = 2*maxListAge, true }), "v1", FromHistory},
 		"one version, for too short":            {with(func(m *JudgeMsg) { m.Single.For-- }), "", Unknown},
-		"several versions, all answered":        {with(func(m *JudgeMsg) { m.Single, m.AllAnswered = single("s", "", 0), true }), "", Unknown},
-		"another gateway knows of one version":  {with(func(m *JudgeMsg) { m.Single.For, m.Replies = 0, elsewhere(lifetime) }), "v3", FromPeerList},
-		"another gateway has just started, too": {with(func(m *JudgeMsg) { m.Single.For, m.Replies = 0, elsewhere(lifetime-1) }), "", Unknown},
+		"several versions":                      {with(func(m *JudgeMsg) { m.Single = single("s", "", 0) }), "", Unknown},
+		"another gateway has several":           {with(func(m *JudgeMsg) { m.Replies = []protocol.OriginReply{{Several: true}} }), "", Unknown},
+		"another gateway has another one":       {with(func(m *JudgeMsg) { m.Replies = elsewhere("v3", 1) }), "", Unknown},
+		"another gateway knows of one version":  {with(func(m *JudgeMsg) { m.Single.For, m.Replies = 0, elsewhere("v3", lifetime) }), "v3", FromPeerList},
+		"one of several others knows of one":    {with(func(m *JudgeMsg) { m.Single.For, m.AllAnswered, m.Replies = 0, false, elsewhere("v3", lifetime) }), "", Unknown},
+		"another gateway has just started, too": {with(func(m *JudgeMsg) { m.Single.For, m.Replies = 0, elsewhere("v3", lifetime-1) }), "", Unknown},
+		"the leader knows of one version":       {with(func(m *JudgeMsg) { m.HasStore, m.Leader, m.AllAnswered = true, single("s", "v4", lifetime), false }), "v4", FromLeader},
+		"the leader has known for too short":    {with(func(m *JudgeMsg) { m.HasStore, m.Leader = true, single("s", "v1", lifetime-1) }), "", Unknown},
+		"no leader answers":                     {with(func(m *JudgeMsg) { m.HasStore = true }), "", Unknown},
+		"kept, whatever the leader knows": {with(func(m *JudgeMsg) {
+			m.HasStore, m.Leader, m.Replies = true, single("s", "v1", lifetime), []protocol.OriginReply{found}
+		}), "v2", FromPeer},
 	} {
 		if got, source := Judge(c.msg); got.Version != c.version || source != c.source {
 			t.Errorf("%s: version %q from %v, want %q from %v", name, got.Version, source, c.version, c.source)
--- a/protocol/origin.go
+++ b/protocol/origin.go
@@ -43,7 +43,11 @@
 type OriginReply struct {
 	Found  bool
 	Origin StreamOrigin  // meaningful if Found
-	Single SingleVersion // for any stream of the route
+	Single SingleVersion // for any stream of the route; of a control instance: if it leads
+	// Several reports that the route leads to several services at this gateway, or that several
+	// versions of its service are listed. Earlier builds and control instances do not tell.
+	Several bool
+	Leads   bool // a control instance that leads answered; earlier builds do not tell
 }
 
 // SingleVersion is the only service to which a route led, and the only version of it that was
--- a/transport/control/origins.go
+++ b/transport/control/origins.go
@@ -43,6 +43,7 @@
 	if reply.Found || !leads {
 		return nil
 	}
+	reply.Leads = true
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	if u.term == term && origin.Current(u.versions.ListAge(now)) {
--- a/transport/control/origins_test.go
+++ b/transport/control/origins_test.go
@@ -69,6 +69,9 @@
 		t.Errorf("the list is old: %+v", got)
 	}
 	u.RecordListRead(1, true, time.Second)
+	if !findOrigin(t, u, "first").Leads {
+		t.Error("the leader does not say that it leads")
+	}
 	if got := findOrigin(t, u, "first").Single; got.Service != "s" || got.Version != "v1" || got.For < lasting {
 		t.Errorf("got %+v, want v1 for %v or more", got, lasting)
 	}
@@ -77,7 +80,7 @@
 		t.Errorf("two versions: %+v", got)
 	}
 	g.set(1, false)
-	if got := findOrigin(t, u, "first").Single; got.Version != "" {
+	if got := findOrigin(t, u, "first"); got.Single.Version != "" || got.Leads {
 		t.Errorf("it does not lead: %+v", got)
 	}
 	g.set(2, true)
--- a/transport/forward/origin_lookup.go
+++ b/transport/forward/origin_lookup.go
@@ -51,7 +51,8 @@
 }
 
 // lookUpOrigin looks for the origin of the stream in the table, at other gateways, in the origin store
-// and in the history. complete reports that all instances that may keep it have answered.
+// and in the histories. complete reports that asking again is of no use: all instances that may keep the
+// origin have answered and, if there is an origin store, the leader among them.
 func (x *exchange) lookUpOrigin() (found protocol.StreamOrigin, source origin.Source, complete bool) {
 	g, key := x.g, x.streamKey()
 	s, now := &g.origins, clock.Now()
@@ -61,23 +62,24 @@
 	if known {
 		return r.Origin(key, now), origin.FromTable, true
 	}
-	m := origin.JudgeMsg{Lifetime: x.streamLifetime()}
+	m := origin.JudgeMsg{Lifetime: x.streamLifetime(), HasStore: g.originStore != nil}
 	keepers, store := g.peerTargets(origin.Keepers(key, g.cfg.Topology, g.keepers())), g.storeTargets()
-	first, answered := min(firstAsked, len(keepers)), 0
+	first, leads := min(firstAsked, len(keepers)), false
+	query := &protocol.OriginQuery{Key: key, Route: x.route.Name}
 	for _, targets := range [][]originTarget{slices.Concat(store, keepers[:first]), keepers[first:]} {
-		for i, reply := range g.askOrigin(targets, &protocol.OriginQuery{Key: key, Route: x.route.Name}) {
+		for i, reply := range g.askOrigin(targets, query) {
 			m.Replies = append(m.Replies, reply)
-			if !targets[i].isStore {
-				answered++
+			if targets[i].isStore && (reply.Leads || reply.Single.For > 0) { // A leader of an earlier build does not say that it leads.
+				leads, m.Leader = true, reply.Single
 			}
 		}
-		m.AllAnswered = len(keepers) > 0 && answered == len(keepers)
+		m.AllAnswered = len(m.Replies) == len(keepers)+len(store)
 		m.Single, m.ListAge = x.history()
 		if found, source = origin.Judge(m); source != origin.Unknown {
 			break
 		}
 	}
-	return found, source, m.AllAnswered && len(m.Replies) == len(keepers)+len(store)
+	return found, source, len(keepers) > 0 && m.AllAnswered && (leads || !m.HasStore)
 }
 
 // history returns what this gateway has seen of the route's service and its versions, and how old
@@ -128,6 +130,7 @@
 	if r, ok := s.table.Find(q.Key, now); ok {
 		reply.Found, reply.Origin = true, r.Origin(q.Key, now)
 	}
+	reply.Several = s.history.Several(q.Route)
 	if origin.Current(s.history.ListAge(now)) {
 		reply.Single = s.history.Single(q.Route, now)
 	}
--- a/transport/forward/origin_store_test.go
+++ b/transport/forward/origin_store_test.go
@@ -18,6 +18,8 @@
 	tables map[string]*origin.Table
 	silent []string
 	single protocol.SingleVersion
+
+	leaderless bool // leaderless reports that none of the instances leads.
 }
 
 func newFakeStore(instances ...string) *fakeStore {
@@ -58,7 +60,7 @@
 	if r, ok := s.tables[address].Find(q.Key, clock.Now()); ok {
 		reply.Found, reply.Origin = true, r.Origin(q.Key, clock.Now())
 	}
-	reply.Single = s.single
+	reply.Single, reply.Leads = s.single, !s.leaderless
 	return nil
 }
 
