Tests of heads that a server stops in the middle of

Reported: a server stopped in the middle of its answer's head and closed, and callers got a 200 with an empty or short body, framed as whole.

No product code is changed. closedAddress of the tests freed its port, which another process could take: once, beside a soak, its stand-in of a server answered a request that should have found a closed port (200, "done"). The port stays bound until the test ends now.

--- a/cmd/weldctl/answer_test.go
+++ b/cmd/weldctl/answer_test.go
@@ -80,6 +80,23 @@
 	}
 }
 
+// TestCutHeads checks that each command fails if the instance stops in the middle of its answer's head.
+func TestCutHeads(t *testing.T) {
+	for name, c := range readingCommands {
+		for _, head := range []string{
+			"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n",
+			"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
+			"HTTP/1.0 200 OK\r\nA: b\r\n\r\n",
+		} {
+			for at := 1; at < len(head); at++ {
+				if code, out, errs := runAt(c.args, rawInstance(t, head[:at])); code != exitFailed {
+					t.Errorf("%s, %q: exit code %d, output %q, errors %q", name, head[:at], code, out, errs)
+				}
+			}
+		}
+	}
+}
+
 // TestGoodAnswers checks that each command reads a whole answer, however it is framed.
 func TestGoodAnswers(t *testing.T) {
 	for name, c := range readingCommands {
--- a/transport/backend/head_test.go
+++ b/transport/backend/head_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"strings"
+	"syscall"
 	"testing"
 	"testing/iotest"
 
@@ -64,6 +65,31 @@
 	}
 }
 
+// TestCutHead checks that a head of any framing that ends at any byte before its last one is no head.
+func TestCutHead(t *testing.T) {
+	const interim = "HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n"
+	for _, head := range []string{
+		soundHead,
+		"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n",
+		"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
+		"HTTP/1.1 200 OK\r\nA: b\r\n\r\n",
+		"HTTP/1.0 200 OK\r\nA: b\r\n\r\n",
+		"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n",
+		"HTTP/1.1 204 No Content\r\n\r\n",
+		interim + soundHead,
+	} {
+		for at := range len(head) {
+			for _, failure := range []error{io.EOF, syscall.ECONNRESET} {
+				var resp fasthttp.Response
+				r := io.MultiReader(strings.NewReader(head[:at]), iotest.ErrReader(failure))
+				if err := ReadHead(bufio.NewReaderSize(r, readBuffer), &resp); err == nil {
+					t.Errorf("%q followed by %v is a head of status %d", head[:at], failure, resp.StatusCode())
+				}
+			}
+		}
+	}
+}
+
 // TestHeadWithoutEnd checks that a head whose bytes never end is given up after a bounded part of it.
 func TestHeadWithoutEnd(t *testing.T) {
 	for name, c := range map[string]struct{ start, rest string }{
--- a/transport/forward/move_test.go
+++ b/transport/forward/move_test.go
@@ -44,20 +44,21 @@
 
 // moveFaults selects what goes wrong in a move.
 type moveFaults struct {
-	copies        []int // copies are the statuses of the first copies; 0 for no answer. Later copies get 200.
-	stop          int   // stop is the status of the stop; 0 for no answer.
-	withoutHandle bool  // withoutHandle omits the handle from a refused stop.
-	stopIgnored   bool  // stopIgnored leaves the run unchanged if the stop is not answered with 200.
-	sourceDies    bool  // sourceDies breaks the source's stream when a copy is requested.
-	target        int   // target is the status with which another server accepts the run; 0 for none.
-	unbegun       bool  // unbegun makes the source generate no event before the move.
-	sourceBreaks  bool  // sourceBreaks breaks the stream of a run that returned to the source after one more event.
-	targetGarbles bool  // targetGarbles makes the target send an invalid answer.
-	streamHangs   bool  // streamHangs makes the source keep the stream of a stopped run open.
-	otherWeights  bool  // otherWeights makes the target continue with weights other than those requested.
-	targetHangs   bool  // targetHangs makes the target not answer.
-	sourceRefuses bool  // sourceRefuses makes the source refuse a run that returns.
-	unframed      bool  // unframed makes the source send its stream without a length, and stop between two events.
+	copies        []int                             // copies are the statuses of the first copies; 0 for no answer. Later copies get 200.
+	stop          int                               // stop is the status of the stop; 0 for no answer.
+	withoutHandle bool                              // withoutHandle omits the handle from a refused stop.
+	stopIgnored   bool                              // stopIgnored leaves the run unchanged if the stop is not answered with 200.
+	sourceDies    bool                              // sourceDies breaks the source's stream when a copy is requested.
+	target        int                               // target is the status with which another server accepts the run; 0 for none.
+	unbegun       bool                              // unbegun makes the source generate no event before the move.
+	sourceBreaks  bool                              // sourceBreaks breaks the stream of a run that returned to the source after one more event.
+	targetGarbles bool                              // targetGarbles makes the target send an invalid answer.
+	streamHangs   bool                              // streamHangs makes the source keep the stream of a stopped run open.
+	otherWeights  bool                              // otherWeights makes the target continue with weights other than those requested.
+	targetHangs   bool                              // targetHangs makes the target not answer.
+	targetServes  func(net.Conn, *fasthttp.Request) // targetServes answers in the target's place.
+	sourceRefuses bool                              // sourceRefuses makes the source refuse a run that returns.
+	unframed      bool                              // unframed makes the source send its stream without a length, and stop between two events.
 }
 
 // fakeEngines are servers that stream events and move runs.
@@ -301,6 +302,9 @@
 			fakeChunk(c, fakeEvent(eventsBeforeMove+1))
 			_, _ = c.Read(make([]byte, 1)) // Until the gateway closes the connection.
 			return
+		case f.faults.targetServes != nil:
+			f.faults.targetServes(c, req)
+			return
 		case f.faults.targetGarbles:
 			_, _ = io.WriteString(c, "\x00\x01garbage\r\n\r\n")
 			_ = c.Close()
--- a/transport/forward/pass_test.go
+++ b/transport/forward/pass_test.go
@@ -5,6 +5,7 @@
 	"net"
 	"strings"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -33,15 +34,23 @@
 	return w
 }
 
-// closedAddress returns an address that refuses connections.
+// closedAddress returns an address that refuses connections. The port is bound until the test ends: another
+// process could listen there otherwise, and answer.
 func closedAddress(t *testing.T) string {
 	t.Helper()
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	fd, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM|syscall.SOCK_CLOEXEC, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = syscall.Close(fd) })
+	if err := syscall.Bind(fd, &syscall.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}}); err != nil {
+		t.Fatal(err)
+	}
+	bound, err := syscall.Getsockname(fd)
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer ln.Close()
-	return ln.Addr().String()
+	return fmt.Sprintf("127.0.0.1:%d", bound.(*syscall.SockaddrInet4).Port)
 }
 
 // servePasses returns the peer under which a gateway takes requests from others.
--- a/transport/wire_test.go
+++ b/transport/wire_test.go
@@ -66,6 +66,12 @@
 
 // startRaw answers the first request of each connection with raw bytes and keeps the connection open.
 func startRaw(t *testing.T, raw string) (address string) {
+	t.Helper()
+	return startRawUntil(t, raw, func(net.Conn) {})
+}
+
+// startRawUntil does the same and then calls end with the connection.
+func startRawUntil(t *testing.T, raw string, end func(net.Conn)) (address string) {
 	t.Helper()
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -83,6 +89,7 @@
 				var req fasthttp.Request
 				if req.Read(bufio.NewReader(conn)) == nil {
 					_, _ = io.WriteString(conn, raw)
+					end(conn)
 				}
 			}()
 		}
@@ -108,6 +115,30 @@
 	}
 }
 
+// TestCutHeadOfServer guards against a server that stops in the middle of its answer's head, and whose answer
+// counts as whole.
+func TestCutHeadOfServer(t *testing.T) {
+	for _, head := range []string{
+		"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n",
+		"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
+		"HTTP/1.1 200 OK\r\nA: b\r\n\r\n",
+		"HTTP/1.0 200 OK\r\nA: b\r\n\r\n",
+		"HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 200 OK\r\n\r\n",
+	} {
+		for at := 1; at < len(head); at++ {
+			for ending, linger := range map[string]int{"closed": -1, "reset": 0} {
+				address := startRawUntil(t, head[:at], func(c net.Conn) {
+					_ = c.(*net.TCPConn).SetLinger(linger)
+					_ = c.Close()
+				})
+				if status, body, err := newConnPool(time.Second).call(address, "GET", "/", nil, time.Minute); err == nil {
+					t.Errorf("%q, then %s: status %d, body %q", head[:at], ending, status, body)
+				}
+			}
+		}
+	}
+}
+
 // TestUnusualAnswersOfServer checks that answers with a rare form are read whole.
 func TestUnusualAnswersOfServer(t *testing.T) {
 	for name, raw := range map[string]string{
