Instances on two sides of a partition meet again without their seeds

Cause: after a partition in which each side takes the other for dead, only the seeds of the settings are contacted again. If they have ended for good meanwhile, an instance that was cut off stays alone until its next start, and a control instance that was replaced then asks nobody to let it rejoin.

--- a/coordination/member/member.go
+++ b/coordination/member/member.go
@@ -210,9 +210,10 @@
 	return addresses
 }
 
-// sync synchronizes with one random member, and with one random seed if that is not known
-// to be alive: after a network partition, in which each side declared the other dead, the
-// sides would otherwise never reconnect.
+// sync synchronizes with one random member, with one random seed if that is not known to be
+// alive, and with one random dead member: after a network partition, in which each side
+// declared the other dead, the sides would otherwise never reconnect. Seeds alone do not
+// suffice, since they may have ended for good meanwhile.
 func (s *State) sync(rnd *rand.Rand) []Cmd {
 	var cmds []Cmd
 	for _, name := range s.pickRandom(1, rnd) {
@@ -224,14 +225,22 @@
 			cmds = append(cmds, SyncCmd{Address: seed.Address, Gossip: s.full()})
 		}
 	}
+	if dead := s.namesIn(protocol.MemberDead, protocol.MemberDead); len(dead) > 0 {
+		cmds = append(cmds, SyncCmd{Address: s.rows[dead[rnd.IntN(len(dead))]].Address, Gossip: s.full()})
+	}
 	return cmds
 }
 
 // reachable returns the names of the other members that are alive or suspected, sorted.
 func (s *State) reachable() []string {
+	return s.namesIn(protocol.MemberAlive, protocol.MemberSuspect)
+}
+
+// namesIn returns the names of the other members in a range of states, sorted.
+func (s *State) namesIn(first, last protocol.MemberState) []string {
 	var names []string
 	for name, r := range s.rows {
-		if name != s.self && r.State < protocol.MemberDead {
+		if name != s.self && r.State >= first && r.State <= last {
 			names = append(names, name)
 		}
 	}
--- a/coordination/member/member_test.go
+++ b/coordination/member/member_test.go
@@ -16,6 +16,7 @@
 	now     time.Time
 	views   []*State
 	down    map[string]bool
+	apart   map[string]bool // apart are the instances on the other side of a partition.
 	sent    int
 	known   map[string]map[string]bool // known are the leaving and new servers that each instance knows of.
 	fetched map[string]uint64
@@ -29,6 +30,7 @@
 		rnd:     rand.New(rand.NewPCG(seed, 0)),
 		now:     time.Unix(1000, 0),
 		down:    map[string]bool{},
+		apart:   map[string]bool{},
 		known:   map[string]map[string]bool{},
 		fetched: map[string]uint64{},
 	}
@@ -57,9 +59,9 @@
 	}
 }
 
-// deliver delivers gossip to an instance and reports whether the instance is up.
-func (c *cluster) deliver(address string, n protocol.GossipMsg) bool {
-	if c.down[address] {
+// deliver delivers gossip to an instance and reports whether the instance could be reached.
+func (c *cluster) deliver(from, address string, n protocol.GossipMsg) bool {
+	if c.down[address] || c.apart[from] != c.apart[address] {
 		return false
 	}
 	c.sent++
@@ -70,11 +72,11 @@
 func (c *cluster) execute(v *State, cmd Cmd) {
 	switch cmd := cmd.(type) {
 	case ProbeCmd:
-		c.update(v, ProbedMsg{Name: cmd.Name, Alive: c.deliver(cmd.Address, cmd.Gossip), Now: c.now, Rand: c.rnd.Uint64()})
+		c.update(v, ProbedMsg{Name: cmd.Name, Alive: c.deliver(v.self, cmd.Address, cmd.Gossip), Now: c.now, Rand: c.rnd.Uint64()})
 	case PushCmd:
-		c.deliver(cmd.Address, cmd.Gossip)
+		c.deliver(v.self, cmd.Address, cmd.Gossip)
 	case SyncCmd:
-		if c.deliver(cmd.Address, cmd.Gossip) {
+		if c.deliver(v.self, cmd.Address, cmd.Gossip) {
 			c.update(v, GossipMsg{Gossip: c.view(cmd.Address).Full(), Now: c.now, Rand: c.rnd.Uint64()})
 		}
 	case ServerLeavingCmd:
@@ -210,6 +212,29 @@
 	}
 }
 
+// TestPartitionedSidesMeetAgain guards against an instance that stays alone: it was cut off, each side took
+// the other for dead, and the seeds of both ended meanwhile.
+func TestPartitionedSidesMeetAgain(t *testing.T) {
+	for seed := range uint64(20) {
+		c := newCluster(t, 8, seed)
+		c.run(60)
+		c.apart["m5"] = true
+		c.run(60)
+		if got := c.states("m5", protocol.MemberDead); got != 7 {
+			t.Errorf("seed %d: %d of 7 instances take the one that is cut off for dead", seed, got)
+		}
+		c.down["m0"], c.down["m1"] = true, true
+		c.run(60)
+		clear(c.apart)
+		c.run(10 * DefaultConfig(0).SyncEvery)
+		for i := 2; i < 8; i++ {
+			if got := c.states(fmt.Sprint("m", i), protocol.MemberAlive); got != 6 {
+				t.Errorf("seed %d: m%d is alive for %d of 6 instances", seed, i, got)
+			}
+		}
+	}
+}
+
 // TestRevisionIsFetched checks that a new configuration at one instance makes all others
 // fetch it.
 func TestRevisionIsFetched(t *testing.T) {
