A replica whose disk failed does not ask to join

It drops all messages until its folder is reopened, and so would hear of no leader, ask, and be added as a learner that answers nothing. TestAskingReplicas has the case. The package comment of origin says which history counts.

--- a/coordination/origin/table.go
+++ b/coordination/origin/table.go
@@ -4,8 +4,8 @@
 // began it, whichever gateway its caller turns to. A gateway knows that version from:
 //
 //	Table    the origins of streams, of this gateway's own and of those that others gave it to keep
-//	History  the versions that were listed for each service: with a single one since before the
-//	         stream can have begun, no record is needed
+//	History  the versions that were listed for each service; the leader's tells the version of any
+//	         stream if it has had a single one since before the stream can have begun
 //
 // [Keepers] chooses the gateways that keep the origin of a stream, and [Judge] decides from what is
 // known. What is not known is not guessed.
--- a/coordination/replicate/membership_test.go
+++ b/coordination/replicate/membership_test.go
@@ -280,6 +280,8 @@
 		r.Update(TickMsg{Now: time.Second + ago})
 		return r
 	}
+	broken := replicaOf(idB, HardState{Term: 4})
+	broken.Update(DiskFailedMsg{})
 	leader := replicaOf(idA, HardState{Term: 2})
 	elect(t, leader)
 	leader.Update(StepMsg{Message: Message{Kind: AppendReply, From: idB, To: idA, Term: leader.hard.Term}, Now: time.Second})
@@ -289,6 +291,7 @@
 	}{
 		"no group yet":             {New(testConfig, Start{ID: idC}), true},
 		"leader":                   {leader, false},
+		"voter, disk failed":       {heard(broken, testConfig.Election), false},
 		"voter, heard of a leader": {heard(replicaOf(idB, HardState{Term: 4}), testConfig.Election-time.Millisecond), false},
 		"voter, no leader":         {heard(replicaOf(idB, HardState{Term: 4}), testConfig.Election), true},
 	} {
--- a/transport/bootstrap.go
+++ b/transport/bootstrap.go
@@ -25,7 +25,8 @@
 	mayFound      bool // mayFound allows creating a group.
 	askAllMembers bool // askAllMembers extends the search for the group to every known member.
 	joining       bool // joining says that this replica asked to join in the last step.
-	address       func(name string) (address string, ok bool)
+	// address returns the address of a replica that the membership does not know.
+	address func(name string) (address string, ok bool)
 }
 
 // BootstrapOption configures a Bootstrap.
@@ -69,7 +70,7 @@
 	case s.Joining:
 		b.join(&s)
 	}
-	b.joining = s.Joining
+	b.joining = s.Group != 0 && s.Joining
 }
 
 // foundOrJoin creates a group or joins an existing one. Only the founder with the
