--- a/transport/forward/origin_lost_test.go
+++ b/transport/forward/origin_lost_test.go
@@ -90,6 +90,24 @@
 	}
 }
 
+// TestStreamsOfLostGatewayBesideTwoChanges checks that such streams go on behind a new version and a split,
+// and that they are refused, not mixed, once their version is withdrawn.
+func TestStreamsOfLostGatewayBesideTwoChanges(t *testing.T) {
+	all, second := newCalmGateways(t, 4)
+	began := all[0].beginLost()
+	list(all[1:], func(protocol.Instance) bool { return true }, second...)
+	for _, w := range all[1:] {
+		w.splitRoute("s", "z")
+	}
+	all[1].requireResumed(began)
+	list(all[1:], onlyVersion("v2"), second...)
+	for id := range began {
+		if got := all[2].resume("late-"+id, id); got.status != 503 || got.verdict != protocol.NotRun.String() {
+			t.Errorf("stream %s of a withdrawn version: %+v, want a refusal as not run", id, got)
+		}
+	}
+}
+
 // TestStreamsOfLostGatewayAreNotGuessed checks that streams which a gateway began beside a second version,
 // while it reached none of those that would have kept their origins, are refused for as long as their
 // version is not known.
